Found the core: typed events and effects, one reducer, request lifecycle

Cause: an empty repository; every later part needs the types that pass between adapters and decisions. Ruled out: decisions inside the adapters, which could only be tested with real processes; a pure copy-on-write state, whose cost per streamed chunk would be spent on copying. Change: turmericweir_core with events, effects, request, account, queues by class with an assured share, the server table, a retry budget, placement by own counts and the baseline policy, and the protocols at the border.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,62 @@
+PYTHON ?= python3
+
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.stamp
+PACKAGES := $(sort $(wildcard packages/*))
+PROJECTS := $(addsuffix /pyproject.toml,$(PACKAGES))
+
+# `make demo KEEP=1` leaves the demo's processes running.
+DEMO_FLAGS := $(if $(filter 1,$(KEEP)),--keep)
+
+.DEFAULT_GOAL := test
+
+# `test` relies on the order of its prerequisites: pytest's summary must be the last line of output.
+.NOTPARALLEL:
+
+.PHONY: venv fmt lint types unit test demo bench-overhead measure measure-control soak clean
+
+venv: $(STAMP)
+
+# All packages go in with one pip call, so that their pins on each other are met by the work tree.
+$(STAMP): pyproject.toml requirements-dev.txt $(PROJECTS)
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check \
+		-r requirements-dev.txt $(addprefix -e ./,$(PACKAGES))
+	touch $@
+
+fmt: $(STAMP)
+	$(BIN)/ruff check --fix-only packages tests
+	$(BIN)/black packages tests
+
+lint: $(STAMP)
+	$(BIN)/black --check --quiet packages tests
+	$(BIN)/ruff check packages tests
+
+types: $(STAMP)
+	$(BIN)/mypy
+
+unit: $(STAMP)
+	$(BIN)/pytest tests
+
+test: lint types unit
+
+demo: $(STAMP)
+	$(BIN)/python -m turmericweir_standins.demo $(DEMO_FLAGS)
+
+bench-overhead: $(STAMP)
+	$(BIN)/python -m turmericweir_standins.bench_overhead
+
+measure: $(STAMP)
+	$(BIN)/python -m turmericweir_standins.measure
+
+measure-control: $(STAMP)
+	$(BIN)/python -m turmericweir_standins.measure_control
+
+soak: $(STAMP)
+	$(BIN)/python -m turmericweir_standins.soak
+
+clean:
+	rm -rf $(VENV) build .pytest_cache .mypy_cache .ruff_cache .hypothesis
+	rm -rf $(addsuffix /build,$(PACKAGES)) $(addsuffix /*.egg-info,$(PACKAGES))
+	find packages tests -name __pycache__ -type d -prune -exec rm -rf {} +
--- /dev/null
+++ b/packages/turmericweir-core/turmericweir_core/config.py
@@ -0,0 +1,152 @@
+"""The settings in force, as the decisions see them: plain data classes without validation.
+
+`settings_model` validates what operators write and builds these; everything else reads them.
+A `Config` is replaced as a whole when the settings log moves on, never changed in place.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from turmericweir_core.ids import ServerName, Target
+
+
+class Kind(StrEnum):
+    """What a service speaks."""
+
+    MODEL = "model"
+    PLAIN = "plain"
+
+
+class Policy(StrEnum):
+    """How servers are picked; see docs/design/placement.md."""
+
+    # First come, first served, round robin, no classes: what measurements compare with.
+    BASELINE = "baseline"
+    # Each instance by its own in-flight counts and the servers' late reports.
+    COUNTS = "counts"
+    # Slots leased to instances by one dispatcher for each server.
+    CREDITS = "credits"
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceClass:
+    """One service class: how urgent its requests are and what they were promised."""
+
+    name: str
+    # 0 is the most urgent tier; lower tiers are shed and preempted first.
+    priority: int
+    # Time to the first token (models) or to the whole answer (plain services), seconds.
+    target_s: float
+    # Time between tokens, seconds; None where it is not promised.
+    token_gap_target_s: float | None = None
+    # Given to requests that bring no deadline of their own, seconds.
+    deadline_s: float = 60.0
+    # Share of dispatched work that this class gets even under endless overload, 0..1.
+    assured_share: float = 0.02
+
+
+@dataclass(frozen=True, slots=True)
+class Limit:
+    """A rate limit; None is no limit."""
+
+    requests_s: float | None = None
+    tokens_s: float | None = None
+
+
+NO_LIMIT = Limit()
+
+
+@dataclass(frozen=True, slots=True)
+class Customer:
+    """A customer, its credentials and the classes that its requests may use."""
+
+    name: str
+    # The team whose subtree holds it; empty for none.
+    team: str = ""
+    # SHA-256 hex digests of the bearer tokens.
+    token_digests: tuple[str, ...] = ()
+    # Class by target (model or service); the key "*" is the default.
+    classes: dict[str, str] = field(default_factory=dict)
+    limit: Limit = NO_LIMIT
+
+
+@dataclass(frozen=True, slots=True)
+class CallRule:
+    """Says whether calls of a plain service that match may be repeated, and their class."""
+
+    method: str = "*"
+    path_prefix: str = "/"
+    repeatable: bool = False
+    # Overrides the customer's class where it is set.
+    service_class: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """A group of backend servers that serve the same thing."""
+
+    name: str
+    kind: Kind
+    # The model names that its servers may serve; empty for plain services.
+    models: tuple[str, ...] = ()
+    # First match wins; calls that match none are repeatable only if the method is safe.
+    rules: tuple[CallRule, ...] = ()
+    # Requests that one server can batch or run at once, until it reports its own number.
+    slots: int = 8
+    # Whether servers refuse an order that carries an old fencing number.
+    checks_fence: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ServerEntry:
+    """A backend server as the settings or the platform's list name it."""
+
+    name: ServerName
+    service: str
+    data_centre: str
+    # "ip:port"
+    address: str
+    # Changes when the server restarts under the same name.
+    incarnation: str = ""
+    leaving: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ModelWant:
+    """How many servers of a service should hold a model."""
+
+    model: str
+    version: str = "1"
+    min_servers: int = 1
+    max_servers: int = 1_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class Operator:
+    """Somebody who may change settings below some paths."""
+
+    name: str
+    token_digest: str
+    paths: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """Everything that operators have set, at one offset of the settings log."""
+
+    # Offset of the first settings record that is not in this state.
+    offset: int = 0
+    classes: dict[str, ServiceClass] = field(default_factory=dict)
+    customers: dict[str, Customer] = field(default_factory=dict)
+    # Customer by token digest.
+    customers_by_token: dict[str, Customer] = field(default_factory=dict)
+    teams: dict[str, Limit] = field(default_factory=dict)
+    services: dict[str, Service] = field(default_factory=dict)
+    # Service by model name or plain service name.
+    service_by_target: dict[Target, Service] = field(default_factory=dict)
+    servers: dict[ServerName, ServerEntry] = field(default_factory=dict)
+    wants: dict[str, ModelWant] = field(default_factory=dict)
+    operators: dict[str, Operator] = field(default_factory=dict)
+    policy: Policy = Policy.COUNTS
--- /dev/null
+++ b/packages/turmericweir-core/turmericweir_core/effects.py
@@ -0,0 +1,168 @@
+"""Everything that the reducer can ask the daemon to do, as typed values."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any, TypeAlias
+
+from turmericweir_core.account import Account
+from turmericweir_core.ids import AttemptId, InstanceName, RequestId, ServerName
+from turmericweir_core.peer_messages import PeerMessage
+from turmericweir_core.request import CancelReason
+
+
+@dataclass(frozen=True, slots=True)
+class StartAttempt:
+    """Send the request to a server and report `AttemptSent`, progress and the end."""
+
+    request_id: RequestId
+    attempt_id: AttemptId
+    server: ServerName
+    address: str
+    # The server schedules by it, lower first.
+    priority: int
+    # Continue the answer after this many tokens that the caller already has.
+    resume_from: int = 0
+    # Use a new connection, or one proven within a second: the call must not be sent twice.
+    fresh_connection: bool = False
+    # Fetch the KV cache of the request from this server first, where it still answers.
+    kv_from: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class CancelAttempt:
+    """Stop an attempt at the server; its end is then reported."""
+
+    request_id: RequestId
+    attempt_id: AttemptId
+    server: ServerName
+    reason: CancelReason
+
+
+@dataclass(frozen=True, slots=True)
+class FinishRequest:
+    """Give the caller the account; nothing more will be sent for the request."""
+
+    account: Account
+
+
+@dataclass(frozen=True, slots=True)
+class AppendRecords:
+    """Append records to a stream of the platform's log."""
+
+    stream: str
+    # Names this append in `AppendDone` or `AppendFailed`.
+    token: str
+    records: tuple[Any, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ReadLog:
+    """Read a stream from this offset now, rather than when the long poll returns."""
+
+    stream: str
+    offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class SendPeer:
+    """Send a message to a peer over its stream; it may be lost with the stream."""
+
+    peer: InstanceName
+    address: str
+    message: PeerMessage
+
+
+@dataclass(frozen=True, slots=True)
+class SendDatagram:
+    """Send a message to a peer as one datagram."""
+
+    peer: InstanceName
+    address: str
+    message: PeerMessage
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeServer:
+    """Ask a server for its load report over a new connection."""
+
+    server: ServerName
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class SendOrder:
+    """Give an order to a server, under a fencing number."""
+
+    server: ServerName
+    address: str
+    token: str
+    kind: str
+    model: str
+    version: str
+    fence: int
+    role: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class AskWeights:
+    """Ask the weight store for leave to load a model."""
+
+    model: str
+    version: str
+
+
+@dataclass(frozen=True, slots=True)
+class SettleChange:
+    """Tell the operator who submitted a change what became of it."""
+
+    change_id: str
+    verdict: Any
+
+
+@dataclass(frozen=True, slots=True)
+class Log:
+    """Write one log line."""
+
+    event: str
+    fields: dict[str, Any] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Count:
+    """Add to a counter metric."""
+
+    name: str
+    by: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Timing:
+    """Record a duration metric, seconds."""
+
+    name: str
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class Exit:
+    """Everything in flight is finished: the process may end with status 0."""
+
+
+Effect: TypeAlias = (
+    StartAttempt
+    | CancelAttempt
+    | FinishRequest
+    | AppendRecords
+    | ReadLog
+    | SendPeer
+    | SendDatagram
+    | ProbeServer
+    | SendOrder
+    | AskWeights
+    | SettleChange
+    | Log
+    | Count
+    | Timing
+    | Exit
+)
--- /dev/null
+++ b/packages/turmericweir-core/turmericweir_core/events.py
@@ -0,0 +1,338 @@
+"""Everything that can happen to an instance, as typed values for the one reducer.
+
+An adapter builds these from validated input; it decides nothing. Time comes beside the event, as an
+argument of `reducer.reduce`, in seconds of the runtime's monotonic clock.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any, TypeAlias
+
+from turmericweir_core.config import ServerEntry
+from turmericweir_core.ids import AttemptId, InstanceName, RequestId, ServerName
+from turmericweir_core.peer_messages import PeerMessage
+from turmericweir_core.request import Request
+
+# --- callers ---------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class RequestArrived:
+    """A caller's request was read whole and validated."""
+
+    request: Request
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLeft:
+    """The caller closed its connection before the account was given."""
+
+    request_id: RequestId
+
+
+# --- attempts --------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class EndComplete:
+    """The server's whole answer was received."""
+
+    status: int
+
+
+@dataclass(frozen=True, slots=True)
+class EndRefused:
+    """The server said that it had not started the request."""
+
+    status: int
+    leaving: bool
+
+
+@dataclass(frozen=True, slots=True)
+class EndUnsent:
+    """No byte of the request left this instance."""
+
+    error: str
+
+
+@dataclass(frozen=True, slots=True)
+class EndBroken:
+    """The connection broke, or went silent, after the request may have reached the server."""
+
+    error: str
+    # The server answers on a new connection, so only the old connection was at fault.
+    server_alive: bool
+
+
+@dataclass(frozen=True, slots=True)
+class EndServerError:
+    """The server answered a model call with an error after it may have worked on it."""
+
+    status: int
+
+
+@dataclass(frozen=True, slots=True)
+class EndCancelled:
+    """The attempt was stopped by order of the reducer."""
+
+    # Tokens that the server generated for the attempt, as far as it told.
+    tokens: int
+
+
+AttemptEnd: TypeAlias = (
+    EndComplete | EndRefused | EndUnsent | EndBroken | EndServerError | EndCancelled
+)
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptSent:
+    """The next thing that happens is the first byte of the attempt going out."""
+
+    request_id: RequestId
+    attempt_id: AttemptId
+
+
+@dataclass(slots=True)
+class AttemptProgress:
+    """Whole tokens of the attempt were received and passed on. The hottest event."""
+
+    request_id: RequestId
+    attempt_id: AttemptId
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptEnded:
+    """Nothing more will come of the attempt."""
+
+    request_id: RequestId
+    attempt_id: AttemptId
+    end: AttemptEnd
+
+
+# --- backend servers -------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class ServerReport:
+    """A server's own load report, which may be late."""
+
+    server: ServerName
+    incarnation: str
+    seq: int
+    running: int
+    waiting: int
+    # Requests that the server can batch or run at once.
+    slots: int
+    kv_used: int = 0
+    kv_total: int = 0
+    models: tuple[str, ...] = ()
+    leaving: bool = False
+    fence: int = -1
+
+
+@dataclass(frozen=True, slots=True)
+class ServerUnreachable:
+    """A new connection to the server failed."""
+
+    server: ServerName
+    error: str
+
+
+@dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """A prompt prefix entered or left a server's cache."""
+
+    stored: bool
+    prefix: str
+
+
+@dataclass(frozen=True, slots=True)
+class CacheEvents:
+    """Cache events of one server, in order; `gap` says that some before them were lost."""
+
+    server: ServerName
+    events: tuple[CacheEvent, ...]
+    gap: bool
+
+
+# --- platform --------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class ListedInstance:
+    """An entry instance in the platform's list."""
+
+    name: InstanceName
+    data_centre: str
+    # Where its peers reach it, "ip:port" for TCP and UDP alike.
+    peer_address: str
+    incarnation: str
+    leaving: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ListRead:
+    """The platform's list of instances was read. It lags, so it is a hint both ways."""
+
+    servers: tuple[ServerEntry, ...]
+    instances: tuple[ListedInstance, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class LogRecord:
+    """One record of a stream of the platform's log."""
+
+    offset: int
+    # As decoded from JSON; the reducer of the stream validates it.
+    value: Any
+
+
+@dataclass(frozen=True, slots=True)
+class LogRead:
+    """Consecutive records of a stream were read, from the platform or from a peer."""
+
+    stream: str
+    records: tuple[LogRecord, ...]
+    # Offset after the newest record that the platform had.
+    end: int
+
+
+@dataclass(frozen=True, slots=True)
+class LogExpired:
+    """The offset asked for is older than the platform keeps."""
+
+    stream: str
+    oldest: int
+    end: int
+
+
+@dataclass(frozen=True, slots=True)
+class LogFailed:
+    """The platform's log could not be read."""
+
+    stream: str
+    error: str
+
+
+@dataclass(frozen=True, slots=True)
+class AppendDone:
+    """An append took effect at these offsets."""
+
+    stream: str
+    # The token that the `AppendRecords` effect carried.
+    token: str
+    first: int
+    end: int
+
+
+@dataclass(frozen=True, slots=True)
+class AppendFailed:
+    """An append was refused, or its acknowledgement was lost."""
+
+    stream: str
+    token: str
+    error: str
+    # The append may have taken effect; only reading on can tell.
+    maybe: bool
+
+
+@dataclass(frozen=True, slots=True)
+class OrderDone:
+    """A server answered an order, or the order failed."""
+
+    server: ServerName
+    token: str
+    ok: bool
+    # The server refused the order's fencing number as old.
+    stale_fence: bool
+    error: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class WeightsAnswered:
+    """The weight store granted a load of a model, or asked to come back later."""
+
+    model: str
+    version: str
+    granted: bool
+    retry_after_s: float = 0.0
+
+
+# --- peers -----------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class PeerReceived:
+    """A validated message came from another instance, by stream or datagram."""
+
+    sender: InstanceName
+    message: PeerMessage
+
+
+@dataclass(frozen=True, slots=True)
+class PeerUnreachable:
+    """The stream to a peer could not be opened, or broke; sent messages may be lost."""
+
+    peer: InstanceName
+    error: str
+
+
+# --- the instance itself ---------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Time passed; every reducer looks for what is due. Sent `Options.tick_s` apart."""
+
+
+@dataclass(frozen=True, slots=True)
+class StopRequested:
+    """The process was told to stop gracefully."""
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeSubmitted:
+    """An operator asked for a change of settings, already validated on its own."""
+
+    change_id: str
+    path: str
+    expected_version: int | None
+    # None deletes the path.
+    value: Any
+    operator: str
+
+
+@dataclass(frozen=True, slots=True)
+class DrainRequested:
+    """An operator asked that a server get no new work."""
+
+    server: ServerName
+    operator: str
+
+
+Event: TypeAlias = (
+    RequestArrived
+    | CallerLeft
+    | AttemptSent
+    | AttemptProgress
+    | AttemptEnded
+    | ServerReport
+    | ServerUnreachable
+    | CacheEvents
+    | ListRead
+    | LogRead
+    | LogExpired
+    | LogFailed
+    | AppendDone
+    | AppendFailed
+    | OrderDone
+    | WeightsAnswered
+    | PeerReceived
+    | PeerUnreachable
+    | Tick
+    | StopRequested
+    | ChangeSubmitted
+    | DrainRequested
+)
--- /dev/null
+++ b/packages/turmericweir-core/turmericweir_core/reasons.py
@@ -0,0 +1,68 @@
+"""Every reason and message that a caller or an operator can be given, in one place.
+
+Codes are stable: callers and dashboards match on them. The sentences may change.
+"""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import Final
+
+
+class Reason(StrEnum):
+    """Why a request ended as it did."""
+
+    OK = "ok"
+    # Refused before anything ran.
+    BAD_REQUEST = "bad_request"
+    UNAUTHORISED = "unauthorised"
+    UNKNOWN_TARGET = "unknown_target"
+    UNKNOWN_CLASS = "unknown_class"
+    TOO_LARGE = "too_large"
+    TOO_SLOW = "too_slow"
+    CUSTOMER_LIMIT = "customer_limit"
+    TEAM_LIMIT = "team_limit"
+    OVERLOAD = "overload"
+    DEADLINE = "deadline"
+    NO_SERVER = "no_server"
+    NO_SETTINGS = "no_settings"
+    STOPPING = "stopping"
+    DISPLACED = "displaced"
+    CLAIM_UNAVAILABLE = "claim_unavailable"
+    CLAIM_BUSY = "claim_busy"
+    # Ended after a server had begun, or may have begun.
+    SERVER_LOST = "server_lost"
+    SERVER_ERROR = "server_error"
+    RETRIES_EXHAUSTED = "retries_exhausted"
+    QUARANTINED = "quarantined"
+    CALLER_LEFT = "caller_left"
+    EVIDENCE_LOST = "evidence_lost"
+    ALREADY_CLAIMED = "already_claimed"
+
+
+MESSAGES: Final[dict[Reason, str]] = {
+    Reason.OK: "",
+    Reason.BAD_REQUEST: "The request could not be understood.",
+    Reason.UNAUTHORISED: "The bearer token is missing or not known.",
+    Reason.UNKNOWN_TARGET: "No model or service of that name is configured.",
+    Reason.UNKNOWN_CLASS: "The customer has no service class for this request.",
+    Reason.TOO_LARGE: "The request is larger than this router accepts.",
+    Reason.TOO_SLOW: "The request body did not arrive in time.",
+    Reason.CUSTOMER_LIMIT: "The customer's limit is reached.",
+    Reason.TEAM_LIMIT: "The team's limit is reached.",
+    Reason.OVERLOAD: "There is no capacity to answer in time; nothing was run.",
+    Reason.DEADLINE: "The deadline passed before a server could begin; nothing was run.",
+    Reason.NO_SERVER: "No server for this target can be reached.",
+    Reason.NO_SETTINGS: "This instance has no settings yet.",
+    Reason.STOPPING: "This instance is stopping and takes no new requests.",
+    Reason.DISPLACED: "Work of a more urgent class took the place of this request.",
+    Reason.CLAIM_UNAVAILABLE: "The idempotency key could not be claimed; nothing was run.",
+    Reason.CLAIM_BUSY: "Another request with this idempotency key is in progress.",
+    Reason.SERVER_LOST: "The server was lost after the request had been sent to it.",
+    Reason.SERVER_ERROR: "The server failed while it ran the request.",
+    Reason.RETRIES_EXHAUSTED: "The answer broke off and the retry budget is spent.",
+    Reason.QUARANTINED: "This request was in flight at repeated server crashes and is refused.",
+    Reason.CALLER_LEFT: "The caller closed the connection.",
+    Reason.EVIDENCE_LOST: "The call may have run; what became of it is not known.",
+    Reason.ALREADY_CLAIMED: "A call with this idempotency key may have run; see the first one.",
+}
--- /dev/null
+++ b/packages/turmericweir-core/turmericweir_core/server_table.py
@@ -0,0 +1,165 @@
+"""What this instance knows of each backend server, and whether it may be given new work.
+
+Sources, in the order of trust: what the server itself did to this instance's own requests, what its
+load report says, what the platform's list and the settings say. Leaving is monotonic for an
+incarnation: once any source says so, no other source takes it back.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from turmericweir_core.config import Config, ServerEntry, Service
+from turmericweir_core.events import ServerReport
+from turmericweir_core.ids import AttemptId, ServerName
+from turmericweir_core.options import Options
+
+
+@dataclass(slots=True)
+class Server:
+    """One backend server."""
+
+    entry: ServerEntry
+    service: Service
+    # The newest load report and when it came.
+    report: ServerReport | None = None
+    report_at: float = 0.0
+    # Requests of this instance in flight there: attempt and its tier.
+    in_flight: dict[AttemptId, int] = field(default_factory=dict)
+    # Set by any source that says so; kept until the incarnation changes.
+    leaving: bool = False
+    # An operator asked that it gets no new work.
+    drained: bool = False
+    # Not asked again before this time, because a new connection to it failed.
+    unreachable_until: float = 0.0
+    # When the next load probe is due.
+    probe_due: float = 0.0
+    # Count of requests ever sent to it from here; the round robin goes by it.
+    sent: int = 0
+
+    @property
+    def slots(self) -> int:
+        """Requests that it can batch or run at once."""
+        return self.report.slots if self.report else self.service.slots
+
+    def serves(self, target: str) -> bool:
+        """Tell whether it has the model, or is of the plain service, that is asked for."""
+        if self.service.models:
+            if self.report is not None and self.report.models:
+                return target in self.report.models
+            return target in self.service.models
+        return target == self.service.name
+
+
+@dataclass(slots=True)
+class ServerTable:
+    """The servers that this instance may route to."""
+
+    by_name: dict[ServerName, Server] = field(default_factory=dict)
+    # Entries that the platform's list or a peer named, by name.
+    listed: dict[ServerName, ServerEntry] = field(default_factory=dict)
+
+
+def is_open(server: Server, now: float) -> bool:
+    """Tell whether a server may be given new work."""
+    return not (server.leaving or server.drained) and now >= server.unreachable_until
+
+
+def servers_for(table: ServerTable, target: str, now: float) -> Iterator[Server]:
+    """Yield the servers that may be given a request for a target."""
+    for server in table.by_name.values():
+        if is_open(server, now) and server.serves(target):
+            yield server
+
+
+def _merge_entry(table: ServerTable, config: Config, entry: ServerEntry) -> None:
+    service = config.services.get(entry.service)
+    if service is None:
+        return
+    known = table.by_name.get(entry.name)
+    if known is None or _restarted(known.entry, entry):
+        table.by_name[entry.name] = Server(entry, service, leaving=entry.leaving)
+        return
+    known.entry = entry
+    known.service = service
+    # Leaving is never taken back by a source that lags.
+    known.leaving = known.leaving or entry.leaving
+
+
+def _restarted(old: ServerEntry, new: ServerEntry) -> bool:
+    if old.address != new.address:
+        return True
+    return bool(new.incarnation and old.incarnation and old.incarnation != new.incarnation)
+
+
+def rebuild(table: ServerTable, config: Config) -> None:
+    """Bring the table in line with the settings and the newest list."""
+    entries = {**table.listed, **config.servers}
+    for entry in entries.values():
+        _merge_entry(table, config, entry)
+    for name in list(table.by_name):
+        server = table.by_name[name]
+        gone = name not in entries or entries[name].service not in config.services
+        # One with requests of ours in flight stays until they end; it gets no new ones.
+        if gone and not server.in_flight:
+            del table.by_name[name]
+        elif gone:
+            server.leaving = True
+
+
+def list_servers(table: ServerTable, config: Config, entries: tuple[ServerEntry, ...]) -> None:
+    """Take the platform's list, a hint that lags both ways.
+
+    A server missing from the list is kept while it still answers: the list may have been read from
+    a platform that has just restarted. It goes when it also cannot be reached.
+    """
+    fresh = {entry.name: entry for entry in entries}
+    for name, entry in table.listed.items():
+        if name in fresh:
+            continue
+        server = table.by_name.get(name)
+        if server is not None and not server.leaving and server.unreachable_until == 0.0:
+            fresh[name] = entry
+    table.listed = fresh
+    rebuild(table, config)
+
+
+def note_report(table: ServerTable, options: Options, now: float, report: ServerReport) -> None:
+    """Take a server's own load report."""
+    server = table.by_name.get(report.server)
+    if server is None:
+        return
+    if server.report is not None and server.report.incarnation == report.incarnation:
+        if report.seq < server.report.seq:
+            return
+        report_leaving = server.leaving or report.leaving
+    else:
+        # A new incarnation has not said that it leaves; its entry in the list may lag behind.
+        report_leaving = report.leaving or (server.leaving and server.report is None)
+    server.report = report
+    server.report_at = now
+    server.leaving = report_leaving
+    server.unreachable_until = 0.0
+
+
+def note_unreachable(table: ServerTable, options: Options, now: float, name: ServerName) -> None:
+    """Leave a server alone for a while after a new connection to it failed."""
+    server = table.by_name.get(name)
+    if server is not None:
+        server.unreachable_until = now + options.unreachable_retry_s
+
+
+def note_leaving(table: ServerTable, name: ServerName) -> None:
+    """Give a server no new work any more: it said itself that it leaves."""
+    server = table.by_name.get(name)
+    if server is not None:
+        server.leaving = True
+
+
+def due_probes(table: ServerTable, options: Options, now: float) -> Iterator[Server]:
+    """Yield the servers whose load is to be asked now, and set when they are due again."""
+    for server in table.by_name.values():
+        if now >= server.probe_due:
+            server.probe_due = now + options.probe_s
+            yield server
