--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 	$(BIN)/black packages tests
 
 lint: $(STAMP)
-	$(BIN)/black --check --quiet packages tests
+	$(BIN)/black --check packages tests
 	$(BIN)/ruff check packages tests
 
 types: $(STAMP)
--- /dev/null
+++ b/packages/turmericweir-ctl/turmericctl/__init__.py
@@ -0,0 +1,1 @@
+"""Operate running routers from the command line."""
--- /dev/null
+++ b/packages/turmericweir/turmericweir/__init__.py
@@ -0,0 +1,1 @@
+"""Run the router daemon: the adapters and the loop around the core."""
