Add the stand-ins: engine, plain service, platform, proxy, callers; clusters as data

Cause: every proof needs real processes on the far side of each interface, and a record of what they saw to judge the router by. Ruled out: a cluster simulator (not wanted); mocks inside the test process, which cannot crash, pause or lose an acknowledgement. Change: engine with continuous batching, plain service, platform with log, list and weight store, fault-injecting TCP/UDP proxy, open-loop callers that check every answer, child processes awaited by their READY line, deployments as data, the demo.

--- /dev/null
+++ b/packages/turmericweir-standins/turmericweir_standins/procs.py
@@ -0,0 +1,378 @@
+"""Start stand-ins and daemons as child processes, for tests, the demo and measurements.
+
+A child says that it serves by a line `READY name address` on its standard output, so its starter
+waits for an event and never for a guessed time; the safety timeouts only end a run that hangs. A
+thread for each child reads its standard output; its standard error goes to a file, so that a full
+pipe can never stop the child. Children are signalled by their own process id only.
+
+`call_json` and `set_behaviour` are the blocking calls by which a test steers a stand-in. What the
+children do, and what their records mean, is left to the callers of this module.
+"""
+
+from __future__ import annotations
+
+import http.client
+import itertools
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from types import TracebackType
+from typing import IO, Any, Final, Self
+
+import orjson
+
+READY_WORD: Final = "READY"
+READY_TIMEOUT_S: Final = 30.0
+LINE_TIMEOUT_S: Final = 30.0
+STOP_GRACE_S: Final = 10.0
+CALL_TIMEOUT_S: Final = 10.0
+POLL_S: Final = 0.01
+LOOPBACK: Final = "127.0.0.1"
+
+# Ports are taken below the range from which Linux picks ports for outgoing connections. A port
+# found by binding to 0 lies in that range, and an unrelated connection may take it between the
+# moment it was found free and the moment the child binds it: the child then fails to start.
+FIRST_PORT: Final = 15000
+LAST_PORT: Final = 32000
+_PORT_COUNT: Final = LAST_PORT - FIRST_PORT
+
+# Each process of a parallel test run starts its search at another place.
+_port_search: Final = itertools.count((os.getpid() * 97) % _PORT_COUNT)
+
+
+class ProcessError(Exception):
+    """Report what a child process did instead of what was awaited."""
+
+    def __init__(self, name: str, step: str, detail: str) -> None:
+        super().__init__(f"process {name}, step {step}: {detail}")
+        # The name that the starter gave to the child.
+        self.name = name
+        # What the starter was waiting for.
+        self.step = step
+
+
+def wait_until(condition: Callable[[], bool], what: str, timeout_s: float = LINE_TIMEOUT_S) -> None:
+    """Wait for what only shows when it is looked at, such as a line in a record."""
+    deadline = time.monotonic() + timeout_s
+    while not condition():
+        if time.monotonic() > deadline:
+            raise TimeoutError(f"not seen in {timeout_s} s: {what}")
+        time.sleep(POLL_S)
+
+
+def free_port(host: str = LOOPBACK) -> int:
+    """Return a port that is free for TCP and for UDP, and that this process has not yet given."""
+    for _ in range(_PORT_COUNT):
+        port = FIRST_PORT + next(_port_search) % _PORT_COUNT
+        if _is_free(host, port, socket.SOCK_STREAM) and _is_free(host, port, socket.SOCK_DGRAM):
+            return port
+    raise OSError(f"no free port on {host} between {FIRST_PORT} and {LAST_PORT}")
+
+
+def free_address(host: str = LOOPBACK) -> str:
+    """Return `host:port` with a free port."""
+    return f"{host}:{free_port(host)}"
+
+
+def _is_free(host: str, port: int, kind: socket.SocketKind) -> bool:
+    with socket.socket(socket.AF_INET, kind) as sock:
+        if kind is socket.SOCK_STREAM:
+            # As servers bind, so that a port with connections in TIME_WAIT counts as free.
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind((host, port))
+        except OSError:
+            return False
+        return True
+
+
+class Process:
+    """One child process: started on entry, awaited until it is ready, stopped on exit."""
+
+    # What the child is called in errors and in the name of its error file.
+    name: str
+    # The command line.
+    argv: list[str]
+    # Where the child's standard error goes; the file is appended to.
+    stderr_path: Path
+    # The addresses by the name in each READY line, in the order in which they came.
+    addresses: dict[str, str]
+    # Every line of the child's standard output so far.
+    lines: list[str]
+
+    def __init__(
+        self,
+        argv: Sequence[str],
+        *,
+        name: str,
+        directory: Path | str,
+        env: Mapping[str, str] | None = None,
+        ready_timeout_s: float = READY_TIMEOUT_S,
+        stop_grace_s: float = STOP_GRACE_S,
+    ) -> None:
+        self.name = name
+        self.argv = list(argv)
+        self.stderr_path = Path(directory) / f"{name}.stderr"
+        self.addresses = {}
+        self.lines = []
+        self._env = {**os.environ, "PYTHONUNBUFFERED": "1", **(env or {})}
+        self._ready_timeout_s = ready_timeout_s
+        self._stop_grace_s = stop_grace_s
+        self._popen: subprocess.Popen[str] | None = None
+        self._reader: threading.Thread | None = None
+        # Guards `lines`, `addresses` and `_ended`, and is notified when one of them changes.
+        self._changed = threading.Condition()
+        # Whether the child's standard output has ended.
+        self._ended = False
+
+    # Start and stop.
+
+    def __enter__(self) -> Self:
+        self.start()
+        try:
+            self.wait_ready()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self.stop()
+
+    def start(self) -> None:
+        """Start the child without waiting for it."""
+        if self._popen is not None:
+            raise ProcessError(self.name, "start", "it was started before")
+        self.stderr_path.parent.mkdir(parents=True, exist_ok=True)
+        with self.stderr_path.open("ab") as stderr:
+            self._popen = subprocess.Popen(
+                self.argv,
+                stdin=subprocess.DEVNULL,
+                stdout=subprocess.PIPE,
+                stderr=stderr,
+                env=self._env,
+                text=True,
+            )
+        assert self._popen.stdout is not None
+        self._reader = threading.Thread(
+            target=self._read,
+            args=(self._popen.stdout,),
+            name=f"stdout of {self.name}",
+            daemon=True,
+        )
+        self._reader.start()
+
+    def stop(self) -> int | None:
+        """End the child: by SIGTERM, and by SIGKILL when it has not ended in the grace period."""
+        if self._popen is None:
+            return None
+        if self.running:
+            # A paused child would keep SIGTERM pending for ever.
+            self.resume()
+            self.terminate()
+        try:
+            code = self._popen.wait(self._stop_grace_s)
+        except subprocess.TimeoutExpired:
+            self.kill()
+            code = self._popen.wait()
+        if self._reader is not None:
+            self._reader.join()
+        if self._popen.stdout is not None:
+            self._popen.stdout.close()
+        return code
+
+    # What the child says.
+
+    @property
+    def address(self) -> str:
+        """The address of the first READY line, as `ip:port`."""
+        with self._changed:
+            for address in self.addresses.values():
+                return address
+        raise ProcessError(self.name, "address", "it has not said that it is ready")
+
+    @property
+    def port(self) -> int:
+        """The port of the first READY line."""
+        return int(self.address.rpartition(":")[2])
+
+    def wait_ready(self, ready_name: str | None = None) -> str:
+        """Wait for a READY line, or for the one of that name, and return its address."""
+        found = self._wait_until(
+            lambda: ready_name in self.addresses if ready_name else bool(self.addresses),
+            self._ready_timeout_s,
+        )
+        if not found:
+            raise ProcessError(self.name, "ready", self._describe_failure())
+        return self.addresses[ready_name] if ready_name else self.address
+
+    def wait_line(self, wanted: Callable[[str], bool], timeout_s: float = LINE_TIMEOUT_S) -> str:
+        """Wait for the first line of standard output that is wanted, and return it."""
+        if not self._wait_until(lambda: any(map(wanted, self.lines)), timeout_s):
+            raise ProcessError(self.name, "line", self._describe_failure())
+        with self._changed:
+            return next(line for line in self.lines if wanted(line))
+
+    def stderr_text(self) -> str:
+        """Return what the child has written to its standard error."""
+        return self.stderr_path.read_text(encoding="utf-8", errors="replace")
+
+    # Signals.
+
+    @property
+    def pid(self) -> int:
+        """The process id of the child."""
+        return self._child("pid").pid
+
+    @property
+    def running(self) -> bool:
+        """Whether the child has been started and has not ended; a paused child runs."""
+        return self._popen is not None and self._popen.poll() is None
+
+    def pause(self) -> None:
+        """Stop the child where it stands; return once the system shows it as stopped."""
+        child = self._child("pause")
+        child.send_signal(signal.SIGSTOP)
+        # The signal is delivered at a later moment, and a test that acts on the pause at once would
+        # now and then still get an answer. WNOWAIT leaves the exit status to `wait`.
+        options = os.WSTOPPED | os.WEXITED | os.WNOWAIT
+        os.waitid(os.P_PID, child.pid, options)
+
+    def resume(self) -> None:
+        """Let a paused child go on."""
+        self._child("resume").send_signal(signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """Ask the child to end gracefully."""
+        self._child("terminate").terminate()
+
+    def kill(self) -> None:
+        """End the child at once, as a crash would."""
+        self._child("kill").kill()
+
+    def wait(self, timeout_s: float | None = STOP_GRACE_S) -> int:
+        """Wait for the child's end and return its exit code; negative for a signal."""
+        try:
+            return self._child("wait").wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            raise ProcessError(self.name, "wait", f"still runs after {timeout_s} s") from None
+
+    # Internals.
+
+    def _child(self, step: str) -> subprocess.Popen[str]:
+        if self._popen is None:
+            raise ProcessError(self.name, step, "it was not started")
+        return self._popen
+
+    def _read(self, stdout: IO[str]) -> None:
+        for line in stdout:
+            with self._changed:
+                self._take_line(line.rstrip("\n"))
+                self._changed.notify_all()
+        with self._changed:
+            self._ended = True
+            self._changed.notify_all()
+
+    def _take_line(self, line: str) -> None:
+        self.lines.append(line)
+        words = line.split()
+        if len(words) == 3 and words[0] == READY_WORD:
+            self.addresses[words[1]] = words[2]
+
+    def _wait_until(self, done: Callable[[], bool], timeout_s: float) -> bool:
+        deadline = time.monotonic() + timeout_s
+        with self._changed:
+            while not done():
+                left = deadline - time.monotonic()
+                if self._ended or left <= 0:
+                    return False
+                self._changed.wait(left)
+            return True
+
+    def _describe_failure(self) -> str:
+        state = "its standard output ended" if self._ended else "the safety timeout passed"
+        return f"{state}; standard error ends with:\n{self.stderr_text()[-2000:]}"
+
+
+def standin(
+    module: str,
+    *args: str,
+    directory: Path | str,
+    name: str | None = None,
+    env: Mapping[str, str] | None = None,
+) -> Process:
+    """Return the stand-in of that module of this package, not yet started."""
+    argv = [sys.executable, "-m", f"turmericweir_standins.{module}", *args]
+    return Process(argv, name=name or module, directory=directory, env=env)
+
+
+@dataclass(frozen=True, slots=True)
+class JsonAnswer:
+    """The answer to one call."""
+
+    status: int
+    # Header values by lower-case name.
+    headers: dict[str, str]
+    # Any: the decoded JSON of whichever call it was; None for an empty body.
+    body: Any
+
+
+def call_json(
+    address: str,
+    method: str,
+    path: str,
+    body: object = None,
+    headers: Mapping[str, str] | None = None,
+    timeout_s: float = CALL_TIMEOUT_S,
+) -> JsonAnswer:
+    """Make one call on a new connection; an unanswered one raises what `http.client` raises."""
+    host, _, port = address.rpartition(":")
+    conn = http.client.HTTPConnection(host, int(port), timeout=timeout_s)
+    try:
+        data = None if body is None else orjson.dumps(body)
+        named = {"Content-Type": "application/json", **(headers or {})}
+        conn.request(method, path, data, named)
+        response = conn.getresponse()
+        text = response.read()
+        named = {name.lower(): value for name, value in response.getheaders()}
+        return JsonAnswer(response.status, named, orjson.loads(text) if text else None)
+    finally:
+        conn.close()
+
+
+# Any: the table that the call returns holds whatever that stand-in's behaviours are.
+def set_behaviour(address: str, **changes: object) -> dict[str, Any]:
+    """Merge these entries into a stand-in's table of behaviours and return the whole table."""
+    answer = call_json(address, "POST", "/_standin/behaviour", changes)
+    if answer.status != 200 or not isinstance(answer.body, dict):
+        raise ValueError(f"the stand-in at {address} refused {changes}: {answer.body}")
+    return answer.body
+
+
+def set_faults(proxy: str, routes: Sequence[str] | None, **changes: object) -> None:
+    """Change the faults of these routes of the proxy, or of all; in force when this returns."""
+    query = "" if routes is None else "?route=" + ",".join(routes)
+    answer = call_json(proxy, "POST", f"/_standin/behaviour{query}", changes)
+    if answer.status != 200:
+        raise ValueError(f"the proxy at {proxy} refused {changes}: {answer.body}")
+
+
+def add_route(proxy: str, target: str, kind: str = "tcp", listen: str = f"{LOOPBACK}:0") -> str:
+    """Add a route to the proxy and return the address on which it listens."""
+    spec = {"kind": kind, "listen": listen, "target": target}
+    answer = call_json(proxy, "POST", "/_standin/routes", {"routes": [spec]})
+    if answer.status != 200:
+        raise ValueError(f"the proxy at {proxy} refused the route {spec}: {answer.body}")
+    return str(answer.body["routes"][-1]["listen"])
