--- /dev/null
+++ b/packages/turmericweir-core/turmericweir_core/admission.py
@@ -0,0 +1,121 @@
+"""Refuse early what cannot be answered in time, and say when to come back.
+
+A request that waits until its deadline and is then given up has cost its caller all that time, and
+a queue that is longer than its deadlines serves nothing but requests that are about to expire. So
+the wait of a new request is predicted from the work ahead of it, in its own and more urgent tiers,
+over the rate at which this instance's backlog drains; beyond the deadline it is refused at once.
+
+Before a request of an upper tier is refused, lower work makes way: a running attempt is displaced,
+or a waiting request is dropped. Only when nothing of the kind is left is the upper tier refused.
+An answer that is ready is never held back: admission looks at new requests only.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from turmericweir_core import displacement, queue_state
+from turmericweir_core.config import Policy
+from turmericweir_core.pool_load import (
+    PoolLoad,
+    arrival_rate,
+    drain_rate,
+    note_arrival,
+    pool_load,
+)
+from turmericweir_core.request import Request
+
+if TYPE_CHECKING:
+    from turmericweir_core.state import State
+
+
+@dataclass(frozen=True, slots=True)
+class Admitted:
+    """The request may wait; others may have to make way for it."""
+
+    # A running request whose attempt is to be displaced.
+    displace: Request | None = None
+    # A waiting request that is to end `not_run`.
+    drop: Request | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The request ends `not_run` now."""
+
+    retry_after_s: float
+
+
+def judge(state: State, now: float, req: Request, pool: str) -> Admitted | Refused:
+    """Decide whether a new request may wait for a server."""
+    if state.config.policy is Policy.BASELINE:
+        return _judge_baseline(state, req)
+    wait = predicted_wait(state, now, req, pool)
+    too_late = wait > state.options.admit_share * (req.deadline - now)
+    if not too_late and not _queue_is_full(state, req):
+        return Admitted()
+    way = _make_way(state, now, req, pool)
+    return way or Refused(retry_after(state, now, req, wait))
+
+
+def _judge_baseline(state: State, req: Request) -> Admitted | Refused:
+    if _queue_is_full(state, req):
+        return Refused(state.options.retry_after_min_s)
+    return Admitted()
+
+
+def _queue_is_full(state: State, req: Request) -> bool:
+    waiting = queue_state.waiting_count(state.queues, req.target, req.service_class.name)
+    return waiting >= state.options.queue_limit
+
+
+def _make_way(state: State, now: float, req: Request, pool: str) -> Admitted | None:
+    """Find lower work that makes way for a request that would have to be refused.
+
+    Failure without it: a counter request is refused while an essay mark runs on the slot that it
+    needed. One piece of lower work goes for each, so no more is lost than upper work gains.
+    """
+    running = displacement.lowest_running(state, now, req.target, req.priority, only_useful=False)
+    if running is not None:
+        return Admitted(displace=running)
+    waiting = displacement.waiting_to_drop(state, pool, req.priority)
+    return None if waiting is None else Admitted(drop=waiting)
+
+
+def note_admitted(state: State, now: float, req: Request, pool: str) -> None:
+    """Count the work of a request that was let in, for the prediction of later waits."""
+    load = pool_load(state.pool_loads, pool)
+    note_arrival(load, state.options, now, req.priority, queue_state.cost(req))
+
+
+# --- the wait --------------------------------------------------------------------------------
+
+
+def predicted_wait(state: State, now: float, req: Request, pool: str) -> float:
+    """Predict how long a new request would wait for a server, seconds."""
+    load = pool_load(state.pool_loads, pool)
+    rate = drain_rate(load)
+    if rate is None:
+        # Nothing was learnt yet; it is let in, and its own attempt will tell.
+        return 0.0
+    ahead = sum(
+        queue.work
+        for queue in queue_state.pool_queues(state.queues, pool)
+        if queue.service_class.priority <= req.priority
+    )
+    return ahead / _rate_for(state, now, req, load, rate)
+
+
+def _rate_for(state: State, now: float, req: Request, load: PoolLoad, rate: float) -> float:
+    """Give the rate that is left for a tier while more urgent work goes on arriving."""
+    above = arrival_rate(load, state.options, now, req.priority)
+    assured = rate * req.service_class.assured_share
+    return max(rate - above, assured, 1e-9)
+
+
+def retry_after(state: State, now: float, req: Request, wait: float) -> float:
+    """Give the time after which the backlog will have drained enough for a request like this."""
+    options = state.options
+    surplus = wait - (req.deadline - now)
+    return min(options.retry_after_max_s, max(options.retry_after_min_s, surplus))
--- /dev/null
+++ b/packages/turmericweir-core/turmericweir_core/attempt_books.py
@@ -0,0 +1,157 @@
+"""Keep the books of what runs: every start and end of an attempt is entered here, once.
+
+From them placement, admission and prediction learn: what runs by tier, what is left to generate on
+each server, how fast servers and pools are, how long answers are. The time of each token is not
+entered: running attempts are sampled on ticks, so that the hottest event stays cheap.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from turmericweir_core import concurrency, displacement, pool_load, predict, prefix, straggler
+from turmericweir_core.config import Kind, Policy
+from turmericweir_core.effects import Count, Effect, Log
+from turmericweir_core.events import ServerReport
+from turmericweir_core.queue_state import cost
+from turmericweir_core.request import Attempt, Request
+from turmericweir_core.tiers import most_urgent
+
+if TYPE_CHECKING:
+    from turmericweir_core.state import State
+
+# Tokens from which on the pace of an attempt that did not complete is worth learning from.
+_PACE_TOKENS = 8
+
+
+def note_started(state: State, now: float, req: Request, attempt: Attempt, pool: str) -> None:
+    """Enter an attempt that begins."""
+    attempt.pool = pool
+    attempt.work = cost(req)
+    pool_load.note_start(pool_load.pool_load(state.pool_loads, pool), attempt.tier)
+    work = state.predicted_work
+    if req.kind is Kind.MODEL:
+        work[attempt.server] = work.get(attempt.server, 0.0) + attempt.work
+        prefix.note_sent(state.prefixes, state.options, now, attempt.server, req.prefixes)
+
+
+def note_ended(state: State, now: float, req: Request, attempt: Attempt) -> None:
+    """Enter the end of an attempt, whatever became of it."""
+    load = pool_load.pool_load(state.pool_loads, attempt.pool)
+    pool_load.note_end(load, attempt.tier)
+    displacement.note_ended(state, attempt.cancelled, attempt.pool)
+    if req.kind is not Kind.MODEL:
+        return
+    work = state.predicted_work
+    left = work.get(attempt.server, 0.0) - attempt.work
+    work[attempt.server] = max(0.0, left)
+    server = state.servers.by_name.get(attempt.server)
+    if server is not None:
+        straggler.sample_end(state.stragglers, state.options, server.service.name, attempt)
+    if attempt.tokens >= _PACE_TOKENS:
+        pool_load.note_pace(load, state.options, now - attempt.started, float(attempt.tokens))
+
+
+def note_completed(state: State, now: float, req: Request, attempt: Attempt) -> list[Effect]:
+    """Learn from an attempt whose answer is whole."""
+    options = state.options
+    if req.kind is Kind.MODEL:
+        return predict.note_length(state.predictor, options, req)
+    elapsed = now - attempt.started
+    load = pool_load.pool_load(state.pool_loads, attempt.pool)
+    pool_load.note_pace(load, options, elapsed, 1.0)
+    server = state.servers.by_name.get(attempt.server)
+    if server is not None:
+        concurrency.note_latency(
+            state.server_limits, options, now, attempt.server, server.slots, elapsed
+        )
+    return []
+
+
+def note_first_token(state: State, now: float, req: Request, attempt: Attempt) -> None:
+    """Learn from the first token of an attempt."""
+    if attempt.tier != most_urgent(state.config):
+        # Lower tiers wait at the engine behind upper ones, which says nothing of its limit.
+        return
+    waited = now - attempt.started
+    target_s = req.service_class.target_s
+    concurrency.note_first_token(
+        state.server_limits, state.options, attempt.server, waited, target_s
+    )
+
+
+# --- ticks -----------------------------------------------------------------------------------
+
+
+def on_tick(state: State, now: float) -> list[Effect]:
+    """Sample what runs, judge the servers by it and adapt their limits."""
+    if state.config.policy is Policy.BASELINE:
+        return []
+    if not straggler.sample_is_due(state.stragglers, state.options, now):
+        return []
+    urgent = most_urgent(state.config)
+    for req in state.requests.values():
+        if req.attempt is not None and req.kind is Kind.MODEL:
+            server = state.servers.by_name.get(req.attempt.server)
+            if server is not None:
+                straggler.sample_attempt(
+                    state.stragglers,
+                    state.options,
+                    now,
+                    server.service.name,
+                    req.attempt,
+                    urgent=req.attempt.tier == urgent,
+                )
+    _forget_gone(state)
+    _adjust_engines(state, now)
+    effects: list[Effect] = []
+    for name in straggler.judge_all(state.stragglers, state.options, now):
+        effects.append(Count("straggler.found"))
+        effects.append(Log("straggler", {"peer": name, "step": "judge"}))
+    return effects
+
+
+def _adjust_engines(state: State, now: float) -> None:
+    target = _gap_target(state)
+    for name, pace in state.stragglers.by_server.items():
+        server = state.servers.by_name.get(name)
+        if server is not None and server.in_flight:
+            concurrency.adjust_engine(
+                state.server_limits, state.options, now, name, pace.gap_s, target
+            )
+
+
+def _gap_target(state: State) -> float | None:
+    """Give the time between tokens that the most urgent class with a promise was promised."""
+    promised = [
+        (each.priority, each.token_gap_target_s)
+        for each in state.config.classes.values()
+        if each.token_gap_target_s is not None
+    ]
+    return min(promised)[1] if promised else None
+
+
+def _forget_gone(state: State) -> None:
+    """Let go of what is known of servers that left the table."""
+    for name in list(state.stragglers.by_server):
+        if name not in state.servers.by_name:
+            straggler.forget_server(state.stragglers, name)
+    for name in list(state.server_limits.by_server):
+        if name not in state.servers.by_name:
+            concurrency.forget_server(state.server_limits, name)
+    for name in list(state.predicted_work):
+        if name not in state.servers.by_name:
+            del state.predicted_work[name]
+
+
+def note_report(state: State, now: float, report: ServerReport) -> None:
+    """Judge a server afresh, with an empty cache, where it restarted under the same name."""
+    name = report.server
+    server = state.servers.by_name.get(name)
+    if server is None or server.report is None:
+        return
+    if server.report.incarnation == report.incarnation:
+        return
+    straggler.forget_server(state.stragglers, name)
+    concurrency.forget_server(state.server_limits, name)
+    prefix.forget_server(state.prefixes, now, name)
--- /dev/null
+++ b/packages/turmericweir-core/turmericweir_core/claim_end.py
@@ -0,0 +1,64 @@
+"""What follows for a key from the end of a request that held it, or waited for it.
+
+Called by `lifecycle.finish` for every request, so that no path can end a claimed one unnoticed.
+"""
+
+from __future__ import annotations
+
+from turmericweir_core.account import Account, Outcome
+from turmericweir_core.claim_answer import KeptAnswer, KeptEnd, keep_end
+from turmericweir_core.claim_ledger import holder_of
+from turmericweir_core.claim_outbox import put_end, put_withdrawal
+from turmericweir_core.claim_peer import told_kept
+from turmericweir_core.claim_record import ClaimEnd, EndRecord
+from turmericweir_core.claim_state import drop_wait
+from turmericweir_core.effects import Effect
+from turmericweir_core.ids import RequestId
+from turmericweir_core.request import Request
+from turmericweir_core.state import State
+
+
+def note_finished(
+    state: State, now: float, account: Account, answer: KeptAnswer | None
+) -> list[Effect]:
+    """Free the key of a request that never ran; keep and tell the end of one that did."""
+    claims = state.claims
+    request_id = RequestId(account.request_id)
+    key = claims.held.pop(request_id, None)
+    if key is None:
+        _give_up_waiting(state, now, request_id)
+        return []
+    claims.due.add(key)
+    if account.outcome is Outcome.NOT_RUN:
+        claims.withdrawing.add(request_id)
+        put_withdrawal(claims.outbox, state.options, now, request_id, key)
+        claims.askers.pop(request_id, None)
+        return []
+    end = ClaimEnd(account.outcome, account.reason, account.status)
+    kept = KeptEnd(end, answer)
+    keep_end(claims.answers, state.options, request_id, kept)
+    put_end(claims.outbox, state.options, now, request_id, EndRecord(key, request_id, end))
+    askers = claims.askers.pop(request_id, [])
+    return [told_kept(state, asker, request_id, kept) for asker in askers]
+
+
+def _give_up_waiting(state: State, now: float, request_id: RequestId) -> None:
+    claims = state.claims
+    wait = drop_wait(claims, request_id)
+    if wait is None:
+        return
+    claims.outbox.claims.pop(request_id, None)
+    if wait.sent:
+        # The claim may stand in the log, or land there yet. It would hold the key with nobody to
+        # run it, and every later caller would be told that the call may have run.
+        claims.withdrawing.add(request_id)
+        put_withdrawal(claims.outbox, state.options, now, request_id, wait.key)
+
+
+def follows_holder(state: State, req: Request) -> bool:
+    """Tell whether a request waits for another that holds its key and may have run."""
+    wait = state.claims.waits.get(req.request_id)
+    if wait is None:
+        return False
+    holder = holder_of(state.claims.ledger, state.options, wait.key)
+    return holder is not None and holder.claim.request_id != req.request_id
--- /dev/null
+++ b/packages/turmericweir-core/turmericweir_core/claim_outbox.py
@@ -0,0 +1,252 @@
+"""Writes to the `claims` stream: few appends, each with everything that there is to say.
+
+One append is out at a time. What comes up meanwhile gathers for the next, so a burst of calls costs
+one append for each round trip to the log, and a bucket bounds the appends a second. Whatever is
+said stays in the outbox until it has been read back: a lost acknowledgement is settled by reading,
+and what an append failed to say the next one says again under a higher number, which makes the
+earlier one void should it still land.
+"""
+
+from __future__ import annotations
+
+from itertools import islice
+
+from turmericweir_core.claim_clock import told_clocks
+from turmericweir_core.claim_ledger import Claim, floor_of
+from turmericweir_core.claim_record import (
+    CLAIMS_STREAM,
+    Batch,
+    CarriedClaim,
+    EndRecord,
+    NewClaim,
+    Withdrawal,
+    Writer,
+    encode,
+    time_of,
+)
+from turmericweir_core.claim_state import ClaimState, Outbox
+from turmericweir_core.effects import AppendRecords, Count, Effect, ReadLog
+from turmericweir_core.events import AppendDone, AppendFailed
+from turmericweir_core.ids import RequestId
+from turmericweir_core.options import Options
+from turmericweir_core.state import State
+
+# --- what is to be said ----------------------------------------------------------------------
+
+
+def put_claim(outbox: Outbox, request_id: RequestId, claim: NewClaim) -> None:
+    """Have a claim written."""
+    outbox.claims[request_id] = claim
+    outbox.clock_ms = max(outbox.clock_ms, time_of(request_id))
+
+
+def put_withdrawal(
+    outbox: Outbox, options: Options, now: float, request_id: RequestId, key: str
+) -> None:
+    """Have a claim taken back whose call never ran."""
+    outbox.withdrawn[request_id] = Withdrawal(key, request_id)
+    _note_quiet(outbox, options, now)
+
+
+def put_end(
+    outbox: Outbox, options: Options, now: float, request_id: RequestId, record: EndRecord
+) -> None:
+    """Have the end of a claimed call written."""
+    outbox.ends[request_id] = record
+    _note_quiet(outbox, options, now)
+
+
+def _note_quiet(outbox: Outbox, options: Options, now: float) -> None:
+    if outbox.quiet_due is None:
+        outbox.quiet_due = now + options.claim_end_delay_s
+
+
+def is_claim_out(outbox: Outbox, request_id: RequestId) -> bool:
+    """Tell whether a claim is on its way to the log or back."""
+    if request_id in outbox.claims:
+        return True
+    return any(_has_claim(batch, request_id) for batch in outbox.landed.values())
+
+
+def _has_claim(batch: Batch, request_id: RequestId) -> bool:
+    return any(claim.request_id == request_id for claim in batch.claims)
+
+
+def is_log_down(outbox: Outbox, options: Options, now: float) -> bool:
+    """Tell whether appends fail, and one more claim would only wait for nothing."""
+    if outbox.failures < options.claim_down_failures:
+        return False
+    # Between two tries, or while one is out. Once a try is due the next claim is let through.
+    return outbox.in_flight is not None or now < outbox.retry_at
+
+
+def is_flushed(outbox: Outbox) -> bool:
+    """Tell whether there is nothing left to say."""
+    said = not (outbox.claims or outbox.withdrawn or outbox.ends)
+    return said and outbox.in_flight is None
+
+
+# --- appends ---------------------------------------------------------------------------------
+
+
+def flush(state: State, now: float) -> list[Effect]:
+    """Append what there is to say, if an append may be made now."""
+    outbox = state.claims.outbox
+    if outbox.in_flight is not None or now < outbox.retry_at or not _is_due(outbox, now):
+        return []
+    batch = _compose(state)
+    if _is_empty(batch) and not outbox.floor:
+        outbox.carry = False
+        outbox.quiet_due = None
+        return []
+    if not _take_token(outbox, state.options, now):
+        return []
+    _note_sent(state, now, batch)
+    token = str(batch.number)
+    return [AppendRecords(CLAIMS_STREAM, token, (encode(batch),)), Count("claim.appends")]
+
+
+def _is_due(outbox: Outbox, now: float) -> bool:
+    quiet = outbox.quiet_due is not None and now >= outbox.quiet_due
+    return bool(outbox.claims) or quiet or outbox.carry or outbox.floor
+
+
+def _compose(state: State) -> Batch:
+    claims = state.claims
+    outbox = claims.outbox
+    landed = outbox.landed.values()
+    claimed = {each.request_id for batch in landed for each in batch.claims}
+    withdrawn = {each.request_id for batch in landed for each in batch.withdrawn}
+    ended = {each.request_id for batch in landed for each in batch.ends}
+    return Batch(
+        writer=Writer(state.me.name, state.me.incarnation, state.me.peer_address),
+        number=outbox.number + 1,
+        at_ms=outbox.clock_ms,
+        clocks=told_clocks(claims.ledger.clock),
+        upto=claims.ledger.offset,
+        floor=floor_of(claims.ledger),
+        carried=_carried(claims, state.options) if outbox.carry else (),
+        withdrawn=tuple(each for rid, each in outbox.withdrawn.items() if rid not in withdrawn),
+        ends=tuple(each for rid, each in outbox.ends.items() if rid not in ended),
+        claims=tuple(each for rid, each in outbox.claims.items() if rid not in claimed),
+    )
+
+
+def _carried(claims: ClaimState, options: Options) -> tuple[CarriedClaim, ...]:
+    if not claims.ledger.whole:
+        return ()
+    oldest = islice(claims.ledger.claims.values(), options.claim_carry_max)
+    return tuple(_carry(each) for each in oldest)
+
+
+def _carry(claim: Claim) -> CarriedClaim:
+    return CarriedClaim(
+        claim=claim.claim,
+        holder=claim.holder,
+        claimed_at=claim.claimed_at,
+        at_ms=claim.at_ms,
+        unsure=claim.unsure,
+        end=claim.end,
+    )
+
+
+def _is_empty(batch: Batch) -> bool:
+    return not (batch.carried or batch.withdrawn or batch.ends or batch.claims)
+
+
+def _take_token(outbox: Outbox, options: Options, now: float) -> bool:
+    tokens = options.claim_append_burst if outbox.tokens is None else outbox.tokens
+    tokens += (now - outbox.tokens_at) * options.claim_appends_s
+    outbox.tokens = min(tokens, options.claim_append_burst)
+    outbox.tokens_at = now
+    if outbox.tokens < 1.0:
+        return False
+    outbox.tokens -= 1.0
+    return True
+
+
+def _note_sent(state: State, now: float, batch: Batch) -> None:
+    outbox = state.claims.outbox
+    outbox.in_flight = batch
+    outbox.in_flight_at = now
+    outbox.number = batch.number
+    outbox.carry = False
+    outbox.floor = False
+    outbox.quiet_due = None
+    for claim in batch.claims:
+        wait = state.claims.waits.get(RequestId(claim.request_id))
+        if wait is not None:
+            wait.sent = True
+
+
+def on_done(state: State, event: AppendDone) -> Batch | None:
+    """Note an append that took effect and give its record, unless it was read before."""
+    outbox = state.claims.outbox
+    batch = outbox.in_flight
+    if batch is None or event.token != str(batch.number):
+        return None
+    outbox.in_flight = None
+    outbox.failures = 0
+    if event.first < state.claims.ledger.offset:
+        return None
+    outbox.landed[batch.number] = batch
+    return batch
+
+
+def give_up_late(state: State, now: float) -> list[Effect]:
+    """Take an append for failed of which nothing was heard for far too long.
+
+    Its task may have ended by a fault of the program, and nothing would ever be appended again.
+    """
+    outbox = state.claims.outbox
+    batch = outbox.in_flight
+    if batch is None or now - outbox.in_flight_at < state.options.claim_call_s:
+        return []
+    failed = AppendFailed(CLAIMS_STREAM, str(batch.number), "never answered", maybe=True)
+    return on_failed(state, now, failed)
+
+
+def on_failed(state: State, now: float, event: AppendFailed) -> list[Effect]:
+    """Read on after a failed append: its acknowledgement may be all that was lost."""
+    outbox = state.claims.outbox
+    batch = outbox.in_flight
+    if batch is None or event.token != str(batch.number):
+        return []
+    outbox.in_flight = None
+    outbox.failures += 1
+    pause = _pause(state.options, outbox.failures)
+    outbox.retry_at = now + pause * (0.5 + state.rng.random() / 2)
+    if batch.withdrawn or batch.ends:
+        outbox.quiet_due = outbox.retry_at
+    return [Count("claim.append_failed"), *read_on(state, now)]
+
+
+def _pause(options: Options, failures: int) -> float:
+    """Give the longest pause after so many failures in a row."""
+    doubled = options.claim_retry_s * 2.0 ** min(failures - 1, 10)
+    return min(options.claim_retry_max_s, doubled)
+
+
+def read_on(state: State, now: float) -> list[Effect]:
+    """Read the stream from where the ledger stands, one read at a time."""
+    claims = state.claims
+    claims.read_due = now + state.options.claim_read_s
+    since = claims.reading_since
+    if since is not None and now - since < state.options.claim_call_s:
+        return []
+    claims.reading_since = now
+    return [ReadLog(CLAIMS_STREAM, claims.ledger.offset)]
+
+
+def note_read_back(outbox: Outbox, batch: Batch, *, valid: bool) -> None:
+    """Strike out what an own record has said, or say it again if the record is void."""
+    outbox.landed.pop(batch.number, None)
+    if not valid:
+        return
+    outbox.failures = 0
+    for claim in batch.claims:
+        outbox.claims.pop(RequestId(claim.request_id), None)
+    for withdrawn in batch.withdrawn:
+        outbox.withdrawn.pop(RequestId(withdrawn.request_id), None)
+    for end in batch.ends:
+        outbox.ends.pop(RequestId(end.request_id), None)
--- /dev/null
+++ b/packages/turmericweir-core/turmericweir_core/claim_record.py
@@ -0,0 +1,227 @@
+"""Records of the `claims` stream: what instances tell each other through the platform's log.
+
+One record carries everything that an instance had to say at one append: claims of idempotency
+keys, withdrawals of claims whose call never ran, ends of calls that did, and claims carried forward
+before the log lets go of the records that held them. The order inside a record is the order of the
+fields of `Batch`. `encode` and `decode` are the only places that know the form on the wire.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from hashlib import sha256
+from typing import Any, Final
+
+from turmericweir_core.account import Outcome
+from turmericweir_core.reasons import Reason
+from turmericweir_core.request import Request
+
+CLAIMS_STREAM: Final = "claims"
+# Hex digits kept of a key's hash: 128 bits, so that a chance collision need not be thought of.
+KEY_DIGITS: Final = 32
+# The first 48 bits of a UUIDv7 are its time in milliseconds.
+UUID7_TIME_DIGITS: Final = 12
+# The floor of a writer that does not know every live claim.
+NO_FLOOR: Final = -1
+
+
+@dataclass(frozen=True, slots=True)
+class Writer:
+    """The process that wrote a record; a restart makes another one of the same name."""
+
+    instance: str
+    incarnation: str
+    # Where peers reach it.
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class NewClaim:
+    """A request that wants to be the one that runs for its key."""
+
+    key: str
+    fingerprint: str
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Withdrawal:
+    """A claimed request that never ran and never will; the key is free again."""
+
+    key: str
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimEnd:
+    """What became of the request that ran for a key."""
+
+    outcome: Outcome
+    reason: Reason
+    # The server's status, or None where no server answered.
+    status: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class EndRecord:
+    """The end of a claimed request."""
+
+    key: str
+    request_id: str
+    end: ClaimEnd
+
+
+@dataclass(frozen=True, slots=True)
+class CarriedClaim:
+    """A claim written again, because the record that held it is about to leave the log."""
+
+    claim: NewClaim
+    holder: Writer
+    # Offset and time of the claim itself, which carrying does not renew.
+    claimed_at: int
+    at_ms: int
+    # The writer cannot vouch for it; see `claim_ledger`.
+    unsure: bool
+    end: ClaimEnd | None
+
+
+@dataclass(frozen=True, slots=True)
+class Batch:
+    """One record of the stream."""
+
+    writer: Writer
+    # Rises with each append of an incarnation, so that readers can tell a late one.
+    number: int
+    # The writer's wall clock, milliseconds; 0 where it has none to tell.
+    at_ms: int
+    # The writer's two latest clocks of the stream, by instance; see `claim_clock`.
+    clocks: tuple[tuple[str, int], ...]
+    # Offset up to which the writer had read the stream.
+    upto: int
+    # No live claim stands in a record below this offset; `NO_FLOOR` where the writer can't tell.
+    floor: int
+    carried: tuple[CarriedClaim, ...] = ()
+    withdrawn: tuple[Withdrawal, ...] = ()
+    ends: tuple[EndRecord, ...] = ()
+    claims: tuple[NewClaim, ...] = ()
+
+
+def key_of(req: Request) -> str:
+    """Hash a request's idempotency key, scoped by its customer and its service."""
+    scoped = "\0".join((req.customer, req.target, req.idempotency_key or ""))
+    return sha256(scoped.encode()).hexdigest()[:KEY_DIGITS]
+
+
+def time_of(request_id: str) -> int:
+    """Read the milliseconds out of a UUIDv7; 0 for an id that is none."""
+    try:
+        return int(request_id.replace("-", "")[:UUID7_TIME_DIGITS], 16)
+    except ValueError:
+        return 0
+
+
+def encode(batch: Batch) -> dict[str, Any]:
+    """Turn a batch into the JSON object that is appended."""
+    return {
+        "by": _writer_row(batch.writer),
+        "n": batch.number,
+        "at": batch.at_ms,
+        "clocks": [list(each) for each in batch.clocks],
+        "upto": batch.upto,
+        "floor": batch.floor,
+        "carried": [_carried_row(each) for each in batch.carried],
+        "withdrawn": [[each.key, each.request_id] for each in batch.withdrawn],
+        "ends": [[each.key, each.request_id, _end_row(each.end)] for each in batch.ends],
+        "claims": [_claim_row(each) for each in batch.claims],
+    }
+
+
+# Any: the value is whatever JSON the log held.
+def decode(value: Any) -> Batch | None:
+    """Validate a record; None for one that is malformed, which every reader then skips alike."""
+    try:
+        return Batch(
+            writer=_writer(value["by"]),
+            number=_whole(value["n"]),
+            at_ms=_whole(value["at"]),
+            clocks=tuple((_text(name), _whole(at)) for name, at in value["clocks"]),
+            upto=_whole(value["upto"]),
+            floor=_whole(value["floor"]),
+            carried=tuple(_carried(row) for row in value["carried"]),
+            withdrawn=tuple(Withdrawal(_text(k), _text(r)) for k, r in value["withdrawn"]),
+            ends=tuple(EndRecord(_text(k), _text(r), _end(e)) for k, r, e in value["ends"]),
+            claims=tuple(_claim(row) for row in value["claims"]),
+        )
+    except (KeyError, TypeError, ValueError):
+        return None
+
+
+def _writer_row(writer: Writer) -> list[str]:
+    return [writer.instance, writer.incarnation, writer.address]
+
+
+def _claim_row(claim: NewClaim) -> list[str]:
+    return [claim.key, claim.fingerprint, claim.request_id]
+
+
+def _end_row(end: ClaimEnd) -> list[Any]:
+    return [end.outcome.value, end.reason.value, end.status]
+
+
+def _carried_row(each: CarriedClaim) -> list[Any]:
+    return [
+        _claim_row(each.claim),
+        _writer_row(each.holder),
+        each.claimed_at,
+        each.at_ms,
+        each.unsure,
+        None if each.end is None else _end_row(each.end),
+    ]
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise TypeError(f"not a string: {value!r}")
+    return value
+
+
+def _whole(value: Any) -> int:
+    if not isinstance(value, int) or isinstance(value, bool):
+        raise TypeError(f"not a whole number: {value!r}")
+    return value
+
+
+def _writer(row: Any) -> Writer:
+    instance, incarnation, address = row
+    return Writer(_text(instance), _text(incarnation), _text(address))
+
+
+def _claim(row: Any) -> NewClaim:
+    key, fingerprint, request_id = row
+    return NewClaim(_text(key), _text(fingerprint), _text(request_id))
+
+
+def _end(row: Any) -> ClaimEnd:
+    outcome, reason, status = row
+    return ClaimEnd(Outcome(outcome), _reason(reason), None if status is None else _whole(status))
+
+
+def _reason(value: Any) -> Reason:
+    try:
+        return Reason(_text(value))
+    except ValueError:
+        # A newer version may know more reasons. Skipping its record would skip the claims in it,
+        # and an older reader would then run a key that others hold for claimed.
+        return Reason.EVIDENCE_LOST
+
+
+def _carried(row: Any) -> CarriedClaim:
+    claim, holder, claimed_at, at_ms, unsure, end = row
+    return CarriedClaim(
+        claim=_claim(claim),
+        holder=_writer(holder),
+        claimed_at=_whole(claimed_at),
+        at_ms=_whole(at_ms),
+        unsure=bool(unsure),
+        end=None if end is None else _end(end),
+    )
--- /dev/null
+++ b/packages/turmericweir-core/turmericweir_core/displacement.py
@@ -0,0 +1,147 @@
+"""Which lower work makes way for an upper tier.
+
+Two things can be displaced: a running attempt of a model request, which the engine is told to
+cancel and which goes on later from the last token that its caller was sent; and a request that
+still waits, which ends `not_run`. Plain calls that run are never displaced.
+
+Never displaced are: work of the same or a more urgent tier; what runs on a slot that its tier was
+assured or on a turn that its share had earned; and the first waiting request of a class, which is
+the one that its assured share serves next. Without these a burst of an upper class could undo what
+keeps the lowest class alive.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import TYPE_CHECKING
+
+from turmericweir_core import queue_state
+from turmericweir_core.config import Kind, Policy
+from turmericweir_core.credit_holder import excess, is_assured
+from turmericweir_core.ids import Target, request_of
+from turmericweir_core.placement import headroom
+from turmericweir_core.pool_load import lower_running, pool_load
+from turmericweir_core.request import CancelReason, Request
+from turmericweir_core.server_table import Server
+from turmericweir_core.subset import open_servers
+
+if TYPE_CHECKING:
+    from turmericweir_core.state import State
+
+
+def running_to_displace(state: State, now: float, pool: str) -> Request | None:
+    """Pick the running request that makes way for what waits in a pool, if any is to."""
+    if state.config.policy is Policy.BASELINE:
+        return None
+    load = pool_load(state.pool_loads, pool)
+    waiting = 0
+    queues = queue_state.pool_queues(state.queues, pool)
+    for queue in sorted(queues, key=lambda queue: queue.service_class.priority):
+        tier = queue.service_class.priority
+        waiting += len(queue.waiting)
+        # One attempt at the most for each request that waits: those told before still end.
+        if waiting <= load.displacing or not lower_running(load, tier):
+            continue
+        waited = now - queue.head().arrived
+        victim = lowest_running(state, now, queue.target, tier, only_useful=True, waited=waited)
+        if victim is not None:
+            return victim
+    return None
+
+
+def lowest_running(
+    state: State, now: float, target: Target, tier: int, *, only_useful: bool, waited: float = 0.0
+) -> Request | None:
+    """Find the least urgent running attempt below a tier on the servers of a target.
+
+    With `only_useful` it is one whose end makes room for a request that has `waited` so long.
+    """
+    best: Request | None = None
+    for server in open_servers(state, now, target):
+        if only_useful and not _would_make_room(state, now, server, tier, waited):
+            continue
+        for req in displaceable(state, server, tier):
+            if best is None or _rank(req) > _rank(best):
+                best = req
+    return best
+
+
+def _would_make_room(state: State, now: float, server: Server, tier: int, waited: float) -> bool:
+    if headroom(state, now, server, tier) != 0:
+        return False
+    if state.config.policy is not Policy.CREDITS or waited >= state.options.displace_wait_s:
+        return True
+    # Failure: work is stopped, and its prefill lost, while a slot elsewhere is a message away. So
+    # without word of contention the dispatchers are given the time to answer.
+    credit = state.credits.held.get(server.entry.name)
+    return credit is not None and credit.contended
+
+
+def _rank(req: Request) -> tuple[int, int]:
+    # The least urgent tier first; within it what has run least, as least of it is lost.
+    attempt = req.attempt
+    return (attempt.tier, -attempt.tokens) if attempt else (-1, 0)
+
+
+def displaceable(state: State, server: Server, tier: int) -> Iterator[Request]:
+    """Yield the requests on a server that may make way for a tier."""
+    if server.service.kind is not Kind.MODEL:
+        return
+    for name, each in server.in_flight.items():
+        if each <= tier or is_assured(state, server, each):
+            continue
+        req = state.requests.get(request_of(name))
+        if req is None or req.attempt is None or req.attempt.attempt_id != name:
+            continue
+        if req.attempt.cancelled is None and req.repeatable:
+            yield req
+
+
+def recalled(state: State, server: Server) -> list[Request]:
+    """List what makes way on a server, because its dispatcher called credit back."""
+    credit = state.credits.held.get(server.entry.name)
+    over = excess(state, server)
+    if credit is None or over <= 0:
+        return []
+    ending = sum(1 for _ in _told_to_end(state, server))
+    victims = sorted(displaceable(state, server, credit.displace_above), key=_rank, reverse=True)
+    return victims[: max(0, over - ending)]
+
+
+def _told_to_end(state: State, server: Server) -> Iterator[Request]:
+    for name in server.in_flight:
+        req = state.requests.get(request_of(name))
+        if req is not None and req.attempt is not None and req.attempt.cancelled is not None:
+            yield req
+
+
+def waiting_to_drop(state: State, pool: str, tier: int) -> Request | None:
+    """Pick the waiting request below a tier that is dropped first, if any may be.
+
+    It is the newest of the least urgent class. One that has begun is kept, since its caller could
+    not be told `not_run`, and so is the first of each class.
+    """
+    lower = [
+        queue
+        for queue in queue_state.pool_queues(state.queues, pool)
+        if queue.service_class.priority > tier and len(queue.waiting) > 1
+    ]
+    lower.sort(key=lambda queue: queue.service_class.priority, reverse=True)
+    for queue in lower:
+        newest = next(reversed(queue.waiting.values()))
+        if not newest.may_have_run:
+            return newest
+    return None
+
+
+def note_displaced(state: State, req: Request, pool: str) -> None:
+    """Count an attempt that was told to make way."""
+    req.displaced += 1
+    pool_load(state.pool_loads, pool).displacing += 1
+
+
+def note_ended(state: State, reason: CancelReason | None, pool: str) -> None:
+    """Count an attempt that made way and ended."""
+    if reason is CancelReason.DISPLACED:
+        load = pool_load(state.pool_loads, pool)
+        load.displacing = max(0, load.displacing - 1)
--- a/packages/turmericweir-core/turmericweir_core/effects.py
+++ b/packages/turmericweir-core/turmericweir_core/effects.py
@@ -46,6 +46,16 @@
     account: Account
 
 
+@dataclass(frozen=True, slots=True)
+class ReplayAnswer:
+    """Give the caller the kept answer of an earlier call with its key; `FinishRequest` follows."""
+
+    request_id: RequestId
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class AppendRecords:
     """Append records to a stream of the platform's log."""
@@ -153,6 +163,7 @@
     StartAttempt
     | CancelAttempt
     | FinishRequest
+    | ReplayAnswer
     | AppendRecords
     | ReadLog
     | SendPeer
--- a/packages/turmericweir-core/turmericweir_core/events.py
+++ b/packages/turmericweir-core/turmericweir_core/events.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from typing import Any, TypeAlias
 
+from turmericweir_core.claim_answer import KeptAnswer
 from turmericweir_core.config import ServerEntry
 from turmericweir_core.ids import AttemptId, InstanceName, RequestId, ServerName
 from turmericweir_core.peer_messages import PeerMessage
@@ -39,6 +40,8 @@
     """The server's whole answer was received."""
 
     status: int
+    # The answer itself, where the request has an idempotency key and it is small enough to keep.
+    answer: KeptAnswer | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -271,6 +274,13 @@
     message: PeerMessage
 
 
+@dataclass(frozen=True, slots=True)
+class SeedsGiven:
+    """The process's file names addresses of peers, to talk to until the platform's list is read."""
+
+    addresses: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class PeerUnreachable:
     """The stream to a peer could not be opened, or broke; sent messages may be lost."""
@@ -330,6 +340,7 @@
     | OrderDone
     | WeightsAnswered
     | PeerReceived
+    | SeedsGiven
     | PeerUnreachable
     | Tick
     | StopRequested
--- a/packages/turmericweir-core/turmericweir_core/ids.py
+++ b/packages/turmericweir-core/turmericweir_core/ids.py
@@ -15,6 +15,11 @@
 Target = NewType("Target", str)
 
 
+def request_of(name: AttemptId) -> RequestId:
+    """Give the request that an attempt belongs to."""
+    return RequestId(name.rpartition(".")[0])
+
+
 def attempt_id(request_id: RequestId, number: int) -> AttemptId:
     """Name the attempt with that number of a request."""
     return AttemptId(f"{request_id}.{number}")
--- a/packages/turmericweir-core/turmericweir_core/lifecycle.py
+++ b/packages/turmericweir-core/turmericweir_core/lifecycle.py
@@ -9,18 +9,35 @@
 
 from typing import assert_never
 
-from turmericweir_core import queue_state
+from turmericweir_core import (
+    admission,
+    attempt_books,
+    limit,
+    quarantine,
+    queue_state,
+    silence,
+    trial,
+)
 from turmericweir_core.account import Account, Outcome
 from turmericweir_core.account_store import keep_account
-from turmericweir_core.config import Kind, Policy
+from turmericweir_core.claim_answer import KeptAnswer
+from turmericweir_core.claim_end import follows_holder, note_finished
+from turmericweir_core.config import Kind
+from turmericweir_core.dispatch import (
+    cancel,
+    dispatch,
+    dispatch_all,
+    displace,
+    pool_name,
+    release,
+    wait_for_server,
+)
 from turmericweir_core.effects import (
-    CancelAttempt,
     Count,
     Effect,
     FinishRequest,
     Log,
     ProbeServer,
-    StartAttempt,
     Timing,
 )
 from turmericweir_core.events import (
@@ -37,12 +54,12 @@
     EndUnsent,
     RequestArrived,
 )
-from turmericweir_core.ids import RequestId, ServerName, Target, attempt_id
-from turmericweir_core.placement import pick_server
+from turmericweir_core.ids import RequestId, ServerName
+from turmericweir_core.predict import predict_tokens
 from turmericweir_core.reasons import MESSAGES, Reason
 from turmericweir_core.request import Attempt, CancelReason, Phase, Request
 from turmericweir_core.retry import earn_retry, spend_retry
-from turmericweir_core.server_table import Server, note_leaving, note_unreachable
+from turmericweir_core.server_table import note_leaving, note_unreachable
 from turmericweir_core.state import State
 
 # --- arrival ---------------------------------------------------------------------------------
@@ -55,8 +72,20 @@
     refusal = _refusal(state, now, req)
     if refusal is not None:
         return finish(state, now, req, Outcome.NOT_RUN, refusal, retry_after_s=1.0)
+    if req.kind is Kind.MODEL:
+        req.predicted_tokens = predict_tokens(state.predictor, state.options, req)
+    barred = _barred(state, now, req)
+    if barred:
+        return barred
+    effects = _admission(state, now, req)
+    if req.phase is Phase.DONE:
+        return effects
     earn_retry(state.retries, state.options)
-    return admit(state, now, req)
+    if req.idempotency_key is not None and not req.repeatable:
+        # `claim_flow` admits it once its key is claimed: no claim, no run.
+        req.phase = Phase.CLAIMING
+        return effects
+    return effects + admit(state, now, req)
 
 
 def _refusal(state: State, now: float, req: Request) -> Reason | None:
@@ -65,70 +94,54 @@
     stopping = state.stopping_since
     if stopping is not None and now - stopping > state.options.stop_grace_s:
         return Reason.STOPPING
-    waiting = queue_state.waiting_count(state.queues, req.target, req.service_class.name)
-    if waiting >= state.options.queue_limit:
-        return Reason.OVERLOAD
     return None
 
 
-def admit(state: State, now: float, req: Request) -> list[Effect]:
-    """Queue a request that passed every check and hand out whatever capacity there is."""
-    req.phase = Phase.WAITING
-    queue_state.enqueue(state.queues, req)
-    return dispatch(state, now, req.target)
-
-
-# --- dispatch --------------------------------------------------------------------------------
+def _barred(state: State, now: float, req: Request) -> list[Effect]:
+    """Refuse a request that crashes servers, or whose customer or team is over a limit."""
+    refused_s = quarantine.refused_for(state, now, req.fingerprint)
+    if refused_s is not None:
+        # It has run, as another request of the same content: `not_run` would invite another try.
+        return finish(state, now, req, Outcome.FAILED, Reason.QUARANTINED, retry_after_s=refused_s)
+    over = limit.charge(state, now, req)
+    if over is not None:
+        return finish(
+            state, now, req, Outcome.NOT_RUN, over.reason, retry_after_s=over.retry_after_s
+        )
+    return []
 
 
-def dispatch(state: State, now: float, target: Target) -> list[Effect]:
-    """Bind waiting requests of a target to servers while any has room."""
-    effects: list[Effect] = []
-    held = state.queues.targets.get(target)
-    if held is None:
-        return effects
-    while True:
-        bound = _dispatch_one(state, now, held)
-        if not bound:
-            return effects
-        effects += bound
-
-
-def _dispatch_one(state: State, now: float, held: queue_state.TargetQueue) -> list[Effect]:
-    for queue in _serving_order(state, held):
-        req = queue.waiting[0]
-        server = pick_server(state, now, req)
-        if server is not None:
-            queue_state.note_dispatched(held, queue, req)
-            return _start(now, req, server)
-    return []
+def _admission(state: State, now: float, req: Request) -> list[Effect]:
+    """Refuse what cannot be answered in time, and let lower work make way before that."""
+    if req.kind is Kind.MODEL:
+        req.predicted_tokens = predict_tokens(state.predictor, state.options, req)
+    verdict = admission.judge(state, now, req, pool_name(state, req.target))
+    match verdict:
+        case admission.Refused(pause):
+            return finish(state, now, req, Outcome.NOT_RUN, Reason.OVERLOAD, retry_after_s=pause)
+        case admission.Admitted(displaced, dropped):
+            effects = displace(state, displaced) if displaced is not None else []
+            return effects + (_drop(state, now, dropped) if dropped is not None else [])
+        case unreachable:
+            assert_never(unreachable)
 
 
-def _serving_order(state: State, held: queue_state.TargetQueue) -> list[queue_state.ClassQueue]:
-    if state.config.policy is Policy.BASELINE:
-        nonempty = [queue for queue in held.classes.values() if queue.waiting]
-        return sorted(nonempty, key=lambda queue: queue.waiting[0].arrived)
-    return queue_state.in_order(held)
+def _drop(state: State, now: float, req: Request) -> list[Effect]:
+    """End a waiting request that nothing was run of, for the sake of an upper tier."""
+    queue_state.remove(state.queues, req)
+    pause = admission.retry_after(state, now, req, 0.0)
+    return finish(state, now, req, Outcome.NOT_RUN, Reason.DISPLACED, retry_after_s=pause)
 
 
-def _start(now: float, req: Request, server: Server) -> list[Effect]:
-    name = attempt_id(req.request_id, req.attempts)
-    req.attempts += 1
-    req.attempt = Attempt(name, server.entry.name, now)
-    req.phase = Phase.RUNNING
-    server.in_flight[name] = req.priority
-    server.sent += 1
-    return [
-        StartAttempt(
-            request_id=req.request_id,
-            attempt_id=name,
-            server=server.entry.name,
-            address=server.entry.address,
-            priority=req.priority,
-            resume_from=req.delivered if req.kind is Kind.MODEL else 0,
-            fresh_connection=not req.repeatable,
-        )
-    ]
+def admit(state: State, now: float, req: Request) -> list[Effect]:
+    """Queue a request that passed every check and hand out whatever capacity there is."""
+    req.phase = Phase.WAITING
+    if quarantine.is_suspect(state, req.fingerprint):
+        trial.hold(state, req)
+        return []
+    admission.note_admitted(state, now, req, pool_name(state, req.target))
+    wait_for_server(state, req)
+    return dispatch(state, now, req.target)
 
 
 # --- attempts --------------------------------------------------------------------------------
@@ -151,11 +164,17 @@
     attempt = req.attempt
     if attempt is None or attempt.attempt_id != event.attempt_id:
         return [Count("attempt.late_tokens", event.tokens)]
+    if event.tokens == 0:
+        # Nothing came, because the caller does not read; the server is not to blame.
+        attempt.last_token_at = now if attempt.first_token_at is not None else None
+        return []
     attempt.tokens += event.tokens
     attempt.last_token_at = now
     req.delivered += event.tokens
     if attempt.first_token_at is None:
         attempt.first_token_at = now
+        attempt_books.note_first_token(state, now, req, attempt)
+        silence.note_begun(state, now, attempt)
     if req.first_token_at is None:
         req.first_token_at = now
         return [Timing(f"first_token.{req.service_class.name}", now - req.arrived)]
@@ -169,30 +188,39 @@
         # An answer of an older attempt: whatever it brought was wasted work.
         return [Count("attempt.late_end")]
     attempt = req.attempt
-    _release(state, attempt)
+    effects = release(state, now, req, attempt)
     req.attempt = None
-    effects = _settle(state, now, req, attempt, event.end)
+    effects += trial.note_ended(state, now, attempt.attempt_id)
+    effects += _settle(state, now, req, attempt, event.end)
     return effects + dispatch(state, now, req.target)
 
 
-def _release(state: State, attempt: Attempt) -> None:
-    server = state.servers.by_name.get(attempt.server)
-    if server is not None:
-        server.in_flight.pop(attempt.attempt_id, None)
-
-
 def _settle(
     state: State, now: float, req: Request, attempt: Attempt, end: AttemptEnd
 ) -> list[Effect]:
     match end:
-        case EndComplete(status):
-            return finish(
-                state, now, req, Outcome.COMPLETED, Reason.OK, status=status, server=attempt.server
+        case EndComplete(status, answer):
+            if attempt.first_token_at is None:
+                silence.note_begun(state, now, attempt)
+            learnt = attempt_books.note_completed(state, now, req, attempt)
+            finished = finish(
+                state,
+                now,
+                req,
+                Outcome.COMPLETED,
+                Reason.OK,
+                status=status,
+                server=attempt.server,
+                answer=answer,
             )
+            return finished + learnt
         case EndRefused(_, leaving):
             if leaving:
                 note_leaving(state.servers, attempt.server)
             return _try_again(state, now, req, attempt, Reason.OVERLOAD, paid=not leaving)
+        case EndUnsent(error) if attempt.sent:
+            # Whoever reported the first byte cannot take it back: `not_run` would be a guess.
+            return _settle(state, now, req, attempt, EndBroken(error, server_alive=False))
         case EndUnsent(error):
             note_unreachable(state.servers, state.options, now, attempt.server)
             effects = _try_again(state, now, req, attempt, Reason.NO_SERVER, paid=False)
@@ -201,7 +229,11 @@
             req.may_have_run = True
             if not server_alive:
                 note_unreachable(state.servers, state.options, now, attempt.server)
-            effects = _after_loss(state, now, req, attempt, Reason.SERVER_LOST)
+            quarantine.note_broken(state, now, req, attempt, server_alive)
+            # What a crash cut off adds no load by going on elsewhere: its server has none now. The
+            # budget is for the rest, and a crash of a full server would spend it at a stroke.
+            paid = server_alive
+            effects = _after_loss(state, now, req, attempt, Reason.SERVER_LOST, paid=paid)
             return [_attempt_log(req, attempt, "broken", error), *effects]
         case EndServerError(status):
             req.may_have_run = True
@@ -226,7 +258,13 @@
 
 
 def _after_loss(
-    state: State, now: float, req: Request, attempt: Attempt, reason: Reason
+    state: State,
+    now: float,
+    req: Request,
+    attempt: Attempt,
+    reason: Reason,
+    *,
+    paid: bool = True,
 ) -> list[Effect]:
     if not req.repeatable:
         # It may have run, and a second run is what the caller must never get.
@@ -234,27 +272,34 @@
     if req.kind is Kind.PLAIN and req.delivered:
         # The caller has part of the answer already; another run could not be joined to it.
         return finish(state, now, req, Outcome.FAILED, reason, server=attempt.server)
-    return _try_again(state, now, req, attempt, reason, paid=True)
+    return _try_again(state, now, req, attempt, reason, paid=paid)
 
 
 def _after_cancel(state: State, now: float, req: Request, attempt: Attempt) -> list[Effect]:
     reason = attempt.cancelled
     match reason:
         case CancelReason.CALLER_LEFT:
-            return finish(state, now, req, _given_up(req), Reason.CALLER_LEFT)
+            return finish(state, now, req, given_up(req), Reason.CALLER_LEFT)
         case CancelReason.DEADLINE:
-            return finish(state, now, req, _given_up(req), Reason.DEADLINE)
+            return finish(state, now, req, given_up(req), Reason.DEADLINE)
         case CancelReason.DISPLACED:
-            queue_state.enqueue(state.queues, req, front=True)
-            req.phase = Phase.WAITING
+            if not req.repeatable and req.may_have_run:
+                # Whoever displaced it took it for one that may be run again, which it may not.
+                return _after_loss(state, now, req, attempt, Reason.DISPLACED)
+            _wait_again(state, req)
             return [Count(f"displaced.{req.service_class.name}")]
+        case CancelReason.QUARANTINED:
+            return finish(state, now, req, Outcome.FAILED, Reason.QUARANTINED)
+        case CancelReason.SILENT | None if not attempt.sent:
+            return _try_again(state, now, req, attempt, Reason.NO_SERVER, paid=False)
         case CancelReason.SILENT | None:
             return _after_loss(state, now, req, attempt, Reason.SERVER_LOST)
         case unreachable:
             assert_never(unreachable)
 
 
-def _given_up(req: Request) -> Outcome:
+def given_up(req: Request) -> Outcome:
+    """Give the outcome of a request that ends without an answer."""
     if not req.may_have_run:
         return Outcome.NOT_RUN
     return Outcome.FAILED if req.repeatable else Outcome.UNKNOWN
@@ -266,18 +311,25 @@
     """Put a request back at the front of its queue, where the rules for retries allow it."""
     req.avoid.add(attempt.server)
     if req.caller_left:
-        return finish(state, now, req, _given_up(req), Reason.CALLER_LEFT)
+        return finish(state, now, req, given_up(req), Reason.CALLER_LEFT)
     if now >= req.deadline and req.first_token_at is None:
-        return finish(state, now, req, _given_up(req), Reason.DEADLINE)
-    if req.attempts >= state.options.attempts_max:
-        return finish(state, now, req, _given_up(req), reason, server=attempt.server)
+        return finish(state, now, req, given_up(req), Reason.DEADLINE)
+    if req.tries >= state.options.attempts_max:
+        return finish(state, now, req, given_up(req), reason, server=attempt.server)
     if paid and not spend_retry(state.retries, state.options):
-        return finish(state, now, req, _given_up(req), reason, server=attempt.server)
-    req.phase = Phase.WAITING
-    queue_state.enqueue(state.queues, req, front=True)
+        return finish(state, now, req, given_up(req), reason, server=attempt.server)
+    _wait_again(state, req)
     return [Count("attempt.retry")]
 
 
+def _wait_again(state: State, req: Request) -> None:
+    req.phase = Phase.WAITING
+    if quarantine.is_suspect(state, req.fingerprint):
+        trial.hold(state, req)
+    else:
+        wait_for_server(state, req, front=True)
+
+
 # --- giving up -------------------------------------------------------------------------------
 
 
@@ -289,22 +341,14 @@
     req.caller_left = True
     if req.attempt is None:
         queue_state.remove(state.queues, req)
-        return finish(state, now, req, _given_up(req), Reason.CALLER_LEFT)
+        outcome = Outcome.UNKNOWN if follows_holder(state, req) else given_up(req)
+        return finish(state, now, req, outcome, Reason.CALLER_LEFT)
     if not req.repeatable:
         # It cannot be called back, and its account is worth having for the next one who asks.
         return []
     return cancel(req, CancelReason.CALLER_LEFT)
 
 
-def cancel(req: Request, reason: CancelReason) -> list[Effect]:
-    """Order the attempt of a request to stop; the first reason given stands."""
-    attempt = req.attempt
-    if attempt is None or attempt.cancelled is not None:
-        return []
-    attempt.cancelled = reason
-    return [CancelAttempt(req.request_id, attempt.attempt_id, attempt.server, reason)]
-
-
 def on_tick(state: State, now: float) -> list[Effect]:
     """Give up what is past its deadline and doubt what has gone silent."""
     effects: list[Effect] = []
@@ -313,13 +357,11 @@
             # Its answer has begun; it waits only for a server to go on with it.
             continue
         queue_state.remove(state.queues, req)
-        effects += finish(state, now, req, _given_up(req), Reason.DEADLINE, retry_after_s=1.0)
+        effects += finish(state, now, req, given_up(req), Reason.DEADLINE, retry_after_s=1.0)
     for req in list(state.requests.values()):
         if req.attempt is not None:
             effects += _check_running(state, now, req, req.attempt)
-    for target in list(state.queues.targets):
-        effects += dispatch(state, now, target)
-    return effects
+    return effects + dispatch_all(state, now)
 
 
 def _check_running(state: State, now: float, req: Request, attempt: Attempt) -> list[Effect]:
@@ -327,14 +369,13 @@
     late = now > req.deadline + options.deadline_grace_s
     if late and req.first_token_at is None:
         return cancel(req, CancelReason.DEADLINE)
-    last = attempt.last_token_at
-    if last is None or now - last < options.silence_s:
+    if attempt.cancelled is not None or not silence.is_doubtful(state, now, req, attempt):
         return []
     server = state.servers.by_name.get(attempt.server)
     if server is None:
         return cancel(req, CancelReason.SILENT)
-    # Silence of a stream that had begun: the connection is doubted, not yet the server. A probe
-    # over a new connection says which, and the request goes on elsewhere meanwhile.
+    # The connection is doubted, not yet the server. A probe over a new connection says which, and
+    # the request goes on elsewhere meanwhile.
     probe = ProbeServer(attempt.server, server.entry.address)
     return [probe, *cancel(req, CancelReason.SILENT)]
 
@@ -352,10 +393,15 @@
     status: int | None = None,
     server: ServerName | None = None,
     retry_after_s: float | None = None,
+    answer: KeptAnswer | None = None,
 ) -> list[Effect]:
     """Give a request its account and forget it."""
     req.phase = Phase.DONE
     state.requests.pop(RequestId(req.request_id), None)
+    trial.let_go(state, req.request_id)
+    limit.settle(state, now, req, outcome)
+    if outcome is Outcome.COMPLETED:
+        quarantine.note_completed(state, now, req.fingerprint)
     account = Account(
         request_id=req.request_id,
         outcome=outcome,
@@ -372,6 +418,7 @@
     )
     keep_account(state.accounts, state.options, now, account)
     return [
+        *note_finished(state, now, account, answer),
         FinishRequest(account),
         Count(f"request.{outcome}.{req.service_class.name}"),
         Timing(f"request.{req.service_class.name}", now - req.arrived),
--- a/packages/turmericweir-core/turmericweir_core/options.py
+++ b/packages/turmericweir-core/turmericweir_core/options.py
@@ -30,14 +30,134 @@
     queue_limit: int = 2_000
     # A load report older than this says nothing.
     report_valid_s: float = 3.0
+    # Servers of one target that an instance uses: enough to spread over, few enough that 160
+    # instances before 465 servers do not all speak to all of them.
+    subset_size: int = 16
+    # Places of the subset that servers of other data centres get at the least.
+    subset_remote: int = 4
+    # Between looks at which servers are in use and how many instances share them.
+    subset_look_s: float = 0.5
+    # Load, as a share of the slots, that a server of another data centre seems to have on top.
+    remote_penalty: float = 0.1
+    # Load above the mean, as a factor, at which a cached prefix no longer draws requests.
+    affinity_load_factor: float = 1.25
+    # Load, as a share of the slots, up to which affinity holds whatever the mean is.
+    affinity_load_floor: float = 0.5
+    # What a cache entry that may have been evicted unseen is worth.
+    affinity_unknown_weight: float = 0.5
+    # Prefixes that are remembered.
+    prefix_keep: int = 20_000
+    # Between probes of a server that this instance has no use for at present.
+    probe_unused_s: float = 10.0
+
+    # --- credits ---
+    # How long a grant lasts, from when the demand was sent that it answers. Peers that die are
+    # seen by missing heartbeats well before, so it may be long, and renewals rare.
+    credit_ttl_s: float = 9.0
+    # Between renewals of a credit that is in use: three may be lost before it lapses.
+    credit_renew_s: float = 3.0
+    # Between looks at who is live, which is seen to change only seconds after it did.
+    credit_live_s: float = 0.3
+    # Between two demands for one server: the answer to the first takes some milliseconds.
+    credit_demand_gap_s: float = 0.03
+    # Between two full settlements of one server's credit, for each holder: a settlement looks at
+    # all of them, so the processor time that they take stays the same whatever their number.
+    credit_settle_s: float = 0.0002
+    # Between looks at a server's credit while nobody asks for any.
+    credit_look_s: float = 0.5
+    # No answer for so long, and the instance goes by its own counts.
+    credit_answer_s: float = 0.3
+    # How long it does so before it asks the dispatcher again.
+    credit_fallback_s: float = 1.0
+    # Share of a server's slots that an instance takes without a grant, one at the least.
+    credit_fallback_share: float = 0.1
+    # How long after a shortage instances go on to report every change of what they need.
+    credit_contended_s: float = 2.0
+    # Age of a wait at which twice as many servers are asked for credit, and again after as long.
+    credit_widen_s: float = 0.05
+    # How long somebody waits before a dispatcher has another instance's lower work stopped: longer
+    # than that instance takes to make way with lower work of its own.
+    credit_press_s: float = 0.1
+    # Credit that was not used for so long is no longer renewed.
+    credit_idle_s: float = 6.0
+    # Idle slots that one instance is granted in advance, at the most.
+    credit_spare: int = 4
+    # Time over which the use of slots is remembered, so that they go round among instances.
+    credit_use_window_s: float = 30.0
+    # Slot seconds that a crowded-out tier saves up before it gets a slot of its own, and the debt
+    # up to which it keeps that slot so that what runs there can end.
+    credit_assured_s: float = 2.0
+    credit_assured_debt_s: float = 30.0
+
+    # --- admission and displacement ---
+    # Predicted wait, as a share of the time to the deadline, above which a request is refused.
+    admit_share: float = 1.0
+    # How long an upper tier waits for the answer of the servers' dispatchers before lower work of
+    # its own instance makes way: long enough for a round trip, short against any target.
+    displace_wait_s: float = 0.05
+    # Weight of the newest attempt in the pace that the wait is predicted from.
+    pace_weight: float = 0.1
+    # Time over which arrivals are averaged.
+    arrival_window_s: float = 5.0
+    # Bounds of the Retry-After that goes with a refusal.
+    retry_after_min_s: float = 1.0
+    retry_after_max_s: float = 60.0
+
+    # --- predicted answer lengths ---
+    # Relative accuracy of the sketches.
+    sketch_accuracy: float = 0.05
+    sketch_bins: int = 256
+    # Sketches by class and customer that are kept, least recently used first out.
+    sketch_keep: int = 1_000
+    # Answers after which a sketch's older half is let go of, so that it follows change.
+    sketch_generation: int = 500
+    # Answers from which on a sketch is believed before the next coarser one.
+    sketch_min: int = 10
+    # The quantile that stands for the length of an answer.
+    predict_quantile: float = 0.6
+    # Prediction while nothing is known, tokens.
+    predict_default: float = 256.0
+    # Weight of the newest answer in the measured error.
+    predict_error_weight: float = 0.02
+
+    # --- stragglers ---
+    # Between samples of the running attempts.
+    straggler_sample_s: float = 0.5
+    # Weight of the newest sample of the time between tokens.
+    straggler_weight: float = 0.2
+    # Samples before a server is judged, and servers that make a median.
+    straggler_samples: int = 4
+    straggler_peers: int = 3
+    # Time between tokens, as a multiple of the peers' median: from the first on a server gets less
+    # work, from the second on none but probes; it is well again below the third.
+    straggler_slow: float = 1.6
+    straggler_stop: float = 3.0
+    straggler_well: float = 1.3
+    # Between probes of a stopped straggler with low-tier requests.
+    straggler_probe_s: float = 2.0
+    # How much longer a probe waits where only the most urgent class is there to make it.
+    straggler_probe_urgent_s: float = 20.0
+
+    # --- adaptive limits ---
+    # Between adjustments of a server's limit.
+    limit_adjust_s: float = 0.5
+    # Bounds of the limit as a share of the slots.
+    limit_min_share: float = 0.25
+    limit_max_share: float = 1.0
+    # Latency above the long-term one, as a factor, that is taken for noise.
+    limit_tolerance: float = 1.5
+    # Weights of the newest sample in the short-term and the long-term latency.
+    limit_short_weight: float = 0.3
+    limit_long_weight: float = 0.01
+    # Step down (factor) and up (share of the slots) of an engine's limit.
+    limit_backoff: float = 0.9
+    limit_growth: float = 0.05
 
     # --- servers ---
     # Between probes of a server's load.
     probe_s: float = 0.5
     # A server that failed a new connection is left alone for this long, then probed.
     unreachable_retry_s: float = 1.0
-    # A stream that carried nothing for so long, and so many of its own gaps, is doubted.
-    silence_s: float = 2.0
 
     # An answer that has not begun so long after the deadline is given up.
     deadline_grace_s: float = 0.5
@@ -45,6 +165,8 @@
     # --- stopping ---
     # How long new requests are still taken after a stop, because the balancer lags.
     stop_grace_s: float = 2.0
+    # How long after a stop the log is waited for to take what is still to be said of claims.
+    stop_flush_s: float = 5.0
 
     # --- retries ---
     # Retries allowed as a share of first attempts, and the burst on top.
@@ -54,14 +176,221 @@
     attempts_max: int = 4
 
     # --- membership ---
-    heartbeat_s: float = 0.5
-    # A peer that has not been heard from for so long is left out of decisions.
-    suspect_s: float = 2.0
-    # After so long it is forgotten.
+    # Between rounds of gossip; each sends one datagram to one peer of the own data centre. At 64
+    # instances the news of a heartbeat is everywhere after six rounds, and seldom needs nine.
+    heartbeat_s: float = 0.2
+    # A peer that has not been seen to progress for so long is left out of decisions: above the
+    # worst age that a heartbeat reaches at 64 instances with a tenth of the datagrams lost.
+    suspect_s: float = 2.5
+    # Out of the roster after so long. Late by intent: each change of the roster makes datagrams
+    # large for a while, and a peer that is cut off for a moment comes back cheaply.
+    roster_s: float = 10.0
+    # No partner for gossip after so long. Well before it counts as gone: when half of the ring
+    # dies at once, what is sent to that half is lost to those that live.
+    partner_s: float = 1.4
+    # After so long it is forgotten, unless the platform's list still names it; after the longer
+    # time while the list cannot be read, or two halves that are parted in an outage would have
+    # forgotten each other's addresses when they could meet again.
     forget_s: float = 60.0
+    forget_outage_s: float = 3_600.0
+    # A gap between ticks above this is a pause of the process, not a busy moment.
+    pause_s: float = 1.0
+    # After a pause, what the sockets have held meanwhile is read in less than this.
+    trust_delay_s: float = 0.3
+    # Between datagrams to one that is known by name only, or has gone silent.
+    candidate_s: float = 1.0
+    # How long counters are sent with their keys after rosters were seen to differ.
+    settle_s: float = 2.0
+    # Rounds that a stopping instance runs at once to tell that it leaves.
+    farewell_rounds: int = 3
+    # Counters with keys in one datagram at the most, so that it stays below 1200 bytes.
+    counters_max: int = 66
+    # Between two askings for the records of unknown members, and how many go in one datagram.
+    members_ask_s: float = 0.25
+    records_max: int = 10
+
+    # --- other data centres ---
+    # Instances that speak for their data centre at a time.
+    relays: int = 3
+    # Between the words of one relay to another data centre.
+    relay_s: float = 1.5
+    # Words on other data centres that are passed on in one datagram.
+    words_max: int = 2
+    # A data centre without a word for so long counts as cut off.
+    centre_suspect_s: float = 8.0
+    # Between two askings for the members of another data centre. Each change there brings one.
+    roster_ask_s: float = 2.0
+
+    # --- leaving ---
+    # How long a mark outlives the last instance that sees the server leaving. Above the lag of
+    # any list or report: one older than this would bring a relapse.
+    mark_keep_s: float = 900.0
+    # Marks that are kept, the newest first in.
+    mark_keep: int = 4_096
+    # Datagrams carry marks that are news for so long, and so many of them; whoever missed them
+    # asks, after the other time.
+    mark_hot_s: float = 5.0
+    mark_hot_max: int = 4
+    mark_ask_s: float = 2.0
+    # The server list is asked of a peer when the own one is older than its by this much.
+    servers_stale_s: float = 15.0
+    # A starting instance waits so long for the platform's list before it asks a peer for it.
+    servers_wait_s: float = 2.0
+    # Between two askings.
+    servers_ask_s: float = 2.0
 
     # --- platform ---
     # How long one long poll of the settings stream waits.
     poll_wait_s: float = 5.0
     # Between reads of the platform's list.
     list_s: float = 2.0
+    # In a data centre of more instances than this, each reads the list more rarely in proportion.
+    list_readers: int = 8
+
+    # --- claims of idempotency keys ---
+    # A key is held for so long after it was claimed, by the clock of the stream.
+    claim_retention_s: float = 86_400.0
+    # Appends a second that one instance may make, and the burst on top. A burst costs none of them
+    # the wait of a batch; the rate keeps 8 instances at a tenth of what the platform takes.
+    claim_appends_s: float = 5.0
+    claim_append_burst: float = 10.0
+    # Withdrawals and ends wait so long for a claim that takes them along.
+    claim_end_delay_s: float = 0.5
+    # Pause after a failed append, doubled up to the longest with each failure in a row.
+    claim_retry_s: float = 0.1
+    claim_retry_max_s: float = 2.0
+    # Failed appends in a row after which the log counts as down: one is a lost acknowledgement.
+    claim_down_failures: int = 2
+    # Told to callers whose key could not be claimed.
+    claim_retry_after_s: float = 2.0
+    # An append or a read that was not answered at all for so long is made again. Above the time
+    # that the daemon itself waits for the platform.
+    claim_call_s: float = 10.0
+    # Between reads of the stream while nothing is claimed here.
+    claim_read_s: float = 1.0
+    # Between two askings of a holder, and failures to reach it after which it counts as lost.
+    claim_ask_s: float = 1.0
+    claim_ask_failures: int = 2
+    # Answers that are kept for callers who send their key again.
+    claim_answers_max: int = 10_000
+    claim_answer_bytes: int = 16_777_216
+    # The largest of them.
+    claim_body_max: int = 65_536
+    # Live claims are written again when their record is so far behind the end, or so old. The log
+    # must keep 2.5 times the records and three times the time.
+    claim_carry_records: int = 4_000
+    claim_carry_s: float = 3_600.0
+    # Claims that one record carries.
+    claim_carry_max: int = 500
+    # Expected writers a tick, over all instances, of what any one of them may write.
+    claim_lot: float = 0.2
+    # Incarnations whose last append number is remembered before the oldest are let go.
+    claim_writers_max: int = 4_096
+    # An instance that cannot learn all live claims trusts its own after so many retentions.
+    claim_blind_margin: float = 1.1
+
+    # --- settings ---
+    # Raw records kept for peers that are behind, and how many one message carries.
+    settings_keep: int = 400
+    settings_send_max: int = 200
+    # Records read beyond an expired gap that are held while a snapshot is looked for.
+    settings_ahead_max: int = 5_000
+    # Between two looks at where the peers stand.
+    settings_check_s: float = 0.2
+    # Behind a peer for so long, an instance asks it: the log's long poll usually comes first.
+    settings_ask_after_s: float = 0.3
+    # Between two askings; an answer that was lost with its stream is asked for again.
+    settings_ask_s: float = 0.5
+    # A starting instance that has the log's settings waits no longer for newer ones of its peers.
+    settings_wait_s: float = 5.0
+    # A log whose end lies before this instance's offset for so long is reported.
+    settings_shorter_s: float = 10.0
+    # A snapshot is due after so many records or so much time, whichever is first. Both must lie
+    # well within what the platform keeps.
+    snapshot_every: int = 200
+    snapshot_every_s: float = 300.0
+    # The first one after a start comes sooner, as the age of the newest in the log is not known.
+    snapshot_first_s: float = 30.0
+    # The instance of the lowest name writes it; each next one waits so much longer in turn, so
+    # that one which cannot reach the log does not keep the others from writing.
+    snapshot_step_s: float = 5.0
+    # Between two tries of one instance to write it.
+    snapshot_retry_s: float = 10.0
+    # An append without a verdict is made again, with the same id, after so long.
+    change_retry_s: float = 2.0
+    # A change that has certainly not reached the log is given up after so long.
+    change_give_up_s: float = 30.0
+    # Changes without a verdict on one instance; more are refused.
+    change_pending_max: int = 200
+
+    # --- limits of customers and teams ---
+    # How long a share is good for. Long, because shares move by changes of demand, not by lapsing:
+    # at 260 customers on 320 instances the renewals are most of the messages.
+    rate_lease_s: float = 60.0
+    rate_renew_s: float = 40.0
+    # A share that has not been used for so long is not renewed.
+    rate_idle_s: float = 30.0
+    # Memory of the steady and of the quick average of demand.
+    rate_slow_s: float = 20.0
+    rate_fast_s: float = 2.0
+    # Standard deviations of chance arrivals that count as no change.
+    rate_sigmas: float = 2.0
+    # Change of demand beyond chance, as a share of it, that the home is told of.
+    rate_change_share: float = 0.25
+    # Weight of the newest request in the mean size of one.
+    rate_unit_weight: float = 0.1
+    # Burst of a bucket, as time at its rate, and the least that it holds, in requests.
+    rate_burst_s: float = 1.0
+    rate_depth_min: float = 3.0
+    # Between two looks through all shares held; one with new requests is looked at each tick.
+    rate_scan_s: float = 1.0
+    # Between two lookups of who is live.
+    rate_reach_s: float = 1.0
+    # First wait for a home's answer before it is asked again; doubled up to the longest.
+    rate_answer_s: float = 0.5
+    rate_answer_max_s: float = 15.0
+    # Between two rebalancings by a home, and how far below its share an instance must be for one.
+    rate_push_s: float = 0.5
+    rate_push_factor: float = 1.25
+    # How long a new home waits for the holders of shares before it hands out what looks free.
+    rate_learn_s: float = 3.0
+    # How long the part of a data centre that is cut off is kept for it.
+    rate_hold_s: float = 900.0
+    # Demands or shares in one datagram.
+    rate_batch: int = 12
+
+    # --- quarantine ---
+    # How long a request that was in flight at a crash is a suspect, and how long one that was in
+    # flight at two is refused. The second bounds the harm of a wrong verdict.
+    suspect_keep_s: float = 300.0
+    quarantine_s: float = 600.0
+    # Between the last word of a second crash and the verdict: all instances tell what they ran.
+    verdict_wait_s: float = 0.5
+    # Crashes that are kept, and suspects of each.
+    crashes_keep: int = 64
+    crash_suspects_keep: int = 64
+    # Between asks of a random peer whether it knows of other crashes.
+    crashes_ask_s: float = 20.0
+    # A suspect's trial is over so long after its first token, if it was in flight at one crash.
+    trial_s: float = 1.0
+    # A trial that its holder has not renewed for so long is over.
+    trial_lease_s: float = 6.0
+    # No answer to an ask for a trial for so long, and the suspect runs without leave.
+    trial_answer_s: float = 1.0
+    # Between two asks for a trial by one suspect.
+    trial_ask_s: float = 0.1
+
+    # --- connections that go silent ---
+    # How long a stream that has begun may pause, and an answer may take to begin, before the
+    # connection is doubted.
+    silence_s: float = 2.0
+    first_silence_s: float = 2.0
+    # Both become longer by this factor while the server has others waiting: it may have preempted
+    # this one, or not come to it yet.
+    silence_busy_factor: float = 4.0
+    # An answer that has not begun is doubted only beyond this multiple of the longest wait of late.
+    first_silence_factor: float = 4.0
+    # How fast the longest wait is forgotten, as a factor for each newer answer.
+    first_wait_decay: float = 0.95
+    # Share of the time to the deadline after which it is doubted, whatever the server reports.
+    first_silence_share: float = 0.5
--- a/packages/turmericweir-core/turmericweir_core/peer_messages.py
+++ b/packages/turmericweir-core/turmericweir_core/peer_messages.py
@@ -9,21 +9,133 @@
 from dataclasses import dataclass, field
 from typing import Any, Final, TypeAlias
 
+from turmericweir_core.config import ServerEntry
+
+
+@dataclass(frozen=True, slots=True)
+class Word:
+    """What a relay says of its whole data centre."""
+
+    data_centre: str
+    # The key of the relay, and its heartbeat counter when it spoke.
+    relay: int
+    seq: int
+    # Hash over the keys of the live members.
+    members_hash: int
+    live: int
+    # The lowest offset of settings that is in force on a live member.
+    settings_offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class Mark:
+    """A backend server gets no new work any more; see `leaving_marks`."""
+
+    server: str
+    incarnation: str
+    drained: bool
+    # Seconds since some instance saw that it was so.
+    age_s: int
+
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """I am here, and this is what I know; the rest is asked for when it differs."""
+    """I am here, and this is what I know; the rest is asked for when it differs.
 
+    Small, since it is most of the control traffic: `counters` holds one ASCII character for each
+    member, the lowest seven bits of its counter, in the order of the roster that `members_hash`
+    names. A receiver whose roster differs cannot read them; for a while after any difference,
+    `entries` holds the counters with their keys instead.
+    """
+
+    # Who the sender is; all three are empty where the receiver knows it by its key.
     data_centre: str
     address: str
     incarnation: str
-    # Rises with every heartbeat of an incarnation; an older one that comes late is ignored.
+    # Rises with every round of an incarnation; an older one that comes late is ignored.
     seq: int
     leaving: bool
     settings_offset: int
+    # Empty where it is left out to save bytes.
     settings_hash: str
-    # Hash over the members and servers that the sender knows.
-    members_hash: str
+    # Hash over the keys of the roster of the sender's data centre.
+    members_hash: int = 0
+    # Hash of the sender's cluster and region.
+    tag: int = 0
+    # The sender's key; it covers name, incarnation and `leaving`.
+    key: int = 0
+    # Digests of the leaving marks and of the platform's list, and the age of that list, seconds;
+    # -1 where the sender has none.
+    marks_hash: int = 0
+    servers_hash: int = 0
+    servers_age_s: int = -1
+    # The highest offset of settings that the sender knows of in its data centre.
+    newest_offset: int = 0
+    counters: str = ""
+    # By how much each member's offset lies below the newest, 127 at most; empty where none does.
+    lags: str = ""
+    # Key, counter and lag of each member in turn.
+    entries: list[int] = field(default_factory=list)
+    words: list[Word] = field(default_factory=list)
+    marks: list[Mark] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class MemberRecord:
+    """Who a member is."""
+
+    name: str
+    data_centre: str
+    region: str
+    address: str
+    incarnation: str
+    leaving: bool
+    # Incarnations that this one has followed, as far as the sender knows.
+    former: list[str] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class MembersAsk:
+    """Send me the records of these members, or with no keys the live ones of a data centre."""
+
+    data_centre: str
+    keys: list[int] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class MembersSend:
+    """Records that were asked for."""
+
+    data_centre: str
+    # Hash over the keys of the live members, or 0 where the records are not all of them.
+    members_hash: int
+    records: list[MemberRecord] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class MarksAsk:
+    """Send me all leaving marks."""
+
+
+@dataclass(frozen=True, slots=True)
+class MarksSend:
+    """All leaving marks of the sender."""
+
+    marks: list[Mark] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class ServersAsk:
+    """Send me the platform's list of backend servers."""
+
+
+@dataclass(frozen=True, slots=True)
+class ServersSend:
+    """The platform's list of backend servers, as last read."""
+
+    # Seconds since it was read from the platform.
+    age_s: float
+    servers: list[ServerEntry] = field(default_factory=list)
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +155,266 @@
     snapshot: dict[str, Any] | None = None
 
 
-PeerMessage: TypeAlias = Heartbeat | SettingsAsk | SettingsSend
+# --- credits: slots of servers, leased by one dispatcher for each; see `credit` ------------------
+
+
+@dataclass(frozen=True, slots=True)
+class TierDemand:
+    """What an instance runs on a server at one tier, and what it would run besides."""
+
+    tier: int
+    running: int
+    # Requests that could go to this server; one that waits is named to several servers.
+    waiting: int
+    # Those of them for which lower work may be stopped here; each is named to one server only.
+    pressed: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class CreditDemand:
+    """Lease me slots of this server; sent on change, and now and then as a renewal."""
+
+    server: str
+    # Rises with each demand for the server; 1 is the first since the sender started.
+    seq: int
+    # The newest grant that the sender knows of, or 0.
+    grant_number: int
+    # The server's limit, as the sender observes it.
+    limit: int
+    tiers: list[TierDemand] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class TierGrant:
+    """Slots for one tier; the assured ones are for no other tier."""
+
+    tier: int
+    slots: int
+    assured: int
+
+
+@dataclass(frozen=True, slots=True)
+class ServerLoad:
+    """A server's load report, passed on so that only its dispatcher need ask for it."""
+
+    incarnation: str
+    seq: int
+    running: int
+    waiting: int
+    slots: int
+    kv_used: int
+    kv_total: int
+    models: list[str]
+    leaving: bool
+    fence: int
+
+
+@dataclass(frozen=True, slots=True)
+class CreditGrant:
+    """You may use these slots of this server; replaces every grant with a lower number."""
+
+    server: str
+    # The newest demand that the dispatcher had seen; the time to live counts from its sending.
+    demand_seq: int
+    number: int
+    ttl_s: float
+    # Demand is above the capacity, so report every change of what you need.
+    contended: bool
+    # So many attempts of tiers above the number make way, while you run more than the slots.
+    displace: int
+    displace_above: int
+    tiers: list[TierGrant] = field(default_factory=list)
+    # Only where it is news to the receiver.
+    load: ServerLoad | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimAsk:
+    """What became of the request of yours that holds a key? One of mine waits for it."""
+
+    # Ids of the two requests.
+    holder: str
+    waiter: str
+    # Where the asking instance is reached.
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimKept:
+    """It ended so, and this was its answer."""
+
+    waiter: str
+    holder: str
+    outcome: str
+    reason: str
+    status: int | None
+    # False where the answer was too large to keep.
+    has_answer: bool
+    headers: list[list[str]] = field(default_factory=list)
+    # In Base64, as fields are text or numbers.
+    body: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimOpen:
+    """It is in progress; the end will be sent unasked."""
+
+    waiter: str
+    holder: str
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimUnheld:
+    """Nothing is known here of that request."""
+
+    waiter: str
+    holder: str
+    # How far the sender has read the claims stream: it may have been withdrawn there.
+    offset: int
+
+
+# --- limits: shares of rate limits, leased by one home for each customer or team; see `limit` -----
+
+
+@dataclass(frozen=True, slots=True)
+class LimitDemand:
+    """What an instance's callers ask for of one limited customer or team, a second."""
+
+    key: str
+    requests: float
+    tokens: float
+    # The share that it holds from a home before, or 0.
+    held_requests: float
+    held_tokens: float
+
+
+@dataclass(frozen=True, slots=True)
+class LimitAsk:
+    """Lease me shares of these limits; sent when demand changes, and now and then as a renewal."""
+
+    demands: list[LimitDemand] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class LimitShare:
+    """A share of one limit, a second; negative where the quantity is not limited."""
+
+    key: str
+    requests: float
+    tokens: float
+
+
+@dataclass(frozen=True, slots=True)
+class LimitGrant:
+    """You may use these shares; each replaces the one before."""
+
+    shares: list[LimitShare] = field(default_factory=list)
+
+
+# --- quarantine: requests that were in flight at a server's crash; see `quarantine` ---------------
+
+
+@dataclass(frozen=True, slots=True)
+class CrashRecord:
+    """What is known of one crash; two records of the same crash are merged."""
+
+    server: str
+    # Of the server's life that the crash ended.
+    incarnation: str
+    # Seconds since it was seen first.
+    age_s: float
+    # Requests that were in flight, and those of them that completed later.
+    suspects: list[str] = field(default_factory=list)
+    cleared: list[str] = field(default_factory=list)
+    # The server was seen alive in the same life: it was not a crash.
+    retracted: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class CrashNews:
+    """Crashes that the receiver may not know of."""
+
+    crashes: list[CrashRecord] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class CrashesAsk:
+    """Send me all crashes that you know of, unless their hash is this one."""
+
+    crashes_hash: int
+
+
+@dataclass(frozen=True, slots=True)
+class TrialAsk:
+    """Let me run this suspect on this server while no other suspect runs there."""
+
+    server: str
+    fingerprint: str
+
+
+@dataclass(frozen=True, slots=True)
+class TrialAnswer:
+    """You may run it, or another suspect runs there."""
+
+    server: str
+    fingerprint: str
+    granted: bool
+
+
+@dataclass(frozen=True, slots=True)
+class TrialEnd:
+    """The suspect no longer runs alone on this server."""
+
+    server: str
+    fingerprint: str
+
+
+PeerMessage: TypeAlias = (
+    Heartbeat
+    | MembersAsk
+    | MembersSend
+    | MarksAsk
+    | MarksSend
+    | ServersAsk
+    | ServersSend
+    | SettingsAsk
+    | SettingsSend
+    | CreditDemand
+    | CreditGrant
+    | ClaimAsk
+    | ClaimKept
+    | ClaimOpen
+    | ClaimUnheld
+    | LimitAsk
+    | LimitGrant
+    | CrashNews
+    | CrashesAsk
+    | TrialAsk
+    | TrialAnswer
+    | TrialEnd
+)
 
-PEER_MESSAGES: Final[tuple[type[PeerMessage], ...]] = (Heartbeat, SettingsAsk, SettingsSend)
+PEER_MESSAGES: Final[tuple[type[PeerMessage], ...]] = (
+    Heartbeat,
+    MembersAsk,
+    MembersSend,
+    MarksAsk,
+    MarksSend,
+    ServersAsk,
+    ServersSend,
+    SettingsAsk,
+    SettingsSend,
+    CreditDemand,
+    CreditGrant,
+    ClaimAsk,
+    ClaimKept,
+    ClaimOpen,
+    ClaimUnheld,
+    LimitAsk,
+    LimitGrant,
+    CrashNews,
+    CrashesAsk,
+    TrialAsk,
+    TrialAnswer,
+    TrialEnd,
+)
--- /dev/null
+++ b/packages/turmericweir-core/turmericweir_core/quarantine.py
@@ -0,0 +1,312 @@
+"""Requests that crash servers: who is suspected, who is refused, and how all instances know.
+
+Every request that was in flight on a server at its crash is a suspect, by its fingerprint. Suspects
+are run again only one at a time on a server (`trial`), so that the next crash names one of them:
+a fingerprint that was in flight at two crashes, the latter with no other such fingerprint, is
+refused for a limited time, whoever sends it again through whichever instance. Innocent suspects
+complete in their trials and are cleared.
+
+A crash is a connection that broke on a server that then refuses new connections, or shows a new
+incarnation. A server that is seen alive later in the same incarnation did not crash: the record is
+retracted, and so is any verdict that rests on it.
+
+Crash records are sets that only grow, so instances merge them in any order and come to the same
+verdicts. Who learns something first tells everyone in the region, twice; a newcomer, and now and
+then everyone, asks a peer for what it missed.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+from typing import TYPE_CHECKING, Final
+
+import xxhash
+
+from turmericweir_core import membership
+from turmericweir_core.effects import Effect, Log, SendDatagram, SendPeer
+from turmericweir_core.events import ServerReport
+from turmericweir_core.ids import InstanceName, ServerName
+from turmericweir_core.peer_messages import CrashesAsk, CrashNews, CrashRecord
+from turmericweir_core.quarantine_state import Break, Crash, CrashKey, QuarantineState
+from turmericweir_core.request import Attempt, Request
+
+if TYPE_CHECKING:
+    from turmericweir_core.state import State
+
+# Crashes at which a fingerprint is refused.
+_CONVICTING: Final = 2
+# How often each news is sent to everyone.
+_SENDINGS: Final = 2
+_RESEND_S: Final = 1.0
+# A server that restarts fast answers a new connection before its report shows a new incarnation.
+_BREAK_KEEP_S: Final = 10.0
+# A report that was on its way when the server crashed is no sign of life.
+_REPORT_ON_WAY_S: Final = 1.0
+
+
+# --- questions of other reducers -------------------------------------------------------------
+
+
+def refused_for(state: State, now: float, fingerprint: str) -> float | None:
+    """Give the time for which a fingerprint is still refused, or None where it is not."""
+    until = state.quarantine.refused.get(fingerprint)
+    return None if until is None or now >= until else until - now
+
+
+def is_suspect(state: State, fingerprint: str) -> bool:
+    """Tell whether a fingerprint was in flight at a crash and may only run on trial."""
+    return fingerprint in state.quarantine.counts
+
+
+def crash_count(state: State, fingerprint: str) -> int:
+    """Count the crashes at which a fingerprint was in flight."""
+    return state.quarantine.counts.get(fingerprint, 0)
+
+
+def awaits_verdict(state: State, fingerprint: str) -> bool:
+    """Tell whether a verdict on a fingerprint is about to be given."""
+    if crash_count(state, fingerprint) < _CONVICTING:
+        return False
+    crashes = state.quarantine.crashes.values()
+    return any(not each.judged and fingerprint in each.guilty() for each in crashes)
+
+
+# --- evidence --------------------------------------------------------------------------------
+
+
+def note_broken(state: State, now: float, req: Request, attempt: Attempt, alive: bool) -> None:
+    """Take a connection that broke after the request had been sent."""
+    if not req.fingerprint:
+        return
+    if alive:
+        # No sign of a crash, unless the next report is of another incarnation.
+        broken = Break(now, attempt.incarnation, req.fingerprint)
+        state.quarantine.breaks.setdefault(attempt.server, []).append(broken)
+        return
+    key = CrashKey(attempt.server, attempt.incarnation)
+    _add(state, now, key, now, {req.fingerprint}, set(), retracted=False)
+
+
+def note_report(state: State, now: float, report: ServerReport) -> None:
+    """Compare a server's incarnation with what broke there and with the crashes known."""
+    quarantine = state.quarantine
+    for broken in quarantine.breaks.pop(report.server, ()):
+        if now - broken.at > _BREAK_KEEP_S:
+            continue
+        if broken.incarnation and broken.incarnation != report.incarnation:
+            key = CrashKey(report.server, broken.incarnation)
+            _add(state, now, key, broken.at, {broken.fingerprint}, set(), retracted=False)
+        elif now - broken.at < _REPORT_ON_WAY_S:
+            quarantine.breaks.setdefault(report.server, []).append(broken)
+    key = CrashKey(report.server, report.incarnation)
+    crash = quarantine.crashes.get(key)
+    if crash is not None and now - crash.at > _REPORT_ON_WAY_S:
+        _add(state, now, key, crash.at, set(), set(), retracted=True)
+
+
+def note_completed(state: State, now: float, fingerprint: str) -> None:
+    """Clear a suspect that has completed."""
+    if not is_suspect(state, fingerprint):
+        return
+    for key, crash in state.quarantine.crashes.items():
+        if fingerprint in crash.suspects:
+            _add(state, now, key, crash.at, set(), {fingerprint}, retracted=False)
+
+
+def _add(
+    state: State,
+    now: float,
+    key: CrashKey,
+    at: float,
+    suspects: set[str],
+    cleared: set[str],
+    *,
+    retracted: bool,
+) -> bool:
+    """Merge what is said of a crash; return whether any of it is news."""
+    quarantine = state.quarantine
+    crash = quarantine.crashes.get(key)
+    if crash is None:
+        crash = quarantine.crashes[key] = Crash(at, now)
+        _bound(state)
+    before = (len(crash.suspects), len(crash.cleared), crash.retracted)
+    room = state.options.crash_suspects_keep - len(crash.suspects)
+    crash.suspects.update(sorted(suspects - crash.suspects)[: max(0, room)])
+    crash.cleared.update(cleared & crash.suspects)
+    crash.retracted = crash.retracted or retracted
+    if before == (len(crash.suspects), len(crash.cleared), crash.retracted):
+        return False
+    crash.at = min(crash.at, at)
+    crash.changed_at = now
+    crash.judged = False
+    quarantine.unsent[key] = _SENDINGS
+    _recount(quarantine, now, state.options.suspect_keep_s)
+    quarantine.look_through = True
+    return True
+
+
+def _bound(state: State) -> None:
+    crashes = state.quarantine.crashes
+    while len(crashes) > state.options.crashes_keep:
+        del crashes[min(crashes, key=lambda key: crashes[key].at)]
+
+
+def _recount(quarantine: QuarantineState, now: float, keep_s: float) -> None:
+    counts: Counter[str] = Counter()
+    for crash in quarantine.crashes.values():
+        if now - crash.at <= keep_s:
+            counts.update(crash.guilty())
+    quarantine.counts = dict(counts)
+
+
+# --- verdicts --------------------------------------------------------------------------------
+
+
+def judge(state: State, now: float) -> list[Effect]:
+    """Refuse the fingerprints that the crashes known by now convict."""
+    effects: list[Effect] = []
+    for key, crash in state.quarantine.crashes.items():
+        if crash.judged or now - crash.changed_at < state.options.verdict_wait_s:
+            continue
+        crash.judged = True
+        effects += _judge_crash(state, now, key, crash)
+    return effects
+
+
+def _judge_crash(state: State, now: float, key: CrashKey, crash: Crash) -> list[Effect]:
+    quarantine = state.quarantine
+    if crash.retracted:
+        _pardon(state, crash)
+        return [Log("crash_retracted", {"peer": key.server, "incarnation": key.incarnation})]
+    convicted = [each for each in crash.guilty() if crash_count(state, each) >= _CONVICTING]
+    # Two that were both in flight at two crashes: one of them is innocent, and only a trial of
+    # each alone can tell which.
+    if len(convicted) != 1 or convicted[0] in quarantine.refused:
+        return []
+    fingerprint = convicted[0]
+    quarantine.refused[fingerprint] = crash.at + state.options.quarantine_s
+    quarantine.look_through = True
+    return [Log("quarantined", {"fingerprint": fingerprint, "peer": key.server})]
+
+
+def _pardon(state: State, crash: Crash) -> None:
+    """Take back the verdicts that rested on a crash which was none."""
+    for fingerprint in crash.suspects:
+        if crash_count(state, fingerprint) < _CONVICTING:
+            state.quarantine.refused.pop(fingerprint, None)
+
+
+# --- time ------------------------------------------------------------------------------------
+
+
+def on_tick(state: State, now: float) -> list[Effect]:
+    """Forget what is old, tell others the news, give the verdicts that are due."""
+    _expire(state, now)
+    return [*judge(state, now), *_tell(state, now), *_ask_peer(state, now)]
+
+
+def _expire(state: State, now: float) -> None:
+    quarantine = state.quarantine
+    if now < quarantine.expire_due:
+        return
+    quarantine.expire_due = now + _RESEND_S
+    for key, crash in list(quarantine.crashes.items()):
+        if now - crash.at > state.options.quarantine_s:
+            del quarantine.crashes[key]
+            quarantine.unsent.pop(key, None)
+    for fingerprint, until in list(quarantine.refused.items()):
+        if now >= until:
+            del quarantine.refused[fingerprint]
+    for server, breaks in list(quarantine.breaks.items()):
+        if now - breaks[-1].at > _BREAK_KEEP_S:
+            del quarantine.breaks[server]
+    if quarantine.counts:
+        _recount(quarantine, now, state.options.suspect_keep_s)
+
+
+def _tell(state: State, now: float) -> list[Effect]:
+    """Send the news to all of the region; a second time in case a stream broke with the first."""
+    quarantine = state.quarantine
+    fresh = any(times == _SENDINGS for times in quarantine.unsent.values())
+    if not quarantine.unsent or (not fresh and now < quarantine.resend_due):
+        return []
+    quarantine.resend_due = now + _RESEND_S
+    keys = [key for key in quarantine.unsent if key in quarantine.crashes]
+    for key, times in list(quarantine.unsent.items()):
+        if times > 1:
+            quarantine.unsent[key] = times - 1
+        else:
+            del quarantine.unsent[key]
+    news = CrashNews(_records(state, now, keys))
+    peers = membership.region_instances(state, now)
+    me = state.me.name
+    return [SendPeer(each.name, each.peer_address, news) for each in peers if each.name != me]
+
+
+def _records(state: State, now: float, keys: Iterable[CrashKey]) -> list[CrashRecord]:
+    crashes = state.quarantine.crashes
+    return [_record(now, key, crashes[key]) for key in keys]
+
+
+def _record(now: float, key: CrashKey, crash: Crash) -> CrashRecord:
+    return CrashRecord(
+        server=key.server,
+        incarnation=key.incarnation,
+        age_s=max(0.0, now - crash.at),
+        suspects=sorted(crash.suspects),
+        cleared=sorted(crash.cleared),
+        retracted=crash.retracted,
+    )
+
+
+def _ask_peer(state: State, now: float) -> list[Effect]:
+    """Ask a random peer for what this instance missed; a newcomer does so as soon as it has one."""
+    quarantine = state.quarantine
+    if now < quarantine.ask_due:
+        return []
+    me = state.me.name
+    peers = [each for each in membership.region_instances(state, now) if each.name != me]
+    if not peers:
+        quarantine.ask_due = now + _RESEND_S
+        return []
+    quarantine.ask_due = now + state.options.crashes_ask_s
+    peer = state.rng.choice(peers)
+    return [SendDatagram(peer.name, peer.peer_address, CrashesAsk(_crashes_hash(state)))]
+
+
+def _crashes_hash(state: State) -> int:
+    rows = [
+        (*key, sorted(crash.suspects), sorted(crash.cleared), crash.retracted)
+        for key, crash in sorted(state.quarantine.crashes.items())
+    ]
+    return xxhash.xxh32_intdigest(repr(rows).encode()) if rows else 0
+
+
+# --- messages --------------------------------------------------------------------------------
+
+
+def on_asked(state: State, now: float, sender: InstanceName, ask: CrashesAsk) -> list[Effect]:
+    """Send all crashes to a peer that does not know the same ones."""
+    if ask.crashes_hash == _crashes_hash(state) or not state.quarantine.crashes:
+        return []
+    peer = membership.member(state, sender)
+    if peer is None:
+        return []
+    news = CrashNews(_records(state, now, state.quarantine.crashes))
+    return [SendPeer(sender, peer.peer_address, news)]
+
+
+def on_news(state: State, now: float, news: CrashNews) -> list[Effect]:
+    """Merge what another instance knows; it has told everyone else itself."""
+    unsent = dict(state.quarantine.unsent)
+    for record in news.crashes:
+        if record.age_s > state.options.quarantine_s:
+            continue
+        key = CrashKey(ServerName(record.server), record.incarnation)
+        suspects = set(record.suspects)
+        at = now - max(0.0, record.age_s)
+        cleared = set(record.cleared)
+        _add(state, now, key, at, suspects, cleared, retracted=record.retracted)
+    state.quarantine.unsent = unsent
+    return []
--- /dev/null
+++ b/packages/turmericweir-core/turmericweir_core/quarantine_flow.py
@@ -0,0 +1,106 @@
+"""Carries out what `quarantine` and `trial` decide: the reducer's way into both.
+
+Suspects come into `trial`'s hands from `lifecycle`, where they are admitted or wait for another
+attempt; here they go on to an attempt of their own, back to a queue, or to their end.
+"""
+
+from __future__ import annotations
+
+from typing import assert_never
+
+from turmericweir_core import dispatch, lifecycle, quarantine, queue_state, trial
+from turmericweir_core.account import Outcome
+from turmericweir_core.effects import Count, Effect
+from turmericweir_core.ids import InstanceName
+from turmericweir_core.peer_messages import (
+    CrashesAsk,
+    CrashNews,
+    TrialAnswer,
+    TrialAsk,
+    TrialEnd,
+)
+from turmericweir_core.reasons import Reason
+from turmericweir_core.request import CancelReason, Phase, Request
+from turmericweir_core.state import State
+from turmericweir_core.trial import Decision, GiveUp, Refuse, Release, RunAlone, Send
+
+
+def on_tick(state: State, now: float) -> list[Effect]:
+    """Give the verdicts that are due and move the suspects on."""
+    effects = quarantine.on_tick(state, now)
+    effects += trial.review_running(state, now)
+    if state.quarantine.look_through:
+        state.quarantine.look_through = False
+        effects += _look_through(state, now)
+    return effects + _carry_out(state, now, trial.step(state, now))
+
+
+def on_message(
+    state: State,
+    now: float,
+    sender: InstanceName,
+    message: CrashNews | CrashesAsk | TrialAsk | TrialAnswer | TrialEnd,
+) -> list[Effect]:
+    """Take a message of another instance."""
+    match message:
+        case CrashNews():
+            return quarantine.on_news(state, now, message)
+        case CrashesAsk():
+            return quarantine.on_asked(state, now, sender, message)
+        case TrialAsk():
+            return trial.on_ask(state, now, sender, message)
+        case TrialAnswer():
+            return _carry_out(state, now, trial.on_answer(state, now, sender, message))
+        case TrialEnd():
+            trial.on_end(state, sender, message)
+            return []
+        case unreachable:
+            assert_never(unreachable)
+
+
+def _look_through(state: State, now: float) -> list[Effect]:
+    """Find the requests in hand that are suspects, or refused, only since a moment ago."""
+    effects: list[Effect] = []
+    for req in list(state.requests.values()):
+        if req.attempt is not None:
+            if quarantine.refused_for(state, now, req.fingerprint) is not None:
+                # It would crash this server too, and everything else that runs there with it.
+                effects += dispatch.cancel(req, CancelReason.QUARANTINED)
+        elif req.phase is Phase.WAITING and _is_new_suspect(state, req):
+            queue_state.remove(state.queues, req)
+            trial.hold(state, req)
+    return effects
+
+
+def _is_new_suspect(state: State, req: Request) -> bool:
+    if trial.is_held(state, req.request_id):
+        return False
+    return quarantine.is_suspect(state, req.fingerprint)
+
+
+def _carry_out(state: State, now: float, decisions: list[Decision]) -> list[Effect]:
+    effects: list[Effect] = []
+    for decision in decisions:
+        effects += _carry_out_one(state, now, decision)
+    return effects
+
+
+def _carry_out_one(state: State, now: float, decision: Decision) -> list[Effect]:
+    match decision:
+        case RunAlone(req, server, _):
+            effects = dispatch.start(state, now, req, server)
+            if req.attempt is not None:
+                trial.note_started(state, now, decision, req.attempt)
+            return [Count("quarantine.trial"), *effects]
+        case Release(req):
+            dispatch.wait_for_server(state, req, front=True)
+            return dispatch.dispatch(state, now, req.target)
+        case Refuse(req):
+            return lifecycle.finish(state, now, req, Outcome.FAILED, Reason.QUARANTINED)
+        case GiveUp(req):
+            outcome = lifecycle.given_up(req)
+            return lifecycle.finish(state, now, req, outcome, Reason.DEADLINE)
+        case Send(effect):
+            return [effect]
+        case unreachable:
+            assert_never(unreachable)
--- /dev/null
+++ b/packages/turmericweir-core/turmericweir_core/quarantine_state.py
@@ -0,0 +1,107 @@
+"""What the quarantine of requests that crash servers keeps; see `quarantine` and `trial`."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Final, NamedTuple
+
+from turmericweir_core.ids import AttemptId, InstanceName, RequestId, ServerName
+from turmericweir_core.request import Request
+
+NEVER: Final = float("-inf")
+
+
+class CrashKey(NamedTuple):
+    """Names a crash: the life of a server that it ended."""
+
+    server: ServerName
+    incarnation: str
+
+
+@dataclass(slots=True)
+class Crash:
+    """One crash, as all instances together know it. Its sets only grow, so records merge."""
+
+    # By this instance's clock, when it was seen first anywhere.
+    at: float
+    # When something was last learnt of it; the verdict waits for this to settle.
+    changed_at: float
+    # Fingerprints of the requests that were in flight.
+    suspects: set[str] = field(default_factory=set)
+    # Those of them that have completed since.
+    cleared: set[str] = field(default_factory=set)
+    # The server was seen alive in the same life: a network fault, not a crash.
+    retracted: bool = False
+    # The verdict was given since the last change.
+    judged: bool = False
+
+    def guilty(self) -> set[str]:
+        """Give the fingerprints that may have made the crash."""
+        return set() if self.retracted else self.suspects - self.cleared
+
+
+@dataclass(frozen=True, slots=True)
+class Break:
+    """A connection that broke while the server seemed alive: it may have restarted in between."""
+
+    at: float
+    incarnation: str
+    fingerprint: str
+
+
+@dataclass(slots=True)
+class HeldSuspect:
+    """A suspect request that waits for a server of its own."""
+
+    req: Request
+    # The server whose home was asked, and when; None while no answer is awaited.
+    asked: ServerName | None = None
+    asked_at: float = NEVER
+    # Not asked again before this time.
+    ask_due: float = NEVER
+    # Servers where another suspect runs, and until when they are passed over.
+    denied: dict[ServerName, float] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class OwnTrial:
+    """A suspect of this instance that runs alone on a server."""
+
+    request_id: RequestId
+    server: ServerName
+    fingerprint: str
+    # Who gave leave; empty where nobody answered.
+    home: InstanceName
+    renew_due: float
+
+
+@dataclass(slots=True)
+class GivenTrial:
+    """Leave that this instance gave, as home of a server."""
+
+    holder: InstanceName
+    fingerprint: str
+    until: float
+
+
+@dataclass(slots=True)
+class QuarantineState:
+    """Everything that the quarantine keeps on one instance."""
+
+    crashes: dict[CrashKey, Crash] = field(default_factory=dict)
+    # In how many crashes a fingerprint was in flight and not cleared; follows `crashes`.
+    counts: dict[str, int] = field(default_factory=dict)
+    # Fingerprints that are refused, and until when.
+    refused: dict[str, float] = field(default_factory=dict)
+    breaks: dict[ServerName, list[Break]] = field(default_factory=dict)
+    held: dict[RequestId, HeldSuspect] = field(default_factory=dict)
+    own: dict[AttemptId, OwnTrial] = field(default_factory=dict)
+    given: dict[ServerName, GivenTrial] = field(default_factory=dict)
+    # Crashes of which the others are still to be told, and how often.
+    unsent: dict[CrashKey, int] = field(default_factory=dict)
+    resend_due: float = NEVER
+    # Requests are to be looked through for new suspects and new verdicts.
+    look_through: bool = False
+    ask_due: float = NEVER
+    # When the oldest crash is next looked at.
+    expire_due: float = NEVER
--- a/packages/turmericweir-core/turmericweir_core/queue_state.py
+++ b/packages/turmericweir-core/turmericweir_core/queue_state.py
@@ -3,16 +3,21 @@
 A waiting request is bound to a server as late as possible: nobody knows how long an answer will
 run, so binding early would leave requests behind a long answer while another server idles.
 
-Order between classes is strict by tier, with one exception that keeps the lowest class alive: each
-class earns its assured share of everything dispatched for the target while it waits, and is
-served out of turn when it has earned the cost of one request. Upper classes pay with delay only.
+Targets that share servers make up a *pool* (the service that serves them), and order is kept over
+the whole pool. It is strict by tier, with one exception that keeps the lowest class alive: each
+class earns its assured share of everything dispatched in the pool while it waits, and is served
+out of turn when it has earned the cost of one request. Upper classes pay with delay only.
+
+No operation looks at all that waits: queues are ordered by insertion and indexed by request id,
+deadlines stand in a heap, and the waiting work is kept as a running sum.
 """
 
 from __future__ import annotations
 
-from collections import deque
-from collections.abc import Iterator
+from collections import OrderedDict
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
+from heapq import heappop, heappush
 
 from turmericweir_core.config import ServiceClass
 from turmericweir_core.ids import RequestId, Target
@@ -24,15 +29,23 @@
     """Waiting requests of one class for one target, first come first."""
 
     service_class: ServiceClass
-    waiting: deque[Request] = field(default_factory=deque)
+    target: Target
+    waiting: OrderedDict[RequestId, Request] = field(default_factory=OrderedDict)
+    # Sum of the costs of what waits.
+    work: float = 0.0
     # Work that this class has earned and not yet used, in the unit of `cost`.
     earned: float = 0.0
 
+    def head(self) -> Request:
+        """Give the request that is served next; the queue must not be empty."""
+        return next(iter(self.waiting.values()))
+
 
 @dataclass(slots=True)
 class TargetQueue:
     """Everything that waits for one target, by class name."""
 
+    pool: str
     classes: dict[str, ClassQueue] = field(default_factory=dict)
 
 
@@ -41,37 +54,57 @@
     """All waiting requests of an instance."""
 
     targets: dict[Target, TargetQueue] = field(default_factory=dict)
+    # Targets by pool.
+    pools: dict[str, list[Target]] = field(default_factory=dict)
+    # Where each waiting request stands.
+    index: dict[RequestId, ClassQueue] = field(default_factory=dict)
+    # Deadlines, earliest first; entries of requests that no longer wait are skipped.
+    deadlines: list[tuple[float, RequestId]] = field(default_factory=list)
 
 
 def cost(req: Request) -> float:
-    """Give the work that a request stands for: tokens for a model, one for a plain call."""
-    return max(1.0, req.predicted_tokens)
+    """Give the work that is left of a request: tokens for a model, one for a plain call."""
+    return max(1.0, req.predicted_tokens - req.delivered)
 
 
-def enqueue(queues: QueueState, req: Request, *, front: bool = False) -> None:
+def enqueue(queues: QueueState, req: Request, *, pool: str = "", front: bool = False) -> None:
     """Let a request wait; one that goes back after a failed attempt waits at the front."""
-    target = queues.targets.setdefault(req.target, TargetQueue())
+    held = _target_queue(queues, req.target, pool or req.target)
     name = req.service_class.name
-    queue = target.classes.get(name)
+    queue = held.classes.get(name)
     if queue is None:
-        queue = target.classes[name] = ClassQueue(req.service_class)
+        queue = held.classes[name] = ClassQueue(req.service_class, req.target)
     queue.service_class = req.service_class
+    req.queued_cost = cost(req)
+    queue.waiting[req.request_id] = req
+    queue.work += req.queued_cost
+    queues.index[req.request_id] = queue
+    heappush(queues.deadlines, (req.deadline, req.request_id))
     if front:
-        queue.waiting.appendleft(req)
-    else:
-        queue.waiting.append(req)
+        queue.waiting.move_to_end(req.request_id, last=False)
+
+
+def _target_queue(queues: QueueState, target: Target, pool: str) -> TargetQueue:
+    held = queues.targets.get(target)
+    if held is None:
+        held = queues.targets[target] = TargetQueue(pool)
+        queues.pools.setdefault(pool, []).append(target)
+    elif held.pool != pool:
+        # The settings moved the target to another service.
+        queues.pools[held.pool].remove(target)
+        queues.pools.setdefault(pool, []).append(target)
+        held.pool = pool
+    return held
 
 
 def remove(queues: QueueState, req: Request) -> None:
     """Take a request out of its queue, wherever it stands."""
-    target = queues.targets.get(req.target)
-    queue = target.classes.get(req.service_class.name) if target else None
+    queue = queues.index.pop(req.request_id, None)
     if queue is None:
         return
-    try:
-        queue.waiting.remove(req)
-    except ValueError:
-        return
+    del queue.waiting[req.request_id]
+    # Set to zero when empty, so that rounding errors do not add up over days.
+    queue.work = queue.work - req.queued_cost if queue.waiting else 0.0
 
 
 def waiting_count(queues: QueueState, target: Target, class_name: str) -> int:
@@ -81,47 +114,93 @@
     return len(queue.waiting) if queue else 0
 
 
-def in_order(target: TargetQueue) -> list[ClassQueue]:
-    """List the classes with waiting requests in the order in which they are served."""
-    nonempty = [queue for queue in target.classes.values() if queue.waiting]
+def pool_of(queues: QueueState, target: Target) -> str | None:
+    """Name the pool of a target, or give None where nothing has ever waited for it."""
+    held = queues.targets.get(target)
+    return held.pool if held else None
+
+
+def pool_queues(queues: QueueState, pool: str) -> Iterator[ClassQueue]:
+    """Yield the queues of a pool in which something waits."""
+    for target in queues.pools.get(pool, ()):
+        for queue in queues.targets[target].classes.values():
+            if queue.waiting:
+                yield queue
+
+
+def target_classes(queues: QueueState, target: Target) -> Iterable[ClassQueue]:
+    """Give the queues of a target, empty ones as well."""
+    held = queues.targets.get(target)
+    return held.classes.values() if held else ()
+
+
+def anything_waits(queues: QueueState, pool: str) -> bool:
+    """Tell whether anything waits in a pool."""
+    return any(True for _ in pool_queues(queues, pool))
+
+
+def in_order(queues: QueueState, pool: str) -> list[ClassQueue]:
+    """List the queues of a pool with waiting requests in the order in which they are served."""
+    nonempty = list(pool_queues(queues, pool))
     nonempty.sort(key=_turn)
     return nonempty
 
 
-def _turn(queue: ClassQueue) -> tuple[int, int]:
-    owed = queue.earned >= cost(queue.waiting[0])
-    return (0 if owed else 1, queue.service_class.priority)
+def is_owed(queue: ClassQueue) -> bool:
+    """Tell whether a class has earned its next request out of turn."""
+    return queue.earned >= queue.head().queued_cost
+
+
+def _turn(queue: ClassQueue) -> tuple[int, int, float]:
+    # Queues of one tier, for different targets, go by age.
+    return (0 if is_owed(queue) else 1, queue.service_class.priority, queue.head().arrived)
 
 
-def note_dispatched(target: TargetQueue, queue: ClassQueue, req: Request) -> None:
-    """Take a request that was bound to a server off its queue and settle the shares."""
-    queue.waiting.popleft()
-    work = cost(req)
+def upper_waits(queues: QueueState, pool: str, tier: int) -> bool:
+    """Tell whether a more urgent tier waits in a pool."""
+    return any(each.service_class.priority < tier for each in pool_queues(queues, pool))
+
+
+def note_dispatched(queues: QueueState, queue: ClassQueue, req: Request) -> None:
+    """Take a request that was bound to a server off its queue and settle the shares.
+
+    Failure: an upper class that never runs dry leaves a strict order no turn for the lower ones,
+    whose callers wait until their deadlines. Every class that waits therefore earns its share of
+    each dispatch, and once it has earned its next request it goes first. This is enough as the
+    earnings grow with every dispatch, so any waiting class gets its turn after finite work.
+    """
+    work = req.queued_cost
+    remove(queues, req)
     queue.earned = max(0.0, queue.earned - work)
-    for other in target.classes.values():
-        if other is queue:
-            continue
-        if other.waiting:
-            other.earned += work * other.service_class.assured_share
-        else:
-            # A share is for those who wait; saving it up would let an idle class burst later.
-            other.earned = 0.0
+    pool = queues.targets[req.target].pool
+    for target in queues.pools[pool]:
+        for other in queues.targets[target].classes.values():
+            if other is not queue:
+                _earn(other, work)
+
+
+def _earn(queue: ClassQueue, work: float) -> None:
+    if not queue.waiting:
+        # A share is for those who wait; saving it up would let an idle class burst later.
+        queue.earned = 0.0
+        return
+    earned = queue.earned + work * queue.service_class.assured_share
+    # One turn at a time: a class that cannot be placed does not gather a burst of turns.
+    queue.earned = min(earned, 2.0 * queue.head().queued_cost)
 
 
-def expired(queues: QueueState, now: float) -> Iterator[Request]:
-    """Yield waiting requests whose deadline has passed."""
-    for target in queues.targets.values():
-        for queue in target.classes.values():
-            for req in queue.waiting:
-                if now >= req.deadline:
-                    yield req
+def expired(queues: QueueState, now: float) -> list[Request]:
+    """List waiting requests whose deadline has passed, each once."""
+    # By id: one that was queued anew after a failed attempt has an entry for each time.
+    found: dict[RequestId, Request] = {}
+    while queues.deadlines and queues.deadlines[0][0] <= now:
+        _, request_id = heappop(queues.deadlines)
+        queue = queues.index.get(request_id)
+        if queue is not None:
+            found[request_id] = queue.waiting[request_id]
+    return list(found.values())
 
 
 def waiting_ids(queues: QueueState) -> list[RequestId]:
     """List the ids of everything that waits, for the state dump."""
-    return [
-        req.request_id
-        for target in queues.targets.values()
-        for queue in target.classes.values()
-        for req in queue.waiting
-    ]
+    return list(queues.index)
--- a/packages/turmericweir-core/turmericweir_core/reasons.py
+++ b/packages/turmericweir-core/turmericweir_core/reasons.py
@@ -30,6 +30,8 @@
     DISPLACED = "displaced"
     CLAIM_UNAVAILABLE = "claim_unavailable"
     CLAIM_BUSY = "claim_busy"
+    # The idempotency key was used before with another request.
+    KEY_REUSED = "key_reused"
     # Ended after a server had begun, or may have begun.
     SERVER_LOST = "server_lost"
     SERVER_ERROR = "server_error"
@@ -38,6 +40,7 @@
     CALLER_LEFT = "caller_left"
     EVIDENCE_LOST = "evidence_lost"
     ALREADY_CLAIMED = "already_claimed"
+    ALREADY_COMPLETED = "already_completed"
 
 
 MESSAGES: Final[dict[Reason, str]] = {
@@ -56,8 +59,12 @@
     Reason.NO_SETTINGS: "This instance has no settings yet.",
     Reason.STOPPING: "This instance is stopping and takes no new requests.",
     Reason.DISPLACED: "Work of a more urgent class took the place of this request.",
-    Reason.CLAIM_UNAVAILABLE: "The idempotency key could not be claimed; nothing was run.",
+    Reason.CLAIM_UNAVAILABLE: (
+        "The idempotency key could not be claimed, so this request was not run; "
+        "send it again with the same key, as an earlier one may have been run."
+    ),
     Reason.CLAIM_BUSY: "Another request with this idempotency key is in progress.",
+    Reason.KEY_REUSED: "The idempotency key was used before with another request.",
     Reason.SERVER_LOST: "The server was lost after the request had been sent to it.",
     Reason.SERVER_ERROR: "The server failed while it ran the request.",
     Reason.RETRIES_EXHAUSTED: "The answer broke off and the retry budget is spent.",
@@ -65,4 +72,7 @@
     Reason.CALLER_LEFT: "The caller closed the connection.",
     Reason.EVIDENCE_LOST: "The call may have run; what became of it is not known.",
     Reason.ALREADY_CLAIMED: "A call with this idempotency key may have run; see the first one.",
+    Reason.ALREADY_COMPLETED: (
+        "A call with this idempotency key was completed; its answer is no longer kept."
+    ),
 }
--- a/packages/turmericweir-core/turmericweir_core/request.py
+++ b/packages/turmericweir-core/turmericweir_core/request.py
@@ -19,6 +19,8 @@
     SILENT = "silent"
     # Work of a more urgent class needs its place.
     DISPLACED = "displaced"
+    # It was found to crash servers.
+    QUARANTINED = "quarantined"
 
 
 class Phase(StrEnum):
@@ -41,6 +43,11 @@
     attempt_id: AttemptId
     server: ServerName
     started: float
+    # The tier that it runs at: the request's own, or the most urgent one where its class took the
+    # turn that its assured share had earned.
+    tier: int = 0
+    # The server's life as it was known at the start; empty where it was not.
+    incarnation: str = ""
     # Set just before the first byte goes out; until then the server cannot have begun.
     sent: bool = False
     # Tokens received in this attempt.
@@ -49,6 +56,12 @@
     last_token_at: float | None = None
     # Why the reducer has ordered it to stop; its end is awaited.
     cancelled: CancelReason | None = None
+    # The pool whose books it is in, and the work that it was entered for.
+    pool: str = ""
+    work: float = 0.0
+    # When its pace was last sampled, and the tokens received by then.
+    sampled_at: float | None = None
+    sampled_tokens: int = 0
 
 
 @dataclass(slots=True)
@@ -86,13 +99,22 @@
     # Tokens of the answer that the caller has been sent, over all attempts.
     delivered: int = 0
     first_token_at: float | None = None
-    # Predicted length of the answer, tokens.
+    # Predicted length of the answer, tokens; 0 for plain calls.
     predicted_tokens: float = 0.0
+    # Work that it counts for while it waits; fixed when it is queued, so that sums stay right.
+    queued_cost: float = 0.0
+    # Attempts that had to make way for upper tiers; no fault of the request's or the server's.
+    displaced: int = 0
     # The caller has closed its connection; the request is only finished for its account.
     caller_left: bool = False
     # Servers that this request has failed on; avoided while others are left.
     avoid: set[ServerName] = field(default_factory=set)
 
+    @property
+    def tries(self) -> int:
+        """Count the attempts, but for those that had to make way: these were no failures."""
+        return self.attempts - self.displaced
+
     @property
     def priority(self) -> int:
         """The tier of its class, 0 the most urgent."""
--- a/packages/turmericweir-core/turmericweir_core/retry.py
+++ b/packages/turmericweir-core/turmericweir_core/retry.py
@@ -39,3 +39,8 @@
         return False
     budget.tokens = tokens - 1.0
     return True
+
+
+def may_retry(budget: RetryBudget, options: Options) -> bool:
+    """Tell whether a retry could be taken now, without taking it."""
+    return _tokens(budget, options) >= 1.0
--- a/packages/turmericweir-core/turmericweir_core/server_table.py
+++ b/packages/turmericweir-core/turmericweir_core/server_table.py
@@ -13,6 +13,7 @@
 from turmericweir_core.config import Config, ServerEntry, Service
 from turmericweir_core.events import ServerReport
 from turmericweir_core.ids import AttemptId, ServerName
+from turmericweir_core.leaving_marks import LeavingMark, LeavingMarks, marks_on
 from turmericweir_core.options import Options
 
 
@@ -25,12 +26,19 @@
     # The newest load report and when it came.
     report: ServerReport | None = None
     report_at: float = 0.0
+    # Requests of this instance in flight there when the report came.
+    own_at_report: int = 0
     # Requests of this instance in flight there: attempt and its tier.
     in_flight: dict[AttemptId, int] = field(default_factory=dict)
     # Set by any source that says so; kept until the incarnation changes.
     leaving: bool = False
     # An operator asked that it gets no new work.
     drained: bool = False
+    # It refused a request of this instance as leaving.
+    refused_leaving: bool = False
+    # It restarted while its entry stayed the same, so what is said of the entry's incarnation is
+    # not about this one.
+    outlived_entry: bool = False
     # Not asked again before this time, because a new connection to it failed.
     unreachable_until: float = 0.0
     # When the next load probe is due.
@@ -59,6 +67,15 @@
     by_name: dict[ServerName, Server] = field(default_factory=dict)
     # Entries that the platform's list or a peer named, by name.
     listed: dict[ServerName, ServerEntry] = field(default_factory=dict)
+    # When the platform was last seen to say so, by this instance or a peer; None for never.
+    listed_at: float | None = None
+    # Hash of the listed entries, for comparison with peers.
+    listed_hash: int = 0
+    # What any instance has found to be leaving.
+    marks: LeavingMarks = field(default_factory=LeavingMarks)
+    # Rises whenever a server comes, goes, starts leaving or serves other models; what is derived
+    # from the whole table is kept until then.
+    version: int = 0
 
 
 def is_open(server: Server, now: float) -> bool:
@@ -66,6 +83,11 @@
     return not (server.leaving or server.drained) and now >= server.unreachable_until
 
 
+def known_incarnation(server: Server) -> str:
+    """Name the server's present life as far as it is known; empty where it is not."""
+    return server.report.incarnation if server.report is not None else server.entry.incarnation
+
+
 def servers_for(table: ServerTable, target: str, now: float) -> Iterator[Server]:
     """Yield the servers that may be given a request for a target."""
     for server in table.by_name.values():
@@ -79,8 +101,13 @@
         return
     known = table.by_name.get(entry.name)
     if known is None or _restarted(known.entry, entry):
-        table.by_name[entry.name] = Server(entry, service, leaving=entry.leaving)
+        fresh = Server(entry, service, leaving=entry.leaving)
+        table.by_name[entry.name] = fresh
+        apply_marks(table, fresh)
+        table.version += 1
         return
+    if known.service is not service or (entry.leaving and not known.leaving):
+        table.version += 1
     known.entry = entry
     known.service = service
     # Leaving is never taken back by a source that lags.
@@ -104,8 +131,10 @@
         # One with requests of ours in flight stays until they end; it gets no new ones.
         if gone and not server.in_flight:
             del table.by_name[name]
-        elif gone:
+            table.version += 1
+        elif gone and not server.leaving:
             server.leaving = True
+            table.version += 1
 
 
 def list_servers(table: ServerTable, config: Config, entries: tuple[ServerEntry, ...]) -> None:
@@ -135,12 +164,25 @@
             return
         report_leaving = server.leaving or report.leaving
     else:
-        # A new incarnation has not said that it leaves; its entry in the list may lag behind.
-        report_leaving = report.leaving or (server.leaving and server.report is None)
+        # A new incarnation has not said that it leaves; its entry in the list may lag behind. At
+        # a first report, what the list or a refusal said stands; the marks are looked at below.
+        told = server.refused_leaving or server.entry.leaving
+        report_leaving = report.leaving or (told and server.report is None)
+    if server.report is None or server.report.models != report.models:
+        table.version += 1
+    if server.leaving != report_leaving:
+        table.version += 1
+    if server.report is not None and server.report.incarnation != report.incarnation:
+        server.outlived_entry = True
+        server.refused_leaving = False
+        server.drained = False
     server.report = report
     server.report_at = now
+    server.own_at_report = len(server.in_flight)
     server.leaving = report_leaving
     server.unreachable_until = 0.0
+    # A report that was held up is of an incarnation that may be marked long since.
+    apply_marks(table, server)
 
 
 def note_unreachable(table: ServerTable, options: Options, now: float, name: ServerName) -> None:
@@ -153,8 +195,36 @@
 def note_leaving(table: ServerTable, name: ServerName) -> None:
     """Give a server no new work any more: it said itself that it leaves."""
     server = table.by_name.get(name)
-    if server is not None:
+    if server is None:
+        return
+    server.refused_leaving = True
+    if not server.leaving:
         server.leaving = True
+        table.version += 1
+
+
+def apply_marks(table: ServerTable, server: Server) -> None:
+    """Let a server get no new work if its incarnation is marked.
+
+    Without this an entry that comes in again, from a list older than the mark, would be taken for
+    a server that has just come: requests would go to it until it refused one.
+    """
+    before = (server.leaving, server.drained)
+    for mark in marks_on(table.marks, server.entry.name):
+        if _is_about(mark, server):
+            server.leaving = server.leaving or not mark.drained
+            server.drained = server.drained or mark.drained
+    if before != (server.leaving, server.drained):
+        table.version += 1
+
+
+def _is_about(mark: LeavingMark, server: Server) -> bool:
+    if server.report is None:
+        # It has not said who it is. Its first report, soon after, decides.
+        return True
+    if mark.incarnation == server.report.incarnation:
+        return True
+    return mark.incarnation == server.entry.incarnation and not server.outlived_entry
 
 
 def due_probes(table: ServerTable, options: Options, now: float) -> Iterator[Server]:
--- /dev/null
+++ b/packages/turmericweir-core/turmericweir_core/settings_flow.py
@@ -0,0 +1,124 @@
+"""Join the settings to the rest of the state: who the peers are, and what a new `Config` touches.
+
+`settings_reducer` decides on the `SettingsSync` alone; the one reducer calls the functions here.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from turmericweir_core import membership, server_table, settings_reducer
+from turmericweir_core.effects import Effect
+from turmericweir_core.events import (
+    AppendDone,
+    AppendFailed,
+    ChangeSubmitted,
+    LogExpired,
+    LogFailed,
+    LogRead,
+)
+from turmericweir_core.ids import InstanceName
+from turmericweir_core.peer_messages import Heartbeat, SettingsAsk, SettingsSend
+from turmericweir_core.settings_inforce import CentreReach, in_force
+from turmericweir_core.settings_sync import PeerSettings
+from turmericweir_core.state import State
+
+
+def on_log(state: State, now: float, event: LogRead | LogExpired | LogFailed) -> list[Effect]:
+    """Take what a read of the settings stream gave."""
+    sync = state.settings
+    match event:
+        case LogRead():
+            effects = settings_reducer.on_log_read(sync, state.options, now, event)
+        case LogExpired():
+            effects = settings_reducer.on_log_expired(sync, now, event)
+        case LogFailed():
+            effects = settings_reducer.on_log_failed(sync, now, event)
+    _adopt(state)
+    return effects
+
+
+def on_append(state: State, now: float, event: AppendDone | AppendFailed) -> list[Effect]:
+    """Take how an append to the settings stream ended."""
+    match event:
+        case AppendDone():
+            return settings_reducer.on_append_done(state.settings, event)
+        case AppendFailed():
+            return settings_reducer.on_append_failed(state.settings, now, event)
+
+
+def on_submitted(state: State, now: float, event: ChangeSubmitted) -> list[Effect]:
+    """Carry an operator's change to the log."""
+    return settings_reducer.on_change_submitted(state.settings, state.options, now, event)
+
+
+def on_message(
+    state: State, now: float, sender: InstanceName, message: SettingsAsk | SettingsSend
+) -> list[Effect]:
+    """Take a peer's question or answer."""
+    sync = state.settings
+    match message:
+        case SettingsAsk():
+            peer = membership.member(state, sender)
+            if peer is None:
+                return []
+            address = peer.peer_address
+            return settings_reducer.on_settings_ask(sync, state.options, sender, address, message)
+        case SettingsSend():
+            effects = settings_reducer.on_settings_send(sync, state.options, now, message)
+            _adopt(state)
+            return effects
+
+
+def on_heartbeat(state: State, sender: InstanceName, beat: Heartbeat) -> list[Effect]:
+    """Compare a peer's settings with this instance's."""
+    return settings_reducer.on_heartbeat(state.settings, sender, beat)
+
+
+def on_tick(state: State, now: float) -> list[Effect]:
+    """Do what is due."""
+    effects = settings_reducer.on_tick(
+        state.settings, state.options, now, state.me.name, lambda: _peers(state, now)
+    )
+    _adopt(state)
+    return effects
+
+
+def _peers(state: State, now: float) -> Sequence[PeerSettings]:
+    """Give where the other live instances stand.
+
+    Of another data centre only the lowest offset of its live instances is known, by its relays.
+    """
+    centres = membership.data_centres(state, now)
+    lowest = {centre.name: centre.settings_offset for centre in centres if centre.reachable}
+    return [
+        PeerSettings(
+            name=each.name,
+            address=each.peer_address,
+            offset=max(each.settings_offset, lowest.get(each.data_centre, 0)),
+        )
+        for each in membership.live_instances(state, now)
+        if each.name != state.me.name
+    ]
+
+
+def where_in_force(state: State, now: float, offset: int) -> list[CentreReach]:
+    """Say of each data centre whether all settings before an offset are in force there."""
+    members = state.members.by_name.values()
+    return in_force(
+        now,
+        offset,
+        centres=membership.data_centres(state, now),
+        not_live=[each for each in members if not membership.is_live(state, now, each)],
+        # A data centre may be known only by the servers that the settings place there.
+        named={server.data_centre for server in state.config.servers.values()},
+    )
+
+
+def _adopt(state: State) -> None:
+    """Put a new `Config` in force."""
+    sync = state.settings
+    state.has_settings = sync.ready
+    if sync.config is not state.config:
+        state.config = sync.config
+        server_table.rebuild(state.servers, state.config)
--- /dev/null
+++ b/packages/turmericweir-core/turmericweir_core/silence.py
@@ -0,0 +1,116 @@
+"""When a connection that carries nothing is doubted.
+
+Something between the two ends can lose track of a connection: it stays open for both and carries
+nothing, while new connections work. The caller would wait until its deadline for an answer that
+cannot come. An attempt that is doubted is cancelled, which closes the connection and tells the
+server over a new one, and the request goes on elsewhere; the server itself is held guilty only when
+a new connection fails too, which a probe finds out meanwhile.
+
+A doubt that is wrong costs a retry, so it needs more than a long wait: the server's report does not
+account for the requests that this instance has there, or a later request was served first, or half
+of the time to the deadline is gone. Where the request cannot be tried again, waiting on is all that
+is left, so nothing is doubted.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from turmericweir_core.ids import ServerName
+from turmericweir_core.request import Attempt, Request
+from turmericweir_core.retry import may_retry
+
+if TYPE_CHECKING:
+    from turmericweir_core.state import State
+
+
+@dataclass(slots=True)
+class SilenceState:
+    """How long answers took to begin of late."""
+
+    # By server, the longest wait, which newer and shorter ones wear down.
+    longest_wait: dict[ServerName, float] = field(default_factory=dict)
+    # Attempts that were doubted, for the state dump.
+    doubted: int = 0
+
+
+def note_begun(state: State, now: float, attempt: Attempt) -> None:
+    """Take the wait for the first token, or for a whole plain answer."""
+    waits = state.silence.longest_wait
+    kept = waits.get(attempt.server, 0.0) * state.options.first_wait_decay
+    waits[attempt.server] = max(kept, now - attempt.started)
+
+
+def is_doubtful(state: State, now: float, req: Request, attempt: Attempt) -> bool:
+    """Tell whether an attempt has been silent for longer than its server explains."""
+    last = attempt.last_token_at
+    if last is None:
+        silent = _first_overdue(state, now, req, attempt)
+    else:
+        silent = _stream_overdue(state, now - last, attempt)
+    if not silent or not _may_go_elsewhere(state, req):
+        return False
+    state.silence.doubted += 1
+    return True
+
+
+def _may_go_elsewhere(state: State, req: Request) -> bool:
+    """Tell whether a cancelled attempt could be followed by another one."""
+    if not req.repeatable or req.tries >= state.options.attempts_max:
+        return False
+    return may_retry(state.retries, state.options)
+
+
+def _stream_overdue(state: State, silent_s: float, attempt: Attempt) -> bool:
+    patience = state.options.silence_s
+    if _is_accounted_for(state, attempt) and _waiting_at(state, attempt) > 0:
+        # The engine may have preempted it for work of an upper tier, and then goes on with it.
+        patience *= state.options.silence_busy_factor
+    return silent_s >= patience
+
+
+def _first_overdue(state: State, now: float, req: Request, attempt: Attempt) -> bool:
+    options = state.options
+    waited = now - attempt.started
+    if waited < options.first_silence_s:
+        return False
+    if waited >= options.first_silence_share * (req.deadline - attempt.started):
+        return True
+    longest = state.silence.longest_wait.get(attempt.server, 0.0)
+    # Doubled with each attempt: a request that is slow everywhere must not be chased around.
+    doublings: float = 2.0 ** max(0, req.tries - 1)
+    patience = max(options.first_silence_s, options.first_silence_factor * longest) * doublings
+    if waited < patience:
+        return False
+    if _is_overtaken(state, req, attempt) or not _is_accounted_for(state, attempt):
+        return True
+    return waited >= patience * options.silence_busy_factor
+
+
+def _is_overtaken(state: State, req: Request, attempt: Attempt) -> bool:
+    """Tell whether the server has begun a request that came later and was no more urgent."""
+    for other in state.requests.values():
+        later = other.attempt
+        if later is None or later.server != attempt.server or later.first_token_at is None:
+            continue
+        if later.started > attempt.started and other.priority >= req.priority:
+            return True
+    return False
+
+
+def _is_accounted_for(state: State, attempt: Attempt) -> bool:
+    """Tell whether the server reports as many requests as this instance has there.
+
+    A report from before the attempt says nothing of it. Other instances' requests can hide a loss,
+    which is then noticed later, by the longer patience.
+    """
+    server = state.servers.by_name.get(attempt.server)
+    if server is None or server.report is None or server.report_at <= attempt.started:
+        return False
+    return server.report.running + server.report.waiting >= len(server.in_flight)
+
+
+def _waiting_at(state: State, attempt: Attempt) -> int:
+    server = state.servers.by_name.get(attempt.server)
+    return server.report.waiting if server is not None and server.report is not None else 0
--- a/packages/turmericweir-core/turmericweir_core/state.py
+++ b/packages/turmericweir-core/turmericweir_core/state.py
@@ -10,13 +10,26 @@
 from random import Random
 
 from turmericweir_core.account_store import AccountStore
+from turmericweir_core.claim_state import ClaimState
+from turmericweir_core.concurrency import LimitState as ServerLimits
 from turmericweir_core.config import Config
-from turmericweir_core.ids import InstanceName, RequestId
+from turmericweir_core.credit_state import CreditState
+from turmericweir_core.ids import InstanceName, RequestId, ServerName
+from turmericweir_core.limit_state import LimitState
+from turmericweir_core.membership import Membership
 from turmericweir_core.options import Options
+from turmericweir_core.pool_load import PoolLoads
+from turmericweir_core.predict import Predictor
+from turmericweir_core.prefix import PrefixMap
+from turmericweir_core.quarantine_state import QuarantineState
 from turmericweir_core.queue_state import QueueState
 from turmericweir_core.request import Request
 from turmericweir_core.retry import RetryBudget
 from turmericweir_core.server_table import ServerTable
+from turmericweir_core.settings_sync import SettingsSync
+from turmericweir_core.silence import SilenceState
+from turmericweir_core.straggler import StragglerState
+from turmericweir_core.subset import SubsetState
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,6 +42,9 @@
     peer_address: str
     # New at each start of the process.
     incarnation: str
+    # Instances of another cluster, or of a region that is not named here, are not listened to.
+    cluster: str = "turmericweir"
+    other_regions: tuple[str, ...] = ()
 
 
 @dataclass(slots=True)
@@ -48,6 +64,24 @@
     accounts: AccountStore = field(default_factory=AccountStore)
     queues: QueueState = field(default_factory=QueueState)
     servers: ServerTable = field(default_factory=ServerTable)
+    # The servers of each target that are used, and who shares them.
+    subsets: SubsetState = field(default_factory=SubsetState)
+    credits: CreditState = field(default_factory=CreditState)
+    # What runs by pool, and how fast.
+    pool_loads: PoolLoads = field(default_factory=PoolLoads)
+    # Tokens that this instance's running requests are predicted to have, by server.
+    predicted_work: dict[ServerName, float] = field(default_factory=dict)
+    predictor: Predictor = field(default_factory=Predictor)
+    prefixes: PrefixMap = field(default_factory=PrefixMap)
+    stragglers: StragglerState = field(default_factory=StragglerState)
+    # Adaptive limits of servers.
+    server_limits: ServerLimits = field(default_factory=ServerLimits)
     retries: RetryBudget = field(default_factory=RetryBudget)
+    members: Membership = field(default_factory=Membership)
+    claims: ClaimState = field(default_factory=ClaimState)
+    settings: SettingsSync = field(default_factory=SettingsSync)
+    rate_limits: LimitState = field(default_factory=LimitState)
+    quarantine: QuarantineState = field(default_factory=QuarantineState)
+    silence: SilenceState = field(default_factory=SilenceState)
     # Set by a graceful stop; never unset.
     stopping_since: float | None = None
--- /dev/null
+++ b/packages/turmericweir-core/turmericweir_core/straggler.py
@@ -0,0 +1,175 @@
+"""Find servers that are slower than their peers, by what this instance itself observes.
+
+Load reports lag and a straggler may report well, so the judge is the time between tokens of this
+instance's own requests: sampled on ticks from the token counts of running attempts, so that a token
+costs nothing, averaged for each server, and set against the median of the servers that serve the
+same. A slow server gets work in inverse proportion; a very slow one gets none but a probe now and
+then, one request of the lowest tier, until its samples are good again. A report is only a hint.
+
+The judgement is relative on purpose: when all are slow, as in a rush, none is a straggler, so at
+least half of a service's servers stay in use whatever happens.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from statistics import median
+
+from turmericweir_core.ids import ServerName
+from turmericweir_core.options import Options
+from turmericweir_core.request import Attempt
+
+
+@dataclass(slots=True)
+class ServerPace:
+    """What this instance has seen of one server's speed."""
+
+    service: str
+    # Averaged time between tokens, seconds.
+    gap_s: float = 0.0
+    samples: int = 0
+    # Share of its slots that it is given work for, 0..1; 0.0 is a stopped straggler.
+    weight: float = 1.0
+    # When a stopped straggler may be given its next probe.
+    probe_due: float = 0.0
+    # Times that it was judged to be a straggler, for the state dump.
+    judged: int = 0
+
+
+@dataclass(slots=True)
+class StragglerState:
+    """The pace of every server that this instance uses."""
+
+    by_server: dict[ServerName, ServerPace] = field(default_factory=dict)
+    # When the running attempts are sampled next.
+    sample_due: float = 0.0
+
+
+def server_weight(state: StragglerState, server: ServerName) -> float:
+    """Give the share of its slots that a server is given work for."""
+    pace = state.by_server.get(server)
+    return pace.weight if pace else 1.0
+
+
+def sample_is_due(state: StragglerState, options: Options, now: float) -> bool:
+    """Tell whether the running attempts are to be sampled now, and set when next."""
+    if now < state.sample_due:
+        return False
+    state.sample_due = now + options.straggler_sample_s
+    return True
+
+
+def sample_attempt(
+    state: StragglerState,
+    options: Options,
+    now: float,
+    service: str,
+    attempt: Attempt,
+    *,
+    urgent: bool,
+) -> None:
+    """Take the time between tokens of a running attempt since its last sample."""
+    if attempt.first_token_at is None:
+        return
+    since = attempt.sampled_at or attempt.first_token_at
+    tokens = attempt.tokens - attempt.sampled_tokens
+    elapsed = now - since
+    if tokens <= 0 and (not urgent or elapsed < options.straggler_sample_s):
+        # A lower tier may stand still because the engine preempted it, which is no fault of its.
+        return
+    # Without a token the gap is at least as long as the silence so far.
+    _add_gap(state, options, service, attempt.server, elapsed / max(1, tokens))
+    attempt.sampled_at = now
+    attempt.sampled_tokens = attempt.tokens
+
+
+def sample_end(state: StragglerState, options: Options, service: str, attempt: Attempt) -> None:
+    """Take the last part of an attempt that ended, so that short answers count as well."""
+    last = attempt.last_token_at
+    if last is None:
+        return
+    since = attempt.sampled_at or attempt.first_token_at or last
+    tokens = attempt.tokens - attempt.sampled_tokens
+    if attempt.sampled_at is None:
+        # The first token ends the wait for it and starts the first gap.
+        tokens -= 1
+    if tokens > 0 and last > since:
+        _add_gap(state, options, service, attempt.server, (last - since) / tokens)
+
+
+def _add_gap(
+    state: StragglerState, options: Options, service: str, server: ServerName, gap: float
+) -> None:
+    pace = state.by_server.get(server)
+    if pace is None:
+        pace = state.by_server[server] = ServerPace(service)
+    pace.service = service
+    pace.samples += 1
+    weight = max(options.straggler_weight, 1.0 / pace.samples)
+    if pace.weight == 0.0:
+        # A stopped server is sampled seldom; without more weight for these it would stay out long.
+        weight = max(weight, 0.5)
+    pace.gap_s += weight * (gap - pace.gap_s)
+
+
+def judge_all(state: StragglerState, options: Options, now: float) -> list[ServerName]:
+    """Set every server's weight anew; give the names of those newly found to be stragglers."""
+    found: list[ServerName] = []
+    for service, paces in _by_service(state, options).items():
+        if len(paces) < options.straggler_peers:
+            # Two servers have no majority that could say which one is slow.
+            _clear(state, service)
+            continue
+        usual = median(pace.gap_s for pace in paces.values())
+        for name, pace in paces.items():
+            if _judge(pace, options, now, pace.gap_s / max(usual, 1e-9)):
+                found.append(name)
+    return found
+
+
+def _by_service(state: StragglerState, options: Options) -> dict[str, dict[ServerName, ServerPace]]:
+    groups: dict[str, dict[ServerName, ServerPace]] = {}
+    for name, pace in state.by_server.items():
+        if pace.samples >= options.straggler_samples:
+            groups.setdefault(pace.service, {})[name] = pace
+    return groups
+
+
+def _clear(state: StragglerState, service: str) -> None:
+    for pace in state.by_server.values():
+        if pace.service == service:
+            pace.weight = 1.0
+
+
+def _judge(pace: ServerPace, options: Options, now: float, ratio: float) -> bool:
+    """Set a server's weight by its gap over the median; tell whether it was well before."""
+    was_well = pace.weight == 1.0
+    if ratio >= options.straggler_stop:
+        if pace.weight > 0.0:
+            pace.probe_due = now + options.straggler_probe_s
+        pace.weight = 0.0
+    elif ratio >= options.straggler_slow or (not was_well and ratio > options.straggler_well):
+        pace.weight = 1.0 / ratio
+    else:
+        pace.weight = 1.0
+    newly = was_well and pace.weight < 1.0
+    pace.judged += newly
+    return newly
+
+
+def may_probe(state: StragglerState, now: float, server: ServerName, in_flight: int) -> bool:
+    """Tell whether a stopped straggler may be given one request to see how it does."""
+    pace = state.by_server.get(server)
+    return pace is not None and not in_flight and now >= pace.probe_due
+
+
+def note_probe(state: StragglerState, options: Options, now: float, server: ServerName) -> None:
+    """Remember that a stopped straggler was just given a request."""
+    pace = state.by_server.get(server)
+    if pace is not None and pace.weight == 0.0:
+        pace.probe_due = now + options.straggler_probe_s
+
+
+def forget_server(state: StragglerState, server: ServerName) -> None:
+    """Judge a server afresh, because it restarted or is gone."""
+    state.by_server.pop(server, None)
--- a/packages/turmericweir-standins/turmericweir_standins/callers.py
+++ b/packages/turmericweir-standins/turmericweir_standins/callers.py
@@ -120,12 +120,12 @@
                 # Nothing of the call was sent, so a balancer would try the next entry.
                 self.result.error = type(exc).__name__
                 continue
-            except (
-                httpcore.NetworkError,
-                httpcore.ProtocolError,
-                httpcore.TimeoutException,
-            ) as exc:
+            except _LOST_ANSWER as exc:
                 self.result.error = type(exc).__name__
+            except (ValueError, LookupError, TypeError) as exc:
+                # Some event is no JSON, or not of the form that the protocol has.
+                self.result.error = type(exc).__name__
+                self.result.check = Check.MALFORMED
             return
 
     async def _send(self, entry: Entry) -> None:
--- a/packages/turmericweir-standins/turmericweir_standins/callers_check.py
+++ b/packages/turmericweir-standins/turmericweir_standins/callers_check.py
@@ -104,7 +104,9 @@
     def feed(self, data: bytes) -> list[Event]:
         """Take bytes and return the events that they complete."""
         *blocks, self._rest = (self._rest + data).split(b"\n\n")
-        return [_event(block) for block in blocks if block]
+        events = [_event(block) for block in blocks]
+        # A block without data, such as a comment that keeps the connection alive, is no event.
+        return [event for event in events if event.data]
 
 
 def _event(block: bytes) -> Event:
--- a/packages/turmericweir-standins/turmericweir_standins/demo.py
+++ b/packages/turmericweir-standins/turmericweir_standins/demo.py
@@ -122,7 +122,8 @@
         conn.request(call.method, call.path, body, headers)
         response = conn.getresponse()
         text = response.read().decode()
-        outcome = response.getheader("Turmericweir-Outcome") or _streamed_outcome(text)
+        # A streamed answer tells its outcome at its end, since its head is sent before.
+        outcome = _streamed_outcome(text) or response.getheader("Turmericweir-Outcome") or ""
         request_id = response.getheader("Turmericweir-Request-Id") or ""
         return Answer(response.status, outcome, request_id, text)
     finally:
--- a/packages/turmericweir-standins/turmericweir_standins/deployment.py
+++ b/packages/turmericweir-standins/turmericweir_standins/deployment.py
@@ -280,6 +280,14 @@
         self.list_process(self.listed[name])
         return process
 
+    def restart_server(self, name: str) -> Process:
+        """Start a backend server again, on its address, after its process has ended."""
+        ended = self.servers[name]
+        ended.wait()
+        process = self._enter(Process(ended.argv, name=name, directory=self.directory))
+        self.servers[name] = process
+        return process
+
     # --- entry instances ---
 
     def add_instance(self, number: int) -> Instance:
--- /dev/null
+++ b/packages/turmericweir-standins/turmericweir_standins/measure_run.py
@@ -0,0 +1,372 @@
+"""One run of one scenario under one policy: real processes, callers, and faults at their times.
+
+The callers are processes of their own, one for the urgent traffic and one for the rest, so that
+neither the other callers nor this process delay them. What was seen is gathered as `Observation`;
+what it amounts to is in `measure_figures`.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import functools
+import http.client
+import threading
+import time
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, Final, assert_never
+
+import orjson
+
+from turmericweir_standins.callers_workload import Kind, Traffic, Workload
+from turmericweir_standins.deployment import Cluster, Deployment, Listed, token_of
+from turmericweir_standins.measure_scenarios import (
+    CRASH_MARKER,
+    REPORT_LAG_MS,
+    SLOPE,
+    STEP_MS,
+    Fault,
+    KillEngine,
+    LogOutage,
+    ResendCrashing,
+    Scenario,
+    SilenceConnections,
+    SlowEngine,
+)
+from turmericweir_standins.proc_stat import machine_busy_s, process_cpu_s
+from turmericweir_standins.procs import (
+    Process,
+    add_route,
+    call_json,
+    set_behaviour,
+    set_faults,
+    standin,
+    wait_until,
+)
+from turmericweir_standins.record import read_records
+
+# Callers start up and make their plan before they say that they send.
+CALLERS_TIMEOUT_S: Final = 120.0
+CRASHING_CUSTOMER: Final = "marking-a"
+SAMPLE_S: Final = 1.0
+OK: Final = 200
+_URGENT: Final = frozenset({"counter", "fitting", "homework", "booking"})
+
+# Any: a line of a record, whatever fields its event has.
+Record = dict[str, Any]
+
+
+class MeasuredCluster(Cluster):
+    """A cluster whose servers are listed under the address of a fault proxy where there is one."""
+
+    # Control address of the proxy; None for none.
+    proxy_address: str | None
+
+    def list_process(self, listed: Listed, state: str = "live", incarnation: str = "1") -> None:
+        """Put a process into the list; a backend server under its route's address."""
+        proxy = self.proxy_address
+        if proxy is not None and listed.kind != "entry":
+            listed = dataclasses.replace(listed, address=add_route(proxy, listed.address))
+        super().list_process(listed, state, incarnation)
+
+
+@dataclass(frozen=True, slots=True)
+class CpuShares:
+    """Share of one core that processes took in their busiest second, and of all cores together."""
+
+    # The busiest process of each kind.
+    by_kind: Mapping[str, float]
+    # In cores.
+    machine: float
+
+
+@dataclass(frozen=True, slots=True)
+class Observation:
+    """What one run showed."""
+
+    scenario: Scenario
+    policy: str
+    seconds: float
+    # One result for each call, as `callers_result.result_record` writes it.
+    calls: list[Record]
+    # Records of the engines and of the plain services, from the start of the load on.
+    engine_records: list[Record]
+    service_records: list[Record]
+    # State dump of each instance at the end, by name.
+    states: Mapping[str, Any]
+    cpu: CpuShares
+
+
+def measured_deployment(deployment: Deployment, policy: str) -> Deployment:
+    """Set the engines' pace, the lag of their reports and the policy."""
+    pace = (f"--step-ms={STEP_MS}", f"--slope={SLOPE}", f"--report-lag-ms={REPORT_LAG_MS}")
+    groups = tuple(
+        dataclasses.replace(group, args=(*group.args, *pace)) if group.kind == "model" else group
+        for group in deployment.groups
+    )
+    return dataclasses.replace(deployment, groups=groups, policy=policy)
+
+
+def run_scenario(
+    scenario: Scenario, policy: str, seconds: float, seed: int, directory: Path
+) -> Observation:
+    """Run a scenario under a policy and return what was seen."""
+    directory.mkdir(parents=True, exist_ok=True)
+    with contextlib.ExitStack() as stack:
+        cluster = MeasuredCluster(measured_deployment(scenario.deployment, policy), directory)
+        cluster.proxy_address = None
+        if scenario.proxied:
+            proxy = stack.enter_context(standin("proxy", directory=directory))
+            cluster.proxy_address = proxy.address
+        stack.enter_context(cluster)
+        # Entered last and so left first: nothing is in flight then, and to let each instance take
+        # its time for a graceful stop would take longer than the run.
+        stack.callback(_kill_instances, cluster)
+        _warm_up(cluster, scenario)
+        return _Run(scenario, policy, seconds, seed, cluster).measure()
+
+
+def _kill_instances(cluster: Cluster) -> None:
+    for instance in cluster.instances.values():
+        instance.process.kill()
+
+
+def _warm_up(cluster: Cluster, scenario: Scenario) -> None:
+    """Wait until each instance has had an answer from each service."""
+    for traffic in scenario.traffic:
+        for instance in cluster.instances.values():
+            answers = functools.partial(_answers, instance.address, traffic)
+            wait_until(answers, f"{instance.name} serves {traffic.name}")
+
+
+def _answers(address: str, traffic: Traffic) -> bool:
+    headers = {"Authorization": f"Bearer {traffic.tokens[0]}"}
+    if traffic.kind is Kind.MODEL:
+        messages = [{"role": "user", "content": "warm-up [len=2]"}]
+        body = {"model": traffic.model, "messages": messages, "stream": False}
+        return call_json(address, "POST", traffic.path, body, headers).status == OK
+    service = traffic.path.split("/")[2]
+    return call_json(address, "GET", f"/services/{service}/warm-up", None, headers).status == OK
+
+
+class _Run:
+    """The load, the faults and the readings of one run."""
+
+    _scenario: Scenario
+    _policy: str
+    _seconds: float
+    _seed: int
+    _cluster: MeasuredCluster
+    # Lines of each record that were there before the load began.
+    _lines_before: dict[str, int]
+    _sampler: _Sampler
+
+    def __init__(
+        self,
+        scenario: Scenario,
+        policy: str,
+        seconds: float,
+        seed: int,
+        cluster: MeasuredCluster,
+    ) -> None:
+        self._scenario = scenario
+        self._policy = policy
+        self._seconds = seconds
+        self._seed = seed
+        self._cluster = cluster
+        self._lines_before = {name: len(self._records(name)) for name in cluster.servers}
+
+    def measure(self) -> Observation:
+        """Send the load, let things fail, and gather what was seen."""
+        with self._callers() as callers:
+            for process in callers:
+                process.wait_ready()
+            sampler = _Sampler(self._kinds(callers), self._seconds)
+            sampler.start()
+            faults = [
+                threading.Thread(target=self._strike, args=(fault,), daemon=True)
+                for fault in self._scenario.faults
+            ]
+            for thread in faults:
+                thread.start()
+            for process in callers:
+                process.wait_line(lambda line: line.startswith("RESULT"), CALLERS_TIMEOUT_S)
+            for thread in (*faults, sampler):
+                thread.join()
+            calls = [call for process in callers for call in self._calls_of(process)]
+        return Observation(
+            scenario=self._scenario,
+            policy=self._policy,
+            seconds=self._seconds,
+            calls=calls,
+            engine_records=self._new_records("model"),
+            service_records=self._new_records("plain"),
+            states={name: each.state() for name, each in self._cluster.instances.items()},
+            cpu=sampler.shares(),
+        )
+
+    # Callers.
+
+    @contextlib.contextmanager
+    def _callers(self) -> Iterator[list[Process]]:
+        workload = self._scenario.workload(self._seconds, self._seed)
+        urgent = tuple(each for each in workload.traffic if _is_urgent(each))
+        rest = tuple(each for each in workload.traffic if not _is_urgent(each))
+        with contextlib.ExitStack() as stack:
+            processes = [
+                self._make_callers(name, dataclasses.replace(workload, traffic=traffic))
+                for name, traffic in (("callers-urgent", urgent), ("callers-rest", rest))
+            ]
+            for process in processes:
+                stack.callback(process.stop)
+                process.start()
+            yield processes
+
+    def _make_callers(self, name: str, workload: Workload) -> Process:
+        directory = self._cluster.directory
+        path = directory / f"{name}.workload.json"
+        path.write_bytes(orjson.dumps(dataclasses.asdict(workload)))
+        entries = [f"--entry={each.address}" for each in self._cluster.instances.values()]
+        out = f"--out={directory / name}.json"
+        return standin(
+            "callers", f"--workload={path}", out, *entries, directory=directory, name=name
+        )
+
+    def _calls_of(self, process: Process) -> list[Record]:
+        process.wait(CALLERS_TIMEOUT_S)
+        path = self._cluster.directory / f"{process.name}.json"
+        calls = orjson.loads(path.read_bytes())["calls"]
+        assert isinstance(calls, list)
+        return calls
+
+    # Records.
+
+    def _records(self, name: str) -> list[Record]:
+        return read_records(self._cluster.record_path(name))
+
+    def _new_records(self, kind: str) -> list[Record]:
+        services = {g.service for g in self._cluster.deployment.groups if g.kind == kind}
+        names = [name for name in self._cluster.servers if name.rpartition("-")[0] in services]
+        return [
+            record for name in names for record in self._records(name)[self._lines_before[name] :]
+        ]
+
+    def _kinds(self, callers: list[Process]) -> dict[str, list[Process]]:
+        cluster = self._cluster
+        servers = cluster.servers
+        engines = [each for name, each in servers.items() if cluster.listed[name].kind == "engine"]
+        plain = [each for name, each in servers.items() if cluster.listed[name].kind == "plain"]
+        return {
+            "daemon": [each.process for each in cluster.instances.values()],
+            "callers": callers,
+            "engine": engines,
+            "plain service": plain,
+            "platform": [cluster.platform],
+        }
+
+    # Faults.
+
+    def _strike(self, fault: Fault) -> None:
+        time.sleep(fault.at_s)
+        match fault:
+            case SlowEngine():
+                address = self._engine(fault.number).address
+                set_behaviour(address, slow_factor=fault.factor)
+                time.sleep(fault.length_s)
+                set_behaviour(address, slow_factor=1.0)
+            case KillEngine():
+                name = self._engine(fault.number).name
+                self._cluster.servers[name].kill()
+                time.sleep(fault.back_after_s)
+                self._cluster.restart_server(name)
+            case LogOutage():
+                set_behaviour(self._cluster.platform.address, outage=True)
+                time.sleep(fault.length_s)
+                set_behaviour(self._cluster.platform.address, outage=False)
+            case SilenceConnections():
+                assert self._cluster.proxy_address is not None
+                set_faults(self._cluster.proxy_address, None, silence_existing=True)
+            case ResendCrashing():
+                self._resend_crashing(fault)
+            case unreachable:
+                assert_never(unreachable)
+
+    def _engine(self, number: int) -> Process:
+        listed = self._cluster.listed.values()
+        names = [each.name for each in listed if each.kind == "engine"]
+        return self._cluster.servers[names[number]]
+
+    def _resend_crashing(self, fault: ResendCrashing) -> None:
+        instances = list(self._cluster.instances.values())
+        model = next(each.model for each in self._scenario.traffic if each.model)
+        messages = [{"role": "user", "content": f"Mark this essay. {CRASH_MARKER}"}]
+        body = {"model": model, "messages": messages, "stream": False}
+        headers = {"Authorization": f"Bearer {token_of(CRASHING_CUSTOMER)}"}
+        for number in range(fault.count):
+            address = instances[number % len(instances)].address
+            # A caller who is told nothing sends it again just the same.
+            with contextlib.suppress(OSError, http.client.HTTPException):
+                call_json(address, "POST", "/v1/chat/completions", body, headers)
+            time.sleep(fault.every_s)
+
+
+def _is_urgent(traffic: Traffic) -> bool:
+    return traffic.name.partition(":")[0] in _URGENT
+
+
+class _Sampler(threading.Thread):
+    """Takes the processor time of everything once a second while the load is on."""
+
+    _kinds: Mapping[str, list[Process]]
+    _seconds: float
+    # Highest share by kind so far.
+    _highest: dict[str, float]
+    _machine: float
+
+    def __init__(self, kinds: Mapping[str, list[Process]], seconds: float) -> None:
+        super().__init__(daemon=True)
+        self._kinds = kinds
+        self._seconds = seconds
+        self._highest = dict.fromkeys(kinds, 0.0)
+        self._machine = 0.0
+
+    def run(self) -> None:
+        """Sample until the last call is planned to be sent."""
+        end = time.monotonic() + self._seconds
+        last = self._read()
+        while time.monotonic() < end:
+            time.sleep(SAMPLE_S)
+            now = self._read()
+            self._compare(last, now)
+            last = now
+
+    def _read(self) -> _Sample:
+        cpu = {
+            kind: [process_cpu_s(each.pid) for each in processes]
+            for kind, processes in self._kinds.items()
+        }
+        return _Sample(time.monotonic(), cpu, machine_busy_s())
+
+    def _compare(self, last: _Sample, now: _Sample) -> None:
+        taken_s = now.at - last.at
+        for kind, values in now.cpu.items():
+            pairs = zip(last.cpu[kind], values, strict=True)
+            share = max((new - old) / taken_s for old, new in pairs)
+            self._highest[kind] = max(self._highest[kind], share)
+        self._machine = max(self._machine, (now.machine - last.machine) / taken_s)
+
+    def shares(self) -> CpuShares:
+        """Return the highest shares."""
+        return CpuShares(self._highest, self._machine)
+
+
+@dataclass(frozen=True, slots=True)
+class _Sample:
+    """Processor times at one moment."""
+
+    at: float
+    # One value for each process, by kind.
+    cpu: Mapping[str, list[float]] = field(default_factory=dict)
+    machine: float = 0.0
--- /dev/null
+++ b/packages/turmericweir/turmericweir/admin_app.py
@@ -0,0 +1,84 @@
+"""The operators' HTTP interface, on its own port: health, readiness, the state dump, settings.
+
+The balancer asks `/readyz`: readiness falls at once when a graceful stop begins, while callers are
+still served.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from typing import TYPE_CHECKING, Any, Final
+
+import orjson
+
+from turmericweir.dump import dump
+from turmericweir.node import Node
+
+if TYPE_CHECKING:
+    from uvicorn._types import ASGI3Application, ASGIReceiveCallable, ASGISendCallable, Scope
+
+SETTINGS_PREFIX: Final = "/settings"
+_JSON: Final = b"application/json"
+
+
+class AdminApp:
+    """Answers operators and the balancer."""
+
+    _node: Node
+    # What else the dump shows: what adapters hold, by name.
+    _views: Mapping[str, Callable[[], object]]
+    # Answers everything below `/settings`, or None where nothing is mounted.
+    _settings_app: ASGI3Application | None
+
+    def __init__(
+        self,
+        node: Node,
+        views: Mapping[str, Callable[[], object]],
+        settings_app: ASGI3Application | None = None,
+    ) -> None:
+        self._node = node
+        self._views = views
+        self._settings_app = settings_app
+
+    async def __call__(
+        self, scope: Scope, receive: ASGIReceiveCallable, send: ASGISendCallable
+    ) -> None:
+        """Answer one request."""
+        assert scope["type"] == "http"
+        path = scope["path"]
+        if self._settings_app is not None and _is_below(path, SETTINGS_PREFIX):
+            await self._settings_app(scope, receive, send)
+        elif scope["method"] not in ("GET", "HEAD"):
+            await send_json(send, 405, {"error": "use GET here"})
+        elif path == "/healthz":
+            await send_json(send, 200, {"healthy": True})
+        elif path == "/readyz":
+            await send_json(send, 200 if self._node.ready else 503, self._readiness())
+        elif path == "/state":
+            await send_json(send, 200, self._state())
+        else:
+            await send_json(send, 404, {"error": "there is nothing at this path"})
+
+    def _readiness(self) -> dict[str, bool]:
+        return {
+            "ready": self._node.ready,
+            "has_settings": self._node.state.has_settings,
+            "stopping": self._node.stopping,
+        }
+
+    def _state(self) -> dict[str, Any]:
+        state = dump(self._node.state)
+        assert isinstance(state, dict)
+        return {**state, "process": {name: dump(view()) for name, view in self._views.items()}}
+
+
+def _is_below(path: str, prefix: str) -> bool:
+    return path == prefix or path.startswith(prefix + "/")
+
+
+async def send_json(send: ASGISendCallable, status: int, value: object) -> None:
+    """Answer with JSON."""
+    body = orjson.dumps(value, option=orjson.OPT_NON_STR_KEYS)
+    headers = [(b"content-type", _JSON), (b"content-length", b"%d" % len(body))]
+    await send({"type": "http.response.start", "status": status, "headers": headers})
+    await send({"type": "http.response.body", "body": body, "more_body": False})
--- /dev/null
+++ b/packages/turmericweir/turmericweir/backend_attempt.py
@@ -0,0 +1,156 @@
+"""What attempts at engines and at plain services have in common.
+
+An attempt is one request on one connection. It ends in one of core's `AttemptEnd` types; which one
+decides what the caller may be told, so the classification is made here, in one place: nothing was
+written, or the server itself says that it had not started, or anything else, which proves nothing.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, Mapping
+from typing import TYPE_CHECKING, Final
+
+import anyio
+import httpcore
+
+from turmericweir.backend_call import (
+    TRANSPORT_ERRORS,
+    FirstByte,
+    call,
+    read_body,
+)
+from turmericweir.errors import CallError, describe
+from turmericweir_core.effects import StartAttempt
+from turmericweir_core.events import (
+    AttemptEnd,
+    AttemptSent,
+    EndBroken,
+    EndRefused,
+    EndUnsent,
+)
+
+if TYPE_CHECKING:
+    from turmericweir.backend_pool import BackendPool
+    from turmericweir.node import Node
+
+# How long a new connection may take to show that a server lives.
+PROBE_TIMEOUT_S: Final = 1.0
+# How long a refusal's or an error's body, or the end of a finished answer, is waited for.
+TAIL_TIMEOUT_S: Final = 0.25
+TAIL_MAX: Final = 65_536
+NOT_STARTED: Final = b"x-not-started"
+LEAVING: Final = b"x-leaving"
+ATTEMPT_ID: Final = b"x-attempt-id"
+REQUEST_ID: Final = b"x-request-id"
+PRIORITY: Final = b"x-priority"
+_YES: Final = b"1"
+
+# Consumes an answer and says how the attempt ended.
+Consume = Callable[[httpcore.Response], Awaitable[AttemptEnd]]
+
+
+class Attempt:
+    """One attempt: sends the request, has the answer consumed, classifies the end."""
+
+    __slots__ = ("_first_byte", "node", "pool", "start")
+
+    node: Node
+    pool: BackendPool
+    start: StartAttempt
+    _first_byte: FirstByte
+
+    def __init__(self, node: Node, pool: BackendPool, start: StartAttempt) -> None:
+        self.node = node
+        self.pool = pool
+        self.start = start
+        self._first_byte = FirstByte(self._announce)
+
+    @property
+    def sent(self) -> bool:
+        """Whether the server may have begun."""
+        return self._first_byte.sent
+
+    def _announce(self) -> None:
+        self.node.handle(AttemptSent(self.start.request_id, self.start.attempt_id))
+
+    async def run(self, request: httpcore.Request, consume: Consume) -> AttemptEnd:
+        """Run the attempt to its end; being cancelled ends it too."""
+        request.extensions["trace"] = self._first_byte
+        address = self.start.address
+        conn = await self.pool.take(address, fresh=self.start.fresh_connection)
+        try:
+            response = await conn.handle_async_request(request)
+            try:
+                return await consume(response)
+            finally:
+                await close(response)
+        except TRANSPORT_ERRORS as exc:
+            return await self.lost(describe(exc))
+        finally:
+            await self.pool.give_back(address, conn)
+
+    async def lost(self, error: str) -> AttemptEnd:
+        """Classify a loss of the connection by what had been written to it."""
+        if not self.sent:
+            return EndUnsent(error)
+        return EndBroken(error, await is_alive(self.pool, self.start.address))
+
+    async def refusal(
+        self, response: httpcore.Response, headers: Mapping[bytes, bytes]
+    ) -> EndRefused | None:
+        """Recognise a server's word that it had not started."""
+        if headers.get(NOT_STARTED) != _YES:
+            return None
+        await read_tail(response)
+        return EndRefused(response.status, headers.get(LEAVING) == _YES)
+
+    def is_ours(self, headers: Mapping[bytes, bytes], *, required: bool) -> bool:
+        """Check that an answer belongs to this attempt.
+
+        A server, or something between, that mixes up its connections would hand one caller's answer
+        to another; the id that the server echoes shows it before a byte is passed on.
+        """
+        echoed = headers.get(ATTEMPT_ID)
+        if echoed is None and not required:
+            return True
+        if echoed == self.start.attempt_id.encode("ascii"):
+            return True
+        self.node.count("attempt.foreign_answer")
+        return False
+
+
+def attempt_headers(start: StartAttempt) -> list[tuple[bytes, bytes]]:
+    """Name the request and the attempt to the server."""
+    return [
+        (REQUEST_ID, start.request_id.encode("ascii")),
+        (ATTEMPT_ID, start.attempt_id.encode("ascii")),
+    ]
+
+
+async def close(response: httpcore.Response) -> None:
+    """Close an answer, also when the attempt is being cancelled."""
+    with anyio.CancelScope(shield=True):
+        await response.aclose()
+
+
+async def read_tail(response: httpcore.Response) -> None:
+    """Read a short rest of an answer so that its connection can be used again."""
+    with anyio.move_on_after(TAIL_TIMEOUT_S):
+        try:
+            await read_body(response, TAIL_MAX)
+        except TRANSPORT_ERRORS:
+            return
+
+
+async def is_alive(pool: BackendPool, address: str) -> bool:
+    """Tell whether a server answers on a new connection.
+
+    Silence or a break of one connection is no evidence against the server itself.
+    """
+    try:
+        answer = await call(
+            pool, b"GET", address, "/v1/load", timeout_s=PROBE_TIMEOUT_S, fresh=True
+        )
+    except CallError:
+        return False
+    return answer.status < 500
--- /dev/null
+++ b/packages/turmericweir/turmericweir/backend_call.py
@@ -0,0 +1,139 @@
+"""One whole call, question and answer, with a time limit: probes, orders, platform calls.
+
+Attempts of callers' requests do not come this way, since they stream.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+from typing import Any, Final
+
+import anyio
+import httpcore
+import orjson
+
+from turmericweir.backend_pool import BackendPool, make_request
+from turmericweir.errors import CallError, describe
+from turmericweir.traffic import Kind
+
+# Whatever httpcore raises when the other end or the network fails.
+TRANSPORT_ERRORS: Final = (
+    httpcore.NetworkError,
+    httpcore.TimeoutException,
+    httpcore.ProtocolError,
+    httpcore.ConnectionNotAvailable,
+    OSError,
+)
+ANSWER_MAX: Final = 16_777_216
+_FIRST_BYTE: Final = "http11.send_request_headers.started"
+_JSON: Final = (b"content-type", b"application/json")
+# Colon, blank and line end of a header; version, blanks and line ends around the first line.
+_HEADER_EXTRA: Final = 4
+_LINE_EXTRA: Final = 13
+
+
+class FirstByte:
+    """Notes the moment before the first byte of a request goes out."""
+
+    __slots__ = ("_announce", "sent")
+
+    sent: bool
+    _announce: Callable[[], None] | None
+
+    def __init__(self, announce: Callable[[], None] | None = None) -> None:
+        self.sent = False
+        self._announce = announce
+
+    # Any: httpcore passes whatever the step has at hand. It announces each step of a request.
+    async def __call__(self, step: str, info: Mapping[str, Any]) -> None:
+        """Take the announcement of a step."""
+        if step == _FIRST_BYTE and not self.sent:
+            self.sent = True
+            if self._announce is not None:
+                self._announce()
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A whole answer."""
+
+    status: int
+    # Names in lower case.
+    headers: dict[bytes, bytes]
+    body: bytes
+
+    # Any: the caller validates it.
+    def json(self) -> Any:
+        """Decode the body; raises ValueError where it is not JSON."""
+        return orjson.loads(self.body)
+
+
+async def call(
+    pool: BackendPool,
+    method: bytes,
+    address: str,
+    target: str,
+    *,
+    value: object = None,
+    headers: tuple[tuple[bytes, bytes], ...] = (),
+    timeout_s: float,
+    fresh: bool = False,
+    traffic: Kind | None = None,
+) -> Answer:
+    """Make one call with an optional JSON body; raises CallError where no whole answer came."""
+    body = b"" if value is None else orjson.dumps(value)
+    sent_headers = [*headers, *([_JSON] if body else [])]
+    request = make_request(method, address, target.encode("ascii"), sent_headers, body)
+    first_byte = FirstByte()
+    request.extensions["trace"] = first_byte
+    if traffic is not None:
+        traffic.sent.add(_size(method + target.encode("ascii"), request.headers, body))
+    conn = await pool.take(address, fresh=fresh)
+    try:
+        with anyio.fail_after(timeout_s):
+            return await _exchange(conn, request, traffic)
+    except TimeoutError:
+        detail = f"no whole answer in {timeout_s} s"
+        raise CallError(target, address, detail, sent=first_byte.sent) from None
+    except TRANSPORT_ERRORS as exc:
+        raise CallError(target, address, describe(exc), sent=first_byte.sent) from exc
+    finally:
+        await pool.give_back(address, conn)
+
+
+def _size(line: bytes, headers: Iterable[tuple[bytes, bytes]], body: bytes) -> int:
+    """Give the bytes of a message on the wire: its first line, header lines and body."""
+    lines = sum(len(name) + len(value) + _HEADER_EXTRA for name, value in headers)
+    return len(line) + _LINE_EXTRA + lines + len(body)
+
+
+async def _exchange(
+    conn: httpcore.AsyncHTTPConnection, request: httpcore.Request, traffic: Kind | None
+) -> Answer:
+    response = await conn.handle_async_request(request)
+    try:
+        body = await read_body(response, ANSWER_MAX)
+    finally:
+        with anyio.CancelScope(shield=True):
+            await response.aclose()
+    if traffic is not None:
+        traffic.received.add(_size(b"200 OK", response.headers, body))
+    return Answer(response.status, lower_headers(response), body)
+
+
+async def read_body(response: httpcore.Response, limit: int) -> bytes:
+    """Read a whole body of limited size."""
+    parts: list[bytes] = []
+    size = 0
+    async for chunk in response.aiter_stream():
+        parts.append(chunk)
+        size += len(chunk)
+        if size > limit:
+            raise httpcore.RemoteProtocolError(f"the answer is longer than {limit} bytes")
+    return b"".join(parts)
+
+
+def lower_headers(response: httpcore.Response) -> dict[bytes, bytes]:
+    """Give the headers of a response by lower-case name; of repeated ones, the last."""
+    return {name.lower(): value for name, value in response.headers}
--- /dev/null
+++ b/packages/turmericweir/turmericweir/caller_app.py
@@ -0,0 +1,273 @@
+"""The callers' HTTP interface: an ASGI application written directly.
+
+It reads the request within its limits, has it validated, and then lets an `Exchange` run it. Every
+answer names the request and its outcome.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import asdict, dataclass
+from typing import TYPE_CHECKING, Final
+from urllib.parse import unquote
+
+import anyio
+import orjson
+
+from turmericweir import logs
+from turmericweir.backend_pool import BackendPool
+from turmericweir.caller_answer import Caller, PlainAnswer, StreamAnswer, WholeAnswer
+from turmericweir.caller_problem import (
+    OUTCOME_HEADER,
+    REQUEST_ID_HEADER,
+    make_problem,
+    refusal,
+)
+from turmericweir.caller_request import (
+    PlainInquiry,
+    RefusedError,
+    authenticate,
+    new_request_id,
+    read_completion,
+    read_plain,
+)
+from turmericweir.exchange import CompletionJob, Exchange, Job, PlainJob
+from turmericweir.http_server import ABORT
+from turmericweir.node import Node
+from turmericweir.process_settings import Limits
+from turmericweir_core.account import Outcome
+from turmericweir_core.account_store import find_account
+from turmericweir_core.config import Config, Customer, Kind
+from turmericweir_core.ids import RequestId
+from turmericweir_core.reasons import MESSAGES, Reason
+from turmericweir_core.request import Request
+
+if TYPE_CHECKING:
+    from uvicorn._types import ASGIReceiveCallable, ASGISendCallable, HTTPScope, Scope
+
+COMPLETIONS: Final = "/v1/chat/completions"
+MODELS: Final = "/v1/models"
+REQUESTS: Final = "/v1/requests/"
+SERVICES: Final = "/services/"
+
+
+@dataclass(frozen=True, slots=True)
+class _Inbound:
+    """A request whose headers are read and whose customer is known."""
+
+    scope: HTTPScope
+    receive: ASGIReceiveCallable
+    caller: Caller
+    customer: Customer
+    headers: list[tuple[bytes, bytes]]
+    # The same by name; of repeated ones, the last.
+    by_name: dict[bytes, bytes]
+
+
+class CallerApp:
+    """Answers callers."""
+
+    _node: Node
+    _pool: BackendPool
+    _limits: Limits
+
+    def __init__(self, node: Node, pool: BackendPool, limits: Limits) -> None:
+        self._node = node
+        self._pool = pool
+        self._limits = limits
+
+    async def __call__(
+        self, scope: Scope, receive: ASGIReceiveCallable, send: ASGISendCallable
+    ) -> None:
+        """Answer one request."""
+        assert scope["type"] == "http"
+        caller = Caller(new_request_id(), send)
+        caller.closing = self._node.stopping
+        try:
+            await self._answer(scope, receive, caller)
+        except RefusedError as exc:
+            await self._refuse(caller, exc)
+        except Exception as exc:
+            logs.write_fault("answer", caller.request_id, exc)
+            await self._give_up(scope, caller)
+
+    async def _refuse(self, caller: Caller, exc: RefusedError) -> None:
+        self._node.count(f"refused.{exc.reason}")
+        # What is left of the body is not waited for, so the connection carries no other request.
+        caller.closing = caller.closing or exc.reason in _BODY_UNREAD
+        await caller.problem(
+            refusal(caller.request_id, exc.reason, detail=exc.detail, status=exc.status)
+        )
+
+    async def _give_up(self, scope: HTTPScope, caller: Caller) -> None:
+        """Answer after a fault of the program itself, which proves nothing about the request."""
+        if caller.started:
+            _cut(scope)
+            return
+        problem = make_problem(
+            caller.request_id,
+            Outcome.UNKNOWN,
+            Reason.EVIDENCE_LOST,
+            status=500,
+            detail=MESSAGES[Reason.EVIDENCE_LOST],
+            retry_after_s=None,
+        )
+        await caller.problem(problem)
+
+    async def _answer(self, scope: HTTPScope, receive: ASGIReceiveCallable, caller: Caller) -> None:
+        config = self._node.state.config
+        if not self._node.state.has_settings:
+            raise RefusedError(Reason.NO_SETTINGS)
+        headers = list(scope["headers"])
+        by_name = dict(headers)
+        customer = authenticate(config, by_name)
+        inbound = _Inbound(scope, receive, caller, customer, headers, by_name)
+        path = scope["path"]
+        if path == COMPLETIONS:
+            _check_method(scope, "POST")
+            await self._complete(inbound)
+        elif path.startswith(SERVICES):
+            await self._call_service(inbound)
+        elif path == MODELS:
+            _check_method(scope, "GET")
+            await _send_json(caller, _models(config))
+        elif path.startswith(REQUESTS):
+            _check_method(scope, "GET")
+            await self._tell_account(caller, customer, path.removeprefix(REQUESTS))
+        else:
+            raise RefusedError(Reason.BAD_REQUEST, "There is nothing at this path.", status=404)
+
+    # The two kinds of requests.
+
+    async def _complete(self, inbound: _Inbound) -> None:
+        body = await self._read_body(inbound)
+        caller = inbound.caller
+        request, engine_body = read_completion(
+            self._node.state.config,
+            inbound.customer,
+            inbound.by_name,
+            RequestId(caller.request_id),
+            body,
+        )
+        answer = (
+            StreamAnswer(caller) if request.streamed else WholeAnswer(caller, request.prompt_tokens)
+        )
+        await self._run(inbound, request, CompletionJob(engine_body, answer))
+
+    async def _call_service(self, inbound: _Inbound) -> None:
+        body = await self._read_body(inbound)
+        inquiry = _plain_inquiry(inbound.scope, inbound.headers, body)
+        caller = inbound.caller
+        request, call = read_plain(
+            self._node.state.config, inbound.customer, RequestId(caller.request_id), inquiry
+        )
+        # Only a call with a key can be asked for again, so only its answer is worth keeping.
+        keyed = request.idempotency_key is not None and not request.repeatable
+        keep_max = self._node.state.options.claim_body_max if keyed else 0
+        await self._run(inbound, request, PlainJob(call, PlainAnswer(caller, keep_max)))
+
+    async def _run(self, inbound: _Inbound, request: Request, job: Job) -> None:
+        exchange = Exchange(self._node, self._pool, request, inbound.caller, job)
+        self._node.exchanges[request.request_id] = exchange
+        try:
+            whole = await exchange.run(inbound.receive)
+        finally:
+            del self._node.exchanges[request.request_id]
+        if not whole:
+            _cut(inbound.scope)
+
+    async def _read_body(self, inbound: _Inbound) -> bytes:
+        announced = inbound.by_name.get(b"content-length")
+        # Refused unread; the announced length is digits, as the HTTP parser has checked.
+        if announced is not None and int(announced) > self._limits.body_bytes:
+            raise RefusedError(Reason.TOO_LARGE)
+        try:
+            with anyio.fail_after(self._limits.body_s):
+                return await self._receive_body(inbound.receive)
+        except TimeoutError:
+            raise RefusedError(Reason.TOO_SLOW) from None
+
+    async def _receive_body(self, receive: ASGIReceiveCallable) -> bytes:
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            message = await receive()
+            if message["type"] != "http.request":
+                raise RefusedError(Reason.CALLER_LEFT)
+            parts.append(message["body"])
+            size += len(message["body"])
+            if size > self._limits.body_bytes:
+                raise RefusedError(Reason.TOO_LARGE)
+            if not message["more_body"]:
+                return b"".join(parts)
+
+    # The account afterwards.
+
+    async def _tell_account(self, caller: Caller, customer: Customer, request_id: str) -> None:
+        running = self._node.state.requests.get(RequestId(request_id))
+        if running is not None and running.customer == customer.name:
+            value = {"request_id": request_id, "outcome": None, "phase": running.phase.value}
+            await _send_json(caller, value)
+            return
+        account = find_account(self._node.state.accounts, request_id)
+        # Another customer's account is as unknown as one that never was.
+        if account is None or account.customer != customer.name:
+            detail = "This instance knows no account of that request."
+            raise RefusedError(Reason.BAD_REQUEST, detail, status=404)
+        await _send_json(caller, asdict(account))
+
+
+_BODY_UNREAD: Final = frozenset(
+    {Reason.TOO_LARGE, Reason.TOO_SLOW, Reason.NO_SETTINGS, Reason.UNAUTHORISED}
+)
+
+
+def _check_method(scope: HTTPScope, expected: str) -> None:
+    if scope["method"] != expected:
+        raise RefusedError(Reason.BAD_REQUEST, f"Use {expected} here.", status=405)
+
+
+def _plain_inquiry(
+    scope: HTTPScope, headers: list[tuple[bytes, bytes]], body: bytes
+) -> PlainInquiry:
+    rest = scope["raw_path"].removeprefix(SERVICES.encode("ascii"))
+    service, _, path = rest.partition(b"/")
+    target = b"/" + path
+    if scope["query_string"]:
+        target += b"?" + scope["query_string"]
+    return PlainInquiry(
+        service=unquote(service.decode("ascii")),
+        method=scope["method"],
+        path=unquote((b"/" + path).decode("ascii")),
+        target=target,
+        headers=headers,
+        body=body,
+    )
+
+
+def _models(config: Config) -> dict[str, object]:
+    data = [
+        {"id": model, "object": "model", "owned_by": service.name}
+        for service in config.services.values()
+        if service.kind is Kind.MODEL
+        for model in service.models
+    ]
+    return {"object": "list", "data": data}
+
+
+async def _send_json(caller: Caller, value: object) -> None:
+    body = orjson.dumps(value)
+    headers = [
+        (b"content-type", b"application/json"),
+        (b"content-length", b"%d" % len(body)),
+        (REQUEST_ID_HEADER, caller.request_id.encode("ascii")),
+        (OUTCOME_HEADER, Outcome.COMPLETED.value.encode("ascii")),
+    ]
+    await caller.head(200, headers)
+    await caller.body(body, more=False)
+
+
+def _cut(scope: HTTPScope) -> None:
+    abort: Callable[[], None] | None = scope.get("state", {}).get(ABORT)
+    if abort is not None:
+        abort()
