--- a/packages/turmericweir-core/turmericweir_core/claim_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/claim_flow.py
@@ -18,7 +18,7 @@
 from turmericweir_core import lifecycle
 from turmericweir_core.account import Outcome
 from turmericweir_core.claim_answer import KeptEnd
-from turmericweir_core.claim_ledger import Claim, Folded, fold, holder_of, restart
+from turmericweir_core.claim_ledger import Claim, Folded, fold, holder_of, restart, vouch_for
 from turmericweir_core.claim_outbox import (
     flush,
     give_up_late,
@@ -29,6 +29,7 @@
     on_failed,
     put_claim,
     read_on,
+    writer_of,
 )
 from turmericweir_core.claim_peer import ask_holder, end_told, on_ask
 from turmericweir_core.claim_record import CLAIMS_STREAM, NewClaim, encode, key_of
@@ -271,6 +272,10 @@
             effects += _fold(state, record)
     if claims.ledger.offset < event.end:
         effects += read_on(state, now)
+    if claims.read_failed:
+        # The log is back, so an append need not wait out its pause.
+        claims.outbox.retry_at = min(claims.outbox.retry_at, now)
+    claims.read_failed = False
     return effects
 
 
@@ -307,6 +312,7 @@
     claims = state.claims
     claims.reading_since = None
     restart(claims.ledger, event.oldest)
+    vouch_for(claims.ledger, writer_of(state))
     # Records that were acknowledged in the gap are never read back.
     claims.outbox.landed.clear()
     claims.due |= set(claims.waiting)
@@ -317,6 +323,7 @@
 def on_read_failed(state: State, now: float, event: LogFailed) -> list[Effect]:
     """Let the next read be made when it is due."""
     state.claims.reading_since = None
+    state.claims.read_failed = True
     return []
 
 
--- a/packages/turmericweir-core/turmericweir_core/claim_ledger.py
+++ b/packages/turmericweir-core/turmericweir_core/claim_ledger.py
@@ -132,6 +132,12 @@
         ledger.unsure.add(key)
 
 
+def vouch_for(ledger: Ledger, writer: Writer) -> None:
+    """Note a writer of which no record can stand before this reader's start: the reader itself."""
+    name = (writer.instance, writer.incarnation)
+    ledger.numbers.setdefault(name, (0, ledger.clock.now_ms))
+
+
 def fold(ledger: Ledger, options: Options, offset: int, value: Any) -> Folded:
     """Fold the next record."""
     ledger.offset = offset + 1
@@ -176,7 +182,7 @@
 def _note_number(ledger: Ledger, options: Options, offset: int, batch: Batch) -> bool:
     """Note a writer's number; False where a later one may stand before this reader's start."""
     writer = (batch.writer.instance, batch.writer.incarnation)
-    known = writer in ledger.numbers or batch.number == 1 or ledger.start == 0
+    known = writer in ledger.numbers or ledger.start == 0
     ledger.numbers[writer] = (batch.number, ledger.clock.now_ms)
     # Later than this, a record that is late against one before the start is void by its age.
     return known or offset >= ledger.start + options.claim_carry_records // 2
--- a/packages/turmericweir-core/turmericweir_core/claim_outbox.py
+++ b/packages/turmericweir-core/turmericweir_core/claim_outbox.py
@@ -111,6 +111,11 @@
     return bool(outbox.claims) or quiet or outbox.carry or outbox.floor
 
 
+def writer_of(state: State) -> Writer:
+    """Name this process as the log knows it."""
+    return Writer(state.me.name, state.me.incarnation, state.me.peer_address)
+
+
 def _compose(state: State) -> Batch:
     claims = state.claims
     outbox = claims.outbox
@@ -119,7 +124,7 @@
     withdrawn = {each.request_id for batch in landed for each in batch.withdrawn}
     ended = {each.request_id for batch in landed for each in batch.ends}
     return Batch(
-        writer=Writer(state.me.name, state.me.incarnation, state.me.peer_address),
+        writer=writer_of(state),
         number=outbox.number + 1,
         at_ms=outbox.clock_ms,
         clocks=told_clocks(claims.ledger.clock),
--- a/packages/turmericweir-core/turmericweir_core/claim_peer.py
+++ b/packages/turmericweir-core/turmericweir_core/claim_peer.py
@@ -36,6 +36,10 @@
         if asker not in askers:
             askers.append(asker)
         return [_tell(asker, ClaimOpen(ask.waiter, ask.holder))]
+    if ask.holder in state.claims.withdrawing:
+        # It never ran, and the asker will read so in the log. To be told that nothing is known of
+        # it would have its caller told that it may have run.
+        return [_tell(asker, ClaimOpen(ask.waiter, ask.holder))]
     return [_tell(asker, ClaimUnheld(ask.waiter, ask.holder, state.claims.ledger.offset))]
 
 
--- a/packages/turmericweir-core/turmericweir_core/claim_state.py
+++ b/packages/turmericweir-core/turmericweir_core/claim_state.py
@@ -88,6 +88,8 @@
     due: set[str] = field(default_factory=set)
     # Since when a read of the stream is out; None while none is.
     reading_since: float | None = None
+    # The last read failed.
+    read_failed: bool = False
     # When the stream is read next, if nothing else asks for it.
     read_due: float = 0.0
     # Since when the ledger is not whole; None while it is.
--- a/packages/turmericweir-core/turmericweir_core/credit.py
+++ b/packages/turmericweir-core/turmericweir_core/credit.py
@@ -4,7 +4,7 @@
 hashing, so that all instances name the same one without a message as soon as they agree on who is
 live. Instances that use the server send it their demand by tier, and it leases them slots
 (`credit_dispatcher`). Requests never pass through it: an instance that holds credit sends a request
-straight to the server (`credit_holder`).
+straight to the server (`credit_demand`, `credit_holder`).
 
 - No contention: credit held covers the work, spare slots were granted in advance, and no message is
   sent but renewals.
@@ -24,7 +24,13 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from turmericweir_core import credit_dispatcher, credit_holder, membership, queue_state
+from turmericweir_core import (
+    credit_demand,
+    credit_dispatcher,
+    credit_holder,
+    membership,
+    queue_state,
+)
 from turmericweir_core.config import Policy
 from turmericweir_core.credit_lead import dispatcher_of, leads, note_live
 from turmericweir_core.credit_state import CreditState
@@ -46,7 +52,7 @@
         return []
     if not state.credits.asking and not queue_state.anything_waits(state.queues, pool):
         return []
-    wanted = credit_holder.wanted_credit(state, now, pool)
+    wanted = credit_demand.wanted_credit(state, now, pool)
     return _demand(state, now, {*wanted, *_asking_in(state, pool)}, wanted)
 
 
@@ -80,7 +86,7 @@
     dispatcher = dispatcher_of(state, now, server)
     if dispatcher is None:
         return []
-    demand = credit_holder.make_demand(state, now, server, waiting, dispatcher)
+    demand = credit_demand.make_demand(state, now, server, waiting, dispatcher)
     return [] if demand is None else _send(state, now, dispatcher, demand)
 
 
@@ -91,7 +97,6 @@
         return []
     if not credit.contended:
         return []
-    credit.freed = True
     if queue_state.anything_waits(state.queues, server.service.name):
         # Left to the dispatch that follows, which may put something else in its place.
         state.credits.asking.add(server.entry.name)
@@ -152,12 +157,12 @@
     due = [
         name
         for name, credit in state.credits.held.items()
-        if credit_holder.may_be_due(credit, state.options, now)
+        if credit_demand.may_be_due(credit, state.options, now)
     ]
     wanted: dict[ServerName, list[TierDemand]] = {}
     if due:
         for pool in state.queues.pools:
-            wanted.update(credit_holder.wanted_credit(state, now, pool))
+            wanted.update(credit_demand.wanted_credit(state, now, pool))
     return effects + _demand(state, now, due, wanted)
 
 
--- a/packages/turmericweir-core/turmericweir_core/credit_allocation.py
+++ b/packages/turmericweir-core/turmericweir_core/credit_allocation.py
@@ -57,6 +57,8 @@
     spare: int
     most_urgent: int
     lowest: int
+    # Slots are for the tier that they were granted for, or more urgent ones.
+    by_tier: bool = False
 
 
 def allocate(
--- /dev/null
+++ b/packages/turmericweir-core/turmericweir_core/credit_demand.py
@@ -0,0 +1,250 @@
+"""What an instance asks the dispatchers for, and when.
+
+While its credit fits its work it sends nothing but a renewal now and then. A demand goes out:
+
+- at once, when a tier waits that is more urgent than any it spoke of before; when it has seen a
+  call-back; when an attempt ended that was beyond its credit;
+- a few tens of milliseconds after the one before, when more waits, or when nothing waits any more
+  and, in a shortage, credit lies idle;
+- half a second after the one before, for any other change in a shortage.
+
+Messages are the scarce thing in a shortage, not slots. So an upper request that waits on an
+instance which runs lower work asks nobody: that work makes way without a message, if none of it
+ends soon enough by itself. How much waits is told in steps of two, and few servers are asked.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from math import ceil
+from typing import TYPE_CHECKING
+
+from turmericweir_core import queue_state
+from turmericweir_core.concurrency import limited_slots
+from turmericweir_core.config import Kind
+from turmericweir_core.credit_holder import used_by_tier
+from turmericweir_core.credit_state import HeldCredit
+from turmericweir_core.ids import InstanceName, ServerName
+from turmericweir_core.options import Options
+from turmericweir_core.patience import count_ripe
+from turmericweir_core.peer_messages import CreditDemand, TierDemand
+from turmericweir_core.pool_load import pool_load
+from turmericweir_core.server_table import Server
+from turmericweir_core.subset import open_servers
+
+if TYPE_CHECKING:
+    from turmericweir_core.state import State
+
+
+# --- what to ask whom ------------------------------------------------------------------------
+
+
+def wanted_credit(state: State, now: float, pool: str) -> dict[ServerName, list[TierDemand]]:
+    """Spread what waits in a pool over servers to ask, by server and tier."""
+    wanted: dict[ServerName, dict[int, TierDemand]] = {}
+    load = pool_load(state.pool_loads, pool)
+    own = dict(load.running)
+    # For those that own lower work makes way for already, nobody else's need be stopped.
+    covered = load.displacing
+    queues = queue_state.pool_queues(state.queues, pool)
+    for queue in sorted(queues, key=lambda queue: queue.service_class.priority):
+        servers = open_servers(state, now, queue.target)
+        asking = len(queue.waiting)
+        if _is_short(state, servers):
+            asking -= _take_own(own, queue.service_class.priority, asking)
+        if asking:
+            asked = _servers_to_ask(state, now, queue, servers, asking)
+            ripe = count_ripe(state.options, now, queue, asking)
+            _spread(wanted, queue, asked, asking, max(0, ripe - covered))
+        covered = max(0, covered - len(queue.waiting))
+    return {name: list(tiers.values()) for name, tiers in wanted.items()}
+
+
+def _is_short(state: State, servers: list[Server]) -> bool:
+    """Tell whether model servers are known to have more demand than slots."""
+    held = state.credits.held
+    return any(
+        server.service.kind is Kind.MODEL
+        and server.entry.name in held
+        and held[server.entry.name].contended
+        for server in servers
+    )
+
+
+def _take_own(own: dict[int, int], tier: int, count: int) -> int:
+    """Take lower work that runs here into account, the least urgent first; give how much."""
+    taken = 0
+    for each in sorted(own, reverse=True):
+        if each <= tier:
+            break
+        part = min(own[each], count - taken)
+        own[each] -= part
+        taken += part
+    return taken
+
+
+def _servers_to_ask(
+    state: State, now: float, queue: queue_state.ClassQueue, servers: list[Server], asking: int
+) -> list[Server]:
+    """Pick few servers to ask at first, and more the longer the head waits.
+
+    Asking all of them for one request would have each dispatcher hold a slot that all but one of
+    them hold for nothing, and would cost messages to ask and to take it back.
+    """
+    # Those that were asked stay so; to ask others with every report would be endless traffic.
+    asked = state.credits.asking
+    servers.sort(
+        key=lambda server: (server.entry.name not in asked, _looks_full(state, now, server))
+    )
+    doublings = int((now - queue.head().arrived) / state.options.credit_widen_s)
+    first = max(2, min(asking, state.options.credit_ask))
+    # Bounded, as the power grows without end.
+    return servers[: first * 2 ** min(5, doublings)]
+
+
+def _looks_full(state: State, now: float, server: Server) -> bool:
+    report = server.report
+    if report is None or now - server.report_at > state.options.report_valid_s:
+        return False
+    return report.running + report.waiting >= report.slots
+
+
+def _spread(
+    wanted: dict[ServerName, dict[int, TierDemand]],
+    queue: queue_state.ClassQueue,
+    servers: list[Server],
+    asking: int,
+    pressed: int,
+) -> None:
+    tier = queue.service_class.priority
+    for index, server in enumerate(servers):
+        tiers = wanted.setdefault(server.entry.name, {})
+        before = tiers.get(tier, TierDemand(tier, 0, 0))
+        waiting = before.waiting + ceil(asking / len(servers))
+        press = before.pressed + len(range(index, pressed, len(servers)))
+        tiers[tier] = TierDemand(tier, 0, min(server.slots, waiting), min(server.slots, press))
+
+
+# --- when ------------------------------------------------------------------------------------
+
+
+def make_demand(
+    state: State,
+    now: float,
+    server: Server,
+    waiting: list[TierDemand],
+    dispatcher: InstanceName,
+) -> CreditDemand | None:
+    """Make the demand for a server where one is due now."""
+    name = server.entry.name
+    credit = state.credits.held.get(name)
+    if credit is None:
+        if not waiting:
+            return None
+        credit = state.credits.held[name] = HeldCredit(dispatcher)
+    if credit.dispatcher != dispatcher:
+        _change_dispatcher(credit, dispatcher)
+    tiers = _demand_tiers(server, waiting)
+    if tiers:
+        credit.used_at = now
+    if not _demand_is_due(credit, state.options, now, tiers):
+        return None
+    credit.seq += 1
+    credit.sent_at[credit.seq] = now
+    credit.asked = tiers
+    credit.asked_at = now
+    credit.confirm = False
+    state.credits.demands_sent += 1
+    if any(each.waiting for each in tiers):
+        state.credits.asking.add(name)
+    else:
+        state.credits.asking.discard(name)
+    limit = limited_slots(state.server_limits, name, server.slots)
+    return CreditDemand(name, credit.seq, credit.grant_number, limit, list(tiers))
+
+
+def _change_dispatcher(credit: HeldCredit, dispatcher: InstanceName) -> None:
+    # Numbers of the old one's grants mean nothing to the new one. Its slots stay usable until
+    # they lapse: the overlap may cost some overload, a gap would stop all work.
+    credit.dispatcher = dispatcher
+    credit.grant_number = 0
+    credit.sent_at.clear()
+    credit.asked = ()
+    credit.asked_at = float("-inf")
+
+
+def _demand_tiers(server: Server, waiting: list[TierDemand]) -> tuple[TierDemand, ...]:
+    demands = {each.tier: each for each in waiting}
+    for tier, running in used_by_tier(server).items():
+        demands[tier] = replace(demands.get(tier, TierDemand(tier, 0, 0)), running=running)
+    return tuple(demands[tier] for tier in sorted(demands))
+
+
+def _demand_is_due(
+    credit: HeldCredit, options: Options, now: float, tiers: tuple[TierDemand, ...]
+) -> bool:
+    if credit.confirm or _ran_beyond(credit, tiers):
+        # The dispatcher waits for this to give the slot to another.
+        return True
+    since = now - credit.asked_at
+    falls_back = now < credit.fallback_until
+    if not credit.sent_at and not falls_back and _more_urgent(tiers, credit.asked):
+        # The last demand was answered, and did not speak of this.
+        return True
+    if since < (options.credit_answer_s if falls_back else options.credit_demand_gap_s):
+        return False
+    waits = any(each.waiting for each in tiers)
+    if waits and now >= credit.valid_until and not credit.sent_at:
+        return True
+    if _needs_more(tiers, credit.asked) or _has_idle(credit, tiers):
+        return True
+    if credit.contended and since >= options.credit_lazy_s and tiers != credit.asked:
+        return True
+    idle = now - credit.used_at > options.credit_idle_s
+    return not idle and since >= options.credit_renew_s
+
+
+def _ran_beyond(credit: HeldCredit, tiers: tuple[TierDemand, ...]) -> bool:
+    """Tell whether an attempt ended that was beyond the credit."""
+    running = sum(each.running for each in tiers)
+    reported = sum(each.running for each in credit.asked)
+    return running < reported > sum(credit.slots.values())
+
+
+def _needs_more(tiers: tuple[TierDemand, ...], asked: tuple[TierDemand, ...]) -> bool:
+    told = {each.tier: each for each in asked}
+    for each in tiers:
+        before = told.get(each.tier)
+        # In steps of two, so that a long queue is not reported anew for each request.
+        if each.waiting.bit_length() > (before.waiting.bit_length() if before else 0):
+            return True
+        if each.pressed > (before.pressed if before else 0):
+            return True
+    return False
+
+
+def _has_idle(credit: HeldCredit, tiers: tuple[TierDemand, ...]) -> bool:
+    """Tell whether the dispatcher holds slots for what does not wait here any more."""
+    if any(each.waiting for each in tiers):
+        return False
+    if any(each.waiting for each in credit.asked):
+        return True
+    running = sum(each.running for each in tiers)
+    reported = sum(each.running for each in credit.asked)
+    return credit.contended and running < reported
+
+
+def _more_urgent(tiers: tuple[TierDemand, ...], asked: tuple[TierDemand, ...]) -> bool:
+    """Tell whether a tier waits that is more urgent than any that waited at the last demand."""
+    now_waits = min((each.tier for each in tiers if each.waiting), default=None)
+    then_waited = min((each.tier for each in asked if each.waiting), default=None)
+    if now_waits is None:
+        return False
+    return then_waited is None or now_waits < then_waited
+
+
+def may_be_due(credit: HeldCredit, options: Options, now: float) -> bool:
+    """Tell whether a look at a server's demand is worth while; cheap, as it is done often."""
+    if credit.confirm or credit.contended or any(each.waiting for each in credit.asked):
+        return True
+    return now - credit.asked_at >= options.credit_renew_s
--- a/packages/turmericweir-core/turmericweir_core/credit_dispatcher.py
+++ b/packages/turmericweir-core/turmericweir_core/credit_dispatcher.py
@@ -60,7 +60,6 @@
         return []
     capacity = _capacity(state, now, server, ledger)
     if _grant_from_free(state.options, now, ledger, holding, capacity):
-        ledger.pressed_since = None
         return [_outgoing(state, now, server, ledger, sender, holding)]
     ledger.unsettled = True
     ledger.contended_until = now + state.options.credit_contended_s
@@ -125,7 +124,7 @@
         spare = min(options.credit_spare, (free - more) // len(ledger.holdings))
     granted = dict(wants)
     granted[capacity.lowest] = granted.get(capacity.lowest, 0) + max(0, min(spare, lower_free))
-    _set_granted(holding, {tier: slots for tier, slots in granted.items() if slots}, {})
+    _set_granted(holding, capacity, {tier: slots for tier, slots in granted.items() if slots}, {})
     return True
 
 
@@ -135,12 +134,14 @@
     return capacity.lower_slots - used
 
 
-def _short(holding: Holding) -> int:
+def _short(holding: Holding, capacity: Capacity) -> int:
     """Count the slots that an instance is short of, by its wants and what it was granted.
 
-    Slots of a more urgent tier do not count for a lower one, as it may not use them.
+    Where slots are granted by tier, those of a more urgent tier do not count for a lower one.
     """
     wants = _wants(holding)
+    if not capacity.by_tier:
+        return max(0, sum(wants.values()) - holding.total())
     short = 0
     missing = 0
     for tier in sorted({*wants, *holding.granted}, reverse=True):
@@ -158,9 +159,15 @@
     return capacity.slots - sum(each.committed() for each in ledger.holdings.values())
 
 
-def _set_granted(holding: Holding, slots: dict[int, int], assured: dict[int, int]) -> bool:
+def _set_granted(
+    holding: Holding, capacity: Capacity, slots: dict[int, int], assured: dict[int, int]
+) -> bool:
     """Change what an instance is granted; tell whether that was a change."""
-    if slots == holding.granted and assured == holding.assured:
+    same = slots == holding.granted
+    if not capacity.by_tier:
+        same = sum(slots.values()) == holding.total()
+    if same and assured == holding.assured:
+        holding.granted = slots
         return False
     before = holding.total()
     holding.granted = slots
@@ -191,6 +198,7 @@
         spare=options.credit_spare,
         most_urgent=most_urgent(state.config),
         lowest=lowest_tier(state.config),
+        by_tier=server.service.kind is Kind.PLAIN,
     )
 
 
@@ -208,10 +216,10 @@
     _save_up(state, now, ledger, capacity)
     ledger.settled_at = now
     ledger.unsettled = False
-    shares = _divide(ledger, capacity)
+    shares = _divide(state.options, ledger, capacity)
     changed = _call_back(ledger, capacity, shares)
     changed |= _raise(ledger, capacity, shares)
-    changed |= _press(state.options, ledger, now)
+    changed |= _spread_displacement(ledger, _pressed(ledger, capacity))
     contended = now < ledger.contended_until
     return [
         _outgoing(state, now, server, ledger, name, holding)
@@ -221,16 +229,15 @@
 
 
 def _drop_lapsed(state: State, now: float, ledger: Ledger) -> None:
-    live = {name for names in state.credits.live.values() for name in names}
     for name, holding in list(ledger.holdings.items()):
         # Counted from the receipt of its last demand, so later than the instance itself counts.
         lapsed = now - holding.heard_at > state.options.credit_ttl_s
-        if lapsed or (name != state.me.name and name not in live):
+        if lapsed or name not in state.credits.alive:
             del ledger.holdings[name]
 
 
-def _divide(ledger: Ledger, capacity: Capacity) -> dict[InstanceName, Share]:
-    order = sorted(ledger.holdings, key=lambda name: ledger.holdings[name].used_s)
+def _divide(options: Options, ledger: Ledger, capacity: Capacity) -> dict[InstanceName, Share]:
+    order = sorted(ledger.holdings, key=lambda name: _rank(options, ledger.holdings[name]))
     wants = [
         Want(name, each.tier, each.running, each.waiting)
         for name in order
@@ -240,6 +247,12 @@
     return allocate(capacity, order, wants, sorted(ledger.assured, reverse=True))
 
 
+def _rank(options: Options, holding: Holding) -> tuple[int, bool, float]:
+    """Order instances that are equal otherwise: who used least first, and no change for little."""
+    turns = int(holding.used_s / options.credit_turn_s)
+    return (turns, not holding.total(), holding.used_s)
+
+
 def _note_use(options: Options, now: float, ledger: Ledger) -> None:
     """Follow how much each instance used, so that slots go round among equals.
 
@@ -252,25 +265,17 @@
         holding.used_s = holding.used_s * kept + holding.running() * elapsed
 
 
-def _press(options: Options, ledger: Ledger, now: float) -> set[InstanceName]:
-    """Have lower work stopped for those that wait and are named to this server alone.
-
-    Failure without the wait: the slot that somebody waits for may be given back by itself, or be
-    found at another server, and a lower answer was stopped for nothing. The time is enough for the
-    news of that to arrive.
-    """
+def _pressed(ledger: Ledger, capacity: Capacity) -> dict[int, int]:
+    """Count by tier those that are named here alone and that no grant covers yet."""
     pressed: dict[int, int] = {}
     for holding in ledger.holdings.values():
-        for each in holding.demand.values():
-            if each.pressed:
-                pressed[each.tier] = pressed.get(each.tier, 0) + each.pressed
-    if not pressed:
-        ledger.pressed_since = None
-    elif ledger.pressed_since is None:
-        ledger.pressed_since = now
-    since = ledger.pressed_since
-    ripe = since is not None and now - since >= options.credit_press_s
-    return _spread_displacement(ledger, pressed if ripe else {})
+        short = _short(holding, capacity)
+        for tier in sorted(holding.demand):
+            count = min(short, holding.demand[tier].pressed)
+            if count:
+                pressed[tier] = pressed.get(tier, 0) + count
+                short -= count
+    return pressed
 
 
 def _spread_displacement(ledger: Ledger, pressed: dict[int, int]) -> set[InstanceName]:
@@ -300,7 +305,7 @@
 ) -> set[InstanceName]:
     """Lower the grants of those who have more than their share, where others need it."""
     holdings = ledger.holdings.values()
-    need = sum(_short(each) for each in holdings)
+    need = sum(_short(each, capacity) for each in holdings)
     lower_need = sum(
         max(0, _lower_wants(each, capacity) - each.committed_below(capacity.most_urgent))
         for each in holdings
@@ -311,8 +316,8 @@
         name
         for name, share in shares.items()
         if share.total() <= ledger.holdings[name].total()
-        and not (fits and _short(ledger.holdings[name]) == 0)
-        and _set_granted(ledger.holdings[name], share.slots, share.assured)
+        and not (fits and _short(ledger.holdings[name], capacity) == 0)
+        and _set_granted(ledger.holdings[name], capacity, share.slots, share.assured)
     }
 
 
@@ -337,14 +342,15 @@
     return {
         name
         for name in sorted(shares, key=lambda each: _urgency(ledger, shares, each))
-        if _raise_one(ledger.holdings[name], shares[name], free, capacity.most_urgent)
+        if _raise_one(ledger.holdings[name], shares[name], free, capacity)
     }
 
 
-def _raise_one(holding: Holding, share: Share, free: _Free, urgent: int) -> bool:
+def _raise_one(holding: Holding, share: Share, free: _Free, capacity: Capacity) -> bool:
     """Raise one grant as far as may be, and take it off what is free."""
     if share.total() <= holding.total():
         return False
+    urgent = capacity.most_urgent
     # What it runs already costs nothing to be granted, so long as grants are left at all.
     committed, usable = holding.committed(), holding.usable()
     total = min(committed + max(0, free.slots), usable + max(0, free.grants))
@@ -352,7 +358,7 @@
     slots = _first_slots(share, total, below + max(0, free.below), urgent)
     if sum(slots.values()) <= holding.total():
         return False
-    changed = _set_granted(holding, slots, share.assured)
+    changed = _set_granted(holding, capacity, slots, share.assured)
     free.slots -= holding.committed() - committed
     free.grants -= holding.usable() - usable
     free.below -= holding.committed_below(urgent) - below
@@ -453,9 +459,8 @@
 def _look_again(state: State, now: float, server: Server, ledger: Ledger) -> None:
     options = state.options
     holdings = ledger.holdings.values()
-    short = any(_short(each) for each in holdings)
-    short = short or ledger.pressed_since is not None
-    short = short or _free(ledger, _capacity(state, now, server, ledger)) < 0
+    capacity = _capacity(state, now, server, ledger)
+    short = _free(ledger, capacity) < 0 or any(_short(each, capacity) for each in holdings)
     if short:
         ledger.contended_until = now + options.credit_contended_s
     told = any(each.contended for each in holdings)
@@ -486,16 +491,21 @@
             TierGrant(tier, slots, holding.assured.get(tier, 0))
             for tier, slots in sorted(holding.granted.items())
         ],
-        load=_load_news(server, holding),
+        load=_load_news(state, now, server, holding),
     )
     return Outgoing(name, grant)
 
 
-def _load_news(server: Server, holding: Holding) -> ServerLoad | None:
+def _load_news(state: State, now: float, server: Server, holding: Holding) -> ServerLoad | None:
     report = server.report
     if report is None or report.seq == holding.load_seq:
         return None
+    leaves = report.leaving and not holding.load_leaving
+    if now - holding.load_at < state.options.credit_load_s and not leaves:
+        return None
     holding.load_seq = report.seq
+    holding.load_at = now
+    holding.load_leaving = report.leaving
     return ServerLoad(
         incarnation=report.incarnation,
         seq=report.seq,
--- a/packages/turmericweir-core/turmericweir_core/credit_holder.py
+++ b/packages/turmericweir-core/turmericweir_core/credit_holder.py
@@ -1,28 +1,21 @@
-"""The side of the credit policy that spends: demands out, grants in, slots free for a request.
+"""The side of the credit policy that spends: what the credit held covers, and grants that come in.
 
-While an instance holds credit that fits its work it sends nothing but a renewal now and then. It
-sends a demand at once when something waits that its credit does not cover, when it has confirmed a
-call-back, and, while the dispatcher reports contention, whenever its needs change.
+What is asked for, and when, is in `credit_demand`.
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterator
-from dataclasses import replace
-from math import ceil
 from typing import TYPE_CHECKING
 
-from turmericweir_core import queue_state
-from turmericweir_core.concurrency import limited_slots
+from turmericweir_core.config import Kind
 from turmericweir_core.credit_lead import dispatcher_of
 from turmericweir_core.credit_state import HeldCredit
 from turmericweir_core.events import ServerReport
 from turmericweir_core.ids import InstanceName, ServerName
 from turmericweir_core.options import Options
-from turmericweir_core.peer_messages import CreditDemand, CreditGrant, ServerLoad, TierDemand
-from turmericweir_core.pool_load import pool_load
+from turmericweir_core.peer_messages import CreditGrant, ServerLoad
 from turmericweir_core.server_table import Server, note_report
-from turmericweir_core.subset import open_servers
 
 if TYPE_CHECKING:
     from turmericweir_core.state import State
@@ -62,27 +55,36 @@
 def credit_headroom(state: State, now: float, server: Server, tier: int) -> int:
     """Count the requests of a tier that the credit for a server still covers.
 
-    A tier may use the slots of all less urgent ones, but none that were granted for a more urgent
-    one, and no slot that another tier was assured.
+    A slot of a model server is for any tier, whatever it was granted for, since a lower answer can
+    be stopped again. A running plain call cannot: there a tier may use the slots of all less urgent
+    ones, but none that were granted for a more urgent one. No tier uses what another was assured.
     """
     credit = state.credits.held.get(server.entry.name)
     if credit is None or now >= credit.valid_until:
         return -1
     used = used_by_tier(server)
-    room: int | None = None
-    total = 0
+    tiers = sorted({*credit.slots, *used, tier}, reverse=True)
+    left = [_left(credit, used, each, tier) for each in tiers]
+    if server.service.kind is Kind.MODEL:
+        return sum(left)
     # From the least urgent tier up: at each tier so far, what it and those below have left.
-    for each in sorted({*credit.slots, *used, tier}, reverse=True):
-        slots = credit.slots.get(each, 0)
-        busy = used.get(each, 0)
-        if each != tier:
-            kept = credit.assured.get(each, 0)
-            slots -= kept
-            busy = max(0, busy - kept)
-        total += slots - busy
-        if each <= tier:
-            room = total if room is None else min(room, total)
-    return room or 0
+    room = sum(each for number, each in zip(tiers, left, strict=True) if number >= tier)
+    total = room
+    for number, each in zip(tiers, left, strict=True):
+        if number < tier:
+            total += each
+            room = min(room, total)
+    return room
+
+
+def _left(credit: HeldCredit, used: dict[int, int], each: int, tier: int) -> int:
+    """Count the slots of one tier that are left for a request of another, or of the same."""
+    slots = credit.slots.get(each, 0)
+    busy = used.get(each, 0)
+    if each == tier:
+        return slots - busy
+    kept = credit.assured.get(each, 0)
+    return slots - kept - max(0, busy - kept)
 
 
 def is_assured(state: State, server: Server, tier: int) -> bool:
@@ -100,162 +102,7 @@
     return min(credit.displace, len(server.in_flight) - sum(credit.slots.values()))
 
 
-# --- demands ---------------------------------------------------------------------------------
-
-
-def wanted_credit(state: State, now: float, pool: str) -> dict[ServerName, list[TierDemand]]:
-    """Spread what waits in a pool over servers to ask, by server and tier."""
-    wanted: dict[ServerName, dict[int, TierDemand]] = {}
-    # For those that own lower work is making way for, nobody else's need be stopped.
-    covered = pool_load(state.pool_loads, pool).displacing
-    queues = queue_state.pool_queues(state.queues, pool)
-    for queue in sorted(queues, key=lambda queue: queue.service_class.priority):
-        pressed = max(0, len(queue.waiting) - covered)
-        covered = max(0, covered - len(queue.waiting))
-        _spread(wanted, queue, _servers_to_ask(state, now, queue), pressed)
-    return {name: list(tiers.values()) for name, tiers in wanted.items()}
-
-
-def _spread(
-    wanted: dict[ServerName, dict[int, TierDemand]],
-    queue: queue_state.ClassQueue,
-    servers: list[Server],
-    pressed: int,
-) -> None:
-    tier = queue.service_class.priority
-    for index, server in enumerate(servers):
-        tiers = wanted.setdefault(server.entry.name, {})
-        before = tiers.get(tier, TierDemand(tier, 0, 0))
-        waiting = before.waiting + ceil(len(queue.waiting) / len(servers))
-        press = before.pressed + len(range(index, pressed, len(servers)))
-        tiers[tier] = TierDemand(tier, 0, min(server.slots, waiting), min(server.slots, press))
-
-
-def _servers_to_ask(state: State, now: float, queue: queue_state.ClassQueue) -> list[Server]:
-    """Pick two servers for each waiting request at first, and more the longer the head waits.
-
-    Asking all of them for one request would have each dispatcher hold a slot that all but one of
-    them hold for nothing.
-    """
-    servers = open_servers(state, now, queue.target)
-    servers.sort(key=lambda server: _looks_full(state, now, server))
-    # Bounded, as the number of servers is small and the power grows without end.
-    doublings = min(5, int((now - queue.head().arrived) / state.options.credit_widen_s))
-    return servers[: 2 * len(queue.waiting) * 2**doublings]
-
-
-def _looks_full(state: State, now: float, server: Server) -> bool:
-    report = server.report
-    if report is None or now - server.report_at > state.options.report_valid_s:
-        return False
-    return report.running + report.waiting >= report.slots
-
-
-def make_demand(
-    state: State,
-    now: float,
-    server: Server,
-    waiting: list[TierDemand],
-    dispatcher: InstanceName,
-) -> CreditDemand | None:
-    """Make the demand for a server where one is due now."""
-    name = server.entry.name
-    credit = state.credits.held.get(name)
-    if credit is None:
-        if not waiting:
-            return None
-        credit = state.credits.held[name] = HeldCredit(dispatcher)
-    if credit.dispatcher != dispatcher:
-        _change_dispatcher(credit, dispatcher)
-    tiers = _demand_tiers(server, waiting)
-    if tiers:
-        credit.used_at = now
-    due = _demand_is_due(credit, state.options, now, tiers)
-    credit.freed = False
-    if not due:
-        return None
-    credit.seq += 1
-    credit.sent_at[credit.seq] = now
-    credit.asked = tiers
-    credit.asked_at = now
-    credit.confirm = False
-    state.credits.demands_sent += 1
-    if any(each.waiting for each in tiers):
-        state.credits.asking.add(name)
-    else:
-        state.credits.asking.discard(name)
-    limit = limited_slots(state.server_limits, name, server.slots)
-    return CreditDemand(name, credit.seq, credit.grant_number, limit, list(tiers))
-
-
-def _change_dispatcher(credit: HeldCredit, dispatcher: InstanceName) -> None:
-    # Numbers of the old one's grants mean nothing to the new one. Its slots stay usable until
-    # they lapse: the overlap may cost some overload, a gap would stop all work.
-    credit.dispatcher = dispatcher
-    credit.grant_number = 0
-    credit.sent_at.clear()
-    credit.asked = ()
-    credit.asked_at = float("-inf")
-
-
-def _demand_tiers(server: Server, waiting: list[TierDemand]) -> tuple[TierDemand, ...]:
-    demands = {each.tier: each for each in waiting}
-    for tier, running in used_by_tier(server).items():
-        demands[tier] = replace(demands.get(tier, TierDemand(tier, 0, 0)), running=running)
-    return tuple(demands[tier] for tier in sorted(demands))
-
-
-def _demand_is_due(
-    credit: HeldCredit, options: Options, now: float, tiers: tuple[TierDemand, ...]
-) -> bool:
-    if credit.confirm:
-        return True
-    running = sum(each.running for each in tiers)
-    reported = sum(each.running for each in credit.asked)
-    if running < reported > sum(credit.slots.values()):
-        # Over its credit until now: the dispatcher waits for this to give the slot to another.
-        return True
-    needs = _needs(tiers)
-    told = _needs(credit.asked)
-    if credit.freed and needs != told:
-        # Its slot may be of use to somebody else, and stands idle until the dispatcher knows.
-        return True
-    if not credit.sent_at and now >= credit.fallback_until and _more_urgent(tiers, credit.asked):
-        # The last demand was answered, and did not speak of this.
-        return True
-    falls_back = now < credit.fallback_until
-    gap = options.credit_answer_s if falls_back else options.credit_demand_gap_s
-    if now - credit.asked_at < gap:
-        return False
-    waits = any(each.waiting for each in tiers)
-    gone = not waits and any(each.waiting for each in credit.asked)
-    if needs != told and (waits or gone or credit.contended):
-        return True
-    if waits and now >= credit.valid_until and not credit.sent_at:
-        return True
-    idle = now - credit.used_at > options.credit_idle_s
-    return not idle and now - credit.asked_at >= options.credit_renew_s
-
-
-def _needs(tiers: tuple[TierDemand, ...]) -> dict[int, tuple[int, int]]:
-    """Give what a change of matters to the dispatcher."""
-    return {each.tier: (each.running + each.waiting, each.pressed) for each in tiers}
-
-
-def _more_urgent(tiers: tuple[TierDemand, ...], asked: tuple[TierDemand, ...]) -> bool:
-    """Tell whether a tier waits that is more urgent than any that waited at the last demand."""
-    now_waits = min((each.tier for each in tiers if each.waiting), default=None)
-    then_waited = min((each.tier for each in asked if each.waiting), default=None)
-    if now_waits is None:
-        return False
-    return then_waited is None or now_waits < then_waited
-
-
-def may_be_due(credit: HeldCredit, options: Options, now: float) -> bool:
-    """Tell whether a look at a server's demand is worth while; cheap, as it is done often."""
-    if credit.confirm or credit.contended or any(each.waiting for each in credit.asked):
-        return True
-    return now - credit.asked_at >= options.credit_renew_s
+# --- answers that do not come ----------------------------------------------------------------
 
 
 def check_answers(state: State, now: float) -> Iterator[ServerName]:
--- a/packages/turmericweir-core/turmericweir_core/credit_lead.py
+++ b/packages/turmericweir-core/turmericweir_core/credit_lead.py
@@ -35,8 +35,10 @@
 def note_live(state: State, now: float) -> None:
     """Follow who is live; the dispatchers are picked anew where that has changed."""
     state.credits.live_due = now + state.options.credit_live_s
+    members = membership.live_instances(state, now)
+    state.credits.alive = frozenset(each.name for each in members)
     live: dict[str, list[InstanceName]] = {}
-    for each in membership.live_instances(state, now):
+    for each in members:
         # One that leaves hands its servers on before it stops, rather than by falling silent.
         if not each.leaving:
             live.setdefault(each.data_centre, []).append(each.name)
--- a/packages/turmericweir-core/turmericweir_core/credit_state.py
+++ b/packages/turmericweir-core/turmericweir_core/credit_state.py
@@ -39,8 +39,6 @@
     valid_until: float = NEVER
     # The dispatcher wants to hear of every change of what this instance needs.
     contended: bool = False
-    # An attempt ended there under contention; what it changes is reported without delay.
-    freed: bool = False
     # The dispatcher has called credit back and waits to hear that this instance saw it.
     confirm: bool = False
     # So many attempts of tiers above the number make way while more runs than the slots.
@@ -72,6 +70,8 @@
     # What the newest grant said of contention, and the newest load report passed on.
     contended: bool = False
     load_seq: int = -1
+    load_at: float = NEVER
+    load_leaving: bool = False
     # How many attempts, of tiers above the number, it was told to let make way.
     displace: int = 0
     displace_above: int = 0
@@ -114,8 +114,6 @@
     saved: dict[int, float] = field(default_factory=dict)
     # Tiers that have a slot of their own at present.
     assured: set[int] = field(default_factory=set)
-    # Since when somebody waits for whom lower work may be stopped; None while nobody does.
-    pressed_since: float | None = None
     # Demand was above the capacity so recently that instances report every change.
     contended_until: float = NEVER
     settled_at: float = NEVER
@@ -134,6 +132,8 @@
     # Live instances by data centre, as of the last tick; who is leaving is left out.
     live: dict[str, tuple[InstanceName, ...]] = field(default_factory=dict)
     live_due: float = NEVER
+    # The same with those that leave: they hold credit until what they run has ended.
+    alive: frozenset[InstanceName] = frozenset()
     # Dispatchers by server; emptied when `live` changes.
     dispatchers: dict[ServerName, InstanceName | None] = field(default_factory=dict)
     # Servers where this instance runs more than it now has credit for.
--- a/packages/turmericweir-core/turmericweir_core/displacement.py
+++ b/packages/turmericweir-core/turmericweir_core/displacement.py
@@ -19,6 +19,7 @@
 from turmericweir_core.config import Kind, Policy
 from turmericweir_core.credit_holder import excess, is_assured
 from turmericweir_core.ids import Target, request_of
+from turmericweir_core.patience import count_ripe
 from turmericweir_core.placement import headroom
 from turmericweir_core.pool_load import lower_running, pool_load
 from turmericweir_core.request import CancelReason, Request
@@ -38,27 +39,26 @@
     queues = queue_state.pool_queues(state.queues, pool)
     for queue in sorted(queues, key=lambda queue: queue.service_class.priority):
         tier = queue.service_class.priority
-        waiting += len(queue.waiting)
+        waiting += count_ripe(state.options, now, queue, load.displacing + 1)
         # One attempt at the most for each request that waits: those told before still end.
         if waiting <= load.displacing or not lower_running(load, tier):
             continue
-        waited = now - queue.head().arrived
-        victim = lowest_running(state, now, queue.target, tier, only_useful=True, waited=waited)
+        victim = lowest_running(state, now, queue.target, tier, only_useful=True)
         if victim is not None:
             return victim
     return None
 
 
 def lowest_running(
-    state: State, now: float, target: Target, tier: int, *, only_useful: bool, waited: float = 0.0
+    state: State, now: float, target: Target, tier: int, *, only_useful: bool
 ) -> Request | None:
     """Find the least urgent running attempt below a tier on the servers of a target.
 
-    With `only_useful` it is one whose end makes room for a request that has `waited` so long.
+    With `only_useful` it is one whose end makes room for the tier on its server.
     """
     best: Request | None = None
     for server in open_servers(state, now, target):
-        if only_useful and not _would_make_room(state, now, server, tier, waited):
+        if only_useful and headroom(state, now, server, tier) != 0:
             continue
         for req in displaceable(state, server, tier):
             if best is None or _rank(req) > _rank(best):
@@ -66,17 +66,6 @@
     return best
 
 
-def _would_make_room(state: State, now: float, server: Server, tier: int, waited: float) -> bool:
-    if headroom(state, now, server, tier) != 0:
-        return False
-    if state.config.policy is not Policy.CREDITS or waited >= state.options.displace_wait_s:
-        return True
-    # Failure: work is stopped, and its prefill lost, while a slot elsewhere is a message away. So
-    # without word of contention the dispatchers are given the time to answer.
-    credit = state.credits.held.get(server.entry.name)
-    return credit is not None and credit.contended
-
-
 def _rank(req: Request) -> tuple[int, int]:
     # The least urgent tier first; within it what has run least, as least of it is lost.
     attempt = req.attempt
--- a/packages/turmericweir-core/turmericweir_core/effects.py
+++ b/packages/turmericweir-core/turmericweir_core/effects.py
@@ -72,6 +72,8 @@
 
     stream: str
     offset: int
+    # Records at the most; None for as many as the platform gives.
+    limit: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,6 +114,11 @@
     version: str
     fence: int
     role: str = ""
+    adapter: str = ""
+    # The holder's lease ends then, by the runtime's clock: the order does not go out later, however
+    # long the process was paused on the way to the server.
+    not_after: float = float("inf")
+    timeout_s: float = 5.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/turmericweir-core/turmericweir_core/events.py
+++ b/packages/turmericweir-core/turmericweir_core/events.py
@@ -133,6 +133,8 @@
     models: tuple[str, ...] = ()
     leaving: bool = False
     fence: int = -1
+    # Models on their way into memory.
+    loading: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/turmericweir-core/turmericweir_core/lifecycle.py
+++ b/packages/turmericweir-core/turmericweir_core/lifecycle.py
@@ -286,7 +286,7 @@
             if not req.repeatable and req.may_have_run:
                 # Whoever displaced it took it for one that may be run again, which it may not.
                 return _after_loss(state, now, req, attempt, Reason.DISPLACED)
-            _wait_again(state, req)
+            _wait_again(state, now, req)
             return [Count(f"displaced.{req.service_class.name}")]
         case CancelReason.QUARANTINED:
             return finish(state, now, req, Outcome.FAILED, Reason.QUARANTINED)
@@ -318,14 +318,14 @@
         return finish(state, now, req, given_up(req), reason, server=attempt.server)
     if paid and not spend_retry(state.retries, state.options):
         return finish(state, now, req, given_up(req), reason, server=attempt.server)
-    _wait_again(state, req)
+    _wait_again(state, now, req)
     return [Count("attempt.retry")]
 
 
-def _wait_again(state: State, req: Request) -> None:
+def _wait_again(state: State, now: float, req: Request) -> None:
     req.phase = Phase.WAITING
     if quarantine.is_suspect(state, req.fingerprint):
-        trial.hold(state, req)
+        trial.hold_after_crash(state, now, req)
     else:
         wait_for_server(state, req, front=True)
 
@@ -401,7 +401,7 @@
     trial.let_go(state, req.request_id)
     limit.settle(state, now, req, outcome)
     if outcome is Outcome.COMPLETED:
-        quarantine.note_completed(state, now, req.fingerprint)
+        quarantine.note_cleared(state, now, req.fingerprint)
     account = Account(
         request_id=req.request_id,
         outcome=outcome,
--- a/packages/turmericweir-core/turmericweir_core/limit_home.py
+++ b/packages/turmericweir-core/turmericweir_core/limit_home.py
@@ -35,6 +35,8 @@
 
 # Share of a limit that sums of floating point numbers may be off by.
 _ROUNDING: Final = 1e-6
+# Share of a limit that may stay with nobody.
+_IDLE_SHARE: Final = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -198,3 +200,13 @@
     part = 1.0 if needed <= 0 else min(1.0, max(0.0, needed - max(0.0, lacking)) / needed)
     for each in starved:
         each.granted += part * (wanted[id(each)] - each.granted)
+    free = division.pool - sum(each.granted for each in claims)
+    if free <= _IDLE_SHARE * division.pool:
+        return
+    # What demand left behind where it fell must not lie idle, though nobody lacks much.
+    for each in sorted(claims, key=lambda each: each.granted - wanted[id(each)]):
+        given = min(free, wanted[id(each)] - each.granted)
+        if given <= 0:
+            break
+        each.granted += given
+        free -= given
--- a/packages/turmericweir-core/turmericweir_core/limit_state.py
+++ b/packages/turmericweir-core/turmericweir_core/limit_state.py
@@ -79,9 +79,9 @@
 class Demand:
     """What callers ask for, whether it is admitted or not: two averages of different memory.
 
-    The slow one is steady but late. The fast one notices a burst, and counts only as far as chance
-    does not explain it: with a request every 17 s at each of 320 instances, every single arrival
-    would otherwise look like a burst and cost a message.
+    The slow one is steady but late. The fast one notices a burst or its end, and counts only as far
+    as chance does not explain it: with a request every 17 s at each of 320 instances, every single
+    arrival would otherwise look like a burst and cost a message.
     """
 
     at: float
@@ -105,8 +105,11 @@
 
     def rate(self, fast_s: float, sigmas: float) -> float:
         """Estimate the demand a second."""
-        surely = self.fast - sigmas * sqrt(self.fast * self.unit / fast_s)
-        return max(self.slow, surely)
+        spread = sigmas * sqrt(self.fast * self.unit / fast_s)
+        least = self.fast - spread
+        # The last term is what may be hidden by an average that has seen nothing.
+        most = self.fast + spread + sigmas**2 * self.unit / fast_s
+        return max(least, min(self.slow, most))
 
 
 @dataclass(slots=True)
--- a/packages/turmericweir-core/turmericweir_core/options.py
+++ b/packages/turmericweir-core/turmericweir_core/options.py
@@ -32,9 +32,9 @@
     report_valid_s: float = 3.0
     # Servers of one target that an instance uses: enough to spread over, few enough that 160
     # instances before 465 servers do not all speak to all of them.
-    subset_size: int = 16
+    subset_size: int = 8
     # Places of the subset that servers of other data centres get at the least.
-    subset_remote: int = 4
+    subset_remote: int = 2
     # Between looks at which servers are in use and how many instances share them.
     subset_look_s: float = 0.5
     # Load, as a share of the slots, that a server of another data centre seems to have on top.
@@ -73,17 +73,22 @@
     credit_fallback_share: float = 0.1
     # How long after a shortage instances go on to report every change of what they need.
     credit_contended_s: float = 2.0
-    # Age of a wait at which twice as many servers are asked for credit, and again after as long.
-    credit_widen_s: float = 0.05
-    # How long somebody waits before a dispatcher has another instance's lower work stopped: longer
-    # than that instance takes to make way with lower work of its own.
-    credit_press_s: float = 0.1
+    # Servers that are asked for credit at first, at the most, and the age of a wait at which twice
+    # as many are asked, and again after as long.
+    credit_ask: int = 4
+    credit_widen_s: float = 0.25
+    # In a shortage, time to any demand that is in no hurry.
+    credit_lazy_s: float = 0.5
+    # Between load reports that are passed on to one instance.
+    credit_load_s: float = 1.0
     # Credit that was not used for so long is no longer renewed.
     credit_idle_s: float = 6.0
     # Idle slots that one instance is granted in advance, at the most.
     credit_spare: int = 4
-    # Time over which the use of slots is remembered, so that they go round among instances.
-    credit_use_window_s: float = 30.0
+    # Time over which the use of slots is remembered, and the difference in use at which a slot goes
+    # on to another instance with work of the same tier: each time costs four messages.
+    credit_use_window_s: float = 60.0
+    credit_turn_s: float = 5.0
     # Slot seconds that a crowded-out tier saves up before it gets a slot of its own, and the debt
     # up to which it keeps that slot so that what runs there can end.
     credit_assured_s: float = 2.0
@@ -92,9 +97,10 @@
     # --- admission and displacement ---
     # Predicted wait, as a share of the time to the deadline, above which a request is refused.
     admit_share: float = 1.0
-    # How long an upper tier waits for the answer of the servers' dispatchers before lower work of
-    # its own instance makes way: long enough for a round trip, short against any target.
-    displace_wait_s: float = 0.05
+    # How long an upper request waits for a slot that frees itself before lower work makes way: a
+    # share of its class's target, and an upper bound for classes with long ones.
+    displace_wait_share: float = 0.25
+    displace_wait_max_s: float = 2.0
     # Weight of the newest attempt in the pace that the wait is predicted from.
     pace_weight: float = 0.1
     # Time over which arrivals are averaged.
@@ -181,7 +187,7 @@
     heartbeat_s: float = 0.2
     # A peer that has not been seen to progress for so long is left out of decisions: above the
     # worst age that a heartbeat reaches at 64 instances with a tenth of the datagrams lost.
-    suspect_s: float = 2.5
+    suspect_s: float = 2.2
     # Out of the roster after so long. Late by intent: each change of the roster makes datagrams
     # large for a while, and a peer that is cut off for a moment comes back cheaply.
     roster_s: float = 10.0
@@ -289,6 +295,68 @@
     # An instance that cannot learn all live claims trusts its own after so many retentions.
     claim_blind_margin: float = 1.1
 
+    # --- leases for orders to servers ---
+    # How long a lease lasts, counted from before its record was sent. Nothing waits for it but
+    # changes of where models are; a longer one makes a successor wait longer, a shorter one costs
+    # more appends. All instances must have the same.
+    lease_s: float = 30.0
+    # What a successor waits on top: clocks that run apart by a tenth of a lease are broken.
+    lease_margin_s: float = 3.0
+    # Between renewals of a lease that is in use: two may fail before it lapses.
+    lease_renew_s: float = 10.0
+    # Between reads of the stream while another instance's lease is waited out.
+    lease_read_s: float = 2.0
+    # Pause after a failed append, doubled up to the longest with each failure in a row.
+    lease_retry_s: float = 0.5
+    lease_retry_max_s: float = 5.0
+    # A read or an append that was not answered at all for so long is made again.
+    lease_call_s: float = 10.0
+    # Own records whose time of sending is remembered.
+    lease_sent_max: int = 1_000
+
+    # --- orders to servers ---
+    # A server that has not answered an order for so long is given it again later.
+    order_timeout_s: float = 5.0
+    # For servers that ignore fencing numbers: the longest time from a holder's look at its lease
+    # to the end of its order. A successor waits so long before its first order.
+    order_longest_s: float = 8.0
+    # Between two tries of the same order, doubled up to the longest with each failure in a row.
+    order_retry_s: float = 10.0
+    order_retry_max_s: float = 300.0
+    # Tries of a load after which another server is preferred.
+    order_tries: int = 3
+
+    # --- where models are ---
+    # Between looks at what runs and waits here for each model.
+    model_sample_s: float = 1.0
+    # Between two tellings of it to the instance that places the models.
+    model_demand_s: float = 15.0
+    # Between two tellings that something waits for a model that no server has.
+    model_alarm_s: float = 2.0
+    # Between two looks of that instance at what servers have and what they should have.
+    model_round_s: float = 5.0
+    # Memory of the average of demand.
+    model_demand_window_s: float = 180.0
+    # Demand is watched for so long before anything is changed for it.
+    model_warm_s: float = 300.0
+    # Load of the servers that have a model, as a share of their slots, above which one more gets
+    # it, and below which, with one less, one loses it. Far apart, so that noise moves nothing.
+    model_grow_share: float = 0.8
+    model_shrink_share: float = 0.5
+    # Slots in use below which the last server of a data centre may lose a model, where none is
+    # asked for.
+    model_last_slots: float = 0.02
+    # Least time between two changes of the number of servers that should have a model.
+    model_change_s: float = 120.0
+    # Least time between two changes on one server, but for a model that no server has.
+    model_server_gap_s: float = 60.0
+    # A server whose newest report is older than this is not counted as having anything.
+    model_gone_s: float = 60.0
+    # An instance places the models of a service when it has been the one for it for so long.
+    model_settle_s: float = 5.0
+    # A lease without use for so long is released.
+    model_idle_s: float = 20.0
+
     # --- settings ---
     # Raw records kept for peers that are behind, and how many one message carries.
     settings_keep: int = 400
@@ -326,10 +394,10 @@
     # --- limits of customers and teams ---
     # How long a share is good for. Long, because shares move by changes of demand, not by lapsing:
     # at 260 customers on 320 instances the renewals are most of the messages.
-    rate_lease_s: float = 60.0
-    rate_renew_s: float = 40.0
+    rate_lease_s: float = 300.0
+    rate_renew_s: float = 200.0
     # A share that has not been used for so long is not renewed.
-    rate_idle_s: float = 30.0
+    rate_idle_s: float = 150.0
     # Memory of the steady and of the quick average of demand.
     rate_slow_s: float = 20.0
     rate_fast_s: float = 2.0
@@ -351,7 +419,7 @@
     rate_answer_max_s: float = 15.0
     # Between two rebalancings by a home, and how far below its share an instance must be for one.
     rate_push_s: float = 0.5
-    rate_push_factor: float = 1.25
+    rate_push_factor: float = 1.4
     # How long a new home waits for the holders of shares before it hands out what looks free.
     rate_learn_s: float = 3.0
     # How long the part of a data centre that is cut off is kept for it.
@@ -377,6 +445,8 @@
     trial_lease_s: float = 6.0
     # No answer to an ask for a trial for so long, and the suspect runs without leave.
     trial_answer_s: float = 1.0
+    # From a crash to the first trial of its suspects, in which the others' news of it arrive.
+    trial_delay_s: float = 0.25
     # Between two asks for a trial by one suspect.
     trial_ask_s: float = 0.1
 
--- a/packages/turmericweir-core/turmericweir_core/peer_messages.py
+++ b/packages/turmericweir-core/turmericweir_core/peer_messages.py
@@ -369,6 +369,24 @@
     fingerprint: str
 
 
+@dataclass(frozen=True, slots=True)
+class ModelUse:
+    """What runs and waits for a model on one instance, averaged since it last told."""
+
+    model: str
+    busy: float
+    waiting: int
+
+
+@dataclass(frozen=True, slots=True)
+class ModelDemand:
+    """Use of the models of a service, for the instance that places them in a data centre."""
+
+    service: str
+    data_centre: str
+    uses: list[ModelUse] = field(default_factory=list)
+
+
 PeerMessage: TypeAlias = (
     Heartbeat
     | MembersAsk
@@ -392,6 +410,7 @@
     | TrialAsk
     | TrialAnswer
     | TrialEnd
+    | ModelDemand
 )
 
 PEER_MESSAGES: Final[tuple[type[PeerMessage], ...]] = (
@@ -417,4 +436,5 @@
     TrialAsk,
     TrialAnswer,
     TrialEnd,
+    ModelDemand,
 )
--- a/packages/turmericweir-core/turmericweir_core/placement.py
+++ b/packages/turmericweir-core/turmericweir_core/placement.py
@@ -5,8 +5,8 @@
 
 - Baseline takes the servers in turn, up to their slots and a queue as long again.
 - Counts estimates a server's load from this instance's own requests there and the server's last
-  report, and leaves room for the other instances that read the same report: each takes only its
-  share of what looks free, or all of them would run to the one server that looked idle a moment
+  report, and leaves room for the other instances that read the same report: each takes its share
+  of what looks free first, or all of them would run to the one server that looked idle a moment
   ago.
 - Credits goes by the slots that the server's dispatcher leased to this instance, and by counts with
   a cautious limit where there is none (see `credit`).
@@ -77,12 +77,35 @@
     ]
     if not loads:
         return None
+    loads = _within_share(state, now, loads) or loads
     warm = _warmest(state, req, loads)
     if warm is not None:
         return warm
     return min(loads, key=lambda pair: pair[0])[1]
 
 
+def _within_share(
+    state: State, now: float, loads: list[tuple[float, Server]]
+) -> list[tuple[float, Server]]:
+    """Leave out servers where this instance has taken its part of what looked free.
+
+    Failure: a server has just become idle, and its report says so to all instances at once. Each
+    sends it all that it has, and the callers wait behind a server that looked idle a moment ago.
+    So of what a report shows free each instance takes its part first, and more only where it has
+    taken its part everywhere.
+    """
+    if state.config.policy is not Policy.COUNTS:
+        return loads
+    return [pair for pair in loads if _share_left(state, now, pair[1]) > 0]
+
+
+def _share_left(state: State, now: float, server: Server) -> int:
+    sharing = sharing_instances(state, _any_target(server))
+    then = server.own_at_report
+    free = usable_slots(state, server) - then - others_load(state, now, server)
+    return then + max(1, free // sharing) - len(server.in_flight)
+
+
 def _warmest(state: State, req: Request, loads: list[tuple[float, Server]]) -> Server | None:
     """Pick the server with the longest known prefix among those that are not much too busy.
 
@@ -186,8 +209,7 @@
         free -= ceil(state.options.reserve_share * weighed)
     if free <= 0:
         return 1 if _runs_nothing(state, server) else free
-    sharing = sharing_instances(state, _any_target(server))
-    return max(1, free // sharing)
+    return free
 
 
 def _runs_nothing(state: State, server: Server) -> bool:
--- a/packages/turmericweir-core/turmericweir_core/quarantine.py
+++ b/packages/turmericweir-core/turmericweir_core/quarantine.py
@@ -105,8 +105,8 @@
         _add(state, now, key, crash.at, set(), set(), retracted=True)
 
 
-def note_completed(state: State, now: float, fingerprint: str) -> None:
-    """Clear a suspect that has completed."""
+def note_cleared(state: State, now: float, fingerprint: str) -> None:
+    """Clear a suspect that has completed, or has come past where it was at the crash."""
     if not is_suspect(state, fingerprint):
         return
     for key, crash in state.quarantine.crashes.items():
--- a/packages/turmericweir-core/turmericweir_core/quarantine_state.py
+++ b/packages/turmericweir-core/turmericweir_core/quarantine_state.py
@@ -28,7 +28,7 @@
     changed_at: float
     # Fingerprints of the requests that were in flight.
     suspects: set[str] = field(default_factory=set)
-    # Those of them that have completed since.
+    # Those of them that have completed since, or come past where they were.
     cleared: set[str] = field(default_factory=set)
     # The server was seen alive in the same life: a network fault, not a crash.
     retracted: bool = False
@@ -77,7 +77,7 @@
 
 @dataclass(slots=True)
 class GivenTrial:
-    """Leave that this instance gave, as home of a server."""
+    """Leave that this instance gave, as home of the trials."""
 
     holder: InstanceName
     fingerprint: str
--- a/packages/turmericweir-core/turmericweir_core/reducer.py
+++ b/packages/turmericweir-core/turmericweir_core/reducer.py
@@ -16,10 +16,14 @@
     claim_flow,
     credit,
     dispatch,
+    lease_flow,
     leaving,
     lifecycle,
     limit,
     membership_reducer,
+    model_demand,
+    model_flow,
+    order_flow,
     placement,
     prefix,
     quarantine,
@@ -59,6 +63,7 @@
     WeightsAnswered,
 )
 from turmericweir_core.ids import InstanceName
+from turmericweir_core.lease_record import LEASES_STREAM
 from turmericweir_core.options import Options
 from turmericweir_core.peer_messages import (
     ClaimAsk,
@@ -76,6 +81,7 @@
     MarksSend,
     MembersAsk,
     MembersSend,
+    ModelDemand,
     ServersAsk,
     ServersSend,
     SettingsAsk,
@@ -120,6 +126,7 @@
             quarantine.note_report(state, now, event)
             attempt_books.note_report(state, now, event)
             server_table.note_report(state.servers, state.options, now, event)
+            order_flow.note_report(state, now, event)
             return dispatch.dispatch_all(state, now)
         case ServerUnreachable(server, _):
             server_table.note_unreachable(state.servers, state.options, now, server)
@@ -154,6 +161,14 @@
             return settings_flow.on_log(state, now, event) + dispatch.dispatch_all(state, now)
         case AppendDone() | AppendFailed() if event.stream == SETTINGS_STREAM:
             return settings_flow.on_append(state, now, event)
+        case LogRead() | LogExpired() | LogFailed() if event.stream == LEASES_STREAM:
+            return lease_flow.on_log(state, now, event)
+        case AppendDone() | AppendFailed() if event.stream == LEASES_STREAM:
+            return lease_flow.on_append(state, now, event)
+        case OrderDone():
+            return order_flow.on_order_done(state, now, event)
+        case WeightsAnswered():
+            return order_flow.on_weights(state, now, event)
         case ChangeSubmitted():
             return settings_flow.on_submitted(state, now, event)
         case PeerReceived(sender, (SettingsAsk() | SettingsSend()) as message):
@@ -183,6 +198,9 @@
             return quarantine_flow.on_message(state, now, sender, message)
         case PeerReceived(sender, (CreditDemand() | CreditGrant()) as message):
             return dispatch.on_credit(state, now, sender, message)
+        case PeerReceived(sender, ModelDemand() as demand):
+            model_demand.on_message(state, now, sender, demand)
+            return []
         case CacheEvents():
             prefix.note_cache_events(state.prefixes, state.options, now, event)
             return []
@@ -195,8 +213,6 @@
             | LogFailed()
             | AppendDone()
             | AppendFailed()
-            | OrderDone()
-            | WeightsAnswered()
             | PeerReceived()
         ):
             return []
@@ -212,6 +228,9 @@
     effects += claim_flow.on_tick(state, now)
     effects += claim_carry.on_tick(state, now)
     effects += settings_flow.on_tick(state, now)
+    effects += lease_flow.on_tick(state, now)
+    effects += model_demand.on_tick(state, now)
+    effects += model_flow.on_tick(state, now)
     expire_accounts(state.accounts, state.options, now)
     for server in server_table.due_probes(state.servers, state.options, now):
         if placement.must_probe(state, now, server):
--- a/packages/turmericweir-core/turmericweir_core/server_table.py
+++ b/packages/turmericweir-core/turmericweir_core/server_table.py
@@ -14,6 +14,7 @@
 from turmericweir_core.events import ServerReport
 from turmericweir_core.ids import AttemptId, ServerName
 from turmericweir_core.leaving_marks import LeavingMark, LeavingMarks, marks_on
+from turmericweir_core.model_label import bare_name
 from turmericweir_core.options import Options
 
 
@@ -55,7 +56,8 @@
         """Tell whether it has the model, or is of the plain service, that is asked for."""
         if self.service.models:
             if self.report is not None and self.report.models:
-                return target in self.report.models
+                # A label names the version as well; requests name the model, in any version.
+                return any(target in (each, bare_name(each)) for each in self.report.models)
             return target in self.service.models
         return target == self.service.name
 
--- a/packages/turmericweir-core/turmericweir_core/settings_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/settings_flow.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Sequence
 
-from turmericweir_core import membership, server_table, settings_reducer
+from turmericweir_core import membership, server_table, settings_changes, settings_reducer
 from turmericweir_core.effects import Effect
 from turmericweir_core.events import (
     AppendDone,
@@ -42,14 +42,14 @@
     """Take how an append to the settings stream ended."""
     match event:
         case AppendDone():
-            return settings_reducer.on_append_done(state.settings, event)
+            return settings_changes.on_append_done(state.settings, event)
         case AppendFailed():
-            return settings_reducer.on_append_failed(state.settings, now, event)
+            return settings_changes.on_append_failed(state.settings, now, event)
 
 
 def on_submitted(state: State, now: float, event: ChangeSubmitted) -> list[Effect]:
     """Carry an operator's change to the log."""
-    return settings_reducer.on_change_submitted(state.settings, state.options, now, event)
+    return settings_changes.on_change_submitted(state.settings, state.options, now, event)
 
 
 def on_message(
@@ -110,8 +110,8 @@
         offset,
         centres=membership.data_centres(state, now),
         not_live=[each for each in members if not membership.is_live(state, now, each)],
-        # A data centre may be known only by the servers that the settings place there.
-        named={server.data_centre for server in state.config.servers.values()},
+        # A data centre may be known only by its servers: no instance there was ever heard of.
+        named={server.entry.data_centre for server in state.servers.by_name.values()},
     )
 
 
--- a/packages/turmericweir-core/turmericweir_core/settings_model.py
+++ b/packages/turmericweir-core/turmericweir_core/settings_model.py
@@ -12,7 +12,7 @@
 
 import ipaddress
 from collections.abc import Mapping
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from typing import Annotated, Any, Final, Literal, Self, TypeAlias, assert_never
 
 from pydantic import (
@@ -209,6 +209,11 @@
     operator: str
     # Seconds since the epoch by the clock of whoever made the change; shown, never compared.
     at: float
+    # The written form of the value; derived, and kept as hashes and answers need it often.
+    written: dict[str, Any] = field(init=False, repr=False, compare=False)
+
+    def __post_init__(self) -> None:
+        object.__setattr__(self, "written", written_form(self.value))
 
 
 def model_of(path: SettingsPath) -> type[Value]:
@@ -397,6 +402,8 @@
 
 def _apply_caps(built: Config, caps: Mapping[LimitPath, Limit]) -> None:
     """Apply the limits of `/limits`: a team's own setting can tighten them, never loosen them."""
+    if not caps:
+        return
     default = caps.get(LimitPath(Scope.DEFAULT), NO_LIMIT)
     for name, customer in built.customers.items():
         own = default if customer.limit == NO_LIMIT else customer.limit
--- a/packages/turmericweir-core/turmericweir_core/settings_refs.py
+++ b/packages/turmericweir-core/turmericweir_core/settings_refs.py
@@ -14,7 +14,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from enum import StrEnum
-from typing import TypeAlias
+from typing import Final, TypeAlias
 
 from turmericweir_core.settings_model import (
     Entry,
@@ -56,6 +56,16 @@
     kind: RefKind
     name: str
 
+    def __str__(self) -> str:
+        # Problems are kept in the history, and all of this in state dumps; whoever reads a token's
+        # digest there could try guesses of the token against it.
+        return self.kind if self.kind in _SECRET else f"{self.kind} {self.name!r}"
+
+
+# What some value may need; the rest is only provided once, and its loss needs no search.
+_NEEDABLE: Final = frozenset({RefKind.CLASS, RefKind.SERVICE, RefKind.MODEL})
+_SECRET: Final = frozenset({RefKind.CUSTOMER_TOKEN, RefKind.OPERATOR_TOKEN})
+
 
 @dataclass(frozen=True, slots=True)
 class Need:
@@ -131,7 +141,7 @@
 def _missing(providers: Providers, needs: Iterable[Need]) -> Iterable[Problem]:
     for need in needs:
         if need.ref not in providers:
-            expected = f"expected an existing {need.ref.kind}; there is no {need.ref.name!r}"
+            expected = f"expected an existing {need.ref.kind}; there is no {need.ref}"
             yield Problem(need.field, expected)
 
 
@@ -139,13 +149,13 @@
     for ref in sorted(refs, key=lambda ref: (ref.kind, ref.name)):
         holder = providers.get(ref, path)
         if holder != path:
-            expected = f"expected a {ref.kind} that is not set elsewhere; {ref.name!r} is"
-            yield Problem("", f"{expected} at {holder}")
+            yield Problem("", f"expected what is not set elsewhere; {ref} is set at {holder}")
 
 
 def _still_needed(
-    entries: Mapping[str, Entry], path: str, gone: frozenset[Ref]
+    entries: Mapping[str, Entry], path: str, lost: frozenset[Ref]
 ) -> Iterable[Problem]:
+    gone = {ref for ref in lost if ref.kind in _NEEDABLE}
     if not gone:
         return
     for other in sorted(entries):
@@ -153,7 +163,7 @@
             continue
         for need in needed(parse_path(other).unwrap(), entries[other].value):
             if need.ref in gone:
-                yield Problem("", f"{need.ref.kind} {need.ref.name!r} is still used at {other}")
+                yield Problem("", f"{need.ref} is still used at {other}")
 
 
 def index_providers(entries: Mapping[str, Entry]) -> Providers:
--- a/packages/turmericweir-core/turmericweir_core/settings_state.py
+++ b/packages/turmericweir-core/turmericweir_core/settings_state.py
@@ -38,7 +38,6 @@
     WrittenOperator,
     build_config,
     read_value,
-    written_form,
 )
 from turmericweir_core.settings_path import Problem, covers, parse_path
 from turmericweir_core.settings_record import (
@@ -202,7 +201,7 @@
         subject,
         expected_version=change.expected_version,
         version=entry.version if entry else ABSENT,
-        value=written_form(entry.value) if entry else None,
+        value=entry.written if entry else None,
         won_by=entry.operator if entry else "",
     )
 
@@ -248,7 +247,7 @@
     entries = {
         path: SnapshotEntry(
             version=entry.version,
-            value=written_form(entry.value),
+            value=entry.written,
             operator=entry.operator,
             at=entry.at,
         )
@@ -311,15 +310,28 @@
     if own is not None and own != snapshot.hash:
         reason = f"its hash is {snapshot.hash}, this instance had {own}"
         return SnapshotMismatched(offset, snapshot.offset, reason)
-    # A hash that is right proves nothing of the entries beside it, which a reader would load.
-    result = read_snapshot(snapshot)
-    if not is_successful(result):
-        return SnapshotMismatched(offset, snapshot.offset, result.failure())
     if own is None:
-        return SnapshotUnchecked(offset, snapshot.offset)
+        result = read_snapshot(snapshot)
+        if is_successful(result):
+            return SnapshotUnchecked(offset, snapshot.offset)
+        return SnapshotMismatched(offset, snapshot.offset, result.failure())
+    # A hash that is right proves nothing of the entries beside it, which a reader would load. To
+    # compare them costs far less than to validate and hash them, for which requests would wait.
+    if snapshot.offset == state.offset and not _holds_same(state, snapshot):
+        reason = "its content is not what this instance holds"
+        return SnapshotMismatched(offset, snapshot.offset, reason)
     return SnapshotMatched(offset, snapshot.offset)
 
 
+def _holds_same(state: SettingsState, snapshot: SnapshotRecord) -> bool:
+    entries = {
+        path: (it.version, it.value, it.operator, it.at) for path, it in snapshot.entries.items()
+    }
+    own = {path: (it.version, it.written, it.operator, it.at) for path, it in state.entries.items()}
+    seen = [(it.change_id, it.offset, it.kind) for it in snapshot.seen_ids]
+    return entries == own and seen == [(key, it.offset, it.kind) for key, it in state.seen.items()]
+
+
 # --- hashes ----------------------------------------------------------------------------------
 
 
@@ -334,7 +346,7 @@
 
 
 def _hash_entry(path: str, entry: Entry) -> int:
-    return _hash([path, entry.version, written_form(entry.value), entry.operator, entry.at])
+    return _hash([path, entry.version, entry.written, entry.operator, entry.at])
 
 
 def _hash_seen(change_id: str, seen: Seen) -> int:
--- a/packages/turmericweir-core/turmericweir_core/state.py
+++ b/packages/turmericweir-core/turmericweir_core/state.py
@@ -15,8 +15,10 @@
 from turmericweir_core.config import Config
 from turmericweir_core.credit_state import CreditState
 from turmericweir_core.ids import InstanceName, RequestId, ServerName
+from turmericweir_core.lease_state import LeaseState
 from turmericweir_core.limit_state import LimitState
 from turmericweir_core.membership import Membership
+from turmericweir_core.model_state import ModelState
 from turmericweir_core.options import Options
 from turmericweir_core.pool_load import PoolLoads
 from turmericweir_core.predict import Predictor
@@ -82,6 +84,8 @@
     settings: SettingsSync = field(default_factory=SettingsSync)
     rate_limits: LimitState = field(default_factory=LimitState)
     quarantine: QuarantineState = field(default_factory=QuarantineState)
+    leases: LeaseState = field(default_factory=LeaseState)
+    models: ModelState = field(default_factory=ModelState)
     silence: SilenceState = field(default_factory=SilenceState)
     # Set by a graceful stop; never unset.
     stopping_since: float | None = None
--- a/packages/turmericweir-core/turmericweir_core/subset.py
+++ b/packages/turmericweir-core/turmericweir_core/subset.py
@@ -41,6 +41,8 @@
     # Servers in the subset of any target that was asked for here, as of the last look.
     used: frozenset[ServerName] = frozenset()
     used_due: float = 0.0
+    # Data centres that are known to be of another region.
+    foreign: frozenset[str] = frozenset()
     # Live instances of the region, as of the last tick.
     instances: int = 1
 
@@ -71,6 +73,9 @@
     )
     own = [server for server in serving if server.entry.data_centre == me.data_centre]
     others = [server for server in serving if server.entry.data_centre != me.data_centre]
+    # Another region is far away; its servers are for when this one has none.
+    near = [server for server in others if server.entry.data_centre not in state.subsets.foreign]
+    others = near if own or near else others
     size = state.options.subset_size
     kept = own[: max(size - len(others), size - state.options.subset_remote)]
     return TargetSubset(state.servers.version, (*kept, *others[: size - len(kept)]), len(serving))
@@ -79,12 +84,21 @@
 def open_servers(state: State, now: float, target: Target) -> list[Server]:
     """List the servers of the subset that may be given new work now."""
     subset = target_subset(state, target)
-    found = [server for server in subset.servers if is_open(server, now)]
+    found = _proven([server for server in subset.servers if is_open(server, now)])
     if found or subset.total <= len(subset.servers):
         return found
     # Failure: every server of the subset is cut off, say with its rack. Requests would wait until
     # their deadlines before idle servers; so the others are used until the subset is back.
-    return list(servers_for(state.servers, target, now))
+    return _proven(list(servers_for(state.servers, target, now)))
+
+
+def _proven(servers: list[Server]) -> list[Server]:
+    """Leave out servers that failed and have not answered a probe since, if any others are left.
+
+    Failure: a data centre is cut off, and connections to it time out. Trying one of its servers
+    with a caller's request every time that its pause is over costs that caller the timeout.
+    """
+    return [server for server in servers if server.unreachable_until == 0.0] or servers
 
 
 def sharing_instances(state: State, target: Target) -> int:
@@ -102,6 +116,14 @@
     if now < subsets.used_due:
         return
     subsets.used_due = now + state.options.subset_look_s
+    foreign = frozenset(
+        each.name
+        for each in state.members.centres.values()
+        if each.region and each.region != state.me.region
+    )
+    if foreign != subsets.foreign:
+        subsets.foreign = foreign
+        subsets.by_target.clear()
     subsets.instances = max(1, len(membership.region_instances(state, now)))
     subsets.used = frozenset(
         server.entry.name
--- a/packages/turmericweir-ctl/turmericctl/reach.py
+++ b/packages/turmericweir-ctl/turmericctl/reach.py
@@ -55,7 +55,7 @@
 def _last_word(centre: dict[str, Any]) -> str:
     if centre["silent"] and centre["live"]:
         names = ", ".join(it["name"] for it in centre["silent"])
-        return messages.SILENT.format(count=len(centre["silent"]), names=names)
+        return messages.SILENT.format(names=names)
     if centre["age_s"] is None:
         return messages.NEVER_HEARD
     return messages.LAST_WORD.format(age=centre["age_s"])
--- a/packages/turmericweir-standins/turmericweir_standins/listener.py
+++ b/packages/turmericweir-standins/turmericweir_standins/listener.py
@@ -138,7 +138,9 @@
         self._down_s = None
 
     def _bind(self) -> socket.socket:
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        # asyncio sets TCP_NODELAY only where the protocol is named. Without it an answer whose head
+        # and body are written apart waits some 40 ms for the other end's delayed acknowledgement.
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
         # Without it a restart on the same address fails while old connections are in TIME_WAIT.
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind((self.host, self.port))
--- a/packages/turmericweir-standins/turmericweir_standins/measure.py
+++ b/packages/turmericweir-standins/turmericweir_standins/measure.py
@@ -114,6 +114,9 @@
         f" {figures.goodput_tokens_s:.0f} tokens/s; wasted {figures.wasted_share:.2%};"
         f" lost {figures.lost}, doubled {figures.doubled}"
     )
+    crashes = sum(each["event"] == "crash" for each in seen.engine_records)
+    if crashes or seen.crashing_answers:
+        click.echo(f"   {crashes} crashes; answers: {', '.join(seen.crashing_answers)}")
     for line in (*find_lost(seen)[:LINES_SHOWN], *find_doubled(seen)[:LINES_SHOWN]):
         click.echo(f"   ! {line}")
     _show_cpu(seen)
@@ -123,7 +126,8 @@
     late = sorted(call["late_s"] for call in seen.calls)
     shares = ", ".join(f"{kind} {share:.0%}" for kind, share in seen.cpu.by_kind.items())
     click.echo(
-        f"   busiest second: {shares}, machine {seen.cpu.machine:.1f} cores;"
+        f"   busiest second: {shares}; together {seen.cpu.own:.1f} cores,"
+        f" all on the machine {seen.cpu.machine:.1f};"
         f" callers late by {late[len(late) * 99 // 100] * 1000:.1f} ms in 1 of 100"
     )
     for kind, share in seen.cpu.by_kind.items():
--- a/packages/turmericweir/turmericweir/backend_attempt.py
+++ b/packages/turmericweir/turmericweir/backend_attempt.py
@@ -75,19 +75,19 @@
 
     async def run(self, request: httpcore.Request, consume: Consume) -> AttemptEnd:
         """Run the attempt to its end; being cancelled ends it too."""
-        request.extensions["trace"] = self._first_byte
         address = self.start.address
-        conn = await self.pool.take(address, fresh=self.start.fresh_connection)
         try:
-            response = await conn.handle_async_request(request)
+            conn = await self.pool.take(address, fresh=self.start.fresh_connection)
             try:
-                return await consume(response)
+                response = await conn.send(request, self._first_byte)
+                end = await consume(response)
+                # Marks the connection as idle, if the answer was read to its end.
+                await response.aclose()
+                return end
             finally:
-                await close(response)
+                await self.pool.give_back(address, conn)
         except TRANSPORT_ERRORS as exc:
             return await self.lost(describe(exc))
-        finally:
-            await self.pool.give_back(address, conn)
 
     async def lost(self, error: str) -> AttemptEnd:
         """Classify a loss of the connection by what had been written to it."""
@@ -127,12 +127,6 @@
     ]
 
 
-async def close(response: httpcore.Response) -> None:
-    """Close an answer, also when the attempt is being cancelled."""
-    with anyio.CancelScope(shield=True):
-        await response.aclose()
-
-
 async def read_tail(response: httpcore.Response) -> None:
     """Read a short rest of an answer so that its connection can be used again."""
     with anyio.move_on_after(TAIL_TIMEOUT_S):
--- a/packages/turmericweir/turmericweir/backend_call.py
+++ b/packages/turmericweir/turmericweir/backend_call.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import AsyncIterable, AsyncIterator, Callable, Iterable
 from dataclasses import dataclass
 from typing import Any, Final
 
@@ -13,7 +13,7 @@
 import httpcore
 import orjson
 
-from turmericweir.backend_pool import BackendPool, make_request
+from turmericweir.backend_pool import BackendConnection, BackendPool, make_request
 from turmericweir.errors import CallError, describe
 from turmericweir.traffic import Kind
 
@@ -26,7 +26,6 @@
     OSError,
 )
 ANSWER_MAX: Final = 16_777_216
-_FIRST_BYTE: Final = "http11.send_request_headers.started"
 _JSON: Final = (b"content-type", b"application/json")
 # Colon, blank and line end of a header; version, blanks and line ends around the first line.
 _HEADER_EXTRA: Final = 4
@@ -45,13 +44,11 @@
         self.sent = False
         self._announce = announce
 
-    # Any: httpcore passes whatever the step has at hand. It announces each step of a request.
-    async def __call__(self, step: str, info: Mapping[str, Any]) -> None:
-        """Take the announcement of a step."""
-        if step == _FIRST_BYTE and not self.sent:
-            self.sent = True
-            if self._announce is not None:
-                self._announce()
+    def __call__(self) -> None:
+        """Take the word that the first byte goes out next."""
+        self.sent = True
+        if self._announce is not None:
+            self._announce()
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,20 +83,20 @@
     sent_headers = [*headers, *([_JSON] if body else [])]
     request = make_request(method, address, target.encode("ascii"), sent_headers, body)
     first_byte = FirstByte()
-    request.extensions["trace"] = first_byte
     if traffic is not None:
         traffic.sent.add(_size(method + target.encode("ascii"), request.headers, body))
-    conn = await pool.take(address, fresh=fresh)
     try:
         with anyio.fail_after(timeout_s):
-            return await _exchange(conn, request, traffic)
+            conn = await pool.take(address, fresh=fresh)
+            try:
+                return await _exchange(conn, request, first_byte, traffic)
+            finally:
+                await pool.give_back(address, conn)
     except TimeoutError:
         detail = f"no whole answer in {timeout_s} s"
         raise CallError(target, address, detail, sent=first_byte.sent) from None
     except TRANSPORT_ERRORS as exc:
         raise CallError(target, address, describe(exc), sent=first_byte.sent) from exc
-    finally:
-        await pool.give_back(address, conn)
 
 
 def _size(line: bytes, headers: Iterable[tuple[bytes, bytes]], body: bytes) -> int:
@@ -109,24 +106,33 @@
 
 
 async def _exchange(
-    conn: httpcore.AsyncHTTPConnection, request: httpcore.Request, traffic: Kind | None
+    conn: BackendConnection,
+    request: httpcore.Request,
+    first_byte: FirstByte,
+    traffic: Kind | None,
 ) -> Answer:
-    response = await conn.handle_async_request(request)
-    try:
-        body = await read_body(response, ANSWER_MAX)
-    finally:
-        with anyio.CancelScope(shield=True):
-            await response.aclose()
+    response = await conn.send(request, first_byte)
+    body = await read_body(response, ANSWER_MAX)
+    await response.aclose()
     if traffic is not None:
         traffic.received.add(_size(b"200 OK", response.headers, body))
     return Answer(response.status, lower_headers(response), body)
 
 
+def body_of(response: httpcore.Response) -> AsyncIterator[bytes]:
+    """Iterate over the body as it comes.
+
+    `Response.aiter_stream` would put one more generator between, which is entered for each chunk.
+    """
+    assert isinstance(response.stream, AsyncIterable)
+    return aiter(response.stream)
+
+
 async def read_body(response: httpcore.Response, limit: int) -> bytes:
     """Read a whole body of limited size."""
     parts: list[bytes] = []
     size = 0
-    async for chunk in response.aiter_stream():
+    async for chunk in body_of(response):
         parts.append(chunk)
         size += len(chunk)
         if size > limit:
--- a/packages/turmericweir/turmericweir/backend_engine.py
+++ b/packages/turmericweir/turmericweir/backend_engine.py
@@ -22,7 +22,7 @@
     attempt_headers,
     read_tail,
 )
-from turmericweir.backend_call import TRANSPORT_ERRORS, call, lower_headers, read_body
+from turmericweir.backend_call import TRANSPORT_ERRORS, body_of, call, lower_headers, read_body
 from turmericweir.backend_pool import BackendPool, make_request
 from turmericweir.errors import CallError
 from turmericweir_core.effects import StartAttempt
@@ -107,7 +107,7 @@
 
     async def _stream(self, response: httpcore.Response) -> AttemptEnd:
         partial = b""
-        chunks = response.aiter_stream()
+        chunks = body_of(response)
         async for chunk in chunks:
             whole, partial = sse.split_whole(partial + chunk if partial else chunk)
             if whole:
--- a/packages/turmericweir/turmericweir/backend_pool.py
+++ b/packages/turmericweir/turmericweir/backend_pool.py
@@ -7,8 +7,8 @@
 
 from __future__ import annotations
 
-import socket
 from collections import defaultdict
+from collections.abc import Callable
 from time import monotonic
 from types import TracebackType
 from typing import Final, Self
@@ -16,32 +16,63 @@
 import anyio
 import httpcore
 
+from turmericweir.backend_stream import BackendStream, connect
+
 # An idle connection is not trusted for longer: something between the two ends may have lost track
 # of it, and a request sent over it would wait for nothing. Shorter than any keep-alive of a server.
 IDLE_MAX_S: Final = 2.0
 # Idle connections kept for one address; a burst leaves more, which are closed.
 IDLE_MAX: Final = 64
-CONNECT_TIMEOUT_S: Final = 1.0
-# A request is written to the socket's buffer; a server that takes none of it for so long is gone.
-WRITE_TIMEOUT_S: Final = 5.0
-# The system probes a silent connection after 5 s and gives it up after 3 unanswered probes, 2 s
-# apart; data that stays unacknowledged for 6 s breaks it as well. Without these, a connection that
-# lost its other end without a word would be waited on for hours.
-SOCKET_OPTIONS: Final[tuple[tuple[int, int, int], ...]] = (
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 5),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 2),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 6000),
-)
 _SWEEP_S: Final = 1.0
 
 
+class BackendConnection:
+    """One HTTP connection, for one request at a time."""
+
+    __slots__ = ("_http", "_stream")
+
+    _http: httpcore.AsyncHTTP11Connection
+    _stream: BackendStream
+
+    def __init__(self, address: str, stream: BackendStream) -> None:
+        host, _, port = address.rpartition(":")
+        origin = httpcore.Origin(b"http", host.encode("ascii"), int(port))
+        self._http = httpcore.AsyncHTTP11Connection(origin, stream)
+        self._stream = stream
+
+    async def send(
+        self, request: httpcore.Request, announce: Callable[[], None]
+    ) -> httpcore.Response:
+        """Send a request and read the head of its answer.
+
+        `announce` is called just before the first byte goes out: not before it is sure that the
+        connection stands, and not after the server could have begun.
+        """
+        self._stream.before_write = announce
+        return await self._http.handle_async_request(request)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether it can carry another request."""
+        return self._http.is_idle()
+
+    @property
+    def was_closed(self) -> bool:
+        """Whether its server has closed it while it was idle."""
+        return self._http.has_expired()
+
+    async def close(self) -> None:
+        """Close it, also when the attempt that had it is being cancelled."""
+        if not self._http.is_closed():
+            with anyio.CancelScope(shield=True):
+                await self._http.aclose()
+
+
 class BackendPool:
     """Idle connections by address; owns them and closes them on exit."""
 
     # For each address the idle connections and when they became so, the newest last.
-    _idle: defaultdict[str, list[tuple[float, httpcore.AsyncHTTPConnection]]]
+    _idle: defaultdict[str, list[tuple[float, BackendConnection]]]
     # Connections ever opened and reused, for the state dump.
     opened: int
     reused: int
@@ -60,36 +91,35 @@
         exc: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        with anyio.CancelScope(shield=True):
-            for idle in self._idle.values():
-                for _, conn in idle:
-                    await conn.aclose()
-            self._idle.clear()
-
-    async def take(self, address: str, *, fresh: bool = False) -> httpcore.AsyncHTTPConnection:
-        """Take a connection to an address for one request; a fresh one has carried none."""
+        for idle in self._idle.values():
+            for _, conn in idle:
+                await conn.close()
+        self._idle.clear()
+
+    async def take(self, address: str, *, fresh: bool = False) -> BackendConnection:
+        """Take a connection to an address for one request; a fresh one has carried none.
+
+        Raises httpcore's errors where none can be opened.
+        """
         idle = self._idle.get(address)
         while idle and not fresh:
             since, conn = idle.pop()
             # One that the server closed meanwhile would break the request that is sent over it.
-            if monotonic() - since <= IDLE_MAX_S and not conn.has_expired():
+            if monotonic() - since <= IDLE_MAX_S and not conn.was_closed:
                 self.reused += 1
                 return conn
-            await conn.aclose()
+            await conn.close()
+        stream = await connect(address)
         self.opened += 1
-        host, _, port = address.rpartition(":")
-        origin = httpcore.Origin(b"http", host.encode("ascii"), int(port))
-        return httpcore.AsyncHTTPConnection(origin, socket_options=SOCKET_OPTIONS)
+        return BackendConnection(address, stream)
 
-    async def give_back(self, address: str, conn: httpcore.AsyncHTTPConnection) -> None:
+    async def give_back(self, address: str, conn: BackendConnection) -> None:
         """Keep a connection for another request, or close it where it cannot carry one."""
         idle = self._idle[address]
-        if conn.is_idle() and len(idle) < IDLE_MAX:
+        if conn.is_idle and len(idle) < IDLE_MAX:
             idle.append((monotonic(), conn))
-        elif not conn.is_closed():
-            # Shielded, since the attempt that held it may just have been cancelled.
-            with anyio.CancelScope(shield=True):
-                await conn.aclose()
+        else:
+            await conn.close()
 
     def counts(self) -> dict[str, int]:
         """Count the idle connections by address, for the state dump."""
@@ -111,7 +141,7 @@
         if not idle:
             del self._idle[address]
         for conn in old:
-            await conn.aclose()
+            await conn.close()
 
 
 def make_request(
@@ -127,10 +157,10 @@
     all_headers = [(b"host", address.encode("ascii")), *headers]
     if body or method in _METHODS_WITH_BODY:
         all_headers.append((b"content-length", b"%d" % len(body)))
-    timeouts = {"connect": CONNECT_TIMEOUT_S, "write": WRITE_TIMEOUT_S}
-    return httpcore.Request(
-        method, url, headers=all_headers, content=body, extensions={"timeout": timeouts}
-    )
+    request = httpcore.Request(method, url, content=body)
+    # Set afterwards: the constructor would convert each name and value, which are bytes already.
+    request.headers = all_headers
+    return request
 
 
 _METHODS_WITH_BODY: Final = frozenset({b"POST", b"PUT", b"PATCH"})
--- a/packages/turmericweir/turmericweir/backend_service.py
+++ b/packages/turmericweir/turmericweir/backend_service.py
@@ -21,7 +21,7 @@
     Attempt,
     attempt_headers,
 )
-from turmericweir.backend_call import lower_headers
+from turmericweir.backend_call import body_of, lower_headers
 from turmericweir.backend_pool import BackendPool, make_request
 from turmericweir_core.effects import StartAttempt
 from turmericweir_core.events import (
@@ -149,7 +149,7 @@
         lower = [(name.lower(), value) for name, value in response.headers]
         answer = self._answer
         answer.begin(response.status, _end_to_end(lower, _NOT_PASSED_ON))
-        async for chunk in response.aiter_stream():
+        async for chunk in body_of(response):
             answer.keep(chunk)
             if not answer.is_whole:
                 # The reducer must know that the caller has a part: there is no second try now.
--- a/packages/turmericweir/turmericweir/caller_app.py
+++ b/packages/turmericweir/turmericweir/caller_app.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import asdict, dataclass
 from typing import TYPE_CHECKING, Final
 from urllib.parse import unquote
@@ -32,7 +31,7 @@
     read_plain,
 )
 from turmericweir.exchange import CompletionJob, Exchange, Job, PlainJob
-from turmericweir.http_server import ABORT
+from turmericweir.http_server import CONNECTION, LimitedProtocol
 from turmericweir.node import Node
 from turmericweir.process_settings import Limits
 from turmericweir_core.account import Outcome
@@ -102,7 +101,7 @@
     async def _give_up(self, scope: HTTPScope, caller: Caller) -> None:
         """Answer after a fault of the program itself, which proves nothing about the request."""
         if caller.started:
-            _cut(scope)
+            _connection(scope).cut()
             return
         problem = make_problem(
             caller.request_id,
@@ -170,14 +169,16 @@
         exchange = Exchange(self._node, self._pool, request, inbound.caller, job)
         self._node.exchanges[request.request_id] = exchange
         try:
-            whole = await exchange.run(inbound.receive)
+            whole = await exchange.run(_connection(inbound.scope))
         finally:
             del self._node.exchanges[request.request_id]
         if not whole:
-            _cut(inbound.scope)
+            _connection(inbound.scope).cut()
 
     async def _read_body(self, inbound: _Inbound) -> bytes:
         announced = inbound.by_name.get(b"content-length")
+        if announced in (None, b"0") and b"transfer-encoding" not in inbound.by_name:
+            return b""
         # Refused unread; the announced length is digits, as the HTTP parser has checked.
         if announced is not None and int(announced) > self._limits.body_bytes:
             raise RefusedError(Reason.TOO_LARGE)
@@ -267,7 +268,7 @@
     await caller.body(body, more=False)
 
 
-def _cut(scope: HTTPScope) -> None:
-    abort: Callable[[], None] | None = scope.get("state", {}).get(ABORT)
-    if abort is not None:
-        abort()
+def _connection(scope: HTTPScope) -> LimitedProtocol:
+    connection = scope["state"][CONNECTION]
+    assert isinstance(connection, LimitedProtocol)
+    return connection
--- a/packages/turmericweir/turmericweir/exchange.py
+++ b/packages/turmericweir/turmericweir/exchange.py
@@ -2,13 +2,13 @@
 
 Everything happens in the caller's own task, so no queue and no switch between tasks lies on the hot
 path. The exchange hands its request to the reducer, waits for a decision, runs the attempt that was
-decided on, reports its end, and so on until the account comes. The only other task watches for the
-caller to leave.
+decided on, reports its end, and so on until the account comes.
 """
 
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Protocol
 
 import anyio
@@ -30,12 +30,20 @@
 from turmericweir_core.request import Request
 
 if TYPE_CHECKING:
-    from uvicorn._types import ASGIReceiveCallable
-
     from turmericweir.backend_pool import BackendPool
     from turmericweir.node import Node
 
 
+class CallerConnection(Protocol):
+    """The caller's connection as the exchange sees it."""
+
+    on_lost: Callable[[], None] | None
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether the caller is gone."""
+
+
 class RunningAttempt(Protocol):
     """An attempt as the exchange sees it."""
 
@@ -206,23 +214,23 @@
         if self._blocked_since is None:
             self._blocked_since = now
         if now - self._blocked_since > unread_s:
-            self._node.handle(CallerLeft(self.request.request_id))
+            self._caller_left()
         elif self._attempt_id is not None:
             progress = AttemptProgress(self.request.request_id, self._attempt_id, 0)
             self._node.handle(progress)
 
     # Called in the caller's task.
 
-    async def run(self, receive: ASGIReceiveCallable) -> bool:
+    async def run(self, connection: CallerConnection) -> bool:
         """Run the request to its end; False means that the connection must be cut."""
-        async with anyio.create_task_group() as group:
-            group.start_soon(self._watch_caller, receive)
-            try:
-                account = await self._run_to_account()
-            except BaseException:
-                self._abandon()
-                raise
-            group.cancel_scope.cancel()
+        connection.on_lost = self._caller_left
+        try:
+            account = await self._run_to_account(connection)
+        except BaseException:
+            self._abandon()
+            raise
+        finally:
+            connection.on_lost = None
         return await self.job.answer.finish(account)
 
     def _abandon(self) -> None:
@@ -231,21 +239,20 @@
         Without this the request would count as in flight until the process ends, and keep a
         graceful stop from ending.
         """
-        self._node.handle(CallerLeft(self.request.request_id))
+        self._caller_left()
         if self._attempt_id is not None:
             end = EndCancelled(0)
             ended = AttemptEnded(self.request.request_id, self._attempt_id, end)
             self._node.handle(ended)
 
-    async def _watch_caller(self, receive: ASGIReceiveCallable) -> None:
-        while True:
-            message = await receive()
-            if message["type"] == "http.disconnect":
-                self._node.handle(CallerLeft(self.request.request_id))
-                return
+    def _caller_left(self) -> None:
+        self._node.handle(CallerLeft(self.request.request_id))
 
-    async def _run_to_account(self) -> Account:
+    async def _run_to_account(self, connection: CallerConnection) -> Account:
         self._node.handle(RequestArrived(self.request))
+        if connection.is_lost:
+            # It was lost before anybody watched it.
+            self._caller_left()
         while True:
             decision = await self._next_decision()
             match decision:
--- a/packages/turmericweir/turmericweir/http_server.py
+++ b/packages/turmericweir/turmericweir/http_server.py
@@ -9,7 +9,8 @@
 import asyncio
 import contextlib
 import socket
-from collections.abc import Generator
+import struct
+from collections.abc import Callable, Generator
 from typing import TYPE_CHECKING, Any, Final
 
 import anyio
@@ -26,10 +27,12 @@
 if TYPE_CHECKING:
     from uvicorn._types import ASGI3Application
 
-# The scope's state key of the function that cuts the connection.
-ABORT: Final = "turmericweir.abort"
+# The scope's state key under which an application finds the connection of its caller.
+CONNECTION: Final = "turmericweir.connection"
 BACKLOG: Final = 2048
 _HEADERS_TOO_LARGE: Final = 431
+# Linger for no time: what is closed is reset.
+_RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
 
 
 class LimitedProtocol(HttpToolsProtocol):
@@ -41,6 +44,9 @@
     # Whether the headers of a request are awaited or being read.
     _in_headers: bool
     _header_timer: asyncio.TimerHandle | None
+    # Called when the connection is lost; set while a request is in hand. A task for each request
+    # that waits for ASGI's `http.disconnect` would be an eighth of the cost of a small call.
+    on_lost: Callable[[], None] | None
 
     # Any: uvicorn's own state for applications, whatever they put there.
     def __init__(
@@ -54,6 +60,7 @@
         self._header_bytes = 0
         self._in_headers = True
         self._header_timer = None
+        self.on_lost = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Give the first request's headers their time."""
@@ -64,6 +71,8 @@
         """Forget the timer together with the connection."""
         self._stop_header_timer()
         super().connection_lost(exc)
+        if self.on_lost is not None:
+            self.on_lost()
 
     def data_received(self, data: bytes) -> None:
         """Parse, and refuse headers that grow too large.
@@ -84,7 +93,7 @@
         if self._header_timer is None:
             self._header_bytes = 0
             self._start_header_timer()
-        self.scope["state"][ABORT] = self.transport.abort
+        self.scope["state"][CONNECTION] = self
 
     def on_headers_complete(self) -> None:
         """Stop counting; from here the application's limits hold."""
@@ -97,6 +106,22 @@
         """Refuse what is not HTTP."""
         self._refuse(Reason.BAD_REQUEST, None)
 
+    @property
+    def is_lost(self) -> bool:
+        """Whether the caller is gone, or the connection is being closed."""
+        return self.transport.is_closing()
+
+    def cut(self) -> None:
+        """Reset the connection, so that a part is not taken for a whole answer.
+
+        A caller of HTTP/1.0 goes by the end of the connection alone; to it a plain close would say
+        that the answer is whole.
+        """
+        sock = self.transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        self.transport.abort()
+
     def _start_header_timer(self) -> None:
         self._header_timer = self.loop.call_later(self.limits.header_s, self._headers_late)
 
@@ -171,7 +196,10 @@
     """Bind a TCP socket to an address; uvicorn listens on it later."""
     host, _, port = address.rpartition(":")
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM)
+    # The protocol is named, as accepted sockets inherit it and asyncio sets TCP_NODELAY only on
+    # those that name TCP. Without it, the body of a small answer waits 40 ms for the
+    # acknowledgement of its head.
+    sock = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
         sock.bind((host.strip("[]"), int(port)))
--- a/packages/turmericweir/turmericweir/operator_auth.py
+++ b/packages/turmericweir/turmericweir/operator_auth.py
@@ -13,8 +13,8 @@
 
 from turmericweir.process_settings import AdminToken
 from turmericweir_core.config import Config
+from turmericweir_core.settings_changes import BOOTSTRAP_PREFIX
 from turmericweir_core.settings_path import covers
-from turmericweir_core.settings_reducer import BOOTSTRAP_PREFIX
 
 _BEARER: Final = b"bearer "
 
--- a/packages/turmericweir/turmericweir/peer_streams.py
+++ b/packages/turmericweir/turmericweir/peer_streams.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-import socket
 from collections import deque
 from types import TracebackType
 from typing import Final, Self
@@ -20,7 +19,7 @@
 from anyio.streams.stapled import MultiListener
 
 from turmericweir import logs
-from turmericweir.backend_pool import SOCKET_OPTIONS
+from turmericweir.backend_stream import set_options
 from turmericweir.errors import ListenError, PeerError, describe
 from turmericweir.node import Node
 from turmericweir.peer_codec import FRAME_MAX, FrameReader, encode, read_frame
@@ -112,7 +111,7 @@
         with anyio.fail_after(CONNECT_TIMEOUT_S):
             stream = await anyio.connect_tcp(host, int(port))
         async with stream:
-            _set_options(stream)
+            set_options(stream)
             self._reset()
             async with anyio.create_task_group() as group:
                 group.start_soon(self._read_acks, stream)
@@ -216,7 +215,7 @@
 async def _receive_frames(stream: SocketStream, reader: FrameReader, traffic: Kind) -> None:
     address = stream.extra(SocketAttribute.remote_address)
     origin = f"{address[0]}:{address[1]}"
-    _set_options(stream)
+    set_options(stream)
     unpacker = msgpack.Unpacker(max_buffer_size=FRAME_MAX)
     received = 0
     try:
@@ -241,12 +240,6 @@
         reader.drop(PeerError("split stream", origin, describe(exc)))
 
 
-def _set_options(stream: SocketStream) -> None:
-    raw: socket.socket = stream.extra(SocketAttribute.raw_socket)
-    for level, option, value in SOCKET_OPTIONS:
-        raw.setsockopt(level, option, value)
-
-
 def _first(group: BaseExceptionGroup[BaseException]) -> BaseException:
     found: BaseException = group
     while isinstance(found, BaseExceptionGroup):
--- a/packages/turmericweir/turmericweir/platform_client.py
+++ b/packages/turmericweir/turmericweir/platform_client.py
@@ -140,8 +140,8 @@
     # Sent with each call.
     _source: tuple[tuple[bytes, bytes], ...]
     _rng: Random
-    # Streams that are being read out of turn, and from where to read them again after that.
-    _reading: dict[str, int | None]
+    # Streams that are being read out of turn, and the read that is wanted after that.
+    _reading: dict[str, ReadLog | None]
 
     def __init__(self, pool: BackendPool, address: str, source: str) -> None:
         self._pool = pool
@@ -223,16 +223,18 @@
     def read(self, effect: ReadLog) -> None:
         """Read a stream out of turn, in the background; one read of a stream at a time."""
         if effect.stream in self._reading:
-            self._reading[effect.stream] = effect.offset
+            self._reading[effect.stream] = effect
             return
         self._reading[effect.stream] = None
-        self._node.in_background(self._read_out_of_turn, effect.stream, effect.offset)
+        self._node.in_background(self._read_out_of_turn, effect)
 
-    async def _read_out_of_turn(self, stream: str, offset: int) -> None:
-        again: int | None = offset
+    async def _read_out_of_turn(self, effect: ReadLog) -> None:
+        stream = effect.stream
+        again: ReadLog | None = effect
         try:
             while again is not None:
-                event = await self._read(stream, again, 0.0)
+                limit = READ_MAX if again.limit is None else again.limit
+                event = await self._read(stream, again.offset, 0.0, limit)
                 self._reading[stream] = None
                 self._node.handle(event)
                 again = self._reading[stream]
@@ -240,10 +242,10 @@
             del self._reading[stream]
 
     async def _read(
-        self, stream: str, offset: int, wait_s: float
+        self, stream: str, offset: int, wait_s: float, limit: int = READ_MAX
     ) -> LogRead | LogExpired | LogFailed:
         wait_ms = int(wait_s * 1000)
-        target = f"/log/{stream}?from={offset}&limit={READ_MAX}&wait_ms={wait_ms}"
+        target = f"/log/{stream}?from={offset}&limit={limit}&wait_ms={wait_ms}"
         try:
             answer = await self._call(b"GET", target, timeout_s=wait_s + _CALL_TIMEOUT_S)
             return self._read_answer(stream, answer)
--- a/packages/turmericweir/turmericweir/server_calls.py
+++ b/packages/turmericweir/turmericweir/server_calls.py
@@ -8,6 +8,7 @@
 
 from typing import Any, Final
 
+import anyio
 import orjson
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
@@ -21,7 +22,6 @@
 from turmericweir_core.ids import ServerName
 
 _LOAD_TIMEOUT_S: Final = 1.0
-_ORDER_TIMEOUT_S: Final = 5.0
 _FENCE_OLD: Final = 409
 
 
@@ -43,6 +43,7 @@
     models: tuple[str, ...] = ()
     leaving: bool = False
     fence: int | None = None
+    loading: tuple[str, ...] = ()
 
 
 class ServerCalls:
@@ -95,18 +96,12 @@
             "version": effect.version,
             "fence": effect.fence,
         }
+        if effect.adapter:
+            value["adapter"] = effect.adapter
         if effect.role:
             value["role"] = effect.role
         try:
-            answer = await call(
-                self._pool,
-                b"POST",
-                effect.address,
-                "/v1/orders",
-                value=value,
-                timeout_s=_ORDER_TIMEOUT_S,
-                fresh=True,
-            )
+            answer = await self._send_order(effect, value)
         except CallError as exc:
             self._node.handle(OrderDone(effect.server, effect.token, False, False, str(exc)))
             return
@@ -119,6 +114,22 @@
         )
         self._node.handle(done)
 
+    async def _send_order(self, effect: SendOrder, value: dict[str, Any]) -> Answer:
+        # The process may have been stopped since the reducer looked at the lease. Looking again
+        # here leaves only the way into the socket.
+        left_s = effect.not_after - anyio.current_time()
+        if left_s <= 0:
+            raise CallError("order", effect.address, "the lease has lapsed", sent=False)
+        return await call(
+            self._pool,
+            b"POST",
+            effect.address,
+            "/v1/orders",
+            value=value,
+            timeout_s=min(effect.timeout_s, left_s),
+            fresh=True,
+        )
+
 
 def _read_report(server: ServerName, address: str, answer: Answer) -> ServerReport:
     """Validate a report; one that cannot be used counts as no answer."""
@@ -141,4 +152,5 @@
         models=body.models,
         leaving=body.leaving,
         fence=-1 if body.fence is None else body.fence,
+        loading=body.loading,
     )
--- a/packages/turmericweir/turmericweir/settings_app.py
+++ b/packages/turmericweir/turmericweir/settings_app.py
@@ -34,7 +34,7 @@
 from turmericweir.operators import Operators
 from turmericweir_core.events import ChangeSubmitted
 from turmericweir_core.settings_flow import where_in_force
-from turmericweir_core.settings_model import Entry, explain, read_value, written_form
+from turmericweir_core.settings_model import Entry, explain, read_value
 from turmericweir_core.settings_path import SettingsError, covers, parse_path
 from turmericweir_core.settings_state import state_digest
 from turmericweir_core.settings_sync import SettingsSync
@@ -318,7 +318,7 @@
 
 
 def _show_entry(principal: Principal, path: str, entry: Entry) -> dict[str, Any]:
-    value = written_form(entry.value)
+    value = dict(entry.written)
     # A short token could be found from its digest, so only those who may replace it see it.
     if _SECRET in value and not principal.holds(path):
         value[_SECRET] = _HIDDEN
--- /dev/null
+++ b/tests/core/fault_world.py
@@ -0,0 +1,337 @@
+"""Instances before servers that crash, in one process and on one clock, for tests of faults.
+
+Effects are carried out by hand. Messages between instances arrive in the next moment unless the
+test drops them. A server runs what it is sent: it makes a token for each attempt in every moment,
+and crashes when it comes to the first token of a request that is poisoned. Tests judge by what the
+servers ran and by what the callers were told.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Final
+
+from turmericweir_core.account import Account, Outcome
+from turmericweir_core.config import Config, Kind, ServerEntry, Service, ServiceClass
+from turmericweir_core.effects import (
+    CancelAttempt,
+    Effect,
+    FinishRequest,
+    ProbeServer,
+    SendDatagram,
+    SendPeer,
+    StartAttempt,
+)
+from turmericweir_core.events import (
+    AttemptEnd,
+    AttemptEnded,
+    AttemptProgress,
+    AttemptSent,
+    EndBroken,
+    EndCancelled,
+    EndComplete,
+    EndUnsent,
+    Event,
+    PeerReceived,
+    RequestArrived,
+    ServerReport,
+    Tick,
+)
+from turmericweir_core.ids import AttemptId, InstanceName, RequestId, ServerName, Target
+from turmericweir_core.membership import Member
+from turmericweir_core.options import Options
+from turmericweir_core.peer_messages import PeerMessage
+from turmericweir_core.reducer import new_state, reduce
+from turmericweir_core.request import Request
+from turmericweir_core.server_table import rebuild
+from turmericweir_core.state import Identity, State
+
+TARGET: Final = Target("lm")
+CLASS: Final = ServiceClass("quick", 0, target_s=0.5, deadline_s=60.0)
+DATA_CENTRE: Final = "klein-a"
+REGION: Final = "khomas"
+# A server that crashed is back after this time.
+DOWN_S: Final = 1.0
+
+
+@dataclass(slots=True)
+class Run:
+    """An attempt as the server sees it."""
+
+    instance: InstanceName
+    start: StartAttempt
+    fingerprint: str
+    began: float
+    tokens: int = 0
+
+
+@dataclass(slots=True)
+class FakeServer:
+    """One backend server."""
+
+    life: int = 1
+    down_until: float = 0.0
+    running: dict[AttemptId, Run] = field(default_factory=dict)
+    # It takes requests, and nothing comes of them.
+    mute: bool = False
+
+
+class FaultWorld:
+    """Some instances, the servers before which they stand, and a clock."""
+
+    def __init__(
+        self,
+        *,
+        instances: int = 1,
+        servers: int = 2,
+        slots: int = 8,
+        kind: Kind = Kind.MODEL,
+        length: int = 30,
+        options: Options | None = None,
+    ) -> None:
+        self.now = 100.0
+        self.kind = kind
+        # Tokens of each answer.
+        self.length = length
+        self.options = options or Options()
+        self.poison: set[str] = set()
+        self.servers = {ServerName(f"s{number}"): FakeServer() for number in range(servers)}
+        self.config = _config(list(self.servers), slots, kind)
+        # What the servers report to have loaded.
+        self.models = (str(TARGET),) if kind is Kind.MODEL else ()
+        self.states: dict[InstanceName, State] = {}
+        self.accounts: dict[RequestId, Account] = {}
+        self.told: Counter[RequestId] = Counter()
+        # Fingerprint and server of each crash, in order; and of each run that was begun.
+        self.crashes: list[tuple[str, ServerName]] = []
+        self.runs: list[tuple[str, ServerName]] = []
+        self.probes: list[ServerName] = []
+        # Fingerprints whose connections went silent: nothing comes back over them.
+        self.lost: set[str] = set()
+        # Servers whose reports count whatever they were sent, also over silent connections.
+        self.busy: set[ServerName] = set()
+        # No load report comes at all.
+        self.silent_reports = False
+        # Tells which messages are lost.
+        self.loses: Callable[[PeerMessage], bool] = lambda message: False
+        self._mail: list[tuple[InstanceName, PeerReceived]] = []
+        self._seq = 0
+        for _ in range(instances):
+            self.add_instance()
+
+    # --- instances -------------------------------------------------------------------------
+
+    def add_instance(self) -> InstanceName:
+        """Start an instance that knows nothing yet but its settings."""
+        name = InstanceName(f"entry-{len(self.states)}")
+        identity = Identity(name, DATA_CENTRE, REGION, f"127.0.0.1:{len(self.states)}", "1")
+        state = new_state(identity, self.options, seed=len(self.states))
+        state.config = self.config
+        state.settings.config = self.config
+        state.settings.ready = True
+        state.has_settings = True
+        rebuild(state.servers, self.config)
+        self.states[name] = state
+        self.introduce()
+        return name
+
+    def introduce(self) -> None:
+        """Let all instances see each other."""
+        for state in self.states.values():
+            for other in self.states.values():
+                if other is not state:
+                    me = other.me
+                    member = Member(me.name, DATA_CENTRE, me.peer_address, region=REGION)
+                    member.heard_at = float("inf")
+                    state.members.by_name[me.name] = member
+
+    def event(self, instance: InstanceName, event: Event) -> None:
+        """Give an instance an event, and carry out what follows from it."""
+        self._carry_out(instance, reduce(self.states[instance], self.now, event))
+
+    def _carry_out(self, instance: InstanceName, effects: list[Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case StartAttempt():
+                    self._start(instance, effect)
+                case CancelAttempt():
+                    self._cancel(instance, effect)
+                case FinishRequest(account):
+                    self.accounts[RequestId(account.request_id)] = account
+                    self.told[RequestId(account.request_id)] += 1
+                case SendPeer(peer, _, message) | SendDatagram(peer, _, message):
+                    if not self.loses(message):
+                        self._mail.append((peer, PeerReceived(instance, message)))
+                case ProbeServer(server, _):
+                    self.probes.append(server)
+                case _:
+                    pass
+
+    # --- servers ---------------------------------------------------------------------------
+
+    def _start(self, instance: InstanceName, start: StartAttempt) -> None:
+        server = self.servers[start.server]
+        if self.now < server.down_until:
+            self._end(instance, start, EndUnsent("refused"))
+            return
+        self.event(instance, AttemptSent(start.request_id, start.attempt_id))
+        fingerprint = self.states[instance].requests[start.request_id].fingerprint
+        run = Run(instance, start, fingerprint, self.now, start.resume_from)
+        server.running[start.attempt_id] = run
+        self.runs.append((fingerprint, start.server))
+
+    def _cancel(self, instance: InstanceName, effect: CancelAttempt) -> None:
+        run = self.servers[effect.server].running.pop(effect.attempt_id, None)
+        if run is not None:
+            self._end(instance, run.start, EndCancelled(run.tokens))
+
+    def _end(self, instance: InstanceName, start: StartAttempt, end: AttemptEnd) -> None:
+        self.event(instance, AttemptEnded(start.request_id, start.attempt_id, end))
+
+    def crash(self, name: ServerName, by: str = "", *, alive: bool = False) -> None:
+        """Let a server crash; `alive` says that it is back before anyone could see it down."""
+        server = self.servers[name]
+        self.crashes.append((by, name))
+        server.life += 1
+        server.down_until = self.now if alive else self.now + DOWN_S
+        self.break_all(name, alive=alive)
+
+    def break_all(self, name: ServerName, *, alive: bool) -> None:
+        """Break every connection to a server."""
+        runs = list(self.servers[name].running.values())
+        self.servers[name].running.clear()
+        for run in runs:
+            self._end(run.instance, run.start, EndBroken("reset", server_alive=alive))
+
+    def _step_server(self, name: ServerName, server: FakeServer) -> None:
+        if self.now < server.down_until or server.mute:
+            return
+        for run in list(server.running.values()):
+            if run.fingerprint in self.poison and run.fingerprint not in self.lost:
+                self.crash(name, run.fingerprint)
+                return
+        for run in list(server.running.values()):
+            self._step_run(server, run)
+
+    def _step_run(self, server: FakeServer, run: Run) -> None:
+        start = run.start
+        if start.attempt_id not in server.running or run.fingerprint in self.lost:
+            return
+        run.tokens += 1
+        if self.kind is Kind.MODEL:
+            self.event(run.instance, AttemptProgress(start.request_id, start.attempt_id, 1))
+        if run.tokens >= self.length:
+            server.running.pop(start.attempt_id, None)
+            self._end(run.instance, start, EndComplete(200))
+
+    def report(self, name: ServerName) -> None:
+        """Let every instance have a server's load report."""
+        server = self.servers[name]
+        if self.now < server.down_until or self.silent_reports:
+            return
+        self._seq += 1
+        counted = [
+            run
+            for run in server.running.values()
+            if name in self.busy or run.fingerprint not in self.lost
+        ]
+        report = ServerReport(
+            name, str(server.life), self._seq, len(counted), 0, 8, models=self.models
+        )
+        for instance in self.states:
+            self.event(instance, report)
+
+    # --- time ------------------------------------------------------------------------------
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass in moments of one tick."""
+        until = self.now + seconds
+        while self.now < until - 1e-9:
+            self.moment()
+
+    def moment(self) -> None:
+        """Let one tick's time pass: messages arrive, servers work, instances look around."""
+        self.now += self.options.tick_s
+        mail, self._mail = self._mail, []
+        for peer, event in mail:
+            self.event(peer, event)
+        for name, server in self.servers.items():
+            self._step_server(name, server)
+        for name in self.servers:
+            self.report(name)
+        for instance in list(self.states):
+            self.event(instance, Tick())
+
+    def advance_until_told(self, limit_s: float = 120.0) -> None:
+        """Let time pass until every request in hand has its account."""
+        until = self.now + limit_s
+        while any(state.requests for state in self.states.values()):
+            assert self.now < until, "a request has no account"
+            self.moment()
+
+    # --- callers ---------------------------------------------------------------------------
+
+    def arrive(
+        self,
+        name: str,
+        *,
+        instance: int = 0,
+        fingerprint: str | None = None,
+        repeatable: bool = True,
+        deadline_s: float = CLASS.deadline_s,
+    ) -> RequestId:
+        """Let a caller send a request to an instance."""
+        request_id = RequestId(name)
+        req = Request(
+            request_id=request_id,
+            kind=self.kind,
+            target=TARGET,
+            customer="dunes",
+            team="",
+            service_class=CLASS,
+            arrived=self.now,
+            deadline=self.now + deadline_s,
+            fingerprint=name if fingerprint is None else fingerprint,
+            repeatable=repeatable,
+        )
+        self.event(list(self.states)[instance], RequestArrived(req))
+        return request_id
+
+    def requests(self) -> list[RequestId]:
+        """List the requests that have no account yet."""
+        return [request_id for state in self.states.values() for request_id in state.requests]
+
+    def attempts(self, fingerprint: str) -> list[Run]:
+        """List the attempts of a request that servers are working on."""
+        return [
+            run
+            for server in self.servers.values()
+            for run in server.running.values()
+            if run.fingerprint == fingerprint
+        ]
+
+    def outcome(self, name: str) -> tuple[Outcome, str]:
+        """Give the outcome and the reason that a caller was told."""
+        account = self.accounts[RequestId(name)]
+        return account.outcome, account.reason.value
+
+    def crashes_by(self, fingerprint: str) -> int:
+        """Count the crashes that a poisoned request made."""
+        return sum(1 for by, _ in self.crashes if by == fingerprint)
+
+
+def _config(servers: list[ServerName], slots: int, kind: Kind) -> Config:
+    models = (str(TARGET),) if kind is Kind.MODEL else ()
+    service = Service(str(TARGET), kind, models, slots=slots)
+    entries = [
+        ServerEntry(name, service.name, DATA_CENTRE, f"127.0.0.1:{9000 + number}")
+        for number, name in enumerate(servers)
+    ]
+    return Config(
+        classes={CLASS.name: CLASS},
+        services={service.name: service},
+        service_by_target={TARGET: service},
+        servers={entry.name: entry for entry in entries},
+    )
--- /dev/null
+++ b/tests/core/lifecycle_script.py
@@ -0,0 +1,198 @@
+"""The words of `cases/lifecycle.test`: one instance, some servers, and requests on their way.
+
+- `servers N [plain]`: so many servers, s0 and on, with room for one request each.
+- `arrive NAME [once] [deadline=S]`: a caller sends a request; `once` must not be repeated.
+- `sent NAME`, `tokens NAME N`: the first byte of the attempt went out; tokens came.
+- `end NAME HOW`: the attempt ended; see `_ENDS` for the words.
+- `late NAME HOW`: an end of the request's first attempt comes in once more.
+- `leave NAME`: the caller closed its connection. `wait S`: time passes. `up SERVER`: it reports.
+- `budget N`: so many retries are left.
+
+What the instance does is printed with two spaces before it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Final
+
+from turmericweir_core.config import Config, Kind, ServerEntry, Service, ServiceClass
+from turmericweir_core.effects import (
+    CancelAttempt,
+    Effect,
+    FinishRequest,
+    ProbeServer,
+    StartAttempt,
+)
+from turmericweir_core.events import (
+    AttemptEnd,
+    AttemptEnded,
+    AttemptProgress,
+    AttemptSent,
+    CallerLeft,
+    EndBroken,
+    EndCancelled,
+    EndComplete,
+    EndRefused,
+    EndServerError,
+    EndUnsent,
+    Event,
+    RequestArrived,
+    ServerReport,
+    Tick,
+)
+from turmericweir_core.ids import InstanceName, RequestId, ServerName, Target, attempt_id
+from turmericweir_core.options import Options
+from turmericweir_core.reducer import new_state, reduce
+from turmericweir_core.request import Request
+from turmericweir_core.server_table import rebuild
+from turmericweir_core.state import Identity, State
+
+TARGET: Final = Target("lm")
+CLASS: Final = ServiceClass("quick", 0, target_s=0.5, deadline_s=60.0)
+# The least slots that servers can have; `slack_slots` is 0, so a server takes one request.
+OPTIONS: Final = Options(slack_slots=0)
+
+_ENDS: Final[dict[str, AttemptEnd]] = {
+    "complete": EndComplete(200),
+    "refused": EndRefused(503, leaving=False),
+    "leaving": EndRefused(503, leaving=True),
+    "unsent": EndUnsent("connect failed"),
+    "broken": EndBroken("reset", server_alive=True),
+    "crashed": EndBroken("reset", server_alive=False),
+    "error": EndServerError(500),
+    "cancelled": EndCancelled(0),
+}
+
+
+class LifecycleScript:
+    """Run the lines of one case."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+        self.kind = Kind.MODEL
+        self.state = make_state(Kind.MODEL, 1)
+        self.out: list[str] = []
+        self._seq = 0
+
+    def run(self, lines: list[str]) -> list[str]:
+        """Run all lines and return what was printed."""
+        for line in lines:
+            word, *rest = line.split()
+            self.out.append(line)
+            self._command(word)(rest)
+        return self.out
+
+    def _command(self, word: str) -> Callable[[list[str]], None]:
+        found: Callable[[list[str]], None] = getattr(self, f"_do_{word}")
+        return found
+
+    def _event(self, event: Event) -> None:
+        self._print(reduce(self.state, self.now, event))
+
+    def _print(self, effects: list[Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case StartAttempt():
+                    fresh = " fresh" if effect.fresh_connection else ""
+                    resume = f" from {effect.resume_from}" if effect.resume_from else ""
+                    self.out.append(
+                        f"  start {effect.attempt_id} on {effect.server}{resume}{fresh}"
+                    )
+                case CancelAttempt():
+                    self.out.append(f"  cancel {effect.attempt_id} {effect.reason}")
+                case FinishRequest(account):
+                    self.out.append(f"  {account.request_id} {account.outcome} {account.reason}")
+                case ProbeServer(server, _) if self._is_doubt(effects):
+                    self.out.append(f"  probe {server}")
+                case _:
+                    pass
+
+    @staticmethod
+    def _is_doubt(effects: list[Effect]) -> bool:
+        """Tell a probe for a doubt from the ones that come all the time."""
+        return any(isinstance(each, CancelAttempt) for each in effects)
+
+    # --- words -----------------------------------------------------------------------------
+
+    def _do_servers(self, words: list[str]) -> None:
+        self.kind = Kind.PLAIN if "plain" in words else Kind.MODEL
+        self.state = make_state(self.kind, int(words[0]))
+
+    def _do_arrive(self, words: list[str]) -> None:
+        deadline_s = CLASS.deadline_s
+        for word in words[1:]:
+            if word.startswith("deadline="):
+                deadline_s = float(word.partition("=")[2])
+        req = Request(
+            request_id=RequestId(words[0]),
+            kind=self.kind,
+            target=TARGET,
+            customer="dunes",
+            team="",
+            service_class=CLASS,
+            arrived=self.now,
+            deadline=self.now + deadline_s,
+            repeatable="once" not in words,
+            fingerprint=words[0],
+        )
+        self._event(RequestArrived(req))
+
+    def _do_sent(self, words: list[str]) -> None:
+        req = self.state.requests[RequestId(words[0])]
+        assert req.attempt is not None
+        self._event(AttemptSent(req.request_id, req.attempt.attempt_id))
+
+    def _do_tokens(self, words: list[str]) -> None:
+        req = self.state.requests[RequestId(words[0])]
+        assert req.attempt is not None
+        self._event(AttemptProgress(req.request_id, req.attempt.attempt_id, int(words[1])))
+
+    def _do_end(self, words: list[str]) -> None:
+        req = self.state.requests[RequestId(words[0])]
+        assert req.attempt is not None
+        self._event(AttemptEnded(req.request_id, req.attempt.attempt_id, _ENDS[words[1]]))
+
+    def _do_late(self, words: list[str]) -> None:
+        name = RequestId(words[0])
+        self._event(AttemptEnded(name, attempt_id(name, 0), _ENDS[words[1]]))
+
+    def _do_leave(self, words: list[str]) -> None:
+        self._event(CallerLeft(RequestId(words[0])))
+
+    def _do_wait(self, words: list[str]) -> None:
+        until = self.now + float(words[0])
+        while self.now < until - 1e-9:
+            self.now += OPTIONS.tick_s
+            self._event(Tick())
+
+    def _do_up(self, words: list[str]) -> None:
+        self._seq += 1
+        models = (str(TARGET),) if self.kind is Kind.MODEL else ()
+        name = ServerName(words[0])
+        self._event(ServerReport(name, "2", self._seq, 0, 0, slots=1, models=models))
+
+    def _do_budget(self, words: list[str]) -> None:
+        self.state.retries.tokens = float(words[0])
+
+
+def make_state(kind: Kind, servers: int) -> State:
+    models = (str(TARGET),) if kind is Kind.MODEL else ()
+    service = Service(str(TARGET), kind, models, slots=1)
+    entries = [
+        ServerEntry(ServerName(f"s{number}"), service.name, "dc", f"127.0.0.1:{number}", "1")
+        for number in range(servers)
+    ]
+    identity = Identity(InstanceName("entry"), "dc", "home", "127.0.0.1:1", "1")
+    state = new_state(identity, OPTIONS, seed=1)
+    state.config = Config(
+        classes={CLASS.name: CLASS},
+        services={service.name: service},
+        service_by_target={TARGET: service},
+        servers={entry.name: entry for entry in entries},
+    )
+    state.settings.config = state.config
+    state.settings.ready = True
+    state.has_settings = True
+    rebuild(state.servers, state.config)
+    return state
--- /dev/null
+++ b/tests/core/load_world.py
@@ -0,0 +1,365 @@
+"""Instances before servers, in one process and on one clock, for tests of decisions under load.
+
+Effects of the instances are carried out by hand: messages between instances arrive at once unless
+a link is cut, an attempt runs until the test ends it, and a cancelled attempt ends at once unless
+the test holds it. The world keeps a record of what the servers were asked to run and of what the
+callers were told; tests judge by these.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from itertools import count
+
+from turmericweir_core.account import Account, Outcome
+from turmericweir_core.config import Config, Kind, Policy, ServerEntry, Service, ServiceClass
+from turmericweir_core.effects import (
+    CancelAttempt,
+    Effect,
+    FinishRequest,
+    ProbeServer,
+    SendPeer,
+    StartAttempt,
+)
+from turmericweir_core.events import (
+    AttemptEnd,
+    AttemptEnded,
+    AttemptProgress,
+    AttemptSent,
+    EndCancelled,
+    EndComplete,
+    Event,
+    PeerReceived,
+    RequestArrived,
+    ServerReport,
+    Tick,
+)
+from turmericweir_core.ids import AttemptId, InstanceName, RequestId, ServerName, Target
+from turmericweir_core.membership import Member
+from turmericweir_core.options import Options
+from turmericweir_core.reducer import new_state, reduce
+from turmericweir_core.request import CancelReason, Request
+from turmericweir_core.server_table import rebuild
+from turmericweir_core.state import Identity, State
+
+MODEL = Target("tailor-lm")
+PLAIN = Target("counter-api")
+COUNTER = ServiceClass("counter", 0, target_s=0.5, deadline_s=30.0)
+FITTING = ServiceClass("fitting", 1, target_s=2.0, deadline_s=30.0)
+QUOTE = ServiceClass("quote", 2, target_s=20.0, deadline_s=60.0, assured_share=0.05)
+CLASSES = {each.name: each for each in (COUNTER, FITTING, QUOTE)}
+DATA_CENTRE = "klein-a"
+
+
+@dataclass(slots=True)
+class Running:
+    """An attempt that a server runs."""
+
+    instance: InstanceName
+    request_id: RequestId
+    attempt_id: AttemptId
+    server: ServerName
+    service_class: str
+    # As the server was told; lower is more urgent.
+    priority: int
+    resume_from: int
+
+
+@dataclass(slots=True)
+class Outcomes:
+    """What one class's callers were told."""
+
+    accounts: list[Account] = field(default_factory=list)
+
+    def count(self, outcome: Outcome) -> int:
+        """Count the accounts with an outcome."""
+        return sum(1 for each in self.accounts if each.outcome is outcome)
+
+
+class LoadWorld:
+    """Some instances, the servers before which they stand, and a clock."""
+
+    def __init__(
+        self,
+        *,
+        instances: int = 1,
+        servers: int = 2,
+        slots: int = 2,
+        policy: Policy = Policy.COUNTS,
+        kind: Kind = Kind.MODEL,
+        options: Options | None = None,
+        classes: dict[str, ServiceClass] | None = None,
+        report_s: float | None = 0.1,
+    ) -> None:
+        self.now = 100.0
+        self.kind = kind
+        self.target = MODEL if kind is Kind.MODEL else PLAIN
+        self.options = options or Options()
+        self.classes = classes or CLASSES
+        # Between load reports; None is never.
+        self.report_s = report_s
+        self.config = _config(servers, slots, policy, kind, self.classes)
+        self.slots = slots
+        self.states: dict[InstanceName, State] = {}
+        self.running: dict[AttemptId, Running] = {}
+        # Everything that was ever started, and every order to cancel, in order.
+        self.started: list[Running] = []
+        self.cancelled: list[tuple[str, CancelReason]] = []
+        self.told: dict[str, Outcomes] = {name: Outcomes() for name in self.classes}
+        self.events: list[str] = []
+        # Messages between instances that were sent.
+        self.messages = 0
+        # Instances that nobody hears and that hear nobody.
+        self.cut: set[InstanceName] = set()
+        # Decides whether a message is lost, by its sender and receiver.
+        self.lose: Callable[[InstanceName, InstanceName], bool] = lambda sender, receiver: False
+        # Decides whether the first instance hears the heartbeats of the second.
+        self.see: Callable[[InstanceName, InstanceName], bool] = lambda one, other: True
+        # While set, messages are kept here rather than delivered.
+        self.late: list[tuple[InstanceName, Event]] | None = None
+        # While set, cancelled attempts do not end.
+        self.hold_cancelled = False
+        self.probes: list[tuple[InstanceName, ServerName]] = []
+        self._ids = count()
+        self._seq = count(1)
+        self._reported = 0.0
+        self._mail: deque[tuple[InstanceName, Event]] = deque()
+        for number in range(instances):
+            self._add_instance(InstanceName(f"entry-{number}"))
+
+    # --- instances -------------------------------------------------------------------------
+
+    def _add_instance(self, name: InstanceName) -> None:
+        identity = Identity(name, DATA_CENTRE, "khomas", f"127.0.0.1:{7000 + len(name)}", "1")
+        state = new_state(identity, self.options, seed=len(self.states))
+        state.config = self.config
+        # What is in force is taken from here again on every tick.
+        state.settings.config = self.config
+        state.settings.ready = True
+        state.has_settings = True
+        rebuild(state.servers, self.config)
+        self.states[name] = state
+
+    @property
+    def first(self) -> State:
+        """Give the state of the first instance."""
+        return next(iter(self.states.values()))
+
+    def _see_each_other(self) -> None:
+        """Let every instance hear every other one that is not cut off."""
+        for name, state in self.states.items():
+            for other in self.states:
+                if other == name or other in self.cut or name in self.cut:
+                    continue
+                if not self.see(name, other):
+                    continue
+                member = state.members.by_name.setdefault(
+                    other, Member(other, DATA_CENTRE, f"127.0.0.1:{other}", region="khomas")
+                )
+                member.heard_at = self.now
+
+    # --- what happens ----------------------------------------------------------------------
+
+    def event(self, instance: InstanceName, event: Event) -> None:
+        """Give an instance an event, and carry out all that follows from it."""
+        self._mail.append((instance, event))
+        while self._mail:
+            to, each = self._mail.popleft()
+            self._carry_out(to, reduce(self.states[to], self.now, each))
+
+    def _carry_out(self, instance: InstanceName, effects: list[Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case StartAttempt():
+                    self._start(instance, effect)
+                case CancelAttempt():
+                    self._cancel(instance, effect)
+                case FinishRequest(account):
+                    self.told[account.service_class].accounts.append(account)
+                    self.events.append(f"{account.request_id} {account.outcome} {account.reason}")
+                case SendPeer(peer, _, message):
+                    self.messages += 1
+                    self._post(instance, peer, PeerReceived(instance, message))
+                case ProbeServer(server, _):
+                    self.probes.append((instance, server))
+                case _:
+                    pass
+
+    def _post(self, sender: InstanceName, receiver: InstanceName, event: Event) -> None:
+        if sender in self.cut or receiver in self.cut or self.lose(sender, receiver):
+            return
+        if self.late is not None:
+            self.late.append((receiver, event))
+        else:
+            self._mail.append((receiver, event))
+
+    def keep_late(self) -> None:
+        """Keep back the messages between instances from here on."""
+        self.late = []
+
+    def take_late(self) -> list[tuple[InstanceName, Event]]:
+        """Give the messages that were kept back, and keep none back from here on."""
+        late = self.late or []
+        self.late = None
+        return late
+
+    def restart(self, name: InstanceName) -> None:
+        """Replace an instance by one that knows nothing, under the same name."""
+        self.running = {k: v for k, v in self.running.items() if v.instance != name}
+        self._add_instance(name)
+
+    def _start(self, instance: InstanceName, effect: StartAttempt) -> None:
+        req = self.states[instance].requests[effect.request_id]
+        running = Running(
+            instance,
+            effect.request_id,
+            effect.attempt_id,
+            effect.server,
+            req.service_class.name,
+            effect.priority,
+            effect.resume_from,
+        )
+        self.running[effect.attempt_id] = running
+        self.started.append(running)
+        self.events.append(f"{effect.request_id} starts on {effect.server}")
+        self._mail.append((instance, AttemptSent(effect.request_id, effect.attempt_id)))
+
+    def _cancel(self, instance: InstanceName, effect: CancelAttempt) -> None:
+        self.cancelled.append((effect.request_id, effect.reason))
+        self.events.append(f"{effect.request_id} cancelled {effect.reason}")
+        if not self.hold_cancelled:
+            running = self.running[effect.attempt_id]
+            self._mail.append((instance, self._ended(running, EndCancelled(0))))
+
+    def _ended(self, running: Running, end: AttemptEnd) -> AttemptEnded:
+        self.running.pop(running.attempt_id, None)
+        return AttemptEnded(running.request_id, running.attempt_id, end)
+
+    def arrive(
+        self,
+        class_name: str,
+        *,
+        instance: int = 0,
+        deadline_s: float | None = None,
+        name: str | None = None,
+        prefixes: tuple[str, ...] = (),
+        max_tokens: int | None = None,
+        customer: str = "dunes",
+        repeatable: bool = True,
+    ) -> RequestId:
+        """Let a caller send a request to an instance."""
+        service_class = self.classes[class_name]
+        within = service_class.deadline_s if deadline_s is None else deadline_s
+        request_id = RequestId(name or f"{class_name}{next(self._ids)}")
+        req = Request(
+            request_id=request_id,
+            kind=self.kind,
+            target=self.target,
+            customer=customer,
+            team="",
+            service_class=service_class,
+            arrived=self.now,
+            deadline=self.now + within,
+            fingerprint=request_id,
+            prefixes=prefixes,
+            max_tokens=max_tokens,
+            repeatable=repeatable,
+        )
+        self.event(list(self.states)[instance], RequestArrived(req))
+        return request_id
+
+    def progress(self, running: Running, tokens: int) -> None:
+        """Let a server send tokens of an attempt."""
+        event = AttemptProgress(running.request_id, running.attempt_id, tokens)
+        self.event(running.instance, event)
+
+    def end(self, running: Running, end: AttemptEnd | None = None) -> None:
+        """Let an attempt end, whole unless told otherwise."""
+        self.event(running.instance, self._ended(running, end or EndComplete(200)))
+
+    def oldest(self, class_name: str | None = None) -> Running:
+        """Give the attempt, of a class or of any, that has been running for longest."""
+        return next(
+            each
+            for each in self.running.values()
+            if class_name is None or each.service_class == class_name
+        )
+
+    def run_of(self, request_id: str) -> Running:
+        """Give the running attempt of a request."""
+        found = [each for each in self.running.values() if each.request_id == request_id]
+        assert found, f"{request_id} does not run; what runs is {self.running_ids()}"
+        return found[-1]
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass, with its ticks and load reports."""
+        until = self.now + seconds
+        while self.now < until - 1e-9:
+            self.now = min(until, self.now + self.options.tick_s)
+            self._see_each_other()
+            if self.report_s is not None and self.now - self._reported >= self.report_s - 1e-9:
+                self._reported = self.now
+                self.report()
+            for name in self.states:
+                if name not in self.cut:
+                    self.event(name, Tick())
+
+    def report(self) -> None:
+        """Let every instance have every server's load report."""
+        for server in self.config.servers:
+            seq = next(self._seq)
+            load = len(self.on_server(server))
+            report = report_of(server, seq, load, self.slots, self.kind)
+            for name in self.states:
+                if name not in self.cut:
+                    self.event(name, report)
+
+    # --- what is seen ----------------------------------------------------------------------
+
+    def on_server(self, server: str) -> list[Running]:
+        """List what a server runs."""
+        return [each for each in self.running.values() if each.server == server]
+
+    def running_ids(self) -> list[str]:
+        """List the requests that run, by name."""
+        return sorted(each.request_id for each in self.running.values())
+
+    def waiting(self, instance: int = 0) -> list[str]:
+        """List the requests that wait at an instance, by name."""
+        return sorted(list(self.states.values())[instance].queues.index)
+
+
+def report_of(
+    server: ServerName, seq: int, load: int, slots: int, kind: Kind = Kind.MODEL
+) -> ServerReport:
+    """Make the load report of a server that has its model loaded."""
+    return ServerReport(
+        server=server,
+        incarnation="1",
+        seq=seq,
+        running=min(load, slots),
+        waiting=max(0, load - slots),
+        slots=slots,
+        models=(str(MODEL),) if kind is Kind.MODEL else (),
+    )
+
+
+def _config(
+    servers: int, slots: int, policy: Policy, kind: Kind, classes: dict[str, ServiceClass]
+) -> Config:
+    target = MODEL if kind is Kind.MODEL else PLAIN
+    models = (str(MODEL),) if kind is Kind.MODEL else ()
+    service = Service(str(target), kind, models, slots=slots)
+    entries = [
+        ServerEntry(ServerName(f"s{each}"), service.name, DATA_CENTRE, f"127.0.0.1:{9000 + each}")
+        for each in range(servers)
+    ]
+    return Config(
+        classes=classes,
+        services={service.name: service},
+        service_by_target={target: service},
+        servers={entry.name: entry for entry in entries},
+        policy=policy,
+    )
--- a/tests/core/test_claims.py
+++ b/tests/core/test_claims.py
@@ -352,6 +352,7 @@
     world.call(second, "ahead")
     world.perform_all()
     world.now -= 365 * 86_400
+    world.calm(2.0)
     world.call(first, "k")
     world.perform_all()
     assert len([run for run in world.runs if run.key == "k"]) == 1
@@ -365,3 +366,21 @@
     world.perform_all()
     assert world.accounts[one].outcome is Outcome.COMPLETED
     assert world.instances[0].state.claims.ledger.malformed == 2
+
+
+def test_a_holder_that_is_being_withdrawn_is_not_taken_for_lost() -> None:
+    """The first call cannot be sent, so it is not run and its claim is taken back. A second caller
+    asks meanwhile, before the withdrawal is in the log; it must wait for that and then run, rather
+    than be told that the call may have run."""
+    world = two_instances()
+    first, second = world.instances
+    one = world.call(first, "k", deadline_s=0.3)
+    world.perform(first, 0, Fate.DONE)
+    (start,) = first.pending
+    while start in first.pending:
+        world.perform(first, 0, Fate.FAILED)
+    two = world.call(second, "k")
+    world.calm(5.0)
+    assert world.accounts[one].outcome is Outcome.NOT_RUN
+    assert world.accounts[two].outcome is Outcome.COMPLETED
+    assert [run.request_id for run in world.runs] == [two]
--- /dev/null
+++ b/tests/core/test_quarantine.py
@@ -0,0 +1,276 @@
+"""The request that crashes servers: found within two crashes, and nobody else pays for it."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.core.fault_world import FaultWorld
+from turmericweir_core.account import Outcome
+from turmericweir_core.config import Kind
+from turmericweir_core.ids import ServerName
+from turmericweir_core.options import Options
+from turmericweir_core.peer_messages import PeerMessage, TrialAnswer, TrialAsk, TrialEnd
+
+POISON: Final = "poison"
+QUARANTINED: Final = (Outcome.FAILED, "quarantined")
+COMPLETED: Final = (Outcome.COMPLETED, "ok")
+
+
+def poisoned_world(*, instances: int = 3, servers: int = 4) -> FaultWorld:
+    """Make a world where requests with the poison's fingerprint crash their server."""
+    world = FaultWorld(instances=instances, servers=servers)
+    world.poison.add(POISON)
+    world.moment()
+    return world
+
+
+def arrive_innocents(world: FaultWorld, count: int) -> list[str]:
+    """Let innocent requests arrive at all instances in turn."""
+    names = [f"innocent-{number}" for number in range(count)]
+    for number, name in enumerate(names):
+        world.arrive(name, instance=number % len(world.states))
+    return names
+
+
+def check_innocents(world: FaultWorld, names: list[str]) -> None:
+    """Check that each of these was answered, once."""
+    assert {name: world.outcome(name) for name in names} == dict.fromkeys(names, COMPLETED)
+    assert set(world.told.values()) == {1}
+
+
+@pytest.mark.parametrize("instances", [1, 3, 8])
+@pytest.mark.parametrize("servers", [2, 5])
+def test_found_within_two_crashes(instances: int, servers: int) -> None:
+    # The caller of the poisoned request is told `failed, quarantined`; all others get their answer.
+    # It crashes a full server, and all in flight there become suspects. They run on, one at a time
+    # on a server, until the poisoned one has crashed a second one, where it was the only suspect.
+    world = poisoned_world(instances=instances, servers=servers)
+    innocents = arrive_innocents(world, 5 * servers)
+    world.arrive(POISON)
+    world.advance_until_told()
+    assert world.outcome(POISON) == QUARANTINED
+    assert world.crashes_by(POISON) == 2
+    check_innocents(world, innocents)
+
+
+def test_refused_on_every_instance_when_sent_again() -> None:
+    # The caller sends it again through another instance and gets the same answer, at once. Crashes
+    # are told to all instances, so that each comes to the verdict itself.
+    world = poisoned_world()
+    world.arrive(POISON)
+    world.advance_until_told()
+    runs = len(world.runs)
+    for number in range(len(world.states)):
+        world.arrive(f"again-{number}", instance=number, fingerprint=POISON)
+    world.advance_until_told()
+    for number in range(len(world.states)):
+        assert world.outcome(f"again-{number}") == QUARANTINED
+    assert len(world.runs) == runs
+
+
+def test_newcomer_learns_the_verdict() -> None:
+    # The caller sends it again through an instance that started after the crashes. It asks a peer
+    # for the crashes it missed as soon as it sees one.
+    world = poisoned_world()
+    world.arrive(POISON)
+    world.advance_until_told()
+    world.add_instance()
+    world.advance(2.0)
+    again = world.arrive("again", instance=3, fingerprint=POISON)
+    assert world.outcome(again) == QUARANTINED
+
+
+def test_lost_news_is_asked_for() -> None:
+    # As above, but the news of the crashes was lost. Every instance asks a random peer at times.
+    world = poisoned_world()
+    world.loses = lambda message: True
+    world.arrive(POISON)
+    world.advance_until_told()
+    world.loses = lambda message: False
+    world.advance(3 * world.options.crashes_ask_s)
+    again = world.arrive("again", instance=2, fingerprint=POISON)
+    assert world.outcome(again) == QUARANTINED
+
+
+def test_sent_twice_at_once_through_two_instances() -> None:
+    # Both copies crash their servers before anyone knows. The only fingerprint that was in flight
+    # at both crashes is refused, without a third.
+    world = poisoned_world(instances=2, servers=4)
+    innocents = arrive_innocents(world, 12)
+    world.arrive("copy-0", instance=0, fingerprint=POISON)
+    world.arrive("copy-1", instance=1, fingerprint=POISON)
+    world.advance_until_told()
+    assert world.outcome("copy-0") == QUARANTINED
+    assert world.outcome("copy-1") == QUARANTINED
+    assert world.crashes_by(POISON) == 2
+    check_innocents(world, innocents)
+
+
+def test_two_poisoned_requests_at_once() -> None:
+    # Two different requests crash servers at the same time. Both are found, each in a trial of its
+    # own, and the innocents that were in flight with both get through.
+    world = poisoned_world(instances=3, servers=5)
+    world.poison.add("venom")
+    innocents = arrive_innocents(world, 20)
+    world.arrive(POISON, instance=0)
+    world.arrive("venom", instance=1)
+    world.advance_until_told()
+    assert world.outcome(POISON) == QUARANTINED
+    assert world.outcome("venom") == QUARANTINED
+    assert len(world.crashes) <= 4
+    check_innocents(world, innocents)
+
+
+def test_innocent_in_flight_at_two_crashes() -> None:
+    # A bystander is in flight at a crash, and again at the next, of a cause that is no request of
+    # ours. It must not be refused for good: here it is the only one at both, so it is refused, but
+    # when the first server is seen alive in the same life the verdict is taken back.
+    world = FaultWorld(instances=1, servers=2)
+    world.moment()
+    world.arrive("bystander")
+    server = world.runs[0][1]
+    world.break_all(server, alive=False)
+    world.moment()
+    assert "bystander" in world.states[next(iter(world.states))].quarantine.counts
+    world.advance(2.0)
+    assert not world.states[next(iter(world.states))].quarantine.counts
+    world.advance_until_told()
+    assert world.outcome("bystander") == COMPLETED
+
+
+def test_verdict_is_taken_back_with_the_evidence() -> None:
+    # A network fault looks like two crashes and convicts an innocent. The servers are seen alive in
+    # the same lives, so its caller may send it again.
+    world = FaultWorld(instances=1, servers=2, length=1000)
+    world.moment()
+    world.arrive("bystander")
+    for _ in range(2):
+        while not any(server.running for server in world.servers.values()):
+            world.moment()
+        name = next(name for name, server in world.servers.items() if server.running)
+        # No report gets through for a while.
+        world.servers[name].down_until = world.now + 4.0
+        world.break_all(name, alive=False)
+    world.advance(1.0)
+    assert world.outcome("bystander") == QUARANTINED
+    world.advance(6.0)
+    world.arrive("again", fingerprint="bystander")
+    assert "again" not in world.accounts
+
+
+def test_server_that_restarts_before_it_is_seen_down() -> None:
+    # The server is back before anyone has tried a new connection. Its report shows a new life, so
+    # what broke there shortly before is suspect all the same.
+    world = FaultWorld(instances=2, servers=2)
+    world.moment()
+    world.arrive("one")
+    world.moment()
+    world.crash(world.runs[0][1], alive=True)
+    state = world.states[next(iter(world.states))]
+    assert not state.quarantine.counts
+    world.advance(0.2)
+    assert state.quarantine.counts == {"one": 1}
+
+
+def test_one_suspect_at_a_time_on_a_server() -> None:
+    # All that was in flight at the crash runs on, but no two of them together until one was proven.
+    world = poisoned_world(instances=3, servers=2)
+    arrive_innocents(world, 10)
+    world.moment()
+    suspects = {run.fingerprint for run in world.servers[ServerName("s0")].running.values()}
+    assert len(suspects) > 2
+    world.crash(ServerName("s0"))
+    while not world.accounts:
+        world.moment()
+        for server in world.servers.values():
+            young = [
+                run.fingerprint
+                for run in server.running.values()
+                if run.fingerprint in suspects and world.now - run.began < world.options.trial_s
+            ]
+            assert len(young) <= 1
+
+
+def test_home_out_of_reach() -> None:
+    # No instance answers asks for a trial. Suspects run without leave after a while: the innocents
+    # complete, and the poisoned one is found all the same, though maybe a crash later.
+    def is_trial(message: PeerMessage) -> bool:
+        return isinstance(message, TrialAsk | TrialAnswer | TrialEnd)
+
+    world = poisoned_world(instances=3, servers=3)
+    world.loses = is_trial
+    innocents = arrive_innocents(world, 9)
+    world.arrive(POISON)
+    world.advance_until_told()
+    assert world.outcome(POISON)[0] is Outcome.FAILED
+    assert world.crashes_by(POISON) <= 3
+    check_innocents(world, innocents)
+
+
+def test_quarantine_ends() -> None:
+    # The verdict may be wrong, or the server mended: after a while the request is tried again.
+    world = poisoned_world(instances=1)
+    world.arrive(POISON)
+    world.advance_until_told()
+    world.poison.clear()
+    world.advance(world.options.quarantine_s)
+    world.arrive("again", fingerprint=POISON)
+    world.advance_until_told()
+    assert world.outcome("again") == COMPLETED
+
+
+def test_suspect_that_waits_past_its_deadline() -> None:
+    # No server is left for it. It has run, so its caller is not told `not_run`.
+    world = FaultWorld(instances=1, servers=1, options=Options())
+    world.moment()
+    world.arrive("one", deadline_s=3.0)
+    world.servers[ServerName("s0")].mute = True
+    world.moment()
+    world.crash(ServerName("s0"))
+    world.servers[ServerName("s0")].down_until = world.now + 1000.0
+    world.advance(5.0)
+    assert world.outcome("one") == (Outcome.FAILED, "deadline")
+
+
+def test_plain_call_that_must_not_be_repeated_is_no_trial() -> None:
+    # A reservation that was in flight at a crash may have run: its caller is told `unknown`, and it
+    # never runs a second time, on trial or otherwise.
+    world = FaultWorld(instances=1, servers=2, kind=Kind.PLAIN)
+    world.moment()
+    world.arrive("reserve", repeatable=False)
+    world.crash(world.runs[0][1])
+    world.advance(5.0)
+    assert world.outcome("reserve") == (Outcome.UNKNOWN, "evidence_lost")
+    assert len(world.runs) == 1
+
+
+@settings(max_examples=40, deadline=None)
+@given(
+    instances=st.integers(1, 4),
+    servers=st.integers(2, 4),
+    load=st.lists(st.tuples(st.integers(0, 3), st.integers(0, 15)), max_size=16),
+    poison_at=st.integers(0, 15),
+)
+def test_innocents_complete_whenever_they_arrive(
+    instances: int, servers: int, load: list[tuple[int, int]], poison_at: int
+) -> None:
+    # Innocent requests and a poisoned one arrive in any order. Everyone is told once; the innocents
+    # get their answers; the poisoned one crashes two servers and no more.
+    world = poisoned_world(instances=instances, servers=servers)
+    names: list[str] = []
+    for moment in range(16):
+        for number, (instance, at) in enumerate(load):
+            if at == moment:
+                names.append(f"innocent-{number}")
+                world.arrive(names[-1], instance=instance % instances)
+        if moment == poison_at:
+            world.arrive(POISON)
+        world.moment()
+    world.advance_until_told()
+    assert world.outcome(POISON) == QUARANTINED
+    assert world.crashes_by(POISON) == 2
+    check_innocents(world, names)
