--- /dev/null
+++ b/tests/ctl/fake_daemon.py
@@ -0,0 +1,195 @@
+"""A daemon in a thread, with the real reducer and operators' port and a log in memory.
+
+The log can be told to be down, or to lose its acknowledgements; data centres can be made known.
+"""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from enum import StrEnum
+from hashlib import sha256
+from typing import Any, Final
+
+import anyio
+from anyio.from_thread import BlockingPortal, start_blocking_portal
+
+from turmericweir.http_server import HttpServer, address_of, bind
+from turmericweir.metrics import NullMetrics
+from turmericweir.node import Adapters, Node
+from turmericweir.operator_port import OperatorPort
+from turmericweir.operators import Operators
+from turmericweir.process_settings import AdminToken, Limits
+from turmericweir_core.effects import (
+    AppendRecords,
+    AskWeights,
+    ProbeServer,
+    ReadLog,
+    SendDatagram,
+    SendOrder,
+    SendPeer,
+)
+from turmericweir_core.events import AppendDone, AppendFailed, Event, LogFailed, LogRead, LogRecord
+from turmericweir_core.ids import InstanceName
+from turmericweir_core.membership import RemoteCentre
+from turmericweir_core.options import Options
+from turmericweir_core.peer_messages import Word
+from turmericweir_core.reducer import new_state
+from turmericweir_core.settings_sync import settings_read_offset
+from turmericweir_core.state import Identity
+
+TOKEN: Final = "root-token"
+
+
+class LogMode(StrEnum):
+    """How the log behaves."""
+
+    UP = "up"
+    # Appends are refused and reads fail.
+    DOWN = "down"
+    # Appends take effect and look as if they had failed.
+    LOSES_ACKS = "loses_acks"
+    # The same, and reads fail.
+    HIDES = "hides"
+
+
+@dataclass(slots=True)
+class FakeLog:
+    """The settings stream; it answers the reducer at once."""
+
+    node: Node | None = None
+    mode: LogMode = LogMode.UP
+    values: list[Any] = field(default_factory=list)
+
+    def handle(self, event: Event) -> None:
+        """Tell the node of something."""
+        assert self.node is not None
+        self.node.handle(event)
+
+    def append(self, effect: AppendRecords) -> None:
+        """Append, or fail to."""
+        if self.mode is LogMode.DOWN:
+            self.handle(AppendFailed(effect.stream, effect.token, "refused", maybe=False))
+            return
+        first = len(self.values)
+        self.values += effect.records
+        if self.mode in (LogMode.LOSES_ACKS, LogMode.HIDES):
+            self.handle(AppendFailed(effect.stream, effect.token, "timed out", maybe=True))
+        else:
+            self.handle(AppendDone(effect.stream, effect.token, first, len(self.values)))
+        self.deliver()
+
+    def deliver(self) -> None:
+        """Give what is new to the reducer."""
+        assert self.node is not None
+        if self.mode in (LogMode.DOWN, LogMode.HIDES):
+            self.handle(LogFailed("settings", "refused"))
+            return
+        first = settings_read_offset(self.node.state.settings)
+        new = tuple(LogRecord(at, it) for at, it in enumerate(self.values) if at >= first)
+        self.handle(LogRead("settings", new, len(self.values)))
+
+    def read(self, effect: ReadLog) -> None:
+        """Read when the reducer asks."""
+        self.deliver()
+
+    def ask_weights(self, effect: AskWeights) -> None:
+        """Ignore the weight store."""
+
+
+class Nowhere:
+    """Adapters whose effects lead nowhere."""
+
+    def send(self, effect: SendPeer | SendDatagram) -> None:
+        """Lose a message."""
+
+    def probe(self, effect: ProbeServer) -> None:
+        """Probe nothing."""
+
+    def order(self, effect: SendOrder) -> None:
+        """Order nothing."""
+
+
+@dataclass(slots=True)
+class FakeDaemon:
+    """The daemon as tests see it; everything goes to its own thread."""
+
+    address: str
+    log: FakeLog
+    node: Node
+    portal: BlockingPortal
+
+    def set_log(self, mode: LogMode) -> None:
+        """Change how the log behaves."""
+        self.portal.call(self._set_log, mode)
+
+    def _set_log(self, mode: LogMode) -> None:
+        self.log.mode = mode
+        self.log.deliver()
+
+    def append(self, value: dict[str, Any]) -> None:
+        """Let a record of another instance enter the log."""
+        self.portal.call(self._append, value)
+
+    def _append(self, value: dict[str, Any]) -> None:
+        self.log.values.append(value)
+        self.log.deliver()
+
+    def hear(self, data_centre: str, offset: int, age_s: float = 0.0) -> None:
+        """Let relays of a data centre have told at which offset it is."""
+        self.portal.call(self._hear, data_centre, offset, age_s)
+
+    def _hear(self, data_centre: str, offset: int, age_s: float) -> None:
+        word = Word(data_centre, relay=1, seq=1, members_hash=1, live=2, settings_offset=offset)
+        heard_at = anyio.current_time() - age_s
+        centre = RemoteCentre(data_centre, heard_at=heard_at, word=word)
+        self.node.state.members.centres[data_centre] = centre
+
+
+async def _run(
+    log: FakeLog,
+    ready: threading.Event,
+    found: list[FakeDaemon],
+    stop: anyio.Event,
+    portal: BlockingPortal,
+) -> None:
+    operators, nowhere = Operators(), Nowhere()
+    adapters = Adapters(log, nowhere, nowhere, nowhere, operators, NullMetrics())
+    me = Identity(InstanceName("a-1"), "a", "region", "127.0.0.1:1", "1")
+    state = new_state(me, Options(change_give_up_s=0.5, change_retry_s=0.2), seed=1)
+    async with anyio.create_task_group() as group:
+        node = log.node = Node(state, adapters, group, unread_s=30.0)
+        token = AdminToken(name="root", token_sha256=sha256(TOKEN.encode()).hexdigest())
+        app = OperatorPort(node, {}, operators, [token])
+        sock = bind("127.0.0.1:0", "listen")
+        server = HttpServer(app, Limits())
+        log.deliver()
+        group.start_soon(node.tick_forever)
+        group.start_soon(server.serve, [sock])
+        await server.listening.wait()
+        found.append(FakeDaemon(address_of(sock), log, node, portal))
+        ready.set()
+        await stop.wait()
+        group.cancel_scope.cancel()
+    sock.close()
+
+
+@contextmanager
+def fake_daemon(mode: LogMode = LogMode.UP) -> Iterator[FakeDaemon]:
+    """Run a daemon while the context lasts."""
+    log = FakeLog(mode=mode)
+    ready = threading.Event()
+    found: list[FakeDaemon] = []
+    with start_blocking_portal() as portal:
+        stop = portal.call(anyio.Event)
+        running = portal.start_task_soon(_run, log, ready, found, stop, portal)
+        while not ready.wait(0.05):
+            if running.done():
+                running.result()
+        try:
+            yield found[0]
+        finally:
+            portal.call(stop.set)
+            running.result()
--- /dev/null
+++ b/tests/daemon/test_codecs.py
@@ -0,0 +1,128 @@
+"""What the daemon reads and writes without a network: frames, events, dumps, log lines."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from random import Random
+
+import msgpack
+import pytest
+from returns.pipeline import is_successful
+
+from turmericweir import sse
+from turmericweir.dump import dump
+from turmericweir.logs import format_line
+from turmericweir.peer_codec import decode, encode
+from turmericweir_core.config import Customer
+from turmericweir_core.events import PeerReceived
+from turmericweir_core.ids import InstanceName
+from turmericweir_core.peer_messages import (
+    CreditDemand,
+    PeerMessage,
+    SettingsAsk,
+    SettingsSend,
+    TierDemand,
+)
+
+ME = InstanceName("entry-1")
+PEER = "127.0.0.1:1"
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        pytest.param(SettingsAsk(7), id="flat"),
+        pytest.param(SettingsSend(3, [{"path": "/a", "value": None}], None), id="free values"),
+        pytest.param(CreditDemand("lm-1", 1, 0, 8, [TierDemand(0, 2, 5)]), id="nested"),
+    ],
+)
+def test_message_survives_the_way(message: PeerMessage) -> None:
+    received = decode(encode(ME, message), PEER)
+    assert received.unwrap() == PeerReceived(ME, message)
+
+
+@pytest.mark.parametrize(
+    ("data", "why"),
+    [
+        pytest.param(b"", "ValueError", id="nothing"),
+        pytest.param(b"\xc1", "FormatError", id="no msgpack"),
+        pytest.param(msgpack.packb([1, 2]), "array of three", id="two parts"),
+        pytest.param(msgpack.packb(["a", 1, []]), "not a string", id="type is a number"),
+        pytest.param(msgpack.packb(["a", "Nonsense", []]), "no message is called", id="unknown"),
+        pytest.param(msgpack.packb(["a", "SettingsAsk", []]), "offset", id="field is missing"),
+        pytest.param(msgpack.packb(["a", "SettingsAsk", ["7"]]), "offset", id="text for number"),
+        pytest.param(msgpack.packb(["a", "SettingsAsk", [b"7"]]), "SettingsAsk", id="bytes"),
+    ],
+)
+def test_frame_that_does_not_fit_is_a_failure(data: bytes, why: str) -> None:
+    result = decode(data, PEER)
+    assert not is_successful(result)
+    assert why in str(result.failure())
+    assert result.failure().peer == PEER
+
+
+def token(text: str) -> bytes:
+    """Write a token event."""
+    return b"data: " + json.dumps({"choices": [{"delta": {"content": text}}]}).encode() + b"\n\n"
+
+
+@pytest.mark.parametrize("step", [1, 2, 7, 1000])
+def test_events_are_whole_however_the_network_cuts_them(step: int) -> None:
+    stream = token("a") + b": still there\n\n" + token('data: [DONE]\n\n{"error"') + token("c")
+    parts: list[bytes] = []
+    partial = b""
+    for start in range(0, len(stream), step):
+        whole, partial = sse.split_whole(partial + stream[start : start + step])
+        if whole:
+            assert whole.endswith(b"\n\n")
+            # A token's text may hold the words that mean something outside of it.
+            assert not whole.endswith(sse.DONE)
+            assert sse.cut_at_error(whole) is None
+            parts.append(whole)
+    assert partial == b""
+    assert b"".join(parts) == stream
+    assert sum(map(sse.count_data, parts)) == 3
+    assert sse.text_of(parts, 2) == 'adata: [DONE]\n\n{"error"'
+
+
+def test_error_of_an_engine_is_no_token() -> None:
+    error = b'data: {"error": {"type": "cancelled"}}\n\n'
+    assert sse.cut_at_error(token("a") + error) == token("a")
+    assert sse.cut_at_error(error) == b""
+
+
+@dataclass(slots=True)
+class Part:
+    """Something like the state."""
+
+    rng: Random
+    customers: dict[str, Customer]
+    names: set[str]
+    since: float
+
+
+def test_dump_shows_everything_but_what_lets_one_pose_as_another() -> None:
+    customer = Customer("shop-1", token_digests=("0" * 64,))
+    value = dump(Part(Random(1), {"shop-1": customer}, {"b", "a"}, float("-inf")))
+    text = json.dumps(value)
+    assert "0" * 64 not in text
+    assert value["customers"]["shop-1"]["name"] == "shop-1"
+    assert value["names"] == ["a", "b"]
+    assert value["since"] == "-inf"
+
+
+def test_log_line_stays_one_line() -> None:
+    message = {
+        "timestamp": 0.0,
+        "message_type": "odd",
+        "task_uuid": "x",
+        "peer": "a",
+        "error": 'two\nlines with "quotes"',
+        "empty": "",
+        "count": 3,
+    }
+    assert format_line(message) == (
+        "time=1970-01-01T00:00:00.000+00:00 event=odd peer=a "
+        'error="two\\nlines with \\"quotes\\"" empty="" count=3'
+    )
--- /dev/null
+++ b/tests/daemon/test_path.py
@@ -0,0 +1,198 @@
+"""A request's way from the caller to a backend server and back, with real processes."""
+
+from __future__ import annotations
+
+import http.client
+import socket
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from tests.daemon.single import (
+    MODEL,
+    SERVICE,
+    STRANGER,
+    RawRequest,
+    RawServer,
+    Reply,
+    Single,
+    completion,
+    deployment,
+    events_of,
+    outcome_of,
+    texts_of,
+)
+from turmericweir_standins.deployment import token_of
+from turmericweir_standins.procs import wait_until
+
+
+@pytest.fixture(scope="module")
+def single(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Single]:
+    with Single(tmp_path_factory.mktemp("path")) as started:
+        started.wait_server(f"{MODEL}-1")
+        started.wait_server(f"{SERVICE}-1")
+        yield started
+
+
+def test_stream_ends_with_its_outcome_before_done(single: Single) -> None:
+    reply = single.complete("hello there", 5, stream=True)
+
+    assert reply.status == 200
+    assert reply.headers["content-type"] == "text/event-stream"
+    assert reply.headers["turmericweir-outcome"] == "in-stream"
+    assert len(texts_of(reply.body)) == 5
+    events = events_of(reply.body)
+    assert events[-1] == b"data: [DONE]"
+    assert events[-2].startswith(b"event: turmericweir.outcome\n")
+    outcome = outcome_of(reply.body)
+    assert outcome["outcome"] == "completed"
+    assert outcome["request_id"] == reply.headers["turmericweir-request-id"]
+
+
+def test_answer_that_is_not_streamed_has_the_same_text(single: Single) -> None:
+    streamed = single.complete("the same prompt", 6, stream=True)
+    whole = single.complete("the same prompt", 6, stream=False)
+
+    assert whole.status == 200
+    assert whole.headers["turmericweir-outcome"] == "completed"
+    answer = whole.json()
+    assert answer["object"] == "chat.completion"
+    assert answer["choices"][0]["message"]["content"] == "".join(texts_of(streamed.body))
+    assert answer["usage"]["completion_tokens"] == 6
+
+
+def test_engine_gets_request_once_with_its_ids(single: Single) -> None:
+    reply = single.complete("only once", 3, stream=False)
+
+    request_id = reply.headers["turmericweir-request-id"]
+    received = [
+        each
+        for each in single.records(f"{MODEL}-1", "received")
+        if each["request_id"] == request_id
+    ]
+    assert [each["attempt_id"] for each in received] == [f"{request_id}.0"]
+
+
+def test_account_is_told_afterwards_to_its_customer_only(single: Single) -> None:
+    request_id = single.complete("for later", 2, stream=False).headers["turmericweir-request-id"]
+
+    own = single.call("GET", f"/v1/requests/{request_id}")
+    foreign = single.call("GET", f"/v1/requests/{request_id}", customer=STRANGER)
+
+    assert own.status == 200
+    assert own.json()["outcome"] == "completed"
+    assert own.json()["tokens"] == 2
+    assert foreign.status == 404
+
+
+def test_plain_call_is_forwarded_with_path_query_and_body(single: Single) -> None:
+    reply = single.call("POST", f"/services/{SERVICE}/check/a%2Fb?size=12", b"two of them")
+
+    assert reply.status == 200
+    assert reply.headers["turmericweir-outcome"] == "completed"
+    assert reply.json()["echo"] == "two of them"
+
+
+def test_service_gets_no_token_and_no_forged_ids(single: Single) -> None:
+    # A service that got the caller's token could act as the caller towards the router. One that got
+    # ids of the caller's making would match its work to the wrong request.
+    def answer(_request: RawRequest) -> bytes:
+        return b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Flavour: mild\r\n\r\nok"
+
+    with RawServer(answer) as raw:
+        single.cluster.publish({"/services/raw": {"kind": "plain", "slots": 4}})
+        single.list_raw("raw-1", "plain", "raw", raw.address)
+        headers = {"X-Request-Id": "forged", "X-Colour": "red", "Connection": "X-Colour"}
+        reply = single.call("GET", "/services/raw/any?x=1", headers=headers)
+
+        assert reply.status == 200
+        assert reply.headers["x-flavour"] == "mild"
+        (seen,) = raw.requests
+        assert seen.line == "GET /any?x=1 HTTP/1.1"
+        assert "authorization" not in seen.headers
+        assert "x-colour" not in seen.headers
+        assert seen.headers["x-request-id"] == reply.headers["turmericweir-request-id"]
+
+
+def test_service_that_answers_with_an_error_has_answered(single: Single) -> None:
+    def answer(_request: RawRequest) -> bytes:
+        return b"HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy"
+
+    with RawServer(answer) as raw:
+        single.cluster.publish({"/services/busy": {"kind": "plain", "slots": 4}})
+        single.list_raw("busy-1", "plain", "busy", raw.address)
+        reply = single.call("POST", "/services/busy/any", b"x")
+
+        assert (reply.status, reply.body) == (503, b"busy")
+        assert reply.headers["turmericweir-outcome"] == "completed"
+        assert len(raw.requests) == 1
+
+
+def test_cut_of_a_plain_answer_reaches_the_caller_as_a_cut(single: Single) -> None:
+    # The service announces ten bytes, sends four and closes. The caller has been sent status and
+    # headers by then, so the only way to tell it is to reset its connection: were it closed cleanly,
+    # a caller that goes by the end of the connection would take four bytes for the whole answer.
+    def answer(_request: RawRequest) -> bytes:
+        return b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nfour"
+
+    with RawServer(answer) as raw:
+        single.cluster.publish({"/services/cut": {"kind": "plain", "slots": 4}})
+        single.list_raw("cut-1", "plain", "cut", raw.address)
+        conn, response = single.open("GET", "/services/cut/any")
+        with pytest.raises(ConnectionResetError):
+            response.read()
+        conn.close()
+
+        request_id = response.getheader("turmericweir-request-id")
+        account = single.call("GET", f"/v1/requests/{request_id}").json()
+        assert account["outcome"] == "failed"
+
+
+def test_answer_to_another_attempt_is_never_passed_on(tmp_path: Path) -> None:
+    # An engine's answer names another attempt: something on the way has mixed up its connections.
+    # The caller must not get a token of it; its own request runs on the other engine instead.
+    def answer(_request: RawRequest) -> bytes:
+        event = b'data: {"choices":[{"delta":{"content":"secret"}}]}\n\ndata: [DONE]\n\n'
+        head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: other.0\r\n"
+        return head + b"Content-Length: %d\r\n\r\n%s" % (len(event), event)
+
+    with RawServer(answer) as raw, Single(tmp_path, deployment(engines=1)) as own:
+        own.wait_server(f"{MODEL}-1")
+        own.list_raw("mixed-up", "engine", MODEL, raw.address)
+        replies: list[Reply] = []
+        while not raw.requests:
+            replies.append(own.complete(f"question {len(replies)}", 3, stream=True))
+        assert replies
+        for reply in replies:
+            assert b"secret" not in reply.body
+            assert outcome_of(reply.body)["outcome"] == "completed"
+
+
+def test_engine_stops_for_a_caller_that_left(single: Single) -> None:
+    # A caller closes its connection in the middle of a long answer. Nobody will read the rest, so
+    # the engine is told to stop, and its place in the batch is free for others.
+    body = completion("a long story", 100_000, stream=True)
+    conn, response = single.open("POST", "/v1/chat/completions", body)
+    request_id = response.getheader("turmericweir-request-id")
+    assert response.readline().startswith(b"data:")
+    response.close()
+    conn.close()
+
+    def ended() -> bool:
+        ends = single.records(f"{MODEL}-1", "ended")
+        return any(each["request_id"] == request_id for each in ends)
+
+    wait_until(ended, "the engine stops")
+    account = single.call("GET", f"/v1/requests/{request_id}").json()
+    assert account["reason"] == "caller_left"
+
+
+def test_connection_carries_many_requests(single: Single) -> None:
+    conn = http.client.HTTPConnection(single.address)
+    headers = {"Authorization": f"Bearer {token_of('shop-1')}"}
+    for _ in range(3):
+        conn.request("GET", f"/services/{SERVICE}/stock", headers=headers)
+        assert conn.getresponse().read()
+        assert isinstance(conn.sock, socket.socket)
+    conn.close()
--- /dev/null
+++ b/tests/daemon/test_peer_codec.py
@@ -0,0 +1,89 @@
+"""The frames between instances: what is sent comes back, and what is noise is refused."""
+
+from __future__ import annotations
+
+import msgpack
+import pytest
+from returns.pipeline import is_successful
+
+from turmericweir.peer_codec import decode, encode
+from turmericweir_core.config import ServerEntry
+from turmericweir_core.ids import InstanceName, ServerName
+from turmericweir_core.peer_messages import (
+    Heartbeat,
+    Mark,
+    MemberRecord,
+    MembersSend,
+    PeerMessage,
+    ServersSend,
+    SettingsSend,
+    Word,
+)
+
+SENDER = InstanceName("entry-1")
+BEAT = Heartbeat(
+    data_centre="north",
+    address="10.0.0.1:7000",
+    incarnation="a",
+    seq=9,
+    leaving=False,
+    settings_offset=3,
+    settings_hash="f0",
+    members_hash=1 << 31,
+    newest_offset=3,
+    counters="\x00\x7f",
+    entries=[1, 2, 0],
+    words=[Word("south", 5, 6, 7, 8, 9)],
+    marks=[Mark("engine", "1", True, 4)],
+)
+MESSAGES: list[PeerMessage] = [
+    BEAT,
+    MembersSend("north", 0, [MemberRecord("b", "north", "east", "10.0.0.2:1", "x", False, ["w"])]),
+    ServersSend(1.5, [ServerEntry(ServerName("engine"), "lm", "north", "10.0.0.3:1", "1", True)]),
+    SettingsSend(4, [{"type": "change"}], {"offset": 4}),
+    SettingsSend(4),
+]
+
+
+@pytest.mark.parametrize("message", MESSAGES, ids=lambda it: type(it).__name__)
+def test_message_comes_back_as_it_was(message: PeerMessage) -> None:
+    event = decode(encode(SENDER, message), "10.0.0.1:7000").unwrap()
+
+    assert event.sender == SENDER
+    assert event.message == message
+
+
+def test_later_release_may_say_more_and_an_earlier_one_less() -> None:
+    sender, name, values = msgpack.unpackb(encode(SENDER, BEAT))
+    longer = msgpack.packb([sender, name, [*values, "from a later release"]])
+    shorter = msgpack.packb([sender, name, values[:8]])
+
+    assert decode(longer, "peer").unwrap().message == BEAT
+    message = decode(shorter, "peer").unwrap().message
+    assert isinstance(message, Heartbeat)
+    assert message.members_hash == BEAT.members_hash
+    assert message.words == []
+
+
+NOISE: dict[str, bytes] = {
+    "nothing": b"",
+    "text": b"GET / HTTP/1.1\r\n\r\n",
+    "no array": msgpack.packb({"a": 1}),
+    "too short": msgpack.packb(["entry-1", "Heartbeat"]),
+    "unknown type": msgpack.packb(["entry-1", "Farewell", []]),
+    "fields missing": msgpack.packb(["entry-1", "Heartbeat", ["north"]]),
+    "fields of other types": msgpack.packb(["entry-1", "Heartbeat", [1, 2, 3, "4", 5, 6, 7]]),
+    "a map instead of fields": msgpack.packb(["entry-1", "Heartbeat", {"seq": 1}]),
+    "a number instead of words": msgpack.packb(
+        ["entry-1", "Heartbeat", ["n", "a", "i", 1, False, 0, "", *[0] * 8, "", "", [], 7]]
+    ),
+    "cut off": encode(SENDER, BEAT)[:-5],
+}
+
+
+@pytest.mark.parametrize("data", NOISE.values(), ids=NOISE.keys())
+def test_noise_is_refused_with_its_origin(data: bytes) -> None:
+    result = decode(data, "10.0.0.9:1")
+
+    assert not is_successful(result)
+    assert result.failure().peer == "10.0.0.9:1"
--- /dev/null
+++ b/tests/daemon/test_stop.py
@@ -0,0 +1,138 @@
+"""Starting and stopping the process."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import signal
+import socket
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.daemon.single import MODEL, Single, completion, daemon, events_of, outcome_of, texts_of
+from turmericweir_standins.procs import call_json, free_address, wait_until
+
+TOKENS = 150
+
+
+def test_graceful_stop_cuts_off_no_stream(tmp_path: Path) -> None:
+    # A stream is in flight when the process is told to stop. The balancer sees at once that the
+    # instance is not ready; the caller sees nothing but the whole answer; then the process ends.
+    with Single(tmp_path) as single:
+        single.wait_server(f"{MODEL}-1")
+        body = completion("a long answer", TOKENS, stream=True)
+        conn, response = single.open("POST", "/v1/chat/completions", body)
+        with contextlib.closing(conn):
+            first = response.readline()
+            single.process.terminate()
+            wait_until(lambda: not single.ready(), "readiness falls")
+            received = first + response.read()
+
+        assert len(texts_of(received)) == TOKENS
+        assert outcome_of(received)["outcome"] == "completed"
+        assert events_of(received)[-1] == b"data: [DONE]"
+        assert single.process.wait() == 0
+
+
+def test_requests_are_still_taken_while_the_balancer_lags(tmp_path: Path) -> None:
+    # After the stop the balancer goes on sending for a while, as its list lags. Those callers must
+    # not meet a closed port.
+    with Single(tmp_path, settings={"stop_grace_s": 5.0}) as single:
+        single.wait_server(f"{MODEL}-1")
+        single.process.terminate()
+        wait_until(lambda: not single.ready(), "readiness falls")
+
+        # More than one, as a listening socket takes a moment to be closed.
+        replies = [single.complete(f"late {number}", 2, stream=False) for number in range(30)]
+
+        assert {each.status for each in replies} == {200}
+        # Has a connection that is kept alive move to another instance.
+        assert {each.headers["connection"] for each in replies} == {"close"}
+        single.process.kill()
+
+
+def test_second_interrupt_ends_at_once(tmp_path: Path) -> None:
+    with Single(tmp_path, settings={"stop_grace_s": 60.0}) as single:
+        os.kill(single.process.pid, signal.SIGINT)
+        wait_until(lambda: not single.ready(), "readiness falls")
+        os.kill(single.process.pid, signal.SIGINT)
+        assert single.process.wait() == 130
+
+
+# Any: a settings file is whatever somebody wrote.
+def settings(**changes: Any) -> dict[str, Any]:
+    """Write a settings file that is right but for the changes."""
+    value = {
+        "name": "entry-1",
+        "data_centre": "dc-1",
+        "region": "home",
+        "caller_address": free_address(),
+        "admin_address": free_address(),
+        "peer_address": free_address(),
+        "platform": {"address": free_address()},
+        **changes,
+    }
+    return {name: each for name, each in value.items() if each is not None}
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [
+        pytest.param("{", "parse settings", id="no JSON"),
+        pytest.param(json.dumps(settings(name=None)), "name: Field required", id="missing"),
+        pytest.param(json.dumps(settings(nmae="x")), "nmae: Extra inputs", id="misspelt"),
+        pytest.param(
+            json.dumps(settings(caller_address="here:80")),
+            "caller_address: Value error, expected ip:port",
+            id="address",
+        ),
+        pytest.param(
+            json.dumps(settings(options={"tick": 1})),
+            "options: Value error, no option is called 'tick'",
+            id="unknown option",
+        ),
+    ],
+)
+def test_wrong_settings_end_it_with_the_field(tmp_path: Path, text: str, expected: str) -> None:
+    path = tmp_path / "wrong.json"
+    path.write_text(text)
+    process = daemon(path, tmp_path)
+    process.start()
+    try:
+        assert process.wait() == 2
+    finally:
+        process.stop()
+    assert expected in process.stderr_text()
+    assert str(path) in process.stderr_text()
+
+
+@pytest.mark.parametrize("field", ["caller_address", "admin_address", "peer_address"])
+def test_address_in_use_is_named(tmp_path: Path, field: str) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        address = f"127.0.0.1:{taken.getsockname()[1]}"
+        path = tmp_path / "taken.json"
+        path.write_text(json.dumps(settings(**{field: address})))
+        process = daemon(path, tmp_path)
+        process.start()
+        try:
+            assert process.wait() == 2
+        finally:
+            process.stop()
+    assert address in process.stderr_text()
+    assert "Traceback" not in process.stderr_text()
+
+
+def test_without_settings_from_the_platform_nothing_is_served(tmp_path: Path) -> None:
+    value = settings()
+    path = tmp_path / "alone.json"
+    path.write_text("// Comments are allowed.\n" + json.dumps(value))
+    with daemon(path, tmp_path):
+        ready = call_json(value["admin_address"], "GET", "/readyz")
+        answer = call_json(value["caller_address"], "GET", "/v1/models")
+    assert ready.status == 503
+    assert ready.body["has_settings"] is False
+    assert answer.status == 503
+    assert answer.body["reason"] == "no_settings"
