Stop displacing lower work on a server that the upper request avoids; add the soak

Sampled stacks and a count of events showed one request bound and displaced 3,000 times a second: a confirmation that had failed on tailor-lm-4 waited and avoided it, a quote there was stopped for its sake, was bound there again, and so on. The clock went on but no other event was seen until the confirmation's place elsewhere freed. Ruled out: SIGSTOP by the soak (one pause of 3.3 s only), a blocking call (the process took 87% of a core), the machine (the callers were never late). Change: what makes way must be on a server that the waiting head would be bound to; an attempt out for less than 20 ms does not make way for what waits. `make soak` with random faults, judged by the records of callers and servers. Conclusion: the new test hung without the change (it displaced without end) and passes with it. A bound on how often a request makes way was tried and dropped: it would let an upper request be refused while lower work runs.

--- a/packages/turmericweir-core/turmericweir_core/admission.py
+++ b/packages/turmericweir-core/turmericweir_core/admission.py
@@ -76,7 +76,7 @@
     Failure without it: a counter request is refused while an essay mark runs on the slot that it
     needed. One piece of lower work goes for each, so no more is lost than upper work gains.
     """
-    running = displacement.lowest_running(state, now, req.target, req.priority, only_useful=False)
+    running = displacement.lowest_running(state, now, req.target, req.priority)
     if running is not None:
         return Admitted(displace=running)
     waiting = displacement.waiting_to_drop(state, pool, req.priority)
--- a/packages/turmericweir-core/turmericweir_core/displacement.py
+++ b/packages/turmericweir-core/turmericweir_core/displacement.py
@@ -12,7 +12,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from typing import TYPE_CHECKING
 
 from turmericweir_core import queue_state
@@ -20,7 +20,7 @@
 from turmericweir_core.credit_holder import excess, is_assured
 from turmericweir_core.ids import Target, request_of
 from turmericweir_core.patience import count_ripe
-from turmericweir_core.placement import headroom
+from turmericweir_core.placement import headroom, preferred
 from turmericweir_core.pool_load import lower_running, pool_load
 from turmericweir_core.request import CancelReason, Request
 from turmericweir_core.server_table import Server
@@ -43,27 +43,42 @@
         # One attempt at the most for each request that waits: those told before still end.
         if waiting <= load.displacing or not lower_running(load, tier):
             continue
-        victim = lowest_running(state, now, queue.target, tier, only_useful=True)
+        victim = _to_make_way(state, now, queue.head(), tier)
         if victim is not None:
             return victim
     return None
 
 
-def lowest_running(
-    state: State, now: float, target: Target, tier: int, *, only_useful: bool
-) -> Request | None:
-    """Find the least urgent running attempt below a tier on the servers of a target.
+def _to_make_way(state: State, now: float, head: Request, tier: int) -> Request | None:
+    """Find the attempt whose end lets the head of a queue run on the server that it leaves.
 
-    With `only_useful` it is one whose end makes room for the tier on its server.
+    Failure: the head avoids a server that it has failed on. Lower work there is stopped for it, is
+    bound there again as the head still waits, and is stopped again, without an end; the instance
+    answers nobody. So only servers that the head would be bound to count. In case it is then bound
+    elsewhere for a reason that is not seen here, an attempt that has just begun is left alone: the
+    worst is then some wasted prefills a second, and other events come in between.
     """
-    best: Request | None = None
-    for server in open_servers(state, now, target):
-        if only_useful and headroom(state, now, server, tier) != 0:
-            continue
-        for req in displaceable(state, server, tier):
-            if best is None or _rank(req) > _rank(best):
-                best = req
-    return best
+    begun_before = now - state.options.displace_after_s
+    return _lowest(
+        req
+        for server in preferred(open_servers(state, now, head.target), head)
+        if headroom(state, now, server, tier) == 0
+        for req in displaceable(state, server, tier)
+        if req.attempt is not None and req.attempt.started <= begun_before
+    )
+
+
+def lowest_running(state: State, now: float, target: Target, tier: int) -> Request | None:
+    """Find the least urgent running attempt below a tier on the servers of a target."""
+    return _lowest(
+        req
+        for server in open_servers(state, now, target)
+        for req in displaceable(state, server, tier)
+    )
+
+
+def _lowest(candidates: Iterable[Request]) -> Request | None:
+    return max(candidates, key=_rank, default=None)
 
 
 def _rank(req: Request) -> tuple[int, int]:
--- a/packages/turmericweir-core/turmericweir_core/options.py
+++ b/packages/turmericweir-core/turmericweir_core/options.py
@@ -76,7 +76,12 @@
     # Servers that are asked for credit at first, at the most, and the age of a wait at which twice
     # as many are asked, and again after as long.
     credit_ask: int = 4
-    credit_widen_s: float = 0.25
+    credit_widen_s: float = 0.2
+    # Demands a second that one instance sends on average, and at once, so that control stays within
+    # 6 KB/s however many servers are short of slots: a demand and its answer take 160 bytes, and an
+    # instance that leads its part of the servers is sent as many as it sends.
+    credit_demands_s: float = 12.0
+    credit_demands_burst: float = 24.0
     # In a shortage, time to any demand that is in no hurry.
     credit_lazy_s: float = 0.5
     # Between load reports that are passed on to one instance.
@@ -101,6 +106,8 @@
     # share of its class's target, and an upper bound for classes with long ones.
     displace_wait_share: float = 0.25
     displace_wait_max_s: float = 2.0
+    # An attempt that has not been out for so long does not make way for what waits.
+    displace_after_s: float = 0.02
     # Weight of the newest attempt in the pace that the wait is predicted from.
     pace_weight: float = 0.1
     # Time over which arrivals are averaged.
@@ -141,8 +148,8 @@
     straggler_well: float = 1.3
     # Between probes of a stopped straggler with low-tier requests.
     straggler_probe_s: float = 2.0
-    # How much longer a probe waits where only the most urgent class is there to make it.
-    straggler_probe_urgent_s: float = 20.0
+    # How much longer a probe waits where only upper classes are there to make it.
+    straggler_probe_upper_s: float = 20.0
 
     # --- adaptive limits ---
     # Between adjustments of a server's limit.
@@ -256,9 +263,12 @@
     # --- claims of idempotency keys ---
     # A key is held for so long after it was claimed, by the clock of the stream.
     claim_retention_s: float = 86_400.0
-    # Appends a second that one instance may make, and the burst on top. A burst costs none of them
-    # the wait of a batch; the rate keeps 8 instances at a tenth of what the platform takes.
-    claim_appends_s: float = 5.0
+    # Keys held at a time, some 620 bytes each at every instance; beyond it new ones are refused.
+    claim_live_max: int = 100_000
+    # Appends a second that all live instances together may make, shared evenly, and the burst of
+    # each. A third of what the platform takes: at 8 instances 15 a second for each, so that the
+    # counter's claims rarely wait for a turn.
+    claim_appends_s: float = 120.0
     claim_append_burst: float = 10.0
     # Withdrawals and ends wait so long for a claim that takes them along.
     claim_end_delay_s: float = 0.5
@@ -330,11 +340,14 @@
     # Between looks at what runs and waits here for each model.
     model_sample_s: float = 1.0
     # Between two tellings of it to the instance that places the models.
-    model_demand_s: float = 15.0
+    model_demand_s: float = 30.0
     # Between two tellings that something waits for a model that no server has.
     model_alarm_s: float = 2.0
     # Between two looks of that instance at what servers have and what they should have.
     model_round_s: float = 5.0
+    # Between two asks of a server for its report while there is nothing to order. Bytes decide: one
+    # instance may be the one for three services with eight servers each.
+    model_probe_s: float = 15.0
     # Memory of the average of demand.
     model_demand_window_s: float = 180.0
     # Demand is watched for so long before anything is changed for it.
@@ -343,9 +356,10 @@
     # it, and below which, with one less, one loses it. Far apart, so that noise moves nothing.
     model_grow_share: float = 0.8
     model_shrink_share: float = 0.5
-    # Slots in use below which the last server of a data centre may lose a model, where none is
-    # asked for.
-    model_last_slots: float = 0.02
+    # Slots in use above which a data centre where no server needs to have a model gets a first one.
+    model_first_slots: float = 0.1
+    # Such a one is given up when the model has not been used at all for so long.
+    model_last_s: float = 3_600.0
     # Least time between two changes of the number of servers that should have a model.
     model_change_s: float = 120.0
     # Least time between two changes on one server, but for a model that no server has.
--- a/packages/turmericweir-core/turmericweir_core/placement.py
+++ b/packages/turmericweir-core/turmericweir_core/placement.py
@@ -26,13 +26,12 @@
 from turmericweir_core.concurrency import limited_slots
 from turmericweir_core.config import Kind, Policy
 from turmericweir_core.credit_holder import credit_headroom, goes_by_counts
-from turmericweir_core.ids import Target
 from turmericweir_core.prefix import match_scores
 from turmericweir_core.queue_state import target_classes
 from turmericweir_core.request import Request
-from turmericweir_core.server_table import Server, servers_for
+from turmericweir_core.server_table import Server, any_target, servers_for
 from turmericweir_core.subset import open_servers, sharing_instances
-from turmericweir_core.tiers import lowest_tier, most_urgent
+from turmericweir_core.tiers import most_urgent
 
 if TYPE_CHECKING:
     from turmericweir_core.state import State
@@ -45,8 +44,8 @@
 def pick_server(state: State, now: float, req: Request, tier: int) -> Server | None:
     """Pick the server for a request that is to run at a tier, or None where it has to wait."""
     if state.config.policy is Policy.BASELINE:
-        return _pick_baseline(_preferred(servers_for(state.servers, req.target, now), req))
-    candidates = _preferred(open_servers(state, now, req.target), req)
+        return _pick_baseline(preferred(servers_for(state.servers, req.target, now), req))
+    candidates = preferred(open_servers(state, now, req.target), req)
     probe = _straggler_to_probe(state, now, req, candidates)
     if probe is not None:
         straggler.note_probe(state.stragglers, state.options, now, probe.entry.name)
@@ -54,7 +53,7 @@
     return _pick_least_loaded(state, now, req, tier, candidates)
 
 
-def _preferred(candidates: Iterable[Server], req: Request) -> list[Server]:
+def preferred(candidates: Iterable[Server], req: Request) -> list[Server]:
     """Leave out servers that this request has failed on, as long as any other is left."""
     found = list(candidates)
     if not req.avoid:
@@ -100,7 +99,7 @@
 
 
 def _share_left(state: State, now: float, server: Server) -> int:
-    sharing = sharing_instances(state, _any_target(server))
+    sharing = sharing_instances(state, any_target(server))
     then = server.own_at_report
     free = usable_slots(state, server) - then - others_load(state, now, server)
     return then + max(1, free // sharing) - len(server.in_flight)
@@ -224,10 +223,6 @@
     return load is None or not any(load.running.values())
 
 
-def _any_target(server: Server) -> Target:
-    return Target(server.service.models[0] if server.service.models else server.service.name)
-
-
 def _cautious_headroom(state: State, now: float, server: Server, tier: int) -> int:
     """Count by own counts, but never beyond a small part of the server."""
     share = state.options.credit_fallback_share
@@ -253,20 +248,20 @@
         due = straggler.may_probe(
             state.stragglers, now - _patience(state, req), server.entry.name, len(server.in_flight)
         )
-        if due and req.repeatable and _is_lowest(state, req):
+        if due and req.repeatable:
             return server
     return None
 
 
 def _patience(state: State, req: Request) -> float:
-    """Give the extra time that a probe waits, in case a request of a lower class comes along."""
-    urgent = req.priority == most_urgent(state.config) < lowest_tier(state.config)
-    return state.options.straggler_probe_urgent_s if urgent else 0.0
+    """Give the extra time that a probe waits, in case a request of a lower class comes along.
 
-
-def _is_lowest(state: State, req: Request) -> bool:
+    Failure without an end to it: the lower classes have no traffic at present, and a server that is
+    well again is never found out.
+    """
     queues = target_classes(state.queues, req.target)
-    return all(queue.service_class.priority <= req.priority for queue in queues)
+    lowest = all(queue.service_class.priority <= req.priority for queue in queues)
+    return 0.0 if lowest else state.options.straggler_probe_upper_s
 
 
 # --- probes ----------------------------------------------------------------------------------
--- a/packages/turmericweir-core/turmericweir_core/reasons.py
+++ b/packages/turmericweir-core/turmericweir_core/reasons.py
@@ -29,7 +29,6 @@
     STOPPING = "stopping"
     DISPLACED = "displaced"
     CLAIM_UNAVAILABLE = "claim_unavailable"
-    CLAIM_BUSY = "claim_busy"
     # The idempotency key was used before with another request.
     KEY_REUSED = "key_reused"
     # Ended after a server had begun, or may have begun.
@@ -63,7 +62,6 @@
         "The idempotency key could not be claimed, so this request was not run; "
         "send it again with the same key, as an earlier one may have been run."
     ),
-    Reason.CLAIM_BUSY: "Another request with this idempotency key is in progress.",
     Reason.KEY_REUSED: "The idempotency key was used before with another request.",
     Reason.SERVER_LOST: "The server was lost after the request had been sent to it.",
     Reason.SERVER_ERROR: "The server failed while it ran the request.",
--- a/packages/turmericweir-standins/turmericweir_standins/deployment.py
+++ b/packages/turmericweir-standins/turmericweir_standins/deployment.py
@@ -299,6 +299,14 @@
         wait_until(instance.ready, f"{instance.name} is ready")
         return instance
 
+    def restart_instance(self, name: str) -> Instance:
+        """Start an entry instance again, on its addresses, after its process has ended."""
+        ended = self.instances[name]
+        ended.process.wait()
+        process = self._enter(Process(ended.process.argv, name=name, directory=self.directory))
+        self.instances[name] = Instance(ended.listed, ended.admin_address, process)
+        return self.instances[name]
+
     def _make_instance(self, number: int) -> Instance:
         name = f"entry-{number + 1}"
         listed = Listed(
--- a/packages/turmericweir-standins/turmericweir_standins/measure_control.py
+++ b/packages/turmericweir-standins/turmericweir_standins/measure_control.py
@@ -94,6 +94,9 @@
             reached = _in_force(cluster, load, outage=False)
             by_peers = _in_force(cluster, load, outage=True)
             rows.append(_row(cluster, data_centres, load, usage, reached, by_peers))
+        # All at once: each waits for the balancer before it ends.
+        for instance in cluster.instances.values():
+            instance.process.terminate()
         return rows
 
 
--- a/packages/turmericweir-standins/turmericweir_standins/measure_plot.py
+++ b/packages/turmericweir-standins/turmericweir_standins/measure_plot.py
@@ -31,8 +31,8 @@
     for axes, scenario in zip(grid, scenarios, strict=True):
         own = [row for row in rows if row.scenario == scenario]
         _draw_attainment(axes[0], scenario, own)
-        _draw_bars(axes[1], "goodput, tokens/s", own, [row.goodput_tokens_s for row in own])
-        _draw_bars(axes[2], "wasted, %", own, [row.wasted_share * 100 for row in own])
+        _draw_bars(axes[1], "goodput, tokens/s", "%.0f", own, [row.goodput_tokens_s for row in own])
+        _draw_bars(axes[2], "wasted, %", "%.2f", own, [row.wasted_share * 100 for row in own])
     handles, labels = grid[0][0].get_legend_handles_labels()
     figure.legend(handles, labels, loc="upper right", ncols=len(labels), frameon=False)
     figure.tight_layout(rect=(0, 0, 1, 1 - 0.3 / figure.get_figheight()))
@@ -55,10 +55,12 @@
     axes.set_title(f"{scenario}: attainment", fontsize=9, loc="left")
 
 
-def _draw_bars(axes: Axes, title: str, rows: Sequence[Figures], heights: list[float]) -> None:
+def _draw_bars(
+    axes: Axes, title: str, label: str, rows: Sequence[Figures], heights: list[float]
+) -> None:
     colours = [COLOURS.get(row.policy, "#444444") for row in rows]
     bars = axes.bar([row.policy for row in rows], heights, color=colours)
-    axes.bar_label(bars, fmt="%.1f", fontsize=6)
-    axes.margins(y=0.2)
+    axes.bar_label(bars, fmt=label, fontsize=6)
+    axes.set_ylim(0, 1.2 * max(*heights, 0.01))
     axes.tick_params(axis="x", labelsize=7)
     axes.set_title(title, fontsize=9, loc="left")
--- a/packages/turmericweir-standins/turmericweir_standins/measure_run.py
+++ b/packages/turmericweir-standins/turmericweir_standins/measure_run.py
@@ -127,8 +127,8 @@
         # Entered last and so left first: nothing is in flight then, and graceful stops, one after
         # the other, would take longer than the run.
         stack.callback(_kill_all, cluster)
-        _warm_up(cluster, scenario)
-        return _Run(scenario, policy, seconds, seed, cluster).measure()
+        warm_up(cluster, scenario)
+        return ScenarioRun(scenario, policy, seconds, seed, cluster).measure()
 
 
 def _kill_all(cluster: Cluster) -> None:
@@ -137,7 +137,7 @@
         process.kill()
 
 
-def _warm_up(cluster: Cluster, scenario: Scenario) -> None:
+def warm_up(cluster: Cluster, scenario: Scenario) -> None:
     """Wait until each instance has had an answer from each service."""
     for traffic in scenario.traffic:
         for instance in cluster.instances.values():
@@ -155,7 +155,7 @@
     return call_json(address, "GET", f"/services/{service}/warm-up", None, headers).status == OK
 
 
-class _Run:
+class ScenarioRun:
     """The load, the faults and the readings of one run."""
 
     _scenario: Scenario
@@ -185,7 +185,7 @@
 
     def measure(self) -> Observation:
         """Send the load, let things fail, and gather what was seen."""
-        with self._callers() as callers:
+        with self.callers() as callers:
             for process in callers:
                 process.wait_ready()
             sampler = _Sampler(self._kinds(callers), self._seconds)
@@ -200,14 +200,14 @@
                 process.wait_line(lambda line: line.startswith("RESULT"), CALLERS_TIMEOUT_S)
             for thread in (*faults, sampler):
                 thread.join()
-            calls = [call for process in callers for call in self._calls_of(process)]
+            calls = [call for process in callers for call in self.calls_of(process)]
         return Observation(
             scenario=self._scenario,
             policy=self._policy,
             seconds=self._seconds,
             calls=calls,
-            engine_records=self._new_records("model"),
-            service_records=self._new_records("plain"),
+            engine_records=self.new_records("model"),
+            service_records=self.new_records("plain"),
             crashing_answers=self._crashing_answers,
             states={name: each.state() for name, each in self._cluster.instances.items()},
             cpu=sampler.shares(),
@@ -216,7 +216,8 @@
     # Callers.
 
     @contextlib.contextmanager
-    def _callers(self) -> Iterator[list[Process]]:
+    def callers(self) -> Iterator[list[Process]]:
+        """Start the callers; they say that they are ready when they begin to send."""
         workload = self._scenario.workload(self._seconds, self._seed)
         urgent = tuple(each for each in workload.traffic if _is_urgent(each))
         rest = tuple(each for each in workload.traffic if not _is_urgent(each))
@@ -240,7 +241,8 @@
             "callers", f"--workload={path}", out, *entries, directory=directory, name=name
         )
 
-    def _calls_of(self, process: Process) -> list[Record]:
+    def calls_of(self, process: Process) -> list[Record]:
+        """Read the results of callers that have ended."""
         process.wait(CALLERS_TIMEOUT_S)
         path = self._cluster.directory / f"{process.name}.json"
         calls = orjson.loads(path.read_bytes())["calls"]
@@ -252,7 +254,8 @@
     def _records(self, name: str) -> list[Record]:
         return read_records(self._cluster.record_path(name))
 
-    def _new_records(self, kind: str) -> list[Record]:
+    def new_records(self, kind: str) -> list[Record]:
+        """Read what the servers of a kind have noted since the load began."""
         services = {g.service for g in self._cluster.deployment.groups if g.kind == kind}
         names = [name for name in self._cluster.servers if name.rpartition("-")[0] in services]
         return [
--- /dev/null
+++ b/packages/turmericweir-standins/turmericweir_standins/soak_faults.py
@@ -0,0 +1,195 @@
+"""The random faults of `make soak`: which kinds there are, and how each strikes and is mended.
+
+A fault is drawn from a seeded generator, strikes, lasts its time and is mended again; one may begin
+while another still lasts. An instance that is killed takes its callers' connections with it, so the
+times at which each entry address was down are kept: a caller of a dead process can be told nothing.
+"""
+
+from __future__ import annotations
+
+import random
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Final
+
+from turmericweir_standins.deployment import Instance
+from turmericweir_standins.measure_run import MeasuredCluster
+from turmericweir_standins.procs import set_behaviour, set_faults, wait_until
+
+# How long a fault lasts, seconds.
+SHORTEST_S: Final = 1.0
+LONGEST_S: Final = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class Down:
+    """A time in which an entry address belonged to no running process."""
+
+    address: str
+    start: float
+    end: float
+
+
+class Faults:
+    """Strikes the processes of a cluster at random."""
+
+    # How many times each kind has struck.
+    struck: Counter[str]
+    # When entry addresses were down, by the monotonic clock.
+    down: list[Down]
+
+    def __init__(self, cluster: MeasuredCluster, seed: int) -> None:
+        self._cluster = cluster
+        self._rng = random.Random(seed)
+        self.struck = Counter()
+        self.down = []
+        # Processes that a fault has in hand; another one leaves them alone.
+        self._taken: set[str] = set()
+        self._lock = threading.Lock()
+        self._kinds: Mapping[str, Callable[[float], None]] = {
+            "instance_killed": self._kill_instance,
+            "instance_paused": self._pause_instance,
+            "instance_replaced": self._replace_instance,
+            "engine_killed": lambda length: self._kill_server("engine", length),
+            "service_killed": lambda length: self._kill_server("plain", length),
+            "engine_frozen": lambda length: self._behave("engine", length, frozen=True),
+            "engine_slow": lambda length: self._behave("engine", length, slow_factor=6.0),
+            "engine_cuts": lambda length: self._behave("engine", length, cut_after_tokens=7),
+            "engine_refuses": lambda length: self._behave("engine", length, refuse_start=True),
+            "service_drops": lambda length: self._behave("plain", length, run_then_drop=True),
+            "connections_silent": self._silence,
+            "log_outage": lambda length: self._platform(length, outage=True),
+            "log_slow": lambda length: self._platform(length, slow_ms=400),
+            "acknowledgements_lost": lambda _: self._lose_acknowledgements(),
+            "list_down": lambda length: self._platform(length, list_down=True),
+            "data_centre_cut_off": self._cut_off,
+        }
+
+    def run(self, seconds: float, every_s: float) -> None:
+        """Strike until the time is over, then wait until everything is mended."""
+        end = time.monotonic() + seconds
+        threads: list[threading.Thread] = []
+        while time.monotonic() < end:
+            time.sleep(self._rng.uniform(0.5 * every_s, 1.5 * every_s))
+            kind = self._rng.choice(sorted(self._kinds))
+            length = self._rng.uniform(SHORTEST_S, LONGEST_S)
+            thread = threading.Thread(target=self._strike, args=(kind, length))
+            thread.start()
+            threads.append(thread)
+        for thread in threads:
+            thread.join()
+
+    def _strike(self, kind: str, length: float) -> None:
+        self.struck[kind] += 1
+        self._kinds[kind](length)
+
+    # --- who is struck ---
+
+    def _take(self, names: list[str]) -> str | None:
+        with self._lock:
+            free = [name for name in names if name not in self._taken]
+            if not free:
+                return None
+            name = self._rng.choice(sorted(free))
+            self._taken.add(name)
+            return name
+
+    def _give_back(self, name: str) -> None:
+        with self._lock:
+            self._taken.discard(name)
+
+    def _take_instance(self) -> Instance | None:
+        name = self._take(list(self._cluster.instances))
+        return None if name is None else self._cluster.instances[name]
+
+    def _take_server(self, kind: str) -> str | None:
+        listed = self._cluster.listed.values()
+        return self._take([each.name for each in listed if each.kind == kind])
+
+    # --- entry instances ---
+
+    def _kill_instance(self, length: float) -> None:
+        instance = self._take_instance()
+        if instance is None:
+            return
+        start = time.monotonic()
+        instance.process.kill()
+        time.sleep(length)
+        self._start_again(instance, start)
+
+    def _replace_instance(self, _: float) -> None:
+        instance = self._take_instance()
+        if instance is None:
+            return
+        self._cluster.list_process(instance.listed, state="leaving")
+        instance.process.terminate()
+        instance.process.wait(60.0)
+        self._start_again(instance, time.monotonic())
+
+    def _start_again(self, instance: Instance, start: float) -> None:
+        replaced = self._cluster.restart_instance(instance.name)
+        wait_until(replaced.ready, f"{instance.name} is ready", 60.0)
+        self._cluster.list_process(replaced.listed)
+        self.down.append(Down(instance.address, start, time.monotonic()))
+        self._give_back(instance.name)
+
+    def _pause_instance(self, length: float) -> None:
+        instance = self._take_instance()
+        if instance is None:
+            return
+        instance.process.pause()
+        time.sleep(length)
+        instance.process.resume()
+        self._give_back(instance.name)
+
+    # --- backend servers ---
+
+    def _kill_server(self, kind: str, length: float) -> None:
+        name = self._take_server(kind)
+        if name is None:
+            return
+        self._cluster.servers[name].kill()
+        time.sleep(length)
+        self._cluster.restart_server(name)
+        self._give_back(name)
+
+    def _behave(self, kind: str, length: float, **changes: object) -> None:
+        name = self._take_server(kind)
+        if name is None:
+            return
+        address = self._cluster.servers[name].address
+        before = set_behaviour(address)
+        set_behaviour(address, **changes)
+        time.sleep(length)
+        set_behaviour(address, **{field: before[field] for field in changes})
+        self._give_back(name)
+
+    def _silence(self, _: float) -> None:
+        assert self._cluster.proxy_address is not None
+        set_faults(self._cluster.proxy_address, None, silence_existing=True)
+
+    # --- the platform ---
+
+    def _platform(self, length: float, **changes: object) -> None:
+        # One at a time: two that overlap would each put back what the other had set.
+        name = self._take(["platform"])
+        if name is None:
+            return
+        address = self._cluster.platform.address
+        before = set_behaviour(address)
+        set_behaviour(address, **changes)
+        time.sleep(length)
+        set_behaviour(address, **{field: before[field] for field in changes})
+        self._give_back(name)
+
+    def _lose_acknowledgements(self) -> None:
+        set_behaviour(self._cluster.platform.address, lose_acks=3)
+
+    def _cut_off(self, length: float) -> None:
+        data_centre = self._rng.choice(self._cluster.deployment.data_centres)
+        instances = self._cluster.instances.values()
+        names = [each.name for each in instances if each.listed.data_centre == data_centre]
+        self._platform(length, cut_from=names)
