Start and stop clusters side by side; yield between attempts that never started

Cause: each failure test took 10 to 13 s, most of it processes started and gracefully stopped one after the other. Ruled out: killing instances at the end of each test, which would hide a stop that hangs. Change: a cluster starts its servers together and tells all to end before it waits; the exchange gives others a turn after an attempt that never started; the predicted length is worked out once.

--- a/packages/turmericweir-core/turmericweir_core/lifecycle.py
+++ b/packages/turmericweir-core/turmericweir_core/lifecycle.py
@@ -113,8 +113,6 @@
 
 def _admission(state: State, now: float, req: Request) -> list[Effect]:
     """Refuse what cannot be answered in time, and let lower work make way before that."""
-    if req.kind is Kind.MODEL:
-        req.predicted_tokens = predict_tokens(state.predictor, state.options, req)
     verdict = admission.judge(state, now, req, pool_name(state, req.target))
     match verdict:
         case admission.Refused(pause):
--- a/packages/turmericweir-standins/turmericweir_standins/deployment.py
+++ b/packages/turmericweir-standins/turmericweir_standins/deployment.py
@@ -214,14 +214,21 @@
         exc: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
+        self._stop_all()
+
+    def _stop_all(self) -> None:
+        """Tell all processes to end before any is awaited, since a graceful stop takes its time."""
+        instances = [each.process for each in self.instances.values()]
+        for process in (*instances, *self.servers.values()):
+            if process.running:
+                process.resume()
+                process.terminate()
         self._stack.close()
 
     def _start(self) -> None:
         self.directory.mkdir(parents=True, exist_ok=True)
         self.platform = self._enter(self._platform_process())
-        for group in self.deployment.groups:
-            for number in range(group.count):
-                self.add_server(group, number)
+        self._start_servers()
         self.publish(self.deployment.written())
         started = [self._make_instance(number) for number in range(self.deployment.instances)]
         for instance in started:
@@ -263,21 +270,39 @@
     def _data_centre(self, number: int) -> str:
         return self.deployment.data_centres[number % len(self.deployment.data_centres)]
 
+    def _start_servers(self) -> None:
+        """Start all backend servers side by side, and list them as they get ready."""
+        groups = self.deployment.groups
+        processes = [
+            self._make_server(group, number) for group in groups for number in range(group.count)
+        ]
+        for process in processes:
+            self._stack.callback(process.stop)
+            process.start()
+        for process in processes:
+            process.wait_ready()
+            self.list_process(self.listed[process.name])
+
     def add_server(self, group: BackendGroup, number: int) -> Process:
         """Start one more backend server and put it into the list."""
+        process = self._enter(self._make_server(group, number))
+        self.list_process(self.listed[process.name])
+        return process
+
+    def _make_server(self, group: BackendGroup, number: int) -> Process:
         name = f"{group.service}-{number + 1}"
         module = "engine" if group.kind == "model" else "service"
         args = [f"--name={name}", f"--record={self.record_path(name)}", *group.args]
-        args.append(f"--address={free_address()}")
+        address = free_address()
+        args.append(f"--address={address}")
         if group.kind == "model":
             args += [f"--models={','.join(group.models)}", f"--slots={group.slots}"]
             args.append("--check-fence" if group.checks_fence else "--ignore-fence")
-        process = self._enter(standin(module, *args, directory=self.directory, name=name))
+        process = standin(module, *args, directory=self.directory, name=name)
         self.servers[name] = process
         kind = "engine" if group.kind == "model" else "plain"
         data_centre = self._data_centre(number)
-        self.listed[name] = Listed(name, kind, group.service, data_centre, process.address)
-        self.list_process(self.listed[name])
+        self.listed[name] = Listed(name, kind, group.service, data_centre, address)
         return process
 
     def restart_server(self, name: str) -> Process:
--- a/packages/turmericweir/turmericweir/exchange.py
+++ b/packages/turmericweir/turmericweir/exchange.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 import anyio
+from anyio.lowlevel import checkpoint
 
 from turmericweir.backend_engine import EngineAttempt, cancel_at_engine
 from turmericweir.backend_service import PlainCall, ServiceAttempt
@@ -273,7 +274,11 @@
     async def _run_attempt(self, start: StartAttempt) -> None:
         end: AttemptEnd | None = None
         attempt = self.job.attempt(self._node, self._pool, start)
-        if start.attempt_id not in self._cancelled:
+        if start.attempt_id in self._cancelled:
+            # Failure: a request that is bound and cancelled over and over keeps the loop to itself,
+            # and every other caller of this instance waits. Here the others get their turn.
+            await checkpoint()
+        else:
             self._attempt_id = start.attempt_id
             with anyio.CancelScope() as scope:
                 self._scope = scope
