Take upper arrivals to go on for a while, not for ever, when a wait is predicted

Ruled out: the assured share (it is served), displacement (5 or fewer). Change: arrivals above are taken to go on for as long again as they were averaged over; what is ahead after that drains at the full rate.

--- a/packages/turmericweir-core/turmericweir_core/admission.py
+++ b/packages/turmericweir-core/turmericweir_core/admission.py
@@ -13,7 +13,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from turmericweir_core import displacement, queue_state
 from turmericweir_core.config import Policy
@@ -29,6 +29,9 @@
 if TYPE_CHECKING:
     from turmericweir_core.state import State
 
+# Stands in for a rate of nothing, which cannot be divided by.
+MIN_RATE: Final = 1e-9
+
 
 @dataclass(frozen=True, slots=True)
 class Admitted:
@@ -104,14 +107,25 @@
         for queue in queue_state.pool_queues(state.queues, pool)
         if queue.service_class.priority <= req.priority
     )
-    return ahead / _rate_for(state, now, req, load, rate)
+    return _time_to_drain(state, now, req, load, ahead, rate)
+
 
+def _time_to_drain(
+    state: State, now: float, req: Request, load: PoolLoad, ahead: float, rate: float
+) -> float:
+    """Give the time in which work drains while more urgent work goes on arriving.
 
-def _rate_for(state: State, now: float, req: Request, load: PoolLoad, rate: float) -> float:
-    """Give the rate that is left for a tier while more urgent work goes on arriving."""
+    What arrived above lately is taken to go on for as long again as it was averaged over, and not
+    for ever. Failure: a burst of a middle class leaves the lowest its assured share, any work ahead
+    then looks later than its deadline, and it is refused until well after the burst has ended.
+    """
     above = arrival_rate(load, state.options, now, req.priority)
-    assured = rate * req.service_class.assured_share
-    return max(rate - above, assured, 1e-9)
+    during = max(rate - above, rate * req.service_class.assured_share, MIN_RATE)
+    window = state.options.arrival_window_s
+    drained = during * window
+    if ahead <= drained:
+        return ahead / during
+    return window + (ahead - drained) / max(rate, MIN_RATE)
 
 
 def retry_after(state: State, now: float, req: Request, wait: float) -> float:
