--- a/packages/turmericweir-core/turmericweir_core/claim_record.py
+++ b/packages/turmericweir-core/turmericweir_core/claim_record.py
@@ -14,6 +14,7 @@
 
 from turmericweir_core.account import Outcome
 from turmericweir_core.reasons import Reason
+from turmericweir_core.record_field import text_field, whole_field
 from turmericweir_core.request import Request
 
 CLAIMS_STREAM: Final = "claims"
@@ -142,14 +143,18 @@
     try:
         return Batch(
             writer=_writer(value["by"]),
-            number=_whole(value["n"]),
-            at_ms=_whole(value["at"]),
-            clocks=tuple((_text(name), _whole(at)) for name, at in value["clocks"]),
-            upto=_whole(value["upto"]),
-            floor=_whole(value["floor"]),
+            number=whole_field(value["n"]),
+            at_ms=whole_field(value["at"]),
+            clocks=tuple((text_field(name), whole_field(at)) for name, at in value["clocks"]),
+            upto=whole_field(value["upto"]),
+            floor=whole_field(value["floor"]),
             carried=tuple(_carried(row) for row in value["carried"]),
-            withdrawn=tuple(Withdrawal(_text(k), _text(r)) for k, r in value["withdrawn"]),
-            ends=tuple(EndRecord(_text(k), _text(r), _end(e)) for k, r, e in value["ends"]),
+            withdrawn=tuple(
+                Withdrawal(text_field(k), text_field(r)) for k, r in value["withdrawn"]
+            ),
+            ends=tuple(
+                EndRecord(text_field(k), text_field(r), _end(e)) for k, r, e in value["ends"]
+            ),
             claims=tuple(_claim(row) for row in value["claims"]),
         )
     except (KeyError, TypeError, ValueError):
@@ -179,36 +184,26 @@
     ]
 
 
-def _text(value: Any) -> str:
-    if not isinstance(value, str):
-        raise TypeError(f"not a string: {value!r}")
-    return value
-
-
-def _whole(value: Any) -> int:
-    if not isinstance(value, int) or isinstance(value, bool):
-        raise TypeError(f"not a whole number: {value!r}")
-    return value
-
-
 def _writer(row: Any) -> Writer:
     instance, incarnation, address = row
-    return Writer(_text(instance), _text(incarnation), _text(address))
+    return Writer(text_field(instance), text_field(incarnation), text_field(address))
 
 
 def _claim(row: Any) -> NewClaim:
     key, fingerprint, request_id = row
-    return NewClaim(_text(key), _text(fingerprint), _text(request_id))
+    return NewClaim(text_field(key), text_field(fingerprint), text_field(request_id))
 
 
 def _end(row: Any) -> ClaimEnd:
     outcome, reason, status = row
-    return ClaimEnd(Outcome(outcome), _reason(reason), None if status is None else _whole(status))
+    return ClaimEnd(
+        Outcome(outcome), _reason(reason), None if status is None else whole_field(status)
+    )
 
 
 def _reason(value: Any) -> Reason:
     try:
-        return Reason(_text(value))
+        return Reason(text_field(value))
     except ValueError:
         # A newer version may know more reasons. Skipping its record would skip the claims in it,
         # and an older reader would then run a key that others hold for claimed.
@@ -220,8 +215,8 @@
     return CarriedClaim(
         claim=_claim(claim),
         holder=_writer(holder),
-        claimed_at=_whole(claimed_at),
-        at_ms=_whole(at_ms),
+        claimed_at=whole_field(claimed_at),
+        at_ms=whole_field(at_ms),
         unsure=bool(unsure),
         end=None if end is None else _end(end),
     )
--- a/packages/turmericweir-core/turmericweir_core/lease_record.py
+++ b/packages/turmericweir-core/turmericweir_core/lease_record.py
@@ -12,6 +12,8 @@
 from enum import StrEnum
 from typing import Any, Final
 
+from turmericweir_core.record_field import text_field, whole_field
+
 LEASES_STREAM: Final = "leases"
 # Succeeds nothing that its writer has read.
 NO_OFFSET: Final = -1
@@ -79,30 +81,18 @@
         instance, incarnation = value["by"]
         return LeaseRecord(
             act=Act(value["act"]),
-            scope=Scope(_text(value["service"]), _text(value["data_centre"])),
-            instance=_text(instance),
-            incarnation=_text(incarnation),
-            number=_whole(value["n"]),
-            upto=_whole(value["upto"]),
-            fence=_whole(value["fence"]),
+            scope=Scope(text_field(value["service"]), text_field(value["data_centre"])),
+            instance=text_field(instance),
+            incarnation=text_field(incarnation),
+            number=whole_field(value["n"]),
+            upto=whole_field(value["upto"]),
+            fence=whole_field(value["fence"]),
             lease_s=_seconds(value["lease_s"]),
         )
     except (KeyError, TypeError, ValueError):
         return None
 
 
-def _text(value: Any) -> str:
-    if not isinstance(value, str):
-        raise TypeError(f"not a string: {value!r}")
-    return value
-
-
-def _whole(value: Any) -> int:
-    if not isinstance(value, int) or isinstance(value, bool):
-        raise TypeError(f"not a whole number: {value!r}")
-    return value
-
-
 def _seconds(value: Any) -> float:
     if not isinstance(value, int | float) or isinstance(value, bool) or not 0 < value < 86_400:
         raise ValueError(f"not a duration of less than a day: {value!r}")
