Show the state dump to operators only

Cause: GET /state needed no token, though the dump names customers and the requests in hand; a trial of the README from a fresh clone found it. Ruled out: a dump without those names, which would not help in a rush; a token for /healthz and /readyz, which the balancer asks. Change: /state answers 401 without an operator's token; the test cluster sends one. Conclusion: the new test got 200 before the change and passes with it.

--- a/packages/turmericweir/turmericweir/admin_app.py
+++ b/packages/turmericweir/turmericweir/admin_app.py
@@ -7,15 +7,24 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Any, Final
 
 import orjson
 
 from turmericweir.dump import dump
 from turmericweir.node import Node
+from turmericweir.operator_auth import OperatorAuth
+from turmericweir.operator_http import ProblemError, operator_request
 
 if TYPE_CHECKING:
-    from uvicorn._types import ASGI3Application, ASGIReceiveCallable, ASGISendCallable, Scope
+    from uvicorn._types import (
+        ASGI3Application,
+        ASGIReceiveCallable,
+        ASGISendCallable,
+        HTTPScope,
+        Scope,
+    )
 
 SETTINGS_PREFIX: Final = "/settings"
 _JSON: Final = b"application/json"
@@ -25,6 +34,7 @@
     """Answers operators and the balancer."""
 
     _node: Node
+    _auth: OperatorAuth
     # What else the dump shows: what adapters hold, by name.
     _views: Mapping[str, Callable[[], object]]
     # Answers everything below `/settings`, or None where nothing is mounted.
@@ -33,10 +43,12 @@
     def __init__(
         self,
         node: Node,
+        auth: OperatorAuth,
         views: Mapping[str, Callable[[], object]],
         settings_app: ASGI3Application | None = None,
     ) -> None:
         self._node = node
+        self._auth = auth
         self._views = views
         self._settings_app = settings_app
 
@@ -55,10 +67,21 @@
         elif path == "/readyz":
             await send_json(send, 200 if self._node.ready else 503, self._readiness())
         elif path == "/state":
-            await send_json(send, 200, self._state())
+            await self._answer_state(scope, receive, send)
         else:
             await send_json(send, 404, {"error": "there is nothing at this path"})
 
+    async def _answer_state(
+        self, scope: HTTPScope, receive: ASGIReceiveCallable, send: ASGISendCallable
+    ) -> None:
+        """Show the dump to operators only: it names customers and the requests in hand."""
+        request = operator_request(scope, receive, send)
+        if self._auth.find(self._node.state.config, request.headers) is None:
+            detail = "expected the bearer token of an operator"
+            await request.problem(ProblemError(HTTPStatus.UNAUTHORIZED, detail))
+            return
+        await send_json(send, HTTPStatus.OK, self._state())
+
     def _readiness(self) -> dict[str, bool]:
         return {
             "ready": self._node.ready,
--- a/packages/turmericweir/turmericweir/operator_port.py
+++ b/packages/turmericweir/turmericweir/operator_port.py
@@ -32,7 +32,7 @@
         tokens: Iterable[AdminToken],
     ) -> None:
         auth = OperatorAuth(tokens)
-        self._admin = AdminApp(node, views, SettingsApp(node, operators, auth))
+        self._admin = AdminApp(node, auth, views, SettingsApp(node, operators, auth))
         self._drain = DrainApp(node, auth)
 
     async def __call__(
--- a/tests/ctl/test_settings_http.py
+++ b/tests/ctl/test_settings_http.py
@@ -103,7 +103,17 @@
         call(daemon, "PUT", "/settings/operators/ann", operator, AUTH)
         customer = {"value": {"token_sha256": [digest]}}
         call(daemon, "PUT", "/settings/customers/shop", customer, AUTH)
-        status, state = call(daemon, "GET", "/state", None, {})
+        status, state = call(daemon, "GET", "/state", None, AUTH)
     assert status == 200
     assert "shop" in state["config"]["customers"]
     assert digest not in json.dumps(state)
+
+
+def test_state_dump_is_for_operators() -> None:
+    """The dump names customers and their requests, so whoever only reaches the port gets none."""
+    with fake_daemon() as daemon:
+        status, problem = call(daemon, "GET", "/state", None, {})
+        healthy, _ = call(daemon, "GET", "/healthz", None, {})
+    assert status == 401
+    assert problem["detail"] == "expected the bearer token of an operator"
+    assert healthy == 200
--- a/tests/daemon/single.py
+++ b/tests/daemon/single.py
@@ -15,10 +15,13 @@
 from typing import Any, Final, Self
 
 from turmericweir_standins.deployment import (
+    OPERATOR,
+    OPERATOR_TOKEN,
     BackendGroup,
     Cluster,
     Deployment,
     Listed,
+    digest,
     token_of,
 )
 from turmericweir_standins.procs import Process, call_json, free_address, wait_until
@@ -117,6 +120,7 @@
             "region": "home",
             "caller_address": self.address,
             "admin_address": self.admin_address,
+            "admin_tokens": [{"name": OPERATOR, "token_sha256": digest(OPERATOR_TOKEN)}],
             "peer_address": free_address(),
             "platform": {"address": self.cluster.platform.address},
             "stop_grace_s": 0.2,
@@ -138,7 +142,8 @@
     # Any: the dump is whatever the state of the daemon is.
     def state(self) -> Any:
         """Fetch the state dump."""
-        return call_json(self.admin_address, "GET", "/state").body
+        headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+        return call_json(self.admin_address, "GET", "/state", headers=headers).body
 
     def list_raw(self, name: str, kind: str, service: str, address: str) -> None:
         """Put a server of the test's own into the list and wait until the instance knows it."""
