Refuse a settings path without its leading slash before anything is sent

Cause: `turmericctl settings set policy ...` said "use GET here" and ended with 3, as if the instance were out of reach; found by a trial of the README. Ruled out: adding the slash silently, which would hide a typing error in a name. Change: the argument is checked; exit 2 with what was expected. Conclusion: the new test failed before the change and passes with it.

--- a/packages/turmericweir-ctl/turmericctl/messages.py
+++ b/packages/turmericweir-ctl/turmericctl/messages.py
@@ -98,6 +98,7 @@
 # --- errors ----------------------------------------------------------------------------------
 
 NO_ADMIN: Final = "no instance named: give --admin ip:port or set TURMERICCTL_ADMIN"
+NOT_A_PATH: Final = "expected a path that begins with /, such as /classes/NAME, not {path!r}"
 NOTHING_SET: Final = "nothing is set at {path} or below it"
 NO_SUCH_PART: Final = "the state has no part {part!r}; there are: {parts}"
 NO_SUCH_REQUEST: Final = "this instance knows no request {request_id}"
--- a/packages/turmericweir-ctl/turmericctl/settings_commands.py
+++ b/packages/turmericweir-ctl/turmericctl/settings_commands.py
@@ -30,11 +30,17 @@
     """Group the commands on settings."""
 
 
+def _check_path(_: click.Context, __: click.Parameter, path: str) -> str:
+    if not path.startswith("/"):
+        raise click.BadParameter(messages.NOT_A_PATH.format(path=path))
+    return path
+
+
 # --- reading ---------------------------------------------------------------------------------
 
 
 @settings.command("get", help=messages.GET_HELP)
-@click.argument("path", default="/")
+@click.argument("path", default="/", callback=_check_path)
 @pass_session
 def get(session: Session, path: str) -> None:
     """Show values."""
@@ -104,7 +110,7 @@
 
 
 @settings.command("set", help=messages.SET_HELP)
-@click.argument("path")
+@click.argument("path", callback=_check_path)
 @click.argument("value")
 @_with_change_options
 @pass_session
@@ -124,7 +130,7 @@
 
 
 @settings.command("delete", help=messages.DELETE_HELP)
-@click.argument("path")
+@click.argument("path", callback=_check_path)
 @_with_change_options
 @pass_session
 def delete(
--- a/tests/ctl/test_ctl.py
+++ b/tests/ctl/test_ctl.py
@@ -187,6 +187,13 @@
     assert "no settings yet" in said
 
 
+def test_path_without_a_slash_is_a_wrong_call(terminal: Terminal) -> None:
+    for words in (("set", "policy", "{}"), ("delete", "policy"), ("get", "policy")):
+        code, said = terminal.run("settings", *words)
+        assert code == 2
+        assert "expected a path that begins with /" in said
+
+
 def test_wrong_token_is_refused(terminal: Terminal) -> None:
     code, said = terminal.run("--token", "wrong", "settings", "get")
     assert code == 1
