Let the demo show the operators' view once the instances have met

Cause: the demo printed "out of reach; never heard from" for three of four data centres, since the list of instances lags behind the start. Ruled out: a wait of fixed length. Change: it waits until its instance has heard from every data centre. Conclusion: a newcomer sees a working cluster.

--- a/packages/turmericweir-standins/turmericweir_standins/demo.py
+++ b/packages/turmericweir-standins/turmericweir_standins/demo.py
@@ -29,6 +29,7 @@
     Instance,
     token_of,
 )
+from turmericweir_standins.procs import call_json, wait_until
 
 DEMO: Final = dataclasses.replace(STITCHLINE, instances=4)
 CALL_TIMEOUT_S: Final = 60.0
@@ -145,8 +146,22 @@
     return good
 
 
+def _have_met(cluster: Cluster, entry: Instance) -> bool:
+    """Tell whether an instance has heard from every data centre."""
+    headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+    answer = call_json(entry.admin_address, "GET", "/settings/inforce?offset=0", headers=headers)
+    heard = {each["data_centre"] for each in answer.body["data_centres"] if _in_force(each)}
+    return heard == set(cluster.deployment.data_centres)
+
+
+def _in_force(centre: Mapping[str, object]) -> bool:
+    return centre["reach"] == "in_force"
+
+
 def _operators_view(cluster: Cluster) -> None:
     entry = next(iter(cluster.instances.values()))
+    # The list of instances lags, so what operators see right after the start says little.
+    wait_until(lambda: _have_met(cluster, entry), "the instances have met")
     ctl = ["--admin", entry.admin_address, "--token", OPERATOR_TOKEN]
     for words in (["status"], ["classes"], ["servers"]):
         click.echo(f"\n$ turmericctl {' '.join(words)}")
