Ask for an operator's token in one place

Cause: three applications of the operators' port each had the same refusal of a request without an operator's token, word for word. Ruled out: one base class for them, as the settings also answer their own faults and a missing state; that is left. Change: OperatorAuth.require, and the sentence as a named constant. Conclusion: no answer has changed.

--- a/packages/turmericweir/turmericweir/admin_app.py
+++ b/packages/turmericweir/turmericweir/admin_app.py
@@ -76,9 +76,10 @@
     ) -> None:
         """Show the dump to operators only: it names customers and the requests in hand."""
         request = operator_request(scope, receive, send)
-        if self._auth.find(self._node.state.config, request.headers) is None:
-            detail = "expected the bearer token of an operator"
-            await request.problem(ProblemError(HTTPStatus.UNAUTHORIZED, detail))
+        try:
+            self._auth.require(self._node.state.config, request.headers)
+        except ProblemError as exc:
+            await request.problem(exc)
             return
         await send_json(send, HTTPStatus.OK, self._state())
 
--- a/packages/turmericweir/turmericweir/drain_app.py
+++ b/packages/turmericweir/turmericweir/drain_app.py
@@ -43,10 +43,7 @@
             await request.problem(exc)
 
     async def _answer(self, request: OperatorRequest) -> None:
-        principal = self._auth.find(self._node.state.config, request.headers)
-        if principal is None:
-            detail = "expected the bearer token of an operator"
-            raise ProblemError(HTTPStatus.UNAUTHORIZED, detail)
+        principal = self._auth.require(self._node.state.config, request.headers)
         if request.method != "POST":
             raise ProblemError(HTTPStatus.METHOD_NOT_ALLOWED, "expected POST")
         name = ServerName(request.path.removeprefix(PREFIX).strip("/"))
--- a/packages/turmericweir/turmericweir/operator_auth.py
+++ b/packages/turmericweir/turmericweir/operator_auth.py
@@ -9,13 +9,16 @@
 import hashlib
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import Final
 
+from turmericweir.operator_http import ProblemError
 from turmericweir.process_settings import AdminToken
 from turmericweir_core.config import Config
 from turmericweir_core.settings_changes import BOOTSTRAP_PREFIX
 from turmericweir_core.settings_path import covers
 
+TOKEN_EXPECTED: Final = "expected the bearer token of an operator"
 _BEARER: Final = b"bearer "
 
 
@@ -44,6 +47,13 @@
             for token in tokens
         }
 
+    def require(self, config: Config, headers: Mapping[bytes, bytes]) -> Principal:
+        """Find the operator whose token a request carries, or raise `ProblemError`."""
+        principal = self.find(config, headers)
+        if principal is None:
+            raise ProblemError(HTTPStatus.UNAUTHORIZED, TOKEN_EXPECTED)
+        return principal
+
     def find(self, config: Config, headers: Mapping[bytes, bytes]) -> Principal | None:
         """Find the operator whose token a request carries."""
         value = headers.get(b"authorization", b"")
--- a/packages/turmericweir/turmericweir/settings_app.py
+++ b/packages/turmericweir/turmericweir/settings_app.py
@@ -29,7 +29,7 @@
 from turmericweir import logs
 from turmericweir.errors import describe as describe_error
 from turmericweir.node import Node
-from turmericweir.operator_auth import OperatorAuth, Principal
+from turmericweir.operator_auth import TOKEN_EXPECTED, OperatorAuth, Principal
 from turmericweir.operator_http import OperatorRequest, ProblemError, operator_request
 from turmericweir.operators import Operators
 from turmericweir_core.events import ChangeSubmitted
@@ -154,8 +154,7 @@
         if not self._node.state.has_settings:
             detail = "this instance has no settings yet, so it knows only the process file's tokens"
             return ProblemError(HTTPStatus.SERVICE_UNAVAILABLE, detail)
-        detail = "expected the bearer token of an operator"
-        return ProblemError(HTTPStatus.UNAUTHORIZED, detail)
+        return ProblemError(HTTPStatus.UNAUTHORIZED, TOKEN_EXPECTED)
 
     @property
     def _sync(self) -> SettingsSync:
