Answer requests on the operators' port in one place

Cause: three applications each read a request, had it answered and turned a refusal into a problem; only one of them also answered a fault of the program, so a fault while draining or dumping closed the connection without a word. Ruled out: one base class, as the state dump is not an application of its own. Change: serve_operator in operator_http, used by settings, drain and the dump. Conclusion: no answer has changed but that a fault now gets a 500 problem everywhere.

--- a/packages/turmericweir/turmericweir/admin_app.py
+++ b/packages/turmericweir/turmericweir/admin_app.py
@@ -15,14 +15,13 @@
 from turmericweir.dump import dump
 from turmericweir.node import Node
 from turmericweir.operator_auth import OperatorAuth
-from turmericweir.operator_http import ProblemError, operator_request
+from turmericweir.operator_http import OperatorRequest, serve_operator
 
 if TYPE_CHECKING:
     from uvicorn._types import (
         ASGI3Application,
         ASGIReceiveCallable,
         ASGISendCallable,
-        HTTPScope,
         Scope,
     )
 
@@ -67,21 +66,14 @@
         elif path == "/readyz":
             await send_json(send, 200 if self._node.ready else 503, self._readiness())
         elif path == "/state":
-            await self._answer_state(scope, receive, send)
+            await serve_operator(scope, receive, send, self._answer_state)
         else:
             await send_json(send, 404, {"error": "there is nothing at this path"})
 
-    async def _answer_state(
-        self, scope: HTTPScope, receive: ASGIReceiveCallable, send: ASGISendCallable
-    ) -> None:
+    async def _answer_state(self, request: OperatorRequest) -> None:
         """Show the dump to operators only: it names customers and the requests in hand."""
-        request = operator_request(scope, receive, send)
-        try:
-            self._auth.require(self._node.state.config, request.headers)
-        except ProblemError as exc:
-            await request.problem(exc)
-            return
-        await send_json(send, HTTPStatus.OK, self._state())
+        self._auth.require(self._node.state.config, request.headers)
+        await send_json(request.send, HTTPStatus.OK, self._state())
 
     def _readiness(self) -> dict[str, bool]:
         return {
--- a/packages/turmericweir/turmericweir/drain_app.py
+++ b/packages/turmericweir/turmericweir/drain_app.py
@@ -11,7 +11,7 @@
 
 from turmericweir.node import Node
 from turmericweir.operator_auth import OperatorAuth
-from turmericweir.operator_http import OperatorRequest, ProblemError, operator_request
+from turmericweir.operator_http import OperatorRequest, ProblemError, serve_operator
 from turmericweir_core.events import DrainRequested
 from turmericweir_core.ids import ServerName
 
@@ -35,12 +35,7 @@
         self, scope: Scope, receive: ASGIReceiveCallable, send: ASGISendCallable
     ) -> None:
         """Answer one request."""
-        assert scope["type"] == "http"
-        request = operator_request(scope, receive, send)
-        try:
-            await self._answer(request)
-        except ProblemError as exc:
-            await request.problem(exc)
+        await serve_operator(scope, receive, send, self._answer)
 
     async def _answer(self, request: OperatorRequest) -> None:
         principal = self._auth.require(self._node.state.config, request.headers)
--- a/packages/turmericweir/turmericweir/operator_http.py
+++ b/packages/turmericweir/turmericweir/operator_http.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any, Final
@@ -15,8 +15,11 @@
 import anyio
 import orjson
 
+from turmericweir import logs
+from turmericweir.errors import describe
+
 if TYPE_CHECKING:
-    from uvicorn._types import ASGIReceiveCallable, ASGISendCallable, HTTPScope
+    from uvicorn._types import ASGIReceiveCallable, ASGISendCallable, HTTPScope, Scope
 
 BODY_MAX: Final = 1_048_576
 BODY_TIMEOUT_S: Final = 10.0
@@ -131,3 +134,22 @@
         receive=receive,
         send=send,
     )
+
+
+async def serve_operator(
+    scope: Scope,
+    receive: ASGIReceiveCallable,
+    send: ASGISendCallable,
+    answer: Callable[[OperatorRequest], Awaitable[None]],
+) -> None:
+    """Have one request answered, and answer it with a problem where that was refused or failed."""
+    assert scope["type"] == "http"
+    request = operator_request(scope, receive, send)
+    try:
+        await answer(request)
+    except ProblemError as exc:
+        await request.problem(exc)
+    except Exception as exc:
+        logs.write_fault("answer operator", request.path, exc)
+        fault = ProblemError(HTTPStatus.INTERNAL_SERVER_ERROR, describe(exc))
+        await request.problem(fault)
--- a/packages/turmericweir/turmericweir/settings_app.py
+++ b/packages/turmericweir/turmericweir/settings_app.py
@@ -26,11 +26,9 @@
 from returns.pipeline import is_successful
 from uuid6 import uuid7
 
-from turmericweir import logs
-from turmericweir.errors import describe as describe_error
 from turmericweir.node import Node
 from turmericweir.operator_auth import TOKEN_EXPECTED, OperatorAuth, Principal
-from turmericweir.operator_http import OperatorRequest, ProblemError, operator_request
+from turmericweir.operator_http import OperatorRequest, ProblemError, serve_operator
 from turmericweir.operators import Operators
 from turmericweir_core.events import ChangeSubmitted
 from turmericweir_core.settings_flow import where_in_force
@@ -115,16 +113,7 @@
         self, scope: Scope, receive: ASGIReceiveCallable, send: ASGISendCallable
     ) -> None:
         """Answer one request."""
-        assert scope["type"] == "http"
-        request = operator_request(scope, receive, send)
-        try:
-            await self._answer(request)
-        except ProblemError as exc:
-            await request.problem(exc)
-        except Exception as exc:
-            logs.write_fault("answer operator", request.path, exc)
-            fault = ProblemError(HTTPStatus.INTERNAL_SERVER_ERROR, describe_error(exc))
-            await request.problem(fault)
+        await serve_operator(scope, receive, send, self._answer)
 
     async def _answer(self, request: OperatorRequest) -> None:
         principal = self._auth.find(self._node.state.config, request.headers)
