Let the fault proxy cut off single senders

Cause: all peers of an instance use one route, so data centres with several instances each could not be parted without parting their own instances, too. Ruled out: a route for each pair of instances: an instance has one peer address, which the list and its heartbeats tell to all alike. Change: the fault `cut_sources`, by the sender's IP, for TCP and UDP routes. Conclusion: enough to part regions and data centres of any number of instances.

--- a/packages/turmericweir-standins/turmericweir_standins/proxy_fault.py
+++ b/packages/turmericweir-standins/turmericweir_standins/proxy_fault.py
@@ -42,6 +42,8 @@
     drop: float = Field(default=0.0, ge=0, le=1)
     # Swallow silently what goes this way.
     cut: Literal["both", "forward", "backward"] | None = None
+    # Swallow silently, both ways, what passes between senders at these IPs and the target.
+    cut_sources: tuple[str, ...] = ()
     # Hold everything back until unset; then it moves on, in order and with nothing lost.
     freeze: bool = False
     # How many of the next answers are swallowed, each with its connection closed at both ends.
@@ -55,9 +57,9 @@
         """The one-way delay in seconds."""
         return self.delay_ms / 1000
 
-    def cuts(self, direction: Direction) -> bool:
-        """Tell whether what goes this way is swallowed."""
-        return self.cut in ("both", direction.value)
+    def cuts(self, direction: Direction, source: str) -> bool:
+        """Tell whether what goes this way, from or to a sender at this IP, is swallowed."""
+        return self.cut in ("both", direction.value) or source in self.cut_sources
 
 
 class _Held(NamedTuple):
--- a/packages/turmericweir-standins/turmericweir_standins/proxy_tcp.py
+++ b/packages/turmericweir-standins/turmericweir_standins/proxy_tcp.py
@@ -125,6 +125,8 @@
     _ended: set[Direction]
     # Whether bytes went forward and none came back since.
     _awaits_response: bool
+    # The IP of the one who connects.
+    _source: str
 
     def __init__(self, route: TcpRoute) -> None:
         self._route = route
@@ -134,6 +136,7 @@
         self._silent = set()
         self._ended = set()
         self._awaits_response = False
+        self._source = ""
 
     @property
     def client_end(self) -> _End:
@@ -146,6 +149,8 @@
         """Take note of an open socket."""
         self.update_reading()
         if end is self.client_end:
+            assert end.transport is not None
+            self._source = end.transport.get_extra_info("peername")[0]
             self._route.on_connection(self)
 
     def on_data(self, direction: Direction, data: bytes) -> None:
@@ -188,7 +193,7 @@
         """Connect to the target, as late as the handshake would be done."""
         await anyio.sleep(2 * self._route.controls.table.delay_s)
         await self._route.wait_unfrozen()
-        if self._route.controls.table.cut == "both" or self._silent:
+        if all(self._is_cut(direction) for direction in Direction) or self._silent:
             self.silence()
             return
         server_end = self._ends[Direction.BACKWARD]
@@ -244,10 +249,13 @@
         return self._ends[direction.opposite]
 
     def _swallows(self, direction: Direction) -> bool:
-        if self._route.controls.table.cuts(direction):
+        if self._is_cut(direction):
             self._silent.add(direction)
         return direction in self._silent
 
+    def _is_cut(self, direction: Direction) -> bool:
+        return self._route.controls.table.cuts(direction, self._source)
+
     def _push(self, direction: Direction, action: Callable[[], None]) -> None:
         self._lines[direction].push(self._route.controls.table.delay_s, action)
 
--- a/packages/turmericweir-standins/turmericweir_standins/proxy_udp.py
+++ b/packages/turmericweir-standins/turmericweir_standins/proxy_udp.py
@@ -69,7 +69,7 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str | object, int]) -> None:
         upstream = self._upstream(cast(Address, addr))
-        self._pass(Direction.FORWARD, partial(_send, upstream, data))
+        self._pass(Direction.FORWARD, cast(Address, addr), partial(_send, upstream, data))
 
     def _upstream(self, sender: Address) -> socket.socket:
         upstream = self._upstreams.get(sender)
@@ -88,15 +88,15 @@
         except OSError:
             # Nobody listens at the target; a datagram's sender is not told so.
             return
-        self._pass(Direction.BACKWARD, partial(self._send_back, data, sender))
+        self._pass(Direction.BACKWARD, sender, partial(self._send_back, data, sender))
 
     def _send_back(self, data: bytes, sender: Address) -> None:
         if self._transport is not None:
             self._transport.sendto(data, sender)
 
-    def _pass(self, direction: Direction, action: partial[None]) -> None:
+    def _pass(self, direction: Direction, sender: Address, action: partial[None]) -> None:
         table = self.controls.table
-        if table.cuts(direction):
+        if table.cuts(direction, sender[0]):
             return
         if self._random.random() < table.drop:
             self._record("dropped", direction)
--- a/tests/standins/test_proxy.py
+++ b/tests/standins/test_proxy.py
@@ -10,6 +10,7 @@
 import pytest
 
 from turmericweir_standins.procs import (
+    LOOPBACK,
     Process,
     add_route,
     call_json,
@@ -24,6 +25,7 @@
 # How long a socket is watched before it counts as silent. A slow machine can only make the watch
 # miss a fault of the proxy; it cannot fail a good one.
 SILENCE_S = 0.2
+OTHER_IP = "127.0.0.2"
 
 
 @pytest.fixture
@@ -35,8 +37,8 @@
 class Pair:
     """A connection through the proxy, with both of its ends."""
 
-    def __init__(self, bench: Bench) -> None:
-        self.client = socket.create_connection(bench.route_address, SAFETY_S)
+    def __init__(self, bench: Bench, source: str) -> None:
+        self.client = socket.create_connection(bench.route_address, SAFETY_S, (source, 0))
         self.server, _ = bench.listener.accept()
         self.server.settimeout(SAFETY_S)
 
@@ -60,8 +62,8 @@
         host, _, port = self.route.rpartition(":")
         return host, int(port)
 
-    def connect(self) -> Pair:
-        self.pairs.append(Pair(self))
+    def connect(self, source: str = LOOPBACK) -> Pair:
+        self.pairs.append(Pair(self, source))
         return self.pairs[-1]
 
     def faults(self, **changes: object) -> None:
@@ -160,6 +162,20 @@
         again = bench.connect()
         assert carries(again.client, again.server)
 
+    def test_cut_of_one_sender(self, bench: Bench) -> None:
+        # One of two that speak from different IPs is cut off, both ways; the other notices nothing.
+        one = bench.connect(OTHER_IP)
+        other = bench.connect()
+        bench.faults(cut_sources=[OTHER_IP])
+        one.client.sendall(b"lost")
+        one.server.sendall(b"lost")
+        assert is_silent(one.server)
+        assert is_silent(one.client)
+        assert carries(other.client, other.server)
+        bench.faults(cut_sources=[])
+        again = bench.connect(OTHER_IP)
+        assert carries(again.client, again.server)
+
     def test_a_cut_hides_the_end(self, bench: Bench) -> None:
         # The server dies while it is cut off: the client is not told, as over a real cut.
         pair = bench.connect()
@@ -274,7 +290,10 @@
             set_faults(proxy.address, [route], drop=0, cut="forward")
             sender.send(b"cut")
             assert is_silent(target)
-            set_faults(proxy.address, [route], cut=None, delay_ms=5)
+            set_faults(proxy.address, [route], cut=None, cut_sources=[LOOPBACK])
+            sender.send(b"cut")
+            assert is_silent(target)
+            set_faults(proxy.address, [route], cut_sources=[OTHER_IP], delay_ms=5)
             sender.send(b"late")
             assert target.recv(10) == b"late"
 
