Answer the requests that come in as a stopping instance closes its port

Cause: the soak of ten minutes found one caller that was told nothing. Its request came 4 s after its instance had begun to stop, 0.13 s before the connection was reset; the callers before it were told `not_run stopping`, those after it were refused the connection. uvicorn closes the port with connections that nobody has accepted yet and requests that are in the socket's buffer, and both are reset. Ruled out: a kept connection (answers of a stopping instance say `connection: close`); closing later, which only moves the moment; the callers' own lateness (0.3 s, before the request was sent). Conclusion: a stop takes 0.25 s longer. A request that arrives in the same pass of the event loop in which an idle connection is closed can still be reset, as HTTP allows.

--- a/packages/turmericweir/turmericweir/http_server.py
+++ b/packages/turmericweir/turmericweir/http_server.py
@@ -30,6 +30,11 @@
 # The scope's state key under which an application finds the connection of its caller.
 CONNECTION: Final = "turmericweir.connection"
 BACKLOG: Final = 2048
+# After the port is closed, a connection without a request is kept for so long: a caller that has
+# connected sends its request within a few round trips.
+LAST_REQUESTS_S: Final = 0.25
+# Passes of the event loop in which it sees what can be read, and reads it.
+_READ_PASSES: Final = 2
 _HEADERS_TOO_LARGE: Final = 431
 # Linger for no time: what is closed is reset.
 _RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
@@ -191,6 +196,46 @@
         """Stop accepting; `serve` returns when the requests in hand are answered."""
         self.should_exit = True
 
+    async def shutdown(self, sockets: list[socket.socket] | None = None) -> None:
+        """Close the port, and end when what came in before is answered.
+
+        Failure: callers still come, as the balancer's list lags. The system has taken a connection
+        that nobody accepted yet, or a request that was not read; to close these sockets resets
+        them, and their callers cannot know that nothing was run. So what waits is accepted as the
+        port closes, and connections without a request are kept for as long as one takes to arrive.
+        """
+        accepted = [conn for sock in sockets or [] for conn in _accept_waiting(sock)]
+        for server in self.servers:
+            server.close()
+        loop = asyncio.get_running_loop()
+        for conn in accepted:
+            with contextlib.suppress(OSError):
+                await loop.connect_accepted_socket(self._make_protocol, conn)
+        await asyncio.sleep(LAST_REQUESTS_S)
+        # What has arrived meanwhile is read before uvicorn closes the connections without requests.
+        for _ in range(_READ_PASSES):
+            await asyncio.sleep(0)
+        await super().shutdown(sockets)
+
+    def _make_protocol(self) -> asyncio.Protocol:
+        # As uvicorn makes one for each connection that it accepts.
+        made: asyncio.Protocol = self.config.http_protocol_class(  # type: ignore[call-arg]
+            config=self.config, server_state=self.server_state, app_state=self.lifespan.state
+        )
+        return made
+
+
+def _accept_waiting(sock: socket.socket) -> list[socket.socket]:
+    """Accept the connections that the system has taken and nobody has accepted."""
+    found: list[socket.socket] = []
+    while True:
+        try:
+            conn, _ = sock.accept()
+        except OSError:
+            return found
+        conn.setblocking(False)
+        found.append(conn)
+
 
 def bind(address: str, step: str) -> socket.socket:
     """Bind a TCP socket to an address; uvicorn listens on it later."""
