Open the streams to peers from the instance's own address

Cause: datagrams to peers leave from the address that the process's settings name, streams left from whatever the system picked; a firewall, or a proxy that parts data centres, could not know whose they are. Ruled out: reading the sender's name out of the frames, which only a program that knows the protocol can. Figures: tests/daemon/test_peer_streams.py notes the source; without the change it reads 127.0.0.1 in place of 127.0.0.3. Conclusion: all traffic between instances has one known source.

--- a/packages/turmericweir/turmericweir/peer_streams.py
+++ b/packages/turmericweir/turmericweir/peer_streams.py
@@ -46,6 +46,8 @@
     _node: Node
     _peer: InstanceName
     address: str
+    # The IP from which it is opened: the one that its peers' firewalls know this instance by.
+    _source: str
     # Encoded frames that were not written yet.
     _queue: deque[bytes]
     # Set when there is something to send.
@@ -60,10 +62,11 @@
     # Ends the link.
     scope: anyio.CancelScope
 
-    def __init__(self, node: Node, peer: InstanceName, address: str) -> None:
+    def __init__(self, node: Node, peer: InstanceName, address: str, source: str) -> None:
         self._node = node
         self._peer = peer
         self.address = address
+        self._source = source
         self._queue = deque()
         self._wanted = anyio.Event()
         self._reset()
@@ -109,7 +112,7 @@
     async def _connect_and_talk(self) -> None:
         host, _, port = self.address.rpartition(":")
         with anyio.fail_after(CONNECT_TIMEOUT_S):
-            stream = await anyio.connect_tcp(host, int(port))
+            stream = await anyio.connect_tcp(host, int(port), local_host=self._source)
         async with stream:
             set_options(stream)
             self._reset()
@@ -196,7 +199,8 @@
             if link is not None:
                 # The peer has restarted elsewhere.
                 link.scope.cancel()
-            link = PeerLink(self._node, effect.peer, effect.address)
+            source = self._address.rpartition(":")[0]
+            link = PeerLink(self._node, effect.peer, effect.address, source)
             self._links[effect.peer] = link
             self._node.in_background(link.run)
         link.send(encode(self._me, effect.message))
--- a/tests/daemon/test_peer_streams.py
+++ b/tests/daemon/test_peer_streams.py
@@ -23,6 +23,8 @@
 ME = InstanceName("entry-1")
 PEER = InstanceName("entry-2")
 SAFETY_S = 20.0
+# The IP by which peers and what lies in between know this instance.
+SOURCE = "127.0.0.3"
 
 
 class Listening:
@@ -48,6 +50,8 @@
     def __init__(self) -> None:
         # Frames by connection, as the senders wrote them.
         self.connections: list[list[object]] = []
+        # The IPs from which they came.
+        self.sources: set[str] = set()
         self.changed = anyio.Event()
 
     async def serve(self, stream: SocketStream, answers: Callable[[int], bool]) -> None:
@@ -55,6 +59,7 @@
         number = len(self.connections)
         frames: list[object] = []
         self.connections.append(frames)
+        self.sources.add(stream.extra(SocketAttribute.remote_address)[0])
         unpacker = msgpack.Unpacker()
         async with stream:
             async for data in stream:
@@ -74,7 +79,7 @@
     peer = BadPeer()
     listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
     port = listener.extra(SocketAttribute.local_port)
-    link = PeerLink(cast(Node, listening), PEER, f"127.0.0.1:{port}")
+    link = PeerLink(cast(Node, listening), PEER, f"127.0.0.1:{port}", SOURCE)
 
     async def accept(stream: SocketStream) -> None:
         await peer.serve(stream, lambda number: number > 0)
@@ -94,6 +99,7 @@
             while len(peer.connections) < 2 or not peer.connections[1]:
                 await peer.changed.wait()
             assert peer.connections[1] == [[ME, "SettingsAsk", [2]]]
+            assert peer.sources == {SOURCE}
             group.cancel_scope.cancel()
 
 
@@ -103,7 +109,7 @@
     listening = Listening()
     async with await anyio.create_tcp_listener(local_host="127.0.0.1") as listener:
         port = listener.extra(SocketAttribute.local_port)
-    link = PeerLink(cast(Node, listening), PEER, f"127.0.0.1:{port}")
+    link = PeerLink(cast(Node, listening), PEER, f"127.0.0.1:{port}", SOURCE)
 
     with anyio.fail_after(SAFETY_S):
         async with anyio.create_task_group() as group:
