Test regions that lose each other with real processes

Cause: the design has two regions that lose each other for minutes; no test with real processes parted regions, and none parted data centres of more than one instance. Ruled out: cutting the routes of all instances, which parts the instances of one region from each other, too. Change: peer_cluster.PeerCluster, instances that speak to each other through a proxy, each from an IP of its own (tests/failures/member_cluster now builds on it, with the same faults on the same routes); tests/failures/test_regions.py with two instances, an engine and a plain server in each of two regions, and the log in one of them.

--- a/tests/failures/member_cluster.py
+++ b/tests/failures/member_cluster.py
@@ -1,8 +1,6 @@
-"""A cluster whose instances speak to each other through the fault proxy.
+"""A cluster whose instances speak to each other through the fault proxy, and what they believe.
 
-There is one route to each instance, which all its peers use. With one instance in each of two data
-centres, cutting all routes parts the data centres. `Calls` keeps sending requests to one instance,
-as its callers would.
+`Calls` keeps sending requests to one instance, as its callers would.
 """
 
 from __future__ import annotations
@@ -16,15 +14,9 @@
 from typing import Any, Final, Self
 
 from tests.failures.cluster import SMALL
-from turmericweir_standins.deployment import Cluster, Instance, Listed, token_of
-from turmericweir_standins.procs import (
-    JsonAnswer,
-    Process,
-    call_json,
-    free_address,
-    standin,
-    wait_until,
-)
+from turmericweir_standins.deployment import Instance, Listed, token_of
+from turmericweir_standins.peer_cluster import PeerCluster
+from turmericweir_standins.procs import JsonAnswer, call_json, wait_until
 from turmericweir_standins.record import read_records
 
 # Left out, or back in, at the latest after so long; the test waits for the event itself.
@@ -33,11 +25,9 @@
 CUSTOMER: Final = "shop-1"
 
 
-class MemberCluster(Cluster):
+class MemberCluster(PeerCluster):
     """Instances with a proxy between them."""
 
-    proxy: Process
-
     def __init__(
         self,
         directory: Path,
@@ -50,20 +40,9 @@
         super().__init__(deployment, directory)
         self._stop_grace_s = stop_grace_s
 
-    def _start(self) -> None:
-        self.directory.mkdir(parents=True, exist_ok=True)
-        self.proxy = self._enter(standin("proxy", directory=self.directory))
-        super()._start()
-
     def _process_settings(self, listed: Listed, admin_address: str) -> dict[str, Any]:
-        inside = free_address()
-        routes = [
-            {"kind": kind, "listen": listed.peer_address, "target": inside}
-            for kind in ("tcp", "udp")
-        ]
-        call_json(self.proxy.address, "POST", "/_standin/routes", {"routes": routes})
         cfg = super()._process_settings(listed, admin_address)
-        return {**cfg, "peer_listen_address": inside, "stop_grace_s": self._stop_grace_s}
+        return {**cfg, "stop_grace_s": self._stop_grace_s}
 
     # --- faults ---
 
@@ -72,12 +51,6 @@
         for name in self.instances:
             self.deafen(name, on=on)
 
-    def deafen(self, name: str, *, on: bool = True) -> None:
-        """Let nothing of the others come in to an instance."""
-        address = self.instances[name].listed.peer_address
-        change = {"cut": "both" if on else None}
-        call_json(self.proxy.address, "POST", f"/_standin/behaviour?route={address}", change)
-
     def behave(self, name: str, **changes: object) -> None:
         """Change the behaviour of a backend server."""
         call_json(self.servers[name].address, "POST", "/_standin/behaviour", changes)
