Note why engines' cache events are not asked for

Cause: the engines publish which prefixes enter and leave their caches; the reducer can take such events, and no adapter asks for them. Nothing said whether that loses anything. Ruled out: a trial adapter, once a second for each server that an instance has work on, with prefixes named as the engines name them, in the reducer's prefix map; and rendezvous hashing of an unknown prefix. Both were taken out again. Passing events on by dispatchers: nearly the same bytes for each holder.

--- a/packages/turmericweir-core/turmericweir_core/prefix.py
+++ b/packages/turmericweir-core/turmericweir_core/prefix.py
@@ -1,10 +1,12 @@
 """Which server holds which prompt prefix in its cache, as far as this instance can tell.
 
 An engine skips the prefill of a prefix that it holds, so a request is best sent where its longest
-prefix went before. Two sources: where this instance sent requests, and the engines' cache events,
-which come late and with gaps. An eviction removes an entry. A gap removes nothing: what stood
-before it is *unknown* rather than absent, and draws requests with less weight until it is
-confirmed.
+prefix went before. The source is where this instance sent requests.
+
+The engines' cache events, which come late and with gaps, can be taken as well. No adapter asks for
+them, since what they add is not worth their bytes (docs/design/placement.md). An eviction removes
+an entry. A gap removes nothing: what stood before it is *unknown* rather than absent, and draws
+requests with less weight until it is confirmed. So does a restart of the server.
 
 Memory is bounded by the number of prefixes, least recently used first out.
 """
