Let upper requests take the place of lower work beyond its credit

Cause: under credits a dispatcher calls credit back from an instance for as much lower work of another one, and nothing is stopped for that. An upper request that then came to the first instance found its credit below what ran there, so that one lower answer less made no room; and as lower work ran on its own instance it asked nobody. It waited until all that was too much had ended by itself. The same held where lower work ran only on servers that are too slow or that the request avoids. Change: an upper request may take the place of lower work that ended here, as long as the sum that this instance said to run does not grow, nor what it may keep; own lower work counts as making way only where its end makes room; demands go to servers that the request does not avoid.

--- a/packages/turmericweir-core/turmericweir_core/credit_demand.py
+++ b/packages/turmericweir-core/turmericweir_core/credit_demand.py
@@ -22,14 +22,14 @@
 from turmericweir_core import queue_state
 from turmericweir_core.concurrency import limited_slots
 from turmericweir_core.config import Kind
-from turmericweir_core.credit_holder import used_by_tier
+from turmericweir_core.credit_holder import lower_that_makes_way, used_by_tier
 from turmericweir_core.credit_state import HeldCredit
 from turmericweir_core.ids import InstanceName, ServerName
 from turmericweir_core.options import Options
 from turmericweir_core.patience import count_ripe
 from turmericweir_core.peer_messages import CreditDemand, TierDemand
 from turmericweir_core.pool_load import pool_load
-from turmericweir_core.server_table import Server
+from turmericweir_core.server_table import Server, preferred
 from turmericweir_core.subset import open_servers
 
 if TYPE_CHECKING:
@@ -42,16 +42,19 @@
 def wanted_credit(state: State, now: float, pool: str) -> dict[ServerName, list[TierDemand]]:
     """Spread what waits in a pool over servers to ask, by server and tier."""
     wanted: dict[ServerName, dict[int, TierDemand]] = {}
-    load = pool_load(state.pool_loads, pool)
-    own = dict(load.running)
+    # Requests for which own lower work makes way, if none of it ends soon enough by itself.
+    served = 0
     # For those that own lower work makes way for already, nobody else's need be stopped.
-    covered = load.displacing
+    covered = pool_load(state.pool_loads, pool).displacing
     queues = queue_state.pool_queues(state.queues, pool)
     for queue in sorted(queues, key=lambda queue: queue.service_class.priority):
-        servers = open_servers(state, now, queue.target)
+        servers = preferred(open_servers(state, now, queue.target), queue.head())
         asking = len(queue.waiting)
         if _is_short(state, servers):
-            asking -= _take_own(own, queue.service_class.priority, asking)
+            own = _lower_that_makes_way(state, now, servers, queue.service_class.priority)
+            taken = max(0, min(asking, own - served))
+            asking -= taken
+            served += taken
         if asking:
             asked = _servers_to_ask(state, now, queue, servers, asking)
             ripe = count_ripe(state.options, now, queue, asking)
@@ -71,16 +74,14 @@
     )
 
 
-def _take_own(own: dict[int, int], tier: int, count: int) -> int:
-    """Take lower work that runs here into account, the least urgent first; give how much."""
-    taken = 0
-    for each in sorted(own, reverse=True):
-        if each <= tier:
-            break
-        part = min(own[each], count - taken)
-        own[each] -= part
-        taken += part
-    return taken
+def _lower_that_makes_way(state: State, now: float, servers: list[Server], tier: int) -> int:
+    """Count own lower attempts that would leave their places to a tier.
+
+    Failure: all that runs below counts, also on servers whose credit was called back or that are
+    too slow, where an end makes no room. The upper request then asks nobody, and waits until lower
+    answers end by themselves while they run everywhere.
+    """
+    return sum(lower_that_makes_way(state, now, server, tier) for server in servers)
 
 
 def _servers_to_ask(
--- a/packages/turmericweir-core/turmericweir_core/credit_holder.py
+++ b/packages/turmericweir-core/turmericweir_core/credit_holder.py
@@ -6,8 +6,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from math import floor
 from typing import TYPE_CHECKING
 
+from turmericweir_core.concurrency import limited_slots
 from turmericweir_core.config import Kind
 from turmericweir_core.credit_lead import dispatcher_of
 from turmericweir_core.credit_state import HeldCredit
@@ -16,6 +18,7 @@
 from turmericweir_core.options import Options
 from turmericweir_core.peer_messages import CreditGrant, ServerLoad
 from turmericweir_core.server_table import Server, note_report
+from turmericweir_core.straggler import server_weight
 
 if TYPE_CHECKING:
     from turmericweir_core.state import State
@@ -52,6 +55,17 @@
     return credit is not None and now < credit.valid_until
 
 
+def covered_room(state: State, now: float, server: Server, tier: int) -> int:
+    """Count the requests of a tier that may be sent to a server by the credit held there."""
+    room = max(credit_headroom(state, now, server, tier), replacing_room(state, now, server, tier))
+    weight = server_weight(state.stragglers, server.entry.name)
+    if weight == 1.0:
+        return room
+    # A slow server is given less than the credit covers; what is left goes to others.
+    slots = limited_slots(state.server_limits, server.entry.name, server.slots)
+    return min(room, max(1, floor(slots * weight)) - len(server.in_flight))
+
+
 def credit_headroom(state: State, now: float, server: Server, tier: int) -> int:
     """Count the requests of a tier that the credit for a server still covers.
 
@@ -77,6 +91,27 @@
     return room
 
 
+def replacing_room(state: State, now: float, server: Server, tier: int) -> int:
+    """Count the requests of a tier that may take the place of lower work which ran here.
+
+    Failure: credit is called back from an instance that runs lower work, so that as much lower work
+    of another instance may run. An upper request that comes here then finds less credit than what
+    runs; to stop one lower answer would not make room by the credit alone, and it waits until all
+    that is too much has ended. The dispatcher takes what an instance said to run as in use until
+    it says otherwise. So upper work may take a lower answer's place as long as the sum does not
+    grow: the server is given no more than before.
+    """
+    credit = state.credits.held.get(server.entry.name)
+    if credit is None or now >= credit.valid_until or server.service.kind is not Kind.MODEL:
+        return -1
+    said = sum(each.running for each in credit.asked)
+    # What is to stop here for upper work of other instances leaves its place to that.
+    most = said if credit.keep is None else min(said, credit.keep)
+    said_lower = sum(each.running for each in credit.asked if each.tier > tier)
+    lower = sum(1 for each in server.in_flight.values() if each > tier)
+    return min(most - len(server.in_flight), said_lower - lower)
+
+
 def _left(credit: HeldCredit, used: dict[int, int], each: int, tier: int) -> int:
     """Count the slots of one tier that are left for a request of another, or of the same."""
     slots = credit.slots.get(each, 0)
@@ -102,6 +137,17 @@
     return len(server.in_flight) - max(credit.keep, sum(credit.slots.values()))
 
 
+def lower_that_makes_way(state: State, now: float, server: Server, tier: int) -> int:
+    """Count the lower attempts on a server of which each leaves its place to a tier by ending."""
+    if server.service.kind is not Kind.MODEL or covered_room(state, now, server, tier) != 0:
+        return 0
+    return sum(
+        running
+        for each, running in used_by_tier(server).items()
+        if each > tier and not is_assured(state, server, each)
+    )
+
+
 # --- answers that do not come ----------------------------------------------------------------
 
 
--- a/packages/turmericweir-core/turmericweir_core/displacement.py
+++ b/packages/turmericweir-core/turmericweir_core/displacement.py
@@ -20,10 +20,10 @@
 from turmericweir_core.credit_holder import excess, is_assured
 from turmericweir_core.ids import Target, request_of
 from turmericweir_core.patience import count_ripe
-from turmericweir_core.placement import headroom, preferred
+from turmericweir_core.placement import headroom
 from turmericweir_core.pool_load import lower_running, pool_load
 from turmericweir_core.request import CancelReason, Request
-from turmericweir_core.server_table import Server
+from turmericweir_core.server_table import Server, preferred
 from turmericweir_core.subset import open_servers
 
 if TYPE_CHECKING:
--- a/packages/turmericweir-core/turmericweir_core/placement.py
+++ b/packages/turmericweir-core/turmericweir_core/placement.py
@@ -18,18 +18,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from math import ceil, floor
 from typing import TYPE_CHECKING, assert_never
 
 from turmericweir_core import credit, straggler
 from turmericweir_core.concurrency import limited_slots
 from turmericweir_core.config import Kind, Policy
-from turmericweir_core.credit_holder import credit_headroom, goes_by_counts
+from turmericweir_core.credit_holder import covered_room, goes_by_counts
 from turmericweir_core.prefix import match_scores
 from turmericweir_core.queue_state import target_classes
 from turmericweir_core.request import Request
-from turmericweir_core.server_table import Server, any_target, servers_for
+from turmericweir_core.server_table import Server, any_target, preferred, servers_for
 from turmericweir_core.subset import open_servers, sharing_instances
 from turmericweir_core.tiers import most_urgent
 
@@ -53,14 +52,6 @@
     return _pick_least_loaded(state, now, req, tier, candidates)
 
 
-def preferred(candidates: Iterable[Server], req: Request) -> list[Server]:
-    """Leave out servers that this request has failed on, as long as any other is left."""
-    found = list(candidates)
-    if not req.avoid:
-        return found
-    return [each for each in found if each.entry.name not in req.avoid] or found
-
-
 def _pick_baseline(candidates: list[Server]) -> Server | None:
     room = [server for server in candidates if len(server.in_flight) < 2 * server.slots]
     return min(room, key=lambda server: server.sent, default=None)
@@ -157,13 +148,7 @@
         case Policy.CREDITS:
             if goes_by_counts(state, now, server):
                 return _cautious_headroom(state, now, server, tier)
-            room = credit_headroom(state, now, server, tier)
-            weight = _weight(state, server)
-            if weight == 1.0:
-                return room
-            # A slow server is given less than the credit covers; what is left goes to others.
-            weighed = floor(usable_slots(state, server) * weight)
-            return min(room, max(1, weighed) - len(server.in_flight))
+            return covered_room(state, now, server, tier)
         case unreachable:
             assert_never(unreachable)
 
--- a/packages/turmericweir-core/turmericweir_core/server_table.py
+++ b/packages/turmericweir-core/turmericweir_core/server_table.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
 from turmericweir_core.config import Config, ServerEntry, Service
@@ -16,6 +16,7 @@
 from turmericweir_core.leaving_marks import LeavingMark, LeavingMarks, marks_on
 from turmericweir_core.model_label import bare_name
 from turmericweir_core.options import Options
+from turmericweir_core.request import Request
 
 
 @dataclass(slots=True)
@@ -243,3 +244,11 @@
         if now >= server.probe_due:
             server.probe_due = now + options.probe_s
             yield server
+
+
+def preferred(candidates: Iterable[Server], req: Request) -> list[Server]:
+    """Leave out servers that this request has failed on, as long as any other is left."""
+    found = list(candidates)
+    if not req.avoid:
+        return found
+    return [each for each in found if each.entry.name not in req.avoid] or found
--- a/tests/core/test_displacement.py
+++ b/tests/core/test_displacement.py
@@ -1,7 +1,11 @@
-"""Failures of displacement that a run with random faults found."""
+"""Which lower work makes way, in cases that runs under load and with random faults found."""
 
 from __future__ import annotations
 
+import pytest
+
+from tests.core.case_driver import Case, check_lines, load_cases
+from tests.core.load_script import run_script
 from tests.core.load_world import LoadWorld
 from turmericweir_core.config import Policy
 from turmericweir_core.effects import CancelAttempt
@@ -13,6 +17,12 @@
 TOO_MANY = 20
 
 
+@pytest.mark.parametrize("case", load_cases("displacement.test"), ids=str)
+def test_displacement(case: Case) -> None:
+    """Let lower work make way as the case says."""
+    check_lines(case, run_script(case.lines("in")))
+
+
 class BoundedWorld(LoadWorld):
     """A world that fails, rather than hangs, where an instance displaces without end."""
 
