Press further dispatchers where the first has nothing to stop

Cause: a waiting upper request presses one dispatcher, the first that it asked, so that one lower answer stops for it. Where that server runs upper work alone nothing stops, and nobody else is pressed for as long as the request waits. Change: after 0.3 s four times as many dispatchers are pressed, and so on.

--- a/packages/turmericweir-core/turmericweir_core/credit_demand.py
+++ b/packages/turmericweir-core/turmericweir_core/credit_demand.py
@@ -26,7 +26,7 @@
 from turmericweir_core.credit_state import HeldCredit
 from turmericweir_core.ids import InstanceName, ServerName
 from turmericweir_core.options import Options
-from turmericweir_core.patience import count_ripe
+from turmericweir_core.patience import count_ripe, displacement_wait
 from turmericweir_core.peer_messages import CreditDemand, TierDemand
 from turmericweir_core.pool_load import pool_load
 from turmericweir_core.server_table import Server, preferred
@@ -58,7 +58,8 @@
         if asking:
             asked = _servers_to_ask(state, now, queue, servers, asking)
             ripe = count_ripe(state.options, now, queue, asking)
-            _spread(wanted, queue, asked, asking, max(0, ripe - covered))
+            presses = _presses(state.options, now, queue, max(0, ripe - covered), len(asked))
+            _spread(wanted, queue, asked, asking, presses)
         covered = max(0, covered - len(queue.waiting))
     return {name: list(tiers.values()) for name, tiers in wanted.items()}
 
@@ -110,19 +111,35 @@
     return report.running + report.waiting >= report.slots
 
 
+def _presses(
+    options: Options, now: float, queue: queue_state.ClassQueue, ripe: int, servers: int
+) -> list[int]:
+    """Give for how many ripe requests each server's dispatcher is pressed to stop lower work.
+
+    Each presses one, so that lower work stops once for it. Failure: that server runs upper work
+    alone, so nothing stops there, and the request waits on while lower work runs elsewhere. So once
+    the first has had the time to act, others are pressed as well.
+    """
+    wait = displacement_wait(options, queue.service_class.target_s)
+    turns = int((now - queue.head().arrived - wait) / options.credit_press_s)
+    # Bounded, as the power grows without end.
+    reach = ripe * options.credit_ask ** max(0, min(3, turns))
+    return [len(range(place, ripe, servers)) or int(place < reach) for place in range(servers)]
+
+
 def _spread(
     wanted: dict[ServerName, dict[int, TierDemand]],
     queue: queue_state.ClassQueue,
     servers: list[Server],
     asking: int,
-    pressed: int,
+    presses: list[int],
 ) -> None:
     tier = queue.service_class.priority
-    for index, server in enumerate(servers):
+    for server, pressed in zip(servers, presses, strict=True):
         tiers = wanted.setdefault(server.entry.name, {})
         before = tiers.get(tier, TierDemand(tier, 0, 0))
         waiting = before.waiting + ceil(asking / len(servers))
-        press = before.pressed + len(range(index, pressed, len(servers)))
+        press = before.pressed + pressed
         tiers[tier] = TierDemand(tier, 0, min(server.slots, waiting), min(server.slots, press))
 
 
--- a/packages/turmericweir-core/turmericweir_core/options.py
+++ b/packages/turmericweir-core/turmericweir_core/options.py
@@ -77,6 +77,9 @@
     # as many are asked, and again after as long.
     credit_ask: int = 4
     credit_widen_s: float = 0.2
+    # How long a dispatcher that is pressed to stop lower work has for it before others are pressed,
+    # `credit_ask` times as many: some round trips, the end of the attempt, and a tick or two.
+    credit_press_s: float = 0.3
     # Demands a second that one instance sends on average, and at once, so that control stays within
     # 6 KB/s however many servers are short of slots: a demand and its answer take 160 bytes, and an
     # instance that leads its part of the servers is sent as many as it sends.
--- a/tests/core/test_displacement.py
+++ b/tests/core/test_displacement.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+from random import Random
+
 import pytest
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
 
 from tests.core.case_driver import Case, check_lines, load_cases
 from tests.core.load_script import run_script
-from tests.core.load_world import LoadWorld
+from tests.core.load_world import CLASSES, LoadWorld
 from turmericweir_core.config import Policy
 from turmericweir_core.effects import CancelAttempt
 from turmericweir_core.events import EndRefused
@@ -66,3 +71,53 @@
     world.advance(0.2)
     assert world.displaced() == 1
     assert "f0" in world.running_ids()
+
+
+# --- any load ----------------------------------------------------------------------------------
+
+# Without assured shares anything lower makes way.
+STRICT = {name: replace(each, assured_share=0.0) for name, each in CLASSES.items()}
+# Longer than every upper class's patience and a press of every server after it.
+SETTLED_S = 1.5
+
+
+def play(rng: Random) -> LoadWorld:
+    """Let requests come and go at random before some instances and servers."""
+    world = LoadWorld(
+        instances=rng.randint(1, 4),
+        servers=rng.randint(1, 3),
+        slots=rng.randint(2, 5),
+        policy=Policy.CREDITS,
+        classes=STRICT,
+    )
+    world.advance(0.3)
+    for _ in range(rng.randint(5, 80)):
+        step = rng.random()
+        if step < 0.55:
+            (name,) = rng.choices(["counter", "fitting", "quote"], [1, 1, 3])
+            world.arrive(name, instance=rng.randrange(len(world.states)), deadline_s=1e5)
+        elif step < 0.75 and world.running:
+            running = rng.choice(list(world.running.values()))
+            world.progress(running, 50)
+            world.end(running)
+        else:
+            world.advance(rng.choice([0.1, 0.2, 0.5]))
+        for server in world.config.servers:
+            assert len(world.on_server(server)) <= world.slots + world.options.slack_slots
+    return world
+
+
+@settings(max_examples=60, deadline=None)
+@given(st.integers(0, 2**16))
+@example(85)
+@example(249)
+def test_no_upper_request_waits_while_lower_work_runs(seed: int) -> None:
+    # A student's homework waits at one instance while essays run, there or elsewhere. No one
+    # is told, or no one who could stop one, and it waits until answers end by themselves.
+    world = play(Random(seed))
+    world.advance(SETTLED_S)
+    tiers = {name: each.priority for name, each in STRICT.items()}
+    lowest_running = max((tiers[each.service_class] for each in world.running.values()), default=-1)
+    for state in world.states.values():
+        for queue in state.queues.index.values():
+            assert queue.service_class.priority >= lowest_running
