Move an answer off an engine that has become slow

Cause: what ran on an engine when it slowed down stayed there to its end, at a gap of 82 ms and more where its class was promised 65, and each instance sent it one or two more before it had judged it. Ruled out: judging faster only: an answer of 70 tokens may have three late gaps, a quarter of a second; an average is later than that. Change: late gaps are counted as they come; after two in a row the attempt is cancelled and resumed elsewhere, if most others are in time, another has or may give room, the call may be repeated, the budget pays and it was not moved before. The server is stopped at once, for 2 s at least. Instances do not tell each other of a straggler.

--- a/packages/turmericweir-core/turmericweir_core/attempt_books.py
+++ b/packages/turmericweir-core/turmericweir_core/attempt_books.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from math import inf
 from typing import TYPE_CHECKING, assert_never
 
 from turmericweir_core import concurrency, displacement, pool_load, predict, prefix, straggler
@@ -41,6 +42,7 @@
     work = state.predicted_work
     if req.kind is Kind.MODEL:
         work[attempt.server] = work.get(attempt.server, 0.0) + attempt.work
+        attempt.gap_late_s = req.service_class.token_gap_target_s or inf
         prefix.note_sent(state.prefixes, state.options, now, attempt.server, req.prefixes)
 
 
--- a/packages/turmericweir-core/turmericweir_core/lifecycle.py
+++ b/packages/turmericweir-core/turmericweir_core/lifecycle.py
@@ -13,6 +13,7 @@
     admission,
     attempt_books,
     limit,
+    moving,
     quarantine,
     queue_state,
     silence,
@@ -165,13 +166,18 @@
     if event.tokens == 0:
         # Nothing came, because the caller does not read; the server is not to blame.
         attempt.last_token_at = now if attempt.first_token_at is not None else None
+        attempt.late_gaps = 0
         return []
+    last = attempt.last_token_at
     attempt.tokens += event.tokens
     attempt.last_token_at = now
     req.delivered += event.tokens
-    if attempt.first_token_at is not None:
+    if last is None:
+        return _on_first_token(state, now, req, attempt)
+    if now - last <= attempt.gap_late_s * event.tokens:
+        attempt.late_gaps = 0
         return []
-    return _on_first_token(state, now, req, attempt)
+    return moving.on_late_gap(state, now, req, attempt, (now - last) / event.tokens)
 
 
 def _on_first_token(state: State, now: float, req: Request, attempt: Attempt) -> list[Effect]:
@@ -293,6 +299,11 @@
                 return _after_loss(state, now, req, attempt, Reason.DISPLACED)
             _wait_again(state, now, req)
             return [Count(f"displaced.{req.service_class.name}")]
+        case CancelReason.MOVED:
+            # Paid for when it was decided, and never asked of a request that may not run again.
+            req.avoid.add(attempt.server)
+            _wait_again(state, now, req)
+            return []
         case CancelReason.QUARANTINED:
             return finish(state, now, req, Outcome.FAILED, Reason.QUARANTINED)
         case CancelReason.SILENT | None if not attempt.sent:
--- a/packages/turmericweir-core/turmericweir_core/options.py
+++ b/packages/turmericweir-core/turmericweir_core/options.py
@@ -149,6 +149,10 @@
     straggler_slow: float = 1.6
     straggler_stop: float = 3.0
     straggler_well: float = 1.3
+    # Gaps between tokens in a row above the promise after which an answer is moved elsewhere.
+    move_late_gaps: int = 2
+    # A server that sent a token above the promise is not taken for well for so long.
+    move_well_s: float = 1.0
     # Between probes of a stopped straggler with low-tier requests.
     straggler_probe_s: float = 2.0
     # How much longer a probe waits where only upper classes are there to make it.
--- a/packages/turmericweir-core/turmericweir_core/request.py
+++ b/packages/turmericweir-core/turmericweir_core/request.py
@@ -17,6 +17,8 @@
     DEADLINE = "deadline"
     # Its connection, or its server, went silent.
     SILENT = "silent"
+    # Its server has become slow, and another one has room.
+    MOVED = "moved"
     # Work of a more urgent class needs its place.
     DISPLACED = "displaced"
     # It was found to crash servers.
@@ -54,6 +56,10 @@
     tokens: int = 0
     first_token_at: float | None = None
     last_token_at: float | None = None
+    # A gap between tokens above this is late: the promise of its class, if it has one.
+    gap_late_s: float = float("inf")
+    # Gaps in a row that were late.
+    late_gaps: int = 0
     # Why the reducer has ordered it to stop; its end is awaited.
     cancelled: CancelReason | None = None
     # The pool whose books it is in, and the work that it was entered for.
@@ -105,6 +111,8 @@
     queued_cost: float = 0.0
     # Attempts that had to make way for upper tiers; no fault of the request's or the server's.
     displaced: int = 0
+    # It was moved off a slow server once, which is how often it may be.
+    moved: bool = False
     # The caller has closed its connection; the request is only finished for its account.
     caller_left: bool = False
     # Servers that this request has failed on; avoided while others are left.
--- a/packages/turmericweir-core/turmericweir_core/straggler.py
+++ b/packages/turmericweir-core/turmericweir_core/straggler.py
@@ -30,6 +30,8 @@
     samples: int = 0
     # Share of its slots that it is given work for, 0..1; 0.0 is a stopped straggler.
     weight: float = 1.0
+    # Stopped until then by late gaps, where no majority of servers could judge it.
+    stopped_until: float = 0.0
     # When a stopped straggler may be given its next probe.
     probe_due: float = 0.0
     # Times that it was judged to be a straggler, for the state dump.
@@ -43,6 +45,8 @@
     by_server: dict[ServerName, ServerPace] = field(default_factory=dict)
     # When the running attempts are sampled next.
     sample_due: float = 0.0
+    # When each server last sent a token later than promised.
+    late_at: dict[ServerName, float] = field(default_factory=dict)
 
 
 def server_weight(state: StragglerState, server: ServerName) -> float:
@@ -118,7 +122,7 @@
     for service, paces in _by_service(state, options).items():
         if len(paces) < options.straggler_peers:
             # Two servers have no majority that could say which one is slow.
-            _clear(state, service)
+            _clear(state, now, service)
             continue
         usual = median(pace.gap_s for pace in paces.values())
         for name, pace in paces.items():
@@ -135,9 +139,10 @@
     return groups
 
 
-def _clear(state: StragglerState, service: str) -> None:
+def _clear(state: StragglerState, now: float, service: str) -> None:
     for pace in state.by_server.values():
-        if pace.service == service:
+        # One that late gaps stopped has its pause, or the next request would be sent there at once.
+        if pace.service == service and now >= pace.stopped_until:
             pace.weight = 1.0
 
 
@@ -157,6 +162,68 @@
     return newly
 
 
+def note_late(state: StragglerState, now: float, server: ServerName) -> None:
+    """Remember that a server sent a token later than promised."""
+    state.late_at[server] = now
+
+
+def was_late(state: StragglerState, options: Options, now: float, server: ServerName) -> bool:
+    """Tell whether a server sent a token later than promised a short while ago."""
+    late_at = state.late_at.get(server)
+    return late_at is not None and now - late_at < options.move_well_s
+
+
+def was_late_before(state: StragglerState, now: float, server: ServerName, gap_s: float) -> bool:
+    """Tell whether a late gap that ends now follows another late one on its server.
+
+    All answers of a batch have their tokens at the same moments, give or take what passing them on
+    takes. So the gap before this one ended at most half a gap after this one began, and one that
+    ends with it is the same pause.
+    """
+    late_at = state.late_at.get(server)
+    return late_at is not None and 0.5 * gap_s <= now - late_at <= 2.0 * gap_s
+
+
+def is_behind(
+    state: StragglerState, options: Options, service: str, server: ServerName, gap_s: float
+) -> bool:
+    """Tell whether a gap on a server is well above what the others of its service show.
+
+    One other server will do, unlike for a verdict: an instance that has credit for two or three
+    servers knows no more of them, and what follows is one move and a short stop.
+    """
+    others = [
+        pace.gap_s
+        for name, pace in state.by_server.items()
+        if name != server and pace.service == service
+    ]
+    return bool(others) and gap_s >= options.straggler_slow * median(others)
+
+
+def stop(
+    state: StragglerState,
+    options: Options,
+    now: float,
+    service: str,
+    server: ServerName,
+    gap_s: float,
+) -> bool:
+    """Give a server no new work but probes from now on; tell whether it had all of its part before.
+
+    The average gap takes a few samples to follow. Until then each new request would be sent there,
+    to be moved away in its turn. What still runs there lowers it again if the gap was no rule.
+    """
+    pace = state.by_server.setdefault(server, ServerPace(service))
+    if pace.weight == 0.0:
+        return False
+    newly = pace.weight == 1.0
+    pace.judged += newly
+    pace.gap_s = max(pace.gap_s, gap_s)
+    pace.weight = 0.0
+    pace.probe_due = pace.stopped_until = now + options.straggler_probe_s
+    return newly
+
+
 def may_probe(state: StragglerState, now: float, server: ServerName, in_flight: int) -> bool:
     """Tell whether a stopped straggler may be given one request to see how it does."""
     pace = state.by_server.get(server)
@@ -173,3 +240,4 @@
 def forget_server(state: StragglerState, server: ServerName) -> None:
     """Judge a server afresh, because it restarted or is gone."""
     state.by_server.pop(server, None)
+    state.late_at.pop(server, None)
--- a/tests/core/test_straggler.py
+++ b/tests/core/test_straggler.py
@@ -3,17 +3,22 @@
 from __future__ import annotations
 
 from collections import Counter
+from dataclasses import dataclass
+from typing import Final
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from tests.core.load_world import LoadWorld, Running
 from turmericweir_core import concurrency, straggler
+from turmericweir_core.account import Outcome
 from turmericweir_core.concurrency import LimitState
-from turmericweir_core.events import CallerLeft
+from turmericweir_core.config import Policy, ServiceClass
+from turmericweir_core.events import CallerLeft, EndCancelled
 from turmericweir_core.ids import AttemptId, InstanceName, RequestId, ServerName
 from turmericweir_core.options import Options
-from turmericweir_core.request import Attempt
+from turmericweir_core.request import Attempt, CancelReason
 from turmericweir_core.straggler import StragglerState
 
 OPTIONS = Options()
@@ -23,8 +28,15 @@
 class Bench:
     """A world whose servers generate tokens, each at its own pace, and end answers."""
 
-    def __init__(self, *, servers: int = 4, slots: int = 4, answer: int = 100) -> None:
-        self.world = LoadWorld(servers=servers, slots=slots)
+    def __init__(
+        self,
+        *,
+        servers: int = 4,
+        slots: int = 4,
+        answer: int = 100,
+        classes: dict[str, ServiceClass] | None = None,
+    ) -> None:
+        self.world = LoadWorld(servers=servers, slots=slots, classes=classes)
         self.answer = answer
         # Tokens a second of each running attempt.
         self.pace = dict.fromkeys(self.world.config.servers, 50.0)
@@ -191,6 +203,216 @@
     assert abs(state.by_server[S0].gap_s - 0.02) < 1e-9
 
 
+# --- answers that are moved off a straggler --------------------------------------------------
+
+PROMISED: Final = "promised"
+BULK: Final = "bulk"
+GAP_CLASSES: Final = {
+    PROMISED: ServiceClass(PROMISED, 0, 2.0, token_gap_target_s=0.065, deadline_s=1e6),
+    BULK: ServiceClass(BULK, 1, 20.0, deadline_s=1e6),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class MoveCase:
+    """What is different from an answer that is moved, and whether it is moved still."""
+
+    name: str
+    moved: bool
+    class_name: str = PROMISED
+    repeatable: bool = True
+    # Servers that become slow, each to a token in this time.
+    slow: tuple[ServerName, ...] = (S0,)
+    slow_gap_s: float = 0.1
+    # Time between the tokens of the servers that are well.
+    gap_s: float = 0.02
+    # Fills the other servers with answers of the same class.
+    full: bool = False
+    budget: float = 5.0
+    policy: Policy = Policy.COUNTS
+
+
+MOVE_CASES: Final = (
+    MoveCase("late tokens", moved=True),
+    MoveCase("late tokens, under credits", moved=True, policy=Policy.CREDITS),
+    MoveCase("slower, but as promised", moved=False, slow_gap_s=0.06),
+    MoveCase("hardly slower than the others", moved=False, slow_gap_s=0.07, gap_s=0.06),
+    MoveCase("class without a promise", moved=False, class_name=BULK),
+    MoveCase("call that must not be repeated", moved=False, repeatable=False),
+    MoveCase("all are slow", moved=False, slow=tuple(map(ServerName, ("s0", "s1", "s2", "s3")))),
+    MoveCase("most are slow", moved=False, slow=tuple(map(ServerName, ("s0", "s1", "s2")))),
+    MoveCase("no room elsewhere", moved=False, full=True),
+    MoveCase("no budget", moved=False, budget=0.0),
+    MoveCase("baseline", moved=False, policy=Policy.BASELINE),
+)
+
+
+class MoveBench:
+    """One answer on each of four servers, which send their tokens one by one."""
+
+    def __init__(self, case: MoveCase, *, servers: int = 4) -> None:
+        options = Options(slack_slots=0)
+        self.world = LoadWorld(
+            servers=servers, slots=2, classes=GAP_CLASSES, policy=case.policy, options=options
+        )
+        self.world.advance(0.2)
+        self.gap_s = dict.fromkeys(self.world.config.servers, case.gap_s)
+        self._due: dict[AttemptId, float] = {}
+        for number in range(servers):
+            self.arrive_at(ServerName(f"s{number}"), f"r{number}", case)
+        self.run(3.0)
+
+    def arrive(self, name: str, case: MoveCase) -> None:
+        """Let a request of the case arrive."""
+        self.world.arrive(case.class_name, name=name, repeatable=case.repeatable)
+
+    def arrive_at(self, server: ServerName, name: str, case: MoveCase) -> None:
+        """Let a request arrive while no other server can be reached."""
+        servers = self.world.first.servers.by_name
+        others = [each for each in servers.values() if each.entry.name != server]
+        for each in others:
+            each.unreachable_until = self.world.now + 0.005
+        self.arrive(name, case)
+        for each in others:
+            each.unreachable_until = 0.0
+        assert self.world.run_of(name).server == server
+
+    def run(self, seconds: float) -> None:
+        """Let every server send its tokens at its pace."""
+        until = self.world.now + seconds
+        ticked = self.world.now
+        while self.world.now < until:
+            self.world.now += 0.01
+            for running in list(self.world.running.values()):
+                due = self._due.setdefault(running.attempt_id, self.world.now)
+                if self.world.now >= due - 1e-9:
+                    self._due[running.attempt_id] = due + self.gap_s[running.server]
+                    self.world.progress(running, 1)
+            if self.world.now - ticked >= self.world.options.tick_s:
+                ticked = self.world.now
+                self.world.advance(self.world.options.tick_s / 100)
+
+    def moved(self) -> list[str]:
+        """List the requests that were moved."""
+        return [name for name, reason in self.world.cancelled if reason is CancelReason.MOVED]
+
+
+@pytest.mark.parametrize("case", MOVE_CASES, ids=lambda case: case.name)
+def test_answer_moves_off_a_straggler(case: MoveCase) -> None:
+    # An engine slows down midway through an answer whose caller was promised a pace. The answer
+    # goes on at another engine after the last token that the caller has, unless that could do harm
+    # or would not help.
+    bench = MoveBench(case)
+    world = bench.world
+    victim = world.on_server("s0")[0]
+    if case.full:
+        for number in range(4):
+            bench.arrive(f"more{number}", case)
+    world.first.retries.tokens = case.budget
+    bench.gap_s.update(dict.fromkeys(case.slow, case.slow_gap_s))
+    bench.run(0.5)
+    assert bench.moved() == ([victim.request_id] if case.moved else [])
+    if not case.moved:
+        return
+    again = world.run_of(victim.request_id)
+    assert again.server != "s0"
+    req = world.first.requests[victim.request_id]
+    assert again.resume_from == req.delivered - (req.attempt.tokens if req.attempt else 0)
+    assert world.first.retries.tokens == case.budget - 1.0
+    # Nothing new is sent there meanwhile, though the average of its pace still looks well.
+    bench.arrive("late-comer", case)
+    assert world.run_of("late-comer").server != "s0"
+    world.end(again)
+    assert world.told[PROMISED].count(Outcome.COMPLETED) == 1
+
+
+def test_moved_answer_is_no_probe() -> None:
+    # The end of the old attempt is late, and by then the slow engine is due for a probe. The answer
+    # that was just taken off it does not go back as that probe.
+    bench = MoveBench(MOVE_CASES[0])
+    victim = bench.world.on_server("s0")[0]
+    bench.world.hold_cancelled = True
+    bench.gap_s[S0] = 0.1
+    bench.run(0.5)
+    assert bench.moved() == [victim.request_id]
+    bench.world.now += 2 * OPTIONS.straggler_probe_upper_s
+    bench.world.end(victim, EndCancelled(0))
+    assert bench.world.run_of(victim.request_id).server != S0
+
+
+def test_move_asks_for_credit() -> None:
+    # Nothing is short, so the instance holds no credit but for the server that it uses. That one
+    # slows down. No other server seems to have room until its dispatcher is asked for it.
+    bench = MoveBench(MoveCase("credits", moved=True, policy=Policy.CREDITS))
+    name = bench.world.on_server("s0")[0].request_id
+    for running in list(bench.world.running.values()):
+        if running.server != S0:
+            bench.world.end(running)
+    for server in [each for each in bench.world.first.credits.held if each != S0]:
+        del bench.world.first.credits.held[server]
+    bench.gap_s[S0] = 0.1
+    bench.run(0.5)
+    assert bench.moved() == [name]
+    assert bench.world.run_of(name).server != S0
+
+
+def test_slow_one_of_two_has_a_pause() -> None:
+    # Of two servers neither is a majority, so there is no verdict. An answer leaves the one whose
+    # tokens come late all the same, and the requests that come next are not sent there for a while.
+    bench = MoveBench(MOVE_CASES[0], servers=2)
+    name = bench.world.on_server("s0")[0].request_id
+    bench.gap_s[S0] = 0.1
+    bench.run(1.0)
+    assert bench.moved() == [name]
+    bench.world.end(bench.world.on_server("s1")[0])
+    bench.arrive("next", MOVE_CASES[0])
+    assert bench.world.run_of("next").server == "s1"
+    bench.run(2 * OPTIONS.straggler_probe_s)
+    assert straggler.server_weight(bench.world.first.stragglers, S0) == 1.0
+
+
+def test_answer_is_moved_once() -> None:
+    # Two engines slow down in turn. The answer is not passed to and fro between them.
+    case = MOVE_CASES[0]
+    bench = MoveBench(case)
+    name = bench.world.on_server("s0")[0].request_id
+    bench.gap_s[S0] = 0.1
+    bench.run(0.5)
+    second = bench.world.run_of(name).server
+    assert second != S0
+    bench.run(3.0)
+    bench.gap_s[S0] = 0.02
+    bench.gap_s[second] = 0.1
+    bench.run(3.0)
+    assert bench.moved().count(name) == 1
+    assert bench.world.run_of(name).server == second
+
+
+def test_newcomer_on_a_slow_engine_moves_at_once() -> None:
+    # One answer has shown that the engine is slow but has no promise left to keep, as it was moved
+    # before. An answer that began there since then moves at its own first late gap.
+    bench = MoveBench(MOVE_CASES[0])
+    first = bench.world.on_server("s0")[0].request_id
+    bench.world.first.requests[RequestId(first)].moved = True
+    bench.gap_s[S0] = 0.1
+    bench.run(0.25)
+    bench.arrive_at(S0, "newcomer", MOVE_CASES[0])
+    bench.run(0.15)
+    assert bench.moved() == ["newcomer"]
+
+
+def test_one_long_pause_moves_nothing() -> None:
+    """Take one late gap for a pause of the engine, whose next tokens come in time again."""
+    bench = MoveBench(MOVE_CASES[0])
+    for _ in range(5):
+        # Long enough for one token at this pace, and not for a second one.
+        bench.gap_s[S0] = 0.2
+        bench.run(0.15)
+        bench.gap_s[S0] = 0.02
+        bench.run(0.5)
+    assert bench.moved() == []
+
+
 # --- adaptive limits -------------------------------------------------------------------------
 
 
