Take out the field for a moved KV cache, and note why none is moved

Cause: StartAttempt had a field kv_from that nothing set and no adapter read, kept for a measurement. Ruled out: exporting the KV at a move off a straggler or a drain: a leaving server finishes what it has, and a move is one gap, which prefill keeps within the promise for prompts of up to some 2,000 words. Conclusion: not used; long prompts whose prefill takes a second would change this.

--- a/packages/turmericweir-core/turmericweir_core/effects.py
+++ b/packages/turmericweir-core/turmericweir_core/effects.py
@@ -25,8 +25,6 @@
     resume_from: int = 0
     # Use a new connection, or one proven within a second: the call must not be sent twice.
     fresh_connection: bool = False
-    # Fetch the KV cache of the request from this server first, where it still answers.
-    kv_from: str = ""
 
 
 @dataclass(frozen=True, slots=True)
