Do not take idle credit for a shortage; take waits for begun with the grant

Cause: with more instances than slots, each of which sends a request now and then, all slots are held, most of them idle. A demand that did not fit was taken for a shortage: all holders were told so, reported every change for 2 s, and were told again when it was over. Each request that was asked for cost a second demand and its answer besides, to say that it waits no more, and idle credit was renewed every 3 s. Change: a slot each is called back from those not heard from for longest, and a shortage is declared at the first look 50 ms later if somebody is still short; both sides take what waited for begun with the grant; idle credit is renewed after 6 s and only if it was used. Slots that were used are counted for each holder from its own last word: the first settlement counted a minute of use to whoever ran something then, however short, and test_one_slot_goes_round_among_instances found that once waits were taken for begun. With real processes: not run yet.

--- a/packages/turmericweir-core/turmericweir_core/credit.py
+++ b/packages/turmericweir-core/turmericweir_core/credit.py
@@ -95,6 +95,7 @@
     credit = state.credits.held.get(server.entry.name)
     if state.config.policy is not Policy.CREDITS or credit is None:
         return []
+    credit.used_at = now
     if not credit.contended:
         return []
     if queue_state.anything_waits(state.queues, server.service.name):
--- a/packages/turmericweir-core/turmericweir_core/credit_demand.py
+++ b/packages/turmericweir-core/turmericweir_core/credit_demand.py
@@ -244,8 +244,11 @@
         return True
     if credit.contended and since >= options.credit_lazy_s and tiers != credit.asked:
         return True
-    idle = now - credit.used_at > options.credit_idle_s
-    return not idle and since >= options.credit_renew_s
+    if any(each.running for each in tiers):
+        return since >= options.credit_renew_s
+    # Idle credit is kept for the next request only if it was used since it was asked for last, and
+    # it does no harm that it lapses if this one message is lost.
+    return credit.used_at > credit.asked_at and since >= options.credit_renew_idle_s
 
 
 def _ran_beyond(credit: HeldCredit, tiers: tuple[TierDemand, ...]) -> bool:
--- a/packages/turmericweir-core/turmericweir_core/credit_dispatcher.py
+++ b/packages/turmericweir-core/turmericweir_core/credit_dispatcher.py
@@ -1,7 +1,8 @@
 """The side of the credit policy that gives: one ledger for each server that this instance leads.
 
 Each demand is answered at once. Where enough is free the sender gets what it asked for, with a few
-spare slots, and nobody else hears of it. Otherwise the server's slots are divided anew among all
+spare slots, and nobody else hears of it. Where idle slots of others would do, as many are called
+back from those not heard from for longest. Otherwise the server's slots are divided anew among all
 holders (`credit_settlement`, `credit_allocation`), with an assured share for the tiers that get
 none (`credit_assured`). A holder that falls silent loses its credit when that lapses.
 """
@@ -19,6 +20,8 @@
 from turmericweir_core.credit_allocation import Capacity
 from turmericweir_core.credit_assured import save_up
 from turmericweir_core.credit_ledger import (
+    begun,
+    covers,
     free_below,
     free_slots,
     lower_wants,
@@ -28,8 +31,10 @@
 )
 from turmericweir_core.credit_settlement import (
     call_back,
+    call_back_unheard,
     divide,
     note_use,
+    note_use_of,
     pressed_tiers,
     raise_grants,
     spread_displacement,
@@ -66,14 +71,20 @@
         # The sender gets no answer and goes by its own counts meanwhile.
         return []
     ledger = state.credits.given.setdefault(server.entry.name, Ledger())
-    holding = _note_demand(ledger, now, sender, demand)
+    holding = _note_demand(state.options, now, ledger, sender, demand)
     if holding is None:
         return []
     capacity = _capacity(state, now, server, ledger)
     if _grant_from_free(state.options, now, ledger, holding, capacity):
         return [_outgoing(state, now, server, ledger, sender, holding)]
     ledger.unsettled = True
-    ledger.contended_until = now + state.options.credit_contended_s
+    called_back = _ask_unheard(state.options, now, ledger, holding, capacity)
+    if called_back:
+        # What they say to it settles it.
+        return [
+            _outgoing(state, now, server, ledger, name, ledger.holdings[name])
+            for name in (*called_back, sender)
+        ]
     changed = settle_if_due(state, now, server, ledger)
     if any(each.instance == sender for each in changed):
         return changed
@@ -91,7 +102,7 @@
 
 
 def _note_demand(
-    ledger: Ledger, now: float, sender: InstanceName, demand: CreditDemand
+    options: Options, now: float, ledger: Ledger, sender: InstanceName, demand: CreditDemand
 ) -> Holding | None:
     """Take in what a demand says; None where it is older than one seen before."""
     holding = ledger.holdings.get(sender)
@@ -100,7 +111,9 @@
         return None
     if holding is None or restarted or demand.grant_number < holding.confirmed:
         # Numbers go on from what the sender knows, so that it takes the answer for newer.
-        holding = ledger.holdings[sender] = Holding(demand.seq, now, number=demand.grant_number + 1)
+        number = demand.grant_number + 1
+        holding = ledger.holdings[sender] = Holding(demand.seq, now, number=number, used_at=now)
+    note_use_of(options, now, holding)
     holding.seq = demand.seq
     holding.heard_at = now
     holding.demand = {each.tier: each for each in demand.tiers}
@@ -115,7 +128,7 @@
     options: Options, now: float, ledger: Ledger, holding: Holding, capacity: Capacity
 ) -> bool:
     """Give an instance what it asks for out of what is free; False where that is too little."""
-    if ledger.unsettled or now < ledger.contended_until:
+    if ledger.unsettled or ledger.short_since is not None or now < ledger.contended_until:
         return False
     wants = wants_of(holding)
     more = sum(wants.values()) - holding.total()
@@ -137,6 +150,26 @@
     return True
 
 
+def _ask_unheard(
+    options: Options, now: float, ledger: Ledger, holding: Holding, capacity: Capacity
+) -> list[InstanceName]:
+    """See whether somebody is short of slots only because others hold idle ones.
+
+    Failure without it: with more instances than slots, each of which sends a request now and then,
+    idle slots are taken for a shortage. All holders then report every change for a while, and for
+    all of those messages no more than one slot changes hands.
+    """
+    if now < ledger.contended_until:
+        ledger.contended_until = now + options.credit_contended_s
+        return []
+    if ledger.short_since is not None or not short_of(holding, capacity):
+        return []
+    ledger.short_since = now
+    # Who is still short then is so in earnest.
+    ledger.look_due = min(ledger.look_due, now + options.credit_short_s)
+    return call_back_unheard(options, now, ledger, capacity)
+
+
 # --- capacity --------------------------------------------------------------------------------
 
 
@@ -167,8 +200,11 @@
 
 def settle_if_due(state: State, now: float, server: Server, ledger: Ledger) -> list[Outgoing]:
     """Divide a server's slots anew, unless that was done a moment ago."""
+    contended = now < ledger.contended_until
     gap = state.options.credit_settle_s * len(ledger.holdings)
-    if not ledger.unsettled or now - ledger.settled_at < gap:
+    # Without a shortage there are few, and the answer to a call-back may come before the gap is
+    # over: the slot that it brings must not stand idle until the next tick.
+    if not ledger.unsettled or (contended and now - ledger.settled_at < gap):
         return []
     _drop_lapsed(state, now, ledger)
     capacity = _capacity(state, now, server, ledger)
@@ -180,7 +216,8 @@
     changed = call_back(ledger, capacity, shares)
     changed |= raise_grants(ledger, capacity, shares)
     changed |= spread_displacement(ledger, pressed_tiers(ledger, capacity))
-    contended = now < ledger.contended_until
+    if not any(short_of(each, capacity) for each in ledger.holdings.values()):
+        ledger.short_since = None
     return [
         _outgoing(state, now, server, ledger, name, holding)
         for name, holding in ledger.holdings.items()
@@ -209,17 +246,23 @@
             continue
         if _is_cut_off(server, now):
             continue
+        # What was put off comes first: a slot that is to be had now is no shortage.
+        yield from settle_if_due(state, now, server, ledger)
         if now >= ledger.look_due or now < ledger.contended_until:
             ledger.look_due = now + state.options.credit_look_s
             _look_again(state, now, server, ledger)
-        yield from settle_if_due(state, now, server, ledger)
+            yield from settle_if_due(state, now, server, ledger)
 
 
 def _look_again(state: State, now: float, server: Server, ledger: Ledger) -> None:
     options = state.options
     holdings = ledger.holdings.values()
     capacity = _capacity(state, now, server, ledger)
-    short = free_slots(ledger, capacity) < 0 or any(short_of(each, capacity) for each in holdings)
+    if any(short_of(each, capacity) for each in holdings):
+        ledger.short_since = now if ledger.short_since is None else ledger.short_since
+    else:
+        ledger.short_since = None
+    short = free_slots(ledger, capacity) < 0 or _is_short(options, now, ledger)
     if short:
         ledger.contended_until = now + options.credit_contended_s
     told = any(each.contended for each in holdings)
@@ -228,6 +271,12 @@
         ledger.unsettled = True
 
 
+def _is_short(options: Options, now: float, ledger: Ledger) -> bool:
+    if ledger.short_since is None:
+        return False
+    return now < ledger.contended_until or now - ledger.short_since >= options.credit_short_s
+
+
 def _outgoing(
     state: State,
     now: float,
@@ -237,6 +286,13 @@
     holding: Holding,
 ) -> Outgoing:
     holding.contended = now < ledger.contended_until
+    tiers = [
+        TierGrant(tier, slots, holding.assured.get(tier, 0))
+        for tier, slots in sorted(holding.granted.items())
+    ]
+    if not holding.contended and covers(tiers, holding.demand.values()):
+        # As the holder does when it has the grant; so it need not say that its wait is over.
+        holding.demand = {each.tier: each for each in begun(holding.demand.values())}
     grant = CreditGrant(
         server=server.entry.name,
         demand_seq=holding.seq,
@@ -246,10 +302,7 @@
         # Repeated with every grant until it is no longer so: the first one may be lost.
         keep=holding.keep,
         displace_above=holding.displace_above,
-        tiers=[
-            TierGrant(tier, slots, holding.assured.get(tier, 0))
-            for tier, slots in sorted(holding.granted.items())
-        ],
+        tiers=tiers,
         load=_load_news(state, now, server, holding),
     )
     return Outgoing(name, grant)
--- a/packages/turmericweir-core/turmericweir_core/credit_holder.py
+++ b/packages/turmericweir-core/turmericweir_core/credit_holder.py
@@ -12,6 +12,7 @@
 from turmericweir_core.concurrency import limited_slots
 from turmericweir_core.config import Kind
 from turmericweir_core.credit_lead import dispatcher_of
+from turmericweir_core.credit_ledger import begun, covers
 from turmericweir_core.credit_state import HeldCredit
 from turmericweir_core.events import ServerReport
 from turmericweir_core.ids import InstanceName, ServerName
@@ -189,6 +190,8 @@
         credit.confirm = credit.confirm or sum(credit.slots.values()) < before
     credit.grant_number = grant.number
     credit.contended = grant.contended
+    if grant.demand_seq == credit.seq and not grant.contended and covers(grant.tiers, credit.asked):
+        _note_begun(state, credit, name)
     credit.keep = grant.keep
     credit.displace_above = grant.displace_above
     # Failure: a grant that was long on its way, or an instance paused after it took one. The
@@ -203,6 +206,16 @@
     return True
 
 
+def _note_begun(state: State, credit: HeldCredit, name: ServerName) -> None:
+    """Take what waited for one that runs, as its dispatcher does without being told.
+
+    Failure without it: each request that is asked for costs a second demand and its answer, only to
+    say that it waits no more.
+    """
+    credit.asked = begun(credit.asked)
+    state.credits.asking.discard(name)
+
+
 def _sent_at(credit: HeldCredit, seq: int) -> float | None:
     """Find when a demand was sent, and forget those before it."""
     if credit.answered_seq == seq:
--- a/packages/turmericweir-core/turmericweir_core/credit_ledger.py
+++ b/packages/turmericweir-core/turmericweir_core/credit_ledger.py
@@ -2,8 +2,22 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from turmericweir_core.credit_allocation import Capacity
 from turmericweir_core.credit_state import Holding, Ledger
+from turmericweir_core.peer_messages import TierDemand, TierGrant
+
+
+def covers(granted: Iterable[TierGrant], demand: Iterable[TierDemand]) -> bool:
+    """Tell whether a grant has the slots for all that a demand spoke of, tier by tier."""
+    slots = {each.tier: each.slots for each in granted}
+    return all(each.running + each.waiting <= slots.get(each.tier, 0) for each in demand)
+
+
+def begun(demand: Iterable[TierDemand]) -> tuple[TierDemand, ...]:
+    """Give a demand as it is once all that waited has begun."""
+    return tuple(TierDemand(each.tier, each.running + each.waiting, 0) for each in demand)
 
 
 def wants_of(holding: Holding) -> dict[int, int]:
--- a/packages/turmericweir-core/turmericweir_core/credit_settlement.py
+++ b/packages/turmericweir-core/turmericweir_core/credit_settlement.py
@@ -48,10 +48,20 @@
     Failure without it: one instance that always has work keeps the slot that it has, and another
     with the same class waits behind it for as long as that lasts.
     """
-    elapsed = min(options.credit_use_window_s, now - ledger.settled_at)
-    kept = exp(-elapsed / options.credit_use_window_s)
     for holding in ledger.holdings.values():
-        holding.used_s = holding.used_s * kept + holding.running() * elapsed
+        note_use_of(options, now, holding)
+
+
+def note_use_of(options: Options, now: float, holding: Holding) -> None:
+    """Count what an instance ran since the last look, by what it said.
+
+    Called before what it says changes. Failure otherwise: the first settlement in a long time takes
+    whoever has just begun for one that ran all that time, and the others pass it by for a minute.
+    """
+    elapsed = now - holding.used_at
+    holding.used_at = now
+    holding.used_s *= exp(-elapsed / options.credit_use_window_s)
+    holding.used_s += holding.running() * min(options.credit_use_window_s, elapsed)
 
 
 def pressed_tiers(ledger: Ledger, capacity: Capacity) -> dict[int, int]:
@@ -96,11 +106,7 @@
     """Lower the grants of those who have more than their share, where others need it."""
     holdings = ledger.holdings.values()
     need = sum(short_of(each, capacity) for each in holdings)
-    lower_need = sum(
-        max(0, lower_wants(each, capacity) - each.committed_below(capacity.most_urgent))
-        for each in holdings
-    )
-    lower_fits = lower_need <= free_below(ledger, capacity)
+    lower_fits = _lower_need(ledger, capacity) <= free_below(ledger, capacity)
     # Called back from as few as will do, since each has to answer; those with the most first.
     missing = need - free_slots(ledger, capacity)
     changed: set[InstanceName] = set()
@@ -116,6 +122,48 @@
     return changed
 
 
+def _lower_need(ledger: Ledger, capacity: Capacity) -> int:
+    return sum(
+        max(0, lower_wants(each, capacity) - each.committed_below(capacity.most_urgent))
+        for each in ledger.holdings.values()
+    )
+
+
+def call_back_unheard(
+    options: Options, now: float, ledger: Ledger, capacity: Capacity
+) -> list[InstanceName]:
+    """Call back a slot each from those not heard from for longest; none if that is too little.
+
+    Their credit is idle most likely: a holder that runs something renews it, one that needs more
+    asks. One that runs something all the same says so in its answer, and goes on running it.
+    """
+    holdings = ledger.holdings.values()
+    need = sum(short_of(each, capacity) for each in holdings)
+    missing = max(
+        need - free_slots(ledger, capacity),
+        _lower_need(ledger, capacity) - free_below(ledger, capacity),
+    )
+    heard_before = now - options.credit_unheard_s
+    names = [
+        name
+        for name, holding in ledger.holdings.items()
+        if holding.heard_at <= heard_before and holding.total() and not holding.assured
+    ]
+    names.sort(key=lambda name: ledger.holdings[name].heard_at)
+    if not 0 < missing <= len(names):
+        return []
+    for name in names[:missing]:
+        _take_one(ledger.holdings[name], capacity)
+    return names[:missing]
+
+
+def _take_one(holding: Holding, capacity: Capacity) -> None:
+    slots = dict(holding.granted)
+    lowest = max(tier for tier, count in slots.items() if count)
+    slots[lowest] -= 1
+    set_granted(holding, capacity, {tier: count for tier, count in slots.items() if count}, {})
+
+
 def _surplus(ledger: Ledger, shares: dict[InstanceName, Share], name: InstanceName) -> int:
     return ledger.holdings[name].total() - shares[name].total()
 
--- a/packages/turmericweir-core/turmericweir_core/credit_state.py
+++ b/packages/turmericweir-core/turmericweir_core/credit_state.py
@@ -78,6 +78,8 @@
     displace_above: int = 0
     # Slot seconds that it used of late; who used least comes first among equals.
     used_s: float = 0.0
+    # Up to when that is counted.
+    used_at: float = 0.0
 
     def total(self) -> int:
         """Sum the slots that were granted last."""
@@ -115,6 +117,8 @@
     saved: dict[int, float] = field(default_factory=dict)
     # Tiers that have a slot of their own at present.
     assured: set[int] = field(default_factory=set)
+    # Since when somebody wants more than was granted; None while nobody does.
+    short_since: float | None = None
     # Demand was above the capacity so recently that instances report every change.
     contended_until: float = NEVER
     settled_at: float = NEVER
--- a/packages/turmericweir-core/turmericweir_core/options.py
+++ b/packages/turmericweir-core/turmericweir_core/options.py
@@ -71,6 +71,11 @@
     credit_fallback_s: float = 1.0
     # Share of a server's slots that an instance takes without a grant, one at the least.
     credit_fallback_share: float = 0.1
+    # A holder that was not heard from for so long is asked first whether it still uses its credit.
+    credit_unheard_s: float = 1.0
+    # How long somebody has to be short before that counts as a shortage: by then idle slots that
+    # were called back from others have come.
+    credit_short_s: float = 0.05
     # How long after a shortage instances go on to report every change of what they need.
     credit_contended_s: float = 2.0
     # Servers that are asked for credit at first, at the most, and the age of a wait at which twice
@@ -89,8 +94,8 @@
     credit_lazy_s: float = 0.5
     # Between load reports that are passed on to one instance.
     credit_load_s: float = 1.0
-    # Credit that was not used for so long is no longer renewed.
-    credit_idle_s: float = 6.0
+    # Between renewals of a credit that is idle, but was used in between.
+    credit_renew_idle_s: float = 6.0
     # Idle slots that one instance is granted in advance, at the most.
     credit_spare: int = 4
     # Time over which the use of slots is remembered, and the difference in use at which a slot goes
--- a/tests/core/test_credit.py
+++ b/tests/core/test_credit.py
@@ -159,6 +159,56 @@
     assert all(not state.credits.given for state in world.states.values())
 
 
+def test_a_request_that_fits_costs_one_demand_and_its_grant() -> None:
+    # An instance without credit asks for a slot and gets it. That its request has begun, and soon
+    # ended, is no news: were it told, each request would cost two more messages and their answers.
+    world = make_world(instances=2, slots=8)
+    lead = leader(world)
+    other = next(number for number, name in enumerate(world.states) if name != lead)
+    world.arrive("counter", instance=other)
+    world.advance(0.3)
+    world.end(world.oldest())
+    world.advance(2.0)
+    assert world.messages == 2
+    # Asked for already, but in use again: the dispatcher has to hear of what waits now.
+    for name in ("c1", "c2", "c3", "c4"):
+        world.arrive("counter", instance=other, name=name)
+    assert {"c1", "c2", "c3", "c4"} <= set(world.running_ids())
+
+
+@pytest.mark.parametrize("kind", [Kind.MODEL, Kind.PLAIN])
+@pytest.mark.parametrize("lost", [False, True])
+def test_idle_credit_of_others_is_no_shortage(kind: Kind, lost: bool) -> None:
+    # There are more instances than slots, and each sends a request now and then. All slots are held
+    # idle, so that the next request has to wait until one has been called back. It gets that one
+    # at once, from whoever has not been heard from for longest, and nobody else hears of it. Only
+    # where that call-back is lost do the others have to report what they use.
+    world = LoadWorld(instances=9, servers=1, slots=4, policy=Policy.CREDITS, kind=kind)
+    world.advance(0.3)
+    lead = leader(world)
+    # The dispatcher last, so that it is not the one that is called back from: it would hear itself.
+    for name in sorted(world.states, key=lambda each: each == lead):
+        world.arrive("fitting", instance=number_of(world, name))
+        world.advance(0.6)
+        if world.running:
+            world.end(world.oldest())
+    before = world.messages
+    if lost:
+        heard = world.states[lead].credits.given[S0].holdings
+        idle = [name for name, each in heard.items() if each.total()]
+        oldest = min(idle, key=lambda name: heard[name].heard_at)
+        world.lose = lambda sender, receiver: receiver == oldest
+    asker = next(n for n in world.states if not usable_credit(world, world.states[n], S0))
+    world.arrive("fitting", instance=number_of(world, asker), name="next")
+    assert ("next" in world.running_ids()) is not lost
+    world.advance(0.4)
+    assert "next" in world.running_ids()
+    contended = any(each.credits.held[S0].contended for each in world.states.values())
+    assert contended is lost
+    if not lost:
+        assert world.messages - before <= 6
+
+
 def test_upper_tier_gets_the_slot_of_a_lower_one_elsewhere() -> None:
     # Quotes of one instance hold every slot. A counter request comes to another instance: the
     # dispatcher calls one slot back, one quote makes way, and the counter request runs within its
