Time calls with and without a key where control is measured

Cause: the column claim_ms_p50 of build/control.json was null in all rows. Ruled out: the callers' program, which gives no median of keyed calls against others of the same moment; measure_claims has what is needed. Change: measure_claims.claim_ms_p50 for a cluster that runs already; measure_control uses it at 8 instances after all else, with plain servers of a fixed latency. Conclusion: measure_claims goes on to give the other figures (99 in 100, appends).

--- a/packages/turmericweir-standins/turmericweir_standins/measure_claims.py
+++ b/packages/turmericweir-standins/turmericweir_standins/measure_claims.py
@@ -14,7 +14,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import asdict, dataclass, replace
 from pathlib import Path
-from statistics import quantiles
+from statistics import median, quantiles
 from tempfile import TemporaryDirectory
 from typing import Final
 
@@ -79,12 +79,7 @@
             _call_evenly(cluster, name, 1.0, _WARM_UP)
         before = _appends(cluster)
         began = time.monotonic()
-        with ThreadPoolExecutor(instances) as pool:
-            runs = [
-                pool.submit(_call_evenly, cluster, name, 1 / calls_s, int(calls_s * seconds))
-                for name in cluster.instances
-            ]
-            timed = [each for run in runs for each in run.result()]
+        timed = _call_all(cluster, calls_s, seconds)
         took = time.monotonic() - began
         return _figures(instances, timed, took, _appends(cluster) - before, log_ms)
 
@@ -96,6 +91,27 @@
     ms: float
 
 
+def claim_ms_p50(cluster: Cluster, calls_s: float, seconds: float) -> float | None:
+    """Give the median time that a claim adds to a call; None if calls of a kind all failed.
+
+    The cluster needs a plain service `counter-api` of fixed latency.
+    """
+    good = [each for each in _call_all(cluster, calls_s, seconds) if each.status == 200]
+    keyed = [each.ms for each in good if each.keyed]
+    keyless = [each.ms for each in good if not each.keyed]
+    return round(median(keyed) - median(keyless), 2) if keyed and keyless else None
+
+
+def _call_all(cluster: Cluster, calls_s: float, seconds: float) -> list[_Timed]:
+    """Call all instances at once, each at the same rate."""
+    with ThreadPoolExecutor(len(cluster.instances)) as pool:
+        runs = [
+            pool.submit(_call_evenly, cluster, name, 1 / calls_s, int(calls_s * seconds))
+            for name in cluster.instances
+        ]
+        return [each for run in runs for each in run.result()]
+
+
 def _call_evenly(cluster: Cluster, name: str, gap_s: float, count: int) -> list[_Timed]:
     timed = []
     due = time.monotonic()
--- a/packages/turmericweir-standins/turmericweir_standins/measure_control.py
+++ b/packages/turmericweir-standins/turmericweir_standins/measure_control.py
@@ -4,7 +4,8 @@
 takes from each daemon the bytes of its control traffic (`turmericweir.traffic`, in its state dump)
 and from /proc its processor time and memory. Then it changes a setting a few times and takes from
 the daemons' logs when each of them had the change in force; once with the log in reach of all, and
-once with the log in reach of one only, so that the others have it from their peers.
+once with the log in reach of one only, so that the others have it from their peers. At one size it
+also times calls of a plain service with and without an idempotency key.
 
 Each row of `build/control.json` holds the figures of the worst instance. `bytes_s` counts what is
 sent and received together, with the headers of HTTP but not those of IP, TCP and UDP; `split` has
@@ -38,6 +39,7 @@
     settings_record,
     token_of,
 )
+from turmericweir_standins.measure_claims import claim_ms_p50
 from turmericweir_standins.proc_stat import machine_busy_s, process_cpu_s
 from turmericweir_standins.procs import Process, call_json, wait_until
 
@@ -51,6 +53,11 @@
 CHANGES: Final = 3
 SEEN_S: Final = 60.0
 LOAD_PER_S: Final = 20.0
+# The number of instances at which calls are timed with and without a key, after all else; half of
+# the calls to each instance carry one.
+CLAIMS_AT: Final = 8
+CLAIM_CALLS_S: Final = 5.0
+CLAIM_WINDOW_S: Final = 20.0
 _MIB: Final = 1_048_576
 _PAGE: Final = 4096
 
@@ -70,7 +77,14 @@
     """Make a deployment of that size with a few engines and plain servers."""
     groups = (
         BackendGroup("tailor-lm", "model", 4, 16, models=("tailor-lm",)),
-        BackendGroup("counter-api", "plain", 2, 8, rules=STITCHLINE.groups[1].rules),
+        BackendGroup(
+            "counter-api",
+            "plain",
+            2,
+            8,
+            args=("--latency-ms=5", "--spread=0"),
+            rules=STITCHLINE.groups[1].rules,
+        ),
     )
     return replace(
         STITCHLINE,
@@ -94,6 +108,8 @@
             reached = _in_force(cluster, load, outage=False)
             by_peers = _in_force(cluster, load, outage=True)
             rows.append(_row(cluster, data_centres, load, usage, reached, by_peers))
+        if instances == CLAIMS_AT:
+            rows[-1]["claim_ms_p50"] = claim_ms_p50(cluster, CLAIM_CALLS_S, CLAIM_WINDOW_S)
         # All at once: each waits for the balancer before it ends.
         for instance in cluster.instances.values():
             instance.process.terminate()
@@ -123,7 +139,7 @@
         "in_force_s_worst": round(max(reached), 3),
         "in_force_by_peers_s_median": round(statistics.median(by_peers), 3),
         "in_force_by_peers_s_worst": round(max(by_peers), 3),
-        # Measured where claims are; this program sends none.
+        # Filled in at one size; figures by load and by the delay of the log: `measure_claims`.
         "claim_ms_p50": None,
         "split": {name: round(value) for name, value in worst.split.items()},
         "messages_s": {name: round(value, 2) for name, value in worst.messages_s.items()},
