Extend the soak to all that fails: links, operators, crashing requests, bursts

Cause: the soak's sixteen kinds of faults lacked a class that bursts, requests that crash engines, two operators at once, late reports, pauses beyond a lease, long log outages, cuts in one direction, and data centres that lose each other. Ruled out: more faults on the callers' side of the one proxy: peers did not go through any. Judging operators by the instances' logs: the log's verdicts are asked of each. Change: twelve more kinds in soak_faults; soak_crashing and soak_operators; a burst of one class after another; peers behind a proxy of their own (PeerCluster); what operators were told is compared with what every instance holds.

--- a/packages/turmericweir-standins/turmericweir_standins/measure_run.py
+++ b/packages/turmericweir-standins/turmericweir_standins/measure_run.py
@@ -63,14 +63,27 @@
 
     # Control address of the proxy; None for none.
     proxy_address: str | None
+    # The address of each server's route through it, by server.
+    routes: dict[str, str]
+
+    def __init__(
+        self, deployment: Deployment, directory: Path, proxy_address: str | None = None
+    ) -> None:
+        super().__init__(deployment, directory)
+        self.proxy_address = proxy_address
+        self.routes = {}
 
     def list_process(self, listed: Listed, state: str = "live", incarnation: str = "1") -> None:
         """Put a process into the list; a backend server under its route's address."""
-        proxy = self.proxy_address
-        if proxy is not None and listed.kind != "entry":
-            listed = dataclasses.replace(listed, address=add_route(proxy, listed.address))
+        if self.proxy_address is not None and listed.kind != "entry":
+            listed = dataclasses.replace(listed, address=self._route(self.proxy_address, listed))
         super().list_process(listed, state, incarnation)
 
+    def _route(self, proxy: str, listed: Listed) -> str:
+        if listed.name not in self.routes:
+            self.routes[listed.name] = add_route(proxy, listed.address)
+        return self.routes[listed.name]
+
 
 @dataclass(frozen=True, slots=True)
 class CpuShares:
@@ -118,12 +131,11 @@
     """Run a scenario under a policy and return what was seen."""
     directory.mkdir(parents=True, exist_ok=True)
     with contextlib.ExitStack() as stack:
-        cluster = MeasuredCluster(measured_deployment(scenario.deployment, policy), directory)
-        cluster.proxy_address = None
+        proxy_address = None
         if scenario.proxied:
-            proxy = stack.enter_context(standin("proxy", directory=directory))
-            cluster.proxy_address = proxy.address
-        stack.enter_context(cluster)
+            proxy_address = stack.enter_context(standin("proxy", directory=directory)).address
+        deployment = measured_deployment(scenario.deployment, policy)
+        cluster = stack.enter_context(MeasuredCluster(deployment, directory, proxy_address))
         # Entered last and so left first: nothing is in flight then, and graceful stops, one after
         # the other, would take longer than the run.
         stack.callback(_kill_all, cluster)
--- a/packages/turmericweir-standins/turmericweir_standins/soak_faults.py
+++ b/packages/turmericweir-standins/turmericweir_standins/soak_faults.py
@@ -1,12 +1,14 @@
 """The random faults of `make soak`: which kinds there are, and how each strikes and is mended.
 
 A fault is drawn from a seeded generator, strikes, lasts its time and is mended again; one may begin
-while another still lasts. An instance that is killed takes its callers' connections with it, so the
-times at which each entry address was down are kept: a caller of a dead process can be told nothing.
+while another still lasts. An instance that is killed takes its callers' connections with it, and
+one that is paused for long answers when they have hung up; so the times at which each entry address
+was down are kept: a caller of such a process can be told nothing.
 """
 
 from __future__ import annotations
 
+import itertools
 import random
 import threading
 import time
@@ -17,41 +19,64 @@
 
 from turmericweir_standins.deployment import Instance
 from turmericweir_standins.measure_run import MeasuredCluster
+from turmericweir_standins.peer_cluster import PeerCluster
 from turmericweir_standins.procs import set_behaviour, set_faults, wait_until
+from turmericweir_standins.soak_crashing import CrashingCaller
+from turmericweir_standins.soak_operators import Operators
 
 # How long a fault lasts, seconds.
 SHORTEST_S: Final = 1.0
 LONGEST_S: Final = 5.0
+# A pause that outlasts a credit, which is good for 9 s, lasts so much longer.
+LAPSED_S: Final = 9.0
+# An outage for long lasts so many times as long.
+LONG_FACTOR: Final = 8.0
+# Through how many instances a request that crashes engines is sent.
+CRASHING_SENDS: Final = 3
 
 
 @dataclass(frozen=True, slots=True)
 class Down:
-    """A time in which an entry address belonged to no running process."""
+    """A time in which no process answered at an entry address."""
 
     address: str
     start: float
     end: float
 
 
+class SoakCluster(MeasuredCluster, PeerCluster):
+    """A cluster with a fault proxy before the servers and another between the instances."""
+
+
 class Faults:
     """Strikes the processes of a cluster at random."""
 
-    # How many times each kind has struck.
+    # How many times each kind has struck, and how many times while another fault lasted.
     struck: Counter[str]
+    overlapped: int
     # When entry addresses were down, by the monotonic clock.
     down: list[Down]
+    crashing: CrashingCaller
+    operators: Operators
 
-    def __init__(self, cluster: MeasuredCluster, seed: int) -> None:
+    def __init__(self, cluster: SoakCluster, crashing: CrashingCaller, seed: int) -> None:
         self._cluster = cluster
         self._rng = random.Random(seed)
         self.struck = Counter()
+        self.overlapped = 0
         self.down = []
+        self.crashing = crashing
+        self.operators = Operators(cluster)
+        self._prompts = itertools.count(1)
+        # Faults that last.
+        self._lasting = 0
         # Processes that a fault has in hand; another one leaves them alone.
         self._taken: set[str] = set()
         self._lock = threading.Lock()
         self._kinds: Mapping[str, Callable[[float], None]] = {
             "instance_killed": self._kill_instance,
             "instance_paused": self._pause_instance,
+            "instance_paused_long": lambda length: self._pause_instance(length + LAPSED_S),
             "instance_replaced": self._replace_instance,
             "engine_killed": lambda length: self._kill_server("engine", length),
             "service_killed": lambda length: self._kill_server("plain", length),
@@ -60,7 +85,18 @@
             "engine_cuts": lambda length: self._behave("engine", length, cut_after_tokens=7),
             "engine_refuses": lambda length: self._behave("engine", length, refuse_start=True),
             "service_drops": lambda length: self._behave("plain", length, run_then_drop=True),
-            "connections_silent": self._silence,
+            "reports_late": lambda length: self._behave("engine", length, report_frozen=True),
+            "request_crashes": lambda _: self._send_crashing(),
+            "requests_cut": lambda length: self._cut_server(length, "forward"),
+            "answers_cut": lambda length: self._cut_server(length, "backward"),
+            "connections_silent": lambda _: self._silence(),
+            "peers_silent": lambda _: self._cluster.silence_peers(),
+            "instance_hears_nobody": lambda length: self._cut_instance(length, hears=False),
+            "instance_not_heard": lambda length: self._cut_instance(length, hears=True),
+            "data_centre_parted": self._part,
+            "data_centre_alone": self._isolate,
+            "operators_at_once": lambda _: self._change_settings(),
+            "log_outage_long": lambda length: self._platform(length * LONG_FACTOR, outage=True),
             "log_outage": lambda length: self._platform(length, outage=True),
             "log_slow": lambda length: self._platform(length, slow_ms=400),
             "acknowledgements_lost": lambda _: self._lose_acknowledgements(),
@@ -83,8 +119,15 @@
             thread.join()
 
     def _strike(self, kind: str, length: float) -> None:
-        self.struck[kind] += 1
-        self._kinds[kind](length)
+        with self._lock:
+            self.struck[kind] += 1
+            self.overlapped += self._lasting > 0
+            self._lasting += 1
+        try:
+            self._kinds[kind](length)
+        finally:
+            with self._lock:
+                self._lasting -= 1
 
     # --- who is struck ---
 
@@ -107,7 +150,7 @@
 
     def _take_server(self, kind: str) -> str | None:
         listed = self._cluster.listed.values()
-        return self._take([each.name for each in listed if each.kind == kind])
+        return self._take([each.name for each in listed if kind in (each.kind, "any")])
 
     # --- entry instances ---
 
@@ -140,11 +183,26 @@
         instance = self._take_instance()
         if instance is None:
             return
+        start = time.monotonic()
         instance.process.pause()
         time.sleep(length)
         instance.process.resume()
+        if length > LAPSED_S:
+            self.down.append(Down(instance.address, start, time.monotonic()))
         self._give_back(instance.name)
 
+    # --- who sends what crashes, and who changes settings ---
+
+    def _some_instances(self, count: int) -> list[Instance]:
+        with self._lock:
+            return self._rng.sample(list(self._cluster.instances.values()), count)
+
+    def _send_crashing(self) -> None:
+        self.crashing.send(next(self._prompts), self._some_instances(CRASHING_SENDS))
+
+    def _change_settings(self) -> None:
+        self.operators.change_at_once(self._some_instances(2))
+
     # --- backend servers ---
 
     def _kill_server(self, kind: str, length: float) -> None:
@@ -167,10 +225,59 @@
         set_behaviour(address, **{field: before[field] for field in changes})
         self._give_back(name)
 
-    def _silence(self, _: float) -> None:
+    # --- the network ---
+
+    def _silence(self) -> None:
         assert self._cluster.proxy_address is not None
         set_faults(self._cluster.proxy_address, None, silence_existing=True)
 
+    def _cut_server(self, length: float, direction: str) -> None:
+        name = self._take_server("any")
+        if name is None:
+            return
+        assert self._cluster.proxy_address is not None
+        route = [self._cluster.routes[name]]
+        set_faults(self._cluster.proxy_address, route, cut=direction)
+        time.sleep(length)
+        set_faults(self._cluster.proxy_address, route, cut=None)
+        self._give_back(name)
+
+    def _cut_instance(self, length: float, *, hears: bool) -> None:
+        # One at a time, as with the platform.
+        if self._take(["peers"]) is None:
+            return
+        with self._lock:
+            name = self._rng.choice(sorted(self._cluster.instances))
+        cut = self._cluster.mute if hears else self._cluster.deafen
+        cut(name)
+        time.sleep(length)
+        cut(name, on=False)
+        self._give_back("peers")
+
+    def _some_data_centre(self) -> str:
+        with self._lock:
+            return self._rng.choice(self._cluster.deployment.data_centres)
+
+    def _part(self, length: float) -> None:
+        self._part_one(self._some_data_centre(), length)
+
+    def _part_one(self, data_centre: str, length: float) -> None:
+        if self._take(["peers"]) is None:
+            return
+        self._cluster.part([data_centre])
+        time.sleep(length)
+        self._cluster.part([data_centre], on=False)
+        self._give_back("peers")
+
+    def _isolate(self, length: float) -> None:
+        """Cut a data centre off from its siblings and from the platform, for longer."""
+        data_centre = self._some_data_centre()
+        length += LAPSED_S
+        platform = threading.Thread(target=self._cut_off_one, args=(data_centre, length))
+        platform.start()
+        self._part_one(data_centre, length)
+        platform.join()
+
     # --- the platform ---
 
     def _platform(self, length: float, **changes: object) -> None:
@@ -189,7 +296,9 @@
         set_behaviour(self._cluster.platform.address, lose_acks=3)
 
     def _cut_off(self, length: float) -> None:
-        data_centre = self._rng.choice(self._cluster.deployment.data_centres)
+        self._cut_off_one(self._some_data_centre(), length)
+
+    def _cut_off_one(self, data_centre: str, length: float) -> None:
         instances = self._cluster.instances.values()
         names = [each.name for each in instances if each.listed.data_centre == data_centre]
         self._platform(length, cut_from=names)
