Leave no moment in which a closing port resets who connects

Cause: a test that replaces instances under load, and a trial of 40 stops under a rush of new connections, still found resets: a connection was made between the last look at what waits and the close, or its request came more than 0.25 s after it. Ruled out: a shorter listen backlog, which still holds one; closing later. Change: the port's socket ignores those who begin to connect (a filter of Linux) for 50 ms before what waits is accepted and it is closed; connections on which nothing came yet are kept until their request has come, 2 s at the most. Others are not kept any longer. Conclusion: who begins to connect in those 50 ms connects again by itself after about a second and is then refused.

--- a/packages/turmericweir/turmericweir/http_server.py
+++ b/packages/turmericweir/turmericweir/http_server.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import ctypes
 import socket
 import struct
 from collections.abc import Callable, Generator
@@ -30,12 +31,24 @@
 # The scope's state key under which an application finds the connection of its caller.
 CONNECTION: Final = "turmericweir.connection"
 BACKLOG: Final = 2048
-# After the port is closed, a connection without a request is kept for so long: a caller that has
-# connected sends its request within a few round trips.
-LAST_REQUESTS_S: Final = 0.25
+# Before the port is closed, connections that have begun get so long: some round trips to callers.
+HANDSHAKE_S: Final = 0.05
+# After it is closed, connections without any request are kept for so long at the most.
+FIRST_REQUEST_S: Final = 2.0
+_LOOK_S: Final = 0.01
 # Passes of the event loop in which it sees what can be read, and reads it.
 _READ_PASSES: Final = 2
 _HEADERS_TOO_LARGE: Final = 431
+_SO_ATTACH_FILTER: Final = 26
+# A socket filter of Linux, which sees segments from their TCP header on: load the flags, mask SYN
+# and ACK, and where SYN stands alone drop the segment, else pass all of it.
+_IGNORE_SYN: Final = (
+    (0x30, 0, 0, 13),
+    (0x54, 0, 0, 0x12),
+    (0x15, 0, 1, 0x02),
+    (0x06, 0, 0, 0),
+    (0x06, 0, 0, 0xFFFFFFFF),
+)
 # Linger for no time: what is closed is reset.
 _RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
 
@@ -49,6 +62,8 @@
     # Whether the headers of a request are awaited or being read.
     _in_headers: bool
     _header_timer: asyncio.TimerHandle | None
+    # Whether no byte of a request has come yet.
+    unused: bool
     # Called when the connection is lost; set while a request is in hand. A task for each request
     # that waits for ASGI's `http.disconnect` would be an eighth of the cost of a small call.
     on_lost: Callable[[], None] | None
@@ -65,6 +80,7 @@
         self._header_bytes = 0
         self._in_headers = True
         self._header_timer = None
+        self.unused = True
         self.on_lost = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
@@ -85,6 +101,7 @@
         llhttp has no limit of its own: without this one a caller could fill the process's memory
         with one endless header.
         """
+        self.unused = False
         if self._in_headers:
             self._header_bytes += len(data)
         super().data_received(data)
@@ -201,9 +218,13 @@
 
         Failure: callers still come, as the balancer's list lags. The system has taken a connection
         that nobody accepted yet, or a request that was not read; to close these sockets resets
-        them, and their callers cannot know that nothing was run. So what waits is accepted as the
-        port closes, and connections without a request are kept for as long as one takes to arrive.
+        them, and their callers cannot know that nothing was run. So the port takes no new
+        connections for a moment, in which those that have begun are accepted, before it is closed;
+        and connections on which nothing came yet are kept until their request has come.
         """
+        for sock in sockets or []:
+            _take_no_more(sock)
+        await asyncio.sleep(HANDSHAKE_S)
         accepted = [conn for sock in sockets or [] for conn in _accept_waiting(sock)]
         for server in self.servers:
             server.close()
@@ -211,12 +232,20 @@
         for conn in accepted:
             with contextlib.suppress(OSError):
                 await loop.connect_accepted_socket(self._make_protocol, conn)
-        await asyncio.sleep(LAST_REQUESTS_S)
+        await self._await_first_requests()
         # What has arrived meanwhile is read before uvicorn closes the connections without requests.
         for _ in range(_READ_PASSES):
             await asyncio.sleep(0)
         await super().shutdown(sockets)
 
+    async def _await_first_requests(self) -> None:
+        end = anyio.current_time() + FIRST_REQUEST_S
+        # Looked at again and again, as uvicorn has no event for what its connections do.
+        while any(map(_is_unused, self.server_state.connections)):
+            if anyio.current_time() >= end:
+                return
+            await asyncio.sleep(_LOOK_S)
+
     def _make_protocol(self) -> asyncio.Protocol:
         # As uvicorn makes one for each connection that it accepts.
         made: asyncio.Protocol = self.config.http_protocol_class(  # type: ignore[call-arg]
@@ -225,6 +254,25 @@
         return made
 
 
+# Any: uvicorn lists protocols of either of its kinds.
+def _is_unused(conn: Any) -> bool:
+    return isinstance(conn, LimitedProtocol) and conn.unused
+
+
+def _take_no_more(sock: socket.socket) -> None:
+    """Have the system ignore those who begin to connect, until the socket is closed.
+
+    Between the last look at what waits and the close another connection may be made, and is reset.
+    Whoever is ignored begins again within about a second and is then refused, which tells it that
+    nothing was sent. Where the system knows no such filters that moment remains.
+    """
+    code = b"".join(struct.pack("HBBI", *step) for step in _IGNORE_SYN)
+    held = ctypes.create_string_buffer(code)
+    program = struct.pack("HP", len(_IGNORE_SYN), ctypes.addressof(held))
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, _SO_ATTACH_FILTER, program)
+
+
 def _accept_waiting(sock: socket.socket) -> list[socket.socket]:
     """Accept the connections that the system has taken and nobody has accepted."""
     found: list[socket.socket] = []
