Start nothing anew for a caller that left while its attempt was stopped

Cause: an attempt is stopped because its answer is to go on elsewhere (displaced, or moved off a slow engine), and the caller leaves before its end is reported. The request was queued again and its rest generated for nobody. Ruled out: the other reasons for a stop, which look at the caller already (_try_again) or end the request. Tests: both cases of the new test in test_straggler failed before.

--- a/packages/turmericweir-core/turmericweir_core/lifecycle.py
+++ b/packages/turmericweir-core/turmericweir_core/lifecycle.py
@@ -297,13 +297,12 @@
             if not req.repeatable and req.may_have_run:
                 # Whoever displaced it took it for one that may be run again, which it may not.
                 return _after_loss(state, now, req, attempt, Reason.DISPLACED)
-            _wait_again(state, now, req)
-            return [Count(f"displaced.{req.service_class.name}")]
+            count = Count(f"displaced.{req.service_class.name}")
+            return [count, *_go_on_elsewhere(state, now, req)]
         case CancelReason.MOVED:
             # Paid for when it was decided, and never asked of a request that may not run again.
             req.avoid.add(attempt.server)
-            _wait_again(state, now, req)
-            return []
+            return _go_on_elsewhere(state, now, req)
         case CancelReason.QUARANTINED:
             return finish(state, now, req, Outcome.FAILED, Reason.QUARANTINED)
         case CancelReason.SILENT | None if not attempt.sent:
@@ -314,6 +313,15 @@
             assert_never(unreachable)
 
 
+def _go_on_elsewhere(state: State, now: float, req: Request) -> list[Effect]:
+    """Let a request wait again whose attempt was stopped for no fault of its own."""
+    if req.caller_left:
+        # It left before the attempt had ended. Without this the rest would be generated for nobody.
+        return finish(state, now, req, given_up(req), Reason.CALLER_LEFT)
+    _wait_again(state, now, req)
+    return []
+
+
 def given_up(req: Request) -> Outcome:
     """Give the outcome of a request that ends without an answer."""
     if not req.may_have_run:
--- a/tests/core/test_straggler.py
+++ b/tests/core/test_straggler.py
@@ -15,9 +15,11 @@
 from turmericweir_core.account import Outcome
 from turmericweir_core.concurrency import LimitState
 from turmericweir_core.config import Policy, ServiceClass
+from turmericweir_core.dispatch import cancel
 from turmericweir_core.events import CallerLeft, EndCancelled
 from turmericweir_core.ids import AttemptId, InstanceName, RequestId, ServerName
 from turmericweir_core.options import Options
+from turmericweir_core.reasons import Reason
 from turmericweir_core.request import Attempt, CancelReason
 from turmericweir_core.straggler import StragglerState
 
@@ -340,6 +342,23 @@
     assert bench.world.run_of(victim.request_id).server != S0
 
 
+@pytest.mark.parametrize("reason", [CancelReason.MOVED, CancelReason.DISPLACED])
+def test_nothing_goes_on_for_a_caller_that_left(reason: CancelReason) -> None:
+    # An answer is to go on elsewhere, and its caller leaves before its old attempt has ended. As
+    # nobody would read the rest, it is not begun anew.
+    bench = MoveBench(MOVE_CASES[0])
+    world = bench.world
+    world.hold_cancelled = True
+    victim = world.on_server("s0")[0]
+    req = world.first.requests[victim.request_id]
+    cancel(req, reason)
+    started = len(world.started)
+    world.event(victim.instance, CallerLeft(victim.request_id))
+    world.end(victim, EndCancelled(0))
+    assert len(world.started) == started
+    assert [each.reason for each in world.told[PROMISED].accounts] == [Reason.CALLER_LEFT]
+
+
 def test_move_asks_for_credit() -> None:
     # Nothing is short, so the instance holds no credit but for the server that it uses. That one
     # slows down. No other server seems to have room until its dispatcher is asked for it.
