Keep part of the demand budget for requests that press

Cause: only a tier that a dispatcher was not told of before could use the last half of the demand budget. Ruled out: a larger budget, which is sized for 6 KB/s. Change: a demand that presses for more may use all but a quarter of the budget; the lowest tier presses nobody, as nothing is below it.

--- a/packages/turmericweir-core/turmericweir_core/credit_demand.py
+++ b/packages/turmericweir-core/turmericweir_core/credit_demand.py
@@ -31,6 +31,7 @@
 from turmericweir_core.pool_load import pool_load
 from turmericweir_core.server_table import Server, preferred
 from turmericweir_core.subset import open_servers
+from turmericweir_core.tiers import lowest_tier
 
 if TYPE_CHECKING:
     from turmericweir_core.state import State
@@ -58,6 +59,9 @@
         if asking:
             asked = _servers_to_ask(state, now, queue, servers, asking)
             ripe = count_ripe(state.options, now, queue, asking)
+            if queue.service_class.priority >= lowest_tier(state.config):
+                # Nothing is below that could stop for it.
+                ripe = 0
             presses = _presses(state.options, now, queue, max(0, ripe - covered), len(asked))
             _spread(wanted, queue, asked, asking, presses)
         covered = max(0, covered - len(queue.waiting))
@@ -169,8 +173,8 @@
         return None
     # What a dispatcher waits for is sent in any case; there is no more of it than it asked for.
     asked_for = credit.confirm or _ran_beyond(credit, tiers)
-    urgent = _more_urgent(tiers, credit.asked)
-    if not _take_from_budget(state, now, urgent=urgent) and not asked_for:
+    kept = _kept_share(tiers, credit.asked)
+    if not _take_from_budget(state, now, kept) and not asked_for:
         return None
     credit.seq += 1
     credit.sent_at[credit.seq] = now
@@ -186,12 +190,23 @@
     return CreditDemand(name, credit.seq, credit.grant_number, limit, list(tiers))
 
 
-def _take_from_budget(state: State, now: float, *, urgent: bool) -> bool:
-    """Take one demand from the budget; False means that it has to wait.
+def _kept_share(tiers: tuple[TierDemand, ...], asked: tuple[TierDemand, ...]) -> float:
+    """Give the share of the budget that is kept for what is more urgent than this demand.
+
+    Failure: a shortage lasts, news of it use up the budget, and an upper request that has waited
+    out its patience cannot say so while lower work runs. So the last half is for requests that
+    press for lower work to stop, and for tiers that nobody was told of yet, which come before.
+    """
+    if _more_urgent(tiers, asked):
+        return 0.0
+    return 0.25 if _presses_more(tiers, asked) else 0.5
+
+
+def _take_from_budget(state: State, now: float, kept: float) -> bool:
+    """Take one demand from the budget, but for a share of it; False means that it has to wait.
 
     Failure: every model is short of slots at once, and the control traffic of all instances crowds
-    out what they are for. Half of the budget is for tiers that nobody was told of yet; what else
-    there is to say waits for the next tick.
+    out what they are for. What is beyond the budget waits for the next tick.
     """
     credits, options = state.credits, state.options
     left = options.credit_demands_burst
@@ -200,7 +215,7 @@
         left = min(left, credits.demands_left + refilled)
     credits.demands_at = now
     credits.demands_left = left
-    if left < (1.0 if urgent else 0.5 * options.credit_demands_burst):
+    if left < max(1.0, kept * options.credit_demands_burst):
         credits.demands_put_off += 1
         return False
     credits.demands_left = left - 1.0
@@ -265,9 +280,12 @@
         # In steps of two, so that a long queue is not reported anew for each request.
         if each.waiting.bit_length() > (before.waiting.bit_length() if before else 0):
             return True
-        if each.pressed > (before.pressed if before else 0):
-            return True
-    return False
+    return _presses_more(tiers, asked)
+
+
+def _presses_more(tiers: tuple[TierDemand, ...], asked: tuple[TierDemand, ...]) -> bool:
+    pressed = {each.tier: each.pressed for each in asked}
+    return any(each.pressed > pressed.get(each.tier, 0) for each in tiers)
 
 
 def _has_idle(credit: HeldCredit, tiers: tuple[TierDemand, ...]) -> bool:
--- a/tests/core/test_credit.py
+++ b/tests/core/test_credit.py
@@ -342,6 +342,21 @@
     assert all(told.count(Outcome.COMPLETED) for told in world.told.values())
 
 
+def test_an_upper_request_presses_while_the_budget_is_short() -> None:
+    # A shortage has used up what an instance may say of it. A counter request, whose class waited
+    # there before, has waited out its patience while another instance's quotes run: that they have
+    # to stop for it must be told at once, and not when the budget has recovered.
+    options = Options(credit_demands_s=0.0, slack_slots=0)
+    world = make_world(instances=2, slots=1, options=options)
+    world.arrive("quote", instance=1, name="q")
+    world.advance(0.1)
+    state = world.first
+    world.arrive("counter", instance=0, name="c")
+    state.credits.demands_left = 0.3 * options.credit_demands_burst
+    world.advance(0.3)
+    assert world.running_ids() == ["c"]
+
+
 def test_plain_calls_leave_slots_for_the_most_urgent() -> None:
     """Keep some slots of a plain service free of lower tiers, since nothing there is displaced."""
     world = LoadWorld(instances=3, servers=1, slots=4, policy=Policy.CREDITS, kind=Kind.PLAIN)
