Count the slots that stand idle before refusing a backlog of a moment

Ruled out: full engines (their records); lower work in the way (credit reaches that within a quarter of the class's target, once the request waits). Change: where a request would be refused, admission adds the instance's part of the slots that load reports show idle to what runs (placement.idle_share); in a shortage reports show none, and the prediction is as before.

--- a/packages/turmericweir-core/turmericweir_core/admission.py
+++ b/packages/turmericweir-core/turmericweir_core/admission.py
@@ -17,6 +17,7 @@
 
 from turmericweir_core import displacement, queue_state
 from turmericweir_core.config import Policy
+from turmericweir_core.placement import idle_share
 from turmericweir_core.pool_load import (
     PoolLoad,
     arrival_rate,
@@ -55,8 +56,7 @@
     if state.config.policy is Policy.BASELINE:
         return _judge_baseline(state, req)
     wait = predicted_wait(state, now, req, pool)
-    too_late = wait > state.options.admit_share * (req.deadline - now)
-    if not too_late and not _queue_is_full(state, req):
+    if _is_in_time(state, now, req, wait) and not _queue_is_full(state, req):
         return Admitted()
     way = _make_way(state, now, req, pool)
     return way or Refused(retry_after(state, now, req, wait))
@@ -107,9 +107,17 @@
         for queue in queue_state.pool_queues(state.queues, pool)
         if queue.service_class.priority <= req.priority
     )
+    wait = _time_to_drain(state, now, req, load, ahead, rate)
+    if _is_in_time(state, now, req, wait):
+        return wait
+    rate = drain_rate(load, idle_share(state, now, req.target)) or rate
     return _time_to_drain(state, now, req, load, ahead, rate)
 
 
+def _is_in_time(state: State, now: float, req: Request, wait: float) -> bool:
+    return wait <= state.options.admit_share * (req.deadline - now)
+
+
 def _time_to_drain(
     state: State, now: float, req: Request, load: PoolLoad, ahead: float, rate: float
 ) -> float:
--- a/packages/turmericweir-core/turmericweir_core/placement.py
+++ b/packages/turmericweir-core/turmericweir_core/placement.py
@@ -25,6 +25,7 @@
 from turmericweir_core.concurrency import limited_slots
 from turmericweir_core.config import Kind, Policy
 from turmericweir_core.credit_holder import covered_room, goes_by_counts
+from turmericweir_core.ids import Target
 from turmericweir_core.prefix import match_scores
 from turmericweir_core.queue_state import target_classes
 from turmericweir_core.request import Request
@@ -162,6 +163,21 @@
     return limited_slots(state.server_limits, server.entry.name, server.slots)
 
 
+def idle_share(state: State, now: float, target: Target) -> float:
+    """Estimate this instance's part of the slots that stand idle, as far as reports show.
+
+    Failure without it: after a pause of the instance, or when many callers come at once, it has
+    slots for a few of its requests, and for the rest as soon as its dispatchers have answered. By
+    what runs until then the last of them would come too late, and would be refused though servers
+    stand idle.
+    """
+    idle = sum(
+        max(0.0, usable_slots(state, server) - estimated_load(state, now, server))
+        for server in open_servers(state, now, target)
+    )
+    return idle / sharing_instances(state, target)
+
+
 def estimated_load(state: State, now: float, server: Server) -> float:
     """Estimate the requests on a server, by this and all other instances."""
     return float(len(server.in_flight) + others_load(state, now, server))
--- a/packages/turmericweir-core/turmericweir_core/pool_load.py
+++ b/packages/turmericweir-core/turmericweir_core/pool_load.py
@@ -87,12 +87,15 @@
         load.pace_s += options.pace_weight * (pace - load.pace_s)
 
 
-def drain_rate(load: PoolLoad) -> float | None:
-    """Give the work a second that this instance gets done, or None while it is not known."""
+def drain_rate(load: PoolLoad, idle_slots: float = 0.0) -> float | None:
+    """Give the work a second that this instance gets done, or None while it is not known.
+
+    With idle slots: what it would get done if these were used, too.
+    """
     running = sum(load.running.values())
     if not load.pace_s or not running:
         return None
-    return running / load.pace_s
+    return (running + idle_slots) / load.pace_s
 
 
 def lower_running(load: PoolLoad, tier: int) -> bool:
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -124,6 +124,35 @@
                 assert not request_id.startswith("counter")
 
 
+def test_backlog_of_a_moment_is_not_refused_before_idle_servers() -> None:
+    # An instance goes on after a pause in which its credit has lapsed, and all that its callers
+    # sent meanwhile comes at once. It has few slots until its demands are answered. Judged by the
+    # rate of these alone, the end of the backlog would come too late, and its callers, of the most
+    # urgent tier, would be refused before engines that stand idle.
+    world = LoadWorld(
+        instances=2, servers=4, slots=8, policy=Policy.CREDITS, options=Options(pace_weight=1.0)
+    )
+    world.advance(1.0)
+    for _ in range(2):
+        world.arrive("counter")
+        running = world.oldest()
+        world.progress(running, 1)
+        world.advance(1.0)
+        world.progress(running, 100)
+        world.end(running)
+    world.advance(12.0)
+    world.keep_late()
+
+    for _ in range(32):
+        world.arrive("counter", deadline_s=4.0)
+
+    assert list(shed(world)) == []
+    for instance, event in world.take_late():
+        world.event(instance, event)
+    world.advance(0.5)
+    assert world.waiting() == []
+
+
 @settings(max_examples=60, deadline=None)
 @given(STEPS, st.sampled_from(list(Policy)))
 def test_every_request_ends_once_and_not_run_is_true(
