Cancel at an engine over a new connection

Cause: the order to stop an attempt whose connection went silent could go out over a kept connection that had gone silent with it; it was lost, and the engine generated on for nobody. Ruled out: a retry of the call after its second, by when most of the waste is done. Change: cancel_at_engine always opens a connection.

--- a/packages/turmericweir/turmericweir/backend_engine.py
+++ b/packages/turmericweir/turmericweir/backend_engine.py
@@ -152,7 +152,11 @@
 
 
 async def cancel_at_engine(pool: BackendPool, start: StartAttempt) -> None:
-    """Tell an engine to stop an attempt; best effort, since closing the connection says it too."""
+    """Tell an engine to stop an attempt; best effort, since closing the connection says it too.
+
+    Over a new connection: a kept one may have gone silent with the attempt's own, and the engine
+    would go on generating for nobody.
+    """
     value = {"request_id": start.request_id, "attempt_id": start.attempt_id}
     try:
         await call(
@@ -162,6 +166,7 @@
             "/v1/cancel",
             value=value,
             timeout_s=_CANCEL_TIMEOUT_S,
+            fresh=True,
         )
     except CallError:
         return
