Doubt lost connections by signs, long before the fixed wait

Cause: a stream that went silent was noticed only after 2 s, and so was a call that went out over a kept connection that had gone silent; engines generate for nobody meanwhile, and each kept connection swallows one more request. Change: silence_signs. An attempt is overdue after four times the longest wait of late of its server (floors 0.15 s and 0.1 s); its server has to answer a probe over a new connection, asked for after that, at once; and a second server, other streams, the server's own count or as long again has to agree. Open connections to a suspected server, or to all where several are, are not used for new work; a request whose attempt went silent has new ones only. A stream that may have been preempted, and whatever may not be repeated, keeps the long wait.

--- a/packages/turmericweir-core/turmericweir_core/dispatch.py
+++ b/packages/turmericweir-core/turmericweir_core/dispatch.py
@@ -124,7 +124,7 @@
             address=server.entry.address,
             priority=attempt.tier,
             resume_from=req.delivered if req.kind is Kind.MODEL else 0,
-            fresh_connection=not req.repeatable,
+            fresh_connection=not req.repeatable or req.went_silent,
         )
     ]
 
--- a/packages/turmericweir-core/turmericweir_core/effects.py
+++ b/packages/turmericweir-core/turmericweir_core/effects.py
@@ -100,6 +100,13 @@
     address: str
 
 
+@dataclass(frozen=True, slots=True)
+class DistrustConnections:
+    """Use no connection to this address again that is open now; what runs on them goes on."""
+
+    address: str
+
+
 @dataclass(frozen=True, slots=True)
 class SendOrder:
     """Give an order to a server, under a fencing number."""
@@ -174,6 +181,7 @@
     | SendPeer
     | SendDatagram
     | ProbeServer
+    | DistrustConnections
     | SendOrder
     | AskWeights
     | SettleChange
--- a/packages/turmericweir-core/turmericweir_core/events.py
+++ b/packages/turmericweir-core/turmericweir_core/events.py
@@ -94,6 +94,8 @@
 
     request_id: RequestId
     attempt_id: AttemptId
+    # It goes out over a connection that was kept from an earlier request.
+    kept_connection: bool = False
 
 
 @dataclass(slots=True)
@@ -135,6 +137,8 @@
     fence: int = -1
     # Models on their way into memory.
     loading: tuple[str, ...] = ()
+    # When the probe was sent that it answers; long ago, where another instance passed it on.
+    asked_at: float = float("-inf")
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/turmericweir-core/turmericweir_core/lifecycle.py
+++ b/packages/turmericweir-core/turmericweir_core/lifecycle.py
@@ -17,6 +17,7 @@
     quarantine,
     queue_state,
     silence,
+    silence_signs,
     trial,
 )
 from turmericweir_core.account import Account, Outcome
@@ -54,6 +55,7 @@
     EndServerError,
     EndUnsent,
     RequestArrived,
+    ServerReport,
 )
 from turmericweir_core.ids import RequestId, ServerName
 from turmericweir_core.predict import predict_tokens
@@ -152,6 +154,7 @@
     if req is None or req.attempt is None or req.attempt.attempt_id != event.attempt_id:
         return []
     req.attempt.sent = True
+    req.attempt.kept_connection = event.kept_connection
     return []
 
 
@@ -170,6 +173,9 @@
         return []
     last = attempt.last_token_at
     attempt.tokens += event.tokens
+    last = attempt.last_token_at
+    if last is not None and now - last > attempt.longest_gap:
+        attempt.longest_gap = now - last
     attempt.last_token_at = now
     req.delivered += event.tokens
     if last is None:
@@ -382,12 +388,24 @@
             continue
         queue_state.remove(state.queues, req)
         effects += finish(state, now, req, given_up(req), Reason.DEADLINE, retry_after_s=1.0)
+    effects += silence_signs.on_tick(state, now)
     for req in list(state.requests.values()):
         if req.attempt is not None:
             effects += _check_running(state, now, req, req.attempt)
     return effects + dispatch_all(state, now)
 
 
+def on_server_answered(state: State, now: float, report: ServerReport) -> list[Effect]:
+    """Doubt what its server's answer over a new connection proves to be lost."""
+    if not silence_signs.note_report(state, now, report):
+        return []
+    effects: list[Effect] = []
+    for req in list(state.requests.values()):
+        if req.attempt is not None and req.attempt.server == report.server:
+            effects += _check_running(state, now, req, req.attempt)
+    return effects
+
+
 def _check_running(state: State, now: float, req: Request, attempt: Attempt) -> list[Effect]:
     options = state.options
     late = now > req.deadline + options.deadline_grace_s
@@ -395,13 +413,14 @@
         return cancel(req, CancelReason.DEADLINE)
     if attempt.cancelled is not None or not silence.is_doubtful(state, now, req, attempt):
         return []
+    req.went_silent = True
+    effects: list[Effect] = [Count(f"silence.doubted.{attempt.server}")]
     server = state.servers.by_name.get(attempt.server)
-    if server is None:
-        return cancel(req, CancelReason.SILENT)
-    # The connection is doubted, not yet the server. A probe over a new connection says which, and
-    # the request goes on elsewhere meanwhile.
-    probe = ProbeServer(attempt.server, server.entry.address)
-    return [probe, *cancel(req, CancelReason.SILENT)]
+    if server is not None:
+        # The connection is doubted, not yet the server. A probe over a new connection says which,
+        # and the request goes on elsewhere meanwhile.
+        effects.append(ProbeServer(attempt.server, server.entry.address))
+    return effects + cancel(req, CancelReason.SILENT)
 
 
 # --- the final word --------------------------------------------------------------------------
--- a/packages/turmericweir-core/turmericweir_core/options.py
+++ b/packages/turmericweir-core/turmericweir_core/options.py
@@ -478,8 +478,29 @@
     trial_ask_s: float = 0.1
 
     # --- connections that go silent ---
-    # How long a stream that has begun may pause, and an answer may take to begin, before the
-    # connection is doubted.
+    # An attempt is overdue when it has been silent for this multiple of the longest time that its
+    # server took of late, and for the floor of a stream or of an answer that has not begun. The
+    # floors are some ten steps of an engine, and as long as plain calls may take to be retried
+    # within a target of 300 ms.
+    overdue_factor: float = 4.0
+    stream_overdue_min_s: float = 0.15
+    first_overdue_min_s: float = 0.1
+    # How fast the longest time between tokens is forgotten, as a factor for each tick.
+    gap_decay: float = 0.98
+    # Between two probes of a server for what is overdue there.
+    sign_probe_s: float = 0.2
+    # An answer to a probe proves that its server works if it comes within this time, on a busy
+    # machine too; and within the shorter one, that it did not stand still until a moment ago.
+    sign_answer_s: float = 0.1
+    sign_at_once_s: float = 0.02
+    # Distance of ticks above which this process stood still itself.
+    sign_tick_max_s: float = 0.2
+    # Share of its slots, or of its cache memory, up to which a server is sure not to preempt.
+    sign_room_share: float = 0.75
+    # How much later than true an engine's report may come.
+    report_lag_s: float = 0.6
+    # Without such a proof: how long a stream that has begun may pause, and an answer may take to
+    # begin, before the connection is doubted.
     silence_s: float = 2.0
     first_silence_s: float = 2.0
     # Both become longer by this factor while the server has others waiting: it may have preempted
--- a/packages/turmericweir-core/turmericweir_core/reducer.py
+++ b/packages/turmericweir-core/turmericweir_core/reducer.py
@@ -127,7 +127,8 @@
             attempt_books.note_report(state, now, event)
             server_table.note_report(state.servers, state.options, now, event)
             order_flow.note_report(state, now, event)
-            return dispatch.dispatch_all(state, now)
+            answered = lifecycle.on_server_answered(state, now, event)
+            return answered + dispatch.dispatch_all(state, now)
         case ServerUnreachable(server, _):
             server_table.note_unreachable(state.servers, state.options, now, server)
             return []
--- a/packages/turmericweir-core/turmericweir_core/request.py
+++ b/packages/turmericweir-core/turmericweir_core/request.py
@@ -52,6 +52,8 @@
     incarnation: str = ""
     # Set just before the first byte goes out; until then the server cannot have begun.
     sent: bool = False
+    # It went out over a connection that was kept from an earlier request.
+    kept_connection: bool = False
     # Tokens received in this attempt.
     tokens: int = 0
     first_token_at: float | None = None
@@ -60,6 +62,8 @@
     gap_late_s: float = float("inf")
     # Gaps in a row that were late.
     late_gaps: int = 0
+    # The longest time between tokens since the tick before.
+    longest_gap: float = 0.0
     # Why the reducer has ordered it to stop; its end is awaited.
     cancelled: CancelReason | None = None
     # The pool whose books it is in, and the work that it was entered for.
@@ -115,6 +119,9 @@
     moved: bool = False
     # The caller has closed its connection; the request is only finished for its account.
     caller_left: bool = False
+    # An attempt of it went silent. Kept connections to other servers may have gone the same way, so
+    # the next attempts have new ones.
+    went_silent: bool = False
     # Servers that this request has failed on; avoided while others are left.
     avoid: set[ServerName] = field(default_factory=set)
 
--- a/packages/turmericweir-core/turmericweir_core/silence.py
+++ b/packages/turmericweir-core/turmericweir_core/silence.py
@@ -20,6 +20,7 @@
 from turmericweir_core.ids import ServerName
 from turmericweir_core.request import Attempt, Request
 from turmericweir_core.retry import may_retry
+from turmericweir_core.silence_signs import is_proven, note_lost
 
 if TYPE_CHECKING:
     from turmericweir_core.state import State
@@ -43,14 +44,20 @@
 
 
 def is_doubtful(state: State, now: float, req: Request, attempt: Attempt) -> bool:
-    """Tell whether an attempt has been silent for longer than its server explains."""
+    """Tell whether an attempt has been silent for longer than its server explains.
+
+    `silence_signs` finds most of them soon; what it cannot prove has the longer waits of here.
+    """
     last = attempt.last_token_at
     if last is None:
         silent = _first_overdue(state, now, req, attempt)
     else:
         silent = _stream_overdue(state, now - last, attempt)
-    if not silent or not _may_go_elsewhere(state, req):
+    proven = is_proven(state, now, req, attempt)
+    if not (silent or proven) or not _may_go_elsewhere(state, req):
         return False
+    if proven:
+        note_lost(state, now, attempt.server)
     state.silence.doubted += 1
     return True
 
--- a/packages/turmericweir-core/turmericweir_core/state.py
+++ b/packages/turmericweir-core/turmericweir_core/state.py
@@ -30,6 +30,7 @@
 from turmericweir_core.server_table import ServerTable
 from turmericweir_core.settings_sync import SettingsSync
 from turmericweir_core.silence import SilenceState
+from turmericweir_core.silence_signs import SignState
 from turmericweir_core.straggler import StragglerState
 from turmericweir_core.subset import SubsetState
 
@@ -87,5 +88,6 @@
     leases: LeaseState = field(default_factory=LeaseState)
     models: ModelState = field(default_factory=ModelState)
     silence: SilenceState = field(default_factory=SilenceState)
+    signs: SignState = field(default_factory=SignState)
     # Set by a graceful stop; never unset.
     stopping_since: float | None = None
--- a/packages/turmericweir/turmericweir/backend_attempt.py
+++ b/packages/turmericweir/turmericweir/backend_attempt.py
@@ -52,18 +52,21 @@
 class Attempt:
     """One attempt: sends the request, has the answer consumed, classifies the end."""
 
-    __slots__ = ("_first_byte", "node", "pool", "start")
+    __slots__ = ("_first_byte", "_kept", "node", "pool", "start")
 
     node: Node
     pool: BackendPool
     start: StartAttempt
     _first_byte: FirstByte
+    # Its connection was kept from an earlier request.
+    _kept: bool
 
     def __init__(self, node: Node, pool: BackendPool, start: StartAttempt) -> None:
         self.node = node
         self.pool = pool
         self.start = start
         self._first_byte = FirstByte(self._announce)
+        self._kept = False
 
     @property
     def sent(self) -> bool:
@@ -71,13 +74,15 @@
         return self._first_byte.sent
 
     def _announce(self) -> None:
-        self.node.handle(AttemptSent(self.start.request_id, self.start.attempt_id))
+        start = self.start
+        self.node.handle(AttemptSent(start.request_id, start.attempt_id, self._kept))
 
     async def run(self, request: httpcore.Request, consume: Consume) -> AttemptEnd:
         """Run the attempt to its end; being cancelled ends it too."""
         address = self.start.address
         try:
             conn = await self.pool.take(address, fresh=self.start.fresh_connection)
+            self._kept = conn.is_kept
             try:
                 response = await conn.send(request, self._first_byte)
                 end = await consume(response)
--- a/packages/turmericweir/turmericweir/backend_pool.py
+++ b/packages/turmericweir/turmericweir/backend_pool.py
@@ -29,16 +29,22 @@
 class BackendConnection:
     """One HTTP connection, for one request at a time."""
 
-    __slots__ = ("_http", "_stream")
+    __slots__ = ("_http", "_stream", "is_kept", "opened_at")
 
     _http: httpcore.AsyncHTTP11Connection
     _stream: BackendStream
+    # When it was opened.
+    opened_at: float
+    # It has carried an earlier request.
+    is_kept: bool
 
     def __init__(self, address: str, stream: BackendStream) -> None:
         host, _, port = address.rpartition(":")
         origin = httpcore.Origin(b"http", host.encode("ascii"), int(port))
         self._http = httpcore.AsyncHTTP11Connection(origin, stream)
         self._stream = stream
+        self.opened_at = monotonic()
+        self.is_kept = False
 
     async def send(
         self, request: httpcore.Request, announce: Callable[[], None]
@@ -73,12 +79,15 @@
 
     # For each address the idle connections and when they became so, the newest last.
     _idle: defaultdict[str, list[tuple[float, BackendConnection]]]
+    # For some addresses, the time up to which connections that were opened are not used again.
+    _distrusted: dict[str, float]
     # Connections ever opened and reused, for the state dump.
     opened: int
     reused: int
 
     def __init__(self) -> None:
         self._idle = defaultdict(list)
+        self._distrusted = {}
         self.opened = 0
         self.reused = 0
 
@@ -105,8 +114,9 @@
         while idle and not fresh:
             since, conn = idle.pop()
             # One that the server closed meanwhile would break the request that is sent over it.
-            if monotonic() - since <= IDLE_MAX_S and not conn.was_closed:
+            if monotonic() - since <= IDLE_MAX_S and self._may_use(address, conn):
                 self.reused += 1
+                conn.is_kept = True
                 return conn
             await conn.close()
         stream = await connect(address)
@@ -116,11 +126,21 @@
     async def give_back(self, address: str, conn: BackendConnection) -> None:
         """Keep a connection for another request, or close it where it cannot carry one."""
         idle = self._idle[address]
-        if conn.is_idle and len(idle) < IDLE_MAX:
+        if conn.is_idle and len(idle) < IDLE_MAX and self._is_trusted(address, conn):
             idle.append((monotonic(), conn))
         else:
             await conn.close()
 
+    def distrust(self, address: str) -> None:
+        """Use no connection again that is open now, as they may all have gone silent together."""
+        self._distrusted[address] = monotonic()
+
+    def _is_trusted(self, address: str, conn: BackendConnection) -> bool:
+        return conn.opened_at > self._distrusted.get(address, 0.0)
+
+    def _may_use(self, address: str, conn: BackendConnection) -> bool:
+        return self._is_trusted(address, conn) and not conn.was_closed
+
     def counts(self) -> dict[str, int]:
         """Count the idle connections by address, for the state dump."""
         return {address: len(idle) for address, idle in self._idle.items() if idle}
--- a/packages/turmericweir/turmericweir/node.py
+++ b/packages/turmericweir/turmericweir/node.py
@@ -23,6 +23,7 @@
     AskWeights,
     CancelAttempt,
     Count,
+    DistrustConnections,
     Effect,
     Exit,
     FinishRequest,
@@ -93,6 +94,9 @@
     def probe(self, effect: ProbeServer) -> None:
         """Ask a server for its load."""
 
+    def distrust(self, effect: DistrustConnections) -> None:
+        """Use no connection again that is open to a server now."""
+
     def order(self, effect: SendOrder) -> None:
         """Give a server an order."""
 
@@ -209,6 +213,8 @@
                 self._adapters.peers.send(effect)
             case ProbeServer():
                 self._adapters.servers.probe(effect)
+            case DistrustConnections():
+                self._adapters.servers.distrust(effect)
             case SendOrder():
                 self._adapters.servers.order(effect)
             case AppendRecords():
--- a/packages/turmericweir/turmericweir/server_calls.py
+++ b/packages/turmericweir/turmericweir/server_calls.py
@@ -17,7 +17,7 @@
 from turmericweir.backend_pool import BackendPool
 from turmericweir.errors import CallError
 from turmericweir.node import Node
-from turmericweir_core.effects import ProbeServer, SendOrder
+from turmericweir_core.effects import DistrustConnections, ProbeServer, SendOrder
 from turmericweir_core.events import OrderDone, ServerReport, ServerUnreachable
 from turmericweir_core.ids import ServerName
 
@@ -69,6 +69,7 @@
             self._node.in_background(self._probe, effect)
 
     async def _probe(self, effect: ProbeServer) -> None:
+        asked_at = anyio.current_time()
         try:
             answer = await call(
                 self._pool,
@@ -79,12 +80,16 @@
                 fresh=True,
                 traffic=self._node.traffic.probes,
             )
-            self._node.handle(_read_report(effect.server, effect.address, answer))
+            self._node.handle(_read_report(effect, answer, asked_at))
         except CallError as exc:
             self._node.handle(ServerUnreachable(effect.server, str(exc)))
         finally:
             self._probing.discard(effect.server)
 
+    def distrust(self, effect: DistrustConnections) -> None:
+        """Use no connection again that is open to a server now."""
+        self._pool.distrust(effect.address)
+
     def order(self, effect: SendOrder) -> None:
         """Give a server an order."""
         self._node.in_background(self._order, effect)
@@ -131,8 +136,9 @@
         )
 
 
-def _read_report(server: ServerName, address: str, answer: Answer) -> ServerReport:
+def _read_report(effect: ProbeServer, answer: Answer, asked_at: float) -> ServerReport:
     """Validate a report; one that cannot be used counts as no answer."""
+    server, address = effect.server, effect.address
     if answer.status != 200:
         raise CallError("load report", address, f"status {answer.status}", sent=True)
     try:
@@ -153,4 +159,5 @@
         leaving=body.leaving,
         fence=-1 if body.fence is None else body.fence,
         loading=body.loading,
+        asked_at=asked_at,
     )
--- a/tests/core/fault_world.py
+++ b/tests/core/fault_world.py
@@ -17,6 +17,7 @@
 from turmericweir_core.config import Config, Kind, ServerEntry, Service, ServiceClass
 from turmericweir_core.effects import (
     CancelAttempt,
+    DistrustConnections,
     Effect,
     FinishRequest,
     ProbeServer,
@@ -54,6 +55,8 @@
 REGION: Final = "khomas"
 # A server that crashed is back after this time.
 DOWN_S: Final = 1.0
+# A probe that is not answered for so long is given up for the next one.
+PROBE_S: Final = 0.5
 
 
 @dataclass(slots=True)
@@ -76,6 +79,10 @@
     running: dict[AttemptId, Run] = field(default_factory=dict)
     # It takes requests, and nothing comes of them.
     mute: bool = False
+    # It stands still, and answers no probe either.
+    frozen: bool = False
+    # When the probe was sent that it has not answered yet.
+    probed_at: float | None = None
 
 
 class FaultWorld:
@@ -118,6 +125,12 @@
         self.unreported: set[InstanceName] = set()
         # A middle box takes connections to a server that is down, and breaks them.
         self.takes_when_down = False
+        # Requests go out over connections that were kept from earlier ones.
+        self.kept_connections = False
+        # Requests that servers report to wait there, beside what they were sent.
+        self.waiting = 0
+        # Addresses whose open connections are not to be used again.
+        self.distrusted: list[str] = []
         # Tells which messages are lost.
         self.loses: Callable[[PeerMessage], bool] = lambda message: False
         self._mail: list[tuple[InstanceName, PeerReceived]] = []
@@ -170,6 +183,9 @@
                         self._mail.append((peer, PeerReceived(instance, message)))
                 case ProbeServer(server, _):
                     self.probes.append(server)
+                    self._probe(server)
+                case DistrustConnections(address):
+                    self.distrusted.append(address)
                 case _:
                     pass
 
@@ -180,7 +196,8 @@
         if self.now < server.down_until and not self.takes_when_down:
             self._end(instance, start, EndUnsent("refused"))
             return
-        self.event(instance, AttemptSent(start.request_id, start.attempt_id))
+        kept = self.kept_connections and not start.fresh_connection
+        self.event(instance, AttemptSent(start.request_id, start.attempt_id, kept))
         if self.now < server.down_until:
             self._end(instance, start, EndBroken("reset", server_alive=False))
             return
@@ -213,7 +230,7 @@
             self._end(run.instance, run.start, EndBroken("reset", server_alive=alive))
 
     def _step_server(self, name: ServerName, server: FakeServer) -> None:
-        if self.now < server.down_until or server.mute:
+        if self.now < server.down_until or server.mute or server.frozen:
             return
         for run in list(server.running.values()):
             if run.fingerprint in self.poison and run.fingerprint not in self.lost:
@@ -233,10 +250,23 @@
             server.running.pop(start.attempt_id, None)
             self._end(run.instance, start, EndComplete(200))
 
-    def report(self, name: ServerName) -> None:
-        """Let every instance have a server's load report."""
+    def _probe(self, name: ServerName) -> None:
         server = self.servers[name]
-        if self.now < server.down_until or self.silent_reports:
+        if not server.frozen:
+            self.report(name, self.now)
+        elif server.probed_at is None or self.now - server.probed_at > PROBE_S:
+            server.probed_at = self.now
+
+    def thaw(self, name: ServerName) -> None:
+        """Let a server that was frozen go on, with an answer to the probe that waits there."""
+        server = self.servers[name]
+        server.frozen = False
+        self.report(name, self.now if server.probed_at is None else server.probed_at)
+
+    def report(self, name: ServerName, asked_at: float = float("-inf")) -> None:
+        """Let every instance have a server's load report, unasked or as the answer to a probe."""
+        server = self.servers[name]
+        if self.now < server.down_until or self.silent_reports or server.frozen:
             return
         self._seq += 1
         counted = [
@@ -245,7 +275,14 @@
             if name in self.busy or run.fingerprint not in self.lost
         ]
         report = ServerReport(
-            name, str(server.life), self._seq, len(counted), 0, 8, models=self.models
+            name,
+            str(server.life),
+            self._seq,
+            len(counted),
+            self.waiting,
+            8,
+            models=self.models,
+            asked_at=asked_at,
         )
         for instance in self.states:
             if instance not in self.unreported:
@@ -289,6 +326,7 @@
         fingerprint: str | None = None,
         repeatable: bool = True,
         deadline_s: float = CLASS.deadline_s,
+        service_class: ServiceClass = CLASS,
     ) -> RequestId:
         """Let a caller send a request to an instance."""
         request_id = RequestId(name)
@@ -298,7 +336,7 @@
             target=TARGET,
             customer="dunes",
             team="",
-            service_class=CLASS,
+            service_class=service_class,
             arrived=self.now,
             deadline=self.now + deadline_s,
             fingerprint=name if fingerprint is None else fingerprint,
--- a/tests/core/test_silence.py
+++ b/tests/core/test_silence.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
-from tests.core.fault_world import FaultWorld
+from dataclasses import dataclass
+from typing import Final
+
+import pytest
+
+from tests.core.fault_world import CLASS, FaultWorld
 from turmericweir_core.account import Outcome
-from turmericweir_core.config import Kind
+from turmericweir_core.config import Kind, ServiceClass
 from turmericweir_core.events import ServerReport
 from turmericweir_core.ids import ServerName
+from turmericweir_core.options import Options
 
 COMPLETED = (Outcome.COMPLETED, "ok")
 
@@ -132,3 +138,130 @@
     mute_first(world, "one")
     world.advance(world.options.first_silence_s + 0.5)
     assert len(world.runs) == 2
+
+
+# --- signs that let a silence be noticed soon --------------------------------------------------
+
+LOWER: Final = ServiceClass("draft", 2, target_s=5.0, deadline_s=60.0)
+# Longer than the signs take, at one token for each tick, and shorter than any wait without them.
+SOON_S: Final = 1.1
+
+
+@dataclass(frozen=True, slots=True)
+class SignCase:
+    """Streams that stop on some servers, and whether they soon go on elsewhere."""
+
+    # What happens to the servers: their connections are lost, or they are mute, or frozen.
+    stops: str
+    # Of three servers with a stream each, how many stop.
+    stopped: int
+    moved: bool
+    service_class: ServiceClass = CLASS
+    # Requests that wait at the engines, by their reports.
+    waiting: int = 0
+    # Retries that are left.
+    budget: float = 20.0
+
+
+SIGN_CASES: Final = {
+    # Several servers at once, while all answer new connections: the connections are lost.
+    "lost_together": SignCase("lost", 3, moved=True),
+    # The same for a lower tier, at engines with room, where nothing is preempted.
+    "lower_tier_with_room": SignCase("lost", 3, moved=True, service_class=LOWER),
+    # At full engines the streams may have been preempted, and go on later.
+    "lower_tier_at_full_engines": SignCase("lost", 3, moved=False, service_class=LOWER, waiting=9),
+    # Frozen engines answer no probe.
+    "frozen": SignCase("frozen", 3, moved=False),
+    # Each doubt is a retry: without budget the streams are waited for.
+    "no_budget": SignCase("lost", 3, moved=False, budget=0.0),
+}
+
+
+@pytest.mark.parametrize("case", SIGN_CASES.values(), ids=SIGN_CASES)
+def test_streams_that_stop(case: SignCase) -> None:
+    world = FaultWorld(servers=3, length=60, options=Options(retry_share=0.0))
+    world.config.classes[LOWER.name] = LOWER
+    state = next(iter(world.states.values()))
+    world.moment()
+    names = ["one", "two", "three"]
+    for name in names:
+        world.arrive(name, service_class=case.service_class)
+    world.advance(1.0)
+    began = len(world.runs)
+    assert len({server for _, server in world.runs}) == 3
+    state.retries.tokens = case.budget
+    world.waiting = case.waiting
+    stopped = [world.attempts(name)[0] for name in names[: case.stopped]]
+    for run in stopped:
+        if case.stops == "lost":
+            world.lost.add(run.fingerprint)
+        world.busy.add(run.start.server)
+        world.servers[run.start.server].frozen = case.stops == "frozen"
+    delivered = [run.tokens for run in stopped]
+    world.advance(SOON_S)
+    for name in world.servers:
+        # Where a server thaws, it answers a probe before it makes the next token.
+        world.thaw(name)
+    world.moment()
+    assert len(world.runs) - began == (case.stopped if case.moved else 0)
+    # Where they were moved, each goes on after the last token that its caller has.
+    for run, token in zip(stopped, delivered, strict=True):
+        moved = [each.start for each in world.attempts(run.fingerprint)]
+        expected = [token] if case.moved else [0]
+        assert [start.resume_from for start in moved] == expected
+        assert [start.fresh_connection for start in moved] == [case.moved]
+
+
+def test_server_that_stands_still_for_a_moment() -> None:
+    # One server makes no tokens for a while, but answers probes; it may be loading an adapter. Its
+    # stream is given longer than one of several that stop together, and goes on there.
+    world = FaultWorld(servers=3, length=60)
+    world.moment()
+    for name in ("one", "two", "three"):
+        world.arrive(name)
+    world.advance(1.0)
+    server = world.attempts("one")[0].start.server
+    world.servers[server].mute = True
+    world.advance(0.6)
+    assert world.probes.count(server) > 0
+    world.servers[server].mute = False
+    world.advance_until_told()
+    assert len(world.runs) == 3
+
+
+def test_servers_that_all_become_slow() -> None:
+    # In a rush every server takes three times as long for a token. Nothing is moved.
+    world = FaultWorld(servers=3, length=30)
+    world.moment()
+    for name in ("one", "two", "three"):
+        world.arrive(name)
+    world.advance(1.0)
+    while world.requests():
+        for server in world.servers.values():
+            server.mute = True
+        world.advance(0.2)
+        for server in world.servers.values():
+            server.mute = False
+        world.moment()
+    assert len(world.runs) == 3
+
+
+@pytest.mark.parametrize("kept", [True, False])
+def test_plain_call_that_its_server_does_not_count(kept: bool) -> None:
+    # The call went out over a connection that had gone silent while it was idle; its server never
+    # saw it, and says so at once when asked over a new one. The call is repeated over a new one,
+    # and no kept connection to that server is used for others meanwhile. One that went out over a
+    # new connection has reached its server, whatever a report says, and is waited for.
+    world = FaultWorld(servers=2, kind=Kind.PLAIN, length=1)
+    for name in ("first", "second"):
+        world.arrive(name)
+        world.moment()
+    world.kept_connections = kept
+    server = mute_first(world, "one")
+    world.advance(SOON_S)
+    assert [run.start.fresh_connection for run in world.attempts("one")] == [kept]
+    assert (world.config.servers[server].address in world.distrusted) == kept
+    world.lost.clear()
+    world.advance_until_told()
+    assert world.outcome("one") == COMPLETED
+    assert len(world.runs) == (4 if kept else 3)
--- a/tests/ctl/fake_daemon.py
+++ b/tests/ctl/fake_daemon.py
@@ -25,6 +25,7 @@
 from turmericweir_core.effects import (
     AppendRecords,
     AskWeights,
+    DistrustConnections,
     ProbeServer,
     ReadLog,
     SendDatagram,
@@ -108,6 +109,9 @@
     def probe(self, effect: ProbeServer) -> None:
         """Probe nothing."""
 
+    def distrust(self, effect: DistrustConnections) -> None:
+        """Keep no connections."""
+
     def order(self, effect: SendOrder) -> None:
         """Order nothing."""
 
--- a/tests/failures/test_silent_connection.py
+++ b/tests/failures/test_silent_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from pathlib import Path
 from typing import Final
 
@@ -60,6 +61,21 @@
         assert used == 1
 
 
+def test_several_engines_whose_connections_go_silent_together(tmp_path: Path) -> None:
+    # The callers' streams go on, though the instance would wait for minutes before it doubts a
+    # stream for its silence alone. All streams stop together, and the engines answer a probe over a
+    # new connection at once: the connections are lost, not the engines. Each engine is told to stop
+    # what it still generates for nobody, and none makes an answer twice to its end.
+    with chats(small(instances=1), tmp_path, silence_s=300.0) as callers:
+        sent = [callers.send(f"essay {number} [len=900]") for number in range(4)]
+        wait_streams(callers, 4)
+        for server in ("lm-1", "lm-2"):
+            callers.cluster.fault(server, silence_existing=True)
+        assert [each.result().is_whole() for each in sent] == [True] * 4
+        ends = Counter(each["outcome"] for each in callers.cluster.records("ended"))
+        assert ends == {"cancelled": 4, "finished": 4}
+
+
 def reserve(callers: Chats, name: str) -> JsonAnswer:
     """Reserve at the counter, without a key: sent once, and never again."""
     address = callers.cluster.instances["entry-1"].address
