--- a/packages/turmericweir-core/turmericweir_core/lifecycle.py
+++ b/packages/turmericweir-core/turmericweir_core/lifecycle.py
@@ -173,13 +173,11 @@
         return []
     last = attempt.last_token_at
     attempt.tokens += event.tokens
-    last = attempt.last_token_at
-    if last is not None and now - last > attempt.longest_gap:
-        attempt.longest_gap = now - last
     attempt.last_token_at = now
     req.delivered += event.tokens
     if last is None:
         return _on_first_token(state, now, req, attempt)
+    attempt.longest_gap = max(attempt.longest_gap, now - last)
     if now - last <= attempt.gap_late_s * event.tokens:
         attempt.late_gaps = 0
         return []
