Close the proxy's sockets of silent connections that both sides have left

Ruled out: closing both when one side leaves, which would tell the other. Change: an end whose own side has ended a connection that is silent both ways is closed. Conclusion: open files follow the connections that somebody still holds.

--- a/packages/turmericweir-standins/turmericweir_standins/proxy_tcp.py
+++ b/packages/turmericweir-standins/turmericweir_standins/proxy_tcp.py
@@ -170,6 +170,9 @@
         """Pass the end of the bytes on, or swallow it."""
         if not self._swallows(direction):
             self._push(direction, partial(self._pass_eof, direction))
+        elif len(self._silent) == len(Direction):
+            # Nothing will ever be written to who has ended this, so its socket is of no use.
+            self._ends[direction].close(reset=False)
 
     def _pass_eof(self, direction: Direction) -> None:
         self._receiver(direction).write_eof()
--- a/tests/standins/test_proxy.py
+++ b/tests/standins/test_proxy.py
@@ -234,6 +234,19 @@
         pair.server.close()
         wait_until(lambda: "closed" in events_in(tmp_path), "the proxy closed both sockets")
 
+    def test_silent_connection_is_closed_when_both_sides_have_left(
+        self, bench: Bench, tmp_path: Path
+    ) -> None:
+        # Neither side is told that the other has gone, but the proxy's sockets go once both have:
+        # in a soak of minutes with many silences it would run out of them otherwise.
+        pair = bench.connect()
+        assert carries(pair.client, pair.server)
+        bench.faults(silence_existing=True)
+        pair.client.close()
+        assert is_silent(pair.server)
+        pair.server.close()
+        wait_until(lambda: "closed" in events_in(tmp_path), "the proxy closed both sockets")
+
     def test_lose_response(self, bench: Bench, tmp_path: Path) -> None:
         # The request reaches the server, which answers. The client sees its connection close with
         # no byte of the answer, and cannot know whether the request took effect.
