End a shortage when what all want fits; ask holders sooner

Change: a shortage goes on only while what all said that they could use is more than there is; holders not heard from for 0.25 s are asked, in place of 1 s.

--- a/packages/turmericweir-core/turmericweir_core/credit_dispatcher.py
+++ b/packages/turmericweir-core/turmericweir_core/credit_dispatcher.py
@@ -28,6 +28,7 @@
     set_granted,
     short_of,
     wants_of,
+    wants_too_much,
 )
 from turmericweir_core.credit_settlement import (
     call_back,
@@ -160,7 +161,8 @@
     all of those messages no more than one slot changes hands.
     """
     if now < ledger.contended_until:
-        ledger.contended_until = now + options.credit_contended_s
+        if wants_too_much(ledger, capacity):
+            ledger.contended_until = now + options.credit_contended_s
         return []
     if ledger.short_since is not None or not short_of(holding, capacity):
         return []
@@ -262,7 +264,7 @@
         ledger.short_since = now if ledger.short_since is None else ledger.short_since
     else:
         ledger.short_since = None
-    short = free_slots(ledger, capacity) < 0 or _is_short(options, now, ledger)
+    short = free_slots(ledger, capacity) < 0 or _is_short(options, now, ledger, capacity)
     if short:
         ledger.contended_until = now + options.credit_contended_s
     told = any(each.contended for each in holdings)
@@ -271,10 +273,14 @@
         ledger.unsettled = True
 
 
-def _is_short(options: Options, now: float, ledger: Ledger) -> bool:
+def _is_short(options: Options, now: float, ledger: Ledger, capacity: Capacity) -> bool:
     if ledger.short_since is None:
         return False
-    return now < ledger.contended_until or now - ledger.short_since >= options.credit_short_s
+    if now < ledger.contended_until:
+        # By now all have said what they use. Failure without this: somebody is short for a moment
+        # now and then, while a slot is called back, and the shortage never ends.
+        return wants_too_much(ledger, capacity)
+    return now - ledger.short_since >= options.credit_short_s
 
 
 def _outgoing(
--- a/packages/turmericweir-core/turmericweir_core/credit_ledger.py
+++ b/packages/turmericweir-core/turmericweir_core/credit_ledger.py
@@ -47,6 +47,13 @@
     return short
 
 
+def wants_too_much(ledger: Ledger, capacity: Capacity) -> bool:
+    """Tell whether all holders together could use more than there is, by what they said last."""
+    wants = sum(sum(wants_of(each).values()) for each in ledger.holdings.values())
+    lower = sum(lower_wants(each, capacity) for each in ledger.holdings.values())
+    return wants > capacity.slots or lower > capacity.lower_slots
+
+
 def free_slots(ledger: Ledger, capacity: Capacity) -> int:
     """Count the slots that nobody may be using."""
     return capacity.slots - sum(each.committed() for each in ledger.holdings.values())
--- a/packages/turmericweir-core/turmericweir_core/options.py
+++ b/packages/turmericweir-core/turmericweir_core/options.py
@@ -72,7 +72,7 @@
     # Share of a server's slots that an instance takes without a grant, one at the least.
     credit_fallback_share: float = 0.1
     # A holder that was not heard from for so long is asked first whether it still uses its credit.
-    credit_unheard_s: float = 1.0
+    credit_unheard_s: float = 0.25
     # How long somebody has to be short before that counts as a shortage: by then idle slots that
     # were called back from others have come.
     credit_short_s: float = 0.05
--- a/tests/core/test_credit.py
+++ b/tests/core/test_credit.py
@@ -14,6 +14,7 @@
 from turmericweir_core.account import Outcome
 from turmericweir_core.config import Kind, Policy
 from turmericweir_core.credit_allocation import Capacity, Want, allocate
+from turmericweir_core.credit_state import Ledger
 from turmericweir_core.events import PeerReceived, Tick
 from turmericweir_core.ids import InstanceName, ServerName
 from turmericweir_core.options import Options
@@ -209,6 +210,27 @@
         assert world.messages - before <= 6
 
 
+def test_a_shortage_ends_while_demands_go_on() -> None:
+    # Two instances want more slots than there are. Then their callers leave, and what they go on to
+    # say fits. Were each word of it taken for a shortage that goes on, both would have to report
+    # every change for as long as there is traffic.
+    world = make_world(instances=3, slots=4)
+    lead = leader(world)
+    one, two = (name for name in world.states if name != lead)
+    ledger = world.states[lead].credits.given.setdefault(S0, Ledger())
+    world.keep_late()
+    for seq in range(1, 16):
+        for sender, wanted in ((one, 5), (two, 3)):
+            tier = TierDemand(1, 0, wanted) if seq == 1 else TierDemand(1, 1, seq % 2)
+            known = ledger.holdings[sender].number if seq > 1 else 0
+            demand = CreditDemand(S0, seq, known, 4, [tier])
+            world.event(lead, PeerReceived(sender, demand))
+        world.advance(0.3)
+        if seq == 1:
+            assert world.now < ledger.contended_until
+    assert world.now > ledger.contended_until
+
+
 def test_upper_tier_gets_the_slot_of_a_lower_one_elsewhere() -> None:
     # Quotes of one instance hold every slot. A counter request comes to another instance: the
     # dispatcher calls one slot back, one quote makes way, and the counter request runs within its
