Agree on claims without the log while it is out of reach

Cause: with the log down no new idempotency key could be claimed, so all reservations stopped, and callers were held until their deadlines before they heard so. Ruled out: an owner for each key that goes on alone in an outage. It cannot tell an outage from its own isolation, so each of its partitions is closed whenever it is paused or cut off while the log works, and every claim takes a hop more. A lease would let time take part in safety. Change: a record of the claims stream names the members of a view; its offset is the epoch. While the log works claims go there as before, without a message more. While it does not, a request runs once all members have agreed to it. A newer view begins with a record by a member, which brings all that it agreed to and which keeps it from agreeing to more until it is known whether it counts. Claims by writers outside of the newest view are void. Where a member is missing, callers are refused at once. Behind `claim_votes`, off. A lost member stops agreement until the log is back.

--- a/packages/turmericweir-core/turmericweir_core/claim_carry.py
+++ b/packages/turmericweir-core/turmericweir_core/claim_carry.py
@@ -9,8 +9,11 @@
 
 from __future__ import annotations
 
+from itertools import islice
+
 from turmericweir_core.claim_outbox import flush
-from turmericweir_core.claim_record import NO_FLOOR
+from turmericweir_core.claim_record import NO_FLOOR, NO_VIEW
+from turmericweir_core.claim_view import FIRST_VIEW, epoch_of
 from turmericweir_core.effects import Effect, Log
 from turmericweir_core.membership import live_instances
 from turmericweir_core.state import State
@@ -40,10 +43,16 @@
     ledger = claims.ledger
     if not ledger.whole:
         return False
-    for claim in ledger.claims.values():
-        behind = ledger.offset - claim.kept_at
-        return behind > state.options.claim_carry_records or claim.kept_at < claims.carry_below
-    return False
+    # The view is told again with the claims, before the log lets go of the record that names it.
+    kept = [ledger.views.kept_at] if epoch_of(ledger.views) > NO_VIEW else []
+    kept += [claim.kept_at for claim in islice(ledger.claims.values(), 1)]
+    return any(_is_old(state, each) for each in kept)
+
+
+def _is_old(state: State, kept_at: int) -> bool:
+    claims = state.claims
+    behind = claims.ledger.offset - kept_at
+    return behind > state.options.claim_carry_records or kept_at < claims.carry_below
 
 
 def _note_age(state: State, now: float) -> None:
@@ -76,5 +85,8 @@
     if waited <= state.options.claim_retention_s * state.options.claim_blind_margin:
         return []
     claims.ledger.whole = True
+    if not state.options.claim_votes:
+        # Without votes there are no views, and nobody is left who knew of one.
+        claims.ledger.views.current = FIRST_VIEW
     claims.due |= set(claims.waiting)
     return [Log("claims_trusted", {"after_s": waited})]
--- a/packages/turmericweir-core/turmericweir_core/claim_end.py
+++ b/packages/turmericweir-core/turmericweir_core/claim_end.py
@@ -7,11 +7,11 @@
 
 from turmericweir_core.account import Account, Outcome
 from turmericweir_core.claim_answer import KeptAnswer, KeptEnd, keep_end
-from turmericweir_core.claim_ledger import holder_of
 from turmericweir_core.claim_outbox import put_end, put_withdrawal
 from turmericweir_core.claim_peer import told_kept
 from turmericweir_core.claim_record import ClaimEnd, EndRecord
 from turmericweir_core.claim_state import drop_wait
+from turmericweir_core.claim_vote import known_holder, release
 from turmericweir_core.effects import Effect
 from turmericweir_core.ids import RequestId
 from turmericweir_core.request import Request
@@ -26,14 +26,15 @@
     request_id = RequestId(account.request_id)
     key = claims.held.pop(request_id, None)
     if key is None:
-        _give_up_waiting(state, now, request_id)
-        return []
+        return _give_up_waiting(state, now, request_id)
     claims.due.add(key)
     if account.outcome is Outcome.NOT_RUN:
+        # Not written yet where it ran by agreement; it would land after what withdraws it.
+        claims.outbox.claims.pop(request_id, None)
         claims.withdrawing.add(request_id)
         put_withdrawal(claims.outbox, state.options, now, request_id, key)
         claims.askers.pop(request_id, None)
-        return []
+        return release(state, request_id, key)
     end = ClaimEnd(account.outcome, account.reason, account.status)
     kept = KeptEnd(end, answer)
     keep_end(claims.answers, state.options, request_id, kept)
@@ -42,17 +43,18 @@
     return [told_kept(state, asker, request_id, kept) for asker in askers]
 
 
-def _give_up_waiting(state: State, now: float, request_id: RequestId) -> None:
+def _give_up_waiting(state: State, now: float, request_id: RequestId) -> list[Effect]:
     claims = state.claims
     wait = drop_wait(claims, request_id)
     if wait is None:
-        return
+        return []
     claims.outbox.claims.pop(request_id, None)
     if wait.sent:
         # The claim may stand in the log, or land there yet. It would hold the key with nobody to
         # run it, and every later caller would be told that the call may have run.
         claims.withdrawing.add(request_id)
         put_withdrawal(claims.outbox, state.options, now, request_id, wait.key)
+    return release(state, request_id, wait.key)
 
 
 def follows_holder(state: State, req: Request) -> bool:
@@ -60,5 +62,5 @@
     wait = state.claims.waits.get(req.request_id)
     if wait is None:
         return False
-    holder = holder_of(state.claims.ledger, state.options, wait.key)
+    holder = known_holder(state.claims, state.options, wait.key, req.request_id)
     return holder is not None and holder.claim.request_id != req.request_id
--- a/packages/turmericweir-core/turmericweir_core/claim_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/claim_flow.py
@@ -18,12 +18,20 @@
 from turmericweir_core import lifecycle
 from turmericweir_core.account import Outcome
 from turmericweir_core.claim_answer import KeptEnd
-from turmericweir_core.claim_ledger import Claim, Folded, fold, holder_of, restart, vouch_for
+from turmericweir_core.claim_ask import (
+    ask_members,
+    may_ask,
+    note_unreachable_member,
+    on_vote,
+    refuse,
+)
+from turmericweir_core.claim_ledger import Claim, Folded, fold, restart, vouch_for
 from turmericweir_core.claim_outbox import (
     flush,
     give_up_late,
     is_claim_out,
     is_log_down,
+    is_log_slow,
     note_read_back,
     on_done,
     on_failed,
@@ -34,6 +42,8 @@
 from turmericweir_core.claim_peer import ask_holder, end_told, on_ask
 from turmericweir_core.claim_record import CLAIMS_STREAM, NewClaim, encode, key_of
 from turmericweir_core.claim_state import Wait, add_wait, drop_wait
+from turmericweir_core.claim_view import may_claim
+from turmericweir_core.claim_vote import known_holder, note_folded, on_release, on_vote_ask
 from turmericweir_core.effects import Count, Effect, Log, ReplayAnswer, Timing
 from turmericweir_core.events import (
     AppendDone,
@@ -45,7 +55,15 @@
     PeerUnreachable,
 )
 from turmericweir_core.ids import InstanceName, RequestId
-from turmericweir_core.peer_messages import ClaimAsk, ClaimKept, ClaimOpen, ClaimUnheld
+from turmericweir_core.peer_messages import (
+    ClaimAsk,
+    ClaimKept,
+    ClaimOpen,
+    ClaimRelease,
+    ClaimUnheld,
+    ClaimVote,
+    ClaimVoteAsk,
+)
 from turmericweir_core.reasons import Reason
 from turmericweir_core.request import Phase, Request
 from turmericweir_core.state import State
@@ -84,7 +102,7 @@
 
 def _settle(state: State, now: float, wait: Wait) -> list[Effect]:
     req = state.requests[wait.request_id]
-    holder = holder_of(state.claims.ledger, state.options, wait.key)
+    holder = known_holder(state.claims, state.options, wait.key, wait.request_id)
     if holder is None:
         return _claim(state, now, req, wait)
     if holder.claim.request_id == wait.request_id:
@@ -96,28 +114,32 @@
 
 
 def _claim(state: State, now: float, req: Request, wait: Wait) -> list[Effect]:
-    outbox = state.claims.outbox
-    if is_claim_out(outbox, wait.request_id):
-        return []
-    full = len(state.claims.ledger.claims) >= state.options.claim_live_max
-    if full or is_log_down(outbox, state.options, now):
-        return _unavailable(state, now, req)
-    if state.claims.ledger.whole:
-        # While it is not, this instance can't know whether it would be the first.
+    claims = state.claims
+    outbox = claims.outbox
+    is_out = is_claim_out(outbox, wait.request_id)
+    if not is_out and len(claims.ledger.claims) + len(claims.votes) >= state.options.claim_live_max:
+        return refuse(state, now, req)
+    if is_log_slow(outbox, state.options, now) and may_ask(state, now, wait):
+        # Not written meanwhile: a claim that may land in the log can't make way for another.
+        return ask_members(state, now, req, wait)
+    if is_log_down(outbox, state.options, now):
+        return refuse(state, now, req)
+    if not is_out and _may_write(state):
         put_claim(outbox, wait.request_id, NewClaim(wait.key, req.fingerprint, req.request_id))
     return []
 
 
-def _unavailable(state: State, now: float, req: Request) -> list[Effect]:
-    pause = state.options.claim_retry_after_s
-    reason = Reason.CLAIM_UNAVAILABLE
-    return lifecycle.finish(state, now, req, Outcome.NOT_RUN, reason, retry_after_s=pause)
+def _may_write(state: State) -> bool:
+    """Tell whether a claim by this instance would count, and it would know whether it is first."""
+    ledger = state.claims.ledger
+    is_known = ledger.whole and ledger.views.current is not None
+    return is_known and may_claim(ledger.views, writer_of(state))
 
 
 def _won(state: State, now: float, req: Request, wait: Wait, holder: Claim) -> list[Effect]:
     if holder.unsure:
         # The log let go of records before this instance read them; another may hold the key.
-        return _unavailable(state, now, req)
+        return refuse(state, now, req)
     drop_wait(state.claims, wait.request_id)
     state.claims.held[wait.request_id] = wait.key
     if now >= req.deadline:
@@ -168,7 +190,9 @@
     state: State,
     now: float,
     sender: InstanceName,
-    message: ClaimAsk | ClaimKept | ClaimOpen | ClaimUnheld,
+    message: (
+        ClaimAsk | ClaimKept | ClaimOpen | ClaimUnheld | ClaimVoteAsk | ClaimVote | ClaimRelease
+    ),
 ) -> list[Effect]:
     """Take a peer's question or answer about a holder."""
     match message:
@@ -183,6 +207,13 @@
             return []
         case ClaimUnheld():
             return _on_unheld(state, now, message)
+        case ClaimVoteAsk():
+            return on_vote_ask(state, sender, message)
+        case ClaimVote():
+            return on_vote(state, now, message)
+        case ClaimRelease():
+            on_release(state, message)
+            return []
         case unreachable:
             assert_never(unreachable)
 
@@ -192,7 +223,7 @@
     wait = state.claims.waits.get(RequestId(waiter))
     if wait is None:
         return None
-    found = holder_of(state.claims.ledger, state.options, wait.key)
+    found = known_holder(state.claims, state.options, wait.key, wait.request_id)
     return wait if found is not None and found.claim.request_id == holder else None
 
 
@@ -220,8 +251,11 @@
     """Stop waiting for a holder whose instance cannot be reached."""
     claims = state.claims
     for wait in claims.waits.values():
-        holder = holder_of(claims.ledger, state.options, wait.key)
-        if holder is None or holder.holder.instance != event.peer:
+        holder = known_holder(claims, state.options, wait.key, wait.request_id)
+        if holder is None:
+            note_unreachable_member(state, now, wait, event.peer)
+            continue
+        if holder.holder.instance != event.peer:
             continue
         wait.failures += 1
         # One failure may be of a connection that was idle for long; a new one is tried at once.
@@ -240,7 +274,7 @@
     batch = on_done(state, event)
     effects: list[Effect] = []
     if batch is not None and event.first == state.claims.ledger.offset:
-        effects += _fold(state, LogRecord(event.first, encode(batch)))
+        effects += _fold(state, now, LogRecord(event.first, encode(batch)))
     elif batch is not None:
         # What it means depends on records of others that came before it.
         effects += read_on(state, now)
@@ -260,8 +294,8 @@
     """Give up the claims that wait for a log that is down, rather than until their deadlines."""
     effects: list[Effect] = []
     for wait in list(state.claims.waits.values()):
-        if holder_of(state.claims.ledger, state.options, wait.key) is None:
-            effects += _unavailable(state, now, state.requests[wait.request_id])
+        if known_holder(state.claims, state.options, wait.key, wait.request_id) is None:
+            effects += _claim(state, now, state.requests[wait.request_id], wait)
     return effects
 
 
@@ -272,21 +306,25 @@
     effects: list[Effect] = []
     for record in event.records:
         if record.offset == claims.ledger.offset:
-            effects += _fold(state, record)
+            effects += _fold(state, now, record)
     if claims.ledger.offset < event.end:
         effects += read_on(state, now)
     if claims.read_failed:
         # The log is back, so an append need not wait out its pause.
         claims.outbox.retry_at = min(claims.outbox.retry_at, now)
     claims.read_failed = False
+    # One more claim is let through, and says whether appends work again, too.
+    down = state.options.claim_down_failures
+    claims.outbox.failures = min(claims.outbox.failures, down - 1)
     return effects
 
 
-def _fold(state: State, record: LogRecord) -> list[Effect]:
+def _fold(state: State, now: float, record: LogRecord) -> list[Effect]:
     claims = state.claims
     was_whole = claims.ledger.whole
     folded = fold(claims.ledger, state.options, record.offset, record.value)
     claims.due |= folded.touched
+    note_folded(state, now, record.offset, folded)
     if claims.ledger.whole and not was_whole:
         claims.due |= set(claims.waiting)
     return _note_own(state, folded) + _complain(folded, record)
@@ -341,6 +379,7 @@
         if now >= req.deadline:
             effects += _out_of_time(state, now, req, wait)
         elif now >= wait.ask_due:
+            # Where there is no holder to ask, the log may have become slow meanwhile.
             state.claims.due.add(wait.key)
     if now >= state.claims.read_due:
         effects += read_on(state, now)
@@ -349,7 +388,7 @@
 
 
 def _out_of_time(state: State, now: float, req: Request, wait: Wait) -> list[Effect]:
-    holder = holder_of(state.claims.ledger, state.options, wait.key)
+    holder = known_holder(state.claims, state.options, wait.key, wait.request_id)
     if holder is None or holder.claim.request_id == req.request_id:
-        return _unavailable(state, now, req)
+        return refuse(state, now, req)
     return lifecycle.finish(state, now, req, Outcome.UNKNOWN, Reason.ALREADY_CLAIMED)
--- a/packages/turmericweir-core/turmericweir_core/claim_ledger.py
+++ b/packages/turmericweir-core/turmericweir_core/claim_ledger.py
@@ -34,6 +34,8 @@
 from turmericweir_core.claim_clock import StreamClock, note_clock
 from turmericweir_core.claim_record import (
     NO_FLOOR,
+    NO_VIEW,
+    AgreedClaim,
     Batch,
     CarriedClaim,
     ClaimEnd,
@@ -43,6 +45,15 @@
     Writer,
     decode,
 )
+from turmericweir_core.claim_view import (
+    ViewLedger,
+    epoch_of,
+    fold_view,
+    learn_view,
+    lose_view,
+    may_claim,
+    note_told,
+)
 from turmericweir_core.options import Options
 
 
@@ -82,6 +93,8 @@
     # The last number of each incarnation, and the stream's time when it was read.
     numbers: dict[tuple[str, str], tuple[int, int]] = field(default_factory=dict)
     clock: StreamClock = field(default_factory=StreamClock)
+    # Who may claim.
+    views: ViewLedger = field(default_factory=ViewLedger)
     # Offset of the last record whose writer could tell no floor and so asks for one.
     floor_asked_at: int = NO_FLOOR
     malformed: int = 0
@@ -115,6 +128,9 @@
     kept = [ledger.claims[key].kept_at for key in ledger.unsure]
     # Sure entries are ordered by it, so the first is the least of them.
     kept += [claim.kept_at for claim in islice(ledger.claims.values(), 1)]
+    if epoch_of(ledger.views) > NO_VIEW:
+        # Who reads from the floor on learns the view, too.
+        kept.append(ledger.views.kept_at)
     return min(kept, default=ledger.offset)
 
 
@@ -125,6 +141,7 @@
     ledger.offset = oldest
     ledger.start = oldest
     ledger.whole = False
+    lose_view(ledger.views)
     for key, claim in ledger.claims.items():
         # What is known may have changed in the gap, so it may only block, not allow.
         claim.unsure = True
@@ -153,6 +170,7 @@
     vouched = _note_number(ledger, options, offset, batch)
     for name, at_ms in (*batch.clocks, (batch.writer.instance, batch.at_ms)):
         note_clock(ledger.clock, name, at_ms)
+    note_told(ledger.views, offset, batch)
     _note_floor(ledger, offset, batch, result)
     sure = ledger.whole and vouched
     for carried in batch.carried:
@@ -161,8 +179,17 @@
         _fold_withdrawal(ledger, offset, batch.writer, withdrawn, result)
     for end in batch.ends:
         _fold_end(ledger, batch.writer, end, result)
+    if fold_view(ledger.views, offset, batch) and batch.change is not None:
+        for agreed in batch.change.agreed:
+            _fold_agreed(ledger, options, offset, agreed, sure, result)
+    counts = may_claim(ledger.views, batch.writer)
     for claim in batch.claims:
-        _fold_claim(ledger, options, offset, batch, claim, sure, result)
+        if counts:
+            at_ms = max(ledger.clock.now_ms, batch.at_ms)
+            _fold_claim(ledger, options, offset, at_ms, claim, batch.writer, sure, result)
+        else:
+            # Its writer looks at the key again, and claims it once it is in the view.
+            result.touched.add(claim.key)
     _purge(ledger, options)
     return result
 
@@ -195,6 +222,9 @@
     ledger.floor_asked_at = NO_FLOOR
     if batch.floor < ledger.start:
         return
+    learn_view(ledger.views, batch)
+    if ledger.views.current is None:
+        return
     ledger.whole = True
     for key in [key for key in ledger.unsure if ledger.claims[key].seen_at < batch.floor]:
         _drop(ledger, key)
@@ -274,17 +304,30 @@
     return same_process and known.claim.request_id == request_id
 
 
+def _fold_agreed(
+    ledger: Ledger,
+    options: Options,
+    offset: int,
+    agreed: AgreedClaim,
+    sure: bool,
+    result: Folded,
+) -> None:
+    """Enter a claim that may have been carried out before it was in the log."""
+    at_ms = max(ledger.clock.now_ms, agreed.at_ms)
+    _fold_claim(ledger, options, offset, at_ms, agreed.claim, agreed.holder, sure, result)
+
+
 def _fold_claim(
     ledger: Ledger,
     options: Options,
     offset: int,
-    batch: Batch,
+    at_ms: int,
     claim: NewClaim,
+    holder: Writer,
     sure: bool,
     result: Folded,
 ) -> None:
     result.touched.add(claim.key)
-    at_ms = max(ledger.clock.now_ms, batch.at_ms)
     known = ledger.claims.get(claim.key)
     if known is not None and not _is_expired(ledger, options, known):
         if known.unsure:
@@ -292,8 +335,7 @@
             known.seen_at = offset
             known.at_ms = max(known.at_ms, at_ms)
         return
-    entry = Claim(claim, batch.writer, offset, offset, offset, at_ms, unsure=not sure)
-    _enter(ledger, entry)
+    _enter(ledger, Claim(claim, holder, offset, offset, offset, at_ms, unsure=not sure))
 
 
 def _enter(ledger: Ledger, entry: Claim) -> None:
--- /dev/null
+++ b/packages/turmericweir-core/turmericweir_core/claim_members.py
@@ -0,0 +1,117 @@
+"""Keeps the view of those who may claim keys in step with who is there.
+
+Any member may replace the view, and one that left out of it by mistake loses nothing but time: it
+asks in the log to be let in again. So who is live may be guessed by heartbeats here; what is safe
+never rests on the guess (`claim_view`).
+"""
+
+from __future__ import annotations
+
+from turmericweir_core.claim_outbox import flush, is_log_slow, writer_of
+from turmericweir_core.claim_record import NO_VIEW, Writer
+from turmericweir_core.claim_view import View, is_member
+from turmericweir_core.effects import Effect
+from turmericweir_core.membership import Member, live_instances
+from turmericweir_core.state import State
+
+
+def on_tick(state: State, now: float) -> list[Effect]:
+    """Replace the view, or ask to be in it, where that is due."""
+    claims = state.claims
+    view = claims.ledger.views.current
+    if not claims.ledger.whole:
+        return []
+    if view is None:
+        return _trust_operator(state)
+    if not state.options.claim_votes and not view.members:
+        # Nobody has begun with views, and this instance does not.
+        return []
+    if view.members and not is_member(view, writer_of(state)):
+        _ask_in(state, now, view)
+    elif not is_log_slow(claims.outbox, state.options, now):
+        _replace(state, now, view)
+    elif claims.outbox.failures > 0 and not claims.read_failed:
+        # Reads work, so appends may. A record that says nothing finds out; a change of view would
+        # keep this instance from agreeing to claims if it failed.
+        claims.outbox.floor = True
+    return flush(state, now)
+
+
+def _trust_operator(state: State) -> list[Effect]:
+    """Take the view for ended that an operator says is, where nobody is left who knows it."""
+    epoch = state.options.claim_replace_epoch
+    if epoch > NO_VIEW:
+        state.claims.ledger.views.current = View(epoch, ())
+    return []
+
+
+def _ask_in(state: State, now: float, view: View) -> None:
+    claims = state.claims
+    claims.read_due = min(claims.read_due, now + state.options.claim_join_read_s)
+    if state.stopping_since is not None or now < claims.join_due:
+        return
+    claims.join_due = now + state.options.claim_join_s
+    if state.options.claim_replace_epoch == view.epoch:
+        claims.outbox.members = (writer_of(state),)
+        claims.outbox.replaces = True
+        return
+    claims.outbox.join = True
+
+
+def _replace(state: State, now: float, view: View) -> None:
+    claims = state.claims
+    if claims.outbox.in_flight is not None or claims.outbox.landed:
+        return
+    started = state.members.started_at
+    if view.epoch == NO_VIEW and (
+        started is None or now - started < state.options.claim_view_first_s
+    ):
+        return
+    wanted = _wanted(state, now, view)
+    # A change of which the outcome is unknown is settled by another record, so it is made again.
+    is_due = claims.sealed is not None or set(wanted) != set(view.members)
+    if is_due and (_is_leaving(state, now) or _draws_lot(state, now)):
+        claims.outbox.members = wanted
+
+
+def _draws_lot(state: State, now: float) -> bool:
+    others = len(live_instances(state, now))
+    return state.rng.random() * max(1, others) < state.options.claim_lot
+
+
+def _is_leaving(state: State, now: float) -> bool:
+    """Tell whether this instance has stopped and holds no key any more."""
+    since = state.stopping_since
+    if since is None or now - since <= state.options.stop_grace_s:
+        return False
+    return not state.claims.waits and not state.claims.held and not state.claims.outbox.claims
+
+
+def _wanted(state: State, now: float, view: View) -> tuple[Writer, ...]:
+    live: dict[str, Member] = {each.name: each for each in live_instances(state, now)}
+    kept = [each for each in view.members if _stays(state, now, each, live.get(each.instance))]
+    joined = [writer_of(state), *state.claims.ledger.views.joins.values()]
+    joined += [_writer(each) for each in live.values() if each.incarnation and not each.leaving]
+    found = {each.incarnation: each for each in (*kept, *joined)}
+    if _is_leaving(state, now):
+        del found[state.me.incarnation]
+    return tuple(sorted(found.values(), key=lambda each: each.incarnation))
+
+
+def _writer(member: Member) -> Writer:
+    return Writer(member.name, member.incarnation, member.peer_address)
+
+
+def _stays(state: State, now: float, writer: Writer, live: Member | None) -> bool:
+    """Tell whether a member is there: it is live, or has written to the log of late."""
+    quiet = state.claims.quiet
+    if live is not None:
+        quiet.pop(writer.incarnation, None)
+        return live.incarnation in ("", writer.incarnation)
+    numbers = state.claims.ledger.numbers
+    number, _ = numbers.get((writer.instance, writer.incarnation), (0, 0))
+    last, since = quiet.get(writer.incarnation, (-1, now))
+    if number != last:
+        quiet[writer.incarnation] = (number, now)
+        return True
+    return now - since < state.options.claim_view_quiet_s
--- a/packages/turmericweir-core/turmericweir_core/claim_outbox.py
+++ b/packages/turmericweir-core/turmericweir_core/claim_outbox.py
@@ -15,16 +15,19 @@
 from turmericweir_core.claim_ledger import Claim, floor_of
 from turmericweir_core.claim_record import (
     CLAIMS_STREAM,
+    AgreedClaim,
     Batch,
     CarriedClaim,
     EndRecord,
     NewClaim,
+    ViewChange,
     Withdrawal,
     Writer,
     encode,
     time_of,
 )
 from turmericweir_core.claim_state import ClaimState, Outbox
+from turmericweir_core.claim_view import epoch_of
 from turmericweir_core.effects import AppendRecords, Count, Effect, ReadLog
 from turmericweir_core.events import AppendDone, AppendFailed
 from turmericweir_core.ids import RequestId
@@ -73,17 +76,35 @@
     return any(claim.request_id == request_id for claim in batch.claims)
 
 
+def is_in_doubt(claims: ClaimState, key: str, request_id: str) -> bool:
+    """Tell whether a claim of another request here may hold the key in the log, or land there."""
+    outbox = claims.outbox
+    claimed = any(each.key == key and rid != request_id for rid, each in outbox.claims.items())
+    withdrawn = any(each.key == key for each in outbox.withdrawn.values())
+    waiting = (claims.waits[rid] for rid in claims.waiting.get(key, ()) if rid != request_id)
+    return claimed or withdrawn or any(wait.sent for wait in waiting)
+
+
+def is_log_slow(outbox: Outbox, options: Options, now: float) -> bool:
+    """Tell whether an append takes long or has failed, so that others are worth asking."""
+    return outbox.failures > 0 or _out_for(outbox, now) >= options.claim_vote_after_s
+
+
 def is_log_down(outbox: Outbox, options: Options, now: float) -> bool:
-    """Tell whether appends fail, and one more claim would only wait for nothing."""
-    if outbox.failures < options.claim_down_failures:
-        return False
-    # Between two tries, or while one is out. Once a try is due the next claim is let through.
-    return outbox.in_flight is not None or now < outbox.retry_at
+    """Tell whether one more claim would only wait for nothing; a read that succeeds ends it."""
+    if outbox.failures >= options.claim_down_failures:
+        return True
+    return _out_for(outbox, now) >= options.claim_down_s
+
+
+def _out_for(outbox: Outbox, now: float) -> float:
+    return 0.0 if outbox.in_flight is None else now - outbox.in_flight_at
 
 
 def is_flushed(outbox: Outbox) -> bool:
     """Tell whether there is nothing left to say."""
-    said = not (outbox.claims or outbox.withdrawn or outbox.ends)
+    left = outbox.claims or outbox.withdrawn or outbox.ends or outbox.members is not None
+    said = not left
     return said and outbox.in_flight is None
 
 
@@ -109,7 +130,8 @@
 
 def _is_due(outbox: Outbox, now: float) -> bool:
     quiet = outbox.quiet_due is not None and now >= outbox.quiet_due
-    return bool(outbox.claims) or quiet or outbox.carry or outbox.floor
+    wanted = outbox.carry or outbox.floor or outbox.join or outbox.members is not None
+    return bool(outbox.claims) or quiet or wanted
 
 
 def writer_of(state: State) -> Writer:
@@ -124,6 +146,10 @@
     claimed = {each.request_id for batch in landed for each in batch.claims}
     withdrawn = {each.request_id for batch in landed for each in batch.withdrawn}
     ended = {each.request_id for batch in landed for each in batch.ends}
+    # An end means nothing before its claim has been read.
+    ended |= set(outbox.claims)
+    view = claims.ledger.views.current
+    tells_view = (outbox.carry or outbox.floor) and view is not None and view.members
     return Batch(
         writer=writer_of(state),
         number=outbox.number + 1,
@@ -134,8 +160,31 @@
         carried=_carried(claims, state.options) if outbox.carry else (),
         withdrawn=tuple(each for rid, each in outbox.withdrawn.items() if rid not in withdrawn),
         ends=tuple(each for rid, each in outbox.ends.items() if rid not in ended),
-        claims=tuple(each for rid, each in outbox.claims.items() if rid not in claimed),
+        claims=_next_claims(claims, state.options, claimed),
+        epoch=epoch_of(claims.ledger.views),
+        members=view.members if tells_view and view is not None else None,
+        join=outbox.join,
+        change=_change(claims),
+    )
+
+
+def _next_claims(claims: ClaimState, options: Options, claimed: set[str]) -> tuple[NewClaim, ...]:
+    """Pick claims for one record: first those that callers wait for."""
+    left = [(rid, each) for rid, each in claims.outbox.claims.items() if rid not in claimed]
+    left.sort(key=lambda item: item[0] not in claims.waits)
+    return tuple(each for _, each in left[: options.claim_batch_max])
+
+
+def _change(claims: ClaimState) -> ViewChange | None:
+    members = claims.outbox.members
+    view = claims.ledger.views.current
+    if members is None or view is None:
+        return None
+    agreed = tuple(
+        AgreedClaim(vote.claim, vote.holder, time_of(vote.claim.request_id))
+        for vote in claims.votes.values()
     )
+    return ViewChange(view.epoch, members, agreed, claims.outbox.replaces)
 
 
 def _carried(claims: ClaimState, options: Options) -> tuple[CarriedClaim, ...]:
@@ -157,7 +206,8 @@
 
 
 def _is_empty(batch: Batch) -> bool:
-    return not (batch.carried or batch.withdrawn or batch.ends or batch.claims)
+    said = batch.carried or batch.withdrawn or batch.ends or batch.claims
+    return not (said or batch.members or batch.join or batch.change)
 
 
 def _take_token(state: State, now: float) -> bool:
@@ -181,7 +231,14 @@
     outbox.number = batch.number
     outbox.carry = False
     outbox.floor = False
+    outbox.join = False
+    outbox.members = None
+    outbox.replaces = False
     outbox.quiet_due = None
+    if len(batch.ends) < len(outbox.ends):
+        _note_quiet(outbox, state.options, now)
+    if batch.change is not None:
+        state.claims.sealed = batch.number
     for claim in batch.claims:
         wait = state.claims.waits.get(RequestId(claim.request_id))
         if wait is not None:
@@ -223,6 +280,8 @@
         return []
     outbox.in_flight = None
     outbox.failures += 1
+    if now - outbox.in_flight_at >= state.options.claim_down_s:
+        outbox.failures = max(outbox.failures, state.options.claim_down_failures)
     pause = _pause(state.options, outbox.failures)
     outbox.retry_at = now + pause * (0.5 + state.rng.random() / 2)
     if batch.withdrawn or batch.ends:
--- a/packages/turmericweir-core/turmericweir_core/claim_record.py
+++ b/packages/turmericweir-core/turmericweir_core/claim_record.py
@@ -24,6 +24,9 @@
 UUID7_TIME_DIGITS: Final = 12
 # The floor of a writer that does not know every live claim.
 NO_FLOOR: Final = -1
+# The epoch before the first view, and that of a writer that does not know the view.
+NO_VIEW: Final = -1
+UNKNOWN_VIEW: Final = -2
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,6 +89,28 @@
     end: ClaimEnd | None
 
 
+@dataclass(frozen=True, slots=True)
+class AgreedClaim:
+    """A claim that the writer agreed to, and that may have been carried out outside of the log."""
+
+    claim: NewClaim
+    holder: Writer
+    at_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class ViewChange:
+    """Other members from here on; see `claim_view`."""
+
+    # Epoch of the view that it replaces, if that is still the newest.
+    follows: int
+    members: tuple[Writer, ...]
+    # All that the writer agreed to under the view that it replaces.
+    agreed: tuple[AgreedClaim, ...] = ()
+    # An operator vouches that no member of that view lives; the writer need not be one.
+    replaces: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class Batch:
     """One record of the stream."""
@@ -105,6 +130,12 @@
     withdrawn: tuple[Withdrawal, ...] = ()
     ends: tuple[EndRecord, ...] = ()
     claims: tuple[NewClaim, ...] = ()
+    # The view that the writer knew, and its members where they are told again.
+    epoch: int = NO_VIEW
+    members: tuple[Writer, ...] | None = None
+    # The writer wants to be in the view.
+    join: bool = False
+    change: ViewChange | None = None
 
 
 def key_of(req: Request) -> str:
@@ -123,7 +154,7 @@
 
 def encode(batch: Batch) -> dict[str, Any]:
     """Turn a batch into the JSON object that is appended."""
-    return {
+    row = {
         "by": _writer_row(batch.writer),
         "n": batch.number,
         "at": batch.at_ms,
@@ -134,7 +165,16 @@
         "withdrawn": [[each.key, each.request_id] for each in batch.withdrawn],
         "ends": [[each.key, each.request_id, _end_row(each.end)] for each in batch.ends],
         "claims": [_claim_row(each) for each in batch.claims],
+        "epoch": batch.epoch,
     }
+    # Rare, and left out to save bytes.
+    if batch.members is not None:
+        row["members"] = [_writer_row(each) for each in batch.members]
+    if batch.join:
+        row["join"] = True
+    if batch.change is not None:
+        row["change"] = _change_row(batch.change)
+    return row
 
 
 # Any: the value is whatever JSON the log held.
@@ -156,6 +196,10 @@
                 EndRecord(text_field(k), text_field(r), _end(e)) for k, r, e in value["ends"]
             ),
             claims=tuple(_claim(row) for row in value["claims"]),
+            epoch=whole_field(value.get("epoch", NO_VIEW)),
+            members=_members(value["members"]) if "members" in value else None,
+            join=bool(value.get("join", False)),
+            change=_change(value["change"]) if "change" in value else None,
         )
     except (KeyError, TypeError, ValueError):
         return None
@@ -184,6 +228,15 @@
     ]
 
 
+def _change_row(change: ViewChange) -> list[Any]:
+    return [
+        change.follows,
+        [_writer_row(each) for each in change.members],
+        [[_claim_row(each.claim), _writer_row(each.holder), each.at_ms] for each in change.agreed],
+        change.replaces,
+    ]
+
+
 def _writer(row: Any) -> Writer:
     instance, incarnation, address = row
     return Writer(text_field(instance), text_field(incarnation), text_field(address))
@@ -220,3 +273,20 @@
         unsure=bool(unsure),
         end=None if end is None else _end(end),
     )
+
+
+def _members(rows: Any) -> tuple[Writer, ...]:
+    return tuple(_writer(row) for row in rows)
+
+
+def _change(row: Any) -> ViewChange:
+    follows, members, agreed, replaces = row
+    return ViewChange(
+        follows=whole_field(follows),
+        members=_members(members),
+        agreed=tuple(
+            AgreedClaim(_claim(claim), _writer(holder), whole_field(at_ms))
+            for claim, holder, at_ms in agreed
+        ),
+        replaces=bool(replaces),
+    )
--- a/packages/turmericweir-core/turmericweir_core/claim_state.py
+++ b/packages/turmericweir-core/turmericweir_core/claim_state.py
@@ -10,7 +10,14 @@
 
 from turmericweir_core.claim_answer import AnswerStore
 from turmericweir_core.claim_ledger import Ledger
-from turmericweir_core.claim_record import Batch, EndRecord, NewClaim, Withdrawal
+from turmericweir_core.claim_record import (
+    NO_VIEW,
+    Batch,
+    EndRecord,
+    NewClaim,
+    Withdrawal,
+    Writer,
+)
 from turmericweir_core.ids import InstanceName, RequestId
 
 
@@ -27,6 +34,12 @@
     carry: bool = False
     # A record is to be written for its floor alone.
     floor: bool = False
+    # This instance is to ask to be in the view.
+    join: bool = False
+    # Members of the view that is to replace the current one.
+    members: tuple[Writer, ...] | None = None
+    # An operator vouches for the end of the current one.
+    replaces: bool = False
     # Number of the newest append.
     number: int = 0
     # The append that is out; one at a time, so that a later one proves an earlier one late.
@@ -58,6 +71,26 @@
     failures: int = 0
     # The holder whose instance is gone, or knows nothing of it.
     lost_holder: str = ""
+    # The view under which members were asked to agree, those that have, by incarnation, and when
+    # the others are asked again.
+    vote_epoch: int = NO_VIEW
+    voters: set[str] = field(default_factory=set)
+    vote_due: float = 0.0
+    # Since when they are asked, and streams to them that failed.
+    vote_since: float = 0.0
+    vote_failures: int = 0
+    # One of them does not agree, so that only the log can tell.
+    denied: bool = False
+    # It has made way for another that asked for the same key.
+    yielded: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Vote:
+    """A claim that this instance has agreed to, its own or another's."""
+
+    claim: NewClaim
+    holder: Writer
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,6 +119,14 @@
     askers: dict[str, list[Asker]] = field(default_factory=dict)
     # Keys whose waiting requests are to be looked at again.
     due: set[str] = field(default_factory=set)
+    # What was agreed to and is not in the ledger yet, by key; and the view for which that holds.
+    votes: dict[str, Vote] = field(default_factory=dict)
+    vote_epoch: int = NO_VIEW
+    # Number of an own append that changes the view, while it is not known whether it counts.
+    sealed: int | None = None
+    # Last number of each member that is not live, and since when it stands, by incarnation.
+    quiet: dict[str, tuple[int, float]] = field(default_factory=dict)
+    join_due: float = 0.0
     # Since when a read of the stream is out; None while none is.
     reading_since: float | None = None
     # The last read failed.
--- a/packages/turmericweir-core/turmericweir_core/options.py
+++ b/packages/turmericweir-core/turmericweir_core/options.py
@@ -318,6 +318,34 @@
     # An instance that cannot learn all live claims trusts its own after so many retentions.
     claim_blind_margin: float = 1.1
 
+    # An append that takes longer than this alone says that the log is down, and callers whose keys
+    # need it are refused at once. Above what a slow but working log takes.
+    claim_down_s: float = 2.0
+    # Claims in one record, so that what an outage held up is not sent whole with each new try.
+    claim_batch_max: int = 200
+
+    # --- claims while the log is out of reach ---
+    # All members of a view may agree on claims without the log. All instances must have the same.
+    claim_votes: bool = False
+    # An append that has been out for so long is no longer waited for alone. Well below the shortest
+    # target of a class, and above what an append takes.
+    claim_vote_after_s: float = 0.05
+    # One that has not answered for so long is not waited for any more.
+    claim_vote_wait_s: float = 1.0
+    # Between two askings of a member that has not answered.
+    claim_vote_again_s: float = 0.3
+    # An instance that has just started waits so long before it makes the first view, so that it
+    # knows the others, and so long between its asks in the log to be in the view.
+    claim_view_first_s: float = 3.0
+    claim_join_s: float = 1.0
+    # Between reads of the stream while this instance is not in the view.
+    claim_join_read_s: float = 0.2
+    # A member that is not live and has written nothing for so long is left out of the view.
+    claim_view_quiet_s: float = 5.0
+    # A view, by its epoch, of which no member lives: whoever sets this vouches for it. Only after
+    # all instances were lost at once, as nobody else could replace the view; see operators' page.
+    claim_replace_epoch: int = -1
+
     # --- leases for orders to servers ---
     # How long a lease lasts, counted from before its record was sent. Nothing waits for it but
     # changes of where models are; a longer one makes a successor wait longer, a shorter one costs
--- a/packages/turmericweir-core/turmericweir_core/peer_messages.py
+++ b/packages/turmericweir-core/turmericweir_core/peer_messages.py
@@ -273,6 +273,47 @@
     offset: int
 
 
+@dataclass(frozen=True, slots=True)
+class ClaimVoteAsk:
+    """Agree that this request is the one that runs for the key; see `claim_vote`."""
+
+    # The view under which it is asked.
+    epoch: int
+    key: str
+    fingerprint: str
+    request_id: str
+    # The asking process, and where it is reached.
+    incarnation: str
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimVote:
+    """I agree, or not."""
+
+    epoch: int
+    request_id: str
+    # The answering process.
+    voter: str
+    agreed: bool
+    # Where not: the request that holds the key as far as the voter knows, and whose it is.
+    holder: str = ""
+    holder_fingerprint: str = ""
+    holder_instance: str = ""
+    holder_incarnation: str = ""
+    holder_address: str = ""
+    # The log says so.
+    in_log: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimRelease:
+    """The request that you agreed to never ran and never will."""
+
+    key: str
+    request_id: str
+
+
 # --- limits: shares of rate limits, leased by one home for each customer or team; see `limit` -----
 
 
@@ -403,6 +444,9 @@
     | ClaimKept
     | ClaimOpen
     | ClaimUnheld
+    | ClaimVoteAsk
+    | ClaimVote
+    | ClaimRelease
     | LimitAsk
     | LimitGrant
     | CrashNews
@@ -429,6 +473,9 @@
     ClaimKept,
     ClaimOpen,
     ClaimUnheld,
+    ClaimVoteAsk,
+    ClaimVote,
+    ClaimRelease,
     LimitAsk,
     LimitGrant,
     CrashNews,
--- a/packages/turmericweir-core/turmericweir_core/reducer.py
+++ b/packages/turmericweir-core/turmericweir_core/reducer.py
@@ -14,6 +14,7 @@
     attempt_books,
     claim_carry,
     claim_flow,
+    claim_members,
     credit,
     dispatch,
     lease_flow,
@@ -69,7 +70,10 @@
     ClaimAsk,
     ClaimKept,
     ClaimOpen,
+    ClaimRelease,
     ClaimUnheld,
+    ClaimVote,
+    ClaimVoteAsk,
     CrashesAsk,
     CrashNews,
     CreditDemand,
@@ -155,7 +159,16 @@
         case AppendFailed(stream=stream) if stream == CLAIMS_STREAM:
             return claim_flow.on_append_failed(state, now, event)
         case PeerReceived(
-            sender, (ClaimAsk() | ClaimKept() | ClaimOpen() | ClaimUnheld()) as message
+            sender,
+            (
+                ClaimAsk()
+                | ClaimKept()
+                | ClaimOpen()
+                | ClaimUnheld()
+                | ClaimVoteAsk()
+                | ClaimVote()
+                | ClaimRelease()
+            ) as message,
         ):
             return claim_flow.on_message(state, now, sender, message)
         case LogRead() | LogExpired() | LogFailed() if event.stream == SETTINGS_STREAM:
@@ -223,6 +236,7 @@
     effects += limit.on_tick(state, now)
     effects += claim_flow.on_tick(state, now)
     effects += claim_carry.on_tick(state, now)
+    effects += claim_members.on_tick(state, now)
     effects += settings_flow.on_tick(state, now)
     effects += lease_flow.on_tick(state, now)
     effects += model_demand.on_tick(state, now)
--- a/tests/core/claims_world.py
+++ b/tests/core/claims_world.py
@@ -49,6 +49,7 @@
     Tick,
 )
 from turmericweir_core.ids import InstanceName, RequestId, ServerName, Target
+from turmericweir_core.membership import Member
 from turmericweir_core.options import Options
 from turmericweir_core.reducer import new_state, reduce
 from turmericweir_core.request import Request
@@ -84,6 +85,11 @@
     # Accounts by request.
     accounts: dict[str, Account] = field(default_factory=dict)
     replays: dict[str, bytes] = field(default_factory=dict)
+    # A paused process takes what came meanwhile when it goes on.
+    paused: bool = False
+    inbox: list[Event] = field(default_factory=list)
+    # It hears the heartbeats of the others.
+    hears: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,6 +112,8 @@
     oldest: int = 0
     # Appends that were given up by their writers and are still on their way.
     late: list[Any] = field(default_factory=list)
+    # Messages between instances that are still on their way, or will come a second time.
+    delayed: list[tuple[InstanceName, SendPeer]] = field(default_factory=list)
     truth: Ledger = field(default_factory=Ledger)
     instances: list[Instance] = field(default_factory=list)
     runs: list[Run] = field(default_factory=list)
@@ -153,6 +161,9 @@
 
     def handle(self, instance: Instance, event: Event) -> None:
         """Give an event to an instance and keep what it wants done."""
+        if instance.paused:
+            instance.inbox.append(event)
+            return
         for effect in reduce(instance.state, self.now, event):
             match effect:
                 case FinishRequest(account):
@@ -171,8 +182,30 @@
         """Let time pass for everybody."""
         self.now += seconds
         for instance in list(self.instances):
+            if instance.paused:
+                continue
+            self._meet(instance)
             self.handle(instance, Tick())
 
+    def _meet(self, instance: Instance) -> None:
+        """Let an instance hear the heartbeats of those that run."""
+        members = instance.state.members
+        for other in self.instances:
+            me = other.state.me
+            if other is instance or other.paused or not (instance.hears and other.hears):
+                continue
+            heard = Member(me.name, "dc", me.peer_address, "home", me.incarnation, 1, self.now)
+            members.by_name[me.name] = heard
+
+    def pause(self, index: int, paused: bool) -> None:
+        """Stop a process, or let it go on."""
+        instance = self.instances[index]
+        instance.paused = paused
+        if not paused:
+            events, instance.inbox = instance.inbox, []
+            for event in events:
+                self.handle(instance, event)
+
     # --- callers ---
 
     def call(
@@ -255,11 +288,24 @@
         self.handle(instance, LogRead(effect.stream, records, end))
 
     def _send(self, instance: Instance, effect: SendPeer, fate: Fate) -> None:
+        me = instance.state.me.name
+        if fate in (Fate.LATE, Fate.UNACKNOWLEDGED):
+            # The stream broke, and what was sent comes later, or once more.
+            self.delayed.append((me, effect))
+        peer = self._find(effect.peer)
+        if peer is not None and fate in (Fate.DONE, Fate.UNACKNOWLEDGED):
+            self.handle(peer, PeerReceived(me, effect.message))
+        if peer is None or fate is not Fate.DONE:
+            self.handle(instance, PeerUnreachable(effect.peer, "broken"))
+
+    def deliver_late(self, index: int) -> None:
+        """Let a message come that was on its way for long."""
+        if not self.delayed:
+            return
+        sender, effect = self.delayed.pop(index % len(self.delayed))
         peer = self._find(effect.peer)
-        if peer is None or fate is Fate.FAILED:
-            self.handle(instance, PeerUnreachable(effect.peer, "refused"))
-        elif fate is Fate.DONE:
-            self.handle(peer, PeerReceived(instance.state.me.name, effect.message))
+        if peer is not None:
+            self.handle(peer, PeerReceived(sender, effect.message))
 
     def _find(self, name: InstanceName) -> Instance | None:
         for instance in self.instances:
@@ -299,21 +345,36 @@
     def calm(self, seconds: float = 20.0, step_s: float = 0.1) -> None:
         """Let everything work for a while."""
         self.up = True
+        for index, instance in enumerate(self.instances):
+            instance.hears = True
+            if instance.paused:
+                self.pause(index, False)
         until = self.now + seconds
         while self.now < until:
             self.perform_all()
             self.tick(step_s)
         self.perform_all()
 
+    def work(self, count: int) -> None:
+        """Do so many of the oldest things that are pending, of each instance in turn."""
+        for number in range(count * len(self.instances)):
+            instance = self.instances[number % len(self.instances)]
+            if instance.pending and not instance.paused:
+                self.perform(instance, 0, Fate.DONE)
+
+    def work_on(self, instance: Instance) -> None:
+        """Do all that one instance has pending, and what follows from it."""
+        while instance.pending and not instance.paused:
+            self.perform(instance, 0, Fate.DONE)
+
     def perform_all(self) -> None:
         """Do everything that is pending, and what follows from it."""
         busy = True
         while busy:
             busy = False
             for instance in list(self.instances):
-                while instance.pending:
-                    busy = True
-                    self.perform(instance, 0, Fate.DONE)
+                busy = busy or (bool(instance.pending) and not instance.paused)
+                self.work_on(instance)
 
 
 __all__ = ["CLAIMS_STREAM", "Fate", "Instance", "Run", "World"]
--- a/tests/core/test_claims.py
+++ b/tests/core/test_claims.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 from typing import Final
 
@@ -79,7 +80,39 @@
     """The log lets go of old records."""
 
 
-Step = Call | Perform | Pass | Kill | Outage | LandLate | LetGo
+@dataclass(frozen=True, slots=True)
+class Pause:
+    """A process is stopped, or goes on."""
+
+    instance: int
+    paused: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Hear:
+    """An instance loses the heartbeats of all others, or hears them again."""
+
+    instance: int
+    hears: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Twice:
+    """Two callers, or an impatient one, send a key to two instances."""
+
+    first: int
+    second: int
+    key: str
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """So many of the oldest things that the instances sent are done."""
+
+    count: int
+
+
+Step = Call | Perform | Pass | Kill | Outage | LandLate | LetGo | Pause | Hear | Work | Twice
 
 NUMBER: Final = st.integers(0, 7)
 PERFORM: Final = st.builds(Perform, NUMBER, NUMBER, st.sampled_from(Fate))
@@ -118,6 +151,16 @@
             world.up = up
         case LandLate(index):
             world.land_late(index)
+            world.deliver_late(index)
+        case Twice(first, second, twice):
+            for index in (first, second):
+                world.call(world.instances[index % INSTANCES], twice)
+        case Work(count):
+            world.work(count)
+        case Pause(index, paused):
+            world.pause(index % INSTANCES, paused)
+        case Hear(index, hears):
+            world.instances[index % INSTANCES].hears = hears
         case LetGo():
             world.let_go()
 
@@ -150,16 +193,21 @@
             assert found.unsure or found.claim == true_holder.claim
 
 
-def run_history(options: Options, history: list[Step]) -> World:
+def run_history(
+    options: Options, history: list[Step], prelude: Callable[[World], None] | None = None
+) -> World:
     """Play a history with its checks, and let everything settle after it."""
     world = World(options)
     for _ in range(INSTANCES):
         world.start()
+    if prelude is not None:
+        prelude(world)
     for step in history:
         play(world, step)
         check_ledgers(world)
-    while world.late:
+    while world.late or world.delayed:
         world.land_late(0)
+        world.deliver_late(0)
     world.calm()
     check_ledgers(world)
     check_runs(world)
@@ -194,6 +242,64 @@
         assert world.accounts[request_id].outcome is Outcome.COMPLETED
 
 
+# The same with views, which change often, and with outages most of the time.
+VOTES: Final = replace(
+    OPTIONS,
+    claim_votes=True,
+    claim_view_first_s=0.0,
+    claim_view_quiet_s=0.2,
+    claim_join_s=0.3,
+    claim_read_s=0.4,
+    suspect_s=0.3,
+)
+VOTES_SHORT_LOG: Final = replace(VOTES, claim_carry_records=12, claim_carry_max=50)
+WORK: Final = st.builds(Work, st.integers(1, 4))
+VOTE_STEP: Final = st.one_of(
+    WORK,
+    WORK,
+    WORK,
+    DO,
+    PERFORM,
+    st.builds(Call, NUMBER, NUMBER, st.just(0), st.sampled_from((0.3, 5.0))),
+    st.builds(Twice, NUMBER, NUMBER, st.sampled_from("cdef")),
+    st.builds(Pass, st.sampled_from((0.1, 0.1, 0.3))),
+    st.builds(Outage, st.sampled_from((True, False))),
+    st.builds(LandLate, NUMBER),
+    st.one_of(
+        st.builds(Pause, NUMBER, st.booleans()),
+        st.builds(Hear, NUMBER, st.booleans()),
+        st.builds(Kill, NUMBER),
+        st.just(LetGo()),
+    ),
+)
+VOTE_HISTORY: Final = st.lists(VOTE_STEP, min_size=10, max_size=100)
+
+
+def run_outage(options: Options, history: list[Step]) -> World:
+    """Play a history that begins in an outage which the instances know of."""
+    return run_history(options, history, prelude=begin_outage)
+
+
+def begin_outage(world: World) -> None:
+    """Let the instances meet, and lose the log."""
+    world.calm(2.0)
+    world.up = False
+    for instance in world.instances:
+        instance.state.claims.outbox.failures = 1
+
+
+@settings(max_examples=300, deadline=None, suppress_health_check=[HealthCheck.too_slow])
+@given(VOTE_HISTORY)
+def test_a_key_runs_at_most_once_by_votes(history: list[Step]) -> None:
+    run_outage(VOTES, history)
+
+
+@settings(max_examples=200, deadline=None, suppress_health_check=[HealthCheck.too_slow])
+@given(VOTE_HISTORY)
+def test_a_key_runs_at_most_once_by_votes_with_a_short_log(history: list[Step]) -> None:
+    run_outage(VOTES_SHORT_LOG, history)
+
+
 # --- single failures -------------------------------------------------------------------------
 
 
