Let counter reservations go on in an outage of the log

Cause: agreement of all members on claims was built and off. Ruled out: refusing on the time that an append has been out by the clock: after a pause of the process a caller was refused whose claim stood in the log (test_at_most_once, seen red). It counts the time in ticks now. Change: `claim_votes` is on. A first view waits until all known instances are live, or 4 s. An instance that stops in order leaves the view; the last leaves it empty. An operator can name a view of which no member lives. `test_claims_in_outage` has the cases with it on.

--- a/packages/turmericweir-core/turmericweir_core/claim_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/claim_flow.py
@@ -33,6 +33,7 @@
     is_log_down,
     is_log_slow,
     note_read_back,
+    note_tick,
     on_done,
     on_failed,
     put_claim,
@@ -373,6 +374,7 @@
 
 def on_tick(state: State, now: float) -> list[Effect]:
     """Give up what is past its deadline; ask, read and write what is due."""
+    note_tick(state.claims.outbox, state.options)
     effects: list[Effect] = []
     for wait in list(state.claims.waits.values()):
         req = state.requests[wait.request_id]
--- a/packages/turmericweir-core/turmericweir_core/claim_members.py
+++ b/packages/turmericweir-core/turmericweir_core/claim_members.py
@@ -11,7 +11,7 @@
 from turmericweir_core.claim_record import NO_VIEW, Writer
 from turmericweir_core.claim_view import View, is_member
 from turmericweir_core.effects import Effect
-from turmericweir_core.membership import Member, live_instances
+from turmericweir_core.membership import Member, is_live, live_instances
 from turmericweir_core.state import State
 
 
@@ -62,10 +62,7 @@
     claims = state.claims
     if claims.outbox.in_flight is not None or claims.outbox.landed:
         return
-    started = state.members.started_at
-    if view.epoch == NO_VIEW and (
-        started is None or now - started < state.options.claim_view_first_s
-    ):
+    if view.epoch == NO_VIEW and not _has_met(state, now):
         return
     wanted = _wanted(state, now, view)
     # A change of which the outcome is unknown is settled by another record, so it is made again.
@@ -74,6 +71,16 @@
         claims.outbox.members = wanted
 
 
+def _has_met(state: State, now: float) -> bool:
+    """Tell whether a first view would miss nobody, or enough time has passed to make one."""
+    started = state.members.started_at
+    if started is None or now - started < state.options.claim_view_met_s:
+        return False
+    if now - started >= state.options.claim_view_first_s:
+        return True
+    return all(is_live(state, now, each) for each in state.members.by_name.values())
+
+
 def _draws_lot(state: State, now: float) -> bool:
     others = len(live_instances(state, now))
     return state.rng.random() * max(1, others) < state.options.claim_lot
@@ -95,6 +102,9 @@
     found = {each.incarnation: each for each in (*kept, *joined)}
     if _is_leaving(state, now):
         del found[state.me.incarnation]
+    if len(found) > state.options.claim_view_max:
+        # Whoever comes may claim, but only in the log.
+        return ()
     return tuple(sorted(found.values(), key=lambda each: each.incarnation))
 
 
--- a/packages/turmericweir-core/turmericweir_core/claim_outbox.py
+++ b/packages/turmericweir-core/turmericweir_core/claim_outbox.py
@@ -98,7 +98,15 @@
 
 
 def _out_for(outbox: Outbox, now: float) -> float:
-    return 0.0 if outbox.in_flight is None else now - outbox.in_flight_at
+    if outbox.in_flight is None:
+        return 0.0
+    # A pause of this process is no silence of the log: callers would be refused for nothing.
+    return min(now - outbox.in_flight_at, outbox.out_s)
+
+
+def note_tick(outbox: Outbox, options: Options) -> None:
+    """Count how long an append has been out while this process ran."""
+    outbox.out_s += options.tick_s
 
 
 def is_flushed(outbox: Outbox) -> bool:
@@ -228,6 +236,7 @@
     outbox = state.claims.outbox
     outbox.in_flight = batch
     outbox.in_flight_at = now
+    outbox.out_s = 0.0
     outbox.number = batch.number
     outbox.carry = False
     outbox.floor = False
@@ -278,9 +287,10 @@
     batch = outbox.in_flight
     if batch is None or event.token != str(batch.number):
         return []
+    out_for = _out_for(outbox, now)
     outbox.in_flight = None
     outbox.failures += 1
-    if now - outbox.in_flight_at >= state.options.claim_down_s:
+    if out_for >= state.options.claim_down_s:
         outbox.failures = max(outbox.failures, state.options.claim_down_failures)
     pause = _pause(state.options, outbox.failures)
     outbox.retry_at = now + pause * (0.5 + state.rng.random() / 2)
--- a/packages/turmericweir-core/turmericweir_core/claim_state.py
+++ b/packages/turmericweir-core/turmericweir_core/claim_state.py
@@ -45,6 +45,8 @@
     # The append that is out; one at a time, so that a later one proves an earlier one late.
     in_flight: Batch | None = None
     in_flight_at: float = 0.0
+    # For how long it has been out, by the ticks since.
+    out_s: float = 0.0
     # Appends that were acknowledged and not read back yet, by number.
     landed: dict[int, Batch] = field(default_factory=dict)
     # Appends that may be made now, and when that was computed; None before the first.
--- a/packages/turmericweir-core/turmericweir_core/options.py
+++ b/packages/turmericweir-core/turmericweir_core/options.py
@@ -326,7 +326,10 @@
 
     # --- claims while the log is out of reach ---
     # All members of a view may agree on claims without the log. All instances must have the same.
-    claim_votes: bool = False
+    claim_votes: bool = True
+    # With more instances there is no view, and so no agreement: each claim takes two messages for
+    # each member, and a change of the view 50 bytes.
+    claim_view_max: int = 32
     # An append that has been out for so long is no longer waited for alone. Well below the shortest
     # target of a class, and above what an append takes.
     claim_vote_after_s: float = 0.05
@@ -334,9 +337,11 @@
     claim_vote_wait_s: float = 1.0
     # Between two askings of a member that has not answered.
     claim_vote_again_s: float = 0.3
-    # An instance that has just started waits so long before it makes the first view, so that it
-    # knows the others, and so long between its asks in the log to be in the view.
-    claim_view_first_s: float = 3.0
+    # An instance that has just started waits at least so long before it makes the first view, and
+    # at most so long for all that it knows of to be live.
+    claim_view_met_s: float = 1.0
+    claim_view_first_s: float = 4.0
+    # Between the asks in the log of one that is not in the view.
     claim_join_s: float = 1.0
     # Between reads of the stream while this instance is not in the view.
     claim_join_read_s: float = 0.2
--- a/tests/core/claims_world.py
+++ b/tests/core/claims_world.py
@@ -195,6 +195,7 @@
             if other is instance or other.paused or not (instance.hears and other.hears):
                 continue
             heard = Member(me.name, "dc", me.peer_address, "home", me.incarnation, 1, self.now)
+            heard.leaving = other.state.stopping_since is not None
             members.by_name[me.name] = heard
 
     def pause(self, index: int, paused: bool) -> None:
--- a/tests/core/test_claim_vote.py
+++ b/tests/core/test_claim_vote.py
@@ -13,6 +13,7 @@
 from tests.core.test_claims import VOTES, begin_outage, check_runs
 from turmericweir_core.account import Outcome
 from turmericweir_core.effects import AppendRecords, Effect, SendPeer, StartAttempt
+from turmericweir_core.events import StopRequested
 from turmericweir_core.options import Options
 from turmericweir_core.reasons import Reason
 
@@ -284,3 +285,44 @@
         world.tick(0.1)
     assert world.accounts[one].outcome is not Outcome.COMPLETED
     assert [run.request_id for run in world.runs] == [two]
+
+
+def test_operator_vouches_for_the_end_of_a_view() -> None:
+    """All instances are lost at once. Nobody knows what they agreed to, so new ones refuse all keys
+    until an operator names the view as ended; then a new one begins, and keys run once again."""
+    world = begin()
+    for index in (0, 0, 0):
+        world.kill(index)
+    world.up = True
+    world.calm(2.0)
+    one = world.call(world.instances[0], "k", deadline_s=1.0)
+    world.calm(2.0)
+    assert world.accounts[one].reason is Reason.CLAIM_UNAVAILABLE
+    view = world.truth.views.current
+    assert view is not None
+    for instance in world.instances:
+        instance.state.options = replace(VOTES, claim_replace_epoch=view.epoch)
+    until(world, lambda: len(member_names(world.instances[0])) == 3)
+    calls = [world.call(each, "k") for each in world.instances]
+    world.calm(2.0)
+    assert {world.accounts[each].outcome for each in calls} == {Outcome.COMPLETED}
+    assert len(world.runs) == 1
+
+
+def test_last_instance_that_stops_leaves_an_empty_view() -> None:
+    """All instances stop in order, and others start later. They claim at once: nothing can have run
+    by agreement of those that have left."""
+    world = begin()
+    world.up = True
+    for instance in world.instances:
+        world.handle(instance, StopRequested())
+    until(
+        world,
+        lambda: world.truth.views.current is not None and not world.truth.views.current.members,
+    )
+    world.instances.clear()
+    fresh = world.start()
+    world.calm(1.0)
+    one = world.call(fresh, "k")
+    world.perform_all()
+    assert world.accounts[one].outcome is Outcome.COMPLETED
--- a/tests/failures/test_claims_in_outage.py
+++ b/tests/failures/test_claims_in_outage.py
@@ -137,3 +137,17 @@
         wait_until(lambda: ENTRY_1 in back(), "it is a member again", SEEN_S)
         assert shop.reserve(ENTRY_3, "k1").body == first.result().body
         assert shop.runs("k1") == 1
+
+
+def test_data_centre_cut_off_from_the_platform_goes_on(tmp_path: Path) -> None:
+    # The second data centre can't reach the log, but the first can, and they can talk. Tills of
+    # both go on. Each key is sent to both: what the first has claimed in the log, the second learns
+    # when it asks the first to agree, and what both agreed to the first does not claim.
+    with voting(tmp_path) as shop:
+        shop.platform(cut_from=[ENTRY_2])
+        for number in range(6):
+            names = (ENTRY_1, ENTRY_2) if number % 2 else (ENTRY_2, ENTRY_1)
+            first, again = (shop.reserve(name, f"k{number}") for name in names)
+            assert (first.status, again.status) == (200, 200), (first.body, again.body)
+            assert first.body == again.body
+            assert shop.runs(f"k{number}") == 1
