Ask members that were never seen live, and draw lots without the generator

Cause: right after the start a view may name an instance of another data centre that this one has not yet seen live; in an outage callers were refused though it would have agreed (seen red in test_claims_in_outage, cut off from the platform). The lot for a change of view took numbers from the generator of all decisions, which changed what test_quarantine saw. Ruled out: to ask all members always, as callers would be held where one is gone. Change: only a member that was live and no longer is keeps this instance from asking. The lot is a hash.

--- a/packages/turmericweir-core/turmericweir_core/claim_ask.py
+++ b/packages/turmericweir-core/turmericweir_core/claim_ask.py
@@ -38,7 +38,11 @@
     if wait.denied or is_late or is_lost:
         return False
     live = {each.incarnation for each in live_instances(state, now)}
-    return all(each.incarnation in live for each in view.members)
+    state.claims.met |= live
+    # One that was never seen live may be there all the same: views travel faster than heartbeats
+    # between data centres. One that is no longer live is gone, and asking it would only hold up.
+    gone = state.claims.met - live
+    return not any(each.incarnation in gone for each in view.members)
 
 
 def note_unreachable_member(state: State, now: float, wait: Wait, peer: str) -> None:
--- a/packages/turmericweir-core/turmericweir_core/claim_members.py
+++ b/packages/turmericweir-core/turmericweir_core/claim_members.py
@@ -7,6 +7,10 @@
 
 from __future__ import annotations
 
+from typing import Final
+
+import xxhash
+
 from turmericweir_core.claim_outbox import flush, is_log_slow, writer_of
 from turmericweir_core.claim_record import NO_VIEW, Writer
 from turmericweir_core.claim_view import View, is_member
@@ -14,6 +18,8 @@
 from turmericweir_core.membership import Member, is_live, live_instances
 from turmericweir_core.state import State
 
+HASHES: Final = 2**32
+
 
 def on_tick(state: State, now: float) -> list[Effect]:
     """Replace the view, or ask to be in it, where that is due."""
@@ -82,8 +88,14 @@
 
 
 def _draws_lot(state: State, now: float) -> bool:
+    """Draw so that over all instances one in a few ticks is expected to write.
+
+    By a hash, which takes nothing from the generator that other decisions draw from: views come and
+    go in every instance, and would change what those decide.
+    """
     others = len(live_instances(state, now))
-    return state.rng.random() * max(1, others) < state.options.claim_lot
+    drawn = xxhash.xxh32_intdigest(f"{state.me.incarnation}\0{now:.3f}".encode()) / HASHES
+    return drawn * max(1, others) < state.options.claim_lot
 
 
 def _is_leaving(state: State, now: float) -> bool:
@@ -96,8 +108,12 @@
 
 def _wanted(state: State, now: float, view: View) -> tuple[Writer, ...]:
     live: dict[str, Member] = {each.name: each for each in live_instances(state, now)}
+    claims = state.claims
+    claims.met = (claims.met & {each.incarnation for each in view.members}) | {
+        each.incarnation for each in live.values()
+    }
     kept = [each for each in view.members if _stays(state, now, each, live.get(each.instance))]
-    joined = [writer_of(state), *state.claims.ledger.views.joins.values()]
+    joined = [writer_of(state), *claims.ledger.views.joins.values()]
     joined += [_writer(each) for each in live.values() if each.incarnation and not each.leaving]
     found = {each.incarnation: each for each in (*kept, *joined)}
     if _is_leaving(state, now):
--- a/packages/turmericweir-core/turmericweir_core/claim_state.py
+++ b/packages/turmericweir-core/turmericweir_core/claim_state.py
@@ -129,6 +129,8 @@
     # Last number of each member that is not live, and since when it stands, by incarnation.
     quiet: dict[str, tuple[int, float]] = field(default_factory=dict)
     join_due: float = 0.0
+    # Incarnations that were live at some time, of those in the view.
+    met: set[str] = field(default_factory=set)
     # Since when a read of the stream is out; None while none is.
     reading_since: float | None = None
     # The last read failed.
