Leave agreement on claims without the log to operators to turn on

Cause: with claim_votes on by default, new keys are refused after the loss of all instances at once until an operator names the lost view; nothing heals that by itself. Ruled out: replacing such a view after a time (keys that ran by agreement may be in no record, so a key could run twice); keeping it on, as one of the users has nobody at night who could give the word, while a refusal in an outage ends with the outage. Conclusion: by default an outage of the log refuses new keys at once, with Retry-After.

--- a/packages/turmericweir-core/turmericweir_core/options.py
+++ b/packages/turmericweir-core/turmericweir_core/options.py
@@ -326,7 +326,8 @@
 
     # --- claims while the log is out of reach ---
     # All members of a view may agree on claims without the log. All instances must have the same.
-    claim_votes: bool = True
+    # Off, as new keys would wait for an operator after all instances were lost at once.
+    claim_votes: bool = False
     # With more instances there is no view, and so no agreement: each claim takes two messages for
     # each member, and a change of the view 50 bytes.
     claim_view_max: int = 32
