Serve requests that can meet their target before late ones

Cause: within a class first come first served; in a burst beyond capacity each request waits for those before it until it is late too, so from the third second of one_class_burst nearly every confirmation was served 2 to 5 s late. Ruled out: newest first and refusal of what will miss its target (reasoned, not measured). Change: late requests go behind those on time, keep the class's assured share, and end not_run with Retry-After as soon as their predicted wait passes the deadline and no lower work could make way. Order between tiers is as before.

--- a/packages/turmericweir-core/turmericweir_core/admission.py
+++ b/packages/turmericweir-core/turmericweir_core/admission.py
@@ -19,7 +19,6 @@
 from turmericweir_core.config import Policy
 from turmericweir_core.placement import idle_share
 from turmericweir_core.pool_load import (
-    PoolLoad,
     arrival_rate,
     drain_rate,
     note_arrival,
@@ -102,32 +101,71 @@
     if rate is None:
         # Nothing was learnt yet; it is let in, and its own attempt will tell.
         return 0.0
-    ahead = sum(
-        queue.work
-        for queue in queue_state.pool_queues(state.queues, pool)
-        if queue.service_class.priority <= req.priority
-    )
-    wait = _time_to_drain(state, now, req, load, ahead, rate)
+    ahead = _work_ahead(state, req, pool)
+    above = arrival_rate(load, state.options, now, req.priority)
+    wait = _time_to_drain(state, req, above, ahead, rate)
     if _is_in_time(state, now, req, wait):
         return wait
     rate = drain_rate(load, idle_share(state, now, req.target)) or rate
-    return _time_to_drain(state, now, req, load, ahead, rate)
+    return _time_to_drain(state, req, above, ahead, rate)
 
 
 def _is_in_time(state: State, now: float, req: Request, wait: float) -> bool:
     return wait <= state.options.admit_share * (req.deadline - now)
 
 
-def _time_to_drain(
-    state: State, now: float, req: Request, load: PoolLoad, ahead: float, rate: float
-) -> float:
+def _work_ahead(state: State, req: Request, pool: str) -> float:
+    """Sum the work that is served before a new request: of its own tier only what is on time."""
+    upper, own = 0.0, 0.0
+    for queue in queue_state.pool_queues(state.queues, pool):
+        if queue.service_class.priority < req.priority:
+            upper += queue.work
+        elif queue.service_class.priority == req.priority:
+            own += queue.work - queue.late_work
+    return upper + own
+
+
+@dataclass(frozen=True, slots=True)
+class InVain:
+    """A late request that would only wait until its deadline."""
+
+    request: Request
+    retry_after_s: float
+
+
+def in_vain(state: State, now: float, pool: str) -> list[InVain]:
+    """List late requests that will not be served before their deadlines, by what is known now.
+
+    Failure: a class is served at the edge of its target while its late ones wait behind, until
+    their deadlines, for nothing; their callers could long have been told when to come back. Only
+    both ends are looked at, so that a tick costs the same whatever number waits: the first has
+    the least time left, and the last the most work ahead.
+    """
+    load = pool_load(state.pool_loads, pool)
+    found: list[InVain] = []
+    for queue in queue_state.pool_queues(state.queues, pool):
+        rate = drain_rate(load, idle_share(state, now, queue.target)) if queue.late else None
+        if rate is None:
+            continue
+        # Of its own tier as well: what arrives there is on time, and goes before.
+        above = arrival_rate(load, state.options, now, queue.service_class.priority + 1)
+        for req, late_ahead in queue.late_ends():
+            ahead = _work_ahead(state, req, pool) + late_ahead
+            wait = _time_to_drain(state, req, above, ahead, rate)
+            too_late = not req.may_have_run and wait > req.deadline - now
+            # Lower work makes way for it first, as for a new request.
+            if too_late and _make_way(state, now, req, pool) is None:
+                found.append(InVain(req, retry_after(state, now, req, wait)))
+    return found
+
+
+def _time_to_drain(state: State, req: Request, above: float, ahead: float, rate: float) -> float:
     """Give the time in which work drains while more urgent work goes on arriving.
 
     What arrived above lately is taken to go on for as long again as it was averaged over, and not
     for ever. Failure: a burst of a middle class leaves the lowest its assured share, any work ahead
     then looks later than its deadline, and it is refused until well after the burst has ended.
     """
-    above = arrival_rate(load, state.options, now, req.priority)
     during = max(rate - above, rate * req.service_class.assured_share, MIN_RATE)
     window = state.options.arrival_window_s
     drained = during * window
--- a/packages/turmericweir-core/turmericweir_core/credit_demand.py
+++ b/packages/turmericweir-core/turmericweir_core/credit_demand.py
@@ -50,7 +50,7 @@
     queues = queue_state.pool_queues(state.queues, pool)
     for queue in sorted(queues, key=lambda queue: queue.service_class.priority):
         servers = preferred(open_servers(state, now, queue.target), queue.head())
-        asking = len(queue.waiting)
+        asking = len(queue)
         if _is_short(state, servers):
             own = _lower_that_makes_way(state, now, servers, queue.service_class.priority)
             taken = max(0, min(asking, own - served))
@@ -64,7 +64,7 @@
                 ripe = 0
             presses = _presses(state.options, now, queue, max(0, ripe - covered), len(asked))
             _spread(wanted, queue, asked, asking, presses)
-        covered = max(0, covered - len(queue.waiting))
+        covered = max(0, covered - len(queue))
     return {name: list(tiers.values()) for name, tiers in wanted.items()}
 
 
@@ -102,7 +102,7 @@
     servers.sort(
         key=lambda server: (server.entry.name not in asked, _looks_full(state, now, server))
     )
-    doublings = int((now - queue.head().arrived) / state.options.credit_widen_s)
+    doublings = int((now - queue.oldest_at()) / state.options.credit_widen_s)
     first = min(asking, state.options.credit_ask)
     # Bounded, as the power grows without end.
     return servers[: first * 2 ** min(5, doublings)]
@@ -125,7 +125,7 @@
     the first has had the time to act, others are pressed as well.
     """
     wait = displacement_wait(options, queue.service_class.target_s)
-    turns = int((now - queue.head().arrived - wait) / options.credit_press_s)
+    turns = int((now - queue.oldest_at() - wait) / options.credit_press_s)
     # Bounded, as the power grows without end.
     reach = ripe * options.credit_ask ** max(0, min(3, turns))
     return [len(range(place, ripe, servers)) or int(place < reach) for place in range(servers)]
--- a/packages/turmericweir-core/turmericweir_core/dispatch.py
+++ b/packages/turmericweir-core/turmericweir_core/dispatch.py
@@ -29,7 +29,13 @@
 def wait_for_server(state: State, req: Request, *, front: bool = False) -> None:
     """Let a request wait in its queue."""
     req.phase = Phase.WAITING
-    queue_state.enqueue(state.queues, req, pool=pool_name(state, req.target), front=front)
+    queue_state.enqueue(
+        state.queues,
+        req,
+        pool=pool_name(state, req.target),
+        front=front,
+        on_time_share=state.options.on_time_share,
+    )
 
 
 # --- binding ---------------------------------------------------------------------------------
@@ -40,6 +46,8 @@
     pool = queue_state.pool_of(state.queues, target)
     if pool is None:
         return []
+    if state.config.policy is not Policy.BASELINE:
+        queue_state.move_late(state.queues, now)
     effects = _bind_all(state, now, pool)
     # Before others are asked to: for whom own lower work makes way, nobody else's has to.
     effects += make_room(state, now, pool)
--- a/packages/turmericweir-core/turmericweir_core/displacement.py
+++ b/packages/turmericweir-core/turmericweir_core/displacement.py
@@ -122,18 +122,18 @@
 def waiting_to_drop(state: State, pool: str, tier: int) -> Request | None:
     """Pick the waiting request below a tier that is dropped first, if any may be.
 
-    It is the newest of the least urgent class. One that has begun is kept, since its caller could
-    not be told `not_run`, and so is the first of each class.
+    It is the newest of the least urgent class, a late one if there is any. One that has begun is
+    kept, since its caller could not be told `not_run`, and so is the first of each class.
     """
     lower = [
         queue
         for queue in queue_state.pool_queues(state.queues, pool)
-        if queue.service_class.priority > tier and len(queue.waiting) > 1
+        if queue.service_class.priority > tier and len(queue) > 1
     ]
     lower.sort(key=lambda queue: queue.service_class.priority, reverse=True)
     for queue in lower:
-        newest = next(reversed(queue.waiting.values()))
-        if not newest.may_have_run:
+        newest = queue.newest()
+        if newest is not queue.head() and not newest.may_have_run:
             return newest
     return None
 
--- a/packages/turmericweir-core/turmericweir_core/lifecycle.py
+++ b/packages/turmericweir-core/turmericweir_core/lifecycle.py
@@ -387,6 +387,7 @@
         queue_state.remove(state.queues, req)
         effects += finish(state, now, req, given_up(req), Reason.DEADLINE, retry_after_s=1.0)
     effects += silence_signs.on_tick(state, now)
+    effects += _end_in_vain(state, now)
     for req in list(state.requests.values()):
         if req.attempt is not None:
             effects += _check_running(state, now, req, req.attempt)
@@ -404,6 +405,24 @@
     return effects
 
 
+def _end_in_vain(state: State, now: float) -> list[Effect]:
+    """Tell callers now whose late requests would only wait until their deadlines."""
+    effects: list[Effect] = []
+    for pool in state.queues.pools:
+        while found := admission.in_vain(state, now, pool):
+            for each in found:
+                queue_state.remove(state.queues, each.request)
+                effects += finish(
+                    state,
+                    now,
+                    each.request,
+                    Outcome.NOT_RUN,
+                    Reason.OVERLOAD,
+                    retry_after_s=each.retry_after_s,
+                )
+    return effects
+
+
 def _check_running(state: State, now: float, req: Request, attempt: Attempt) -> list[Effect]:
     options = state.options
     late = now > req.deadline + options.deadline_grace_s
--- a/packages/turmericweir-core/turmericweir_core/options.py
+++ b/packages/turmericweir-core/turmericweir_core/options.py
@@ -108,6 +108,9 @@
     credit_assured_debt_s: float = 30.0
 
     # --- admission and displacement ---
+    # Share of its target that a request may wait and be taken for one that can still meet it; what
+    # is left is for the server's own time to the first token.
+    on_time_share: float = 0.9
     # Predicted wait, as a share of the time to the deadline, above which a request is refused.
     admit_share: float = 1.0
     # How long an upper request waits for a slot that frees itself before lower work makes way: a
--- a/packages/turmericweir-core/turmericweir_core/patience.py
+++ b/packages/turmericweir-core/turmericweir_core/patience.py
@@ -19,7 +19,7 @@
     """Count the requests, first come first, that have waited for so long, up to a number."""
     wait = displacement_wait(options, queue.service_class.target_s)
     ripe = 0
-    for req in queue.waiting.values():
+    for req in queue.waiting():
         if ripe >= most or now - req.arrived < wait:
             break
         ripe += 1
--- a/packages/turmericweir-core/turmericweir_core/queue_state.py
+++ b/packages/turmericweir-core/turmericweir_core/queue_state.py
@@ -26,19 +26,62 @@
 
 @dataclass(slots=True)
 class ClassQueue:
-    """Waiting requests of one class for one target, first come first."""
+    """Waiting requests of one class for one target: on time, first come first, and late ones."""
 
     service_class: ServiceClass
     target: Target
-    waiting: OrderedDict[RequestId, Request] = field(default_factory=OrderedDict)
-    # Sum of the costs of what waits.
+    # Requests that can still meet their target, and those that no longer can, behind them.
+    on_time: OrderedDict[RequestId, Request] = field(default_factory=OrderedDict)
+    late: OrderedDict[RequestId, Request] = field(default_factory=OrderedDict)
+    # Sum of the costs of what waits, and of the late part of it.
     work: float = 0.0
+    late_work: float = 0.0
+    # Work that the late ones have earned of what their class was served.
+    late_earned: float = 0.0
     # Work that this class has earned and not yet used, in the unit of `cost`.
     earned: float = 0.0
 
     def head(self) -> Request:
-        """Give the request that is served next; the queue must not be empty."""
-        return next(iter(self.waiting.values()))
+        """Give the request that is served next; the queue must not be empty.
+
+        Failure without a turn for the late ones: a class that bursts for long is served at the
+        edge of its target, and those behind wait until their deadlines.
+        """
+        first_late = next(iter(self.late.values()), None)
+        if first_late is not None and self.late_earned >= first_late.queued_cost:
+            return first_late
+        return next(iter(self.on_time.values()), first_late) or self._empty()
+
+    def _empty(self) -> Request:
+        raise LookupError(f"no {self.service_class.name} request waits for {self.target}")
+
+    def __len__(self) -> int:
+        """Count what waits."""
+        return len(self.on_time) + len(self.late)
+
+    def waiting(self) -> Iterator[Request]:
+        """Yield what waits, about the oldest first: the late ones came before the others."""
+        yield from self.late.values()
+        yield from self.on_time.values()
+
+    def oldest_at(self) -> float:
+        """Give the arrival of the request that waits for longest; none must be missing."""
+        return next(self.waiting()).arrived
+
+    def late_ends(self) -> list[tuple[Request, float]]:
+        """Give the first and the last of the late ones, each with the late work before it."""
+        if not self.late:
+            return []
+        first = next(iter(self.late.values()))
+        last = next(reversed(self.late.values()))
+        ends = [(first, 0.0)]
+        if last is not first:
+            ends.append((last, self.late_work - last.queued_cost))
+        return ends
+
+    def newest(self) -> Request:
+        """Give the last one to be served: the newest of the late ones, if there are any."""
+        return next(reversed((self.late or self.on_time).values()))
 
 
 @dataclass(slots=True)
@@ -60,6 +103,8 @@
     index: dict[RequestId, ClassQueue] = field(default_factory=dict)
     # Deadlines, earliest first; entries of requests that no longer wait are skipped.
     deadlines: list[tuple[float, RequestId]] = field(default_factory=list)
+    # The same with the times from which on a request can no longer meet its target.
+    late_at: list[tuple[float, RequestId]] = field(default_factory=list)
 
 
 def cost(req: Request) -> float:
@@ -67,7 +112,14 @@
     return max(1.0, req.predicted_tokens - req.delivered)
 
 
-def enqueue(queues: QueueState, req: Request, *, pool: str = "", front: bool = False) -> None:
+def enqueue(
+    queues: QueueState,
+    req: Request,
+    *,
+    pool: str = "",
+    front: bool = False,
+    on_time_share: float = 1.0,
+) -> None:
     """Let a request wait; one that goes back after a failed attempt waits at the front."""
     held = _target_queue(queues, req.target, pool or req.target)
     name = req.service_class.name
@@ -76,12 +128,16 @@
         queue = held.classes[name] = ClassQueue(req.service_class, req.target)
     queue.service_class = req.service_class
     req.queued_cost = cost(req)
-    queue.waiting[req.request_id] = req
+    queue.on_time[req.request_id] = req
     queue.work += req.queued_cost
     queues.index[req.request_id] = queue
     heappush(queues.deadlines, (req.deadline, req.request_id))
+    if req.first_token_at is None:
+        # What has begun has met its target or not; it goes on as soon as may be.
+        late_at = req.arrived + on_time_share * req.service_class.target_s
+        heappush(queues.late_at, (late_at, req.request_id))
     if front:
-        queue.waiting.move_to_end(req.request_id, last=False)
+        queue.on_time.move_to_end(req.request_id, last=False)
 
 
 def _target_queue(queues: QueueState, target: Target, pool: str) -> TargetQueue:
@@ -102,16 +158,36 @@
     queue = queues.index.pop(req.request_id, None)
     if queue is None:
         return
-    del queue.waiting[req.request_id]
+    if queue.late.pop(req.request_id, None) is not None:
+        queue.late_work = queue.late_work - req.queued_cost if queue.late else 0.0
+    else:
+        del queue.on_time[req.request_id]
     # Set to zero when empty, so that rounding errors do not add up over days.
-    queue.work = queue.work - req.queued_cost if queue.waiting else 0.0
+    queue.work = queue.work - req.queued_cost if len(queue) else 0.0
+
+
+def move_late(queues: QueueState, now: float) -> None:
+    """Put what can no longer meet its target behind what can.
+
+    Failure: a class bursts, and first come first served has each request wait for those before it
+    until it is late itself; from then on nearly none is in time, though the servers could serve
+    most of them in time.
+    """
+    while queues.late_at and queues.late_at[0][0] <= now:
+        _, request_id = heappop(queues.late_at)
+        queue = queues.index.get(request_id)
+        if queue is None or request_id not in queue.on_time:
+            continue
+        req = queue.on_time.pop(request_id)
+        queue.late[request_id] = req
+        queue.late_work += req.queued_cost
 
 
 def waiting_count(queues: QueueState, target: Target, class_name: str) -> int:
     """Count what waits for a target in a class."""
     held = queues.targets.get(target)
     queue = held.classes.get(class_name) if held else None
-    return len(queue.waiting) if queue else 0
+    return len(queue) if queue else 0
 
 
 def pool_of(queues: QueueState, target: Target) -> str | None:
@@ -124,7 +200,7 @@
     """Yield the queues of a pool in which something waits."""
     for target in queues.pools.get(pool, ()):
         for queue in queues.targets[target].classes.values():
-            if queue.waiting:
+            if len(queue):
                 yield queue
 
 
@@ -151,9 +227,10 @@
     return queue.earned >= queue.head().queued_cost
 
 
-def _turn(queue: ClassQueue) -> tuple[int, int, float]:
-    # Queues of one tier, for different targets, go by age.
-    return (0 if is_owed(queue) else 1, queue.service_class.priority, queue.head().arrived)
+def _turn(queue: ClassQueue) -> tuple[int, int, bool, float]:
+    # Queues of one tier, for different targets, go by age, those with requests on time first.
+    owed = 0 if is_owed(queue) else 1
+    return (owed, queue.service_class.priority, not queue.on_time, queue.head().arrived)
 
 
 def upper_waits(queues: QueueState, pool: str, tier: int) -> bool:
@@ -170,7 +247,13 @@
     earnings grow with every dispatch, so any waiting class gets its turn after finite work.
     """
     work = req.queued_cost
+    if req.request_id in queue.late:
+        queue.late_earned = max(0.0, queue.late_earned - work)
+    elif queue.late:
+        queue.late_earned += work * queue.service_class.assured_share
     remove(queues, req)
+    if not queue.late:
+        queue.late_earned = 0.0
     queue.earned = max(0.0, queue.earned - work)
     pool = queues.targets[req.target].pool
     for target in queues.pools[pool]:
@@ -180,7 +263,7 @@
 
 
 def _earn(queue: ClassQueue, work: float) -> None:
-    if not queue.waiting:
+    if not len(queue):
         # A share is for those who wait; saving it up would let an idle class burst later.
         queue.earned = 0.0
         return
@@ -197,7 +280,7 @@
         _, request_id = heappop(queues.deadlines)
         queue = queues.index.get(request_id)
         if queue is not None:
-            found[request_id] = queue.waiting[request_id]
+            found[request_id] = queue.on_time.get(request_id) or queue.late[request_id]
     return list(found.values())
 
 
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -119,6 +119,11 @@
             world.end(running)
         else:
             world.advance(0.3)
+            for name, each in world.told.items():
+                # Late ones that would wait in vain are refused on ticks.
+                new = each.accounts[told[name] :]
+                if any(it.reason is Reason.OVERLOAD for it in new):
+                    assert not displaceable_below(world, CLASSES[name].priority)
         for request_id, reason in world.cancelled[cancelled:]:
             if reason is CancelReason.DISPLACED:
                 assert not request_id.startswith("counter")
--- a/tests/core/test_queue.py
+++ b/tests/core/test_queue.py
@@ -14,6 +14,7 @@
 from turmericweir_core.account import Outcome
 from turmericweir_core.config import Kind, Policy, ServiceClass
 from turmericweir_core.options import Options
+from turmericweir_core.request import Request
 
 
 @pytest.mark.parametrize("case", load_cases("queue.test"), ids=str)
@@ -102,3 +103,40 @@
     completed = sum(each.count(Outcome.COMPLETED) for each in world.told.values())
     assert completed == len(names)
     assert len(world.started) == len(names) + len(world.cancelled)
+
+
+@settings(max_examples=60, deadline=None)
+@given(st.lists(st.sampled_from(["fitting", "quote", "end", "pass"]), min_size=20, max_size=80))
+def test_requests_on_time_go_before_late_ones(steps: list[str]) -> None:
+    # Two classes burst before one slot. Of a class, a caller who can still be answered in time is
+    # served before those who no longer can, and none who waits is forgotten.
+    classes = {name: replace(each, assured_share=0.0) for name, each in CLASSES.items()}
+    world = LoadWorld(servers=1, slots=1, classes=classes)
+    state = world.first
+    arrived = 0
+    for step in steps:
+        running = set(world.running)
+        if step in classes:
+            arrived += 1
+            world.arrive(step, deadline_s=1e4)
+        elif step == "pass":
+            for each in world.running.values():
+                # It does not go silent.
+                world.progress(each, 1)
+            world.advance(1.9)
+        elif world.running:
+            world.end(world.oldest())
+        waits = [state.requests[each] for each in state.queues.index]
+        for each in (it for it in world.running.values() if it.attempt_id not in running):
+            begun = state.requests[each.request_id]
+            same = [it for it in waits if it.service_class is begun.service_class]
+            if is_late(world, begun):
+                assert all(is_late(world, it) for it in same)
+    while world.running:
+        world.end(world.oldest())
+    assert sum(each.count(Outcome.COMPLETED) for each in world.told.values()) == arrived
+
+
+def is_late(world: LoadWorld, req: Request) -> bool:
+    """Tell whether a request has waited for too long to meet its target."""
+    return world.now - req.arrived >= world.options.on_time_share * req.service_class.target_s
