--- a/packages/turmericweir/turmericweir/peer_streams.py
+++ b/packages/turmericweir/turmericweir/peer_streams.py
@@ -114,7 +114,7 @@
         with anyio.fail_after(CONNECT_TIMEOUT_S):
             stream = await anyio.connect_tcp(host, int(port), local_host=self._source)
         async with stream:
-            set_options(stream)
+            set_options(stream.extra(SocketAttribute.raw_socket))
             self._reset()
             async with anyio.create_task_group() as group:
                 group.start_soon(self._read_acks, stream)
@@ -219,7 +219,7 @@
 async def _receive_frames(stream: SocketStream, reader: FrameReader, traffic: Kind) -> None:
     address = stream.extra(SocketAttribute.remote_address)
     origin = f"{address[0]}:{address[1]}"
-    set_options(stream)
+    set_options(stream.extra(SocketAttribute.raw_socket))
     unpacker = msgpack.Unpacker(max_buffer_size=FRAME_MAX)
     received = 0
     try:
