Send the head of an answer together with its body

Cause: uvicorn writes head and body of an answer apart, so each small answer was two system calls and two packets, and its caller woke up twice. Ruled out: holding all writes to the end of a turn of the loop, which would delay each chunk of a stream; TCP_CORK, two system calls more. Change: a transport between uvicorn and asyncio keeps the head until the part of the body that follows at once; a head without a body goes out when the answer ends.

--- a/packages/turmericweir/turmericweir/caller_answer.py
+++ b/packages/turmericweir/turmericweir/caller_answer.py
@@ -40,12 +40,23 @@
 REPLAYED: Final = (b"idempotent-replayed", b"true")
 
 
+class JoinedWrites(Protocol):
+    """What a caller's connection offers for a head that goes out with its body."""
+
+    def hold_next(self) -> None:
+        """Keep the next write until another one or `release`."""
+
+    def release(self) -> None:
+        """Write what is kept still."""
+
+
 class Caller:
     """The caller's side of one request: where an answer is written."""
 
-    __slots__ = ("_send", "abort", "blocked", "closing", "request_id", "started")
+    __slots__ = ("_joining", "_send", "blocked", "closing", "request_id", "started")
 
     _send: ASGISendCallable
+    _joining: JoinedWrites
     request_id: str
     # The head of the answer was written.
     started: bool
@@ -54,18 +65,20 @@
     # Ask the caller to close the connection: this instance is stopping.
     closing: bool
 
-    def __init__(self, request_id: str, send: ASGISendCallable) -> None:
+    def __init__(self, request_id: str, send: ASGISendCallable, joining: JoinedWrites) -> None:
         self._send = send
+        self._joining = joining
         self.request_id = request_id
         self.started = False
         self.blocked = False
         self.closing = False
 
     async def head(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
-        """Write status and headers."""
+        """Write status and headers, together with the part of the body that comes next."""
         self.started = True
         if self.closing:
             headers = [*headers, (b"connection", b"close")]
+        self._joining.hold_next()
         await self._send({"type": "http.response.start", "status": status, "headers": headers})
 
     async def body(self, data: bytes, *, more: bool) -> None:
@@ -75,6 +88,8 @@
             await self._send({"type": "http.response.body", "body": data, "more_body": more})
         finally:
             self.blocked = False
+            # An answer without a body writes none, and its head must go out all the same.
+            self._joining.release()
 
     async def problem(self, problem: Problem) -> None:
         """Write a whole problem answer."""
@@ -291,9 +306,9 @@
 
     async def flush(self) -> None:
         """Write what was kept, with the head before the first part."""
-        await self._start()
         data = self._unsent
         if data:
+            await self._start()
             await self.caller.body(data, more=True)
             self._unsent = b""
 
--- a/packages/turmericweir/turmericweir/caller_app.py
+++ b/packages/turmericweir/turmericweir/caller_app.py
@@ -80,7 +80,7 @@
     ) -> None:
         """Answer one request."""
         assert scope["type"] == "http"
-        caller = Caller(new_request_id(), send)
+        caller = Caller(new_request_id(), send, _connection(scope).joining)
         caller.closing = self._node.stopping
         try:
             await self._answer(scope, receive, caller)
