Time a request's headers only where they do not come whole

Cause: each request made a timer at its first byte and cancelled it when its headers were whole, nearly always in the same part; cancelled timers stay in the loop's heap for their full time. And a second request on a connection whose headers stopped was closed without a word, as its bytes were not counted. Ruled out: one timer for the connection, which would have to be moved for each request. Change: the timer starts once a part was parsed and the headers are not whole; what came in that part counts. The new test sees no 408 before this change.

--- a/packages/turmericweir/turmericweir/http_server.py
+++ b/packages/turmericweir/turmericweir/http_server.py
@@ -181,6 +181,11 @@
         super().data_received(data)
         if self._in_headers and self._header_bytes > self.limits.header_bytes:
             self._refuse(Reason.TOO_LARGE, _HEADERS_TOO_LARGE)
+        elif self._in_headers and self._header_timer is None:
+            # Started here and not at the first byte: nearly all headers come whole in one part, and
+            # a timer for each of them would be made and cancelled for nothing.
+            self._header_bytes = self._header_bytes or len(data)
+            self._start_header_timer()
 
     def on_message_begin(self) -> None:
         """Start to count a request's headers."""
@@ -188,7 +193,6 @@
         self._in_headers = True
         if self._header_timer is None:
             self._header_bytes = 0
-            self._start_header_timer()
         self.scope["state"][CONNECTION] = self
 
     def on_headers_complete(self) -> None:
--- a/tests/daemon/test_refusals.py
+++ b/tests/daemon/test_refusals.py
@@ -142,6 +142,24 @@
     check_refusal(exchange(single, b"GET / HTTP/1.1\r\nHost: x\r\n"), 408, "too_slow")
 
 
+def test_headers_that_stop_coming_on_a_used_connection_are_refused(single: Single) -> None:
+    # The first request is answered at once. The second stops within its headers, and must not hold
+    # its connection for longer than the first one could have.
+    host, _, port = single.address.rpartition(":")
+    with socket.create_connection((host, int(port)), timeout=SAFETY_S) as sock:
+        answers = sock.makefile("rb")
+        sock.sendall(b"GET /v1/models HTTP/1.1\r\nHost: x\r\n" + _bearer() + b"\r\n\r\n")
+        assert answers.readline() == b"HTTP/1.1 200 OK\r\n"
+        sock.sendall(b"GET /v1/models HTTP/1.1\r\nHost: x\r\n")
+        rest = answers.read()
+    assert b"HTTP/1.1 408 " in rest
+    assert b'"reason":"too_slow"' in rest
+
+
+def _bearer() -> bytes:
+    return f"Authorization: Bearer {token_of('shop-1')}".encode()
+
+
 def test_body_that_stops_coming_is_refused(single: Single) -> None:
     # The headers announce more than comes. The instance waits its time and no longer, and nothing
     # has been queued or sent meanwhile.
