Test that an answer without a body is told

Cause: the head of an answer waits for its body; one without a body was in no test. Ruled out: leaving it to the cut and refusal tests, which all have bodies. Change: a test with the answer to HEAD and with status 204.

--- a/tests/daemon/test_path.py
+++ b/tests/daemon/test_path.py
@@ -129,6 +129,26 @@
         assert len(raw.requests) == 1
 
 
+@pytest.mark.parametrize(("method", "status"), [("HEAD", 200), ("GET", 204)])
+def test_answer_without_a_body_is_told(single: Single, method: str, status: int) -> None:
+    # The head of an answer waits for its body, to go out with it. Where there is no body the caller
+    # gets the head all the same, and the connection carries the next request.
+    def answer(_request: RawRequest) -> bytes:
+        return b"HTTP/1.1 %d Fine\r\n%s\r\n" % (
+            status,
+            b"Content-Length: 4\r\n" if method == "HEAD" else b"",
+        )
+
+    with RawServer(answer) as raw:
+        name = f"bare-{status}"
+        single.cluster.publish({f"/services/{name}": {"kind": "plain", "slots": 4}})
+        single.list_raw(f"{name}-1", "plain", name, raw.address)
+        reply = single.call(method, f"/services/{name}/any")
+
+    assert (reply.status, reply.body) == (status, b"")
+    assert reply.headers["turmericweir-outcome"] == "completed"
+
+
 def test_cut_of_a_plain_answer_reaches_the_caller_as_a_cut(single: Single) -> None:
     # The service announces ten bytes, sends four and closes. The caller has been sent status and
     # headers by then, so the only way to tell it is to reset its connection: after a clean close,
