End the demo's processes also when it is ended by SIGTERM

Cause: `kill` of a kept demo left platform, engines, services and instances running. Ruled out: a process group of its own, which Ctrl-C would then miss. Change: SIGTERM is taken as Ctrl-C.

--- a/packages/turmericweir-standins/turmericweir_standins/demo.py
+++ b/packages/turmericweir-standins/turmericweir_standins/demo.py
@@ -193,6 +193,8 @@
 @click.option("--keep", is_flag=True, help="Leave everything running until Ctrl-C.")
 def main(keep: bool) -> None:
     """Start a small deployment, send requests through it and show every outcome."""
+    # Without this, ending the demo by its process id would leave all that it started running.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     with tempfile.TemporaryDirectory(prefix="turmericweir-demo-") as directory:
         click.echo(f"starting {DEMO.name}: {DEMO.instances} instances")
         with Cluster(DEMO, Path(directory)) as cluster:
