Give the listening socket and the joined writes modules of their own

Cause: http_server had grown to 387 lines with three jobs: uvicorn's server and protocol, the socket of the port, and the transport that joins a small answer's writes. Ruled out: leaving the closing of the port beside its server: what it needs of the system (a socket filter, the accept queue) is about the socket alone. Change: listening_socket and caller_transport; nothing but imports and names changed. Conclusion: no behaviour has changed.

--- a/packages/turmericweir/turmericweir/daemon.py
+++ b/packages/turmericweir/turmericweir/daemon.py
@@ -24,7 +24,8 @@
 from turmericweir import logs
 from turmericweir.backend_pool import BackendPool
 from turmericweir.caller_app import CallerApp
-from turmericweir.http_server import HttpServer, address_of, bind
+from turmericweir.http_server import HttpServer
+from turmericweir.listening_socket import address_of, bind
 from turmericweir.metrics import Metrics, NullMetrics, StatsdMetrics
 from turmericweir.node import Adapters, Node
 from turmericweir.operator_port import OperatorPort
--- a/packages/turmericweir/turmericweir/http_server.py
+++ b/packages/turmericweir/turmericweir/http_server.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import contextlib
-import ctypes
 import socket
 import struct
 from collections.abc import Callable, Generator
@@ -21,7 +20,8 @@
 
 from turmericweir.caller_problem import Problem, refusal
 from turmericweir.caller_request import new_request_id
-from turmericweir.errors import ListenError
+from turmericweir.caller_transport import JoiningTransport
+from turmericweir.listening_socket import accept_waiting, take_no_more
 from turmericweir.process_settings import Limits
 from turmericweir_core.reasons import Reason
 
@@ -39,91 +39,10 @@
 # Passes of the event loop in which it sees what can be read, and reads it.
 _READ_PASSES: Final = 2
 _HEADERS_TOO_LARGE: Final = 431
-_SO_ATTACH_FILTER: Final = 26
-# A socket filter of Linux, which sees segments from their TCP header on: load the flags, mask SYN
-# and ACK, and where SYN stands alone drop the segment, else pass all of it.
-_IGNORE_SYN: Final = (
-    (0x30, 0, 0, 13),
-    (0x54, 0, 0, 0x12),
-    (0x15, 0, 1, 0x02),
-    (0x06, 0, 0, 0),
-    (0x06, 0, 0, 0xFFFFFFFF),
-)
 # Linger for no time: what is closed is reset.
 _RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
 
 
-class JoiningTransport(asyncio.Transport):
-    """A caller's transport that can send the head of an answer together with its body.
-
-    uvicorn writes the two apart. Each write is a system call and a packet of its own, which for a
-    small answer is more than the rest of its way through the process.
-    """
-
-    # uvicorn's transport, as asyncio made it.
-    _below: asyncio.Transport
-    # The next write is kept for the one after it.
-    _holding: bool
-    # What was kept.
-    _held: bytes
-
-    def __init__(self, below: asyncio.Transport) -> None:
-        super().__init__()
-        self._below = below
-        self._holding = False
-        self._held = b""
-
-    def hold_next(self) -> None:
-        """Keep the next write until another one or `release`."""
-        self._holding = True
-
-    def release(self) -> None:
-        """Write what is kept still, as after the head of an answer without a body."""
-        self._holding = False
-        if self._held:
-            held, self._held = self._held, b""
-            self._below.write(held)
-
-    # Any-sized buffers are what asyncio's own transports take.
-    def write(self, data: bytes | bytearray | memoryview) -> None:
-        """Write, after what was kept and together with it."""
-        if self._holding:
-            self._holding = False
-            self._held += data
-        elif self._held:
-            held, self._held = self._held, b""
-            self._below.write(held + data)
-        else:
-            self._below.write(data)
-
-    def close(self) -> None:
-        """Close when all is written."""
-        self.release()
-        self._below.close()
-
-    def abort(self) -> None:
-        """Close at once and forget what is not written."""
-        self._held = b""
-        self._below.abort()
-
-    def is_closing(self) -> bool:
-        """Tell whether it is closed or being closed."""
-        return self._below.is_closing()
-
-    # Any: asyncio tells things of any kind by name.
-    def get_extra_info(self, name: str, default: Any = None) -> Any:
-        """Tell about the connection."""
-        return self._below.get_extra_info(name, default)
-
-    def pause_reading(self) -> None:
-        """Read no more for now."""
-        self._below.pause_reading()
-
-    def resume_reading(self) -> None:
-        """Go on reading."""
-        self._below.resume_reading()
-
-
 class LimitedProtocol(HttpToolsProtocol):
     """uvicorn's protocol with limits on the size and the time of a request's headers."""
 
@@ -301,9 +220,9 @@
         and connections on which nothing came yet are kept until their request has come.
         """
         for sock in sockets or []:
-            _take_no_more(sock)
+            take_no_more(sock)
         await asyncio.sleep(HANDSHAKE_S)
-        accepted = [conn for sock in sockets or [] for conn in _accept_waiting(sock)]
+        accepted = [conn for sock in sockets or [] for conn in accept_waiting(sock)]
         for server in self.servers:
             server.close()
         loop = asyncio.get_running_loop()
@@ -335,53 +254,3 @@
 # Any: uvicorn lists protocols of either of its kinds.
 def _is_unused(conn: Any) -> bool:
     return isinstance(conn, LimitedProtocol) and conn.unused
-
-
-def _take_no_more(sock: socket.socket) -> None:
-    """Have the system ignore those who begin to connect, until the socket is closed.
-
-    Between the last look at what waits and the close another connection may be made, and is reset.
-    Whoever is ignored begins again within about a second and is then refused, which tells it that
-    nothing was sent. Where the system knows no such filters that moment remains.
-    """
-    code = b"".join(struct.pack("HBBI", *step) for step in _IGNORE_SYN)
-    held = ctypes.create_string_buffer(code)
-    program = struct.pack("HP", len(_IGNORE_SYN), ctypes.addressof(held))
-    with contextlib.suppress(OSError):
-        sock.setsockopt(socket.SOL_SOCKET, _SO_ATTACH_FILTER, program)
-
-
-def _accept_waiting(sock: socket.socket) -> list[socket.socket]:
-    """Accept the connections that the system has taken and nobody has accepted."""
-    found: list[socket.socket] = []
-    while True:
-        try:
-            conn, _ = sock.accept()
-        except OSError:
-            return found
-        conn.setblocking(False)
-        found.append(conn)
-
-
-def bind(address: str, step: str) -> socket.socket:
-    """Bind a TCP socket to an address; uvicorn listens on it later."""
-    host, _, port = address.rpartition(":")
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    # The protocol is named, as accepted sockets inherit it and asyncio sets TCP_NODELAY only on
-    # those that name TCP. Without it, the body of a small answer waits 40 ms for the
-    # acknowledgement of its head.
-    sock = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    try:
-        sock.bind((host.strip("[]"), int(port)))
-    except OSError as exc:
-        sock.close()
-        raise ListenError(step, address, exc.strerror or str(exc)) from exc
-    sock.setblocking(False)
-    return sock
-
-
-def address_of(sock: socket.socket) -> str:
-    """Give the address that a socket is bound to, with the port that the system chose."""
-    host, port = sock.getsockname()[:2]
-    return f"{host}:{port}"
--- a/tests/ctl/fake_daemon.py
+++ b/tests/ctl/fake_daemon.py
@@ -16,7 +16,8 @@
 import anyio
 from anyio.from_thread import BlockingPortal, start_blocking_portal
 
-from turmericweir.http_server import HttpServer, address_of, bind
+from turmericweir.http_server import HttpServer
+from turmericweir.listening_socket import address_of, bind
 from turmericweir.metrics import NullMetrics
 from turmericweir.node import Adapters, Node
 from turmericweir.operator_port import OperatorPort
--- a/tests/daemon/test_http_server.py
+++ b/tests/daemon/test_http_server.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from turmericweir.http_server import HttpServer, bind
+from turmericweir.http_server import HttpServer
+from turmericweir.listening_socket import bind
 from turmericweir.process_settings import Limits
 from turmericweir_standins.procs import LOOPBACK
 
