Pay for a doubted attempt's successor before the attempt is stopped

Doubts come sooner and in numbers since signs of lost connections are looked at. Ruled out: servers that were lost (none was); too many attempts of one request (it is not doubted then). Change: a doubt takes the retry from the budget before the attempt is stopped, and there is no doubt without it; an attempt that was not sent costs nothing, as before. Conclusion: a doubt can no longer be what fails a request.

--- a/packages/turmericweir-core/turmericweir_core/lifecycle.py
+++ b/packages/turmericweir-core/turmericweir_core/lifecycle.py
@@ -311,7 +311,10 @@
             return finish(state, now, req, Outcome.FAILED, Reason.QUARANTINED)
         case CancelReason.SILENT | None if not attempt.sent:
             return _try_again(state, now, req, attempt, Reason.NO_SERVER, paid=False)
-        case CancelReason.SILENT | None:
+        case CancelReason.SILENT:
+            # Paid for when it was doubted.
+            return _after_loss(state, now, req, attempt, Reason.SERVER_LOST, paid=False)
+        case None:
             return _after_loss(state, now, req, attempt, Reason.SERVER_LOST)
         case unreachable:
             assert_never(unreachable)
--- a/packages/turmericweir-core/turmericweir_core/silence.py
+++ b/packages/turmericweir-core/turmericweir_core/silence.py
@@ -19,7 +19,7 @@
 
 from turmericweir_core.ids import ServerName
 from turmericweir_core.request import Attempt, Request
-from turmericweir_core.retry import may_retry
+from turmericweir_core.retry import may_retry, spend_retry
 from turmericweir_core.silence_signs import is_proven, note_lost
 
 if TYPE_CHECKING:
@@ -54,7 +54,7 @@
     else:
         silent = _stream_overdue(state, now - last, attempt)
     proven = is_proven(state, now, req, attempt)
-    if not (silent or proven) or not _may_go_elsewhere(state, req):
+    if not (silent or proven) or not _pay_to_go_elsewhere(state, req, attempt):
         return False
     if proven:
         note_lost(state, now, attempt.server)
@@ -62,11 +62,19 @@
     return True
 
 
-def _may_go_elsewhere(state: State, req: Request) -> bool:
-    """Tell whether a cancelled attempt could be followed by another one."""
+def _pay_to_go_elsewhere(state: State, req: Request, attempt: Attempt) -> bool:
+    """Take what another attempt costs from the budget; False where there can be none.
+
+    Failure where it is paid for only after the end of this attempt: in a rush many are doubted at
+    the same tick, each finds a retry in the budget, and that pays for the first. The callers of all
+    others are told `failed`, though their answers were only late.
+    """
     if not req.repeatable or req.tries >= state.options.attempts_max:
         return False
-    return may_retry(state.retries, state.options)
+    if not attempt.sent:
+        # No server can have begun it, so its next attempt is no retry.
+        return True
+    return may_retry(state.retries, state.options) and spend_retry(state.retries, state.options)
 
 
 def _stream_overdue(state: State, silent_s: float, attempt: Attempt) -> bool:
--- a/tests/core/test_silence.py
+++ b/tests/core/test_silence.py
@@ -60,6 +60,24 @@
     assert world.accounts[next(iter(world.accounts))].tokens == world.length
 
 
+def test_doubts_at_the_same_moment_share_the_budget() -> None:
+    # In a rush several answers are late to begin at the same moment, and the budget pays for one
+    # retry. One goes elsewhere; the others wait on and get their answers. Were all stopped, since
+    # each finds a retry in the budget, the callers of all but one would be told `failed`.
+    world = FaultWorld(servers=2)
+    world.moment()
+    names = ["one", "two", "three"]
+    for name in names:
+        mute_first(world, name)
+    state = next(iter(world.states.values()))
+    state.retries.tokens = 1.5
+    world.advance(world.options.first_silence_s + 0.5)
+    assert len(world.runs) == len(names) + 1
+    world.lost.clear()
+    world.advance_until_told()
+    assert [world.outcome(name) for name in names] == [COMPLETED] * len(names)
+
+
 def test_busy_server_is_given_time() -> None:
     # The server accounts for the request, which waits behind others there. Moving it would cost its
     # place and a retry, so it is left alone for a while.
