Let two failure tests share the callers that send again and again

Cause: the tests of endless overload and of replacements each had a class of callers that send again as soon as they are answered, alike to the line in most. Ruled out: a base class with two kinds; the one that bears closed ports serves both. Change: tests/failures/crowd.py; test_overload waits for whole answers, which it asserted at its end anyway. Conclusion: as strict as before.

--- a/tests/failures/test_overload.py
+++ b/tests/failures/test_overload.py
@@ -2,16 +2,13 @@
 
 from __future__ import annotations
 
-import itertools
-import threading
-from concurrent.futures import Future, ThreadPoolExecutor
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import replace
 from pathlib import Path
-from types import TracebackType
-from typing import Final, Self
+from typing import Final
 
-from tests.failures.fault_cluster import CALL_S, Chat, Chats, chats, small
-from turmericweir_standins.procs import wait_until
+from tests.failures.crowd import Crowd
+from tests.failures.fault_cluster import CALL_S, Chats, chats, small
 
 SLOTS: Final = 4
 # Upper requests that are out at any time: three times as many as there are slots.
@@ -22,45 +19,6 @@
 SHARE: Final = 0.1
 
 
-class Overload:
-    """Upper callers at two instances, who each send again as soon as they are answered."""
-
-    # What they were told, in the order of the answers.
-    answers: list[Chat]
-
-    def __init__(self, callers: Chats, pool: ThreadPoolExecutor) -> None:
-        self.answers = []
-        self._callers = callers
-        self._pool = pool
-        self._numbers = itertools.count()
-        self._ended = threading.Event()
-        self._running: list[Future[None]] = []
-
-    def __enter__(self) -> Self:
-        self._running = [self._pool.submit(self._send, 1 + it % 2) for it in range(CALLERS)]
-        return self
-
-    def __exit__(
-        self,
-        exc_type: type[BaseException] | None,
-        exc: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        self._ended.set()
-        for each in self._running:
-            each.result(CALL_S)
-
-    def _send(self, instance: int) -> None:
-        while not self._ended.is_set():
-            prompt = f"question {next(self._numbers)} {ANSWER}"
-            self.answers.append(self._callers.ask(prompt, instance=instance))
-
-    def wait_more(self, count: int) -> None:
-        """Wait until so many more answers have come."""
-        wanted = len(self.answers) + count
-        wait_until(lambda: len(self.answers) >= wanted, f"{count} more answers", CALL_S)
-
-
 def test_lowest_class_is_served_in_endless_overload(tmp_path: Path) -> None:
     # Requests of the top tier come through two instances without an end, three for each slot of
     # the one engine. A bulk request comes by way of each instance. Both are answered while the
@@ -70,14 +28,14 @@
     bulk = {**deployment.classes["bulk"], "assured_share": SHARE}
     deployment = replace(deployment, classes={**deployment.classes, "bulk": bulk})
     with chats(deployment, tmp_path) as callers, ThreadPoolExecutor(CALLERS) as pool:
-        with Overload(callers, pool) as overload:
-            overload.wait_more(2 * CALLERS)
+        with Crowd(callers, pool, size=CALLERS, instances=2, answer=ANSWER) as overload:
+            overload.wait_whole(2 * CALLERS)
             lower = [
                 callers.send(f"essay {it} {ANSWER}", instance=it, customer=BULK) for it in (1, 2)
             ]
             answered = [each.result(CALL_S) for each in lower]
             before = len(overload.answers)
-            overload.wait_more(CALLERS)
+            overload.wait_whole(CALLERS)
 
         assert [each.is_whole() for each in answered] == [True, True]
         assert len(overload.answers) >= before + CALLERS
