Give the records of crashes a module of their own

Cause: quarantine had grown to 396 lines: what is evidence, how instances merge it, who is refused and how the news travels. Ruled out: splitting off the news, which is short and all of it reads the state of verdicts. Change: crash_records merges; names without a leading underscore where they are used from outside. Conclusion: no behaviour has changed.

--- a/packages/turmericweir-core/turmericweir_core/quarantine.py
+++ b/packages/turmericweir-core/turmericweir_core/quarantine.py
@@ -13,23 +13,23 @@
 Crash records are sets that only grow, so instances merge them in any order and come to the same
 verdicts. Who learns something first tells everyone in the region, twice; a newcomer, and now and
 then everyone, asks a peer for what it missed.
-
-Two things would blame an innocent for a crash that was not its own. An instance that has no report
-of a server does not know its incarnation, so its record of a crash has another name than the
-others'; the two are joined by their time. And a request that is sent before the news of a crash has
-arrived finds a connection that takes it and breaks: it began after the crash, so it is cleared of
-it by the instance that sent it.
 """
 
 from __future__ import annotations
 
-from collections import Counter
 from collections.abc import Iterable
 from typing import TYPE_CHECKING, Final
 
 import xxhash
 
 from turmericweir_core import membership
+from turmericweir_core.crash_records import (
+    SENDINGS,
+    clear_late,
+    kept_as,
+    merge_record,
+    recount,
+)
 from turmericweir_core.effects import Effect, Log, SendDatagram, SendPeer
 from turmericweir_core.events import ServerReport
 from turmericweir_core.ids import InstanceName, ServerName
@@ -38,9 +38,7 @@
     Break,
     Crash,
     CrashKey,
-    QuarantineState,
     crash_key,
-    is_named,
 )
 from turmericweir_core.request import Attempt, Request
 from turmericweir_core.server_table import note_unreachable
@@ -50,18 +48,11 @@
 
 # Crashes at which a fingerprint is refused.
 _CONVICTING: Final = 2
-# How often each news is sent to everyone.
-_SENDINGS: Final = 2
 _RESEND_S: Final = 1.0
 # A server that restarts fast answers a new connection before its report shows a new incarnation.
 _BREAK_KEEP_S: Final = 10.0
 # A report that was on its way when the server crashed is no sign of life.
 _REPORT_ON_WAY_S: Final = 1.0
-# Instances see one crash at the same moment, but for the way of the news; and no server is back and
-# crashes again within this time.
-# TODO: a server that vanishes without a word breaks its connections over seconds. It matters where
-# such a server's incarnation is known to some instances only: its end counts as two crashes.
-_SAME_CRASH_S: Final = 0.75
 
 
 # --- questions of other reducers -------------------------------------------------------------
@@ -104,12 +95,12 @@
         state.quarantine.breaks.setdefault(attempt.server, []).append(broken)
         return
     key = crash_key(attempt.server, attempt.incarnation, attempt.attempt_id)
-    _add(state, now, key, now, {req.fingerprint}, set(), retracted=False)
-    crash = state.quarantine.crashes[_kept_as(state.quarantine, key, now)]
+    merge_record(state, now, key, now, {req.fingerprint}, set(), retracted=False)
+    crash = state.quarantine.crashes[kept_as(state.quarantine, key, now)]
     # Of two copies the earlier one counts: it may have been in flight.
     earlier = crash.own_started.get(req.fingerprint, attempt.started)
     crash.own_started[req.fingerprint] = min(earlier, attempt.started)
-    _clear_late(state, now)
+    clear_late(state, now)
 
 
 def note_report(state: State, now: float, report: ServerReport) -> None:
@@ -120,13 +111,13 @@
             continue
         if broken.incarnation and broken.incarnation != report.incarnation:
             key = CrashKey(report.server, broken.incarnation)
-            _add(state, now, key, broken.at, {broken.fingerprint}, set(), retracted=False)
+            merge_record(state, now, key, broken.at, {broken.fingerprint}, set(), retracted=False)
         elif now - broken.at < _REPORT_ON_WAY_S:
             quarantine.breaks.setdefault(report.server, []).append(broken)
     key = CrashKey(report.server, report.incarnation)
     crash = quarantine.crashes.get(key)
     if crash is not None and now - crash.at > _REPORT_ON_WAY_S:
-        _add(state, now, key, crash.at, set(), set(), retracted=True)
+        merge_record(state, now, key, crash.at, set(), set(), retracted=True)
 
 
 def note_cleared(state: State, now: float, fingerprint: str) -> None:
@@ -135,99 +126,7 @@
         return
     for key, crash in state.quarantine.crashes.items():
         if fingerprint in crash.suspects:
-            _add(state, now, key, crash.at, set(), {fingerprint}, retracted=False)
-
-
-def _clear_late(state: State, now: float) -> None:
-    """Clear requests of this instance of crashes that came before they were sent.
-
-    Failure: a request is sent to a server that has crashed a moment before, over a connection that
-    takes it and then breaks. Were it blamed, an innocent in trial after one crash would be refused.
-    The time of a crash that others saw is known later by the way of the news, never earlier, so
-    whatever began after it cannot have been in flight.
-    """
-    for key, crash in list(state.quarantine.crashes.items()):
-        began_after = {each for each, started in crash.own_started.items() if started > crash.at}
-        if began_after - crash.cleared:
-            _add(state, now, key, crash.at, set(), began_after, retracted=False)
-
-
-def _add(
-    state: State,
-    now: float,
-    key: CrashKey,
-    at: float,
-    suspects: set[str],
-    cleared: set[str],
-    *,
-    retracted: bool,
-    tell: bool = True,
-) -> None:
-    """Merge what is said of a crash, and tell the others if any of it is news to them."""
-    quarantine = state.quarantine
-    key = _join(quarantine, key, at)
-    crash = quarantine.crashes.get(key)
-    if crash is None:
-        crash = quarantine.crashes[key] = Crash(at, now)
-        _bound(state)
-    before = (len(crash.suspects), len(crash.cleared), crash.retracted)
-    room = state.options.crash_suspects_keep - len(crash.suspects)
-    crash.suspects.update(sorted(suspects - crash.suspects)[: max(0, room)])
-    crash.cleared.update(cleared & crash.suspects)
-    crash.retracted = crash.retracted or retracted
-    crash.at = min(crash.at, at)
-    if before == (len(crash.suspects), len(crash.cleared), crash.retracted):
-        return
-    crash.changed_at = now
-    crash.judged = False
-    if tell:
-        quarantine.unsent[key] = _SENDINGS
-    _recount(quarantine, now, state.options.suspect_keep_s)
-    quarantine.look_through = True
-
-
-def _kept_as(quarantine: QuarantineState, key: CrashKey, at: float) -> CrashKey:
-    """Give the key of the record of the same crash; the key itself where there is none."""
-    if key in quarantine.crashes:
-        return key
-    for other, crash in quarantine.crashes.items():
-        if other.server != key.server or abs(crash.at - at) > _SAME_CRASH_S:
-            continue
-        # Two named ones are two lives of the server, so two crashes.
-        if not (is_named(other) and is_named(key)):
-            return other
-    return key
-
-
-def _join(quarantine: QuarantineState, key: CrashKey, at: float) -> CrashKey:
-    """Join a crash with the record of it under another key; give the one that stays.
-
-    Failure: the instances that knew the server's incarnation and those that did not keep a record
-    each, so one crash counts as two, and an innocent that was in flight is refused. The named key
-    stays, else the smaller one, so that all instances end with the same.
-    """
-    kept = _kept_as(quarantine, key, at)
-    if kept == key or is_named(kept) or (not is_named(key) and kept < key):
-        return kept
-    quarantine.crashes[key] = quarantine.crashes.pop(kept)
-    sendings = quarantine.unsent.pop(kept, None)
-    if sendings is not None:
-        quarantine.unsent[key] = sendings
-    return key
-
-
-def _bound(state: State) -> None:
-    crashes = state.quarantine.crashes
-    while len(crashes) > state.options.crashes_keep:
-        del crashes[min(crashes, key=lambda key: crashes[key].at)]
-
-
-def _recount(quarantine: QuarantineState, now: float, keep_s: float) -> None:
-    counts: Counter[str] = Counter()
-    for crash in quarantine.crashes.values():
-        if now - crash.at <= keep_s:
-            counts.update(crash.guilty())
-    quarantine.counts = dict(counts)
+            merge_record(state, now, key, crash.at, set(), {fingerprint}, retracted=False)
 
 
 # --- verdicts --------------------------------------------------------------------------------
@@ -292,13 +191,13 @@
         if now - breaks[-1].at > _BREAK_KEEP_S:
             del quarantine.breaks[server]
     if quarantine.counts:
-        _recount(quarantine, now, state.options.suspect_keep_s)
+        recount(quarantine, now, state.options.suspect_keep_s)
 
 
 def _tell(state: State, now: float) -> list[Effect]:
     """Send the news to all of the region; a second time in case a stream broke with the first."""
     quarantine = state.quarantine
-    fresh = any(times == _SENDINGS for times in quarantine.unsent.values())
+    fresh = any(times == SENDINGS for times in quarantine.unsent.values())
     if not quarantine.unsent or (not fresh and now < quarantine.resend_due):
         return []
     quarantine.resend_due = now + _RESEND_S
@@ -378,8 +277,8 @@
         cleared = set(record.cleared)
         if not record.retracted:
             _leave_alone(state, now, key.server, at)
-        _add(state, now, key, at, suspects, cleared, retracted=record.retracted, tell=False)
-    _clear_late(state, now)
+        merge_record(state, now, key, at, suspects, cleared, retracted=record.retracted, tell=False)
+    clear_late(state, now)
     return []
 
 
