Take back one instance's late sighting of a crash, not the whole fingerprint

A request that was sent to a server after its crash was cleared by fingerprint. A copy of the very request that made the crash, sent late through another instance, so cleared the culprit, and neither that crash nor a later one counted. A second fault stood beside it: the home of the trials heard that a trial had ended before the other instance heard of the crash it made, and gave leave to the copy.

Ruled out: the proxy or the engines (their records show one life for each crash); the time within which records are joined; news that was lost.

Change: a record of a crash holds sightings (fingerprint and instance); who sent too late takes back its own. A trial that ends by a broken connection bars its fingerprint at the home for trial_delay_s, and the home gives no leave while it awaits a verdict itself.

--- a/packages/turmericweir-core/turmericweir_core/crash_records.py
+++ b/packages/turmericweir-core/turmericweir_core/crash_records.py
@@ -6,8 +6,9 @@
 Two things would blame an innocent for a crash that was not its own. An instance that has no report
 of a server does not know its incarnation, so its record of a crash has another name than the
 others'; the two are joined by their time. And a request that is sent before the news of a crash has
-arrived finds a connection that takes it and breaks: it began after the crash, so it is cleared of
-it by the instance that sent it.
+arrived finds a connection that takes it and breaks: it began after the crash, so the instance that
+sent it takes its sighting back. The sightings of other instances stand: the same request may have
+made the crash through one of them.
 """
 
 from __future__ import annotations
@@ -15,7 +16,14 @@
 from collections import Counter
 from typing import TYPE_CHECKING, Final
 
-from turmericweir_core.quarantine_state import Crash, CrashKey, QuarantineState, is_named
+from turmericweir_core.peer_messages import Sighting
+from turmericweir_core.quarantine_state import (
+    Crash,
+    CrashKey,
+    Evidence,
+    QuarantineState,
+    is_named,
+)
 
 if TYPE_CHECKING:
     from turmericweir_core.state import State
@@ -30,7 +38,7 @@
 
 
 def clear_late(state: State, now: float) -> None:
-    """Clear requests of this instance of crashes that came before they were sent.
+    """Take back this instance's sightings of requests that were sent after the crash.
 
     Failure: a request is sent to a server that has crashed a moment before, over a connection that
     takes it and then breaks. Were it blamed, an innocent in trial after one crash would be refused.
@@ -38,9 +46,13 @@
     whatever began after it cannot have been in flight.
     """
     for key, crash in list(state.quarantine.crashes.items()):
-        began_after = {each for each, started in crash.own_started.items() if started > crash.at}
-        if began_after - crash.cleared:
-            merge_record(state, now, key, crash.at, set(), began_after, retracted=False)
+        late = frozenset(
+            Sighting(each, state.me.name)
+            for each, started in crash.own_started.items()
+            if started > crash.at
+        )
+        if late - crash.late:
+            merge_record(state, now, key, crash.at, Evidence(late=late))
 
 
 def merge_record(
@@ -48,10 +60,8 @@
     now: float,
     key: CrashKey,
     at: float,
-    suspects: set[str],
-    cleared: set[str],
+    evidence: Evidence,
     *,
-    retracted: bool,
     tell: bool = True,
 ) -> None:
     """Merge what is said of a crash, and tell the others if any of it is news to them."""
@@ -61,13 +71,14 @@
     if crash is None:
         crash = quarantine.crashes[key] = Crash(at, now)
         _bound(state)
-    before = (len(crash.suspects), len(crash.cleared), crash.retracted)
+    before = _size(crash)
     room = state.options.crash_suspects_keep - len(crash.suspects)
-    crash.suspects.update(sorted(suspects - crash.suspects)[: max(0, room)])
-    crash.cleared.update(cleared & crash.suspects)
-    crash.retracted = crash.retracted or retracted
+    crash.suspects.update(sorted(evidence.suspects - crash.suspects)[: max(0, room)])
+    crash.late.update(evidence.late & crash.suspects)
+    crash.cleared.update(evidence.cleared & {each.fingerprint for each in crash.suspects})
+    crash.retracted = crash.retracted or evidence.retracted
     crash.at = min(crash.at, at)
-    if before == (len(crash.suspects), len(crash.cleared), crash.retracted):
+    if before == _size(crash):
         return
     crash.changed_at = now
     crash.judged = False
@@ -77,6 +88,11 @@
     quarantine.look_through = True
 
 
+def _size(crash: Crash) -> tuple[int, int, int, bool]:
+    """Give what differs after a record has grown."""
+    return len(crash.suspects), len(crash.late), len(crash.cleared), crash.retracted
+
+
 def kept_as(quarantine: QuarantineState, key: CrashKey, at: float) -> CrashKey:
     """Give the key of the record of the same crash; the key itself where there is none."""
     if key in quarantine.crashes:
--- a/packages/turmericweir-core/turmericweir_core/lifecycle.py
+++ b/packages/turmericweir-core/turmericweir_core/lifecycle.py
@@ -205,7 +205,8 @@
     effects = release(state, now, req, attempt)
     effects += attempt_books.report_end(now, attempt, event.end)
     req.attempt = None
-    effects += trial.note_ended(state, now, attempt.attempt_id)
+    broken = isinstance(event.end, EndBroken)
+    effects += trial.note_ended(state, now, attempt.attempt_id, broken=broken)
     effects += _settle(state, now, req, attempt, event.end)
     return effects + dispatch(state, now, req.target)
 
--- a/packages/turmericweir-core/turmericweir_core/peer_messages.py
+++ b/packages/turmericweir-core/turmericweir_core/peer_messages.py
@@ -355,6 +355,14 @@
 # --- quarantine: requests that were in flight at a server's crash; see `quarantine` ---------------
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class Sighting:
+    """A request that was in flight at a crash, and the instance that had sent it."""
+
+    fingerprint: str
+    instance: str
+
+
 @dataclass(frozen=True, slots=True)
 class CrashRecord:
     """What is known of one crash; two records of the same crash are merged."""
@@ -364,8 +372,10 @@
     incarnation: str
     # Seconds since it was seen first.
     age_s: float
-    # Requests that were in flight, and those of them that completed later.
-    suspects: list[str] = field(default_factory=list)
+    # Requests that were in flight, and those of them that were sent only after the crash.
+    suspects: list[Sighting] = field(default_factory=list)
+    late: list[Sighting] = field(default_factory=list)
+    # Fingerprints that have completed later, through whichever instance.
     cleared: list[str] = field(default_factory=list)
     # The server was seen alive in the same life: it was not a crash.
     retracted: bool = False
@@ -408,6 +418,8 @@
 
     server: str
     fingerprint: str
+    # Its connection broke: the server may have crashed.
+    broken: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/turmericweir-core/turmericweir_core/quarantine.py
+++ b/packages/turmericweir-core/turmericweir_core/quarantine.py
@@ -33,11 +33,12 @@
 from turmericweir_core.effects import Effect, Log, SendDatagram, SendPeer
 from turmericweir_core.events import ServerReport
 from turmericweir_core.ids import InstanceName, ServerName
-from turmericweir_core.peer_messages import CrashesAsk, CrashNews, CrashRecord
+from turmericweir_core.peer_messages import CrashesAsk, CrashNews, CrashRecord, Sighting
 from turmericweir_core.quarantine_state import (
     Break,
     Crash,
     CrashKey,
+    Evidence,
     crash_key,
 )
 from turmericweir_core.request import Attempt, Request
@@ -95,7 +96,7 @@
         state.quarantine.breaks.setdefault(attempt.server, []).append(broken)
         return
     key = crash_key(attempt.server, attempt.incarnation, attempt.attempt_id)
-    merge_record(state, now, key, now, {req.fingerprint}, set(), retracted=False)
+    merge_record(state, now, key, now, _seen(state, req.fingerprint))
     crash = state.quarantine.crashes[kept_as(state.quarantine, key, now)]
     # Of two copies the earlier one counts: it may have been in flight.
     earlier = crash.own_started.get(req.fingerprint, attempt.started)
@@ -111,13 +112,13 @@
             continue
         if broken.incarnation and broken.incarnation != report.incarnation:
             key = CrashKey(report.server, broken.incarnation)
-            merge_record(state, now, key, broken.at, {broken.fingerprint}, set(), retracted=False)
+            merge_record(state, now, key, broken.at, _seen(state, broken.fingerprint))
         elif now - broken.at < _REPORT_ON_WAY_S:
             quarantine.breaks.setdefault(report.server, []).append(broken)
     key = CrashKey(report.server, report.incarnation)
     crash = quarantine.crashes.get(key)
     if crash is not None and now - crash.at > _REPORT_ON_WAY_S:
-        merge_record(state, now, key, crash.at, set(), set(), retracted=True)
+        merge_record(state, now, key, crash.at, Evidence(retracted=True))
 
 
 def note_cleared(state: State, now: float, fingerprint: str) -> None:
@@ -125,8 +126,12 @@
     if not is_suspect(state, fingerprint):
         return
     for key, crash in state.quarantine.crashes.items():
-        if fingerprint in crash.suspects:
-            merge_record(state, now, key, crash.at, set(), {fingerprint}, retracted=False)
+        if fingerprint in crash.in_flight():
+            merge_record(state, now, key, crash.at, Evidence(cleared=frozenset({fingerprint})))
+
+
+def _seen(state: State, fingerprint: str) -> Evidence:
+    return Evidence(suspects=frozenset({Sighting(fingerprint, state.me.name)}))
 
 
 # --- verdicts --------------------------------------------------------------------------------
@@ -161,7 +166,7 @@
 
 def _pardon(state: State, crash: Crash) -> None:
     """Take back the verdicts that rested on a crash which was none."""
-    for fingerprint in crash.suspects:
+    for fingerprint in {each.fingerprint for each in crash.suspects}:
         if crash_count(state, fingerprint) < _CONVICTING:
             state.quarantine.refused.pop(fingerprint, None)
 
@@ -190,6 +195,9 @@
     for server, breaks in list(quarantine.breaks.items()):
         if now - breaks[-1].at > _BREAK_KEEP_S:
             del quarantine.breaks[server]
+    for fingerprint, until in list(quarantine.barred.items()):
+        if now >= until:
+            del quarantine.barred[fingerprint]
     if quarantine.counts:
         recount(quarantine, now, state.options.suspect_keep_s)
 
@@ -224,6 +232,7 @@
         incarnation=key.incarnation,
         age_s=max(0.0, now - crash.at),
         suspects=sorted(crash.suspects),
+        late=sorted(crash.late),
         cleared=sorted(crash.cleared),
         retracted=crash.retracted,
     )
@@ -246,7 +255,13 @@
 
 def _crashes_hash(state: State) -> int:
     rows = [
-        (*key, sorted(crash.suspects), sorted(crash.cleared), crash.retracted)
+        (
+            *key,
+            sorted(crash.suspects),
+            sorted(crash.late),
+            sorted(crash.cleared),
+            crash.retracted,
+        )
         for key, crash in sorted(state.quarantine.crashes.items())
     ]
     return xxhash.xxh32_intdigest(repr(rows).encode()) if rows else 0
@@ -272,12 +287,16 @@
         if record.age_s > state.options.quarantine_s:
             continue
         key = CrashKey(ServerName(record.server), record.incarnation)
-        suspects = set(record.suspects)
         at = now - max(0.0, record.age_s)
-        cleared = set(record.cleared)
+        evidence = Evidence(
+            frozenset(record.suspects),
+            frozenset(record.late),
+            frozenset(record.cleared),
+            record.retracted,
+        )
         if not record.retracted:
             _leave_alone(state, now, key.server, at)
-        merge_record(state, now, key, at, suspects, cleared, retracted=record.retracted, tell=False)
+        merge_record(state, now, key, at, evidence, tell=False)
     clear_late(state, now)
     return []
 
--- a/packages/turmericweir-core/turmericweir_core/quarantine_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/quarantine_flow.py
@@ -52,7 +52,7 @@
         case TrialAnswer():
             return _carry_out(state, now, trial.on_answer(state, now, sender, message))
         case TrialEnd():
-            trial.on_end(state, sender, message)
+            trial.on_end(state, now, sender, message)
             return []
         case unreachable:
             assert_never(unreachable)
--- a/packages/turmericweir-core/turmericweir_core/quarantine_state.py
+++ b/packages/turmericweir-core/turmericweir_core/quarantine_state.py
@@ -6,6 +6,7 @@
 from typing import Final, NamedTuple
 
 from turmericweir_core.ids import AttemptId, InstanceName, RequestId, ServerName
+from turmericweir_core.peer_messages import Sighting
 from turmericweir_core.request import Request
 
 NEVER: Final = float("-inf")
@@ -38,9 +39,12 @@
     at: float
     # When something was last learnt of it; the verdict waits for this to settle.
     changed_at: float
-    # Fingerprints of the requests that were in flight.
-    suspects: set[str] = field(default_factory=set)
-    # Those of them that have completed since, or come past where they were.
+    # The requests that were in flight, as each instance saw them.
+    suspects: set[Sighting] = field(default_factory=set)
+    # Those of them that were sent only after the crash. The same request may have been in flight
+    # through another instance.
+    late: set[Sighting] = field(default_factory=set)
+    # Fingerprints that have completed since, or come past where they were.
     cleared: set[str] = field(default_factory=set)
     # The server was seen alive in the same life: a network fault, not a crash.
     retracted: bool = False
@@ -52,7 +56,21 @@
 
     def guilty(self) -> set[str]:
         """Give the fingerprints that may have made the crash."""
-        return set() if self.retracted else self.suspects - self.cleared
+        return set() if self.retracted else self.in_flight() - self.cleared
+
+    def in_flight(self) -> set[str]:
+        """Give the fingerprints that were in flight through some instance."""
+        return {each.fingerprint for each in self.suspects - self.late}
+
+
+@dataclass(frozen=True, slots=True)
+class Evidence:
+    """What is learnt of a crash at once; see `Crash` for its parts."""
+
+    suspects: frozenset[Sighting] = frozenset()
+    late: frozenset[Sighting] = frozenset()
+    cleared: frozenset[str] = frozenset()
+    retracted: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,6 +130,8 @@
     held: dict[RequestId, HeldSuspect] = field(default_factory=dict)
     own: dict[AttemptId, OwnTrial] = field(default_factory=dict)
     given: dict[ServerName, GivenTrial] = field(default_factory=dict)
+    # Fingerprints whose trial broke a moment ago, and until when they get no other, at their home.
+    barred: dict[str, float] = field(default_factory=dict)
     # Crashes of which the others are still to be told, and how often.
     unsent: dict[CrashKey, int] = field(default_factory=dict)
     resend_due: float = NEVER
