Give attempts and their ends a module of their own

Ruled out: a split by kind of request; both kinds share nearly all of it. Change: attempt_flow takes what follows from an attempt's start, progress and end; lifecycle keeps arrival, giving up and the final word. Nothing else is changed. The tests of lifecycle, quarantine and claims passed.

--- a/packages/turmericweir-core/turmericweir_core/attempt_books.py
+++ b/packages/turmericweir-core/turmericweir_core/attempt_books.py
@@ -78,7 +78,7 @@
         case EndRefused():
             return "refused"
         case EndUnsent():
-            # What was reported as begun counts as broken, as `lifecycle` takes it.
+            # What was reported as begun counts as broken, as `attempt_flow` takes it.
             return "broken" if attempt.sent else "unsent"
         case EndBroken():
             return "broken"
--- a/packages/turmericweir-core/turmericweir_core/quarantine_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/quarantine_flow.py
@@ -1,7 +1,8 @@
 """Carries out what `quarantine` and `trial` decide: the reducer's way into both.
 
-Suspects come into `trial`'s hands from `lifecycle`, where they are admitted or wait for another
-attempt; here they go on to an attempt of their own, back to a queue, or to their end.
+Suspects come into `trial`'s hands from `lifecycle`, where they are admitted, or from
+`attempt_flow`, where they wait for another attempt; here they go on to an attempt of their own,
+back to a queue, or to their end.
 """
 
 from __future__ import annotations
--- a/packages/turmericweir-core/turmericweir_core/reducer.py
+++ b/packages/turmericweir-core/turmericweir_core/reducer.py
@@ -12,6 +12,7 @@
 
 from turmericweir_core import (
     attempt_books,
+    attempt_flow,
     claim_carry,
     claim_flow,
     claim_members,
@@ -114,11 +115,11 @@
 def _apply(state: State, now: float, event: Event) -> list[Effect]:
     match event:
         case AttemptProgress():
-            return lifecycle.on_progress(state, now, event)
+            return attempt_flow.on_progress(state, now, event)
         case AttemptSent():
-            return lifecycle.on_sent(state, now, event)
+            return attempt_flow.on_sent(state, now, event)
         case AttemptEnded():
-            return lifecycle.on_ended(state, now, event)
+            return attempt_flow.on_ended(state, now, event)
         case RequestArrived():
             effects = lifecycle.on_arrived(state, now, event)
             return effects + claim_flow.on_arrived(state, now, event.request)
--- a/packages/turmericweir-core/turmericweir_core/trial.py
+++ b/packages/turmericweir-core/turmericweir_core/trial.py
@@ -8,7 +8,7 @@
 trial. Where no home answers in time, a suspect runs without leave rather than not at all.
 
 A suspect that waits stands outside the queues, since it would hold up whatever waits behind it.
-This module decides; `lifecycle` carries the decisions out.
+This module decides; `quarantine_flow` carries the decisions out.
 """
 
 from __future__ import annotations
