Count a crash that no connection showed to its instance

Two ways lead there: the network swallows the end of the connection, and the attempt is given up for its silence; or the attempt is stopped (displaced, moved) while a broken connection's server is tried anew. A third way was seen in the code only: a break was forgotten when a report more than 1 s later still showed the old life.

Change: an attempt that was given up for its silence leaves a break behind, which the server's next report turns into a crash or not. An attempt that is stopped after its connection broke ends as broken; the reason to stop it decides what becomes of it.

Figures: the three new cases fail without the change.

--- a/packages/turmericweir-core/turmericweir_core/attempt_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/attempt_flow.py
@@ -132,11 +132,15 @@
             if not server_alive:
                 note_unreachable(state.servers, state.options, now, attempt.server)
             quarantine.note_broken(state, now, req, attempt, server_alive)
+            log = _attempt_log(req, attempt, "broken", error)
+            if attempt.cancelled is not None:
+                # It broke while it was being stopped, for a reason that stands all the same.
+                return [log, *_after_cancel(state, now, req, attempt)]
             # What a crash cut off adds no load by going on elsewhere: its server has none now. The
             # budget is for the rest, and a crash of a full server would spend it at a stroke.
             paid = server_alive
             effects = _after_loss(state, now, req, attempt, Reason.SERVER_LOST, paid=paid)
-            return [_attempt_log(req, attempt, "broken", error), *effects]
+            return [log, *effects]
         case EndServerError(status):
             req.may_have_run = True
             effects = _after_loss(state, now, req, attempt, Reason.SERVER_ERROR)
@@ -199,6 +203,7 @@
         case CancelReason.SILENT | None if not attempt.sent:
             return _try_again(state, now, req, attempt, Reason.NO_SERVER, paid=False)
         case CancelReason.SILENT:
+            quarantine.note_silent(state, now, req, attempt)
             # Paid for when it was doubted.
             return _after_loss(state, now, req, attempt, Reason.SERVER_LOST, paid=False)
         case None:
--- a/packages/turmericweir-core/turmericweir_core/quarantine.py
+++ b/packages/turmericweir-core/turmericweir_core/quarantine.py
@@ -92,15 +92,33 @@
         return
     if alive:
         # No sign of a crash, unless the next report is of another incarnation.
-        broken = Break(now, attempt.incarnation, req.fingerprint)
+        broken = Break(now, attempt.incarnation, req.fingerprint, attempt.started)
         state.quarantine.breaks.setdefault(attempt.server, []).append(broken)
         return
     key = crash_key(attempt.server, attempt.incarnation, attempt.attempt_id)
-    merge_record(state, now, key, now, _seen(state, req.fingerprint))
-    crash = state.quarantine.crashes[kept_as(state.quarantine, key, now)]
+    _note_seen(state, now, key, now, req.fingerprint, attempt.started)
+
+
+def note_silent(state: State, now: float, req: Request, attempt: Attempt) -> None:
+    """Take a connection that was given up for its silence.
+
+    Failure: a server crashes behind a network that swallows its last words. Its connection does not
+    break, so the request that crashed it counts as merely unlucky and goes on to the next server.
+    Whether the server restarted shows in its next report, as after any break.
+    """
+    note_broken(state, now, req, attempt, alive=True)
+
+
+def _note_seen(
+    state: State, now: float, key: CrashKey, at: float, fingerprint: str, started: float
+) -> None:
+    """Record that a request of this instance was in flight at a crash."""
+    seen = Evidence(suspects=frozenset({Sighting(fingerprint, state.me.name)}))
+    merge_record(state, now, key, at, seen)
+    crash = state.quarantine.crashes[kept_as(state.quarantine, key, at)]
     # Of two copies the earlier one counts: it may have been in flight.
-    earlier = crash.own_started.get(req.fingerprint, attempt.started)
-    crash.own_started[req.fingerprint] = min(earlier, attempt.started)
+    earlier = crash.own_started.get(fingerprint, started)
+    crash.own_started[fingerprint] = min(earlier, started)
     clear_late(state, now)
 
 
@@ -112,8 +130,9 @@
             continue
         if broken.incarnation and broken.incarnation != report.incarnation:
             key = CrashKey(report.server, broken.incarnation)
-            merge_record(state, now, key, broken.at, _seen(state, broken.fingerprint))
-        elif now - broken.at < _REPORT_ON_WAY_S:
+            _note_seen(state, now, key, broken.at, broken.fingerprint, broken.started)
+        else:
+            # Reports lag, and on a busy machine by seconds: this one may be from before the break.
             quarantine.breaks.setdefault(report.server, []).append(broken)
     key = CrashKey(report.server, report.incarnation)
     crash = quarantine.crashes.get(key)
@@ -123,6 +142,9 @@
 
 def note_cleared(state: State, now: float, fingerprint: str) -> None:
     """Clear a suspect that has completed, or has come past where it was at the crash."""
+    for server, breaks in state.quarantine.breaks.items():
+        kept = [each for each in breaks if each.fingerprint != fingerprint]
+        state.quarantine.breaks[server] = kept
     if not is_suspect(state, fingerprint):
         return
     for key, crash in state.quarantine.crashes.items():
@@ -130,10 +152,6 @@
             merge_record(state, now, key, crash.at, Evidence(cleared=frozenset({fingerprint})))
 
 
-def _seen(state: State, fingerprint: str) -> Evidence:
-    return Evidence(suspects=frozenset({Sighting(fingerprint, state.me.name)}))
-
-
 # --- verdicts --------------------------------------------------------------------------------
 
 
@@ -193,7 +211,7 @@
         if now >= until:
             del quarantine.refused[fingerprint]
     for server, breaks in list(quarantine.breaks.items()):
-        if now - breaks[-1].at > _BREAK_KEEP_S:
+        if not breaks or now - breaks[-1].at > _BREAK_KEEP_S:
             del quarantine.breaks[server]
     for fingerprint, until in list(quarantine.barred.items()):
         if now >= until:
--- a/packages/turmericweir-core/turmericweir_core/quarantine_state.py
+++ b/packages/turmericweir-core/turmericweir_core/quarantine_state.py
@@ -80,6 +80,8 @@
     at: float
     incarnation: str
     fingerprint: str
+    # When the attempt had begun.
+    started: float
 
 
 @dataclass(slots=True)
--- a/packages/turmericweir/turmericweir/backend_attempt.py
+++ b/packages/turmericweir/turmericweir/backend_attempt.py
@@ -52,11 +52,13 @@
 class Attempt:
     """One attempt: sends the request, has the answer consumed, classifies the end."""
 
-    __slots__ = ("_first_byte", "_kept", "node", "pool", "start")
+    __slots__ = ("_first_byte", "_kept", "broke", "node", "pool", "start")
 
     node: Node
     pool: BackendPool
     start: StartAttempt
+    # How the connection was lost after something had been written to it; empty before that.
+    broke: str
     _first_byte: FirstByte
     # Its connection was kept from an earlier request.
     _kept: bool
@@ -65,6 +67,7 @@
         self.node = node
         self.pool = pool
         self.start = start
+        self.broke = ""
         self._first_byte = FirstByte(self._announce)
         self._kept = False
 
@@ -98,6 +101,7 @@
         """Classify a loss of the connection by what had been written to it."""
         if not self.sent:
             return EndUnsent(error)
+        self.broke = error
         return EndBroken(error, await is_alive(self.pool, self.start.address))
 
     async def refusal(
--- a/packages/turmericweir/turmericweir/backend_engine.py
+++ b/packages/turmericweir/turmericweir/backend_engine.py
@@ -76,6 +76,11 @@
         """Whether the engine may have begun."""
         return self._attempt.sent
 
+    @property
+    def broke(self) -> str:
+        """How the connection was lost; empty while it was not."""
+        return self._attempt.broke
+
     async def run(self) -> AttemptEnd:
         """Run the attempt to its end."""
         start = self._start
--- a/packages/turmericweir/turmericweir/backend_service.py
+++ b/packages/turmericweir/turmericweir/backend_service.py
@@ -130,6 +130,11 @@
         """Whether the service may have begun."""
         return self._attempt.sent
 
+    @property
+    def broke(self) -> str:
+        """How the connection was lost; empty while it was not."""
+        return self._attempt.broke
+
     async def run(self) -> AttemptEnd:
         """Run the attempt to its end."""
         plain_call = self._call
--- a/packages/turmericweir/turmericweir/exchange.py
+++ b/packages/turmericweir/turmericweir/exchange.py
@@ -24,6 +24,7 @@
     AttemptEnded,
     AttemptProgress,
     CallerLeft,
+    EndBroken,
     EndCancelled,
     RequestArrived,
 )
@@ -52,6 +53,10 @@
     def sent(self) -> bool:
         """Whether the server may have begun."""
 
+    @property
+    def broke(self) -> str:
+        """How the connection was lost; empty while it was not."""
+
     async def run(self) -> AttemptEnd:
         """Run to the end."""
 
@@ -271,6 +276,17 @@
             self._woken = None
         return self._decisions.popleft()
 
+    def _stopped(self, attempt: RunningAttempt) -> AttemptEnd:
+        """Say how an attempt ended that was stopped.
+
+        Failure: its server crashes, and it is stopped for another reason while a new connection is
+        tried. Were the break forgotten, the request would not be known as one that was in flight.
+        Whether the server lives was not learnt, so its next report is to say.
+        """
+        if attempt.broke:
+            return EndBroken(attempt.broke, server_alive=True)
+        return EndCancelled(self.job.tokens(attempt))
+
     async def _run_attempt(self, start: StartAttempt) -> None:
         end: AttemptEnd | None = None
         attempt = self.job.attempt(self._node, self._pool, start)
@@ -286,7 +302,7 @@
             self._attempt_id = None
             self._scope = None
         if end is None:
-            end = EndCancelled(self.job.tokens(attempt))
+            end = self._stopped(attempt)
             if attempt.sent:
                 self._node.in_background(self.job.cancelled, self._pool, start)
         self._node.handle(AttemptEnded(start.request_id, start.attempt_id, end))
--- a/tests/core/fault_world.py
+++ b/tests/core/fault_world.py
@@ -137,6 +137,7 @@
         self.delays: Callable[[PeerMessage], bool] = lambda message: False
         self._late_mail: list[tuple[InstanceName, PeerReceived]] = []
         self._mail: list[tuple[InstanceName, PeerReceived]] = []
+        self._unheard: dict[AttemptId, Run] = {}
         self._seq = 0
         for _ in range(instances):
             self.add_instance()
@@ -212,6 +213,7 @@
 
     def _cancel(self, instance: InstanceName, effect: CancelAttempt) -> None:
         run = self.servers[effect.server].running.pop(effect.attempt_id, None)
+        run = run or self._unheard.pop(effect.attempt_id, None)
         if run is not None:
             self._end(instance, run.start, EndCancelled(run.tokens))
 
@@ -231,7 +233,11 @@
         runs = list(self.servers[name].running.values())
         self.servers[name].running.clear()
         for run in runs:
-            self._end(run.instance, run.start, EndBroken("reset", server_alive=alive))
+            if run.fingerprint in self.lost:
+                # Its instance hears nothing of it until it gives the connection up.
+                self._unheard[run.start.attempt_id] = run
+            else:
+                self._end(run.instance, run.start, EndBroken("reset", server_alive=alive))
 
     def _step_server(self, name: ServerName, server: FakeServer) -> None:
         if self.now < server.down_until or server.mute or server.frozen:
--- a/tests/core/test_quarantine.py
+++ b/tests/core/test_quarantine.py
@@ -11,10 +11,11 @@
 from tests.core.fault_world import FaultWorld
 from turmericweir_core.account import Outcome
 from turmericweir_core.config import Kind
-from turmericweir_core.ids import ServerName
+from turmericweir_core.ids import RequestId, ServerName
 from turmericweir_core.options import Options
 from turmericweir_core.peer_messages import CrashNews, PeerMessage, TrialAnswer, TrialAsk, TrialEnd
 from turmericweir_core.quarantine_state import CrashKey
+from turmericweir_core.request import CancelReason
 
 POISON: Final = "poison"
 QUARANTINED: Final = (Outcome.FAILED, "quarantined")
@@ -178,6 +179,58 @@
     assert "again" not in world.accounts
 
 
+def test_crash_behind_a_silent_connection() -> None:
+    # The server crashes and is back, and the network swallows the end of the connection. The caller
+    # waits until the silence is given up. The server's report shows a new life by then, so the
+    # request was in flight at a crash, though nothing broke.
+    world = FaultWorld(instances=2, servers=2)
+    world.moment()
+    world.arrive("one")
+    world.lost.add("one")
+    world.moment()
+    world.crash(world.runs[0][1], "one", alive=True)
+    state = world.states[next(iter(world.states))]
+    while not state.quarantine.crashes:
+        assert world.now < 110.0, "the crash was not noticed"
+        world.moment()
+    assert state.quarantine.counts == {"one": 1}
+
+
+def test_report_from_before_the_crash_comes_late() -> None:
+    # A connection breaks, its server answers a new one, and a report of the old life is still on
+    # its way for longer than usual. The next shows the new life: that was a crash all the same.
+    world = FaultWorld(instances=1, servers=2)
+    world.moment()
+    world.arrive("one")
+    world.moment()
+    name = world.runs[0][1]
+    world.break_all(name, alive=True)
+    world.advance(2.0)
+    world.servers[name].life += 1
+    state = world.states[next(iter(world.states))]
+    world.moment()
+    assert state.quarantine.counts == {"one": 1}
+
+
+def test_crash_while_the_attempt_is_being_stopped() -> None:
+    # The request is displaced, and its server crashes before the attempt has ended. It waits for
+    # another server as a displaced one does, without pay, and was in flight at a crash.
+    world = FaultWorld(instances=1, servers=2)
+    world.moment()
+    world.arrive("one")
+    state = world.states[next(iter(world.states))]
+    attempt = state.requests[RequestId("one")].attempt
+    assert attempt is not None
+    attempt.cancelled = CancelReason.DISPLACED
+    tokens = state.retries.tokens
+    world.crash(attempt.server, "one", alive=True)
+    world.moment()
+    assert state.quarantine.counts == {"one": 1}
+    assert state.retries.tokens == tokens
+    world.advance_until_told()
+    assert world.outcome("one") == COMPLETED
+
+
 def test_server_that_restarts_before_it_is_seen_down() -> None:
     # The server is back before anyone has tried a new connection. Its report shows a new life, so
     # what broke there shortly before is suspect all the same.
