Let a carried claim settle its key for a reader that is not whole yet

Cause: test_long_pause (the holder whose record is gone) timed out in one run on a busy machine: the instance that had been frozen answered `unknown` for a key whose call had run and ended. By the platform's record the key was carried once, in a record that told the floor of before (0), so the reader that started at 4 was not whole when it read it and entered the claim as unsure. Every later record about the key only touched the unsure entry, and on a quiet stream the key is carried again after `claim_carry_s`, an hour. Until then its callers there got `unknown`.

Ruled out: waiting longer in the test (nothing further comes). Asking for a floor (a floor beyond the last touch can't come before the key is carried again).

Change: a carried claim of a sure writer, composed after this reader's start and after all that touched the key, is sure whether the reader is whole or not: the writer knew the holder at `upto` and the reader has read all records since. Where the reader has no entry, any withdrawal since counts as a touch. The property tests now also check what a reader that is not whole is sure of.

Conclusion: mended; an entry that was touched between the writer's reading and its record still waits for the next carrying.

--- a/packages/turmericweir-core/turmericweir_core/claim_ledger.py
+++ b/packages/turmericweir-core/turmericweir_core/claim_ledger.py
@@ -29,7 +29,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 from itertools import islice
-from typing import Any
+from typing import Any, Final
 
 from turmericweir_core.claim_clock import StreamClock, note_clock
 from turmericweir_core.claim_record import (
@@ -56,6 +56,8 @@
 )
 from turmericweir_core.options import Options
 
+NO_RECORD: Final = -1
+
 
 @dataclass(slots=True)
 class Claim:
@@ -95,6 +97,8 @@
     clock: StreamClock = field(default_factory=StreamClock)
     # Who may claim.
     views: ViewLedger = field(default_factory=ViewLedger)
+    # Offset of the last record that withdrew anything, whether or not this reader knew the claim.
+    withdrawn_at: int = NO_RECORD
     # Offset of the last record whose writer could tell no floor and so asks for one.
     floor_asked_at: int = NO_FLOOR
     malformed: int = 0
@@ -175,6 +179,8 @@
     sure = ledger.whole and vouched
     for carried in batch.carried:
         _fold_carried(ledger, offset, batch, carried, result)
+    if batch.withdrawn:
+        ledger.withdrawn_at = offset
     for withdrawn in batch.withdrawn:
         _fold_withdrawal(ledger, offset, batch.writer, withdrawn, result)
     for end in batch.ends:
@@ -240,14 +246,12 @@
         if known.claim.request_id == carried.claim.request_id:
             _keep(ledger, known, offset)
         return
-    if known is None:
-        # A whole reader that has no entry has seen it withdrawn, or expire.
-        if not ledger.whole:
-            _enter(ledger, _claim_carried(carried, offset, unsure=True))
-            result.touched.add(key)
+    if known is None and ledger.whole:
+        # It has seen the claim withdrawn, or expire.
         return
-    if _settles(ledger, batch, known, carried):
-        _enter(ledger, _claim_carried(carried, offset, unsure=False))
+    settled = _settles(ledger, batch, known, carried)
+    if known is None or settled:
+        _enter(ledger, _claim_carried(carried, offset, unsure=not settled))
         result.touched.add(key)
         return
     # Still unsure: block for as long as any of the claims in question would hold the key.
@@ -258,10 +262,18 @@
     ledger.claims.move_to_end(key)
 
 
-def _settles(ledger: Ledger, batch: Batch, known: Claim, carried: CarriedClaim) -> bool:
-    """Tell whether a carried claim is the truth about a key whose entry is unsure."""
-    read_since = ledger.whole and batch.upto >= ledger.start
-    return read_since and not carried.unsure and known.seen_at < batch.upto
+def _settles(ledger: Ledger, batch: Batch, known: Claim | None, carried: CarriedClaim) -> bool:
+    """Tell whether a carried claim is the truth about a key that this reader is not sure of.
+
+    Its writer knew who held the key at `upto`. That is the holder still if nothing has freed the
+    key since, and this reader has read all records since. It need not be whole for that: were it
+    to wait until then, and the key not carried again for long, its callers would get `unknown` for
+    a call of which the end is known.
+    """
+    if carried.unsure or batch.upto < ledger.start:
+        return False
+    touched_at = ledger.withdrawn_at if known is None else known.seen_at
+    return touched_at < batch.upto
 
 
 def _claim_carried(carried: CarriedClaim, offset: int, *, unsure: bool) -> Claim:
--- a/tests/core/test_claim_ledger.py
+++ b/tests/core/test_claim_ledger.py
@@ -163,10 +163,20 @@
     restart(ledger, start)
     for offset in range(start, len(stream.records)):
         fold(ledger, OPTIONS, offset, stream.records[offset])
+        check_sure(ledger, stream.history[offset + 1])
         if ledger.whole:
             check_against(ledger, stream.history[offset + 1])
 
 
+def check_sure(ledger: Ledger, truth: Ledger) -> None:
+    """Check that whom a reader is sure of holds the key in truth, whole or not."""
+    for key in KEYS:
+        found = holder_of(ledger, OPTIONS, key)
+        true_holder = holder_of(truth, OPTIONS, key)
+        if found is not None and not found.unsure and true_holder is not None:
+            assert found.claim == true_holder.claim
+
+
 def check_against(ledger: Ledger, truth: Ledger) -> None:
     """Check that every key that is held in truth is blocked, and by whom where it is sure."""
     for key in KEYS:
@@ -203,6 +213,7 @@
     restart(ledger, start)
     for offset in range(start, len(stream.records)):
         fold(ledger, OPTIONS, offset, stream.records[offset])
+        check_sure(ledger, stream.history[offset + 1])
         if ledger.whole:
             check_against(ledger, stream.history[offset + 1])
 
@@ -280,6 +291,12 @@
     return found.claim.request_id if found else None
 
 
+def sure_of(ledger: Ledger) -> str | None:
+    """Give the request of which a reader is sure that it holds key a."""
+    found = holder_of(ledger, OPTIONS, "a")
+    return found.claim.request_id if found is not None and not found.unsure else None
+
+
 def test_first_claim_holds_until_it_is_withdrawn() -> None:
     script = Script()
     script.add(0, 1, claim="r1")
@@ -358,6 +375,57 @@
     script.check_from(1)
 
 
+def test_carried_claim_settles_a_key_before_the_reader_is_whole() -> None:
+    """The one record that carries r1 tells the floor of before it was carried, so a late reader is
+    not whole yet. It knows r1 for the holder all the same, and so knows r2 for its successor. Were
+    it unsure of either, callers would be told `unknown` there until the key is carried again, which
+    on a quiet stream takes up to `claim_carry_s`."""
+    script = Script()
+    script.add(0, 1, claim="r1")
+    script.add(1, 1)
+    script.add(1, 2, carry="r1")
+    late = Ledger()
+    restart(late, 1)
+    script.read(late)
+    assert floor_of(late) == NO_FLOOR
+    assert sure_of(late) == "r1"
+
+    script.add(0, 2, floor=NO_FLOOR, withdraw="r1")
+    script.add(1, 3, floor=2, claim="r2")
+    script.read(late)
+    assert late.whole
+    assert sure_of(late) == "r2"
+
+
+def test_carried_claim_composed_before_a_withdrawal_settles_nothing() -> None:
+    """A late reader without an entry reads a withdrawal and then a carried claim whose writer had
+    not read it. Were it sure of r1 it would take r2, which holds the key in truth, for a loser."""
+    script = Script()
+    script.add(0, 1, claim="r1")
+    script.add(0, 2, withdraw="r1")
+    script.add(1, 1, upto=1, carry="r1")
+    script.add(2, 1, claim="r2")
+    script.add(2, 2, floor=3)
+    script.check_from(1)
+
+
+def test_carried_claim_composed_before_the_start_settles_nothing() -> None:
+    """Its writer had not read what stands between there and the late reader's start: r1 was
+    withdrawn and r2 holds the key. Were the reader sure of r1, its callers would be given the
+    wrong request's end."""
+    script = Script()
+    script.add(0, 1, claim="r1")
+    script.add(0, 2, withdraw="r1")
+    script.add(2, 1, claim="r2")
+    script.add(1, 1, upto=1, carry="r1")
+    truth = Ledger()
+    script.read(truth)
+    late = Ledger()
+    restart(late, 3)
+    script.read(late)
+    check_sure(late, truth)
+
+
 def test_record_before_the_start_may_make_a_later_one_void() -> None:
     """The record that makes r1 void stands before the start. A late reader that took r1 for the
     holder would take the key for free once r1 is gone, while r2 holds it in truth."""
