Have test_metrics wait for the engine's report and not for half a second

Cause: test_all_that_is_listed_by_server_is_sent timed out in one run on a busy machine, lacking `attempt.server_error.raw-2`. The test's own engine is to serve `raw-model`, but reported that it has loaded `lm`. Until the first report an engine is taken to serve what its service lists, from then on what it reports; so the call found a server only if it came before the first probe. In the failed run, whose log has no attempt at raw-2, its 500 ms passed in the queue.

Ruled out: lost datagrams, as no attempt was made at raw-2 at all. The product did as designed.

Change: the engine reports the model that it serves, and the test waits for that report before it calls. The calls have no short deadline any more, which could pass before their first attempt: the servers answer the second attempt. Nothing that the test demands is changed.

Conclusion: the test no longer depends on which comes first.

--- a/tests/daemon/single.py
+++ b/tests/daemon/single.py
@@ -150,6 +150,13 @@
         self.cluster.list_process(Listed(name, kind, service, "dc-1", address))
         self.wait_server(name)
 
+    def wait_report(self, name: str) -> None:
+        """Wait until the instance has a load report of a backend server."""
+        wait_until(
+            lambda: self.state()["servers"]["by_name"][name]["report"] is not None,
+            f"{name} has reported",
+        )
+
     def records(self, name: str, event: str) -> list[dict[str, Any]]:
         """Read what a backend server noted of one kind."""
         records = read_records(self.cluster.record_path(name))
@@ -248,7 +255,6 @@
     "waiting": 0,
     "slots": 8,
     "limit": 8,
-    "models": [MODEL],
     "leaving": False,
 }
 
@@ -270,8 +276,10 @@
     # What came besides load probes.
     requests: list[RawRequest]
 
-    def __init__(self, answer: Callable[[RawRequest], bytes]) -> None:
+    def __init__(self, answer: Callable[[RawRequest], bytes], model: str = MODEL) -> None:
         self._answer = answer
+        # What it says that it has loaded.
+        self._model = model
         self.requests = []
         self._sock = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self._sock.getsockname()[1]}"
@@ -313,7 +321,7 @@
 
     def _answer_to(self, request: RawRequest) -> bytes:
         if request.line.startswith("GET /v1/load "):
-            body = json.dumps(LOAD).encode()
+            body = json.dumps({**LOAD, "models": [self._model]}).encode()
             return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
         self.requests.append(request)
         return self._answer(request)
--- a/tests/daemon/test_metrics.py
+++ b/tests/daemon/test_metrics.py
@@ -14,6 +14,7 @@
 
 PAGE = Path(__file__).parents[2] / "docs" / "operators" / "logs-and-metrics.md"
 LINE = re.compile(r"turmericweir\.entry-1\.(\S+):[0-9.]+\|(c|ms)")
+RAW_MODEL = "raw-model"
 KINDS = {"counter": "c", "timer": "ms"}
 
 
@@ -76,7 +77,14 @@
 def test_all_that_is_listed_by_server_is_sent(tmp_path: Path) -> None:
     # Servers answer, pause, refuse, fail, cut the connection and die, and a caller leaves. Each of
     # these is counted or timed under the name on the operators' page, with the name of the server.
+    answered: set[str] = set()
+
     def answer(request: RawRequest) -> bytes:
+        if request.line in answered:
+            # The caller's wait ends with the second attempt, so it takes no short deadline, which
+            # on a busy machine could pass before the first.
+            return b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
+        answered.add(request.line)
         if "/refuse" in request.line:
             return b"HTTP/1.1 503 Full\r\nX-Not-Started: 1\r\nContent-Length: 0\r\n\r\n"
         if "/v1/chat" in request.line:
@@ -91,25 +99,22 @@
             {
                 "/services/raw": {"kind": "plain", "slots": 4},
                 "/services/gone": {"kind": "plain", "slots": 4},
-                "/services/raw-model": {"kind": "model", "slots": 4, "models": ["raw-model"]},
+                "/services/raw-model": {"kind": "model", "slots": 4, "models": [RAW_MODEL]},
             }
         )
         single.wait_server(f"{MODEL}-1")
         single.complete("hello", 2, stream=True)
         leave_stream(single, "go on")
         go_silent(single, statsd)
-        with RawServer(answer) as raw:
+        with RawServer(answer, RAW_MODEL) as raw:
             single.list_raw("raw-1", "plain", "raw", raw.address)
             single.list_raw("raw-2", "engine", "raw-model", raw.address)
-            single.call("POST", "/services/raw/refuse", headers={"Turmericweir-Deadline-Ms": "500"})
+            # From its report on, an engine gets only requests for what it says that it has loaded.
+            single.wait_report("raw-2")
+            single.call("POST", "/services/raw/refuse")
             single.call("POST", "/services/raw/cut", b"x")
-            request = completion("hi", 2, stream=True).replace(MODEL, "raw-model", 1)
-            single.call(
-                "POST",
-                "/v1/chat/completions",
-                request,
-                headers={"Turmericweir-Deadline-Ms": "500"},
-            )
+            request = completion("hi", 2, stream=True).replace(MODEL, RAW_MODEL, 1)
+            single.call("POST", "/v1/chat/completions", request)
 
         # Waits for a server and is bound to the first that the list names, before a probe of it.
         waiting = threading.Thread(
