Give the ports of one block to one process only

Cause: one run of test_silent_connection (a reservation on a kept connection) ended before it began: lm-1, lm-2 and shop-2 all ended with "address already in use". Each test process searches the same range of ports from a place that depends on its process id, and takes what is free at the moment; its children bind the ports seconds later on a busy machine. Two runs whose searches had met gave the same ports to their children.

Ruled out: ports of outgoing connections, which come from another range; a child of the same test, since three processes with consecutive ports failed at once.

Conclusion: runs of this code never share a port; one of older code beside them still may.

--- a/packages/turmericweir-standins/turmericweir_standins/procs.py
+++ b/packages/turmericweir-standins/turmericweir_standins/procs.py
@@ -12,7 +12,6 @@
 from __future__ import annotations
 
 import http.client
-import itertools
 import os
 import signal
 import socket
@@ -28,6 +27,8 @@
 
 import orjson
 
+from turmericweir_standins.port_blocks import PORT_COUNT, PortBlocks
+
 READY_WORD: Final = "READY"
 READY_TIMEOUT_S: Final = 30.0
 LINE_TIMEOUT_S: Final = 30.0
@@ -36,15 +37,8 @@
 POLL_S: Final = 0.01
 LOOPBACK: Final = "127.0.0.1"
 
-# Ports are taken below the range from which Linux picks ports for outgoing connections. A port
-# found by binding to 0 lies in that range, and an unrelated connection may take it between the
-# moment it was found free and the moment the child binds it: the child then fails to start.
-FIRST_PORT: Final = 15000
-LAST_PORT: Final = 32000
-_PORT_COUNT: Final = LAST_PORT - FIRST_PORT
-
-# Each process of a parallel test run starts its search at another place.
-_port_search: Final = itertools.count((os.getpid() * 97) % _PORT_COUNT)
+# Parallel test runs start their search at different places, which saves them failed tries.
+_port_blocks: Final = PortBlocks(os.getpid())
 
 
 class ProcessError(Exception):
@@ -68,12 +62,12 @@
 
 
 def free_port(host: str = LOOPBACK) -> int:
-    """Return a port that is free for TCP and for UDP, and that this process has not yet given."""
-    for _ in range(_PORT_COUNT):
-        port = FIRST_PORT + next(_port_search) % _PORT_COUNT
+    """Return a port that is free for TCP and for UDP, and that no parallel run gives now."""
+    for _ in range(PORT_COUNT):
+        port = _port_blocks.next_port()
         if _is_free(host, port, socket.SOCK_STREAM) and _is_free(host, port, socket.SOCK_DGRAM):
             return port
-    raise OSError(f"no free port on {host} between {FIRST_PORT} and {LAST_PORT}")
+    raise OSError(f"no free port on {host} among {PORT_COUNT}")
 
 
 def free_address(host: str = LOOPBACK) -> str:
