Wait with the first view until all have met, and draw its lot among members

Cause: With `claim_votes` on, a call was refused (`claim_unavailable`, not run) in the region that could reach the log. An instance made the first view a second after its start, when it had met nobody, so the view named it alone. It let the others in by a lot drawn among all live instances, though none of them could write the change: seconds at four instances. Regions that parted in between left that one member on the far side of the cut. Claims of the others did not count and nobody could let them in, so callers were refused at their deadlines.

To let others claim without the members is no way out: these may be agreeing without the log.

The lot to change a view is drawn among its live members, and one alone doesn't draw.

What remains is in the design: an instance that is not yet a member at the moment when all members lose the log, and it does not, refuses new keys.

--- a/packages/turmericweir-core/turmericweir_core/claim_members.py
+++ b/packages/turmericweir-core/turmericweir_core/claim_members.py
@@ -68,34 +68,51 @@
     claims = state.claims
     if claims.outbox.in_flight is not None or claims.outbox.landed:
         return
-    if view.epoch == NO_VIEW and not _has_met(state, now):
+    if view.epoch == NO_VIEW and not _have_met(state, now):
         return
     wanted = _wanted(state, now, view)
     # A change of which the outcome is unknown is settled by another record, so it is made again.
     is_due = claims.sealed is not None or set(wanted) != set(view.members)
-    if is_due and (_is_leaving(state, now) or _draws_lot(state, now)):
+    if is_due and (_is_leaving(state, now) or _draws_lot(state, now, view)):
         claims.outbox.members = wanted
 
 
-def _has_met(state: State, now: float) -> bool:
-    """Tell whether a first view would miss nobody, or enough time has passed to make one."""
-    started = state.members.started_at
-    if started is None or now - started < state.options.claim_view_met_s:
+def _have_met(state: State, now: float) -> bool:
+    """Tell whether a first view would miss nobody, or enough time has passed to make one.
+
+    From the first view on nobody else may claim. Were it made by an instance that has not met the
+    others yet, and that one then cut off from the log, all keys would be closed for as long. So it
+    waits until nobody has come or gone for a while. That delays no call: until there is a view all
+    may claim in the log.
+    """
+    claims = state.claims
+    live = frozenset(each.incarnation for each in live_instances(state, now))
+    if live != claims.live_seen:
+        claims.live_seen = live
+        claims.live_since = now
+    waited = now - claims.live_since
+    if waited < state.options.claim_view_met_s:
         return False
-    if now - started >= state.options.claim_view_first_s:
+    if waited >= state.options.claim_view_first_s:
         return True
     return all(is_live(state, now, each) for each in state.members.by_name.values())
 
 
-def _draws_lot(state: State, now: float) -> bool:
-    """Draw so that over all instances one in a few ticks is expected to write.
+def _draws_lot(state: State, now: float, view: View) -> bool:
+    """Draw so that over all that may replace the view one in a few ticks is expected to write.
 
     By a hash, which takes nothing from the generator that other decisions draw from: views come and
     go in every instance, and would change what those decide.
     """
-    others = len(live_instances(state, now))
+    live = {each.incarnation for each in live_instances(state, now)}
+    if view.members:
+        # Nobody else can write it. With a lot among all, one member of many instances would leave
+        # the others out for seconds, and were it cut off then their keys would stay closed.
+        live &= {each.incarnation for each in view.members}
+    if len(live) <= 1:
+        return True
     drawn = xxhash.xxh32_intdigest(f"{state.me.incarnation}\0{now:.3f}".encode()) / HASHES
-    return drawn * max(1, others) < state.options.claim_lot
+    return drawn * len(live) < state.options.claim_lot
 
 
 def _is_leaving(state: State, now: float) -> bool:
--- a/packages/turmericweir-core/turmericweir_core/claim_state.py
+++ b/packages/turmericweir-core/turmericweir_core/claim_state.py
@@ -131,6 +131,9 @@
     join_due: float = 0.0
     # Incarnations that were live at some time, of those in the view.
     met: set[str] = field(default_factory=set)
+    # Incarnations that were live when the first view was last thought of, and since when.
+    live_seen: frozenset[str] = frozenset()
+    live_since: float = 0.0
     # Since when a read of the stream is out; None while none is.
     reading_since: float | None = None
     # The last read failed.
--- a/packages/turmericweir-core/turmericweir_core/options.py
+++ b/packages/turmericweir-core/turmericweir_core/options.py
@@ -341,10 +341,11 @@
     claim_vote_wait_s: float = 1.0
     # Between two askings of a member that has not answered.
     claim_vote_again_s: float = 0.3
-    # An instance that has just started waits at least so long before it makes the first view, and
-    # at most so long for all that it knows of to be live.
-    claim_view_met_s: float = 1.0
-    claim_view_first_s: float = 4.0
+    # The first view is made once nobody has come or gone for so long, which is above what two that
+    # start together take to find each other by the platform's list and to talk; and for so long
+    # where some that are known of are not live.
+    claim_view_met_s: float = 5.0
+    claim_view_first_s: float = 8.0
     # Between the asks in the log of one that is not in the view.
     claim_join_s: float = 1.0
     # Between reads of the stream while this instance is not in the view.
--- a/tests/core/test_claim_vote.py
+++ b/tests/core/test_claim_vote.py
@@ -326,3 +326,41 @@
     one = world.call(fresh, "k")
     world.perform_all()
     assert world.accounts[one].outcome is Outcome.COMPLETED
+
+
+def test_first_view_waits_until_nobody_comes_any_more() -> None:
+    """Instances start one after the other. The first two would soon make a view of themselves, and
+    are cut off; the third's caller is refused then, though the log works, as members alone may
+    claim. Before there is a view everybody may, so it is made when nobody new has come."""
+    world = World(replace(VOTES, claim_view_met_s=1.0, claim_view_first_s=4.0))
+    for _ in range(2):
+        world.start()
+        for _ in range(8):
+            world.perform_all()
+            world.tick(0.1)
+    fresh = world.start()
+    for index in range(2):
+        world.pause(index, paused=True)
+    one = world.call(fresh, "k")
+    until(world, lambda: one in world.accounts)
+    assert world.accounts[one].outcome is Outcome.COMPLETED
+    world.calm(2.0)
+    assert [member_names(each) for each in world.instances] == [{"i0", "i1", "i2"}] * 3
+
+
+def test_only_member_lets_all_others_in_at_once() -> None:
+    """An instance is alone in the view when others start. It is cut off from the log and from them
+    a moment after it has heard of them. Had it waited for a lot that is drawn among all, none of
+    the others would be a member, and their callers' keys refused until it is back."""
+    world = World(replace(VOTES, claim_lot=0.2))
+    world.start()
+    world.calm(5.0)
+    assert member_names(world.instances[0]) == {"i0"}
+    fresh = [world.start() for _ in range(3)]
+    for _ in range(3):
+        world.tick(0.1)
+        world.perform_all()
+    world.pause(0, paused=True)
+    calls = [world.call(each, f"k{index}") for index, each in enumerate(fresh)]
+    until(world, lambda: all(each in world.accounts for each in calls))
+    assert {world.accounts[each].outcome for each in calls} == {Outcome.COMPLETED}
