Say why no lease ends the wait after the loss of all members

Cause: With `claim_votes` on, new keys wait for an operator after all instances were lost at once. A lease on the view was weighed: members agree only while their last read of the log is young, and new instances replace a view that nobody answers for once the lease is over.

Ruled out: The lease shows that no lost member will start a call, not that none has. Order: in an outage all agree to a key and its call runs; all are lost, and no record brings the key; the log is back, the lease runs out, new instances begin; the caller sends the key again, and it runs a second time. What new instances can see is the same as if the call had never run, so every wait below the retention fails alike.

A core test plays the order, and random histories of their own lose all members once, with waits of up to 20,000 s. No product code.

Conclusion: `claim_votes` stays off by default.

--- a/tests/core/test_claim_vote.py
+++ b/tests/core/test_claim_vote.py
@@ -54,6 +54,12 @@
     raise AssertionError("it never came to hold")
 
 
+def lose_all(world: World) -> None:
+    """Kill all instances at once and start as many new ones."""
+    for _ in list(world.instances):
+        world.kill(0)
+
+
 def member_names(instance: Instance) -> set[str]:
     """List the members of the view that an instance knows."""
     view = instance.state.claims.ledger.views.current
@@ -291,8 +297,7 @@
     """All instances are lost at once. Nobody knows what they agreed to, so new ones refuse all keys
     until an operator names the view as ended; then a new one begins, and keys run once again."""
     world = begin()
-    for index in (0, 0, 0):
-        world.kill(index)
+    lose_all(world)
     world.up = True
     world.calm(2.0)
     one = world.call(world.instances[0], "k", deadline_s=1.0)
@@ -309,6 +314,28 @@
     assert len(world.runs) == 1
 
 
+def test_no_silence_frees_the_keys_of_a_lost_view() -> None:
+    """A call runs by agreement in an outage, and all instances are lost before the log has it. New
+    ones find a log that works and members that say nothing for hours. The caller, who never got an
+    answer, sends the key again. It must not run: the log looks just as if it had never run, so
+    there is no wait below the retention after which new instances may begin by themselves."""
+    world = begin()
+    first = world.instances[0]
+    world.call(first, "k")
+    talk(world)
+    do(world, first, StartAttempt, Fate.UNACKNOWLEDGED)
+    lose_all(world)
+    world.up = True
+    world.late.clear()
+    for _ in range(24):
+        world.calm(1.0)
+        world.tick(600.0)
+    again = world.call(world.instances[0], "k", deadline_s=1.0)
+    world.calm(2.0)
+    assert world.accounts[again].reason is Reason.CLAIM_UNAVAILABLE
+    assert len(world.runs) == 1
+
+
 def test_last_instance_that_stops_leaves_an_empty_view() -> None:
     """All instances stop in order, and others start later. They claim at once: nothing can have run
     by agreement of those that have left."""
--- a/tests/core/test_claims.py
+++ b/tests/core/test_claims.py
@@ -63,6 +63,13 @@
     instance: int
 
 
+@dataclass(frozen=True, slots=True)
+class LoseAll:
+    """All instances are killed at once and others started, which find a working log and wait."""
+
+    wait_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Outage:
     """The log goes down or comes back."""
@@ -114,7 +121,9 @@
     count: int
 
 
-Step = Call | Perform | Pass | Kill | Outage | LandLate | LetGo | Pause | Hear | Work | Twice
+Step = (
+    Call | Perform | Pass | Kill | LoseAll | Outage | LandLate | LetGo | Pause | Hear | Work | Twice
+)
 
 NUMBER: Final = st.integers(0, 7)
 PERFORM: Final = st.builds(Perform, NUMBER, NUMBER, st.sampled_from(Fate))
@@ -149,6 +158,12 @@
             world.tick(seconds)
         case Kill(index):
             world.kill(index % INSTANCES)
+        case LoseAll(wait_s):
+            for _ in range(INSTANCES):
+                world.kill(0)
+            world.calm(1.0)
+            world.tick(wait_s)
+            world.calm(1.0)
         case Outage(up):
             world.up = up
         case LandLate(index):
@@ -303,6 +318,26 @@
     run_outage(VOTES_SHORT_LOG, history)
 
 
+# An outage that lasts until all instances are lost, and what callers do then. The waits of one
+# history stay below the retention, after which a key may run again.
+IN_OUTAGE: Final = st.one_of(
+    WORK, WORK, DO, PERFORM, st.builds(Call, NUMBER, NUMBER, st.just(0), st.just(5.0))
+)
+LOST: Final = st.builds(LoseAll, st.sampled_from((1.0, 2_000.0, 20_000.0)))
+LOST_HISTORY: Final = st.builds(
+    lambda before, lost, after: [*before, lost, *after],
+    st.lists(IN_OUTAGE, min_size=3, max_size=30),
+    LOST,
+    st.lists(st.one_of(VOTE_STEP, VOTE_STEP, IN_OUTAGE), max_size=30),
+)
+
+
+@settings(max_examples=150, deadline=None, suppress_health_check=[HealthCheck.too_slow])
+@given(LOST_HISTORY)
+def test_a_key_runs_at_most_once_after_all_were_lost(history: list[Step]) -> None:
+    run_outage(VOTES, history)
+
+
 # --- single failures -------------------------------------------------------------------------
 
 
