Hold back the log's answers in tests that freeze an instance, rather than slow them by a second

Cause: four tests freeze an instance after its claim has landed and before it hears so. They had the log take a second for each call, so that the test had half a second from the landing to the pause, less what a busy machine took from it; a reader could hear of the claim in that time as well. A fifth relied on an acknowledgement that took longer than the deadline of its caller. None of them was seen to fail; found by reading after other failures.

Ruled out: a longer slowness, which is still a guess, and which delays the other instance's reads past its callers' deadlines.

Change: the platform stand-in can let appends take effect while it answers nobody until told otherwise (`hold_answers`), and the tests use it. What they demand is unchanged. The deadlines of three calls are longer; the second caller's still ends after the first's, as the test needs.

Conclusion: the order of events no longer depends on the machine's speed, but for `claim_down_s` (2 s) after which the instance takes the log for down.

--- a/packages/turmericweir-standins/turmericweir_standins/platform.py
+++ b/packages/turmericweir-standins/turmericweir_standins/platform.py
@@ -61,6 +61,8 @@
     outage_mode: FaultMode = "hang"
     # Time that each call on the log takes; an append takes effect halfway through.
     slow_ms: float = 0.0
+    # Whether appends take effect while the log answers nobody, until this is changed.
+    hold_answers: bool = False
     # How many of the next appends take effect and lose their connection instead of an answer.
     lose_acks: int = 0
     list_down: bool = False
@@ -347,6 +349,7 @@
         )
         if not acked:
             await self._close_unanswered(request)
+        await self._pass_hold(request)
         await self._be_slow(0.5)
         # An outage that began meanwhile holds the acknowledgement back, though the append stands.
         await self._reach_log(request)
@@ -359,6 +362,7 @@
         await self._be_slow(1.0)
         name, stream = self._stream(request)
         await self._wait_for_record(request, stream, query)
+        await self._pass_hold(request)
         try:
             page = stream.read(query.start, query.limit)
         except ExpiredError:
@@ -477,6 +481,10 @@
         while _caller(request) in (table := self.controls.table).cut_from:
             await self._suffer(table.cut_mode, request)
 
+    async def _pass_hold(self, request: Request) -> None:
+        while self.controls.table.hold_answers:
+            await _wait(request, self._behaviour_changed, None)
+
     async def _suffer(self, mode: FaultMode, request: Request) -> None:
         if mode == "refuse":
             raise UnreachableError
--- a/tests/failures/test_at_most_once.py
+++ b/tests/failures/test_at_most_once.py
@@ -111,6 +111,16 @@
     return bool(answer.body.get("outcome") == "not_run")
 
 
+def begin_and_freeze(shop: Counter, key: str, deadline_ms: int) -> Future[JsonAnswer]:
+    """Reserve by way of the first instance, frozen once its claim stands and before it hears so."""
+    shop.platform(hold_answers=True)
+    first = shop.begin(ENTRY_1, key, deadline_ms)
+    shop.wait_claims(1)
+    shop.cluster.instances[ENTRY_1].process.pause()
+    shop.platform(hold_answers=False)
+    return first
+
+
 def test_second_call_in_another_data_centre_gets_the_first_answer(tmp_path: Path) -> None:
     # A till reserves, loses the answer and sends the same key again; the balancer takes it to
     # another data centre. The instance there finds the key claimed in the log, asks the instance
@@ -202,11 +212,11 @@
     # told `not_run` and that must stay true, though the claim stands in the log and was the first.
     # The instance withdraws it, so the key is not lost: sent again elsewhere it runs, once.
     with counter(tmp_path) as shop:
-        shop.platform(slow_ms=2000)
-        refused = shop.reserve(ENTRY_1, "k1", deadline_ms=500)
+        shop.platform(hold_answers=True)
+        refused = shop.reserve(ENTRY_1, "k1", deadline_ms=1500)
         assert refused.body["reason"] == "claim_unavailable"
         shop.wait_claims(1)
-        shop.platform(slow_ms=0)
+        shop.platform(hold_answers=False)
 
         answers: list[JsonAnswer] = []
 
@@ -240,11 +250,7 @@
     # deadline, that the call may have run. When the first instance goes on, its claim still holds,
     # for nobody can take it over, and the call runs for its own caller, once.
     with counter(tmp_path) as shop:
-        shop.platform(slow_ms=1000)
-        first = shop.begin(ENTRY_1, "k1", deadline_ms=60_000)
-        shop.wait_claims(1)
-        shop.cluster.instances[ENTRY_1].process.pause()
-        shop.platform(slow_ms=0)
+        first = begin_and_freeze(shop, "k1", deadline_ms=60_000)
 
         second = shop.reserve(ENTRY_2, "k1", deadline_ms=2000)
         assert is_unknown(second)
@@ -261,12 +267,8 @@
     # caller may be told `not_run`: the instance gives its claim back instead of running late, and
     # the key runs, once, for whoever sends it next.
     with counter(tmp_path) as shop:
-        shop.platform(slow_ms=1000)
-        first = shop.begin(ENTRY_1, "k1", deadline_ms=1500)
-        shop.wait_claims(1)
-        shop.cluster.instances[ENTRY_1].process.pause()
-        shop.platform(slow_ms=0)
-        assert is_unknown(shop.reserve(ENTRY_2, "k1", deadline_ms=2000))
+        first = begin_and_freeze(shop, "k1", deadline_ms=3000)
+        assert is_unknown(shop.reserve(ENTRY_2, "k1", deadline_ms=3500))
 
         shop.cluster.instances[ENTRY_1].process.resume()
         assert is_not_run(first.result())
--- a/tests/failures/test_long_pause.py
+++ b/tests/failures/test_long_pause.py
@@ -13,6 +13,7 @@
     ENTRY_2,
     SEEN_S,
     Counter,
+    begin_and_freeze,
     counter,
     is_not_run,
     is_unknown,
@@ -61,12 +62,8 @@
     # key runs once, also when both are asked for it again.
     kept = ("--retention", str(RETENTION))
     with counter(tmp_path, kept, claim_carry_records=20, claim_end_delay_s=0.01) as shop:
-        shop.platform(slow_ms=1000)
-        first = shop.begin(ENTRY_1, KEY, deadline_ms=60_000)
-        shop.wait_claims(1)
+        first = begin_and_freeze(shop, KEY, deadline_ms=60_000)
         (claimed,) = shop.claim_appends()
-        shop.cluster.instances[ENTRY_1].process.pause()
-        shop.platform(slow_ms=0)
         make_log_let_go(shop, claimed["first"])
         assert is_unknown(shop.reserve(ENTRY_2, KEY, deadline_ms=2000))
         assert shop.runs(KEY) == 0
@@ -87,11 +84,7 @@
     # now; a call that was let in under a claim ends before the claim can.
     with counter(tmp_path, claim_retention_s=4.0) as shop:
         shop.cluster.add_instance(2)
-        shop.platform(slow_ms=1000)
-        first = shop.begin(ENTRY_1, KEY, deadline_ms=60_000)
-        shop.wait_claims(1)
-        shop.cluster.instances[ENTRY_1].process.pause()
-        shop.platform(slow_ms=0)
+        first = begin_and_freeze(shop, KEY, deadline_ms=60_000)
         wait_until(partial(is_free, shop, count(1)), "the key is free again", SEEN_S)
         assert shop.runs(KEY) == 1
 
--- a/tests/standins/test_platform.py
+++ b/tests/standins/test_platform.py
@@ -6,6 +6,7 @@
 import signal
 import threading
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any
 
@@ -194,6 +195,21 @@
         set_behaviour(platform.address, outage=True, outage_mode="refuse")
         assert waiting.result().status == 503
 
+    def test_answers_held_back(self, platform: Process, tmp_path: Path) -> None:
+        # An append stands while nobody hears of it: neither its caller nor a reader. Both are
+        # answered once the answers are let go.
+        set_behaviour(platform.address, hold_answers=True)
+        with ThreadPoolExecutor(1) as pool:
+            appended = pool.submit(append, platform.address, 1)
+            wait_until(lambda: bool(events(tmp_path, "append")), "the append stands")
+            reading = Background(platform.address, start=0)
+            with pytest.raises(TimeoutError):
+                call_json(platform.address, "GET", "/log/settings?from=0", timeout_s=HANG_S)
+            assert not appended.done()
+            set_behaviour(platform.address, hold_answers=False)
+            assert appended.result().body["first"] == 0
+            assert reading.result().body["end"] == 1
+
     def test_cut_off_callers(self, platform: Process) -> None:
         # A data centre is cut off: its instances get nothing from the platform, others go on.
         set_behaviour(platform.address, cut_from=["a"])
