Ask other servers first where credit was called back

Cause: by rendezvous hashing 22 of 64 instances have tailor-lm-1 first in their subsets, which has 16 slots and one of slack. Each of their requests had an idle slot called back from another of the 22, six frames at the one dispatcher, while the other three engines had slots to spare. The four engines are led by four instances: not one that led all of them was busy.

Change: the one server that left an instance no credit is asked after the others; not in a shortage, and not for 30 s once two did. Traffic is counted by type of message too, in the state dump and in the rows of measure-control.

--- a/packages/turmericweir-core/turmericweir_core/credit_demand.py
+++ b/packages/turmericweir-core/turmericweir_core/credit_demand.py
@@ -99,8 +99,13 @@
     """
     # Those that were asked stay so; to ask others with every report would be endless traffic.
     asked = state.credits.asking
+    passed = _passed_over(state, now, servers)
     servers.sort(
-        key=lambda server: (server.entry.name not in asked, _looks_full(state, now, server))
+        key=lambda server: (
+            server.entry.name not in asked,
+            _looks_full(state, now, server),
+            server is passed,
+        )
     )
     doublings = int((now - queue.oldest_at()) / state.options.credit_widen_s)
     first = min(asking, state.options.credit_ask)
@@ -108,6 +113,30 @@
     return servers[: first * 2 ** min(5, doublings)]
 
 
+def _passed_over(state: State, now: float, servers: list[Server]) -> Server | None:
+    """Find the one server that left this instance no credit, so that others are asked before it.
+
+    Failure: more instances have a server first in their subsets than it has slots, while others
+    have slots to spare. Each that asks there again has an idle slot called back from another, which
+    does the same with its next request: six messages for each, all of them at one dispatcher. Asked
+    elsewhere first, instances spread until the credit of each is left to it. Where that is lost as
+    well, there are more instances than slots everywhere: to go round would only cost shortages, so
+    the order of the subset holds for a while, as it does in a shortage.
+    """
+    held = state.credits.held
+    if any(server.entry.name in held and held[server.entry.name].contended for server in servers):
+        return None
+    lost = [server for server in servers if _has_lost_credit(state, server)]
+    if len(lost) > 1:
+        state.credits.stays_until = now + state.options.credit_stay_s
+    return lost[0] if lost and now >= state.credits.stays_until else None
+
+
+def _has_lost_credit(state: State, server: Server) -> bool:
+    credit = state.credits.held.get(server.entry.name)
+    return credit is not None and not sum(credit.slots.values())
+
+
 def _looks_full(state: State, now: float, server: Server) -> bool:
     report = server.report
     if report is None or now - server.report_at > state.options.report_valid_s:
--- a/packages/turmericweir-core/turmericweir_core/credit_state.py
+++ b/packages/turmericweir-core/turmericweir_core/credit_state.py
@@ -145,6 +145,8 @@
     recalled: set[ServerName] = field(default_factory=set)
     # Servers whose dispatchers were last told that something waits.
     asking: set[ServerName] = field(default_factory=set)
+    # Credit was lost at more than one server: until then it is asked for in the subset's order.
+    stays_until: float = NEVER
     # Demands that may be sent now, as of a time; None until the first one.
     demands_left: float | None = None
     demands_at: float = 0.0
--- a/packages/turmericweir-core/turmericweir_core/options.py
+++ b/packages/turmericweir-core/turmericweir_core/options.py
@@ -82,6 +82,8 @@
     # as many are asked, and again after as long.
     credit_ask: int = 4
     credit_widen_s: float = 0.2
+    # How long an instance that lost credit at two servers goes by the order of its subset again.
+    credit_stay_s: float = 30.0
     # How long a dispatcher that is pressed to stop lower work has for it before others are pressed,
     # `credit_ask` times as many: some round trips, the end of the attempt, and a tick or two.
     credit_press_s: float = 0.3
--- a/packages/turmericweir-standins/turmericweir_standins/measure_control.py
+++ b/packages/turmericweir-standins/turmericweir_standins/measure_control.py
@@ -71,6 +71,8 @@
     rss_mb: float
     split: dict[str, float]
     messages_s: dict[str, float]
+    # Bytes and frames of the datagrams and streams, by the type of the message.
+    by_message: dict[str, tuple[float, float]]
 
 
 def deployment(instances: int, data_centres: int) -> Deployment:
@@ -143,6 +145,11 @@
         "claim_ms_p50": None,
         "split": {name: round(value) for name, value in worst.split.items()},
         "messages_s": {name: round(value, 2) for name, value in worst.messages_s.items()},
+        "by_message": {
+            name: {"bytes_s": round(size), "frames_s": round(count, 2)}
+            for name, (size, count) in worst.by_message.items()
+            if count
+        },
         "machine_share": round(machine_share, 3),
     }
 
@@ -199,16 +206,23 @@
     at: float
     size: dict[str, int]
     messages: dict[str, int]
+    # Bytes and frames.
+    by_message: dict[str, tuple[int, int]]
 
 
 # Any: a state dump.
 def _traffic(state: Any) -> Counted:
-    kinds = state["process"]["traffic"]
-    size = {name: it["sent"]["bytes"] + it["received"]["bytes"] for name, it in kinds.items()}
-    messages = {
-        name: it["sent"]["messages"] + it["received"]["messages"] for name, it in kinds.items()
-    }
-    return Counted(time.monotonic(), size, messages)
+    kinds = dict(state["process"]["traffic"])
+    by_message = {name: _both_ways(it) for name, it in kinds.pop("by_message").items()}
+    counted = {name: _both_ways(it) for name, it in kinds.items()}
+    size = {name: size for name, (size, _) in counted.items()}
+    messages = {name: count for name, (_, count) in counted.items()}
+    return Counted(time.monotonic(), size, messages, by_message)
+
+
+def _both_ways(kind: Any) -> tuple[int, int]:
+    sent, received = kind["sent"], kind["received"]
+    return sent["bytes"] + received["bytes"], sent["messages"] + received["messages"]
 
 
 def _used(before: Counted, after: Counted, core_share: float, process: Process) -> Usage:
@@ -218,7 +232,11 @@
         name: (after.messages[name] - before.messages[name]) / seconds for name in after.messages
     }
     control = sum(value for name, value in split.items() if name != "probes")
-    return Usage(control, core_share, _rss_mb(process.pid), split, messages)
+    by_message = {}
+    for name, (size, count) in after.by_message.items():
+        size_before, count_before = before.by_message.get(name, (0, 0))
+        by_message[name] = ((size - size_before) / seconds, (count - count_before) / seconds)
+    return Usage(control, core_share, _rss_mb(process.pid), split, messages, by_message)
 
 
 def _rss_mb(pid: int) -> float:
--- a/packages/turmericweir/turmericweir/peer_codec.py
+++ b/packages/turmericweir/turmericweir/peer_codec.py
@@ -88,10 +88,12 @@
         self._node = node
         self._logged_at = float("-inf")
 
-    def take(self, result: Result[PeerReceived, PeerError]) -> None:
-        """Take the result of decoding one frame."""
+    def take(self, result: Result[PeerReceived, PeerError], size: int) -> None:
+        """Take the result of decoding one frame of so many bytes."""
         if is_successful(result):
-            self._node.handle(result.unwrap())
+            received = result.unwrap()
+            self._node.traffic.of_message(received.message).received.add(size)
+            self._node.handle(received)
         else:
             self.drop(result.failure())
 
--- a/packages/turmericweir/turmericweir/peer_datagrams.py
+++ b/packages/turmericweir/turmericweir/peer_datagrams.py
@@ -76,6 +76,8 @@
             self._outgoing.send_nowait((effect.address, frame))
         except anyio.WouldBlock:
             self._node.count("peer.datagram_overflow")
+            return
+        self._node.traffic.of_message(effect.message).sent.add(len(frame))
 
     async def send_forever(self) -> None:
         """Hand datagrams to the system."""
@@ -93,4 +95,4 @@
         reader = FrameReader(self._node)
         async for data, (host, port) in self._socket:
             self._node.traffic.datagrams.received.add(len(data))
-            reader.take(decode(data, f"{host}:{port}"))
+            reader.take(decode(data, f"{host}:{port}"), len(data))
--- a/packages/turmericweir/turmericweir/peer_streams.py
+++ b/packages/turmericweir/turmericweir/peer_streams.py
@@ -203,7 +203,9 @@
             link = PeerLink(self._node, effect.peer, effect.address, source)
             self._links[effect.peer] = link
             self._node.in_background(link.run)
-        link.send(encode(self._me, effect.message))
+        frame = encode(self._me, effect.message)
+        self._node.traffic.of_message(effect.message).sent.add(len(frame))
+        link.send(frame)
 
     async def serve(self) -> None:
         """Accept the streams of peers."""
@@ -222,6 +224,8 @@
     set_options(stream.extra(SocketAttribute.raw_socket))
     unpacker = msgpack.Unpacker(max_buffer_size=FRAME_MAX)
     received = 0
+    # Bytes of the stream up to the end of the last frame.
+    taken = 0
     try:
         while True:
             data = await stream.receive(_READ_BYTES)
@@ -230,7 +234,9 @@
             before = received
             for frame in unpacker:
                 received += 1
-                reader.take(read_frame(frame, origin))
+                size = unpacker.tell() - taken
+                taken += size
+                reader.take(read_frame(frame, origin), size)
             if received > before:
                 ack = msgpack.packb(received)
                 await stream.send(ack)
--- a/packages/turmericweir/turmericweir/traffic.py
+++ b/packages/turmericweir/turmericweir/traffic.py
@@ -43,3 +43,9 @@
     platform: Kind = field(default_factory=Kind)
     # Questions for the load of servers.
     probes: Kind = field(default_factory=Kind)
+    # Frames of datagrams and streams by their type; what is queued counts as sent.
+    by_message: dict[str, Kind] = field(default_factory=dict)
+
+    def of_message(self, message: object) -> Kind:
+        """Give the counts of a message's type."""
+        return self.by_message.setdefault(type(message).__name__, Kind())
--- a/tests/core/test_credit.py
+++ b/tests/core/test_credit.py
@@ -9,7 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tests.core.load_world import DATA_CENTRE, LoadWorld, report_of
+from tests.core.load_world import DATA_CENTRE, MODEL, LoadWorld, report_of
 from turmericweir_core import credit_lead
 from turmericweir_core.account import Outcome
 from turmericweir_core.config import Kind, Policy
@@ -21,6 +21,7 @@
 from turmericweir_core.peer_messages import CreditDemand, CreditGrant, TierDemand
 from turmericweir_core.request import CancelReason
 from turmericweir_core.state import State
+from turmericweir_core.subset import rendezvous_weight, target_subset
 
 S0 = ServerName("s0")
 
@@ -210,6 +211,55 @@
         assert world.messages - before <= 6
 
 
+def crowded_world(*, slots: int) -> LoadWorld:
+    """Make a world of two servers, of which one is the first choice of more instances."""
+    world = make_world(instances=11, servers=2, slots=slots)
+    names = [ServerName("s0"), ServerName("s1")]
+    first = Counter(
+        max(names, key=lambda server: rendezvous_weight(instance, server))
+        for instance in world.states
+    )
+    assert sorted(first.values()) == [4, 7]
+    return world
+
+
+def call_in_turn(world: LoadWorld, rounds: int) -> int:
+    """Let each instance send one request after the other; give the messages that it took."""
+    before = world.messages
+    for _ in range(rounds):
+        for number in range(len(world.states)):
+            world.arrive("fitting", instance=number)
+            for running in list(world.running.values()):
+                world.end(running)
+            world.advance(0.3)
+    return world.messages - before
+
+
+def test_instances_spread_over_servers_with_idle_slots() -> None:
+    # Seven instances ask one server first, which has six slots; the other has slots to spare. None
+    # of them waits for long, but if each asks where it was called back from, each request there has
+    # a slot called back from the next one to ask, at six messages. They must find the other server.
+    world = crowded_world(slots=5)
+    call_in_turn(world, 2)
+    # 33 s: each renews its credit every 6 s at the most, with one message and its answer.
+    assert call_in_turn(world, 10) <= 2 * 11 * 6
+    assert world.told["fitting"].count(Outcome.COMPLETED) == 12 * 11
+
+
+def test_instances_stay_where_all_servers_are_crowded() -> None:
+    # There are more instances than slots at both servers. One that goes to the other server after
+    # each call-back would crowd now this one and now that one, whose holders then have to report
+    # every change. Once it has lost its credit at both it asks in the order of its subset.
+    world = crowded_world(slots=2)
+    call_in_turn(world, 6)
+    began = len(world.started)
+    call_in_turn(world, 2)
+    for state in world.states.values():
+        first, *_ = target_subset(state, MODEL).servers
+        mine = [each for each in world.started[began:] if each.instance == state.me.name]
+        assert {each.server for each in mine} == {first.entry.name}
+
+
 def test_a_shortage_ends_while_demands_go_on() -> None:
     # Two instances want more slots than there are. Then their callers leave, and what they go on to
     # say fits. Were each word of it taken for a shortage that goes on, both would have to report
