Take soak faults back also where the server drops the call

The call that was to take the fault back met a crash of that engine and ended the fault's thread. Ruled out: the router (the engine's record shows the fault set once and never taken back). Change: the fault is taken back again and again until the server says so.

--- a/packages/turmericweir-standins/turmericweir_standins/soak_faults.py
+++ b/packages/turmericweir-standins/turmericweir_standins/soak_faults.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import http.client
 import itertools
 import random
 import threading
@@ -31,6 +32,8 @@
 LAPSED_S: Final = 9.0
 # An outage for long lasts so many times as long.
 LONG_FACTOR: Final = 8.0
+# A fault that can't be taken back within this time ends the run.
+MEND_S: Final = 30.0
 # Through how many instances a request that crashes engines is sent.
 CRASHING_SENDS: Final = 3
 
@@ -222,9 +225,24 @@
         before = set_behaviour(address)
         set_behaviour(address, **changes)
         time.sleep(length)
-        set_behaviour(address, **{field: before[field] for field in changes})
+        self._mend(address, {field: before[field] for field in changes})
         self._give_back(name)
 
+    def _mend(self, address: str, fields: dict[str, object]) -> None:
+        """Take a fault back, however often the server drops the call because it crashes just then.
+
+        Failure: the fault stays for the rest of the run, which is then judged as if it were over.
+        """
+
+        def mended() -> bool:
+            try:
+                set_behaviour(address, **fields)
+            except (OSError, http.client.HTTPException):
+                return False
+            return True
+
+        wait_until(mended, f"the server at {address} took its fault back", MEND_S)
+
     # --- the network ---
 
     def _silence(self) -> None:
