Limit the settlements of credit that follow each other without a gap

Cause: while nothing counts as a shortage yet, each answer to a call-back made a settlement at once; each settlement called back from several holders, whose answers did the same. A trial of 64 instances in memory (16 slots, answers of 1 s, 20 requests a second) did not end: 20,000 events in one to two milliseconds, all at one dispatcher.

Change: four settlements between two ticks go without the gap, the others wait for it, or for the tick.

Not measured with real processes at 64.

Conclusion: messages of a dispatcher are bounded before a shortage is declared as they are in one.

--- a/packages/turmericweir-core/turmericweir_core/credit_dispatcher.py
+++ b/packages/turmericweir-core/turmericweir_core/credit_dispatcher.py
@@ -205,14 +205,18 @@
     contended = now < ledger.contended_until
     gap = state.options.credit_settle_s * len(ledger.holdings)
     # Without a shortage there are few, and the answer to a call-back may come before the gap is
-    # over: the slot that it brings must not stand idle until the next tick.
-    if not ledger.unsettled or (contended and now - ledger.settled_at < gap):
+    # over: the slot that it brings must not stand idle until the next tick. Failure if that went on
+    # for ever: each settlement calls back from several holders, each of their answers makes
+    # another, and within milliseconds there are thousands of messages.
+    in_a_row = not contended and ledger.settlements < state.options.credit_settle_burst
+    if not ledger.unsettled or (not in_a_row and now - ledger.settled_at < gap):
         return []
     _drop_lapsed(state, now, ledger)
     capacity = _capacity(state, now, server, ledger)
     note_use(state.options, now, ledger)
     save_up(state, now, ledger, capacity)
     ledger.settled_at = now
+    ledger.settlements += 1
     ledger.unsettled = False
     shares = divide(state.options, ledger, capacity)
     changed = call_back(ledger, capacity, shares)
@@ -248,6 +252,7 @@
             continue
         if _is_cut_off(server, now):
             continue
+        ledger.settlements = 0
         # What was put off comes first: a slot that is to be had now is no shortage.
         yield from settle_if_due(state, now, server, ledger)
         if now >= ledger.look_due or now < ledger.contended_until:
--- a/packages/turmericweir-core/turmericweir_core/credit_state.py
+++ b/packages/turmericweir-core/turmericweir_core/credit_state.py
@@ -122,6 +122,8 @@
     # Demand was above the capacity so recently that instances report every change.
     contended_until: float = NEVER
     settled_at: float = NEVER
+    # Settlements since the last tick.
+    settlements: int = 0
     # When lapsed credit and a changed capacity are looked for next.
     look_due: float = NEVER
     # A settlement was put off because the last one was a moment ago.
--- a/packages/turmericweir-core/turmericweir_core/options.py
+++ b/packages/turmericweir-core/turmericweir_core/options.py
@@ -63,6 +63,8 @@
     # Between two full settlements of one server's credit, for each holder: a settlement looks at
     # all of them, so the processor time that they take stays the same whatever their number.
     credit_settle_s: float = 0.0002
+    # Settlements between two ticks that need no such gap while there is no shortage.
+    credit_settle_burst: int = 4
     # Between looks at a server's credit while nobody asks for any.
     credit_look_s: float = 0.5
     # No answer for so long, and the instance goes by its own counts.
--- a/tests/core/test_credit.py
+++ b/tests/core/test_credit.py
@@ -260,6 +260,31 @@
         assert {each.server for each in mine} == {first.entry.name}
 
 
+@pytest.mark.parametrize("seed", range(6))
+def test_answers_to_call_backs_do_not_multiply(seed: int) -> None:
+    # Requests come to instances drawn at random, before one server with fewer slots than there are
+    # instances. Somebody is short while nothing counts as a shortage yet, and several are called
+    # back from. Were the slots divided anew at each of their answers, others would be called back
+    # from each time, whose answers do the same: the dispatcher does nothing else any more.
+    world = make_world(instances=9, slots=8)
+    drawn = Random(seed)
+    before = 0
+
+    def is_endless(sender: InstanceName, receiver: InstanceName) -> bool:
+        return world.messages - before > 1000
+
+    # Ends what would not end by itself.
+    world.lose = is_endless
+    for _ in range(60):
+        before = world.messages
+        world.arrive("fitting", instance=drawn.randrange(9))
+        world.advance(drawn.choice([0.0, 0.1, 0.1, 0.2]))
+        for running in list(world.running.values()):
+            if drawn.random() < 0.3 and running.attempt_id in world.running:
+                world.end(running)
+        assert world.messages - before <= 200
+
+
 def test_a_shortage_ends_while_demands_go_on() -> None:
     # Two instances want more slots than there are. Then their callers leave, and what they go on to
     # say fits. Were each word of it taken for a shortage that goes on, both would have to report
