Take only a connection from well before a break as a sign of the same life

A break is noted only once a new connection was tried. A request that began on the server meanwhile, in its new life, made tokens and was taken for the proof that the old life went on.

Ruled out: the report (none of the new life had come); the retry budget, which did end the first copy of another prompt early, so that a copy through another instance made crashes of its own.

Change: an attempt counts as a witness if it began crash_doubt_s before the break was noted.

Figures: the new case fails without the change.

--- a/packages/turmericweir-core/turmericweir_core/quarantine.py
+++ b/packages/turmericweir-core/turmericweir_core/quarantine.py
@@ -134,10 +134,15 @@
 
 
 def note_progress(state: State, attempt: Attempt) -> None:
-    """Take tokens over a connection that is older than a break: the server did not crash then."""
+    """Take tokens over a connection that is older than a break: the server did not crash then.
+
+    A break is noted after a new connection was tried, which takes up to a second. A younger attempt
+    may have begun in the life after, and its tokens prove nothing.
+    """
     breaks = state.quarantine.breaks.get(attempt.server)
     if breaks:
-        kept = [each for each in breaks if each.at <= attempt.started]
+        proven_s = state.options.crash_doubt_s
+        kept = [each for each in breaks if each.at - attempt.started <= proven_s]
         state.quarantine.breaks[attempt.server] = kept
 
 
--- a/tests/core/test_quarantine.py
+++ b/tests/core/test_quarantine.py
@@ -223,8 +223,9 @@
     # and the request goes on at once.
     world = FaultWorld(instances=1, servers=1)
     world.moment()
-    world.arrive("cut")
     world.arrive("other")
+    world.advance(1.5)
+    world.arrive("cut")
     world.moment()
     server = world.servers[ServerName("s0")]
     run = world.attempts("cut")[0]
@@ -234,6 +235,27 @@
     assert world.attempts("cut")
 
 
+def test_witness_of_the_life_after() -> None:
+    # A server crashes and is back. Before the break is noted another request has begun there, and
+    # its tokens come. It began in the new life, so it is no proof that the server did not crash.
+    world = FaultWorld(instances=1, servers=1)
+    world.moment()
+    world.arrive("one")
+    world.moment()
+    server = world.servers[ServerName("s0")]
+    run = world.attempts("one")[0]
+    del server.running[run.start.attempt_id]
+    server.life += 1
+    server.life_hidden_until = world.now + 0.6
+    world.arrive("next")
+    world.now += 0.01
+    world.event(run.instance, AttemptEnded(RequestId("one"), run.start.attempt_id, CUT))
+    world.advance(3 * world.options.tick_s)
+    assert not world.attempts("one")
+    world.advance(0.6)
+    assert world.states[run.instance].quarantine.counts == {"one": 1}
+
+
 def test_cut_connection_without_a_witness() -> None:
     # As above, but nothing else runs there. The request waits for word, and then goes on.
     world = FaultWorld(instances=1, servers=1)
