Keep breaks in one place, and ask for a trial in two steps

Cause: a break that was seen and one that was given up for silence were kept by the same two lines twice, and the home's own trial was decided in one condition over three lines. Change: _keep_break; may_run as in on_ask. Nothing else is changed. Figures: the tests of quarantine and lifecycle, and the crashing request's with real processes, pass.

--- a/packages/turmericweir-core/turmericweir_core/quarantine.py
+++ b/packages/turmericweir-core/turmericweir_core/quarantine.py
@@ -95,8 +95,7 @@
         return
     if alive:
         # No sign of a crash, unless the next report is of another incarnation.
-        broken = Break(now, attempt.incarnation, req.fingerprint, attempt.started)
-        state.quarantine.breaks.setdefault(attempt.server, []).append(broken)
+        _keep_break(state, now, req, attempt, silent=False)
         return
     key = crash_key(attempt.server, attempt.incarnation, attempt.attempt_id)
     _note_seen(state, now, key, now, req.fingerprint, attempt.started)
@@ -109,9 +108,12 @@
     break, so the request that crashed it counts as merely unlucky and goes on to the next server.
     Whether the server restarted shows in its next report, as after any break.
     """
-    if not req.fingerprint:
-        return
-    broken = Break(now, attempt.incarnation, req.fingerprint, attempt.started, silent=True)
+    if req.fingerprint:
+        _keep_break(state, now, req, attempt, silent=True)
+
+
+def _keep_break(state: State, now: float, req: Request, attempt: Attempt, *, silent: bool) -> None:
+    broken = Break(now, attempt.incarnation, req.fingerprint, attempt.started, silent)
     state.quarantine.breaks.setdefault(attempt.server, []).append(broken)
 
 
--- a/packages/turmericweir-core/turmericweir_core/trial.py
+++ b/packages/turmericweir-core/turmericweir_core/trial.py
@@ -187,9 +187,8 @@
     fingerprint = held.req.fingerprint
     home = _home(state, now)
     if home.name == state.me.name:
-        if _may_begin(state, now, fingerprint) and _give(
-            state, now, state.me.name, name, fingerprint
-        ):
+        may_run = _may_begin(state, now, fingerprint)
+        if may_run and _give(state, now, home.name, name, fingerprint):
             return _run(state, held, name, now, state.me.name)
         _deny(state, now, held, name)
         return []
