--- a/packages/turmericweir-core/turmericweir_core/config.py
+++ b/packages/turmericweir-core/turmericweir_core/config.py
@@ -73,6 +73,8 @@
     # Class by target (model or service); the key "*" is the default.
     classes: dict[str, str] = field(default_factory=dict)
     limit: Limit = NO_LIMIT
+    # The tier of all its requests, in place of their routes'.
+    priority: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -174,4 +176,6 @@
     operators: dict[str, Operator] = field(default_factory=dict)
     policy: Policy = Policy.COUNTS
     routes: RouteTable = field(default_factory=RouteTable)
+    # Whether requests on routes that are not public have to bring a customer's key.
+    keys_required: bool = False
     limits: RequestLimits = field(default_factory=RequestLimits)
--- a/packages/turmericweir-core/turmericweir_core/document.py
+++ b/packages/turmericweir-core/turmericweir_core/document.py
@@ -31,6 +31,9 @@
 # A proof older than this has peers asked for theirs. Above the time between two answers of the
 # store, or every instance would ask all the time.
 _ASK_PEERS_S: Final = 3.0
+# A caller is only denied by settings that were proven so lately; above the time between two answers
+# of the store.
+_DENY_PROOF_S: Final = 2.5
 # Before the first document, peers are asked after so long: the store usually answers sooner.
 _FIRST_ASK_S: Final = 0.5
 # Between two askings, each of another peer.
@@ -63,6 +66,15 @@
     return 0.0 if state.document is None else now - state.document.proof_at
 
 
+def may_deny(state: State, now: float) -> bool:
+    """Tell whether the settings are known to be new enough to turn a caller away by them.
+
+    Failure: an instance is cut off while a route or a key is added, and tells callers that there is
+    no such thing; they do not try again. While that is in doubt they are told to come back.
+    """
+    return proof_age(state, now) <= _DENY_PROOF_S
+
+
 def may_serve_key(state: State, now: float, req: Request) -> bool:
     """Tell whether a request may still be sent, as far as its key goes.
 
--- a/packages/turmericweir-core/turmericweir_core/reasons.py
+++ b/packages/turmericweir-core/turmericweir_core/reasons.py
@@ -27,6 +27,7 @@
     NO_SERVER = "no_server"
     NO_SETTINGS = "no_settings"
     KEY_UNPROVEN = "key_unproven"
+    SETTINGS_IN_DOUBT = "settings_in_doubt"
     STOPPING = "stopping"
     DISPLACED = "displaced"
     CLAIM_UNAVAILABLE = "claim_unavailable"
@@ -58,6 +59,7 @@
     Reason.NO_SERVER: "No server for this target can be reached.",
     Reason.NO_SETTINGS: "This instance has no settings yet.",
     Reason.KEY_UNPROVEN: "This instance cannot tell at present whether the key is still good.",
+    Reason.SETTINGS_IN_DOUBT: "This instance cannot tell at present whether its settings are new.",
     Reason.STOPPING: "This instance is stopping and takes no new requests.",
     Reason.DISPLACED: "Work of a more urgent class took the place of this request.",
     Reason.CLAIM_UNAVAILABLE: (
--- a/packages/turmericweir/turmericweir/backend_attempt.py
+++ b/packages/turmericweir/turmericweir/backend_attempt.py
@@ -35,6 +35,8 @@
 
 # How long a new connection may take to show that a server lives.
 PROBE_TIMEOUT_S: Final = 1.0
+# The same where connecting alone is asked for: some round trips between data centres.
+CONNECT_PROBE_S: Final = 0.3
 # How long a refusal's or an error's body, or the end of a finished answer, is waited for.
 TAIL_TIMEOUT_S: Final = 0.25
 TAIL_MAX: Final = 65_536
@@ -47,12 +49,14 @@
 
 # Consumes an answer and says how the attempt ended.
 Consume = Callable[[httpcore.Response], Awaitable[AttemptEnd]]
+Lives = Callable[["BackendPool", str], Awaitable[bool]]
+MakeRequest = Callable[[], httpcore.Request]
 
 
 class Attempt:
     """One attempt: sends the request, has the answer consumed, classifies the end."""
 
-    __slots__ = ("_first_byte", "_kept", "broke", "node", "pool", "start")
+    __slots__ = ("_first_byte", "_kept", "_lives", "broke", "node", "pool", "start")
 
     node: Node
     pool: BackendPool
@@ -62,8 +66,13 @@
     _first_byte: FirstByte
     # Its connection was kept from an earlier request.
     _kept: bool
+    # Asks whether a server answers on a new connection.
+    _lives: Lives
 
-    def __init__(self, node: Node, pool: BackendPool, start: StartAttempt) -> None:
+    def __init__(
+        self, node: Node, pool: BackendPool, start: StartAttempt, lives: Lives | None = None
+    ) -> None:
+        self._lives = lives or is_alive
         self.node = node
         self.pool = pool
         self.start = start
@@ -80,14 +89,17 @@
         start = self.start
         self.node.handle(AttemptSent(start.request_id, start.attempt_id, self._kept))
 
-    async def run(self, request: httpcore.Request, consume: Consume) -> AttemptEnd:
-        """Run the attempt to its end; being cancelled ends it too."""
+    async def run(self, make: MakeRequest, consume: Consume) -> AttemptEnd:
+        """Run the attempt to its end; being cancelled ends it too.
+
+        The request is made only once there is a connection, as it may say how much time is left.
+        """
         address = self.start.address
         try:
             conn = await self.pool.take(address, fresh=self.start.fresh_connection)
             self._kept = conn.is_kept
             try:
-                response = await conn.send(request, self._first_byte)
+                response = await conn.send(make(), self._first_byte)
                 end = await consume(response)
                 # Marks the connection as idle, if the answer was read to its end.
                 await response.aclose()
@@ -102,7 +114,7 @@
         if not self.sent:
             return EndUnsent(error)
         self.broke = error
-        return EndBroken(error, await is_alive(self.pool, self.start.address))
+        return EndBroken(error, await self._lives(self.pool, self.start.address))
 
     async def refusal(
         self, response: httpcore.Response, headers: Mapping[bytes, bytes]
@@ -145,6 +157,17 @@
             return
 
 
+async def connects(pool: BackendPool, address: str) -> bool:
+    """Tell whether a new connection to a server works; it is kept for the next request."""
+    try:
+        with anyio.fail_after(CONNECT_PROBE_S):
+            conn = await pool.take(address, fresh=True)
+    except (TimeoutError, *TRANSPORT_ERRORS):
+        return False
+    await pool.give_back(address, conn)
+    return True
+
+
 async def is_alive(pool: BackendPool, address: str) -> bool:
     """Tell whether a server answers on a new connection.
 
--- a/packages/turmericweir/turmericweir/backend_engine.py
+++ b/packages/turmericweir/turmericweir/backend_engine.py
@@ -90,7 +90,7 @@
             body = _with_resume(body, start.resume_from, self._answer.text(start.resume_from))
         headers = [*_HEADERS, *attempt_headers(start), (PRIORITY, b"%d" % start.priority)]
         request = make_request(b"POST", start.address, _PATH, headers, body)
-        return await self._attempt.run(request, self._consume)
+        return await self._attempt.run(lambda: request, self._consume)
 
     async def _consume(self, response: httpcore.Response) -> AttemptEnd:
         headers = lower_headers(response)
--- a/packages/turmericweir/turmericweir/backend_pool.py
+++ b/packages/turmericweir/turmericweir/backend_pool.py
@@ -29,7 +29,7 @@
 class BackendConnection:
     """One HTTP connection, for one request at a time."""
 
-    __slots__ = ("_http", "_stream", "is_kept", "opened_at")
+    __slots__ = ("_http", "_stream", "_used", "is_kept", "opened_at")
 
     _http: httpcore.AsyncHTTP11Connection
     _stream: BackendStream
@@ -37,6 +37,8 @@
     opened_at: float
     # It has carried an earlier request.
     is_kept: bool
+    # It carries a request, or has carried one.
+    _used: bool
 
     def __init__(self, address: str, stream: BackendStream) -> None:
         host, _, port = address.rpartition(":")
@@ -45,6 +47,7 @@
         self._stream = stream
         self.opened_at = monotonic()
         self.is_kept = False
+        self._used = False
 
     async def send(
         self, request: httpcore.Request, announce: Callable[[], None]
@@ -54,13 +57,25 @@
         `announce` is called just before the first byte goes out: not before it is sure that the
         connection stands, and not after the server could have begun.
         """
+        self._used = True
         self._stream.before_write = announce
         return await self._http.handle_async_request(request)
 
     @property
     def is_idle(self) -> bool:
-        """Whether it can carry another request."""
-        return self._http.is_idle()
+        """Whether it can carry another request.
+
+        Failure: a server sends more than the answer it announced. Whatever is left of that would be
+        taken for the beginning of the next answer, which is another caller's.
+        """
+        if not self._used:
+            return True
+        return self._http.is_idle() and not self._has_leftover()
+
+    def _has_leftover(self) -> bool:
+        # httpcore has no word for it; its parser keeps what came behind the answer.
+        leftover, _ = self._http._h11_state.trailing_data
+        return bool(leftover) or self._stream.has_unread
 
     @property
     def was_closed(self) -> bool:
--- a/packages/turmericweir/turmericweir/backend_service.py
+++ b/packages/turmericweir/turmericweir/backend_service.py
@@ -142,7 +142,7 @@
         request = make_request(
             plain_call.method, self._start.address, plain_call.target, headers, plain_call.body
         )
-        return await self._attempt.run(request, self._consume)
+        return await self._attempt.run(lambda: request, self._consume)
 
     async def _consume(self, response: httpcore.Response) -> AttemptEnd:
         headers = lower_headers(response)
--- a/packages/turmericweir/turmericweir/backend_stream.py
+++ b/packages/turmericweir/turmericweir/backend_stream.py
@@ -49,10 +49,10 @@
     ended: bool
     # Why it was lost; None also where it was closed in order.
     fault: Exception | None
-    # Set when something comes; None while nobody reads.
+    # Set when something comes or may be written; None while nobody waits.
     _came: anyio.Event | None
-    # Set when the system takes more; None while it does.
-    _writable: anyio.Event | None
+    # The system takes no more for now.
+    _blocked: bool
 
     def __init__(self) -> None:
         self.received = deque()
@@ -60,7 +60,7 @@
         self.ended = False
         self.fault = None
         self._came = None
-        self._writable = None
+        self._blocked = False
 
     async def wait_received(self) -> None:
         """Wait until something can be read, or nothing more will come."""
@@ -72,9 +72,18 @@
                 self._came = None
 
     async def wait_writable(self) -> None:
-        """Wait until the system has taken most of what was written."""
-        while self._writable is not None:
-            await self._writable.wait()
+        """Wait until the system has taken most of what was written, or an answer comes.
+
+        Failure: a server answers before it has read a long body, and reads on only then. Waiting
+        for it to read would keep its answer from the caller; the rest of the body follows by
+        itself, before anything else on this connection.
+        """
+        while self._blocked and not self.received:
+            self._came = anyio.Event()
+            try:
+                await self._came.wait()
+            finally:
+                self._came = None
 
     def take(self) -> bytes:
         """Take the oldest part of what has come; nothing at the end."""
@@ -118,13 +127,13 @@
 
     def pause_writing(self) -> None:
         """Have the writer wait."""
-        self._writable = anyio.Event()
+        self._blocked = True
 
     def resume_writing(self) -> None:
         """Let the writer go on."""
-        if self._writable is not None:
-            self._writable.set()
-            self._writable = None
+        if self._blocked:
+            self._blocked = False
+            self._wake()
 
     def _wake(self) -> None:
         if self._came is not None:
@@ -170,6 +179,11 @@
         if wire.transport.is_closing():
             raise httpcore.WriteError(str(wire.fault or "the connection is closed")) from wire.fault
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether something has come that nobody has read."""
+        return bool(self._wire.received)
+
     async def aclose(self) -> None:
         """Close the connection."""
         self._wire.transport.abort()
--- a/packages/turmericweir/turmericweir/caller_app.py
+++ b/packages/turmericweir/turmericweir/caller_app.py
@@ -22,11 +22,10 @@
     make_problem,
     refusal,
 )
+from turmericweir.caller_refusal import RefusedError, new_request_id
 from turmericweir.caller_request import (
     PlainInquiry,
-    RefusedError,
     authenticate,
-    new_request_id,
     read_completion,
     read_plain,
 )
--- a/packages/turmericweir/turmericweir/caller_request.py
+++ b/packages/turmericweir/turmericweir/caller_request.py
@@ -15,9 +15,9 @@
 import orjson
 import xxhash
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
-from uuid6 import uuid7
 
 from turmericweir.backend_service import PlainCall, forwarded_headers
+from turmericweir.caller_refusal import RefusedError
 from turmericweir_core.config import CallRule, Config, Customer, Kind, Service, ServiceClass
 from turmericweir_core.ids import RequestId, Target
 from turmericweir_core.reasons import Reason
@@ -40,17 +40,6 @@
 Headers = Mapping[bytes, bytes]
 
 
-class RefusedError(Exception):
-    """The request is refused at the border."""
-
-    def __init__(self, reason: Reason, detail: str = "", *, status: int | None = None) -> None:
-        super().__init__(detail or reason.value)
-        self.reason = reason
-        self.detail = detail
-        # Overrides the status that the reason has.
-        self.status = status
-
-
 class ChatMessage(BaseModel):
     """One message of a prompt."""
 
@@ -80,11 +69,6 @@
     words: int
 
 
-def new_request_id() -> RequestId:
-    """Make a request id, which sorts by time."""
-    return RequestId(str(uuid7()))
-
-
 def authenticate(config: Config, headers: Headers) -> Customer:
     """Find the customer by its bearer token."""
     value = headers.get(b"authorization", b"")
--- a/packages/turmericweir/turmericweir/daemon.py
+++ b/packages/turmericweir/turmericweir/daemon.py
@@ -38,7 +38,7 @@
 from turmericweir_core import membership
 from turmericweir_core.events import SeedsGiven
 from turmericweir_core.ids import InstanceName
-from turmericweir_core.reducer import new_state
+from turmericweir_core.reducer import new_state, reduce
 from turmericweir_core.state import Identity, State
 
 # The status of a process that was told to end at once.
@@ -123,7 +123,7 @@
         operators=parts.operators,
         metrics=parts.metrics,
     )
-    node = Node(_make_state(cfg), adapters, group, unread_s=cfg.limits.unread_s)
+    node = Node(_make_state(cfg), reduce, adapters, group, unread_s=cfg.limits.unread_s)
     for part in (parts.platform, parts.streams, parts.datagrams, parts.servers):
         part.attach(node)
     return node
--- a/packages/turmericweir/turmericweir/dump.py
+++ b/packages/turmericweir/turmericweir/dump.py
@@ -15,8 +15,6 @@
 from random import Random
 from typing import Any, Final
 
-from pydantic import BaseModel
-
 # Digests of tokens: a short or reused token could be found from them.
 _SECRET: Final = frozenset(
     {"token_digests", "token_digest", "customers_by_token", "token_sha256", "admin_tokens"}
@@ -47,9 +45,10 @@
 
 
 def _dump_compound(value: object, depth: int) -> Any:
-    if isinstance(value, BaseModel):
-        named = {name: getattr(value, name) for name in type(value).model_fields}
-        return _dump_named(named, depth)
+    # A validated model: asked for by what it offers, as its library is not loaded everywhere.
+    validated = getattr(type(value), "model_fields", None)
+    if validated is not None:
+        return _dump_named({name: getattr(value, name) for name in validated}, depth)
     if is_dataclass(value):
         return _dump_named({each.name: getattr(value, each.name) for each in fields(value)}, depth)
     if isinstance(value, Mapping):
--- /dev/null
+++ b/packages/turmericweir/turmericweir/entry_calls.py
@@ -0,0 +1,51 @@
+"""Calls to servers that belong to no caller's request, where each is paid for: connecting alone."""
+
+from __future__ import annotations
+
+from turmericweir.backend_attempt import connects
+from turmericweir.backend_pool import BackendPool
+from turmericweir.node import Node
+from turmericweir_core.effects import DistrustConnections, ProbeServer, SendOrder
+from turmericweir_core.events import ServerAnswered, ServerUnreachable
+from turmericweir_core.ids import ServerName
+
+
+class EntryCalls:
+    """Finds out whether a server that failed can be connected to again."""
+
+    _node: Node
+    _pool: BackendPool
+    # Servers that are being tried.
+    _trying: set[ServerName]
+
+    def __init__(self, pool: BackendPool) -> None:
+        self._pool = pool
+        self._trying = set()
+
+    def attach(self, node: Node) -> None:
+        """Take the node whose effects these are; it is made after its adapters."""
+        self._node = node
+
+    def probe(self, effect: ProbeServer) -> None:
+        """Connect to a server in the background."""
+        if effect.server not in self._trying:
+            self._trying.add(effect.server)
+            self._node.in_background(self._try, effect)
+
+    async def _try(self, effect: ProbeServer) -> None:
+        try:
+            works = await connects(self._pool, effect.address)
+        finally:
+            self._trying.discard(effect.server)
+        if works:
+            self._node.handle(ServerAnswered(effect.server))
+        else:
+            self._node.handle(ServerUnreachable(effect.server, "no connection"))
+
+    def distrust(self, effect: DistrustConnections) -> None:
+        """Use no connection again that is open to a server now."""
+        self._pool.distrust(effect.address)
+
+    def order(self, effect: SendOrder) -> None:
+        """Refuse: servers take their orders from elsewhere here."""
+        raise RuntimeError(f"an order for {effect.server} arose where none are given")
--- /dev/null
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -0,0 +1,292 @@
+"""The daemon on a platform whose store keeps settings and servers' entries.
+
+The same parts as in `daemon`, but for what the platform brings (`Border`): the names on the wire,
+how the store is followed, where readiness is asked for. A graceful stop goes in the same order.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import gc
+import secrets
+import signal
+import socket
+import sys
+from collections.abc import Callable
+from contextlib import AsyncExitStack
+from dataclasses import dataclass
+from random import Random
+from typing import TYPE_CHECKING, Final
+
+import anyio
+from anyio.abc import TaskGroup
+
+from turmericweir import logs
+from turmericweir.backend_pool import BackendPool
+from turmericweir.entry_calls import EntryCalls
+from turmericweir.entry_settings import EntrySettings
+from turmericweir.forward_app import ForwardApp
+from turmericweir.forward_wire import Wire
+from turmericweir.http_limits import HttpLimits
+from turmericweir.http_server import HttpServer
+from turmericweir.listening_socket import bind
+from turmericweir.log_pipe import LogPipe
+from turmericweir.metrics_page import MetricsApp, PageMetrics
+from turmericweir.node import Adapters, DocumentPort, Node
+from turmericweir.peer_datagrams import PeerDatagrams
+from turmericweir.peer_streams import PeerStreams
+from turmericweir_core.document import DocumentState, proof_age
+from turmericweir_core.events import SeedsGiven
+from turmericweir_core.ids import InstanceName
+from turmericweir_core.options import Options
+from turmericweir_core.reducer_store import reduce
+from turmericweir_core.state import Identity, State
+
+if TYPE_CHECKING:
+    from uvicorn._types import ASGI3Application
+
+# Of the bound on keys, what a request takes at the most from here to its server, and what clocks
+# and ticks may add.
+_REVOKE_MARGIN_S: Final = 0.6
+# Before the platform kills a process that was told to stop, it ends by itself.
+_STOP_MARGIN_S: Final = 0.5
+# The balancer looks away after two answers that are a second apart; until then callers still come.
+_STOP_GRACE_S: Final = 2.6
+# Callers may leave an answer unread for so long.
+_UNREAD_S: Final = 10.0
+_LOG_FLUSH_S: Final = 0.25
+# Idle connections are kept a little longer than callers were promised.
+_KEEP_ALIVE_EXTRA_S: Final = 1.0
+# Lives of objects before collections of the youngest of them: collections are rare, since nearly
+# everything here dies by its count of references.
+_COLLECT_AFTER: Final = 20_000
+
+
+class StoreFollower(DocumentPort):
+    """What the daemon needs of whoever reads the platform's store."""
+
+    def attach(self, node: Node) -> None:
+        """Take the node that is told."""
+        raise NotImplementedError
+
+    async def follow_document(self) -> None:
+        """Follow the settings."""
+        raise NotImplementedError
+
+    async def follow_registry(self) -> None:
+        """Follow the servers' entries."""
+        raise NotImplementedError
+
+
+@dataclass(frozen=True, slots=True)
+class Border:
+    """What a platform brings."""
+
+    wire: Wire
+    # Makes the follower of the store.
+    follower: Callable[[BackendPool, EntrySettings], StoreFollower]
+    # Makes the application that answers the balancer, by whether the process is ready.
+    readiness: Callable[[Callable[[], bool]], ASGI3Application]
+
+
+class LiveLimits:
+    """The limits of the callers' port, as the settings in force say."""
+
+    _state: State
+
+    def __init__(self, state: State) -> None:
+        self._state = state
+
+    @property
+    def header_bytes(self) -> int:
+        """Request line and headers together, bytes."""
+        return self._state.config.limits.header_bytes
+
+    @property
+    def header_s(self) -> float:
+        """Time from the first byte of a request to the end of its headers, seconds."""
+        return self._state.config.limits.header_s
+
+    @property
+    def keep_alive_s(self) -> float:
+        """How long an idle connection of a caller is kept, seconds."""
+        return self._state.config.limits.idle_s + _KEEP_ALIVE_EXTRA_S
+
+
+def make_options(cfg: EntrySettings) -> Options:
+    """Set what the platform holds the process to."""
+    bounds = cfg.bounds
+    proof_s = bounds.revoke_ms / 1000.0 - _REVOKE_MARGIN_S
+    return Options(
+        tick_s=0.05,
+        stop_grace_s=min(_STOP_GRACE_S, bounds.grace_s / 3),
+        stop_limit_s=bounds.grace_s - _STOP_MARGIN_S,
+        deadline_grace_s=0.0,
+        key_proof_s=proof_s if bounds.strict_revoke else float("inf"),
+        retry_share=bounds.retry_ratio,
+        retry_burst=bounds.retry_burst,
+        retry_window_s=bounds.retry_window_s,
+        retry_pay_all=True,
+        retry_after_min_s=0.1,
+        probe_servers=False,
+        subset_size=64,
+        first_silence_s=0.3,
+        crash_doubt_s=0.0,
+        servers_stale_s=3.0,
+        servers_ask_s=1.0,
+        servers_wait_s=1.0,
+    )
+
+
+def make_state(cfg: EntrySettings) -> State:
+    """Make the state of a process that has just started."""
+    regions = set(cfg.regions.values()) - {cfg.region}
+    identity = Identity(
+        name=InstanceName(cfg.name),
+        data_centre=cfg.data_centre,
+        region=cfg.region,
+        peer_address=cfg.peer_address,
+        incarnation=secrets.token_hex(8),
+        other_regions=tuple(sorted(regions)),
+    )
+    # The settings log is not read here, and its part of the state not even loaded.
+    unread: SettingsSync = None  # type: ignore[assignment]
+    return State(
+        me=identity,
+        options=make_options(cfg),
+        rng=Random(secrets.randbits(64)),
+        settings=unread,
+        document=DocumentState(),
+    )
+
+
+if TYPE_CHECKING:
+    from turmericweir_core.settings_sync import SettingsSync
+
+
+async def run(cfg: EntrySettings, border: Border) -> int:
+    """Run the daemon; return the status to exit with."""
+    async with AsyncExitStack() as stack:
+        pipe = stack.enter_context(LogPipe(sys.stdout.fileno(), cfg.name))
+        logs.write("starting", data_centre=cfg.data_centre, store=cfg.store.address)
+        sockets = _bind_all(cfg, stack)
+        me = InstanceName(cfg.name)
+        pool = await stack.enter_async_context(BackendPool())
+        streams = await stack.enter_async_context(PeerStreams(me, cfg.peer_address))
+        datagrams = await stack.enter_async_context(PeerDatagrams(me, cfg.peer_address))
+        servers = EntryCalls(pool)
+        metrics = PageMetrics()
+        follower = border.follower(pool, cfg)
+        adapters = Adapters(streams, datagrams, servers, metrics, documents=follower)
+        async with anyio.create_task_group() as group:
+            node = Node(make_state(cfg), reduce, adapters, group, unread_s=_UNREAD_S)
+            for part in (streams, datagrams, servers, follower):
+                part.attach(node)
+            node.handle(SeedsGiven(cfg.peer_seeds))
+            group.start_soon(pipe.flush_forever, _LOG_FLUSH_S)
+            _start(node, pool, streams, datagrams, follower, group)
+            _tune_collector()
+            await _serve(node, pool, border, metrics, sockets)
+            group.cancel_scope.cancel()
+        logs.write("stopped", in_flight=len(node.exchanges))
+    return 0
+
+
+@dataclass(frozen=True, slots=True)
+class _Sockets:
+    callers: socket.socket
+    readiness: socket.socket
+    metrics: socket.socket | None
+
+
+def _bind_all(cfg: EntrySettings, stack: AsyncExitStack) -> _Sockets:
+    metrics = f"{cfg.host}:{cfg.metrics_port}" if cfg.metrics_port else None
+    return _Sockets(
+        stack.enter_context(bind(cfg.caller_address, "listen for callers")),
+        stack.enter_context(bind(cfg.readiness_address, "listen for the balancer")),
+        stack.enter_context(bind(metrics, "listen for the collector")) if metrics else None,
+    )
+
+
+def _start(
+    node: Node,
+    pool: BackendPool,
+    streams: PeerStreams,
+    datagrams: PeerDatagrams,
+    follower: StoreFollower,
+    group: TaskGroup,
+) -> None:
+    group.start_soon(node.tick_forever)
+    group.start_soon(pool.sweep_forever)
+    group.start_soon(streams.serve)
+    group.start_soon(datagrams.send_forever)
+    group.start_soon(datagrams.receive_forever)
+    group.start_soon(follower.follow_document)
+    group.start_soon(follower.follow_registry)
+
+
+def _tune_collector() -> None:
+    """Spare modules from collections, which would stop the process for some 40 ms each."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(_COLLECT_AFTER, 20, 20)
+
+
+def is_ready(node: Node) -> bool:
+    """Tell whether callers should be sent here: it knows what to do and may do it."""
+    state = node.state
+    if not node.ready or state.servers.listed_at is None:
+        return False
+    return proof_age(state, anyio.current_time()) <= state.options.key_proof_s
+
+
+async def _serve(
+    node: Node, pool: BackendPool, border: Border, metrics: PageMetrics, sockets: _Sockets
+) -> None:
+    limits: HttpLimits = LiveLimits(node.state)
+    callers = HttpServer(ForwardApp(node, pool, border.wire), limits)
+    readiness = HttpServer(border.readiness(lambda: is_ready(node)), limits)
+    async with anyio.create_task_group() as group:
+        group.start_soon(_serve_http, readiness, sockets.readiness)
+        if sockets.metrics is not None:
+            collected = HttpServer(MetricsApp(metrics), limits)
+            group.start_soon(_serve_http, collected, sockets.metrics)
+        group.start_soon(_take_signals, node)
+        group.start_soon(_stop_when_done, node, callers, group.cancel_scope)
+        group.start_soon(_announce, node)
+        await _serve_http(callers, sockets.callers)
+        group.cancel_scope.cancel()
+
+
+async def _serve_http(server: HttpServer, sock: socket.socket) -> None:
+    await server.serve([sock])
+
+
+async def _announce(node: Node) -> None:
+    """Say once when the process is ready for callers."""
+    started = anyio.current_time()
+    while not is_ready(node):
+        await anyio.sleep(_LOG_FLUSH_S)
+    logs.write("ready", after_ms=round((anyio.current_time() - started) * 1000))
+
+
+async def _take_signals(node: Node) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        async for signum in signals:
+            logs.write("signal", signal=signum.name, in_flight=len(node.exchanges))
+            if signum != signal.SIGHUP and not node.stopping:
+                node.stop()
+
+
+async def _stop_when_done(node: Node, callers: HttpServer, scope: anyio.CancelScope) -> None:
+    await node.exit_wanted.wait()
+    if node.exchanges:
+        # The time is over: what still runs is cut, so that nobody takes a part for the whole.
+        for exchange in list(node.exchanges.values()):
+            with contextlib.suppress(Exception):
+                exchange.fail(TimeoutError("the process has to stop"))
+        scope.cancel()
+        return
+    callers.stop()
+
+
--- /dev/null
+++ b/packages/turmericweir/turmericweir/entry_settings.py
@@ -0,0 +1,120 @@
+"""The settings file of a process whose platform keeps settings and servers in a store.
+
+JSON, with lines of comment that begin with two slashes. It says who the process is, where it
+listens and what the platform holds it to; everything that operators change while it runs comes from
+the store. `deploy/settings.json` is its template.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+from pathlib import Path
+from typing import Final
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from turmericweir.errors import SettingsFileError
+
+_COMMENT: Final = "//"
+_PORT_MAX: Final = 65_535
+
+
+class StoreSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """How the platform's store is reached."""
+
+    # ip:port
+    address: str
+
+
+class BoundsSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """What the platform holds every process to. Times are milliseconds unless named otherwise."""
+
+    # A server that leaves gets no new requests after so long.
+    drain_ms: float = 2_000
+    # A process that was told to stop is killed after so long, seconds.
+    grace_s: float = 8
+    # Whether a key that is taken away stops everywhere, and after how long at the latest.
+    strict_revoke: bool = False
+    revoke_ms: float = 5_000
+    # Retries over all instances: share of first requests, window and what may come on top.
+    retry_ratio: float = 0.1
+    retry_window_s: float = 10
+    retry_burst: float = 10
+
+
+class EntrySettings(msgspec.Struct, frozen=True, kw_only=True):
+    """The whole file."""
+
+    name: str
+    data_centre: str
+    region: str
+    # Region of each data centre.
+    regions: dict[str, str] = {}
+    # Where callers, the balancer and operators reach this process, ip:port each.
+    caller_address: str
+    readiness_address: str
+    admin_address: str = ""
+    # Where other instances reach this one, over TCP and UDP.
+    peer_address: str
+    # Addresses of other instances on any of their ports; their peer port is this process's own.
+    seeds: list[str] = []
+    # Where the collector finds the counters; 0 for nowhere.
+    metrics_port: int = 0
+    store: StoreSettings
+    bounds: BoundsSettings = BoundsSettings()
+
+    @property
+    def peer_seeds(self) -> tuple[str, ...]:
+        """Where to find other instances at first."""
+        port = self.peer_address.rpartition(":")[2]
+        return tuple(f"{each.rpartition(':')[0]}:{port}" for each in self.seeds if each)
+
+    @property
+    def host(self) -> str:
+        """The address of the machine."""
+        return self.peer_address.rpartition(":")[0]
+
+
+def read_entry_settings(path: Path) -> Result[EntrySettings, SettingsFileError]:
+    """Read and validate the settings file."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        return Failure(SettingsFileError("read settings", str(path), str(exc)))
+    return parse_entry_settings(text, str(path))
+
+
+def parse_entry_settings(text: str, origin: str) -> Result[EntrySettings, SettingsFileError]:
+    """Validate the text of a settings file; `origin` names it in errors."""
+    lines = [line for line in text.splitlines() if not line.lstrip().startswith(_COMMENT)]
+    try:
+        cfg = msgspec.json.decode("\n".join(lines), type=EntrySettings, strict=False)
+        _check(cfg)
+    except (msgspec.DecodeError, ValueError) as exc:
+        return Failure(SettingsFileError("validate settings", origin, str(exc)))
+    return Success(cfg)
+
+
+def _check(cfg: EntrySettings) -> None:
+    for name in ("caller_address", "readiness_address", "peer_address"):
+        _check_address(name, getattr(cfg, name))
+    if cfg.admin_address:
+        _check_address("admin_address", cfg.admin_address)
+    _check_address("store.address", cfg.store.address)
+    for name in ("name", "data_centre", "region"):
+        if not getattr(cfg, name):
+            raise ValueError(f"{name}: expected a name")
+    if not 0 <= cfg.metrics_port <= _PORT_MAX:
+        raise ValueError("metrics_port: expected a port, or 0")
+
+
+def _check_address(name: str, text: str) -> None:
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host)
+        number = int(port)
+    except ValueError:
+        number = -1
+    if not 0 <= number <= _PORT_MAX:
+        raise ValueError(f"{name}: expected ip:port, got {text!r}")
--- a/packages/turmericweir/turmericweir/exchange.py
+++ b/packages/turmericweir/turmericweir/exchange.py
@@ -140,6 +140,7 @@
         "_pool",
         "_scope",
         "_woken",
+        "account",
         "caller",
         "job",
         "request",
@@ -163,6 +164,8 @@
     _blocked_since: float | None
     # A fault of the program in an event of this request: no decision may ever come.
     _fault: BaseException | None
+    # The final account; None before it is given.
+    account: Account | None
 
     def __init__(
         self, node: Node, pool: BackendPool, request: Request, caller: Caller, job: Job
@@ -179,6 +182,7 @@
         self._cancelled = set()
         self._blocked_since = None
         self._fault = None
+        self.account = None
 
     # Called by the node, synchronously.
 
@@ -237,6 +241,7 @@
             raise
         finally:
             connection.on_lost = None
+        self.account = account
         return await self.job.answer.finish(account)
 
     def _abandon(self) -> None:
--- a/packages/turmericweir/turmericweir/http_server.py
+++ b/packages/turmericweir/turmericweir/http_server.py
@@ -19,10 +19,10 @@
 from uvicorn.server import ServerState
 
 from turmericweir.caller_problem import Problem, refusal
-from turmericweir.caller_request import new_request_id
+from turmericweir.caller_refusal import new_request_id
 from turmericweir.caller_transport import JoiningTransport
+from turmericweir.http_limits import HttpLimits
 from turmericweir.listening_socket import accept_waiting, take_no_more
-from turmericweir.process_settings import Limits
 from turmericweir_core.reasons import Reason
 
 if TYPE_CHECKING:
@@ -46,7 +46,7 @@
 class LimitedProtocol(HttpToolsProtocol):
     """uvicorn's protocol with limits on the size and the time of a request's headers."""
 
-    limits: Limits
+    limits: HttpLimits
     # Bytes of the request whose headers are not whole yet.
     _header_bytes: int
     # Whether the headers of a request are awaited or being read.
@@ -125,6 +125,15 @@
         """Refuse what is not HTTP."""
         self._refuse(Reason.BAD_REQUEST, None)
 
+    @property
+    def timeout_keep_alive(self) -> float:
+        """How long uvicorn keeps this connection while it is idle, by the limits of the moment."""
+        return self.limits.keep_alive_s
+
+    @timeout_keep_alive.setter
+    def timeout_keep_alive(self, seconds: float) -> None:
+        """Drop uvicorn's own setting, which is of the time when the connection was made."""
+
     @property
     def is_lost(self) -> bool:
         """Whether the caller is gone, or the connection is being closed."""
@@ -177,7 +186,7 @@
     # Set once it listens.
     listening: anyio.Event
 
-    def __init__(self, app: ASGI3Application, limits: Limits) -> None:
+    def __init__(self, app: ASGI3Application, limits: HttpLimits) -> None:
         protocol = type("_Protocol", (LimitedProtocol,), {"limits": limits})
         config = uvicorn.Config(
             app,
@@ -191,7 +200,6 @@
             server_header=False,
             proxy_headers=False,
             backlog=BACKLOG,
-            timeout_keep_alive=limits.keep_alive_s,
         )
         super().__init__(config)
         self.listening = anyio.Event()
--- a/packages/turmericweir/turmericweir/node.py
+++ b/packages/turmericweir/turmericweir/node.py
@@ -10,7 +10,7 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any, Final, Protocol, TypeVarTuple, Unpack, assert_never
+from typing import TYPE_CHECKING, Any, Final, Protocol, TypeVar, TypeVarTuple, Unpack, assert_never
 
 import anyio
 from anyio.abc import TaskGroup
@@ -23,6 +23,7 @@
     AskWeights,
     CancelAttempt,
     Count,
+    DecodeDocument,
     DistrustConnections,
     Effect,
     Exit,
@@ -49,7 +50,7 @@
     Tick,
 )
 from turmericweir_core.ids import RequestId
-from turmericweir_core.reducer import reduce
+from turmericweir_core.reducer_common import Reducer
 from turmericweir_core.state import State
 
 if TYPE_CHECKING:
@@ -57,6 +58,7 @@
     from turmericweir.metrics import Metrics
 
 PosArgs = TypeVarTuple("PosArgs")
+Port = TypeVar("Port")
 # Between two sendings of the gathered metrics.
 _FLUSH_S: Final = 1.0
 
@@ -101,6 +103,13 @@
         """Give a server an order."""
 
 
+class DocumentPort(Protocol):
+    """What effects need of who decodes settings documents."""
+
+    def decode(self, effect: DecodeDocument) -> None:
+        """Decode a document and report it as read."""
+
+
 class OperatorPort(Protocol):
     """What effects need of the operators' side."""
 
@@ -112,12 +121,15 @@
 class Adapters:
     """Where effects go that leave the process."""
 
-    platform: PlatformPort
     peers: PeerPort
     datagrams: DatagramPort
     servers: ServerPort
-    operators: OperatorPort
     metrics: Metrics
+    # Each is there where its effects can arise: the log and operators' changes on the own
+    # interface, documents on a platform that keeps the settings as one.
+    platform: PlatformPort | None = None
+    operators: OperatorPort | None = None
+    documents: DocumentPort | None = None
 
 
 class Node:
@@ -128,6 +140,7 @@
     exchanges: dict[RequestId, Exchange]
     # Set when everything in flight is finished after a stop.
     exit_wanted: anyio.Event
+    _reduce: Reducer
     _adapters: Adapters
     # Runs what no caller waits for.
     _group: TaskGroup
@@ -140,9 +153,16 @@
     traffic: Traffic
 
     def __init__(
-        self, state: State, adapters: Adapters, group: TaskGroup, *, unread_s: float
+        self,
+        state: State,
+        reduce: Reducer,
+        adapters: Adapters,
+        group: TaskGroup,
+        *,
+        unread_s: float,
     ) -> None:
         self.state = state
+        self._reduce = reduce
         self.exchanges = {}
         self.exit_wanted = anyio.Event()
         self._adapters = adapters
@@ -166,7 +186,7 @@
 
     def _handle_one(self, event: Event) -> None:
         try:
-            for effect in reduce(self.state, anyio.current_time(), event):
+            for effect in self._reduce(self.state, anyio.current_time(), event):
                 self._perform(effect)
         except Exception as exc:
             # A fault in one event must not end every other request of the process. The request
@@ -218,13 +238,15 @@
             case SendOrder():
                 self._adapters.servers.order(effect)
             case AppendRecords():
-                self._adapters.platform.append(effect)
+                _present(self._adapters.platform).append(effect)
             case ReadLog():
-                self._adapters.platform.read(effect)
+                _present(self._adapters.platform).read(effect)
             case AskWeights():
-                self._adapters.platform.ask_weights(effect)
+                _present(self._adapters.platform).ask_weights(effect)
             case SettleChange():
-                self._adapters.operators.settle(effect)
+                _present(self._adapters.operators).settle(effect)
+            case DecodeDocument():
+                _present(self._adapters.documents).decode(effect)
             case Exit():
                 self.exit_wanted.set()
             case unreachable:
@@ -273,6 +295,13 @@
                 self._adapters.metrics.flush()
 
 
+def _present(port: Port | None) -> Port:
+    """Give an adapter whose effect has arisen, so it must be there."""
+    if port is None:
+        raise RuntimeError("an effect arose that this process has no adapter for")
+    return port
+
+
 async def _run_logged(work: Callable[..., Awaitable[Any]], args: tuple[Any, ...]) -> None:
     try:
         await work(*args)
--- a/packages/turmericweir/turmericweir/operator_auth.py
+++ b/packages/turmericweir/turmericweir/operator_auth.py
@@ -10,14 +10,16 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from http import HTTPStatus
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
 from turmericweir.operator_http import ProblemError
-from turmericweir.process_settings import AdminToken
 from turmericweir_core.config import Config
 from turmericweir_core.settings_changes import BOOTSTRAP_PREFIX
 from turmericweir_core.settings_path import covers
 
+if TYPE_CHECKING:
+    from turmericweir.process_settings import AdminToken
+
 TOKEN_EXPECTED: Final = "expected the bearer token of an operator"
 _BEARER: Final = b"bearer "
 
--- a/packages/turmericweir/turmericweir/peer_codec.py
+++ b/packages/turmericweir/turmericweir/peer_codec.py
@@ -11,8 +11,7 @@
 
 import anyio
 import msgpack
-import orjson
-from pydantic import TypeAdapter, ValidationError
+import msgspec
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
@@ -32,12 +31,7 @@
 _LOG_EVERY_S: Final = 1.0
 
 
-# Each with the type itself, by which its fields are named.
-def _adapters() -> dict[str, tuple[type[PeerMessage], TypeAdapter[PeerMessage]]]:
-    return {each.__name__: (each, TypeAdapter(each)) for each in PEER_MESSAGES}
-
-
-_ADAPTERS: Final = _adapters()
+_KINDS: Final = {each.__name__: each for each in PEER_MESSAGES}
 
 
 def encode(sender: InstanceName, message: PeerMessage) -> bytes:
@@ -64,15 +58,12 @@
     sender, name, values = frame
     if not isinstance(sender, str) or not isinstance(name, str):
         return Failure(PeerError(_STEP, peer, "sender or type is not a string"))
-    known = _ADAPTERS.get(name)
-    if known is None:
+    kind = _KINDS.get(name)
+    if kind is None:
         return Failure(PeerError(_STEP, peer, f"no message is called {name!r}"))
-    kind, adapter = known
     try:
-        # By way of JSON, as only there the strict mode takes arrays for tuples and maps for data
-        # classes; in its other mode a string would do for a number.
-        message = adapter.validate_json(orjson.dumps(to_map(kind, values)), strict=True)
-    except (ValidationError, TypeError) as exc:
+        message = msgspec.convert(to_map(kind, values), kind, strict=True)
+    except (msgspec.ValidationError, TypeError) as exc:
         return Failure(PeerError(_STEP, peer, f"{name}: {exc}"))
     return Success(PeerReceived(InstanceName(sender), message))
 
