Hand a caller's own Last-Event-Id on, and go on behind it

Ruled out: our own resuming (the runs seen had no event before), cut chunks. Change: the header goes on to the server, and events up to it are never passed on.

--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -288,5 +288,3 @@
         scope.cancel()
         return
     callers.stop()
-
-
--- a/packages/turmericweir/turmericweir/forward_answer.py
+++ b/packages/turmericweir/turmericweir/forward_answer.py
@@ -24,6 +24,7 @@
     """Where the answer goes."""
 
     __slots__ = (
+        "_begun",
         "_failure",
         "_headers",
         "_status",
@@ -42,24 +43,30 @@
     _headers: Headers
     # Bytes that were kept and not written yet.
     _unsent: bytes
-    # The id of the last whole event that was kept, over all attempts.
+    # The id of the last whole event that the caller has or was kept for it, over all attempts; one
+    # that resumes a stream brings the first.
     last_event: bytes
+    # An event was kept, so the head stays that of the attempt which brought it.
+    _begun: bool
     # A server's answer that says it failed: status, headers, body.
     _failure: tuple[int, Headers, bytes] | None
 
-    def __init__(self, caller: Caller, wire: Wire, stopping: Callable[[], bool]) -> None:
+    def __init__(
+        self, caller: Caller, wire: Wire, stopping: Callable[[], bool], resume_after: bytes
+    ) -> None:
         self.caller = caller
         self._wire = wire
         self._stopping = stopping
         self._status = 0
         self._headers = []
         self._unsent = b""
-        self.last_event = b""
+        self.last_event = resume_after
+        self._begun = False
         self._failure = None
 
     def begin(self, status: int, headers: Headers) -> None:
         """Take the head of an attempt's answer; of a stream that goes on, the first one stays."""
-        if self.last_event:
+        if self._begun:
             return
         self._status = status
         self._headers = self._wire.caller_headers(headers)
@@ -72,6 +79,7 @@
     def keep(self, data: bytes) -> None:
         """Take a part of the body."""
         self._unsent += data
+        self._begun = self._begun or bool(data)
 
     async def flush(self) -> None:
         """Write what was kept, with the head before the first part."""
--- a/packages/turmericweir/turmericweir/forward_app.py
+++ b/packages/turmericweir/turmericweir/forward_app.py
@@ -104,7 +104,9 @@
             if exc.reason in _DENIALS and not document.may_deny(state, anyio.current_time()):
                 raise RefusedError(Reason.SETTINGS_IN_DOUBT) from exc
             raise
-        answer = ForwardAnswer(caller, self._wire, lambda: self._node.stopping)
+        answer = ForwardAnswer(
+            caller, self._wire, lambda: self._node.stopping, inquiry.call.resume_after
+        )
         job = ForwardJob(inquiry.call, inquiry.request, self._wire, answer)
         exchange = Exchange(self._node, self._pool, inquiry.request, caller, job)
         self._node.exchanges[request_id] = exchange
--- a/packages/turmericweir/turmericweir/forward_wire.py
+++ b/packages/turmericweir/turmericweir/forward_wire.py
@@ -56,6 +56,8 @@
     streamed: bool
     # Another server may go on with the stream after the last whole event.
     resumable: bool
+    # The caller has the stream up to this event from an earlier request; empty for none.
+    resume_after: bytes
 
 
 @dataclass(frozen=True, slots=True)
