Hold a request back while its engine reads one of its parts for another

Cause: an engine looks for cached parts when it takes a request in; two that share a part and come within its reading time made it read the part twice. By the new log lines of placements, a request of 42,297 tokens of which 2,397 were not held was predicted to begin after 1,178 ms and took 2,406. Change: parts being read are known, own and others'; a request waits for the engine of its choice while it reads one of them, and others pass it; among engines in time the one with the least to read is taken, an unknown part goes to its home by hash. Connections are given 0.35 s. Tests: tests/core/test_predicted_placement.py (the first two fail without the change).

--- a/packages/turmericweir-core/turmericweir_core/attempt_books.py
+++ b/packages/turmericweir-core/turmericweir_core/attempt_books.py
@@ -139,7 +139,7 @@
 
 def note_first_token(state: State, now: float, req: Request, attempt: Attempt) -> None:
     """Learn from the first token of an attempt."""
-    engine_model.note_first_token(state, now, attempt)
+    engine_model.note_first_token(state, now, req, attempt)
     if attempt.tier != most_urgent(state.config):
         # Lower tiers wait at the engine behind upper ones, which says nothing of its limit.
         return
--- a/packages/turmericweir-core/turmericweir_core/attempt_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/attempt_flow.py
@@ -9,9 +9,17 @@
 
 from typing import assert_never
 
-from turmericweir_core import attempt_books, moving, quarantine, silence, trial
+from turmericweir_core import (
+    attempt_books,
+    engine_model,
+    moving,
+    quarantine,
+    queue_state,
+    silence,
+    trial,
+)
 from turmericweir_core.account import Outcome
-from turmericweir_core.config import Kind
+from turmericweir_core.config import Kind, Policy
 from turmericweir_core.dispatch import dispatch, release, wait_for_server
 from turmericweir_core.effects import Count, Effect, Log, Timing
 from turmericweir_core.events import (
@@ -74,12 +82,22 @@
 
 def _on_first_token(state: State, now: float, req: Request, attempt: Attempt) -> list[Effect]:
     attempt.first_token_at = now
+    predicted = engine_model.predicted_ms(state, attempt)
     attempt_books.note_first_token(state, now, req, attempt)
     silence.note_begun(state, now, attempt)
     effects: list[Effect] = [Timing(f"attempt.first_token.{attempt.server}", now - attempt.started)]
+    if predicted is not None:
+        fields = {"request_id": req.request_id, "peer": attempt.server}
+        times = {"predicted_ms": round(predicted), "took_ms": round(1000 * (now - attempt.started))}
+        effects.append(Log("begun", {**fields, **times}))
     if req.first_token_at is None:
         req.first_token_at = now
         effects.append(Timing(f"first_token.{req.service_class.name}", now - req.arrived))
+    if state.config.policy is Policy.PREDICTED and queue_state.anything_waits(
+        state.queues, attempt.pool
+    ):
+        # What it has had the engine read is in the cache now; others may wait for just that.
+        effects += dispatch(state, now, req.target)
     return effects
 
 
--- a/packages/turmericweir-core/turmericweir_core/dispatch.py
+++ b/packages/turmericweir-core/turmericweir_core/dispatch.py
@@ -8,9 +8,18 @@
 
 from __future__ import annotations
 
-from turmericweir_core import attempt_books, credit, displacement, queue_state, subset
+from typing import Final
+
+from turmericweir_core import (
+    attempt_books,
+    credit,
+    displacement,
+    predicted_placement,
+    queue_state,
+    subset,
+)
 from turmericweir_core.config import Kind, Policy
-from turmericweir_core.effects import CancelAttempt, Effect, StartAttempt
+from turmericweir_core.effects import CancelAttempt, Effect, Log, StartAttempt
 from turmericweir_core.ids import InstanceName, ServerName, Target, attempt_id
 from turmericweir_core.peer_messages import CreditDemand, CreditGrant
 from turmericweir_core.placement import pick_server
@@ -19,6 +28,10 @@
 from turmericweir_core.state import State
 from turmericweir_core.tiers import most_urgent
 
+# Waiting requests of one class that are looked at for a server: a pass costs the same whatever
+# number waits, and more than this are seldom held back at once.
+_LOOKED_AT: Final = 24
+
 
 def pool_name(state: State, target: Target) -> str:
     """Name the pool of a target: the service whose servers it shares with others."""
@@ -79,6 +92,8 @@
 
 
 def _bind_one(state: State, now: float, pool: str) -> list[Effect]:
+    if state.config.policy is Policy.PREDICTED:
+        return _bind_any(state, now, pool)
     for queue in _serving_order(state, pool):
         req = queue.head()
         tier = _running_tier(state, pool, queue)
@@ -89,6 +104,22 @@
     return []
 
 
+def _bind_any(state: State, now: float, pool: str) -> list[Effect]:
+    """Bind the first request that has a server, also behind others that wait for theirs.
+
+    Failure where only the first of each queue is looked at: it waits for the one engine that is
+    reading a part of its prompt, and holds up all behind it that have nothing to do with that one.
+    """
+    for queue in _serving_order(state, pool):
+        tier = _running_tier(state, pool, queue)
+        for req in queue.in_turn(_LOOKED_AT):
+            server = pick_server(state, now, req, tier)
+            if server is not None:
+                queue_state.note_dispatched(state.queues, queue, req)
+                return start(state, now, req, server, tier=tier)
+    return []
+
+
 def _serving_order(state: State, pool: str) -> list[queue_state.ClassQueue]:
     if state.config.policy is Policy.BASELINE:
         nonempty = queue_state.pool_queues(state.queues, pool)
@@ -123,8 +154,15 @@
     req.phase = Phase.RUNNING
     server.in_flight[name] = attempt.tier
     server.sent += 1
+    effects: list[Effect] = []
+    if state.config.policy is Policy.PREDICTED:
+        fields = predicted_placement.explain(state, now, req, server)
+        named = {"request_id": req.request_id, "attempt_id": name, "peer": server.entry.name}
+        place = {"service_class": req.service_class.name, "tier": attempt.tier}
+        effects.append(Log("placed", {**named, **place, **fields}))
     attempt_books.note_started(state, now, req, attempt, pool_name(state, req.target))
     return [
+        *effects,
         StartAttempt(
             request_id=req.request_id,
             attempt_id=name,
@@ -133,7 +171,7 @@
             priority=attempt.tier,
             resume_from=req.delivered if req.kind is Kind.MODEL else 0,
             fresh_connection=not req.repeatable or req.went_silent,
-        )
+        ),
     ]
 
 
--- a/packages/turmericweir-core/turmericweir_core/engine_model.py
+++ b/packages/turmericweir-core/turmericweir_core/engine_model.py
@@ -21,6 +21,7 @@
 
 from turmericweir_core.ids import AttemptId, InstanceName, ServerName
 from turmericweir_core.options import Options
+from turmericweir_core.peer_messages import SentPart
 from turmericweir_core.request import Attempt, Request
 from turmericweir_core.server_table import Server
 
@@ -41,6 +42,9 @@
 # Share of an engine's memory that cached parts are taken to fill beside what runs.
 _CACHE_SHARE: Final = 0.9
 _MS: Final = 1000.0
+# A part counts as being read for so much longer than was predicted: its reader may have ended.
+_READING_X: Final = 2.0
+_READING_S: Final = 0.3
 
 
 @dataclass(slots=True)
@@ -77,6 +81,9 @@
     # Parts that its cache is taken to hold, with their tokens; the newest last.
     cached: OrderedDict[str, int] = field(default_factory=OrderedDict)
     cached_tokens: int = 0
+    # Parts that it was sent and has not begun to answer, with the time up to which that is
+    # believed. It does not hold them before.
+    reading: dict[str, float] = field(default_factory=dict)
     pace: float = 1.0
     # Since when the engine has been reading what waits there now.
     reading_since: float = 0.0
@@ -89,8 +96,8 @@
     by_server: dict[ServerName, EngineBook] = field(default_factory=dict)
     # Something changed that other instances should know of.
     changed: bool = False
-    # Parts that this instance has sent and not told of yet: server, part, tokens.
-    unsaid: list[tuple[ServerName, str, int]] = field(default_factory=list)
+    # Parts that this instance has sent, or seen to be read, and not told of yet.
+    unsaid: list[SentPart] = field(default_factory=list)
 
 
 def book_of(state: State, server: ServerName) -> EngineBook:
@@ -114,15 +121,35 @@
     return max(0, req.prompt_tokens - held)
 
 
+def held_back_tokens(book: EngineBook, now: float, req: Request) -> int:
+    """Count the tokens that an engine is reading now for another request with the same parts.
+
+    An engine looks for what it holds when it takes a request in. One that shares a part with a
+    prompt that is still being read would have it read a second time; sent a moment later, it would
+    find the part in the cache.
+    """
+    tokens = 0
+    for part, size in req.parts:
+        if part in book.cached:
+            continue
+        if book.reading.get(part, now) <= now:
+            break
+        tokens += size
+    return tokens
+
+
 def prefill_ms(options: Options, tokens: int, context: int) -> float:
     """Give the time to read the last `tokens` of a prompt of `context` tokens, milliseconds."""
     pairs = tokens * (context - tokens / 2.0)
     return tokens * options.prefill_ms_per_token + pairs * options.prefill_ms_per_pair
 
 
-def own_work_ms(options: Options, book: EngineBook, req: Request) -> float:
-    """Give the time that an engine would read a request's prompt for, milliseconds."""
-    tokens = uncached_tokens(book, req)
+def own_work_ms(options: Options, book: EngineBook, req: Request, spared: int = 0) -> float:
+    """Give the time that an engine would read a request's prompt for, milliseconds.
+
+    It is spared what another request will have had it read by then.
+    """
+    tokens = max(0, uncached_tokens(book, req) - spared)
     return prefill_ms(options, tokens, req.prompt_tokens) * book.pace
 
 
@@ -176,13 +203,24 @@
         book.reading_since = now
     predicted = wait + own + state.options.first_token_ms
     book.prefills[attempt.attempt_id] = Prefill(own, size_of(req), req.priority, predicted, now)
+    until = now + _READING_X * predicted / _MS + _READING_S
     for part, tokens in req.parts:
-        state.engines.unsaid.append((attempt.server, part, tokens))
-        note_cached(book, server, part, tokens)
+        if part in book.cached:
+            book.cached.move_to_end(part)
+            continue
+        note_reading(book, part, until)
+        told = SentPart(attempt.server, part, tokens, read=False, for_ms=round((until - now) * _MS))
+        state.engines.unsaid.append(told)
+
+
+def note_reading(book: EngineBook, part: str, until: float) -> None:
+    """Take it that an engine is reading a part, up to a time."""
+    book.reading[part] = max(until, book.reading.get(part, until))
 
 
 def note_cached(book: EngineBook, server: Server, part: str, tokens: int) -> None:
     """Take it that an engine holds a part, and that what it used longest ago made room."""
+    book.reading.pop(part, None)
     known = book.cached.pop(part, None)
     book.cached[part] = tokens
     book.cached_tokens += tokens - (known or 0)
@@ -193,8 +231,15 @@
         book.cached_tokens -= dropped
 
 
-def note_first_token(state: State, now: float, attempt: Attempt) -> None:
-    """Learn from the first token of a request."""
+def predicted_ms(state: State, attempt: Attempt) -> float | None:
+    """Give the time to the first token that was predicted at the start; None without a model."""
+    book = state.engines.by_server.get(attempt.server)
+    prefill = None if book is None else book.prefills.get(attempt.attempt_id)
+    return None if prefill is None else prefill.predicted_ms
+
+
+def note_first_token(state: State, now: float, req: Request, attempt: Attempt) -> None:
+    """Learn from the first token of a request: its whole prompt is in the engine's cache now."""
     book = book_of(state, attempt.server)
     prefill = book.prefills.pop(attempt.attempt_id, None)
     if prefill is None:
@@ -202,6 +247,13 @@
     state.engines.changed = True
     book.running[attempt.attempt_id] = prefill.tokens
     book.reading_since = now
+    server = state.servers.by_name.get(attempt.server)
+    if server is not None:
+        for part, tokens in req.parts:
+            if part not in book.cached:
+                told = SentPart(attempt.server, part, tokens, read=True, for_ms=0)
+                state.engines.unsaid.append(told)
+            note_cached(book, server, part, tokens)
     own_share = prefill.work_ms / max(1.0, prefill.predicted_ms)
     if own_share < _PACE_OWN_SHARE or prefill.work_ms < _PACE_MIN_MS:
         return
@@ -225,6 +277,7 @@
     if book is None:
         return
     book.cached.clear()
+    book.reading.clear()
     book.cached_tokens = 0
     book.pace = 1.0
     book.peers.clear()
--- a/packages/turmericweir-core/turmericweir_core/load_news.py
+++ b/packages/turmericweir-core/turmericweir_core/load_news.py
@@ -17,7 +17,7 @@
 from turmericweir_core.effects import Effect, SendDatagram
 from turmericweir_core.engine_model import EngineBook, PeerLoad
 from turmericweir_core.ids import InstanceName, ServerName
-from turmericweir_core.peer_messages import LoadNews, LoadRow, SentPart
+from turmericweir_core.peer_messages import LoadNews, LoadRow
 
 if TYPE_CHECKING:
     from turmericweir_core.state import State
@@ -29,6 +29,7 @@
 _RENEW_S: Final = 0.5
 # Parts in one datagram; with more, the oldest are left out, and found out by reading them again.
 _PARTS_MAX: Final = 24
+_MS: Final = 1000.0
 
 
 def due_news(state: State, now: float) -> list[Effect]:
@@ -59,8 +60,7 @@
         for name, book in state.engines.by_server.items()
         if book.prefills or book.running
     ]
-    parts = [SentPart(server, part, tokens) for server, part, tokens in unsaid]
-    return LoadNews(state.me.incarnation, state.news.seq, rows, parts)
+    return LoadNews(state.me.incarnation, state.news.seq, rows, unsaid)
 
 
 def _row(name: ServerName, book: EngineBook) -> LoadRow:
@@ -84,9 +84,13 @@
             _take_row(engine_model.book_of(state, name), now, sender, row)
     for part in news.parts:
         server = state.servers.by_name.get(ServerName(part.server))
-        if server is not None:
-            book = engine_model.book_of(state, ServerName(part.server))
+        if server is None:
+            continue
+        book = engine_model.book_of(state, server.entry.name)
+        if part.read:
             engine_model.note_cached(book, server, part.part, part.tokens)
+        elif part.part not in book.cached:
+            engine_model.note_reading(book, part.part, now + part.for_ms / _MS)
 
 
 def _take_row(book: EngineBook, now: float, sender: InstanceName, row: LoadRow) -> None:
--- a/packages/turmericweir-core/turmericweir_core/options.py
+++ b/packages/turmericweir-core/turmericweir_core/options.py
@@ -62,16 +62,14 @@
     first_token_ms: float = 30.0
     # Work at an engine above which less urgent requests wait here rather than there, where no
     # more urgent one could pass them: half the target of a quick class.
-    engine_wait_ms: float = 250.0
+    engine_wait_ms: float = 100_000.0
     # Share of an engine's memory that is filled with requests; above it the engine preempts.
     engine_memory_share: float = 0.9
-    # How much a prompt's own work counts on top of its wait: every other request waits for it too.
-    work_weight: float = 1.0
+    # Share of its target within which a request has to begin to count as in time; the rest is for
+    # what the model does not see.
+    in_time_share: float = 0.7
     # What a failure costs in time, for a server that fails all its requests, milliseconds.
     failure_ms: float = 1_500.0
-    # Preference between servers that are else equal, by hash, so that instances which have not
-    # heard of each other's choice yet make the same one.
-    hash_bias_ms: float = 25.0
     # Requests that a plain server is sent at once, as a multiple of its slots: some may queue
     # there, as the way there takes a part of the time that a short call takes.
     plain_fill: float = 2.0
--- a/packages/turmericweir-core/turmericweir_core/peer_messages.py
+++ b/packages/turmericweir-core/turmericweir_core/peer_messages.py
@@ -201,11 +201,14 @@
 
 @dataclass(frozen=True, slots=True)
 class SentPart:
-    """The sender has sent a prompt with this part to a server."""
+    """The sender has sent a prompt with this part to a server, or the server has read it."""
 
     server: str
     part: str
     tokens: int
+    read: bool
+    # How long it counts as being read, milliseconds.
+    for_ms: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/turmericweir-core/turmericweir_core/predicted_placement.py
+++ b/packages/turmericweir-core/turmericweir_core/predicted_placement.py
@@ -1,14 +1,14 @@
 """The policy *predicted*: where a request would begin first, by the model of each server.
 
-For an engine the choice weighs the wait for the prompts before it, the work of its own prompt there
-(less what the engine holds of it), and that work once more, as everything behind it waits for it
-too. So requests that share a part of their prompts meet at the engine that holds it, until the wait
-there is longer than reading the part again elsewhere. Between engines that are else equal a hash of
-the first part decides, the same at all instances.
+For an engine the time until a request begins is the wait for the prompts before it and the work of
+its own prompt, less what the engine holds of it. Among the engines where it begins in time the one
+that has the least to read is taken, and where none is in time the one where it begins first. So
+requests that share a part of their prompts meet at the engine that holds it for as long as that
+makes none of them late. A part that nobody holds is read at its home, the same for all instances by
+a hash, so that an instance which has just started finds what others had read before.
 
-A request is bound late. What an engine was sent cannot be passed any more by a more urgent request
-of another instance, so less urgent ones wait here while the wait there is long; the most urgent
-tier goes at once, as engines admit it first. No engine is sent more than its memory holds.
+A request waits here while the engine of its choice reads one of its parts for another request: sent
+at once, it would have the part read a second time. No engine is sent more than its memory holds.
 
 For a plain service the least loaded server is taken, one of the own data centre first while it has
 room.
@@ -16,6 +16,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 from turmericweir_core import engine_model, straggler
@@ -31,7 +32,9 @@
 
 # What a server of another data centre costs more: the way there and back, milliseconds.
 _REMOTE_MS: Final = 3.0
-_WEIGHT_RANGE: Final = float(1 << 64)
+_MS: Final = 1000.0
+# The chance that the home of a part holds it though nobody has told of it.
+_HOME_SHARE: Final = 0.5
 # A straggler that is stopped is given work only where all others are far behind it.
 _STRAGGLER_WEIGHT_MIN: Final = 0.1
 
@@ -50,13 +53,49 @@
 # --- engines ---------------------------------------------------------------------------------
 
 
+@dataclass(frozen=True, slots=True)
+class _Choice:
+    """What sending a request to an engine would mean."""
+
+    server: Server
+    # Time until it begins there, milliseconds, if all goes as predicted.
+    begin_ms: float
+    # Tokens that the engine would read for it.
+    read: float
+    # Worth waiting for: another request has the engine read its first parts just now.
+    held_back: bool
+
+
 def _pick_engine(
     state: State, now: float, req: Request, tier: int, candidates: list[Server]
 ) -> Server | None:
-    open_to = [server for server in candidates if _has_room(state, now, req, tier, server)]
-    if not open_to:
+    choices = [
+        _weigh(state, now, req, server)
+        for server in candidates
+        if _has_room(state, now, req, tier, server)
+    ]
+    if not choices:
         return None
-    return min(open_to, key=lambda server: cost_ms(state, now, req, server))
+    home = max(candidates, key=lambda server: rendezvous_weight(_hash_key(req), server.entry.name))
+    left_ms = (req.service_class.target_s * state.options.in_time_share - (now - req.arrived)) * _MS
+    best = min(choices, key=lambda choice: _rank(choice, left_ms, choice.server is home))
+    return None if best.held_back else best.server
+
+
+def _weigh(state: State, now: float, req: Request, server: Server) -> _Choice:
+    book = engine_model.book_of(state, server.entry.name)
+    spared = engine_model.held_back_tokens(book, now, req)
+    read = max(0, engine_model.uncached_tokens(book, req) - spared)
+    return _Choice(server, cost_ms(state, now, req, server, spared), float(read), spared > 0)
+
+
+def _rank(choice: _Choice, left_ms: float, is_home: bool) -> tuple[bool, float, float]:
+    """Order engines: in time before late, then by what is read, and what is late by time alone."""
+    if choice.begin_ms > left_ms:
+        return (True, choice.begin_ms, 0.0)
+    # Nobody may have told of the home: it held the part before this process was started.
+    read = choice.read * (1.0 - _HOME_SHARE) if is_home else choice.read
+    return (False, read, choice.begin_ms)
 
 
 def _has_room(state: State, now: float, req: Request, tier: int, server: Server) -> bool:
@@ -75,23 +114,46 @@
     return engine_model.waiting_ms(book, now) <= state.options.engine_wait_ms
 
 
-def cost_ms(state: State, now: float, req: Request, server: Server) -> float:
-    """Give what it costs to send a request to an engine, milliseconds."""
+def cost_ms(state: State, now: float, req: Request, server: Server, spared: int = 0) -> float:
+    """Give the time until a request begins at an engine, and what a failure would add to it, ms."""
     options = state.options
     name = server.entry.name
     book = engine_model.book_of(state, name)
-    own = engine_model.own_work_ms(options, book, req)
-    cost = engine_model.waiting_ms(book, now) + own * (1.0 + options.work_weight)
+    own = engine_model.own_work_ms(options, book, req, spared)
+    cost = engine_model.waiting_ms(book, now) + own
     cost /= max(_STRAGGLER_WEIGHT_MIN, straggler.server_weight(state.stragglers, name))
     cost += options.failure_ms * excess_failures(state.reliability, now, name)
     if server.entry.data_centre != state.me.data_centre:
         cost += _REMOTE_MS
-    return cost + options.hash_bias_ms * _hash_share(req, server)
+    return cost
+
 
+def _hash_key(req: Request) -> str:
+    return req.parts[0][0] if req.parts else req.request_id
 
-def _hash_share(req: Request, server: Server) -> float:
-    key = req.parts[0][0] if req.parts else req.request_id
-    return 1.0 - rendezvous_weight(key, server.entry.name) / _WEIGHT_RANGE
+
+def explain(state: State, now: float, req: Request, server: Server) -> dict[str, object]:
+    """Give what a placement rested on, for its log line."""
+    name = server.entry.name
+    book = engine_model.book_of(state, name)
+    news = [now - each.at for each in book.peers.values()]
+    found: dict[str, object] = {
+        "requests_there": engine_model.requests_at(book, now),
+        "peers_told": len(news),
+        "oldest_news_ms": round(max(news, default=0.0) * _MS),
+        "excess_failures": round(excess_failures(state.reliability, now, name), 3),
+        "waited_ms": round((now - req.arrived) * _MS),
+        "left_ms": round((req.deadline - now) * _MS),
+        "settings_version": state.settings_offset(),
+    }
+    if server.service.kind is Kind.MODEL:
+        found["read_tokens"] = engine_model.uncached_tokens(book, req)
+        found["prompt_tokens"] = req.prompt_tokens
+        found["wait_ms"] = round(engine_model.waiting_ms(book, now))
+        found["begin_ms"] = round(cost_ms(state, now, req, server))
+        found["pace"] = round(book.pace, 2)
+        found["tokens_there"] = engine_model.tokens_at(book, now)
+    return found
 
 
 def shortest_wait_ms(state: State, now: float, candidates: list[Server]) -> float:
--- a/packages/turmericweir-core/turmericweir_core/queue_state.py
+++ b/packages/turmericweir-core/turmericweir_core/queue_state.py
@@ -18,6 +18,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
+from itertools import chain, islice
 
 from turmericweir_core.config import ServiceClass
 from turmericweir_core.ids import RequestId, Target
@@ -64,6 +65,10 @@
         yield from self.late.values()
         yield from self.on_time.values()
 
+    def in_turn(self, most: int) -> list[Request]:
+        """List the first few in the order in which they are served."""
+        return list(islice(chain(self.on_time.values(), self.late.values()), most))
+
     def oldest_at(self) -> float:
         """Give the arrival of the request that waits for longest; none must be missing."""
         return next(self.waiting()).arrived
--- a/packages/turmericweir/turmericweir/backend_stream.py
+++ b/packages/turmericweir/turmericweir/backend_stream.py
@@ -23,7 +23,7 @@
 import httpcore
 from anyio.lowlevel import checkpoint_if_cancelled
 
-CONNECT_TIMEOUT_S: Final = 1.0
+CONNECT_TIMEOUT_S: Final = 0.35
 # Beyond so many bytes that nobody has read, no more is read from the connection.
 UNREAD_MAX: Final = 65_536
 # The system probes a silent connection after 5 s and gives it up after 3 unanswered probes, 2 s
--- a/packages/turmericweir/turmericweir/http_server.py
+++ b/packages/turmericweir/turmericweir/http_server.py
@@ -145,6 +145,8 @@
         A caller of HTTP/1.0 goes by the end of the connection alone; to it a plain close would say
         that the answer is whole.
         """
+        if self.transport.is_closing():
+            return
         sock = self.transport.get_extra_info("socket")
         if sock is not None:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
--- /dev/null
+++ b/tests/core/store_world.py
@@ -0,0 +1,185 @@
+"""An instance on a platform whose store keeps settings and servers, driven by events alone."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TypeVar
+
+from turmericweir_core.config import Config, Kind, Policy, ServerEntry, Service, ServiceClass
+from turmericweir_core.document import DocumentState
+from turmericweir_core.effects import Effect, FinishRequest, SendDatagram, StartAttempt
+from turmericweir_core.events import (
+    AttemptEnd,
+    AttemptEnded,
+    AttemptProgress,
+    AttemptSent,
+    DocumentRead,
+    Event,
+    PeerReceived,
+    RegistryRead,
+    RequestArrived,
+    Tick,
+)
+from turmericweir_core.ids import InstanceName, RequestId, ServerName, Target
+from turmericweir_core.options import Options
+from turmericweir_core.peer_messages import PeerMessage
+from turmericweir_core.reducer_store import reduce
+from turmericweir_core.request import Request
+from turmericweir_core.state import Identity, State
+
+E = TypeVar("E", bound=Effect)
+
+QUICK = ServiceClass("quick", priority=1, target_s=0.4, token_gap_target_s=0.2)
+BULK = ServiceClass("bulk", priority=1, target_s=2.0, token_gap_target_s=0.8)
+COUNTER = ServiceClass("counter", priority=1, target_s=0.1)
+MODEL = Target("lm")
+PLAIN = Target("shop")
+
+
+def options(**changed: float) -> Options:
+    """Give the options that a process on such a platform has, with changes."""
+    base: dict[str, float] = {
+        "deadline_grace_s": 0.0,
+        "retry_share": 0.2,
+        "retry_burst": 56.0,
+        "retry_window_s": 10.0,
+        "key_proof_s": 4.4,
+        "stop_grace_s": 2.5,
+        "stop_limit_s": 7.5,
+        "first_silence_s": 0.3,
+        "crash_doubt_s": 0.0,
+        "subset_size": 64,
+    }
+    # Any: names of options with values of their types.
+    return Options(probe_servers=False, retry_pay_all=True, **{**base, **changed})  # type: ignore[arg-type]
+
+
+class StoreWorld:
+    """One instance and what it was told to do."""
+
+    def __init__(self, engines: int = 2, plain: int = 2, **changed: float) -> None:
+        identity = Identity(InstanceName("a-1"), "dc-a", "home", "127.0.0.1:1", incarnation="x")
+        self.state = State(
+            identity,
+            options(**changed),
+            Random(1),
+            settings=None,  # type: ignore[arg-type]
+            document=DocumentState(),
+        )
+        self.now = 100.0
+        self.effects: list[Effect] = []
+        self.give_document(1)
+        self.entries = [
+            *(self.entry(f"lm-{number}", "lm") for number in range(1, engines + 1)),
+            *(self.entry(f"shop-{number}", "shop") for number in range(1, plain + 1)),
+        ]
+        self.give(RegistryRead(tuple((each, 1) for each in self.entries), whole=True))
+
+    def entry(self, name: str, service: str, **fields: object) -> ServerEntry:
+        """Make a server's entry."""
+        slots = 64 if service == "lm" else 6
+        number = len(name) + sum(map(ord, name))
+        address = f"127.0.0.1:{number}"
+        named = {"incarnation": "", "leaving": False, **fields}
+        return ServerEntry(
+            ServerName(name), service, "dc-a", address, slots=slots, **named  # type: ignore[arg-type]
+        )
+
+    def config(self) -> Config:
+        """Make the settings."""
+        services = {
+            "lm": Service("lm", Kind.MODEL, slots=64, kv_tokens=584_240, event_tokens=3),
+            "shop": Service("shop", Kind.PLAIN, slots=6),
+        }
+        return Config(
+            classes={each.name: each for each in (QUICK, BULK, COUNTER)},
+            services=services,
+            service_by_target={Target(name): each for name, each in services.items()},
+            policy=Policy.PREDICTED,
+        )
+
+    def give(self, event: Event) -> list[Effect]:
+        """Have an event reduced; give and keep its effects."""
+        effects = reduce(self.state, self.now, event)
+        self.effects += effects
+        return effects
+
+    def give_document(self, version: int, asked_at: float | None = None) -> list[Effect]:
+        """Have a version of the settings read from the store."""
+        asked = self.now if asked_at is None else asked_at
+        return self.give(DocumentRead(version, self.config(), b"raw", asked))
+
+    def peer(self, name: str, message: PeerMessage) -> list[Effect]:
+        """Have a peer's message received."""
+        return self.give(PeerReceived(InstanceName(name), message))
+
+    def wait(self, seconds: float, step: float = 0.05) -> list[Effect]:
+        """Let time pass, with ticks; give the effects of all of them."""
+        found: list[Effect] = []
+        end = self.now + seconds
+        while self.now < end - 1e-9:
+            self.now = min(end, self.now + step)
+            found += self.give(Tick())
+        return found
+
+    def arrive(self, name: str, **fields: object) -> list[Effect]:
+        """Have a request arrive."""
+        return self.give(RequestArrived(self.request(name, **fields)))
+
+    def request(self, name: str, **fields: object) -> Request:
+        """Make a request; a model request unless the target says otherwise."""
+        target = fields.pop("target", MODEL)
+        kind = Kind.MODEL if target == MODEL else Kind.PLAIN
+        named: dict[str, object] = {
+            "service_class": BULK if kind is Kind.MODEL else COUNTER,
+            "deadline": self.now + (12.0 if kind is Kind.MODEL else 1.0),
+            "repeatable": False,
+            "sends_max": 1,
+            "prompt_tokens": 0,
+            "max_tokens": 120,
+        }
+        named |= fields
+        named.setdefault("end_by", named["deadline"])
+        return Request(
+            request_id=RequestId(name),
+            kind=kind,
+            target=target,  # type: ignore[arg-type]
+            customer="c",
+            team="",
+            arrived=self.now,
+            **named,  # type: ignore[arg-type]
+        )
+
+    def sent(self, start: StartAttempt) -> list[Effect]:
+        """Have the first byte of an attempt go out."""
+        return self.give(AttemptSent(start.request_id, start.attempt_id))
+
+    def begin(self, start: StartAttempt, events: int = 1) -> list[Effect]:
+        """Have the first events of an attempt come."""
+        return self.give(AttemptProgress(start.request_id, start.attempt_id, events))
+
+    def end(self, start: StartAttempt, end: AttemptEnd) -> list[Effect]:
+        """Have an attempt end."""
+        return self.give(AttemptEnded(start.request_id, start.attempt_id, end))
+
+
+def only(effects: list[Effect], kind: type[E]) -> list[E]:
+    """Pick the effects of one type."""
+    return [each for each in effects if isinstance(each, kind)]
+
+
+def start_of(effects: list[Effect]) -> StartAttempt:
+    """Give the one attempt that was begun."""
+    (start,) = only(effects, StartAttempt)
+    return start
+
+
+def account_of(effects: list[Effect]) -> FinishRequest:
+    """Give the one account that was given."""
+    (finish,) = only(effects, FinishRequest)
+    return finish
+
+
+def datagrams(effects: list[Effect]) -> list[SendDatagram]:
+    """Pick the datagrams."""
+    return only(effects, SendDatagram)
--- /dev/null
+++ b/tests/core/test_predicted_placement.py
@@ -0,0 +1,70 @@
+"""Placement by the model of the engines."""
+
+from __future__ import annotations
+
+from tests.core.store_world import BULK, QUICK, StoreWorld, only, start_of
+from turmericweir_core.effects import StartAttempt
+from turmericweir_core.events import EndComplete
+
+SHARED = ("sheet", 13_300)
+
+
+def test_a_request_waits_while_its_engine_reads_the_part_that_it_shares() -> None:
+    """Two callers ask about the same catalogue sheet within a moment.
+
+    The engine looks into its cache when it takes a request in. Sent at once, the second request
+    would have the sheet read again, 13,300 tokens, and both callers and all others behind them
+    would wait for that. So it waits here until the first one begins, and then reads its own alone.
+    """
+    world = StoreWorld()
+    first = start_of(
+        world.arrive("1", prompt_tokens=17_000, parts=(SHARED, ("own-1", 3_700)))
+    )
+    world.sent(first)
+    world.now += 0.1
+    assert not only(
+        world.arrive("2", prompt_tokens=17_000, parts=(SHARED, ("own-2", 3_700))), StartAttempt
+    )
+    world.now += 0.3
+    second = start_of(world.begin(first))
+    assert second.request_id == "2"
+    assert second.server == first.server
+
+
+def test_others_pass_a_request_that_waits_for_its_part() -> None:
+    """A caller with nothing in common with the sheet comes behind the one that waits for it."""
+    world = StoreWorld()
+    start_of(world.arrive("1", prompt_tokens=17_000, parts=(SHARED, ("own-1", 3_700))))
+    world.arrive("2", prompt_tokens=17_000, parts=(SHARED, ("own-2", 3_700)))
+    third = start_of(world.arrive("3", prompt_tokens=3_000, parts=(("own-3", 3_000),)))
+    assert third.request_id == "3"
+
+
+def test_a_part_is_read_elsewhere_where_waiting_would_make_the_caller_late() -> None:
+    """An engine that holds the part is busy for longer than the caller's target."""
+    world = StoreWorld()
+    first = start_of(
+        world.arrive("1", service_class=QUICK, prompt_tokens=1_000, parts=(("few", 900),))
+    )
+    world.begin(first)
+    world.end(first, EndComplete(200))
+    home = first.server
+    blocking = world.arrive("big", prompt_tokens=50_000, parts=(("few", 900), ("big", 49_100)))
+    assert start_of(blocking).server == home
+    quick = world.arrive(
+        "2", service_class=QUICK, prompt_tokens=1_000, parts=(("few", 900), ("own", 100))
+    )
+    assert start_of(quick).server != home
+
+
+def test_an_instance_that_has_just_started_reads_a_part_where_others_would() -> None:
+    """All processes are killed at once; what engines hold is as before, and nobody knows it."""
+    servers = set()
+    for _ in range(3):
+        world = StoreWorld(engines=5)
+        world.state.rng.seed(len(servers))
+        start = start_of(
+            world.arrive("1", service_class=BULK, prompt_tokens=14_000, parts=(SHARED, ("o", 700)))
+        )
+        servers.add(start.server)
+    assert len(servers) == 1
