Rank quick answers before long ones within a priority at the engines

Cause: a customer's priority covers all that it sends, so all of a customer's requests had one rank at the engine, whatever their targets. Ruled out: a rank by target alone, which would mix priorities. Change: with_ranks; ranks go to servers in place of priorities.

--- a/packages/turmericweir-core/turmericweir_core/config.py
+++ b/packages/turmericweir-core/turmericweir_core/config.py
@@ -48,6 +48,8 @@
     deadline_s: float = 60.0
     # Share of dispatched work that this class gets even under endless overload, 0..1.
     assured_share: float = 0.02
+    # What servers schedule by, 0 first; None has them go by the priority.
+    rank: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/turmericweir-core/turmericweir_core/dispatch.py
+++ b/packages/turmericweir-core/turmericweir_core/dispatch.py
@@ -168,13 +168,20 @@
             attempt_id=name,
             server=server.entry.name,
             address=server.entry.address,
-            priority=attempt.tier,
+            priority=_rank(req, attempt),
             resume_from=req.delivered if req.kind is Kind.MODEL else 0,
             fresh_connection=not req.repeatable or req.went_silent,
         ),
     ]
 
 
+def _rank(req: Request, attempt: Attempt) -> int:
+    """Give what its server schedules an attempt by."""
+    rank = req.service_class.rank
+    # One that has its turn at another tier goes by that.
+    return attempt.tier if rank is None or attempt.tier != req.priority else rank
+
+
 def release(state: State, now: float, req: Request, attempt: Attempt) -> list[Effect]:
     """Take an attempt that ended off its server."""
     attempt_books.note_ended(state, now, req, attempt)
--- a/packages/turmericweir-core/turmericweir_core/tiers.py
+++ b/packages/turmericweir-core/turmericweir_core/tiers.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from turmericweir_core.config import Config
+from collections.abc import Iterable
+from dataclasses import replace
+
+from turmericweir_core.config import Config, ServiceClass
 
 
 def most_urgent(config: Config) -> int:
@@ -21,3 +24,27 @@
     for each in config.classes.values():
         shares[each.priority] = shares.get(each.priority, 0.0) + each.assured_share
     return shares
+
+
+def with_ranks(classes: Iterable[ServiceClass], ranks: int) -> list[ServiceClass]:
+    """Rank classes for servers that know so many ranks: by priority, and then by target.
+
+    Failure where the priority alone decides: a customer's priority covers all that it sends, so a
+    quick answer that is due in 0.4 s is read behind a long sheet that is due in 2 s. Within one
+    priority the tighter target goes first, as far as there are ranks; priorities never mix.
+    """
+    found = list(classes)
+    priorities = sorted({each.priority for each in found})
+    # Each priority gets as many ranks; with more priorities than ranks the least urgent share one.
+    width = max(1, ranks // max(1, len(priorities)))
+    targets = {
+        priority: sorted({each.target_s for each in found if each.priority == priority})
+        for priority in priorities
+    }
+    ranked = []
+    for each in found:
+        place = targets[each.priority].index(each.target_s)
+        within = place * width // len(targets[each.priority])
+        rank = min(ranks - 1, priorities.index(each.priority) * width + within)
+        ranked.append(replace(each, rank=rank))
+    return ranked
