Keep long prompts apart from quick answers, and have engines hand parts on

Change: engines are split by hash between those that read long prompts and those for streams that do not bear these, by the demand that all tell; a request waits here when its wait at the engine takes 0.4 of its target; a part is read again only where there is time to spare; an engine has a part from another that holds it.

--- a/Makefile
+++ b/Makefile
@@ -3,12 +3,16 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.stamp
-PACKAGES := $(sort $(wildcard packages/*))
+PACKAGES := $(sort $(wildcard packages/*)) platform
+SOURCES := packages platform tests
 PROJECTS := $(addsuffix /pyproject.toml,$(PACKAGES))
 
 # `make demo KEEP=1` leaves the demo's processes running.
 DEMO_FLAGS := $(if $(filter 1,$(KEEP)),--keep)
 
+# Tests that run at once: two for each three cores leave room for the processes that they start.
+WORKERS ?= $(shell expr \( $$(nproc) \* 2 + 2 \) / 3)
+
 .DEFAULT_GOAL := test
 
 # `test` relies on the order of its prerequisites: pytest's summary must be the last line of output.
@@ -26,18 +30,20 @@
 	touch $@
 
 fmt: $(STAMP)
-	$(BIN)/ruff check --fix-only packages tests
-	$(BIN)/black packages tests
+	$(BIN)/ruff check --fix-only $(SOURCES)
+	$(BIN)/black $(SOURCES)
 
 lint: $(STAMP)
-	$(BIN)/black --check packages tests
-	$(BIN)/ruff check packages tests
+	$(BIN)/black --check $(SOURCES)
+	$(BIN)/ruff check $(SOURCES)
 
 types: $(STAMP)
 	$(BIN)/mypy
 
+# Most tests wait for real processes, so several run at once; ports are taken by blocks, one process
+# each (`port_blocks`), so that they cannot meet.
 unit: $(STAMP)
-	$(BIN)/pytest tests
+	$(BIN)/pytest -n $(WORKERS) --dist worksteal tests
 
 test: lint types unit
 
--- a/packages/turmericweir-core/turmericweir_core/admission.py
+++ b/packages/turmericweir-core/turmericweir_core/admission.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
-from turmericweir_core import displacement, predicted_admission, queue_state
+from turmericweir_core import displacement, engine_pools, predicted_admission, queue_state
 from turmericweir_core.config import Policy
 from turmericweir_core.placement import idle_share
 from turmericweir_core.pool_load import (
@@ -25,6 +25,7 @@
     pool_load,
 )
 from turmericweir_core.request import Request
+from turmericweir_core.subset import open_servers
 
 if TYPE_CHECKING:
     from turmericweir_core.state import State
@@ -99,6 +100,8 @@
 
 def note_admitted(state: State, now: float, req: Request, pool: str) -> None:
     """Count the work of a request that was let in, for the prediction of later waits."""
+    if state.config.policy is Policy.PREDICTED:
+        engine_pools.note_demand(state, now, req, open_servers(state, now, req.target))
     load = pool_load(state.pool_loads, pool)
     note_arrival(load, state.options, now, req.priority, queue_state.cost(req))
 
--- a/packages/turmericweir-core/turmericweir_core/attempt_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/attempt_flow.py
@@ -74,6 +74,7 @@
     if last is None:
         return _on_first_token(state, now, req, attempt)
     attempt.longest_gap = max(attempt.longest_gap, now - last)
+    attempt.worst_gap = max(attempt.worst_gap, now - last)
     if now - last <= attempt.gap_late_s * event.tokens:
         attempt.late_gaps = 0
         return []
@@ -111,6 +112,8 @@
     effects = release(state, now, req, attempt)
     attempt_books.note_outcome(state, now, attempt, event.end)
     effects += attempt_books.report_end(now, attempt, event.end)
+    if state.config.policy is Policy.PREDICTED:
+        effects.append(_end_log(now, req, attempt, event.end))
     req.attempt = None
     broken = isinstance(event.end, EndBroken)
     effects += trial.note_ended(state, now, attempt.attempt_id, broken=broken)
@@ -118,6 +121,22 @@
     return effects + dispatch(state, now, req.target)
 
 
+def _end_log(now: float, req: Request, attempt: Attempt, end: AttemptEnd) -> Log:
+    fields = {
+        "request_id": req.request_id,
+        "attempt_id": attempt.attempt_id,
+        "peer": attempt.server,
+        "end": type(end).__name__,
+        "cancelled": attempt.cancelled,
+        "sent": attempt.sent,
+        "kept_connection": attempt.kept_connection,
+        "events": attempt.tokens,
+        "worst_gap_ms": round(1000 * attempt.worst_gap),
+        "took_ms": round(1000 * (now - attempt.started)),
+    }
+    return Log("attempt_ended", fields)
+
+
 def _settle(
     state: State, now: float, req: Request, attempt: Attempt, end: AttemptEnd
 ) -> list[Effect]:
--- a/packages/turmericweir-core/turmericweir_core/config.py
+++ b/packages/turmericweir-core/turmericweir_core/config.py
@@ -108,6 +108,9 @@
     kv_tokens: int = 0
     # Tokens of one event of a stream.
     event_tokens: int = 1
+    # Time in which an engine has the cache of one token from another one, milliseconds; 0 where
+    # engines do not hand it on.
+    fetch_ms_per_token: float = 0.0
     # Connections that one server accepts, over all instances; 0 where it is not known.
     connections_max: int = 0
     # Where a server answers whether it is healthy; empty where it has no such place.
--- a/packages/turmericweir-core/turmericweir_core/dispatch.py
+++ b/packages/turmericweir-core/turmericweir_core/dispatch.py
@@ -14,6 +14,7 @@
     attempt_books,
     credit,
     displacement,
+    engine_model,
     predicted_placement,
     queue_state,
     subset,
@@ -155,7 +156,10 @@
     server.in_flight[name] = attempt.tier
     server.sent += 1
     effects: list[Effect] = []
+    fetch_from = ""
     if state.config.policy is Policy.PREDICTED:
+        fetch = engine_model.best_fetch(state, req, server)
+        fetch_from = "" if fetch is None else fetch.address
         fields = predicted_placement.explain(state, now, req, server)
         named = {"request_id": req.request_id, "attempt_id": name, "peer": server.entry.name}
         place = {"service_class": req.service_class.name, "tier": attempt.tier}
@@ -171,6 +175,7 @@
             priority=_rank(req, attempt),
             resume_from=req.delivered if req.kind is Kind.MODEL else 0,
             fresh_connection=not req.repeatable or req.went_silent,
+            fetch_from=fetch_from,
         ),
     ]
 
--- a/packages/turmericweir-core/turmericweir_core/effects.py
+++ b/packages/turmericweir-core/turmericweir_core/effects.py
@@ -25,6 +25,8 @@
     resume_from: int = 0
     # Use a new connection, or one proven within a second: the call must not be sent twice.
     fresh_connection: bool = False
+    # An engine that holds parts of the prompt which this one lacks, by address; empty for none.
+    fetch_from: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/turmericweir-core/turmericweir_core/engine_model.py
+++ b/packages/turmericweir-core/turmericweir_core/engine_model.py
@@ -1,8 +1,8 @@
 """A model of each engine: what it still has to read, what it holds, how fast it is.
 
-An engine reads the prompts that it was given one chunk after the other, between the tokens of what
-it generates. So the time to a request's first token is the work of the prompts before it and of the
-part of its own prompt that the engine does not hold in its cache. The model keeps, for each engine,
+An engine reads the prompts that it was given one after the other, by rank and age, between the
+tokens of what it generates. So the time to a request's first token is the rest of the prompt in
+hand, the work of those before it, and of the part of its own that the engine does not hold. The model keeps, for each engine,
 
 - the prompts of this instance that it has not begun to answer, as work in milliseconds;
 - what the other instances tell of theirs (`load_news`), since all send to the same engines;
@@ -42,18 +42,32 @@
 # Share of an engine's memory that cached parts are taken to fill beside what runs.
 _CACHE_SHARE: Final = 0.9
 _MS: Final = 1000.0
+# What is left at the least of a prompt that should have been read by now, as a share of its work.
+_LEFT_SHARE: Final = 0.15
+# The time that an engine reads a chunk for.
+_CHUNK_MS: Final = 50.0
 # A part counts as being read for so much longer than was predicted: its reader may have ended.
 _READING_X: Final = 2.0
 _READING_S: Final = 0.3
 
 
+@dataclass(frozen=True, slots=True)
+class Pending:
+    """A prompt that waits at an engine or is being read there."""
+
+    work_ms: float
+    # Engines take prompts of lower ranks first.
+    rank: int
+    sent_at: float
+
+
 @dataclass(slots=True)
 class Prefill:
-    """A prompt that an engine was sent and has not begun to answer."""
+    """A prompt of this instance that an engine has not begun to answer."""
 
     work_ms: float
+    rank: int
     tokens: int
-    tier: int
     # Time to the first token that was predicted, and when the prompt was sent.
     predicted_ms: float
     sent_at: float
@@ -64,8 +78,7 @@
     """What one other instance has on a server."""
 
     at: float
-    work_ms: float = 0.0
-    waiting: int = 0
+    pending: list[Pending] = field(default_factory=list)
     running: int = 0
     tokens: int = 0
 
@@ -138,6 +151,41 @@
     return tokens
 
 
+@dataclass(frozen=True, slots=True)
+class Fetch:
+    """Parts of a prompt that an engine can have from another one in place of reading them."""
+
+    address: str
+    tokens: int
+
+
+def best_fetch(state: State, req: Request, server: Server) -> Fetch | None:
+    """Find the engine that holds most of what another one lacks of a prompt, if it is worth it.
+
+    To have a part handed on takes a quarter of the time of reading it, and no time of the engine's
+    own. An engine that leaves still hands on what it holds.
+    """
+    if not server.service.fetch_ms_per_token or not req.parts:
+        return None
+    own = req.prompt_tokens - uncached_tokens(book_of(state, server.entry.name), req)
+    best: Fetch | None = None
+    for name, book in state.engines.by_server.items():
+        other = state.servers.by_name.get(name)
+        if other is None or other is server or other.service is not server.service:
+            continue
+        if other.unreachable_until > 0.0:
+            continue
+        more = req.prompt_tokens - uncached_tokens(book, req) - own
+        if more > (best.tokens if best else state.options.fetch_min_tokens):
+            best = Fetch(other.entry.address, more)
+    return best
+
+
+def fetch_ms(options: Options, server: Server, fetch: Fetch) -> float:
+    """Give the time in which an engine has parts handed on, milliseconds."""
+    return options.fetch_setup_ms + fetch.tokens * server.service.fetch_ms_per_token
+
+
 def prefill_ms(options: Options, tokens: int, context: int) -> float:
     """Give the time to read the last `tokens` of a prompt of `context` tokens, milliseconds."""
     pairs = tokens * (context - tokens / 2.0)
@@ -153,15 +201,50 @@
     return prefill_ms(options, tokens, req.prompt_tokens) * book.pace
 
 
-def waiting_ms(book: EngineBook, now: float) -> float:
-    """Estimate the work of all prompts that wait at an engine, milliseconds."""
-    work = sum(each.work_ms for each in book.prefills.values())
+def pending_at(book: EngineBook, now: float) -> list[Pending]:
+    """List the prompts of all instances that an engine has not begun to answer."""
+    found = [Pending(each.work_ms, each.rank, each.sent_at) for each in book.prefills.values()]
     for peer in book.peers.values():
         if now - peer.at <= _PEER_VALID_S:
-            work += peer.work_ms
-    done = (now - book.reading_since) * _MS
-    # What it has read since the first token before is not told by anyone.
-    return max(0.0, work - min(done, 0.7 * work))
+            found += peer.pending
+    return found
+
+
+def waiting_ms(book: EngineBook, now: float, rank: int) -> float:
+    """Estimate what an engine reads before a new prompt of a rank, milliseconds.
+
+    An engine reads one prompt to its end, and then the next by rank and age. So a new one waits for
+    what is left of the one in hand, whatever its rank, and for those of its own and lower ranks.
+    """
+    pending = pending_at(book, now)
+    if not pending:
+        return 0.0
+    in_hand, left = _in_hand(book, pending, now)
+    before = sum(each.work_ms for each in pending if each not in in_hand and each.rank <= rank)
+    return left + before
+
+
+def _in_hand(book: EngineBook, pending: list[Pending], now: float) -> tuple[list[Pending], float]:
+    """Find the prompts that an engine is reading, and how long it still reads these.
+
+    That is the first of those there when it took the next. A chunk holds the end of one prompt and
+    the beginning of the next, so near its end the next one is in hand as well.
+    """
+    there = [each for each in pending if each.sent_at <= book.reading_since] or pending
+    order = sorted(there, key=lambda each: (each.rank, each.sent_at))
+    current = order[0]
+    begun = max(book.reading_since, current.sent_at)
+    # One that takes longer than was thought goes on for some time yet.
+    left = max(current.work_ms - (now - begun) * _MS, _LEFT_SHARE * current.work_ms)
+    if left > _CHUNK_MS or len(order) == 1:
+        return [current], left
+    return order[:2], left + order[1].work_ms
+
+
+def rank_of(req: Request) -> int:
+    """Give what engines schedule a request by."""
+    rank = req.service_class.rank
+    return req.priority if rank is None else rank
 
 
 def requests_at(book: EngineBook, now: float) -> int:
@@ -169,7 +252,7 @@
     count = len(book.prefills) + len(book.running)
     for peer in book.peers.values():
         if now - peer.at <= _PEER_VALID_S:
-            count += peer.waiting + peer.running
+            count += len(peer.pending) + peer.running
     return count
 
 
@@ -197,12 +280,17 @@
     if not req.prompt_tokens:
         book.running[attempt.attempt_id] = 0
         return
-    wait = waiting_ms(book, now)
-    own = own_work_ms(state.options, book, req)
+    fetch = best_fetch(state, req, server)
+    spared = 0 if fetch is None else fetch.tokens
+    own = own_work_ms(state.options, book, req, spared)
+    if fetch is not None:
+        own += fetch_ms(state.options, server, fetch)
+    rank = rank_of(req)
+    wait = waiting_ms(book, now, rank)
     if not wait:
         book.reading_since = now
     predicted = wait + own + state.options.first_token_ms
-    book.prefills[attempt.attempt_id] = Prefill(own, size_of(req), req.priority, predicted, now)
+    book.prefills[attempt.attempt_id] = Prefill(own, rank, size_of(req), predicted, now)
     until = now + _READING_X * predicted / _MS + _READING_S
     for part, tokens in req.parts:
         if part in book.cached:
--- /dev/null
+++ b/packages/turmericweir-core/turmericweir_core/engine_pools.py
@@ -0,0 +1,178 @@
+"""Keep answers whose events must not pause apart from long prompts.
+
+An engine reads a long prompt chunk by chunk between the steps of all that it generates, so each of
+their tokens takes a chunk longer. A stream whose promised pause is shorter than some such steps is
+late for good as soon as a long prompt is read beside it; one promised a longer pause bears it. So
+the engines of a service are split in two: *reading* engines take the requests that bear it, and the
+others those that do not. What counts as what follows from the settings alone: the promised pause,
+the tokens of an event, and how long a step with a chunk takes.
+
+The split follows the demand, which every instance tells the others: so many engines read as the
+long prompts keep busy up to a part of their time, but both kinds keep one at least. The engines
+stand in an order by hash, so that all instances split them alike, and one more or less moves no
+other. More reading engines come at once, and fewer after some time, since what they hold would be
+read again.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from math import ceil, exp
+from typing import TYPE_CHECKING, Final
+
+from turmericweir_core import engine_model
+from turmericweir_core.config import Service
+from turmericweir_core.ids import InstanceName, Target
+from turmericweir_core.peer_messages import DemandRow
+from turmericweir_core.request import Request
+from turmericweir_core.server_table import Server
+from turmericweir_core.subset import rendezvous_weight
+
+if TYPE_CHECKING:
+    from turmericweir_core.state import State
+
+# Memory of the demand: long enough to see more than single requests, short enough to follow a
+# burst.
+_MEMORY_S: Final = 3.0
+# Part of a reading engine's time that long prompts may take; above it they wait for each other.
+_BUSY_SHARE: Final = 0.6
+# Before any demand was seen: part of the engines that read.
+_START_SHARE: Final = 0.6
+# So long a smaller split is wanted before it is made.
+_SHRINK_S: Final = 10.0
+# A peer's demand counts for so long after it was told.
+_PEER_VALID_S: Final = 3.0
+_MS: Final = 1000.0
+
+
+@dataclass(slots=True)
+class Demand:
+    """Work that arrived of late, decayed, milliseconds."""
+
+    at: float = 0.0
+    long_ms: float = 0.0
+    quick_ms: float = 0.0
+
+
+@dataclass(slots=True)
+class Split:
+    """How many engines of a service read, and since when fewer would do."""
+
+    reading: int = 0
+    fewer_since: float | None = None
+
+
+@dataclass(slots=True)
+class PoolState:
+    """The demand and the split of each service."""
+
+    own: dict[Target, Demand] = field(default_factory=dict)
+    peers: dict[Target, dict[InstanceName, tuple[float, float, float]]] = field(
+        default_factory=dict
+    )
+    splits: dict[Target, Split] = field(default_factory=dict)
+
+
+def bears_chunks(state: State, req: Request, service: Service) -> bool:
+    """Tell whether an answer is in time although long prompts are read beside it."""
+    gap_s = req.service_class.token_gap_target_s
+    if gap_s is None:
+        return True
+    return gap_s * _MS >= service.event_tokens * state.options.chunk_step_ms
+
+
+def note_demand(state: State, now: float, req: Request, engines: list[Server]) -> None:
+    """Count the work of a request that has arrived, as the engine that has least of it has it."""
+    if not engines or not req.prompt_tokens:
+        return
+    demand = state.pools.own.setdefault(req.target, Demand(at=now))
+    _fade(demand, now)
+    books = (engine_model.book_of(state, each.entry.name) for each in engines)
+    work = min(engine_model.own_work_ms(state.options, book, req) for book in books)
+    work += state.options.first_token_ms
+    if bears_chunks(state, req, engines[0].service):
+        demand.long_ms += work
+    else:
+        demand.quick_ms += work
+
+
+def _fade(demand: Demand, now: float) -> None:
+    fade = exp((demand.at - now) / _MEMORY_S)
+    demand.long_ms *= fade
+    demand.quick_ms *= fade
+    demand.at = now
+
+
+def demand_rows(state: State, now: float) -> list[DemandRow]:
+    """Give this instance's demand, milliseconds of work a second."""
+    rows = []
+    for target, demand in state.pools.own.items():
+        _fade(demand, now)
+        row = DemandRow(
+            target, round(demand.long_ms / _MEMORY_S), round(demand.quick_ms / _MEMORY_S)
+        )
+        rows.append(row)
+    return rows
+
+
+def take_rows(state: State, now: float, sender: InstanceName, rows: list[DemandRow]) -> None:
+    """Take a peer's demand."""
+    for row in rows:
+        told = state.pools.peers.setdefault(Target(row.target), {})
+        told[sender] = (now, float(row.long_ms_s), float(row.quick_ms_s))
+
+
+def choose(state: State, now: float, req: Request, engines: list[Server]) -> list[Server]:
+    """Give the engines for a request, of those that serve it."""
+    if len(engines) < 2:
+        return engines
+    ordered = sorted(engines, key=lambda each: rendezvous_weight(req.target, each.entry.name))
+    reading = _reading_count(state, now, req.target, len(engines))
+    if bears_chunks(state, req, engines[0].service):
+        return ordered[:reading]
+    return ordered[reading:]
+
+
+def reading_engines(state: State, target: Target) -> int:
+    """Give the number of engines that read long prompts, for logs."""
+    split = state.pools.splits.get(target)
+    return 0 if split is None else split.reading
+
+
+def _reading_count(state: State, now: float, target: Target, engines: int) -> int:
+    split = state.pools.splits.get(target)
+    if split is None:
+        split = state.pools.splits[target] = Split(ceil(_START_SHARE * engines))
+    wanted = _wanted(state, now, target, engines)
+    if wanted >= split.reading:
+        split.reading = wanted
+        split.fewer_since = None
+    elif split.fewer_since is None:
+        split.fewer_since = now
+    elif now - split.fewer_since >= _SHRINK_S:
+        split.reading -= 1
+        split.fewer_since = now
+    return min(split.reading, engines - 1)
+
+
+def _wanted(state: State, now: float, target: Target, engines: int) -> int:
+    long_ms, quick_ms = _demand(state, now, target)
+    reading = max(1, ceil(long_ms / (_MS * _BUSY_SHARE)))
+    others = max(1, ceil(quick_ms / (_MS * _BUSY_SHARE)))
+    if reading + others > engines:
+        # More than all of them: both kinds give way in proportion.
+        reading = round(engines * long_ms / (long_ms + quick_ms))
+    return max(1, min(engines - 1, reading))
+
+
+def _demand(state: State, now: float, target: Target) -> tuple[float, float]:
+    long_ms = quick_ms = 0.0
+    own = state.pools.own.get(target)
+    if own is not None:
+        _fade(own, now)
+        long_ms, quick_ms = own.long_ms / _MEMORY_S, own.quick_ms / _MEMORY_S
+    for at, peer_long, peer_quick in state.pools.peers.get(target, {}).values():
+        if now - at <= _PEER_VALID_S:
+            long_ms += peer_long
+            quick_ms += peer_quick
+    return long_ms, quick_ms
--- a/packages/turmericweir-core/turmericweir_core/load_news.py
+++ b/packages/turmericweir-core/turmericweir_core/load_news.py
@@ -12,10 +12,10 @@
 
 from typing import TYPE_CHECKING, Final
 
-from turmericweir_core import engine_model, membership
+from turmericweir_core import engine_model, engine_pools, membership
 from turmericweir_core.config import Policy
 from turmericweir_core.effects import Effect, SendDatagram
-from turmericweir_core.engine_model import EngineBook, PeerLoad
+from turmericweir_core.engine_model import EngineBook, PeerLoad, Pending
 from turmericweir_core.ids import InstanceName, ServerName
 from turmericweir_core.peer_messages import LoadNews, LoadRow
 
@@ -30,6 +30,8 @@
 # Parts in one datagram; with more, the oldest are left out, and found out by reading them again.
 _PARTS_MAX: Final = 24
 _MS: Final = 1000.0
+# Work, rank and age.
+_FIELDS: Final = 3
 
 
 def due_news(state: State, now: float) -> list[Effect]:
@@ -45,28 +47,37 @@
     state.news.send_due = now + max(_GAP_MIN_S, _GAP_PEER_S * len(peers))
     state.news.renew_due = now + _RENEW_S
     engines.changed = False
-    news = _build(state)
+    news = _build(state, now)
     # Having nothing is told once more, in case the datagram that says so is lost.
     state.news.told_load = bool(news.rows) or (state.news.told_load and not renew)
     return [SendDatagram(each.name, each.peer_address, news) for each in peers]
 
 
-def _build(state: State) -> LoadNews:
+def _build(state: State, now: float) -> LoadNews:
     state.news.seq += 1
     unsaid = state.engines.unsaid[-_PARTS_MAX:]
     state.engines.unsaid.clear()
     rows = [
-        _row(name, book)
+        _row(name, book, now)
         for name, book in state.engines.by_server.items()
         if book.prefills or book.running
     ]
-    return LoadNews(state.me.incarnation, state.news.seq, rows, unsaid)
-
-
-def _row(name: ServerName, book: EngineBook) -> LoadRow:
-    work = sum(each.work_ms for each in book.prefills.values())
+    return LoadNews(
+        state.me.incarnation,
+        state.news.seq,
+        rows,
+        unsaid,
+        engine_pools.demand_rows(state, now),
+    )
+
+
+def _row(name: ServerName, book: EngineBook, now: float) -> LoadRow:
+    works = [
+        [round(each.work_ms), each.rank, round((now - each.sent_at) * _MS)]
+        for each in book.prefills.values()
+    ]
     tokens = sum(each.tokens for each in book.prefills.values()) + sum(book.running.values())
-    return LoadRow(name, round(work), len(book.prefills), len(book.running), tokens)
+    return LoadRow(name, works, len(book.running), tokens)
 
 
 def on_news(state: State, now: float, sender: InstanceName, news: LoadNews) -> None:
@@ -75,6 +86,7 @@
     if heard is not None and heard[0] == news.incarnation and news.seq <= heard[1]:
         return
     state.news.heard[sender] = (news.incarnation, news.seq)
+    engine_pools.take_rows(state, now, sender, news.demand)
     rows = {ServerName(each.server): each for each in news.rows}
     for name, book in state.engines.by_server.items():
         if name not in rows:
@@ -95,8 +107,14 @@
 
 def _take_row(book: EngineBook, now: float, sender: InstanceName, row: LoadRow) -> None:
     before = book.peers.get(sender)
-    if before is None or before.work_ms != row.work_ms:
-        fewer = before is not None and row.waiting < before.waiting
-        if fewer or not engine_model.waiting_ms(book, now):
-            book.reading_since = now
-    book.peers[sender] = PeerLoad(now, row.work_ms, row.waiting, row.running, row.tokens)
+    fewer = before is not None and len(row.works) < len(before.pending)
+    if fewer or not engine_model.pending_at(book, now):
+        book.reading_since = now
+    pending = [
+        Pending(float(work), rank, now - age / _MS) for work, rank, age in _threes(row.works)
+    ]
+    book.peers[sender] = PeerLoad(now, pending, row.running, row.tokens)
+
+
+def _threes(works: list[list[int]]) -> list[tuple[int, int, int]]:
+    return [(each[0], each[1], each[2]) for each in works if len(each) >= _FIELDS]
--- a/packages/turmericweir-core/turmericweir_core/options.py
+++ b/packages/turmericweir-core/turmericweir_core/options.py
@@ -60,9 +60,19 @@
     # From the end of the prompt to the first event at this instance: some decoding steps and the
     # way back.
     first_token_ms: float = 30.0
-    # Work at an engine above which less urgent requests wait here rather than there, where no
-    # more urgent one could pass them: half the target of a quick class.
-    engine_wait_ms: float = 100_000.0
+    # Wait at an engine, as a share of a request's target, up to which it has time to spare.
+    spare_wait_share: float = 0.1
+    # Wait at an engine, as a share of a request's target, above which it waits here: there all
+    # would be late one after the other, here the late ones let those pass that can be in time.
+    engine_wait_share: float = 0.4
+    # Tokens from which on an engine has a part from another one rather than read it, and the time
+    # before the first of them comes, milliseconds: below it reading is as fast.
+    fetch_min_tokens: int = 1_024
+    fetch_setup_ms: float = 5.0
+    # What a token that is handed on counts, as a share of one that is read: about what it takes.
+    fetch_weight: float = 0.25
+    # A decoding step with a chunk of a prompt in it, as observed beside prompts of 17,000 tokens.
+    chunk_step_ms: float = 85.0
     # Share of an engine's memory that is filled with requests; above it the engine preempts.
     engine_memory_share: float = 0.9
     # Share of its target within which a request has to begin to count as in time; the rest is for
--- a/packages/turmericweir-core/turmericweir_core/peer_messages.py
+++ b/packages/turmericweir-core/turmericweir_core/peer_messages.py
@@ -190,10 +190,10 @@
     """What the sender has on one server."""
 
     server: str
-    # Time that prompts without a first token will be read for, milliseconds.
-    work_ms: int
-    # Requests that have not begun to be answered, and those that have.
-    waiting: int
+    # For each prompt without a first token: how long it will be read for, its rank, and how long
+    # ago it was sent; milliseconds.
+    works: list[list[int]]
+    # Requests that have begun to be answered.
     running: int
     # Tokens of all of them.
     tokens: int
@@ -211,6 +211,16 @@
     for_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class DemandRow:
+    """Work that the sender sends to a service, milliseconds a second."""
+
+    target: str
+    # Of requests that bear long prompts beside them, and of those that do not.
+    long_ms_s: int
+    quick_ms_s: int
+
+
 @dataclass(frozen=True, slots=True)
 class LoadNews:
     """Everything that the sender has on any server, and the parts that it sent lately."""
@@ -220,6 +230,7 @@
     seq: int
     rows: list[LoadRow] = field(default_factory=list)
     parts: list[SentPart] = field(default_factory=list)
+    demand: list[DemandRow] = field(default_factory=list)
 
 
 # --- credits: slots of servers, leased by one dispatcher for each; see `credit` ------------------
--- a/packages/turmericweir-core/turmericweir_core/predicted_placement.py
+++ b/packages/turmericweir-core/turmericweir_core/predicted_placement.py
@@ -19,13 +19,12 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
-from turmericweir_core import engine_model, straggler
+from turmericweir_core import engine_model, engine_pools, straggler
 from turmericweir_core.config import Kind
 from turmericweir_core.reliability import excess_failures
 from turmericweir_core.request import Request
 from turmericweir_core.server_table import Server
-from turmericweir_core.subset import rendezvous_weight
-from turmericweir_core.tiers import most_urgent
+from turmericweir_core.subset import open_servers, rendezvous_weight
 
 if TYPE_CHECKING:
     from turmericweir_core.state import State
@@ -33,6 +32,12 @@
 # What a server of another data centre costs more: the way there and back, milliseconds.
 _REMOTE_MS: Final = 3.0
 _MS: Final = 1000.0
+# How much the work of its own prompt counts for a request that is late wherever it goes.
+_LATE_WORK_WEIGHT: Final = 3.0
+# Tokens that are no difference between two engines.
+_SAME_READ: Final = 512.0
+# Behind all ranks.
+_LAST_RANK: Final = 1_000_000
 # The chance that the home of a part holds it though nobody has told of it.
 _HOME_SHARE: Final = 0.5
 # A straggler that is stopped is given work only where all others are far behind it.
@@ -60,45 +65,79 @@
     server: Server
     # Time until it begins there, milliseconds, if all goes as predicted.
     begin_ms: float
-    # Tokens that the engine would read for it.
+    # Of that, the wait for others, and the work of its own prompt.
+    wait_ms: float
+    own_ms: float
+    # Tokens that the engine would read for it, and have from another engine.
     read: float
-    # Worth waiting for: another request has the engine read its first parts just now.
+    fetched: float
+    # It has to wait for that engine: another request has it read its first parts just now, or the
+    # engine has enough to do.
     held_back: bool
 
 
 def _pick_engine(
     state: State, now: float, req: Request, tier: int, candidates: list[Server]
 ) -> Server | None:
-    choices = [
-        _weigh(state, now, req, server)
-        for server in candidates
-        if _has_room(state, now, req, tier, server)
-    ]
-    if not choices:
-        return None
+    candidates = engine_pools.choose(state, now, req, candidates)
+    choices = [_weigh(state, now, req, server) for server in candidates]
     home = max(candidates, key=lambda server: rendezvous_weight(_hash_key(req), server.entry.name))
     left_ms = (req.service_class.target_s * state.options.in_time_share - (now - req.arrived)) * _MS
-    best = min(choices, key=lambda choice: _rank(choice, left_ms, choice.server is home))
+    least = min(choice.read for choice in choices)
+    spare_ms = state.options.spare_wait_share * req.service_class.target_s * _MS
+
+    def rank(choice: _Choice) -> tuple[bool, float, float]:
+        again = choice.read > least + _SAME_READ
+        in_time = choice.begin_ms <= left_ms
+        good = in_time and (not again or choice.wait_ms <= spare_ms)
+        return _rank(choice, good, home, state.options.fetch_weight)
+
+    best = min(choices, key=rank)
     return None if best.held_back else best.server
 
 
 def _weigh(state: State, now: float, req: Request, server: Server) -> _Choice:
+    options = state.options
     book = engine_model.book_of(state, server.entry.name)
     spared = engine_model.held_back_tokens(book, now, req)
-    read = max(0, engine_model.uncached_tokens(book, req) - spared)
-    return _Choice(server, cost_ms(state, now, req, server, spared), float(read), spared > 0)
-
-
-def _rank(choice: _Choice, left_ms: float, is_home: bool) -> tuple[bool, float, float]:
-    """Order engines: in time before late, then by what is read, and what is late by time alone."""
-    if choice.begin_ms > left_ms:
-        return (True, choice.begin_ms, 0.0)
+    held_back = spared > 0
+    fetched = 0
+    extra_ms = 0.0
+    if not held_back:
+        fetch = engine_model.best_fetch(state, req, server)
+        if fetch is not None:
+            spared = fetched = fetch.tokens
+            extra_ms = engine_model.fetch_ms(options, server, fetch)
+    own = engine_model.own_work_ms(options, book, req, spared) + extra_ms
+    wait = engine_model.waiting_ms(book, now, engine_model.rank_of(req))
+    return _Choice(
+        server=server,
+        begin_ms=_cost_ms(state, now, server, wait + own),
+        wait_ms=wait,
+        own_ms=own,
+        read=float(max(0, engine_model.uncached_tokens(book, req) - spared)),
+        fetched=float(fetched),
+        held_back=held_back or not _has_room(state, now, req, server),
+    )
+
+
+def _rank(
+    choice: _Choice, good: bool, home: Server, fetch_weight: float
+) -> tuple[bool, float, float]:
+    """Order engines: where a request begins in time by what is read, the others by both.
+
+    A part is read a second time only by an engine that has time to spare. Failure without that: in
+    a rush each request that its own engine has no time for has its long part read by another one,
+    which makes others late there, and all engines read the same parts.
+    """
     # Nobody may have told of the home: it held the part before this process was started.
-    read = choice.read * (1.0 - _HOME_SHARE) if is_home else choice.read
-    return (False, read, choice.begin_ms)
+    known = 1.0 - _HOME_SHARE if choice.server is home else 1.0
+    if good:
+        return (False, choice.read * known + fetch_weight * choice.fetched, choice.begin_ms)
+    return (True, choice.begin_ms + _LATE_WORK_WEIGHT * known * choice.own_ms, 0.0)
 
 
-def _has_room(state: State, now: float, req: Request, tier: int, server: Server) -> bool:
+def _has_room(state: State, now: float, req: Request, server: Server) -> bool:
     book = engine_model.book_of(state, server.entry.name)
     requests = engine_model.requests_at(book, now)
     if not requests:
@@ -109,20 +148,15 @@
     room = server.service.kv_tokens * state.options.engine_memory_share
     if room and engine_model.tokens_at(book, now) + engine_model.size_of(req) > room:
         return False
-    if tier == most_urgent(state.config):
-        return True
-    return engine_model.waiting_ms(book, now) <= state.options.engine_wait_ms
+    wait = engine_model.waiting_ms(book, now, engine_model.rank_of(req))
+    return wait <= state.options.engine_wait_share * req.service_class.target_s * _MS
 
 
-def cost_ms(state: State, now: float, req: Request, server: Server, spared: int = 0) -> float:
+def _cost_ms(state: State, now: float, server: Server, begin_ms: float) -> float:
     """Give the time until a request begins at an engine, and what a failure would add to it, ms."""
-    options = state.options
     name = server.entry.name
-    book = engine_model.book_of(state, name)
-    own = engine_model.own_work_ms(options, book, req, spared)
-    cost = engine_model.waiting_ms(book, now) + own
-    cost /= max(_STRAGGLER_WEIGHT_MIN, straggler.server_weight(state.stragglers, name))
-    cost += options.failure_ms * excess_failures(state.reliability, now, name)
+    cost = begin_ms / max(_STRAGGLER_WEIGHT_MIN, straggler.server_weight(state.stragglers, name))
+    cost += state.options.failure_ms * excess_failures(state.reliability, now, name)
     if server.entry.data_centre != state.me.data_centre:
         cost += _REMOTE_MS
     return cost
@@ -148,9 +182,16 @@
     }
     if server.service.kind is Kind.MODEL:
         found["read_tokens"] = engine_model.uncached_tokens(book, req)
+        found["least_read"] = min(
+            engine_model.uncached_tokens(engine_model.book_of(state, each.entry.name), req)
+            for each in open_servers(state, now, req.target)
+        )
         found["prompt_tokens"] = req.prompt_tokens
-        found["wait_ms"] = round(engine_model.waiting_ms(book, now))
-        found["begin_ms"] = round(cost_ms(state, now, req, server))
+        found["wait_ms"] = round(engine_model.waiting_ms(book, now, engine_model.rank_of(req)))
+        found["reading_engines"] = engine_pools.reading_engines(state, req.target)
+        choice = _weigh(state, now, req, server)
+        found["begin_ms"] = round(choice.begin_ms)
+        found["fetch_tokens"] = round(choice.fetched)
         found["pace"] = round(book.pace, 2)
         found["tokens_there"] = engine_model.tokens_at(book, now)
     return found
@@ -159,7 +200,7 @@
 def shortest_wait_ms(state: State, now: float, candidates: list[Server]) -> float:
     """Give the shortest wait at any engine, milliseconds; 0.0 where there is none."""
     books = (engine_model.book_of(state, server.entry.name) for server in candidates)
-    return min((engine_model.waiting_ms(book, now) for book in books), default=0.0)
+    return min((engine_model.waiting_ms(book, now, _LAST_RANK) for book in books), default=0.0)
 
 
 # --- plain services --------------------------------------------------------------------------
--- a/packages/turmericweir-core/turmericweir_core/registry.py
+++ b/packages/turmericweir-core/turmericweir_core/registry.py
@@ -15,6 +15,7 @@
 from typing import TYPE_CHECKING, Final
 
 from turmericweir_core import server_list, server_table
+from turmericweir_core.config import ServerEntry
 from turmericweir_core.effects import Count, Effect, Log
 from turmericweir_core.events import EntryUnreadable, RegistryRead
 from turmericweir_core.ids import ServerName
@@ -77,7 +78,7 @@
     state: State,
     now: float,
     name: ServerName,
-    listed: dict[ServerName, server_table.ServerEntry],
+    listed: dict[ServerName, ServerEntry],
     was_away: bool,
 ) -> list[Effect]:
     missing = state.registry.missing
@@ -113,7 +114,7 @@
     return [Count("registry.unreadable"), Log("entry_unreadable", fields)]
 
 
-def _adopt(state: State, now: float, listed: dict[ServerName, server_table.ServerEntry]) -> None:
+def _adopt(state: State, now: float, listed: dict[ServerName, ServerEntry]) -> None:
     table = state.servers
     table.listed_at = now
     if listed == table.listed:
--- a/packages/turmericweir-core/turmericweir_core/request.py
+++ b/packages/turmericweir-core/turmericweir_core/request.py
@@ -62,8 +62,9 @@
     gap_late_s: float = float("inf")
     # Gaps in a row that were late.
     late_gaps: int = 0
-    # The longest time between tokens since the tick before.
+    # The longest time between tokens since the tick before, and since the first.
     longest_gap: float = 0.0
+    worst_gap: float = 0.0
     # Why the reducer has ordered it to stop; its end is awaited.
     cancelled: CancelReason | None = None
     # The pool whose books it is in, and the work that it was entered for.
--- a/packages/turmericweir-core/turmericweir_core/server_table.py
+++ b/packages/turmericweir-core/turmericweir_core/server_table.py
@@ -213,7 +213,7 @@
 
 
 def due_trials(table: ServerTable, options: Options, now: float) -> Iterator[Server]:
-    """Yield servers that were left alone for long enough, and leave them alone until they answer."""
+    """Yield servers that were left alone for long enough; they stay so until they answer."""
     for server in table.by_name.values():
         if 0.0 < server.unreachable_until <= now and not server.leaving:
             server.unreachable_until = now + options.unreachable_retry_s
--- a/packages/turmericweir-core/turmericweir_core/state.py
+++ b/packages/turmericweir-core/turmericweir_core/state.py
@@ -17,6 +17,7 @@
 from turmericweir_core.credit_state import CreditState
 from turmericweir_core.document import DocumentState
 from turmericweir_core.engine_model import EngineModels
+from turmericweir_core.engine_pools import PoolState
 from turmericweir_core.ids import InstanceName, RequestId, ServerName
 from turmericweir_core.lease_state import LeaseState
 from turmericweir_core.limit_state import LimitState
@@ -94,6 +95,8 @@
     prefixes: PrefixMap = field(default_factory=PrefixMap)
     # What each server has to do and holds, and what was told of it and heard.
     engines: EngineModels = field(default_factory=EngineModels)
+    # How the engines of a service are split between long prompts and quick answers.
+    pools: PoolState = field(default_factory=PoolState)
     news: NewsState = field(default_factory=NewsState)
     # How often each server failed of late.
     reliability: ReliabilityState = field(default_factory=ReliabilityState)
--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -16,7 +16,7 @@
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 from random import Random
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Final, Protocol
 
 import anyio
 from anyio.abc import TaskGroup
@@ -62,20 +62,17 @@
 _COLLECT_AFTER: Final = 20_000
 
 
-class StoreFollower(DocumentPort):
+class StoreFollower(DocumentPort, Protocol):
     """What the daemon needs of whoever reads the platform's store."""
 
     def attach(self, node: Node) -> None:
         """Take the node that is told."""
-        raise NotImplementedError
 
     async def follow_document(self) -> None:
         """Follow the settings."""
-        raise NotImplementedError
 
     async def follow_registry(self) -> None:
         """Follow the servers' entries."""
-        raise NotImplementedError
 
 
 @dataclass(frozen=True, slots=True)
@@ -265,7 +262,8 @@
 async def _announce(node: Node) -> None:
     """Say once when the process is ready for callers."""
     started = anyio.current_time()
-    while not is_ready(node):
+    # Looked at again and again: what makes it ready are facts of several concerns, and ages.
+    while not is_ready(node):  # noqa: ASYNC110
         await anyio.sleep(_LOG_FLUSH_S)
     logs.write("ready", after_ms=round((anyio.current_time() - started) * 1000))
 
--- a/packages/turmericweir/turmericweir/http_server.py
+++ b/packages/turmericweir/turmericweir/http_server.py
@@ -11,6 +11,7 @@
 import socket
 import struct
 from collections.abc import Callable, Generator
+from math import ceil
 from typing import TYPE_CHECKING, Any, Final
 
 import anyio
@@ -126,12 +127,12 @@
         self._refuse(Reason.BAD_REQUEST, None)
 
     @property
-    def timeout_keep_alive(self) -> float:
+    def timeout_keep_alive(self) -> int:
         """How long uvicorn keeps this connection while it is idle, by the limits of the moment."""
-        return self.limits.keep_alive_s
+        return ceil(self.limits.keep_alive_s)
 
     @timeout_keep_alive.setter
-    def timeout_keep_alive(self, seconds: float) -> None:
+    def timeout_keep_alive(self, seconds: int) -> None:
         """Drop uvicorn's own setting, which is of the time when the connection was made."""
 
     @property
--- a/tests/core/test_predicted_placement.py
+++ b/tests/core/test_predicted_placement.py
@@ -17,9 +17,7 @@
     would wait for that. So it waits here until the first one begins, and then reads its own alone.
     """
     world = StoreWorld()
-    first = start_of(
-        world.arrive("1", prompt_tokens=17_000, parts=(SHARED, ("own-1", 3_700)))
-    )
+    first = start_of(world.arrive("1", prompt_tokens=17_000, parts=(SHARED, ("own-1", 3_700))))
     world.sent(first)
     world.now += 0.1
     assert not only(
@@ -59,7 +57,7 @@
 
 def test_an_instance_that_has_just_started_reads_a_part_where_others_would() -> None:
     """All processes are killed at once; what engines hold is as before, and nobody knows it."""
-    servers = set()
+    servers: set[str] = set()
     for _ in range(3):
         world = StoreWorld(engines=5)
         world.state.rng.seed(len(servers))
--- a/tests/ctl/fake_daemon.py
+++ b/tests/ctl/fake_daemon.py
@@ -38,7 +38,7 @@
 from turmericweir_core.membership import RemoteCentre
 from turmericweir_core.options import Options
 from turmericweir_core.peer_messages import Word
-from turmericweir_core.reducer import new_state
+from turmericweir_core.reducer import new_state, reduce
 from turmericweir_core.settings_sync import settings_read_offset
 from turmericweir_core.state import Identity
 
@@ -161,11 +161,11 @@
     portal: BlockingPortal,
 ) -> None:
     operators, nowhere = Operators(), Nowhere()
-    adapters = Adapters(log, nowhere, nowhere, nowhere, operators, NullMetrics())
+    adapters = Adapters(nowhere, nowhere, nowhere, NullMetrics(), platform=log, operators=operators)
     me = Identity(InstanceName("a-1"), "a", "region", "127.0.0.1:1", "1")
     state = new_state(me, Options(change_give_up_s=0.5, change_retry_s=0.2), seed=1)
     async with anyio.create_task_group() as group:
-        node = log.node = Node(state, adapters, group, unread_s=30.0)
+        node = log.node = Node(state, reduce, adapters, group, unread_s=30.0)
         token = AdminToken(name="root", token_sha256=sha256(TOKEN.encode()).hexdigest())
         app = OperatorPort(node, {}, operators, [token])
         sock = bind("127.0.0.1:0", "listen")
