Make two failure tests wait for the events that they are about

Ruled out: the frames of peers (a list with servers survives encoding and decoding). Change: the first waits until the others serve before the outage; the second waits for a closed port between the end of one process and the start of the next. Both demand what they did, the second of each instance.

--- a/tests/failures/crowd.py
+++ b/tests/failures/crowd.py
@@ -71,6 +71,11 @@
         wanted = self._whole() + count
         wait_until(lambda: self._whole() >= wanted, f"{count} more whole answers", CALL_S)
 
+    def wait_refused(self) -> None:
+        """Wait until one more has found a port closed."""
+        before = self.refused
+        wait_until(lambda: self.refused > before, "a caller finds the port closed", CALL_S)
+
     def _whole(self) -> int:
         return sum(each.is_whole() for each in list(self.answers))
 
--- a/tests/failures/test_partition.py
+++ b/tests/failures/test_partition.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+from functools import partial
 from pathlib import Path
 
 from tests.failures.member_cluster import SEEN_S, MemberCluster
@@ -88,12 +89,20 @@
         wait_until(lambda: offset(cluster, ENTRY_2) > before, "entry-2 has the change", SEEN_S)
 
 
+def _serves(cluster: MemberCluster, name: str) -> bool:
+    return bool(cluster.ask(name).status == 200)
+
+
 def test_instance_that_starts_in_an_outage_serves(tmp_path: Path) -> None:
     # The platform's log and list are down when entry-3 starts; its callers would be refused for as
     # long as that lasts. Its file names the others' addresses. From them it has the settings, and
     # the backend servers, since its heartbeats show that it has no list.
     with MemberCluster(tmp_path, 2) as cluster:
         cluster.wait_all_live()
+        # What the others never had, they cannot hand on: they have read the list with the servers.
+        for name in list(cluster.instances):
+            serves = partial(_serves, cluster, name)
+            wait_until(serves, f"{name} serves before the outage", SEEN_S)
         cluster.platform_behave(outage=True, list_down=True, outage_mode="refuse")
 
         cluster.add_instance(2)
--- a/tests/failures/test_replacing.py
+++ b/tests/failures/test_replacing.py
@@ -31,6 +31,7 @@
         for name in list(cluster.instances):
             cluster.instances[name].process.terminate()
             assert cluster.instances[name].process.wait(CALL_S) == 0
+            crowd.wait_refused()
             replaced = cluster.restart_instance(name)
             wait_until(replaced.ready, f"{name} is ready")
             crowd.wait_whole(INSTANCES * CALLERS)
