--- a/packages/turmericweir-core/turmericweir_core/engine_model.py
+++ b/packages/turmericweir-core/turmericweir_core/engine_model.py
@@ -2,7 +2,9 @@
 
 An engine reads the prompts that it was given one after the other, by rank and age, between the
 tokens of what it generates. So the time to a request's first token is the rest of the prompt in
-hand, the work of those before it, and of the part of its own that the engine does not hold. The model keeps, for each engine,
+hand, the work of those before it, and of the part of its own that the engine does not hold.
+
+The model keeps, for each engine,
 
 - the prompts of this instance that it has not begun to answer, as work in milliseconds;
 - what the other instances tell of theirs (`load_news`), since all send to the same engines;
