Have few instances read the store, and tell the others

Ruled out: the store's groups (a call at each renewal); proofs that readers push, which a late datagram would make younger than they are. Change: two readers, or one in twenty, by hash; they tell changed entries with a hash of all, and answer those who ask for the proof of the settings; who is not told in time reads for itself.

--- a/packages/turmericweir-core/turmericweir_core/document.py
+++ b/packages/turmericweir-core/turmericweir_core/document.py
@@ -16,7 +16,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
-from turmericweir_core import membership, server_table
+from turmericweir_core import membership, server_table, store_duty
 from turmericweir_core.effects import Count, DecodeDocument, Effect, Log, SendDatagram, SendPeer
 from turmericweir_core.events import DocumentConfirmed, DocumentRead, DocumentUnreadable
 from turmericweir_core.ids import InstanceName
@@ -28,8 +28,9 @@
     from turmericweir_core.state import State
 
 _NEVER: Final = float("-inf")
-# A proof older than this has peers asked for theirs. Above the time between two answers of the
-# store, or every instance would ask all the time.
+# A proof older than this has readers of the store asked for theirs, and one that is older still has
+# anyone asked: this instance cannot reach the store, nor those who usually read it.
+_RENEW_S: Final = 0.6
 _ASK_PEERS_S: Final = 3.0
 # A caller is only denied by settings that were proven so lately; above the time between two answers
 # of the store.
@@ -37,7 +38,7 @@
 # Before the first document, peers are asked after so long: the store usually answers sooner.
 _FIRST_ASK_S: Final = 0.5
 # Between two askings, each of another peer.
-_ASK_GAP_S: Final = 0.4
+_ASK_GAP_S: Final = 0.3
 # Askings whose answers are still awaited; older ones are void.
 _ASKED_MAX: Final = 16
 
@@ -146,18 +147,30 @@
         held.started_at = now
     if now < held.ask_due:
         return []
-    peers = [each for each in membership.live_instances(state, now) if each.name != state.me.name]
-    ahead = [each for each in peers if each.settings_offset > held.version]
-    if not (ahead or _is_due(held, now)) or not peers:
+    peer = _whom_to_ask(state, now)
+    if peer is None:
         return []
     held.ask_due = now + _ASK_GAP_S
-    return _ask(state, now, state.rng.choice(ahead or peers))
+    return _ask(state, now, peer)
 
 
-def _is_due(held: DocumentState, now: float) -> bool:
+def _whom_to_ask(state: State, now: float) -> Member | None:
+    """Pick a peer: one that is ahead, a reader of the store, or else anyone."""
+    held = _held(state)
+    me = state.me.name
+    peers = [each for each in membership.live_instances(state, now) if each.name != me]
     if held.version == 0 and held.started_at is not None:
-        return now - held.started_at > _FIRST_ASK_S
-    return now - held.proof_at > _ASK_PEERS_S
+        due = now - held.started_at > _FIRST_ASK_S
+        return state.rng.choice(peers) if due and peers else None
+    ahead = [each for each in peers if each.settings_offset > held.version]
+    if ahead:
+        return state.rng.choice(ahead)
+    if now - held.proof_at > _ASK_PEERS_S:
+        return state.rng.choice(peers) if peers else None
+    if now - held.proof_at <= _RENEW_S:
+        return None
+    readers = [each for each in store_duty.readers(state, now) if each.name != me]
+    return state.rng.choice(readers) if readers else None
 
 
 def _ask(state: State, now: float, peer: Member) -> list[Effect]:
--- a/packages/turmericweir-core/turmericweir_core/peer_messages.py
+++ b/packages/turmericweir-core/turmericweir_core/peer_messages.py
@@ -185,6 +185,24 @@
     age_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class RegistryRow:
+    """A server's entry, or its removal, with the offset of its record."""
+
+    offset: int
+    name: str
+    # None where the entry was removed.
+    entry: ServerEntry | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class RegistryNews:
+    """The servers' entries were read just now; these have changed, and all have this hash."""
+
+    servers_hash: int
+    rows: list[RegistryRow] = field(default_factory=list)
+
+
 @dataclass(frozen=True, slots=True)
 class LoadRow:
     """What the sender has on one server."""
@@ -532,6 +550,7 @@
     | DocumentSend
     | DocumentProof
     | LoadNews
+    | RegistryNews
     | CreditDemand
     | CreditGrant
     | ClaimAsk
@@ -565,6 +584,7 @@
     DocumentSend,
     DocumentProof,
     LoadNews,
+    RegistryNews,
     CreditDemand,
     CreditGrant,
     ClaimAsk,
--- a/packages/turmericweir-core/turmericweir_core/reducer_store.py
+++ b/packages/turmericweir-core/turmericweir_core/reducer_store.py
@@ -43,7 +43,12 @@
     Tick,
     WeightsAnswered,
 )
-from turmericweir_core.peer_messages import DocumentAsk, DocumentProof, DocumentSend
+from turmericweir_core.peer_messages import (
+    DocumentAsk,
+    DocumentProof,
+    DocumentSend,
+    RegistryNews,
+)
 from turmericweir_core.reducer_common import (
     exit_when_done,
     reduce_common,
@@ -82,6 +87,10 @@
             return document.on_send(sender, message)
         case PeerReceived(_, DocumentProof() as message):
             return document.on_proof(state, message)
+        case PeerReceived(sender, RegistryNews() as news):
+            effects = registry.on_news(state, now, sender, news)
+            effects += leaving.mark_leavers(state, now)
+            return effects + dispatch.dispatch_all(state, now)
         case (
             RequestArrived()
             | CallerLeft()
--- a/packages/turmericweir-core/turmericweir_core/registry.py
+++ b/packages/turmericweir-core/turmericweir_core/registry.py
@@ -14,11 +14,12 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
-from turmericweir_core import server_list, server_table
+from turmericweir_core import membership, server_list, server_table, store_duty
 from turmericweir_core.config import ServerEntry
-from turmericweir_core.effects import Count, Effect, Log
+from turmericweir_core.effects import Count, Effect, Log, SendDatagram, SendPeer
 from turmericweir_core.events import EntryUnreadable, RegistryRead
-from turmericweir_core.ids import ServerName
+from turmericweir_core.ids import InstanceName, ServerName
+from turmericweir_core.peer_messages import RegistryNews, RegistryRow, ServersAsk
 
 if TYPE_CHECKING:
     from turmericweir_core.state import State
@@ -28,6 +29,10 @@
 _AWAY_S: Final = 3.0
 # Servers write their entries again within two seconds of the store's return.
 _RETURN_S: Final = 2.5
+# Changes in one datagram at the most; whoever lacks the others sees so by the hash.
+_ROWS_MAX: Final = 24
+# Between two askings for the whole list.
+_ASK_S: Final = 0.3
 
 
 @dataclass(slots=True)
@@ -51,10 +56,7 @@
     effects: list[Effect] = []
     for entry, offset in event.entries:
         if _is_newer(registry, entry.name, offset):
-            known = listed.get(entry.name)
-            if known is None or (known.leaving, known.address) != (entry.leaving, entry.address):
-                effects.append(_log("server_listed", entry.name, leaving=entry.leaving))
-            listed[entry.name] = entry
+            effects += _take_entry(listed, entry)
         registry.missing.pop(entry.name, None)
     for name, offset in event.removed:
         if _is_newer(registry, name, offset) and listed.pop(name, None) is not None:
@@ -64,7 +66,45 @@
         for name in [each for each in listed if each not in present]:
             effects += _note_missing(state, now, name, listed, was_away)
     _adopt(state, now, listed)
-    return effects
+    return effects + _tell(state, now, event)
+
+
+def _tell(state: State, now: float, event: RegistryRead) -> list[Effect]:
+    """Tell those who do not read the store themselves."""
+    if not store_duty.is_reader(state, now):
+        return []
+    rows = [RegistryRow(offset, entry.name, entry) for entry, offset in event.entries]
+    rows += [RegistryRow(offset, name) for name, offset in event.removed]
+    # A whole list is long; whoever lacks a part of it sees so by the hash, and asks.
+    exact = server_list.exact_hash(state.servers.listed.values())
+    news = RegistryNews(exact, [] if event.whole else rows[:_ROWS_MAX])
+    me = state.me.name
+    peers = [each for each in membership.region_instances(state, now) if each.name != me]
+    return [SendDatagram(each.name, each.peer_address, news) for each in peers]
+
+
+def on_news(state: State, now: float, sender: InstanceName, news: RegistryNews) -> list[Effect]:
+    """Take what a reader tells, or ask it for the whole list where that does not fit."""
+    listed = dict(state.servers.listed)
+    effects: list[Effect] = []
+    for row in news.rows:
+        name = ServerName(row.name)
+        if not _is_newer(state.registry, name, row.offset):
+            continue
+        if row.entry is not None:
+            effects += _take_entry(listed, row.entry)
+        elif listed.pop(name, None) is not None:
+            effects.append(_log("server_removed", name, offset=row.offset, by=sender))
+    _adopt(state, now, listed)
+    if server_list.exact_hash(listed.values()) == news.servers_hash:
+        state.registry.read_at = now
+        state.registry.missing.clear()
+        return effects
+    peer = membership.member(state, sender)
+    if peer is None or now < state.members.servers_ask_due:
+        return effects
+    state.members.servers_ask_due = now + _ASK_S
+    return [*effects, SendPeer(sender, peer.peer_address, ServersAsk())]
 
 
 def _is_newer(registry: RegistryState, name: ServerName, offset: int) -> bool:
@@ -91,6 +131,14 @@
     return [_log("server_removed", name, offset=-1)]
 
 
+def _take_entry(listed: dict[ServerName, ServerEntry], entry: ServerEntry) -> list[Effect]:
+    known = listed.get(entry.name)
+    listed[entry.name] = entry
+    if known is not None and (known.leaving, known.address) == (entry.leaving, entry.address):
+        return []
+    return [_log("server_listed", entry.name, leaving=entry.leaving)]
+
+
 def on_tick(state: State, now: float) -> list[Effect]:
     """Let go of what is still missing some time after the store's return."""
     missing = state.registry.missing
--- a/packages/turmericweir-core/turmericweir_core/server_list.py
+++ b/packages/turmericweir-core/turmericweir_core/server_list.py
@@ -7,7 +7,8 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from collections.abc import Iterable
+from typing import TYPE_CHECKING, Final
 
 import xxhash
 
@@ -20,6 +21,9 @@
 if TYPE_CHECKING:
     from turmericweir_core.state import State
 
+# A list that a peer sends may be so much older than word of it that came before.
+_LAG_S: Final = 1.0
+
 
 def note_list_read(state: State, now: float) -> None:
     """Note that the list was read from the platform just now."""
@@ -29,13 +33,24 @@
 
 def hash_entries(state: State) -> int:
     """Hash the listed entries into 32 bits, without their states, which marks carry."""
+    return hash_of(state.servers.listed.values())
+
+
+def hash_of(entries: Iterable[ServerEntry]) -> int:
+    """Hash entries into 32 bits, whatever their order."""
     parts = [
         f"{it.name}\0{it.service}\0{it.data_centre}\0{it.address}\0{it.incarnation}"
-        for _, it in sorted(state.servers.listed.items())
+        for it in sorted(entries, key=lambda each: each.name)
     ]
     return xxhash.xxh32_intdigest("\n".join(parts).encode())
 
 
+def exact_hash(entries: Iterable[ServerEntry]) -> int:
+    """Hash entries with all that they say, for those who have no marks to go by."""
+    parts = [repr(it) for it in sorted(entries, key=lambda each: each.name)]
+    return xxhash.xxh32_intdigest("\n".join(parts).encode())
+
+
 def list_age(state: State, now: float) -> int:
     """Give the age of the list, whole seconds, or -1 where there is none."""
     listed_at = state.servers.listed_at
@@ -76,9 +91,16 @@
     """Take a peer's list if it is newer than the own one."""
     table = state.servers
     read_at = now - max(0.0, message.age_s)
-    if table.listed_at is not None and table.listed_at >= read_at:
+    known = exact_hash(table.listed.values())
+    same = state.document is not None and known == exact_hash(message.servers)
+    if same or (table.listed_at is not None and table.listed_at >= read_at + _LAG_S):
         return []
-    server_table.list_servers(table, state.config, tuple(message.servers))
+    if state.document is not None:
+        # The registry is exact: what is missing from it is gone.
+        table.listed = {each.name: each for each in message.servers}
+        server_table.rebuild(table, state.config)
+    else:
+        server_table.list_servers(table, state.config, tuple(message.servers))
     table.listed_at = read_at
     table.listed_hash = hash_entries(state)
     fields = {"peer": sender.name, "servers": len(message.servers), "age_s": round(message.age_s)}
--- /dev/null
+++ b/tests/core/test_registry.py
@@ -0,0 +1,129 @@
+"""Servers' entries: what is used while they lapse, come late, or are told by others."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tests.core.store_world import PLAIN, StoreWorld, datagrams, only, start_of
+from turmericweir_core import server_list, store_duty
+from turmericweir_core.config import ServerEntry
+from turmericweir_core.effects import SendPeer, StartAttempt
+from turmericweir_core.events import ListedInstance, ListRead, RegistryRead
+from turmericweir_core.ids import InstanceName, ServerName
+from turmericweir_core.membership import Member
+from turmericweir_core.peer_messages import RegistryNews, RegistryRow, ServersAsk
+
+
+def test_an_entry_that_lapsed_while_the_store_was_away_is_used_for_a_moment() -> None:
+    """The store was away for longer than entries last, and comes back without them.
+
+    The servers are well and write their entries again within two seconds. Callers would be told
+    that no server is there, and all at once.
+    """
+    world = StoreWorld(plain=1)
+    world.wait(6.0)
+    world.give(RegistryRead((), whole=True))
+    assert only(world.arrive("1", target=PLAIN), StartAttempt)
+    world.give(RegistryRead(((world.entries[-1], 9),)))
+    world.wait(3.0)
+    assert only(world.arrive("2", target=PLAIN), StartAttempt)
+
+
+def test_an_entry_that_is_still_missing_after_that_is_gone() -> None:
+    """One of the servers died during the outage; its address may be another's by now."""
+    world = StoreWorld(plain=1)
+    world.wait(6.0)
+    world.give(RegistryRead((), whole=True))
+    world.wait(2.0)
+    world.give(RegistryRead(()))
+    world.wait(1.0)
+    assert not only(world.arrive("1", target=PLAIN), StartAttempt)
+
+
+def test_a_record_that_comes_late_undoes_nothing() -> None:
+    """A page that was read before a removal comes behind the record of it."""
+    world = StoreWorld(plain=1)
+    (entry,) = [each for each in world.entries if each.service == "shop"]
+    world.give(RegistryRead((), ((entry.name, 7),)))
+    world.give(RegistryRead(((entry, 3),)))
+    assert not only(world.arrive("1", target=PLAIN), StartAttempt)
+
+
+def test_a_server_that_starts_again_under_its_name_begins_afresh() -> None:
+    """It holds nothing any more, and what is counted of its former life is no load on it."""
+    world = StoreWorld(engines=1, plain=0)
+    entry = world.entry("lm-1", "lm", incarnation="1")
+    world.give(RegistryRead(((entry, 2),)))
+    start = start_of(world.arrive("1", prompt_tokens=1_000, parts=(("a", 900),)))
+    world.begin(start)
+    again = world.entry("lm-1", "lm", incarnation="2")
+    world.give(RegistryRead(((again, 3),)))
+    assert world.state.servers.by_name[ServerName("lm-1")].in_flight == {}
+
+
+def test_a_change_that_a_reader_tells_is_taken_and_counts_as_a_read() -> None:
+    world = StoreWorld()
+    leaver, *_ = world.entries
+    gone = world.entry(leaver.name, leaver.service, leaving=True)
+    listed = {**world.state.servers.listed, gone.name: gone}
+    exact = server_list.exact_hash(listed.values())
+    world.now += 5.0
+    world.peer("b-1", RegistryNews(exact, [RegistryRow(9, gone.name, gone)]))
+    assert world.state.servers.by_name[leaver.name].leaving
+    assert world.state.registry.read_at == world.now
+
+
+def test_a_change_whose_datagram_was_lost_is_found_by_the_next_one() -> None:
+    """The news that a server leaves is lost; nothing has changed since when the next one comes."""
+    world = StoreWorld()
+    world.state.members.by_name[InstanceName("b-1")] = Member(
+        InstanceName("b-1"), "dc-a", "127.0.0.1:2", region="home"
+    )
+    before = world.state.registry.read_at
+    world.now += 1.0
+    effects = world.peer("b-1", RegistryNews(12345))
+    assert [each.message for each in only(effects, SendPeer)] == [ServersAsk()]
+    assert world.state.registry.read_at == before
+
+
+def test_an_instance_reads_for_itself_when_it_is_not_told() -> None:
+    world = StoreWorld()
+    for number in range(2, 8):
+        name = InstanceName(f"a-{number}")
+        member = Member(name, "dc-a", f"127.0.0.1:{number}", region="home", seq=1)
+        member.heard_at = world.now
+        world.state.members.by_name[name] = member
+    readers = {each.name for each in store_duty.readers(world.state, world.now)}
+    assert len(readers) == 2
+    world.state.registry.read_at = world.now
+    reads = store_duty.reads_registry(world.state, world.now + 0.5)
+    assert reads == (world.state.me.name in readers)
+    assert store_duty.reads_registry(world.state, world.now + 1.5)
+
+
+@given(st.permutations(range(6)), st.lists(st.booleans(), min_size=6, max_size=6))
+def test_any_order_of_records_ends_with_the_newest(order: list[int], there: list[bool]) -> None:
+    """Pages, late reads and peers bring records in any order; the highest offset decides."""
+    world = StoreWorld(plain=1)
+    (entry,) = [each for each in world.entries if each.service == "shop"]
+    for number in order:
+        offset = 10 + number
+        if there[number]:
+            world.give(RegistryRead(((entry, offset),)))
+        else:
+            world.give(RegistryRead((), ((entry.name, offset),)))
+    assert (entry.name in world.state.servers.listed) == there[5]
+
+
+def test_only_readers_tell_the_others() -> None:
+    world = StoreWorld()
+    world.give(
+        ListRead((), (ListedInstance(InstanceName("a-2"), "dc-a", "127.0.0.1:2", "x", False),))
+    )
+    world.state.members.by_name[InstanceName("a-2")].heard_at = world.now
+    world.state.members.by_name[InstanceName("a-2")].region = "home"
+    entry: ServerEntry = world.entries[0]
+    effects = world.give(RegistryRead(((entry, 20),)))
+    told = [each for each in datagrams(effects) if isinstance(each.message, RegistryNews)]
+    assert [each.peer for each in told] == ["a-2"]
