--- a/packages/turmericweir-core/turmericweir_core/attempt_books.py
+++ b/packages/turmericweir-core/turmericweir_core/attempt_books.py
@@ -84,7 +84,7 @@
         case EndComplete(status=status):
             failed = status >= _SERVER_FAULT
         case EndCancelled():
-            if attempt.cancelled is not CancelReason.SILENT:
+            if attempt.cancelled not in (CancelReason.SILENT, CancelReason.SERVER_DEAD):
                 return
             failed = True
         case EndRefused() | EndUnsent() | EndBroken() | EndServerError():
--- a/packages/turmericweir-core/turmericweir_core/attempt_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/attempt_flow.py
@@ -239,6 +239,10 @@
             # Paid for when it was decided, and never asked of a request that may not run again.
             req.avoid.add(attempt.server)
             return _go_on_elsewhere(state, now, req)
+        case CancelReason.SERVER_DEAD:
+            quarantine.note_broken(state, now, req, attempt, alive=False)
+            note_unreachable(state.servers, state.options, now, attempt.server)
+            return _after_loss(state, now, req, attempt, Reason.SERVER_LOST)
         case CancelReason.QUARANTINED:
             return finish(state, now, req, Outcome.FAILED, Reason.QUARANTINED)
         case CancelReason.SILENT | None if not attempt.sent:
--- /dev/null
+++ b/packages/turmericweir-core/turmericweir_core/dead_state.py
@@ -0,0 +1,22 @@
+"""The servers that are tried because attempts on them are silent; see `dead_server`."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from turmericweir_core.ids import ServerName
+
+
+@dataclass(slots=True)
+class Suspicion:
+    """Tries of a server on which attempts are silent."""
+
+    tried_at: float
+    failures: int = 0
+
+
+@dataclass(slots=True)
+class DeadState:
+    """The servers that are being tried."""
+
+    by_server: dict[ServerName, Suspicion] = field(default_factory=dict)
--- a/packages/turmericweir-core/turmericweir_core/reducer_store.py
+++ b/packages/turmericweir-core/turmericweir_core/reducer_store.py
@@ -9,7 +9,7 @@
 
 from typing import assert_never
 
-from turmericweir_core import dispatch, document, leaving, load_news, registry
+from turmericweir_core import dead_server, dispatch, document, leaving, load_news, registry
 from turmericweir_core.effects import Effect
 from turmericweir_core.events import (
     AppendDone,
@@ -87,6 +87,12 @@
             return document.on_send(sender, message)
         case PeerReceived(_, DocumentProof() as message):
             return document.on_proof(state, message)
+        case ServerAnswered(server):
+            dead_server.on_answered(state, server)
+            return reduce_common(state, now, event)
+        case ServerUnreachable(server, _):
+            effects = reduce_common(state, now, event)
+            return effects + dead_server.on_unreachable(state, now, server)
         case PeerReceived(sender, RegistryNews() as news):
             effects = registry.on_news(state, now, sender, news)
             effects += leaving.mark_leavers(state, now)
@@ -98,8 +104,6 @@
             | AttemptProgress()
             | AttemptEnded()
             | ServerReport()
-            | ServerUnreachable()
-            | ServerAnswered()
             | CacheEvents()
             | ListRead()
             | SeedsGiven()
@@ -128,6 +132,7 @@
 def _on_tick(state: State, now: float) -> list[Effect]:
     effects = registry.on_tick(state, now)
     effects += tick_requests(state, now)
+    effects += dead_server.on_tick(state, now)
     effects += document.on_tick(state, now)
     effects += tick_others(state, now)
     return effects + exit_when_done(state, now, flushed=True)
--- a/packages/turmericweir-core/turmericweir_core/request.py
+++ b/packages/turmericweir-core/turmericweir_core/request.py
@@ -17,6 +17,8 @@
     DEADLINE = "deadline"
     # Its connection, or its server, went silent.
     SILENT = "silent"
+    # Its server cannot be connected to any more, and it was silent all that time.
+    SERVER_DEAD = "server_dead"
     # Its server has become slow, and another one has room.
     MOVED = "moved"
     # Work of a more urgent class needs its place.
--- a/packages/turmericweir-core/turmericweir_core/state.py
+++ b/packages/turmericweir-core/turmericweir_core/state.py
@@ -15,6 +15,7 @@
 from turmericweir_core.concurrency import LimitState as ServerLimits
 from turmericweir_core.config import Config
 from turmericweir_core.credit_state import CreditState
+from turmericweir_core.dead_state import DeadState
 from turmericweir_core.document import DocumentState
 from turmericweir_core.engine_model import EngineModels
 from turmericweir_core.engine_pools import PoolState
@@ -117,6 +118,8 @@
     models: ModelState = field(default_factory=ModelState)
     silence: SilenceState = field(default_factory=SilenceState)
     signs: SignState = field(default_factory=SignState)
+    # Servers that are tried because attempts on them are silent.
+    dead: DeadState = field(default_factory=DeadState)
     # Set by a graceful stop; never unset.
     stopping_since: float | None = None
 
--- a/packages/turmericweir/turmericweir/http_server.py
+++ b/packages/turmericweir/turmericweir/http_server.py
@@ -148,6 +148,9 @@
         """
         if self.transport.is_closing():
             return
+        if self.cycle is not None:
+            # Or uvicorn would report that the application forgot to answer.
+            self.cycle.disconnected = True
         sock = self.transport.get_extra_info("socket")
         if sock is not None:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
--- /dev/null
+++ b/tests/core/test_dead_server.py
@@ -0,0 +1,89 @@
+"""Servers that die without a word, and the callers that wait for them."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.core.store_world import FIT, StoreWorld, account_of, only, start_of
+from turmericweir_core.account import Outcome
+from turmericweir_core.effects import CancelAttempt, FinishRequest, ProbeServer, StartAttempt
+from turmericweir_core.events import EndCancelled, ServerAnswered, ServerUnreachable
+from turmericweir_core.ids import ServerName
+
+
+def silent_on(world: StoreWorld, *, repeatable: bool) -> StartAttempt:
+    """Have a stream begin and fall silent."""
+    start = start_of(
+        world.arrive(
+            "1",
+            service_class=FIT,
+            prompt_tokens=1_000,
+            parts=(("a", 900),),
+            repeatable=repeatable,
+            sends_max=2,
+        )
+    )
+    world.sent(start)
+    world.now += 0.1
+    world.begin(start)
+    return start
+
+
+def tries(world: StoreWorld, name: ServerName) -> int:
+    """Let time pass, every try of a server failing; count them."""
+    count = 0
+    for _ in range(40):
+        for probe in only(world.wait(0.05), ProbeServer):
+            if probe.server == name:
+                count += 1
+                world.give(ServerUnreachable(name, "no connection"))
+    return count
+
+
+@pytest.mark.parametrize("repeatable", [False, True])
+def test_a_caller_of_a_dead_server_is_not_left_waiting(repeatable: bool) -> None:
+    """The server loses power after the first event; its connection stays open and silent.
+
+    The caller would wait for the rest until its deadline, twelve seconds. A new connection fails
+    twice: what may go on elsewhere does, and the caller of the other is told at once.
+    """
+    world = StoreWorld(engines=5)
+    start = silent_on(world, repeatable=repeatable)
+    assert tries(world, start.server) >= 2
+    (cancelled,) = only(world.effects, CancelAttempt)
+    assert cancelled.attempt_id == start.attempt_id
+    effects = world.end(start, EndCancelled(0))
+    if repeatable:
+        assert start_of(effects).server != start.server
+    else:
+        assert account_of(effects).account.outcome is Outcome.UNKNOWN
+
+
+def test_a_busy_server_is_left_in_peace() -> None:
+    """Its connection is silent for long, and a new one works each time."""
+    world = StoreWorld(engines=5)
+    start = silent_on(world, repeatable=True)
+    for _ in range(60):
+        for probe in only(world.wait(0.05), ProbeServer):
+            world.give(ServerAnswered(probe.server))
+    cancelled = [
+        each for each in only(world.effects, CancelAttempt) if each.reason == "server_dead"
+    ]
+    assert not cancelled
+    assert start.server in world.state.servers.by_name
+
+
+def test_one_lost_packet_is_no_death() -> None:
+    world = StoreWorld(engines=5)
+    start = silent_on(world, repeatable=False)
+    failed = False
+    for _ in range(60):
+        for probe in only(world.wait(0.05), ProbeServer):
+            if failed:
+                world.give(ServerAnswered(probe.server))
+            else:
+                failed = True
+                world.give(ServerUnreachable(start.server, "no connection"))
+    assert failed
+    assert not only(world.effects, CancelAttempt)
+    assert not only(world.effects, FinishRequest)
