Show what an instance believes on the platform, and take its settings file again

Cause: operators had no view of an instance there, and a changed settings file was not noticed. Change: the admin address serves readiness, the state dump with a part of beliefs (settings version, age of the keys' proof, readers of the store, retries left) and where the settings are in force, as turmericctl asks for them; the file is looked at each second and taken when it has changed.

--- a/packages/turmericweir-core/turmericweir_core/retry.py
+++ b/packages/turmericweir-core/turmericweir_core/retry.py
@@ -74,13 +74,17 @@
 
 def may_retry(state: State, now: float, req: Request) -> bool:
     """Tell whether a retry could be taken now, without taking it."""
+    return left(state, now, req.target) >= 1.0
+
+
+def left(state: State, now: float, target: Target) -> float:
+    """Give the retries that are left for a target now."""
     budget, options = state.retries, state.options
     if not options.retry_window_s:
-        return _tokens(budget, options) >= 1.0
-    firsts, retries = _counts(budget, options, now, req.target)
+        return _tokens(budget, options)
+    firsts, retries = _counts(budget, options, now, target)
     burst = options.retry_burst / _instances(budget, now)
-    allowed = options.retry_use_share * (options.retry_share * firsts + burst)
-    return retries + 1 <= allowed
+    return options.retry_use_share * (options.retry_share * firsts + burst) - retries
 
 
 def spend_retry(state: State, now: float, req: Request) -> bool:
--- /dev/null
+++ b/packages/turmericweir/turmericweir/entry_admin.py
@@ -0,0 +1,119 @@
+"""The operators' port where the platform keeps the settings: it shows, and changes nothing.
+
+`turmericctl status`, `state`, `classes` and `servers` ask here. Settings are changed where the
+platform keeps them. The port is one that nobody outside the platform reaches; where the settings
+file names the digest of a token, that is asked for as well.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Callable, Mapping
+from dataclasses import asdict
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any, Final
+
+import anyio
+
+from turmericweir.dump import dump
+from turmericweir.node import Node
+from turmericweir.operator_http import OperatorRequest, ProblemError, serve_operator
+from turmericweir_core import document, membership, retry, store_duty
+from turmericweir_core.settings_inforce import in_force
+
+if TYPE_CHECKING:
+    from uvicorn._types import ASGIReceiveCallable, ASGISendCallable, Scope
+
+_BEARER: Final = b"bearer "
+
+
+class EntryAdmin:
+    """Answers operators."""
+
+    _node: Node
+    # What else the dump shows: what adapters hold, by name.
+    _views: Mapping[str, Callable[[], object]]
+    _is_ready: Callable[[], bool]
+    # SHA-256 of the operators' token; empty asks for none.
+    _token_sha256: str
+
+    def __init__(
+        self,
+        node: Node,
+        views: Mapping[str, Callable[[], object]],
+        is_ready: Callable[[], bool],
+        token_sha256: str,
+    ) -> None:
+        self._node = node
+        self._views = views
+        self._is_ready = is_ready
+        self._token_sha256 = token_sha256
+
+    async def __call__(
+        self, scope: Scope, receive: ASGIReceiveCallable, send: ASGISendCallable
+    ) -> None:
+        """Answer one request."""
+        await serve_operator(scope, receive, send, self._answer)
+
+    async def _answer(self, request: OperatorRequest) -> None:
+        self._check_token(request.headers)
+        if request.method not in ("GET", "HEAD"):
+            raise ProblemError(HTTPStatus.METHOD_NOT_ALLOWED, "this port only shows; use GET")
+        match request.path:
+            case "/readyz":
+                await request.answer(HTTPStatus.OK, self._readiness())
+            case "/state":
+                await request.answer(HTTPStatus.OK, self._state())
+            case "/settings/inforce":
+                await request.answer(HTTPStatus.OK, self._in_force(request))
+            case _:
+                raise ProblemError(HTTPStatus.NOT_FOUND, "there is nothing at this path")
+
+    def _check_token(self, headers: Mapping[bytes, bytes]) -> None:
+        if not self._token_sha256:
+            return
+        value = headers.get(b"authorization", b"")
+        token = value[len(_BEARER) :].strip() if value[: len(_BEARER)].lower() == _BEARER else b""
+        if hashlib.sha256(token).hexdigest() != self._token_sha256:
+            raise ProblemError(HTTPStatus.UNAUTHORIZED, "expected the operators' bearer token")
+
+    def _readiness(self) -> dict[str, bool]:
+        return {
+            "ready": self._is_ready(),
+            "has_settings": self._node.state.has_settings,
+            "stopping": self._node.stopping,
+        }
+
+    def _state(self) -> dict[str, Any]:
+        state = self._node.state
+        now = anyio.current_time()
+        dumped = dump(state)
+        assert isinstance(dumped, dict)
+        beliefs = {
+            "settings_version": state.settings_offset(),
+            "key_proof_age_s": document.proof_age(state, now),
+            "servers_read_age_s": now - state.registry.read_at,
+            "reads_the_store": store_duty.is_reader(state, now),
+            "store_readers": [each.name for each in store_duty.readers(state, now)],
+            "live_instances": [each.name for each in membership.live_instances(state, now)],
+            "retries_left": {name: retry.left(state, now, name) for name in state.queues.targets},
+        }
+        views = {name: dump(view()) for name, view in self._views.items()}
+        return {**dumped, "beliefs": dump(beliefs), "process": views}
+
+    def _in_force(self, request: OperatorRequest) -> dict[str, Any]:
+        state = self._node.state
+        now = anyio.current_time()
+        offset = request.number("offset", state.settings_offset(), float("inf"))
+        centres = in_force(
+            now,
+            int(offset),
+            centres=membership.data_centres(state, now),
+            not_live=[
+                each
+                for each in state.members.by_name.values()
+                if not membership.is_live(state, now, each)
+            ],
+            named={server.entry.data_centre for server in state.servers.by_name.values()},
+        )
+        return {"data_centres": [asdict(each) for each in centres]}
--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -15,16 +15,20 @@
 from collections.abc import Callable
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
+from pathlib import Path
 from random import Random
 from typing import TYPE_CHECKING, Final, Protocol
 
 import anyio
+import msgspec
 from anyio.abc import TaskGroup
+from returns.pipeline import is_successful
 
 from turmericweir import logs
 from turmericweir.backend_pool import BackendPool
+from turmericweir.entry_admin import EntryAdmin
 from turmericweir.entry_calls import EntryCalls
-from turmericweir.entry_settings import EntrySettings
+from turmericweir.entry_settings import EntrySettings, read_entry_settings
 from turmericweir.forward_app import ForwardApp
 from turmericweir.forward_wire import Wire
 from turmericweir.http_limits import HttpLimits
@@ -55,6 +59,8 @@
 # Callers may leave an answer unread for so long.
 _UNREAD_S: Final = 10.0
 _LOG_FLUSH_S: Final = 0.25
+# Between two looks at the settings file, which may change without a signal.
+_RELOAD_S: Final = 1.0
 # Idle connections are kept a little longer than callers were promised.
 _KEEP_ALIVE_EXTRA_S: Final = 1.0
 # Lives of objects before collections of the youngest of them: collections are rare, since nearly
@@ -161,8 +167,8 @@
     from turmericweir_core.settings_sync import SettingsSync
 
 
-async def run(cfg: EntrySettings, border: Border) -> int:
-    """Run the daemon; return the status to exit with."""
+async def run(path: Path, cfg: EntrySettings, border: Border) -> int:
+    """Run the daemon by its settings file; return the status to exit with."""
     async with AsyncExitStack() as stack:
         pipe = stack.enter_context(LogPipe(sys.stdout.fileno(), cfg.name))
         logs.write("starting", data_centre=cfg.data_centre, store=cfg.store.address)
@@ -181,9 +187,10 @@
                 part.attach(node)
             node.handle(SeedsGiven(cfg.peer_seeds))
             group.start_soon(pipe.flush_forever, _LOG_FLUSH_S)
+            group.start_soon(_reload_forever, node, path)
             _start(node, pool, streams, datagrams, follower, group)
             _tune_collector()
-            await _serve(node, pool, border, metrics, sockets)
+            await _serve(cfg, node, pool, border, metrics, sockets)
             group.cancel_scope.cancel()
         logs.write("stopped", in_flight=len(node.exchanges))
     return 0
@@ -193,15 +200,21 @@
 class _Sockets:
     callers: socket.socket
     readiness: socket.socket
+    admin: socket.socket | None
     metrics: socket.socket | None
 
 
 def _bind_all(cfg: EntrySettings, stack: AsyncExitStack) -> _Sockets:
-    metrics = f"{cfg.host}:{cfg.metrics_port}" if cfg.metrics_port else None
+    metrics = f"{cfg.host}:{cfg.metrics_port}" if cfg.metrics_port else ""
+
+    def bound(address: str, step: str) -> socket.socket:
+        return stack.enter_context(bind(address, step))
+
     return _Sockets(
-        stack.enter_context(bind(cfg.caller_address, "listen for callers")),
-        stack.enter_context(bind(cfg.readiness_address, "listen for the balancer")),
-        stack.enter_context(bind(metrics, "listen for the collector")) if metrics else None,
+        callers=bound(cfg.caller_address, "listen for callers"),
+        readiness=bound(cfg.readiness_address, "listen for the balancer"),
+        admin=bound(cfg.admin_address, "listen for operators") if cfg.admin_address else None,
+        metrics=bound(metrics, "listen for the collector") if metrics else None,
     )
 
 
@@ -238,13 +251,25 @@
 
 
 async def _serve(
-    node: Node, pool: BackendPool, border: Border, metrics: PageMetrics, sockets: _Sockets
+    cfg: EntrySettings,
+    node: Node,
+    pool: BackendPool,
+    border: Border,
+    metrics: PageMetrics,
+    sockets: _Sockets,
 ) -> None:
     limits: HttpLimits = LiveLimits(node.state)
     callers = HttpServer(ForwardApp(node, pool, border.wire), limits)
     readiness = HttpServer(border.readiness(lambda: is_ready(node)), limits)
     async with anyio.create_task_group() as group:
         group.start_soon(_serve_http, readiness, sockets.readiness)
+        if sockets.admin is not None:
+            views: dict[str, Callable[[], object]] = {
+                "idle_connections": pool.counts,
+                "traffic": lambda: node.traffic,
+            }
+            admin = EntryAdmin(node, views, lambda: is_ready(node), cfg.admin_token_sha256)
+            group.start_soon(_serve_http, HttpServer(admin, limits), sockets.admin)
         if sockets.metrics is not None:
             collected = HttpServer(MetricsApp(metrics), limits)
             group.start_soon(_serve_http, collected, sockets.metrics)
@@ -259,6 +284,37 @@
     await server.serve([sock])
 
 
+async def _reload_forever(node: Node, path: Path) -> None:
+    """Take the settings file again where it has changed, with or without a signal.
+
+    What the process listens on stays as it was at the start. A file that cannot be used changes
+    nothing.
+    """
+    changed_at = _changed_at(path)
+    while True:
+        await anyio.sleep(_RELOAD_S)
+        found = _changed_at(path)
+        if found == changed_at:
+            continue
+        changed_at = found
+        result = read_entry_settings(path)
+        if not is_successful(result):
+            logs.write("reload_failed", error=str(result.failure()))
+            continue
+        cfg = result.unwrap()
+        node.state.options = make_options(cfg)
+        node.handle(SeedsGiven(cfg.peer_seeds))
+        logs.write("reloaded", bounds=msgspec.to_builtins(cfg.bounds))
+
+
+def _changed_at(path: Path) -> int:
+    try:
+        return path.stat().st_mtime_ns
+    except OSError:
+        # It is being written anew.
+        return 0
+
+
 async def _announce(node: Node) -> None:
     """Say once when the process is ready for callers."""
     started = anyio.current_time()
--- a/packages/turmericweir/turmericweir/entry_settings.py
+++ b/packages/turmericweir/turmericweir/entry_settings.py
@@ -61,6 +61,8 @@
     seeds: list[str] = []
     # Where the collector finds the counters; 0 for nowhere.
     metrics_port: int = 0
+    # SHA-256 of the token that operators show at the admin address; empty asks for none.
+    admin_token_sha256: str = ""
     store: StoreSettings
     bounds: BoundsSettings = BoundsSettings()
 
--- a/tests/platform/platform_world.py
+++ b/tests/platform/platform_world.py
@@ -75,6 +75,9 @@
     plain: int = 2
     instances: int = 1
     bounds: dict[str, Any] = field(default_factory=dict)
+    # The first instance serves its counters.
+    metrics: bool = False
+    metrics_address: str = ""
     store: Store = field(default_factory=Store)
     servers: dict[str, Server] = field(default_factory=dict)
     running: dict[str, Instance] = field(default_factory=dict)
@@ -184,7 +187,7 @@
         """Start an instance."""
         path = self.directory / f"{name}.json"
         addresses = [free_address() for _ in range(4)]
-        cfg = {
+        cfg: dict[str, Any] = {
             "name": name,
             "data_centre": "dc-1",
             "region": "home",
@@ -198,6 +201,10 @@
             # Enough for a test that makes a handful of requests in all.
             "bounds": {"strict_revoke": True, "retry_burst": 200, **self.bounds},
         }
+        if self.metrics and not self.metrics_address:
+            self.metrics_address = free_address()
+            _, _, port = self.metrics_address.rpartition(":")
+            cfg["metrics_port"] = int(port)
         path.write_text("// made by a test\n" + json.dumps(cfg))
         env = {"TURMERICWEIR_CONFIG": str(path), "PYTHONPATH": os.pathsep.join(sys.path)}
         argv = [sys.executable, "-m", "turmericweir_platform"]
