--- a/packages/turmericweir-core/turmericweir_core/silence.py
+++ b/packages/turmericweir-core/turmericweir_core/silence.py
@@ -15,8 +15,9 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
+from turmericweir_core import engine_model
 from turmericweir_core.ids import ServerName
 from turmericweir_core.request import Attempt, Request
 from turmericweir_core.retry import may_retry, spend_retry
@@ -25,6 +26,8 @@
 if TYPE_CHECKING:
     from turmericweir_core.state import State
 
+_MS: Final = 1000.0
+
 
 @dataclass(slots=True)
 class SilenceState:
@@ -92,6 +95,12 @@
     waited = now - attempt.started
     if waited < options.first_silence_s:
         return False
+    predicted = engine_model.predicted_ms(state, attempt)
+    if predicted is not None:
+        # Failure by the longest wait of late, which says nothing of a long prompt: answers that
+        # were on their way are stopped, and their prompts are read once more elsewhere.
+        patience = options.predicted_silence_s + options.predicted_silence_x * predicted / _MS
+        return waited >= patience * 2.0 ** max(0, req.tries - 1)
     if waited >= options.first_silence_share * (req.deadline - attempt.started):
         return True
     longest = state.silence.longest_wait.get(attempt.server, 0.0)
--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -342,3 +342,8 @@
         scope.cancel()
         return
     callers.stop()
+    # Connections on which nothing came yet are waited for, but not beyond the time of the stop.
+    state = node.state
+    since = anyio.current_time() - (state.stopping_since or 0.0)
+    await anyio.sleep(max(0.0, state.options.stop_limit_s - since))
+    scope.cancel()
--- a/tests/core/test_dead_server.py
+++ b/tests/core/test_dead_server.py
@@ -87,3 +87,33 @@
     assert failed
     assert not only(world.effects, CancelAttempt)
     assert not only(world.effects, FinishRequest)
+
+
+def test_a_long_prompt_is_not_taken_for_a_silent_connection() -> None:
+    """Others were answered at once by that server; this prompt is predicted to take 0.8 s.
+
+    Stopped after 0.3 s, it would be read from the beginning by another engine.
+    """
+    world = StoreWorld(engines=5)
+    for number in range(3):
+        quick = start_of(
+            world.arrive(
+                f"q{number}", service_class=FIT, prompt_tokens=100, parts=((f"q{number}", 100),)
+            )
+        )
+        world.sent(quick)
+        world.now += 0.02
+        world.begin(quick)
+    long = start_of(
+        world.arrive(
+            "1",
+            service_class=FIT,
+            prompt_tokens=30_000,
+            parts=(("a", 30_000),),
+            repeatable=True,
+            sends_max=2,
+        )
+    )
+    world.sent(long)
+    world.wait(0.8)
+    assert not only(world.effects, CancelAttempt)
