Test lives, translation and log bounds; say how many lines were lost at a stop

Cause: what a stop still had to say of dropped lines went nowhere, as the destination of lines was taken away before the last flush; found by a test of the bound. A server's entry with another life was adopted without a line.

--- a/packages/turmericweir-core/turmericweir_core/registry.py
+++ b/packages/turmericweir-core/turmericweir_core/registry.py
@@ -137,9 +137,17 @@
 def _take_entry(listed: dict[ServerName, ServerEntry], entry: ServerEntry) -> list[Effect]:
     known = listed.get(entry.name)
     listed[entry.name] = entry
-    if known is not None and (known.leaving, known.address) == (entry.leaving, entry.address):
+    if known is not None and _told(known) == _told(entry):
         return []
-    return [_log("server_listed", entry.name, leaving=entry.leaving)]
+    return [_log("server_listed", entry.name, **_told(entry))]
+
+
+def _told(entry: ServerEntry) -> dict[str, object]:
+    return {
+        "leaving": entry.leaving,
+        "address": entry.address,
+        "incarnation": entry.incarnation,
+    }
 
 
 def on_tick(state: State, now: float) -> list[Effect]:
--- a/packages/turmericweir/turmericweir/log_pipe.py
+++ b/packages/turmericweir/turmericweir/log_pipe.py
@@ -68,8 +68,9 @@
         traceback: TracebackType | None,
     ) -> None:
         logging.getLogger().removeHandler(self._handler)
-        eliot.remove_destination(self._take)
+        # Before the destination goes: the count of dropped lines is a line itself.
         self.flush()
+        eliot.remove_destination(self._take)
         os.set_blocking(self._fd, self._was_blocking)
 
     def _take(self, message: dict[str, Any]) -> None:
--- a/tests/platform/platform_world.py
+++ b/tests/platform/platform_world.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from contextlib import ExitStack
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 from types import TracebackType
 from typing import Any, Self
@@ -155,6 +156,28 @@
         """Have a server vanish: its port refuses."""
         self._loop.run(self._listeners.pop(name).stop())
 
+    def poison(self, body: bytes) -> None:
+        """Have a body crash every server that begins to run it."""
+        for name, server in self.servers.items():
+            server.poison = body
+            server.crash = partial(self._crash_from_within, name)
+
+    async def _crash_from_within(self, name: str) -> None:
+        await self._listeners.pop(name).stop()
+
+    @property
+    def crashed(self) -> list[str]:
+        """Give the servers that are off their ports."""
+        return [name for name in self.servers if name not in self._listeners]
+
+    def revive(self, name: str, born: int) -> None:
+        """Start a server that crashed again, under its name, at its address."""
+        server = self.servers[name]
+        listener = Listener(server.address, server.handle)
+        self._loop.run(listener.start())
+        self._listeners[name] = listener
+        self.register(name, born=born)
+
     def connections(self, name: str) -> int:
         """Count the connections that a server was opened."""
         return self._listeners[name].connections
@@ -211,17 +234,26 @@
             _, _, port = self.metrics_address.rpartition(":")
             cfg["metrics_port"] = int(port)
         path.write_text("// made by a test\n" + json.dumps(cfg))
-        env = {"TURMERICWEIR_CONFIG": str(path), "PYTHONPATH": os.pathsep.join(sys.path)}
-        argv = [sys.executable, "-m", "turmericweir_platform"]
-        process = Process(argv, name=name, directory=self.directory, env=env)
-        process.start()
-        instance = Instance(name, process, addresses[0], addresses[1])
+        instance = Instance(name, self._launch(name), addresses[0], addresses[1])
         self.running[name] = instance
         if wait:
             wait_until(instance.ready, f"{name} is ready")
             wait_until(lambda: self.knows_servers(instance), f"{name} knows the servers")
         return instance
 
+    def _launch(self, name: str) -> Process:
+        path = self.directory / f"{name}.json"
+        env = {"TURMERICWEIR_CONFIG": str(path), "PYTHONPATH": os.pathsep.join(sys.path)}
+        argv = [sys.executable, "-m", "turmericweir_platform"]
+        process = Process(argv, name=name, directory=self.directory, env=env)
+        process.start()
+        return process
+
+    def restart(self, name: str) -> None:
+        """Start an instance that was killed again: at its addresses, with nothing kept."""
+        self.running[name].process.stop()
+        self.running[name].process = self._launch(name)
+
     def beliefs(self, name: str) -> dict[str, Any]:
         """Give what an instance believes, as operators see it."""
         text = (self.directory / f"{name}.json").read_text()
--- a/tests/platform/standin_server.py
+++ b/tests/platform/standin_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 from tests.platform.standin_http import Call
@@ -40,6 +41,10 @@
     events: int = 6
     # Between two events, seconds.
     pace_s: float = 0.0
+    # A body that crashes whichever server begins to run it.
+    poison: bytes = b""
+    # Takes this server off its port.
+    crash: Callable[[], Awaitable[None]] | None = None
     seen: list[Seen] = field(default_factory=list)
     # Set to let held answers go.
     go_on: asyncio.Event = field(default_factory=asyncio.Event)
@@ -56,7 +61,18 @@
             seen.ran = False
             await call.answer(421, b"", {"X-Attempt-Id": name})
             return True
+        if self.poison and call.body == self.poison and self.crash is not None:
+            seen.end = "cut"
+            call.cut()
+            await self.crash()
+            return False
         match mode:
+            case "stale":
+                # Its end of kept connections is gone, and nothing on the way says so.
+                if call.earlier:
+                    seen.ran = False
+                    await call.closed()
+                    return False
             case "shed":
                 seen.ran = False
                 await call.answer(503, b"", {"X-Attempt-Id": name, "X-Not-Executed": "1"})
