Give quick answers the engines that they need, also in a rush of long prompts

Cause: with more demand than engines both kinds gave way in proportion. And an answer counted for its prompt alone, not for its slot.

Now the more urgent kind has what it needs first, of two as urgent the quick one; what a quick answer needs is its prompt or its slot, whichever is more, by its caller's estimate of its length. Short of engines, it gets them at once and not after ten seconds.

--- a/packages/turmericweir-core/turmericweir_core/engine_pools.py
+++ b/packages/turmericweir-core/turmericweir_core/engine_pools.py
@@ -8,10 +8,12 @@
 the tokens of an event, and how long a step with a chunk takes.
 
 The split follows the demand, which every instance tells the others: so many engines read as the
-long prompts keep busy up to a part of their time, but both kinds keep one at least. The engines
-stand in an order by hash, so that all instances split them alike, and one more or less moves no
-other. More reading engines come at once, and fewer after some time, since what they hold would be
-read again.
+long prompts keep busy up to a part of their time, but both kinds keep one at least. Where there are
+too few for both, the more urgent kind has what it needs first, and of two as urgent the quick
+answers, which take the least. The engines stand in an order by hash, so that all instances split
+them alike, and one more or less moves no other. More reading engines come at once, and fewer after
+some time, since what they hold would be read again, or at once where the quick answers are short of
+engines.
 """
 
 from __future__ import annotations
@@ -36,6 +38,10 @@
 _MEMORY_S: Final = 3.0
 # Part of a reading engine's time that long prompts may take; above it they wait for each other.
 _BUSY_SHARE: Final = 0.6
+# Above this part of their time the engines of the quick answers are short, and long prompts make
+# way; more than the share at which they are planned, so that the split doesn't swing with each
+# request.
+_SHORT_SHARE: Final = 0.9
 # Before any demand was seen: part of the engines that read.
 _START_SHARE: Final = 0.6
 # So long a smaller split is wanted before it is made.
@@ -75,7 +81,10 @@
 
 def bears_chunks(state: State, req: Request, service: Service) -> bool:
     """Tell whether an answer is in time although long prompts are read beside it."""
-    gap_s = req.service_class.token_gap_target_s
+    return _bears(state, req.service_class.token_gap_target_s, service)
+
+
+def _bears(state: State, gap_s: float | None, service: Service) -> bool:
     if gap_s is None:
         return True
     return gap_s * _MS >= service.event_tokens * state.options.chunk_step_ms
@@ -89,11 +98,23 @@
     _fade(demand, now)
     books = (engine_model.book_of(state, each.entry.name) for each in engines)
     work = min(engine_model.own_work_ms(state.options, book, req) for book in books)
-    work += state.options.first_token_ms
     if bears_chunks(state, req, engines[0].service):
-        demand.long_ms += work
+        demand.long_ms += work + state.options.first_token_ms
     else:
-        demand.quick_ms += work
+        # An engine reads and generates at once: what fills it sooner counts.
+        demand.quick_ms += max(work, _slot_ms(state, req, engines[0]))
+
+
+def _slot_ms(state: State, req: Request, engine: Server) -> float:
+    """Give the share of an engine's time that an answer's slot is worth, milliseconds.
+
+    Failure without it: a short prompt with a long answer counts for its prompt alone, and hundreds
+    of such answers fill the slots of the one engine that they were planned for.
+    """
+    tokens = req.expected_tokens
+    if tokens is None:
+        tokens = req.max_tokens or 0
+    return tokens * state.options.decode_step_ms / max(1, engine.slots)
 
 
 def _fade(demand: Demand, now: float) -> None:
@@ -143,9 +164,12 @@
     split = state.pools.splits.get(target)
     if split is None:
         split = state.pools.splits[target] = Split(ceil(_START_SHARE * engines))
-    wanted = _wanted(state, now, target, engines)
-    if wanted >= split.reading:
-        split.reading = wanted
+    plan = _plan(state, now, target, engines)
+    if plan.reading >= split.reading:
+        split.reading = plan.reading
+        split.fewer_since = None
+    elif split.reading > plan.room:
+        split.reading = plan.room
         split.fewer_since = None
     elif split.fewer_since is None:
         split.fewer_since = now
@@ -155,14 +179,44 @@
     return min(split.reading, engines - 1)
 
 
-def _wanted(state: State, now: float, target: Target, engines: int) -> int:
+@dataclass(frozen=True, slots=True)
+class _Plan:
+    """Numbers of reading engines."""
+
+    # What the demand asks for.
+    reading: int
+    # What the quick answers leave.
+    room: int
+
+
+def _plan(state: State, now: float, target: Target, engines: int) -> _Plan:
     long_ms, quick_ms = _demand(state, now, target)
-    reading = max(1, ceil(long_ms / (_MS * _BUSY_SHARE)))
-    others = max(1, ceil(quick_ms / (_MS * _BUSY_SHARE)))
-    if reading + others > engines:
-        # More than all of them: both kinds give way in proportion.
-        reading = round(engines * long_ms / (long_ms + quick_ms))
-    return max(1, min(engines - 1, reading))
+    most = engines - 1
+    reading = min(most, _needed(long_ms, _BUSY_SHARE))
+    if not _quick_first(state, target):
+        return _Plan(reading, most)
+    room = max(1, engines - _needed(quick_ms, _SHORT_SHARE))
+    return _Plan(min(reading, room), room)
+
+
+def _needed(work_ms: float, share: float) -> int:
+    return max(1, ceil(work_ms / (_MS * share)))
+
+
+def _quick_first(state: State, target: Target) -> bool:
+    """Tell which kind gives way where there are too few engines for both.
+
+    Failure where both give way in proportion: a rush of long prompts of a low tier takes all
+    engines but one, and the answers of the most urgent tier share that one, far beyond its slots.
+    """
+    service = state.config.service_by_target.get(target)
+    most_urgent: dict[bool, int] = {}
+    for route in state.config.routes.by_place.values():
+        if service is None or target not in (each.target for each in route.targets):
+            continue
+        is_quick = not _bears(state, route.gap_target_s, service)
+        most_urgent[is_quick] = min(route.priority, most_urgent.get(is_quick, route.priority))
+    return most_urgent.get(True, 0) <= most_urgent.get(False, 0)
 
 
 def _demand(state: State, now: float, target: Target) -> tuple[float, float]:
--- a/packages/turmericweir-core/turmericweir_core/options.py
+++ b/packages/turmericweir-core/turmericweir_core/options.py
@@ -73,6 +73,9 @@
     fetch_weight: float = 0.25
     # A decoding step with a chunk of a prompt in it, as observed beside prompts of 17,000 tokens.
     chunk_step_ms: float = 85.0
+    # A decoding step without one, at half of an engine's slots, milliseconds: 5.95 and 0.0445 for
+    # each request and some for their context, as operators publish it.
+    decode_step_ms: float = 8.0
     # Share of an engine's memory that is filled with requests; above it the engine preempts.
     engine_memory_share: float = 0.9
     # Share of its target within which a request has to begin to count as in time; the rest is for
--- a/packages/turmericweir-core/turmericweir_core/request.py
+++ b/packages/turmericweir-core/turmericweir_core/request.py
@@ -101,6 +101,8 @@
     prompt_tokens: int = 0
     # The caller's own bound on the answer, tokens.
     max_tokens: int | None = None
+    # The caller's own estimate of it; right in the median, far off for many.
+    expected_tokens: int | None = None
     # The whole answer is streamed to the caller as it comes.
     streamed: bool = False
     phase: Phase = Phase.WAITING
--- a/tests/core/test_predicted_placement.py
+++ b/tests/core/test_predicted_placement.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 from tests.core.store_world import BULK, FIT, QUICK, StoreWorld, only, start_of
+from turmericweir_core import engine_pools
+from turmericweir_core.config import ServiceClass
 from turmericweir_core.effects import StartAttempt
 from turmericweir_core.events import EndComplete, RegistryRead
+from turmericweir_core.peer_messages import DemandRow, LoadNews
 
 SHARED = ("sheet", 13_300)
 
@@ -125,3 +128,57 @@
         )
         servers.add(start.server)
     assert len(servers) == 1
+
+
+def test_a_rush_of_long_prompts_leaves_quick_answers_the_engines_that_they_need() -> None:
+    """A rush of marking asks for more engines than there are; homework answers are as urgent.
+
+    Others tell of 30 engines' worth of long prompts, and of 4 engines' worth of quick answers. Were
+    both cut in proportion, one engine of twelve would be left to all quick answers.
+    """
+    world = StoreWorld(engines=12)
+    demand = [DemandRow("lm", 40_000, 3_900)]
+    world.peer("a-2", LoadNews("y", 1, [], [], demand))
+    used = _servers(world, "q", QUICK, 40)
+    assert len(used) >= 5
+    assert not used & _servers(world, "b", BULK, 4)
+
+
+def test_long_answers_to_short_prompts_count_by_their_slots() -> None:
+    """Short questions with long answers: 40 a second, some 5 s each, fill three engines' slots.
+
+    Their prompts alone would take 2% of one engine.
+    """
+    world = StoreWorld(engines=8)
+    for number in range(120):
+        # One of ten instances, for 30 s.
+        name = f"w{number}"
+        world.arrive(name, service_class=QUICK, prompt_tokens=20, expected_tokens=600)
+        world.now += 0.25
+    rows = engine_pools.demand_rows(world.state, world.now)
+    assert 2_500 < rows[0].quick_ms_s * 10 < 3_500
+
+
+def test_quick_answers_that_are_short_of_engines_get_them_at_once() -> None:
+    """A rush of quick answers begins while most engines read; they don't wait for a shrink."""
+    world = StoreWorld(engines=8)
+    world.peer("a-2", LoadNews("y", 1, [], [], [DemandRow("lm", 3_500, 400)]))
+    before = _servers(world, "b", BULK, 20)
+    world.peer("a-2", LoadNews("y", 2, [], [], [DemandRow("lm", 3_500, 3_300)]))
+    used = _servers(world, "q", QUICK, 40)
+    assert len(before) >= 6
+    assert len(used) >= 4
+
+
+def _servers(world: StoreWorld, prefix: str, service_class: ServiceClass, count: int) -> set[str]:
+    used: set[str] = set()
+    for number in range(count):
+        name = f"{prefix}{number}"
+        size = 15_000 if service_class is BULK else 900
+        effects = world.arrive(
+            name, service_class=service_class, prompt_tokens=size, parts=((name, size),)
+        )
+        for start in only(effects, StartAttempt):
+            used.add(start.server)
+            world.begin(start)
+    return used
