--- a/tests/platform/platform_world.py
+++ b/tests/platform/platform_world.py
@@ -75,6 +75,8 @@
     engines: int = 2
     plain: int = 2
     instances: int = 1
+    # Data centres of the one region; instances are shared out among them.
+    centres: int = 1
     bounds: dict[str, Any] = field(default_factory=dict)
     # The first instance serves its counters.
     metrics: bool = False
@@ -217,9 +219,9 @@
         seeds = [f"127.0.0.{each}:1" for each in range(1, number)]
         cfg: dict[str, Any] = {
             "name": name,
-            "data_centre": "dc-1",
+            "data_centre": f"dc-{1 + (number - 1) % self.centres}",
             "region": "home",
-            "regions": {"dc-1": "home"},
+            "regions": {f"dc-{each}": "home" for each in range(1, self.centres + 1)},
             "caller_address": addresses[0],
             "readiness_address": addresses[1],
             "admin_address": addresses[2],
