Find out that a silent server is dead before callers give their streams up

One try at a time was all that was made, and requests that could not be sent there counted for nothing.

Two tests failed first.

--- a/packages/turmericweir-core/turmericweir_core/dead_server.py
+++ b/packages/turmericweir-core/turmericweir_core/dead_server.py
@@ -21,15 +21,17 @@
 if TYPE_CHECKING:
     from turmericweir_core.state import State
 
-# Silence after which a server is connected to. Well above a step with a chunk (85 ms), below the
-# two seconds after which callers give a stream up.
-_SILENT_S: Final = 1.0
+# Silence after which a server is connected to: twice what three steps with a chunk take (85 ms
+# each), so seldom beside a server that lives. Callers give a stream up after two seconds without an
+# event; two tries, each of which takes 0.35 s to fail, leave one that may go on elsewhere 0.8 s.
+_SILENT_S: Final = 0.6
 # An answer that has not begun is silent only beyond so many times its predicted time.
 _PREDICTED_X: Final = 3.0
-# Between two tries of a server that answers, since each is paid for; between two that fail; and
-# failures in a row that count: a lost packet is one.
+# Between two tries of a server that answers, since each is paid for; between two that are not
+# answered, well above the way there and back; and failures in a row that count: a lost packet is
+# one.
 _ALIVE_S: Final = 2.0
-_TRY_S: Final = 0.4
+_TRY_S: Final = 0.15
 _FAILURES: Final = 2
 _MS: Final = 1000.0
 
@@ -50,8 +52,8 @@
         known = tries.get(name)
         if server is None or (known is not None and now < known.try_due):
             continue
-        # Tried again soon only if this one fails.
-        tries[name] = Suspicion(now + _ALIVE_S, 0 if known is None else known.failures)
+        # Tried again soon, unless this one is answered by then.
+        tries[name] = Suspicion(now + _TRY_S, 0 if known is None else known.failures)
         effects.append(ProbeServer(name, server.entry.address))
     return effects
 
@@ -65,20 +67,20 @@
     return now - attempt.started >= max(_SILENT_S, _PREDICTED_X * predicted / _MS)
 
 
-def on_answered(state: State, name: ServerName) -> None:
+def on_answered(state: State, now: float, name: ServerName) -> None:
     """Take it that a server lives."""
     known = state.dead.by_server.get(name)
     if known is not None:
         known.failures = 0
+        known.try_due = now + _ALIVE_S
 
 
 def on_unreachable(state: State, now: float, name: ServerName) -> list[Effect]:
-    """Count a failed try, and give up what is silent there when it is enough."""
+    """Count a failed try, or attempt to connect, and give up what is silent when it is enough."""
     known = state.dead.by_server.get(name)
     if known is None:
         return []
     known.failures += 1
-    known.try_due = now + _TRY_S
     if known.failures < _FAILURES:
         return []
     del state.dead.by_server[name]
--- a/packages/turmericweir-core/turmericweir_core/reducer_store.py
+++ b/packages/turmericweir-core/turmericweir_core/reducer_store.py
@@ -24,6 +24,7 @@
     DocumentRead,
     DocumentUnreadable,
     DrainRequested,
+    EndUnsent,
     EntryUnreadable,
     Event,
     ListRead,
@@ -88,11 +89,19 @@
         case PeerReceived(_, DocumentProof() as message):
             return document.on_proof(state, message)
         case ServerAnswered(server):
-            dead_server.on_answered(state, server)
+            dead_server.on_answered(state, now, server)
             return reduce_common(state, now, event)
         case ServerUnreachable(server, _):
             effects = reduce_common(state, now, event)
             return effects + dead_server.on_unreachable(state, now, server)
+        case AttemptEnded(request_id, _, EndUnsent()):
+            # A request that cannot be sent says the same of its server as a try.
+            req = state.requests.get(request_id)
+            attempt = None if req is None else req.attempt
+            effects = reduce_common(state, now, event)
+            if attempt is None:
+                return effects
+            return effects + dead_server.on_unreachable(state, now, attempt.server)
         case PeerReceived(sender, RegistryNews() as news):
             effects = registry.on_news(state, now, sender, news)
             effects += leaving.mark_leavers(state, now)
--- a/packages/turmericweir/turmericweir/entry_calls.py
+++ b/packages/turmericweir/turmericweir/entry_calls.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections import Counter
+from typing import Final
+
 from turmericweir.backend_attempt import connects
 from turmericweir.backend_pool import BackendPool
 from turmericweir.node import Node
@@ -9,18 +12,21 @@
 from turmericweir_core.events import ServerAnswered, ServerUnreachable
 from turmericweir_core.ids import ServerName
 
+# A second try begins before the first has failed: one packet may be lost, and two take as long.
+_TRIES_AT_ONCE: Final = 2
+
 
 class EntryCalls:
     """Finds out whether a server that failed can be connected to again."""
 
     _node: Node
     _pool: BackendPool
-    # Servers that are being tried.
-    _trying: set[ServerName]
+    # Tries under way, by server.
+    _trying: Counter[ServerName]
 
     def __init__(self, pool: BackendPool) -> None:
         self._pool = pool
-        self._trying = set()
+        self._trying = Counter()
 
     def attach(self, node: Node) -> None:
         """Take the node whose effects these are; it is made after its adapters."""
@@ -28,15 +34,17 @@
 
     def probe(self, effect: ProbeServer) -> None:
         """Connect to a server in the background."""
-        if effect.server not in self._trying:
-            self._trying.add(effect.server)
+        if self._trying[effect.server] < _TRIES_AT_ONCE:
+            self._trying[effect.server] += 1
             self._node.in_background(self._try, effect)
 
     async def _try(self, effect: ProbeServer) -> None:
         try:
             works = await connects(self._pool, effect.address)
         finally:
-            self._trying.discard(effect.server)
+            self._trying[effect.server] -= 1
+            if not self._trying[effect.server]:
+                del self._trying[effect.server]
         if works:
             self._node.handle(ServerAnswered(effect.server))
         else:
--- a/tests/core/test_dead_server.py
+++ b/tests/core/test_dead_server.py
@@ -7,7 +7,7 @@
 from tests.core.store_world import FIT, StoreWorld, account_of, only, start_of
 from turmericweir_core.account import Outcome
 from turmericweir_core.effects import CancelAttempt, FinishRequest, ProbeServer, StartAttempt
-from turmericweir_core.events import EndCancelled, ServerAnswered, ServerUnreachable
+from turmericweir_core.events import EndCancelled, EndUnsent, ServerAnswered, ServerUnreachable
 from turmericweir_core.ids import ServerName
 
 
@@ -59,6 +59,39 @@
         assert account_of(effects).account.outcome is Outcome.UNKNOWN
 
 
+def test_a_stream_goes_on_elsewhere_before_its_caller_gives_it_up() -> None:
+    """A data centre is cut off; a caller there would wait for two seconds without an event.
+
+    Each new connection to the server takes 0.35 s to fail. Whoever takes the stream up needs some
+    time as well, so the other server has it while at least 0.7 s are left.
+    """
+    world = StoreWorld(engines=5)
+    start = silent_on(world, repeatable=True)
+    silent_since = world.now
+    failing: list[tuple[float, ServerName]] = []
+    while not only(world.effects, CancelAttempt):
+        found = world.wait(0.05)
+        failing += [(world.now + 0.35, each.server) for each in only(found, ProbeServer)]
+        for each in [each for each in failing if each[0] <= world.now]:
+            failing.remove(each)
+            world.give(ServerUnreachable(each[1], "no connection in 0.35 s"))
+        assert world.now < silent_since + 3.0
+    assert start_of(world.end(start, EndCancelled(0))).server != start.server
+    assert world.now <= silent_since + 1.3
+
+
+def test_a_request_that_cannot_be_sent_counts_as_a_try() -> None:
+    """Others are sent to the server that is silent, and cannot connect to it."""
+    world = StoreWorld(engines=1)
+    start = silent_on(world, repeatable=False)
+    world.wait(0.7)
+    other = start_of(world.arrive("2", service_class=FIT, prompt_tokens=100))
+    assert other.server == start.server
+    world.end(other, EndUnsent("no connection in 0.35 s"))
+    world.give(ServerUnreachable(start.server, "no connection in 0.35 s"))
+    assert [each.attempt_id for each in only(world.effects, CancelAttempt)] == [start.attempt_id]
+
+
 def test_a_busy_server_is_left_in_peace() -> None:
     """Its connection is silent for long, and a new one works each time."""
     world = StoreWorld(engines=5)
