--- a/tests/platform/standin_server.py
+++ b/tests/platform/standin_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
@@ -25,6 +26,8 @@
     earlier: int = 0
     # How it ended: "whole", "cut" or "left" by the caller.
     end: str = ""
+    # When it came.
+    at: float = field(default_factory=time.monotonic)
 
 
 @dataclass(slots=True)
