--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -2,9 +2,9 @@
 
 `python -m tests.platform.soak --seeds 1-20 --seconds 12` plays one world for each seed: instances
 that are killed, stopped, frozen and started again, a store that is down, slow or silent, settings
-that change, servers that crash, leave, lie and come back, in any order and overlapping. Callers keep
-sending all the while. The verdict is drawn from what callers got and what servers ran, never from
-what the instances say of themselves.
+that change, servers that crash, leave, lie and come back, in any order and overlapping. Callers go
+on sending all the while. The verdict is drawn from what callers got and what servers ran, never
+from what the instances say of themselves.
 """
 
 from __future__ import annotations
