Ask once for each version of the settings which kind of engine goes first

Cause: each placement went through all routes, and a rush beside hundreds of routes makes hundreds of placements a second; counted by reading, not measured. A test shows the other order, long prompts as the more urgent kind.

--- a/packages/turmericweir-core/turmericweir_core/engine_pools.py
+++ b/packages/turmericweir-core/turmericweir_core/engine_pools.py
@@ -66,6 +66,10 @@
 
     reading: int = 0
     fewer_since: float | None = None
+    # Whether quick answers go first, by which version of the settings: there may be hundreds of
+    # routes, and each placement asks.
+    quick_first: bool = True
+    settings: int | None = None
 
 
 @dataclass(slots=True)
@@ -164,7 +168,10 @@
     split = state.pools.splits.get(target)
     if split is None:
         split = state.pools.splits[target] = Split(ceil(_START_SHARE * engines))
-    plan = _plan(state, now, target, engines)
+    if split.settings != state.config.offset:
+        split.settings = state.config.offset
+        split.quick_first = _quick_first(state, target)
+    plan = _plan(state, now, target, engines, split.quick_first)
     if plan.reading >= split.reading:
         split.reading = plan.reading
         split.fewer_since = None
@@ -189,11 +196,11 @@
     room: int
 
 
-def _plan(state: State, now: float, target: Target, engines: int) -> _Plan:
+def _plan(state: State, now: float, target: Target, engines: int, quick_first: bool) -> _Plan:
     long_ms, quick_ms = _demand(state, now, target)
     most = engines - 1
     reading = min(most, _needed(long_ms, _BUSY_SHARE))
-    if not _quick_first(state, target):
+    if not quick_first:
         return _Plan(reading, most)
     room = max(1, engines - _needed(quick_ms, _SHORT_SHARE))
     return _Plan(min(reading, room), room)
--- a/tests/core/test_predicted_placement.py
+++ b/tests/core/test_predicted_placement.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
-from tests.core.store_world import BULK, FIT, QUICK, StoreWorld, only, start_of
+from dataclasses import replace
+
+from tests.core.store_world import BULK, FIT, MODEL, QUICK, StoreWorld, only, start_of
 from turmericweir_core import engine_pools
 from turmericweir_core.config import ServiceClass
 from turmericweir_core.effects import StartAttempt
 from turmericweir_core.events import EndComplete, RegistryRead
 from turmericweir_core.peer_messages import DemandRow, LoadNews
+from turmericweir_core.routes import Route, WeightedTarget, make_table
 
 SHARED = ("sheet", 13_300)
 
@@ -182,3 +185,29 @@
             used.add(start.server)
             world.begin(start)
     return used
+
+
+def test_a_more_urgent_kind_of_long_prompts_has_its_engines_first() -> None:
+    """Marking is more urgent than homework here; a rush of homework must not take its engines."""
+    world = StoreWorld(engines=8)
+    table = make_table([_route("marking", BULK, 0), _route("homework", QUICK, 1)])
+    world.state.config = replace(world.state.config, routes=table, offset=7)
+    world.peer("a-2", LoadNews("y", 1, [], [], [DemandRow("lm", 3_500, 9_000)]))
+    assert len(_servers(world, "b", BULK, 20)) >= 6
+    assert len(_servers(world, "q", QUICK, 20)) <= 2
+
+
+def _route(name: str, service_class: ServiceClass, priority: int) -> Route:
+    return Route(
+        name=name,
+        host="h",
+        path_prefix=f"/{name}/",
+        targets=(WeightedTarget(MODEL, 1),),
+        streamed=True,
+        repeatable=False,
+        sends_max=1,
+        timeout_s=9.0,
+        target_s=service_class.target_s,
+        gap_target_s=service_class.token_gap_target_s,
+        priority=priority,
+    )
