--- a/tests/platform/platform_world.py
+++ b/tests/platform/platform_world.py
@@ -209,8 +209,16 @@
 
     # --- instances ---
 
-    def add_instance(self, name: str, *, wait: bool = True) -> Instance:
-        """Start an instance."""
+    def open_door(self, store: Store) -> str:
+        """Have a store listen at an address of its own."""
+        address = free_address()
+        listener = Listener(address, store.handle)
+        self._loop.run(listener.start())
+        self._listeners[address] = listener
+        return address
+
+    def add_instance(self, name: str, *, wait: bool = True, store: str = "") -> Instance:
+        """Start an instance, which has the store at its usual address or at another."""
         path = self.directory / f"{name}.json"
         addresses = [free_address() for _ in range(3)]
         # Each on a loopback address of its own, as peers all have the same port.
@@ -227,7 +235,7 @@
             "admin_address": addresses[2],
             "peer_address": f"127.0.0.{number}:{self._peer_port}",
             "seeds": seeds,
-            "store": {"address": self._store_address},
+            "store": {"address": store or self._store_address},
             # Enough for a test that makes a handful of requests in all.
             "bounds": {"strict_revoke": True, "retry_burst": 200, **self.bounds},
         }
--- a/tests/platform/standin_store.py
+++ b/tests/platform/standin_store.py
@@ -40,13 +40,21 @@
 
     def __init__(self) -> None:
         self.topics = {OPERATOR: Topic(), SERVERS: Topic()}
-        # How it misbehaves: "", "busy", "reset" or "silent".
+        # How it misbehaves: "", "busy", "reset", "silent", or "lost": every third answer
+        # of each topic.
         self.mode = ""
+        self.answers = {OPERATOR: 0, SERVERS: 0}
         # Added to the time of each answer, seconds.
         self.slow_s = 0.0
         # Reads that were answered, by topic.
         self.answered = {OPERATOR: 0, SERVERS: 0}
 
+    def door(self) -> Store:
+        """Give another way to the same records, that misbehaves by itself."""
+        other = Store()
+        other.topics = self.topics
+        return other
+
     def write(self, topic: str, key: str, value: object) -> None:
         """Write a record; bytes as they are, None removes the key."""
         raw = value if isinstance(value, bytes) else b"" if value is None else _encode(value)
@@ -75,6 +83,11 @@
         if self.mode == "silent":
             await call.closed()
             return False
+        if self.mode == "lost":
+            self.answers[call.query["topic"]] += 1
+            if self.answers[call.query["topic"]] % 3 == 0:
+                call.cut()
+                return False
         self.answered[call.query["topic"]] += 1
         await call.answer(status, body)
         return True
--- a/tests/platform/test_store_trouble.py
+++ b/tests/platform/test_store_trouble.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from functools import partial
 from pathlib import Path
 
-from tests.platform.platform_world import Instance, PlatformWorld, until
+from tests.platform.platform_world import Answer, Instance, PlatformWorld, until
 from tests.platform.standin_store import OPERATOR, SERVERS
 
 # The bound on keys is 1.6 s here, so that a test need not wait for the usual five.
@@ -143,3 +144,55 @@
         world.store.mode = ""
         until(instance.ready, "it is ready")
         until(lambda: world.look().status == 200, "callers are served")
+
+
+def test_an_instance_that_the_store_turns_away_follows_by_its_peers(tmp_path: Path) -> None:
+    # The store refuses one instance and serves the other. A key is taken away, and a server leaves;
+    # the refused one holds both, and goes on serving callers with keys.
+    with PlatformWorld(tmp_path) as world:
+        door = world.store.door()
+        second = world.add_instance("entry-2", store=world.open_door(door))
+        door.mode = "busy"
+        until(lambda: bool(second.logged("store_lost")) or _told(world), "it is on its own")
+        world.publish(tenants=[{"name": "school", "api-keys": ["key-1"]}])
+        world.register("shop-1", state="draining", seq=2)
+        ask = partial(world.look, instance="entry-2")
+        until(lambda: ask(X_Key="key-2").status == 401, "the key is gone at entry-2")
+        until(lambda: _left(second.logged("server_listed"), "shop-1"), "shop-1 leaves at entry-2")
+        answered = len(second.logged("finished"))
+        until(lambda: _proves(world, ask, answered), "it has proofs of its peer's")
+
+
+def _told(world: PlatformWorld) -> bool:
+    """Tell whether an instance does not read the store, and so cannot find it lost."""
+    return world.beliefs("entry-2")["reads_the_store"] is False
+
+
+def _proves(world: PlatformWorld, ask: Callable[[], Answer], answered: int) -> bool:
+    instance = world.running["entry-2"]
+    return ask().status == 200 and len(instance.logged("finished")) > answered + 20
+
+
+def test_a_slow_store_delays_no_caller(tmp_path: Path) -> None:
+    # Each answer takes 60 times as long. Callers with keys are served all the while, and a change
+    # is in force some moments later.
+    with PlatformWorld(tmp_path) as world:
+        world.store.slow_s = 0.24
+        reads = world.store.answered[OPERATOR]
+        until(lambda: world.store.answered[OPERATOR] > reads + 4, "it was read slowly")
+        assert all(world.look().status == 200 for _ in range(6))
+        world.publish(tenants=[{"name": "school", "api-keys": ["key-9"]}])
+        until(lambda: world.look(X_Key="key-9").status == 200, "version 2 is in force")
+
+
+def test_answers_of_the_store_that_are_lost_are_asked_for_again(tmp_path: Path) -> None:
+    # Every third answer never comes: keys hold, and so does what changes meanwhile.
+    with PlatformWorld(tmp_path) as world:
+        instance = world.running["entry-1"]
+        world.store.mode = "lost"
+        until(lambda: len(instance.logged("store_lost")) >= 3, "answers were lost")
+        assert world.look().status == 200
+        world.publish(tenants=[{"name": "school", "api-keys": ["key-9"]}])
+        world.register("shop-1", state="draining", seq=2)
+        until(lambda: world.look(X_Key="key-9").status == 200, "version 2 is in force")
+        until(lambda: _left(instance.logged("server_listed"), "shop-1"), "shop-1 leaves")
