--- a/packages/turmericweir-core/turmericweir_core/placement.py
+++ b/packages/turmericweir-core/turmericweir_core/placement.py
@@ -246,7 +246,13 @@
 def _straggler_to_probe(
     state: State, now: float, req: Request, candidates: list[Server]
 ) -> Server | None:
-    """Pick a stopped straggler for a request of the lowest tier in use, where a probe is due."""
+    """Pick a stopped straggler for a request of the lowest tier in use, where a probe is due.
+
+    Never for an answer that was moved: it moves once at the most, so if the probe finds the server
+    slow still, its caller has late tokens to the end.
+    """
+    if req.moved:
+        return None
     for server in candidates:
         if _weight(state, server) > 0.0:
             continue
--- a/tests/core/test_straggler.py
+++ b/tests/core/test_straggler.py
@@ -25,6 +25,7 @@
 
 OPTIONS = Options()
 S0 = ServerName("s0")
+S1 = ServerName("s1")
 
 
 class Bench:
@@ -294,6 +295,10 @@
                 ticked = self.world.now
                 self.world.advance(self.world.options.tick_s / 100)
 
+    def weight(self, server: ServerName) -> float:
+        """Give the share of work that a server is given."""
+        return straggler.server_weight(self.world.first.stragglers, server)
+
     def moved(self) -> list[str]:
         """List the requests that were moved."""
         return [name for name, reason in self.world.cancelled if reason is CancelReason.MOVED]
@@ -342,6 +347,23 @@
     assert bench.world.run_of(victim.request_id).server != S0
 
 
+def test_answer_moved_off_one_engine_is_no_probe_of_another() -> None:
+    # One engine was stopped a while ago and is due for a probe. An answer is moved off a second one
+    # that slows down. It goes to an engine that is well: it could not be moved once more.
+    bench = MoveBench(MOVE_CASES[0], servers=6)
+    bench.gap_s[S0] = 0.1
+    bench.run(0.5)
+    bench.world.hold_cancelled = True
+    victim = bench.world.on_server("s1")[0]
+    bench.gap_s[S1] = 0.1
+    bench.run(1.5)
+    assert victim.request_id in bench.moved()
+    assert bench.weight(S0) == 0.0
+    bench.world.now += 2 * OPTIONS.straggler_probe_upper_s
+    bench.world.end(victim, EndCancelled(0))
+    assert bench.world.run_of(victim.request_id).server not in {S0, S1}
+
+
 @pytest.mark.parametrize("reason", [CancelReason.MOVED, CancelReason.DISPLACED])
 def test_nothing_goes_on_for_a_caller_that_left(reason: CancelReason) -> None:
     # An answer is to go on elsewhere, and its caller leaves before its old attempt has ended. As
