Bring members of one data centre together whose seeds are all in others

Cause: an instance follows its own data centre by gossip among those it knows there, and hears of it from nobody else. Where the seeds of all instances of a data centre lie in other ones, they never meet: each speaks for the place as its only member, and the others' list of it changes with each word. On the small twin of the grown Lime Leaf, four of sixteen instances knew 13 for as long as they lived, so loads, the retry budget's sum, marks of servers that leave and the readers of the store went by a part of the truth there.

Ruled out: slow convergence (the views did not change between the fourth and the twentieth second), lost datagrams (none were).

Change: whoever takes the members of another data centre tells one of them of those that it heard from there a short while ago and that are not among them; these are candidates there, as from the platform's list, and make nobody live.

Test in tests/core/test_membership.py: twelve instances in three data centres, seeds in one; not met after 20 s before, met after.

--- a/packages/turmericweir-core/turmericweir_core/membership_reducer.py
+++ b/packages/turmericweir-core/turmericweir_core/membership_reducer.py
@@ -201,8 +201,7 @@
 
 def _on_members(state: State, now: float, message: MembersSend) -> list[Effect]:
     if message.members_hash:
-        membership_words.take_roster(state, now, message)
-        return []
+        return membership_words.take_roster(state, now, message)
     for record in message.records:
         if record.data_centre == state.me.data_centre:
             membership_records.take_record(state, now, record)
--- a/packages/turmericweir-core/turmericweir_core/membership_words.py
+++ b/packages/turmericweir-core/turmericweir_core/membership_words.py
@@ -189,22 +189,45 @@
     return SendPeer(sender.name, sender.peer_address, message)
 
 
-def take_roster(state: State, now: float, message: MembersSend) -> None:
+def take_roster(state: State, now: float, message: MembersSend) -> list[Effect]:
     """Note the live members of another data centre."""
     if message.data_centre == state.me.data_centre:
-        return
+        return []
     centre = state.members.centres.get(message.data_centre)
     if centre is None or centre.word is None:
-        return
+        return []
     if message.members_hash != centre.word.members_hash and centre.roster:
         # The bearer is older than the word that is held; the next word asks again.
-        return
+        return []
     taken = [_take_remote(state, now, record, message.data_centre) for record in message.records]
     centre.roster = frozenset(each.name for each in taken if each is not None)
     centre.roster_hash = message.members_hash
     if message.records:
         centre.region = message.records[0].region
     _spread_offset(state, now, centre)
+    return _introduce(state, now, centre)
+
+
+def _introduce(state: State, now: float, centre: RemoteCentre) -> list[Effect]:
+    """Tell a member of another data centre of those there that its roster lacks.
+
+    Failure: instances whose seeds are all in other data centres never meet within their own. Each
+    speaks for it as its only member, and the sums of what all know lack most of it for good. They
+    all speak to the seeds, so whoever hears of one soon after another brings them together.
+    """
+    live = [state.members.by_name[name] for name in centre.roster if name in state.members.by_name]
+    lacking = [
+        each
+        for each in state.members.by_name.values()
+        if each.data_centre == centre.name and each.name not in centre.roster and not each.leaving
+        if now - each.heard_at <= state.options.centre_suspect_s
+    ]
+    if not live or not lacking:
+        return []
+    to = state.rng.choice(sorted(live, key=lambda each: each.name))
+    lacking.sort(key=lambda each: each.name)
+    records = [record_of(each) for each in lacking[: state.options.records_max]]
+    return [SendPeer(to.name, to.peer_address, MembersSend(centre.name, 0, records))]
 
 
 def _take_remote(state: State, now: float, record: MemberRecord, data_centre: str) -> Member | None:
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -354,6 +354,22 @@
     assert reachable(network, names[0]) == ["coast", "hill", "mid", "north", "south"]
 
 
+def test_instances_meet_whose_only_seeds_are_in_another_data_centre() -> None:
+    # Four instances start in each of three data centres, and each knows the address of one in the
+    # first. Callers of the second rely on what all instances there know together: the retry budget,
+    # engines' loads, servers that leave. All have to meet, though nobody there was a seed.
+    network = Network()
+    north = start(network, 4)
+    names = [*north]
+    for data_centre in ("south", "mid"):
+        for number in range(4):
+            name = f"{data_centre}-{number:02}"
+            network.add(name, data_centre, seeds=[north[number]])
+            names.append(name)
+
+    network.run_until(lambda: network.agree(names, names), 20.0)
+
+
 def test_kill_shows_in_the_other_data_centres() -> None:
     network, names = five_centres()
     gone, rest = names[3], names[:3] + names[4:]
