Let one instance stand in for readers of the store that do not tell

Cause: an instance that started with others knew none of them and took itself for a reader, so each read at the readers' pace until it knew two that come before it, 6 to 10 s. And one that was not told in time read for itself alone, again and again, while the readers could not reach the store. Then it waited another 0.9 s before that read: word was late after 1.3 s, and the read came after 2.2 s, above the 2 s in which a server that leaves must get no more.

Change: in its first 8 s an instance is not picked to read. One that was not told in time reads at once, tells the others and goes on as a reader until one that comes before it tells. Whoever told last is asked for its proof, in two askings of three.

--- a/packages/turmericweir-core/turmericweir_core/document.py
+++ b/packages/turmericweir-core/turmericweir_core/document.py
@@ -35,6 +35,10 @@
 # A caller is only denied by settings that were proven so lately; above the time between two answers
 # of the store.
 _DENY_PROOF_S: Final = 2.5
+# Whoever told of the servers so lately reads the store; readers tell every 0.9 s at the most.
+_TOLD_S: Final = 1.5
+# One asking in so many goes to those picked to read, the others to whoever told last.
+_READER_TURN: Final = 3
 # Before the first document, peers are asked after so long: the store usually answers sooner.
 _FIRST_ASK_S: Final = 0.5
 # Between two askings, each of another peer.
@@ -169,10 +173,26 @@
         return state.rng.choice(peers) if peers else None
     if now - held.proof_at <= _RENEW_S:
         return None
+    teller = _teller(state, now)
+    if teller is not None and held.asked % _READER_TURN:
+        # Those that are picked to read are asked now and then, as its word may have been the last.
+        return teller
     readers = [each for each in store_duty.readers(state, now) if each.name != me]
     return state.rng.choice(readers) if readers else None
 
 
+def _teller(state: State, now: float) -> Member | None:
+    """Give whoever has just told of the servers: it can read the store, picked as a reader or not.
+
+    Failure without: the readers cannot reach the store, each instance asks them for a proof in vain
+    and then reads for itself, for as long as that lasts.
+    """
+    registry = state.registry
+    if registry.told_by is None or now - registry.told_at > _TOLD_S:
+        return None
+    return membership.member(state, registry.told_by)
+
+
 def _ask(state: State, now: float, peer: Member) -> list[Effect]:
     held = _held(state)
     held.asked += 1
--- a/packages/turmericweir-core/turmericweir_core/registry.py
+++ b/packages/turmericweir-core/turmericweir_core/registry.py
@@ -43,6 +43,11 @@
     offsets: dict[ServerName, int] = field(default_factory=dict)
     # When a read was last answered.
     read_at: float = _NEVER
+    # No reader told in time, so this instance reads for all until one does.
+    stands_in: bool = False
+    # Who told of the servers last, and when: whoever can read the store at present.
+    told_by: InstanceName | None = None
+    told_at: float = _NEVER
     # Entries that were missing when the store came back, and until when they are used on.
     missing: dict[ServerName, float] = field(default_factory=dict)
 
@@ -51,6 +56,7 @@
     """Bring the servers in line with what was read."""
     registry = state.registry
     was_away = now - registry.read_at > _AWAY_S
+    store_duty.note_read(state, now)
     registry.read_at = now
     listed = dict(state.servers.listed)
     effects: list[Effect] = []
@@ -88,6 +94,8 @@
 
 def on_news(state: State, now: float, sender: InstanceName, news: RegistryNews) -> list[Effect]:
     """Take what a reader tells, or ask it for the whole list where that does not fit."""
+    state.registry.told_by, state.registry.told_at = sender, now
+    store_duty.note_told(state, now, sender)
     listed = dict(state.servers.listed)
     effects: list[Effect] = []
     for row in news.rows:
--- a/tests/core/store_world.py
+++ b/tests/core/store_world.py
@@ -21,6 +21,7 @@
     Tick,
 )
 from turmericweir_core.ids import InstanceName, RequestId, ServerName, Target
+from turmericweir_core.membership import Member
 from turmericweir_core.options import Options
 from turmericweir_core.peer_messages import PeerMessage
 from turmericweir_core.reducer_store import reduce
@@ -58,8 +59,10 @@
 class StoreWorld:
     """One instance and what it was told to do."""
 
-    def __init__(self, engines: int = 2, plain: int = 2, **changed: float) -> None:
-        identity = Identity(InstanceName("a-1"), "dc-a", "home", "127.0.0.1:1", incarnation="x")
+    def __init__(
+        self, engines: int = 2, plain: int = 2, *, name: str = "a-1", **changed: float
+    ) -> None:
+        identity = Identity(InstanceName(name), "dc-a", "home", "127.0.0.1:1", incarnation="x")
         self.state = State(
             identity,
             options(**changed),
@@ -68,6 +71,8 @@
             document=DocumentState(),
         )
         self.now = 100.0
+        # Long enough ago that it knows all others.
+        self.state.members.started_at = 0.0
         self.effects: list[Effect] = []
         self.give_document(1)
         self.entries = [
@@ -117,6 +122,14 @@
         asked = self.now if asked_at is None else asked_at
         return self.give(DocumentRead(version, self.config(), b"raw", asked))
 
+    def know(self, name: str) -> InstanceName:
+        """Have a live peer of the same data centre."""
+        known = InstanceName(name)
+        member = Member(known, "dc-a", f"127.0.0.1:{sum(map(ord, name))}", region="home", seq=1)
+        member.heard_at = self.now
+        self.state.members.by_name[known] = member
+        return known
+
     def peer(self, name: str, message: PeerMessage) -> list[Effect]:
         """Have a peer's message received."""
         return self.give(PeerReceived(InstanceName(name), message))
--- a/tests/core/test_document.py
+++ b/tests/core/test_document.py
@@ -3,22 +3,19 @@
 from __future__ import annotations
 
 from tests.core.store_world import PLAIN, StoreWorld, account_of, only, start_of
-from turmericweir_core import document
+from turmericweir_core import document, store_duty
 from turmericweir_core.account import Outcome
 from turmericweir_core.effects import DecodeDocument, FinishRequest, SendDatagram, SendPeer
 from turmericweir_core.events import DocumentConfirmed
 from turmericweir_core.ids import InstanceName
-from turmericweir_core.membership import Member
-from turmericweir_core.peer_messages import DocumentAsk, DocumentProof, DocumentSend
+from turmericweir_core.peer_messages import DocumentAsk, DocumentProof, DocumentSend, RegistryNews
 from turmericweir_core.reasons import Reason
 
 
 def with_peer(world: StoreWorld, offset: int = 1) -> InstanceName:
     """Have one live peer."""
-    name = InstanceName("b-1")
-    member = Member(name, "dc-a", "127.0.0.1:2", region="home", seq=1, settings_offset=offset)
-    member.heard_at = world.now
-    world.state.members.by_name[name] = member
+    name = world.know("b-1")
+    world.state.members.by_name[name].settings_offset = offset
     return name
 
 
@@ -92,6 +89,22 @@
     assert 0.7 <= age <= 0.7 + (world.now - asked_at)
 
 
+def test_whoever_tells_of_the_servers_is_asked_for_its_proof() -> None:
+    # The instances that are to read cannot reach the store. One that was not told in time reads in
+    # their place, and tells. Every other time the others ask it, not those who have nothing to say.
+    world = StoreWorld()
+    for number in range(1, 9):
+        world.know(f"b-{number}")
+    stands_in = store_duty.readers(world.state, world.now)
+    teller = next(f"b-{n}" for n in range(1, 9) if f"b-{n}" not in {e.name for e in stands_in})
+    world.now += 0.7
+    world.peer(teller, RegistryNews(0))
+    asks = [each for each in world.wait(0.5) if isinstance(each, SendDatagram)]
+    asked = [each.peer for each in asks if isinstance(each.message, DocumentAsk)]
+    assert len(asked) == 2
+    assert teller in asked
+
+
 def test_a_proof_for_a_version_that_is_not_here_counts_for_nothing() -> None:
     """The peer's newer version may be the one that takes the key away."""
     world = StoreWorld()
--- a/tests/core/test_registry.py
+++ b/tests/core/test_registry.py
@@ -90,10 +90,7 @@
 def test_an_instance_reads_for_itself_when_it_is_not_told() -> None:
     world = StoreWorld()
     for number in range(2, 8):
-        name = InstanceName(f"a-{number}")
-        member = Member(name, "dc-a", f"127.0.0.1:{number}", region="home", seq=1)
-        member.heard_at = world.now
-        world.state.members.by_name[name] = member
+        world.know(f"a-{number}")
     readers = {each.name for each in store_duty.readers(world.state, world.now)}
     assert len(readers) == 2
     world.state.registry.read_at = world.now
@@ -102,6 +99,34 @@
     assert store_duty.reads_registry(world.state, world.now + 1.5)
 
 
+def test_of_many_that_start_at_once_few_read() -> None:
+    # All instances start together and know none of the others yet, so each would read for all. Each
+    # has read once. The one whose delay ends first reads again and tells the others, and these
+    # leave it at that, now and as long as it goes on.
+    worlds = [StoreWorld(name=f"a-{number}") for number in range(1, 9)]
+    now = 101.0
+    for world in worlds:
+        world.state.members.started_at = 100.0
+    reads: dict[str, int] = {}
+    for _ in range(60):
+        now += 0.1
+        for world in worlds:
+            world.now = now
+            world.know("a-0")
+            if not store_duty.reads_registry(world.state, now):
+                continue
+            reads[world.state.me.name] = reads.get(world.state.me.name, 0) + 1
+            effects = datagrams(world.give(RegistryRead(())))
+            told = [each.message for each in effects if isinstance(each.message, RegistryNews)]
+            assert told
+            for other in worlds:
+                other.now = now
+                for message in told:
+                    other.peer(world.state.me.name, message)
+    assert sum(reads.values()) <= 8
+    assert len(reads) <= 2
+
+
 @given(st.permutations(range(6)), st.lists(st.booleans(), min_size=6, max_size=6))
 def test_any_order_of_records_ends_with_the_newest(order: list[int], there: list[bool]) -> None:
     """Pages, late reads and peers bring records in any order; the highest offset decides."""
