Refuse answers that would be cut at their deadline

Cause: in a rush the engines read prompts without a break, and each token of what they generate takes 45 to 60 ms rather than 8.

Change: where a caller estimates the length of the answer, the time for it goes by the pace between events that this instance sees at the engines that would run it, and a request that would end too late is refused at once. Samples of the pace count for 2 s, or a rush would refuse such requests after its end.

Ruled out: the wait for the first event (cut answers began after 1 to 3 s); moving what runs to engines that do not read was not tried.

Tests: tests/core/test_predicted_admission.py, red before.

--- a/packages/turmericweir-core/turmericweir_core/predicted_admission.py
+++ b/packages/turmericweir-core/turmericweir_core/predicted_admission.py
@@ -3,13 +3,24 @@
 The wait of a new request is what waits here before it, in its own and more urgent tiers, spread
 over the engines, and the shortest wait at any of them. All instances are taken to have as much
 waiting as this one. Beyond its time it is refused at once, and told when the rest will be through.
+
+An answer has to end in time as well. Beside prompts that are read without a break an engine makes
+a token in 50 ms rather than 8, and a long answer is cut at its deadline, after it has taken a
+prompt's reading and a slot for all that time. Where its caller estimated the length, it is refused
+before.
 """
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, Final
 
-from turmericweir_core import engine_model, predicted_placement, queue_state
+from turmericweir_core import (
+    engine_model,
+    engine_pools,
+    predicted_placement,
+    queue_state,
+    straggler,
+)
 from turmericweir_core.config import Kind
 from turmericweir_core.request import Request
 from turmericweir_core.server_table import Server
@@ -45,11 +56,29 @@
 
 def may_wait(state: State, now: float, req: Request, wait: float) -> bool:
     """Tell whether a request with such a wait can still be answered."""
-    return wait <= _WAIT_SHARE * (req.deadline - now)
+    left = req.deadline - now
+    return wait <= _WAIT_SHARE * left and wait + generation_s(state, now, req) <= left
+
+
+def generation_s(state: State, now: float, req: Request) -> float:
+    """Predict how long an answer takes from its first event on, seconds; 0.0 where nothing tells.
+
+    By its caller's estimate of its length, and the time between events that this instance sees at
+    the engines that would run it.
+    """
+    servers = open_servers(state, now, req.target)
+    if req.expected_tokens is None or not servers:
+        return 0.0
+    engines = engine_pools.choose(state, now, req, servers)
+    gap_s = straggler.gap_seen(state.stragglers, now, (each.entry.name for each in engines))
+    if gap_s is None:
+        return 0.0
+    return req.expected_tokens / servers[0].service.event_tokens * gap_s
 
 
 def retry_after(state: State, now: float, req: Request, wait: float) -> float:
-    """Give the time after which a request like this would be answered within its target."""
+    """Give the time after which a request like this would be answered in time."""
     options = state.options
-    surplus = wait - req.service_class.target_s
+    overrun = wait + generation_s(state, now, req) - (req.deadline - now)
+    surplus = max(wait - req.service_class.target_s, overrun)
     return min(options.retry_after_max_s, max(options.retry_after_min_s, surplus))
--- a/packages/turmericweir-core/turmericweir_core/straggler.py
+++ b/packages/turmericweir-core/turmericweir_core/straggler.py
@@ -12,13 +12,19 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from statistics import median
+from typing import Final
 
 from turmericweir_core.ids import ServerName
 from turmericweir_core.options import Options
 from turmericweir_core.request import Attempt
 
+# Samples are half a second apart while anything runs; one that is older tells of a time that is
+# over.
+_SEEN_VALID_S: Final = 2.0
+
 
 @dataclass(slots=True)
 class ServerPace:
@@ -28,6 +34,8 @@
     # Averaged time between tokens, seconds.
     gap_s: float = 0.0
     samples: int = 0
+    # When the newest sample ended.
+    seen_at: float = 0.0
     # Share of its slots that it is given work for, 0..1; 0.0 is a stopped straggler.
     weight: float = 1.0
     # Stopped until then by late gaps, where no majority of servers could judge it.
@@ -82,7 +90,7 @@
         # A lower tier may stand still because the engine preempted it, which is no fault of its.
         return
     # Without a token the gap is at least as long as the silence so far.
-    _add_gap(state, options, service, attempt.server, elapsed / max(1, tokens))
+    _add_gap(state, options, now, service, attempt.server, elapsed / max(1, tokens))
     attempt.sampled_at = now
     attempt.sampled_tokens = attempt.tokens
 
@@ -98,16 +106,22 @@
         # The first token ends the wait for it and starts the first gap.
         tokens -= 1
     if tokens > 0 and last > since:
-        _add_gap(state, options, service, attempt.server, (last - since) / tokens)
+        _add_gap(state, options, last, service, attempt.server, (last - since) / tokens)
 
 
 def _add_gap(
-    state: StragglerState, options: Options, service: str, server: ServerName, gap: float
+    state: StragglerState,
+    options: Options,
+    now: float,
+    service: str,
+    server: ServerName,
+    gap: float,
 ) -> None:
     pace = state.by_server.get(server)
     if pace is None:
         pace = state.by_server[server] = ServerPace(service)
     pace.service = service
+    pace.seen_at = max(pace.seen_at, now)
     pace.samples += 1
     weight = max(options.straggler_weight, 1.0 / pace.samples)
     if pace.weight == 0.0:
@@ -131,6 +145,16 @@
     return found
 
 
+def gap_seen(state: StragglerState, now: float, servers: Iterable[ServerName]) -> float | None:
+    """Give the usual time between events at some servers, seconds; None where none was seen.
+
+    What was seen in a rush says nothing once it is over: with nothing running there is no sample.
+    """
+    paces = (state.by_server.get(name) for name in servers)
+    gaps = [pace.gap_s for pace in paces if pace and now - pace.seen_at <= _SEEN_VALID_S]
+    return median(gaps) if gaps else None
+
+
 def _by_service(state: StragglerState, options: Options) -> dict[str, dict[ServerName, ServerPace]]:
     groups: dict[str, dict[ServerName, ServerPace]] = {}
     for name, pace in state.by_server.items():
--- /dev/null
+++ b/tests/core/test_predicted_admission.py
@@ -0,0 +1,64 @@
+"""What is refused because it cannot be answered in time."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from tests.core.store_world import StoreWorld, account_of, only, start_of
+from turmericweir_core.account import Outcome
+from turmericweir_core.effects import FinishRequest, StartAttempt
+from turmericweir_core.events import EndComplete
+
+# Events of three tokens; with 50 ms between them, 300 tokens take 5 s.
+GAP_S: Final = 0.05
+LONG: Final = 300
+
+
+def in_a_rush(world: StoreWorld) -> list[StartAttempt]:
+    """Have three answers make an event each GAP_S."""
+    starts = [start_of(world.arrive(f"busy-{number}", max_tokens=0)) for number in range(3)]
+    for start in starts:
+        world.sent(start)
+        world.begin(start)
+    make_events(world, starts, 2.0)
+    return starts
+
+
+def make_events(world: StoreWorld, starts: list[StartAttempt], seconds: float) -> None:
+    """Let the engines go on at the same pace."""
+    for _ in range(round(seconds / GAP_S)):
+        world.wait(GAP_S)
+        for start in starts:
+            world.begin(start)
+
+
+def test_an_answer_that_would_be_cut_at_its_deadline_is_refused_at_once() -> None:
+    # Prompts are read all the time, and an event takes 50 ms. A caller expects 300 tokens and has
+    # 4 s. It is told at once that nothing was run and when to come back, rather than cut after 4 s
+    # for which it had an engine read its prompt. One with 8 s is served, and one that said nothing
+    # of its length.
+    world = StoreWorld(engines=1)
+    in_a_rush(world)
+    refused = account_of(
+        world.arrive("long", expected_tokens=LONG, deadline=world.now + 4.0, max_tokens=0)
+    )
+    assert refused.account.outcome is Outcome.NOT_RUN
+    assert refused.account.retry_after_s is not None
+    assert refused.account.retry_after_s >= 1.0
+    for name, fields in {
+        "has time": {"expected_tokens": LONG, "deadline": world.now + 8.0},
+        "is short": {"expected_tokens": 30, "deadline": world.now + 4.0},
+        "says nothing": {"deadline": world.now + 4.0},
+    }.items():
+        assert not only(world.arrive(name, max_tokens=0, **fields), FinishRequest), name
+
+
+def test_the_pace_of_a_rush_that_is_over_refuses_nobody() -> None:
+    # The rush has ended and nothing runs, so nothing shows how fast the engines are now. Callers
+    # with long answers are served: else they would be refused for good.
+    world = StoreWorld(engines=1)
+    for start in in_a_rush(world):
+        world.end(start, EndComplete(200))
+    world.wait(4.0)
+    effects = world.arrive("long", expected_tokens=LONG, deadline=world.now + 4.0, max_tokens=0)
+    assert not only(effects, FinishRequest)
