Let urgent callers go first where few engines are left

Changes, each with a test that was red before: the longer a quick answer has waited, the longer it may wait at an engine; it goes to the other engines after half its target; instances tell the most urgent rank that is late, and nothing less urgent is sent meanwhile; admission goes by rank; the estimate counts for the least urgent kind alone and up to what the caller allows at the most.

Ruled out: servers in impairment, lost news (told each 20 ms in a rush).

--- a/packages/turmericweir-core/turmericweir_core/engine_model.py
+++ b/packages/turmericweir-core/turmericweir_core/engine_model.py
@@ -26,6 +26,7 @@
 from turmericweir_core.peer_messages import SentPart
 from turmericweir_core.request import Attempt, Request
 from turmericweir_core.server_table import Server
+from turmericweir_core.tiers import rank_of
 
 if TYPE_CHECKING:
     from turmericweir_core.state import State
@@ -243,12 +244,6 @@
     return order[:2], left + order[1].work_ms
 
 
-def rank_of(req: Request) -> int:
-    """Give what engines schedule a request by."""
-    rank = req.service_class.rank
-    return req.priority if rank is None else rank
-
-
 def requests_at(book: EngineBook, now: float) -> int:
     """Count the requests of all instances on a server."""
     count = len(book.prefills) + len(book.running)
@@ -287,7 +282,7 @@
     own = own_work_ms(state.options, book, req, spared)
     if fetch is not None:
         own += fetch_ms(state.options, server, fetch)
-    rank = rank_of(req)
+    rank = rank_of(req.service_class)
     wait = waiting_ms(book, now, rank)
     if not wait:
         book.reading_since = now
--- a/packages/turmericweir-core/turmericweir_core/engine_pools.py
+++ b/packages/turmericweir-core/turmericweir_core/engine_pools.py
@@ -22,7 +22,7 @@
 from math import ceil, exp
 from typing import TYPE_CHECKING, Final
 
-from turmericweir_core import engine_model
+from turmericweir_core import engine_model, urgent_first
 from turmericweir_core.config import Service
 from turmericweir_core.ids import InstanceName, Target
 from turmericweir_core.peer_messages import DemandRow
@@ -134,7 +134,10 @@
     for target, demand in state.pools.own.items():
         _fade(demand, now)
         row = DemandRow(
-            target, round(demand.long_ms / _MEMORY_S), round(demand.quick_ms / _MEMORY_S)
+            target,
+            round(demand.long_ms / _MEMORY_S),
+            round(demand.quick_ms / _MEMORY_S),
+            urgent_first.late_rank(state, now, target),
         )
         rows.append(row)
     return rows
@@ -145,6 +148,7 @@
     for row in rows:
         told = state.pools.peers.setdefault(Target(row.target), {})
         told[sender] = (now, float(row.long_ms_s), float(row.quick_ms_s))
+        urgent_first.take_late_rank(state, now, sender, Target(row.target), row.late_rank)
 
 
 def choose(state: State, now: float, req: Request, engines: list[Server]) -> list[Server]:
--- a/packages/turmericweir-core/turmericweir_core/peer_messages.py
+++ b/packages/turmericweir-core/turmericweir_core/peer_messages.py
@@ -237,6 +237,8 @@
     # Of requests that bear long prompts beside them, and of those that do not.
     long_ms_s: int
     quick_ms_s: int
+    # The most urgent rank of which a request has waited for too long at the sender.
+    late_rank: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/turmericweir-core/turmericweir_core/predicted_admission.py
+++ b/packages/turmericweir-core/turmericweir_core/predicted_admission.py
@@ -1,6 +1,6 @@
 """Refuse what cannot be answered in time, by the model of the engines.
 
-The wait of a new request is what waits here before it, in its own and more urgent tiers, spread
+The wait of a new request is what waits here before it, of its own and more urgent ranks, spread
 over the engines, and the shortest wait at any of them. All instances are taken to have as much
 waiting as this one. Beyond its time it is refused at once, and told when the rest will be through.
 
@@ -25,6 +25,7 @@
 from turmericweir_core.request import Request
 from turmericweir_core.server_table import Server
 from turmericweir_core.subset import open_servers
+from turmericweir_core.tiers import rank_of
 
 if TYPE_CHECKING:
     from turmericweir_core.state import State
@@ -43,7 +44,7 @@
     work = sum(
         _queued_ms(state, servers, queue)
         for queue in queue_state.pool_queues(state.queues, pool)
-        if queue.service_class.priority <= req.priority
+        if rank_of(queue.service_class) <= rank_of(req.service_class)
     )
     ahead = work * max(1, state.subsets.instances) / len(servers)
     return (ahead + predicted_placement.shortest_wait_ms(state, now, servers)) / _MS
@@ -64,16 +65,26 @@
     """Predict how long an answer takes from its first event on, seconds; 0.0 where nothing tells.
 
     By its caller's estimate of its length, and the time between events that this instance sees at
-    the engines that would run it.
+    the engines that would run it. Only of the least urgent kind that these serve: nothing tells how
+    far an estimate is off, and to turn a more urgent caller away by one while less urgent answers
+    begin would serve nobody better.
     """
     servers = open_servers(state, now, req.target)
-    if req.expected_tokens is None or not servers:
+    if req.expected_tokens is None or not servers or not _is_least_urgent(state, req):
         return 0.0
     engines = engine_pools.choose(state, now, req, servers)
     gap_s = straggler.gap_seen(state.stragglers, now, (each.entry.name for each in engines))
     if gap_s is None:
         return 0.0
-    return req.expected_tokens / servers[0].service.event_tokens * gap_s
+    tokens = req.expected_tokens
+    if req.max_tokens:
+        tokens = min(tokens, req.max_tokens)
+    return tokens / servers[0].service.event_tokens * gap_s
+
+
+def _is_least_urgent(state: State, req: Request) -> bool:
+    others = queue_state.target_classes(state.queues, req.target)
+    return all(rank_of(each.service_class) <= rank_of(req.service_class) for each in others)
 
 
 def retry_after(state: State, now: float, req: Request, wait: float) -> float:
--- a/packages/turmericweir-core/turmericweir_core/predicted_placement.py
+++ b/packages/turmericweir-core/turmericweir_core/predicted_placement.py
@@ -19,12 +19,13 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
-from turmericweir_core import engine_model, engine_pools, straggler
+from turmericweir_core import engine_model, engine_pools, straggler, urgent_first
 from turmericweir_core.config import Kind
 from turmericweir_core.reliability import excess_failures
 from turmericweir_core.request import Request
 from turmericweir_core.server_table import Server
 from turmericweir_core.subset import open_servers, rendezvous_weight
+from turmericweir_core.tiers import rank_of
 
 if TYPE_CHECKING:
     from turmericweir_core.state import State
@@ -36,6 +37,9 @@
 _LATE_WORK_WEIGHT: Final = 3.0
 # Tokens that are no difference between two engines.
 _SAME_READ: Final = 512.0
+# A request for which its own engines have no room goes to the others after such a part of the time
+# in which it should have begun: late there, but a moment's crowd sends nobody there.
+_SPILL_SHARE: Final = 0.5
 # Behind all ranks.
 _LAST_RANK: Final = 1_000_000
 # The chance that the home of a part holds it though nobody has told of it.
@@ -79,7 +83,29 @@
 def _pick_engine(
     state: State, now: float, req: Request, tier: int, candidates: list[Server]
 ) -> Server | None:
-    candidates = engine_pools.choose(state, now, req, candidates)
+    if urgent_first.has_to_wait(state, now, req):
+        return None
+    own_kind = engine_pools.choose(state, now, req, candidates)
+    best = _best_engine(state, now, req, own_kind)
+    if best.held_back and _may_spill(state, now, req, own_kind):
+        others = [each for each in candidates if each not in own_kind]
+        best = _best_engine(state, now, req, others) if others else best
+    return None if best.held_back else best.server
+
+
+def _may_spill(state: State, now: float, req: Request, own_kind: list[Server]) -> bool:
+    """Tell whether a request may go to engines that are kept for long prompts.
+
+    Failure without: most engines of a service are taken away, one is left for the quick answers and
+    one for long prompts, and half of the most urgent callers leave unanswered while less urgent
+    prompts begin. There its events pause for longer than promised, which is better than none.
+    """
+    if engine_pools.bears_chunks(state, req, own_kind[0].service):
+        return False
+    return now - req.arrived >= _SPILL_SHARE * req.service_class.target_s
+
+
+def _best_engine(state: State, now: float, req: Request, candidates: list[Server]) -> _Choice:
     choices = [_weigh(state, now, req, server) for server in candidates]
     home = max(candidates, key=lambda server: rendezvous_weight(_hash_key(req), server.entry.name))
     left_ms = (req.service_class.target_s * state.options.in_time_share - (now - req.arrived)) * _MS
@@ -92,8 +118,7 @@
         good = in_time and (not again or choice.wait_ms <= spare_ms)
         return _rank(choice, good, home, state.options.fetch_weight)
 
-    best = min(choices, key=rank)
-    return None if best.held_back else best.server
+    return min(choices, key=rank)
 
 
 def _weigh(state: State, now: float, req: Request, server: Server) -> _Choice:
@@ -109,7 +134,7 @@
             spared = fetched = fetch.tokens
             extra_ms = engine_model.fetch_ms(options, server, fetch)
     own = engine_model.own_work_ms(options, book, req, spared) + extra_ms
-    wait = engine_model.waiting_ms(book, now, engine_model.rank_of(req))
+    wait = engine_model.waiting_ms(book, now, rank_of(req.service_class))
     return _Choice(
         server=server,
         begin_ms=_cost_ms(state, now, server, wait + own),
@@ -148,8 +173,22 @@
     room = server.service.kv_tokens * state.options.engine_memory_share
     if room and engine_model.tokens_at(book, now) + engine_model.size_of(req) > room:
         return False
-    wait = engine_model.waiting_ms(book, now, engine_model.rank_of(req))
-    return wait <= state.options.engine_wait_share * req.service_class.target_s * _MS
+    wait = engine_model.waiting_ms(book, now, rank_of(req.service_class))
+    return wait <= _wait_limit_s(state, now, req, server) * _MS
+
+
+def _wait_limit_s(state: State, now: float, req: Request, server: Server) -> float:
+    """Give how long a request may wait at an engine before it begins there, seconds.
+
+    The longer a quick answer has waited here, the longer there. Failure without: an engine always
+    has a long prompt in hand, of which more is left than a quick answer may wait. So each moment a
+    long prompt is sent, which may wait longer, and the quick ones stay here until their callers
+    leave. At the engine they go before all long prompts but the one in hand.
+    """
+    limit = state.options.engine_wait_share * req.service_class.target_s
+    if engine_pools.bears_chunks(state, req, server.service):
+        return limit
+    return limit + now - req.arrived
 
 
 def _cost_ms(state: State, now: float, server: Server, begin_ms: float) -> float:
@@ -187,7 +226,7 @@
             for each in open_servers(state, now, req.target)
         )
         found["prompt_tokens"] = req.prompt_tokens
-        found["wait_ms"] = round(engine_model.waiting_ms(book, now, engine_model.rank_of(req)))
+        found["wait_ms"] = round(engine_model.waiting_ms(book, now, rank_of(req.service_class)))
         found["reading_engines"] = engine_pools.reading_engines(state, req.target)
         choice = _weigh(state, now, req, server)
         found["begin_ms"] = round(choice.begin_ms)
--- a/packages/turmericweir-core/turmericweir_core/state.py
+++ b/packages/turmericweir-core/turmericweir_core/state.py
@@ -40,6 +40,7 @@
 from turmericweir_core.silence_signs import SignState
 from turmericweir_core.straggler import StragglerState
 from turmericweir_core.subset import SubsetState
+from turmericweir_core.urgent_first import LateRanks
 
 if TYPE_CHECKING:
     from turmericweir_core.settings_sync import SettingsSync
@@ -102,6 +103,7 @@
     # How often each server failed of late.
     reliability: ReliabilityState = field(default_factory=ReliabilityState)
     stragglers: StragglerState = field(default_factory=StragglerState)
+    late_ranks: LateRanks = field(default_factory=LateRanks)
     # Adaptive limits of servers.
     server_limits: ServerLimits = field(default_factory=ServerLimits)
     retries: RetryBudget = field(default_factory=RetryBudget)
--- a/packages/turmericweir-core/turmericweir_core/tiers.py
+++ b/packages/turmericweir-core/turmericweir_core/tiers.py
@@ -26,6 +26,12 @@
     return shares
 
 
+def rank_of(service_class: ServiceClass) -> int:
+    """Give what servers schedule a class by; lower ranks go first."""
+    rank = service_class.rank
+    return service_class.priority if rank is None else rank
+
+
 def with_ranks(classes: Iterable[ServiceClass], ranks: int) -> list[ServiceClass]:
     """Rank classes for servers that know so many ranks: by priority, and then by target.
 
--- a/tests/core/test_predicted_admission.py
+++ b/tests/core/test_predicted_admission.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import Final
 
-from tests.core.store_world import StoreWorld, account_of, only, start_of
+from tests.core.store_world import BULK, QUICK, StoreWorld, account_of, only, start_of
 from turmericweir_core.account import Outcome
 from turmericweir_core.effects import FinishRequest, StartAttempt
 from turmericweir_core.events import EndComplete
@@ -62,3 +63,23 @@
     world.wait(4.0)
     effects = world.arrive("long", expected_tokens=LONG, deadline=world.now + 4.0, max_tokens=0)
     assert not only(effects, FinishRequest)
+
+
+def test_an_urgent_caller_is_not_refused_by_an_estimate_while_others_begin() -> None:
+    # Callers' estimates are often far off. A quick answer that is said to be long is let in: less
+    # urgent long prompts begin beside it, and its caller would have nothing.
+    world = StoreWorld(engines=1)
+    quick = replace(QUICK, rank=0)
+    bulk = replace(BULK, rank=1)
+    in_a_rush(world)
+    world.arrive("less urgent", service_class=bulk, max_tokens=0)
+    fields = {"expected_tokens": LONG, "deadline": world.now + 4.0, "max_tokens": 0}
+    assert not only(world.arrive("quick", service_class=quick, **fields), FinishRequest)
+    assert only(world.arrive("bulk", service_class=bulk, **fields), FinishRequest)
+
+
+def test_an_estimate_counts_up_to_what_the_caller_allows_at_the_most() -> None:
+    world = StoreWorld(engines=1)
+    in_a_rush(world)
+    fields = {"expected_tokens": LONG, "deadline": world.now + 4.0}
+    assert not only(world.arrive("bounded", max_tokens=120, **fields), FinishRequest)
--- a/tests/core/test_predicted_placement.py
+++ b/tests/core/test_predicted_placement.py
@@ -211,3 +211,30 @@
         gap_target_s=service_class.token_gap_target_s,
         priority=priority,
     )
+
+
+def test_a_quick_answer_is_not_kept_from_an_engine_that_always_reads() -> None:
+    # One engine is left, and it has a long prompt in hand, of which more is left than a quick
+    # answer may usually wait. Long prompts may wait for longer, so they were sent one after the
+    # other, and the caller of the quick answer left after two seconds.
+    world = StoreWorld(engines=1)
+    long = start_of(world.arrive("long", prompt_tokens=30_000, parts=(("sheet", 30_000),)))
+    world.sent(long)
+    assert not only(world.arrive("quick", service_class=QUICK, prompt_tokens=900), StartAttempt)
+    starts = only(world.wait(0.5), StartAttempt)
+    assert [each.request_id for each in starts] == ["quick"]
+
+
+def test_quick_answers_go_to_the_engines_of_long_prompts_where_their_own_are_full() -> None:
+    # Two engines are left, one for each kind, and the slots of the one for quick answers are full
+    # of answers that take long. The next caller is answered by the other engine, with longer pauses
+    # than it was promised, rather than not at all; but not because of a moment's crowd.
+    world = StoreWorld(engines=2)
+    first = start_of(world.arrive("q0", service_class=QUICK, prompt_tokens=20))
+    for number in range(1, 64):
+        world.arrive(f"q{number}", service_class=QUICK, prompt_tokens=20)
+    crowded = world.arrive("next", service_class=QUICK, prompt_tokens=20)
+    assert not only(crowded, StartAttempt)
+    (start,) = only(world.wait(0.5), StartAttempt)
+    assert start.request_id == "next"
+    assert start.server != first.server
