--- a/packages/turmericweir-core/turmericweir_core/admission.py
+++ b/packages/turmericweir-core/turmericweir_core/admission.py
@@ -12,7 +12,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
 from turmericweir_core import displacement, engine_pools, predicted_admission, queue_state
@@ -49,6 +49,8 @@
     """The request ends `not_run` now."""
 
     retry_after_s: float
+    # What it was decided by, for the log.
+    because: dict[str, object] = field(default_factory=dict)
 
 
 def judge(state: State, now: float, req: Request, pool: str) -> Admitted | Refused:
@@ -77,7 +79,8 @@
     waiting = displacement.waiting_to_drop(state, pool, req.priority)
     if waiting is not None:
         return Admitted(drop=waiting)
-    return Refused(predicted_admission.retry_after(state, now, req, wait))
+    pause = predicted_admission.retry_after(state, now, req, wait)
+    return Refused(pause, predicted_admission.explain(state, now, req, wait))
 
 
 def _queue_is_full(state: State, req: Request) -> bool:
--- a/packages/turmericweir-core/turmericweir_core/lifecycle.py
+++ b/packages/turmericweir-core/turmericweir_core/lifecycle.py
@@ -38,6 +38,7 @@
     Count,
     Effect,
     FinishRequest,
+    Log,
     ProbeServer,
     Timing,
 )
@@ -108,8 +109,12 @@
     """Refuse what cannot be answered in time, and let lower work make way before that."""
     verdict = admission.judge(state, now, req, pool_name(state, req.target))
     match verdict:
-        case admission.Refused(pause):
-            return finish(state, now, req, Outcome.NOT_RUN, Reason.OVERLOAD, retry_after_s=pause)
+        case admission.Refused(pause, because):
+            refused = Log("not_admitted", {"request_id": req.request_id, **because})
+            return [
+                *([refused] if because else []),
+                *finish(state, now, req, Outcome.NOT_RUN, Reason.OVERLOAD, retry_after_s=pause),
+            ]
         case admission.Admitted(displaced, dropped):
             effects = displace(state, displaced) if displaced is not None else []
             return effects + (_drop(state, now, dropped) if dropped is not None else [])
--- a/packages/turmericweir-core/turmericweir_core/predicted_admission.py
+++ b/packages/turmericweir-core/turmericweir_core/predicted_admission.py
@@ -93,3 +93,15 @@
     overrun = wait + generation_s(state, now, req) - (req.deadline - now)
     surplus = max(wait - req.service_class.target_s, overrun)
     return min(options.retry_after_max_s, max(options.retry_after_min_s, surplus))
+
+
+def explain(state: State, now: float, req: Request, wait: float) -> dict[str, object]:
+    """Give what a refusal rested on, for its log line."""
+    return {
+        "service_class": req.service_class.name,
+        "wait_ms": round(wait * _MS),
+        "answer_ms": round(generation_s(state, now, req) * _MS),
+        "expected_tokens": req.expected_tokens,
+        "left_ms": round((req.deadline - now) * _MS),
+        "settings_version": state.settings_offset(),
+    }
--- a/tests/core/test_predicted_admission.py
+++ b/tests/core/test_predicted_admission.py
@@ -7,7 +7,7 @@
 
 from tests.core.store_world import BULK, QUICK, StoreWorld, account_of, only, start_of
 from turmericweir_core.account import Outcome
-from turmericweir_core.effects import FinishRequest, StartAttempt
+from turmericweir_core.effects import FinishRequest, Log, StartAttempt
 from turmericweir_core.events import EndComplete
 
 # Events of three tokens; with 50 ms between them, 300 tokens take 5 s.
@@ -40,12 +40,14 @@
     # of its length.
     world = StoreWorld(engines=1)
     in_a_rush(world)
-    refused = account_of(
-        world.arrive("long", expected_tokens=LONG, deadline=world.now + 4.0, max_tokens=0)
-    )
+    effects = world.arrive("long", expected_tokens=LONG, deadline=world.now + 4.0, max_tokens=0)
+    refused = account_of(effects)
     assert refused.account.outcome is Outcome.NOT_RUN
     assert refused.account.retry_after_s is not None
     assert refused.account.retry_after_s >= 1.0
+    (why,) = [each.fields for each in only(effects, Log) if each.event == "not_admitted"]
+    assert (why["left_ms"], why["expected_tokens"]) == (4000, LONG)
+    assert 4000 < float(str(why["answer_ms"])) < 6000
     for name, fields in {
         "has time": {"expected_tokens": LONG, "deadline": world.now + 8.0},
         "is short": {"expected_tokens": 30, "deadline": world.now + 4.0},
