Send calls that must not be repeated over connections proven a moment ago

An answer that ended less than a second ago proves as much of a connection as a handshake does.

Change: a call that must not be sent twice takes a connection idle for less than a second, by the loop's clock, which counts suspensions (the pool went by the steady clock, which does not); after a silence it takes a new one as before. The cases of the lifecycle that said 'fresh' say 'proven'.

--- a/packages/turmericweir-core/turmericweir_core/dispatch.py
+++ b/packages/turmericweir-core/turmericweir_core/dispatch.py
@@ -174,7 +174,8 @@
             address=server.entry.address,
             priority=_rank(req, attempt),
             resume_from=req.delivered if req.kind is Kind.MODEL else 0,
-            fresh_connection=not req.repeatable or req.went_silent,
+            fresh_connection=req.went_silent,
+            proven_connection=not req.repeatable,
             fetch_from=fetch_from,
         ),
     ]
--- a/packages/turmericweir-core/turmericweir_core/effects.py
+++ b/packages/turmericweir-core/turmericweir_core/effects.py
@@ -23,8 +23,10 @@
     priority: int
     # Continue the answer after this many tokens that the caller already has.
     resume_from: int = 0
-    # Use a new connection, or one proven within a second: the call must not be sent twice.
+    # Use a new connection: another one has just gone silent.
     fresh_connection: bool = False
+    # Use a new connection, or one that was proven a moment ago: the call must not be sent twice.
+    proven_connection: bool = False
     # An engine that holds parts of the prompt which this one lacks, by address; empty for none.
     fetch_from: str = ""
 
--- a/packages/turmericweir/turmericweir/backend_attempt.py
+++ b/packages/turmericweir/turmericweir/backend_attempt.py
@@ -19,6 +19,7 @@
     call,
     read_body,
 )
+from turmericweir.backend_pool import IDLE_MAX_S, PROVEN_IDLE_S
 from turmericweir.errors import CallError, describe
 from turmericweir_core.effects import StartAttempt
 from turmericweir_core.events import (
@@ -96,7 +97,7 @@
         """
         address = self.start.address
         try:
-            conn = await self.pool.take(address, fresh=self.start.fresh_connection)
+            conn = await self.pool.take(address, idle_max_s=_idle_max_s(self.start))
             self._kept = conn.is_kept
             try:
                 response = await conn.send(make(), self._first_byte)
@@ -140,6 +141,13 @@
         return False
 
 
+def _idle_max_s(start: StartAttempt) -> float:
+    """Give how long the connection of an attempt may have been idle, seconds."""
+    if start.fresh_connection:
+        return 0.0
+    return PROVEN_IDLE_S if start.proven_connection else IDLE_MAX_S
+
+
 def attempt_headers(start: StartAttempt) -> list[tuple[bytes, bytes]]:
     """Name the request and the attempt to the server."""
     return [
@@ -161,7 +169,7 @@
     """Tell whether a new connection to a server works; it is kept for the next request."""
     try:
         with anyio.fail_after(CONNECT_PROBE_S):
-            conn = await pool.take(address, fresh=True)
+            conn = await pool.take(address, idle_max_s=0.0)
     except (TimeoutError, *TRANSPORT_ERRORS):
         return False
     await pool.give_back(address, conn)
--- a/packages/turmericweir/turmericweir/backend_call.py
+++ b/packages/turmericweir/turmericweir/backend_call.py
@@ -13,7 +13,7 @@
 import httpcore
 import orjson
 
-from turmericweir.backend_pool import BackendConnection, BackendPool, make_request
+from turmericweir.backend_pool import IDLE_MAX_S, BackendConnection, BackendPool, make_request
 from turmericweir.errors import CallError, describe
 from turmericweir.traffic import Kind
 
@@ -87,7 +87,7 @@
         traffic.sent.add(_size(method + target.encode("ascii"), request.headers, body))
     try:
         with anyio.fail_after(timeout_s):
-            conn = await pool.take(address, fresh=fresh)
+            conn = await pool.take(address, idle_max_s=0.0 if fresh else IDLE_MAX_S)
             try:
                 return await _exchange(conn, request, first_byte, traffic)
             finally:
--- a/packages/turmericweir/turmericweir/backend_pool.py
+++ b/packages/turmericweir/turmericweir/backend_pool.py
@@ -9,7 +9,6 @@
 
 from collections import defaultdict
 from collections.abc import Callable
-from time import monotonic
 from types import TracebackType
 from typing import Final, Self
 
@@ -24,6 +23,13 @@
 # Idle connections kept for one address; a burst leaves more, which are closed.
 IDLE_MAX: Final = 64
 _SWEEP_S: Final = 1.0
+# A call that must not be sent twice goes out on a connection that has been idle for less, or a new
+# one. Failure without the bound: the server, or something between, drops idle connections, and the
+# call is lost on one with nobody able to say whether it ran. What drops them counts in seconds, and
+# the end of an answer proves that the connection carried both ways so long ago. Against new ones
+# for each such call a fleet opens less than half as many connections; each costs its server a
+# handshake and one of its places.
+PROVEN_IDLE_S: Final = 1.0
 
 
 class BackendConnection:
@@ -45,7 +51,7 @@
         origin = httpcore.Origin(b"http", host.encode("ascii"), int(port))
         self._http = httpcore.AsyncHTTP11Connection(origin, stream)
         self._stream = stream
-        self.opened_at = monotonic()
+        self.opened_at = anyio.current_time()
         self.is_kept = False
         self._used = False
 
@@ -92,7 +98,8 @@
 class BackendPool:
     """Idle connections by address; owns them and closes them on exit."""
 
-    # For each address the idle connections and when they became so, the newest last.
+    # For each address the idle connections and when they became so, the newest last. By the loop's
+    # clock, which may count suspensions: a connection is no younger for its process having slept.
     _idle: defaultdict[str, list[tuple[float, BackendConnection]]]
     # For some addresses, the time up to which connections that were opened are not used again.
     _distrusted: dict[str, float]
@@ -120,16 +127,17 @@
                 await conn.close()
         self._idle.clear()
 
-    async def take(self, address: str, *, fresh: bool = False) -> BackendConnection:
-        """Take a connection to an address for one request; a fresh one has carried none.
+    async def take(self, address: str, *, idle_max_s: float = IDLE_MAX_S) -> BackendConnection:
+        """Take a connection to an address for one request; with 0.0, one that has carried none.
 
         Raises httpcore's errors where none can be opened.
         """
         idle = self._idle.get(address)
-        while idle and not fresh:
-            since, conn = idle.pop()
+        # The newest is the last: behind one that was idle for too long there is no better one.
+        while idle and anyio.current_time() - idle[-1][0] < idle_max_s:
+            _, conn = idle.pop()
             # One that the server closed meanwhile would break the request that is sent over it.
-            if monotonic() - since <= IDLE_MAX_S and self._may_use(address, conn):
+            if self._may_use(address, conn):
                 self.reused += 1
                 conn.is_kept = True
                 return conn
@@ -142,13 +150,13 @@
         """Keep a connection for another request, or close it where it cannot carry one."""
         idle = self._idle[address]
         if conn.is_idle and len(idle) < IDLE_MAX and self._is_trusted(address, conn):
-            idle.append((monotonic(), conn))
+            idle.append((anyio.current_time(), conn))
         else:
             await conn.close()
 
     def distrust(self, address: str) -> None:
         """Use no connection again that is open now, as they may all have gone silent together."""
-        self._distrusted[address] = monotonic()
+        self._distrusted[address] = anyio.current_time()
 
     def _is_trusted(self, address: str, conn: BackendConnection) -> bool:
         return conn.opened_at > self._distrusted.get(address, 0.0)
@@ -168,7 +176,7 @@
                 await self._sweep(address)
 
     async def _sweep(self, address: str) -> None:
-        oldest_kept = monotonic() - IDLE_MAX_S
+        oldest_kept = anyio.current_time() - IDLE_MAX_S
         idle = self._idle[address]
         old = [conn for since, conn in idle if since < oldest_kept]
         # Taken out of the list first: while one is being closed, an attempt may want another.
--- a/tests/core/lifecycle_script.py
+++ b/tests/core/lifecycle_script.py
@@ -95,6 +95,7 @@
             match effect:
                 case StartAttempt():
                     fresh = " fresh" if effect.fresh_connection else ""
+                    fresh += " proven" if effect.proven_connection else ""
                     resume = f" from {effect.resume_from}" if effect.resume_from else ""
                     self.out.append(
                         f"  start {effect.attempt_id} on {effect.server}{resume}{fresh}"
