Let streams of a crashed engine go on at once, and count no refusal as a run

What did get its turn was sent to the successor of the crashed engine by its old name, was refused as not meant for it, and ended, since the refusal had used up its second server.

Ruled out: an earlier word of the crash; it was there within milliseconds.

Change: what had events for a quarter of a second before the end is not blamed, as requests that crash servers do so as they are begun; a server that says that it ran nothing is not one of those that may run a request. Both tests fail without their part.

--- a/packages/turmericweir-core/turmericweir_core/attempt_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/attempt_flow.py
@@ -159,6 +159,10 @@
         case EndRefused(_, leaving):
             if leaving:
                 note_leaving(state.servers, attempt.server)
+            if attempt.sent:
+                # Failure where it counts as one of the servers that may run it: a call that may be
+                # sent to one server ends with the first that is full, though others are free.
+                req.sends -= 1
             paid = not leaving or state.options.retry_pay_all
             return _try_again(state, now, req, attempt, Reason.OVERLOAD, paid=paid)
         case EndUnsent(error) if attempt.sent:
--- a/packages/turmericweir-core/turmericweir_core/options.py
+++ b/packages/turmericweir-core/turmericweir_core/options.py
@@ -567,6 +567,10 @@
     trial_s: float = 1.0
     # A trial that its holder has not renewed for so long is over.
     trial_lease_s: float = 6.0
+    # An answer that had been coming for so long is not blamed for its server's end. Where requests
+    # that crash their servers do so as they are begun, that is some events; infinite where nothing
+    # is known of when they do.
+    harmless_s: float = float("inf")
     # No answer to an ask for a trial for so long, and the suspect runs without leave.
     trial_answer_s: float = 1.0
     # From a crash to the first trial of its suspects, in which the others' news of it arrive.
--- a/packages/turmericweir-core/turmericweir_core/quarantine.py
+++ b/packages/turmericweir-core/turmericweir_core/quarantine.py
@@ -91,7 +91,7 @@
 
 def note_broken(state: State, now: float, req: Request, attempt: Attempt, alive: bool) -> None:
     """Take a connection that broke after the request had been sent."""
-    if not req.fingerprint:
+    if not req.fingerprint or _is_harmless(state, attempt):
         return
     if alive:
         # No sign of a crash, unless the next report is of another incarnation.
@@ -101,6 +101,18 @@
     _note_seen(state, now, key, now, req.fingerprint, attempt.started)
 
 
+def _is_harmless(state: State, attempt: Attempt) -> bool:
+    """Tell whether an answer had been coming for too long to have crashed its server.
+
+    Failure without it: an engine dies with twenty streams that have run for a second or more. All
+    are suspects, wait for a server of their own one after the other, and their callers, who see no
+    event, leave after two seconds, though other engines could have gone on at once. So it is where
+    the way to a server is cut, which is no crash at all.
+    """
+    first, last = attempt.first_token_at, attempt.last_token_at
+    return first is not None and last is not None and last - first >= state.options.harmless_s
+
+
 def note_silent(state: State, now: float, req: Request, attempt: Attempt) -> None:
     """Take a connection that was given up for its silence.
 
--- a/packages/turmericweir-core/turmericweir_core/request.py
+++ b/packages/turmericweir-core/turmericweir_core/request.py
@@ -132,9 +132,9 @@
     # Parts of the prompt in order, each with its tokens; an engine that holds the first of them in
     # its cache does not read these again.
     parts: tuple[tuple[str, int], ...] = ()
-    # Servers that it may be sent to; None leaves that to the options.
+    # Servers that may run it; None leaves that to the options.
     sends_max: int | None = None
-    # Attempts that were sent, whether they began or were refused.
+    # Attempts that were sent, but for those whose server said that it did not run them.
     sends: int = 0
     # The caller gets its final word by then, whatever runs; None where it may take any time.
     end_by: float | None = None
--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -52,6 +52,8 @@
 # Of the bound on keys, what a request takes at the most from here to its server, and what clocks
 # and ticks may add.
 _REVOKE_MARGIN_S: Final = 0.6
+# Requests that crash their servers do so as they are begun; the events of this time are proof.
+_HARMLESS_S: Final = 0.25
 # Before the platform kills a process that was told to stop, it ends by itself.
 _STOP_MARGIN_S: Final = 0.5
 # The balancer looks away after two answers that are a second apart; until then callers still come.
@@ -135,6 +137,8 @@
         subset_size=64,
         first_silence_s=0.3,
         crash_doubt_s=0.0,
+        harmless_s=_HARMLESS_S,
+        trial_s=_HARMLESS_S,
         servers_stale_s=3.0,
         servers_ask_s=1.0,
         servers_wait_s=1.0,
--- a/tests/core/store_world.py
+++ b/tests/core/store_world.py
@@ -50,6 +50,8 @@
         "stop_limit_s": 7.5,
         "first_silence_s": 0.3,
         "crash_doubt_s": 0.0,
+        "harmless_s": 0.25,
+        "trial_s": 0.25,
         "subset_size": 64,
     }
     # Any: names of options with values of their types.
--- a/tests/core/test_dead_server.py
+++ b/tests/core/test_dead_server.py
@@ -7,7 +7,15 @@
 from tests.core.store_world import FIT, StoreWorld, account_of, only, start_of
 from turmericweir_core.account import Outcome
 from turmericweir_core.effects import CancelAttempt, FinishRequest, ProbeServer, StartAttempt
-from turmericweir_core.events import EndCancelled, EndUnsent, ServerAnswered, ServerUnreachable
+from turmericweir_core.events import (
+    EndBroken,
+    EndCancelled,
+    EndRefused,
+    EndUnsent,
+    RegistryRead,
+    ServerAnswered,
+    ServerUnreachable,
+)
 from turmericweir_core.ids import ServerName
 
 
@@ -150,3 +158,47 @@
     world.sent(long)
     world.wait(0.8)
     assert not only(world.effects, CancelAttempt)
+
+
+def test_streams_of_a_crashed_server_go_on_at_once() -> None:
+    """An engine crashes with three streams that may be resumed and have run for half a second.
+
+    Their callers leave two seconds after the last event. None of the streams can have crashed the
+    engine as it was begun, so all go on elsewhere at once and together. One that had not begun may
+    be what crashed it, and waits for a server where it runs alone.
+    """
+    world = StoreWorld(engines=1)
+    fields = {"service_class": FIT, "repeatable": True, "sends_max": 2, "prompt_tokens": 100}
+    starts = [
+        start_of(world.arrive(str(number), fingerprint=f"print-{number}", **fields))
+        for number in range(3)
+    ]
+    for start in starts:
+        world.sent(start)
+        world.begin(start)
+    world.wait(0.5)
+    for start in starts:
+        world.begin(start)
+    unbegun = start_of(world.arrive("unbegun", fingerprint="print-unbegun", **fields))
+    world.sent(unbegun)
+    other = world.entry("lm-2", "lm")
+    world.give(RegistryRead(((other, 2),)))
+    for start in starts:
+        effects = world.end(start, EndBroken("reset", server_alive=False))
+        assert start_of(effects).server == other.name
+    assert not only(world.end(unbegun, EndBroken("reset", server_alive=False)), StartAttempt)
+
+
+def test_a_call_that_a_server_has_not_run_goes_on_to_another() -> None:
+    """A call that one server may run is refused by a server whose place another one has taken.
+
+    Nothing has run it, so its caller is served by the next server rather than told to come again.
+    """
+    world = StoreWorld(engines=2)
+    start = start_of(world.arrive("1", service_class=FIT, prompt_tokens=100, sends_max=1))
+    world.sent(start)
+    again = start_of(world.end(start, EndRefused(421, leaving=True)))
+    assert again.server != start.server
+    world.sent(again)
+    effects = world.end(again, EndBroken("reset", server_alive=True))
+    assert account_of(effects).account.outcome is Outcome.UNKNOWN
