Predict an answer's length in time from all time over all events

The pace rested on the mean of gaps: an engine that reads prompts for half a second makes one event in it and sixteen in the next, and the mean of the two gaps is four times what an answer sees.

Ruled out: a stale pace (it is at most two seconds old), callers' estimates (right at the median).

Change: the pace is the time that answers ran for over the events that they had, both decayed over 3 s. The test fails with the mean of gaps.

--- a/packages/turmericweir-core/turmericweir_core/straggler.py
+++ b/packages/turmericweir-core/turmericweir_core/straggler.py
@@ -14,6 +14,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from math import exp
 from statistics import median
 from typing import Final
 
@@ -24,6 +25,8 @@
 # Samples are half a second apart while anything runs; one that is older tells of a time that is
 # over.
 _SEEN_VALID_S: Final = 2.0
+# Memory of how fast answers come: as long as a usual answer takes.
+_RAN_MEMORY_S: Final = 3.0
 
 
 @dataclass(slots=True)
@@ -36,6 +39,9 @@
     samples: int = 0
     # When the newest sample ended.
     seen_at: float = 0.0
+    # Time that answers ran for of late, seconds, and the tokens that they had in it, both decayed.
+    ran_s: float = 0.0
+    ran_tokens: float = 0.0
     # Share of its slots that it is given work for, 0..1; 0.0 is a stopped straggler.
     weight: float = 1.0
     # Stopped until then by late gaps, where no majority of servers could judge it.
@@ -91,6 +97,7 @@
         return
     # Without a token the gap is at least as long as the silence so far.
     _add_gap(state, options, now, service, attempt.server, elapsed / max(1, tokens))
+    _add_run(state, now, attempt.server, elapsed, tokens)
     attempt.sampled_at = now
     attempt.sampled_tokens = attempt.tokens
 
@@ -107,6 +114,7 @@
         tokens -= 1
     if tokens > 0 and last > since:
         _add_gap(state, options, last, service, attempt.server, (last - since) / tokens)
+        _add_run(state, last, attempt.server, last - since, tokens)
 
 
 def _add_gap(
@@ -121,7 +129,6 @@
     if pace is None:
         pace = state.by_server[server] = ServerPace(service)
     pace.service = service
-    pace.seen_at = max(pace.seen_at, now)
     pace.samples += 1
     weight = max(options.straggler_weight, 1.0 / pace.samples)
     if pace.weight == 0.0:
@@ -130,6 +137,16 @@
     pace.gap_s += weight * (gap - pace.gap_s)
 
 
+def _add_run(
+    state: StragglerState, now: float, server: ServerName, elapsed: float, tokens: int
+) -> None:
+    pace = state.by_server[server]
+    fade = exp(min(0.0, pace.seen_at - now) / _RAN_MEMORY_S)
+    pace.ran_s = pace.ran_s * fade + elapsed
+    pace.ran_tokens = pace.ran_tokens * fade + tokens
+    pace.seen_at = max(pace.seen_at, now)
+
+
 def judge_all(state: StragglerState, options: Options, now: float) -> list[ServerName]:
     """Set every server's weight anew; give the names of those newly found to be stragglers."""
     found: list[ServerName] = []
@@ -148,10 +165,14 @@
 def gap_seen(state: StragglerState, now: float, servers: Iterable[ServerName]) -> float | None:
     """Give the usual time between events at some servers, seconds; None where none was seen.
 
-    What was seen in a rush says nothing once it is over: with nothing running there is no sample.
+    All time over all events, not the mean of gaps: between prompts that are read an engine makes
+    ten events in the time of one, so of half a second with one event and another with sixteen the
+    mean is four times what an answer sees, and callers who could be served are refused. What was
+    seen in a rush says nothing once it is over: with nothing running there is no sample.
     """
-    paces = (state.by_server.get(name) for name in servers)
-    gaps = [pace.gap_s for pace in paces if pace and now - pace.seen_at <= _SEEN_VALID_S]
+    known = (state.by_server.get(name) for name in servers)
+    paces = [pace for pace in known if pace and now - pace.seen_at <= _SEEN_VALID_S]
+    gaps = [pace.ran_s / pace.ran_tokens for pace in paces if pace.ran_tokens]
     return median(gaps) if gaps else None
 
 
--- a/tests/core/test_predicted_admission.py
+++ b/tests/core/test_predicted_admission.py
@@ -85,3 +85,23 @@
     in_a_rush(world)
     fields = {"expected_tokens": LONG, "deadline": world.now + 4.0}
     assert not only(world.arrive("bounded", max_tokens=120, **fields), FinishRequest)
+
+
+def test_prompts_read_between_events_do_not_make_answers_seem_slower_than_they_are() -> None:
+    # An engine reads prompts for 1.6 s, in which each answer has four events, and makes forty in
+    # the next 0.4 s: one in 45 ms on the whole, so 300 tokens take 4.5 s. A caller who has 10 s is
+    # served; by the mean of the gaps that are seen, some 300 ms, it would be refused.
+    world = StoreWorld(engines=1)
+    starts = [start_of(world.arrive(f"busy-{number}", max_tokens=0)) for number in range(3)]
+    for start in starts:
+        world.sent(start)
+        world.begin(start)
+    for pause_s in (4 * [0.4] + 40 * [0.01]) * 3:
+        world.wait(pause_s)
+        for start in starts:
+            world.begin(start)
+    fields = {"expected_tokens": LONG, "max_tokens": 0}
+    served = world.arrive("served", deadline=world.now + 10.0, **fields)
+    assert not only(served, FinishRequest)
+    refused = world.arrive("refused", deadline=world.now + 3.0, **fields)
+    assert account_of(refused).account.outcome is Outcome.NOT_RUN
