Serve what ends before a stop does, and send refused callers on at once

Calls of a second's deadline were not served then, and quick answers late wherever they came back.

Ruled out: closing the idle connections at the stop; a request that crosses the close is lost or sent again, and what ends in time can as well be served.

Change: a stopping instance takes what ends by its own deadline before the stop does; others, and callers of an instance that alone has lost the store, are told to come back at once, since another instance can serve them now.

--- a/packages/turmericweir-core/turmericweir_core/lifecycle.py
+++ b/packages/turmericweir-core/turmericweir_core/lifecycle.py
@@ -14,6 +14,7 @@
 from turmericweir_core import (
     admission,
     document,
+    instance_refusal,
     limit,
     quarantine,
     queue_state,
@@ -61,9 +62,10 @@
     """Refuse a request at once, or let it wait for a server."""
     req = event.request
     state.requests[req.request_id] = req
-    refusal = _refusal(state, now, req)
+    refusal = instance_refusal.reason_to_refuse(state, now, req)
     if refusal is not None:
-        return finish(state, now, req, Outcome.NOT_RUN, refusal, retry_after_s=1.0)
+        pause = instance_refusal.come_back_s(state, now, refusal)
+        return finish(state, now, req, Outcome.NOT_RUN, refusal, retry_after_s=pause)
     if req.kind is Kind.MODEL:
         req.predicted_tokens = predict_tokens(state.predictor, state.options, req)
     barred = _barred(state, now, req)
@@ -80,17 +82,6 @@
     return effects + admit(state, now, req)
 
 
-def _refusal(state: State, now: float, req: Request) -> Reason | None:
-    if not state.has_settings:
-        return Reason.NO_SETTINGS
-    if not document.may_serve_key(state, now, req):
-        return Reason.KEY_UNPROVEN
-    stopping = state.stopping_since
-    if stopping is not None and now - stopping > state.options.stop_grace_s:
-        return Reason.STOPPING
-    return None
-
-
 def _barred(state: State, now: float, req: Request) -> list[Effect]:
     """Refuse a request that crashes servers, or whose customer or team is over a limit."""
     refused_s = quarantine.refused_for(state, now, req.fingerprint)
@@ -216,7 +207,8 @@
         if req.keyed:
             queue_state.remove(state.queues, req)
             reason = Reason.KEY_UNPROVEN
-            effects += finish(state, now, req, given_up(req), reason, retry_after_s=1.0)
+            pause = instance_refusal.come_back_s(state, now, reason)
+            effects += finish(state, now, req, given_up(req), reason, retry_after_s=pause)
     return effects
 
 
