Listen for callers before the daemon is loaded

Ruled out: a faster load by fewer classes (286 data classes take a third of it; most belong to modules that both ways of running share).

Change: the settings file is read and the callers' port listened on first; who connects meanwhile waits in the listener's queue and is answered.

--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -171,12 +171,15 @@
     from turmericweir_core.settings_sync import SettingsSync
 
 
-async def run(path: Path, cfg: EntrySettings, border: Border) -> int:
-    """Run the daemon by its settings file; return the status to exit with."""
+async def run(path: Path, cfg: EntrySettings, border: Border, callers: socket.socket) -> int:
+    """Run the daemon by its settings file, for those who connect to a socket of its caller.
+
+    Return the status to exit with.
+    """
     async with AsyncExitStack() as stack:
         pipe = stack.enter_context(LogPipe(sys.stdout.fileno(), cfg.name))
         logs.write("starting", data_centre=cfg.data_centre, store=cfg.store.address)
-        sockets = _bind_all(cfg, stack)
+        sockets = _bind_all(cfg, callers, stack)
         me = InstanceName(cfg.name)
         pool = await stack.enter_async_context(BackendPool())
         streams = await stack.enter_async_context(PeerStreams(me, cfg.peer_address))
@@ -208,14 +211,14 @@
     metrics: socket.socket | None
 
 
-def _bind_all(cfg: EntrySettings, stack: AsyncExitStack) -> _Sockets:
+def _bind_all(cfg: EntrySettings, callers: socket.socket, stack: AsyncExitStack) -> _Sockets:
     metrics = f"{cfg.host}:{cfg.metrics_port}" if cfg.metrics_port else ""
 
     def bound(address: str, step: str) -> socket.socket:
         return stack.enter_context(bind(address, step))
 
     return _Sockets(
-        callers=bound(cfg.caller_address, "listen for callers"),
+        callers=callers,
         readiness=bound(cfg.readiness_address, "listen for the balancer"),
         admin=bound(cfg.admin_address, "listen for operators") if cfg.admin_address else None,
         metrics=bound(metrics, "listen for the collector") if metrics else None,
