Have callers of a starting process wait for its settings

Ruled out: a later listen, which refuses them sooner.

Change: for a second after the start a request waits for the settings; later, where the store does not answer, callers are told at once as before. The test fails without it.

--- a/packages/turmericweir/turmericweir/forward_app.py
+++ b/packages/turmericweir/turmericweir/forward_app.py
@@ -28,6 +28,10 @@
 if TYPE_CHECKING:
     from uvicorn._types import ASGIReceiveCallable, ASGISendCallable, HTTPScope, Scope
 
+# After a start callers wait for the settings up to so long: the store gives them within some tens
+# of milliseconds, and whoever waited for the process to load would else be refused just before.
+# Without the store they come later or not at all, and callers are told at once.
+START_WAIT_S: Final = 1.0
 # A body that takes longer than this from the end of its headers is refused.
 BODY_S: Final = 20.0
 
@@ -38,11 +42,14 @@
     _node: Node
     _pool: BackendPool
     _wire: Wire
+    # Up to when callers wait for the settings.
+    _settings_by: float
 
     def __init__(self, node: Node, pool: BackendPool, wire: Wire) -> None:
         self._node = node
         self._pool = pool
         self._wire = wire
+        self._settings_by = anyio.current_time() + START_WAIT_S
 
     async def __call__(
         self, scope: Scope, receive: ASGIReceiveCallable, send: ASGISendCallable
@@ -95,6 +102,9 @@
     ) -> None:
         state = self._node.state
         body = await self._read_body(head, receive)
+        if not state.has_settings:
+            with anyio.CancelScope(deadline=self._settings_by):
+                await self._node.settings_known.wait()
         if not state.has_settings:
             raise RefusedError(Reason.NO_SETTINGS)
         request_id = RequestId(caller.request_id)
--- a/packages/turmericweir/turmericweir/node.py
+++ b/packages/turmericweir/turmericweir/node.py
@@ -140,6 +140,8 @@
     exchanges: dict[RequestId, Exchange]
     # Set when everything in flight is finished after a stop.
     exit_wanted: anyio.Event
+    # Set once there are settings.
+    settings_known: anyio.Event
     _reduce: Reducer
     _adapters: Adapters
     # Runs what no caller waits for.
@@ -165,6 +167,7 @@
         self._reduce = reduce
         self.exchanges = {}
         self.exit_wanted = anyio.Event()
+        self.settings_known = anyio.Event()
         self._adapters = adapters
         self._group = group
         self._queue = deque()
@@ -194,6 +197,8 @@
             logs.write_fault("reduce", type(event).__name__, exc)
             self._adapters.metrics.count("fault.reduce")
             self._fail_request(event, exc)
+        if self.state.has_settings and not self.settings_known.is_set():
+            self.settings_known.set()
 
     def _fail_request(self, event: Event, fault: Exception) -> None:
         match event:
--- a/tests/platform/test_store_trouble.py
+++ b/tests/platform/test_store_trouble.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Callable
 from functools import partial
 from pathlib import Path
@@ -146,6 +147,26 @@
         until(lambda: world.look().status == 200, "callers are served")
 
 
+def test_callers_of_a_starting_instance_wait_for_its_settings(tmp_path: Path) -> None:
+    # All instances stopped together. A caller connects while this one loads, and its request is
+    # read before the store has answered: it waits for that and is served, not told to come back.
+    with PlatformWorld(tmp_path, instances=0) as world:
+        world.store.slow_s = 0.05
+        instance = world.add_instance("entry-1", wait=False)
+        until(lambda: _connects(instance.callers), "its port is listened on")
+        assert world.look(request_id="s1").status == 200
+        assert not instance.logged("refused")
+
+
+def _connects(address: str) -> bool:
+    host, _, port = address.rpartition(":")
+    try:
+        socket.create_connection((host, int(port)), timeout=5).close()
+    except OSError:
+        return False
+    return True
+
+
 def test_an_instance_that_the_store_turns_away_follows_by_its_peers(tmp_path: Path) -> None:
     # The store refuses one instance and serves the other. A key is taken away, and a server leaves;
     # the refused one holds both, and goes on serving callers with keys.
