Have quick answers come from engines of the own data centre

Cause: all guest answers of a fleet ran on one engine, up to 56 at once, that which had read a few shared tokens first; the order of engines by hash put engines of quick answers anywhere.

Ruled out: own engines for long prompts as well; their shared parts of 5,400 tokens would be read once in each data centre.

Change: engines are ordered by hash with the data centres in turn, so that each has both kinds where there are enough; and one elsewhere counts as having 512 tokens more to read.

--- a/packages/turmericweir-core/turmericweir_core/engine_pools.py
+++ b/packages/turmericweir-core/turmericweir_core/engine_pools.py
@@ -18,6 +18,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from dataclasses import dataclass, field
 from math import ceil, exp
 from typing import TYPE_CHECKING, Final
@@ -155,13 +156,31 @@
     """Give the engines for a request, of those that serve it."""
     if len(engines) < 2:
         return engines
-    ordered = sorted(engines, key=lambda each: rendezvous_weight(req.target, each.entry.name))
+    ordered = _spread(req.target, engines)
     reading = _reading_count(state, now, req.target, len(engines))
     if bears_chunks(state, req, engines[0].service):
         return ordered[:reading]
     return ordered[reading:]
 
 
+def _spread(target: Target, engines: list[Server]) -> list[Server]:
+    """Order engines by hash, with those of the data centres in turn.
+
+    So each data centre has engines of both kinds where there are enough. Failure by the hash alone:
+    all engines of quick answers may stand in one data centre, and when it is cut off all the
+    others' answers are cut with it, though they have engines that would have been as good.
+    """
+    counted: defaultdict[str, int] = defaultdict(int)
+    order: list[tuple[int, int, Server]] = []
+    for place, engine in enumerate(
+        sorted(engines, key=lambda each: rendezvous_weight(target, each.entry.name))
+    ):
+        centre = engine.entry.data_centre
+        order.append((counted[centre], place, engine))
+        counted[centre] += 1
+    return [engine for _, _, engine in sorted(order, key=lambda each: each[:2])]
+
+
 def reading_engines(state: State, target: Target) -> int:
     """Give the number of engines that read long prompts, for logs."""
     split = state.pools.splits.get(target)
--- a/packages/turmericweir-core/turmericweir_core/predicted_placement.py
+++ b/packages/turmericweir-core/turmericweir_core/predicted_placement.py
@@ -37,6 +37,10 @@
 _LATE_WORK_WEIGHT: Final = 3.0
 # Tokens that are no difference between two engines.
 _SAME_READ: Final = 512.0
+# Tokens that the engines of other data centres seem to have to read on top. An answer from there is
+# cut when the data centres lose each other, and a few hundred tokens are read in some milliseconds;
+# parts of thousands are still read once for all of them.
+_REMOTE_READ: Final = 512.0
 # A request for which its own engines have no room goes to the others after such a part of the time
 # in which it should have begun: late there, but a moment's crowd sends nobody there.
 _SPILL_SHARE: Final = 0.5
@@ -78,6 +82,8 @@
     # It has to wait for that engine: another request has it read its first parts just now, or the
     # engine has enough to do.
     held_back: bool
+    # In another data centre.
+    remote: bool
 
 
 def _pick_engine(
@@ -143,6 +149,7 @@
         read=float(max(0, engine_model.uncached_tokens(book, req) - spared)),
         fetched=float(fetched),
         held_back=held_back or not _has_room(state, now, req, server),
+        remote=server.entry.data_centre != state.me.data_centre,
     )
 
 
@@ -158,7 +165,8 @@
     # Nobody may have told of the home: it held the part before this process was started.
     known = 1.0 - _HOME_SHARE if choice.server is home else 1.0
     if good:
-        return (False, choice.read * known + fetch_weight * choice.fetched, choice.begin_ms)
+        read = choice.read * known + fetch_weight * choice.fetched
+        return (False, read + _REMOTE_READ * choice.remote, choice.begin_ms)
     return (True, choice.begin_ms + _LATE_WORK_WEIGHT * known * choice.own_ms, 0.0)
 
 
--- a/tests/core/test_predicted_placement.py
+++ b/tests/core/test_predicted_placement.py
@@ -238,3 +238,47 @@
     (start,) = only(world.wait(0.5), StartAttempt)
     assert start.request_id == "next"
     assert start.server != first.server
+
+
+def test_quick_answers_come_from_the_own_data_centre() -> None:
+    """Three data centres with two engines each; one of them is about to be cut off.
+
+    Answers that come from another data centre are cut with it. Each has an engine for quick
+    answers, which its own callers use, whoever read the few shared tokens of their prompts first.
+    """
+    centres = {f"lm-{number}": f"dc-{'abc'[number % 3]}" for number in range(1, 7)}
+    used: set[str] = set()
+    for own in "abc":
+        world = StoreWorld(engines=6)
+        entries = [
+            replace(each, data_centre=centres.get(each.name, "dc-a")) for each in world.entries
+        ]
+        world.give(RegistryRead(tuple((each, 2) for each in entries), whole=True))
+        world.state.me = replace(world.state.me, data_centre=f"dc-{own}")
+        shared = ("greeting", 120)
+        fields = {"service_class": QUICK, "prompt_tokens": 700}
+        for number in range(20):
+            # The split follows the demand, of quick answers alone, one step in ten seconds.
+            world.wait(1.0)
+            parts = (shared, (f"q{number}", 580))
+            start = start_of(world.arrive(str(number), parts=parts, **fields))
+            world.begin(start)
+            world.end(start, EndComplete(200))
+        assert centres[start.server] == f"dc-{own}"
+        used.add(start.server)
+    assert len(used) == 3
+
+
+def test_a_long_part_is_read_once_for_all_data_centres() -> None:
+    """A sheet of 13,300 tokens was read in another data centre; nobody has it read once more."""
+    world = StoreWorld(engines=6)
+    first = start_of(world.arrive("1", prompt_tokens=17_000, parts=(SHARED, ("own-1", 3_700))))
+    world.begin(first)
+    world.end(first, EndComplete(200))
+    entries = [
+        replace(each, data_centre="dc-b" if each.name == first.server else "dc-a")
+        for each in world.entries
+    ]
+    world.give(RegistryRead(tuple((each, 2) for each in entries), whole=True))
+    second = start_of(world.arrive("2", prompt_tokens=17_000, parts=(SHARED, ("own-2", 3_700))))
+    assert second.server == first.server
