Learn how fast engines are, and admit by the engines of a request's own kind

Cause: the model of an engine has figures of a common one. The new fleet's engines read a token in a third of that time and take twice as long to the first event: quick answers began after 1.4 times the prediction at the median, long prompts after 0.66. The pace of each server, learnt by each instance from few requests, stayed at 0.9 to 1.0.

Change: for each service a straight line through what is seen of prompts that met an idle engine (engine_speed); reading and slots are planned together, for both kinds; the wait of a request is that of the engines it would go to.

--- a/packages/turmericweir-core/turmericweir_core/engine_model.py
+++ b/packages/turmericweir-core/turmericweir_core/engine_model.py
@@ -11,8 +11,8 @@
 - the parts of prompts that it was sent, least recently used first, within its memory;
 - its pace: observed over predicted time, where the prediction rested on little else.
 
-The figures of a common engine are in `Options`; the pace corrects them for each server. Everything
-is soft: a wrong guess costs time, never an answer.
+The figures of a common engine are in `Options`; `engine_speed` corrects them for each service, and
+the pace for each server of it. Everything is soft: a wrong guess costs time, never an answer.
 """
 
 from __future__ import annotations
@@ -21,7 +21,9 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
-from turmericweir_core.ids import AttemptId, InstanceName, ServerName
+from turmericweir_core import engine_speed
+from turmericweir_core.engine_speed import EngineSpeed
+from turmericweir_core.ids import AttemptId, InstanceName, ServerName, Target
 from turmericweir_core.options import Options
 from turmericweir_core.peer_messages import SentPart
 from turmericweir_core.request import Attempt, Request
@@ -74,6 +76,9 @@
     # Time to the first token that was predicted, and when the prompt was sent.
     predicted_ms: float
     sent_at: float
+    # What a common engine would read for, if this one had nothing else to read; None if it had, or
+    # was handed a part of the prompt.
+    common_ms: float | None
 
 
 @dataclass(slots=True)
@@ -110,6 +115,8 @@
     """The books of all servers."""
 
     by_server: dict[ServerName, EngineBook] = field(default_factory=dict)
+    # How fast the engines of each service are.
+    speeds: dict[Target, EngineSpeed] = field(default_factory=dict)
     # Something changed that other instances should know of.
     changed: bool = False
     # Parts that this instance has sent, or seen to be read, and not told of yet.
@@ -124,6 +131,14 @@
     return book
 
 
+def speed_of(state: State, target: Target) -> EngineSpeed:
+    """Give how fast the engines are that serve a target."""
+    speed = state.engines.speeds.get(target)
+    if speed is None:
+        speed = state.engines.speeds[target] = engine_speed.common(state.options)
+    return speed
+
+
 # --- what a request costs --------------------------------------------------------------------
 
 
@@ -195,13 +210,18 @@
     return tokens * options.prefill_ms_per_token + pairs * options.prefill_ms_per_pair
 
 
-def own_work_ms(options: Options, book: EngineBook, req: Request, spared: int = 0) -> float:
+def own_work_ms(state: State, book: EngineBook, req: Request, spared: int = 0) -> float:
     """Give the time that an engine would read a request's prompt for, milliseconds.
 
     It is spared what another request will have had it read by then.
     """
+    factor = speed_of(state, req.target).factor * book.pace
+    return _common_ms(state.options, book, req, spared) * factor
+
+
+def _common_ms(options: Options, book: EngineBook, req: Request, spared: int) -> float:
     tokens = max(0, uncached_tokens(book, req) - spared)
-    return prefill_ms(options, tokens, req.prompt_tokens) * book.pace
+    return prefill_ms(options, tokens, req.prompt_tokens)
 
 
 def pending_at(book: EngineBook, now: float) -> list[Pending]:
@@ -279,15 +299,17 @@
         return
     fetch = best_fetch(state, req, server)
     spared = 0 if fetch is None else fetch.tokens
-    own = own_work_ms(state.options, book, req, spared)
+    own = own_work_ms(state, book, req, spared)
     if fetch is not None:
         own += fetch_ms(state.options, server, fetch)
     rank = rank_of(req.service_class)
     wait = waiting_ms(book, now, rank)
     if not wait:
         book.reading_since = now
-    predicted = wait + own + state.options.first_token_ms
-    book.prefills[attempt.attempt_id] = Prefill(own, rank, size_of(req), predicted, now)
+    predicted = wait + own + speed_of(state, req.target).first_ms
+    is_alone = not wait and fetch is None
+    common_ms = _common_ms(state.options, book, req, spared) if is_alone else None
+    book.prefills[attempt.attempt_id] = Prefill(own, rank, size_of(req), predicted, now, common_ms)
     until = now + _READING_X * predicted / _MS + _READING_S
     for part, tokens in req.parts:
         if part in book.cached:
@@ -339,6 +361,9 @@
                 told = SentPart(attempt.server, part, tokens, read=True, for_ms=0)
                 state.engines.unsaid.append(told)
             note_cached(book, server, part, tokens)
+    if prefill.common_ms is not None:
+        took_ms = (now - prefill.sent_at) * _MS
+        engine_speed.learn(speed_of(state, req.target), prefill.common_ms * book.pace, took_ms)
     own_share = prefill.work_ms / max(1.0, prefill.predicted_ms)
     if own_share < _PACE_OWN_SHARE or prefill.work_ms < _PACE_MIN_MS:
         return
--- a/packages/turmericweir-core/turmericweir_core/engine_pools.py
+++ b/packages/turmericweir-core/turmericweir_core/engine_pools.py
@@ -24,7 +24,7 @@
 from typing import TYPE_CHECKING, Final
 
 from turmericweir_core import engine_model, urgent_first
-from turmericweir_core.config import Service
+from turmericweir_core.config import Service, ServiceClass
 from turmericweir_core.ids import InstanceName, Target
 from turmericweir_core.peer_messages import DemandRow
 from turmericweir_core.request import Request
@@ -84,9 +84,9 @@
     splits: dict[Target, Split] = field(default_factory=dict)
 
 
-def bears_chunks(state: State, req: Request, service: Service) -> bool:
+def bears_chunks(state: State, service_class: ServiceClass, service: Service) -> bool:
     """Tell whether an answer is in time although long prompts are read beside it."""
-    return _bears(state, req.service_class.token_gap_target_s, service)
+    return _bears(state, service_class.token_gap_target_s, service)
 
 
 def _bears(state: State, gap_s: float | None, service: Service) -> bool:
@@ -102,12 +102,13 @@
     demand = state.pools.own.setdefault(req.target, Demand(at=now))
     _fade(demand, now)
     books = (engine_model.book_of(state, each.entry.name) for each in engines)
-    work = min(engine_model.own_work_ms(state.options, book, req) for book in books)
-    if bears_chunks(state, req, engines[0].service):
-        demand.long_ms += work + state.options.first_token_ms
+    work = min(engine_model.own_work_ms(state, book, req) for book in books)
+    # While an engine reads, its answers stand nearly still, so both take their part of its time.
+    work += _slot_ms(state, req, engines[0])
+    if bears_chunks(state, req.service_class, engines[0].service):
+        demand.long_ms += work
     else:
-        # An engine reads and generates at once: what fills it sooner counts.
-        demand.quick_ms += max(work, _slot_ms(state, req, engines[0]))
+        demand.quick_ms += work
 
 
 def _slot_ms(state: State, req: Request, engine: Server) -> float:
@@ -158,7 +159,7 @@
         return engines
     ordered = _spread(req.target, engines)
     reading = _reading_count(state, now, req.target, len(engines))
-    if bears_chunks(state, req, engines[0].service):
+    if bears_chunks(state, req.service_class, engines[0].service):
         return ordered[:reading]
     return ordered[reading:]
 
--- a/packages/turmericweir-core/turmericweir_core/predicted_admission.py
+++ b/packages/turmericweir-core/turmericweir_core/predicted_admission.py
@@ -1,8 +1,10 @@
 """Refuse what cannot be answered in time, by the model of the engines.
 
 The wait of a new request is what waits here before it, of its own and more urgent ranks, spread
-over the engines, and the shortest wait at any of them. All instances are taken to have as much
-waiting as this one. Beyond its time it is refused at once, and told when the rest will be through.
+over the engines of its kind, and the shortest wait at any of them. All instances are taken to have
+as much waiting as this one. Beyond its time it is refused at once, and told when the rest will be
+through. Failure where all engines are counted: one of six reads long prompts in a rush of quick
+answers, and each that is let in for a sixth of its wait leaves unserved after eight seconds.
 
 An answer has to end in time as well. Beside prompts that are read without a break an engine makes
 a token in 50 ms rather than 8, and a long answer is cut at its deadline, after it has taken a
@@ -41,18 +43,22 @@
     servers = open_servers(state, now, req.target)
     if not servers or servers[0].service.kind is not Kind.MODEL:
         return 0.0
+    service = servers[0].service
+    engines = engine_pools.choose(state, now, req, servers)
+    is_long = engine_pools.bears_chunks(state, req.service_class, service)
     work = sum(
-        _queued_ms(state, servers, queue)
+        _queued_ms(state, engines, queue)
         for queue in queue_state.pool_queues(state.queues, pool)
         if rank_of(queue.service_class) <= rank_of(req.service_class)
+        and engine_pools.bears_chunks(state, queue.service_class, service) == is_long
     )
-    ahead = work * max(1, state.subsets.instances) / len(servers)
-    return (ahead + predicted_placement.shortest_wait_ms(state, now, servers)) / _MS
+    ahead = work * max(1, state.subsets.instances) / len(engines)
+    return (ahead + predicted_placement.shortest_wait_ms(state, now, engines)) / _MS
 
 
 def _queued_ms(state: State, servers: list[Server], queue: queue_state.ClassQueue) -> float:
     book = engine_model.book_of(state, servers[0].entry.name)
-    return sum(engine_model.own_work_ms(state.options, book, each) for each in queue.waiting())
+    return sum(engine_model.own_work_ms(state, book, each) for each in queue.waiting())
 
 
 def may_wait(state: State, now: float, req: Request, wait: float) -> bool:
--- a/packages/turmericweir-core/turmericweir_core/predicted_placement.py
+++ b/packages/turmericweir-core/turmericweir_core/predicted_placement.py
@@ -106,7 +106,7 @@
     one for long prompts, and half of the most urgent callers leave unanswered while less urgent
     prompts begin. There its events pause for longer than promised, which is better than none.
     """
-    if engine_pools.bears_chunks(state, req, own_kind[0].service):
+    if engine_pools.bears_chunks(state, req.service_class, own_kind[0].service):
         return False
     return now - req.arrived >= _SPILL_SHARE * req.service_class.target_s
 
@@ -139,7 +139,7 @@
         if fetch is not None:
             spared = fetched = fetch.tokens
             extra_ms = engine_model.fetch_ms(options, server, fetch)
-    own = engine_model.own_work_ms(options, book, req, spared) + extra_ms
+    own = engine_model.own_work_ms(state, book, req, spared) + extra_ms
     wait = engine_model.waiting_ms(book, now, rank_of(req.service_class))
     return _Choice(
         server=server,
@@ -194,7 +194,7 @@
     leave. At the engine they go before all long prompts but the one in hand.
     """
     limit = state.options.engine_wait_share * req.service_class.target_s
-    if engine_pools.bears_chunks(state, req, server.service):
+    if engine_pools.bears_chunks(state, req.service_class, server.service):
         return limit
     return limit + now - req.arrived
 
--- a/tests/core/test_predicted_admission.py
+++ b/tests/core/test_predicted_admission.py
@@ -5,10 +5,12 @@
 from dataclasses import replace
 from typing import Final
 
-from tests.core.store_world import BULK, QUICK, StoreWorld, account_of, only, start_of
+from tests.core.store_world import BULK, MODEL, QUICK, StoreWorld, account_of, only, start_of
+from turmericweir_core import engine_pools
 from turmericweir_core.account import Outcome
 from turmericweir_core.effects import FinishRequest, Log, StartAttempt
 from turmericweir_core.events import EndComplete
+from turmericweir_core.peer_messages import DemandRow, LoadNews
 
 # Events of three tokens; with 50 ms between them, 300 tokens take 5 s.
 GAP_S: Final = 0.05
@@ -105,3 +107,24 @@
     assert not only(served, FinishRequest)
     refused = world.arrive("refused", deadline=world.now + 3.0, **fields)
     assert account_of(refused).account.outcome is Outcome.NOT_RUN
+
+
+def test_the_wait_for_engines_of_the_own_kind_is_what_counts() -> None:
+    # One of five engines reads long prompts while quick answers fill the others. Ten long prompts
+    # wait for it, 5 s of work, and a caller who has 4 s is refused at once; spread over all five
+    # engines the wait would seem to be a second, and the caller would leave with nothing.
+    world = StoreWorld(engines=5)
+    world.wait(0.05)
+    split = world.state.pools.splits[MODEL] = engine_pools.Split(reading=1, quick_first=True)
+    split.settings = world.state.config.offset
+    demand = [DemandRow(MODEL, 500, 3_500, None)]
+    for number in range(14):
+        world.wait(0.05)
+        world.peer("a-2", LoadNews("x", number, [], [], demand))
+        size = 20_000
+        world.arrive(str(number), prompt_tokens=size, parts=((f"p{number}", size),), max_tokens=0)
+    assert engine_pools.reading_engines(world.state, MODEL) == 1
+    fields = {"prompt_tokens": 20_000, "max_tokens": 0}
+    refused = account_of(world.arrive("late", deadline=world.now + 4.0, **fields)).account
+    assert refused.outcome is Outcome.NOT_RUN
+    assert refused.retry_after_s is not None
