--- a/packages/turmericweir-core/turmericweir_core/peer_messages.py
+++ b/packages/turmericweir-core/turmericweir_core/peer_messages.py
@@ -253,6 +253,27 @@
     demand: list[DemandRow] = field(default_factory=list)
 
 
+@dataclass(frozen=True, slots=True)
+class CachesAsk:
+    """Tell me what you know of the engines' caches; I have just started."""
+
+
+@dataclass(frozen=True, slots=True)
+class CachesServer:
+    """Parts that an engine is taken to hold, the newest last, and the tokens of each."""
+
+    server: str
+    parts: list[str]
+    tokens: list[int]
+
+
+@dataclass(frozen=True, slots=True)
+class CachesSend:
+    """What the sender knows of the engines' caches."""
+
+    servers: list[CachesServer]
+
+
 # --- credits: slots of servers, leased by one dispatcher for each; see `credit` ------------------
 
 
@@ -553,6 +574,8 @@
     | DocumentProof
     | LoadNews
     | RegistryNews
+    | CachesAsk
+    | CachesSend
     | CreditDemand
     | CreditGrant
     | ClaimAsk
@@ -587,6 +610,8 @@
     DocumentProof,
     LoadNews,
     RegistryNews,
+    CachesAsk,
+    CachesSend,
     CreditDemand,
     CreditGrant,
     ClaimAsk,
--- a/packages/turmericweir-core/turmericweir_core/reducer_store.py
+++ b/packages/turmericweir-core/turmericweir_core/reducer_store.py
@@ -9,7 +9,15 @@
 
 from typing import assert_never
 
-from turmericweir_core import dead_server, dispatch, document, leaving, load_news, registry
+from turmericweir_core import (
+    cache_handover,
+    dead_server,
+    dispatch,
+    document,
+    leaving,
+    load_news,
+    registry,
+)
 from turmericweir_core.effects import Effect
 from turmericweir_core.events import (
     AppendDone,
@@ -45,6 +53,8 @@
     WeightsAnswered,
 )
 from turmericweir_core.peer_messages import (
+    CachesAsk,
+    CachesSend,
     DocumentAsk,
     DocumentProof,
     DocumentSend,
@@ -106,6 +116,10 @@
             effects = registry.on_news(state, now, sender, news)
             effects += leaving.mark_leavers(state, now)
             return effects + dispatch.dispatch_all(state, now)
+        case PeerReceived(sender, CachesAsk()):
+            return cache_handover.on_ask(state, now, sender)
+        case PeerReceived(sender, CachesSend() as message):
+            return cache_handover.on_told(state, sender, message)
         case (
             RequestArrived()
             | CallerLeft()
@@ -143,5 +157,6 @@
     effects += tick_requests(state, now)
     effects += dead_server.on_tick(state, now)
     effects += document.on_tick(state, now)
+    effects += cache_handover.on_tick(state, now)
     effects += tick_others(state, now)
     return effects + exit_when_done(state, now, flushed=True)
--- a/packages/turmericweir-core/turmericweir_core/state.py
+++ b/packages/turmericweir-core/turmericweir_core/state.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from turmericweir_core.account_store import AccountStore
+from turmericweir_core.cache_handover import HandoverState
 from turmericweir_core.claim_state import ClaimState
 from turmericweir_core.concurrency import LimitState as ServerLimits
 from turmericweir_core.config import Config
@@ -100,6 +101,7 @@
     # How the engines of a service are split between long prompts and quick answers.
     pools: PoolState = field(default_factory=PoolState)
     news: NewsState = field(default_factory=NewsState)
+    handover: HandoverState = field(default_factory=HandoverState)
     # How often each server failed of late.
     reliability: ReliabilityState = field(default_factory=ReliabilityState)
     stragglers: StragglerState = field(default_factory=StragglerState)
