--- a/packages/turmericweir-core/turmericweir_core/engine_pools.py
+++ b/packages/turmericweir-core/turmericweir_core/engine_pools.py
@@ -42,7 +42,7 @@
 # Above this part of their time the engines of the quick answers are short, and long prompts make
 # way; more than the share at which they are planned, so that the split doesn't swing with each
 # request.
-_SHORT_SHARE: Final = 0.7
+_SHORT_SHARE: Final = 0.9
 # Before any demand was seen: part of the engines that read.
 _START_SHARE: Final = 0.6
 # So long a smaller split is wanted before it is made.
