--- a/tests/core/test_cache_handover.py
+++ b/tests/core/test_cache_handover.py
@@ -5,6 +5,7 @@
 from tests.core.store_world import StoreWorld, only, start_of
 from turmericweir_core.effects import SendPeer
 from turmericweir_core.events import EndComplete
+from turmericweir_core.ids import ServerName
 from turmericweir_core.peer_messages import CachesAsk, CachesSend
 
 SHARED = ("sheet", 13_300)
@@ -26,9 +27,9 @@
     peer.begin(first)
     peer.end(first, EndComplete(200))
     for engine in range(1, 6):
-        held = f"lm-{engine}"
+        held = ServerName(f"lm-{engine}")
         book = peer.state.engines.by_server[first.server]
-        peer.state.engines.by_server = {peer.state.servers.by_name[held].entry.name: book}
+        peer.state.engines.by_server = {held: book}
         restarted = StoreWorld(engines=5, name="a-2")
         restarted.know("a-1")
         restarted.wait(0.05)
