--- a/packages/turmericweir-core/turmericweir_core/dispatch.py
+++ b/packages/turmericweir-core/turmericweir_core/dispatch.py
@@ -174,13 +174,22 @@
             address=server.entry.address,
             priority=_rank(req, attempt),
             resume_from=req.delivered if req.kind is Kind.MODEL else 0,
-            fresh_connection=req.went_silent,
+            fresh_connection=req.went_silent or _is_lost_for_good(req),
             proven_connection=not req.repeatable,
             fetch_from=fetch_from,
         ),
     ]
 
 
+def _is_lost_for_good(req: Request) -> bool:
+    """Tell whether a request that goes out on a dead connection does harm that nothing mends.
+
+    A reservation may have been made, and nobody can say so to its caller; so it has a connection of
+    its own, which carried nothing before. An answer of a model can be asked for again.
+    """
+    return req.kind is Kind.PLAIN and not req.repeatable
+
+
 def _rank(req: Request, attempt: Attempt) -> int:
     """Give what its server schedules an attempt by."""
     rank = req.service_class.rank
--- a/packages/turmericweir/turmericweir/backend_pool.py
+++ b/packages/turmericweir/turmericweir/backend_pool.py
@@ -23,12 +23,11 @@
 # Idle connections kept for one address; a burst leaves more, which are closed.
 IDLE_MAX: Final = 64
 _SWEEP_S: Final = 1.0
-# A call that must not be sent twice goes out on a connection that has been idle for less, or a new
-# one. Failure without the bound: the server, or something between, drops idle connections, and the
-# call is lost on one with nobody able to say whether it ran. What drops them counts in seconds, and
-# the end of an answer proves that the connection carried both ways so long ago. Against new ones
-# for each such call a fleet opens less than half as many connections; each costs its server a
-# handshake and one of its places.
+# A model's answer that must not be begun twice comes over a connection that has been idle for less,
+# or a new one. Failure without the bound: the server, or something between, drops idle connections,
+# and the request is lost on one with nobody able to say whether it ran. What drops them counts in
+# seconds, and the end of an answer proves that the connection carried both ways so long ago. Each
+# new one costs its server a handshake and one of its places.
 PROVEN_IDLE_S: Final = 1.0
 
 
--- a/tests/core/lifecycle_script.py
+++ b/tests/core/lifecycle_script.py
@@ -94,8 +94,11 @@
         for effect in effects:
             match effect:
                 case StartAttempt():
-                    fresh = " fresh" if effect.fresh_connection else ""
-                    fresh += " proven" if effect.proven_connection else ""
+                    fresh = ""
+                    if effect.fresh_connection:
+                        fresh = " fresh"
+                    elif effect.proven_connection:
+                        fresh = " proven"
                     resume = f" from {effect.resume_from}" if effect.resume_from else ""
                     self.out.append(
                         f"  start {effect.attempt_id} on {effect.server}{resume}{fresh}"
