Answer who waits when a stop comes while the process loads

Callers are listened for before the daemon is loaded, and a stop in that time ended the process at once, with connections waiting.

Change: a signal that comes while modules load is kept, and the daemon begins its stop once it takes signals itself. The test of a start that is waited for has the signal come in that time, and ends the test process without the change.

--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -171,10 +171,16 @@
     from turmericweir_core.settings_sync import SettingsSync
 
 
-async def run(path: Path, cfg: EntrySettings, border: Border, callers: socket.socket) -> int:
+async def run(
+    path: Path,
+    cfg: EntrySettings,
+    border: Border,
+    callers: socket.socket,
+    stop_asked: Callable[[], bool],
+) -> int:
     """Run the daemon by its settings file, for those who connect to a socket of its caller.
 
-    Return the status to exit with.
+    `stop_asked` tells whether a signal to stop came earlier. Return the status to exit with.
     """
     async with AsyncExitStack() as stack:
         pipe = stack.enter_context(LogPipe(sys.stdout.fileno(), cfg.name))
@@ -197,6 +203,7 @@
             group.start_soon(_reload_forever, node, path)
             _start(node, pool, streams, datagrams, follower, group)
             _tune_collector()
+            group.start_soon(_take_signals, node, stop_asked)
             await _serve(cfg, node, pool, border, metrics, sockets)
             group.cancel_scope.cancel()
         logs.write("stopped", in_flight=len(node.exchanges))
@@ -280,7 +287,6 @@
         if sockets.metrics is not None:
             collected = HttpServer(MetricsApp(metrics), limits)
             group.start_soon(_serve_http, collected, sockets.metrics)
-        group.start_soon(_take_signals, node)
         group.start_soon(_stop_when_done, node, callers, group.cancel_scope)
         group.start_soon(_announce, node)
         await _serve_http(callers, sockets.callers)
@@ -331,8 +337,12 @@
     logs.write("ready", after_ms=round((anyio.current_time() - started) * 1000))
 
 
-async def _take_signals(node: Node) -> None:
+async def _take_signals(node: Node, stop_asked: Callable[[], bool]) -> None:
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        # Looked at once signals come here, so that none is lost in between.
+        if stop_asked() and not node.stopping:
+            logs.write("signal", signal="SIGTERM", in_flight=len(node.exchanges))
+            node.stop()
         async for signum in signals:
             logs.write("signal", signal=signum.name, in_flight=len(node.exchanges))
             if signum != signal.SIGHUP and not node.stopping:
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import json
+import os
+import signal
 import socket
 import subprocess
 import sys
+from collections.abc import Callable
 from pathlib import Path
 from types import ModuleType
 from typing import Final
@@ -34,7 +37,13 @@
     monkeypatch.setenv(names.SETTINGS_VARIABLE, str(file))
     heard: list[bytes] = []
 
-    def run_daemon(path: Path, cfg: EntrySettings, callers: socket.socket) -> int:
+    def run_daemon(
+        path: Path, cfg: EntrySettings, callers: socket.socket, stop_asked: Callable[[], bool]
+    ) -> int:
+        # The platform stops it again while it loads: it is to answer first whoever waits.
+        assert not stop_asked()
+        os.kill(os.getpid(), signal.SIGTERM)
+        assert stop_asked()
         host, _, port = cfg.caller_address.rpartition(":")
         with socket.create_connection((host, int(port)), timeout=10) as caller:
             caller.sendall(b"GET / HTTP/1.1\r\n\r\n")
@@ -47,7 +56,11 @@
     loading = ModuleType("turmericweir_platform.start")
     vars(loading)["run_daemon"] = run_daemon
     monkeypatch.setitem(sys.modules, loading.__name__, loading)
-    assert program.main() == 0
+    before = signal.getsignal(signal.SIGTERM)
+    try:
+        assert program.main() == 0
+    finally:
+        signal.signal(signal.SIGTERM, before)
     assert heard == [b"GET / HTTP/1.1\r\n\r\n"]
 
 
