--- a/packages/turmericweir-core/turmericweir_core/account.py
+++ b/packages/turmericweir-core/turmericweir_core/base/account.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from turmericweir_core.reasons import Reason
+from turmericweir_core.base.reasons import Reason
 
 
 class Outcome(StrEnum):
--- a/packages/turmericweir-core/turmericweir_core/config.py
+++ b/packages/turmericweir-core/turmericweir_core/base/config.py
@@ -9,8 +9,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from turmericweir_core.ids import ServerName, Target
-from turmericweir_core.routes import RouteTable
+from turmericweir_core.base.ids import ServerName, Target
+from turmericweir_core.base.routes import RouteTable
 
 
 class Kind(StrEnum):
--- a/packages/turmericweir-core/turmericweir_core/request.py
+++ b/packages/turmericweir-core/turmericweir_core/base/request.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from turmericweir_core.config import Kind, ServiceClass
-from turmericweir_core.ids import AttemptId, RequestId, ServerName, Target
+from turmericweir_core.base.config import Kind, ServiceClass
+from turmericweir_core.base.ids import AttemptId, RequestId, ServerName, Target
 
 
 class CancelReason(StrEnum):
--- a/packages/turmericweir-core/turmericweir_core/routes.py
+++ b/packages/turmericweir-core/turmericweir_core/base/routes.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from turmericweir_core.ids import Target
+from turmericweir_core.base.ids import Target
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/turmericweir-core/turmericweir_core/tiers.py
+++ b/packages/turmericweir-core/turmericweir_core/base/tiers.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from dataclasses import replace
 
-from turmericweir_core.config import Config, ServiceClass
+from turmericweir_core.base.config import Config, ServiceClass
 
 
 def most_urgent(config: Config) -> int:
--- a/packages/turmericweir-core/turmericweir_core/claim_carry.py
+++ b/packages/turmericweir-core/turmericweir_core/claims/claim_carry.py
@@ -11,12 +11,12 @@
 
 from itertools import islice
 
-from turmericweir_core.claim_outbox import flush
-from turmericweir_core.claim_record import NO_FLOOR, NO_VIEW
-from turmericweir_core.claim_view import FIRST_VIEW, epoch_of
-from turmericweir_core.effects import Effect, Log
-from turmericweir_core.membership import live_instances
-from turmericweir_core.state import State
+from turmericweir_core.claims.claim_outbox import flush
+from turmericweir_core.membership.membership import live_instances
+from turmericweir_core.messages.effects import Effect, Log
+from turmericweir_core.records.claim_record import NO_FLOOR, NO_VIEW
+from turmericweir_core.state.claim_view import FIRST_VIEW, epoch_of
+from turmericweir_core.state.state import State
 
 
 def on_tick(state: State, now: float) -> list[Effect]:
--- a/packages/turmericweir-core/turmericweir_core/claim_end.py
+++ b/packages/turmericweir-core/turmericweir_core/claims/claim_end.py
@@ -5,17 +5,17 @@
 
 from __future__ import annotations
 
-from turmericweir_core.account import Account, Outcome
-from turmericweir_core.claim_answer import KeptAnswer, KeptEnd, keep_end
-from turmericweir_core.claim_outbox import put_end, put_withdrawal
-from turmericweir_core.claim_peer import told_kept
-from turmericweir_core.claim_record import ClaimEnd, EndRecord
-from turmericweir_core.claim_state import drop_wait
-from turmericweir_core.claim_vote import known_holder, release
-from turmericweir_core.effects import Effect
-from turmericweir_core.ids import RequestId
-from turmericweir_core.request import Request
-from turmericweir_core.state import State
+from turmericweir_core.base.account import Account, Outcome
+from turmericweir_core.base.ids import RequestId
+from turmericweir_core.base.request import Request
+from turmericweir_core.claims.claim_outbox import put_end, put_withdrawal
+from turmericweir_core.claims.claim_peer import told_kept
+from turmericweir_core.claims.claim_vote import known_holder, release
+from turmericweir_core.messages.effects import Effect
+from turmericweir_core.records.claim_answer import KeptAnswer, KeptEnd, keep_end
+from turmericweir_core.records.claim_record import ClaimEnd, EndRecord
+from turmericweir_core.state.claim_state import drop_wait
+from turmericweir_core.state.state import State
 
 
 def note_finished(
--- a/packages/turmericweir-core/turmericweir_core/claim_members.py
+++ b/packages/turmericweir-core/turmericweir_core/claims/claim_members.py
@@ -11,12 +11,13 @@
 
 import xxhash
 
-from turmericweir_core.claim_outbox import flush, is_log_slow, writer_of
-from turmericweir_core.claim_record import NO_VIEW, Writer
-from turmericweir_core.claim_view import View, is_member
-from turmericweir_core.effects import Effect
-from turmericweir_core.membership import Member, is_live, live_instances
-from turmericweir_core.state import State
+from turmericweir_core.claims.claim_outbox import flush, is_log_slow, writer_of
+from turmericweir_core.membership.membership import is_live, live_instances
+from turmericweir_core.messages.effects import Effect
+from turmericweir_core.records.claim_record import NO_VIEW, Writer
+from turmericweir_core.state.claim_view import View, is_member
+from turmericweir_core.state.membership_state import Member
+from turmericweir_core.state.state import State
 
 HASHES: Final = 2**32
 
--- a/packages/turmericweir-core/turmericweir_core/claim_outbox.py
+++ b/packages/turmericweir-core/turmericweir_core/claims/claim_outbox.py
@@ -11,9 +11,12 @@
 
 from itertools import islice
 
-from turmericweir_core.claim_clock import told_clocks
-from turmericweir_core.claim_ledger import Claim, floor_of
-from turmericweir_core.claim_record import (
+from turmericweir_core.base.ids import RequestId
+from turmericweir_core.base.options import Options
+from turmericweir_core.membership.membership import live_instances
+from turmericweir_core.messages.effects import AppendRecords, Count, Effect, ReadLog
+from turmericweir_core.messages.events import AppendDone, AppendFailed
+from turmericweir_core.records.claim_record import (
     CLAIMS_STREAM,
     AgreedClaim,
     Batch,
@@ -26,14 +29,11 @@
     encode,
     time_of,
 )
-from turmericweir_core.claim_state import ClaimState, Outbox
-from turmericweir_core.claim_view import epoch_of
-from turmericweir_core.effects import AppendRecords, Count, Effect, ReadLog
-from turmericweir_core.events import AppendDone, AppendFailed
-from turmericweir_core.ids import RequestId
-from turmericweir_core.membership import live_instances
-from turmericweir_core.options import Options
-from turmericweir_core.state import State
+from turmericweir_core.state.claim_clock import told_clocks
+from turmericweir_core.state.claim_ledger import Claim, floor_of
+from turmericweir_core.state.claim_state import ClaimState, Outbox
+from turmericweir_core.state.claim_view import epoch_of
+from turmericweir_core.state.state import State
 
 # --- what is to be said ----------------------------------------------------------------------
 
--- a/packages/turmericweir-core/turmericweir_core/claim_peer.py
+++ b/packages/turmericweir-core/turmericweir_core/claims/claim_peer.py
@@ -9,15 +9,15 @@
 from base64 import b64decode, b64encode
 from typing import Final
 
-from turmericweir_core.account import Outcome
-from turmericweir_core.claim_answer import KeptAnswer, KeptEnd
-from turmericweir_core.claim_record import ClaimEnd
-from turmericweir_core.claim_state import Asker, Wait
-from turmericweir_core.effects import Effect, SendPeer
-from turmericweir_core.ids import InstanceName, RequestId
-from turmericweir_core.peer_messages import ClaimAsk, ClaimKept, ClaimOpen, ClaimUnheld
-from turmericweir_core.reasons import Reason
-from turmericweir_core.state import State
+from turmericweir_core.base.account import Outcome
+from turmericweir_core.base.ids import InstanceName, RequestId
+from turmericweir_core.base.reasons import Reason
+from turmericweir_core.messages.effects import Effect, SendPeer
+from turmericweir_core.messages.peer_messages import ClaimAsk, ClaimKept, ClaimOpen, ClaimUnheld
+from turmericweir_core.records.claim_answer import KeptAnswer, KeptEnd
+from turmericweir_core.records.claim_record import ClaimEnd
+from turmericweir_core.state.claim_state import Asker, Wait
+from turmericweir_core.state.state import State
 
 # Headers are bytes by the protocol; this encoding maps each to one character and back.
 LATIN: Final = "latin-1"
--- a/packages/turmericweir-core/turmericweir_core/claim_vote.py
+++ b/packages/turmericweir-core/turmericweir_core/claims/claim_vote.py
@@ -22,16 +22,16 @@
 
 from __future__ import annotations
 
-from turmericweir_core.claim_ledger import Claim, Folded, holder_of
-from turmericweir_core.claim_outbox import is_in_doubt, put_withdrawal, writer_of
-from turmericweir_core.claim_record import NewClaim, Writer, time_of
-from turmericweir_core.claim_state import ClaimState, Vote
-from turmericweir_core.claim_view import View, is_member
-from turmericweir_core.effects import Effect, SendPeer
-from turmericweir_core.ids import InstanceName, RequestId
-from turmericweir_core.options import Options
-from turmericweir_core.peer_messages import ClaimRelease, ClaimVote, ClaimVoteAsk
-from turmericweir_core.state import State
+from turmericweir_core.base.ids import InstanceName, RequestId
+from turmericweir_core.base.options import Options
+from turmericweir_core.claims.claim_outbox import is_in_doubt, put_withdrawal, writer_of
+from turmericweir_core.messages.effects import Effect, SendPeer
+from turmericweir_core.messages.peer_messages import ClaimRelease, ClaimVote, ClaimVoteAsk
+from turmericweir_core.records.claim_record import NewClaim, Writer, time_of
+from turmericweir_core.state.claim_ledger import Claim, Folded, holder_of
+from turmericweir_core.state.claim_state import ClaimState, Vote
+from turmericweir_core.state.claim_view import View, is_member
+from turmericweir_core.state.state import State
 
 # --- who holds a key -------------------------------------------------------------------------
 
--- a/packages/turmericweir-core/turmericweir_core/credit.py
+++ b/packages/turmericweir-core/turmericweir_core/credits/credit.py
@@ -24,23 +24,19 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from turmericweir_core import (
-    credit_demand,
-    credit_dispatcher,
-    credit_holder,
-    membership,
-    queue_state,
-)
-from turmericweir_core.config import Policy
-from turmericweir_core.credit_lead import dispatcher_of, leads, note_live
-from turmericweir_core.credit_state import CreditState
-from turmericweir_core.effects import Count, Effect, SendPeer
-from turmericweir_core.ids import InstanceName, ServerName
-from turmericweir_core.peer_messages import CreditDemand, CreditGrant, TierDemand
-from turmericweir_core.server_table import Server
+from turmericweir_core.base.config import Policy
+from turmericweir_core.base.ids import InstanceName, ServerName
+from turmericweir_core.credits import credit_demand, credit_dispatcher, credit_holder
+from turmericweir_core.credits.credit_lead import dispatcher_of, leads, note_live
+from turmericweir_core.membership import membership
+from turmericweir_core.messages.effects import Count, Effect, SendPeer
+from turmericweir_core.messages.peer_messages import CreditDemand, CreditGrant, TierDemand
+from turmericweir_core.state import queue_state
+from turmericweir_core.state.credit_state import CreditState
+from turmericweir_core.state.server_table import Server
 
 if TYPE_CHECKING:
-    from turmericweir_core.state import State
+    from turmericweir_core.state.state import State
 
 
 # --- demands and grants ----------------------------------------------------------------------
--- a/packages/turmericweir-core/turmericweir_core/credit_allocation.py
+++ b/packages/turmericweir-core/turmericweir_core/credits/credit_allocation.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from turmericweir_core.ids import InstanceName
+from turmericweir_core.base.ids import InstanceName
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/turmericweir-core/turmericweir_core/credit_assured.py
+++ b/packages/turmericweir-core/turmericweir_core/credits/credit_assured.py
@@ -11,13 +11,13 @@
 from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
-from turmericweir_core.credit_allocation import Capacity
-from turmericweir_core.credit_state import NEVER, Ledger
-from turmericweir_core.tiers import tier_shares
+from turmericweir_core.base.tiers import tier_shares
+from turmericweir_core.credits.credit_allocation import Capacity
+from turmericweir_core.state.credit_state import NEVER, Ledger
 
 if TYPE_CHECKING:
-    from turmericweir_core.options import Options
-    from turmericweir_core.state import State
+    from turmericweir_core.base.options import Options
+    from turmericweir_core.state.state import State
 
 
 def save_up(state: State, now: float, ledger: Ledger, capacity: Capacity) -> None:
--- a/packages/turmericweir-core/turmericweir_core/credit_demand.py
+++ b/packages/turmericweir-core/turmericweir_core/credits/credit_demand.py
@@ -19,22 +19,22 @@
 from math import ceil
 from typing import TYPE_CHECKING
 
-from turmericweir_core import queue_state
-from turmericweir_core.concurrency import limited_slots
-from turmericweir_core.config import Kind
-from turmericweir_core.credit_holder import lower_that_makes_way, used_by_tier
-from turmericweir_core.credit_state import HeldCredit
-from turmericweir_core.ids import InstanceName, ServerName
-from turmericweir_core.options import Options
-from turmericweir_core.patience import count_ripe, displacement_wait
-from turmericweir_core.peer_messages import CreditDemand, TierDemand
-from turmericweir_core.pool_load import pool_load
-from turmericweir_core.server_table import Server, preferred
-from turmericweir_core.subset import open_servers
-from turmericweir_core.tiers import lowest_tier
+from turmericweir_core.base.config import Kind
+from turmericweir_core.base.ids import InstanceName, ServerName
+from turmericweir_core.base.options import Options
+from turmericweir_core.base.tiers import lowest_tier
+from turmericweir_core.credits.credit_holder import lower_that_makes_way, used_by_tier
+from turmericweir_core.membership.subset import open_servers
+from turmericweir_core.messages.peer_messages import CreditDemand, TierDemand
+from turmericweir_core.queueing.patience import count_ripe, displacement_wait
+from turmericweir_core.state import queue_state
+from turmericweir_core.state.concurrency import limited_slots
+from turmericweir_core.state.credit_state import HeldCredit
+from turmericweir_core.state.pool_load import pool_load
+from turmericweir_core.state.server_table import Server, preferred
 
 if TYPE_CHECKING:
-    from turmericweir_core.state import State
+    from turmericweir_core.state.state import State
 
 
 # --- what to ask whom ------------------------------------------------------------------------
--- a/packages/turmericweir-core/turmericweir_core/credit_dispatcher.py
+++ b/packages/turmericweir-core/turmericweir_core/credits/credit_dispatcher.py
@@ -15,11 +15,12 @@
 from statistics import median_low
 from typing import TYPE_CHECKING
 
-from turmericweir_core.concurrency import limited_slots
-from turmericweir_core.config import Kind
-from turmericweir_core.credit_allocation import Capacity
-from turmericweir_core.credit_assured import save_up
-from turmericweir_core.credit_ledger import (
+from turmericweir_core.base.config import Kind
+from turmericweir_core.base.ids import InstanceName, ServerName
+from turmericweir_core.base.tiers import lowest_tier, most_urgent
+from turmericweir_core.credits.credit_allocation import Capacity
+from turmericweir_core.credits.credit_assured import save_up
+from turmericweir_core.credits.credit_ledger import (
     begun,
     covers,
     free_below,
@@ -30,7 +31,7 @@
     wants_of,
     wants_too_much,
 )
-from turmericweir_core.credit_settlement import (
+from turmericweir_core.credits.credit_settlement import (
     call_back,
     call_back_unheard,
     divide,
@@ -40,16 +41,20 @@
     raise_grants,
     spread_displacement,
 )
-from turmericweir_core.credit_state import Holding, Ledger
-from turmericweir_core.ids import InstanceName, ServerName
-from turmericweir_core.peer_messages import CreditDemand, CreditGrant, ServerLoad, TierGrant
-from turmericweir_core.server_table import Server, any_target, is_open
-from turmericweir_core.subset import sharing_instances
-from turmericweir_core.tiers import lowest_tier, most_urgent
+from turmericweir_core.membership.subset import sharing_instances
+from turmericweir_core.messages.peer_messages import (
+    CreditDemand,
+    CreditGrant,
+    ServerLoad,
+    TierGrant,
+)
+from turmericweir_core.state.concurrency import limited_slots
+from turmericweir_core.state.credit_state import Holding, Ledger
+from turmericweir_core.state.server_table import Server, any_target, is_open
 
 if TYPE_CHECKING:
-    from turmericweir_core.options import Options
-    from turmericweir_core.state import State
+    from turmericweir_core.base.options import Options
+    from turmericweir_core.state.state import State
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/turmericweir-core/turmericweir_core/credit_holder.py
+++ b/packages/turmericweir-core/turmericweir_core/credits/credit_holder.py
@@ -9,20 +9,20 @@
 from math import floor
 from typing import TYPE_CHECKING
 
-from turmericweir_core.concurrency import limited_slots
-from turmericweir_core.config import Kind
-from turmericweir_core.credit_lead import dispatcher_of
-from turmericweir_core.credit_ledger import begun, covers
-from turmericweir_core.credit_state import HeldCredit
-from turmericweir_core.events import ServerReport
-from turmericweir_core.ids import InstanceName, ServerName
-from turmericweir_core.options import Options
-from turmericweir_core.peer_messages import CreditGrant, ServerLoad
-from turmericweir_core.server_table import Server, note_report
-from turmericweir_core.straggler import server_weight
+from turmericweir_core.base.config import Kind
+from turmericweir_core.base.ids import InstanceName, ServerName
+from turmericweir_core.base.options import Options
+from turmericweir_core.credits.credit_lead import dispatcher_of
+from turmericweir_core.credits.credit_ledger import begun, covers
+from turmericweir_core.messages.events import ServerReport
+from turmericweir_core.messages.peer_messages import CreditGrant, ServerLoad
+from turmericweir_core.state.concurrency import limited_slots
+from turmericweir_core.state.credit_state import HeldCredit
+from turmericweir_core.state.server_table import Server, note_report
+from turmericweir_core.state.straggler import server_weight
 
 if TYPE_CHECKING:
-    from turmericweir_core.state import State
+    from turmericweir_core.state.state import State
 
 
 # --- spending --------------------------------------------------------------------------------
--- a/packages/turmericweir-core/turmericweir_core/credit_lead.py
+++ b/packages/turmericweir-core/turmericweir_core/credits/credit_lead.py
@@ -4,13 +4,13 @@
 
 from typing import TYPE_CHECKING
 
-from turmericweir_core import membership
-from turmericweir_core.ids import InstanceName
-from turmericweir_core.server_table import Server
-from turmericweir_core.subset import rendezvous_weight
+from turmericweir_core.base.ids import InstanceName
+from turmericweir_core.membership import membership
+from turmericweir_core.membership.subset import rendezvous_weight
+from turmericweir_core.state.server_table import Server
 
 if TYPE_CHECKING:
-    from turmericweir_core.state import State
+    from turmericweir_core.state.state import State
 
 
 def dispatcher_of(state: State, now: float, server: Server) -> InstanceName | None:
--- a/packages/turmericweir-core/turmericweir_core/credit_ledger.py
+++ b/packages/turmericweir-core/turmericweir_core/credits/credit_ledger.py
@@ -4,9 +4,9 @@
 
 from collections.abc import Iterable
 
-from turmericweir_core.credit_allocation import Capacity
-from turmericweir_core.credit_state import Holding, Ledger
-from turmericweir_core.peer_messages import TierDemand, TierGrant
+from turmericweir_core.credits.credit_allocation import Capacity
+from turmericweir_core.messages.peer_messages import TierDemand, TierGrant
+from turmericweir_core.state.credit_state import Holding, Ledger
 
 
 def covers(granted: Iterable[TierGrant], demand: Iterable[TierDemand]) -> bool:
--- a/packages/turmericweir-core/turmericweir_core/credit_settlement.py
+++ b/packages/turmericweir-core/turmericweir_core/credits/credit_settlement.py
@@ -11,17 +11,17 @@
 from dataclasses import dataclass
 from math import exp
 
-from turmericweir_core.credit_allocation import Capacity, Share, Want, allocate
-from turmericweir_core.credit_ledger import (
+from turmericweir_core.base.ids import InstanceName
+from turmericweir_core.base.options import Options
+from turmericweir_core.credits.credit_allocation import Capacity, Share, Want, allocate
+from turmericweir_core.credits.credit_ledger import (
     free_below,
     free_slots,
     lower_wants,
     set_granted,
     short_of,
 )
-from turmericweir_core.credit_state import Holding, Ledger
-from turmericweir_core.ids import InstanceName
-from turmericweir_core.options import Options
+from turmericweir_core.state.credit_state import Holding, Ledger
 
 
 def divide(options: Options, ledger: Ledger, capacity: Capacity) -> dict[InstanceName, Share]:
--- a/packages/turmericweir-core/turmericweir_core/cache_handover.py
+++ b/packages/turmericweir-core/turmericweir_core/engines/cache_handover.py
@@ -11,16 +11,16 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
-from turmericweir_core import engine_model, membership
-from turmericweir_core.effects import Effect, Log, SendPeer
-from turmericweir_core.ids import InstanceName, ServerName
-from turmericweir_core.peer_messages import CachesAsk, CachesSend, CachesServer
+from turmericweir_core.base.ids import InstanceName, ServerName
+from turmericweir_core.engines import engine_model
+from turmericweir_core.membership import membership
+from turmericweir_core.messages.effects import Effect, Log, SendPeer
+from turmericweir_core.messages.peer_messages import CachesAsk, CachesSend, CachesServer
 
 if TYPE_CHECKING:
-    from turmericweir_core.state import State
+    from turmericweir_core.state.state import State
 
 # Between two asks. Peers answer at once; a stream that has just been opened may be lost.
 _ASK_S: Final = 0.5
@@ -30,15 +30,6 @@
 _PARTS_MAX: Final = 200
 
 
-@dataclass(slots=True)
-class HandoverState:
-    """Whether this instance still wants to be told."""
-
-    started_at: float | None = None
-    ask_due: float = 0.0
-    told: bool = False
-
-
 def on_tick(state: State, now: float) -> list[Effect]:
     """Ask a peer, while nobody has told."""
     handover = state.handover
--- a/packages/turmericweir-core/turmericweir_core/engine_pools.py
+++ b/packages/turmericweir-core/turmericweir_core/engines/engine_pools.py
@@ -19,20 +19,22 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from math import ceil, exp
 from typing import TYPE_CHECKING, Final
 
-from turmericweir_core import engine_model, urgent_first
-from turmericweir_core.config import Service, ServiceClass
-from turmericweir_core.ids import InstanceName, Target
-from turmericweir_core.peer_messages import DemandRow
-from turmericweir_core.request import Request
-from turmericweir_core.server_table import Server
-from turmericweir_core.subset import rendezvous_weight
+from turmericweir_core.base.config import Service, ServiceClass
+from turmericweir_core.base.ids import InstanceName, Target
+from turmericweir_core.base.request import Request
+from turmericweir_core.engines import engine_model
+from turmericweir_core.membership.subset import rendezvous_weight
+from turmericweir_core.messages.peer_messages import DemandRow
+from turmericweir_core.queueing import urgent_first
+from turmericweir_core.state.pool_state import Demand, Split
+from turmericweir_core.state.server_table import Server
 
 if TYPE_CHECKING:
-    from turmericweir_core.state import State
+    from turmericweir_core.state.state import State
 
 # Memory of the demand: long enough to see more than single requests, short enough to follow a
 # burst.
@@ -52,38 +54,6 @@
 _MS: Final = 1000.0
 
 
-@dataclass(slots=True)
-class Demand:
-    """Work that arrived of late, decayed, milliseconds."""
-
-    at: float = 0.0
-    long_ms: float = 0.0
-    quick_ms: float = 0.0
-
-
-@dataclass(slots=True)
-class Split:
-    """How many engines of a service read, and since when fewer would do."""
-
-    reading: int = 0
-    fewer_since: float | None = None
-    # Whether quick answers go first, by which version of the settings: there may be hundreds of
-    # routes, and each placement asks.
-    quick_first: bool = True
-    settings: int | None = None
-
-
-@dataclass(slots=True)
-class PoolState:
-    """The demand and the split of each service."""
-
-    own: dict[Target, Demand] = field(default_factory=dict)
-    peers: dict[Target, dict[InstanceName, tuple[float, float, float]]] = field(
-        default_factory=dict
-    )
-    splits: dict[Target, Split] = field(default_factory=dict)
-
-
 def bears_chunks(state: State, service_class: ServiceClass, service: Service) -> bool:
     """Tell whether an answer is in time although long prompts are read beside it."""
     return _bears(state, service_class.token_gap_target_s, service)
--- a/packages/turmericweir-core/turmericweir_core/load_news.py
+++ b/packages/turmericweir-core/turmericweir_core/engines/load_news.py
@@ -12,15 +12,16 @@
 
 from typing import TYPE_CHECKING, Final
 
-from turmericweir_core import engine_model, engine_pools, membership
-from turmericweir_core.config import Policy
-from turmericweir_core.effects import Effect, SendDatagram
-from turmericweir_core.engine_model import EngineBook, PeerLoad, Pending
-from turmericweir_core.ids import InstanceName, ServerName
-from turmericweir_core.peer_messages import LoadNews, LoadRow
+from turmericweir_core.base.config import Policy
+from turmericweir_core.base.ids import InstanceName, ServerName
+from turmericweir_core.engines import engine_model, engine_pools
+from turmericweir_core.membership import membership
+from turmericweir_core.messages.effects import Effect, SendDatagram
+from turmericweir_core.messages.peer_messages import LoadNews, LoadRow
+from turmericweir_core.state.engine_state import EngineBook, PeerLoad, Pending
 
 if TYPE_CHECKING:
-    from turmericweir_core.state import State
+    from turmericweir_core.state.state import State
 
 # The gap between two datagrams to the same peers: at the least, and for each peer.
 _GAP_MIN_S: Final = 0.02
--- a/packages/turmericweir-core/turmericweir_core/lease_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/leases/lease_flow.py
@@ -14,8 +14,8 @@
 
 from __future__ import annotations
 
-from turmericweir_core.effects import AppendRecords, Count, Effect, Log, ReadLog
-from turmericweir_core.events import (
+from turmericweir_core.messages.effects import AppendRecords, Count, Effect, Log, ReadLog
+from turmericweir_core.messages.events import (
     AppendDone,
     AppendFailed,
     LogExpired,
@@ -23,8 +23,7 @@
     LogRead,
     LogRecord,
 )
-from turmericweir_core.lease_ledger import Folded, Lease, begin, fold, free_at
-from turmericweir_core.lease_record import (
+from turmericweir_core.records.lease_record import (
     LEASES_STREAM,
     NO_OFFSET,
     Act,
@@ -32,8 +31,9 @@
     Scope,
     encode,
 )
-from turmericweir_core.lease_state import Held, LeaseState, SentBatch
-from turmericweir_core.state import State
+from turmericweir_core.state.lease_ledger import Folded, Lease, begin, fold, free_at
+from turmericweir_core.state.lease_state import Held, LeaseState, SentBatch
+from turmericweir_core.state.state import State
 
 # --- what other reducers ask and want --------------------------------------------------------
 
--- a/packages/turmericweir-core/turmericweir_core/model_demand.py
+++ b/packages/turmericweir-core/turmericweir_core/leases/model_demand.py
@@ -12,19 +12,19 @@
 from collections.abc import Iterator
 from typing import Final
 
-from turmericweir_core import membership
-from turmericweir_core.config import Config, Kind
-from turmericweir_core.effects import Effect, SendDatagram
-from turmericweir_core.ids import InstanceName, Target
-from turmericweir_core.lease_record import Scope
-from turmericweir_core.membership import Member
-from turmericweir_core.model_label import bare_name
-from turmericweir_core.model_state import Reported, Usage
-from turmericweir_core.peer_messages import ModelDemand, ModelUse
-from turmericweir_core.request import Phase
-from turmericweir_core.server_table import Server, is_open
-from turmericweir_core.state import State
-from turmericweir_core.subset import rendezvous_weight
+from turmericweir_core.base.config import Config, Kind
+from turmericweir_core.base.ids import InstanceName, Target
+from turmericweir_core.base.model_label import bare_name
+from turmericweir_core.base.request import Phase
+from turmericweir_core.membership import membership
+from turmericweir_core.membership.subset import rendezvous_weight
+from turmericweir_core.messages.effects import Effect, SendDatagram
+from turmericweir_core.messages.peer_messages import ModelDemand, ModelUse
+from turmericweir_core.records.lease_record import Scope
+from turmericweir_core.state.membership_state import Member
+from turmericweir_core.state.model_state import Reported, Usage
+from turmericweir_core.state.server_table import Server, is_open
+from turmericweir_core.state.state import State
 
 # Tellings that may be lost in a row before an instance's use counts as none.
 _VALID_PERIODS: Final = 2.5
--- a/packages/turmericweir-core/turmericweir_core/model_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/leases/model_flow.py
@@ -10,20 +10,18 @@
 
 from collections.abc import Sequence
 
-from turmericweir_core import lease_flow, order_flow
-from turmericweir_core.config import ModelWant
-from turmericweir_core.effects import Effect, Log, ProbeServer
-from turmericweir_core.ids import ServerName
-from turmericweir_core.lease_record import Scope
-from turmericweir_core.model_demand import (
+from turmericweir_core.base.config import ModelWant
+from turmericweir_core.base.ids import ServerName
+from turmericweir_core.base.model_label import ModelLabel, parse_label
+from turmericweir_core.leases import lease_flow, order_flow
+from turmericweir_core.leases.model_demand import (
     is_missing,
     managed_services,
     placer,
     server_counts,
     usage_of,
 )
-from turmericweir_core.model_label import ModelLabel, parse_label
-from turmericweir_core.model_placement import (
+from turmericweir_core.leases.model_placement import (
     Bounds,
     CountInput,
     Holding,
@@ -33,10 +31,12 @@
     note_demand,
     share,
 )
-from turmericweir_core.model_state import ModelTarget, Order, OrderKind, ScopePlan
-from turmericweir_core.order_steps import WantedModel, steps
-from turmericweir_core.server_table import Server
-from turmericweir_core.state import State
+from turmericweir_core.leases.order_steps import WantedModel, steps
+from turmericweir_core.messages.effects import Effect, Log, ProbeServer
+from turmericweir_core.records.lease_record import Scope
+from turmericweir_core.state.model_state import ModelTarget, Order, OrderKind, ScopePlan
+from turmericweir_core.state.server_table import Server
+from turmericweir_core.state.state import State
 
 
 def on_tick(state: State, now: float) -> list[Effect]:
--- a/packages/turmericweir-core/turmericweir_core/model_placement.py
+++ b/packages/turmericweir-core/turmericweir_core/leases/model_placement.py
@@ -16,11 +16,11 @@
 from dataclasses import dataclass
 from math import exp
 
-from turmericweir_core.ids import ServerName
-from turmericweir_core.model_label import ModelLabel
-from turmericweir_core.model_state import ModelTarget, Usage
-from turmericweir_core.options import Options
-from turmericweir_core.subset import rendezvous_weight
+from turmericweir_core.base.ids import ServerName
+from turmericweir_core.base.model_label import ModelLabel
+from turmericweir_core.base.options import Options
+from turmericweir_core.membership.subset import rendezvous_weight
+from turmericweir_core.state.model_state import ModelTarget, Usage
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/turmericweir-core/turmericweir_core/order_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/leases/order_flow.py
@@ -15,16 +15,16 @@
 from collections.abc import Iterator
 from typing import Final, TypeAlias
 
-from turmericweir_core import lease_flow
-from turmericweir_core.effects import AskWeights, Count, Effect, Log, SendOrder
-from turmericweir_core.events import OrderDone, ServerReport, WeightsAnswered
-from turmericweir_core.ids import ServerName
-from turmericweir_core.lease_record import Scope
-from turmericweir_core.lease_state import Held
-from turmericweir_core.model_label import parse_label
-from turmericweir_core.model_state import Order, OrderKind, OutOrder, Seen, Tries
-from turmericweir_core.server_table import is_open
-from turmericweir_core.state import State
+from turmericweir_core.base.ids import ServerName
+from turmericweir_core.base.model_label import parse_label
+from turmericweir_core.leases import lease_flow
+from turmericweir_core.messages.effects import AskWeights, Count, Effect, Log, SendOrder
+from turmericweir_core.messages.events import OrderDone, ServerReport, WeightsAnswered
+from turmericweir_core.records.lease_record import Scope
+from turmericweir_core.state.lease_state import Held
+from turmericweir_core.state.model_state import Order, OrderKind, OutOrder, Seen, Tries
+from turmericweir_core.state.server_table import is_open
+from turmericweir_core.state.state import State
 
 OrderKey: TypeAlias = tuple[ServerName, OrderKind, str]
 # Answers that take this many time limits are not waited for.
--- a/packages/turmericweir-core/turmericweir_core/order_steps.py
+++ b/packages/turmericweir-core/turmericweir_core/leases/order_steps.py
@@ -15,11 +15,11 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from turmericweir_core.ids import ServerName
-from turmericweir_core.lease_record import Scope
-from turmericweir_core.model_label import ModelLabel
-from turmericweir_core.model_placement import Holding
-from turmericweir_core.model_state import Order, OrderKind
+from turmericweir_core.base.ids import ServerName
+from turmericweir_core.base.model_label import ModelLabel
+from turmericweir_core.leases.model_placement import Holding
+from turmericweir_core.records.lease_record import Scope
+from turmericweir_core.state.model_state import Order, OrderKind
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/turmericweir-core/turmericweir_core/limit.py
+++ b/packages/turmericweir-core/turmericweir_core/limits/limit.py
@@ -20,12 +20,16 @@
 from math import sqrt
 from typing import TYPE_CHECKING, TypeVar
 
-from turmericweir_core import limit_home, membership
-from turmericweir_core.account import Outcome
-from turmericweir_core.config import NO_LIMIT, Kind, Limit
-from turmericweir_core.effects import Effect, SendDatagram
-from turmericweir_core.ids import InstanceName
-from turmericweir_core.limit_state import (
+from turmericweir_core.base.account import Outcome
+from turmericweir_core.base.config import NO_LIMIT, Kind, Limit
+from turmericweir_core.base.ids import InstanceName
+from turmericweir_core.base.reasons import Reason
+from turmericweir_core.limits import limit_home
+from turmericweir_core.membership import membership
+from turmericweir_core.membership.subset import rendezvous_weight
+from turmericweir_core.messages.effects import Effect, SendDatagram
+from turmericweir_core.messages.peer_messages import LimitAsk, LimitDemand, LimitGrant, LimitShare
+from turmericweir_core.state.limit_state import (
     Bucket,
     Charge,
     Demand,
@@ -38,13 +42,10 @@
     is_team,
     team_key,
 )
-from turmericweir_core.peer_messages import LimitAsk, LimitDemand, LimitGrant, LimitShare
-from turmericweir_core.reasons import Reason
-from turmericweir_core.subset import rendezvous_weight
 
 if TYPE_CHECKING:
-    from turmericweir_core.request import Request
-    from turmericweir_core.state import State
+    from turmericweir_core.base.request import Request
+    from turmericweir_core.state.state import State
 
 ItemT = TypeVar("ItemT")
 
--- a/packages/turmericweir-core/turmericweir_core/limit_home.py
+++ b/packages/turmericweir-core/turmericweir_core/limits/limit_home.py
@@ -18,9 +18,10 @@
 from math import sqrt
 from typing import TYPE_CHECKING, Final
 
-from turmericweir_core.config import NO_LIMIT, Limit
-from turmericweir_core.ids import InstanceName
-from turmericweir_core.limit_state import (
+from turmericweir_core.base.config import NO_LIMIT, Limit
+from turmericweir_core.base.ids import InstanceName
+from turmericweir_core.messages.peer_messages import LimitDemand, LimitShare
+from turmericweir_core.state.limit_state import (
     Asker,
     Claim,
     HomeSubject,
@@ -28,10 +29,9 @@
     is_team,
     subject_name,
 )
-from turmericweir_core.peer_messages import LimitDemand, LimitShare
 
 if TYPE_CHECKING:
-    from turmericweir_core.state import State
+    from turmericweir_core.state.state import State
 
 # Share of a limit that sums of floating point numbers may be off by.
 _ROUNDING: Final = 1e-6
--- a/packages/turmericweir-core/turmericweir_core/leaving.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/leaving.py
@@ -10,13 +10,13 @@
 
 from __future__ import annotations
 
-from turmericweir_core.effects import Effect, Log, SendPeer
-from turmericweir_core.ids import ServerName
-from turmericweir_core.leaving_marks import LeavingMark, expire_marks, hot_marks, note_mark
-from turmericweir_core.membership import Member
-from turmericweir_core.peer_messages import Heartbeat, Mark, MarksAsk, MarksSend
-from turmericweir_core.server_table import Server, apply_marks
-from turmericweir_core.state import State
+from turmericweir_core.base.ids import ServerName
+from turmericweir_core.messages.effects import Effect, Log, SendPeer
+from turmericweir_core.messages.peer_messages import Heartbeat, Mark, MarksAsk, MarksSend
+from turmericweir_core.state.leaving_marks import LeavingMark, expire_marks, hot_marks, note_mark
+from turmericweir_core.state.membership_state import Member
+from turmericweir_core.state.server_table import Server, apply_marks
+from turmericweir_core.state.state import State
 
 
 def mark_leavers(state: State, now: float) -> list[Effect]:
--- a/packages/turmericweir-core/turmericweir_core/membership_gossip.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/membership_gossip.py
@@ -19,10 +19,8 @@
 from dataclasses import replace
 from typing import Final
 
-from turmericweir_core.effects import Count, Effect, Log, SendDatagram
-from turmericweir_core.ids import InstanceName
-from turmericweir_core.membership import (
-    Member,
+from turmericweir_core.base.ids import InstanceName
+from turmericweir_core.membership.membership import (
     count_noise,
     index_keys,
     is_live,
@@ -38,13 +36,15 @@
     self_member,
     unindex_keys,
 )
-from turmericweir_core.membership_roster import refresh_roster, roster_by_hash, roster_members
-from turmericweir_core.peer_messages import (
-    Heartbeat,
-    MembersAsk,
-    Word,
+from turmericweir_core.membership.membership_roster import (
+    refresh_roster,
+    roster_by_hash,
+    roster_members,
 )
-from turmericweir_core.state import State
+from turmericweir_core.messages.effects import Count, Effect, Log, SendDatagram
+from turmericweir_core.messages.peer_messages import Heartbeat, MembersAsk, Word
+from turmericweir_core.state.membership_state import Member
+from turmericweir_core.state.state import State
 
 # A character of `Heartbeat.counters` holds so many values; steps of half of it are ambiguous.
 _MODULUS: Final = 128
--- a/packages/turmericweir-core/turmericweir_core/membership_records.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/membership_records.py
@@ -8,10 +8,8 @@
 
 from typing import Final
 
-from turmericweir_core.effects import Effect, SendDatagram
-from turmericweir_core.ids import InstanceName
-from turmericweir_core.membership import (
-    Member,
+from turmericweir_core.base.ids import InstanceName
+from turmericweir_core.membership.membership import (
     index_keys,
     is_live,
     is_retired,
@@ -19,8 +17,10 @@
     restart,
     unindex_keys,
 )
-from turmericweir_core.peer_messages import MemberRecord, MembersSend
-from turmericweir_core.state import State
+from turmericweir_core.messages.effects import Effect, SendDatagram
+from turmericweir_core.messages.peer_messages import MemberRecord, MembersSend
+from turmericweir_core.state.membership_state import Member
+from turmericweir_core.state.state import State
 
 # Former incarnations that go with a record.
 _FORMER_TOLD: Final = 2
--- a/packages/turmericweir-core/turmericweir_core/membership_reducer.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/membership_reducer.py
@@ -10,7 +10,8 @@
 
 from dataclasses import replace
 
-from turmericweir_core import (
+from turmericweir_core.base.ids import InstanceName
+from turmericweir_core.membership import (
     leaving,
     membership_gossip,
     membership_records,
@@ -18,17 +19,10 @@
     membership_words,
     server_list,
 )
-from turmericweir_core.effects import Count, Effect, Log, SendDatagram
-from turmericweir_core.events import ListedInstance
-from turmericweir_core.ids import InstanceName
-from turmericweir_core.membership import (
-    NEVER,
-    Member,
-    count_noise,
-    index_keys,
-    is_live,
-)
-from turmericweir_core.peer_messages import (
+from turmericweir_core.membership.membership import count_noise, index_keys, is_live
+from turmericweir_core.messages.effects import Count, Effect, Log, SendDatagram
+from turmericweir_core.messages.events import ListedInstance
+from turmericweir_core.messages.peer_messages import (
     Heartbeat,
     MarksAsk,
     MarksSend,
@@ -37,7 +31,8 @@
     ServersAsk,
     ServersSend,
 )
-from turmericweir_core.state import State
+from turmericweir_core.state.membership_state import NEVER, Member
+from turmericweir_core.state.state import State
 
 # Messages of this concern other than heartbeats.
 MembershipMessage = MembersAsk | MembersSend | MarksAsk | MarksSend | ServersAsk | ServersSend
--- a/packages/turmericweir-core/turmericweir_core/membership_roster.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/membership_roster.py
@@ -10,9 +10,10 @@
 
 import xxhash
 
-from turmericweir_core.ids import InstanceName
-from turmericweir_core.membership import Member, Membership, member_key, own_key, self_member
-from turmericweir_core.state import State
+from turmericweir_core.base.ids import InstanceName
+from turmericweir_core.membership.membership import member_key, own_key, self_member
+from turmericweir_core.state.membership_state import Member, Membership
+from turmericweir_core.state.state import State
 
 _PAST_ROSTERS: Final = 8
 
--- a/packages/turmericweir-core/turmericweir_core/membership_words.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/membership_words.py
@@ -19,21 +19,15 @@
 
 import xxhash
 
-from turmericweir_core.effects import Effect, SendPeer
-from turmericweir_core.ids import InstanceName
-from turmericweir_core.membership import (
-    Member,
-    RemoteCentre,
-    is_live,
-    live_instances,
-    member_key,
-    own_key,
-)
-from turmericweir_core.membership_gossip import send_heartbeat
-from turmericweir_core.membership_records import record_of, take_record
-from turmericweir_core.membership_roster import hash_keys
-from turmericweir_core.peer_messages import MemberRecord, MembersAsk, MembersSend, Word
-from turmericweir_core.state import State
+from turmericweir_core.base.ids import InstanceName
+from turmericweir_core.membership.membership import is_live, live_instances, member_key, own_key
+from turmericweir_core.membership.membership_gossip import send_heartbeat
+from turmericweir_core.membership.membership_records import record_of, take_record
+from turmericweir_core.membership.membership_roster import hash_keys
+from turmericweir_core.messages.effects import Effect, SendPeer
+from turmericweir_core.messages.peer_messages import MemberRecord, MembersAsk, MembersSend, Word
+from turmericweir_core.state.membership_state import Member, RemoteCentre
+from turmericweir_core.state.state import State
 
 # Relays of one data centre whose counters are remembered.
 _SEQS_KEEP: Final = 16
--- a/packages/turmericweir-core/turmericweir_core/server_list.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/server_list.py
@@ -12,14 +12,14 @@
 
 import xxhash
 
-from turmericweir_core import server_table
-from turmericweir_core.config import ServerEntry
-from turmericweir_core.effects import Effect, Log, SendPeer
-from turmericweir_core.membership import Member
-from turmericweir_core.peer_messages import Heartbeat, ServersAsk, ServersSend
+from turmericweir_core.base.config import ServerEntry
+from turmericweir_core.messages.effects import Effect, Log, SendPeer
+from turmericweir_core.messages.peer_messages import Heartbeat, ServersAsk, ServersSend
+from turmericweir_core.state import server_table
+from turmericweir_core.state.membership_state import Member
 
 if TYPE_CHECKING:
-    from turmericweir_core.state import State
+    from turmericweir_core.state.state import State
 
 # A list that a peer sends may be so much older than word of it that came before.
 _LAG_S: Final = 1.0
--- a/packages/turmericweir-core/turmericweir_core/store_duty.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/store_duty.py
@@ -14,13 +14,13 @@
 
 from typing import TYPE_CHECKING, Final
 
-from turmericweir_core import membership
-from turmericweir_core.membership import Member
-from turmericweir_core.subset import rendezvous_weight
+from turmericweir_core.membership import membership
+from turmericweir_core.membership.subset import rendezvous_weight
+from turmericweir_core.state.membership_state import Member
 
 if TYPE_CHECKING:
-    from turmericweir_core.ids import InstanceName
-    from turmericweir_core.state import State
+    from turmericweir_core.base.ids import InstanceName
+    from turmericweir_core.state.state import State
 
 # What the readers are picked for.
 _DUTY: Final = "store"
--- a/packages/turmericweir-core/turmericweir_core/subset.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/subset.py
@@ -10,41 +10,17 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import xxhash
 
-from turmericweir_core import membership
-from turmericweir_core.ids import ServerName, Target
-from turmericweir_core.server_table import Server, is_open, servers_for
+from turmericweir_core.base.ids import Target
+from turmericweir_core.membership import membership
+from turmericweir_core.state.server_table import Server, is_open, servers_for
+from turmericweir_core.state.subset_state import TargetSubset
 
 if TYPE_CHECKING:
-    from turmericweir_core.state import State
-
-
-@dataclass(frozen=True, slots=True)
-class TargetSubset:
-    """The servers of one target that are used, at one version of the server table."""
-
-    version: int
-    servers: tuple[Server, ...]
-    # Servers that serve the target in all.
-    total: int
-
-
-@dataclass(slots=True)
-class SubsetState:
-    """The subset of each target that was asked for."""
-
-    by_target: dict[Target, TargetSubset] = field(default_factory=dict)
-    # Servers in the subset of any target that was asked for here, as of the last look.
-    used: frozenset[ServerName] = frozenset()
-    used_due: float = 0.0
-    # Data centres that are known to be of another region.
-    foreign: frozenset[str] = frozenset()
-    # Live instances of the region, as of the last tick.
-    instances: int = 1
+    from turmericweir_core.state.state import State
 
 
 def rendezvous_weight(key: str, candidate: str) -> int:
--- a/packages/turmericweir-core/turmericweir_core/effects.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/effects.py
@@ -5,10 +5,10 @@
 from dataclasses import dataclass, field
 from typing import Any, TypeAlias
 
-from turmericweir_core.account import Account
-from turmericweir_core.ids import AttemptId, InstanceName, RequestId, ServerName
-from turmericweir_core.peer_messages import PeerMessage
-from turmericweir_core.request import CancelReason
+from turmericweir_core.base.account import Account
+from turmericweir_core.base.ids import AttemptId, InstanceName, RequestId, ServerName
+from turmericweir_core.base.request import CancelReason
+from turmericweir_core.messages.peer_messages import PeerMessage
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/turmericweir-core/turmericweir_core/events.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/events.py
@@ -9,11 +9,11 @@
 from dataclasses import dataclass
 from typing import Any, TypeAlias
 
-from turmericweir_core.claim_answer import KeptAnswer
-from turmericweir_core.config import Config, ServerEntry
-from turmericweir_core.ids import AttemptId, InstanceName, RequestId, ServerName
-from turmericweir_core.peer_messages import PeerMessage
-from turmericweir_core.request import Request
+from turmericweir_core.base.config import Config, ServerEntry
+from turmericweir_core.base.ids import AttemptId, InstanceName, RequestId, ServerName
+from turmericweir_core.base.request import Request
+from turmericweir_core.messages.peer_messages import PeerMessage
+from turmericweir_core.records.claim_answer import KeptAnswer
 
 # --- callers ---------------------------------------------------------------------------------
 
--- a/packages/turmericweir-core/turmericweir_core/peer_messages.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/peer_messages.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Any, Final, TypeAlias
 
-from turmericweir_core.config import ServerEntry
+from turmericweir_core.base.config import ServerEntry
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/turmericweir-core/turmericweir_core/admission.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/admission.py
@@ -15,20 +15,17 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
-from turmericweir_core import displacement, engine_pools, predicted_admission, queue_state
-from turmericweir_core.config import Policy
-from turmericweir_core.placement import idle_share
-from turmericweir_core.pool_load import (
-    arrival_rate,
-    drain_rate,
-    note_arrival,
-    pool_load,
-)
-from turmericweir_core.request import Request
-from turmericweir_core.subset import open_servers
+from turmericweir_core.base.config import Policy
+from turmericweir_core.base.request import Request
+from turmericweir_core.engines import engine_pools
+from turmericweir_core.membership.subset import open_servers
+from turmericweir_core.placement import displacement, predicted_admission
+from turmericweir_core.placement.placement import idle_share
+from turmericweir_core.state import queue_state
+from turmericweir_core.state.pool_load import arrival_rate, drain_rate, note_arrival, pool_load
 
 if TYPE_CHECKING:
-    from turmericweir_core.state import State
+    from turmericweir_core.state.state import State
 
 # Stands in for a rate of nothing, which cannot be divided by.
 MIN_RATE: Final = 1e-9
--- a/packages/turmericweir-core/turmericweir_core/attempt_books.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/attempt_books.py
@@ -10,19 +10,13 @@
 from math import inf
 from typing import TYPE_CHECKING, assert_never
 
-from turmericweir_core import (
-    concurrency,
-    displacement,
-    engine_model,
-    pool_load,
-    predict,
-    prefix,
-    reliability,
-    straggler,
-)
-from turmericweir_core.config import Kind, Policy
-from turmericweir_core.effects import Count, Effect, Log, Timing
-from turmericweir_core.events import (
+from turmericweir_core.base.config import Kind, Policy
+from turmericweir_core.base.ids import ServerName
+from turmericweir_core.base.request import Attempt, CancelReason, Request
+from turmericweir_core.base.tiers import most_urgent
+from turmericweir_core.engines import engine_model
+from turmericweir_core.messages.effects import Count, Effect, Log, Timing
+from turmericweir_core.messages.events import (
     AttemptEnd,
     EndBroken,
     EndCancelled,
@@ -32,13 +26,12 @@
     EndUnsent,
     ServerReport,
 )
-from turmericweir_core.ids import ServerName
-from turmericweir_core.queue_state import cost
-from turmericweir_core.request import Attempt, CancelReason, Request
-from turmericweir_core.tiers import most_urgent
+from turmericweir_core.placement import displacement
+from turmericweir_core.state import concurrency, pool_load, predict, prefix, reliability, straggler
+from turmericweir_core.state.queue_state import cost
 
 if TYPE_CHECKING:
-    from turmericweir_core.state import State
+    from turmericweir_core.state.state import State
 
 # Tokens from which on the pace of an attempt that did not complete is worth learning from.
 _PACE_TOKENS = 8
--- a/packages/turmericweir-core/turmericweir_core/dead_server.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/dead_server.py
@@ -11,15 +11,15 @@
 
 from typing import TYPE_CHECKING, Final
 
-from turmericweir_core import engine_model
-from turmericweir_core.dead_state import Suspicion
-from turmericweir_core.dispatch import cancel
-from turmericweir_core.effects import Count, Effect, Log, ProbeServer
-from turmericweir_core.ids import ServerName
-from turmericweir_core.request import Attempt, CancelReason
+from turmericweir_core.base.ids import ServerName
+from turmericweir_core.base.request import Attempt, CancelReason
+from turmericweir_core.engines import engine_model
+from turmericweir_core.messages.effects import Count, Effect, Log, ProbeServer
+from turmericweir_core.placement.dispatch import cancel
+from turmericweir_core.state.dead_state import Suspicion
 
 if TYPE_CHECKING:
-    from turmericweir_core.state import State
+    from turmericweir_core.state.state import State
 
 # Silence after which a server is connected to: twice what three steps with a chunk take (85 ms
 # each), so seldom beside a server that lives. Callers give a stream up after two seconds without an
--- a/packages/turmericweir-core/turmericweir_core/dispatch.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/dispatch.py
@@ -10,24 +10,20 @@
 
 from typing import Final
 
-from turmericweir_core import (
-    attempt_books,
-    credit,
-    displacement,
-    engine_model,
-    predicted_placement,
-    queue_state,
-    subset,
-)
-from turmericweir_core.config import Kind, Policy
-from turmericweir_core.effects import CancelAttempt, Effect, Log, StartAttempt
-from turmericweir_core.ids import InstanceName, ServerName, Target, attempt_id
-from turmericweir_core.peer_messages import CreditDemand, CreditGrant
-from turmericweir_core.placement import pick_server
-from turmericweir_core.request import Attempt, CancelReason, Phase, Request
-from turmericweir_core.server_table import Server, known_incarnation
-from turmericweir_core.state import State
-from turmericweir_core.tiers import most_urgent
+from turmericweir_core.base.config import Kind, Policy
+from turmericweir_core.base.ids import InstanceName, ServerName, Target, attempt_id
+from turmericweir_core.base.request import Attempt, CancelReason, Phase, Request
+from turmericweir_core.base.tiers import most_urgent
+from turmericweir_core.credits import credit
+from turmericweir_core.engines import engine_model
+from turmericweir_core.membership import subset
+from turmericweir_core.messages.effects import CancelAttempt, Effect, Log, StartAttempt
+from turmericweir_core.messages.peer_messages import CreditDemand, CreditGrant
+from turmericweir_core.placement import attempt_books, displacement, predicted_placement
+from turmericweir_core.placement.placement import pick_server
+from turmericweir_core.state import queue_state
+from turmericweir_core.state.server_table import Server, known_incarnation
+from turmericweir_core.state.state import State
 
 # Waiting requests of one class that are looked at for a server: a pass costs the same whatever
 # number waits, and more than this are seldom held back at once.
--- a/packages/turmericweir-core/turmericweir_core/displacement.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/displacement.py
@@ -15,19 +15,19 @@
 from collections.abc import Iterable, Iterator
 from typing import TYPE_CHECKING
 
-from turmericweir_core import queue_state
-from turmericweir_core.config import Kind, Policy
-from turmericweir_core.credit_holder import excess, is_assured
-from turmericweir_core.ids import Target, request_of
-from turmericweir_core.patience import count_ripe
-from turmericweir_core.placement import headroom
-from turmericweir_core.pool_load import lower_running, pool_load
-from turmericweir_core.request import CancelReason, Request
-from turmericweir_core.server_table import Server, preferred
-from turmericweir_core.subset import open_servers
+from turmericweir_core.base.config import Kind, Policy
+from turmericweir_core.base.ids import Target, request_of
+from turmericweir_core.base.request import CancelReason, Request
+from turmericweir_core.credits.credit_holder import excess, is_assured
+from turmericweir_core.membership.subset import open_servers
+from turmericweir_core.placement.placement import headroom
+from turmericweir_core.queueing.patience import count_ripe
+from turmericweir_core.state import queue_state
+from turmericweir_core.state.pool_load import lower_running, pool_load
+from turmericweir_core.state.server_table import Server, preferred
 
 if TYPE_CHECKING:
-    from turmericweir_core.state import State
+    from turmericweir_core.state.state import State
 
 
 def running_to_displace(state: State, now: float, pool: str) -> Request | None:
--- a/packages/turmericweir-core/turmericweir_core/moving.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/moving.py
@@ -19,20 +19,20 @@
 
 from typing import TYPE_CHECKING
 
-from turmericweir_core import straggler
-from turmericweir_core.config import Policy
-from turmericweir_core.credit_holder import goes_by_counts
-from turmericweir_core.dispatch import cancel
-from turmericweir_core.effects import Count, Effect, Log
-from turmericweir_core.ids import ServerName
-from turmericweir_core.placement import headroom
-from turmericweir_core.request import Attempt, CancelReason, Request
-from turmericweir_core.retry import spend_retry
-from turmericweir_core.server_table import Server
-from turmericweir_core.subset import open_servers
+from turmericweir_core.base.config import Policy
+from turmericweir_core.base.ids import ServerName
+from turmericweir_core.base.request import Attempt, CancelReason, Request
+from turmericweir_core.credits.credit_holder import goes_by_counts
+from turmericweir_core.membership.subset import open_servers
+from turmericweir_core.messages.effects import Count, Effect, Log
+from turmericweir_core.placement.dispatch import cancel
+from turmericweir_core.placement.placement import headroom
+from turmericweir_core.state import straggler
+from turmericweir_core.state.server_table import Server
+from turmericweir_core.trust.retry import spend_retry
 
 if TYPE_CHECKING:
-    from turmericweir_core.state import State
+    from turmericweir_core.state.state import State
 
 
 def on_late_gap(
--- a/packages/turmericweir-core/turmericweir_core/placement.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/placement.py
@@ -23,20 +23,22 @@
 from math import ceil, floor
 from typing import TYPE_CHECKING, assert_never
 
-from turmericweir_core import credit, predicted_placement, straggler
-from turmericweir_core.concurrency import limited_slots
-from turmericweir_core.config import Kind, Policy
-from turmericweir_core.credit_holder import covered_room, goes_by_counts
-from turmericweir_core.ids import Target
-from turmericweir_core.prefix import match_scores
-from turmericweir_core.queue_state import target_classes
-from turmericweir_core.request import Request
-from turmericweir_core.server_table import Server, any_target, preferred, servers_for
-from turmericweir_core.subset import open_servers, sharing_instances
-from turmericweir_core.tiers import most_urgent
+from turmericweir_core.base.config import Kind, Policy
+from turmericweir_core.base.ids import Target
+from turmericweir_core.base.request import Request
+from turmericweir_core.base.tiers import most_urgent
+from turmericweir_core.credits import credit
+from turmericweir_core.credits.credit_holder import covered_room, goes_by_counts
+from turmericweir_core.membership.subset import open_servers, sharing_instances
+from turmericweir_core.placement import predicted_placement
+from turmericweir_core.state import straggler
+from turmericweir_core.state.concurrency import limited_slots
+from turmericweir_core.state.prefix import match_scores
+from turmericweir_core.state.queue_state import target_classes
+from turmericweir_core.state.server_table import Server, any_target, preferred, servers_for
 
 if TYPE_CHECKING:
-    from turmericweir_core.state import State
+    from turmericweir_core.state.state import State
 
 # Headroom of a server whose place in this instance's reach is not known: nothing may be sent, and
 # nothing that runs there would make room by ending.
--- a/packages/turmericweir-core/turmericweir_core/predicted_admission.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/predicted_admission.py
@@ -16,21 +16,17 @@
 
 from typing import TYPE_CHECKING, Final
 
-from turmericweir_core import (
-    engine_model,
-    engine_pools,
-    predicted_placement,
-    queue_state,
-    straggler,
-)
-from turmericweir_core.config import Kind
-from turmericweir_core.request import Request
-from turmericweir_core.server_table import Server
-from turmericweir_core.subset import open_servers
-from turmericweir_core.tiers import rank_of
+from turmericweir_core.base.config import Kind
+from turmericweir_core.base.request import Request
+from turmericweir_core.base.tiers import rank_of
+from turmericweir_core.engines import engine_model, engine_pools
+from turmericweir_core.membership.subset import open_servers
+from turmericweir_core.placement import predicted_placement
+from turmericweir_core.state import queue_state, straggler
+from turmericweir_core.state.server_table import Server
 
 if TYPE_CHECKING:
-    from turmericweir_core.state import State
+    from turmericweir_core.state.state import State
 
 _MS: Final = 1000.0
 # Share of the time that is left which the predicted wait may take: what is admitted beyond it
--- a/packages/turmericweir-core/turmericweir_core/predicted_placement.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/predicted_placement.py
@@ -19,16 +19,18 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
-from turmericweir_core import engine_model, engine_pools, straggler, urgent_first
-from turmericweir_core.config import Kind
-from turmericweir_core.reliability import excess_failures
-from turmericweir_core.request import Request
-from turmericweir_core.server_table import Server
-from turmericweir_core.subset import open_servers, rendezvous_weight
-from turmericweir_core.tiers import rank_of
+from turmericweir_core.base.config import Kind
+from turmericweir_core.base.request import Request
+from turmericweir_core.base.tiers import rank_of
+from turmericweir_core.engines import engine_model, engine_pools
+from turmericweir_core.membership.subset import open_servers, rendezvous_weight
+from turmericweir_core.queueing import urgent_first
+from turmericweir_core.state import straggler
+from turmericweir_core.state.reliability import excess_failures
+from turmericweir_core.state.server_table import Server
 
 if TYPE_CHECKING:
-    from turmericweir_core.state import State
+    from turmericweir_core.state.state import State
 
 # What a server of another data centre costs more: the way there and back, milliseconds.
 _REMOTE_MS: Final = 3.0
--- a/packages/turmericweir-core/turmericweir_core/patience.py
+++ b/packages/turmericweir-core/turmericweir_core/queueing/patience.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from turmericweir_core.options import Options
-from turmericweir_core.queue_state import ClassQueue
+from turmericweir_core.base.options import Options
+from turmericweir_core.state.queue_state import ClassQueue
 
 
 def displacement_wait(options: Options, target_s: float) -> float:
--- a/packages/turmericweir-core/turmericweir_core/urgent_first.py
+++ b/packages/turmericweir-core/turmericweir_core/queueing/urgent_first.py
@@ -12,16 +12,15 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
-from turmericweir_core import queue_state
-from turmericweir_core.ids import InstanceName, Target
-from turmericweir_core.tiers import rank_of
+from turmericweir_core.base.ids import InstanceName, Target
+from turmericweir_core.base.tiers import rank_of
+from turmericweir_core.state import queue_state
 
 if TYPE_CHECKING:
-    from turmericweir_core.request import Request
-    from turmericweir_core.state import State
+    from turmericweir_core.base.request import Request
+    from turmericweir_core.state.state import State
 
 # Part of its target for which a request has waited here for too long: it is late wherever it goes
 # now. With half of it each moment's crowd stops the long prompts.
@@ -30,13 +29,6 @@
 _PEER_VALID_S: Final = 1.2
 
 
-@dataclass(slots=True)
-class LateRanks:
-    """What the peers told of late requests: when, and of which rank."""
-
-    peers: dict[Target, dict[InstanceName, tuple[float, int]]] = field(default_factory=dict)
-
-
 def late_rank(state: State, now: float, target: Target) -> int | None:
     """Give the most urgent rank of which a request has waited here for too long."""
     late = [
--- a/packages/turmericweir-core/turmericweir_core/claim_answer.py
+++ b/packages/turmericweir-core/turmericweir_core/records/claim_answer.py
@@ -10,8 +10,8 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-from turmericweir_core.claim_record import ClaimEnd
-from turmericweir_core.options import Options
+from turmericweir_core.base.options import Options
+from turmericweir_core.records.claim_record import ClaimEnd
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/turmericweir-core/turmericweir_core/claim_record.py
+++ b/packages/turmericweir-core/turmericweir_core/records/claim_record.py
@@ -12,10 +12,10 @@
 from hashlib import sha256
 from typing import Any, Final
 
-from turmericweir_core.account import Outcome
-from turmericweir_core.reasons import Reason
-from turmericweir_core.record_field import text_field, whole_field
-from turmericweir_core.request import Request
+from turmericweir_core.base.account import Outcome
+from turmericweir_core.base.reasons import Reason
+from turmericweir_core.base.request import Request
+from turmericweir_core.records.record_field import text_field, whole_field
 
 CLAIMS_STREAM: Final = "claims"
 # Hex digits kept of a key's hash: 128 bits, so that a chance collision need not be thought of.
--- a/packages/turmericweir-core/turmericweir_core/lease_record.py
+++ b/packages/turmericweir-core/turmericweir_core/records/lease_record.py
@@ -12,7 +12,7 @@
 from enum import StrEnum
 from typing import Any, Final
 
-from turmericweir_core.record_field import text_field, whole_field
+from turmericweir_core.records.record_field import text_field, whole_field
 
 LEASES_STREAM: Final = "leases"
 # Succeeds nothing that its writer has read.
--- a/packages/turmericweir-core/turmericweir_core/settings_model.py
+++ b/packages/turmericweir-core/turmericweir_core/records/settings_model.py
@@ -27,10 +27,10 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
-from turmericweir_core import config
-from turmericweir_core.config import NO_LIMIT, Config, Kind, Limit, Policy
-from turmericweir_core.ids import ServerName, Target
-from turmericweir_core.settings_path import (
+from turmericweir_core.base import config
+from turmericweir_core.base.config import NO_LIMIT, Config, Kind, Limit, Policy
+from turmericweir_core.base.ids import ServerName, Target
+from turmericweir_core.records.settings_path import (
     ClassPath,
     CustomerPath,
     LimitPath,
--- a/packages/turmericweir-core/turmericweir_core/settings_record.py
+++ b/packages/turmericweir-core/turmericweir_core/records/settings_record.py
@@ -12,8 +12,8 @@
 from pydantic import BaseModel, ConfigDict, Field, StringConstraints, TypeAdapter, ValidationError
 from returns.result import Failure, Result, Success
 
-from turmericweir_core.settings_model import explain
-from turmericweir_core.settings_verdict import VerdictKind
+from turmericweir_core.records.settings_model import explain
+from turmericweir_core.records.settings_verdict import VerdictKind
 
 STREAM: Final = "settings"
 
--- a/packages/turmericweir-core/turmericweir_core/settings_refs.py
+++ b/packages/turmericweir-core/turmericweir_core/records/settings_refs.py
@@ -16,7 +16,7 @@
 from enum import StrEnum
 from typing import Final, TypeAlias
 
-from turmericweir_core.settings_model import (
+from turmericweir_core.records.settings_model import (
     Entry,
     Value,
     WrittenClass,
@@ -26,7 +26,7 @@
     WrittenServer,
     WrittenService,
 )
-from turmericweir_core.settings_path import (
+from turmericweir_core.records.settings_path import (
     ClassPath,
     CustomerPath,
     ModelPath,
--- a/packages/turmericweir-core/turmericweir_core/settings_verdict.py
+++ b/packages/turmericweir-core/turmericweir_core/records/settings_verdict.py
@@ -9,7 +9,7 @@
 from enum import StrEnum
 from typing import Any, TypeAlias
 
-from turmericweir_core.settings_path import Problem
+from turmericweir_core.records.settings_path import Problem
 
 
 class VerdictKind(StrEnum):
--- a/packages/turmericweir-core/turmericweir_core/reducer.py
+++ b/packages/turmericweir-core/turmericweir_core/reducers/reducer.py
@@ -11,23 +11,15 @@
 from random import Random
 from typing import assert_never
 
-from turmericweir_core import (
-    claim_carry,
-    claim_flow,
-    claim_members,
-    dispatch,
-    lease_flow,
-    limit,
-    membership_reducer,
-    model_demand,
-    model_flow,
-    order_flow,
-    settings_flow,
-)
-from turmericweir_core.claim_outbox import is_flushed
-from turmericweir_core.claim_record import CLAIMS_STREAM
-from turmericweir_core.effects import Effect
-from turmericweir_core.events import (
+from turmericweir_core.base.ids import InstanceName
+from turmericweir_core.base.options import Options
+from turmericweir_core.claims import claim_carry, claim_members
+from turmericweir_core.claims.claim_outbox import is_flushed
+from turmericweir_core.leases import lease_flow, model_demand, model_flow, order_flow
+from turmericweir_core.limits import limit
+from turmericweir_core.membership import membership_reducer
+from turmericweir_core.messages.effects import Effect
+from turmericweir_core.messages.events import (
     AppendDone,
     AppendFailed,
     AttemptEnded,
@@ -59,10 +51,7 @@
     Tick,
     WeightsAnswered,
 )
-from turmericweir_core.ids import InstanceName
-from turmericweir_core.lease_record import LEASES_STREAM
-from turmericweir_core.options import Options
-from turmericweir_core.peer_messages import (
+from turmericweir_core.messages.peer_messages import (
     ClaimAsk,
     ClaimKept,
     ClaimOpen,
@@ -77,14 +66,19 @@
     SettingsAsk,
     SettingsSend,
 )
-from turmericweir_core.reducer_common import (
+from turmericweir_core.placement import dispatch
+from turmericweir_core.records.claim_record import CLAIMS_STREAM
+from turmericweir_core.records.lease_record import LEASES_STREAM
+from turmericweir_core.records.settings_record import STREAM as SETTINGS_STREAM
+from turmericweir_core.reducers.reducer_common import (
     exit_when_done,
     reduce_common,
     tick_others,
     tick_requests,
 )
-from turmericweir_core.settings_record import STREAM as SETTINGS_STREAM
-from turmericweir_core.state import Identity, State
+from turmericweir_core.requests import claim_flow
+from turmericweir_core.settings import settings_flow
+from turmericweir_core.state.state import Identity, State
 
 
 def new_state(identity: Identity, options: Options, seed: int) -> State:
--- a/packages/turmericweir-core/turmericweir_core/reducer_common.py
+++ b/packages/turmericweir-core/turmericweir_core/reducers/reducer_common.py
@@ -11,26 +11,11 @@
 from collections.abc import Callable
 from typing import TypeAlias, assert_never
 
-from turmericweir_core import (
-    attempt_books,
-    attempt_flow,
-    credit,
-    dispatch,
-    leaving,
-    lifecycle,
-    load_news,
-    membership_reducer,
-    placement,
-    prefix,
-    quarantine,
-    quarantine_flow,
-    retry,
-    server_list,
-    server_table,
-)
-from turmericweir_core.account_store import expire_accounts
-from turmericweir_core.effects import Effect, Exit, Log, ProbeServer
-from turmericweir_core.events import (
+from turmericweir_core.credits import credit
+from turmericweir_core.engines import load_news
+from turmericweir_core.membership import leaving, membership_reducer, server_list
+from turmericweir_core.messages.effects import Effect, Exit, Log, ProbeServer
+from turmericweir_core.messages.events import (
     AttemptEnded,
     AttemptProgress,
     AttemptSent,
@@ -48,7 +33,7 @@
     ServerUnreachable,
     StopRequested,
 )
-from turmericweir_core.peer_messages import (
+from turmericweir_core.messages.peer_messages import (
     CrashesAsk,
     CrashNews,
     CreditDemand,
@@ -65,7 +50,12 @@
     TrialAsk,
     TrialEnd,
 )
-from turmericweir_core.state import State
+from turmericweir_core.placement import attempt_books, dispatch, placement
+from turmericweir_core.requests import attempt_flow, lifecycle, quarantine_flow
+from turmericweir_core.state import prefix, server_table
+from turmericweir_core.state.account_store import expire_accounts
+from turmericweir_core.state.state import State
+from turmericweir_core.trust import quarantine, retry
 
 CommonEvent: TypeAlias = (
     RequestArrived
--- a/packages/turmericweir-core/turmericweir_core/reducer_store.py
+++ b/packages/turmericweir-core/turmericweir_core/reducers/reducer_store.py
@@ -9,17 +9,10 @@
 
 from typing import assert_never
 
-from turmericweir_core import (
-    cache_handover,
-    dead_server,
-    dispatch,
-    document,
-    leaving,
-    load_news,
-    registry,
-)
-from turmericweir_core.effects import Effect
-from turmericweir_core.events import (
+from turmericweir_core.engines import cache_handover, load_news
+from turmericweir_core.membership import leaving
+from turmericweir_core.messages.effects import Effect
+from turmericweir_core.messages.events import (
     AppendDone,
     AppendFailed,
     AttemptEnded,
@@ -52,7 +45,7 @@
     Tick,
     WeightsAnswered,
 )
-from turmericweir_core.peer_messages import (
+from turmericweir_core.messages.peer_messages import (
     CachesAsk,
     CachesSend,
     DocumentAsk,
@@ -60,13 +53,15 @@
     DocumentSend,
     RegistryNews,
 )
-from turmericweir_core.reducer_common import (
+from turmericweir_core.placement import dead_server, dispatch
+from turmericweir_core.reducers.reducer_common import (
     exit_when_done,
     reduce_common,
     tick_others,
     tick_requests,
 )
-from turmericweir_core.state import State
+from turmericweir_core.state.state import State
+from turmericweir_core.store import document, registry
 
 
 def reduce(state: State, now: float, event: Event) -> list[Effect]:
--- /dev/null
+++ b/packages/turmericweir-core/turmericweir_core/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Lead a request from its arrival to its account: lifecycle, attempts, quarantine, claims."""
--- a/packages/turmericweir-core/turmericweir_core/attempt_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
@@ -9,20 +9,13 @@
 
 from typing import assert_never
 
-from turmericweir_core import (
-    attempt_books,
-    engine_model,
-    moving,
-    quarantine,
-    queue_state,
-    silence,
-    trial,
-)
-from turmericweir_core.account import Outcome
-from turmericweir_core.config import Kind, Policy
-from turmericweir_core.dispatch import dispatch, release, wait_for_server
-from turmericweir_core.effects import Count, Effect, Log, Timing
-from turmericweir_core.events import (
+from turmericweir_core.base.account import Outcome
+from turmericweir_core.base.config import Kind, Policy
+from turmericweir_core.base.reasons import Reason
+from turmericweir_core.base.request import Attempt, CancelReason, Phase, Request
+from turmericweir_core.engines import engine_model
+from turmericweir_core.messages.effects import Count, Effect, Log, Timing
+from turmericweir_core.messages.events import (
     AttemptEnd,
     AttemptEnded,
     AttemptProgress,
@@ -34,12 +27,14 @@
     EndServerError,
     EndUnsent,
 )
-from turmericweir_core.lifecycle import finish, given_up
-from turmericweir_core.reasons import Reason
-from turmericweir_core.request import Attempt, CancelReason, Phase, Request
-from turmericweir_core.retry import spend_retry
-from turmericweir_core.server_table import note_leaving, note_unreachable
-from turmericweir_core.state import State
+from turmericweir_core.placement import attempt_books, moving
+from turmericweir_core.placement.dispatch import dispatch, release, wait_for_server
+from turmericweir_core.requests.lifecycle import finish, given_up
+from turmericweir_core.state import queue_state
+from turmericweir_core.state.server_table import note_leaving, note_unreachable
+from turmericweir_core.state.state import State
+from turmericweir_core.trust import quarantine, silence, trial
+from turmericweir_core.trust.retry import spend_retry
 
 
 def on_sent(state: State, now: float, event: AttemptSent) -> list[Effect]:
--- a/packages/turmericweir-core/turmericweir_core/claim_ask.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/claim_ask.py
@@ -6,19 +6,19 @@
 
 from __future__ import annotations
 
-from turmericweir_core import lifecycle
-from turmericweir_core.account import Outcome
-from turmericweir_core.claim_outbox import is_in_doubt, put_claim, writer_of
-from turmericweir_core.claim_record import NewClaim, Writer
-from turmericweir_core.claim_state import Vote, Wait, drop_wait
-from turmericweir_core.claim_vote import agree, release, voting_view
-from turmericweir_core.effects import Count, Effect, SendPeer, Timing
-from turmericweir_core.ids import InstanceName, RequestId
-from turmericweir_core.membership import live_instances
-from turmericweir_core.peer_messages import ClaimVote, ClaimVoteAsk
-from turmericweir_core.reasons import Reason
-from turmericweir_core.request import Request
-from turmericweir_core.state import State
+from turmericweir_core.base.account import Outcome
+from turmericweir_core.base.ids import InstanceName, RequestId
+from turmericweir_core.base.reasons import Reason
+from turmericweir_core.base.request import Request
+from turmericweir_core.claims.claim_outbox import is_in_doubt, put_claim, writer_of
+from turmericweir_core.claims.claim_vote import agree, release, voting_view
+from turmericweir_core.membership.membership import live_instances
+from turmericweir_core.messages.effects import Count, Effect, SendPeer, Timing
+from turmericweir_core.messages.peer_messages import ClaimVote, ClaimVoteAsk
+from turmericweir_core.records.claim_record import NewClaim, Writer
+from turmericweir_core.requests import lifecycle
+from turmericweir_core.state.claim_state import Vote, Wait, drop_wait
+from turmericweir_core.state.state import State
 
 
 def may_ask(state: State, now: float, wait: Wait) -> bool:
--- a/packages/turmericweir-core/turmericweir_core/claim_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/claim_flow.py
@@ -15,18 +15,11 @@
 
 from typing import assert_never
 
-from turmericweir_core import lifecycle
-from turmericweir_core.account import Outcome
-from turmericweir_core.claim_answer import KeptEnd
-from turmericweir_core.claim_ask import (
-    ask_members,
-    may_ask,
-    note_unreachable_member,
-    on_vote,
-    refuse,
-)
-from turmericweir_core.claim_ledger import Claim, Folded, fold, restart, vouch_for
-from turmericweir_core.claim_outbox import (
+from turmericweir_core.base.account import Outcome
+from turmericweir_core.base.ids import InstanceName, RequestId
+from turmericweir_core.base.reasons import Reason
+from turmericweir_core.base.request import Phase, Request
+from turmericweir_core.claims.claim_outbox import (
     flush,
     give_up_late,
     is_claim_out,
@@ -40,13 +33,10 @@
     read_on,
     writer_of,
 )
-from turmericweir_core.claim_peer import ask_holder, end_told, on_ask
-from turmericweir_core.claim_record import CLAIMS_STREAM, NewClaim, encode, key_of
-from turmericweir_core.claim_state import Wait, add_wait, drop_wait
-from turmericweir_core.claim_view import may_claim
-from turmericweir_core.claim_vote import known_holder, note_folded, on_release, on_vote_ask
-from turmericweir_core.effects import Count, Effect, Log, ReplayAnswer, Timing
-from turmericweir_core.events import (
+from turmericweir_core.claims.claim_peer import ask_holder, end_told, on_ask
+from turmericweir_core.claims.claim_vote import known_holder, note_folded, on_release, on_vote_ask
+from turmericweir_core.messages.effects import Count, Effect, Log, ReplayAnswer, Timing
+from turmericweir_core.messages.events import (
     AppendDone,
     AppendFailed,
     LogExpired,
@@ -55,8 +45,7 @@
     LogRecord,
     PeerUnreachable,
 )
-from turmericweir_core.ids import InstanceName, RequestId
-from turmericweir_core.peer_messages import (
+from turmericweir_core.messages.peer_messages import (
     ClaimAsk,
     ClaimKept,
     ClaimOpen,
@@ -65,9 +54,20 @@
     ClaimVote,
     ClaimVoteAsk,
 )
-from turmericweir_core.reasons import Reason
-from turmericweir_core.request import Phase, Request
-from turmericweir_core.state import State
+from turmericweir_core.records.claim_answer import KeptEnd
+from turmericweir_core.records.claim_record import CLAIMS_STREAM, NewClaim, encode, key_of
+from turmericweir_core.requests import lifecycle
+from turmericweir_core.requests.claim_ask import (
+    ask_members,
+    may_ask,
+    note_unreachable_member,
+    on_vote,
+    refuse,
+)
+from turmericweir_core.state.claim_ledger import Claim, Folded, fold, restart, vouch_for
+from turmericweir_core.state.claim_state import Wait, add_wait, drop_wait
+from turmericweir_core.state.claim_view import may_claim
+from turmericweir_core.state.state import State
 
 # --- arrival ---------------------------------------------------------------------------------
 
--- a/packages/turmericweir-core/turmericweir_core/lifecycle.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/lifecycle.py
@@ -11,31 +11,14 @@
 
 from typing import assert_never
 
-from turmericweir_core import (
-    admission,
-    document,
-    instance_refusal,
-    limit,
-    quarantine,
-    queue_state,
-    silence,
-    silence_signs,
-    trial,
-)
-from turmericweir_core.account import Account, Outcome
-from turmericweir_core.account_store import keep_account
-from turmericweir_core.claim_answer import KeptAnswer
-from turmericweir_core.claim_end import follows_holder, note_finished
-from turmericweir_core.config import Kind
-from turmericweir_core.dispatch import (
-    cancel,
-    dispatch,
-    dispatch_all,
-    displace,
-    pool_name,
-    wait_for_server,
-)
-from turmericweir_core.effects import (
+from turmericweir_core.base.account import Account, Outcome
+from turmericweir_core.base.config import Kind
+from turmericweir_core.base.ids import RequestId, ServerName
+from turmericweir_core.base.reasons import MESSAGES, Reason
+from turmericweir_core.base.request import Attempt, CancelReason, Phase, Request
+from turmericweir_core.claims.claim_end import follows_holder, note_finished
+from turmericweir_core.limits import limit
+from turmericweir_core.messages.effects import (
     Count,
     Effect,
     FinishRequest,
@@ -43,17 +26,24 @@
     ProbeServer,
     Timing,
 )
-from turmericweir_core.events import (
-    CallerLeft,
-    RequestArrived,
-    ServerReport,
+from turmericweir_core.messages.events import CallerLeft, RequestArrived, ServerReport
+from turmericweir_core.placement import admission
+from turmericweir_core.placement.dispatch import (
+    cancel,
+    dispatch,
+    dispatch_all,
+    displace,
+    pool_name,
+    wait_for_server,
 )
-from turmericweir_core.ids import RequestId, ServerName
-from turmericweir_core.predict import predict_tokens
-from turmericweir_core.reasons import MESSAGES, Reason
-from turmericweir_core.request import Attempt, CancelReason, Phase, Request
-from turmericweir_core.retry import earn_retry
-from turmericweir_core.state import State
+from turmericweir_core.records.claim_answer import KeptAnswer
+from turmericweir_core.state import queue_state
+from turmericweir_core.state.account_store import keep_account
+from turmericweir_core.state.predict import predict_tokens
+from turmericweir_core.state.state import State
+from turmericweir_core.store import document, instance_refusal
+from turmericweir_core.trust import quarantine, silence, silence_signs, trial
+from turmericweir_core.trust.retry import earn_retry
 
 # --- arrival ---------------------------------------------------------------------------------
 
--- a/packages/turmericweir-core/turmericweir_core/quarantine_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/quarantine_flow.py
@@ -9,21 +9,24 @@
 
 from typing import assert_never
 
-from turmericweir_core import dispatch, lifecycle, quarantine, queue_state, trial
-from turmericweir_core.account import Outcome
-from turmericweir_core.effects import Count, Effect
-from turmericweir_core.ids import InstanceName
-from turmericweir_core.peer_messages import (
+from turmericweir_core.base.account import Outcome
+from turmericweir_core.base.ids import InstanceName
+from turmericweir_core.base.reasons import Reason
+from turmericweir_core.base.request import CancelReason, Phase, Request
+from turmericweir_core.messages.effects import Count, Effect
+from turmericweir_core.messages.peer_messages import (
     CrashesAsk,
     CrashNews,
     TrialAnswer,
     TrialAsk,
     TrialEnd,
 )
-from turmericweir_core.reasons import Reason
-from turmericweir_core.request import CancelReason, Phase, Request
-from turmericweir_core.state import State
-from turmericweir_core.trial import Decision, GiveUp, Refuse, Release, RunAlone, Send
+from turmericweir_core.placement import dispatch
+from turmericweir_core.requests import lifecycle
+from turmericweir_core.state import queue_state
+from turmericweir_core.state.state import State
+from turmericweir_core.trust import quarantine, trial
+from turmericweir_core.trust.trial import Decision, GiveUp, Refuse, Release, RunAlone, Send
 
 
 def on_tick(state: State, now: float) -> list[Effect]:
--- a/packages/turmericweir-core/turmericweir_core/settings_changes.py
+++ b/packages/turmericweir-core/turmericweir_core/settings/settings_changes.py
@@ -14,19 +14,24 @@
 from returns.pipeline import is_successful
 from returns.result import Result
 
-from turmericweir_core.effects import AppendRecords, Count, Effect, Log, ReadLog, SettleChange
-from turmericweir_core.events import AppendDone, AppendFailed, ChangeSubmitted
-from turmericweir_core.options import Options
-from turmericweir_core.settings_record import (
+from turmericweir_core.base.options import Options
+from turmericweir_core.messages.effects import (
+    AppendRecords,
+    Count,
+    Effect,
+    Log,
+    ReadLog,
+    SettleChange,
+)
+from turmericweir_core.messages.events import AppendDone, AppendFailed, ChangeSubmitted
+from turmericweir_core.records.settings_record import (
     STREAM,
     ChangeRecord,
     SettingsRecord,
     log_form,
     read_record,
 )
-from turmericweir_core.settings_state import Seen, settings_version
-from turmericweir_core.settings_sync import PendingChange, SettingsSync, settings_read_offset
-from turmericweir_core.settings_verdict import (
+from turmericweir_core.records.settings_verdict import (
     Malformed,
     NotAppended,
     Repeated,
@@ -37,6 +42,8 @@
     Subject,
     Verdict,
 )
+from turmericweir_core.state.settings_state import Seen, settings_version
+from turmericweir_core.state.settings_sync import PendingChange, SettingsSync, settings_read_offset
 
 # Operators of the process file are named with this prefix, which no path below `/operators` can
 # have: nobody can be given their authority by a setting.
--- a/packages/turmericweir-core/turmericweir_core/settings_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/settings/settings_flow.py
@@ -7,9 +7,10 @@
 
 from collections.abc import Sequence
 
-from turmericweir_core import membership, server_table, settings_changes, settings_reducer
-from turmericweir_core.effects import Effect
-from turmericweir_core.events import (
+from turmericweir_core.base.ids import InstanceName
+from turmericweir_core.membership import membership
+from turmericweir_core.messages.effects import Effect
+from turmericweir_core.messages.events import (
     AppendDone,
     AppendFailed,
     ChangeSubmitted,
@@ -17,11 +18,12 @@
     LogFailed,
     LogRead,
 )
-from turmericweir_core.ids import InstanceName
-from turmericweir_core.peer_messages import Heartbeat, SettingsAsk, SettingsSend
-from turmericweir_core.settings_inforce import CentreReach, in_force
-from turmericweir_core.settings_sync import PeerSettings
-from turmericweir_core.state import State
+from turmericweir_core.messages.peer_messages import Heartbeat, SettingsAsk, SettingsSend
+from turmericweir_core.settings import settings_changes, settings_reducer
+from turmericweir_core.settings.settings_inforce import CentreReach, in_force
+from turmericweir_core.state import server_table
+from turmericweir_core.state.settings_sync import PeerSettings
+from turmericweir_core.state.state import State
 
 
 def on_log(state: State, now: float, event: LogRead | LogExpired | LogFailed) -> list[Effect]:
--- a/packages/turmericweir-core/turmericweir_core/settings_inforce.py
+++ b/packages/turmericweir-core/turmericweir_core/settings/settings_inforce.py
@@ -13,8 +13,8 @@
 from enum import StrEnum
 from math import isfinite
 
-from turmericweir_core.ids import InstanceName
-from turmericweir_core.membership import CentreView, Member
+from turmericweir_core.base.ids import InstanceName
+from turmericweir_core.state.membership_state import CentreView, Member
 
 
 class Reach(StrEnum):
--- a/packages/turmericweir-core/turmericweir_core/settings_reducer.py
+++ b/packages/turmericweir-core/turmericweir_core/settings/settings_reducer.py
@@ -16,28 +16,13 @@
 
 from returns.pipeline import is_successful
 
-from turmericweir_core.effects import Count, Effect, Log, SendPeer
-from turmericweir_core.events import LogExpired, LogFailed, LogRead, LogRecord
-from turmericweir_core.ids import InstanceName
-from turmericweir_core.options import Options
-from turmericweir_core.peer_messages import Heartbeat, SettingsAsk, SettingsSend
-from turmericweir_core.settings_changes import pursue_changes, settle, settle_seen
-from turmericweir_core.settings_record import SnapshotRecord, log_form, read_record
-from turmericweir_core.settings_snapshots import write_snapshot
-from turmericweir_core.settings_state import (
-    apply,
-    config_of,
-    load_snapshot,
-    state_digest,
-    take_snapshot,
-)
-from turmericweir_core.settings_sync import (
-    PeerSettings,
-    SettingsSync,
-    keep_record,
-    settings_read_offset,
-)
-from turmericweir_core.settings_verdict import (
+from turmericweir_core.base.ids import InstanceName
+from turmericweir_core.base.options import Options
+from turmericweir_core.messages.effects import Count, Effect, Log, SendPeer
+from turmericweir_core.messages.events import LogExpired, LogFailed, LogRead, LogRecord
+from turmericweir_core.messages.peer_messages import Heartbeat, SettingsAsk, SettingsSend
+from turmericweir_core.records.settings_record import SnapshotRecord, log_form, read_record
+from turmericweir_core.records.settings_verdict import (
     Accepted,
     Conflict,
     Forbidden,
@@ -51,6 +36,21 @@
     describe,
     kind_of,
 )
+from turmericweir_core.settings.settings_changes import pursue_changes, settle, settle_seen
+from turmericweir_core.settings.settings_snapshots import write_snapshot
+from turmericweir_core.state.settings_state import (
+    apply,
+    config_of,
+    load_snapshot,
+    state_digest,
+    take_snapshot,
+)
+from turmericweir_core.state.settings_sync import (
+    PeerSettings,
+    SettingsSync,
+    keep_record,
+    settings_read_offset,
+)
 
 # --- the log ---------------------------------------------------------------------------------
 
--- a/packages/turmericweir-core/turmericweir_core/settings_snapshots.py
+++ b/packages/turmericweir-core/turmericweir_core/settings/settings_snapshots.py
@@ -9,12 +9,12 @@
 from collections.abc import Sequence
 from typing import Final
 
-from turmericweir_core.effects import AppendRecords, Count, Effect
-from turmericweir_core.ids import InstanceName
-from turmericweir_core.options import Options
-from turmericweir_core.settings_record import STREAM, log_form
-from turmericweir_core.settings_state import take_snapshot
-from turmericweir_core.settings_sync import PeerSettings, SettingsSync
+from turmericweir_core.base.ids import InstanceName
+from turmericweir_core.base.options import Options
+from turmericweir_core.messages.effects import AppendRecords, Count, Effect
+from turmericweir_core.records.settings_record import STREAM, log_form
+from turmericweir_core.state.settings_state import take_snapshot
+from turmericweir_core.state.settings_sync import PeerSettings, SettingsSync
 
 _SNAPSHOT_TOKEN: Final = "snapshot"
 
--- a/packages/turmericweir-core/turmericweir_core/settings_trial.py
+++ b/packages/turmericweir-core/turmericweir_core/settings/settings_trial.py
@@ -5,16 +5,16 @@
 from collections.abc import Mapping
 from typing import Any
 
-from turmericweir_core.events import LogRecord
-from turmericweir_core.settings_record import ChangeRecord, log_form
-from turmericweir_core.settings_state import (
+from turmericweir_core.messages.events import LogRecord
+from turmericweir_core.records.settings_record import ChangeRecord, log_form
+from turmericweir_core.records.settings_verdict import Verdict
+from turmericweir_core.state.settings_state import (
     SettingsState,
     apply,
     read_snapshot,
     settings_version,
     take_snapshot,
 )
-from turmericweir_core.settings_verdict import Verdict
 
 
 # Any: values are whatever an operator wrote; the fold validates them.
--- a/packages/turmericweir-core/turmericweir_core/account_store.py
+++ b/packages/turmericweir-core/turmericweir_core/state/account_store.py
@@ -8,8 +8,8 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-from turmericweir_core.account import Account
-from turmericweir_core.options import Options
+from turmericweir_core.base.account import Account
+from turmericweir_core.base.options import Options
 
 
 @dataclass(slots=True)
--- a/packages/turmericweir-core/turmericweir_core/claim_ledger.py
+++ b/packages/turmericweir-core/turmericweir_core/state/claim_ledger.py
@@ -31,8 +31,8 @@
 from itertools import islice
 from typing import Any, Final
 
-from turmericweir_core.claim_clock import StreamClock, note_clock
-from turmericweir_core.claim_record import (
+from turmericweir_core.base.options import Options
+from turmericweir_core.records.claim_record import (
     NO_FLOOR,
     NO_VIEW,
     AgreedClaim,
@@ -45,7 +45,8 @@
     Writer,
     decode,
 )
-from turmericweir_core.claim_view import (
+from turmericweir_core.state.claim_clock import StreamClock, note_clock
+from turmericweir_core.state.claim_view import (
     ViewLedger,
     epoch_of,
     fold_view,
@@ -54,7 +55,6 @@
     may_claim,
     note_told,
 )
-from turmericweir_core.options import Options
 
 NO_RECORD: Final = -1
 
--- a/packages/turmericweir-core/turmericweir_core/claim_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/claim_state.py
@@ -8,9 +8,9 @@
 
 from dataclasses import dataclass, field
 
-from turmericweir_core.claim_answer import AnswerStore
-from turmericweir_core.claim_ledger import Ledger
-from turmericweir_core.claim_record import (
+from turmericweir_core.base.ids import InstanceName, RequestId
+from turmericweir_core.records.claim_answer import AnswerStore
+from turmericweir_core.records.claim_record import (
     NO_VIEW,
     Batch,
     EndRecord,
@@ -18,7 +18,7 @@
     Withdrawal,
     Writer,
 )
-from turmericweir_core.ids import InstanceName, RequestId
+from turmericweir_core.state.claim_ledger import Ledger
 
 
 @dataclass(slots=True)
--- a/packages/turmericweir-core/turmericweir_core/claim_view.py
+++ b/packages/turmericweir-core/turmericweir_core/state/claim_view.py
@@ -17,7 +17,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from turmericweir_core.claim_record import NO_VIEW, UNKNOWN_VIEW, Batch, Writer
+from turmericweir_core.records.claim_record import NO_VIEW, UNKNOWN_VIEW, Batch, Writer
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/turmericweir-core/turmericweir_core/concurrency.py
+++ b/packages/turmericweir-core/turmericweir_core/state/concurrency.py
@@ -18,8 +18,8 @@
 from dataclasses import dataclass, field
 from math import sqrt
 
-from turmericweir_core.ids import ServerName
-from turmericweir_core.options import Options
+from turmericweir_core.base.ids import ServerName
+from turmericweir_core.base.options import Options
 
 
 @dataclass(slots=True)
--- a/packages/turmericweir-core/turmericweir_core/credit_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/credit_state.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from turmericweir_core.ids import InstanceName, ServerName
-from turmericweir_core.peer_messages import TierDemand
+from turmericweir_core.base.ids import InstanceName, ServerName
+from turmericweir_core.messages.peer_messages import TierDemand
 
 NEVER: Final = float("-inf")
 
--- a/packages/turmericweir-core/turmericweir_core/dead_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/dead_state.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from turmericweir_core.ids import ServerName
+from turmericweir_core.base.ids import ServerName
 
 
 @dataclass(slots=True)
--- a/packages/turmericweir-core/turmericweir_core/engine_speed.py
+++ b/packages/turmericweir-core/turmericweir_core/state/engine_speed.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from turmericweir_core.options import Options
+from turmericweir_core.base.options import Options
 
 # What each newer request leaves of the weight of the older ones: some thirty count.
 _KEEP: Final = 0.97
--- /dev/null
+++ b/packages/turmericweir-core/turmericweir_core/state/engine_state.py
@@ -0,0 +1,77 @@
+"""Hold what is known of the load and the cache of each engine."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from turmericweir_core.base.ids import AttemptId, InstanceName, ServerName, Target
+from turmericweir_core.messages.peer_messages import SentPart
+from turmericweir_core.state.engine_speed import EngineSpeed
+
+
+@dataclass(frozen=True, slots=True)
+class Pending:
+    """A prompt that waits at an engine or is being read there."""
+
+    work_ms: float
+    # Engines take prompts of lower ranks first.
+    rank: int
+    sent_at: float
+
+
+@dataclass(slots=True)
+class Prefill:
+    """A prompt of this instance that an engine has not begun to answer."""
+
+    work_ms: float
+    rank: int
+    tokens: int
+    # Time to the first token that was predicted, and when the prompt was sent.
+    predicted_ms: float
+    sent_at: float
+    # What a common engine would read for, if this one had nothing else to read; None if it had, or
+    # was handed a part of the prompt.
+    common_ms: float | None
+
+
+@dataclass(slots=True)
+class PeerLoad:
+    """What one other instance has on a server."""
+
+    at: float
+    pending: list[Pending] = field(default_factory=list)
+    running: int = 0
+    tokens: int = 0
+
+
+@dataclass(slots=True)
+class EngineBook:
+    """What is known of one server; plain servers only have their running requests."""
+
+    # Own prompts without a first token, and the tokens of own requests that run.
+    prefills: dict[AttemptId, Prefill] = field(default_factory=dict)
+    running: dict[AttemptId, int] = field(default_factory=dict)
+    peers: dict[InstanceName, PeerLoad] = field(default_factory=dict)
+    # Parts that its cache is taken to hold, with their tokens; the newest last.
+    cached: OrderedDict[str, int] = field(default_factory=OrderedDict)
+    cached_tokens: int = 0
+    # Parts that it was sent and has not begun to answer, with the time up to which that is
+    # believed. It does not hold them before.
+    reading: dict[str, float] = field(default_factory=dict)
+    pace: float = 1.0
+    # Since when the engine has been reading what waits there now.
+    reading_since: float = 0.0
+
+
+@dataclass(slots=True)
+class EngineModels:
+    """The books of all servers."""
+
+    by_server: dict[ServerName, EngineBook] = field(default_factory=dict)
+    # How fast the engines of each service are.
+    speeds: dict[Target, EngineSpeed] = field(default_factory=dict)
+    # Something changed that other instances should know of.
+    changed: bool = False
+    # Parts that this instance has sent, or seen to be read, and not told of yet.
+    unsaid: list[SentPart] = field(default_factory=list)
--- /dev/null
+++ b/packages/turmericweir-core/turmericweir_core/state/handover_state.py
@@ -0,0 +1,14 @@
+"""Hold whether a started instance still wants to be told what the caches of engines hold."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True)
+class HandoverState:
+    """Whether this instance still wants to be told."""
+
+    started_at: float | None = None
+    ask_due: float = 0.0
+    told: bool = False
--- a/packages/turmericweir-core/turmericweir_core/lease_ledger.py
+++ b/packages/turmericweir-core/turmericweir_core/state/lease_ledger.py
@@ -15,7 +15,7 @@
 
 from dataclasses import dataclass, field
 
-from turmericweir_core.lease_record import NO_OFFSET, Act, LeaseRecord, Scope, decode
+from turmericweir_core.records.lease_record import NO_OFFSET, Act, LeaseRecord, Scope, decode
 
 
 @dataclass(slots=True)
--- a/packages/turmericweir-core/turmericweir_core/lease_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/lease_state.py
@@ -4,8 +4,8 @@
 
 from dataclasses import dataclass, field
 
-from turmericweir_core.lease_ledger import Ledger
-from turmericweir_core.lease_record import LeaseRecord, Scope
+from turmericweir_core.records.lease_record import LeaseRecord, Scope
+from turmericweir_core.state.lease_ledger import Ledger
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/turmericweir-core/turmericweir_core/leaving_marks.py
+++ b/packages/turmericweir-core/turmericweir_core/state/leaving_marks.py
@@ -15,8 +15,8 @@
 
 import xxhash
 
-from turmericweir_core.ids import ServerName
-from turmericweir_core.options import Options
+from turmericweir_core.base.ids import ServerName
+from turmericweir_core.base.options import Options
 
 
 @dataclass(slots=True)
--- a/packages/turmericweir-core/turmericweir_core/limit_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/limit_state.py
@@ -11,7 +11,7 @@
 from math import exp, inf, sqrt
 from typing import Final, NewType
 
-from turmericweir_core.ids import InstanceName, RequestId
+from turmericweir_core.base.ids import InstanceName, RequestId
 
 # Names a customer or team on the wire and in both tables.
 SubjectKey = NewType("SubjectKey", str)
--- a/packages/turmericweir-core/turmericweir_core/model_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/model_state.py
@@ -5,10 +5,10 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from turmericweir_core.events import ServerReport
-from turmericweir_core.ids import InstanceName, ServerName
-from turmericweir_core.lease_record import Scope
-from turmericweir_core.model_label import ModelLabel
+from turmericweir_core.base.ids import InstanceName, ServerName
+from turmericweir_core.base.model_label import ModelLabel
+from turmericweir_core.messages.events import ServerReport
+from turmericweir_core.records.lease_record import Scope
 
 
 class OrderKind(StrEnum):
--- a/packages/turmericweir-core/turmericweir_core/pool_load.py
+++ b/packages/turmericweir-core/turmericweir_core/state/pool_load.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from math import exp
 
-from turmericweir_core.options import Options
+from turmericweir_core.base.options import Options
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/packages/turmericweir-core/turmericweir_core/state/pool_state.py
@@ -0,0 +1,39 @@
+"""Hold the demand for the engines of each service and how they are split."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from turmericweir_core.base.ids import InstanceName, Target
+
+
+@dataclass(slots=True)
+class Demand:
+    """Work that arrived of late, decayed, milliseconds."""
+
+    at: float = 0.0
+    long_ms: float = 0.0
+    quick_ms: float = 0.0
+
+
+@dataclass(slots=True)
+class Split:
+    """How many engines of a service read, and since when fewer would do."""
+
+    reading: int = 0
+    fewer_since: float | None = None
+    # Whether quick answers go first, by which version of the settings: there may be hundreds of
+    # routes, and each placement asks.
+    quick_first: bool = True
+    settings: int | None = None
+
+
+@dataclass(slots=True)
+class PoolState:
+    """The demand and the split of each service."""
+
+    own: dict[Target, Demand] = field(default_factory=dict)
+    peers: dict[Target, dict[InstanceName, tuple[float, float, float]]] = field(
+        default_factory=dict
+    )
+    splits: dict[Target, Split] = field(default_factory=dict)
--- a/packages/turmericweir-core/turmericweir_core/predict.py
+++ b/packages/turmericweir-core/turmericweir_core/state/predict.py
@@ -16,9 +16,9 @@
 
 from ddsketch.ddsketch import LogCollapsingLowestDenseDDSketch
 
-from turmericweir_core.effects import Count, Effect
-from turmericweir_core.options import Options
-from turmericweir_core.request import Request
+from turmericweir_core.base.options import Options
+from turmericweir_core.base.request import Request
+from turmericweir_core.messages.effects import Count, Effect
 
 # Answers between two readings of a sketch's quantile, which walks over all its bins.
 _REFRESH = 8
--- a/packages/turmericweir-core/turmericweir_core/prefix.py
+++ b/packages/turmericweir-core/turmericweir_core/state/prefix.py
@@ -16,9 +16,9 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-from turmericweir_core.events import CacheEvents
-from turmericweir_core.ids import ServerName
-from turmericweir_core.options import Options
+from turmericweir_core.base.ids import ServerName
+from turmericweir_core.base.options import Options
+from turmericweir_core.messages.events import CacheEvents
 
 
 @dataclass(slots=True)
--- a/packages/turmericweir-core/turmericweir_core/quarantine_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/quarantine_state.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass, field
 from typing import Final, NamedTuple
 
-from turmericweir_core.ids import AttemptId, InstanceName, RequestId, ServerName
-from turmericweir_core.peer_messages import Sighting
-from turmericweir_core.request import Request
+from turmericweir_core.base.ids import AttemptId, InstanceName, RequestId, ServerName
+from turmericweir_core.base.request import Request
+from turmericweir_core.messages.peer_messages import Sighting
 
 NEVER: Final = float("-inf")
 # Begins the stand-in for an incarnation that is not known; no server's own word begins so.
--- a/packages/turmericweir-core/turmericweir_core/queue_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/queue_state.py
@@ -20,9 +20,9 @@
 from heapq import heappop, heappush
 from itertools import chain, islice
 
-from turmericweir_core.config import ServiceClass
-from turmericweir_core.ids import RequestId, Target
-from turmericweir_core.request import Request
+from turmericweir_core.base.config import ServiceClass
+from turmericweir_core.base.ids import RequestId, Target
+from turmericweir_core.base.request import Request
 
 
 @dataclass(slots=True)
--- a/packages/turmericweir-core/turmericweir_core/reliability.py
+++ b/packages/turmericweir-core/turmericweir_core/state/reliability.py
@@ -12,7 +12,7 @@
 from math import exp
 from typing import Final
 
-from turmericweir_core.ids import ServerName
+from turmericweir_core.base.ids import ServerName
 
 # Memory of what became of requests. Long against the distance of a server's requests at one
 # instance, short against the time for which a server is worth avoiding.
--- a/packages/turmericweir-core/turmericweir_core/server_table.py
+++ b/packages/turmericweir-core/turmericweir_core/state/server_table.py
@@ -10,13 +10,13 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
-from turmericweir_core.config import Config, ServerEntry, Service
-from turmericweir_core.events import ServerReport
-from turmericweir_core.ids import AttemptId, ServerName, Target
-from turmericweir_core.leaving_marks import LeavingMark, LeavingMarks, marks_on
-from turmericweir_core.model_label import bare_name
-from turmericweir_core.options import Options
-from turmericweir_core.request import Request
+from turmericweir_core.base.config import Config, ServerEntry, Service
+from turmericweir_core.base.ids import AttemptId, ServerName, Target
+from turmericweir_core.base.model_label import bare_name
+from turmericweir_core.base.options import Options
+from turmericweir_core.base.request import Request
+from turmericweir_core.messages.events import ServerReport
+from turmericweir_core.state.leaving_marks import LeavingMark, LeavingMarks, marks_on
 
 
 @dataclass(slots=True)
--- a/packages/turmericweir-core/turmericweir_core/settings_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/settings_state.py
@@ -30,25 +30,25 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
-from turmericweir_core.config import Config
-from turmericweir_core.events import LogRecord
-from turmericweir_core.settings_model import (
+from turmericweir_core.base.config import Config
+from turmericweir_core.messages.events import LogRecord
+from turmericweir_core.records.settings_model import (
     Entry,
     Value,
     WrittenOperator,
     build_config,
     read_value,
 )
-from turmericweir_core.settings_path import Problem, covers, parse_path
-from turmericweir_core.settings_record import (
+from turmericweir_core.records.settings_path import Problem, covers, parse_path
+from turmericweir_core.records.settings_record import (
     ChangeRecord,
     SeenEntry,
     SnapshotEntry,
     SnapshotRecord,
     read_record,
 )
-from turmericweir_core.settings_refs import Providers, check_refs, index_providers, provided
-from turmericweir_core.settings_verdict import (
+from turmericweir_core.records.settings_refs import Providers, check_refs, index_providers, provided
+from turmericweir_core.records.settings_verdict import (
     Accepted,
     ChangeVerdict,
     Conflict,
--- a/packages/turmericweir-core/turmericweir_core/settings_sync.py
+++ b/packages/turmericweir-core/turmericweir_core/state/settings_sync.py
@@ -11,12 +11,12 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from turmericweir_core.config import Config
-from turmericweir_core.events import LogRecord
-from turmericweir_core.ids import InstanceName
-from turmericweir_core.options import Options
-from turmericweir_core.settings_record import ChangeRecord
-from turmericweir_core.settings_state import SettingsState, state_digest
+from turmericweir_core.base.config import Config
+from turmericweir_core.base.ids import InstanceName
+from turmericweir_core.base.options import Options
+from turmericweir_core.messages.events import LogRecord
+from turmericweir_core.records.settings_record import ChangeRecord
+from turmericweir_core.state.settings_state import SettingsState, state_digest
 
 EMPTY_DIGEST: Final = state_digest(SettingsState())
 
--- a/packages/turmericweir-core/turmericweir_core/state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/state.py
@@ -10,47 +10,47 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-from turmericweir_core.account_store import AccountStore
-from turmericweir_core.cache_handover import HandoverState
-from turmericweir_core.claim_state import ClaimState
-from turmericweir_core.concurrency import LimitState as ServerLimits
-from turmericweir_core.config import Config
-from turmericweir_core.credit_state import CreditState
-from turmericweir_core.dead_state import DeadState
-from turmericweir_core.document import DocumentState
-from turmericweir_core.engine_model import EngineModels
-from turmericweir_core.engine_pools import PoolState
-from turmericweir_core.ids import InstanceName, RequestId, ServerName
-from turmericweir_core.lease_state import LeaseState
-from turmericweir_core.limit_state import LimitState
-from turmericweir_core.load_state import NewsState
-from turmericweir_core.membership import Membership
-from turmericweir_core.model_state import ModelState
-from turmericweir_core.options import Options
-from turmericweir_core.pool_load import PoolLoads
-from turmericweir_core.predict import Predictor
-from turmericweir_core.prefix import PrefixMap
-from turmericweir_core.quarantine_state import QuarantineState
-from turmericweir_core.queue_state import QueueState
-from turmericweir_core.registry import RegistryState
-from turmericweir_core.reliability import ReliabilityState
-from turmericweir_core.request import Request
-from turmericweir_core.retry import RetryBudget
-from turmericweir_core.server_table import ServerTable
-from turmericweir_core.silence import SilenceState
-from turmericweir_core.silence_signs import SignState
-from turmericweir_core.straggler import StragglerState
-from turmericweir_core.subset import SubsetState
-from turmericweir_core.urgent_first import LateRanks
+from turmericweir_core.base.config import Config
+from turmericweir_core.base.ids import InstanceName, RequestId, ServerName
+from turmericweir_core.base.options import Options
+from turmericweir_core.base.request import Request
+from turmericweir_core.state.account_store import AccountStore
+from turmericweir_core.state.claim_state import ClaimState
+from turmericweir_core.state.concurrency import LimitState as ServerLimits
+from turmericweir_core.state.credit_state import CreditState
+from turmericweir_core.state.dead_state import DeadState
+from turmericweir_core.state.document_state import DocumentState
+from turmericweir_core.state.engine_state import EngineModels
+from turmericweir_core.state.handover_state import HandoverState
+from turmericweir_core.state.late_state import LateRanks
+from turmericweir_core.state.lease_state import LeaseState
+from turmericweir_core.state.limit_state import LimitState
+from turmericweir_core.state.load_state import NewsState
+from turmericweir_core.state.membership_state import Membership
+from turmericweir_core.state.model_state import ModelState
+from turmericweir_core.state.pool_load import PoolLoads
+from turmericweir_core.state.pool_state import PoolState
+from turmericweir_core.state.predict import Predictor
+from turmericweir_core.state.prefix import PrefixMap
+from turmericweir_core.state.quarantine_state import QuarantineState
+from turmericweir_core.state.queue_state import QueueState
+from turmericweir_core.state.registry_state import RegistryState
+from turmericweir_core.state.reliability import ReliabilityState
+from turmericweir_core.state.retry_state import RetryBudget
+from turmericweir_core.state.server_table import ServerTable
+from turmericweir_core.state.sign_state import SignState
+from turmericweir_core.state.silence_state import SilenceState
+from turmericweir_core.state.straggler import StragglerState
+from turmericweir_core.state.subset_state import SubsetState
 
 if TYPE_CHECKING:
-    from turmericweir_core.settings_sync import SettingsSync
+    from turmericweir_core.state.settings_sync import SettingsSync
 
 
 def _read_from_log() -> SettingsSync:
     # Loaded only where the settings come from the own log: with the validation that it brings, it
     # is a quarter of the memory of a process, 13 MB.
-    from turmericweir_core.settings_sync import SettingsSync
+    from turmericweir_core.state.settings_sync import SettingsSync
 
     return SettingsSync()
 
--- a/packages/turmericweir-core/turmericweir_core/straggler.py
+++ b/packages/turmericweir-core/turmericweir_core/state/straggler.py
@@ -18,9 +18,9 @@
 from statistics import median
 from typing import Final
 
-from turmericweir_core.ids import ServerName
-from turmericweir_core.options import Options
-from turmericweir_core.request import Attempt
+from turmericweir_core.base.ids import ServerName
+from turmericweir_core.base.options import Options
+from turmericweir_core.base.request import Attempt
 
 # Samples are half a second apart while anything runs; one that is older tells of a time that is
 # over.
--- /dev/null
+++ b/packages/turmericweir-core/turmericweir_core/state/subset_state.py
@@ -0,0 +1,32 @@
+"""Hold the servers of each target that this instance uses."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from turmericweir_core.base.ids import ServerName, Target
+from turmericweir_core.state.server_table import Server
+
+
+@dataclass(frozen=True, slots=True)
+class TargetSubset:
+    """The servers of one target that are used, at one version of the server table."""
+
+    version: int
+    servers: tuple[Server, ...]
+    # Servers that serve the target in all.
+    total: int
+
+
+@dataclass(slots=True)
+class SubsetState:
+    """The subset of each target that was asked for."""
+
+    by_target: dict[Target, TargetSubset] = field(default_factory=dict)
+    # Servers in the subset of any target that was asked for here, as of the last look.
+    used: frozenset[ServerName] = frozenset()
+    used_due: float = 0.0
+    # Data centres that are known to be of another region.
+    foreign: frozenset[str] = frozenset()
+    # Live instances of the region, as of the last tick.
+    instances: int = 1
--- a/packages/turmericweir-core/turmericweir_core/document.py
+++ b/packages/turmericweir-core/turmericweir_core/store/document.py
@@ -13,19 +13,27 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
-from turmericweir_core import membership, server_table, store_duty
-from turmericweir_core.effects import Count, DecodeDocument, Effect, Log, SendDatagram, SendPeer
-from turmericweir_core.events import DocumentConfirmed, DocumentRead, DocumentUnreadable
-from turmericweir_core.ids import InstanceName
-from turmericweir_core.peer_messages import DocumentAsk, DocumentProof, DocumentSend
-from turmericweir_core.request import Request
+from turmericweir_core.base.ids import InstanceName
+from turmericweir_core.base.request import Request
+from turmericweir_core.membership import membership, store_duty
+from turmericweir_core.messages.effects import (
+    Count,
+    DecodeDocument,
+    Effect,
+    Log,
+    SendDatagram,
+    SendPeer,
+)
+from turmericweir_core.messages.events import DocumentConfirmed, DocumentRead, DocumentUnreadable
+from turmericweir_core.messages.peer_messages import DocumentAsk, DocumentProof, DocumentSend
+from turmericweir_core.state import server_table
+from turmericweir_core.state.document_state import DocumentState
 
 if TYPE_CHECKING:
-    from turmericweir_core.membership import Member
-    from turmericweir_core.state import State
+    from turmericweir_core.state.membership_state import Member
+    from turmericweir_core.state.state import State
 
 _NEVER: Final = float("-inf")
 # A proof older than this has readers of the store asked for theirs, and one that is older still has
@@ -47,25 +55,6 @@
 _ASKED_MAX: Final = 16
 
 
-@dataclass(slots=True)
-class DocumentState:
-    """The newest document, and what proves that it still is."""
-
-    # 0 before there is any.
-    version: int = 0
-    # As the operator wrote it, for peers that cannot read the store.
-    raw: bytes = b""
-    # When the request of the newest answered read was sent; a peer's counts as well.
-    proof_at: float = _NEVER
-    # The same for the reads of this instance alone.
-    own_proof_at: float = _NEVER
-    started_at: float | None = None
-    ask_due: float = _NEVER
-    # Number of the newest asking of a peer, and when each was sent.
-    asked: int = 0
-    asked_at: dict[int, float] = field(default_factory=dict)
-
-
 def proof_age(state: State, now: float) -> float:
     """Give the age of the proof that the settings here are the newest, seconds."""
     return 0.0 if state.document is None else now - state.document.proof_at
--- a/packages/turmericweir-core/turmericweir_core/instance_refusal.py
+++ b/packages/turmericweir-core/turmericweir_core/store/instance_refusal.py
@@ -10,12 +10,13 @@
 
 from typing import TYPE_CHECKING, Final
 
-from turmericweir_core import document, membership
-from turmericweir_core.reasons import Reason
-from turmericweir_core.request import Request
+from turmericweir_core.base.reasons import Reason
+from turmericweir_core.base.request import Request
+from turmericweir_core.membership import membership
+from turmericweir_core.store import document
 
 if TYPE_CHECKING:
-    from turmericweir_core.state import State
+    from turmericweir_core.state.state import State
 
 # Another instance can serve the caller now. With a pause of a second the caller of a quick answer
 # is late wherever it goes then, and one with a second to its deadline is not served at all.
--- a/packages/turmericweir-core/turmericweir_core/registry.py
+++ b/packages/turmericweir-core/turmericweir_core/store/registry.py
@@ -11,18 +11,20 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
-from turmericweir_core import attempt_books, membership, server_list, server_table, store_duty
-from turmericweir_core.config import ServerEntry
-from turmericweir_core.effects import Count, Effect, Log, SendDatagram, SendPeer
-from turmericweir_core.events import EntryUnreadable, RegistryRead
-from turmericweir_core.ids import InstanceName, ServerName
-from turmericweir_core.peer_messages import RegistryNews, RegistryRow, ServersAsk
+from turmericweir_core.base.config import ServerEntry
+from turmericweir_core.base.ids import InstanceName, ServerName
+from turmericweir_core.membership import membership, server_list, store_duty
+from turmericweir_core.messages.effects import Count, Effect, Log, SendDatagram, SendPeer
+from turmericweir_core.messages.events import EntryUnreadable, RegistryRead
+from turmericweir_core.messages.peer_messages import RegistryNews, RegistryRow, ServersAsk
+from turmericweir_core.placement import attempt_books
+from turmericweir_core.state import server_table
+from turmericweir_core.state.registry_state import RegistryState
 
 if TYPE_CHECKING:
-    from turmericweir_core.state import State
+    from turmericweir_core.state.state import State
 
 _NEVER: Final = float("-inf")
 # The store was away if no read was answered for so long; reads are a second apart at the most.
@@ -35,23 +37,6 @@
 _ASK_S: Final = 0.3
 
 
-@dataclass(slots=True)
-class RegistryState:
-    """How far the registry was read."""
-
-    # The newest offset seen of each key, also of those that were removed.
-    offsets: dict[ServerName, int] = field(default_factory=dict)
-    # When a read was last answered.
-    read_at: float = _NEVER
-    # No reader told in time, so this instance reads for all until one does.
-    stands_in: bool = False
-    # Who told of the servers last, and when: whoever can read the store at present.
-    told_by: InstanceName | None = None
-    told_at: float = _NEVER
-    # Entries that were missing when the store came back, and until when they are used on.
-    missing: dict[ServerName, float] = field(default_factory=dict)
-
-
 def on_read(state: State, now: float, event: RegistryRead) -> list[Effect]:
     """Bring the servers in line with what was read."""
     registry = state.registry
--- /dev/null
+++ b/packages/turmericweir-core/turmericweir_core/trust/__init__.py
@@ -0,0 +1,1 @@
+"""Decide whom to trust again: retries, silent connections, requests that crash servers."""
--- a/packages/turmericweir-core/turmericweir_core/crash_records.py
+++ b/packages/turmericweir-core/turmericweir_core/trust/crash_records.py
@@ -16,8 +16,8 @@
 from collections import Counter
 from typing import TYPE_CHECKING, Final
 
-from turmericweir_core.peer_messages import Sighting
-from turmericweir_core.quarantine_state import (
+from turmericweir_core.messages.peer_messages import Sighting
+from turmericweir_core.state.quarantine_state import (
     Crash,
     CrashKey,
     Evidence,
@@ -26,7 +26,7 @@
 )
 
 if TYPE_CHECKING:
-    from turmericweir_core.state import State
+    from turmericweir_core.state.state import State
 
 # How often each news is sent to everyone.
 SENDINGS: Final = 2
--- a/packages/turmericweir-core/turmericweir_core/quarantine.py
+++ b/packages/turmericweir-core/turmericweir_core/trust/quarantine.py
@@ -22,31 +22,25 @@
 
 import xxhash
 
-from turmericweir_core import membership
-from turmericweir_core.config import Kind
-from turmericweir_core.crash_records import (
+from turmericweir_core.base.config import Kind
+from turmericweir_core.base.ids import InstanceName, ServerName
+from turmericweir_core.base.request import Attempt, Request
+from turmericweir_core.membership import membership
+from turmericweir_core.messages.effects import Effect, Log, SendDatagram, SendPeer
+from turmericweir_core.messages.events import ServerReport
+from turmericweir_core.messages.peer_messages import CrashesAsk, CrashNews, CrashRecord, Sighting
+from turmericweir_core.state.quarantine_state import Break, Crash, CrashKey, Evidence, crash_key
+from turmericweir_core.state.server_table import note_unreachable
+from turmericweir_core.trust.crash_records import (
     SENDINGS,
     clear_late,
     kept_as,
     merge_record,
     recount,
 )
-from turmericweir_core.effects import Effect, Log, SendDatagram, SendPeer
-from turmericweir_core.events import ServerReport
-from turmericweir_core.ids import InstanceName, ServerName
-from turmericweir_core.peer_messages import CrashesAsk, CrashNews, CrashRecord, Sighting
-from turmericweir_core.quarantine_state import (
-    Break,
-    Crash,
-    CrashKey,
-    Evidence,
-    crash_key,
-)
-from turmericweir_core.request import Attempt, Request
-from turmericweir_core.server_table import note_unreachable
 
 if TYPE_CHECKING:
-    from turmericweir_core.state import State
+    from turmericweir_core.state.state import State
 
 # Crashes at which a fingerprint is refused.
 _CONVICTING: Final = 2
--- a/packages/turmericweir-core/turmericweir_core/retry.py
+++ b/packages/turmericweir-core/turmericweir_core/trust/retry.py
@@ -13,16 +13,16 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
-from turmericweir_core import membership
-from turmericweir_core.ids import Target
-from turmericweir_core.options import Options
-from turmericweir_core.request import Request
+from turmericweir_core.base.ids import Target
+from turmericweir_core.base.options import Options
+from turmericweir_core.base.request import Request
+from turmericweir_core.membership import membership
+from turmericweir_core.state.retry_state import RetryBucket, RetryBudget
 
 if TYPE_CHECKING:
-    from turmericweir_core.state import State
+    from turmericweir_core.state.state import State
 
 # First attempts and retries are counted by this time; the window is longer by one of them.
 _BUCKET_S: Final = 0.25
@@ -36,32 +36,6 @@
 _LOOK_S: Final = 0.5
 
 
-@dataclass(slots=True)
-class RetryBucket:
-    """What was sent in one short time."""
-
-    since: float
-    firsts: int = 0
-    retries: int = 0
-
-
-@dataclass(slots=True)
-class RetryBudget:
-    """What may be spent on retries, and what was."""
-
-    # Retries that may be made now; None until the first use sets it to the burst.
-    tokens: float | None = None
-    # Retries that were refused for want of budget, for the state dump.
-    refused: int = 0
-    # Newest last, by target.
-    windows: dict[Target, deque[RetryBucket]] = field(default_factory=dict)
-    # The largest number of instances seen, and when it was.
-    peak: int = 1
-    peak_at: float = float("-inf")
-    started_at: float | None = None
-    look_due: float = float("-inf")
-
-
 def earn_retry(state: State, now: float, req: Request) -> None:
     """Count a first attempt, which pays for a fraction of a retry."""
     budget, options = state.retries, state.options
--- a/packages/turmericweir-core/turmericweir_core/silence.py
+++ b/packages/turmericweir-core/turmericweir_core/trust/silence.py
@@ -14,31 +14,19 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
-from turmericweir_core import engine_model
-from turmericweir_core.ids import ServerName
-from turmericweir_core.request import Attempt, Request
-from turmericweir_core.retry import may_retry, spend_retry
-from turmericweir_core.silence_signs import is_proven, note_lost
+from turmericweir_core.base.request import Attempt, Request
+from turmericweir_core.engines import engine_model
+from turmericweir_core.trust.retry import may_retry, spend_retry
+from turmericweir_core.trust.silence_signs import is_proven, note_lost
 
 if TYPE_CHECKING:
-    from turmericweir_core.state import State
+    from turmericweir_core.state.state import State
 
 _MS: Final = 1000.0
 
 
-@dataclass(slots=True)
-class SilenceState:
-    """How long answers took to begin of late."""
-
-    # By server, the longest wait, which newer and shorter ones wear down.
-    longest_wait: dict[ServerName, float] = field(default_factory=dict)
-    # Attempts that were doubted, for the state dump.
-    doubted: int = 0
-
-
 def note_begun(state: State, now: float, attempt: Attempt) -> None:
     """Take the wait for the first token, or for a whole plain answer."""
     waits = state.silence.longest_wait
--- a/packages/turmericweir-core/turmericweir_core/silence_signs.py
+++ b/packages/turmericweir-core/turmericweir_core/trust/silence_signs.py
@@ -15,56 +15,23 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
-from turmericweir_core.config import Kind
-from turmericweir_core.effects import Count, DistrustConnections, Effect, ProbeServer
-from turmericweir_core.events import ServerReport
-from turmericweir_core.ids import ServerName
-from turmericweir_core.request import Attempt, Request
-from turmericweir_core.server_table import Server
-from turmericweir_core.tiers import most_urgent
+from turmericweir_core.base.config import Kind
+from turmericweir_core.base.ids import ServerName
+from turmericweir_core.base.request import Attempt, Request
+from turmericweir_core.base.tiers import most_urgent
+from turmericweir_core.messages.effects import Count, DistrustConnections, Effect, ProbeServer
+from turmericweir_core.messages.events import ServerReport
+from turmericweir_core.state.server_table import Server
+from turmericweir_core.state.sign_state import ServerSigns
 
 if TYPE_CHECKING:
-    from turmericweir_core.state import State
+    from turmericweir_core.state.state import State
 
 _NEVER: Final = float("-inf")
 
 
-@dataclass(slots=True)
-class ServerSigns:
-    """What was seen of one server's connections."""
-
-    # The longest time between tokens of late.
-    longest_gap: float = 0.0
-    # The newest token of any running attempt, by tier.
-    newest_token: dict[int, float] = field(default_factory=dict)
-    # When a probe was last wanted for something overdue there.
-    suspected_at: float = _NEVER
-    # When the newest probe was sent that the server answered at once.
-    answers_at: float = _NEVER
-    # The requests that it counted then.
-    answered_count: int = 0
-    # When a connection to it was last found lost.
-    lost_at: float = _NEVER
-
-
-@dataclass(slots=True)
-class SignState:
-    """The signs of every server that this instance uses."""
-
-    by_server: dict[ServerName, ServerSigns] = field(default_factory=dict)
-    # Servers with overdue attempts, as of the newest tick.
-    overdue: set[ServerName] = field(default_factory=set)
-    # When one was last found lost while attempts at other servers were overdue as well.
-    lost_together_at: float = _NEVER
-    # When all kept connections were last given up.
-    distrusted_at: float = _NEVER
-    # The newest tick.
-    looked_at: float = _NEVER
-
-
 def signs_of(state: State, server: ServerName) -> ServerSigns:
     """Give the signs of a server."""
     signs = state.signs.by_server.get(server)
--- a/packages/turmericweir-core/turmericweir_core/trial.py
+++ b/packages/turmericweir-core/turmericweir_core/trust/trial.py
@@ -16,17 +16,19 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final, TypeAlias
 
-from turmericweir_core import membership, quarantine
-from turmericweir_core.effects import Effect, SendDatagram
-from turmericweir_core.ids import AttemptId, InstanceName, RequestId, ServerName
-from turmericweir_core.peer_messages import TrialAnswer, TrialAsk, TrialEnd
-from turmericweir_core.quarantine_state import GivenTrial, HeldSuspect, OwnTrial
-from turmericweir_core.request import Attempt, Request
-from turmericweir_core.server_table import Server, is_open, servers_for
-from turmericweir_core.subset import rendezvous_weight
+from turmericweir_core.base.ids import AttemptId, InstanceName, RequestId, ServerName
+from turmericweir_core.base.request import Attempt, Request
+from turmericweir_core.membership import membership
+from turmericweir_core.membership.subset import rendezvous_weight
+from turmericweir_core.messages.effects import Effect, SendDatagram
+from turmericweir_core.messages.peer_messages import TrialAnswer, TrialAsk, TrialEnd
+from turmericweir_core.state.membership_state import Member
+from turmericweir_core.state.quarantine_state import GivenTrial, HeldSuspect, OwnTrial
+from turmericweir_core.state.server_table import Server, is_open, servers_for
+from turmericweir_core.trust import quarantine
 
 if TYPE_CHECKING:
-    from turmericweir_core.state import State
+    from turmericweir_core.state.state import State
 
 # What the home of all trials is the home of.
 _HOME_KEY: Final = "trials"
@@ -288,7 +290,7 @@
 # --- the home --------------------------------------------------------------------------------
 
 
-def _home(state: State, now: float) -> membership.Member:
+def _home(state: State, now: float) -> Member:
     return max(
         membership.region_instances(state, now),
         key=lambda each: rendezvous_weight(_HOME_KEY, each.name),
--- a/packages/turmericweir-ctl/turmericctl/settings_commands.py
+++ b/packages/turmericweir-ctl/turmericctl/settings_commands.py
@@ -18,7 +18,7 @@
 from turmericctl.exit_codes import CommandError, ExitCode
 from turmericctl.output import JSON, compact, table
 from turmericctl.reach import wait_in_force
-from turmericweir_core.settings_model import read_config
+from turmericweir_core.records.settings_model import read_config
 
 _STDIN: Final = "-"
 # How long an instance waits for the log before it says `pending`.
--- a/packages/turmericweir-standins/turmericweir_standins/measure_limits.py
+++ b/packages/turmericweir-standins/turmericweir_standins/measure_limits.py
@@ -19,18 +19,18 @@
 import click
 import msgpack
 
-from turmericweir_core import limit
-from turmericweir_core.account import Outcome
-from turmericweir_core.config import Config, Customer, Kind, Limit, ServiceClass
-from turmericweir_core.effects import Effect, SendDatagram
-from turmericweir_core.ids import InstanceName, RequestId, Target
-from turmericweir_core.limit_state import customer_key
-from turmericweir_core.membership import Member, RemoteCentre
-from turmericweir_core.options import Options
-from turmericweir_core.peer_messages import LimitAsk, LimitGrant, Word
-from turmericweir_core.reducer import new_state
-from turmericweir_core.request import Request
-from turmericweir_core.state import Identity, State
+from turmericweir_core.base.account import Outcome
+from turmericweir_core.base.config import Config, Customer, Kind, Limit, ServiceClass
+from turmericweir_core.base.ids import InstanceName, RequestId, Target
+from turmericweir_core.base.options import Options
+from turmericweir_core.base.request import Request
+from turmericweir_core.limits import limit
+from turmericweir_core.messages.effects import Effect, SendDatagram
+from turmericweir_core.messages.peer_messages import LimitAsk, LimitGrant, Word
+from turmericweir_core.reducers.reducer import new_state
+from turmericweir_core.state.limit_state import customer_key
+from turmericweir_core.state.membership_state import Member, RemoteCentre
+from turmericweir_core.state.state import Identity, State
 
 # One way between two instances, as between data centres of a region, and its spread.
 DELAY_S: Final = 0.0015
--- a/packages/turmericweir/turmericweir/backend_attempt.py
+++ b/packages/turmericweir/turmericweir/backend_attempt.py
@@ -21,8 +21,8 @@
 )
 from turmericweir.backend_pool import IDLE_MAX_S, PROVEN_IDLE_S
 from turmericweir.errors import CallError, describe
-from turmericweir_core.effects import StartAttempt
-from turmericweir_core.events import (
+from turmericweir_core.messages.effects import StartAttempt
+from turmericweir_core.messages.events import (
     AttemptEnd,
     AttemptSent,
     EndBroken,
--- a/packages/turmericweir/turmericweir/backend_engine.py
+++ b/packages/turmericweir/turmericweir/backend_engine.py
@@ -25,8 +25,8 @@
 from turmericweir.backend_call import TRANSPORT_ERRORS, body_of, call, lower_headers, read_body
 from turmericweir.backend_pool import BackendPool, make_request
 from turmericweir.errors import CallError
-from turmericweir_core.effects import StartAttempt
-from turmericweir_core.events import (
+from turmericweir_core.messages.effects import StartAttempt
+from turmericweir_core.messages.events import (
     AttemptEnd,
     AttemptProgress,
     EndBroken,
--- a/packages/turmericweir/turmericweir/backend_service.py
+++ b/packages/turmericweir/turmericweir/backend_service.py
@@ -24,13 +24,8 @@
 from turmericweir.backend_call import body_of, lower_headers
 from turmericweir.backend_pool import BackendPool, make_request
 from turmericweir.hop_by_hop import HOP_BY_HOP, named_by_connection
-from turmericweir_core.effects import StartAttempt
-from turmericweir_core.events import (
-    AttemptEnd,
-    AttemptProgress,
-    EndBroken,
-    EndComplete,
-)
+from turmericweir_core.messages.effects import StartAttempt
+from turmericweir_core.messages.events import AttemptEnd, AttemptProgress, EndBroken, EndComplete
 
 if TYPE_CHECKING:
     from turmericweir.caller_answer import PlainAnswer
--- a/packages/turmericweir/turmericweir/caller_answer.py
+++ b/packages/turmericweir/turmericweir/caller_answer.py
@@ -22,9 +22,9 @@
     account_headers,
     problem_of_account,
 )
-from turmericweir_core.account import Account, Outcome
-from turmericweir_core.claim_answer import KeptAnswer
-from turmericweir_core.effects import ReplayAnswer
+from turmericweir_core.base.account import Account, Outcome
+from turmericweir_core.messages.effects import ReplayAnswer
+from turmericweir_core.records.claim_answer import KeptAnswer
 
 if TYPE_CHECKING:
     from uvicorn._types import ASGISendCallable
--- a/packages/turmericweir/turmericweir/caller_app.py
+++ b/packages/turmericweir/turmericweir/caller_app.py
@@ -33,12 +33,12 @@
 from turmericweir.http_server import CONNECTION, LimitedProtocol
 from turmericweir.node import Node
 from turmericweir.process_settings import Limits
-from turmericweir_core.account import Outcome
-from turmericweir_core.account_store import find_account
-from turmericweir_core.config import Config, Customer, Kind
-from turmericweir_core.ids import RequestId
-from turmericweir_core.reasons import MESSAGES, Reason
-from turmericweir_core.request import Request
+from turmericweir_core.base.account import Outcome
+from turmericweir_core.base.config import Config, Customer, Kind
+from turmericweir_core.base.ids import RequestId
+from turmericweir_core.base.reasons import MESSAGES, Reason
+from turmericweir_core.base.request import Request
+from turmericweir_core.state.account_store import find_account
 
 if TYPE_CHECKING:
     from uvicorn._types import ASGIReceiveCallable, ASGISendCallable, HTTPScope, Scope
--- a/packages/turmericweir/turmericweir/caller_problem.py
+++ b/packages/turmericweir/turmericweir/caller_problem.py
@@ -12,8 +12,8 @@
 
 import orjson
 
-from turmericweir_core.account import Account, Outcome
-from turmericweir_core.reasons import MESSAGES, Reason
+from turmericweir_core.base.account import Account, Outcome
+from turmericweir_core.base.reasons import MESSAGES, Reason
 
 OUTCOME_HEADER: Final = b"turmericweir-outcome"
 REQUEST_ID_HEADER: Final = b"turmericweir-request-id"
--- a/packages/turmericweir/turmericweir/caller_refusal.py
+++ b/packages/turmericweir/turmericweir/caller_refusal.py
@@ -4,8 +4,8 @@
 
 from uuid6 import uuid7
 
-from turmericweir_core.ids import RequestId
-from turmericweir_core.reasons import Reason
+from turmericweir_core.base.ids import RequestId
+from turmericweir_core.base.reasons import Reason
 
 
 class RefusedError(Exception):
--- a/packages/turmericweir/turmericweir/caller_request.py
+++ b/packages/turmericweir/turmericweir/caller_request.py
@@ -18,10 +18,10 @@
 
 from turmericweir.backend_service import PlainCall, forwarded_headers
 from turmericweir.caller_refusal import RefusedError
-from turmericweir_core.config import CallRule, Config, Customer, Kind, Service, ServiceClass
-from turmericweir_core.ids import RequestId, Target
-from turmericweir_core.reasons import Reason
-from turmericweir_core.request import Request
+from turmericweir_core.base.config import CallRule, Config, Customer, Kind, Service, ServiceClass
+from turmericweir_core.base.ids import RequestId, Target
+from turmericweir_core.base.reasons import Reason
+from turmericweir_core.base.request import Request
 
 # Prompts are hashed up to each message's end and at each multiple of this within a message, so two
 # that share a long beginning are seen to, also where they differ within one message.
--- a/packages/turmericweir/turmericweir/daemon.py
+++ b/packages/turmericweir/turmericweir/daemon.py
@@ -35,11 +35,11 @@
 from turmericweir.platform_client import PlatformClient
 from turmericweir.process_settings import ProcessSettings
 from turmericweir.server_calls import ServerCalls
-from turmericweir_core import membership
-from turmericweir_core.events import SeedsGiven
-from turmericweir_core.ids import InstanceName
-from turmericweir_core.reducer import new_state, reduce
-from turmericweir_core.state import Identity, State
+from turmericweir_core.base.ids import InstanceName
+from turmericweir_core.membership import membership
+from turmericweir_core.messages.events import SeedsGiven
+from turmericweir_core.reducers.reducer import new_state, reduce
+from turmericweir_core.state.state import Identity, State
 
 # The status of a process that was told to end at once.
 FORCED: Final = 130
--- a/packages/turmericweir/turmericweir/drain_app.py
+++ b/packages/turmericweir/turmericweir/drain_app.py
@@ -12,8 +12,8 @@
 from turmericweir.node import Node
 from turmericweir.operator_auth import OperatorAuth
 from turmericweir.operator_http import OperatorRequest, ProblemError, serve_operator
-from turmericweir_core.events import DrainRequested
-from turmericweir_core.ids import ServerName
+from turmericweir_core.base.ids import ServerName
+from turmericweir_core.messages.events import DrainRequested
 
 if TYPE_CHECKING:
     from uvicorn._types import ASGIReceiveCallable, ASGISendCallable, Scope
--- a/packages/turmericweir/turmericweir/entry_admin.py
+++ b/packages/turmericweir/turmericweir/entry_admin.py
@@ -18,8 +18,10 @@
 from turmericweir.dump import dump
 from turmericweir.node import Node
 from turmericweir.operator_http import OperatorRequest, ProblemError, serve_operator
-from turmericweir_core import document, membership, retry, store_duty
-from turmericweir_core.settings_inforce import in_force
+from turmericweir_core.membership import membership, store_duty
+from turmericweir_core.settings.settings_inforce import in_force
+from turmericweir_core.store import document
+from turmericweir_core.trust import retry
 
 if TYPE_CHECKING:
     from uvicorn._types import ASGIReceiveCallable, ASGISendCallable, Scope
--- a/packages/turmericweir/turmericweir/entry_calls.py
+++ b/packages/turmericweir/turmericweir/entry_calls.py
@@ -8,9 +8,9 @@
 from turmericweir.backend_attempt import connects
 from turmericweir.backend_pool import BackendPool
 from turmericweir.node import Node
-from turmericweir_core.effects import DistrustConnections, ProbeServer, SendOrder
-from turmericweir_core.events import ServerAnswered, ServerUnreachable
-from turmericweir_core.ids import ServerName
+from turmericweir_core.base.ids import ServerName
+from turmericweir_core.messages.effects import DistrustConnections, ProbeServer, SendOrder
+from turmericweir_core.messages.events import ServerAnswered, ServerUnreachable
 
 # A second try begins before the first has failed: one packet may be lost, and two take as long.
 _TRIES_AT_ONCE: Final = 2
--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -39,12 +39,13 @@
 from turmericweir.node import Adapters, DocumentPort, Node
 from turmericweir.peer_datagrams import PeerDatagrams
 from turmericweir.peer_streams import PeerStreams
-from turmericweir_core.document import DocumentState, proof_age
-from turmericweir_core.events import SeedsGiven
-from turmericweir_core.ids import InstanceName
-from turmericweir_core.options import Options
-from turmericweir_core.reducer_store import reduce
-from turmericweir_core.state import Identity, State
+from turmericweir_core.base.ids import InstanceName
+from turmericweir_core.base.options import Options
+from turmericweir_core.messages.events import SeedsGiven
+from turmericweir_core.reducers.reducer_store import reduce
+from turmericweir_core.state.document_state import DocumentState
+from turmericweir_core.state.state import Identity, State
+from turmericweir_core.store.document import proof_age
 
 if TYPE_CHECKING:
     from uvicorn._types import ASGI3Application
@@ -168,7 +169,7 @@
 
 
 if TYPE_CHECKING:
-    from turmericweir_core.settings_sync import SettingsSync
+    from turmericweir_core.state.settings_sync import SettingsSync
 
 
 async def run(
--- a/packages/turmericweir/turmericweir/exchange.py
+++ b/packages/turmericweir/turmericweir/exchange.py
@@ -17,9 +17,16 @@
 from turmericweir.backend_engine import EngineAttempt, cancel_at_engine
 from turmericweir.backend_service import PlainCall, ServiceAttempt
 from turmericweir.caller_answer import Answer, Caller, PlainAnswer, TokenAnswer
-from turmericweir_core.account import Account
-from turmericweir_core.effects import CancelAttempt, FinishRequest, ReplayAnswer, StartAttempt
-from turmericweir_core.events import (
+from turmericweir_core.base.account import Account
+from turmericweir_core.base.ids import AttemptId
+from turmericweir_core.base.request import Request
+from turmericweir_core.messages.effects import (
+    CancelAttempt,
+    FinishRequest,
+    ReplayAnswer,
+    StartAttempt,
+)
+from turmericweir_core.messages.events import (
     AttemptEnd,
     AttemptEnded,
     AttemptProgress,
@@ -28,8 +35,6 @@
     EndCancelled,
     RequestArrived,
 )
-from turmericweir_core.ids import AttemptId
-from turmericweir_core.request import Request
 
 if TYPE_CHECKING:
     from turmericweir.backend_pool import BackendPool
--- a/packages/turmericweir/turmericweir/forward.py
+++ b/packages/turmericweir/turmericweir/forward.py
@@ -17,8 +17,9 @@
 from turmericweir.forward_answer import ForwardAnswer
 from turmericweir.forward_events import EventCutter, count_events
 from turmericweir.forward_wire import ForwardCall, Headers, NotRun, Passable, Spoiled, Wire
-from turmericweir_core.effects import StartAttempt
-from turmericweir_core.events import (
+from turmericweir_core.base.request import Request
+from turmericweir_core.messages.effects import StartAttempt
+from turmericweir_core.messages.events import (
     AttemptEnd,
     AttemptProgress,
     EndBroken,
@@ -26,7 +27,6 @@
     EndRefused,
     EndServerError,
 )
-from turmericweir_core.request import Request
 
 if TYPE_CHECKING:
     from turmericweir.backend_pool import BackendPool
--- a/packages/turmericweir/turmericweir/forward_answer.py
+++ b/packages/turmericweir/turmericweir/forward_answer.py
@@ -13,8 +13,8 @@
 
 from turmericweir.caller_answer import Caller
 from turmericweir.forward_wire import Headers, Wire
-from turmericweir_core.account import Account, Outcome
-from turmericweir_core.reasons import Reason
+from turmericweir_core.base.account import Account, Outcome
+from turmericweir_core.base.reasons import Reason
 
 _WITHOUT_BODY: Final = frozenset({204, 304})
 _LENGTH: Final = b"content-length"
--- a/packages/turmericweir/turmericweir/forward_app.py
+++ b/packages/turmericweir/turmericweir/forward_app.py
@@ -20,10 +20,10 @@
 from turmericweir.forward_wire import RequestHead, Wire
 from turmericweir.http_server import CONNECTION, LimitedProtocol
 from turmericweir.node import Node
-from turmericweir_core import document
-from turmericweir_core.account import Account
-from turmericweir_core.ids import RequestId
-from turmericweir_core.reasons import Reason
+from turmericweir_core.base.account import Account
+from turmericweir_core.base.ids import RequestId
+from turmericweir_core.base.reasons import Reason
+from turmericweir_core.store import document
 
 if TYPE_CHECKING:
     from uvicorn._types import ASGIReceiveCallable, ASGISendCallable, HTTPScope, Scope
--- a/packages/turmericweir/turmericweir/forward_wire.py
+++ b/packages/turmericweir/turmericweir/forward_wire.py
@@ -14,11 +14,11 @@
 
 from turmericweir.caller_problem import Problem
 from turmericweir.caller_refusal import RefusedError
-from turmericweir_core.account import Account
-from turmericweir_core.config import Config
-from turmericweir_core.effects import StartAttempt
-from turmericweir_core.ids import RequestId
-from turmericweir_core.request import Request
+from turmericweir_core.base.account import Account
+from turmericweir_core.base.config import Config
+from turmericweir_core.base.ids import RequestId
+from turmericweir_core.base.request import Request
+from turmericweir_core.messages.effects import StartAttempt
 
 Headers: TypeAlias = list[tuple[bytes, bytes]]
 
--- a/packages/turmericweir/turmericweir/http_server.py
+++ b/packages/turmericweir/turmericweir/http_server.py
@@ -24,7 +24,7 @@
 from turmericweir.caller_transport import JoiningTransport
 from turmericweir.http_limits import HttpLimits
 from turmericweir.listening_socket import accept_waiting, take_no_more
-from turmericweir_core.reasons import Reason
+from turmericweir_core.base.reasons import Reason
 
 if TYPE_CHECKING:
     from uvicorn._types import ASGI3Application
--- a/packages/turmericweir/turmericweir/node.py
+++ b/packages/turmericweir/turmericweir/node.py
@@ -18,7 +18,8 @@
 from turmericweir import logs
 from turmericweir.errors import describe
 from turmericweir.traffic import Traffic
-from turmericweir_core.effects import (
+from turmericweir_core.base.ids import RequestId
+from turmericweir_core.messages.effects import (
     AppendRecords,
     AskWeights,
     CancelAttempt,
@@ -39,7 +40,7 @@
     StartAttempt,
     Timing,
 )
-from turmericweir_core.events import (
+from turmericweir_core.messages.events import (
     AttemptEnded,
     AttemptProgress,
     AttemptSent,
@@ -49,9 +50,8 @@
     StopRequested,
     Tick,
 )
-from turmericweir_core.ids import RequestId
-from turmericweir_core.reducer_common import Reducer
-from turmericweir_core.state import State
+from turmericweir_core.reducers.reducer_common import Reducer
+from turmericweir_core.state.state import State
 
 if TYPE_CHECKING:
     from turmericweir.exchange import Exchange
--- a/packages/turmericweir/turmericweir/operator_auth.py
+++ b/packages/turmericweir/turmericweir/operator_auth.py
@@ -13,9 +13,9 @@
 from typing import TYPE_CHECKING, Final
 
 from turmericweir.operator_http import ProblemError
-from turmericweir_core.config import Config
-from turmericweir_core.settings_changes import BOOTSTRAP_PREFIX
-from turmericweir_core.settings_path import covers
+from turmericweir_core.base.config import Config
+from turmericweir_core.records.settings_path import covers
+from turmericweir_core.settings.settings_changes import BOOTSTRAP_PREFIX
 
 if TYPE_CHECKING:
     from turmericweir.process_settings import AdminToken
--- a/packages/turmericweir/turmericweir/operators.py
+++ b/packages/turmericweir/turmericweir/operators.py
@@ -10,7 +10,7 @@
 
 import anyio
 
-from turmericweir_core.effects import SettleChange
+from turmericweir_core.messages.effects import SettleChange
 
 
 class Operators:
--- a/packages/turmericweir/turmericweir/peer_codec.py
+++ b/packages/turmericweir/turmericweir/peer_codec.py
@@ -19,9 +19,9 @@
 from turmericweir.errors import PeerError
 from turmericweir.node import Node
 from turmericweir.peer_fields import to_array, to_map
-from turmericweir_core.events import PeerReceived
-from turmericweir_core.ids import InstanceName
-from turmericweir_core.peer_messages import PEER_MESSAGES, PeerMessage
+from turmericweir_core.base.ids import InstanceName
+from turmericweir_core.messages.events import PeerReceived
+from turmericweir_core.messages.peer_messages import PEER_MESSAGES, PeerMessage
 
 # The largest frame of a stream: a whole settings state with room to spare.
 FRAME_MAX: Final = 16_777_216
--- a/packages/turmericweir/turmericweir/peer_datagrams.py
+++ b/packages/turmericweir/turmericweir/peer_datagrams.py
@@ -16,8 +16,8 @@
 from turmericweir.errors import ListenError, describe
 from turmericweir.node import Node
 from turmericweir.peer_codec import FrameReader, decode, encode
-from turmericweir_core.effects import SendDatagram
-from turmericweir_core.ids import InstanceName
+from turmericweir_core.base.ids import InstanceName
+from turmericweir_core.messages.effects import SendDatagram
 
 # Larger ones are split by the network and lost as a whole when any part is.
 DATAGRAM_MAX: Final = 60_000
--- a/packages/turmericweir/turmericweir/peer_streams.py
+++ b/packages/turmericweir/turmericweir/peer_streams.py
@@ -24,9 +24,9 @@
 from turmericweir.node import Node
 from turmericweir.peer_codec import FRAME_MAX, FrameReader, encode, read_frame
 from turmericweir.traffic import Kind
-from turmericweir_core.effects import SendPeer
-from turmericweir_core.events import PeerUnreachable
-from turmericweir_core.ids import InstanceName
+from turmericweir_core.base.ids import InstanceName
+from turmericweir_core.messages.effects import SendPeer
+from turmericweir_core.messages.events import PeerUnreachable
 
 # Messages that wait for one peer; more than that says that it takes none.
 QUEUE_MAX: Final = 256
--- a/packages/turmericweir/turmericweir/platform_client.py
+++ b/packages/turmericweir/turmericweir/platform_client.py
@@ -19,9 +19,11 @@
 from turmericweir.backend_pool import BackendPool
 from turmericweir.errors import CallError
 from turmericweir.node import Node
-from turmericweir_core.config import ServerEntry
-from turmericweir_core.effects import AppendRecords, AskWeights, ReadLog
-from turmericweir_core.events import (
+from turmericweir_core.base.config import ServerEntry
+from turmericweir_core.base.ids import InstanceName, ServerName
+from turmericweir_core.membership.membership import list_period
+from turmericweir_core.messages.effects import AppendRecords, AskWeights, ReadLog
+from turmericweir_core.messages.events import (
     AppendDone,
     AppendFailed,
     ListedInstance,
@@ -32,9 +34,7 @@
     LogRecord,
     WeightsAnswered,
 )
-from turmericweir_core.ids import InstanceName, ServerName
-from turmericweir_core.membership import list_period
-from turmericweir_core.settings_sync import settings_read_offset
+from turmericweir_core.state.settings_sync import settings_read_offset
 
 Parsed = TypeVar("Parsed")
 
--- a/packages/turmericweir/turmericweir/process_settings.py
+++ b/packages/turmericweir/turmericweir/process_settings.py
@@ -16,7 +16,7 @@
 from returns.result import Failure, Result, Success
 
 from turmericweir.errors import SettingsFileError
-from turmericweir_core.options import Options
+from turmericweir_core.base.options import Options
 
 # Cross-checked against `Options`, so that a new option can be set without a change here.
 OPTION_NAMES: Final = frozenset(each.name for each in fields(Options))
--- a/packages/turmericweir/turmericweir/server_calls.py
+++ b/packages/turmericweir/turmericweir/server_calls.py
@@ -17,9 +17,9 @@
 from turmericweir.backend_pool import BackendPool
 from turmericweir.errors import CallError
 from turmericweir.node import Node
-from turmericweir_core.effects import DistrustConnections, ProbeServer, SendOrder
-from turmericweir_core.events import OrderDone, ServerReport, ServerUnreachable
-from turmericweir_core.ids import ServerName
+from turmericweir_core.base.ids import ServerName
+from turmericweir_core.messages.effects import DistrustConnections, ProbeServer, SendOrder
+from turmericweir_core.messages.events import OrderDone, ServerReport, ServerUnreachable
 
 _LOAD_TIMEOUT_S: Final = 1.0
 _FENCE_OLD: Final = 409
--- a/packages/turmericweir/turmericweir/settings_app.py
+++ b/packages/turmericweir/turmericweir/settings_app.py
@@ -30,14 +30,10 @@
 from turmericweir.operator_auth import TOKEN_EXPECTED, OperatorAuth, Principal
 from turmericweir.operator_http import OperatorRequest, ProblemError, serve_operator
 from turmericweir.operators import Operators
-from turmericweir_core.events import ChangeSubmitted
-from turmericweir_core.settings_flow import where_in_force
-from turmericweir_core.settings_model import Entry, explain, read_value
-from turmericweir_core.settings_path import SettingsError, covers, parse_path
-from turmericweir_core.settings_state import state_digest
-from turmericweir_core.settings_sync import SettingsSync
-from turmericweir_core.settings_trial import try_changes
-from turmericweir_core.settings_verdict import (
+from turmericweir_core.messages.events import ChangeSubmitted
+from turmericweir_core.records.settings_model import Entry, explain, read_value
+from turmericweir_core.records.settings_path import SettingsError, covers, parse_path
+from turmericweir_core.records.settings_verdict import (
     Accepted,
     Conflict,
     Forbidden,
@@ -52,6 +48,10 @@
     VerdictKind,
     describe,
 )
+from turmericweir_core.settings.settings_flow import where_in_force
+from turmericweir_core.settings.settings_trial import try_changes
+from turmericweir_core.state.settings_state import state_digest
+from turmericweir_core.state.settings_sync import SettingsSync
 
 if TYPE_CHECKING:
     from uvicorn._types import ASGIReceiveCallable, ASGISendCallable, Scope
--- a/tests/core/claims_world.py
+++ b/tests/core/claims_world.py
@@ -12,12 +12,12 @@
 from enum import Enum
 from typing import Any, Final
 
-from turmericweir_core.account import Account
-from turmericweir_core.claim_answer import KeptAnswer
-from turmericweir_core.claim_ledger import Ledger, fold, holder_of
-from turmericweir_core.claim_record import CLAIMS_STREAM
-from turmericweir_core.config import Config, Kind, ServerEntry, Service, ServiceClass
-from turmericweir_core.effects import (
+from turmericweir_core.base.account import Account
+from turmericweir_core.base.config import Config, Kind, ServerEntry, Service, ServiceClass
+from turmericweir_core.base.ids import InstanceName, RequestId, ServerName, Target
+from turmericweir_core.base.options import Options
+from turmericweir_core.base.request import Request
+from turmericweir_core.messages.effects import (
     AppendRecords,
     CancelAttempt,
     Effect,
@@ -27,7 +27,7 @@
     SendPeer,
     StartAttempt,
 )
-from turmericweir_core.events import (
+from turmericweir_core.messages.events import (
     AppendDone,
     AppendFailed,
     AttemptEnded,
@@ -48,12 +48,12 @@
     ServerReport,
     Tick,
 )
-from turmericweir_core.ids import InstanceName, RequestId, ServerName, Target
-from turmericweir_core.membership import Member
-from turmericweir_core.options import Options
-from turmericweir_core.reducer import new_state, reduce
-from turmericweir_core.request import Request
-from turmericweir_core.state import Identity, State
+from turmericweir_core.records.claim_answer import KeptAnswer
+from turmericweir_core.records.claim_record import CLAIMS_STREAM
+from turmericweir_core.reducers.reducer import new_state, reduce
+from turmericweir_core.state.claim_ledger import Ledger, fold, holder_of
+from turmericweir_core.state.membership_state import Member
+from turmericweir_core.state.state import Identity, State
 
 COUNTER: Final = ServiceClass("counter", 0, 0.5)
 TARGET: Final = Target("shop")
--- a/tests/core/fault_world.py
+++ b/tests/core/fault_world.py
@@ -13,9 +13,12 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from turmericweir_core.account import Account, Outcome
-from turmericweir_core.config import Config, Kind, ServerEntry, Service, ServiceClass
-from turmericweir_core.effects import (
+from turmericweir_core.base.account import Account, Outcome
+from turmericweir_core.base.config import Config, Kind, ServerEntry, Service, ServiceClass
+from turmericweir_core.base.ids import AttemptId, InstanceName, RequestId, ServerName, Target
+from turmericweir_core.base.options import Options
+from turmericweir_core.base.request import Request
+from turmericweir_core.messages.effects import (
     CancelAttempt,
     DistrustConnections,
     Effect,
@@ -25,7 +28,7 @@
     SendPeer,
     StartAttempt,
 )
-from turmericweir_core.events import (
+from turmericweir_core.messages.events import (
     AttemptEnd,
     AttemptEnded,
     AttemptProgress,
@@ -40,14 +43,11 @@
     ServerReport,
     Tick,
 )
-from turmericweir_core.ids import AttemptId, InstanceName, RequestId, ServerName, Target
-from turmericweir_core.membership import Member
-from turmericweir_core.options import Options
-from turmericweir_core.peer_messages import PeerMessage
-from turmericweir_core.reducer import new_state, reduce
-from turmericweir_core.request import Request
-from turmericweir_core.server_table import rebuild
-from turmericweir_core.state import Identity, State
+from turmericweir_core.messages.peer_messages import PeerMessage
+from turmericweir_core.reducers.reducer import new_state, reduce
+from turmericweir_core.state.membership_state import Member
+from turmericweir_core.state.server_table import rebuild
+from turmericweir_core.state.state import Identity, State
 
 TARGET: Final = Target("lm")
 CLASS: Final = ServiceClass("quick", 0, target_s=0.5, deadline_s=60.0)
--- a/tests/core/lease_world.py
+++ b/tests/core/lease_world.py
@@ -11,9 +11,11 @@
 from enum import Enum
 from typing import Any, Final
 
-from turmericweir_core import lease_flow
-from turmericweir_core.effects import AppendRecords, Effect, Log, ReadLog
-from turmericweir_core.events import (
+from turmericweir_core.base.ids import InstanceName
+from turmericweir_core.base.options import Options
+from turmericweir_core.leases import lease_flow
+from turmericweir_core.messages.effects import AppendRecords, Effect, Log, ReadLog
+from turmericweir_core.messages.events import (
     AppendDone,
     AppendFailed,
     LogExpired,
@@ -21,11 +23,9 @@
     LogRead,
     LogRecord,
 )
-from turmericweir_core.ids import InstanceName
-from turmericweir_core.lease_record import LEASES_STREAM, Scope
-from turmericweir_core.options import Options
-from turmericweir_core.reducer import new_state
-from turmericweir_core.state import Identity, State
+from turmericweir_core.records.lease_record import LEASES_STREAM, Scope
+from turmericweir_core.reducers.reducer import new_state
+from turmericweir_core.state.state import Identity, State
 
 SCOPE: Final = Scope("lm", "dc-1")
 OPTIONS: Final = Options(
--- a/tests/core/lifecycle_script.py
+++ b/tests/core/lifecycle_script.py
@@ -16,15 +16,18 @@
 from collections.abc import Callable
 from typing import Final
 
-from turmericweir_core.config import Config, Kind, ServerEntry, Service, ServiceClass
-from turmericweir_core.effects import (
+from turmericweir_core.base.config import Config, Kind, ServerEntry, Service, ServiceClass
+from turmericweir_core.base.ids import InstanceName, RequestId, ServerName, Target, attempt_id
+from turmericweir_core.base.options import Options
+from turmericweir_core.base.request import Request
+from turmericweir_core.messages.effects import (
     CancelAttempt,
     Effect,
     FinishRequest,
     ProbeServer,
     StartAttempt,
 )
-from turmericweir_core.events import (
+from turmericweir_core.messages.events import (
     AttemptEnd,
     AttemptEnded,
     AttemptProgress,
@@ -41,12 +44,9 @@
     ServerReport,
     Tick,
 )
-from turmericweir_core.ids import InstanceName, RequestId, ServerName, Target, attempt_id
-from turmericweir_core.options import Options
-from turmericweir_core.reducer import new_state, reduce
-from turmericweir_core.request import Request
-from turmericweir_core.server_table import rebuild
-from turmericweir_core.state import Identity, State
+from turmericweir_core.reducers.reducer import new_state, reduce
+from turmericweir_core.state.server_table import rebuild
+from turmericweir_core.state.state import Identity, State
 
 TARGET: Final = Target("lm")
 CLASS: Final = ServiceClass("quick", 0, target_s=0.5, deadline_s=60.0)
--- a/tests/core/load_script.py
+++ b/tests/core/load_script.py
@@ -21,10 +21,10 @@
 from typing import Any
 
 from tests.core.load_world import LoadWorld
-from turmericweir_core.config import Kind, Policy
-from turmericweir_core.events import CallerLeft, EndCancelled, EndRefused
-from turmericweir_core.ids import InstanceName, RequestId
-from turmericweir_core.options import Options
+from turmericweir_core.base.config import Kind, Policy
+from turmericweir_core.base.ids import InstanceName, RequestId
+from turmericweir_core.base.options import Options
+from turmericweir_core.messages.events import CallerLeft, EndCancelled, EndRefused
 
 _OPTIONS = {each.name: each.type for each in fields(Options)}
 
--- a/tests/core/load_world.py
+++ b/tests/core/load_world.py
@@ -13,9 +13,12 @@
 from dataclasses import dataclass, field
 from itertools import count
 
-from turmericweir_core.account import Account, Outcome
-from turmericweir_core.config import Config, Kind, Policy, ServerEntry, Service, ServiceClass
-from turmericweir_core.effects import (
+from turmericweir_core.base.account import Account, Outcome
+from turmericweir_core.base.config import Config, Kind, Policy, ServerEntry, Service, ServiceClass
+from turmericweir_core.base.ids import AttemptId, InstanceName, RequestId, ServerName, Target
+from turmericweir_core.base.options import Options
+from turmericweir_core.base.request import CancelReason, Request
+from turmericweir_core.messages.effects import (
     CancelAttempt,
     Effect,
     FinishRequest,
@@ -23,7 +26,7 @@
     SendPeer,
     StartAttempt,
 )
-from turmericweir_core.events import (
+from turmericweir_core.messages.events import (
     AttemptEnd,
     AttemptEnded,
     AttemptProgress,
@@ -36,13 +39,10 @@
     ServerReport,
     Tick,
 )
-from turmericweir_core.ids import AttemptId, InstanceName, RequestId, ServerName, Target
-from turmericweir_core.membership import Member
-from turmericweir_core.options import Options
-from turmericweir_core.reducer import new_state, reduce
-from turmericweir_core.request import CancelReason, Request
-from turmericweir_core.server_table import rebuild
-from turmericweir_core.state import Identity, State
+from turmericweir_core.reducers.reducer import new_state, reduce
+from turmericweir_core.state.membership_state import Member
+from turmericweir_core.state.server_table import rebuild
+from turmericweir_core.state.state import Identity, State
 
 MODEL = Target("tailor-lm")
 PLAIN = Target("counter-api")
--- a/tests/core/member_network.py
+++ b/tests/core/member_network.py
@@ -13,9 +13,12 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from turmericweir_core.config import ServerEntry
-from turmericweir_core.effects import Effect, SendDatagram, SendPeer
-from turmericweir_core.events import (
+from turmericweir_core.base.config import ServerEntry
+from turmericweir_core.base.ids import InstanceName
+from turmericweir_core.base.options import Options
+from turmericweir_core.membership.membership import live_instances
+from turmericweir_core.messages.effects import Effect, SendDatagram, SendPeer
+from turmericweir_core.messages.events import (
     Event,
     ListedInstance,
     ListRead,
@@ -24,12 +27,9 @@
     StopRequested,
     Tick,
 )
-from turmericweir_core.ids import InstanceName
-from turmericweir_core.membership import live_instances
-from turmericweir_core.options import Options
-from turmericweir_core.peer_messages import PeerMessage
-from turmericweir_core.reducer import new_state, reduce
-from turmericweir_core.state import Identity, State
+from turmericweir_core.messages.peer_messages import PeerMessage
+from turmericweir_core.reducers.reducer import new_state, reduce
+from turmericweir_core.state.state import Identity, State
 
 LATENCY_S = 0.002
 # What a socket holds; older datagrams of a paused instance are kept, newer ones lost.
--- a/tests/core/model_world.py
+++ b/tests/core/model_world.py
@@ -9,8 +9,10 @@
 from dataclasses import dataclass, field
 from typing import Any, Final
 
-from turmericweir_core.config import Config, Kind, ModelWant, ServerEntry, Service
-from turmericweir_core.effects import (
+from turmericweir_core.base.config import Config, Kind, ModelWant, ServerEntry, Service
+from turmericweir_core.base.ids import InstanceName, ServerName, Target
+from turmericweir_core.base.options import Options
+from turmericweir_core.messages.effects import (
     AppendRecords,
     AskWeights,
     Effect,
@@ -20,7 +22,7 @@
     SendOrder,
     SendPeer,
 )
-from turmericweir_core.events import (
+from turmericweir_core.messages.events import (
     AppendDone,
     AppendFailed,
     Event,
@@ -35,13 +37,11 @@
     Tick,
     WeightsAnswered,
 )
-from turmericweir_core.ids import InstanceName, ServerName, Target
-from turmericweir_core.lease_record import LEASES_STREAM
-from turmericweir_core.membership import Member
-from turmericweir_core.options import Options
-from turmericweir_core.peer_messages import ModelDemand, ModelUse
-from turmericweir_core.reducer import new_state, reduce
-from turmericweir_core.state import Identity, State
+from turmericweir_core.messages.peer_messages import ModelDemand, ModelUse
+from turmericweir_core.records.lease_record import LEASES_STREAM
+from turmericweir_core.reducers.reducer import new_state, reduce
+from turmericweir_core.state.membership_state import Member
+from turmericweir_core.state.state import Identity, State
 
 SERVICE: Final = "lm"
 DATA_CENTRE: Final = "dc-1"
--- a/tests/core/store_world.py
+++ b/tests/core/store_world.py
@@ -5,10 +5,12 @@
 from random import Random
 from typing import TypeVar
 
-from turmericweir_core.config import Config, Kind, Policy, ServerEntry, Service, ServiceClass
-from turmericweir_core.document import DocumentState
-from turmericweir_core.effects import Effect, FinishRequest, SendDatagram, StartAttempt
-from turmericweir_core.events import (
+from turmericweir_core.base.config import Config, Kind, Policy, ServerEntry, Service, ServiceClass
+from turmericweir_core.base.ids import InstanceName, RequestId, ServerName, Target
+from turmericweir_core.base.options import Options
+from turmericweir_core.base.request import Request
+from turmericweir_core.messages.effects import Effect, FinishRequest, SendDatagram, StartAttempt
+from turmericweir_core.messages.events import (
     AttemptEnd,
     AttemptEnded,
     AttemptProgress,
@@ -20,13 +22,11 @@
     RequestArrived,
     Tick,
 )
-from turmericweir_core.ids import InstanceName, RequestId, ServerName, Target
-from turmericweir_core.membership import Member
-from turmericweir_core.options import Options
-from turmericweir_core.peer_messages import PeerMessage
-from turmericweir_core.reducer_store import reduce
-from turmericweir_core.request import Request
-from turmericweir_core.state import Identity, State
+from turmericweir_core.messages.peer_messages import PeerMessage
+from turmericweir_core.reducers.reducer_store import reduce
+from turmericweir_core.state.document_state import DocumentState
+from turmericweir_core.state.membership_state import Member
+from turmericweir_core.state.state import Identity, State
 
 E = TypeVar("E", bound=Effect)
 
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -11,12 +11,12 @@
 from tests.core.case_driver import Case, check_lines, load_cases
 from tests.core.load_script import run_script
 from tests.core.load_world import CLASSES, LoadWorld
-from turmericweir_core.account import Account, Outcome
-from turmericweir_core.config import Kind, Policy
-from turmericweir_core.events import EndBroken
-from turmericweir_core.options import Options
-from turmericweir_core.reasons import Reason
-from turmericweir_core.request import CancelReason
+from turmericweir_core.base.account import Account, Outcome
+from turmericweir_core.base.config import Kind, Policy
+from turmericweir_core.base.options import Options
+from turmericweir_core.base.reasons import Reason
+from turmericweir_core.base.request import CancelReason
+from turmericweir_core.messages.events import EndBroken
 
 
 @pytest.mark.parametrize("case", load_cases("admission.test"), ids=str)
--- a/tests/core/test_cache_handover.py
+++ b/tests/core/test_cache_handover.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from tests.core.store_world import StoreWorld, only, start_of
-from turmericweir_core.effects import SendPeer
-from turmericweir_core.events import EndComplete
-from turmericweir_core.ids import ServerName
-from turmericweir_core.peer_messages import CachesAsk, CachesSend
+from turmericweir_core.base.ids import ServerName
+from turmericweir_core.messages.effects import SendPeer
+from turmericweir_core.messages.events import EndComplete
+from turmericweir_core.messages.peer_messages import CachesAsk, CachesSend
 
 SHARED = ("sheet", 13_300)
 
--- a/tests/core/test_claim_ledger.py
+++ b/tests/core/test_claim_ledger.py
@@ -15,10 +15,10 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from turmericweir_core.account import Outcome
-from turmericweir_core.claim_clock import told_clocks
-from turmericweir_core.claim_ledger import Ledger, floor_of, fold, holder_of, restart
-from turmericweir_core.claim_record import (
+from turmericweir_core.base.account import Outcome
+from turmericweir_core.base.options import Options
+from turmericweir_core.base.reasons import Reason
+from turmericweir_core.records.claim_record import (
     NO_FLOOR,
     Batch,
     CarriedClaim,
@@ -30,8 +30,8 @@
     decode,
     encode,
 )
-from turmericweir_core.options import Options
-from turmericweir_core.reasons import Reason
+from turmericweir_core.state.claim_clock import told_clocks
+from turmericweir_core.state.claim_ledger import Ledger, floor_of, fold, holder_of, restart
 
 OPTIONS: Final = Options(claim_retention_s=60.0, claim_carry_records=8)
 KEYS: Final = ("a", "b")
--- a/tests/core/test_claim_vote.py
+++ b/tests/core/test_claim_vote.py
@@ -11,11 +11,11 @@
 
 from tests.core.claims_world import Fate, Instance, World
 from tests.core.test_claims import VOTES, begin_outage, check_runs
-from turmericweir_core.account import Outcome
-from turmericweir_core.effects import AppendRecords, Effect, SendPeer, StartAttempt
-from turmericweir_core.events import StopRequested
-from turmericweir_core.options import Options
-from turmericweir_core.reasons import Reason
+from turmericweir_core.base.account import Outcome
+from turmericweir_core.base.options import Options
+from turmericweir_core.base.reasons import Reason
+from turmericweir_core.messages.effects import AppendRecords, Effect, SendPeer, StartAttempt
+from turmericweir_core.messages.events import StopRequested
 
 
 def begin(options: Options = VOTES, *, known: bool = True) -> World:
--- a/tests/core/test_claims.py
+++ b/tests/core/test_claims.py
@@ -11,10 +11,10 @@
 from hypothesis import strategies as st
 
 from tests.core.claims_world import Fate, Instance, World
-from turmericweir_core.account import Outcome
-from turmericweir_core.claim_ledger import holder_of
-from turmericweir_core.options import Options
-from turmericweir_core.reasons import Reason
+from turmericweir_core.base.account import Outcome
+from turmericweir_core.base.options import Options
+from turmericweir_core.base.reasons import Reason
+from turmericweir_core.state.claim_ledger import holder_of
 
 OPTIONS: Final = Options(
     claim_appends_s=1000.0, claim_append_burst=1000.0, claim_lot=2.0, claim_votes=False
--- a/tests/core/test_credit.py
+++ b/tests/core/test_credit.py
@@ -10,18 +10,18 @@
 from hypothesis import strategies as st
 
 from tests.core.load_world import DATA_CENTRE, MODEL, LoadWorld, report_of
-from turmericweir_core import credit_lead
-from turmericweir_core.account import Outcome
-from turmericweir_core.config import Kind, Policy
-from turmericweir_core.credit_allocation import Capacity, Want, allocate
-from turmericweir_core.credit_state import Ledger
-from turmericweir_core.events import PeerReceived, Tick
-from turmericweir_core.ids import InstanceName, ServerName
-from turmericweir_core.options import Options
-from turmericweir_core.peer_messages import CreditDemand, CreditGrant, TierDemand
-from turmericweir_core.request import CancelReason
-from turmericweir_core.state import State
-from turmericweir_core.subset import rendezvous_weight, target_subset
+from turmericweir_core.base.account import Outcome
+from turmericweir_core.base.config import Kind, Policy
+from turmericweir_core.base.ids import InstanceName, ServerName
+from turmericweir_core.base.options import Options
+from turmericweir_core.base.request import CancelReason
+from turmericweir_core.credits import credit_lead
+from turmericweir_core.credits.credit_allocation import Capacity, Want, allocate
+from turmericweir_core.membership.subset import rendezvous_weight, target_subset
+from turmericweir_core.messages.events import PeerReceived, Tick
+from turmericweir_core.messages.peer_messages import CreditDemand, CreditGrant, TierDemand
+from turmericweir_core.state.credit_state import Ledger
+from turmericweir_core.state.state import State
 
 S0 = ServerName("s0")
 
--- a/tests/core/test_dead_server.py
+++ b/tests/core/test_dead_server.py
@@ -5,9 +5,15 @@
 import pytest
 
 from tests.core.store_world import FIT, StoreWorld, account_of, only, start_of
-from turmericweir_core.account import Outcome
-from turmericweir_core.effects import CancelAttempt, FinishRequest, ProbeServer, StartAttempt
-from turmericweir_core.events import (
+from turmericweir_core.base.account import Outcome
+from turmericweir_core.base.ids import ServerName
+from turmericweir_core.messages.effects import (
+    CancelAttempt,
+    FinishRequest,
+    ProbeServer,
+    StartAttempt,
+)
+from turmericweir_core.messages.events import (
     EndBroken,
     EndCancelled,
     EndRefused,
@@ -16,7 +22,6 @@
     ServerAnswered,
     ServerUnreachable,
 )
-from turmericweir_core.ids import ServerName
 
 
 def silent_on(world: StoreWorld, *, repeatable: bool) -> StartAttempt:
--- a/tests/core/test_displacement.py
+++ b/tests/core/test_displacement.py
@@ -12,11 +12,11 @@
 from tests.core.case_driver import Case, check_lines, load_cases
 from tests.core.load_script import run_script
 from tests.core.load_world import CLASSES, LoadWorld
-from turmericweir_core.config import Policy
-from turmericweir_core.effects import CancelAttempt
-from turmericweir_core.events import EndRefused
-from turmericweir_core.ids import InstanceName
-from turmericweir_core.options import Options
+from turmericweir_core.base.config import Policy
+from turmericweir_core.base.ids import InstanceName
+from turmericweir_core.base.options import Options
+from turmericweir_core.messages.effects import CancelAttempt
+from turmericweir_core.messages.events import EndRefused
 
 # More than any sound run of these tests displaces.
 TOO_MANY = 20
--- a/tests/core/test_document.py
+++ b/tests/core/test_document.py
@@ -3,13 +3,19 @@
 from __future__ import annotations
 
 from tests.core.store_world import PLAIN, StoreWorld, account_of, only, start_of
-from turmericweir_core import document, store_duty
-from turmericweir_core.account import Outcome
-from turmericweir_core.effects import DecodeDocument, FinishRequest, SendDatagram, SendPeer
-from turmericweir_core.events import DocumentConfirmed
-from turmericweir_core.ids import InstanceName
-from turmericweir_core.peer_messages import DocumentAsk, DocumentProof, DocumentSend, RegistryNews
-from turmericweir_core.reasons import Reason
+from turmericweir_core.base.account import Outcome
+from turmericweir_core.base.ids import InstanceName
+from turmericweir_core.base.reasons import Reason
+from turmericweir_core.membership import store_duty
+from turmericweir_core.messages.effects import DecodeDocument, FinishRequest, SendDatagram, SendPeer
+from turmericweir_core.messages.events import DocumentConfirmed
+from turmericweir_core.messages.peer_messages import (
+    DocumentAsk,
+    DocumentProof,
+    DocumentSend,
+    RegistryNews,
+)
+from turmericweir_core.store import document
 
 
 def with_peer(world: StoreWorld, offset: int = 1) -> InstanceName:
--- a/tests/core/test_engine_speed.py
+++ b/tests/core/test_engine_speed.py
@@ -7,9 +7,11 @@
 import pytest
 
 from tests.core.store_world import BULK, MODEL, StoreWorld, start_of
-from turmericweir_core import engine_model, engine_speed
-from turmericweir_core.events import EndComplete
-from turmericweir_core.options import Options
+from turmericweir_core.base.options import Options
+from turmericweir_core.engines import engine_model
+from turmericweir_core.messages.events import EndComplete
+from turmericweir_core.state import engine_speed
+from turmericweir_core.state.engine_state import EngineBook
 
 
 @pytest.mark.parametrize(
@@ -53,7 +55,7 @@
     """
     world = StoreWorld(engines=2)
     probe = world.request("probe", prompt_tokens=17_000)
-    book = engine_model.EngineBook()
+    book = EngineBook()
     common_ms = engine_model.own_work_ms(world.state, book, probe)
     for number in range(40):
         tokens = 17_000 if number % 2 else 1_000
--- a/tests/core/test_instance_refusal.py
+++ b/tests/core/test_instance_refusal.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from tests.core.store_world import PLAIN, StoreWorld, account_of, only
-from turmericweir_core.account import Outcome
-from turmericweir_core.effects import FinishRequest, StartAttempt
-from turmericweir_core.events import StopRequested
-from turmericweir_core.reasons import Reason
+from turmericweir_core.base.account import Outcome
+from turmericweir_core.base.reasons import Reason
+from turmericweir_core.messages.effects import FinishRequest, StartAttempt
+from turmericweir_core.messages.events import StopRequested
 
 
 def test_a_stopping_instance_serves_what_certainly_ends_in_time() -> None:
--- a/tests/core/test_lease.py
+++ b/tests/core/test_lease.py
@@ -9,10 +9,10 @@
 from hypothesis import strategies as st
 
 from tests.core.lease_world import OPTIONS, SCOPE, Fate, Instance, World
-from turmericweir_core import lease_flow
-from turmericweir_core.effects import AppendRecords
-from turmericweir_core.lease_ledger import Ledger, begin, fold
-from turmericweir_core.lease_record import Act, LeaseRecord, Scope, decode, encode
+from turmericweir_core.leases import lease_flow
+from turmericweir_core.messages.effects import AppendRecords
+from turmericweir_core.records.lease_record import Act, LeaseRecord, Scope, decode, encode
+from turmericweir_core.state.lease_ledger import Ledger, begin, fold
 
 WAIT_S: Final = OPTIONS.lease_s + OPTIONS.lease_margin_s
 
--- a/tests/core/test_lifecycle.py
+++ b/tests/core/test_lifecycle.py
@@ -12,10 +12,12 @@
 
 from tests.core.case_driver import Case, check_lines, load_cases
 from tests.core.lifecycle_script import CLASS, OPTIONS, TARGET, LifecycleScript, make_state
-from turmericweir_core.account import Account, Outcome
-from turmericweir_core.config import Kind
-from turmericweir_core.effects import CancelAttempt, Effect, FinishRequest, StartAttempt
-from turmericweir_core.events import (
+from turmericweir_core.base.account import Account, Outcome
+from turmericweir_core.base.config import Kind
+from turmericweir_core.base.ids import AttemptId, RequestId
+from turmericweir_core.base.request import Request
+from turmericweir_core.messages.effects import CancelAttempt, Effect, FinishRequest, StartAttempt
+from turmericweir_core.messages.events import (
     AttemptEnd,
     AttemptEnded,
     AttemptProgress,
@@ -31,10 +33,8 @@
     RequestArrived,
     Tick,
 )
-from turmericweir_core.ids import AttemptId, RequestId
-from turmericweir_core.reducer import reduce
-from turmericweir_core.request import Request
-from turmericweir_core.state import State
+from turmericweir_core.reducers.reducer import reduce
+from turmericweir_core.state.state import State
 
 CASES: Final = load_cases("lifecycle.test")
 
--- a/tests/core/test_limit.py
+++ b/tests/core/test_limit.py
@@ -8,16 +8,16 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from turmericweir_core import limit
-from turmericweir_core.account import Outcome
-from turmericweir_core.config import Config, Customer, Kind, Limit, ServiceClass
-from turmericweir_core.ids import InstanceName, RequestId, Target
-from turmericweir_core.limit_home import Division, on_demand, rebalance
-from turmericweir_core.limit_state import Bucket, Claim, customer_key
-from turmericweir_core.options import Options
-from turmericweir_core.peer_messages import LimitDemand
-from turmericweir_core.reasons import Reason
-from turmericweir_core.request import Request
+from turmericweir_core.base.account import Outcome
+from turmericweir_core.base.config import Config, Customer, Kind, Limit, ServiceClass
+from turmericweir_core.base.ids import InstanceName, RequestId, Target
+from turmericweir_core.base.options import Options
+from turmericweir_core.base.reasons import Reason
+from turmericweir_core.base.request import Request
+from turmericweir_core.limits import limit
+from turmericweir_core.limits.limit_home import Division, on_demand, rebalance
+from turmericweir_core.messages.peer_messages import LimitDemand
+from turmericweir_core.state.limit_state import Bucket, Claim, customer_key
 from turmericweir_standins.measure_limits import CUSTOMER, LimitWorld
 
 RATE: Final = 40.0
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -9,19 +9,24 @@
 from hypothesis import strategies as st
 
 from tests.core.member_network import Network
-from turmericweir_core.config import Config, Kind, ServerEntry, Service
-from turmericweir_core.effects import SendDatagram
-from turmericweir_core.events import (
+from turmericweir_core.base.config import Config, Kind, ServerEntry, Service
+from turmericweir_core.base.ids import InstanceName, ServerName
+from turmericweir_core.base.options import Options
+from turmericweir_core.membership.membership import (
+    data_centres,
+    member,
+    paused_since_last_tick,
+    region_tag,
+)
+from turmericweir_core.messages.effects import SendDatagram
+from turmericweir_core.messages.events import (
     DrainRequested,
     ListedInstance,
     PeerReceived,
     ServerReport,
 )
-from turmericweir_core.ids import InstanceName, ServerName
-from turmericweir_core.membership import data_centres, member, paused_since_last_tick, region_tag
-from turmericweir_core.options import Options
-from turmericweir_core.peer_messages import Heartbeat, Mark, MarksAsk, SettingsSend, Word
-from turmericweir_core.server_table import is_open, note_leaving
+from turmericweir_core.messages.peer_messages import Heartbeat, Mark, MarksAsk, SettingsSend, Word
+from turmericweir_core.state.server_table import is_open, note_leaving
 
 # Left out at the latest after so long, also at 64 instances: the time without progress, plus the
 # time that the last news may still be under way.
--- a/tests/core/test_model_placement.py
+++ b/tests/core/test_model_placement.py
@@ -13,12 +13,12 @@
 
 from tests.core.case_driver import Case, check_lines, load_cases
 from tests.core.model_world import SLOTS, World
-from turmericweir_core import lease_flow
-from turmericweir_core.config import ModelWant
-from turmericweir_core.ids import ServerName
-from turmericweir_core.lease_record import Scope
-from turmericweir_core.model_label import ModelLabel, bare_name, parse_label
-from turmericweir_core.model_placement import (
+from turmericweir_core.base.config import ModelWant
+from turmericweir_core.base.ids import ServerName
+from turmericweir_core.base.model_label import ModelLabel, bare_name, parse_label
+from turmericweir_core.base.options import Options
+from turmericweir_core.leases import lease_flow
+from turmericweir_core.leases.model_placement import (
     Bounds,
     CountInput,
     Holding,
@@ -27,9 +27,9 @@
     note_demand,
     share,
 )
-from turmericweir_core.model_state import ModelTarget, Usage
-from turmericweir_core.options import Options
-from turmericweir_core.order_steps import WantedModel, steps
+from turmericweir_core.leases.order_steps import WantedModel, steps
+from turmericweir_core.records.lease_record import Scope
+from turmericweir_core.state.model_state import ModelTarget, Usage
 
 SCOPE: Final = Scope("lm", "dc-1")
 OPTIONS: Final = Options()
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -10,18 +10,19 @@
 from hypothesis import strategies as st
 
 from tests.core.load_world import CLASSES, DATA_CENTRE, MODEL, LoadWorld, report_of
-from turmericweir_core import placement, prefix
-from turmericweir_core.config import Config, Kind, Policy, ServerEntry, Service
-from turmericweir_core.events import CacheEvent, CacheEvents, EndRefused
-from turmericweir_core.ids import InstanceName, ServerName
-from turmericweir_core.membership import RemoteCentre
-from turmericweir_core.options import Options
-from turmericweir_core.prefix import PrefixMap
-from turmericweir_core.reducer import new_state
-from turmericweir_core.server_table import rebuild
-from turmericweir_core.state import Identity, State
-from turmericweir_core.subset import on_tick as subset_tick
-from turmericweir_core.subset import open_servers, target_subset
+from turmericweir_core.base.config import Config, Kind, Policy, ServerEntry, Service
+from turmericweir_core.base.ids import InstanceName, ServerName
+from turmericweir_core.base.options import Options
+from turmericweir_core.membership.subset import on_tick as subset_tick
+from turmericweir_core.membership.subset import open_servers, target_subset
+from turmericweir_core.messages.events import CacheEvent, CacheEvents, EndRefused
+from turmericweir_core.placement import placement
+from turmericweir_core.reducers.reducer import new_state
+from turmericweir_core.state import prefix
+from turmericweir_core.state.membership_state import RemoteCentre
+from turmericweir_core.state.prefix import PrefixMap
+from turmericweir_core.state.server_table import rebuild
+from turmericweir_core.state.state import Identity, State
 
 OPTIONS = Options()
 CENTRES = ("north", "south", "west")
--- a/tests/core/test_predict.py
+++ b/tests/core/test_predict.py
@@ -6,12 +6,12 @@
 from random import Random
 
 from tests.core.load_world import COUNTER, MODEL, QUOTE
-from turmericweir_core.config import Kind, ServiceClass
-from turmericweir_core.effects import Count
-from turmericweir_core.ids import RequestId
-from turmericweir_core.options import Options
-from turmericweir_core.predict import Predictor, note_length, predict_tokens
-from turmericweir_core.request import Request
+from turmericweir_core.base.config import Kind, ServiceClass
+from turmericweir_core.base.ids import RequestId
+from turmericweir_core.base.options import Options
+from turmericweir_core.base.request import Request
+from turmericweir_core.messages.effects import Count
+from turmericweir_core.state.predict import Predictor, note_length, predict_tokens
 
 OPTIONS = Options()
 
--- a/tests/core/test_predicted_admission.py
+++ b/tests/core/test_predicted_admission.py
@@ -6,11 +6,12 @@
 from typing import Final
 
 from tests.core.store_world import BULK, MODEL, QUICK, StoreWorld, account_of, only, start_of
-from turmericweir_core import engine_pools
-from turmericweir_core.account import Outcome
-from turmericweir_core.effects import FinishRequest, Log, StartAttempt
-from turmericweir_core.events import EndComplete
-from turmericweir_core.peer_messages import DemandRow, LoadNews
+from turmericweir_core.base.account import Outcome
+from turmericweir_core.engines import engine_pools
+from turmericweir_core.messages.effects import FinishRequest, Log, StartAttempt
+from turmericweir_core.messages.events import EndComplete
+from turmericweir_core.messages.peer_messages import DemandRow, LoadNews
+from turmericweir_core.state.pool_state import Split
 
 # Events of three tokens; with 50 ms between them, 300 tokens take 5 s.
 GAP_S: Final = 0.05
@@ -115,7 +116,7 @@
     # engines the wait would seem to be a second, and the caller would leave with nothing.
     world = StoreWorld(engines=5)
     world.wait(0.05)
-    split = world.state.pools.splits[MODEL] = engine_pools.Split(reading=1, quick_first=True)
+    split = world.state.pools.splits[MODEL] = Split(reading=1, quick_first=True)
     split.settings = world.state.config.offset
     demand = [DemandRow(MODEL, 500, 3_500, None)]
     for number in range(14):
--- a/tests/core/test_predicted_placement.py
+++ b/tests/core/test_predicted_placement.py
@@ -5,12 +5,12 @@
 from dataclasses import replace
 
 from tests.core.store_world import BULK, FIT, MODEL, QUICK, StoreWorld, only, start_of
-from turmericweir_core import engine_pools
-from turmericweir_core.config import ServiceClass
-from turmericweir_core.effects import StartAttempt
-from turmericweir_core.events import EndComplete, RegistryRead
-from turmericweir_core.peer_messages import DemandRow, LoadNews
-from turmericweir_core.routes import Route, WeightedTarget, make_table
+from turmericweir_core.base.config import ServiceClass
+from turmericweir_core.base.routes import Route, WeightedTarget, make_table
+from turmericweir_core.engines import engine_pools
+from turmericweir_core.messages.effects import StartAttempt
+from turmericweir_core.messages.events import EndComplete, RegistryRead
+from turmericweir_core.messages.peer_messages import DemandRow, LoadNews
 
 SHARED = ("sheet", 13_300)
 
--- a/tests/core/test_quarantine.py
+++ b/tests/core/test_quarantine.py
@@ -9,14 +9,20 @@
 from hypothesis import strategies as st
 
 from tests.core.fault_world import FaultWorld
-from turmericweir_core.account import Outcome
-from turmericweir_core.config import Kind
-from turmericweir_core.events import AttemptEnded, EndBroken
-from turmericweir_core.ids import RequestId, ServerName
-from turmericweir_core.options import Options
-from turmericweir_core.peer_messages import CrashNews, PeerMessage, TrialAnswer, TrialAsk, TrialEnd
-from turmericweir_core.quarantine_state import CrashKey
-from turmericweir_core.request import CancelReason
+from turmericweir_core.base.account import Outcome
+from turmericweir_core.base.config import Kind
+from turmericweir_core.base.ids import RequestId, ServerName
+from turmericweir_core.base.options import Options
+from turmericweir_core.base.request import CancelReason
+from turmericweir_core.messages.events import AttemptEnded, EndBroken
+from turmericweir_core.messages.peer_messages import (
+    CrashNews,
+    PeerMessage,
+    TrialAnswer,
+    TrialAsk,
+    TrialEnd,
+)
+from turmericweir_core.state.quarantine_state import CrashKey
 
 POISON: Final = "poison"
 QUARANTINED: Final = (Outcome.FAILED, "quarantined")
