--- a/tests/core/test_queue.py
+++ b/tests/core/test_queue.py
@@ -11,10 +11,10 @@
 from tests.core.case_driver import Case, check_lines, load_cases
 from tests.core.load_script import run_script
 from tests.core.load_world import CLASSES, LoadWorld
-from turmericweir_core.account import Outcome
-from turmericweir_core.config import Kind, Policy, ServiceClass
-from turmericweir_core.options import Options
-from turmericweir_core.request import Request
+from turmericweir_core.base.account import Outcome
+from turmericweir_core.base.config import Kind, Policy, ServiceClass
+from turmericweir_core.base.options import Options
+from turmericweir_core.base.request import Request
 
 
 @pytest.mark.parametrize("case", load_cases("queue.test"), ids=str)
--- a/tests/core/test_registry.py
+++ b/tests/core/test_registry.py
@@ -8,13 +8,14 @@
 from hypothesis import strategies as st
 
 from tests.core.store_world import PLAIN, StoreWorld, datagrams, only, start_of
-from turmericweir_core import engine_model, leaving, server_list, store_duty
-from turmericweir_core.config import ServerEntry
-from turmericweir_core.effects import SendPeer, StartAttempt
-from turmericweir_core.events import EndComplete, ListedInstance, ListRead, RegistryRead
-from turmericweir_core.ids import InstanceName, ServerName
-from turmericweir_core.membership import Member
-from turmericweir_core.peer_messages import Mark, RegistryNews, RegistryRow, ServersAsk
+from turmericweir_core.base.config import ServerEntry
+from turmericweir_core.base.ids import InstanceName, ServerName
+from turmericweir_core.engines import engine_model
+from turmericweir_core.membership import leaving, server_list, store_duty
+from turmericweir_core.messages.effects import SendPeer, StartAttempt
+from turmericweir_core.messages.events import EndComplete, ListedInstance, ListRead, RegistryRead
+from turmericweir_core.messages.peer_messages import Mark, RegistryNews, RegistryRow, ServersAsk
+from turmericweir_core.state.membership_state import Member
 
 
 def test_an_entry_that_lapsed_while_the_store_was_away_is_used_for_a_moment() -> None:
--- a/tests/core/test_retry_window.py
+++ b/tests/core/test_retry_window.py
@@ -6,9 +6,9 @@
 from hypothesis import strategies as st
 
 from tests.core.store_world import PLAIN, StoreWorld
-from turmericweir_core import retry
-from turmericweir_core.ids import InstanceName
-from turmericweir_core.membership import Member
+from turmericweir_core.base.ids import InstanceName
+from turmericweir_core.state.membership_state import Member
+from turmericweir_core.trust import retry
 
 
 def with_instances(world: StoreWorld, count: int) -> None:
--- a/tests/core/test_settings.py
+++ b/tests/core/test_settings.py
@@ -11,9 +11,10 @@
 
 from tests.core.case_driver import Case, check_lines, load_cases
 from tests.core.settings_script import ROOT, change, record_of
-from turmericweir_core.events import LogRecord
-from turmericweir_core.settings_record import SnapshotRecord, log_form, read_record
-from turmericweir_core.settings_state import (
+from turmericweir_core.messages.events import LogRecord
+from turmericweir_core.records.settings_record import SnapshotRecord, log_form, read_record
+from turmericweir_core.records.settings_verdict import Verdict, VerdictKind, describe, kind_of
+from turmericweir_core.state.settings_state import (
     SEEN_KEEP,
     SettingsState,
     apply,
@@ -23,7 +24,6 @@
     state_digest,
     take_snapshot,
 )
-from turmericweir_core.settings_verdict import Verdict, VerdictKind, describe, kind_of
 
 PATHS = ("/classes/a", "/classes/b", "/customers/shop", "/teams/t/limit", "/limits/default")
 
--- a/tests/core/test_settings_sync.py
+++ b/tests/core/test_settings_sync.py
@@ -31,8 +31,9 @@
 
 from tests.core.case_driver import Case, check_lines, load_cases
 from tests.core.settings_script import ROOT, change, record_of
-from turmericweir_core import settings_changes, settings_reducer
-from turmericweir_core.effects import (
+from turmericweir_core.base.ids import InstanceName
+from turmericweir_core.base.options import Options
+from turmericweir_core.messages.effects import (
     AppendRecords,
     Count,
     Effect,
@@ -41,7 +42,7 @@
     SendPeer,
     SettleChange,
 )
-from turmericweir_core.events import (
+from turmericweir_core.messages.events import (
     AppendDone,
     AppendFailed,
     ChangeSubmitted,
@@ -50,17 +51,12 @@
     LogRead,
     LogRecord,
 )
-from turmericweir_core.ids import InstanceName
-from turmericweir_core.options import Options
-from turmericweir_core.peer_messages import SettingsAsk, SettingsSend
-from turmericweir_core.settings_record import STREAM, log_form
-from turmericweir_core.settings_state import SettingsState, apply, state_digest, take_snapshot
-from turmericweir_core.settings_sync import (
-    PeerSettings,
-    SettingsSync,
-    settings_read_offset,
-)
-from turmericweir_core.settings_verdict import VerdictKind, describe
+from turmericweir_core.messages.peer_messages import SettingsAsk, SettingsSend
+from turmericweir_core.records.settings_record import STREAM, log_form
+from turmericweir_core.records.settings_verdict import VerdictKind, describe
+from turmericweir_core.settings import settings_changes, settings_reducer
+from turmericweir_core.state.settings_state import SettingsState, apply, state_digest, take_snapshot
+from turmericweir_core.state.settings_sync import PeerSettings, SettingsSync, settings_read_offset
 
 ME: Final = InstanceName("m")
 PEER: Final = InstanceName("p")
--- a/tests/core/test_silence.py
+++ b/tests/core/test_silence.py
@@ -8,11 +8,11 @@
 import pytest
 
 from tests.core.fault_world import CLASS, FaultWorld
-from turmericweir_core.account import Outcome
-from turmericweir_core.config import Kind, ServiceClass
-from turmericweir_core.events import ServerReport
-from turmericweir_core.ids import ServerName
-from turmericweir_core.options import Options
+from turmericweir_core.base.account import Outcome
+from turmericweir_core.base.config import Kind, ServiceClass
+from turmericweir_core.base.ids import ServerName
+from turmericweir_core.base.options import Options
+from turmericweir_core.messages.events import ServerReport
 
 COMPLETED = (Outcome.COMPLETED, "ok")
 
--- a/tests/core/test_straggler.py
+++ b/tests/core/test_straggler.py
@@ -11,17 +11,17 @@
 from hypothesis import strategies as st
 
 from tests.core.load_world import LoadWorld, Running
-from turmericweir_core import concurrency, straggler
-from turmericweir_core.account import Outcome
-from turmericweir_core.concurrency import LimitState
-from turmericweir_core.config import Policy, ServiceClass
-from turmericweir_core.dispatch import cancel
-from turmericweir_core.events import CallerLeft, EndCancelled
-from turmericweir_core.ids import AttemptId, InstanceName, RequestId, ServerName
-from turmericweir_core.options import Options
-from turmericweir_core.reasons import Reason
-from turmericweir_core.request import Attempt, CancelReason
-from turmericweir_core.straggler import StragglerState
+from turmericweir_core.base.account import Outcome
+from turmericweir_core.base.config import Policy, ServiceClass
+from turmericweir_core.base.ids import AttemptId, InstanceName, RequestId, ServerName
+from turmericweir_core.base.options import Options
+from turmericweir_core.base.reasons import Reason
+from turmericweir_core.base.request import Attempt, CancelReason
+from turmericweir_core.messages.events import CallerLeft, EndCancelled
+from turmericweir_core.placement.dispatch import cancel
+from turmericweir_core.state import concurrency, straggler
+from turmericweir_core.state.concurrency import LimitState
+from turmericweir_core.state.straggler import StragglerState
 
 OPTIONS = Options()
 S0 = ServerName("s0")
--- a/tests/core/test_urgent_first.py
+++ b/tests/core/test_urgent_first.py
@@ -6,8 +6,8 @@
 from typing import Final
 
 from tests.core.store_world import BULK, QUICK, StoreWorld, only, start_of
-from turmericweir_core.effects import Effect, FinishRequest, StartAttempt
-from turmericweir_core.peer_messages import DemandRow, LoadNews
+from turmericweir_core.messages.effects import Effect, FinishRequest, StartAttempt
+from turmericweir_core.messages.peer_messages import DemandRow, LoadNews
 
 URGENT: Final = replace(QUICK, rank=0)
 LESS: Final = replace(BULK, rank=1)
--- a/tests/ctl/fake_daemon.py
+++ b/tests/ctl/fake_daemon.py
@@ -23,7 +23,9 @@
 from turmericweir.operator_port import OperatorPort
 from turmericweir.operators import Operators
 from turmericweir.process_settings import AdminToken, Limits
-from turmericweir_core.effects import (
+from turmericweir_core.base.ids import InstanceName
+from turmericweir_core.base.options import Options
+from turmericweir_core.messages.effects import (
     AppendRecords,
     AskWeights,
     DistrustConnections,
@@ -33,14 +35,19 @@
     SendOrder,
     SendPeer,
 )
-from turmericweir_core.events import AppendDone, AppendFailed, Event, LogFailed, LogRead, LogRecord
-from turmericweir_core.ids import InstanceName
-from turmericweir_core.membership import RemoteCentre
-from turmericweir_core.options import Options
-from turmericweir_core.peer_messages import Word
-from turmericweir_core.reducer import new_state, reduce
-from turmericweir_core.settings_sync import settings_read_offset
-from turmericweir_core.state import Identity
+from turmericweir_core.messages.events import (
+    AppendDone,
+    AppendFailed,
+    Event,
+    LogFailed,
+    LogRead,
+    LogRecord,
+)
+from turmericweir_core.messages.peer_messages import Word
+from turmericweir_core.reducers.reducer import new_state, reduce
+from turmericweir_core.state.membership_state import RemoteCentre
+from turmericweir_core.state.settings_sync import settings_read_offset
+from turmericweir_core.state.state import Identity
 
 TOKEN: Final = "root-token"
 
--- a/tests/daemon/test_codecs.py
+++ b/tests/daemon/test_codecs.py
@@ -14,10 +14,10 @@
 from turmericweir.dump import dump
 from turmericweir.logs import format_line
 from turmericweir.peer_codec import decode, encode
-from turmericweir_core.config import Customer
-from turmericweir_core.events import PeerReceived
-from turmericweir_core.ids import InstanceName
-from turmericweir_core.peer_messages import (
+from turmericweir_core.base.config import Customer
+from turmericweir_core.base.ids import InstanceName
+from turmericweir_core.messages.events import PeerReceived
+from turmericweir_core.messages.peer_messages import (
     CreditDemand,
     PeerMessage,
     SettingsAsk,
--- a/tests/daemon/test_peer_codec.py
+++ b/tests/daemon/test_peer_codec.py
@@ -7,9 +7,9 @@
 from returns.pipeline import is_successful
 
 from turmericweir.peer_codec import decode, encode
-from turmericweir_core.config import ServerEntry
-from turmericweir_core.ids import InstanceName, ServerName
-from turmericweir_core.peer_messages import (
+from turmericweir_core.base.config import ServerEntry
+from turmericweir_core.base.ids import InstanceName, ServerName
+from turmericweir_core.messages.peer_messages import (
     Heartbeat,
     Mark,
     MemberRecord,
--- a/tests/daemon/test_peer_streams.py
+++ b/tests/daemon/test_peer_streams.py
@@ -14,9 +14,9 @@
 from turmericweir.peer_codec import encode
 from turmericweir.peer_streams import PeerLink
 from turmericweir.traffic import Traffic
-from turmericweir_core.events import Event, PeerUnreachable
-from turmericweir_core.ids import InstanceName
-from turmericweir_core.peer_messages import SettingsAsk
+from turmericweir_core.base.ids import InstanceName
+from turmericweir_core.messages.events import Event, PeerUnreachable
+from turmericweir_core.messages.peer_messages import SettingsAsk
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -13,7 +13,7 @@
 from turmericweir.backend_call import Answer
 from turmericweir.backend_pool import BackendPool
 from turmericweir.node import Node
-from turmericweir_core.events import Event
+from turmericweir_core.messages.events import Event
 from turmericweir_platform.store import Follower, StoreClient
 
 NOTHING = struct.pack(">QQ", 0, 0)
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -14,10 +14,10 @@
 from turmericweir.caller_refusal import RefusedError
 from turmericweir.entry_settings import parse_entry_settings
 from turmericweir.forward_wire import ForwardCall, NotRun, Passable, RequestHead, Spoiled
-from turmericweir_core.account import Account, Outcome
-from turmericweir_core.config import Config, Kind
-from turmericweir_core.ids import RequestId
-from turmericweir_core.reasons import Reason
+from turmericweir_core.base.account import Account, Outcome
+from turmericweir_core.base.config import Config, Kind
+from turmericweir_core.base.ids import RequestId
+from turmericweir_core.base.reasons import Reason
 from turmericweir_platform.entries import decode_entry
 from turmericweir_platform.manifest import decode_document
 from turmericweir_platform.wire import PlatformWire
