Put the daemon's modules and the core's tests into packages, and lint layers

Cause: the daemon's 53 modules lay flat; node, exchange and the three attempt modules were one circle, since `node` named `Exchange` for a type and `exchange` made the attempts of the own interface itself.

Change: `node` asks for `RequestInHand`, a protocol; the jobs of the own interface stand in `exchange_jobs`, so a process on the platform does not load them with the exchange. Packages process, answers, servers, callers, peers, operations. Tests of the core stand in the packages of what they test. import-linter (well kept, pinned) holds the order of the packages and forbids circles in `make lint`, types included.

Ruled out: a test of our own over the syntax tree; the library does the same.

Before: one circle of 5 files.

--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,7 @@
 lint: $(STAMP)
 	$(BIN)/black --check $(SOURCES)
 	$(BIN)/ruff check $(SOURCES)
+	$(BIN)/lint-imports --no-cache
 
 types: $(STAMP)
 	$(BIN)/mypy
--- /dev/null
+++ b/packages/turmericweir/turmericweir/answers/__init__.py
@@ -0,0 +1,1 @@
+"""Shape what callers are answered, whatever server it came from."""
--- a/packages/turmericweir/turmericweir/caller_answer.py
+++ b/packages/turmericweir/turmericweir/answers/caller_answer.py
@@ -16,12 +16,8 @@
 
 import orjson
 
-from turmericweir import sse
-from turmericweir.caller_problem import (
-    Problem,
-    account_headers,
-    problem_of_account,
-)
+from turmericweir.answers import sse
+from turmericweir.answers.caller_problem import Problem, account_headers, problem_of_account
 from turmericweir_core.base.account import Account, Outcome
 from turmericweir_core.messages.effects import ReplayAnswer
 from turmericweir_core.records.claim_answer import KeptAnswer
--- a/packages/turmericweir/turmericweir/forward_answer.py
+++ b/packages/turmericweir/turmericweir/answers/forward_answer.py
@@ -11,8 +11,8 @@
 from collections.abc import Callable
 from typing import Final
 
-from turmericweir.caller_answer import Caller
-from turmericweir.forward_wire import Headers, Wire
+from turmericweir.answers.caller_answer import Caller
+from turmericweir.answers.forward_wire import Headers, Wire
 from turmericweir_core.base.account import Account, Outcome
 from turmericweir_core.base.reasons import Reason
 
--- a/packages/turmericweir/turmericweir/forward_wire.py
+++ b/packages/turmericweir/turmericweir/answers/forward_wire.py
@@ -12,8 +12,8 @@
 from random import Random
 from typing import Protocol, TypeAlias
 
-from turmericweir.caller_problem import Problem
-from turmericweir.caller_refusal import RefusedError
+from turmericweir.answers.caller_problem import Problem
+from turmericweir.answers.caller_refusal import RefusedError
 from turmericweir_core.base.account import Account
 from turmericweir_core.base.config import Config
 from turmericweir_core.base.ids import RequestId
--- /dev/null
+++ b/packages/turmericweir/turmericweir/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Speak to callers: the HTTP port, and each request from its arrival to its account."""
--- a/packages/turmericweir/turmericweir/caller_app.py
+++ b/packages/turmericweir/turmericweir/callers/caller_app.py
@@ -13,26 +13,27 @@
 import anyio
 import orjson
 
-from turmericweir import logs
-from turmericweir.backend_pool import BackendPool
-from turmericweir.caller_answer import Caller, PlainAnswer, StreamAnswer, WholeAnswer
-from turmericweir.caller_problem import (
+from turmericweir.answers.caller_answer import Caller, PlainAnswer, StreamAnswer, WholeAnswer
+from turmericweir.answers.caller_problem import (
     OUTCOME_HEADER,
     REQUEST_ID_HEADER,
     make_problem,
     refusal,
 )
-from turmericweir.caller_refusal import RefusedError, new_request_id
-from turmericweir.caller_request import (
+from turmericweir.answers.caller_refusal import RefusedError, new_request_id
+from turmericweir.callers.caller_request import (
     PlainInquiry,
     authenticate,
     read_completion,
     read_plain,
 )
-from turmericweir.exchange import CompletionJob, Exchange, Job, PlainJob
-from turmericweir.http_server import CONNECTION, LimitedProtocol
-from turmericweir.node import Node
-from turmericweir.process_settings import Limits
+from turmericweir.callers.exchange import Exchange, Job
+from turmericweir.callers.exchange_jobs import CompletionJob, PlainJob
+from turmericweir.callers.http_server import CONNECTION, LimitedProtocol
+from turmericweir.process import logs
+from turmericweir.process.node import Node
+from turmericweir.process.process_settings import Limits
+from turmericweir.servers.backend_pool import BackendPool
 from turmericweir_core.base.account import Outcome
 from turmericweir_core.base.config import Config, Customer, Kind
 from turmericweir_core.base.ids import RequestId
--- a/packages/turmericweir/turmericweir/caller_request.py
+++ b/packages/turmericweir/turmericweir/callers/caller_request.py
@@ -16,8 +16,8 @@
 import xxhash
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from turmericweir.backend_service import PlainCall, forwarded_headers
-from turmericweir.caller_refusal import RefusedError
+from turmericweir.answers.caller_refusal import RefusedError
+from turmericweir.servers.backend_service import PlainCall, forwarded_headers
 from turmericweir_core.base.config import CallRule, Config, Customer, Kind, Service, ServiceClass
 from turmericweir_core.base.ids import RequestId, Target
 from turmericweir_core.base.reasons import Reason
--- a/packages/turmericweir/turmericweir/exchange.py
+++ b/packages/turmericweir/turmericweir/callers/exchange.py
@@ -9,14 +9,14 @@
 
 from collections import deque
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Protocol
+from typing import Protocol
 
 import anyio
 from anyio.lowlevel import checkpoint
 
-from turmericweir.backend_engine import EngineAttempt, cancel_at_engine
-from turmericweir.backend_service import PlainCall, ServiceAttempt
-from turmericweir.caller_answer import Answer, Caller, PlainAnswer, TokenAnswer
+from turmericweir.answers.caller_answer import Answer, Caller, PlainAnswer
+from turmericweir.process.node import Node
+from turmericweir.servers.backend_pool import BackendPool
 from turmericweir_core.base.account import Account
 from turmericweir_core.base.ids import AttemptId
 from turmericweir_core.base.request import Request
@@ -36,10 +36,6 @@
     RequestArrived,
 )
 
-if TYPE_CHECKING:
-    from turmericweir.backend_pool import BackendPool
-    from turmericweir.node import Node
-
 
 class CallerConnection(Protocol):
     """The caller's connection as the exchange sees it."""
@@ -83,55 +79,6 @@
         """Count the tokens that an attempt has received."""
 
 
-class CompletionJob:
-    """A completion by an engine."""
-
-    __slots__ = ("_body", "answer")
-
-    answer: TokenAnswer
-    _body: bytes
-
-    def __init__(self, body: bytes, answer: TokenAnswer) -> None:
-        self._body = body
-        self.answer = answer
-
-    def attempt(self, node: Node, pool: BackendPool, start: StartAttempt) -> RunningAttempt:
-        """Make an attempt on an engine."""
-        return EngineAttempt(node, pool, start, self._body, self.answer)
-
-    async def cancelled(self, pool: BackendPool, start: StartAttempt) -> None:
-        """Have the engine stop, so that nobody's answer takes up a place in its batch."""
-        await cancel_at_engine(pool, start)
-
-    def tokens(self, attempt: RunningAttempt) -> int:
-        """Count the tokens that an attempt has received."""
-        return attempt.tokens if isinstance(attempt, EngineAttempt) else 0
-
-
-class PlainJob:
-    """A call of a plain service."""
-
-    __slots__ = ("_call", "answer")
-
-    answer: PlainAnswer
-    _call: PlainCall
-
-    def __init__(self, call: PlainCall, answer: PlainAnswer) -> None:
-        self._call = call
-        self.answer = answer
-
-    def attempt(self, node: Node, pool: BackendPool, start: StartAttempt) -> RunningAttempt:
-        """Make an attempt on a service."""
-        return ServiceAttempt(node, pool, start, self._call, self.answer)
-
-    async def cancelled(self, pool: BackendPool, start: StartAttempt) -> None:
-        """Do nothing more: the connection was closed, and services know no other sign."""
-
-    def tokens(self, attempt: RunningAttempt) -> int:
-        """Count none: a plain call has no tokens."""
-        return 0
-
-
 class Exchange:
     """One request, from its arrival to its account."""
 
@@ -207,7 +154,7 @@
 
     def replay(self, effect: ReplayAnswer) -> None:
         """Take the kept answer of an earlier call; the account that comes next has it written."""
-        if isinstance(self.job, PlainJob):
+        if isinstance(self.job.answer, PlainAnswer):
             self.job.answer.replay(effect)
 
     def cancel(self, effect: CancelAttempt) -> None:
--- a/packages/turmericweir/turmericweir/forward_app.py
+++ b/packages/turmericweir/turmericweir/callers/forward_app.py
@@ -10,16 +10,16 @@
 
 import anyio
 
-from turmericweir import logs
-from turmericweir.backend_pool import BackendPool
-from turmericweir.caller_answer import Caller
-from turmericweir.caller_refusal import RefusedError
-from turmericweir.exchange import Exchange
-from turmericweir.forward import ForwardJob
-from turmericweir.forward_answer import ForwardAnswer
-from turmericweir.forward_wire import RequestHead, Wire
-from turmericweir.http_server import CONNECTION, LimitedProtocol
-from turmericweir.node import Node
+from turmericweir.answers.caller_answer import Caller
+from turmericweir.answers.caller_refusal import RefusedError
+from turmericweir.answers.forward_answer import ForwardAnswer
+from turmericweir.answers.forward_wire import RequestHead, Wire
+from turmericweir.callers.exchange import Exchange
+from turmericweir.callers.http_server import CONNECTION, LimitedProtocol
+from turmericweir.process import logs
+from turmericweir.process.node import Node
+from turmericweir.servers.backend_pool import BackendPool
+from turmericweir.servers.forward import ForwardJob
 from turmericweir_core.base.account import Account
 from turmericweir_core.base.ids import RequestId
 from turmericweir_core.base.reasons import Reason
--- a/packages/turmericweir/turmericweir/http_server.py
+++ b/packages/turmericweir/turmericweir/callers/http_server.py
@@ -19,11 +19,11 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 from uvicorn.server import ServerState
 
-from turmericweir.caller_problem import Problem, refusal
-from turmericweir.caller_refusal import new_request_id
-from turmericweir.caller_transport import JoiningTransport
-from turmericweir.http_limits import HttpLimits
-from turmericweir.listening_socket import accept_waiting, take_no_more
+from turmericweir.answers.caller_problem import Problem, refusal
+from turmericweir.answers.caller_refusal import new_request_id
+from turmericweir.callers.caller_transport import JoiningTransport
+from turmericweir.callers.http_limits import HttpLimits
+from turmericweir.process.listening_socket import accept_waiting, take_no_more
 from turmericweir_core.base.reasons import Reason
 
 if TYPE_CHECKING:
--- a/packages/turmericweir/turmericweir/daemon.py
+++ b/packages/turmericweir/turmericweir/daemon.py
@@ -21,20 +21,20 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from turmericweir import logs
-from turmericweir.backend_pool import BackendPool
-from turmericweir.caller_app import CallerApp
-from turmericweir.http_server import HttpServer
-from turmericweir.listening_socket import address_of, bind
-from turmericweir.metrics import Metrics, NullMetrics, StatsdMetrics
-from turmericweir.node import Adapters, Node
-from turmericweir.operator_port import OperatorPort
-from turmericweir.operators import Operators
-from turmericweir.peer_datagrams import PeerDatagrams
-from turmericweir.peer_streams import PeerStreams
+from turmericweir.callers.caller_app import CallerApp
+from turmericweir.callers.http_server import HttpServer
+from turmericweir.operations.operator_port import OperatorPort
+from turmericweir.peers.peer_datagrams import PeerDatagrams
+from turmericweir.peers.peer_streams import PeerStreams
 from turmericweir.platform_client import PlatformClient
-from turmericweir.process_settings import ProcessSettings
-from turmericweir.server_calls import ServerCalls
+from turmericweir.process import logs
+from turmericweir.process.listening_socket import address_of, bind
+from turmericweir.process.metrics import Metrics, NullMetrics, StatsdMetrics
+from turmericweir.process.node import Adapters, Node
+from turmericweir.process.operators import Operators
+from turmericweir.process.process_settings import ProcessSettings
+from turmericweir.servers.backend_pool import BackendPool
+from turmericweir.servers.server_calls import ServerCalls
 from turmericweir_core.base.ids import InstanceName
 from turmericweir_core.membership import membership
 from turmericweir_core.messages.events import SeedsGiven
--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -24,21 +24,21 @@
 from anyio.abc import TaskGroup
 from returns.pipeline import is_successful
 
-from turmericweir import logs
-from turmericweir.backend_pool import BackendPool
-from turmericweir.entry_admin import EntryAdmin
-from turmericweir.entry_calls import EntryCalls
-from turmericweir.entry_settings import EntrySettings, read_entry_settings
-from turmericweir.forward_app import ForwardApp
-from turmericweir.forward_wire import Wire
-from turmericweir.http_limits import HttpLimits
-from turmericweir.http_server import HttpServer
-from turmericweir.listening_socket import bind
-from turmericweir.log_pipe import LogPipe
-from turmericweir.metrics_page import MetricsApp, PageMetrics
-from turmericweir.node import Adapters, DocumentPort, Node
-from turmericweir.peer_datagrams import PeerDatagrams
-from turmericweir.peer_streams import PeerStreams
+from turmericweir.answers.forward_wire import Wire
+from turmericweir.callers.forward_app import ForwardApp
+from turmericweir.callers.http_limits import HttpLimits
+from turmericweir.callers.http_server import HttpServer
+from turmericweir.operations.entry_admin import EntryAdmin
+from turmericweir.peers.peer_datagrams import PeerDatagrams
+from turmericweir.peers.peer_streams import PeerStreams
+from turmericweir.process import logs
+from turmericweir.process.entry_settings import EntrySettings, read_entry_settings
+from turmericweir.process.listening_socket import bind
+from turmericweir.process.log_pipe import LogPipe
+from turmericweir.process.metrics_page import MetricsApp, PageMetrics
+from turmericweir.process.node import Adapters, DocumentPort, Node
+from turmericweir.servers.backend_pool import BackendPool
+from turmericweir.servers.entry_calls import EntryCalls
 from turmericweir_core.base.ids import InstanceName
 from turmericweir_core.base.options import Options
 from turmericweir_core.messages.events import SeedsGiven
--- a/packages/turmericweir/turmericweir/main.py
+++ b/packages/turmericweir/turmericweir/main.py
@@ -15,8 +15,8 @@
 from returns.pipeline import is_successful
 
 from turmericweir.daemon import run
-from turmericweir.errors import DaemonError, ListenError
-from turmericweir.process_settings import ProcessSettings, read_settings
+from turmericweir.process.errors import DaemonError, ListenError
+from turmericweir.process.process_settings import ProcessSettings, read_settings
 
 WRONG_START: Final = 2
 INTERRUPTED: Final = 130
--- /dev/null
+++ b/packages/turmericweir/turmericweir/operations/__init__.py
@@ -0,0 +1,1 @@
+"""Speak to operators: state, settings, drains."""
--- a/packages/turmericweir/turmericweir/admin_app.py
+++ b/packages/turmericweir/turmericweir/operations/admin_app.py
@@ -12,10 +12,10 @@
 
 import orjson
 
-from turmericweir.dump import dump
-from turmericweir.node import Node
-from turmericweir.operator_auth import OperatorAuth
-from turmericweir.operator_http import OperatorRequest, serve_operator
+from turmericweir.operations.dump import dump
+from turmericweir.operations.operator_auth import OperatorAuth
+from turmericweir.operations.operator_http import OperatorRequest, serve_operator
+from turmericweir.process.node import Node
 
 if TYPE_CHECKING:
     from uvicorn._types import (
--- a/packages/turmericweir/turmericweir/drain_app.py
+++ b/packages/turmericweir/turmericweir/operations/drain_app.py
@@ -9,9 +9,9 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Final
 
-from turmericweir.node import Node
-from turmericweir.operator_auth import OperatorAuth
-from turmericweir.operator_http import OperatorRequest, ProblemError, serve_operator
+from turmericweir.operations.operator_auth import OperatorAuth
+from turmericweir.operations.operator_http import OperatorRequest, ProblemError, serve_operator
+from turmericweir.process.node import Node
 from turmericweir_core.base.ids import ServerName
 from turmericweir_core.messages.events import DrainRequested
 
--- a/packages/turmericweir/turmericweir/entry_admin.py
+++ b/packages/turmericweir/turmericweir/operations/entry_admin.py
@@ -15,9 +15,9 @@
 
 import anyio
 
-from turmericweir.dump import dump
-from turmericweir.node import Node
-from turmericweir.operator_http import OperatorRequest, ProblemError, serve_operator
+from turmericweir.operations.dump import dump
+from turmericweir.operations.operator_http import OperatorRequest, ProblemError, serve_operator
+from turmericweir.process.node import Node
 from turmericweir_core.membership import membership, store_duty
 from turmericweir_core.settings.settings_inforce import in_force
 from turmericweir_core.store import document
--- a/packages/turmericweir/turmericweir/operator_auth.py
+++ b/packages/turmericweir/turmericweir/operations/operator_auth.py
@@ -12,13 +12,13 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Final
 
-from turmericweir.operator_http import ProblemError
+from turmericweir.operations.operator_http import ProblemError
 from turmericweir_core.base.config import Config
 from turmericweir_core.records.settings_path import covers
 from turmericweir_core.settings.settings_changes import BOOTSTRAP_PREFIX
 
 if TYPE_CHECKING:
-    from turmericweir.process_settings import AdminToken
+    from turmericweir.process.process_settings import AdminToken
 
 TOKEN_EXPECTED: Final = "expected the bearer token of an operator"
 _BEARER: Final = b"bearer "
--- a/packages/turmericweir/turmericweir/operator_http.py
+++ b/packages/turmericweir/turmericweir/operations/operator_http.py
@@ -15,8 +15,8 @@
 import anyio
 import orjson
 
-from turmericweir import logs
-from turmericweir.errors import describe
+from turmericweir.process import logs
+from turmericweir.process.errors import describe
 
 if TYPE_CHECKING:
     from uvicorn._types import ASGIReceiveCallable, ASGISendCallable, HTTPScope, Scope
--- a/packages/turmericweir/turmericweir/operator_port.py
+++ b/packages/turmericweir/turmericweir/operations/operator_port.py
@@ -5,14 +5,14 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import TYPE_CHECKING
 
-from turmericweir import drain_app
-from turmericweir.admin_app import AdminApp
-from turmericweir.drain_app import DrainApp
-from turmericweir.node import Node
-from turmericweir.operator_auth import OperatorAuth
-from turmericweir.operators import Operators
-from turmericweir.process_settings import AdminToken
-from turmericweir.settings_app import SettingsApp
+from turmericweir.operations import drain_app
+from turmericweir.operations.admin_app import AdminApp
+from turmericweir.operations.drain_app import DrainApp
+from turmericweir.operations.operator_auth import OperatorAuth
+from turmericweir.operations.settings_app import SettingsApp
+from turmericweir.process.node import Node
+from turmericweir.process.operators import Operators
+from turmericweir.process.process_settings import AdminToken
 
 if TYPE_CHECKING:
     from uvicorn._types import ASGIReceiveCallable, ASGISendCallable, Scope
--- a/packages/turmericweir/turmericweir/settings_app.py
+++ b/packages/turmericweir/turmericweir/operations/settings_app.py
@@ -26,10 +26,10 @@
 from returns.pipeline import is_successful
 from uuid6 import uuid7
 
-from turmericweir.node import Node
-from turmericweir.operator_auth import TOKEN_EXPECTED, OperatorAuth, Principal
-from turmericweir.operator_http import OperatorRequest, ProblemError, serve_operator
-from turmericweir.operators import Operators
+from turmericweir.operations.operator_auth import TOKEN_EXPECTED, OperatorAuth, Principal
+from turmericweir.operations.operator_http import OperatorRequest, ProblemError, serve_operator
+from turmericweir.process.node import Node
+from turmericweir.process.operators import Operators
 from turmericweir_core.messages.events import ChangeSubmitted
 from turmericweir_core.records.settings_model import Entry, explain, read_value
 from turmericweir_core.records.settings_path import SettingsError, covers, parse_path
--- /dev/null
+++ b/packages/turmericweir/turmericweir/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Speak to other instances: streams, datagrams and their codec."""
--- a/packages/turmericweir/turmericweir/peer_codec.py
+++ b/packages/turmericweir/turmericweir/peers/peer_codec.py
@@ -15,10 +15,10 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
-from turmericweir import logs
-from turmericweir.errors import PeerError
-from turmericweir.node import Node
-from turmericweir.peer_fields import to_array, to_map
+from turmericweir.peers.peer_fields import to_array, to_map
+from turmericweir.process import logs
+from turmericweir.process.errors import PeerError
+from turmericweir.process.node import Node
 from turmericweir_core.base.ids import InstanceName
 from turmericweir_core.messages.events import PeerReceived
 from turmericweir_core.messages.peer_messages import PEER_MESSAGES, PeerMessage
--- a/packages/turmericweir/turmericweir/peer_datagrams.py
+++ b/packages/turmericweir/turmericweir/peers/peer_datagrams.py
@@ -12,10 +12,10 @@
 from anyio.abc import UDPSocket
 from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 
-from turmericweir import logs
-from turmericweir.errors import ListenError, describe
-from turmericweir.node import Node
-from turmericweir.peer_codec import FrameReader, decode, encode
+from turmericweir.peers.peer_codec import FrameReader, decode, encode
+from turmericweir.process import logs
+from turmericweir.process.errors import ListenError, describe
+from turmericweir.process.node import Node
 from turmericweir_core.base.ids import InstanceName
 from turmericweir_core.messages.effects import SendDatagram
 
--- a/packages/turmericweir/turmericweir/peer_streams.py
+++ b/packages/turmericweir/turmericweir/peers/peer_streams.py
@@ -18,12 +18,12 @@
 from anyio.abc import SocketAttribute, SocketStream
 from anyio.streams.stapled import MultiListener
 
-from turmericweir import logs
-from turmericweir.backend_stream import set_options
-from turmericweir.errors import ListenError, PeerError, describe
-from turmericweir.node import Node
-from turmericweir.peer_codec import FRAME_MAX, FrameReader, encode, read_frame
-from turmericweir.traffic import Kind
+from turmericweir.peers.peer_codec import FRAME_MAX, FrameReader, encode, read_frame
+from turmericweir.process import logs
+from turmericweir.process.errors import ListenError, PeerError, describe
+from turmericweir.process.node import Node
+from turmericweir.process.traffic import Kind
+from turmericweir.servers.backend_stream import set_options
 from turmericweir_core.base.ids import InstanceName
 from turmericweir_core.messages.effects import SendPeer
 from turmericweir_core.messages.events import PeerUnreachable
--- a/packages/turmericweir/turmericweir/platform_client.py
+++ b/packages/turmericweir/turmericweir/platform_client.py
@@ -14,11 +14,11 @@
 import anyio
 from pydantic import BaseModel, ConfigDict
 
-from turmericweir import logs
-from turmericweir.backend_call import Answer, call
-from turmericweir.backend_pool import BackendPool
-from turmericweir.errors import CallError
-from turmericweir.node import Node
+from turmericweir.process import logs
+from turmericweir.process.errors import CallError
+from turmericweir.process.node import Node
+from turmericweir.servers.backend_call import Answer, call
+from turmericweir.servers.backend_pool import BackendPool
 from turmericweir_core.base.config import ServerEntry
 from turmericweir_core.base.ids import InstanceName, ServerName
 from turmericweir_core.membership.membership import list_period
--- a/packages/turmericweir/turmericweir/entry_settings.py
+++ b/packages/turmericweir/turmericweir/process/entry_settings.py
@@ -14,7 +14,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from turmericweir.errors import SettingsFileError
+from turmericweir.process.errors import SettingsFileError
 
 _COMMENT: Final = "//"
 _PORT_MAX: Final = 65_535
--- a/packages/turmericweir/turmericweir/listening_socket.py
+++ b/packages/turmericweir/turmericweir/process/listening_socket.py
@@ -12,7 +12,7 @@
 import struct
 from typing import Final
 
-from turmericweir.errors import ListenError
+from turmericweir.process.errors import ListenError
 
 _SO_ATTACH_FILTER: Final = 26
 # A socket filter of Linux, which sees segments from their TCP header on: load the flags, mask SYN
--- a/packages/turmericweir/turmericweir/log_pipe.py
+++ b/packages/turmericweir/turmericweir/process/log_pipe.py
@@ -18,7 +18,7 @@
 import eliot
 import orjson
 
-from turmericweir.logs import LibraryHandler
+from turmericweir.process.logs import LibraryHandler
 
 # Bytes that wait for the reader at the most: some seconds of a rush.
 _WAITING_MAX: Final = 524_288
--- a/packages/turmericweir/turmericweir/node.py
+++ b/packages/turmericweir/turmericweir/process/node.py
@@ -15,9 +15,9 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from turmericweir import logs
-from turmericweir.errors import describe
-from turmericweir.traffic import Traffic
+from turmericweir.process import logs
+from turmericweir.process.errors import describe
+from turmericweir.process.traffic import Traffic
 from turmericweir_core.base.ids import RequestId
 from turmericweir_core.messages.effects import (
     AppendRecords,
@@ -54,8 +54,7 @@
 from turmericweir_core.state.state import State
 
 if TYPE_CHECKING:
-    from turmericweir.exchange import Exchange
-    from turmericweir.metrics import Metrics
+    from turmericweir.process.metrics import Metrics
 
 PosArgs = TypeVarTuple("PosArgs")
 Port = TypeVar("Port")
@@ -63,6 +62,25 @@
 _FLUSH_S: Final = 1.0
 
 
+class RequestInHand(Protocol):
+    """What effects need of a request that runs in its caller's task."""
+
+    def decide(self, decision: StartAttempt | FinishRequest) -> None:
+        """Take a decision of the reducer."""
+
+    def replay(self, effect: ReplayAnswer) -> None:
+        """Take the kept answer of an earlier call."""
+
+    def cancel(self, effect: CancelAttempt) -> None:
+        """Stop an attempt."""
+
+    def fail(self, fault: BaseException) -> None:
+        """Give up after a fault of the program."""
+
+    def check_caller(self, now: float, unread_s: float) -> None:
+        """Give up on a caller that has stopped reading."""
+
+
 class PlatformPort(Protocol):
     """What effects need of the platform's adapter."""
 
@@ -137,7 +155,7 @@
 
     state: State
     # Requests in hand, each run in its caller's task.
-    exchanges: dict[RequestId, Exchange]
+    exchanges: dict[RequestId, RequestInHand]
     # Set when everything in flight is finished after a stop.
     exit_wanted: anyio.Event
     # Set once there are settings.
--- a/packages/turmericweir/turmericweir/process_settings.py
+++ b/packages/turmericweir/turmericweir/process/process_settings.py
@@ -15,7 +15,7 @@
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError, field_validator
 from returns.result import Failure, Result, Success
 
-from turmericweir.errors import SettingsFileError
+from turmericweir.process.errors import SettingsFileError
 from turmericweir_core.base.options import Options
 
 # Cross-checked against `Options`, so that a new option can be set without a change here.
--- /dev/null
+++ b/packages/turmericweir/turmericweir/servers/__init__.py
@@ -0,0 +1,1 @@
+"""Speak to backend servers: connections, calls, attempts."""
--- a/packages/turmericweir/turmericweir/backend_attempt.py
+++ b/packages/turmericweir/turmericweir/servers/backend_attempt.py
@@ -13,14 +13,9 @@
 import anyio
 import httpcore
 
-from turmericweir.backend_call import (
-    TRANSPORT_ERRORS,
-    FirstByte,
-    call,
-    read_body,
-)
-from turmericweir.backend_pool import IDLE_MAX_S, PROVEN_IDLE_S
-from turmericweir.errors import CallError, describe
+from turmericweir.process.errors import CallError, describe
+from turmericweir.servers.backend_call import TRANSPORT_ERRORS, FirstByte, call, read_body
+from turmericweir.servers.backend_pool import IDLE_MAX_S, PROVEN_IDLE_S
 from turmericweir_core.messages.effects import StartAttempt
 from turmericweir_core.messages.events import (
     AttemptEnd,
@@ -31,8 +26,8 @@
 )
 
 if TYPE_CHECKING:
-    from turmericweir.backend_pool import BackendPool
-    from turmericweir.node import Node
+    from turmericweir.process.node import Node
+    from turmericweir.servers.backend_pool import BackendPool
 
 # How long a new connection may take to show that a server lives.
 PROBE_TIMEOUT_S: Final = 1.0
--- a/packages/turmericweir/turmericweir/backend_call.py
+++ b/packages/turmericweir/turmericweir/servers/backend_call.py
@@ -13,9 +13,14 @@
 import httpcore
 import orjson
 
-from turmericweir.backend_pool import IDLE_MAX_S, BackendConnection, BackendPool, make_request
-from turmericweir.errors import CallError, describe
-from turmericweir.traffic import Kind
+from turmericweir.process.errors import CallError, describe
+from turmericweir.process.traffic import Kind
+from turmericweir.servers.backend_pool import (
+    IDLE_MAX_S,
+    BackendConnection,
+    BackendPool,
+    make_request,
+)
 
 # Whatever httpcore raises when the other end or the network fails.
 TRANSPORT_ERRORS: Final = (
--- a/packages/turmericweir/turmericweir/backend_engine.py
+++ b/packages/turmericweir/turmericweir/servers/backend_engine.py
@@ -14,17 +14,23 @@
 import httpcore
 import orjson
 
-from turmericweir import sse
-from turmericweir.backend_attempt import (
+from turmericweir.answers import sse
+from turmericweir.process.errors import CallError
+from turmericweir.servers.backend_attempt import (
     PRIORITY,
     TAIL_TIMEOUT_S,
     Attempt,
     attempt_headers,
     read_tail,
 )
-from turmericweir.backend_call import TRANSPORT_ERRORS, body_of, call, lower_headers, read_body
-from turmericweir.backend_pool import BackendPool, make_request
-from turmericweir.errors import CallError
+from turmericweir.servers.backend_call import (
+    TRANSPORT_ERRORS,
+    body_of,
+    call,
+    lower_headers,
+    read_body,
+)
+from turmericweir.servers.backend_pool import BackendPool, make_request
 from turmericweir_core.messages.effects import StartAttempt
 from turmericweir_core.messages.events import (
     AttemptEnd,
@@ -35,8 +41,8 @@
 )
 
 if TYPE_CHECKING:
-    from turmericweir.caller_answer import TokenAnswer
-    from turmericweir.node import Node
+    from turmericweir.answers.caller_answer import TokenAnswer
+    from turmericweir.process.node import Node
 
 _PATH: Final = b"/v1/chat/completions"
 _HEADERS: Final = [(b"content-type", b"application/json"), (b"accept", b"text/event-stream")]
--- a/packages/turmericweir/turmericweir/backend_pool.py
+++ b/packages/turmericweir/turmericweir/servers/backend_pool.py
@@ -15,7 +15,7 @@
 import anyio
 import httpcore
 
-from turmericweir.backend_stream import BackendStream, connect
+from turmericweir.servers.backend_stream import BackendStream, connect
 
 # An idle connection is not trusted for longer: something between the two ends may have lost track
 # of it, and a request sent over it would wait for nothing. Shorter than any keep-alive of a server.
--- a/packages/turmericweir/turmericweir/backend_service.py
+++ b/packages/turmericweir/turmericweir/servers/backend_service.py
@@ -12,7 +12,8 @@
 
 import httpcore
 
-from turmericweir.backend_attempt import (
+from turmericweir.answers.hop_by_hop import HOP_BY_HOP, named_by_connection
+from turmericweir.servers.backend_attempt import (
     ATTEMPT_ID,
     LEAVING,
     NOT_STARTED,
@@ -21,15 +22,14 @@
     Attempt,
     attempt_headers,
 )
-from turmericweir.backend_call import body_of, lower_headers
-from turmericweir.backend_pool import BackendPool, make_request
-from turmericweir.hop_by_hop import HOP_BY_HOP, named_by_connection
+from turmericweir.servers.backend_call import body_of, lower_headers
+from turmericweir.servers.backend_pool import BackendPool, make_request
 from turmericweir_core.messages.effects import StartAttempt
 from turmericweir_core.messages.events import AttemptEnd, AttemptProgress, EndBroken, EndComplete
 
 if TYPE_CHECKING:
-    from turmericweir.caller_answer import PlainAnswer
-    from turmericweir.node import Node
+    from turmericweir.answers.caller_answer import PlainAnswer
+    from turmericweir.process.node import Node
 
 # The router's own; a caller's token is meant for the router, and a service that got it could act as
 # the caller. `expect` was answered by the caller's server already.
--- a/packages/turmericweir/turmericweir/entry_calls.py
+++ b/packages/turmericweir/turmericweir/servers/entry_calls.py
@@ -5,9 +5,9 @@
 from collections import Counter
 from typing import Final
 
-from turmericweir.backend_attempt import connects
-from turmericweir.backend_pool import BackendPool
-from turmericweir.node import Node
+from turmericweir.process.node import Node
+from turmericweir.servers.backend_attempt import connects
+from turmericweir.servers.backend_pool import BackendPool
 from turmericweir_core.base.ids import ServerName
 from turmericweir_core.messages.effects import DistrustConnections, ProbeServer, SendOrder
 from turmericweir_core.messages.events import ServerAnswered, ServerUnreachable
--- a/packages/turmericweir/turmericweir/forward.py
+++ b/packages/turmericweir/turmericweir/servers/forward.py
@@ -12,11 +12,11 @@
 import anyio
 import httpcore
 
-from turmericweir.backend_attempt import Attempt, connects, read_tail
-from turmericweir.backend_call import body_of, lower_headers
-from turmericweir.forward_answer import ForwardAnswer
-from turmericweir.forward_events import EventCutter, count_events
-from turmericweir.forward_wire import ForwardCall, Headers, NotRun, Passable, Spoiled, Wire
+from turmericweir.answers.forward_answer import ForwardAnswer
+from turmericweir.answers.forward_events import EventCutter, count_events
+from turmericweir.answers.forward_wire import ForwardCall, Headers, NotRun, Passable, Spoiled, Wire
+from turmericweir.servers.backend_attempt import Attempt, connects, read_tail
+from turmericweir.servers.backend_call import body_of, lower_headers
 from turmericweir_core.base.request import Request
 from turmericweir_core.messages.effects import StartAttempt
 from turmericweir_core.messages.events import (
@@ -29,8 +29,8 @@
 )
 
 if TYPE_CHECKING:
-    from turmericweir.backend_pool import BackendPool
-    from turmericweir.node import Node
+    from turmericweir.process.node import Node
+    from turmericweir.servers.backend_pool import BackendPool
 
 # Answers that are no streams are kept whole up to this size, so that one which breaks off can be
 # had from another server; longer ones are passed on as they come.
--- a/packages/turmericweir/turmericweir/server_calls.py
+++ b/packages/turmericweir/turmericweir/servers/server_calls.py
@@ -12,11 +12,11 @@
 import orjson
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from turmericweir import logs
-from turmericweir.backend_call import Answer, call
-from turmericweir.backend_pool import BackendPool
-from turmericweir.errors import CallError
-from turmericweir.node import Node
+from turmericweir.process import logs
+from turmericweir.process.errors import CallError
+from turmericweir.process.node import Node
+from turmericweir.servers.backend_call import Answer, call
+from turmericweir.servers.backend_pool import BackendPool
 from turmericweir_core.base.ids import ServerName
 from turmericweir_core.messages.effects import DistrustConnections, ProbeServer, SendOrder
 from turmericweir_core.messages.events import OrderDone, ServerReport, ServerUnreachable
--- a/tests/core/test_claim_vote.py
+++ b/tests/core/claims/test_claim_vote.py
@@ -9,8 +9,8 @@
 from collections.abc import Callable
 from dataclasses import replace
 
+from tests.core.claims.test_claims import VOTES, begin_outage, check_runs
 from tests.core.claims_world import Fate, Instance, World
-from tests.core.test_claims import VOTES, begin_outage, check_runs
 from turmericweir_core.base.account import Outcome
 from turmericweir_core.base.options import Options
 from turmericweir_core.base.reasons import Reason
--- a/tests/ctl/fake_daemon.py
+++ b/tests/ctl/fake_daemon.py
@@ -16,13 +16,13 @@
 import anyio
 from anyio.from_thread import BlockingPortal, start_blocking_portal
 
-from turmericweir.http_server import HttpServer
-from turmericweir.listening_socket import address_of, bind
-from turmericweir.metrics import NullMetrics
-from turmericweir.node import Adapters, Node
-from turmericweir.operator_port import OperatorPort
-from turmericweir.operators import Operators
-from turmericweir.process_settings import AdminToken, Limits
+from turmericweir.callers.http_server import HttpServer
+from turmericweir.operations.operator_port import OperatorPort
+from turmericweir.process.listening_socket import address_of, bind
+from turmericweir.process.metrics import NullMetrics
+from turmericweir.process.node import Adapters, Node
+from turmericweir.process.operators import Operators
+from turmericweir.process.process_settings import AdminToken, Limits
 from turmericweir_core.base.ids import InstanceName
 from turmericweir_core.base.options import Options
 from turmericweir_core.messages.effects import (
--- a/tests/daemon/test_backend_pool.py
+++ b/tests/daemon/test_backend_pool.py
@@ -10,7 +10,7 @@
 import pytest
 from anyio.abc import SocketAttribute, SocketStream
 
-from turmericweir.backend_pool import (
+from turmericweir.servers.backend_pool import (
     PROVEN_IDLE_S,
     BackendConnection,
     BackendPool,
--- a/tests/daemon/test_backend_stream.py
+++ b/tests/daemon/test_backend_stream.py
@@ -9,7 +9,7 @@
 import httpcore
 import pytest
 
-from turmericweir.backend_stream import UNREAD_MAX, BackendStream, _Wire, connect
+from turmericweir.servers.backend_stream import UNREAD_MAX, BackendStream, _Wire, connect
 
 
 class FakeTransport(asyncio.Transport):
--- a/tests/daemon/test_codecs.py
+++ b/tests/daemon/test_codecs.py
@@ -10,10 +10,10 @@
 import pytest
 from returns.pipeline import is_successful
 
-from turmericweir import sse
-from turmericweir.dump import dump
-from turmericweir.logs import format_line
-from turmericweir.peer_codec import decode, encode
+from turmericweir.answers import sse
+from turmericweir.operations.dump import dump
+from turmericweir.peers.peer_codec import decode, encode
+from turmericweir.process.logs import format_line
 from turmericweir_core.base.config import Customer
 from turmericweir_core.base.ids import InstanceName
 from turmericweir_core.messages.events import PeerReceived
--- a/tests/daemon/test_http_server.py
+++ b/tests/daemon/test_http_server.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from turmericweir.http_server import HttpServer
-from turmericweir.listening_socket import bind
-from turmericweir.process_settings import Limits
+from turmericweir.callers.http_server import HttpServer
+from turmericweir.process.listening_socket import bind
+from turmericweir.process.process_settings import Limits
 from turmericweir_standins.procs import LOOPBACK
 
 if TYPE_CHECKING:
--- a/tests/daemon/test_log_pipe.py
+++ b/tests/daemon/test_log_pipe.py
@@ -11,7 +11,7 @@
 import eliot
 import pytest
 
-from turmericweir.log_pipe import LogPipe
+from turmericweir.process.log_pipe import LogPipe
 
 NAME = "entry-1"
 
@@ -85,7 +85,7 @@
     pipe: tuple[Reader, LogPipe], monkeypatch: pytest.MonkeyPatch
 ) -> None:
     reader, log = pipe
-    monkeypatch.setattr("turmericweir.log_pipe._REQUEST_LINES_S", 5)
+    monkeypatch.setattr("turmericweir.process.log_pipe._REQUEST_LINES_S", 5)
     with log:
         # All within one second of the lines' own time.
         for _ in range(9):
--- a/tests/daemon/test_peer_codec.py
+++ b/tests/daemon/test_peer_codec.py
@@ -6,7 +6,7 @@
 import pytest
 from returns.pipeline import is_successful
 
-from turmericweir.peer_codec import decode, encode
+from turmericweir.peers.peer_codec import decode, encode
 from turmericweir_core.base.config import ServerEntry
 from turmericweir_core.base.ids import InstanceName, ServerName
 from turmericweir_core.messages.peer_messages import (
--- a/tests/daemon/test_peer_streams.py
+++ b/tests/daemon/test_peer_streams.py
@@ -10,10 +10,10 @@
 import pytest
 from anyio.abc import SocketAttribute, SocketStream
 
-from turmericweir.node import Node
-from turmericweir.peer_codec import encode
-from turmericweir.peer_streams import PeerLink
-from turmericweir.traffic import Traffic
+from turmericweir.peers.peer_codec import encode
+from turmericweir.peers.peer_streams import PeerLink
+from turmericweir.process.node import Node
+from turmericweir.process.traffic import Traffic
 from turmericweir_core.base.ids import InstanceName
 from turmericweir_core.messages.events import Event, PeerUnreachable
 from turmericweir_core.messages.peer_messages import SettingsAsk
--- a/tests/failures/test_partition.py
+++ b/tests/failures/test_partition.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 from tests.failures.member_cluster import SEEN_S, MemberCluster
-from turmericweir.peer_codec import encode
+from turmericweir.peers.peer_codec import encode
 from turmericweir_core.base.ids import InstanceName
 from turmericweir_core.messages.peer_messages import Heartbeat
 from turmericweir_standins.deployment import settings_record
--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -10,9 +10,9 @@
 import pytest
 
 from tests.core.store_world import StoreWorld
-from turmericweir.backend_call import Answer
-from turmericweir.backend_pool import BackendPool
-from turmericweir.node import Node
+from turmericweir.process.node import Node
+from turmericweir.servers.backend_call import Answer
+from turmericweir.servers.backend_pool import BackendPool
 from turmericweir_core.messages.events import Event
 from turmericweir_platform.store import Follower, StoreClient
 
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -15,7 +15,7 @@
 
 import pytest
 
-from turmericweir.entry_settings import EntrySettings
+from turmericweir.process.entry_settings import EntrySettings
 from turmericweir_platform import __main__ as program
 from turmericweir_platform import names
 from turmericweir_standins.procs import free_address
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -11,9 +11,9 @@
 import pytest
 
 from tests.platform.platform_world import HOST, KEY, document
-from turmericweir.caller_refusal import RefusedError
-from turmericweir.entry_settings import parse_entry_settings
-from turmericweir.forward_wire import ForwardCall, NotRun, Passable, RequestHead, Spoiled
+from turmericweir.answers.caller_refusal import RefusedError
+from turmericweir.answers.forward_wire import ForwardCall, NotRun, Passable, RequestHead, Spoiled
+from turmericweir.process.entry_settings import parse_entry_settings
 from turmericweir_core.base.account import Account, Outcome
 from turmericweir_core.base.config import Config, Kind
 from turmericweir_core.base.ids import RequestId
