Have instances that start together meet within seconds, at any number

Cause: traced in the project's own network of reducers with 195 instances in six data centres and three seeds. A seed was greeted once a second; whoever it answered learnt of nobody else in its own data centre, so the members met by chance (median 32 of 33 known after 12 s); words on other data centres went round two of five at a time, in step on all instances, and some never passed (whole data centres missing after 40 s); members of a data centre that still grew were refused unless they matched the newest word.

Ruled out: the gossip itself (once a data centre has met, counters spread as designed) and lost datagrams (none in that run).

Change: seeds are greeted five times as often in the first 3 s; whoever welcomes one that is new tells it of some members of its own data centre, which it greets; the words that go with a datagram are drawn; all go, and members are asked for more often, in the first 10 s; more members are better than fewer until the newest are had. Meeting has a module of its own.

Readers of the store are picked 8 s after a start; until now most instances still knew few others then, and read for themselves.

--- a/packages/turmericweir-core/turmericweir_core/membership/membership_reducer.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/membership_reducer.py
@@ -8,19 +8,21 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import replace
 
 from turmericweir_core.base.ids import InstanceName
 from turmericweir_core.membership import (
     leaving,
     membership_gossip,
+    membership_meeting,
     membership_records,
     membership_roster,
     membership_words,
     server_list,
 )
 from turmericweir_core.membership.membership import count_noise, index_keys, is_live
-from turmericweir_core.messages.effects import Count, Effect, Log, SendDatagram
+from turmericweir_core.messages.effects import Count, Effect, SendDatagram
 from turmericweir_core.messages.events import ListedInstance
 from turmericweir_core.messages.peer_messages import (
     Heartbeat,
@@ -52,8 +54,8 @@
         members.round_due = _next(members.round_due, now, state.options.heartbeat_s)
         effects += _round(state, now)
     if now >= members.candidate_due:
-        members.candidate_due = _next(members.candidate_due, now, state.options.candidate_s)
-        effects += _greet_candidate(state, now)
+        members.candidate_due = membership_meeting.next_greeting(state, now)
+        effects += _complete(state, now, membership_meeting.greet_candidate(state, now))
     if now >= members.relay_due:
         members.relay_due = _next(members.relay_due, now, state.options.relay_s)
         effects += _complete(state, now, membership_words.speak(state, now))
@@ -73,7 +75,7 @@
     return effects + _complete(state, now, membership_gossip.run_round(state, now, words))
 
 
-def _complete(state: State, now: float, effects: list[Effect]) -> list[Effect]:
+def _complete(state: State, now: float, effects: Sequence[Effect]) -> list[Effect]:
     """Put into heartbeats what the other parts have to say."""
     marks = leaving.marks_to_pass(state, now)
     table = state.servers
@@ -92,32 +94,6 @@
     return done
 
 
-def _greet_candidate(state: State, now: float) -> list[Effect]:
-    """Talk to one that is known by name or address only, or has gone silent.
-
-    This is how instances find each other at first, and again after a partition: each side has
-    left the other out by then, so nobody would be sent to.
-    """
-    members = state.members
-    # Words find silent instances of other data centres; see `membership_words.speak`.
-    silent = [
-        each
-        for each in members.by_name.values()
-        if each.data_centre == state.me.data_centre and not is_live(state, now, each)
-    ]
-    known = {each.peer_address for each in members.by_name.values()}
-    unknown = [it for it in members.seeds if it not in known and it != state.me.peer_address]
-    words = membership_words.words_to_pass(state, now)
-    if silent and (not unknown or state.rng.random() < 0.5):
-        to = state.rng.choice(sorted(silent, key=lambda each: each.name))
-        beat = membership_gossip.send_heartbeat(state, now, to, words, full=True)
-        return _complete(state, now, [beat])
-    if unknown:
-        address = state.rng.choice(unknown)
-        return _complete(state, now, [membership_gossip.greet(state, now, address, words)])
-    return []
-
-
 # --- peers -----------------------------------------------------------------------------------
 
 
@@ -140,7 +116,7 @@
     effects += leaving.compare_digest(state, now, sender, beat)
     effects += server_list.compare_list(state, now, sender, beat)
     if not met or _live_incarnation(state, now, name) not in (before, None):
-        effects += _welcome(state, now, sender)
+        effects += _complete(state, now, membership_meeting.welcome(state, now, sender))
     spelled = replace(
         beat,
         data_centre=sender.data_centre,
@@ -160,14 +136,6 @@
     return each is not None and bool(each.region)
 
 
-def _welcome(state: State, now: float, sender: Member) -> list[Effect]:
-    """Answer one that has just come, or come back: it may know nobody else."""
-    words = membership_words.words_to_pass(state, now)
-    beat = membership_gossip.send_heartbeat(state, now, sender, words, full=True)
-    log = Log("member_heard", {"peer": sender.name, "data_centre": sender.data_centre})
-    return [log, *_complete(state, now, [beat])]
-
-
 def on_message(
     state: State, now: float, name: InstanceName, message: MembershipMessage
 ) -> list[Effect]:
@@ -197,10 +165,7 @@
 def _on_members(state: State, now: float, message: MembersSend) -> list[Effect]:
     if message.members_hash:
         return membership_words.take_roster(state, now, message)
-    for record in message.records:
-        if record.data_centre == state.me.data_centre:
-            membership_records.take_record(state, now, record)
-    return []
+    return _complete(state, now, membership_meeting.take_records(state, now, message.records))
 
 
 # --- the platform and the process ------------------------------------------------------------
--- a/packages/turmericweir-core/turmericweir_core/membership/membership_words.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/membership_words.py
@@ -29,6 +29,10 @@
 from turmericweir_core.state.membership_state import Member, RemoteCentre
 from turmericweir_core.state.state import State
 
+# So long after its start an instance passes on all words that it knows, and asks for members more
+# often: all may have started at once, and who knows few instances bears a wrong share of all.
+_YOUNG_S: Final = 10.0
+_YOUNG_ASK_S: Final = 0.4
 # Relays of one data centre whose counters are remembered.
 _SEQS_KEEP: Final = 16
 
@@ -44,11 +48,13 @@
         if centre.word and now - centre.heard_at <= state.options.centre_suspect_s
         if centre.name != to
     ]
-    room = state.options.words_max
-    if len(fresh) <= room:
-        return fresh
-    first = state.members.round * room % len(fresh)
-    return (fresh + fresh)[first : first + room]
+    room = len(fresh) if _is_young(state, now) else state.options.words_max
+    return fresh if len(fresh) <= room else state.rng.sample(fresh, room)
+
+
+def _is_young(state: State, now: float) -> bool:
+    started_at = state.members.started_at
+    return started_at is None or now - started_at < _YOUNG_S
 
 
 def speak(state: State, now: float) -> list[Effect]:
@@ -158,7 +164,8 @@
     assert centre.word is not None
     if centre.word.members_hash == centre.roster_hash:
         return []
-    if now - centre.asked_at < state.options.roster_ask_s:
+    wait_s = _YOUNG_ASK_S if _is_young(state, now) else state.options.roster_ask_s
+    if now - centre.asked_at < wait_s:
         return []
     centre.asked_at = now
     return [SendPeer(sender.name, sender.peer_address, MembersAsk(centre.name))]
@@ -190,8 +197,10 @@
     centre = state.members.centres.get(message.data_centre)
     if centre is None or centre.word is None:
         return []
-    if message.members_hash != centre.word.members_hash and centre.roster:
-        # The bearer is older than the word that is held; the next word asks again.
+    is_newest = message.members_hash == centre.word.members_hash
+    if not is_newest and len(message.records) <= len(centre.roster):
+        # The bearer is older than the word that is held; the next word asks again. While a data
+        # centre starts its members change faster than words go round, and more of them is better.
         return []
     taken = [_take_remote(state, now, record, message.data_centre) for record in message.records]
     centre.roster = frozenset(each.name for each in taken if each is not None)
--- a/packages/turmericweir-core/turmericweir_core/state/membership_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/membership_state.py
@@ -35,6 +35,8 @@
     heard_at: float = NEVER
     # When the list last named it, or a record told of it; forgetting goes by this as well.
     told_at: float = NEVER
+    # When this instance last talked to it because it was not known to live.
+    greeted_at: float = NEVER
     # It refuses new work; never unset for an incarnation.
     leaving: bool = False
     # The settings in force there.
--- a/tests/core/member_network.py
+++ b/tests/core/member_network.py
@@ -105,12 +105,15 @@
         node = Node(state, address)
         self.nodes[name] = node
         self._by_address[address] = name
-        addresses = tuple(self.nodes[it].address for it in seeds)
-        self._perform(name, reduce(state, self.now, SeedsGiven(addresses)))
+        self.seed(name, seeds)
         if known is None:
             self._push(self.now + self.rng.random() * self.options.tick_s, name, None)
         return node
 
+    def seed(self, name: str, seeds: Iterable[str]) -> None:
+        """Give an instance the addresses of seeds."""
+        self.give(name, SeedsGiven(tuple(self.nodes[it].address for it in seeds)))
+
     def kill(self, name: str) -> None:
         self.nodes[name].down = True
 
