Read the store by one instance for all, told on through a few, at times that follow from the bounds

Cause: one instance in twenty read (9 of 195) and told each other one itself; whoever was not told asked readers for a proof three times a second. The last stand-in read after 2.1 s where settings must be in force in 2.

Change: one reader for 400; it tells a few in each data centre, one for 16, and these tell their part. Reads are plain ones, as far apart as the bounds on settings and drains allow (settings 0.35 of the bound, 0.7 s and 1.4 s); whoever has a new proof says so, and the others ask for it then, so proofs are as young as the reader's. A stand-in tells as a reader does. Up to 24 instances the reader tells all itself.

Ruled out: proofs that are pushed (a datagram that lay in a socket would make keys of a woken process good), long polls with a longer wait (a proof is twice as old as the wait).

Two tests changed: `test_only_a_reader_waits...` asked for `wait-ms` of the reader's read and now asks for its pause, and none of others (as strict); `test_whoever_tells...` waits until a proof is due for renewal by the new times.

--- a/packages/turmericweir-core/turmericweir_core/base/options.py
+++ b/packages/turmericweir-core/turmericweir_core/base/options.py
@@ -5,7 +5,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+from turmericweir_core.base.store_times import StoreTimes
 
 
 @dataclass(frozen=True, slots=True)
@@ -16,6 +18,9 @@
     # Distance between ticks: short against a deadline, long against a processor share of 2.4%.
     tick_s: float = 0.1
 
+    # --- the platform's store ---
+    store: StoreTimes = field(default_factory=StoreTimes)
+
     # --- accounts ---
     # How long and how many accounts are kept for `GET /v1/requests/{id}`.
     account_keep_s: float = 600.0
--- a/packages/turmericweir-core/turmericweir_core/membership/store_duty.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/store_duty.py
@@ -1,10 +1,15 @@
 """Which instances read the platform's store, and how the others know what is there.
 
-Each call to the store is paid for, and all instances would read the same. So a few read, picked by
-hash among the live ones, and tell the others: of servers at each read, of the settings whenever one
-asks. An instance that has not been told in time reads for itself, whatever the reason, and stands
-in as a reader until another one tells. Each allows another delay, by hash, so that one does for
-all: a reader that dies or cannot reach the store costs few reads and no bound.
+Each call to the store is paid for, and all instances would read the same. So one reads for some
+hundreds, picked by hash among the live ones, and tells the others: of servers at each read, of the
+settings whenever one asks. An instance that has not been told in time reads for itself, whatever
+the reason, and stands in as a reader until another one tells. Each allows another delay, by hash,
+so that one does for all: a reader that dies or cannot reach the store costs few reads and no bound.
+
+Where there are many, a reader tells a few in each data centre, the tellers, and each of these tells
+its part of its own data centre: nobody speaks to hundreds, and a reader may be a small machine.
+Who is which follows from the live members alone. Two views of it that differ for a moment have some
+told twice or not at all, and these read for themselves.
 
 An instance that has just started knows few of the others and would take itself for a reader, as all
 would after a start of them all. Until it may know them it only stands in.
@@ -22,23 +27,17 @@
     from turmericweir_core.base.ids import InstanceName
     from turmericweir_core.state.state import State
 
-# What the readers are picked for.
+# What the readers and the tellers are picked for.
 _DUTY: Final = "store"
+_TELLING: Final = "tell"
 # Instances for each reader, and readers at the least: where one dies another stands in soon enough.
-_INSTANCES_EACH: Final = 20
+_INSTANCES_EACH: Final = 400
 _READERS_MIN: Final = 1
-# Word on the servers is late after so long at the instance that stands in first, and so much later
-# at the last one; readers read every 0.9 s at the most. A server that leaves must get no more
-# requests within two seconds, and a read of one's own still fits in.
-_REGISTRY_LATE_S: Final = 1.1
-_REGISTRY_SPREAD_S: Final = 0.4
-# The same for the proof of the settings: those who are told ask from 0.6 s on and hold one of 1.1 s
-# at the most, and a read of one's own takes little before keys have to stop. The spread is two
-# times that between two askings, so that most hear of the first read before their own is due.
-_DOCUMENT_LATE_S: Final = 1.5
-_DOCUMENT_SPREAD_S: Final = 0.6
-# Time in which an instance that started with all others comes to know them: where eight started at
-# once, the last one was known after 6 s.
+# Up to so many instances are told by the reader itself.
+_DIRECT_MAX: Final = 24
+# Instances of a data centre for each teller there.
+_TOLD_EACH: Final = 16
+# Time in which an instance that started with all others comes to know them.
 _YOUNG_S: Final = 8.0
 _NEVER: Final = float("-inf")
 _WEIGHTS: Final = 2.0**64
@@ -46,10 +45,19 @@
 
 def readers(state: State, now: float) -> list[Member]:
     """List the instances that read the store, this one maybe among them."""
-    live = [each for each in membership.live_instances(state, now) if not each.leaving]
+    live = _staying(membership.live_instances(state, now))
     count = max(_READERS_MIN, len(live) // _INSTANCES_EACH)
-    live.sort(key=lambda each: rendezvous_weight(_DUTY, each.name), reverse=True)
-    return live[:count]
+    return _first(live, _DUTY, count)
+
+
+def _staying(members: list[Member]) -> list[Member]:
+    return [each for each in members if not each.leaving]
+
+
+def _first(members: list[Member], duty: str, count: int) -> list[Member]:
+    return sorted(members, key=lambda each: rendezvous_weight(duty, each.name), reverse=True)[
+        :count
+    ]
 
 
 def is_reader(state: State, now: float) -> bool:
@@ -62,6 +70,77 @@
     return any(each.name == state.me.name for each in readers(state, now))
 
 
+# --- who tells whom --------------------------------------------------------------------------
+
+
+def audience(state: State, now: float) -> list[Member]:
+    """List whom this instance tells what it has just read: all, or tellers and its own part.
+
+    Its own part are those who share its teller, as that one may be what has failed.
+    """
+    region = membership.region_instances(state, now)
+    if len(region) <= _DIRECT_MAX:
+        return _peers(state, region)
+    by_centre: dict[str, list[Member]] = {}
+    for each in region:
+        by_centre.setdefault(each.data_centre, []).append(each)
+    told: dict[str, Member] = {}
+    for data_centre, members in by_centre.items():
+        tellers = _tellers(members)
+        told.update((each.name, each) for each in tellers)
+        if data_centre == state.me.data_centre:
+            told.update((each.name, each) for each in _part(members, tellers, state.me.name))
+    return _peers(state, list(told.values()))
+
+
+def told_by_me(state: State, now: float) -> list[Member]:
+    """List whom this instance passes on to what a reader told; none unless it is a teller."""
+    if len(membership.region_instances(state, now)) <= _DIRECT_MAX:
+        return []
+    here = membership.live_instances(state, now, state.me.data_centre)
+    tellers = _tellers(here)
+    if all(each.name != state.me.name for each in tellers):
+        return []
+    return _peers(state, _part(here, tellers, state.me.name))
+
+
+def _part(members: list[Member], tellers: list[Member], name: InstanceName) -> list[Member]:
+    """List the members of a data centre that one teller tells: that of the named instance."""
+    teller = _teller_of(tellers, name)
+    return [each for each in members if _teller_of(tellers, each.name) == teller]
+
+
+def _peers(state: State, members: list[Member]) -> list[Member]:
+    return [each for each in members if each.name != state.me.name]
+
+
+def _tellers(members: list[Member]) -> list[Member]:
+    """Pick those of one data centre that tell the others there."""
+    staying = _staying(members)
+    return _first(staying, _TELLING, -(-len(staying) // _TOLD_EACH))
+
+
+def _teller_of(tellers: list[Member], name: InstanceName) -> InstanceName | None:
+    if not tellers:
+        return None
+    if any(each.name == name for each in tellers):
+        return name
+    return max(tellers, key=lambda each: rendezvous_weight(each.name, name)).name
+
+
+def whom_to_ask(state: State, now: float) -> list[Member]:
+    """List the peers that may have a young proof of the settings: tellers here, or the readers."""
+    region = membership.region_instances(state, now)
+    here = [each for each in region if each.data_centre == state.me.data_centre]
+    tellers = _tellers(here)
+    if len(region) <= _DIRECT_MAX or any(each.name == state.me.name for each in tellers):
+        tellers = []
+    return _peers(state, tellers or readers(state, now))
+
+
+# --- who stands in ---------------------------------------------------------------------------
+
+
 def note_read(state: State, now: float) -> None:
     """Stand in for the readers from now on, if this read was made because none had told.
 
@@ -71,16 +150,17 @@
         state.registry.stands_in = True
 
 
-def note_told(state: State, now: float, sender: InstanceName) -> None:
-    """Leave the reading to a peer that tells, if it is a reader or comes first among stand-ins."""
-    picked = sender in {each.name for each in readers(state, now)}
-    if picked or rendezvous_weight(_DUTY, sender) > rendezvous_weight(_DUTY, state.me.name):
+def note_told(state: State, now: float, reader: InstanceName) -> None:
+    """Leave the reading to a peer that reads, if it is picked for it or first among stand-ins."""
+    picked = reader in {each.name for each in readers(state, now)}
+    if picked or rendezvous_weight(_DUTY, reader) > rendezvous_weight(_DUTY, state.me.name):
         state.registry.stands_in = False
 
 
 def registry_is_late(state: State, now: float) -> bool:
     """Tell whether this instance was told nothing of the servers for too long."""
-    late_s = _REGISTRY_LATE_S + _REGISTRY_SPREAD_S * _place(state)
+    times = state.options.store
+    late_s = times.servers_late_s + times.servers_spread_s * _place(state)
     return now - state.registry.read_at > late_s
 
 
@@ -94,7 +174,8 @@
     held = state.document
     if held is None or is_reader(state, now):
         return True
-    late_s = _DOCUMENT_LATE_S + _DOCUMENT_SPREAD_S * _place(state)
+    times = state.options.store
+    late_s = times.settings_late_s + times.settings_spread_s * _place(state)
     return now - held.proof_at > late_s
 
 
--- a/packages/turmericweir-core/turmericweir_core/messages/peer_messages.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/peer_messages.py
@@ -201,6 +201,8 @@
 
     servers_hash: int
     rows: list[RegistryRow] = field(default_factory=list)
+    # Who read them; empty if it is the sender.
+    reader: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/turmericweir-core/turmericweir_core/reducers/reducer_store.py
+++ b/packages/turmericweir-core/turmericweir_core/reducers/reducer_store.py
@@ -78,7 +78,7 @@
             effects = document.on_read(state, now, event)
             return effects + dispatch.dispatch_all(state, now)
         case DocumentConfirmed():
-            return document.on_confirmed(state, event)
+            return document.on_confirmed(state, now, event)
         case DocumentUnreadable():
             return document.on_unreadable(event)
         case RegistryRead():
@@ -91,8 +91,8 @@
             return document.on_ask(state, now, sender, ask)
         case PeerReceived(sender, DocumentSend() as message):
             return document.on_send(sender, message)
-        case PeerReceived(_, DocumentProof() as message):
-            return document.on_proof(state, message)
+        case PeerReceived(sender, DocumentProof() as message):
+            return document.on_proof(state, now, sender, message)
         case ServerAnswered(server):
             dead_server.on_answered(state, now, server)
             return reduce_common(state, now, event)
--- a/packages/turmericweir-core/turmericweir_core/store/document.py
+++ b/packages/turmericweir-core/turmericweir_core/store/document.py
@@ -36,21 +36,23 @@
     from turmericweir_core.state.state import State
 
 _NEVER: Final = float("-inf")
-# A proof older than this has readers of the store asked for theirs, and one that is older still has
-# anyone asked: this instance cannot reach the store, nor those who usually read it.
-_RENEW_S: Final = 0.6
+# Whoever reads or tells lets the others know of each proof, and they ask for it then. A proof that
+# is older than two reads lie apart, by this much, has them ask without that: a datagram was lost.
+_UNTOLD_S: Final = 0.4
+# With a proof as old as this anyone is asked: this instance cannot reach the store, nor those who
+# usually read it.
 _ASK_PEERS_S: Final = 3.0
-# A caller is only denied by settings that were proven so lately; above the time between two answers
-# of the store.
-_DENY_PROOF_S: Final = 2.5
-# Whoever told of the servers so lately reads the store; readers tell every 0.9 s at the most.
-_TOLD_S: Final = 1.5
-# One asking in so many goes to those picked to read, the others to whoever told last.
-_READER_TURN: Final = 3
+# Whoever told of the servers lately has it from the store. Its word counts for so much longer than
+# the time between two reads.
+_TOLD_EXTRA_S: Final = 0.6
+# One asking in so many goes to those picked to read or to tell, the others to whoever told last.
+_OTHERS_TURN: Final = 3
 # Before the first document, peers are asked after so long: the store usually answers sooner.
 _FIRST_ASK_S: Final = 0.5
 # Between two askings, each of another peer.
 _ASK_GAP_S: Final = 0.3
+# The number of no asking.
+_UNASKED: Final = 0
 # Askings whose answers are still awaited; older ones are void.
 _ASKED_MAX: Final = 16
 
@@ -66,7 +68,7 @@
     Failure: an instance is cut off while a route or a key is added, and tells callers that there is
     no such thing; they do not try again. While that is in doubt they are told to come back.
     """
-    return proof_age(state, now) <= _DENY_PROOF_S
+    return proof_age(state, now) <= state.options.store.deny_proof_s
 
 
 def may_serve_key(state: State, now: float, req: Request) -> bool:
@@ -105,20 +107,33 @@
         effects.append(log)
     elif event.version < held.version:
         effects.append(Log("settings_older", {"version": event.version, "in_force": held.version}))
+    is_news = held.version == event.version and bool(effects)
     if event.asked_at is not None and event.version >= held.version:
-        _prove(held, event.asked_at)
-    return effects
+        return effects + _prove(state, now, event.asked_at)
+    return effects + _hint(state, store_duty.told_by_me(state, now)) if is_news else effects
 
 
-def on_confirmed(state: State, event: DocumentConfirmed) -> list[Effect]:
+def on_confirmed(state: State, now: float, event: DocumentConfirmed) -> list[Effect]:
     """Take it that a read was answered and showed nothing newer."""
-    _prove(_held(state), event.asked_at)
-    return []
+    return _prove(state, now, event.asked_at)
 
 
-def _prove(held: DocumentState, asked_at: float) -> None:
+def _prove(state: State, now: float, asked_at: float) -> list[Effect]:
+    held = _held(state)
+    is_first = held.own_proof_at == _NEVER
     held.own_proof_at = max(held.own_proof_at, asked_at)
     held.proof_at = max(held.proof_at, asked_at)
+    # At a start all read, and need not tell each other.
+    return [] if is_first else _hint(state, store_duty.audience(state, now))
+
+
+def _hint(state: State, peers: list[Member]) -> list[Effect]:
+    """Let peers know that there is a new proof here, or a newer version.
+
+    It proves nothing by itself, as it may have been on its way for long: they ask.
+    """
+    hint = DocumentProof(_held(state).version, _UNASKED, 0.0)
+    return [SendDatagram(each.name, each.peer_address, hint) for each in peers]
 
 
 def on_unreadable(event: DocumentUnreadable) -> list[Effect]:
@@ -160,14 +175,14 @@
         return state.rng.choice(ahead)
     if now - held.proof_at > _ASK_PEERS_S:
         return state.rng.choice(peers) if peers else None
-    if now - held.proof_at <= _RENEW_S:
+    if now - held.proof_at <= state.options.store.settings_read_s + _UNTOLD_S:
         return None
     teller = _teller(state, now)
-    if teller is not None and held.asked % _READER_TURN:
-        # Those that are picked to read are asked now and then, as its word may have been the last.
+    if teller is not None and held.asked % _OTHERS_TURN:
+        # The others are asked now and then, as its word may have been the last.
         return teller
-    readers = [each for each in store_duty.readers(state, now) if each.name != me]
-    return state.rng.choice(readers) if readers else None
+    others = store_duty.whom_to_ask(state, now)
+    return state.rng.choice(others) if others else None
 
 
 def _teller(state: State, now: float) -> Member | None:
@@ -177,7 +192,10 @@
     and then reads for itself, for as long as that lasts.
     """
     registry = state.registry
-    if registry.told_by is None or now - registry.told_at > _TOLD_S:
+    if (
+        registry.told_by is None
+        or now - registry.told_at > state.options.store.servers_read_s + _TOLD_EXTRA_S
+    ):
         return None
     return membership.member(state, registry.told_by)
 
@@ -213,15 +231,23 @@
     return [DecodeDocument(message.raw, sender)]
 
 
-def on_proof(state: State, message: DocumentProof) -> list[Effect]:
+def on_proof(
+    state: State, now: float, sender: InstanceName, message: DocumentProof
+) -> list[Effect]:
     """Take a peer's proof for the version that is in force here as well."""
     held = _held(state)
+    if message.number == _UNASKED:
+        peer = membership.member(state, sender)
+        return _ask(state, now, peer) if peer is not None else []
     asked_at = held.asked_at.pop(message.number, None)
     if asked_at is None or message.version > held.version:
         # The document itself is on its way; the next asking brings a proof for it.
         return []
-    held.proof_at = max(held.proof_at, asked_at - max(0.0, message.age_s))
-    return []
+    proof_at = asked_at - max(0.0, message.age_s)
+    if proof_at <= held.proof_at:
+        return []
+    held.proof_at = proof_at
+    return _hint(state, store_duty.told_by_me(state, now))
 
 
 def _held(state: State) -> DocumentState:
--- a/packages/turmericweir-core/turmericweir_core/store/registry.py
+++ b/packages/turmericweir-core/turmericweir_core/store/registry.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
 from turmericweir_core.base.config import ServerEntry
@@ -27,7 +28,7 @@
     from turmericweir_core.state.state import State
 
 _NEVER: Final = float("-inf")
-# The store was away if no read was answered for so long; reads are a second apart at the most.
+# The store was away if no read was answered for so long; reads lie closer together.
 _AWAY_S: Final = 3.0
 # Servers write their entries again within two seconds of the store's return.
 _RETURN_S: Final = 2.5
@@ -72,17 +73,25 @@
     exact = server_list.exact_hash(state.servers.listed.values())
     # Whoever lacks a part of it sees so by the hash, and asks for the whole list.
     news = RegistryNews(exact, rows[:_ROWS_MAX])
-    me = state.me.name
-    peers = [each for each in membership.region_instances(state, now) if each.name != me]
+    peers = store_duty.audience(state, now)
     return [SendDatagram(each.name, each.peer_address, news) for each in peers]
 
 
+def _pass_on(state: State, now: float, sender: InstanceName, news: RegistryNews) -> list[Effect]:
+    """Tell what a reader told to those who hear of it from here; once, never what was passed on."""
+    if news.reader:
+        return []
+    passed = replace(news, reader=sender)
+    peers = [each for each in store_duty.told_by_me(state, now) if each.name != sender]
+    return [SendDatagram(each.name, each.peer_address, passed) for each in peers]
+
+
 def on_news(state: State, now: float, sender: InstanceName, news: RegistryNews) -> list[Effect]:
     """Take what a reader tells, or ask it for the whole list where that does not fit."""
     state.registry.told_by, state.registry.told_at = sender, now
-    store_duty.note_told(state, now, sender)
+    store_duty.note_told(state, now, InstanceName(news.reader or sender))
+    effects = _pass_on(state, now, sender, news)
     listed = dict(state.servers.listed)
-    effects: list[Effect] = []
     for row in news.rows:
         name = ServerName(row.name)
         if not _is_newer(state.registry, name, row.offset):
--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -41,6 +41,7 @@
 from turmericweir.servers.entry_calls import EntryCalls
 from turmericweir_core.base.ids import InstanceName
 from turmericweir_core.base.options import Options
+from turmericweir_core.base.store_times import store_times
 from turmericweir_core.messages.events import SeedsGiven
 from turmericweir_core.reducers.reducer_store import reduce
 from turmericweir_core.state.document_state import DocumentState
@@ -125,6 +126,7 @@
     proof_s = bounds.revoke_ms / 1000.0 - _REVOKE_MARGIN_S
     return Options(
         tick_s=0.05,
+        store=store_times(bounds.settings_ms / 1000.0, bounds.drain_ms / 1000.0),
         stop_grace_s=min(_STOP_GRACE_S, bounds.grace_s / 3),
         stop_limit_s=bounds.grace_s - _STOP_MARGIN_S,
         deadline_grace_s=0.0,
--- a/packages/turmericweir/turmericweir/process/entry_settings.py
+++ b/packages/turmericweir/turmericweir/process/entry_settings.py
@@ -32,6 +32,8 @@
 
     # A server that leaves gets no new requests after so long.
     drain_ms: float = 2_000
+    # Settings are in force everywhere after so long.
+    settings_ms: float = 2_000
     # A process that was told to stop is killed after so long, seconds.
     grace_s: float = 8
     # Whether a key that is taken away stops everywhere, and after how long at the latest.
--- a/tests/core/member_network.py
+++ b/tests/core/member_network.py
@@ -101,8 +101,7 @@
         identity = Identity(
             InstanceName(name), data_centre, region, address, incarnation, cluster, other_regions
         )
-        state = new_state(identity, self.options, self.rng.randrange(1 << 30))
-        node = Node(state, address)
+        node = Node(self.make_state(identity), address)
         self.nodes[name] = node
         self._by_address[address] = name
         self.seed(name, seeds)
@@ -155,7 +154,15 @@
         if node.paused:
             node.held.append(event)
             return
-        self._perform(name, reduce(node.state, self.now, event))
+        self._perform(name, self.reduce(node.state, self.now, event))
+
+    def make_state(self, identity: Identity) -> State:
+        """Make the state of an instance that starts."""
+        return new_state(identity, self.options, self.rng.randrange(1 << 30))
+
+    def reduce(self, state: State, now: float, event: Event) -> list[Effect]:
+        """Reduce an event as the instances of this network do."""
+        return reduce(state, now, event)
 
     def run(self, seconds: float) -> None:
         """Let time pass."""
--- a/tests/core/store/test_document.py
+++ b/tests/core/store/test_document.py
@@ -103,7 +103,7 @@
         world.know(f"b-{number}")
     stands_in = store_duty.readers(world.state, world.now)
     teller = next(f"b-{n}" for n in range(1, 9) if f"b-{n}" not in {e.name for e in stands_in})
-    world.now += 0.7
+    world.now += world.state.options.store.settings_read_s + 0.5
     world.peer(teller, RegistryNews(0))
     asks = [each for each in world.wait(0.5) if isinstance(each, SendDatagram)]
     asked = [each.peer for each in asks if isinstance(each.message, DocumentAsk)]
--- /dev/null
+++ b/tests/core/store_network.py
@@ -0,0 +1,150 @@
+"""Many instances before one store, stepped by the reducer alone: who reads it, and who is told.
+
+Each instance follows the settings and the servers' entries as its process does: it looks every
+tenth of a second whether it is to read, and one that reads for others pauses between its reads.
+Time is simulated. The store answers at once, or turns instances away.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from tests.core.member_network import Network
+from turmericweir_core.base.config import Config, Policy, ServerEntry
+from turmericweir_core.base.ids import ServerName
+from turmericweir_core.base.options import Options
+from turmericweir_core.base.store_times import StoreTimes
+from turmericweir_core.membership import store_duty
+from turmericweir_core.messages.effects import DecodeDocument, Effect, SendDatagram
+from turmericweir_core.messages.events import DocumentConfirmed, DocumentRead, Event, RegistryRead
+from turmericweir_core.reducers.reducer_store import reduce
+from turmericweir_core.state.document_state import DocumentState
+from turmericweir_core.state.state import Identity, State
+
+LOOK_S = 0.1
+
+
+@dataclass
+class Store:
+    """What the platform keeps, and how often it was asked."""
+
+    version: int = 1
+    entries: dict[str, tuple[ServerEntry, int]] = field(default_factory=dict)
+    # Calls by instance.
+    calls: Counter[str] = field(default_factory=Counter)
+    # Tells whether it answers an instance.
+    answers: Callable[[str], bool] = lambda name: True
+
+    @property
+    def total(self) -> int:
+        """All calls."""
+        return sum(self.calls.values())
+
+
+class StoreNetwork(Network):
+    """Instances, the ways between them, and the store."""
+
+    def __init__(self, times: StoreTimes, seed: int = 1) -> None:
+        super().__init__(seed, options=Options(tick_s=0.05, probe_servers=False, store=times))
+        self.store = Store()
+        for number in range(1, 9):
+            entry = ServerEntry(ServerName(f"lm-{number}"), "lm", "dc0", f"127.0.0.1:{number}")
+            self.store.entries[entry.name] = (entry, 1)
+        # Datagrams that each instance has sent and received.
+        self.datagrams: Counter[str] = Counter()
+        self._looks: list[tuple[float, int, str, str]] = []
+        self._order_of_looks = itertools.count()
+
+    def make_state(self, identity: Identity) -> State:
+        return State(
+            identity,
+            self.options,
+            Random(self.rng.randrange(1 << 30)),
+            settings=None,  # type: ignore[arg-type]
+            document=DocumentState(),
+        )
+
+    def reduce(self, state: State, now: float, event: Event) -> list[Effect]:
+        return reduce(state, now, event)
+
+    def start_all(self, count: int, data_centres: int) -> list[str]:
+        """Start so many instances at once, each with the addresses of the same three."""
+        names = [f"i{number:03d}" for number in range(count)]
+        for number, name in enumerate(names):
+            self.add(name, f"dc{number % data_centres}")
+        self.begin(names)
+        return names
+
+    def begin(self, names: list[str]) -> None:
+        """Give instances that have started their seeds, and have them follow the store."""
+        seeds = self.rng.sample(sorted(self.nodes), 3)
+        for name in names:
+            self.seed(name, seeds)
+            for part in ("settings", "servers"):
+                self._look_at(self.now + 0.3 * self.rng.random(), name, part)
+
+    def run(self, seconds: float) -> None:
+        end = self.now + seconds
+        while self._looks and self._looks[0][0] <= end:
+            at, _, name, part = heapq.heappop(self._looks)
+            super().run(max(0.0, at - self.now))
+            self._follow(name, part)
+        super().run(end - self.now)
+
+    def _look_at(self, at: float, name: str, part: str) -> None:
+        heapq.heappush(self._looks, (at, next(self._order_of_looks), name, part))
+
+    def _follow(self, name: str, part: str) -> None:
+        node = self.nodes[name]
+        if node.down:
+            return
+        state = node.state
+        is_settings = part == "settings"
+        is_due = store_duty.reads_document if is_settings else store_duty.reads_registry
+        if not is_due(state, self.now):
+            self._look_at(self.now + LOOK_S, name, part)
+            return
+        self.store.calls[name] += 1
+        if self.store.answers(name):
+            self._read_settings(name) if is_settings else self._read_servers(name)
+        times = self.options.store
+        period = times.settings_read_s if is_settings else times.servers_read_s
+        reads = store_duty.is_reader(state, self.now)
+        self._look_at(self.now + (0.95 * period if reads else LOOK_S), name, part)
+
+    def _read_settings(self, name: str) -> None:
+        if self.nodes[name].state.settings_offset() == self.store.version:
+            self.give(name, DocumentConfirmed(self.now))
+        else:
+            self._decoded(name, self.store.version, self.now, "")
+
+    def _read_servers(self, name: str) -> None:
+        self.give(name, RegistryRead(tuple(self.store.entries.values()), whole=True))
+
+    def _decoded(self, name: str, version: int, asked_at: float | None, peer: str) -> None:
+        config = Config(policy=Policy.PREDICTED, offset=version)
+        raw = str(version).encode()
+        self.give(name, DocumentRead(version, config, raw, asked_at, peer))
+
+    def _perform(self, name: str, effects: list[Effect]) -> None:
+        super()._perform(name, effects)
+        for effect in effects:
+            if isinstance(effect, SendDatagram):
+                self.datagrams[name] += 1
+            if isinstance(effect, DecodeDocument):
+                self._decoded(name, int(effect.raw), None, effect.peer)
+
+    def versions(self) -> set[int]:
+        """List the versions in force on the instances that run."""
+        return {node.state.settings_offset() for node in self.nodes.values() if not node.down}
+
+    def reader(self) -> str:
+        """Name the one instance that reads for all."""
+        live = (node.state for node in self.nodes.values() if not node.down)
+        (found,) = {each.name for each in store_duty.readers(next(live), self.now)}
+        return found
--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -84,8 +84,9 @@
 
 
 @pytest.mark.parametrize("reads", [False, True])
-def test_only_a_reader_waits_for_news_of_the_settings(reads: bool) -> None:
+def test_only_a_reader_pauses_before_it_reads_the_settings(reads: bool) -> None:
     """What an instance that was not told holds is old: waiting would make its keys stop."""
     world = settled(StoreWorld(), reads=reads)
-    (target,) = follow(world, lambda each: each._next_document(1, False))
-    assert ("wait-ms" in target) == reads
+    *pauses, target = follow(world, lambda each: each._next_document(1, False))
+    assert pauses == ["pause"] * reads
+    assert "log-read" in target
