Give middle prompts engines of their own beside those of the quick answers

An event holds three tokens; three steps with a chunk take 155 to 183 ms. Fit-advice is promised 250 ms, which the split by one limit (three steps of 85 ms) calls as sensitive as confirmations.

Change: a prompt that is read for as many steps as an event has tokens, of a class that is promised longer pauses than the most sensitive one, is *middle* and has engines of its own among those that do not read, by demand. It spills to engines that read. Where all quick classes are promised the same, or no prompt is that long, nothing changes.

Ruled out: reports of engines, placement by first events (these came in time: 89 and 98 ms at the median).

What is left late stood next to the border between middle and quick engines, which moves with each reading engine more.

--- a/packages/turmericweir-core/turmericweir_core/base/options.py
+++ b/packages/turmericweir-core/turmericweir_core/base/options.py
@@ -78,6 +78,8 @@
     fetch_weight: float = 0.25
     # A decoding step with a chunk of a prompt in it, as observed beside prompts of 17,000 tokens.
     chunk_step_ms: float = 85.0
+    # Tokens of a prompt that an engine reads in one step.
+    chunk_tokens: int = 2048
     # A decoding step without one, at half of an engine's slots, milliseconds: 5.95 and 0.0445 for
     # each request and some for their context, as operators publish it.
     decode_step_ms: float = 8.0
--- a/packages/turmericweir-core/turmericweir_core/engines/engine_pools.py
+++ b/packages/turmericweir-core/turmericweir_core/engines/engine_pools.py
@@ -3,9 +3,13 @@
 An engine reads a long prompt chunk by chunk between the steps of all that it generates, so each of
 their tokens takes a chunk longer. A stream whose promised pause is shorter than some such steps is
 late for good as soon as a long prompt is read beside it; one promised a longer pause bears it. So
-the engines of a service are split in two: *reading* engines take the requests that bear it, and the
-others those that do not. What counts as what follows from the settings alone: the promised pause,
-the tokens of an event, and how long a step with a chunk takes.
+the engines of a service are split: *reading* engines take the requests that bear it, and the others
+those that do not. What counts as what follows from the settings and the prompt alone: the promised
+pause, the tokens of an event, and how long a step with a chunk takes.
+
+Those that do not bear it may still make each other late: a prompt whose reading goes on for a whole
+event holds up streams that are promised a shorter pause than its own. Such *middle* prompts have
+engines of their own among those that do not read, where there are enough of them.
 
 The split follows the demand, which every instance tells the others: so many engines read as the
 long prompts keep busy up to a part of their time, but both kinds keep one at least. Where there are
@@ -18,6 +22,7 @@
 
 from __future__ import annotations
 
+import enum
 from collections import defaultdict
 from dataclasses import dataclass
 from math import ceil, exp
@@ -30,7 +35,7 @@
 from turmericweir_core.membership.subset import rendezvous_weight
 from turmericweir_core.messages.peer_messages import DemandRow
 from turmericweir_core.queueing import urgent_first
-from turmericweir_core.state.pool_state import Demand, Split
+from turmericweir_core.state.pool_state import Demand, Split, ToldDemand
 from turmericweir_core.state.server_table import Server
 
 if TYPE_CHECKING:
@@ -49,11 +54,37 @@
 _START_SHARE: Final = 0.6
 # So long a smaller split is wanted before it is made.
 _SHRINK_S: Final = 10.0
+# Engines that do not read, from which on middle prompts have some for themselves.
+_SHARED_MIN: Final = 2
 # A peer's demand counts for so long after it was told.
 _PEER_VALID_S: Final = 3.0
 _MS: Final = 1000.0
 
 
+class Reading(enum.Enum):
+    """What a request's prompt does to the streams beside it."""
+
+    # Its own answer bears long prompts.
+    LONG = "long"
+    # Its own answer does not, and its prompt holds up those that are promised shorter pauses.
+    MIDDLE = "middle"
+    QUICK = "quick"
+
+
+def reading_of(state: State, req: Request, service: Service) -> Reading:
+    """Tell what a request's prompt does to the streams beside it."""
+    gap_s = req.service_class.token_gap_target_s
+    if _bears(state, gap_s, service):
+        return Reading.LONG
+    split = state.pools.splits.get(req.target)
+    shortest_s = None if split is None else split.shortest_gap_s
+    # Reading for as many steps as an event has tokens makes a whole event of slow steps.
+    is_long = req.prompt_tokens > (service.event_tokens - 1) * state.options.chunk_tokens
+    if is_long and gap_s is not None and shortest_s is not None and gap_s > shortest_s:
+        return Reading.MIDDLE
+    return Reading.QUICK
+
+
 def bears_chunks(state: State, service_class: ServiceClass, service: Service) -> bool:
     """Tell whether an answer is in time although long prompts are read beside it."""
     return _bears(state, service_class.token_gap_target_s, service)
@@ -75,10 +106,13 @@
     work = min(engine_model.own_work_ms(state, book, req) for book in books)
     # While an engine reads, its answers stand nearly still, so both take their part of its time.
     work += _slot_ms(state, req, engines[0])
-    if bears_chunks(state, req.service_class, engines[0].service):
-        demand.long_ms += work
-    else:
-        demand.quick_ms += work
+    match reading_of(state, req, engines[0].service):
+        case Reading.LONG:
+            demand.long_ms += work
+        case Reading.MIDDLE:
+            demand.middle_ms += work
+        case Reading.QUICK:
+            demand.quick_ms += work
 
 
 def _slot_ms(state: State, req: Request, engine: Server) -> float:
@@ -97,6 +131,7 @@
     fade = exp((demand.at - now) / _MEMORY_S)
     demand.long_ms *= fade
     demand.quick_ms *= fade
+    demand.middle_ms *= fade
     demand.at = now
 
 
@@ -110,6 +145,7 @@
             round(demand.long_ms / _MEMORY_S),
             round(demand.quick_ms / _MEMORY_S),
             urgent_first.late_rank(state, now, target),
+            round(demand.middle_ms / _MEMORY_S),
         )
         rows.append(row)
     return rows
@@ -119,7 +155,7 @@
     """Take a peer's demand."""
     for row in rows:
         told = state.pools.peers.setdefault(Target(row.target), {})
-        told[sender] = (now, float(row.long_ms_s), float(row.quick_ms_s))
+        told[sender] = ToldDemand(now, row.long_ms_s, row.quick_ms_s, row.middle_ms_s)
         urgent_first.take_late_rank(state, now, sender, Target(row.target), row.late_rank)
 
 
@@ -127,11 +163,43 @@
     """Give the engines for a request, of those that serve it."""
     if len(engines) < 2:
         return engines
-    ordered = _spread(req.target, engines)
-    reading = _reading_count(state, now, req.target, len(engines))
-    if bears_chunks(state, req.service_class, engines[0].service):
-        return ordered[:reading]
-    return ordered[reading:]
+    pools = _pools(state, now, req.target, engines)
+    match reading_of(state, req, engines[0].service):
+        case Reading.LONG:
+            return pools.reading
+        case Reading.MIDDLE:
+            return pools.middle or pools.quick
+        case Reading.QUICK:
+            return pools.quick
+
+
+def spill(state: State, now: float, req: Request, engines: list[Server]) -> list[Server]:
+    """Give the engines of the other kinds, for a request that its own have no room for.
+
+    A middle prompt goes to those that read rather than hold up the quick answers.
+    """
+    pools = _pools(state, now, req.target, engines)
+    own = {each.entry.name for each in choose(state, now, req, engines)}
+    if reading_of(state, req, engines[0].service) is Reading.MIDDLE:
+        engines = pools.reading
+    return [each for each in engines if each.entry.name not in own]
+
+
+@dataclass(frozen=True, slots=True)
+class _Pools:
+    """The engines of a service by what they are for."""
+
+    reading: list[Server]
+    middle: list[Server]
+    quick: list[Server]
+
+
+def _pools(state: State, now: float, target: Target, engines: list[Server]) -> _Pools:
+    ordered = _spread(target, engines)
+    reading = _reading_count(state, now, target, len(engines))
+    rest = ordered[reading:]
+    middle = _middle_count(state, now, target, len(rest))
+    return _Pools(ordered[:reading], rest[:middle], rest[middle:])
 
 
 def _spread(target: Target, engines: list[Server]) -> list[Server]:
@@ -165,6 +233,7 @@
     if split.settings != state.config.offset:
         split.settings = state.config.offset
         split.quick_first = _quick_first(state, target)
+        split.shortest_gap_s = _shortest_gap_s(state, target)
     plan = _plan(state, now, target, engines, split.quick_first)
     if plan.reading >= split.reading:
         split.reading = plan.reading
@@ -180,6 +249,27 @@
     return min(split.reading, engines - 1)
 
 
+def _middle_count(state: State, now: float, target: Target, engines: int) -> int:
+    """Give how many of the engines that do not read take the middle prompts; 0 if they share."""
+    split = state.pools.splits[target]
+    demand = _demand(state, now, target)
+    if engines < _SHARED_MIN or not demand.middle_ms:
+        split.middle = 0
+        return 0
+    wanted = _needed(demand.middle_ms, _BUSY_SHARE)
+    room = engines - min(engines - 1, _needed(demand.quick_ms, _BUSY_SHARE))
+    if wanted >= split.middle:
+        split.middle = wanted
+        split.middle_fewer_since = None
+    elif split.middle_fewer_since is None:
+        split.middle_fewer_since = now
+    elif now - split.middle_fewer_since >= _SHRINK_S:
+        split.middle -= 1
+        split.middle_fewer_since = now
+    split.middle = max(1, min(split.middle, room))
+    return split.middle
+
+
 @dataclass(frozen=True, slots=True)
 class _Plan:
     """Numbers of reading engines."""
@@ -191,12 +281,12 @@
 
 
 def _plan(state: State, now: float, target: Target, engines: int, quick_first: bool) -> _Plan:
-    long_ms, quick_ms = _demand(state, now, target)
+    demand = _demand(state, now, target)
     most = engines - 1
-    reading = min(most, _needed(long_ms, _BUSY_SHARE))
+    reading = min(most, _needed(demand.long_ms, _BUSY_SHARE))
     if not quick_first:
         return _Plan(reading, most)
-    room = max(1, engines - _needed(quick_ms, _SHORT_SHARE))
+    room = max(1, engines - _needed(demand.quick_ms + demand.middle_ms, _SHORT_SHARE))
     return _Plan(min(reading, room), room)
 
 
@@ -220,14 +310,26 @@
     return most_urgent.get(True, 0) <= most_urgent.get(False, 0)
 
 
-def _demand(state: State, now: float, target: Target) -> tuple[float, float]:
-    long_ms = quick_ms = 0.0
+def _shortest_gap_s(state: State, target: Target) -> float | None:
+    gaps = [
+        route.gap_target_s
+        for route in state.config.routes.by_place.values()
+        if route.gap_target_s is not None and target in (each.target for each in route.targets)
+    ]
+    return min(gaps, default=None)
+
+
+def _demand(state: State, now: float, target: Target) -> ToldDemand:
+    """Add up the demand of all instances, milliseconds of work a second."""
+    long_ms = quick_ms = middle_ms = 0.0
     own = state.pools.own.get(target)
     if own is not None:
         _fade(own, now)
         long_ms, quick_ms = own.long_ms / _MEMORY_S, own.quick_ms / _MEMORY_S
-    for at, peer_long, peer_quick in state.pools.peers.get(target, {}).values():
-        if now - at <= _PEER_VALID_S:
-            long_ms += peer_long
-            quick_ms += peer_quick
-    return long_ms, quick_ms
+        middle_ms = own.middle_ms / _MEMORY_S
+    for told in state.pools.peers.get(target, {}).values():
+        if now - told.at <= _PEER_VALID_S:
+            long_ms += told.long_ms
+            quick_ms += told.quick_ms
+            middle_ms += told.middle_ms
+    return ToldDemand(now, long_ms, quick_ms, middle_ms)
--- a/packages/turmericweir-core/turmericweir_core/engines/load_relay.py
+++ b/packages/turmericweir-core/turmericweir_core/engines/load_relay.py
@@ -243,8 +243,9 @@
         ranks = [mine.late_rank, *urgent_first.told_ranks(state, now, target, told_by)]
         summed[target] = DemandRow(
             target,
-            mine.long_ms_s + round(sum(each[1] for each in told)),
-            mine.quick_ms_s + round(sum(each[2] for each in told)),
+            mine.long_ms_s + round(sum(each.long_ms for each in told)),
+            mine.quick_ms_s + round(sum(each.quick_ms for each in told)),
             min((each for each in ranks if each is not None), default=None),
+            mine.middle_ms_s + round(sum(each.middle_ms for each in told)),
         )
     return list(summed.values())
--- a/packages/turmericweir-core/turmericweir_core/messages/peer_messages.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/peer_messages.py
@@ -241,6 +241,8 @@
     quick_ms_s: int
     # The most urgent rank of which a request has waited for too long at the sender.
     late_rank: int | None = None
+    # Of those that do not bear long prompts and make others late that bear less.
+    middle_ms_s: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/turmericweir-core/turmericweir_core/placement/predicted_placement.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/predicted_placement.py
@@ -96,7 +96,7 @@
     own_kind = engine_pools.choose(state, now, req, candidates)
     best = _best_engine(state, now, req, own_kind)
     if best.held_back and _may_spill(state, now, req, own_kind):
-        others = [each for each in candidates if each not in own_kind]
+        others = engine_pools.spill(state, now, req, candidates)
         best = _best_engine(state, now, req, others) if others else best
     return None if best.held_back else best.server
 
@@ -238,6 +238,7 @@
         found["prompt_tokens"] = req.prompt_tokens
         found["wait_ms"] = round(engine_model.waiting_ms(book, now, rank_of(req.service_class)))
         found["reading_engines"] = engine_pools.reading_engines(state, req.target)
+        found["reading"] = engine_pools.reading_of(state, req, server.service).value
         choice = _weigh(state, now, req, server)
         found["begin_ms"] = round(choice.begin_ms)
         found["fetch_tokens"] = round(choice.fetched)
--- a/packages/turmericweir-core/turmericweir_core/state/pool_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/pool_state.py
@@ -14,6 +14,17 @@
     at: float = 0.0
     long_ms: float = 0.0
     quick_ms: float = 0.0
+    middle_ms: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class ToldDemand:
+    """A peer's demand, milliseconds of work a second."""
+
+    at: float
+    long_ms: float
+    quick_ms: float
+    middle_ms: float
 
 
 @dataclass(slots=True)
@@ -25,7 +36,12 @@
     # Whether quick answers go first, by which version of the settings: there may be hundreds of
     # routes, and each placement asks.
     quick_first: bool = True
+    # The shortest pause that a route of the service promises, seconds; None without any.
+    shortest_gap_s: float | None = None
     settings: int | None = None
+    # How many of the engines that do not read take middle prompts, and since when fewer would do.
+    middle: int = 0
+    middle_fewer_since: float | None = None
 
 
 @dataclass(slots=True)
@@ -33,7 +49,6 @@
     """The demand and the split of each service."""
 
     own: dict[Target, Demand] = field(default_factory=dict)
-    peers: dict[Target, dict[InstanceName, tuple[float, float, float]]] = field(
-        default_factory=dict
-    )
+    # What each peer told: when, and its work of each kind.
+    peers: dict[Target, dict[InstanceName, ToldDemand]] = field(default_factory=dict)
     splits: dict[Target, Split] = field(default_factory=dict)
