Hold the border between engines of quick answers and of middle prompts

Change: quick engines are counted from the end, their number is shared out evenly by the needs and held on to for 10 s at a time; the middle ones give way first.

Ruled out: middle engines at the end of the order (long prompts would come next to quick answers, which is worse).

--- a/packages/turmericweir-core/turmericweir_core/engines/engine_pools.py
+++ b/packages/turmericweir-core/turmericweir_core/engines/engine_pools.py
@@ -198,7 +198,7 @@
     ordered = _spread(target, engines)
     reading = _reading_count(state, now, target, len(engines))
     rest = ordered[reading:]
-    middle = _middle_count(state, now, target, len(rest))
+    middle = len(rest) - _quick_count(state, now, target, len(rest))
     return _Pools(ordered[:reading], rest[:middle], rest[middle:])
 
 
@@ -249,25 +249,29 @@
     return min(split.reading, engines - 1)
 
 
-def _middle_count(state: State, now: float, target: Target, engines: int) -> int:
-    """Give how many of the engines that do not read take the middle prompts; 0 if they share."""
+def _quick_count(state: State, now: float, target: Target, engines: int) -> int:
+    """Give how many of the engines that do not read are for quick answers alone.
+
+    They are counted from the end of the order, and their number is held on to. Failure without:
+    each long prompt more moves the border by one, and streams that run on the engine next to it
+    have middle prompts read beside them.
+    """
     split = state.pools.splits[target]
     demand = _demand(state, now, target)
     if engines < _SHARED_MIN or not demand.middle_ms:
-        split.middle = 0
-        return 0
-    wanted = _needed(demand.middle_ms, _BUSY_SHARE)
-    room = engines - min(engines - 1, _needed(demand.quick_ms, _BUSY_SHARE))
-    if wanted >= split.middle:
-        split.middle = wanted
-        split.middle_fewer_since = None
-    elif split.middle_fewer_since is None:
-        split.middle_fewer_since = now
-    elif now - split.middle_fewer_since >= _SHRINK_S:
-        split.middle -= 1
-        split.middle_fewer_since = now
-    split.middle = max(1, min(split.middle, room))
-    return split.middle
+        return engines
+    for_middle = min(engines - 1, _needed(demand.middle_ms, _BUSY_SHARE))
+    for_quick = min(engines - 1, _needed(demand.quick_ms, _BUSY_SHARE))
+    even = round(engines * for_quick / (for_middle + for_quick))
+    wanted = max(1, min(even, engines - 1))
+    if not split.quick:
+        split.quick, split.quick_moved_at = wanted, now
+    elif split.quick != wanted and now - split.quick_moved_at >= _SHRINK_S:
+        split.quick += 1 if wanted > split.quick else -1
+        split.quick_moved_at = now
+    split.quick = max(split.quick, for_quick)
+    least = for_quick if for_quick + for_middle <= engines else 1
+    return max(least, min(split.quick, engines - for_middle))
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/turmericweir-core/turmericweir_core/state/pool_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/pool_state.py
@@ -39,9 +39,10 @@
     # The shortest pause that a route of the service promises, seconds; None without any.
     shortest_gap_s: float | None = None
     settings: int | None = None
-    # How many of the engines that do not read take middle prompts, and since when fewer would do.
-    middle: int = 0
-    middle_fewer_since: float | None = None
+    # How many engines take quick answers alone, and when that number last moved; 0 before middle
+    # prompts were seen.
+    quick: int = 0
+    quick_moved_at: float = 0.0
 
 
 @dataclass(slots=True)
--- a/packages/turmericweir/turmericweir/peers/peer_datagrams.py
+++ b/packages/turmericweir/turmericweir/peers/peer_datagrams.py
@@ -1,8 +1,8 @@
 """Datagrams between instances: heartbeats and whatever else may be lost.
 
 One socket sends and receives, on the same address as the peers' streams. Datagrams go straight from
-the reducer's effect to the system and from the system to the reducer, with no task in between: there
-may be hundreds a second.
+the reducer's effect to the system and from the system to the reducer, with no task in between:
+there may be hundreds a second.
 """
 
 from __future__ import annotations
--- a/tests/core/engines/test_load_relay.py
+++ b/tests/core/engines/test_load_relay.py
@@ -79,7 +79,7 @@
 
 
 def test_lost_datagrams_are_made_up_for(network: StoreNetwork) -> None:
-    """A twentieth of the datagrams is lost while load comes and goes; at last all know the truth."""
+    """A twentieth of the datagrams is lost while load comes and goes; all know it at last."""
     network.loss = 0.05
     for name in network.nodes:
         send_prompt(network, name)
