Make messages structs that the codec packs itself

Cause: peers' frames were made and read in Python, field by field: 25 us to encode and 44 us to decode news of 339 bytes, at hundreds a second. Events, effects and messages were frozen data classes, whose methods are compiled at each start (74 ms of 378 for the three modules) and whose creation sets each field through `object.__setattr__`.

Frames are the same bytes as before but for servers' entries nested in messages, which are arrays as well now as then. The state dump shows structs.

Ruled out: data classes with msgspec's own encoder (it writes names of fields).

--- a/packages/turmericweir-core/turmericweir_core/base/config.py
+++ b/packages/turmericweir-core/turmericweir_core/base/config.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from msgspec import Struct
+
 from turmericweir_core.base.ids import ServerName, Target
 from turmericweir_core.base.routes import RouteTable
 
@@ -117,8 +119,7 @@
     health_path: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class ServerEntry:
+class ServerEntry(Struct, frozen=True, array_like=True):
     """A backend server as the settings or the platform's list name it."""
 
     name: ServerName
--- a/packages/turmericweir-core/turmericweir_core/credits/credit.py
+++ b/packages/turmericweir-core/turmericweir_core/credits/credit.py
@@ -21,9 +21,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from msgspec.structs import replace
+
 from turmericweir_core.base.config import Policy
 from turmericweir_core.base.ids import InstanceName, ServerName
 from turmericweir_core.credits import credit_demand, credit_dispatcher, credit_holder
--- a/packages/turmericweir-core/turmericweir_core/credits/credit_demand.py
+++ b/packages/turmericweir-core/turmericweir_core/credits/credit_demand.py
@@ -15,10 +15,11 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
 from math import ceil
 from typing import TYPE_CHECKING
 
+from msgspec.structs import replace
+
 from turmericweir_core.base.config import Kind
 from turmericweir_core.base.ids import InstanceName, ServerName
 from turmericweir_core.base.options import Options
--- a/packages/turmericweir-core/turmericweir_core/engines/load_relay.py
+++ b/packages/turmericweir-core/turmericweir_core/engines/load_relay.py
@@ -13,9 +13,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
+from msgspec.structs import replace
+
 from turmericweir_core.base.ids import InstanceName, ServerName
 from turmericweir_core.engines import engine_model
 from turmericweir_core.membership import membership, telling
--- a/packages/turmericweir-core/turmericweir_core/membership/membership_gossip.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/membership_gossip.py
@@ -16,9 +16,10 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
 from typing import Final
 
+from msgspec.structs import replace
+
 from turmericweir_core.base.ids import InstanceName
 from turmericweir_core.membership.membership import (
     count_noise,
--- a/packages/turmericweir-core/turmericweir_core/membership/membership_reducer.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/membership_reducer.py
@@ -9,7 +9,8 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import replace
+
+from msgspec.structs import replace
 
 from turmericweir_core.base.ids import InstanceName
 from turmericweir_core.membership import (
--- a/packages/turmericweir-core/turmericweir_core/messages/effects.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/effects.py
@@ -2,17 +2,17 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import Any, TypeAlias
 
+from msgspec import Struct
+
 from turmericweir_core.base.account import Account
 from turmericweir_core.base.ids import AttemptId, InstanceName, RequestId, ServerName
 from turmericweir_core.base.request import CancelReason
 from turmericweir_core.messages.peer_messages import PeerMessage
 
 
-@dataclass(frozen=True, slots=True)
-class StartAttempt:
+class StartAttempt(Struct, frozen=True):
     """Send the request to a server and report `AttemptSent`, progress and the end."""
 
     request_id: RequestId
@@ -31,8 +31,7 @@
     fetch_from: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class CancelAttempt:
+class CancelAttempt(Struct, frozen=True):
     """Stop an attempt at the server; its end is then reported."""
 
     request_id: RequestId
@@ -41,15 +40,13 @@
     reason: CancelReason
 
 
-@dataclass(frozen=True, slots=True)
-class FinishRequest:
+class FinishRequest(Struct, frozen=True):
     """Give the caller the account; nothing more will be sent for the request."""
 
     account: Account
 
 
-@dataclass(frozen=True, slots=True)
-class ReplayAnswer:
+class ReplayAnswer(Struct, frozen=True):
     """Give the caller the kept answer of an earlier call with its key; `FinishRequest` follows."""
 
     request_id: RequestId
@@ -58,8 +55,7 @@
     body: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class AppendRecords:
+class AppendRecords(Struct, frozen=True):
     """Append records to a stream of the platform's log."""
 
     stream: str
@@ -68,8 +64,7 @@
     records: tuple[Any, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class ReadLog:
+class ReadLog(Struct, frozen=True):
     """Read a stream from this offset now, rather than when the long poll returns."""
 
     stream: str
@@ -78,8 +73,7 @@
     limit: int | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class SendPeer:
+class SendPeer(Struct, frozen=True):
     """Send a message to a peer over its stream; it may be lost with the stream."""
 
     peer: InstanceName
@@ -87,8 +81,7 @@
     message: PeerMessage
 
 
-@dataclass(frozen=True, slots=True)
-class SendDatagram:
+class SendDatagram(Struct, frozen=True):
     """Send a message to a peer as one datagram."""
 
     peer: InstanceName
@@ -96,23 +89,20 @@
     message: PeerMessage
 
 
-@dataclass(frozen=True, slots=True)
-class ProbeServer:
+class ProbeServer(Struct, frozen=True):
     """Ask a server for its load report over a new connection."""
 
     server: ServerName
     address: str
 
 
-@dataclass(frozen=True, slots=True)
-class DistrustConnections:
+class DistrustConnections(Struct, frozen=True):
     """Use no connection to this address again that is open now; what runs on them goes on."""
 
     address: str
 
 
-@dataclass(frozen=True, slots=True)
-class SendOrder:
+class SendOrder(Struct, frozen=True):
     """Give an order to a server, under a fencing number."""
 
     server: ServerName
@@ -130,56 +120,49 @@
     timeout_s: float = 5.0
 
 
-@dataclass(frozen=True, slots=True)
-class AskWeights:
+class AskWeights(Struct, frozen=True):
     """Ask the weight store for leave to load a model."""
 
     model: str
     version: str
 
 
-@dataclass(frozen=True, slots=True)
-class DecodeDocument:
+class DecodeDocument(Struct, frozen=True):
     """Decode a settings document that a peer sent, and report it as read."""
 
     raw: bytes
     peer: InstanceName
 
 
-@dataclass(frozen=True, slots=True)
-class SettleChange:
+class SettleChange(Struct, frozen=True):
     """Tell the operator who submitted a change what became of it."""
 
     change_id: str
     verdict: Any
 
 
-@dataclass(frozen=True, slots=True)
-class Log:
+class Log(Struct, frozen=True):
     """Write one log line."""
 
     event: str
-    fields: dict[str, Any] = field(default_factory=dict)
+    fields: dict[str, Any] = {}
 
 
-@dataclass(frozen=True, slots=True)
-class Count:
+class Count(Struct, frozen=True):
     """Add to a counter metric."""
 
     name: str
     by: int = 1
 
 
-@dataclass(frozen=True, slots=True)
-class Timing:
+class Timing(Struct, frozen=True):
     """Record a duration metric, seconds."""
 
     name: str
     seconds: float
 
 
-@dataclass(frozen=True, slots=True)
-class Exit:
+class Exit(Struct, frozen=True):
     """Everything in flight is finished: the process may end with status 0."""
 
 
--- a/packages/turmericweir-core/turmericweir_core/messages/events.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/events.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import Any, TypeAlias
 
+from msgspec import Struct
+
 from turmericweir_core.base.config import Config, ServerEntry
 from turmericweir_core.base.ids import AttemptId, InstanceName, RequestId, ServerName
 from turmericweir_core.base.request import Request
@@ -18,15 +19,13 @@
 # --- callers ---------------------------------------------------------------------------------
 
 
-@dataclass(frozen=True, slots=True)
-class RequestArrived:
+class RequestArrived(Struct, frozen=True):
     """A caller's request was read whole and validated."""
 
     request: Request
 
 
-@dataclass(frozen=True, slots=True)
-class CallerLeft:
+class CallerLeft(Struct, frozen=True):
     """The caller closed its connection before the account was given."""
 
     request_id: RequestId
@@ -35,8 +34,7 @@
 # --- attempts --------------------------------------------------------------------------------
 
 
-@dataclass(frozen=True, slots=True)
-class EndComplete:
+class EndComplete(Struct, frozen=True):
     """The server's whole answer was received."""
 
     status: int
@@ -44,23 +42,20 @@
     answer: KeptAnswer | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class EndRefused:
+class EndRefused(Struct, frozen=True):
     """The server said that it had not started the request."""
 
     status: int
     leaving: bool
 
 
-@dataclass(frozen=True, slots=True)
-class EndUnsent:
+class EndUnsent(Struct, frozen=True):
     """No byte of the request left this instance."""
 
     error: str
 
 
-@dataclass(frozen=True, slots=True)
-class EndBroken:
+class EndBroken(Struct, frozen=True):
     """The connection broke, or went silent, after the request may have reached the server."""
 
     error: str
@@ -68,15 +63,13 @@
     server_alive: bool
 
 
-@dataclass(frozen=True, slots=True)
-class EndServerError:
+class EndServerError(Struct, frozen=True):
     """The server answered a model call with an error after it may have worked on it."""
 
     status: int
 
 
-@dataclass(frozen=True, slots=True)
-class EndCancelled:
+class EndCancelled(Struct, frozen=True):
     """The attempt was stopped by order of the reducer."""
 
     # Tokens that the server generated for the attempt, as far as it told.
@@ -88,8 +81,7 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptSent:
+class AttemptSent(Struct, frozen=True):
     """The next thing that happens is the first byte of the attempt going out."""
 
     request_id: RequestId
@@ -98,8 +90,7 @@
     kept_connection: bool = False
 
 
-@dataclass(slots=True)
-class AttemptProgress:
+class AttemptProgress(Struct):
     """Whole tokens of the attempt were received and passed on. The hottest event."""
 
     request_id: RequestId
@@ -107,8 +98,7 @@
     tokens: int
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptEnded:
+class AttemptEnded(Struct, frozen=True):
     """Nothing more will come of the attempt."""
 
     request_id: RequestId
@@ -119,8 +109,7 @@
 # --- backend servers -------------------------------------------------------------------------
 
 
-@dataclass(frozen=True, slots=True)
-class ServerReport:
+class ServerReport(Struct, frozen=True):
     """A server's own load report, which may be late."""
 
     server: ServerName
@@ -141,31 +130,27 @@
     asked_at: float = float("-inf")
 
 
-@dataclass(frozen=True, slots=True)
-class ServerUnreachable:
+class ServerUnreachable(Struct, frozen=True):
     """A new connection to the server failed."""
 
     server: ServerName
     error: str
 
 
-@dataclass(frozen=True, slots=True)
-class ServerAnswered:
+class ServerAnswered(Struct, frozen=True):
     """A new connection to the server worked."""
 
     server: ServerName
 
 
-@dataclass(frozen=True, slots=True)
-class CacheEvent:
+class CacheEvent(Struct, frozen=True):
     """A prompt prefix entered or left a server's cache."""
 
     stored: bool
     prefix: str
 
 
-@dataclass(frozen=True, slots=True)
-class CacheEvents:
+class CacheEvents(Struct, frozen=True):
     """Cache events of one server, in order; `gap` says that some before them were lost."""
 
     server: ServerName
@@ -176,8 +161,7 @@
 # --- platform --------------------------------------------------------------------------------
 
 
-@dataclass(frozen=True, slots=True)
-class ListedInstance:
+class ListedInstance(Struct, frozen=True):
     """An entry instance in the platform's list."""
 
     name: InstanceName
@@ -188,16 +172,14 @@
     leaving: bool
 
 
-@dataclass(frozen=True, slots=True)
-class ListRead:
+class ListRead(Struct, frozen=True):
     """The platform's list of instances was read. It lags, so it is a hint both ways."""
 
     servers: tuple[ServerEntry, ...]
     instances: tuple[ListedInstance, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class LogRecord:
+class LogRecord(Struct, frozen=True):
     """One record of a stream of the platform's log."""
 
     offset: int
@@ -205,8 +187,7 @@
     value: Any
 
 
-@dataclass(frozen=True, slots=True)
-class LogRead:
+class LogRead(Struct, frozen=True):
     """Consecutive records of a stream were read, from the platform or from a peer."""
 
     stream: str
@@ -215,8 +196,7 @@
     end: int
 
 
-@dataclass(frozen=True, slots=True)
-class LogExpired:
+class LogExpired(Struct, frozen=True):
     """The offset asked for is older than the platform keeps."""
 
     stream: str
@@ -224,16 +204,14 @@
     end: int
 
 
-@dataclass(frozen=True, slots=True)
-class LogFailed:
+class LogFailed(Struct, frozen=True):
     """The platform's log could not be read."""
 
     stream: str
     error: str
 
 
-@dataclass(frozen=True, slots=True)
-class AppendDone:
+class AppendDone(Struct, frozen=True):
     """An append took effect at these offsets."""
 
     stream: str
@@ -243,8 +221,7 @@
     end: int
 
 
-@dataclass(frozen=True, slots=True)
-class AppendFailed:
+class AppendFailed(Struct, frozen=True):
     """An append was refused, or its acknowledgement was lost."""
 
     stream: str
@@ -254,8 +231,7 @@
     maybe: bool
 
 
-@dataclass(frozen=True, slots=True)
-class OrderDone:
+class OrderDone(Struct, frozen=True):
     """A server answered an order, or the order failed."""
 
     server: ServerName
@@ -266,8 +242,7 @@
     error: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class WeightsAnswered:
+class WeightsAnswered(Struct, frozen=True):
     """The weight store granted a load of a model, or asked to come back later."""
 
     model: str
@@ -279,8 +254,7 @@
 # --- settings and servers at the platform's store ---------------------------------------------
 
 
-@dataclass(frozen=True, slots=True)
-class DocumentRead:
+class DocumentRead(Struct, frozen=True):
     """The settings document was read and decoded."""
 
     version: int
@@ -293,15 +267,13 @@
     peer: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class DocumentConfirmed:
+class DocumentConfirmed(Struct, frozen=True):
     """A read of the store was answered, and showed no newer document."""
 
     asked_at: float
 
 
-@dataclass(frozen=True, slots=True)
-class DocumentUnreadable:
+class DocumentUnreadable(Struct, frozen=True):
     """A document was found that cannot be used."""
 
     # The store, or the peer that sent it.
@@ -309,8 +281,7 @@
     error: str
 
 
-@dataclass(frozen=True, slots=True)
-class RegistryRead:
+class RegistryRead(Struct, frozen=True):
     """Entries of servers were read, each with the offset of its record."""
 
     entries: tuple[tuple[ServerEntry, int], ...]
@@ -320,8 +291,7 @@
     whole: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class EntryUnreadable:
+class EntryUnreadable(Struct, frozen=True):
     """An entry was found that names no server."""
 
     key: str
@@ -331,23 +301,20 @@
 # --- peers -----------------------------------------------------------------------------------
 
 
-@dataclass(frozen=True, slots=True)
-class PeerReceived:
+class PeerReceived(Struct, frozen=True):
     """A validated message came from another instance, by stream or datagram."""
 
     sender: InstanceName
     message: PeerMessage
 
 
-@dataclass(frozen=True, slots=True)
-class SeedsGiven:
+class SeedsGiven(Struct, frozen=True):
     """The process's file names addresses of peers, to talk to until the platform's list is read."""
 
     addresses: tuple[str, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class PeerUnreachable:
+class PeerUnreachable(Struct, frozen=True):
     """The stream to a peer could not be opened, or broke; sent messages may be lost."""
 
     peer: InstanceName
@@ -357,18 +324,15 @@
 # --- the instance itself ---------------------------------------------------------------------
 
 
-@dataclass(frozen=True, slots=True)
-class Tick:
+class Tick(Struct, frozen=True):
     """Time passed; every reducer looks for what is due. Sent `Options.tick_s` apart."""
 
 
-@dataclass(frozen=True, slots=True)
-class StopRequested:
+class StopRequested(Struct, frozen=True):
     """The process was told to stop gracefully."""
 
 
-@dataclass(frozen=True, slots=True)
-class ChangeSubmitted:
+class ChangeSubmitted(Struct, frozen=True):
     """An operator asked for a change of settings, already validated on its own."""
 
     change_id: str
@@ -379,8 +343,7 @@
     operator: str
 
 
-@dataclass(frozen=True, slots=True)
-class DrainRequested:
+class DrainRequested(Struct, frozen=True):
     """An operator asked that a server get no new work."""
 
     server: ServerName
--- a/packages/turmericweir-core/turmericweir_core/messages/peer_messages.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/peer_messages.py
@@ -6,14 +6,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import Any, Final, TypeAlias
 
+from msgspec import Struct
+
 from turmericweir_core.base.config import ServerEntry
 
 
-@dataclass(frozen=True, slots=True)
-class Word:
+class Word(Struct, frozen=True, array_like=True):
     """What a relay says of its whole data centre."""
 
     data_centre: str
@@ -27,8 +27,7 @@
     settings_offset: int
 
 
-@dataclass(frozen=True, slots=True)
-class Mark:
+class Mark(Struct, frozen=True, array_like=True):
     """A backend server gets no new work any more; see `leaving_marks`."""
 
     server: str
@@ -38,8 +37,7 @@
     age_s: int
 
 
-@dataclass(frozen=True, slots=True)
-class Heartbeat:
+class Heartbeat(Struct, frozen=True, array_like=True):
     """I am here, and this is what I know; the rest is asked for when it differs.
 
     Small, since it is most of the control traffic: `counters` holds one ASCII character for each
@@ -75,13 +73,12 @@
     # By how much each member's offset lies below the newest, 127 at most; empty where none does.
     lags: str = ""
     # Key, counter and lag of each member in turn.
-    entries: list[int] = field(default_factory=list)
-    words: list[Word] = field(default_factory=list)
-    marks: list[Mark] = field(default_factory=list)
+    entries: list[int] = []
+    words: list[Word] = []
+    marks: list[Mark] = []
 
 
-@dataclass(frozen=True, slots=True)
-class MemberRecord:
+class MemberRecord(Struct, frozen=True, array_like=True):
     """Who a member is."""
 
     name: str
@@ -91,66 +88,58 @@
     incarnation: str
     leaving: bool
     # Incarnations that this one has followed, as far as the sender knows.
-    former: list[str] = field(default_factory=list)
+    former: list[str] = []
 
 
-@dataclass(frozen=True, slots=True)
-class MembersAsk:
+class MembersAsk(Struct, frozen=True, array_like=True):
     """Send me the records of these members, or with no keys the live ones of a data centre."""
 
     data_centre: str
-    keys: list[int] = field(default_factory=list)
+    keys: list[int] = []
 
 
-@dataclass(frozen=True, slots=True)
-class MembersSend:
+class MembersSend(Struct, frozen=True, array_like=True):
     """Records that were asked for."""
 
     data_centre: str
     # Hash over the keys of the live members, or 0 where the records are not all of them.
     members_hash: int
-    records: list[MemberRecord] = field(default_factory=list)
+    records: list[MemberRecord] = []
 
 
-@dataclass(frozen=True, slots=True)
-class MarksAsk:
+class MarksAsk(Struct, frozen=True, array_like=True):
     """Send me all leaving marks."""
 
 
-@dataclass(frozen=True, slots=True)
-class MarksSend:
+class MarksSend(Struct, frozen=True, array_like=True):
     """All leaving marks of the sender."""
 
-    marks: list[Mark] = field(default_factory=list)
+    marks: list[Mark] = []
 
 
-@dataclass(frozen=True, slots=True)
-class ServersAsk:
+class ServersAsk(Struct, frozen=True, array_like=True):
     """Send me the platform's list of backend servers."""
 
 
-@dataclass(frozen=True, slots=True)
-class ServersSend:
+class ServersSend(Struct, frozen=True, array_like=True):
     """The platform's list of backend servers, as last read."""
 
     # Seconds since it was read from the platform.
     age_s: float
-    servers: list[ServerEntry] = field(default_factory=list)
+    servers: list[ServerEntry] = []
 
 
-@dataclass(frozen=True, slots=True)
-class SettingsAsk:
+class SettingsAsk(Struct, frozen=True, array_like=True):
     """Send me the settings records from this offset."""
 
     offset: int
 
 
-@dataclass(frozen=True, slots=True)
-class SettingsSend:
+class SettingsSend(Struct, frozen=True, array_like=True):
     """Settings records from an offset, or a whole state where the records are gone."""
 
     first: int
-    records: list[Any] = field(default_factory=list)
+    records: list[Any] = []
     # A snapshot record as in the log, or None.
     snapshot: dict[str, Any] | None = None
 
@@ -158,8 +147,7 @@
 # --- settings as one document, and the load of servers; see `document` and `load_news` ------------
 
 
-@dataclass(frozen=True, slots=True)
-class DocumentAsk:
+class DocumentAsk(Struct, frozen=True, array_like=True):
     """Send me the settings document if yours is newer, and the proof that it is the newest."""
 
     version: int
@@ -167,16 +155,14 @@
     number: int
 
 
-@dataclass(frozen=True, slots=True)
-class DocumentSend:
+class DocumentSend(Struct, frozen=True, array_like=True):
     """The settings document, as the operator wrote it."""
 
     version: int
     raw: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class DocumentProof:
+class DocumentProof(Struct, frozen=True, array_like=True):
     """No newer version than this one was in force so long ago."""
 
     version: int
@@ -185,8 +171,7 @@
     age_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class RegistryRow:
+class RegistryRow(Struct, frozen=True, array_like=True):
     """A server's entry, or its removal, with the offset of its record."""
 
     offset: int
@@ -195,18 +180,16 @@
     entry: ServerEntry | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class RegistryNews:
+class RegistryNews(Struct, frozen=True, array_like=True):
     """The servers' entries were read just now; these have changed, and all have this hash."""
 
     servers_hash: int
-    rows: list[RegistryRow] = field(default_factory=list)
+    rows: list[RegistryRow] = []
     # Who read them; empty if it is the sender.
     reader: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class LoadRow:
+class LoadRow(Struct, frozen=True, array_like=True):
     """What the sender has on one server."""
 
     server: str
@@ -219,8 +202,7 @@
     tokens: int
 
 
-@dataclass(frozen=True, slots=True)
-class SentPart:
+class SentPart(Struct, frozen=True, array_like=True):
     """The sender has sent a prompt with this part to a server, or the server has read it."""
 
     server: str
@@ -231,8 +213,7 @@
     for_ms: int
 
 
-@dataclass(frozen=True, slots=True)
-class DemandRow:
+class DemandRow(Struct, frozen=True, array_like=True):
     """Work that the sender sends to a service, milliseconds a second."""
 
     target: str
@@ -245,22 +226,20 @@
     middle_ms_s: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class LoadNews:
+class LoadNews(Struct, frozen=True, array_like=True):
     """Everything that the sender has on any server, and the parts that it sent lately."""
 
     incarnation: str
     # Rises with each of an incarnation.
     seq: int
-    rows: list[LoadRow] = field(default_factory=list)
-    parts: list[SentPart] = field(default_factory=list)
-    demand: list[DemandRow] = field(default_factory=list)
+    rows: list[LoadRow] = []
+    parts: list[SentPart] = []
+    demand: list[DemandRow] = []
     # The sender has nothing on servers that are not named; otherwise these are as they were.
     whole: bool = True
 
 
-@dataclass(frozen=True, slots=True)
-class BundledNews:
+class BundledNews(Struct, frozen=True, array_like=True):
     """News that are passed on: whose they are, and for how long they were held."""
 
     origin: str
@@ -268,20 +247,17 @@
     held_ms: int
 
 
-@dataclass(frozen=True, slots=True)
-class LoadBundle:
+class LoadBundle(Struct, frozen=True, array_like=True):
     """What a teller has gathered from those that tell it and from other tellers."""
 
     news: list[BundledNews]
 
 
-@dataclass(frozen=True, slots=True)
-class CachesAsk:
+class CachesAsk(Struct, frozen=True, array_like=True):
     """Tell me what you know of the engines' caches; I have just started."""
 
 
-@dataclass(frozen=True, slots=True)
-class CachesServer:
+class CachesServer(Struct, frozen=True, array_like=True):
     """Parts that an engine is taken to hold, the newest last, and the tokens of each."""
 
     server: str
@@ -289,8 +265,7 @@
     tokens: list[int]
 
 
-@dataclass(frozen=True, slots=True)
-class CachesSend:
+class CachesSend(Struct, frozen=True, array_like=True):
     """What the sender knows of the engines' caches."""
 
     servers: list[CachesServer]
@@ -299,8 +274,7 @@
 # --- credits: slots of servers, leased by one dispatcher for each; see `credit` ------------------
 
 
-@dataclass(frozen=True, slots=True)
-class TierDemand:
+class TierDemand(Struct, frozen=True, array_like=True):
     """What an instance runs on a server at one tier, and what it would run besides."""
 
     tier: int
@@ -311,8 +285,7 @@
     pressed: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class CreditDemand:
+class CreditDemand(Struct, frozen=True, array_like=True):
     """Lease me slots of this server; sent on change, and now and then as a renewal."""
 
     server: str
@@ -322,11 +295,10 @@
     grant_number: int
     # The server's limit, as the sender observes it.
     limit: int
-    tiers: list[TierDemand] = field(default_factory=list)
+    tiers: list[TierDemand] = []
 
 
-@dataclass(frozen=True, slots=True)
-class TierGrant:
+class TierGrant(Struct, frozen=True, array_like=True):
     """Slots for one tier; the assured ones are for no other tier."""
 
     tier: int
@@ -334,8 +306,7 @@
     assured: int
 
 
-@dataclass(frozen=True, slots=True)
-class ServerLoad:
+class ServerLoad(Struct, frozen=True, array_like=True):
     """A server's load report, passed on so that only its dispatcher need ask for it."""
 
     incarnation: str
@@ -350,8 +321,7 @@
     fence: int
 
 
-@dataclass(frozen=True, slots=True)
-class CreditGrant:
+class CreditGrant(Struct, frozen=True, array_like=True):
     """You may use these slots of this server; replaces every grant with a lower number."""
 
     server: str
@@ -364,13 +334,12 @@
     # Attempts of tiers above the number make way until this many are left; None for none.
     keep: int | None
     displace_above: int
-    tiers: list[TierGrant] = field(default_factory=list)
+    tiers: list[TierGrant] = []
     # Only where it is news to the receiver.
     load: ServerLoad | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class ClaimAsk:
+class ClaimAsk(Struct, frozen=True, array_like=True):
     """What became of the request of yours that holds a key? One of mine waits for it."""
 
     # Ids of the two requests.
@@ -380,8 +349,7 @@
     address: str
 
 
-@dataclass(frozen=True, slots=True)
-class ClaimKept:
+class ClaimKept(Struct, frozen=True, array_like=True):
     """It ended so, and this was its answer."""
 
     waiter: str
@@ -391,21 +359,19 @@
     status: int | None
     # False where the answer was too large to keep.
     has_answer: bool
-    headers: list[list[str]] = field(default_factory=list)
+    headers: list[list[str]] = []
     # In Base64, as fields are text or numbers.
     body: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class ClaimOpen:
+class ClaimOpen(Struct, frozen=True, array_like=True):
     """It is in progress; the end will be sent unasked."""
 
     waiter: str
     holder: str
 
 
-@dataclass(frozen=True, slots=True)
-class ClaimUnheld:
+class ClaimUnheld(Struct, frozen=True, array_like=True):
     """Nothing is known here of that request."""
 
     waiter: str
@@ -414,8 +380,7 @@
     offset: int
 
 
-@dataclass(frozen=True, slots=True)
-class ClaimVoteAsk:
+class ClaimVoteAsk(Struct, frozen=True, array_like=True):
     """Agree that this request is the one that runs for the key; see `claim_vote`."""
 
     # The view under which it is asked.
@@ -428,8 +393,7 @@
     address: str
 
 
-@dataclass(frozen=True, slots=True)
-class ClaimVote:
+class ClaimVote(Struct, frozen=True, array_like=True):
     """I agree, or not."""
 
     epoch: int
@@ -447,8 +411,7 @@
     in_log: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class ClaimRelease:
+class ClaimRelease(Struct, frozen=True, array_like=True):
     """The request that you agreed to never ran and never will."""
 
     key: str
@@ -458,8 +421,7 @@
 # --- limits: shares of rate limits, leased by one home for each customer or team; see `limit` -----
 
 
-@dataclass(frozen=True, slots=True)
-class LimitDemand:
+class LimitDemand(Struct, frozen=True, array_like=True):
     """What an instance's callers ask for of one limited customer or team, a second."""
 
     key: str
@@ -470,15 +432,13 @@
     held_tokens: float
 
 
-@dataclass(frozen=True, slots=True)
-class LimitAsk:
+class LimitAsk(Struct, frozen=True, array_like=True):
     """Lease me shares of these limits; sent when demand changes, and now and then as a renewal."""
 
-    demands: list[LimitDemand] = field(default_factory=list)
+    demands: list[LimitDemand] = []
 
 
-@dataclass(frozen=True, slots=True)
-class LimitShare:
+class LimitShare(Struct, frozen=True, array_like=True):
     """A share of one limit, a second; negative where the quantity is not limited."""
 
     key: str
@@ -486,26 +446,23 @@
     tokens: float
 
 
-@dataclass(frozen=True, slots=True)
-class LimitGrant:
+class LimitGrant(Struct, frozen=True, array_like=True):
     """You may use these shares; each replaces the one before."""
 
-    shares: list[LimitShare] = field(default_factory=list)
+    shares: list[LimitShare] = []
 
 
 # --- quarantine: requests that were in flight at a server's crash; see `quarantine` ---------------
 
 
-@dataclass(frozen=True, slots=True, order=True)
-class Sighting:
+class Sighting(Struct, frozen=True, array_like=True, order=True):
     """A request that was in flight at a crash, and the instance that had sent it."""
 
     fingerprint: str
     instance: str
 
 
-@dataclass(frozen=True, slots=True)
-class CrashRecord:
+class CrashRecord(Struct, frozen=True, array_like=True):
     """What is known of one crash; two records of the same crash are merged."""
 
     server: str
@@ -514,38 +471,34 @@
     # Seconds since it was seen first.
     age_s: float
     # Requests that were in flight, and those of them that were sent only after the crash.
-    suspects: list[Sighting] = field(default_factory=list)
-    late: list[Sighting] = field(default_factory=list)
+    suspects: list[Sighting] = []
+    late: list[Sighting] = []
     # Fingerprints that have completed later, through whichever instance.
-    cleared: list[str] = field(default_factory=list)
+    cleared: list[str] = []
     # The server was seen alive in the same life: it was not a crash.
     retracted: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class CrashNews:
+class CrashNews(Struct, frozen=True, array_like=True):
     """Crashes that the receiver may not know of."""
 
-    crashes: list[CrashRecord] = field(default_factory=list)
+    crashes: list[CrashRecord] = []
 
 
-@dataclass(frozen=True, slots=True)
-class CrashesAsk:
+class CrashesAsk(Struct, frozen=True, array_like=True):
     """Send me all crashes that you know of, unless their hash is this one."""
 
     crashes_hash: int
 
 
-@dataclass(frozen=True, slots=True)
-class TrialAsk:
+class TrialAsk(Struct, frozen=True, array_like=True):
     """Let me run this suspect on this server while no other suspect runs there."""
 
     server: str
     fingerprint: str
 
 
-@dataclass(frozen=True, slots=True)
-class TrialAnswer:
+class TrialAnswer(Struct, frozen=True, array_like=True):
     """You may run it, or another suspect runs there."""
 
     server: str
@@ -553,8 +506,7 @@
     granted: bool
 
 
-@dataclass(frozen=True, slots=True)
-class TrialEnd:
+class TrialEnd(Struct, frozen=True, array_like=True):
     """The suspect no longer runs alone on this server."""
 
     server: str
@@ -563,8 +515,7 @@
     broken: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class ModelUse:
+class ModelUse(Struct, frozen=True, array_like=True):
     """What runs and waits for a model on one instance, averaged since it last told."""
 
     model: str
@@ -572,13 +523,12 @@
     waiting: int
 
 
-@dataclass(frozen=True, slots=True)
-class ModelDemand:
+class ModelDemand(Struct, frozen=True, array_like=True):
     """Use of the models of a service, for the instance that places them in a data centre."""
 
     service: str
     data_centre: str
-    uses: list[ModelUse] = field(default_factory=list)
+    uses: list[ModelUse] = []
 
 
 PeerMessage: TypeAlias = (
--- a/packages/turmericweir-core/turmericweir_core/store/registry.py
+++ b/packages/turmericweir-core/turmericweir_core/store/registry.py
@@ -11,9 +11,10 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
+from msgspec.structs import replace
+
 from turmericweir_core.base.config import ServerEntry
 from turmericweir_core.base.ids import InstanceName, ServerName
 from turmericweir_core.membership import membership, server_list, store_duty
--- a/packages/turmericweir-standins/turmericweir_standins/measure_limits.py
+++ b/packages/turmericweir-standins/turmericweir_standins/measure_limits.py
@@ -12,12 +12,12 @@
 import heapq
 import itertools
 from collections.abc import Callable
-from dataclasses import asdict, dataclass, field
+from dataclasses import dataclass, field
 from random import Random
 from typing import Final
 
 import click
-import msgpack
+import msgspec
 
 from turmericweir_core.base.account import Outcome
 from turmericweir_core.base.config import Config, Customer, Kind, Limit, ServiceClass
@@ -257,7 +257,7 @@
 
 def _size(name: InstanceName, effect: SendDatagram) -> int:
     message = effect.message
-    packed = msgpack.packb([name, type(message).__name__, asdict(message)])
+    packed = msgspec.msgpack.encode((name, type(message).__name__, message))
     return len(packed) + HEADER_BYTES
 
 
--- a/packages/turmericweir/turmericweir/operations/dump.py
+++ b/packages/turmericweir/turmericweir/operations/dump.py
@@ -15,6 +15,8 @@
 from random import Random
 from typing import Any, Final
 
+import msgspec
+
 # Digests of tokens: a short or reused token could be found from them.
 _SECRET: Final = frozenset(
     {"token_digests", "token_digest", "customers_by_token", "token_sha256", "admin_tokens"}
@@ -49,6 +51,8 @@
     validated = getattr(type(value), "model_fields", None)
     if validated is not None:
         return _dump_named({name: getattr(value, name) for name in validated}, depth)
+    if isinstance(value, msgspec.Struct):
+        return _dump_named({name: getattr(value, name) for name in value.__struct_fields__}, depth)
     if is_dataclass(value):
         return _dump_named({each.name: getattr(value, each.name) for each in fields(value)}, depth)
     if isinstance(value, Mapping):
--- a/tests/core/membership/test_membership.py
+++ b/tests/core/membership/test_membership.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 import pytest
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from tests.core.member_network import Network
 from turmericweir_core.base.config import Config, Kind, ServerEntry, Service
