--- a/packages/turmericweir-core/turmericweir_core/base/account.py
+++ b/packages/turmericweir-core/turmericweir_core/base/account.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import StrEnum
 
+from msgspec import Struct
+
 from turmericweir_core.base.reasons import Reason
 
 
@@ -25,8 +26,7 @@
     UNKNOWN = "unknown"
 
 
-@dataclass(frozen=True, slots=True)
-class Account:
+class Account(Struct, frozen=True):
     """The final account of one request, kept for a while for later questions."""
 
     request_id: str
--- a/packages/turmericweir-core/turmericweir_core/base/config.py
+++ b/packages/turmericweir-core/turmericweir_core/base/config.py
@@ -6,10 +6,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from enum import StrEnum
 
-from msgspec import Struct
+from msgspec import Struct, field
 
 from turmericweir_core.base.ids import ServerName, Target
 from turmericweir_core.base.routes import RouteTable
@@ -35,8 +34,7 @@
     PREDICTED = "predicted"
 
 
-@dataclass(frozen=True, slots=True)
-class ServiceClass:
+class ServiceClass(Struct, frozen=True):
     """One service class: how urgent its requests are and what they were promised."""
 
     name: str
@@ -54,8 +52,7 @@
     rank: int | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class Limit:
+class Limit(Struct, frozen=True):
     """A rate limit; None is no limit."""
 
     requests_s: float | None = None
@@ -65,8 +62,7 @@
 NO_LIMIT = Limit()
 
 
-@dataclass(frozen=True, slots=True)
-class Customer:
+class Customer(Struct, frozen=True):
     """A customer, its credentials and the classes that its requests may use."""
 
     name: str
@@ -81,8 +77,7 @@
     priority: int | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class CallRule:
+class CallRule(Struct, frozen=True):
     """Says whether calls of a plain service that match may be repeated, and their class."""
 
     method: str = "*"
@@ -92,8 +87,7 @@
     service_class: str | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class Service:
+class Service(Struct, frozen=True):
     """A group of backend servers that serve the same thing."""
 
     name: str
@@ -134,8 +128,7 @@
     slots: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class RequestLimits:
+class RequestLimits(Struct, frozen=True):
     """What callers may send, and for how long they may be slow or idle."""
 
     header_bytes: int = 32_768
@@ -144,8 +137,7 @@
     idle_s: float = 75.0
 
 
-@dataclass(frozen=True, slots=True)
-class ModelWant:
+class ModelWant(Struct, frozen=True):
     """How many servers of a service should hold a model."""
 
     model: str
@@ -154,8 +146,7 @@
     max_servers: int = 1_000_000
 
 
-@dataclass(frozen=True, slots=True)
-class Operator:
+class Operator(Struct, frozen=True):
     """Somebody who may change settings below some paths."""
 
     name: str
@@ -163,8 +154,7 @@
     paths: tuple[str, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class Config:
+class Config(Struct, frozen=True):
     """Everything that operators have set, at one offset of the settings log."""
 
     # Offset of the first settings record that is not in this state.
--- a/packages/turmericweir-core/turmericweir_core/base/model_label.py
+++ b/packages/turmericweir-core/turmericweir_core/base/model_label.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import Final
 
+from msgspec import Struct
+
 # What a label without a version counts as: the version of a want that names none.
 FIRST_VERSION: Final = "1"
 
 
-@dataclass(frozen=True, slots=True, order=True)
-class ModelLabel:
+class ModelLabel(Struct, frozen=True, order=True):
     """One loaded thing, with its parts as the engine wrote them."""
 
     model: str
--- a/packages/turmericweir-core/turmericweir_core/base/options.py
+++ b/packages/turmericweir-core/turmericweir_core/base/options.py
@@ -5,13 +5,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 from turmericweir_core.base.store_times import StoreTimes
 
 
-@dataclass(frozen=True, slots=True)
-class Options:
+class Options(Struct, frozen=True):
     """Tunable constants of the decisions. Times are seconds unless a name says otherwise."""
 
     # --- the loop ---
--- a/packages/turmericweir-core/turmericweir_core/base/request.py
+++ b/packages/turmericweir-core/turmericweir_core/base/request.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from enum import StrEnum
 
+from msgspec import Struct, field
+
 from turmericweir_core.base.config import Kind, ServiceClass
 from turmericweir_core.base.ids import AttemptId, RequestId, ServerName, Target
 
@@ -40,8 +41,7 @@
     DONE = "done"
 
 
-@dataclass(slots=True)
-class Attempt:
+class Attempt(Struct):
     """One try of a request on one server."""
 
     attempt_id: AttemptId
@@ -77,8 +77,7 @@
     sampled_tokens: int = 0
 
 
-@dataclass(slots=True)
-class Request:
+class Request(Struct):
     """A request that this instance took from a caller."""
 
     request_id: RequestId
--- a/packages/turmericweir-core/turmericweir_core/base/routes.py
+++ b/packages/turmericweir-core/turmericweir_core/base/routes.py
@@ -8,22 +8,21 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
 from random import Random
 
+from msgspec import Struct, field
+
 from turmericweir_core.base.ids import Target
 
 
-@dataclass(frozen=True, slots=True)
-class WeightedTarget:
+class WeightedTarget(Struct, frozen=True):
     """A service and its share of a route's requests."""
 
     target: Target
     weight: int
 
 
-@dataclass(frozen=True, slots=True)
-class Route:
+class Route(Struct, frozen=True):
     """One route."""
 
     name: str
@@ -49,8 +48,7 @@
     public: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class RouteTable:
+class RouteTable(Struct, frozen=True):
     """All routes of one version of the settings."""
 
     # By host and path prefix.
--- a/packages/turmericweir-core/turmericweir_core/base/store_times.py
+++ b/packages/turmericweir-core/turmericweir_core/base/store_times.py
@@ -7,9 +7,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import Final
 
+from msgspec import Struct
+
 # Parts of a bound: between two reads, and what lies between the first and the last instance that
 # reads for itself because nobody told it. Together with the time to hear of a read they stay below
 # the whole, so a change is in force in time even if whoever reads for all dies just after it.
@@ -27,8 +28,7 @@
 _DENY_MIN_S: Final = 2.5
 
 
-@dataclass(frozen=True, slots=True)
-class StoreTimes:
+class StoreTimes(Struct, frozen=True):
     """Times of reading the store, seconds."""
 
     # Between two reads of the settings by a reader; a read proves that they are the newest.
--- a/packages/turmericweir-core/turmericweir_core/base/tiers.py
+++ b/packages/turmericweir-core/turmericweir_core/base/tiers.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import replace
+
+from msgspec.structs import replace
 
 from turmericweir_core.base.config import Config, ServiceClass
 
--- a/packages/turmericweir-core/turmericweir_core/credits/credit_allocation.py
+++ b/packages/turmericweir-core/turmericweir_core/credits/credit_allocation.py
@@ -9,13 +9,13 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from turmericweir_core.base.ids import InstanceName
 
 
-@dataclass(frozen=True, slots=True)
-class Want:
+class Want(Struct, frozen=True):
     """What one instance could use at one tier."""
 
     instance: InstanceName
@@ -29,8 +29,7 @@
         return self.running + self.waiting
 
 
-@dataclass(slots=True)
-class Share:
+class Share(Struct):
     """What one instance is to have."""
 
     slots: dict[int, int] = field(default_factory=dict)
@@ -46,8 +45,7 @@
             self.slots[tier] = self.slots.get(tier, 0) + slots
 
 
-@dataclass(frozen=True, slots=True)
-class Capacity:
+class Capacity(Struct, frozen=True):
     """What there is to divide."""
 
     slots: int
--- a/packages/turmericweir-core/turmericweir_core/credits/credit_dispatcher.py
+++ b/packages/turmericweir-core/turmericweir_core/credits/credit_dispatcher.py
@@ -10,11 +10,12 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from dataclasses import dataclass
 from math import ceil
 from statistics import median_low
 from typing import TYPE_CHECKING
 
+from msgspec import Struct
+
 from turmericweir_core.base.config import Kind
 from turmericweir_core.base.ids import InstanceName, ServerName
 from turmericweir_core.base.tiers import lowest_tier, most_urgent
@@ -57,8 +58,7 @@
     from turmericweir_core.state.state import State
 
 
-@dataclass(frozen=True, slots=True)
-class Outgoing:
+class Outgoing(Struct, frozen=True):
     """A grant and whom it is for."""
 
     instance: InstanceName
--- a/packages/turmericweir-core/turmericweir_core/credits/credit_settlement.py
+++ b/packages/turmericweir-core/turmericweir_core/credits/credit_settlement.py
@@ -8,9 +8,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from math import exp
 
+from msgspec import Struct
+
 from turmericweir_core.base.ids import InstanceName
 from turmericweir_core.base.options import Options
 from turmericweir_core.credits.credit_allocation import Capacity, Share, Want, allocate
@@ -168,8 +169,7 @@
     return ledger.holdings[name].total() - shares[name].total()
 
 
-@dataclass(slots=True)
-class _Free:
+class _Free(Struct):
     """What a settlement has left to give."""
 
     # Slots that nobody may be using, with or without a grant.
--- a/packages/turmericweir-core/turmericweir_core/engines/engine_model.py
+++ b/packages/turmericweir-core/turmericweir_core/engines/engine_model.py
@@ -17,9 +17,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
+from msgspec import Struct
+
 from turmericweir_core.base.ids import ServerName, Target
 from turmericweir_core.base.options import Options
 from turmericweir_core.base.request import Attempt, Request
@@ -102,8 +103,7 @@
     return tokens
 
 
-@dataclass(frozen=True, slots=True)
-class Fetch:
+class Fetch(Struct, frozen=True):
     """Parts of a prompt that an engine can have from another one in place of reading them."""
 
     address: str
--- a/packages/turmericweir-core/turmericweir_core/engines/engine_pools.py
+++ b/packages/turmericweir-core/turmericweir_core/engines/engine_pools.py
@@ -24,10 +24,11 @@
 
 import enum
 from collections import defaultdict
-from dataclasses import dataclass
 from math import ceil, exp
 from typing import TYPE_CHECKING, Final
 
+from msgspec import Struct
+
 from turmericweir_core.base.config import Service, ServiceClass
 from turmericweir_core.base.ids import InstanceName, Target
 from turmericweir_core.base.request import Request
@@ -185,8 +186,7 @@
     return [each for each in engines if each.entry.name not in own]
 
 
-@dataclass(frozen=True, slots=True)
-class _Pools:
+class _Pools(Struct, frozen=True):
     """The engines of a service by what they are for."""
 
     reading: list[Server]
@@ -274,8 +274,7 @@
     return max(least, min(split.quick, engines - for_middle))
 
 
-@dataclass(frozen=True, slots=True)
-class _Plan:
+class _Plan(Struct, frozen=True):
     """Numbers of reading engines."""
 
     # What the demand asks for.
--- a/packages/turmericweir-core/turmericweir_core/leases/model_placement.py
+++ b/packages/turmericweir-core/turmericweir_core/leases/model_placement.py
@@ -13,9 +13,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import dataclass
 from math import exp
 
+from msgspec import Struct
+
 from turmericweir_core.base.ids import ServerName
 from turmericweir_core.base.model_label import ModelLabel
 from turmericweir_core.base.options import Options
@@ -23,8 +24,7 @@
 from turmericweir_core.state.model_state import ModelTarget, Usage
 
 
-@dataclass(frozen=True, slots=True)
-class Holding:
+class Holding(Struct, frozen=True):
     """What a server of the scope has."""
 
     server: ServerName
@@ -48,8 +48,7 @@
         return self.loaded + self.loading
 
 
-@dataclass(frozen=True, slots=True)
-class Bounds:
+class Bounds(Struct, frozen=True):
     """How many servers of a scope may have a model."""
 
     least: int
@@ -83,8 +82,7 @@
     target.demand_at = now
 
 
-@dataclass(frozen=True, slots=True)
-class CountInput:
+class CountInput(Struct, frozen=True):
     """What a count is chosen by."""
 
     bounds: Bounds
--- a/packages/turmericweir-core/turmericweir_core/leases/order_steps.py
+++ b/packages/turmericweir-core/turmericweir_core/leases/order_steps.py
@@ -13,7 +13,8 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from turmericweir_core.base.ids import ServerName
 from turmericweir_core.base.model_label import ModelLabel
@@ -22,8 +23,7 @@
 from turmericweir_core.state.model_state import Order, OrderKind
 
 
-@dataclass(frozen=True, slots=True)
-class WantedModel:
+class WantedModel(Struct, frozen=True):
     """Where a model should be, in which version."""
 
     model: str
--- a/packages/turmericweir-core/turmericweir_core/limits/limit.py
+++ b/packages/turmericweir-core/turmericweir_core/limits/limit.py
@@ -16,10 +16,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from math import sqrt
 from typing import TYPE_CHECKING, TypeVar
 
+from msgspec import Struct
+
 from turmericweir_core.base.account import Outcome
 from turmericweir_core.base.config import NO_LIMIT, Kind, Limit
 from turmericweir_core.base.ids import InstanceName
@@ -50,8 +51,7 @@
 ItemT = TypeVar("ItemT")
 
 
-@dataclass(frozen=True, slots=True)
-class LimitRefusal:
+class LimitRefusal(Struct, frozen=True):
     """Why a request is over a limit, and when the bucket admits again."""
 
     reason: Reason
--- a/packages/turmericweir-core/turmericweir_core/limits/limit_home.py
+++ b/packages/turmericweir-core/turmericweir_core/limits/limit_home.py
@@ -14,10 +14,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from math import sqrt
 from typing import TYPE_CHECKING, Final
 
+from msgspec import Struct
+
 from turmericweir_core.base.config import NO_LIMIT, Limit
 from turmericweir_core.base.ids import InstanceName
 from turmericweir_core.messages.peer_messages import LimitDemand, LimitShare
@@ -39,8 +40,7 @@
 _IDLE_SHARE: Final = 0.05
 
 
-@dataclass(frozen=True, slots=True)
-class Division:
+class Division(Struct, frozen=True):
     """How one quantity of a limit would be divided at the moment, had everybody just asked."""
 
     # What there is to hand out.
--- a/packages/turmericweir-core/turmericweir_core/placement/admission.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/admission.py
@@ -12,9 +12,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
+from msgspec import Struct, field
+
 from turmericweir_core.base.config import Policy
 from turmericweir_core.base.request import Request
 from turmericweir_core.engines import engine_pools
@@ -31,8 +32,7 @@
 MIN_RATE: Final = 1e-9
 
 
-@dataclass(frozen=True, slots=True)
-class Admitted:
+class Admitted(Struct, frozen=True):
     """The request may wait; others may have to make way for it."""
 
     # A running request whose attempt is to be displaced.
@@ -41,8 +41,7 @@
     drop: Request | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class Refused:
+class Refused(Struct, frozen=True):
     """The request ends `not_run` now."""
 
     retry_after_s: float
@@ -140,8 +139,7 @@
     return upper + own
 
 
-@dataclass(frozen=True, slots=True)
-class InVain:
+class InVain(Struct, frozen=True):
     """A late request that would only wait until its deadline."""
 
     request: Request
--- a/packages/turmericweir-core/turmericweir_core/placement/predicted_placement.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/predicted_placement.py
@@ -16,9 +16,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
+from msgspec import Struct
+
 from turmericweir_core.base.config import Kind
 from turmericweir_core.base.request import Request
 from turmericweir_core.base.tiers import rank_of
@@ -68,8 +69,7 @@
 # --- engines ---------------------------------------------------------------------------------
 
 
-@dataclass(frozen=True, slots=True)
-class _Choice:
+class _Choice(Struct, frozen=True):
     """What sending a request to an engine would mean."""
 
     server: Server
--- a/packages/turmericweir-core/turmericweir_core/records/claim_answer.py
+++ b/packages/turmericweir-core/turmericweir_core/records/claim_answer.py
@@ -8,14 +8,14 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from turmericweir_core.base.options import Options
 from turmericweir_core.records.claim_record import ClaimEnd
 
 
-@dataclass(frozen=True, slots=True)
-class KeptAnswer:
+class KeptAnswer(Struct, frozen=True):
     """A plain service's whole answer, small enough to keep."""
 
     status: int
@@ -23,16 +23,14 @@
     body: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class KeptEnd:
+class KeptEnd(Struct, frozen=True):
     """How a call ended here, with its answer where that was kept."""
 
     end: ClaimEnd
     answer: KeptAnswer | None
 
 
-@dataclass(slots=True)
-class AnswerStore:
+class AnswerStore(Struct):
     """The newest ends of calls that this instance ran for a key, by request id, oldest first."""
 
     entries: OrderedDict[str, KeptEnd] = field(default_factory=OrderedDict)
--- a/packages/turmericweir-core/turmericweir_core/records/claim_record.py
+++ b/packages/turmericweir-core/turmericweir_core/records/claim_record.py
@@ -8,10 +8,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from hashlib import sha256
 from typing import Any, Final
 
+from msgspec import Struct
+
 from turmericweir_core.base.account import Outcome
 from turmericweir_core.base.reasons import Reason
 from turmericweir_core.base.request import Request
@@ -29,8 +30,7 @@
 UNKNOWN_VIEW: Final = -2
 
 
-@dataclass(frozen=True, slots=True)
-class Writer:
+class Writer(Struct, frozen=True):
     """The process that wrote a record; a restart makes another one of the same name."""
 
     instance: str
@@ -39,8 +39,7 @@
     address: str
 
 
-@dataclass(frozen=True, slots=True)
-class NewClaim:
+class NewClaim(Struct, frozen=True):
     """A request that wants to be the one that runs for its key."""
 
     key: str
@@ -48,16 +47,14 @@
     request_id: str
 
 
-@dataclass(frozen=True, slots=True)
-class Withdrawal:
+class Withdrawal(Struct, frozen=True):
     """A claimed request that never ran and never will; the key is free again."""
 
     key: str
     request_id: str
 
 
-@dataclass(frozen=True, slots=True)
-class ClaimEnd:
+class ClaimEnd(Struct, frozen=True):
     """What became of the request that ran for a key."""
 
     outcome: Outcome
@@ -66,8 +63,7 @@
     status: int | None
 
 
-@dataclass(frozen=True, slots=True)
-class EndRecord:
+class EndRecord(Struct, frozen=True):
     """The end of a claimed request."""
 
     key: str
@@ -75,8 +71,7 @@
     end: ClaimEnd
 
 
-@dataclass(frozen=True, slots=True)
-class CarriedClaim:
+class CarriedClaim(Struct, frozen=True):
     """A claim written again, because the record that held it is about to leave the log."""
 
     claim: NewClaim
@@ -89,8 +84,7 @@
     end: ClaimEnd | None
 
 
-@dataclass(frozen=True, slots=True)
-class AgreedClaim:
+class AgreedClaim(Struct, frozen=True):
     """A claim that the writer agreed to, and that may have been carried out outside of the log."""
 
     claim: NewClaim
@@ -98,8 +92,7 @@
     at_ms: int
 
 
-@dataclass(frozen=True, slots=True)
-class ViewChange:
+class ViewChange(Struct, frozen=True):
     """Other members from here on; see `claim_view`."""
 
     # Epoch of the view that it replaces, if that is still the newest.
@@ -111,8 +104,7 @@
     replaces: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class Batch:
+class Batch(Struct, frozen=True):
     """One record of the stream."""
 
     writer: Writer
--- a/packages/turmericweir-core/turmericweir_core/records/lease_record.py
+++ b/packages/turmericweir-core/turmericweir_core/records/lease_record.py
@@ -8,10 +8,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import StrEnum
 from typing import Any, Final
 
+from msgspec import Struct
+
 from turmericweir_core.records.record_field import text_field, whole_field
 
 LEASES_STREAM: Final = "leases"
@@ -19,8 +20,7 @@
 NO_OFFSET: Final = -1
 
 
-@dataclass(frozen=True, slots=True, order=True)
-class Scope:
+class Scope(Struct, frozen=True, order=True):
     """What one lease is for: the servers of a service in a data centre."""
 
     service: str
@@ -41,8 +41,7 @@
     RELEASE = "release"
 
 
-@dataclass(frozen=True, slots=True)
-class LeaseRecord:
+class LeaseRecord(Struct, frozen=True):
     """One record of the stream."""
 
     act: Act
--- a/packages/turmericweir-core/turmericweir_core/records/settings_model.py
+++ b/packages/turmericweir-core/turmericweir_core/records/settings_model.py
@@ -12,9 +12,10 @@
 
 import ipaddress
 from collections.abc import Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import Annotated, Any, Final, Literal, Self, TypeAlias, assert_never
 
+from msgspec.structs import replace
 from pydantic import (
     AfterValidator,
     BaseModel,
--- a/packages/turmericweir-core/turmericweir_core/state/account_store.py
+++ b/packages/turmericweir-core/turmericweir_core/state/account_store.py
@@ -6,14 +6,14 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from turmericweir_core.base.account import Account
 from turmericweir_core.base.options import Options
 
 
-@dataclass(slots=True)
-class AccountStore:
+class AccountStore(Struct):
     """The newest accounts, oldest first."""
 
     entries: OrderedDict[str, tuple[float, Account]] = field(default_factory=OrderedDict)
--- a/packages/turmericweir-core/turmericweir_core/state/claim_clock.py
+++ b/packages/turmericweir-core/turmericweir_core/state/claim_clock.py
@@ -9,15 +9,15 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import Final
 
+from msgspec import Struct, field
+
 # How many instances' clocks decide.
 LEADERS: Final = 2
 
 
-@dataclass(slots=True)
-class StreamClock:
+class StreamClock(Struct):
     """The two latest clocks seen, by instance, and the time that follows from them."""
 
     leaders: dict[str, int] = field(default_factory=dict)
--- a/packages/turmericweir-core/turmericweir_core/state/claim_ledger.py
+++ b/packages/turmericweir-core/turmericweir_core/state/claim_ledger.py
@@ -27,10 +27,11 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import dataclass, field
 from itertools import islice
 from typing import Any, Final
 
+from msgspec import Struct, field
+
 from turmericweir_core.base.options import Options
 from turmericweir_core.records.claim_record import (
     NO_FLOOR,
@@ -59,8 +60,7 @@
 NO_RECORD: Final = -1
 
 
-@dataclass(slots=True)
-class Claim:
+class Claim(Struct):
     """Who holds a key."""
 
     claim: NewClaim
@@ -78,8 +78,7 @@
     end: ClaimEnd | None = None
 
 
-@dataclass(slots=True)
-class Ledger:
+class Ledger(Struct):
     """Everything that the records read so far say."""
 
     # Offset of the next record to fold.
@@ -105,8 +104,7 @@
     void: int = 0
 
 
-@dataclass(slots=True)
-class Folded:
+class Folded(Struct):
     """What folding one record did."""
 
     # None where the record was malformed.
--- a/packages/turmericweir-core/turmericweir_core/state/claim_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/claim_state.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 from turmericweir_core.base.ids import InstanceName, RequestId
 from turmericweir_core.records.claim_answer import AnswerStore
@@ -21,8 +21,7 @@
 from turmericweir_core.state.claim_ledger import Ledger
 
 
-@dataclass(slots=True)
-class Outbox:
+class Outbox(Struct):
     """What is to be said in the log, until it has been read back from there."""
 
     claims: dict[RequestId, NewClaim] = field(default_factory=dict)
@@ -59,8 +58,7 @@
     clock_ms: int = 0
 
 
-@dataclass(slots=True)
-class Wait:
+class Wait(Struct):
     """A request that waits for its key."""
 
     request_id: RequestId
@@ -87,16 +85,14 @@
     yielded: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class Vote:
+class Vote(Struct, frozen=True):
     """A claim that this instance has agreed to, its own or another's."""
 
     claim: NewClaim
     holder: Writer
 
 
-@dataclass(frozen=True, slots=True)
-class Asker:
+class Asker(Struct, frozen=True):
     """Another instance, a request of which waits for the end of one that runs here."""
 
     peer: InstanceName
@@ -104,8 +100,7 @@
     waiter: str
 
 
-@dataclass(slots=True)
-class ClaimState:
+class ClaimState(Struct):
     """Everything about idempotency keys at this instance."""
 
     ledger: Ledger = field(default_factory=Ledger)
--- a/packages/turmericweir-core/turmericweir_core/state/claim_view.py
+++ b/packages/turmericweir-core/turmericweir_core/state/claim_view.py
@@ -14,14 +14,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import Final
 
+from msgspec import Struct, field
+
 from turmericweir_core.records.claim_record import NO_VIEW, UNKNOWN_VIEW, Batch, Writer
 
 
-@dataclass(frozen=True, slots=True)
-class View:
+class View(Struct, frozen=True):
     """The instances that may claim, from one offset on."""
 
     epoch: int
@@ -31,8 +31,7 @@
 FIRST_VIEW: Final = View(NO_VIEW, ())
 
 
-@dataclass(slots=True)
-class ViewLedger:
+class ViewLedger(Struct):
     """What the records say of views."""
 
     # None while this reader can't know it.
--- a/packages/turmericweir-core/turmericweir_core/state/concurrency.py
+++ b/packages/turmericweir-core/turmericweir_core/state/concurrency.py
@@ -15,15 +15,15 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from math import sqrt
 
+from msgspec import Struct, field
+
 from turmericweir_core.base.ids import ServerName
 from turmericweir_core.base.options import Options
 
 
-@dataclass(slots=True)
-class ServerLimit:
+class ServerLimit(Struct):
     """The adaptive limit of one server."""
 
     # Share of the slots that is used.
@@ -38,8 +38,7 @@
     adjust_due: float = 0.0
 
 
-@dataclass(slots=True)
-class LimitState:
+class LimitState(Struct):
     """The adaptive limits, by server."""
 
     by_server: dict[ServerName, ServerLimit] = field(default_factory=dict)
--- a/packages/turmericweir-core/turmericweir_core/state/credit_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/credit_state.py
@@ -5,17 +5,17 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import Final
 
+from msgspec import Struct, field
+
 from turmericweir_core.base.ids import InstanceName, ServerName
 from turmericweir_core.messages.peer_messages import TierDemand
 
 NEVER: Final = float("-inf")
 
 
-@dataclass(slots=True)
-class HeldCredit:
+class HeldCredit(Struct):
     """The credit that this instance holds at one server."""
 
     # Whom the demands go to; a change of it is a change of dispatcher.
@@ -51,8 +51,7 @@
     used_at: float = NEVER
 
 
-@dataclass(slots=True)
-class Holding:
+class Holding(Struct):
     """What the dispatcher of a server knows of one instance that uses it."""
 
     seq: int
@@ -108,8 +107,7 @@
         return self.unconfirmed if self.confirmed < self.number else 0
 
 
-@dataclass(slots=True)
-class Ledger:
+class Ledger(Struct):
     """Credit for one server, given out by this instance as its dispatcher."""
 
     holdings: dict[InstanceName, Holding] = field(default_factory=dict)
@@ -130,8 +128,7 @@
     unsettled: bool = False
 
 
-@dataclass(slots=True)
-class CreditState:
+class CreditState(Struct):
     """Both sides of the credit policy."""
 
     held: dict[ServerName, HeldCredit] = field(default_factory=dict)
--- a/packages/turmericweir-core/turmericweir_core/state/dead_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/dead_state.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 from turmericweir_core.base.ids import ServerName
 
 
-@dataclass(slots=True)
-class Suspicion:
+class Suspicion(Struct):
     """Tries of a server on which attempts are silent."""
 
     # Not tried again before.
@@ -16,8 +15,7 @@
     failures: int = 0
 
 
-@dataclass(slots=True)
-class DeadState:
+class DeadState(Struct):
     """The servers that are being tried."""
 
     by_server: dict[ServerName, Suspicion] = field(default_factory=dict)
--- a/packages/turmericweir-core/turmericweir_core/state/document_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/document_state.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import Final
 
+from msgspec import Struct, field
+
 _NEVER: Final = float("-inf")
 
 
-@dataclass(slots=True)
-class DocumentState:
+class DocumentState(Struct):
     """The newest document, and what proves that it still is."""
 
     # 0 before there is any.
--- a/packages/turmericweir-core/turmericweir_core/state/engine_speed.py
+++ b/packages/turmericweir-core/turmericweir_core/state/engine_speed.py
@@ -12,9 +12,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import Final
 
+from msgspec import Struct
+
 from turmericweir_core.base.options import Options
 
 # What each newer request leaves of the weight of the older ones: some thirty count.
@@ -32,8 +33,7 @@
 _BEYOND: Final = 3.0
 
 
-@dataclass(slots=True)
-class EngineSpeed:
+class EngineSpeed(Struct):
     """The line through what was seen of one service."""
 
     # Time to the first event of an answer whose prompt needs no reading, milliseconds.
--- a/packages/turmericweir-core/turmericweir_core/state/engine_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/engine_state.py
@@ -3,15 +3,15 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from turmericweir_core.base.ids import AttemptId, InstanceName, ServerName, Target
 from turmericweir_core.messages.peer_messages import SentPart
 from turmericweir_core.state.engine_speed import EngineSpeed
 
 
-@dataclass(frozen=True, slots=True)
-class Pending:
+class Pending(Struct, frozen=True):
     """A prompt that waits at an engine or is being read there."""
 
     work_ms: float
@@ -20,8 +20,7 @@
     sent_at: float
 
 
-@dataclass(slots=True)
-class Prefill:
+class Prefill(Struct):
     """A prompt of this instance that an engine has not begun to answer."""
 
     work_ms: float
@@ -35,15 +34,13 @@
     common_ms: float | None
 
 
-@dataclass(slots=True)
-class Heard:
+class Heard(Struct):
     """When something was last heard from an instance; all that it told still held then."""
 
     at: float
 
 
-@dataclass(slots=True)
-class PeerLoad:
+class PeerLoad(Struct):
     """What one other instance, or all that tell one teller, have on a server."""
 
     heard: Heard
@@ -52,8 +49,7 @@
     tokens: int = 0
 
 
-@dataclass(slots=True)
-class EngineBook:
+class EngineBook(Struct):
     """What is known of one server; plain servers only have their running requests."""
 
     # Own prompts without a first token, and the tokens of own requests that run.
@@ -71,8 +67,7 @@
     reading_since: float = 0.0
 
 
-@dataclass(slots=True)
-class EngineModels:
+class EngineModels(Struct):
     """The books of all servers."""
 
     by_server: dict[ServerName, EngineBook] = field(default_factory=dict)
--- a/packages/turmericweir-core/turmericweir_core/state/handover_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/handover_state.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 
-@dataclass(slots=True)
-class HandoverState:
+class HandoverState(Struct):
     """Whether this instance still wants to be told."""
 
     started_at: float | None = None
--- a/packages/turmericweir-core/turmericweir_core/state/late_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/late_state.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 from turmericweir_core.base.ids import InstanceName, Target
 
 
-@dataclass(slots=True)
-class LateRanks:
+class LateRanks(Struct):
     """What the peers told of late requests: when, and of which rank."""
 
     peers: dict[Target, dict[InstanceName, tuple[float, int]]] = field(default_factory=dict)
--- a/packages/turmericweir-core/turmericweir_core/state/lease_ledger.py
+++ b/packages/turmericweir-core/turmericweir_core/state/lease_ledger.py
@@ -13,13 +13,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 from turmericweir_core.records.lease_record import NO_OFFSET, Act, LeaseRecord, Scope, decode
 
 
-@dataclass(slots=True)
-class Lease:
+class Lease(Struct):
     """The newest lease of a scope, as far as this reader knows."""
 
     fence: int
@@ -33,8 +32,7 @@
     sure: bool = True
 
 
-@dataclass(slots=True)
-class Ledger:
+class Ledger(Struct):
     """The leases of all scopes, up to an offset."""
 
     # The offset at which this reader began, and when it had read that; None before that.
@@ -49,8 +47,7 @@
     last: dict[Scope, int] = field(default_factory=dict)
 
 
-@dataclass(frozen=True, slots=True)
-class Folded:
+class Folded(Struct, frozen=True):
     """What one record came to."""
 
     # None for a malformed one.
--- a/packages/turmericweir-core/turmericweir_core/state/lease_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/lease_state.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 from turmericweir_core.records.lease_record import LeaseRecord, Scope
 from turmericweir_core.state.lease_ledger import Ledger
 
 
-@dataclass(frozen=True, slots=True)
-class Held:
+class Held(Struct, frozen=True):
     """A lease that this instance holds until a time of its own clock."""
 
     fence: int
@@ -21,8 +20,7 @@
     taken_over: bool
 
 
-@dataclass(frozen=True, slots=True)
-class SentBatch:
+class SentBatch(Struct, frozen=True):
     """An append that is on its way."""
 
     token: str
@@ -30,8 +28,7 @@
     records: tuple[LeaseRecord, ...]
 
 
-@dataclass(slots=True)
-class LeaseState:
+class LeaseState(Struct):
     """The leases of this instance, and what it has read of others'."""
 
     ledger: Ledger = field(default_factory=Ledger)
--- a/packages/turmericweir-core/turmericweir_core/state/leaving_marks.py
+++ b/packages/turmericweir-core/turmericweir_core/state/leaving_marks.py
@@ -11,16 +11,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
-
 import xxhash
+from msgspec import Struct, field
 
 from turmericweir_core.base.ids import ServerName
 from turmericweir_core.base.options import Options
 
 
-@dataclass(slots=True)
-class LeavingMark:
+class LeavingMark(Struct):
     """One server of one incarnation gets no new work."""
 
     server: ServerName
@@ -33,8 +31,7 @@
     seen_at: float
 
 
-@dataclass(slots=True)
-class LeavingMarks:
+class LeavingMarks(Struct):
     """All marks, by server and incarnation."""
 
     by_key: dict[tuple[ServerName, str], LeavingMark] = field(default_factory=dict)
--- a/packages/turmericweir-core/turmericweir_core/state/limit_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/limit_state.py
@@ -7,10 +7,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from math import exp, inf, sqrt
 from typing import Final, NewType
 
+from msgspec import Struct, field
+
 from turmericweir_core.base.ids import InstanceName, RequestId
 
 # Names a customer or team on the wire and in both tables.
@@ -42,8 +43,7 @@
     return key[len(_TEAM) :]
 
 
-@dataclass(slots=True)
-class Bucket:
+class Bucket(Struct):
     """A token bucket that admits while it is not empty and may go into debt by one request.
 
     With debt, a request that costs more than the bucket holds is not refused for ever, and a share
@@ -75,8 +75,7 @@
         return inf if self.rate <= 0 else -self.level / self.rate
 
 
-@dataclass(slots=True)
-class Demand:
+class Demand(Struct):
     """What callers ask for, whether it is admitted or not: two averages of different memory.
 
     The slow one is steady but late. The fast one notices a burst or its end, and counts only as far
@@ -112,8 +111,7 @@
         return max(least, min(self.slow, most))
 
 
-@dataclass(slots=True)
-class Quantity:
+class Quantity(Struct):
     """One limited quantity of a subject at this instance: requests or tokens."""
 
     bucket: Bucket
@@ -122,8 +120,7 @@
     told: float = 0.0
 
 
-@dataclass(slots=True)
-class Holding:
+class Holding(Struct):
     """This instance's share of one subject's limit."""
 
     # None where the quantity is not limited.
@@ -146,16 +143,14 @@
         return [each for each in (self.requests, self.tokens) if each is not None]
 
 
-@dataclass(slots=True)
-class Claim:
+class Claim(Struct):
     """What one instance asks for of one quantity, and what it was granted last."""
 
     demand: float = 0.0
     granted: float = 0.0
 
 
-@dataclass(slots=True)
-class Asker:
+class Asker(Struct):
     """What the home knows of one instance that holds a share."""
 
     heard_at: float = NEVER
@@ -163,8 +158,7 @@
     tokens: Claim = field(default_factory=Claim)
 
 
-@dataclass(slots=True)
-class HomeSubject:
+class HomeSubject(Struct):
     """What the home of a subject knows."""
 
     # When this instance first acted as its home.
@@ -176,16 +170,14 @@
     changed: bool = False
 
 
-@dataclass(slots=True)
-class Charge:
+class Charge(Struct):
     """What one request took from its subjects, settled at its end."""
 
     keys: tuple[SubjectKey, ...]
     tokens: float
 
 
-@dataclass(slots=True)
-class Reach:
+class Reach(Struct):
     """Who takes part, as last looked up."""
 
     at: float = NEVER
@@ -199,8 +191,7 @@
     homes: dict[SubjectKey, InstanceName] = field(default_factory=dict)
 
 
-@dataclass(slots=True)
-class LimitState:
+class LimitState(Struct):
     """Everything that the limits keep on one instance."""
 
     held: dict[SubjectKey, Holding] = field(default_factory=dict)
--- a/packages/turmericweir-core/turmericweir_core/state/load_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/load_state.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 from turmericweir_core.base.ids import InstanceName, ServerName
 from turmericweir_core.messages.peer_messages import LoadNews, LoadRow, SentPart
@@ -12,8 +12,7 @@
 _NEVER = float("-inf")
 
 
-@dataclass(slots=True)
-class Origin:
+class Origin(Struct):
     """Whose news were taken: an instance, or all that tell one teller."""
 
     incarnation: str
@@ -24,8 +23,7 @@
     servers: set[ServerName] = field(default_factory=set)
 
 
-@dataclass(slots=True)
-class TellingPlan:
+class TellingPlan(Struct):
     """Whom this instance tells its load, and who tells it that of others."""
 
     # Whether there are so few instances that each tells each; and these.
@@ -38,8 +36,7 @@
     due: float = _NEVER
 
 
-@dataclass(slots=True)
-class PassedOn:
+class PassedOn(Struct):
     """What a teller has heard and not passed on yet, and what it told last."""
 
     # Those that have this instance pass on what they tell, with their address and when they told.
@@ -56,8 +53,7 @@
     bundle_due: float = _NEVER
 
 
-@dataclass(slots=True)
-class NewsState:
+class NewsState(Struct):
     """The state of `load_news` and `load_relay`."""
 
     # Own counter of news.
--- a/packages/turmericweir-core/turmericweir_core/state/membership_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/membership_state.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
+from msgspec import Struct, field
+
 from turmericweir_core.base.ids import InstanceName
 
 if TYPE_CHECKING:
@@ -18,8 +19,7 @@
 MAX_RETIRED: Final = 8
 
 
-@dataclass(slots=True)
-class Member:
+class Member(Struct):
     """One instance, this one included, as far as this one knows."""
 
     name: InstanceName
@@ -46,8 +46,7 @@
     left: tuple[str, ...] = ()
 
 
-@dataclass(slots=True)
-class RemoteCentre:
+class RemoteCentre(Struct):
     """Another data centre, as its relays describe it."""
 
     name: str
@@ -64,8 +63,7 @@
     asked_at: float = NEVER
 
 
-@dataclass(frozen=True, slots=True)
-class CentreView:
+class CentreView(Struct, frozen=True):
     """The newest word from one data centre, for decisions and for operators."""
 
     name: str
@@ -78,8 +76,7 @@
     settings_offset: int
 
 
-@dataclass(slots=True)
-class Membership:
+class Membership(Struct):
     """Everything known of the other instances."""
 
     by_name: dict[InstanceName, Member] = field(default_factory=dict)
--- a/packages/turmericweir-core/turmericweir_core/state/model_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/model_state.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from enum import StrEnum
 
+from msgspec import Struct, field
+
 from turmericweir_core.base.ids import InstanceName, ServerName
 from turmericweir_core.base.model_label import ModelLabel
 from turmericweir_core.messages.events import ServerReport
@@ -18,8 +19,7 @@
     UNLOAD = "unload"
 
 
-@dataclass(frozen=True, slots=True)
-class Order:
+class Order(Struct, frozen=True):
     """One order that is due: the state that a server should have, of one label."""
 
     scope: Scope
@@ -39,24 +39,21 @@
         return (self.server, self.kind, str(self.label))
 
 
-@dataclass(frozen=True, slots=True)
-class Usage:
+class Usage(Struct, frozen=True):
     """What runs and waits for a model."""
 
     busy: float = 0.0
     waiting: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class Reported:
+class Reported(Struct, frozen=True):
     """What one instance last told of its use of models."""
 
     at: float
     by_model: dict[str, Usage]
 
 
-@dataclass(slots=True)
-class ModelTarget:
+class ModelTarget(Struct):
     """How many servers of a scope should have a model, and why."""
 
     count: int
@@ -71,8 +68,7 @@
     chosen: frozenset[ServerName] = frozenset()
 
 
-@dataclass(slots=True)
-class ScopePlan:
+class ScopePlan(Struct):
     """What this instance has in mind for a scope, for as long as it is the one for it."""
 
     # Since when this instance is the one.
@@ -84,8 +80,7 @@
     probed_at: float = float("-inf")
 
 
-@dataclass(frozen=True, slots=True)
-class OutOrder:
+class OutOrder(Struct, frozen=True):
     """An order that was sent and not answered."""
 
     order: Order
@@ -93,8 +88,7 @@
     sent_at: float
 
 
-@dataclass(slots=True)
-class Tries:
+class Tries(Struct):
     """How often an order was sent without a report that shows its effect."""
 
     count: int = 0
@@ -103,8 +97,7 @@
     next_at: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class Seen:
+class Seen(Struct, frozen=True):
     """A report that this instance had from the server itself.
 
     Reports are passed on between instances as well, later and with less in them: an order judged by
@@ -115,8 +108,7 @@
     at: float
 
 
-@dataclass(slots=True)
-class ModelState:
+class ModelState(Struct):
     """Everything about where models are."""
 
     plans: dict[Scope, ScopePlan] = field(default_factory=dict)
--- a/packages/turmericweir-core/turmericweir_core/state/pool_load.py
+++ b/packages/turmericweir-core/turmericweir_core/state/pool_load.py
@@ -9,14 +9,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from math import exp
 
+from msgspec import Struct, field
+
 from turmericweir_core.base.options import Options
 
 
-@dataclass(slots=True)
-class ArrivalRate:
+class ArrivalRate(Struct):
     """Work that arrives at one tier, averaged over a window that fades out."""
 
     # Faded sum of the work, as of `at`.
@@ -24,8 +24,7 @@
     at: float = 0.0
 
 
-@dataclass(slots=True)
-class PoolLoad:
+class PoolLoad(Struct):
     """What this instance runs in one pool, and how fast."""
 
     # Attempts in flight by tier.
@@ -37,8 +36,7 @@
     arrivals: dict[int, ArrivalRate] = field(default_factory=dict)
 
 
-@dataclass(slots=True)
-class PoolLoads:
+class PoolLoads(Struct):
     """The load of every pool, by its name."""
 
     by_pool: dict[str, PoolLoad] = field(default_factory=dict)
--- a/packages/turmericweir-core/turmericweir_core/state/pool_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/pool_state.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 from turmericweir_core.base.ids import InstanceName, Target
 
 
-@dataclass(slots=True)
-class Demand:
+class Demand(Struct):
     """Work that arrived of late, decayed, milliseconds."""
 
     at: float = 0.0
@@ -17,8 +16,7 @@
     middle_ms: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class ToldDemand:
+class ToldDemand(Struct, frozen=True):
     """A peer's demand, milliseconds of work a second."""
 
     at: float
@@ -27,8 +25,7 @@
     middle_ms: float
 
 
-@dataclass(slots=True)
-class Split:
+class Split(Struct):
     """How many engines of a service read, and since when fewer would do."""
 
     reading: int = 0
@@ -45,8 +42,7 @@
     quick_moved_at: float = 0.0
 
 
-@dataclass(slots=True)
-class PoolState:
+class PoolState(Struct):
     """The demand and the split of each service."""
 
     own: dict[Target, Demand] = field(default_factory=dict)
--- a/packages/turmericweir-core/turmericweir_core/state/predict.py
+++ b/packages/turmericweir-core/turmericweir_core/state/predict.py
@@ -12,9 +12,9 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import dataclass, field
 
 from ddsketch.ddsketch import LogCollapsingLowestDenseDDSketch
+from msgspec import Struct, field
 
 from turmericweir_core.base.options import Options
 from turmericweir_core.base.request import Request
@@ -24,8 +24,7 @@
 _REFRESH = 8
 
 
-@dataclass(slots=True)
-class LengthSketch:
+class LengthSketch(Struct):
     """Lengths of the answers of one group, in two generations."""
 
     current: LogCollapsingLowestDenseDDSketch
@@ -39,8 +38,7 @@
     read_at: int = 0
 
 
-@dataclass(slots=True)
-class PredictionError:
+class PredictionError(Struct):
     """How far predictions were off, for one class; averages that favour the newest."""
 
     answers: int = 0
@@ -52,8 +50,7 @@
     under: float = 0.0
 
 
-@dataclass(slots=True)
-class Predictor:
+class Predictor(Struct):
     """What is known of answer lengths."""
 
     # By class and customer; the customer is empty for a whole class, both are for everything.
--- a/packages/turmericweir-core/turmericweir_core/state/prefix.py
+++ b/packages/turmericweir-core/turmericweir_core/state/prefix.py
@@ -14,15 +14,15 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from turmericweir_core.base.ids import ServerName
 from turmericweir_core.base.options import Options
 from turmericweir_core.messages.events import CacheEvents
 
 
-@dataclass(slots=True)
-class PrefixMap:
+class PrefixMap(Struct):
     """The prefixes that servers are believed to hold."""
 
     # For each prefix the servers, with the time when each was last confirmed.
--- a/packages/turmericweir-core/turmericweir_core/state/quarantine_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/quarantine_state.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import Final, NamedTuple
 
+from msgspec import Struct, field
+
 from turmericweir_core.base.ids import AttemptId, InstanceName, RequestId, ServerName
 from turmericweir_core.base.request import Request
 from turmericweir_core.messages.peer_messages import Sighting
@@ -31,8 +32,7 @@
     return not key.incarnation.startswith(_UNNAMED)
 
 
-@dataclass(slots=True)
-class Crash:
+class Crash(Struct):
     """One crash, as all instances together know it. Its sets only grow, so records merge."""
 
     # By this instance's clock, when it was seen first anywhere.
@@ -63,8 +63,7 @@
         return {each.fingerprint for each in self.suspects - self.late}
 
 
-@dataclass(frozen=True, slots=True)
-class Evidence:
+class Evidence(Struct, frozen=True):
     """What is learnt of a crash at once; see `Crash` for its parts."""
 
     suspects: frozenset[Sighting] = frozenset()
@@ -73,8 +72,7 @@
     retracted: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class Break:
+class Break(Struct, frozen=True):
     """A connection that broke while the server seemed alive: it may have restarted in between."""
 
     at: float
@@ -86,8 +84,7 @@
     silent: bool = False
 
 
-@dataclass(slots=True)
-class HeldSuspect:
+class HeldSuspect(Struct):
     """A suspect request that waits for a server of its own."""
 
     req: Request
@@ -100,8 +97,7 @@
     denied: dict[ServerName, float] = field(default_factory=dict)
 
 
-@dataclass(slots=True)
-class OwnTrial:
+class OwnTrial(Struct):
     """A suspect of this instance that runs alone on a server."""
 
     request_id: RequestId
@@ -112,8 +108,7 @@
     renew_due: float
 
 
-@dataclass(slots=True)
-class GivenTrial:
+class GivenTrial(Struct):
     """Leave that this instance gave, as home of the trials."""
 
     holder: InstanceName
@@ -121,8 +116,7 @@
     until: float
 
 
-@dataclass(slots=True)
-class QuarantineState:
+class QuarantineState(Struct):
     """Everything that the quarantine keeps on one instance."""
 
     crashes: dict[CrashKey, Crash] = field(default_factory=dict)
--- a/packages/turmericweir-core/turmericweir_core/state/queue_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/queue_state.py
@@ -16,17 +16,17 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field
 from heapq import heappop, heappush
 from itertools import chain, islice
 
+from msgspec import Struct, field
+
 from turmericweir_core.base.config import ServiceClass
 from turmericweir_core.base.ids import RequestId, Target
 from turmericweir_core.base.request import Request
 
 
-@dataclass(slots=True)
-class ClassQueue:
+class ClassQueue(Struct):
     """Waiting requests of one class for one target: on time, first come first, and late ones."""
 
     service_class: ServiceClass
@@ -89,16 +89,14 @@
         return next(reversed((self.late or self.on_time).values()))
 
 
-@dataclass(slots=True)
-class TargetQueue:
+class TargetQueue(Struct):
     """Everything that waits for one target, by class name."""
 
     pool: str
     classes: dict[str, ClassQueue] = field(default_factory=dict)
 
 
-@dataclass(slots=True)
-class QueueState:
+class QueueState(Struct):
     """All waiting requests of an instance."""
 
     targets: dict[Target, TargetQueue] = field(default_factory=dict)
--- a/packages/turmericweir-core/turmericweir_core/state/registry_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/registry_state.py
@@ -2,16 +2,16 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import Final
 
+from msgspec import Struct, field
+
 from turmericweir_core.base.ids import InstanceName, ServerName
 
 _NEVER: Final = float("-inf")
 
 
-@dataclass(slots=True)
-class RegistryState:
+class RegistryState(Struct):
     """How far the registry was read."""
 
     # The newest offset seen of each key, also of those that were removed.
--- a/packages/turmericweir-core/turmericweir_core/state/reliability.py
+++ b/packages/turmericweir-core/turmericweir_core/state/reliability.py
@@ -8,10 +8,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from math import exp
 from typing import Final
 
+from msgspec import Struct, field
+
 from turmericweir_core.base.ids import ServerName
 
 # Memory of what became of requests. Long against the distance of a server's requests at one
@@ -25,8 +26,7 @@
 _USUAL_SHARE: Final = 0.2
 
 
-@dataclass(slots=True)
-class ServerRecord:
+class ServerRecord(Struct):
     """Decayed counts of one server."""
 
     at: float = 0.0
@@ -34,8 +34,7 @@
     failed: float = 0.0
 
 
-@dataclass(slots=True)
-class ReliabilityState:
+class ReliabilityState(Struct):
     """The records of all servers that this instance has used."""
 
     by_server: dict[ServerName, ServerRecord] = field(default_factory=dict)
--- a/packages/turmericweir-core/turmericweir_core/state/retry_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/retry_state.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from turmericweir_core.base.ids import Target
 
 
-@dataclass(slots=True)
-class RetryBucket:
+class RetryBucket(Struct):
     """What was sent in one short time."""
 
     since: float
@@ -17,8 +17,7 @@
     retries: int = 0
 
 
-@dataclass(slots=True)
-class RetryBudget:
+class RetryBudget(Struct):
     """What may be spent on retries, and what was."""
 
     # Retries that may be made now; None until the first use sets it to the burst.
--- a/packages/turmericweir-core/turmericweir_core/state/server_table.py
+++ b/packages/turmericweir-core/turmericweir_core/state/server_table.py
@@ -8,7 +8,8 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from turmericweir_core.base.config import Config, ServerEntry, Service
 from turmericweir_core.base.ids import AttemptId, ServerName, Target
@@ -19,8 +20,7 @@
 from turmericweir_core.state.leaving_marks import LeavingMark, LeavingMarks, marks_on
 
 
-@dataclass(slots=True)
-class Server:
+class Server(Struct):
     """One backend server."""
 
     entry: ServerEntry
@@ -67,8 +67,7 @@
         return target == self.service.name
 
 
-@dataclass(slots=True)
-class ServerTable:
+class ServerTable(Struct):
     """The servers that this instance may route to."""
 
     by_name: dict[ServerName, Server] = field(default_factory=dict)
--- a/packages/turmericweir-core/turmericweir_core/state/sign_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/sign_state.py
@@ -2,16 +2,16 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import Final
 
+from msgspec import Struct, field
+
 from turmericweir_core.base.ids import ServerName
 
 _NEVER: Final = float("-inf")
 
 
-@dataclass(slots=True)
-class ServerSigns:
+class ServerSigns(Struct):
     """What was seen of one server's connections."""
 
     # The longest time between tokens of late.
@@ -28,8 +28,7 @@
     lost_at: float = _NEVER
 
 
-@dataclass(slots=True)
-class SignState:
+class SignState(Struct):
     """The signs of every server that this instance uses."""
 
     by_server: dict[ServerName, ServerSigns] = field(default_factory=dict)
--- a/packages/turmericweir-core/turmericweir_core/state/silence_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/silence_state.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 from turmericweir_core.base.ids import ServerName
 
 
-@dataclass(slots=True)
-class SilenceState:
+class SilenceState(Struct):
     """How long answers took to begin of late."""
 
     # By server, the longest wait, which newer and shorter ones wear down.
--- a/packages/turmericweir-core/turmericweir_core/state/state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/state.py
@@ -6,10 +6,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from random import Random
 from typing import TYPE_CHECKING
 
+from msgspec import Struct, field
+
 from turmericweir_core.base.config import Config
 from turmericweir_core.base.ids import InstanceName, RequestId, ServerName
 from turmericweir_core.base.options import Options
@@ -55,8 +56,7 @@
     return SettingsSync()
 
 
-@dataclass(frozen=True, slots=True)
-class Identity:
+class Identity(Struct, frozen=True):
     """Who this instance is; told by its settings file."""
 
     name: InstanceName
@@ -70,8 +70,7 @@
     other_regions: tuple[str, ...] = ()
 
 
-@dataclass(slots=True)
-class State:
+class State(Struct):
     """Everything an instance knows and has in hand."""
 
     me: Identity
--- a/packages/turmericweir-core/turmericweir_core/state/straggler.py
+++ b/packages/turmericweir-core/turmericweir_core/state/straggler.py
@@ -13,11 +13,12 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
 from math import exp
 from statistics import median
 from typing import Final
 
+from msgspec import Struct, field
+
 from turmericweir_core.base.ids import ServerName
 from turmericweir_core.base.options import Options
 from turmericweir_core.base.request import Attempt
@@ -29,8 +30,7 @@
 _RAN_MEMORY_S: Final = 3.0
 
 
-@dataclass(slots=True)
-class ServerPace:
+class ServerPace(Struct):
     """What this instance has seen of one server's speed."""
 
     service: str
@@ -52,8 +52,7 @@
     judged: int = 0
 
 
-@dataclass(slots=True)
-class StragglerState:
+class StragglerState(Struct):
     """The pace of every server that this instance uses."""
 
     by_server: dict[ServerName, ServerPace] = field(default_factory=dict)
--- a/packages/turmericweir-core/turmericweir_core/state/subset_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/subset_state.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 from turmericweir_core.base.ids import ServerName, Target
 from turmericweir_core.state.server_table import Server
 
 
-@dataclass(frozen=True, slots=True)
-class TargetSubset:
+class TargetSubset(Struct, frozen=True):
     """The servers of one target that are used, at one version of the server table."""
 
     version: int
@@ -18,8 +17,7 @@
     total: int
 
 
-@dataclass(slots=True)
-class SubsetState:
+class SubsetState(Struct):
     """The subset of each target that was asked for."""
 
     by_target: dict[Target, TargetSubset] = field(default_factory=dict)
--- a/packages/turmericweir-core/turmericweir_core/trust/trial.py
+++ b/packages/turmericweir-core/turmericweir_core/trust/trial.py
@@ -13,9 +13,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final, TypeAlias
 
+from msgspec import Struct
+
 from turmericweir_core.base.ids import AttemptId, InstanceName, RequestId, ServerName
 from turmericweir_core.base.request import Attempt, Request
 from turmericweir_core.membership import membership
@@ -34,8 +35,7 @@
 _HOME_KEY: Final = "trials"
 
 
-@dataclass(frozen=True, slots=True)
-class RunAlone:
+class RunAlone(Struct, frozen=True):
     """Start a suspect on this server; it was taken off the held ones."""
 
     req: Request
@@ -44,29 +44,25 @@
     home: InstanceName
 
 
-@dataclass(frozen=True, slots=True)
-class Release:
+class Release(Struct, frozen=True):
     """Let a request wait in its queue: it is no suspect any more."""
 
     req: Request
 
 
-@dataclass(frozen=True, slots=True)
-class Refuse:
+class Refuse(Struct, frozen=True):
     """End a request: it is in quarantine."""
 
     req: Request
 
 
-@dataclass(frozen=True, slots=True)
-class GiveUp:
+class GiveUp(Struct, frozen=True):
     """End a request: its deadline passed while it waited for a server of its own."""
 
     req: Request
 
 
-@dataclass(frozen=True, slots=True)
-class Send:
+class Send(Struct, frozen=True):
     """Send a message of this module."""
 
     effect: Effect
--- a/packages/turmericweir-ctl/turmericctl/messages.py
+++ b/packages/turmericweir-ctl/turmericctl/messages.py
@@ -83,6 +83,13 @@
     "Dump the state of the instance as JSON; PART names a part, such as config.classes."
 )
 CLASSES_HELP: Final = "Show the service classes, and the requests of each on this instance."
+INSTANCES_HELP: Final = """Show which version of the settings runs where.
+
+\b
+A line for each data centre and version; with --all, one for each instance. Of another data centre
+an instance knows the lowest version: >= says so. Ask an instance there for the exact one.
+"""
+ALL_INSTANCES_HELP: Final = "Show each instance."
 SERVERS_HELP: Final = "Show the backend servers as this instance sees them."
 REQUESTS_HELP: Final = "Show the requests in hand on this instance, or with an ID one of them."
 RECENT_HELP: Final = "Show also so many of the last accounts."
--- a/packages/turmericweir-ctl/turmericctl/state_commands.py
+++ b/packages/turmericweir-ctl/turmericctl/state_commands.py
@@ -87,6 +87,35 @@
     session.printer.show(found, table(titles, [list(it.values()) for it in found]))
 
 
+@click.command(help=messages.INSTANCES_HELP)
+@click.option("--all", "each_one", is_flag=True, help=messages.ALL_INSTANCES_HELP)
+@pass_session
+def instances(session: Session, each_one: bool) -> None:
+    """Show which version of the settings runs where."""
+    with session.client() as client:
+        found = client.get("/instances")["instances"]
+    if each_one:
+        titles = ("INSTANCE", "DATA CENTRE", "SETTINGS", "STATE", "HEARD S AGO")
+        rows = [
+            [it["name"], it["data_centre"], _version(it), it["state"], _seconds(it["age_s"])]
+            for it in found
+        ]
+        session.printer.show(found, table(titles, rows))
+        return
+    counts = Counter((it["data_centre"], _version(it), it["state"]) for it in found)
+    summed = [[*key, count] for key, count in sorted(counts.items())]
+    lines = table(("DATA CENTRE", "SETTINGS", "STATE", "INSTANCES"), summed)
+    session.printer.show(found, lines)
+
+
+def _version(instance: dict[str, Any]) -> str:
+    return f">={instance['version']}" if instance["at_least"] else str(instance["version"])
+
+
+def _seconds(age_s: float | None) -> float | None:
+    return None if age_s is None else round(age_s, 1)
+
+
 @click.command(help=messages.SERVERS_HELP)
 @pass_session
 def servers(session: Session) -> None:
--- a/packages/turmericweir/turmericweir/callers/caller_app.py
+++ b/packages/turmericweir/turmericweir/callers/caller_app.py
@@ -6,12 +6,13 @@
 
 from __future__ import annotations
 
-from dataclasses import asdict, dataclass
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 from urllib.parse import unquote
 
 import anyio
 import orjson
+from msgspec.structs import asdict
 
 from turmericweir.answers.caller_answer import Caller, PlainAnswer, StreamAnswer, WholeAnswer
 from turmericweir.answers.caller_problem import (
--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -202,6 +202,11 @@
             for part in (streams, datagrams, servers, follower):
                 part.attach(node)
             node.handle(SeedsGiven(cfg.peer_seeds))
+            metrics.watch(
+                "turmericweir_settings_version",
+                "The version of the settings in force here.",
+                lambda: node.state.settings_offset(),
+            )
             group.start_soon(pipe.flush_forever, _LOG_FLUSH_S)
             group.start_soon(_reload_forever, node, path)
             _start(node, pool, streams, datagrams, follower, group)
--- a/packages/turmericweir/turmericweir/operations/admin_app.py
+++ b/packages/turmericweir/turmericweir/operations/admin_app.py
@@ -10,12 +10,14 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any, Final
 
+import anyio
 import orjson
 
 from turmericweir.operations.dump import dump
 from turmericweir.operations.operator_auth import OperatorAuth
 from turmericweir.operations.operator_http import OperatorRequest, serve_operator
 from turmericweir.process.node import Node
+from turmericweir_core.membership.instance_versions import instance_versions
 
 if TYPE_CHECKING:
     from uvicorn._types import (
@@ -67,6 +69,8 @@
             await send_json(send, 200 if self._node.ready else 503, self._readiness())
         elif path == "/state":
             await serve_operator(scope, receive, send, self._answer_state)
+        elif path == "/instances":
+            await serve_operator(scope, receive, send, self._answer_instances)
         else:
             await send_json(send, 404, {"error": "there is nothing at this path"})
 
@@ -75,6 +79,11 @@
         self._auth.require(self._node.state.config, request.headers)
         await send_json(request.send, HTTPStatus.OK, self._state())
 
+    async def _answer_instances(self, request: OperatorRequest) -> None:
+        self._auth.require(self._node.state.config, request.headers)
+        found = instance_versions(self._node.state, anyio.current_time())
+        await send_json(request.send, HTTPStatus.OK, {"instances": dump(found)})
+
     def _readiness(self) -> dict[str, bool]:
         return {
             "ready": self._node.ready,
--- a/packages/turmericweir/turmericweir/operations/entry_admin.py
+++ b/packages/turmericweir/turmericweir/operations/entry_admin.py
@@ -1,8 +1,8 @@
 """The operators' port where the platform keeps the settings: it shows, and changes nothing.
 
-`turmericctl status`, `state`, `classes` and `servers` ask here. Settings are changed where the
-platform keeps them. The port is one that nobody outside the platform reaches; where the settings
-file names the digest of a token, that is asked for as well.
+`turmericctl status`, `instances`, `state`, `classes` and `servers` ask here. Settings are changed
+where the platform keeps them. The port is one that nobody outside the platform reaches; where the
+settings file names the digest of a token, that is asked for as well.
 """
 
 from __future__ import annotations
@@ -19,6 +19,7 @@
 from turmericweir.operations.operator_http import OperatorRequest, ProblemError, serve_operator
 from turmericweir.process.node import Node
 from turmericweir_core.membership import membership, store_duty
+from turmericweir_core.membership.instance_versions import instance_versions
 from turmericweir_core.settings.settings_inforce import in_force
 from turmericweir_core.store import document
 from turmericweir_core.trust import retry
@@ -66,6 +67,9 @@
                 await request.answer(HTTPStatus.OK, self._readiness())
             case "/state":
                 await request.answer(HTTPStatus.OK, self._state())
+            case "/instances":
+                found = instance_versions(self._node.state, anyio.current_time())
+                await request.answer(HTTPStatus.OK, {"instances": dump(found)})
             case "/settings/inforce":
                 await request.answer(HTTPStatus.OK, self._in_force(request))
             case _:
--- a/packages/turmericweir/turmericweir/process/metrics_page.py
+++ b/packages/turmericweir/turmericweir/process/metrics_page.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Final
 
-from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 if TYPE_CHECKING:
     from uvicorn._types import ASGIReceiveCallable, ASGISendCallable, Scope
@@ -38,6 +39,10 @@
             registry=self._registry,
         )
 
+    def watch(self, name: str, help_text: str, value: Callable[[], float]) -> None:
+        """Show a value as it is whenever the page is asked for."""
+        Gauge(name, help_text, registry=self._registry).set_function(value)
+
     def count(self, name: str, by: int = 1) -> None:
         """Add to a counter."""
         self._events.labels(name).inc(by)
--- a/packages/turmericweir/turmericweir/process/process_settings.py
+++ b/packages/turmericweir/turmericweir/process/process_settings.py
@@ -7,11 +7,11 @@
 from __future__ import annotations
 
 import ipaddress
-from dataclasses import fields
 from pathlib import Path
 from typing import Annotated, Any, Final
 
 import json5
+from msgspec.structs import fields
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError, field_validator
 from returns.result import Failure, Result, Success
 
--- a/tests/core/claims/test_claim_vote.py
+++ b/tests/core/claims/test_claim_vote.py
@@ -7,7 +7,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import replace
+
+from msgspec.structs import replace
 
 from tests.core.claims.test_claims import VOTES, begin_outage, check_runs
 from tests.core.claims_world import Fate, Instance, World
--- a/tests/core/claims/test_claims.py
+++ b/tests/core/claims/test_claims.py
@@ -4,11 +4,12 @@
 
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Final
 
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from tests.core.claims_world import Fate, Instance, World
 from turmericweir_core.base.account import Outcome
--- a/tests/core/engines/test_predict.py
+++ b/tests/core/engines/test_predict.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
 from random import Random
 
+from msgspec.structs import replace
+
 from tests.core.load_world import COUNTER, MODEL, QUOTE
 from turmericweir_core.base.config import Kind, ServiceClass
 from turmericweir_core.base.ids import RequestId
--- a/tests/core/load_script.py
+++ b/tests/core/load_script.py
@@ -17,9 +17,10 @@
 
 from __future__ import annotations
 
-from dataclasses import fields
 from typing import Any
 
+from msgspec.structs import fields
+
 from tests.core.load_world import LoadWorld
 from turmericweir_core.base.config import Kind, Policy
 from turmericweir_core.base.ids import InstanceName, RequestId
@@ -50,7 +51,7 @@
     for name in list(settings):
         if name in _OPTIONS:
             number = float(settings.pop(name))
-            options[name] = int(number) if _OPTIONS[name] == "int" else number
+            options[name] = int(number) if _OPTIONS[name] is int else number
     return LoadWorld(
         instances=int(settings.get("instances", 1)),
         servers=int(settings.get("servers", 1)),
--- a/tests/core/placement/test_displacement.py
+++ b/tests/core/placement/test_displacement.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
 from random import Random
 
 import pytest
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from tests.core.case_driver import Case, check_lines, load_cases
 from tests.core.load_script import run_script
--- a/tests/core/placement/test_predicted_admission.py
+++ b/tests/core/placement/test_predicted_admission.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
 from typing import Final
 
+from msgspec.structs import replace
+
 from tests.core.store_world import BULK, MODEL, QUICK, StoreWorld, account_of, only, start_of
 from turmericweir_core.base.account import Outcome
 from turmericweir_core.engines import engine_pools
--- a/tests/core/placement/test_predicted_placement.py
+++ b/tests/core/placement/test_predicted_placement.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
-import msgspec.structs
+from msgspec.structs import replace
 
 from tests.core.store_world import BULK, FIT, MODEL, QUICK, StoreWorld, only, start_of
 from turmericweir_core.base.config import ServiceClass
@@ -253,8 +251,7 @@
     for own in "abc":
         world = StoreWorld(engines=6)
         entries = [
-            msgspec.structs.replace(each, data_centre=centres.get(each.name, "dc-a"))
-            for each in world.entries
+            replace(each, data_centre=centres.get(each.name, "dc-a")) for each in world.entries
         ]
         world.give(RegistryRead(tuple((each, 2) for each in entries), whole=True))
         world.state.me = replace(world.state.me, data_centre=f"dc-{own}")
@@ -279,7 +276,7 @@
     world.begin(first)
     world.end(first, EndComplete(200))
     entries = [
-        msgspec.structs.replace(each, data_centre="dc-b" if each.name == first.server else "dc-a")
+        replace(each, data_centre="dc-b" if each.name == first.server else "dc-a")
         for each in world.entries
     ]
     world.give(RegistryRead(tuple((each, 2) for each in entries), whole=True))
--- a/tests/core/queueing/test_queue.py
+++ b/tests/core/queueing/test_queue.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from tests.core.case_driver import Case, check_lines, load_cases
 from tests.core.load_script import run_script
--- a/tests/core/queueing/test_urgent_first.py
+++ b/tests/core/queueing/test_urgent_first.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
 from typing import Final
 
+from msgspec.structs import replace
+
 from tests.core.store_world import BULK, QUICK, StoreWorld, only, start_of
 from turmericweir_core.messages.effects import Effect, FinishRequest, StartAttempt
 from turmericweir_core.messages.peer_messages import DemandRow, LoadNews
--- a/tests/platform/test_operators.py
+++ b/tests/platform/test_operators.py
@@ -30,6 +30,33 @@
         assert "key-1" not in dumped
 
 
+def test_one_command_shows_which_version_runs_where(tmp_path: Path) -> None:
+    """
+    An operator changes the settings and has to know where they are in force: a call that is judged
+    by the old ones goes to the wrong service. One instance is stopped meanwhile and says nothing.
+    """
+    with PlatformWorld(tmp_path, instances=3, metrics=True) as world:
+        cfg = json.loads((tmp_path / "entry-1.json").read_text().split("\n", 1)[1])
+        admin = ["--admin", cfg["admin_address"]]
+
+        def shown(*args: str) -> str:
+            result = CliRunner().invoke(cli, [*admin, "instances", *args])
+            assert result.exit_code == 0
+            return result.output
+
+        until(lambda: shown().split()[-1] == "3", "all three run the first version")
+        world.running["entry-3"].process.kill()
+        world.publish(tenants=[{"name": "school", "api-keys": ["key-1"]}])
+        version = world.version
+        until(lambda: shown("--all").count(f" {version} ") == 2, "two run the second version")
+        until(lambda: "silent" in shown(), "the third is silent")
+        lines = shown("--all").splitlines()
+        (silent,) = [each for each in lines if "silent" in each]
+        assert silent.split()[0] == "entry-3"
+        page = call(world.metrics_address, "GET", "/metrics").body.decode()
+        assert f"turmericweir_settings_version {float(version)}" in page
+
+
 def test_counters_and_histograms_are_served_as_text(tmp_path: Path) -> None:
     with PlatformWorld(tmp_path, metrics=True) as world:
         assert world.look().status == 200
