Look seldom at who reads the store, and keep the order of engines

Cause: found on reading the change: `is_reader` is asked twenty times a second and ranks all live instances by hash each time (195 here); each placement ordered all engines by hash; an instance that is wrongly taken for a teller kept the parts that it was told for ever.

Change: who is picked is looked at four times a second; the order of a service's engines is kept for as long as they are the same; parts are bounded (the test holds 4,800 parts without that). `on_read` of the settings says what it does in three branches.

Ruled out: a cache of all members by time (others need them of the moment).

No figure before and after: the gain is worked out (20 rankings of 195 names a second and instance), not measured by itself.

--- a/packages/turmericweir-core/turmericweir_core/engines/engine_pools.py
+++ b/packages/turmericweir-core/turmericweir_core/engines/engine_pools.py
@@ -30,7 +30,7 @@
 from msgspec import Struct
 
 from turmericweir_core.base.config import Service, ServiceClass
-from turmericweir_core.base.ids import InstanceName, Target
+from turmericweir_core.base.ids import InstanceName, ServerName, Target
 from turmericweir_core.base.request import Request
 from turmericweir_core.engines import engine_model
 from turmericweir_core.membership.subset import rendezvous_weight
@@ -195,29 +195,38 @@
 
 
 def _pools(state: State, now: float, target: Target, engines: list[Server]) -> _Pools:
-    ordered = _spread(target, engines)
+    ordered = _spread(state, target, engines)
     reading = _reading_count(state, now, target, len(engines))
     rest = ordered[reading:]
     middle = len(rest) - _quick_count(state, now, target, len(rest))
     return _Pools(ordered[:reading], rest[:middle], rest[middle:])
 
 
-def _spread(target: Target, engines: list[Server]) -> list[Server]:
+def _spread(state: State, target: Target, engines: list[Server]) -> list[Server]:
     """Order engines by hash, with those of the data centres in turn.
 
     So each data centre has engines of both kinds where there are enough. Failure by the hash alone:
     all engines of quick answers may stand in one data centre, and when it is cut off all the
     others' answers are cut with it, though they have engines that would have been as good.
     """
+    known = {each.entry.name: each for each in engines}
+    names = tuple(known)
+    kept = state.pools.orders.get(target)
+    if kept is None or kept[0] != names:
+        kept = state.pools.orders[target] = (names, _order(target, engines))
+    return [known[name] for name in kept[1]]
+
+
+def _order(target: Target, engines: list[Server]) -> tuple[ServerName, ...]:
     counted: defaultdict[str, int] = defaultdict(int)
-    order: list[tuple[int, int, Server]] = []
+    order: list[tuple[int, int, ServerName]] = []
     for place, engine in enumerate(
         sorted(engines, key=lambda each: rendezvous_weight(target, each.entry.name))
     ):
         centre = engine.entry.data_centre
-        order.append((counted[centre], place, engine))
+        order.append((counted[centre], place, engine.entry.name))
         counted[centre] += 1
-    return [engine for _, _, engine in sorted(order, key=lambda each: each[:2])]
+    return tuple(name for _, _, name in sorted(order))
 
 
 def reading_engines(state: State, target: Target) -> int:
--- a/packages/turmericweir-core/turmericweir_core/engines/load_relay.py
+++ b/packages/turmericweir-core/turmericweir_core/engines/load_relay.py
@@ -112,7 +112,8 @@
         return
     passed = state.news.passed_on
     passed.told_by[sender] = (peer.peer_address, now)
-    passed.parts += news.parts
+    # Bounded, as one that is taken for a teller and is none passes nothing on.
+    passed.parts = [*passed.parts, *news.parts][-_PARTS_MAX:]
     _keep(state, now, sender, news)
 
 
--- a/packages/turmericweir-core/turmericweir_core/membership/store_duty.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/store_duty.py
@@ -32,6 +32,8 @@
 _READERS_MIN: Final = 1
 # Time in which an instance that started with all others comes to know them.
 _YOUNG_S: Final = 8.0
+# Between two looks at who is picked to read; it is asked twenty times a second.
+_PICK_S: Final = 0.25
 _NEVER: Final = float("-inf")
 _WEIGHTS: Final = 2.0**64
 
@@ -50,7 +52,11 @@
     started_at = state.members.started_at
     if started_at is None or now - started_at < _YOUNG_S:
         return False
-    return any(each.name == state.me.name for each in readers(state, now))
+    registry = state.registry
+    if now >= registry.pick_due:
+        registry.pick_due = now + _PICK_S
+        registry.is_picked = any(each.name == state.me.name for each in readers(state, now))
+    return registry.is_picked
 
 
 # --- who tells whom --------------------------------------------------------------------------
--- a/packages/turmericweir-core/turmericweir_core/state/pool_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/pool_state.py
@@ -4,7 +4,7 @@
 
 from msgspec import Struct, field
 
-from turmericweir_core.base.ids import InstanceName, Target
+from turmericweir_core.base.ids import InstanceName, ServerName, Target
 
 
 class Demand(Struct):
@@ -48,4 +48,8 @@
     own: dict[Target, Demand] = field(default_factory=dict)
     # What each peer told: when, and its work of each kind.
     peers: dict[Target, dict[InstanceName, ToldDemand]] = field(default_factory=dict)
+    # The order of the engines of a service, for the engines that it was made for.
+    orders: dict[Target, tuple[tuple[ServerName, ...], tuple[ServerName, ...]]] = field(
+        default_factory=dict
+    )
     splits: dict[Target, Split] = field(default_factory=dict)
--- a/packages/turmericweir-core/turmericweir_core/state/registry_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/registry_state.py
@@ -20,6 +20,9 @@
     read_at: float = _NEVER
     # No reader told in time, so this instance reads for all until one does.
     stands_in: bool = False
+    # Whether this instance is picked to read, and when that is looked at again.
+    is_picked: bool = False
+    pick_due: float = _NEVER
     # Who told of the servers last, and when: whoever can read the store at present.
     told_by: InstanceName | None = None
     told_at: float = _NEVER
--- a/packages/turmericweir-core/turmericweir_core/store/document.py
+++ b/packages/turmericweir-core/turmericweir_core/store/document.py
@@ -89,28 +89,33 @@
     held = _held(state)
     effects: list[Effect] = []
     if event.version > held.version:
-        log = Log(
-            "settings_in_force",
-            {
-                "version": event.version,
-                "before": held.version,
-                "from": event.peer or "store",
-                "routes": len(event.config.routes.by_place),
-                "customers": len(event.config.customers),
-            },
-        )
-        held.version = event.version
-        held.raw = event.raw
-        state.config = event.config
-        state.has_settings = True
-        server_table.rebuild(state.servers, state.config)
-        effects.append(log)
+        effects.append(_put_in_force(state, held, event))
     elif event.version < held.version:
-        effects.append(Log("settings_older", {"version": event.version, "in_force": held.version}))
-    is_news = held.version == event.version and bool(effects)
-    if event.asked_at is not None and event.version >= held.version:
-        return effects + _prove(state, now, event.asked_at)
-    return effects + _hint(state, store_duty.told_by_me(state, now)) if is_news else effects
+        return [Log("settings_older", {"version": event.version, "in_force": held.version})]
+    if event.asked_at is not None:
+        effects += _prove(state, now, event.asked_at)
+    elif effects:
+        effects += _hint(state, store_duty.told_by_me(state, now))
+    return effects
+
+
+def _put_in_force(state: State, held: DocumentState, event: DocumentRead) -> Log:
+    log = Log(
+        "settings_in_force",
+        {
+            "version": event.version,
+            "before": held.version,
+            "from": event.peer or "store",
+            "routes": len(event.config.routes.by_place),
+            "customers": len(event.config.customers),
+        },
+    )
+    held.version = event.version
+    held.raw = event.raw
+    state.config = event.config
+    state.has_settings = True
+    server_table.rebuild(state.servers, state.config)
+    return log
 
 
 def on_confirmed(state: State, now: float, event: DocumentConfirmed) -> list[Effect]:
--- a/tests/core/engines/test_load_relay.py
+++ b/tests/core/engines/test_load_relay.py
@@ -5,10 +5,12 @@
 import pytest
 
 from tests.core.store_network import StoreNetwork
-from turmericweir_core.base.ids import ServerName
+from turmericweir_core.base.ids import InstanceName, ServerName
 from turmericweir_core.base.store_times import store_times
 from turmericweir_core.engines import engine_model
 from turmericweir_core.membership import telling
+from turmericweir_core.messages.events import PeerReceived
+from turmericweir_core.messages.peer_messages import LoadNews, SentPart
 from turmericweir_core.state.engine_state import Prefill
 
 COUNT = 72
@@ -122,3 +124,14 @@
     sent = sorted(network.datagrams.values())
     assert sent[len(sent) // 2] / 4.0 < 40
     assert sent[-1] / 4.0 < 300
+
+
+def test_one_that_passes_nothing_on_keeps_little(network: StoreNetwork) -> None:
+    """A peer takes an instance for its teller that is none, and tells it parts for hours."""
+    member, *_ = [name for name in network.nodes if name not in tellers(network)]
+    state = network.nodes[member].state
+    parts = [SentPart(ENGINE, f"part-{number}", 900, True, 0) for number in range(24)]
+    for seq in range(200):
+        news = LoadNews("x", seq, [], parts)
+        network.give(member, PeerReceived(InstanceName("i001"), news))
+    assert len(state.news.passed_on.parts) < 200
