Log the limits that servers announce

The logs of the limit incident could not tell whether instances learned of the limit: its header was passed on to the caller and never decoded. The wire adapter now decodes it, an event carries it to the reducer, and the reducer records the newest statement of each server and logs each change (server_limited). Answers of another server at the address (421) and foreign answers are no evidence. Nothing is placed differently yet.

An answer without a limit lifts it only if its request was started after the limit was last named, so that a late answer does not.

--- a/packages/turmericweir-core/turmericweir_core/messages/events.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/events.py
@@ -99,6 +99,15 @@
     tokens: int
 
 
+class AnswerReceived(Struct, frozen=True):
+    """The head of a server's answer to the attempt was received."""
+
+    request_id: RequestId
+    attempt_id: AttemptId
+    # Requests per second that the server accepts from all instances together; None for no limit.
+    limit_s: float | None = None
+
+
 class AttemptEnded(Struct, frozen=True):
     """The attempt ended; no further events follow for it."""
 
@@ -392,6 +401,7 @@
     | CallerLeft
     | AttemptSent
     | AttemptProgress
+    | AnswerReceived
     | AttemptEnded
     | ServerReport
     | ServerUnreachable
--- a/packages/turmericweir-core/turmericweir_core/reducers/reducer.py
+++ b/packages/turmericweir-core/turmericweir_core/reducers/reducer.py
@@ -20,6 +20,7 @@
 from turmericweir_core.membership import membership_reducer
 from turmericweir_core.messages.effects import Effect
 from turmericweir_core.messages.events import (
+    AnswerReceived,
     AppendDone,
     AppendFailed,
     AttemptEnded,
@@ -141,6 +142,7 @@
             CallerLeft()
             | AttemptSent()
             | AttemptProgress()
+            | AnswerReceived()
             | AttemptEnded()
             | ServerUnreachable()
             | ServerAnswered()
--- a/packages/turmericweir-core/turmericweir_core/reducers/reducer_common.py
+++ b/packages/turmericweir-core/turmericweir_core/reducers/reducer_common.py
@@ -16,6 +16,7 @@
 from turmericweir_core.membership import leaving, membership_reducer, server_list
 from turmericweir_core.messages.effects import Effect, Exit, Log, ProbeServer
 from turmericweir_core.messages.events import (
+    AnswerReceived,
     AttemptEnded,
     AttemptProgress,
     AttemptSent,
@@ -63,6 +64,7 @@
     | CallerLeft
     | AttemptSent
     | AttemptProgress
+    | AnswerReceived
     | AttemptEnded
     | ServerReport
     | ServerUnreachable
@@ -87,6 +89,8 @@
             return attempt_flow.on_progress(state, now, event)
         case AttemptSent():
             return attempt_flow.on_sent(state, now, event)
+        case AnswerReceived():
+            return attempt_flow.on_answer(state, now, event)
         case AttemptEnded():
             return attempt_flow.on_ended(state, now, event)
         case RequestArrived():
--- a/packages/turmericweir-core/turmericweir_core/reducers/reducer_store.py
+++ b/packages/turmericweir-core/turmericweir_core/reducers/reducer_store.py
@@ -14,6 +14,7 @@
 from turmericweir_core.membership import leaving
 from turmericweir_core.messages.effects import Effect
 from turmericweir_core.messages.events import (
+    AnswerReceived,
     AppendDone,
     AppendFailed,
     AttemptEnded,
@@ -124,6 +125,7 @@
             | CallerLeft()
             | AttemptSent()
             | AttemptProgress()
+            | AnswerReceived()
             | AttemptEnded()
             | ServerReport()
             | CacheEvents()
--- a/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
@@ -14,8 +14,10 @@
 from turmericweir_core.base.reasons import Reason
 from turmericweir_core.base.request import Attempt, CancelReason, Request, RequestPhase
 from turmericweir_core.engines import engine_model
+from turmericweir_core.membership import announced_limits
 from turmericweir_core.messages.effects import Count, Effect, Log, Timing
 from turmericweir_core.messages.events import (
+    AnswerReceived,
     AttemptEnd,
     AttemptEnded,
     AttemptProgress,
@@ -78,6 +80,19 @@
     )
 
 
+def on_answer(state: State, now: float, event: AnswerReceived) -> list[Effect]:
+    """Record what a server states about itself in its answer to an attempt."""
+    req = state.requests.get(event.request_id)
+    attempt = None if req is None else req.attempt
+    if attempt is None or attempt.attempt_id != event.attempt_id:
+        return []
+    server = state.servers.by_name.get(attempt.server)
+    if server is None or attempt.attempt_id not in server.in_flight:
+        # The attempt ran on an earlier incarnation of the server.
+        return []
+    return announced_limits.on_answer(state, now, server, attempt.started_at, event.limit_s)
+
+
 def _on_first_token(state: State, now: float, req: Request, attempt: Attempt) -> list[Effect]:
     attempt.first_token_at = now
     predicted_ms = engine_model.predicted_ms(state, attempt)
--- a/packages/turmericweir-core/turmericweir_core/state/state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/state.py
@@ -16,6 +16,7 @@
 from turmericweir_core.base.options import Options
 from turmericweir_core.base.request import Request
 from turmericweir_core.state.account_store import AccountStore
+from turmericweir_core.state.announced_limit import AnnouncedLimits
 from turmericweir_core.state.claim_state import ClaimState
 from turmericweir_core.state.concurrency import ConcurrencyLimits
 from turmericweir_core.state.credit_state import CreditState
@@ -109,6 +110,8 @@
     reliability: ReliabilityState = field(default_factory=ReliabilityState)
     stragglers: StragglerState = field(default_factory=StragglerState)
     overdue_ranks: OverdueRanks = field(default_factory=OverdueRanks)
+    # Limits on the requests per second that servers announced.
+    announced_limits: AnnouncedLimits = field(default_factory=AnnouncedLimits)
     # Adaptive limits on the requests in flight on each server.
     server_limits: ConcurrencyLimits = field(default_factory=ConcurrencyLimits)
     retries: RetryBudget = field(default_factory=RetryBudget)
--- a/packages/turmericweir/turmericweir/answers/forward_wire.py
+++ b/packages/turmericweir/turmericweir/answers/forward_wire.py
@@ -90,6 +90,14 @@
 AnswerVerdict: TypeAlias = AnswerAccepted | AnswerNotRun | AnswerRejected
 
 
+@dataclass(frozen=True, slots=True)
+class ServerNotice:
+    """What a server states about itself in an answer."""
+
+    # Requests per second that it accepts from all instances together; None for no limit.
+    limit_s: float | None = None
+
+
 class WireAdapter(Protocol):
     """Translates between a platform's HTTP headers and the core's types."""
 
@@ -117,5 +125,13 @@
     ) -> AnswerVerdict:
         """Return how to treat an answer with this status and these headers."""
 
+    def read_notice(
+        self, call: ForwardCall, status: int, headers: Mapping[bytes, bytes]
+    ) -> ServerNotice | None:
+        """Return what the server states about itself, or None if it is not its own answer.
+
+        Raises `ValueError` if the statement cannot be decoded.
+        """
+
     def caller_headers(self, headers: Headers) -> Headers:
         """Return the headers of an answer that are for the caller."""
--- a/packages/turmericweir/turmericweir/servers/forward.py
+++ b/packages/turmericweir/turmericweir/servers/forward.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import TYPE_CHECKING, Final, assert_never
 
 import anyio
@@ -22,11 +23,13 @@
     Headers,
     WireAdapter,
 )
+from turmericweir.process import logs
 from turmericweir.servers.backend_attempt import Attempt, can_connect, read_tail
 from turmericweir.servers.backend_call import body_of, lower_headers
 from turmericweir_core.base.request import Request
 from turmericweir_core.messages.effects import StartAttempt
 from turmericweir_core.messages.events import (
+    AnswerReceived,
     AttemptEnd,
     AttemptProgress,
     EndBroken,
@@ -129,6 +132,7 @@
 
     async def _consume(self, response: httpcore.Response) -> AttemptEnd:
         headers = lower_headers(response)
+        self._report_notice(response.status, headers)
         verdict = self._job._wire.judge_answer(self._call, response.status, headers)
         match verdict:
             case AnswerNotRun(leaving):
@@ -145,6 +149,18 @@
             case unreachable:
                 assert_never(unreachable)
 
+    def _report_notice(self, status: int, headers: Mapping[bytes, bytes]) -> None:
+        start = self._start
+        try:
+            notice = self._job._wire.read_notice(self._call, status, headers)
+        except ValueError as exc:
+            self._node.count("attempt.notice_unreadable")
+            logs.write("notice_unreadable", peer=start.server, error=str(exc))
+            return
+        if notice is None:
+            return
+        self._node.handle(AnswerReceived(start.request_id, start.attempt_id, notice.limit_s))
+
     async def _deliver_stream(self, response: httpcore.Response, headers: Headers) -> AttemptEnd:
         answer = self._job.answer
         answer.begin_answer(response.status, headers)
--- a/tests/platform/standin_server.py
+++ b/tests/platform/standin_server.py
@@ -42,6 +42,8 @@
     mode_requests: int = -1
     event_count: int = 6
     event_interval_s: float = 0.0
+    # Requests per second that it names in its answers; empty for no limit.
+    limit: str = ""
     # A request body that crashes the server.
     crash_body: bytes = b""
     # Closes the port of this server.
@@ -58,7 +60,8 @@
             self.name, call.target, call.headers, call.body, True, call.earlier_requests
         )
         self.received.append(request)
-        answer_headers = {"X-Attempt-Id": attempt_id, "X-Server-Signature": SIGNATURE}
+        notices = {"Server-Limit": self.limit} if self.limit else {}
+        answer_headers = {"X-Attempt-Id": attempt_id, "X-Server-Signature": SIGNATURE, **notices}
         expected = call.headers.get("x-expect-instance")
         if expected != self.name or mode == "misdirected":
             request.was_run = False
@@ -78,7 +81,8 @@
                     return False
             case "shed":
                 request.was_run = False
-                await call.answer(503, b"", {"X-Attempt-Id": attempt_id, "X-Not-Executed": "1"})
+                refusal_headers = {"X-Attempt-Id": attempt_id, "X-Not-Executed": "1", **notices}
+                await call.answer(503, b"", refusal_headers)
                 return True
             case "false_promise":
                 await call.answer(503, b"busy", answer_headers)
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -200,6 +200,42 @@
     assert isinstance(WIRE.judge_answer(CALL, status, headers), verdict_class)
 
 
+@pytest.mark.parametrize(
+    ("status", "headers", "limit_s"),
+    [
+        (200, {b"x-attempt-id": b"a1", b"server-limit": b"1.7"}, 1.7),
+        (200, {b"x-attempt-id": b"a1"}, None),
+        (500, {b"x-attempt-id": b"a1", b"server-limit": b"0"}, 0.0),
+        (503, {b"x-not-executed": b"1", b"server-limit": b"12"}, 12.0),
+    ],
+)
+def test_limit_of_a_server_is_decoded(
+    status: int, headers: dict[bytes, bytes], limit_s: float | None
+) -> None:
+    notice = WIRE.read_notice(CALL, status, headers)
+    assert notice is not None
+    assert notice.limit_s == limit_s
+
+
+@pytest.mark.parametrize(
+    ("status", "headers"),
+    [
+        (421, {b"x-attempt-id": b"a1", b"server-limit": b"1"}),
+        (200, {b"x-attempt-id": b"another", b"server-limit": b"1"}),
+        (200, {b"server-limit": b"1"}),
+    ],
+)
+def test_notice_in_another_answer_is_ignored(status: int, headers: dict[bytes, bytes]) -> None:
+    """Guards against a limit on a server that another server or a foreign answer named."""
+    assert WIRE.read_notice(CALL, status, headers) is None
+
+
+@pytest.mark.parametrize("value", [b"", b"many", b"-1", b"nan", b"inf"])
+def test_malformed_limit_is_rejected(value: bytes) -> None:
+    with pytest.raises(ValueError, match=ANY_MESSAGE):
+        WIRE.read_notice(CALL, 200, {b"x-attempt-id": b"a1", b"server-limit": value})
+
+
 # --- refusals ---
 
 
