--- a/tests/core/store_network.py
+++ b/tests/core/store_network.py
@@ -83,7 +83,7 @@
 
     def begin(self, names: list[str]) -> None:
         """Send seeds to started instances and start their checks of the store."""
-        seeds = self.rng.sample(sorted(self.nodes), 3)
+        seeds = self.rng.sample(sorted(self.nodes), min(3, len(self.nodes)))
         for name in names:
             self.seed(name, seeds)
             for part in ("settings", "servers"):
--- a/tests/platform/test_notices.py
+++ b/tests/platform/test_notices.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from tests.core.server_fleet import allowed, busiest_window
 from tests.platform.platform_world import PlatformWorld, until
 
 
@@ -26,3 +27,13 @@
         == [2.5],
         "the limit is logged",
     )
+
+
+def test_limit_of_a_server_is_kept_by_two_instances(world: PlatformWorld) -> None:
+    """Guards against overloading a server whose limit several instances know."""
+    limited = world.servers["lm-1"]
+    limited.limit = "0.5"
+    for number in range(60):
+        answer = world.send(f"/lm/doc/{number}/", instance=f"entry-{1 + number % 2}")
+        assert answer.status == 200
+    assert busiest_window([each.received_at for each in limited.received]) <= allowed(0.5)
