Keep to the limits that servers announce, over all instances together

What callers saw: nothing; the harm was at the servers. Two engines that had named limits of 1.7 and 1.1 requests a second went on getting all that was placed on them, 16 and 12 requests in 4 s.

Cause: the limit stood in the answers and was passed on to callers, but no decision knew of it. Class of the fault: what a server states of itself in an answer is decoded only where it refuses (421, X-Not-Executed), so nothing that it says beside a good answer reaches the reducer.

Ruled out: a limit that each instance keeps by itself (one instance alone broke it as well), and a path around the choice of server (attempts had number 0).

Change: instances share a limit by token buckets. A few of them, picked by rendezvous hashing over all instances that were live in the last minute, send nine tenths of the limit between them; their number is the limit per second and four more, so that rates and bursts stay below what the rule allows with any number of instances, during a partition, and after restarts. Every path to a server takes a token in start_attempt. A request that finds no token goes to a server without a limit, or to one of its kind with room; only where all servers of a target are limited and its turn would come after its class's target is it refused, with the time after which it could be served. Limits spread with the heartbeats (8 rows at most, none if nobody has a limit); an answer without a limit lifts it.

Known cost: the part of an instance without requests is not used by others.

--- a/packages/turmericweir-core/turmericweir_core/membership/membership.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/membership.py
@@ -74,6 +74,41 @@
     return now - centre.last_seen_at <= state.options.centre_suspect_s
 
 
+def recent_instances(state: State, now: float, keep_s: float) -> list[Member]:
+    """Return the instances that were live within a time, this one included, sorted by name.
+
+    An instance that announced that it leaves is left out once it is not live.
+    """
+    recent = [
+        member
+        for member in _all_members(state)
+        if is_live(state, now, member)
+        or (not member.leaving and _was_live(state, now, member, keep_s))
+    ]
+    return sorted(recent, key=lambda member: member.name)
+
+
+def _was_live(state: State, now: float, member: Member, keep_s: float) -> bool:
+    if member.data_centre == state.me.data_centre:
+        return now - member.last_seen_at <= keep_s
+    centre = state.members.centres.get(member.data_centre)
+    if centre is None or member.name not in centre.roster:
+        return False
+    return now - centre.last_seen_at <= keep_s
+
+
+def region_of(state: State, data_centre: str) -> str:
+    """Return the region of a data centre; this instance's region if it is unknown."""
+    centre = state.members.centres.get(data_centre)
+    return (centre.region if centre is not None else "") or state.me.region
+
+
+def uptime_s(state: State, now: float) -> float:
+    """Return the time since the first tick, in seconds."""
+    started_at = state.members.started_at
+    return 0.0 if started_at is None else now - started_at
+
+
 def data_centre_views(state: State, now: float) -> list[CentreView]:
     """Return the data centres with the newest status of each, this one included."""
     views = [_remote_view(state, now, each) for each in state.members.centres.values()]
--- a/packages/turmericweir-core/turmericweir_core/membership/membership_reducer.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/membership_reducer.py
@@ -14,6 +14,7 @@
 
 from turmericweir_core.base.ids import InstanceName
 from turmericweir_core.membership import (
+    announced_limits,
     leaving,
     membership_discovery,
     membership_gossip,
@@ -62,6 +63,7 @@
         effects += _add_notices(state, now, membership_status.send_statuses(state, now))
         membership_records.drop_expired_members(state, now)
         leaving.drop_expired_notices(state, now)
+        announced_limits.drop_old_statements(state, now)
     return effects
 
 
@@ -77,8 +79,9 @@
 
 
 def _add_notices(state: State, now: float, effects: Sequence[Effect]) -> list[Effect]:
-    """Add the leaving notices and hashes of the other parts to heartbeats."""
+    """Add the leaving notices, limits and hashes of the other parts to heartbeats."""
     notices = leaving.notices_to_send(state, now)
+    limits = announced_limits.rows_to_send(state, now) if effects else []
     table = state.servers
     completed: list[Effect] = []
     for effect in effects:
@@ -86,6 +89,7 @@
             beat = replace(
                 effect.message,
                 leaving_notices=notices,
+                limits=limits,
                 notices_hash=table.leaving_notices.digest,
                 servers_hash=table.listed_hash,
                 servers_age_s=server_list.list_age_s(state, now),
@@ -115,6 +119,7 @@
     effects += membership_status.take_statuses(state, now, sender, beat.status_messages)
     effects += leaving.take_notices(state, now, beat.leaving_notices)
     effects += leaving.compare_notices(state, now, sender, beat)
+    effects += announced_limits.take_rows(state, now, sender.name, beat.limits)
     effects += server_list.compare_list(state, now, sender, beat)
     if not is_known or _live_incarnation(state, now, name) not in (previous_incarnation, None):
         effects += _add_notices(
--- a/packages/turmericweir-core/turmericweir_core/messages/peer_messages.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/peer_messages.py
@@ -37,6 +37,17 @@
     age_s: int
 
 
+class LimitRow(Struct, frozen=True, array_like=True):
+    """Statement of a backend server on the requests that it accepts from all instances."""
+
+    server: str
+    incarnation: str
+    # Requests per second; None if it lifted its limit.
+    requests_s: float | None
+    # Milliseconds since an instance received the newest answer that says so.
+    age_ms: int
+
+
 class Heartbeat(Struct, frozen=True, array_like=True):
     """Gossip datagram: the sender is alive, with summaries of its membership state.
 
@@ -79,6 +90,7 @@
     leaving_notices: list[Mark] = []
     # Capacity of the sender's machine for relaying; 0 if omitted.
     machine_capacity: int = 0
+    limits: list[LimitRow] = []
 
 
 class MemberRecord(Struct, frozen=True, array_like=True):
--- a/packages/turmericweir-core/turmericweir_core/placement/answer_moves.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/answer_moves.py
@@ -20,6 +20,7 @@
 from turmericweir_core.base.ids import ServerName
 from turmericweir_core.base.request import Attempt, CancelReason, Request
 from turmericweir_core.credits.credit_holder import uses_local_counts
+from turmericweir_core.membership import announced_limits
 from turmericweir_core.membership.subset import open_servers
 from turmericweir_core.messages.effects import Count, Effect, Log
 from turmericweir_core.placement.dispatch import cancel
@@ -116,6 +117,7 @@
         server.entry.name != attempt.server
         and server.entry.name not in req.failed_servers
         and not straggler.has_overdue_token(state.stragglers, state.options, now, server.entry.name)
+        and announced_limits.can_send(state, now, server)
         and (headroom(state, now, server, req.priority) > 0 or _can_get_credit(state, now, server))
         for server in open_servers(state, now, req.target)
     )
--- a/packages/turmericweir-core/turmericweir_core/placement/dispatch.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/dispatch.py
@@ -16,7 +16,7 @@
 from turmericweir_core.base.tiers import most_urgent_configured_tier
 from turmericweir_core.credits import credit
 from turmericweir_core.engines import engine_model
-from turmericweir_core.membership import subset
+from turmericweir_core.membership import announced_limits, subset
 from turmericweir_core.messages.effects import CancelAttempt, Effect, Log, StartAttempt
 from turmericweir_core.messages.peer_messages import CreditDemand, CreditGrant
 from turmericweir_core.placement import attempt_accounting, displacement, predicted_placement
@@ -152,6 +152,7 @@
     req.phase = RequestPhase.RUNNING
     server.in_flight[new_attempt_id] = attempt.tier
     server.sent_count += 1
+    announced_limits.note_sent(state, now, server)
     effects: list[Effect] = []
     fetch_from = ""
     if state.config.policy is PlacementPolicy.PREDICTED:
--- a/packages/turmericweir-core/turmericweir_core/placement/placement.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/placement.py
@@ -27,6 +27,7 @@
 from turmericweir_core.base.tiers import most_urgent_configured_tier
 from turmericweir_core.credits import credit
 from turmericweir_core.credits.credit_holder import covered_room, uses_local_counts
+from turmericweir_core.membership import announced_limits
 from turmericweir_core.membership.subset import instances_per_server, open_servers
 from turmericweir_core.placement import predicted_placement
 from turmericweir_core.state import straggler
@@ -46,7 +47,12 @@
     """Pick the server for a request that is to run at a tier, or None where it has to wait."""
     if state.config.policy is PlacementPolicy.BASELINE:
         return _pick_baseline(preferred_servers(servers_for(state.servers, req.target, now), req))
-    candidates = preferred_servers(open_servers(state, now, req.target), req)
+    accepting = [
+        server
+        for server in open_servers(state, now, req.target)
+        if announced_limits.can_send(state, now, server)
+    ]
+    candidates = preferred_servers(accepting, req)
     if state.config.policy is PlacementPolicy.PREDICTED:
         return predicted_placement.pick(state, now, req, tier, candidates)
     stopped_straggler = _straggler_to_probe(state, now, req, candidates)
--- a/packages/turmericweir-core/turmericweir_core/placement/predicted_admission.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/predicted_admission.py
@@ -17,6 +17,7 @@
 from turmericweir_core.base.request import Request
 from turmericweir_core.base.tiers import scheduling_rank
 from turmericweir_core.engines import engine_model, engine_pools
+from turmericweir_core.membership import announced_limits
 from turmericweir_core.membership.subset import open_servers
 from turmericweir_core.placement import predicted_placement
 from turmericweir_core.state import queue_state, straggler
@@ -32,7 +33,10 @@
 
 def wait_s(state: State, now: float, req: Request, pool: str) -> float:
     """Return how long a new request is predicted to wait for its first token, in seconds."""
-    servers = open_servers(state, now, req.target)
+    open_now = open_servers(state, now, req.target)
+    servers = _unlimited(state, open_now)
+    if open_now and not servers:
+        return _limited_wait_s(state, now, req, pool, open_now)
     if not servers or servers[0].service.kind is not ServiceKind.MODEL:
         return 0.0
     service = servers[0].service
@@ -48,6 +52,27 @@
     return (work_ahead_ms + predicted_placement.shortest_wait_ms(state, now, engines)) / _MS
 
 
+def _is_limited_everywhere(state: State, now: float, req: Request) -> bool:
+    servers = open_servers(state, now, req.target)
+    return bool(servers) and not _unlimited(state, servers)
+
+
+def _unlimited(state: State, servers: list[Server]) -> list[Server]:
+    return [each for each in servers if not announced_limits.is_limited(state, each)]
+
+
+def _limited_wait_s(
+    state: State, now: float, req: Request, pool: str, servers: list[Server]
+) -> float:
+    """Return how long a new request waits until limited servers accept it, in seconds."""
+    requests_ahead = sum(
+        len(queue)
+        for queue in queue_state.pool_queues(state.queues, pool)
+        if scheduling_rank(queue.service_class) <= scheduling_rank(req.service_class)
+    )
+    return announced_limits.wait_s(state, now, servers, requests_ahead)
+
+
 def _queued_ms(state: State, servers: list[Server], queue: queue_state.ClassQueue) -> float:
     record = engine_model.engine_info_of(state, servers[0].entry.name)
     return sum(
@@ -58,6 +83,10 @@
 
 def can_answer_in_time(state: State, now: float, req: Request, predicted_wait_s: float) -> bool:
     """Return whether a request with this predicted wait can still be answered."""
+    if _is_limited_everywhere(state, now, req) and predicted_wait_s > req.service_class.target_s:
+        # Overdue requests are served last, so it would wait to its deadline. Another instance may
+        # have requests left for these servers.
+        return False
     remaining_s = req.deadline - now
     return (
         predicted_wait_s <= _WAIT_SHARE_MAX * remaining_s
@@ -75,7 +104,7 @@
     servers = open_servers(state, now, req.target)
     if req.expected_tokens is None or not servers or not _is_least_urgent(state, req):
         return 0.0
-    engines = engine_pools.engines_for(state, now, req, servers)
+    engines = engine_pools.engines_for(state, now, req, _unlimited(state, servers) or servers)
     gap_s = straggler.recent_gap_s(state.stragglers, now, (server.entry.name for server in engines))
     if gap_s is None:
         return 0.0
@@ -96,6 +125,11 @@
 def retry_after(state: State, now: float, req: Request, predicted_wait_s: float) -> float:
     """Return the time after which such a request could be answered in time."""
     options = state.options
+    if predicted_wait_s == float("inf"):
+        # Only other instances may send to the limited servers.
+        servers = open_servers(state, now, req.target)
+        pause_s = announced_limits.retry_after_s(state, servers)
+        return min(options.retry_after_max_s, max(options.retry_after_min_s, pause_s))
     deadline_overrun_s = (
         predicted_wait_s + predicted_generation_s(state, now, req) - (req.deadline - now)
     )
@@ -105,9 +139,10 @@
 
 def explain(state: State, now: float, req: Request, predicted_wait_s: float) -> dict[str, object]:
     """Return the inputs of a refusal for its log line."""
+    is_other_instance = predicted_wait_s == float("inf")
     return {
         "service_class": req.service_class.name,
-        "wait_ms": round(predicted_wait_s * _MS),
+        "wait_ms": None if is_other_instance else round(predicted_wait_s * _MS),
         "answer_ms": round(predicted_generation_s(state, now, req) * _MS),
         "expected_tokens": req.expected_tokens,
         "left_ms": round((req.deadline - now) * _MS),
--- a/packages/turmericweir-core/turmericweir_core/placement/predicted_placement.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/predicted_placement.py
@@ -22,6 +22,7 @@
 from turmericweir_core.base.request import Request
 from turmericweir_core.base.tiers import scheduling_rank
 from turmericweir_core.engines import engine_model, engine_pools
+from turmericweir_core.membership import announced_limits
 from turmericweir_core.membership.subset import open_servers, rendezvous_weight
 from turmericweir_core.queueing import urgent_first
 from turmericweir_core.state import straggler
@@ -50,6 +51,8 @@
 _LAST_RANK: Final = 1_000_000
 # Probability that the home engine holds a part that no instance reported.
 _HOME_CACHED_PROBABILITY: Final = 0.5
+# Time after which a limited engine takes requests of any kind.
+_IDLE_LIMIT_S: Final = 1.0
 # Lower bound of a straggler's weight, which keeps it usable if all others are far behind.
 _STRAGGLER_WEIGHT_MIN: Final = 0.1
 
@@ -92,12 +95,33 @@
 ) -> Server | None:
     if urgent_first.must_wait_for_urgent(state, now, req):
         return None
-    engines_of_kind = engine_pools.engines_for(state, now, req, candidates)
-    best_choice = _best_engine(state, now, req, engines_of_kind)
-    if best_choice.is_held_back and _can_spill(state, now, req, engines_of_kind):
-        other_engines = engine_pools.spill_engines(state, now, req, candidates)
-        best_choice = _best_engine(state, now, req, other_engines) if other_engines else best_choice
-    return None if best_choice.is_held_back else best_choice.server
+    unlimited = [each for each in candidates if not announced_limits.is_limited(state, each)]
+    if not unlimited:
+        choice = _best_engine(state, now, req, candidates)
+        return None if choice.is_held_back else choice.server
+    # Engines with a limit do little of the work, so they are not part of the split into kinds.
+    # Prevents the split from changing with each request that their limits allow.
+    limited = [each for each in candidates if announced_limits.is_limited(state, each)]
+    engines_of_kind = engine_pools.engines_for(state, now, req, unlimited)
+    limited_of_kind = [each for each in limited if _takes_kind(state, now, req, each)]
+    choice = _best_engine(state, now, req, [*engines_of_kind, *limited_of_kind])
+    if choice.is_held_back and limited:
+        choice = _best_engine(state, now, req, limited)
+    if choice.is_held_back and _can_spill(state, now, req, engines_of_kind):
+        other_engines = engine_pools.spill_engines(state, now, req, unlimited)
+        choice = _best_engine(state, now, req, other_engines) if other_engines else choice
+    return None if choice.is_held_back else choice.server
+
+
+def _takes_kind(state: State, now: float, req: Request, engine: Server) -> bool:
+    """Return whether a limited engine takes a request's kind of prompts.
+
+    Half of these engines, by hash, prefill long prompts. What no request of its kind uses for some
+    time goes to any other, so that answers keep showing whether the limit still holds.
+    """
+    takes_long = rendezvous_weight(req.target, engine.entry.name) % 2 == 0
+    is_long = engine_pools.tolerates_long_prompts(state, req.service_class, engine.service)
+    return takes_long == is_long or announced_limits.idle_s(state, now, engine) >= _IDLE_LIMIT_S
 
 
 def _can_spill(state: State, now: float, req: Request, engines_of_kind: list[Server]) -> bool:
--- a/packages/turmericweir-core/turmericweir_core/trust/isolated_runs.py
+++ b/packages/turmericweir-core/turmericweir_core/trust/isolated_runs.py
@@ -18,7 +18,7 @@
 
 from turmericweir_core.base.ids import AttemptId, InstanceName, RequestId, ServerName
 from turmericweir_core.base.request import Attempt, Request
-from turmericweir_core.membership import membership
+from turmericweir_core.membership import announced_limits, membership
 from turmericweir_core.membership.subset import rendezvous_weight
 from turmericweir_core.messages.effects import Effect, SendDatagram
 from turmericweir_core.messages.peer_messages import TrialAnswer, TrialAsk, TrialEnd
@@ -175,6 +175,8 @@
         name = server.entry.name
         if name in busy_servers or now < suspect.excluded_until.get(name, now):
             continue
+        if not announced_limits.can_send(state, now, server):
+            continue
         rank = (int(name in suspect.req.failed_servers), _request_count(server))
         if rank < best_rank:
             best = server
