Reproduce the drain incident: what a server says of its leaving is not heeded

The existing log lines tell the hypotheses apart (there is no server_leaving before the entry is read), so no log is added first.

--- a/tests/platform/standin_server.py
+++ b/tests/platform/standin_server.py
@@ -44,6 +44,8 @@
     event_interval_s: float = 0.0
     # Requests per second that it names in its answers; empty for no limit.
     limit: str = ""
+    # Whether it says in its answers that it is leaving.
+    is_leaving: bool = False
     # A request body that crashes the server.
     crash_body: bytes = b""
     # Closes the port of this server.
@@ -60,7 +62,7 @@
             self.name, call.target, call.headers, call.body, True, call.earlier_requests
         )
         self.received.append(request)
-        notices = {"Server-Limit": self.limit} if self.limit else {}
+        notices = self._notices()
         answer_headers = {"X-Attempt-Id": attempt_id, "X-Server-Signature": SIGNATURE, **notices}
         expected = call.headers.get("x-expect-instance")
         if expected != self.name or mode == "misdirected":
@@ -117,6 +119,10 @@
             return await self._answer_plain(call, answer_headers, mode, request)
         return await self._answer_stream(call, answer_headers, mode, request)
 
+    def _notices(self) -> dict[str, str]:
+        notices = {"Server-Limit": self.limit} if self.limit else {}
+        return {**notices, "Server-Leaving": "1"} if self.is_leaving else notices
+
     def _take_mode(self) -> str:
         if self.mode_requests == 0:
             return ""
--- a/tests/platform/test_notices.py
+++ b/tests/platform/test_notices.py
@@ -12,8 +12,9 @@
 
 @pytest.fixture
 def world(tmp_path_factory: pytest.TempPathFactory) -> Iterator[PlatformWorld]:
-    """Yield a world with two instances."""
-    with PlatformWorld(tmp_path_factory.mktemp("notices"), instances=2) as world:
+    """Yield a world with two instances, which may be without the store for long."""
+    directory = tmp_path_factory.mktemp("notices")
+    with PlatformWorld(directory, instances=2, bounds={"revoke_ms": 60_000}) as world:
         yield world
 
 
@@ -37,3 +38,29 @@
         answer = world.send(f"/lm/doc/{number}/", instance=f"entry-{1 + number % 2}")
         assert answer.status == 200
     assert busiest_window([each.received_at for each in limited.received]) <= allowed(0.5)
+
+
+@pytest.mark.parametrize(
+    ("service", "is_store_away"), [("lm", False), ("lm", True), ("shop", True)]
+)
+def test_server_that_says_that_it_leaves_gets_no_new_work(
+    world: PlatformWorld, service: str, is_store_away: bool
+) -> None:
+    """Guards against sending to a server that said in an answer that it is leaving."""
+    leaving = world.servers[f"{service}-1"]
+    leaving.is_leaving = True
+    if is_store_away:
+        world.store.mode = "busy"
+    for number in range(20):
+        if service == "lm":
+            assert world.send(f"/lm/doc/{number}/").status == 200
+        else:
+            assert world.send_safe().status == 200
+    assert len(leaving.received) == 1
+    until(
+        lambda: bool(world.running["entry-2"].logged("server_marked")),
+        "the other instance learns that the server leaves",
+    )
+    for number in range(20, 40):
+        assert world.send(f"/lm/doc/{number}/", instance="entry-2").status == 200
+    assert len(leaving.received) == 1
