Send no new work to a server that says in any answer that it leaves

What callers saw: nothing at once; their requests ran on a server that was about to exit, 12 s after it had said so, since the store that holds its entry was away in between.

Cause: only the entry, a load report, an operator and a refusal (421) made a server leave.

Ruled out: an undone mark (no server_leaving in any log before the entry was read at 20.28 s), a path around the choice of server (attempts had number 0).

Change: the notice in the answer marks the server in the instance that got it, before anything else is placed, and leaving notices carry it to all others, as for a refusal. It holds for the incarnation that the attempt ran on: an entry that still says ready, or lapsed and came back, does not undo it, a new incarnation is used. refused_leaving is renamed, as it is no longer only set by refusals.

--- a/packages/turmericweir-core/turmericweir_core/membership/leaving.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/leaving.py
@@ -41,10 +41,10 @@
     report = server.report
     incarnation = server.entry.incarnation if report is None else report.incarnation
     notice = state.servers.leaving_notices.by_key.get((server.entry.name, incarnation))
-    has_announced_leaving = server.refused_leaving or (report is not None and report.leaving)
+    is_announced = server.has_announced_leaving or (report is not None and report.leaving)
     # A report with the incarnation of the notice confirms it, so it may be renewed.
     is_renewed = notice is not None and not notice.is_drained and report is not None
-    if has_announced_leaving or is_renewed:
+    if is_announced or is_renewed:
         effects += _record_notice(state, now, server, incarnation, drained=False)
     if server.drained and (report is not None or not _has_notice(state, server)):
         effects += _record_notice(state, now, server, incarnation, drained=True)
--- a/packages/turmericweir-core/turmericweir_core/messages/events.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/events.py
@@ -106,6 +106,8 @@
     attempt_id: AttemptId
     # Requests per second that the server accepts from all instances together; None for no limit.
     limit_s: float | None = None
+    # The server says that it is leaving.
+    is_leaving: bool = False
 
 
 class AttemptEnded(Struct, frozen=True):
--- a/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
@@ -14,7 +14,7 @@
 from turmericweir_core.base.reasons import Reason
 from turmericweir_core.base.request import Attempt, CancelReason, Request, RequestPhase
 from turmericweir_core.engines import engine_model
-from turmericweir_core.membership import announced_limits
+from turmericweir_core.membership import announced_limits, leaving
 from turmericweir_core.messages.effects import Count, Effect, Log, Timing
 from turmericweir_core.messages.events import (
     AnswerReceived,
@@ -90,7 +90,11 @@
     if server is None or attempt.attempt_id not in server.in_flight:
         # The attempt ran on an earlier incarnation of the server.
         return []
-    return announced_limits.on_answer(state, now, server, attempt.started_at, event.limit_s)
+    effects = announced_limits.on_answer(state, now, server, attempt.started_at, event.limit_s)
+    if event.is_leaving and not server.has_announced_leaving:
+        note_leaving(state.servers, attempt.server)
+        effects += leaving.create_leaving_notices(state, now)
+    return effects
 
 
 def _on_first_token(state: State, now: float, req: Request, attempt: Attempt) -> list[Effect]:
@@ -185,14 +189,14 @@
                 answer=answer,
             )
             return finish_effects + learning_effects
-        case EndRefused(_, leaving):
-            if leaving:
+        case EndRefused(_, is_leaving):
+            if is_leaving:
                 note_leaving(state.servers, attempt.server)
             if attempt.sent:
                 # A refusal does not count as a send. Prevents a call with a single send from ending
                 # at the first full server.
                 req.sent_attempts -= 1
-            uses_budget = not leaving or state.options.retry_pay_all
+            uses_budget = not is_leaving or state.options.retry_pay_all
             return _retry_or_finish(
                 state, now, req, attempt, Reason.OVERLOAD, uses_budget=uses_budget
             )
--- a/packages/turmericweir-core/turmericweir_core/state/server_table.py
+++ b/packages/turmericweir-core/turmericweir_core/state/server_table.py
@@ -36,8 +36,8 @@
     leaving: bool = False
     # An operator requested that it gets no new work.
     drained: bool = False
-    # It refused a request of this instance because it is leaving.
-    refused_leaving: bool = False
+    # It told this instance that it is leaving, in a refusal or another answer.
+    has_announced_leaving: bool = False
     # It restarted while its entry stayed the same, so leaving notices on the entry's incarnation do
     # not apply to it.
     has_outlived_entry: bool = False
@@ -129,7 +129,7 @@
         table.version += 1
     server.entry = entry
     server.service = service
-    if server.is_unlisted and table.is_self_registered and not server.refused_leaving:
+    if server.is_unlisted and table.is_self_registered and not server.has_announced_leaving:
         # Its entry had expired and the server has written it again. Prevents a server that was
         # retained for a request in flight from being excluded permanently.
         server.leaving = entry.leaving
@@ -196,7 +196,7 @@
     else:
         # The entry of a new incarnation may lag, so only the report counts. For a first report the
         # entry and a refusal count as well. Leaving notices are applied below.
-        was_leaving_before = server.refused_leaving or server.entry.leaving
+        was_leaving_before = server.has_announced_leaving or server.entry.leaving
         is_leaving = report.leaving or (was_leaving_before and server.report is None)
     if server.report is None or server.report.models != report.models:
         table.version += 1
@@ -204,7 +204,7 @@
         table.version += 1
     if server.report is not None and server.report.incarnation != report.incarnation:
         server.has_outlived_entry = True
-        server.refused_leaving = False
+        server.has_announced_leaving = False
         server.drained = False
     server.report = report
     server.report_at = now
@@ -242,7 +242,7 @@
     server = table.by_name.get(name)
     if server is None:
         return
-    server.refused_leaving = True
+    server.has_announced_leaving = True
     if not server.leaving:
         server.leaving = True
         table.version += 1
--- a/packages/turmericweir/turmericweir/answers/forward_wire.py
+++ b/packages/turmericweir/turmericweir/answers/forward_wire.py
@@ -96,6 +96,8 @@
 
     # Requests per second that it accepts from all instances together; None for no limit.
     limit_s: float | None = None
+    # Whether it is leaving and gets no new work.
+    is_leaving: bool = False
 
 
 class WireAdapter(Protocol):
--- a/packages/turmericweir/turmericweir/servers/forward.py
+++ b/packages/turmericweir/turmericweir/servers/forward.py
@@ -159,7 +159,11 @@
             return
         if notice is None:
             return
-        self._node.handle(AnswerReceived(start.request_id, start.attempt_id, notice.limit_s))
+        self._node.handle(
+            AnswerReceived(
+                start.request_id, start.attempt_id, notice.limit_s, is_leaving=notice.is_leaving
+            )
+        )
 
     async def _deliver_stream(self, response: httpcore.Response, headers: Headers) -> AttemptEnd:
         answer = self._job.answer
--- a/tests/core/server_fleet.py
+++ b/tests/core/server_fleet.py
@@ -47,10 +47,11 @@
 
 @dataclass(slots=True)
 class FleetServer:
-    """A server that names a limit while it has one."""
+    """A server that names its limit in its answers, and whether it is leaving."""
 
     name: str
     limit_s: float | None = None
+    is_leaving: bool = False
     # When the limit was first named, since it last was none.
     first_named_at: float | None = None
     arrivals: list[Arrival] = field(default_factory=list)
@@ -134,7 +135,7 @@
         ids = (start.request_id, start.attempt_id)
         self._push(self.now, name, AttemptSent(*ids))
         limit_s = server.answer_limit(arrived_at)
-        self._push(arrived_at + NETWORK_S, name, AnswerReceived(*ids, limit_s))
+        self._push(arrived_at + NETWORK_S, name, AnswerReceived(*ids, limit_s, server.is_leaving))
         self._push(arrived_at + NETWORK_S, name, AttemptProgress(*ids, 1))
         self._push(arrived_at + ANSWER_S, name, AttemptEnded(*ids, EndComplete(200)))
 
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -217,6 +217,13 @@
     assert notice.limit_s == limit_s
 
 
+@pytest.mark.parametrize(("value", "expected"), [(b"1", True), (b"0", False), (b"", False)])
+def test_leaving_of_a_server_is_decoded(value: bytes, expected: bool) -> None:
+    notice = WIRE.read_notice(CALL, 200, {b"x-attempt-id": b"a1", b"server-leaving": value})
+    assert notice is not None
+    assert notice.is_leaving is expected
+
+
 @pytest.mark.parametrize(
     ("status", "headers"),
     [
