Log the pauses that servers ask for; keep the rest of a malformed notice

Nothing is placed differently yet.

A limit that is no number no longer hides what else the answer says: the limit before holds, and the error is logged as before.

--- a/packages/turmericweir-core/turmericweir_core/messages/events.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/events.py
@@ -108,6 +108,10 @@
     limit_s: float | None = None
     # The server says that it is leaving.
     is_leaving: bool = False
+    # For how long the server wants no requests from this instance, seconds.
+    pause_s: float = 0.0
+    # False if the statement on the limit cannot be decoded; the one before holds.
+    is_limit_readable: bool = True
 
 
 class AttemptEnded(Struct, frozen=True):
--- a/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
@@ -90,7 +90,12 @@
     if server is None or attempt.attempt_id not in server.in_flight:
         # The attempt ran on an earlier incarnation of the server.
         return []
-    effects = announced_limits.on_answer(state, now, server, attempt.started_at, event.limit_s)
+    effects: list[Effect] = []
+    if event.is_limit_readable:
+        effects += announced_limits.on_answer(state, now, server, attempt.started_at, event.limit_s)
+    if event.pause_s:
+        fields = {"peer": attempt.server, "seconds": event.pause_s}
+        effects.append(Log("server_paused", fields))
     if event.is_leaving and not server.has_announced_leaving:
         note_leaving(state.servers, attempt.server)
         effects += leaving.create_leaving_notices(state, now)
--- a/packages/turmericweir/turmericweir/answers/forward_wire.py
+++ b/packages/turmericweir/turmericweir/answers/forward_wire.py
@@ -98,6 +98,10 @@
     limit_s: float | None = None
     # Whether it is leaving and gets no new work.
     is_leaving: bool = False
+    # For how long it wants no requests from this instance.
+    pause_s: float = 0.0
+    # Why a statement on the limit cannot be decoded; empty if it can.
+    limit_error: str = ""
 
 
 class WireAdapter(Protocol):
@@ -130,10 +134,7 @@
     def read_notice(
         self, call: ForwardCall, status: int, headers: Mapping[bytes, bytes]
     ) -> ServerNotice | None:
-        """Return what the server states about itself, or None if it is not its own answer.
-
-        Raises `ValueError` if the statement cannot be decoded.
-        """
+        """Return what the server states about itself, or None if it is not its own answer."""
 
     def caller_headers(self, headers: Headers) -> Headers:
         """Return the headers of an answer that are for the caller."""
--- a/packages/turmericweir/turmericweir/servers/forward.py
+++ b/packages/turmericweir/turmericweir/servers/forward.py
@@ -151,17 +151,20 @@
 
     def _report_notice(self, status: int, headers: Mapping[bytes, bytes]) -> None:
         start = self._start
-        try:
-            notice = self._job._wire.read_notice(self._call, status, headers)
-        except ValueError as exc:
-            self._node.count("attempt.notice_unreadable")
-            logs.write("notice_unreadable", peer=start.server, error=str(exc))
-            return
+        notice = self._job._wire.read_notice(self._call, status, headers)
         if notice is None:
             return
+        if notice.limit_error:
+            self._node.count("attempt.notice_unreadable")
+            logs.write("notice_unreadable", peer=start.server, error=notice.limit_error)
         self._node.handle(
             AnswerReceived(
-                start.request_id, start.attempt_id, notice.limit_s, is_leaving=notice.is_leaving
+                start.request_id,
+                start.attempt_id,
+                notice.limit_s,
+                is_leaving=notice.is_leaving,
+                pause_s=notice.pause_s,
+                is_limit_readable=not notice.limit_error,
             )
         )
 
