--- a/tests/platform/standin_server.py
+++ b/tests/platform/standin_server.py
@@ -46,6 +46,8 @@
     limit: str = ""
     # Whether it says in its answers that it is leaving.
     is_leaving: bool = False
+    # The seconds for which it wants no requests after a refusal; empty for none.
+    pause: str = ""
     # A request body that crashes the server.
     crash_body: bytes = b""
     # Closes the port of this server.
@@ -84,6 +86,8 @@
             case "shed":
                 request.was_run = False
                 refusal_headers = {"X-Attempt-Id": attempt_id, "X-Not-Executed": "1", **notices}
+                if self.pause:
+                    refusal_headers["Retry-After"] = self.pause
                 await call.answer(503, b"", refusal_headers)
                 return True
             case "false_promise":
--- a/tests/platform/test_notices.py
+++ b/tests/platform/test_notices.py
@@ -64,3 +64,26 @@
     for number in range(20, 40):
         assert world.send(f"/lm/doc/{number}/", instance="entry-2").status == 200
     assert len(leaving.received) == 1
+
+
+def test_server_that_asked_for_a_pause_gets_no_requests_meanwhile(world: PlatformWorld) -> None:
+    """Guards against sending more requests to a server that has refused them for some time."""
+    paused = world.servers["lm-1"]
+    paused.mode, paused.pause = "shed", "30"
+    for number in range(20):
+        assert world.send(f"/lm/chat/{number}/").status == 200
+    assert len(paused.received) == 1
+
+
+def test_server_is_used_again_after_its_pause(world: PlatformWorld) -> None:
+    """Guards against excluding a server for longer than the pause that it asked for."""
+    paused = world.servers["lm-1"]
+    paused.mode, paused.mode_requests, paused.pause = "shed", 1, "0.5"
+
+    def is_used_again() -> bool:
+        assert world.send(f"/lm/chat/{world.new_id()}/").status == 200
+        return len(paused.received) > 1
+
+    until(is_used_again, "the server gets requests again")
+    first, second = paused.received[:2]
+    assert second.received_at - first.received_at >= 0.5
