Send nothing to a server for the pause that it asks for

What callers saw: a refused request went on elsewhere, but the next ones were sent to the same full server and refused there, each paid for from the budget of retries; once that was used up, callers got 503 while another engine was idle.

Same class as the limit and the leaving: what a server states of itself did not reach the reducer.

Ruled out: a path that sends in spite of a known pause (the server_paused lines show that no instance knew of one before).

Change: the server is excluded from new work of this instance until the longest pause that it asked for has ended. Its requests go to other servers. If none is left, those wait that can be served afterwards; all others are refused at once, also those that were waiting already, and their callers may go to another instance without delay, since the pause is asked of one instance alone.

--- a/packages/turmericweir-core/turmericweir_core/membership/subset.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/subset.py
@@ -74,6 +74,27 @@
     return _without_unproven(list(servers_for(state.servers, target, now)))
 
 
+def pause_left_s(state: State, now: float, target: Target) -> float | None:
+    """Return when the first paused server of a target takes work again, in seconds from now.
+
+    None if a server takes work now, or if none of them is paused.
+    """
+    table = state.servers
+    if now >= table.last_pause_until or open_servers(state, now, target):
+        return None
+    paused_until = min(
+        (
+            server.paused_until
+            for server in table.by_name.values()
+            if server.paused_until > now
+            and not (server.leaving or server.drained)
+            and server.serves(target)
+        ),
+        default=None,
+    )
+    return None if paused_until is None else paused_until - now
+
+
 def _without_unproven(servers: list[Server]) -> list[Server]:
     """Leave out failed servers without a successful probe since, if others remain.
 
--- a/packages/turmericweir-core/turmericweir_core/placement/admission.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/admission.py
@@ -16,7 +16,7 @@
 from turmericweir_core.base.config import PlacementPolicy
 from turmericweir_core.base.request import Request
 from turmericweir_core.engines import engine_pools
-from turmericweir_core.membership.subset import open_servers
+from turmericweir_core.membership.subset import open_servers, pause_left_s
 from turmericweir_core.placement import displacement, predicted_admission
 from turmericweir_core.placement.placement import idle_slots_share
 from turmericweir_core.state import queue_state
@@ -140,14 +140,14 @@
 
 
 class UnservableRequest(Struct, frozen=True):
-    """An overdue request that would expire before it is served."""
+    """A waiting request that would expire before it is served."""
 
     request: Request
     retry_after_s: float
 
 
 def unservable_requests(state: State, now: float, pool: str) -> list[UnservableRequest]:
-    """Return the overdue requests that are predicted to expire before they are served.
+    """Return the waiting requests that are predicted to expire before they are served.
 
     Only the first and the last overdue request of each queue are checked, which bounds the cost of
     a tick: the first has the least time left, the last the most work ahead.
@@ -155,7 +155,7 @@
     load = pool_load(state.pool_loads, pool)
     unservable: list[UnservableRequest] = []
     if state.config.policy is PlacementPolicy.PREDICTED:
-        return unservable
+        return _paused_past_deadline(state, now, pool)
     for queue in queue_state.pool_queues(state.queues, pool):
         rate = (
             drain_rate(load, idle_slots_share(state, now, queue.target))
@@ -178,6 +178,20 @@
     return unservable
 
 
+def _paused_past_deadline(state: State, now: float, pool: str) -> list[UnservableRequest]:
+    """Return the waiting requests whose servers all want no requests until their deadline."""
+    unservable: list[UnservableRequest] = []
+    for queue in queue_state.pool_queues(state.queues, pool):
+        pause_s = pause_left_s(state, now, queue.target)
+        if pause_s is None:
+            continue
+        for req in queue.waiting():
+            if now + pause_s >= req.deadline and req.first_token_at is None:
+                delay_s = predicted_admission.retry_after(state, now, req, pause_s)
+                unservable.append(UnservableRequest(req, delay_s))
+    return unservable
+
+
 def _drain_time_s(
     state: State, req: Request, upper_arrival_rate: float, work_ahead: float, rate: float
 ) -> float:
--- a/packages/turmericweir-core/turmericweir_core/placement/predicted_admission.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/predicted_admission.py
@@ -18,7 +18,7 @@
 from turmericweir_core.base.tiers import scheduling_rank
 from turmericweir_core.engines import engine_model, engine_pools
 from turmericweir_core.membership import announced_limits
-from turmericweir_core.membership.subset import open_servers
+from turmericweir_core.membership.subset import open_servers, pause_left_s
 from turmericweir_core.placement import predicted_placement
 from turmericweir_core.state import queue_state, straggler
 from turmericweir_core.state.server_table import Server
@@ -34,10 +34,12 @@
 def wait_s(state: State, now: float, req: Request, pool: str) -> float:
     """Return how long a new request is predicted to wait for its first token, in seconds."""
     open_now = open_servers(state, now, req.target)
+    if not open_now:
+        return pause_left_s(state, now, req.target) or 0.0
     servers = _unlimited(state, open_now)
-    if open_now and not servers:
+    if not servers:
         return _limited_wait_s(state, now, req, pool, open_now)
-    if not servers or servers[0].service.kind is not ServiceKind.MODEL:
+    if servers[0].service.kind is not ServiceKind.MODEL:
         return 0.0
     service = servers[0].service
     engines = engine_pools.engines_for(state, now, req, servers)
@@ -125,6 +127,9 @@
 def retry_after(state: State, now: float, req: Request, predicted_wait_s: float) -> float:
     """Return the time after which such a request could be answered in time."""
     options = state.options
+    if state.subsets.instances > 1 and pause_left_s(state, now, req.target) is not None:
+        # The servers asked only this instance to pause.
+        return options.retry_after_min_s
     if predicted_wait_s == float("inf"):
         # Only other instances may send to the limited servers.
         servers = open_servers(state, now, req.target)
--- a/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
@@ -33,7 +33,7 @@
 from turmericweir_core.placement.dispatch import dispatch, release, wait_for_server
 from turmericweir_core.requests.lifecycle import finish, unanswered_outcome
 from turmericweir_core.state import queue_state, usage_meter
-from turmericweir_core.state.server_table import note_leaving, note_unreachable
+from turmericweir_core.state.server_table import note_leaving, note_pause, note_unreachable
 from turmericweir_core.state.state import State
 from turmericweir_core.trust import isolated_runs, lost_connections, quarantine
 from turmericweir_core.trust.retry import spend_retry
@@ -96,6 +96,7 @@
     if event.pause_s:
         fields = {"peer": attempt.server, "seconds": event.pause_s}
         effects.append(Log("server_paused", fields))
+        note_pause(state.servers, now, server, event.pause_s)
     if event.is_leaving and not server.has_announced_leaving:
         note_leaving(state.servers, attempt.server)
         effects += leaving.create_leaving_notices(state, now)
--- a/packages/turmericweir-core/turmericweir_core/requests/lifecycle.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/lifecycle.py
@@ -178,7 +178,7 @@
 
 
 def _finish_unservable(state: State, now: float) -> list[Effect]:
-    """End overdue requests that are predicted to expire before they are served."""
+    """End waiting requests that are predicted to expire before they are served."""
     effects: list[Effect] = []
     for pool in state.queues.pools:
         while unservable := admission.unservable_requests(state, now, pool):
@@ -188,7 +188,7 @@
                     state,
                     now,
                     entry.request,
-                    Outcome.NOT_RUN,
+                    unanswered_outcome(entry.request),
                     Reason.OVERLOAD,
                     retry_after_s=entry.retry_after_s,
                 )
--- a/packages/turmericweir-core/turmericweir_core/state/server_table.py
+++ b/packages/turmericweir-core/turmericweir_core/state/server_table.py
@@ -45,6 +45,8 @@
     is_unlisted: bool = False
     # Not used before this time because a new connection to it failed.
     unreachable_until: float = 0.0
+    # It wants no requests from this instance before this time.
+    paused_until: float = 0.0
     # When the next load probe is sent.
     next_probe_at: float = 0.0
     # Total number of requests sent to it by this instance, for round robin.
@@ -82,6 +84,8 @@
     # Servers write their entries themselves: an entry describes one incarnation of its server, and
     # there are no load reports.
     is_self_registered: bool = False
+    # No server is paused after this time.
+    last_pause_until: float = 0.0
     # Leaving notices of all instances.
     leaving_notices: LeavingNotices = field(default_factory=LeavingNotices)
     # Incremented whenever a server is added or removed, starts leaving or changes its models.
@@ -96,7 +100,9 @@
 
 def can_take_work(server: Server, now: float) -> bool:
     """Return whether a server may be given new work."""
-    return not (server.leaving or server.drained) and now >= server.unreachable_until
+    if server.leaving or server.drained:
+        return False
+    return now >= server.unreachable_until and now >= server.paused_until
 
 
 def reported_incarnation(server: Server) -> str:
@@ -222,6 +228,12 @@
         server.unreachable_until = now + options.unreachable_retry_s
 
 
+def note_pause(table: ServerTable, now: float, server: Server, pause_s: float) -> None:
+    """Send a server no requests for the time that it asked for."""
+    server.paused_until = max(server.paused_until, now + pause_s)
+    table.last_pause_until = max(table.last_pause_until, server.paused_until)
+
+
 def note_answered(table: ServerTable, name: ServerName) -> None:
     """Use a server again because a new connection to it succeeded."""
     server = table.by_name.get(name)
