Look at announced limits only while a server has one

Reading the diff: each choice of a server went over all candidates three times, with limits or without. split_limited and servers_to_send return at once as long as no server has announced a limit, and replace the three comprehensions.

--- a/packages/turmericweir-core/turmericweir_core/membership/announced_limits.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/announced_limits.py
@@ -108,10 +108,24 @@
 # --- this instance's share -------------------------------------------------------------------
 
 
-def is_limited(state: State, server: Server) -> bool:
-    """Return whether a server has announced a limit and not lifted it."""
-    limit = _statement_of(state, server)
-    return limit is not None and limit.requests_s is not None
+def split_limited(state: State, servers: list[Server]) -> tuple[list[Server], list[Server]]:
+    """Return the servers without a limit, and those that have announced one."""
+    if not state.announced_limits.by_server:
+        return servers, []
+    unlimited: list[Server] = []
+    limited: list[Server] = []
+    for server in servers:
+        statement = _statement_of(state, server)
+        is_limited = statement is not None and statement.requests_s is not None
+        (limited if is_limited else unlimited).append(server)
+    return unlimited, limited
+
+
+def servers_to_send(state: State, now: float, servers: list[Server]) -> list[Server]:
+    """Return the servers to which this instance may send a request now."""
+    if not state.announced_limits.by_server:
+        return servers
+    return [server for server in servers if can_send(state, now, server)]
 
 
 def can_send(state: State, now: float, server: Server) -> bool:
--- a/packages/turmericweir-core/turmericweir_core/placement/placement.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/placement.py
@@ -47,12 +47,8 @@
     """Pick the server for a request that is to run at a tier, or None where it has to wait."""
     if state.config.policy is PlacementPolicy.BASELINE:
         return _pick_baseline(preferred_servers(servers_for(state.servers, req.target, now), req))
-    accepting = [
-        server
-        for server in open_servers(state, now, req.target)
-        if announced_limits.can_send(state, now, server)
-    ]
-    candidates = preferred_servers(accepting, req)
+    servers = announced_limits.servers_to_send(state, now, open_servers(state, now, req.target))
+    candidates = preferred_servers(servers, req)
     if state.config.policy is PlacementPolicy.PREDICTED:
         return predicted_placement.pick(state, now, req, tier, candidates)
     stopped_straggler = _straggler_to_probe(state, now, req, candidates)
--- a/packages/turmericweir-core/turmericweir_core/placement/predicted_admission.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/predicted_admission.py
@@ -36,9 +36,9 @@
     open_now = open_servers(state, now, req.target)
     if not open_now:
         return pause_left_s(state, now, req.target) or 0.0
-    servers = _unlimited(state, open_now)
+    servers, limited = announced_limits.split_limited(state, open_now)
     if not servers:
-        return _limited_wait_s(state, now, req, pool, open_now)
+        return _limited_wait_s(state, now, req, pool, limited)
     if servers[0].service.kind is not ServiceKind.MODEL:
         return 0.0
     service = servers[0].service
@@ -55,12 +55,8 @@
 
 
 def _is_limited_everywhere(state: State, now: float, req: Request) -> bool:
-    servers = open_servers(state, now, req.target)
-    return bool(servers) and not _unlimited(state, servers)
-
-
-def _unlimited(state: State, servers: list[Server]) -> list[Server]:
-    return [each for each in servers if not announced_limits.is_limited(state, each)]
+    servers, limited = announced_limits.split_limited(state, open_servers(state, now, req.target))
+    return not servers and bool(limited)
 
 
 def _limited_wait_s(
@@ -106,7 +102,8 @@
     servers = open_servers(state, now, req.target)
     if req.expected_tokens is None or not servers or not _is_least_urgent(state, req):
         return 0.0
-    engines = engine_pools.engines_for(state, now, req, _unlimited(state, servers) or servers)
+    unlimited, limited = announced_limits.split_limited(state, servers)
+    engines = engine_pools.engines_for(state, now, req, unlimited or limited)
     gap_s = straggler.recent_gap_s(state.stragglers, now, (server.entry.name for server in engines))
     if gap_s is None:
         return 0.0
@@ -144,10 +141,10 @@
 
 def explain(state: State, now: float, req: Request, predicted_wait_s: float) -> dict[str, object]:
     """Return the inputs of a refusal for its log line."""
-    is_other_instance = predicted_wait_s == float("inf")
+    has_share = predicted_wait_s < float("inf")
     return {
         "service_class": req.service_class.name,
-        "wait_ms": None if is_other_instance else round(predicted_wait_s * _MS),
+        "wait_ms": round(predicted_wait_s * _MS) if has_share else None,
         "answer_ms": round(predicted_generation_s(state, now, req) * _MS),
         "expected_tokens": req.expected_tokens,
         "left_ms": round((req.deadline - now) * _MS),
--- a/packages/turmericweir-core/turmericweir_core/placement/predicted_placement.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/predicted_placement.py
@@ -95,13 +95,12 @@
 ) -> Server | None:
     if urgent_first.must_wait_for_urgent(state, now, req):
         return None
-    unlimited = [each for each in candidates if not announced_limits.is_limited(state, each)]
+    unlimited, limited = announced_limits.split_limited(state, candidates)
     if not unlimited:
-        choice = _best_engine(state, now, req, candidates)
+        choice = _best_engine(state, now, req, limited)
         return None if choice.is_held_back else choice.server
     # Engines with a limit do little of the work, so they are not part of the split into kinds.
     # Prevents the split from changing with each request that their limits allow.
-    limited = [each for each in candidates if announced_limits.is_limited(state, each)]
     engines_of_kind = engine_pools.engines_for(state, now, req, unlimited)
     limited_of_kind = [each for each in limited if _takes_kind(state, now, req, each)]
     choice = _best_engine(state, now, req, [*engines_of_kind, *limited_of_kind])
