--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -7,6 +7,7 @@
 import pytest
 
 from tests.platform import soak
+from tests.platform.soak_notices import NoticeSoak
 
 # Seeds with their durations. Seed 21 guards against servers that return under their names and get
 # no requests.
@@ -18,3 +19,9 @@
     # Guards against wrong answers, repeated unsafe requests, false "not run" answers, late use of
     # revoked keys or leaving servers, and instances that do not recover.
     assert not soak.run(seed, seconds, tmp_path)
+
+
+def test_statements_of_servers_are_heeded_in_random_trouble(tmp_path: Path) -> None:
+    # Guards against requests beyond a limit, or to a server that announced that it leaves, and
+    # against servers that are not used again afterwards.
+    assert not soak.run(1, 12.0, tmp_path, NoticeSoak)
