Update the share of a limit once an instance knows the others

Found by a trial of how much of a limit is used, with all servers limited: 6 instances served 8.0 of 12 requests a second though requests waited.

Cause: in its first 5 s a process counts on 16 instances. Shares are computed anew when the members change, and nothing marked the end of the first 5 s, so a share from that time stayed. Callers were refused while the servers would have taken more.

Ruled out: requests held back by engines (all idle), refusals at admission (the queues were full up to the target).

The assumed minimum is now part of what a change is found by. Test: two instances that learn a limit of 4 a second at their start sent 10 requests in 10 s before (20 in all), over 30 after.

--- a/packages/turmericweir-core/turmericweir_core/membership/announced_limits.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/announced_limits.py
@@ -200,9 +200,7 @@
     _refill(limit, now)
     limit.sharers_version = state.announced_limits.sharers_version
     sharers = _sharers_of(state, server)
-    count = len(sharers)
-    if membership.uptime_s(state, now) < _START_S:
-        count = max(count, _START_INSTANCES)
+    count = max(len(sharers), state.announced_limits.sharers_min)
     senders = min(count, floor(requests_s) + _BASE_SENDERS)
     if not _is_sender(state, server, sharers, senders):
         limit.share_s = limit.burst = 0.0
@@ -247,9 +245,11 @@
             regions.setdefault(server.entry.service, set()).add(region)
     new_sharers = {region: tuple(names) for region, names in sharers.items()}
     new_regions = {service: frozenset(each) for service, each in regions.items()}
-    is_starting = membership.uptime_s(state, now) < _START_S
-    if is_starting or (new_sharers, new_regions) != (limits.sharers, limits.regions_by_service):
+    new_min = _START_INSTANCES if membership.uptime_s(state, now) < _START_S else 1
+    before = (limits.sharers, limits.regions_by_service, limits.sharers_min)
+    if (new_sharers, new_regions, new_min) != before:
         limits.sharers, limits.regions_by_service = new_sharers, new_regions
+        limits.sharers_min = new_min
         limits.sharers_version += 1
 
 
--- a/packages/turmericweir-core/turmericweir_core/state/announced_limit.py
+++ b/packages/turmericweir-core/turmericweir_core/state/announced_limit.py
@@ -38,10 +38,11 @@
     """The newest statements of all servers that have announced a limit."""
 
     by_server: dict[ServerName, AnnouncedLimit] = field(default_factory=dict)
-    # The instances that share the limits, by region, and the regions that have servers of each
-    # service; a change increments the version.
+    # The instances that share the limits, by region, the regions that have servers of each service,
+    # and how many instances are assumed at least; a change increments the version.
     sharers: dict[str, tuple[InstanceName, ...]] = field(default_factory=dict)
     regions_by_service: dict[str, frozenset[str]] = field(default_factory=dict)
+    sharers_min: int = 1
     sharers_version: int = 0
     next_sharers_update_at: float = _NEVER
     # Position in the statements, for sending them to peers in turn.
--- a/tests/core/membership/test_announced_limits.py
+++ b/tests/core/membership/test_announced_limits.py
@@ -73,6 +73,17 @@
     check_limit(fleet, "lm-1", 1.7)
 
 
+def test_limit_learned_at_the_start_is_used_afterwards() -> None:
+    """Guards against a share for instances that were only assumed while this one started."""
+    fleet = ServerFleet(1)
+    fleet.servers["lm-1"].limit_s = 4.0
+    names = fleet.start(2)
+    fleet.send(names, 40.0, 10.0)
+    sent_before = len(fleet.servers["lm-1"].arrivals)
+    fleet.send(names, 40.0, 10.0)
+    assert len(fleet.servers["lm-1"].arrivals) - sent_before > 30
+
+
 def test_changed_limit_is_kept() -> None:
     """Guards against a share of a limit that the server has lowered since."""
     fleet = ServerFleet()
