--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -429,6 +429,7 @@
 
 
 def _notice_soak() -> type[Soak]:
+    # Imported late, as that module imports this one.
     from tests.platform.soak_notices import NoticeSoak
 
     return NoticeSoak
