Count refused connections from before the instance stops

Cause, in the test: it took the count of refused connections after the process had ended. Under load all three callers of that instance had been refused by then, and a caller that was refused waits for the instance to return; so no further refusal could come. The second error of the same run, a caller that waits for entry-1 to be back, shows that they had been refused before.

Shown: with 3 s of sleep between the end of the process and the wait, the old test fails with the same two errors, the new one passes (one run each, scratch copy). The check is as strict: one refused connection for each replacement.

--- a/tests/failures/closed_loop.py
+++ b/tests/failures/closed_loop.py
@@ -81,9 +81,12 @@
             CALL_TIMEOUT_S,
         )
 
-    def wait_refused_connection(self) -> None:
-        """Wait until one more connection is refused."""
-        before = self.refused_connections
+    def wait_refused_connection(self, before: int) -> None:
+        """Wait until more connections were refused than before.
+
+        The count is taken before the instance stops: its callers may all be refused, and wait for
+        its return, before its end is noticed.
+        """
         wait_until(
             lambda: self.refused_connections > before,
             "an instance refuses a connection",
--- a/tests/failures/test_replacing.py
+++ b/tests/failures/test_replacing.py
@@ -34,9 +34,10 @@
         cluster = callers.cluster
         load.wait_complete_answers(INSTANCES * CALLERS_PER_INSTANCE)
         for name in list(cluster.instances):
+            refused_before = load.refused_connections
             cluster.instances[name].process.terminate()
             assert cluster.instances[name].process.wait(CALL_TIMEOUT_S) == 0
-            load.wait_refused_connection()
+            load.wait_refused_connection(refused_before)
             replacement = cluster.restart_instance(name)
             wait_until(replacement.is_ready, f"{name} is ready")
             load.wait_complete_answers(INSTANCES * CALLERS_PER_INSTANCE)
