--- a/packages/turmericweir-core/turmericweir_core/membership/announced_limits.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/announced_limits.py
@@ -31,8 +31,8 @@
 
 # Part of a limit that is used. The rest covers instances with different views of the membership.
 _USED_SHARE: Final = 0.9
-# Number of instances that send to a limited server, and of requests that they may send at once, in
-# addition to one for each request per second of the limit.
+# Added to the requests per second of a limit, this is the number of instances that send to the
+# server, and the sum of their bursts.
 _BASE_SENDERS: Final = 4
 # Lower bound of a limit, requests per second. Lets single requests find out that a limit of zero
 # has been lifted.
--- a/packages/turmericweir-core/turmericweir_core/state/server_table.py
+++ b/packages/turmericweir-core/turmericweir_core/state/server_table.py
@@ -36,7 +36,7 @@
     leaving: bool = False
     # An operator requested that it gets no new work.
     drained: bool = False
-    # It told this instance that it is leaving, in a refusal or another answer.
+    # It announced in an answer to this instance, a refusal or not, that it is leaving.
     has_announced_leaving: bool = False
     # It restarted while its entry stayed the same, so leaving notices on the entry's incarnation do
     # not apply to it.
--- a/tests/core/server_fleet.py
+++ b/tests/core/server_fleet.py
@@ -82,8 +82,8 @@
     # The times of changes of the limit, as named in answers, with the new value.
     limits: list[tuple[float, float | None]] = field(default_factory=list)
     # When each instance first passed on an answer that names a limit, or the leaving.
-    limit_told_at: dict[str, float] = field(default_factory=dict)
-    leaving_told_at: dict[str, float] = field(default_factory=dict)
+    limit_passed_on_at: dict[str, float] = field(default_factory=dict)
+    leaving_passed_on_at: dict[str, float] = field(default_factory=dict)
 
     def note_answer(self, now: float, instance: str) -> None:
         """Record the statements in an answer to an instance."""
@@ -91,12 +91,12 @@
             self.limits.append((now, self.limit_s))
         if self.limit_s is None:
             self.first_named_at = None
-            self.limit_told_at.clear()
+            self.limit_passed_on_at.clear()
         else:
             self.first_named_at = now if self.first_named_at is None else self.first_named_at
-            self.limit_told_at.setdefault(instance, now)
+            self.limit_passed_on_at.setdefault(instance, now)
         if self.is_leaving:
-            self.leaving_told_at.setdefault(instance, now)
+            self.leaving_passed_on_at.setdefault(instance, now)
 
     def busiest_window(self, since: float) -> int:
         """Return the largest number of arrivals in any window that begins after a time."""
@@ -228,7 +228,7 @@
                     1
                     for each in server.arrivals
                     if begin <= each.at < end
-                    and server.limit_told_at.get(each.instance, end) + PASSED_ON_S <= each.at
+                    and server.limit_passed_on_at.get(each.instance, end) + PASSED_ON_S <= each.at
                     and not self._is_disturbed(each.instance, begin - STABLE_S, end)
                 )
                 limit_s = _highest_limit(server, begin - STABLE_S, end)
@@ -237,11 +237,11 @@
 
     def _drain_violations(self, server: FleetServer) -> Iterator[str]:
         for each in server.arrivals:
-            told_at = server.leaving_told_at.get(each.instance)
-            if told_at is None or each.sent_at <= told_at + DRAIN_S:
+            passed_on_at = server.leaving_passed_on_at.get(each.instance)
+            if passed_on_at is None or each.sent_at <= passed_on_at + DRAIN_S:
                 continue
-            if not self._is_disturbed(each.instance, told_at, each.at):
-                yield f"{server.name} got a request at {each.at:.2f}, told {told_at:.2f}"
+            if not self._is_disturbed(each.instance, passed_on_at, each.at):
+                yield f"{server.name} got a request at {each.at:.2f}, passed on {passed_on_at:.2f}"
 
     def _pause_violations(self, server: FleetServer) -> Iterator[str]:
         for refusal in server.refusals:
--- a/tests/platform/soak_notices.py
+++ b/tests/platform/soak_notices.py
@@ -122,14 +122,14 @@
     def _leaving_violations(self) -> Iterator[str]:
         for span in self.announced:
             received = self.world.servers[span.subject].received
-            told_at = min(
+            passed_on_at = min(
                 (each.received_at for each in received if each.received_at >= span.start),
                 default=span.end,
             )
             late = [
                 each
                 for each in received
-                if told_at + DRAIN_S + SLACK_S < each.received_at < span.end and each.was_run
+                if passed_on_at + DRAIN_S + SLACK_S < each.received_at < span.end and each.was_run
             ]
             # Each instance may have learned of it by its own first request only.
             if len(late) >= len(self.world.running):
