Log why a request waits, its rank, and what a peer's list of servers changes

A request remembers why it was last left waiting (one field); `placed` has `waited_for` and `rank`, and a request that ends without having been sent leaves one line, `never_placed`.

--- a/packages/turmericweir-core/turmericweir_core/base/request.py
+++ b/packages/turmericweir-core/turmericweir_core/base/request.py
@@ -28,6 +28,19 @@
     QUARANTINED = "quarantined"
 
 
+class WaitReason(StrEnum):
+    """Why a request was not sent to a server when one was last picked for it."""
+
+    # A more urgent request is overdue, here or at a peer.
+    URGENT = "urgent"
+    # Its prompt's parts are being prefilled for another request.
+    PREFILLING = "prefilling"
+    # No server has room for it.
+    NO_ROOM = "no_room"
+    # No server of its target can be used.
+    NO_SERVER = "no_server"
+
+
 class RequestPhase(StrEnum):
     """The phase of a request."""
 
@@ -110,6 +123,8 @@
     attempts: int = 0
     # An attempt was sent and a server may have started it; `not_run` is no longer possible.
     may_have_run: bool = False
+    # Why it was last left waiting; None while it has never been.
+    wait_reason: WaitReason | None = None
     # Tokens of the answer that were sent to the caller, over all attempts.
     delivered: int = 0
     first_token_at: float | None = None
--- a/packages/turmericweir-core/turmericweir_core/membership/server_list.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/server_list.py
@@ -23,6 +23,8 @@
 
 # Tolerated difference between the age of a received list and the age announced before.
 _AGE_TOLERANCE_S: Final = 1.0
+# Names of servers in one log line.
+_LOGGED_NAMES_MAX: Final = 16
 
 
 def note_list_read(state: State, now: float) -> None:
@@ -91,6 +93,7 @@
     """Replace the list by a peer's if that one is newer."""
     table = state.servers
     read_at = now - max(0.0, message.age_s)
+    names_before = set(table.listed)
     local_hash = hash_full_entries(table.listed.values())
     is_same = state.document is not None and local_hash == hash_full_entries(message.servers)
     if is_same or (table.listed_at is not None and table.listed_at >= read_at + _AGE_TOLERANCE_S):
@@ -103,5 +106,11 @@
         server_table.apply_server_list(table, state.config, tuple(message.servers))
     table.listed_at = read_at
     table.listed_hash = hash_entries(state)
-    fields = {"peer": sender.name, "servers": len(message.servers), "age_s": round(message.age_s)}
+    fields = {
+        "peer": sender.name,
+        "servers": len(message.servers),
+        "age_s": round(message.age_s),
+        "added": sorted(set(table.listed) - names_before)[:_LOGGED_NAMES_MAX],
+        "removed": sorted(names_before - set(table.listed))[:_LOGGED_NAMES_MAX],
+    }
     return [Log("list_from_peer", fields)]
--- a/packages/turmericweir-core/turmericweir_core/placement/predicted_placement.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/predicted_placement.py
@@ -19,7 +19,7 @@
 from msgspec import Struct
 
 from turmericweir_core.base.config import ServiceKind
-from turmericweir_core.base.request import Request
+from turmericweir_core.base.request import Request, WaitReason
 from turmericweir_core.base.tiers import scheduling_rank
 from turmericweir_core.engines import engine_model, engine_pools
 from turmericweir_core.membership import announced_limits
@@ -62,10 +62,14 @@
 ) -> Server | None:
     """Return the server for a request that is to run at a tier, or None where it has to wait."""
     if not candidates:
+        req.wait_reason = WaitReason.NO_SERVER
         return None
     if candidates[0].service.kind is ServiceKind.MODEL:
         return _pick_engine(state, now, req, tier, candidates)
-    return _pick_plain(state, now, candidates)
+    server = _pick_plain(state, now, candidates)
+    if server is None:
+        req.wait_reason = WaitReason.NO_ROOM
+    return server
 
 
 # --- engines ---------------------------------------------------------------------------------
@@ -85,6 +89,8 @@
     fetched_tokens: float
     # It has to wait here: its parts are being prefilled for another request, or the engine is full.
     is_held_back: bool
+    # Its parts are being prefilled there for another request.
+    is_prefilling: bool
     is_remote: bool
     # Added cost of the requests that the engine already has.
     congestion_ms: float
@@ -94,11 +100,11 @@
     state: State, now: float, req: Request, tier: int, candidates: list[Server]
 ) -> Server | None:
     if urgent_first.must_wait_for_urgent(state, now, req):
+        req.wait_reason = WaitReason.URGENT
         return None
     unlimited, limited = announced_limits.split_limited(state, candidates)
     if not unlimited:
-        choice = _best_engine(state, now, req, limited)
-        return None if choice.is_held_back else choice.server
+        return _server_or_wait(req, _best_engine(state, now, req, limited))
     # Engines with a limit do little of the work, so they are not part of the split into kinds.
     # Prevents the split from changing with each request that their limits allow.
     engines_of_kind = engine_pools.engines_for(state, now, req, unlimited)
@@ -109,7 +115,15 @@
     if choice.is_held_back and _can_spill(state, now, req, engines_of_kind):
         other_engines = engine_pools.spill_engines(state, now, req, unlimited)
         choice = _best_engine(state, now, req, other_engines) if other_engines else choice
-    return None if choice.is_held_back else choice.server
+    return _server_or_wait(req, choice)
+
+
+def _server_or_wait(req: Request, choice: _EngineChoice) -> Server | None:
+    """Return the chosen engine, or None and record why the request has to wait."""
+    if not choice.is_held_back:
+        return choice.server
+    req.wait_reason = WaitReason.PREFILLING if choice.is_prefilling else WaitReason.NO_ROOM
+    return None
 
 
 def _takes_kind(state: State, now: float, req: Request, engine: Server) -> bool:
@@ -160,10 +174,10 @@
     options = state.options
     record = engine_model.engine_info_of(state, server.entry.name)
     saved_tokens = engine_model.pending_prefill_tokens(record, now, req)
-    is_held_back = saved_tokens > 0
+    is_prefilling = saved_tokens > 0
     fetched_tokens = 0
     fetch_ms = 0.0
-    if not is_held_back:
+    if not is_prefilling:
         fetch = engine_model.best_fetch(state, req, server, holdings)
         if fetch is not None:
             saved_tokens = fetched_tokens = fetch.tokens
@@ -177,7 +191,8 @@
         own_work_ms=own_ms,
         uncached_tokens=float(max(0, engine_model.uncached_tokens(record, req) - saved_tokens)),
         fetched_tokens=float(fetched_tokens),
-        is_held_back=is_held_back or not _can_take(state, now, req, server),
+        is_held_back=is_prefilling or not _can_take(state, now, req, server),
+        is_prefilling=is_prefilling,
         is_remote=server.entry.data_centre != state.me.data_centre,
         congestion_ms=_congestion_ms(engine_model.request_count(record, now), server.slots),
     )
@@ -261,6 +276,7 @@
         "oldest_news_ms": round(max(update_ages_s, default=0.0) * _MS),
         "excess_failures": round(excess_failures(state.reliability, now, name), 3),
         "waited_ms": round((now - req.arrived_at) * _MS),
+        "waited_for": req.wait_reason,
         "left_ms": round((req.deadline - now) * _MS),
         "settings_version": state.settings_offset(),
     }
@@ -270,6 +286,7 @@
             engine_model.uncached_tokens(engine_model.engine_info_of(state, each.entry.name), req)
             for each in open_servers(state, now, req.target)
         )
+        fields["rank"] = scheduling_rank(req.service_class)
         fields["prompt_tokens"] = req.prompt_tokens
         fields["wait_ms"] = round(
             engine_model.waiting_ms(record, now, scheduling_rank(req.service_class))
--- a/packages/turmericweir-core/turmericweir_core/requests/lifecycle.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/lifecycle.py
@@ -280,8 +280,23 @@
     )
     store_account(state.accounts, state.options, now, account)
     return [
+        *_log_never_placed(req, account),
         *note_finished(state, now, account, answer),
         FinishRequest(account),
         Count(f"request.{outcome}.{req.service_class.name}"),
         Timing(f"request.{req.service_class.name}", now - req.arrived_at),
     ]
+
+
+def _log_never_placed(req: Request, account: Account) -> list[Effect]:
+    """Log why a request that was never sent to a server was left waiting."""
+    if req.attempts or req.wait_reason is None:
+        return []
+    fields = {
+        "request_id": req.request_id,
+        "service_class": req.service_class.name,
+        "reason": account.reason,
+        "waited_for": req.wait_reason,
+        "waited_ms": round(1000 * account.elapsed_s),
+    }
+    return [Log("never_placed", fields)]
