Reproduce the incident on leaving servers: a list of an instance that was cut off restores them

What callers saw: requests reached servers over three seconds after the store had accepted that they were gone. Fails on this code: the server is back in the table of the first instance.

--- a/tests/core/store/test_registry.py
+++ b/tests/core/store/test_registry.py
@@ -251,3 +251,20 @@
     world.give(RegistryRead(((new_entry, 2),)))
     engine = engine_model.engine_info_of(world.state, first.server)
     assert engine_model.uncached_tokens(engine, request) == 17_000
+
+
+def test_list_of_an_instance_back_from_a_cut_restores_no_removed_server() -> None:
+    """Guards against requests to removed servers that a peer keeps after its own cut."""
+    in_touch, cut_off = StoreWorld(name="a-1"), StoreWorld(name="b-1")
+    in_touch.know("b-1")
+    cut_off.know("a-1")
+    gone, *remaining = in_touch.entries
+    in_touch.wait(4.0)
+    in_touch.give(RegistryRead((), removed=((gone.name, 5),)))
+    cut_off.wait(6.0)
+    cut_off.give(RegistryRead(tuple((entry, 1) for entry in remaining), is_complete=True))
+    in_touch.wait(2.0)
+    answers = only(cut_off.peer("a-1", ServersAsk()), SendPeer)
+    for answer in answers:
+        in_touch.peer("b-1", answer.message)
+    assert gone.name not in in_touch.state.servers.by_name
