Order what instances tell each other of servers by the store's records, not by the clock

What callers saw: requests were sent to servers that had left the store over three seconds before, by instances that had removed them in time (incident on the shifted site, docs/incidents/shifted-drain.md).

Cause: a list of servers that one instance sent another counted as newer if its sender had heard of any entry later, and replaced the receiver's as a whole. An instance that comes back from a cut keeps missing entries for 2.5 s, in case they lapsed while the store was away; its list, just read and with these in it, replaced the right ones of all instances in touch. Readers that differed by a read did the same to each other (lists of 21, 20 and 19 servers within 0.4 s in the same play).

Ruled out: nobody read in time (`server_removed` stands at both senders 2.3 s before); a late record (no `server_listed` between).

Change: a read, an update and a list carry the offset up to which they reflect all records, and a list the offset of each entry. Entries are merged by these; a list or an update that ends before what the receiver knows is ignored and does not count as a read. What an instance keeps for its own outage stays its own: it is in no list and in no hash that it sends. The reducer of the platform answers and takes lists in `store/registry`; `server_list` goes on for the own interface.

--- a/packages/turmericweir-core/turmericweir_core/membership/server_list.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/server_list.py
@@ -13,6 +13,7 @@
 import xxhash
 
 from turmericweir_core.base.config import ServerEntry
+from turmericweir_core.base.ids import InstanceName, ServerName
 from turmericweir_core.messages.effects import Effect, Log, SendPeer
 from turmericweir_core.messages.peer_messages import Heartbeat, ServersAsk, ServersSend
 from turmericweir_core.state import server_table
@@ -93,24 +94,25 @@
     """Replace the list by a peer's if that one is newer."""
     table = state.servers
     read_at = now - max(0.0, message.age_s)
-    names_before = set(table.listed)
-    local_hash = hash_full_entries(table.listed.values())
-    is_same = state.document is not None and local_hash == hash_full_entries(message.servers)
-    if is_same or (table.listed_at is not None and table.listed_at >= read_at + _AGE_TOLERANCE_S):
+    if table.listed_at is not None and table.listed_at >= read_at + _AGE_TOLERANCE_S:
         return []
-    if state.document is not None:
-        # The registry is complete: servers missing from it are gone.
-        table.listed = {entry.name: entry for entry in message.servers}
-        server_table.rebuild_table(table, state.config)
-    else:
-        server_table.apply_server_list(table, state.config, tuple(message.servers))
+    names_before = set(table.listed)
+    server_table.apply_server_list(table, state.config, tuple(message.servers))
     table.listed_at = read_at
     table.listed_hash = hash_entries(state)
+    return [list_log(state, sender.name, message, names_before)]
+
+
+def list_log(
+    state: State, sender: InstanceName, message: ServersSend, names_before: set[ServerName]
+) -> Log:
+    """Return the log line of a list that was taken from a peer."""
+    names = set(state.servers.listed)
     fields = {
-        "peer": sender.name,
+        "peer": sender,
         "servers": len(message.servers),
         "age_s": round(message.age_s),
-        "added": sorted(set(table.listed) - names_before)[:_LOGGED_NAMES_MAX],
-        "removed": sorted(names_before - set(table.listed))[:_LOGGED_NAMES_MAX],
+        "added": sorted(names - names_before)[:_LOGGED_NAMES_MAX],
+        "removed": sorted(names_before - names)[:_LOGGED_NAMES_MAX],
     }
-    return [Log("list_from_peer", fields)]
+    return Log("list_from_peer", fields)
--- a/packages/turmericweir-core/turmericweir_core/messages/events.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/events.py
@@ -341,6 +341,8 @@
     removed: tuple[tuple[ServerName, int], ...] = ()
     # The entries are the complete list.
     is_complete: bool = False
+    # All records before this offset were read; 0 if only those of the entries are known to be.
+    end: int = 0
 
 
 class EntryUnreadable(Struct, frozen=True):
--- a/packages/turmericweir-core/turmericweir_core/messages/peer_messages.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/peer_messages.py
@@ -143,6 +143,10 @@
     # Seconds since it was read from the platform.
     age_s: float
     servers: list[ServerEntry] = []
+    # On a platform with a store: the offset of each server's newest record, and the offset up to
+    # which the list reflects all records.
+    offsets: list[int] = []
+    end: int = 0
 
 
 class SettingsAsk(Struct, frozen=True, array_like=True):
@@ -203,6 +207,8 @@
     rows: list[RegistryRow] = []
     # The instance that read them; empty for the sender.
     reader: str = ""
+    # Offset up to which the hashed entries reflect all records.
+    end: int = 0
 
 
 class LoadRow(Struct, frozen=True, array_like=True):
--- a/packages/turmericweir-core/turmericweir_core/reducers/reducer_store.py
+++ b/packages/turmericweir-core/turmericweir_core/reducers/reducer_store.py
@@ -57,6 +57,8 @@
     DocumentProof,
     DocumentSend,
     RegistryNews,
+    ServersAsk,
+    ServersSend,
 )
 from turmericweir_core.placement import dead_server, dispatch
 from turmericweir_core.reducers.reducer_common import (
@@ -116,6 +118,12 @@
             effects = registry.on_registry_update(state, now, sender, update)
             effects += leaving.create_leaving_notices(state, now)
             return effects + dispatch.dispatch_all(state, now)
+        case PeerReceived(sender, ServersAsk()):
+            return registry.answer_list(state, now, sender)
+        case PeerReceived(sender, ServersSend() as message):
+            effects = registry.on_list(state, now, sender, message)
+            effects += leaving.create_leaving_notices(state, now)
+            return effects + dispatch.dispatch_all(state, now)
         case PeerReceived(sender, CachesAsk()):
             return cache_handover.on_caches_request(state, now, sender)
         case PeerReceived(sender, CachesSend() as message):
--- a/packages/turmericweir-core/turmericweir_core/state/registry_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/registry_state.py
@@ -16,6 +16,8 @@
 
     # The newest known offset of each key, including removed keys.
     offsets: dict[ServerName, int] = field(default_factory=dict)
+    # The listed entries reflect all records before this offset.
+    read_to: int = 0
     # When a read last succeeded.
     read_at: float = _NEVER
     # No reader sent an update in time, so this instance is the fallback reader until one does.
@@ -26,5 +28,6 @@
     # The instance that last sent a registry update, and when: it can currently read the store.
     updated_by: InstanceName | None = None
     updated_at: float = _NEVER
-    # Entries missing since the store recovered, and until when they remain in use.
+    # Entries without a record since an outage that are still listed, and until when. Other
+    # instances are not told of them.
     missing_until: dict[ServerName, float] = field(default_factory=dict)
--- a/packages/turmericweir-core/turmericweir_core/store/registry.py
+++ b/packages/turmericweir-core/turmericweir_core/store/registry.py
@@ -2,12 +2,15 @@
 
 Each server renews its own entry; only the entries show which servers exist. Entries are read as a
 whole (at the start, and after records were lost), and then as single changes. Each has the offset
-of its record, so a delayed change does not replace a newer one.
+of its record, so a delayed change does not replace a newer one. What instances send each other is
+ordered in the same way: a list or an update reflects all records before its end, and one that ends
+before what the receiver knows is ignored, whenever it was sent.
 
 While the store is unreachable, entries expire, also those of healthy servers. Servers write them
 again soon after the store has recovered. Entries that are missing after an outage are therefore
 used for a short time, and are removed if they are still missing then. At any other time a missing
-entry is removed at once.
+entry is removed at once. An instance that was partitioned cannot tell its own outage from one of
+the store, so it keeps missing entries for itself alone: they are in nothing that it sends.
 """
 
 from __future__ import annotations
@@ -21,7 +24,12 @@
 from turmericweir_core.membership import membership, server_list, store_duty
 from turmericweir_core.messages.effects import Count, Effect, Log, SendDatagram, SendPeer
 from turmericweir_core.messages.events import EntryUnreadable, RegistryRead
-from turmericweir_core.messages.peer_messages import RegistryNews, RegistryRow, ServersAsk
+from turmericweir_core.messages.peer_messages import (
+    RegistryNews,
+    RegistryRow,
+    ServersAsk,
+    ServersSend,
+)
 from turmericweir_core.placement import attempt_accounting
 from turmericweir_core.state import server_table
 from turmericweir_core.state.registry_state import RegistryState
@@ -57,24 +65,37 @@
             effects += _take_entry(listed, entry)
         registry.missing_until.pop(entry.name, None)
     for name, offset in event.removed:
-        if _note_offset(registry, name, offset) and listed.pop(name, None) is not None:
+        if _note_offset(registry, name, offset) and _remove(registry, listed, name):
             rows.append(RegistryRow(offset, name))
             effects.append(_log("server_removed", name, offset=offset))
+    covered_to = _covered_to(event)
     if event.is_complete:
         present_names = {entry.name for entry, _ in event.entries}
-        for name in [listed_name for listed_name in listed if listed_name not in present_names]:
-            effects += _check_missing(state, now, name, listed, had_outage)
+        effects += _take_absent(state, now, listed, present_names, covered_to, had_outage)
+    registry.read_to = max(registry.read_to, covered_to)
     _apply_entries(state, now, listed)
     return effects + _send_changes(state, now, rows)
 
 
+def _covered_to(event: RegistryRead) -> int:
+    """Return the offset up to which a read covers all records."""
+    offsets = [offset for _, offset in (*event.entries, *event.removed)]
+    return max(event.end, max(offsets, default=-1) + 1)
+
+
+def _recorded_entries(state: State) -> dict[ServerName, ServerEntry]:
+    """Return the listed entries that have a record in the store."""
+    missing = state.registry.missing_until
+    return {name: each for name, each in state.servers.listed.items() if name not in missing}
+
+
 def _send_changes(state: State, now: float, rows: list[RegistryRow]) -> list[Effect]:
     """Send changes to the instances that do not read the store."""
     if not store_duty.is_store_reader(state, now):
         return []
-    servers_hash = server_list.hash_full_entries(state.servers.listed.values())
+    servers_hash = server_list.hash_full_entries(_recorded_entries(state).values())
     # Receivers that lack an entry detect it by the hash and request the whole list.
-    update = RegistryNews(servers_hash, rows[:_ROWS_MAX])
+    update = RegistryNews(servers_hash, rows[:_ROWS_MAX], end=state.registry.read_to)
     peers = store_duty.read_receivers(state, now)
     return [SendDatagram(peer.name, peer.peer_address, update) for peer in peers]
 
@@ -97,19 +118,23 @@
     state.registry.updated_by, state.registry.updated_at = sender, now
     store_duty.note_reader(state, now, InstanceName(update.reader or sender))
     effects = _relay_update(state, now, sender, update)
+    if update.end < state.registry.read_to:
+        # The reader knows less than this instance.
+        return effects
     listed = dict(state.servers.listed)
     for row in update.rows:
         name = ServerName(row.name)
         if not _note_offset(state.registry, name, row.offset):
             continue
         if row.entry is not None:
+            state.registry.missing_until.pop(name, None)
             effects += _take_entry(listed, row.entry)
-        elif listed.pop(name, None) is not None:
+        elif _remove(state.registry, listed, name):
             effects.append(_log("server_removed", name, offset=row.offset, by=sender))
     _apply_entries(state, now, listed)
-    if server_list.hash_full_entries(listed.values()) == update.servers_hash:
+    if server_list.hash_full_entries(_recorded_entries(state).values()) == update.servers_hash:
         state.registry.read_at = now
-        state.registry.missing_until.clear()
+        state.registry.read_to = update.end
         return effects
     peer = membership.find_member(state, sender)
     if peer is None or now < state.members.next_servers_request_at:
@@ -118,6 +143,70 @@
     return [*effects, SendPeer(sender, peer.peer_address, ServersAsk())]
 
 
+def answer_list(state: State, now: float, sender: InstanceName) -> list[Effect]:
+    """Send all recorded entries to a peer that requested them."""
+    registry = state.registry
+    peer = membership.find_member(state, sender)
+    if registry.read_at == _NEVER or peer is None:
+        return []
+    entries = list(_recorded_entries(state).values())
+    offsets = [registry.offsets.get(entry.name, 0) for entry in entries]
+    message = ServersSend(now - registry.read_at, entries, offsets, registry.read_to)
+    return [SendPeer(sender, peer.peer_address, message)]
+
+
+def on_list(state: State, now: float, sender: InstanceName, message: ServersSend) -> list[Effect]:
+    """Take a peer's list unless this instance knows of later records."""
+    registry = state.registry
+    is_usable = len(message.offsets) == len(message.servers)
+    if not is_usable or message.end < registry.read_to:
+        return []
+    had_outage = now - registry.read_at > _STORE_OUTAGE_S
+    names_before = set(state.servers.listed)
+    listed = dict(state.servers.listed)
+    effects: list[Effect] = []
+    for entry, offset in zip(message.servers, message.offsets, strict=True):
+        if _note_offset(registry, entry.name, offset):
+            registry.missing_until.pop(entry.name, None)
+            effects += _take_entry(listed, entry)
+    present_names = {entry.name for entry in message.servers}
+    effects += _take_absent(state, now, listed, present_names, message.end, had_outage)
+    registry.read_to = message.end
+    registry.read_at = max(registry.read_at, now - max(0.0, message.age_s))
+    _apply_entries(state, now, listed)
+    if set(listed) == names_before and not effects:
+        return []
+    return [*effects, server_list.list_log(state, sender, message, names_before)]
+
+
+def _take_absent(
+    state: State,
+    now: float,
+    listed: dict[ServerName, ServerEntry],
+    present_names: set[ServerName],
+    covered_to: int,
+    had_outage: bool,
+) -> list[Effect]:
+    """Remove the entries that a complete list lacks, unless they are newer than the list."""
+    registry = state.registry
+    effects: list[Effect] = []
+    for name in [name for name in listed if name not in present_names]:
+        if registry.offsets.get(name, -1) >= covered_to:
+            continue
+        # The record of the removal is not known, but it was written before the end of the list.
+        registry.offsets[name] = covered_to - 1
+        effects += _check_missing(state, now, name, listed, had_outage)
+    return effects
+
+
+def _remove(
+    registry: RegistryState, listed: dict[ServerName, ServerEntry], name: ServerName
+) -> bool:
+    """Remove an entry; return whether it was listed."""
+    registry.missing_until.pop(name, None)
+    return listed.pop(name, None) is not None
+
+
 def _note_offset(registry: RegistryState, name: ServerName, offset: int) -> bool:
     """Record the offset of a server's newest record; return False if this one is older."""
     if offset < registry.offsets.get(name, -1):
--- a/tests/core/membership/test_announced_leaving.py
+++ b/tests/core/membership/test_announced_leaving.py
@@ -28,7 +28,7 @@
     """Guards against using a leaving server whose entry was written again after an outage."""
     world = StoreWorld(engines=1)
     leave(world)
-    world.give(RegistryRead((), is_complete=True))
+    world.give(RegistryRead((), is_complete=True, end=3))
     world.wait(1.0)
     world.give(RegistryRead(((world.entry("lm-1", "lm"), 3),), is_complete=True))
     assert not only(world.arrive("2"), StartAttempt)
--- a/tests/core/store/test_registry.py
+++ b/tests/core/store/test_registry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Callable
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -14,7 +15,13 @@
 from turmericweir_core.membership import leaving, server_list, store_duty
 from turmericweir_core.messages.effects import SendPeer, StartAttempt
 from turmericweir_core.messages.events import EndComplete, ListedInstance, ListRead, RegistryRead
-from turmericweir_core.messages.peer_messages import Mark, RegistryNews, RegistryRow, ServersAsk
+from turmericweir_core.messages.peer_messages import (
+    Mark,
+    RegistryNews,
+    RegistryRow,
+    ServersAsk,
+    ServersSend,
+)
 from turmericweir_core.state.membership_state import Member
 
 
@@ -25,7 +32,7 @@
     """
     world = StoreWorld(plain=1)
     world.wait(6.0)
-    world.give(RegistryRead((), is_complete=True))
+    world.give(RegistryRead((), is_complete=True, end=9))
     assert only(world.arrive("1", target=PLAIN), StartAttempt)
     world.give(RegistryRead(((world.entries[-1], 9),)))
     world.wait(3.0)
@@ -36,7 +43,7 @@
     """An entry that is not renewed after an outage is removed; its address may be reused."""
     world = StoreWorld(plain=1)
     world.wait(6.0)
-    world.give(RegistryRead((), is_complete=True))
+    world.give(RegistryRead((), is_complete=True, end=9))
     world.wait(2.0)
     world.give(RegistryRead(()))
     world.wait(1.0)
@@ -72,7 +79,8 @@
     servers_hash = server_list.hash_full_entries(listed.values())
     world.now += 5.0
     world.peer(
-        "b-1", RegistryNews(servers_hash, [RegistryRow(9, leaving_entry.name, leaving_entry)])
+        "b-1",
+        RegistryNews(servers_hash, [RegistryRow(9, leaving_entry.name, leaving_entry)], end=10),
     )
     assert world.state.servers.by_name[leaving_server.name].leaving
     assert world.state.registry.read_at == world.now
@@ -86,7 +94,7 @@
     )
     read_before = world.state.registry.read_at
     world.now += 1.0
-    effects = world.peer("b-1", RegistryNews(12345))
+    effects = world.peer("b-1", RegistryNews(12345, end=10))
     assert [effect.message for effect in only(effects, SendPeer)] == [ServersAsk()]
     assert world.state.registry.read_at == read_before
 
@@ -262,9 +270,133 @@
     in_touch.wait(4.0)
     in_touch.give(RegistryRead((), removed=((gone.name, 5),)))
     cut_off.wait(6.0)
-    cut_off.give(RegistryRead(tuple((entry, 1) for entry in remaining), is_complete=True))
+    snapshot = tuple((entry, 1) for entry in remaining)
+    cut_off.give(RegistryRead(snapshot, is_complete=True, end=6))
     in_touch.wait(2.0)
     answers = only(cut_off.peer("a-1", ServersAsk()), SendPeer)
     for answer in answers:
         in_touch.peer("b-1", answer.message)
     assert gone.name not in in_touch.state.servers.by_name
+
+
+def test_list_that_ends_before_what_is_known_is_ignored() -> None:
+    """Guards against a server that a peer has not yet seen leave being used again."""
+    world = StoreWorld()
+    world.know("b-1")
+    gone, *_ = world.entries
+    offsets = [1] * len(world.entries)
+    world.give(RegistryRead((), removed=((gone.name, 5),), end=6))
+    world.wait(1.0)
+    world.peer("b-1", ServersSend(0.0, world.entries, offsets, end=5))
+    assert gone.name not in world.state.servers.by_name
+
+
+def test_update_that_ends_before_what_is_known_does_not_count_as_a_read() -> None:
+    """Guards against a slow reader that keeps others from reading for themselves."""
+    world = StoreWorld()
+    world.give(RegistryRead((), end=9))
+    world.know("b-1")
+    world.now += 5.0
+    assert not only(world.peer("b-1", RegistryNews(12345, end=8)), SendPeer)
+    assert world.state.registry.read_at == world.now - 5.0
+
+
+def test_server_kept_for_an_own_outage_is_in_no_list_for_others() -> None:
+    """Guards against servers that one instance keeps for its own cut spreading to others."""
+    world = StoreWorld()
+    world.know("b-1")
+    gone, *remaining = world.entries
+    world.wait(6.0)
+    snapshot = tuple((entry, 2) for entry in remaining)
+    world.give(RegistryRead(snapshot, is_complete=True, end=6))
+    assert gone.name in world.state.servers.by_name
+    (answer,) = only(world.peer("b-1", ServersAsk()), SendPeer)
+    assert isinstance(answer.message, ServersSend)
+    assert gone.name not in {entry.name for entry in answer.message.servers}
+
+
+class Log:
+    """The store's topic of server entries: a record, or its removal, at each offset."""
+
+    def __init__(self) -> None:
+        self.records: list[tuple[str, bool]] = []
+
+    def newest(self, end: int) -> dict[str, tuple[int, bool]]:
+        """Return the offset of each key's newest record before an end, and whether it is one."""
+        return {name: (at, is_entry) for at, (name, is_entry) in enumerate(self.records[:end])}
+
+
+_NAMES = ("lm-1", "lm-2", "shop-1")
+
+
+class Exchange:
+    """Instances that read one topic of server entries and send each other lists."""
+
+    def __init__(self) -> None:
+        self.worlds = [StoreWorld(engines=2, plain=1, name=f"a-{number}") for number in range(3)]
+        self.entries = {each.name: each for each in self.worlds[0].entries}
+        self.log = Log()
+        # The worlds have entries with offset 1 already, so theirs are written after that.
+        self.log.records = [("", False), ("", False), *((name, True) for name in _NAMES)]
+        for reader, world in enumerate(self.worlds):
+            for other in range(len(self.worlds)):
+                world.know(f"a-{other}")
+            self.read(reader, is_complete=True)
+
+    def read(self, reader: int, *, is_complete: bool) -> None:
+        """Have an instance read all records, as a snapshot or as changes."""
+        end = len(self.log.records)
+        newest = {name: each for name, each in self.log.newest(end).items() if name}
+        entries = [
+            (self.entries[ServerName(n)], at) for n, (at, is_entry) in newest.items() if is_entry
+        ]
+        removed = [(ServerName(n), at) for n, (at, is_entry) in newest.items() if not is_entry]
+        event = RegistryRead(
+            tuple(entries), () if is_complete else tuple(removed), is_complete, end
+        )
+        self.worlds[reader].give(event)
+
+    def ask(self, asker: int, answerer: int) -> None:
+        """Have an instance request the list of another one."""
+        for answer in only(self.worlds[answerer].peer(f"a-{asker}", ServersAsk()), SendPeer):
+            self.worlds[asker].peer(f"a-{answerer}", answer.message)
+
+    def check(self) -> None:
+        """Compare what each instance lists with the records that it knows."""
+        for world in self.worlds:
+            registry = world.state.registry
+            newest = self.log.newest(registry.read_to)
+            live = {name for name, (_, is_entry) in newest.items() if is_entry}
+            assert set(world.state.servers.listed) - set(registry.missing_until) == live
+
+
+_INSTANCES = st.integers(0, 2)
+_STEPS = st.one_of(
+    st.builds(
+        lambda name, live: lambda each: each.log.records.append((name, live)),
+        st.sampled_from(_NAMES),
+        st.booleans(),
+    ),
+    st.builds(
+        lambda reader, whole: lambda each: each.read(reader, is_complete=whole),
+        _INSTANCES,
+        st.booleans(),
+    ),
+    st.builds(lambda asker, other: lambda each: each.ask(asker, other), _INSTANCES, _INSTANCES),
+    st.builds(
+        lambda waiter, s: lambda each: each.worlds[waiter].wait(s, step=s),
+        _INSTANCES,
+        st.sampled_from((0.5, 4.0)),
+    ),
+)
+
+
+@given(st.lists(_STEPS, max_size=40))
+def test_no_exchange_between_instances_undoes_what_one_has_read(
+    steps: list[Callable[[Exchange], None]],
+) -> None:
+    """Guards against a list or an update that takes an instance back to earlier records."""
+    exchange = Exchange()
+    for step in steps:
+        step(exchange)
+        exchange.check()
