--- a/tests/core/queueing/test_urgent_first.py
+++ b/tests/core/queueing/test_urgent_first.py
@@ -6,7 +6,8 @@
 
 from msgspec.structs import replace
 
-from tests.core.store_world import BULK, QUICK, StoreWorld, only, start_of
+from tests.core.store_world import BULK, FIT, QUICK, StoreWorld, datagrams, only, start_of
+from turmericweir_core.base.config import ServiceClass
 from turmericweir_core.messages.effects import Effect, FinishRequest, StartAttempt
 from turmericweir_core.messages.peer_messages import DemandRow, LoadNews
 
@@ -82,3 +83,51 @@
         "quick", service_class=URGENT, prompt_tokens=900, deadline=world.now + 15.0
     )
     assert not only(effects, FinishRequest)
+
+
+def report_overdue_request(world: StoreWorld, service_class: ServiceClass) -> None:
+    """Have a peer report a request overdue that waits because the peer takes all engines for full."""
+    peer = StoreWorld(engines=1, name="b-1")
+    peer.know("a-1")
+    for number in range(SLOTS + 1):
+        peer.arrive(f"{number}", service_class=service_class, prompt_tokens=20)
+    peer.wait(service_class.target_s + 0.1)
+    peer.know("a-1")
+    for each in datagrams(peer.wait(1.0)):
+        if isinstance(each.message, LoadNews):
+            world.peer("b-1", replace(each.message, rows=[]))
+
+
+def test_requests_do_not_wait_beside_free_slots_for_one_that_is_overdue_elsewhere() -> None:
+    """Guards against one overdue request leaving all less urgent ones beside idle engines."""
+    world = StoreWorld(engines=4)
+    report_overdue_request(world, replace(QUICK, rank=0))
+    less_urgent = replace(FIT, rank=1)
+    assert only(world.arrive("fit", service_class=less_urgent, prompt_tokens=900), StartAttempt)
+
+
+def test_quick_answers_do_not_wait_for_an_overdue_long_prompt() -> None:
+    """Guards against an overdue long prompt holding back answers that run on other engines."""
+    world = StoreWorld(engines=4)
+    report_overdue_request(world, replace(BULK, rank=0))
+    less_urgent = replace(QUICK, rank=1)
+    assert only(world.arrive("quick", service_class=less_urgent, prompt_tokens=900), StartAttempt)
+
+
+def test_less_urgent_long_prompt_waits_after_an_urgent_request_was_refused() -> None:
+    """Guards against long prompts that begin while urgent requests are refused."""
+    world = StoreWorld(engines=2)
+    urgent = replace(QUICK, rank=0)
+    for number in range(400):
+        effects = world.arrive(
+            f"q{number}", service_class=urgent, prompt_tokens=9_000, deadline=world.now + 2.0
+        )
+    assert only(effects, FinishRequest)
+    other = StoreWorld(engines=2, name="b-1")
+    other.know("a-1")
+    world.know("b-1")
+    for each in datagrams(world.wait(0.05)):
+        if isinstance(each.message, LoadNews):
+            other.peer("a-1", replace(each.message, rows=[]))
+    long_prompt = other.arrive("long", service_class=LESS_URGENT, prompt_tokens=9_000)
+    assert not only(long_prompt, StartAttempt)
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -345,3 +345,30 @@
 
 def _pins(text: str) -> dict[str, str]:
     return dict(re.findall(r"([a-z0-9_-]+)(?:\[[a-z]+\])?==([0-9.]+)", text))
+
+
+# --- order of classes ---
+
+
+def ranked_classes(*customer_priorities: int | None) -> dict[str, int]:
+    """Return the ranks of the classes of two tiers, with customers of the given priorities."""
+    routes = document(4)["routes"]
+    routes[0]["priority"], routes[1]["priority"] = 2, 0
+    customers = [
+        {"name": f"c{number}", "api-keys": [f"k{number}"], "priority": priority}
+        for number, priority in enumerate(customer_priorities)
+    ]
+    classes = config(routes=routes, tenants=customers).classes
+    return {name: each.rank for name, each in classes.items() if each.rank is not None}
+
+
+def test_long_prompt_of_an_urgent_customer_does_not_outrank_a_quick_answer() -> None:
+    """Guards against quick answers preempted while long prompts of other customers run on."""
+    ranks = ranked_classes(0, 1)
+    assert max(ranks["chat/0"], ranks["chat/1"]) < min(ranks["doc/0"], ranks["doc/1"])
+
+
+def test_ranks_do_not_change_with_the_customers() -> None:
+    """Guards against streams of two versions of the settings preempting each other."""
+    assert ranked_classes(0, 1)["chat/1"] == ranked_classes(1)["chat/1"]
+    assert ranked_classes(0, 1, 3)["doc/1"] == ranked_classes(1)["doc/1"]
