Take the tier of a request from its route alone; customers order requests within a tier

Cause: a customer's priority replaced the route's, so all that a customer of priority 0 sent outranked the most urgent kind of all others, at the engines too; these preempt by rank.

--- a/packages/turmericweir-core/turmericweir_core/base/config.py
+++ b/packages/turmericweir-core/turmericweir_core/base/config.py
@@ -51,6 +51,8 @@
     assured_share: float = 0.02
     # Scheduling rank at the servers, 0 first; None uses the priority.
     rank: int | None = None
+    # Order in which requests of one tier are sent, 0 first; never a reason to preempt.
+    customer_priority: int = 0
 
 
 class Limit(Struct, frozen=True):
@@ -74,7 +76,7 @@
     # Class by target (model or service); the key "*" is the default.
     classes: dict[str, str] = field(default_factory=dict)
     limit: Limit = NO_LIMIT
-    # Tier of all requests of this customer; overrides the tier of the route.
+    # Order of its requests among those of the same tier, 0 first; None uses the route's priority.
     priority: int | None = None
 
 
--- a/packages/turmericweir-core/turmericweir_core/state/queue_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/queue_state.py
@@ -229,10 +229,18 @@
     return queue.earned >= queue.head().queued_cost
 
 
-def _queue_order_key(queue: ClassQueue) -> tuple[int, int, bool, float]:
-    # Queues of the same tier are ordered by age, after a preference for requests on time.
+def _queue_order_key(queue: ClassQueue) -> tuple[int, int, int, bool, float]:
+    # Queues of the same tier are ordered by customer and then by age, after a preference for
+    # requests on time.
     earned_order = 0 if has_earned_next(queue) else 1
-    return (earned_order, queue.service_class.priority, not queue.on_time, queue.head().arrived_at)
+    service_class = queue.service_class
+    return (
+        earned_order,
+        service_class.priority,
+        service_class.customer_priority,
+        not queue.on_time,
+        queue.head().arrived_at,
+    )
 
 
 def has_upper_waiting(queues: QueueState, pool: str, tier: int) -> bool:
--- a/tests/core/queueing/test_queue.py
+++ b/tests/core/queueing/test_queue.py
@@ -10,10 +10,12 @@
 from tests.core.case_driver import Case, check_lines, load_cases
 from tests.core.load_script import run_script
 from tests.core.load_world import CLASSES, LoadWorld
+from tests.core.store_world import StoreWorld
 from turmericweir_core.base.account import Outcome
 from turmericweir_core.base.config import PlacementPolicy, ServiceClass, ServiceKind
 from turmericweir_core.base.options import Options
 from turmericweir_core.base.request import Request
+from turmericweir_core.state import queue_state
 
 
 @pytest.mark.parametrize("case", load_cases("queue.test"), ids=str)
@@ -144,3 +146,16 @@
 def is_late(world: LoadWorld, req: Request) -> bool:
     """Return whether a request has waited for too long to meet its target."""
     return world.now - req.arrived_at >= world.options.on_time_share * req.service_class.target_s
+
+
+@pytest.mark.parametrize("tiers", [(1, 1), (0, 1)])
+def test_customers_are_ordered_within_a_tier_only(tiers: tuple[int, int]) -> None:
+    """Guards against requests of an urgent customer passing those of a more urgent tier."""
+    world = StoreWorld(engines=0, plain=0)
+    older = ServiceClass("older", priority=tiers[0], target_s=60.0, customer_priority=1)
+    newer = ServiceClass("newer", priority=tiers[1], target_s=60.0, customer_priority=0)
+    world.arrive("1", service_class=older)
+    world.wait(1.0)
+    world.arrive("2", service_class=newer)
+    first, _ = queue_state.queues_in_order(world.state.queues, "lm")
+    assert first.service_class == (newer if tiers[0] == tiers[1] else older)
