--- a/packages/turmericweir-core/turmericweir_core/placement/predicted_placement.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/predicted_placement.py
@@ -131,8 +131,9 @@
         state, req.service_class, engines[0].service
     ):
         return True
-    has_own_engines = len(engines) > 1
-    competing_count = urgent_counts[False] + (0 if has_own_engines else urgent_counts[True])
+    # A single engine serves prompts of all kinds.
+    is_shared = len(engines) == 1
+    competing_count = urgent_counts[False] + (urgent_counts[True] if is_shared else 0)
     if not competing_count:
         return False
     engines_of_kind = engine_pools.engines_for(state, now, req, engines)
