Do not keep a missing server because of a read that was answered late

Found by reading the mended code: an entry that an instance keeps after an outage, and for which a peer's later list already shows the removal, was taken off the list of missing ones by any read that held it, also by one whose record is older than the removal. The removal from the missing ones now needs a record that is not older.

Shown: the new test fails before and passes; tests of the store and of membership pass.

--- a/packages/turmericweir-core/turmericweir_core/store/registry.py
+++ b/packages/turmericweir-core/turmericweir_core/store/registry.py
@@ -63,7 +63,7 @@
             if listed.get(entry.name) != entry:
                 rows.append(RegistryRow(offset, entry.name, entry))
             effects += _take_entry(listed, entry)
-        registry.missing_until.pop(entry.name, None)
+            registry.missing_until.pop(entry.name, None)
     for name, offset in event.removed:
         if _note_offset(registry, name, offset) and _remove(registry, listed, name):
             rows.append(RegistryRow(offset, name))
--- a/tests/core/store/test_registry.py
+++ b/tests/core/store/test_registry.py
@@ -315,6 +315,20 @@
     assert gone.name not in {entry.name for entry in answer.message.servers}
 
 
+def test_delayed_read_does_not_keep_a_server_that_is_missing() -> None:
+    """Guards against a read that was answered late making a removed server permanent."""
+    world = StoreWorld()
+    world.know("b-1")
+    gone, *remaining = world.entries
+    world.wait(6.0)
+    world.peer("b-1", ServersSend(0.0, remaining, [2] * len(remaining), end=6))
+    world.give(RegistryRead(((gone, 1),), end=5))
+    world.wait(1.0)
+    world.give(RegistryRead((), end=7))
+    world.wait(2.0)
+    assert gone.name not in world.state.servers.by_name
+
+
 class Log:
     """The store's topic of server entries: a record, or its removal, at each offset."""
 
