Say whether a request ran by its outcome, not by the reason for its end

Callers saw: a server that takes a request and never answers made the caller read, at the deadline, 'The deadline passed before a server could begin; nothing was run.' with 504, for all four kinds, also where an order that must not be repeated had reached a server. On the own interface the header said unknown beside it.

Cause: sentences hung on the reason alone, and two (overload, deadline) held a promise about the run, a third (claim_unavailable) in other words. These reasons also end requests that were sent before.

Change: sentences of reasons give the cause; base/account_text adds what the outcome says of the run, and all accounts, problems, refusals and events use it. An account with outcome unknown has no time to come back. The platform's error body names the outcome.

Ruled out: a wrong outcome. unanswered_outcome gave unknown and failed where a server had the request.

Looked through for the same: all calls of finish, refusals, the internal error, the replayed end of a key, turmericctl (shows no text) and logs (name outcome and reason).

--- a/packages/turmericweir-core/turmericweir_core/base/reasons.py
+++ b/packages/turmericweir-core/turmericweir_core/base/reasons.py
@@ -1,6 +1,7 @@
 """All reasons why a request ends, and the message for each.
 
-The codes are stable, as callers and dashboards match on them. The messages may change.
+The codes are stable, as callers and dashboards match on them. The messages may change. They give
+the cause only: whether the request ran depends on its outcome (`account_text`).
 """
 
 from __future__ import annotations
@@ -54,8 +55,8 @@
     Reason.TOO_SLOW: "The request body did not arrive in time.",
     Reason.CUSTOMER_LIMIT: "The customer's limit is reached.",
     Reason.TEAM_LIMIT: "The team's limit is reached.",
-    Reason.OVERLOAD: "There is no capacity to answer in time; nothing was run.",
-    Reason.DEADLINE: "The deadline passed before a server could begin; nothing was run.",
+    Reason.OVERLOAD: "There is no capacity to answer in time.",
+    Reason.DEADLINE: "The deadline passed before the answer.",
     Reason.NO_SERVER: "No server for this target can be reached.",
     Reason.NO_SETTINGS: "This instance has no settings yet.",
     Reason.KEY_UNPROVEN: "This instance cannot tell at present whether the key is still good.",
@@ -63,8 +64,8 @@
     Reason.STOPPING: "This instance is stopping and takes no new requests.",
     Reason.DISPLACED: "Work of a more urgent class took the place of this request.",
     Reason.CLAIM_UNAVAILABLE: (
-        "The idempotency key could not be claimed, so this request was not run; "
-        "send it again with the same key, as an earlier one may have been run."
+        "The idempotency key could not be claimed; send the request again with the same key only, "
+        "as an earlier one may have run."
     ),
     Reason.KEY_REUSED: "The idempotency key was used before with another request.",
     Reason.SERVER_LOST: "The server was lost after the request had been sent to it.",
@@ -72,7 +73,7 @@
     Reason.RETRIES_EXHAUSTED: "The answer broke off and the retry budget is spent.",
     Reason.QUARANTINED: "This request was in flight at repeated server crashes and is refused.",
     Reason.CALLER_LEFT: "The caller closed the connection.",
-    Reason.EVIDENCE_LOST: "The call may have run; what became of it is not known.",
+    Reason.EVIDENCE_LOST: "What became of the call is not known.",
     Reason.ALREADY_CLAIMED: "A call with this idempotency key may have run; see the first one.",
     Reason.ALREADY_COMPLETED: (
         "A call with this idempotency key was completed; its answer is no longer kept."
--- a/packages/turmericweir-core/turmericweir_core/requests/lifecycle.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/lifecycle.py
@@ -11,9 +11,10 @@
 from typing import assert_never
 
 from turmericweir_core.base.account import Account, Outcome
+from turmericweir_core.base.account_text import describe_end
 from turmericweir_core.base.config import ServiceKind
 from turmericweir_core.base.ids import RequestId, ServerName
-from turmericweir_core.base.reasons import MESSAGES, Reason
+from turmericweir_core.base.reasons import Reason
 from turmericweir_core.base.request import Attempt, CancelReason, Request, RequestPhase
 from turmericweir_core.claims.claim_end import note_finished, waits_for_holder
 from turmericweir_core.limits import limit
@@ -268,8 +269,9 @@
         request_id=req.request_id,
         outcome=outcome,
         reason=reason,
-        detail=MESSAGES[reason],
-        retry_after_s=retry_after_s,
+        detail=describe_end(outcome, reason),
+        # A second run might repeat the effect of the first.
+        retry_after_s=None if outcome is Outcome.UNKNOWN else retry_after_s,
         status=status,
         tokens=req.delivered,
         attempts=req.attempts,
--- a/packages/turmericweir/turmericweir/answers/caller_problem.py
+++ b/packages/turmericweir/turmericweir/answers/caller_problem.py
@@ -13,7 +13,8 @@
 import orjson
 
 from turmericweir_core.base.account import Account, Outcome
-from turmericweir_core.base.reasons import MESSAGES, Reason
+from turmericweir_core.base.account_text import describe_end
+from turmericweir_core.base.reasons import Reason
 
 OUTCOME_HEADER: Final = b"turmericweir-outcome"
 REQUEST_ID_HEADER: Final = b"turmericweir-request-id"
@@ -61,7 +62,6 @@
         account.outcome,
         account.reason,
         status=status,
-        detail=account.detail,
         retry_after_s=account.retry_after_s,
     )
 
@@ -75,7 +75,7 @@
         Outcome.NOT_RUN,
         reason,
         status=status or _STATUS_BY_REASON.get(reason, _STATUS_OVERLOADED),
-        detail=detail or MESSAGES[reason],
+        cause=detail,
         retry_after_s=None,
     )
 
@@ -86,15 +86,15 @@
     reason: Reason,
     *,
     status: int,
-    detail: str,
     retry_after_s: float | None,
+    cause: str = "",
 ) -> Problem:
-    """Return a problem answer."""
+    """Return a problem answer; `cause` replaces the sentence of the reason."""
     value = {
         "type": _TYPE_PREFIX + reason.value,
         "title": HTTPStatus(status).phrase,
         "status": status,
-        "detail": detail,
+        "detail": describe_end(outcome, reason, cause),
         "outcome": outcome.value,
         "reason": reason.value,
         "request_id": request_id,
--- a/packages/turmericweir/turmericweir/callers/caller_app.py
+++ b/packages/turmericweir/turmericweir/callers/caller_app.py
@@ -38,7 +38,7 @@
 from turmericweir_core.base.account import Outcome
 from turmericweir_core.base.config import Config, Customer, ServiceKind
 from turmericweir_core.base.ids import RequestId
-from turmericweir_core.base.reasons import MESSAGES, Reason
+from turmericweir_core.base.reasons import Reason
 from turmericweir_core.base.request import Request
 from turmericweir_core.state.account_store import find_account
 
@@ -109,7 +109,6 @@
             Outcome.UNKNOWN,
             Reason.EVIDENCE_LOST,
             status=500,
-            detail=MESSAGES[Reason.EVIDENCE_LOST],
             retry_after_s=None,
         )
         await caller.write_problem(problem)
