Serve open connections until their next answer when an instance stops

Cause: a connection without a request is closed plainly while the process could still answer: idle ones at the end of the grace period, unused ones 2 s later or by the limit for headers.

Change: until the stop limit each next answer closes its connection; what is idle then gets a 408 (not run), its write side is shut, and what crosses is dropped unread. The socket stays open until the process is gone, so the 408 is not lost with a reset. Why it works: there is no moment at which a live process has closed a connection without having said so.

--- a/packages/turmericweir/turmericweir/callers/caller_transport.py
+++ b/packages/turmericweir/turmericweir/callers/caller_transport.py
@@ -58,6 +58,11 @@
         self._delayed_bytes = b""
         self._transport.abort()
 
+    def write_eof(self) -> None:
+        """Close the writing side after all data is sent."""
+        self.flush_delayed()
+        self._transport.write_eof()
+
     def is_closing(self) -> bool:
         """Return whether the transport is closed or being closed."""
         return self._transport.is_closing()
--- a/packages/turmericweir/turmericweir/callers/http_server.py
+++ b/packages/turmericweir/turmericweir/callers/http_server.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+import os
 import socket
 import struct
 from collections.abc import Callable, Generator
@@ -29,18 +30,20 @@
 
 if TYPE_CHECKING:
     from uvicorn._types import ASGI3Application
+    from uvicorn.protocols.http.httptools_impl import RequestResponseCycle
 
 # The key of the caller's connection in the state of an ASGI scope.
 CONNECTION_KEY: Final = "turmericweir.connection"
 BACKLOG: Final = 2048
 # How long a closing port waits for handshakes to complete: several round trips to callers.
 HANDSHAKE_WAIT_S: Final = 0.05
-# The maximum time for which a closed port keeps connections that have not sent a request.
-FIRST_REQUEST_WAIT_S: Final = 2.0
+# The maximum time for which a closed port serves the connections that are still open.
+OPEN_CONNECTIONS_WAIT_S: Final = 5.0
 _POLL_INTERVAL_S: Final = 0.01
 # Number of event loop passes after which all data that has arrived is read.
 _READ_LOOP_PASSES: Final = 2
 _STATUS_HEADERS_TOO_LARGE: Final = 431
+_STATUS_TIMEOUT: Final = 408
 # The SO_LINGER option with a timeout of zero, with which closing a socket resets the connection.
 _LINGER_ZERO: Final = struct.pack("ii", 1, 0)
 
@@ -49,13 +52,15 @@
     """uvicorn's protocol with limits on the size and the time of a request's headers."""
 
     limits: HttpLimits
+    # Returns whether a graceful stop was requested.
+    is_stopping: Callable[[], bool]
     # Bytes received of the headers that are not complete yet.
     _header_bytes: int
     # Whether the next bytes are headers.
     _is_in_headers: bool
     _header_timer: asyncio.TimerHandle | None
-    # Whether no data was received yet.
-    is_unused: bool
+    # Whether this end was closed, after which data is discarded until the caller closes.
+    _is_end_sent: bool
     # Called when the connection is lost; set while a request runs. Avoids a task per request that
     # waits for ASGI's `http.disconnect`.
     on_lost: Callable[[], None] | None
@@ -74,7 +79,7 @@
         self._header_bytes = 0
         self._is_in_headers = True
         self._header_timer = None
-        self.is_unused = True
+        self._is_end_sent = False
         self.on_lost = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
@@ -95,7 +100,8 @@
 
         Prevents an endless header from filling the memory, as llhttp has no limit.
         """
-        self.is_unused = False
+        if self._is_end_sent:
+            return
         if self._is_in_headers:
             self._header_bytes += len(data)
         super().data_received(data)
@@ -125,6 +131,15 @@
         """Refuse data that is not valid HTTP."""
         self._refuse(Reason.BAD_REQUEST, None)
 
+    def shutdown(self) -> None:
+        """Close the connection after the running answer, or at once if there is none."""
+        # uvicorn declares the cycle without None, and sets it with the first request.
+        cycle: RequestResponseCycle | None = self.cycle
+        if cycle is not None and not cycle.response_complete:
+            cycle.keep_alive = False
+        else:
+            self._end_idle()
+
     @property
     def timeout_keep_alive(self) -> int:
         """The time for which uvicorn keeps this connection idle, by the current limits."""
@@ -155,6 +170,27 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
         self.transport.abort()
 
+    def _end_idle(self) -> None:
+        """Close this end of a connection without a request, with an answer that nothing was run.
+
+        A request that crosses the close reads the answer as its own. The socket stays open for
+        reading until the caller closes it or the process ends, because closing it with unread data
+        resets the connection, and the answer might be lost with it.
+        """
+        if self._is_end_sent or self.transport.is_closing():
+            return
+        self._is_end_sent = True
+        self._stop_header_timer()
+        problem = make_refusal(new_request_id(), Reason.STOPPING, status=_STATUS_TIMEOUT)
+        self.transport.write(_problem_bytes(problem))
+        self.transport.write_eof()
+        # The server does not wait for the caller to close.
+        self.connections.discard(self)
+        sock = self.transport.get_extra_info("socket")
+        with contextlib.suppress(OSError):
+            # Stays open until the process ends, also while the interpreter shuts down.
+            os.dup(sock.fileno())
+
     def _start_header_timer(self) -> None:
         self._header_timer = self.loop.call_later(self.limits.header_s, self._on_header_timeout)
 
@@ -167,6 +203,8 @@
         self._header_timer = None
         if self._header_bytes:
             self._refuse(Reason.TOO_SLOW, None)
+        elif type(self).is_stopping():
+            self._end_idle()
         else:
             # No request was started.
             self.transport.close()
@@ -191,8 +229,14 @@
     # Set when the server listens.
     listening: anyio.Event
 
-    def __init__(self, app: ASGI3Application, limits: HttpLimits) -> None:
-        protocol = type("_Protocol", (LimitedProtocol,), {"limits": limits})
+    def __init__(
+        self,
+        app: ASGI3Application,
+        limits: HttpLimits,
+        is_stopping: Callable[[], bool] = lambda: False,
+    ) -> None:
+        attributes = {"limits": limits, "is_stopping": staticmethod(is_stopping)}
+        protocol = type("_Protocol", (LimitedProtocol,), attributes)
         config = uvicorn.Config(
             app,
             http=protocol,
@@ -223,13 +267,19 @@
         """Stop accepting; `serve` returns when all running requests are answered."""
         self.should_exit = True
 
+    def shut_down_connections(self) -> None:
+        """Close idle connections, and let all others end with their answer."""
+        for conn in list(self.server_state.connections):
+            conn.shutdown()
+
     async def shutdown(self, sockets: list[socket.socket] | None = None) -> None:
         """Close the port after answering all requests that have arrived.
 
         Callers may connect until the balancer notices the stop. Closing the port would reset
         connections that the kernel has completed but the process has not accepted, and requests
         that it has not read. The port therefore first stops taking new connections while it
-        accepts the ones in progress, and then waits for the first request on each of them.
+        accepts the ones in progress, and then waits for the next request on each open connection,
+        whose answer closes it.
         """
         for sock in sockets or []:
             ignore_new_connections(sock)
@@ -241,16 +291,16 @@
         for conn in accepted:
             with contextlib.suppress(OSError):
                 await loop.connect_accepted_socket(self._make_protocol, conn)
-        await self._await_first_requests()
-        # Reads data that has arrived before uvicorn closes connections without requests.
+        await self._await_last_requests()
+        # Reads data that has arrived before connections without requests are closed.
         for _ in range(_READ_LOOP_PASSES):
             await asyncio.sleep(0)
         await super().shutdown(sockets)
 
-    async def _await_first_requests(self) -> None:
-        wait_until = anyio.current_time() + FIRST_REQUEST_WAIT_S
-        # uvicorn has no event for the first data on a connection.
-        while any(map(_is_awaiting_first_request, self.server_state.connections)):
+    async def _await_last_requests(self) -> None:
+        wait_until = anyio.current_time() + OPEN_CONNECTIONS_WAIT_S
+        # uvicorn has no event for the end of a connection.
+        while self.server_state.connections:
             if anyio.current_time() >= wait_until:
                 return
             await asyncio.sleep(_POLL_INTERVAL_S)
@@ -261,8 +311,3 @@
             config=self.config, server_state=self.server_state, app_state=self.lifespan.state
         )
         return protocol
-
-
-# Any: uvicorn has several protocol classes.
-def _is_awaiting_first_request(conn: Any) -> bool:
-    return isinstance(conn, LimitedProtocol) and conn.is_unused
--- a/packages/turmericweir/turmericweir/daemon.py
+++ b/packages/turmericweir/turmericweir/daemon.py
@@ -147,7 +147,8 @@
     caller_socket: socket.socket,
     admin_socket: socket.socket,
 ) -> int:
-    callers = HttpServer(CallerApp(node, parts.pool, cfg.limits), cfg.limits)
+    app = CallerApp(node, parts.pool, cfg.limits)
+    callers = HttpServer(app, cfg.limits, lambda: node.is_stopping)
     views: dict[str, Callable[[], object]] = {
         "idle_connections": parts.pool.idle_counts,
         "pool": lambda: _connection_counts(parts.pool),
--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -374,7 +374,8 @@
     sockets: _Sockets,
 ) -> None:
     limits: HttpLimits = SettingsHttpLimits(node.state)
-    callers = HttpServer(ForwardApp(node, pool, platform_adapters.wire), limits)
+    app = ForwardApp(node, pool, platform_adapters.wire)
+    callers = HttpServer(app, limits, lambda: node.is_stopping)
     readiness = HttpServer(platform_adapters.make_readiness_app(lambda: is_ready(node)), limits)
     async with anyio.create_task_group() as group:
         group.start_soon(_serve_http, readiness, sockets.readiness)
@@ -464,6 +465,7 @@
         for exchange in list(node.active_requests.values()):
             with contextlib.suppress(Exception):
                 exchange.abort_request(TimeoutError("the stop time limit has passed"))
+        callers.shut_down_connections()
         scope.cancel()
         return
     callers.stop()
@@ -471,4 +473,5 @@
     state = node.state
     stopping_for_s = anyio.current_time() - (state.stopping_since or 0.0)
     await anyio.sleep(max(0.0, state.options.stop_limit_s - stopping_for_s))
+    callers.shut_down_connections()
     scope.cancel()
--- a/tests/daemon/test_stop.py
+++ b/tests/daemon/test_stop.py
@@ -5,6 +5,7 @@
 import contextlib
 import json
 import os
+import select
 import signal
 import socket
 from pathlib import Path
@@ -52,6 +53,22 @@
         single.process.kill()
 
 
+def test_request_that_crosses_the_close_of_its_connection_is_answered(tmp_path: Path) -> None:
+    # Guards against requests on idle connections that a stopping instance closes without an answer.
+    with Single(tmp_path, settings={"stop_grace_s": 0.1}) as single:
+        single.wait_server(f"{MODEL}-1")
+        host, _, port = single.address.rpartition(":")
+        with socket.create_connection((host, int(port))) as sock:
+            single.process.terminate()
+            # The instance has written or closed; the caller has not noticed.
+            select.select([sock], [], [])
+            sock.sendall(b"GET /v1/models HTTP/1.1\r\nHost: x\r\n\r\n")
+            answer = sock.makefile("rb").read()
+        assert answer.startswith(b"HTTP/1.1 408 ")
+        assert b"turmericweir-outcome: not_run" in answer
+        assert single.process.wait() == 0
+
+
 def test_second_interrupt_ends_the_process_at_once(tmp_path: Path) -> None:
     with Single(tmp_path, settings={"stop_grace_s": 60.0}) as single:
         os.kill(single.process.pid, signal.SIGINT)
