Refuse a start before the daemon is imported

Callers and operators saw: a start that is to be refused (settings that are no JSON, an address in use) cost as much as a whole start.

Cause: processor time, not a hang. main imported the whole daemon before it read the file, and bound addresses after that.

Change: the file is read, and addresses are checked, before the daemon's modules are imported (also anyio).

--- a/packages/turmericweir/turmericweir/main.py
+++ b/packages/turmericweir/turmericweir/main.py
@@ -1,7 +1,8 @@
 """The command `turmericweir`: read the settings file of the process and run the daemon.
 
 Errors at the start, such as an invalid setting or a port in use, end it with status 2 and an error
-message of one line.
+message of one line. They are detected before the daemon's modules are imported, which takes most of
+the processor time of a start.
 """
 
 from __future__ import annotations
@@ -10,12 +11,11 @@
 from pathlib import Path
 from typing import Final, NoReturn
 
-import anyio
 import click
 from returns.pipeline import is_successful
 
-from turmericweir.daemon import run
 from turmericweir.process.errors import DaemonError, ListenError
+from turmericweir.process.listening_socket import check_free
 from turmericweir.process.process_settings import ProcessSettings, read_settings
 
 START_ERROR_STATUS: Final = 2
@@ -50,6 +50,12 @@
 
 def _run(cfg: ProcessSettings) -> int:
     try:
+        _check_addresses(cfg)
+        # Imported late; see the module's doc string.
+        import anyio
+
+        from turmericweir.daemon import run
+
         return anyio.run(run, cfg)
     except ListenError as exc:
         _exit_with_error(exc)
@@ -57,6 +63,12 @@
         return INTERRUPTED_STATUS
 
 
+def _check_addresses(cfg: ProcessSettings) -> None:
+    check_free(cfg.caller_address, "listen for callers")
+    check_free(cfg.admin_address, "listen for operators")
+    check_free(cfg.peer_listen_address or cfg.peer_address, "listen for peers")
+
+
 def _exit_with_error(error: DaemonError) -> NoReturn:
     click.echo(f"turmericweir: {error}", err=True)
     sys.exit(START_ERROR_STATUS)
--- a/packages/turmericweir/turmericweir/process/listening_socket.py
+++ b/packages/turmericweir/turmericweir/process/listening_socket.py
@@ -44,6 +44,11 @@
     return sock
 
 
+def check_free(address: str, step: str) -> None:
+    """Raise ListenError if an address cannot be bound now."""
+    bind(address, step).close()
+
+
 def bound_address(sock: socket.socket) -> str:
     """Return the address that a socket is bound to, with the port that the system chose."""
     host, port = sock.getsockname()[:2]
--- a/tests/daemon/test_stop.py
+++ b/tests/daemon/test_stop.py
@@ -8,13 +8,14 @@
 import select
 import signal
 import socket
+import sys
 from pathlib import Path
 from typing import Any
 
 import pytest
 
 from tests.daemon.single import MODEL, Single, completion, daemon, events_of, outcome_of, texts_of
-from turmericweir_standins.procs import call_json, free_address, wait_until
+from turmericweir_standins.procs import Process, call_json, free_address, wait_until
 
 TOKENS = 150
 
@@ -140,6 +141,24 @@
     assert "Traceback" not in process.stderr_text()
 
 
+@pytest.mark.parametrize("fault", ["no JSON", "address in use"])
+def test_start_is_refused_before_the_daemon_is_imported(tmp_path: Path, fault: str) -> None:
+    # Guards against refused starts that cost as much processor time as a whole start.
+    path = tmp_path / "refused.json"
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        path.write_text("{" if fault == "no JSON" else json.dumps(settings(peer_address=address)))
+        argv = [sys.executable, "-X", "importtime", "-m", "turmericweir.main", "--config"]
+        process = Process([*argv, str(path)], name="entry-1", directory=tmp_path)
+        process.start()
+        try:
+            assert process.wait() == 2
+        finally:
+            process.stop()
+    assert "turmericweir.process.process_settings" in process.stderr_text()
+    assert "turmericweir.daemon" not in process.stderr_text()
+
+
 def test_requests_are_refused_without_settings(tmp_path: Path) -> None:
     value = settings()
     path = tmp_path / "alone.json"
