Read what arrived during a suspension before timers run

Callers saw: a request on a connection that had not been used yet, sent while the process was suspended for two or three seconds, was lost: the connection was reset when the process went on.

Cause: a wait that is interrupted by a suspension ends without polling if its timeout has passed meanwhile, so timers that became due run before what arrived is read; here the limit for headers closed connections with an unread request.

The same order held for all timers that judge silence (servers, peers); they run on this loop. The own interface's daemon, which used the plain loop, runs on it too.

--- a/packages/turmericweir/turmericweir/main.py
+++ b/packages/turmericweir/turmericweir/main.py
@@ -55,8 +55,9 @@
         import anyio
 
         from turmericweir.daemon import run
+        from turmericweir.process.boot_clock import BootClockLoop
 
-        return anyio.run(run, cfg)
+        return anyio.run(run, cfg, backend_options={"loop_factory": BootClockLoop})
     except ListenError as exc:
         _exit_with_error(exc)
     except KeyboardInterrupt:
