Poll again after a wait that took longer than its timeout; let the soak print logs of lost requests

The selector now polls again whenever a wait took longer than its timeout; data is level-triggered, so what was found before is found again.

--- a/packages/turmericweir/turmericweir/process/boot_clock.py
+++ b/packages/turmericweir/turmericweir/process/boot_clock.py
@@ -14,15 +14,18 @@
 
 
 class _RepollingSelector(selectors.DefaultSelector):
-    """The system's selector, which polls once more when a wait ends without events.
+    """The system's selector, which polls once more if a wait took longer than its timeout.
 
-    Python ends an interrupted wait without polling if its timeout has passed meanwhile.
+    The process may be suspended between the end of the wait and its return. Python also ends an
+    interrupted wait without polling if its timeout has passed meanwhile.
     """
 
     def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
         """Return the files that are ready, after at most `timeout` seconds."""
+        started_at = _boot_time()
         events: list[tuple[selectors.SelectorKey, int]] = super().select(timeout)
-        if not events and timeout:
+        if timeout and _boot_time() - started_at >= timeout:
+            # Contains the files found before, as their data is not read yet.
             events = super().select(0)
         return events
 
@@ -35,4 +38,8 @@
 
     def time(self) -> float:
         """Return the time since the machine was started, in seconds."""
-        return time.clock_gettime(time.CLOCK_BOOTTIME)
+        return _boot_time()
+
+
+def _boot_time() -> float:
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/tests/platform/platform_world.py
+++ b/tests/platform/platform_world.py
@@ -50,6 +50,8 @@
     process: Process
     caller_address: str
     readiness_address: str
+    # What its earlier processes have logged.
+    earlier_lines: list[str] = field(default_factory=list)
 
     def is_ready(self) -> bool:
         """Return whether the load balancer would send callers to the instance."""
@@ -272,8 +274,10 @@
 
     def restart_instance(self, name: str) -> None:
         """Restart an instance at its addresses, without its state."""
-        self.running[name].process.stop()
-        self.running[name].process = self._launch(name)
+        instance = self.running[name]
+        instance.process.stop()
+        instance.earlier_lines += instance.process.lines
+        instance.process = self._launch(name)
 
     def reported_state(self, name: str) -> dict[str, Any]:
         """Return the part `beliefs` of the state that an instance shows to operators."""
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -352,6 +352,7 @@
         if answer is None:
             if self._was_stopped_gracefully(sent):
                 violations.append(f"{sent} got no answer from an instance that stopped gracefully")
+                violations += self._log_lines(sent)
             return violations
         is_promised = promises_not_run(answer.status, answer.headers, answer.body)
         if is_promised and runs and sent.kind in ("buy", "doc"):
@@ -376,6 +377,12 @@
                 violations.append(f"{sent} was served with a revoked key")
         return violations
 
+    def _log_lines(self, sent: SentRequest) -> list[str]:
+        """Return what the instance of a request has logged about it."""
+        instance = self.world.running[sent.instance]
+        lines = [*instance.earlier_lines, *instance.process.lines]
+        return [f"  {line}" for line in lines if sent.request_id in line] or ["  not logged"]
+
     def _was_stopped_gracefully(self, sent: SentRequest) -> bool:
         """Return whether the instance of a request was stopped gracefully and not killed."""
         stops = [each for each in self.stopped if each.subject == sent.instance]
--- a/tests/platform/soak_callers.py
+++ b/tests/platform/soak_callers.py
@@ -6,10 +6,13 @@
 import time
 from dataclasses import dataclass, field
 from types import TracebackType
-from typing import Self
+from typing import Final, Self
 
 from tests.platform.platform_world import Answer, PlatformWorld, call_on, connection_to
 
+# Four fifths of the time for which the settings allow connections to be idle.
+REUSE_MAX_S: Final = 12.0
+
 
 @dataclass(slots=True)
 class CallerConnections:
@@ -18,6 +21,7 @@
     world: PlatformWorld
     _by_instance: dict[str, http.client.HTTPConnection] = field(default_factory=dict)
     _opened_at: dict[str, float] = field(default_factory=dict)
+    _used_at: dict[str, float] = field(default_factory=dict)
 
     def __enter__(self) -> Self:
         return self
@@ -32,16 +36,21 @@
             conn.close()
 
     def is_open(self, instance: str) -> bool:
-        """Return whether there is a connection that was not closed by an answer or an error."""
+        """Return whether there is a connection that may be used; close one that was idle long."""
         conn = self._by_instance.get(instance)
-        return conn is not None and conn.sock is not None
+        if conn is None or conn.sock is None:
+            return False
+        if time.monotonic() - self._used_at[instance] > REUSE_MAX_S:
+            conn.close()
+            return False
+        return True
 
     def open(self, instance: str) -> None:
         """Open a connection."""
         conn = connection_to(self.world.running[instance].caller_address)
         conn.connect()
         self._by_instance[instance] = conn
-        self._opened_at[instance] = time.monotonic()
+        self._opened_at[instance] = self._used_at[instance] = time.monotonic()
 
     def opened_at(self, instance: str) -> float:
         """Return when the connection was opened."""
@@ -53,7 +62,9 @@
         """Send a request on the open connection; close it after an error."""
         conn = self._by_instance[instance]
         try:
-            return call_on(conn, method, path, body, headers)
+            answer = call_on(conn, method, path, body, headers)
+            self._used_at[instance] = time.monotonic()
+            return answer
         except (OSError, http.client.HTTPException):
             conn.close()
             raise
