Let the later of two processes with one name count

Callers saw: an instance that does not learn that a server leaves goes on sending to it; a caller waited to its deadline.

Cause: incarnations were random, so of two processes with one name whoever sent last took the place. The one that runs was then taken for replaced and its heartbeats dropped for as long as the other sent.

Change: an incarnation begins with its process's start time; an earlier process is heard only once the later one is gone, in heartbeats and in records that peers pass on. Why it works: the order does not depend on who sends last. Clocks that differ by more than the time between two starts leave it as it was.

Ruled out: engines or the platform stand-in of the ended run (the provocation has none).

--- a/packages/turmericweir-core/turmericweir_core/membership/membership.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/membership.py
@@ -19,6 +19,7 @@
 import xxhash
 
 from turmericweir_core.base.ids import InstanceName
+from turmericweir_core.base.incarnation import is_earlier
 from turmericweir_core.state.membership_state import (
     MAX_RETIRED,
     NEVER,
@@ -206,8 +207,13 @@
 
 
 def is_retired(member: Member, incarnation: str) -> bool:
-    """Return whether a newer incarnation has replaced the given one."""
-    return incarnation in member.retired_incarnations
+    """Return whether a newer incarnation has replaced the given one.
+
+    Where both tell their start, the order of the starts decides. Prevents an earlier process that
+    still sends from taking the place of the later one.
+    """
+    earlier = is_earlier(incarnation, member.incarnation)
+    return incarnation in member.retired_incarnations if earlier is None else earlier
 
 
 def record_counter(state: State, now: float, member: Member, seq: int) -> bool:
--- a/packages/turmericweir-core/turmericweir_core/membership/membership_records.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/membership_records.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 from turmericweir_core.base.ids import InstanceName
+from turmericweir_core.base.incarnation import is_earlier
 from turmericweir_core.membership.membership import (
     index_member,
     is_live,
@@ -95,7 +96,9 @@
     retired incarnation is accepted again if the record names the current one as its predecessor and
     the current one is not live.
     """
-    is_successor = member.incarnation in record.earlier_incarnations
+    is_successor = member.incarnation in record.earlier_incarnations or bool(
+        is_earlier(member.incarnation, record.incarnation)
+    )
     is_member_live = is_live(state, now, member)
     if is_retired(member, record.incarnation):
         return is_successor and not is_member_live
--- a/packages/turmericweir/turmericweir/daemon.py
+++ b/packages/turmericweir/turmericweir/daemon.py
@@ -13,6 +13,7 @@
 import signal
 import socket
 import sys
+import time
 from collections.abc import Callable
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
@@ -36,6 +37,7 @@
 from turmericweir.servers.backend_pool import BackendPool
 from turmericweir.servers.server_calls import ServerCalls
 from turmericweir_core.base.ids import InstanceName
+from turmericweir_core.base.incarnation import RANDOM_DIGITS, make_incarnation
 from turmericweir_core.membership import membership
 from turmericweir_core.messages.events import SeedsGiven
 from turmericweir_core.reducers.reducer import new_state, reduce
@@ -105,7 +107,7 @@
         data_centre=cfg.data_centre,
         region=cfg.region,
         peer_address=cfg.peer_address,
-        incarnation=secrets.token_hex(8),
+        incarnation=make_incarnation(time.time(), secrets.token_hex(RANDOM_DIGITS // 2)),
         cluster=cfg.cluster,
         other_regions=cfg.other_regions,
     )
--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -45,6 +45,7 @@
 from turmericweir.servers.backend_pool import BackendPool
 from turmericweir.servers.connection_probes import ConnectionProbes
 from turmericweir_core.base.ids import InstanceName
+from turmericweir_core.base.incarnation import RANDOM_DIGITS, make_incarnation
 from turmericweir_core.base.options import Options
 from turmericweir_core.base.store_times import derive_store_times
 from turmericweir_core.messages.events import SeedsGiven, WallClockRead
@@ -211,7 +212,7 @@
         data_centre=cfg.data_centre,
         region=cfg.region,
         peer_address=cfg.peer_address,
-        incarnation=secrets.token_hex(8),
+        incarnation=make_incarnation(time.time(), secrets.token_hex(RANDOM_DIGITS // 2)),
         other_regions=tuple(sorted(regions)),
         machine_capacity=cfg.machine.machine_capacity,
     )
--- a/tests/failures/member_cluster.py
+++ b/tests/failures/member_cluster.py
@@ -5,8 +5,11 @@
 
 from __future__ import annotations
 
+import json
+import sys
 import threading
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
+from contextlib import contextmanager
 from dataclasses import replace
 from functools import partial
 from pathlib import Path
@@ -16,7 +19,13 @@
 from tests.failures.cluster import SMALL
 from turmericweir_standins.deployment import Instance, ListedProcess, token_of
 from turmericweir_standins.peer_cluster import PeerCluster
-from turmericweir_standins.procs import JsonAnswer, call_json, wait_until
+from turmericweir_standins.procs import (
+    JsonAnswer,
+    Process,
+    call_json,
+    free_address,
+    wait_until,
+)
 from turmericweir_standins.record import read_records
 
 # Safety limit for a wait; no test depends on its length.
@@ -46,6 +55,12 @@
 
     # --- faults ---
 
+    def route_peer_messages(self, address: str, name: str) -> None:
+        """Route peer messages to another address to an instance."""
+        target = self.instances[name].listed.peer_address
+        routes = [{"kind": kind, "listen": address, "target": target} for kind in ("tcp", "udp")]
+        call_json(self.peer_proxy.address, "POST", "/_standin/routes", {"routes": routes})
+
     def block_all_incoming(self, *, on: bool = True) -> None:
         """Block the peer messages to every instance."""
         for name in self.instances:
@@ -80,6 +95,10 @@
         """Return the state of a backend server on an instance."""
         return self.instances[name].state()["servers"]["by_name"].get(server)
 
+    def member_on(self, name: str, member: str) -> Any:
+        """Return what an instance knows of another one."""
+        return self.instances[name].state()["members"]["by_name"].get(member)
+
     def wait_flagged(self, server: str, flag: str) -> None:
         """Wait until every running instance has flagged a server as leaving or as drained."""
         for instance in self.instances.values():
@@ -104,6 +123,26 @@
         return sum(1 for record in records if record["event"] in ("started", "refused"))
 
 
+@contextmanager
+def earlier_process(directory: Path, name: str, seed: str) -> Iterator[Process]:
+    """Run a process that has the name of an instance and addresses of its own."""
+    cfg = {
+        "name": name,
+        "data_centre": "dc-1",
+        "region": SMALL.region,
+        "caller_address": free_address(),
+        "admin_address": free_address(),
+        "peer_address": free_address(),
+        "platform": {"address": free_address()},
+        "seeds": [seed],
+    }
+    path = directory / "earlier.json"
+    path.write_text(json.dumps(cfg))
+    argv = [sys.executable, "-m", "turmericweir.main", "--config", str(path)]
+    with Process(argv, name="earlier", directory=directory) as process:
+        yield process
+
+
 def ask(instance: Instance, text: str, timeout_s: float = 30.0) -> JsonAnswer:
     """Send one model request to an instance."""
     headers = {"Authorization": f"Bearer {token_of(CUSTOMER)}"}
--- a/tests/failures/test_leaving.py
+++ b/tests/failures/test_leaving.py
@@ -5,9 +5,14 @@
 from functools import partial
 from pathlib import Path
 
-from tests.failures.member_cluster import EVENT_TIMEOUT_S, CallLoop, MemberCluster
+from tests.failures.member_cluster import (
+    EVENT_TIMEOUT_S,
+    CallLoop,
+    MemberCluster,
+    earlier_process,
+)
 from turmericweir_standins.deployment import OPERATOR_TOKEN
-from turmericweir_standins.procs import call_json, wait_until
+from turmericweir_standins.procs import call_json, free_address, wait_until
 from turmericweir_standins.record import read_records
 
 ENTRY_1 = "entry-1"
@@ -37,6 +42,27 @@
         assert cluster.request_count(LEAVING_ENGINE) == before
 
 
+def test_refusal_is_known_to_all_beside_an_earlier_process_of_an_instance(tmp_path: Path) -> None:
+    # Guards against an earlier process of an instance, which lives on elsewhere and still sends,
+    # taking the place of the one that runs now.
+    seed = free_address()
+    with earlier_process(tmp_path, ENTRY_2, seed), MemberCluster(tmp_path, 3) as cluster:
+        cluster.wait_all_live()
+        cluster.route_peer_messages(seed, ENTRY_1)
+        wait_until(lambda: has_heard_of_other(cluster, ENTRY_2), "entry-1 receives its messages")
+        cluster.set_platform_behaviour(list_down=True)
+        cluster.set_server_behaviour(LEAVING_ENGINE, report_frozen=True, leaving=True)
+
+        with CallLoop(cluster.instances[ENTRY_1]) as calls:
+            wait_until(lambda: refusal_count(cluster) > 0, "the engine refuses", EVENT_TIMEOUT_S)
+            cluster.wait_flagged(LEAVING_ENGINE, "leaving")
+            calls.wait_more_answers(10)
+        expected_address = cluster.instances[ENTRY_2].listed.peer_address
+        for name in (ENTRY_1, ENTRY_3):
+            assert cluster.member_on(name, ENTRY_2)["peer_address"] == expected_address
+        assert set(calls.statuses) == {200}
+
+
 def test_drain_at_one_instance_applies_to_all(tmp_path: Path) -> None:
     # Guards against new work for an engine that an operator drains through one instance, when
     # neither the engine's report nor the list shows it.
@@ -105,6 +131,15 @@
     return sum(1 for record in records if record["event"] == "refused")
 
 
+def has_heard_of_other(cluster: MemberCluster, name: str) -> bool:
+    """Return whether entry-1 has received messages of another process with an instance's name."""
+    members = cluster.instances[ENTRY_1].state()["members"]
+    is_replaced = (
+        members["by_name"][name]["peer_address"] != cluster.instances[name].listed.peer_address
+    )
+    return bool(is_replaced or members["noise"].get("retired", 0) > 0)
+
+
 def is_listed_live(cluster: MemberCluster) -> bool:
     """Return whether an instance has read a list in which the engine is live."""
     server_state = cluster.server_state_on(ENTRY_1, LEAVING_ENGINE)
--- a/tests/platform/soak_callers.py
+++ b/tests/platform/soak_callers.py
@@ -59,11 +59,13 @@
     def send(
         self, instance: str, method: str, path: str, body: bytes, headers: dict[str, str]
     ) -> Answer:
-        """Send a request on the open connection; close it after an error."""
+        """Send a request on the open connection; close it after an error or a cut answer."""
         conn = self._by_instance[instance]
         try:
             answer = call_on(conn, method, path, body, headers)
             self._used_at[instance] = time.monotonic()
+            if answer.is_cut:
+                conn.close()
             return answer
         except (OSError, http.client.HTTPException):
             conn.close()
