Ask for a later list of servers as soon as the platform's list cannot be read

Callers would see: an instance that never learns of a server that was listed just after its last read, as long as the platform's list is down; it learns neither the server nor that it leaves, and requests may wait to their deadline.

Change: after two missed reads any later list is asked for; while the list can be read nothing changes. Lists are taken only if they are not older, so two instances do not swap theirs.

--- a/packages/turmericweir-core/turmericweir_core/membership/server_list.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/server_list.py
@@ -2,7 +2,8 @@
 
 Prevents an instance that starts while the platform is down from refusing all requests. Heartbeats
 carry a hash of the list and its age; an instance without a list, or with a much older one, requests
-it from the sender.
+it from the sender. Where the list cannot be read, an instance whose last read was only a little
+older does so too, as the list may have changed between the two reads.
 """
 
 from __future__ import annotations
@@ -14,6 +15,7 @@
 
 from turmericweir_core.base.config import ServerEntry
 from turmericweir_core.base.ids import InstanceName, ServerName
+from turmericweir_core.membership.membership import list_period_s
 from turmericweir_core.messages.effects import Effect, Log, SendPeer
 from turmericweir_core.messages.peer_messages import Heartbeat, ServersAsk, ServersSend
 from turmericweir_core.state import server_table
@@ -24,6 +26,8 @@
 
 # Tolerated difference between the age of a received list and the age announced before.
 _AGE_TOLERANCE_S: Final = 1.0
+# Number of periods without a read after which the list counts as unreadable.
+_MISSED_READS: Final = 2
 # Names of servers in one log line.
 _LOGGED_NAMES_MAX: Final = 16
 
@@ -75,7 +79,12 @@
 def _is_list_needed(state: State, now: float, offered_age_s: float) -> bool:
     listed_at = state.servers.listed_at
     if listed_at is not None:
-        return now - listed_at > offered_age_s + state.options.servers_stale_s
+        own_age_s = now - listed_at
+        if own_age_s > _MISSED_READS * list_period_s(state):
+            # The platform's list cannot be read, so any later list is better. Ages that are sent
+            # are whole seconds, rounded down.
+            return own_age_s >= offered_age_s + 1
+        return own_age_s > offered_age_s + state.options.servers_stale_s
     started_at = state.members.started_at
     return started_at is not None and now - started_at > state.options.servers_wait_s
 
