--- a/tests/core/queueing/test_urgent_first.py
+++ b/tests/core/queueing/test_urgent_first.py
@@ -8,7 +8,8 @@
 
 from tests.core.store_world import BULK, QUICK, StoreWorld, datagrams, only, start_of
 from turmericweir_core.base.config import ServiceClass
-from turmericweir_core.messages.effects import Effect, FinishRequest, StartAttempt
+from turmericweir_core.messages.effects import Effect, FinishRequest, ProbeServer, StartAttempt
+from turmericweir_core.messages.events import EndUnsent, ServerUnreachable
 from turmericweir_core.messages.peer_messages import DemandRow, LoadNews, OverdueRow
 
 URGENT: Final = replace(QUICK, rank=0)
@@ -99,6 +100,27 @@
             world.peer("b-1", replace(each.message, rows=[]))
 
 
+def test_requests_without_a_path_to_any_server_are_not_reported_as_overdue() -> None:
+    """Guards against holding back long prompts at all instances while one is cut off."""
+    peer = StoreWorld(engines=1, plain=0, name="b-1")
+    peer.know("a-1")
+    arrivals = [
+        peer.arrive(f"{number}", service_class=URGENT, prompt_tokens=20) for number in range(3)
+    ]
+    for start in [each for arrival in arrivals for each in only(arrival, StartAttempt)]:
+        peer.end(start, EndUnsent("refused"))
+    sent: list[LoadNews] = []
+    for _ in range(10):
+        peer.know("a-1")
+        effects = peer.wait(0.2)
+        for probe in only(effects, ProbeServer):
+            peer.give(ServerUnreachable(probe.server, "refused"))
+        messages = [each.message for each in datagrams(effects)]
+        sent += [each for each in messages if isinstance(each, LoadNews)]
+    assert sent
+    assert not any(row.overdue for update in sent for row in update.demand)
+
+
 def test_requests_do_not_wait_beside_free_slots_for_one_that_is_overdue_elsewhere() -> None:
     """Guards against one overdue request leaving all less urgent ones beside idle engines."""
     world = StoreWorld(engines=4)
--- /dev/null
+++ b/tests/platform/cut_world.py
@@ -0,0 +1,215 @@
+"""A platform world in which a test cuts the paths from single instances to servers.
+
+Each instance reaches each server through a proxy of its own. A cut redirects new connections to an
+address that refuses them or never answers, and holds, resets or keeps the open ones.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import socket
+import sys
+from contextlib import suppress
+from dataclasses import dataclass, field
+from pathlib import Path
+from types import TracebackType
+from typing import Self
+
+from tests.platform.cut_instance import REDIRECTS_VARIABLE
+from tests.platform.platform_world import ROOT, PlatformWorld
+from tests.platform.standin_http import LoopThread
+from tests.platform.standin_server import Server
+from turmericweir_standins.procs import Process, free_address
+
+# Ways in which a path is cut.
+HANG = "hang"
+RESET = "reset"
+REFUSE_NEW = "refuse_new"
+CUTS = (HANG, RESET, REFUSE_NEW)
+_CHUNK_BYTES = 65_536
+
+
+class PathProxy:
+    """Passes the connections of one instance on to one server."""
+
+    def __init__(self, target: str) -> None:
+        self.address = free_address()
+        self._target = target
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._is_open = asyncio.Event()
+        self._is_open.set()
+
+    async def start(self) -> None:
+        """Start to listen."""
+        host, _, port = self.address.rpartition(":")
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+
+    async def stop(self) -> None:
+        """Stop to listen and reset all connections."""
+        if self._server is not None:
+            self._server.close()
+        await self.reset()
+
+    async def hold(self) -> None:
+        """Hold what connections carry; it arrives late, even if its sender has closed."""
+        self._is_open.clear()
+
+    async def release(self) -> None:
+        """Deliver what was held."""
+        self._is_open.set()
+
+    async def reset(self) -> None:
+        """Reset all connections."""
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        host, _, port = self._target.rpartition(":")
+        try:
+            server_reader, server_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        pair = {writer, server_writer}
+        self._writers |= pair
+        try:
+            await asyncio.gather(
+                self._pump(reader, server_writer), self._pump(server_reader, writer)
+            )
+        finally:
+            self._writers -= pair
+            for each in pair:
+                each.close()
+
+    async def _pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while data := await reader.read(_CHUNK_BYTES):
+                await self._is_open.wait()
+                writer.write(data)
+                await writer.drain()
+            await self._is_open.wait()
+            with suppress(OSError):
+                writer.write_eof()
+        except OSError:
+            await self._is_open.wait()
+            writer.transport.abort()
+
+
+class UnansweredAddress:
+    """An address at which connections are never established, as its backlog is full."""
+
+    def __init__(self) -> None:
+        self._sockets = [socket.socket()]
+        listener = self._sockets[0]
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        host, port = listener.getsockname()
+        self.address = f"{host}:{port}"
+        for _ in range(4):
+            filler = socket.socket()
+            filler.setblocking(False)
+            with suppress(BlockingIOError):
+                filler.connect((host, port))
+            self._sockets.append(filler)
+
+    def close(self) -> None:
+        """Close the address."""
+        for each in self._sockets:
+            each.close()
+
+
+@dataclass(slots=True)
+class CutWorld(PlatformWorld):
+    """A platform world in which paths from instances to servers can be cut."""
+
+    # By instance and server.
+    _proxies: dict[tuple[str, str], PathProxy] = field(default_factory=dict)
+    # The cut of each path that is cut, by instance and server.
+    _cuts: dict[tuple[str, str], str] = field(default_factory=dict)
+    _unanswered: UnansweredAddress = field(default_factory=UnansweredAddress)
+    _proxy_loop: LoopThread = field(default_factory=LoopThread)
+
+    def __enter__(self) -> Self:
+        self._proxy_loop.__enter__()
+        PlatformWorld.__enter__(self)
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        PlatformWorld.__exit__(self, exc_type, exc, traceback)
+        for proxy in self._proxies.values():
+            self._proxy_loop.run(proxy.release())
+            self._proxy_loop.run(proxy.stop())
+        self._unanswered.close()
+        self._proxy_loop.__exit__(exc_type, exc, traceback)
+
+    def add_server(self, name: str, service: str) -> Server:
+        """Start a server, with a path from each instance, and register it."""
+        server = PlatformWorld.add_server(self, name, service)
+        for instance in self.running:
+            self._write_redirects(instance)
+        return server
+
+    def cut(self, instance: str, how: str, *servers: str) -> None:
+        """Cut the paths of an instance to servers, by default to all."""
+        names = servers or tuple(self.servers)
+        for name in names:
+            self._cuts[instance, name] = how
+        self._write_redirects(instance)
+        for name in names:
+            proxy = self._proxies[instance, name]
+            if how == HANG:
+                self._proxy_loop.run(proxy.hold())
+            elif how == RESET:
+                self._proxy_loop.run(proxy.reset())
+
+    def heal(self, instance: str) -> None:
+        """Restore all paths of an instance, and deliver what they held."""
+        for name in self.servers:
+            self._cuts.pop((instance, name), None)
+            self._proxy_loop.run(self._proxies[instance, name].release())
+        self._write_redirects(instance)
+
+    def _launch(self, name: str) -> Process:
+        self._write_redirects(name)
+        env = {
+            "TURMERICWEIR_CONFIG": str(self.directory / f"{name}.json"),
+            REDIRECTS_VARIABLE: str(self._redirects_path(name)),
+            "PYTHONPATH": os.pathsep.join([str(ROOT), *sys.path]),
+        }
+        argv = [sys.executable, "-m", "tests.platform.cut_instance"]
+        process = Process(argv, name=name, directory=self.directory, env=env)
+        process.start()
+        return process
+
+    def _redirects_path(self, instance: str) -> Path:
+        return self.directory / f"{instance}.redirects.json"
+
+    def _write_redirects(self, instance: str) -> None:
+        redirects = {}
+        for name, server in self.servers.items():
+            if (instance, name) not in self._proxies:
+                proxy = self._proxies[instance, name] = PathProxy(server.address)
+                self._proxy_loop.run(proxy.start())
+            redirects[server.address] = self._path_address(instance, name)
+        path = self._redirects_path(instance)
+        new_path = path.with_suffix(".new")
+        new_path.write_text(json.dumps(redirects))
+        new_path.replace(path)
+
+    def _path_address(self, instance: str, server: str) -> str:
+        match self._cuts.get((instance, server)):
+            case None:
+                return self._proxies[instance, server].address
+            case "hang":
+                return self._unanswered.address
+            case _:
+                # Nothing listens there.
+                return "127.0.0.1:1"
