Log when new connections to a server begin to fail, and when they work again

The hypotheses of the incident on instances cut off from servers could not be told apart: no line said since when an instance reaches a server no more, and of how many servers that holds at the time. path_lost and path_restored name the server, the error, the time without a path, and how many of the known servers are lost at this instance; compared over instances they tell a lost path from a lost server.

--- a/packages/turmericweir-core/turmericweir_core/reducers/reducer_common.py
+++ b/packages/turmericweir-core/turmericweir_core/reducers/reducer_common.py
@@ -13,7 +13,7 @@
 
 from turmericweir_core.credits import credit
 from turmericweir_core.engines import load_updates
-from turmericweir_core.membership import leaving, membership_reducer, server_list
+from turmericweir_core.membership import leaving, membership_reducer, server_list, server_paths
 from turmericweir_core.messages.effects import Effect, Exit, Log, ProbeServer
 from turmericweir_core.messages.events import (
     AnswerReceived,
@@ -101,14 +101,14 @@
             quarantine.note_report(state, now, event)
             attempt_accounting.reset_if_restarted(state, now, event)
             server_table.note_report(state.servers, state.options, now, event)
-            effects = lifecycle.on_server_answered(state, now, event)
+            effects = server_paths.note_reached(state, now, event.server)
+            effects += lifecycle.on_server_answered(state, now, event)
             return effects + dispatch.dispatch_all(state, now)
-        case ServerUnreachable(server, _):
-            server_table.note_unreachable(state.servers, state.options, now, server)
-            return []
+        case ServerUnreachable(server, error):
+            return server_paths.note_failed(state, now, server, error)
         case ServerAnswered(server):
-            server_table.note_answered(state.servers, server)
-            return dispatch.dispatch_all(state, now)
+            effects = server_paths.note_reached(state, now, server)
+            return effects + dispatch.dispatch_all(state, now)
         case ListRead(servers, instances):
             server_table.apply_server_list(state.servers, state.config, servers)
             server_list.note_list_read(state, now)
@@ -173,6 +173,7 @@
     since the previous one.
     """
     expire_accounts(state.accounts, state.options, now)
+    server_paths.forget_removed(state)
     effects: list[Effect] = []
     if state.options.probe_servers:
         for server in server_table.servers_to_probe(state.servers, state.options, now):
--- a/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
@@ -14,7 +14,7 @@
 from turmericweir_core.base.reasons import Reason
 from turmericweir_core.base.request import Attempt, CancelReason, Request, RequestPhase
 from turmericweir_core.engines import engine_model
-from turmericweir_core.membership import announced_limits, leaving
+from turmericweir_core.membership import announced_limits, leaving, server_paths
 from turmericweir_core.messages.effects import Count, Effect, Log, Timing
 from turmericweir_core.messages.events import (
     AnswerReceived,
@@ -33,7 +33,7 @@
 from turmericweir_core.placement.dispatch import dispatch, release, wait_for_server
 from turmericweir_core.requests.lifecycle import finish, unanswered_outcome
 from turmericweir_core.state import queue_state, usage_meter
-from turmericweir_core.state.server_table import note_leaving, note_pause, note_unreachable
+from turmericweir_core.state.server_table import note_leaving, note_pause
 from turmericweir_core.state.state import State
 from turmericweir_core.trust import isolated_runs, lost_connections, quarantine
 from turmericweir_core.trust.retry import spend_retry
@@ -210,27 +210,27 @@
             # An attempt that was reported as sent may have run, so `not_run` may be wrong.
             return _handle_end(state, now, req, attempt, EndBroken(error, server_alive=False))
         case EndUnsent(error):
-            note_unreachable(state.servers, state.options, now, attempt.server)
-            effects = _retry_or_finish(
+            effects = server_paths.note_failed(state, now, attempt.server, error)
+            effects += _retry_or_finish(
                 state, now, req, attempt, Reason.NO_SERVER, uses_budget=False
             )
             return [_failure_log(req, attempt, "unsent", error), *effects]
         case EndBroken(error, server_alive):
             req.may_have_run = True
+            logs: list[Effect] = [_failure_log(req, attempt, "broken", error)]
             if not server_alive:
-                note_unreachable(state.servers, state.options, now, attempt.server)
+                logs += server_paths.note_failed(state, now, attempt.server, error)
             quarantine.record_broken_connection(state, now, req, attempt, server_alive)
-            log = _failure_log(req, attempt, "broken", error)
             if attempt.cancel_reason is not None:
                 # It broke while being cancelled; the reason of the cancellation still applies.
-                return [log, *_handle_cancelled(state, now, req, attempt)]
+                return [*logs, *_handle_cancelled(state, now, req, attempt)]
             # Retries after a crash add no load, as the server has none now. Prevents the crash of a
             # full server from using up the retry budget.
             uses_budget = server_alive or state.options.retry_pay_all
             effects = _handle_loss(
                 state, now, req, attempt, Reason.SERVER_LOST, uses_budget=uses_budget
             )
-            return [log, *effects]
+            return [*logs, *effects]
         case EndServerError(status):
             req.may_have_run = True
             effects = _handle_loss(state, now, req, attempt, Reason.SERVER_ERROR)
@@ -292,8 +292,8 @@
             return _requeue_stopped(state, now, req)
         case CancelReason.SERVER_DEAD:
             quarantine.record_broken_connection(state, now, req, attempt, alive=False)
-            note_unreachable(state.servers, state.options, now, attempt.server)
-            return _handle_loss(state, now, req, attempt, Reason.SERVER_LOST)
+            effects = server_paths.note_failed(state, now, attempt.server, "server_dead")
+            return effects + _handle_loss(state, now, req, attempt, Reason.SERVER_LOST)
         case CancelReason.QUARANTINED:
             return finish(state, now, req, Outcome.FAILED, Reason.QUARANTINED)
         case CancelReason.UNRESPONSIVE | None if not attempt.sent:
--- a/packages/turmericweir-core/turmericweir_core/state/state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/state.py
@@ -33,6 +33,7 @@
 from turmericweir_core.state.membership_state import Membership
 from turmericweir_core.state.model_state import ModelState
 from turmericweir_core.state.overdue_state import OverdueState
+from turmericweir_core.state.path_state import PathState
 from turmericweir_core.state.pool_load import PoolLoads
 from turmericweir_core.state.pool_state import PoolState
 from turmericweir_core.state.predict import Predictor
@@ -91,6 +92,8 @@
     accounts: AccountStore = field(default_factory=AccountStore)
     queues: QueueState = field(default_factory=QueueState)
     servers: ServerTable = field(default_factory=ServerTable)
+    # Paths to servers that this instance cannot connect to.
+    paths: PathState = field(default_factory=PathState)
     # The servers of each target that this instance uses.
     subsets: SubsetState = field(default_factory=SubsetState)
     credits: CreditState = field(default_factory=CreditState)
