Keep the process alive when a connection to the peers' port is reset at once

Cause: each accepted stream ran as a task of the task group of the whole process, and what was asked of the socket before the first read was outside of its error handling; so were options set on it. The same class on the way out: a stream that is reset before its options are set ended the task of that peer's link for good, and nothing was sent to that peer any more.

Looked through for the same: datagrams (errors of one go to the loop's handler), callers', readiness, admin and metrics ports (uvicorn's protocols; 400 and go on), probes and background work (each logged and ended alone), the log pipe.

Now the streams of peers are protocols of the event loop without a task each, in a module of their own: an error there closes that connection only. Descriptors that run out pause accepting and do not end the process. Lost streams are logged at the limited rate of bad frames. One module less needs task groups for callers that it does not know.

--- a/packages/turmericweir/turmericweir/peers/peer_codec.py
+++ b/packages/turmericweir/turmericweir/peers/peer_codec.py
@@ -82,7 +82,7 @@
     """Passes decoded messages to the node; counts and logs invalid frames."""
 
     _node: Node
-    # When a dropped frame was last logged.
+    # When a dropped frame or a lost stream was last logged.
     _logged_at: float
 
     def __init__(self, node: Node) -> None:
@@ -101,7 +101,11 @@
     def drop_frame(self, error: PeerError) -> None:
         """Count an invalid frame and log it, at a limited rate."""
         self._node.count("peer.bad_frame")
+        self.log_limited("bad_frame", step=error.step, peer=error.peer, error=error.detail)
+
+    def log_limited(self, event: str, **fields: str) -> None:
+        """Log an event at the peers' port, at a limited rate for all events together."""
         now = anyio.current_time()
         if now - self._logged_at >= _LOG_INTERVAL_S:
             self._logged_at = now
-            logs.write("bad_frame", step=error.step, peer=error.peer, error=error.detail)
+            logs.write(event, **fields)
--- /dev/null
+++ b/packages/turmericweir/turmericweir/peers/peer_listener.py
@@ -0,0 +1,127 @@
+"""The port on which an instance receives the streams of its peers.
+
+Frames are split, decoded and passed to the node as they arrive, and acknowledged by number. The
+event loop's callbacks are used without a task for each connection, so an error on one connection
+ends only that connection.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from contextlib import suppress
+from types import TracebackType
+from typing import Final, Self, cast
+
+import msgpack
+
+from turmericweir.peers.peer_codec import FRAME_MAX_BYTES, FrameReader, read_frame
+from turmericweir.process.errors import ListenError, PeerError, describe_error
+from turmericweir.process.node import Node
+from turmericweir.servers.backend_stream import set_options
+
+_BACKLOG: Final = 1_024
+
+
+class IncomingStream(asyncio.Protocol):
+    """The stream of one peer."""
+
+    _node: Node
+    _frame_reader: FrameReader
+    _transport: asyncio.Transport
+    # Address of the other end, for logs.
+    _origin: str
+    _unpacker: msgpack.Unpacker
+    _received_frames: int
+    # Bytes of the stream up to the end of the last frame.
+    _parsed_bytes: int
+
+    def __init__(self, node: Node, frame_reader: FrameReader) -> None:
+        self._node = node
+        self._frame_reader = frame_reader
+        self._origin = "unknown"
+        self._unpacker = msgpack.Unpacker(max_buffer_size=FRAME_MAX_BYTES)
+        self._received_frames = 0
+        self._parsed_bytes = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Set the options of the connection, which may be reset already."""
+        self._transport = cast(asyncio.Transport, transport)
+        # None if the connection was reset before it was accepted.
+        address = transport.get_extra_info("peername")
+        if address is not None:
+            self._origin = f"{address[0]}:{address[1]}"
+        raw: socket.socket = transport.get_extra_info("socket")
+        with suppress(OSError):
+            set_options(raw)
+
+    def data_received(self, data: bytes) -> None:
+        """Process the complete frames, and acknowledge them."""
+        traffic = self._node.traffic.streams
+        traffic.received.add(len(data))
+        previous_frames = self._received_frames
+        try:
+            self._unpacker.feed(data)
+            for frame in self._unpacker:
+                self._received_frames += 1
+                size = self._unpacker.tell() - self._parsed_bytes
+                self._parsed_bytes += size
+                self._frame_reader.process_result(read_frame(frame, self._origin), size)
+        # The stream cannot be split into frames any more.
+        except (ValueError, msgpack.UnpackException, msgpack.exceptions.BufferFull) as exc:
+            error = PeerError("split stream", self._origin, describe_error(exc))
+            self._frame_reader.drop_frame(error)
+            self._transport.abort()
+            return
+        if self._received_frames > previous_frames:
+            ack = msgpack.packb(self._received_frames)
+            self._transport.write(ack)
+            traffic.sent.add(len(ack))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Log the loss of the connection."""
+        if exc is not None:
+            self._frame_reader.log_limited(
+                "peer_stream_lost", step="receive", peer=self._origin, error=describe_error(exc)
+            )
+
+
+class PeerListener:
+    """Accepts the streams of peers."""
+
+    _address: str
+    _node: Node | None
+    _server: asyncio.Server
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._node = None
+
+    async def __aenter__(self) -> Self:
+        host, _, port = self._address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        try:
+            self._server = await loop.create_server(
+                self._make_stream, host, int(port), backlog=_BACKLOG, start_serving=False
+            )
+        except OSError as exc:
+            raise ListenError("listen for peers", self._address, exc.strerror or str(exc)) from exc
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self._server.close()
+
+    async def serve(self, node: Node) -> None:
+        """Accept streams and pass their messages to a node."""
+        self._node = node
+        self._frame_reader = FrameReader(node)
+        await self._server.serve_forever()
+
+    def _make_stream(self) -> IncomingStream:
+        assert self._node is not None
+        return IncomingStream(self._node, self._frame_reader)
--- a/packages/turmericweir/turmericweir/peers/peer_streams.py
+++ b/packages/turmericweir/turmericweir/peers/peer_streams.py
@@ -1,9 +1,9 @@
 """Streams of messages between instances.
 
 An instance opens one stream to each peer to which it sends messages, and accepts the streams of its
-peers. The receiver acknowledges frames by number on the same connection. If a frame is not
-acknowledged in time, the connection is considered unresponsive: the stream is closed, the reducer
-receives `PeerUnreachable`, and the next message uses a new connection.
+peers (`peer_listener`). The receiver acknowledges frames by number on the same connection. If a
+frame is not acknowledged in time, the connection is considered unresponsive: the stream is closed,
+the reducer receives `PeerUnreachable`, and the next message uses a new connection.
 """
 
 from __future__ import annotations
@@ -15,13 +15,11 @@
 import anyio
 import msgpack
 from anyio.abc import SocketAttribute, SocketStream
-from anyio.streams.stapled import MultiListener
 
-from turmericweir.peers.peer_codec import FRAME_MAX_BYTES, FrameReader, encode, read_frame
-from turmericweir.process import logs
-from turmericweir.process.errors import ListenError, PeerError, describe_error
+from turmericweir.peers.peer_codec import encode
+from turmericweir.peers.peer_listener import PeerListener
+from turmericweir.process.errors import PeerError, describe_error
 from turmericweir.process.node import Node
-from turmericweir.process.traffic import TrafficCounter
 from turmericweir.servers.backend_stream import set_options
 from turmericweir_core.base.ids import InstanceName
 from turmericweir_core.messages.effects import SendPeer
@@ -41,6 +39,8 @@
     anyio.BrokenResourceError,
     anyio.ClosedResourceError,
     anyio.EndOfStream,
+    # The connection was reset before its options were set.
+    anyio.TypedAttributeLookupError,
 )
 
 
@@ -173,23 +173,20 @@
     _local_name: InstanceName
     _address: str
     _links: dict[InstanceName, PeerLink]
-    _listener: MultiListener[SocketStream]
+    _listener: PeerListener
 
     def __init__(self, local_name: InstanceName, address: str) -> None:
         self._local_name = local_name
         self._address = address
         self._links = {}
+        self._listener = PeerListener(address)
 
     def attach(self, node: Node) -> None:
         """Set the node, which is created after its adapters."""
         self._node = node
 
     async def __aenter__(self) -> Self:
-        host, _, port = self._address.rpartition(":")
-        try:
-            self._listener = await anyio.create_tcp_listener(local_host=host, local_port=int(port))
-        except OSError as exc:
-            raise ListenError("listen for peers", self._address, exc.strerror or str(exc)) from exc
+        await self._listener.__aenter__()
         return self
 
     async def __aexit__(
@@ -200,7 +197,7 @@
     ) -> None:
         for link in self._links.values():
             link.scope.cancel()
-        await self._listener.aclose()
+        await self._listener.__aexit__(exc_type, exc, traceback)
 
     def send(self, effect: SendPeer) -> None:
         """Send a message to a peer, opening a stream if necessary."""
@@ -219,46 +216,7 @@
 
     async def serve(self) -> None:
         """Accept streams of peers and receive their frames."""
-        frame_reader = FrameReader(self._node)
-
-        async def accept(stream: SocketStream) -> None:
-            async with stream:
-                await _receive_frames(stream, frame_reader, self._node.traffic.streams)
-
-        await self._listener.serve(accept)
-
-
-async def _receive_frames(
-    stream: SocketStream, frame_reader: FrameReader, traffic: TrafficCounter
-) -> None:
-    address = stream.extra(SocketAttribute.remote_address)
-    origin = f"{address[0]}:{address[1]}"
-    set_options(stream.extra(SocketAttribute.raw_socket))
-    unpacker = msgpack.Unpacker(max_buffer_size=FRAME_MAX_BYTES)
-    received_frames = 0
-    # Bytes of the stream up to the end of the last frame.
-    parsed_bytes = 0
-    try:
-        while True:
-            data = await stream.receive(_READ_MAX_BYTES)
-            traffic.received.add(len(data))
-            unpacker.feed(data)
-            previous_frames = received_frames
-            for frame in unpacker:
-                received_frames += 1
-                size = unpacker.tell() - parsed_bytes
-                parsed_bytes += size
-                frame_reader.process_result(read_frame(frame, origin), size)
-            if received_frames > previous_frames:
-                ack = msgpack.packb(received_frames)
-                await stream.send(ack)
-                traffic.sent.add(len(ack))
-    except _CONNECTION_ERRORS as exc:
-        if not isinstance(exc, anyio.EndOfStream):
-            logs.write("peer_stream_lost", step="receive", peer=origin, error=describe_error(exc))
-    # The stream cannot be split into frames any more.
-    except (ValueError, msgpack.UnpackException, msgpack.exceptions.BufferFull) as exc:
-        frame_reader.drop_frame(PeerError("split stream", origin, describe_error(exc)))
+        await self._listener.serve(self._node)
 
 
 def _first_exception(group: BaseExceptionGroup[BaseException]) -> BaseException:
