Report no overdue requests while an instance has no path to any server

Cause: requests that wait at a cut instance count as overdue, as if they waited for room, and load updates report them to all instances, which hold back long prompts for them.

Now an instance reports none while no server of the target can be connected to from it. An instance that reaches some servers reports as before: those it reaches have too little room.

Also looked at: refusals count as overdue for a second (reported by the same function); demand for servers is recorded when a request is sent or waits, and a duty's holder counts the servers that are listed, not those that it reaches; the split of engines into kinds follows the demand; stragglers and failures of servers are each instance's own.

--- a/packages/turmericweir-core/turmericweir_core/membership/subset.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/subset.py
@@ -74,6 +74,11 @@
     return _without_unproven(list(servers_for(state.servers, target, now)))
 
 
+def has_path(state: State, now: float, target: Target) -> bool:
+    """Return whether this instance can send requests for a target to any server, busy or not."""
+    return any(server.unreachable_until == 0.0 for server in open_servers(state, now, target))
+
+
 def pause_left_s(state: State, now: float, target: Target) -> float | None:
     """Return when the first paused server of a target takes work again, in seconds from now.
 
--- a/packages/turmericweir-core/turmericweir_core/queueing/urgent_first.py
+++ b/packages/turmericweir-core/turmericweir_core/queueing/urgent_first.py
@@ -25,6 +25,7 @@
 from turmericweir_core.base.config import ServiceClass
 from turmericweir_core.base.ids import InstanceName, Target
 from turmericweir_core.base.tiers import scheduling_rank
+from turmericweir_core.membership.subset import has_path
 from turmericweir_core.messages.peer_messages import OverdueRow
 from turmericweir_core.state import queue_state
 from turmericweir_core.state.overdue_state import OverdueReport, OverdueTotal
@@ -47,7 +48,13 @@
 def overdue_rows(
     state: State, now: float, target: Target, is_long: Callable[[ServiceClass], bool]
 ) -> list[OverdueRow]:
-    """Return the overdue requests of this instance by rank and kind."""
+    """Return the overdue requests of this instance by rank and kind.
+
+    None are reported while this instance has no path to any server. Prevents requests that cannot
+    be sent from here from holding back those of all other instances.
+    """
+    if not has_path(state, now, target):
+        return []
     counts: Counter[tuple[int, bool]] = Counter()
     for queue in queue_state.target_classes(state.queues, target):
         count = _count_overdue(queue, now)
