Connect to servers by way of a peer where this instance has no path to them

Cause: a connection that cannot be opened was taken for the state of the server. The server was excluded for a second and tried again, and nothing asked whether another instance reaches it.

Now it is taken for the state of the path (trust/server_paths). The instance asks three peers which of these servers they connect to; they answer from a connection opened after the loss, or open one first. While one does, connections to the server are opened by way of it: the peer passes bytes on and reads none of them, so the choice of the server, deadline, retries, limits, signature and account stay with the instance that took the request. Nothing is sent before the peer says that the connection to the server is open, so a refusal there is an unsent attempt; what was sent is lost with either connection, as before. A connection that ends without the peer's word on how the server ended it is broken, never complete. A peer connects only by its own path, so there is one hop and no circle. Two servers that fail with no connection opened in between make all paths suspect, which are then probed at once; so a cut costs one connection timeout and not one for each server.

The same fault elsewhere: the crash of a server that one instance reports made all others exclude the server for a second (they probe it now), and counted against the requests in flight (retracted where a peer reaches the server at once). Attempts of which nothing was sent no longer count as attempts of the request; they have their own bound. What a peer carries ends before the peer does.

Ruled out: leaving readiness (all instances of a data centre may be cut off, and fewer than half of them are then used again), and passing whole requests to a peer (its keys, limits, queue and account would count twice).

--- a/packages/turmericweir-core/turmericweir_core/base/ids.py
+++ b/packages/turmericweir-core/turmericweir_core/base/ids.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import NewType
+from typing import Final, NewType
 
 RequestId = NewType("RequestId", str)
 # Unique for each attempt of a request: the request id, a dot and a number.
@@ -11,6 +11,8 @@
 ServerName = NewType("ServerName", str)
 # An entry instance of turmericweir.
 InstanceName = NewType("InstanceName", str)
+# Stands where the name of a peer is expected for connections that go by way of none.
+DIRECT: Final = InstanceName("")
 # The model or plain service that a request is for.
 Target = NewType("Target", str)
 
--- a/packages/turmericweir-core/turmericweir_core/base/options.py
+++ b/packages/turmericweir-core/turmericweir_core/base/options.py
@@ -260,6 +260,8 @@
     retry_burst: float = 20.0
     # Maximum number of attempts for one request.
     attempts_max: int = 4
+    # Maximum number of attempts for one request of which nothing could be sent.
+    unsent_attempts_max: int = 8
 
     # Whether every retry of a sent attempt is charged to the retry budget, whatever ended the
     # attempt.
--- a/packages/turmericweir-core/turmericweir_core/base/request.py
+++ b/packages/turmericweir-core/turmericweir_core/base/request.py
@@ -7,7 +7,14 @@
 from msgspec import Struct, field
 
 from turmericweir_core.base.config import ServiceClass, ServiceKind
-from turmericweir_core.base.ids import AttemptId, RequestId, ServerName, Target
+from turmericweir_core.base.ids import (
+    DIRECT,
+    AttemptId,
+    InstanceName,
+    RequestId,
+    ServerName,
+    Target,
+)
 
 
 class CancelReason(StrEnum):
@@ -65,6 +72,8 @@
     tier: int = 0
     # The incarnation of the server at the start; empty if unknown.
     incarnation: str = ""
+    # The peer by way of which the server is connected to; empty for a direct connection.
+    via: InstanceName = DIRECT
     # Set just before the first byte is sent; until then the server cannot have started.
     sent: bool = False
     # It was sent over a connection that was reused from an earlier request.
@@ -152,6 +161,8 @@
     sends_max: int | None = None
     # Attempts that were sent, except those that the server reported as not run.
     sent_attempts: int = 0
+    # Attempts of which nothing was sent, because no connection could be opened.
+    unsent_attempts: int = 0
     # Latest time of the final answer to the caller, whatever is still running; None for no limit.
     end_by: float | None = None
     # Servers that failed this request; avoided while others are available.
@@ -159,8 +170,11 @@
 
     @property
     def counted_attempts(self) -> int:
-        """Return the number of attempts without the preempted ones, which are not failures."""
-        return self.attempts - self.displaced_attempts
+        """Return the number of attempts without those that were preempted or never sent.
+
+        These say nothing about the request or its servers.
+        """
+        return self.attempts - self.displaced_attempts - self.unsent_attempts
 
     @property
     def priority(self) -> int:
--- a/packages/turmericweir-core/turmericweir_core/messages/effects.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/effects.py
@@ -7,7 +7,7 @@
 from msgspec import Struct
 
 from turmericweir_core.base.account import Account
-from turmericweir_core.base.ids import AttemptId, InstanceName, RequestId, ServerName
+from turmericweir_core.base.ids import DIRECT, AttemptId, InstanceName, RequestId, ServerName
 from turmericweir_core.base.request import CancelReason
 from turmericweir_core.messages.peer_messages import PeerMessage
 
@@ -30,6 +30,9 @@
     # Address of an engine whose cache holds parts of the prompt that this one lacks; empty for
     # none.
     fetch_from_address: str = ""
+    # The peer by way of which to connect, and its address; empty to connect directly.
+    via: InstanceName = DIRECT
+    via_address: str = ""
 
 
 class CancelAttempt(Struct, frozen=True):
@@ -97,10 +100,13 @@
 
 
 class ProbeServer(Struct, frozen=True):
-    """Request the load report of a server over a new connection."""
+    """Request the load report of a server, or only open a connection, over a new connection."""
 
     server: ServerName
     address: str
+    # The peer by way of which to connect, and its address; empty to connect directly.
+    via: InstanceName = DIRECT
+    via_address: str = ""
 
 
 class RetireConnections(Struct, frozen=True):
--- a/packages/turmericweir-core/turmericweir_core/messages/events.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/events.py
@@ -12,7 +12,7 @@
 from msgspec import Struct
 
 from turmericweir_core.base.config import Config, ServerEntry
-from turmericweir_core.base.ids import AttemptId, InstanceName, RequestId, ServerName
+from turmericweir_core.base.ids import DIRECT, AttemptId, InstanceName, RequestId, ServerName
 from turmericweir_core.base.request import Request
 from turmericweir_core.messages.peer_messages import PeerMessage
 from turmericweir_core.records.claim_answer import StoredAnswer
@@ -151,12 +151,16 @@
 
     server: ServerName
     error: str
+    # The peer by way of which it was to be opened; empty for a direct connection.
+    via: InstanceName = DIRECT
 
 
 class ServerAnswered(Struct, frozen=True):
     """A new connection to the server succeeded."""
 
     server: ServerName
+    # The peer by way of which it was opened; empty for a direct connection.
+    via: InstanceName = DIRECT
 
 
 class CacheEvent(Struct, frozen=True):
@@ -375,6 +379,12 @@
     error: str
 
 
+class CarriedChanged(Struct, frozen=True):
+    """The number of connections that this instance carries for its peers has changed."""
+
+    carried: int
+
+
 # --- this instance ---------------------------------------------------------------------------
 
 
@@ -434,6 +444,7 @@
     | PeerReceived
     | SeedsGiven
     | PeerUnreachable
+    | CarriedChanged
     | Tick
     | StopRequested
     | ChangeSubmitted
--- a/packages/turmericweir-core/turmericweir_core/messages/peer_messages.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/peer_messages.py
@@ -283,6 +283,33 @@
     updates: list[BundledNews]
 
 
+class PathsAsk(Struct, frozen=True, array_like=True):
+    """Asks which of these servers the receiver can connect to."""
+
+    servers: list[str]
+    # Maximum age of a connection by which the receiver may answer, in milliseconds.
+    evidence_ms: int
+
+
+class PathsSend(Struct, frozen=True, array_like=True):
+    """The servers that the sender can connect to, and those that it cannot."""
+
+    reached: list[str]
+    lost: list[str]
+    # Connections that the sender carries to servers for other instances.
+    carried: int
+
+
+class CarryAsk(Struct, frozen=True, array_like=True):
+    """Asks the receiver to connect to a server and to carry what this connection transports.
+
+    It is the first and only frame of a connection; see `peers.carrier` of the daemon.
+    """
+
+    server: str
+    address: str
+
+
 class CachesAsk(Struct, frozen=True, array_like=True):
     """Requests the known contents of the engines' caches; sent after a start."""
 
@@ -602,6 +629,9 @@
     | LoadNews
     | LoadBundle
     | RegistryNews
+    | PathsAsk
+    | PathsSend
+    | CarryAsk
     | CachesAsk
     | CachesSend
     | CreditDemand
@@ -641,6 +671,9 @@
     LoadNews,
     LoadBundle,
     RegistryNews,
+    PathsAsk,
+    PathsSend,
+    CarryAsk,
     CachesAsk,
     CachesSend,
     CreditDemand,
--- a/packages/turmericweir-core/turmericweir_core/placement/dead_server.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/dead_server.py
@@ -11,9 +11,10 @@
 
 from typing import TYPE_CHECKING, Final
 
-from turmericweir_core.base.ids import ServerName
+from turmericweir_core.base.ids import DIRECT, InstanceName, ServerName
 from turmericweir_core.base.request import Attempt, CancelReason
 from turmericweir_core.engines import engine_model
+from turmericweir_core.membership import membership
 from turmericweir_core.messages.effects import Count, Effect, Log, ProbeServer
 from turmericweir_core.placement.dispatch import cancel
 from turmericweir_core.state.dead_state import Suspicion
@@ -38,24 +39,27 @@
 def on_tick(state: State, now: float) -> list[Effect]:
     """Probe the servers that have unresponsive attempts."""
     unresponsive = {
-        req.attempt.server
+        (req.attempt.server, req.attempt.via)
         for req in state.requests.values()
         if req.attempt is not None and _is_unresponsive(state, now, req.attempt)
     }
-    suspicions = state.dead.by_server
-    for name in [each for each in suspicions if each not in unresponsive]:
-        del suspicions[name]
+    suspicions = state.dead.by_path
+    for path in [each for each in suspicions if each not in unresponsive]:
+        del suspicions[path]
     effects: list[Effect] = []
-    for name in sorted(unresponsive):
+    for path in sorted(unresponsive):
+        name, via = path
         server = state.servers.by_name.get(name)
-        suspicion = suspicions.get(name)
+        suspicion = suspicions.get(path)
         if server is None or (suspicion is not None and now < suspicion.next_probe_at):
             continue
         # Probed again after this interval unless it answers before.
-        suspicions[name] = Suspicion(
+        suspicions[path] = Suspicion(
             now + _UNANSWERED_PROBE_INTERVAL_S, 0 if suspicion is None else suspicion.failures
         )
-        effects.append(ProbeServer(name, server.entry.address))
+        peer = membership.find_member(state, via) if via != DIRECT else None
+        via_address = "" if peer is None else peer.peer_address
+        effects.append(ProbeServer(name, server.entry.address, via, via_address))
     return effects
 
 
@@ -68,27 +72,30 @@
     return now - attempt.started_at >= max(_UNRESPONSIVE_S, _PREDICTED_FACTOR * predicted_ms / _MS)
 
 
-def on_answered(state: State, now: float, name: ServerName) -> None:
+def on_answered(state: State, now: float, name: ServerName, via: InstanceName) -> None:
     """Record that a server answered a probe."""
-    suspicion = state.dead.by_server.get(name)
+    suspicion = state.dead.by_path.get((name, via))
     if suspicion is not None:
         suspicion.failures = 0
         suspicion.next_probe_at = now + _ANSWERING_PROBE_INTERVAL_S
 
 
-def on_unreachable(state: State, now: float, name: ServerName) -> list[Effect]:
+def on_unreachable(state: State, now: float, name: ServerName, via: InstanceName) -> list[Effect]:
     """Count a failed probe or connection; cancel unresponsive attempts after enough of them."""
-    suspicion = state.dead.by_server.get(name)
+    suspicion = state.dead.by_path.get((name, via))
     if suspicion is None:
         return []
     suspicion.failures += 1
     if suspicion.failures < _DEAD_AFTER_FAILURES:
         return []
-    del state.dead.by_server[name]
-    effects: list[Effect] = [Count("server.dead"), Log("server_dead", {"peer": name})]
+    del state.dead.by_path[name, via]
+    log = Log("server_dead", {"peer": name, "via": via})
+    effects: list[Effect] = [Count("server.dead"), log]
     for req in list(state.requests.values()):
         attempt = req.attempt
-        if attempt is None or attempt.server != name or not _is_unresponsive(state, now, attempt):
+        if attempt is None or (attempt.server, attempt.via) != (name, via):
+            continue
+        if not _is_unresponsive(state, now, attempt):
             continue
         effects += cancel(req, CancelReason.SERVER_DEAD)
     return effects
--- a/packages/turmericweir-core/turmericweir_core/placement/dispatch.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/dispatch.py
@@ -11,7 +11,7 @@
 from typing import Final
 
 from turmericweir_core.base.config import PlacementPolicy, ServiceKind
-from turmericweir_core.base.ids import InstanceName, ServerName, Target, make_attempt_id
+from turmericweir_core.base.ids import DIRECT, InstanceName, ServerName, Target, make_attempt_id
 from turmericweir_core.base.request import Attempt, CancelReason, Request, RequestPhase
 from turmericweir_core.base.tiers import most_urgent_configured_tier
 from turmericweir_core.credits import credit
@@ -24,6 +24,7 @@
 from turmericweir_core.state import queue_state
 from turmericweir_core.state.server_table import Server, reported_incarnation
 from turmericweir_core.state.state import State
+from turmericweir_core.trust import server_paths
 
 # Waiting requests of one class that a pass checks. Bounds the cost of a pass.
 _CHECKED_REQUESTS_MAX: Final = 24
@@ -148,6 +149,8 @@
         new_attempt_id, server.entry.name, now, tier=req.priority if tier is None else tier
     )
     attempt.incarnation = reported_incarnation(server)
+    peer = server_paths.choose_via(state, now, server.entry.name)
+    attempt.via = DIRECT if peer is None else peer.name
     req.attempt = attempt
     req.phase = RequestPhase.RUNNING
     server.in_flight[new_attempt_id] = attempt.tier
@@ -163,6 +166,7 @@
             "request_id": req.request_id,
             "attempt_id": new_attempt_id,
             "peer": server.entry.name,
+            "via": attempt.via,
         }
         scheduling = {"service_class": req.service_class.name, "tier": attempt.tier}
         effects.append(Log("placed", {**ids, **scheduling, **details}))
@@ -179,6 +183,8 @@
             needs_new_connection=req.had_unresponsive_attempt or _needs_fresh_connection(req),
             needs_verified_connection=not req.repeatable,
             fetch_from_address=fetch_from,
+            via=attempt.via,
+            via_address="" if peer is None else peer.peer_address,
         ),
     ]
 
--- a/packages/turmericweir-core/turmericweir_core/reducers/reducer.py
+++ b/packages/turmericweir-core/turmericweir_core/reducers/reducer.py
@@ -28,6 +28,7 @@
     AttemptSent,
     CacheEvents,
     CallerLeft,
+    CarriedChanged,
     ChangeSubmitted,
     DocumentConfirmed,
     DocumentRead,
@@ -146,6 +147,7 @@
             | AttemptEnded()
             | ServerUnreachable()
             | ServerAnswered()
+            | CarriedChanged()
             | CacheEvents()
             | ListRead()
             | SeedsGiven()
--- a/packages/turmericweir-core/turmericweir_core/reducers/reducer_common.py
+++ b/packages/turmericweir-core/turmericweir_core/reducers/reducer_common.py
@@ -11,9 +11,10 @@
 from collections.abc import Callable
 from typing import TypeAlias, assert_never
 
+from turmericweir_core.base.ids import DIRECT
 from turmericweir_core.credits import credit
 from turmericweir_core.engines import load_updates
-from turmericweir_core.membership import leaving, membership_reducer, server_list, server_paths
+from turmericweir_core.membership import leaving, membership_reducer, server_list
 from turmericweir_core.messages.effects import Effect, Exit, Log, ProbeServer
 from turmericweir_core.messages.events import (
     AnswerReceived,
@@ -22,6 +23,7 @@
     AttemptSent,
     CacheEvents,
     CallerLeft,
+    CarriedChanged,
     DrainRequested,
     Event,
     ListRead,
@@ -46,6 +48,8 @@
     MarksSend,
     MembersAsk,
     MembersSend,
+    PathsAsk,
+    PathsSend,
     ServersAsk,
     ServersSend,
     TrialAnswer,
@@ -57,7 +61,7 @@
 from turmericweir_core.state import prefix, server_table
 from turmericweir_core.state.account_store import expire_accounts
 from turmericweir_core.state.state import State
-from turmericweir_core.trust import quarantine, retry
+from turmericweir_core.trust import quarantine, retry, server_paths
 
 CommonEvent: TypeAlias = (
     RequestArrived
@@ -74,6 +78,7 @@
     | SeedsGiven
     | PeerReceived
     | PeerUnreachable
+    | CarriedChanged
     | StopRequested
     | DrainRequested
 )
@@ -101,14 +106,17 @@
             quarantine.note_report(state, now, event)
             attempt_accounting.reset_if_restarted(state, now, event)
             server_table.note_report(state.servers, state.options, now, event)
-            effects = server_paths.note_reached(state, now, event.server)
+            effects = server_paths.note_connected(state, now, event.server)
             effects += lifecycle.on_server_answered(state, now, event)
             return effects + dispatch.dispatch_all(state, now)
-        case ServerUnreachable(server, error):
-            return server_paths.note_failed(state, now, server, error)
-        case ServerAnswered(server):
-            effects = server_paths.note_reached(state, now, server)
+        case ServerUnreachable(server, error, via):
+            return server_paths.note_failed(state, now, server, error, via)
+        case ServerAnswered(server, via):
+            effects = [] if via != DIRECT else server_paths.note_connected(state, now, server)
             return effects + dispatch.dispatch_all(state, now)
+        case CarriedChanged(carried):
+            state.paths.carried = carried
+            return []
         case ListRead(servers, instances):
             server_table.apply_server_list(state.servers, state.config, servers)
             server_list.note_list_read(state, now)
@@ -147,6 +155,11 @@
             return quarantine_flow.on_message(state, now, sender, message)
         case (CreditDemand() | CreditGrant()) as message:
             return dispatch.on_credit(state, now, sender, message)
+        case PathsAsk() as ask:
+            return server_paths.on_ask(state, now, sender, ask)
+        case PathsSend() as message:
+            effects = server_paths.on_send(state, now, sender, message)
+            return effects + dispatch.dispatch_all(state, now)
         case LoadNews() as update:
             load_updates.on_load_update(state, now, sender, update)
             return dispatch.dispatch_all(state, now)
@@ -173,8 +186,7 @@
     since the previous one.
     """
     expire_accounts(state.accounts, state.options, now)
-    server_paths.forget_removed(state)
-    effects: list[Effect] = []
+    effects = server_paths.on_tick(state, now)
     if state.options.probe_servers:
         for server in server_table.servers_to_probe(state.servers, state.options, now):
             if placement.is_probe_needed(state, now, server):
@@ -195,7 +207,7 @@
         # Prevents the supervisor from killing the process, which would tell callers less than a
         # truncated answer.
         return [Log("stop_limit", {"in_flight": len(state.requests)}), Exit()]
-    if state.requests or elapsed_s <= state.options.stop_grace_s:
+    if state.requests or state.paths.carried or elapsed_s <= state.options.stop_grace_s:
         return []
     if not flushed and elapsed_s < state.options.stop_flush_s:
         return []
--- a/packages/turmericweir-core/turmericweir_core/reducers/reducer_store.py
+++ b/packages/turmericweir-core/turmericweir_core/reducers/reducer_store.py
@@ -22,6 +22,7 @@
     AttemptSent,
     CacheEvents,
     CallerLeft,
+    CarriedChanged,
     ChangeSubmitted,
     DocumentConfirmed,
     DocumentRead,
@@ -100,12 +101,12 @@
             return document.on_send(sender, message)
         case PeerReceived(sender, DocumentProof() as message):
             return document.on_proof(state, now, sender, message)
-        case ServerAnswered(server):
-            dead_server.on_answered(state, now, server)
+        case ServerAnswered(server, via):
+            dead_server.on_answered(state, now, server, via)
             return reduce_common(state, now, event)
-        case ServerUnreachable(server, _):
+        case ServerUnreachable(server, _, via):
             effects = reduce_common(state, now, event)
-            return effects + dead_server.on_unreachable(state, now, server)
+            return effects + dead_server.on_unreachable(state, now, server, via)
         case AttemptEnded(request_id, _, EndUnsent()):
             # Like a failed probe, a request that could not be sent shows an unreachable server.
             req = state.requests.get(request_id)
@@ -113,7 +114,7 @@
             effects = reduce_common(state, now, event)
             if attempt is None:
                 return effects
-            return effects + dead_server.on_unreachable(state, now, attempt.server)
+            return effects + dead_server.on_unreachable(state, now, attempt.server, attempt.via)
         case PeerReceived(sender, RegistryNews() as update):
             effects = registry.on_registry_update(state, now, sender, update)
             effects += leaving.create_leaving_notices(state, now)
@@ -141,6 +142,7 @@
             | SeedsGiven()
             | PeerReceived()
             | PeerUnreachable()
+            | CarriedChanged()
             | StopRequested()
             | DrainRequested()
         ):
--- a/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
@@ -11,10 +11,11 @@
 
 from turmericweir_core.base.account import Outcome
 from turmericweir_core.base.config import PlacementPolicy, ServiceKind
+from turmericweir_core.base.ids import DIRECT
 from turmericweir_core.base.reasons import Reason
 from turmericweir_core.base.request import Attempt, CancelReason, Request, RequestPhase
 from turmericweir_core.engines import engine_model
-from turmericweir_core.membership import announced_limits, leaving, server_paths
+from turmericweir_core.membership import announced_limits, leaving
 from turmericweir_core.messages.effects import Count, Effect, Log, Timing
 from turmericweir_core.messages.events import (
     AnswerReceived,
@@ -35,7 +36,7 @@
 from turmericweir_core.state import queue_state, usage_meter
 from turmericweir_core.state.server_table import note_leaving, note_pause
 from turmericweir_core.state.state import State
-from turmericweir_core.trust import isolated_runs, lost_connections, quarantine
+from turmericweir_core.trust import isolated_runs, lost_connections, quarantine, server_paths
 from turmericweir_core.trust.retry import spend_retry
 
 
@@ -47,7 +48,9 @@
     req.attempt.sent = True
     req.sent_attempts += 1
     req.attempt.reused_connection = event.reused_connection
-    return []
+    if event.reused_connection or req.attempt.via != DIRECT:
+        return []
+    return server_paths.note_connected(state, now, req.attempt.server)
 
 
 def on_progress(state: State, now: float, event: AttemptProgress) -> list[Effect]:
@@ -210,7 +213,8 @@
             # An attempt that was reported as sent may have run, so `not_run` may be wrong.
             return _handle_end(state, now, req, attempt, EndBroken(error, server_alive=False))
         case EndUnsent(error):
-            effects = server_paths.note_failed(state, now, attempt.server, error)
+            req.unsent_attempts += 1
+            effects = server_paths.note_failed(state, now, attempt.server, error, attempt.via)
             effects += _retry_or_finish(
                 state, now, req, attempt, Reason.NO_SERVER, uses_budget=False
             )
@@ -219,7 +223,7 @@
             req.may_have_run = True
             logs: list[Effect] = [_failure_log(req, attempt, "broken", error)]
             if not server_alive:
-                logs += server_paths.note_failed(state, now, attempt.server, error)
+                logs += server_paths.note_failed(state, now, attempt.server, error, attempt.via)
             quarantine.record_broken_connection(state, now, req, attempt, server_alive)
             if attempt.cancel_reason is not None:
                 # It broke while being cancelled; the reason of the cancellation still applies.
@@ -292,7 +296,9 @@
             return _requeue_stopped(state, now, req)
         case CancelReason.SERVER_DEAD:
             quarantine.record_broken_connection(state, now, req, attempt, alive=False)
-            effects = server_paths.note_failed(state, now, attempt.server, "server_dead")
+            effects = server_paths.note_failed(
+                state, now, attempt.server, "server_dead", attempt.via
+            )
             return effects + _handle_loss(state, now, req, attempt, Reason.SERVER_LOST)
         case CancelReason.QUARANTINED:
             return finish(state, now, req, Outcome.FAILED, Reason.QUARANTINED)
@@ -326,7 +332,11 @@
         return finish(state, now, req, unanswered_outcome(req), Reason.CALLER_LEFT)
     if now >= req.deadline and req.first_token_at is None:
         return finish(state, now, req, unanswered_outcome(req), Reason.DEADLINE)
-    if req.counted_attempts >= state.options.attempts_max:
+    options = state.options
+    if (
+        req.counted_attempts >= options.attempts_max
+        or req.unsent_attempts >= options.unsent_attempts_max
+    ):
         return finish(state, now, req, unanswered_outcome(req), reason, server=attempt.server)
     if req.sends_max is not None and req.sent_attempts >= req.sends_max:
         return finish(state, now, req, unanswered_outcome(req), reason, server=attempt.server)
--- a/packages/turmericweir-core/turmericweir_core/state/dead_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/dead_state.py
@@ -4,7 +4,7 @@
 
 from msgspec import Struct, field
 
-from turmericweir_core.base.ids import ServerName
+from turmericweir_core.base.ids import InstanceName, ServerName
 
 
 class Suspicion(Struct):
@@ -18,4 +18,5 @@
 class DeadState(Struct):
     """The servers that are being probed."""
 
-    by_server: dict[ServerName, Suspicion] = field(default_factory=dict)
+    # By server, and by the peer by way of which it is connected to; empty for direct connections.
+    by_path: dict[tuple[ServerName, InstanceName], Suspicion] = field(default_factory=dict)
--- a/packages/turmericweir-core/turmericweir_core/trust/quarantine.py
+++ b/packages/turmericweir-core/turmericweir_core/trust/quarantine.py
@@ -26,7 +26,13 @@
 from turmericweir_core.base.ids import InstanceName, ServerName
 from turmericweir_core.base.request import Attempt, Request
 from turmericweir_core.membership import membership
-from turmericweir_core.messages.effects import Effect, Log, SendDatagram, SendPeer
+from turmericweir_core.messages.effects import (
+    Effect,
+    Log,
+    ProbeServer,
+    SendDatagram,
+    SendPeer,
+)
 from turmericweir_core.messages.events import ServerReport
 from turmericweir_core.messages.peer_messages import CrashesAsk, CrashNews, CrashRecord, Sighting
 from turmericweir_core.state.quarantine_state import (
@@ -54,6 +60,8 @@
 _INTERVAL_S: Final = 1.0
 # A server that restarts quickly accepts connections before its report shows a new incarnation.
 _BREAK_KEEP_S: Final = 10.0
+# A server that crashed needs at least this long until it serves again.
+_RESTART_MIN_S: Final = 0.8
 # Maximum delay of a report that was sent before a crash.
 _REPORT_DELAY_S: Final = 1.0
 # The same on a busy machine.
@@ -197,6 +205,17 @@
         merge_record(state, now, key, crash.first_seen_at, CrashEvidence(is_retracted=True))
 
 
+def retract_recent_crash(state: State, now: float, name: ServerName) -> None:
+    """Retract the crash of a server that others reach, as only the path from here is lost.
+
+    A server that has crashed is not back so soon.
+    """
+    for key, crash in state.quarantine.crashes.items():
+        if key.server == name and now - crash.first_seen_at < _RESTART_MIN_S:
+            evidence = CrashEvidence(is_retracted=True)
+            merge_record(state, now, key, crash.first_seen_at, evidence)
+
+
 def note_cleared(state: State, now: float, fingerprint: str) -> None:
     """Clear a suspect that has completed or got further than at the crash."""
     for server, breaks in state.quarantine.broken_connections.items():
@@ -370,6 +389,7 @@
 
 def on_crash_update(state: State, now: float, update: CrashNews) -> list[Effect]:
     """Merge the crash records of another instance, without sending them on."""
+    effects: list[Effect] = []
     for record in update.crashes:
         if record.age_s > state.options.quarantine_s:
             continue
@@ -382,20 +402,27 @@
             record.retracted,
         )
         if not record.retracted:
-            _avoid_crashed_server(state, now, key.server, crashed_at)
+            effects += _avoid_crashed_server(state, now, key.server, crashed_at)
         merge_record(state, now, key, crashed_at, evidence, send_on=False)
     withdraw_sightings_after_crash(state, now)
-    return []
+    return effects
 
 
-def _avoid_crashed_server(state: State, now: float, name: ServerName, crashed_at: float) -> None:
+def _avoid_crashed_server(
+    state: State, now: float, name: ServerName, crashed_at: float
+) -> list[Effect]:
     """Avoid a server whose crash was reported by others until it can have restarted.
 
     Prevents each instance from losing a request there when a proxy accepts connections for a server
-    that is down.
+    that is down. Without load reports the server is probed instead: the other instance may only
+    have lost its own path to it.
     """
     server = state.servers.by_name.get(name)
     if server is None or server.report_at > crashed_at:
-        return
-    if now - crashed_at < state.options.unreachable_retry_s:
-        note_unreachable(state.servers, state.options, now, name)
+        return []
+    if now - crashed_at >= state.options.unreachable_retry_s:
+        return []
+    if not state.options.probe_servers:
+        return [ProbeServer(name, server.entry.address)] if not server.unreachable_until else []
+    note_unreachable(state.servers, state.options, now, name)
+    return []
--- a/packages/turmericweir/turmericweir/daemon.py
+++ b/packages/turmericweir/turmericweir/daemon.py
@@ -26,6 +26,7 @@
 from turmericweir.callers.http_server import HttpServer
 from turmericweir.operations.operator_port import OperatorPort
 from turmericweir.peers.peer_datagrams import PeerDatagrams
+from turmericweir.peers.peer_dialer import PeerDialer
 from turmericweir.peers.peer_streams import PeerStreams
 from turmericweir.platform_client import PlatformClient
 from turmericweir.process import logs
@@ -83,7 +84,7 @@
 async def _make_parts(cfg: ProcessSettings, stack: AsyncExitStack) -> DaemonParts:
     local_name = InstanceName(cfg.name)
     peer_address = cfg.peer_listen_address or cfg.peer_address
-    pool = await stack.enter_async_context(BackendPool())
+    pool = await stack.enter_async_context(BackendPool(PeerDialer(local_name, peer_address)))
     return DaemonParts(
         pool=pool,
         platform=PlatformClient(pool, cfg.platform.address, cfg.platform.source or cfg.name),
--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -31,6 +31,7 @@
 from turmericweir.callers.http_server import HttpServer
 from turmericweir.operations.entry_admin import EntryAdmin
 from turmericweir.peers.peer_datagrams import PeerDatagrams
+from turmericweir.peers.peer_dialer import PeerDialer
 from turmericweir.peers.peer_streams import PeerStreams
 from turmericweir.process import logs
 from turmericweir.process.entry_settings import (
@@ -266,7 +267,9 @@
         logs.write("starting", data_centre=cfg.data_centre, store=cfg.store.address)
         sockets = _bind_all(cfg, callers, stack)
         local_name = InstanceName(cfg.name)
-        pool = await stack.enter_async_context(BackendPool())
+        pool = await stack.enter_async_context(
+            BackendPool(PeerDialer(local_name, cfg.peer_address))
+        )
         streams = await stack.enter_async_context(PeerStreams(local_name, cfg.peer_address))
         datagrams = await stack.enter_async_context(PeerDatagrams(local_name, cfg.peer_address))
         servers = ConnectionProbes(pool)
--- a/packages/turmericweir/turmericweir/operations/entry_admin.py
+++ b/packages/turmericweir/turmericweir/operations/entry_admin.py
@@ -22,7 +22,7 @@
 from turmericweir_core.membership.instance_versions import instance_versions
 from turmericweir_core.settings.settings_reach import reach_of_centres
 from turmericweir_core.store import document
-from turmericweir_core.trust import retry
+from turmericweir_core.trust import retry, server_paths
 
 if TYPE_CHECKING:
     from uvicorn._types import ASGIReceiveCallable, ASGISendCallable, Scope
@@ -113,6 +113,7 @@
             "reads_the_store": store_duty.is_store_reader(state, now),
             "store_readers": [instance.name for instance in store_duty.store_readers(state, now)],
             "live_instances": [instance.name for instance in membership.live_instances(state, now)],
+            "indirect_paths": server_paths.indirect_paths(state, now),
             "retries_left": {
                 name: retry.retries_left(state, now, name) for name in state.queues.targets
             },
--- a/packages/turmericweir/turmericweir/peers/peer_listener.py
+++ b/packages/turmericweir/turmericweir/peers/peer_listener.py
@@ -1,8 +1,8 @@
 """The port on which an instance receives the streams of its peers.
 
-Frames are split, decoded and passed to the node as they arrive, and acknowledged by number. The
-event loop's callbacks are used without a task for each connection, so an error on one connection
-ends only that connection.
+Frames are split, decoded and passed to the node as they arrive, and acknowledged by number. A
+connection whose first frame is a `CarryAsk` goes to the `carrier`. The event loop's callbacks are
+used without a task for each connection, so an error on one connection ends only that connection.
 """
 
 from __future__ import annotations
@@ -14,11 +14,16 @@
 from typing import Final, Self, cast
 
 import msgpack
+from returns.pipeline import is_successful
+from returns.result import Result
 
+from turmericweir.peers.carrier import Carrier
 from turmericweir.peers.peer_codec import FRAME_MAX_BYTES, FrameReader, read_frame
 from turmericweir.process.errors import ListenError, PeerError, describe_error
 from turmericweir.process.node import Node
 from turmericweir.servers.backend_stream import set_options
+from turmericweir_core.messages.events import PeerReceived
+from turmericweir_core.messages.peer_messages import CarryAsk
 
 _BACKLOG: Final = 1_024
 
@@ -28,6 +33,7 @@
 
     _node: Node
     _frame_reader: FrameReader
+    _carrier: Carrier
     _transport: asyncio.Transport
     # Address of the other end, for logs.
     _origin: str
@@ -36,9 +42,10 @@
     # Bytes of the stream up to the end of the last frame.
     _parsed_bytes: int
 
-    def __init__(self, node: Node, frame_reader: FrameReader) -> None:
+    def __init__(self, node: Node, frame_reader: FrameReader, carrier: Carrier) -> None:
         self._node = node
         self._frame_reader = frame_reader
+        self._carrier = carrier
         self._origin = "unknown"
         self._unpacker = msgpack.Unpacker(max_buffer_size=FRAME_MAX_BYTES)
         self._received_frames = 0
@@ -66,7 +73,10 @@
                 self._received_frames += 1
                 size = self._unpacker.tell() - self._parsed_bytes
                 self._parsed_bytes += size
-                self._frame_reader.process_result(read_frame(frame, self._origin), size)
+                result = read_frame(frame, self._origin)
+                if self._takes_over(result):
+                    return
+                self._frame_reader.process_result(result, size)
         # The stream cannot be split into frames any more.
         except (ValueError, msgpack.UnpackException, msgpack.exceptions.BufferFull) as exc:
             error = PeerError("split stream", self._origin, describe_error(exc))
@@ -78,6 +88,16 @@
             self._transport.write(ack)
             traffic.sent.add(len(ack))
 
+    def _takes_over(self, result: Result[PeerReceived, PeerError]) -> bool:
+        """Pass the connection to the carrier if its first frame asks for that."""
+        if self._received_frames > 1 or not is_successful(result):
+            return False
+        message = result.unwrap().message
+        if not isinstance(message, CarryAsk):
+            return False
+        self._carrier.start(self._transport, self._origin, message)
+        return True
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Log the loss of the connection."""
         if exc is not None:
@@ -120,8 +140,9 @@
         """Accept streams and pass their messages to a node."""
         self._node = node
         self._frame_reader = FrameReader(node)
+        self._carrier = Carrier(node)
         await self._server.serve_forever()
 
     def _make_stream(self) -> IncomingStream:
         assert self._node is not None
-        return IncomingStream(self._node, self._frame_reader)
+        return IncomingStream(self._node, self._frame_reader, self._carrier)
--- a/packages/turmericweir/turmericweir/process/traffic.py
+++ b/packages/turmericweir/turmericweir/process/traffic.py
@@ -40,6 +40,8 @@
     datagrams: TrafficCounter = field(default_factory=TrafficCounter)
     # Streams to and from peers, with their acknowledgements.
     streams: TrafficCounter = field(default_factory=TrafficCounter)
+    # Bytes of connections that this instance carries for peers; `sent` goes to the peers.
+    carried: TrafficCounter = field(default_factory=TrafficCounter)
     platform: TrafficCounter = field(default_factory=TrafficCounter)
     # Load probes of servers.
     probes: TrafficCounter = field(default_factory=TrafficCounter)
--- a/packages/turmericweir/turmericweir/servers/backend_attempt.py
+++ b/packages/turmericweir/turmericweir/servers/backend_attempt.py
@@ -15,8 +15,9 @@
 
 from turmericweir.process.errors import CallError, describe_error
 from turmericweir.servers.backend_call import TRANSPORT_ERRORS, FirstByteCallback, call, read_body
-from turmericweir.servers.backend_pool import IDLE_MAX_S, VERIFIED_IDLE_MAX_S
-from turmericweir_core.messages.effects import StartAttempt
+from turmericweir.servers.backend_pool import IDLE_MAX_S, VERIFIED_IDLE_MAX_S, Via
+from turmericweir.servers.peer_refusal import PeerRefusedError
+from turmericweir_core.messages.effects import ProbeServer, StartAttempt
 from turmericweir_core.messages.events import (
     AttemptEnd,
     AttemptSent,
@@ -33,6 +34,8 @@
 PROBE_TIMEOUT_S: Final = 1.0
 # Time limit for a connection attempt: some round trips between data centres.
 CONNECT_PROBE_S: Final = 0.3
+# The same by way of a peer.
+CARRIED_PROBE_S: Final = 0.5
 # Time limit for reading the body of a refusal or an error, or the end of a complete answer.
 TAIL_TIMEOUT_S: Final = 0.25
 TAIL_MAX_BYTES: Final = 65_536
@@ -45,8 +48,8 @@
 
 # Consumes an answer and returns how the attempt ended.
 Consume = Callable[[httpcore.Response], Awaitable[AttemptEnd]]
-# Returns whether a server can be reached on a new connection.
-AliveCheck = Callable[["BackendPool", str], Awaitable[bool]]
+# Returns whether the server of an attempt can be reached on a new connection.
+AliveCheck = Callable[["BackendPool", StartAttempt], Awaitable[bool]]
 MakeRequest = Callable[[], httpcore.Request]
 
 
@@ -104,7 +107,9 @@
         """
         address = self.start.address
         try:
-            conn = await self.pool.acquire(address, idle_max_s=_idle_max_s(self.start))
+            conn = await self.pool.acquire(
+                address, idle_max_s=_idle_max_s(self.start), via=via_of(self.start)
+            )
             self._is_reused = conn.is_reused
             try:
                 response = await conn.send(make_request(), self._first_byte)
@@ -122,7 +127,7 @@
         if not self.may_have_started:
             return EndUnsent(error)
         self.connection_error = error
-        return EndBroken(error, await self._check_alive(self.pool, self.start.address))
+        return EndBroken(error, await self._check_alive(self.pool, self.start))
 
     async def read_refusal(
         self, response: httpcore.Response, headers: Mapping[bytes, bytes]
@@ -148,6 +153,11 @@
         return False
 
 
+def via_of(effect: StartAttempt | ProbeServer) -> Via | None:
+    """Return the peer by way of which to connect, or None to connect directly."""
+    return Via(effect.via_address, effect.server) if effect.via_address else None
+
+
 def _idle_max_s(start: StartAttempt) -> float:
     """Return how long the connection of an attempt may have been idle, in seconds."""
     if start.needs_new_connection:
@@ -172,25 +182,46 @@
             return
 
 
-async def can_connect(pool: BackendPool, address: str) -> bool:
-    """Return whether a new connection to a server can be opened; add it to the pool."""
+async def check_connection(pool: BackendPool, address: str, via: Via | None = None) -> None:
+    """Open a new connection to a server and add it to the pool; raise TRANSPORT_ERRORS."""
+    timeout_s = CONNECT_PROBE_S if via is None else CARRIED_PROBE_S
     try:
-        with anyio.fail_after(CONNECT_PROBE_S):
-            conn = await pool.acquire(address, idle_max_s=0.0)
-    except (TimeoutError, *TRANSPORT_ERRORS):
-        return False
+        with anyio.fail_after(timeout_s):
+            conn = await pool.acquire(address, idle_max_s=0.0, via=via)
+    except TimeoutError:
+        raise httpcore.ConnectTimeout(f"no connection within {timeout_s} s") from None
     await pool.release(address, conn)
+
+
+async def can_connect(pool: BackendPool, start: StartAttempt) -> bool:
+    """Return whether the server of a broken attempt accepts connections.
+
+    By way of a peer this is false only if the peer says so. The peer itself may have been lost,
+    which says nothing about the server.
+    """
+    try:
+        await check_connection(pool, start.address, via_of(start))
+    except PeerRefusedError:
+        return False
+    except TRANSPORT_ERRORS:
+        return bool(start.via_address)
     return True
 
 
-async def is_alive(pool: BackendPool, address: str) -> bool:
+async def is_alive(pool: BackendPool, start: StartAttempt) -> bool:
     """Return whether a server answers on a new connection.
 
     An unresponsive or broken connection alone does not show that the server has failed.
     """
     try:
         answer = await call(
-            pool, b"GET", address, "/v1/load", timeout_s=PROBE_TIMEOUT_S, needs_new_connection=True
+            pool,
+            b"GET",
+            start.address,
+            "/v1/load",
+            timeout_s=PROBE_TIMEOUT_S,
+            needs_new_connection=True,
+            via=via_of(start),
         )
     except CallError:
         return False
--- a/packages/turmericweir/turmericweir/servers/backend_call.py
+++ b/packages/turmericweir/turmericweir/servers/backend_call.py
@@ -19,6 +19,7 @@
     IDLE_MAX_S,
     BackendConnection,
     BackendPool,
+    Via,
     make_request,
 )
 
@@ -82,6 +83,7 @@
     headers: tuple[tuple[bytes, bytes], ...] = (),
     timeout_s: float,
     needs_new_connection: bool = False,
+    via: Via | None = None,
     traffic: TrafficCounter | None = None,
 ) -> Answer:
     """Make one call with a JSON or raw body, if any; raise CallError without a complete answer."""
@@ -94,7 +96,7 @@
     try:
         with anyio.fail_after(timeout_s):
             conn = await pool.acquire(
-                address, idle_max_s=0.0 if needs_new_connection else IDLE_MAX_S
+                address, idle_max_s=0.0 if needs_new_connection else IDLE_MAX_S, via=via
             )
             try:
                 return await _exchange(conn, request, first_byte, traffic)
--- a/packages/turmericweir/turmericweir/servers/backend_pool.py
+++ b/packages/turmericweir/turmericweir/servers/backend_pool.py
@@ -9,13 +9,15 @@
 
 from collections import defaultdict
 from collections.abc import Callable
+from dataclasses import dataclass
 from types import TracebackType
-from typing import Final, Self
+from typing import Final, Protocol, Self
 
 import anyio
 import httpcore
 
 from turmericweir.servers.backend_stream import BackendStream, connect
+from turmericweir_core.base.ids import ServerName
 
 # How long a connection may be idle before it is reused. Shorter than any server's keep-alive time.
 # Prevents sending requests on connections that a server or a device on the path has dropped.
@@ -28,25 +30,45 @@
 VERIFIED_IDLE_MAX_S: Final = 1.0
 
 
+@dataclass(frozen=True, slots=True)
+class Via:
+    """The peer by way of which a server is connected to."""
+
+    # Address of the peer.
+    address: str
+    # Name of the server, by which the peer knows it.
+    server: ServerName
+
+
+class PeerDialer(Protocol):
+    """Opens connections by way of peers."""
+
+    async def dial(self, via: Via, address: str) -> BackendStream:
+        """Open a connection to a server; raise httpcore's errors."""
+
+
 class BackendConnection:
     """One HTTP connection, for one request at a time."""
 
-    __slots__ = ("_has_sent", "_http", "_stream", "is_reused", "opened_at")
+    __slots__ = ("_has_sent", "_http", "_stream", "is_reused", "opened_at", "via")
 
     _http: httpcore.AsyncHTTP11Connection
     _stream: BackendStream
     opened_at: float
     # Whether it has carried a request before the current one.
     is_reused: bool
+    # None for a direct connection.
+    via: Via | None
     # Whether a request was sent on it.
     _has_sent: bool
 
-    def __init__(self, address: str, stream: BackendStream) -> None:
+    def __init__(self, address: str, stream: BackendStream, via: Via | None = None) -> None:
         host, _, port = address.rpartition(":")
         origin = httpcore.Origin(b"http", host.encode("ascii"), int(port))
         self._http = httpcore.AsyncHTTP11Connection(origin, stream)
         self._stream = stream
         self.opened_at = anyio.current_time()
+        self.via = via
         self.is_reused = False
         self._has_sent = False
 
@@ -93,16 +115,20 @@
 class BackendPool:
     """Owns the idle connections by address and closes them on exit."""
 
-    # By address: the idle connections and since when they are idle, the newest last. Times are from
-    # the loop's clock, which may include time in which the machine was suspended.
+    # By address and peer, see `_key`: the idle connections and since when they are idle, the newest
+    # last. Times are from the loop's clock, which may include time in which the machine was
+    # suspended.
     _idle: defaultdict[str, list[tuple[float, BackendConnection]]]
-    # By address: connections opened up to this time are not reused.
+    # By the same key: connections opened up to this time are not reused.
     _distrusted_at: dict[str, float]
     # Counts of opened and reused connections, for the state dump.
     opened_count: int
     reused_count: int
+    # None if connections are always opened directly.
+    _dialer: PeerDialer | None
 
-    def __init__(self) -> None:
+    def __init__(self, dialer: PeerDialer | None = None) -> None:
+        self._dialer = dialer
         self._idle = defaultdict(list)
         self._distrusted_at = {}
         self.opened_count = 0
@@ -122,41 +148,48 @@
                 await conn.close()
         self._idle.clear()
 
-    async def acquire(self, address: str, *, idle_max_s: float = IDLE_MAX_S) -> BackendConnection:
+    async def acquire(
+        self, address: str, *, idle_max_s: float = IDLE_MAX_S, via: Via | None = None
+    ) -> BackendConnection:
         """Return a connection for one request; with `idle_max_s` 0.0, a new one.
 
         Raises httpcore's errors if none can be opened.
         """
-        idle = self._idle.get(address)
+        key = _key(address, via)
+        idle = self._idle.get(key)
         # The last one is the newest; if it is too old, all are.
         while idle and anyio.current_time() - idle[-1][0] < idle_max_s:
             _, conn = idle.pop()
-            if self._can_reuse(address, conn):
+            if self._can_reuse(key, conn):
                 self.reused_count += 1
                 conn.is_reused = True
                 return conn
             await conn.close()
-        stream = await connect(address)
+        if via is None or self._dialer is None:
+            stream = await connect(address)
+        else:
+            stream = await self._dialer.dial(via, address)
         self.opened_count += 1
-        return BackendConnection(address, stream)
+        return BackendConnection(address, stream, via)
 
     async def release(self, address: str, conn: BackendConnection) -> None:
         """Return a connection to the pool, or close it if it cannot be reused."""
-        idle = self._idle[address]
-        if conn.is_idle and len(idle) < MAX_IDLE_CONNECTIONS and self._is_trusted(address, conn):
+        key = _key(address, conn.via)
+        idle = self._idle[key]
+        if conn.is_idle and len(idle) < MAX_IDLE_CONNECTIONS and self._is_trusted(key, conn):
             idle.append((anyio.current_time(), conn))
         else:
             await conn.close()
 
     def retire_connections(self, address: str) -> None:
-        """Stop reusing the connections that are open now, as all may be unresponsive."""
+        """Stop reusing the direct connections that are open now, as all may be unresponsive."""
         self._distrusted_at[address] = anyio.current_time()
 
-    def _is_trusted(self, address: str, conn: BackendConnection) -> bool:
-        return conn.opened_at > self._distrusted_at.get(address, 0.0)
+    def _is_trusted(self, key: str, conn: BackendConnection) -> bool:
+        return conn.opened_at > self._distrusted_at.get(key, 0.0)
 
-    def _can_reuse(self, address: str, conn: BackendConnection) -> bool:
-        return self._is_trusted(address, conn) and not conn.is_closed_by_server
+    def _can_reuse(self, key: str, conn: BackendConnection) -> bool:
+        return self._is_trusted(key, conn) and not conn.is_closed_by_server
 
     def idle_counts(self) -> dict[str, int]:
         """Return the number of idle connections by address, for the state dump."""
@@ -181,6 +214,11 @@
             await conn.close()
 
 
+def _key(address: str, via: Via | None) -> str:
+    """Return the key of the connections to an address, directly or by way of a peer."""
+    return address if via is None else f"{address} by {via.address}"
+
+
 def make_request(
     method: bytes,
     address: str,
--- a/packages/turmericweir/turmericweir/servers/backend_stream.py
+++ b/packages/turmericweir/turmericweir/servers/backend_stream.py
@@ -35,7 +35,7 @@
 )
 
 
-class _ConnectionProtocol(asyncio.Protocol):
+class ConnectionProtocol(asyncio.Protocol):
     """Receives the event loop's callbacks for one connection."""
 
     transport: asyncio.Transport
@@ -139,11 +139,11 @@
 class BackendStream(httpcore.AsyncNetworkStream):
     """One TCP connection to a backend server or the platform."""
 
-    _protocol: _ConnectionProtocol
+    _protocol: ConnectionProtocol
     # Called once, just before the next bytes are written.
     before_write: Callable[[], None] | None
 
-    def __init__(self, protocol: _ConnectionProtocol) -> None:
+    def __init__(self, protocol: ConnectionProtocol) -> None:
         self._protocol = protocol
         self.before_write = None
 
@@ -207,7 +207,7 @@
     try:
         with anyio.fail_after(CONNECT_TIMEOUT_S):
             loop = asyncio.get_running_loop()
-            _, protocol = await loop.create_connection(_ConnectionProtocol, host, int(port))
+            _, protocol = await loop.create_connection(ConnectionProtocol, host, int(port))
     except TimeoutError:
         raise httpcore.ConnectTimeout(f"no connection within {CONNECT_TIMEOUT_S} s") from None
     except OSError as exc:
--- a/packages/turmericweir/turmericweir/servers/connection_probes.py
+++ b/packages/turmericweir/turmericweir/servers/connection_probes.py
@@ -8,10 +8,12 @@
 from collections import Counter
 from typing import Final
 
+from turmericweir.process.errors import describe_error
 from turmericweir.process.node import Node
-from turmericweir.servers.backend_attempt import can_connect
+from turmericweir.servers.backend_attempt import check_connection, via_of
+from turmericweir.servers.backend_call import TRANSPORT_ERRORS
 from turmericweir.servers.backend_pool import BackendPool
-from turmericweir_core.base.ids import ServerName
+from turmericweir_core.base.ids import InstanceName, ServerName
 from turmericweir_core.messages.effects import ProbeServer, RetireConnections, SendOrder
 from turmericweir_core.messages.events import ServerAnswered, ServerUnreachable
 
@@ -24,8 +26,8 @@
 
     _node: Node
     _pool: BackendPool
-    # Number of running probes by server.
-    _probe_counts: Counter[ServerName]
+    # Number of running probes by server and peer.
+    _probe_counts: Counter[tuple[ServerName, InstanceName]]
 
     def __init__(self, pool: BackendPool) -> None:
         self._pool = pool
@@ -37,21 +39,26 @@
 
     def probe(self, effect: ProbeServer) -> None:
         """Start a connection probe in the background."""
-        if self._probe_counts[effect.server] < _MAX_CONCURRENT_PROBES:
-            self._probe_counts[effect.server] += 1
+        path = (effect.server, effect.via)
+        if self._probe_counts[path] < _MAX_CONCURRENT_PROBES:
+            self._probe_counts[path] += 1
             self._node.run_in_background(self._run_probe, effect)
 
     async def _run_probe(self, effect: ProbeServer) -> None:
+        path = (effect.server, effect.via)
+        error = ""
         try:
-            can_be_reached = await can_connect(self._pool, effect.address)
+            await check_connection(self._pool, effect.address, via_of(effect))
+        except TRANSPORT_ERRORS as exc:
+            error = describe_error(exc)
         finally:
-            self._probe_counts[effect.server] -= 1
-            if not self._probe_counts[effect.server]:
-                del self._probe_counts[effect.server]
-        if can_be_reached:
-            self._node.handle(ServerAnswered(effect.server))
+            self._probe_counts[path] -= 1
+            if not self._probe_counts[path]:
+                del self._probe_counts[path]
+        if error:
+            self._node.handle(ServerUnreachable(effect.server, error, effect.via))
         else:
-            self._node.handle(ServerUnreachable(effect.server, "no connection"))
+            self._node.handle(ServerAnswered(effect.server, effect.via))
 
     def retire_connections(self, effect: RetireConnections) -> None:
         """Stop reusing the connections that are open to a server now."""
--- a/tests/daemon/test_backend_stream.py
+++ b/tests/daemon/test_backend_stream.py
@@ -12,7 +12,7 @@
 from turmericweir.servers.backend_stream import (
     UNREAD_MAX_BYTES,
     BackendStream,
-    _ConnectionProtocol,
+    ConnectionProtocol,
     connect,
 )
 
@@ -40,8 +40,8 @@
         return False
 
 
-def make_protocol() -> tuple[_ConnectionProtocol, FakeTransport]:
-    protocol, transport = _ConnectionProtocol(), FakeTransport()
+def make_protocol() -> tuple[ConnectionProtocol, FakeTransport]:
+    protocol, transport = ConnectionProtocol(), FakeTransport()
     protocol.connection_made(transport)
     return protocol, transport
 
