--- a/tests/platform/measure_cuts.py
+++ b/tests/platform/measure_cuts.py
@@ -17,6 +17,7 @@
 from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
+from typing import Any
 
 from tests.platform.cut_world import CUTS, CutWorld
 from tests.platform.platform_world import Answer, until
@@ -43,7 +44,11 @@
 def _send(world: CutWorld, instance: str, kind: str, results: list[Sent]) -> None:
     request_id = world.new_id()
     sent_at = time.monotonic()
-    fields = {"instance": instance, "request_id": request_id, "X_Deadline_Ms": DEADLINE_MS}
+    fields: dict[str, Any] = {
+        "instance": instance,
+        "request_id": request_id,
+        "X_Deadline_Ms": DEADLINE_MS,
+    }
     answer: Answer | None = None
     try:
         match kind:
