--- a/packages/turmericweir-core/turmericweir_core/state/server_table.py
+++ b/packages/turmericweir-core/turmericweir_core/state/server_table.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
+from typing import Final
 
 from msgspec import Struct, field
 
@@ -19,6 +20,9 @@
 from turmericweir_core.messages.events import ServerReport
 from turmericweir_core.state.leaving_notices import LeavingNotice, LeavingNotices, notices_on
 
+# Time after which a probe of a server that does not answer has failed.
+_PROBE_S: Final = 0.35
+
 
 class Server(Struct):
     """One backend server."""
@@ -228,6 +232,11 @@
         server.unreachable_until = now + options.unreachable_retry_s
 
 
+def note_suspected(server: Server, now: float) -> None:
+    """Exclude a server until a probe that is sent now has succeeded or failed."""
+    server.unreachable_until = max(server.unreachable_until, now + _PROBE_S)
+
+
 def note_pause(table: ServerTable, now: float, server: Server, pause_s: float) -> None:
     """Send a server no requests for the time that it asked for."""
     server.paused_until = max(server.paused_until, now + pause_s)
--- a/packages/turmericweir-core/turmericweir_core/trust/quarantine.py
+++ b/packages/turmericweir-core/turmericweir_core/trust/quarantine.py
@@ -42,7 +42,7 @@
     CrashKey,
     crash_key,
 )
-from turmericweir_core.state.server_table import note_unreachable
+from turmericweir_core.state.server_table import note_suspected, note_unreachable
 from turmericweir_core.trust.crash_records import (
     SENDS_PER_UPDATE,
     existing_key,
@@ -423,6 +423,9 @@
     if now - crashed_at >= state.options.unreachable_retry_s:
         return []
     if not state.options.probe_servers:
-        return [ProbeServer(name, server.entry.address)] if not server.unreachable_until else []
+        if server.unreachable_until:
+            return []
+        note_suspected(server, now)
+        return [ProbeServer(name, server.entry.address)]
     note_unreachable(state.servers, state.options, now, name)
     return []
--- a/packages/turmericweir-core/turmericweir_core/trust/server_paths.py
+++ b/packages/turmericweir-core/turmericweir_core/trust/server_paths.py
@@ -33,7 +33,12 @@
 from turmericweir_core.state import reliability
 from turmericweir_core.state.membership_state import Member
 from turmericweir_core.state.path_state import PeerView, ServerPath
-from turmericweir_core.state.server_table import Server, note_answered, note_unreachable
+from turmericweir_core.state.server_table import (
+    Server,
+    note_answered,
+    note_suspected,
+    note_unreachable,
+)
 from turmericweir_core.trust import quarantine
 
 if TYPE_CHECKING:
@@ -64,8 +69,6 @@
 _PROBE_SHARED_S: Final = 0.35
 # Two servers that fail within this time make all paths suspect.
 _SUSPECT_WINDOW_S: Final = 2.0
-# Time for which a server with a suspected path is not used before the probe has failed.
-_SUSPECT_S: Final = 0.35
 _SUSPECTS_MAX: Final = 64
 # Interval between direct probes of a lost path that peers make up for, and the most at a time.
 _DIRECT_PROBE_INTERVAL_S: Final = 1.0
@@ -222,7 +225,7 @@
             break
         path = paths.by_server[name] = ServerPath(min(recent))
         path.next_probe_at = now + _DIRECT_PROBE_INTERVAL_S
-        server.unreachable_until = now + _SUSPECT_S
+        note_suspected(server, now)
         effects.append(ProbeServer(name, server.entry.address))
     if effects:
         effects.append(Log("paths_suspected", {"servers": len(effects)}))
