Draw cuts between instances and servers in a soak; show lost paths and carried connections as gauges

tests/platform/soak_cuts: some or all instances lose their paths to some or all servers in three ways, beside the faults of the other soak, whose draws stay as they are. A server that has crashed refuses connections in these worlds too; behind a proxy they would have been accepted.

--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -304,6 +304,16 @@
                 "The version of the settings in force here.",
                 lambda: node.state.settings_offset(),
             )
+            metrics.add_gauge(
+                "turmericweir_paths_lost",
+                "The number of servers that this instance cannot connect to itself.",
+                lambda: len(node.state.paths.by_server),
+            )
+            metrics.add_gauge(
+                "turmericweir_connections_carried",
+                "The number of connections to servers that this instance carries for peers.",
+                lambda: node.state.paths.carried,
+            )
             group.start_soon(pipe.flush_forever, _LOG_FLUSH_INTERVAL_S)
             group.start_soon(_reload_forever, node, path)
             _start_tasks(node, pool, streams, datagrams, follower, group)
--- a/tests/platform/cut_world.py
+++ b/tests/platform/cut_world.py
@@ -153,9 +153,26 @@
     def add_server(self, name: str, service: str) -> Server:
         """Start a server, with a path from each instance, and register it."""
         server = PlatformWorld.add_server(self, name, service)
+        self._write_all_redirects()
+        return server
+
+    def crash_server(self, name: str) -> None:
+        """Close the port of a server."""
+        PlatformWorld.crash_server(self, name)
+        self._write_all_redirects()
+
+    async def _stop_listener(self, name: str) -> None:
+        await PlatformWorld._stop_listener(self, name)
+        self._write_all_redirects()
+
+    def restart_server(self, name: str, born: int) -> None:
+        """Restart a crashed server under its name and address, with a new start time."""
+        PlatformWorld.restart_server(self, name, born)
+        self._write_all_redirects()
+
+    def _write_all_redirects(self) -> None:
         for instance in self.running:
             self._write_redirects(instance)
-        return server
 
     def cut(self, instance: str, how: str, *servers: str) -> None:
         """Cut the paths of an instance to servers, by default to all."""
@@ -206,6 +223,9 @@
 
     def _path_address(self, instance: str, server: str) -> str:
         match self._cuts.get((instance, server)):
+            case None if server in self.crashed_servers:
+                # A proxy would accept the connection.
+                return self.servers[server].address
             case None:
                 return self._proxies[instance, server].address
             case "hang":
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -19,7 +19,7 @@
 from functools import partial
 from pathlib import Path
 from random import Random
-from typing import Final, Self
+from typing import ClassVar, Final, Self
 
 from tests.platform.platform_world import KEY, Answer, PlatformWorld, until
 from tests.platform.soak_callers import CallerConnections
@@ -93,6 +93,9 @@
 class Soak:
     """A world with its callers and faults."""
 
+    # The kind of world that a run makes.
+    world_class: ClassVar[type[PlatformWorld]] = PlatformWorld
+
     world: PlatformWorld
     rng: Random
     sent: list[SentRequest] = field(default_factory=list)
@@ -421,7 +424,9 @@
 def run(seed: int, seconds: float, directory: Path, make_soak: type[Soak] = Soak) -> list[str]:
     """Run the soak with a seed; return the violated guarantees."""
     bounds = {"revoke_ms": REVOKE_S * 1000, "drain_ms": DRAIN_S * 1000}
-    with PlatformWorld(directory, engines=3, plain_servers=3, instances=3, bounds=bounds) as world:
+    with make_soak.world_class(
+        directory, engines=3, plain_servers=3, instances=3, bounds=bounds
+    ) as world:
         soak = make_soak(world, Random(seed))
         callers = [
             threading.Thread(target=soak.call_until_over, args=(number,))
@@ -477,11 +482,17 @@
     ]
 
 
-def _notice_soak() -> type[Soak]:
-    # Imported late, as that module imports this one.
-    from tests.platform.soak_notices import NoticeSoak
+def _choose_soak(*, notices: bool, cuts: bool) -> type[Soak]:
+    # Imported late, as these modules import this one.
+    if notices:
+        from tests.platform.soak_notices import NoticeSoak
+
+        return NoticeSoak
+    if cuts:
+        from tests.platform.soak_cuts import CutSoak
 
-    return NoticeSoak
+        return CutSoak
+    return Soak
 
 
 def main() -> int:
@@ -490,8 +501,9 @@
     parser.add_argument("--seeds", default="1-10")
     parser.add_argument("--seconds", type=float, default=12.0)
     parser.add_argument("--notices", action="store_true", help="servers make statements")
+    parser.add_argument("--cuts", action="store_true", help="instances lose paths to servers")
     args = parser.parse_args()
-    make_soak = _notice_soak() if args.notices else Soak
+    make_soak = _choose_soak(notices=args.notices, cuts=args.cuts)
     first, _, last = args.seeds.partition("-")
     failed_seeds = 0
     for seed in range(int(first), int(last or first) + 1):
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -7,6 +7,7 @@
 import pytest
 
 from tests.platform import soak
+from tests.platform.soak_cuts import CutSoak
 from tests.platform.soak_notices import NoticeSoak
 
 # Seeds with their durations. Seed 21 guards against servers that return under their names and get
@@ -25,3 +26,9 @@
     # Guards against requests beyond a limit, or to a server that announced that it leaves, and
     # against servers that are not used again afterwards.
     assert not soak.run(1, 12.0, tmp_path, NoticeSoak)
+
+
+def test_promises_hold_while_instances_lose_paths_to_servers(tmp_path: Path) -> None:
+    # Guards against repeated unsafe requests, false "not run" answers and broken streams where
+    # connections go by way of peers, and against instances that do not recover from cuts.
+    assert not soak.run(3, 12.0, tmp_path, CutSoak)
