Ask peers for paths less often, and suspect all paths by the two newest failures

Statements are valid for 6 s now, renewed after 2.5 s and by each connection that is opened by way of the peer, a question may cause a probe of each server in it, and the two newest failures decide. Direct probes of lost paths are spread to at most 17 a second.

--- a/packages/turmericweir-core/turmericweir_core/reducers/reducer_common.py
+++ b/packages/turmericweir-core/turmericweir_core/reducers/reducer_common.py
@@ -11,7 +11,6 @@
 from collections.abc import Callable
 from typing import TypeAlias, assert_never
 
-from turmericweir_core.base.ids import DIRECT
 from turmericweir_core.credits import credit
 from turmericweir_core.engines import load_updates
 from turmericweir_core.membership import leaving, membership_reducer, server_list
@@ -112,7 +111,7 @@
         case ServerUnreachable(server, error, via):
             return server_paths.note_failed(state, now, server, error, via)
         case ServerAnswered(server, via):
-            effects = [] if via != DIRECT else server_paths.note_connected(state, now, server)
+            effects = server_paths.note_connected(state, now, server, via)
             return effects + dispatch.dispatch_all(state, now)
         case CarriedChanged(carried):
             state.paths.carried = carried
--- a/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
@@ -11,7 +11,6 @@
 
 from turmericweir_core.base.account import Outcome
 from turmericweir_core.base.config import PlacementPolicy, ServiceKind
-from turmericweir_core.base.ids import DIRECT
 from turmericweir_core.base.reasons import Reason
 from turmericweir_core.base.request import Attempt, CancelReason, Request, RequestPhase
 from turmericweir_core.engines import engine_model
@@ -48,9 +47,9 @@
     req.attempt.sent = True
     req.sent_attempts += 1
     req.attempt.reused_connection = event.reused_connection
-    if event.reused_connection or req.attempt.via != DIRECT:
+    if event.reused_connection:
         return []
-    return server_paths.note_connected(state, now, req.attempt.server)
+    return server_paths.note_connected(state, now, req.attempt.server, req.attempt.via)
 
 
 def on_progress(state: State, now: float, event: AttemptProgress) -> list[Effect]:
--- a/packages/turmericweir-core/turmericweir_core/trust/server_paths.py
+++ b/packages/turmericweir-core/turmericweir_core/trust/server_paths.py
@@ -46,18 +46,18 @@
 
 # Peers that are asked at a time.
 _PEERS_ASKED: Final = 3
-# Servers in one question, and probes that one question causes at most.
+# Servers in one question.
 _SERVERS_PER_ASK: Final = 48
-_PROBES_PER_ASK: Final = 16
 # Minimum interval between questions, and their intervals soon after a path was lost and later.
 _ASK_INTERVAL_MIN_S: Final = 0.02
 _ASK_INTERVAL_EARLY_S: Final = 0.1
 _ASK_INTERVAL_S: Final = 1.0
 _EARLY_S: Final = 1.0
-# How long the statement of a peer that it reaches a server is valid.
-_VIA_VALID_S: Final = 3.0
+# How long the statement of a peer that it reaches a server is valid, and when it is renewed.
+_VIA_VALID_S: Final = 6.0
+_VIA_RENEWAL_S: Final = 2.5
 # Maximum age of a connection by which a peer answers for a path that was lost earlier.
-_EVIDENCE_MAX_S: Final = 1.5
+_EVIDENCE_MAX_S: Final = 3.0
 # How long a peer is not used for a server after a connection by way of it failed.
 _AVOID_VIA_S: Final = 4.0
 # Time for an answer, and how long a peer without one, or without any path, is not asked.
@@ -70,10 +70,10 @@
 # Two servers that fail within this time make all paths suspect.
 _SUSPECT_WINDOW_S: Final = 2.0
 _SUSPECTS_MAX: Final = 64
-# Interval between direct probes of a lost path that peers make up for, and the most at a time.
+# Mean interval between direct probes of a lost path, and between those of all lost paths.
 _DIRECT_PROBE_INTERVAL_S: Final = 1.0
+_ALL_DIRECT_PROBES_INTERVAL_S: Final = 0.06
 _FIRST_DIRECT_PROBE_S: Final = 0.1
-_DIRECT_PROBES_PER_TICK: Final = 1
 # Peers that carry nearly the same number of connections are used alike.
 _CARRIED_STEP: Final = 8
 _MS: Final = 1000.0
@@ -156,7 +156,7 @@
         effects += _suspect_all(state, now)
         effects += _ask(state, now)
     else:
-        path.next_probe_at = now + _DIRECT_PROBE_INTERVAL_S * (0.5 + state.rng.random())
+        path.next_probe_at = now + _direct_probe_interval_s(state)
     if not _usable_peers(state, now, path):
         note_unreachable(state.servers, state.options, now, name)
     return effects
@@ -186,8 +186,15 @@
     return effects
 
 
-def note_connected(state: State, now: float, name: ServerName) -> list[Effect]:
-    """Record that this instance opened a connection to a server, which is used again."""
+def note_connected(
+    state: State, now: float, name: ServerName, via: InstanceName = DIRECT
+) -> list[Effect]:
+    """Record that a new connection to a server was opened, directly or by way of a peer."""
+    if via != DIRECT:
+        path = state.paths.by_server.get(name)
+        if path is not None and via in path.via:
+            path.via[via] = now
+        return []
     if name not in state.servers.by_name:
         return []
     state.paths.connected_at[name] = now
@@ -198,7 +205,7 @@
         return effects
     for other in state.paths.by_server.values():
         # The cause may have ended for all paths; spread over some ticks.
-        other.next_probe_at = min(other.next_probe_at, now + _ASK_INTERVAL_EARLY_S)
+        other.next_probe_at = min(other.next_probe_at, now + state.rng.random())
     fields = {
         "peer": name,
         "after_ms": round((now - path.lost_at) * _MS),
@@ -207,15 +214,25 @@
     return [*effects, Log("path_restored", fields)]
 
 
+def _direct_probe_interval_s(state: State) -> float:
+    """Return the time until a lost path is probed again; random, to spread the probes."""
+    count = len(state.paths.by_server)
+    interval_s = max(_DIRECT_PROBE_INTERVAL_S, _ALL_DIRECT_PROBES_INTERVAL_S * count)
+    return interval_s * (0.5 + state.rng.random())
+
+
 def _suspect_all(state: State, now: float) -> list[Effect]:
     """Check the paths to all servers if connections to two have failed and none was opened."""
     paths = state.paths
-    recent = [
+    recent = sorted(
         path.lost_at
         for path in paths.by_server.values()
         if path.error and now - path.lost_at <= _SUSPECT_WINDOW_S
-    ]
-    if len(recent) < 2 or max(paths.connected_at.values(), default=0.0) >= min(recent):
+    )
+    if len(recent) < 2:
+        return []
+    first_lost_at = recent[-2]
+    if max(paths.connected_at.values(), default=0.0) >= first_lost_at:
         return []
     effects: list[Effect] = []
     for name, server in state.servers.by_name.items():
@@ -223,7 +240,7 @@
             continue
         if len(effects) >= _SUSPECTS_MAX:
             break
-        path = paths.by_server[name] = ServerPath(min(recent))
+        path = paths.by_server[name] = ServerPath(first_lost_at)
         path.next_probe_at = now + _DIRECT_PROBE_INTERVAL_S
         note_suspected(server, now)
         effects.append(ProbeServer(name, server.entry.address))
@@ -260,7 +277,7 @@
     """Return whether no peer is known to reach a server, or the statements become old."""
     if not _usable_peers(state, now, path):
         return True
-    return now - max(path.via.values()) > _ASK_INTERVAL_S
+    return now - max(path.via.values()) > _VIA_RENEWAL_S
 
 
 def _peers_to_ask(state: State, now: float) -> list[Member]:
@@ -304,10 +321,7 @@
             reached.append(name)
         else:
             paths.askers.setdefault(name, {})[sender] = now
-            if (
-                now - paths.probed_at.get(name, 0.0) > _PROBE_SHARED_S
-                and len(probes) < _PROBES_PER_ASK
-            ):
+            if now - paths.probed_at.get(name, 0.0) > _PROBE_SHARED_S:
                 paths.probed_at[name] = now
                 probes.append(ProbeServer(name, server.entry.address))
     if not reached and not lost:
@@ -375,7 +389,6 @@
     if not paths.by_server:
         return []
     effects: list[Effect] = []
-    probes = 0
     is_early = False
     for name, path in paths.by_server.items():
         server = state.servers.by_name[name]
@@ -385,10 +398,9 @@
             continue
         if not _usable_peers(state, now, path):
             note_unreachable(state.servers, state.options, now, name)
-        elif now >= path.next_probe_at and probes < _DIRECT_PROBES_PER_TICK:
-            path.next_probe_at = now + _DIRECT_PROBE_INTERVAL_S * (0.5 + state.rng.random())
+        elif now >= path.next_probe_at:
+            path.next_probe_at = now + _direct_probe_interval_s(state)
             effects.append(ProbeServer(name, server.entry.address))
-            probes += 1
     interval_s = _ASK_INTERVAL_EARLY_S if is_early else _ASK_INTERVAL_S
     newest_ask_at = max((view.asked_at for view in paths.peers.values()), default=0.0)
     if now - newest_ask_at >= interval_s:
--- a/tests/core/path_network.py
+++ b/tests/core/path_network.py
@@ -76,8 +76,7 @@
         peer = server_paths.choose_via(state, self.now, server)
         via = DIRECT if peer is None else peer.name
         if self.can_connect(via or name, server):
-            if via == DIRECT:
-                self._perform(name, server_paths.note_connected(state, self.now, server))
+            self._perform(name, server_paths.note_connected(state, self.now, server, via))
             return via
         failure = server_paths.note_failed(state, self.now, server, "no connection", via)
         self._perform(name, failure)
