Do not break off what can go on nowhere else when its server is silent for a second

Cause: after two failed probes all attempts at the server were given up alike. For one that may run elsewhere this saves the answer; for another nothing is gained, since its caller gets an error instead of waiting.

Now an attempt that has no attempt left is given up after 1.7 s without data, shortly before its caller would leave; the others as before. What may be retried is asked in one place (trust/retry.has_attempts_left).

Not done of this matter: the table of silences of 0.3 to 3 s on idle and full servers, and that streams that may be resumed run twice in a silence.

--- a/packages/turmericweir-core/turmericweir_core/placement/dead_server.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/dead_server.py
@@ -3,8 +3,8 @@
 A server that loses power, or a cut network path, resets no connection, so its callers would wait
 until their deadlines. An unresponsive attempt alone proves nothing, as an engine may be busy. So
 the instance opens a new connection to the server; after several failures in a row it cancels the
-attempts that stayed unresponsive. Requests that may run again go on elsewhere, and other callers
-get an error at once.
+attempts that stayed unresponsive. Requests that may run again go on elsewhere. For others there is
+nothing to gain, so they are cancelled only shortly before their callers would leave.
 """
 
 from __future__ import annotations
@@ -18,6 +18,7 @@
 from turmericweir_core.messages.effects import Count, Effect, Log, ProbeServer
 from turmericweir_core.placement.dispatch import cancel
 from turmericweir_core.state.dead_state import Suspicion
+from turmericweir_core.trust.retry import has_attempts_left
 
 if TYPE_CHECKING:
     from turmericweir_core.state.state import State
@@ -28,6 +29,9 @@
 _UNRESPONSIVE_S: Final = 0.6
 # An answer that has not begun is unresponsive only after this multiple of its predicted time.
 _PREDICTED_FACTOR: Final = 3.0
+# Time without tokens after which an attempt is given up that cannot go on elsewhere: shortly before
+# its caller leaves. Prevents breaking off answers of a server that is only silent for a moment.
+_LAST_RESORT_S: Final = 1.7
 # Intervals between probes of a server that answered the last one, and of one that did not.
 _ANSWERING_PROBE_INTERVAL_S: Final = 2.0
 _UNANSWERED_PROBE_INTERVAL_S: Final = 0.15
@@ -63,13 +67,18 @@
     return effects
 
 
+def _silent_s(now: float, attempt: Attempt) -> float:
+    last_data_at = attempt.last_token_at
+    return now - (attempt.started_at if last_data_at is None else last_data_at)
+
+
 def _is_unresponsive(state: State, now: float, attempt: Attempt) -> bool:
     if not attempt.sent or attempt.cancel_reason is not None:
         return False
     if attempt.last_token_at is not None:
-        return now - attempt.last_token_at >= _UNRESPONSIVE_S
+        return _silent_s(now, attempt) >= _UNRESPONSIVE_S
     predicted_ms = engine_model.predicted_ms(state, attempt) or 0.0
-    return now - attempt.started_at >= max(_UNRESPONSIVE_S, _PREDICTED_FACTOR * predicted_ms / _MS)
+    return _silent_s(now, attempt) >= max(_UNRESPONSIVE_S, _PREDICTED_FACTOR * predicted_ms / _MS)
 
 
 def on_answered(state: State, now: float, name: ServerName, via: InstanceName) -> None:
@@ -88,14 +97,16 @@
     suspicion.failures += 1
     if suspicion.failures < _DEAD_AFTER_FAILURES:
         return []
-    del state.dead.by_path[name, via]
-    log = Log("server_dead", {"peer": name, "via": via})
-    effects: list[Effect] = [Count("server.dead"), log]
+    effects: list[Effect] = []
     for req in list(state.requests.values()):
         attempt = req.attempt
         if attempt is None or (attempt.server, attempt.via) != (name, via):
             continue
         if not _is_unresponsive(state, now, attempt):
             continue
-        effects += cancel(req, CancelReason.SERVER_DEAD)
-    return effects
+        if has_attempts_left(state, req) or _silent_s(now, attempt) >= _LAST_RESORT_S:
+            effects += cancel(req, CancelReason.SERVER_DEAD)
+    if not effects:
+        return []
+    log = Log("server_dead", {"peer": name, "via": via})
+    return [Count("server.dead"), log, *effects]
--- a/packages/turmericweir-core/turmericweir_core/trust/lost_connections.py
+++ b/packages/turmericweir-core/turmericweir_core/trust/lost_connections.py
@@ -19,7 +19,7 @@
 from turmericweir_core.base.request import Attempt, Request
 from turmericweir_core.engines import engine_model
 from turmericweir_core.trust.liveness_evidence import has_evidence_of_loss, record_lost_connection
-from turmericweir_core.trust.retry import may_retry, spend_retry
+from turmericweir_core.trust.retry import has_attempts_left, may_retry, spend_retry
 
 if TYPE_CHECKING:
     from turmericweir_core.state.state import State
@@ -59,9 +59,7 @@
     Prevents several suspicions in one tick from counting on the same retry of the budget, as all
     but one of these requests would fail.
     """
-    if not req.repeatable or req.counted_attempts >= state.options.attempts_max:
-        return False
-    if req.sends_max is not None and req.sent_attempts >= req.sends_max:
+    if not has_attempts_left(state, req):
         return False
     if not attempt.sent:
         # No server can have started it, so its next attempt is not a retry.
--- a/packages/turmericweir-core/turmericweir_core/trust/retry.py
+++ b/packages/turmericweir-core/turmericweir_core/trust/retry.py
@@ -14,6 +14,7 @@
 from collections import deque
 from typing import TYPE_CHECKING, Final
 
+from turmericweir_core.base.config import ServiceKind
 from turmericweir_core.base.ids import Target
 from turmericweir_core.base.options import Options
 from turmericweir_core.base.request import Request
@@ -45,6 +46,15 @@
     budget.tokens = min(options.retry_burst, tokens)
 
 
+def has_attempts_left(state: State, req: Request) -> bool:
+    """Return whether a request may be sent to another server, as far as its own limits go."""
+    if not req.repeatable or (req.kind is ServiceKind.PLAIN and req.delivered):
+        return False
+    if req.counted_attempts >= state.options.attempts_max:
+        return False
+    return req.sends_max is None or req.sent_attempts < req.sends_max
+
+
 def may_retry(state: State, now: float, req: Request) -> bool:
     """Return whether the budget allows a retry now, without taking it."""
     return retries_left(state, now, req.target) >= 1.0
