Do not look for other paths to servers that leave

A leaving server gets no new work, and closes its port when it has left; asking peers for it is of no use. Also a loss that was only suspected keeps its record when a connection fails, instead of a new one.

--- a/packages/turmericweir-core/turmericweir_core/trust/server_paths.py
+++ b/packages/turmericweir-core/turmericweir_core/trust/server_paths.py
@@ -141,20 +141,22 @@
     path = state.paths.by_server.get(name)
     if server is None:
         return []
+    if server.leaving:
+        # It gets no new work, and its port closes when it has left.
+        note_unreachable(state.servers, state.options, now, name)
+        return []
     if via != DIRECT:
         return [] if path is None else _note_via_failed(state, now, server, path, via, error)
     effects: list[Effect] = []
     if path is None or not path.error:
-        # The newest connection that failed decides, also for a path that was only suspected.
-        lost_at = now if path is None else path.lost_at
-        path = state.paths.by_server[name] = ServerPath(
-            lost_at, error, {} if path is None else path.via
-        )
+        if path is None:
+            path = state.paths.by_server[name] = ServerPath(now)
+        path.error = error
         path.next_probe_at = now + _FIRST_DIRECT_PROBE_S
         effects += [_lost_log(state, name, error), RetireConnections(server.entry.address)]
         effects += _answer_askers(state, now, name, is_reached=False)
         effects += _suspect_all(state, now)
-        effects += _ask(state, now)
+        effects += _ask_peers(state, now)
     else:
         path.next_probe_at = now + _direct_probe_interval_s(state)
     if not _usable_peers(state, now, path):
@@ -182,7 +184,7 @@
     effects: list[Effect] = [Log("path_lost", {"peer": name, "via": via, "error": error})]
     if not _usable_peers(state, now, path):
         note_unreachable(state.servers, state.options, now, name)
-        effects += _ask(state, now)
+        effects += _ask_peers(state, now)
     return effects
 
 
@@ -252,7 +254,7 @@
 # --- questions to peers ----------------------------------------------------------------------
 
 
-def _ask(state: State, now: float) -> list[Effect]:
+def _ask_peers(state: State, now: float) -> list[Effect]:
     """Ask some peers which of the servers without a path they reach."""
     paths = state.paths
     if now < paths.next_ask_at or not paths.by_server:
@@ -333,10 +335,9 @@
 def _answer_askers(state: State, now: float, name: ServerName, *, is_reached: bool) -> list[Effect]:
     """Tell the peers that asked for a server whether this instance reaches it."""
     effects: list[Effect] = []
-    names: list[str] = [name]
-    answer = PathsSend(
-        names if is_reached else [], [] if is_reached else names, state.paths.carried
-    )
+    reached: list[str] = [name] if is_reached else []
+    lost: list[str] = [] if is_reached else [name]
+    answer = PathsSend(reached, lost, state.paths.carried)
     for asker, asked_at in state.paths.askers.pop(name, {}).items():
         peer = membership.find_member(state, asker)
         if peer is not None and now - asked_at <= _ASKER_KEEP_S:
@@ -404,15 +405,16 @@
     interval_s = _ASK_INTERVAL_EARLY_S if is_early else _ASK_INTERVAL_S
     newest_ask_at = max((view.asked_at for view in paths.peers.values()), default=0.0)
     if now - newest_ask_at >= interval_s:
-        effects += _ask(state, now)
+        effects += _ask_peers(state, now)
     return effects
 
 
 def _forget_removed(state: State) -> None:
-    """Forget the paths to servers that left the server table."""
+    """Forget the paths to servers that leave or have left."""
     paths = state.paths
+    servers = state.servers.by_name
     for by_server in (paths.by_server, paths.connected_at, paths.probed_at, paths.askers):
-        for name in [each for each in by_server if each not in state.servers.by_name]:
+        for name in [each for each in by_server if each not in servers or servers[each].leaving]:
             del by_server[name]
     if not paths.by_server:
         paths.peers.clear()
