Answer requests that wait for a server before a stopping instance ends

What callers saw: the connection of a request that had never been sent was reset when the process reached its stop limit, so the caller of a call that must not be repeated could not know that nothing ran.

Cause: at the limit all requests are aborted alike by a reset. Those that run have no answer that is certain; but those that wait have: nothing ran.

Now waiting requests end half a second before the limit, as not_run where that holds, with a time to come back, and no further attempt of a request begins from then on.

test_request_that_waits_for_a_server_is_answered_before_the_process_ends: connection reset before, 503 now.

--- a/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
@@ -31,7 +31,7 @@
 )
 from turmericweir_core.placement import answer_moves, attempt_accounting
 from turmericweir_core.placement.dispatch import dispatch, release, wait_for_server
-from turmericweir_core.requests.lifecycle import finish, unanswered_outcome
+from turmericweir_core.requests.lifecycle import finish, is_stop_due, unanswered_outcome
 from turmericweir_core.state import queue_state, usage_meter
 from turmericweir_core.state.server_table import note_leaving, note_pause
 from turmericweir_core.state.state import State
@@ -331,6 +331,8 @@
         return finish(state, now, req, unanswered_outcome(req), Reason.CALLER_LEFT)
     if now >= req.deadline and req.first_token_at is None:
         return finish(state, now, req, unanswered_outcome(req), Reason.DEADLINE)
+    if is_stop_due(state, now):
+        return finish(state, now, req, unanswered_outcome(req), Reason.STOPPING)
     options = state.options
     if (
         req.counted_attempts >= options.attempts_max
--- a/packages/turmericweir-core/turmericweir_core/requests/lifecycle.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/lifecycle.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from typing import assert_never
+from typing import Final, assert_never
 
 from turmericweir_core.base.account import Account, Outcome
 from turmericweir_core.base.account_text import describe_end
@@ -45,6 +45,9 @@
 from turmericweir_core.trust import isolated_runs, liveness_evidence, lost_connections, quarantine
 from turmericweir_core.trust.retry import earn_retry
 
+# Time before the end of a stopping instance at which the last waiting requests are answered.
+_STOP_ANSWER_S: Final = 0.5
+
 # --- arrival ---------------------------------------------------------------------------------
 
 
@@ -147,9 +150,30 @@
     return cancel(req, CancelReason.CALLER_LEFT)
 
 
+def is_stop_due(state: State, now: float) -> bool:
+    """Return whether this instance ends too soon to send another attempt."""
+    if state.stopping_since is None:
+        return False
+    return now - state.stopping_since >= state.options.stop_limit_s - _STOP_ANSWER_S
+
+
+def _finish_waiting_at_stop(state: State, now: float) -> list[Effect]:
+    """End the requests that still wait for a server shortly before this instance ends.
+
+    Prevents their connections from being reset, after which callers do not know that nothing ran.
+    """
+    effects: list[Effect] = []
+    for req in [each for each in state.requests.values() if each.attempt is None]:
+        queue_state.remove(state.queues, req)
+        outcome = Outcome.UNKNOWN if waits_for_holder(state, req) else unanswered_outcome(req)
+        pause_s = state.options.retry_after_min_s
+        effects += finish(state, now, req, outcome, Reason.STOPPING, retry_after_s=pause_s)
+    return effects
+
+
 def on_tick(state: State, now: float) -> list[Effect]:
     """End expired requests and check running attempts for unresponsive connections."""
-    effects: list[Effect] = []
+    effects = _finish_waiting_at_stop(state, now) if is_stop_due(state, now) else []
     for req in list(queue_state.expired(state.queues, now)):
         if req.first_token_at is not None:
             # The answer has begun and only has to resume on another server.
--- a/tests/platform/test_stopping.py
+++ b/tests/platform/test_stopping.py
@@ -54,6 +54,23 @@
         assert pending_answer.result(20).is_cut
 
 
+def test_request_that_waits_for_a_server_is_answered_before_the_process_ends(
+    tmp_path: Path,
+) -> None:
+    # Guards against a stop that resets the connection of a request which was never sent.
+    bounds = {"grace_s": 3, "revoke_ms": 60_000}
+    with PlatformWorld(tmp_path, bounds=bounds) as world, ThreadPoolExecutor(1) as pool:
+        instance = world.running["entry-1"]
+        for name in ("shop-1", "shop-2"):
+            world.crash_server(name)
+        pending_answer = pool.submit(world.send_unsafe, request_id="q1")
+        until(lambda: bool(instance.logged("placed")), "the request was tried")
+        instance.process.terminate()
+        answer = pending_answer.result(20)
+        assert answer.status == 503
+        assert instance.process.wait(20) == 0
+
+
 @pytest.mark.parametrize("earlier_requests", [0, 1])
 def test_request_that_crosses_the_close_of_its_connection_is_answered(
     tmp_path: Path, earlier_requests: int
