--- a/packages/turmericweir-core/turmericweir_core/trust/server_paths.py
+++ b/packages/turmericweir-core/turmericweir_core/trust/server_paths.py
@@ -63,7 +63,7 @@
 # Time for an answer, and how long a peer without one, or without any path, is not asked.
 _ANSWER_S: Final = 0.3
 _AVOID_PEER_S: Final = 2.0
-# How long a peer that asked is told the result of a probe.
+# How long the result of a probe is sent to a peer that asked for it.
 _ASKER_KEEP_S: Final = 1.0
 # Interval between questions of several peers that lead to only one probe of a server.
 _PROBE_SHARED_S: Final = 0.35
@@ -333,7 +333,7 @@
 
 
 def _answer_askers(state: State, now: float, name: ServerName, *, is_reached: bool) -> list[Effect]:
-    """Tell the peers that asked for a server whether this instance reaches it."""
+    """Answer the peers that asked for a server."""
     effects: list[Effect] = []
     reached: list[str] = [name] if is_reached else []
     lost: list[str] = [] if is_reached else [name]
--- a/packages/turmericweir/turmericweir/peers/carrier.py
+++ b/packages/turmericweir/turmericweir/peers/carrier.py
@@ -113,7 +113,7 @@
         self._is_lost = False
 
     async def open(self, origin: str) -> None:
-        """Connect to the server and tell the peer the result."""
+        """Connect to the server and send the result to the peer."""
         host, _, port = self._ask.address.rpartition(":")
         loop = asyncio.get_running_loop()
         try:
@@ -179,7 +179,7 @@
         self._transport.write(pack_chunk(data))
 
     def end(self, *, is_broken: bool) -> None:
-        """Tell the peer how the connection to the server ended, and close the peer's."""
+        """Report to the peer how the connection to the server ended, and close the peer's."""
         if not self._transport.is_closing():
             self._transport.write(pack_end(BROKEN if is_broken else CLOSED))
             self._transport.close()
