Report overdue requests that wait for servers which want none for a while

These servers are full, and long prompts at other instances have to give way as before.

Now only servers to which connections fail count as without a path. test_requests_that_wait_for_paused_servers_are_reported_as_overdue fails on the code before.

--- a/packages/turmericweir-core/turmericweir_core/membership/subset.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/subset.py
@@ -74,9 +74,9 @@
     return _without_unproven(list(servers_for(state.servers, target, now)))
 
 
-def has_path(state: State, now: float, target: Target) -> bool:
-    """Return whether this instance can send requests for a target to any server, busy or not."""
-    return any(server.unreachable_until == 0.0 for server in open_servers(state, now, target))
+def has_path(state: State, target: Target) -> bool:
+    """Return whether this instance can connect to any server of a target, full or paused or not."""
+    return any(server.unreachable_until == 0.0 for server in target_subset(state, target).servers)
 
 
 def pause_left_s(state: State, now: float, target: Target) -> float | None:
--- a/packages/turmericweir-core/turmericweir_core/queueing/urgent_first.py
+++ b/packages/turmericweir-core/turmericweir_core/queueing/urgent_first.py
@@ -53,7 +53,7 @@
     None are reported while this instance has no path to any server. Prevents requests that cannot
     be sent from here from holding back those of all other instances.
     """
-    if not has_path(state, now, target):
+    if not has_path(state, target):
         return []
     counts: Counter[tuple[int, bool]] = Counter()
     for queue in queue_state.target_classes(state.queues, target):
--- a/tests/core/queueing/test_urgent_first.py
+++ b/tests/core/queueing/test_urgent_first.py
@@ -11,6 +11,7 @@
 from turmericweir_core.messages.effects import Effect, FinishRequest, ProbeServer, StartAttempt
 from turmericweir_core.messages.events import EndUnsent, ServerUnreachable
 from turmericweir_core.messages.peer_messages import DemandRow, LoadNews, OverdueRow
+from turmericweir_core.state.server_table import note_pause
 
 URGENT: Final = replace(QUICK, rank=0)
 LESS_URGENT: Final = replace(BULK, rank=1)
@@ -121,6 +122,21 @@
     assert not any(row.overdue for update in sent for row in update.demand)
 
 
+def test_requests_that_wait_for_paused_servers_are_reported_as_overdue() -> None:
+    """Guards against taking servers that want no requests for a while for lost paths."""
+    peer = StoreWorld(engines=1, plain=0, name="b-1")
+    peer.know("a-1")
+    peer.arrive("0", service_class=URGENT, prompt_tokens=20)
+    (server,) = peer.state.servers.by_name.values()
+    note_pause(peer.state.servers, peer.now, server, 10.0)
+    peer.arrive("1", service_class=URGENT, prompt_tokens=20)
+    effects = peer.wait(URGENT.target_s / 2)
+    peer.know("a-1")
+    effects += peer.wait(URGENT.target_s / 2 + 0.3)
+    updates = [each.message for each in datagrams(effects) if isinstance(each.message, LoadNews)]
+    assert any(row.overdue for update in updates for row in update.demand)
+
+
 def test_requests_do_not_wait_beside_free_slots_for_one_that_is_overdue_elsewhere() -> None:
     """Guards against one overdue request leaving all less urgent ones beside idle engines."""
     world = StoreWorld(engines=4)
