Suspect all paths only if nothing is heard of any server after two have failed

At full size each crash of two servers would open hundreds of connections to every other one.

Cause: only newly opened connections counted as evidence that the network works, and the decision fell with the second failure, before anything else could be heard.

Now any answer or event of a server on the direct path counts, and the decision falls 40 ms after the first of the two failures at the earliest. A cut with refused connections is found that much later.

test_two_servers_that_crash_at_once_make_no_other_path_suspect fails on the code before; test_cut_off passes.

--- a/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
@@ -66,6 +66,7 @@
         attempt.consecutive_overdue_gaps = 0
         return []
     quarantine.note_progress(state, attempt)
+    server_paths.note_heard(state, now, attempt)
     previous_token_at = attempt.last_token_at
     attempt.tokens += event.tokens
     attempt.last_token_at = now
@@ -92,6 +93,7 @@
     if server is None or attempt.attempt_id not in server.in_flight:
         # The attempt ran on an earlier incarnation of the server.
         return []
+    server_paths.note_heard(state, now, attempt)
     effects: list[Effect] = []
     if event.is_limit_readable:
         effects += announced_limits.on_answer(state, now, server, attempt.started_at, event.limit_s)
@@ -145,6 +147,8 @@
     effects += attempt_accounting.count_end(now, attempt, event.end)
     if state.config.policy is PlacementPolicy.PREDICTED:
         effects.append(_ended_log(now, req, attempt, event.end))
+    if isinstance(event.end, EndComplete | EndRefused | EndServerError):
+        server_paths.note_heard(state, now, attempt)
     req.attempt = None
     is_broken = isinstance(event.end, EndBroken)
     if state.meter is not None and _may_have_begun(req, attempt, event.end):
--- a/packages/turmericweir-core/turmericweir_core/state/path_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/path_state.py
@@ -51,5 +51,7 @@
     askers: dict[ServerName, dict[InstanceName, float]] = field(default_factory=dict)
     peers: dict[InstanceName, PeerView] = field(default_factory=dict)
     next_ask_at: float = _NEVER
+    # When data of any server last arrived, or a connection was opened, without a peer in between.
+    heard_at: float = _NEVER
     # Connections that this instance carries to servers for its peers.
     carried: int = 0
--- a/packages/turmericweir-core/turmericweir_core/trust/server_paths.py
+++ b/packages/turmericweir-core/turmericweir_core/trust/server_paths.py
@@ -6,9 +6,10 @@
 daemon). Everything else stays here: the choice of the server, retries, limits and the account.
 A peer opens such connections only by its own direct path, so there are no circles.
 
-If new connections to two servers fail with none opened in between, the network of this instance is
-suspected rather than the servers. Then all paths are checked at once, and until a path is confirmed
-its server is used by way of a peer only. Prevents a connection timeout for each server in turn.
+If new connections to two servers fail and nothing is heard of any server since, the network of this
+instance is suspected rather than the servers. Then all paths are checked at once, and until a path
+is confirmed its server is used by way of a peer only. Prevents a connection timeout for each server
+in turn.
 
 A peer that is asked answers from its newest connection to the server, if that was opened after the
 path was lost, and otherwise opens one first. Servers that no peer reaches are down; the questions
@@ -20,6 +21,7 @@
 from typing import TYPE_CHECKING, Final
 
 from turmericweir_core.base.ids import DIRECT, InstanceName, ServerName
+from turmericweir_core.base.request import Attempt
 from turmericweir_core.membership import membership
 from turmericweir_core.membership.subset import rendezvous_weight
 from turmericweir_core.messages.effects import (
@@ -69,6 +71,7 @@
 _PROBE_SHARED_S: Final = 0.35
 # Two servers that fail within this time make all paths suspect.
 _SUSPECT_WINDOW_S: Final = 2.0
+_SUSPECT_AFTER_S: Final = 0.04
 _SUSPECTS_MAX: Final = 64
 # Mean interval between direct probes of a lost path, and between those of all lost paths.
 _DIRECT_PROBE_INTERVAL_S: Final = 1.0
@@ -155,7 +158,6 @@
         path.next_probe_at = now + _FIRST_DIRECT_PROBE_S
         effects += [_lost_log(state, name, error), RetireConnections(server.entry.address)]
         effects += _answer_askers(state, now, name, is_reached=False)
-        effects += _suspect_all(state, now)
         effects += _ask_peers(state, now)
     else:
         path.next_probe_at = now + _direct_probe_interval_s(state)
@@ -199,7 +201,7 @@
         return []
     if name not in state.servers.by_name:
         return []
-    state.paths.connected_at[name] = now
+    state.paths.connected_at[name] = state.paths.heard_at = now
     note_answered(state.servers, name)
     effects = _answer_askers(state, now, name, is_reached=True)
     path = state.paths.by_server.pop(name, None)
@@ -216,6 +218,12 @@
     return [*effects, Log("path_restored", fields)]
 
 
+def note_heard(state: State, now: float, attempt: Attempt) -> None:
+    """Record that data of a server arrived, which shows that the network works."""
+    if attempt.via == DIRECT:
+        state.paths.heard_at = now
+
+
 def _direct_probe_interval_s(state: State) -> float:
     """Return the time until a lost path is probed again; random, to spread the probes."""
     count = len(state.paths.by_server)
@@ -224,7 +232,11 @@
 
 
 def _suspect_all(state: State, now: float) -> list[Effect]:
-    """Check the paths to all servers if connections to two have failed and none was opened."""
+    """Check the paths to all servers if connections to two failed and nothing was heard since.
+
+    Two servers may crash at once. So there is time for the others to be heard before their paths
+    are suspected.
+    """
     paths = state.paths
     recent = sorted(
         path.lost_at
@@ -234,7 +246,7 @@
     if len(recent) < 2:
         return []
     first_lost_at = recent[-2]
-    if max(paths.connected_at.values(), default=0.0) >= first_lost_at:
+    if now - first_lost_at < _SUSPECT_AFTER_S or paths.heard_at >= first_lost_at:
         return []
     effects: list[Effect] = []
     for name, server in state.servers.by_name.items():
@@ -246,9 +258,10 @@
         path.next_probe_at = now + _DIRECT_PROBE_INTERVAL_S
         note_suspected(server, now)
         effects.append(ProbeServer(name, server.entry.address))
-    if effects:
-        effects.append(Log("paths_suspected", {"servers": len(effects)}))
-    return effects
+    if not effects:
+        return []
+    log = Log("paths_suspected", {"servers": len(effects)})
+    return [log, *effects, *_ask_peers(state, now)]
 
 
 # --- questions to peers ----------------------------------------------------------------------
@@ -389,7 +402,7 @@
     paths = state.paths
     if not paths.by_server:
         return []
-    effects: list[Effect] = []
+    effects = _suspect_all(state, now)
     is_early = False
     for name, path in paths.by_server.items():
         server = state.servers.by_name[name]
--- a/tests/core/trust/test_server_paths.py
+++ b/tests/core/trust/test_server_paths.py
@@ -61,6 +61,22 @@
     assert dead not in network.usable_servers(ONE)
 
 
+def test_two_servers_that_crash_at_once_make_no_other_path_suspect() -> None:
+    """Guards against probing all servers, and using none meanwhile, whenever two crash together."""
+    network = PathNetwork(4, 6)
+    dead = set(network.servers[:2])
+    network.can_connect = lambda _, server: server not in dead
+    for server in dead:
+        network.send(ONE, server)
+    network.now += 0.01
+    network.send(ONE, network.servers[2])
+    network.wait(0.05)
+    assert not network.probes[ONE]
+    assert set(network.usable_servers(ONE)) == set(network.servers) - dead
+    network.wait(0.5)
+    assert set(network.paths(ONE).by_server) == dead
+
+
 def test_partial_cut_concerns_only_the_servers_behind_it() -> None:
     """Guards against using peers for servers that the instance reaches itself."""
     network = PathNetwork(4, 6)
