--- a/tests/standins/test_callers.py
+++ b/tests/standins/test_callers.py
@@ -465,7 +465,7 @@
         assert result.error in ("RemoteProtocolError", "ReadError")
 
     def test_caller_gives_up_after_its_maximum_wait(self) -> None:
-        traffic = replace(RESERVE, patience_s=0.05)
+        traffic = replace(RESERVE, patience_s=1.0)
         (result,), received = call_entry(one_call(traffic), lambda request: None)
         assert len(received) == 1
         assert result.error == GAVE_UP
