--- a/packages/turmericweir/turmericweir/peers/carrier.py
+++ b/packages/turmericweir/turmericweir/peers/carrier.py
@@ -45,7 +45,7 @@
         transport.set_protocol(connection)
         error = self._reason_to_refuse(ask)
         if error:
-            self._log_refused(origin, ask, error)
+            self.log_refused(origin, ask, error)
             transport.write(pack_result(error))
             transport.close()
             return
@@ -68,20 +68,17 @@
             return "this instance has no path to the server"
         return ""
 
-    def _log_refused(self, origin: str, ask: CarryAsk, error: str) -> None:
+    def log_refused(self, origin: str, ask: CarryAsk, error: str) -> None:
+        """Log and count a request to connect that was refused, or that failed at the server."""
         self._node.count("carry.refused")
         logs.write("carry_refused", peer=origin, server=ask.server, error=error)
 
-    def on_open(self, origin: str, ask: CarryAsk) -> None:
+    def log_opened(self, origin: str, ask: CarryAsk) -> None:
         """Log and count a connection that is open."""
         self._node.count("carry.opened")
         logs.write("carry_opened", peer=origin, server=ask.server, carried=len(self._connections))
 
-    def on_failed(self, origin: str, ask: CarryAsk, error: str) -> None:
-        """Log and count a connection to a server that could not be opened."""
-        self._log_refused(origin, ask, error)
-
-    def on_closed(self, connection: CarriedConnection) -> None:
+    def forget(self, connection: CarriedConnection) -> None:
         """Forget a connection that has ended."""
         if connection in self._connections:
             self._connections.discard(connection)
@@ -123,7 +120,7 @@
                 )
         except (OSError, TimeoutError) as exc:
             error = str(exc) or f"no connection within {CONNECT_TIMEOUT_S} s"
-            self._carrier.on_failed(origin, self._ask, error)
+            self._carrier.log_refused(origin, self._ask, error)
             self._transport.write(pack_result(error))
             self._transport.close()
             return
@@ -135,7 +132,7 @@
             set_options(transport.get_extra_info("socket"))
         for each in (transport, self._transport):
             each.set_write_buffer_limits(high=_WRITE_BUFFER_MAX_BYTES)
-        self._carrier.on_open(origin, self._ask)
+        self._carrier.log_opened(origin, self._ask)
         self._transport.write(pack_result(""))
 
     # Called by the event loop, for the connection of the peer.
@@ -169,7 +166,7 @@
         self._is_lost = True
         if self._server is not None:
             self._server.abort()
-        self._carrier.on_closed(self)
+        self._carrier.forget(self)
 
     # Called by the connection to the server.
 
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -28,7 +28,9 @@
     assert not soak.run(1, 12.0, tmp_path, NoticeSoak)
 
 
-def test_promises_hold_while_instances_lose_paths_to_servers(tmp_path: Path) -> None:
+# Seeds 40 and 42 guard against resets of requests that wait for a server when an instance stops.
+@pytest.mark.parametrize("seed", [3, 40, 42])
+def test_promises_hold_while_instances_lose_paths_to_servers(seed: int, tmp_path: Path) -> None:
     # Guards against repeated unsafe requests, false "not run" answers and broken streams where
     # connections go by way of peers, and against instances that do not recover from cuts.
-    assert not soak.run(3, 12.0, tmp_path, CutSoak)
+    assert not soak.run(seed, 12.0, tmp_path, CutSoak)
