Count and log retries by cause and service, and show what the window holds

No metric said why a request was sent again: attempt.retry counted all causes together, also attempts of which nothing had been sent. Now each attempt that follows a sent one is counted and logged when it is sent, with its cause and what the window holds, and each one that the budget refuses. The cause is named where the request is queued again.

--- a/packages/turmericweir-core/turmericweir_core/base/request.py
+++ b/packages/turmericweir-core/turmericweir_core/base/request.py
@@ -49,6 +49,25 @@
     NO_SERVER = "no_server"
 
 
+class RetryCause(StrEnum):
+    """What ended the attempt after which a request is sent again."""
+
+    # The server answered that it had not started the request.
+    REFUSED = "refused"
+    # The same, as it is leaving.
+    LEAVING = "leaving"
+    # The connection broke; the server accepts new ones, or refuses them.
+    BROKEN = "broken"
+    SERVER_GONE = "server_gone"
+    SERVER_ERROR = "server_error"
+    # This instance cancelled the attempt; see `CancelReason`.
+    SERVER_DEAD = "server_dead"
+    UNRESPONSIVE = "unresponsive"
+    MOVED = "moved"
+    DISPLACED = "displaced"
+    CANCELLED = "cancelled"
+
+
 class RequestPhase(StrEnum):
     """The phase of a request."""
 
@@ -175,6 +194,9 @@
     sent_attempts: int = 0
     # Attempts of which nothing was sent, because no connection could be opened.
     unsent_attempts: int = 0
+    # Attempts that were sent, whatever the servers reported, and why it was last queued again.
+    arrivals: int = 0
+    retry_cause: RetryCause | None = None
     # Latest time of the final answer to the caller, whatever is still running; None for no limit.
     end_by: float | None = None
     # Whether other servers may go on with its stream after the events that the caller has.
--- a/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
@@ -12,7 +12,13 @@
 from turmericweir_core.base.account import Outcome
 from turmericweir_core.base.config import PlacementPolicy, ServiceKind
 from turmericweir_core.base.reasons import Reason
-from turmericweir_core.base.request import Attempt, CancelReason, Request, RequestPhase
+from turmericweir_core.base.request import (
+    Attempt,
+    CancelReason,
+    Request,
+    RequestPhase,
+    RetryCause,
+)
 from turmericweir_core.engines import engine_model
 from turmericweir_core.membership import announced_limits, brittle_statements, leaving
 from turmericweir_core.messages.effects import Count, Effect, Log, Timing
@@ -46,9 +52,9 @@
     lost_connections,
     part_verdicts,
     quarantine,
+    retry,
     server_paths,
 )
-from turmericweir_core.trust.retry import spend_retry
 
 _SUCCESS: Final = range(200, 300)
 
@@ -60,10 +66,11 @@
         return []
     req.attempt.sent = True
     req.sent_attempts += 1
+    effects = retry.note_sent(state, now, req)
     req.attempt.reused_connection = event.reused_connection
     if event.reused_connection:
-        return []
-    return server_paths.note_connected(state, now, req.attempt.server, req.attempt.via)
+        return effects
+    return effects + server_paths.note_connected(state, now, req.attempt.server, req.attempt.via)
 
 
 def on_progress(state: State, now: float, event: AttemptProgress) -> list[Effect]:
@@ -235,12 +242,13 @@
                 # at the first full server.
                 req.sent_attempts -= 1
             uses_budget = not is_leaving or state.options.retry_pay_all
+            cause = RetryCause.LEAVING if is_leaving else RetryCause.REFUSED
             server = state.servers.by_name.get(attempt.server)
             effects = []
             if server is not None and not is_leaving:
                 effects += brittle_servers.note_refused(state, now, server)
             return effects + _retry_or_finish(
-                state, now, req, attempt, Reason.OVERLOAD, uses_budget=uses_budget
+                state, now, req, attempt, Reason.OVERLOAD, cause, uses_budget=uses_budget
             )
         case EndUnsent(error) if attempt.sent:
             # An attempt that was reported as sent may have run, so `not_run` may be wrong.
@@ -249,7 +257,7 @@
             req.unsent_attempts += 1
             effects = server_paths.note_failed(state, now, attempt.server, error, attempt.via)
             effects += _retry_or_finish(
-                state, now, req, attempt, Reason.NO_SERVER, uses_budget=False
+                state, now, req, attempt, Reason.NO_SERVER, None, uses_budget=False
             )
             return [_failure_log(req, attempt, "unsent", error), *effects]
         case EndBroken(error, server_alive):
@@ -264,13 +272,16 @@
             # Retries after a crash add no load, as the server has none now. Prevents the crash of a
             # full server from using up the retry budget.
             uses_budget = server_alive or state.options.retry_pay_all
+            cause = RetryCause.BROKEN if server_alive else RetryCause.SERVER_GONE
             effects = _handle_loss(
-                state, now, req, attempt, Reason.SERVER_LOST, uses_budget=uses_budget
+                state, now, req, attempt, Reason.SERVER_LOST, cause, uses_budget=uses_budget
             )
             return [*logs, *effects]
         case EndServerError(status):
             req.may_have_run = True
-            effects = _handle_loss(state, now, req, attempt, Reason.SERVER_ERROR)
+            effects = _handle_loss(
+                state, now, req, attempt, Reason.SERVER_ERROR, RetryCause.SERVER_ERROR
+            )
             return [_failure_log(req, attempt, "server_error", str(status)), *effects]
         case EndCancelled():
             req.may_have_run = req.may_have_run or attempt.sent
@@ -296,6 +307,7 @@
     req: Request,
     attempt: Attempt,
     reason: Reason,
+    cause: RetryCause,
     *,
     uses_budget: bool = True,
 ) -> list[Effect]:
@@ -306,7 +318,7 @@
     if req.kind is ServiceKind.PLAIN and req.delivered:
         # The caller has part of the answer, and a second run could not be joined to it.
         return finish(state, now, req, Outcome.FAILED, reason, server=attempt.server)
-    return _retry_or_finish(state, now, req, attempt, reason, uses_budget=uses_budget)
+    return _retry_or_finish(state, now, req, attempt, reason, cause, uses_budget=uses_budget)
 
 
 def _handle_cancelled(state: State, now: float, req: Request, attempt: Attempt) -> list[Effect]:
@@ -320,46 +332,65 @@
         case CancelReason.DISPLACED:
             if not req.repeatable and req.may_have_run:
                 # It may not run again, so it should not have been displaced.
-                return _handle_loss(state, now, req, attempt, Reason.DISPLACED)
+                return _handle_loss(
+                    state, now, req, attempt, Reason.DISPLACED, RetryCause.DISPLACED
+                )
             count = Count(f"displaced.{req.service_class.name}")
-            return [count, *_requeue_stopped(state, now, req)]
+            return [count, *_requeue_stopped(state, now, req, RetryCause.DISPLACED)]
         case CancelReason.MOVED:
             # The move was charged to the retry budget, and only repeatable requests are moved.
             req.failed_servers.add(attempt.server)
-            return _requeue_stopped(state, now, req)
+            return _requeue_stopped(state, now, req, RetryCause.MOVED)
         case CancelReason.SERVER_DEAD:
             quarantine.record_broken_connection(state, now, req, attempt, alive=False)
             effects = server_paths.note_failed(
                 state, now, attempt.server, "server_dead", attempt.via
             )
-            return effects + _handle_loss(state, now, req, attempt, Reason.SERVER_LOST)
+            return effects + _handle_loss(
+                state, now, req, attempt, Reason.SERVER_LOST, RetryCause.SERVER_DEAD
+            )
         case CancelReason.QUARANTINED:
             return refuse_quarantined(state, now, req)
         case CancelReason.UNRESPONSIVE | None if not attempt.sent:
-            return _retry_or_finish(state, now, req, attempt, Reason.NO_SERVER, uses_budget=False)
+            return _retry_or_finish(
+                state, now, req, attempt, Reason.NO_SERVER, None, uses_budget=False
+            )
         case CancelReason.UNRESPONSIVE:
             quarantine.record_unresponsive_connection(state, now, req, attempt)
             # The retry was charged to the retry budget when the connection was suspected.
-            return _handle_loss(state, now, req, attempt, Reason.SERVER_LOST, uses_budget=False)
+            cause = RetryCause.UNRESPONSIVE
+            return _handle_loss(
+                state, now, req, attempt, Reason.SERVER_LOST, cause, uses_budget=False
+            )
         case None:
-            return _handle_loss(state, now, req, attempt, Reason.SERVER_LOST)
+            return _handle_loss(state, now, req, attempt, Reason.SERVER_LOST, RetryCause.CANCELLED)
         case unreachable:
             assert_never(unreachable)
 
 
-def _requeue_stopped(state: State, now: float, req: Request) -> list[Effect]:
+def _requeue_stopped(state: State, now: float, req: Request, cause: RetryCause) -> list[Effect]:
     """Requeue a request whose attempt this instance stopped, to resume elsewhere."""
     if req.caller_left:
         # Prevents generating the rest for a caller that has left.
         return finish(state, now, req, unanswered_outcome(req), Reason.CALLER_LEFT)
-    _requeue(state, now, req)
+    _requeue(state, now, req, cause)
     return []
 
 
 def _retry_or_finish(
-    state: State, now: float, req: Request, attempt: Attempt, reason: Reason, *, uses_budget: bool
+    state: State,
+    now: float,
+    req: Request,
+    attempt: Attempt,
+    reason: Reason,
+    cause: RetryCause | None,
+    *,
+    uses_budget: bool,
 ) -> list[Effect]:
-    """Requeue a request at the front of its queue if the rules for retries allow it."""
+    """Requeue a request at the front of its queue if the rules for retries allow it.
+
+    The cause is None if nothing of the attempt was sent.
+    """
     req.failed_servers.add(attempt.server)
     if req.caller_left:
         return finish(state, now, req, unanswered_outcome(req), Reason.CALLER_LEFT)
@@ -375,14 +406,17 @@
         return finish(state, now, req, unanswered_outcome(req), reason, server=attempt.server)
     if req.sends_max is not None and req.sent_attempts >= req.sends_max:
         return finish(state, now, req, unanswered_outcome(req), reason, server=attempt.server)
-    if uses_budget and not spend_retry(state, now, req):
-        return finish(state, now, req, unanswered_outcome(req), reason, server=attempt.server)
-    _requeue(state, now, req)
+    if uses_budget and not retry.spend_retry(state, now, req):
+        effects = retry.report_refused(state, now, req, cause)
+        outcome = unanswered_outcome(req)
+        return effects + finish(state, now, req, outcome, reason, server=attempt.server)
+    _requeue(state, now, req, cause)
     return [Count("attempt.retry")]
 
 
-def _requeue(state: State, now: float, req: Request) -> None:
+def _requeue(state: State, now: float, req: Request, cause: RetryCause | None) -> None:
     """Put a request back into its queue, or hold it if it is a suspect."""
+    req.retry_cause = cause or req.retry_cause
     req.phase = RequestPhase.WAITING
     if isolated_runs.must_wait_outside_queue(state, now, req):
         isolated_runs.hold_after_crash(state, now, req)
--- a/packages/turmericweir-core/turmericweir_core/trust/retry.py
+++ b/packages/turmericweir-core/turmericweir_core/trust/retry.py
@@ -17,8 +17,9 @@
 from turmericweir_core.base.config import ServiceKind
 from turmericweir_core.base.ids import Target
 from turmericweir_core.base.options import Options
-from turmericweir_core.base.request import Request
+from turmericweir_core.base.request import Request, RetryCause
 from turmericweir_core.membership import membership
+from turmericweir_core.messages.effects import Count, Effect, Log
 from turmericweir_core.state.retry_state import RetryBucket, RetryBudget
 
 if TYPE_CHECKING:
@@ -83,6 +84,36 @@
     return True
 
 
+def note_sent(state: State, now: float, req: Request) -> list[Effect]:
+    """Record that an attempt is sent; count it by its cause if the request was sent before."""
+    req.arrivals += 1
+    if req.arrivals == 1:
+        return []
+    cause = req.retry_cause or RetryCause.CANCELLED
+    fields = {"request_id": req.request_id, "cause": cause, **describe(state, now, req.target)}
+    return [Count(f"retry.sent.{req.target}.{cause}"), Log("retry_sent", fields)]
+
+
+def report_refused(
+    state: State, now: float, req: Request, cause: RetryCause | None
+) -> list[Effect]:
+    """Count and log a retry that the budget does not allow."""
+    fields = {"request_id": req.request_id, "cause": cause, **describe(state, now, req.target)}
+    return [Count(f"retry.refused.{req.target}"), Log("retry_refused", fields)]
+
+
+def describe(state: State, now: float, target: Target) -> dict[str, float]:
+    """Return what the window of a target holds and allows, for logs and the state dump."""
+    budget = state.retries
+    first_attempts, retries = _window_counts(budget, state.options, now, target)
+    return {
+        "first_attempts": first_attempts,
+        "retries": retries,
+        "left": round(retries_left(state, now, target), 2),
+        "sharing_instances": _sharing_instances(budget, now),
+    }
+
+
 def on_tick(state: State, now: float) -> None:
     """Update the number of instances that share the burst."""
     budget = state.retries
--- a/packages/turmericweir/turmericweir/operations/entry_admin.py
+++ b/packages/turmericweir/turmericweir/operations/entry_admin.py
@@ -117,9 +117,7 @@
             "software_versions": stream_servers.describe_versions(state),
             "streams": stream_bindings.describe(state, state.me.name),
             "indirect_paths": server_paths.indirect_paths(state, now),
-            "retries_left": {
-                name: retry.retries_left(state, now, name) for name in state.queues.targets
-            },
+            "retries": {name: retry.describe(state, now, name) for name in state.queues.targets},
         }
         views = {name: dump(view()) for name, view in self._views.items()}
         return {**dumped, "beliefs": dump(derived), "process": views}
