Charge each retry when it is sent, and let no window count the first attempts or the burst of two processes

Cause: what is bounded for all instances over a time was counted by each process in a window of its own. A process that started had its part of the burst again and earned from its first request on, while what the earlier one had used still counted at the servers; the same where callers moved, as two instances each used the first attempts of a window. Parts followed what each process had seen. Retries were charged when decided and arrived when a server had room; an attempt that was sent while it was being cancelled as unsent was repeated for nothing.

Change: what first attempts earn expires after 3 s and 10/13 of the share is used, so no window holds more than its own, whoever earned it; whoever gets a larger part of the burst waits for a window and 5 s; who may be cut off uses none; parts are lent (one concept with the loans of announced limits); every attempt passes one place that charges it. It is one change, since the parts of the account hold only together.

--- a/packages/turmericweir-core/turmericweir_core/base/options.py
+++ b/packages/turmericweir-core/turmericweir_core/base/options.py
@@ -268,8 +268,9 @@
     retry_pay_all: bool = False
     # Window in which retries are compared with first attempts; 0.0 uses the token bucket above.
     retry_window_s: float = 0.0
-    # Share of the window's budget that is used, as other instances count over other windows.
-    retry_use_share: float = 0.8
+    # Share of the window's burst that is used, as servers receive retries some time after they are
+    # sent.
+    retry_use_share: float = 0.9
 
     # --- keys ---
     # Maximum age of the proof that keys are valid for serving callers with keys; infinite if the
--- a/packages/turmericweir-core/turmericweir_core/base/request.py
+++ b/packages/turmericweir-core/turmericweir_core/base/request.py
@@ -197,6 +197,8 @@
     # Attempts that were sent, whatever the servers reported, and why it was last queued again.
     arrivals: int = 0
     retry_cause: RetryCause | None = None
+    # A retry of the budget is reserved for its next attempt.
+    holds_retry: bool = False
     # Latest time of the final answer to the caller, whatever is still running; None for no limit.
     end_by: float | None = None
     # Whether other servers may go on with its stream after the events that the caller has.
--- a/packages/turmericweir-core/turmericweir_core/membership/announced_limits.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/announced_limits.py
@@ -23,7 +23,8 @@
 from turmericweir_core.membership.subset import rendezvous_weight
 from turmericweir_core.messages.effects import Effect, Log
 from turmericweir_core.messages.peer_messages import LimitRow
-from turmericweir_core.state.announced_limit import AnnouncedLimit, Loan
+from turmericweir_core.state.announced_limit import AnnouncedLimit
+from turmericweir_core.state.loan_state import Loan
 from turmericweir_core.state.server_table import Server
 
 if TYPE_CHECKING:
--- a/packages/turmericweir-core/turmericweir_core/membership/limit_loans.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/limit_loans.py
@@ -17,7 +17,7 @@
 from typing import TYPE_CHECKING, Final
 
 from turmericweir_core.base.ids import InstanceName, ServerName, Target
-from turmericweir_core.membership import announced_limits, membership
+from turmericweir_core.membership import announced_limits, loan_asks, membership
 from turmericweir_core.membership.subset import open_servers
 from turmericweir_core.messages.effects import Count, Effect, SendDatagram
 from turmericweir_core.messages.peer_messages import LimitLoan, LimitLoanAsk, LoanRow
@@ -81,9 +81,9 @@
 def on_tick(state: State, now: float) -> list[Effect]:
     """Ask another instance for a loan, for each target whose tokens will not last."""
     limits = state.announced_limits
-    if not limits.demand or now < limits.next_loan_ask_at:
+    if not limits.demand or not loan_asks.is_due(limits.asks, now, _ASK_INTERVAL_S):
         return []
-    limits.next_loan_ask_at = now + _ASK_INTERVAL_S
+    loan_asks.drop_unanswered(limits.asks, now, _LOAN_S)
     effects: list[Effect] = []
     for target, demand in list(limits.demand.items()):
         rate_s = _rate_now(demand, now)
@@ -105,10 +105,6 @@
     missing = ceil(_needed(rate_s) - available - share_s * _DEMAND_AHEAD_S)
     if missing <= 0:
         return []
-    limits = state.announced_limits
-    limits.asked_at = {
-        number: asked_at for number, asked_at in limits.asked_at.items() if now - asked_at < _LOAN_S
-    }
     effects: list[Effect] = []
     for member, names in _lenders(state, now, limited[:_SERVERS_MAX])[:_LENDERS_MAX]:
         if missing <= 0:
@@ -116,7 +112,6 @@
         effects.append(_ask_lender(state, now, member, names, min(missing, _TOKENS_MAX)))
         # It has at least one token for each of its servers, unless it has sent or lent it.
         missing -= len(names)
-    limits.next_lender += len(effects)
     return effects
 
 
@@ -131,29 +126,25 @@
         for member in membership.live_instances(state, now)
         if member.name in names_by_lender and member.name != state.me.name
     ]
-    first = state.announced_limits.next_lender % max(1, len(lenders))
-    return lenders[first:] + lenders[:first]
+    return loan_asks.in_turn(state.announced_limits.asks, lenders)
 
 
 def _ask_lender(
     state: State, now: float, member: Member, names: list[str], tokens: int
 ) -> SendDatagram:
-    limits = state.announced_limits
-    limits.loan_asks += 1
-    limits.asked_at[limits.loan_asks] = now
-    ask = LimitLoanAsk(limits.loan_asks, names, tokens)
+    ask = LimitLoanAsk(loan_asks.note_sent(state.announced_limits.asks, now), names, tokens)
     return SendDatagram(member.name, member.peer_address, ask)
 
 
 def on_loan(state: State, now: float, loan: LimitLoan) -> list[Effect]:
     """Add the tokens of a loan, unless it has expired on its way."""
-    asked_at = state.announced_limits.asked_at.pop(loan.number, None)
-    if asked_at is None or now >= asked_at + _LOAN_S:
+    until = loan_asks.take_answered(state.announced_limits.asks, now, loan.number, _LOAN_S)
+    if until is None:
         return []
     for row in loan.rows:
         server = state.servers.by_name.get(ServerName(row.server))
         if server is not None and server.entry.incarnation == row.incarnation:
-            announced_limits.borrow(state, server, row.tokens, asked_at + _LOAN_S)
+            announced_limits.borrow(state, server, row.tokens, until)
     return [Count("limits.borrowed", sum(row.tokens for row in loan.rows))]
 
 
--- a/packages/turmericweir-core/turmericweir_core/messages/peer_messages.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/peer_messages.py
@@ -71,6 +71,22 @@
     rows: list[LoanRow]
 
 
+class RetryLoanAsk(Struct, frozen=True, array_like=True):
+    """Asks another instance for some of its part of the retry budget of a target."""
+
+    number: int
+    target: str
+    retries: float
+
+
+class RetryLoan(Struct, frozen=True, array_like=True):
+    """Lends retries of a target to the instance that asked under this number."""
+
+    number: int
+    target: str
+    retries: float
+
+
 class BrittleRow(Struct, frozen=True, array_like=True):
     """Statement of a backend server that it falls over if it refuses too many requests."""
 
@@ -725,6 +741,8 @@
     | CrashesAsk
     | LimitLoanAsk
     | LimitLoan
+    | RetryLoanAsk
+    | RetryLoan
     | TrialAsk
     | TrialAnswer
     | TrialEnd
@@ -772,6 +790,8 @@
     CrashesAsk,
     LimitLoanAsk,
     LimitLoan,
+    RetryLoanAsk,
+    RetryLoan,
     TrialAsk,
     TrialAnswer,
     TrialEnd,
--- a/packages/turmericweir-core/turmericweir_core/placement/answer_moves.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/answer_moves.py
@@ -18,7 +18,7 @@
 
 from turmericweir_core.base.config import PlacementPolicy
 from turmericweir_core.base.ids import ServerName
-from turmericweir_core.base.request import Attempt, CancelReason, Request
+from turmericweir_core.base.request import Attempt, CancelReason, Request, RetryCause
 from turmericweir_core.credits.credit_holder import uses_local_counts
 from turmericweir_core.membership import announced_limits
 from turmericweir_core.messages.effects import Count, Effect, Log
@@ -27,7 +27,7 @@
 from turmericweir_core.state import straggler
 from turmericweir_core.state.server_table import Server
 from turmericweir_core.streams.stream_servers import open_servers_for
-from turmericweir_core.trust.retry import spend_retry
+from turmericweir_core.trust import retry
 
 if TYPE_CHECKING:
     from turmericweir_core.state.state import State
@@ -47,7 +47,7 @@
         return []
     if not _can_move(state, req, attempt) or not _would_move_help(state, now, req, attempt, gap_s):
         return []
-    if not spend_retry(state, now, req):
+    if not retry.take(state, now, req, RetryCause.MOVED):
         return []
     req.was_moved = True
     effects: list[Effect] = [Count(f"moved.{req.service_class.name}")]
--- a/packages/turmericweir-core/turmericweir_core/reducers/reducer_common.py
+++ b/packages/turmericweir-core/turmericweir_core/reducers/reducer_common.py
@@ -51,6 +51,8 @@
     MembersSend,
     PathsAsk,
     PathsSend,
+    RetryLoan,
+    RetryLoanAsk,
     ServersAsk,
     ServersSend,
     StreamAsk,
@@ -65,7 +67,7 @@
 from turmericweir_core.state import prefix, server_table
 from turmericweir_core.state.account_store import expire_accounts
 from turmericweir_core.state.state import State
-from turmericweir_core.trust import quarantine, retry, server_paths
+from turmericweir_core.trust import quarantine, retry_loans, retry_shares, server_paths
 
 CommonEvent: TypeAlias = (
     RequestArrived
@@ -171,6 +173,10 @@
         case LimitLoan() as loan:
             effects = limit_loans.on_loan(state, now, loan)
             return effects + dispatch.dispatch_all(state, now)
+        case RetryLoanAsk() as ask:
+            return retry_loans.on_ask(state, now, sender, ask)
+        case RetryLoan() as loan:
+            return retry_loans.on_loan(state, now, loan)
         case LoadNews() as update:
             load_updates.on_load_update(state, now, sender, update)
             return dispatch.dispatch_all(state, now)
@@ -184,8 +190,10 @@
 
 def tick_requests(state: State, now: float) -> list[Effect]:
     """Run the periodic work for requests and their attempts."""
-    retry.on_tick(state, now)
+    if state.options.retry_window_s:
+        retry_shares.on_tick(state, now)
     effects = taken_up.on_tick(state, now)
+    effects += retry_loans.on_tick(state, now)
     effects += limit_loans.on_tick(state, now)
     effects += lifecycle.on_tick(state, now)
     effects += dispatch.on_tick(state, now)
--- a/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
@@ -241,24 +241,19 @@
                 # A refusal does not count as a send. Prevents a call with a single send from ending
                 # at the first full server.
                 req.sent_attempts -= 1
-            uses_budget = not is_leaving or state.options.retry_pay_all
             cause = RetryCause.LEAVING if is_leaving else RetryCause.REFUSED
             server = state.servers.by_name.get(attempt.server)
             effects = []
             if server is not None and not is_leaving:
                 effects += brittle_servers.note_refused(state, now, server)
-            return effects + _retry_or_finish(
-                state, now, req, attempt, Reason.OVERLOAD, cause, uses_budget=uses_budget
-            )
+            return effects + _retry_or_finish(state, now, req, attempt, Reason.OVERLOAD, cause)
         case EndUnsent(error) if attempt.sent:
             # An attempt that was reported as sent may have run, so `not_run` may be wrong.
             return _handle_end(state, now, req, attempt, EndBroken(error, server_alive=False))
         case EndUnsent(error):
             req.unsent_attempts += 1
             effects = server_paths.note_failed(state, now, attempt.server, error, attempt.via)
-            effects += _retry_or_finish(
-                state, now, req, attempt, Reason.NO_SERVER, None, uses_budget=False
-            )
+            effects += _retry_or_finish(state, now, req, attempt, Reason.NO_SERVER, None)
             return [_failure_log(req, attempt, "unsent", error), *effects]
         case EndBroken(error, server_alive):
             req.may_have_run = True
@@ -269,13 +264,8 @@
             if attempt.cancel_reason is not None:
                 # It broke while being cancelled; the reason of the cancellation still applies.
                 return [*logs, *_handle_cancelled(state, now, req, attempt)]
-            # Retries after a crash add no load, as the server has none now. Prevents the crash of a
-            # full server from using up the retry budget.
-            uses_budget = server_alive or state.options.retry_pay_all
             cause = RetryCause.BROKEN if server_alive else RetryCause.SERVER_GONE
-            effects = _handle_loss(
-                state, now, req, attempt, Reason.SERVER_LOST, cause, uses_budget=uses_budget
-            )
+            effects = _handle_loss(state, now, req, attempt, Reason.SERVER_LOST, cause)
             return [*logs, *effects]
         case EndServerError(status):
             req.may_have_run = True
@@ -308,8 +298,6 @@
     attempt: Attempt,
     reason: Reason,
     cause: RetryCause,
-    *,
-    uses_budget: bool = True,
 ) -> list[Effect]:
     """Retry or end a request whose attempt was lost."""
     if not req.repeatable:
@@ -318,7 +306,7 @@
     if req.kind is ServiceKind.PLAIN and req.delivered:
         # The caller has part of the answer, and a second run could not be joined to it.
         return finish(state, now, req, Outcome.FAILED, reason, server=attempt.server)
-    return _retry_or_finish(state, now, req, attempt, reason, cause, uses_budget=uses_budget)
+    return _retry_or_finish(state, now, req, attempt, reason, cause)
 
 
 def _handle_cancelled(state: State, now: float, req: Request, attempt: Attempt) -> list[Effect]:
@@ -338,7 +326,7 @@
             count = Count(f"displaced.{req.service_class.name}")
             return [count, *_requeue_stopped(state, now, req, RetryCause.DISPLACED)]
         case CancelReason.MOVED:
-            # The move was charged to the retry budget, and only repeatable requests are moved.
+            # Only repeatable requests are moved.
             req.failed_servers.add(attempt.server)
             return _requeue_stopped(state, now, req, RetryCause.MOVED)
         case CancelReason.SERVER_DEAD:
@@ -352,16 +340,11 @@
         case CancelReason.QUARANTINED:
             return refuse_quarantined(state, now, req)
         case CancelReason.UNRESPONSIVE | None if not attempt.sent:
-            return _retry_or_finish(
-                state, now, req, attempt, Reason.NO_SERVER, None, uses_budget=False
-            )
+            return _retry_or_finish(state, now, req, attempt, Reason.NO_SERVER, None)
         case CancelReason.UNRESPONSIVE:
             quarantine.record_unresponsive_connection(state, now, req, attempt)
-            # The retry was charged to the retry budget when the connection was suspected.
             cause = RetryCause.UNRESPONSIVE
-            return _handle_loss(
-                state, now, req, attempt, Reason.SERVER_LOST, cause, uses_budget=False
-            )
+            return _handle_loss(state, now, req, attempt, Reason.SERVER_LOST, cause)
         case None:
             return _handle_loss(state, now, req, attempt, Reason.SERVER_LOST, RetryCause.CANCELLED)
         case unreachable:
@@ -373,7 +356,9 @@
     if req.caller_left:
         # Prevents generating the rest for a caller that has left.
         return finish(state, now, req, unanswered_outcome(req), Reason.CALLER_LEFT)
-    _requeue(state, now, req, cause)
+    if not retry.take(state, now, req, cause):
+        return finish(state, now, req, unanswered_outcome(req), Reason.DISPLACED)
+    _requeue(state, now, req)
     return []
 
 
@@ -384,8 +369,6 @@
     attempt: Attempt,
     reason: Reason,
     cause: RetryCause | None,
-    *,
-    uses_budget: bool,
 ) -> list[Effect]:
     """Requeue a request at the front of its queue if the rules for retries allow it.
 
@@ -406,17 +389,16 @@
         return finish(state, now, req, unanswered_outcome(req), reason, server=attempt.server)
     if req.sends_max is not None and req.sent_attempts >= req.sends_max:
         return finish(state, now, req, unanswered_outcome(req), reason, server=attempt.server)
-    if uses_budget and not retry.spend_retry(state, now, req):
+    if not retry.take(state, now, req, cause):
         effects = retry.report_refused(state, now, req, cause)
         outcome = unanswered_outcome(req)
         return effects + finish(state, now, req, outcome, reason, server=attempt.server)
-    _requeue(state, now, req, cause)
+    _requeue(state, now, req)
     return [Count("attempt.retry")]
 
 
-def _requeue(state: State, now: float, req: Request, cause: RetryCause | None) -> None:
+def _requeue(state: State, now: float, req: Request) -> None:
     """Put a request back into its queue, or hold it if it is a suspect."""
-    req.retry_cause = cause or req.retry_cause
     req.phase = RequestPhase.WAITING
     if isolated_runs.must_wait_outside_queue(state, now, req):
         isolated_runs.hold_after_crash(state, now, req)
--- a/packages/turmericweir-core/turmericweir_core/requests/lifecycle.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/lifecycle.py
@@ -46,8 +46,13 @@
 from turmericweir_core.streams import stream_bindings, stream_lookup
 from turmericweir_core.streams.stream_lookup import Found, Pending, Unknown
 from turmericweir_core.streams.stream_servers import is_in_service
-from turmericweir_core.trust import isolated_runs, liveness_evidence, lost_connections, quarantine
-from turmericweir_core.trust.retry import earn_retry
+from turmericweir_core.trust import (
+    isolated_runs,
+    liveness_evidence,
+    lost_connections,
+    quarantine,
+    retry,
+)
 
 # Time before the end of a stopping instance at which the last waiting requests are answered.
 _STOP_ANSWER_S: Final = 0.5
@@ -126,7 +131,7 @@
     effects = _decide_admission(state, now, req)
     if req.phase is RequestPhase.DONE:
         return effects
-    earn_retry(state, now, req)
+    retry.earn_retry(state, now, req)
     if req.idempotency_key is not None and not req.repeatable:
         # `claim_flow` admits it once its key is claimed.
         req.phase = RequestPhase.CLAIMING
@@ -250,6 +255,7 @@
     effects += liveness_evidence.on_tick(state, now)
     effects += _finish_unservable(state, now)
     effects += _finish_without_release(state, now)
+    effects += _finish_overdrawn(state, now)
     for req in list(state.requests.values()):
         if req.attempt is not None:
             effects += _check_running(state, now, req, req.attempt)
@@ -318,6 +324,27 @@
     return effects
 
 
+def _finish_overdrawn(state: State, now: float) -> list[Effect]:
+    """End waiting requests whose reserved retries the budget does not cover any more."""
+    effects: list[Effect] = []
+    for target in state.retries.windows:
+        if not retry.is_overdrawn(state, now, target):
+            continue
+        waiting = [
+            req
+            for req in state.requests.values()
+            if req.holds_retry and req.target == target and req.phase is RequestPhase.WAITING
+        ]
+        waiting.sort(key=lambda req: (-req.priority, -req.arrived_at))
+        for req in waiting:
+            if not retry.is_overdrawn(state, now, target):
+                break
+            queue_state.remove(state.queues, req)
+            effects += retry.report_refused(state, now, req, req.retry_cause)
+            effects += finish(state, now, req, unanswered_outcome(req), Reason.OVERLOAD)
+    return effects
+
+
 def _check_running(state: State, now: float, req: Request, attempt: Attempt) -> list[Effect]:
     """Cancel an attempt that is past its deadline or unresponsive."""
     options = state.options
@@ -366,6 +393,7 @@
     """Create a request's account and remove the request."""
     req.phase = RequestPhase.DONE
     state.requests.pop(RequestId(req.request_id), None)
+    retry.give_back(state, req)
     isolated_runs.remove_suspect(state, req.request_id)
     limit.settle_charge(state, now, req, outcome)
     if outcome is Outcome.COMPLETED:
--- a/packages/turmericweir-core/turmericweir_core/state/announced_limit.py
+++ b/packages/turmericweir-core/turmericweir_core/state/announced_limit.py
@@ -7,17 +7,11 @@
 from msgspec import Struct, field
 
 from turmericweir_core.base.ids import InstanceName, ServerName, Target
+from turmericweir_core.state.loan_state import Loan, LoanAsks
 
 _NEVER: Final = float("-inf")
 
 
-class Loan(Struct, frozen=True):
-    """Requests of a limit that one instance lends to another."""
-
-    tokens: int
-    until: float
-
-
 class RecentDemand(Struct):
     """The requests per second for a target at this instance, as of the last one."""
 
@@ -68,11 +62,6 @@
     next_sharers_update_at: float = _NEVER
     # The demand for targets whose servers may be limited, admitted or not.
     demand: dict[Target, RecentDemand] = field(default_factory=dict)
-    # Number of the newest request for a loan, when recent ones were sent, when the next is, and
-    # the position of its recipient among the instances with a share.
-    loan_asks: int = 0
-    asked_at: dict[int, float] = field(default_factory=dict)
-    next_loan_ask_at: float = _NEVER
-    next_lender: int = 0
+    asks: LoanAsks = field(default_factory=LoanAsks)
     # Position in the statements, for sending them to peers in turn.
     next_row: int = 0
--- a/packages/turmericweir-core/turmericweir_core/trust/lost_connections.py
+++ b/packages/turmericweir-core/turmericweir_core/trust/lost_connections.py
@@ -16,10 +16,11 @@
 
 from typing import TYPE_CHECKING, Final
 
-from turmericweir_core.base.request import Attempt, Request
+from turmericweir_core.base.request import Attempt, Request, RetryCause
 from turmericweir_core.engines import engine_model
+from turmericweir_core.trust import retry
 from turmericweir_core.trust.liveness_evidence import has_evidence_of_loss, record_lost_connection
-from turmericweir_core.trust.retry import has_attempts_left, may_retry, spend_retry
+from turmericweir_core.trust.retry import has_attempts_left
 
 if TYPE_CHECKING:
     from turmericweir_core.state.state import State
@@ -64,7 +65,7 @@
     if not attempt.sent:
         # No server can have started it, so its next attempt is not a retry.
         return True
-    return may_retry(state, now, req) and spend_retry(state, now, req)
+    return retry.take(state, now, req, RetryCause.UNRESPONSIVE)
 
 
 def _is_stream_overdue(state: State, waited_s: float, attempt: Attempt) -> bool:
--- a/tests/core/retry_count.py
+++ b/tests/core/retry_count.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left, bisect_right
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
-from bisect import bisect_left, bisect_right
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/core/store_world.py
+++ b/tests/core/store_world.py
@@ -33,6 +33,7 @@
 from turmericweir_core.reducers.reducer_store import reduce
 from turmericweir_core.state.document_state import DocumentState
 from turmericweir_core.state.membership_state import Member
+from turmericweir_core.state.retry_state import SharersView
 from turmericweir_core.state.state import Identity, State
 
 E = TypeVar("E", bound=Effect)
@@ -80,8 +81,9 @@
             document=DocumentState(),
         )
         self.now = 100.0
-        # Started long enough ago to know all others.
+        # Started long enough ago to know all others and to have a part of the burst of retries.
         self.state.members.started_at = 0.0
+        self.state.retries.sharers = [SharersView(0, 0.0, (identity.name,))]
         self.effects: list[Effect] = []
         self.give_document(1)
         self.entries = [
--- a/tests/platform/test_retry_budget.py
+++ b/tests/platform/test_retry_budget.py
@@ -44,7 +44,7 @@
 
 def _send(world: PlatformWorld, instance: str, request_id: str) -> None:
     with suppress(OSError, http.client.HTTPException):
-        # No two requests share content, since a request that breaks many connections is quarantined.
+        # Each has its own content: a request that breaks many connections is quarantined.
         world.send(
             "/lm/chat/",
             instance=instance,
