Grant a part of a retry by chance, so that instances with few requests use what they earn

Cause: after a start, and at instances with few requests, what first attempts earn expires before it is a whole retry.

Change: a retry is granted for the part that is left with that probability. The number is drawn every 3 s and not for each request, since many draws for one part would grant nearly all; the rest is charged to the burst, so the next ones are missing there. A larger part of the burst is used after 3 s for the news to spread, not 5 s, so that one who starts waits 13 s.

--- a/packages/turmericweir-core/turmericweir_core/state/retry_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/retry_state.py
@@ -36,6 +36,9 @@
     # Parts of the burst of other instances that this one may use, and own ones that others may use.
     borrowed: list[Loan] = field(default_factory=list)
     lent: list[Loan] = field(default_factory=list)
+    # Part of a retry above which one is granted, and when that is drawn again.
+    drawn: float = 0.0
+    draw_again_at: float = _NEVER
     # This instance's part of the burst, by the number of the view of the sharers.
     part_by_view: dict[int, int] = field(default_factory=dict)
 
--- a/packages/turmericweir-core/turmericweir_core/trust/retry.py
+++ b/packages/turmericweir-core/turmericweir_core/trust/retry.py
@@ -90,9 +90,9 @@
         req.holds_retry = True
         return True
     window = _window_of(budget, req.target)
-    left = retries_left(state, now, req.target)
+    left = retries_left(state, now, req.target) - _kept_for_others(state, now, req, cause)
     # A displaced request is queued again in any case: this instance ended its attempt for others.
-    if cause is not RetryCause.DISPLACED and left < 1.0 + _kept_for_others(state, now, req, cause):
+    if cause is not RetryCause.DISPLACED and not _is_granted(state, now, window, left):
         budget.refused += 1
         _current_bucket(window, options, now).wanted += 1
         return False
@@ -101,6 +101,18 @@
     return True
 
 
+def _is_granted(state: State, now: float, window: RetryWindow, left: float) -> bool:
+    """Return whether a retry may be made; part of a retry is granted with that probability.
+
+    Prevents many instances with few requests each from retrying nothing. The rest is charged to the
+    burst, so the next retries are missing here; drawn once in a while, not for each request.
+    """
+    if now >= window.draw_again_at:
+        window.draw_again_at = now + _EARNED_KEEP_S
+        window.drawn = state.rng.random()
+    return left >= 1.0 or left > window.drawn
+
+
 def _kept_for_others(state: State, now: float, req: Request, cause: RetryCause) -> float:
     """Return the retries that a request must leave to others."""
     is_unrun = cause in (RetryCause.REFUSED, RetryCause.LEAVING)
@@ -194,7 +206,8 @@
     options = state.options
     half_s = options.retry_window_s / 2
     earned = max(_earned(options, window, now - shift * half_s) for shift in range(3))
-    return window.reserved > earned + max(0.0, _burst_left(state, now, target, window))
+    # One retry may be granted for a part of one.
+    return window.reserved > 1.0 + earned + max(0.0, _burst_left(state, now, target, window))
 
 
 def own_burst_left(state: State, now: float, target: Target, window: RetryWindow) -> float:
--- a/packages/turmericweir-core/turmericweir_core/trust/retry_shares.py
+++ b/packages/turmericweir-core/turmericweir_core/trust/retry_shares.py
@@ -26,7 +26,7 @@
     from turmericweir_core.state.state import State
 
 # Time in which a change of the membership reaches all instances.
-_SPREAD_S: Final = 5.0
+_SPREAD_S: Final = 3.0
 # How long an instance that is out of reach keeps its part.
 _SHARER_KEEP_S: Final = 60.0
 # Age of the proof of the settings from which an instance that misses others counts as cut off.
