--- a/tests/platform/test_versions.py
+++ b/tests/platform/test_versions.py
@@ -28,7 +28,12 @@
 
 @contextmanager
 def open_world(
-    path: Path, *, engines: int = 4, instances: int = 3, versions: tuple[str, ...] = VERSIONS
+    path: Path,
+    *,
+    engines: int = 4,
+    instances: int = 3,
+    versions: tuple[str, ...] = VERSIONS,
+    **bounds: float,
 ) -> Iterator[PlatformWorld]:
     """Yield a world with engines of several versions."""
     # Proofs are renewed rarely, so a killed reader of the store refuses no keys.
@@ -38,7 +43,7 @@
         plain_servers=0,
         instances=instances,
         versions=versions,
-        bounds={"revoke_ms": 60_000},
+        bounds={"revoke_ms": 60_000, **bounds},
     )
     with world:
         for server in world.servers.values():
@@ -173,6 +178,15 @@
         assert_whole(finish(callers))
 
 
+def test_taken_up_stream_does_not_go_on_at_a_restarted_name(tmp_path: Path) -> None:
+    """Guards against two versions in a stream that its instance has no retry for."""
+    with open_world(tmp_path, instances=2, retry_ratio=0, retry_burst=0) as world:
+        callers = begin(world, 24, ("entry-1", "entry-2"))
+        world.crash_server("lm-1")
+        world.restart_server("lm-1", born=2, version="v2")
+        assert not joined(finish(callers))
+
+
 def test_stream_that_nobody_knows_is_refused_and_not_run(tmp_path: Path) -> None:
     """Guards against a stream that goes on at some version because none is known."""
     with open_world(tmp_path) as world:
