--- a/packages/turmericweir-core/turmericweir_core/claims/claim_peer.py
+++ b/packages/turmericweir-core/turmericweir_core/claims/claim_peer.py
@@ -12,8 +12,8 @@
 from turmericweir_core.base.account import Outcome
 from turmericweir_core.base.ids import InstanceName, RequestId
 from turmericweir_core.base.reasons import Reason
+from turmericweir_core.messages.claim_messages import ClaimAsk, ClaimKept, ClaimOpen, ClaimUnheld
 from turmericweir_core.messages.effects import Effect, SendPeer
-from turmericweir_core.messages.peer_messages import ClaimAsk, ClaimKept, ClaimOpen, ClaimUnheld
 from turmericweir_core.records.claim_answer import StoredAnswer, StoredEnd
 from turmericweir_core.records.claim_record import ClaimEnd
 from turmericweir_core.state.claim_state import RemoteWaiter, Wait
--- a/packages/turmericweir-core/turmericweir_core/claims/claim_vote.py
+++ b/packages/turmericweir-core/turmericweir_core/claims/claim_vote.py
@@ -21,8 +21,8 @@
 from turmericweir_core.base.ids import InstanceName, RequestId
 from turmericweir_core.base.options import Options
 from turmericweir_core.claims.claim_outbox import has_competing_claim, queue_withdrawal, writer_of
+from turmericweir_core.messages.claim_messages import ClaimRelease, ClaimVote, ClaimVoteAsk
 from turmericweir_core.messages.effects import Effect, SendPeer
-from turmericweir_core.messages.peer_messages import ClaimRelease, ClaimVote, ClaimVoteAsk
 from turmericweir_core.records.claim_record import NewClaim, RecordWriter, uuid7_time_ms
 from turmericweir_core.state.claim_ledger import Claim, ClaimFoldResult, holder_of
 from turmericweir_core.state.claim_state import ClaimState, Vote
--- a/packages/turmericweir-core/turmericweir_core/credits/credit.py
+++ b/packages/turmericweir-core/turmericweir_core/credits/credit.py
@@ -31,8 +31,8 @@
     update_live_instances,
 )
 from turmericweir_core.membership import membership
+from turmericweir_core.messages.credit_messages import CreditDemand, CreditGrant, TierDemand
 from turmericweir_core.messages.effects import Count, Effect, SendPeer
-from turmericweir_core.messages.peer_messages import CreditDemand, CreditGrant, TierDemand
 from turmericweir_core.state import queue_state
 from turmericweir_core.state.credit_state import CreditState
 from turmericweir_core.state.server_table import Server
--- a/packages/turmericweir-core/turmericweir_core/credits/credit_demand.py
+++ b/packages/turmericweir-core/turmericweir_core/credits/credit_demand.py
@@ -26,7 +26,7 @@
 from turmericweir_core.base.tiers import lowest_tier
 from turmericweir_core.credits.credit_holder import displaceable_attempts, used_by_tier
 from turmericweir_core.membership.subset import open_servers
-from turmericweir_core.messages.peer_messages import CreditDemand, TierDemand
+from turmericweir_core.messages.credit_messages import CreditDemand, TierDemand
 from turmericweir_core.queueing.displacement_delay import (
     count_ready_to_displace,
     displacement_wait_s,
--- a/packages/turmericweir-core/turmericweir_core/credits/credit_dispatcher.py
+++ b/packages/turmericweir-core/turmericweir_core/credits/credit_dispatcher.py
@@ -43,7 +43,7 @@
     update_use_of,
 )
 from turmericweir_core.membership.subset import instances_per_server
-from turmericweir_core.messages.peer_messages import (
+from turmericweir_core.messages.credit_messages import (
     CreditDemand,
     CreditGrant,
     ServerLoad,
--- a/packages/turmericweir-core/turmericweir_core/credits/credit_holder.py
+++ b/packages/turmericweir-core/turmericweir_core/credits/credit_holder.py
@@ -14,8 +14,8 @@
 from turmericweir_core.base.options import Options
 from turmericweir_core.credits.credit_ledger import demand_once_started, grant_covers
 from turmericweir_core.credits.dispatcher_selection import dispatcher_of
+from turmericweir_core.messages.credit_messages import CreditGrant, ServerLoad
 from turmericweir_core.messages.events import ServerReport
-from turmericweir_core.messages.peer_messages import CreditGrant, ServerLoad
 from turmericweir_core.state.concurrency import limited_slots
 from turmericweir_core.state.credit_state import HeldCredit
 from turmericweir_core.state.server_table import Server, note_report
--- a/packages/turmericweir-core/turmericweir_core/credits/credit_ledger.py
+++ b/packages/turmericweir-core/turmericweir_core/credits/credit_ledger.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 
 from turmericweir_core.credits.credit_allocation import Capacity
-from turmericweir_core.messages.peer_messages import TierDemand, TierGrant
+from turmericweir_core.messages.credit_messages import TierDemand, TierGrant
 from turmericweir_core.state.credit_state import CreditHolding, CreditLedger
 
 
--- a/packages/turmericweir-core/turmericweir_core/duties/election.py
+++ b/packages/turmericweir-core/turmericweir_core/duties/election.py
@@ -15,8 +15,8 @@
 from turmericweir_core.base.ids import InstanceName
 from turmericweir_core.leases import lease_flow
 from turmericweir_core.membership import membership, relays
+from turmericweir_core.messages.duty_messages import DutyStatus
 from turmericweir_core.messages.effects import Effect, Log, SendDatagram
-from turmericweir_core.messages.peer_messages import DutyStatus
 from turmericweir_core.records.lease_record import LeaseScope
 from turmericweir_core.state.duty_state import DutyState
 from turmericweir_core.state.lease_state import HeldLease
--- a/packages/turmericweir-core/turmericweir_core/duties/usage.py
+++ b/packages/turmericweir-core/turmericweir_core/duties/usage.py
@@ -19,9 +19,9 @@
 from turmericweir_core.duties import election
 from turmericweir_core.leases import lease_flow
 from turmericweir_core.membership import membership
+from turmericweir_core.messages.duty_messages import UsageCounts, WindowCounts
 from turmericweir_core.messages.effects import Count, Effect, Log, ReportUsage, SendDatagram
 from turmericweir_core.messages.events import DutyAnswered, DutyOutcome
-from turmericweir_core.messages.peer_messages import UsageCounts, WindowCounts
 from turmericweir_core.records.usage_note import UsageNote, decode_usage_note, encode_usage_note
 from turmericweir_core.state import usage_meter
 from turmericweir_core.state.duty_state import DutyState, ReportedUsage
--- a/packages/turmericweir-core/turmericweir_core/engines/cache_handover.py
+++ b/packages/turmericweir-core/turmericweir_core/engines/cache_handover.py
@@ -13,7 +13,7 @@
 from turmericweir_core.engines import engine_model
 from turmericweir_core.membership import membership
 from turmericweir_core.messages.effects import Effect, Log, SendPeer
-from turmericweir_core.messages.peer_messages import CachesAsk, CachesSend, CachesServer
+from turmericweir_core.messages.load_messages import CachesAsk, CachesSend, CachesServer
 
 if TYPE_CHECKING:
     from turmericweir_core.state.state import State
--- a/packages/turmericweir-core/turmericweir_core/engines/engine_model.py
+++ b/packages/turmericweir-core/turmericweir_core/engines/engine_model.py
@@ -25,7 +25,7 @@
 from turmericweir_core.base.options import Options
 from turmericweir_core.base.request import Attempt, Request
 from turmericweir_core.base.tiers import scheduling_rank
-from turmericweir_core.messages.peer_messages import SentPart
+from turmericweir_core.messages.load_messages import SentPart
 from turmericweir_core.state import engine_speed
 from turmericweir_core.state.engine_speed import EngineSpeed
 from turmericweir_core.state.engine_state import EngineInfo, EngineLoad, PendingPrompt, Prefill
--- a/packages/turmericweir-core/turmericweir_core/engines/engine_pools.py
+++ b/packages/turmericweir-core/turmericweir_core/engines/engine_pools.py
@@ -35,7 +35,7 @@
 from turmericweir_core.base.tiers import scheduling_rank
 from turmericweir_core.engines import engine_model, urgent_demand
 from turmericweir_core.membership.subset import rendezvous_weight
-from turmericweir_core.messages.peer_messages import DemandRow
+from turmericweir_core.messages.load_messages import DemandRow
 from turmericweir_core.queueing import urgent_first
 from turmericweir_core.state.pool_state import EngineDemand, EngineSplit, ReportedDemand
 from turmericweir_core.state.server_table import Server
--- a/packages/turmericweir-core/turmericweir_core/engines/load_relay.py
+++ b/packages/turmericweir-core/turmericweir_core/engines/load_relay.py
@@ -22,7 +22,7 @@
 from turmericweir_core.engines import engine_model
 from turmericweir_core.membership import membership, relays
 from turmericweir_core.messages.effects import Effect, Log, SendDatagram
-from turmericweir_core.messages.peer_messages import (
+from turmericweir_core.messages.load_messages import (
     BundledNews,
     DemandRow,
     LoadBundle,
--- a/packages/turmericweir-core/turmericweir_core/engines/load_updates.py
+++ b/packages/turmericweir-core/turmericweir_core/engines/load_updates.py
@@ -17,7 +17,7 @@
 from turmericweir_core.base.ids import InstanceName, ServerName
 from turmericweir_core.engines import engine_model, engine_pools, load_relay
 from turmericweir_core.messages.effects import Effect, SendDatagram
-from turmericweir_core.messages.peer_messages import LoadBundle, LoadNews, LoadRow
+from turmericweir_core.messages.load_messages import LoadBundle, LoadNews, LoadRow
 from turmericweir_core.state.engine_state import EngineInfo, PeerLoad, PendingPrompt, ReceiptTime
 from turmericweir_core.state.load_state import UpdateSource
 
--- a/packages/turmericweir-core/turmericweir_core/leases/model_demand.py
+++ b/packages/turmericweir-core/turmericweir_core/leases/model_demand.py
@@ -18,8 +18,8 @@
 from turmericweir_core.base.request import RequestPhase
 from turmericweir_core.membership import membership
 from turmericweir_core.membership.subset import rendezvous_weight
+from turmericweir_core.messages.duty_messages import ModelDemand, ModelUse
 from turmericweir_core.messages.effects import Effect, SendDatagram
-from turmericweir_core.messages.peer_messages import ModelDemand, ModelUse
 from turmericweir_core.records.lease_record import LeaseScope
 from turmericweir_core.state.membership_state import Member
 from turmericweir_core.state.model_state import ModelUsage, ReportedModelUsage
--- a/packages/turmericweir-core/turmericweir_core/limits/limit.py
+++ b/packages/turmericweir-core/turmericweir_core/limits/limit.py
@@ -30,7 +30,7 @@
 from turmericweir_core.membership import membership
 from turmericweir_core.membership.subset import rendezvous_weight
 from turmericweir_core.messages.effects import Effect, SendDatagram
-from turmericweir_core.messages.peer_messages import LimitAsk, LimitDemand, LimitGrant, LimitShare
+from turmericweir_core.messages.limit_messages import LimitAsk, LimitDemand, LimitGrant, LimitShare
 from turmericweir_core.state.limit_state import (
     Bucket,
     Charge,
--- a/packages/turmericweir-core/turmericweir_core/limits/limit_home.py
+++ b/packages/turmericweir-core/turmericweir_core/limits/limit_home.py
@@ -22,7 +22,7 @@
 
 from turmericweir_core.base.config import NO_LIMIT, Limit
 from turmericweir_core.base.ids import InstanceName
-from turmericweir_core.messages.peer_messages import LimitDemand, LimitShare
+from turmericweir_core.messages.limit_messages import LimitDemand, LimitShare
 from turmericweir_core.state.limit_state import (
     HomeSubject,
     QuantityGrant,
--- a/packages/turmericweir-core/turmericweir_core/membership/announced_limits.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/announced_limits.py
@@ -22,7 +22,7 @@
 from turmericweir_core.membership import membership
 from turmericweir_core.membership.subset import rendezvous_weight
 from turmericweir_core.messages.effects import Effect, Log
-from turmericweir_core.messages.peer_messages import LimitRow
+from turmericweir_core.messages.membership_messages import LimitRow
 from turmericweir_core.state.announced_limit import AnnouncedLimit
 from turmericweir_core.state.loan_state import Loan
 from turmericweir_core.state.server_table import Server
--- a/packages/turmericweir-core/turmericweir_core/membership/brittle_statements.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/brittle_statements.py
@@ -11,7 +11,7 @@
 
 from turmericweir_core.base.ids import InstanceName, ServerName
 from turmericweir_core.messages.effects import Effect, Log
-from turmericweir_core.messages.peer_messages import BrittleRow
+from turmericweir_core.messages.membership_messages import BrittleRow
 from turmericweir_core.state.brittle_state import BrittleStatement
 from turmericweir_core.state.server_table import Server
 
--- a/packages/turmericweir-core/turmericweir_core/membership/leaving.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/leaving.py
@@ -13,7 +13,7 @@
 
 from turmericweir_core.base.ids import ServerName
 from turmericweir_core.messages.effects import Effect, Log, SendPeer
-from turmericweir_core.messages.peer_messages import Heartbeat, Mark, MarksAsk, MarksSend
+from turmericweir_core.messages.membership_messages import Heartbeat, Mark, MarksAsk, MarksSend
 from turmericweir_core.state.leaving_notices import (
     LeavingNotice,
     expire_notices,
--- a/packages/turmericweir-core/turmericweir_core/membership/limit_loans.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/limit_loans.py
@@ -20,7 +20,7 @@
 from turmericweir_core.membership import announced_limits, loan_asks, membership
 from turmericweir_core.membership.subset import open_servers
 from turmericweir_core.messages.effects import Count, Effect, SendDatagram
-from turmericweir_core.messages.peer_messages import LimitLoan, LimitLoanAsk, LoanRow
+from turmericweir_core.messages.loan_messages import LimitLoan, LimitLoanAsk, LoanRow
 from turmericweir_core.state.announced_limit import RecentDemand
 from turmericweir_core.state.membership_state import Member
 from turmericweir_core.state.server_table import Server
--- a/packages/turmericweir-core/turmericweir_core/membership/membership_discovery.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/membership_discovery.py
@@ -19,7 +19,7 @@
 )
 from turmericweir_core.membership.membership import is_live, live_instances
 from turmericweir_core.messages.effects import Effect, Log, SendDatagram
-from turmericweir_core.messages.peer_messages import Heartbeat, MemberRecord, MembersSend
+from turmericweir_core.messages.membership_messages import Heartbeat, MemberRecord, MembersSend
 from turmericweir_core.state.membership_state import NEVER, Member
 from turmericweir_core.state.state import State
 
--- a/packages/turmericweir-core/turmericweir_core/membership/membership_gossip.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/membership_gossip.py
@@ -42,7 +42,7 @@
     roster_members,
 )
 from turmericweir_core.messages.effects import Count, Effect, Log, SendDatagram
-from turmericweir_core.messages.peer_messages import Heartbeat, MembersAsk, Word
+from turmericweir_core.messages.membership_messages import Heartbeat, MembersAsk, Word
 from turmericweir_core.state.membership_state import Member
 from turmericweir_core.state.state import State
 
--- a/packages/turmericweir-core/turmericweir_core/membership/membership_records.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/membership_records.py
@@ -19,7 +19,7 @@
     unindex_member,
 )
 from turmericweir_core.messages.effects import Effect, SendDatagram
-from turmericweir_core.messages.peer_messages import MemberRecord, MembersSend
+from turmericweir_core.messages.membership_messages import MemberRecord, MembersSend
 from turmericweir_core.state.membership_state import Member
 from turmericweir_core.state.state import State
 
--- a/packages/turmericweir-core/turmericweir_core/membership/membership_reducer.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/membership_reducer.py
@@ -27,15 +27,14 @@
 from turmericweir_core.membership.membership import count_dropped_message, index_member, is_live
 from turmericweir_core.messages.effects import Count, Effect, SendDatagram
 from turmericweir_core.messages.events import ListedInstance
-from turmericweir_core.messages.peer_messages import (
+from turmericweir_core.messages.membership_messages import (
     Heartbeat,
     MarksAsk,
     MarksSend,
     MembersAsk,
     MembersSend,
-    ServersAsk,
-    ServersSend,
 )
+from turmericweir_core.messages.server_messages import ServersAsk, ServersSend
 from turmericweir_core.state.membership_state import NEVER, Member
 from turmericweir_core.state.state import State
 
--- a/packages/turmericweir-core/turmericweir_core/membership/membership_status.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/membership_status.py
@@ -25,7 +25,12 @@
 from turmericweir_core.membership.membership_records import record_of, take_record
 from turmericweir_core.membership.membership_roster import hash_keys
 from turmericweir_core.messages.effects import Effect, SendPeer
-from turmericweir_core.messages.peer_messages import MemberRecord, MembersAsk, MembersSend, Word
+from turmericweir_core.messages.membership_messages import (
+    MemberRecord,
+    MembersAsk,
+    MembersSend,
+    Word,
+)
 from turmericweir_core.state.membership_state import Member, RemoteCentre
 from turmericweir_core.state.state import State
 
--- a/packages/turmericweir-core/turmericweir_core/membership/server_list.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/server_list.py
@@ -17,7 +17,8 @@
 from turmericweir_core.base.ids import InstanceName, ServerName
 from turmericweir_core.membership.membership import list_period_s
 from turmericweir_core.messages.effects import Effect, Log, SendPeer
-from turmericweir_core.messages.peer_messages import Heartbeat, ServersAsk, ServersSend
+from turmericweir_core.messages.membership_messages import Heartbeat
+from turmericweir_core.messages.server_messages import ServersAsk, ServersSend
 from turmericweir_core.state import server_table
 from turmericweir_core.state.membership_state import Member
 
--- /dev/null
+++ b/packages/turmericweir-core/turmericweir_core/messages/stream_messages.py
@@ -0,0 +1,36 @@
+"""The releases that streams are bound to."""
+
+from __future__ import annotations
+
+from msgspec import Struct
+
+
+class StreamRow(Struct, frozen=True, array_like=True):
+    """The release that a stream is bound to."""
+
+    # Hash of the customer and the caller's id of the stream.
+    key: int
+    # 0 if several servers may have written it.
+    release: int
+    # Time for which callers may take it up, in seconds.
+    keep_s: int
+
+
+class StreamsBound(Struct, frozen=True, array_like=True):
+    """The releases of streams, for the receiver to keep, or as an answer to it."""
+
+    rows: list[StreamRow]
+
+
+class StreamAsk(Struct, frozen=True, array_like=True):
+    """Asks for the release of a stream that a caller takes up."""
+
+    key: int
+
+
+class StreamUnknown(Struct, frozen=True, array_like=True):
+    """The sender does not know the stream."""
+
+    key: int
+    # Services that have had servers of several releases lately.
+    divided_services: list[str]
--- a/packages/turmericweir-core/turmericweir_core/placement/dispatch.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/dispatch.py
@@ -18,8 +18,8 @@
 from turmericweir_core.credits import credit
 from turmericweir_core.engines import engine_model
 from turmericweir_core.membership import announced_limits, subset
+from turmericweir_core.messages.credit_messages import CreditDemand, CreditGrant
 from turmericweir_core.messages.effects import CancelAttempt, Effect, Log, StartAttempt
-from turmericweir_core.messages.peer_messages import CreditDemand, CreditGrant
 from turmericweir_core.placement import attempt_accounting, displacement, predicted_placement
 from turmericweir_core.placement.placement import pick_server
 from turmericweir_core.state import queue_state
--- a/packages/turmericweir-core/turmericweir_core/queueing/urgent_first.py
+++ b/packages/turmericweir-core/turmericweir_core/queueing/urgent_first.py
@@ -26,7 +26,7 @@
 from turmericweir_core.base.ids import InstanceName, Target
 from turmericweir_core.base.tiers import scheduling_rank
 from turmericweir_core.membership.subset import has_path
-from turmericweir_core.messages.peer_messages import OverdueRow
+from turmericweir_core.messages.load_messages import OverdueRow
 from turmericweir_core.state import queue_state
 from turmericweir_core.state.overdue_state import OverdueReport, OverdueTotal
 
--- a/packages/turmericweir-core/turmericweir_core/reducers/reducer.py
+++ b/packages/turmericweir-core/turmericweir_core/reducers/reducer.py
@@ -18,6 +18,16 @@
 from turmericweir_core.leases import lease_flow, model_demand, model_flow, order_flow
 from turmericweir_core.limits import limit
 from turmericweir_core.membership import membership_reducer
+from turmericweir_core.messages.claim_messages import (
+    ClaimAsk,
+    ClaimKept,
+    ClaimOpen,
+    ClaimRelease,
+    ClaimUnheld,
+    ClaimVote,
+    ClaimVoteAsk,
+)
+from turmericweir_core.messages.duty_messages import ModelDemand
 from turmericweir_core.messages.effects import Effect
 from turmericweir_core.messages.events import (
     AnswerReceived,
@@ -56,21 +66,9 @@
     WallClockRead,
     WeightsAnswered,
 )
-from turmericweir_core.messages.peer_messages import (
-    ClaimAsk,
-    ClaimKept,
-    ClaimOpen,
-    ClaimRelease,
-    ClaimUnheld,
-    ClaimVote,
-    ClaimVoteAsk,
-    Heartbeat,
-    LimitAsk,
-    LimitGrant,
-    ModelDemand,
-    SettingsAsk,
-    SettingsSend,
-)
+from turmericweir_core.messages.limit_messages import LimitAsk, LimitGrant
+from turmericweir_core.messages.membership_messages import Heartbeat
+from turmericweir_core.messages.settings_messages import SettingsAsk, SettingsSend
 from turmericweir_core.placement import dispatch
 from turmericweir_core.records.claim_record import CLAIMS_STREAM
 from turmericweir_core.records.lease_record import LEASES_STREAM
--- a/packages/turmericweir-core/turmericweir_core/reducers/reducer_common.py
+++ b/packages/turmericweir-core/turmericweir_core/reducers/reducer_common.py
@@ -14,6 +14,14 @@
 from turmericweir_core.credits import credit
 from turmericweir_core.engines import load_updates
 from turmericweir_core.membership import leaving, limit_loans, membership_reducer, server_list
+from turmericweir_core.messages.crash_messages import (
+    CrashesAsk,
+    CrashNews,
+    TrialAnswer,
+    TrialAsk,
+    TrialEnd,
+)
+from turmericweir_core.messages.credit_messages import CreditDemand, CreditGrant
 from turmericweir_core.messages.effects import Effect, Exit, Log, ProbeServer
 from turmericweir_core.messages.events import (
     AnswerReceived,
@@ -35,33 +43,22 @@
     ServerUnreachable,
     StopRequested,
 )
-from turmericweir_core.messages.peer_messages import (
-    CrashesAsk,
-    CrashNews,
-    CreditDemand,
-    CreditGrant,
-    Heartbeat,
+from turmericweir_core.messages.load_messages import LoadBundle, LoadNews
+from turmericweir_core.messages.loan_messages import (
     LimitLoan,
     LimitLoanAsk,
-    LoadBundle,
-    LoadNews,
+    RetryLoan,
+    RetryLoanAsk,
+)
+from turmericweir_core.messages.membership_messages import (
+    Heartbeat,
     MarksAsk,
     MarksSend,
     MembersAsk,
     MembersSend,
-    PathsAsk,
-    PathsSend,
-    RetryLoan,
-    RetryLoanAsk,
-    ServersAsk,
-    ServersSend,
-    StreamAsk,
-    StreamsBound,
-    StreamUnknown,
-    TrialAnswer,
-    TrialAsk,
-    TrialEnd,
 )
+from turmericweir_core.messages.server_messages import PathsAsk, PathsSend, ServersAsk, ServersSend
+from turmericweir_core.messages.stream_messages import StreamAsk, StreamsBound, StreamUnknown
 from turmericweir_core.placement import attempt_accounting, dispatch, placement
 from turmericweir_core.requests import attempt_flow, lifecycle, quarantine_flow, taken_up
 from turmericweir_core.state import prefix, server_table
--- a/packages/turmericweir-core/turmericweir_core/reducers/reducer_duties.py
+++ b/packages/turmericweir-core/turmericweir_core/reducers/reducer_duties.py
@@ -7,6 +7,7 @@
 
 from turmericweir_core.duties import capacity, election, usage
 from turmericweir_core.leases import lease_flow
+from turmericweir_core.messages.duty_messages import DutyStatus, UsageCounts
 from turmericweir_core.messages.effects import Effect
 from turmericweir_core.messages.events import (
     AppendDone,
@@ -23,7 +24,6 @@
     Tick,
     WallClockRead,
 )
-from turmericweir_core.messages.peer_messages import DutyStatus, UsageCounts
 from turmericweir_core.reducers import reducer_store
 from turmericweir_core.state import usage_meter
 from turmericweir_core.state.state import State
--- a/packages/turmericweir-core/turmericweir_core/reducers/reducer_store.py
+++ b/packages/turmericweir-core/turmericweir_core/reducers/reducer_store.py
@@ -51,16 +51,9 @@
     WallClockRead,
     WeightsAnswered,
 )
-from turmericweir_core.messages.peer_messages import (
-    CachesAsk,
-    CachesSend,
-    DocumentAsk,
-    DocumentProof,
-    DocumentSend,
-    RegistryNews,
-    ServersAsk,
-    ServersSend,
-)
+from turmericweir_core.messages.load_messages import CachesAsk, CachesSend
+from turmericweir_core.messages.server_messages import RegistryNews, ServersAsk, ServersSend
+from turmericweir_core.messages.settings_messages import DocumentAsk, DocumentProof, DocumentSend
 from turmericweir_core.placement import dead_server, dispatch
 from turmericweir_core.reducers.reducer_common import (
     exit_when_done,
--- a/packages/turmericweir-core/turmericweir_core/requests/claim_agreement.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/claim_agreement.py
@@ -13,8 +13,8 @@
 from turmericweir_core.claims.claim_outbox import has_competing_claim, queue_claim, writer_of
 from turmericweir_core.claims.claim_vote import agree, release, voting_view
 from turmericweir_core.membership.membership import live_instances
+from turmericweir_core.messages.claim_messages import ClaimVote, ClaimVoteAsk
 from turmericweir_core.messages.effects import Count, Effect, SendPeer, Timing
-from turmericweir_core.messages.peer_messages import ClaimVote, ClaimVoteAsk
 from turmericweir_core.records.claim_record import NewClaim, RecordWriter
 from turmericweir_core.requests import lifecycle
 from turmericweir_core.state.claim_state import Vote, Wait, drop_wait
--- a/packages/turmericweir-core/turmericweir_core/requests/claim_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/claim_flow.py
@@ -40,6 +40,15 @@
     on_release,
     on_vote_ask,
 )
+from turmericweir_core.messages.claim_messages import (
+    ClaimAsk,
+    ClaimKept,
+    ClaimOpen,
+    ClaimRelease,
+    ClaimUnheld,
+    ClaimVote,
+    ClaimVoteAsk,
+)
 from turmericweir_core.messages.effects import Count, Effect, Log, ReplayAnswer, Timing
 from turmericweir_core.messages.events import (
     AppendDone,
@@ -50,15 +59,6 @@
     LogRecord,
     PeerUnreachable,
 )
-from turmericweir_core.messages.peer_messages import (
-    ClaimAsk,
-    ClaimKept,
-    ClaimOpen,
-    ClaimRelease,
-    ClaimUnheld,
-    ClaimVote,
-    ClaimVoteAsk,
-)
 from turmericweir_core.records.claim_answer import StoredEnd
 from turmericweir_core.records.claim_record import CLAIMS_STREAM, NewClaim, claim_key_of, encode
 from turmericweir_core.requests import lifecycle
--- a/packages/turmericweir-core/turmericweir_core/requests/quarantine_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/quarantine_flow.py
@@ -11,14 +11,14 @@
 from turmericweir_core.base.ids import InstanceName
 from turmericweir_core.base.reasons import Reason
 from turmericweir_core.base.request import Attempt, CancelReason, Request, RequestPhase
-from turmericweir_core.messages.effects import Count, Effect
-from turmericweir_core.messages.peer_messages import (
+from turmericweir_core.messages.crash_messages import (
     CrashesAsk,
     CrashNews,
     TrialAnswer,
     TrialAsk,
     TrialEnd,
 )
+from turmericweir_core.messages.effects import Count, Effect
 from turmericweir_core.placement import dispatch
 from turmericweir_core.requests import lifecycle
 from turmericweir_core.state import queue_state
--- a/packages/turmericweir-core/turmericweir_core/requests/taken_up.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/taken_up.py
@@ -6,7 +6,7 @@
 
 from turmericweir_core.base.ids import InstanceName
 from turmericweir_core.messages.effects import Effect
-from turmericweir_core.messages.peer_messages import StreamAsk, StreamsBound, StreamUnknown
+from turmericweir_core.messages.stream_messages import StreamAsk, StreamsBound, StreamUnknown
 from turmericweir_core.requests import lifecycle
 from turmericweir_core.state.state import State
 from turmericweir_core.streams import stream_bindings, stream_copies, stream_lookup
--- a/packages/turmericweir-core/turmericweir_core/settings/settings_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/settings/settings_flow.py
@@ -18,7 +18,8 @@
     LogFailed,
     LogRead,
 )
-from turmericweir_core.messages.peer_messages import Heartbeat, SettingsAsk, SettingsSend
+from turmericweir_core.messages.membership_messages import Heartbeat
+from turmericweir_core.messages.settings_messages import SettingsAsk, SettingsSend
 from turmericweir_core.settings import settings_changes, settings_reducer
 from turmericweir_core.settings.settings_reach import CentreReach, reach_of_centres
 from turmericweir_core.state import server_table
--- a/packages/turmericweir-core/turmericweir_core/settings/settings_reducer.py
+++ b/packages/turmericweir-core/turmericweir_core/settings/settings_reducer.py
@@ -18,7 +18,8 @@
 from turmericweir_core.base.options import Options
 from turmericweir_core.messages.effects import Count, Effect, Log, SendPeer
 from turmericweir_core.messages.events import LogExpired, LogFailed, LogRead, LogRecord
-from turmericweir_core.messages.peer_messages import Heartbeat, SettingsAsk, SettingsSend
+from turmericweir_core.messages.membership_messages import Heartbeat
+from turmericweir_core.messages.settings_messages import SettingsAsk, SettingsSend
 from turmericweir_core.records.settings_record import SnapshotRecord, read_record, record_json
 from turmericweir_core.records.settings_verdict import (
     Accepted,
--- a/packages/turmericweir-core/turmericweir_core/state/credit_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/credit_state.py
@@ -10,7 +10,7 @@
 from msgspec import Struct, field
 
 from turmericweir_core.base.ids import InstanceName, ServerName
-from turmericweir_core.messages.peer_messages import TierDemand
+from turmericweir_core.messages.credit_messages import TierDemand
 
 NEVER: Final = float("-inf")
 
--- a/packages/turmericweir-core/turmericweir_core/state/engine_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/engine_state.py
@@ -7,7 +7,7 @@
 from msgspec import Struct, field
 
 from turmericweir_core.base.ids import AttemptId, InstanceName, ServerName, Target
-from turmericweir_core.messages.peer_messages import SentPart
+from turmericweir_core.messages.load_messages import SentPart
 from turmericweir_core.state.engine_speed import EngineSpeed
 
 
--- a/packages/turmericweir-core/turmericweir_core/state/load_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/load_state.py
@@ -5,7 +5,7 @@
 from msgspec import Struct, field
 
 from turmericweir_core.base.ids import InstanceName, ServerName
-from turmericweir_core.messages.peer_messages import LoadNews, LoadRow, SentPart
+from turmericweir_core.messages.load_messages import LoadNews, LoadRow, SentPart
 from turmericweir_core.state.engine_state import ReceiptTime
 from turmericweir_core.state.membership_state import Member
 
--- a/packages/turmericweir-core/turmericweir_core/state/membership_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/membership_state.py
@@ -10,7 +10,7 @@
 from turmericweir_core.base.ids import InstanceName
 
 if TYPE_CHECKING:
-    from turmericweir_core.messages.peer_messages import Word
+    from turmericweir_core.messages.membership_messages import Word
 
 NEVER: Final = float("-inf")
 
--- a/packages/turmericweir-core/turmericweir_core/state/overdue_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/overdue_state.py
@@ -5,7 +5,7 @@
 from msgspec import Struct, field
 
 from turmericweir_core.base.ids import InstanceName, Target
-from turmericweir_core.messages.peer_messages import OverdueRow
+from turmericweir_core.messages.load_messages import OverdueRow
 
 
 class OverdueReport(Struct, frozen=True):
--- a/packages/turmericweir-core/turmericweir_core/state/quarantine_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/quarantine_state.py
@@ -8,8 +8,8 @@
 
 from turmericweir_core.base.ids import AttemptId, InstanceName, RequestId, ServerName
 from turmericweir_core.base.request import Request
+from turmericweir_core.messages.crash_messages import Sighting
 from turmericweir_core.messages.effects import Log
-from turmericweir_core.messages.peer_messages import Sighting
 
 NEVER: Final = float("-inf")
 # Prefix of the placeholder for an unknown incarnation; no incarnation of a server starts with it.
--- a/packages/turmericweir-core/turmericweir_core/store/document.py
+++ b/packages/turmericweir-core/turmericweir_core/store/document.py
@@ -26,7 +26,7 @@
     SendPeer,
 )
 from turmericweir_core.messages.events import DocumentConfirmed, DocumentRead, DocumentUnreadable
-from turmericweir_core.messages.peer_messages import DocumentAsk, DocumentProof, DocumentSend
+from turmericweir_core.messages.settings_messages import DocumentAsk, DocumentProof, DocumentSend
 from turmericweir_core.state import server_table
 from turmericweir_core.state.document_state import DocumentState
 
--- a/packages/turmericweir-core/turmericweir_core/store/registry.py
+++ b/packages/turmericweir-core/turmericweir_core/store/registry.py
@@ -25,7 +25,7 @@
 from turmericweir_core.membership import membership, server_list, store_duty
 from turmericweir_core.messages.effects import Count, Effect, Log, SendDatagram, SendPeer
 from turmericweir_core.messages.events import EntryUnreadable, RegistryRead
-from turmericweir_core.messages.peer_messages import (
+from turmericweir_core.messages.server_messages import (
     RegistryNews,
     RegistryRow,
     ServersAsk,
--- a/packages/turmericweir-core/turmericweir_core/streams/stream_copies.py
+++ b/packages/turmericweir-core/turmericweir_core/streams/stream_copies.py
@@ -23,7 +23,7 @@
 from turmericweir_core.base.release import UNKNOWN_RELEASE, Release
 from turmericweir_core.membership import membership
 from turmericweir_core.messages.effects import Effect, SendDatagram
-from turmericweir_core.messages.peer_messages import StreamRow, StreamsBound
+from turmericweir_core.messages.stream_messages import StreamRow, StreamsBound
 from turmericweir_core.state.stream_state import (
     Holder,
     HolderRing,
--- a/packages/turmericweir-core/turmericweir_core/streams/stream_lookup.py
+++ b/packages/turmericweir-core/turmericweir_core/streams/stream_lookup.py
@@ -18,7 +18,7 @@
 from turmericweir_core.base.request import Request, RequestPhase
 from turmericweir_core.membership import membership
 from turmericweir_core.messages.effects import Effect, SendDatagram
-from turmericweir_core.messages.peer_messages import StreamAsk, StreamsBound, StreamUnknown
+from turmericweir_core.messages.stream_messages import StreamAsk, StreamsBound, StreamUnknown
 from turmericweir_core.state.stream_state import StreamBinding, StreamKey, StreamLookup
 from turmericweir_core.streams import stream_bindings, stream_copies
 
--- a/packages/turmericweir-core/turmericweir_core/trust/crash_records.py
+++ b/packages/turmericweir-core/turmericweir_core/trust/crash_records.py
@@ -14,7 +14,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING, Final
 
-from turmericweir_core.messages.peer_messages import Sighting
+from turmericweir_core.messages.crash_messages import Sighting
 from turmericweir_core.state.quarantine_state import (
     Crash,
     CrashEvidence,
--- a/packages/turmericweir-core/turmericweir_core/trust/isolated_runs.py
+++ b/packages/turmericweir-core/turmericweir_core/trust/isolated_runs.py
@@ -23,8 +23,8 @@
 from turmericweir_core.base.request import Attempt, Request
 from turmericweir_core.membership import announced_limits, membership
 from turmericweir_core.membership.subset import rendezvous_weight
+from turmericweir_core.messages.crash_messages import TrialAnswer, TrialAsk, TrialEnd
 from turmericweir_core.messages.effects import Effect, SendDatagram
-from turmericweir_core.messages.peer_messages import TrialAnswer, TrialAsk, TrialEnd
 from turmericweir_core.state.membership_state import Member
 from turmericweir_core.state.quarantine_state import IsolatedRun, IsolatedRunPermit, WaitingSuspect
 from turmericweir_core.state.server_table import Server, can_take_work, servers_for
--- a/packages/turmericweir-core/turmericweir_core/trust/quarantine.py
+++ b/packages/turmericweir-core/turmericweir_core/trust/quarantine.py
@@ -27,6 +27,7 @@
 from turmericweir_core.base.request import Attempt, Request
 from turmericweir_core.base.shared_parts import part_name
 from turmericweir_core.membership import membership
+from turmericweir_core.messages.crash_messages import CrashesAsk, CrashNews, CrashRecord, Sighting
 from turmericweir_core.messages.effects import (
     Effect,
     Log,
@@ -35,7 +36,6 @@
     SendPeer,
 )
 from turmericweir_core.messages.events import ServerReport
-from turmericweir_core.messages.peer_messages import CrashesAsk, CrashNews, CrashRecord, Sighting
 from turmericweir_core.state.quarantine_state import (
     BrokenConnection,
     Crash,
--- a/packages/turmericweir-core/turmericweir_core/trust/retry_loans.py
+++ b/packages/turmericweir-core/turmericweir_core/trust/retry_loans.py
@@ -16,7 +16,7 @@
 from turmericweir_core.base.ids import InstanceName, Target
 from turmericweir_core.membership import loan_asks, membership
 from turmericweir_core.messages.effects import Count, Effect, SendDatagram
-from turmericweir_core.messages.peer_messages import RetryLoan, RetryLoanAsk
+from turmericweir_core.messages.loan_messages import RetryLoan, RetryLoanAsk
 from turmericweir_core.state.loan_state import Loan
 from turmericweir_core.state.retry_state import RetryWindow
 from turmericweir_core.trust import retry
--- a/packages/turmericweir-core/turmericweir_core/trust/server_paths.py
+++ b/packages/turmericweir-core/turmericweir_core/trust/server_paths.py
@@ -31,7 +31,7 @@
     RetireConnections,
     SendDatagram,
 )
-from turmericweir_core.messages.peer_messages import PathsAsk, PathsSend
+from turmericweir_core.messages.server_messages import PathsAsk, PathsSend
 from turmericweir_core.state import reliability
 from turmericweir_core.state.membership_state import Member
 from turmericweir_core.state.path_state import PeerView, ServerPath
--- a/packages/turmericweir-standins/turmericweir_standins/measure_limits.py
+++ b/packages/turmericweir-standins/turmericweir_standins/measure_limits.py
@@ -25,7 +25,8 @@
 from turmericweir_core.base.request import Request
 from turmericweir_core.limits import limit
 from turmericweir_core.messages.effects import Effect, SendDatagram
-from turmericweir_core.messages.peer_messages import LimitAsk, LimitGrant, Word
+from turmericweir_core.messages.limit_messages import LimitAsk, LimitGrant
+from turmericweir_core.messages.membership_messages import Word
 from turmericweir_core.reducers.reducer import new_state
 from turmericweir_core.state.limit_state import customer_key
 from turmericweir_core.state.membership_state import Member, RemoteCentre
--- a/packages/turmericweir/turmericweir/peers/carrier.py
+++ b/packages/turmericweir/turmericweir/peers/carrier.py
@@ -20,7 +20,7 @@
 from turmericweir.servers.backend_stream import CONNECT_TIMEOUT_S, set_options
 from turmericweir_core.base.ids import ServerName
 from turmericweir_core.messages.events import CarriedChanged
-from turmericweir_core.messages.peer_messages import CarryAsk
+from turmericweir_core.messages.server_messages import CarryAsk
 from turmericweir_core.trust import server_paths
 
 # Limit of connections that are carried at a time.
--- a/packages/turmericweir/turmericweir/peers/peer_dialer.py
+++ b/packages/turmericweir/turmericweir/peers/peer_dialer.py
@@ -19,7 +19,7 @@
 )
 from turmericweir.servers.peer_refusal import PeerRefusedError
 from turmericweir_core.base.ids import InstanceName
-from turmericweir_core.messages.peer_messages import CarryAsk
+from turmericweir_core.messages.server_messages import CarryAsk
 
 # Time limit for both connections: to the peer, and from the peer to the server.
 _DIAL_TIMEOUT_S: Final = CONNECT_TIMEOUT_S + 0.25
--- a/packages/turmericweir/turmericweir/peers/peer_listener.py
+++ b/packages/turmericweir/turmericweir/peers/peer_listener.py
@@ -23,7 +23,7 @@
 from turmericweir.process.node import Node
 from turmericweir.servers.backend_stream import set_options
 from turmericweir_core.messages.events import PeerReceived
-from turmericweir_core.messages.peer_messages import CarryAsk
+from turmericweir_core.messages.server_messages import CarryAsk
 
 _BACKLOG: Final = 1_024
 
--- a/tests/core/credits/test_credit.py
+++ b/tests/core/credits/test_credit.py
@@ -18,8 +18,8 @@
 from turmericweir_core.credits import dispatcher_selection
 from turmericweir_core.credits.credit_allocation import Capacity, Want, allocate
 from turmericweir_core.membership.subset import rendezvous_weight, target_subset
+from turmericweir_core.messages.credit_messages import CreditDemand, CreditGrant, TierDemand
 from turmericweir_core.messages.events import PeerReceived, Tick
-from turmericweir_core.messages.peer_messages import CreditDemand, CreditGrant, TierDemand
 from turmericweir_core.state.credit_state import CreditLedger
 from turmericweir_core.state.state import State
 
--- a/tests/core/duties/test_usage.py
+++ b/tests/core/duties/test_usage.py
@@ -10,7 +10,7 @@
 from turmericweir_core.base.ids import InstanceName
 from turmericweir_core.duties import election, usage
 from turmericweir_core.leases import lease_flow
-from turmericweir_core.messages.peer_messages import UsageCounts, WindowCounts
+from turmericweir_core.messages.duty_messages import UsageCounts, WindowCounts
 
 COUNT = 8
 
--- a/tests/core/engines/test_cache_handover.py
+++ b/tests/core/engines/test_cache_handover.py
@@ -6,7 +6,7 @@
 from turmericweir_core.base.ids import ServerName
 from turmericweir_core.messages.effects import SendPeer
 from turmericweir_core.messages.events import EndComplete
-from turmericweir_core.messages.peer_messages import CachesAsk, CachesSend
+from turmericweir_core.messages.load_messages import CachesAsk, CachesSend
 
 SHARED_PART = ("sheet", 13_300)
 
--- a/tests/core/engines/test_engine_pools.py
+++ b/tests/core/engines/test_engine_pools.py
@@ -9,7 +9,7 @@
 from turmericweir_core.base.request import Request
 from turmericweir_core.engines import engine_pools
 from turmericweir_core.engines.engine_pools import PromptKind
-from turmericweir_core.messages.peer_messages import DemandRow, LoadNews
+from turmericweir_core.messages.load_messages import DemandRow, LoadNews
 from turmericweir_core.state.server_table import Server
 
 ENGINES = 12
--- a/tests/core/engines/test_load_relay.py
+++ b/tests/core/engines/test_load_relay.py
@@ -11,7 +11,7 @@
 from turmericweir_core.engines import engine_model
 from turmericweir_core.membership import relays
 from turmericweir_core.messages.events import PeerReceived
-from turmericweir_core.messages.peer_messages import LoadNews, SentPart
+from turmericweir_core.messages.load_messages import LoadNews, SentPart
 from turmericweir_core.state.engine_state import Prefill
 
 COUNT = 72
--- a/tests/core/limits/test_limit.py
+++ b/tests/core/limits/test_limit.py
@@ -16,7 +16,7 @@
 from turmericweir_core.base.request import Request
 from turmericweir_core.limits import limit
 from turmericweir_core.limits.limit_home import Division, on_demand, rebalance
-from turmericweir_core.messages.peer_messages import LimitDemand
+from turmericweir_core.messages.limit_messages import LimitDemand
 from turmericweir_core.state.limit_state import Bucket, QuantityGrant, customer_key
 from turmericweir_standins.measure_limits import CUSTOMER, LimitSimulation
 
--- a/tests/core/membership/test_membership.py
+++ b/tests/core/membership/test_membership.py
@@ -24,7 +24,8 @@
     PeerReceived,
     ServerReport,
 )
-from turmericweir_core.messages.peer_messages import Heartbeat, Mark, MarksAsk, SettingsSend, Word
+from turmericweir_core.messages.membership_messages import Heartbeat, Mark, MarksAsk, Word
+from turmericweir_core.messages.settings_messages import SettingsSend
 from turmericweir_core.state.server_table import can_take_work, note_leaving
 
 # Longest time until a dead member is removed, with 64 instances as well: the time without progress
--- a/tests/core/membership/test_server_list.py
+++ b/tests/core/membership/test_server_list.py
@@ -8,7 +8,7 @@
 from turmericweir_core.base.config import ServiceKind
 from turmericweir_core.base.ids import InstanceName
 from turmericweir_core.membership.server_list import compare_list
-from turmericweir_core.messages.peer_messages import Heartbeat
+from turmericweir_core.messages.membership_messages import Heartbeat
 from turmericweir_core.state.membership_state import Member
 
 NOW = 100.0
--- a/tests/core/model_world.py
+++ b/tests/core/model_world.py
@@ -12,6 +12,7 @@
 from turmericweir_core.base.config import Config, ModelReplicas, ServerEntry, Service, ServiceKind
 from turmericweir_core.base.ids import InstanceName, ServerName, Target
 from turmericweir_core.base.options import Options
+from turmericweir_core.messages.duty_messages import ModelDemand, ModelUse
 from turmericweir_core.messages.effects import (
     AppendRecords,
     Effect,
@@ -37,7 +38,6 @@
     Tick,
     WeightsAnswered,
 )
-from turmericweir_core.messages.peer_messages import ModelDemand, ModelUse
 from turmericweir_core.records.lease_record import LEASES_STREAM
 from turmericweir_core.reducers.reducer import new_state, reduce
 from turmericweir_core.state.membership_state import Member
--- a/tests/core/path_network.py
+++ b/tests/core/path_network.py
@@ -15,7 +15,7 @@
 from tests.core.store_world import StoreWorld
 from turmericweir_core.base.ids import DIRECT, InstanceName, ServerName
 from turmericweir_core.messages.effects import Effect, ProbeServer, SendDatagram
-from turmericweir_core.messages.peer_messages import PathsAsk, PathsSend
+from turmericweir_core.messages.server_messages import PathsAsk, PathsSend
 from turmericweir_core.state.membership_state import Member
 from turmericweir_core.state.path_state import PathState
 from turmericweir_core.trust import server_paths
--- a/tests/core/placement/test_predicted_admission.py
+++ b/tests/core/placement/test_predicted_admission.py
@@ -11,7 +11,7 @@
 from turmericweir_core.engines import engine_pools
 from turmericweir_core.messages.effects import FinishRequest, Log, StartAttempt
 from turmericweir_core.messages.events import EndComplete
-from turmericweir_core.messages.peer_messages import DemandRow, LoadNews
+from turmericweir_core.messages.load_messages import DemandRow, LoadNews
 from turmericweir_core.state.pool_state import EngineSplit
 
 # Events of three tokens; with 50 ms between them, 300 tokens take 5 s.
--- a/tests/core/placement/test_predicted_placement.py
+++ b/tests/core/placement/test_predicted_placement.py
@@ -10,7 +10,7 @@
 from turmericweir_core.engines import engine_pools
 from turmericweir_core.messages.effects import StartAttempt
 from turmericweir_core.messages.events import EndComplete, RegistryRead
-from turmericweir_core.messages.peer_messages import DemandRow, LoadNews
+from turmericweir_core.messages.load_messages import DemandRow, LoadNews
 
 SHARED_PART = ("sheet", 13_300)
 
--- a/tests/core/queueing/test_urgent_first.py
+++ b/tests/core/queueing/test_urgent_first.py
@@ -10,7 +10,7 @@
 from turmericweir_core.base.config import ServiceClass
 from turmericweir_core.messages.effects import Effect, FinishRequest, ProbeServer, StartAttempt
 from turmericweir_core.messages.events import EndUnsent, ServerUnreachable
-from turmericweir_core.messages.peer_messages import DemandRow, LoadNews, OverdueRow
+from turmericweir_core.messages.load_messages import DemandRow, LoadNews, OverdueRow
 from turmericweir_core.state.server_table import note_pause
 
 URGENT: Final = replace(QUICK, rank=0)
--- a/tests/core/settings/test_settings_sync.py
+++ b/tests/core/settings/test_settings_sync.py
@@ -51,7 +51,7 @@
     LogRead,
     LogRecord,
 )
-from turmericweir_core.messages.peer_messages import SettingsAsk, SettingsSend
+from turmericweir_core.messages.settings_messages import SettingsAsk, SettingsSend
 from turmericweir_core.records.settings_record import SETTINGS_STREAM, record_json
 from turmericweir_core.records.settings_verdict import VerdictKind, verdict_json
 from turmericweir_core.settings import settings_changes, settings_reducer
--- a/tests/core/store/test_document.py
+++ b/tests/core/store/test_document.py
@@ -9,12 +9,8 @@
 from turmericweir_core.membership import store_duty
 from turmericweir_core.messages.effects import DecodeDocument, FinishRequest, SendDatagram, SendPeer
 from turmericweir_core.messages.events import DocumentConfirmed
-from turmericweir_core.messages.peer_messages import (
-    DocumentAsk,
-    DocumentProof,
-    DocumentSend,
-    RegistryNews,
-)
+from turmericweir_core.messages.server_messages import RegistryNews
+from turmericweir_core.messages.settings_messages import DocumentAsk, DocumentProof, DocumentSend
 from turmericweir_core.store import document
 
 
--- a/tests/core/store/test_registry.py
+++ b/tests/core/store/test_registry.py
@@ -15,8 +15,8 @@
 from turmericweir_core.membership import leaving, server_list, store_duty
 from turmericweir_core.messages.effects import SendPeer, StartAttempt
 from turmericweir_core.messages.events import EndComplete, ListedInstance, ListRead, RegistryRead
-from turmericweir_core.messages.peer_messages import (
-    Mark,
+from turmericweir_core.messages.membership_messages import Mark
+from turmericweir_core.messages.server_messages import (
     RegistryNews,
     RegistryRow,
     ServersAsk,
--- a/tests/core/stream_network.py
+++ b/tests/core/stream_network.py
@@ -18,12 +18,8 @@
 from turmericweir_core.base.request import Attempt, Request, RequestPhase
 from turmericweir_core.messages.effects import Effect, SendDatagram
 from turmericweir_core.messages.events import RegistryRead
-from turmericweir_core.messages.peer_messages import (
-    PeerMessage,
-    StreamAsk,
-    StreamsBound,
-    StreamUnknown,
-)
+from turmericweir_core.messages.peer_messages import PeerMessage
+from turmericweir_core.messages.stream_messages import StreamAsk, StreamsBound, StreamUnknown
 from turmericweir_core.state.membership_state import Member, RemoteCentre
 from turmericweir_core.state.state import Identity, State
 from turmericweir_core.streams import stream_bindings, stream_copies, stream_lookup
--- a/tests/core/trust/test_part_verdicts.py
+++ b/tests/core/trust/test_part_verdicts.py
@@ -11,15 +11,10 @@
 from tests.core.fault_world import FaultWorld
 from turmericweir_core.base.account import Outcome
 from turmericweir_core.base.ids import InstanceName, ServerName
+from turmericweir_core.messages.crash_messages import CrashNews, CrashRecord, Sighting, TrialAnswer
 from turmericweir_core.messages.effects import Log
 from turmericweir_core.messages.events import PeerReceived
-from turmericweir_core.messages.peer_messages import (
-    CrashNews,
-    CrashRecord,
-    PeerMessage,
-    Sighting,
-    TrialAnswer,
-)
+from turmericweir_core.messages.peer_messages import PeerMessage
 
 BAD: Final = 666
 OTHER_BAD: Final = 667
--- a/tests/core/trust/test_quarantine.py
+++ b/tests/core/trust/test_quarantine.py
@@ -14,14 +14,9 @@
 from turmericweir_core.base.ids import RequestId, ServerName
 from turmericweir_core.base.options import Options
 from turmericweir_core.base.request import CancelReason
+from turmericweir_core.messages.crash_messages import CrashNews, TrialAnswer, TrialAsk, TrialEnd
 from turmericweir_core.messages.events import AttemptEnded, EndBroken
-from turmericweir_core.messages.peer_messages import (
-    CrashNews,
-    PeerMessage,
-    TrialAnswer,
-    TrialAsk,
-    TrialEnd,
-)
+from turmericweir_core.messages.peer_messages import PeerMessage
 from turmericweir_core.state.quarantine_state import CrashKey
 
 POISON: Final = "poison"
--- a/tests/ctl/fake_daemon.py
+++ b/tests/ctl/fake_daemon.py
@@ -43,7 +43,7 @@
     LogRead,
     LogRecord,
 )
-from turmericweir_core.messages.peer_messages import Word
+from turmericweir_core.messages.membership_messages import Word
 from turmericweir_core.reducers.reducer import new_state, reduce
 from turmericweir_core.state.membership_state import RemoteCentre
 from turmericweir_core.state.settings_sync import settings_read_offset
--- a/tests/daemon/test_codecs.py
+++ b/tests/daemon/test_codecs.py
@@ -16,14 +16,10 @@
 from turmericweir.process.logs import format_line
 from turmericweir_core.base.config import Customer
 from turmericweir_core.base.ids import InstanceName
+from turmericweir_core.messages.credit_messages import CreditDemand, TierDemand
 from turmericweir_core.messages.events import PeerReceived
-from turmericweir_core.messages.peer_messages import (
-    CreditDemand,
-    PeerMessage,
-    SettingsAsk,
-    SettingsSend,
-    TierDemand,
-)
+from turmericweir_core.messages.peer_messages import PeerMessage
+from turmericweir_core.messages.settings_messages import SettingsAsk, SettingsSend
 
 ME = InstanceName("entry-1")
 PEER = "127.0.0.1:1"
--- a/tests/daemon/test_peer_codec.py
+++ b/tests/daemon/test_peer_codec.py
@@ -9,16 +9,16 @@
 from turmericweir.peers.peer_codec import decode, encode
 from turmericweir_core.base.config import ServerEntry
 from turmericweir_core.base.ids import InstanceName, ServerName
-from turmericweir_core.messages.peer_messages import (
+from turmericweir_core.messages.membership_messages import (
     Heartbeat,
     Mark,
     MemberRecord,
     MembersSend,
-    PeerMessage,
-    ServersSend,
-    SettingsSend,
     Word,
 )
+from turmericweir_core.messages.peer_messages import PeerMessage
+from turmericweir_core.messages.server_messages import ServersSend
+from turmericweir_core.messages.settings_messages import SettingsSend
 
 SENDER = InstanceName("entry-1")
 HEARTBEAT = Heartbeat(
--- a/tests/daemon/test_peer_streams.py
+++ b/tests/daemon/test_peer_streams.py
@@ -16,7 +16,7 @@
 from turmericweir.process.traffic import Traffic
 from turmericweir_core.base.ids import InstanceName
 from turmericweir_core.messages.events import Event, PeerUnreachable
-from turmericweir_core.messages.peer_messages import SettingsAsk
+from turmericweir_core.messages.settings_messages import SettingsAsk
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/failures/test_partition.py
+++ b/tests/failures/test_partition.py
@@ -9,7 +9,7 @@
 from tests.failures.member_cluster import EVENT_TIMEOUT_S, MemberCluster
 from turmericweir.peers.peer_codec import encode
 from turmericweir_core.base.ids import InstanceName
-from turmericweir_core.messages.peer_messages import Heartbeat
+from turmericweir_core.messages.membership_messages import Heartbeat
 from turmericweir_standins.deployment import settings_record
 from turmericweir_standins.procs import call_json, wait_until
 
