Derive the tiers once for each configuration and build classes when they are used

Cause: a settings document with routes yields a service class for each route and customer priority: 4,215 for 1,405 routes with three priorities. The most urgent tier and the most urgent gap target were found by walking over all of them, for each first token, retry, dispatch pass and tick, and all classes were built, named and ranked for each version of the document.

Ruled out: a faster decoder of JSON; it takes 2 to 6 ms of what decoding takes.

Change: `Config.tier_summary` holds what follows from all classes together. Settings with routes give it with the table of routes; others derive it on first use. A class of a route is built when a request first uses it (`base/route_classes`). Ranks are kept by priority and target, not by class.

Conclusion: classes that no request uses cost nothing in a tick, an attempt or memory. Decoding still grows with all routes.

--- a/packages/turmericweir-core/turmericweir_core/base/config.py
+++ b/packages/turmericweir-core/turmericweir_core/base/config.py
@@ -176,12 +176,27 @@
     paths: tuple[str, ...]
 
 
+class TierSummary(Struct, frozen=True):
+    """What follows from all service classes together."""
+
+    # The most and the least urgent tier that is configured.
+    most_urgent: int = 0
+    lowest: int = 0
+    # The assured share of each tier: the sum over its classes.
+    assured_shares: dict[int, float] = field(default_factory=dict)
+    # The token gap target of the most urgent class that has one.
+    gap_target_s: float | None = None
+
+
 class Config(Struct, frozen=True):
     """All settings by operators at one offset of the settings log."""
 
     # Offset of the first settings record that is not part of this state.
     offset: int = 0
+    # Classes by name. Where they follow from routes, they are added when a request first uses them.
     classes: dict[str, ServiceClass] = field(default_factory=dict)
+    # Of all classes, also of those that no request has used; None until `tiers` derives it.
+    tier_summary: TierSummary | None = None
     customers: dict[str, Customer] = field(default_factory=dict)
     # Customer by token digest.
     customers_by_token: dict[str, Customer] = field(default_factory=dict)
--- a/packages/turmericweir-core/turmericweir_core/base/routes.py
+++ b/packages/turmericweir-core/turmericweir_core/base/routes.py
@@ -53,6 +53,8 @@
 
     # By host and path prefix.
     by_host_and_prefix: dict[tuple[str, str], Route] = field(default_factory=dict)
+    # Scheduling ranks of model requests by the priority and target of their route.
+    ranks: dict[tuple[int, float], int] = field(default_factory=dict)
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix of a path."""
@@ -64,12 +66,14 @@
         return None
 
 
-def build_route_table(routes: Iterable[Route]) -> RouteTable:
+def build_route_table(
+    routes: Iterable[Route], ranks: dict[tuple[int, float], int] | None = None
+) -> RouteTable:
     """Return a table of the routes; the first of several with the same host and prefix applies."""
     table: dict[tuple[str, str], Route] = {}
     for route in routes:
         table.setdefault((route.host, route.path_prefix), route)
-    return RouteTable(table)
+    return RouteTable(table, ranks or {})
 
 
 def pick_target(route: Route, rng: Random) -> Target:
--- a/packages/turmericweir-core/turmericweir_core/placement/attempt_accounting.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/attempt_accounting.py
@@ -13,7 +13,7 @@
 from turmericweir_core.base.config import PlacementPolicy, ServiceKind
 from turmericweir_core.base.ids import ServerName
 from turmericweir_core.base.request import Attempt, CancelReason, Request
-from turmericweir_core.base.tiers import most_urgent_configured_tier
+from turmericweir_core.base.tiers import most_urgent_configured_tier, most_urgent_gap_target_s
 from turmericweir_core.engines import engine_model, engine_pools
 from turmericweir_core.messages.effects import Count, Effect, Log, Timing
 from turmericweir_core.messages.events import (
@@ -178,7 +178,7 @@
 
 
 def _adjust_engine_limits(state: State, now: float) -> None:
-    gap_target_s = _most_urgent_gap_target_s(state)
+    gap_target_s = most_urgent_gap_target_s(state.config)
     for name, pace in state.stragglers.by_server.items():
         server = state.servers.by_name.get(name)
         if server is not None and server.in_flight:
@@ -187,16 +187,6 @@
             )
 
 
-def _most_urgent_gap_target_s(state: State) -> float | None:
-    """Return the token gap target of the most urgent class that has one."""
-    targets = [
-        (service_class.priority, service_class.token_gap_target_s)
-        for service_class in state.config.classes.values()
-        if service_class.token_gap_target_s is not None
-    ]
-    return min(targets)[1] if targets else None
-
-
 def _forget_removed_servers(state: State) -> None:
     """Forget the state of servers that left the server table."""
     for name in list(state.stragglers.by_server):
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -24,6 +24,7 @@
 from turmericweir_core.base.config import Config, ServiceKind
 from turmericweir_core.base.ids import RequestId
 from turmericweir_core.base.reasons import Reason
+from turmericweir_core.base.route_classes import class_of_route
 from turmericweir_platform.server_entries import decode_entry
 from turmericweir_platform.settings_document import decode_document
 from turmericweir_platform.wire import PlatformWire
@@ -358,8 +359,16 @@
         {"name": f"c{number}", "api-keys": [f"k{number}"], "priority": priority}
         for number, priority in enumerate(customer_priorities)
     ]
-    classes = config(routes=routes, tenants=customers).classes
-    return {name: each.rank for name, each in classes.items() if each.rank is not None}
+    cfg = config(routes=routes, tenants=customers)
+    classes = [
+        class_of_route(cfg, route, priority)
+        for route in cfg.routes.by_host_and_prefix.values()
+        for priority in {
+            route.priority,
+            *(each for each in customer_priorities if each is not None),
+        }
+    ]
+    return {each.name: each.rank for each in classes if each.rank is not None}
 
 
 def test_long_prompt_of_an_urgent_customer_does_not_outrank_a_quick_answer() -> None:
