Receive all datagrams that wait in one turn of the event loop

Cause: asyncio's datagram transport receives one datagram in each turn of the event loop. A busy process on a small share of a core has fewer turns than its peers send datagrams, so the socket's buffer is always full: what arrives is seconds old, and the rest is lost. Streams are not affected, so requests went on in time with knowledge from seconds ago.

The reader had read the entries 0.3 s after the word and sent them at once; its datagrams were applied 0.1 to 3.7 s later, by instance, always the same instances late, while requests to these instances took under 0.2 s to reach a server. No list was requested, so nothing was found missing: the datagram itself was late.

Ruled out: reads of the reader (two reads within 0.4 s of the word), hashes that differ (no list was requested), the link (streams of the same instances in time), the store (stable).

Change: the first datagram of a turn is followed by all others that wait, up to 256, so that a flood does not keep requests from being served.

--- a/packages/turmericweir/turmericweir/peers/peer_datagrams.py
+++ b/packages/turmericweir/turmericweir/peers/peer_datagrams.py
@@ -2,11 +2,16 @@
 
 One socket sends and receives, on the same address as the streams. Neither direction uses a task,
 since there may be hundreds of datagrams per second.
+
+The event loop's transport receives one datagram per turn of the loop. A busy process has fewer
+turns than datagrams, and what waits in the socket is delayed by seconds and then lost. Therefore
+each turn receives all that wait.
 """
 
 from __future__ import annotations
 
 import asyncio
+import socket
 from types import TracebackType
 from typing import Final, Self
 
@@ -20,6 +25,11 @@
 
 # Below the limit of UDP over IPv4, 65,507 bytes.
 DATAGRAM_MAX_BYTES: Final = 60_000
+# Size of the buffer for a received datagram, which truncates larger ones.
+_RECEIVE_MAX_BYTES: Final = 65_536
+# Limit of datagrams received in one turn of the event loop. Prevents a sender from keeping requests
+# from being served.
+_RECEIVED_PER_TURN_MAX: Final = 256
 
 
 class PeerDatagrams(asyncio.DatagramProtocol):
@@ -31,6 +41,8 @@
     _local_name: InstanceName
     _address: str
     _transport: asyncio.DatagramTransport
+    # The socket of the transport, which closes it.
+    _socket: socket.socket
     # Whether the send buffer is full; until it has space, datagrams are dropped and counted.
     _is_write_paused: bool
     # The last encoded message and its frame, since most messages go to several peers.
@@ -51,11 +63,11 @@
         self._frame_reader = FrameReader(node)
 
     async def __aenter__(self) -> Self:
-        host, _, port = self._address.rpartition(":")
         loop = asyncio.get_running_loop()
         try:
+            self._socket = _bind_socket(self._address)
             self._transport, _ = await loop.create_datagram_endpoint(
-                lambda: self, local_addr=(host, int(port))
+                lambda: self, sock=self._socket
             )
         except OSError as exc:
             detail = exc.strerror or str(exc)
@@ -102,7 +114,19 @@
     # Called by the event loop.
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Decode a datagram and pass it to the node."""
+        """Pass a datagram, and all others that wait in the socket, to the node."""
+        self._process(data, addr)
+        for _ in range(_RECEIVED_PER_TURN_MAX - 1):
+            try:
+                data, addr = self._socket.recvfrom(_RECEIVE_MAX_BYTES)
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError as exc:
+                self.error_received(exc)
+                return
+            self._process(data, addr)
+
+    def _process(self, data: bytes, addr: tuple[str, int]) -> None:
         if self._frame_reader is None:
             return
         self._node.traffic.datagrams.received.add(len(data))
@@ -119,3 +143,17 @@
     def error_received(self, exc: Exception) -> None:
         """Log that the system could not deliver a datagram."""
         self._log_unsent(self._address, exc)
+
+
+def _bind_socket(address: str) -> socket.socket:
+    """Return a non-blocking datagram socket on an address; raise OSError if it cannot be bound."""
+    host, _, port = address.rpartition(":")
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_DGRAM)
+    try:
+        sock.setblocking(False)
+        sock.bind((host, int(port)))
+    except OSError:
+        sock.close()
+        raise
+    return sock
