Count the age of servers' entries from the request of their read

Cause: an instance took entries to be as new as the moment at which the answer, or the update of its reader, was handled. Whatever the answer took, or waited in a busy reader, was added to the time for which a leaving server was believed, beyond what the read intervals are derived for.

Change: a read counts from its request, and an update carries the age of the read that it is from. Instances whose reader lags therefore read for themselves earlier. The new field is the last one and has a default, so that a later release may meet an earlier one.

Ruled out: taking the age of entries from a proof on request, as for the settings; it would cost a round trip for each instance and read.

Tests: a read of 0.6 s and an update of 0.7 s age from their request, and the reader tells the age (both fail before: the fields did not exist).

--- a/packages/turmericweir-core/turmericweir_core/messages/events.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/events.py
@@ -362,6 +362,8 @@
     is_complete: bool = False
     # All records before this offset were read; 0 if only those of the entries are known to be.
     end: int = 0
+    # When the read was requested; None if it was answered at once.
+    requested_at: float | None = None
 
 
 class EntryUnreadable(Struct, frozen=True):
--- a/packages/turmericweir-core/turmericweir_core/messages/server_messages.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/server_messages.py
@@ -41,6 +41,8 @@
     reader: str = ""
     # Offset up to which the hashed entries reflect all records.
     end: int = 0
+    # Time since the read was requested.
+    age_ms: int = 0
 
 
 class PathsAsk(Struct, frozen=True, array_like=True):
--- a/packages/turmericweir-core/turmericweir_core/state/registry_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/registry_state.py
@@ -18,7 +18,8 @@
     offsets: dict[ServerName, int] = field(default_factory=dict)
     # The listed entries reflect all records before this offset.
     read_to: int = 0
-    # When a read last succeeded.
+    # When the newest read that succeeded was requested, by this instance or by its reader: the
+    # entries reflect all that the store had acknowledged before.
     read_at: float = _NEVER
     # No reader sent an update in time, so this instance is the fallback reader until one does.
     is_fallback_reader: bool = False
--- a/packages/turmericweir-core/turmericweir_core/store/registry.py
+++ b/packages/turmericweir-core/turmericweir_core/store/registry.py
@@ -41,6 +41,7 @@
     from turmericweir_core.state.state import State
 
 _NEVER: Final = float("-inf")
+_MS: Final = 1000.0
 # Time without an answered read after which the store counts as unreachable.
 _STORE_OUTAGE_S: Final = 3.0
 # Time that servers have to write their entries again after the store has recovered.
@@ -56,7 +57,9 @@
     registry = state.registry
     had_outage = now - registry.read_at > _STORE_OUTAGE_S
     store_duty.note_registry_read(state, now)
-    registry.read_at = now
+    # Entries may have changed while the answer was under way or waited for this process.
+    requested_at = now if event.requested_at is None else event.requested_at
+    registry.read_at = max(registry.read_at, requested_at)
     listed = dict(state.servers.listed)
     effects: list[Effect] = []
     rows: list[RegistryRow] = []
@@ -98,7 +101,8 @@
         return []
     servers_hash = server_list.hash_full_entries(_recorded_entries(state).values())
     # Receivers that lack an entry detect it by the hash and request the whole list.
-    update = RegistryNews(servers_hash, rows[:_ROWS_MAX], end=state.registry.read_to)
+    age_ms = round((now - state.registry.read_at) * _MS)
+    update = RegistryNews(servers_hash, rows[:_ROWS_MAX], end=state.registry.read_to, age_ms=age_ms)
     peers = store_duty.read_receivers(state, now)
     return [SendDatagram(peer.name, peer.peer_address, update) for peer in peers]
 
@@ -136,7 +140,8 @@
             effects.append(_log("server_removed", name, offset=row.offset, by=sender))
     effects += _apply_entries(state, now, listed)
     if server_list.hash_full_entries(_recorded_entries(state).values()) == update.servers_hash:
-        state.registry.read_at = now
+        read_at = now - max(0, update.age_ms) / _MS
+        state.registry.read_at = max(state.registry.read_at, read_at)
         state.registry.read_to = update.end
         return effects
     peer = membership.find_member(state, sender)
--- a/tests/core/store/test_registry.py
+++ b/tests/core/store/test_registry.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from collections.abc import Callable
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -86,6 +87,37 @@
     assert world.state.registry.read_at == world.now
 
 
+def test_entries_are_as_old_as_the_request_of_their_read() -> None:
+    """A slow answer does not make entries newer: they age from the request of their read.
+
+    Prevents an instance whose reader's answers lag from using a leaving server for too long.
+    """
+    world = StoreWorld()
+    world.know("b-1")
+    world.now += 1.0
+    world.give(RegistryRead((), requested_at=world.now - 0.6))
+    assert world.state.registry.read_at == world.now - 0.6
+    world.now += 1.0
+    servers_hash = server_list.hash_full_entries(world.state.servers.listed.values())
+    world.peer("b-1", RegistryNews(servers_hash, end=2, age_ms=700))
+    assert world.state.registry.read_at == pytest.approx(world.now - 0.7)
+    world.state.members.started_at = None
+    assert store_duty.is_registry_read_due(world.state, world.now + 0.9)
+
+
+def test_reader_tells_the_age_of_its_read() -> None:
+    """A reader whose read took long tells the others the age of what it sends."""
+    world = StoreWorld()
+    world.now += 1.0
+    world.know("b-1")
+    world.state.registry.is_fallback_reader = True
+    effects = datagrams(world.give(RegistryRead((), requested_at=world.now - 0.6)))
+    ages_ms = [
+        effect.message.age_ms for effect in effects if isinstance(effect.message, RegistryNews)
+    ]
+    assert ages_ms == [600]
+
+
 def test_lost_update_is_detected_by_the_next_one() -> None:
     """A lost update is detected by the hash of the next one."""
     world = StoreWorld()
