Keep no engines for a kind of request that no route has

Cause: the engines of a service are split between prompts that may delay other streams and streams that must not be delayed, with at least one engine for each kind. Where all routes to a service tolerate long prompts, the engine for the others is never used, as long prompts don't spill; where none does, the prefill engines (three in five of all after a start) are only used by requests that have waited for half of their target.

Ruled out: admission (nothing was refused on arrival; the refusals were requests that waited to their deadline) and Retry-After.

Change: a split whose routes are all of one kind has no border. With both kinds nothing changes.

--- a/packages/turmericweir-core/turmericweir_core/engines/engine_pools.py
+++ b/packages/turmericweir-core/turmericweir_core/engines/engine_pools.py
@@ -12,7 +12,8 @@
 
 The split follows the demand that all instances report. Each kind has at least one engine, and as
 many prefill engines are planned as long prompts keep busy up to a share of their time. The rest is
-shared by demand, with a higher weight for decode engines. Where there are too few engines for both,
+shared by demand, with a higher weight for decode engines. Where all routes to a service are of one
+kind, all engines serve it. Where there are too few engines for both,
 the more urgent kind is served first, and decode engines if both are equally urgent. The engines are
 ordered by hash, so that all instances split them alike and an added or removed engine changes
 little. Needed engines are assigned at once; the rest moves slowly, because cached parts would be
@@ -213,11 +214,12 @@
     pools = _split_engines(state, now, req.target, engines)
     match prompt_kind(state, req, engines[0].service):
         case PromptKind.LONG:
-            return pools.prefill
+            # The routes may have changed since the request arrived.
+            return pools.prefill or engines
         case PromptKind.MEDIUM:
-            return pools.medium or pools.decode
+            return pools.medium or pools.decode or engines
         case PromptKind.SHORT:
-            return pools.decode
+            return pools.decode or engines
 
 
 def spill_engines(state: State, now: float, req: Request, engines: list[Server]) -> list[Server]:
@@ -292,6 +294,9 @@
         split.cached_settings = state.config.offset
         split.is_decode_first = _is_decode_first(state, target)
         split.lowest_gap_target_s = _shortest_gap_s(state, target)
+        split.only_long = _only_kind(state, target)
+    if split.only_long is not None:
+        return engine_count if split.only_long else 0
     plan = _plan(state, now, target, engine_count, split)
     split.prefill_engine_count = max(
         plan.needed_count, min(split.prefill_engine_count, plan.available_count)
@@ -402,6 +407,20 @@
     return most_urgent_priority.get(True, 0) <= most_urgent_priority.get(False, 0)
 
 
+def _only_kind(state: State, target: Target) -> bool | None:
+    """Return whether all routes to a target tolerate long prompts, or None if they differ.
+
+    Prevents engines from being kept for a kind of request that no route has.
+    """
+    service = state.config.service_by_target.get(target)
+    kinds = {
+        _is_gap_tolerant(state, route.gap_target_s, service)
+        for route in state.config.routes.by_host_and_prefix.values()
+        if service is not None and target in (each.target for each in route.targets)
+    }
+    return kinds.pop() if len(kinds) == 1 else None
+
+
 def _shortest_gap_s(state: State, target: Target) -> float | None:
     """Return the shortest token gap target of the routes to a target, in seconds, or None."""
     gaps = [
--- a/packages/turmericweir-core/turmericweir_core/state/pool_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/pool_state.py
@@ -42,6 +42,8 @@
     is_decode_first: bool = True
     # The lowest target of any route of the service for the time between tokens, seconds, if any.
     lowest_gap_target_s: float | None = None
+    # Whether all routes of the service tolerate long prompts; None if only some of them do.
+    only_long: bool | None = None
     cached_settings: int | None = None
     # Number of engines reserved for short-prompt requests, and when it last changed; 0 until there
     # are medium prompts.
