Ask for the usage counts that the holder of the duties lacks

Cause: the holder settled windows with what had been sent to it. Instances send their sums by datagram to the four instances that they take for candidates, and nobody noticed where these did not arrive: on a busy machine they were lost in the socket, and an instance that is not heard for 2.2 s was left out of the settlement although it served on. A holder that had started after an instance had died never had that one's sums, though other candidates did.

Change: the holder asks over streams, once in each lease all live instances, and before a window is settled those whose final counts are missing. The answer also holds the sums of ended incarnations that the answerer has received. A window waits for instances that were live lately and are not heard now for 0.35 of the time until its report is due.

Ruled out: the lease and the note (each window settled once, reports accepted); a store that forgets its records (the newest of a key stays).

--- a/packages/turmericweir-core/turmericweir_core/duties/usage.py
+++ b/packages/turmericweir-core/turmericweir_core/duties/usage.py
@@ -2,7 +2,8 @@
 
 Each instance sends its counts (`state.usage_meter`) to the candidates for the lease of the duties
 at a fixed interval. A count is the sum since the start of the window, so the newest message
-replaces lost ones, and the counts of a failed instance remain.
+replaces lost ones, and the counts of a failed instance remain. The holder asks for the counts that
+it lacks (`usage_requests`).
 
 The holder of the lease *settles* a window some time after its end: it writes the counts into the
 note of its lease (`lease_flow.set_note`), which the store keeps. Only settled counts are reported,
@@ -40,8 +41,10 @@
 # Number of newest windows in a message; a new candidate receives all windows.
 _WINDOWS_PER_MESSAGE: Final = 3
 # Shares of `late_s`, the time for reporting a window. After the first one, a window is settled if
-# all instances have sent its final counts; after the second one, in any case.
+# all instances have sent its final counts; after the second one, without those that are not live;
+# after the third one, in any case.
 _SETTLE_SHARE: Final = 0.12
+_SETTLE_ABSENT_SHARE: Final = 0.35
 _SETTLE_LATEST_SHARE: Final = 0.55
 # Number of stored windows; older ones have been settled or cannot be reported any more.
 _WINDOWS_STORED: Final = 24
@@ -81,16 +84,21 @@
 
 
 def _counts_message(state: State, now: float, to: Member, *, has_all_windows: bool) -> SendDatagram:
-    meter, usage = _meter(state), _duties(state).usage
-    current = usage_meter.window_at(meter, now) or 0
+    current = usage_meter.window_at(_meter(state), now) or 0
+    oldest = 0 if has_all_windows else current - _WINDOWS_PER_MESSAGE + 1
+    return SendDatagram(to.name, to.peer_address, own_counts(state, now, oldest))
+
+
+def own_counts(state: State, now: float, oldest: int) -> UsageCounts:
+    """Return this instance's counts of the windows from one on."""
+    usage = _duties(state).usage
     usage.seq += 1
     windows = [
         WindowCounts(window, counts)
-        for window, counts in sorted(meter.windows.items())
-        if has_all_windows or window > current - _WINDOWS_PER_MESSAGE
+        for window, counts in sorted(_meter(state).windows.items())
+        if window >= oldest
     ]
-    counts = UsageCounts(state.me.incarnation, usage.seq, _open_window(state, now), windows)
-    return SendDatagram(to.name, to.peer_address, counts)
+    return UsageCounts(state.me.incarnation, usage.seq, _open_window(state, now), windows)
 
 
 def _open_window(state: State, now: float) -> int:
@@ -167,12 +175,7 @@
     if current is None:
         return []
     finished = []
-    if note.newest is not None:
-        window = note.newest + 1
-    else:
-        if usage.first_window is None:
-            usage.first_window = _first_window(state, current)
-        window = usage.first_window
+    window = next_window(state, note, current)
     while window < current and _can_settle(state, now, window):
         finished.append(window)
         window += 1
@@ -189,6 +192,16 @@
     ]
 
 
+def next_window(state: State, note: UsageNote, current: int) -> int:
+    """Return the oldest window that is not settled."""
+    if note.newest is not None:
+        return note.newest + 1
+    usage = _duties(state).usage
+    if usage.first_window is None:
+        usage.first_window = _first_window(state, current)
+    return usage.first_window
+
+
 def _first_window(state: State, current: int) -> int:
     """Return the first window to report if none has been reported."""
     windows = [*_meter(state).windows]
@@ -204,21 +217,32 @@
         return True
     if age_s < _SETTLE_SHARE * late_s:
         return False
-    return not _has_missing_counts(state, now, window)
+    if _open_window(state, now) <= window or members_without_counts(state, now, window):
+        return False
+    # An instance that is not heard may be busy or cut off, and serve requests all the same.
+    is_absence_over = age_s >= _SETTLE_ABSENT_SHARE * late_s
+    return is_absence_over or not _without_counts(
+        state, membership.recent_instances(state, now, late_s), window
+    )
 
 
-def _has_missing_counts(state: State, now: float, window: int) -> bool:
-    """Return whether a live instance has not reported the end of a window."""
-    if _open_window(state, now) <= window:
-        return True
+def members_without_counts(state: State, now: float, window: int) -> list[Member]:
+    """Return the live instances whose final counts of a window are not known here."""
+    answered = _duties(state).usage.answered
+    live = [each for each in membership.live_instances(state, now) if each.name != state.me.name]
+    lacking = {each.name for each in _without_counts(state, live, window)}
+    # Those that have not answered may have counts of instances that have ended.
+    return [each for each in live if each.name in lacking or each.name not in answered]
+
+
+def _without_counts(state: State, members: list[Member], window: int) -> list[Member]:
     received = _duties(state).usage.counts_by_incarnation
-    for member in membership.live_instances(state, now):
-        if member.name == state.me.name:
-            continue
+    lacking = []
+    for member in members:
         record = received.get((member.name, member.incarnation))
-        if record is None or record.open_window <= window:
-            return True
-    return False
+        if member.name != state.me.name and (record is None or record.open_window <= window):
+            lacking.append(member)
+    return lacking
 
 
 def _total_counts(state: State, window: int) -> dict[str, int]:
--- a/packages/turmericweir-core/turmericweir_core/messages/duty_messages.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/duty_messages.py
@@ -39,6 +39,25 @@
     windows: list[WindowCounts] = []
 
 
+class UsageAsk(Struct, frozen=True, array_like=True):
+    """Requests the counts of windows from this one on; sent by the holder that reports usage."""
+
+    window: int
+
+
+class OriginCounts(Struct, frozen=True, array_like=True):
+    """Counts of one incarnation of an instance, by itself or by one that has received them."""
+
+    origin: str
+    counts: UsageCounts
+
+
+class UsageSend(Struct, frozen=True, array_like=True):
+    """The sender's counts, and those that it has received from instances that have ended."""
+
+    origins: list[OriginCounts]
+
+
 class DutyStatus(Struct, frozen=True, array_like=True):
     """The sender holds the lease of the duties, and is able to perform them."""
 
--- a/packages/turmericweir-core/turmericweir_core/messages/peer_messages.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/peer_messages.py
@@ -26,7 +26,13 @@
     TrialEnd,
 )
 from turmericweir_core.messages.credit_messages import CreditDemand, CreditGrant
-from turmericweir_core.messages.duty_messages import DutyStatus, ModelDemand, UsageCounts
+from turmericweir_core.messages.duty_messages import (
+    DutyStatus,
+    ModelDemand,
+    UsageAsk,
+    UsageCounts,
+    UsageSend,
+)
 from turmericweir_core.messages.limit_messages import LimitAsk, LimitGrant
 from turmericweir_core.messages.load_messages import CachesAsk, CachesSend, LoadBundle, LoadNews
 from turmericweir_core.messages.loan_messages import (
@@ -105,6 +111,8 @@
     | TrialEnd
     | ModelDemand
     | UsageCounts
+    | UsageAsk
+    | UsageSend
     | DutyStatus
 )
 
@@ -154,5 +162,7 @@
     TrialEnd,
     ModelDemand,
     UsageCounts,
+    UsageAsk,
+    UsageSend,
     DutyStatus,
 )
--- a/packages/turmericweir-core/turmericweir_core/reducers/reducer_duties.py
+++ b/packages/turmericweir-core/turmericweir_core/reducers/reducer_duties.py
@@ -5,9 +5,14 @@
 
 from __future__ import annotations
 
-from turmericweir_core.duties import capacity, election, usage
+from turmericweir_core.duties import capacity, election, usage, usage_requests
 from turmericweir_core.leases import lease_flow
-from turmericweir_core.messages.duty_messages import DutyStatus, UsageCounts
+from turmericweir_core.messages.duty_messages import (
+    DutyStatus,
+    UsageAsk,
+    UsageCounts,
+    UsageSend,
+)
 from turmericweir_core.messages.effects import Effect
 from turmericweir_core.messages.events import (
     AppendDone,
@@ -39,6 +44,11 @@
         case PeerReceived(sender, UsageCounts() as message):
             usage.on_counts(state, now, sender, message)
             return []
+        case PeerReceived(sender, UsageAsk() as ask):
+            return usage_requests.on_ask(state, now, sender, ask)
+        case PeerReceived(sender, UsageSend() as answer):
+            usage_requests.on_answer(state, now, sender, answer)
+            return []
         case PeerReceived(sender, DutyStatus() as status):
             election.on_status(state, now, sender, status)
             return []
@@ -84,6 +94,7 @@
         effects += capacity.on_tick(state, now)
         has_work = capacity.has_work(state)
     if duties.settings.reports_usage:
+        effects += usage_requests.ask_missing(state, now)
         effects += usage.on_tick(state, now)
         has_work = has_work or usage.has_work(state)
     if has_work:
--- a/packages/turmericweir-core/turmericweir_core/state/duty_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/duty_state.py
@@ -49,6 +49,11 @@
     sent_to: frozenset[InstanceName] = frozenset()
     # The first window that this instance reports if none has been reported.
     first_window: int | None = None
+    # Fencing number of the lease under which this instance asks the others for their counts, those
+    # that have answered since, and when the others are asked again.
+    asked_fence: int | None = None
+    answered: set[InstanceName] = field(default_factory=set)
+    next_ask_at: float = NEVER
     # Windows whose reports the platform has accepted, as far as this instance knows.
     reported: set[int] = field(default_factory=set)
     # Token and window of the call in flight, and when the next call may be made.
--- a/tests/core/duties/test_usage.py
+++ b/tests/core/duties/test_usage.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests.core.duties.duty_network import LATE_S, WINDOW_S, DutyNetwork
+from tests.core.duties.duty_network import LATE_S, WALL_ZERO_S, WINDOW_S, DutyNetwork
 from turmericweir_core.base.ids import InstanceName
 from turmericweir_core.duties import election, usage
 from turmericweir_core.leases import lease_flow
@@ -162,6 +162,52 @@
     assert sum(counts.get("customer-1", 0) for counts in network.reported().values()) == 40
 
 
+def test_counts_of_a_dead_instance_survive_restarts_of_the_candidates() -> None:
+    """Guards against usage that is lost when the holder started after the instance had died."""
+    network = DutyNetwork()
+    names = network.start(COUNT)
+    state = network.nodes[names[0]].state
+    candidates = [member.name for member in election.candidates(state, network.now)]
+    victim = next(name for name in names if name not in candidates)
+    network.run_until(lambda: (network.now + WALL_ZERO_S) % WINDOW_S < 0.1, 6.0)
+    network.serve(victim, "customer-1", 40)
+    network.run(1.5)
+    network.kill(victim)
+    for name in candidates[:-1]:
+        network.restart(name)
+    network.begin(list(candidates[:-1]))
+    network.run(2 * LATE_S)
+    assert network.holder() in candidates[:-1]
+    assert sum(counts.get("customer-1", 0) for counts in network.reported().values()) == 40
+    assert network.broken_rules() == []
+
+
+def test_holder_asks_for_counts_that_it_was_not_sent() -> None:
+    """Guards against windows with the holder's own counts alone, if messages to it are lost."""
+    network = DutyNetwork()
+    names = network.start(COUNT)
+    network.lost = (UsageCounts,)
+    network.serve_all(names, 4 * WINDOW_S)
+    network.run(LATE_S + WINDOW_S)
+    assert len(network.reported()) >= 4
+    assert wrong_windows(network) == []
+    assert overdue_windows(network) == []
+
+
+def test_window_waits_for_an_instance_that_is_not_heard_for_a_moment() -> None:
+    """Guards against a window without the counts of an instance that is only busy."""
+    network = DutyNetwork()
+    names = network.start(COUNT)
+    busy = next(name for name in names if name != network.holder())
+    network.run_until(lambda: (network.now + WALL_ZERO_S) % WINDOW_S > WINDOW_S - 1.0, 6.0)
+    network.serve(busy, "customer-1", 40)
+    network.pause(busy)
+    network.run(1.0 + 2.8)
+    network.resume(busy)
+    network.run(LATE_S + WINDOW_S)
+    assert sum(counts.get("customer-1", 0) for counts in network.reported().values()) == 40
+
+
 def test_no_window_is_reported_again_after_a_restart_of_all() -> None:
     """Guards against a second report of a window after a restart of all instances."""
     network = DutyNetwork()
