Close an answer of a server at a bound on each of its parts

Cause: bytes without an end in an event, in the body of an error, in a body without a length, in interim heads or in chunk extensions were read until the time limit of their request. Only a single head or trailer had a bound, of the parser, and events of resumable streams one of 1 MiB. Callers waited for their whole time beside sound servers, and the link was taken meanwhile. Calls of the instance's own could buffer 16 MiB each.

Ruled out: a bound on rate or time, since a sound server on a slow link looks alike; a bound on a whole stream, since a long one is no fault.

Change: the connection counts what is no body (64 KiB, and 16 bytes for each byte of the body; 16 heads), the reader of an answer one event, the body of an error and a body without a length (`answers` of the process file). Beyond it the attempt ends as EndBroken of a server that lives; `answer_end` is `oversized` and `attempt.oversized` counts it. Calls of the instance's own have 256 KiB, those to the store 16 MiB as before. The parser gets a head in parts of 4 KiB.

Conclusion: what is no answer ends at its bound on every kind of route, and its request goes on elsewhere where it may.

--- a/packages/turmericweir-core/turmericweir_core/messages/events.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/events.py
@@ -121,7 +121,8 @@
 
     # "length", "chunked" or "connection_end".
     framing: str
-    # "whole", "closed" or "reset"; empty if the answer was not read to its end.
+    # "whole", "closed", "reset", or "oversized" if it was no answer and this end closed; empty if
+    # the answer was not read to its end.
     end: str
     # The last event of the body was incomplete.
     is_event_open: bool = False
--- a/packages/turmericweir/turmericweir/answers/answer_record.py
+++ b/packages/turmericweir/turmericweir/answers/answer_record.py
@@ -18,6 +18,7 @@
 _WHOLE: Final = "whole"
 _CLOSED: Final = "closed"
 _RESET: Final = "reset"
+_OVERSIZED: Final = "oversized"
 _STATUSES_WITHOUT_BODY: Final = frozenset({204, 304})
 
 
@@ -48,6 +49,11 @@
         """Whether the answer itself shows where it ends."""
         return self._framing != CONNECTION_END
 
+    @property
+    def is_sized(self) -> bool:
+        """Whether the answer announces its length, or has no body."""
+        return self._framing == LENGTH
+
     def begin(self, response: httpcore.Response) -> None:
         """Record the framing of an answer whose head was read."""
         self._framing = framing_of(response)
@@ -56,6 +62,10 @@
         """Record that the answer was read to its end."""
         self._end = _CLOSED if self._framing == CONNECTION_END else _WHOLE
 
+    def note_oversized(self) -> None:
+        """Record that this end closed the connection, since the answer exceeded a bound."""
+        self._end = _OVERSIZED
+
     def note_lost(self, error: Exception) -> None:
         """Record that the connection ended before the answer did."""
         # A close without a part of the answer is an error of the protocol.
--- a/packages/turmericweir/turmericweir/answers/forward_events.py
+++ b/packages/turmericweir/turmericweir/answers/forward_events.py
@@ -19,8 +19,6 @@
 # Limit of the bytes of an incomplete event that are scanned again with the next chunk.
 _REST_MAX_BYTES: Final = 4096
 _ID: Final = b"id:"
-# Prevents an endless event from filling the memory.
-EVENT_MAX_BYTES: Final = 1_048_576
 
 
 class EventSplitter:
@@ -49,8 +47,6 @@
         data = self._buffer + chunk
         ends = _event_ends(data)
         if not ends:
-            if len(data) > EVENT_MAX_BYTES:
-                raise ValueError("an event exceeds the maximum size")
             self._buffer = data
             return b"", 0
         self._buffer = data[ends[-1] :]
@@ -72,20 +68,23 @@
 
 
 class EventTracker:
-    """Counts the events of a stream and tracks whether the last one is complete.
+    """Counts the events of a stream and tracks whether the last one is complete, and its size.
 
     A line ends with LF, CRLF or CR, and a blank line ends an event.
     """
 
-    __slots__ = ("_is_long_event", "_rest")
+    __slots__ = ("_is_long_event", "_rest", "open_bytes")
 
     # The bytes after the last complete event, or the last of them for a long event.
     _rest: bytes
     _is_long_event: bool
+    # The number of bytes after the last complete event.
+    open_bytes: int
 
     def __init__(self) -> None:
         self._rest = b""
         self._is_long_event = False
+        self.open_bytes = 0
 
     @property
     def is_event_open(self) -> bool:
@@ -96,9 +95,11 @@
         """Return the number of events that a chunk completes."""
         data = self._rest + chunk if self._rest else chunk
         ends = _event_ends(data)
+        self.open_bytes += len(chunk)
         if ends:
             self._is_long_event = False
             data = data[ends[-1] :]
+            self.open_bytes = len(data)
         self._rest = data
         if len(self._rest) > _REST_MAX_BYTES:
             self._rest = self._rest[-_LINE_ENDS_BYTES:]
--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -292,6 +292,7 @@
         )
         async with anyio.create_task_group() as group:
             node = Node(state, reduce, adapters, group, unread_s=_UNREAD_S)
+            node.answer_bounds = cfg.answers
             for part in (streams, datagrams, servers, follower):
                 part.attach(node)
             if duties is not None:
@@ -431,6 +432,7 @@
             continue
         cfg = result.unwrap()
         node.state.options = make_options(cfg)
+        node.answer_bounds = cfg.answers
         node.handle(SeedsGiven(cfg.peer_seeds))
         logs.write("reloaded", bounds=msgspec.to_builtins(cfg.bounds))
 
--- a/packages/turmericweir/turmericweir/platform_client.py
+++ b/packages/turmericweir/turmericweir/platform_client.py
@@ -16,7 +16,7 @@
 from turmericweir.process import logs
 from turmericweir.process.errors import CallError
 from turmericweir.process.node import Node
-from turmericweir.servers.backend_call import Answer, call
+from turmericweir.servers.backend_call import STORE_ANSWER_MAX_BYTES, Answer, call
 from turmericweir.servers.backend_pool import BackendPool
 from turmericweir_core.base.config import ServerEntry
 from turmericweir_core.base.ids import InstanceName, ServerName
@@ -167,6 +167,7 @@
             headers=self._source_header,
             timeout_s=timeout_s,
             traffic=self._node.traffic.platform,
+            max_bytes=STORE_ANSWER_MAX_BYTES,
         )
 
     def _protocol_error(self, step: str, detail: str) -> CallError:
--- a/packages/turmericweir/turmericweir/process/entry_settings.py
+++ b/packages/turmericweir/turmericweir/process/entry_settings.py
@@ -15,6 +15,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from turmericweir.process.answer_bounds import AnswerBounds
 from turmericweir.process.errors import SettingsFileError
 
 _COMMENT: Final = "//"
@@ -109,6 +110,8 @@
     # None if the platform has no duties.
     duties: DutiesSettings | None = None
     bounds: BoundsSettings = BoundsSettings()
+    # Bounds on what servers answer.
+    answers: AnswerBounds = AnswerBounds()
 
     @property
     def peer_seeds(self) -> tuple[str, ...]:
@@ -155,6 +158,9 @@
             raise ValueError(f"{name}: expected a name")
     if not 0 <= cfg.metrics_port <= _PORT_MAX:
         raise ValueError("metrics_port: expected a port, or 0")
+    for name in AnswerBounds.__struct_fields__:
+        if getattr(cfg.answers, name) <= 0:
+            raise ValueError(f"answers.{name}: expected a number above 0")
 
 
 def _check_duties(duties: DutiesSettings) -> None:
--- a/packages/turmericweir/turmericweir/process/node.py
+++ b/packages/turmericweir/turmericweir/process/node.py
@@ -16,6 +16,7 @@
 from anyio.abc import TaskGroup
 
 from turmericweir.process import logs
+from turmericweir.process.answer_bounds import AnswerBounds
 from turmericweir.process.errors import describe_error
 from turmericweir.process.traffic import Traffic
 from turmericweir_core.base.ids import RequestId
@@ -182,6 +183,8 @@
     _unread_s: float
     # Control traffic of this process, which the adapters count.
     traffic: Traffic
+    # Bounds on what servers answer.
+    answer_bounds: AnswerBounds
 
     def __init__(
         self,
@@ -203,6 +206,7 @@
         self._is_handling = False
         self._unread_s = unread_s
         self.traffic = Traffic()
+        self.answer_bounds = AnswerBounds()
 
     def handle(self, event: Event) -> None:
         """Reduce an event and perform its effects, after all earlier events."""
--- a/packages/turmericweir/turmericweir/servers/backend_attempt.py
+++ b/packages/turmericweir/turmericweir/servers/backend_attempt.py
@@ -15,6 +15,7 @@
 
 from turmericweir.answers.answer_record import AnswerRecord
 from turmericweir.process.errors import CallError, describe_error
+from turmericweir.servers.answer_size import AnswerTooLargeError
 from turmericweir.servers.backend_call import TRANSPORT_ERRORS, FirstByteCallback, call, read_body
 from turmericweir.servers.backend_pool import IDLE_MAX_S, VERIFIED_IDLE_MAX_S, Via
 from turmericweir.servers.peer_refusal import PeerRefusedError
@@ -128,10 +129,19 @@
                 return end
             finally:
                 await self.pool.release(address, conn)
+        except AnswerTooLargeError as exc:
+            return self.reject_oversized(describe_error(exc))
         except TRANSPORT_ERRORS as exc:
             self.answer.note_lost(exc)
             return await self.classify_loss(describe_error(exc))
 
+    def reject_oversized(self, error: str) -> EndBroken:
+        """Return the end of an attempt whose answer exceeds a bound, so is no answer."""
+        self.answer.note_oversized()
+        self.node.count("attempt.oversized")
+        # The server is there: it is sending.
+        return EndBroken(error, server_alive=True)
+
     async def classify_loss(self, error: str) -> AttemptEnd:
         """Classify a connection error by whether anything had been written."""
         if not self.may_have_started:
--- a/packages/turmericweir/turmericweir/servers/backend_call.py
+++ b/packages/turmericweir/turmericweir/servers/backend_call.py
@@ -7,7 +7,7 @@
 
 from collections.abc import AsyncIterable, AsyncIterator, Callable, Iterable
 from dataclasses import dataclass
-from typing import Any, Final
+from typing import Any, Final, Self
 
 import anyio
 import httpcore
@@ -15,6 +15,7 @@
 
 from turmericweir.process.errors import CallError, describe_error
 from turmericweir.process.traffic import TrafficCounter
+from turmericweir.servers.answer_size import AnswerTooLargeError, FramingCounter
 from turmericweir.servers.backend_pool import (
     IDLE_MAX_S,
     BackendConnection,
@@ -22,6 +23,7 @@
     Via,
     make_request,
 )
+from turmericweir.servers.backend_stream import BackendStream
 
 # The errors that httpcore raises when the server or the network fails.
 TRANSPORT_ERRORS: Final = (
@@ -31,7 +33,9 @@
     httpcore.ConnectionNotAvailable,
     OSError,
 )
-ANSWER_MAX_BYTES: Final = 16_777_216
+# The bound on an answer, which is buffered whole, and that on an answer of the platform's store.
+ANSWER_MAX_BYTES: Final = 262_144
+STORE_ANSWER_MAX_BYTES: Final = 16_777_216
 _JSON: Final = (b"content-type", b"application/json")
 # Colon, space and line end of a header; version, spaces and line ends around the first line.
 _HEADER_OVERHEAD_BYTES: Final = 4
@@ -85,6 +89,7 @@
     needs_new_connection: bool = False,
     via: Via | None = None,
     traffic: TrafficCounter | None = None,
+    max_bytes: int = ANSWER_MAX_BYTES,
 ) -> Answer:
     """Make one call with a JSON or raw body, if any; raise CallError without a complete answer."""
     body = raw if value is None else orjson.dumps(value)
@@ -99,7 +104,7 @@
                 address, idle_max_s=0.0 if needs_new_connection else IDLE_MAX_S, via=via
             )
             try:
-                return await _exchange(conn, request, first_byte, traffic)
+                return await _exchange(conn, request, first_byte, traffic, max_bytes)
             finally:
                 await pool.release(address, conn)
     except TimeoutError:
@@ -122,33 +127,57 @@
     request: httpcore.Request,
     first_byte: FirstByteCallback,
     traffic: TrafficCounter | None,
+    max_bytes: int,
 ) -> Answer:
     response = await conn.send(request, first_byte)
-    body = await read_body(response, ANSWER_MAX_BYTES)
+    body = await read_body(response, max_bytes)
     await response.aclose()
     if traffic is not None:
         traffic.received.add(_wire_size(b"200 OK", response.headers, body))
     return Answer(response.status, lower_headers(response), body)
 
 
-def body_of(response: httpcore.Response) -> AsyncIterator[bytes]:
-    """Return an iterator over the body as it arrives.
+class BodyChunks:
+    """Iterates over a body as it arrives, and counts it for the bound on framing.
 
     Avoids the additional generator that `Response.aiter_stream` would run for each chunk.
     """
-    assert isinstance(response.stream, AsyncIterable)
-    return aiter(response.stream)
+
+    __slots__ = ("_chunks", "_framing")
+
+    _chunks: AsyncIterator[bytes]
+    _framing: FramingCounter
+
+    def __init__(self, response: httpcore.Response) -> None:
+        assert isinstance(response.stream, AsyncIterable)
+        self._chunks = aiter(response.stream)
+        stream = response.extensions["network_stream"]
+        assert isinstance(stream, BackendStream)
+        self._framing = stream.framing
+
+    def __aiter__(self) -> Self:
+        return self
+
+    async def __anext__(self) -> bytes:
+        chunk = await anext(self._chunks)
+        self._framing.add_body(len(chunk))
+        return chunk
+
+
+def body_of(response: httpcore.Response) -> BodyChunks:
+    """Return an iterator over the body as it arrives."""
+    return BodyChunks(response)
 
 
 async def read_body(response: httpcore.Response, max_bytes: int) -> bytes:
-    """Read a complete body of limited size."""
+    """Read a complete body of limited size; raise `AnswerTooLargeError` beyond it."""
     chunks: list[bytes] = []
     size = 0
     async for chunk in body_of(response):
         chunks.append(chunk)
         size += len(chunk)
         if size > max_bytes:
-            raise httpcore.RemoteProtocolError(f"the answer body exceeds {max_bytes} bytes")
+            raise AnswerTooLargeError(f"the body exceeds {max_bytes} bytes")
     return b"".join(chunks)
 
 
--- a/packages/turmericweir/turmericweir/servers/backend_engine.py
+++ b/packages/turmericweir/turmericweir/servers/backend_engine.py
@@ -16,6 +16,7 @@
 
 from turmericweir.answers import sse
 from turmericweir.process.errors import CallError
+from turmericweir.servers.answer_size import AnswerTooLargeError
 from turmericweir.servers.backend_attempt import (
     PRIORITY,
     TAIL_TIMEOUT_S,
@@ -48,8 +49,6 @@
 _PATH: Final = b"/v1/chat/completions"
 _HEADERS: Final = [(b"content-type", b"application/json"), (b"accept", b"text/event-stream")]
 _EVENT_STREAM: Final = b"text/event-stream"
-# Prevents an event without an end from exhausting the memory.
-_EVENT_MAX_BYTES: Final = 1_048_576
 _BODY_MAX_BYTES: Final = 1_048_576
 _CANCEL_TIMEOUT_S: Final = 1.0
 
@@ -127,6 +126,7 @@
         return EndComplete(status)
 
     async def _stream(self, response: httpcore.Response) -> AttemptEnd:
+        event_max_bytes = self._node.answer_bounds.event_bytes
         partial = b""
         chunks = body_of(response)
         async for chunk in chunks:
@@ -141,8 +141,8 @@
                     await _read_end(chunks)
                     return EndComplete(response.status)
                 await self._deliver(events)
-            elif len(partial) > _EVENT_MAX_BYTES:
-                return EndBroken("an event exceeds the size limit", server_alive=True)
+            elif len(partial) > event_max_bytes:
+                raise AnswerTooLargeError(f"an event exceeds {event_max_bytes} bytes")
         return await self._attempt.classify_loss("the stream ended without [DONE]")
 
     async def _deliver(self, events: bytes) -> None:
--- a/packages/turmericweir/turmericweir/servers/backend_pool.py
+++ b/packages/turmericweir/turmericweir/servers/backend_pool.py
@@ -83,6 +83,7 @@
         """
         self._has_sent = True
         self._stream.before_write = before_write
+        self._stream.framing.reset()
         return await self._http.handle_async_request(request)
 
     @property
--- a/packages/turmericweir/turmericweir/servers/backend_service.py
+++ b/packages/turmericweir/turmericweir/servers/backend_service.py
@@ -13,6 +13,7 @@
 import httpcore
 
 from turmericweir.answers.hop_by_hop import HOP_BY_HOP, connection_header_names
+from turmericweir.servers.answer_size import BodyBound
 from turmericweir.servers.backend_attempt import (
     ATTEMPT_ID,
     LEAVING,
@@ -142,7 +143,10 @@
         response_headers = [(name.lower(), value) for name, value in response.headers]
         answer = self._answer
         answer.begin_answer(response.status, _end_to_end_headers(response_headers, _NOT_RETURNED))
+        bounds = self._node.answer_bounds
+        bound = BodyBound(bounds, response.status, is_sized=self._attempt.answer.is_sized)
         async for chunk in body_of(response):
+            bound.add(len(chunk))
             answer.buffer_body(chunk)
             if not answer.has_received_announced_length:
                 # Reports that the caller receives a part, which rules out a retry.
--- a/packages/turmericweir/turmericweir/servers/backend_stream.py
+++ b/packages/turmericweir/turmericweir/servers/backend_stream.py
@@ -18,7 +18,9 @@
 
 import anyio
 import httpcore
-from anyio.lowlevel import checkpoint_if_cancelled
+from anyio.lowlevel import checkpoint, checkpoint_if_cancelled
+
+from turmericweir.servers.answer_size import FramingCounter
 
 CONNECT_TIMEOUT_S: Final = 0.35
 # Reading from the connection pauses while more bytes than this are unread.
@@ -81,11 +83,14 @@
             finally:
                 self._progressed = None
 
-    def pop_chunk(self) -> bytes:
-        """Remove and return the oldest received chunk; empty at the end."""
+    def pop_chunk(self, max_bytes: int) -> bytes:
+        """Remove and return the oldest received bytes; empty at the end."""
         if not self.received_chunks:
             return b""
         data = self.received_chunks.popleft()
+        if len(data) > max_bytes:
+            self.received_chunks.appendleft(data[max_bytes:])
+            data = data[:max_bytes]
         if self._unread_bytes > UNREAD_MAX_BYTES >= self._unread_bytes - len(data):
             self.transport.resume_reading()
         self._unread_bytes -= len(data)
@@ -142,20 +147,30 @@
     _protocol: ConnectionProtocol
     # Called once, just before the next bytes are written.
     before_write: Callable[[], None] | None
+    # Bytes of the current answer.
+    framing: FramingCounter
 
     def __init__(self, protocol: ConnectionProtocol) -> None:
         self._protocol = protocol
         self.before_write = None
+        self.framing = FramingCounter()
 
     # The signatures, with their `timeout`, are httpcore's.
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:  # noqa: ASYNC109
         """Return the next received data, without a time limit; empty at the end."""
         assert timeout is None
+        # The parser asks for more only when it has used all that was read before.
+        self.framing.check()
         protocol = self._protocol
+        if self.framing.is_slow:
+            # Lets other requests run between the parts of a long head.
+            await checkpoint()
         await protocol.wait_received()
         if not protocol.received_chunks and protocol.error is not None:
             raise httpcore.ReadError(str(protocol.error)) from protocol.error
-        return protocol.pop_chunk()
+        data = protocol.pop_chunk(self.framing.part_bytes)
+        self.framing.add_read(data)
+        return data
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:  # noqa: ASYNC109
         """Write the whole buffer."""
--- a/packages/turmericweir/turmericweir/servers/forward.py
+++ b/packages/turmericweir/turmericweir/servers/forward.py
@@ -24,6 +24,7 @@
     WireAdapter,
 )
 from turmericweir.process import logs
+from turmericweir.servers.answer_size import AnswerTooLargeError, BodyBound
 from turmericweir.servers.backend_attempt import Attempt, can_connect, read_tail
 from turmericweir.servers.backend_call import body_of, lower_headers
 from turmericweir_core.base.request import Request
@@ -189,15 +190,15 @@
         answer.begin_answer(response.status, [each for each in headers if each[0] != _LENGTH])
         splitter = EventSplitter(answer.last_event_id) if self._call.resumable else None
         tracker = EventTracker()
+        event_max_bytes = self._node.answer_bounds.event_bytes
         try:
             async for chunk in body_of(response):
                 events = tracker.count_ends(chunk)
+                if tracker.open_bytes > event_max_bytes:
+                    raise AnswerTooLargeError(f"an event exceeds {event_max_bytes} bytes")
                 data = chunk
                 if splitter is not None:
-                    try:
-                        data, events = splitter.split_chunk(chunk)
-                    except ValueError as exc:
-                        return EndBroken(str(exc), server_alive=True)
+                    data, events = splitter.split_chunk(chunk)
                     answer.last_event_id = splitter.last_event_id
                 answer.buffer_body(data)
                 if events:
@@ -219,8 +220,11 @@
     async def _deliver_body(self, response: httpcore.Response, headers: Headers) -> AttemptEnd:
         answer = self._job.answer
         answer.begin_answer(response.status, headers)
+        bounds = self._node.answer_bounds
+        bound = BodyBound(bounds, response.status, is_sized=self._attempt.answer.is_sized)
         body = b""
         async for chunk in body_of(response):
+            bound.add(len(chunk))
             body += chunk
             if len(body) > BUFFER_MAX_BYTES:
                 # Reports that the caller receives a part, which rules out a retry.
--- a/tests/platform/standin_server.py
+++ b/tests/platform/standin_server.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from tests.platform.standin_answers import AnswerForm, Break, chunk, write_answer
+from tests.platform.standin_endless import EndlessAnswer
 from tests.platform.standin_http import Call
 
 SIGNATURE = "3e1b.07"
@@ -16,6 +17,8 @@
 # Time from the arrival of a request to the crash that a part of its prompt causes.
 CRASH_DELAY_S = 0.05
 PARTS = "x-prefix-hash"
+# The length of the body in mode "large".
+LARGE_BODY_BYTES = 12_000_000
 
 
 @dataclass(slots=True)
@@ -52,6 +55,8 @@
     version: str = ""
     event_count: int = 6
     event_interval_s: float = 0.0
+    # Replaces its answers by one without an end; None for answers that end.
+    endless: EndlessAnswer | None = None
     # Requests per second that it names in its answers; empty for no limit.
     limit: str = ""
     # Whether it says in its answers that it is leaving.
@@ -148,6 +153,8 @@
             request.outcome = "reset"
             await self.close_port()
             return False
+        if self.endless is not None:
+            return await self.endless.write(call, answer_headers)
         match mode:
             case "stale":
                 # Models reused connections that silently drop everything.
@@ -177,6 +184,10 @@
             case "encoded":
                 await call.answer(200, b"bytes", {**answer_headers, "Content-Encoding": "gzip"})
                 return True
+            case "large":
+                await call.answer(200, b"x" * LARGE_BODY_BYTES, answer_headers)
+                await call.write(b"surplus")
+                return True
             case "json":
                 json_headers = {**answer_headers, "Content-Type": "application/json"}
                 await call.answer(200, b'{"answer": 1}', json_headers)
