Share the room of a class among its customers by served work

Cause: the requests of a class were ordered by arrival alone, so a customer that sends more gets more, and admission predicted one wait for all from the whole backlog.

Change: counters of served work by customer and class, summed over all instances, order the waiting requests of a class; a request leaves room that customers with a lower counter wait for elsewhere; a customer over its share leaves one slot free and is refused by its own backlog, with the time in which that drains as Retry-After; a full queue of another customer gives way to a newcomer.

--- a/packages/turmericweir-core/turmericweir_core/base/config.py
+++ b/packages/turmericweir-core/turmericweir_core/base/config.py
@@ -78,6 +78,8 @@
     limit: Limit = NO_LIMIT
     # Order of its requests among those of the same tier, 0 first; None uses the route's priority.
     priority: int | None = None
+    # Its share of a class that has too little room, relative to other customers.
+    weight: float = 1.0
 
 
 class CallRule(Struct, frozen=True):
--- a/packages/turmericweir-core/turmericweir_core/base/options.py
+++ b/packages/turmericweir-core/turmericweir_core/base/options.py
@@ -8,6 +8,7 @@
 
 from msgspec import Struct, field
 
+from turmericweir_core.base.fair_share_options import FairShareOptions
 from turmericweir_core.base.store_times import StoreTimes
 
 
@@ -21,6 +22,9 @@
     # --- the platform's store ---
     store: StoreTimes = field(default_factory=StoreTimes)
 
+    # --- room shared by customers ---
+    fair_share: FairShareOptions = field(default_factory=FairShareOptions)
+
     # --- accounts ---
     # Retention time and maximum number of accounts for `GET /v1/requests/{id}`.
     account_keep_s: float = 600.0
--- a/packages/turmericweir-core/turmericweir_core/base/request.py
+++ b/packages/turmericweir-core/turmericweir_core/base/request.py
@@ -45,6 +45,8 @@
     PREFILLING = "prefilling"
     # No server has room for it.
     NO_ROOM = "no_room"
+    # A customer that was served less waits for the room, here or at a peer.
+    SHARE = "share"
     # No server of its target can be used.
     NO_SERVER = "no_server"
 
@@ -167,6 +169,9 @@
     first_token_at: float | None = None
     # Predicted length of the answer; 0 for plain calls.
     predicted_tokens: float = 0.0
+    # Predicted time of an engine's prefill for it, and of its share of the engine's slots.
+    prefill_work_ms: float = 0.0
+    slot_work_ms: float = 0.0
     # Work counted for it while it waits; fixed when it is queued to keep the sums consistent.
     queued_cost: float = 0.0
     # Attempts that were preempted by more urgent tiers; these are not failures.
@@ -228,6 +233,11 @@
         """
         return self.attempts - self.displaced_attempts - self.unsent_attempts
 
+    @property
+    def work_ms(self) -> float:
+        """Return the predicted work on a server, milliseconds; at least 1."""
+        return max(1.0, self.prefill_work_ms + self.slot_work_ms)
+
     @property
     def priority(self) -> int:
         """Return the tier of its class, 0 being the most urgent."""
--- a/packages/turmericweir-core/turmericweir_core/engines/engine_pools.py
+++ b/packages/turmericweir-core/turmericweir_core/engines/engine_pools.py
@@ -127,9 +127,10 @@
     demand = state.pools.local_demand.setdefault(req.target, EngineDemand(decayed_at=now))
     _decay(demand, now)
     records = (engine_model.engine_info_of(state, each.entry.name) for each in engines)
-    work_ms = min(engine_model.own_work_ms(state, record, req) for record in records)
+    req.prefill_work_ms = min(engine_model.own_work_ms(state, record, req) for record in records)
+    req.slot_work_ms = _slot_ms(state, req, engines[0])
     # Answers hardly progress during a prefill, so both take their share of the engine's time.
-    work_ms += _slot_ms(state, req, engines[0])
+    work_ms = req.prefill_work_ms + req.slot_work_ms
     kind, rank = prompt_kind(state, req, engines[0].service), scheduling_rank(req.service_class)
     urgent_demand.record(state, now, req.target, kind.value, rank, work_ms, _DEMAND_WINDOW_S)
     match kind:
--- a/packages/turmericweir-core/turmericweir_core/messages/peer_messages.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/peer_messages.py
@@ -27,6 +27,7 @@
 )
 from turmericweir_core.messages.credit_messages import CreditDemand, CreditGrant
 from turmericweir_core.messages.duty_messages import DutyStatus, ModelDemand, UsageCounts
+from turmericweir_core.messages.fair_share_messages import ShareReport, ShareTotals
 from turmericweir_core.messages.limit_messages import LimitAsk, LimitGrant
 from turmericweir_core.messages.load_messages import CachesAsk, CachesSend, LoadBundle, LoadNews
 from turmericweir_core.messages.loan_messages import (
@@ -106,6 +107,8 @@
     | ModelDemand
     | UsageCounts
     | DutyStatus
+    | ShareReport
+    | ShareTotals
 )
 
 PEER_MESSAGES: Final[tuple[type[PeerMessage], ...]] = (
@@ -155,4 +158,6 @@
     ModelDemand,
     UsageCounts,
     DutyStatus,
+    ShareReport,
+    ShareTotals,
 )
--- a/packages/turmericweir-core/turmericweir_core/placement/admission.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/admission.py
@@ -18,9 +18,9 @@
 from turmericweir_core.engines import engine_pools
 from turmericweir_core.membership import limit_loans
 from turmericweir_core.membership.subset import open_servers, pause_left_s
-from turmericweir_core.placement import displacement, predicted_admission
+from turmericweir_core.placement import displacement, fair_admission, predicted_admission
 from turmericweir_core.placement.placement import idle_slots_share
-from turmericweir_core.queueing import urgent_first
+from turmericweir_core.queueing import fair_share, urgent_first
 from turmericweir_core.state import queue_state
 from turmericweir_core.state.pool_load import arrival_rate, drain_rate, note_arrival, pool_load
 
@@ -38,6 +38,8 @@
     to_displace: Request | None = None
     # A waiting request that is to end `not_run`.
     to_drop: Request | None = None
+    # Inputs of the decision that drops it, for the log.
+    details: dict[str, object] = field(default_factory=dict)
 
 
 class Refused(Struct, frozen=True):
@@ -72,6 +74,10 @@
     # engines because most of its requests are refused.
     engine_pools.record_demand(state, now, req, open_servers(state, now, req.target))
     limit_loans.note_demand(state, now, req.target)
+    engines = len(open_servers(state, now, req.target))
+    fair_wait = fair_admission.predict(state, now, req, max(1, engines))
+    if fair_wait is not None:
+        return _decide_by_share(state, now, req, pool, fair_wait)
     wait_s = predicted_admission.wait_s(state, now, req, pool)
     if predicted_admission.can_answer_in_time(state, now, req, wait_s) and not _is_queue_full(
         state, req
@@ -86,6 +92,31 @@
     return Refused(retry_after_s, predicted_admission.explain(state, now, req, wait_s))
 
 
+def _decide_by_share(
+    state: State, now: float, req: Request, pool: str, fair_wait: fair_admission.FairWait
+) -> Admitted | Refused:
+    """Decide by the share of a request's customer, where customers compete."""
+    details = fair_admission.explain(req, fair_wait)
+    is_over = fair_admission.is_refused(req, fair_wait)
+    wait_s = fair_wait.wait_s + predicted_admission.wait_before_class_s(state, now, req, pool)
+    can_be_in_time = predicted_admission.can_answer_in_time(state, now, req, wait_s)
+    if not is_over and can_be_in_time and not _is_queue_full(state, req):
+        return Admitted()
+    dropped = displacement.waiting_request_to_drop(state, pool, req.priority)
+    if dropped is None:
+        dropped = fair_admission.request_to_drop(state, now, req, fair_wait)
+    if dropped is not None and not is_over:
+        return Admitted(to_drop=dropped, details=details)
+    fair_share.note_refused(state, now, req)
+    if can_be_in_time:
+        pause_s = fair_admission.retry_after_s(state, req, fair_wait)
+    else:
+        is_long = engine_pools.long_predicate(state, req.target)(req.service_class)
+        urgent_first.note_refused(state, now, req, is_long=is_long)
+        pause_s = predicted_admission.retry_after(state, now, req, wait_s)
+    return Refused(pause_s, {**predicted_admission.explain(state, now, req, wait_s), **details})
+
+
 def _is_queue_full(state: State, req: Request) -> bool:
     waiting = queue_state.waiting_count(state.queues, req.target, req.service_class.name)
     return waiting >= state.options.queue_limit
--- a/packages/turmericweir-core/turmericweir_core/placement/attempt_accounting.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/attempt_accounting.py
@@ -27,6 +27,7 @@
     ServerReport,
 )
 from turmericweir_core.placement import displacement
+from turmericweir_core.queueing import fair_share
 from turmericweir_core.state import concurrency, pool_load, predict, prefix, reliability, straggler
 from turmericweir_core.state.queue_state import cost
 
@@ -48,6 +49,7 @@
     server = state.servers.by_name.get(attempt.server)
     if server is not None and state.config.policy is PlacementPolicy.PREDICTED:
         engine_model.record_started(state, now, req, attempt, server)
+        fair_share.note_started(state, now, req, attempt.attempt_id)
     if req.kind is ServiceKind.MODEL:
         work_by_server[attempt.server] = work_by_server.get(attempt.server, 0.0) + attempt.work
         attempt.overdue_gap_s = req.service_class.token_gap_target_s or inf
@@ -60,6 +62,7 @@
     pool_load.note_end(load, attempt.tier)
     displacement.record_displaced_end(state, attempt.cancel_reason, attempt.pool)
     engine_model.record_ended(state, attempt)
+    _correct_share(state, now, req, attempt)
     if req.kind is not ServiceKind.MODEL:
         return
     work_by_server = state.predicted_work
@@ -72,6 +75,17 @@
         pool_load.note_pace(load, state.options, now - attempt.started_at, float(attempt.tokens))
 
 
+def _correct_share(state: State, now: float, req: Request, attempt: Attempt) -> None:
+    """Correct what the customer is charged for an attempt by the time that it held a slot."""
+    server = state.servers.by_name.get(attempt.server)
+    held_since = attempt.started_at
+    if req.kind is ServiceKind.MODEL and attempt.first_token_at is not None:
+        held_since = attempt.first_token_at
+    slot_s = now - held_since if attempt.sent else None
+    slots = 1 if server is None else server.slots
+    fair_share.note_ended(state, now, attempt.attempt_id, slot_s, slots)
+
+
 def record_outcome(state: State, now: float, attempt: Attempt, end: AttemptEnd) -> None:
     """Record whether a server failed; a cancelled attempt counts only if it was unresponsive."""
     match end:
--- a/packages/turmericweir-core/turmericweir_core/placement/dispatch.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/dispatch.py
@@ -22,6 +22,7 @@
 from turmericweir_core.messages.effects import CancelAttempt, Effect, Log, StartAttempt
 from turmericweir_core.placement import attempt_accounting, displacement, predicted_placement
 from turmericweir_core.placement.placement import pick_server
+from turmericweir_core.queueing import fair_share
 from turmericweir_core.state import queue_state
 from turmericweir_core.state.server_table import Server, reported_incarnation
 from turmericweir_core.state.state import State
@@ -109,7 +110,7 @@
     """
     for queue in _serving_order(state, pool):
         tier = _running_tier(state, pool, queue)
-        for req in queue.first_in_order(_CHECKED_REQUESTS_MAX):
+        for req in fair_share.first_in_order(state, now, queue, _CHECKED_REQUESTS_MAX):
             server = pick_server(state, now, req, tier)
             if server is not None:
                 queue_state.note_dispatched(state.queues, queue, req)
--- a/packages/turmericweir-core/turmericweir_core/placement/predicted_admission.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/predicted_admission.py
@@ -32,8 +32,18 @@
 _WAIT_SHARE_MAX: Final = 0.8
 
 
-def wait_s(state: State, now: float, req: Request, pool: str) -> float:
-    """Return how long a new request is predicted to wait for its first token, in seconds."""
+def wait_s(
+    state: State,
+    now: float,
+    req: Request,
+    pool: str,
+    *,
+    without: queue_state.ClassQueue | None = None,
+) -> float:
+    """Return how long a new request is predicted to wait for its first token, in seconds.
+
+    The requests of one queue may be left out.
+    """
     open_now = open_servers_for(state, now, req)
     if not open_now:
         return pause_left_s(state, now, req.target) or 0.0
@@ -48,13 +58,27 @@
     local_work_ms = sum(
         _queued_ms(state, engines, queue)
         for queue in queue_state.pool_queues(state.queues, pool)
-        if scheduling_rank(queue.service_class) <= scheduling_rank(req.service_class)
+        if queue is not without
+        and scheduling_rank(queue.service_class) <= scheduling_rank(req.service_class)
         and engine_pools.tolerates_long_prompts(state, queue.service_class, service) == is_long
     )
     work_ahead_ms = local_work_ms * max(1, state.subsets.instances) / len(engines)
     return (work_ahead_ms + predicted_placement.shortest_wait_ms(state, now, engines)) / _MS
 
 
+def wait_before_class_s(state: State, now: float, req: Request, pool: str) -> float:
+    """Return how long a request is predicted to wait for all work but that of its own class."""
+    own_queue = next(
+        (
+            queue
+            for queue in queue_state.target_classes(state.queues, req.target)
+            if queue.service_class.name == req.service_class.name
+        ),
+        None,
+    )
+    return wait_s(state, now, req, pool, without=own_queue)
+
+
 def _engines_of_kind(state: State, now: float, req: Request, servers: list[Server]) -> list[Server]:
     """Return the engines for a request's kind; those of one release are not split into kinds."""
     if req.release is not None:
--- a/packages/turmericweir-core/turmericweir_core/placement/predicted_placement.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/predicted_placement.py
@@ -25,7 +25,7 @@
 from turmericweir_core.engines import engine_model, engine_pools
 from turmericweir_core.membership import announced_limits
 from turmericweir_core.membership.subset import open_servers, rendezvous_weight
-from turmericweir_core.queueing import urgent_first
+from turmericweir_core.queueing import fair_share, urgent_first
 from turmericweir_core.state import straggler
 from turmericweir_core.state.reliability import excess_failures
 from turmericweir_core.state.server_table import Server
@@ -115,6 +115,9 @@
     # Engines with a limit do little of the work, so they are not part of the split into kinds.
     # Prevents the split from changing with each request that their limits allow.
     engines_of_kind = engine_pools.engines_for(state, now, req, unlimited)
+    if _must_leave_room(state, now, req, engines_of_kind):
+        req.wait_reason = WaitReason.SHARE
+        return None
     limited_of_kind = [each for each in limited if _takes_kind(state, now, req, each)]
     choice = _best_engine(state, now, req, [*engines_of_kind, *limited_of_kind])
     if choice.is_held_back and limited:
@@ -168,6 +171,17 @@
     return _free_slots(state, now, req, engines_of_kind) <= competing_count
 
 
+def _must_leave_room(state: State, now: float, req: Request, engines: list[Server]) -> bool:
+    """Return whether customers that were served less need the free slots at other instances."""
+    needed = fair_share.count_ahead(state, now, req)
+    slots = sum(each.slots for each in engines)
+    if slots >= state.options.fair_share.headroom_slots_min and fair_share.must_leave_headroom(
+        state, now, req, _MS * len(engines)
+    ):
+        needed += 1
+    return needed > 0 and _free_slots(state, now, req, engines) <= needed
+
+
 def _is_room_needed(state: State, now: float, req: Request, engines: list[Server]) -> bool:
     """Return whether more urgent requests will fill the engines, though none is overdue yet."""
     if urgent_first.is_served_by_share(state, req):
--- a/packages/turmericweir-core/turmericweir_core/reducers/reducer_common.py
+++ b/packages/turmericweir-core/turmericweir_core/reducers/reducer_common.py
@@ -43,6 +43,7 @@
     ServerUnreachable,
     StopRequested,
 )
+from turmericweir_core.messages.fair_share_messages import ShareReport, ShareTotals
 from turmericweir_core.messages.load_messages import LoadBundle, LoadNews
 from turmericweir_core.messages.loan_messages import (
     LimitLoan,
@@ -60,6 +61,7 @@
 from turmericweir_core.messages.server_messages import PathsAsk, PathsSend, ServersAsk, ServersSend
 from turmericweir_core.messages.stream_messages import StreamAsk, StreamsBound, StreamUnknown
 from turmericweir_core.placement import attempt_accounting, dispatch, placement
+from turmericweir_core.queueing import fair_share_reports
 from turmericweir_core.requests import attempt_flow, lifecycle, quarantine_flow, taken_up
 from turmericweir_core.state import prefix, server_table
 from turmericweir_core.state.account_store import expire_accounts
@@ -172,6 +174,11 @@
         case LimitLoan() as loan:
             effects = limit_loans.on_loan(state, now, loan)
             return effects + dispatch.dispatch_all(state, now)
+        case ShareReport() as report:
+            return fair_share_reports.on_report(state, now, sender, report)
+        case ShareTotals() as totals:
+            fair_share_reports.on_totals(state, now, sender, totals)
+            return []
         case RetryLoanAsk() as ask:
             return retry_loans.on_ask(state, now, sender, ask)
         case RetryLoan() as loan:
@@ -195,6 +202,7 @@
     effects += retry_loans.on_tick(state, now)
     effects += limit_loans.on_tick(state, now)
     effects += lifecycle.on_tick(state, now)
+    effects += fair_share_reports.on_tick(state, now)
     effects += dispatch.on_tick(state, now)
     return effects + quarantine_flow.on_tick(state, now)
 
--- a/packages/turmericweir-core/turmericweir_core/requests/lifecycle.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/lifecycle.py
@@ -37,6 +37,7 @@
     pool_name,
     wait_for_server,
 )
+from turmericweir_core.queueing import fair_share
 from turmericweir_core.records.claim_answer import StoredAnswer
 from turmericweir_core.state import queue_state
 from turmericweir_core.state.account_store import store_account
@@ -175,9 +176,13 @@
                 *([log] if details else []),
                 *finish(state, now, req, Outcome.NOT_RUN, Reason.OVERLOAD, retry_after_s=pause_s),
             ]
-        case admission.Admitted(displaced, dropped):
+        case admission.Admitted(displaced, dropped, details):
             effects = displace(state, displaced) if displaced is not None else []
-            return effects + (_drop_waiting(state, now, dropped) if dropped is not None else [])
+            if dropped is None:
+                return effects
+            if details:
+                effects.append(Log("share_taken", {"request_id": dropped.request_id, **details}))
+            return effects + _drop_waiting(state, now, dropped)
         case unreachable:
             assert_never(unreachable)
 
@@ -197,6 +202,7 @@
         return []
     admission.record_admitted(state, now, req, pool_name(state, req.target))
     wait_for_server(state, req)
+    fair_share.note_waiting(state, now, req)
     return dispatch(state, now, req.target)
 
 
--- a/packages/turmericweir-core/turmericweir_core/state/queue_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/queue_state.py
@@ -30,6 +30,19 @@
 _EARNED_MAX: Final = 2.0
 
 
+class CustomerQueue(Struct):
+    """The ids of a customer's waiting requests in one class, in the order of the class's queues."""
+
+    on_time: OrderedDict[RequestId, None] = field(default_factory=OrderedDict)
+    overdue: OrderedDict[RequestId, None] = field(default_factory=OrderedDict)
+    # Work of these requests on an engine, milliseconds.
+    work_ms: float = 0.0
+
+    def __len__(self) -> int:
+        """Return the number of waiting requests."""
+        return len(self.on_time) + len(self.overdue)
+
+
 class ClassQueue(Struct):
     """Waiting requests of one class for one target, in two FIFO queues: on time and overdue."""
 
@@ -38,6 +51,8 @@
     # Requests that can still meet their target, and overdue ones, which are served after them.
     on_time: OrderedDict[RequestId, Request] = field(default_factory=OrderedDict)
     overdue_requests: OrderedDict[RequestId, Request] = field(default_factory=OrderedDict)
+    # The same requests by customer; no customer without one.
+    customers: dict[str, CustomerQueue] = field(default_factory=dict)
     # Total cost of the waiting requests, and of the overdue ones among them.
     work: float = 0.0
     overdue_work: float = 0.0
@@ -74,17 +89,23 @@
 
         Prevents requests that wait for the servers of one release from holding up the others.
         """
-        chosen: list[Request] = []
-        bound_count = 0
-        for req in chain(self.on_time.values(), self.overdue_requests.values()):
-            if req.release is not None:
-                bound_count += 1
-                if bound_count > max_count:
-                    continue
-            chosen.append(req)
-            if len(chosen) - min(bound_count, max_count) >= max_count:
-                break
-        return chosen
+        ordered = chain(self.on_time.values(), self.overdue_requests.values())
+        return choose_first(ordered, max_count)
+
+    def waiting_of(self, customer: str) -> Iterator[Request]:
+        """Yield the waiting requests of a customer in queue order."""
+        ids = self.customers.get(customer) or CustomerQueue()
+        yield from (self.on_time[each] for each in ids.on_time)
+        yield from (self.overdue_requests[each] for each in ids.overdue)
+
+    def newest_of(self, customer: str) -> Request | None:
+        """Return the newest waiting request of a customer, or None."""
+        ids = self.customers.get(customer)
+        if ids is None:
+            return None
+        if ids.on_time:
+            return self.on_time[next(reversed(ids.on_time))]
+        return self.overdue_requests[next(reversed(ids.overdue))]
 
     def head_and_bound(self, max_count: int) -> list[Request]:
         """Return the head, and while the requests are bound to a release, those behind it."""
@@ -141,6 +162,21 @@
     return max(1.0, req.predicted_tokens - req.delivered)
 
 
+def choose_first(ordered: Iterable[Request], max_count: int) -> list[Request]:
+    """Return the first of ordered requests: `max_count`, and as many that are bound."""
+    chosen: list[Request] = []
+    bound_count = 0
+    for req in ordered:
+        if req.release is not None:
+            bound_count += 1
+            if bound_count > max_count:
+                continue
+        chosen.append(req)
+        if len(chosen) - min(bound_count, max_count) >= max_count:
+            break
+    return chosen
+
+
 def enqueue(
     queues: QueueState,
     req: Request,
@@ -158,6 +194,9 @@
     queue.service_class = req.service_class
     req.queued_cost = cost(req)
     queue.on_time[req.request_id] = req
+    ids = queue.customers.setdefault(req.customer, CustomerQueue())
+    ids.on_time[req.request_id] = None
+    ids.work_ms += req.work_ms
     queue.work += req.queued_cost
     queues.index[req.request_id] = queue
     heappush(queues.deadlines, (req.deadline, req.request_id))
@@ -167,6 +206,7 @@
         heappush(queues.overdue_at, (overdue_at, req.request_id))
     if front:
         queue.on_time.move_to_end(req.request_id, last=False)
+        ids.on_time.move_to_end(req.request_id, last=False)
 
 
 def _get_or_create_target_queue(queues: QueueState, target: Target, pool: str) -> TargetQueue:
@@ -187,6 +227,12 @@
     queue = queues.index.pop(req.request_id, None)
     if queue is None:
         return
+    ids = queue.customers[req.customer]
+    ids.on_time.pop(req.request_id, None)
+    ids.overdue.pop(req.request_id, None)
+    ids.work_ms -= req.work_ms
+    if not len(ids):
+        del queue.customers[req.customer]
     if queue.overdue_requests.pop(req.request_id, None) is not None:
         queue.overdue_work = queue.overdue_work - req.queued_cost if queue.overdue_requests else 0.0
     else:
@@ -208,6 +254,9 @@
             continue
         req = queue.on_time.pop(request_id)
         queue.overdue_requests[request_id] = req
+        ids = queue.customers[req.customer]
+        del ids.on_time[request_id]
+        ids.overdue[request_id] = None
         queue.overdue_work += req.queued_cost
 
 
--- a/packages/turmericweir-core/turmericweir_core/state/state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/state.py
@@ -25,6 +25,7 @@
 from turmericweir_core.state.document_state import DocumentState
 from turmericweir_core.state.duty_state import DutyState
 from turmericweir_core.state.engine_state import EngineTable
+from turmericweir_core.state.fair_share_state import FairShareState
 from turmericweir_core.state.first_wait_state import FirstWaitState
 from turmericweir_core.state.handover_state import HandoverState
 from turmericweir_core.state.lease_state import LeaseState
@@ -115,6 +116,8 @@
     reliability: ReliabilityState = field(default_factory=ReliabilityState)
     stragglers: StragglerState = field(default_factory=StragglerState)
     overdue: OverdueState = field(default_factory=OverdueState)
+    # Work served for customers of one class that compete for room.
+    fair_shares: FairShareState = field(default_factory=FairShareState)
     # Limits on the requests per second that servers announced.
     announced_limits: AnnouncedLimits = field(default_factory=AnnouncedLimits)
     # Servers that fall over if they have to refuse too many requests.
--- a/tests/core/store_world.py
+++ b/tests/core/store_world.py
@@ -171,6 +171,7 @@
             "sends_max": 1,
             "prompt_tokens": 0,
             "max_tokens": 120,
+            "customer": "c",
         }
         all_fields |= fields
         all_fields.setdefault("end_by", all_fields["deadline"])
@@ -178,7 +179,6 @@
             request_id=RequestId(name),
             kind=kind,
             target=target,  # type: ignore[arg-type]
-            customer="c",
             team="",
             arrived_at=self.now,
             **all_fields,  # type: ignore[arg-type]
