--- a/packages/turmericweir-core/turmericweir_core/duties/usage_requests.py
+++ b/packages/turmericweir-core/turmericweir_core/duties/usage_requests.py
@@ -1,7 +1,7 @@
 """Ask other instances for the counts of usage that the holder of the duties lacks.
 
-Instances send their counts to the candidates for the lease (`usage`). A holder may lack some: it has
-started only now, others take it for no candidate, or datagrams were lost. Before it settles a
+Instances send their counts to the candidates for the lease (`usage`). A holder may lack some: it
+has started only now, others take it for no candidate, or datagrams were lost. Before it settles a
 window it asks all instances once in each lease, and those whose final counts it lacks at intervals.
 Each answers with its own counts, and with those of instances that have ended: a process that was
 killed cannot be asked, but one of the candidates of its time has what it had sent.
--- a/packages/turmericweir-core/turmericweir_core/messages/peer_messages.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/peer_messages.py
@@ -33,6 +33,7 @@
     UsageCounts,
     UsageSend,
 )
+from turmericweir_core.messages.fair_share_messages import ShareReport, ShareTotals
 from turmericweir_core.messages.limit_messages import LimitAsk, LimitGrant
 from turmericweir_core.messages.load_messages import CachesAsk, CachesSend, LoadBundle, LoadNews
 from turmericweir_core.messages.loan_messages import (
@@ -114,6 +115,8 @@
     | UsageAsk
     | UsageSend
     | DutyStatus
+    | ShareReport
+    | ShareTotals
 )
 
 PEER_MESSAGES: Final[tuple[type[PeerMessage], ...]] = (
@@ -165,4 +168,6 @@
     UsageAsk,
     UsageSend,
     DutyStatus,
+    ShareReport,
+    ShareTotals,
 )
