Pack settings documents for peers, and send each once

Cause: an instance that reads the store answers each request of a peer with the whole document, as written. A document of 1,405 routes has 336 KB, 0.27 s on a link of 10 Mbit/s; a relay with fifteen instances to serve needs 4 s for one copy each. Peers repeat their request each 0.3 s, to any peer that has the version, and each request was answered with another copy. A stream whose frames are not acknowledged within 2 s is closed and its frames are lost, so none of the copies may arrive. Each copy that arrived was decoded, also one of the version in force.

Ruled out: sending only what changed. A document repeats its fields for each route, so the packed whole is small enough (12.8 KB for those 336 KB, 47 KB for 1.3 MB of 5,605 routes, packed in 1 and 3.6 ms, once for each version), and no version has to be kept for comparison.

Change: documents go packed to peers that say they can read that (earlier releases get them as before). The same version goes to a peer again only after 0.8 s, and who is told by a peer that it sends a newer version waits 1 s before it asks another one. A copy of a version that is not newer is dropped before it is decoded.

Conclusion: the bytes for a version no longer grow with the number of requests for it.

--- a/packages/turmericweir-core/turmericweir_core/messages/settings_messages.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/settings_messages.py
@@ -28,6 +28,8 @@
     version: int
     # Identifies this request in the answer.
     request_number: int
+    # Whether the sender can read a packed document.
+    can_unpack: bool = False
 
 
 class DocumentSend(Struct, frozen=True, array_like=True):
@@ -35,6 +37,8 @@
 
     version: int
     raw: bytes
+    # Whether `raw` is packed, see `store/document_packing`.
+    is_packed: bool = False
 
 
 class DocumentProof(Struct, frozen=True, array_like=True):
--- a/packages/turmericweir-core/turmericweir_core/reducers/reducer_store.py
+++ b/packages/turmericweir-core/turmericweir_core/reducers/reducer_store.py
@@ -91,7 +91,7 @@
         case PeerReceived(sender, DocumentAsk() as ask):
             return document.on_ask(state, now, sender, ask)
         case PeerReceived(sender, DocumentSend() as message):
-            return document.on_send(sender, message)
+            return document.on_send(state, sender, message)
         case PeerReceived(sender, DocumentProof() as message):
             return document.on_proof(state, now, sender, message)
         case ServerAnswered(server, via):
--- a/packages/turmericweir-core/turmericweir_core/state/document_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/document_state.py
@@ -6,6 +6,8 @@
 
 from msgspec import Struct, field
 
+from turmericweir_core.base.ids import InstanceName
+
 _NEVER: Final = float("-inf")
 
 
@@ -16,6 +18,12 @@
     version: int = 0
     # The document as written by the operator, for peers that cannot read the store.
     raw: bytes = b""
+    # Its packed form; empty until a peer asks for it.
+    packed: bytes = b""
+    # When this version was sent to each peer.
+    sent_at: dict[InstanceName, float] = field(default_factory=dict)
+    # Until when a newer version that a peer is sending is awaited.
+    awaited_until: float = _NEVER
     # When the newest answered read was sent, by this instance or by a peer.
     proof_at: float = _NEVER
     # The same, for reads of this instance only.
--- a/packages/turmericweir-core/turmericweir_core/store/document.py
+++ b/packages/turmericweir-core/turmericweir_core/store/document.py
@@ -29,6 +29,7 @@
 from turmericweir_core.messages.settings_messages import DocumentAsk, DocumentProof, DocumentSend
 from turmericweir_core.state import server_table
 from turmericweir_core.state.document_state import DocumentState
+from turmericweir_core.store import document_packing
 
 if TYPE_CHECKING:
     from turmericweir_core.state.membership_state import Member
@@ -50,6 +51,11 @@
 _REQUEST_INTERVAL_S: Final = 0.3
 # Request number of a proof that is sent as an announcement, not as an answer.
 _NO_REQUEST: Final = 0
+# How long an instance waits for a document that a peer is sending, and how long the peer does not
+# send it again. Prevents repeated copies of a large document from filling slow links. The peer's
+# time is shorter, so that it sends the document when it is asked again.
+_AWAIT_S: Final = 1.0
+_RESEND_AFTER_S: Final = 0.8
 # Requests that await an answer; older ones are dropped.
 _PENDING_REQUESTS_MAX: Final = 16
 
@@ -108,6 +114,9 @@
     )
     document.version = event.version
     document.raw = event.raw
+    document.packed = b""
+    document.sent_at.clear()
+    document.awaited_until = _NEVER
     state.config = event.config
     state.has_settings = True
     server_table.rebuild_table(state.servers, state.config)
@@ -154,7 +163,7 @@
     document = _document(state)
     if document.started_at is None:
         document.started_at = now
-    if now < document.next_query_at:
+    if now < document.next_query_at or now < document.awaited_until:
         return []
     peer = _peer_to_ask(state, now)
     if peer is None:
@@ -217,7 +226,7 @@
     document.query_number += 1
     document.queries_sent_at[document.query_number] = now
     document.queries_sent_at.pop(document.query_number - _PENDING_REQUESTS_MAX, None)
-    request = DocumentAsk(document.version, document.query_number)
+    request = DocumentAsk(document.version, document.query_number, can_unpack=True)
     return [SendDatagram(peer.name, peer.peer_address, request)]
 
 
@@ -228,8 +237,9 @@
     if peer is None or document.version == 0:
         return []
     effects: list[Effect] = []
-    if document.version > request.version:
-        message = DocumentSend(document.version, document.raw)
+    if document.version > request.version and not _is_in_transfer(document, now, sender):
+        document.sent_at[sender] = now
+        message = _document_message(document, can_unpack=request.can_unpack)
         effects.append(SendPeer(sender, peer.peer_address, message))
     age_s = now - document.proof_at
     if age_s <= state.options.key_proof_s:
@@ -238,9 +248,30 @@
     return effects
 
 
-def on_send(sender: InstanceName, message: DocumentSend) -> list[Effect]:
-    """Decode a peer's document; the result is processed like one that was read."""
-    return [DecodeDocument(message.raw, sender)]
+def _is_in_transfer(document: DocumentState, now: float, peer: InstanceName) -> bool:
+    """Return whether this version was sent to a peer so recently that it may not have arrived."""
+    return now - document.sent_at.get(peer, _NEVER) < _RESEND_AFTER_S
+
+
+def _document_message(document: DocumentState, *, can_unpack: bool) -> DocumentSend:
+    if not can_unpack:
+        return DocumentSend(document.version, document.raw)
+    if not document.packed:
+        document.packed = document_packing.pack(document.raw)
+    return DocumentSend(document.version, document.packed, is_packed=True)
+
+
+def on_send(state: State, sender: InstanceName, message: DocumentSend) -> list[Effect]:
+    """Decode a peer's newer document; the result is processed like one that was read."""
+    if message.version <= _document(state).version:
+        return []
+    raw = message.raw
+    if message.is_packed:
+        try:
+            raw = document_packing.unpack(message.raw)
+        except ValueError as exc:
+            return on_unreadable(DocumentUnreadable(sender, str(exc)))
+    return [DecodeDocument(raw, sender)]
 
 
 def on_proof(
@@ -250,10 +281,13 @@
     document = _document(state)
     if message.request_number == _NO_REQUEST:
         peer = membership.find_member(state, sender)
-        return _request_proof(state, now, peer) if peer is not None else []
+        is_awaited = message.version > document.version and now < document.awaited_until
+        return _request_proof(state, now, peer) if peer is not None and not is_awaited else []
     requested_at = document.queries_sent_at.pop(message.request_number, None)
     if requested_at is None or message.version > document.version:
         # The peer sends the newer document as well; a later request returns a proof for it.
+        if message.version > document.version:
+            document.awaited_until = now + _AWAIT_S
         return []
     proof_at = requested_at - max(0.0, message.age_s)
     if proof_at <= document.proof_at:
