Show operators the shares, waits and refusals of customers; weights in the settings

Cause: nothing showed how the room of a class is divided among its customers, and the settings had no way to give one of them more.

Change: `turmericctl customers` and its path on the operators' port; the counters `share.refused` and `share.dropped` for at most 64 customers, the others together; the log line `share_taken` with the inputs of the decision; `weight` of a customer in the settings, 1 by default.

--- a/packages/turmericweir-core/turmericweir_core/base/fair_share_options.py
+++ b/packages/turmericweir-core/turmericweir_core/base/fair_share_options.py
@@ -25,6 +25,8 @@
     # Customers of one class in a report, and of one class in the state.
     reported_customers: int = 16
     kept_customers: int = 64
+    # Customers with metrics of their own; the others are counted together.
+    counted_customers: int = 64
     # Slots of all engines from which on customers over their share leave one free.
     headroom_slots_min: int = 8
     # Requests by which a customer that returns may go before the least served one.
--- a/packages/turmericweir-core/turmericweir_core/placement/admission.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/admission.py
@@ -18,6 +18,7 @@
 from turmericweir_core.engines import engine_pools
 from turmericweir_core.membership import limit_loans
 from turmericweir_core.membership.subset import open_servers, pause_left_s
+from turmericweir_core.messages.effects import Effect
 from turmericweir_core.placement import displacement, fair_admission, predicted_admission
 from turmericweir_core.placement.placement import idle_slots_share
 from turmericweir_core.queueing import fair_share, urgent_first
@@ -48,6 +49,8 @@
     retry_after_s: float
     # Inputs of the decision, for the log.
     details: dict[str, object] = field(default_factory=dict)
+    # For the metrics.
+    effects: list[Effect] = field(default_factory=list)
 
 
 def decide(state: State, now: float, req: Request, pool: str) -> Admitted | Refused:
@@ -107,14 +110,15 @@
         dropped = fair_admission.request_to_drop(state, now, req, fair_wait)
     if dropped is not None and not is_over:
         return Admitted(to_drop=dropped, details=details)
-    fair_share.note_refused(state, now, req)
+    effects = fair_share.note_refused(state, now, req)
     if can_be_in_time:
         pause_s = fair_admission.retry_after_s(state, req, fair_wait)
     else:
         is_long = engine_pools.long_predicate(state, req.target)(req.service_class)
         urgent_first.note_refused(state, now, req, is_long=is_long)
         pause_s = predicted_admission.retry_after(state, now, req, wait_s)
-    return Refused(pause_s, {**predicted_admission.explain(state, now, req, wait_s), **details})
+    details = {**predicted_admission.explain(state, now, req, wait_s), **details}
+    return Refused(pause_s, details, effects)
 
 
 def _is_queue_full(state: State, req: Request) -> bool:
--- a/packages/turmericweir-core/turmericweir_core/queueing/fair_share.py
+++ b/packages/turmericweir-core/turmericweir_core/queueing/fair_share.py
@@ -23,7 +23,10 @@
 from math import exp
 from typing import TYPE_CHECKING, Final
 
+from msgspec import Struct
+
 from turmericweir_core.base.request import Request, WaitReason
+from turmericweir_core.messages.effects import Count, Effect
 from turmericweir_core.messages.fair_share_messages import CustomerShare
 from turmericweir_core.state import queue_state
 from turmericweir_core.state.fair_share_state import Charge, ClassKey, ClassShares, CustomerUse
@@ -34,6 +37,9 @@
     from turmericweir_core.state.state import State
 
 _MS: Final = 1000.0
+# Weight of the newest request in a customer's average wait.
+_WAIT_WEIGHT: Final = 0.1
+_OTHER_CUSTOMERS: Final = "others"
 # A customer with less served work than this is forgotten.
 _NEGLIGIBLE_MS: Final = 0.5
 # Requests of one customer that are checked for whether they wait for room.
@@ -70,7 +76,9 @@
     prefill_ms = max(0.0, req.work_ms - req.slot_work_ms)
     charge = Charge(key, req.customer, prefill_ms, req.slot_work_ms)
     state.fair_shares.charges[attempt_id] = charge
-    _use_of(state, now, key, req.customer).served_ms += charge.prefill_ms + charge.slot_ms
+    use = _use_of(state, now, key, req.customer)
+    use.served_ms += charge.prefill_ms + charge.slot_ms
+    use.wait_s += _WAIT_WEIGHT * (now - req.arrived_at - use.wait_s)
 
 
 def note_ended(
@@ -324,13 +332,83 @@
     return all(counter(state, now, key, each) <= own for each in waiting)
 
 
-def note_refused(state: State, now: float, req: Request) -> None:
+def note_refused(state: State, now: float, req: Request) -> list[Effect]:
     """Count a refusal for want of room; its customer goes on competing."""
     key = key_of(req)
     _use_of(state, now, key, req.customer).refused += 1
     others = competitors(state, now, key) - {req.customer}
     if sum(served_ms(state, now, key, each) for each in others) >= req.work_ms:
         mark_contended(state, now, key)
+    return [Count(f"share.refused.{_counted_name(state, req.customer)}")]
+
+
+def note_dropped(state: State, now: float, req: Request) -> list[Effect]:
+    """Count a waiting request that ended for a customer that was served less."""
+    _use_of(state, now, key_of(req), req.customer).refused += 1
+    return [Count(f"share.dropped.{_counted_name(state, req.customer)}")]
+
+
+def _counted_name(state: State, customer: str) -> str:
+    """Return the name under which a customer is counted, which bounds the number of metrics."""
+    counted = state.fair_shares.counted_customers
+    if customer not in counted and len(counted) >= state.options.fair_share.counted_customers:
+        return _OTHER_CUSTOMERS
+    counted.add(customer)
+    return customer
+
+
+class CustomerRow(Struct, frozen=True):
+    """A customer in one class, for operators."""
+
+    target: str
+    service_class: str
+    customer: str
+    weight: float
+    # Whether customers compete in the class now.
+    competing: bool
+    # Share of the work of all customers that all instances served lately.
+    served_share: float
+    # Requests that wait, here and elsewhere.
+    waiting: int
+    waiting_elsewhere: int
+    # Average wait, and refusals since the start, at this instance.
+    wait_ms: int
+    refused: int
+
+
+def describe(state: State, now: float) -> list[CustomerRow]:
+    """Return what the customers of each class are served, wait and are refused, for operators."""
+    rows: list[CustomerRow] = []
+    for key, shares in sorted(state.fair_shares.classes.items()):
+        names = sorted(competitors(state, now, key) | set(shares.customers))
+        served = {name: served_ms(state, now, key, name) for name in names}
+        total_ms = sum(served.values()) or 1.0
+        elsewhere = waiting_elsewhere(state, now, key)
+        for name in names:
+            use = shares.customers.get(name) or CustomerUse(now)
+            rows.append(
+                CustomerRow(
+                    target=key[0],
+                    service_class=key[1],
+                    customer=name,
+                    weight=weight_of(state, name),
+                    competing=is_contended(state, now, key),
+                    served_share=round(served[name] / total_ms, 3),
+                    waiting=_waiting_here(state, key, name),
+                    waiting_elsewhere=elsewhere[name].waiting if name in elsewhere else 0,
+                    wait_ms=round(use.wait_s * _MS),
+                    refused=use.refused,
+                )
+            )
+    return rows
+
+
+def _waiting_here(state: State, key: ClassKey, customer: str) -> int:
+    return sum(
+        len(queue.customers[customer])
+        for queue in queue_state.target_classes(state.queues, key[0])
+        if queue.service_class.name == key[1] and customer in queue.customers
+    )
 
 
 def competitors(state: State, now: float, key: ClassKey) -> set[str]:
--- a/packages/turmericweir-core/turmericweir_core/records/settings_model.py
+++ b/packages/turmericweir-core/turmericweir_core/records/settings_model.py
@@ -121,6 +121,8 @@
     # Class by model or plain service; "*" is the default.
     classes: dict[Name, Name] = Field(default={}, max_length=256)
     limit: WrittenLimit = WrittenLimit()
+    # Its share of a class that has too little room, relative to other customers.
+    weight: float = Field(default=1.0, gt=0.0, le=1000.0)
 
 
 class WrittenRule(Written):
@@ -377,6 +379,7 @@
         token_digests=tuple(value.token_sha256),
         classes=dict(value.classes),
         limit=_limit(value.limit),
+        weight=value.weight,
     )
 
 
--- a/packages/turmericweir-core/turmericweir_core/requests/lifecycle.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/lifecycle.py
@@ -170,10 +170,11 @@
     """Refuse a request that cannot be answered in time, or make lower work give way to it."""
     verdict = admission.decide(state, now, req, pool_name(state, req.target))
     match verdict:
-        case admission.Refused(pause_s, details):
+        case admission.Refused(pause_s, details, counts):
             log = Log("not_admitted", {"request_id": req.request_id, **details})
             return [
                 *([log] if details else []),
+                *counts,
                 *finish(state, now, req, Outcome.NOT_RUN, Reason.OVERLOAD, retry_after_s=pause_s),
             ]
         case admission.Admitted(displaced, dropped, details):
@@ -182,6 +183,7 @@
                 return effects
             if details:
                 effects.append(Log("share_taken", {"request_id": dropped.request_id, **details}))
+                effects += fair_share.note_dropped(state, now, dropped)
             return effects + _drop_waiting(state, now, dropped)
         case unreachable:
             assert_never(unreachable)
--- a/packages/turmericweir-core/turmericweir_core/state/fair_share_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/fair_share_state.py
@@ -22,8 +22,9 @@
     served_ms: float = 0.0
     # Work counted besides, so that a customer that was idle has saved up little.
     lifted_ms: float = 0.0
-    # Requests refused for its share since the start, for operators.
+    # For operators: requests refused for its share, and the average wait of those that started.
     refused: int = 0
+    wait_s: float = 0.0
 
 
 class PeerShares(Struct, frozen=True):
@@ -75,3 +76,5 @@
     asked_at: float | None = None
     avoided: InstanceName | None = None
     avoided_until: float = _NEVER
+    # Customers with metrics of their own; a bounded number.
+    counted_customers: set[str] = field(default_factory=set)
--- a/packages/turmericweir-ctl/turmericctl/main.py
+++ b/packages/turmericweir-ctl/turmericctl/main.py
@@ -16,6 +16,7 @@
 from turmericctl.settings_commands import settings
 from turmericctl.state_commands import (
     classes,
+    customers,
     drain,
     duties,
     instances,
@@ -81,7 +82,18 @@
     click.echo(completion_class(cli, {}, PROGRAM, _COMPLETION_VARIABLE).source())
 
 
-for _command in (settings, status, instances, duties, state, classes, servers, requests, drain):
+for _command in (
+    settings,
+    status,
+    instances,
+    duties,
+    customers,
+    state,
+    classes,
+    servers,
+    requests,
+    drain,
+):
     cli.add_command(_command)
 
 
--- a/packages/turmericweir-ctl/turmericctl/messages.py
+++ b/packages/turmericweir-ctl/turmericctl/messages.py
@@ -90,6 +90,11 @@
     "Show the service classes, and the number of requests of each on this instance."
 )
 DUTIES_HELP: Final = "Show which instance reports usage and orders servers, and the progress."
+CUSTOMERS_HELP: Final = """Show what customers of each class are served, wait and are refused.
+
+\b
+SHARE is of the work that all instances served lately; WAIT MS and REFUSED are of this instance.
+"""
 INSTANCES_HELP: Final = """Show which settings version each instance has.
 
 \b
--- a/packages/turmericweir-ctl/turmericctl/state_commands.py
+++ b/packages/turmericweir-ctl/turmericctl/state_commands.py
@@ -117,6 +117,29 @@
     session.printer.show(instance_list, lines)
 
 
+@click.command(help=messages.CUSTOMERS_HELP)
+@pass_session
+def customers(session: Session) -> None:
+    """Show the shares, waits and refusals of customers."""
+    with session.client() as client:
+        rows = client.get("/customers")["customers"]
+    titles = ("CLASS", "CUSTOMER", "WEIGHT", "SHARE", "WAITING", "ELSEWHERE", "WAIT MS", "REFUSED")
+    shown = [
+        [
+            f"{row['service_class']}{' *' if row['competing'] else ''}",
+            row["customer"],
+            row["weight"],
+            row["served_share"],
+            row["waiting"],
+            row["waiting_elsewhere"],
+            row["wait_ms"],
+            row["refused"],
+        ]
+        for row in rows
+    ]
+    session.printer.show(rows, table(titles, shown))
+
+
 @click.command(help=messages.DUTIES_HELP)
 @pass_session
 def duties(session: Session) -> None:
--- a/packages/turmericweir/turmericweir/operations/entry_admin.py
+++ b/packages/turmericweir/turmericweir/operations/entry_admin.py
@@ -1,8 +1,8 @@
 """The operators' HTTP interface where the platform stores the settings; it is read-only.
 
-`turmericctl status`, `instances`, `duties`, `state`, `classes` and `servers` use it. The port is
-reachable only within the platform; if the settings file contains the digest of a token, the token
-is required as well.
+`turmericctl status`, `instances`, `duties`, `customers`, `state`, `classes` and `servers` use it.
+The port is reachable only within the platform; if the settings file contains the digest of a token,
+the token is required as well.
 """
 
 from __future__ import annotations
@@ -20,6 +20,7 @@
 from turmericweir.process.node import Node
 from turmericweir_core.membership import membership, store_duty
 from turmericweir_core.membership.instance_versions import instance_versions
+from turmericweir_core.queueing import fair_share
 from turmericweir_core.settings.settings_reach import reach_of_centres
 from turmericweir_core.store import document
 from turmericweir_core.streams import stream_bindings, stream_servers
@@ -71,6 +72,9 @@
             case "/instances":
                 versions = instance_versions(self._node.state, anyio.current_time())
                 await request.answer(HTTPStatus.OK, {"instances": dump(versions)})
+            case "/customers":
+                rows = fair_share.describe(self._node.state, anyio.current_time())
+                await request.answer(HTTPStatus.OK, {"customers": dump(rows)})
             case "/duties":
                 await request.answer(HTTPStatus.OK, self._duties())
             case "/settings/inforce":
