Process only the newest load of each peer of the updates that wait

Cause: asyncio's datagram transport receives one datagram in each turn of the event loop. A busy process on a small share of a core has fewer turns than its peers send datagrams, so the socket's buffer is always full: what arrives is seconds old, and the rest is lost. Streams are not affected, so requests went on in time with knowledge from seconds ago.

The reader had read the entries 0.3 s after the word and sent them at once; its datagrams were applied 0.1 to 3.7 s later, by instance, always the same instances late, while requests to these instances took under 0.2 s to reach a server. No list was requested, so nothing was found missing: the datagram itself was late.

Ruled out: reads of the reader (two reads within 0.4 s of the word), hashes that differ (no list was requested), the link (streams of the same instances in time), the store (stable).

Messages that are no load updates are processed at once. Of the load updates that wait from one sender, the newest load and the prompt parts of all are processed as one, for one sender in each turn: an update holds all load of its sender, so the older ones have no effect of their own.

--- a/packages/turmericweir/turmericweir/peers/peer_codec.py
+++ b/packages/turmericweir/turmericweir/peers/peer_codec.py
@@ -22,6 +22,7 @@
 from turmericweir.process.node import Node
 from turmericweir_core.base.ids import InstanceName
 from turmericweir_core.messages.events import PeerReceived
+from turmericweir_core.messages.load_messages import LoadNews
 from turmericweir_core.messages.peer_messages import PEER_MESSAGES, PeerMessage
 
 # Larger than any complete settings state.
@@ -61,6 +62,15 @@
     return Success(PeerReceived(InstanceName(sender), message, origin))
 
 
+def load_update_sender(data: bytes) -> InstanceName | None:
+    """Return the sender of a frame with a load update; None for all other frames."""
+    try:
+        sender, name, _ = _FRAME.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+    return InstanceName(sender) if name == LoadNews.__name__ else None
+
+
 def read_frame(frame: object, peer: str) -> Result[PeerReceived, PeerError]:
     """Validate an unpacked frame of a stream; `peer` names its origin in errors."""
     if not isinstance(frame, list) or len(frame) != _FRAME_LENGTH:
--- a/packages/turmericweir/turmericweir/peers/peer_datagrams.py
+++ b/packages/turmericweir/turmericweir/peers/peer_datagrams.py
@@ -5,7 +5,8 @@
 
 The event loop's transport receives one datagram per turn of the loop. A busy process has fewer
 turns than datagrams, and what waits in the socket is delayed by seconds and then lost. Therefore
-each turn receives all that wait.
+each turn receives all that wait. Most of them are load updates, of which one is processed in each
+turn (`held_updates`); the others are processed at once.
 """
 
 from __future__ import annotations
@@ -15,7 +16,8 @@
 from types import TracebackType
 from typing import Final, Self
 
-from turmericweir.peers.peer_codec import FrameReader, decode, encode
+from turmericweir.peers.held_updates import HeldUpdates
+from turmericweir.peers.peer_codec import FrameReader, decode, encode, load_update_sender
 from turmericweir.process import logs
 from turmericweir.process.errors import ListenError, describe_error
 from turmericweir.process.node import Node
@@ -45,6 +47,9 @@
     _socket: socket.socket
     # Whether the send buffer is full; until it has space, datagrams are dropped and counted.
     _is_write_paused: bool
+    # Load updates that wait, and whether a later turn of the event loop processes the next one.
+    _held_updates: HeldUpdates
+    _is_turn_scheduled: bool
     # The last encoded message and its frame, since most messages go to several peers.
     _encoded_message: PeerMessage | None
     _encoded_frame: bytes
@@ -54,6 +59,8 @@
         self._address = address
         self._frame_reader = None
         self._is_write_paused = False
+        self._held_updates = HeldUpdates()
+        self._is_turn_scheduled = False
         self._encoded_message = None
         self._encoded_frame = b""
 
@@ -114,8 +121,13 @@
     # Called by the event loop.
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Pass a datagram, and all others that wait in the socket, to the node."""
-        self._process(data, addr)
+        """Receive a datagram and all others that wait in the socket."""
+        self._receive(data, addr)
+        self._receive_waiting()
+        if not self._is_turn_scheduled:
+            self._process_next_update()
+
+    def _receive_waiting(self) -> None:
         for _ in range(_RECEIVED_PER_TURN_MAX - 1):
             try:
                 data, addr = self._socket.recvfrom(_RECEIVE_MAX_BYTES)
@@ -124,13 +136,30 @@
             except OSError as exc:
                 self.error_received(exc)
                 return
-            self._process(data, addr)
+            self._receive(data, addr)
 
-    def _process(self, data: bytes, addr: tuple[str, int]) -> None:
+    def _receive(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Process a datagram, or hold it if it is a load update."""
         if self._frame_reader is None:
             return
         self._node.traffic.datagrams.received.add(len(data))
-        self._frame_reader.process_result(decode(data, f"{addr[0]}:{addr[1]}"), len(data))
+        origin = f"{addr[0]}:{addr[1]}"
+        sender = load_update_sender(data)
+        if sender is None:
+            self._frame_reader.process_result(decode(data, origin), len(data))
+        else:
+            self._held_updates.add(sender, data, origin)
+
+    def _process_next_update(self) -> None:
+        """Process the load updates of one sender, and those of the next one in the next turn."""
+        self._is_turn_scheduled = False
+        if self._frame_reader is None or not self._held_updates:
+            return
+        result, size = self._held_updates.pop()
+        self._frame_reader.process_result(result, size)
+        if self._held_updates:
+            self._is_turn_scheduled = True
+            asyncio.get_running_loop().call_soon(self._process_next_update)
 
     def pause_writing(self) -> None:
         """Drop datagrams until the send buffer has space."""
--- a/tests/daemon/test_peer_datagrams.py
+++ b/tests/daemon/test_peer_datagrams.py
@@ -17,6 +17,7 @@
 from turmericweir_core.base.ids import InstanceName
 from turmericweir_core.messages.duty_messages import DutyStatus
 from turmericweir_core.messages.events import Event, PeerReceived
+from turmericweir_core.messages.load_messages import LoadNews, LoadRow, SentPart
 
 pytestmark = pytest.mark.anyio
 
@@ -32,11 +33,13 @@
 
     def __init__(self) -> None:
         self.events: list[Event] = []
+        self.event_received = anyio.Event()
         self.traffic = Traffic()
 
     def handle(self, event: Event) -> None:
         """Record an event."""
         self.events.append(event)
+        self.event_received.set()
 
     def count(self, name: str, by: int = 1) -> None:
         """Ignore a count."""
@@ -47,6 +50,12 @@
         messages = (event.message for event in self.events if isinstance(event, PeerReceived))
         return [message.fence for message in messages if isinstance(message, DutyStatus)]
 
+    @property
+    def updates(self) -> list[LoadNews]:
+        """The received load updates."""
+        messages = (event.message for event in self.events if isinstance(event, PeerReceived))
+        return [message for message in messages if isinstance(message, LoadNews)]
+
 
 def free_address() -> str:
     """Return an address on which no socket is bound now."""
@@ -63,11 +72,12 @@
             sock.sendto(encode(PEER, DutyStatus(number)), (host, int(port)))
 
 
-async def receive_first(node: RecordingNode) -> None:
-    """Wait for the turn of the event loop that receives the first datagrams."""
+async def receive(node: RecordingNode, count: int) -> None:
+    """Wait for the turn of the event loop that receives an event, until there are so many."""
     with anyio.fail_after(SAFETY_S):
-        while not node.events:
-            await anyio.lowlevel.checkpoint()
+        while len(node.events) < count:
+            node.event_received = anyio.Event()
+            await node.event_received.wait()
 
 
 async def test_all_waiting_datagrams_are_received_in_one_turn() -> None:
@@ -77,10 +87,33 @@
     async with PeerDatagrams(InstanceName("entry-1"), address) as datagrams:
         datagrams.attach(cast(Node, node))
         send_all(address, WAITING_COUNT)
-        await receive_first(node)
+        await receive(node, 1)
         assert node.fences == list(range(WAITING_COUNT))
 
 
+async def test_load_updates_that_wait_are_processed_as_one() -> None:
+    """Guards against a busy process that does nothing but process load updates."""
+    address = free_address()
+    node = RecordingNode()
+    async with PeerDatagrams(InstanceName("entry-1"), address) as datagrams:
+        datagrams.attach(cast(Node, node))
+        host, _, port = address.rpartition(":")
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            for number in range(9):
+                part = SentPart("lm-1", f"p{number}", 400, True, 0)
+                update = LoadNews("x", number, [LoadRow("lm-1", [], number, 0)], [part])
+                sock.sendto(encode(PEER, update), (host, int(port)))
+            sock.sendto(encode(PEER, DutyStatus(7)), (host, int(port)))
+        await receive(node, 1)
+        # All others are not delayed by the updates before them.
+        assert node.fences == [7]
+        await receive(node, 2)
+        (update,) = node.updates
+    assert update.seq == 8
+    assert [row.running for row in update.rows] == [8]
+    assert [part.part for part in update.parts] == [f"p{number}" for number in range(9)]
+
+
 async def test_datagrams_leave_room_for_requests(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against a flood of datagrams that keeps the event loop from all other work."""
     monkeypatch.setattr(peer_datagrams, "_RECEIVED_PER_TURN_MAX", 10)
@@ -89,7 +122,7 @@
     async with PeerDatagrams(InstanceName("entry-1"), address) as datagrams:
         datagrams.attach(cast(Node, node))
         send_all(address, WAITING_COUNT)
-        await receive_first(node)
+        await receive(node, 1)
         assert len(node.events) == 10
         with anyio.fail_after(SAFETY_S):
             while len(node.events) < WAITING_COUNT:
