Bound what the summing instance receives; estimate the work of plain calls

Cause: each instance reported its shares ten times a second whatever their number, so the instance that sums them up had 17.7 KB/s with 8 instances and 41 KB/s with 20 (reducers, ten customers competing in one class), where control may use 6. And a plain call counted as 1 ms before it ended.

Change: the interval grows with the number of instances; plain calls are charged the average time that those of their class hold a slot.

--- a/packages/turmericweir-core/turmericweir_core/base/fair_share_options.py
+++ b/packages/turmericweir-core/turmericweir_core/base/fair_share_options.py
@@ -12,9 +12,10 @@
     window_s: float = 5.0
     # How long customers count as competing after two of them were last seen to wait.
     contended_s: float = 3.0
-    # Interval between reports of shares where instances send to each other directly, and where
-    # relays sum them up.
+    # Interval between reports of shares where one instance sums them up: its minimum, and its
+    # length for each instance. Where relays sum them up, it is constant.
     report_interval_s: float = 0.1
+    report_interval_per_instance_s: float = 0.033
     relayed_interval_s: float = 0.5
     # Validity of the totals of the other instances.
     report_valid_s: float = 1.2
--- a/packages/turmericweir-core/turmericweir_core/placement/admission.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/admission.py
@@ -77,6 +77,7 @@
     # engines because most of its requests are refused.
     engine_pools.record_demand(state, now, req, open_servers(state, now, req.target))
     limit_loans.note_demand(state, now, req.target)
+    fair_share.estimate_work(state, req)
     engines = len(open_servers(state, now, req.target))
     fair_wait = fair_admission.predict(state, now, req, max(1, engines))
     if fair_wait is not None:
--- a/packages/turmericweir-core/turmericweir_core/queueing/fair_share.py
+++ b/packages/turmericweir-core/turmericweir_core/queueing/fair_share.py
@@ -37,8 +37,8 @@
     from turmericweir_core.state.state import State
 
 _MS: Final = 1000.0
-# Weight of the newest request in a customer's average wait.
-_WAIT_WEIGHT: Final = 0.1
+# Weight of the newest request in the averages of waits and of times in slots.
+_NEWEST_WEIGHT: Final = 0.1
 _OTHER_CUSTOMERS: Final = "others"
 # A customer with less served work than this is forgotten.
 _NEGLIGIBLE_MS: Final = 0.5
@@ -78,7 +78,14 @@
     state.fair_shares.charges[attempt_id] = charge
     use = _use_of(state, now, key, req.customer)
     use.served_ms += charge.prefill_ms + charge.slot_ms
-    use.wait_s += _WAIT_WEIGHT * (now - req.arrived_at - use.wait_s)
+    use.wait_s += _NEWEST_WEIGHT * (now - req.arrived_at - use.wait_s)
+
+
+def estimate_work(state: State, req: Request) -> None:
+    """Take the work of a request without a prompt as that of others of its class."""
+    if not req.prompt_tokens:
+        shares = state.fair_shares.classes.get(key_of(req))
+        req.slot_work_ms = 0.0 if shares is None else shares.slot_ms
 
 
 def note_ended(
@@ -92,7 +99,10 @@
     if slot_s is None:
         correction_ms = -charge.prefill_ms - charge.slot_ms
     else:
-        correction_ms = slot_s * _MS / max(1, slots) - charge.slot_ms
+        slot_ms = slot_s * _MS / max(1, slots)
+        shares = shares_of(state, charge.key)
+        shares.slot_ms += _NEWEST_WEIGHT * (slot_ms - shares.slot_ms)
+        correction_ms = slot_ms - charge.slot_ms
     use.served_ms = max(0.0, use.served_ms + correction_ms)
 
 
--- a/packages/turmericweir-core/turmericweir_core/queueing/fair_share_reports.py
+++ b/packages/turmericweir-core/turmericweir_core/queueing/fair_share_reports.py
@@ -45,11 +45,9 @@
     shares = state.fair_shares
     if now < shares.next_report_at:
         return []
-    options = state.options.fair_share
     plan = state.load_updates.plan
-    interval_s = options.report_interval_s if plan.is_direct else options.relayed_interval_s
     # Half a tick less, since the next tick may be a little early.
-    shares.next_report_at = now + interval_s - state.options.tick_s / 2
+    shares.next_report_at = now + _interval_s(state, now) - state.options.tick_s / 2
     fair_share.forget_idle(state, now)
     _forget_old_reports(state, now)
     if not plan.is_direct and plan.own_relay is None:
@@ -71,6 +69,15 @@
     return _send([summing], ShareReport(rows))
 
 
+def _interval_s(state: State, now: float) -> float:
+    """Return the interval between reports, which bounds what the summing instance receives."""
+    options = state.options.fair_share
+    if not state.load_updates.plan.is_direct:
+        return options.relayed_interval_s
+    instances = len(membership.region_instances(state, now))
+    return max(options.report_interval_s, options.report_interval_per_instance_s * instances)
+
+
 def _send(members: list[Member], message: ShareReport | ShareTotals) -> list[Effect]:
     return [SendDatagram(each.name, each.peer_address, message) for each in members]
 
--- a/packages/turmericweir-core/turmericweir_core/state/fair_share_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/fair_share_state.py
@@ -40,6 +40,8 @@
     customers: dict[str, CustomerUse] = field(default_factory=dict)
     # The total of the other instances.
     others: PeerShares | None = None
+    # Average time for which an answer holds a slot, divided by the slots.
+    slot_ms: float = 0.0
     # Until when customers count as competing.
     contended_until: float = _NEVER
 
