Bound what an instance holds for callers and servers by its memory limit

Cause: each request was bounded for itself, but not their sum: twenty bodies of 4 MB, or answers of callers that read nothing, exceed an instance of 160 MB, and the process is killed with all its requests. An answer that was complete and never read was held for as long as its caller stayed connected.

Ruled out: the size of the process as the only measure, since it does not fall when memory is freed; a number of requests, since small ones would be refused.

Change: `machine.memory_mb` of the process file is the limit. What is held is counted each 0.1 s; from 0.6 of the room on new requests get 503 with Retry-After (`memory_short`), beyond the room connections are reset, those that do not read first, then the largest and newest. A caller that reads nothing for 5 s while something waits for it is cut off (10 s before, and only while its request ran). Metrics and the log line `caller_cut_off` show it. Without a limit nothing but the latter changes.

--- a/packages/turmericweir-core/turmericweir_core/base/reasons.py
+++ b/packages/turmericweir-core/turmericweir_core/base/reasons.py
@@ -33,6 +33,8 @@
     KEY_UNPROVEN = "key_unproven"
     SETTINGS_IN_DOUBT = "settings_in_doubt"
     STOPPING = "stopping"
+    # This instance holds as much for callers and servers as its memory allows.
+    MEMORY_SHORT = "memory_short"
     DISPLACED = "displaced"
     CLAIM_UNAVAILABLE = "claim_unavailable"
     # The idempotency key was used before with another request.
@@ -71,6 +73,7 @@
     Reason.KEY_UNPROVEN: "This instance cannot tell at present whether the key is still good.",
     Reason.SETTINGS_IN_DOUBT: "This instance cannot tell at present whether its settings are new.",
     Reason.STOPPING: "This instance is stopping and takes no new requests.",
+    Reason.MEMORY_SHORT: "This instance holds too much for other callers to take this request.",
     Reason.DISPLACED: "Work of a more urgent class took the place of this request.",
     Reason.CLAIM_UNAVAILABLE: (
         "The idempotency key could not be claimed; send the request again with the same key only, "
--- a/packages/turmericweir/turmericweir/answers/forward_answer.py
+++ b/packages/turmericweir/turmericweir/answers/forward_answer.py
@@ -68,6 +68,12 @@
         self._has_body = False
         self._error_answer = None
 
+    @property
+    def held_bytes(self) -> int:
+        """The number of bytes that were received and not written yet."""
+        error_bytes = 0 if self._error_answer is None else len(self._error_answer[2])
+        return len(self._unsent) + error_bytes
+
     def begin_answer(self, status: int, headers: Headers) -> None:
         """Record the head of an attempt's answer, except for a resumed stream."""
         if self._has_body:
--- a/packages/turmericweir/turmericweir/callers/caller_transport.py
+++ b/packages/turmericweir/turmericweir/callers/caller_transport.py
@@ -19,12 +19,25 @@
     _is_next_write_delayed: bool
     # Bytes of the delayed write.
     _delayed_bytes: bytes
+    # Bytes written so far, including those that are not sent yet.
+    _written_bytes: int
 
     def __init__(self, transport: asyncio.Transport) -> None:
         super().__init__()
         self._transport = transport
         self._is_next_write_delayed = False
         self._delayed_bytes = b""
+        self._written_bytes = 0
+
+    @property
+    def unsent_bytes(self) -> int:
+        """The number of bytes that were written and not passed to the network yet."""
+        return self._transport.get_write_buffer_size()
+
+    @property
+    def sent_bytes(self) -> int:
+        """The number of bytes that were passed to the network."""
+        return self._written_bytes - self.unsent_bytes
 
     def delay_next_write(self) -> None:
         """Delay the next write until another write or `flush_delayed`."""
@@ -35,7 +48,7 @@
         self._is_next_write_delayed = False
         if self._delayed_bytes:
             delayed, self._delayed_bytes = self._delayed_bytes, b""
-            self._transport.write(delayed)
+            self._write(delayed)
 
     def write(self, data: bytes | bytearray | memoryview) -> None:
         """Send the data together with the delayed write, or delay it."""
@@ -44,9 +57,13 @@
             self._delayed_bytes += data
         elif self._delayed_bytes:
             delayed, self._delayed_bytes = self._delayed_bytes, b""
-            self._transport.write(delayed + data)
+            self._write(delayed + data)
         else:
-            self._transport.write(data)
+            self._write(data)
+
+    def _write(self, data: bytes | bytearray | memoryview) -> None:
+        self._written_bytes += len(data)
+        self._transport.write(data)
 
     def close(self) -> None:
         """Close after all data is sent."""
--- a/packages/turmericweir/turmericweir/callers/forward_app.py
+++ b/packages/turmericweir/turmericweir/callers/forward_app.py
@@ -14,6 +14,7 @@
 from turmericweir.answers.caller_refusal import RefusedError
 from turmericweir.answers.forward_answer import ForwardAnswer
 from turmericweir.answers.forward_wire import RequestHead, WireAdapter
+from turmericweir.callers.caller_memory import CallerMemory, TrackedCaller
 from turmericweir.callers.exchange import Exchange
 from turmericweir.callers.http_server import CONNECTION_KEY, LimitedProtocol
 from turmericweir.process import logs
@@ -41,12 +42,16 @@
     _node: Node
     _pool: BackendPool
     _wire: WireAdapter
+    _memory: CallerMemory
     _wait_for_settings_until: float
 
-    def __init__(self, node: Node, pool: BackendPool, wire: WireAdapter) -> None:
+    def __init__(
+        self, node: Node, pool: BackendPool, wire: WireAdapter, memory: CallerMemory
+    ) -> None:
         self._node = node
         self._pool = pool
         self._wire = wire
+        self._memory = memory
         self._wait_for_settings_until = anyio.current_time() + SETTINGS_WAIT_S
 
     async def __call__(
@@ -60,14 +65,17 @@
         request_id = self._unique_id(self._wire.request_id_for(head))
         caller = Caller(request_id, send, connection.coalescing_transport)
         caller.should_close = self._node.is_stopping
+        tracked = self._memory.track(connection, request_id)
         try:
-            await self._answer(connection, head, receive, caller)
+            await self._answer(connection, head, receive, caller, tracked)
         except RefusedError as exc:
             await self._refuse(caller, exc)
         except Exception as exc:
             logs.write_fault("answer", request_id, exc)
             # The outcome is unknown, and any answer would suggest one.
             connection.reset_connection()
+        finally:
+            self._memory.end_request(tracked)
 
     def _unique_id(self, request_id: RequestId) -> RequestId:
         """Return the id, with a number appended if a running request has the same id."""
@@ -97,9 +105,10 @@
         head: RequestHead,
         receive: ASGIReceiveCallable,
         caller: Caller,
+        tracked: TrackedCaller,
     ) -> None:
         state = self._node.state
-        body = await self._read_body(head, receive)
+        body = await self._read_body(head, receive, tracked)
         if not state.has_settings:
             with anyio.CancelScope(deadline=self._wait_for_settings_until):
                 await self._node.settings_available.wait()
@@ -118,6 +127,7 @@
             caller, self._wire, lambda: self._node.is_stopping, parsed.call.resume_after
         )
         job = ForwardJob(parsed.call, parsed.request, self._wire, answer)
+        tracked.job = job
         exchange = Exchange(self._node, self._pool, parsed.request, caller, job)
         self._node.active_requests[request_id] = exchange
         try:
@@ -146,30 +156,44 @@
             settings_version=self._node.state.settings_offset(),
         )
 
-    async def _read_body(self, head: RequestHead, receive: ASGIReceiveCallable) -> bytes:
+    async def _read_body(
+        self, head: RequestHead, receive: ASGIReceiveCallable, tracked: TrackedCaller
+    ) -> bytes:
         headers_by_name = dict(head.headers)
         content_length = headers_by_name.get(b"content-length")
         if content_length in (None, b"0") and b"transfer-encoding" not in headers_by_name:
+            if self._memory.is_short:
+                raise RefusedError(Reason.MEMORY_SHORT)
             return b""
         limit = self._node.state.config.limits.body_bytes
         if content_length is not None and int(content_length) > limit:
             raise RefusedError(Reason.TOO_LARGE)
         parts: list[bytes] = []
         size = 0
+        is_kept = True
         try:
             with anyio.fail_after(BODY_TIMEOUT_S):
                 while True:
                     message = await receive()
                     if message["type"] != "http.request":
                         raise RefusedError(Reason.CALLER_LEFT)
-                    parts.append(message["body"])
                     size += len(message["body"])
                     if size > limit:
                         raise RefusedError(Reason.TOO_LARGE)
+                    if is_kept and self._memory.is_short:
+                        # Reads the rest without keeping it, so that the refusal arrives.
+                        is_kept = False
+                        parts.clear()
+                    if is_kept:
+                        parts.append(message["body"])
+                    tracked.body_bytes = size if is_kept else 0
                     if not message["more_body"]:
-                        return b"".join(parts)
+                        break
         except TimeoutError:
             raise RefusedError(Reason.TOO_SLOW) from None
+        if not is_kept:
+            raise RefusedError(Reason.MEMORY_SHORT)
+        return b"".join(parts)
 
 
 # Refusals that follow from the settings alone, which may be outdated.
--- a/packages/turmericweir/turmericweir/callers/http_server.py
+++ b/packages/turmericweir/turmericweir/callers/http_server.py
@@ -154,6 +154,16 @@
         """Whether the connection is closed or being closed."""
         return self.transport.is_closing()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """The number of bytes that were written and wait for the caller to read."""
+        return self.coalescing_transport.unsent_bytes
+
+    @property
+    def sent_bytes(self) -> int:
+        """The number of bytes that were passed to the network."""
+        return self.coalescing_transport.sent_bytes
+
     def reset_connection(self) -> None:
         """Reset the connection.
 
--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -26,6 +26,7 @@
 from returns.pipeline import is_successful
 
 from turmericweir.answers.forward_wire import WireAdapter
+from turmericweir.callers.caller_memory import CallerMemory
 from turmericweir.callers.forward_app import ForwardApp
 from turmericweir.callers.http_limits import HttpLimits
 from turmericweir.callers.http_server import HttpServer
@@ -41,6 +42,7 @@
 )
 from turmericweir.process.listening_socket import bind
 from turmericweir.process.log_pipe import LogPipe
+from turmericweir.process.memory_budget import MemoryBudget, peak_size
 from turmericweir.process.node import Adapters, DocumentPort, DutyPort, Node, PlatformPort
 from turmericweir.process.prometheus_metrics import MetricsApp, PrometheusMetrics
 from turmericweir.servers.backend_pool import BackendPool
@@ -70,7 +72,7 @@
 # Longer than the two readiness checks after which the balancer sends no more requests.
 _STOP_GRACE_S: Final = 2.6
 # The maximum time for which a caller may leave an answer unread.
-_UNREAD_S: Final = 10.0
+_UNREAD_S: Final = 5.0
 _LOG_FLUSH_INTERVAL_S: Final = 0.25
 # The maximum number of servers of one target that an instance uses. Instances with different
 # subsets send the same prompt to different engines, which lowers the cache hit rate.
@@ -293,6 +295,7 @@
         async with anyio.create_task_group() as group:
             node = Node(state, reduce, adapters, group, unread_s=_UNREAD_S)
             node.answer_bounds = cfg.answers
+            node.memory.limit_bytes = cfg.machine.memory_bytes
             for part in (streams, datagrams, servers, follower):
                 part.attach(node)
             if duties is not None:
@@ -315,6 +318,7 @@
                 "The number of connections to servers that this instance carries for peers.",
                 lambda: node.state.paths.carried,
             )
+            _add_memory_gauges(metrics, node.memory)
             group.start_soon(pipe.flush_forever, _LOG_FLUSH_INTERVAL_S)
             group.start_soon(_reload_forever, node, path)
             _start_tasks(node, pool, streams, datagrams, follower, group)
@@ -326,6 +330,29 @@
     return 0
 
 
+def _add_memory_gauges(metrics: PrometheusMetrics, memory: MemoryBudget) -> None:
+    metrics.add_gauge(
+        "turmericweir_memory_held_bytes",
+        "What is held for callers and servers.",
+        lambda: memory.held_bytes,
+    )
+    metrics.add_gauge(
+        "turmericweir_memory_room_bytes",
+        "What may be held for callers and servers; 0 without a memory limit.",
+        lambda: memory.room_bytes,
+    )
+    metrics.add_gauge(
+        "turmericweir_memory_resident_bytes",
+        "The memory of this process.",
+        lambda: memory.resident_bytes,
+    )
+    metrics.add_gauge(
+        "turmericweir_memory_peak_bytes",
+        "The most memory that this process has used.",
+        peak_size,
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class _Sockets:
     callers: socket.socket
@@ -389,10 +416,12 @@
     sockets: _Sockets,
 ) -> None:
     limits: HttpLimits = SettingsHttpLimits(node.state)
-    app = ForwardApp(node, pool, platform_adapters.wire)
+    memory = CallerMemory(node, _UNREAD_S)
+    app = ForwardApp(node, pool, platform_adapters.wire, memory)
     callers = HttpServer(app, limits, lambda: node.is_stopping)
     readiness = HttpServer(platform_adapters.make_readiness_app(lambda: is_ready(node)), limits)
     async with anyio.create_task_group() as group:
+        group.start_soon(memory.check_forever)
         group.start_soon(_serve_http, readiness, sockets.readiness)
         if sockets.admin is not None:
             views: dict[str, Callable[[], object]] = {
--- a/packages/turmericweir/turmericweir/peers/carrier.py
+++ b/packages/turmericweir/turmericweir/peers/carrier.py
@@ -38,6 +38,10 @@
     def __init__(self, node: Node) -> None:
         self._node = node
         self._connections = set()
+        node.memory.sources.append(self._held_bytes)
+
+    def _held_bytes(self) -> int:
+        return sum(connection.held_bytes for connection in self._connections)
 
     def start(self, transport: asyncio.Transport, origin: str, ask: CarryAsk) -> None:
         """Take over a peer's connection and connect it to a server."""
@@ -64,6 +68,8 @@
             return "this instance is stopping"
         if len(self._connections) >= CARRIED_MAX:
             return f"{CARRIED_MAX} connections are carried already"
+        if self._node.memory.is_short:
+            return "this instance has no memory left"
         if server_paths.is_lost(state, server.entry.name):
             return "this instance has no path to the server"
         return ""
@@ -109,6 +115,12 @@
         self._server = None
         self._is_lost = False
 
+    @property
+    def held_bytes(self) -> int:
+        """The number of bytes that wait to be read by the peer or the server."""
+        to_server_bytes = 0 if self._server is None else self._server.get_write_buffer_size()
+        return self._transport.get_write_buffer_size() + to_server_bytes
+
     async def open(self, origin: str) -> None:
         """Connect to the server and send the result to the peer."""
         host, _, port = self._ask.address.rpartition(":")
--- a/packages/turmericweir/turmericweir/process/entry_settings.py
+++ b/packages/turmericweir/turmericweir/process/entry_settings.py
@@ -23,6 +23,7 @@
 _LINK_MBPS: Final = 5.0
 _PROCESSORS: Final = 0.25
 _PORT_MAX: Final = 65_535
+_MEGABYTE: Final = 1_000_000
 
 
 class MachineSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -32,6 +33,13 @@
     # Number of cores, and their speed relative to a standard core.
     processors: float = 0
     processor_speed: float = 1
+    # The memory above which a process is killed, in megabytes (10^6 bytes); 0 for no limit.
+    memory_mb: float = 0
+
+    @property
+    def memory_bytes(self) -> int:
+        """Return the memory limit in bytes; 0 for none."""
+        return int(self.memory_mb * _MEGABYTE)
 
     @property
     def machine_capacity(self) -> int:
--- a/packages/turmericweir/turmericweir/process/node.py
+++ b/packages/turmericweir/turmericweir/process/node.py
@@ -18,6 +18,7 @@
 from turmericweir.process import logs
 from turmericweir.process.answer_bounds import AnswerBounds
 from turmericweir.process.errors import describe_error
+from turmericweir.process.memory_budget import MemoryBudget
 from turmericweir.process.traffic import Traffic
 from turmericweir_core.base.ids import RequestId
 from turmericweir_core.messages.effects import (
@@ -185,6 +186,8 @@
     traffic: Traffic
     # Bounds on what servers answer.
     answer_bounds: AnswerBounds
+    # What may be held for callers and servers.
+    memory: MemoryBudget
 
     def __init__(
         self,
@@ -207,6 +210,7 @@
         self._unread_s = unread_s
         self.traffic = Traffic()
         self.answer_bounds = AnswerBounds()
+        self.memory = MemoryBudget()
 
     def handle(self, event: Event) -> None:
         """Reduce an event and perform its effects, after all earlier events."""
--- a/packages/turmericweir/turmericweir/servers/backend_attempt.py
+++ b/packages/turmericweir/turmericweir/servers/backend_attempt.py
@@ -31,7 +31,7 @@
 
 if TYPE_CHECKING:
     from turmericweir.process.node import Node
-    from turmericweir.servers.backend_pool import BackendPool
+    from turmericweir.servers.backend_pool import BackendConnection, BackendPool
 
 # Time limit for a load request on a new connection.
 PROBE_TIMEOUT_S: Final = 1.0
@@ -61,6 +61,7 @@
 
     __slots__ = (
         "_check_alive",
+        "_conn",
         "_first_byte",
         "_is_reused",
         "answer",
@@ -81,6 +82,8 @@
     # Whether the connection has carried an earlier request.
     _is_reused: bool
     _check_alive: AliveCheck
+    # The connection while the attempt runs.
+    _conn: BackendConnection | None
 
     def __init__(
         self,
@@ -97,6 +100,12 @@
         self.answer = AnswerRecord()
         self._first_byte = FirstByteCallback(self._report_sent)
         self._is_reused = False
+        self._conn = None
+
+    @property
+    def held_bytes(self) -> int:
+        """The number of bytes that wait to be read here, or by the server."""
+        return 0 if self._conn is None else self._conn.held_bytes
 
     @property
     def may_have_started(self) -> bool:
@@ -118,6 +127,7 @@
                 address, idle_max_s=_idle_max_s(self.start), via=via_of(self.start)
             )
             self._is_reused = conn.is_reused
+            self._conn = conn
             try:
                 response = await conn.send(make_request(), self._first_byte)
                 self.answer.begin(response)
@@ -128,6 +138,7 @@
                 await response.aclose()
                 return end
             finally:
+                self._conn = None
                 await self.pool.release(address, conn)
         except AnswerTooLargeError as exc:
             return self.reject_oversized(describe_error(exc))
--- a/packages/turmericweir/turmericweir/servers/backend_pool.py
+++ b/packages/turmericweir/turmericweir/servers/backend_pool.py
@@ -97,6 +97,11 @@
             return True
         return self._http.is_idle() and not self._has_leftover()
 
+    @property
+    def held_bytes(self) -> int:
+        """The number of bytes that wait to be read here, or by the server."""
+        return self._stream.held_bytes
+
     @property
     def has_read_answer(self) -> bool:
         """Return whether the current answer was read to its end."""
--- a/packages/turmericweir/turmericweir/servers/backend_stream.py
+++ b/packages/turmericweir/turmericweir/servers/backend_stream.py
@@ -96,6 +96,11 @@
         self._unread_bytes -= len(data)
         return data
 
+    @property
+    def held_bytes(self) -> int:
+        """The number of bytes that wait to be read here, or by the other end."""
+        return self._unread_bytes + self.transport.get_write_buffer_size()
+
     # Called by the event loop.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -192,6 +197,11 @@
                 str(protocol.error or "the connection is closed")
             ) from protocol.error
 
+    @property
+    def held_bytes(self) -> int:
+        """The number of bytes that wait to be read here, or by the other end."""
+        return self._protocol.held_bytes
+
     @property
     def has_unread(self) -> bool:
         """Return whether there is received data that was not read."""
--- a/packages/turmericweir/turmericweir/servers/forward.py
+++ b/packages/turmericweir/turmericweir/servers/forward.py
@@ -62,12 +62,14 @@
 class ForwardJob:
     """A forwarded request with its answer."""
 
-    __slots__ = ("_call", "_request", "_wire", "answer")
+    __slots__ = ("_attempt", "_call", "_request", "_wire", "answer")
 
     answer: ForwardAnswer
     _call: ForwardCall
     _request: Request
     _wire: WireAdapter
+    # The last attempt; None before the first.
+    _attempt: ForwardAttempt | None
 
     def __init__(
         self, call: ForwardCall, request: Request, wire: WireAdapter, answer: ForwardAnswer
@@ -76,10 +78,18 @@
         self._request = request
         self._wire = wire
         self.answer = answer
+        self._attempt = None
 
     def make_attempt(self, node: Node, pool: BackendPool, start: StartAttempt) -> ForwardAttempt:
         """Return a new attempt on a server."""
-        return ForwardAttempt(node, pool, start, self)
+        self._attempt = ForwardAttempt(node, pool, start, self)
+        return self._attempt
+
+    @property
+    def held_bytes(self) -> int:
+        """The number of bytes held for the request and its answer."""
+        held_bytes = len(self._call.body) + self.answer.held_bytes
+        return held_bytes + (0 if self._attempt is None else self._attempt.held_bytes)
 
     async def on_attempt_cancelled(self, pool: BackendPool, start: StartAttempt) -> None:
         """Do nothing, since closing the connection cancels the request at the server."""
@@ -92,13 +102,15 @@
 class ForwardAttempt:
     """One attempt to run the request on one server."""
 
-    __slots__ = ("_attempt", "_call", "_job", "_node", "_start", "events")
+    __slots__ = ("_attempt", "_buffered_bytes", "_call", "_job", "_node", "_start", "events")
 
     _node: Node
     _start: StartAttempt
     _attempt: Attempt
     _job: ForwardJob
     _call: ForwardCall
+    # Bytes of the answer that are not complete enough to be passed on.
+    _buffered_bytes: int
     # Events received in this attempt.
     events: int
 
@@ -108,8 +120,14 @@
         self._attempt = Attempt(node, pool, start, can_connect)
         self._job = job
         self._call = job._call
+        self._buffered_bytes = 0
         self.events = 0
 
+    @property
+    def held_bytes(self) -> int:
+        """The number of bytes held of the answer, and of the request until the server reads it."""
+        return self._buffered_bytes + self._attempt.held_bytes
+
     @property
     def may_have_started(self) -> bool:
         """Return whether the server may have started the request."""
@@ -196,6 +214,7 @@
                 events = tracker.count_ends(chunk)
                 if tracker.open_bytes > event_max_bytes:
                     raise AnswerTooLargeError(f"an event exceeds {event_max_bytes} bytes")
+                self._buffered_bytes = 0 if splitter is None else tracker.open_bytes
                 data = chunk
                 if splitter is not None:
                     data, events = splitter.split_chunk(chunk)
@@ -226,12 +245,15 @@
         async for chunk in body_of(response):
             bound.add(len(chunk))
             body += chunk
+            self._buffered_bytes = len(body)
             if len(body) > BUFFER_MAX_BYTES:
                 # Reports that the caller receives a part, which rules out a retry.
                 self._report_progress(1)
                 answer.buffer_body(body)
                 body = b""
+                self._buffered_bytes = 0
                 await answer.flush()
+        self._buffered_bytes = 0
         if response.status >= _SERVER_ERROR and self._job._request.repeatable:
             answer.store_error_answer(response.status, headers, body)
             return EndServerError(response.status)
--- /dev/null
+++ b/tests/daemon/test_memory_budget.py
@@ -0,0 +1,69 @@
+"""Tests of the memory budget, without a network."""
+
+from __future__ import annotations
+
+from turmericweir.process.memory_budget import Holder, MemoryBudget, choose_cut_off
+
+_LIMIT = 160_000_000
+_OWN = 50_000_000
+
+
+def _budget(held_bytes: int) -> MemoryBudget:
+    budget = MemoryBudget(limit_bytes=_LIMIT)
+    budget.update(0, _OWN)
+    budget.update(held_bytes, _OWN + 2 * held_bytes)
+    return budget
+
+
+def test_twice_the_room_and_what_the_process_needs_fit_into_the_limit() -> None:
+    budget = _budget(0)
+    assert _OWN + 2 * budget.room_bytes <= 0.8 * _LIMIT
+
+
+def test_new_requests_are_refused_before_anyone_is_cut_off() -> None:
+    room_bytes = _budget(0).room_bytes
+    assert not _budget(room_bytes // 2).is_short
+    assert (_budget(room_bytes - 1).is_short, _budget(room_bytes - 1).excess_bytes) == (True, 0)
+    assert _budget(room_bytes + 1_000_000).excess_bytes > 1_000_000
+
+
+def test_process_without_a_limit_is_never_short() -> None:
+    # Guards against deployments that name no limit and refuse requests.
+    budget = MemoryBudget()
+    budget.update(10**12, 10**12)
+    assert (budget.is_short, budget.excess_bytes) == (False, 0)
+
+
+def test_process_that_needs_more_than_its_share_serves_on() -> None:
+    # Guards against large settings after which every request is refused.
+    budget = MemoryBudget(limit_bytes=_LIMIT)
+    budget.update(0, _LIMIT)
+    assert not budget.is_short
+
+
+def test_held_memory_does_not_raise_what_the_process_needs() -> None:
+    # Guards against a room that grows or shrinks with what is held.
+    assert _budget(20_000_000).room_bytes == _budget(0).room_bytes
+
+
+def test_what_others_hold_counts() -> None:
+    budget = MemoryBudget(limit_bytes=_LIMIT, sources=[lambda: 7, lambda: 5])
+    budget.update(1, _OWN)
+    assert budget.held_bytes == 13
+
+
+def test_unread_largest_and_newest_are_cut_off_first() -> None:
+    # Guards against cutting off callers that read, or old and small requests, before others.
+    holders = [
+        Holder("reads", 9_000, 5.0, is_unread=False),
+        Holder("old", 1_000, 1.0, is_unread=True),
+        Holder("new", 1_000, 2.0, is_unread=True),
+        Holder("large", 3_000, 0.0, is_unread=True),
+    ]
+    for excess, names in (
+        (0, []),
+        (2_000, ["large"]),
+        (3_500, ["large", "new"]),
+        (10_000, ["large", "new", "old", "reads"]),
+    ):
+        assert [holder.key for holder in choose_cut_off(holders, excess)] == names
--- a/tests/platform/platform_world.py
+++ b/tests/platform/platform_world.py
@@ -85,6 +85,8 @@
     # Data centres of the region; instances are distributed over them.
     data_centres: int = 1
     bounds: dict[str, Any] = field(default_factory=dict)
+    # The `machine` part of the settings file.
+    machine: dict[str, Any] = field(default_factory=dict)
     # The `duties` part of the settings file; None for a platform without duties.
     duties: dict[str, Any] | None = None
     duty_standin: DutyStandin = field(default_factory=DutyStandin)
@@ -288,6 +290,7 @@
             "peer_address": f"127.0.0.{number}:{self._peer_port}",
             "seeds": seeds,
             "store": {"address": store or self._store_address},
+            "machine": self.machine,
             # Allows retries in tests that make only a few requests.
             "bounds": {"strict_revoke": True, "retry_ratio": 20, **self.bounds},
         }
