Never answer a running request by the refusal of what follows it

Cause: a caller that had sent a whole request and then more on its connection (a head that is too slow or too large, or no HTTP) was written the refusal of that while its request ran. It is the first answer on the connection, so the caller read it as the answer: 408, which promises that nothing ran, for a request that may not be repeated.

Ruled out: writing the refusal after the answer, since the caller did not send what it refuses as a request that can be told from the first.

Change: the running request is answered, and its connection ends with the answer. Where a request's own body is malformed, it is refused as before, unless its answer or an earlier one has begun; then the connection is reset.

--- a/packages/turmericweir/turmericweir/callers/http_server.py
+++ b/packages/turmericweir/turmericweir/callers/http_server.py
@@ -59,7 +59,7 @@
     # Whether the next bytes are headers.
     _is_in_headers: bool
     _header_timer: asyncio.TimerHandle | None
-    # Whether this end was closed, after which data is discarded until the caller closes.
+    # Whether this end was closed, or closes with the running answer; later data is discarded.
     _is_end_sent: bool
     # Called when the connection is lost; set while a request runs. Avoids a task per request that
     # waits for ASGI's `http.disconnect`.
@@ -220,12 +220,32 @@
             self.transport.close()
 
     def _refuse(self, reason: Reason, status: int | None) -> None:
-        if self.transport.is_closing():
+        if self.transport.is_closing() or self._has_left_answer_to_running_request():
             return
         problem = make_refusal(new_request_id(), reason, status=status)
         self.transport.write(_problem_bytes(problem))
         self.transport.close()
 
+    def _has_left_answer_to_running_request(self) -> bool:
+        """Return whether a request is running, whose answer must come before any other.
+
+        Prevents a caller that has sent more on its connection from reading a refusal of that as the
+        answer to the request that runs.
+        """
+        cycle: RequestResponseCycle | None = self.cycle
+        if cycle is None or cycle.response_complete:
+            return False
+        if not cycle.more_body:
+            # What follows the request is at fault: the connection ends with the answer.
+            cycle.keep_alive = False
+            self._is_end_sent = True
+            self._stop_header_timer()
+            return True
+        if cycle.response_started or self.pipeline:
+            self.reset_connection()
+            return True
+        return False
+
 
 def _problem_bytes(problem: Problem) -> bytes:
     lines = [b"HTTP/1.1 %d %s" % (problem.status, b"Refused"), b"connection: close"]
