--- a/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
@@ -58,6 +58,8 @@
 )
 
 _SUCCESS: Final = range(200, 300)
+# Share of the predicted time to a stream's first event after which its server may have begun it.
+_BEGUN_SHARE: Final = 0.5
 
 
 def on_sent(state: State, now: float, event: AttemptSent) -> list[Effect]:
@@ -170,6 +172,7 @@
         # The stale end of an attempt that was already given up.
         return [Count("attempt.late_end")]
     attempt = req.attempt
+    may_have_begun = state.meter is not None and _may_have_begun(state, now, req, event.end)
     effects = release(state, now, req, attempt)
     attempt_accounting.record_outcome(state, now, attempt, event.end)
     effects += attempt_accounting.count_end(now, attempt, event.end)
@@ -181,18 +184,27 @@
     req.attempt = None
     stream_bindings.bind_before_retry(req, attempt)
     is_broken = isinstance(event.end, EndBroken)
-    if state.meter is not None and _may_have_begun(req, attempt, event.end):
+    if state.meter is not None and may_have_begun:
         usage_meter.note_begun(state.meter, now, req, attempt)
     effects += isolated_runs.note_ended(state, now, attempt.attempt_id, broken=is_broken)
     effects += _handle_end(state, now, req, attempt, event.end)
     return effects + dispatch(state, now, req.target)
 
 
-def _may_have_begun(req: Request, attempt: Attempt, end: AttemptEnd) -> bool:
-    """Return whether the end of a plain call shows that its server may have begun it."""
-    if req.kind is ServiceKind.MODEL or not attempt.sent:
+def _may_have_begun(state: State, now: float, req: Request, end: AttemptEnd) -> bool:
+    """Return whether the end of an attempt shows that its server may have begun it."""
+    attempt = req.attempt
+    if attempt is None or not attempt.sent or isinstance(end, EndRefused | EndUnsent):
+        return False
+    if req.kind is not ServiceKind.MODEL:
+        return True
+    # A stream is counted by its first event, unless a living server lost it on the way. One that
+    # was closed before the server can have begun, for example for want of room, has not run.
+    if not isinstance(end, EndBroken) or not end.server_alive:
         return False
-    return not isinstance(end, EndRefused | EndUnsent)
+    begin_ms = engine_model.predicted_ms(state, attempt)
+    lasted_ms = 1000.0 * (now - attempt.started_at)
+    return begin_ms is not None and lasted_ms >= _BEGUN_SHARE * begin_ms
 
 
 def _ended_log(now: float, req: Request, attempt: Attempt, event: AttemptEnded) -> Log:
--- a/packages/turmericweir/turmericweir/peers/held_updates.py
+++ b/packages/turmericweir/turmericweir/peers/held_updates.py
@@ -41,15 +41,15 @@
         frames = self._frames.setdefault(sender, deque(maxlen=_UPDATES_PER_SENDER_MAX))
         frames.append((data, origin))
 
-    def pop(self) -> tuple[Result[PeerReceived, PeerError], int]:
-        """Remove the updates of one sender; return them as one, and their size in bytes."""
+    def pop(self) -> tuple[Result[PeerReceived, PeerError], int, int]:
+        """Remove the updates of one sender; return them as one, their bytes and their number."""
         frames = self._frames.pop(next(iter(self._frames)))
         merged: Result[PeerReceived, PeerError] | None = None
         for data, origin in frames:
             result = decode(data, origin)
             merged = result if merged is None else _merge(merged, result)
         assert merged is not None
-        return merged, sum(len(data) for data, _ in frames)
+        return merged, sum(len(data) for data, _ in frames), len(frames)
 
 
 def _merge(
--- a/packages/turmericweir/turmericweir/peers/peer_datagrams.py
+++ b/packages/turmericweir/turmericweir/peers/peer_datagrams.py
@@ -155,7 +155,9 @@
         self._is_turn_scheduled = False
         if self._frame_reader is None or not self._held_updates:
             return
-        result, size = self._held_updates.pop()
+        result, size, count = self._held_updates.pop()
+        if count > 1:
+            self._node.count("peer.load_merged", count - 1)
         self._frame_reader.process_result(result, size)
         if self._held_updates:
             self._is_turn_scheduled = True
