--- a/packages/turmericweir-core/turmericweir_core/engines/cache_handover.py
+++ b/packages/turmericweir-core/turmericweir_core/engines/cache_handover.py
@@ -63,7 +63,7 @@
         if not record.cached or name not in state.servers.by_name:
             continue
         newest = list(record.cached)[-_PARTS_PER_ENGINE_MAX:]
-        rows.append(CachesServer(name, newest, [record.cached[part] for part in newest]))
+        rows.append(CachesServer(name, newest, [record.cached[part].tokens for part in newest]))
     return rows
 
 
@@ -78,7 +78,7 @@
         if server is None:
             continue
         record = engine_model.engine_info_of(state, server.entry.name)
-        observed_parts = list(record.cached.items())
+        observed_parts = [(part, each.tokens) for part, each in record.cached.items()]
         for part, tokens in [*zip(row.parts, row.tokens, strict=False), *observed_parts]:
             engine_model.record_cached(record, server, part, tokens)
             part_count += 1
--- a/packages/turmericweir-core/turmericweir_core/engines/engine_model.py
+++ b/packages/turmericweir-core/turmericweir_core/engines/engine_model.py
@@ -28,7 +28,13 @@
 from turmericweir_core.messages.load_messages import SentPart
 from turmericweir_core.state import engine_speed
 from turmericweir_core.state.engine_speed import EngineSpeed
-from turmericweir_core.state.engine_state import EngineInfo, EngineLoad, PendingPrompt, Prefill
+from turmericweir_core.state.engine_state import (
+    CachedPart,
+    EngineInfo,
+    EngineLoad,
+    PendingPrompt,
+    Prefill,
+)
 from turmericweir_core.state.server_table import Server
 
 if TYPE_CHECKING:
@@ -78,12 +84,17 @@
 
 def uncached_tokens(record: EngineInfo, req: Request) -> int:
     """Count the tokens of a prompt that an engine would have to prefill."""
-    cached_tokens = 0
-    for part, tokens in req.parts:
+    return max(0, req.prompt_tokens - cached_tokens(record, req))
+
+
+def cached_tokens(record: EngineInfo, req: Request) -> int:
+    """Count the tokens of a prompt's beginning that an engine is assumed to hold."""
+    tokens = 0
+    for part, part_tokens in req.parts:
         if part not in record.cached:
             break
-        cached_tokens += tokens
-    return max(0, req.prompt_tokens - cached_tokens)
+        tokens += part_tokens
+    return tokens
 
 
 def pending_prefill_tokens(record: EngineInfo, now: float, req: Request) -> int:
@@ -153,17 +164,38 @@
             engine_info_of(state, server.entry.name), req
         )
         missing_tokens = held_tokens - own_tokens
-        return (
-            Fetch(holder.entry.address, missing_tokens)
-            if missing_tokens > state.options.fetch_min_tokens
-            else None
-        )
+        if missing_tokens <= state.options.fetch_min_tokens:
+            return None
+        fetch = Fetch(holder.entry.address, missing_tokens)
+        return fetch if _is_faster_than_prefill(state, req, server, fetch) else None
     return None
 
 
-def fetch_ms(options: Options, server: Server, fetch: Fetch) -> float:
-    """Return the time in which an engine fetches parts, in milliseconds."""
-    return options.fetch_setup_ms + fetch.tokens * server.service.fetch_ms_per_token
+def _is_faster_than_prefill(state: State, req: Request, server: Server, fetch: Fetch) -> bool:
+    """Return whether an engine gets parts sooner by a fetch than by prefilling them."""
+    record = engine_info_of(state, server.entry.name)
+    saved_ms = own_work_ms(state, record, req) - own_work_ms(state, record, req, fetch.tokens)
+    return fetch_ms(state, req.target, server, fetch) < saved_ms
+
+
+def nominal_fetch_ms(server: Server, fetch: Fetch) -> float:
+    """Return the time to transfer parts over an idle link, in milliseconds."""
+    return fetch.tokens * server.service.fetch_ms_per_token
+
+
+def fetch_ms(state: State, target: Target, server: Server, fetch: Fetch) -> float:
+    """Return the time in which an engine fetches parts, as observed lately, in milliseconds."""
+    speed = fetch_speed_of(state, target)
+    return speed.first_ms + speed.factor * nominal_fetch_ms(server, fetch)
+
+
+def fetch_speed_of(state: State, target: Target) -> EngineSpeed:
+    """Return the speed of fetches between the engines that serve a target."""
+    speed = state.engines.fetch_speeds.get(target)
+    if speed is None:
+        speed = engine_speed.nominal_fetch_speed(state.options)
+        state.engines.fetch_speeds[target] = speed
+    return speed
 
 
 def prefill_ms(options: Options, tokens: int, context: int) -> float:
@@ -292,14 +324,16 @@
         return
     fetch = best_fetch(state, req, server)
     saved_tokens = 0 if fetch is None else fetch.tokens
-    own_ms = own_work_ms(state, record, req, saved_tokens)
+    prefill_only_ms = own_work_ms(state, record, req, saved_tokens)
+    own_ms = prefill_only_ms
     if fetch is not None:
-        own_ms += fetch_ms(state.options, server, fetch)
+        own_ms += fetch_ms(state, req.target, server, fetch)
     rank = scheduling_rank(req.service_class)
     wait_ms = waiting_ms(record, now, rank)
     if not wait_ms:
         record.prefilling_since = now
-    predicted_first_token_ms = wait_ms + own_ms + speed_of(state, req.target).first_ms
+    first_ms = speed_of(state, req.target).first_ms
+    predicted_first_token_ms = wait_ms + own_ms + first_ms
     has_only_own_work = not wait_ms and fetch is None
     reference_ms = (
         _reference_engine_ms(state.options, record, req, saved_tokens)
@@ -307,14 +341,21 @@
         else None
     )
     record.prefills[attempt.attempt_id] = Prefill(
-        own_ms, rank, final_tokens(req), predicted_first_token_ms, now, reference_ms
+        own_ms,
+        rank,
+        final_tokens(req),
+        predicted_first_token_ms,
+        now,
+        reference_ms,
+        nominal_fetch_ms(server, fetch) if fetch is not None and not wait_ms else None,
+        prefill_only_ms + first_ms,
     )
     prefill_until = (
         now + _PREFILL_TIMEOUT_FACTOR * predicted_first_token_ms / _MS + _PREFILL_TIMEOUT_MARGIN_S
     )
     for part, tokens in req.parts:
         if part in record.cached:
-            record.cached.move_to_end(part)
+            _record_used(record, part)
             continue
         record_prefilling(record, part, prefill_until)
         sent_part = SentPart(
@@ -337,9 +378,11 @@
 def record_cached(record: EngineInfo, server: Server, part: str, tokens: int) -> None:
     """Record that an engine holds a part, and evict its least recently used parts."""
     record.prefilling_until.pop(part, None)
-    previous_tokens = record.cached.pop(part, None)
-    record.cached[part] = tokens
-    record.cached_tokens += tokens - (previous_tokens or 0)
+    previous = record.cached.pop(part, None)
+    added_tokens = tokens if previous is None else tokens - previous.tokens
+    record.inserted_tokens += max(0, added_tokens)
+    record.cached[part] = CachedPart(tokens, record.inserted_tokens)
+    record.cached_tokens += added_tokens
     cache_limit = server.service.kv_tokens * _CACHE_SHARE
     running_tokens = sum(record.running.values())
     while (
@@ -347,8 +390,14 @@
         and len(record.cached) > 1
         and record.cached_tokens + running_tokens > cache_limit
     ):
-        _, evicted_tokens = record.cached.popitem(last=False)
-        record.cached_tokens -= evicted_tokens
+        _, evicted = record.cached.popitem(last=False)
+        record.cached_tokens -= evicted.tokens
+
+
+def _record_used(record: EngineInfo, part: str) -> None:
+    """Record that a request uses a part that an engine holds."""
+    record.cached[part] = CachedPart(record.cached[part].tokens, record.inserted_tokens)
+    record.cached.move_to_end(part)
 
 
 def predicted_ms(state: State, attempt: Attempt) -> float | None:
@@ -380,6 +429,11 @@
         engine_speed.update_speed(
             speed_of(state, req.target), prefill.reference_ms * record.pace, took_ms
         )
+    if prefill.nominal_fetch_ms is not None:
+        fetch_took_ms = max(0.0, (now - prefill.sent_at) * _MS - prefill.rest_ms)
+        engine_speed.update_speed(
+            fetch_speed_of(state, req.target), prefill.nominal_fetch_ms, fetch_took_ms
+        )
     own_share = prefill.work_ms / max(1.0, prefill.predicted_ms)
     if own_share < _PACE_OWN_SHARE or prefill.work_ms < _PACE_MIN_MS:
         return
--- a/packages/turmericweir-core/turmericweir_core/placement/predicted_placement.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/predicted_placement.py
@@ -22,9 +22,11 @@
 from turmericweir_core.base.config import ServiceKind
 from turmericweir_core.base.request import Request, WaitReason
 from turmericweir_core.base.tiers import scheduling_rank
-from turmericweir_core.engines import engine_model, engine_pools
+from turmericweir_core.engines import cache_estimate, engine_model, engine_pools
 from turmericweir_core.membership import announced_limits
 from turmericweir_core.membership.subset import open_servers, rendezvous_weight
+from turmericweir_core.placement import cache_tradeoff
+from turmericweir_core.placement.cache_tradeoff import Offer
 from turmericweir_core.queueing import urgent_first
 from turmericweir_core.state import straggler
 from turmericweir_core.state.reliability import excess_failures
@@ -94,8 +96,8 @@
     # Its parts are being prefilled there for another request.
     is_prefilling: bool
     is_remote: bool
-    # Added cost of the requests that the engine already has.
-    congestion_ms: float
+    # What is weighed among engines where it begins in time.
+    offer: Offer
 
 
 def _pick_engine(
@@ -224,21 +226,30 @@
     ) * _MS
     least_uncached_tokens = min(choice.uncached_tokens for choice in choices)
     spare_ms = state.options.spare_wait_share * req.service_class.target_s * _MS
+    prompts_behind = _mean_pending(state, now, candidates)
 
     def rank(choice: _EngineChoice) -> tuple[bool, float, float]:
         is_repeated_prefill = choice.uncached_tokens > least_uncached_tokens + _NEGLIGIBLE_TOKENS
         is_in_time = choice.begin_ms <= left_ms
         is_good = is_in_time and (not is_repeated_prefill or choice.wait_ms <= spare_ms)
-        return _choice_order(choice, is_good, home)
+        return _choice_order(choice, is_good, home, prompts_behind)
 
     return min(choices, key=rank)
 
 
+def _mean_pending(state: State, now: float, engines: list[Server]) -> float:
+    """Return the number of prompts that wait for their first token, for each engine."""
+    pending = sum(
+        len(engine_model.engine_load(engine_model.engine_info_of(state, name), now).pending)
+        for name in (engine.entry.name for engine in engines)
+    )
+    return pending / len(engines)
+
+
 def _evaluate(
     state: State, now: float, req: Request, server: Server, holdings: engine_model.Holdings
 ) -> _EngineChoice:
     """Predict the effect of sending a request to an engine."""
-    options = state.options
     record = engine_model.engine_info_of(state, server.entry.name)
     saved_tokens = engine_model.pending_prefill_tokens(record, now, req)
     is_prefilling = saved_tokens > 0
@@ -248,9 +259,21 @@
         fetch = engine_model.best_fetch(state, req, server, holdings)
         if fetch is not None:
             saved_tokens = fetched_tokens = fetch.tokens
-            fetch_ms = engine_model.fetch_ms(options, server, fetch)
-    own_ms = engine_model.own_work_ms(state, record, req, saved_tokens) + fetch_ms
+            fetch_ms = engine_model.fetch_ms(state, req.target, server, fetch)
+    held_ms = engine_model.own_work_ms(state, record, req, saved_tokens) + fetch_ms
+    lost_tokens = engine_model.cached_tokens(record, req)
+    lost_ms = engine_model.own_work_ms(state, record, req, saved_tokens - lost_tokens) + fetch_ms
     wait_ms = engine_model.waiting_ms(record, now, scheduling_rank(req.service_class))
+    is_remote = server.entry.data_centre != state.me.data_centre
+    offer = Offer(
+        wait_ms=wait_ms,
+        work_if_held_ms=held_ms,
+        work_if_lost_ms=lost_ms,
+        held_probability=cache_estimate.held_probability(now, req, server, record),
+        congestion_ms=_congestion_ms(engine_model.request_count(record, now), server.slots),
+        distance_ms=_REMOTE_PREFILL_MS * is_remote,
+    )
+    own_ms = cache_tradeoff.expected_work_ms(offer)
     return _EngineChoice(
         server=server,
         begin_ms=_cost_ms(state, now, server, wait_ms + own_ms),
@@ -260,8 +283,8 @@
         fetched_tokens=float(fetched_tokens),
         is_held_back=is_prefilling or not _can_take(state, now, req, server),
         is_prefilling=is_prefilling,
-        is_remote=server.entry.data_centre != state.me.data_centre,
-        congestion_ms=_congestion_ms(engine_model.request_count(record, now), server.slots),
+        is_remote=is_remote,
+        offer=offer,
     )
 
 
@@ -273,17 +296,20 @@
     return _CONGESTION_MS * (requests / max(1, slots)) ** 2
 
 
-def _choice_order(choice: _EngineChoice, is_good: bool, home: Server) -> tuple[bool, float, float]:
-    """Return the sort key of an engine: by uncached work if in time, else by begin time too.
+def _choice_order(
+    choice: _EngineChoice, is_good: bool, home: Server, prompts_behind: float
+) -> tuple[bool, float, float]:
+    """Return the sort key of an engine: by the tradeoff if in time, else by begin time too.
 
     Only engines with time to spare prefill a part again. Prevents all engines from prefilling the
     same parts under overload.
     """
     # The home engine may hold a part from before this process started.
     uncached_share = 1.0 - _HOME_CACHED_PROBABILITY if choice.server is home else 1.0
-    cost_ms = choice.own_work_ms * uncached_share + choice.congestion_ms
     if is_good:
-        return (False, cost_ms + _REMOTE_PREFILL_MS * choice.is_remote, choice.begin_ms)
+        saved_ms = choice.own_work_ms * (1.0 - uncached_share)
+        return (False, cache_tradeoff.cost_ms(choice.offer, prompts_behind) - saved_ms, 0.0)
+    cost_ms = choice.own_work_ms * uncached_share + choice.offer.congestion_ms
     return (True, choice.begin_ms + _NOT_IN_TIME_WORK_WEIGHT * cost_ms, 0.0)
 
 
@@ -370,6 +396,9 @@
         choice = _evaluate(state, now, req, server, holdings)
         fields["begin_ms"] = round(choice.begin_ms)
         fields["fetch_tokens"] = round(choice.fetched_tokens)
+        fields["held_probability"] = round(choice.offer.held_probability, 2)
+        fields["work_ms"] = round(choice.own_work_ms)
+        fields["work_if_lost_ms"] = round(choice.offer.work_if_lost_ms)
         fields["pace"] = round(record.pace, 2)
         fields["tokens_there"] = engine_model.tokens_in_use(record, now)
     return fields
--- a/packages/turmericweir-core/turmericweir_core/state/engine_speed.py
+++ b/packages/turmericweir-core/turmericweir_core/state/engine_speed.py
@@ -57,6 +57,14 @@
     return speed
 
 
+def nominal_fetch_speed(options: Options) -> EngineSpeed:
+    """Return the line of fetches between engines without other transfers, as the starting point."""
+    speed = EngineSpeed(options.fetch_setup_ms)
+    for work in (0.0, _PRIOR_WORK_MS):
+        _add_sample(speed, work, options.fetch_setup_ms + work, _PRIOR_WEIGHT)
+    return speed
+
+
 def update_speed(speed: EngineSpeed, work_ms: float, took_ms: float) -> None:
     """Update the line with a request to an engine that had nothing else to prefill."""
     expected_ms = speed.first_ms + speed.factor * work_ms
--- a/packages/turmericweir-core/turmericweir_core/state/engine_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/engine_state.py
@@ -32,6 +32,18 @@
     # Prefill time on the reference engine. None if this engine had other prompts to prefill, or
     # fetched a part of the prompt from another engine.
     reference_ms: float | None
+    # The nominal time of a fetch of parts, and the rest of the prediction. None if nothing was
+    # fetched, or if the engine had other prompts to prefill.
+    nominal_fetch_ms: float | None = None
+    rest_ms: float = 0.0
+
+
+class CachedPart(Struct, frozen=True):
+    """A prompt part that is assumed to be in an engine's cache."""
+
+    tokens: int
+    # `EngineInfo.inserted_tokens` when a request last used it.
+    used_at_tokens: int
 
 
 class ReceiptTime(Struct):
@@ -74,9 +86,11 @@
     prefills: dict[AttemptId, Prefill] = field(default_factory=dict)
     running: dict[AttemptId, int] = field(default_factory=dict)
     peers: dict[InstanceName, PeerLoad] = field(default_factory=dict)
-    # Prompt parts assumed to be in its cache, with their tokens; the newest last.
-    cached: OrderedDict[str, int] = field(default_factory=OrderedDict)
+    # Prompt parts assumed to be in its cache; the newest last.
+    cached: OrderedDict[str, CachedPart] = field(default_factory=OrderedDict)
     cached_tokens: int = 0
+    # Tokens of all parts that entered its cache since it was first used.
+    inserted_tokens: int = 0
     # Prompt parts that it was sent but has not begun to answer, with the time until which this is
     # assumed. They are not in its cache yet.
     prefilling_until: dict[str, float] = field(default_factory=dict)
@@ -95,6 +109,8 @@
     by_server: dict[ServerName, EngineInfo] = field(default_factory=dict)
     # Prefill speed of the engines, by service.
     speeds: dict[Target, EngineSpeed] = field(default_factory=dict)
+    # Observed over nominal time of fetches of parts between engines, by service.
+    fetch_speeds: dict[Target, EngineSpeed] = field(default_factory=dict)
     # Something changed that has to be sent to other instances.
     has_unsent_load: bool = False
     # Prompt parts sent or prefilled that have not been announced to other instances yet.
