--- a/packages/turmericweir-core/turmericweir_core/messages/events.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/events.py
@@ -62,6 +62,8 @@
     error: str
     # The server answers on a new connection; only the old connection was at fault.
     server_alive: bool
+    # The server sent bytes that are no answer, or not the answer to this attempt.
+    is_malformed: bool = False
 
 
 class EndServerError(Struct, frozen=True):
@@ -121,7 +123,8 @@
 
     # "length", "chunked" or "connection_end".
     framing: str
-    # "whole", "closed" or "reset"; empty if the answer was not read to its end.
+    # "whole", "closed", "reset", or "oversized" if it was no answer and this end closed; empty if
+    # the answer was not read to its end.
     end: str
     # The last event of the body was incomplete.
     is_event_open: bool = False
--- a/packages/turmericweir-core/turmericweir_core/messages/peer_messages.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/peer_messages.py
@@ -26,7 +26,14 @@
     TrialEnd,
 )
 from turmericweir_core.messages.credit_messages import CreditDemand, CreditGrant
-from turmericweir_core.messages.duty_messages import DutyStatus, ModelDemand, UsageCounts
+from turmericweir_core.messages.duty_messages import (
+    DutyStatus,
+    ModelDemand,
+    UsageAsk,
+    UsageCounts,
+    UsageSend,
+)
+from turmericweir_core.messages.fair_share_messages import ShareReport, ShareTotals
 from turmericweir_core.messages.limit_messages import LimitAsk, LimitGrant
 from turmericweir_core.messages.load_messages import CachesAsk, CachesSend, LoadBundle, LoadNews
 from turmericweir_core.messages.loan_messages import (
@@ -105,7 +112,11 @@
     | TrialEnd
     | ModelDemand
     | UsageCounts
+    | UsageAsk
+    | UsageSend
     | DutyStatus
+    | ShareReport
+    | ShareTotals
 )
 
 PEER_MESSAGES: Final[tuple[type[PeerMessage], ...]] = (
@@ -154,5 +165,9 @@
     TrialEnd,
     ModelDemand,
     UsageCounts,
+    UsageAsk,
+    UsageSend,
     DutyStatus,
+    ShareReport,
+    ShareTotals,
 )
--- a/packages/turmericweir-core/turmericweir_core/state/state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/state.py
@@ -25,6 +25,7 @@
 from turmericweir_core.state.document_state import DocumentState
 from turmericweir_core.state.duty_state import DutyState
 from turmericweir_core.state.engine_state import EngineTable
+from turmericweir_core.state.fair_share_state import FairShareState
 from turmericweir_core.state.first_wait_state import FirstWaitState
 from turmericweir_core.state.handover_state import HandoverState
 from turmericweir_core.state.lease_state import LeaseState
@@ -33,6 +34,7 @@
 from turmericweir_core.state.load_state import LoadUpdateState
 from turmericweir_core.state.membership_state import Membership
 from turmericweir_core.state.model_state import ModelState
+from turmericweir_core.state.outlier_state import OutlierState
 from turmericweir_core.state.overdue_state import OverdueState
 from turmericweir_core.state.path_state import PathState
 from turmericweir_core.state.pool_load import PoolLoads
@@ -113,8 +115,12 @@
     handover: HandoverState = field(default_factory=HandoverState)
     # Recent failures of each server.
     reliability: ReliabilityState = field(default_factory=ReliabilityState)
+    # Servers that are ejected because they fail more requests than others.
+    outliers: OutlierState = field(default_factory=OutlierState)
     stragglers: StragglerState = field(default_factory=StragglerState)
     overdue: OverdueState = field(default_factory=OverdueState)
+    # Work served for customers of one class that compete for room.
+    fair_shares: FairShareState = field(default_factory=FairShareState)
     # Limits on the requests per second that servers announced.
     announced_limits: AnnouncedLimits = field(default_factory=AnnouncedLimits)
     # Servers that fall over if they have to refuse too many requests.
--- a/packages/turmericweir/turmericweir/servers/backend_attempt.py
+++ b/packages/turmericweir/turmericweir/servers/backend_attempt.py
@@ -15,6 +15,7 @@
 
 from turmericweir.answers.answer_record import AnswerRecord
 from turmericweir.process.errors import CallError, describe_error
+from turmericweir.servers.answer_size import AnswerTooLargeError
 from turmericweir.servers.backend_call import TRANSPORT_ERRORS, FirstByteCallback, call, read_body
 from turmericweir.servers.backend_pool import IDLE_MAX_S, VERIFIED_IDLE_MAX_S, Via
 from turmericweir.servers.peer_refusal import PeerRefusedError
@@ -47,6 +48,8 @@
 REQUEST_ID: Final = b"x-request-id"
 PRIORITY: Final = b"x-priority"
 _TRUE: Final = b"1"
+# In the errors of the protocol that only say that the connection ended.
+_CLOSED_ERRORS: Final = ("disconnected", "closed connection")
 
 # Consumes an answer and returns how the attempt ended.
 Consume = Callable[[httpcore.Response], Awaitable[AttemptEnd]]
@@ -128,16 +131,26 @@
                 return end
             finally:
                 await self.pool.release(address, conn)
+        except AnswerTooLargeError as exc:
+            return self.reject_oversized(describe_error(exc))
         except TRANSPORT_ERRORS as exc:
             self.answer.note_lost(exc)
-            return await self.classify_loss(describe_error(exc))
+            return await self.classify_loss(describe_error(exc), is_malformed=_is_malformed(exc))
 
-    async def classify_loss(self, error: str) -> AttemptEnd:
+    def reject_oversized(self, error: str) -> EndBroken:
+        """Return the end of an attempt whose answer exceeds a bound, so is no answer."""
+        self.answer.note_oversized()
+        self.node.count("attempt.oversized")
+        # The server is there: it is sending.
+        return EndBroken(error, server_alive=True, is_malformed=True)
+
+    async def classify_loss(self, error: str, *, is_malformed: bool = False) -> AttemptEnd:
         """Classify a connection error by whether anything had been written."""
         if not self.may_have_started:
             return EndUnsent(error)
         self.connection_error = error
-        return EndBroken(error, await self._check_alive(self.pool, self.start))
+        is_alive_now = await self._check_alive(self.pool, self.start)
+        return EndBroken(error, is_alive_now, is_malformed)
 
     async def end_answer(self, status: int) -> AttemptEnd:
         """Return the end of an answer that was read to its end.
@@ -177,6 +190,13 @@
         return False
 
 
+def _is_malformed(error: Exception) -> bool:
+    """Return whether the bytes of an answer are none, rather than that its connection ended."""
+    if not isinstance(error, httpcore.RemoteProtocolError):
+        return False
+    return not any(each in str(error) for each in _CLOSED_ERRORS)
+
+
 def via_of(effect: StartAttempt | ProbeServer) -> Via | None:
     """Return the peer by way of which to connect, or None to connect directly."""
     return Via(effect.via_address, effect.server) if effect.via_address else None
