--- a/packages/turmericweir-core/turmericweir_core/engines/engine_model.py
+++ b/packages/turmericweir-core/turmericweir_core/engines/engine_model.py
@@ -151,7 +151,7 @@
 
 
 def best_fetch(
-    state: State, req: Request, server: Server, holdings: Holdings | None = None
+    state: State, now: float, req: Request, server: Server, holdings: Holdings | None = None
 ) -> Fetch | None:
     """Return the best fetch of parts that an engine lacks, or None if it is not worth it."""
     if holdings is None:
@@ -167,15 +167,21 @@
         if missing_tokens <= state.options.fetch_min_tokens:
             return None
         fetch = Fetch(holder.entry.address, missing_tokens)
-        return fetch if _is_faster_than_prefill(state, req, server, fetch) else None
+        return fetch if _is_worth_its_time(state, now, req, server, fetch) else None
     return None
 
 
-def _is_faster_than_prefill(state: State, req: Request, server: Server, fetch: Fetch) -> bool:
-    """Return whether an engine gets parts sooner by a fetch than by prefilling them."""
+def _is_worth_its_time(
+    state: State, now: float, req: Request, server: Server, fetch: Fetch
+) -> bool:
+    """Return whether a fetch takes less time than the prefill that it saves.
+
+    The saved prefill delays the prompts that wait at the engine as well; a fetch does not.
+    """
     record = engine_info_of(state, server.entry.name)
     saved_ms = own_work_ms(state, record, req) - own_work_ms(state, record, req, fetch.tokens)
-    return fetch_ms(state, req.target, server, fetch) < saved_ms
+    delayed_prompts = 1 + len(engine_load(record, now).pending)
+    return fetch_ms(state, req.target, server, fetch) < saved_ms * delayed_prompts
 
 
 def nominal_fetch_ms(server: Server, fetch: Fetch) -> float:
@@ -322,7 +328,7 @@
     if not req.prompt_tokens:
         record.running[attempt.attempt_id] = 0
         return
-    fetch = best_fetch(state, req, server)
+    fetch = best_fetch(state, now, req, server)
     saved_tokens = 0 if fetch is None else fetch.tokens
     prefill_only_ms = own_work_ms(state, record, req, saved_tokens)
     own_ms = prefill_only_ms
--- a/packages/turmericweir-core/turmericweir_core/placement/cache_tradeoff.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/cache_tradeoff.py
@@ -19,6 +19,7 @@
 class Offer(Struct, frozen=True):
     """What sending a request to one engine costs, milliseconds."""
 
+    # Wait for other prompts, and for a fetch of parts from another engine.
     wait_ms: float
     # Work of the prompt if the engine still holds its beginning, and if it does not.
     work_if_held_ms: float
--- a/packages/turmericweir-core/turmericweir_core/placement/dispatch.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/dispatch.py
@@ -163,7 +163,7 @@
     effects: list[Effect] = []
     fetch_from = ""
     if state.config.policy is PlacementPolicy.PREDICTED:
-        fetch = engine_model.best_fetch(state, req, server)
+        fetch = engine_model.best_fetch(state, now, req, server)
         fetch_from = "" if fetch is None else fetch.address
         details = predicted_placement.explain(state, now, req, server)
         ids = {
--- a/packages/turmericweir-core/turmericweir_core/placement/predicted_placement.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/predicted_placement.py
@@ -270,24 +270,24 @@
     fetched_tokens = 0
     fetch_ms = 0.0
     if not is_prefilling:
-        fetch = engine_model.best_fetch(state, req, server, holdings)
+        fetch = engine_model.best_fetch(state, now, req, server, holdings)
         if fetch is not None:
             saved_tokens = fetched_tokens = fetch.tokens
             fetch_ms = engine_model.fetch_ms(state, req.target, server, fetch)
-    held_ms = engine_model.own_work_ms(state, record, req, saved_tokens) + fetch_ms
+    held_ms = engine_model.own_work_ms(state, record, req, saved_tokens)
     lost_tokens = engine_model.cached_tokens(record, req)
-    lost_ms = engine_model.own_work_ms(state, record, req, saved_tokens - lost_tokens) + fetch_ms
+    lost_ms = engine_model.own_work_ms(state, record, req, saved_tokens - lost_tokens)
     wait_ms = engine_model.waiting_ms(record, now, scheduling_rank(req.service_class))
     is_remote = server.entry.data_centre != state.me.data_centre
     offer = Offer(
-        wait_ms=wait_ms,
+        wait_ms=wait_ms + fetch_ms,
         work_if_held_ms=held_ms,
         work_if_lost_ms=lost_ms,
         held_probability=cache_estimate.held_probability(now, req, server, record),
         congestion_ms=_congestion_ms(engine_model.request_count(record, now), server.slots),
         distance_ms=_REMOTE_PREFILL_MS * is_remote,
     )
-    own_ms = cache_tradeoff.expected_work_ms(offer)
+    own_ms = cache_tradeoff.expected_work_ms(offer) + fetch_ms
     return _EngineChoice(
         server=server,
         begin_ms=_cost_ms(state, now, server, wait_ms + own_ms),
