Weigh cached beginnings of prompts against waits where settings ask for it

Cause: among engines where a request begins in time, the one with the least work was taken whatever the wait; a part counted as held although other instances' requests had filled the engine's memory; fetches counted with the time of an idle link.

Change: one cost in milliseconds for each engine (docs/design/cache-tradeoff.md): the wait, the work by whether the beginning is still held, weighted by the prompts behind it. Fetches have a learnt speed of their own. `placement.weighs_waits` in the process file switches it on; it is off by default.

--- a/packages/turmericweir-core/turmericweir_core/base/options.py
+++ b/packages/turmericweir-core/turmericweir_core/base/options.py
@@ -8,6 +8,7 @@
 
 from msgspec import Struct, field
 
+from turmericweir_core.base.cache_options import CacheOptions
 from turmericweir_core.base.fair_share_options import FairShareOptions
 from turmericweir_core.base.outlier_options import OutlierOptions
 from turmericweir_core.base.store_times import StoreTimes
@@ -25,6 +26,9 @@
 
     # --- servers that fail more requests than others ---
     outlier: OutlierOptions = field(default_factory=OutlierOptions)
+    # --- cached beginnings of prompts ---
+    cache: CacheOptions = field(default_factory=CacheOptions)
+
     # --- room shared by customers ---
     fair_share: FairShareOptions = field(default_factory=FairShareOptions)
 
--- a/packages/turmericweir-core/turmericweir_core/engines/engine_model.py
+++ b/packages/turmericweir-core/turmericweir_core/engines/engine_model.py
@@ -167,7 +167,10 @@
         if missing_tokens <= state.options.fetch_min_tokens:
             return None
         fetch = Fetch(holder.entry.address, missing_tokens)
-        return fetch if _is_worth_its_time(state, now, req, server, fetch) else None
+        is_weighed = state.options.cache.weighs_waits
+        if is_weighed and not _is_worth_its_time(state, now, req, server, fetch):
+            return None
+        return fetch
     return None
 
 
@@ -190,7 +193,9 @@
 
 
 def fetch_ms(state: State, target: Target, server: Server, fetch: Fetch) -> float:
-    """Return the time in which an engine fetches parts, as observed lately, in milliseconds."""
+    """Return the time in which an engine fetches parts, in milliseconds."""
+    if not state.options.cache.weighs_waits:
+        return state.options.fetch_setup_ms + nominal_fetch_ms(server, fetch)
     speed = fetch_speed_of(state, target)
     return speed.first_ms + speed.factor * nominal_fetch_ms(server, fetch)
 
--- a/packages/turmericweir-core/turmericweir_core/placement/predicted_placement.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/predicted_placement.py
@@ -95,7 +95,6 @@
     is_held_back: bool
     # Its parts are being prefilled there for another request.
     is_prefilling: bool
-    is_remote: bool
     # What is weighed among engines where it begins in time.
     offer: Offer
 
@@ -240,7 +239,8 @@
     ) * _MS
     least_uncached_tokens = min(choice.uncached_tokens for choice in choices)
     spare_ms = state.options.spare_wait_share * req.service_class.target_s * _MS
-    prompts_behind = _mean_pending(state, now, candidates)
+    weighs_waits = state.options.cache.weighs_waits
+    prompts_behind = _mean_pending(state, now, candidates) if weighs_waits else None
 
     def rank(choice: _EngineChoice) -> tuple[bool, float, float]:
         is_repeated_prefill = choice.uncached_tokens > least_uncached_tokens + _NEGLIGIBLE_TOKENS
@@ -264,6 +264,7 @@
     state: State, now: float, req: Request, server: Server, holdings: engine_model.Holdings
 ) -> _EngineChoice:
     """Predict the effect of sending a request to an engine."""
+    options = state.options
     record = engine_model.engine_info_of(state, server.entry.name)
     saved_tokens = engine_model.pending_prefill_tokens(record, now, req)
     is_prefilling = saved_tokens > 0
@@ -287,7 +288,8 @@
         congestion_ms=_congestion_ms(engine_model.request_count(record, now), server.slots),
         distance_ms=_REMOTE_PREFILL_MS * is_remote,
     )
-    own_ms = cache_tradeoff.expected_work_ms(offer) + fetch_ms
+    work_ms = cache_tradeoff.expected_work_ms(offer) if options.cache.weighs_waits else held_ms
+    own_ms = work_ms + fetch_ms
     return _EngineChoice(
         server=server,
         begin_ms=_cost_ms(state, now, server, wait_ms + own_ms),
@@ -297,7 +299,6 @@
         fetched_tokens=float(fetched_tokens),
         is_held_back=is_prefilling or not _can_take(state, now, req, server),
         is_prefilling=is_prefilling,
-        is_remote=is_remote,
         offer=offer,
     )
 
@@ -311,19 +312,23 @@
 
 
 def _choice_order(
-    choice: _EngineChoice, is_good: bool, home: Server, prompts_behind: float
+    choice: _EngineChoice, is_good: bool, home: Server, prompts_behind: float | None
 ) -> tuple[bool, float, float]:
-    """Return the sort key of an engine: by the tradeoff if in time, else by begin time too.
+    """Return the sort key of an engine: by uncached work if in time, else by begin time too.
+
+    With the number of prompts that wait at an engine, uncached work is weighed against waits.
 
     Only engines with time to spare prefill a part again. Prevents all engines from prefilling the
     same parts under overload.
     """
     # The home engine may hold a part from before this process started.
     uncached_share = 1.0 - _HOME_CACHED_PROBABILITY if choice.server is home else 1.0
-    if is_good:
+    if is_good and prompts_behind is not None:
         saved_ms = choice.own_work_ms * (1.0 - uncached_share)
         return (False, cache_tradeoff.cost_ms(choice.offer, prompts_behind) - saved_ms, 0.0)
     cost_ms = choice.own_work_ms * uncached_share + choice.offer.congestion_ms
+    if is_good:
+        return (False, cost_ms + choice.offer.distance_ms, choice.begin_ms)
     return (True, choice.begin_ms + _NOT_IN_TIME_WORK_WEIGHT * cost_ms, 0.0)
 
 
--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -45,6 +45,7 @@
 from turmericweir.process.prometheus_metrics import MetricsApp, PrometheusMetrics
 from turmericweir.servers.backend_pool import BackendPool
 from turmericweir.servers.connection_probes import ConnectionProbes
+from turmericweir_core.base.cache_options import CacheOptions
 from turmericweir_core.base.ids import InstanceName
 from turmericweir_core.base.incarnation import RANDOM_DIGITS, make_incarnation
 from turmericweir_core.base.options import Options
@@ -165,6 +166,7 @@
     proof_s = bounds.revoke_ms / 1000.0 - _REVOKE_MARGIN_S
     return Options(
         tick_s=0.05,
+        cache=CacheOptions(weighs_waits=cfg.placement.weighs_waits),
         store=derive_store_times(bounds.settings_ms / 1000.0, bounds.drain_ms / 1000.0),
         stop_grace_s=min(_STOP_GRACE_S, bounds.grace_s / 3),
         stop_limit_s=bounds.grace_s - _STOP_MARGIN_S,
--- a/packages/turmericweir/turmericweir/process/entry_settings.py
+++ b/packages/turmericweir/turmericweir/process/entry_settings.py
@@ -85,6 +85,13 @@
     retry_burst: float = 10
 
 
+class PlacementSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """How servers are chosen."""
+
+    # Whether what a cached beginning of a prompt saves is weighed against the wait for its engine.
+    weighs_waits: bool = False
+
+
 class EntrySettings(msgspec.Struct, frozen=True, kw_only=True):
     """The complete settings file."""
 
@@ -110,6 +117,7 @@
     # None if the platform has no duties.
     duties: DutiesSettings | None = None
     bounds: BoundsSettings = BoundsSettings()
+    placement: PlacementSettings = PlacementSettings()
     # Bounds on what servers answer.
     answers: AnswerBounds = AnswerBounds()
 
--- a/tests/core/placement/test_cache_tradeoff.py
+++ b/tests/core/placement/test_cache_tradeoff.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import pytest
+from msgspec.structs import replace
 
 from tests.core.store_world import BULK, StoreWorld, start_of
+from turmericweir_core.base.cache_options import CacheOptions
 from turmericweir_core.base.ids import ServerName
 from turmericweir_core.engines import cache_estimate, engine_model
 from turmericweir_core.messages.effects import StartAttempt
@@ -71,6 +73,13 @@
     assert (holder_cost_ms < other_cost_ms) is holder_is_better
 
 
+def weighing_world(engines: int = 5) -> StoreWorld:
+    """Return an instance that weighs waits."""
+    world = StoreWorld(engines=engines)
+    world.state.options = replace(world.state.options, cache=CacheOptions(weighs_waits=True))
+    return world
+
+
 def hold_shared_part(world: StoreWorld) -> StartAttempt:
     """Have an engine hold the shared part, and return the attempt that did it."""
     start = start_of(
@@ -93,7 +102,7 @@
 @pytest.mark.parametrize(("share", "is_held"), [(0.1, True), (0.999, False)])
 def test_requests_of_other_instances_evict_a_part(share: float, is_held: bool) -> None:
     """Guards against relying on a part that other instances' requests have driven out."""
-    world = StoreWorld(engines=5)
+    world = weighing_world()
     holder = ServerName(hold_shared_part(world).server)
     fill_memory(world, holder, share)
     req = world.request(
@@ -121,7 +130,7 @@
 
 def test_slow_fetches_are_learnt() -> None:
     """Guards against fetches that take longer than prefilling the part again."""
-    world = StoreWorld(engines=40)
+    world = weighing_world(engines=40)
     holder = world.state.servers.by_name[ServerName(hold_shared_part(world).server)].entry
     world.give(RegistryRead(((world.entry(holder.name, "lm", leaving=True), 50),)))
     fetched = 0
@@ -141,7 +150,7 @@
 
 def test_fast_fetches_go_on() -> None:
     """Guards against giving up fetches that are as fast as the link allows."""
-    world = StoreWorld(engines=40)
+    world = weighing_world(engines=40)
     holder = world.state.servers.by_name[ServerName(hold_shared_part(world).server)].entry
     world.give(RegistryRead(((world.entry(holder.name, "lm", leaving=True), 50),)))
     for number in range(12):
@@ -152,3 +161,20 @@
         world.begin(start)
         world.end(start, EndComplete(200))
         engine_model.reset_engine(world.state, ServerName(start.server))
+
+
+def test_least_work_decides_where_waits_are_not_weighed() -> None:
+    """Guards against a change for deployments whose settings do not ask for it."""
+    for weighs_waits in (False, True):
+        world = weighing_world() if weighs_waits else StoreWorld(engines=5)
+        holder = hold_shared_part(world).server
+        blocking = start_of(
+            world.arrive("big", prompt_tokens=14_000, parts=(SHARED_PART, ("own-b", 700)))
+        )
+        world.sent(blocking)
+        row = LoadRow(holder, [[600, 0, 0]], running=0, tokens=20_000)
+        world.peer("a-2", LoadNews("y", 1, [row]))
+        start = start_of(
+            world.arrive("second", prompt_tokens=15_000, parts=(SHARED_PART, ("own-2", 1_700)))
+        )
+        assert (start.server == holder) is not weighs_waits
--- a/tests/platform/test_customers.py
+++ b/tests/platform/test_customers.py
@@ -80,7 +80,10 @@
         time.sleep(max(0.0, due_at - time.monotonic()))
         (customer,) = rng.choices(customers, rates)
         instance = rng.choice(large_at if customer == LARGE else names)
-        headers: dict[str, Any] = {"X_Key": f"key-{customer}", "X_Prefix_Hash": f"{len(sent) + 1:x}:200"}
+        headers: dict[str, Any] = {
+            "X_Key": f"key-{customer}",
+            "X_Prefix_Hash": f"{len(sent) + 1:x}:200",
+        }
         headers["X_Token_Count"] = "200,15"
         future = pool.submit(world.send, "/lm/chat/", instance=instance, **headers)
         sent.append((customer, future))
