Keep the time for which a write to a caller may be blocked

Cause: the time after which a caller that reads nothing is cut off was also that for which a write may be blocked, where a caller that reads slowly and steadily may seem blocked at each check. Ruled out: one time for both. Conclusion: slow readers are cut off no sooner than before while there is memory.

--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -71,8 +71,10 @@
 _STOP_MARGIN_S: Final = 0.5
 # Longer than the two readiness checks after which the balancer sends no more requests.
 _STOP_GRACE_S: Final = 2.6
-# The maximum time for which a caller may leave an answer unread.
+# The maximum time for which a caller may read nothing of what waits for it.
 _UNREAD_S: Final = 5.0
+# The maximum time for which one write to a caller may take, also while it reads slowly.
+_BLOCKED_S: Final = 10.0
 _LOG_FLUSH_INTERVAL_S: Final = 0.25
 # The maximum number of servers of one target that an instance uses. Instances with different
 # subsets send the same prompt to different engines, which lowers the cache hit rate.
@@ -293,7 +295,7 @@
             duties=None if duties is None else duties.client,
         )
         async with anyio.create_task_group() as group:
-            node = Node(state, reduce, adapters, group, unread_s=_UNREAD_S)
+            node = Node(state, reduce, adapters, group, unread_s=_BLOCKED_S)
             node.answer_bounds = cfg.answers
             node.memory.limit_bytes = cfg.machine.memory_bytes
             for part in (streams, datagrams, servers, follower):
