--- a/tests/core/queueing/test_fair_share.py
+++ b/tests/core/queueing/test_fair_share.py
@@ -5,6 +5,7 @@
 from math import ceil
 from typing import Final
 
+import msgspec
 import pytest
 from msgspec.structs import replace
 
@@ -248,3 +249,19 @@
     load.play(WARM_UP_S)
     assert load.calls
     assert not reports
+
+
+def test_reports_of_many_customers_stay_small() -> None:
+    # Guards against reports that grow with the number of customers.
+    load = new_load(2, large=False)
+    load.senders = [Sender(f"{number:012}", 4.0, ("a-1",)) for number in range(60)]
+    sizes: list[int] = []
+    load.on_message = lambda name, effect: (
+        sizes.append(len(msgspec.msgpack.encode(effect.message)))
+        if type(effect.message).__name__.startswith("Share")
+        else None
+    )
+    load.play(3.0)
+    assert sizes
+    # One class, with as many customers as a report holds, and a datagram at the most.
+    assert max(sizes) <= 600
