--- a/packages/turmericweir-core/turmericweir_core/base/fair_share_options.py
+++ b/packages/turmericweir-core/turmericweir_core/base/fair_share_options.py
@@ -8,6 +8,8 @@
 class FairShareOptions(Struct, frozen=True):
     """Tunable parameters of fair shares. Times are in seconds."""
 
+    # Whether customers of a class share its room; without it they are served by arrival.
+    is_enabled: bool = True
     # Time constant with which served work is forgotten.
     window_s: float = 5.0
     # How long customers count as competing after two of them were last seen to wait.
--- a/packages/turmericweir-core/turmericweir_core/queueing/fair_share.py
+++ b/packages/turmericweir-core/turmericweir_core/queueing/fair_share.py
@@ -165,7 +165,7 @@
 def note_waiting(state: State, now: float, req: Request) -> None:
     """Note a request that was just queued: whether customers compete, and where it stands."""
     queue = state.queues.index.get(req.request_id)
-    if queue is None or not req.customer:
+    if queue is None or not req.customer or not state.options.fair_share.is_enabled:
         return
     key = key_of(req)
     others = waiting_elsewhere(state, now, key)
@@ -178,7 +178,7 @@
 def meets_others(state: State, now: float, req: Request) -> bool:
     """Return whether a new request competes with those of other customers."""
     key = key_of(req)
-    if not req.customer:
+    if not req.customer or not state.options.fair_share.is_enabled:
         return False
     return is_contended(state, now, key) or any(
         each != req.customer for each in waiting_customers(state, now, key)
@@ -240,7 +240,7 @@
     state: State, now: float, queue: ClassQueue, max_count: int
 ) -> Iterable[Request]:
     """Return the first waiting requests of a class in the order in which they are served."""
-    if len(queue.customers) < 2:
+    if len(queue.customers) < 2 or not state.options.fair_share.is_enabled:
         return queue.first_in_order(max_count)
     return queue_state.choose_first(_in_fair_order(state, now, queue), max_count)
 
--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -48,6 +48,7 @@
 from turmericweir.servers.backend_pool import BackendPool
 from turmericweir.servers.connection_probes import ConnectionProbes
 from turmericweir_core.base.cache_options import CacheOptions
+from turmericweir_core.base.fair_share_options import FairShareOptions
 from turmericweir_core.base.ids import InstanceName
 from turmericweir_core.base.incarnation import RANDOM_DIGITS, make_incarnation
 from turmericweir_core.base.options import Options
@@ -171,6 +172,7 @@
     return Options(
         tick_s=0.05,
         cache=CacheOptions(weighs_waits=cfg.placement.weighs_waits),
+        fair_share=FairShareOptions(is_enabled=cfg.placement.shares_room),
         store=derive_store_times(bounds.settings_ms / 1000.0, bounds.drain_ms / 1000.0),
         stop_grace_s=min(_STOP_GRACE_S, bounds.grace_s / 3),
         stop_limit_s=bounds.grace_s - _STOP_MARGIN_S,
--- a/packages/turmericweir/turmericweir/process/entry_settings.py
+++ b/packages/turmericweir/turmericweir/process/entry_settings.py
@@ -98,6 +98,8 @@
 
     # Whether what a cached beginning of a prompt saves is weighed against the wait for its engine.
     weighs_waits: bool = False
+    # Whether customers share the room of a class that has too little, by the work served for each.
+    shares_room: bool = False
 
 
 class EntrySettings(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/platform/platform_world.py
+++ b/tests/platform/platform_world.py
@@ -87,6 +87,8 @@
     bounds: dict[str, Any] = field(default_factory=dict)
     # The `machine` part of the settings file.
     machine: dict[str, Any] = field(default_factory=dict)
+    # The `placement` part of the settings file.
+    placement: dict[str, Any] = field(default_factory=dict)
     # The `duties` part of the settings file; None for a platform without duties.
     duties: dict[str, Any] | None = None
     duty_standin: DutyStandin = field(default_factory=DutyStandin)
@@ -291,6 +293,7 @@
             "seeds": seeds,
             "store": {"address": store or self._store_address},
             "machine": self.machine,
+            "placement": self.placement,
             # Allows retries in tests that make only a few requests.
             "bounds": {"strict_revoke": True, "retry_ratio": 20, **self.bounds},
         }
--- a/tests/platform/test_customers.py
+++ b/tests/platform/test_customers.py
@@ -47,7 +47,12 @@
 def world(tmp_path: Path) -> Iterator[PlatformWorld]:
     """Yield instances that know each other, and engines that stream for a second."""
     with PlatformWorld(
-        tmp_path, engines=ENGINES, plain_servers=0, instances=INSTANCES, metrics=True
+        tmp_path,
+        engines=ENGINES,
+        plain_servers=0,
+        instances=INSTANCES,
+        metrics=True,
+        placement={"shares_room": True},
     ) as world:
         names = sorted(world.running)
         until(
