--- a/packages/turmericweir-core/turmericweir_core/placement/fair_admission.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/fair_admission.py
@@ -1,10 +1,10 @@
 """Decide who is refused where customers of one class compete for too little room.
 
 A customer is judged by its own backlog and share, not by the backlog of all. One that was served
-more than its share is refused as soon as a new request of it could not begin in time, and is told
-when its backlog will have drained at the rate at which it is served. One that was served less is
-refused only if its own turn comes too late; before that, the newest waiting request of the customer
-that was served most ends without having run.
+more than its share is refused as soon as a new request of it could not begin in time;
+`Retry-After` is the time in which its backlog drains at the rate at which it is served. One that
+was served less is refused only if its own turn comes too late; before that, the newest waiting
+request of the customer that was served most ends without having run.
 """
 
 from __future__ import annotations
--- a/packages/turmericweir/turmericweir/servers/large_call.py
+++ b/packages/turmericweir/turmericweir/servers/large_call.py
@@ -24,7 +24,7 @@
 _TOTAL_MAX_S: Final = 10.0
 
 
-class AnswerTooLargeError(CallError):
+class ReadTooLargeError(CallError):
     """The answer is larger than allowed; `start` is how it begins."""
 
     start: bytes
@@ -50,7 +50,7 @@
                     body += chunk
                     if len(body) > max_bytes:
                         detail = f"the answer is larger than {max_bytes} bytes"
-                        raise AnswerTooLargeError(target, address, detail, start=bytes(body))
+                        raise ReadTooLargeError(target, address, detail, start=bytes(body))
                 await response.aclose()
                 return Answer(response.status, lower_headers(response), bytes(body))
             finally:
