Judge servers by their failures only, and by peers' words at intervals

Cause: the results of all servers of a service were counted again at each end of a request, and for each server that peers name at each tick: some hundreds of results a time, on machines with an eighth of a core.

Change: an own failure is judged at once; successes, while a server is ejected, and what peers say four times a second, with one count for each service. tests/core/trust/test_outlier passes.

--- a/packages/turmericweir-core/turmericweir_core/base/outlier_options.py
+++ b/packages/turmericweir-core/turmericweir_core/base/outlier_options.py
@@ -26,5 +26,7 @@
     pause_s: float = 2.0
     pause_max_s: float = 30.0
     pause_forget_s: float = 60.0
+    # Interval between judgements that no failure of an own request causes.
+    judgement_interval_s: float = 0.25
     # Successful requests in a row after which a server is used again.
     successes: int = 3
--- a/packages/turmericweir-core/turmericweir_core/state/outlier_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/outlier_state.py
@@ -120,6 +120,9 @@
     peers: dict[ServerName, dict[InstanceName, PeerResults]] = field(default_factory=dict)
     # Servers of which it was logged that too many others are ejected, and when.
     kept_at: dict[ServerName, float] = field(default_factory=dict)
+    # When judgements that no failure of an own request causes are next due: by successes, by peers.
+    next_judgement_at: float = 0.0
+    next_peer_judgement_at: float = 0.0
 
 
 def without_ejected(state: OutlierState, servers: list[Server]) -> list[Server]:
--- a/packages/turmericweir-core/turmericweir_core/trust/outlier.py
+++ b/packages/turmericweir-core/turmericweir_core/trust/outlier.py
@@ -148,9 +148,21 @@
         result = Result(now, kind, req.customer, content, has_begun)
         add_result(state.outliers, state.options.outlier, attempt.server, result)
     effects += _on_probe_result(state, now, server, attempt, kind)
+    # Only failures lead to an ejection. Successes matter while a server is ejected, and its
+    # judgement costs time that grows with the servers.
+    if kind is None and not _is_judgement_due(state, now):
+        return effects
     return effects + _judge_service(state, now, server.service.name)
 
 
+def _is_judgement_due(state: State, now: float) -> bool:
+    outliers = state.outliers
+    if not outliers.ejected or now < outliers.next_judgement_at:
+        return False
+    outliers.next_judgement_at = now + state.options.outlier.judgement_interval_s
+    return True
+
+
 def _is_same_cause(state: State, now: float, name: ServerName, kind: FailureKind | None) -> bool:
     """Return whether an attempt broke together with another one at the same server."""
     if kind not in (FailureKind.RESET, FailureKind.UNRESPONSIVE):
@@ -165,14 +177,19 @@
 def on_tick(state: State, now: float) -> list[Effect]:
     """Judge the servers of which peers say that they fail."""
     outliers = state.outliers
-    if not outliers.peers:
+    if not outliers.peers or now < outliers.next_peer_judgement_at:
         return []
+    outliers.next_peer_judgement_at = now + state.options.outlier.judgement_interval_s
     effects: list[Effect] = []
+    tallies: dict[str, dict[ServerName, _Tally]] = {}
     for name in list(outliers.peers):
         server = state.servers.by_name.get(name)
         ejection = outliers.ejected.get(name)
         if server is not None and ejection is None:
-            effects += _judge_server(state, now, server, _tallies(state, now, server.service.name))
+            service = server.service.name
+            if service not in tallies:
+                tallies[service] = _tallies(state, now, service)
+            effects += _judge_server(state, now, server, tallies[service])
         elif ejection is not None:
             _await_peers_pause(state, now, name, ejection)
     return effects
