--- a/packages/turmericweir-core/turmericweir_core/base/outlier_options.py
+++ b/packages/turmericweir-core/turmericweir_core/base/outlier_options.py
@@ -8,6 +8,8 @@
 class OutlierOptions(Struct, frozen=True):
     """When a server is ejected, and how it comes back. Times are in seconds."""
 
+    # Whether servers are ejected at all.
+    is_enabled: bool = False
     # Age up to which results count, and the number of results kept for each server.
     window_s: float = 10.0
     results_max: int = 32
--- a/packages/turmericweir-core/turmericweir_core/trust/outlier.py
+++ b/packages/turmericweir-core/turmericweir_core/trust/outlier.py
@@ -133,7 +133,8 @@
 ) -> list[Effect]:
     """Record the end of an attempt, and eject or reinstate servers by it."""
     server = state.servers.by_name.get(attempt.server)
-    if state.config.policy is not PlacementPolicy.PREDICTED or server is None:
+    is_enabled = state.options.outlier.is_enabled
+    if state.config.policy is not PlacementPolicy.PREDICTED or server is None or not is_enabled:
         return []
     kind = failure_kind(attempt, end)
     if kind is None and not _shows_success(end):
@@ -177,6 +178,8 @@
 def on_tick(state: State, now: float) -> list[Effect]:
     """Judge the servers of which peers say that they fail."""
     outliers = state.outliers
+    if not state.options.outlier.is_enabled:
+        return []
     if not outliers.peers or now < outliers.next_peer_judgement_at:
         return []
     outliers.next_peer_judgement_at = now + state.options.outlier.judgement_interval_s
--- a/packages/turmericweir/turmericweir/process/entry_settings.py
+++ b/packages/turmericweir/turmericweir/process/entry_settings.py
@@ -100,6 +100,8 @@
     weighs_waits: bool = False
     # Whether customers share the room of a class that has too little, by the work served for each.
     shares_room: bool = False
+    # Whether servers that fail more requests than the others of their service are ejected.
+    ejects_servers: bool = False
 
 
 class EntrySettings(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/core/outlier_fleet.py
+++ b/tests/core/outlier_fleet.py
@@ -10,7 +10,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from msgspec.structs import replace
+
 from tests.core.server_fleet import ANSWER_S, NETWORK_S, ServerFleet
+from tests.core.store_world import StoreWorld
 from turmericweir_core.base.account import Outcome
 from turmericweir_core.base.config import (
     Config,
@@ -21,6 +24,7 @@
     ServiceKind,
 )
 from turmericweir_core.base.ids import RequestId, ServerName, Target
+from turmericweir_core.base.outlier_options import OutlierOptions
 from turmericweir_core.base.request import Request
 from turmericweir_core.messages.effects import Effect, Log, StartAttempt
 from turmericweir_core.messages.events import (
@@ -35,6 +39,14 @@
     EndServerError,
 )
 
+
+def ejecting_world(engines: int = 2, plain: int = 2) -> StoreWorld:
+    """Return an instance that ejects servers."""
+    world = StoreWorld(engines=engines, plain=plain)
+    world.state.options = replace(world.state.options, outlier=OutlierOptions(is_enabled=True))
+    return world
+
+
 MODEL = Target("lm")
 PLAIN = Target("shop")
 # Tolerates long prompts on its engine, and does not: engines are split between the two.
@@ -127,6 +139,7 @@
         self.logs: list[tuple[float, str, Log]] = []
         self.loads: dict[str, Load] = {}
         self.finished_at: dict[str, float] = {}
+        self.options = replace(self.options, outlier=OutlierOptions(is_enabled=True))
         self.names = self.start(instances, data_centres=1)
 
     def _give_document(self, name: str, version: int, asked_at: float | None, peer: str) -> None:
