Estimate whether a beginning is still held only where waits are weighed

Cause: the work without the beginning and its probability were computed for each engine, for each waiting request, also where nothing uses them; this is the most frequent loop of an instance.

Tests of placement and engines pass.

--- a/packages/turmericweir-core/turmericweir_core/placement/predicted_placement.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/predicted_placement.py
@@ -276,15 +276,18 @@
             saved_tokens = fetched_tokens = fetch.tokens
             fetch_ms = engine_model.fetch_ms(state, req.target, server, fetch)
     held_ms = engine_model.own_work_ms(state, record, req, saved_tokens)
-    lost_tokens = engine_model.cached_tokens(record, req)
-    lost_ms = engine_model.own_work_ms(state, record, req, saved_tokens - lost_tokens)
+    lost_ms, probability = held_ms, 1.0
+    if options.cache.weighs_waits:
+        lost_tokens = saved_tokens - engine_model.cached_tokens(record, req)
+        lost_ms = engine_model.own_work_ms(state, record, req, lost_tokens)
+        probability = cache_estimate.held_probability(now, req, server, record)
     wait_ms = engine_model.waiting_ms(record, now, scheduling_rank(req.service_class))
     is_remote = server.entry.data_centre != state.me.data_centre
     offer = Offer(
         wait_ms=wait_ms + fetch_ms,
         work_if_held_ms=held_ms,
         work_if_lost_ms=lost_ms,
-        held_probability=cache_estimate.held_probability(now, req, server, record),
+        held_probability=probability,
         congestion_ms=_congestion_ms(engine_model.request_count(record, now), server.slots),
         distance_ms=_REMOTE_PREFILL_MS * is_remote,
     )
