Split the ejection of servers by what it decides

Change: trust/outlier (what is recorded and when judged), outlier_evidence, outlier_verdicts, outlier_probes. Functions moved unchanged; a test imports lower_bound from where it is now.

Conclusion: nothing decided otherwise.

--- a/packages/turmericweir-core/turmericweir_core/placement/dispatch.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/dispatch.py
@@ -26,7 +26,7 @@
 from turmericweir_core.state import queue_state
 from turmericweir_core.state.server_table import Server, reported_incarnation
 from turmericweir_core.state.state import State
-from turmericweir_core.trust import outlier, server_paths
+from turmericweir_core.trust import outlier_probes, server_paths
 
 # Waiting requests of one class that a pass checks. Bounds the cost of a pass.
 _CHECKED_REQUESTS_MAX: Final = 24
@@ -159,7 +159,7 @@
     server.in_flight[new_attempt_id] = attempt.tier
     server.sent_count += 1
     announced_limits.note_sent(state, now, server)
-    outlier.note_started(state, server.entry.name)
+    outlier_probes.note_started(state, server.entry.name)
     effects: list[Effect] = []
     fetch_from = ""
     if state.config.policy is PlacementPolicy.PREDICTED:
--- a/packages/turmericweir-core/turmericweir_core/placement/placement.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/placement.py
@@ -36,7 +36,7 @@
 from turmericweir_core.state.queue_state import target_classes
 from turmericweir_core.state.server_table import Server, any_target, preferred_servers, servers_for
 from turmericweir_core.streams.stream_servers import open_servers_for
-from turmericweir_core.trust import outlier
+from turmericweir_core.trust import outlier_probes
 
 if TYPE_CHECKING:
     from turmericweir_core.state.state import State
@@ -49,7 +49,7 @@
     """Pick the server for a request that is to run at a tier, or None where it has to wait."""
     if state.config.policy is PlacementPolicy.BASELINE:
         return _pick_baseline(preferred_servers(_baseline_servers(state, now, req), req))
-    probed = outlier.server_to_probe(state, now, req)
+    probed = outlier_probes.server_to_probe(state, now, req)
     if probed is not None and brittle_servers.has_room(state, now, probed):
         return probed
     servers = announced_limits.servers_to_send(state, now, open_servers_for(state, now, req))
--- a/tests/core/trust/test_outlier.py
+++ b/tests/core/trust/test_outlier.py
@@ -34,7 +34,7 @@
 )
 from turmericweir_core.messages.load_messages import LoadNews
 from turmericweir_core.messages.outlier_messages import OutlierRow
-from turmericweir_core.trust.outlier import lower_bound
+from turmericweir_core.trust.outlier_evidence import lower_bound
 
 MODEL = Target("lm")
 NO_ANSWER = EndBroken("bytes that are no answer", server_alive=True, is_malformed=True)
