Send one request at a time to a server that has just failed one

Cause: a verdict takes three failures. While they come in, a server that fails at once is empty again and draws all that waits: of six callers, seven requests that may not be repeated were under way there or were sent there before the third failure was known. And a server of which one request failed, and to which the choice sends nothing more, is never judged, nor tried.

Change: trust/outlier_suspicion. After a failure (malformed, reset, error status) a server gets one request at a time, repeatable ones at once, others after 0.25 s, until an answer begins, one that began later succeeds, or 2 s have passed. Not where the others of the service fail too, and for half of its slots at the most. Only the choice heeds it; in force only with placement.ejects_servers.

No check was changed.

Conclusion: what is lost is what is under way at the first failure, and single calls after it.

--- a/packages/turmericweir-core/turmericweir_core/base/outlier_options.py
+++ b/packages/turmericweir-core/turmericweir_core/base/outlier_options.py
@@ -19,6 +19,12 @@
     # how much the bound must exceed the mean share of the other servers.
     confidence: float = 2.0
     margin: float = 0.15
+    # A server that has just failed a request is suspected for at most so long, if the mean share of
+    # failures of the others is no larger than this. Requests that may not be repeated leave it to
+    # others for the pause.
+    suspect_s: float = 2.0
+    suspect_others_max: float = 0.05
+    suspect_pause_s: float = 0.25
     # Share of the slots of a service that may be ejected, and the same for servers that fail only
     # some of their requests.
     ejected_share_max: float = 0.5
--- a/packages/turmericweir-core/turmericweir_core/placement/placement.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/placement.py
@@ -36,7 +36,7 @@
 from turmericweir_core.state.queue_state import target_classes
 from turmericweir_core.state.server_table import Server, any_target, preferred_servers, servers_for
 from turmericweir_core.streams.stream_servers import open_servers_for
-from turmericweir_core.trust import outlier_probes
+from turmericweir_core.trust import outlier_probes, outlier_suspicion
 
 if TYPE_CHECKING:
     from turmericweir_core.state.state import State
@@ -53,6 +53,7 @@
     if probed is not None and brittle_servers.has_room(state, now, probed):
         return probed
     servers = announced_limits.servers_to_send(state, now, open_servers_for(state, now, req))
+    servers = outlier_suspicion.without_suspected(state, now, req, servers)
     with_room = brittle_servers.servers_with_room(state, now, servers)
     if servers and not with_room:
         req.wait_reason = WaitReason.NO_ROOM
--- a/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
@@ -51,7 +51,6 @@
     isolated_runs,
     lost_connections,
     outlier,
-    outlier_probes,
     part_verdicts,
     quarantine,
     retry,
@@ -144,7 +143,7 @@
     lost_connections.record_first_wait(state, now, attempt)
     effects: list[Effect] = [
         Timing(f"attempt.first_token.{attempt.server}", now - attempt.started_at),
-        *outlier_probes.on_begun(state, now, attempt),
+        *outlier.on_begun(state, now, attempt),
     ]
     if predicted_ms is not None:
         ids = {"request_id": req.request_id, "peer": attempt.server}
--- a/packages/turmericweir-core/turmericweir_core/state/outlier_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/outlier_state.py
@@ -13,7 +13,7 @@
 
 from msgspec import Struct, field
 
-from turmericweir_core.base.ids import InstanceName, ServerName
+from turmericweir_core.base.ids import AttemptId, InstanceName, ServerName
 from turmericweir_core.base.outlier_options import OutlierOptions
 from turmericweir_core.messages.outlier_messages import OutlierRow
 from turmericweir_core.state.server_table import Server, ServerTable
@@ -101,6 +101,16 @@
     successes: int = 0
 
 
+class Suspicion(Struct):
+    """A server that has failed a request, and has not shown since that it is well."""
+
+    failed_at: float
+    # The attempts that ran there at the newest failure.
+    earlier_attempts: frozenset[AttemptId]
+    # Whether answers failed after they had begun, so that a beginning shows nothing.
+    fails_late: bool
+
+
 class PauseRecord(Struct, frozen=True):
     """The last pause of a server that is used again."""
 
@@ -113,6 +123,7 @@
 
     by_server: dict[ServerName, ServerResults] = field(default_factory=dict)
     ejected: dict[ServerName, Ejection] = field(default_factory=dict)
+    suspected: dict[ServerName, Suspicion] = field(default_factory=dict)
     pauses: dict[ServerName, PauseRecord] = field(default_factory=dict)
     # By customer and by content, the least recently used first.
     sources: dict[tuple[str, str], SourceResults] = field(default_factory=dict)
@@ -156,6 +167,7 @@
     """Discard all that is known of a server that restarted or is gone."""
     state.by_server.pop(server, None)
     state.ejected.pop(server, None)
+    state.suspected.pop(server, None)
     state.pauses.pop(server, None)
     state.peers.pop(server, None)
     state.kept_at.pop(server, None)
--- a/packages/turmericweir-core/turmericweir_core/trust/outlier.py
+++ b/packages/turmericweir-core/turmericweir_core/trust/outlier.py
@@ -26,7 +26,12 @@
     EndUnsent,
 )
 from turmericweir_core.state.outlier_state import FailureKind, Result, add_result
-from turmericweir_core.trust import outlier_evidence, outlier_probes, outlier_verdicts
+from turmericweir_core.trust import (
+    outlier_evidence,
+    outlier_probes,
+    outlier_suspicion,
+    outlier_verdicts,
+)
 from turmericweir_core.trust.outlier_evidence import Tally
 
 if TYPE_CHECKING:
@@ -90,11 +95,23 @@
         result = Result(now, kind, req.customer, content, has_begun)
         add_result(state.outliers, state.options.outlier, attempt.server, result)
     effects += outlier_probes.on_probe_result(state, now, server, attempt, kind)
+    if kind is None:
+        began_at = now if attempt.first_token_at is None else attempt.first_token_at
+        outlier_suspicion.note_well(state, attempt, began_at)
     # Only failures lead to an ejection. Successes matter while a server is ejected, and its
     # judgement costs time that grows with the servers.
     if kind is None and not _is_judgement_due(state, now):
         return effects
-    return effects + outlier_verdicts.judge_service(state, now, server.service.name)
+    effects += outlier_verdicts.judge_service(state, now, server.service.name)
+    if kind is not None:
+        effects += outlier_suspicion.note_failed(state, now, server, attempt, kind)
+    return effects
+
+
+def on_begun(state: State, now: float, attempt: Attempt) -> list[Effect]:
+    """Take the beginning of an answer for a sign that its server is well."""
+    outlier_suspicion.on_begun(state, now, attempt)
+    return outlier_probes.on_begun(state, now, attempt)
 
 
 def _is_judgement_due(state: State, now: float) -> bool:
@@ -121,6 +138,7 @@
     outliers = state.outliers
     if not state.options.outlier.is_enabled:
         return []
+    outlier_suspicion.on_tick(state, now)
     if not outliers.peers or now < outliers.next_peer_judgement_at:
         return []
     outliers.next_peer_judgement_at = now + state.options.outlier.judgement_interval_s
--- a/packages/turmericweir-core/turmericweir_core/trust/outlier_evidence.py
+++ b/packages/turmericweir-core/turmericweir_core/trust/outlier_evidence.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Container
 from math import sqrt
 from typing import TYPE_CHECKING, Final
 
@@ -146,3 +147,15 @@
         lower_bound(failed, tried, options.confidence),
         others_share(state, tallies, name),
     )
+
+
+def slots_share(state: State, service: str, names: Container[ServerName]) -> float:
+    """Return the share of the slots of a service that some of its servers have."""
+    total = named = 0
+    for server in state.servers.by_name.values():
+        if server.service.name != service or server.leaving or server.drained:
+            continue
+        is_named = server.entry.name in names
+        total += server.slots if is_named or server.unreachable_until == 0.0 else 0
+        named += server.slots if is_named else 0
+    return named / max(1, total)
--- a/packages/turmericweir-core/turmericweir_core/trust/outlier_probes.py
+++ b/packages/turmericweir-core/turmericweir_core/trust/outlier_probes.py
@@ -18,7 +18,7 @@
 from turmericweir_core.state.outlier_state import Ejection, FailureKind, PauseRecord
 from turmericweir_core.state.server_table import Server, can_take_work
 from turmericweir_core.streams.stream_servers import can_run_on
-from turmericweir_core.trust import outlier_evidence, retry
+from turmericweir_core.trust import outlier_evidence, outlier_suspicion, retry
 from turmericweir_core.trust.outlier_evidence import Evidence
 
 if TYPE_CHECKING:
@@ -58,14 +58,21 @@
 
 
 def server_to_probe(state: State, now: float, req: Request) -> Server | None:
-    """Return an ejected server that a request may go to, to find out whether it is well.
+    """Return an ejected or suspected server that a request may go to, to find out if it is well.
 
     A request that may not be repeated goes there only if no other one came for another pause.
     """
-    if not state.outliers.ejected or state.config.policy is not PlacementPolicy.PREDICTED:
+    outliers = state.outliers
+    if state.config.policy is not PlacementPolicy.PREDICTED:
+        return None
+    if not outliers.ejected and not outliers.suspected:
         return None
     can_repeat = req.repeatable and retry.retries_left(state, now, req.target) >= 1.0
-    for name, ejection in state.outliers.ejected.items():
+    if can_repeat:
+        for name in outlier_suspicion.names_to_probe(state):
+            if _can_probe(state, now, req, state.servers.by_name[name]):
+                return state.servers.by_name[name]
+    for name, ejection in outliers.ejected.items():
         probe_at = ejection.probe_at + (0.0 if can_repeat else ejection.pause_s)
         if now < probe_at or ejection.probes > ejection.successes:
             continue
--- a/packages/turmericweir-core/turmericweir_core/trust/outlier_verdicts.py
+++ b/packages/turmericweir-core/turmericweir_core/trust/outlier_verdicts.py
@@ -71,7 +71,8 @@
         return []
     if evidence.failure_bound <= evidence.others_share + options.margin:
         return []
-    ejected_share = _ejected_share(state, server)
+    ejected = {name, *state.outliers.ejected}
+    ejected_share = outlier_evidence.slots_share(state, server.service.name, ejected)
     is_partial = evidence.failed < _FAILS_ALL_SHARE * evidence.tried
     limit = options.partial_share_max if is_partial else options.ejected_share_max
     fields = _describe(now, server, evidence, ejected_share)
@@ -83,19 +84,6 @@
     return [Log("server_ejected", fields), Count(f"outlier.ejected.{server.service.name}")]
 
 
-def _ejected_share(state: State, server: Server) -> float:
-    """Return the share of the slots of a service that would be ejected with a server."""
-    total = ejected = 0
-    for other in state.servers.by_name.values():
-        if other.service.name != server.service.name or other.leaving or other.drained:
-            continue
-        is_usable = other.unreachable_until == 0.0
-        is_ejected = other is server or other.entry.name in state.outliers.ejected
-        total += other.slots if is_usable or is_ejected else 0
-        ejected += other.slots if is_ejected else 0
-    return ejected / max(1, total)
-
-
 def _describe(
     now: float, server: Server, evidence: Evidence, ejected_share: float
 ) -> dict[str, object]:
