Clear a content by its answers that live servers go on writing

Cause: a content that was in flight at two crashes, alone in both, is refused for ten minutes, and its running answers are cut. That also holds where two servers are lost together with many copies of one content on all servers: the copies that other servers go on writing showed that the content is not the cause, but only isolated runs and complete answers cleared it.

What callers saw: streams on living engines cut 0.5 s after the others were lost, then 502, `quarantined`.

Change: an answer that a live server has been writing for longer than `harmless_s`, and which is no isolated run, clears its content. Nothing changes where `harmless_s` is infinite.

The new reducer test fails on the code before in both its cases; tests/core/trust passes.

--- a/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
@@ -95,6 +95,7 @@
     previous_token_at = attempt.last_token_at
     attempt.tokens += event.tokens
     attempt.last_token_at = now
+    quarantine.note_streamed(state, now, req, attempt)
     req.delivered += event.tokens
     effects = stream_bindings.on_events(state, now, req, attempt)
     if previous_token_at is None:
--- a/packages/turmericweir-core/turmericweir_core/trust/quarantine.py
+++ b/packages/turmericweir-core/turmericweir_core/trust/quarantine.py
@@ -213,6 +213,18 @@
         state.quarantine.broken_connections[attempt.server] = remaining
 
 
+def note_streamed(state: State, now: float, req: Request, attempt: Attempt) -> None:
+    """Clear a suspect that a live server has been writing on for longer than a crash takes.
+
+    Prevents the loss of several servers at once from refusing a request that was on all of them.
+    Isolated runs end by rules of their own.
+    """
+    if attempt.is_isolated or not is_suspect(state, req.fingerprint):
+        return
+    if has_streamed_long(state, attempt):
+        note_cleared(state, now, req.fingerprint)
+
+
 def _record_sighting(
     state: State, now: float, key: CrashKey, crashed_at: float, run: BrokenConnection
 ) -> None:
--- a/tests/core/trust/test_quarantine.py
+++ b/tests/core/trust/test_quarantine.py
@@ -387,6 +387,38 @@
     check_innocents(world, innocents)
 
 
+@pytest.mark.parametrize("instances", [1, 3])
+def test_content_that_streams_elsewhere_is_not_refused(instances: int) -> None:
+    # Prevents two servers that are lost together from cutting the same content on all others.
+    options = Options(harmless_s=0.25, trial_s=0.25)
+    world = FaultWorld(instances=instances, servers=4, options=options)
+    world.tick()
+    names = [f"copy-{number}" for number in range(16)]
+    for number, name in enumerate(names):
+        world.arrive(name, instance=number % instances, fingerprint="popular")
+    world.tick()
+    assert all(server.running for server in world.servers.values())
+    for name in list(world.servers)[:2]:
+        world.crash(name)
+    world.advance_until_done()
+    assert {name: world.outcome(name) for name in names} == dict.fromkeys(names, COMPLETED)
+
+
+def test_content_that_crashes_servers_is_refused_beside_other_streams() -> None:
+    # Prevents an answer of another content from clearing one that crashes servers.
+    world = FaultWorld(instances=3, servers=4, options=Options(harmless_s=0.25, trial_s=0.25))
+    world.poison.add(POISON)
+    world.tick()
+    innocents = arrive_innocents(world, 12)
+    world.advance(0.5)
+    for number in range(3):
+        world.arrive(f"copy-{number}", instance=number, fingerprint=POISON)
+    world.advance_until_done()
+    assert {world.outcome(f"copy-{number}") for number in range(3)} == {QUARANTINED}
+    assert world.crashes_by(POISON) <= 3
+    check_innocents(world, innocents)
+
+
 def test_quarantine_ends() -> None:
     # A refused request runs again after `quarantine_s`.
     world = poisoned_world(instances=1)
