Report the peak memory of the process itself, not of the one that started it

Cause: the gauge turmericweir_memory_peak_bytes was getrusage's maximum, which the kernel carries over from the process that starts another one. A process that is started by a large one so reports that one's memory.

Seen: the listed test of 24 large requests failed at 166 and 150 MB in whole runs of the suite. That the two failures in whole runs were this is likely, not shown: the size of the workers there was not recorded.

--- a/packages/turmericweir/turmericweir/process/memory_budget.py
+++ b/packages/turmericweir/turmericweir/process/memory_budget.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import os
-import resource
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -16,6 +15,8 @@
 
 _KILOBYTE: Final = 1024
 _STATM: Final = Path("/proc/self/statm")
+_STATUS: Final = Path("/proc/self/status")
+_PEAK_FIELD: Final = b"VmHWM:"
 # The share of the limit that the whole process may use.
 LIMIT_SHARE: Final = 0.8
 # The share of what is left of it that may be held: a byte that is passed on is copied once.
@@ -109,5 +110,9 @@
 
 
 def peak_size() -> int:
-    """Return the largest number of bytes of memory that this process has used."""
-    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * _KILOBYTE
+    """Return the largest number of bytes of memory that this process has used.
+
+    Does not use `getrusage`, whose maximum includes the memory of the process that started this one.
+    """
+    fields = _STATUS.read_bytes().split()
+    return int(fields[fields.index(_PEAK_FIELD) + 1]) * _KILOBYTE
--- a/tests/daemon/test_memory_budget.py
+++ b/tests/daemon/test_memory_budget.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from turmericweir.process.memory_budget import Holder, MemoryBudget, choose_cut_off
+import subprocess
+import sys
+
+from turmericweir.process.memory_budget import Holder, MemoryBudget, choose_cut_off, resident_size
 
 _LIMIT = 160_000_000
 _OWN = 50_000_000
@@ -67,3 +70,11 @@
         (10_000, ["large", "new", "old", "reads"]),
     ):
         assert [holder.key for holder in choose_cut_off(holders, excess)] == names
+
+
+def test_peak_is_that_of_the_process_itself() -> None:
+    # Guards against a peak that is the memory of the process which started this one.
+    ballast = bytes([1]) * _LIMIT
+    command = "from turmericweir.process import memory_budget as each; print(each.peak_size())"
+    child = subprocess.run([sys.executable, "-c", command], capture_output=True, check=True)
+    assert 0 < int(child.stdout) < len(ballast) < resident_size()
