Count bytes when they are read, and refuse large bodies by their heads

Cause: what is held was counted each 0.1 s. Bodies that arrived between two counts filled the memory; then all that were still arriving were refused, however much had come, and the largest of those that ran were reset. A caller whose body found no room got its 503 only after it had sent all of it.

Now every byte from a caller, a server or a peer counts as held from when it is read until the next count, which follows when that sum may have filled 0.6 of the room. A body of over 64 KiB is read only if all of it fits beside what is held and what is still to come of others; its 503 is sent by its head, and the body is dropped. The interval is 1 s while memory is not short, so that idle requests cost less.

The fake connection of test_caller_memory.py has one field more, which the code now reads.

--- a/packages/turmericweir/turmericweir/callers/caller_memory.py
+++ b/packages/turmericweir/turmericweir/callers/caller_memory.py
@@ -16,12 +16,20 @@
 from turmericweir.process.memory_budget import Holder, choose_cut_off, resident_size
 from turmericweir.process.node import Node
 
-_CHECK_INTERVAL_S: Final = 0.1
+# What is held is also counted when much was read (`MemoryBudget.add`).
+_CHECK_INTERVAL_S: Final = 1.0
+_SHORT_CHECK_INTERVAL_S: Final = 0.1
+# How long room is kept for the rest of a body of which nothing arrives.
+_AWAITED_S: Final = 5.0
 
 
 class CallerChannel(Protocol):
     """The part of a caller's connection that is used here."""
 
+    @property
+    def unread_bytes(self) -> int:
+        """The number of bytes of a body that were received and are not read yet."""
+
     @property
     def unsent_bytes(self) -> int:
         """The number of bytes that were written and wait for the caller to read."""
@@ -46,6 +54,8 @@
     """What is held for one caller's connection."""
 
     __slots__ = (
+        "_announced_bytes",
+        "_awaited_until",
         "body_bytes",
         "channel",
         "is_running",
@@ -63,6 +73,9 @@
     is_running: bool
     # Bytes of the request's body, until there is a job that counts them.
     body_bytes: int
+    # The length of a body for which there is room, and until when the room is kept.
+    _announced_bytes: int
+    _awaited_until: float
     job: HoldingJob | None
     # What the caller had read at the last change, and when that was.
     sent_bytes: int
@@ -74,6 +87,8 @@
         self.since = now
         self.is_running = True
         self.body_bytes = 0
+        self._announced_bytes = 0
+        self._awaited_until = now
         self.job = None
         self.sent_bytes = 0
         self.sent_at = now
@@ -82,7 +97,25 @@
     def held_bytes(self) -> int:
         """The number of bytes held for the connection."""
         held_bytes = self.body_bytes if self.job is None else self.job.held_bytes
-        return held_bytes + self.channel.unsent_bytes
+        return held_bytes + self.channel.unread_bytes + self.channel.unsent_bytes
+
+    def keep_room(self, body_bytes: int, now: float) -> None:
+        """Keep room for a body that will arrive."""
+        self._announced_bytes = body_bytes
+        self._awaited_until = now + _AWAITED_S
+
+    def add_body(self, size: int, now: float) -> None:
+        """Count a part of the body."""
+        self.body_bytes += size
+        self._awaited_until = now + _AWAITED_S
+
+    def has_room(self, now: float) -> bool:
+        """Return whether room is kept for what will arrive of the body."""
+        return self._announced_bytes > 0 and now < self._awaited_until
+
+    def awaited_bytes(self, now: float) -> int:
+        """Return the number of bytes for which room is kept."""
+        return self._announced_bytes - self.body_bytes if self.has_room(now) else 0
 
     def unread_s(self, now: float) -> float:
         """Return for how long the caller has read nothing of what waits for it."""
@@ -100,16 +133,38 @@
     # Time after which a caller that reads nothing is cut off.
     _unread_max_s: float
     _tracked: dict[CallerChannel, TrackedCaller]
+    # Those whose bodies are being read.
+    _receiving: set[TrackedCaller]
 
     def __init__(self, node: Node, unread_max_s: float) -> None:
         self._node = node
         self._unread_max_s = unread_max_s
         self._tracked = {}
-
-    @property
-    def is_short(self) -> bool:
-        """Whether no new requests should be taken."""
-        return self._node.memory.is_short
+        self._receiving = set()
+        node.memory.recount = self.count
+
+    def admit(self, tracked: TrackedCaller, body_bytes: int | None) -> bool:
+        """Return whether a request's body may be read, and keep room for it; None if unknown."""
+        now = anyio.current_time()
+        awaited_bytes = sum(each.awaited_bytes(now) for each in self._receiving)
+        if not self._node.memory.fits(body_bytes or 0, awaited_bytes):
+            return False
+        if body_bytes:
+            tracked.keep_room(body_bytes, now)
+            self._receiving.add(tracked)
+        return True
+
+    def add_body(self, tracked: TrackedCaller, size: int) -> bool:
+        """Count a part of a body; return False if no more of it may be read."""
+        now = anyio.current_time()
+        if self._node.memory.is_short and not tracked.has_room(now):
+            return False
+        tracked.add_body(size, now)
+        return True
+
+    def end_body(self, tracked: TrackedCaller) -> None:
+        """Record that nothing more of a body is read."""
+        self._receiving.discard(tracked)
 
     def track(self, channel: CallerChannel, request_id: str) -> TrackedCaller:
         """Track a connection on which a request begins."""
@@ -128,8 +183,13 @@
     async def check_forever(self) -> None:
         """Check all callers at intervals."""
         while True:
-            await anyio.sleep(_CHECK_INTERVAL_S)
-            self.check(anyio.current_time(), resident_size())
+            is_short = self._node.memory.is_short
+            await anyio.sleep(_SHORT_CHECK_INTERVAL_S if is_short else _CHECK_INTERVAL_S)
+            self.count()
+
+    def count(self) -> None:
+        """Count what is held now, and cut off callers if that is too much."""
+        self.check(anyio.current_time(), resident_size())
 
     def check(self, now: float, resident_bytes: int) -> None:
         """Cut off callers that do not read, and others if the memory is short."""
--- a/packages/turmericweir/turmericweir/callers/forward_app.py
+++ b/packages/turmericweir/turmericweir/callers/forward_app.py
@@ -1,7 +1,8 @@
 """The ASGI application of the callers' port on a platform with routes.
 
 The whole request is read before it is validated. Closing a connection with unread data might reset
-it before the caller receives the refusal.
+it before the caller receives the refusal. Only if there is no memory for its body is a request
+refused by its head; the connection then drops the body (`http_server`).
 """
 
 from __future__ import annotations
@@ -69,7 +70,8 @@
         try:
             await self._answer(connection, head, receive, caller, tracked)
         except RefusedError as exc:
-            await self._refuse(caller, exc)
+            awaits_continue = any(name == b"expect" for name, _ in head.headers)
+            await self._refuse(caller, exc, awaits_continue=awaits_continue)
         except Exception as exc:
             logs.write_fault("answer", request_id, exc)
             # The outcome is unknown, and any answer would suggest one.
@@ -86,7 +88,7 @@
             unique_id = RequestId(f"{request_id}~{number}")
         return unique_id
 
-    async def _refuse(self, caller: Caller, exc: RefusedError) -> None:
+    async def _refuse(self, caller: Caller, exc: RefusedError, *, awaits_continue: bool) -> None:
         self._node.count(f"refused.{exc.reason}")
         state = self._node.state
         logs.write(
@@ -97,6 +99,9 @@
             settings_version=state.settings_offset(),
         )
         caller.should_close = caller.should_close or exc.reason in _BODY_UNREAD_REASONS
+        if exc.reason is Reason.MEMORY_SHORT and awaits_continue:
+            # The caller sends no body after a refusal.
+            caller.should_close = True
         await caller.write_problem(self._wire.refusal_problem(caller.request_id, exc))
 
     async def _answer(
@@ -162,15 +167,17 @@
         headers_by_name = dict(head.headers)
         content_length = headers_by_name.get(b"content-length")
         if content_length in (None, b"0") and b"transfer-encoding" not in headers_by_name:
-            if self._memory.is_short:
+            if not self._memory.admit(tracked, 0):
                 raise RefusedError(Reason.MEMORY_SHORT)
             return b""
         limit = self._node.state.config.limits.body_bytes
         if content_length is not None and int(content_length) > limit:
             raise RefusedError(Reason.TOO_LARGE)
+        announced_bytes = None if content_length is None else int(content_length)
+        if not self._memory.admit(tracked, announced_bytes):
+            raise RefusedError(Reason.MEMORY_SHORT)
         parts: list[bytes] = []
         size = 0
-        is_kept = True
         try:
             with anyio.fail_after(BODY_TIMEOUT_S):
                 while True:
@@ -180,19 +187,15 @@
                     size += len(message["body"])
                     if size > limit:
                         raise RefusedError(Reason.TOO_LARGE)
-                    if is_kept and self._memory.is_short:
-                        # Reads the rest without keeping it, so that the refusal arrives.
-                        is_kept = False
-                        parts.clear()
-                    if is_kept:
-                        parts.append(message["body"])
-                    tracked.body_bytes = size if is_kept else 0
+                    if not self._memory.add_body(tracked, len(message["body"])):
+                        raise RefusedError(Reason.MEMORY_SHORT)
+                    parts.append(message["body"])
                     if not message["more_body"]:
                         break
         except TimeoutError:
             raise RefusedError(Reason.TOO_SLOW) from None
-        if not is_kept:
-            raise RefusedError(Reason.MEMORY_SHORT)
+        finally:
+            self._memory.end_body(tracked)
         return b"".join(parts)
 
 
--- a/packages/turmericweir/turmericweir/callers/http_server.py
+++ b/packages/turmericweir/turmericweir/callers/http_server.py
@@ -54,6 +54,8 @@
     limits: HttpLimits
     # Returns whether a graceful stop was requested.
     is_stopping: Callable[[], bool]
+    # Counts bytes that were read.
+    count_read: Callable[[int], None]
     # Bytes received of the headers that are not complete yet.
     _header_bytes: int
     # Whether the next bytes are headers.
@@ -105,6 +107,8 @@
         if self._is_in_headers:
             self._header_bytes += len(data)
         super().data_received(data)
+        self._restart_idle_timer()
+        type(self).count_read(len(data))
         if self._is_in_headers and self._header_bytes > self.limits.header_bytes:
             self._refuse(Reason.TOO_LARGE, _STATUS_HEADERS_TOO_LARGE)
         elif self._is_in_headers and self._header_timer is None:
@@ -127,6 +131,12 @@
         self._header_bytes = 0
         super().on_headers_complete()
 
+    def on_response_complete(self) -> None:
+        """Drop what has arrived of a body that nobody reads; the rest is dropped as it arrives."""
+        if self.cycle.response_complete:
+            self.cycle.body = bytearray()
+        super().on_response_complete()
+
     def send_400_response(self, msg: str) -> None:
         """Refuse data that is not valid HTTP."""
         self._refuse(Reason.BAD_REQUEST, None)
@@ -154,6 +164,17 @@
         """Whether the connection is closed or being closed."""
         return self.transport.is_closing()
 
+    @property
+    def header_bytes(self) -> int:
+        """The number of bytes received of headers that are not complete."""
+        return self._header_bytes
+
+    @property
+    def unread_bytes(self) -> int:
+        """The number of bytes of a body that were received and are not read yet."""
+        cycle: RequestResponseCycle | None = self.cycle
+        return 0 if cycle is None else len(cycle.body)
+
     @property
     def unsent_bytes(self) -> int:
         """The number of bytes that were written and wait for the caller to read."""
@@ -201,6 +222,19 @@
             # Stays open until the process ends, also while the interpreter shuts down.
             os.dup(sock.fileno())
 
+    def _restart_idle_timer(self) -> None:
+        """Limit the time between parts of a body that is dropped after its request was answered.
+
+        Prevents keeping a connection forever whose caller stops within the body.
+        """
+        cycle: RequestResponseCycle | None = self.cycle
+        if cycle is None or self._is_in_headers or not cycle.response_complete:
+            return
+        self._unset_keepalive_if_required()
+        self.timeout_keep_alive_task = self.loop.call_later(
+            self.timeout_keep_alive, self.timeout_keep_alive_handler
+        )
+
     def _start_header_timer(self) -> None:
         self._header_timer = self.loop.call_later(self.limits.header_s, self._on_header_timeout)
 
@@ -264,8 +298,13 @@
         app: ASGI3Application,
         limits: HttpLimits,
         is_stopping: Callable[[], bool] = lambda: False,
+        count_read: Callable[[int], None] = lambda size: None,
     ) -> None:
-        attributes = {"limits": limits, "is_stopping": staticmethod(is_stopping)}
+        attributes = {
+            "limits": limits,
+            "is_stopping": staticmethod(is_stopping),
+            "count_read": staticmethod(count_read),
+        }
         protocol = type("_Protocol", (LimitedProtocol,), attributes)
         config = uvicorn.Config(
             app,
@@ -293,6 +332,11 @@
         await super().startup(sockets)
         self.listening.set()
 
+    def header_bytes(self) -> int:
+        """Return the number of bytes received of headers that are not complete."""
+        connections = self.server_state.connections
+        return sum(conn.header_bytes for conn in connections if isinstance(conn, LimitedProtocol))
+
     def stop(self) -> None:
         """Stop accepting; `serve` returns when all running requests are answered."""
         self.should_exit = True
--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -304,6 +304,7 @@
             node = Node(state, reduce, adapters, group, unread_s=_BLOCKED_S)
             node.answer_bounds = cfg.answers
             node.memory.limit_bytes = cfg.machine.memory_bytes
+            pool.count_read = node.memory.add
             for part in (streams, datagrams, servers, follower):
                 part.attach(node)
             if duties is not None:
@@ -426,7 +427,8 @@
     limits: HttpLimits = SettingsHttpLimits(node.state)
     memory = CallerMemory(node, _UNREAD_S)
     app = ForwardApp(node, pool, platform_adapters.wire, memory)
-    callers = HttpServer(app, limits, lambda: node.is_stopping)
+    callers = HttpServer(app, limits, lambda: node.is_stopping, node.memory.add)
+    node.memory.sources.append(callers.header_bytes)
     readiness = HttpServer(platform_adapters.make_readiness_app(lambda: is_ready(node)), limits)
     async with anyio.create_task_group() as group:
         group.start_soon(memory.check_forever)
--- a/packages/turmericweir/turmericweir/peers/carrier.py
+++ b/packages/turmericweir/turmericweir/peers/carrier.py
@@ -156,6 +156,7 @@
             self._transport.abort()
             return
         self._node.traffic.carried.received.add(len(data))
+        self._node.memory.add(len(data))
         self._server.write(data)
 
     def pause_writing(self) -> None:
@@ -185,6 +186,7 @@
     def pass_on(self, data: bytes) -> None:
         """Pass bytes of the server on to the peer."""
         self._node.traffic.carried.sent.add(len(data))
+        self._node.memory.add(len(data))
         self._transport.write(pack_chunk(data))
 
     def end(self, *, is_broken: bool) -> None:
--- a/packages/turmericweir/turmericweir/process/memory_budget.py
+++ b/packages/turmericweir/turmericweir/process/memory_budget.py
@@ -1,13 +1,16 @@
 """The memory that this process may hold for callers and servers, as a share of its limit.
 
 What is held is counted by those who hold it, since the size of the process also contains what it
-would need without them, and does not fall when memory is freed. Nothing here closes a connection:
-`callers.caller_memory` does, by what `choose_cut_off` returns.
+would need without them, and does not fall when memory is freed. Bytes count from when they are read
+(`MemoryBudget.add`), also those that are passed on at once; the next count finds what is held of
+them. Nothing here closes a connection: `callers.caller_memory` does, by what `choose_cut_off`
+returns.
 """
 
 from __future__ import annotations
 
 import os
+import sys
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -27,6 +30,11 @@
 # connections are cut off.
 REFUSE_SHARE: Final = 0.6
 CUT_OFF_SHARE: Final = 0.8
+# The share of the room that may be read between two counts while much is held.
+_COUNT_SHARE: Final = 1 / 16
+# Bodies up to this size need no room before they are read. They arrive with their heads, and large
+# ones that are still on their way do not keep them out.
+SMALL_BODY_BYTES: Final = 65_536
 # While less than this is held, the size of the process shows what it needs for itself.
 _IDLE_HELD_BYTES: Final = 1_048_576
 
@@ -51,7 +59,14 @@
 
     # The memory limit of the process; 0 for none.
     limit_bytes: int = 0
+    # At the last count.
     held_bytes: int = 0
+    # Bytes read since then.
+    read_bytes: int = 0
+    # Counts what is held and calls `update`.
+    recount: Callable[[], None] | None = None
+    # The number of bytes held or read above which what is held is counted.
+    _recount_above_bytes: int = sys.maxsize
     # The size of the process, and its size when it last held next to nothing.
     resident_bytes: int = 0
     own_bytes: int = 0
@@ -67,7 +82,12 @@
     @property
     def is_short(self) -> bool:
         """Whether no new requests should be taken."""
-        return bool(self.limit_bytes) and self.held_bytes > REFUSE_SHARE * self.room_bytes
+        return bool(self.limit_bytes) and self.used_bytes > REFUSE_SHARE * self.room_bytes
+
+    @property
+    def used_bytes(self) -> int:
+        """The most that may be held: what was counted last, and all that was read since."""
+        return self.held_bytes + self.read_bytes
 
     @property
     def excess_bytes(self) -> int:
@@ -76,12 +96,39 @@
             return 0
         return self.held_bytes - int(CUT_OFF_SHARE * self.room_bytes)
 
+    def fits(self, body_bytes: int, awaited_bytes: int) -> bool:
+        """Return whether the body of a new request may be read.
+
+        `awaited_bytes` are the parts of others' bodies that have not arrived. A large body gets
+        room only beside them, or if nothing else is there.
+        """
+        if not self.limit_bytes:
+            return True
+        if self.is_short:
+            return False
+        if body_bytes <= SMALL_BODY_BYTES:
+            return True
+        taken_bytes = self.used_bytes + awaited_bytes
+        share = CUT_OFF_SHARE if taken_bytes < _IDLE_HELD_BYTES else REFUSE_SHARE
+        return taken_bytes + body_bytes <= share * self.room_bytes
+
+    def add(self, size: int) -> None:
+        """Count bytes that were read; count what is held if it may have become too much."""
+        self.read_bytes += size
+        if self.recount is not None and self.used_bytes > self._recount_above_bytes:
+            self.recount()
+
     def update(self, held_bytes: int, resident_bytes: int) -> None:
         """Record what callers' requests hold, and the size of the process."""
         self.held_bytes = held_bytes + sum(source() for source in self.sources)
+        self.read_bytes = 0
         self.resident_bytes = resident_bytes
         if self.held_bytes < _IDLE_HELD_BYTES or not self.own_bytes:
             self.own_bytes = resident_bytes
+        if self.limit_bytes:
+            room_bytes = self.room_bytes
+            next_bytes = self.held_bytes + int(_COUNT_SHARE * room_bytes)
+            self._recount_above_bytes = max(int(REFUSE_SHARE * room_bytes), next_bytes)
 
 
 def choose_cut_off(holders: Sequence[Holder[Key]], excess_bytes: int) -> list[Holder[Key]]:
@@ -112,7 +159,7 @@
 def peak_size() -> int:
     """Return the largest number of bytes of memory that this process has used.
 
-    Does not use `getrusage`, whose maximum includes the memory of the process that started this one.
+    Does not use `getrusage`, whose maximum includes that of the process that started this one.
     """
     fields = _STATUS.read_bytes().split()
     return int(fields[fields.index(_PEAK_FIELD) + 1]) * _KILOBYTE
--- a/packages/turmericweir/turmericweir/servers/backend_pool.py
+++ b/packages/turmericweir/turmericweir/servers/backend_pool.py
@@ -139,9 +139,12 @@
     reused_count: int
     # None if connections are always opened directly.
     _dialer: PeerDialer | None
+    # Counts bytes that connections receive; None if nobody counts them.
+    count_read: Callable[[int], None] | None
 
     def __init__(self, dialer: PeerDialer | None = None) -> None:
         self._dialer = dialer
+        self.count_read = None
         self._idle = defaultdict(list)
         self._distrusted_at = {}
         self.opened_count = 0
@@ -182,6 +185,8 @@
             stream = await connect(address)
         else:
             stream = await self._dialer.dial(via, address)
+        if self.count_read is not None:
+            stream.set_counter(self.count_read)
         self.opened_count += 1
         return BackendConnection(address, stream, via)
 
--- a/packages/turmericweir/turmericweir/servers/backend_stream.py
+++ b/packages/turmericweir/turmericweir/servers/backend_stream.py
@@ -50,6 +50,8 @@
     error: Exception | None
     # Set when data arrives, writing resumes or the connection ends; None while no task waits.
     _progressed: anyio.Event | None
+    # Counts bytes that were received.
+    count_read: Callable[[int], None]
     # Whether the send buffer is full.
     _is_write_paused: bool
 
@@ -59,6 +61,7 @@
         self.has_ended = False
         self.error = None
         self._progressed = None
+        self.count_read = _ignore_read
         self._is_write_paused = False
 
     async def wait_received(self) -> None:
@@ -116,6 +119,7 @@
         if self._unread_bytes <= UNREAD_MAX_BYTES < self._unread_bytes + len(data):
             self.transport.pause_reading()
         self._unread_bytes += len(data)
+        self.count_read(len(data))
         self._wake()
 
     def eof_received(self) -> bool:
@@ -197,6 +201,10 @@
                 str(protocol.error or "the connection is closed")
             ) from protocol.error
 
+    def set_counter(self, count_read: Callable[[int], None]) -> None:
+        """Set the function that counts bytes that are received."""
+        self._protocol.count_read = count_read
+
     @property
     def held_bytes(self) -> int:
         """The number of bytes that wait to be read here, or by the other end."""
@@ -241,6 +249,10 @@
     return BackendStream(protocol)
 
 
+def _ignore_read(size: int) -> None:
+    """Count nothing."""
+
+
 def set_options(raw: socket.socket) -> None:
     """Set the socket options by which the system detects dead connections."""
     for level, option, value in SOCKET_OPTIONS:
--- a/tests/daemon/test_caller_memory.py
+++ b/tests/daemon/test_caller_memory.py
@@ -16,6 +16,7 @@
 
 @dataclass(eq=False)
 class _Channel:
+    unread_bytes: int = 0
     unsent_bytes: int = 0
     sent_bytes: int = 0
     was_reset: bool = False
@@ -112,3 +113,45 @@
     left = sum(channel.unsent_bytes for channel in channels if not channel.was_reset)
     assert 0 < left <= node.memory.room_bytes
     assert set(node.counts) == {"caller.cut_off.memory"}
+
+
+def test_room_is_kept_for_the_rest_of_a_body(node: _Node, memory: CallerMemory) -> None:
+    # Guards against requests that are all taken since their bodies have not arrived yet.
+    node.memory.limit_bytes = 100_000_000
+    memory.check(0.0, 40_000_000)
+    callers = [memory.track(_Channel(), str(number)) for number in range(10)]
+    taken = [caller for caller in callers if memory.admit(caller, 4_000_000)]
+    assert 0 < len(taken) * 4_000_000 <= node.memory.room_bytes
+    for caller in taken:
+        assert memory.add_body(caller, 4_000_000)
+        memory.end_body(caller)
+    memory.count()
+    assert node.memory.held_bytes == len(taken) * 4_000_000
+    assert not memory.admit(memory.track(_Channel(), "late"), 4_000_000)
+
+
+def test_room_is_not_kept_for_a_body_that_stops_arriving(
+    node: _Node, memory: CallerMemory, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against callers that announce large bodies and send none, so that others are refused.
+    node.memory.limit_bytes = 100_000_000
+    memory.check(0.0, 40_000_000)
+    while memory.admit(memory.track(_Channel(), "a"), 4_000_000):
+        pass
+    monkeypatch.setattr("turmericweir.callers.caller_memory.anyio.current_time", lambda: 6.0)
+    assert memory.admit(memory.track(_Channel(), "b"), 4_000_000)
+
+
+def test_body_of_unknown_length_is_read_until_memory_is_short(
+    node: _Node, memory: CallerMemory
+) -> None:
+    # Guards against bodies that announce no length and so need no room.
+    node.memory.limit_bytes = 100_000_000
+    memory.check(0.0, 40_000_000)
+    caller = memory.track(_Channel(), "a")
+    assert memory.admit(caller, None)
+    size = 0
+    while memory.add_body(caller, 65_536):
+        size += 65_536
+        node.memory.add(65_536)
+    assert 0 < size < node.memory.room_bytes
--- a/tests/daemon/test_memory_budget.py
+++ b/tests/daemon/test_memory_budget.py
@@ -4,11 +4,43 @@
 
 import subprocess
 import sys
+from dataclasses import dataclass
+from itertools import pairwise
+
+import pytest
 
 from turmericweir.process.memory_budget import Holder, MemoryBudget, choose_cut_off, resident_size
 
 _LIMIT = 160_000_000
 _OWN = 50_000_000
+# With these, 39 MB may be held.
+_MB = 1_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class _Body:
+    """A body that is announced while something is held, has been read, or is on its way."""
+
+    name: str
+    size: int
+    fits: bool
+    held: int = 0
+    read: int = 0
+    awaited: int = 0
+
+
+_BODIES = (
+    _Body("beside nothing", 4 * _MB, fits=True),
+    _Body("beside others", 4 * _MB, held=8 * _MB, read=4 * _MB, awaited=4 * _MB, fits=True),
+    _Body("held bytes count", 4 * _MB, held=20 * _MB, fits=False),
+    _Body("bytes read since the last count count", 4 * _MB, read=20 * _MB, fits=False),
+    _Body("bytes on their way count", 4 * _MB, awaited=20 * _MB, fits=False),
+    _Body("large ones alone", 30 * _MB, fits=True),
+    _Body("large ones not beside others", 30 * _MB, held=2 * _MB, fits=False),
+    _Body("larger than all room", 40 * _MB, fits=False),
+    _Body("small ones beside large ones on their way", 60_000, awaited=24 * _MB, fits=True),
+    _Body("none of any size when short", 0, held=24 * _MB, fits=False),
+)
 
 
 def _budget(held_bytes: int) -> MemoryBudget:
@@ -78,3 +110,50 @@
     command = "from turmericweir.process import memory_budget as each; print(each.peak_size())"
     child = subprocess.run([sys.executable, "-c", command], capture_output=True, check=True)
     assert 0 < int(child.stdout) < len(ballast) < resident_size()
+
+
+@pytest.mark.parametrize("case", _BODIES, ids=lambda case: case.name)
+def test_body_is_read_only_if_there_is_room_for_all_of_it(case: _Body) -> None:
+    # Guards against bodies that are all within the bound when they begin, and together beyond it.
+    budget = _budget(case.held)
+    budget.add(case.read)
+    assert budget.fits(case.size, case.awaited) == case.fits
+
+
+def test_process_without_a_limit_takes_any_body() -> None:
+    assert MemoryBudget().fits(10**12, 10**12)
+
+
+def test_what_was_read_is_counted_before_it_fills_the_room() -> None:
+    # Guards against bytes that arrive faster than what is held is counted at intervals.
+    budget = _budget(0)
+    counts: list[int] = []
+
+    def recount() -> None:
+        counts.append(budget.used_bytes)
+        budget.update(budget.used_bytes, _OWN)
+
+    budget.recount = recount
+    while budget.used_bytes <= budget.room_bytes:
+        budget.add(65_536)
+    assert counts
+    assert counts[-1] <= budget.room_bytes + 65_536
+    assert max(counts) - min(counts) > 0
+    gaps = [later - earlier for earlier, later in pairwise(counts)]
+    assert max(gaps) <= 0.1 * budget.room_bytes
+
+
+def test_bytes_that_are_passed_on_are_counted_rarely() -> None:
+    # Guards against counting for each read while streams pass through.
+    budget = _budget(0)
+    counts: list[int] = []
+
+    def recount() -> None:
+        counts.append(budget.used_bytes)
+        budget.update(0, _OWN)
+
+    budget.recount = recount
+    for _ in range(1_000):
+        budget.add(65_536)
+    assert 0 < len(counts) <= 3
+    assert not budget.is_short
--- a/tests/platform/test_slow_readers.py
+++ b/tests/platform/test_slow_readers.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import http.client
 import socket
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import ExitStack
 from typing import Any
 
@@ -14,6 +16,7 @@
 _MEMORY_MB = 160
 _RECEIVE_BUFFER_BYTES = 4_096
 _CALLERS = 24
+_CALLERS_AT_ONCE = 80
 # More bytes of events than the kernel's buffers of two connections hold.
 _EVENTS = 4_000
 _LARGE_BODY = b"x" * 4_000_000
@@ -64,6 +67,40 @@
         return b"".join(parts), False
 
 
+class HeadCaller:
+    """A caller that sends heads and bodies by themselves, on one connection."""
+
+    def __init__(self, world: PlatformWorld) -> None:
+        self._world = world
+        host, _, port = world.running["entry-1"].caller_address.rpartition(":")
+        self._sock = socket.create_connection((host, int(port)), timeout=20)
+
+    def __enter__(self) -> HeadCaller:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._sock.close()
+
+    def begin(self, path: str, length: int) -> None:
+        """Send the head of a request."""
+        headers = self._world.request_headers(
+            path, self._world.new_id(), Content_Length=str(length), X_Deadline_Ms="60000"
+        )
+        lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+        self._sock.sendall(f"POST {path} HTTP/1.1\r\n{lines}\r\n".encode())
+
+    def send(self, body: bytes) -> None:
+        """Send bytes of a body."""
+        self._sock.sendall(body)
+
+    def read_status(self) -> int:
+        """Read one answer; return its status."""
+        answer = http.client.HTTPResponse(self._sock)
+        answer.begin()
+        answer.read()
+        return answer.status
+
+
 def _cut_off(world: PlatformWorld, reason: str) -> list[dict[str, Any]]:
     lines = world.running["entry-1"].logged("caller_cut_off")
     return [line for line in lines if line["reason"] == reason]
@@ -130,6 +167,44 @@
     assert world.send_unsafe().status == 200
 
 
+def test_callers_at_once_are_refused_and_none_is_cut_off(world: PlatformWorld) -> None:
+    # Guards against bodies that arrive together and fill the memory before they are counted.
+    _allow_large_bodies(world)
+    world.set_mode("mute")
+
+    def ask(_: int) -> bytes:
+        with SlowCaller(world, "/shop/buy/", _LARGE_BODY) as caller:
+            return caller.read_all()[0]
+
+    with ThreadPoolExecutor(_CALLERS_AT_ONCE) as pool:
+        answers = list(pool.map(ask, range(_CALLERS_AT_ONCE)))
+    assert {answer[:13] for answer in answers} == {b"HTTP/1.1 503 ", b"HTTP/1.1 504 "}
+    assert not world.running["entry-1"].logged("caller_cut_off")
+    assert _metric(world, "turmericweir_memory_peak_bytes") < 0.8 * _MEMORY_MB * 1_000_000
+
+
+def test_refused_before_its_body_and_served_next_on_the_same_connection(
+    world: PlatformWorld,
+) -> None:
+    # Guards against a body that was refused unread and is read as the next request.
+    _allow_large_bodies(world)
+    world.set_mode("mute")
+    with ExitStack() as stack:
+        for _ in range(_CALLERS):
+            stack.enter_context(SlowCaller(world, "/shop/buy/", _LARGE_BODY))
+        until(lambda: bool(_refused_for_memory(world)), "a request is refused for want of memory")
+        late = HeadCaller(world)
+        late.begin("/shop/buy/", len(_LARGE_BODY))
+        assert late.read_status() == 503
+    with late:
+        until(lambda: _metric(world, "turmericweir_memory_held_bytes") == 0, "nothing is held")
+        world.set_mode("")
+        late.send(_LARGE_BODY)
+        late.begin("/shop/buy/", 6)
+        late.send(b"prompt")
+        assert late.read_status() == 200
+
+
 def test_server_that_reads_nothing_holds_no_memory_beyond_its_request(world: PlatformWorld) -> None:
     # Guards against requests that are held for servers which never read them.
     _allow_large_bodies(world)
