Count, report and sum up shares of customers only where they are on

Each start and end of an attempt was charged to its customer, each instance whose requests waited sent its shares at each interval, the summing instance summed up all reports at each one that it received and answered it, and a request was held back here ("share") while customers that were served less were said to wait elsewhere.

What callers saw: processor time of all instances goes where requests wait, just when it is short, and free slots are held back for requests that others do not send.

Change: nothing is charged, reported, summed up or held back while it is off; what peers with it on send is ignored, which they treat like any instance that does not answer.

Conclusion: off costs a check of the option.

--- a/packages/turmericweir-core/turmericweir_core/placement/predicted_placement.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/predicted_placement.py
@@ -174,6 +174,8 @@
 
 def _must_leave_room(state: State, now: float, req: Request, engines: list[Server]) -> bool:
     """Return whether customers that were served less need the free slots at other instances."""
+    if not state.options.fair_share.is_enabled:
+        return False
     needed = fair_share.count_ahead(state, now, req)
     slots = sum(each.slots for each in engines)
     if slots >= state.options.fair_share.headroom_slots_min and fair_share.must_leave_headroom(
--- a/packages/turmericweir-core/turmericweir_core/queueing/fair_share.py
+++ b/packages/turmericweir-core/turmericweir_core/queueing/fair_share.py
@@ -70,7 +70,7 @@
 
 def note_started(state: State, now: float, req: Request, attempt_id: AttemptId) -> None:
     """Charge the predicted work of an attempt to its customer."""
-    if not req.customer:
+    if not req.customer or not state.options.fair_share.is_enabled:
         return
     key = key_of(req)
     prefill_ms = max(0.0, req.work_ms - req.slot_work_ms)
@@ -83,7 +83,7 @@
 
 def estimate_work(state: State, req: Request) -> None:
     """Take the work of a request without a prompt as that of others of its class."""
-    if not req.prompt_tokens:
+    if not req.prompt_tokens and state.options.fair_share.is_enabled:
         shares = state.fair_shares.classes.get(key_of(req))
         req.slot_work_ms = 0.0 if shares is None else shares.slot_ms
 
--- a/packages/turmericweir-core/turmericweir_core/queueing/fair_share_reports.py
+++ b/packages/turmericweir-core/turmericweir_core/queueing/fair_share_reports.py
@@ -40,6 +40,8 @@
 
 def on_tick(state: State, now: float) -> list[Effect]:
     """Send the shares of this instance if a report is due."""
+    if not state.options.fair_share.is_enabled:
+        return []
     if len(state.config.customers) < _CUSTOMERS_MIN or not state.fair_shares.classes:
         return []
     shares = state.fair_shares
@@ -105,6 +107,8 @@
 
 def on_report(state: State, now: float, sender: InstanceName, report: ShareReport) -> list[Effect]:
     """Keep a report, and answer its sender with the total of all others."""
+    if not state.options.fair_share.is_enabled:
+        return []
     state.fair_shares.reports[sender] = ReportedShares(now, report.classes, report.is_group)
     _take_totals(state, now, _sum_reports(state, now, state.me.name))
     member = membership.find_member(state, sender)
@@ -115,6 +119,8 @@
 
 def on_totals(state: State, now: float, sender: InstanceName, totals: ShareTotals) -> None:
     """Take the total of all other instances."""
+    if not state.options.fair_share.is_enabled:
+        return
     if sender == state.fair_shares.summed_by:
         state.fair_shares.asked_at = None
     _take_totals(state, now, totals.classes)
