Share the observed pace of engines among instances

Cause: engines of one service may prefill at different speeds (0.7, 0.7 and 1.7 on a deployment), and each instance learned an engine's pace from its own few prompts alone; one that starts knew nothing, and a prompt at an engine that had nearly stopped said nothing before its first token.

Change: load updates carry the observations since the last one, relays pass them on, and all count them as their own; overdue prompts count before their first token; who starts is told with the caches. Off by default, switched on by placement.shares_pace in the process file.

--- a/packages/turmericweir-core/turmericweir_core/base/options.py
+++ b/packages/turmericweir-core/turmericweir_core/base/options.py
@@ -11,6 +11,7 @@
 from turmericweir_core.base.cache_options import CacheOptions
 from turmericweir_core.base.fair_share_options import FairShareOptions
 from turmericweir_core.base.outlier_options import OutlierOptions
+from turmericweir_core.base.pace_options import PaceOptions
 from turmericweir_core.base.store_times import StoreTimes
 
 
@@ -29,6 +30,9 @@
     # --- cached beginnings of prompts ---
     cache: CacheOptions = field(default_factory=CacheOptions)
 
+    # --- pace of engines ---
+    pace: PaceOptions = field(default_factory=PaceOptions)
+
     # --- room shared by customers ---
     fair_share: FairShareOptions = field(default_factory=FairShareOptions)
 
--- a/packages/turmericweir-core/turmericweir_core/engines/cache_handover.py
+++ b/packages/turmericweir-core/turmericweir_core/engines/cache_handover.py
@@ -1,4 +1,4 @@
-"""Send a new instance what another one has recorded about the caches of the engines.
+"""Send a new instance what another one has recorded about the caches and the pace of engines.
 
 `load_updates` reports parts only when they are sent or prefilled, so a new instance lacks earlier
 ones and would have them prefilled again on other engines. It asks one live peer at a time until one
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING, Final
 
 from turmericweir_core.base.ids import InstanceName, ServerName
-from turmericweir_core.engines import engine_model
+from turmericweir_core.engines import engine_model, shared_pace
 from turmericweir_core.membership import membership
 from turmericweir_core.messages.effects import Effect, Log, SendPeer
 from turmericweir_core.messages.load_messages import CachesAsk, CachesSend, CachesServer
@@ -50,10 +50,11 @@
     """Send this instance's cache data to a peer that asks, if there is any."""
     peer = membership.find_member(state, sender)
     rows = _cache_rows(state)
-    if peer is None or not rows:
+    paces = shared_pace.estimate_rows(state)
+    if peer is None or not (rows or paces):
         # The peer asks another instance next; this one may be new as well.
         return []
-    return [SendPeer(peer.name, peer.peer_address, CachesSend(rows))]
+    return [SendPeer(peer.name, peer.peer_address, CachesSend(rows, paces))]
 
 
 def _cache_rows(state: State) -> list[CachesServer]:
@@ -72,6 +73,7 @@
     if state.handover.has_received_caches:
         return []
     state.handover.has_received_caches = True
+    shared_pace.record_estimates(state, message.paces)
     part_count = 0
     for row in message.servers:
         server = state.servers.by_name.get(ServerName(row.server))
--- a/packages/turmericweir-core/turmericweir_core/engines/engine_model.py
+++ b/packages/turmericweir-core/turmericweir_core/engines/engine_model.py
@@ -9,7 +9,8 @@
 - the prompts of this instance that it has not begun to answer, as work in milliseconds;
 - the load that other instances reported (`load_updates`), since all send to the same engines;
 - the parts of prompts that it was sent, least recently used first, within its memory;
-- its pace: the ratio of observed to predicted time of prompts that waited little for others.
+- its pace: the ratio of observed to predicted time of prompts that waited little for others
+  (`engine_pace`).
 
 `Options` has the figures of a reference engine; `engine_speed` corrects them for each service, and
 the pace for each server. All of it is an estimate: an error costs time, but never fails a request.
@@ -25,6 +26,7 @@
 from turmericweir_core.base.options import Options
 from turmericweir_core.base.request import Attempt, Request
 from turmericweir_core.base.tiers import scheduling_rank
+from turmericweir_core.engines import engine_pace
 from turmericweir_core.messages.load_messages import SentPart
 from turmericweir_core.state import engine_speed
 from turmericweir_core.state.engine_speed import EngineSpeed
@@ -42,14 +44,6 @@
 
 # Validity of a peer's load report; reports are renewed every half second.
 PEER_LOAD_VALID_S: Final = 1.6
-# Bounds of the pace, and the weight of the newest observation.
-_PACE_MIN: Final = 0.4
-_PACE_MAX: Final = 6.0
-_PACE_WEIGHT: Final = 0.2
-# Observations change the pace only where the request's work dominates the prediction, and is long
-# compared to the network time.
-_PACE_OWN_SHARE: Final = 0.6
-_PACE_MIN_MS: Final = 40.0
 # Share of an engine's memory that the cache may fill beside running requests.
 _CACHE_SHARE: Final = 0.9
 _MS: Final = 1000.0
@@ -360,6 +354,7 @@
         reference_ms,
         nominal_fetch_ms(server, fetch) if fetch is not None and not wait_ms else None,
         prefill_only_ms + first_ms,
+        record.pace,
     )
     prefill_until = (
         now + _PREFILL_TIMEOUT_FACTOR * predicted_first_token_ms / _MS + _PREFILL_TIMEOUT_MARGIN_S
@@ -438,18 +433,21 @@
     if prefill.reference_ms is not None:
         took_ms = (now - prefill.sent_at) * _MS
         engine_speed.update_speed(
-            speed_of(state, req.target), prefill.reference_ms * record.pace, took_ms
+            speed_of(state, req.target),
+            prefill.reference_ms * record.pace,
+            took_ms,
+            # Shared paces are relative to the reference engine.
+            fits_factor=not state.options.pace.is_shared,
         )
     if prefill.nominal_fetch_ms is not None:
         fetch_took_ms = max(0.0, (now - prefill.sent_at) * _MS - prefill.rest_ms)
         engine_speed.update_speed(
             fetch_speed_of(state, req.target), prefill.nominal_fetch_ms, fetch_took_ms
         )
-    own_share = prefill.work_ms / max(1.0, prefill.predicted_ms)
-    if own_share < _PACE_OWN_SHARE or prefill.work_ms < _PACE_MIN_MS:
-        return
-    observed_pace = (now - prefill.sent_at) * _MS / prefill.predicted_ms * record.pace
-    record.pace += _PACE_WEIGHT * (min(_PACE_MAX, max(_PACE_MIN, observed_pace)) - record.pace)
+    if server is not None and engine_pace.shows_pace(prefill):
+        predicted_pace = prefill.pace if state.options.pace.is_shared else record.pace
+        observed_pace = (now - prefill.sent_at) * _MS / prefill.predicted_ms * predicted_pace
+        engine_pace.observe(state, server, record, observed_pace)
 
 
 def record_ended(state: State, attempt: Attempt) -> None:
@@ -472,5 +470,6 @@
     record.prefilling_until.clear()
     record.cached_tokens = 0
     record.pace = 1.0
+    record.pace_count = 0
     record.load_version += 1
     record.peers.clear()
--- a/packages/turmericweir-core/turmericweir_core/engines/load_relay.py
+++ b/packages/turmericweir-core/turmericweir_core/engines/load_relay.py
@@ -55,8 +55,9 @@
 # relay again.
 _RELAY_TIMEOUT_S: Final = 0.7
 _RELAY_RETRY_AFTER_S: Final = 4.0
-# Parts in one bundle; older ones are left out.
+# Parts and observed paces in one bundle; older ones are left out.
 _PARTS_PER_BUNDLE_MAX: Final = 120
+_PACES_PER_BUNDLE_MAX: Final = 24
 # Prompts of one server in a sum; the others are left out.
 _PREFILLS_PER_SERVER_MAX: Final = 32
 _MS: Final = 1000.0
@@ -136,6 +137,7 @@
     relay_state.group_members[sender] = (peer.peer_address, now)
     # Bounded, because an instance that others wrongly take for a relay never passes parts on.
     relay_state.parts = [*relay_state.parts, *update.parts][-_PARTS_PER_BUNDLE_MAX:]
+    relay_state.paces = [*relay_state.paces, *update.paces][-_PACES_PER_BUNDLE_MAX:]
     _gather(state, now, sender, update)
 
 
@@ -158,10 +160,17 @@
 def _merge(older: LoadNews, newer: LoadNews) -> LoadNews:
     """Merge two updates of one origin."""
     parts = [*older.parts, *newer.parts][-_PARTS_PER_BUNDLE_MAX:]
+    paces = [*older.paces, *newer.paces][-_PACES_PER_BUNDLE_MAX:]
     if newer.is_complete:
-        return replace(newer, parts=parts)
+        return replace(newer, parts=parts, paces=paces)
     rows = {each.server: each for each in (*older.rows, *newer.rows)}
-    return replace(newer, rows=list(rows.values()), parts=parts, is_complete=older.is_complete)
+    return replace(
+        newer,
+        rows=list(rows.values()),
+        parts=parts,
+        is_complete=older.is_complete,
+        paces=paces,
+    )
 
 
 def send_gathered(state: State, now: float, build: UpdateBuilder) -> list[Effect]:
@@ -173,7 +182,8 @@
     effects = _drop_unresponsive(state, now)
     own_update = build(state, now)
     sum_update = _sum_group(state, now, own_update)
-    has_changes = bool(sum_update.update.rows or sum_update.update.parts)
+    summed = sum_update.update
+    has_changes = bool(summed.rows or summed.parts or summed.paces)
     is_bundle_due = now >= relay_state.next_bundle_at
     if has_changes or (now >= relay_state.next_sum_at and relay_state.rows):
         relay_state.next_sum_at = now + _BUNDLE_INTERVAL_MAX_S
@@ -233,12 +243,14 @@
     relay_state.seq += 1
     parts = [*relay_state.parts, *own_update.parts][-_PARTS_PER_BUNDLE_MAX:]
     relay_state.parts.clear()
+    paces = [*relay_state.paces, *own_update.paces][-_PACES_PER_BUNDLE_MAX:]
+    relay_state.paces.clear()
     demand = _sum_demand(state, now, own_update.demand)
     outliers = sum_rows(
         state.outliers, state.options.outlier, own_update.outliers, now, relay_state.group_members
     )
     update = LoadNews(
-        state.me.incarnation, relay_state.seq, rows, parts, demand, is_complete, outliers
+        state.me.incarnation, relay_state.seq, rows, parts, demand, is_complete, outliers, paces
     )
     return BundledNews(state.me.name + _SUM_SUFFIX, update, 0)
 
--- a/packages/turmericweir-core/turmericweir_core/engines/load_updates.py
+++ b/packages/turmericweir-core/turmericweir_core/engines/load_updates.py
@@ -15,7 +15,7 @@
 
 from turmericweir_core.base.config import PlacementPolicy
 from turmericweir_core.base.ids import InstanceName, ServerName
-from turmericweir_core.engines import engine_model, engine_pools, load_relay
+from turmericweir_core.engines import engine_model, engine_pools, load_relay, shared_pace
 from turmericweir_core.messages.effects import Effect, SendDatagram
 from turmericweir_core.messages.load_messages import LoadBundle, LoadNews, LoadRow
 from turmericweir_core.state.engine_state import EngineInfo, PeerLoad, PendingPrompt, ReceiptTime
@@ -99,6 +99,7 @@
         parts[-_PARTS_PER_UPDATE_MAX:],
         demand,
         outliers=outliers,
+        paces=shared_pace.take_rows(state),
     )
 
 
@@ -152,6 +153,7 @@
     record_rows(state.outliers, state.servers, now, origin, update.outliers)
     _record_rows(state, now - delay_ms / _MS, origin, origin_state, update)
     _record_parts(state, now, update)
+    shared_pace.record_rows(state, update.paces)
     return True
 
 
--- a/packages/turmericweir-core/turmericweir_core/messages/load_messages.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/load_messages.py
@@ -5,6 +5,7 @@
 from msgspec import Struct
 
 from turmericweir_core.messages.outlier_messages import OutlierRow
+from turmericweir_core.messages.pace_messages import PaceRow
 
 
 class LoadRow(Struct, frozen=True, array_like=True):
@@ -65,6 +66,8 @@
     is_complete: bool = True
     # Servers that fail requests of the sender.
     outliers: list[OutlierRow] = []
+    # Prefill times that the sender observed since its last update.
+    paces: list[PaceRow] = []
 
 
 class BundledNews(Struct, frozen=True, array_like=True):
@@ -97,3 +100,5 @@
     """The sender's knowledge of the engines' caches."""
 
     servers: list[CachesServer]
+    # Its estimates of the engines' pace.
+    paces: list[PaceRow] = []
--- a/packages/turmericweir-core/turmericweir_core/reducers/reducer_store.py
+++ b/packages/turmericweir-core/turmericweir_core/reducers/reducer_store.py
@@ -10,7 +10,7 @@
 
 from typing import assert_never
 
-from turmericweir_core.engines import cache_handover, load_updates
+from turmericweir_core.engines import cache_handover, load_updates, shared_pace
 from turmericweir_core.membership import leaving
 from turmericweir_core.messages.effects import Effect
 from turmericweir_core.messages.events import (
@@ -166,5 +166,6 @@
     effects += document.on_tick(state, now)
     effects += cache_handover.on_tick(state, now)
     load_updates.forget_stale_origins(state, now)
+    shared_pace.on_tick(state, now)
     effects += tick_others(state, now)
     return effects + exit_when_done(state, now, flushed=True)
--- a/packages/turmericweir-core/turmericweir_core/state/engine_speed.py
+++ b/packages/turmericweir-core/turmericweir_core/state/engine_speed.py
@@ -65,7 +65,9 @@
     return speed
 
 
-def update_speed(speed: EngineSpeed, work_ms: float, took_ms: float) -> None:
+def update_speed(
+    speed: EngineSpeed, work_ms: float, took_ms: float, *, fits_factor: bool = True
+) -> None:
     """Update the line with a request to an engine that had nothing else to prefill."""
     expected_ms = speed.first_ms + speed.factor * work_ms
     took_ms = min(took_ms, _MAX_RATIO * expected_ms)
@@ -73,7 +75,7 @@
     _add_sample(speed, work_ms, took_ms, 1.0)
     mean_work, mean_took = speed.work / speed.weight, speed.took / speed.weight
     variance = speed.work_work / speed.weight - mean_work**2
-    if variance >= _VARIANCE_MIN_MS2:
+    if fits_factor and variance >= _VARIANCE_MIN_MS2:
         slope = (speed.work_took / speed.weight - mean_work * mean_took) / variance
         speed.factor = min(_FACTOR_MAX, max(_FACTOR_MIN, slope))
     speed.first_ms = max(0.0, mean_took - speed.factor * mean_work)
--- a/packages/turmericweir-core/turmericweir_core/state/engine_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/engine_state.py
@@ -36,6 +36,9 @@
     # fetched, or if the engine had other prompts to prefill.
     nominal_fetch_ms: float | None = None
     rest_ms: float = 0.0
+    # The engine's pace in the prediction, and the overdue ratio that was counted last.
+    pace: float = 1.0
+    counted_ratio: float = 0.0
 
 
 class CachedPart(Struct, frozen=True):
@@ -95,6 +98,8 @@
     # assumed. They are not in its cache yet.
     prefilling_until: dict[str, float] = field(default_factory=dict)
     pace: float = 1.0
+    # Observations of the pace, of other instances too; counted only where they are shared.
+    pace_count: int = 0
     # When the engine began the prefill of the prompts that wait for it now.
     prefilling_since: float = 0.0
     # Number of changes of the load, except in the length of this instance's running answers.
--- a/packages/turmericweir-core/turmericweir_core/state/load_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/load_state.py
@@ -6,6 +6,7 @@
 
 from turmericweir_core.base.ids import InstanceName, ServerName
 from turmericweir_core.messages.load_messages import LoadNews, LoadRow, SentPart
+from turmericweir_core.messages.pace_messages import PaceRow
 from turmericweir_core.state.engine_state import ReceiptTime
 from turmericweir_core.state.membership_state import Member
 
@@ -46,6 +47,8 @@
     newest_updates: dict[InstanceName, tuple[float, LoadNews]] = field(default_factory=dict)
     # Prompt parts that they have sent or that were prefilled.
     parts: list[SentPart] = field(default_factory=list)
+    # Prefill times that they have observed.
+    paces: list[PaceRow] = field(default_factory=list)
     # Counter of the combined updates, and the rows of the newest one, by server.
     seq: int = 0
     rows: dict[ServerName, LoadRow] = field(default_factory=dict)
--- a/packages/turmericweir-core/turmericweir_core/state/state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/state.py
@@ -36,6 +36,7 @@
 from turmericweir_core.state.model_state import ModelState
 from turmericweir_core.state.outlier_state import OutlierState
 from turmericweir_core.state.overdue_state import OverdueState
+from turmericweir_core.state.pace_state import PaceState
 from turmericweir_core.state.path_state import PathState
 from turmericweir_core.state.pool_load import PoolLoads
 from turmericweir_core.state.pool_state import PoolState
@@ -117,6 +118,8 @@
     reliability: ReliabilityState = field(default_factory=ReliabilityState)
     # Servers that are ejected because they fail more requests than others.
     outliers: OutlierState = field(default_factory=OutlierState)
+    # --- pace of engines ---
+    paces: PaceState = field(default_factory=PaceState)
     stragglers: StragglerState = field(default_factory=StragglerState)
     overdue: OverdueState = field(default_factory=OverdueState)
     # Work served for customers of one class that compete for room.
--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -53,6 +53,7 @@
 from turmericweir_core.base.incarnation import RANDOM_DIGITS, make_incarnation
 from turmericweir_core.base.options import Options
 from turmericweir_core.base.outlier_options import OutlierOptions
+from turmericweir_core.base.pace_options import PaceOptions
 from turmericweir_core.base.store_times import derive_store_times
 from turmericweir_core.messages.events import SeedsGiven, WallClockRead
 from turmericweir_core.reducers import reducer_store
@@ -175,6 +176,7 @@
         cache=CacheOptions(weighs_waits=cfg.placement.weighs_waits),
         fair_share=FairShareOptions(is_enabled=cfg.placement.shares_room),
         outlier=OutlierOptions(is_enabled=cfg.placement.ejects_servers),
+        pace=PaceOptions(is_shared=cfg.placement.shares_pace),
         store=derive_store_times(bounds.settings_ms / 1000.0, bounds.drain_ms / 1000.0),
         stop_grace_s=min(_STOP_GRACE_S, bounds.grace_s / 3),
         stop_limit_s=bounds.grace_s - _STOP_MARGIN_S,
--- a/packages/turmericweir/turmericweir/process/entry_settings.py
+++ b/packages/turmericweir/turmericweir/process/entry_settings.py
@@ -102,6 +102,8 @@
     shares_room: bool = False
     # Whether servers that fail more requests than the others of their service are ejected.
     ejects_servers: bool = False
+    # Whether instances tell each other how fast they saw each engine read prompts.
+    shares_pace: bool = False
 
 
 class EntrySettings(msgspec.Struct, frozen=True, kw_only=True):
