Let late requests give way to those that can be in time, and refuse early what no room comes for

Load: a burst of long prompts beside more urgent requests, more than the engines can do.

Cause: within a class the requests that could still meet their target went first come first served, by 0.9 of the target, and each then waited at its engine as well; so most were sent at the last moment and were late. What waited at other instances was not known, and a request was refused by its deadline alone.

Change: with placement.refuses_late (off by default) a request that would begin at no engine within its target goes behind those that can, and only to an engine where it begins almost at once; it is kept while room comes for it before its deadline, and refused otherwise, on arrival or at a tick, never before a less urgent one. Work that waits is told in the load updates.

--- a/packages/turmericweir-core/turmericweir_core/base/options.py
+++ b/packages/turmericweir-core/turmericweir_core/base/options.py
@@ -10,6 +10,7 @@
 
 from turmericweir_core.base.cache_options import CacheOptions
 from turmericweir_core.base.fair_share_options import FairShareOptions
+from turmericweir_core.base.late_options import LateOptions
 from turmericweir_core.base.outlier_options import OutlierOptions
 from turmericweir_core.base.store_times import StoreTimes
 
@@ -32,6 +33,9 @@
     # --- room shared by customers ---
     fair_share: FairShareOptions = field(default_factory=FairShareOptions)
 
+    # --- requests that cannot be in time ---
+    late: LateOptions = field(default_factory=LateOptions)
+
     # --- accounts ---
     # Retention time and maximum number of accounts for `GET /v1/requests/{id}`.
     account_keep_s: float = 600.0
--- a/packages/turmericweir-core/turmericweir_core/engines/engine_pools.py
+++ b/packages/turmericweir-core/turmericweir_core/engines/engine_pools.py
@@ -37,7 +37,7 @@
 from turmericweir_core.engines import engine_model, urgent_demand
 from turmericweir_core.membership.subset import rendezvous_weight
 from turmericweir_core.messages.load_messages import DemandRow
-from turmericweir_core.queueing import urgent_first
+from turmericweir_core.queueing import urgent_first, waiting_reports
 from turmericweir_core.state.pool_state import EngineDemand, EngineSplit, ReportedDemand
 from turmericweir_core.state.server_table import Server
 
@@ -191,6 +191,7 @@
             round(demand.short_prompt_ms / _DEMAND_WINDOW_S),
             urgent_first.overdue_rows(state, now, target, long_predicate(state, target)),
             round(demand.medium_prompt_ms / _DEMAND_WINDOW_S),
+            waiting_reports.own_rows(state, target, long_predicate(state, target)),
         )
         rows.append(row)
     return rows
@@ -206,6 +207,7 @@
             now, row.long_prompt_ms_s, row.short_prompt_ms_s, row.medium_prompt_ms_s
         )
         urgent_first.record_overdue(state, now, sender, Target(row.target), row.overdue)
+        waiting_reports.record(state, now, sender, Target(row.target), row.waiting)
 
 
 def engines_for(state: State, now: float, req: Request, engines: list[Server]) -> list[Server]:
@@ -223,6 +225,16 @@
             return pools.decode or engines
 
 
+def engines_by_tolerance(
+    state: State, now: float, target: Target, engines: list[Server], *, is_long: bool
+) -> list[Server]:
+    """Return the engines for all requests that tolerate long prompts, or for all others."""
+    if len(engines) < 2:
+        return engines
+    pools = _split_engines(state, now, target, engines)
+    return (pools.prefill if is_long else [*pools.medium, *pools.decode]) or engines
+
+
 def spill_engines(state: State, now: float, req: Request, engines: list[Server]) -> list[Server]:
     """Return the engines of other kinds, for a request without room on the engines of its kind.
 
@@ -448,6 +460,20 @@
     return urgent_ms_s >= _FULL_SHARE * _MS * len(engines)
 
 
+def demand_up_to_ms_s(
+    state: State, now: float, target: Target, rank: int, *, is_long: bool
+) -> float:
+    """Return the demand of requests of a kind that are as urgent as a rank, or more urgent."""
+    demand = _total_demand(state, now, target)
+    demand_ms_s = {PromptKind.LONG.value: demand.long_prompt_ms}
+    if not is_long:
+        demand_ms_s = {
+            PromptKind.MEDIUM.value: demand.medium_prompt_ms,
+            PromptKind.SHORT.value: demand.short_prompt_ms,
+        }
+    return urgent_demand.more_urgent_ms_s(state, target, rank + 1, demand_ms_s)
+
+
 def demand_ms_per_s(state: State, now: float, service: str) -> float:
     """Return the demand for a service's engines, in milliseconds of work per second."""
     total_ms_per_s = 0.0
--- a/packages/turmericweir-core/turmericweir_core/engines/load_relay.py
+++ b/packages/turmericweir-core/turmericweir_core/engines/load_relay.py
@@ -29,7 +29,7 @@
     LoadNews,
     LoadRow,
 )
-from turmericweir_core.queueing import urgent_first
+from turmericweir_core.queueing import urgent_first, waiting_reports
 from turmericweir_core.state.engine_state import EngineInfo, PendingPrompt
 from turmericweir_core.state.load_state import RelayPlan
 from turmericweir_core.state.membership_state import Member
@@ -292,5 +292,8 @@
             own_row.short_prompt_ms_s + round(sum(each.short_prompt_ms for each in group_demand)),
             urgent_first.sum_rows(overdue),
             own_row.medium_prompt_ms_s + round(sum(each.medium_prompt_ms for each in group_demand)),
+            waiting_reports.sum_rows(
+                [*own_row.waiting, *waiting_reports.reported_rows(state, now, target, group)]
+            ),
         )
     return list(rows_by_target.values())
--- a/packages/turmericweir-core/turmericweir_core/engines/load_updates.py
+++ b/packages/turmericweir-core/turmericweir_core/engines/load_updates.py
@@ -61,7 +61,8 @@
     )
     update = _build_update(state, now)
     # An empty update is sent once more, in case the first one is lost.
-    update_state.needs_renewal = bool(update.rows) or (
+    waits = any(row.waiting for row in update.demand)
+    update_state.needs_renewal = bool(update.rows or waits) or (
         update_state.needs_renewal and not is_renewal_due
     )
     return [SendDatagram(each.name, each.peer_address, update) for each in plan.direct_peers]
--- a/packages/turmericweir-core/turmericweir_core/messages/load_messages.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/load_messages.py
@@ -40,6 +40,17 @@
     count: int
 
 
+class WaitingRow(Struct, frozen=True, array_like=True):
+    """Work of the waiting requests of one rank and kind, milliseconds of an engine."""
+
+    rank: int
+    # As in `OverdueRow`.
+    is_long: bool
+    # Of requests that can still be in time, and of those that cannot.
+    in_time_ms: int
+    late_ms: int
+
+
 class DemandRow(Struct, frozen=True, array_like=True):
     """Work that the sender sends to a service, milliseconds per second."""
 
@@ -50,6 +61,8 @@
     overdue: list[OverdueRow] = []
     # Work of medium prompts: they tolerate no long prompts beside them, and delay shorter ones.
     medium_prompt_ms_s: int = 0
+    # Told only where late requests give way to others.
+    waiting: list[WaitingRow] = []
 
 
 class LoadNews(Struct, frozen=True, array_like=True):
--- a/packages/turmericweir-core/turmericweir_core/placement/admission.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/admission.py
@@ -19,7 +19,12 @@
 from turmericweir_core.membership import limit_loans
 from turmericweir_core.membership.subset import open_servers, pause_left_s
 from turmericweir_core.messages.effects import Effect
-from turmericweir_core.placement import displacement, fair_admission, predicted_admission
+from turmericweir_core.placement import (
+    displacement,
+    fair_admission,
+    late_refusal,
+    predicted_admission,
+)
 from turmericweir_core.placement.placement import idle_slots_share
 from turmericweir_core.queueing import fair_share, urgent_first
 from turmericweir_core.state import queue_state
@@ -82,6 +87,11 @@
     fair_wait = fair_admission.predict(state, now, req, max(1, engines))
     if fair_wait is not None:
         return _decide_by_share(state, now, req, pool, fair_wait)
+    late = late_refusal.refusal_of_new(state, now, req)
+    if late is not None:
+        is_long = engine_pools.long_predicate(state, req.target)(req.service_class)
+        urgent_first.note_refused(state, now, req, is_long=is_long)
+        return Refused(late.retry_after_s, late.details, [late_refusal.count(req)])
     wait_s = predicted_admission.wait_s(state, now, req, pool)
     if predicted_admission.can_answer_in_time(state, now, req, wait_s) and not _is_queue_full(
         state, req
@@ -185,6 +195,8 @@
 
     request: Request
     retry_after_s: float
+    # For the log.
+    details: dict[str, object] = field(default_factory=dict)
 
 
 def unservable_requests(state: State, now: float, pool: str) -> list[UnservableRequest]:
@@ -196,7 +208,7 @@
     load = pool_load(state.pool_loads, pool)
     unservable: list[UnservableRequest] = []
     if state.config.policy is PlacementPolicy.PREDICTED:
-        return _paused_past_deadline(state, now, pool)
+        return _paused_past_deadline(state, now, pool) + _late_past_deadline(state, now, pool)
     for queue in queue_state.pool_queues(state.queues, pool):
         rate = (
             drain_rate(load, idle_slots_share(state, now, queue.target))
@@ -233,6 +245,19 @@
     return unservable
 
 
+def _late_past_deadline(state: State, now: float, pool: str) -> list[UnservableRequest]:
+    """Return the waiting requests that are late and will expire behind those in time."""
+    unservable: list[UnservableRequest] = []
+    for late in late_refusal.refusals_of_waiting(state, now, pool):
+        req = late.request
+        if pause_left_s(state, now, req.target) is not None:
+            continue
+        is_long = engine_pools.long_predicate(state, req.target)(req.service_class)
+        urgent_first.note_refused(state, now, req, is_long=is_long)
+        unservable.append(UnservableRequest(req, late.retry_after_s, late.details))
+    return unservable
+
+
 def _drain_time_s(
     state: State, req: Request, upper_arrival_rate: float, work_ahead: float, rate: float
 ) -> float:
--- a/packages/turmericweir-core/turmericweir_core/placement/dispatch.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/dispatch.py
@@ -20,7 +20,12 @@
 from turmericweir_core.membership import announced_limits, subset
 from turmericweir_core.messages.credit_messages import CreditDemand, CreditGrant
 from turmericweir_core.messages.effects import CancelAttempt, Effect, Log, StartAttempt
-from turmericweir_core.placement import attempt_accounting, displacement, predicted_placement
+from turmericweir_core.placement import (
+    attempt_accounting,
+    displacement,
+    late_refusal,
+    predicted_placement,
+)
 from turmericweir_core.placement.placement import pick_server
 from turmericweir_core.queueing import fair_share
 from turmericweir_core.state import queue_state
@@ -77,6 +82,7 @@
     effects: list[Effect] = []
     for pool, targets in state.queues.pools.items():
         if targets and queue_state.has_waiting(state.queues, pool):
+            late_refusal.mark_late(state, now, pool)
             effects += dispatch(state, now, targets[0])
     return effects
 
--- a/packages/turmericweir-core/turmericweir_core/placement/predicted_placement.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/predicted_placement.py
@@ -28,7 +28,7 @@
 from turmericweir_core.placement import cache_tradeoff
 from turmericweir_core.placement.cache_tradeoff import Offer
 from turmericweir_core.queueing import fair_share, urgent_first
-from turmericweir_core.state import straggler
+from turmericweir_core.state import queue_state, straggler
 from turmericweir_core.state.reliability import excess_failures
 from turmericweir_core.state.server_table import Server
 from turmericweir_core.streams.stream_servers import open_servers_for
@@ -367,6 +367,9 @@
     which may wait longer, from taking every place at a busy engine until decode requests expire.
     """
     limit_s = state.options.engine_wait_share * req.service_class.target_s
+    if state.options.late.is_enabled and queue_state.is_overdue(state.queues, req):
+        # In-time requests that come later would wait behind it there.
+        return state.options.spare_wait_share * req.service_class.target_s
     if engine_pools.tolerates_long_prompts(state, req.service_class, server.service):
         return limit_s
     return limit_s + now - req.arrived_at
@@ -426,12 +429,12 @@
     return fields
 
 
-def shortest_wait_ms(state: State, now: float, candidates: list[Server]) -> float:
+def shortest_wait_ms(
+    state: State, now: float, candidates: list[Server], rank: int = _LAST_RANK
+) -> float:
     """Return the shortest wait at any engine in milliseconds; 0.0 where there is none."""
     records = (engine_model.engine_info_of(state, server.entry.name) for server in candidates)
-    return min(
-        (engine_model.waiting_ms(record, now, _LAST_RANK) for record in records), default=0.0
-    )
+    return min((engine_model.waiting_ms(record, now, rank) for record in records), default=0.0)
 
 
 # --- plain services --------------------------------------------------------------------------
--- a/packages/turmericweir-core/turmericweir_core/requests/lifecycle.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/lifecycle.py
@@ -28,7 +28,7 @@
     Timing,
 )
 from turmericweir_core.messages.events import CallerLeft, RequestArrived, ServerReport
-from turmericweir_core.placement import admission
+from turmericweir_core.placement import admission, late_refusal
 from turmericweir_core.placement.dispatch import (
     cancel,
     dispatch,
@@ -288,6 +288,9 @@
         while unservable := admission.unservable_requests(state, now, pool):
             for entry in unservable:
                 queue_state.remove(state.queues, entry.request)
+                if entry.details:
+                    fields = {"request_id": entry.request.request_id, **entry.details}
+                    effects += [Log("refused_late", fields), late_refusal.count(entry.request)]
                 effects += finish(
                     state,
                     now,
--- a/packages/turmericweir-core/turmericweir_core/state/queue_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/queue_state.py
@@ -56,6 +56,9 @@
     # Total cost of the waiting requests, and of the overdue ones among them.
     work: float = 0.0
     overdue_work: float = 0.0
+    # Their work on an engine, milliseconds.
+    work_ms: float = 0.0
+    overdue_work_ms: float = 0.0
     # Work that the overdue requests have earned as a share of the work served for their class.
     overdue_earned: float = 0.0
     # Work that this class has earned but not used yet, in the unit of `cost`.
@@ -198,6 +201,7 @@
     ids.on_time[req.request_id] = None
     ids.work_ms += req.work_ms
     queue.work += req.queued_cost
+    queue.work_ms += req.work_ms
     queues.index[req.request_id] = queue
     heappush(queues.deadlines, (req.deadline, req.request_id))
     if req.first_token_at is None:
@@ -235,10 +239,13 @@
         del queue.customers[req.customer]
     if queue.overdue_requests.pop(req.request_id, None) is not None:
         queue.overdue_work = queue.overdue_work - req.queued_cost if queue.overdue_requests else 0.0
+        overdue_ms = queue.overdue_work_ms - req.work_ms
+        queue.overdue_work_ms = overdue_ms if queue.overdue_requests else 0.0
     else:
         del queue.on_time[req.request_id]
     # Zero if empty, so that rounding errors do not accumulate.
     queue.work = queue.work - req.queued_cost if len(queue) else 0.0
+    queue.work_ms = queue.work_ms - req.work_ms if len(queue) else 0.0
 
 
 def move_overdue(queues: QueueState, now: float) -> None:
@@ -252,12 +259,25 @@
         queue = queues.index.get(request_id)
         if queue is None or request_id not in queue.on_time:
             continue
-        req = queue.on_time.pop(request_id)
-        queue.overdue_requests[request_id] = req
-        ids = queue.customers[req.customer]
-        del ids.on_time[request_id]
-        ids.overdue[request_id] = None
-        queue.overdue_work += req.queued_cost
+        mark_overdue(queues, queue.on_time[request_id])
+
+
+def mark_overdue(queues: QueueState, req: Request) -> None:
+    """Move a waiting request behind those that can still meet their target."""
+    queue = queues.index[req.request_id]
+    del queue.on_time[req.request_id]
+    queue.overdue_requests[req.request_id] = req
+    ids = queue.customers[req.customer]
+    del ids.on_time[req.request_id]
+    ids.overdue[req.request_id] = None
+    queue.overdue_work += req.queued_cost
+    queue.overdue_work_ms += req.work_ms
+
+
+def is_overdue(queues: QueueState, req: Request) -> bool:
+    """Return whether a request waits among those that can no longer meet their target."""
+    queue = queues.index.get(req.request_id)
+    return queue is not None and req.request_id in queue.overdue_requests
 
 
 def waiting_count(queues: QueueState, target: Target, class_name: str) -> int:
--- a/packages/turmericweir-core/turmericweir_core/state/state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/state.py
@@ -54,6 +54,7 @@
 
 if TYPE_CHECKING:
     from turmericweir_core.state.settings_sync import SettingsSync
+from turmericweir_core.state.waiting_state import WaitingState
 
 
 def _new_settings_sync() -> SettingsSync:
@@ -119,6 +120,8 @@
     outliers: OutlierState = field(default_factory=OutlierState)
     stragglers: StragglerState = field(default_factory=StragglerState)
     overdue: OverdueState = field(default_factory=OverdueState)
+    # What waits at the other instances.
+    waiting: WaitingState = field(default_factory=WaitingState)
     # Work served for customers of one class that compete for room.
     fair_shares: FairShareState = field(default_factory=FairShareState)
     # Limits on the requests per second that servers announced.
--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -51,6 +51,7 @@
 from turmericweir_core.base.fair_share_options import FairShareOptions
 from turmericweir_core.base.ids import InstanceName
 from turmericweir_core.base.incarnation import RANDOM_DIGITS, make_incarnation
+from turmericweir_core.base.late_options import LateOptions
 from turmericweir_core.base.options import Options
 from turmericweir_core.base.outlier_options import OutlierOptions
 from turmericweir_core.base.store_times import derive_store_times
@@ -173,6 +174,7 @@
     return Options(
         tick_s=0.05,
         cache=CacheOptions(weighs_waits=cfg.placement.weighs_waits),
+        late=LateOptions(is_enabled=cfg.placement.refuses_late),
         fair_share=FairShareOptions(is_enabled=cfg.placement.shares_room),
         outlier=OutlierOptions(is_enabled=cfg.placement.ejects_servers),
         store=derive_store_times(bounds.settings_ms / 1000.0, bounds.drain_ms / 1000.0),
--- a/packages/turmericweir/turmericweir/process/entry_settings.py
+++ b/packages/turmericweir/turmericweir/process/entry_settings.py
@@ -100,6 +100,9 @@
     weighs_waits: bool = False
     # Whether customers share the room of a class that has too little, by the work served for each.
     shares_room: bool = False
+    # Whether requests that cannot be in time give way to those that can, and are refused early if
+    # no room comes for them before their deadline.
+    refuses_late: bool = False
     # Whether servers that fail more requests than the others of their service are ejected.
     ejects_servers: bool = False
 
