--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -51,6 +51,7 @@
 from turmericweir_core.base.fair_share_options import FairShareOptions
 from turmericweir_core.base.ids import InstanceName
 from turmericweir_core.base.incarnation import RANDOM_DIGITS, make_incarnation
+from turmericweir_core.base.late_options import LateOptions
 from turmericweir_core.base.options import Options
 from turmericweir_core.base.outlier_options import OutlierOptions
 from turmericweir_core.base.pace_options import PaceOptions
@@ -174,6 +175,7 @@
     return Options(
         tick_s=0.05,
         cache=CacheOptions(weighs_waits=cfg.placement.weighs_waits),
+        late=LateOptions(is_enabled=cfg.placement.refuses_late),
         fair_share=FairShareOptions(is_enabled=cfg.placement.shares_room),
         outlier=OutlierOptions(is_enabled=cfg.placement.ejects_servers),
         pace=PaceOptions(is_shared=cfg.placement.shares_pace),
