Open a connection for a carried stream that must not be repeated

Cause: where an instance reaches a server by way of a peer, it learns one hop later that the server has closed a connection. A stream that must not be repeated was sent on a connection that had been idle for less than a second, and the server had closed it after the answer before. The instance then cannot know that nothing ran, so the caller got 502, which is true of what it knows; the server never saw the request. Plain requests that must not be repeated open a connection already.

The new reducer test fails on the code before.

--- a/packages/turmericweir-core/turmericweir_core/placement/dispatch.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/dispatch.py
@@ -188,7 +188,8 @@
             address=server.entry.address,
             priority=_scheduling_rank(req, attempt),
             resume_from=req.delivered if req.kind is ServiceKind.MODEL else 0,
-            needs_new_connection=req.had_unresponsive_attempt or _needs_fresh_connection(req),
+            needs_new_connection=req.had_unresponsive_attempt
+            or _needs_fresh_connection(req, attempt),
             needs_verified_connection=not req.repeatable,
             fetch_from_address=fetch_from,
             via=attempt.via,
@@ -197,13 +198,14 @@
     ]
 
 
-def _needs_fresh_connection(req: Request) -> bool:
+def _needs_fresh_connection(req: Request, attempt: Attempt) -> bool:
     """Return whether a request needs a connection that has carried no request before.
 
     Prevents the loss of a non-repeatable plain call on a dead connection, after which its caller
-    cannot learn whether it ran.
+    cannot learn whether it ran. By way of a peer this holds for streams too, as the end of a
+    connection that the server has closed arrives later.
     """
-    return req.kind is ServiceKind.PLAIN and not req.repeatable
+    return not req.repeatable and (req.kind is ServiceKind.PLAIN or attempt.via != DIRECT)
 
 
 def _scheduling_rank(req: Request, attempt: Attempt) -> int:
--- a/tests/core/trust/test_server_paths.py
+++ b/tests/core/trust/test_server_paths.py
@@ -7,7 +7,10 @@
 import pytest
 
 from tests.core.path_network import PathNetwork
+from tests.core.store_world import StoreWorld, start_of
 from turmericweir_core.base.ids import DIRECT, InstanceName, ServerName
+from turmericweir_core.messages.events import ServerUnreachable
+from turmericweir_core.messages.server_messages import PathsSend
 
 ONE = InstanceName("i-000")
 
@@ -160,3 +163,20 @@
     network.wait(1.5)
     assert network.usable_servers(ONE) == network.servers
     assert network.send(ONE, ServerName(network.servers[0])) == DIRECT
+
+
+@pytest.mark.parametrize("repeatable", [True, False])
+@pytest.mark.parametrize("is_cut", [True, False])
+def test_carried_stream_that_must_not_be_repeated_opens_a_connection(
+    is_cut: bool, repeatable: bool
+) -> None:
+    """Guards against a stream on a connection of which the peer alone knows that it has ended."""
+    world = StoreWorld(1, 0)
+    peer = world.know("peer")
+    (name,) = world.state.servers.by_name
+    if is_cut:
+        world.give(ServerUnreachable(name, "refused"))
+        world.peer(peer, PathsSend([name], [], 0))
+    start = start_of(world.arrive("r", repeatable=repeatable))
+    assert start.via == (peer if is_cut else DIRECT)
+    assert start.needs_new_connection == (is_cut and not repeatable)
--- a/tests/platform/cut_world.py
+++ b/tests/platform/cut_world.py
@@ -41,6 +41,9 @@
         self._writers: set[asyncio.StreamWriter] = set()
         self._is_open = asyncio.Event()
         self._is_open.set()
+        # Cleared while the ends of connections are held.
+        self._passes_ends = asyncio.Event()
+        self._passes_ends.set()
 
     async def start(self) -> None:
         """Start to listen."""
@@ -57,9 +60,14 @@
         """Hold what connections carry; it arrives late, even if its sender has closed."""
         self._is_open.clear()
 
+    async def hold_ends(self) -> None:
+        """Hold the ends of connections that the server closes."""
+        self._passes_ends.clear()
+
     async def release(self) -> None:
         """Deliver what was held."""
         self._is_open.set()
+        self._passes_ends.set()
 
     async def reset(self) -> None:
         """Reset all connections."""
@@ -77,20 +85,28 @@
         self._writers |= pair
         try:
             await asyncio.gather(
-                self._pump(reader, server_writer), self._pump(server_reader, writer)
+                self._pump(reader, server_writer),
+                self._pump(server_reader, writer, self._passes_ends),
             )
         finally:
             self._writers -= pair
             for each in pair:
                 each.close()
 
-    async def _pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        passes_end: asyncio.Event | None = None,
+    ) -> None:
         try:
             while data := await reader.read(_CHUNK_BYTES):
                 await self._is_open.wait()
                 writer.write(data)
                 await writer.drain()
             await self._is_open.wait()
+            if passes_end is not None:
+                await passes_end.wait()
             with suppress(OSError):
                 writer.write_eof()
         except OSError:
@@ -187,6 +203,11 @@
             elif how == RESET:
                 self._proxy_loop.run(proxy.reset())
 
+    def hold_ends(self, instance: str) -> None:
+        """Let an instance learn later, if at all, that servers have closed its connections."""
+        for name in self.servers:
+            self._proxy_loop.run(self._proxies[instance, name].hold_ends())
+
     def heal(self, instance: str) -> None:
         """Restore all paths of an instance, and deliver what they held."""
         for name in self.servers:
--- a/tests/platform/test_cut_off.py
+++ b/tests/platform/test_cut_off.py
@@ -91,6 +91,18 @@
     until(uses_all_servers, "the instance uses all servers")
 
 
+def test_carried_stream_that_must_not_be_repeated_uses_no_closed_connection(
+    world: CutWorld,
+) -> None:
+    """Guards against requests lost on connections whose end has not come by way of the peer yet."""
+    for name in ("entry-1", "entry-2"):
+        world.cut(name, RESET)
+    _until_served(world, "entry-1")
+    world.hold_ends("entry-3")
+    for path in ("/lm/chat/", "/lm/doc/", "/lm/doc/"):
+        assert world.send(path, instance="entry-1").status == 200
+
+
 def test_unsafe_request_on_a_hanging_connection_runs_once(world: CutWorld) -> None:
     """Guards against a second run of a request that arrives after its connection was given up."""
     world.cut("entry-1", HANG)
