Eject a server that begins to fail by its failures in a row

Cause: the share of failures of the last 10 s counts what a server answered before it began to fail. With 32 results kept, some nine failures are needed until the lower bound of the share is 0.15 above the others.

Change: three or more failures in a row eject a server where one that failed as the others do would fail so many with a chance of 0.0001 at the most. An answer shows that a server is well when it begins, so that streams that began before the failures and end between them do not count as successes.

The new test (four cases) fails before, with 5 to 7 requests sent there after the first failure where 3 are allowed; tests/core/trust/test_outlier and test_outlier_suspicion pass (68).

--- a/packages/turmericweir-core/turmericweir_core/base/outlier_options.py
+++ b/packages/turmericweir-core/turmericweir_core/base/outlier_options.py
@@ -19,6 +19,9 @@
     # how much the bound must exceed the mean share of the other servers.
     confidence: float = 2.0
     margin: float = 0.15
+    # The chance, at the mean share of the other servers, of as many failures in a row as a server
+    # has, up to which it is ejected for them.
+    run_chance_max: float = 1e-4
     # A server that has just failed a request is suspected for at most so long, if the mean share of
     # failures of the others is no larger than this. Requests that may not be repeated leave it to
     # others for the pause.
--- a/packages/turmericweir-core/turmericweir_core/state/outlier_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/outlier_state.py
@@ -59,6 +59,8 @@
     content: str
     # The answer had begun.
     has_begun: bool
+    # When the server showed that it is well or not: an answer shows so when it begins.
+    shown_at: float
 
 
 class ServerResults(Struct):
--- a/packages/turmericweir-core/turmericweir_core/trust/outlier.py
+++ b/packages/turmericweir-core/turmericweir_core/trust/outlier.py
@@ -86,18 +86,18 @@
     if kind is None and not _shows_success(end):
         outlier_probes.note_probe_ended(state, now, attempt)
         return []
+    begun_at = attempt.first_token_at
+    shown_at = now if kind is not None or begun_at is None else begun_at
     effects: list[Effect] = []
     if kind is not None:
         effects.append(Count(f"outlier.failure.{kind.value}.{server.service.name}"))
     if not _is_same_cause(state, now, attempt.server, kind):
         content = req.fingerprint or req.request_id
-        has_begun = attempt.first_token_at is not None
-        result = Result(now, kind, req.customer, content, has_begun)
+        result = Result(now, kind, req.customer, content, begun_at is not None, shown_at)
         add_result(state.outliers, state.options.outlier, attempt.server, result)
     effects += outlier_probes.on_probe_result(state, now, server, attempt, kind)
     if kind is None:
-        began_at = now if attempt.first_token_at is None else attempt.first_token_at
-        outlier_suspicion.note_well(state, attempt, began_at)
+        outlier_suspicion.note_well(state, attempt, shown_at)
     # Only failures lead to an ejection. Successes matter while a server is ejected, and its
     # judgement costs time that grows with the servers.
     if kind is None and not _is_judgement_due(state, now):
--- a/packages/turmericweir-core/turmericweir_core/trust/outlier_evidence.py
+++ b/packages/turmericweir-core/turmericweir_core/trust/outlier_evidence.py
@@ -15,6 +15,7 @@
 from turmericweir_core.base.ids import ServerName
 from turmericweir_core.state.outlier_state import (
     FailureKind,
+    Result,
     ServerResults,
     counted_failures,
     is_valid,
@@ -37,6 +38,8 @@
     newest_at: float = 0.0
     oldest_at: float = 0.0
     fails_late: bool = False
+    # Failures since the server last showed that it is well.
+    in_a_row: int = 0
 
 
 class Evidence(Struct, frozen=True):
@@ -97,9 +100,20 @@
         newest.at,
         min(each.at for each in failed),
         any(each.has_begun for each in failed),
+        _in_a_row(succeeded, failed),
     )
 
 
+def _in_a_row(succeeded: list[Result], failed: list[Result]) -> int:
+    """Count the failures since the last sign that a server is well.
+
+    For answers that fail after they have begun, only the end of another one is a sign.
+    """
+    shown_at = max((each.shown_at for each in succeeded), default=float("-inf"))
+    ended_at = max((each.at for each in succeeded), default=float("-inf"))
+    return sum(each.at > (ended_at if each.has_begun else shown_at) for each in failed)
+
+
 def others_share(state: State, tallies: dict[ServerName, Tally], name: ServerName) -> float:
     """Return the mean share of failures of the other servers.
 
--- a/packages/turmericweir-core/turmericweir_core/trust/outlier_verdicts.py
+++ b/packages/turmericweir-core/turmericweir_core/trust/outlier_verdicts.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING, Final
 
 from turmericweir_core.base.ids import ServerName
+from turmericweir_core.base.outlier_options import OutlierOptions
 from turmericweir_core.messages.effects import Count, Effect, Log
 from turmericweir_core.state.outlier_state import counts_alone
 from turmericweir_core.state.server_table import Server
@@ -69,21 +70,35 @@
     evidence = outlier_evidence.evidence_of(state, now, name, tallies)
     if evidence.failed < options.failures_min:
         return []
-    if evidence.failure_bound <= evidence.others_share + options.margin:
+    fails_all = _fails_in_a_row(options, evidence)
+    if not fails_all and evidence.failure_bound <= evidence.others_share + options.margin:
         return []
     ejected = {name, *state.outliers.ejected}
     ejected_share = outlier_evidence.slots_share(state, server.service.name, ejected)
-    is_partial = evidence.failed < _FAILS_ALL_SHARE * evidence.tried
+    is_partial = not fails_all and evidence.failed < _FAILS_ALL_SHARE * evidence.tried
     limit = options.partial_share_max if is_partial else options.ejected_share_max
     fields = _describe(now, server, evidence, ejected_share)
     if ejected_share > limit:
         return _note_kept(state, now, name, fields)
     ejection = outlier_probes.new_ejection(state, now, name, evidence)
+    if fails_all:
+        ejection.share = outlier_evidence.share_of(evidence.own.in_a_row, evidence.own.in_a_row)
     state.outliers.ejected[name] = ejection
     fields |= {"pause_ms": round(ejection.pause_s * _MS)}
     return [Log("server_ejected", fields), Count(f"outlier.ejected.{server.service.name}")]
 
 
+def _fails_in_a_row(options: OutlierOptions, evidence: Evidence) -> bool:
+    """Return whether a server has failed more in a row than one like the others would.
+
+    Finds a server that begins to fail, whose earlier successes outweigh its failures for long.
+    """
+    in_a_row = evidence.own.in_a_row
+    if in_a_row < options.failures_min:
+        return False
+    return evidence.others_share**in_a_row <= options.run_chance_max
+
+
 def _describe(
     now: float, server: Server, evidence: Evidence, ejected_share: float
 ) -> dict[str, object]:
@@ -95,6 +110,7 @@
         "kind": None if own.kind is None else own.kind.value,
         "own_tried": own.tried,
         "own_failed": own.failed,
+        "in_a_row": own.in_a_row,
         "newest_ms": round((now - own.newest_at) * _MS) if own.failed else None,
         "oldest_ms": round((now - own.oldest_at) * _MS) if own.failed else None,
         "tried": evidence.tried,
--- a/tests/core/trust/test_outlier_suspicion.py
+++ b/tests/core/trust/test_outlier_suspicion.py
@@ -4,7 +4,18 @@
 
 import pytest
 
-from tests.core.outlier_fleet import ejecting_world
+from tests.core.outlier_fleet import (
+    CALL,
+    LONG,
+    PLAIN,
+    FailingServer,
+    Failure,
+    Load,
+    OutlierFleet,
+    ejecting_world,
+    no_answer,
+    reset,
+)
 from tests.core.store_world import PLAIN as SHOP
 from tests.core.store_world import StoreWorld, only
 from turmericweir_core.base.ids import ServerName
@@ -121,3 +132,22 @@
         world.end(start, NO_ANSWER)
     assert not world.state.outliers.suspected
     assert len(calls(world, 4)) == 4
+
+
+@pytest.mark.parametrize("failure", [no_answer, reset])
+@pytest.mark.parametrize("load", [Load(60.0, LONG), Load(120.0, CALL, PLAIN)], ids=["lm", "shop"])
+def test_server_that_begins_to_fail_under_load_loses_what_it_holds(
+    load: Load, failure: Failure
+) -> None:
+    """Guards against a server that draws the work between its first failure and the verdict."""
+    fleet = OutlierFleet(4)
+    fleet.schedule([load], 8.0)
+    fleet.run(4.0)
+    name = "lm-1" if load.service_class is LONG else "shop-1"
+    fleet.failing = {name: FailingServer(1.0, failure, after_s=0.1)}
+    since = fleet.now
+    fleet.run(7.0)
+    first_at = next(each.at for each in fleet.sent if each.has_failed) + 0.1
+    later = [each for each in fleet.sent if each.has_failed and each.at > first_at]
+    assert len(later) <= 3, len(later)
+    assert fleet.served(since) >= 0.95
