Derive the demand and the split of engines once for all requests that wait at one time

Cause: each placement of each waiting request summed up the demand of all instances four times and split the engines into kinds once or twice, at each tick, each load update and each end of a request. These depend on the moment, the reported demand, the engines and the settings alone.

Change: the total and the split of each target are kept with what they were computed for. The engines are compared by identity, so a server that is listed anew is never replaced by its former record.

The new test counts one sum and one split for 2 and for 12 waiting requests.

--- a/packages/turmericweir-core/turmericweir_core/engines/engine_pools.py
+++ b/packages/turmericweir-core/turmericweir_core/engines/engine_pools.py
@@ -26,6 +26,7 @@
 from collections import defaultdict
 from collections.abc import Callable
 from math import ceil, exp
+from operator import is_
 from typing import TYPE_CHECKING, Final
 
 from msgspec import Struct
@@ -38,7 +39,13 @@
 from turmericweir_core.membership.subset import rendezvous_weight
 from turmericweir_core.messages.load_messages import DemandRow
 from turmericweir_core.queueing import urgent_first
-from turmericweir_core.state.pool_state import EngineDemand, EngineSplit, ReportedDemand
+from turmericweir_core.state.pool_state import (
+    EngineDemand,
+    EngineGroups,
+    EngineSplit,
+    ReportedDemand,
+    TotalDemand,
+)
 from turmericweir_core.state.server_table import Server
 
 if TYPE_CHECKING:
@@ -124,6 +131,7 @@
     """Record the work of a new request, as on the engine with the least work for it."""
     if not engines or not req.prompt_tokens:
         return
+    state.pools.demand_version += 1
     demand = state.pools.local_demand.setdefault(req.target, EngineDemand(decayed_at=now))
     _decay(demand, now)
     records = (engine_model.engine_info_of(state, each.entry.name) for each in engines)
@@ -200,6 +208,7 @@
     state: State, now: float, sender: InstanceName, rows: list[DemandRow]
 ) -> None:
     """Record a peer's demand."""
+    state.pools.demand_version += 1
     for row in rows:
         peer_demand = state.pools.peer_demand.setdefault(Target(row.target), {})
         peer_demand[sender] = ReportedDemand(
@@ -235,23 +244,39 @@
     return [each for each in engines if each.entry.name not in own_names]
 
 
-class _Pools(Struct, frozen=True):
-    """The engines of a service by kind."""
+def _split_engines(state: State, now: float, target: Target, engines: list[Server]) -> EngineGroups:
+    total = _total(state, now, target)
+    groups = state.pools.groups.get(target)
+    if (
+        groups is None
+        or groups.total is not total
+        or groups.settings_offset != state.config.offset
+        or not _are_same(groups.engines, engines)
+    ):
+        groups = state.pools.groups[target] = _make_groups(state, now, target, engines, total)
+    return groups
+
 
-    prefill: list[Server]
-    medium: list[Server]
-    decode: list[Server]
+def _are_same(engines: list[Server], others: list[Server]) -> bool:
+    return len(engines) == len(others) and all(map(is_, engines, others))
 
 
-def _split_engines(state: State, now: float, target: Target, engines: list[Server]) -> _Pools:
+def _make_groups(
+    state: State, now: float, target: Target, engines: list[Server], total: TotalDemand
+) -> EngineGroups:
     ordered = _order_engines(state, target, engines)
     prefill_count = _prefill_engine_count(state, now, target, len(engines))
     decode_engines = ordered[prefill_count:]
     medium_count = len(decode_engines) - _short_engine_count(
         state, now, target, len(decode_engines)
     )
-    return _Pools(
-        ordered[:prefill_count], decode_engines[:medium_count], decode_engines[medium_count:]
+    return EngineGroups(
+        engines=list(engines),
+        total=total,
+        settings_offset=state.config.offset,
+        prefill=ordered[:prefill_count],
+        medium=decode_engines[:medium_count],
+        decode=decode_engines[medium_count:],
     )
 
 
@@ -462,6 +487,19 @@
 
 def _total_demand(state: State, now: float, target: Target) -> ReportedDemand:
     """Return the demand of all instances, in milliseconds of work per second."""
+    return _total(state, now, target).demand
+
+
+def _total(state: State, now: float, target: Target) -> TotalDemand:
+    version = state.pools.demand_version
+    total = state.pools.totals.get(target)
+    if total is None or total.demand.received_at != now or total.version != version:
+        demand = _sum_demand(state, now, target)
+        total = state.pools.totals[target] = TotalDemand(demand, version)
+    return total
+
+
+def _sum_demand(state: State, now: float, target: Target) -> ReportedDemand:
     long_ms = short_ms = medium_ms = 0.0
     own_demand = state.pools.local_demand.get(target)
     if own_demand is not None:
--- a/packages/turmericweir-core/turmericweir_core/state/pool_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/pool_state.py
@@ -5,6 +5,7 @@
 from msgspec import Struct, field
 
 from turmericweir_core.base.ids import InstanceName, ServerName, Target
+from turmericweir_core.state.server_table import Server
 
 
 class EngineDemand(Struct):
@@ -51,6 +52,26 @@
     short_changed_at: float = 0.0
 
 
+class TotalDemand(Struct, frozen=True):
+    """The demand of all instances at one time."""
+
+    demand: ReportedDemand
+    # `PoolState.demand_version` when this was computed.
+    version: int
+
+
+class EngineGroups(Struct, frozen=True):
+    """The engines of a service by kind at one time."""
+
+    # What the split was computed for.
+    engines: list[Server]
+    total: TotalDemand
+    settings_offset: int
+    prefill: list[Server]
+    medium: list[Server]
+    decode: list[Server]
+
+
 class PoolState(Struct):
     """The demand and split of each service."""
 
@@ -59,6 +80,12 @@
     rank_demand: dict[tuple[Target, str], RankDemand] = field(default_factory=dict)
     # The newest demand reported by each peer.
     peer_demand: dict[Target, dict[InstanceName, ReportedDemand]] = field(default_factory=dict)
+    # Number of changes of the demand, except its decay.
+    demand_version: int = 0
+    # The newest total and split of each service, cached because all requests that wait at one time
+    # need them.
+    totals: dict[Target, TotalDemand] = field(default_factory=dict)
+    groups: dict[Target, EngineGroups] = field(default_factory=dict)
     # Cached order of the engines of a service: the engines it was computed for, and the order.
     orders: dict[Target, tuple[tuple[ServerName, ...], tuple[ServerName, ...]]] = field(
         default_factory=dict
--- a/tests/core/engines/test_engine_pools.py
+++ b/tests/core/engines/test_engine_pools.py
@@ -167,3 +167,15 @@
     service_class = replace(QUICK, token_gap_target_s=gap_target_s)
     report_demand(world, 2, long_ms=0, quick_ms=1_200, middle_ms=0)
     assert len(engine_names_for(world, service_class, 900)) == ENGINES
+
+
+def test_engine_that_is_listed_anew_is_used_in_place_of_its_former_record(
+    world: StoreWorld,
+) -> None:
+    # Guards against requests that are counted at an engine's record that is no longer listed.
+    req = request(world, CONFIRM, 1_400)
+    engine_pools.engines_for(world.state, world.now, req, servers(world))
+    listed = [replace(each) for each in servers(world)]
+    chosen = engine_pools.engines_for(world.state, world.now, req, listed)
+    assert chosen
+    assert {id(each) for each in chosen} <= {id(each) for each in listed}
--- /dev/null
+++ b/tests/core/placement/test_placement_cost.py
@@ -0,0 +1,76 @@
+"""Test how often placement repeats its work for requests that wait at the same time.
+
+Where engines are full, an instance places its waiting requests again at each event, just when it
+has the least processor time.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from tests.core.store_world import QUICK, StoreWorld, only
+from turmericweir_core.engines import engine_pools
+from turmericweir_core.messages.effects import Effect, StartAttempt
+from turmericweir_core.messages.events import Tick
+from turmericweir_core.messages.load_messages import LoadNews, LoadRow
+
+_ENGINES = 5
+
+
+def _count_calls(monkeypatch: pytest.MonkeyPatch, *functions: tuple[object, str]) -> Counter[str]:
+    counts: Counter[str] = Counter()
+
+    def counting(name: str, function: Callable[..., Any]) -> Callable[..., Any]:
+        def counted(*args: Any, **fields: Any) -> Any:
+            counts[name] += 1
+            return function(*args, **fields)
+
+        return counted
+
+    for module, name in functions:
+        monkeypatch.setattr(module, name, counting(name, getattr(module, name)))
+    return counts
+
+
+def _new_full_world(waiting: int) -> StoreWorld:
+    """Return a world of engines that a peer fills, with a number of waiting requests."""
+    world = StoreWorld(engines=_ENGINES)
+    _report_running(world, 1, 10_000)
+    for number in range(waiting):
+        assert not only(_arrive(world, f"w{number}"), StartAttempt)
+    assert len(world.state.queues.index) == waiting
+    return world
+
+
+def _report_running(world: StoreWorld, seq: int, running: int) -> list[Effect]:
+    """Have a peer report the requests that it runs on each engine."""
+    rows = [LoadRow(f"lm-{number}", [], running, 0) for number in range(1, _ENGINES + 1)]
+    return world.peer("a-2", LoadNews("y", seq, rows))
+
+
+def _arrive(world: StoreWorld, name: str) -> list[Effect]:
+    return world.arrive(
+        name,
+        service_class=QUICK,
+        prompt_tokens=1_000,
+        parts=((name, 1_000),),
+        deadline=world.now + 30.0,
+    )
+
+
+@pytest.mark.parametrize("waiting", [2, 12])
+def test_split_is_derived_once_for_all_that_wait(
+    waiting: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against a cost of the split into kinds that grows with the requests that wait.
+    world = _new_full_world(waiting)
+    counts = _count_calls(
+        monkeypatch, (engine_pools, "_sum_demand"), (engine_pools, "_make_groups")
+    )
+    world.now += 0.05
+    world.give(Tick())
+    assert counts == {"_sum_demand": 1, "_make_groups": 1}
