Compare engines only while one of them can take the request

Cause: for each waiting request the wait, the work, the fetch and the cost of each engine were predicted at each event, also while all engines were full, after which the request went on waiting.

Change: the room of the engines, and whether one prefills a part of the request, are checked first. If neither is so, the request waits for room, as before. Nothing else of the choice changes.

The new test counts no prediction on a tick while all engines are full, and all requests started after a peer reports its requests ended; it fails on the code before.

Conclusion: less work where room is short.

--- a/packages/turmericweir-core/turmericweir_core/placement/predicted_placement.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/predicted_placement.py
@@ -121,10 +121,10 @@
         return None
     limited_of_kind = [each for each in limited if _takes_kind(state, now, req, each)]
     choice = _best_engine(state, now, req, [*engines_of_kind, *limited_of_kind])
-    if choice.is_held_back and limited:
+    if _is_held_back(choice) and limited:
         choice = _best_engine(state, now, req, limited)
     can_spill = not urgent_counts[True] and _can_spill(state, now, req, engines_of_kind)
-    if choice.is_held_back and can_spill:
+    if can_spill and _is_held_back(choice):
         other_engines = engine_pools.spill_engines(state, now, req, unlimited)
         choice = _best_engine(state, now, req, other_engines) if other_engines else choice
     return _server_or_wait(req, choice)
@@ -150,7 +150,7 @@
     }
     engines_of_kind = [each for each in candidates if each.entry.name in names_of_kind]
     choice = _best_engine(state, now, req, engines_of_kind or candidates)
-    if choice.is_held_back:
+    if _is_held_back(choice):
         choice = _best_engine(state, now, req, candidates)
     return _server_or_wait(req, choice)
 
@@ -202,14 +202,19 @@
     return total
 
 
-def _server_or_wait(req: Request, choice: _EngineChoice) -> Server | None:
+def _server_or_wait(req: Request, choice: _EngineChoice | None) -> Server | None:
     """Return the chosen engine, or None and record why the request has to wait."""
-    if not choice.is_held_back:
+    if choice is not None and not choice.is_held_back:
         return choice.server
-    req.wait_reason = WaitReason.PREFILLING if choice.is_prefilling else WaitReason.NO_ROOM
+    is_prefilling = choice is not None and choice.is_prefilling
+    req.wait_reason = WaitReason.PREFILLING if is_prefilling else WaitReason.NO_ROOM
     return None
 
 
+def _is_held_back(choice: _EngineChoice | None) -> bool:
+    return choice is None or choice.is_held_back
+
+
 def _takes_kind(state: State, now: float, req: Request, engine: Server) -> bool:
     """Return whether a limited engine takes a request's kind of prompts.
 
@@ -232,7 +237,17 @@
     return now - req.arrived_at >= _SPILL_WAIT_SHARE * req.service_class.target_s
 
 
-def _best_engine(state: State, now: float, req: Request, candidates: list[Server]) -> _EngineChoice:
+def _best_engine(
+    state: State, now: float, req: Request, candidates: list[Server]
+) -> _EngineChoice | None:
+    """Return the choice among engines; None if none can take the request or is prefilling for it.
+
+    Avoids the prediction for each engine and each waiting request while all engines are full.
+    """
+    if not any(_is_prefilling(state, now, req, each) for each in candidates) and not any(
+        _can_take(state, now, req, each) for each in candidates
+    ):
+        return None
     holdings = engine_model.holdings_of(state, req, candidates[0])
     choices = [_evaluate(state, now, req, server, holdings) for server in candidates]
     home = max(candidates, key=lambda server: rendezvous_weight(_hash_key(req), server.entry.name))
@@ -253,6 +268,14 @@
     return min(choices, key=rank)
 
 
+def _is_prefilling(state: State, now: float, req: Request, server: Server) -> bool:
+    """Return whether an engine is prefilling parts of a request for another one."""
+    record = engine_model.engine_info_of(state, server.entry.name)
+    return bool(record.prefilling_until) and (
+        engine_model.pending_prefill_tokens(record, now, req) > 0
+    )
+
+
 def _mean_pending(state: State, now: float, engines: list[Server]) -> float:
     """Return the number of prompts that wait for their first token, for each engine."""
     pending = sum(
--- a/tests/core/placement/test_placement_cost.py
+++ b/tests/core/placement/test_placement_cost.py
@@ -13,10 +13,12 @@
 import pytest
 
 from tests.core.store_world import QUICK, StoreWorld, only
+from turmericweir_core.base.request import WaitReason
 from turmericweir_core.engines import engine_pools
 from turmericweir_core.messages.effects import Effect, StartAttempt
 from turmericweir_core.messages.events import Tick
 from turmericweir_core.messages.load_messages import LoadNews, LoadRow
+from turmericweir_core.placement import predicted_placement
 
 _ENGINES = 5
 
@@ -74,3 +76,17 @@
     world.now += 0.05
     world.give(Tick())
     assert counts == {"_sum_demand": 1, "_make_groups": 1}
+
+
+@pytest.mark.parametrize("waiting", [2, 12])
+def test_full_engines_are_not_compared(waiting: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against predictions for each engine and each request while none can take any.
+    world = _new_full_world(waiting)
+    counts = _count_calls(monkeypatch, (predicted_placement, "_evaluate"))
+    world.now += 0.05
+    world.give(Tick())
+    assert not counts
+    waiting_requests = [world.state.requests[each] for each in world.state.queues.index]
+    assert {each.wait_reason for each in waiting_requests} == {WaitReason.NO_ROOM}
+    assert len(only(_report_running(world, 2, 0), StartAttempt)) == waiting
+    assert counts["_evaluate"]
