Free the body of a forwarded request when it ends

Cause: a job and its last attempt referred to each other, so the body of a request that had ended stayed in memory until the garbage collector looked for cycles, which is rare on purpose. Nothing counted these bodies.

--- a/packages/turmericweir/turmericweir/servers/forward.py
+++ b/packages/turmericweir/turmericweir/servers/forward.py
@@ -68,7 +68,7 @@
     _call: ForwardCall
     _request: Request
     _wire: WireAdapter
-    # The last attempt; None before the first.
+    # The running attempt.
     _attempt: ForwardAttempt | None
 
     def __init__(
@@ -85,6 +85,15 @@
         self._attempt = ForwardAttempt(node, pool, start, self)
         return self._attempt
 
+    def forget_attempt(self, attempt: ForwardAttempt) -> None:
+        """Forget an attempt that has ended.
+
+        The attempt refers to the job. Prevents the body of a request that has ended from staying in
+        memory until the garbage collector looks for cycles, which is rare.
+        """
+        if self._attempt is attempt:
+            self._attempt = None
+
     @property
     def held_bytes(self) -> int:
         """The number of bytes held for the request and its answer."""
@@ -145,7 +154,10 @@
 
     async def run(self) -> AttemptEnd:
         """Run the attempt to its end."""
-        return await self._attempt.run(self._make_request, self._consume)
+        try:
+            return await self._attempt.run(self._make_request, self._consume)
+        finally:
+            self._job.forget_attempt(self)
 
     def _make_request(self) -> httpcore.Request:
         call = self._call
