Keep the room of an instance as it was before a burst

Cause: the size of the process with next to nothing held was taken for what it needs itself, but the C library's allocator keeps freed memory. After a burst the room was smaller for good, so large requests were refused although nothing was held.

After much was held the allocator is now told to return what is free, and the size is taken after that.

--- a/packages/turmericweir/turmericweir/callers/caller_memory.py
+++ b/packages/turmericweir/turmericweir/callers/caller_memory.py
@@ -13,7 +13,12 @@
 import anyio
 
 from turmericweir.process import logs
-from turmericweir.process.memory_budget import Holder, choose_cut_off, resident_size
+from turmericweir.process.memory_budget import (
+    Holder,
+    choose_cut_off,
+    release_free_memory,
+    resident_size,
+)
 from turmericweir.process.node import Node
 
 # What is held is also counted when much was read (`MemoryBudget.add`).
@@ -190,6 +195,10 @@
     def count(self) -> None:
         """Count what is held now, and cut off callers if that is too much."""
         self.check(anyio.current_time(), resident_size())
+        budget = self._node.memory
+        if budget.can_release:
+            release_free_memory()
+            budget.note_released(resident_size())
 
     def check(self, now: float, resident_bytes: int) -> None:
         """Cut off callers that do not read, and others if the memory is short."""
--- a/packages/turmericweir/turmericweir/process/memory_budget.py
+++ b/packages/turmericweir/turmericweir/process/memory_budget.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import ctypes
 import os
 import sys
 from collections.abc import Callable, Sequence
@@ -70,6 +71,8 @@
     # The size of the process, and its size when it last held next to nothing.
     resident_bytes: int = 0
     own_bytes: int = 0
+    # Whether much was held since then, so that the allocator may keep freed memory.
+    _has_held_much: bool = False
     # What others hold, each of whom counts for itself.
     sources: list[Callable[[], int]] = field(default_factory=list)
 
@@ -123,13 +126,31 @@
         self.held_bytes = held_bytes + sum(source() for source in self.sources)
         self.read_bytes = 0
         self.resident_bytes = resident_bytes
-        if self.held_bytes < _IDLE_HELD_BYTES or not self.own_bytes:
+        if self.held_bytes >= _IDLE_HELD_BYTES:
+            self._has_held_much = True
+        elif not self._has_held_much:
             self.own_bytes = resident_bytes
+        self.own_bytes = self.own_bytes or resident_bytes
         if self.limit_bytes:
             room_bytes = self.room_bytes
             next_bytes = self.held_bytes + int(_COUNT_SHARE * room_bytes)
             self._recount_above_bytes = max(int(REFUSE_SHARE * room_bytes), next_bytes)
 
+    @property
+    def can_release(self) -> bool:
+        """Whether what was held is free, and the allocator may still keep it."""
+        return self._has_held_much and self.used_bytes < _IDLE_HELD_BYTES
+
+    def note_released(self, resident_bytes: int) -> None:
+        """Record the size of the process without freed memory, which is what it needs itself.
+
+        Prevents a room that becomes smaller with each burst, since the size of the process does not
+        fall by itself, until every large request is refused.
+        """
+        self._has_held_much = False
+        self.resident_bytes = resident_bytes
+        self.own_bytes = resident_bytes
+
 
 def choose_cut_off(holders: Sequence[Holder[Key]], excess_bytes: int) -> list[Holder[Key]]:
     """Return those to be cut off so that the excess is freed.
@@ -151,6 +172,13 @@
     return (not holder.is_unread, -holder.held_bytes.bit_length(), -holder.since)
 
 
+def release_free_memory() -> None:
+    """Return freed memory from the C library's allocator to the system, if it can do that."""
+    trim = getattr(ctypes.CDLL(None), "malloc_trim", None)
+    if trim is not None:
+        trim(0)
+
+
 def resident_size() -> int:
     """Return the number of bytes of memory that this process uses."""
     return int(_STATM.read_bytes().split()[1]) * os.sysconf("SC_PAGE_SIZE")
--- a/tests/daemon/test_memory_budget.py
+++ b/tests/daemon/test_memory_budget.py
@@ -81,6 +81,17 @@
     assert _budget(20_000_000).room_bytes == _budget(0).room_bytes
 
 
+def test_room_after_much_was_held_is_that_of_before() -> None:
+    # Guards against an instance that refuses large requests for good after one burst of them.
+    budget = _budget(30 * _MB)
+    room_bytes = budget.room_bytes
+    assert not budget.can_release
+    budget.update(0, _OWN + 30 * _MB)
+    assert (budget.room_bytes, budget.can_release) == (room_bytes, True)
+    budget.note_released(_OWN)
+    assert (budget.room_bytes, budget.can_release) == (room_bytes, False)
+
+
 def test_what_others_hold_counts() -> None:
     budget = MemoryBudget(limit_bytes=_LIMIT, sources=[lambda: 7, lambda: 5])
     budget.update(1, _OWN)
--- a/tests/platform/test_slow_readers.py
+++ b/tests/platform/test_slow_readers.py
@@ -183,6 +183,22 @@
     assert _metric(world, "turmericweir_memory_peak_bytes") < 0.8 * _MEMORY_MB * 1_000_000
 
 
+def test_room_after_a_burst_is_nearly_that_of_before(world: PlatformWorld) -> None:
+    # Guards against an instance that refuses large requests for good after one burst of them.
+    _allow_large_bodies(world)
+    room_before = _metric(world, "turmericweir_memory_room_bytes")
+    world.set_mode("mute")
+    with ExitStack() as stack:
+        for _ in range(_CALLERS):
+            stack.enter_context(SlowCaller(world, "/shop/buy/", _LARGE_BODY))
+        until(lambda: bool(_refused_for_memory(world)), "a request is refused for want of memory")
+    until(lambda: _metric(world, "turmericweir_memory_held_bytes") == 0, "nothing is held")
+    until(
+        lambda: _metric(world, "turmericweir_memory_room_bytes") > 0.9 * room_before,
+        "the room is that of before",
+    )
+
+
 def test_refused_before_its_body_and_served_next_on_the_same_connection(
     world: PlatformWorld,
 ) -> None:
