Send no request whose time is over once its connection is open

Cause: an attempt opens a connection first, and the request was sent on it whatever the time was then, with at least a millisecond left. The reducer ends expired requests at its ticks, which come late where a process gets little processor time, and cannot take back what is written meanwhile.

Change: with the connection open, an attempt of a request past its deadline, or past the limit of one whose answer has begun, ends without a byte sent; the connection is kept.

Open: a request that waited in a socket before this process read it has an older deadline at its caller.

--- a/packages/turmericweir/turmericweir/servers/backend_attempt.py
+++ b/packages/turmericweir/turmericweir/servers/backend_attempt.py
@@ -24,6 +24,7 @@
     AttemptEnd,
     AttemptSent,
     EndBroken,
+    EndCancelled,
     EndComplete,
     EndRefused,
     EndUnsent,
@@ -118,10 +119,16 @@
         start = self.start
         self.node.handle(AttemptSent(start.request_id, start.attempt_id, self._is_reused))
 
-    async def run(self, make_request: MakeRequest, consume: Consume) -> AttemptEnd:
+    async def run(
+        self,
+        make_request: MakeRequest,
+        consume: Consume,
+        is_expired: Callable[[], bool] = lambda: False,
+    ) -> AttemptEnd:
         """Run the attempt until it ends or is cancelled.
 
         The request is built after the connection is open, since it may contain the remaining time.
+        It is not sent if its time is over by then, before the reducer has noticed.
         """
         address = self.start.address
         try:
@@ -131,6 +138,8 @@
             self._is_reused = conn.is_reused
             self._conn = conn
             try:
+                if is_expired():
+                    return EndCancelled(0)
                 response = await conn.send(make_request(), self._first_byte)
                 self.answer.begin(response)
                 end = await consume(response)
--- a/packages/turmericweir/turmericweir/servers/forward.py
+++ b/packages/turmericweir/turmericweir/servers/forward.py
@@ -155,10 +155,18 @@
     async def run(self) -> AttemptEnd:
         """Run the attempt to its end."""
         try:
-            return await self._attempt.run(self._make_request, self._consume)
+            return await self._attempt.run(self._make_request, self._consume, self._is_expired)
         finally:
             self._job.forget_attempt(self)
 
+    def _is_expired(self) -> bool:
+        """Return whether nobody waits for the beginning of the answer any more."""
+        req, now = self._job._request, anyio.current_time()
+        has_begun = req.first_token_at is not None
+        return (now > req.deadline and not has_begun) or (
+            req.end_by is not None and now >= req.end_by
+        )
+
     def _make_request(self) -> httpcore.Request:
         call = self._call
         job = self._job
