Spend less processor time on requests that wait while all engines are full

Cause: each load update of a peer caused a pass over all that waits, and a pass evaluated every engine for up to 24 requests of each class, though no engine had a free slot. Peers send dozens of updates a second each. So an instance had the least processor time when most requests waited, and these waited the longer.

Change: an engine is evaluated for a request only where any engine has a free slot and prompts that wait no longer than allowed (the choice is the same, as otherwise no engine takes it); load updates cause a pass every 20 ms at the most, and the next tick makes up for the rest. In force everywhere.

--- a/packages/turmericweir-core/turmericweir_core/base/options.py
+++ b/packages/turmericweir-core/turmericweir_core/base/options.py
@@ -187,6 +187,8 @@
     displace_wait_max_s: float = 2.0
     # Minimum age of an attempt that can be preempted.
     displace_after_s: float = 0.02
+    # Time between passes over the waiting requests that are caused by load updates of peers.
+    update_pass_s: float = 0.02
     # Weight of the newest attempt in the pace that predicts the wait.
     pace_weight: float = 0.1
     # Averaging window of arrivals.
--- a/packages/turmericweir-core/turmericweir_core/placement/dispatch.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/dispatch.py
@@ -87,6 +87,18 @@
     return effects
 
 
+def dispatch_after_update(state: State, now: float) -> list[Effect]:
+    """Bind waiting requests after a load update, unless that was just done.
+
+    Each of many instances sends dozens of updates a second. Prevents a pass over all that waits for
+    each of them; the next tick makes up for those that are left out.
+    """
+    if now < state.queues.next_update_pass_at:
+        return []
+    state.queues.next_update_pass_at = now + state.options.update_pass_s
+    return dispatch_all(state, now)
+
+
 def _bind_waiting(state: State, now: float, pool: str) -> list[Effect]:
     effects: list[Effect] = []
     while True:
--- a/packages/turmericweir-core/turmericweir_core/placement/predicted_placement.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/predicted_placement.py
@@ -111,6 +111,9 @@
     if _must_wait_for_urgent(state, now, req, unlimited, urgent_counts):
         req.wait_reason = WaitReason.URGENT
         return None
+    if not any(_has_place(state, now, req, server) for server in candidates):
+        req.wait_reason = WaitReason.NO_ROOM
+        return None
     if not unlimited:
         return _server_or_wait(req, _best_engine(state, now, req, limited))
     # Engines with a limit do little of the work, so they are not part of the split into kinds.
@@ -337,6 +340,17 @@
 
 def _can_take(state: State, now: float, req: Request, server: Server) -> bool:
     """Return whether an engine can take a request now."""
+    if not _has_place(state, now, req, server):
+        return False
+    record = engine_model.engine_info_of(state, server.entry.name)
+    return not engine_model.request_count(record, now) or _has_memory(state, now, req, server)
+
+
+def _has_place(state: State, now: float, req: Request, server: Server) -> bool:
+    """Return whether an engine has a free slot and its prompts wait no longer than allowed.
+
+    Checked for all engines before any is evaluated, which costs several times as much.
+    """
     record = engine_model.engine_info_of(state, server.entry.name)
     requests = engine_model.request_count(record, now)
     if not requests:
@@ -344,8 +358,6 @@
         return True
     if requests >= server.slots:
         return False
-    if not _has_memory(state, now, req, server):
-        return False
     wait_ms = engine_model.waiting_ms(record, now, scheduling_rank(req.service_class))
     return wait_ms <= _wait_limit_s(state, now, req, server) * _MS
 
--- a/packages/turmericweir-core/turmericweir_core/reducers/reducer_common.py
+++ b/packages/turmericweir-core/turmericweir_core/reducers/reducer_common.py
@@ -185,10 +185,10 @@
             return retry_loans.on_loan(state, now, loan)
         case LoadNews() as update:
             load_updates.on_load_update(state, now, sender, update)
-            return dispatch.dispatch_all(state, now)
+            return dispatch.dispatch_after_update(state, now)
         case LoadBundle() as bundle:
             load_updates.on_load_bundle(state, now, sender, bundle)
-            return dispatch.dispatch_all(state, now)
+            return dispatch.dispatch_after_update(state, now)
         case _:
             # The message is for a reducer that this process does not run.
             return []
--- a/packages/turmericweir-core/turmericweir_core/state/queue_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/queue_state.py
@@ -158,6 +158,8 @@
     deadlines: list[tuple[float, RequestId]] = field(default_factory=list)
     # Heap of the times from which on a request can no longer meet its target.
     overdue_at: list[tuple[float, RequestId]] = field(default_factory=list)
+    # When a load update of a peer causes another pass over what waits.
+    next_update_pass_at: float = 0.0
 
 
 def cost(req: Request) -> float:
