Check a file of settings before it is sent

turmericctl settings check FILE prints errors with their lines, values that can never take effect (rules behind wider ones, services, classes and limits of nobody, customers without keys), values that contradict each other (assured shares over the whole, limits above those that hold, deadlines before their targets, classes of another kind) and what the file would change. It works beside the settings in force or, without an instance, by itself. Exit codes: 2 for errors, 1 for findings or differences.

Not part of it: the platform's document of routes.

--- a/packages/turmericweir-ctl/turmericctl/main.py
+++ b/packages/turmericweir-ctl/turmericctl/main.py
@@ -10,6 +10,7 @@
 from click.shell_completion import get_completion_class
 
 from turmericctl import messages
+from turmericctl.check_command import check
 from turmericctl.context import Session
 from turmericctl.exit_codes import CommandError
 from turmericctl.output import JSON, TABLE, Printer
@@ -82,6 +83,7 @@
     click.echo(completion_class(cli, {}, PROGRAM, _COMPLETION_VARIABLE).source())
 
 
+settings.add_command(check)
 for _command in (
     settings,
     status,
--- a/packages/turmericweir-ctl/turmericctl/messages.py
+++ b/packages/turmericweir-ctl/turmericctl/messages.py
@@ -21,7 +21,8 @@
 \b
 Exit codes:
   0  done
-  1  refused: a conflict, a missing permission, or an unknown name; for diff: there are differences
+  1  refused: a conflict, a missing permission, or an unknown name; for diff
+     and check: there are differences or findings
   2  wrong usage or an invalid value
   3  unreachable: the instance, the platform's log, or a data centre that --wait waits for
 """
@@ -62,6 +63,15 @@
 
 Exits with 1 if there are differences.
 """
+CHECK_HELP: Final = """Check FILE, an object of values by path, before it is sent.
+
+Prints, with their lines, errors, values that can never take effect and values that contradict each
+other, then what would change. The values are checked beside those in force; without an instance,
+or if it cannot be reached, by themselves.
+
+Exits with 2 if there are errors, with 1 if anything else was found or would change.
+"""
+CHECK_OFFLINE_HELP: Final = "Check without an instance: FILE holds all settings."
 VALIDATE_HELP: Final = """Check whether FILE, an object of values by path, would be accepted now.
 
 With --offline each value is checked separately, without an instance.
@@ -148,6 +158,11 @@
 )
 OTHER_VERDICT: Final = "{verdict}: {path}"
 VALID: Final = "valid: {count} values"
+EXPECTED_OBJECT: Final = "expected an object of values by path"
+REPEATED_KEY: Final = "expected each key once; the earlier value is lost"
+NOTHING_FOUND: Final = "nothing found in {count} values"
+NO_INSTANCE: Final = "no instance was asked"
+NOT_COMPARED: Final = "not compared with the settings in force: {reason}"
 SAME: Final = "no differences"
 
 IN_FORCE: Final = "{data_centre}: in force"
--- a/packages/turmericweir-ctl/turmericctl/settings_commands.py
+++ b/packages/turmericweir-ctl/turmericctl/settings_commands.py
@@ -298,17 +298,23 @@
     wanted_values = {
         path: value for path, value in wanted_values.items() if (path + "/").startswith(root + "/")
     }
-    differences = [
-        {"path": path, "is": current_values.get(path), "wanted": wanted_values.get(path)}
-        for path in sorted({*current_values, *wanted_values})
-        if current_values.get(path) != wanted_values.get(path)
-    ]
-    lines = [line for it in differences for line in _diff_lines(it)]
+    differences = list_differences(current_values, wanted_values)
+    lines = [line for it in differences for line in diff_lines(it)]
     session.printer.show({"differences": differences}, lines or [messages.SAME])
     _exit_unless_ok(ExitCode.REFUSED if differences else ExitCode.OK)
 
 
-def _diff_lines(item: dict[str, Any]) -> list[str]:
+def list_differences(current: dict[str, Any], wanted: dict[str, Any]) -> list[dict[str, Any]]:
+    """Return the paths whose values differ, with both values."""
+    return [
+        {"path": path, "is": current.get(path), "wanted": wanted.get(path)}
+        for path in sorted({*current, *wanted})
+        if current.get(path) != wanted.get(path)
+    ]
+
+
+def diff_lines(item: dict[str, Any]) -> list[str]:
+    """Return the lines that show a difference."""
     lines = []
     if item["is"] is not None:
         lines.append(f"- {item['path']} {compact(item['is'])}")
--- a/tests/ctl/test_ctl.py
+++ b/tests/ctl/test_ctl.py
@@ -5,6 +5,7 @@
 ! other RECORD          a change through another instance; see tests/core/settings_script.py
 ! report DC OFFSET AGE  a data centre has reported its settings offset AGE seconds ago
 ! file NAME JSON        create a file for the following runs
+! add NAME LINE         add a line to a file, which keeps its indentation
 """
 
 from __future__ import annotations
@@ -80,6 +81,10 @@
             case "file":
                 name, _, content = rest.partition(" ")
                 (self.folder / name).write_text(content, encoding="utf-8")
+            case "add":
+                name, _, content = rest.partition(" ")
+                with (self.folder / name).open("a", encoding="utf-8") as file:
+                    file.write(content + "\n")
             case _:
                 raise AssertionError(f"unknown command {command!r}")
 
@@ -91,11 +96,36 @@
         yield CommandRunner(daemon, tmp_path, capsys)
 
 
-@pytest.mark.parametrize("case", load_cases("ctl.test", CASES), ids=str)
+@pytest.mark.parametrize(
+    "case", load_cases("ctl.test", CASES) + load_cases("check.test", CASES), ids=str
+)
 def test_command_line(case: Case, runner: CommandRunner) -> None:
     check_lines(case, [shown for line in case.lines("in") for shown in runner.run_line(line)])
 
 
+def test_check_without_an_instance(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    """Guards against a check that needs an instance which the operator cannot reach."""
+    path = tmp_path / "settings.json"
+    path.write_text('{"/limits/default": {"requests_s": 1}}', encoding="utf-8")
+    for options, reason in (((), "no instance was asked"), (("--admin", "127.0.0.1:1"), "cannot")):
+        with pytest.raises(SystemExit) as raised:
+            main([*options, "settings", "check", str(path)])
+        assert not raised.value.code
+        first, second = capsys.readouterr().out.splitlines()
+        assert first.startswith(f"not compared with the settings in force: {reason}")
+        assert second == "nothing found in 1 values"
+
+
+def test_check_prints_one_json_document(runner: CommandRunner) -> None:
+    runner.apply_change('file s.json {"/limits/team:x": {"requests_s": 1}}')
+    path = runner.expand_argument("%s.json")
+    code, output = runner.run("--output", "json", "settings", "check", path)
+    body = json.loads(output)
+    assert code == 1
+    assert [(each["line"], each["kind"]) for each in body["reports"]] == [(1, "unused")]
+    assert [each["path"] for each in body["differences"]] == ["/limits/team:x"]
+
+
 def test_change_refused_in_an_outage_can_be_sent_again(runner: CommandRunner) -> None:
     """Guards against a change that cannot be retried after the log refused it.
 
