Write long bodies to servers in parts

Cause: a body was passed to the transport as a whole, which copies what it cannot send at once. A request whose server does not read held up to two copies of its body, of which only one was counted when the request was taken.

Now 64 KiB are passed at a time, and the next when the server has read most of them. A server that answers before it has read the body still gets the rest in the background.

--- a/packages/turmericweir/turmericweir/servers/backend_stream.py
+++ b/packages/turmericweir/turmericweir/servers/backend_stream.py
@@ -25,6 +25,8 @@
 CONNECT_TIMEOUT_S: Final = 0.35
 # Reading from the connection pauses while more bytes than this are unread.
 UNREAD_MAX_BYTES: Final = 65_536
+# How much of a body is passed to the transport at a time; it copies what it cannot send at once.
+WRITE_PART_BYTES: Final = 65_536
 # The system probes an idle connection after 5 s and closes it after 3 unanswered probes, 2 s apart;
 # data that is unacknowledged for 6 s closes it as well. Prevents waiting for hours on a connection
 # whose other end has disappeared.
@@ -182,7 +184,10 @@
         return data
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:  # noqa: ASYNC109
-        """Write the whole buffer."""
+        """Write the whole buffer, in parts while the server reads.
+
+        Prevents a second copy of a long body while its server is slow.
+        """
         assert timeout is None
         if not buffer:
             return
@@ -193,8 +198,12 @@
         # The callback may have cancelled the attempt.
         await checkpoint_if_cancelled()
         protocol = self._protocol
-        if not protocol.transport.is_closing():
-            protocol.transport.write(buffer)
+        rest = memoryview(buffer)
+        while rest and not protocol.transport.is_closing():
+            # A server that answers before it has read the body gets the rest in the background.
+            size = len(rest) if protocol.received_chunks else WRITE_PART_BYTES
+            protocol.transport.write(rest[:size])
+            rest = rest[size:]
             await protocol.wait_writable()
         if protocol.transport.is_closing():
             raise httpcore.WriteError(
--- a/tests/daemon/test_backend_stream.py
+++ b/tests/daemon/test_backend_stream.py
@@ -11,6 +11,7 @@
 
 from turmericweir.servers.backend_stream import (
     UNREAD_MAX_BYTES,
+    WRITE_PART_BYTES,
     BackendStream,
     ConnectionProtocol,
     connect,
@@ -104,6 +105,35 @@
     anyio.run(run)
 
 
+async def _write_to_slow_server(*, answers: bool) -> list[int]:
+    """Write a long body; return the sizes that were written while the server did not read."""
+    protocol, transport = make_protocol()
+    stream = BackendStream(protocol)
+    body = bytes(range(256)) * (WRITE_PART_BYTES // 64)
+    protocol.pause_writing()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(stream.write, body)
+        await anyio.wait_all_tasks_blocked()
+        unread_sizes = [len(each) for each in transport.written]
+        if answers:
+            protocol.data_received(b"HTTP/1.1 413 Too Large\r\n")
+        else:
+            protocol.resume_writing()
+    assert b"".join(transport.written) == body
+    return unread_sizes
+
+
+@pytest.mark.parametrize("answers", [True, False])
+def test_long_body_is_not_copied_while_its_server_does_not_read(answers: bool) -> None:
+    # Guards against two copies of each body in memory, and against a body that is cut short when
+    # the server answers before it has read it.
+    async def run() -> None:
+        sizes = await _write_to_slow_server(answers=answers)
+        assert sizes == [WRITE_PART_BYTES]
+
+    anyio.run(run)
+
+
 @pytest.mark.parametrize("reset", [True, False])
 def test_connection_closed_by_its_server_is_detected(reset: bool) -> None:
     # Guards against reusing a connection that the server closed or reset while it was idle, and
