Read the size of the process once a second, and list holders only if some must go

Cause: ten times a second the callers' check read the size of the process from the system and built a record for each caller, though the size counts only while next to nothing is held, and the records only where the memory is exceeded.

Change: the size is read once a second; the sum of what is held is taken without the records. The intervals, bounds and what is cut off stay the same.

Measured with six tracked callers, processor time of a check, before and after in turn on a loaded machine: 43.4 and 11.9 us, 52.6 and 16.0 us.

--- a/packages/turmericweir/turmericweir/callers/caller_memory.py
+++ b/packages/turmericweir/turmericweir/callers/caller_memory.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from math import inf
 from typing import Final, Protocol
 
 import anyio
@@ -17,6 +18,8 @@
 from turmericweir.process.node import Node
 
 _CHECK_INTERVAL_S: Final = 0.1
+# Interval between reads of the size of the process, which each take some system calls.
+_RESIDENT_INTERVAL_S: Final = 1.0
 
 
 class CallerChannel(Protocol):
@@ -127,9 +130,13 @@
 
     async def check_forever(self) -> None:
         """Check all callers at intervals."""
+        resident_bytes, next_read_at = 0, -inf
         while True:
             await anyio.sleep(_CHECK_INTERVAL_S)
-            self.check(anyio.current_time(), resident_size())
+            now = anyio.current_time()
+            if now >= next_read_at:
+                resident_bytes, next_read_at = resident_size(), now + _RESIDENT_INTERVAL_S
+            self.check(now, resident_bytes)
 
     def check(self, now: float, resident_bytes: int) -> None:
         """Cut off callers that do not read, and others if the memory is short."""
@@ -138,13 +145,17 @@
                 self._forget(tracked)
             elif tracked.unread_s(now) > self._unread_max_s:
                 self._cut_off(tracked, "unread", now)
+        budget = self._node.memory
+        budget.update(sum(each.held_bytes for each in self._tracked.values()), resident_bytes)
+        if budget.excess_bytes:
+            self._cut_off_excess(now, budget.excess_bytes)
+
+    def _cut_off_excess(self, now: float, excess_bytes: int) -> None:
         holders = [
             Holder(each, each.held_bytes, each.since, is_unread=bool(each.channel.unsent_bytes))
             for each in self._tracked.values()
         ]
-        budget = self._node.memory
-        budget.update(sum(holder.held_bytes for holder in holders), resident_bytes)
-        for holder in choose_cut_off(holders, budget.excess_bytes):
+        for holder in choose_cut_off(holders, excess_bytes):
             self._cut_off(holder.key, "memory", now)
 
     def _forget(self, tracked: TrackedCaller) -> None:
--- a/tests/daemon/test_caller_memory.py
+++ b/tests/daemon/test_caller_memory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass, field
 from typing import cast
 
@@ -112,3 +113,33 @@
     left = sum(channel.unsent_bytes for channel in channels if not channel.was_reset)
     assert 0 < left <= node.memory.room_bytes
     assert set(node.counts) == {"caller.cut_off.memory"}
+
+
+def test_size_of_the_process_is_read_less_often_than_callers_are_checked(
+    memory: CallerMemory, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against system calls at each check, which cost most of its time.
+    module = "turmericweir.callers.caller_memory"
+    clock, checks, reads = [0.0], [0], [0]
+
+    async def sleep(seconds: float) -> None:
+        clock[0] += seconds
+        if clock[0] > 5.0:
+            raise TimeoutError
+
+    def check(_now: float, resident_bytes: int) -> None:
+        checks[0] += 1
+        assert resident_bytes == 7
+
+    def read() -> int:
+        reads[0] += 1
+        return 7
+
+    monkeypatch.setattr(f"{module}.anyio.sleep", sleep)
+    monkeypatch.setattr(f"{module}.anyio.current_time", lambda: clock[0])
+    monkeypatch.setattr(f"{module}.resident_size", read)
+    monkeypatch.setattr(memory, "check", check)
+    with pytest.raises(TimeoutError):
+        asyncio.run(memory.check_forever())
+    assert reads[0] > 1
+    assert checks[0] > 5 * reads[0]
