--- a/packages/turmericweir/turmericweir/callers/caller_memory.py
+++ b/packages/turmericweir/turmericweir/callers/caller_memory.py
@@ -207,13 +207,17 @@
                 self._forget(tracked)
             elif tracked.unread_s(now) > self._unread_max_s:
                 self._cut_off(tracked, "unread", now)
+        budget = self._node.memory
+        budget.update(sum(each.held_bytes for each in self._tracked.values()), resident_bytes)
+        if budget.excess_bytes:
+            self._cut_off_excess(now, budget.excess_bytes)
+
+    def _cut_off_excess(self, now: float, excess_bytes: int) -> None:
         holders = [
             Holder(each, each.held_bytes, each.since, is_unread=bool(each.channel.unsent_bytes))
             for each in self._tracked.values()
         ]
-        budget = self._node.memory
-        budget.update(sum(holder.held_bytes for holder in holders), resident_bytes)
-        for holder in choose_cut_off(holders, budget.excess_bytes):
+        for holder in choose_cut_off(holders, excess_bytes):
             self._cut_off(holder.key, "memory", now)
 
     def _forget(self, tracked: TrackedCaller) -> None:
