Doubt the entry of a server that broke a stream off, here and at the peers

Cause: an engine that is back at once under its name with another version accepts connections, so its broken streams were no sign of a restart, and a crash that was seen reached the peers with the next tick. A caller took its stream up at a peer 30 ms after the break (the logs of the test's steps); the peer had no sign at all and placed it by the old entry.

What callers saw: streams with events of two versions, where their instance had no retry left.

Change: where a service has had several releases of late, an attempt that breaks on a server makes the server's entry doubted until it is read again, at this instance and, before the caller learns of the break, at all its peers (a field at the end of StreamsBound). Once a second for a server, over all that were told. Where one release serves, nothing changes. Answers that are none are no break.

Open: the first server of a second release, and a peer to which the message was lost.

--- a/packages/turmericweir-core/turmericweir_core/messages/stream_messages.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/stream_messages.py
@@ -20,6 +20,8 @@
     """The releases of streams, for the receiver to keep, or as an answer to it."""
 
     rows: list[StreamRow]
+    # Servers that have just broken a stream off, and may have started again with other software.
+    doubted_servers: list[str] = []
 
 
 class StreamAsk(Struct, frozen=True, array_like=True):
--- a/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
@@ -271,9 +271,11 @@
             effects = server_paths.note_failed(state, now, attempt.server, error, attempt.via)
             effects += _retry_or_finish(state, now, req, attempt, Reason.NO_SERVER, None)
             return [_failure_log(req, attempt, "unsent", error), *effects]
-        case EndBroken(error, server_alive):
+        case EndBroken(error, server_alive, is_malformed):
             req.may_have_run = True
             logs: list[Effect] = [_failure_log(req, attempt, "broken", error)]
+            if not is_malformed:
+                logs += stream_bindings.on_broken(state, now, req, attempt)
             if not server_alive:
                 logs += server_paths.note_failed(state, now, attempt.server, error, attempt.via)
             quarantine.record_broken_connection(state, now, req, attempt, server_alive)
--- a/packages/turmericweir-core/turmericweir_core/state/stream_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/stream_state.py
@@ -6,7 +6,7 @@
 
 from msgspec import Struct, field
 
-from turmericweir_core.base.ids import InstanceName, RequestId
+from turmericweir_core.base.ids import InstanceName, RequestId, ServerName
 from turmericweir_core.base.release import Release
 
 # Identifies a stream: a hash of the customer and the caller's id.
@@ -67,5 +67,7 @@
     next_expiry_at: float = _NEVER
     # Releases that no server has any more, by service, and since when.
     gone_releases: dict[str, dict[Release, float]] = field(default_factory=dict)
+    # When the entry of each server was last doubted because the server broke an attempt off.
+    doubted_at: dict[ServerName, float] = field(default_factory=dict)
     # Bindings that were dropped because there were too many.
     dropped: int = 0
