Count a crash in an isolated run, also where a peer reaches the server at once

Cause: the crash of a server that a peer reaches within 0.8 s is retracted, as then only a path was lost. A server that is back at once looks the same. Where that crash was in the isolated run of a part, it is most of the evidence against the part, so its verdict was withdrawn and one more request ran, which would give its caller 502 after others got 503.

Change: such a crash is not retracted. Two earlier crashes speak against the part already, and a part that is refused by chance is tried again after 10 s. Other crashes are retracted as before.

--- a/packages/turmericweir-core/turmericweir_core/trust/quarantine.py
+++ b/packages/turmericweir-core/turmericweir_core/trust/quarantine.py
@@ -291,9 +291,12 @@
 def retract_recent_crash(state: State, now: float, name: ServerName) -> None:
     """Retract the crash of a server that others reach, as only the path from here is lost.
 
-    A server that has crashed is not back so soon.
+    A server that has crashed is rarely back so soon. A break in the isolated run of a part counts
+    all the same: two crashes speak against the part, and a verdict on it would be withdrawn.
     """
     for key, crash in state.quarantine.crashes.items():
+        if crash.isolated_parts:
+            continue
         if key.server == name and now - crash.first_seen_at < _RESTART_MIN_S:
             evidence = CrashEvidence(is_retracted=True)
             merge_record(state, now, key, crash.first_seen_at, evidence)
--- a/tests/core/trust/test_part_verdicts.py
+++ b/tests/core/trust/test_part_verdicts.py
@@ -15,6 +15,8 @@
 from turmericweir_core.messages.effects import Log
 from turmericweir_core.messages.events import PeerReceived
 from turmericweir_core.messages.peer_messages import PeerMessage
+from turmericweir_core.state.quarantine_state import Crash
+from turmericweir_core.trust.quarantine import retract_recent_crash
 
 BAD: Final = 666
 OTHER_BAD: Final = 667
@@ -77,6 +79,40 @@
     assert [world.outcome(name) for name in names[-8:]] == [REFUSED] * 8
 
 
+def test_verdict_holds_where_a_peer_reaches_the_server_that_is_back_at_once() -> None:
+    # Guards against a refusal that is withdrawn, so that one more server crashes.
+    world = bad_world()
+    while not any(each.isolated_parts for each in _crashes(world)):
+        send_bad(world, 1)
+    assert _is_refused_everywhere(world)
+    for state in world.states.values():
+        for key, crash in state.quarantine.crashes.items():
+            if crash.isolated_parts:
+                retract_recent_crash(state, crash.first_seen_at + 0.1, key.server)
+    world.advance(0.3)
+    assert _is_refused_everywhere(world)
+
+
+@pytest.mark.parametrize("back_s", [0.1, 1.0])
+def test_crash_of_a_server_that_a_peer_reaches_is_retracted(back_s: float) -> None:
+    # Guards against a part that is blamed for a lost path.
+    world = bad_world()
+    send_bad(world, 1, repeatable=False, gap_s=0.1)
+    for state in world.states.values():
+        for key, crash in list(state.quarantine.crashes.items()):
+            retract_recent_crash(state, crash.first_seen_at + back_s, key.server)
+    assert {each.is_retracted for each in _crashes(world)} == {back_s < 0.8}
+
+
+def _crashes(world: FaultWorld) -> list[Crash]:
+    return [each for state in world.states.values() for each in state.quarantine.crashes.values()]
+
+
+def _is_refused_everywhere(world: FaultWorld) -> bool:
+    cases = [state.quarantine.part_cases.get(BAD) for state in world.states.values()]
+    return all(case is not None and case.is_quarantined for case in cases)
+
+
 def test_sound_requests_with_the_first_part_go_on() -> None:
     # Guards against a refusal of what shares other parts with the bad ones.
     world = bad_world()
