Drop a refused body where the connection closes, and refuse only by a fresh count

A request with Connection: close that was refused by its head had its connection closed with bytes of the body unread, which resets it, so its caller might not read the 503. And what was held was counted each second after a burst, so for up to a second requests were refused for what had been freed.

The body is dropped before such a refusal, and no request is refused by a count that is older than 50 ms.

--- a/packages/turmericweir/turmericweir/callers/caller_memory.py
+++ b/packages/turmericweir/turmericweir/callers/caller_memory.py
@@ -24,6 +24,8 @@
 # What is held is also counted when much was read (`MemoryBudget.add`).
 _CHECK_INTERVAL_S: Final = 1.0
 _SHORT_CHECK_INTERVAL_S: Final = 0.1
+# A request is refused only by a count that is at most this old.
+_COUNT_AGE_S: Final = 0.05
 # How long room is kept for the rest of a body of which nothing arrives.
 _AWAITED_S: Final = 5.0
 
@@ -140,19 +142,21 @@
     _tracked: dict[CallerChannel, TrackedCaller]
     # Those whose bodies are being read.
     _receiving: set[TrackedCaller]
+    _counted_at: float
 
     def __init__(self, node: Node, unread_max_s: float) -> None:
         self._node = node
         self._unread_max_s = unread_max_s
         self._tracked = {}
         self._receiving = set()
+        self._counted_at = 0.0
         node.memory.recount = self.count
 
     def admit(self, tracked: TrackedCaller, body_bytes: int | None) -> bool:
         """Return whether a request's body may be read, and keep room for it; None if unknown."""
         now = anyio.current_time()
-        awaited_bytes = sum(each.awaited_bytes(now) for each in self._receiving)
-        if not self._node.memory.fits(body_bytes or 0, awaited_bytes):
+        size = body_bytes or 0
+        if not self._fits(size, now) and not (self._count_again(now) and self._fits(size, now)):
             return False
         if body_bytes:
             tracked.keep_room(body_bytes, now)
@@ -162,11 +166,28 @@
     def add_body(self, tracked: TrackedCaller, size: int) -> bool:
         """Count a part of a body; return False if no more of it may be read."""
         now = anyio.current_time()
-        if self._node.memory.is_short and not tracked.has_room(now):
-            return False
+        budget = self._node.memory
+        if budget.is_short and not tracked.has_room(now):
+            self._count_again(now)
+            if budget.is_short:
+                return False
         tracked.add_body(size, now)
         return True
 
+    def _fits(self, body_bytes: int, now: float) -> bool:
+        awaited_bytes = sum(each.awaited_bytes(now) for each in self._receiving)
+        return self._node.memory.fits(body_bytes, awaited_bytes)
+
+    def _count_again(self, now: float) -> bool:
+        """Count what is held if the last count is old; return whether it was.
+
+        Prevents refusals for what has been passed on or freed since.
+        """
+        if now - self._counted_at < _COUNT_AGE_S:
+            return False
+        self.count()
+        return True
+
     def end_body(self, tracked: TrackedCaller) -> None:
         """Record that nothing more of a body is read."""
         self._receiving.discard(tracked)
@@ -202,6 +223,7 @@
 
     def check(self, now: float, resident_bytes: int) -> None:
         """Cut off callers that do not read, and others if the memory is short."""
+        self._counted_at = now
         for tracked in list(self._tracked.values()):
             if not tracked.is_running and not tracked.channel.unsent_bytes:
                 self._forget(tracked)
--- a/packages/turmericweir/turmericweir/callers/forward_app.py
+++ b/packages/turmericweir/turmericweir/callers/forward_app.py
@@ -70,8 +70,9 @@
         try:
             await self._answer(connection, head, receive, caller, tracked)
         except RefusedError as exc:
-            awaits_continue = any(name == b"expect" for name, _ in head.headers)
-            await self._refuse(caller, exc, awaits_continue=awaits_continue)
+            if exc.reason is Reason.MEMORY_SHORT:
+                await self._prepare_early_refusal(connection, head, receive, caller, tracked)
+            await self._refuse(caller, exc)
         except Exception as exc:
             logs.write_fault("answer", request_id, exc)
             # The outcome is unknown, and any answer would suggest one.
@@ -88,7 +89,27 @@
             unique_id = RequestId(f"{request_id}~{number}")
         return unique_id
 
-    async def _refuse(self, caller: Caller, exc: RefusedError, *, awaits_continue: bool) -> None:
+    async def _prepare_early_refusal(
+        self,
+        connection: LimitedProtocol,
+        head: RequestHead,
+        receive: ASGIReceiveCallable,
+        caller: Caller,
+        tracked: TrackedCaller,
+    ) -> None:
+        """Let go of a body, and drop the rest of it first if the refusal closes the connection."""
+        tracked.body_bytes = 0
+        if any(name == b"expect" for name, _ in head.headers):
+            # The caller sends no body after a refusal.
+            caller.should_close = True
+        elif caller.should_close or connection.closes_after_answer:
+            with anyio.move_on_after(BODY_TIMEOUT_S):
+                while True:
+                    message = await receive()
+                    if message["type"] != "http.request" or not message["more_body"]:
+                        break
+
+    async def _refuse(self, caller: Caller, exc: RefusedError) -> None:
         self._node.count(f"refused.{exc.reason}")
         state = self._node.state
         logs.write(
@@ -99,9 +120,6 @@
             settings_version=state.settings_offset(),
         )
         caller.should_close = caller.should_close or exc.reason in _BODY_UNREAD_REASONS
-        if exc.reason is Reason.MEMORY_SHORT and awaits_continue:
-            # The caller sends no body after a refusal.
-            caller.should_close = True
         await caller.write_problem(self._wire.refusal_problem(caller.request_id, exc))
 
     async def _answer(
--- a/packages/turmericweir/turmericweir/callers/http_server.py
+++ b/packages/turmericweir/turmericweir/callers/http_server.py
@@ -164,6 +164,11 @@
         """Whether the connection is closed or being closed."""
         return self.transport.is_closing()
 
+    @property
+    def closes_after_answer(self) -> bool:
+        """Whether the connection is closed after the answer to its newest request."""
+        return not self.cycle.keep_alive
+
     @property
     def header_bytes(self) -> int:
         """The number of bytes received of headers that are not complete."""
--- a/tests/daemon/test_caller_memory.py
+++ b/tests/daemon/test_caller_memory.py
@@ -130,6 +130,22 @@
     assert not memory.admit(memory.track(_Channel(), "late"), 4_000_000)
 
 
+def test_request_is_not_refused_for_what_was_freed(
+    node: _Node, memory: CallerMemory, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against refusals by a count from before the end of a burst.
+    node.memory.limit_bytes = 100_000_000
+    memory.check(0.0, 40_000_000)
+    channel = _Channel(unsent_bytes=node.memory.room_bytes)
+    tracked = memory.track(channel, "a")
+    memory.check(0.0, 40_000_000)
+    assert not memory.admit(memory.track(_Channel(), "b"), 0)
+    channel.unsent_bytes = 0
+    memory.end_request(tracked)
+    monkeypatch.setattr("turmericweir.callers.caller_memory.anyio.current_time", lambda: 0.1)
+    assert memory.admit(memory.track(_Channel(), "c"), 0)
+
+
 def test_room_is_not_kept_for_a_body_that_stops_arriving(
     node: _Node, memory: CallerMemory, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/tests/platform/test_slow_readers.py
+++ b/tests/platform/test_slow_readers.py
@@ -81,10 +81,14 @@
     def __exit__(self, *_: object) -> None:
         self._sock.close()
 
-    def begin(self, path: str, length: int) -> None:
+    def begin(self, path: str, length: int, **more_headers: str) -> None:
         """Send the head of a request."""
         headers = self._world.request_headers(
-            path, self._world.new_id(), Content_Length=str(length), X_Deadline_Ms="60000"
+            path,
+            self._world.new_id(),
+            Content_Length=str(length),
+            X_Deadline_Ms="60000",
+            **more_headers,
         )
         lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
         self._sock.sendall(f"POST {path} HTTP/1.1\r\n{lines}\r\n".encode())
@@ -221,6 +225,20 @@
         assert late.read_status() == 200
 
 
+def test_refusal_reaches_a_caller_whose_connection_closes(world: PlatformWorld) -> None:
+    # Guards against a close with unread bytes of the body, which resets the connection.
+    _allow_large_bodies(world)
+    world.set_mode("mute")
+    with ExitStack() as stack:
+        for _ in range(_CALLERS):
+            stack.enter_context(SlowCaller(world, "/shop/buy/", _LARGE_BODY))
+        until(lambda: bool(_refused_for_memory(world)), "a request is refused for want of memory")
+        late = stack.enter_context(HeadCaller(world))
+        late.begin("/shop/buy/", len(_LARGE_BODY), Connection="close")
+        late.send(_LARGE_BODY)
+        assert late.read_status() == 503
+
+
 def test_server_that_reads_nothing_holds_no_memory_beyond_its_request(world: PlatformWorld) -> None:
     # Guards against requests that are held for servers which never read them.
     _allow_large_bodies(world)
