--- a/packages/turmericweir-ctl/turmericctl/check_command.py
+++ b/packages/turmericweir-ctl/turmericctl/check_command.py
@@ -21,7 +21,6 @@
 @pass_session
 def check(session: Session, file: Path, offline: bool) -> None:
     """Check a file of values, and compare it with the values in force."""
-    text = file.read_text(encoding="utf-8")
     in_force: dict[str, Any] = {}
     not_compared = ""
     if offline or session.admin is None:
@@ -33,7 +32,7 @@
             if exc.code is not ExitCode.UNREACHABLE:
                 raise
             not_compared = str(exc)
-    checked = check_file(text, in_force)
+    checked = check_file(file.read_bytes(), in_force)
     differences = [] if not_compared or checked.has_errors else _differences(checked, in_force)
     lines = [_report_line(file, report) for report in checked.reports]
     lines += [line for each in differences for line in diff_lines(each)]
--- a/packages/turmericweir-ctl/turmericctl/messages.py
+++ b/packages/turmericweir-ctl/turmericctl/messages.py
@@ -158,6 +158,8 @@
 )
 OTHER_VERDICT: Final = "{verdict}: {path}"
 VALID: Final = "valid: {count} values"
+NOT_UTF8: Final = "expected UTF-8"
+TOO_DEEP: Final = "nested too deeply"
 EXPECTED_OBJECT: Final = "expected an object of values by path"
 REPEATED_KEY: Final = "expected each key once; the earlier value is lost"
 NOTHING_FOUND: Final = "nothing found in {count} values"
--- a/packages/turmericweir-ctl/turmericctl/settings_check.py
+++ b/packages/turmericweir-ctl/turmericctl/settings_check.py
@@ -52,10 +52,17 @@
         return any(report.kind == ERROR for report in self.reports)
 
 
-def check_file(text: str, in_force: Mapping[str, object]) -> CheckedFile:
-    """Check a file's text beside the raw values in force by path."""
+def check_file(content: bytes, in_force: Mapping[str, object]) -> CheckedFile:
+    """Check a file's content beside the raw values in force by path."""
+    try:
+        text = content.decode()
+    except UnicodeDecodeError as exc:
+        line = content.count(b"\n", 0, exc.start) + 1
+        return CheckedFile({}, (Report(line, ERROR, "", "", messages.NOT_UTF8),))
     try:
         raw = json5.loads(text)
+    except RecursionError:
+        return CheckedFile({}, (Report(None, ERROR, "", "", messages.TOO_DEEP),))
     except ValueError as exc:
         return CheckedFile({}, (_parser_report(str(exc)),))
     if not isinstance(raw, dict):
