Return freed memory only where a limit is named

A process without a memory limit returned freed memory after each burst as well, though it has no room to keep. The test fails on the commit before.

--- a/packages/turmericweir/turmericweir/process/memory_budget.py
+++ b/packages/turmericweir/turmericweir/process/memory_budget.py
@@ -139,7 +139,8 @@
     @property
     def can_release(self) -> bool:
         """Whether what was held is free, and the allocator may still keep it."""
-        return self._has_held_much and self.used_bytes < _IDLE_HELD_BYTES
+        is_free = self._has_held_much and self.used_bytes < _IDLE_HELD_BYTES
+        return bool(self.limit_bytes) and is_free
 
     def note_released(self, resident_bytes: int) -> None:
         """Record the size of the process without freed memory, which is what it needs itself.
--- a/tests/daemon/test_memory_budget.py
+++ b/tests/daemon/test_memory_budget.py
@@ -131,8 +131,13 @@
     assert budget.fits(case.size, case.awaited) == case.fits
 
 
-def test_process_without_a_limit_takes_any_body() -> None:
-    assert MemoryBudget().fits(10**12, 10**12)
+def test_process_without_a_limit_takes_any_body_and_returns_no_memory() -> None:
+    # Guards against deployments that name no limit and pay for one.
+    budget = MemoryBudget()
+    assert budget.fits(10**12, 10**12)
+    budget.update(10**12, 10**12)
+    budget.update(0, 10**12)
+    assert not budget.can_release
 
 
 def test_what_was_read_is_counted_before_it_fills_the_room() -> None:
