Hold late requests back from busy engines in the least urgent class only

Cause: a late request of any class was sent only to an engine where it would begin almost at once, while less urgent ones in time could go to engines with a longer wait: they took the room before it.

Change: only late requests of the least urgent class wait for such an engine.

Test: a late summary goes before a report in time; fails on the code before.

--- a/packages/turmericweir-core/turmericweir_core/placement/predicted_placement.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/predicted_placement.py
@@ -379,14 +379,26 @@
     which may wait longer, from taking every place at a busy engine until decode requests expire.
     """
     limit_s = state.options.engine_wait_share * req.service_class.target_s
-    if state.options.late.is_enabled and queue_state.is_overdue(state.queues, req):
-        # In-time requests that come later would wait behind it there.
+    if _must_begin_at_once(state, req):
         return state.options.spare_wait_share * req.service_class.target_s
     if engine_pools.tolerates_long_prompts(state, req.service_class, server.service):
         return limit_s
     return limit_s + now - req.arrived_at
 
 
+def _must_begin_at_once(state: State, req: Request) -> bool:
+    """Return whether a request is late, so that those in time that come later must not wait for it.
+
+    Only of the least urgent class. Prevents late requests of the others from being held back from
+    engines that take less urgent ones.
+    """
+    if not state.options.late.is_enabled or not queue_state.is_overdue(state.queues, req):
+        return False
+    rank = scheduling_rank(req.service_class)
+    queues = queue_state.target_classes(state.queues, req.target)
+    return all(scheduling_rank(each.service_class) <= rank for each in queues)
+
+
 def _cost_ms(state: State, now: float, server: Server, begin_ms: float) -> float:
     """Return the time until a request begins at an engine plus the cost of its failures, in ms."""
     name = server.entry.name
--- a/tests/core/placement/test_late_refusal.py
+++ b/tests/core/placement/test_late_refusal.py
@@ -7,8 +7,21 @@
 import pytest
 
 from tests.core.case_driver import Case, check_lines, load_cases
-from tests.core.late_load import CHAT, REPORT, SUMMARY, Caller, Kind, KindSender, LateLoad
+from tests.core.late_load import (
+    CHAT,
+    REPORT,
+    SLOTS,
+    SUMMARY,
+    Caller,
+    Kind,
+    KindSender,
+    LateLoad,
+    LateWorld,
+)
+from tests.core.store_world import only
 from turmericweir_core.base.late_options import LateOptions
+from turmericweir_core.messages.effects import StartAttempt
+from turmericweir_core.messages.load_messages import LoadNews, LoadRow
 from turmericweir_core.placement import late_refusal
 from turmericweir_core.placement.late_refusal import Fate, Need, Room
 
@@ -173,6 +186,27 @@
         assert all(len(each.calls) == 1 for each in callers)
 
 
+def test_late_request_goes_before_a_less_urgent_one_in_time() -> None:
+    # Guards against an engine that takes less urgent requests while late ones are held back.
+    world = LateWorld(1, name="a-1", now=100.0, late=LateOptions(is_enabled=True))
+    _give_load(world, 0, [], SLOTS)
+    for kind in (SUMMARY, REPORT):
+        fields = {"service_class": kind.service_class, "prompt_tokens": kind.prompt_tokens}
+        deadline = world.now + kind.limit_s
+        effects = world.arrive(kind.service_class.name, deadline=deadline, end_by=None, **fields)
+        assert not only(effects, StartAttempt)
+    world.wait(SUMMARY.service_class.target_s - 0.1)
+    # A less urgent prompt is being read: it takes longer than a tenth of the target.
+    _give_load(world, 1, [[300, REPORT.service_class.priority, 0]], SLOTS - 2)
+    world.wait(0.05)
+    assert [each.request_id for each in only(world.effects, StartAttempt)][:1] == ["summary"]
+
+
+def _give_load(world: LateWorld, seq: int, prefills: list[list[int]], running: int) -> None:
+    """Report the load of a peer on the engine."""
+    world.peer("a-2", LoadNews("x", seq, [LoadRow("lm-1", prefills, running, 0)]))
+
+
 # --- failures --------------------------------------------------------------------------------
 
 
