Take the most frequent events first in the reducers

Cause: an event is matched against the cases in order, each of which costs time. A load update of a peer and a chunk of a stream, by far the most frequent events, came behind all events of duties, the store, servers and members: some 45 cases in four functions for an update.

Change: messages of peers have a match of their own in each reducer; load updates and chunks come first. Every event is handled by the same function as before.

--- a/packages/turmericweir-core/turmericweir_core/reducers/reducer_common.py
+++ b/packages/turmericweir-core/turmericweir_core/reducers/reducer_common.py
@@ -95,6 +95,8 @@
 def reduce_common(state: State, now: float, event: CommonEvent) -> list[Effect]:
     """Apply an event that all reducers handle in the same way."""
     match event:
+        case PeerReceived():
+            return _on_peer(state, now, event)
         case AttemptProgress():
             return attempt_flow.on_progress(state, now, event)
         case AttemptSent():
@@ -140,15 +142,20 @@
         case PeerUnreachable(peer, _):
             credit.on_peer_unreachable(state, now, peer)
             return []
-        case PeerReceived():
-            return _on_peer(state, now, event)
         case unreachable:
             assert_never(unreachable)
 
 
 def _on_peer(state: State, now: float, event: PeerReceived) -> list[Effect]:
     sender = event.sender
+    # The most frequent messages come first, since each case before them costs time.
     match event.message:
+        case LoadNews() as update:
+            load_updates.on_load_update(state, now, sender, update)
+            return dispatch.dispatch_all(state, now)
+        case LoadBundle() as bundle:
+            load_updates.on_load_bundle(state, now, sender, bundle)
+            return dispatch.dispatch_all(state, now)
         case Heartbeat() as heartbeat:
             effects, _ = membership_reducer.on_heartbeat(
                 state, now, sender, heartbeat, event.origin
@@ -183,12 +190,6 @@
             return retry_loans.on_ask(state, now, sender, ask)
         case RetryLoan() as loan:
             return retry_loans.on_loan(state, now, loan)
-        case LoadNews() as update:
-            load_updates.on_load_update(state, now, sender, update)
-            return dispatch.dispatch_all(state, now)
-        case LoadBundle() as bundle:
-            load_updates.on_load_bundle(state, now, sender, bundle)
-            return dispatch.dispatch_all(state, now)
         case _:
             # The message is for a reducer that this process does not run.
             return []
--- a/packages/turmericweir-core/turmericweir_core/reducers/reducer_duties.py
+++ b/packages/turmericweir-core/turmericweir_core/reducers/reducer_duties.py
@@ -17,6 +17,7 @@
 from turmericweir_core.messages.events import (
     AppendDone,
     AppendFailed,
+    AttemptProgress,
     DutyAnswered,
     DutyOutcome,
     Event,
@@ -29,6 +30,7 @@
     Tick,
     WallClockRead,
 )
+from turmericweir_core.messages.load_messages import LoadBundle, LoadNews
 from turmericweir_core.reducers import reducer_store
 from turmericweir_core.state import usage_meter
 from turmericweir_core.state.state import State
@@ -36,22 +38,16 @@
 
 def reduce(state: State, now: float, event: Event) -> list[Effect]:
     """Apply one event at time `now` of the runtime's clock, seconds; return the effects."""
+    # The most frequent events come first, since each case before them costs time.
     match event:
+        case PeerReceived():
+            return _on_peer(state, now, event)
+        case AttemptProgress():
+            return reducer_store.reduce(state, now, event)
         case Tick():
             return reducer_store.reduce(state, now, event) + _on_tick(state, now)
         case StopRequested():
             return reducer_store.reduce(state, now, event) + usage.send_counts(state, now)
-        case PeerReceived(sender, UsageCounts() as message):
-            usage.on_counts(state, now, sender, message)
-            return []
-        case PeerReceived(sender, UsageAsk() as ask):
-            return usage_requests.on_ask(state, now, sender, ask)
-        case PeerReceived(sender, UsageSend() as answer):
-            usage_requests.on_answer(state, now, sender, answer)
-            return []
-        case PeerReceived(sender, DutyStatus() as status):
-            election.on_status(state, now, sender, status)
-            return []
         case WallClockRead(wall_s):
             if state.meter is not None:
                 usage_meter.note_clock(state.meter, now, wall_s)
@@ -70,6 +66,26 @@
             return reducer_store.reduce(state, now, event)
 
 
+def _on_peer(state: State, now: float, event: PeerReceived) -> list[Effect]:
+    sender = event.sender
+    match event.message:
+        case LoadNews() | LoadBundle():
+            return reducer_store.reduce(state, now, event)
+        case UsageCounts() as message:
+            usage.on_counts(state, now, sender, message)
+            return []
+        case UsageAsk() as ask:
+            return usage_requests.on_ask(state, now, sender, ask)
+        case UsageSend() as answer:
+            usage_requests.on_answer(state, now, sender, answer)
+            return []
+        case DutyStatus() as status:
+            election.on_status(state, now, sender, status)
+            return []
+        case _:
+            return reducer_store.reduce(state, now, event)
+
+
 def _on_tick(state: State, now: float) -> list[Effect]:
     duties = state.duties
     if duties is None or state.meter is None:
--- a/packages/turmericweir-core/turmericweir_core/reducers/reducer_store.py
+++ b/packages/turmericweir-core/turmericweir_core/reducers/reducer_store.py
@@ -51,7 +51,12 @@
     WallClockRead,
     WeightsAnswered,
 )
-from turmericweir_core.messages.load_messages import CachesAsk, CachesSend
+from turmericweir_core.messages.load_messages import (
+    CachesAsk,
+    CachesSend,
+    LoadBundle,
+    LoadNews,
+)
 from turmericweir_core.messages.server_messages import RegistryNews, ServersAsk, ServersSend
 from turmericweir_core.messages.settings_messages import DocumentAsk, DocumentProof, DocumentSend
 from turmericweir_core.placement import dead_server, dispatch
@@ -72,7 +77,12 @@
 
 
 def _apply(state: State, now: float, event: Event) -> list[Effect]:
+    # The most frequent events come first, since each case before them costs time.
     match event:
+        case PeerReceived():
+            return _on_peer(state, now, event)
+        case AttemptProgress():
+            return reduce_common(state, now, event)
         case Tick():
             return _on_tick(state, now)
         case DocumentRead():
@@ -88,12 +98,6 @@
             return effects + dispatch.dispatch_all(state, now)
         case EntryUnreadable():
             return registry.on_unreadable(event)
-        case PeerReceived(sender, DocumentAsk() as ask):
-            return document.on_ask(state, now, sender, ask)
-        case PeerReceived(sender, DocumentSend() as message):
-            return document.on_send(state, sender, message)
-        case PeerReceived(sender, DocumentProof() as message):
-            return document.on_proof(state, now, sender, message)
         case ServerAnswered(server, via):
             dead_server.on_answered(state, now, server, via)
             return reduce_common(state, now, event)
@@ -108,32 +112,16 @@
             if attempt is None:
                 return effects
             return effects + dead_server.on_unreachable(state, now, attempt.server, attempt.via)
-        case PeerReceived(sender, RegistryNews() as update):
-            effects = registry.on_registry_update(state, now, sender, update)
-            effects += leaving.create_leaving_notices(state, now)
-            return effects + dispatch.dispatch_all(state, now)
-        case PeerReceived(sender, ServersAsk()):
-            return registry.answer_list(state, now, sender)
-        case PeerReceived(sender, ServersSend() as message):
-            effects = registry.on_list(state, now, sender, message)
-            effects += leaving.create_leaving_notices(state, now)
-            return effects + dispatch.dispatch_all(state, now)
-        case PeerReceived(sender, CachesAsk()):
-            return cache_handover.on_caches_request(state, now, sender)
-        case PeerReceived(sender, CachesSend() as message):
-            return cache_handover.on_caches_received(state, sender, message)
         case (
             RequestArrived()
             | CallerLeft()
             | AttemptSent()
-            | AttemptProgress()
             | AnswerReceived()
             | AttemptEnded()
             | ServerReport()
             | CacheEvents()
             | ListRead()
             | SeedsGiven()
-            | PeerReceived()
             | PeerUnreachable()
             | CarriedChanged()
             | StopRequested()
@@ -159,6 +147,35 @@
             assert_never(unreachable)
 
 
+def _on_peer(state: State, now: float, event: PeerReceived) -> list[Effect]:
+    sender = event.sender
+    match event.message:
+        case LoadNews() | LoadBundle():
+            return reduce_common(state, now, event)
+        case DocumentAsk() as ask:
+            return document.on_ask(state, now, sender, ask)
+        case DocumentSend() as message:
+            return document.on_send(state, sender, message)
+        case DocumentProof() as message:
+            return document.on_proof(state, now, sender, message)
+        case RegistryNews() as update:
+            effects = registry.on_registry_update(state, now, sender, update)
+            effects += leaving.create_leaving_notices(state, now)
+            return effects + dispatch.dispatch_all(state, now)
+        case ServersAsk():
+            return registry.answer_list(state, now, sender)
+        case ServersSend() as message:
+            effects = registry.on_list(state, now, sender, message)
+            effects += leaving.create_leaving_notices(state, now)
+            return effects + dispatch.dispatch_all(state, now)
+        case CachesAsk():
+            return cache_handover.on_caches_request(state, now, sender)
+        case CachesSend() as message:
+            return cache_handover.on_caches_received(state, sender, message)
+        case _:
+            return reduce_common(state, now, event)
+
+
 def _on_tick(state: State, now: float) -> list[Effect]:
     effects = registry.on_tick(state, now)
     effects += tick_requests(state, now)
