--- a/tests/core/placement/test_placement_cost.py
+++ b/tests/core/placement/test_placement_cost.py
@@ -12,9 +12,10 @@
 
 import pytest
 
-from tests.core.store_world import QUICK, StoreWorld, only
+from tests.core.store_world import BULK, MODEL, QUICK, StoreWorld, only
 from turmericweir_core.base.request import WaitReason
 from turmericweir_core.engines import engine_pools
+from turmericweir_core.membership.subset import open_servers
 from turmericweir_core.messages.effects import Effect, StartAttempt
 from turmericweir_core.messages.events import Tick
 from turmericweir_core.messages.load_messages import LoadNews, LoadRow
@@ -54,6 +55,19 @@
     return world.peer("a-2", LoadNews("y", seq, rows))
 
 
+def _free_engines_for_long_prompts(world: StoreWorld) -> None:
+    """Have a peer report that only the engines which waiting requests do not use have room."""
+    state = world.state
+    engines = list(open_servers(state, world.now, MODEL))
+    req = world.request("long", service_class=BULK, prompt_tokens=17_000)
+    free = {each.entry.name for each in engine_pools.engines_for(state, world.now, req, engines)}
+    rows = [
+        LoadRow(each.entry.name, [], 10_000, 0) for each in engines if each.entry.name not in free
+    ]
+    assert 0 < len(rows) < len(engines)
+    assert not only(world.peer("a-2", LoadNews("y", 2, rows)), StartAttempt)
+
+
 def _arrive(world: StoreWorld, name: str) -> list[Effect]:
     return world.arrive(
         name,
@@ -70,6 +84,7 @@
 ) -> None:
     # Guards against a cost of the split into kinds that grows with the requests that wait.
     world = _new_full_world(waiting)
+    _free_engines_for_long_prompts(world)
     counts = _count_calls(
         monkeypatch, (engine_pools, "_sum_demand"), (engine_pools, "_make_groups")
     )
