End a request whose limit has passed in place of another attempt

Cause: a request past its deadline is ended when an attempt fails, but one whose answer had begun and that is past its route's limit was started again at once, until the next tick. Since an attempt past its limit sends nothing, it would be started in a loop until then.

Change: the limit counts like the deadline there. The new test (six cases) fails before in the three of begun answers.

--- a/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
@@ -395,7 +395,8 @@
     req.failed_servers.add(attempt.server)
     if req.caller_left:
         return finish(state, now, req, unanswered_outcome(req), Reason.CALLER_LEFT)
-    if now >= req.deadline and req.first_token_at is None:
+    is_past_deadline = now >= req.deadline and req.first_token_at is None
+    if is_past_deadline or (req.end_by is not None and now >= req.end_by):
         return finish(state, now, req, unanswered_outcome(req), Reason.DEADLINE)
     if is_stop_due(state, now):
         return finish(state, now, req, unanswered_outcome(req), Reason.STOPPING)
