--- a/packages/turmericweir-core/turmericweir_core/base/pace_options.py
+++ b/packages/turmericweir-core/turmericweir_core/base/pace_options.py
@@ -8,8 +8,8 @@
 class PaceOptions(Struct, frozen=True):
     """How instances learn the pace of engines."""
 
-    # Whether instances tell each other what pace they observe. Without it, each learns from its own
-    # requests alone.
+    # Whether instances report to each other what pace they observe. Without it, each learns from
+    # its own requests alone.
     is_shared: bool = False
     # Weight of one observation, once an engine's pace is known.
     observation_weight: float = 0.2
--- a/packages/turmericweir-core/turmericweir_core/messages/load_messages.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/load_messages.py
@@ -62,7 +62,7 @@
     overdue: list[OverdueRow] = []
     # Work of medium prompts: they tolerate no long prompts beside them, and delay shorter ones.
     medium_prompt_ms_s: int = 0
-    # Told only where late requests give way to others.
+    # Empty unless late requests go behind those that can be in time.
     waiting: list[WaitingRow] = []
 
 
--- a/packages/turmericweir-core/turmericweir_core/messages/pace_messages.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/pace_messages.py
@@ -1,4 +1,4 @@
-"""What an instance tells others of the pace at which engines prefill prompts."""
+"""Reports of the pace at which engines prefill prompts, as one instance observed it."""
 
 from __future__ import annotations
 
--- a/packages/turmericweir-core/turmericweir_core/messages/stream_messages.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/stream_messages.py
@@ -21,7 +21,7 @@
 
     rows: list[StreamRow]
     # Servers that have just broken a stream off, and may have started again with other software.
-    doubted_servers: list[str] = []
+    suspected_servers: list[str] = []
 
 
 class StreamAsk(Struct, frozen=True, array_like=True):
--- a/packages/turmericweir-core/turmericweir_core/queueing/waiting_reports.py
+++ b/packages/turmericweir-core/turmericweir_core/queueing/waiting_reports.py
@@ -1,7 +1,7 @@
-"""Tell the other instances how much work waits for engines, by rank, kind and lateness.
+"""Report to the other instances how much work waits for engines, by rank, kind and lateness.
 
 The reports ride on the load updates (`load_updates`), each holds all that waits at its sender, and
-a relay passes on the sum of its group. They are sent only where late requests give way to others.
+a relay passes on the sum of its group. They are sent only where late requests go behind others.
 """
 
 from __future__ import annotations
--- a/packages/turmericweir-core/turmericweir_core/state/stream_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/stream_state.py
@@ -67,7 +67,7 @@
     next_expiry_at: float = _NEVER
     # Releases that no server has any more, by service, and since when.
     gone_releases: dict[str, dict[Release, float]] = field(default_factory=dict)
-    # When the entry of each server was last doubted because the server broke an attempt off.
-    doubted_at: dict[ServerName, float] = field(default_factory=dict)
+    # When the entry of each server was last suspected because the server broke an attempt off.
+    suspected_at: dict[ServerName, float] = field(default_factory=dict)
     # Bindings that were dropped because there were too many.
     dropped: int = 0
--- a/packages/turmericweir-core/turmericweir_core/streams/stream_bindings.py
+++ b/packages/turmericweir-core/turmericweir_core/streams/stream_bindings.py
@@ -154,18 +154,18 @@
 
 # Time from the start of a server until its entry can be read.
 _CONFIRM_S: Final = 0.5
-# Interval at which an entry is doubted at most; longer than its confirmation usually takes.
+# Interval at which an entry is suspected at most; longer than its confirmation usually takes.
 # Prevents streams of a server that breaks off many from waiting for ever.
-_DOUBT_INTERVAL_S: Final = 1.0
+_SUSPECT_INTERVAL_S: Final = 1.0
 
 
 def on_broken(state: State, now: float, req: Request, attempt: Attempt) -> list[Effect]:
-    """Doubt the entry of a server that broke an attempt off, here and at all peers.
+    """Suspect the entry of a server that broke an attempt off, here and at all peers.
 
     It may have started again with other software, and the caller may take the stream up at a peer
     at once.
     """
-    if req.kind is not ServiceKind.MODEL or not _doubt_entry(state, now, attempt.server):
+    if req.kind is not ServiceKind.MODEL or not _suspect_entry(state, now, attempt.server):
         return []
     message = StreamsBound([], [attempt.server])
     return [
@@ -174,24 +174,24 @@
     ]
 
 
-def on_doubted(state: State, now: float, names: list[str]) -> None:
-    """Doubt the entries of servers at which streams of a peer broke off."""
+def on_suspected(state: State, now: float, names: list[str]) -> None:
+    """Suspect the entries of servers at which streams of a peer broke off."""
     for name in names:
-        _doubt_entry(state, now, ServerName(name))
+        _suspect_entry(state, now, ServerName(name))
 
 
-def _doubt_entry(state: State, now: float, name: ServerName) -> bool:
-    """Doubt an entry until it is read again; return False where that changes nothing.
+def _suspect_entry(state: State, now: float, name: ServerName) -> bool:
+    """Suspect an entry until it is read again; return False where that changes nothing.
 
     Where a service has had one release only, its streams go on at once as before.
     """
     server = state.servers.by_name.get(name)
-    doubted_at = state.streams.doubted_at
-    if server is None or now - doubted_at.get(name, float("-inf")) < _DOUBT_INTERVAL_S:
+    suspected_at = state.streams.suspected_at
+    if server is None or now - suspected_at.get(name, float("-inf")) < _SUSPECT_INTERVAL_S:
         return False
     if sole_release(state, now, server.entry.service) is not None:
         return False
-    doubted_at[name] = server.restored_at = now
+    suspected_at[name] = server.restored_at = now
     return True
 
 
@@ -227,8 +227,8 @@
     expired = [key for key, binding in streams.by_key.items() if binding.expires_at < now]
     for key in expired:
         del streams.by_key[key]
-    for name in [each for each in streams.doubted_at if each not in state.servers.by_name]:
-        del streams.doubted_at[name]
+    for name in [each for each in streams.suspected_at if each not in state.servers.by_name]:
+        del streams.suspected_at[name]
     for releases in streams.gone_releases.values():
         for release in [each for each, at in releases.items() if now - at > _GONE_KEEP_S]:
             del releases[release]
--- a/packages/turmericweir-core/turmericweir_core/streams/stream_lookup.py
+++ b/packages/turmericweir-core/turmericweir_core/streams/stream_lookup.py
@@ -130,7 +130,7 @@
     state: State, now: float, sender: InstanceName, message: StreamsBound
 ) -> list[Resolved]:
     """Record bindings that a peer sent, and end the lookups that waited for them."""
-    stream_bindings.on_doubted(state, now, message.doubted_servers)
+    stream_bindings.on_suspected(state, now, message.suspected_servers)
     resolved: list[Resolved] = []
     for row in message.rows:
         key = StreamKey(row.key)
--- a/packages/turmericweir/turmericweir/process/entry_settings.py
+++ b/packages/turmericweir/turmericweir/process/entry_settings.py
@@ -105,7 +105,7 @@
     refuses_late: bool = False
     # Whether servers that fail more requests than the others of their service are ejected.
     ejects_servers: bool = False
-    # Whether instances tell each other how fast they saw each engine read prompts.
+    # Whether instances report to each other how fast each engine prefills prompts.
     shares_pace: bool = False
 
 
--- a/tests/core/customer_load.py
+++ b/tests/core/customer_load.py
@@ -17,10 +17,10 @@
 
 from msgspec.structs import replace
 
-from tests.core.store_world import MODEL, QUICK, StoreWorld
+from tests.core.store_world import QUICK, StoreWorld, model_route
 from turmericweir_core.base.account import Account, Outcome
 from turmericweir_core.base.config import Config, Customer, ServerEntry
-from turmericweir_core.base.routes import Route, WeightedTarget, build_route_table
+from turmericweir_core.base.routes import build_route_table
 from turmericweir_core.messages.effects import (
     CancelAttempt,
     Effect,
@@ -44,19 +44,7 @@
 STEP_S: Final = 0.01
 TICK_S: Final = 0.1
 _START_S: Final = 100.0
-_ROUTE: Final = Route(
-    name="chat",
-    host="front.example",
-    path_prefix="/chat/",
-    targets=(WeightedTarget(MODEL, 1),),
-    streamed=True,
-    repeatable=True,
-    sends_max=1,
-    timeout_s=LIMIT_S,
-    target_s=CHAT.target_s,
-    gap_target_s=CHAT.token_gap_target_s,
-    priority=CHAT.priority,
-)
+_ROUTE: Final = model_route(CHAT, timeout_s=LIMIT_S)
 
 
 class CustomerWorld(StoreWorld):
--- a/tests/core/engines/test_engine_pools.py
+++ b/tests/core/engines/test_engine_pools.py
@@ -5,10 +5,10 @@
 import pytest
 from msgspec.structs import replace
 
-from tests.core.store_world import MODEL, QUICK, StoreWorld
+from tests.core.store_world import MODEL, QUICK, StoreWorld, model_route
 from turmericweir_core.base.config import ServiceClass
 from turmericweir_core.base.request import Request
-from turmericweir_core.base.routes import Route, WeightedTarget, build_route_table
+from turmericweir_core.base.routes import build_route_table
 from turmericweir_core.engines import engine_pools
 from turmericweir_core.engines.engine_pools import PromptKind
 from turmericweir_core.messages.load_messages import DemandRow, LoadNews
@@ -150,21 +150,9 @@
 def test_routes_of_one_kind_use_all_engines(world: StoreWorld, gap_target_s: float) -> None:
     # Guards against engines that stand idle for a kind of request that no route has, while the
     # requests of the other kind are refused.
-    route = Route(
-        name="chat",
-        host="front.example",
-        path_prefix="/chat/",
-        targets=(WeightedTarget(MODEL, 1),),
-        streamed=True,
-        repeatable=True,
-        sends_max=1,
-        timeout_s=6.0,
-        target_s=0.6,
-        gap_target_s=gap_target_s,
-        priority=1,
-    )
-    world.state.config = replace(world.state.config, offset=2, routes=build_route_table([route]))
     service_class = replace(QUICK, token_gap_target_s=gap_target_s)
+    routes = build_route_table([model_route(service_class, timeout_s=6.0)])
+    world.state.config = replace(world.state.config, offset=2, routes=routes)
     report_demand(world, 2, long_ms=0, quick_ms=1_200, middle_ms=0)
     assert len(engine_names_for(world, service_class, 900)) == ENGINES
 
--- a/tests/core/placement/test_full_engines.py
+++ b/tests/core/placement/test_full_engines.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from tests.core.call_counts import count_calls
 from tests.core.store_world import MODEL, StoreWorld, only
 from turmericweir_core.base.request import WaitReason
 from turmericweir_core.messages.effects import StartAttempt
@@ -18,20 +19,6 @@
 PEERS: Final = 16
 
 
-class Evaluations:
-    """Counts the engines that are evaluated for a request."""
-
-    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
-        self.count = 0
-        evaluate = predicted_placement._evaluate
-
-        def counted(*args: object) -> object:
-            self.count += 1
-            return evaluate(*args)  # type: ignore[arg-type]
-
-        monkeypatch.setattr(predicted_placement, "_evaluate", counted)
-
-
 def fill(world: StoreWorld, running: int = SLOTS, seq: int = 0) -> None:
     """Let a peer have requests in the slots of the engine."""
     world.peer("a-2", LoadNews("x", seq, [LoadRow("lm-1", [], running, 0)]))
@@ -49,9 +36,9 @@
 def test_full_engines_are_not_evaluated(monkeypatch: pytest.MonkeyPatch) -> None:
     # Guards against an instance without processor time because requests wait.
     world = full_world()
-    evaluations = Evaluations(monkeypatch)
+    counts = count_calls(monkeypatch, (predicted_placement, "_evaluate"))
     world.wait(0.1)
-    assert evaluations.count == 0
+    assert not counts
     reasons = {each.wait_reason for each in world.state.requests.values()}
     assert reasons == {WaitReason.NO_ROOM}
 
--- a/tests/core/placement/test_placement_cost.py
+++ b/tests/core/placement/test_placement_cost.py
@@ -6,12 +6,9 @@
 
 from __future__ import annotations
 
-from collections import Counter
-from collections.abc import Callable
-from typing import Any
-
 import pytest
 
+from tests.core.call_counts import count_calls
 from tests.core.store_world import BULK, MODEL, QUICK, StoreWorld, only
 from turmericweir_core.base.request import WaitReason
 from turmericweir_core.engines import engine_pools
@@ -24,21 +21,6 @@
 _ENGINES = 5
 
 
-def _count_calls(monkeypatch: pytest.MonkeyPatch, *functions: tuple[object, str]) -> Counter[str]:
-    counts: Counter[str] = Counter()
-
-    def counting(name: str, function: Callable[..., Any]) -> Callable[..., Any]:
-        def counted(*args: Any, **fields: Any) -> Any:
-            counts[name] += 1
-            return function(*args, **fields)
-
-        return counted
-
-    for module, name in functions:
-        monkeypatch.setattr(module, name, counting(name, getattr(module, name)))
-    return counts
-
-
 def _new_full_world(waiting: int) -> StoreWorld:
     """Return a world of engines that a peer fills, with a number of waiting requests."""
     world = StoreWorld(engines=_ENGINES)
@@ -85,9 +67,7 @@
     # Guards against a cost of the split into kinds that grows with the requests that wait.
     world = _new_full_world(waiting)
     _free_engines_for_long_prompts(world)
-    counts = _count_calls(
-        monkeypatch, (engine_pools, "_sum_demand"), (engine_pools, "_make_groups")
-    )
+    counts = count_calls(monkeypatch, (engine_pools, "_sum_demand"), (engine_pools, "_make_groups"))
     world.now += 0.05
     world.give(Tick())
     assert counts == {"_sum_demand": 1, "_make_groups": 1}
@@ -97,7 +77,7 @@
 def test_full_engines_are_not_compared(waiting: int, monkeypatch: pytest.MonkeyPatch) -> None:
     # Guards against predictions for each engine and each request while none can take any.
     world = _new_full_world(waiting)
-    counts = _count_calls(monkeypatch, (predicted_placement, "_evaluate"))
+    counts = count_calls(monkeypatch, (predicted_placement, "_evaluate"))
     world.now += 0.05
     world.give(Tick())
     assert not counts
--- a/tests/core/queueing/test_fair_share_off.py
+++ b/tests/core/queueing/test_fair_share_off.py
@@ -2,13 +2,10 @@
 
 from __future__ import annotations
 
-from collections import Counter
-from collections.abc import Callable
-from typing import Any
-
 import pytest
 from msgspec.structs import replace
 
+from tests.core.call_counts import count_calls
 from tests.core.customer_load import LARGE, SMALL, CustomerLoad, Sender
 from tests.core.store_world import MODEL
 from turmericweir_core.base.fair_share_options import FairShareOptions
@@ -48,27 +45,12 @@
     return load
 
 
-def _count_calls(monkeypatch: pytest.MonkeyPatch) -> Counter[str]:
-    counts: Counter[str] = Counter()
-
-    def counting(name: str, function: Callable[..., Any]) -> Callable[..., Any]:
-        def counted(*args: Any, **fields: Any) -> Any:
-            counts[name] += 1
-            return function(*args, **fields)
-
-        return counted
-
-    for module, name in _ACCOUNTING:
-        monkeypatch.setattr(module, name, counting(name, getattr(module, name)))
-    return counts
-
-
 @pytest.mark.parametrize("is_enabled", [True, False], ids=["on", "off"])
 def test_shares_are_counted_and_reported_only_where_they_are_on(
     is_enabled: bool, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     # Guards against instances that report and sum up shares that nobody uses.
-    counts = _count_calls(monkeypatch)
+    counts = count_calls(monkeypatch, *_ACCOUNTING)
     load = _new_load(is_enabled=is_enabled)
     messages: list[str] = []
 
--- a/tests/core/store_world.py
+++ b/tests/core/store_world.py
@@ -16,6 +16,7 @@
 from turmericweir_core.base.ids import InstanceName, RequestId, ServerName, Target
 from turmericweir_core.base.options import Options
 from turmericweir_core.base.request import Request
+from turmericweir_core.base.routes import Route, WeightedTarget
 from turmericweir_core.messages.effects import Effect, FinishRequest, SendDatagram, StartAttempt
 from turmericweir_core.messages.events import (
     AttemptEnd,
@@ -46,6 +47,23 @@
 PLAIN = Target("shop")
 
 
+def model_route(service_class: ServiceClass, timeout_s: float) -> Route:
+    """Return a route of streams of one class."""
+    return Route(
+        name="chat",
+        host="front.example",
+        path_prefix="/chat/",
+        targets=(WeightedTarget(MODEL, 1),),
+        streamed=True,
+        repeatable=True,
+        sends_max=1,
+        timeout_s=timeout_s,
+        target_s=service_class.target_s,
+        gap_target_s=service_class.token_gap_target_s,
+        priority=service_class.priority,
+    )
+
+
 def options(**changed: float) -> Options:
     """Return the options of a process on such a platform, with changes."""
     base: dict[str, float] = {
--- a/tests/core/streams/test_doubted_entries.py
+++ b/tests/core/streams/test_suspected_entries.py
@@ -45,15 +45,15 @@
     (start,) = only(world.arrive(name, **fields), StartAttempt)
     world.sent(start)
     sent = [each.message for each in datagrams(world.end(start, end))]
-    return [each for each in sent if isinstance(each, StreamsBound) and each.doubted_servers]
+    return [each for each in sent if isinstance(each, StreamsBound) and each.suspected_servers]
 
 
 @pytest.mark.parametrize("versions", [("v1", "v2"), ("v1", "v2", "v1")])
-def test_entry_is_doubted_here_and_at_peers_until_it_is_read(versions: tuple[str, ...]) -> None:
+def test_entry_is_suspected_here_and_at_peers_until_it_is_read(versions: tuple[str, ...]) -> None:
     """Guards against a stream that a peer goes on with at a server that has other software now."""
     world, peer = world_of(*versions), world_of(*versions)
     (message,) = break_stream(world, "r")
-    (name,) = message.doubted_servers
+    (name,) = message.suspected_servers
     for each in (world, peer):
         each.peer("peer", message)
         server = each.state.servers.by_name[ServerName(name)]
@@ -63,7 +63,7 @@
         assert stream_bindings.is_release_confirmed(each.state, server)
 
 
-def test_entry_is_not_doubted_where_one_version_serves() -> None:
+def test_entry_is_not_suspected_where_one_version_serves() -> None:
     """Guards against streams that wait without need."""
     world = world_of("v1")
     assert not break_stream(world, "r")
@@ -71,7 +71,7 @@
 
 
 def test_answer_that_is_none_is_no_restart() -> None:
-    """Guards against doubts of a server that only answers wrongly."""
+    """Guards against suspicion of a server that only answers wrongly."""
     world = world_of("v1", "v2")
     assert not break_stream(world, "r", EndBroken("bytes", server_alive=True, is_malformed=True))
 
--- a/tests/core/uneven_load.py
+++ b/tests/core/uneven_load.py
@@ -15,11 +15,11 @@
 
 from msgspec.structs import replace
 
-from tests.core.store_world import MODEL, QUICK, StoreWorld, options
+from tests.core.store_world import MODEL, QUICK, StoreWorld, model_route, options
 from turmericweir_core.base.config import Config
 from turmericweir_core.base.ids import AttemptId, InstanceName, RequestId
 from turmericweir_core.base.pace_options import PaceOptions
-from turmericweir_core.base.routes import Route, WeightedTarget, build_route_table
+from turmericweir_core.base.routes import build_route_table
 from turmericweir_core.engines import engine_model
 from turmericweir_core.messages.effects import Effect, SendDatagram, StartAttempt
 from turmericweir_core.messages.events import (
@@ -34,19 +34,7 @@
 DECODE_S: Final = 0.3
 _TICK_S: Final = 0.05
 _START_S: Final = 100.0
-_ROUTE: Final = Route(
-    name="chat",
-    host="front.example",
-    path_prefix="/chat/",
-    targets=(WeightedTarget(MODEL, 1),),
-    streamed=True,
-    repeatable=True,
-    sends_max=1,
-    timeout_s=12.0,
-    target_s=QUICK.target_s,
-    gap_target_s=QUICK.token_gap_target_s,
-    priority=QUICK.priority,
-)
+_ROUTE: Final = model_route(QUICK, timeout_s=12.0)
 
 
 class OneKindWorld(StoreWorld):
--- a/tests/platform/test_slow_readers.py
+++ b/tests/platform/test_slow_readers.py
@@ -187,15 +187,20 @@
     assert _metric(world, "turmericweir_memory_peak_bytes") < 0.8 * _MEMORY_MB * 1_000_000
 
 
+def _fill_memory(world: PlatformWorld, stack: ExitStack) -> None:
+    """Send large bodies to servers that do not answer, until one is refused for want of memory."""
+    for _ in range(_CALLERS):
+        stack.enter_context(SlowCaller(world, "/shop/buy/", _LARGE_BODY))
+    until(lambda: bool(_refused_for_memory(world)), "a request is refused for want of memory")
+
+
 def test_room_after_a_burst_is_nearly_that_of_before(world: PlatformWorld) -> None:
     # Guards against an instance that refuses large requests for good after one burst of them.
     _allow_large_bodies(world)
     room_before = _metric(world, "turmericweir_memory_room_bytes")
     world.set_mode("mute")
     with ExitStack() as stack:
-        for _ in range(_CALLERS):
-            stack.enter_context(SlowCaller(world, "/shop/buy/", _LARGE_BODY))
-        until(lambda: bool(_refused_for_memory(world)), "a request is refused for want of memory")
+        _fill_memory(world, stack)
     until(lambda: _metric(world, "turmericweir_memory_held_bytes") == 0, "nothing is held")
     until(
         lambda: _metric(world, "turmericweir_memory_room_bytes") > 0.9 * room_before,
@@ -210,9 +215,7 @@
     _allow_large_bodies(world)
     world.set_mode("mute")
     with ExitStack() as stack:
-        for _ in range(_CALLERS):
-            stack.enter_context(SlowCaller(world, "/shop/buy/", _LARGE_BODY))
-        until(lambda: bool(_refused_for_memory(world)), "a request is refused for want of memory")
+        _fill_memory(world, stack)
         late = HeadCaller(world)
         late.begin("/shop/buy/", len(_LARGE_BODY))
         assert late.read_status() == 503
@@ -230,9 +233,7 @@
     _allow_large_bodies(world)
     world.set_mode("mute")
     with ExitStack() as stack:
-        for _ in range(_CALLERS):
-            stack.enter_context(SlowCaller(world, "/shop/buy/", _LARGE_BODY))
-        until(lambda: bool(_refused_for_memory(world)), "a request is refused for want of memory")
+        _fill_memory(world, stack)
         late = stack.enter_context(HeadCaller(world))
         late.begin("/shop/buy/", len(_LARGE_BODY), Connection="close")
         late.send(_LARGE_BODY)
