Add review case 2: a key that was taken away stays in use after a drill

Cause: the store's followers go on from their offset after the store came back from a copy, and take a read without records for a proof. Nothing reads Store-Era.

--- /dev/null
+++ b/review/2/case.py
@@ -0,0 +1,144 @@
+"""The store comes back from a copy 3 s old; the operator's next manifest takes a key away."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import sys
+from pathlib import Path
+from typing import Any
+
+FOLDER = Path(__file__).resolve().parent
+sys.path.insert(0, str(FOLDER.parent / "common"))
+
+from plain_servers import PlainServer  # noqa: E402
+from standins import (  # noqa: E402
+    BOUNDS,
+    KEY,
+    Record,
+    World,
+    exchange,
+    is_troubled,
+    manifest,
+    new_id,
+    request_headers,
+)
+
+MACHINES = 6
+REQUESTS_PER_S = 20
+# Before the store's absence, and after the manifest that takes the key away.
+BEFORE_S = 15.0
+AFTER_S = 25.0
+COPY_AGE_S = 3.0
+AWAY_S = 0.3
+# How long the operator takes for one write.
+WRITE_S = 0.005
+TAKEN_KEY = "k7w2taken0away9keyfida"
+REVOKE_S = BOUNDS["revoke_ms"] / 1000
+
+
+def document(version: int, *, has_key: bool) -> dict[str, Any]:
+    """Return a manifest with or without the key; versions differ in a route's timeout too."""
+    value = manifest(version)
+    value["routes"][0]["timeout-ms"] = 12000 + version
+    value["tenants"].append({"name": "fida11", "api-keys": [TAKEN_KEY] if has_key else []})
+    return value
+
+
+async def main() -> int:
+    record = Record(FOLDER)
+    # When each request with the key was sent, by id; and the ids that got each status.
+    sent_at: dict[str, float] = {}
+    statuses: dict[int, int] = {}
+    async with World(record, MACHINES) as world:
+        store = world.store
+        loop = asyncio.get_running_loop()
+        world.spawn(store.note_ends_forever())
+
+        async def publish(version: int, *, has_key: bool) -> float:
+            """Write a manifest as the operator, as soon as the store answers; return the ack."""
+            while store.is_away:
+                await asyncio.sleep(WRITE_S)
+            await asyncio.sleep(WRITE_S)
+            offset = store.write("keyed.op", "config", document(version, has_key=has_key))
+            record.write("manifest", version=version, has_key=has_key, offset=offset, era=store.era)
+            return loop.time()
+
+        await publish(1, has_key=True)
+        servers = [
+            PlainServer(world, f"i-shop{number}", zone)
+            for number, zone in enumerate(world.zones, 1)
+        ]
+        for server in servers:
+            await server.start()
+        world.start_machines()
+        if not await world.until_ready():
+            print("the machines did not become ready")
+            return 2
+        tasks: set[asyncio.Task[None]] = set()
+
+        async def send(key: str) -> None:
+            attempt_id = new_id()
+            machine = random.choice([each for each in world.machines if each.is_ready])
+            method, target, body = random.choice([("GET", "/look/1", b""), ("POST", "/buy/1", b"1")])
+            if key == TAKEN_KEY:
+                sent_at[attempt_id] = loop.time()
+            status = 0
+            try:
+                async with asyncio.timeout(1.0):
+                    headers = request_headers(attempt_id, 1000, key=key)
+                    answer = await exchange(
+                        machine.host, world.caller_port, method, target, headers, body
+                    )
+                    status = answer.status
+            except (OSError, asyncio.IncompleteReadError, TimeoutError):
+                pass
+            if key == TAKEN_KEY:
+                statuses[status] = statuses.get(status, 0) + 1
+            record.write("answered", id=attempt_id, key=key, machine=machine.name, status=status)
+
+        async def send_forever() -> None:
+            while True:
+                for key in (KEY, TAKEN_KEY):
+                    task = asyncio.create_task(send(key))
+                    tasks.add(task)
+                    task.add_done_callback(tasks.discard)
+                await asyncio.sleep(2 / REQUESTS_PER_S)
+
+        traffic = world.spawn(send_forever())
+        await asyncio.sleep(BEFORE_S - 2.5)
+        await publish(2, has_key=True)
+        await asyncio.sleep(1.0)
+        await publish(3, has_key=True)
+        await asyncio.sleep(1.5)
+        if is_troubled():
+            store.is_away = True
+            record.write("store-away")
+            await asyncio.sleep(AWAY_S)
+            store.restore(COPY_AGE_S)
+            store.is_away = False
+            record.write("store-back", era=store.era, end=len(store.topics["keyed.op"]))
+            # "What the operator and the servers wrote is written again."
+            await publish(3, has_key=True)
+        taken_at = await publish(4, has_key=False)
+        await asyncio.sleep(AFTER_S)
+        traffic.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        ran = {attempt_id for server in servers for attempt_id in server.ran}
+    late = [each for each, at in sent_at.items() if at > taken_at + REVOKE_S]
+    late_runs = [each for each in late if each in ran]
+    broken = bool(late_runs)
+    print(
+        f"requests with the key sent later than {REVOKE_S} s after the ack: {len(late)}, "
+        f"of them run: {len(late_runs)}; statuses of all with the key: {statuses}"
+    )
+    record.write("verdict", broken=broken, late=len(late), late_runs=len(late_runs))
+    record.close()
+    return int(broken)
+
+
+try:
+    sys.exit(asyncio.run(main()))
+except Exception as exc:  # noqa: BLE001
+    print(f"the case could not run: {exc!r}")
+    sys.exit(2)
