--- a/review/1/case.py
+++ b/review/1/case.py
@@ -11,7 +11,7 @@
 sys.path.insert(0, str(FOLDER.parent / "common"))
 
 from plain_servers import PlainServer  # noqa: E402
-from standins import Record, World, exchange, is_troubled, manifest, new_id, request_headers  # noqa: E402
+from standins import Record, World, exchange, is_troubled, manifest, new_id, request_headers, run_case  # noqa: E402
 
 MACHINES = 4
 TRAFFIC_S = 45.0
@@ -87,8 +87,4 @@
     return int(broken)
 
 
-try:
-    sys.exit(asyncio.run(main()))
-except Exception as exc:  # noqa: BLE001
-    print(f"the case could not run: {exc!r}")
-    sys.exit(2)
+sys.exit(run_case(main))
--- a/review/common/engine.py
+++ b/review/common/engine.py
@@ -1,9 +1,10 @@
-"""A model server as a process: `engine.py NAME PORT EVENTS GAP_MS UNFRAMED_SHARE NOTICE_MS`.
+"""A model server as a process: `engine.py NAME PORT EVENTS GAP_MS UNFRAMED_SHARE UNFRAMED_MS NOTICE_MS`.
 
 It tells the script on standard output what it does, one JSON object a line: its check-ins, which
 the script writes to the store for it, and the requests that it runs. It works on a request until
 the answer is whole or the channel is closed. At SIGTERM it reports that it is draining, goes on
-serving for `NOTICE_MS` and exits, whatever still runs.
+serving for `NOTICE_MS` and exits, whatever still runs. For `UNFRAMED_MS` after SIGUSR1 a share of
+the answers that it begins has no length and ends with its channel.
 """
 
 from __future__ import annotations
@@ -24,14 +25,16 @@
 
 NAME, PORT, EVENTS, GAP_S = sys.argv[1], int(sys.argv[2]), int(sys.argv[3]), float(sys.argv[4]) / 1000
 UNFRAMED_SHARE = float(sys.argv[5])
-NOTICE_S = float(sys.argv[6]) / 1000
-# One answer in so many has no length and ends with its channel; 0 for none.
-UNFRAMED_EVERY = round(1 / UNFRAMED_SHARE) if UNFRAMED_SHARE else 0
+UNFRAMED_S = float(sys.argv[6]) / 1000
+NOTICE_S = float(sys.argv[7]) / 1000
+# One answer in so many has no length and ends with its channel.
+UNFRAMED_EVERY = round(1 / UNFRAMED_SHARE)
 BORN = int(time.time() * 1000)
 
 
 OFFSET = random.randrange(20)
 ran: list[str] = []
+unframed_until = 0.0
 
 
 def tell(**fields: Any) -> None:
@@ -55,8 +58,10 @@
     if call.headers.get("x-expect-instance", NAME) != NAME:
         await call.answer(421, b"", {"X-Attempt-Id": attempt_id})
         return True
-    ran.append(attempt_id)
-    is_framed = not UNFRAMED_EVERY or (len(ran) + OFFSET) % UNFRAMED_EVERY != 0
+    is_framed = True
+    if time.monotonic() < unframed_until:
+        ran.append(attempt_id)
+        is_framed = (len(ran) + OFFSET) % UNFRAMED_EVERY != 0
     tell(run=attempt_id, framed=is_framed)
     body = b"".join(event(number) for number in range(1, EVENTS + 1))
     lines = [
@@ -100,7 +105,12 @@
         check_in()
         loop.call_later(NOTICE_S, os._exit, 0)
 
+    def garble() -> None:
+        global unframed_until
+        unframed_until = time.monotonic() + UNFRAMED_S
+
     loop.add_signal_handler(signal.SIGTERM, leave)
+    loop.add_signal_handler(signal.SIGUSR1, garble)
     while True:
         check_in()
         await asyncio.sleep(HEARTBEAT_S)
