--- a/review/2/case.py
+++ b/review/2/case.py
@@ -25,6 +25,7 @@
     manifest,
     new_id,
     request_headers,
+    run_case,
 )
 
 MACHINES = 6
@@ -147,8 +148,4 @@
     return int(broken)
 
 
-try:
-    sys.exit(asyncio.run(main()))
-except Exception as exc:  # noqa: BLE001
-    print(f"the case could not run: {exc!r}")
-    sys.exit(2)
+sys.exit(run_case(main))
