Start a failed task again instead of ending the process

Cause (the second of two, behind the decoder's): all long-running tasks shared one task group, so an exception that left any of them ended the process, and again at each start. Ruled out: memory, and the platform, which only starts again what ended; each log ends with the traceback of the same task.

Change: these tasks run under `run_supervised`, which logs a failure with its traceback, counts it as `fault.task` and starts the task again after 0.1 s, at most 5 s while it goes on failing. The ports for callers and for the balancer aren't among them: a process without them is of no use.

Tests: tests/daemon/test_supervisor.py; the module didn't exist before.

--- a/packages/turmericweir/turmericweir/daemon.py
+++ b/packages/turmericweir/turmericweir/daemon.py
@@ -14,7 +14,7 @@
 import socket
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 from typing import Final
@@ -34,6 +34,7 @@
 from turmericweir.process.metrics import Metrics, NullMetrics, StatsdMetrics
 from turmericweir.process.node import Adapters, Node
 from turmericweir.process.process_settings import ProcessSettings
+from turmericweir.process.supervisor import run_supervised
 from turmericweir.process.verdict_waiters import VerdictWaiters
 from turmericweir.servers.backend_pool import BackendPool
 from turmericweir.servers.server_calls import ServerCalls
@@ -136,11 +137,15 @@
 
 
 def _start_parts(node: Node, parts: DaemonParts, group: TaskGroup) -> None:
-    group.start_soon(node.tick_forever)
-    group.start_soon(parts.pool.sweep_forever)
-    group.start_soon(parts.platform.follow_settings)
-    group.start_soon(parts.platform.follow_instance_list)
-    group.start_soon(parts.streams.serve)
+    tasks: dict[str, Callable[[], Awaitable[None]]] = {
+        "tick": node.tick_forever,
+        "close idle connections": parts.pool.sweep_forever,
+        "follow settings": parts.platform.follow_settings,
+        "follow instances": parts.platform.follow_instance_list,
+        "serve peers": parts.streams.serve,
+    }
+    for name, work in tasks.items():
+        group.start_soon(run_supervised, name, work, node)
 
 
 async def _serve(
--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -13,16 +13,16 @@
 import socket
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 from random import Random
 from typing import TYPE_CHECKING, Any, Final, Protocol
 
 import anyio
 import msgspec
-from anyio.abc import TaskGroup
 from returns.pipeline import is_successful
 
 from turmericweir.answers.forward_wire import WireAdapter
@@ -45,6 +45,7 @@
 from turmericweir.process.memory_budget import MemoryBudget, peak_size
 from turmericweir.process.node import Adapters, DocumentPort, DutyPort, Node, PlatformPort
 from turmericweir.process.prometheus_metrics import MetricsApp, PrometheusMetrics
+from turmericweir.process.supervisor import run_supervised
 from turmericweir.servers.backend_pool import BackendPool
 from turmericweir.servers.connection_probes import ConnectionProbes
 from turmericweir_core.base.cache_options import CacheOptions
@@ -314,7 +315,6 @@
             if duties is not None:
                 duties.client.attach(node)
                 duties.log.attach(node)
-                group.start_soon(_read_clock_forever, node)
             node.handle(SeedsGiven(cfg.peer_seeds))
             metrics.add_gauge(
                 "turmericweir_settings_version",
@@ -332,11 +332,21 @@
                 lambda: node.state.paths.carried,
             )
             _add_memory_gauges(metrics, node.memory)
-            group.start_soon(pipe.flush_forever, _LOG_FLUSH_INTERVAL_S)
-            group.start_soon(_reload_forever, node, path)
-            _start_tasks(node, pool, streams, datagrams, follower, group)
+            tasks: dict[str, Callable[[], Awaitable[None]]] = {
+                "flush logs": partial(pipe.flush_forever, _LOG_FLUSH_INTERVAL_S),
+                "reload settings": partial(_reload_forever, node, path),
+                "tick": node.tick_forever,
+                "close idle connections": pool.sweep_forever,
+                "serve peers": streams.serve,
+                "follow settings": follower.follow_document,
+                "follow servers": follower.follow_registry,
+                "handle signals": partial(_handle_signals, node, is_stop_requested),
+            }
+            if duties is not None:
+                tasks["read clock"] = partial(_read_clock_forever, node)
+            for name, work in tasks.items():
+                group.start_soon(run_supervised, name, work, node)
             _tune_garbage_collector()
-            group.start_soon(_handle_signals, node, is_stop_requested)
             await _serve(cfg, node, pool, platform_adapters, metrics, sockets)
             group.cancel_scope.cancel()
         logs.write("stopped", in_flight=len(node.active_requests))
@@ -390,21 +400,6 @@
     )
 
 
-def _start_tasks(
-    node: Node,
-    pool: BackendPool,
-    streams: PeerStreams,
-    datagrams: PeerDatagrams,
-    follower: StoreFollower,
-    group: TaskGroup,
-) -> None:
-    group.start_soon(node.tick_forever)
-    group.start_soon(pool.sweep_forever)
-    group.start_soon(streams.serve)
-    group.start_soon(follower.follow_document)
-    group.start_soon(follower.follow_registry)
-
-
 def _tune_garbage_collector() -> None:
     """Exclude permanent objects from collections, which would delay requests."""
     gc.collect()
@@ -435,7 +430,7 @@
     node.memory.sources.append(callers.header_bytes)
     readiness = HttpServer(platform_adapters.make_readiness_app(lambda: is_ready(node)), limits)
     async with anyio.create_task_group() as group:
-        group.start_soon(memory.check_forever)
+        group.start_soon(run_supervised, "check memory", memory.check_forever, node)
         group.start_soon(_serve_http, readiness, sockets.readiness)
         if sockets.admin is not None:
             views: dict[str, Callable[[], object]] = {
@@ -443,10 +438,12 @@
                 "traffic": lambda: node.traffic,
             }
             admin = EntryAdmin(node, views, lambda: is_ready(node), cfg.admin_token_sha256)
-            group.start_soon(_serve_http, HttpServer(admin, limits), sockets.admin)
+            serve_admin = partial(_serve_http, HttpServer(admin, limits), sockets.admin)
+            group.start_soon(run_supervised, "serve operators", serve_admin, node)
         if sockets.metrics is not None:
             metrics_server = HttpServer(MetricsApp(metrics), limits)
-            group.start_soon(_serve_http, metrics_server, sockets.metrics)
+            serve_metrics = partial(_serve_http, metrics_server, sockets.metrics)
+            group.start_soon(run_supervised, "serve metrics", serve_metrics, node)
         group.start_soon(_stop_on_exit, node, callers, group.cancel_scope)
         group.start_soon(_log_when_ready, node)
         await _serve_http(callers, sockets.callers)
--- /dev/null
+++ b/tests/daemon/test_supervisor.py
@@ -0,0 +1,77 @@
+"""Tests of what the failure of one task takes with it."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import anyio
+import pytest
+
+from turmericweir.process.supervisor import run_supervised
+
+
+class _Counts:
+    def __init__(self) -> None:
+        self.by_name = Counter[str]()
+
+    def count(self, name: str, by: int = 1) -> None:
+        self.by_name[name] += by
+
+
+async def test_failed_task_starts_again_and_others_go_on() -> None:
+    """Guards against an exception in one task that ends the whole process."""
+    counts = _Counts()
+    attempts: list[int] = []
+    others_end = anyio.Event()
+
+    async def fail_twice() -> None:
+        attempts.append(1)
+        if len(attempts) <= 2:
+            raise RecursionError("nested too deeply")
+        others_end.set()
+
+    async def other() -> None:
+        await others_end.wait()
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(run_supervised, "other", other, counts)
+        group.start_soon(run_supervised, "fails", fail_twice, counts)
+    assert len(attempts) == 3
+    assert counts.by_name == {"fault.task": 2}
+
+
+async def test_group_of_errors_starts_the_task_again() -> None:
+    attempts: list[int] = []
+
+    async def fail_in_group() -> None:
+        attempts.append(1)
+        if len(attempts) == 1:
+            raise ExceptionGroup("tasks", [ValueError("malformed")])
+
+    await run_supervised("fails", fail_in_group, _Counts())
+    assert len(attempts) == 2
+
+
+async def test_delay_grows_while_a_task_fails(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a task that fails at once and takes all of the processor."""
+    delays: list[float] = []
+
+    async def sleep(delay_s: float) -> None:
+        delays.append(delay_s)
+
+    async def fail() -> None:
+        if len(delays) < 10:
+            raise ValueError("malformed")
+
+    monkeypatch.setattr("turmericweir.process.supervisor.anyio.sleep", sleep)
+    await run_supervised("fails", fail, _Counts())
+    assert delays == sorted(delays)
+    assert delays[0] < 1.0 < delays[-1] <= 5.0
+
+
+async def test_cancelled_task_ends() -> None:
+    """Guards against a stop that waits for tasks which start again."""
+    async with anyio.create_task_group() as group:
+        group.start_soon(run_supervised, "sleeps", anyio.sleep_forever, _Counts())
+        await anyio.lowlevel.checkpoint()
+        group.cancel_scope.cancel()
