Carry out the other effects of an event when one fails

An entry with a `max-concurrency` beyond 64 bits made the encoding of a message for peers fail (`OverflowError`).

Cause: one `try` stood around the reducer and all effects of its event, so the effects after the failed one were dropped, among them starts and ends of requests.

Change: each effect is guarded on its own; a failure is logged and counted as `fault.perform`, and ends a request only if the effect was for one. The check for callers that don't read is guarded for each request, as it runs in the task that sends the ticks.

--- a/packages/turmericweir/turmericweir/process/node.py
+++ b/packages/turmericweir/turmericweir/process/node.py
@@ -226,17 +226,34 @@
 
     def _handle_one(self, event: Event) -> None:
         try:
-            for effect in self._reduce(self.state, anyio.current_time(), event):
-                self._perform(effect)
+            effects = self._reduce(self.state, anyio.current_time(), event)
         except Exception as exc:
             # Prevents a fault in one event from ending all requests, and the caller of the affected
             # request from waiting forever.
             logs.write_fault("reduce", type(event).__name__, exc)
             self._adapters.metrics.count("fault.reduce")
             self._fail_request(event, exc)
+            effects = []
+        for effect in effects:
+            self._perform_guarded(effect)
         if self.state.has_settings and not self.settings_available.is_set():
             self.settings_available.set()
 
+    def _perform_guarded(self, effect: Effect) -> None:
+        """Perform an effect; a failure must not prevent the later effects of the same event."""
+        try:
+            self._perform(effect)
+        except Exception as exc:
+            logs.write_fault("perform", type(effect).__name__, exc)
+            self._adapters.metrics.count("fault.perform")
+            match effect:
+                case StartAttempt() | ReplayAnswer() | CancelAttempt():
+                    self._abort_request(effect.request_id, exc)
+                case FinishRequest():
+                    self._abort_request(RequestId(effect.account.request_id), exc)
+                case _:
+                    pass
+
     def _fail_request(self, event: Event, fault: Exception) -> None:
         match event:
             case RequestArrived():
@@ -245,6 +262,9 @@
                 request_id = event.request_id
             case _:
                 return
+        self._abort_request(request_id, fault)
+
+    def _abort_request(self, request_id: RequestId, fault: Exception) -> None:
         exchange = self.active_requests.get(request_id)
         if exchange is not None:
             exchange.abort_request(fault)
@@ -334,8 +354,12 @@
             await anyio.sleep(self.state.options.tick_s)
             now = anyio.current_time()
             self.handle(Tick())
-            for exchange in list(self.active_requests.values()):
-                exchange.check_blocked_caller(now, self._unread_s)
+            for request_id, exchange in list(self.active_requests.items()):
+                try:
+                    exchange.check_blocked_caller(now, self._unread_s)
+                except Exception as exc:
+                    logs.write_fault("check caller", request_id, exc)
+                    self._abort_request(request_id, exc)
             if now >= next_flush_at:
                 next_flush_at = now + _FLUSH_INTERVAL_S
                 self._adapters.metrics.flush()
