Refuse malformed data at every border with one kind of error

Cause (the first of two): decoders report malformed data in more ways than the code at the borders expected. msgspec raises `RecursionError` for nested values, also in fields that aren't used; numbers beyond 64 bits, addresses that are none, keys that fit into no header and counts of thousands of digits failed later, where they were used.

Change: `process/foreign_data` names what decoders raise; entries, documents, the settings file, pages and records of the store, own records, datagrams and streams of peers, headers of callers and servers, ids of events, operators' queries and `turmericctl` use it. Connecting to an address that is none is a failed attempt. `entry_unreadable` is logged once a second at most, with the count.

--- a/packages/turmericweir-core/turmericweir_core/messages/events.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/events.py
@@ -369,10 +369,11 @@
     requested_at: float | None = None
 
 
-class EntryUnreadable(Struct, frozen=True):
-    """An entry of the server registry could not be decoded."""
+class EntriesUnreadable(Struct, frozen=True):
+    """Entries of the server registry could not be decoded."""
 
-    key: str
+    count: int
+    # The first error, with the key of its record.
     error: str
 
 
@@ -462,7 +463,7 @@
     | DocumentConfirmed
     | DocumentUnreadable
     | RegistryRead
-    | EntryUnreadable
+    | EntriesUnreadable
     | PeerReceived
     | SeedsGiven
     | PeerUnreachable
--- a/packages/turmericweir-core/turmericweir_core/records/record_field.py
+++ b/packages/turmericweir-core/turmericweir_core/records/record_field.py
@@ -6,7 +6,10 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Any, Final
+
+# Larger numbers cannot be encoded in a record again.
+_INT64_MAX: Final = 2**63 - 1
 
 
 def require_text(value: Any) -> str:
@@ -17,7 +20,7 @@
 
 
 def require_int(value: Any) -> int:
-    """Return the value if it is a whole number, else raise `TypeError`."""
-    if not isinstance(value, int) or isinstance(value, bool):
-        raise TypeError(f"not a whole number: {value!r}")
+    """Return the value if it is a whole number of 64 bits, else raise `TypeError`."""
+    if not isinstance(value, int) or isinstance(value, bool) or abs(value) > _INT64_MAX:
+        raise TypeError(f"not a whole number of 64 bits: {value!r}")
     return value
--- a/packages/turmericweir-core/turmericweir_core/records/usage_note.py
+++ b/packages/turmericweir-core/turmericweir_core/records/usage_note.py
@@ -6,6 +6,8 @@
 
 from msgspec import Struct, field
 
+from turmericweir_core.records.record_field import require_int
+
 
 class UsageNote(Struct, frozen=True):
     """Usage windows whose counts are final."""
@@ -28,14 +30,12 @@
 def decode_usage_note(value: Any) -> UsageNote:
     """Return the validated note; an empty one if it is malformed or missing."""
     try:
-        newest = value["newest"]
+        newest = None if value["newest"] is None else require_int(value["newest"])
         counts = {int(window): _parse_counts(row) for window, row in value["counts"].items()}
     except (AttributeError, KeyError, TypeError, ValueError):
         return UsageNote()
-    return UsageNote(newest if isinstance(newest, int) else None, counts)
+    return UsageNote(newest, counts)
 
 
 def _parse_counts(value: Any) -> dict[str, int]:
-    if not all(isinstance(count, int) for count in value.values()):
-        raise ValueError("a usage count is not a whole number")
-    return dict(value)
+    return {customer: require_int(count) for customer, count in value.items()}
--- a/packages/turmericweir-core/turmericweir_core/reducers/reducer.py
+++ b/packages/turmericweir-core/turmericweir_core/reducers/reducer.py
@@ -45,7 +45,7 @@
     DocumentUnreadable,
     DrainRequested,
     DutyAnswered,
-    EntryUnreadable,
+    EntriesUnreadable,
     Event,
     ListRead,
     LogExpired,
@@ -169,7 +169,7 @@
             | DocumentConfirmed()
             | DocumentUnreadable()
             | RegistryRead()
-            | EntryUnreadable()
+            | EntriesUnreadable()
         ):
             # Events of platforms whose store has the settings and servers; see `reducer_store`.
             return []
--- a/packages/turmericweir-core/turmericweir_core/reducers/reducer_store.py
+++ b/packages/turmericweir-core/turmericweir_core/reducers/reducer_store.py
@@ -30,7 +30,7 @@
     DrainRequested,
     DutyAnswered,
     EndUnsent,
-    EntryUnreadable,
+    EntriesUnreadable,
     Event,
     ListRead,
     LogExpired,
@@ -96,8 +96,8 @@
             effects = registry.on_read(state, now, event)
             effects += leaving.create_leaving_notices(state, now)
             return effects + dispatch.dispatch_all(state, now)
-        case EntryUnreadable():
-            return registry.on_unreadable(event)
+        case EntriesUnreadable():
+            return registry.on_unreadable(state, now, event)
         case ServerAnswered(server, via):
             dead_server.on_answered(state, now, server, via)
             return reduce_common(state, now, event)
--- a/packages/turmericweir-core/turmericweir_core/state/registry_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/registry_state.py
@@ -29,6 +29,9 @@
     # The instance that last sent a registry update, and when: it can currently read the store.
     updated_by: InstanceName | None = None
     updated_at: float = _NEVER
+    # Number of entries that could not be decoded, and when one was last logged.
+    unreadable_count: int = 0
+    unreadable_logged_at: float = _NEVER
     # Entries without a record since an outage that are still listed, and until when. Other
     # instances are not told of them.
     missing_until: dict[ServerName, float] = field(default_factory=dict)
--- a/packages/turmericweir-core/turmericweir_core/store/registry.py
+++ b/packages/turmericweir-core/turmericweir_core/store/registry.py
@@ -24,7 +24,7 @@
 from turmericweir_core.base.release import release_of
 from turmericweir_core.membership import membership, server_list, store_duty
 from turmericweir_core.messages.effects import Count, Effect, Log, SendDatagram, SendPeer
-from turmericweir_core.messages.events import EntryUnreadable, RegistryRead
+from turmericweir_core.messages.events import EntriesUnreadable, RegistryRead
 from turmericweir_core.messages.server_messages import (
     RegistryNews,
     RegistryRow,
@@ -48,6 +48,9 @@
 _RENEWAL_WAIT_S: Final = 2.5
 # Largest number of changes in one datagram; receivers detect missing ones by the hash.
 _ROWS_MAX: Final = 24
+# Interval between two log lines about unreadable entries, and the length of the error in one.
+_UNREADABLE_LOG_INTERVAL_S: Final = 1.0
+_LOGGED_ERROR_MAX_CHARS: Final = 300
 # Interval between two requests for the whole list.
 _LIST_REQUEST_INTERVAL_S: Final = 0.3
 
@@ -274,10 +277,20 @@
     return effects
 
 
-def on_unreadable(event: EntryUnreadable) -> list[Effect]:
-    """Ignore an entry that cannot be decoded; the other entries stay in force."""
-    fields = {"step": "decode entry", "peer": event.key, "error": event.error}
-    return [Count("registry.unreadable"), Log("entry_unreadable", fields)]
+def on_unreadable(state: State, now: float, event: EntriesUnreadable) -> list[Effect]:
+    """Count entries that cannot be decoded and log one at a time; others stay in force."""
+    registry = state.registry
+    registry.unreadable_count += event.count
+    count = Count("registry.unreadable", event.count)
+    if now < registry.unreadable_logged_at + _UNREADABLE_LOG_INTERVAL_S:
+        return [count]
+    registry.unreadable_logged_at = now
+    fields = {
+        "step": "decode entry",
+        "error": event.error[:_LOGGED_ERROR_MAX_CHARS],
+        "count": registry.unreadable_count,
+    }
+    return [count, Log("entry_unreadable", fields)]
 
 
 def _apply_entries(state: State, now: float, listed: dict[ServerName, ServerEntry]) -> list[Effect]:
--- a/packages/turmericweir-ctl/turmericctl/client.py
+++ b/packages/turmericweir-ctl/turmericctl/client.py
@@ -116,7 +116,7 @@
     def _decode(self, response: httpcore.Response) -> Any:
         try:
             return json.loads(response.content)
-        except ValueError as exc:
+        except (ValueError, RecursionError) as exc:
             status = response.status
             message = messages.UNEXPECTED_ANSWER.format(address=self._address, status=status)
             raise CommandError(ExitCode.UNREACHABLE, message) from exc
--- a/packages/turmericweir/turmericweir/answers/forward_events.py
+++ b/packages/turmericweir/turmericweir/answers/forward_events.py
@@ -10,6 +10,8 @@
 from itertools import pairwise
 from typing import Final
 
+from turmericweir.process.foreign_data import parse_count
+
 _END: Final = b"\n\n"
 _LINE_END: Final = re.compile(rb"\r\n|\n|\r(?!\n)")
 _ANY_END: Final = re.compile(rb"(?:\r\n|\n|\r(?!\n)){2}")
@@ -133,4 +135,5 @@
 
 
 def _is_duplicate(event_id: bytes, resume_after: bytes) -> bool:
-    return event_id.isdigit() and resume_after.isdigit() and int(event_id) <= int(resume_after)
+    number, last_number = parse_count(event_id), parse_count(resume_after)
+    return number is not None and last_number is not None and number <= last_number
--- a/packages/turmericweir/turmericweir/callers/caller_request.py
+++ b/packages/turmericweir/turmericweir/callers/caller_request.py
@@ -16,6 +16,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from turmericweir.answers.caller_refusal import RefusedError
+from turmericweir.process.foreign_data import parse_count
 from turmericweir.servers.backend_service import PlainCall, forwarded_headers
 from turmericweir_core.base.config import (
     CallRule,
@@ -218,10 +219,11 @@
     value = headers.get(DEADLINE_HEADER)
     if value is None:
         return None
-    if not value.isdigit() or not 0 < int(value) <= DEADLINE_MAX_MS:
+    deadline_ms = parse_count(value)
+    if deadline_ms is None or not 0 < deadline_ms <= DEADLINE_MAX_MS:
         detail = f"Turmericweir-Deadline-Ms is not a number from 1 to {DEADLINE_MAX_MS}."
         raise RefusedError(Reason.BAD_REQUEST, detail)
-    return int(value) / 1000.0
+    return deadline_ms / 1000.0
 
 
 def _parse_idempotency_key(headers: HeadersByName) -> str | None:
--- a/packages/turmericweir/turmericweir/operations/entry_admin.py
+++ b/packages/turmericweir/turmericweir/operations/entry_admin.py
@@ -30,6 +30,8 @@
     from uvicorn._types import ASGIReceiveCallable, ASGISendCallable, Scope
 
 _BEARER: Final = b"bearer "
+# The largest settings version that a query may name.
+_OFFSET_MAX: Final = float(1 << 53)
 
 
 class EntryAdmin:
@@ -129,7 +131,7 @@
     def _in_force(self, request: OperatorRequest) -> dict[str, Any]:
         state = self._node.state
         now = anyio.current_time()
-        offset = request.number("offset", state.settings_offset(), float("inf"))
+        offset = request.number("offset", state.settings_offset(), _OFFSET_MAX)
         centres = reach_of_centres(
             now,
             int(offset),
--- a/packages/turmericweir/turmericweir/peers/carrier.py
+++ b/packages/turmericweir/turmericweir/peers/carrier.py
@@ -16,6 +16,7 @@
 
 from turmericweir.peers.carried_wire import BROKEN, CLOSED, pack_chunk, pack_end, pack_result
 from turmericweir.process import logs
+from turmericweir.process.foreign_data import DECODE_ERRORS
 from turmericweir.process.node import Node
 from turmericweir.servers.backend_stream import CONNECT_TIMEOUT_S, set_options
 from turmericweir_core.base.ids import ServerName
@@ -130,7 +131,7 @@
                 transport, _ = await loop.create_connection(
                     lambda: _ServerSide(self), host, int(port)
                 )
-        except (OSError, TimeoutError) as exc:
+        except (OSError, TimeoutError, *DECODE_ERRORS) as exc:
             error = str(exc) or f"no connection within {CONNECT_TIMEOUT_S} s"
             self._carrier.log_refused(origin, self._ask, error)
             self._transport.write(pack_result(error))
--- a/packages/turmericweir/turmericweir/peers/peer_codec.py
+++ b/packages/turmericweir/turmericweir/peers/peer_codec.py
@@ -19,6 +19,7 @@
 
 from turmericweir.process import logs
 from turmericweir.process.errors import PeerError
+from turmericweir.process.foreign_data import DECODE_ERRORS
 from turmericweir.process.node import Node
 from turmericweir_core.base.ids import InstanceName
 from turmericweir_core.messages.events import PeerReceived
@@ -49,15 +50,14 @@
     """Decode the frame of a datagram from an address."""
     try:
         sender, name, raw = _FRAME.decode(data)
-    # Raised for invalid UTF-8 in strings.
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except DECODE_ERRORS as exc:
         return Failure(PeerError(_STEP, origin, repr(exc)))
     decoder = _DECODERS.get(name)
     if decoder is None:
         return Failure(PeerError(_STEP, origin, f"no message is called {name!r}"))
     try:
         message = decoder.decode(raw)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except DECODE_ERRORS as exc:
         return Failure(PeerError(_STEP, origin, f"{name}: {exc}"))
     return Success(PeerReceived(InstanceName(sender), message, origin))
 
@@ -66,7 +66,7 @@
     """Return the sender of a frame with a load update; None for all other frames."""
     try:
         sender, name, _ = _FRAME.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except DECODE_ERRORS:
         return None
     return InstanceName(sender) if name == LoadNews.__name__ else None
 
@@ -83,7 +83,7 @@
         return Failure(PeerError(_STEP, peer, f"no message is called {name!r}"))
     try:
         message = msgspec.convert(values, message_type, strict=True)
-    except msgspec.ValidationError as exc:
+    except DECODE_ERRORS as exc:
         return Failure(PeerError(_STEP, peer, f"{name}: {exc}"))
     return Success(PeerReceived(InstanceName(sender), message))
 
--- a/packages/turmericweir/turmericweir/peers/peer_datagrams.py
+++ b/packages/turmericweir/turmericweir/peers/peer_datagrams.py
@@ -20,6 +20,7 @@
 from turmericweir.peers.peer_codec import FrameReader, decode, encode, load_update_sender
 from turmericweir.process import logs
 from turmericweir.process.errors import ListenError, describe_error
+from turmericweir.process.foreign_data import DECODE_ERRORS
 from turmericweir.process.node import Node
 from turmericweir_core.base.ids import InstanceName
 from turmericweir_core.messages.effects import SendDatagram
@@ -102,7 +103,7 @@
         host, _, port = effect.address.rpartition(":")
         try:
             self._transport.sendto(frame, (host, int(port)))
-        except (OSError, ValueError) as exc:
+        except (OSError, *DECODE_ERRORS) as exc:
             self._log_unsent(effect.address, exc)
             return
         self._node.traffic.counter_for(effect.message).sent.add(len(frame))
--- a/packages/turmericweir/turmericweir/peers/peer_dialer.py
+++ b/packages/turmericweir/turmericweir/peers/peer_dialer.py
@@ -10,6 +10,7 @@
 
 from turmericweir.peers.carried_wire import BROKEN, CLOSED, ChunkSplitter, read_result
 from turmericweir.peers.peer_codec import encode
+from turmericweir.process.foreign_data import DECODE_ERRORS
 from turmericweir.servers.backend_pool import Via
 from turmericweir.servers.backend_stream import (
     CONNECT_TIMEOUT_S,
@@ -106,7 +107,7 @@
             raise httpcore.ConnectTimeout(
                 f"no connection by way of {via.address} within {_DIAL_TIMEOUT_S} s"
             ) from None
-        except OSError as exc:
+        except (OSError, *DECODE_ERRORS) as exc:
             _abort(protocol)
             raise httpcore.ConnectError(f"by way of {via.address}: {exc}") from exc
         except BaseException:
--- a/packages/turmericweir/turmericweir/peers/peer_listener.py
+++ b/packages/turmericweir/turmericweir/peers/peer_listener.py
@@ -20,6 +20,7 @@
 from turmericweir.peers.carrier import Carrier
 from turmericweir.peers.peer_codec import FRAME_MAX_BYTES, FrameReader, read_frame
 from turmericweir.process.errors import ListenError, PeerError, describe_error
+from turmericweir.process.foreign_data import DECODE_ERRORS
 from turmericweir.process.node import Node
 from turmericweir.servers.backend_stream import set_options
 from turmericweir_core.messages.events import PeerReceived
@@ -78,7 +79,7 @@
                     return
                 self._frame_reader.process_result(result, size)
         # The stream cannot be split into frames any more.
-        except (ValueError, msgpack.UnpackException, msgpack.exceptions.BufferFull) as exc:
+        except (*DECODE_ERRORS, msgpack.UnpackException) as exc:
             error = PeerError("split stream", self._origin, describe_error(exc))
             self._frame_reader.drop_frame(error)
             self._transport.abort()
--- a/packages/turmericweir/turmericweir/peers/peer_streams.py
+++ b/packages/turmericweir/turmericweir/peers/peer_streams.py
@@ -19,6 +19,7 @@
 from turmericweir.peers.peer_codec import encode
 from turmericweir.peers.peer_listener import PeerListener
 from turmericweir.process.errors import PeerError, describe_error
+from turmericweir.process.foreign_data import DECODE_ERRORS
 from turmericweir.process.node import Node
 from turmericweir.servers.backend_stream import set_options
 from turmericweir_core.base.ids import InstanceName
@@ -41,6 +42,9 @@
     anyio.EndOfStream,
     # The connection was reset before its options were set.
     anyio.TypedAttributeLookupError,
+    # The peer announced an address that is none, or sent bytes that are no acknowledgement.
+    *DECODE_ERRORS,
+    msgpack.UnpackException,
 )
 
 
--- a/packages/turmericweir/turmericweir/process/entry_settings.py
+++ b/packages/turmericweir/turmericweir/process/entry_settings.py
@@ -17,6 +17,7 @@
 
 from turmericweir.process.answer_bounds import AnswerBounds
 from turmericweir.process.errors import SettingsFileError
+from turmericweir.process.foreign_data import DECODE_ERRORS, decode_json
 
 _COMMENT: Final = "//"
 # Resources of a machine of class 0.
@@ -163,19 +164,19 @@
     """Validate the text of a settings file; `origin` names the file in errors."""
     lines = [line for line in text.splitlines() if not line.lstrip().startswith(_COMMENT)]
     try:
-        cfg = msgspec.json.decode("\n".join(lines), type=EntrySettings, strict=False)
+        cfg = decode_json("\n".join(lines), EntrySettings, strict=False)
         _check(cfg)
-    except (msgspec.DecodeError, ValueError) as exc:
+    except DECODE_ERRORS as exc:
         return Failure(SettingsFileError("validate settings", origin, str(exc)))
     return Success(cfg)
 
 
 def _check(cfg: EntrySettings) -> None:
     for name in ("caller_address", "readiness_address", "peer_address"):
-        _check_address(name, getattr(cfg, name))
+        check_address(name, getattr(cfg, name))
     if cfg.admin_address:
-        _check_address("admin_address", cfg.admin_address)
-    _check_address("store.address", cfg.store.address)
+        check_address("admin_address", cfg.admin_address)
+    check_address("store.address", cfg.store.address)
     if cfg.duties is not None:
         _check_duties(cfg.duties)
     for name in ("name", "data_centre", "region"):
@@ -189,18 +190,19 @@
 
 
 def _check_duties(duties: DutiesSettings) -> None:
-    _check_address("duties.address", duties.address)
+    check_address("duties.address", duties.address)
     for name in ("calls_per_s", "lease_ms", "window_s", "late_s"):
         if not getattr(duties, name) > 0:
             raise ValueError(f"duties.{name}: expected a number above 0")
 
 
-def _check_address(name: str, text: str) -> None:
+def check_address(name: str, text: str, *, port_min: int = 0) -> None:
+    """Raise `ValueError` unless a text is an IP address with a port; `name` is for the error."""
     host, _, port = text.rpartition(":")
     try:
         ipaddress.ip_address(host)
         port_number = int(port)
     except ValueError:
         port_number = -1
-    if not 0 <= port_number <= _PORT_MAX:
+    if not port_min <= port_number <= _PORT_MAX:
         raise ValueError(f"{name}: expected ip:port, got {text!r}")
--- a/packages/turmericweir/turmericweir/process/process_settings.py
+++ b/packages/turmericweir/turmericweir/process/process_settings.py
@@ -16,6 +16,7 @@
 from returns.result import Failure, Result, Success
 
 from turmericweir.process.errors import SettingsFileError
+from turmericweir.process.foreign_data import DECODE_ERRORS
 from turmericweir_core.base.options import Options
 
 # Taken from `Options`, so that new options need no change here.
@@ -145,7 +146,7 @@
     """Validate the text of a settings file; `origin` names the file in errors."""
     try:
         value = json5.loads(text)
-    except ValueError as exc:
+    except DECODE_ERRORS as exc:
         return Failure(SettingsFileError("parse settings", origin, str(exc)))
     try:
         return Success(ProcessSettings.model_validate(value))
--- a/packages/turmericweir/turmericweir/servers/backend_stream.py
+++ b/packages/turmericweir/turmericweir/servers/backend_stream.py
@@ -20,6 +20,7 @@
 import httpcore
 from anyio.lowlevel import checkpoint, checkpoint_if_cancelled
 
+from turmericweir.process.foreign_data import DECODE_ERRORS
 from turmericweir.servers.answer_size import FramingCounter
 
 CONNECT_TIMEOUT_S: Final = 0.35
@@ -254,6 +255,8 @@
         raise httpcore.ConnectTimeout(f"no connection within {CONNECT_TIMEOUT_S} s") from None
     except OSError as exc:
         raise httpcore.ConnectError(str(exc.__cause__ or exc)) from exc
+    except DECODE_ERRORS as exc:
+        raise httpcore.ConnectError(f"{address!r} is no address: {exc}") from exc
     set_options(protocol.transport.get_extra_info("socket"))
     return BackendStream(protocol)
 
