--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -17,7 +17,6 @@
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 from functools import partial
-from pathlib import Path
 from random import Random
 from typing import TYPE_CHECKING, Any, Final, Protocol
 
@@ -38,7 +37,7 @@
 from turmericweir.process.entry_settings import (
     DutiesSettings,
     EntrySettings,
-    read_entry_settings,
+    SettingsFile,
 )
 from turmericweir.process.listening_socket import bind
 from turmericweir.process.log_pipe import LogPipe
@@ -267,7 +266,7 @@
 
 
 async def run(
-    path: Path,
+    file: SettingsFile,
     cfg: EntrySettings,
     platform_adapters: PlatformAdapters,
     callers: socket.socket,
@@ -334,7 +333,7 @@
             _add_memory_gauges(metrics, node.memory)
             tasks: dict[str, Callable[[], Awaitable[None]]] = {
                 "flush logs": partial(pipe.flush_forever, _LOG_FLUSH_INTERVAL_S),
-                "reload settings": partial(_reload_forever, node, path),
+                "reload settings": partial(_reload_forever, node, file),
                 "tick": node.tick_forever,
                 "close idle connections": pool.sweep_forever,
                 "serve peers": streams.serve,
@@ -454,19 +453,16 @@
     await server.serve([sock])
 
 
-async def _reload_forever(node: Node, path: Path) -> None:
+async def _reload_forever(node: Node, file: SettingsFile) -> None:
     """Reload the settings file when it changes.
 
     Addresses of ports do not change. An invalid file is ignored.
     """
-    modified_at_ns = _modified_at_ns(path)
     while True:
         await anyio.sleep(_RELOAD_INTERVAL_S)
-        new_modified_at_ns = _modified_at_ns(path)
-        if new_modified_at_ns == modified_at_ns:
+        if not file.has_changed():
             continue
-        modified_at_ns = new_modified_at_ns
-        result = read_entry_settings(path)
+        result = file.read()
         if not is_successful(result):
             logs.write("reload_failed", error=str(result.failure()))
             continue
@@ -477,14 +473,6 @@
         logs.write("reloaded", bounds=msgspec.to_builtins(cfg.bounds))
 
 
-def _modified_at_ns(path: Path) -> int:
-    try:
-        return path.stat().st_mtime_ns
-    except OSError:
-        # The file is being replaced.
-        return 0
-
-
 async def _read_clock_forever(node: Node) -> None:
     """Send the wall clock time, which usage accounting needs, to the reducer."""
     while True:
--- a/packages/turmericweir/turmericweir/process/entry_settings.py
+++ b/packages/turmericweir/turmericweir/process/entry_settings.py
@@ -151,6 +151,34 @@
         return self.peer_address.rpartition(":")[0]
 
 
+class SettingsFile:
+    """The settings file of the process, which the platform may replace at any time."""
+
+    _path: Path
+    # When the file that was last read had been modified; 0 while it is being replaced.
+    _modified_at_ns: int
+
+    def __init__(self, path: Path) -> None:
+        self._path = path
+        self._modified_at_ns = 0
+
+    def read(self) -> Result[EntrySettings, SettingsFileError]:
+        """Read and validate the file."""
+        # Before the read, so that a change during it counts as a later one.
+        self._modified_at_ns = self._read_modified_at_ns()
+        return read_entry_settings(self._path)
+
+    def has_changed(self) -> bool:
+        """Return whether the file was modified after it was last read."""
+        return self._read_modified_at_ns() != self._modified_at_ns
+
+    def _read_modified_at_ns(self) -> int:
+        try:
+            return self._path.stat().st_mtime_ns
+        except OSError:
+            return 0
+
+
 def read_entry_settings(path: Path) -> Result[EntrySettings, SettingsFileError]:
     """Read and validate the settings file."""
     try:
--- a/tests/platform/test_foreign_bytes.py
+++ b/tests/platform/test_foreign_bytes.py
@@ -4,6 +4,8 @@
 
 import contextlib
 import json
+import os
+import signal
 import socket
 from collections.abc import Iterator
 from itertools import chain, repeat
@@ -391,3 +393,38 @@
             status = call(admin_address, "GET", f"/settings/in-force?offset={value}").status
             assert status in (400, 404), value
         assert world.send_safe().status == 200
+
+
+def test_signal_during_the_start_ends_no_process(tmp_path: Path) -> None:
+    """Guards against a process that SIGHUP ends before it handles signals."""
+    with PlatformWorld(tmp_path) as world:
+        path = tmp_path / "entry-1.json"
+        text = path.read_text()
+        instance = world.running["entry-1"]
+        instance.process.stop()
+        path.unlink()
+        # Holds the process at the beginning of its start.
+        os.mkfifo(path)
+        world.restart_instance("entry-1")
+        fifo: list[int] = []
+
+        def is_read() -> bool:
+            with contextlib.suppress(OSError):
+                fifo.append(os.open(path, os.O_WRONLY | os.O_NONBLOCK))
+            return bool(fifo)
+
+        until(is_read, "the process reads its settings")
+        os.kill(instance.process.pid, signal.SIGHUP)
+        replacement = tmp_path / "replacement.json"
+        replacement.write_text(text)
+        replacement.rename(path)
+        os.write(fifo[0], text.encode())
+        os.close(fifo[0])
+
+        def is_ready_after_a_signal() -> bool:
+            os.kill(instance.process.pid, signal.SIGHUP)
+            return instance.is_ready()
+
+        until(is_ready_after_a_signal, "the instance is ready")
+        # The file was replaced while the process started.
+        until(lambda: bool(instance.logged("reloaded")), "the settings were read again")
