Let a read prove nothing until the store's copy was completed

Cause: an offset and a read mean something only in the era of the store that gave them out. The reader went on from its old offset, which in the new era was the end of the log; a read without records counted as proof that the settings in force were the newest. Nothing read `Store-Era`.

A read is no proof until 2 s after its era was first seen, and never while the version read is below that in force. A read that proves nothing still counts as one, so nobody reads in a loop. The reader marks a settled era in a topic of the project's own; an instance that starts and reads an older mark, or is told by a peer, knows whether it must wait. Proofs of earlier eras stay true of their time.

--- a/packages/turmericweir-core/turmericweir_core/membership/store_duty.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/store_duty.py
@@ -149,7 +149,7 @@
     overdue_s = times.settings_fallback_s + times.settings_fallback_spread_s * _fallback_position(
         state
     )
-    return now - document.proof_at > overdue_s
+    return now - max(document.proof_at, document.read_at) > overdue_s
 
 
 def _fallback_position(state: State) -> float:
--- a/packages/turmericweir-core/turmericweir_core/messages/effects.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/effects.py
@@ -165,6 +165,12 @@
     version: str
 
 
+class MarkEra(Struct, frozen=True):
+    """Mark an era in the store as settled; the result is an event."""
+
+    era: int
+
+
 class DecodeDocument(Struct, frozen=True):
     """Decode a settings document from a peer, and report it as read."""
 
@@ -220,6 +226,7 @@
     | OrderServers
     | RequestLoadPermit
     | DecodeDocument
+    | MarkEra
     | ReportVerdict
     | Log
     | Count
--- a/packages/turmericweir-core/turmericweir_core/messages/events.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/events.py
@@ -339,12 +339,32 @@
     requested_at: float | None
     # The peer that sent it; empty if it came from the store.
     peer: str = ""
+    # The era of the store that answered; 0 if it states none.
+    era: int = 0
 
 
 class DocumentConfirmed(Struct, frozen=True):
     """A read of the store found no newer document."""
 
     requested_at: float
+    # The newest version that the store holds.
+    version: int
+    era: int = 0
+
+
+class MarkRead(Struct, frozen=True):
+    """The mark of the newest settled era was read from the store."""
+
+    # The era of the store that answered.
+    era: int
+    # None if no era was ever marked.
+    marked: int | None
+
+
+class EraMarked(Struct, frozen=True):
+    """An era was marked in the store as settled."""
+
+    era: int
 
 
 class DocumentUnreadable(Struct, frozen=True):
@@ -367,6 +387,8 @@
     end: int = 0
     # When the read was requested; None if it was answered at once.
     requested_at: float | None = None
+    # The era of the store that answered; 0 if it states none.
+    era: int = 0
 
 
 class EntriesUnreadable(Struct, frozen=True):
@@ -461,6 +483,8 @@
     | WeightsAnswered
     | DocumentRead
     | DocumentConfirmed
+    | MarkRead
+    | EraMarked
     | DocumentUnreadable
     | RegistryRead
     | EntriesUnreadable
--- a/packages/turmericweir-core/turmericweir_core/messages/settings_messages.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/settings_messages.py
@@ -48,3 +48,5 @@
     # Number of the request that this answers.
     request_number: int
     age_s: float
+    # The newest era of the store that the sender knows to be settled.
+    era: int = 0
--- a/packages/turmericweir-core/turmericweir_core/reducers/reducer.py
+++ b/packages/turmericweir-core/turmericweir_core/reducers/reducer.py
@@ -46,12 +46,14 @@
     DrainRequested,
     DutyAnswered,
     EntriesUnreadable,
+    EraMarked,
     Event,
     ListRead,
     LogExpired,
     LogFailed,
     LogNewest,
     LogRead,
+    MarkRead,
     OrderDone,
     PeerReceived,
     PeerUnreachable,
@@ -167,6 +169,8 @@
         case (
             DocumentRead()
             | DocumentConfirmed()
+            | MarkRead()
+            | EraMarked()
             | DocumentUnreadable()
             | RegistryRead()
             | EntriesUnreadable()
--- a/packages/turmericweir-core/turmericweir_core/reducers/reducer_store.py
+++ b/packages/turmericweir-core/turmericweir_core/reducers/reducer_store.py
@@ -31,12 +31,14 @@
     DutyAnswered,
     EndUnsent,
     EntriesUnreadable,
+    EraMarked,
     Event,
     ListRead,
     LogExpired,
     LogFailed,
     LogNewest,
     LogRead,
+    MarkRead,
     OrderDone,
     PeerReceived,
     PeerUnreachable,
@@ -67,7 +69,7 @@
     tick_requests,
 )
 from turmericweir_core.state.state import State
-from turmericweir_core.store import document, registry
+from turmericweir_core.store import document, eras, registry
 
 
 def reduce(state: State, now: float, event: Event) -> list[Effect]:
@@ -92,6 +94,10 @@
             return document.on_confirmed(state, now, event)
         case DocumentUnreadable():
             return document.on_unreadable(event)
+        case MarkRead():
+            return eras.on_mark_read(state, now, event)
+        case EraMarked():
+            return eras.on_marked(state, event)
         case RegistryRead():
             effects = registry.on_read(state, now, event)
             effects += leaving.create_leaving_notices(state, now)
@@ -181,6 +187,7 @@
     effects += tick_requests(state, now)
     effects += dead_server.on_tick(state, now)
     effects += document.on_tick(state, now)
+    effects += eras.on_tick(state, now)
     effects += cache_handover.on_tick(state, now)
     load_updates.forget_stale_origins(state, now)
     shared_pace.on_tick(state, now)
--- a/packages/turmericweir-core/turmericweir_core/state/document_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/document_state.py
@@ -28,6 +28,8 @@
     proof_at: float = _NEVER
     # The same, for reads of this instance only.
     local_proof_at: float = _NEVER
+    # When the newest answered read of this instance was sent, also if it proved nothing.
+    read_at: float = _NEVER
     started_at: float | None = None
     next_query_at: float = _NEVER
     # Number of the newest query to a peer, and when each query was sent.
--- a/packages/turmericweir-core/turmericweir_core/state/state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/state.py
@@ -25,6 +25,7 @@
 from turmericweir_core.state.document_state import DocumentState
 from turmericweir_core.state.duty_state import DutyState
 from turmericweir_core.state.engine_state import EngineTable
+from turmericweir_core.state.era_state import EraState
 from turmericweir_core.state.fair_share_state import FairShareState
 from turmericweir_core.state.first_wait_state import FirstWaitState
 from turmericweir_core.state.handover_state import HandoverState
@@ -143,6 +144,7 @@
     document: DocumentState | None = None
     # Registry of the servers, if the platform has one.
     registry: RegistryState = field(default_factory=RegistryState)
+    eras: EraState = field(default_factory=EraState)
     rate_limits: RateLimits = field(default_factory=RateLimits)
     quarantine: QuarantineState = field(default_factory=QuarantineState)
     leases: LeaseState = field(default_factory=LeaseState)
--- a/packages/turmericweir-core/turmericweir_core/store/document.py
+++ b/packages/turmericweir-core/turmericweir_core/store/document.py
@@ -6,7 +6,8 @@
 A new version may revoke a customer's key, which must take effect within a bound on every instance,
 also during a partition. This module therefore tracks a *proof*: the send time of the newest
 answered read, by this instance or by a peer. The local version was the newest one at that time. A
-read without an answer proves nothing. The age of a peer's proof is counted from the time of the
+read without an answer proves nothing, and neither does one that may lack what the store has
+acknowledged (`eras`). The age of a peer's proof is counted from the time of the
 request for it, so a delayed answer never makes the proof look newer.
 """
 
@@ -29,7 +30,7 @@
 from turmericweir_core.messages.settings_messages import DocumentAsk, DocumentProof, DocumentSend
 from turmericweir_core.state import server_table
 from turmericweir_core.state.document_state import DocumentState
-from turmericweir_core.store import document_packing
+from turmericweir_core.store import document_packing, eras
 
 if TYPE_CHECKING:
     from turmericweir_core.state.membership_state import Member
@@ -89,14 +90,16 @@
 def on_read(state: State, now: float, event: DocumentRead) -> list[Effect]:
     """Apply a newer document; ignore an older one."""
     document = _document(state)
-    effects: list[Effect] = []
-    if event.version > document.version:
+    effects = eras.note_era(state, now, event.era)
+    is_newer = event.version > document.version
+    if is_newer:
         effects.append(_apply_document(state, document, event))
     elif event.version < document.version:
-        return [Log("settings_older", {"version": event.version, "in_force": document.version})]
+        fields = {"version": event.version, "in_force": document.version, "era": event.era}
+        effects.append(Log("settings_older", fields))
     if event.requested_at is not None:
-        effects += _record_proof(state, now, event.requested_at)
-    elif effects:
+        effects += _on_answered(state, now, event.requested_at, event.version, event.era)
+    elif is_newer:
         effects += _announce_proof(state, store_duty.relay_receivers(state, now))
     return effects
 
@@ -125,7 +128,20 @@
 
 def on_confirmed(state: State, now: float, event: DocumentConfirmed) -> list[Effect]:
     """Record a read that was answered without a newer version."""
-    return _record_proof(state, now, event.requested_at)
+    effects = eras.note_era(state, now, event.era)
+    return effects + _on_answered(state, now, event.requested_at, event.version, event.era)
+
+
+def _on_answered(
+    state: State, now: float, requested_at: float, version: int, era: int
+) -> list[Effect]:
+    """Record an answered read; it is a proof unless the store lacks acknowledged versions."""
+    document = _document(state)
+    document.read_at = max(document.read_at, requested_at)
+    if version < document.version or not eras.is_proof(state, era, requested_at):
+        return []
+    effects = eras.note_settled(state, now, era)
+    return effects + _record_proof(state, now, requested_at)
 
 
 def _record_proof(state: State, now: float, requested_at: float) -> list[Effect]:
@@ -243,7 +259,7 @@
         effects.append(SendPeer(sender, peer.peer_address, message))
     age_s = now - document.proof_at
     if age_s <= state.options.key_proof_s:
-        proof = DocumentProof(document.version, request.request_number, age_s)
+        proof = DocumentProof(document.version, request.request_number, age_s, state.eras.settled)
         effects.append(SendDatagram(sender, peer.peer_address, proof))
     return effects
 
@@ -289,11 +305,12 @@
         if message.version > document.version:
             document.awaited_until = now + _AWAIT_S
         return []
+    effects = eras.note_settled(state, now, message.era)
     proof_at = requested_at - max(0.0, message.age_s)
     if proof_at <= document.proof_at:
-        return []
+        return effects
     document.proof_at = proof_at
-    return _announce_proof(state, store_duty.relay_receivers(state, now))
+    return effects + _announce_proof(state, store_duty.relay_receivers(state, now))
 
 
 def _document(state: State) -> DocumentState:
--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -320,6 +320,11 @@
                 "The version of the settings in force here.",
                 lambda: node.state.settings_offset(),
             )
+            metrics.add_gauge(
+                "turmericweir_store_era",
+                "The era of the store, which rises when it comes back from a copy; 0 for none.",
+                lambda: node.state.eras.current,
+            )
             metrics.add_gauge(
                 "turmericweir_paths_lost",
                 "The number of servers that this instance cannot connect to itself.",
--- a/packages/turmericweir/turmericweir/operations/entry_admin.py
+++ b/packages/turmericweir/turmericweir/operations/entry_admin.py
@@ -115,6 +115,8 @@
         assert isinstance(dumped, dict)
         derived = {
             "settings_version": state.settings_offset(),
+            "store_era": state.eras.current,
+            "store_era_settled": state.eras.settled,
             "key_proof_age_s": document.proof_age_s(state, now),
             "servers_read_age_s": now - state.registry.read_at,
             "reads_the_store": store_duty.is_store_reader(state, now),
--- a/packages/turmericweir/turmericweir/process/node.py
+++ b/packages/turmericweir/turmericweir/process/node.py
@@ -30,6 +30,7 @@
     Exit,
     FinishRequest,
     Log,
+    MarkEra,
     OrderServers,
     ProbeServer,
     ReadLog,
@@ -125,11 +126,14 @@
 
 
 class DocumentPort(Protocol):
-    """The interface for decoding settings documents."""
+    """The interface for settings documents, and for the era of the store that holds them."""
 
     def decode(self, effect: DecodeDocument) -> None:
         """Decode a document and report the result as an event."""
 
+    def mark_era(self, effect: MarkEra) -> None:
+        """Mark an era of the store as settled."""
+
 
 class DutyPort(Protocol):
     """The interface for platform calls that only one instance at a time makes."""
@@ -309,6 +313,8 @@
                 _require_adapter(self._adapters.verdicts).settle(effect)
             case DecodeDocument():
                 _require_adapter(self._adapters.documents).decode(effect)
+            case MarkEra():
+                _require_adapter(self._adapters.documents).mark_era(effect)
             case ReportUsage():
                 _require_adapter(self._adapters.duties).report(effect)
             case OrderServers():
--- a/tests/core/store/test_document.py
+++ b/tests/core/store/test_document.py
@@ -53,7 +53,7 @@
     """The proof of a slow read counts from the time the read was sent."""
     world = StoreWorld()
     world.now += 4.0
-    world.give(DocumentConfirmed(world.now - 3.0))
+    world.give(DocumentConfirmed(world.now - 3.0, 1))
     world.now += 2.0
     assert (
         account_of(world.arrive("1", target=PLAIN, keyed=True)).account.outcome is Outcome.NOT_RUN
--- a/tests/core/store_network.py
+++ b/tests/core/store_network.py
@@ -122,7 +122,7 @@
 
     def _read_settings(self, name: str) -> None:
         if self.nodes[name].state.settings_offset() == self.store.version:
-            self.give(name, DocumentConfirmed(self.now))
+            self.give(name, DocumentConfirmed(self.now, self.store.version))
         else:
             self._give_document(name, self.store.version, self.now, "")
 
--- a/tests/platform/platform_world.py
+++ b/tests/platform/platform_world.py
@@ -266,6 +266,14 @@
         """Start a store on a new address; return the address."""
         return self._open_listener(store.handle)
 
+    def at_once(self, change: Callable[[], None]) -> None:
+        """Change the store between two of its answers."""
+
+        async def run() -> None:
+            change()
+
+        self._loop.run(run())
+
     def _open_listener(self, handler: Handler) -> str:
         address = free_address()
         listener = Listener(address, handler)
--- a/tests/platform/standin_http.py
+++ b/tests/platform/standin_http.py
@@ -8,7 +8,7 @@
 import threading
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from types import TracebackType
 from typing import Self
 from urllib.parse import parse_qsl
@@ -34,13 +34,17 @@
     earlier_requests: int
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
+    # In every answer.
+    extra_headers: dict[str, str] = field(default_factory=dict)
 
     async def answer(
         self, status: int, body: bytes = b"", headers: dict[str, str] | None = None
     ) -> None:
         """Write a complete answer."""
         lines = [f"HTTP/1.1 {status} X"]
-        lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+        lines += [
+            f"{name}: {value}" for name, value in {**self.extra_headers, **(headers or {})}.items()
+        ]
         lines += [f"Content-Length: {len(body)}", "", ""]
         await self.write("\r\n".join(lines).encode() + body)
 
--- a/tests/platform/standin_store.py
+++ b/tests/platform/standin_store.py
@@ -14,6 +14,8 @@
 
 OPERATOR = "keyed.op"
 SERVERS = "keyed.servers"
+# The project's own topic of settled eras.
+ERAS = "keyed.eras"
 
 
 @dataclass(slots=True)
@@ -40,11 +42,13 @@
     """Answers reads and appends; tests write records directly."""
 
     def __init__(self) -> None:
-        self.topics = {OPERATOR: Topic(), SERVERS: Topic()}
+        self.topics = {OPERATOR: Topic(), SERVERS: Topic(), ERAS: Topic()}
         # "" for correct answers, "busy", "reset", "silent", or "lost" (drops every third answer of
         # each topic).
         self.mode = ""
         self._lost_mode_answers = Counter[str]()
+        # Rises each time that the store comes back from a copy; 0 for a store without eras.
+        self.era = 1
         # Delay of each answer.
         self.delay_s = 0.0
         # Number of answered reads by topic.
@@ -65,8 +69,21 @@
         """Delete all current records except the newest of each key."""
         self.topics[topic].first_offset = len(self.topics[topic].records)
 
+    def copy_topics(self) -> dict[str, list[tuple[str, bytes]]]:
+        """Return a copy of all records."""
+        return {name: list(topic.records) for name, topic in self.topics.items()}
+
+    def come_back_from(self, copy: dict[str, list[tuple[str, bytes]]]) -> None:
+        """Replace all records by those of a copy, in a new era."""
+        for name, topic in self.topics.items():
+            topic.records[:] = copy.get(name, [])
+            topic.first_offset = min(topic.first_offset, len(topic.records))
+        self.era += 1
+
     async def handle(self, call: Call) -> bool:
         """Answer one call."""
+        if self.era:
+            call.extra_headers = {"Store-Era": str(self.era)}
         if self.delay_s:
             await asyncio.sleep(self.delay_s)
         if self.mode == "busy":
@@ -110,7 +127,7 @@
 
     async def _read(self, topic: Topic, query: dict[str, str]) -> tuple[int, bytes]:
         start = int(query["from"])
-        if start < topic.first_offset:
+        if start < topic.first_offset or start > len(topic.records):
             return 410, _encode_json({"first": topic.first_offset})
         loop = asyncio.get_running_loop()
         wait_until = loop.time() + float(query.get("wait-ms", 0)) / 1000
--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -14,7 +14,7 @@
 from turmericweir.servers.backend_call import Answer
 from turmericweir.servers.backend_pool import BackendPool
 from turmericweir_core.messages.events import Event
-from turmericweir_platform.store import Follower, StoreClient
+from turmericweir_platform.store import Follower, Position, StoreClient
 
 EMPTY_PAGE = struct.pack(">QQ", 0, 0)
 
@@ -71,13 +71,17 @@
 def test_instance_with_overdue_updates_reads_servers_at_once() -> None:
     # Guards against a pause that delays the notice of a leaving server after the reader has died.
     world = set_reader_role(StoreWorld(), is_reader=False)
-    (target,) = run_follower(world, lambda follower: follower._read_next_entries(1, False))
+    (target,) = run_follower(
+        world, lambda follower: follower._read_next_entries(Position(0, 1), False)
+    )
     assert "log-read" in target
 
 
 def test_reader_pauses_between_reads_of_the_servers() -> None:
     world = set_reader_role(StoreWorld(), is_reader=True)
-    pause, target = run_follower(world, lambda follower: follower._read_next_entries(1, False))
+    pause, target = run_follower(
+        world, lambda follower: follower._read_next_entries(Position(0, 1), False)
+    )
     assert pause == "pause"
     assert "log-read" in target
 
@@ -86,6 +90,8 @@
 def test_only_a_reader_pauses_before_reading_the_settings(is_reader: bool) -> None:
     """Guards against a pause that makes a stale freshness proof expire."""
     world = set_reader_role(StoreWorld(), is_reader=is_reader)
-    *pauses, target = run_follower(world, lambda follower: follower._read_next_document(1, False))
+    *pauses, target = run_follower(
+        world, lambda follower: follower._read_next_document(Position(0, 1), False)
+    )
     assert pauses == ["pause"] * is_reader
     assert "log-read" in target
