Take no older entry from a copy of the store, and miss none of its new era

Cause: offsets of entries were compared across eras. Records of the new era have lower offsets and were ignored until the log had grown past the old ones; a list or an update from a peer was judged the same way.

Of what a copy still holds nothing replaces what was known, unless it can only be later: a notice of leaving, a later life. Lists and updates carry the era; an earlier one is ignored, a later one makes the receiver ask for the whole list. Peers of an earlier release state none and are taken as before. Besides, a burst of unreadable entries is logged with its last count: test_malformed_entries_do_not_affect_others counted lines, which are bounded now, and counts entries.

--- a/packages/turmericweir-core/turmericweir_core/messages/server_messages.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/server_messages.py
@@ -21,6 +21,10 @@
     # which the list reflects all records.
     offsets: list[int] = []
     end: int = 0
+    # The era of the store to which the offsets belong, and the offset from which on all records
+    # were written in it; 0 if the store states none.
+    era: int = 0
+    era_start: int = 0
 
 
 class RegistryRow(Struct, frozen=True, array_like=True):
@@ -43,6 +47,8 @@
     end: int = 0
     # Time since the read was requested.
     age_ms: int = 0
+    # The era of the store to which the offsets belong.
+    era: int = 0
 
 
 class PathsAsk(Struct, frozen=True, array_like=True):
--- a/packages/turmericweir-core/turmericweir_core/state/registry_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/registry_state.py
@@ -18,6 +18,12 @@
     offsets: dict[ServerName, int] = field(default_factory=dict)
     # The listed entries reflect all records before this offset.
     read_to: int = 0
+    # The era of the store to which the offsets belong; 0 while none is known.
+    era: int = 0
+    # All records from this offset on were written in the era, not taken over from a copy.
+    era_start: int = 0
+    # Servers known from earlier eras whose entries were not written in this one yet.
+    unrenewed: set[ServerName] = field(default_factory=set)
     # When the newest read that succeeded was requested, by this instance or by its reader: the
     # entries reflect all that the store had acknowledged before.
     read_at: float = _NEVER
@@ -29,8 +35,10 @@
     # The instance that last sent a registry update, and when: it can currently read the store.
     updated_by: InstanceName | None = None
     updated_at: float = _NEVER
-    # Number of entries that could not be decoded, and when one was last logged.
+    # Number of entries that could not be decoded, the error of the newest that is not logged yet,
+    # and when one was last logged.
     unreadable_count: int = 0
+    unreadable_error: str = ""
     unreadable_logged_at: float = _NEVER
     # Entries without a record since an outage that are still listed, and until when. Other
     # instances are not told of them.
--- a/packages/turmericweir-core/turmericweir_core/store/registry.py
+++ b/packages/turmericweir-core/turmericweir_core/store/registry.py
@@ -11,6 +11,9 @@
 used for a short time, and are removed if they are still missing then. At any other time a missing
 entry is removed at once. An instance that was partitioned cannot tell its own outage from one of
 the store, so it keeps missing entries for itself alone: they are in nothing that it sends.
+
+Offsets order the records of one era of the store (`eras`). A list or an update of an earlier era is
+ignored, and the first read of a new one replaces no entry by an older one that a copy still holds.
 """
 
 from __future__ import annotations
@@ -34,6 +37,7 @@
 from turmericweir_core.placement import attempt_accounting
 from turmericweir_core.state import server_table
 from turmericweir_core.state.registry_state import RegistryState
+from turmericweir_core.store import eras
 from turmericweir_core.streams import stream_bindings
 from turmericweir_core.trust import quarantine
 
@@ -58,23 +62,27 @@
 def on_read(state: State, now: float, event: RegistryRead) -> list[Effect]:
     """Update the servers to the entries that were read."""
     registry = state.registry
+    if event.era < registry.era:
+        # A late answer of a store that has since come back from a copy.
+        return []
+    effects = eras.note_era(state, now, event.era)
     had_outage = now - registry.read_at > _STORE_OUTAGE_S
+    had_outage |= _begin_era(state, event.era, _covered_to(event))
     store_duty.note_registry_read(state, now)
     # Entries may have changed while the answer was under way or waited for this process.
     requested_at = now if event.requested_at is None else event.requested_at
     registry.read_at = max(registry.read_at, requested_at)
     listed = dict(state.servers.listed)
-    effects: list[Effect] = []
     rows: list[RegistryRow] = []
     for entry, offset in event.entries:
-        if _note_offset(registry, entry.name, offset):
+        if _accepts(registry, listed, entry, offset):
             # Most records are renewals without changes.
             if listed.get(entry.name) != entry:
                 rows.append(RegistryRow(offset, entry.name, entry))
             effects += _take_entry(listed, entry)
             registry.missing_until.pop(entry.name, None)
     for name, offset in event.removed:
-        if _note_offset(registry, name, offset) and _remove(registry, listed, name):
+        if _accepts_removal(registry, name, offset) and _remove(registry, listed, name):
             rows.append(RegistryRow(offset, name))
             effects.append(_log("server_removed", name, offset=offset))
     covered_to = _covered_to(event)
@@ -86,6 +94,20 @@
     return effects + _send_changes(state, now, rows)
 
 
+def _begin_era(state: State, era: int, era_start: int) -> bool:
+    """Forget the offsets of earlier eras at the first read of a new one; return whether it is."""
+    registry = state.registry
+    if era <= registry.era:
+        return False
+    is_change = registry.era > 0
+    registry.era, registry.era_start = era, era_start
+    if is_change:
+        registry.unrenewed |= {*registry.offsets, *state.servers.listed}
+        registry.offsets.clear()
+        registry.read_to = 0
+    return is_change
+
+
 def _covered_to(event: RegistryRead) -> int:
     """Return the offset up to which a read covers all records."""
     offsets = [offset for _, offset in (*event.entries, *event.removed)]
@@ -105,7 +127,13 @@
     servers_hash = server_list.hash_full_entries(_recorded_entries(state).values())
     # Receivers that lack an entry detect it by the hash and request the whole list.
     age_ms = round((now - state.registry.read_at) * _MS)
-    update = RegistryNews(servers_hash, rows[:_ROWS_MAX], end=state.registry.read_to, age_ms=age_ms)
+    update = RegistryNews(
+        servers_hash,
+        rows[:_ROWS_MAX],
+        end=state.registry.read_to,
+        age_ms=age_ms,
+        era=state.registry.era,
+    )
     peers = store_duty.read_receivers(state, now)
     return [SendDatagram(peer.name, peer.peer_address, update) for peer in peers]
 
@@ -128,18 +156,25 @@
     state.registry.updated_by, state.registry.updated_at = sender, now
     store_duty.note_reader(state, now, InstanceName(update.reader or sender))
     effects = _relay_update(state, now, sender, update)
-    if update.end < state.registry.read_to:
+    # An earlier release states no era.
+    era = update.era or state.registry.era
+    if era < state.registry.era or (
+        era == state.registry.era and update.end < state.registry.read_to
+    ):
         # The reader knows less than this instance.
         return effects
+    if era > state.registry.era:
+        return effects + _request_list(state, now, sender)
     listed = dict(state.servers.listed)
     for row in update.rows:
         name = ServerName(row.name)
-        if not _note_offset(state.registry, name, row.offset):
-            continue
         if row.entry is not None:
-            state.registry.missing_until.pop(name, None)
-            effects += _take_entry(listed, row.entry)
-        elif _remove(state.registry, listed, name):
+            if _accepts(state.registry, listed, row.entry, row.offset):
+                state.registry.missing_until.pop(name, None)
+                effects += _take_entry(listed, row.entry)
+        elif _accepts_removal(state.registry, name, row.offset) and _remove(
+            state.registry, listed, name
+        ):
             effects.append(_log("server_removed", name, offset=row.offset, by=sender))
     effects += _apply_entries(state, now, listed)
     if server_list.hash_full_entries(_recorded_entries(state).values()) == update.servers_hash:
@@ -147,11 +182,15 @@
         state.registry.read_at = max(state.registry.read_at, read_at)
         state.registry.read_to = update.end
         return effects
+    return effects + _request_list(state, now, sender)
+
+
+def _request_list(state: State, now: float, sender: InstanceName) -> list[Effect]:
     peer = membership.find_member(state, sender)
     if peer is None or now < state.members.next_servers_request_at:
-        return effects
+        return []
     state.members.next_servers_request_at = now + _LIST_REQUEST_INTERVAL_S
-    return [*effects, SendPeer(sender, peer.peer_address, ServersAsk())]
+    return [SendPeer(sender, peer.peer_address, ServersAsk())]
 
 
 def answer_list(state: State, now: float, sender: InstanceName) -> list[Effect]:
@@ -162,22 +201,32 @@
         return []
     entries = list(_recorded_entries(state).values())
     offsets = [registry.offsets.get(entry.name, 0) for entry in entries]
-    message = ServersSend(now - registry.read_at, entries, offsets, registry.read_to)
+    message = ServersSend(
+        now - registry.read_at,
+        entries,
+        offsets,
+        registry.read_to,
+        era=registry.era,
+        era_start=registry.era_start,
+    )
     return [SendPeer(sender, peer.peer_address, message)]
 
 
 def on_list(state: State, now: float, sender: InstanceName, message: ServersSend) -> list[Effect]:
     """Take a peer's list unless this instance knows of later records."""
     registry = state.registry
-    is_usable = len(message.offsets) == len(message.servers)
-    if not is_usable or message.end < registry.read_to:
+    # An earlier release states no era.
+    era = message.era or registry.era
+    is_usable = len(message.offsets) == len(message.servers) and era >= registry.era
+    if not is_usable or (era == registry.era and message.end < registry.read_to):
         return []
+    effects = eras.note_era(state, now, era)
     had_outage = now - registry.read_at > _STORE_OUTAGE_S
+    had_outage |= _begin_era(state, era, message.era_start)
     names_before = set(state.servers.listed)
     listed = dict(state.servers.listed)
-    effects: list[Effect] = []
     for entry, offset in zip(message.servers, message.offsets, strict=True):
-        if _note_offset(registry, entry.name, offset):
+        if _accepts(registry, listed, entry, offset):
             registry.missing_until.pop(entry.name, None)
             effects += _take_entry(listed, entry)
     present_names = {entry.name for entry in message.servers}
@@ -210,6 +259,43 @@
     return effects
 
 
+def _accepts(
+    registry: RegistryState, listed: dict[ServerName, ServerEntry], entry: ServerEntry, offset: int
+) -> bool:
+    """Return whether a record is news of its server; record its offset.
+
+    A copy of the store may hold an older record than was read in an earlier era. It is news only if
+    it was written in this era, or if it could not have been written before the known one.
+    """
+    if not _note_offset(registry, entry.name, offset):
+        return False
+    if entry.name not in registry.unrenewed:
+        return True
+    if offset >= registry.era_start:
+        registry.unrenewed.discard(entry.name)
+        return True
+    known = listed.get(entry.name)
+    if known is None:
+        # The server is gone, unless it writes its entry again.
+        return False
+    return known == entry or _is_later(known, entry)
+
+
+def _accepts_removal(registry: RegistryState, name: ServerName, offset: int) -> bool:
+    """Return whether a record that removes an entry is news of its server; record its offset."""
+    is_copied = name in registry.unrenewed and offset < registry.era_start
+    return _note_offset(registry, name, offset) and not is_copied
+
+
+def _is_later(known: ServerEntry, entry: ServerEntry) -> bool:
+    """Return whether an entry was written after the known one, by what it says of its server."""
+    if known.incarnation == entry.incarnation:
+        return entry.leaving and not known.leaving
+    if known.incarnation.isdecimal() and entry.incarnation.isdecimal():
+        return int(entry.incarnation) > int(known.incarnation)
+    return False
+
+
 def _remove(
     registry: RegistryState, listed: dict[ServerName, ServerEntry], name: ServerName
 ) -> bool:
@@ -262,13 +348,13 @@
 
 def on_tick(state: State, now: float) -> list[Effect]:
     """Remove entries that are still missing some time after the store has recovered."""
+    effects = _log_unreadable(state, now)
     missing = state.registry.missing_until
     expired = [name for name, missing_until in missing.items() if now >= missing_until]
     if not expired or now - state.registry.read_at > _STORE_OUTAGE_S:
         # Missing entries are kept while the store is unreachable again.
-        return []
+        return effects
     listed = dict(state.servers.listed)
-    effects: list[Effect] = []
     for name in expired:
         del missing[name]
         if listed.pop(name, None) is not None:
@@ -281,16 +367,24 @@
     """Count entries that cannot be decoded and log one at a time; others stay in force."""
     registry = state.registry
     registry.unreadable_count += event.count
-    count = Count("registry.unreadable", event.count)
-    if now < registry.unreadable_logged_at + _UNREADABLE_LOG_INTERVAL_S:
-        return [count]
-    registry.unreadable_logged_at = now
+    registry.unreadable_error = event.error[:_LOGGED_ERROR_MAX_CHARS]
+    return [Count("registry.unreadable", event.count), *_log_unreadable(state, now)]
+
+
+def _log_unreadable(state: State, now: float) -> list[Effect]:
+    """Log the newest unreadable entry, unless the last line is too recent."""
+    registry = state.registry
+    is_recent = now < registry.unreadable_logged_at + _UNREADABLE_LOG_INTERVAL_S
+    if not registry.unreadable_error or is_recent:
+        return []
     fields = {
         "step": "decode entry",
-        "error": event.error[:_LOGGED_ERROR_MAX_CHARS],
+        "error": registry.unreadable_error,
         "count": registry.unreadable_count,
     }
-    return [count, Log("entry_unreadable", fields)]
+    registry.unreadable_error = ""
+    registry.unreadable_logged_at = now
+    return [Log("entry_unreadable", fields)]
 
 
 def _apply_entries(state: State, now: float, listed: dict[ServerName, ServerEntry]) -> list[Effect]:
--- a/tests/platform/test_store_copy.py
+++ b/tests/platform/test_store_copy.py
@@ -9,7 +9,7 @@
 import pytest
 
 from tests.platform.platform_world import Instance, PlatformWorld, document, until
-from tests.platform.standin_store import ERAS, OPERATOR
+from tests.platform.standin_store import ERAS, OPERATOR, SERVERS
 
 ALL_KEYS = ["key-1", "key-2", "key-3"]
 
@@ -105,6 +105,56 @@
         until(lambda: world.send_safe().status == 200, "the key in force is served")
 
 
+def test_server_that_leaves_after_a_drill_gets_nothing(tmp_path: Path) -> None:
+    """Guards against an old offset that hides the entries of the new era."""
+    with PlatformWorld(tmp_path) as world:
+        instance = world.running["entry-1"]
+        copy = world.store.copy_topics()
+        for seq in range(2, 8):
+            for name in ("shop-1", "shop-2"):
+                world.register(name, seq=seq)
+        # Two answers, since the first may have been on its way.
+        seen = world.store.answered[SERVERS]
+        until(lambda: world.store.answered[SERVERS] >= seen + 2, "the instance read on")
+
+        def drill() -> None:
+            world.store.come_back_from(copy)
+            world.register("shop-1", seq=8, state="draining")
+            # The log grows beyond the offset from which the instances would read on.
+            for seq in range(8, 30):
+                world.register("shop-2", seq=seq)
+
+        world.at_once(drill)
+        until(
+            lambda: any(
+                line["peer"] == "shop-1" and line["leaving"]
+                for line in instance.logged("server_listed")
+            ),
+            "the server leaves",
+        )
+        ids = [f"l{number}" for number in range(8)]
+        assert all(world.send_safe(request_id=each).status == 200 for each in ids)
+        assert {run.server for request_id in ids for run in world.runs(request_id)} == {"shop-2"}
+
+
+def test_servers_that_a_copy_lacks_are_used_until_they_write_again(tmp_path: Path) -> None:
+    """Guards against refusals because a copy holds no entries at all."""
+    with PlatformWorld(tmp_path) as world:
+        copy = {name: [] if name == SERVERS else each for name, each in _copy(world).items()}
+        world.at_once(lambda: world.store.come_back_from(copy))
+        instance = world.running["entry-1"]
+        until(lambda: bool(instance.logged("store_era")), "the copy was read")
+        assert all(world.send_safe().status == 200 for _ in range(6))
+        for name in world.servers:
+            world.register(name, seq=2)
+        until(lambda: world.store.answered[SERVERS] > 0, "entries are read")
+        assert all(world.send_safe().status == 200 for _ in range(6))
+
+
+def _copy(world: PlatformWorld) -> dict[str, list[tuple[str, bytes]]]:
+    return world.store.copy_topics()
+
+
 def test_state_shows_the_era(tmp_path: Path) -> None:
     with PlatformWorld(tmp_path) as world:
         assert world.reported_state("entry-1")["store_era"] == 1
--- a/tests/platform/test_store_trouble.py
+++ b/tests/platform/test_store_trouble.py
@@ -73,12 +73,18 @@
         for number, entry in enumerate(malformed_entries):
             world.store.write(SERVERS, f"broken-{number}", entry)
         until(
-            lambda: len(instance.logged("entry_unreadable")) >= len(malformed_entries),
+            lambda: sum_unreadable(instance) >= len(malformed_entries),
             "all were read",
         )
         assert all(world.send_safe().status == 200 for _ in range(6))
 
 
+def sum_unreadable(instance: Instance) -> int:
+    """Return how many entries an instance says it could not read; several share one line."""
+    lines = instance.logged("entry_unreadable")
+    return int(lines[-1]["count"]) if lines else 0
+
+
 def test_leaving_server_gets_no_new_requests(tmp_path: Path) -> None:
     with PlatformWorld(tmp_path) as world:
         instance = world.running["entry-1"]
