Keep what streams need through the loss of all instances

What callers saw: a report from a system like ours. All instances were killed while two versions were in service, or just after the old one had left; many streams that callers took up were answered 200 and joined from two versions.

Cause: bindings of streams were kept by instances only.

Change: nobody concludes from the releases that it has seen without knowing their history, from the store, a peer or 60 s of following the entries. The reader writes the late releases down when they change; while a service has several, one instance of sixteen writes bindings in batches. Instances that start read both in one call, which also brings the mark of the era. A request waits for what is not known yet, within its time.

Changed tests: test_unknown_stream_goes_on_where_one_version_serves lets the instances write their records before all end, as without any nothing says that there was one version.

--- a/packages/turmericweir-core/turmericweir_core/store/eras.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/eras.py
@@ -16,8 +16,8 @@
 from typing import TYPE_CHECKING, Final
 
 from turmericweir_core.membership import store_duty
-from turmericweir_core.messages.effects import Count, Effect, Log, MarkEra
-from turmericweir_core.messages.events import EraMarked, MarkRead
+from turmericweir_core.messages.effects import Count, Effect, Log
+from turmericweir_core.messages.record_messages import EraMarked, MarkEra, RecordsRead
 
 if TYPE_CHECKING:
     from turmericweir_core.state.state import State
@@ -65,11 +65,11 @@
     return state.eras.current == 0 or state.eras.settled < state.eras.current
 
 
-def on_mark_read(state: State, now: float, event: MarkRead) -> list[Effect]:
+def on_records_read(state: State, now: float, event: RecordsRead) -> list[Effect]:
     """Take an era as settled if it is marked, or if none was ever marked."""
     effects = note_era(state, now, event.era)
-    state.eras.marked = event.marked or 0
-    if event.marked is None or event.marked == event.era:
+    state.eras.marked = event.marked_era or 0
+    if event.marked_era is None or event.marked_era == event.era:
         state.eras.settled = max(state.eras.settled, event.era)
     return effects
 
--- a/packages/turmericweir-core/turmericweir_core/membership/store_duty.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/store_duty.py
@@ -49,8 +49,7 @@
     """Return whether this instance reads for others."""
     if state.registry.is_fallback_reader:
         return True
-    started_at = state.members.started_at
-    if started_at is None or now - started_at < _START_PHASE_S:
+    if is_start_phase(state, now):
         return False
     registry = state.registry
     if now >= registry.next_choice_at:
@@ -61,6 +60,12 @@
     return registry.is_chosen_reader
 
 
+def is_start_phase(state: State, now: float) -> bool:
+    """Return whether this instance may not know the others yet."""
+    started_at = state.members.started_at
+    return started_at is None or now - started_at < _START_PHASE_S
+
+
 # --- peers to send to ---------------------------------------------------------------------------
 
 
--- a/packages/turmericweir-core/turmericweir_core/messages/effects.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/effects.py
@@ -10,6 +10,12 @@
 from turmericweir_core.base.ids import DIRECT, AttemptId, InstanceName, RequestId, ServerName
 from turmericweir_core.base.request import CancelReason
 from turmericweir_core.messages.peer_messages import PeerMessage
+from turmericweir_core.messages.record_messages import (
+    MarkEra,
+    PutReleases,
+    PutStreams,
+    ReadRecords,
+)
 
 
 class StartAttempt(Struct, frozen=True):
@@ -165,12 +171,6 @@
     version: str
 
 
-class MarkEra(Struct, frozen=True):
-    """Mark an era in the store as settled; the result is an event."""
-
-    era: int
-
-
 class DecodeDocument(Struct, frozen=True):
     """Decode a settings document from a peer, and report it as read."""
 
@@ -210,6 +210,9 @@
     """All requests are finished; end the process with status 0."""
 
 
+# Effects on the project's own records in the store of the platform.
+RecordEffect: TypeAlias = MarkEra | ReadRecords | PutReleases | PutStreams
+
 Effect: TypeAlias = (
     StartAttempt
     | CancelAttempt
@@ -226,7 +229,7 @@
     | OrderServers
     | RequestLoadPermit
     | DecodeDocument
-    | MarkEra
+    | RecordEffect
     | ReportVerdict
     | Log
     | Count
--- a/packages/turmericweir-core/turmericweir_core/messages/events.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/events.py
@@ -15,6 +15,12 @@
 from turmericweir_core.base.ids import DIRECT, AttemptId, InstanceName, RequestId, ServerName
 from turmericweir_core.base.request import Request
 from turmericweir_core.messages.peer_messages import PeerMessage
+from turmericweir_core.messages.record_messages import (
+    EraMarked,
+    RecordsRead,
+    ReleasesPut,
+    StreamsNotPut,
+)
 from turmericweir_core.records.claim_answer import StoredAnswer
 
 # --- callers ---------------------------------------------------------------------------------
@@ -352,21 +358,6 @@
     era: int = 0
 
 
-class MarkRead(Struct, frozen=True):
-    """The mark of the newest settled era was read from the store."""
-
-    # The era of the store that answered.
-    era: int
-    # None if no era was ever marked.
-    marked: int | None
-
-
-class EraMarked(Struct, frozen=True):
-    """An era was marked in the store as settled."""
-
-    era: int
-
-
 class DocumentUnreadable(Struct, frozen=True):
     """A document could not be decoded or validated."""
 
@@ -483,8 +474,10 @@
     | WeightsAnswered
     | DocumentRead
     | DocumentConfirmed
-    | MarkRead
+    | RecordsRead
     | EraMarked
+    | ReleasesPut
+    | StreamsNotPut
     | DocumentUnreadable
     | RegistryRead
     | EntriesUnreadable
--- a/packages/turmericweir-core/turmericweir_core/messages/stream_messages.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/stream_messages.py
@@ -36,3 +36,5 @@
     key: int
     # Services that have had servers of several releases lately.
     divided_services: list[str]
+    # Whether the sender knows all releases at which the stream may have begun.
+    has_history: bool = False
--- a/packages/turmericweir-core/turmericweir_core/reducers/reducer.py
+++ b/packages/turmericweir-core/turmericweir_core/reducers/reducer.py
@@ -46,14 +46,12 @@
     DrainRequested,
     DutyAnswered,
     EntriesUnreadable,
-    EraMarked,
     Event,
     ListRead,
     LogExpired,
     LogFailed,
     LogNewest,
     LogRead,
-    MarkRead,
     OrderDone,
     PeerReceived,
     PeerUnreachable,
@@ -70,6 +68,12 @@
 )
 from turmericweir_core.messages.limit_messages import LimitAsk, LimitGrant
 from turmericweir_core.messages.membership_messages import Heartbeat
+from turmericweir_core.messages.record_messages import (
+    EraMarked,
+    RecordsRead,
+    ReleasesPut,
+    StreamsNotPut,
+)
 from turmericweir_core.messages.settings_messages import SettingsAsk, SettingsSend
 from turmericweir_core.placement import dispatch
 from turmericweir_core.records.claim_record import CLAIMS_STREAM
@@ -169,8 +173,10 @@
         case (
             DocumentRead()
             | DocumentConfirmed()
-            | MarkRead()
+            | RecordsRead()
             | EraMarked()
+            | ReleasesPut()
+            | StreamsNotPut()
             | DocumentUnreadable()
             | RegistryRead()
             | EntriesUnreadable()
--- a/packages/turmericweir-core/turmericweir_core/reducers/reducer_store.py
+++ b/packages/turmericweir-core/turmericweir_core/reducers/reducer_store.py
@@ -11,7 +11,7 @@
 from typing import assert_never
 
 from turmericweir_core.engines import cache_handover, load_updates, shared_pace
-from turmericweir_core.membership import leaving
+from turmericweir_core.membership import eras, leaving
 from turmericweir_core.messages.effects import Effect
 from turmericweir_core.messages.events import (
     AnswerReceived,
@@ -31,14 +31,12 @@
     DutyAnswered,
     EndUnsent,
     EntriesUnreadable,
-    EraMarked,
     Event,
     ListRead,
     LogExpired,
     LogFailed,
     LogNewest,
     LogRead,
-    MarkRead,
     OrderDone,
     PeerReceived,
     PeerUnreachable,
@@ -59,6 +57,12 @@
     LoadBundle,
     LoadNews,
 )
+from turmericweir_core.messages.record_messages import (
+    EraMarked,
+    RecordsRead,
+    ReleasesPut,
+    StreamsNotPut,
+)
 from turmericweir_core.messages.server_messages import RegistryNews, ServersAsk, ServersSend
 from turmericweir_core.messages.settings_messages import DocumentAsk, DocumentProof, DocumentSend
 from turmericweir_core.placement import dead_server, dispatch
@@ -68,8 +72,10 @@
     tick_others,
     tick_requests,
 )
+from turmericweir_core.requests import taken_up
 from turmericweir_core.state.state import State
-from turmericweir_core.store import document, eras, registry
+from turmericweir_core.store import document, registry
+from turmericweir_core.streams import stream_records
 
 
 def reduce(state: State, now: float, event: Event) -> list[Effect]:
@@ -94,10 +100,15 @@
             return document.on_confirmed(state, now, event)
         case DocumentUnreadable():
             return document.on_unreadable(event)
-        case MarkRead():
-            return eras.on_mark_read(state, now, event)
+        case RecordsRead():
+            effects = eras.on_records_read(state, now, event)
+            return effects + taken_up.on_records_read(state, now, event)
         case EraMarked():
             return eras.on_marked(state, event)
+        case ReleasesPut():
+            return stream_records.on_releases_put(state, event)
+        case StreamsNotPut():
+            return stream_records.on_streams_not_put(state, event)
         case RegistryRead():
             effects = registry.on_read(state, now, event)
             effects += leaving.create_leaving_notices(state, now)
@@ -188,6 +199,7 @@
     effects += dead_server.on_tick(state, now)
     effects += document.on_tick(state, now)
     effects += eras.on_tick(state, now)
+    effects += stream_records.on_tick(state, now)
     effects += cache_handover.on_tick(state, now)
     load_updates.forget_stale_origins(state, now)
     shared_pace.on_tick(state, now)
--- a/packages/turmericweir-core/turmericweir_core/requests/lifecycle.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/lifecycle.py
@@ -88,7 +88,8 @@
 def on_looked_up(state: State, now: float, req: Request, result: Found | Unknown) -> list[Effect]:
     """Go on with a request that takes up a stream, or refuse it."""
     if isinstance(result, Unknown) or result.binding.release == UNKNOWN_RELEASE:
-        return _refuse_stream(state, now, req, Reason.STREAM_UNKNOWN)
+        retry_after_s = result.retry_after_s if isinstance(result, Unknown) else None
+        return _refuse_stream(state, now, req, Reason.STREAM_UNKNOWN, retry_after_s)
     effects = stream_bindings.take_up(state, now, req, result.binding)
     targets = (req.target, *req.other_targets)
     release = result.binding.release
@@ -99,7 +100,9 @@
     return effects + _decide_on_arrival(state, now, req)
 
 
-def _refuse_stream(state: State, now: float, req: Request, reason: Reason) -> list[Effect]:
+def _refuse_stream(
+    state: State, now: float, req: Request, reason: Reason, retry_after_s: float | None = None
+) -> list[Effect]:
     fields = {
         "request_id": req.request_id,
         "stream_id": req.stream_id,
@@ -109,7 +112,7 @@
         "looked_up_ms": round(1000 * (now - req.arrived_at)),
     }
     log = Log("stream_refused", fields)
-    pause_s = _STREAM_PAUSE_S
+    pause_s = _STREAM_PAUSE_S if retry_after_s is None else max(_STREAM_PAUSE_S, retry_after_s)
     return [log, *finish(state, now, req, Outcome.NOT_RUN, reason, retry_after_s=pause_s)]
 
 
--- a/packages/turmericweir-core/turmericweir_core/requests/taken_up.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/taken_up.py
@@ -6,6 +6,7 @@
 
 from turmericweir_core.base.ids import InstanceName
 from turmericweir_core.messages.effects import Effect
+from turmericweir_core.messages.record_messages import RecordsRead
 from turmericweir_core.messages.stream_messages import StreamAsk, StreamsBound, StreamUnknown
 from turmericweir_core.requests import lifecycle
 from turmericweir_core.state.state import State
@@ -32,6 +33,11 @@
             assert_never(unreachable)
 
 
+def on_records_read(state: State, now: float, event: RecordsRead) -> list[Effect]:
+    """Take over what the store holds of streams."""
+    return _go_on(state, now, stream_lookup.on_records_read(state, now, event))
+
+
 def on_tick(state: State, now: float) -> list[Effect]:
     """Follow the holders of copies, and end lookups that found nothing."""
     stream_bindings.on_tick(state, now)
--- a/packages/turmericweir-core/turmericweir_core/state/stream_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/stream_state.py
@@ -37,6 +37,8 @@
     waves: int = 0
     # Services of which a peer has seen several releases.
     divided_services: set[str] = field(default_factory=set)
+    # Whether a peer that answered knows all releases at which the stream may have begun.
+    is_vouched: bool = False
 
 
 class Holder(Struct, frozen=True):
@@ -71,3 +73,23 @@
     suspected_at: dict[ServerName, float] = field(default_factory=dict)
     # Bindings that were dropped because there were too many.
     dropped: int = 0
+    # Since when all releases of servers were seen here, or read from the store.
+    history_from: float = float("inf")
+    # When the newest read that returned the history was sent.
+    history_read_at: float = _NEVER
+    # When the newest read of the own records that succeeded was sent; they are read again not
+    # before `next_read_at`.
+    records_read_at: float = _NEVER
+    next_read_at: float = _NEVER
+    # The releases that the store holds, in which era they were written, and when to write again.
+    stored_releases: dict[str, list[int]] | None = None
+    stored_era: int = 0
+    next_releases_at: float = _NEVER
+    # The instance that writes the bindings of this one down; None if this one or nobody does.
+    writer: Holder | None = None
+    is_writer: bool = False
+    next_update_at: float = _NEVER
+    # Bindings that this writer has to write down, when, and under which number.
+    unstored: set[StreamKey] = field(default_factory=set)
+    next_batch_at: float = _NEVER
+    next_slot: int = 0
--- a/packages/turmericweir-core/turmericweir_core/store/document.py
+++ b/packages/turmericweir-core/turmericweir_core/store/document.py
@@ -17,7 +17,7 @@
 
 from turmericweir_core.base.ids import InstanceName
 from turmericweir_core.base.request import Request
-from turmericweir_core.membership import membership, store_duty
+from turmericweir_core.membership import eras, membership, store_duty
 from turmericweir_core.messages.effects import (
     Count,
     DecodeDocument,
@@ -30,7 +30,7 @@
 from turmericweir_core.messages.settings_messages import DocumentAsk, DocumentProof, DocumentSend
 from turmericweir_core.state import server_table
 from turmericweir_core.state.document_state import DocumentState
-from turmericweir_core.store import document_packing, eras
+from turmericweir_core.store import document_packing
 
 if TYPE_CHECKING:
     from turmericweir_core.state.membership_state import Member
--- a/packages/turmericweir-core/turmericweir_core/store/registry.py
+++ b/packages/turmericweir-core/turmericweir_core/store/registry.py
@@ -25,7 +25,7 @@
 from turmericweir_core.base.config import ServerEntry
 from turmericweir_core.base.ids import InstanceName, ServerName
 from turmericweir_core.base.release import release_of
-from turmericweir_core.membership import membership, server_list, store_duty
+from turmericweir_core.membership import eras, membership, server_list, store_duty
 from turmericweir_core.messages.effects import Count, Effect, Log, SendDatagram, SendPeer
 from turmericweir_core.messages.events import EntriesUnreadable, RegistryRead
 from turmericweir_core.messages.server_messages import (
@@ -37,7 +37,6 @@
 from turmericweir_core.placement import attempt_accounting
 from turmericweir_core.state import server_table
 from turmericweir_core.state.registry_state import RegistryState
-from turmericweir_core.store import eras
 from turmericweir_core.streams import stream_bindings
 from turmericweir_core.trust import quarantine
 
@@ -68,6 +67,8 @@
     effects = eras.note_era(state, now, event.era)
     had_outage = now - registry.read_at > _STORE_OUTAGE_S
     had_outage |= _begin_era(state, event.era, _covered_to(event))
+    if event.is_complete and had_outage:
+        stream_bindings.note_gap(state, now)
     store_duty.note_registry_read(state, now)
     # Entries may have changed while the answer was under way or waited for this process.
     requested_at = now if event.requested_at is None else event.requested_at
@@ -223,6 +224,8 @@
     effects = eras.note_era(state, now, era)
     had_outage = now - registry.read_at > _STORE_OUTAGE_S
     had_outage |= _begin_era(state, era, message.era_start)
+    if had_outage:
+        stream_bindings.note_gap(state, now)
     names_before = set(state.servers.listed)
     listed = dict(state.servers.listed)
     for entry, offset in zip(message.servers, message.offsets, strict=True):
--- a/packages/turmericweir-core/turmericweir_core/streams/stream_bindings.py
+++ b/packages/turmericweir-core/turmericweir_core/streams/stream_bindings.py
@@ -33,8 +33,10 @@
 _RETRY_S: Final = 30.0
 _BINDINGS_MAX: Final = 50_000
 _EXPIRY_INTERVAL_S: Final = 1.0
+# Age up to which the history that was read from the store covers a gap in reading entries.
+_HISTORY_FRESH_S: Final = 3.0
 # How long a release without servers is remembered: longer than a stream lasts.
-_GONE_KEEP_S: Final = 60.0
+GONE_KEEP_S: Final = 60.0
 
 
 def key_of(customer: str, stream_id: str) -> StreamKey:
@@ -129,14 +131,21 @@
     if known is not None:
         if known.release != binding.release:
             known.release = UNKNOWN_RELEASE
+            _note_unstored(state, key)
         known.expires_at = max(known.expires_at, binding.expires_at)
         return
+    _note_unstored(state, key)
     if len(by_key) >= _BINDINGS_MAX:
         del by_key[next(iter(by_key))]
         state.streams.dropped += 1
     by_key[key] = binding
 
 
+def _note_unstored(state: State, key: StreamKey) -> None:
+    if state.streams.is_writer:
+        state.streams.unstored.add(key)
+
+
 # --- servers ---------------------------------------------------------------------------------
 
 
@@ -206,16 +215,28 @@
         state.streams.gone_releases.setdefault(service, {})[release] = now
 
 
+def note_gap(state: State, now: float) -> None:
+    """Record that servers may have come and gone unseen before now, unless the store told."""
+    if now - state.streams.history_read_at > _HISTORY_FRESH_S:
+        state.streams.history_from = now
+
+
+def late_releases(state: State, now: float) -> dict[str, set[Release]]:
+    """Return the releases that each service has had of late, as far as they were seen here."""
+    releases: dict[str, set[Release]] = {}
+    for server in state.servers.by_name.values():
+        releases.setdefault(server.entry.service, set()).add(release_of(server.entry))
+    for service, gone in state.streams.gone_releases.items():
+        late = {release for release, gone_at in gone.items() if now - gone_at <= GONE_KEEP_S}
+        if late:
+            releases.setdefault(service, set()).update(late)
+    return releases
+
+
 def sole_release(state: State, now: float, service: str) -> Release | None:
-    """Return the release of all servers that a service has had of late, or None if several."""
-    releases = {
-        release_of(server.entry)
-        for server in state.servers.by_name.values()
-        if server.entry.service == service
-    }
-    gone = state.streams.gone_releases.get(service, {})
-    releases |= {release for release, gone_at in gone.items() if now - gone_at <= _GONE_KEEP_S}
-    return releases.pop() if len(releases) == 1 else None
+    """Return the release of all servers of a service that were seen of late, or None if several."""
+    releases = late_releases(state, now).get(service, set())
+    return next(iter(releases)) if len(releases) == 1 else None
 
 
 def on_tick(state: State, now: float) -> None:
@@ -230,7 +251,7 @@
     for name in [each for each in streams.suspected_at if each not in state.servers.by_name]:
         del streams.suspected_at[name]
     for releases in streams.gone_releases.values():
-        for release in [each for each, at in releases.items() if now - at > _GONE_KEEP_S]:
+        for release in [each for each, at in releases.items() if now - at > GONE_KEEP_S]:
             del releases[release]
 
 
--- a/packages/turmericweir-core/turmericweir_core/streams/stream_copies.py
+++ b/packages/turmericweir-core/turmericweir_core/streams/stream_copies.py
@@ -125,10 +125,11 @@
 def send_copies(state: State, now: float, key: StreamKey) -> list[Effect]:
     """Send the binding of a stream to its holders."""
     message = StreamsBound([row_of(now, key, state.streams.by_key[key])])
-    return [
-        SendDatagram(holder.name, holder.address, message)
-        for holder in copy_holders(state.streams.rings, state.me.data_centre, key)
-    ]
+    holders = copy_holders(state.streams.rings, state.me.data_centre, key)
+    writer = state.streams.writer
+    if writer is not None and writer not in holders:
+        holders.append(writer)
+    return [SendDatagram(holder.name, holder.address, message) for holder in holders]
 
 
 def row_of(now: float, key: StreamKey, binding: StreamBinding) -> StreamRow:
@@ -149,10 +150,14 @@
         for holder in copy_holders(state.streams.rings, data_centre, key):
             if holder not in before:
                 rows.setdefault(holder, []).append(row_of(now, key, binding))
+    return [effect for holder, each in rows.items() for effect in send_rows(holder, each)]
+
+
+def send_rows(holder: Holder, rows: list[StreamRow]) -> list[Effect]:
+    """Send bindings to a peer, some in each datagram."""
     return [
-        SendDatagram(holder.name, holder.address, StreamsBound(each[first : first + _ROWS_MAX]))
-        for holder, each in rows.items()
-        for first in range(0, len(each), _ROWS_MAX)
+        SendDatagram(holder.name, holder.address, StreamsBound(rows[first : first + _ROWS_MAX]))
+        for first in range(0, len(rows), _ROWS_MAX)
     ]
 
 
--- a/packages/turmericweir-core/turmericweir_core/streams/stream_lookup.py
+++ b/packages/turmericweir-core/turmericweir_core/streams/stream_lookup.py
@@ -3,9 +3,11 @@
 An instance that does not know the stream asks the peers that follow its key on the rings of all
 data centres, first two of each, then more, since views of the membership differ. One answer is
 enough. If none knows the stream, it can have begun only at a release that the service has had
-lately; so it goes on if this instance and all peers that answered have seen only one. Otherwise it
-is refused. A caller that names no stream is an older one, and is treated in the same way, without
-asking.
+lately; so it goes on if this instance and all peers that answered have seen only one, and one of
+them knows the history of releases (`stream_records`). An instance that has just started may not
+know it yet, nor have read the bindings that are in the store; the request waits for that while it
+has time. Otherwise it is refused. A caller that names no stream is an older one, and is treated in
+the same way.
 """
 
 from __future__ import annotations
@@ -18,9 +20,10 @@
 from turmericweir_core.base.request import Request, RequestPhase
 from turmericweir_core.membership import membership
 from turmericweir_core.messages.effects import Effect, SendDatagram
+from turmericweir_core.messages.record_messages import RecordsRead
 from turmericweir_core.messages.stream_messages import StreamAsk, StreamsBound, StreamUnknown
 from turmericweir_core.state.stream_state import StreamBinding, StreamKey, StreamLookup
-from turmericweir_core.streams import stream_bindings, stream_copies
+from turmericweir_core.streams import stream_bindings, stream_copies, stream_records
 
 if TYPE_CHECKING:
     from turmericweir_core.state.state import State
@@ -31,6 +34,12 @@
 _LOOKUP_S: Final = 0.45
 _LOOKUP_AT_START_S: Final = 1.2
 _START_S: Final = 5.0
+# Time for reading the own records in the store.
+_RECORDS_WAIT_S: Final = 1.5
+# Time before its deadline from which on a request that waits is refused.
+_SERVE_S: Final = 1.0
+# Upper bound of the delay after which a caller comes again for a stream of unknown release.
+_RETRY_AFTER_MAX_S: Final = 5.0
 # Age up to which the list of servers shows all releases in service.
 _LIST_FRESH_S: Final = 3.0
 
@@ -42,7 +51,10 @@
 
 
 class Unknown(Struct, frozen=True):
-    """Nobody knows the release of the stream, and the service has had several."""
+    """Nobody knows the release of the stream, and the service may have had several."""
+
+    # When more may be known; None if nothing more is expected.
+    retry_after_s: float | None = None
 
 
 class Pending(Struct, frozen=True):
@@ -56,9 +68,10 @@
 
 def look_up(state: State, now: float, req: Request) -> Result:
     """Look up the stream that a request takes up."""
-    if not req.stream_id:
+    if not req.stream_id and stream_records.has_history(state, now):
         return _by_service(state, now, req)
-    key = stream_bindings.key_of(req.customer, req.stream_id)
+    # Nobody knows a stream without a name, but peers may know that there was one release only.
+    key = stream_bindings.key_of(req.customer, req.stream_id or f"\0{req.request_id}")
     binding = stream_bindings.find_binding(state, now, key)
     if binding is not None:
         return Found(binding)
@@ -107,16 +120,15 @@
     if binding is not None:
         answer = StreamsBound([stream_copies.row_of(now, key, binding)])
     else:
-        answer = StreamUnknown(key, _divided_services(state, now))
+        has_history = stream_records.has_history(state, now)
+        answer = StreamUnknown(key, _divided_services(state, now), has_history)
     return [SendDatagram(sender, peer.peer_address, answer)]
 
 
 def _divided_services(state: State, now: float) -> list[str]:
     """Return the services that have had servers of several releases lately."""
-    services = {server.entry.service for server in state.servers.by_name.values()}
-    return sorted(
-        name for name in services if stream_bindings.sole_release(state, now, name) is None
-    )
+    releases = stream_bindings.late_releases(state, now)
+    return sorted(name for name, each in releases.items() if len(each) > 1)
 
 
 class Resolved(Struct, frozen=True):
@@ -137,7 +149,7 @@
         stream_bindings.record(state, now, key, stream_copies.binding_of(now, sender, row))
         binding = stream_bindings.find_binding(state, now, key)
         if binding is not None and key in state.streams.lookups:
-            resolved += _end(state, key, Found(binding), now)
+            resolved += _end(state, key, Found(binding))
     return resolved
 
 
@@ -147,6 +159,18 @@
     if lookup is not None:
         lookup.ignorant.add(sender)
         lookup.divided_services |= set(message.divided_services)
+        lookup.is_vouched |= message.has_history
+
+
+def on_records_read(state: State, now: float, event: RecordsRead) -> list[Resolved]:
+    """Take over what the store holds, and end the lookups that waited for it."""
+    stream_records.on_records_read(state, now, event)
+    resolved: list[Resolved] = []
+    for key in list(state.streams.lookups):
+        binding = stream_bindings.find_binding(state, now, key)
+        if binding is not None:
+            resolved += _end(state, key, Found(binding))
+    return resolved
 
 
 def on_tick(state: State, now: float) -> tuple[list[Resolved], list[Effect]]:
@@ -160,27 +184,66 @@
         if now - lookup.started_at >= time_s or (
             have_all_answered and lookup.waves >= len(_ASKED_BY_WAVE)
         ):
-            resolved += _end(state, key, None, now)
+            resolved += _conclude(state, now, key, lookup)
+            if key in state.streams.lookups:
+                effects += stream_records.request_read(state, now)
         else:
             effects += _ask(state, key, lookup)
     return resolved, effects
 
 
-def _end(state: State, key: StreamKey, found: Found | None, now: float) -> list[Resolved]:
+def _end(state: State, key: StreamKey, found: Found) -> list[Resolved]:
     lookup = state.streams.lookups.pop(key)
-    resolved = []
-    for request_id in lookup.request_ids:
-        req = state.requests.get(request_id)
-        if req is not None and req.phase is RequestPhase.LOOKING_UP:
-            resolved.append(Resolved(req, found or _by_peers(state, now, req, lookup)))
+    return [Resolved(req, found) for req in _waiting(state, lookup)]
+
+
+def _waiting(state: State, lookup: StreamLookup) -> list[Request]:
+    requests = [state.requests.get(each) for each in lookup.request_ids]
+    return [each for each in requests if each is not None and each.phase is RequestPhase.LOOKING_UP]
+
+
+def _conclude(state: State, now: float, key: StreamKey, lookup: StreamLookup) -> list[Resolved]:
+    """End the lookup of each request that gains nothing by waiting longer."""
+    resolved: list[Resolved] = []
+    for req in _waiting(state, lookup):
+        result = _by_peers(state, now, req, lookup)
+        if isinstance(result, Unknown) and now < _wait_until(state, req, lookup, result):
+            continue
+        lookup.request_ids.remove(req.request_id)
+        resolved.append(Resolved(req, result))
+    if not _waiting(state, lookup):
+        del state.streams.lookups[key]
     return resolved
 
 
+def _wait_until(state: State, req: Request, lookup: StreamLookup, result: Unknown) -> float:
+    """Return until when a request waits for what is not known yet."""
+    if state.streams.records_read_at < lookup.started_at:
+        # The store may hold the binding.
+        return min(_last_wait(req), lookup.started_at + _RECORDS_WAIT_S)
+    if result.retry_after_s is None:
+        return float("-inf")
+    known_at = stream_records.known_at(state)
+    if not stream_records.is_era_settled(state) or known_at <= _last_wait(req):
+        return _last_wait(req)
+    return float("-inf")
+
+
+def _last_wait(req: Request) -> float:
+    """Return the time from which on a request could not be served any more."""
+    return req.deadline - _SERVE_S
+
+
 def _by_peers(state: State, now: float, req: Request, lookup: StreamLookup) -> Found | Unknown:
     """Conclude from the releases that this instance and its peers have seen."""
     service = state.config.service_by_target.get(req.target)
     if service is None or service.name in lookup.divided_services:
         return Unknown()
+    if len(stream_bindings.late_releases(state, now).get(service.name, ())) > 1:
+        return Unknown()
+    if not lookup.is_vouched and not stream_records.has_history(state, now):
+        retry_after_s = stream_records.known_at(state) - now
+        return Unknown(min(max(0.0, retry_after_s), _RETRY_AFTER_MAX_S))
     if not lookup.ignorant and now - state.registry.read_at > _LIST_FRESH_S:
         # Cut off from its peers and from the store, it may not know of a later version.
         return Unknown()
--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -42,7 +42,14 @@
 from turmericweir.process.listening_socket import bind
 from turmericweir.process.log_pipe import LogPipe
 from turmericweir.process.memory_budget import MemoryBudget, peak_size
-from turmericweir.process.node import Adapters, DocumentPort, DutyPort, Node, PlatformPort
+from turmericweir.process.node import (
+    Adapters,
+    DocumentPort,
+    DutyPort,
+    Node,
+    PlatformPort,
+    RecordPort,
+)
 from turmericweir.process.prometheus_metrics import MetricsApp, PrometheusMetrics
 from turmericweir.process.supervisor import run_supervised
 from turmericweir.servers.backend_pool import BackendPool
@@ -97,6 +104,10 @@
 class StoreFollower(DocumentPort, Protocol):
     """The reader of the platform's store."""
 
+    @property
+    def records(self) -> RecordPort:
+        """The client for the project's own records."""
+
     def attach(self, node: Node) -> None:
         """Set the node that receives the events."""
 
@@ -301,6 +312,7 @@
             servers,
             metrics,
             documents=follower,
+            records=follower.records,
             platform=None if duties is None else duties.log,
             duties=None if duties is None else duties.client,
         )
--- a/packages/turmericweir/turmericweir/process/node.py
+++ b/packages/turmericweir/turmericweir/process/node.py
@@ -30,10 +30,10 @@
     Exit,
     FinishRequest,
     Log,
-    MarkEra,
     OrderServers,
     ProbeServer,
     ReadLog,
+    RecordEffect,
     ReplayAnswer,
     ReportUsage,
     ReportVerdict,
@@ -55,6 +55,12 @@
     StopRequested,
     Tick,
 )
+from turmericweir_core.messages.record_messages import (
+    MarkEra,
+    PutReleases,
+    PutStreams,
+    ReadRecords,
+)
 from turmericweir_core.reducers.reducer_common import Reducer
 from turmericweir_core.state.state import State
 
@@ -126,13 +132,17 @@
 
 
 class DocumentPort(Protocol):
-    """The interface for settings documents, and for the era of the store that holds them."""
+    """The interface for decoding settings documents."""
 
     def decode(self, effect: DecodeDocument) -> None:
         """Decode a document and report the result as an event."""
 
-    def mark_era(self, effect: MarkEra) -> None:
-        """Mark an era of the store as settled."""
+
+class RecordPort(Protocol):
+    """The interface for the project's own records in the store of the platform."""
+
+    def perform(self, effect: RecordEffect) -> None:
+        """Read or write records in the background."""
 
 
 class DutyPort(Protocol):
@@ -164,6 +174,7 @@
     platform: PlatformPort | None = None
     verdicts: VerdictPort | None = None
     documents: DocumentPort | None = None
+    records: RecordPort | None = None
     duties: DutyPort | None = None
 
 
@@ -313,8 +324,8 @@
                 _require_adapter(self._adapters.verdicts).settle(effect)
             case DecodeDocument():
                 _require_adapter(self._adapters.documents).decode(effect)
-            case MarkEra():
-                _require_adapter(self._adapters.documents).mark_era(effect)
+            case MarkEra() | ReadRecords() | PutReleases() | PutStreams():
+                _require_adapter(self._adapters.records).perform(effect)
             case ReportUsage():
                 _require_adapter(self._adapters.duties).report(effect)
             case OrderServers():
--- a/tests/core/era_world.py
+++ b/tests/core/era_world.py
@@ -11,18 +11,23 @@
     DocumentConfirmed,
     DocumentRead,
     EndComplete,
-    MarkRead,
     RegistryRead,
 )
+from turmericweir_core.messages.record_messages import RecordsRead
 from turmericweir_core.store import document
 
 
+def records_read(now: float, era: int, marked: int | None) -> RecordsRead:
+    """Return the read of the own records with only the mark of an era."""
+    return RecordsRead(now, era, marked, None, [], 0)
+
+
 class EraWorld(StoreWorld):
     """An instance that has read settings and servers in the first era."""
 
     def __init__(self) -> None:
         super().__init__(plain=2)
-        self.give(MarkRead(1, None))
+        self.give(records_read(self.now, 1, None))
         self.give(DocumentRead(7, self.config(), b"raw", self.now, era=1))
         self.read(*self.entries, era=1, first=10)
 
--- a/tests/core/store/test_eras.py
+++ b/tests/core/membership/test_eras.py
@@ -9,16 +9,15 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from tests.core.era_world import EraWorld
+from tests.core.era_world import EraWorld, records_read
 from tests.core.store_world import PLAIN, StoreWorld, account_of, only, start_of
 from turmericweir_core.base.reasons import Reason
-from turmericweir_core.messages.effects import Log, MarkEra, SendDatagram
+from turmericweir_core.messages.effects import Log, SendDatagram
 from turmericweir_core.messages.events import (
     DocumentConfirmed,
     DocumentRead,
-    EraMarked,
-    MarkRead,
 )
+from turmericweir_core.messages.record_messages import EraMarked, MarkEra
 from turmericweir_core.messages.settings_messages import DocumentAsk, DocumentProof
 from turmericweir_core.state.document_state import DocumentState
 from turmericweir_core.store import document
@@ -116,7 +115,7 @@
     world = StoreWorld(name=name)
     world.now = now
     world.state.document = DocumentState()
-    world.give(MarkRead(era, marked))
+    world.give(records_read(now, era, marked))
     world.give(DocumentRead(version, world.config(), b"raw", now, era=era))
     return world
 
--- a/tests/core/stream_network.py
+++ b/tests/core/stream_network.py
@@ -1,28 +1,50 @@
 """Simulate how many instances know of each other's streams, with one clock and no processes.
 
 Only the package `streams` runs at each instance. Datagrams arrive at once, or late if held; those
-to instances that are down or cut off are lost.
+to instances that are down or cut off are lost. The store keeps what `run_records` writes; it
+answers at once, and is read by instances that start or ask for it.
 """
 
 from __future__ import annotations
 
 from collections import Counter
 from collections.abc import Iterable
+from dataclasses import dataclass, field
 from random import Random
 
+import msgspec
+
 from tests.core.store_world import FIT, MODEL, StoreWorld
 from turmericweir.peers.peer_codec import encode
 from turmericweir_core.base.config import ServiceKind
 from turmericweir_core.base.ids import AttemptId, InstanceName, RequestId, ServerName
 from turmericweir_core.base.release import Release, release_of
 from turmericweir_core.base.request import Attempt, Request, RequestPhase
+from turmericweir_core.membership import eras
 from turmericweir_core.messages.effects import Effect, SendDatagram
 from turmericweir_core.messages.events import RegistryRead
 from turmericweir_core.messages.peer_messages import PeerMessage
-from turmericweir_core.messages.stream_messages import StreamAsk, StreamsBound, StreamUnknown
+from turmericweir_core.messages.record_messages import (
+    PutReleases,
+    PutStreams,
+    ReadRecords,
+    RecordsRead,
+    ReleasesPut,
+)
+from turmericweir_core.messages.stream_messages import (
+    StreamAsk,
+    StreamRow,
+    StreamsBound,
+    StreamUnknown,
+)
 from turmericweir_core.state.membership_state import Member, RemoteCentre
 from turmericweir_core.state.state import Identity, State
-from turmericweir_core.streams import stream_bindings, stream_copies, stream_lookup
+from turmericweir_core.streams import (
+    stream_bindings,
+    stream_copies,
+    stream_lookup,
+    stream_records,
+)
 from turmericweir_core.streams.stream_lookup import Found, Pending, Resolved, Unknown
 
 # Headers of IP and UDP in front of each datagram.
@@ -30,6 +52,19 @@
 VERSIONS = ("v1", "v2", "v3")
 
 
+@dataclass
+class StoredRecords:
+    """The own records in the store."""
+
+    releases: dict[str, list[int]] | None = None
+    rows: dict[tuple[str, int], list[StreamRow]] = field(default_factory=dict)
+    # The era of the store, and the newest that is marked as settled.
+    era: int = 0
+    marked: int | None = None
+    writes: Counter[InstanceName] = field(default_factory=Counter)
+    written_bytes: int = 0
+
+
 class StreamNetwork:
     """Instances of one region that pass on streams of servers of several versions."""
 
@@ -48,20 +83,27 @@
         self.held: list[tuple[InstanceName, InstanceName, PeerMessage]] = []
         self.sent_bytes: Counter[InstanceName] = Counter()
         self.streams: dict[str, Release] = {}
+        self.store = StoredRecords()
         self._resolved: dict[RequestId, Found | Unknown] = {}
         self.states = {name: self._new_state(name) for name in self.names}
         self.update_members()
 
-    def _new_state(self, name: InstanceName) -> State:
+    def _new_state(self, name: InstanceName, servers: list[ServerName] | None = None) -> State:
         world = StoreWorld(len(self.servers), 0, name=name)
         entries = tuple(
             (world.entry(server, "lm", software_version=version), 2)
             for server, version in zip(self.servers, VERSIONS, strict=False)
+            if servers is None or server in servers
         )
         world.give(RegistryRead(entries, is_complete=True))
         state = world.state
         # Of the entries that the world began with.
         state.streams.gone_releases.clear()
+        # It has run for long.
+        state.streams.history_from = float("-inf")
+        state.streams.records_read_at = self.now
+        if self.starts[name]:
+            state.streams.history_from = self.now
         incarnation = f"start-{self.starts[name]}"
         state.me = Identity(name, self.centre_of[name], "home", f"{name}:1", incarnation)
         return state
@@ -108,11 +150,58 @@
         """End instances at once; the others do not know yet."""
         self.down |= set(names)
 
-    def restart(self, name: InstanceName) -> None:
-        """Start an instance again, without its state."""
+    def restart(self, name: InstanceName, servers: list[ServerName] | None = None) -> None:
+        """Start an instance again, without its state; it sees some servers, all by default."""
         self.starts[name] += 1
         self.down.discard(name)
-        self.states[name] = self._new_state(name)
+        self.states[name] = self._new_state(name, servers)
+        self.read_records(name)
+
+    def restart_all(self, servers: list[ServerName] | None = None) -> None:
+        """End all instances at once and start them again."""
+        self.kill(self.names)
+        for name in self.names:
+            self.restart(name, servers)
+        self.update_members()
+
+    # --- records in the store ---
+
+    def read_records(self, name: InstanceName) -> None:
+        """Have an instance read the records."""
+        rows = [row for each in self.store.rows.values() for row in each]
+        slot = max((slot + 1 for writer, slot in self.store.rows if writer == name), default=0)
+        store = self.store
+        event = RecordsRead(
+            self.now,
+            store.era,
+            store.marked,
+            store.releases,
+            rows,
+            slot,
+            is_first_start=not store.writes,
+        )
+        state = self.states[name]
+        eras.on_records_read(state, self.now, event)
+        self._note(stream_lookup.on_records_read(state, self.now, event))
+
+    def run_records(self, seconds: float = 2.0) -> None:
+        """Let instances write records for a while."""
+        end_at = self.now + seconds
+        while self.now < end_at:
+            self.now += 0.1
+            for name in self.names:
+                if name not in self.down:
+                    self._perform(name, stream_records.on_tick(self.states[name], self.now))
+
+    def _put(self, name: InstanceName, effect: PutReleases | PutStreams) -> None:
+        self.store.writes[name] += 1
+        self.store.written_bytes += len(msgspec.msgpack.encode(effect))
+        match effect:
+            case PutReleases(releases):
+                self.store.releases = releases
+                stream_records.on_releases_put(self.states[name], ReleasesPut(releases))
+            case PutStreams(slot, rows):
+                self.store.rows[name, slot] = rows
 
     def deliver_held(self) -> None:
         """Deliver the datagrams that were held."""
@@ -129,7 +218,7 @@
         state = self.states[name]
         stream_id = f"stream-{len(self.streams)}"
         req = self._request(stream_id, stream_id)
-        entry = state.servers.by_name[server or self.rng.choice(self.servers)].entry
+        entry = state.servers.by_name[server or self.rng.choice(list(state.servers.by_name))].entry
         attempt = Attempt(AttemptId(f"{stream_id}.0"), entry.name, self.now)
         attempt.release = release_of(entry)
         self.streams[stream_id] = attempt.release
@@ -180,6 +269,13 @@
 
     def _perform(self, name: InstanceName, effects: Iterable[Effect]) -> None:
         for effect in effects:
+            match effect:
+                case ReadRecords():
+                    self.read_records(name)
+                case PutReleases() | PutStreams():
+                    self._put(name, effect)
+                case _:
+                    pass
             if not isinstance(effect, SendDatagram):
                 continue
             frame = encode(name, effect.message)
--- a/tests/core/streams/test_streams_at_size.py
+++ b/tests/core/streams/test_streams_at_size.py
@@ -104,9 +104,8 @@
     # Guards against refusals after a loss of all instances while only one version is in service.
     network = StreamNetwork(8, 4, versions=1)
     stream_id = network.begin(network.names[0])
-    for name in network.names:
-        network.restart(name)
-    network.update_members()
+    network.run_records()
+    network.restart_all()
     assert network.take_up(network.names[1], stream_id) == network.streams[stream_id]
 
 
--- a/tests/platform/standin_store.py
+++ b/tests/platform/standin_store.py
@@ -14,8 +14,8 @@
 
 OPERATOR = "keyed.op"
 SERVERS = "keyed.servers"
-# The project's own topic of settled eras.
-ERAS = "keyed.eras"
+# The project's own topic.
+OWN = "keyed.turmericweir"
 
 
 @dataclass(slots=True)
@@ -42,7 +42,7 @@
     """Answers reads and appends; tests write records directly."""
 
     def __init__(self) -> None:
-        self.topics = {OPERATOR: Topic(), SERVERS: Topic(), ERAS: Topic()}
+        self.topics = {OPERATOR: Topic(), SERVERS: Topic(), OWN: Topic()}
         # "" for correct answers, "busy", "reset", "silent", or "lost" (drops every third answer of
         # each topic).
         self.mode = ""
--- a/tests/platform/stream_callers.py
+++ b/tests/platform/stream_callers.py
@@ -79,10 +79,16 @@
         self._tries_max = tries_max
         self._names_stream = names_stream
 
+    def allow_tries(self, count: int) -> None:
+        """Raise the number of tries."""
+        self._tries_max = count
+
     def run(self) -> None:
         """Call until the stream is complete."""
         deadline = time.monotonic() + self._time_limit_s
-        for number in range(self._tries_max):
+        for number in itertools.count():
+            if number >= self._tries_max:
+                return
             remaining_s = deadline - time.monotonic()
             if remaining_s <= 0 or self.stream.is_complete:
                 return
--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -14,7 +14,8 @@
 from turmericweir.servers.backend_call import Answer
 from turmericweir.servers.backend_pool import BackendPool
 from turmericweir_core.messages.events import Event
-from turmericweir_platform.store import Follower, Position, StoreClient
+from turmericweir_platform.store import Follower
+from turmericweir_platform.store_client import Position, StoreClient
 
 EMPTY_PAGE = struct.pack(">QQ", 0, 0)
 
@@ -32,6 +33,8 @@
 
 
 class _Settings:
+    name = "entry-1"
+
     class store:  # noqa: N801
         address = "127.0.0.1:1"
 
--- a/tests/platform/test_foreign_bytes.py
+++ b/tests/platform/test_foreign_bytes.py
@@ -43,7 +43,7 @@
 from turmericweir_platform.lease_log import _decode_value
 from turmericweir_platform.server_entries import decode_entry
 from turmericweir_platform.settings_document import DocumentDecoder, decode_document, read_version
-from turmericweir_platform.store import StoreClient, _split_records
+from turmericweir_platform.store_client import StoreClient, split_records
 from turmericweir_platform.wire import PlatformWire
 
 ENTRY: Final[dict[str, Any]] = {
@@ -156,7 +156,7 @@
 def test_records_of_the_store_are_split_without_an_error() -> None:
     record = b"\x00\x00\x00\x06\x01k{abc}"[:10]
     for body in mutations(bytes(16) + record * 3, 5):
-        list(_split_records(body, 0))
+        list(split_records(body, 0))
 
 
 def test_own_record_in_the_store_is_decoded_or_skipped() -> None:
--- a/tests/platform/test_store_copy.py
+++ b/tests/platform/test_store_copy.py
@@ -9,7 +9,7 @@
 import pytest
 
 from tests.platform.platform_world import Instance, PlatformWorld, document, until
-from tests.platform.standin_store import ERAS, OPERATOR, SERVERS
+from tests.platform.standin_store import OPERATOR, OWN, SERVERS
 
 ALL_KEYS = ["key-1", "key-2", "key-3"]
 
@@ -80,7 +80,10 @@
     """Guards against an instance that starts in a drill and takes the copy for the newest."""
     with PlatformWorld(tmp_path) as world:
         instance = world.running["entry-1"]
-        until(lambda: bool(world.store.topics[ERAS].records), "the era is marked")
+        until(
+            lambda: "era" in {key for key, _ in world.store.topics[OWN].records},
+            "the era is marked",
+        )
         copy = world.store.copy_topics()
         newest = _publish(world, "key-1")
         until(_has_version(instance, world.version), "the version is in force")
