Let leases, fencing numbers and settled usage survive a copy of the store

In drills of the reducers a platform with duties got fencing numbers that were used before, calls of two holders within a lease, and usage windows a second time with other counts.

Cause: the ledger of leases took offsets and missing records of a copy for the truth: a scope without a record had no holder, the offset of a grant was a new number, and a note was the newest that was ever written.

Change: a fencing number holds the era above 32 bits of the offset. In a new era, or one that isn't marked as quiet, no lease counts as free before the longest one is over; a holder goes on to the end of its term and renews in the new era. Records name the era of their writer and are void in a later one. Candidates remember the newest note; the holder tells them before it reports, and a new holder asks all before it settles.

--- a/packages/turmericweir-core/turmericweir_core/duties/duty_view.py
+++ b/packages/turmericweir-core/turmericweir_core/duties/duty_view.py
@@ -11,9 +11,8 @@
 
 from msgspec import Struct
 
-from turmericweir_core.duties import capacity, election
+from turmericweir_core.duties import capacity, election, usage
 from turmericweir_core.leases import lease_flow
-from turmericweir_core.records.usage_note import decode_usage_note
 
 if TYPE_CHECKING:
     from turmericweir_core.state.state import State
@@ -86,7 +85,7 @@
 
 def _windows(state: State) -> list[WindowView]:
     assert state.duties is not None
-    note = decode_usage_note(lease_flow.newest_note(state, election.SCOPE))
+    note = usage.known_note(state)
     reported = state.duties.usage.reported
     views = [
         WindowView(
--- a/packages/turmericweir-core/turmericweir_core/duties/election.py
+++ b/packages/turmericweir-core/turmericweir_core/duties/election.py
@@ -15,9 +15,10 @@
 from turmericweir_core.base.ids import InstanceName
 from turmericweir_core.leases import lease_flow
 from turmericweir_core.membership import membership, relays
-from turmericweir_core.messages.duty_messages import DutyStatus
+from turmericweir_core.messages.duty_messages import DutyStatus, WindowCounts
 from turmericweir_core.messages.effects import Effect, Log, SendDatagram
 from turmericweir_core.records.lease_record import LeaseScope
+from turmericweir_core.records.usage_note import UsageNote
 from turmericweir_core.state.duty_state import DutyState
 from turmericweir_core.state.lease_state import HeldLease
 from turmericweir_core.state.membership_state import Member
@@ -81,7 +82,10 @@
         return []
     lease_flow.request_lease(state, now, SCOPE)
     # A holder with failing calls sends no status, which lets the next candidate try.
-    return _send_status(state, now) if is_holder and duties.failing_since is None else []
+    if not is_holder or duties.failing_since is not None or now < duties.next_status_at:
+        return []
+    duties.next_status_at = now + _STATUS_INTERVAL_S
+    return send_status(state, now, duties.usage.note)
 
 
 def _own_position(state: State, now: float) -> int | None:
@@ -113,12 +117,10 @@
     return [Log("duties_given_up", {"barred_s": _RETRY_DELAY_S})]
 
 
-def _send_status(state: State, now: float) -> list[Effect]:
-    duties = _duties(state)
-    if now < duties.next_status_at:
-        return []
-    duties.next_status_at = now + _STATUS_INTERVAL_S
-    status = DutyStatus(lease_flow.known_fence(state, SCOPE))
+def send_status(state: State, now: float, note: UsageNote) -> list[Effect]:
+    """Tell the other candidates that this instance is the holder, and what it has settled."""
+    settled = [WindowCounts(window, counts) for window, counts in sorted(note.counts.items())]
+    status = DutyStatus(lease_flow.known_fence(state, SCOPE), note.newest, settled)
     others = [member for member in candidates(state, now) if member.name != state.me.name]
     return [SendDatagram(member.name, member.peer_address, status) for member in others]
 
--- a/packages/turmericweir-core/turmericweir_core/duties/usage.py
+++ b/packages/turmericweir-core/turmericweir_core/duties/usage.py
@@ -46,6 +46,8 @@
 _SETTLE_SHARE: Final = 0.12
 _SETTLE_ABSENT_SHARE: Final = 0.35
 _SETTLE_LATEST_SHARE: Final = 0.55
+# Time for which a new holder waits for what the others know of earlier windows.
+_ANSWER_WAIT_S: Final = 1.5
 # Number of stored windows; older ones have been settled or cannot be reported any more.
 _WINDOWS_STORED: Final = 24
 # Delay after a failed call, doubled with each failure up to the maximum.
@@ -149,15 +151,53 @@
     """Settle the windows that are over, and report settled windows."""
     if not lease_flow.is_own_lease(state, election.SCOPE):
         return []
-    note = decode_usage_note(lease_flow.newest_note(state, election.SCOPE))
-    effects = _settle_windows(state, now, note)
+    note = known_note(state)
+    effects = _tell_settled(state, now, note)
+    effects += _settle_windows(state, now, note)
     effects += _report_window(state, now, note)
     return effects
 
 
+def known_note(state: State) -> UsageNote:
+    """Return the newest note that this instance has read; a copy of the store may hold an older."""
+    usage = _duties(state).usage
+    written = lease_flow.newest_note(state, election.SCOPE)
+    if written is not usage.written_note:
+        usage.written_note = written
+        note = decode_usage_note(written)
+        if _newest_of(note) >= _newest_of(usage.note):
+            usage.note = note
+    return usage.note
+
+
+def _tell_settled(state: State, now: float, note: UsageNote) -> list[Effect]:
+    """Tell the candidates what was settled, before it is reported."""
+    usage = _duties(state).usage
+    if note.newest is None or note.newest == usage.told_newest:
+        return []
+    usage.told_newest = note.newest
+    return election.send_status(state, now, note)
+
+
+def settled_counts(note: UsageNote) -> list[WindowCounts]:
+    """Return the counts of a note as they are sent."""
+    return [WindowCounts(window, counts) for window, counts in sorted(note.counts.items())]
+
+
+def note_settled(state: State, newest: int | None, settled: list[WindowCounts]) -> None:
+    """Remember what a holder has settled, as it or another instance says."""
+    note = UsageNote(newest, {each.window: each.counts for each in settled})
+    if _newest_of(note) > _newest_of(known_note(state)):
+        _duties(state).usage.note = note
+
+
+def _newest_of(note: UsageNote) -> int:
+    return -1 if note.newest is None else note.newest
+
+
 def has_work(state: State) -> bool:
     """Return whether a window is being settled or waits to be reported."""
-    note = decode_usage_note(lease_flow.newest_note(state, election.SCOPE))
+    note = known_note(state)
     is_waiting = any(window not in _duties(state).usage.reported for window in note.counts)
     return is_waiting or _is_settling(state, note)
 
@@ -169,7 +209,7 @@
 def _settle_windows(state: State, now: float, note: UsageNote) -> list[Effect]:
     """Write the counts of finished windows into the lease with its next renewal."""
     meter, usage = _meter(state), _duties(state).usage
-    if _is_settling(state, note):
+    if _is_settling(state, note) or not _has_heard(state, now):
         return []
     current = usage_meter.window_at(meter, now)
     if current is None:
@@ -192,6 +232,15 @@
     ]
 
 
+def _has_heard(state: State, now: float) -> bool:
+    """Return whether the others had time to tell a new holder what was settled before."""
+    usage = _duties(state).usage
+    if usage.asked_fence != lease_flow.known_fence(state, election.SCOPE):
+        return False
+    live = {each.name for each in membership.live_instances(state, now)} - {state.me.name}
+    return live <= usage.answered or now - usage.asked_at >= _ANSWER_WAIT_S
+
+
 def next_window(state: State, note: UsageNote, current: int) -> int:
     """Return the oldest window that is not settled."""
     if note.newest is not None:
--- a/packages/turmericweir-core/turmericweir_core/duties/usage_requests.py
+++ b/packages/turmericweir-core/turmericweir_core/duties/usage_requests.py
@@ -23,7 +23,6 @@
     WindowCounts,
 )
 from turmericweir_core.messages.effects import Effect, SendPeer
-from turmericweir_core.records.usage_note import decode_usage_note
 from turmericweir_core.state import usage_meter
 from turmericweir_core.state.duty_state import ReportedUsage, UsageRecords
 
@@ -44,12 +43,13 @@
         records.asked_fence = fence
         records.answered.clear()
         records.next_ask_at = now
+        records.asked_at = now
     if now < records.next_ask_at or state.meter is None:
         return []
     current = usage_meter.window_at(state.meter, now)
     if current is None:
         return []
-    note = decode_usage_note(lease_flow.newest_note(state, election.SCOPE))
+    note = usage.known_note(state)
     window = usage.next_window(state, note, current)
     if now < usage_meter.window_end(state.meter, window) + _ASK_AFTER_S:
         return []
@@ -72,7 +72,9 @@
         for (name, incarnation), record in _records(state).counts_by_incarnation.items()
         if (name, incarnation) not in live
     ]
-    return [SendPeer(sender, peer.peer_address, UsageSend(origins))]
+    note = usage.known_note(state)
+    message = UsageSend(origins, note.newest, usage.settled_counts(note))
+    return [SendPeer(sender, peer.peer_address, message)]
 
 
 def _received_counts(incarnation: str, record: ReportedUsage, oldest: int) -> UsageCounts:
@@ -87,6 +89,7 @@
 def on_answer(state: State, now: float, sender: InstanceName, answer: UsageSend) -> None:
     """Record the counts that were asked for; the newest ones of each incarnation apply."""
     _records(state).answered.add(sender)
+    usage.note_settled(state, answer.newest_settled, answer.settled)
     for each in answer.origins:
         if each.counts.incarnation != state.me.incarnation:
             usage.on_counts(state, now, InstanceName(each.origin), each.counts)
--- a/packages/turmericweir-core/turmericweir_core/leases/lease_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/leases/lease_flow.py
@@ -40,7 +40,9 @@
     Lease,
     LeaseFoldResult,
     fold,
+    forget_certainty,
     free_at,
+    has_all_records,
     start_at_end,
     start_from_newest,
 )
@@ -319,6 +321,7 @@
         fence=fence,
         lease_s=state.options.lease_s,
         note=note,
+        era=leases.ledger.era,
     )
 
 
@@ -332,7 +335,7 @@
     match event:
         case AppendDone():
             leases.failures = 0
-            if event.first_offset != leases.ledger.offset:
+            if event.era != leases.ledger.era or event.first_offset != leases.ledger.offset:
                 # The effect of the records depends on the unread ones before them.
                 return _read_next(state, now)
             effects: list[Effect] = []
@@ -394,8 +397,15 @@
 
 def _on_newest(state: State, now: float, event: LogNewest) -> list[Effect]:
     leases = state.leases
+    if event.era < leases.ledger.era:
+        # A late answer of a store that has since come back from a copy.
+        return []
+    is_copied = event.era > leases.ledger.era > 0 or event.era > state.eras.quiet
+    leases.ledger.era = event.era
     malformed_offsets = start_from_newest(leases.ledger, now, event.records, event.end_offset)
     leases.ledger.caught_up_at = now
+    if is_copied:
+        return _on_copied(state, now, malformed_offsets)
     for scope in [*leases.held_leases, *leases.notes]:
         lease = leases.ledger.leases.get(scope)
         if lease is None or lease.incarnation != state.me.incarnation:
@@ -405,6 +415,21 @@
     return effects + _append_due(state, now)
 
 
+def _on_copied(state: State, now: float, malformed_offsets: list[int]) -> list[Effect]:
+    """Take over the ledger of a store that has come back from a copy.
+
+    Grants may be missing in it, also such as other instances still hold. A holder goes on to the
+    end of its term, and renews its lease in the new era; all others wait for the longest lease.
+    """
+    leases = state.leases
+    forget_certainty(leases.ledger)
+    for scope in [each for each in leases.notes if each not in leases.held_leases]:
+        del leases.notes[scope]
+    effects: list[Effect] = [_malformed_log(offset) for offset in malformed_offsets]
+    fields = {"stream": LEASES_STREAM, "era": leases.ledger.era, "held": len(leases.held_leases)}
+    return [*effects, Log("leases_copied", fields), *_append_due(state, now)]
+
+
 def _malformed_log(offset: int) -> Log:
     return Log("record_malformed", {"stream": LEASES_STREAM, "offset": offset})
 
@@ -454,9 +479,11 @@
     lease = ledger.leases.get(scope) if scope is not None else None
     if lease is None:
         # If all records were read, there was no holder.
-        return ledger.start != 0 and not ledger.has_all_scopes
-    # After a release no orders are pending, and this instance knows its own orders.
-    return not lease.released and lease.incarnation != state.me.incarnation
+        return not has_all_records(ledger)
+    # After a release no orders are pending, and this instance knows its own orders, unless they
+    # were sent under a number from before the store came back from a copy.
+    is_own = lease.incarnation == state.me.incarnation and lease.is_sure
+    return not lease.released and not is_own
 
 
 def _scope_of(record: LogRecord) -> LeaseScope | None:
--- a/packages/turmericweir-core/turmericweir_core/membership/eras.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/eras.py
@@ -5,8 +5,9 @@
 write the missing records again shortly after. Until then the newest record that a read returns may
 not be the newest that the store has acknowledged, so the read proves nothing about the records.
 
-An era is *settled* once that time has passed. One instance then marks the era in the store, and
-instances tell each other by their proofs. An instance that starts reads the mark: a mark of an
+An era is *settled* once that time has passed, which instances tell each other by their proofs. It
+is *quiet* once no lease of an earlier era can be held either; one instance then marks the era in
+the store. An instance that starts reads the mark: a mark of an
 earlier era shows that the store has just come back, and that the settings which it holds may be
 older than those in force. Marks are lost with the records of their time, never ahead of them.
 """
@@ -24,6 +25,9 @@
 
 # Time in which the operator and the servers write again what a copy lacks.
 _REWRITE_WAIT_S: Final = 2.0
+# An era is marked once this many terms of a lease are over. A holder that is cut off may hold one
+# for a term after the store came back, and its instances' clocks may run at different speeds.
+_LEASES_QUIET: Final = 2.0
 # Interval between two attempts to mark an era.
 _MARK_INTERVAL_S: Final = 5.0
 
@@ -36,6 +40,7 @@
     before, eras.current, eras.seen_at = eras.current, era, now
     if before == 0:
         return []
+    eras.next_mark_at = now + _quiet_s(state)
     fields = {
         "era": era,
         "before": before,
@@ -45,6 +50,14 @@
     return [Count("store.era_changed"), Log("store_era", fields)]
 
 
+def _quiet_s(state: State) -> float:
+    """Return the time after which no lease of an earlier era is held."""
+    options = state.options
+    if state.duties is None:
+        return _MARK_INTERVAL_S
+    return max(_MARK_INTERVAL_S, _LEASES_QUIET * (options.lease_s + options.lease_margin_s))
+
+
 def is_proof(state: State, era: int, requested_at: float) -> bool:
     """Return whether a read at a time, answered in an era, shows all that was acknowledged."""
     eras = state.eras
@@ -70,13 +83,17 @@
     effects = note_era(state, now, event.era)
     state.eras.marked = event.marked_era or 0
     if event.marked_era is None or event.marked_era == event.era:
+        state.eras.quiet = max(state.eras.quiet, event.era)
         state.eras.settled = max(state.eras.settled, event.era)
+    else:
+        state.eras.next_mark_at = max(state.eras.next_mark_at, now + _quiet_s(state))
     return effects
 
 
 def on_marked(state: State, event: EraMarked) -> list[Effect]:
     """Record that an era was marked in the store."""
     state.eras.marked = max(state.eras.marked, event.era)
+    state.eras.quiet = max(state.eras.quiet, event.era)
     return []
 
 
--- a/packages/turmericweir-core/turmericweir_core/messages/duty_messages.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/duty_messages.py
@@ -56,9 +56,16 @@
     """The sender's counts, and those that it has received from instances that have ended."""
 
     origins: list[OriginCounts]
+    # What the sender knows to be settled, as in `DutyStatus`.
+    newest_settled: int | None = None
+    settled: list[WindowCounts] = []
 
 
 class DutyStatus(Struct, frozen=True, array_like=True):
     """The sender holds the lease of the duties, and is able to perform them."""
 
     fence: int
+    # The newest settled window, and the counts of those that may not have been accepted; the store
+    # may lose the note that says so.
+    newest_settled: int | None = None
+    settled: list[WindowCounts] = []
--- a/packages/turmericweir-core/turmericweir_core/messages/events.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/events.py
@@ -238,6 +238,8 @@
     records: tuple[LogRecord, ...]
     # Offset after the newest record that the platform had.
     end_offset: int
+    # The era of the store that answered; 0 if it states none.
+    era: int = 0
 
 
 class LogNewest(Struct, frozen=True):
@@ -246,6 +248,7 @@
     stream: str
     records: tuple[LogRecord, ...]
     end_offset: int
+    era: int = 0
 
 
 class LogExpired(Struct, frozen=True):
@@ -271,6 +274,7 @@
     token: str
     first_offset: int
     end_offset: int
+    era: int = 0
 
 
 class AppendFailed(Struct, frozen=True):
--- a/packages/turmericweir-core/turmericweir_core/records/lease_record.py
+++ b/packages/turmericweir-core/turmericweir_core/records/lease_record.py
@@ -59,6 +59,9 @@
     lease_s: float
     # JSON data of the holder for its successors; None for nothing.
     note: Any = None
+    # The era of the store in which the writer had read the stream; 0 if the store states none. A
+    # record that takes effect in a later era is void.
+    era: int = 0
 
 
 def encode(record: LeaseRecord) -> dict[str, Any]:
@@ -73,7 +76,11 @@
         "fence": record.fence,
         "lease_s": record.lease_s,
     }
-    return value if record.note is None else {**value, "note": record.note}
+    if record.note is not None:
+        value["note"] = record.note
+    if record.era:
+        value["era"] = record.era
+    return value
 
 
 # Any: the value is arbitrary JSON from the log.
@@ -91,6 +98,7 @@
             fence=require_int(value["fence"]),
             lease_s=_require_duration(value["lease_s"]),
             note=value.get("note"),
+            era=require_int(value.get("era", 0)),
         )
     except (AttributeError, KeyError, TypeError, ValueError):
         return None
--- a/packages/turmericweir-core/turmericweir_core/reducers/reducer_duties.py
+++ b/packages/turmericweir-core/turmericweir_core/reducers/reducer_duties.py
@@ -81,6 +81,7 @@
             return []
         case DutyStatus() as status:
             election.on_status(state, now, sender, status)
+            usage.note_settled(state, status.newest_settled, status.settled)
             return []
         case _:
             return reducer_store.reduce(state, now, event)
--- a/packages/turmericweir-core/turmericweir_core/state/duty_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/duty_state.py
@@ -5,6 +5,7 @@
 from msgspec import Struct, field
 
 from turmericweir_core.base.ids import InstanceName
+from turmericweir_core.records.usage_note import UsageNote
 from turmericweir_core.state.membership_state import Member
 
 NEVER = float("-inf")
@@ -52,8 +53,14 @@
     # Fencing number of the lease under which this instance asks the others for their counts, those
     # that have answered since, and when the others are asked again.
     asked_fence: int | None = None
+    asked_at: float = NEVER
     answered: set[InstanceName] = field(default_factory=set)
     next_ask_at: float = NEVER
+    # The newest note that was read, and the one that the ledger held when it was compared last.
+    note: UsageNote = UsageNote()
+    written_note: object = None
+    # The newest settled window of which this holder has told the candidates.
+    told_newest: int | None = None
     # Windows whose reports the platform has accepted, as far as this instance knows.
     reported: set[int] = field(default_factory=set)
     # Token and window of the call in flight, and when the next call may be made.
--- a/packages/turmericweir-core/turmericweir_core/state/era_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/era_state.py
@@ -21,3 +21,5 @@
     # The newest era that this instance knows to be marked in the store, and when to mark again.
     marked: int = 0
     next_mark_at: float = _NEVER
+    # The newest era that began long enough ago that no lease of an earlier one is held.
+    quiet: int = 0
--- a/packages/turmericweir-core/turmericweir_core/state/lease_ledger.py
+++ b/packages/turmericweir-core/turmericweir_core/state/lease_ledger.py
@@ -17,9 +17,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from typing import Any
+from typing import Any, Final
 
 from msgspec import Struct, field
+from msgspec.structs import replace
 
 from turmericweir_core.messages.events import LogRecord
 from turmericweir_core.records.lease_record import (
@@ -30,6 +31,9 @@
     decode,
 )
 
+# Bits of an offset in a fencing number; the era stands above them.
+_OFFSET_BITS: Final = 32
+
 
 class Lease(Struct):
     """The newest lease of a scope that this reader has read."""
@@ -50,11 +54,15 @@
 class LeaseLedger(Struct):
     """The leases of all scopes, up to an offset."""
 
+    # The era of the store to which the offsets belong; 0 if it states none.
+    era: int = 0
     # The offset at which this reader started, and when; None before the start.
     start: int | None = None
     started_at: float = 0.0
     # The newest record of every scope was read at the start, so other scopes have no records.
     has_all_scopes: bool = False
+    # The store came back from a copy, which may lack records of any scope.
+    is_copied: bool = False
     # Offset of the next record to fold.
     offset: int = 0
     # When `offset` was last known to be the end of the stream.
@@ -81,6 +89,7 @@
     ledger.started_at = now
     ledger.offset = offset
     ledger.has_all_scopes = False
+    ledger.is_copied = False
     ledger.leases.clear()
     ledger.last_offsets.clear()
 
@@ -99,11 +108,19 @@
             continue
         ledger.last_offsets[record.scope] = log_record.offset
         ledger.leases[record.scope] = _lease_from_record(
-            now, log_record.offset, record, is_sure=True
+            now, ledger.era, log_record.offset, record, is_sure=True
         )
     return malformed
 
 
+def forget_certainty(ledger: LeaseLedger) -> None:
+    """Wait for the longest lease of every scope, as records may be missing or void."""
+    ledger.has_all_scopes = False
+    ledger.is_copied = True
+    for scope, lease in ledger.leases.items():
+        ledger.leases[scope] = replace(lease, released=False, is_sure=False)
+
+
 def fold(ledger: LeaseLedger, now: float, offset: int, value: object) -> LeaseFoldResult:
     """Fold the next record of the stream, read at time `now` of this reader's clock."""
     ledger.offset = offset + 1
@@ -112,16 +129,32 @@
         return LeaseFoldResult(None, is_valid=False)
     previous_offset = ledger.last_offsets.get(record.scope, NO_OFFSET)
     ledger.last_offsets[record.scope] = offset
-    if previous_offset >= record.upto or record.upto > offset:
+    # A record of an earlier era was sent before the store came back from a copy.
+    is_late = 0 < record.era < ledger.era
+    if is_late or previous_offset >= record.upto or record.upto > offset:
         return LeaseFoldResult(record, is_valid=False)
     is_sure = ledger.start is not None and record.upto >= ledger.start
-    ledger.leases[record.scope] = _lease_from_record(now, offset, record, is_sure=is_sure)
+    ledger.leases[record.scope] = _lease_from_record(
+        now, ledger.era, offset, record, is_sure=is_sure
+    )
     return LeaseFoldResult(record, is_valid=True, is_sure=is_sure)
 
 
-def _lease_from_record(now: float, offset: int, record: LeaseRecord, *, is_sure: bool) -> Lease:
+def has_all_records(ledger: LeaseLedger) -> bool:
+    """Return whether a scope without a lease here has never had one."""
+    return (ledger.start == 0 and not ledger.is_copied) or ledger.has_all_scopes
+
+
+def fence_of(era: int, offset: int) -> int:
+    """Return the fencing number of a grant; it is above those of all earlier eras."""
+    return (max(0, era - 1) << _OFFSET_BITS) + offset
+
+
+def _lease_from_record(
+    now: float, era: int, offset: int, record: LeaseRecord, *, is_sure: bool
+) -> Lease:
     return Lease(
-        fence=offset if record.act is LeaseAction.GRANT else record.fence,
+        fence=fence_of(era, offset) if record.act is LeaseAction.GRANT else record.fence,
         instance=record.instance,
         incarnation=record.incarnation,
         lease_s=record.lease_s,
@@ -142,7 +175,7 @@
     """
     lease = ledger.leases.get(scope)
     if lease is None:
-        if ledger.start == 0 or ledger.has_all_scopes:
+        if has_all_records(ledger):
             # All relevant records were read, so there has been no lease.
             return float("-inf")
         return ledger.started_at + lease_s + margin_s
--- a/tests/core/duties/test_usage.py
+++ b/tests/core/duties/test_usage.py
@@ -304,6 +304,8 @@
         names = network.start(6)
         with monkeypatch.context() as patched:
             patched.setattr(lease_flow, "newest_note", _own_note_only)
+            # Other instances know what was settled, too.
+            patched.setattr(usage, "note_settled", lambda *_: None)
             random_faults(network, names, 8)
         violations += network.broken_rules()
     assert any("differ" in violation for violation in violations)
