Forget a release that is gone though the records are read again

What callers saw: nothing yet. Found when reading the change: each read of the records took the releases in them for gone just then, so a service that streams are asked for again and again kept a release for good, and with it the refusals and the writes of a service with several. Each start wrote the record again, too.

Cause: what the store names was noted like a release that has just left; what the store held was forgotten at a start, as the era of the record was not kept with it.

Change: a release that is known to be gone keeps its time, and the era of the record that was read is kept.

Tests: test_version_that_is_gone_is_forgotten_though_streams_are_asked_for and test_start_writes_nothing_that_is_stored, written with the change; not run on the code before.

--- a/packages/turmericweir-core/turmericweir_core/membership/eras.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/eras.py
@@ -7,9 +7,9 @@
 
 An era is *settled* once that time has passed, which instances tell each other by their proofs. It
 is *quiet* once no lease of an earlier era can be held either; one instance then marks the era in
-the store. An instance that starts reads the mark: a mark of an
-earlier era shows that the store has just come back, and that the settings which it holds may be
-older than those in force. Marks are lost with the records of their time, never ahead of them.
+the store. An instance that starts reads the mark: a mark of an earlier era shows that the store
+has just come back, and that the settings which it holds may be older than those in force. Marks
+are lost with the records of their time, never ahead of them.
 """
 
 from __future__ import annotations
--- a/packages/turmericweir-core/turmericweir_core/streams/stream_bindings.py
+++ b/packages/turmericweir-core/turmericweir_core/streams/stream_bindings.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import TYPE_CHECKING, Final
 
 import xxhash
@@ -215,6 +216,15 @@
         state.streams.gone_releases.setdefault(service, {})[release] = now
 
 
+def note_stored_releases(
+    state: State, now: float, service: str, releases: Iterable[Release]
+) -> None:
+    """Remember releases that the store names, unless it is known here when they went."""
+    gone = state.streams.gone_releases.setdefault(service, {})
+    for release in releases:
+        gone.setdefault(release, now)
+
+
 def note_gap(state: State, now: float) -> None:
     """Record that servers may have come and gone unseen before now, unless the store told."""
     if now - state.streams.history_read_at > _HISTORY_FRESH_S:
--- a/packages/turmericweir-core/turmericweir_core/streams/stream_records.py
+++ b/packages/turmericweir-core/turmericweir_core/streams/stream_records.py
@@ -99,9 +99,9 @@
     streams.stored_releases = event.releases
     if event.releases is None and not event.is_first_start:
         return
+    streams.stored_era = event.era
     for service, releases in (event.releases or {}).items():
-        gone = [(service, Release(each)) for each in releases]
-        stream_bindings.note_releases(state, now, gone)
+        stream_bindings.note_stored_releases(state, now, service, map(Release, releases))
     streams.history_from = float("-inf")
     streams.history_read_at = event.requested_at
 
@@ -218,19 +218,23 @@
         streams.writer = writers[xxhash.xxh32_intdigest(state.me.name.encode()) % len(writers)]
     if not streams.is_writer:
         streams.unstored.clear()
-    own_keys = [
-        key
-        for key, binding in streams.by_key.items()
-        if binding.source == state.me.name and binding.expires_at > now
-    ]
     if streams.is_writer and not was_writer:
-        streams.unstored |= set(own_keys)
+        streams.unstored |= set(_own_keys(state, now))
     if streams.writer is None or streams.writer == previous:
         return []
-    rows = [stream_copies.row_of(now, key, streams.by_key[key]) for key in own_keys]
+    rows = [stream_copies.row_of(now, key, streams.by_key[key]) for key in _own_keys(state, now)]
     return stream_copies.send_rows(streams.writer, rows)
 
 
+def _own_keys(state: State, now: float) -> list[StreamKey]:
+    """Return the streams that this instance has begun."""
+    return [
+        key
+        for key, binding in state.streams.by_key.items()
+        if binding.source == state.me.name and binding.expires_at > now
+    ]
+
+
 def _writers(state: State, now: float) -> list[Holder]:
     members = [each for each in membership.region_instances(state, now) if not each.leaving]
     count = -(-len(members) // _INSTANCES_PER_WRITER)
--- a/tests/core/streams/test_lost_instances.py
+++ b/tests/core/streams/test_lost_instances.py
@@ -151,6 +151,29 @@
     assert sum(network.store.writes.values()) <= 4 * (1 + instances // 16)
 
 
+def test_version_that_is_gone_is_forgotten_though_streams_are_asked_for() -> None:
+    """Guards against a record that is read again and again and keeps itself alive."""
+    network = StreamNetwork(6, 3)
+    _begin(network)
+    network.restart_all(network.servers[1:])
+    for _ in range(8):
+        network.take_up(network.names[0], "nobody's")
+        network.run_records(10.0)
+        network.update_members()
+    assert network.store.releases is not None
+    assert [len(each) for each in network.store.releases.values()] == [1]
+
+
+def test_start_writes_nothing_that_is_stored() -> None:
+    """Guards against a write of each instance at each start."""
+    network = StreamNetwork(6, 3, versions=1)
+    _begin(network)
+    network.store.writes.clear()
+    network.restart_all()
+    network.run_records()
+    assert not sum(network.store.writes.values())
+
+
 def test_nothing_is_written_of_streams_where_one_version_serves() -> None:
     """Guards against a cost for services that need no records."""
     network = StreamNetwork(6, 3, versions=1)
