Play drills of the store and the loss of all instances in the soak

`--copies`: the store comes back from copies of 0.5 to 4 s, the operator and the servers write again within 1.5 s, all instances are killed at once, entries that can't be read are written, engines start again with other versions, beside the faults of the soak. Checked besides the promises: no settings go back in the life of a process, no process logs a fault, no stream is joined.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -509,7 +509,7 @@
 
 
 def _choose_soak(
-    *, notices: bool, cuts: bool, versions: bool, brittle: bool, breaks: bool
+    *, notices: bool, cuts: bool, versions: bool, brittle: bool, breaks: bool, copies: bool
 ) -> type[Soak]:
     # Imported late, as these modules import this one.
     if notices:
@@ -532,6 +532,10 @@
         from tests.platform.soak_breaks import BreakSoak
 
         return BreakSoak
+    if copies:
+        from tests.platform.soak_copies import CopySoak
+
+        return CopySoak
     return Soak
 
 
@@ -547,6 +551,9 @@
     parser.add_argument(
         "--breaks", action="store_true", help="servers break off answers; a part crashes engines"
     )
+    parser.add_argument(
+        "--copies", action="store_true", help="the store comes back from copies; all are killed"
+    )
     args = parser.parse_args()
     make_soak = _choose_soak(
         notices=args.notices,
@@ -554,6 +561,7 @@
         versions=args.versions,
         brittle=args.brittle,
         breaks=args.breaks,
+        copies=args.copies,
     )
     first, _, last = args.seeds.partition("-")
     failed_seeds = 0
--- a/tests/platform/soak_versions.py
+++ b/tests/platform/soak_versions.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from itertools import pairwise
-from typing import ClassVar, Final
+from typing import ClassVar, Final, Self
 
 from tests.platform.soak import COMPLETE_STREAM, FAULTS, Soak
 from tests.platform.stream_callers import Stream, StreamCaller
@@ -33,7 +33,7 @@
         for server in self.world.servers.values():
             server.event_interval_s = EVENT_INTERVAL_S
 
-    def faults(self) -> Sequence[Callable[[VersionSoak], None]]:
+    def faults(self) -> Sequence[Callable[[Self], None]]:
         """Return the faults of which one is drawn at a time."""
         return VERSION_FAULTS
 
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -8,6 +8,7 @@
 
 from tests.platform import soak
 from tests.platform.soak_breaks import BreakSoak
+from tests.platform.soak_copies import CopySoak
 from tests.platform.soak_cuts import CutSoak
 from tests.platform.soak_notices import NoticeSoak
 from tests.platform.soak_versions import VersionSoak
@@ -48,3 +49,9 @@
     # Guards against streams that hold events of two versions, where servers start again with
     # another version and callers take up streams at other instances.
     assert not soak.run(1, 12.0, tmp_path, VersionSoak)
+
+
+def test_nothing_goes_back_where_the_store_comes_back_from_copies(tmp_path: Path) -> None:
+    # Guards against keys, servers and settings that a copy of the store brings back, and against
+    # joined streams where all instances are killed at once.
+    assert not soak.run(1, 14.0, tmp_path, CopySoak)
