--- a/tests/core/stream_network.py
+++ b/tests/core/stream_network.py
@@ -155,6 +155,7 @@
         self.starts[name] += 1
         self.down.discard(name)
         self.states[name] = self._new_state(name, servers)
+        self.states[name].members.started_at = self.now
         self.read_records(name)
 
     def restart_all(self, servers: list[ServerName] | None = None) -> None:
--- a/tests/core/streams/test_lost_instances.py
+++ b/tests/core/streams/test_lost_instances.py
@@ -169,6 +169,7 @@
     network = StreamNetwork(6, 3, versions=1)
     _begin(network)
     network.store.writes.clear()
+    network.store.era = network.store.marked = 1
     network.restart_all()
     network.run_records()
     assert not sum(network.store.writes.values())
