Write down the streams that a new writer was sent before it knew its duty

Cause: instances see a second release at different times. Those that see it first send their bindings to the writer; one that did not know yet that it writes kept them as copies only, and wrote just its own once it knew.

Change: a new writer writes all bindings that it has.

--- a/packages/turmericweir-core/turmericweir_core/streams/stream_records.py
+++ b/packages/turmericweir-core/turmericweir_core/streams/stream_records.py
@@ -219,7 +219,8 @@
     if not streams.is_writer:
         streams.unstored.clear()
     if streams.is_writer and not was_writer:
-        streams.unstored |= set(_own_keys(state, now))
+        # Others may have sent theirs before this instance knew that it is a writer.
+        streams.unstored |= set(streams.by_key)
     if streams.writer is None or streams.writer == previous:
         return []
     rows = [stream_copies.row_of(now, key, streams.by_key[key]) for key in _own_keys(state, now)]
--- a/tests/core/streams/test_lost_instances.py
+++ b/tests/core/streams/test_lost_instances.py
@@ -6,6 +6,7 @@
 
 from tests.core.stream_network import StreamNetwork
 from tests.core.streams.test_streams_at_size import CONTROL_BYTES_S, STREAMS_S, take_up_all
+from turmericweir_core.base.ids import InstanceName
 from turmericweir_core.streams import stream_bindings
 
 # Instances and data centres.
@@ -68,6 +69,28 @@
     assert take_up_all(network, streams) == (0, 0)
 
 
+def test_streams_sent_to_a_writer_that_does_not_know_it_yet_are_stored() -> None:
+    """Guards against bindings that come before their receiver has seen the second version."""
+    network = StreamNetwork(6, 3)
+    for name in network.names:
+        # The writer sees the versions, and with them its duty, after all others.
+        network.states[name].streams.next_update_at = network.now
+    writer = _writer_of(network)
+    network.states[writer].streams.next_update_at = network.now + 1.0
+    streams = [network.begin(name) for name in network.names for _ in range(5)]
+    network.run_records(2.5)
+    network.restart_all()
+    assert take_up_all(network, streams) == (len(streams), 0)
+
+
+def _writer_of(network: StreamNetwork) -> InstanceName:
+    """Return the instance that writes the streams of all."""
+    probe = StreamNetwork(len(network.names), 3)
+    probe.run_records(1.0)
+    (writer,) = [name for name in probe.names if probe.states[name].streams.is_writer]
+    return writer
+
+
 def test_two_rollouts_and_two_losses_join_nothing() -> None:
     """Guards against batches that a second start of the same writer overwrites."""
     network = StreamNetwork(6, 3, versions=3)
