--- a/tests/platform/test_slow_readers.py
+++ b/tests/platform/test_slow_readers.py
@@ -262,8 +262,7 @@
 def _allow_large_bodies(world: PlatformWorld) -> None:
     base = document(1)
     limits = {**base["limits"], "max-body-bytes": 8_000_000}
-    # What fills the memory must not time out before a test has asked for more.
-    routes = [{**route, "timeout-ms": 20_000} for route in base["routes"]]
+    routes = [{**route, "timeout-ms": 10_000} for route in base["routes"]]
     world.publish(limits=limits, routes=routes)
     until(
         lambda: world.reported_state("entry-1")["settings_version"] == world.version,
