Announce what is settled by one function, and in the field's words

Cause: reading the diff as a newcomer: counts of settled windows were built twice, and two names said "told". Change: `election.settled_counts` serves both; names and doc comments only, no behaviour. Ruled out: moving it to the messages, which know nothing of notes.

--- a/packages/turmericweir-core/turmericweir_core/duties/election.py
+++ b/packages/turmericweir-core/turmericweir_core/duties/election.py
@@ -117,10 +117,15 @@
     return [Log("duties_given_up", {"barred_s": _RETRY_DELAY_S})]
 
 
+def settled_counts(note: UsageNote) -> list[WindowCounts]:
+    """Return the counts of a note as they are sent."""
+    return [WindowCounts(window, counts) for window, counts in sorted(note.counts.items())]
+
+
 def send_status(state: State, now: float, note: UsageNote) -> list[Effect]:
-    """Tell the other candidates that this instance is the holder, and what it has settled."""
-    settled = [WindowCounts(window, counts) for window, counts in sorted(note.counts.items())]
-    status = DutyStatus(lease_flow.known_fence(state, SCOPE), note.newest, settled)
+    """Announce to the other candidates that this instance is the holder and what it settled."""
+    fence = lease_flow.known_fence(state, SCOPE)
+    status = DutyStatus(fence, note.newest, settled_counts(note))
     others = [member for member in candidates(state, now) if member.name != state.me.name]
     return [SendDatagram(member.name, member.peer_address, status) for member in others]
 
--- a/packages/turmericweir-core/turmericweir_core/duties/usage.py
+++ b/packages/turmericweir-core/turmericweir_core/duties/usage.py
@@ -152,7 +152,7 @@
     if not lease_flow.is_own_lease(state, election.SCOPE):
         return []
     note = known_note(state)
-    effects = _tell_settled(state, now, note)
+    effects = _announce_settled(state, now, note)
     effects += _settle_windows(state, now, note)
     effects += _report_window(state, now, note)
     return effects
@@ -170,20 +170,15 @@
     return usage.note
 
 
-def _tell_settled(state: State, now: float, note: UsageNote) -> list[Effect]:
-    """Tell the candidates what was settled, before it is reported."""
+def _announce_settled(state: State, now: float, note: UsageNote) -> list[Effect]:
+    """Announce to the candidates what was settled, before it is reported."""
     usage = _duties(state).usage
-    if note.newest is None or note.newest == usage.told_newest:
+    if note.newest is None or note.newest == usage.announced_newest:
         return []
-    usage.told_newest = note.newest
+    usage.announced_newest = note.newest
     return election.send_status(state, now, note)
 
 
-def settled_counts(note: UsageNote) -> list[WindowCounts]:
-    """Return the counts of a note as they are sent."""
-    return [WindowCounts(window, counts) for window, counts in sorted(note.counts.items())]
-
-
 def note_settled(state: State, newest: int | None, settled: list[WindowCounts]) -> None:
     """Remember what a holder has settled, as it or another instance says."""
     note = UsageNote(newest, {each.window: each.counts for each in settled})
@@ -233,7 +228,7 @@
 
 
 def _has_heard(state: State, now: float) -> bool:
-    """Return whether the others had time to tell a new holder what was settled before."""
+    """Return whether the others had time to answer what was settled before a new holder."""
     usage = _duties(state).usage
     if usage.asked_fence != lease_flow.known_fence(state, election.SCOPE):
         return False
--- a/packages/turmericweir-core/turmericweir_core/duties/usage_requests.py
+++ b/packages/turmericweir-core/turmericweir_core/duties/usage_requests.py
@@ -73,7 +73,7 @@
         if (name, incarnation) not in live
     ]
     note = usage.known_note(state)
-    message = UsageSend(origins, note.newest, usage.settled_counts(note))
+    message = UsageSend(origins, note.newest, election.settled_counts(note))
     return [SendPeer(sender, peer.peer_address, message)]
 
 
--- a/packages/turmericweir-core/turmericweir_core/state/duty_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/duty_state.py
@@ -59,8 +59,8 @@
     # The newest note that was read, and the one that the ledger held when it was compared last.
     note: UsageNote = UsageNote()
     written_note: object = None
-    # The newest settled window of which this holder has told the candidates.
-    told_newest: int | None = None
+    # The newest settled window that this holder has announced to the candidates.
+    announced_newest: int | None = None
     # Windows whose reports the platform has accepted, as far as this instance knows.
     reported: set[int] = field(default_factory=set)
     # Token and window of the call in flight, and when the next call may be made.
--- a/packages/turmericweir-core/turmericweir_core/streams/stream_bindings.py
+++ b/packages/turmericweir-core/turmericweir_core/streams/stream_bindings.py
@@ -226,7 +226,7 @@
 
 
 def note_gap(state: State, now: float) -> None:
-    """Record that servers may have come and gone unseen before now, unless the store told."""
+    """Start the history of releases anew after a gap that no recent record of the store covers."""
     if now - state.streams.history_read_at > _HISTORY_FRESH_S:
         state.streams.history_from = now
 
