Log each inferred end of an answer, and each refusal that names no request

Now an answer whose end its framing does not tell leaves `end_inferred` (framing, evidence, how long after the end, what the caller was told) and counts by evidence; a refusal without an attempt ID leaves `refusal_without_id` with the kind of connection. No decision changes.

--- a/packages/turmericweir/turmericweir/answers/answer_record.py
+++ b/packages/turmericweir/turmericweir/answers/answer_record.py
@@ -44,6 +44,11 @@
         """The record as data; None if no answer has begun."""
         return AnswerForm(self._framing, self._end, self.is_event_open) if self._framing else None
 
+    @property
+    def framing(self) -> str:
+        """How the answer says where it ends; empty if no answer has begun."""
+        return self._framing
+
     @property
     def is_framed(self) -> bool:
         """Whether the answer itself shows where it ends."""
--- a/packages/turmericweir/turmericweir/answers/forward_wire.py
+++ b/packages/turmericweir/turmericweir/answers/forward_wire.py
@@ -78,6 +78,8 @@
 
     # Whether the server runs no further requests.
     is_server_leaving: bool
+    # Whether the answer names the request that it refuses.
+    has_id: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/turmericweir/turmericweir/servers/backend_attempt.py
+++ b/packages/turmericweir/turmericweir/servers/backend_attempt.py
@@ -8,12 +8,14 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable, Mapping
+from enum import StrEnum
 from typing import TYPE_CHECKING, Final
 
 import anyio
 import httpcore
 
 from turmericweir.answers.answer_record import AnswerRecord
+from turmericweir.process import logs
 from turmericweir.process.errors import CallError, describe_error
 from turmericweir.servers.answer_size import AnswerTooLargeError
 from turmericweir.servers.backend_call import TRANSPORT_ERRORS, FirstByteCallback, call, read_body
@@ -52,6 +54,8 @@
 # In the errors of the protocol that only say that the connection ended.
 _CLOSED_ERRORS: Final = ("disconnected", "closed connection")
 
+_MS_PER_S: Final = 1000.0
+
 # Consumes an answer and returns how the attempt ended.
 Consume = Callable[[httpcore.Response], Awaitable[AttemptEnd]]
 # Returns whether the server of an attempt can be reached on a new connection.
@@ -59,6 +63,16 @@
 MakeRequest = Callable[[], httpcore.Request]
 
 
+class EndEvidence(StrEnum):
+    """What the end of an answer without length and chunks was inferred from."""
+
+    NOT_ASKED = "not_asked"
+    # A new connection to the server was opened, refused, or neither.
+    CONNECTED = "connected"
+    REFUSED = "refused"
+    NO_CONNECTION = "no_connection"
+
+
 class Attempt:
     """Sends one request, passes the answer to a consumer and classifies the end."""
 
@@ -178,10 +192,34 @@
         An answer without length and chunks ends like the connection of a server that crashes. A
         server that refuses connections directly after it has crashed, unless it is leaving.
         """
-        if self.answer.is_framed or self._is_leaving() or not await is_refused(self):
+        if self.answer.is_framed:
+            return EndComplete(status)
+        ended_at = anyio.current_time()
+        evidence = EndEvidence.NOT_ASKED if self._is_leaving() else await find_evidence(self)
+        is_complete = evidence is not EndEvidence.REFUSED
+        self._log_inferred_end(status, evidence, anyio.current_time() - ended_at, is_complete)
+        if is_complete:
             return EndComplete(status)
         return await self.classify_loss("the answer has no length, and its server is gone")
 
+    def _log_inferred_end(
+        self, status: int, evidence: EndEvidence, age_s: float, is_complete: bool
+    ) -> None:
+        start = self.start
+        self.node.count(f"attempt.end_inferred.{evidence}")
+        logs.write(
+            "end_inferred",
+            request_id=start.request_id,
+            attempt_id=start.attempt_id,
+            peer=start.server,
+            via=start.via,
+            status=status,
+            framing=self.answer.framing,
+            evidence=evidence,
+            age_ms=round(_MS_PER_S * age_s),
+            is_complete=is_complete,
+        )
+
     def _is_leaving(self) -> bool:
         server = self.node.state.servers.by_name.get(self.start.server)
         return server is None or server.leaving or server.has_announced_leaving
@@ -192,9 +230,25 @@
         """Return the refusal if the server reported that it had not started the request."""
         if headers.get(NOT_STARTED) != _TRUE:
             return None
+        self.log_refusal(response.status, has_id=ATTEMPT_ID in headers)
         await read_tail(response)
         return EndRefused(response.status, headers.get(LEAVING) == _TRUE)
 
+    def log_refusal(self, status: int, *, has_id: bool) -> None:
+        """Log and count a refusal that does not say which request it answers."""
+        if has_id:
+            return
+        start = self.start
+        self.node.count("attempt.refusal_without_id")
+        logs.write(
+            "refusal_without_id",
+            request_id=start.request_id,
+            attempt_id=start.attempt_id,
+            peer=start.server,
+            status=status,
+            kept_connection=self._is_reused,
+        )
+
     def is_matching_answer(self, headers: Mapping[bytes, bytes], *, required: bool) -> bool:
         """Return whether an answer belongs to this attempt, by the id that the server echoes.
 
@@ -272,17 +326,17 @@
     return True
 
 
-async def is_refused(attempt: Attempt) -> bool:
-    """Return whether the server of an attempt refuses connections, seen without a peer."""
+async def find_evidence(attempt: Attempt) -> EndEvidence:
+    """Return what a new connection shows of the server of an attempt, without a peer."""
     if attempt.start.via_address:
-        return False
+        return EndEvidence.NOT_ASKED
     try:
         await check_connection(attempt.pool, attempt.start.address)
     except httpcore.ConnectError:
-        return True
+        return EndEvidence.REFUSED
     except TRANSPORT_ERRORS:
-        return False
-    return False
+        return EndEvidence.NO_CONNECTION
+    return EndEvidence.CONNECTED
 
 
 async def is_alive(pool: BackendPool, start: StartAttempt) -> bool:
--- a/packages/turmericweir/turmericweir/servers/forward.py
+++ b/packages/turmericweir/turmericweir/servers/forward.py
@@ -188,7 +188,8 @@
         self._report_notice(response.status, headers)
         verdict = self._job._wire.judge_answer(self._call, response.status, headers)
         match verdict:
-            case AnswerNotRun(leaving):
+            case AnswerNotRun(leaving, has_id):
+                self._attempt.log_refusal(response.status, has_id=has_id)
                 await read_tail(response)
                 return EndRefused(response.status, leaving)
             case AnswerRejected(error):
--- a/tests/platform/test_broken_off.py
+++ b/tests/platform/test_broken_off.py
@@ -119,3 +119,14 @@
         form = AnswerForm(Framing.CONNECTION_END, Break.AFTER_PART)
         answer = _send(world, "/lm/doc/", "entry-1", form)
         assert (answer.status, answer.is_cut, len(answer.event_data)) == (200, False, 3)
+
+
+def test_inferred_end_is_logged_with_its_evidence(tmp_path: Path) -> None:
+    # Guards against answers that end as complete without a trace of what that was inferred from.
+    with PlatformWorld(tmp_path) as world:
+        _send(world, "/lm/doc/", "entry-1", AnswerForm(Framing.CONNECTION_END))
+        instance = world.running["entry-1"]
+        until(lambda: bool(instance.logged("end_inferred")), "the inferred end is logged")
+        (line,) = instance.logged("end_inferred")
+        assert (line["framing"], line["is_complete"]) == ("connection_end", True)
+        assert line["request_id"] and line["evidence"]
