--- a/tests/platform/cut_world.py
+++ b/tests/platform/cut_world.py
@@ -27,6 +27,8 @@
 HANG = "hang"
 RESET = "reset"
 REFUSE_NEW = "refuse_new"
+# New connections get no answer, and the open ones go on.
+HANG_NEW = "hang_new"
 CUTS = (HANG, RESET, REFUSE_NEW)
 _CHUNK_BYTES = 65_536
 
@@ -203,6 +205,17 @@
             elif how == RESET:
                 self._proxy_loop.run(proxy.reset())
 
+    def close_port(self, name: str) -> None:
+        """Make a server refuse new connections; called on the loop of the servers."""
+        PlatformWorld.close_port(self, name)
+        self._write_all_redirects()
+
+    def lose_host(self, name: str) -> None:
+        """Leave new connections to a server without an answer, from all instances."""
+        for instance in self.running:
+            self._cuts.setdefault((instance, name), HANG_NEW)
+            self._write_redirects(instance)
+
     def hold_ends(self, instance: str) -> None:
         """Let an instance learn later, if at all, that servers have closed its connections."""
         for name in self.servers:
@@ -244,12 +257,12 @@
 
     def _path_address(self, instance: str, server: str) -> str:
         match self._cuts.get((instance, server)):
-            case None if server in self.crashed_servers:
+            case None if server in self.crashed_servers or server in self.closed_ports:
                 # A proxy would accept the connection.
                 return self.servers[server].address
             case None:
                 return self._proxies[instance, server].address
-            case "hang":
+            case "hang" | "hang_new":
                 return self._unanswered.address
             case _:
                 # Nothing listens there.
--- a/tests/platform/platform_world.py
+++ b/tests/platform/platform_world.py
@@ -11,22 +11,43 @@
 from collections.abc import Callable
 from contextlib import ExitStack
 from dataclasses import dataclass, field
+from enum import Enum
 from functools import partial
 from pathlib import Path
 from types import TracebackType
-from typing import Any, Self
+from typing import Any, Self, assert_never
 
 from tests.platform.standin_duties import DutyStandin
 from tests.platform.standin_http import Handler, Listener, LoopThread
-from tests.platform.standin_server import ReceivedRequest, Server
+from tests.platform.standin_server import HEALTH_PATH, ReceivedRequest, Server
 from tests.platform.standin_store import OPERATOR, SERVERS, Store
 from turmericweir_standins.procs import LOOPBACK, Process, free_address, free_port, wait_until
 
+# From the end of an answer to the end of the port of a server that exits.
+PORT_DELAY_S = 0.02
+# From the entry of a server that leaves to the end of its port.
+NOTICE_S = 1.5
 HOST = "front.example"
 KEY = "key-1"
 ROOT = Path(__file__).resolve().parents[2]
 
 
+class Departure(Enum):
+    """How a server goes while it answers."""
+
+    PORT_CLOSED = "port closed"
+    PORT_CLOSED_LATER = "port closed later"
+    # Its entry says so, and its port is closed.
+    LEAVING = "leaving"
+    GONE = "gone"
+    # All of its connections end, and its port is open.
+    EXITED_AND_BACK = "exited and back"
+    # The same, and its entry names a new start.
+    RESTARTED = "restarted"
+    # New connections get no answer.
+    LOST = "lost"
+
+
 @dataclass(slots=True)
 class Answer:
     """An answer as received by a caller."""
@@ -101,6 +122,8 @@
     version: int = 0
     # When servers crashed because of a part of a prompt.
     crashed_at: list[float] = field(default_factory=list)
+    # Servers that run and refuse new connections.
+    closed_ports: set[str] = field(default_factory=set)
     _start_tasks: list[asyncio.Task[None]] = field(default_factory=list)
     _is_closing: bool = False
     _loop: LoopThread = field(default_factory=LoopThread)
@@ -188,7 +211,44 @@
 
     def close_port_at_break(self, name: str) -> None:
         """Make a server refuse connections when it breaks off an answer."""
-        self.servers[name].before_end = self._listeners[name].close_port
+        self.go_at_break(name, Departure.PORT_CLOSED)
+
+    def go_at_break(self, name: str, departure: Departure) -> None:
+        """Make a server go in some way when it breaks off an answer."""
+        self.servers[name].before_end = partial(self._go, name, departure)
+
+    async def _go(self, name: str, departure: Departure) -> None:
+        match departure:
+            case Departure.PORT_CLOSED:
+                self.close_port(name)
+            case Departure.PORT_CLOSED_LATER:
+                asyncio.get_running_loop().call_later(PORT_DELAY_S, self.close_port, name)
+            case Departure.LEAVING:
+                self.register(name, state="draining")
+                await asyncio.sleep(NOTICE_S)
+                self.close_port(name)
+            case Departure.GONE:
+                self.store.write(SERVERS, name, None)
+                await asyncio.sleep(NOTICE_S)
+                self.close_port(name)
+            case Departure.RESTARTED:
+                self._listeners[name].close_others()
+                self.register(name, born=1)
+            case Departure.EXITED_AND_BACK:
+                self._listeners[name].close_others()
+            case Departure.LOST:
+                self.lose_host(name)
+            case unreachable:
+                assert_never(unreachable)
+
+    def close_port(self, name: str) -> None:
+        """Make a server refuse new connections; called on the loop of the servers."""
+        self._listeners[name].close_port()
+        self.closed_ports.add(name)
+
+    def lose_host(self, name: str) -> None:
+        """Leave new connections to a server without an answer."""
+        raise NotImplementedError
 
     def set_crash_part(self, part: str, down_s: float = 3.0) -> None:
         """Make a part of prompts crash every engine, which starts again after a time."""
@@ -452,8 +512,8 @@
         "version": version,
         "routes": routes,
         "services": [
-            {"name": "lm", "health-path": "/healthz", "max-conns": 300, "engine": engine},
-            {"name": "shop", "health-path": "/healthz", "max-conns": 100},
+            {"name": "lm", "health-path": HEALTH_PATH, "max-conns": 300, "engine": engine},
+            {"name": "shop", "health-path": HEALTH_PATH, "max-conns": 100},
         ],
         "limits": {
             "max-header-bytes": 16_384,
--- a/tests/platform/standin_http.py
+++ b/tests/platform/standin_http.py
@@ -80,6 +80,8 @@
         self._handler = handler
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        # Those whose requests are being answered.
+        self._busy_writers: set[asyncio.StreamWriter] = set()
         self.connections = 0
 
     async def start(self) -> None:
@@ -93,6 +95,11 @@
             self._server.close()
             self._server = None
 
+    def close_others(self) -> None:
+        """Close the connections that carry no request normally, as the exit of a process does."""
+        for writer in self._writers - self._busy_writers:
+            writer.close()
+
     async def stop(self) -> None:
         """Close the port and reset open connections."""
         self.close_port()
@@ -106,7 +113,7 @@
         try:
             while True:
                 call = await _read(reader, writer, earlier_requests)
-                if call is None or not await self._handler(call):
+                if call is None or not await self._answer(call):
                     return
                 earlier_requests += 1
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
@@ -115,6 +122,13 @@
             self._writers.discard(writer)
             writer.close()
 
+    async def _answer(self, call: Call) -> bool:
+        self._busy_writers.add(call.writer)
+        try:
+            return await self._handler(call)
+        finally:
+            self._busy_writers.discard(call.writer)
+
 
 async def _read(
     reader: asyncio.StreamReader, writer: asyncio.StreamWriter, earlier_requests: int
--- a/tests/platform/standin_server.py
+++ b/tests/platform/standin_server.py
@@ -12,6 +12,7 @@
 from tests.platform.standin_http import Call
 
 SIGNATURE = "3e1b.07"
+HEALTH_PATH = "/healthz"
 # Time for which a server that fell over resets all connections.
 FALL_S = 3.0
 # Time from the arrival of a request to the crash that a part of its prompt causes.
@@ -49,12 +50,16 @@
     address: str = ""
     # "" for correct answers, or one of the modes in `handle`.
     mode: str = ""
+    # The status in the mode "extra_refusal".
+    extra_status: int = 503
     # Number of requests to which the mode applies; negative for all.
     mode_requests: int = -1
     # The version of its software, which its events name; empty for events that name none.
     version: str = ""
     event_count: int = 6
     event_interval_s: float = 0.0
+    # Whether a connection carries other requests after a stream.
+    keeps_streams: bool = False
     # Replaces its answers by one without an end; None for answers that end.
     endless: EndlessAnswer | None = None
     # Requests per second that it names in its answers; empty for no limit.
@@ -84,11 +89,13 @@
     crash_part_at: list[float] = field(default_factory=list)
     # Closes the port of this server.
     close_port: Callable[[], Awaitable[None]] | None = None
-    # Makes the server refuse connections just before the end of an answer in a form.
-    before_end: Callable[[], None] | None = None
+    # Runs before an answer in a form is broken off.
+    before_end: Callable[[], Awaitable[None]] | None = None
     # The forms of its next answers; servers may share the list.
     forms: list[AnswerForm] = field(default_factory=list)
     received: list[ReceivedRequest] = field(default_factory=list)
+    # Health checks that it answered.
+    health_checks: int = 0
     # Set to release streams that the mode "hold" has paused.
     release_held: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -97,6 +104,10 @@
         if time.monotonic() < self.down_until:
             call.reset()
             return False
+        if call.path == HEALTH_PATH:
+            self.health_checks += 1
+            await call.answer(503 if self.is_leaving else 200, b"", {"X-Instance-Id": self.name})
+            return True
         if self.room and self.running >= self.room:
             return await self._refuse_for_room(call)
         self.running += 1
@@ -162,6 +173,9 @@
                     request.was_run = False
                     await call.wait_closed()
                     return False
+            case "extra_refusal" if call.earlier_requests:
+                # Meant for no request, and without the ID of one.
+                await call.answer(self.extra_status, b"", {"X-Not-Executed": "1", **notices})
             case "shed":
                 request.was_run = False
                 refusal_headers = {"X-Attempt-Id": attempt_id, "X-Not-Executed": "1", **notices}
@@ -248,7 +262,7 @@
             parts = [f"id: {number}\ndata: piece {number}\n\n".encode() for number in numbers]
         form = self.forms.pop(0)
         if form.breaks is not Break.NOWHERE and self.before_end is not None:
-            self.before_end()
+            await self.before_end()
         is_complete = await write_answer(call, form, answer_headers, parts)
         request.outcome = "complete" if is_complete else "reset"
         return False
@@ -300,4 +314,4 @@
         await call.write(b"0\r\n\r\n")
         request.outcome = "complete"
         caller_left.cancel()
-        return False
+        return self.keeps_streams
--- a/tests/platform/test_broken_off.py
+++ b/tests/platform/test_broken_off.py
@@ -8,15 +8,19 @@
 
 import pytest
 
+from tests.platform.answer_ends import (
+    PLAIN,
+    STREAMS,
+    assert_true_end,
+    is_whole,
+    send_in_form,
+)
 from tests.platform.cut_world import REFUSE_NEW, CutWorld
-from tests.platform.platform_world import Answer, PlatformWorld, until
+from tests.platform.platform_world import PlatformWorld, until
 from tests.platform.standin_answers import AnswerForm, Break, Framing
 
 DIRECT = "entry-2"
 CARRIED = "entry-1"
-STREAMS = ("/lm/doc/", "/lm/chat/")
-PLAIN = ("/shop/buy/", "/shop/look/")
-_EVENTS = [f"piece {number}" for number in range(6)]
 
 
 @pytest.fixture(scope="module")
@@ -39,23 +43,6 @@
     return all(world.send(path, instance=CARRIED).status == 200 for path in paths)
 
 
-def _send(world: PlatformWorld, path: str, instance: str, form: AnswerForm) -> Answer:
-    """Send a request whose first run gets an answer of this form."""
-    forms = [form]
-    for server in world.servers.values():
-        server.forms = forms
-    request_id = world.new_id()
-    answer = world.send(path, instance=instance, request_id=request_id, body=request_id.encode())
-    assert not forms
-    return answer
-
-
-def _is_whole(path: str, answer: Answer) -> bool:
-    if path in STREAMS:
-        return answer.event_data == _EVENTS
-    return answer.body.startswith(b"by shop-")
-
-
 def _forms(*, told: bool) -> list[tuple[str, AnswerForm]]:
     """Return the forms that are broken off, and whose callers can be told so or cannot."""
     forms = []
@@ -77,9 +64,9 @@
     world: CutWorld, path: str, framing: Framing, instance: str
 ) -> None:
     # Guards against whole answers that are taken for broken ones.
-    answer = _send(world, path, instance, AnswerForm(framing))
+    answer = send_in_form(world, path, instance, AnswerForm(framing))
     assert (answer.status, answer.is_cut) == (200, False)
-    assert _is_whole(path, answer)
+    assert is_whole(path, answer)
 
 
 @pytest.mark.parametrize("instance", [DIRECT, CARRIED])
@@ -88,11 +75,8 @@
     world: CutWorld, path: str, form: AnswerForm, instance: str
 ) -> None:
     # Guards against callers that take half an answer for the whole.
-    answer = _send(world, path, instance, form)
-    if answer.status == 200 and not answer.is_cut:
-        assert _is_whole(path, answer)
-    else:
-        assert answer.is_cut or "x-server-signature" not in answer.headers
+    answer = send_in_form(world, path, instance, form)
+    assert_true_end(path, answer)
 
 
 @pytest.mark.parametrize("breaks", [Break.AFTER_HEAD, Break.AFTER_PART])
@@ -104,11 +88,8 @@
     with PlatformWorld(tmp_path) as world:
         for name in world.servers:
             world.close_port_at_break(name)
-        answer = _send(world, path, "entry-1", AnswerForm(Framing.CONNECTION_END, breaks))
-        if answer.status == 200 and not answer.is_cut:
-            assert _is_whole(path, answer)
-        else:
-            assert answer.is_cut or "x-server-signature" not in answer.headers
+        answer = send_in_form(world, path, "entry-1", AnswerForm(Framing.CONNECTION_END, breaks))
+        assert_true_end(path, answer)
 
 
 def test_unframed_answer_of_a_server_that_is_leaving_is_complete(tmp_path: Path) -> None:
@@ -117,16 +98,17 @@
         world.close_port_at_break("lm-1")
         world.servers["lm-1"].is_leaving = True
         form = AnswerForm(Framing.CONNECTION_END, Break.AFTER_PART)
-        answer = _send(world, "/lm/doc/", "entry-1", form)
+        answer = send_in_form(world, "/lm/doc/", "entry-1", form)
         assert (answer.status, answer.is_cut, len(answer.event_data)) == (200, False, 3)
 
 
 def test_inferred_end_is_logged_with_its_evidence(tmp_path: Path) -> None:
     # Guards against answers that end as complete without a trace of what that was inferred from.
     with PlatformWorld(tmp_path) as world:
-        _send(world, "/lm/doc/", "entry-1", AnswerForm(Framing.CONNECTION_END))
+        send_in_form(world, "/lm/doc/", "entry-1", AnswerForm(Framing.CONNECTION_END))
         instance = world.running["entry-1"]
         until(lambda: bool(instance.logged("end_inferred")), "the inferred end is logged")
         (line,) = instance.logged("end_inferred")
         assert (line["framing"], line["is_complete"]) == ("connection_end", True)
-        assert line["request_id"] and line["evidence"]
+        assert line["request_id"]
+        assert line["evidence"]
--- /dev/null
+++ b/tests/platform/test_early_ends.py
@@ -0,0 +1,77 @@
+"""Tests of answers without a length whose servers go while they answer.
+
+The end of such an answer is the end of its connection, which the exit of a server causes too.
+"""
+
+from __future__ import annotations
+
+from functools import partial
+from pathlib import Path
+
+import pytest
+
+from tests.platform.answer_ends import (
+    PLAIN,
+    STREAMS,
+    assert_true_end,
+    is_whole,
+    send_in_form,
+)
+from tests.platform.cut_world import REFUSE_NEW, CutWorld
+from tests.platform.platform_world import Departure, PlatformWorld, until
+from tests.platform.standin_answers import AnswerForm, Break, Framing
+
+HALF = AnswerForm(Framing.CONNECTION_END, Break.AFTER_PART)
+WHOLE = AnswerForm(Framing.CONNECTION_END)
+
+
+@pytest.mark.parametrize("path", [*STREAMS, *PLAIN])
+@pytest.mark.parametrize("departure", Departure, ids=lambda each: each.value)
+def test_half_an_answer_of_a_server_that_goes_never_looks_whole(
+    tmp_path: Path, departure: Departure, path: str
+) -> None:
+    # Guards against taking the end of a server's process for the end of its answer.
+    with CutWorld(tmp_path) as world:
+        for name in world.servers:
+            world.go_at_break(name, departure)
+        assert_true_end(path, send_in_form(world, path, "entry-1", HALF))
+
+
+@pytest.mark.parametrize("path", ["/lm/doc/", "/lm/chat/", "/shop/buy/"])
+@pytest.mark.parametrize("departure", Departure, ids=lambda each: each.value)
+def test_half_an_answer_by_way_of_a_peer_never_looks_whole(
+    tmp_path: Path, departure: Departure, path: str
+) -> None:
+    # Guards against skipping the check where a peer carries the connection.
+    with CutWorld(tmp_path, instances=2) as world:
+        world.cut("entry-2", REFUSE_NEW)
+        until(partial(_serves, world, "entry-2"), "the instance without paths serves")
+        for name in world.servers:
+            world.go_at_break(name, departure)
+        assert_true_end(path, send_in_form(world, path, "entry-2", HALF))
+
+
+@pytest.mark.parametrize("path", [*STREAMS, *PLAIN])
+def test_whole_answer_of_a_server_that_is_leaving_arrives_whole(tmp_path: Path, path: str) -> None:
+    # Guards against breaking off the answers that a server completes before it goes.
+    with PlatformWorld(tmp_path) as world:
+        for server in world.servers.values():
+            server.is_leaving = True
+        answer = send_in_form(world, path, "entry-1", WHOLE)
+        assert (answer.status, answer.is_cut) == (200, False)
+        assert is_whole(path, answer)
+
+
+@pytest.mark.parametrize("path", STREAMS)
+def test_stream_without_a_length_and_without_an_event_never_looks_whole(
+    tmp_path: Path, path: str
+) -> None:
+    # Guards against a head that is taken for an empty answer when its server closes.
+    with PlatformWorld(tmp_path) as world:
+        form = AnswerForm(Framing.CONNECTION_END, Break.AFTER_HEAD)
+        assert_true_end(path, send_in_form(world, path, "entry-1", form))
+
+
+def _serves(world: CutWorld, instance: str) -> bool:
+    paths = (*STREAMS, *PLAIN)
+    return all(world.send(path, instance=instance).status == 200 for path in paths)
