Take an answer that does not tell its own end for whole only if its server has outlived that end

What callers saw: streams (resumable ones too) and plain answers that ended as complete, with the server's signature and the last chunk of our framing, before their last piece, when their server exited.

Cause: Attempt.end_answer took 'nobody showed me that the server is gone, at the one moment at which I asked' for 'the answer is whole'. Asked too early (the port closes some ms after the connections), not asked (the server is leaving, or a peer carries the connection), no answer (the host is lost), and a port that is open again all made an answer complete. The class: completeness inferred from missing evidence.

Fix: an answer without a length and without chunks gets a witness, a connection to the same process by the same way that is older than the end. 0.25 s after the end, in which a process that exits has closed everything, the server must accept a connection, its entry must name no other start, and the witness must get an answer to a status check. Without a witness the server's name counts, where every start has a name of its own. Anything else shows nothing: what may go on elsewhere goes on there, other answers end without their last chunk or get 502, unknown. A stream without a length and without an event is never whole. HEAD has no body, so its answers need no witness.

Weighed: data that arrives on other connections after the end (rejected: the system of a process that is gone sends what is left again for longer than that), a later entry of the same start (1 s and more), only the port (says nothing of the process).

The test that wanted half an answer of a leaving server to be complete is wrong by the rule that an answer which ends early must not look complete; it is replaced by: half is cut at a leaving server, and whole answers of one arrive whole on all four routes.

--- a/packages/turmericweir/turmericweir/answers/answer_record.py
+++ b/packages/turmericweir/turmericweir/answers/answer_record.py
@@ -19,6 +19,7 @@
 _CLOSED: Final = "closed"
 _RESET: Final = "reset"
 _OVERSIZED: Final = "oversized"
+_HEAD: Final = b"HEAD"
 _STATUSES_WITHOUT_BODY: Final = frozenset({204, 304})
 
 
@@ -59,9 +60,9 @@
         """Whether the answer announces its length, or has no body."""
         return self._framing == LENGTH
 
-    def begin(self, response: httpcore.Response) -> None:
+    def begin(self, request: httpcore.Request, response: httpcore.Response) -> None:
         """Record the framing of an answer whose head was read."""
-        self._framing = framing_of(response)
+        self._framing = framing_of(request, response)
 
     def note_read(self) -> None:
         """Record that the answer was read to its end."""
@@ -77,11 +78,11 @@
         self._end = _CLOSED if isinstance(error, httpcore.ProtocolError) else _RESET
 
 
-def framing_of(response: httpcore.Response) -> str:
+def framing_of(request: httpcore.Request, response: httpcore.Response) -> str:
     """Return how the body of an answer is framed; an answer without a body has a length."""
+    if request.method == _HEAD or response.status in _STATUSES_WITHOUT_BODY:
+        return LENGTH
     names = {name.lower() for name, _ in response.headers}
     if b"transfer-encoding" in names:
         return CHUNKED
-    if b"content-length" in names or response.status in _STATUSES_WITHOUT_BODY:
-        return LENGTH
-    return CONNECTION_END
+    return LENGTH if b"content-length" in names else CONNECTION_END
--- a/packages/turmericweir/turmericweir/answers/forward_wire.py
+++ b/packages/turmericweir/turmericweir/answers/forward_wire.py
@@ -140,5 +140,8 @@
     ) -> ServerNotice | None:
         """Return what the server states about itself, or None if it is not its own answer."""
 
+    def read_server_name(self, headers: Mapping[bytes, bytes]) -> str:
+        """Return the server that an answer to a status check names; empty if it names none."""
+
     def caller_headers(self, headers: Headers) -> Headers:
         """Return the headers of an answer that are for the caller."""
--- a/packages/turmericweir/turmericweir/servers/backend_attempt.py
+++ b/packages/turmericweir/turmericweir/servers/backend_attempt.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable, Mapping
-from enum import StrEnum
 from typing import TYPE_CHECKING, Final
 
 import anyio
@@ -19,9 +18,11 @@
 from turmericweir.process.errors import CallError, describe_error
 from turmericweir.servers.answer_size import AnswerTooLargeError
 from turmericweir.servers.backend_call import TRANSPORT_ERRORS, FirstByteCallback, call, read_body
-from turmericweir.servers.backend_pool import IDLE_MAX_S, VERIFIED_IDLE_MAX_S, Via
+from turmericweir.servers.backend_pool import IDLE_MAX_S, VERIFIED_IDLE_MAX_S
+from turmericweir.servers.new_connection import check_connection, via_of
 from turmericweir.servers.peer_refusal import PeerRefusedError
-from turmericweir_core.messages.effects import ProbeServer, StartAttempt
+from turmericweir.servers.server_life import EndEvidence, StatusCheck, Witness
+from turmericweir_core.messages.effects import StartAttempt
 from turmericweir_core.messages.events import (
     AttemptEnd,
     AttemptSent,
@@ -38,13 +39,11 @@
 
 # Time limit for a load request on a new connection.
 PROBE_TIMEOUT_S: Final = 1.0
-# Time limit for a connection attempt: some round trips between data centres.
-CONNECT_PROBE_S: Final = 0.3
-# The same by way of a peer.
-CARRIED_PROBE_S: Final = 0.5
 # Time limit for reading the body of a refusal or an error, or the end of a complete answer.
 TAIL_TIMEOUT_S: Final = 0.25
 TAIL_MAX_BYTES: Final = 65_536
+# Where servers of the own protocol report their load.
+LOAD_PATH: Final = "/v1/load"
 NOT_STARTED: Final = b"x-not-started"
 LEAVING: Final = b"x-leaving"
 ATTEMPT_ID: Final = b"x-attempt-id"
@@ -61,16 +60,7 @@
 # Returns whether the server of an attempt can be reached on a new connection.
 AliveCheck = Callable[["BackendPool", StartAttempt], Awaitable[bool]]
 MakeRequest = Callable[[], httpcore.Request]
-
-
-class EndEvidence(StrEnum):
-    """What the end of an answer without length and chunks was inferred from."""
-
-    NOT_ASKED = "not_asked"
-    # A new connection to the server was opened, refused, or neither.
-    CONNECTED = "connected"
-    REFUSED = "refused"
-    NO_CONNECTION = "no_connection"
+MakeStatusCheck = Callable[[], StatusCheck]
 
 
 class Attempt:
@@ -81,6 +71,7 @@
         "_conn",
         "_first_byte",
         "_is_reused",
+        "_witness",
         "answer",
         "connection_error",
         "node",
@@ -99,6 +90,8 @@
     # Whether the connection has carried an earlier request.
     _is_reused: bool
     _check_alive: AliveCheck
+    # While an answer is read that does not tell its own end.
+    _witness: Witness | None
     # The connection while the attempt runs.
     _conn: BackendConnection | None
 
@@ -110,6 +103,7 @@
         check_alive: AliveCheck | None = None,
     ) -> None:
         self._check_alive = check_alive or is_alive
+        self._witness = None
         self.node = node
         self.pool = pool
         self.start = start
@@ -138,6 +132,7 @@
         make_request: MakeRequest,
         consume: Consume,
         is_expired: Callable[[], bool] = lambda: False,
+        make_status_check: MakeStatusCheck | None = None,
     ) -> AttemptEnd:
         """Run the attempt until it ends or is cancelled.
 
@@ -154,9 +149,13 @@
             try:
                 if is_expired():
                     return EndCancelled(0)
-                response = await conn.send(make_request(), self._first_byte)
-                self.answer.begin(response)
-                end = await consume(response)
+                request = make_request()
+                response = await conn.send(request, self._first_byte)
+                self.answer.begin(request, response)
+                if self.answer.is_framed or make_status_check is None:
+                    end = await consume(response)
+                else:
+                    end = await self._consume_watched(consume, response, make_status_check())
                 if conn.has_read_answer:
                     self.answer.note_read()
                 # Marks the connection as idle if the answer was read completely.
@@ -171,6 +170,19 @@
             self.answer.note_lost(exc)
             return await self.classify_loss(describe_error(exc), is_malformed=_is_malformed(exc))
 
+    async def _consume_watched(
+        self, consume: Consume, response: httpcore.Response, status_check: StatusCheck
+    ) -> AttemptEnd:
+        """Consume an answer of which only the connection shows the end."""
+        async with Witness(self.node, self.pool, self.start, status_check) as witness:
+            self._witness = witness
+            return await consume(response)
+
+    def note_chunk(self) -> None:
+        """Record that a part of the answer has arrived."""
+        if self._witness is not None:
+            self._witness.note_alive()
+
     def reject_oversized(self, error: str) -> EndBroken:
         """Return the end of an attempt whose answer exceeds a bound, so is no answer."""
         self.answer.note_oversized()
@@ -189,22 +201,22 @@
     async def end_answer(self, status: int) -> AttemptEnd:
         """Return the end of an answer that was read to its end.
 
-        An answer without length and chunks ends like the connection of a server that crashes. A
-        server that refuses connections directly after it has crashed, unless it is leaving.
+        An answer without a length and without chunks is complete only if its server has outlived
+        its end, since the connection of a process that exits ends alike.
         """
         if self.answer.is_framed:
             return EndComplete(status)
         ended_at = anyio.current_time()
-        evidence = EndEvidence.NOT_ASKED if self._is_leaving() else await find_evidence(self)
-        is_complete = evidence is not EndEvidence.REFUSED
-        self._log_inferred_end(status, evidence, anyio.current_time() - ended_at, is_complete)
-        if is_complete:
+        witness = self._witness
+        evidence = EndEvidence.NOT_ASKED if witness is None else await witness.find_evidence()
+        self._log_inferred_end(status, evidence, anyio.current_time() - ended_at)
+        if evidence.shows_life:
             return EndComplete(status)
-        return await self.classify_loss("the answer has no length, and its server is gone")
+        return await self.classify_loss(
+            f"nothing shows that the answer without a length is complete: {evidence}"
+        )
 
-    def _log_inferred_end(
-        self, status: int, evidence: EndEvidence, age_s: float, is_complete: bool
-    ) -> None:
+    def _log_inferred_end(self, status: int, evidence: EndEvidence, age_s: float) -> None:
         start = self.start
         self.node.count(f"attempt.end_inferred.{evidence}")
         logs.write(
@@ -217,13 +229,9 @@
             framing=self.answer.framing,
             evidence=evidence,
             age_ms=round(_MS_PER_S * age_s),
-            is_complete=is_complete,
+            is_complete=evidence.shows_life,
         )
 
-    def _is_leaving(self) -> bool:
-        server = self.node.state.servers.by_name.get(self.start.server)
-        return server is None or server.leaving or server.has_announced_leaving
-
     async def read_refusal(
         self, response: httpcore.Response, headers: Mapping[bytes, bytes]
     ) -> EndRefused | None:
@@ -271,11 +279,6 @@
     return not any(each in str(error) for each in _CLOSED_ERRORS)
 
 
-def via_of(effect: StartAttempt | ProbeServer) -> Via | None:
-    """Return the peer by way of which to connect, or None to connect directly."""
-    return Via(effect.via_address, effect.server) if effect.via_address else None
-
-
 def _idle_max_s(start: StartAttempt) -> float:
     """Return how long the connection of an attempt may have been idle, in seconds."""
     if start.needs_new_connection:
@@ -300,17 +303,6 @@
             return
 
 
-async def check_connection(pool: BackendPool, address: str, via: Via | None = None) -> None:
-    """Open a new connection to a server and add it to the pool; raise TRANSPORT_ERRORS."""
-    timeout_s = CONNECT_PROBE_S if via is None else CARRIED_PROBE_S
-    try:
-        with anyio.fail_after(timeout_s):
-            conn = await pool.acquire(address, idle_max_s=0.0, via=via)
-    except TimeoutError:
-        raise httpcore.ConnectTimeout(f"no connection within {timeout_s} s") from None
-    await pool.release(address, conn)
-
-
 async def can_connect(pool: BackendPool, start: StartAttempt) -> bool:
     """Return whether the server of a broken attempt accepts connections.
 
@@ -326,19 +318,6 @@
     return True
 
 
-async def find_evidence(attempt: Attempt) -> EndEvidence:
-    """Return what a new connection shows of the server of an attempt, without a peer."""
-    if attempt.start.via_address:
-        return EndEvidence.NOT_ASKED
-    try:
-        await check_connection(attempt.pool, attempt.start.address)
-    except httpcore.ConnectError:
-        return EndEvidence.REFUSED
-    except TRANSPORT_ERRORS:
-        return EndEvidence.NO_CONNECTION
-    return EndEvidence.CONNECTED
-
-
 async def is_alive(pool: BackendPool, start: StartAttempt) -> bool:
     """Return whether a server answers on a new connection.
 
@@ -349,7 +328,7 @@
             pool,
             b"GET",
             start.address,
-            "/v1/load",
+            LOAD_PATH,
             timeout_s=PROBE_TIMEOUT_S,
             needs_new_connection=True,
             via=via_of(start),
--- a/packages/turmericweir/turmericweir/servers/backend_call.py
+++ b/packages/turmericweir/turmericweir/servers/backend_call.py
@@ -104,7 +104,7 @@
                 address, idle_max_s=0.0 if needs_new_connection else IDLE_MAX_S, via=via
             )
             try:
-                return await _exchange(conn, request, first_byte, traffic, max_bytes)
+                return await exchange(conn, request, first_byte, traffic, max_bytes)
             finally:
                 await pool.release(address, conn)
     except TimeoutError:
@@ -122,13 +122,14 @@
     return len(first_line) + _FIRST_LINE_OVERHEAD_BYTES + header_bytes + len(body)
 
 
-async def _exchange(
+async def exchange(
     conn: BackendConnection,
     request: httpcore.Request,
     first_byte: FirstByteCallback,
     traffic: TrafficCounter | None,
     max_bytes: int,
 ) -> Answer:
+    """Make a call on a connection; raise TRANSPORT_ERRORS without a complete answer."""
     response = await conn.send(request, first_byte)
     body = await read_body(response, max_bytes)
     await response.aclose()
--- a/packages/turmericweir/turmericweir/servers/backend_pool.py
+++ b/packages/turmericweir/turmericweir/servers/backend_pool.py
@@ -112,6 +112,11 @@
         leftover, _ = self._http._h11_state.trailing_data
         return bool(leftover) or self._stream.has_unread
 
+    @property
+    def has_ended(self) -> bool:
+        """Return whether the end of the connection was received."""
+        return self._stream.has_ended
+
     @property
     def is_closed_by_server(self) -> bool:
         """Return whether the server has closed the connection while it was idle."""
--- a/packages/turmericweir/turmericweir/servers/backend_service.py
+++ b/packages/turmericweir/turmericweir/servers/backend_service.py
@@ -13,18 +13,21 @@
 import httpcore
 
 from turmericweir.answers.hop_by_hop import HOP_BY_HOP, connection_header_names
+from turmericweir.process.foreign_data import DECODE_ERRORS
 from turmericweir.servers.answer_size import BodyBound
 from turmericweir.servers.backend_attempt import (
     ATTEMPT_ID,
     LEAVING,
+    LOAD_PATH,
     NOT_STARTED,
     PRIORITY,
     REQUEST_ID,
     Attempt,
     attempt_headers,
 )
-from turmericweir.servers.backend_call import body_of, lower_headers
+from turmericweir.servers.backend_call import Answer, body_of, lower_headers
 from turmericweir.servers.backend_pool import BackendPool, make_request
+from turmericweir.servers.server_life import StatusCheck
 from turmericweir_core.messages.effects import StartAttempt
 from turmericweir_core.messages.events import (
     AnswerForm,
@@ -54,6 +57,19 @@
 _ROUTER_HEADER_PREFIX: Final = b"turmericweir-"
 
 
+def _read_name(answer: Answer) -> str:
+    """Return the name in the load report of a service; empty if it names none."""
+    try:
+        report = answer.json()
+    except DECODE_ERRORS:
+        return ""
+    name = report.get("name") if isinstance(report, dict) else None
+    return name if isinstance(name, str) else ""
+
+
+_STATUS_CHECK: Final = StatusCheck(LOAD_PATH.encode(), _read_name)
+
+
 @dataclass(frozen=True, slots=True)
 class PlainCall:
     """A caller's request in the form in which it is forwarded."""
@@ -131,7 +147,9 @@
         request = make_request(
             plain_call.method, self._start.address, plain_call.target, headers, plain_call.body
         )
-        return await self._attempt.run(lambda: request, self._consume)
+        return await self._attempt.run(
+            lambda: request, self._consume, make_status_check=lambda: _STATUS_CHECK
+        )
 
     async def _consume(self, response: httpcore.Response) -> AttemptEnd:
         headers = lower_headers(response)
@@ -146,6 +164,7 @@
         bounds = self._node.answer_bounds
         bound = BodyBound(bounds, response.status, is_sized=self._attempt.answer.is_sized)
         async for chunk in body_of(response):
+            self._attempt.note_chunk()
             bound.add(len(chunk))
             answer.buffer_body(chunk)
             if not answer.has_received_announced_length:
--- a/packages/turmericweir/turmericweir/servers/backend_stream.py
+++ b/packages/turmericweir/turmericweir/servers/backend_stream.py
@@ -220,6 +220,11 @@
         """The number of bytes that wait to be read here, or by the other end."""
         return self._protocol.held_bytes
 
+    @property
+    def has_ended(self) -> bool:
+        """Return whether the other end has closed its side, or the connection is lost."""
+        return self._protocol.has_ended
+
     @property
     def has_unread(self) -> bool:
         """Return whether there is received data that was not read."""
--- a/packages/turmericweir/turmericweir/servers/connection_probes.py
+++ b/packages/turmericweir/turmericweir/servers/connection_probes.py
@@ -10,9 +10,9 @@
 
 from turmericweir.process.errors import describe_error
 from turmericweir.process.node import Node
-from turmericweir.servers.backend_attempt import check_connection, via_of
 from turmericweir.servers.backend_call import TRANSPORT_ERRORS
 from turmericweir.servers.backend_pool import BackendPool
+from turmericweir.servers.new_connection import check_connection, via_of
 from turmericweir_core.base.ids import InstanceName, ServerName
 from turmericweir_core.messages.effects import ProbeServer, RetireConnections, SendOrder
 from turmericweir_core.messages.events import ServerAnswered, ServerUnreachable
--- a/packages/turmericweir/turmericweir/servers/forward.py
+++ b/packages/turmericweir/turmericweir/servers/forward.py
@@ -27,6 +27,7 @@
 from turmericweir.servers.answer_size import AnswerTooLargeError, BodyBound
 from turmericweir.servers.backend_attempt import Attempt, can_connect, read_tail
 from turmericweir.servers.backend_call import body_of, lower_headers
+from turmericweir.servers.server_life import StatusCheck
 from turmericweir_core.base.request import Request
 from turmericweir_core.messages.effects import StartAttempt
 from turmericweir_core.messages.events import (
@@ -126,12 +127,18 @@
     def __init__(self, node: Node, pool: BackendPool, start: StartAttempt, job: ForwardJob) -> None:
         self._node = node
         self._start = start
-        self._attempt = Attempt(node, pool, start, can_connect)
         self._job = job
+        self._attempt = Attempt(node, pool, start, can_connect)
         self._call = job._call
         self._buffered_bytes = 0
         self.events = 0
 
+    def _make_status_check(self) -> StatusCheck:
+        server = self._node.state.servers.by_name.get(self._start.server)
+        target = b"" if server is None else server.service.health_path.encode()
+        wire = self._job._wire
+        return StatusCheck(target, lambda answer: wire.read_server_name(answer.headers))
+
     @property
     def held_bytes(self) -> int:
         """The number of bytes held of the answer, and of the request until the server reads it."""
@@ -155,7 +162,9 @@
     async def run(self) -> AttemptEnd:
         """Run the attempt to its end."""
         try:
-            return await self._attempt.run(self._make_request, self._consume, self._is_expired)
+            return await self._attempt.run(
+                self._make_request, self._consume, self._is_expired, self._make_status_check
+            )
         finally:
             self._job.forget_attempt(self)
 
@@ -227,11 +236,13 @@
         answer = self._job.answer
         # A caller that has as many bytes as announced would take a broken stream for complete.
         answer.begin_answer(response.status, [each for each in headers if each[0] != _LENGTH])
+        is_resumed = bool(answer.last_event_id)
         splitter = EventSplitter(answer.last_event_id) if self._call.resumable else None
         tracker = EventTracker()
         event_max_bytes = self._node.answer_bounds.event_bytes
         try:
             async for chunk in body_of(response):
+                self._attempt.note_chunk()
                 events = tracker.count_ends(chunk)
                 if tracker.open_bytes > event_max_bytes:
                     raise AnswerTooLargeError(f"an event exceeds {event_max_bytes} bytes")
@@ -248,6 +259,8 @@
             self._attempt.answer.is_event_open = tracker.is_event_open
         if tracker.is_event_open:
             return await self._attempt.classify_loss("the stream ended within an event")
+        if not self.events and not is_resumed and not self._attempt.answer.is_framed:
+            return await self._attempt.classify_loss("the stream ended before its first event")
         if splitter is not None:
             answer.buffer_body(splitter.take_rest())
         return await self._attempt.end_answer(response.status)
@@ -264,6 +277,7 @@
         bound = BodyBound(bounds, response.status, is_sized=self._attempt.answer.is_sized)
         body = b""
         async for chunk in body_of(response):
+            self._attempt.note_chunk()
             bound.add(len(chunk))
             body += chunk
             self._buffered_bytes = len(body)
--- /dev/null
+++ b/packages/turmericweir/turmericweir/servers/server_life.py
@@ -0,0 +1,212 @@
+"""Show that a server has outlived the end of an answer that does not tell its own end.
+
+An answer without a length and without chunks ends with its connection, and so does the connection
+of a process that exits. A witness is a connection to the same process that was opened before the
+end. An answer on it to a call that was sent after the end shows that the process lives, so it has
+closed the other connection on purpose. An error, a time-out or an unknown server shows nothing.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass
+from enum import StrEnum
+from types import TracebackType
+from typing import TYPE_CHECKING, Final, Self
+
+import anyio
+import httpcore
+
+from turmericweir.servers.backend_call import (
+    ANSWER_MAX_BYTES,
+    TRANSPORT_ERRORS,
+    Answer,
+    FirstByteCallback,
+    exchange,
+)
+from turmericweir.servers.backend_pool import (
+    IDLE_MAX_S,
+    BackendConnection,
+    BackendPool,
+    make_request,
+)
+from turmericweir.servers.new_connection import check_connection, via_of
+from turmericweir_core.messages.effects import StartAttempt
+
+if TYPE_CHECKING:
+    from turmericweir.process.node import Node
+
+# Within this time a process that exits closes all of its connections and its port.
+EXIT_S: Final = 0.25
+# Time limit for the answer to a status check, which may wait for a slot of the server.
+CHECK_TIMEOUT_S: Final = 1.0
+
+
+class EndEvidence(StrEnum):
+    """What shows whether a server has outlived the end of its answer."""
+
+    # The witness got an answer.
+    ANSWERED = "answered"
+    # No witness did; a new connection got an answer of the server, whose every start has a name of
+    # its own.
+    SAME_NAME = "same_name"
+    # The witness has ended.
+    EXITED = "exited"
+    # Its entry names another start.
+    RESTARTED = "restarted"
+    # A new connection was refused, or did not open.
+    REFUSED = "refused"
+    NO_CONNECTION = "no_connection"
+    # No answer, or not one of this server.
+    NO_ANSWER = "no_answer"
+    # The server has no status check.
+    NOT_ASKED = "not_asked"
+
+    @property
+    def shows_life(self) -> bool:
+        """Whether the server has outlived the end."""
+        return self in (EndEvidence.ANSWERED, EndEvidence.SAME_NAME)
+
+
+@dataclass(frozen=True, slots=True)
+class StatusCheck:
+    """A call that servers answer at any time without running a request."""
+
+    # Empty if there is none.
+    target: bytes
+    # Returns the name of the server that answered; empty if the answer does not name it.
+    read_name: Callable[[Answer], str]
+
+
+class Witness:
+    """Owns the witness of one answer."""
+
+    __slots__ = (
+        "_check",
+        "_conn",
+        "_incarnation",
+        "_is_closed",
+        "_node",
+        "_opening",
+        "_pool",
+        "_start",
+    )
+
+    _node: Node
+    _pool: BackendPool
+    _start: StartAttempt
+    _check: StatusCheck
+    # The incarnation in the entry of the server when the answer began.
+    _incarnation: str
+    # None until it is open, or if it cannot be opened.
+    _conn: BackendConnection | None
+    # None while none is being opened.
+    _opening: anyio.CancelScope | None
+    _is_closed: bool
+
+    def __init__(
+        self, node: Node, pool: BackendPool, start: StartAttempt, check: StatusCheck
+    ) -> None:
+        self._node = node
+        self._pool = pool
+        self._start = start
+        self._check = check
+        self._incarnation = self._listed_incarnation()
+        self._conn = None
+        self._opening = None
+        self._is_closed = False
+
+    async def __aenter__(self) -> Self:
+        self.note_alive()
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self._is_closed = True
+        if self._opening is not None:
+            self._opening.cancel()
+        if self._conn is not None:
+            await self._pool.release(self._start.address, self._conn)
+
+    def note_alive(self) -> None:
+        """Open a witness unless there is one; the server has just sent something."""
+        if self._opening is None and (self._conn is None or self._conn.has_ended):
+            self._opening = anyio.CancelScope()
+            self._node.run_in_background(self._open, self._opening)
+
+    async def _open(self, opening: anyio.CancelScope) -> None:
+        ended, self._conn = self._conn, None
+        if ended is not None:
+            await ended.close()
+        with opening, suppress(*TRANSPORT_ERRORS):
+            self._conn = await self._pool.acquire(
+                self._start.address, idle_max_s=IDLE_MAX_S, via=via_of(self._start)
+            )
+        self._opening = None
+        if self._is_closed and self._conn is not None:
+            await self._pool.release(self._start.address, self._conn)
+
+    def _listed_incarnation(self) -> str:
+        server = self._node.state.servers.by_name.get(self._start.server)
+        return "" if server is None else server.entry.incarnation
+
+    async def find_evidence(self) -> EndEvidence:
+        """Return what the server shows after the end of its answer, which is now."""
+        if not self._check.target:
+            return EndEvidence.NOT_ASKED
+        ended_at = anyio.current_time()
+        await anyio.sleep(EXIT_S)
+        try:
+            await check_connection(self._pool, self._start.address, via_of(self._start))
+        except httpcore.ConnectError:
+            return EndEvidence.REFUSED
+        except TRANSPORT_ERRORS:
+            return EndEvidence.NO_CONNECTION
+        evidence = await self._ask(ended_at)
+        # Its entry may have been read meanwhile.
+        listed_incarnation = self._listed_incarnation()
+        if listed_incarnation and listed_incarnation != self._incarnation:
+            return EndEvidence.RESTARTED
+        return evidence
+
+    async def _ask(self, ended_at: float) -> EndEvidence:
+        conn = self._conn
+        if conn is not None and conn.opened_at < ended_at:
+            if conn.is_closed_by_server:
+                return EndEvidence.EXITED
+            answer = await self._call(conn)
+            if answer is not None and self._check.read_name(answer) in ("", self._start.server):
+                return EndEvidence.ANSWERED
+            return EndEvidence.NO_ANSWER
+        if self._incarnation:
+            # A name alone does not tell one start of the server from another.
+            return EndEvidence.NO_ANSWER
+        return await self._ask_by_name()
+
+    async def _ask_by_name(self) -> EndEvidence:
+        address = self._start.address
+        try:
+            conn = await self._pool.acquire(address, via=via_of(self._start))
+        except TRANSPORT_ERRORS:
+            return EndEvidence.NO_CONNECTION
+        try:
+            answer = await self._call(conn)
+        finally:
+            await self._pool.release(address, conn)
+        if answer is not None and self._check.read_name(answer) == self._start.server:
+            return EndEvidence.SAME_NAME
+        return EndEvidence.NO_ANSWER
+
+    async def _call(self, conn: BackendConnection) -> Answer | None:
+        """Return the answer to a status check on a connection, or None if there is none."""
+        request = make_request(b"GET", self._start.address, self._check.target, [], b"")
+        try:
+            with anyio.fail_after(CHECK_TIMEOUT_S):
+                return await exchange(conn, request, FirstByteCallback(), None, ANSWER_MAX_BYTES)
+        except (TimeoutError, *TRANSPORT_ERRORS):
+            return None
--- a/tests/platform/platform_world.py
+++ b/tests/platform/platform_world.py
@@ -23,7 +23,7 @@
 from tests.platform.standin_store import OPERATOR, SERVERS, Store
 from turmericweir_standins.procs import LOOPBACK, Process, free_address, free_port, wait_until
 
-# From the end of an answer to the end of the port of a server that exits.
+# From the end of an answer to the end of the port of a server that exits, and to its next start.
 PORT_DELAY_S = 0.02
 # From the entry of a server that leaves to the end of its port.
 NOTICE_S = 1.5
@@ -40,7 +40,7 @@
     # Its entry says so, and its port is closed.
     LEAVING = "leaving"
     GONE = "gone"
-    # All of its connections end, and its port is open.
+    # All of its connections end, and its port is open again at once.
     EXITED_AND_BACK = "exited and back"
     # The same, and its entry names a new start.
     RESTARTED = "restarted"
@@ -106,6 +106,8 @@
     # Data centres of the region; instances are distributed over them.
     data_centres: int = 1
     bounds: dict[str, Any] = field(default_factory=dict)
+    # When the servers started, as their entries say; None if they say nothing of it.
+    born: int | None = None
     # The `machine` part of the settings file.
     machine: dict[str, Any] = field(default_factory=dict)
     # The `placement` part of the settings file.
@@ -185,6 +187,8 @@
             "warmup-left-ms": 0,
             "seq": 1,
         }
+        if self.born is not None:
+            entry["born"] = self.born
         self.store.write(SERVERS, name, {**entry, **changes})
 
     # --- servers ---
@@ -232,15 +236,24 @@
                 await asyncio.sleep(NOTICE_S)
                 self.close_port(name)
             case Departure.RESTARTED:
-                self._listeners[name].close_others()
-                self.register(name, born=1)
+                self._exit_and_come_back(name)
+                self.register(name, born=(self.born or 0) + 1)
             case Departure.EXITED_AND_BACK:
-                self._listeners[name].close_others()
+                self._exit_and_come_back(name)
             case Departure.LOST:
                 self.lose_host(name)
             case unreachable:
                 assert_never(unreachable)
 
+    def _exit_and_come_back(self, name: str) -> None:
+        listener = self._listeners[name]
+        listener.close_port()
+        listener.close_others()
+        loop = asyncio.get_running_loop()
+        loop.call_later(
+            PORT_DELAY_S, lambda: self._start_tasks.append(loop.create_task(listener.start()))
+        )
+
     def close_port(self, name: str) -> None:
         """Make a server refuse new connections; called on the loop of the servers."""
         self._listeners[name].close_port()
--- a/tests/platform/standin_answers.py
+++ b/tests/platform/standin_answers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -40,7 +41,11 @@
 
 
 async def write_answer(
-    call: Call, form: AnswerForm, headers: dict[str, str], parts: list[bytes]
+    call: Call,
+    form: AnswerForm,
+    headers: dict[str, str],
+    parts: list[bytes],
+    interval_s: float = 0.0,
 ) -> bool:
     """Write an answer whose body consists of parts; return whether it is complete."""
     lines = [f"{name}: {value}" for name, value in headers.items()]
@@ -54,6 +59,8 @@
     await call.write("\r\n".join(["HTTP/1.1 200 X", *lines, "", ""]).encode())
     for part in _written_parts(form.breaks, parts):
         await call.write(chunk(part) if form.framing is Framing.CHUNKED else part)
+        if interval_s:
+            await asyncio.sleep(interval_s)
     if form.breaks is Break.NOWHERE:
         if form.framing is Framing.CHUNKED:
             await call.write(b"0\r\n\r\n")
--- a/tests/platform/standin_server.py
+++ b/tests/platform/standin_server.py
@@ -7,7 +7,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
-from tests.platform.standin_answers import AnswerForm, Break, chunk, write_answer
+from tests.platform.standin_answers import AnswerForm, chunk, write_answer
 from tests.platform.standin_endless import EndlessAnswer
 from tests.platform.standin_http import Call
 
@@ -89,7 +89,7 @@
     crash_part_at: list[float] = field(default_factory=list)
     # Closes the port of this server.
     close_port: Callable[[], Awaitable[None]] | None = None
-    # Runs before an answer in a form is broken off.
+    # Runs before the connection of an answer in a form that is broken off ends.
     before_end: Callable[[], Awaitable[None]] | None = None
     # The forms of its next answers; servers may share the list.
     forms: list[AnswerForm] = field(default_factory=list)
@@ -261,10 +261,10 @@
             numbers = range(int(call.headers.get("last-event-id") or "-1") + 1, self.event_count)
             parts = [f"id: {number}\ndata: piece {number}\n\n".encode() for number in numbers]
         form = self.forms.pop(0)
-        if form.breaks is not Break.NOWHERE and self.before_end is not None:
-            await self.before_end()
-        is_complete = await write_answer(call, form, answer_headers, parts)
+        is_complete = await write_answer(call, form, answer_headers, parts, self.event_interval_s)
         request.outcome = "complete" if is_complete else "reset"
+        if not is_complete and self.before_end is not None:
+            await self.before_end()
         return False
 
     async def _answer_plain(
--- a/tests/platform/test_broken_off.py
+++ b/tests/platform/test_broken_off.py
@@ -92,14 +92,15 @@
         assert_true_end(path, answer)
 
 
-def test_unframed_answer_of_a_server_that_is_leaving_is_complete(tmp_path: Path) -> None:
-    # Guards against whole answers that are taken for broken ones when a server stops.
+def test_half_an_answer_of_a_server_that_said_it_is_leaving_is_not_complete(
+    tmp_path: Path,
+) -> None:
+    # Guards against taking the exit of a server that leaves for the end of its answer.
     with PlatformWorld(tmp_path, engines=1) as world:
         world.close_port_at_break("lm-1")
         world.servers["lm-1"].is_leaving = True
         form = AnswerForm(Framing.CONNECTION_END, Break.AFTER_PART)
-        answer = send_in_form(world, "/lm/doc/", "entry-1", form)
-        assert (answer.status, answer.is_cut, len(answer.event_data)) == (200, False, 3)
+        assert send_in_form(world, "/lm/doc/", "entry-1", form).is_cut
 
 
 def test_inferred_end_is_logged_with_its_evidence(tmp_path: Path) -> None:
--- a/tests/platform/test_early_ends.py
+++ b/tests/platform/test_early_ends.py
@@ -21,6 +21,8 @@
 from tests.platform.platform_world import Departure, PlatformWorld, until
 from tests.platform.standin_answers import AnswerForm, Break, Framing
 
+BORN = 1_700_000_000_000
+EVENT_INTERVAL_S = 0.05
 HALF = AnswerForm(Framing.CONNECTION_END, Break.AFTER_PART)
 WHOLE = AnswerForm(Framing.CONNECTION_END)
 
@@ -31,7 +33,7 @@
     tmp_path: Path, departure: Departure, path: str
 ) -> None:
     # Guards against taking the end of a server's process for the end of its answer.
-    with CutWorld(tmp_path) as world:
+    with CutWorld(tmp_path, born=BORN) as world:
         for name in world.servers:
             world.go_at_break(name, departure)
         assert_true_end(path, send_in_form(world, path, "entry-1", HALF))
@@ -43,7 +45,7 @@
     tmp_path: Path, departure: Departure, path: str
 ) -> None:
     # Guards against skipping the check where a peer carries the connection.
-    with CutWorld(tmp_path, instances=2) as world:
+    with CutWorld(tmp_path, instances=2, born=BORN) as world:
         world.cut("entry-2", REFUSE_NEW)
         until(partial(_serves, world, "entry-2"), "the instance without paths serves")
         for name in world.servers:
@@ -54,9 +56,12 @@
 @pytest.mark.parametrize("path", [*STREAMS, *PLAIN])
 def test_whole_answer_of_a_server_that_is_leaving_arrives_whole(tmp_path: Path, path: str) -> None:
     # Guards against breaking off the answers that a server completes before it goes.
-    with PlatformWorld(tmp_path) as world:
+    with PlatformWorld(tmp_path, born=BORN) as world:
+        # A connection is left from earlier calls, or there is time to open one.
+        assert world.send(path).status == 200
         for server in world.servers.values():
             server.is_leaving = True
+            server.event_interval_s = EVENT_INTERVAL_S
         answer = send_in_form(world, path, "entry-1", WHOLE)
         assert (answer.status, answer.is_cut) == (200, False)
         assert is_whole(path, answer)
