Believe a refusal on a kept connection only if it names the request

What servers saw: a stream that must not be repeated ran more than once; with one server only, its caller was told 503, not run, after it had run.

Cause: judge_answer believes X-Not-Executed and 421 without an attempt ID, on a connection that has carried another request. An extra answer may arrive there where the next one is expected, and the request runs after it. The class: a word of a server is believed though nothing ties it to this request.

Ruled out: plain calls that must not be repeated (a connection of their own, now held by a test), the other ways to send again: a write that failed half way counts as sent (the first byte is reported before it is written), a stream that was stopped after it was sent counts as possibly run, and a killed peer ends an attempt as broken.

Fix: a refusal is identified by the request's ID, or by being the first answer on its connection. Any other shows nothing: what must not be repeated ends as unknown (502); what may be repeated runs elsewhere and is never told as not run; nothing that the answer states of its server counts; the connection is closed, as the real answer may follow on it. The same at the own interface: a refusal with another ID was believed before the ID was looked at, and an answer of an engine without an ID on a kept connection was passed on.

--- a/packages/turmericweir-core/turmericweir_core/messages/events.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/events.py
@@ -54,6 +54,9 @@
 
     status: int
     leaving: bool
+    # The refusal names the request, or is the first answer on its connection. Any other may be
+    # meant for another request, so it does not show that this one was not started.
+    is_identified: bool = True
 
 
 class EndUnsent(Struct, frozen=True):
--- a/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
@@ -195,7 +195,9 @@
 def _may_have_begun(state: State, now: float, req: Request, end: AttemptEnd) -> bool:
     """Return whether the end of an attempt shows that its server may have begun it."""
     attempt = req.attempt
-    if attempt is None or not attempt.sent or isinstance(end, EndRefused | EndUnsent):
+    if attempt is None or not attempt.sent or isinstance(end, EndUnsent):
+        return False
+    if isinstance(end, EndRefused) and end.is_identified:
         return False
     if req.kind is not ServiceKind.MODEL:
         return True
@@ -250,6 +252,12 @@
                 answer=answer,
             )
             return finish_effects + learning_effects
+        case EndRefused(status, is_identified=False):
+            req.may_have_run = True
+            error = f"a refusal ({status}) that names no request"
+            log = _failure_log(req, attempt, "unidentified_refusal", error)
+            effects = _handle_loss(state, now, req, attempt, Reason.OVERLOAD, RetryCause.REFUSED)
+            return [log, *effects]
         case EndRefused(_, is_leaving):
             if is_leaving:
                 note_leaving(state.servers, attempt.server)
--- a/packages/turmericweir/turmericweir/servers/backend_attempt.py
+++ b/packages/turmericweir/turmericweir/servers/backend_attempt.py
@@ -70,6 +70,7 @@
         "_check_alive",
         "_conn",
         "_first_byte",
+        "_is_first_answer",
         "_is_reused",
         "_witness",
         "answer",
@@ -89,6 +90,8 @@
     _first_byte: FirstByteCallback
     # Whether the connection has carried an earlier request.
     _is_reused: bool
+    # Whether the connection has carried no earlier request, so that no answer to one can arrive.
+    _is_first_answer: bool
     _check_alive: AliveCheck
     # While an answer is read that does not tell its own end.
     _witness: Witness | None
@@ -111,6 +114,7 @@
         self.answer = AnswerRecord()
         self._first_byte = FirstByteCallback(self._report_sent)
         self._is_reused = False
+        self._is_first_answer = False
         self._conn = None
 
     @property
@@ -149,6 +153,7 @@
             try:
                 if is_expired():
                     return EndCancelled(0)
+                self._is_first_answer = not conn.has_sent
                 request = make_request()
                 response = await conn.send(request, self._first_byte)
                 self.answer.begin(request, response)
@@ -238,14 +243,32 @@
         """Return the refusal if the server reported that it had not started the request."""
         if headers.get(NOT_STARTED) != _TRUE:
             return None
-        self.log_refusal(response.status, has_id=ATTEMPT_ID in headers)
-        await read_tail(response)
-        return EndRefused(response.status, headers.get(LEAVING) == _TRUE)
+        echoed_id = headers.get(ATTEMPT_ID)
+        if echoed_id not in (None, self.start.attempt_id.encode("ascii")):
+            return None
+        is_leaving = headers.get(LEAVING) == _TRUE
+        return await self.end_refused(response, is_leaving, has_id=echoed_id is not None)
 
-    def log_refusal(self, status: int, *, has_id: bool) -> None:
-        """Log and count a refusal that does not say which request it answers."""
-        if has_id:
-            return
+    async def end_refused(
+        self, response: httpcore.Response, is_leaving: bool, *, has_id: bool
+    ) -> EndRefused:
+        """Return the end of an attempt that the server refused.
+
+        A refusal without an ID that may answer an earlier request is not read to its end, so that
+        its connection is closed: the answer to this request may follow.
+        """
+        is_identified = self.is_identified(has_id=has_id)
+        if is_identified:
+            await read_tail(response)
+        if not has_id:
+            self._log_refusal(response.status)
+        return EndRefused(response.status, is_leaving, is_identified)
+
+    def is_identified(self, *, has_id: bool) -> bool:
+        """Return whether an answer can only be meant for this attempt."""
+        return has_id or self._is_first_answer
+
+    def _log_refusal(self, status: int) -> None:
         start = self.start
         self.node.count("attempt.refusal_without_id")
         logs.write(
@@ -254,7 +277,7 @@
             attempt_id=start.attempt_id,
             peer=start.server,
             status=status,
-            kept_connection=self._is_reused,
+            kept_connection=not self._is_first_answer,
         )
 
     def is_matching_answer(self, headers: Mapping[bytes, bytes], *, required: bool) -> bool:
--- a/packages/turmericweir/turmericweir/servers/backend_engine.py
+++ b/packages/turmericweir/turmericweir/servers/backend_engine.py
@@ -116,7 +116,8 @@
             return EndServerError(status)
         content_type = headers.get(b"content-type", b"")
         is_stream = status == 200 and content_type.startswith(_EVENT_STREAM)
-        if not self._attempt.is_matching_answer(headers, required=is_stream):
+        is_required = is_stream or not self._attempt.is_identified(has_id=False)
+        if not self._attempt.is_matching_answer(headers, required=is_required):
             return EndBroken("the answer belongs to another attempt", server_alive=True)
         if is_stream:
             return await self._stream(response)
--- a/packages/turmericweir/turmericweir/servers/backend_pool.py
+++ b/packages/turmericweir/turmericweir/servers/backend_pool.py
@@ -51,7 +51,7 @@
 class BackendConnection:
     """One HTTP connection, for one request at a time."""
 
-    __slots__ = ("_has_sent", "_http", "_stream", "is_reused", "opened_at", "via")
+    __slots__ = ("_http", "_stream", "has_sent", "is_reused", "opened_at", "via")
 
     _http: httpcore.AsyncHTTP11Connection
     _stream: BackendStream
@@ -61,7 +61,7 @@
     # None for a direct connection.
     via: Via | None
     # Whether a request was sent on it.
-    _has_sent: bool
+    has_sent: bool
 
     def __init__(self, address: str, stream: BackendStream, via: Via | None = None) -> None:
         host, _, port = address.rpartition(":")
@@ -71,7 +71,7 @@
         self.opened_at = anyio.current_time()
         self.via = via
         self.is_reused = False
-        self._has_sent = False
+        self.has_sent = False
 
     async def send(
         self, request: httpcore.Request, before_write: Callable[[], None]
@@ -81,7 +81,7 @@
         Calls `before_write` on the open connection just before the first byte is written, which is
         before the server can start.
         """
-        self._has_sent = True
+        self.has_sent = True
         self._stream.before_write = before_write
         self._stream.framing.reset()
         return await self._http.handle_async_request(request)
@@ -93,7 +93,7 @@
         Surplus bytes after an answer make it unusable. Prevents reading them as the start of the
         next answer, which is for another caller.
         """
-        if not self._has_sent:
+        if not self.has_sent:
             return True
         return self._http.is_idle() and not self._has_leftover()
 
--- a/packages/turmericweir/turmericweir/servers/forward.py
+++ b/packages/turmericweir/turmericweir/servers/forward.py
@@ -25,7 +25,7 @@
 )
 from turmericweir.process import logs
 from turmericweir.servers.answer_size import AnswerTooLargeError, BodyBound
-from turmericweir.servers.backend_attempt import Attempt, can_connect, read_tail
+from turmericweir.servers.backend_attempt import Attempt, can_connect
 from turmericweir.servers.backend_call import body_of, lower_headers
 from turmericweir.servers.server_life import StatusCheck
 from turmericweir_core.base.request import Request
@@ -37,7 +37,6 @@
     AttemptProgress,
     EndBroken,
     EndComplete,
-    EndRefused,
     EndServerError,
 )
 
@@ -194,17 +193,18 @@
 
     async def _consume(self, response: httpcore.Response) -> AttemptEnd:
         headers = lower_headers(response)
-        self._report_notice(response.status, headers)
         verdict = self._job._wire.judge_answer(self._call, response.status, headers)
         match verdict:
             case AnswerNotRun(leaving, has_id):
-                self._attempt.log_refusal(response.status, has_id=has_id)
-                await read_tail(response)
-                return EndRefused(response.status, leaving)
+                if self._attempt.is_identified(has_id=has_id):
+                    self._report_notice(response.status, headers)
+                return await self._attempt.end_refused(response, leaving, has_id=has_id)
             case AnswerRejected(error):
+                self._report_notice(response.status, headers)
                 self._node.count("attempt.spoiled")
                 return EndBroken(error, server_alive=True, is_malformed=True)
             case AnswerAccepted():
+                self._report_notice(response.status, headers)
                 response_headers = [(name.lower(), value) for name, value in response.headers]
                 if self._call.streamed and _is_event_stream(response.status, headers):
                     return await self._deliver_stream(response, response_headers)
--- a/tests/core/lifecycle_script.py
+++ b/tests/core/lifecycle_script.py
@@ -57,6 +57,7 @@
     "complete": EndComplete(200),
     "refused": EndRefused(503, leaving=False),
     "leaving": EndRefused(503, leaving=True),
+    "unidentified": EndRefused(503, leaving=True, is_identified=False),
     "unsent": EndUnsent("connect failed"),
     "broken": EndBroken("reset", server_alive=True),
     "crashed": EndBroken("reset", server_alive=False),
--- a/tests/core/requests/test_lifecycle.py
+++ b/tests/core/requests/test_lifecycle.py
@@ -163,7 +163,7 @@
             if observed.tokens:
                 # It has begun and cannot be refused any more.
                 end = EndBroken("reset", server_alive=True)
-            else:
+            elif end.is_identified:
                 observed.may_have_begun -= 1
         if isinstance(end, EndCancelled) and not attempt.cancelled:
             return
@@ -202,6 +202,7 @@
     [
         EndComplete(200),
         EndRefused(503, leaving=False),
+        EndRefused(503, leaving=True, is_identified=False),
         EndUnsent("connect failed"),
         EndBroken("reset", server_alive=True),
         EndBroken("reset", server_alive=False),
--- a/tests/platform/standin_server.py
+++ b/tests/platform/standin_server.py
@@ -175,7 +175,8 @@
                     return False
             case "extra_refusal" if call.earlier_requests:
                 # Meant for no request, and without the ID of one.
-                await call.answer(self.extra_status, b"", {"X-Not-Executed": "1", **notices})
+                extra_headers = {"X-Not-Executed": "1", "Server-Limit": "1", "Server-Leaving": "1"}
+                await call.answer(self.extra_status, b"", extra_headers)
             case "shed":
                 request.was_run = False
                 refusal_headers = {"X-Attempt-Id": attempt_id, "X-Not-Executed": "1", **notices}
--- a/tests/platform/test_untied_refusals.py
+++ b/tests/platform/test_untied_refusals.py
@@ -1,4 +1,4 @@
-"""Tests of refusals that nothing ties to the request after which they arrive."""
+"""Tests of refusals that do not name the request after which they arrive."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 
 import pytest
 
-from tests.platform.platform_world import PlatformWorld
+from tests.platform.platform_world import PlatformWorld, until
 
 # They tell a caller that its request was not run.
 PROMISES = {408, 421, 429, 503}
@@ -53,8 +53,18 @@
 ) -> None:
     # Guards against failing what may run again because of bytes that belong to no request.
     _use_connections(world, path)
-    world.set_mode("extra_refusal", request_count=1)
-    assert world.send(path).status == 200
+    world.set_mode("extra_refusal", "lm-1", "shop-1", request_count=1)
+    assert [world.send(path).status for _ in range(4)] == [200] * 4
+
+
+def test_statement_of_an_extra_refusal_is_not_believed(world: PlatformWorld) -> None:
+    # Guards against a server that gets no work, or a limit, by an answer that is meant for nobody.
+    _use_connections(world, "/lm/chat/")
+    world.set_mode("extra_refusal")
+    world.send("/lm/chat/")
+    instance = world.running["entry-1"]
+    until(lambda: bool(instance.logged("refusal_without_id")), "the refusal is logged")
+    assert not any(instance.logged(event) for event in ("server_limited", "server_leaving"))
 
 
 def _use_connections(world: PlatformWorld, path: str) -> None:
