Let a service's load report show that it is the same start, where no witness is older than the end

Cause: at the own interface an unframed answer arrives whole with its head, before a witness can be open, and a name alone does not tell one start of a service from another. Now the status check says whether an answer names this start: by the incarnation of the load report there, by the name on the platform where every start has one of its own.

--- a/packages/turmericweir/turmericweir/servers/backend_service.py
+++ b/packages/turmericweir/turmericweir/servers/backend_service.py
@@ -36,6 +36,7 @@
     EndBroken,
     EndComplete,
 )
+from turmericweir_core.state.server_table import reported_incarnation
 
 if TYPE_CHECKING:
     from turmericweir.answers.caller_answer import PlainAnswer
@@ -57,17 +58,14 @@
 _ROUTER_HEADER_PREFIX: Final = b"turmericweir-"
 
 
-def _read_name(answer: Answer) -> str:
-    """Return the name in the load report of a service; empty if it names none."""
+def _read_incarnation(answer: Answer) -> str:
+    """Return the incarnation in a load report; empty if it has none."""
     try:
         report = answer.json()
     except DECODE_ERRORS:
         return ""
-    name = report.get("name") if isinstance(report, dict) else None
-    return name if isinstance(name, str) else ""
-
-
-_STATUS_CHECK: Final = StatusCheck(LOAD_PATH.encode(), _read_name)
+    value = report.get("incarnation") if isinstance(report, dict) else None
+    return value if isinstance(value, str) else ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,7 +146,16 @@
             plain_call.method, self._start.address, plain_call.target, headers, plain_call.body
         )
         return await self._attempt.run(
-            lambda: request, self._consume, make_status_check=lambda: _STATUS_CHECK
+            lambda: request, self._consume, make_status_check=self._make_status_check
+        )
+
+    def _make_status_check(self) -> StatusCheck:
+        server = self._node.state.servers.by_name.get(self._start.server)
+        incarnation = "" if server is None else reported_incarnation(server)
+        return StatusCheck(
+            LOAD_PATH.encode(),
+            names_other=lambda answer: _read_incarnation(answer) not in ("", incarnation),
+            names_start=lambda answer: _read_incarnation(answer) == incarnation != "",
         )
 
     async def _consume(self, response: httpcore.Response) -> AttemptEnd:
--- a/packages/turmericweir/turmericweir/servers/server_life.py
+++ b/packages/turmericweir/turmericweir/servers/server_life.py
@@ -48,9 +48,8 @@
 
     # The witness got an answer.
     ANSWERED = "answered"
-    # No witness did; a new connection got an answer of the server, whose every start has a name of
-    # its own.
-    SAME_NAME = "same_name"
+    # No witness did; an answer on a new connection names the same start of the server.
+    SAME_START = "same_start"
     # The witness has ended.
     EXITED = "exited"
     # Its entry names another start.
@@ -66,7 +65,7 @@
     @property
     def shows_life(self) -> bool:
         """Whether the server has outlived the end."""
-        return self in (EndEvidence.ANSWERED, EndEvidence.SAME_NAME)
+        return self in (EndEvidence.ANSWERED, EndEvidence.SAME_START)
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,8 +74,10 @@
 
     # Empty if there is none.
     target: bytes
-    # Returns the name of the server that answered; empty if the answer does not name it.
-    read_name: Callable[[Answer], str]
+    # Returns whether an answer names another server.
+    names_other: Callable[[Answer], bool]
+    # Returns whether an answer names this start of the server.
+    names_start: Callable[[Answer], bool]
 
 
 class Witness:
@@ -180,15 +181,12 @@
             if conn.is_closed_by_server:
                 return EndEvidence.EXITED
             answer = await self._call(conn)
-            if answer is not None and self._check.read_name(answer) in ("", self._start.server):
-                return EndEvidence.ANSWERED
-            return EndEvidence.NO_ANSWER
-        if self._incarnation:
-            # A name alone does not tell one start of the server from another.
-            return EndEvidence.NO_ANSWER
-        return await self._ask_by_name()
+            if answer is None or self._check.names_other(answer):
+                return EndEvidence.NO_ANSWER
+            return EndEvidence.ANSWERED
+        return await self._ask_for_start()
 
-    async def _ask_by_name(self) -> EndEvidence:
+    async def _ask_for_start(self) -> EndEvidence:
         address = self._start.address
         try:
             conn = await self._pool.acquire(address, via=via_of(self._start))
@@ -198,9 +196,9 @@
             answer = await self._call(conn)
         finally:
             await self._pool.release(address, conn)
-        if answer is not None and self._check.read_name(answer) == self._start.server:
-            return EndEvidence.SAME_NAME
-        return EndEvidence.NO_ANSWER
+        if answer is None or not self._check.names_start(answer):
+            return EndEvidence.NO_ANSWER
+        return EndEvidence.SAME_START
 
     async def _call(self, conn: BackendConnection) -> Answer | None:
         """Return the answer to a status check on a connection, or None if there is none."""
--- a/tests/daemon/single.py
+++ b/tests/daemon/single.py
@@ -275,12 +275,15 @@
     address: str
     # Received requests other than load probes.
     requests: list[RawRequest]
+    # Replaces the incarnation in its load reports if it is not empty.
+    incarnation: str
 
     def __init__(self, answer: Callable[[RawRequest], bytes], model: str = MODEL) -> None:
         self._answer = answer
         # The model that it reports as loaded.
         self._model = model
         self.requests = []
+        self.incarnation = ""
         self._sock = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self._sock.getsockname()[1]}"
         self._thread = threading.Thread(target=self._serve, daemon=True)
@@ -321,7 +324,10 @@
 
     def _answer_to(self, request: RawRequest) -> bytes:
         if request.line.startswith("GET /v1/load "):
-            body = json.dumps({**LOAD, "models": [self._model]}).encode()
+            report = {**LOAD, "models": [self._model]}
+            if self.incarnation:
+                report["incarnation"] = self.incarnation
+            body = json.dumps(report).encode()
             return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
         self.requests.append(request)
         return self._answer(request)
--- a/tests/daemon/test_path.py
+++ b/tests/daemon/test_path.py
@@ -148,6 +148,32 @@
     assert reply.headers["turmericweir-outcome"] == "completed"
 
 
+def test_plain_answer_without_a_length_is_whole_while_its_service_lives(single: Single) -> None:
+    # Guards against breaking off the answers of services that frame none.
+    with RawServer(lambda _: b"HTTP/1.1 200 OK\r\n\r\nall of it") as raw:
+        single.cluster.publish({"/services/unframed": {"kind": "plain", "slots": 4}})
+        single.list_test_server("unframed-1", "plain", "unframed", raw.address)
+        reply = single.call("GET", "/services/unframed/any")
+
+    assert (reply.status, reply.body) == (200, b"all of it")
+    assert reply.headers["turmericweir-outcome"] == "completed"
+
+
+def test_plain_answer_of_a_service_that_has_started_again_is_not_whole(single: Single) -> None:
+    # Guards against taking the exit of a service for the end of its answer.
+    def answer(_request: RawRequest) -> bytes:
+        raw.incarnation = "next"
+        return b"HTTP/1.1 200 OK\r\n\r\nhalf of "
+
+    with RawServer(answer) as raw:
+        single.cluster.publish({"/services/again": {"kind": "plain", "slots": 4}})
+        single.list_test_server("again-1", "plain", "again", raw.address)
+        conn, response = single.open("GET", "/services/again/any")
+        with pytest.raises(ConnectionResetError):
+            response.read()
+        conn.close()
+
+
 def test_partial_plain_answer_ends_in_a_reset(single: Single) -> None:
     # After a normal close a caller could treat a partial answer as complete. Instances must reset
     # the connection instead.
