--- a/tests/daemon/test_path.py
+++ b/tests/daemon/test_path.py
@@ -153,6 +153,7 @@
     with RawServer(lambda _: b"HTTP/1.1 200 OK\r\n\r\nall of it") as raw:
         single.cluster.publish({"/services/unframed": {"kind": "plain", "slots": 4}})
         single.list_test_server("unframed-1", "plain", "unframed", raw.address)
+        single.wait_report("unframed-1")
         reply = single.call("GET", "/services/unframed/any")
 
     assert (reply.status, reply.body) == (200, b"all of it")
@@ -168,6 +169,7 @@
     with RawServer(answer) as raw:
         single.cluster.publish({"/services/again": {"kind": "plain", "slots": 4}})
         single.list_test_server("again-1", "plain", "again", raw.address)
+        single.wait_report("again-1")
         conn, response = single.open("GET", "/services/again/any")
         with pytest.raises(ConnectionResetError):
             response.read()
