Play exits within answers and refusals for nobody in the soak

Servers exit when they have sent half an answer without a length, close all connections and their port normally, and start again under their names; others send refusals without an ID where the next answer is due; instances are killed, stopped and frozen meanwhile, the store is away and servers leave.

--- a/tests/platform/platform_world.py
+++ b/tests/platform/platform_world.py
@@ -245,6 +245,26 @@
             case unreachable:
                 assert_never(unreachable)
 
+    def exit_in_answer(self, name: str, down_s: float) -> None:
+        """Make the process of a server exit in its next answer that is broken off, and return."""
+        self.servers[name].before_end = partial(self._exit_for, name, down_s)
+
+    async def _exit_for(self, name: str, down_s: float) -> None:
+        self.servers[name].before_end = None
+        listener = self._listeners.get(name)
+        if listener is None:
+            return
+        listener.close_port()
+        listener.close_connections()
+
+        async def start() -> None:
+            if not self._is_closing and self._listeners.get(name) is listener:
+                await listener.start()
+                self.register(name, born=time.time_ns() // 1_000_000)
+
+        loop = asyncio.get_running_loop()
+        loop.call_later(down_s, lambda: self._start_tasks.append(loop.create_task(start())))
+
     def _exit_and_come_back(self, name: str) -> None:
         listener = self._listeners[name]
         listener.close_port()
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -97,6 +97,8 @@
     world_class: ClassVar[type[PlatformWorld]] = PlatformWorld
     engines: ClassVar[int] = 3
     versions: ClassVar[tuple[str, ...]] = ()
+    # Whether no two requests are alike, so that none is held against another at crashes.
+    has_unique_requests: ClassVar[bool] = False
 
     world: PlatformWorld
     rng: Random
@@ -151,6 +153,8 @@
     ) -> None:
         kind = rng.choice(("look", "buy", "chat", "doc"))
         path = {"look": "/shop/look/", "buy": "/shop/buy/"}.get(kind, f"/lm/{kind}/")
+        if self.has_unique_requests:
+            path += request_id
         key = rng.choice((KEY, SECOND_KEY))
         method = "GET" if kind == "look" else "POST"
         body = b"" if kind == "look" else b"body"
@@ -509,7 +513,14 @@
 
 
 def _choose_soak(
-    *, notices: bool, cuts: bool, versions: bool, brittle: bool, breaks: bool, copies: bool
+    *,
+    notices: bool,
+    cuts: bool,
+    versions: bool,
+    brittle: bool,
+    breaks: bool,
+    copies: bool,
+    ends: bool,
 ) -> type[Soak]:
     # Imported late, as these modules import this one.
     if notices:
@@ -536,6 +547,10 @@
         from tests.platform.soak_copies import CopySoak
 
         return CopySoak
+    if ends:
+        from tests.platform.soak_ends import EndSoak
+
+        return EndSoak
     return Soak
 
 
@@ -554,6 +569,9 @@
     parser.add_argument(
         "--copies", action="store_true", help="the store comes back from copies; all are killed"
     )
+    parser.add_argument(
+        "--ends", action="store_true", help="servers exit in answers; refusals name no request"
+    )
     args = parser.parse_args()
     make_soak = _choose_soak(
         notices=args.notices,
@@ -562,6 +580,7 @@
         brittle=args.brittle,
         breaks=args.breaks,
         copies=args.copies,
+        ends=args.ends,
     )
     first, _, last = args.seeds.partition("-")
     failed_seeds = 0
--- a/tests/platform/standin_http.py
+++ b/tests/platform/standin_http.py
@@ -100,6 +100,11 @@
         for writer in self._writers - self._busy_writers:
             writer.close()
 
+    def close_connections(self) -> None:
+        """Close all connections normally, also those that carry requests."""
+        for writer in self._writers:
+            writer.close()
+
     async def stop(self) -> None:
         """Close the port and reset open connections."""
         self.close_port()
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -10,6 +10,7 @@
 from tests.platform.soak_breaks import BreakSoak
 from tests.platform.soak_copies import CopySoak
 from tests.platform.soak_cuts import CutSoak
+from tests.platform.soak_ends import EndSoak
 from tests.platform.soak_notices import NoticeSoak
 from tests.platform.soak_versions import VersionSoak
 
@@ -55,3 +56,11 @@
     # Guards against keys, servers and settings that a copy of the store brings back, and against
     # joined streams where all instances are killed at once.
     assert not soak.run(1, 14.0, tmp_path, CopySoak)
+
+
+def test_no_end_and_no_refusal_is_believed_without_evidence_in_random_trouble(
+    tmp_path: Path,
+) -> None:
+    # Guards against the exit of a server that looks like the end of its answer, and against second
+    # runs after refusals that were meant for no request.
+    assert not soak.run(1, 14.0, tmp_path, EndSoak)
