Read the entries again before a name alone shows that a server has lived on

Cause: the same class once more, a missing entry field made something true. Shown by a trial with real processes: entry without a start, exit and new entry with one: same_start, 200 with half the body; with a start in the first entry: no_answer, 502.

Fix: where entries name no start, the entries must be read after the answer to the status check, and still name the server so. The soak prints what an instance logged of a request whose answer is wrong, and its servers name their starts from the beginning.

--- a/packages/turmericweir/turmericweir/servers/forward.py
+++ b/packages/turmericweir/turmericweir/servers/forward.py
@@ -135,13 +135,14 @@
     def _make_status_check(self) -> StatusCheck:
         server = self._node.state.servers.by_name.get(self._start.server)
         target = b"" if server is None else server.service.health_path.encode()
+        name, read_name = self._start.server, self._job._wire.read_server_name
         # Where entries name no incarnation, every start of a server has a name of its own.
         is_name_enough = server is not None and not server.entry.incarnation
-        name, read_name = self._start.server, self._job._wire.read_server_name
         return StatusCheck(
             target,
             names_other=lambda answer: read_name(answer.headers) not in ("", name),
-            names_start=lambda answer: is_name_enough and read_name(answer.headers) == name,
+            names_server=lambda answer: is_name_enough and read_name(answer.headers) == name,
+            names_start=lambda _: False,
         )
 
     @property
--- a/packages/turmericweir/turmericweir/servers/server_life.py
+++ b/packages/turmericweir/turmericweir/servers/server_life.py
@@ -41,6 +41,9 @@
 EXIT_S: Final = 0.25
 # Time limit for the answer to a status check, which may wait for a slot of the server.
 CHECK_TIMEOUT_S: Final = 1.0
+# Limit of the looks for a newer read of the servers' entries, and the time between two.
+_ENTRIES_POLLS: Final = 30
+_ENTRIES_POLL_S: Final = 0.05
 
 
 class EndEvidence(StrEnum):
@@ -50,6 +53,9 @@
     ANSWERED = "answered"
     # No witness did; an answer on a new connection names the same start of the server.
     SAME_START = "same_start"
+    # No witness did; an answer on a new connection names the server, and the entries that were read
+    # after it name the same start.
+    LISTED = "listed"
     # The witness has ended.
     EXITED = "exited"
     # Its entry names another start.
@@ -65,7 +71,7 @@
     @property
     def shows_life(self) -> bool:
         """Whether the server has outlived the end."""
-        return self in (EndEvidence.ANSWERED, EndEvidence.SAME_START)
+        return self in (EndEvidence.ANSWERED, EndEvidence.SAME_START, EndEvidence.LISTED)
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +82,8 @@
     target: bytes
     # Returns whether an answer names another server.
     names_other: Callable[[Answer], bool]
+    # Returns whether an answer names the server, where its entry tells one start from another.
+    names_server: Callable[[Answer], bool]
     # Returns whether an answer names this start of the server.
     names_start: Callable[[Answer], bool]
 
@@ -196,9 +204,23 @@
             answer = await self._call(conn)
         finally:
             await self._pool.release(address, conn)
-        if answer is None or not self._check.names_start(answer):
+        if answer is None:
             return EndEvidence.NO_ANSWER
-        return EndEvidence.SAME_START
+        if self._check.names_start(answer):
+            return EndEvidence.SAME_START
+        if self._check.names_server(answer) and await self._is_still_listed():
+            return EndEvidence.LISTED
+        return EndEvidence.NO_ANSWER
+
+    async def _is_still_listed(self) -> bool:
+        """Return whether entries that are read from now on name the same start of the server."""
+        state, asked_at = self._node.state, anyio.current_time()
+        for _ in range(_ENTRIES_POLLS):
+            if state.registry.read_at > asked_at:
+                server = state.servers.by_name.get(self._start.server)
+                return server is not None and server.entry.incarnation == self._incarnation
+            await anyio.sleep(_ENTRIES_POLL_S)
+        return False
 
     async def _call(self, conn: BackendConnection) -> Answer | None:
         """Return the answer to a status check on a connection, or None if there is none."""
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -99,6 +99,8 @@
     versions: ClassVar[tuple[str, ...]] = ()
     # Whether no two requests are alike, so that none is held against another at crashes.
     has_unique_requests: ClassVar[bool] = False
+    # When the servers started, as their entries say; None if they say nothing of it at first.
+    born: ClassVar[int | None] = None
 
     world: PlatformWorld
     rng: Random
@@ -360,7 +362,7 @@
         runs = self.world.runs(sent.request_id)
         violations = []
         if sent.kind in ("buy", "doc") and len(runs) > 1:
-            violations.append(f"{sent} ran {len(runs)} times")
+            violations += [f"{sent} ran {len(runs)} times", *self._log_lines(sent)]
         answer = sent.answer
         if answer is None:
             if self._was_stopped_gracefully(sent):
@@ -378,10 +380,10 @@
                 and not self.is_complete_stream(answer.event_data)
                 and sent.kind in STREAMS
             ):
-                violations.append(f"{sent} got {answer.event_data}")
+                violations += [f"{sent} got {answer.event_data}", *self._log_lines(sent)]
             is_plain_answer = answer.body == EXTRA_MODE_BODY or answer.body.startswith(b"by shop-")
             if sent.kind not in STREAMS and not is_plain_answer:
-                violations.append(f"{sent} got {answer.body!r}")
+                violations += [f"{sent} got {answer.body!r}", *self._log_lines(sent)]
         if answer.status == 200 and sent.key == SECOND_KEY:
             window_start = sent.sent_at - REVOKE_S - SLACK_S
             # A request that waited in a frozen process may run after the key was restored.
@@ -444,6 +446,7 @@
         plain_servers=3,
         instances=3,
         versions=make_soak.versions,
+        born=make_soak.born,
         bounds=bounds,
     ) as world:
         soak = make_soak(world, Random(seed))
--- a/tests/platform/soak_ends.py
+++ b/tests/platform/soak_ends.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import ClassVar, Final
@@ -24,12 +23,12 @@
     """A soak whose faults include exits within answers, and refusals that name no request."""
 
     has_unique_requests: ClassVar[bool] = True
+    born: ClassVar[int | None] = 1_700_000_000_000
 
     def __post_init__(self) -> None:
-        """Let connections carry several streams, and entries name the starts of servers."""
-        for name, server in self.world.servers.items():
+        """Let connections carry several streams."""
+        for server in self.world.servers.values():
             server.keeps_streams = True
-            self.world.register(name, born=time.time_ns() // 1_000_000)
 
     def faults(self) -> Sequence[Callable[[EndSoak], None]]:
         """Return the faults of which one is drawn at a time."""
--- a/tests/platform/test_early_ends.py
+++ b/tests/platform/test_early_ends.py
@@ -39,6 +39,25 @@
         assert_true_end(path, send_in_form(world, path, "entry-1", HALF))
 
 
+def test_half_an_answer_of_a_server_whose_first_entry_names_no_start_never_looks_whole(
+    tmp_path: Path,
+) -> None:
+    # Guards against taking a name alone for the same start of a server.
+    with PlatformWorld(tmp_path) as world:
+        for name in world.servers:
+            world.go_at_break(name, Departure.RESTARTED)
+        assert_true_end("/shop/buy/", send_in_form(world, "/shop/buy/", "entry-1", HALF))
+
+
+@pytest.mark.parametrize("path", PLAIN)
+def test_whole_answer_without_another_connection_arrives_whole(tmp_path: Path, path: str) -> None:
+    # Guards against breaking off whole answers of servers with which there is no other connection.
+    with PlatformWorld(tmp_path) as world:
+        answer = send_in_form(world, path, "entry-1", WHOLE)
+        assert (answer.status, answer.is_cut) == (200, False)
+        assert is_whole(path, answer)
+
+
 @pytest.mark.parametrize("path", ["/lm/doc/", "/lm/chat/", "/shop/buy/"])
 @pytest.mark.parametrize("departure", Departure, ids=lambda each: each.value)
 def test_half_an_answer_by_way_of_a_peer_never_looks_whole(
