Do not replace the witness of an answer, whose next process may have sent none of it

What callers saw: half a stream without a length that looks whole, where the caller reads slowly and the server exits and is back under its name before the end is read; its entry is not read again in that time.

Cause: the mend of the early ends opened a new witness whenever a part of the answer was read and the old one had ended, and compared its age with the moment at which the end was read. The end is read late where the caller is slow: bytes of the old process are still passed on while the new one accepts the witness. The same class once more: the end that was not seen yet was taken for evidence that there was none.

Fix: one witness for an answer, opened when its head is read. It counts if it is older than the request, or if the end of the answer had not arrived when it was open, which the socket shows even behind unread bytes. So a process that was stopped meanwhile is covered, too. Ruled out: to look whether the connection of the answer is quiet while the witness is open; after each read of a full window it is, for a moment.

--- a/packages/turmericweir/turmericweir/servers/backend_attempt.py
+++ b/packages/turmericweir/turmericweir/servers/backend_attempt.py
@@ -72,6 +72,7 @@
         "_first_byte",
         "_is_first_answer",
         "_is_reused",
+        "_sent_at",
         "_witness",
         "answer",
         "connection_error",
@@ -93,6 +94,8 @@
     # Whether the connection has carried no earlier request, so that no answer to one can arrive.
     _is_first_answer: bool
     _check_alive: AliveCheck
+    # When the request was sent; 0.0 before.
+    _sent_at: float
     # While an answer is read that does not tell its own end.
     _witness: Witness | None
     # The connection while the attempt runs.
@@ -115,6 +118,7 @@
         self._first_byte = FirstByteCallback(self._report_sent)
         self._is_reused = False
         self._is_first_answer = False
+        self._sent_at = 0.0
         self._conn = None
 
     @property
@@ -155,12 +159,14 @@
                     return EndCancelled(0)
                 self._is_first_answer = not conn.has_sent
                 request = make_request()
+                self._sent_at = anyio.current_time()
                 response = await conn.send(request, self._first_byte)
                 self.answer.begin(request, response)
                 if self.answer.is_framed or make_status_check is None:
                     end = await consume(response)
                 else:
-                    end = await self._consume_watched(consume, response, make_status_check())
+                    status_check = make_status_check()
+                    end = await self._consume_watched(consume, response, status_check, conn)
                 if conn.has_read_answer:
                     self.answer.note_read()
                 # Marks the connection as idle if the answer was read completely.
@@ -176,18 +182,19 @@
             return await self.classify_loss(describe_error(exc), is_malformed=_is_malformed(exc))
 
     async def _consume_watched(
-        self, consume: Consume, response: httpcore.Response, status_check: StatusCheck
+        self,
+        consume: Consume,
+        response: httpcore.Response,
+        status_check: StatusCheck,
+        conn: BackendConnection,
     ) -> AttemptEnd:
         """Consume an answer of which only the connection shows the end."""
-        async with Witness(self.node, self.pool, self.start, status_check) as witness:
+        async with Witness(
+            self.node, self.pool, self.start, status_check, conn, self._sent_at
+        ) as witness:
             self._witness = witness
             return await consume(response)
 
-    def note_chunk(self) -> None:
-        """Record that a part of the answer has arrived."""
-        if self._witness is not None:
-            self._witness.note_alive()
-
     def reject_oversized(self, error: str) -> EndBroken:
         """Return the end of an attempt whose answer exceeds a bound, so is no answer."""
         self.answer.note_oversized()
--- a/packages/turmericweir/turmericweir/servers/backend_pool.py
+++ b/packages/turmericweir/turmericweir/servers/backend_pool.py
@@ -113,9 +113,9 @@
         return bool(leftover) or self._stream.has_unread
 
     @property
-    def has_ended(self) -> bool:
-        """Return whether the end of the connection was received."""
-        return self._stream.has_ended
+    def has_end_arrived(self) -> bool:
+        """Return whether the end of the connection has arrived, be it behind unread bytes."""
+        return self._stream.has_end_arrived
 
     @property
     def is_closed_by_server(self) -> bool:
--- a/packages/turmericweir/turmericweir/servers/backend_service.py
+++ b/packages/turmericweir/turmericweir/servers/backend_service.py
@@ -172,7 +172,6 @@
         bounds = self._node.answer_bounds
         bound = BodyBound(bounds, response.status, is_sized=self._attempt.answer.is_sized)
         async for chunk in body_of(response):
-            self._attempt.note_chunk()
             bound.add(len(chunk))
             answer.buffer_body(chunk)
             if not answer.has_received_announced_length:
--- a/packages/turmericweir/turmericweir/servers/backend_stream.py
+++ b/packages/turmericweir/turmericweir/servers/backend_stream.py
@@ -221,9 +221,12 @@
         return self._protocol.held_bytes
 
     @property
-    def has_ended(self) -> bool:
-        """Return whether the other end has closed its side, or the connection is lost."""
-        return self._protocol.has_ended
+    def has_end_arrived(self) -> bool:
+        """Return whether the other end has closed its side, be it behind unread bytes."""
+        protocol = self._protocol
+        if protocol.has_ended or protocol.transport.is_closing():
+            return True
+        return self._poll(select.POLLRDHUP)
 
     @property
     def has_unread(self) -> bool:
@@ -243,9 +246,12 @@
         protocol = self._protocol
         if protocol.has_ended or protocol.received_chunks or protocol.transport.is_closing():
             return True
-        # Polls the socket, since the event loop may not have delivered the newest data yet.
+        return self._poll(select.POLLIN)
+
+    def _poll(self, events: int) -> bool:
+        """Return what the socket shows, which the event loop may not have delivered yet."""
         poll = select.poll()
-        poll.register(protocol.transport.get_extra_info("socket"), select.POLLIN)
+        poll.register(self._protocol.transport.get_extra_info("socket"), events)
         return bool(poll.poll(0))
 
 
--- a/packages/turmericweir/turmericweir/servers/forward.py
+++ b/packages/turmericweir/turmericweir/servers/forward.py
@@ -249,7 +249,6 @@
         event_max_bytes = self._node.answer_bounds.event_bytes
         try:
             async for chunk in body_of(response):
-                self._attempt.note_chunk()
                 events = tracker.count_ends(chunk)
                 if tracker.open_bytes > event_max_bytes:
                     raise AnswerTooLargeError(f"an event exceeds {event_max_bytes} bytes")
@@ -284,7 +283,6 @@
         bound = BodyBound(bounds, response.status, is_sized=self._attempt.answer.is_sized)
         body = b""
         async for chunk in body_of(response):
-            self._attempt.note_chunk()
             bound.add(len(chunk))
             body += chunk
             self._buffered_bytes = len(body)
--- a/packages/turmericweir/turmericweir/servers/server_life.py
+++ b/packages/turmericweir/turmericweir/servers/server_life.py
@@ -4,6 +4,10 @@
 of a process that exits. A witness is a connection to the same process that was opened before the
 end. An answer on it to a call that was sent after the end shows that the process lives, so it has
 closed the other connection on purpose. An error, a time-out or an unknown server shows nothing.
+
+The end may be read long after it was sent, for example if the caller reads slowly or this process
+was stopped meanwhile. So a witness is not replaced when it ends, and one that was opened after the
+request was sent counts only if the end had not arrived by then.
 """
 
 from __future__ import annotations
@@ -92,6 +96,7 @@
     """Owns the witness of one answer."""
 
     __slots__ = (
+        "_answer_conn",
         "_check",
         "_conn",
         "_incarnation",
@@ -99,6 +104,7 @@
         "_node",
         "_opening",
         "_pool",
+        "_sent_at",
         "_start",
     )
 
@@ -106,28 +112,38 @@
     _pool: BackendPool
     _start: StartAttempt
     _check: StatusCheck
+    # The connection of the answer, and when the request was sent on it.
+    _answer_conn: BackendConnection
+    _sent_at: float
     # The incarnation in the entry of the server when the answer began.
     _incarnation: str
-    # None until it is open, or if it cannot be opened.
+    # None until it is open, if it cannot be opened, or if the end had arrived by then.
     _conn: BackendConnection | None
-    # None while none is being opened.
-    _opening: anyio.CancelScope | None
+    _opening: anyio.CancelScope
     _is_closed: bool
 
     def __init__(
-        self, node: Node, pool: BackendPool, start: StartAttempt, check: StatusCheck
+        self,
+        node: Node,
+        pool: BackendPool,
+        start: StartAttempt,
+        check: StatusCheck,
+        answer_conn: BackendConnection,
+        sent_at: float,
     ) -> None:
         self._node = node
         self._pool = pool
         self._start = start
         self._check = check
+        self._answer_conn = answer_conn
+        self._sent_at = sent_at
         self._incarnation = self._listed_incarnation()
         self._conn = None
-        self._opening = None
+        self._opening = anyio.CancelScope()
         self._is_closed = False
 
     async def __aenter__(self) -> Self:
-        self.note_alive()
+        self._node.run_in_background(self._open)
         return self
 
     async def __aexit__(
@@ -137,28 +153,25 @@
         traceback: TracebackType | None,
     ) -> None:
         self._is_closed = True
-        if self._opening is not None:
-            self._opening.cancel()
+        self._opening.cancel()
         if self._conn is not None:
             await self._pool.release(self._start.address, self._conn)
 
-    def note_alive(self) -> None:
-        """Open a witness unless there is one; the server has just sent something."""
-        if self._opening is None and (self._conn is None or self._conn.has_ended):
-            self._opening = anyio.CancelScope()
-            self._node.run_in_background(self._open, self._opening)
-
-    async def _open(self, opening: anyio.CancelScope) -> None:
-        ended, self._conn = self._conn, None
-        if ended is not None:
-            await ended.close()
-        with opening, suppress(*TRANSPORT_ERRORS):
-            self._conn = await self._pool.acquire(
-                self._start.address, idle_max_s=IDLE_MAX_S, via=via_of(self._start)
-            )
-        self._opening = None
-        if self._is_closed and self._conn is not None:
-            await self._pool.release(self._start.address, self._conn)
+    async def _open(self) -> None:
+        address = self._start.address
+        conn = None
+        with self._opening, suppress(*TRANSPORT_ERRORS):
+            conn = await self._pool.acquire(address, idle_max_s=IDLE_MAX_S, via=via_of(self._start))
+        if conn is None:
+            return
+        if self._is_closed or not self._is_older_than_end(conn):
+            await self._pool.release(address, conn)
+            return
+        self._conn = conn
+
+    def _is_older_than_end(self, conn: BackendConnection) -> bool:
+        """Return whether a connection that is open now was opened before the end of the answer."""
+        return conn.opened_at < self._sent_at or not self._answer_conn.has_end_arrived
 
     def _listed_incarnation(self) -> str:
         server = self._node.state.servers.by_name.get(self._start.server)
@@ -168,7 +181,6 @@
         """Return what the server shows after the end of its answer, which is now."""
         if not self._check.target:
             return EndEvidence.NOT_ASKED
-        ended_at = anyio.current_time()
         await anyio.sleep(EXIT_S)
         try:
             await check_connection(self._pool, self._start.address, via_of(self._start))
@@ -176,16 +188,16 @@
             return EndEvidence.REFUSED
         except TRANSPORT_ERRORS:
             return EndEvidence.NO_CONNECTION
-        evidence = await self._ask(ended_at)
+        evidence = await self._ask()
         # Its entry may have been read meanwhile.
         listed_incarnation = self._listed_incarnation()
         if listed_incarnation and listed_incarnation != self._incarnation:
             return EndEvidence.RESTARTED
         return evidence
 
-    async def _ask(self, ended_at: float) -> EndEvidence:
+    async def _ask(self) -> EndEvidence:
         conn = self._conn
-        if conn is not None and conn.opened_at < ended_at:
+        if conn is not None:
             if conn.is_closed_by_server:
                 return EndEvidence.EXITED
             answer = await self._call(conn)
--- a/tests/platform/platform_world.py
+++ b/tests/platform/platform_world.py
@@ -126,6 +126,8 @@
     crashed_at: list[float] = field(default_factory=list)
     # Servers that run and refuse new connections.
     closed_ports: set[str] = field(default_factory=set)
+    # Servers that have exited within an answer and listen again.
+    returned_servers: list[str] = field(default_factory=list)
     _start_tasks: list[asyncio.Task[None]] = field(default_factory=list)
     _is_closing: bool = False
     _loop: LoopThread = field(default_factory=LoopThread)
@@ -269,10 +271,13 @@
         listener = self._listeners[name]
         listener.close_port()
         listener.close_others()
+
+        async def start() -> None:
+            await listener.start()
+            self.returned_servers.append(name)
+
         loop = asyncio.get_running_loop()
-        loop.call_later(
-            PORT_DELAY_S, lambda: self._start_tasks.append(loop.create_task(listener.start()))
-        )
+        loop.call_later(PORT_DELAY_S, lambda: self._start_tasks.append(loop.create_task(start())))
 
     def close_port(self, name: str) -> None:
         """Make a server refuse new connections; called on the loop of the servers."""
--- a/tests/platform/standin_answers.py
+++ b/tests/platform/standin_answers.py
@@ -34,6 +34,8 @@
     breaks: Break = Break.NOWHERE
     # Whether the connection is reset; otherwise it is closed normally.
     is_reset: bool = False
+    # Whether the server leaves the answer to its system, and does not wait until it is read.
+    is_unread: bool = False
 
     def __str__(self) -> str:
         end = "" if self.breaks is Break.NOWHERE else "-reset" if self.is_reset else "-closed"
@@ -58,7 +60,11 @@
             pass
     await call.write("\r\n".join(["HTTP/1.1 200 X", *lines, "", ""]).encode())
     for part in _written_parts(form.breaks, parts):
-        await call.write(chunk(part) if form.framing is Framing.CHUNKED else part)
+        data = chunk(part) if form.framing is Framing.CHUNKED else part
+        if form.is_unread:
+            call.writer.write(data)
+            continue
+        await call.write(data)
         if interval_s:
             await asyncio.sleep(interval_s)
     if form.breaks is Break.NOWHERE:
--- a/tests/platform/standin_server.py
+++ b/tests/platform/standin_server.py
@@ -260,7 +260,7 @@
         if self.is_streaming:
             answer_headers = {**answer_headers, "Content-Type": "text/event-stream"}
             numbers = range(int(call.headers.get("last-event-id") or "-1") + 1, self.event_count)
-            parts = [f"id: {number}\ndata: piece {number}\n\n".encode() for number in numbers]
+            parts = [_event(number, self.version) for number in numbers]
         form = self.forms.pop(0)
         is_complete = await write_answer(call, form, answer_headers, parts, self.event_interval_s)
         request.outcome = "complete" if is_complete else "reset"
@@ -308,11 +308,20 @@
             if caller_left.done():
                 request.outcome = "abandoned"
                 return False
-            data = f"piece {number} {self.version}".rstrip()
-            await call.write(chunk(f"id: {number}\ndata: {data}\n\n".encode()))
+            await call.write(chunk(_event(number, self.version)))
             if self.event_interval_s:
                 await asyncio.sleep(self.event_interval_s)
         await call.write(b"0\r\n\r\n")
         request.outcome = "complete"
         caller_left.cancel()
         return self.keeps_streams
+
+
+def stream_of(count: int, version: str = "") -> bytes:
+    """Return the whole body of a stream."""
+    return b"".join(_event(number, version) for number in range(count))
+
+
+def _event(number: int, version: str) -> bytes:
+    data = f"piece {number} {version}".rstrip()
+    return f"id: {number}\ndata: {data}\n\n".encode()
--- a/tests/platform/test_early_ends.py
+++ b/tests/platform/test_early_ends.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import http.client
+from contextlib import suppress
 from functools import partial
 from pathlib import Path
 
@@ -19,12 +21,19 @@
 )
 from tests.platform.cut_world import REFUSE_NEW, CutWorld
 from tests.platform.platform_world import Departure, PlatformWorld, until
+from tests.platform.slow_callers import SlowCaller
 from tests.platform.standin_answers import AnswerForm, Break, Framing
+from tests.platform.standin_server import stream_of
 
 BORN = 1_700_000_000_000
 EVENT_INTERVAL_S = 0.05
 HALF = AnswerForm(Framing.CONNECTION_END, Break.AFTER_PART)
+HALF_UNREAD = AnswerForm(Framing.CONNECTION_END, Break.AFTER_PART, is_unread=True)
 WHOLE = AnswerForm(Framing.CONNECTION_END)
+ENGINES = ("lm-1", "lm-2")
+# Half of such a stream does not fit into the kernel's buffers.
+MANY_EVENTS = 4_000
+LONG = "x" * 5_000
 
 
 @pytest.mark.parametrize("path", [*STREAMS, *PLAIN])
@@ -49,6 +58,27 @@
         assert_true_end("/shop/buy/", send_in_form(world, "/shop/buy/", "entry-1", HALF))
 
 
+@pytest.mark.parametrize("path", STREAMS)
+@pytest.mark.parametrize("instance", ["entry-1", "entry-2"], ids=["directly", "by_way_of_a_peer"])
+def test_half_a_stream_that_its_caller_reads_late_never_looks_whole(
+    tmp_path: Path, instance: str, path: str
+) -> None:
+    # Guards against taking the next start of a server, which was back before the end was read, for
+    # the one that sent the stream.
+    with CutWorld(tmp_path, instances=2, born=BORN) as world:
+        world.cut("entry-2", REFUSE_NEW)
+        until(partial(_serves, world, "entry-2"), "the instance without paths serves")
+        forms = [HALF_UNREAD]
+        for name in ENGINES:
+            server = world.servers[name]
+            server.event_count, server.version, server.forms = MANY_EVENTS, LONG, forms
+            world.go_at_break(name, Departure.EXITED_AND_BACK)
+        with SlowCaller(world, path, instance=instance) as caller:
+            until(lambda: bool(world.returned_servers), "the server is back")
+            with suppress(http.client.IncompleteRead, ConnectionResetError):
+                assert caller.read_body() == stream_of(MANY_EVENTS, LONG)
+
+
 @pytest.mark.parametrize("path", PLAIN)
 def test_whole_answer_without_another_connection_arrives_whole(tmp_path: Path, path: str) -> None:
     # Guards against breaking off whole answers of servers with which there is no other connection.
--- a/tests/platform/test_slow_readers.py
+++ b/tests/platform/test_slow_readers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import http.client
 import socket
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
@@ -12,9 +11,10 @@
 import pytest
 
 from tests.platform.platform_world import PlatformWorld, call, document, until
+from tests.platform.slow_callers import RECEIVE_BUFFER_BYTES, HeadCaller, SlowCaller
+from tests.platform.standin_server import stream_of
 
 _MEMORY_MB = 160
-_RECEIVE_BUFFER_BYTES = 4_096
 _CALLERS = 24
 _CALLERS_AT_ONCE = 80
 # More bytes of events than the kernel's buffers of two connections hold.
@@ -31,88 +31,6 @@
         yield world
 
 
-class SlowCaller:
-    """A caller that sends a request and reads nothing unless it is told to."""
-
-    def __init__(self, world: PlatformWorld, path: str, body: bytes = b"prompt") -> None:
-        self.request_id = world.new_id()
-        host, _, port = world.running["entry-1"].caller_address.rpartition(":")
-        self._sock = socket.socket()
-        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES)
-        self._sock.settimeout(20)
-        self._sock.connect((host, int(port)))
-        length = str(len(body))
-        headers = world.request_headers(
-            path, self.request_id, Content_Length=length, X_Deadline_Ms="60000"
-        )
-        lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
-        self._sock.sendall(f"POST {path} HTTP/1.1\r\n{lines}\r\n".encode() + body)
-
-    def __enter__(self) -> SlowCaller:
-        return self
-
-    def __exit__(self, *_: object) -> None:
-        self._sock.close()
-
-    def read_all(self) -> tuple[bytes, bool]:
-        """Read until the end; return the bytes, and whether the connection was reset."""
-        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1_000_000)
-        parts: list[bytes] = []
-        try:
-            while part := self._sock.recv(65_536):
-                parts.append(part)
-                if part.endswith((b"0\r\n\r\n", b"}")):
-                    break
-        except ConnectionResetError:
-            return b"".join(parts), True
-        return b"".join(parts), False
-
-    def read_body(self) -> bytes:
-        """Read a whole answer and return its body; raise an error if the answer is cut."""
-        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1_000_000)
-        answer = http.client.HTTPResponse(self._sock)
-        answer.begin()
-        return answer.read()
-
-
-class HeadCaller:
-    """A caller that sends heads and bodies by themselves, on one connection."""
-
-    def __init__(self, world: PlatformWorld) -> None:
-        self._world = world
-        host, _, port = world.running["entry-1"].caller_address.rpartition(":")
-        self._sock = socket.create_connection((host, int(port)), timeout=20)
-
-    def __enter__(self) -> HeadCaller:
-        return self
-
-    def __exit__(self, *_: object) -> None:
-        self._sock.close()
-
-    def begin(self, path: str, length: int, **more_headers: str) -> None:
-        """Send the head of a request."""
-        headers = self._world.request_headers(
-            path,
-            self._world.new_id(),
-            Content_Length=str(length),
-            X_Deadline_Ms="60000",
-            **more_headers,
-        )
-        lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
-        self._sock.sendall(f"POST {path} HTTP/1.1\r\n{lines}\r\n".encode())
-
-    def send(self, body: bytes) -> None:
-        """Send bytes of a body."""
-        self._sock.sendall(body)
-
-    def read_status(self) -> int:
-        """Read one answer; return its status."""
-        answer = http.client.HTTPResponse(self._sock)
-        answer.begin()
-        answer.read()
-        return answer.status
-
-
 def _cut_off(world: PlatformWorld, reason: str) -> list[dict[str, Any]]:
     lines = world.running["entry-1"].logged("caller_cut_off")
     return [line for line in lines if line["reason"] == reason]
@@ -129,12 +47,6 @@
         world.servers[name].version = "x" * size
 
 
-def _stream_of(count: int, size: int) -> bytes:
-    version = "x" * size
-    events = (f"id: {number}\ndata: piece {number} {version}\n\n" for number in range(count))
-    return "".join(events).encode()
-
-
 def test_stream_of_a_slow_caller_slows_its_server_and_is_whole(world: PlatformWorld) -> None:
     # Guards against buffering the stream of a caller that does not read.
     _many_events(world, _EVENTS, _EVENT_BYTES)
@@ -147,7 +59,7 @@
         (run,) = world.runs(caller.request_id)
         assert run.outcome == ""
         assert _metric(world, "turmericweir_memory_held_bytes") < 1_000_000
-        assert caller.read_body() == _stream_of(_EVENTS, _EVENT_BYTES)
+        assert caller.read_body() == stream_of(_EVENTS, "x" * _EVENT_BYTES)
 
 
 def test_caller_that_reads_nothing_is_cut_off(world: PlatformWorld) -> None:
@@ -256,7 +168,7 @@
     # Guards against requests that are held for servers which never read them.
     _allow_large_bodies(world)
     with socket.create_server(("127.0.0.1", 0)) as unread:
-        unread.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES)
+        unread.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         address = f"127.0.0.1:{unread.getsockname()[1]}"
         for name in ("shop-1", "shop-2"):
             world.register(name, address=address, born=2)
