Ask an engine for its start where no witness shows that a stream is whole

What callers saw: a whole stream without a length cut before its last chunk, where it had arrived before a witness was open, its witness had ended, or the engine had no slot for a health check within 1 s.

Cause: the health check names the server but not its start, so at a platform whose entries name starts nothing but an older connection could show that an engine had outlived the end.

Fix: the status check of an engine whose entry names a start is its report, and a report that names the same start shows that the stream is whole. Before: the new test of a whole stream without another connection failed; after: it passes, and halves of an engine that has started again still never look whole. Plain services stay as they were.

--- a/packages/turmericweir/turmericweir/answers/forward_wire.py
+++ b/packages/turmericweir/turmericweir/answers/forward_wire.py
@@ -111,6 +111,10 @@
 class WireAdapter(Protocol):
     """Translates between a platform's HTTP headers and the core's types."""
 
+    @property
+    def report_path(self) -> bytes:
+        """Where engines report on themselves."""
+
     def request_id_for(self, head: RequestHead) -> RequestId:
         """Return the request id from the caller's headers, or a new one."""
 
@@ -143,5 +147,8 @@
     def read_server_name(self, headers: Mapping[bytes, bytes]) -> str:
         """Return the server that an answer to a status check names; empty if it names none."""
 
+    def read_incarnation(self, body: bytes) -> str:
+        """Return the incarnation that an engine's report names; empty if it names none."""
+
     def caller_headers(self, headers: Headers) -> Headers:
         """Return the headers of an answer that are for the caller."""
--- a/packages/turmericweir/turmericweir/servers/backend_service.py
+++ b/packages/turmericweir/turmericweir/servers/backend_service.py
@@ -155,7 +155,6 @@
         return StatusCheck(
             LOAD_PATH.encode(),
             names_other=lambda answer: _read_incarnation(answer) not in ("", incarnation),
-            names_server=lambda _: False,
             names_start=lambda answer: _read_incarnation(answer) == incarnation != "",
         )
 
--- a/packages/turmericweir/turmericweir/servers/forward.py
+++ b/packages/turmericweir/turmericweir/servers/forward.py
@@ -28,6 +28,7 @@
 from turmericweir.servers.backend_attempt import Attempt, can_connect
 from turmericweir.servers.backend_call import body_of, lower_headers
 from turmericweir.servers.server_life import StatusCheck
+from turmericweir_core.base.config import ServiceKind
 from turmericweir_core.base.request import Request
 from turmericweir_core.messages.effects import StartAttempt
 from turmericweir_core.messages.events import (
@@ -134,15 +135,24 @@
 
     def _make_status_check(self) -> StatusCheck:
         server = self._node.state.servers.by_name.get(self._start.server)
-        target = b"" if server is None else server.service.health_path.encode()
-        name, read_name = self._start.server, self._job._wire.read_server_name
-        # Where entries name no incarnation, every start of a server has a name of its own.
-        is_name_enough = server is not None and not server.entry.incarnation
+        if server is None:
+            return StatusCheck(b"")
+        wire, incarnation = self._job._wire, server.entry.incarnation
+        if incarnation and server.service.kind is ServiceKind.MODEL:
+            # Takes no slot of the engine, unlike its health check.
+            return StatusCheck(
+                wire.report_path,
+                names_other=lambda answer: wire.read_incarnation(answer.body)
+                not in ("", incarnation),
+                names_start=lambda answer: wire.read_incarnation(answer.body) == incarnation,
+            )
+        name = self._start.server
         return StatusCheck(
-            target,
-            names_other=lambda answer: read_name(answer.headers) not in ("", name),
-            names_server=lambda answer: is_name_enough and read_name(answer.headers) == name,
-            names_start=lambda _: False,
+            server.service.health_path.encode(),
+            names_other=lambda answer: wire.read_server_name(answer.headers) not in ("", name),
+            # Where entries name no incarnation, every start of a server has a name of its own.
+            names_server=lambda answer: not incarnation
+            and wire.read_server_name(answer.headers) == name,
         )
 
     @property
--- a/packages/turmericweir/turmericweir/servers/server_life.py
+++ b/packages/turmericweir/turmericweir/servers/server_life.py
@@ -78,18 +78,22 @@
         return self in (EndEvidence.ANSWERED, EndEvidence.SAME_START, EndEvidence.LISTED)
 
 
+def _names_none(_: Answer) -> bool:
+    return False
+
+
 @dataclass(frozen=True, slots=True)
 class StatusCheck:
     """A call that servers answer at any time without running a request."""
 
     # Empty if there is none.
     target: bytes
-    # Returns whether an answer names another server.
-    names_other: Callable[[Answer], bool]
+    # Returns whether an answer names another server, or another start of this one.
+    names_other: Callable[[Answer], bool] = _names_none
     # Returns whether an answer names the server, where its entry tells one start from another.
-    names_server: Callable[[Answer], bool]
+    names_server: Callable[[Answer], bool] = _names_none
     # Returns whether an answer names this start of the server.
-    names_start: Callable[[Answer], bool]
+    names_start: Callable[[Answer], bool] = _names_none
 
 
 class Witness:
--- a/tests/platform/platform_world.py
+++ b/tests/platform/platform_world.py
@@ -179,6 +179,7 @@
     def register(self, name: str, **changes: Any) -> None:
         """Write the entry of a server to the store."""
         server = self.servers[name]
+        server.born = changes.get("born", server.born)
         entry = {
             "service": "lm" if server.is_streaming else "shop",
             "address": server.address,
@@ -189,15 +190,15 @@
             "warmup-left-ms": 0,
             "seq": 1,
         }
-        if self.born is not None:
-            entry["born"] = self.born
+        if server.born is not None:
+            entry["born"] = server.born
         self.store.write(SERVERS, name, {**entry, **changes})
 
     # --- servers ---
 
     def add_server(self, name: str, service: str, version: str = "") -> Server:
         """Start a server and register it."""
-        server = Server(name, service == "lm", free_address(), version=version)
+        server = Server(name, service == "lm", free_address(), version=version, born=self.born)
         self.servers[name] = server
         listener = Listener(server.address, server.handle)
         self._loop.run(listener.start())
@@ -239,7 +240,7 @@
                 self.close_port(name)
             case Departure.RESTARTED:
                 self._exit_and_come_back(name)
-                self.register(name, born=(self.born or 0) + 1)
+                self.register(name, born=self.servers[name].born or 1)
             case Departure.EXITED_AND_BACK:
                 self._exit_and_come_back(name)
             case Departure.LOST:
@@ -271,6 +272,9 @@
         listener = self._listeners[name]
         listener.close_port()
         listener.close_others()
+        server = self.servers[name]
+        if server.born is not None:
+            server.born += 1
 
         async def start() -> None:
             await listener.start()
--- a/tests/platform/standin_server.py
+++ b/tests/platform/standin_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -13,6 +14,7 @@
 
 SIGNATURE = "3e1b.07"
 HEALTH_PATH = "/healthz"
+REPORT_PATH = "/api/report"
 # Time for which a server that fell over resets all connections.
 FALL_S = 3.0
 # Time from the arrival of a request to the crash that a part of its prompt causes.
@@ -94,6 +96,8 @@
     # The forms of its next answers; servers may share the list.
     forms: list[AnswerForm] = field(default_factory=list)
     received: list[ReceivedRequest] = field(default_factory=list)
+    # When its process started, as its reports say; None if they say nothing of it.
+    born: int | None = None
     # Health checks that it answered.
     health_checks: int = 0
     # Set to release streams that the mode "hold" has paused.
@@ -108,6 +112,10 @@
             self.health_checks += 1
             await call.answer(503 if self.is_leaving else 200, b"", {"X-Instance-Id": self.name})
             return True
+        if call.path == REPORT_PATH and self.is_streaming:
+            born = {} if self.born is None else {"born": self.born}
+            await call.answer(200, json.dumps({"seq": 1, **born}).encode())
+            return True
         if self.room and self.running >= self.room:
             return await self._refuse_for_room(call)
         self.running += 1
--- a/tests/platform/test_early_ends.py
+++ b/tests/platform/test_early_ends.py
@@ -88,6 +88,25 @@
         assert is_whole(path, answer)
 
 
+def test_whole_stream_without_another_connection_arrives_whole(tmp_path: Path) -> None:
+    # Guards against breaking off a stream that ends before another connection is open.
+    with PlatformWorld(tmp_path, born=BORN) as world:
+        answer = send_in_form(world, "/lm/doc/", "entry-1", WHOLE)
+        assert (answer.status, answer.is_cut) == (200, False)
+        assert is_whole("/lm/doc/", answer)
+
+
+@pytest.mark.parametrize("departure", [Departure.EXITED_AND_BACK, Departure.RESTARTED])
+def test_half_a_stream_of_an_earlier_start_never_looks_whole(
+    tmp_path: Path, departure: Departure
+) -> None:
+    # Guards against a report of the next start that is taken for one of the start that answered.
+    with PlatformWorld(tmp_path, born=BORN) as world:
+        for name in ENGINES:
+            world.go_at_break(name, departure)
+        assert_true_end("/lm/doc/", send_in_form(world, "/lm/doc/", "entry-1", HALF))
+
+
 @pytest.mark.parametrize("path", ["/lm/doc/", "/lm/chat/", "/shop/buy/"])
 @pytest.mark.parametrize("departure", Departure, ids=lambda each: each.value)
 def test_half_an_answer_by_way_of_a_peer_never_looks_whole(
--- a/tests/platform/test_foreign_bytes.py
+++ b/tests/platform/test_foreign_bytes.py
@@ -41,7 +41,7 @@
 from turmericweir_core.messages.settings_messages import DocumentAsk
 from turmericweir_core.records import lease_record, usage_note
 from turmericweir_platform.lease_log import _decode_value
-from turmericweir_platform.server_entries import decode_entry
+from turmericweir_platform.server_entries import decode_entry, decode_incarnation
 from turmericweir_platform.settings_document import DocumentDecoder, decode_document, read_version
 from turmericweir_platform.store_client import StoreClient, split_records
 from turmericweir_platform.wire import PlatformWire
@@ -107,6 +107,12 @@
             entry.name.encode("ascii")
 
 
+def test_report_names_an_incarnation_or_none() -> None:
+    """Guards against a report that ends the request whose answer it should show to be whole."""
+    for _, raw in all_forms({"born": 17, "runs": [["9c41d07be2a35f68", 1460, 3, 1]]}):
+        assert isinstance(decode_incarnation(raw), str)
+
+
 @pytest.mark.parametrize("address", ADDRESSES)
 def test_entry_with_an_address_that_is_none_is_refused(address: str) -> None:
     """Guards against calls placed at an address to which nothing can connect."""
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -25,7 +25,7 @@
 from turmericweir_core.base.ids import RequestId
 from turmericweir_core.base.reasons import Reason
 from turmericweir_core.base.route_classes import class_of_route
-from turmericweir_platform.server_entries import decode_entry
+from turmericweir_platform.server_entries import decode_entry, decode_incarnation
 from turmericweir_platform.settings_document import decode_document
 from turmericweir_platform.wire import PlatformWire
 
@@ -84,6 +84,14 @@
         decode_entry("i-1", raw)
 
 
+@pytest.mark.parametrize(
+    ("raw", "incarnation"),
+    [(b'{"born": 17, "novel": [1]}', "17"), (b"{}", ""), (b'{"born": "today"}', ""), (b"", "")],
+)
+def test_report_names_its_incarnation_as_the_entry_does(raw: bytes, incarnation: str) -> None:
+    assert decode_incarnation(raw) == incarnation
+
+
 # --- the operator's settings ---
 
 
