Break an attempt of the own interface that resumes a stream with no stream

What callers saw: a reset without an outcome, where an engine broke off a stream and the next one answered its resumption with an error below 500 or with another type.

Fix: such an answer breaks the attempt, so that the request is resumed at another engine or ends with an account. The new test failed before (reset by peer), and passes 3 of 3 times since: outcome failed, no [DONE].

--- a/packages/turmericweir/turmericweir/servers/backend_engine.py
+++ b/packages/turmericweir/turmericweir/servers/backend_engine.py
@@ -121,6 +121,10 @@
             return EndBroken("the answer belongs to another attempt", server_alive=True)
         if is_stream:
             return await self._stream(response)
+        if self._answer.caller.is_started:
+            # The caller has the beginning of a stream.
+            error = f"the stream goes on with no stream (status {status})"
+            return EndBroken(error, server_alive=True, is_malformed=True)
         self._answer.set_unstreamed_answer(
             status, content_type, await read_body(response, _BODY_MAX_BYTES)
         )
--- a/tests/daemon/test_path.py
+++ b/tests/daemon/test_path.py
@@ -215,6 +215,41 @@
             assert outcome_of(reply.body)["outcome"] == "completed"
 
 
+def test_resumed_stream_does_not_end_with_an_answer_that_is_no_stream(tmp_path: Path) -> None:
+    # Guards against an error of the next engine that completes the stream of the first one.
+    def answer(request: RawRequest) -> bytes:
+        attempt_id = request.headers["x-attempt-id"]
+        if b'"resume"' in request.body:
+            return _answer_of(b"400 Bad Request", attempt_id, b"application/json", b'{"odd": 1}')
+        event = b'data: {"choices":[{"delta":{"content":"begun"}}]}\n\n'
+        return _answer_of(b"200 OK", attempt_id, b"text/event-stream", event, missing=1)
+
+    with (
+        RawServer(answer) as one,
+        RawServer(answer) as other,
+        Single(tmp_path, deployment(engines=0)) as instance,
+    ):
+        for name, raw in (("one", one), ("other", other)):
+            instance.list_test_server(name, "engine", MODEL, raw.address)
+            instance.wait_server(name)
+        reply = instance.complete("a question", 3, stream=True)
+    assert any(b'"resume"' in request.body for request in [*one.requests, *other.requests])
+    assert outcome_of(reply.body)["outcome"] == "failed"
+    assert b"[DONE]" not in reply.body
+
+
+def _answer_of(
+    status: bytes, attempt_id: str, content_type: bytes, body: bytes, missing: int = 0
+) -> bytes:
+    lines = [
+        b"HTTP/1.1 " + status,
+        b"Content-Type: " + content_type,
+        b"X-Attempt-Id: " + attempt_id.encode(),
+        b"Content-Length: %d" % (len(body) + missing),
+    ]
+    return b"\r\n".join([*lines, b"", body])
+
+
 def test_engine_stops_for_a_caller_that_left(single: Single) -> None:
     # After its caller has disconnected, a request must not occupy an engine's batch slot.
     body = completion("a long story", 100_000, stream=True)
