Ask whether an engine has outlived an answer of it that is no stream and has no length

What callers saw: at the own interface half a JSON answer of an engine, told as completed, where the engine exited within an answer without a length.

Cause: the class of the early ends; such an answer was complete when its connection ended, and nothing was asked. Found by looking for ends that are taken for complete elsewhere. Streams of the own interface end with [DONE] and were not affected.

Fix: the same check as for plain services, by the load report, which names the start; it has a module of its own now, as both use it.

--- a/packages/turmericweir/turmericweir/servers/backend_engine.py
+++ b/packages/turmericweir/turmericweir/servers/backend_engine.py
@@ -32,6 +32,7 @@
     read_body,
 )
 from turmericweir.servers.backend_pool import BackendPool, make_request
+from turmericweir.servers.load_check import make_load_check
 from turmericweir_core.messages.effects import StartAttempt
 from turmericweir_core.messages.events import (
     AnswerForm,
@@ -103,7 +104,11 @@
             )
         headers = [*_HEADERS, *attempt_headers(start), (PRIORITY, b"%d" % start.priority)]
         request = make_request(b"POST", start.address, _PATH, headers, body)
-        return await self._attempt.run(lambda: request, self._consume)
+        return await self._attempt.run(
+            lambda: request,
+            self._consume,
+            make_status_check=lambda: make_load_check(self._node.state, start.server),
+        )
 
     async def _consume(self, response: httpcore.Response) -> AttemptEnd:
         headers = lower_headers(response)
@@ -125,10 +130,11 @@
             # The caller has the beginning of a stream.
             error = f"the stream goes on with no stream (status {status})"
             return EndBroken(error, server_alive=True, is_malformed=True)
-        self._answer.set_unstreamed_answer(
-            status, content_type, await read_body(response, _BODY_MAX_BYTES)
-        )
-        return EndComplete(status)
+        body = await read_body(response, _BODY_MAX_BYTES)
+        end = await self._attempt.end_answer(status)
+        if isinstance(end, EndComplete):
+            self._answer.set_unstreamed_answer(status, content_type, body)
+        return end
 
     async def _stream(self, response: httpcore.Response) -> AttemptEnd:
         event_max_bytes = self._node.answer_bounds.event_bytes
--- a/packages/turmericweir/turmericweir/servers/backend_service.py
+++ b/packages/turmericweir/turmericweir/servers/backend_service.py
@@ -13,21 +13,19 @@
 import httpcore
 
 from turmericweir.answers.hop_by_hop import HOP_BY_HOP, connection_header_names
-from turmericweir.process.foreign_data import DECODE_ERRORS
 from turmericweir.servers.answer_size import BodyBound
 from turmericweir.servers.backend_attempt import (
     ATTEMPT_ID,
     LEAVING,
-    LOAD_PATH,
     NOT_STARTED,
     PRIORITY,
     REQUEST_ID,
     Attempt,
     attempt_headers,
 )
-from turmericweir.servers.backend_call import Answer, body_of, lower_headers
+from turmericweir.servers.backend_call import body_of, lower_headers
 from turmericweir.servers.backend_pool import BackendPool, make_request
-from turmericweir.servers.server_life import StatusCheck
+from turmericweir.servers.load_check import make_load_check
 from turmericweir_core.messages.effects import StartAttempt
 from turmericweir_core.messages.events import (
     AnswerForm,
@@ -36,7 +34,6 @@
     EndBroken,
     EndComplete,
 )
-from turmericweir_core.state.server_table import reported_incarnation
 
 if TYPE_CHECKING:
     from turmericweir.answers.caller_answer import PlainAnswer
@@ -58,16 +55,6 @@
 _ROUTER_HEADER_PREFIX: Final = b"turmericweir-"
 
 
-def _read_incarnation(answer: Answer) -> str:
-    """Return the incarnation in a load report; empty if it has none."""
-    try:
-        report = answer.json()
-    except DECODE_ERRORS:
-        return ""
-    value = report.get("incarnation") if isinstance(report, dict) else None
-    return value if isinstance(value, str) else ""
-
-
 @dataclass(frozen=True, slots=True)
 class PlainCall:
     """A caller's request in the form in which it is forwarded."""
@@ -146,16 +133,9 @@
             plain_call.method, self._start.address, plain_call.target, headers, plain_call.body
         )
         return await self._attempt.run(
-            lambda: request, self._consume, make_status_check=self._make_status_check
-        )
-
-    def _make_status_check(self) -> StatusCheck:
-        server = self._node.state.servers.by_name.get(self._start.server)
-        incarnation = "" if server is None else reported_incarnation(server)
-        return StatusCheck(
-            LOAD_PATH.encode(),
-            names_other=lambda answer: _read_incarnation(answer) not in ("", incarnation),
-            names_start=lambda answer: _read_incarnation(answer) == incarnation != "",
+            lambda: request,
+            self._consume,
+            make_status_check=lambda: make_load_check(self._node.state, self._start.server),
         )
 
     async def _consume(self, response: httpcore.Response) -> AttemptEnd:
--- a/tests/daemon/test_path.py
+++ b/tests/daemon/test_path.py
@@ -238,6 +238,21 @@
     assert b"[DONE]" not in reply.body
 
 
+def test_half_an_answer_of_an_engine_that_has_started_again_is_not_whole(tmp_path: Path) -> None:
+    # Guards against taking the exit of an engine for the end of an answer that is no stream.
+    def answer(request: RawRequest) -> bytes:
+        raw.incarnation = f"start {len(raw.requests)}"
+        head = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nX-Attempt-Id: "
+        return head + request.headers.get("x-attempt-id", "").encode() + b'\r\n\r\n{"half": '
+
+    with RawServer(answer) as raw, Single(tmp_path, deployment(engines=0)) as instance:
+        instance.list_test_server("again", "engine", MODEL, raw.address)
+        instance.wait_server("again")
+        reply = instance.complete("a question", 3, stream=False)
+    assert b"half" not in reply.body
+    assert reply.headers["turmericweir-outcome"] == "failed"
+
+
 def _answer_of(
     status: bytes, attempt_id: str, content_type: bytes, body: bytes, missing: int = 0
 ) -> bytes:
