--- a/tests/platform/standin_server.py
+++ b/tests/platform/standin_server.py
@@ -62,6 +62,7 @@
     # The version of its software, which its events name; empty for events that name none.
     version: str = ""
     event_count: int = 6
+    has_event_ids: bool = True
     event_interval_s: float = 0.0
     # Whether a connection carries other requests after a stream.
     keeps_streams: bool = False
@@ -275,7 +276,7 @@
         if self.is_streaming:
             answer_headers = {**answer_headers, "Content-Type": "text/event-stream"}
             numbers = range(int(call.headers.get("last-event-id") or "-1") + 1, self.event_count)
-            parts = [_event(number, self.version) for number in numbers]
+            parts = [_event(number, self.version, has_id=self.has_event_ids) for number in numbers]
         form = self.forms.pop(0)
         is_complete = await write_answer(call, form, answer_headers, parts, self.event_interval_s)
         request.outcome = "complete" if is_complete else "reset"
@@ -337,6 +338,7 @@
     return b"".join(_event(number, version) for number in range(count))
 
 
-def _event(number: int, version: str) -> bytes:
+def _event(number: int, version: str, *, has_id: bool = True) -> bytes:
     data = f"piece {number} {version}".rstrip()
-    return f"id: {number}\ndata: {data}\n\n".encode()
+    id_line = f"id: {number}\n" if has_id else ""
+    return f"{id_line}data: {data}\n\n".encode()
--- a/tests/platform/test_answers.py
+++ b/tests/platform/test_answers.py
@@ -6,7 +6,9 @@
 
 import pytest
 
+from tests.platform.answer_ends import assert_true_end, send_in_form
 from tests.platform.platform_world import PlatformWorld, until
+from tests.platform.standin_answers import AnswerForm, Break, Framing
 
 
 @pytest.fixture
@@ -120,6 +122,14 @@
     assert answer.is_cut
 
 
+def test_stream_without_ids_is_not_joined_to_a_second_run(world: PlatformWorld) -> None:
+    # Guards against a second run from the beginning, behind the events of the first one.
+    for name in ("lm-1", "lm-2"):
+        world.servers[name].has_event_ids = False
+    form = AnswerForm(Framing.CHUNKED, Break.AFTER_PART)
+    assert_true_end("/lm/chat/", send_in_form(world, "/lm/chat/", "entry-1", form))
+
+
 def test_stream_that_cannot_be_resumed_is_cut(world: PlatformWorld) -> None:
     # Guards against a truncated stream that looks complete.
     world.set_mode("cut")
