--- a/packages/turmericweir/turmericweir/answers/forward_answer.py
+++ b/packages/turmericweir/turmericweir/answers/forward_answer.py
@@ -18,8 +18,6 @@
 from turmericweir_core.base.reasons import Reason
 
 _CONTENT_LENGTH: Final = b"content-length"
-# The first of the statuses with which a server says that it has failed.
-SERVER_ERROR: Final = 500
 
 
 class ForwardAnswer:
@@ -76,16 +74,13 @@
         error_bytes = 0 if self._error_answer is None else len(self._error_answer[2])
         return len(self._unsent) + error_bytes
 
-    def can_go_on(self, status: int, *, is_stream: bool) -> bool:
-        """Return whether the answer of the next attempt may follow what was received so far.
+    def can_go_on(self, *, is_stream: bool) -> bool:
+        """Return whether the answer of this attempt may follow what earlier attempts received.
 
         Only a stream goes on, and only after an event with an id. Prevents completing a stream by
-        the error of another server, and joining an answer to the beginning of an earlier one. A
-        server error is never joined to anything.
+        the error of another server, and joining an answer to the beginning of an earlier one.
         """
-        if not self._has_body or status >= SERVER_ERROR:
-            return True
-        return is_stream and bool(self.last_event_id)
+        return not self._has_body or (is_stream and bool(self.last_event_id))
 
     def begin_answer(self, status: int, headers: Headers) -> None:
         """Record the head of an attempt's answer, except for a resumed stream."""
--- a/packages/turmericweir/turmericweir/servers/forward.py
+++ b/packages/turmericweir/turmericweir/servers/forward.py
@@ -14,7 +14,7 @@
 import httpcore
 
 from turmericweir.answers.answer_record import STATUSES_WITHOUT_BODY
-from turmericweir.answers.forward_answer import SERVER_ERROR, ForwardAnswer
+from turmericweir.answers.forward_answer import ForwardAnswer
 from turmericweir.answers.forward_events import EventSplitter, EventTracker
 from turmericweir.answers.forward_wire import (
     AnswerAccepted,
@@ -50,6 +50,7 @@
 # breaks. A longer one is sent to the caller as it arrives.
 BUFFER_MAX_BYTES: Final = 262_144
 _SUCCESS: Final = range(200, 300)
+_SERVER_ERROR: Final = 500
 _EVENT_STREAM: Final = b"text/event-stream"
 _LENGTH: Final = b"content-length"
 
@@ -224,10 +225,8 @@
             case AnswerAccepted():
                 self._report_notice(response.status, headers)
                 is_stream = self._call.streamed and _is_event_stream(response.status, headers)
-                if not self._job.answer.can_go_on(response.status, is_stream=is_stream):
-                    error = f"the stream goes on with no stream (status {response.status})"
-                    self._node.count("attempt.spoiled")
-                    return EndBroken(error, server_alive=True, is_malformed=True)
+                if not self._job.answer.can_go_on(is_stream=is_stream):
+                    return self._reject_continuation(response.status)
                 response_headers = [(name.lower(), value) for name, value in response.headers]
                 if is_stream:
                     return await self._deliver_stream(response, response_headers)
@@ -235,6 +234,14 @@
             case unreachable:
                 assert_never(unreachable)
 
+    def _reject_continuation(self, status: int) -> AttemptEnd:
+        """Return the end of an attempt whose answer cannot follow what the caller has."""
+        if status >= _SERVER_ERROR:
+            return EndServerError(status)
+        self._node.count("attempt.spoiled")
+        error = f"the stream goes on with no stream (status {status})"
+        return EndBroken(error, server_alive=True, is_malformed=True)
+
     def _report_notice(self, status: int, headers: Mapping[bytes, bytes]) -> None:
         start = self._start
         notice = self._job._wire.read_notice(self._call, status, headers)
@@ -310,7 +317,7 @@
                 self._buffered_bytes = 0
                 await answer.flush()
         self._buffered_bytes = 0
-        if response.status >= SERVER_ERROR and self._job._request.repeatable:
+        if response.status >= _SERVER_ERROR and self._job._request.repeatable:
             answer.store_error_answer(response.status, headers, body)
             return EndServerError(response.status)
         end = await self._attempt.end_answer(response.status)
