Take no head alone for the end of a resumed stream

What callers saw: a resumable stream that broke off and ended as complete before its last piece, where the next server sent a head without a length and closed, and lived on.

Cause: the mend of the early ends exempted resumed streams from the rule that a stream without a length and without an event is not whole, as a resumption after the last event may be empty. That is the class again: what may be true was taken for true.

Fix: the rule holds for every attempt. Cost: a stream that broke after its last event, and whose resumption is empty and has no length, is tried again or cut; a framed empty answer still ends it.

--- a/packages/turmericweir/turmericweir/servers/forward.py
+++ b/packages/turmericweir/turmericweir/servers/forward.py
@@ -266,7 +266,6 @@
         answer = self._job.answer
         # A caller that has as many bytes as announced would take a broken stream for complete.
         answer.begin_answer(response.status, [each for each in headers if each[0] != _LENGTH])
-        is_resumed = bool(answer.last_event_id)
         splitter = EventSplitter(answer.last_event_id) if self._call.resumable else None
         tracker = EventTracker()
         event_max_bytes = self._node.answer_bounds.event_bytes
@@ -288,7 +287,7 @@
             self._attempt.answer.is_event_open = tracker.is_event_open
         if tracker.is_event_open:
             return await self._attempt.classify_loss("the stream ended within an event")
-        if not self.events and not is_resumed and not self._attempt.answer.is_framed:
+        if not self.events and not self._attempt.answer.is_framed:
             return await self._attempt.classify_loss("the stream ended before its first event")
         if splitter is not None:
             answer.buffer_body(splitter.take_rest())
--- a/tests/platform/test_early_ends.py
+++ b/tests/platform/test_early_ends.py
@@ -145,6 +145,19 @@
         assert_true_end(path, send_in_form(world, path, "entry-1", form))
 
 
+def test_resumed_stream_does_not_end_with_a_head_alone(tmp_path: Path) -> None:
+    # Guards against a head without a length that ends the stream of the server before.
+    with PlatformWorld(tmp_path) as world:
+        forms = [
+            AnswerForm(Framing.CHUNKED, Break.AFTER_PART),
+            AnswerForm(Framing.CONNECTION_END, Break.AFTER_HEAD),
+        ]
+        for name in ENGINES:
+            world.servers[name].forms = forms
+        assert_true_end("/lm/chat/", world.send("/lm/chat/"))
+        assert not forms
+
+
 def _serves(world: CutWorld, instance: str) -> bool:
     paths = (*STREAMS, *PLAIN)
     return all(world.send(path, instance=instance).status == 200 for path in paths)
