--- a/packages/turmericweir/turmericweir/servers/server_life.py
+++ b/packages/turmericweir/turmericweir/servers/server_life.py
@@ -90,7 +90,7 @@
     target: bytes
     # Returns whether an answer names another server, or another start of this one.
     names_other: Callable[[Answer], bool] = _names_none
-    # Returns whether an answer names the server, where its entry tells one start from another.
+    # Returns whether an answer names the server, where each of its starts has a name of its own.
     names_server: Callable[[Answer], bool] = _names_none
     # Returns whether an answer names this start of the server.
     names_start: Callable[[Answer], bool] = _names_none
