Explain a placement also where no server is open

What callers saw: a request that gets nothing more (its start was lost to an internal error, 'fault' in the log).

Cause: the log line of a placement takes the least over the open servers; an isolated run is granted by another instance, and where this one knew of no open server by then, min() of nothing raised within the reducer, and the effects of the message were lost.

Fix: without an open server the line gives what the chosen one reads. The new test failed before (ValueError) and passes; tests/core/placement passes.

--- a/packages/turmericweir-core/turmericweir_core/placement/predicted_placement.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/predicted_placement.py
@@ -454,11 +454,14 @@
         "settings_version": state.settings_offset(),
     }
     if server.service.kind is ServiceKind.MODEL:
-        fields["read_tokens"] = engine_model.uncached_tokens(record, req)
-        fields["least_read"] = min(
+        read_tokens = engine_model.uncached_tokens(record, req)
+        fields["read_tokens"] = read_tokens
+        others_read = (
             engine_model.uncached_tokens(engine_model.engine_info_of(state, each.entry.name), req)
             for each in open_servers_for(state, now, req)
         )
+        # An isolated run is placed by another instance, which may know of open servers.
+        fields["least_read"] = min(others_read, default=read_tokens)
         fields["rank"] = scheduling_rank(req.service_class)
         fields["prompt_tokens"] = req.prompt_tokens
         fields["wait_ms"] = round(
--- a/tests/core/placement/test_predicted_placement.py
+++ b/tests/core/placement/test_predicted_placement.py
@@ -11,6 +11,7 @@
 from turmericweir_core.messages.effects import StartAttempt
 from turmericweir_core.messages.events import EndComplete, RegistryRead
 from turmericweir_core.messages.load_messages import DemandRow, LoadNews
+from turmericweir_core.placement.predicted_placement import explain
 
 SHARED_PART = ("sheet", 13_300)
 
@@ -30,6 +31,16 @@
     assert second.server == first.server
 
 
+def test_placement_is_explained_where_no_server_is_open() -> None:
+    """Guards against a request that is lost to an error of its log line."""
+    world = StoreWorld(engines=1)
+    start = start_of(world.arrive("1", prompt_tokens=3_000, parts=(("own-1", 3_000),)))
+    server = world.state.servers.by_name[start.server]
+    server.leaving = True
+    fields = explain(world.state, world.now, world.state.requests[start.request_id], server)
+    assert fields["least_read"] == fields["read_tokens"]
+
+
 def test_requests_pass_one_that_waits_for_its_part() -> None:
     """Guards against blocking other requests behind one that waits for its part."""
     world = StoreWorld()
