Await the watcher of the caller's end in the stand-in of engines

A stand-in that keeps its connections after streams failed now and then with 'readuntil() called while another coroutine is already waiting' (seen by others, on the issue's page; not by me): the watcher was cancelled and not awaited, so that it could still read when the next request was awaited. It ends before the last chunk is written now, so before a next request can come.

--- a/tests/platform/standin_server.py
+++ b/tests/platform/standin_server.py
@@ -305,17 +305,32 @@
     async def _answer_stream(
         self, call: Call, answer_headers: dict[str, str], mode: str, request: ReceivedRequest
     ) -> bool:
-        last_event_id = int(call.headers.get("last-event-id") or "-1")
         lines = "".join(f"{name}: {value}\r\n" for name, value in answer_headers.items())
         start = f"HTTP/1.1 200 X\r\n{lines}Content-Type: text/event-stream\r\n"
         await call.write(f"{start}Transfer-Encoding: chunked\r\n\r\n".encode())
         caller_left = asyncio.create_task(call.wait_closed())
+        try:
+            is_whole = await self._write_events(call, caller_left, mode, request)
+        finally:
+            # Ends before the next request is read on the connection.
+            caller_left.cancel()
+            await asyncio.wait({caller_left})
+        if not is_whole:
+            return False
+        await call.write(b"0\r\n\r\n")
+        request.outcome = "complete"
+        return self.keeps_streams
+
+    async def _write_events(
+        self, call: Call, caller_left: asyncio.Task[None], mode: str, request: ReceivedRequest
+    ) -> bool:
+        """Write the events of a stream; return whether they are all written."""
+        last_event_id = int(call.headers.get("last-event-id") or "-1")
         for number in range(last_event_id + 1, self.event_count):
             if mode == "cut" and number == self.event_count // 2:
                 # Ends in the middle of an event.
                 await call.write(chunk(f"id: {number}\ndata: ha".encode()))
                 request.outcome = "reset"
-                caller_left.cancel()
                 return False
             if mode == "hold" and number == self.event_count // 2:
                 release = asyncio.create_task(self.release_held.wait())
@@ -327,10 +342,7 @@
             await call.write(chunk(_event(number, self.version)))
             if self.event_interval_s:
                 await asyncio.sleep(self.event_interval_s)
-        await call.write(b"0\r\n\r\n")
-        request.outcome = "complete"
-        caller_left.cancel()
-        return self.keeps_streams
+        return True
 
 
 def stream_of(count: int, version: str = "") -> bytes:
