Log what shows that a request may be sent again, and what a stream goes on by

`sent_again` says so for each such send, with counters by evidence; `retry.same_server.*` counts what a rule about connections would cost. No decision changes; the tests of streams, requests, trust and placement pass as before.

--- a/packages/turmericweir-core/turmericweir_core/base/request.py
+++ b/packages/turmericweir-core/turmericweir_core/base/request.py
@@ -85,6 +85,16 @@
     DONE = "done"
 
 
+class Refusal(Struct, frozen=True):
+    """A server's word that it had not run a request, which is sent again because of it."""
+
+    server: ServerName
+    status: int
+    # Whether it names the request, and whether its connection had carried earlier requests.
+    names_request: bool
+    kept_connection: bool
+
+
 class Attempt(Struct):
     """One attempt of a request on one server."""
 
@@ -202,6 +212,10 @@
     # Attempts that were sent, whatever the servers reported, and why it was last queued again.
     arrivals: int = 0
     retry_cause: RetryCause | None = None
+    # The last refusal that was believed.
+    refusal: Refusal | None = None
+    # Addresses to which attempts were sent, whatever the servers reported.
+    sent_addresses: set[str] = field(default_factory=set)
     # A retry of the budget is reserved for its next attempt.
     holds_retry: bool = False
     # Latest time of the final answer to the caller, whatever is still running; None for no limit.
--- a/packages/turmericweir-core/turmericweir_core/messages/events.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/events.py
@@ -57,6 +57,8 @@
     # The refusal names the request, or is the first answer on its connection. Any other may be
     # meant for another request, so it does not show that this one was not started.
     is_identified: bool = True
+    # It names the request.
+    names_request: bool = True
 
 
 class EndUnsent(Struct, frozen=True):
--- a/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
@@ -37,6 +37,7 @@
 )
 from turmericweir_core.placement import answer_moves, attempt_accounting, brittle_servers
 from turmericweir_core.placement.dispatch import dispatch, release, wait_for_server
+from turmericweir_core.requests import second_sends
 from turmericweir_core.requests.lifecycle import (
     finish,
     is_stop_due,
@@ -71,6 +72,7 @@
     req.sent_attempts += 1
     effects = retry.note_sent(state, now, req)
     req.attempt.reused_connection = event.reused_connection
+    effects += second_sends.note_sent(state, req, req.attempt)
     if event.reused_connection:
         return effects
     return effects + server_paths.note_connected(state, now, req.attempt.server, req.attempt.via)
@@ -265,6 +267,7 @@
                 # A refusal does not count as a send. Prevents a call with a single send from ending
                 # at the first full server.
                 req.sent_attempts -= 1
+            req.refusal = second_sends.refusal_of(attempt, end)
             cause = RetryCause.LEAVING if is_leaving else RetryCause.REFUSED
             server = state.servers.by_name.get(attempt.server)
             effects = []
--- a/packages/turmericweir-core/turmericweir_core/requests/lifecycle.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/lifecycle.py
@@ -90,7 +90,8 @@
     if isinstance(result, Unknown) or result.binding.release == UNKNOWN_RELEASE:
         retry_after_s = result.retry_after_s if isinstance(result, Unknown) else None
         return _refuse_stream(state, now, req, Reason.STREAM_UNKNOWN, retry_after_s)
-    effects = stream_bindings.take_up(state, now, req, result.binding)
+    effects = _concluded_logs(req, result)
+    effects += stream_bindings.take_up(state, now, req, result.binding)
     targets = (req.target, *req.other_targets)
     release = result.binding.release
     target = next((each for each in targets if is_in_service(state, each, release)), None)
@@ -100,6 +101,23 @@
     return effects + _decide_on_arrival(state, now, req)
 
 
+def _concluded_logs(req: Request, found: Found) -> list[Effect]:
+    """Return the log of a conclusion that a stream began at the only release of its service."""
+    conclusion = found.conclusion
+    if conclusion is None:
+        return []
+    fields = {
+        "request_id": req.request_id,
+        "stream_id": req.stream_id,
+        "release": found.binding.release,
+        "list_age_ms": round(1000 * conclusion.list_age_s),
+        "has_history": conclusion.has_history,
+        "is_vouched": conclusion.is_vouched,
+        "ignorant_peers": conclusion.ignorant_peers,
+    }
+    return [Count("streams.concluded"), Log("stream_concluded", fields)]
+
+
 def _refuse_stream(
     state: State, now: float, req: Request, reason: Reason, retry_after_s: float | None = None
 ) -> list[Effect]:
--- /dev/null
+++ b/packages/turmericweir-core/turmericweir_core/requests/second_sends.py
@@ -0,0 +1,49 @@
+"""Account for each send of a request after its first one.
+
+A request that must not run twice is sent again only if nothing of it was sent before, or if the
+server reported that it had not run it. What showed that is logged with each such send.
+"""
+
+from __future__ import annotations
+
+from turmericweir_core.base.request import Attempt, Refusal, Request
+from turmericweir_core.messages.effects import Count, Effect, Log
+from turmericweir_core.messages.events import EndRefused
+from turmericweir_core.state.state import State
+
+
+def refusal_of(attempt: Attempt, end: EndRefused) -> Refusal:
+    """Return the refusal that ended an attempt."""
+    return Refusal(attempt.server, end.status, end.names_request, attempt.reused_connection)
+
+
+def note_sent(state: State, req: Request, attempt: Attempt) -> list[Effect]:
+    """Record where an attempt is sent, and what showed that the one before had not run."""
+    server = state.servers.by_name.get(attempt.server)
+    address = "" if server is None else server.entry.address
+    is_same_address = address in req.sent_addresses
+    req.sent_addresses.add(address)
+    if req.arrivals == 1:
+        return []
+    effects: list[Effect] = []
+    if is_same_address:
+        connection = "kept" if attempt.reused_connection else "new"
+        effects.append(Count(f"retry.same_server.{connection}"))
+    if req.repeatable:
+        return effects
+    refusal = req.refusal
+    evidence = "none" if refusal is None else "named" if refusal.names_request else "first_answer"
+    fields = {
+        "request_id": req.request_id,
+        "attempt_id": attempt.attempt_id,
+        "peer": attempt.server,
+        "via": attempt.via,
+        "sends": req.arrivals,
+        "same_server": is_same_address,
+        "kept_connection": attempt.reused_connection,
+        "evidence": evidence,
+        "refused_by": None if refusal is None else refusal.server,
+        "refused_status": None if refusal is None else refusal.status,
+        "refused_on_kept_connection": refusal is not None and refusal.kept_connection,
+    }
+    return [*effects, Count(f"retry.unsafe.{evidence}"), Log("sent_again", fields)]
--- a/packages/turmericweir-core/turmericweir_core/streams/stream_lookup.py
+++ b/packages/turmericweir-core/turmericweir_core/streams/stream_lookup.py
@@ -44,10 +44,24 @@
 _LIST_FRESH_S: Final = 3.0
 
 
+class Conclusion(Struct, frozen=True):
+    """What shows that a service has had one release only."""
+
+    # Age of the list of servers.
+    list_age_s: float
+    # Whether this instance, or a peer that answered, knows the history of releases.
+    has_history: bool
+    is_vouched: bool = False
+    # Peers that do not know the stream.
+    ignorant_peers: int = 0
+
+
 class Found(Struct, frozen=True):
     """The release of the stream is known."""
 
     binding: StreamBinding
+    # What it was concluded from; None if the stream itself is known.
+    conclusion: Conclusion | None = None
 
 
 class Unknown(Struct, frozen=True):
@@ -69,7 +83,7 @@
 def look_up(state: State, now: float, req: Request) -> Result:
     """Look up the stream that a request takes up."""
     if not req.stream_id and stream_records.has_history(state, now):
-        return _by_service(state, now, req)
+        return _by_service(state, now, req, None)
     # Nobody knows a stream without a name, but peers may know that there was one release only.
     key = stream_bindings.key_of(req.customer, req.stream_id or f"\0{req.request_id}")
     binding = stream_bindings.find_binding(state, now, key)
@@ -83,12 +97,20 @@
     return Pending(_ask(state, key, lookup))
 
 
-def _by_service(state: State, now: float, req: Request) -> Found | Unknown:
+def _by_service(
+    state: State, now: float, req: Request, lookup: StreamLookup | None
+) -> Found | Unknown:
     service = state.config.service_by_target.get(req.target)
     release = None if service is None else stream_bindings.sole_release(state, now, service.name)
     if release is None:
         return Unknown()
-    return Found(StreamBinding(release, now, state.me.name))
+    conclusion = Conclusion(
+        now - state.registry.read_at,
+        stream_records.has_history(state, now),
+        is_vouched=lookup is not None and lookup.is_vouched,
+        ignorant_peers=0 if lookup is None else len(lookup.ignorant),
+    )
+    return Found(StreamBinding(release, now, state.me.name), conclusion)
 
 
 def _ask(state: State, key: StreamKey, lookup: StreamLookup) -> list[Effect]:
@@ -247,4 +269,4 @@
     if not lookup.ignorant and now - state.registry.read_at > _LIST_FRESH_S:
         # Cut off from its peers and from the store, it may not know of a later version.
         return Unknown()
-    return _by_service(state, now, req)
+    return _by_service(state, now, req, lookup)
--- a/packages/turmericweir/turmericweir/servers/backend_attempt.py
+++ b/packages/turmericweir/turmericweir/servers/backend_attempt.py
@@ -269,7 +269,7 @@
             await read_tail(response)
         if not has_id:
             self._log_refusal(response.status)
-        return EndRefused(response.status, is_leaving, is_identified)
+        return EndRefused(response.status, is_leaving, is_identified, names_request=has_id)
 
     def is_identified(self, *, has_id: bool) -> bool:
         """Return whether an answer can only be meant for this attempt."""
