--- a/tests/platform/standin_server.py
+++ b/tests/platform/standin_server.py
@@ -42,6 +42,11 @@
     outcome: str = ""
     received_at: float = field(default_factory=time.monotonic)
 
+    @property
+    def attempt_id(self) -> str:
+        """The ID that the request bears."""
+        return self.headers.get("x-attempt-id", "")
+
 
 @dataclass(slots=True)
 class Server:
@@ -52,8 +57,10 @@
     address: str = ""
     # "" for correct answers, or one of the modes in `handle`.
     mode: str = ""
-    # The status in the mode "extra_refusal".
+    # The status of refusals in the modes "extra_refusal" and "refuse_once".
     extra_status: int = 503
+    # The requests refused in the mode "refuse_once", and the connection of each refusal.
+    refused_on: dict[str, asyncio.StreamWriter] = field(default_factory=dict)
     # The status and the type of its answers to requests that take up a stream; 0 for streams.
     resumed_status: int = 0
     resumed_type: str = ""
@@ -189,6 +196,15 @@
                 # Meant for no request, and without the ID of one.
                 extra_headers = {"X-Not-Executed": "1", "Server-Limit": "1", "Server-Leaving": "1"}
                 await call.answer(self.extra_status, b"", extra_headers)
+            case "refuse_once":
+                refusal_headers = {"X-Attempt-Id": attempt_id, "X-Not-Executed": "1", **notices}
+                connection = self.refused_on.setdefault(attempt_id, call.writer)
+                if connection is call.writer:
+                    # The second time it is an extra copy, and the request runs all the same.
+                    await call.answer(self.extra_status, b"", refusal_headers)
+                if len([each for each in self.received if each.attempt_id == attempt_id]) == 1:
+                    request.was_run = False
+                    return True
             case "shed":
                 request.was_run = False
                 refusal_headers = {"X-Attempt-Id": attempt_id, "X-Not-Executed": "1", **notices}
--- /dev/null
+++ b/tests/platform/test_copied_answers.py
@@ -0,0 +1,59 @@
+"""Tests of extra copies of answers to an earlier arrival of the same request."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from tests.platform.platform_world import PlatformWorld
+
+# They tell a caller that its request was not run.
+PROMISES = {408, 421, 429, 503}
+STATUSES = [400, 429, 503]
+REQUESTS = 6
+
+
+def open_world(path: Path, engines: int) -> PlatformWorld:
+    """Return a world of servers that keep their connections."""
+    return PlatformWorld(path, engines=engines, plain_servers=engines)
+
+
+def prepare(world: PlatformWorld, status: int) -> None:
+    """Let connections carry requests, and servers refuse each request at its first arrival."""
+    for server in world.servers.values():
+        server.keeps_streams = True
+        server.extra_status = status
+    for path in ("/lm/doc/", "/shop/look/"):
+        for _ in range(4):
+            assert world.send(path).status == 200
+    world.set_mode("refuse_once")
+
+
+@pytest.mark.parametrize("engines", [1, 2, 3])
+@pytest.mark.parametrize("status", STATUSES)
+def test_copy_of_a_refusal_makes_no_stream_run_twice(
+    tmp_path: Path, status: int, engines: int
+) -> None:
+    # Guards against believing that a copy of an earlier refusal answers the newest send.
+    with open_world(tmp_path, engines) as world:
+        prepare(world, status)
+        for _ in range(REQUESTS):
+            request_id = world.new_id()
+            answer = world.send("/lm/doc/", request_id=request_id)
+            runs = world.runs(request_id)
+            assert len(runs) <= 1
+            assert not (runs and answer.status in PROMISES)
+            assert answer.status == 200
+
+
+@pytest.mark.parametrize("path", ["/shop/buy/", "/shop/look/", "/lm/chat/"])
+def test_request_refused_once_is_served_in_spite_of_a_copy(tmp_path: Path, path: str) -> None:
+    # Guards against a caller that gets the copy of a refusal where its request has run.
+    with open_world(tmp_path, 1) as world:
+        prepare(world, 503)
+        for _ in range(REQUESTS):
+            request_id = world.new_id()
+            answer = world.send(path, request_id=request_id)
+            assert answer.status == 200
+            assert len(world.runs(request_id)) == 1
--- a/tests/platform/test_versions.py
+++ b/tests/platform/test_versions.py
@@ -48,21 +48,34 @@
     with world:
         for server in world.servers.values():
             server.event_count, server.event_interval_s = EVENTS, EVENT_INTERVAL_S
-        until(partial(_know_each_other, world), "the instances know each other")
+        until(partial(know_each_other, world), "the instances know each other")
         yield world
 
 
-def _know_each_other(world: PlatformWorld) -> bool:
+def know_each_other(world: PlatformWorld) -> bool:
+    """Return whether all instances have heard of each other."""
     names = sorted(world.running)
     return all(world.reported_state(name)["live_instances"] == names for name in names)
 
 
 def begin(
-    world: PlatformWorld, count: int, instances: tuple[str, ...], *, events: int = 5
+    world: PlatformWorld,
+    count: int,
+    instances: tuple[str, ...],
+    *,
+    events: int = 5,
+    names_stream: bool = True,
 ) -> list[StreamCaller]:
     """Start callers, each with a prefix of its own, and wait until all have some events."""
     callers = [
-        StreamCaller(world, instances, prefix=f"{number:x}a", time_limit_s=30.0)
+        StreamCaller(
+            world,
+            instances,
+            prefix=f"{number:x}a",
+            time_limit_s=30.0,
+            tries_max=60,
+            names_stream=names_stream,
+        )
         for number in range(count)
     ]
     for caller in callers:
@@ -163,7 +176,7 @@
             instance.process.kill()
             world.restart_instance(name)
             until(instance.is_ready, f"{name} is ready")
-            until(partial(_know_each_other, world), "the instances know each other")
+            until(partial(know_each_other, world), "the instances know each other")
             if name == "entry-1":
                 world.crash_server("lm-1")
         assert_whole(finish(callers))
