Send a request again to a server on a new connection only

What callers and servers saw: a server refuses a stream that must run once, with its ID; the stream comes again on the same kept connection, a copy of the refusal goes first and is believed, and the stream runs: twice or more, or once under a 503 that promises that it never runs (9 of 9 cases with 400, 429 and 503, one to three servers). Repeatable ones ran twice (2 of 2), and a repeatable call got the copy of an earlier 500 (1 of 2).

Cause: the ID is that of the caller's attempt and the same at every send, so on a connection that has carried the request it does not show which send an answer belongs to. The guard of (names the request, or first answer) does not cover it.

Weighed: another kept connection (needs a memory of requests for each connection, and leaves the ID as the only evidence); never to the same server again (a service of one server then refuses what it could serve: none of the 6 requests a case would be served); a new connection.

By address, since a server at an address may have another name by then. An answer that is the first one on its connection belongs to the only request that was ever sent there, so a refusal there may be believed again.

--- a/packages/turmericweir-core/turmericweir_core/placement/dispatch.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/dispatch.py
@@ -170,6 +170,7 @@
     )
     attempt.incarnation = reported_incarnation(server)
     attempt.release = release_of(server.entry)
+    attempt.address = server.entry.address
     peer = server_paths.choose_via(state, now, server.entry.name)
     attempt.via = DIRECT if peer is None else peer.name
     req.attempt = attempt
@@ -222,7 +223,12 @@
     Prevents the loss of a non-repeatable plain call on a dead connection, after which its caller
     cannot learn whether it ran. By way of a peer this holds for streams too, as the end of a
     connection that the server has closed arrives later.
+
+    Also prevents an extra copy of an earlier answer to the same request from being taken for the
+    answer to this attempt: servers may echo an ID that is the same for all attempts.
     """
+    if attempt.address in req.sent_addresses:
+        return True
     return not req.repeatable and (req.kind is ServiceKind.PLAIN or attempt.via != DIRECT)
 
 
--- a/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
@@ -72,7 +72,7 @@
     req.sent_attempts += 1
     effects = retry.note_sent(state, now, req)
     req.attempt.reused_connection = event.reused_connection
-    effects += second_sends.note_sent(state, req, req.attempt)
+    effects += second_sends.note_sent(req, req.attempt)
     if event.reused_connection:
         return effects
     return effects + server_paths.note_connected(state, now, req.attempt.server, req.attempt.via)
--- a/packages/turmericweir-core/turmericweir_core/requests/second_sends.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/second_sends.py
@@ -9,7 +9,6 @@
 from turmericweir_core.base.request import Attempt, Refusal, Request
 from turmericweir_core.messages.effects import Count, Effect, Log
 from turmericweir_core.messages.events import EndRefused
-from turmericweir_core.state.state import State
 
 
 def refusal_of(attempt: Attempt, end: EndRefused) -> Refusal:
@@ -17,12 +16,10 @@
     return Refusal(attempt.server, end.status, end.names_request, attempt.reused_connection)
 
 
-def note_sent(state: State, req: Request, attempt: Attempt) -> list[Effect]:
+def note_sent(req: Request, attempt: Attempt) -> list[Effect]:
     """Record where an attempt is sent, and what showed that the one before had not run."""
-    server = state.servers.by_name.get(attempt.server)
-    address = "" if server is None else server.entry.address
-    is_same_address = address in req.sent_addresses
-    req.sent_addresses.add(address)
+    is_same_address = attempt.address in req.sent_addresses
+    req.sent_addresses.add(attempt.address)
     if req.arrivals == 1:
         return []
     effects: list[Effect] = []
--- a/tests/core/store_world.py
+++ b/tests/core/store_world.py
@@ -115,9 +115,9 @@
         slots = 64 if service == "lm" else 6
         number = len(name) + sum(map(ord, name))
         address = f"127.0.0.1:{number}"
-        all_fields = {"incarnation": "", "leaving": False, **fields}
+        all_fields = {"incarnation": "", "leaving": False, "address": address, **fields}
         return ServerEntry(
-            ServerName(name), service, "dc-a", address, slots=slots, **all_fields  # type: ignore[arg-type]
+            ServerName(name), service, "dc-a", slots=slots, **all_fields  # type: ignore[arg-type]
         )
 
     def config(self) -> Config:
--- a/tests/platform/standin_server.py
+++ b/tests/platform/standin_server.py
@@ -13,6 +13,7 @@
 from tests.platform.standin_http import Call
 
 SIGNATURE = "3e1b.07"
+SIGNED = "X-Server-Signature"
 HEALTH_PATH = "/healthz"
 REPORT_PATH = "/api/report"
 # Time for which a server that fell over resets all connections.
@@ -59,8 +60,8 @@
     mode: str = ""
     # The status of refusals in the modes "extra_refusal" and "refuse_once".
     extra_status: int = 503
-    # The requests refused in the mode "refuse_once", and the connection of each refusal.
-    refused_on: dict[str, asyncio.StreamWriter] = field(default_factory=dict)
+    # The requests that came in the modes of `ONCE_MODES`, and the connection of each first arrival.
+    first_connections: dict[str, asyncio.StreamWriter] = field(default_factory=dict)
     # The status and the type of its answers to requests that take up a stream; 0 for streams.
     resumed_status: int = 0
     resumed_type: str = ""
@@ -166,7 +167,7 @@
         )
         self.received.append(request)
         notices = self._notices()
-        answer_headers = {"X-Attempt-Id": attempt_id, "X-Server-Signature": SIGNATURE, **notices}
+        answer_headers = {"X-Attempt-Id": attempt_id, SIGNED: SIGNATURE, **notices}
         expected = call.headers.get("x-expect-instance")
         if expected != self.name or mode == "misdirected":
             request.was_run = False
@@ -196,14 +197,14 @@
                 # Meant for no request, and without the ID of one.
                 extra_headers = {"X-Not-Executed": "1", "Server-Limit": "1", "Server-Leaving": "1"}
                 await call.answer(self.extra_status, b"", extra_headers)
-            case "refuse_once":
-                refusal_headers = {"X-Attempt-Id": attempt_id, "X-Not-Executed": "1", **notices}
-                connection = self.refused_on.setdefault(attempt_id, call.writer)
+            case "refuse_once" | "error_once" | "half_once":
+                is_first = attempt_id not in self.first_connections
+                connection = self.first_connections.setdefault(attempt_id, call.writer)
                 if connection is call.writer:
-                    # The second time it is an extra copy, and the request runs all the same.
-                    await call.answer(self.extra_status, b"", refusal_headers)
-                if len([each for each in self.received if each.attempt_id == attempt_id]) == 1:
-                    request.was_run = False
+                    # If it comes again there, this is an extra copy of the first answer.
+                    await self._write_first_answer(call, mode, answer_headers)
+                if is_first:
+                    request.was_run = mode != "refuse_once"
                     return True
             case "shed":
                 request.was_run = False
@@ -268,6 +269,26 @@
             return await self._answer_plain(call, answer_headers, mode, request)
         return await self._answer_stream(call, answer_headers, mode, request)
 
+    async def _write_first_answer(
+        self, call: Call, mode: str, answer_headers: dict[str, str]
+    ) -> None:
+        match mode:
+            case "refuse_once":
+                unsigned = {key: value for key, value in answer_headers.items() if key != SIGNED}
+                headers = {**unsigned, "X-Not-Executed": "1"}
+                await call.answer(self.extra_status, b"", headers)
+            case "error_once":
+                await call.answer(500, b"failed", answer_headers)
+            case "half_once":
+                # Complete by its framing, and ends in the middle of an event.
+                lines = "".join(f"{name}: {value}\r\n" for name, value in answer_headers.items())
+                start = f"HTTP/1.1 200 X\r\n{lines}Content-Type: text/event-stream\r\n"
+                half = stream_of(self.event_count // 2, self.version) + b"id: "
+                body = chunk(half) + chunk(b"")
+                await call.write(f"{start}Transfer-Encoding: chunked\r\n\r\n".encode() + body)
+            case _:
+                raise AssertionError(mode)
+
     def _has_crash_part(self, call: Call) -> bool:
         parts = [each.partition(":")[0] for each in call.headers.get(PARTS, "").split(",")]
         return bool(self.crash_part) and self.crash_part in parts[:-1]
--- a/tests/platform/test_copied_answers.py
+++ b/tests/platform/test_copied_answers.py
@@ -19,15 +19,15 @@
     return PlatformWorld(path, engines=engines, plain_servers=engines)
 
 
-def prepare(world: PlatformWorld, status: int) -> None:
-    """Let connections carry requests, and servers refuse each request at its first arrival."""
+def prepare(world: PlatformWorld, mode: str = "refuse_once", status: int = 503) -> None:
+    """Let connections carry requests, and give servers a mode for first arrivals."""
     for server in world.servers.values():
         server.keeps_streams = True
         server.extra_status = status
     for path in ("/lm/doc/", "/shop/look/"):
         for _ in range(4):
             assert world.send(path).status == 200
-    world.set_mode("refuse_once")
+    world.set_mode(mode)
 
 
 @pytest.mark.parametrize("engines", [1, 2, 3])
@@ -37,7 +37,7 @@
 ) -> None:
     # Guards against believing that a copy of an earlier refusal answers the newest send.
     with open_world(tmp_path, engines) as world:
-        prepare(world, status)
+        prepare(world, status=status)
         for _ in range(REQUESTS):
             request_id = world.new_id()
             answer = world.send("/lm/doc/", request_id=request_id)
@@ -51,9 +51,27 @@
 def test_request_refused_once_is_served_in_spite_of_a_copy(tmp_path: Path, path: str) -> None:
     # Guards against a caller that gets the copy of a refusal where its request has run.
     with open_world(tmp_path, 1) as world:
-        prepare(world, 503)
+        prepare(world)
         for _ in range(REQUESTS):
             request_id = world.new_id()
             answer = world.send(path, request_id=request_id)
             assert answer.status == 200
             assert len(world.runs(request_id)) == 1
+
+
+@pytest.mark.parametrize("path", ["/shop/look/", "/lm/chat/"])
+def test_request_that_failed_once_is_served_in_spite_of_a_copy(tmp_path: Path, path: str) -> None:
+    # Guards against a caller that gets the copy of an error where its request has run since.
+    with open_world(tmp_path, 1) as world:
+        prepare(world, "error_once")
+        assert [world.send(path).status for _ in range(REQUESTS)] == [200] * REQUESTS
+
+
+def test_resumed_stream_does_not_go_on_with_a_copy_of_its_beginning(tmp_path: Path) -> None:
+    # Guards against a stream that is joined with, or broken off by, a copy of its first answer.
+    with open_world(tmp_path, 1) as world:
+        prepare(world, "half_once")
+        for _ in range(REQUESTS):
+            answer = world.send("/lm/chat/")
+            assert not answer.is_cut
+            assert answer.event_data == [f"piece {number}" for number in range(6)]
