Take a read that ends before its topic for no proof, and read on at once

So an instance with a backlog (a long pause, large documents in quick succession) took what it had read for the newest: a proof of the keys, and the age of its list of servers, while the change that it lacked was in the store, and read one part at each interval.

The stand-in of time in test_follower now counts the seconds that a reader pauses, where it only saw that it pauses.

--- a/packages/turmericweir-core/turmericweir_core/messages/events.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/events.py
@@ -389,6 +389,8 @@
     requested_at: float | None = None
     # The era of the store that answered; 0 if it states none.
     era: int = 0
+    # The store had no further records.
+    is_caught_up: bool = True
 
 
 class EntriesUnreadable(Struct, frozen=True):
--- a/packages/turmericweir-core/turmericweir_core/store/registry.py
+++ b/packages/turmericweir-core/turmericweir_core/store/registry.py
@@ -72,7 +72,8 @@
     store_duty.note_registry_read(state, now)
     # Entries may have changed while the answer was under way or waited for this process.
     requested_at = now if event.requested_at is None else event.requested_at
-    registry.read_at = max(registry.read_at, requested_at)
+    if event.is_caught_up:
+        registry.read_at = max(registry.read_at, requested_at)
     listed = dict(state.servers.listed)
     rows: list[RegistryRow] = []
     for entry, offset in event.entries:
--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import struct
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any, cast
 
 import anyio
@@ -15,7 +15,7 @@
 from turmericweir.servers.backend_pool import BackendPool
 from turmericweir_core.messages.events import Event
 from turmericweir_platform.store import Follower
-from turmericweir_platform.store_client import Position, StoreClient
+from turmericweir_platform.store_client import Position, StoreClient, encode_record
 
 EMPTY_PAGE = struct.pack(">QQ", 0, 0)
 
@@ -42,16 +42,29 @@
         drain_ms = 2000
 
 
-def run_follower(world: StoreWorld, method: Callable[[Follower], Any]) -> list[str]:
-    """Run a method of a follower; return its pauses and call targets, in order."""
-    steps: list[str] = []
+def run_follower(
+    world: StoreWorld,
+    method: Callable[[Follower], Any],
+    *,
+    pages: Sequence[bytes] = (),
+    on_sleep: Callable[[float], None] = lambda _: None,
+) -> list[str | float]:
+    """Run a method of a follower; return its pauses in seconds and call targets, in order."""
+    steps: list[str | float] = []
+    rest = list(pages)
+    clock = [world.now]
 
     async def call(_self: StoreClient, target: str, _timeout_s: float) -> Answer:
         steps.append(target)
-        return Answer(200, {}, EMPTY_PAGE)
+        return Answer(200, {}, rest.pop(0) if rest else EMPTY_PAGE)
 
-    async def sleep(_seconds: float) -> None:
-        steps.append("pause")
+    async def sleep(seconds: float) -> None:
+        clock[0] += seconds
+        if steps and isinstance(steps[-1], float):
+            steps[-1] += seconds
+        else:
+            steps.append(seconds)
+        on_sleep(clock[0])
 
     async def main() -> None:
         follower = Follower(cast(BackendPool, None), cast(Any, _Settings))
@@ -61,6 +74,7 @@
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(StoreClient, "_call", call)
         patch.setattr("turmericweir_platform.store.anyio.sleep", sleep)
+        patch.setattr("turmericweir_platform.store.anyio.current_time", lambda: clock[0])
         anyio.run(main)
     return steps
 
@@ -77,16 +91,17 @@
     (target,) = run_follower(
         world, lambda follower: follower._read_next_entries(Position(0, 1), False)
     )
-    assert "log-read" in target
+    assert "log-read" in str(target)
 
 
 def test_reader_pauses_between_reads_of_the_servers() -> None:
     world = set_reader_role(StoreWorld(), is_reader=True)
-    pause, target = run_follower(
+    pause_s, target = run_follower(
         world, lambda follower: follower._read_next_entries(Position(0, 1), False)
     )
-    assert pause == "pause"
-    assert "log-read" in target
+    period_s = world.state.options.store.servers_read_s
+    assert 0.9 * period_s <= float(pause_s) <= period_s
+    assert "log-read" in str(target)
 
 
 @pytest.mark.parametrize("is_reader", [False, True])
@@ -96,5 +111,51 @@
     *pauses, target = run_follower(
         world, lambda follower: follower._read_next_document(Position(0, 1), False)
     )
-    assert pauses == ["pause"] * is_reader
-    assert "log-read" in target
+    assert len(pauses) == is_reader
+    assert "log-read" in str(target)
+
+
+async def _read_next_document(follower: Follower, start: Position, after_failure: bool) -> Position:
+    # As if the document in force had been read from the store.
+    follower._stored_version = follower._node.state.settings_offset()
+    return await follower._read_next_document(start, after_failure)
+
+
+TOPICS = {"settings": _read_next_document, "servers": Follower._read_next_entries}
+
+
+def _page(end: int, *keys: str) -> bytes:
+    records = b"".join(encode_record(key, b"") for key in keys)
+    return struct.pack(">QQ", end, 0) + records
+
+
+def _read(world: StoreWorld, topic: str, *pages: bytes) -> list[str | float]:
+    method = TOPICS[topic]
+    return run_follower(
+        world, lambda follower: method(follower, Position(0, 1), False), pages=pages
+    )
+
+
+def _proven_at(world: StoreWorld, topic: str) -> float:
+    if topic == "servers":
+        return world.state.registry.read_at
+    return world.state.document.proof_at if world.state.document else float("-inf")
+
+
+@pytest.mark.parametrize("topic", TOPICS)
+def test_read_that_ends_before_its_topic_proves_nothing(topic: str) -> None:
+    """Guards against taking what was read for the newest while the store has more."""
+    world = set_reader_role(StoreWorld(), is_reader=False)
+    before = _proven_at(world, topic)
+    world.now += 1.0
+    _read(world, topic, _page(9, "one"), _page(9))
+    assert _proven_at(world, topic) == before
+
+
+@pytest.mark.parametrize("topic", TOPICS)
+def test_topic_is_read_up_to_its_end_at_once(topic: str) -> None:
+    """Guards against a backlog that is read a part at each interval."""
+    world = set_reader_role(StoreWorld(), is_reader=False)
+    world.now += 1.0
+    steps = _read(world, topic, _page(3, "one"), _page(3, "two"))
+    assert [str(each).partition("from=")[2] for each in steps] == ["1", "2"]
