Conclude that a service had one version only from a list read after the request

What callers saw: an instance that was cut off from the store and its peers while servers of a new version joined let streams that had begun there go on at the old version: 4 of 4 plays with real processes, alone and with a second one that was cut off too, with and without the name of the stream.

Cause: 'the service has had one version' was concluded from not having heard of another, from a list that might be 3 s old, and from one of any age where a peer answered that it does not know the stream, though its list was as old. Streams without a name were not even asked for.

Now the list must have been read after the request came: by this instance, or by a peer that knows the history, dated by when it was asked less the age that it states, so that neither a delayed answer nor one to an earlier question counts. What an instance hears of the reader's list has an age that a message may hide, so only own reads count. Such a read is made at once where a stream is unknown; peers make it for an instance that has lost the store. Else 503 with Retry-After after 1.5 s. Versions that peers have seen count by name, so that two that know one each do not agree.

Why it works: a stream began before its caller asked, and its server was listed before it began, so a linearizable read made later shows its version.

--- a/packages/turmericweir-core/turmericweir_core/membership/store_duty.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/store_duty.py
@@ -35,6 +35,9 @@
 # Interval between two picks of the readers; `is_store_reader` is called far more often.
 _PICK_INTERVAL_S: Final = 0.25
 _NEVER: Final = float("-inf")
+# Time for which a wanted read stays wanted, and the least time between two such reads.
+_WANTED_KEEP_S: Final = 1.0
+_WANTED_INTERVAL_S: Final = 0.5
 _WEIGHT_RANGE: Final = 2.0**64
 
 
@@ -140,8 +143,23 @@
     return now - state.registry.read_at > overdue_s
 
 
+def want_registry_read(state: State, now: float) -> None:
+    """Have this instance read the servers' entries itself, though it may not be a reader."""
+    state.registry.wanted_at = now
+
+
+def is_registry_wanted(state: State, now: float) -> bool:
+    """Return whether something here waits for a read of the servers' entries."""
+    registry = state.registry
+    if registry.wanted_at <= registry.proved_at or now - registry.wanted_at > _WANTED_KEEP_S:
+        return False
+    return now - registry.proved_at >= _WANTED_INTERVAL_S
+
+
 def is_registry_read_due(state: State, now: float) -> bool:
     """Return whether this instance should read the servers' entries now."""
+    if is_registry_wanted(state, now):
+        return True
     return is_store_reader(state, now) or is_registry_overdue(state, now)
 
 
--- a/packages/turmericweir-core/turmericweir_core/messages/stream_messages.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/stream_messages.py
@@ -28,6 +28,12 @@
     """Asks for the release of a stream that a caller takes up."""
 
     key: int
+    # Names the question in its answer; 0 from an earlier release.
+    number: int = 0
+    # The service of the stream.
+    service: str = ""
+    # The sender cannot read the list of servers, so the receiver should.
+    wants_list: bool = False
 
 
 class StreamUnknown(Struct, frozen=True, array_like=True):
@@ -38,3 +44,9 @@
     divided_services: list[str]
     # Whether the sender knows all releases at which the stream may have begun.
     has_history: bool = False
+    # The question; an answer without a number tells nothing of the list's age.
+    number: int = 0
+    # Age of the list of servers that the sender has read itself, in seconds.
+    list_age_s: float = float("inf")
+    # The releases of the service that the sender has seen lately.
+    releases: list[int] = []
--- a/packages/turmericweir-core/turmericweir_core/requests/lifecycle.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/lifecycle.py
@@ -88,8 +88,8 @@
 def on_looked_up(state: State, now: float, req: Request, result: Found | Unknown) -> list[Effect]:
     """Go on with a request that takes up a stream, or refuse it."""
     if isinstance(result, Unknown) or result.binding.release == UNKNOWN_RELEASE:
-        retry_after_s = result.retry_after_s if isinstance(result, Unknown) else None
-        return _refuse_stream(state, now, req, Reason.STREAM_UNKNOWN, retry_after_s)
+        unknown = result if isinstance(result, Unknown) else Unknown()
+        return _refuse_stream(state, now, req, Reason.STREAM_UNKNOWN, unknown)
     effects = _concluded_logs(req, result)
     effects += stream_bindings.take_up(state, now, req, result.binding)
     targets = (req.target, *req.other_targets)
@@ -119,8 +119,9 @@
 
 
 def _refuse_stream(
-    state: State, now: float, req: Request, reason: Reason, retry_after_s: float | None = None
+    state: State, now: float, req: Request, reason: Reason, unknown: Unknown | None = None
 ) -> list[Effect]:
+    retry_after_s = None if unknown is None else unknown.retry_after_s
     fields = {
         "request_id": req.request_id,
         "stream_id": req.stream_id,
@@ -128,6 +129,7 @@
         "bound_release": req.release,
         "bound_by": req.release_source,
         "looked_up_ms": round(1000 * (now - req.arrived_at)),
+        "awaited_list": unknown is not None and unknown.awaits_list,
     }
     log = Log("stream_refused", fields)
     pause_s = _STREAM_PAUSE_S if retry_after_s is None else max(_STREAM_PAUSE_S, retry_after_s)
--- a/packages/turmericweir-core/turmericweir_core/state/registry_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/registry_state.py
@@ -27,6 +27,10 @@
     # When the newest read that succeeded was requested, by this instance or by its reader: the
     # entries reflect all that the store had acknowledged before.
     read_at: float = _NEVER
+    # The same for the reads of this instance alone, of which no delay of a message hides the age.
+    proved_at: float = _NEVER
+    # When something here last needed a newer read.
+    wanted_at: float = _NEVER
     # No reader sent an update in time, so this instance is the fallback reader until one does.
     is_fallback_reader: bool = False
     # Whether this instance is chosen as a reader, and when the choice is evaluated again.
--- a/packages/turmericweir-core/turmericweir_core/state/stream_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/stream_state.py
@@ -31,14 +31,25 @@
     started_at: float
     # The requests that wait for the answer.
     request_ids: list[RequestId]
+    # The service of the stream; empty if its target has none.
+    service: str = ""
     # The peers that were asked, and those of them that do not know the stream.
     asked: set[InstanceName] = field(default_factory=set)
     ignorant: set[InstanceName] = field(default_factory=set)
     waves: int = 0
     # Services of which a peer has seen several releases.
     divided_services: set[str] = field(default_factory=set)
-    # Whether a peer that answered knows all releases at which the stream may have begun.
-    is_vouched: bool = False
+    # Releases of the service that peers have seen.
+    releases: set[Release] = field(default_factory=set)
+    # Up to this time a peer that knows the history of releases has read the list of servers.
+    vouched_at: float = _NEVER
+    # When each question was sent, by its number.
+    questions: dict[int, float] = field(default_factory=dict)
+    # Whether the caller names the stream, so that peers may know it.
+    is_named: bool = True
+    # When a newer list of servers was first wanted, and when to ask for it again.
+    list_wanted_at: float | None = None
+    next_list_ask_at: float = _NEVER
 
 
 class Holder(Struct, frozen=True):
@@ -62,6 +73,8 @@
 
     by_key: dict[StreamKey, StreamBinding] = field(default_factory=dict)
     lookups: dict[StreamKey, StreamLookup] = field(default_factory=dict)
+    # Number of questions to peers so far.
+    questions: int = 0
     # The other live instances of the region, by data centre.
     rings: dict[str, HolderRing] = field(default_factory=dict)
     holders: frozenset[Holder] = frozenset()
--- a/packages/turmericweir-core/turmericweir_core/store/registry.py
+++ b/packages/turmericweir-core/turmericweir_core/store/registry.py
@@ -74,6 +74,8 @@
     requested_at = now if event.requested_at is None else event.requested_at
     if event.is_caught_up:
         registry.read_at = max(registry.read_at, requested_at)
+        if eras.is_proof(state, event.era, requested_at):
+            registry.proved_at = max(registry.proved_at, requested_at)
     listed = dict(state.servers.listed)
     rows: list[RegistryRow] = []
     for entry, offset in event.entries:
--- a/packages/turmericweir-core/turmericweir_core/streams/stream_lookup.py
+++ b/packages/turmericweir-core/turmericweir_core/streams/stream_lookup.py
@@ -2,28 +2,33 @@
 
 An instance that does not know the stream asks the peers that follow its key on the rings of all
 data centres, first two of each, then more, since views of the membership differ. One answer is
-enough. If none knows the stream, it can have begun only at a release that the service has had
-lately; so it goes on if this instance and all peers that answered have seen only one, and one of
-them knows the history of releases (`stream_records`). An instance that has just started may not
-know it yet, nor have read the bindings that are in the store; the request waits for that while it
-has time. Otherwise it is refused. A caller that names no stream is an older one, and is treated in
-the same way.
+enough. If none knows the stream, `sole_release` tells whether it can have begun at one release
+only. An instance that has just started may not have read the bindings that are in the store, and
+one whose list of servers is older than the request may not know all releases; the request waits for
+both while it has time. Otherwise it is refused. A caller that names no stream is an older one, and
+its request goes on by the releases alone.
 """
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Final, TypeAlias
+from typing import TYPE_CHECKING, Final, TypeAlias, assert_never
 
 from msgspec import Struct
 
 from turmericweir_core.base.ids import InstanceName
 from turmericweir_core.base.request import Request, RequestPhase
-from turmericweir_core.membership import membership
+from turmericweir_core.membership import membership, store_duty
 from turmericweir_core.messages.effects import Effect, SendDatagram
 from turmericweir_core.messages.record_messages import RecordsRead
 from turmericweir_core.messages.stream_messages import StreamAsk, StreamsBound, StreamUnknown
 from turmericweir_core.state.stream_state import StreamBinding, StreamKey, StreamLookup
-from turmericweir_core.streams import stream_bindings, stream_copies, stream_records
+from turmericweir_core.streams import (
+    sole_release,
+    stream_bindings,
+    stream_copies,
+    stream_records,
+)
+from turmericweir_core.streams.sole_release import NoHistory, OldList, Several, Sole
 
 if TYPE_CHECKING:
     from turmericweir_core.state.state import State
@@ -40,20 +45,11 @@
 _SERVE_S: Final = 1.0
 # Upper bound of the delay after which a caller comes again for a stream of unknown release.
 _RETRY_AFTER_MAX_S: Final = 5.0
-# Age up to which the list of servers shows all releases in service.
-_LIST_FRESH_S: Final = 3.0
-
-
-class Conclusion(Struct, frozen=True):
-    """What shows that a service has had one release only."""
-
-    # Age of the list of servers.
-    list_age_s: float
-    # Whether this instance, or a peer that answered, knows the history of releases.
-    has_history: bool
-    is_vouched: bool = False
-    # Peers that do not know the stream.
-    ignorant_peers: int = 0
+# Time for reading the list of servers again, the interval between two attempts, and the peers of
+# each data centre that are asked for it.
+_LIST_WAIT_S: Final = 1.5
+_LIST_ASK_INTERVAL_S: Final = 0.2
+_ASKED_FOR_LIST: Final = 2
 
 
 class Found(Struct, frozen=True):
@@ -61,7 +57,7 @@
 
     binding: StreamBinding
     # What it was concluded from; None if the stream itself is known.
-    conclusion: Conclusion | None = None
+    conclusion: Sole | None = None
 
 
 class Unknown(Struct, frozen=True):
@@ -69,6 +65,8 @@
 
     # When more may be known; None if nothing more is expected.
     retry_after_s: float | None = None
+    # Whether a newer list of servers may show that there was one release only.
+    awaits_list: bool = False
 
 
 class Pending(Struct, frozen=True):
@@ -82,9 +80,7 @@
 
 def look_up(state: State, now: float, req: Request) -> Result:
     """Look up the stream that a request takes up."""
-    if not req.stream_id and stream_records.has_history(state, now):
-        return _by_service(state, now, req, None)
-    # Nobody knows a stream without a name, but peers may know that there was one release only.
+    is_named = bool(req.stream_id)
     key = stream_bindings.key_of(req.customer, req.stream_id or f"\0{req.request_id}")
     binding = stream_bindings.find_binding(state, now, key)
     if binding is not None:
@@ -93,27 +89,21 @@
     if lookup is not None:
         lookup.request_ids.append(req.request_id)
         return Pending([])
-    lookup = state.streams.lookups[key] = StreamLookup(now, [req.request_id])
-    return Pending(_ask(state, key, lookup))
+    service = state.config.service_by_target.get(req.target)
+    service_name = "" if service is None else service.name
+    lookup = StreamLookup(now, [req.request_id], service_name, is_named=is_named)
+    state.streams.lookups[key] = lookup
+    if _needs_list_only(state, now, lookup):
+        return Pending(_ask_for_list(state, now, key, lookup))
+    return Pending(_ask(state, now, key, lookup))
 
 
-def _by_service(
-    state: State, now: float, req: Request, lookup: StreamLookup | None
-) -> Found | Unknown:
-    service = state.config.service_by_target.get(req.target)
-    release = None if service is None else stream_bindings.sole_release(state, now, service.name)
-    if release is None:
-        return Unknown()
-    conclusion = Conclusion(
-        now - state.registry.read_at,
-        stream_records.has_history(state, now),
-        is_vouched=lookup is not None and lookup.is_vouched,
-        ignorant_peers=0 if lookup is None else len(lookup.ignorant),
-    )
-    return Found(StreamBinding(release, now, state.me.name), conclusion)
+def _needs_list_only(state: State, now: float, lookup: StreamLookup) -> bool:
+    """Return whether no peer and no record can tell more than a new list of servers."""
+    return not lookup.is_named and stream_records.has_history(state, now)
 
 
-def _ask(state: State, key: StreamKey, lookup: StreamLookup) -> list[Effect]:
+def _ask(state: State, now: float, key: StreamKey, lookup: StreamLookup) -> list[Effect]:
     """Ask the next peers."""
     count = _ASKED_BY_WAVE[min(lookup.waves, len(_ASKED_BY_WAVE) - 1)]
     lookup.waves += 1
@@ -124,7 +114,29 @@
         if holder.name not in lookup.ignorant
     ]
     lookup.asked |= {holder.name for holder in holders}
-    ask = StreamAsk(key)
+    ask = _next_question(state, now, key, lookup)
+    return [SendDatagram(holder.name, holder.address, ask) for holder in holders]
+
+
+def _next_question(
+    state: State, now: float, key: StreamKey, lookup: StreamLookup, *, wants_list: bool = False
+) -> StreamAsk:
+    state.streams.questions += 1
+    lookup.questions[state.streams.questions] = now
+    return StreamAsk(key, state.streams.questions, lookup.service, wants_list)
+
+
+def _ask_for_list(state: State, now: float, key: StreamKey, lookup: StreamLookup) -> list[Effect]:
+    """Read the list of servers again; if that does not succeed at once, have peers do it."""
+    if now < lookup.next_list_ask_at:
+        return []
+    lookup.next_list_ask_at = now + _LIST_ASK_INTERVAL_S
+    store_duty.want_registry_read(state, now)
+    if lookup.list_wanted_at is None:
+        lookup.list_wanted_at = now
+        return []
+    ask = _next_question(state, now, key, lookup, wants_list=True)
+    holders = stream_copies.lookup_holders(state.streams.rings, key, _ASKED_FOR_LIST)
     return [SendDatagram(holder.name, holder.address, ask) for holder in holders]
 
 
@@ -142,17 +154,12 @@
     if binding is not None:
         answer = StreamsBound([stream_copies.row_of(now, key, binding)])
     else:
-        has_history = stream_records.has_history(state, now)
-        answer = StreamUnknown(key, _divided_services(state, now), has_history)
+        answer = sole_release.describe(state, now, key, ask)
+        if ask.wants_list:
+            store_duty.want_registry_read(state, now)
     return [SendDatagram(sender, peer.peer_address, answer)]
 
 
-def _divided_services(state: State, now: float) -> list[str]:
-    """Return the services that have had servers of several releases lately."""
-    releases = stream_bindings.late_releases(state, now)
-    return sorted(name for name, each in releases.items() if len(each) > 1)
-
-
 class Resolved(Struct, frozen=True):
     """A request whose lookup has ended."""
 
@@ -176,12 +183,13 @@
 
 
 def on_unknown(state: State, sender: InstanceName, message: StreamUnknown) -> None:
-    """Record that a peer does not know a stream."""
+    """Record that a peer does not know a stream, and what it has seen of the service."""
     lookup = state.streams.lookups.get(StreamKey(message.key))
-    if lookup is not None:
-        lookup.ignorant.add(sender)
-        lookup.divided_services |= set(message.divided_services)
-        lookup.is_vouched |= message.has_history
+    if lookup is None or (message.number and message.number not in lookup.questions):
+        # The answer to an earlier lookup, since when the peer may have learnt of the stream.
+        return
+    lookup.ignorant.add(sender)
+    sole_release.note_statement(lookup, message)
 
 
 def on_records_read(state: State, now: float, event: RecordsRead) -> list[Resolved]:
@@ -199,21 +207,31 @@
     """Ask further peers, or end the lookups to which nobody knows an answer."""
     resolved: list[Resolved] = []
     effects: list[Effect] = []
-    is_starting = membership.uptime_s(state, now) < _START_S
     for key, lookup in list(state.streams.lookups.items()):
-        have_all_answered = bool(lookup.asked) and lookup.asked <= lookup.ignorant
-        time_s = _LOOKUP_AT_START_S if is_starting else _LOOKUP_S
-        if now - lookup.started_at >= time_s or (
-            have_all_answered and lookup.waves >= len(_ASKED_BY_WAVE)
-        ):
-            resolved += _conclude(state, now, key, lookup)
-            if key in state.streams.lookups:
-                effects += stream_records.request_read(state, now)
-        else:
-            effects += _ask(state, key, lookup)
+        if not _have_peers_answered(state, now, lookup):
+            effects += _ask(state, now, key, lookup)
+            continue
+        resolved += _conclude(state, now, key, lookup)
+        if key not in state.streams.lookups:
+            continue
+        effects += _ask_for_list(state, now, key, lookup)
+        if not _needs_list_only(state, now, lookup):
+            effects += stream_records.request_read(state, now)
     return resolved, effects
 
 
+def _have_peers_answered(state: State, now: float, lookup: StreamLookup) -> bool:
+    """Return whether all peers that were asked have answered, or had time to."""
+    if _needs_list_only(state, now, lookup):
+        return True
+    is_starting = membership.uptime_s(state, now) < _START_S
+    time_s = _LOOKUP_AT_START_S if is_starting else _LOOKUP_S
+    have_all_answered = bool(lookup.asked) and lookup.asked <= lookup.ignorant
+    return now - lookup.started_at >= time_s or (
+        have_all_answered and lookup.waves >= len(_ASKED_BY_WAVE)
+    )
+
+
 def _end(state: State, key: StreamKey, found: Found) -> list[Resolved]:
     lookup = state.streams.lookups.pop(key)
     return [Resolved(req, found) for req in _waiting(state, lookup)]
@@ -228,8 +246,8 @@
     """End the lookup of each request that gains nothing by waiting longer."""
     resolved: list[Resolved] = []
     for req in _waiting(state, lookup):
-        result = _by_peers(state, now, req, lookup)
-        if isinstance(result, Unknown) and now < _wait_until(state, req, lookup, result):
+        result = _by_releases(state, now, req, lookup)
+        if isinstance(result, Unknown) and now < _wait_until(state, now, req, lookup, result):
             continue
         lookup.request_ids.remove(req.request_id)
         resolved.append(Resolved(req, result))
@@ -238,11 +256,16 @@
     return resolved
 
 
-def _wait_until(state: State, req: Request, lookup: StreamLookup, result: Unknown) -> float:
+def _wait_until(
+    state: State, now: float, req: Request, lookup: StreamLookup, result: Unknown
+) -> float:
     """Return until when a request waits for what is not known yet."""
-    if state.streams.records_read_at < lookup.started_at:
+    has_read_records = state.streams.records_read_at >= lookup.started_at
+    if not has_read_records and not _needs_list_only(state, now, lookup):
         # The store may hold the binding.
         return min(_last_wait(req), lookup.started_at + _RECORDS_WAIT_S)
+    if result.awaits_list:
+        return min(_last_wait(req), (lookup.list_wanted_at or now) + _LIST_WAIT_S)
     if result.retry_after_s is None:
         return float("-inf")
     known_at = stream_records.known_at(state)
@@ -256,17 +279,17 @@
     return req.deadline - _SERVE_S
 
 
-def _by_peers(state: State, now: float, req: Request, lookup: StreamLookup) -> Found | Unknown:
+def _by_releases(state: State, now: float, req: Request, lookup: StreamLookup) -> Found | Unknown:
     """Conclude from the releases that this instance and its peers have seen."""
-    service = state.config.service_by_target.get(req.target)
-    if service is None or service.name in lookup.divided_services:
-        return Unknown()
-    if len(stream_bindings.late_releases(state, now).get(service.name, ())) > 1:
-        return Unknown()
-    if not lookup.is_vouched and not stream_records.has_history(state, now):
-        retry_after_s = stream_records.known_at(state) - now
-        return Unknown(min(max(0.0, retry_after_s), _RETRY_AFTER_MAX_S))
-    if not lookup.ignorant and now - state.registry.read_at > _LIST_FRESH_S:
-        # Cut off from its peers and from the store, it may not know of a later version.
-        return Unknown()
-    return _by_service(state, now, req, lookup)
+    match sole_release.conclude(state, now, lookup, req.arrived_at):
+        case Several():
+            return Unknown()
+        case NoHistory():
+            retry_after_s = stream_records.known_at(state) - now
+            return Unknown(min(max(0.0, retry_after_s), _RETRY_AFTER_MAX_S))
+        case OldList():
+            return Unknown(awaits_list=True)
+        case Sole() as sole:
+            return Found(StreamBinding(sole.release, now, state.me.name), sole)
+        case unreachable:
+            assert_never(unreachable)
--- a/tests/core/stream_network.py
+++ b/tests/core/stream_network.py
@@ -20,7 +20,7 @@
 from turmericweir_core.base.ids import AttemptId, InstanceName, RequestId, ServerName
 from turmericweir_core.base.release import Release, release_of
 from turmericweir_core.base.request import Attempt, Request, RequestPhase
-from turmericweir_core.membership import eras
+from turmericweir_core.membership import eras, store_duty
 from turmericweir_core.messages.effects import Effect, SendDatagram
 from turmericweir_core.messages.events import RegistryRead
 from turmericweir_core.messages.peer_messages import PeerMessage
@@ -78,6 +78,9 @@
         self.down: set[InstanceName] = set()
         # Data centres that reach no others.
         self.cut_off: set[str] = set()
+        # Instances that cannot read the list of servers, and the own records.
+        self.without_list: set[InstanceName] = set()
+        self.without_records: set[InstanceName] = set()
         # Whether datagrams are held until `deliver_held`.
         self.is_holding = False
         self.held: list[tuple[InstanceName, InstanceName, PeerMessage]] = []
@@ -185,6 +188,13 @@
         eras.on_records_read(state, self.now, event)
         self._note(stream_lookup.on_records_read(state, self.now, event))
 
+    def _read_lists(self) -> None:
+        """Have the instances that want it read the list of servers, which is as they know it."""
+        for name, state in self.states.items():
+            can_read = name not in self.down | self.without_list
+            if can_read and store_duty.is_registry_wanted(state, self.now):
+                state.registry.proved_at = state.registry.read_at = self.now
+
     def run_records(self, seconds: float = 2.0) -> None:
         """Let instances write records for a while."""
         end_at = self.now + seconds
@@ -237,6 +247,7 @@
             self._perform(name, result.effects)
             while req.request_id not in self._resolved:
                 self.now += 0.1
+                self._read_lists()
                 resolved, effects = stream_lookup.on_tick(state, self.now)
                 self._note(resolved)
                 self._perform(name, effects)
@@ -272,7 +283,8 @@
         for effect in effects:
             match effect:
                 case ReadRecords():
-                    self.read_records(name)
+                    if name not in self.without_records:
+                        self.read_records(name)
                 case PutReleases() | PutStreams():
                     self._put(name, effect)
                 case _:
--- a/tests/core/streams/test_lost_instances.py
+++ b/tests/core/streams/test_lost_instances.py
@@ -147,6 +147,8 @@
     """Guards against a version that came and went unseen."""
     network = StreamNetwork(2, 1, versions=1)
     state = network.states[network.names[0]]
+    # The record of the store would show what it missed.
+    network.without_records.add(network.names[0])
     network.now += 30.0
     stream_bindings.note_gap(state, network.now)
     network.kill(network.names[1:])
@@ -154,7 +156,6 @@
     assert network.take_up(network.names[0], "nobody's") is None
     # It has followed the entries for longer than a stream lasts.
     network.now += 60.0
-    state.registry.read_at = network.now
     assert network.take_up(network.names[0], "nobody's") is not None
 
 
--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -13,6 +13,7 @@
 from turmericweir.process.node import Node
 from turmericweir.servers.backend_call import Answer
 from turmericweir.servers.backend_pool import BackendPool
+from turmericweir_core.membership import store_duty
 from turmericweir_core.messages.events import Event
 from turmericweir_platform.store import Follower
 from turmericweir_platform.store_client import Position, StoreClient, encode_record
@@ -104,6 +105,24 @@
     assert "log-read" in str(target)
 
 
+def test_wanted_read_ends_the_pause_of_a_reader() -> None:
+    """Guards against requests that wait for a list until the next read is due."""
+    world = set_reader_role(StoreWorld(), is_reader=True)
+
+    def want(now: float) -> None:
+        if now - world.now > 0.25:
+            store_duty.want_registry_read(world.state, now)
+
+    world.state.registry.proved_at = world.now - 10.0
+    pause_s, target = run_follower(
+        world,
+        lambda follower: follower._read_next_entries(Position(0, 1), False),
+        on_sleep=want,
+    )
+    assert float(pause_s) < 0.5
+    assert "log-read" in str(target)
+
+
 @pytest.mark.parametrize("is_reader", [False, True])
 def test_only_a_reader_pauses_before_reading_the_settings(is_reader: bool) -> None:
     """Guards against a pause that makes a stale freshness proof expire."""
--- a/tests/platform/test_out_of_step.py
+++ b/tests/platform/test_out_of_step.py
@@ -4,7 +4,7 @@
 
 from functools import partial
 from pathlib import Path
-from typing import Final
+from typing import Any, Final
 
 import pytest
 
@@ -46,11 +46,70 @@
         assert all(stream.is_complete for stream in streams) or not names_stream
 
 
-def open_world(path: Path) -> PartitionWorld:
+def test_instance_that_is_cut_off_goes_on_with_its_own_streams(tmp_path: Path) -> None:
+    # Guards against refusing streams that the instance has begun itself.
+    with open_world(tmp_path, retry_ratio=0, retry_burst=0) as world:
+        until(partial(know_each_other, world), "the instances know each other")
+        for server in world.servers.values():
+            server.event_count, server.event_interval_s = EVENTS, EVENT_INTERVAL_S
+        callers = begin(world, STREAMS, ("entry-3",))
+        world.cut_off("entry-3")
+        world.crash_server("lm-1")
+        streams = finish(callers)
+        assert any(stream.was_taken_up for stream in streams)
+        assert all(stream.is_complete for stream in streams), [s.refusals for s in streams]
+        assert_not_joined(streams)
+
+
+@pytest.mark.parametrize("stream_id", ["nobody-knows-it", ""], ids=["named", "unnamed"])
+def test_peer_vouches_for_an_instance_that_has_lost_the_store(
+    tmp_path: Path, stream_id: str
+) -> None:
+    # Guards against refusing streams though a peer knows that there was one version only.
+    with open_world(tmp_path) as world:
+        until(partial(know_each_other, world), "the instances know each other")
+        world.cut_off("entry-3", from_peers=False)
+        headers: dict[str, Any] = {"Resumes": stream_id} if stream_id else {}
+        answer = world.send("/lm/chat/", instance="entry-3", Last_Event_Id="3", **headers)
+        assert answer.status == 200
+        assert answer.event_data == ["piece 4 v1", "piece 5 v1"]
+
+
+@pytest.mark.parametrize("stream_id", ["nobody-knows-it", ""], ids=["named", "unnamed"])
+def test_stream_that_nobody_knows_is_refused_where_the_list_is_old(
+    tmp_path: Path, stream_id: str
+) -> None:
+    # Guards against callers that wait for their time limit, or are told of no time to come again.
+    with open_world(tmp_path) as world:
+        until(partial(know_each_other, world), "the instances know each other")
+        world.cut_off("entry-3")
+        headers: dict[str, Any] = {"Resumes": stream_id} if stream_id else {}
+        request_id = world.new_id()
+        answer = world.send(
+            "/lm/chat/",
+            instance="entry-3",
+            request_id=request_id,
+            Last_Event_Id="3",
+            X_Deadline_Ms="60000",
+            **headers,
+        )
+        assert answer.status == 503
+        assert float(answer.headers["retry-after"]) > 0.0
+        assert not world.runs(request_id)
+        instance = world.running["entry-3"]
+        until(lambda: bool(instance.logged("stream_refused")), "the refusal is logged")
+        assert instance.logged("stream_refused")[0]["awaited_list"]
+
+
+def open_world(path: Path, **bounds: float) -> PartitionWorld:
     """Return a world of four instances, with engines of the first version only."""
     # Proofs are renewed rarely, so an instance that is cut off refuses no keys.
     return PartitionWorld(
-        path, plain_servers=0, instances=4, versions=("v1",), bounds={"revoke_ms": 60_000}
+        path,
+        plain_servers=0,
+        instances=4,
+        versions=("v1",),
+        bounds={"revoke_ms": 60_000, **bounds},
     )
 
 
