Suspect the entry of a server that breaks streams off in a service of one version too

'The service has had one version' was taken from a list read before the restart, and an entry was then not suspected, so that streams went on at once. docs/design/streams.md named the hole.

--- a/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
@@ -37,7 +37,7 @@
 )
 from turmericweir_core.placement import answer_moves, attempt_accounting, brittle_servers
 from turmericweir_core.placement.dispatch import dispatch, release, wait_for_server
-from turmericweir_core.requests import second_sends
+from turmericweir_core.requests import second_sends, unconfirmed_starts
 from turmericweir_core.requests.lifecycle import (
     finish,
     is_stop_due,
@@ -287,6 +287,7 @@
             logs: list[Effect] = [_failure_log(req, attempt, "broken", error)]
             if not is_malformed:
                 logs += stream_bindings.on_broken(state, now, req, attempt)
+                logs += unconfirmed_starts.stop(state)
             if not server_alive:
                 logs += server_paths.note_failed(state, now, attempt.server, error, attempt.via)
             quarantine.record_broken_connection(state, now, req, attempt, server_alive)
--- a/packages/turmericweir-core/turmericweir_core/requests/taken_up.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/taken_up.py
@@ -8,7 +8,7 @@
 from turmericweir_core.messages.effects import Effect
 from turmericweir_core.messages.record_messages import RecordsRead
 from turmericweir_core.messages.stream_messages import StreamAsk, StreamsBound, StreamUnknown
-from turmericweir_core.requests import lifecycle
+from turmericweir_core.requests import lifecycle, unconfirmed_starts
 from turmericweir_core.state.state import State
 from turmericweir_core.streams import stream_bindings, stream_copies, stream_lookup
 from turmericweir_core.streams.stream_lookup import Resolved
@@ -23,7 +23,9 @@
     """Process a message of another instance."""
     match message:
         case StreamsBound():
-            return _go_on(state, now, stream_lookup.on_bound(state, now, sender, message))
+            resolved = stream_lookup.on_bound(state, now, sender, message)
+            stops = unconfirmed_starts.stop(state) if message.suspected_servers else []
+            return [*stops, *_go_on(state, now, resolved)]
         case StreamAsk():
             return stream_lookup.on_ask(state, now, sender, message)
         case StreamUnknown():
--- a/packages/turmericweir-core/turmericweir_core/streams/stream_bindings.py
+++ b/packages/turmericweir-core/turmericweir_core/streams/stream_bindings.py
@@ -191,16 +191,14 @@
 
 
 def _suspect_entry(state: State, now: float, name: ServerName) -> bool:
-    """Suspect an entry until it is read again; return False where that changes nothing.
+    """Suspect an entry until it is read again; return False if it was suspected just now.
 
-    Where a service has had one release only, its streams go on at once as before.
+    Also where a service has had one release only: this server may be the first of another one.
     """
     server = state.servers.by_name.get(name)
     suspected_at = state.streams.suspected_at
     if server is None or now - suspected_at.get(name, float("-inf")) < _SUSPECT_INTERVAL_S:
         return False
-    if sole_release(state, now, server.entry.service) is not None:
-        return False
     suspected_at[name] = server.restored_at = now
     return True
 
--- a/tests/platform/test_versions.py
+++ b/tests/platform/test_versions.py
@@ -191,6 +191,19 @@
         assert_whole(finish(callers))
 
 
+@pytest.mark.parametrize("engines", [1, 2])
+def test_stream_does_not_go_on_at_the_first_server_of_another_version(
+    tmp_path: Path, engines: int
+) -> None:
+    """Guards against servers that start again under their names with a version that is new."""
+    with open_world(tmp_path, engines=engines, instances=2, versions=("v1",)) as world:
+        callers = begin(world, 12, ("entry-1", "entry-2"))
+        for name in list(world.servers):
+            world.crash_server(name)
+            world.restart_server(name, born=2, version="v2")
+        assert not joined(finish(callers))
+
+
 def test_taken_up_stream_does_not_go_on_at_a_restarted_name(tmp_path: Path) -> None:
     """Guards against two versions in a stream that its instance has no retry for."""
     with open_world(tmp_path, instances=2, retry_ratio=0, retry_burst=0) as world:
