--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -101,6 +101,8 @@
     has_unique_requests: ClassVar[bool] = False
     # When the servers started, as their entries say; None if they say nothing of it at first.
     born: ClassVar[int | None] = None
+    # Time after which a key that was taken away is used no more.
+    revoke_s: ClassVar[float] = REVOKE_S
 
     world: PlatformWorld
     rng: Random
@@ -385,7 +387,7 @@
             if sent.kind not in STREAMS and not is_plain_answer:
                 violations += [f"{sent} got {answer.body!r}", *self._log_lines(sent)]
         if answer.status == 200 and sent.key == SECOND_KEY:
-            window_start = sent.sent_at - REVOKE_S - SLACK_S
+            window_start = sent.sent_at - self.revoke_s - SLACK_S
             # A request that waited in a frozen process may run after the key was restored.
             ran_at = max((each.received_at for each in runs), default=sent.sent_at)
             if any(each.covers(window_start, ran_at) for each in self.revoked):
@@ -439,7 +441,7 @@
 
 def run(seed: int, seconds: float, directory: Path, make_soak: type[Soak] = Soak) -> list[str]:
     """Run the soak with a seed; return the violated guarantees."""
-    bounds = {"revoke_ms": REVOKE_S * 1000, "drain_ms": DRAIN_S * 1000}
+    bounds = {"revoke_ms": make_soak.revoke_s * 1000, "drain_ms": DRAIN_S * 1000}
     with make_soak.world_class(
         directory,
         engines=make_soak.engines,
@@ -524,6 +526,8 @@
     breaks: bool,
     copies: bool,
     ends: bool,
+    repeats: bool,
+    partitions: bool,
 ) -> type[Soak]:
     # Imported late, as these modules import this one.
     if notices:
@@ -554,6 +558,14 @@
         from tests.platform.soak_ends import EndSoak
 
         return EndSoak
+    if repeats:
+        from tests.platform.soak_repeats import RepeatSoak
+
+        return RepeatSoak
+    if partitions:
+        from tests.platform.soak_partitions import PartitionSoak
+
+        return PartitionSoak
     return Soak
 
 
@@ -575,6 +587,12 @@
     parser.add_argument(
         "--ends", action="store_true", help="servers exit in answers; refusals name no request"
     )
+    parser.add_argument(
+        "--repeats", action="store_true", help="servers copy answers to earlier arrivals"
+    )
+    parser.add_argument(
+        "--partitions", action="store_true", help="instances are cut off in a rollout"
+    )
     args = parser.parse_args()
     make_soak = _choose_soak(
         notices=args.notices,
@@ -584,6 +602,8 @@
         breaks=args.breaks,
         copies=args.copies,
         ends=args.ends,
+        repeats=args.repeats,
+        partitions=args.partitions,
     )
     first, _, last = args.seeds.partition("-")
     failed_seeds = 0
--- a/tests/platform/standin_http.py
+++ b/tests/platform/standin_http.py
@@ -36,6 +36,8 @@
     writer: asyncio.StreamWriter
     # In every answer.
     extra_headers: dict[str, str] = field(default_factory=dict)
+    # The answers with a length that were sent on this connection.
+    sent_answers: list[bytes] = field(default_factory=list)
 
     async def answer(
         self, status: int, body: bytes = b"", headers: dict[str, str] | None = None
@@ -46,7 +48,8 @@
             f"{name}: {value}" for name, value in {**self.extra_headers, **(headers or {})}.items()
         ]
         lines += [f"Content-Length: {len(body)}", "", ""]
-        await self.write("\r\n".join(lines).encode() + body)
+        self.sent_answers.append("\r\n".join(lines).encode() + body)
+        await self.write(self.sent_answers[-1])
 
     async def write(self, data: bytes) -> None:
         """Write raw bytes."""
@@ -115,10 +118,14 @@
         self.connections += 1
         self._writers.add(writer)
         earlier_requests = 0
+        sent_answers: list[bytes] = []
         try:
             while True:
                 call = await _read(reader, writer, earlier_requests)
-                if call is None or not await self._answer(call):
+                if call is None:
+                    return
+                call.sent_answers = sent_answers
+                if not await self._answer(call):
                     return
                 earlier_requests += 1
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
--- a/tests/platform/standin_server.py
+++ b/tests/platform/standin_server.py
@@ -197,6 +197,15 @@
                 # Meant for no request, and without the ID of one.
                 extra_headers = {"X-Not-Executed": "1", "Server-Limit": "1", "Server-Leaving": "1"}
                 await call.answer(self.extra_status, b"", extra_headers)
+            case "copies":
+                refusal_headers = {"X-Attempt-Id": attempt_id, "X-Not-Executed": "1", **notices}
+                if len(self.received) % 2 == 0:
+                    request.was_run = False
+                    await call.answer(503, b"", refusal_headers)
+                    return True
+                if call.sent_answers:
+                    # An extra copy of an earlier answer on this connection.
+                    await call.write(call.sent_answers[len(self.received) % len(call.sent_answers)])
             case "refuse_once" | "error_once" | "half_once":
                 is_first = attempt_id not in self.first_connections
                 connection = self.first_connections.setdefault(attempt_id, call.writer)
