Run a request again only if the settings in force by now allow it

Cause: whether it may be repeated was taken over from the route when the request came, and kept for as long as it lasted.

When settings come, each request under way is looked up in the new routes; if its route forbids a second run, it gets none, and one that waits for it ends as unknown.

--- a/packages/turmericweir-core/turmericweir_core/base/request.py
+++ b/packages/turmericweir-core/turmericweir_core/base/request.py
@@ -155,6 +155,9 @@
     deadline: float
     # May be run more than once. True for model calls; set by the service for plain calls.
     repeatable: bool = True
+    # Where the caller sent it, by which its route is found again; empty if no route decides.
+    host: str = ""
+    path: str = ""
     idempotency_key: str | None = None
     # Hash of the target and the body; identifies requests that crash servers.
     fingerprint: str = ""
--- a/packages/turmericweir-core/turmericweir_core/reducers/reducer_store.py
+++ b/packages/turmericweir-core/turmericweir_core/reducers/reducer_store.py
@@ -72,7 +72,7 @@
     tick_others,
     tick_requests,
 )
-from turmericweir_core.requests import taken_up
+from turmericweir_core.requests import route_changes, taken_up
 from turmericweir_core.state.state import State
 from turmericweir_core.store import document, registry
 from turmericweir_core.streams import stream_records
@@ -94,7 +94,10 @@
         case Tick():
             return _on_tick(state, now)
         case DocumentRead():
+            config = state.config
             effects = document.on_read(state, now, event)
+            if state.config is not config:
+                effects += route_changes.on_settings(state, now)
             return effects + dispatch.dispatch_all(state, now)
         case DocumentConfirmed():
             return document.on_confirmed(state, now, event)
--- a/tests/core/requests/test_second_sends.py
+++ b/tests/core/requests/test_second_sends.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import pytest
+from msgspec import structs
 
-from tests.core.store_world import StoreWorld, only, start_of
+from tests.core.store_world import FIT, StoreWorld, account_of, model_route, only, start_of
+from turmericweir_core.base.account import Outcome
 from turmericweir_core.base.ids import ServerName
-from turmericweir_core.messages.effects import Log, StartAttempt
-from turmericweir_core.messages.events import EndRefused, RegistryRead
+from turmericweir_core.base.routes import build_route_table
+from turmericweir_core.messages.effects import FinishRequest, Log, StartAttempt
+from turmericweir_core.messages.events import DocumentRead, EndBroken, EndRefused, RegistryRead
 
 
 def refused(
@@ -62,3 +65,22 @@
     assert log.fields["refused_by"] == first.server
     assert log.fields["same_server"]
     assert not log.fields["kept_connection"]
+
+
+def test_request_that_waits_for_a_second_run_ends_when_its_route_forbids_it() -> None:
+    """Guards against a retry that was decided by earlier settings."""
+    world = StoreWorld(1, 0)
+    allowed = model_route(FIT, 12.0)
+    start = start_of(
+        world.arrive("r", repeatable=True, sends_max=3, host=allowed.host, path="/chat/")
+    )
+    world.sent(start)
+    world.begin(start)
+    assert not only(world.end(start, EndBroken("reset", server_alive=False)), FinishRequest)
+    assert world.state.requests
+    cfg = structs.replace(
+        world.config(), routes=build_route_table([structs.replace(allowed, repeatable=False)])
+    )
+    effects = world.give(DocumentRead(9, cfg, b"raw", world.now))
+    assert account_of(effects).account.outcome is Outcome.UNKNOWN
+    assert not world.state.requests
