--- /dev/null
+++ b/tests/platform/test_own_records.py
@@ -0,0 +1,127 @@
+"""Tests of how the project's own records are written to the store."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, cast
+
+import anyio
+import msgspec
+import orjson
+import pytest
+
+from turmericweir.process.errors import CallError
+from turmericweir.process.node import Node
+from turmericweir.servers.backend_call import Answer
+from turmericweir.servers.backend_pool import BackendPool
+from turmericweir_core.messages.events import Event
+from turmericweir_core.messages.record_messages import PutReleases, ReleasesPut
+from turmericweir_platform import own_records
+from turmericweir_platform.own_records import OwnRecords
+from turmericweir_platform.store_client import Position, RecordPage, StoreClient, split_records
+
+OLD = PutReleases({"lm": [1]})
+NEW = PutReleases({"lm": [1, 2]})
+
+
+class LateStore:
+    """A topic whose appends may be carried out long after their callers have given up."""
+
+    def __init__(self) -> None:
+        self.records: list[tuple[str, bytes]] = []
+        self.is_late = False
+        self._late: list[Callable[[], Answer]] = []
+
+    def append(self, target: str, body: bytes) -> Answer:
+        _, _, at = target.partition("&at=")
+        if at and int(at) != len(self.records):
+            return Answer(412, {}, orjson.dumps({"end": len(self.records)}))
+        for record in split_records(bytes(16) + body, 0):
+            self.records.append((record.key, record.value))
+        return Answer(200, {}, orjson.dumps({"offset": 0, "end": len(self.records)}))
+
+    async def call(self, target: str, raw: bytes) -> Answer:
+        if self.is_late:
+            self._late.append(lambda: self.append(target, raw))
+            raise CallError("append", "store", "no answer", was_sent=True)
+        return self.append(target, raw)
+
+    def carry_out_late(self) -> None:
+        """Carry out the appends that got no answer."""
+        late, self._late = self._late, []
+        for append in late:
+            append()
+
+    def newest(self, key: str) -> object:
+        """Return the newest value of a key."""
+        return msgspec.msgpack.decode([value for each, value in self.records if each == key][-1])
+
+
+class _Node:
+    def __init__(self) -> None:
+        self.events: list[Event] = []
+
+    def handle(self, event: Event) -> None:
+        self.events.append(event)
+
+
+def run(store: LateStore, steps: list[Callable[[OwnRecords], Any]]) -> list[Event]:
+    """Run steps on a client of a store; return the events of the client."""
+    node = _Node()
+
+    async def call(
+        _pool: object, _method: bytes, _address: str, target: str, *, raw: bytes, timeout_s: float
+    ) -> Answer:
+        return await store.call(target, raw)
+
+    async def read_newest(_self: StoreClient, _topic: str) -> RecordPage:
+        return RecordPage([], Position(0, len(store.records)))
+
+    async def main() -> None:
+        records = OwnRecords(cast(BackendPool, None), "127.0.0.1:1", "entry-1")
+        records.attach(cast(Node, node))
+        for step in steps:
+            result = step(records)
+            if result is not None:
+                await result
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(own_records, "call", call)
+        patch.setattr(StoreClient, "read_newest", read_newest)
+        anyio.run(main)
+    return node.events
+
+
+def test_append_without_an_answer_does_not_replace_a_newer_one() -> None:
+    """Guards against versions that a late write takes out of the record again."""
+    store = LateStore()
+
+    def set_late(is_late: bool) -> None:
+        store.is_late = is_late
+
+    run(
+        store,
+        [
+            lambda _: set_late(True),
+            lambda records: records._perform(OLD),
+            lambda _: set_late(False),
+            lambda records: records._perform(NEW),
+            lambda _: store.carry_out_late(),
+        ],
+    )
+    assert store.newest("releases") == NEW.releases
+
+
+def test_record_is_written_though_others_write_to_the_topic() -> None:
+    """Guards against a condition that is never met."""
+    store = LateStore()
+    events = run(
+        store,
+        [
+            lambda records: records._perform(OLD),
+            lambda _: store.records.append(("streams/other/1", b"")),
+            lambda records: records._perform(NEW),
+        ],
+    )
+    assert store.newest("releases") == NEW.releases
+    assert [each for each in events if isinstance(each, ReleasesPut)][-1].releases == NEW.releases
