Draw the numbers of questions for streams

The numbers began anew with each process, so a late answer to an earlier process of the same name could fit a question of this one, and date a list of servers by it. By reading; the reducer test fails on the code before, as both first numbers were 1.

--- a/packages/turmericweir-core/turmericweir_core/state/stream_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/stream_state.py
@@ -73,8 +73,6 @@
 
     by_key: dict[StreamKey, StreamBinding] = field(default_factory=dict)
     lookups: dict[StreamKey, StreamLookup] = field(default_factory=dict)
-    # Number of questions to peers so far.
-    questions: int = 0
     # The other live instances of the region, by data centre.
     rings: dict[str, HolderRing] = field(default_factory=dict)
     holders: frozenset[Holder] = frozenset()
--- a/packages/turmericweir-core/turmericweir_core/streams/stream_lookup.py
+++ b/packages/turmericweir-core/turmericweir_core/streams/stream_lookup.py
@@ -50,6 +50,7 @@
 _LIST_WAIT_S: Final = 1.5
 _LIST_ASK_INTERVAL_S: Final = 0.2
 _ASKED_FOR_LIST: Final = 2
+_NUMBER_BITS: Final = 62
 
 
 class Found(Struct, frozen=True):
@@ -121,9 +122,10 @@
 def _next_question(
     state: State, now: float, key: StreamKey, lookup: StreamLookup, *, wants_list: bool = False
 ) -> StreamAsk:
-    state.streams.questions += 1
-    lookup.questions[state.streams.questions] = now
-    return StreamAsk(key, state.streams.questions, lookup.service, wants_list)
+    # Drawn, so that an answer to an earlier process of this name has no number of this one.
+    number = 1 + state.rng.getrandbits(_NUMBER_BITS)
+    lookup.questions[number] = now
+    return StreamAsk(key, number, lookup.service, wants_list)
 
 
 def _ask_for_list(state: State, now: float, key: StreamKey, lookup: StreamLookup) -> list[Effect]:
--- a/tests/core/streams/test_old_lists.py
+++ b/tests/core/streams/test_old_lists.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from random import Random
+
 import pytest
 
 from tests.core.stream_network import StreamNetwork
@@ -94,7 +96,22 @@
     state.requests[req.request_id] = req
     stream_lookup.look_up(state, network.now, req)
     ((key, lookup),) = state.streams.lookups.items()
-    number = max(lookup.questions)
+    (number,) = lookup.questions
     answer = StreamUnknown(key, [], has_history=True, number=number, list_age_s=age_s)
     stream_lookup.on_unknown(state, InstanceName(network.names[1]), answer)
     assert lookup.vouched_at < req.arrived_at
+
+
+def test_answer_to_an_earlier_process_does_not_vouch() -> None:
+    """Guards against numbers that start anew with each process, so that a late answer fits."""
+    numbers: list[set[int]] = []
+    for _ in range(2):
+        network = network_of(2)
+        state = network.states[network.names[0]]
+        state.rng = Random()
+        req = network._request("r", "nobody's")
+        state.requests[req.request_id] = req
+        stream_lookup.look_up(state, network.now, req)
+        (lookup,) = state.streams.lookups.values()
+        numbers.append(set(lookup.questions))
+    assert not numbers[0] & numbers[1]
