--- a/tests/daemon/test_path.py
+++ b/tests/daemon/test_path.py
@@ -215,6 +215,29 @@
             assert outcome_of(reply.body)["outcome"] == "completed"
 
 
+def test_copy_of_a_refusal_of_an_earlier_attempt_is_not_believed(single: Single) -> None:
+    # Guards against a call that runs twice, as a copy of its first refusal answers the second send.
+    def answer(request: RawRequest) -> bytes:
+        first_id = raw.requests[0].headers["x-attempt-id"]
+        refusal = b"HTTP/1.1 503 Busy\r\nX-Not-Started: 1\r\nContent-Length: 0\r\nX-Attempt-Id: "
+        refusal += first_id.encode() + b"\r\n\r\n"
+        if len(raw.requests) == 1:
+            return refusal
+        return refusal + _answer_of(
+            b"200 OK", request.headers["x-attempt-id"], b"text/plain", b"done"
+        )
+
+    with RawServer(answer) as raw:
+        single.cluster.publish({"/services/copies": {"kind": "plain", "slots": 4}})
+        single.list_test_server("copies-1", "plain", "copies", raw.address)
+        reply = single.call("POST", "/services/copies/any", b"x")
+
+        assert reply.headers["turmericweir-outcome"] == "unknown"
+        assert len(raw.requests) == 2
+        attempt_ids = {each.headers["x-attempt-id"] for each in raw.requests}
+        assert len(attempt_ids) == 2
+
+
 def test_resumed_stream_does_not_end_with_an_answer_that_is_no_stream(tmp_path: Path) -> None:
     # Guards against an error of the next engine that completes the stream of the first one.
     def answer(request: RawRequest) -> bytes:
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -12,6 +12,8 @@
 from tests.platform.soak_cuts import CutSoak
 from tests.platform.soak_ends import EndSoak
 from tests.platform.soak_notices import NoticeSoak
+from tests.platform.soak_partitions import PartitionSoak
+from tests.platform.soak_repeats import RepeatSoak
 from tests.platform.soak_versions import VersionSoak
 
 # Seeds with their durations. Seed 21 guards against servers that return under their names and get
@@ -64,3 +66,13 @@
     # Guards against the exit of a server that looks like the end of its answer, and against second
     # runs after refusals that were meant for no request.
     assert not soak.run(1, 14.0, tmp_path, EndSoak)
+
+
+def test_copies_of_earlier_answers_are_borne_in_random_trouble(tmp_path: Path) -> None:
+    # Guards against second runs, and answers to the wrong send, where servers copy answers.
+    assert not soak.run(1, 12.0, tmp_path, RepeatSoak)
+
+
+def test_streams_keep_their_version_while_instances_are_cut_off(tmp_path: Path) -> None:
+    # Guards against streams of two versions at instances that have not heard of one of them.
+    assert not soak.run(1, 12.0, tmp_path, PartitionSoak)
