--- a/tests/platform/test_copied_answers.py
+++ b/tests/platform/test_copied_answers.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import threading
 from pathlib import Path
 
 import pytest
 
-from tests.platform.platform_world import PlatformWorld
+from tests.platform.cut_world import REFUSE_NEW, CutWorld
+from tests.platform.platform_world import PlatformWorld, until
 
 # They tell a caller that its request was not run.
 PROMISES = {408, 421, 429, 503}
@@ -75,3 +77,46 @@
             answer = world.send("/lm/chat/")
             assert not answer.is_cut
             assert answer.event_data == [f"piece {number}" for number in range(6)]
+
+
+@pytest.mark.parametrize("path", ["/lm/doc/", "/shop/buy/"])
+def test_copy_of_a_refusal_by_way_of_a_peer_makes_no_second_run(tmp_path: Path, path: str) -> None:
+    # Guards against connections of a peer that are taken for connections of their own.
+    with CutWorld(tmp_path, engines=1, plain_servers=1, instances=2) as world:
+        prepare(world)
+        world.cut("entry-1", REFUSE_NEW)
+        until(
+            lambda: world.send(path).status == 200
+            and bool(world.running["entry-1"].logged("path_found")),
+            "the server is reached by way of the peer",
+        )
+        for _ in range(REQUESTS):
+            request_id = world.new_id()
+            assert world.send(path, request_id=request_id).status == 200
+            assert len(world.runs(request_id)) == 1
+
+
+def test_request_that_was_refused_before_a_restart_runs_once(tmp_path: Path) -> None:
+    # Guards against a refusal of an earlier start of a server that makes a second run.
+    with open_world(tmp_path, 1) as world:
+        prepare(world)
+        for number in range(REQUESTS):
+            request_id = world.new_id()
+            status = _send_and_restart(world, request_id, born=number + 2)
+            runs = world.runs(request_id)
+            assert len(runs) <= 1
+            assert not (runs and status in PROMISES)
+
+
+def _send_and_restart(world: PlatformWorld, request_id: str, born: int) -> int:
+    """Restart the engine when it has refused a request; return what the caller was told."""
+    answers: list[int] = []
+    caller = threading.Thread(
+        target=lambda: answers.append(world.send("/lm/doc/", request_id=request_id).status)
+    )
+    caller.start()
+    until(lambda: bool(world.received(request_id)), "the engine has the request")
+    world.crash_server("lm-1")
+    world.restart_server("lm-1", born=born)
+    caller.join()
+    return answers[0]
