--- a/packages/turmericweir-core/turmericweir_core/base/request.py
+++ b/packages/turmericweir-core/turmericweir_core/base/request.py
@@ -110,6 +110,7 @@
     release: Release = UNKNOWN_RELEASE
     # The peer by way of which the server is connected to; empty for a direct connection.
     via: InstanceName = DIRECT
+    # The address of the server.
     address: str = ""
     # Set just before the first byte is sent; until then the server cannot have started.
     sent: bool = False
--- a/packages/turmericweir-core/turmericweir_core/membership/store_duty.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/store_duty.py
@@ -151,9 +151,9 @@
 def is_registry_wanted(state: State, now: float) -> bool:
     """Return whether something here waits for a read of the servers' entries."""
     registry = state.registry
-    if registry.wanted_at <= registry.proved_at or now - registry.wanted_at > _WANTED_KEEP_S:
+    if registry.wanted_at <= registry.own_read_at or now - registry.wanted_at > _WANTED_KEEP_S:
         return False
-    return now - registry.proved_at >= _WANTED_INTERVAL_S
+    return now - registry.own_read_at >= _WANTED_INTERVAL_S
 
 
 def is_registry_read_due(state: State, now: float) -> bool:
--- a/packages/turmericweir-core/turmericweir_core/state/registry_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/registry_state.py
@@ -29,8 +29,10 @@
     read_at: float = _NEVER
     # The same for the reads of this instance alone, of which no delay of a message hides the age.
     proved_at: float = _NEVER
-    # When something here last needed a newer read.
+    # When something here last needed a newer read, and when this instance last requested one, which
+    # may have proved nothing.
     wanted_at: float = _NEVER
+    own_read_at: float = _NEVER
     # No reader sent an update in time, so this instance is the fallback reader until one does.
     is_fallback_reader: bool = False
     # Whether this instance is chosen as a reader, and when the choice is evaluated again.
--- a/packages/turmericweir-core/turmericweir_core/store/registry.py
+++ b/packages/turmericweir-core/turmericweir_core/store/registry.py
@@ -72,6 +72,7 @@
     store_duty.note_registry_read(state, now)
     # Entries may have changed while the answer was under way or waited for this process.
     requested_at = now if event.requested_at is None else event.requested_at
+    registry.own_read_at = max(registry.own_read_at, requested_at)
     if event.is_caught_up:
         registry.read_at = max(registry.read_at, requested_at)
         if eras.is_proof(state, event.era, requested_at):
--- a/tests/core/store/test_store_duty.py
+++ b/tests/core/store/test_store_duty.py
@@ -5,7 +5,10 @@
 import pytest
 
 from tests.core.store_network import StoreNetwork
+from tests.core.store_world import StoreWorld
 from turmericweir_core.base.store_times import derive_store_times
+from turmericweir_core.membership import store_duty
+from turmericweir_core.messages.events import RegistryRead
 
 COUNT = 120
 DATA_CENTRES = 6
@@ -98,3 +101,23 @@
     network.run(1.0)
     assert network.versions() == {2}
     assert network.store.total < 2 * (2 * COUNT + 60)
+
+
+def test_read_that_proves_nothing_is_not_repeated_without_a_pause() -> None:
+    """Guards against an instance that reads without end while no read can prove anything."""
+    world = StoreWorld(1, 0)
+    # A change of the era, after which reads prove nothing for a while.
+    for era in (1, 2):
+        world.give(RegistryRead((), end=9, requested_at=world.now, era=era))
+        world.now += 1.0
+    proved_at = world.state.registry.proved_at
+    store_duty.want_registry_read(world.state, world.now)
+    assert store_duty.is_registry_wanted(world.state, world.now)
+    world.give(RegistryRead((), end=9, requested_at=world.now, era=2))
+    assert world.state.registry.proved_at == proved_at
+    for step in range(4):
+        world.now += 0.1
+        store_duty.want_registry_read(world.state, world.now)
+        assert not store_duty.is_registry_wanted(world.state, world.now), step
+    world.now += 0.2
+    assert store_duty.is_registry_wanted(world.state, world.now)
--- a/tests/core/stream_network.py
+++ b/tests/core/stream_network.py
@@ -193,7 +193,8 @@
         for name, state in self.states.items():
             can_read = name not in self.down | self.without_list
             if can_read and store_duty.is_registry_wanted(state, self.now):
-                state.registry.proved_at = state.registry.read_at = self.now
+                registry = state.registry
+                registry.proved_at = registry.read_at = registry.own_read_at = self.now
 
     def run_records(self, seconds: float = 2.0) -> None:
         """Let instances write records for a while."""
--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -113,7 +113,7 @@
         if now - world.now > 0.25:
             store_duty.want_registry_read(world.state, now)
 
-    world.state.registry.proved_at = world.now - 10.0
+    world.state.registry.own_read_at = world.now - 10.0
     pause_s, target = run_follower(
         world,
         lambda follower: follower._read_next_entries(Position(0, 1), False),
