--- a/packages/turmericweir-core/turmericweir_core/streams/stream_lookup.py
+++ b/packages/turmericweir-core/turmericweir_core/streams/stream_lookup.py
@@ -50,6 +50,7 @@
 _LIST_WAIT_S: Final = 1.5
 _LIST_ASK_INTERVAL_S: Final = 0.2
 _ASKED_FOR_LIST: Final = 2
+# Size of the number of a question.
 _NUMBER_BITS: Final = 62
 
 
