Log by which start of a server, and by how old a list, an attempt was placed

Change: `placed` has `incarnation` and `list_age_ms`. Which start the process on the connection was can't be logged without asking it; that is for the fix.

Conclusion: with `server_listed`, which names the incarnation, a placement by the entry of an earlier start can be found in the logs.

--- a/packages/turmericweir-core/turmericweir_core/placement/dispatch.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/dispatch.py
@@ -192,6 +192,8 @@
             "via": attempt.via,
             "version": server.entry.software_version,
             "release": attempt.release,
+            "incarnation": server.entry.incarnation,
+            "list_age_ms": _list_age_ms(state, now),
         }
         if req.release is not None:
             ids |= {"bound_release": req.release, "bound_by": req.release_source}
@@ -217,6 +219,12 @@
     ]
 
 
+def _list_age_ms(state: State, now: float) -> int | None:
+    """Return the age of the list of servers; None if it was never read."""
+    read_at = state.registry.read_at
+    return None if read_at == float("-inf") else round(1000 * (now - read_at))
+
+
 def _needs_fresh_connection(req: Request, attempt: Attempt) -> bool:
     """Return whether a request needs a connection that has carried no request before.
 
