Play servers that start again under their names with another version, which fails

The version of a server is taken from its entry, the stream goes to whichever process listens at its address.

Change: tests with real processes. A second server of v1 ends and is back under its name as v2, with its entry written at once or not at all; the first one ends, and the streams are resumed by the router or taken up by callers. And: streams begin at a server that has started again as v2 without reaching the store, it ends, and they go on at the server that truly has v1.

--- a/tests/platform/platform_world.py
+++ b/tests/platform/platform_world.py
@@ -328,12 +328,16 @@
 
     def restart_server(self, name: str, born: int, version: str = "") -> None:
         """Restart a crashed server under its name and address, with a new start time."""
+        self.restart_unregistered(name, born, version)
+        self.register(name, born=born)
+
+    def restart_unregistered(self, name: str, born: int, version: str = "") -> None:
+        """Restart a crashed server, which does not reach the store; its old entry stays."""
         server = self.servers[name]
-        server.version = version or server.version
+        server.version, server.born = version or server.version, born
         listener = Listener(server.address, server.handle)
         self._loop.run(listener.start())
         self._listeners[name] = listener
-        self.register(name, born=born)
 
     def connections(self, name: str) -> int:
         """Return the number of connections opened to a server."""
