Say for each second send which start and connection the refusal came from

`sent_again` named the server and whether the connection was kept; a peer logged only that a carried connection opened.

Change: `sent_again` has `connection`, `connection_age_ms` and `incarnation` of the send, and the same four, with `refused_via`, of the send that was refused. A peer logs `carry_ended`: who ended the connection, and how many bytes it had passed on each way; `connection` ties it, and `carry_opened`, to `sent_again`. In the tests' world of cut paths a server that restarts without an entry gets its paths back, as one with an entry does.

Conclusion: for each second send it can be told whether its evidence came from an earlier start, an earlier connection, or by way of a peer, and whether that peer had passed anything on.

--- a/packages/turmericweir-core/turmericweir_core/base/request.py
+++ b/packages/turmericweir-core/turmericweir_core/base/request.py
@@ -93,6 +93,12 @@
     # Whether it names the request, and whether its connection had carried earlier requests.
     names_request: bool
     kept_connection: bool
+    # The incarnation of the server by its entry, and the peer by way of which it was asked.
+    incarnation: str
+    via: InstanceName
+    # The local address of the connection, and for how long it had been open when it was used.
+    connection: str
+    connection_age_s: float
 
 
 class Attempt(Struct):
@@ -116,6 +122,9 @@
     sent: bool = False
     # It was sent over a connection that was reused from an earlier request.
     reused_connection: bool = False
+    # The local address of its connection, and for how long that had been open.
+    connection: str = ""
+    connection_age_s: float = 0.0
     # Tokens received in this attempt.
     tokens: int = 0
     first_token_at: float | None = None
--- a/packages/turmericweir-core/turmericweir_core/messages/events.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/events.py
@@ -102,6 +102,9 @@
     attempt_id: AttemptId
     # It is sent over a connection that was reused from an earlier request.
     reused_connection: bool = False
+    # The local address of the connection, and for how long it has been open.
+    connection: str = ""
+    connection_age_s: float = 0.0
 
 
 class AttemptProgress(Struct):
--- a/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
@@ -72,6 +72,8 @@
     req.sent_attempts += 1
     effects = retry.note_sent(state, now, req)
     req.attempt.reused_connection = event.reused_connection
+    req.attempt.connection = event.connection
+    req.attempt.connection_age_s = event.connection_age_s
     effects += second_sends.note_sent(req, req.attempt)
     if event.reused_connection:
         return effects
--- a/packages/turmericweir-core/turmericweir_core/requests/second_sends.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/second_sends.py
@@ -13,7 +13,16 @@
 
 def refusal_of(attempt: Attempt, end: EndRefused) -> Refusal:
     """Return the refusal that ended an attempt."""
-    return Refusal(attempt.server, end.status, end.names_request, attempt.reused_connection)
+    return Refusal(
+        attempt.server,
+        end.status,
+        end.names_request,
+        attempt.reused_connection,
+        attempt.incarnation,
+        attempt.via,
+        attempt.connection,
+        attempt.connection_age_s,
+    )
 
 
 def note_sent(req: Request, attempt: Attempt) -> list[Effect]:
@@ -34,13 +43,34 @@
         "request_id": req.request_id,
         "attempt_id": attempt.attempt_id,
         "peer": attempt.server,
+        "incarnation": attempt.incarnation,
         "via": attempt.via,
         "sends": req.arrivals,
         "same_server": is_same_address,
         "kept_connection": attempt.reused_connection,
+        "connection": attempt.connection,
+        "connection_age_ms": _ms(attempt.connection_age_s),
         "evidence": evidence,
-        "refused_by": None if refusal is None else refusal.server,
-        "refused_status": None if refusal is None else refusal.status,
-        "refused_on_kept_connection": refusal is not None and refusal.kept_connection,
+        "refused_by": None,
+        "refused_status": None,
+        "refused_on_kept_connection": False,
     }
+    if refusal is not None:
+        fields |= _refusal_fields(refusal)
     return [*effects, Count(f"retry.unsafe.{evidence}"), Log("sent_again", fields)]
+
+
+def _refusal_fields(refusal: Refusal) -> dict[str, object]:
+    return {
+        "refused_by": refusal.server,
+        "refused_status": refusal.status,
+        "refused_on_kept_connection": refusal.kept_connection,
+        "refused_incarnation": refusal.incarnation,
+        "refused_via": refusal.via,
+        "refused_connection": refusal.connection,
+        "refused_connection_age_ms": _ms(refusal.connection_age_s),
+    }
+
+
+def _ms(seconds: float) -> int:
+    return round(1000 * seconds)
--- a/packages/turmericweir/turmericweir/peers/carrier.py
+++ b/packages/turmericweir/turmericweir/peers/carrier.py
@@ -18,7 +18,7 @@
 from turmericweir.process import logs
 from turmericweir.process.foreign_data import DECODE_ERRORS
 from turmericweir.process.node import Node
-from turmericweir.servers.backend_stream import CONNECT_TIMEOUT_S, set_options
+from turmericweir.servers.backend_stream import CONNECT_TIMEOUT_S, address_of, set_options
 from turmericweir_core.base.ids import ServerName
 from turmericweir_core.messages.events import CarriedChanged
 from turmericweir_core.messages.server_messages import CarryAsk
@@ -28,6 +28,10 @@
 CARRIED_MAX: Final = 128
 # Reading from one side pauses while more bytes than this wait to be written to the other.
 _WRITE_BUFFER_MAX_BYTES: Final = 32_768
+# Which end of a carried connection ended first, in the logs.
+_BY_PEER: Final = "peer"
+_BY_SERVER: Final = "server"
+_BY_SERVER_LOSS: Final = "server_lost"
 
 
 class Carrier:
@@ -80,10 +84,16 @@
         self._node.count("carry.refused")
         logs.write("carry_refused", peer=origin, server=ask.server, error=error)
 
-    def log_opened(self, origin: str, ask: CarryAsk) -> None:
-        """Log and count a connection that is open."""
+    def log_opened(self, origin: str, ask: CarryAsk, address: str) -> None:
+        """Log and count a connection that is open, by the address of the peer's end."""
         self._node.count("carry.opened")
-        logs.write("carry_opened", peer=origin, server=ask.server, carried=len(self._connections))
+        logs.write(
+            "carry_opened",
+            peer=origin,
+            server=ask.server,
+            connection=address,
+            carried=len(self._connections),
+        )
 
     def forget(self, connection: CarriedConnection) -> None:
         """Forget a connection that has ended."""
@@ -105,6 +115,12 @@
     # The connection to the server; None until it is open.
     _server: asyncio.Transport | None
     _is_lost: bool
+    # The address of the peer's end.
+    _address: str
+    # Bytes passed on in each direction, and which end was the first to end; empty while none has.
+    _to_server_bytes: int
+    _from_server_bytes: int
+    _ended_by: str
 
     def __init__(
         self, node: Node, carrier: Carrier, transport: asyncio.Transport, ask: CarryAsk
@@ -115,6 +131,10 @@
         self._ask = ask
         self._server = None
         self._is_lost = False
+        self._address = address_of(transport.get_extra_info("peername"))
+        self._to_server_bytes = 0
+        self._from_server_bytes = 0
+        self._ended_by = ""
 
     @property
     def held_bytes(self) -> int:
@@ -145,7 +165,7 @@
             set_options(transport.get_extra_info("socket"))
         for each in (transport, self._transport):
             each.set_write_buffer_limits(high=_WRITE_BUFFER_MAX_BYTES)
-        self._carrier.log_opened(origin, self._ask)
+        self._carrier.log_opened(origin, self._ask, self._address)
         self._transport.write(pack_result(""))
 
     # Called by the event loop, for the connection of the peer.
@@ -158,6 +178,7 @@
             return
         self._node.traffic.carried.received.add(len(data))
         self._node.memory.add(len(data))
+        self._to_server_bytes += len(data)
         self._server.write(data)
 
     def pause_writing(self) -> None:
@@ -180,19 +201,32 @@
         self._is_lost = True
         if self._server is not None:
             self._server.abort()
+            self._log_ended()
         self._carrier.forget(self)
 
+    def _log_ended(self) -> None:
+        logs.write(
+            "carry_ended",
+            server=self._ask.server,
+            connection=self._address,
+            ended_by=self._ended_by or _BY_PEER,
+            to_server_bytes=self._to_server_bytes,
+            from_server_bytes=self._from_server_bytes,
+        )
+
     # Called by the connection to the server.
 
     def pass_on(self, data: bytes) -> None:
         """Pass bytes of the server on to the peer."""
         self._node.traffic.carried.sent.add(len(data))
         self._node.memory.add(len(data))
+        self._from_server_bytes += len(data)
         self._transport.write(pack_chunk(data))
 
     def end(self, *, is_broken: bool) -> None:
         """Report to the peer how the connection to the server ended, and close the peer's."""
         if not self._transport.is_closing():
+            self._ended_by = _BY_SERVER_LOSS if is_broken else _BY_SERVER
             self._transport.write(pack_end(BROKEN if is_broken else CLOSED))
             self._transport.close()
 
--- a/packages/turmericweir/turmericweir/servers/backend_attempt.py
+++ b/packages/turmericweir/turmericweir/servers/backend_attempt.py
@@ -132,8 +132,17 @@
         return self._first_byte.was_called
 
     def _report_sent(self) -> None:
-        start = self.start
-        self.node.handle(AttemptSent(start.request_id, start.attempt_id, self._is_reused))
+        start, conn = self.start, self._conn
+        assert conn is not None
+        self.node.handle(
+            AttemptSent(
+                start.request_id,
+                start.attempt_id,
+                self._is_reused,
+                conn.local_address,
+                anyio.current_time() - conn.opened_at,
+            )
+        )
 
     async def run(
         self,
--- a/packages/turmericweir/turmericweir/servers/backend_pool.py
+++ b/packages/turmericweir/turmericweir/servers/backend_pool.py
@@ -102,6 +102,11 @@
         """The number of bytes that wait to be read here, or by the server."""
         return self._stream.held_bytes
 
+    @property
+    def local_address(self) -> str:
+        """The address of this end of the connection."""
+        return self._stream.local_address
+
     @property
     def has_read_answer(self) -> bool:
         """Return whether the current answer was read to its end."""
--- a/packages/turmericweir/turmericweir/servers/backend_stream.py
+++ b/packages/turmericweir/turmericweir/servers/backend_stream.py
@@ -220,6 +220,11 @@
         """The number of bytes that wait to be read here, or by the other end."""
         return self._protocol.held_bytes
 
+    @property
+    def local_address(self) -> str:
+        """The address of this end; empty if the connection is lost."""
+        return address_of(self._protocol.transport.get_extra_info("sockname"))
+
     @property
     def has_end_arrived(self) -> bool:
         """Return whether the other end has closed its side, be it behind unread bytes."""
@@ -276,6 +281,12 @@
     """Count nothing."""
 
 
+# Any: a socket's address has the form of its family.
+def address_of(name: Any) -> str:
+    """Return the address of one end of a connection; empty if it is unknown."""
+    return f"{name[0]}:{name[1]}" if name else ""
+
+
 def set_options(raw: socket.socket) -> None:
     """Set the socket options by which the system detects dead connections."""
     for level, option, value in SOCKET_OPTIONS:
--- a/tests/core/requests/test_second_sends.py
+++ b/tests/core/requests/test_second_sends.py
@@ -10,7 +10,13 @@
 from turmericweir_core.base.ids import ServerName
 from turmericweir_core.base.routes import build_route_table
 from turmericweir_core.messages.effects import FinishRequest, Log, StartAttempt
-from turmericweir_core.messages.events import DocumentRead, EndBroken, EndRefused, RegistryRead
+from turmericweir_core.messages.events import (
+    AttemptSent,
+    DocumentRead,
+    EndBroken,
+    EndRefused,
+    RegistryRead,
+)
 
 
 def refused(
@@ -67,6 +73,22 @@
     assert not log.fields["kept_connection"]
 
 
+def test_second_send_names_the_connection_and_the_start_that_refused() -> None:
+    """Guards against refusals that cannot be told from those of an earlier start or connection."""
+    world = StoreWorld(1, 0)
+    first = start_of(world.arrive("r", repeatable=False))
+    ids = (first.request_id, first.attempt_id)
+    world.give(AttemptSent(*ids, connection="127.0.0.1:7", connection_age_s=1.5))
+    effects = world.end(first, EndRefused(503, leaving=False))
+    starts = only(effects, StartAttempt)
+    second = starts[0] if starts else start_of(world.wait(1.0))
+    (log,) = [each for each in only(world.sent(second), Log) if each.event == "sent_again"]
+    assert log.fields["refused_connection"] == "127.0.0.1:7"
+    assert log.fields["refused_connection_age_ms"] == 1500
+    entry = world.state.servers.by_name[ServerName(first.server)].entry
+    assert log.fields["refused_incarnation"] == entry.incarnation
+
+
 def test_request_that_waits_for_a_second_run_ends_when_its_route_forbids_it() -> None:
     """Guards against a retry that was decided by earlier settings."""
     world = StoreWorld(1, 0)
--- a/tests/platform/cut_world.py
+++ b/tests/platform/cut_world.py
@@ -183,9 +183,9 @@
         await PlatformWorld._stop_listener(self, name)
         self._write_all_redirects()
 
-    def restart_server(self, name: str, born: int, version: str = "") -> None:
-        """Restart a crashed server under its name and address, with a new start time."""
-        PlatformWorld.restart_server(self, name, born, version)
+    def restart_unregistered(self, name: str, born: int, version: str = "") -> None:
+        """Restart a crashed server, which does not reach the store; its old entry stays."""
+        PlatformWorld.restart_unregistered(self, name, born, version)
         self._write_all_redirects()
 
     def _write_all_redirects(self) -> None:
