Route each request sent ahead by its own target

Callers saw: of requests sent ahead on one connection, the first was routed, and run, with the path of the newest that had been parsed. It was refused with 404 if only the beginning of another had arrived, went to a server of another service, carried another's path and query to its own server, and ran twice if the later request's route may be repeated and its own may not.

Cause: the target was read from the connection (`url`), which holds that of the newest request on it, when the request's task began; method and headers came from the request's scope.

Change: the target is kept with the request's scope when its head is complete. The own interface reads its target from the scope already.

Conclusion: what belongs to one request may not be read from its connection. The other such values (`closes_after_answer`, `unread_bytes`) only decide whether a connection is read on or counted, and no request's fate.

--- a/packages/turmericweir/turmericweir/callers/forward_app.py
+++ b/packages/turmericweir/turmericweir/callers/forward_app.py
@@ -17,7 +17,7 @@
 from turmericweir.answers.forward_wire import RequestHead, WireAdapter
 from turmericweir.callers.caller_memory import CallerMemory, TrackedCaller
 from turmericweir.callers.exchange import Exchange
-from turmericweir.callers.http_server import CONNECTION_KEY, LimitedProtocol
+from turmericweir.callers.http_server import CONNECTION_KEY, TARGET_KEY, LimitedProtocol
 from turmericweir.process import logs
 from turmericweir.process.node import Node
 from turmericweir.servers.backend_pool import BackendPool
@@ -62,7 +62,7 @@
         assert scope["type"] == "http"
         connection = scope["state"][CONNECTION_KEY]
         assert isinstance(connection, LimitedProtocol)
-        head = _read_head(scope, connection)
+        head = _read_head(scope)
         request_id = self._unique_id(self._wire.request_id_for(head))
         caller = Caller(request_id, send, connection.coalescing_transport)
         caller.should_close = self._node.is_stopping
@@ -222,10 +222,10 @@
 _BODY_UNREAD_REASONS: Final = frozenset({Reason.TOO_LARGE, Reason.TOO_SLOW, Reason.CALLER_LEFT})
 
 
-def _read_head(scope: HTTPScope, connection: LimitedProtocol) -> RequestHead:
+def _read_head(scope: HTTPScope) -> RequestHead:
     return RequestHead(
         method=scope["method"].encode("ascii"),
-        target=connection.url,
+        target=scope["state"][TARGET_KEY],
         headers=list(scope["headers"]),
         arrived_at=anyio.current_time(),
     )
--- a/packages/turmericweir/turmericweir/callers/http_server.py
+++ b/packages/turmericweir/turmericweir/callers/http_server.py
@@ -34,6 +34,9 @@
 
 # The key of the caller's connection in the state of an ASGI scope.
 CONNECTION_KEY: Final = "turmericweir.connection"
+# The key of a request's target as the caller sent it. The connection's `url` is that of the newest
+# request on it, which may have been sent ahead.
+TARGET_KEY: Final = "turmericweir.target"
 BACKLOG: Final = 2048
 # How long a closing port waits for handshakes to complete: several round trips to callers.
 HANDSHAKE_WAIT_S: Final = 0.05
@@ -129,6 +132,7 @@
         self._stop_header_timer()
         self._is_in_headers = False
         self._header_bytes = 0
+        self.scope["state"][TARGET_KEY] = self.url
         super().on_headers_complete()
 
     def on_response_complete(self) -> None:
