Go on with a stream only at the start of a server that its entry describes

What callers saw: a stream that broke off went on at a server of another version, within one answer and where they took it up.

Cause: the release of a server is that of its entry, and the stream goes to whichever process listens at its address. After a start under the same name the entry is that of the earlier start, for about a second, and for as long as the server does not reach the store. The class: an identity that is not unique to the thing it is believed about, and a conclusion without an age.

Change: before a request that goes on with a stream is sent, the server is asked on the same connection which start it is (`servers/server_identity`). A connection leads to one process, so the answer holds for what is sent on it next, whatever the age of the entry. Another start than that of the entry gets nothing (EndMisplaced): the entry is suspected, and the request tries another server or waits for a newer entry. A server whose entry names a start and that does not say its own gets no such request. Ruled out: a newer list alone (an entry may be older than the start), a health check (names the server, waits for a slot).

The stand-in's second engine in these tests now writes whole streams (it had six events, so an unjoined stream looked incomplete).

Conclusion: which process gets the stream is known, not believed. Cost: a round trip and a report for each resumed send on a connection that was not asked yet.

--- a/packages/turmericweir-core/turmericweir_core/base/request.py
+++ b/packages/turmericweir-core/turmericweir_core/base/request.py
@@ -106,8 +106,9 @@
     tier: int = 0
     # The incarnation of the server at the start; empty if unknown.
     incarnation: str = ""
-    # The release of the server, as its entry said at the start.
+    # The release of the server, and the incarnation, as its entry said at the start.
     release: Release = UNKNOWN_RELEASE
+    listed_incarnation: str = ""
     # The peer by way of which the server is connected to; empty for a direct connection.
     via: InstanceName = DIRECT
     # The address of the server.
--- a/packages/turmericweir-core/turmericweir_core/messages/effects.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/effects.py
@@ -39,6 +39,12 @@
     # The peer by way of which to connect, and its address; empty to connect directly.
     via: InstanceName = DIRECT
     via_address: str = ""
+    # Ask the server on the connection of the attempt which start of it this is, before sending.
+    needs_identity: bool = False
+    # The start that the server's entry names; empty if it names none. With `is_bound` the request
+    # is sent to this start only.
+    incarnation: str = ""
+    is_bound: bool = False
 
 
 class CancelAttempt(Struct, frozen=True):
--- a/packages/turmericweir-core/turmericweir_core/messages/events.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/events.py
@@ -67,6 +67,13 @@
     error: str
 
 
+class EndMisplaced(Struct, frozen=True):
+    """Nothing was sent: the server is another start than the one it was chosen as."""
+
+    # The start that it is; empty if it does not say.
+    incarnation: str
+
+
 class EndBroken(Struct, frozen=True):
     """The connection broke or became unresponsive after the server may have got the request."""
 
@@ -91,7 +98,7 @@
 
 
 AttemptEnd: TypeAlias = (
-    EndComplete | EndRefused | EndUnsent | EndBroken | EndServerError | EndCancelled
+    EndComplete | EndRefused | EndUnsent | EndMisplaced | EndBroken | EndServerError | EndCancelled
 )
 
 
--- a/packages/turmericweir-core/turmericweir_core/placement/attempt_accounting.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/attempt_accounting.py
@@ -21,6 +21,7 @@
     EndBroken,
     EndCancelled,
     EndComplete,
+    EndMisplaced,
     EndRefused,
     EndServerError,
     EndUnsent,
@@ -103,6 +104,8 @@
             if attempt.cancel_reason not in (CancelReason.UNRESPONSIVE, CancelReason.SERVER_DEAD):
                 return
             failed = True
+        case EndMisplaced():
+            return
         case EndRefused() | EndUnsent() | EndBroken() | EndServerError():
             failed = True
         case unreachable:
@@ -124,9 +127,11 @@
             return "completed"
         case EndRefused():
             return "refused"
+        # Matches `attempt_flow`, which treats an attempt reported as sent as broken.
         case EndUnsent():
-            # Matches `attempt_flow`, which treats an attempt reported as sent as broken.
             return "broken" if attempt.sent else "unsent"
+        case EndMisplaced():
+            return "broken" if attempt.sent else "misplaced"
         case EndBroken():
             return "broken"
         case EndServerError():
--- a/packages/turmericweir-core/turmericweir_core/placement/dispatch.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/dispatch.py
@@ -170,6 +170,7 @@
     )
     attempt.incarnation = reported_incarnation(server)
     attempt.release = release_of(server.entry)
+    attempt.listed_incarnation = server.entry.incarnation
     attempt.address = server.entry.address
     peer = server_paths.choose_via(state, now, server.entry.name)
     attempt.via = DIRECT if peer is None else peer.name
@@ -215,10 +216,24 @@
             fetch_from_address=fetch_from,
             via=attempt.via,
             via_address="" if peer is None else peer.peer_address,
+            needs_identity=_needs_identity(state, req),
+            incarnation=server.entry.incarnation,
+            is_bound=req.release is not None,
         ),
     ]
 
 
+def _needs_identity(state: State, req: Request) -> bool:
+    """Return whether it matters which start of a server gets a request.
+
+    Prevents a stream from going on at another release, as the entry by which a server was chosen
+    may be that of an earlier start.
+    """
+    if state.config.policy is not PlacementPolicy.PREDICTED or req.kind is not ServiceKind.MODEL:
+        return False
+    return req.release is not None
+
+
 def _list_age_ms(state: State, now: float) -> int | None:
     """Return the age of the list of servers; None if it was never read."""
     read_at = state.registry.read_at
--- a/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
@@ -31,6 +31,7 @@
     EndBroken,
     EndCancelled,
     EndComplete,
+    EndMisplaced,
     EndRefused,
     EndServerError,
     EndUnsent,
@@ -274,7 +275,7 @@
             if server is not None and not is_leaving:
                 effects += brittle_servers.note_refused(state, now, server)
             return effects + _retry_or_finish(state, now, req, attempt, Reason.OVERLOAD, cause)
-        case EndUnsent(error) if attempt.sent:
+        case EndUnsent(error) | EndMisplaced(error) if attempt.sent:
             # An attempt that was reported as sent may have run, so `not_run` may be wrong.
             return _handle_end(state, now, req, attempt, EndBroken(error, server_alive=False))
         case EndUnsent(error):
@@ -282,6 +283,12 @@
             effects = server_paths.note_failed(state, now, attempt.server, error, attempt.via)
             effects += _retry_or_finish(state, now, req, attempt, Reason.NO_SERVER, None)
             return [_failure_log(req, attempt, "unsent", error), *effects]
+        case EndMisplaced(incarnation):
+            req.unsent_attempts += 1
+            stream_bindings.suspect_entry(state, now, attempt.server)
+            error = f"{incarnation or 'nothing'} for {attempt.listed_incarnation or 'nothing'}"
+            effects = _retry_or_finish(state, now, req, attempt, Reason.NO_SERVER, None)
+            return [_failure_log(req, attempt, "misplaced", error), *effects]
         case EndBroken(error, server_alive, is_malformed):
             req.may_have_run = True
             logs: list[Effect] = [_failure_log(req, attempt, "broken", error)]
--- a/packages/turmericweir-core/turmericweir_core/trust/outlier.py
+++ b/packages/turmericweir-core/turmericweir_core/trust/outlier.py
@@ -21,6 +21,7 @@
     EndBroken,
     EndCancelled,
     EndComplete,
+    EndMisplaced,
     EndRefused,
     EndServerError,
     EndUnsent,
@@ -58,6 +59,8 @@
             return FailureKind.REFUSED
         case EndUnsent():
             return FailureKind.UNREACHABLE
+        case EndMisplaced():
+            return None
         case EndCancelled():
             match attempt.cancel_reason:
                 case CancelReason.UNRESPONSIVE:
--- a/packages/turmericweir/turmericweir/servers/backend_attempt.py
+++ b/packages/turmericweir/turmericweir/servers/backend_attempt.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable, Mapping
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Final, Protocol
 
 import anyio
 import httpcore
@@ -29,13 +29,14 @@
     EndBroken,
     EndCancelled,
     EndComplete,
+    EndMisplaced,
     EndRefused,
     EndUnsent,
 )
 
 if TYPE_CHECKING:
     from turmericweir.process.node import Node
-    from turmericweir.servers.backend_pool import BackendConnection, BackendPool
+    from turmericweir.servers.backend_pool import BackendConnection, BackendPool, Via
 
 # Time limit for a load request on a new connection.
 PROBE_TIMEOUT_S: Final = 1.0
@@ -63,6 +64,22 @@
 MakeStatusCheck = Callable[[], StatusCheck]
 
 
+class Acquire(Protocol):
+    """Returns a connection for an attempt; raises httpcore's errors if there is none."""
+
+    async def __call__(
+        self, pool: BackendPool, address: str, *, idle_max_s: float, via: Via | None
+    ) -> BackendConnection:
+        """Return a connection to an address, directly or by way of a peer."""
+
+
+async def acquire_any(
+    pool: BackendPool, address: str, *, idle_max_s: float, via: Via | None
+) -> BackendConnection:
+    """Return a connection to whichever process listens at an address."""
+    return await pool.acquire(address, idle_max_s=idle_max_s, via=via)
+
+
 class Attempt:
     """Sends one request, passes the answer to a consumer and classifies the end."""
 
@@ -141,6 +158,7 @@
         consume: Consume,
         is_expired: Callable[[], bool] = lambda: False,
         make_status_check: MakeStatusCheck | None = None,
+        acquire: Acquire = acquire_any,
     ) -> AttemptEnd:
         """Run the attempt until it ends or is cancelled.
 
@@ -149,14 +167,15 @@
         """
         address = self.start.address
         try:
-            conn = await self.pool.acquire(
-                address, idle_max_s=_idle_max_s(self.start), via=via_of(self.start)
-            )
+            idle_max_s, via = idle_limit_s(self.start), via_of(self.start)
+            conn = await acquire(self.pool, address, idle_max_s=idle_max_s, via=via)
             self._is_reused = conn.is_reused
             self._conn = conn
             try:
                 if is_expired():
                     return EndCancelled(0)
+                if self._is_misplaced(conn):
+                    return EndMisplaced(conn.incarnation or "")
                 self._is_first_answer = not conn.has_sent
                 request = make_request()
                 self._sent_at = anyio.current_time()
@@ -181,6 +200,11 @@
             self.answer.note_lost(exc)
             return await self.classify_loss(describe_error(exc), is_malformed=_is_malformed(exc))
 
+    def _is_misplaced(self, conn: BackendConnection) -> bool:
+        """Return whether a server that was asked is another start."""
+        start = self.start
+        return start.needs_identity and start.is_bound and conn.incarnation != start.incarnation
+
     async def _consume_watched(
         self,
         consume: Consume,
@@ -309,7 +333,7 @@
     return not any(each in str(error) for each in _CLOSED_ERRORS)
 
 
-def _idle_max_s(start: StartAttempt) -> float:
+def idle_limit_s(start: StartAttempt) -> float:
     """Return how long the connection of an attempt may have been idle, in seconds."""
     if start.needs_new_connection:
         return 0.0
--- a/packages/turmericweir/turmericweir/servers/backend_pool.py
+++ b/packages/turmericweir/turmericweir/servers/backend_pool.py
@@ -51,7 +51,7 @@
 class BackendConnection:
     """One HTTP connection, for one request at a time."""
 
-    __slots__ = ("_http", "_stream", "has_sent", "is_reused", "opened_at", "via")
+    __slots__ = ("_http", "_stream", "has_sent", "incarnation", "is_reused", "opened_at", "via")
 
     _http: httpcore.AsyncHTTP11Connection
     _stream: BackendStream
@@ -62,6 +62,9 @@
     via: Via | None
     # Whether a request was sent on it.
     has_sent: bool
+    # Which start of its server it leads to, as that said on it; empty if it did not say, None if
+    # it was not asked.
+    incarnation: str | None
 
     def __init__(self, address: str, stream: BackendStream, via: Via | None = None) -> None:
         host, _, port = address.rpartition(":")
@@ -72,6 +75,7 @@
         self.via = via
         self.is_reused = False
         self.has_sent = False
+        self.incarnation = None
 
     async def send(
         self, request: httpcore.Request, before_write: Callable[[], None]
--- a/packages/turmericweir/turmericweir/servers/forward.py
+++ b/packages/turmericweir/turmericweir/servers/forward.py
@@ -26,8 +26,9 @@
 )
 from turmericweir.process import logs
 from turmericweir.servers.answer_size import AnswerTooLargeError, BodyBound
-from turmericweir.servers.backend_attempt import Attempt, can_connect
+from turmericweir.servers.backend_attempt import Attempt, acquire_any, can_connect
 from turmericweir.servers.backend_call import body_of, lower_headers
+from turmericweir.servers.server_identity import acquire_identified
 from turmericweir.servers.server_life import StatusCheck
 from turmericweir_core.base.config import ServiceKind
 from turmericweir_core.base.request import Request
@@ -44,7 +45,7 @@
 
 if TYPE_CHECKING:
     from turmericweir.process.node import Node
-    from turmericweir.servers.backend_pool import BackendPool
+    from turmericweir.servers.backend_pool import BackendConnection, BackendPool, Via
 
 # An answer that is not a stream is buffered up to this size, which allows a retry if its connection
 # breaks. A longer one is sent to the caller as it arrives.
@@ -181,11 +182,30 @@
         """Run the attempt to its end."""
         try:
             return await self._attempt.run(
-                self._make_request, self._consume, self._is_expired, self._make_status_check
+                self._make_request,
+                self._consume,
+                self._is_expired,
+                self._make_status_check,
+                self._acquire,
             )
         finally:
             self._job.forget_attempt(self)
 
+    async def _acquire(
+        self, pool: BackendPool, address: str, *, idle_max_s: float, via: Via | None
+    ) -> BackendConnection:
+        if not self._start.needs_identity:
+            return await acquire_any(pool, address, idle_max_s=idle_max_s, via=via)
+        wire = self._job._wire
+        return await acquire_identified(
+            pool,
+            address,
+            idle_max_s=idle_max_s,
+            via=via,
+            report_path=wire.report_path,
+            read_incarnation=wire.read_incarnation,
+        )
+
     def _is_expired(self) -> bool:
         """Return whether nobody waits for the beginning of the answer any more."""
         req, now = self._job._request, anyio.current_time()
--- a/tests/platform/test_restarted_versions.py
+++ b/tests/platform/test_restarted_versions.py
@@ -66,7 +66,7 @@
     # Guards against going on at a process by the version in the entry of an earlier start.
     with open_world(tmp_path, engines=1, retry_ratio=20 if by_router else 0) as world:
         callers = begin(world, STREAMS, tuple(world.running))
-        world.add_server("lm-2", "lm", "v1")
+        world.add_server("lm-2", "lm", "v1").event_count = EVENTS
         for instance in world.running.values():
             until(partial(world.has_listed_servers, instance), "the new one is listed")
         world.crash_server("lm-2")
@@ -101,7 +101,7 @@
     # Guards against refusing for ever what a restarted server of the version can go on with.
     with open_world(tmp_path, engines=1, instances=1) as world:
         callers = begin(world, STREAMS, ("entry-1",))
-        world.add_server("lm-2", "lm", "v1")
+        world.add_server("lm-2", "lm", "v1").event_count = EVENTS
         until(partial(world.has_listed_servers, world.running["entry-1"]), "the new one is listed")
         world.crash_server("lm-2")
         world.restart_unregistered("lm-2", BORN + 1, "v1")
