Bind a stream to the release of the process that began it

What callers saw: streams that began at one server went on at others of an earlier version, each of which truly had that version.

Cause: a stream was bound to the release in the entry by which its server was chosen. A server that had started again under its name with other software, and whose entry was not read yet, began it; when it broke off, the stream went on at the release of the earlier start.

Change: a server is asked which start it is also before a stream that may be taken up begins there, once for each connection, where entries name starts. The stream is bound to the release of the entry of that start; if that entry was not read yet, or the server does not say, it is bound to no release and nobody goes on with it. A stream of a known start keeps its release when the next start is listed, where it lost it before. Ruled out: asking after the first event or at the break (the process may be gone, and an answer of its successor shows nothing of it); heartbeats in entries (instances that do not read the store don't see them).

Evidence: test_restarted_versions ...began_at_a_restarted_server failed before and passes, the others pass; tests/core, tests/daemon and seven files of tests/platform pass.

Conclusion: a binding no longer rests on the age of an entry. Streams that break off within the moment between a start and the reading of its entry are given up.

--- a/packages/turmericweir-core/turmericweir_core/base/request.py
+++ b/packages/turmericweir-core/turmericweir_core/base/request.py
@@ -109,6 +109,8 @@
     # The release of the server, and the incarnation, as its entry said at the start.
     release: Release = UNKNOWN_RELEASE
     listed_incarnation: str = ""
+    # The incarnation of the process on its connection; None if it was not asked.
+    process_incarnation: str | None = None
     # The peer by way of which the server is connected to; empty for a direct connection.
     via: InstanceName = DIRECT
     # The address of the server.
--- a/packages/turmericweir-core/turmericweir_core/messages/events.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/events.py
@@ -102,6 +102,15 @@
 )
 
 
+class ServerIdentified(Struct, frozen=True):
+    """The server on the connection of the attempt has said which start of it this is."""
+
+    request_id: RequestId
+    attempt_id: AttemptId
+    # Empty if it did not say.
+    incarnation: str
+
+
 class AttemptSent(Struct, frozen=True):
     """The first byte of the attempt is about to be sent."""
 
@@ -471,6 +480,7 @@
 Event: TypeAlias = (
     RequestArrived
     | CallerLeft
+    | ServerIdentified
     | AttemptSent
     | AttemptProgress
     | AnswerReceived
--- a/packages/turmericweir-core/turmericweir_core/placement/dispatch.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/dispatch.py
@@ -216,22 +216,22 @@
             fetch_from_address=fetch_from,
             via=attempt.via,
             via_address="" if peer is None else peer.peer_address,
-            needs_identity=_needs_identity(state, req),
+            needs_identity=_needs_identity(state, req, server),
             incarnation=server.entry.incarnation,
             is_bound=req.release is not None,
         ),
     ]
 
 
-def _needs_identity(state: State, req: Request) -> bool:
+def _needs_identity(state: State, req: Request, server: Server) -> bool:
     """Return whether it matters which start of a server gets a request.
 
     Prevents a stream from going on at another release, as the entry by which a server was chosen
-    may be that of an earlier start.
+    may be that of an earlier start. Where entries name no start, each start has a name of its own.
     """
     if state.config.policy is not PlacementPolicy.PREDICTED or req.kind is not ServiceKind.MODEL:
         return False
-    return req.release is not None
+    return req.release is not None or (req.is_resumable and server.entry.incarnation != "")
 
 
 def _list_age_ms(state: State, now: float) -> int | None:
--- a/packages/turmericweir-core/turmericweir_core/reducers/reducer.py
+++ b/packages/turmericweir-core/turmericweir_core/reducers/reducer.py
@@ -59,6 +59,7 @@
     RequestArrived,
     SeedsGiven,
     ServerAnswered,
+    ServerIdentified,
     ServerReport,
     ServerUnreachable,
     StopRequested,
@@ -145,6 +146,7 @@
             return effects + claim_flow.on_peer_unreachable(state, now, event)
         case (
             CallerLeft()
+            | ServerIdentified()
             | AttemptSent()
             | AttemptProgress()
             | AnswerReceived()
--- a/packages/turmericweir-core/turmericweir_core/reducers/reducer_common.py
+++ b/packages/turmericweir-core/turmericweir_core/reducers/reducer_common.py
@@ -39,6 +39,7 @@
     RequestArrived,
     SeedsGiven,
     ServerAnswered,
+    ServerIdentified,
     ServerReport,
     ServerUnreachable,
     StopRequested,
@@ -71,6 +72,7 @@
 CommonEvent: TypeAlias = (
     RequestArrived
     | CallerLeft
+    | ServerIdentified
     | AttemptSent
     | AttemptProgress
     | AnswerReceived
@@ -99,6 +101,8 @@
             return _on_peer(state, now, event)
         case AttemptProgress():
             return attempt_flow.on_progress(state, now, event)
+        case ServerIdentified():
+            return attempt_flow.on_identified(state, event)
         case AttemptSent():
             return attempt_flow.on_sent(state, now, event)
         case AnswerReceived():
--- a/packages/turmericweir-core/turmericweir_core/reducers/reducer_store.py
+++ b/packages/turmericweir-core/turmericweir_core/reducers/reducer_store.py
@@ -44,6 +44,7 @@
     RequestArrived,
     SeedsGiven,
     ServerAnswered,
+    ServerIdentified,
     ServerReport,
     ServerUnreachable,
     StopRequested,
@@ -135,6 +136,7 @@
         case (
             RequestArrived()
             | CallerLeft()
+            | ServerIdentified()
             | AttemptSent()
             | AnswerReceived()
             | AttemptEnded()
--- a/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
@@ -35,6 +35,7 @@
     EndRefused,
     EndServerError,
     EndUnsent,
+    ServerIdentified,
 )
 from turmericweir_core.placement import answer_moves, attempt_accounting, brittle_servers
 from turmericweir_core.placement.dispatch import dispatch, release, wait_for_server
@@ -79,6 +80,14 @@
     return effects + server_paths.note_connected(state, now, req.attempt.server, req.attempt.via)
 
 
+def on_identified(state: State, event: ServerIdentified) -> list[Effect]:
+    """Record which start of the server the attempt is sent to."""
+    req = state.requests.get(event.request_id)
+    if req is not None and req.attempt is not None and req.attempt.attempt_id == event.attempt_id:
+        req.attempt.process_incarnation = event.incarnation
+    return []
+
+
 def on_progress(state: State, now: float, event: AttemptProgress) -> list[Effect]:
     """Record tokens that were passed on to the caller."""
     req = state.requests.get(event.request_id)
--- a/packages/turmericweir-core/turmericweir_core/streams/stream_bindings.py
+++ b/packages/turmericweir-core/turmericweir_core/streams/stream_bindings.py
@@ -5,9 +5,10 @@
 request that brought its first event. Bindings are kept for longer than callers try again, here and
 as copies at some peers (`stream_copies`), and are looked up there (`stream_lookup`).
 
-A server may start again under its name with other software before its entry has been read. So the
-entry of a server whose port was closed counts only if it was read a moment after the server was
-reached again.
+A server may start again under its name with other software before its entry has been read. So it is
+asked on the connection of the stream which start it is, and the release is that of the entry of
+this start. Where entries name no start, the entry of a server whose port was closed counts only if
+it was read a moment after the server was reached again.
 """
 
 from __future__ import annotations
@@ -59,6 +60,9 @@
     if req.release is not None or req.kind is not ServiceKind.MODEL:
         return []
     server = state.servers.by_name.get(attempt.server)
+    process = attempt.process_incarnation
+    if process is not None and (process or attempt.listed_incarnation):
+        return _bind(state, now, req, _release_of_process(server, attempt, process))
     if server is None or not is_release_confirmed(state, server):
         # Tried again with the next events.
         return []
@@ -67,6 +71,16 @@
     return _bind(state, now, req, attempt.release if is_same else UNKNOWN_RELEASE)
 
 
+def _release_of_process(server: Server | None, attempt: Attempt, process: str) -> Release:
+    """Return the release of the process that an attempt was sent to, by the entry of its start."""
+    if process and process == attempt.listed_incarnation:
+        return attempt.release
+    if process and server is not None and process == server.entry.incarnation:
+        return release_of(server.entry)
+    # The entry of that start was not read yet, or the server does not say which start it is.
+    return UNKNOWN_RELEASE
+
+
 def _bind(state: State, now: float, req: Request, release: Release) -> list[Effect]:
     req.release = release
     req.release_source = state.me.name
@@ -106,6 +120,9 @@
         attempt = req.attempt
         if attempt is None or attempt.server != name or attempt.first_token_at is None:
             continue
+        if attempt.process_incarnation:
+            # It is bound to the release of that start.
+            continue
         if server is not None and release_of(server.entry) != attempt.release:
             fields = {"request_id": req.request_id, "peer": name, "step": "restarted"}
             effects += [Log("stream_release_unknown", fields)]
--- a/packages/turmericweir/turmericweir/servers/backend_attempt.py
+++ b/packages/turmericweir/turmericweir/servers/backend_attempt.py
@@ -32,6 +32,7 @@
     EndMisplaced,
     EndRefused,
     EndUnsent,
+    ServerIdentified,
 )
 
 if TYPE_CHECKING:
@@ -201,9 +202,14 @@
             return await self.classify_loss(describe_error(exc), is_malformed=_is_malformed(exc))
 
     def _is_misplaced(self, conn: BackendConnection) -> bool:
-        """Return whether a server that was asked is another start."""
+        """Return whether a server that was asked is another start; report which one it is."""
         start = self.start
-        return start.needs_identity and start.is_bound and conn.incarnation != start.incarnation
+        if not start.needs_identity or conn.incarnation is None:
+            return False
+        if start.is_bound and conn.incarnation != start.incarnation:
+            return True
+        self.node.handle(ServerIdentified(start.request_id, start.attempt_id, conn.incarnation))
+        return False
 
     async def _consume_watched(
         self,
