--- a/packages/turmericweir-core/turmericweir_core/messages/events.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/events.py
@@ -67,6 +67,13 @@
     error: str
 
 
+class EndMisplaced(Struct, frozen=True):
+    """Nothing was sent: the server is another start than the one it was chosen as."""
+
+    # The start that it is; empty if it does not say.
+    incarnation: str
+
+
 class EndBroken(Struct, frozen=True):
     """The connection broke or became unresponsive after the server may have got the request."""
 
@@ -91,10 +98,19 @@
 
 
 AttemptEnd: TypeAlias = (
-    EndComplete | EndRefused | EndUnsent | EndBroken | EndServerError | EndCancelled
+    EndComplete | EndRefused | EndUnsent | EndMisplaced | EndBroken | EndServerError | EndCancelled
 )
 
 
+class ServerIdentified(Struct, frozen=True):
+    """The server on the connection of the attempt has said which start of it this is."""
+
+    request_id: RequestId
+    attempt_id: AttemptId
+    # Empty if it did not say.
+    incarnation: str
+
+
 class AttemptSent(Struct, frozen=True):
     """The first byte of the attempt is about to be sent."""
 
@@ -467,6 +483,7 @@
 Event: TypeAlias = (
     RequestArrived
     | CallerLeft
+    | ServerIdentified
     | AttemptSent
     | AttemptProgress
     | AnswerReceived
--- a/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
@@ -31,9 +31,11 @@
     EndBroken,
     EndCancelled,
     EndComplete,
+    EndMisplaced,
     EndRefused,
     EndServerError,
     EndUnsent,
+    ServerIdentified,
 )
 from turmericweir_core.placement import answer_moves, attempt_accounting, brittle_servers
 from turmericweir_core.placement.dispatch import dispatch, release, wait_for_server
@@ -80,6 +82,14 @@
     return effects + server_paths.note_connected(state, now, req.attempt.server, req.attempt.via)
 
 
+def on_identified(state: State, event: ServerIdentified) -> list[Effect]:
+    """Record which start of the server the attempt is sent to."""
+    req = state.requests.get(event.request_id)
+    if req is not None and req.attempt is not None and req.attempt.attempt_id == event.attempt_id:
+        req.attempt.process_incarnation = event.incarnation
+    return []
+
+
 def on_progress(state: State, now: float, event: AttemptProgress) -> list[Effect]:
     """Record tokens that were passed on to the caller."""
     req = state.requests.get(event.request_id)
@@ -276,7 +286,7 @@
             if server is not None and not is_leaving:
                 effects += brittle_servers.note_refused(state, now, server)
             return effects + _retry_or_finish(state, now, req, attempt, Reason.OVERLOAD, cause)
-        case EndUnsent(error) if attempt.sent:
+        case EndUnsent(error) | EndMisplaced(error) if attempt.sent:
             # An attempt that was reported as sent may have run, so `not_run` may be wrong.
             return _handle_end(state, now, req, attempt, EndBroken(error, server_alive=False))
         case EndUnsent(error):
@@ -284,6 +294,12 @@
             effects = server_paths.note_failed(state, now, attempt.server, error, attempt.via)
             effects += _retry_or_finish(state, now, req, attempt, Reason.NO_SERVER, None)
             return [_failure_log(req, attempt, "unsent", error), *effects]
+        case EndMisplaced(incarnation):
+            req.unsent_attempts += 1
+            stream_bindings.suspect_entry(state, now, attempt.server)
+            error = f"{incarnation or 'nothing'} for {attempt.listed_incarnation or 'nothing'}"
+            effects = _retry_or_finish(state, now, req, attempt, Reason.NO_SERVER, None)
+            return [_failure_log(req, attempt, "misplaced", error), *effects]
         case EndBroken(error, server_alive, is_malformed):
             req.may_have_run = True
             logs: list[Effect] = [_failure_log(req, attempt, "broken", error)]
