Name the start that a refusing process said itself in the log of a second send

Cause: `sent_again` named the starts by the servers' entries. Since streams ask the process on their connection which start it is, the log can say that too.

--- a/packages/turmericweir-core/turmericweir_core/base/request.py
+++ b/packages/turmericweir-core/turmericweir_core/base/request.py
@@ -93,8 +93,10 @@
     # Whether it names the request, and whether its connection had carried earlier requests.
     names_request: bool
     kept_connection: bool
-    # The incarnation of the server by its entry, and the peer by way of which it was asked.
+    # The incarnation of the server by its entry, and by the process itself; None if not asked.
     incarnation: str
+    process_incarnation: str | None
+    # The peer by way of which it was asked.
     via: InstanceName
     # The local address of the connection, and for how long it had been open when it was used.
     connection: str
