Play trouble between two sends of what must run once at random

Cause: no soak loses the peers that carry requests while servers refuse, repeat answers and start again at once, and none has callers that send requests ahead.

Change: the soak `--second-runs`. Paths to servers are cut, instances are killed, stopped and suspended, servers refuse, repeat answers, answer 421 and start again under their names with or without an entry, and callers send two to five requests ahead, with trailers and with what is no request behind them, and break off.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -528,6 +528,7 @@
     ends: bool,
     repeats: bool,
     partitions: bool,
+    second_runs: bool,
 ) -> type[Soak]:
     # Imported late, as these modules import this one.
     if notices:
@@ -566,6 +567,10 @@
         from tests.platform.soak_partitions import PartitionSoak
 
         return PartitionSoak
+    if second_runs:
+        from tests.platform.soak_second_runs import SecondRunSoak
+
+        return SecondRunSoak
     return Soak
 
 
@@ -593,6 +598,9 @@
     parser.add_argument(
         "--partitions", action="store_true", help="instances are cut off in a rollout"
     )
+    parser.add_argument(
+        "--second-runs", action="store_true", help="trouble between two sends; callers send ahead"
+    )
     args = parser.parse_args()
     make_soak = _choose_soak(
         notices=args.notices,
@@ -604,6 +612,7 @@
         ends=args.ends,
         repeats=args.repeats,
         partitions=args.partitions,
+        second_runs=args.second_runs,
     )
     first, _, last = args.seeds.partition("-")
     failed_seeds = 0
