--- a/packages/turmericweir-core/turmericweir_core/requests/second_sends.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/second_sends.py
@@ -40,7 +40,7 @@
         return effects
     refusal = req.refusal
     evidence = "none" if refusal is None else "named" if refusal.names_request else "first_answer"
-    fields = {
+    fields: dict[str, object] = {
         "request_id": req.request_id,
         "attempt_id": attempt.attempt_id,
         "peer": attempt.server,
