Play usage reports that are carried out and not answered, or late

Change: two modes of the stand-in, and a test of both: a report that is carried out while its answer is lost, and reports that are carried out when their caller has given up, among them those of a holder that was suspended until another one had taken over.

--- a/tests/platform/standin_duties.py
+++ b/tests/platform/standin_duties.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import json
 from dataclasses import dataclass
 from typing import Any
@@ -24,7 +23,9 @@
     """Accepts usage reports and server orders from the duty holder."""
 
     def __init__(self) -> None:
-        # "" for correct answers, "busy", "silent", or "none" (no servers are available).
+        # "" for correct answers, "busy", "silent", "unanswered" (carries a call out and loses the
+        # answer), "late" (carries it out when its caller has given up), or "none" (no
+        # servers are available).
         self.mode = ""
         # Whether calls with a stale fencing number are refused.
         self.checks_fence = True
@@ -40,6 +41,8 @@
         if self.mode == "silent":
             await call.wait_closed()
             return False
+        if self.mode == "late":
+            await call.wait_closed()
         body = json.loads(call.body)
         subject = call.path
         if call.path == "/scale":
@@ -54,7 +57,9 @@
             await call.answer(409, b'{"error":"none of that kind is to be had there"}')
             return True
         self.accepted.append(DutyCall(call.path, call.headers["x-lease-holder"], fence, body))
-        await asyncio.sleep(0)
+        if self.mode == "unanswered":
+            await call.wait_closed()
+            return False
         await call.answer(200, b"{}")
         return True
 
--- a/tests/platform/test_duties.py
+++ b/tests/platform/test_duties.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from typing import Any
 
+import pytest
 from click.testing import CliRunner
 
 from tests.platform.platform_world import PlatformWorld, document, until
@@ -82,6 +83,34 @@
     return sum(len(each.logged("usage_settled")) for each in world.running.values())
 
 
+@pytest.mark.parametrize("mode", ["unanswered", "late"])
+def test_usage_is_counted_once_though_its_report_is_made_again(tmp_path: Path, mode: str) -> None:
+    # Guards against usage that is counted twice where a report is carried out and not answered.
+    with PlatformWorld(tmp_path, instances=2, duties={**DUTIES, "window_s": 1}) as world:
+        standin = world.duty_standin
+        until(lambda: bool(standin.holders()), "an instance holds the duties")
+        holder = world.running[standin.holders()[0]]
+        served = [world.send_safe(instance=name) for name in world.running for _ in range(5)]
+        assert {each.status for each in served} == {200}
+        standin.mode = mode
+        windows = len(holder.logged("usage_settled"))
+        until(lambda: len(holder.logged("usage_settled")) >= windows + 2, "windows are settled")
+        if mode == "late":
+            # Its calls are carried out after those of the next holder have begun.
+            holder.process.pause()
+            until(lambda: _holds_duties(world, holder.name), "another instance holds the duties")
+            holder.process.resume()
+        standin.mode = ""
+        until(lambda: standin.reported_requests() == len(served), "all usage is reported")
+        until(lambda: len(standin.counts_by_window()) > windows + 2, "later windows are reported")
+        assert standin.reported_requests() == len(served)
+
+
+def _holds_duties(world: PlatformWorld, other_than: str) -> bool:
+    names = [name for name in world.running if name != other_than]
+    return any(world.running[name].logged("lease_held") for name in names)
+
+
 def test_spot_servers_are_ordered_before_others_are_released(tmp_path: Path) -> None:
     duties = {**DUTIES, "kinds": ["autoscaling"]}
     with PlatformWorld(tmp_path, engines=8, duties=duties) as world:
