Play what may start a request that must run once a second time

Change: test_second_runs plays, besides requests sent ahead: peers that carry requests and are killed, stopped, suspended or cut off between two sends; servers that refuse, answer 421 or work, and start again under their names, with or without a new entry; callers and instances that are lost within a request; copies of a request that crashes servers; servers that are ejected and probed; an ID that comes three times.

--- a/tests/platform/test_second_runs.py
+++ b/tests/platform/test_second_runs.py
@@ -2,18 +2,21 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
+from concurrent.futures import Future, ThreadPoolExecutor
 from pathlib import Path
 
 import pytest
 
 from tests.platform.ahead_callers import AheadCaller, request_bytes
-from tests.platform.platform_world import PlatformWorld
+from tests.platform.cut_world import HANG, RESET, CutWorld
+from tests.platform.platform_world import Answer, PlatformWorld, until
 
 # They tell a caller that its request was not run.
 PROMISES = {408, 421, 429, 503}
 PATHS = ["/shop/buy/", "/lm/doc/"]
 AHEAD = 4
+REQUESTS = 8
 
 
 @pytest.fixture
@@ -69,3 +72,196 @@
     assert answer is not None
     assert answer.status == 200
     assert [run.path for run in world.runs()] == ["/shop/buy/a"]
+
+
+# --- requests by way of a peer ---
+
+TROUBLES: dict[str, tuple[Callable[[CutWorld], None], Callable[[CutWorld], None]]] = {
+    "killed": (
+        lambda world: world.running["entry-2"].process.kill(),
+        lambda world: world.restart_instance("entry-2"),
+    ),
+    "stopped": (
+        lambda world: world.running["entry-2"].process.terminate(),
+        lambda world: None,
+    ),
+    "suspended": (
+        lambda world: world.running["entry-2"].process.pause(),
+        lambda world: world.running["entry-2"].process.resume(),
+    ),
+    "cut, late": (
+        lambda world: world.cut("entry-2", HANG),
+        lambda world: world.heal("entry-2"),
+    ),
+    "cut, reset": (
+        lambda world: world.cut("entry-2", RESET),
+        lambda world: world.heal("entry-2"),
+    ),
+}
+
+
+@pytest.mark.parametrize("trouble", TROUBLES)
+def test_request_by_way_of_a_peer_in_trouble_runs_at_most_once(
+    tmp_path: Path, trouble: str
+) -> None:
+    # Guards against a send by way of a peer that counts as not made though it reaches a server.
+    begin, end = TROUBLES[trouble]
+    with CutWorld(tmp_path, instances=3, bounds={"revoke_ms": 60_000}) as world:
+        _prepare_servers(world)
+        world.cut("entry-1", RESET)
+        until(lambda: _is_served(world), "requests go by way of peers")
+        world.set_mode("refuse_once")
+        with ThreadPoolExecutor(2 * REQUESTS) as pool:
+            pending = _send_unsafe(world, pool, "b")
+            until(lambda: bool(world.received("b0")), "a server has a request")
+            begin(world)
+            pending |= _send_unsafe(world, pool, "d")
+            answers = {each: future.result(30) for each, future in pending.items()}
+        end(world)
+        world.heal("entry-1")
+        world.set_mode("")
+        until(lambda: _is_served(world), "requests are served again")
+        _check_once(world, answers)
+
+
+def _prepare_servers(world: PlatformWorld) -> None:
+    for server in world.servers.values():
+        server.keeps_streams = True
+        server.work_s = 0.1
+        server.event_interval_s = 0.02
+
+
+def _is_served(world: PlatformWorld) -> bool:
+    sends = [world.send(path + world.new_id(), X_Deadline_Ms="1500") for path in PATHS]
+    return [each.status for each in sends] == [200, 200]
+
+
+def _send_unsafe(
+    world: PlatformWorld, pool: ThreadPoolExecutor, prefix: str
+) -> dict[str, Future[Answer | None]]:
+    """Send requests that must run once; return their answers by ID, None for none."""
+
+    def send(number: int) -> Answer | None:
+        request_id = f"{prefix}{number}"
+        # Requests that are alike would be suspected of crashing servers.
+        path = PATHS[number % 2] + request_id
+        try:
+            return world.send(path, request_id=request_id, X_Deadline_Ms="2000")
+        except OSError:
+            return None
+
+    return {f"{prefix}{number}": pool.submit(send, number) for number in range(REQUESTS)}
+
+
+def _check_once(world: PlatformWorld, answers: dict[str, Answer | None]) -> None:
+    """Check that no request ran twice, and that none ran whose caller was told otherwise."""
+    for request_id, answer in answers.items():
+        runs = len(world.runs(request_id))
+        assert runs <= 1, request_id
+        assert answer is None or answer.status not in PROMISES or not runs, request_id
+    for instance in world.running.values():
+        assert not [each for each in instance.logged("sent_again") if each["evidence"] == "none"]
+
+
+# --- servers that start again under their names ---
+
+
+@pytest.mark.parametrize("is_registered", [True, False], ids=["registered", "unregistered"])
+@pytest.mark.parametrize("mode", ["refuse_once", "misdirected", "mute"])
+def test_request_at_a_server_that_starts_again_runs_at_most_once(
+    world: PlatformWorld, mode: str, is_registered: bool
+) -> None:
+    # Guards against a refusal, or a 421, of one start of a server that counts for another one.
+    for server in world.servers.values():
+        server.work_s = 0.05
+    world.set_mode(mode)
+    with ThreadPoolExecutor(REQUESTS) as pool:
+        pending = _send_unsafe(world, pool, "s")
+        until(lambda: bool(world.received("s0") and world.received("s1")), "servers have requests")
+        for number, name in enumerate(("lm-1", "shop-1", "lm-2", "shop-2")):
+            world.crash_server(name)
+            restart = world.restart_server if is_registered else world.restart_unregistered
+            restart(name, born=number + 2)
+        answers = {each: future.result(30) for each, future in pending.items()}
+    _check_once(world, answers)
+
+
+# --- requests whose caller or instance is lost ---
+
+
+@pytest.mark.parametrize("loss", ["caller", "killed", "suspended"])
+def test_request_whose_caller_or_instance_is_lost_is_not_started_elsewhere(
+    tmp_path: Path, loss: str
+) -> None:
+    # Guards against a claim, a probe or an isolated run that starts a request a second time.
+    with PlatformWorld(tmp_path, instances=2) as world:
+        world.set_mode("mute", "lm-1", "shop-1")
+        world.set_mode("lost", "lm-2", "shop-2")
+        first = world.running["entry-1"].process
+        with AheadCaller(world, "entry-1") as caller:
+            ids = [world.new_id() for _ in range(AHEAD)]
+            caller.send(*[request_bytes(world, f"{PATHS[0]}{each}", each) for each in ids])
+            until(lambda: bool(world.runs(ids[0])), "the first request runs")
+            if loss == "killed":
+                first.kill()
+            elif loss == "suspended":
+                first.pause()
+        if loss == "suspended":
+            first.resume()
+        world.set_mode("")
+        until(lambda: _is_served_by(world, "entry-2"), "the other one serves")
+        if loss != "killed":
+            until(lambda: _is_served_by(world, "entry-1"), "the first one serves")
+        _check_once(world, dict.fromkeys(ids))
+
+
+def _is_served_by(world: PlatformWorld, *instances: str) -> bool:
+    sends = [world.send(path + world.new_id(), instance=n) for n in instances for path in PATHS]
+    return all(each.status == 200 for each in sends)
+
+
+def test_copies_of_a_request_that_crashes_servers_run_once_each(tmp_path: Path) -> None:
+    # Guards against an isolated run of a request that must not be repeated and has run.
+    with PlatformWorld(tmp_path, engines=4, plain_servers=4, instances=2) as world:
+        world.set_crash_body(b"crash")
+        answers: dict[str, Answer | None] = {}
+        for number in range(AHEAD):
+            for instance in world.running:
+                request_id = world.new_id()
+                answers[request_id] = world.send(
+                    PATHS[number % 2], request_id=request_id, instance=instance, body=b"crash"
+                )
+        _check_once(world, answers)
+
+
+@pytest.mark.parametrize("mode", ["lost", "error", "shed"])
+def test_requests_at_a_server_that_is_ejected_and_probed_run_once(
+    world: PlatformWorld, mode: str
+) -> None:
+    # Guards against a request that is a probe of a suspected server and runs at another one too.
+    world.set_mode(mode, "lm-1", "shop-1")
+    answers: dict[str, Answer | None] = {}
+    with ThreadPoolExecutor(REQUESTS) as pool:
+        for number in range(6):
+            pending = _send_unsafe(world, pool, f"e{number}-")
+            answers |= {each: future.result(30) for each, future in pending.items()}
+    _check_once(world, answers)
+
+
+# --- an ID that comes twice ---
+
+
+def test_each_copy_of_an_id_gets_an_answer_of_its_own(tmp_path: Path) -> None:
+    # Guards against copies of an ID that take each other's place in an instance.
+    with PlatformWorld(tmp_path, instances=2) as world:
+        for server in world.servers.values():
+            server.work_s = 0.1
+        with AheadCaller(world, "entry-1") as caller, AheadCaller(world, "entry-2") as other:
+            copies = [request_bytes(world, f"/shop/buy/{number}", "copy") for number in range(3)]
+            caller.send(*copies[:2])
+            other.send(copies[2])
+            answers = [caller.read_answer(), caller.read_answer(), other.read_answer()]
+        assert [each and each.status for each in answers] == [200] * 3
+        assert sorted(run.path for run in world.runs("copy")) == [
+            f"/shop/buy/{n}" for n in range(3)
+        ]
