Try another server where one does not say in time which start it is

Cause: a server that was reached and did not answer for its report counted as one whose path is lost: its connections were retired, and peers were asked to carry.

Change: such an attempt ends like one at another start (`server_unidentified` is logged): nothing was sent, another server is tried, the path stays.

Conclusion: an engine without reports gets no streams that may be taken up while others do, and never one that goes on.

--- a/packages/turmericweir/turmericweir/servers/backend_attempt.py
+++ b/packages/turmericweir/turmericweir/servers/backend_attempt.py
@@ -21,6 +21,7 @@
 from turmericweir.servers.backend_pool import IDLE_MAX_S, VERIFIED_IDLE_MAX_S
 from turmericweir.servers.new_connection import check_connection, via_of
 from turmericweir.servers.peer_refusal import PeerRefusedError
+from turmericweir.servers.server_identity import UnidentifiedError
 from turmericweir.servers.server_life import EndEvidence, StatusCheck, Witness
 from turmericweir_core.messages.effects import StartAttempt
 from turmericweir_core.messages.events import (
@@ -195,12 +196,25 @@
             finally:
                 self._conn = None
                 await self.pool.release(address, conn)
+        except UnidentifiedError as exc:
+            self._log_unidentified(describe_error(exc))
+            return EndMisplaced("")
         except AnswerTooLargeError as exc:
             return self.reject_oversized(describe_error(exc))
         except TRANSPORT_ERRORS as exc:
             self.answer.note_lost(exc)
             return await self.classify_loss(describe_error(exc), is_malformed=_is_malformed(exc))
 
+    def _log_unidentified(self, error: str) -> None:
+        start = self.start
+        logs.write(
+            "server_unidentified",
+            request_id=start.request_id,
+            attempt_id=start.attempt_id,
+            peer=start.server,
+            error=error,
+        )
+
     def _is_misplaced(self, conn: BackendConnection) -> bool:
         """Return whether a server that was asked is another start; report which one it is."""
         start = self.start
--- a/packages/turmericweir/turmericweir/servers/server_identity.py
+++ b/packages/turmericweir/turmericweir/servers/server_identity.py
@@ -12,7 +12,6 @@
 from typing import Final
 
 import anyio
-import httpcore
 
 from turmericweir.process.errors import describe_error
 from turmericweir.servers.answer_size import AnswerTooLargeError
@@ -25,13 +24,17 @@
 from turmericweir.servers.backend_pool import BackendConnection, BackendPool, Via, make_request
 
 # Time limit for the answer.
-IDENTIFY_TIMEOUT_S: Final = 1.0
+IDENTIFY_TIMEOUT_S: Final = 0.5
 _STATUS_OK: Final = 200
 
 # Returns the start that a report names; empty if it names none.
 ReadIncarnation = Callable[[bytes], str]
 
 
+class UnidentifiedError(Exception):
+    """A server that is reached does not say which start it is."""
+
+
 async def acquire_identified(
     pool: BackendPool,
     address: str,
@@ -43,40 +46,38 @@
 ) -> BackendConnection:
     """Return a connection with the start of the server that it leads to.
 
-    Raises httpcore's errors if there is none. A kept connection may have been closed meanwhile, and
-    a server may close a connection after its answer, so a new one is tried once.
+    Raises httpcore's errors if none can be opened. A kept connection may have been closed
+    meanwhile, and a server may close a connection after its answer, so a new one is tried once.
     """
     conn = await pool.acquire(address, idle_max_s=idle_max_s, via=via)
-    try:
-        await _identify(conn, address, report_path, read_incarnation)
+    if await _identify(conn, address, report_path, read_incarnation):
         return conn
-    except TRANSPORT_ERRORS:
-        await conn.close()
-    except BaseException:
-        await conn.close()
-        raise
     conn = await pool.acquire(address, idle_max_s=0.0, via=via)
-    try:
-        await _identify(conn, address, report_path, read_incarnation)
-    except BaseException:
-        await conn.close()
-        raise
-    return conn
+    if await _identify(conn, address, report_path, read_incarnation):
+        return conn
+    raise UnidentifiedError("no connection outlives a report")
 
 
 async def _identify(
     conn: BackendConnection, address: str, report_path: bytes, read_incarnation: ReadIncarnation
-) -> None:
+) -> bool:
+    """Ask on a connection, if it was not asked; close it and return False if it has ended."""
     if conn.incarnation is not None:
-        return
+        return True
     request = make_request(b"GET", address, report_path, [], b"")
+    is_usable = False
     try:
         with anyio.fail_after(IDENTIFY_TIMEOUT_S):
             answer = await exchange(conn, request, FirstByteCallback(), None, ANSWER_MAX_BYTES)
+        is_usable = conn.is_idle
     except TimeoutError:
-        raise httpcore.ReadTimeout(f"no report within {IDENTIFY_TIMEOUT_S} s") from None
+        raise UnidentifiedError(f"no report within {IDENTIFY_TIMEOUT_S} s") from None
     except AnswerTooLargeError as exc:
-        raise httpcore.RemoteProtocolError(describe_error(exc)) from exc
-    if not conn.is_idle:
-        raise httpcore.RemoteProtocolError("the connection was closed after a report")
+        raise UnidentifiedError(describe_error(exc)) from exc
+    except TRANSPORT_ERRORS:
+        return False
+    finally:
+        if not is_usable:
+            await conn.close()
     conn.incarnation = read_incarnation(answer.body) if answer.status == _STATUS_OK else ""
+    return is_usable
--- a/tests/platform/standin_server.py
+++ b/tests/platform/standin_server.py
@@ -110,6 +110,9 @@
     received: list[ReceivedRequest] = field(default_factory=list)
     # When its process started, as its reports say; None if they say nothing of it.
     born: int | None = None
+    # How it answers a request for its report: "" with its start, if it has one; "nameless" without;
+    # "silent" not at all; "closes" and closes the connection.
+    report_mode: str = ""
     # Health checks that it answered.
     health_checks: int = 0
     # Set to release streams that the mode "hold" has paused.
@@ -125,9 +128,7 @@
             await call.answer(503 if self.is_leaving else 200, b"", {"X-Instance-Id": self.name})
             return True
         if call.path == REPORT_PATH and self.is_streaming:
-            born = {} if self.born is None else {"born": self.born}
-            await call.answer(200, json.dumps({"seq": 1, **born}).encode())
-            return True
+            return await self._answer_report(call)
         if self.room and self.running >= self.room:
             return await self._refuse_for_room(call)
         self.running += 1
@@ -137,6 +138,16 @@
         finally:
             self.running -= 1
 
+    async def _answer_report(self, call: Call) -> bool:
+        if self.report_mode == "silent":
+            await call.wait_closed()
+            return False
+        is_named = self.born is not None and self.report_mode != "nameless"
+        born = {"born": self.born} if is_named else {}
+        headers = {"Connection": "close"} if self.report_mode == "closes" else {}
+        await call.answer(200, json.dumps({"seq": 1, **born}).encode(), headers)
+        return self.report_mode != "closes"
+
     async def _refuse_for_room(self, call: Call) -> bool:
         """Refuse a request, and fall over after too many refusals in a second."""
         now = time.monotonic()
--- a/tests/platform/test_restarted_versions.py
+++ b/tests/platform/test_restarted_versions.py
@@ -114,3 +114,32 @@
         assert not [each for each in world.received() if each.server == "lm-2"]
         world.register("lm-2", born=BORN + 1)
         assert_whole(finish(callers))
+
+
+@pytest.mark.parametrize("report_mode", ["silent", "closes"])
+def test_engine_that_does_not_say_its_start_holds_up_no_streams(
+    tmp_path: Path, report_mode: str
+) -> None:
+    # Guards against streams that wait for a report, and a path that counts as lost without one.
+    with open_world(tmp_path, instances=1) as world:
+        world.servers["lm-1"].report_mode = report_mode
+        assert_whole(finish(begin(world, STREAMS, ("entry-1",))))
+        instance = world.running["entry-1"]
+        until(lambda: bool(instance.logged("server_unidentified")), "the engine was asked")
+        assert not instance.logged("path_lost")
+        assert not [each for each in world.received() if each.server == "lm-1"]
+
+
+def test_stream_of_an_engine_that_does_not_say_its_start_is_taken_up_by_nobody(
+    tmp_path: Path,
+) -> None:
+    # Guards against the release in an entry where nothing shows which start began the stream.
+    with open_world(tmp_path, engines=1) as world:
+        world.servers["lm-1"].report_mode = "nameless"
+        callers = begin(world, STREAMS, tuple(world.running))
+        world.add_server("lm-2", "lm", "v1").event_count = EVENTS
+        for instance in world.running.values():
+            until(partial(world.has_listed_servers, instance), "the new one is listed")
+        world.crash_server("lm-1")
+        until(lambda: all(each.stream.refusals for each in callers), "the streams are refused")
+        assert not [each for each in world.received() if "last-event-id" in each.headers]
