Play an engine that closes its connections after a report, which fails

A stream that may be resumed is sent on the connection on which its engine was asked for a report.

What callers see: 502 for each stream of an engine that closes a connection after an answer, as its connection ends while the stream is sent.

Conclusion: the report needs a way out where it fails and the stream is bound to nothing.

--- a/tests/platform/test_reports_of_starts.py
+++ b/tests/platform/test_reports_of_starts.py
@@ -27,6 +27,16 @@
         return False
 
 
+class ClosesAfterReport(Server):
+    """An engine that closes a connection after a report."""
+
+    __slots__ = ()
+
+    async def handle(self, call: Call) -> bool:
+        """Answer one request; the connection carries no other one after a report."""
+        return await Server.handle(self, call) and call.path != REPORT_PATH
+
+
 class RefusesWithoutId(Server):
     """An engine that refuses streams, and does not name them."""
 
@@ -63,6 +73,12 @@
     assert not world.running["entry-1"].logged("path_lost")
 
 
+def test_stream_begins_at_an_engine_that_closes_after_a_report(world: PlatformWorld) -> None:
+    # Guards against refusing all streams of an engine whose connections carry one request each.
+    replace_engine(world, ClosesAfterReport)
+    assert world.send("/lm/chat/").status == 200
+
+
 def test_refusal_without_an_id_is_believed_after_a_report(world: PlatformWorld) -> None:
     # Guards against telling a caller that a stream may have run, which its engine refused.
     replace_engine(world, RefusesWithoutId)
