Play requests that are refused for their end, late heads, and the log of a carried refusal

Change: three kinds of tests in test_second_runs: trailers and chunks that are refused or accepted (run if and only if the answer is 200), half a head behind a request that runs (no 408 for it), and the lines of a peer found by the connection in `sent_again`.

--- a/tests/platform/test_second_runs.py
+++ b/tests/platform/test_second_runs.py
@@ -5,12 +5,13 @@
 from collections.abc import Callable, Iterator
 from concurrent.futures import Future, ThreadPoolExecutor
 from pathlib import Path
+from typing import Any
 
 import pytest
 
 from tests.platform.ahead_callers import AheadCaller, request_bytes
 from tests.platform.cut_world import HANG, RESET, CutWorld
-from tests.platform.platform_world import Answer, PlatformWorld, until
+from tests.platform.platform_world import Answer, Instance, PlatformWorld, document, until
 
 # They tell a caller that its request was not run.
 PROMISES = {408, 421, 429, 503}
@@ -74,6 +75,57 @@
     assert [run.path for run in world.runs()] == ["/shop/buy/a"]
 
 
+@pytest.mark.parametrize(
+    "end",
+    [b"0\r\nX-T: " + b"a" * 40_000 + b"\r\n\r\n", b"0\r\nX-T\0\r\n\r\n", b"zz\r\n\r\n"],
+    ids=["long trailer", "invalid trailer", "invalid chunk"],
+)
+def test_request_that_is_refused_for_its_end_has_not_run(world: PlatformWorld, end: bytes) -> None:
+    # Guards against a request that is passed on before the end of its body was accepted.
+    request_id = world.new_id()
+    data = request_bytes(world, "/shop/buy/", request_id, chunked=True)
+    with AheadCaller(world, "entry-1") as caller:
+        caller.send_part(data.removesuffix(b"0\r\n") + end)
+        answer = caller.read_answer()
+    assert answer is not None
+    assert len(world.runs(request_id)) == (answer.status == 200)
+
+
+def test_head_that_is_late_ends_no_running_request(world: PlatformWorld) -> None:
+    # Guards against a 408 for what follows a request that is read as the answer to this one.
+    limits = {**document(1)["limits"], "header-timeout-ms": 200}
+    world.publish(limits=limits)
+    instance = world.running["entry-1"]
+    until(
+        lambda: any(each["version"] == world.version for each in _settings_in_force(instance)),
+        "the settings are in force",
+    )
+    world.set_mode("hold", "lm-1", "lm-2")
+    request_id = world.new_id()
+    with AheadCaller(world, "entry-1") as caller:
+        caller.send_part(request_bytes(world, "/lm/doc/", request_id) + b"GET /shop/look/ HT")
+        until(lambda: bool(world.runs(request_id)), "the request runs")
+        until(lambda: _refuses_late_head(world), "a late head is refused")
+        for name in ("lm-1", "lm-2"):
+            world.release_held(name)
+        answer = caller.read_answer()
+    assert answer is not None
+    assert answer.status == 200
+    assert len(answer.event_data) == 6
+
+
+def _settings_in_force(instance: Instance) -> list[dict[str, Any]]:
+    return instance.logged("settings_in_force")
+
+
+def _refuses_late_head(world: PlatformWorld) -> bool:
+    """Send half a head, and return whether it is refused."""
+    with AheadCaller(world, "entry-1") as caller:
+        caller.send_part(b"GET /shop/look/ HT")
+        answer = caller.read_answer()
+    return answer is not None and answer.status == 408
+
+
 # --- requests by way of a peer ---
 
 TROUBLES: dict[str, tuple[Callable[[CutWorld], None], Callable[[CutWorld], None]]] = {
@@ -124,6 +176,30 @@
         _check_once(world, answers)
 
 
+def test_log_of_a_second_send_leads_to_what_the_peer_saw(tmp_path: Path) -> None:
+    # Guards against second sends of which nobody can tell what the peer that carried them saw.
+    with CutWorld(tmp_path, instances=2, bounds={"revoke_ms": 60_000}) as world:
+        world.cut("entry-1", RESET)
+        until(lambda: _is_served(world), "requests go by way of the peer")
+        world.set_mode("refuse_once")
+        assert {world.send(path + world.new_id()).status for path in PATHS} == {200}
+        first, peer = world.running["entry-1"], world.running["entry-2"]
+        until(lambda: len(first.logged("sent_again")) >= len(PATHS), "second sends are logged")
+        lines = first.logged("sent_again")
+        assert {line["refused_via"] for line in lines} == {"entry-2"}
+        refused_on = {line["refused_connection"] for line in lines}
+        opened = {line["connection"] for line in peer.logged("carry_opened")}
+        assert refused_on <= opened
+        first.process.kill()
+        until(lambda: refused_on <= _passed_on(peer), "the peer logs what it passed on")
+
+
+def _passed_on(peer: Instance) -> set[str]:
+    """Return the connections on which a peer passed something on to a server."""
+    lines = peer.logged("carry_ended")
+    return {line["connection"] for line in lines if line["to_server_bytes"]}
+
+
 def _prepare_servers(world: PlatformWorld) -> None:
     for server in world.servers.values():
         server.keeps_streams = True
