--- a/tests/platform/soak_second_runs.py
+++ b/tests/platform/soak_second_runs.py
@@ -22,6 +22,12 @@
 AHEAD_CALLERS: Final = 3
 MODES: Final = ("copies", "refuse_once", "refuse_once", "shed", "misdirected", "lost")
 STATUSES: Final = (400, 429, 503)
+PATHS: Final = {
+    "buy": "/shop/buy/",
+    "doc": "/lm/doc/",
+    "look": "/shop/look/",
+    "chat": "/lm/chat/",
+}
 # In place of the error of a request that was sent ahead.
 AHEAD: Final = "ahead"
 # What such a caller sends behind its requests, besides nothing.
@@ -96,7 +102,7 @@
     def _send_group(self, rng: Random, instance: str, prefix: str) -> None:
         group = []
         for _ in range(rng.randint(2, 5)):
-            kind = rng.choice(("buy", "doc"))
+            kind = rng.choice(("buy", "doc", "buy", "doc", "look", "chat"))
             request_id = f"{prefix}-{len(self.sent)}-{rng.random():.9f}"
             now = time.monotonic()
             group.append(SentRequest(request_id, kind, instance, KEY, now, now, error=AHEAD))
@@ -116,11 +122,11 @@
             return
 
     def _bytes_of(self, rng: Random, sent: SentRequest) -> bytes:
-        path = "/shop/buy/" if sent.kind == "buy" else "/lm/doc/"
+        path = f"{PATHS[sent.kind]}{sent.request_id}"
+        if sent.kind == "look":
+            return request_bytes(self.world, path, sent.request_id, method="GET", body=b"")
         is_chunked = rng.random() < 0.3
-        data = request_bytes(
-            self.world, path + sent.request_id, sent.request_id, chunked=is_chunked
-        )
+        data = request_bytes(self.world, path, sent.request_id, chunked=is_chunked)
         return data + b"X-Trailer: a\r\n\r\n" if is_chunked else data
 
 
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -15,6 +15,7 @@
 from tests.platform.soak_partitions import PartitionSoak
 from tests.platform.soak_repeats import RepeatSoak
 from tests.platform.soak_restarts import RestartSoak
+from tests.platform.soak_second_runs import SecondRunSoak
 from tests.platform.soak_versions import VersionSoak
 
 # Seeds with their durations. Seed 21 guards against servers that return under their names and get
@@ -74,6 +75,12 @@
     assert not soak.run(1, 12.0, tmp_path, RepeatSoak)
 
 
+def test_nothing_runs_twice_in_trouble_between_two_sends(tmp_path: Path) -> None:
+    # Guards against second runs where peers that carry requests are lost, where servers start again
+    # after a refusal, and where callers send requests ahead.
+    assert not soak.run(1, 12.0, tmp_path, SecondRunSoak)
+
+
 def test_streams_keep_their_version_while_instances_are_cut_off(tmp_path: Path) -> None:
     # Guards against streams of two versions at instances that have not heard of one of them.
     assert not soak.run(1, 12.0, tmp_path, PartitionSoak)
