Count a service as one of several releases once a start of it is not listed

Cause: nobody knows such a stream any more, and the proof that its service had one release only rests on lists, on which the release of that start is not. The instance that was told of the start recorded it for that stream alone.

Change: a start that is not the listed one notes an unknown release of its service, so the service has had several: peers are told so when they ask, bindings are written to the store, and whoever was told writes the releases down at once, as the reader of the store does not hear of it.

--- a/packages/turmericweir-core/turmericweir_core/reducers/reducer_common.py
+++ b/packages/turmericweir-core/turmericweir_core/reducers/reducer_common.py
@@ -102,7 +102,7 @@
         case AttemptProgress():
             return attempt_flow.on_progress(state, now, event)
         case ServerIdentified():
-            return attempt_flow.on_identified(state, event)
+            return attempt_flow.on_identified(state, now, event)
         case AttemptSent():
             return attempt_flow.on_sent(state, now, event)
         case AnswerReceived():
--- a/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
@@ -49,7 +49,7 @@
 from turmericweir_core.state import queue_state, usage_meter
 from turmericweir_core.state.server_table import note_leaving, note_pause
 from turmericweir_core.state.state import State
-from turmericweir_core.streams import stream_bindings
+from turmericweir_core.streams import stream_bindings, stream_records
 from turmericweir_core.trust import (
     isolated_runs,
     lost_connections,
@@ -80,12 +80,20 @@
     return effects + server_paths.note_connected(state, now, req.attempt.server, req.attempt.via)
 
 
-def on_identified(state: State, event: ServerIdentified) -> list[Effect]:
+def on_identified(state: State, now: float, event: ServerIdentified) -> list[Effect]:
     """Record which start of the server the attempt is sent to."""
     req = state.requests.get(event.request_id)
-    if req is not None and req.attempt is not None and req.attempt.attempt_id == event.attempt_id:
-        req.attempt.process_incarnation = event.incarnation
-    return []
+    attempt = None if req is None else req.attempt
+    if attempt is None or attempt.attempt_id != event.attempt_id:
+        return []
+    attempt.process_incarnation = event.incarnation
+    return _note_process(state, now, attempt, event.incarnation)
+
+
+def _note_process(state: State, now: float, attempt: Attempt, incarnation: str) -> list[Effect]:
+    if not stream_bindings.note_process(state, now, attempt, incarnation):
+        return []
+    return stream_records.on_process_noted(state, now)
 
 
 def on_progress(state: State, now: float, event: AttemptProgress) -> list[Effect]:
@@ -295,8 +303,9 @@
         case EndMisplaced(incarnation):
             req.unsent_attempts += 1
             stream_bindings.suspect_entry(state, now, attempt.server)
+            effects = _note_process(state, now, attempt, incarnation)
             error = f"{incarnation or 'nothing'} for {attempt.listed_incarnation or 'nothing'}"
-            effects = _retry_or_finish(state, now, req, attempt, Reason.NO_SERVER, None)
+            effects += _retry_or_finish(state, now, req, attempt, Reason.NO_SERVER, None)
             return [_failure_log(req, attempt, "misplaced", error), *effects]
         case EndBroken(error, server_alive, is_malformed):
             req.may_have_run = True
--- a/packages/turmericweir-core/turmericweir_core/streams/stream_bindings.py
+++ b/packages/turmericweir-core/turmericweir_core/streams/stream_bindings.py
@@ -186,6 +186,26 @@
 _SUSPECT_INTERVAL_S: Final = 1.0
 
 
+def note_process(state: State, now: float, attempt: Attempt, process: str) -> bool:
+    """Record which start the server of an attempt is; return whether no list names it.
+
+    Nobody knows the release of such a start, so from now on the service has had several.
+    """
+    server = state.servers.by_name.get(attempt.server)
+    if (
+        not process
+        or server is None
+        or process
+        in (
+            attempt.listed_incarnation,
+            server.entry.incarnation,
+        )
+    ):
+        return False
+    note_releases(state, now, [(server.entry.service, UNKNOWN_RELEASE)])
+    return True
+
+
 def on_broken(state: State, now: float, req: Request, attempt: Attempt) -> list[Effect]:
     """Suspect the entry of a server that broke an attempt off, here and at all peers.
 
--- a/packages/turmericweir-core/turmericweir_core/streams/stream_records.py
+++ b/packages/turmericweir-core/turmericweir_core/streams/stream_records.py
@@ -22,7 +22,7 @@
 
 from turmericweir_core.base.config import ServiceKind
 from turmericweir_core.base.ids import InstanceName
-from turmericweir_core.base.release import Release
+from turmericweir_core.base.release import UNKNOWN_RELEASE, Release
 from turmericweir_core.membership import eras, membership, relays, store_duty
 from turmericweir_core.messages.effects import Count, Effect, Log
 from turmericweir_core.messages.record_messages import (
@@ -143,7 +143,9 @@
 def _put_releases(state: State, now: float, releases: dict[str, set[Release]]) -> list[Effect]:
     streams = state.streams
     is_reader = store_duty.is_store_reader(state, now)
-    if not is_reader and not store_duty.is_start_phase(state, now):
+    # The reader does not hear of a start that no list names.
+    is_told = any(UNKNOWN_RELEASE in each for each in releases.values())
+    if not is_reader and not is_told and not store_duty.is_start_phase(state, now):
         return []
     if not has_history(state, now):
         # After a gap in reading entries the records may still cover it.
@@ -161,6 +163,11 @@
     return [PutReleases(stored)]
 
 
+def on_process_noted(state: State, now: float) -> list[Effect]:
+    """Write the releases down as soon as there is one that no list names."""
+    return _put_releases(state, now, _model_releases(state, now))
+
+
 def _covers(stored: dict[str, list[int]] | None, releases: dict[str, list[int]]) -> bool:
     """Return whether all releases are stored."""
     known = stored or {}
