Begin a stream also where no report shows which start its server is

Cause: the report was a condition for each stream that may be taken up, though only one that goes on needs it.

Change: a stream that begins is sent on a new connection if its engine does not say its start in time (one limit for both tries), and is bound to no release. One that goes on tries another server. An incarnation is kept from a complete answer with 200 only. A report does not count as an earlier request of its connection: no answer to it can be taken for a refusal. An end that follows the report is looked for before the send.

--- a/packages/turmericweir/turmericweir/servers/backend_attempt.py
+++ b/packages/turmericweir/turmericweir/servers/backend_attempt.py
@@ -178,7 +178,7 @@
                     return EndCancelled(0)
                 if self._is_misplaced(conn):
                     return EndMisplaced(conn.incarnation or "")
-                self._is_first_answer = not conn.has_sent
+                self._is_first_answer = not conn.has_carried_request
                 request = make_request()
                 self._sent_at = anyio.current_time()
                 response = await conn.send(request, self._first_byte)
@@ -196,8 +196,7 @@
             finally:
                 self._conn = None
                 await self.pool.release(address, conn)
-        except UnidentifiedError as exc:
-            self._log_unidentified(describe_error(exc))
+        except UnidentifiedError:
             return EndMisplaced("")
         except AnswerTooLargeError as exc:
             return self.reject_oversized(describe_error(exc))
@@ -205,24 +204,15 @@
             self.answer.note_lost(exc)
             return await self.classify_loss(describe_error(exc), is_malformed=_is_malformed(exc))
 
-    def _log_unidentified(self, error: str) -> None:
-        start = self.start
-        logs.write(
-            "server_unidentified",
-            request_id=start.request_id,
-            attempt_id=start.attempt_id,
-            peer=start.server,
-            error=error,
-        )
-
     def _is_misplaced(self, conn: BackendConnection) -> bool:
         """Return whether a server that was asked is another start; report which one it is."""
         start = self.start
-        if not start.needs_identity or conn.incarnation is None:
+        if not start.needs_identity:
             return False
-        if start.is_bound and conn.incarnation != start.incarnation:
+        incarnation = conn.incarnation or ""
+        if start.is_bound and incarnation != start.incarnation:
             return True
-        self.node.handle(ServerIdentified(start.request_id, start.attempt_id, conn.incarnation))
+        self.node.handle(ServerIdentified(start.request_id, start.attempt_id, incarnation))
         return False
 
     async def _consume_watched(
--- a/packages/turmericweir/turmericweir/servers/backend_pool.py
+++ b/packages/turmericweir/turmericweir/servers/backend_pool.py
@@ -51,7 +51,16 @@
 class BackendConnection:
     """One HTTP connection, for one request at a time."""
 
-    __slots__ = ("_http", "_stream", "has_sent", "incarnation", "is_reused", "opened_at", "via")
+    __slots__ = (
+        "_http",
+        "_stream",
+        "has_carried_request",
+        "has_sent",
+        "incarnation",
+        "is_reused",
+        "opened_at",
+        "via",
+    )
 
     _http: httpcore.AsyncHTTP11Connection
     _stream: BackendStream
@@ -62,6 +71,8 @@
     via: Via | None
     # Whether a request was sent on it.
     has_sent: bool
+    # Whether one was sent whose answer, or a copy of it, may still come.
+    has_carried_request: bool
     # Which start of its server it leads to, as that said on it; empty if it did not say, None if
     # it was not asked.
     incarnation: str | None
@@ -75,6 +86,7 @@
         self.via = via
         self.is_reused = False
         self.has_sent = False
+        self.has_carried_request = False
         self.incarnation = None
 
     async def send(
@@ -85,7 +97,7 @@
         Calls `before_write` on the open connection just before the first byte is written, which is
         before the server can start.
         """
-        self.has_sent = True
+        self.has_sent = self.has_carried_request = True
         self._stream.before_write = before_write
         self._stream.framing.reset()
         return await self._http.handle_async_request(request)
--- a/packages/turmericweir/turmericweir/servers/forward.py
+++ b/packages/turmericweir/turmericweir/servers/forward.py
@@ -28,7 +28,7 @@
 from turmericweir.servers.answer_size import AnswerTooLargeError, BodyBound
 from turmericweir.servers.backend_attempt import Attempt, acquire_any, can_connect
 from turmericweir.servers.backend_call import body_of, lower_headers
-from turmericweir.servers.server_identity import acquire_identified
+from turmericweir.servers.server_identity import UnidentifiedError, acquire_identified
 from turmericweir.servers.server_life import StatusCheck
 from turmericweir_core.base.config import ServiceKind
 from turmericweir_core.base.request import Request
@@ -197,13 +197,30 @@
         if not self._start.needs_identity:
             return await acquire_any(pool, address, idle_max_s=idle_max_s, via=via)
         wire = self._job._wire
-        return await acquire_identified(
-            pool,
-            address,
-            idle_max_s=idle_max_s,
-            via=via,
-            report_path=wire.report_path,
-            read_incarnation=wire.read_incarnation,
+        try:
+            return await acquire_identified(
+                pool,
+                address,
+                idle_max_s=idle_max_s,
+                via=via,
+                report_path=wire.report_path,
+                read_incarnation=wire.read_incarnation,
+            )
+        except UnidentifiedError as exc:
+            self._log_unidentified(exc)
+            if self._start.is_bound:
+                raise
+        # A stream may begin at any start; nobody goes on with it then.
+        return await acquire_any(pool, address, idle_max_s=0.0, via=via)
+
+    def _log_unidentified(self, error: UnidentifiedError) -> None:
+        start = self._start
+        logs.write(
+            "server_unidentified",
+            request_id=start.request_id,
+            attempt_id=start.attempt_id,
+            peer=start.server,
+            error=str(error),
         )
 
     def _is_expired(self) -> bool:
--- a/packages/turmericweir/turmericweir/servers/server_identity.py
+++ b/packages/turmericweir/turmericweir/servers/server_identity.py
@@ -12,6 +12,7 @@
 from typing import Final
 
 import anyio
+from anyio.lowlevel import checkpoint
 
 from turmericweir.process.errors import describe_error
 from turmericweir.servers.answer_size import AnswerTooLargeError
@@ -49,27 +50,34 @@
     Raises httpcore's errors if none can be opened. A kept connection may have been closed
     meanwhile, and a server may close a connection after its answer, so a new one is tried once.
     """
+    limit_at = anyio.current_time() + IDENTIFY_TIMEOUT_S
     conn = await pool.acquire(address, idle_max_s=idle_max_s, via=via)
-    if await _identify(conn, address, report_path, read_incarnation):
+    if await _identify(conn, address, report_path, read_incarnation, limit_at):
         return conn
     conn = await pool.acquire(address, idle_max_s=0.0, via=via)
-    if await _identify(conn, address, report_path, read_incarnation):
+    if await _identify(conn, address, report_path, read_incarnation, limit_at):
         return conn
     raise UnidentifiedError("no connection outlives a report")
 
 
 async def _identify(
-    conn: BackendConnection, address: str, report_path: bytes, read_incarnation: ReadIncarnation
+    conn: BackendConnection,
+    address: str,
+    report_path: bytes,
+    read_incarnation: ReadIncarnation,
+    limit_at: float,
 ) -> bool:
     """Ask on a connection, if it was not asked; close it and return False if it has ended."""
     if conn.incarnation is not None:
         return True
     request = make_request(b"GET", address, report_path, [], b"")
-    is_usable = False
+    has_carried_request, is_usable = conn.has_carried_request, False
     try:
-        with anyio.fail_after(IDENTIFY_TIMEOUT_S):
+        with anyio.fail_after(limit_at - anyio.current_time()):
             answer = await exchange(conn, request, FirstByteCallback(), None, ANSWER_MAX_BYTES)
-        is_usable = conn.is_idle
+        # An end that follows the answer is seen by then.
+        await checkpoint()
+        is_usable = conn.is_idle and not conn.is_closed_by_server
     except TimeoutError:
         raise UnidentifiedError(f"no report within {IDENTIFY_TIMEOUT_S} s") from None
     except AnswerTooLargeError as exc:
@@ -79,5 +87,8 @@
     finally:
         if not is_usable:
             await conn.close()
-    conn.incarnation = read_incarnation(answer.body) if answer.status == _STATUS_OK else ""
+    if is_usable and answer.status == _STATUS_OK:
+        conn.incarnation = read_incarnation(answer.body)
+        # No answer to a report can be taken for a refusal.
+        conn.has_carried_request = has_carried_request
     return is_usable
