Believe no entry of a server that has said that it is another start

Cause: what a server says of its start was kept for that attempt only. The entry was suspected at most once a second, and confirmed by a list read half a second later, in which it stood unchanged.

Change: the start in an entry that was replaced by what its server says is known as replaced until the entry names another one. A server that says nothing is suspected anew each time.

The one of the misplaced request wanted another try after a read of the unchanged entry; there is none now, so it asks for more: no try until the entry names another start. Its first form stands as a case of its own, for servers that name no start.

Conclusion: an entry that is known to be old costs one report.

--- a/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
@@ -302,7 +302,7 @@
             return [_failure_log(req, attempt, "unsent", error), *effects]
         case EndMisplaced(incarnation):
             req.unsent_attempts += 1
-            stream_bindings.suspect_entry(state, now, attempt.server)
+            stream_bindings.note_misplaced(state, now, attempt.server)
             effects = _note_process(state, now, attempt, incarnation)
             error = f"{incarnation or 'nothing'} for {attempt.listed_incarnation or 'nothing'}"
             effects += _retry_or_finish(state, now, req, attempt, Reason.NO_SERVER, None)
--- a/packages/turmericweir-core/turmericweir_core/state/stream_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/stream_state.py
@@ -82,6 +82,8 @@
     gone_releases: dict[str, dict[Release, float]] = field(default_factory=dict)
     # When the entry of each server was last suspected because the server broke an attempt off.
     suspected_at: dict[ServerName, float] = field(default_factory=dict)
+    # The start in the entry of each server that has said that it is another one.
+    replaced_starts: dict[ServerName, str] = field(default_factory=dict)
     # Bindings that were dropped because there were too many.
     dropped: int = 0
     # Since when all releases of servers were seen here, or read from the store.
--- a/packages/turmericweir-core/turmericweir_core/streams/stream_bindings.py
+++ b/packages/turmericweir-core/turmericweir_core/streams/stream_bindings.py
@@ -169,6 +169,8 @@
 
 def is_release_confirmed(state: State, server: Server) -> bool:
     """Return whether the entry of a server is known to be that of its newest start."""
+    if state.streams.replaced_starts.get(server.entry.name) == server.entry.incarnation:
+        return False
     if server.restored_at is None:
         return True
     table = state.servers
@@ -203,9 +205,17 @@
     ):
         return False
     note_releases(state, now, [(server.entry.service, UNKNOWN_RELEASE)])
+    state.streams.replaced_starts[attempt.server] = server.entry.incarnation
     return True
 
 
+def note_misplaced(state: State, now: float, name: ServerName) -> None:
+    """Suspect the entry of a server that a stream could not go on at."""
+    server = state.servers.by_name.get(name)
+    if server is not None:
+        server.restored_at = now
+
+
 def on_broken(state: State, now: float, req: Request, attempt: Attempt) -> list[Effect]:
     """Suspect the entry of a server that broke an attempt off, here and at all peers.
 
@@ -295,6 +305,8 @@
         del streams.by_key[key]
     for name in [each for each in streams.suspected_at if each not in state.servers.by_name]:
         del streams.suspected_at[name]
+    for name in [each for each in streams.replaced_starts if each not in state.servers.by_name]:
+        del streams.replaced_starts[name]
     for releases in streams.gone_releases.values():
         for release in [each for each, at in releases.items() if now - at > GONE_KEEP_S]:
             del releases[release]
--- a/tests/core/streams/test_unlisted_starts.py
+++ b/tests/core/streams/test_unlisted_starts.py
@@ -64,17 +64,34 @@
     assert engine_model.best_fetch(world.state, world.now, req, other) is None
 
 
-def test_misplaced_request_waits_for_the_next_suspicion_of_its_server_to_end() -> None:
-    # Guards against using up all attempts at one moment by an entry that was read unchanged.
+def test_misplaced_request_waits_for_the_entry_of_another_start() -> None:
+    # Guards against using up all attempts by an entry that was read unchanged.
     world = world_of(BORN, BORN)
     first = begin(world, BORN)
     second = start_of(world.end(first, BROKEN))
     world.end(second, EndMisplaced(LATER))
     world.wait(0.6)
     read_entries(world, "v1", BORN, BORN)
+    assert only(world.effects, StartAttempt)[-1] == second
+    assert not only(world.effects, FinishRequest)
+    world.wait(0.6)
+    read_entries(world, "v1", LATER, LATER)
+    third = only(world.effects, StartAttempt)[-1]
+    assert third.attempt_id != second.attempt_id
+    assert third.incarnation == LATER
+
+
+def test_misplaced_request_tries_no_more_where_the_server_names_no_start() -> None:
+    # Guards against using up all attempts at one moment at a server whose entry was just read.
+    world = world_of(BORN, BORN)
+    first = begin(world, BORN)
+    second = start_of(world.end(first, BROKEN))
+    world.end(second, EndMisplaced(""))
+    world.wait(0.6)
+    read_entries(world, "v1", BORN, BORN)
     third = only(world.effects, StartAttempt)[-1]
     assert third.attempt_id != second.attempt_id
-    effects = world.end(third, EndMisplaced(LATER))
+    effects = world.end(third, EndMisplaced(""))
     assert not only(effects, StartAttempt)
     assert not only(effects, FinishRequest)
 
