Leave attempts alone whose server has said which start it is

Cause: when a server breaks streams off, attempts there without an event are stopped, as their connection may be to its next start. Since the start is known by the connection; stopping cost a move and a retry, which callers pay with time.

Change: an attempt at the start that its entry names is not stopped.

Evidence: the reviewer's reducer test failed before and passes; tests/core/streams and tests/core/requests pass.

--- a/packages/turmericweir-core/turmericweir_core/requests/unconfirmed_starts.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/unconfirmed_starts.py
@@ -20,6 +20,12 @@
         attempt = req.attempt
         if attempt is None or req.release is None or attempt.first_token_at is not None:
             continue
+        if (
+            attempt.process_incarnation
+            and attempt.process_incarnation == attempt.listed_incarnation
+        ):
+            # It was asked on the connection of the attempt.
+            continue
         server = state.servers.by_name.get(attempt.server)
         if server is not None and not stream_bindings.has_release(state, server, req.release):
             effects += cancel(req, CancelReason.MOVED)
