Mark no start of a server as leaving by the refusal of an earlier one

What callers would see: a server that has started again under its name gets no work from an instance, and by its word from none, for as long as it lives.

Cause: a refusal of a server that leaves marked whichever start was listed when it was handled; after a slow end of the answer, or a pause of this process, that is the next one.

Change: it counts for the start at which the attempt was placed.

--- a/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
@@ -212,6 +212,12 @@
     return effects + dispatch(state, now, req.target)
 
 
+def _is_same_start(state: State, attempt: Attempt) -> bool:
+    """Return whether the start of the server at which an attempt was placed is still listed."""
+    server = state.servers.by_name.get(attempt.server)
+    return server is None or server.entry.incarnation == attempt.listed_incarnation
+
+
 def _may_have_begun(state: State, now: float, req: Request, end: AttemptEnd) -> bool:
     """Return whether the end of an attempt shows that its server may have begun it."""
     attempt = req.attempt
@@ -279,7 +285,7 @@
             effects = _handle_loss(state, now, req, attempt, Reason.OVERLOAD, RetryCause.REFUSED)
             return [log, *effects]
         case EndRefused(_, is_leaving):
-            if is_leaving:
+            if is_leaving and _is_same_start(state, attempt):
                 note_leaving(state.servers, attempt.server)
             if attempt.sent:
                 # A refusal does not count as a send. Prevents a call with a single send from ending
