--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -531,6 +531,7 @@
     repeats: bool,
     partitions: bool,
     restarts: bool,
+    second_runs: bool,
 ) -> type[Soak]:
     # Imported late, as these modules import this one.
     if notices:
@@ -573,6 +574,10 @@
         from tests.platform.soak_partitions import PartitionSoak
 
         return PartitionSoak
+    if second_runs:
+        from tests.platform.soak_second_runs import SecondRunSoak
+
+        return SecondRunSoak
     return Soak
 
 
@@ -603,6 +608,9 @@
     parser.add_argument(
         "--restarts", action="store_true", help="engines start again with other versions, unlisted"
     )
+    parser.add_argument(
+        "--second-runs", action="store_true", help="trouble between two sends; callers send ahead"
+    )
     args = parser.parse_args()
     make_soak = _choose_soak(
         notices=args.notices,
@@ -615,6 +623,7 @@
         repeats=args.repeats,
         partitions=args.partitions,
         restarts=args.restarts,
+        second_runs=args.second_runs,
     )
     first, _, last = args.seeds.partition("-")
     failed_seeds = 0
