--- a/packages/turmericweir/turmericweir/callers/http_server.py
+++ b/packages/turmericweir/turmericweir/callers/http_server.py
@@ -25,6 +25,7 @@
 from turmericweir.answers.caller_refusal import new_request_id
 from turmericweir.callers.caller_transport import CoalescingTransport
 from turmericweir.callers.http_limits import HttpLimits
+from turmericweir.process import logs
 from turmericweir.process.listening_socket import accept_queued, ignore_new_connections
 from turmericweir_core.base.reasons import Reason
 
@@ -174,6 +175,11 @@
         """The number of bytes received of headers that are not complete."""
         return self._header_bytes
 
+    @property
+    def waiting_requests(self) -> int:
+        """The number of requests that wait behind the one that runs."""
+        return len(self.pipeline)
+
     @property
     def unread_bytes(self) -> int:
         """The number of bytes of a body that were received and are not read yet."""
@@ -261,10 +267,22 @@
     def _refuse(self, reason: Reason, status: int | None) -> None:
         if self.transport.is_closing() or self._has_left_answer_to_running_request():
             return
+        self._log_refusal(reason)
         problem = make_refusal(new_request_id(), reason, status=status)
         self.transport.write(_problem_bytes(problem))
         self.transport.close()
 
+    def _log_refusal(self, reason: Reason) -> None:
+        """Log why a connection is closed, and what it holds."""
+        logs.write(
+            "connection_refused",
+            port=self.server[1] if self.server else None,
+            reason=reason.value,
+            waiting=len(self.pipeline),
+            header_bytes=self._header_bytes,
+            header_lines=len(self.headers or ()),
+        )
+
     def _has_left_answer_to_running_request(self) -> bool:
         """Return whether a request is running, whose answer must come before any other.
 
@@ -342,6 +360,17 @@
         connections = self.server_state.connections
         return sum(conn.header_bytes for conn in connections if isinstance(conn, LimitedProtocol))
 
+    def open_connections(self) -> int:
+        """Return the number of connections."""
+        return len(self.server_state.connections)
+
+    def waiting_requests(self) -> int:
+        """Return the number of requests that wait behind others on their connections."""
+        connections = self.server_state.connections
+        return sum(
+            conn.waiting_requests for conn in connections if isinstance(conn, LimitedProtocol)
+        )
+
     def stop(self) -> None:
         """Stop accepting; `serve` returns when all running requests are answered."""
         self.should_exit = True
--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -392,6 +392,24 @@
     )
 
 
+def _add_connection_gauges(metrics: PrometheusMetrics, callers: HttpServer) -> None:
+    metrics.add_gauge(
+        "turmericweir_callers_connections",
+        "The number of open connections of callers.",
+        callers.open_connections,
+    )
+    metrics.add_gauge(
+        "turmericweir_callers_waiting_requests",
+        "The number of requests that wait behind others on their connections.",
+        callers.waiting_requests,
+    )
+    metrics.add_gauge(
+        "turmericweir_callers_header_bytes",
+        "The number of bytes received of headers that are not complete.",
+        callers.header_bytes,
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class _Sockets:
     callers: socket.socket
@@ -445,6 +463,7 @@
     callers = HttpServer(app, limits, lambda: node.is_stopping, node.memory.add)
     node.memory.sources.append(callers.header_bytes)
     readiness = HttpServer(platform_adapters.make_readiness_app(lambda: is_ready(node)), limits)
+    _add_connection_gauges(metrics, callers)
     async with anyio.create_task_group() as group:
         group.start_soon(run_supervised, "check memory", memory.check_forever, node)
         group.start_soon(_serve_http, readiness, sockets.readiness)
--- a/tests/platform/client_crowd.py
+++ b/tests/platform/client_crowd.py
@@ -137,10 +137,10 @@
                 if not selector.get_map():
                     self._should_end.wait(_SELECT_S)
                 for key, _mask in selector.select(_SELECT_S):
-                    sock = key.fileobj
-                    assert isinstance(sock, socket.socket)
-                    if not self._send_some(sock, data):
-                        selector.unregister(sock)
+                    client = key.fileobj
+                    assert isinstance(client, socket.socket)
+                    if not self._send_some(client, data):
+                        selector.unregister(client)
 
     def _send_some(self, sock: socket.socket, data: memoryview) -> bool:
         """Send what the connection takes; return whether there is more to send."""
