Parse one request of a connection at a time

Callers saw 3 to 12 s for an answer, and a process that ran out of memory.

Cause: all that one read brought was parsed at once, up to 256 KB, so that thousands of requests waited in a queue, each with its scope and lists, and a head that is not complete was held as objects. A second fault of the same cause: the target of a request was read from the connection when its task began, and was by then that of the request that was parsed last, so that requests sent ahead in one read all went to the path of the last one, with its route.

Now a piece that ends no later than a message is passed to the parser (message_framing); heads wait as bytes until they are complete, and what follows a request that runs waits as bytes too. Reading pauses beyond 16 KB of it, at most 64 KB are read at once, and other connections have their turn after 512 pieces. What is sent behind a running request and is no request closes the connection after the answer, without another answer, as before. A complete head beyond max-header-bytes is now refused as well if it comes in one read. A body after a request for another protocol (Upgrade) is dropped with its connection; it was read as a request if it came in another read.

--- a/packages/turmericweir/turmericweir/callers/http_server.py
+++ b/packages/turmericweir/turmericweir/callers/http_server.py
@@ -1,8 +1,9 @@
 """uvicorn's server and protocol, adapted to this process.
 
 The protocol limits the size of a request's headers and the time that they may take, because uvicorn
-starts the application only after the headers are complete. The server leaves signals to the process
-and answers all requests that arrive before its port is closed.
+starts the application only after the headers are complete. It parses one request of a connection at
+a time (`message_framing`), because uvicorn queues all that it has parsed. The server leaves signals
+to the process and answers all requests that arrive before its port is closed.
 """
 
 from __future__ import annotations
@@ -18,6 +19,7 @@
 
 import anyio
 import uvicorn
+from uvicorn.protocols.http.flow_control import HIGH_WATER_LIMIT
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 from uvicorn.server import ServerState
 
@@ -25,6 +27,7 @@
 from turmericweir.answers.caller_refusal import new_request_id
 from turmericweir.callers.caller_transport import CoalescingTransport
 from turmericweir.callers.http_limits import HttpLimits
+from turmericweir.callers.message_framing import MessageFraming, Part
 from turmericweir.process import logs
 from turmericweir.process.listening_socket import accept_queued, ignore_new_connections
 from turmericweir_core.base.reasons import Reason
@@ -45,22 +48,41 @@
 _READ_LOOP_PASSES: Final = 2
 _STATUS_HEADERS_TOO_LARGE: Final = 431
 _STATUS_TIMEOUT: Final = 408
+# The most that is read at once; the buffer is used again after each read.
+_READ_BUFFER: Final = memoryview(bytearray(65_536))
+# The number of bytes beyond which no more is read while they wait for a request that runs.
+_AHEAD_BYTES: Final = 16_384
+# The number of pieces of a message that are parsed before other connections get their turn.
+_PIECES_PER_STEP: Final = 512
+# The maximum number of reads of what is dropped when a connection closes.
+_DROPPED_READS: Final = 16
 # The SO_LINGER option with a timeout of zero, with which closing a socket resets the connection.
 _LINGER_ZERO: Final = struct.pack("ii", 1, 0)
 
 
-class LimitedProtocol(HttpToolsProtocol):
-    """uvicorn's protocol with limits on the size and the time of a request's headers."""
+class LimitedProtocol(HttpToolsProtocol, asyncio.BufferedProtocol):
+    """uvicorn's protocol with limits on what a client sends.
+
+    Parses one request at a time. What follows a request that runs waits unparsed, and reading
+    pauses while much of it waits.
+    """
 
     limits: HttpLimits
     # Returns whether a graceful stop was requested.
     is_stopping: Callable[[], bool]
     # Counts bytes that were read.
     count_read: Callable[[int], None]
-    # Bytes received of the headers that are not complete yet.
-    _header_bytes: int
-    # Whether the next bytes are headers.
-    _is_in_headers: bool
+    _framing: MessageFraming
+    # Whether a part of a message was parsed, and not its end.
+    _has_begun: bool
+    # Bytes parsed of the first line of a head that is not complete.
+    _first_line_bytes: int
+    # What was received and is not parsed yet.
+    _unparsed: bytes
+    # Whether it is parsed in a later pass of the event loop.
+    _is_parse_scheduled: bool
+    # Whether the next head began to arrive while another request was running.
+    _is_ahead: bool
     _header_timer: asyncio.TimerHandle | None
     # Whether this end was closed, or closes with the running answer; later data is discarded.
     _is_end_sent: bool
@@ -79,8 +101,12 @@
         _loop: asyncio.AbstractEventLoop | None = None,
     ) -> None:
         super().__init__(config, server_state, app_state, _loop)
-        self._header_bytes = 0
-        self._is_in_headers = True
+        self._framing = MessageFraming()
+        self._has_begun = False
+        self._first_line_bytes = 0
+        self._unparsed = b""
+        self._is_parse_scheduled = False
+        self._is_ahead = False
         self._header_timer = None
         self._is_end_sent = False
         self.on_lost = None
@@ -98,45 +124,168 @@
         if self.on_lost is not None:
             self.on_lost()
 
-    def data_received(self, data: bytes) -> None:
-        """Parse the data and refuse headers that are too large.
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read, which all connections share."""
+        return _READ_BUFFER
 
-        Prevents an endless header from filling the memory, as llhttp has no limit.
-        """
+    def buffer_updated(self, nbytes: int) -> None:
+        """Receive what was read."""
+        self.data_received(bytes(_READ_BUFFER[:nbytes]))
+
+    def data_received(self, data: bytes) -> None:
+        """Parse the data up to the end of a request."""
         if self._is_end_sent:
             return
-        if self._is_in_headers:
-            self._header_bytes += len(data)
-        super().data_received(data)
-        self._restart_idle_timer()
         type(self).count_read(len(data))
-        if self._is_in_headers and self._header_bytes > self.limits.header_bytes:
-            self._refuse(Reason.TOO_LARGE, _STATUS_HEADERS_TOO_LARGE)
-        elif self._is_in_headers and self._header_timer is None:
-            # Headers that arrive in a single part need no timer.
-            self._header_bytes = self._header_bytes or len(data)
-            self._start_header_timer()
+        self._unparsed += data
+        if not self._is_parse_scheduled:
+            self._parse()
 
     def on_message_begin(self) -> None:
-        """Start counting the bytes of a request's headers."""
+        """Record that a message has begun."""
         super().on_message_begin()
-        self._is_in_headers = True
-        if self._header_timer is None:
-            self._header_bytes = 0
+        self._has_begun = True
         self.scope["state"][CONNECTION_KEY] = self
 
     def on_headers_complete(self) -> None:
         """Stop the header timer; the application limits the body."""
         self._stop_header_timer()
-        self._is_in_headers = False
-        self._header_bytes = 0
+        self._first_line_bytes = 0
+        self._is_ahead = False
+        self._framing.begin_body(dict(self.headers))
         super().on_headers_complete()
+        if self.parser.should_upgrade() and self._framing.has_body:
+            # The parser takes a body after a request for another protocol as the next request.
+            self.cycle.keep_alive = False
+            self._is_end_sent = True
+
+    def on_message_complete(self) -> None:
+        """Record that the next bytes are those of another message."""
+        self._has_begun = False
+        self._framing.end_message()
+        super().on_message_complete()
+
+    def _parse(self) -> None:
+        """Parse what has arrived piece by piece, up to the end of a request that runs."""
+        self._is_parse_scheduled = False
+        if self.transport.is_closing():
+            self._unparsed = b""
+            return
+        data = self._unparsed
+        position = 0
+        for _ in range(_PIECES_PER_STEP):
+            position = self._skip_empty_lines(data, position)
+            if position == len(data):
+                break
+            if self._must_wait:
+                # Nothing is answered after the running answer if that closes the connection.
+                position = position if self.cycle.keep_alive else len(data)
+                self._is_ahead = True
+                break
+            end = self._framing.piece_end(data, position)
+            if self._is_head_too_large(end - position or len(data) - position):
+                self._refuse(Reason.TOO_LARGE, _STATUS_HEADERS_TOO_LARGE)
+                break
+            if end == position:
+                break
+            piece = data[position:end] if end - position < len(data) else data
+            position = end
+            if not self._parse_piece(piece):
+                break
+        else:
+            self._schedule_parse()
+        self._unparsed = data[position:]
+        self._await_more()
+
+    def _parse_piece(self, piece: bytes) -> bool:
+        """Parse a piece of a message; return whether the connection goes on."""
+        part = self._framing.part
+        super().data_received(piece)
+        if self.transport.is_closing() or self._is_end_sent:
+            return False
+        # The end of a message is reported by the parser.
+        if self._has_begun and self._framing.part is part:
+            if part is Part.FIRST_LINE:
+                self._first_line_bytes += len(piece)
+            self._framing.end_piece(piece)
+        return True
+
+    @property
+    def _must_wait(self) -> bool:
+        """Whether the next bytes begin a request, and another one is running."""
+        cycle: RequestResponseCycle | None = self.cycle
+        return cycle is not None and not cycle.response_complete and not self._has_begun
+
+    def _skip_empty_lines(self, data: bytes, position: int) -> int:
+        """Return the position after empty lines before a request, as the parser skips them."""
+        if self._has_begun:
+            return position
+        while data[position : position + 1] in (b"\r", b"\n"):
+            position += 1
+        return position
+
+    def _is_head_too_large(self, size: int) -> bool:
+        """Return whether a head is too large with the next bytes.
+
+        Prevents an endless header from filling the memory, as llhttp has no limit.
+        """
+        if not self._framing.is_in_head:
+            return False
+        return self._first_line_bytes + size > self.limits.header_bytes
+
+    def _drop_unread(self) -> None:
+        """Read what has arrived on a connection that closes after an answer.
+
+        Prevents a reset, with which the answer might be lost.
+        """
+        transport_sock = self.transport.get_extra_info("socket")
+        with contextlib.suppress(OSError):
+            sock = socket.fromfd(
+                transport_sock.fileno(), transport_sock.family, transport_sock.type
+            )
+            with sock:
+                for _ in range(_DROPPED_READS):
+                    if not sock.recv_into(_READ_BUFFER, 0, socket.MSG_DONTWAIT):
+                        break
+
+    def _schedule_parse(self) -> None:
+        if not self._is_parse_scheduled:
+            self._is_parse_scheduled = True
+            self.loop.call_soon(self._parse)
+
+    def _await_more(self) -> None:
+        """Start the timer for what must arrive next, and read only as far ahead as allowed."""
+        if self._is_end_sent or self.transport.is_closing():
+            self._unparsed = b""
+            return
+        is_head_awaited = self._framing.is_in_head and not self._must_wait
+        if is_head_awaited and self.header_bytes and self._header_timer is None:
+            self._start_header_timer()
+        self._restart_idle_timer()
+        cycle: RequestResponseCycle | None = self.cycle
+        is_body_waiting = cycle is not None and len(cycle.body) > HIGH_WATER_LIMIT
+        is_far_ahead = len(self._unparsed) > self._ahead_max_bytes
+        if self._is_parse_scheduled or is_far_ahead or is_body_waiting:
+            self.flow.pause_reading()
+        else:
+            self.flow.resume_reading()
+
+    @property
+    def _ahead_max_bytes(self) -> int:
+        """The number of bytes that may wait to be parsed: at least a complete head."""
+        return max(_AHEAD_BYTES, self.limits.header_bytes)
 
     def on_response_complete(self) -> None:
         """Drop what has arrived of a body that nobody reads; the rest is dropped as it arrives."""
         if self.cycle.response_complete:
             self.cycle.body = bytearray()
         super().on_response_complete()
+        if self.transport.is_closing():
+            if self.flow.read_paused:
+                self._drop_unread()
+        elif self._unparsed:
+            # The application that has answered goes on first.
+            self._schedule_parse()
 
     def send_400_response(self, msg: str) -> None:
         """Refuse data that is not valid HTTP."""
@@ -172,13 +321,8 @@
 
     @property
     def header_bytes(self) -> int:
-        """The number of bytes received of headers that are not complete."""
-        return self._header_bytes
-
-    @property
-    def waiting_requests(self) -> int:
-        """The number of requests that wait behind the one that runs."""
-        return len(self.pipeline)
+        """The number of bytes received of headers and requests that are not parsed."""
+        return self._first_line_bytes + len(self._unparsed)
 
     @property
     def unread_bytes(self) -> int:
@@ -239,7 +383,9 @@
         Prevents keeping a connection forever whose caller stops within the body.
         """
         cycle: RequestResponseCycle | None = self.cycle
-        if cycle is None or self._is_in_headers or not cycle.response_complete:
+        if cycle is None or not self._has_begun or not cycle.response_complete:
+            return
+        if self._framing.is_in_head:
             return
         self._unset_keepalive_if_required()
         self.timeout_keep_alive_task = self.loop.call_later(
@@ -256,7 +402,7 @@
 
     def _on_header_timeout(self) -> None:
         self._header_timer = None
-        if self._header_bytes:
+        if self.header_bytes:
             self._refuse(Reason.TOO_SLOW, None)
         elif type(self).is_stopping():
             self._end_idle()
@@ -268,6 +414,11 @@
         if self.transport.is_closing() or self._has_left_answer_to_running_request():
             return
         self._log_refusal(reason)
+        if self._is_ahead:
+            # A caller that has read one answer might take a second one for that of its request.
+            self._drop_unread()
+            self.transport.close()
+            return
         problem = make_refusal(new_request_id(), reason, status=status)
         self.transport.write(_problem_bytes(problem))
         self.transport.close()
@@ -278,8 +429,7 @@
             "connection_refused",
             port=self.server[1] if self.server else None,
             reason=reason.value,
-            waiting=len(self.pipeline),
-            header_bytes=self._header_bytes,
+            header_bytes=self.header_bytes,
             header_lines=len(self.headers or ()),
         )
 
@@ -356,7 +506,7 @@
         self.listening.set()
 
     def header_bytes(self) -> int:
-        """Return the number of bytes received of headers that are not complete."""
+        """Return the number of bytes received of headers and requests that are not parsed."""
         connections = self.server_state.connections
         return sum(conn.header_bytes for conn in connections if isinstance(conn, LimitedProtocol))
 
@@ -364,13 +514,6 @@
         """Return the number of connections."""
         return len(self.server_state.connections)
 
-    def waiting_requests(self) -> int:
-        """Return the number of requests that wait behind others on their connections."""
-        connections = self.server_state.connections
-        return sum(
-            conn.waiting_requests for conn in connections if isinstance(conn, LimitedProtocol)
-        )
-
     def stop(self) -> None:
         """Stop accepting; `serve` returns when all running requests are answered."""
         self.should_exit = True
--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -398,14 +398,9 @@
         "The number of open connections of callers.",
         callers.open_connections,
     )
-    metrics.add_gauge(
-        "turmericweir_callers_waiting_requests",
-        "The number of requests that wait behind others on their connections.",
-        callers.waiting_requests,
-    )
     metrics.add_gauge(
         "turmericweir_callers_header_bytes",
-        "The number of bytes received of headers that are not complete.",
+        "The number of bytes received of headers and requests that are not parsed.",
         callers.header_bytes,
     )
 
