Bound the trailers of a request

Cause: trailers were collected as headers for as long as they came, since the limits on the size and the time of a head end with it. A trailer without an end of its line was held by the parser itself. Trailers that came in one read with the head were also taken for headers of the request.

Now the lines between chunks and the trailers have max-header-bytes since the last byte of the body, trailers have header-timeout-ms, and their content is dropped. A body that is not complete was not passed on, so 431 and 408 stay true.

--- a/packages/turmericweir/turmericweir/callers/http_server.py
+++ b/packages/turmericweir/turmericweir/callers/http_server.py
@@ -56,6 +56,7 @@
 _PIECES_PER_STEP: Final = 512
 # The maximum number of reads of what is dropped when a connection closes.
 _DROPPED_READS: Final = 16
+_FRAME_PARTS: Final = frozenset({Part.CHUNK_LINE, Part.TRAILERS})
 # The SO_LINGER option with a timeout of zero, with which closing a socket resets the connection.
 _LINGER_ZERO: Final = struct.pack("ii", 1, 0)
 
@@ -75,6 +76,8 @@
     _framing: MessageFraming
     # Whether a part of a message was parsed, and not its end.
     _has_begun: bool
+    # Bytes of chunk lines and trailers since the last byte of a body.
+    _frame_bytes: int
     # Bytes parsed of the first line of a head that is not complete.
     _first_line_bytes: int
     # What was received and is not parsed yet.
@@ -103,6 +106,7 @@
         super().__init__(config, server_state, app_state, _loop)
         self._framing = MessageFraming()
         self._has_begun = False
+        self._frame_bytes = 0
         self._first_line_bytes = 0
         self._unparsed = b""
         self._is_parse_scheduled = False
@@ -151,6 +155,7 @@
         """Stop the header timer; the application limits the body."""
         self._stop_header_timer()
         self._first_line_bytes = 0
+        self._frame_bytes = 0
         self._is_ahead = False
         self._framing.begin_body(dict(self.headers))
         super().on_headers_complete()
@@ -159,8 +164,19 @@
             self.cycle.keep_alive = False
             self._is_end_sent = True
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Add a header, and drop a trailer."""
+        if self._framing.is_in_head:
+            super().on_header(name, value)
+
+    def on_body(self, body: bytes) -> None:
+        """Add a part of a body."""
+        self._frame_bytes = 0
+        super().on_body(body)
+
     def on_message_complete(self) -> None:
         """Record that the next bytes are those of another message."""
+        self._stop_header_timer()
         self._has_begun = False
         self._framing.end_message()
         super().on_message_complete()
@@ -183,7 +199,8 @@
                 self._is_ahead = True
                 break
             end = self._framing.piece_end(data, position)
-            if self._is_head_too_large(end - position or len(data) - position):
+            size = end - position or len(data) - position
+            if self._is_head_too_large(size) or self._are_trailers_too_large(size):
                 self._refuse(Reason.TOO_LARGE, _STATUS_HEADERS_TOO_LARGE)
                 break
             if end == position:
@@ -233,6 +250,12 @@
             return False
         return self._first_line_bytes + size > self.limits.header_bytes
 
+    def _are_trailers_too_large(self, size: int) -> bool:
+        """Return whether trailers, or extensions of a chunk, are too large with the next bytes."""
+        if self._framing.part in _FRAME_PARTS:
+            self._frame_bytes += size
+        return self._frame_bytes > self.limits.header_bytes
+
     def _drop_unread(self) -> None:
         """Read what has arrived on a connection that closes after an answer.
 
@@ -258,8 +281,9 @@
         if self._is_end_sent or self.transport.is_closing():
             self._unparsed = b""
             return
-        is_head_awaited = self._framing.is_in_head and not self._must_wait
-        if is_head_awaited and self.header_bytes and self._header_timer is None:
+        is_head_awaited = self._framing.is_in_head and self.header_bytes and not self._must_wait
+        are_trailers_awaited = self._framing.part is Part.TRAILERS
+        if (is_head_awaited or are_trailers_awaited) and self._header_timer is None:
             self._start_header_timer()
         self._restart_idle_timer()
         cycle: RequestResponseCycle | None = self.cycle
@@ -402,7 +426,7 @@
 
     def _on_header_timeout(self) -> None:
         self._header_timer = None
-        if self.header_bytes:
+        if self.header_bytes or self._has_begun:
             self._refuse(Reason.TOO_SLOW, None)
         elif type(self).is_stopping():
             self._end_idle()
