Bound the header lines of a request, and count what they hold

Cause: only the bytes of headers on the wire were limited, and not even those counted once the head was complete. A short line takes many times its length as objects, and the last request's headers stayed with an idle connection.

Now a head may have 2,000 lines (431 beyond). What headers hold counts for their connection, 256 bytes a line beyond its length, so that the budget refuses requests and cuts off the largest; while it is short, a head that takes more than 64 KB is refused with 503 and Retry-After before it is parsed. Connections without a request count as well, so that they are cut off and not the callers beside them. Headers are let go with the answer.

A thousand headers of ordinary length are served.

--- a/packages/turmericweir/turmericweir/answers/caller_problem.py
+++ b/packages/turmericweir/turmericweir/answers/caller_problem.py
@@ -67,7 +67,12 @@
 
 
 def make_refusal(
-    request_id: str, reason: Reason, *, detail: str = "", status: int | None = None
+    request_id: str,
+    reason: Reason,
+    *,
+    detail: str = "",
+    status: int | None = None,
+    retry_after_s: float | None = None,
 ) -> Problem:
     """Return the answer to a request that was refused before it reached the reducer."""
     return make_problem(
@@ -76,7 +81,7 @@
         reason,
         status=status or _STATUS_BY_REASON.get(reason, _STATUS_OVERLOADED),
         cause=detail,
-        retry_after_s=None,
+        retry_after_s=retry_after_s,
     )
 
 
--- a/packages/turmericweir/turmericweir/callers/caller_memory.py
+++ b/packages/turmericweir/turmericweir/callers/caller_memory.py
@@ -1,13 +1,15 @@
 """Count what is held for callers, and cut off those that do not read.
 
 A caller's connection is tracked from its request's body until the answer has been sent, so that a
-caller that reads nothing of a complete answer counts as well. Those that read nothing for some
+caller that reads nothing of a complete answer counts as well. Connections without a request, of all
+ports, are tracked while something is held for them. Those that read nothing for some
 seconds while something waits for them are cut off; so are others when the memory is short
 (`process.memory_budget`).
 """
 
 from __future__ import annotations
 
+from collections.abc import Callable, Iterable
 from typing import Final, Protocol
 
 import anyio
@@ -35,7 +37,7 @@
 
     @property
     def unread_bytes(self) -> int:
-        """The number of bytes of a body that were received and are not read yet."""
+        """The number of bytes held of what was received: not parsed, not read yet, or headers."""
 
     @property
     def unsent_bytes(self) -> int:
@@ -143,9 +145,17 @@
     # Those whose bodies are being read.
     _receiving: set[TrackedCaller]
     _counted_at: float
-
-    def __init__(self, node: Node, unread_max_s: float) -> None:
+    # Returns all connections, also those without a request.
+    _connections: Callable[[], Iterable[CallerChannel]]
+
+    def __init__(
+        self,
+        node: Node,
+        unread_max_s: float,
+        connections: Callable[[], Iterable[CallerChannel]] = lambda: (),
+    ) -> None:
         self._node = node
+        self._connections = connections
         self._unread_max_s = unread_max_s
         self._tracked = {}
         self._receiving = set()
@@ -229,11 +239,20 @@
                 self._forget(tracked)
             elif tracked.unread_s(now) > self._unread_max_s:
                 self._cut_off(tracked, "unread", now)
+        self._track_idle(now)
         budget = self._node.memory
         budget.update(sum(each.held_bytes for each in self._tracked.values()), resident_bytes)
         if budget.excess_bytes:
             self._cut_off_excess(now, budget.excess_bytes)
 
+    def _track_idle(self, now: float) -> None:
+        """Track connections without a request for which something is held."""
+        for channel in self._connections():
+            if channel not in self._tracked and (channel.unread_bytes or channel.unsent_bytes):
+                tracked = TrackedCaller(channel, "", now)
+                tracked.is_running = False
+                self._tracked[channel] = tracked
+
     def _cut_off_excess(self, now: float, excess_bytes: int) -> None:
         holders = [
             Holder(each, each.held_bytes, each.since, is_unread=bool(each.channel.unsent_bytes))
--- a/packages/turmericweir/turmericweir/callers/http_server.py
+++ b/packages/turmericweir/turmericweir/callers/http_server.py
@@ -56,7 +56,14 @@
 _PIECES_PER_STEP: Final = 512
 # The maximum number of reads of what is dropped when a connection closes.
 _DROPPED_READS: Final = 16
+# The maximum number of lines of a head.
+HEADER_LINES_MAX: Final = 2_000
+# The memory that a header takes beyond its length, and heads up to which none is asked for.
+_HEADER_LINE_BYTES: Final = 256
+_SMALL_HEADERS_BYTES: Final = 65_536
 _FRAME_PARTS: Final = frozenset({Part.CHUNK_LINE, Part.TRAILERS})
+# When a client may return that was refused for want of memory.
+_RETRY_AFTER_S: Final = 1.0
 # The SO_LINGER option with a timeout of zero, with which closing a socket resets the connection.
 _LINGER_ZERO: Final = struct.pack("ii", 1, 0)
 
@@ -71,11 +78,15 @@
     limits: HttpLimits
     # Returns whether a graceful stop was requested.
     is_stopping: Callable[[], bool]
-    # Counts bytes that were read.
+    # Counts bytes that were read, and those of the objects that become of them.
     count_read: Callable[[int], None]
+    # Returns whether the memory is too short for large heads.
+    is_memory_short: Callable[[], bool]
     _framing: MessageFraming
     # Whether a part of a message was parsed, and not its end.
     _has_begun: bool
+    # The memory held for the headers of the request that runs.
+    _headers_held_bytes: int
     # Bytes of chunk lines and trailers since the last byte of a body.
     _frame_bytes: int
     # Bytes parsed of the first line of a head that is not complete.
@@ -106,6 +117,7 @@
         super().__init__(config, server_state, app_state, _loop)
         self._framing = MessageFraming()
         self._has_begun = False
+        self._headers_held_bytes = 0
         self._frame_bytes = 0
         self._first_line_bytes = 0
         self._unparsed = b""
@@ -203,7 +215,7 @@
             if self._is_head_too_large(size) or self._are_trailers_too_large(size):
                 self._refuse(Reason.TOO_LARGE, _STATUS_HEADERS_TOO_LARGE)
                 break
-            if end == position:
+            if end == position or not self._can_hold_headers(data, position, end):
                 break
             piece = data[position:end] if end - position < len(data) else data
             position = end
@@ -250,6 +262,25 @@
             return False
         return self._first_line_bytes + size > self.limits.header_bytes
 
+    def _can_hold_headers(self, data: bytes, start: int, end: int) -> bool:
+        """Return whether the lines of a complete head may be parsed; else refuse the request.
+
+        A short line takes many times its length as an object.
+        """
+        if self._framing.part is not Part.HEADERS:
+            return True
+        lines = data.count(b"\n", start, end)
+        if lines > HEADER_LINES_MAX:
+            self._refuse(Reason.TOO_LARGE, _STATUS_HEADERS_TOO_LARGE)
+            return False
+        held_bytes = end - start + lines * _HEADER_LINE_BYTES
+        if held_bytes > _SMALL_HEADERS_BYTES and type(self).is_memory_short():
+            self._refuse(Reason.MEMORY_SHORT, None)
+            return False
+        self._headers_held_bytes = held_bytes
+        type(self).count_read(held_bytes)
+        return True
+
     def _are_trailers_too_large(self, size: int) -> bool:
         """Return whether trailers, or extensions of a chunk, are too large with the next bytes."""
         if self._framing.part in _FRAME_PARTS:
@@ -303,6 +334,7 @@
         """Drop what has arrived of a body that nobody reads; the rest is dropped as it arrives."""
         if self.cycle.response_complete:
             self.cycle.body = bytearray()
+            self._forget_headers()
         super().on_response_complete()
         if self.transport.is_closing():
             if self.flow.read_paused:
@@ -311,6 +343,12 @@
             # The application that has answered goes on first.
             self._schedule_parse()
 
+    def _forget_headers(self) -> None:
+        """Let go of headers, which an idle connection would keep until its next request."""
+        self.headers = []
+        self.cycle.scope["headers"] = self.headers
+        self._headers_held_bytes = 0
+
     def send_400_response(self, msg: str) -> None:
         """Refuse data that is not valid HTTP."""
         self._refuse(Reason.BAD_REQUEST, None)
@@ -350,9 +388,10 @@
 
     @property
     def unread_bytes(self) -> int:
-        """The number of bytes of a body that were received and are not read yet."""
+        """The number of bytes held of what was received: not parsed, not read yet, or headers."""
         cycle: RequestResponseCycle | None = self.cycle
-        return 0 if cycle is None else len(cycle.body)
+        body_bytes = 0 if cycle is None else len(cycle.body)
+        return self.header_bytes + self._headers_held_bytes + body_bytes
 
     @property
     def unsent_bytes(self) -> int:
@@ -443,7 +482,9 @@
             self._drop_unread()
             self.transport.close()
             return
-        problem = make_refusal(new_request_id(), reason, status=status)
+        retry_after_s = _RETRY_AFTER_S if reason is Reason.MEMORY_SHORT else None
+        request_id = new_request_id()
+        problem = make_refusal(request_id, reason, status=status, retry_after_s=retry_after_s)
         self.transport.write(_problem_bytes(problem))
         self.transport.close()
 
@@ -496,11 +537,13 @@
         limits: HttpLimits,
         is_stopping: Callable[[], bool] = lambda: False,
         count_read: Callable[[int], None] = lambda size: None,
+        is_memory_short: Callable[[], bool] = lambda: False,
     ) -> None:
         attributes = {
             "limits": limits,
             "is_stopping": staticmethod(is_stopping),
             "count_read": staticmethod(count_read),
+            "is_memory_short": staticmethod(is_memory_short),
         }
         protocol = type("_Protocol", (LimitedProtocol,), attributes)
         config = uvicorn.Config(
@@ -531,8 +574,12 @@
 
     def header_bytes(self) -> int:
         """Return the number of bytes received of headers and requests that are not parsed."""
+        return sum(conn.header_bytes for conn in self.connections())
+
+    def connections(self) -> list[LimitedProtocol]:
+        """Return the open connections."""
         connections = self.server_state.connections
-        return sum(conn.header_bytes for conn in connections if isinstance(conn, LimitedProtocol))
+        return [conn for conn in connections if isinstance(conn, LimitedProtocol)]
 
     def open_connections(self) -> int:
         """Return the number of connections."""
--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -453,10 +453,10 @@
     sockets: _Sockets,
 ) -> None:
     limits: HttpLimits = SettingsHttpLimits(node.state)
-    memory = CallerMemory(node, _UNREAD_S)
+    memory = CallerMemory(node, _UNREAD_S, lambda: callers.connections())
     app = ForwardApp(node, pool, platform_adapters.wire, memory)
-    callers = HttpServer(app, limits, lambda: node.is_stopping, node.memory.add)
-    node.memory.sources.append(callers.header_bytes)
+    budget = node.memory
+    callers = HttpServer(app, limits, lambda: node.is_stopping, budget.add, lambda: budget.is_short)
     readiness = HttpServer(platform_adapters.make_readiness_app(lambda: is_ready(node)), limits)
     _add_connection_gauges(metrics, callers)
     async with anyio.create_task_group() as group:
