Count and cut off the clients of all HTTP ports

Cause: the ports for readiness, metrics and operators had the protocol of the callers' port and no budget, and nothing there closed a client that sent requests and read no answers.

Now connections of all ports count toward the memory, are cut off by the same rules, and are reset after 5 s in which they read nothing of what waits for them.

--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -13,10 +13,11 @@
 import socket
 import sys
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 from functools import partial
+from itertools import chain
 from random import Random
 from typing import TYPE_CHECKING, Any, Final, Protocol
 
@@ -25,7 +26,7 @@
 from returns.pipeline import is_successful
 
 from turmericweir.answers.forward_wire import WireAdapter
-from turmericweir.callers.caller_memory import CallerMemory
+from turmericweir.callers.caller_memory import CallerChannel, CallerMemory
 from turmericweir.callers.forward_app import ForwardApp
 from turmericweir.callers.http_limits import HttpLimits
 from turmericweir.callers.http_server import HttpServer
@@ -453,11 +454,23 @@
     sockets: _Sockets,
 ) -> None:
     limits: HttpLimits = SettingsHttpLimits(node.state)
-    memory = CallerMemory(node, _UNREAD_S, lambda: callers.connections())
+    servers: list[HttpServer] = []
+
+    def connections() -> Iterable[CallerChannel]:
+        return chain.from_iterable(server.connections() for server in servers)
+
+    def make_server(
+        app: ASGI3Application, is_stopping: Callable[[], bool] = lambda: False
+    ) -> HttpServer:
+        budget = node.memory
+        server = HttpServer(app, limits, is_stopping, budget.add, lambda: budget.is_short)
+        servers.append(server)
+        return server
+
+    memory = CallerMemory(node, _UNREAD_S, connections)
     app = ForwardApp(node, pool, platform_adapters.wire, memory)
-    budget = node.memory
-    callers = HttpServer(app, limits, lambda: node.is_stopping, budget.add, lambda: budget.is_short)
-    readiness = HttpServer(platform_adapters.make_readiness_app(lambda: is_ready(node)), limits)
+    callers = make_server(app, lambda: node.is_stopping)
+    readiness = make_server(platform_adapters.make_readiness_app(lambda: is_ready(node)))
     _add_connection_gauges(metrics, callers)
     async with anyio.create_task_group() as group:
         group.start_soon(run_supervised, "check memory", memory.check_forever, node)
@@ -468,10 +481,10 @@
                 "traffic": lambda: node.traffic,
             }
             admin = EntryAdmin(node, views, lambda: is_ready(node), cfg.admin_token_sha256)
-            serve_admin = partial(_serve_http, HttpServer(admin, limits), sockets.admin)
+            serve_admin = partial(_serve_http, make_server(admin), sockets.admin)
             group.start_soon(run_supervised, "serve operators", serve_admin, node)
         if sockets.metrics is not None:
-            metrics_server = HttpServer(MetricsApp(metrics), limits)
+            metrics_server = make_server(MetricsApp(metrics))
             serve_metrics = partial(_serve_http, metrics_server, sockets.metrics)
             group.start_soon(run_supervised, "serve metrics", serve_metrics, node)
         group.start_soon(_stop_on_exit, node, callers, group.cancel_scope)
