Bound the connections of clients against the descriptors

Cause: every connection was accepted, until the process had no descriptor left for others, nor for servers, peers and the store; asyncio then waits for a second before it accepts again.

Now clients of all ports may have three quarters of the descriptors that are not left for files (machine.max_fds, or the limit of the system). Beyond that, connections are closed on which no request runs: without a whole request first, then idle ones, then those with an incomplete body, which was not passed on; the oldest first. At most 32 connections are accepted between two passes of the event loop, so that a burst cannot take all descriptors.

--- a/packages/turmericweir/turmericweir/callers/http_server.py
+++ b/packages/turmericweir/turmericweir/callers/http_server.py
@@ -39,6 +39,8 @@
 # The key of the caller's connection in the state of an ASGI scope.
 CONNECTION_KEY: Final = "turmericweir.connection"
 BACKLOG: Final = 2048
+# Connections that asyncio accepts before it passes on any of them, which then may be closed.
+_ACCEPTED_AT_ONCE: Final = 32
 # How long a closing port waits for handshakes to complete: several round trips to callers.
 HANDSHAKE_WAIT_S: Final = 0.05
 # The maximum time for which a closed port serves the connections that are still open.
@@ -80,6 +82,8 @@
     is_stopping: Callable[[], bool]
     # Counts bytes that were read, and those of the objects that become of them.
     count_read: Callable[[int], None]
+    # Closes connections if there are too many with the new one.
+    make_room: Callable[[LimitedProtocol], None]
     # Returns whether the memory is too short for large heads.
     is_memory_short: Callable[[], bool]
     _framing: MessageFraming
@@ -98,6 +102,8 @@
     # Whether the next head began to arrive while another request was running.
     _is_ahead: bool
     _header_timer: asyncio.TimerHandle | None
+    # When the connection was opened, or its last answer ended.
+    active_at: float
     # Whether this end was closed, or closes with the running answer; later data is discarded.
     _is_end_sent: bool
     # Called when the connection is lost; set while a request runs. Avoids a task per request that
@@ -125,6 +131,7 @@
         self._is_ahead = False
         self._header_timer = None
         self._is_end_sent = False
+        self.active_at = self.loop.time()
         self.on_lost = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
@@ -132,6 +139,7 @@
         self.coalescing_transport = CoalescingTransport(transport)
         super().connection_made(self.coalescing_transport)
         self._start_header_timer()
+        type(self).make_room(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop the header timer and call `on_lost`."""
@@ -335,6 +343,7 @@
         if self.cycle.response_complete:
             self.cycle.body = bytearray()
             self._forget_headers()
+            self.active_at = self.loop.time()
         super().on_response_complete()
         if self.transport.is_closing():
             if self.flow.read_paused:
@@ -381,6 +390,23 @@
         """Whether the connection is closed after the answer to its newest request."""
         return not self.cycle.keep_alive
 
+    @property
+    def closing_rank(self) -> int | None:
+        """In which order the connection may be closed, lowest first; None while a request runs."""
+        cycle: RequestResponseCycle | None = self.cycle
+        if self.transport.is_closing():
+            return None
+        if cycle is None:
+            return 0
+        if cycle.response_complete:
+            return 0 if self._has_begun else 1
+        return 2 if cycle.more_body and not cycle.response_started else None
+
+    def close_idle(self) -> None:
+        """Close a connection on which no request runs, without an answer."""
+        self._stop_header_timer()
+        self.transport.abort()
+
     @property
     def header_bytes(self) -> int:
         """The number of bytes received of headers and requests that are not parsed."""
@@ -538,12 +564,14 @@
         is_stopping: Callable[[], bool] = lambda: False,
         count_read: Callable[[int], None] = lambda size: None,
         is_memory_short: Callable[[], bool] = lambda: False,
+        make_room: Callable[[LimitedProtocol], None] = lambda connection: None,
     ) -> None:
         attributes = {
             "limits": limits,
             "is_stopping": staticmethod(is_stopping),
             "count_read": staticmethod(count_read),
             "is_memory_short": staticmethod(is_memory_short),
+            "make_room": staticmethod(make_room),
         }
         protocol = type("_Protocol", (LimitedProtocol,), attributes)
         config = uvicorn.Config(
@@ -557,7 +585,7 @@
             log_config=None,
             server_header=False,
             proxy_headers=False,
-            backlog=BACKLOG,
+            backlog=_ACCEPTED_AT_ONCE,
         )
         super().__init__(config)
         self.listening = anyio.Event()
@@ -570,6 +598,8 @@
     async def startup(self, sockets: list[socket.socket] | None = None) -> None:
         """Listen and set `listening`."""
         await super().startup(sockets)
+        for sock in sockets or []:
+            sock.listen(BACKLOG)
         self.listening.set()
 
     def header_bytes(self) -> int:
--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -26,10 +26,11 @@
 from returns.pipeline import is_successful
 
 from turmericweir.answers.forward_wire import WireAdapter
-from turmericweir.callers.caller_memory import CallerChannel, CallerMemory
+from turmericweir.callers.caller_memory import CallerMemory
+from turmericweir.callers.connection_limit import ConnectionLimit, max_connections
 from turmericweir.callers.forward_app import ForwardApp
 from turmericweir.callers.http_limits import HttpLimits
-from turmericweir.callers.http_server import HttpServer
+from turmericweir.callers.http_server import HttpServer, LimitedProtocol
 from turmericweir.operations.entry_admin import EntryAdmin
 from turmericweir.peers.peer_datagrams import PeerDatagrams
 from turmericweir.peers.peer_dialer import PeerDialer
@@ -456,17 +457,25 @@
     limits: HttpLimits = SettingsHttpLimits(node.state)
     servers: list[HttpServer] = []
 
-    def connections() -> Iterable[CallerChannel]:
+    def connections() -> Iterable[LimitedProtocol]:
         return chain.from_iterable(server.connections() for server in servers)
 
+    def open_count() -> int:
+        return sum(server.open_connections() for server in servers)
+
     def make_server(
         app: ASGI3Application, is_stopping: Callable[[], bool] = lambda: False
     ) -> HttpServer:
         budget = node.memory
-        server = HttpServer(app, limits, is_stopping, budget.add, lambda: budget.is_short)
+        server = HttpServer(
+            app, limits, is_stopping, budget.add, lambda: budget.is_short, limit.make_room
+        )
         servers.append(server)
         return server
 
+    limit = ConnectionLimit(
+        max_connections(cfg.machine.max_fds), open_count, connections, node.count
+    )
     memory = CallerMemory(node, _UNREAD_S, connections)
     app = ForwardApp(node, pool, platform_adapters.wire, memory)
     callers = make_server(app, lambda: node.is_stopping)
--- a/packages/turmericweir/turmericweir/process/entry_settings.py
+++ b/packages/turmericweir/turmericweir/process/entry_settings.py
@@ -36,6 +36,8 @@
     processor_speed: float = 1
     # The memory above which a process is killed, in megabytes (10^6 bytes); 0 for no limit.
     memory_mb: float = 0
+    # The number of descriptors that a process may open; 0 for the limit of the system.
+    max_fds: int = 0
 
     @property
     def memory_bytes(self) -> int:
