Parse a head that has arrived as one piece

A head that is complete goes to the parser at once instead of in two pieces, and trailers are dropped without a call for each header.

test_message_framing parses messages in parts of six sizes: no piece holds the ends of two messages.

--- a/packages/turmericweir/turmericweir/callers/http_server.py
+++ b/packages/turmericweir/turmericweir/callers/http_server.py
@@ -70,6 +70,17 @@
 _LINGER_ZERO: Final = struct.pack("ii", 1, 0)
 
 
+class _DroppedHeaders(list[tuple[bytes, bytes]]):
+    """Headers to which nothing is added."""
+
+    def append(self, item: tuple[bytes, bytes]) -> None:
+        """Do nothing."""
+
+
+# Replaces the headers of a request when these are complete, as uvicorn adds trailers to them.
+_NO_TRAILERS: Final = _DroppedHeaders()
+
+
 class LimitedProtocol(HttpToolsProtocol, asyncio.BufferedProtocol):
     """uvicorn's protocol with limits on what a client sends.
 
@@ -179,16 +190,12 @@
         self._is_ahead = False
         self._framing.begin_body(dict(self.headers))
         super().on_headers_complete()
+        self.headers = _NO_TRAILERS
         if self.parser.should_upgrade() and self._framing.has_body:
             # The parser takes a body after a request for another protocol as the next request.
             self.cycle.keep_alive = False
             self._is_end_sent = True
 
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header, and drop a trailer."""
-        if self._framing.is_in_head:
-            super().on_header(name, value)
-
     def on_body(self, body: bytes) -> None:
         """Add a part of a body."""
         self._frame_bytes = 0
@@ -275,7 +282,7 @@
 
         A short line takes many times its length as an object.
         """
-        if self._framing.part is not Part.HEADERS:
+        if not self._framing.is_in_head:
             return True
         lines = data.count(b"\n", start, end)
         if lines > HEADER_LINES_MAX:
@@ -354,8 +361,7 @@
 
     def _forget_headers(self) -> None:
         """Let go of headers, which an idle connection would keep until its next request."""
-        self.headers = []
-        self.cycle.scope["headers"] = self.headers
+        self.cycle.scope["headers"] = []
         self._headers_held_bytes = 0
 
     def send_400_response(self, msg: str) -> None:
@@ -521,7 +527,6 @@
             port=self.server[1] if self.server else None,
             reason=reason.value,
             header_bytes=self.header_bytes,
-            header_lines=len(self.headers or ()),
         )
 
     def _has_left_answer_to_running_request(self) -> bool:
--- a/packages/turmericweir/turmericweir/callers/message_framing.py
+++ b/packages/turmericweir/turmericweir/callers/message_framing.py
@@ -1,9 +1,9 @@
 """Where the parts of a client's HTTP messages end, so that they can be parsed one at a time.
 
 The parser (llhttp) parses all that it is given, and has no limits. `http_server` therefore passes
-it one piece at a time: a first line, the rest of a complete head, a part of a body, the line before
-a chunk, or a line of trailers. No piece goes beyond the end of a message. The parser alone decides
-what is valid; it reports the beginning, the head and the end of each message.
+it one piece at a time: a complete head, a first line or the rest of the head, a part of a body, the
+line before a chunk, or a line of trailers. No piece goes beyond the end of a message. The parser
+alone decides what is valid; it reports the beginning, the head and the end of each message.
 """
 
 from __future__ import annotations
@@ -59,10 +59,14 @@
         return self.part is Part.CHUNK_LINE or self.left_bytes > 0
 
     def piece_end(self, data: bytes, start: int) -> int:
-        """Return where the next piece of the data ends; `start` if it is not complete."""
+        """Return where the next piece of the data ends; `start` if that has not arrived."""
         match self.part:
+            case Part.FIRST_LINE:
+                line_end = data.find(_LINE_END, start) + 1 or len(data)
+                # A head that is complete is one piece.
+                return _head_end(data, line_end) or line_end
             case Part.HEADERS:
-                return _head_end(data, start)
+                return _head_end(data, start) or start
             case Part.SIZED_BODY | Part.CHUNK:
                 return min(start + self.left_bytes, len(data))
             case _:
@@ -107,8 +111,9 @@
 
 
 def _head_end(data: bytes, start: int) -> int:
+    """Return where a head ends whose first line ends at `start`; 0 if that has not arrived."""
     for line in _EMPTY_LINES:
         if data.startswith(line, start):
             return start + len(line)
     found = ((data.find(end, start), end) for end in _HEAD_ENDS)
-    return min((at + len(end) for at, end in found if at >= 0), default=start)
+    return min((at + len(end) for at, end in found if at >= 0), default=0)
