Refuse nothing on a connection whose request has its answer

A client whose request was answered before its body was complete got a refusal, not run, if the rest of the body was not valid or too slow; it could take that for the answer to its request, which may have run on the operators' port. The connection is now closed without another answer. Found by reading; not played.

Tests of what a refusal promises: trailers beyond the limit, a head of too many lines, and a body behind an Upgrade, which is not run as a request.

--- a/packages/turmericweir/turmericweir/callers/http_server.py
+++ b/packages/turmericweir/turmericweir/callers/http_server.py
@@ -509,7 +509,7 @@
         if self.transport.is_closing() or self._has_left_answer_to_running_request():
             return
         self._log_refusal(reason)
-        if self._is_ahead:
+        if self._is_ahead or self._is_answered:
             # A caller that has read one answer might take a second one for that of its request.
             self._drop_unread()
             self.transport.close()
@@ -520,6 +520,12 @@
         self.transport.write(_problem_bytes(problem))
         self.transport.close()
 
+    @property
+    def _is_answered(self) -> bool:
+        """Whether the request whose body is arriving has its answer."""
+        cycle: RequestResponseCycle | None = self.cycle
+        return cycle is not None and cycle.response_complete and not self._framing.is_in_head
+
     def _log_refusal(self, reason: Reason) -> None:
         """Log why a connection is closed, and what it holds."""
         logs.write(
--- a/tests/platform/test_client_crowds.py
+++ b/tests/platform/test_client_crowds.py
@@ -323,3 +323,43 @@
         assert [caller.read_head()["status"] for _ in range(2)] == [200, 200]
     runs = sorted(world.runs(), key=lambda run: run.received_at)
     assert [run.body for run in runs] == [b"prompt", body]
+
+
+@pytest.mark.parametrize("path", ["/shop/buy/", "/lm/doc/"])
+def test_refusal_of_trailers_is_true(world: LimitedWorld, path: str) -> None:
+    # Guards against a request that is passed on before its trailers are refused.
+    head = _head(world, path, "GET", Transfer_Encoding="chunked").replace(b"GET", b"POST", 1)
+    with _Caller(world) as caller:
+        caller.send(head + b"\r\n6\r\nprompt\r\n0\r\n")
+        caller.send(b"a:\r\n" * (_HEADER_BYTES // 4 + 1))
+        answer = caller.read_head()
+    assert (answer["status"], answer["connection"]) == (431, "close")
+    assert not world.runs()
+
+
+def test_head_of_too_many_lines_is_refused(world: LimitedWorld) -> None:
+    # Guards against a limit on header lines that is not in force.
+    with _Caller(world) as caller:
+        caller.send(_head(world, "/shop/look/", "GET") + b"a:\r\n" * 2_000 + b"\r\n")
+        assert caller.read_head()["status"] == 431
+    assert not world.runs()
+
+
+def test_body_behind_an_upgrade_is_not_run_as_a_request(world: LimitedWorld) -> None:
+    # Guards against a body that is read as the next request of its connection.
+    inner = _head(world, "/shop/buy/inner", "GET") + b"\r\n"
+    head = _head(
+        world,
+        "/shop/look/",
+        "GET",
+        Upgrade="other",
+        Connection="upgrade",
+        Content_Length=str(len(inner)),
+    )
+    with _Caller(world) as caller:
+        caller.send(head + b"\r\n")
+        caller.send(inner)
+        answer = caller.read_head()
+        assert answer["connection"] == "close"
+    assert _ask(world) == 200
+    assert not [run for run in world.runs() if run.path.endswith("inner")]
