Leave room beside large headers

Headers that take more than 16 KB are now taken only up to 0.4 of the room, so that others have the part up to 0.6.

--- a/packages/turmericweir/turmericweir/callers/caller_memory.py
+++ b/packages/turmericweir/turmericweir/callers/caller_memory.py
@@ -173,6 +173,13 @@
             self._receiving.add(tracked)
         return True
 
+    def can_hold_headers(self, size: int) -> bool:
+        """Return whether large headers may be parsed and held."""
+        budget = self._node.memory
+        if budget.fits_headers(size):
+            return True
+        return self._count_again(anyio.current_time()) and budget.fits_headers(size)
+
     def add_body(self, tracked: TrackedCaller, size: int) -> bool:
         """Count a part of a body; return False if no more of it may be read."""
         now = anyio.current_time()
--- a/packages/turmericweir/turmericweir/callers/http_server.py
+++ b/packages/turmericweir/turmericweir/callers/http_server.py
@@ -62,7 +62,7 @@
 HEADER_LINES_MAX: Final = 2_000
 # The memory that a header takes beyond its length, and heads up to which none is asked for.
 _HEADER_LINE_BYTES: Final = 256
-_SMALL_HEADERS_BYTES: Final = 65_536
+_SMALL_HEADERS_BYTES: Final = 16_384
 _FRAME_PARTS: Final = frozenset({Part.CHUNK_LINE, Part.TRAILERS})
 # When a client may return that was refused for want of memory.
 _RETRY_AFTER_S: Final = 1.0
@@ -95,8 +95,8 @@
     count_read: Callable[[int], None]
     # Closes connections if there are too many with the new one.
     make_room: Callable[[LimitedProtocol], None]
-    # Returns whether the memory is too short for large heads.
-    is_memory_short: Callable[[], bool]
+    # Returns whether large headers, which take so many bytes, may be held.
+    can_hold_headers: Callable[[int], bool]
     _framing: MessageFraming
     # Whether a part of a message was parsed, and not its end.
     _has_begun: bool
@@ -230,7 +230,7 @@
             if self._is_head_too_large(size) or self._are_trailers_too_large(size):
                 self._refuse(Reason.TOO_LARGE, _STATUS_HEADERS_TOO_LARGE)
                 break
-            if end == position or not self._can_hold_headers(data, position, end):
+            if end == position or not self._has_room_for_headers(data, position, end):
                 break
             piece = data[position:end] if end - position < len(data) else data
             position = end
@@ -277,7 +277,7 @@
             return False
         return self._first_line_bytes + size > self.limits.header_bytes
 
-    def _can_hold_headers(self, data: bytes, start: int, end: int) -> bool:
+    def _has_room_for_headers(self, data: bytes, start: int, end: int) -> bool:
         """Return whether the lines of a complete head may be parsed; else refuse the request.
 
         A short line takes many times its length as an object.
@@ -289,7 +289,7 @@
             self._refuse(Reason.TOO_LARGE, _STATUS_HEADERS_TOO_LARGE)
             return False
         held_bytes = end - start + lines * _HEADER_LINE_BYTES
-        if held_bytes > _SMALL_HEADERS_BYTES and type(self).is_memory_short():
+        if held_bytes > _SMALL_HEADERS_BYTES and not type(self).can_hold_headers(held_bytes):
             self._refuse(Reason.MEMORY_SHORT, None)
             return False
         self._headers_held_bytes = held_bytes
@@ -574,14 +574,14 @@
         limits: HttpLimits,
         is_stopping: Callable[[], bool] = lambda: False,
         count_read: Callable[[int], None] = lambda size: None,
-        is_memory_short: Callable[[], bool] = lambda: False,
+        can_hold_headers: Callable[[int], bool] = lambda size: True,
         make_room: Callable[[LimitedProtocol], None] = lambda connection: None,
     ) -> None:
         attributes = {
             "limits": limits,
             "is_stopping": staticmethod(is_stopping),
             "count_read": staticmethod(count_read),
-            "is_memory_short": staticmethod(is_memory_short),
+            "can_hold_headers": staticmethod(can_hold_headers),
             "make_room": staticmethod(make_room),
         }
         protocol = type("_Protocol", (LimitedProtocol,), attributes)
--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -466,9 +466,8 @@
     def make_server(
         app: ASGI3Application, is_stopping: Callable[[], bool] = lambda: False
     ) -> HttpServer:
-        budget = node.memory
         server = HttpServer(
-            app, limits, is_stopping, budget.add, lambda: budget.is_short, limit.make_room
+            app, limits, is_stopping, node.memory.add, memory.can_hold_headers, limit.make_room
         )
         servers.append(server)
         return server
--- a/packages/turmericweir/turmericweir/process/memory_budget.py
+++ b/packages/turmericweir/turmericweir/process/memory_budget.py
@@ -31,6 +31,8 @@
 # connections are cut off.
 REFUSE_SHARE: Final = 0.6
 CUT_OFF_SHARE: Final = 0.8
+# The share of the room beyond which no large headers are held, so that others have room as well.
+HEADERS_SHARE: Final = 0.4
 # The share of the room that may be read between two counts while much is held.
 _COUNT_SHARE: Final = 1 / 16
 # Bodies up to this size need no room before they are read. They arrive with their heads, and large
@@ -115,6 +117,10 @@
         share = CUT_OFF_SHARE if taken_bytes < _IDLE_HELD_BYTES else REFUSE_SHARE
         return taken_bytes + body_bytes <= share * self.room_bytes
 
+    def fits_headers(self, size: int) -> bool:
+        """Return whether large headers may be held."""
+        return not self.limit_bytes or self.used_bytes + size <= HEADERS_SHARE * self.room_bytes
+
     def add(self, size: int) -> None:
         """Count bytes that were read; count what is held if it may have become too much."""
         self.read_bytes += size
--- a/tests/daemon/test_memory_budget.py
+++ b/tests/daemon/test_memory_budget.py
@@ -173,3 +173,15 @@
         budget.add(65_536)
     assert 0 < len(counts) <= 3
     assert not budget.is_short
+
+
+def test_large_headers_leave_room_for_small_requests() -> None:
+    # Guards against refusing ordinary requests beside a crowd with large headers.
+    budget = _budget(0)
+    size = 300_000
+    while budget.fits_headers(size):
+        budget.update(budget.held_bytes + size, _OWN)
+    assert budget.held_bytes > size
+    assert not budget.is_short
+    assert budget.fits(64_000, 0)
+    assert MemoryBudget().fits_headers(10**12)
