--- a/tests/platform/test_client_crowds.py
+++ b/tests/platform/test_client_crowds.py
@@ -5,7 +5,7 @@
 import fcntl
 import socket
 import tempfile
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import suppress
 from dataclasses import dataclass
 from http.client import HTTPResponse
@@ -157,13 +157,19 @@
     return 0
 
 
-def _check_process(world: LimitedWorld) -> None:
+def _ask_safe(world: LimitedWorld) -> int:
+    with suppress(OSError):
+        return world.send_safe().status
+    return 0
+
+
+def _check_process(world: LimitedWorld, ask: Callable[[LimitedWorld], int] = _ask) -> None:
     """Check that the process lives within its bounds and answers an ordinary request."""
     process = world.running["entry-1"].process
     assert process.is_running
     peak_mb = peak_bytes(process) / 1_000_000
     descriptors = open_descriptors(process)
-    status = _ask(world)
+    status = ask(world)
     print(f"peak {peak_mb:.0f} MB, {descriptors} descriptors, answer {status}")
     assert peak_mb < _MEMORY_SHARE * _MEMORY_MB
     assert descriptors <= _DESCRIPTORS - _RESERVED_DESCRIPTORS
@@ -181,6 +187,18 @@
         _check_process(world)
 
 
+def test_crowd_with_many_parts_of_prompts_leaves_memory_and_answers(world: LimitedWorld) -> None:
+    # Guards against one header line that becomes thousands of objects.
+    world.set_mode("mute", "lm-1", "lm-2")
+    parts = ",".join(f"{number:04x}:{300 + number}" for number in range(5_000))
+    head = _head(world, "/lm/doc/", X_Prefix_Hash=parts, X_Token_Count="1000,60")
+    with Crowd(
+        world.address_of("caller"), 2 * _CLIENTS_WITH_HEADS, Sent(head + b"\r\nprompt")
+    ) as crowd:
+        crowd.settle(lambda: _ask_safe(world))
+        _check_process(world, _ask_safe)
+
+
 @pytest.mark.parametrize("port", _PORTS)
 def test_crowd_at_another_port_leaves_memory_and_answers(world: LimitedWorld, port: str) -> None:
     # Guards against ports whose clients are not counted.
