--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -13,10 +13,11 @@
 import socket
 import sys
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 from functools import partial
+from itertools import chain
 from random import Random
 from typing import TYPE_CHECKING, Any, Final, Protocol
 
@@ -26,9 +27,10 @@
 
 from turmericweir.answers.forward_wire import WireAdapter
 from turmericweir.callers.caller_memory import CallerMemory
+from turmericweir.callers.connection_limit import ConnectionLimit, max_connections
 from turmericweir.callers.forward_app import ForwardApp
 from turmericweir.callers.http_limits import HttpLimits
-from turmericweir.callers.http_server import HttpServer
+from turmericweir.callers.http_server import HttpServer, LimitedProtocol
 from turmericweir.operations.entry_admin import EntryAdmin
 from turmericweir.peers.peer_datagrams import PeerDatagrams
 from turmericweir.peers.peer_dialer import PeerDialer
@@ -392,6 +394,19 @@
     )
 
 
+def _add_connection_gauges(metrics: PrometheusMetrics, callers: HttpServer) -> None:
+    metrics.add_gauge(
+        "turmericweir_callers_connections",
+        "The number of open connections of callers.",
+        callers.open_connections,
+    )
+    metrics.add_gauge(
+        "turmericweir_callers_header_bytes",
+        "The number of bytes received of headers and requests that are not parsed.",
+        callers.header_bytes,
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class _Sockets:
     callers: socket.socket
@@ -440,11 +455,31 @@
     sockets: _Sockets,
 ) -> None:
     limits: HttpLimits = SettingsHttpLimits(node.state)
-    memory = CallerMemory(node, _UNREAD_S)
+    servers: list[HttpServer] = []
+
+    def connections() -> Iterable[LimitedProtocol]:
+        return chain.from_iterable(server.connections() for server in servers)
+
+    def open_count() -> int:
+        return sum(server.open_connections() for server in servers)
+
+    def make_server(
+        app: ASGI3Application, is_stopping: Callable[[], bool] = lambda: False
+    ) -> HttpServer:
+        server = HttpServer(
+            app, limits, is_stopping, node.memory.add, memory.can_hold_headers, limit.make_room
+        )
+        servers.append(server)
+        return server
+
+    limit = ConnectionLimit(
+        max_connections(cfg.machine.max_fds), open_count, connections, node.count
+    )
+    memory = CallerMemory(node, _UNREAD_S, connections)
     app = ForwardApp(node, pool, platform_adapters.wire, memory)
-    callers = HttpServer(app, limits, lambda: node.is_stopping, node.memory.add)
-    node.memory.sources.append(callers.header_bytes)
-    readiness = HttpServer(platform_adapters.make_readiness_app(lambda: is_ready(node)), limits)
+    callers = make_server(app, lambda: node.is_stopping)
+    readiness = make_server(platform_adapters.make_readiness_app(lambda: is_ready(node)))
+    _add_connection_gauges(metrics, callers)
     async with anyio.create_task_group() as group:
         group.start_soon(run_supervised, "check memory", memory.check_forever, node)
         group.start_soon(_serve_http, readiness, sockets.readiness)
@@ -454,10 +489,10 @@
                 "traffic": lambda: node.traffic,
             }
             admin = EntryAdmin(node, views, lambda: is_ready(node), cfg.admin_token_sha256)
-            serve_admin = partial(_serve_http, HttpServer(admin, limits), sockets.admin)
+            serve_admin = partial(_serve_http, make_server(admin), sockets.admin)
             group.start_soon(run_supervised, "serve operators", serve_admin, node)
         if sockets.metrics is not None:
-            metrics_server = HttpServer(MetricsApp(metrics), limits)
+            metrics_server = make_server(MetricsApp(metrics))
             serve_metrics = partial(_serve_http, metrics_server, sockets.metrics)
             group.start_soon(run_supervised, "serve metrics", serve_metrics, node)
         group.start_soon(_stop_on_exit, node, callers, group.cancel_scope)
