Tell apart a peer that does not carry from a server that is not reached

Cause: a peer that stops (or carries its maximum, or is short of memory) refuses new connections for reasons of its own. The asker took each refusal for a failed connection to the server: two of them, and the server counted as dead, its running answers were given up and noted as crashes of the server in flight.

What callers saw: beside a planned stop of another instance, at an instance without a path to the servers: orders that were passed on got 502 some 0.8 s after the stop began, streams were cut or neither continued nor ended, while the servers worked and the peer still carried them.

Change: the result of a carried connection says whether the peer tried. One that did not is an attempt that was not sent and a probe that shows nothing: not of the server's death, not of its reliability, not for its ejection. The path by way of the peer is avoided as before. Peers of the code before read the new result as an error of the connection to the peer, which says nothing of the server either.

Conclusion: the class is a conclusion about one thing from what another says of itself.

--- a/packages/turmericweir-core/turmericweir_core/messages/events.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/events.py
@@ -65,6 +65,8 @@
     """No byte of the request was sent."""
 
     error: str
+    # The peer that was to carry it did not try, which says nothing about the server.
+    is_declined: bool = False
 
 
 class EndBroken(Struct, frozen=True):
@@ -182,6 +184,8 @@
     error: str
     # The peer by way of which it was to be opened; empty for a direct connection.
     via: InstanceName = DIRECT
+    # The peer did not try, which says nothing about the server.
+    is_declined: bool = False
 
 
 class ServerAnswered(Struct, frozen=True):
--- a/packages/turmericweir-core/turmericweir_core/placement/attempt_accounting.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/attempt_accounting.py
@@ -103,6 +103,8 @@
             if attempt.cancel_reason not in (CancelReason.UNRESPONSIVE, CancelReason.SERVER_DEAD):
                 return
             failed = True
+        case EndUnsent(is_declined=True):
+            return
         case EndRefused() | EndUnsent() | EndBroken() | EndServerError():
             failed = True
         case unreachable:
--- a/packages/turmericweir-core/turmericweir_core/placement/dead_server.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/dead_server.py
@@ -89,6 +89,13 @@
         suspicion.next_probe_at = now + _ANSWERING_PROBE_INTERVAL_S
 
 
+def on_declined(state: State, now: float, name: ServerName, via: InstanceName) -> None:
+    """Record that a peer did not try to probe a server."""
+    suspicion = state.dead.by_path.get((name, via))
+    if suspicion is not None:
+        suspicion.next_probe_at = now + _ANSWERING_PROBE_INTERVAL_S
+
+
 def on_unreachable(state: State, now: float, name: ServerName, via: InstanceName) -> list[Effect]:
     """Count a failed probe or connection; cancel unresponsive attempts after enough of them."""
     suspicion = state.dead.by_path.get((name, via))
--- a/packages/turmericweir-core/turmericweir_core/reducers/reducer_store.py
+++ b/packages/turmericweir-core/turmericweir_core/reducers/reducer_store.py
@@ -121,10 +121,13 @@
         case ServerAnswered(server, via):
             dead_server.on_answered(state, now, server, via)
             return reduce_common(state, now, event)
+        case ServerUnreachable(server, _, via, is_declined=True):
+            dead_server.on_declined(state, now, server, via)
+            return reduce_common(state, now, event)
         case ServerUnreachable(server, _, via):
             effects = reduce_common(state, now, event)
             return effects + dead_server.on_unreachable(state, now, server, via)
-        case AttemptEnded(request_id, _, EndUnsent()):
+        case AttemptEnded(request_id, _, EndUnsent(is_declined=False)):
             # Like a failed probe, a request that could not be sent shows an unreachable server.
             req = state.requests.get(request_id)
             attempt = None if req is None else req.attempt
--- a/packages/turmericweir-core/turmericweir_core/trust/outlier.py
+++ b/packages/turmericweir-core/turmericweir_core/trust/outlier.py
@@ -56,8 +56,8 @@
             return FailureKind.MALFORMED if is_malformed else FailureKind.RESET
         case EndRefused():
             return FailureKind.REFUSED
-        case EndUnsent():
-            return FailureKind.UNREACHABLE
+        case EndUnsent(is_declined=is_declined):
+            return None if is_declined else FailureKind.UNREACHABLE
         case EndCancelled():
             match attempt.cancel_reason:
                 case CancelReason.UNRESPONSIVE:
--- a/packages/turmericweir/turmericweir/peers/carried_wire.py
+++ b/packages/turmericweir/turmericweir/peers/carried_wire.py
@@ -2,7 +2,8 @@
 
 The asking instance opens a connection to the peer's port and sends one `CarryAsk` frame. The peer
 connects to the server and answers with a chunk that holds the error, as UTF-8 after one zero byte;
-nothing follows the zero byte if the connection is open. From then on the asking instance's bytes
+nothing follows the zero byte if the connection is open. If it does not try to connect, the byte is
+one, and the error gives its reason. From then on the asking instance's bytes
 go to the server unchanged, and the server's come back in chunks: a length of four bytes,
 big-endian, and the data. Two lengths have no data: `CLOSED` says that the server closed its
 connection normally, `BROKEN` that the connection to the server broke. A connection that ends
@@ -14,14 +15,24 @@
 
 import struct
 from collections.abc import Iterator
-from typing import Final
+from typing import Final, NamedTuple
 
 CLOSED: Final = 0
 BROKEN: Final = 0xFFFF_FFFF
 # Larger than any piece that the event loop reads at a time.
 CHUNK_MAX_BYTES: Final = 1_048_576
 _LENGTH: Final = struct.Struct(">I")
-_ERROR_MARK: Final = b"\0"
+_TRIED_MARK: Final = b"\0"
+_DECLINED_MARK: Final = b"\1"
+
+
+class CarryResult(NamedTuple):
+    """What a peer did with a request to connect."""
+
+    # Empty if the connection is open.
+    error: str
+    # The peer did not try to connect, which says nothing about the server.
+    is_declined: bool = False
 
 
 def pack_chunk(data: bytes) -> bytes:
@@ -34,16 +45,18 @@
     return _LENGTH.pack(end)
 
 
-def pack_result(error: str) -> bytes:
-    """Return the first chunk; the error is empty if the connection is open."""
-    return pack_chunk(_ERROR_MARK + error.encode())
+def pack_result(result: CarryResult) -> bytes:
+    """Return the first chunk."""
+    mark = _DECLINED_MARK if result.is_declined else _TRIED_MARK
+    return pack_chunk(mark + result.error.encode())
 
 
-def read_result(data: bytes) -> str:
-    """Return the error in the first chunk; raise ValueError if it is no such chunk."""
-    if not data.startswith(_ERROR_MARK):
+def read_result(data: bytes) -> CarryResult:
+    """Return the result in the first chunk; raise ValueError if it is no such chunk."""
+    mark = data[:1]
+    if mark not in (_TRIED_MARK, _DECLINED_MARK):
         raise ValueError("the first chunk is not a result")
-    return data[len(_ERROR_MARK) :].decode()
+    return CarryResult(data[1:].decode(), mark == _DECLINED_MARK)
 
 
 class ChunkSplitter:
--- a/packages/turmericweir/turmericweir/peers/carrier.py
+++ b/packages/turmericweir/turmericweir/peers/carrier.py
@@ -14,7 +14,14 @@
 
 import anyio
 
-from turmericweir.peers.carried_wire import BROKEN, CLOSED, pack_chunk, pack_end, pack_result
+from turmericweir.peers.carried_wire import (
+    BROKEN,
+    CLOSED,
+    CarryResult,
+    pack_chunk,
+    pack_end,
+    pack_result,
+)
 from turmericweir.process import logs
 from turmericweir.process.foreign_data import DECODE_ERRORS
 from turmericweir.process.node import Node
@@ -48,17 +55,26 @@
         """Take over a peer's connection and connect it to a server."""
         connection = CarriedConnection(self._node, self, transport, ask)
         transport.set_protocol(connection)
-        error = self._reason_to_refuse(ask)
-        if error:
-            self.log_refused(origin, ask, error)
-            transport.write(pack_result(error))
+        refusal = self._refusal_of(ask)
+        if refusal is not None:
+            self.log_refused(origin, ask, refusal.error)
+            transport.write(pack_result(refusal))
             transport.close()
             return
         self._connections.add(connection)
         self._report_count()
         self._node.run_in_background(connection.open, origin)
 
-    def _reason_to_refuse(self, ask: CarryAsk) -> str:
+    def _refusal_of(self, ask: CarryAsk) -> CarryResult | None:
+        """Return the refusal of a connection, or None if it can be tried."""
+        reason = self._reason_to_decline(ask)
+        if reason:
+            return CarryResult(reason, is_declined=True)
+        if server_paths.is_lost(self._node.state, ServerName(ask.server)):
+            return CarryResult("this instance has no path to the server")
+        return None
+
+    def _reason_to_decline(self, ask: CarryAsk) -> str:
         state = self._node.state
         server = state.servers.by_name.get(ServerName(ask.server))
         if server is None or server.entry.address != ask.address:
@@ -71,8 +87,6 @@
             return f"{CARRIED_MAX} connections are carried already"
         if self._node.memory.is_short:
             return "this instance has no memory left"
-        if server_paths.is_lost(state, server.entry.name):
-            return "this instance has no path to the server"
         return ""
 
     def log_refused(self, origin: str, ask: CarryAsk, error: str) -> None:
@@ -134,7 +148,7 @@
         except (OSError, TimeoutError, *DECODE_ERRORS) as exc:
             error = str(exc) or f"no connection within {CONNECT_TIMEOUT_S} s"
             self._carrier.log_refused(origin, self._ask, error)
-            self._transport.write(pack_result(error))
+            self._transport.write(pack_result(CarryResult(error)))
             self._transport.close()
             return
         if self._is_lost:
@@ -146,7 +160,7 @@
         for each in (transport, self._transport):
             each.set_write_buffer_limits(high=_WRITE_BUFFER_MAX_BYTES)
         self._carrier.log_opened(origin, self._ask)
-        self._transport.write(pack_result(""))
+        self._transport.write(pack_result(CarryResult("")))
 
     # Called by the event loop, for the connection of the peer.
 
--- a/packages/turmericweir/turmericweir/peers/peer_dialer.py
+++ b/packages/turmericweir/turmericweir/peers/peer_dialer.py
@@ -8,7 +8,13 @@
 import anyio
 import httpcore
 
-from turmericweir.peers.carried_wire import BROKEN, CLOSED, ChunkSplitter, read_result
+from turmericweir.peers.carried_wire import (
+    BROKEN,
+    CLOSED,
+    CarryResult,
+    ChunkSplitter,
+    read_result,
+)
 from turmericweir.peers.peer_codec import encode
 from turmericweir.process.foreign_data import DECODE_ERRORS
 from turmericweir.servers.backend_pool import Via
@@ -18,7 +24,7 @@
     ConnectionProtocol,
     set_options,
 )
-from turmericweir.servers.peer_refusal import PeerRefusedError
+from turmericweir.servers.peer_refusal import PeerDeclinedError, PeerRefusedError
 from turmericweir_core.base.ids import InstanceName
 from turmericweir_core.messages.server_messages import CarryAsk
 
@@ -30,8 +36,8 @@
     """The asking instance's end of a carried connection."""
 
     _splitter: ChunkSplitter
-    # The error that the peer reported, empty if the connection to the server is open.
-    result: asyncio.Future[str]
+    # What the peer reported of its connection to the server.
+    result: asyncio.Future[CarryResult]
 
     def __init__(self) -> None:
         super().__init__()
@@ -101,7 +107,7 @@
                 set_options(protocol.transport.get_extra_info("socket"))
                 ask = CarryAsk(via.server, address)
                 protocol.transport.write(encode(self._local_name, ask))
-                error = await protocol.result
+                result = await protocol.result
         except TimeoutError:
             _abort(protocol)
             raise httpcore.ConnectTimeout(
@@ -113,9 +119,10 @@
         except BaseException:
             _abort(protocol)
             raise
-        if error:
+        if result.error:
             _abort(protocol)
-            raise PeerRefusedError(f"{via.address} refused to connect: {error}")
+            error_type = PeerDeclinedError if result.is_declined else PeerRefusedError
+            raise error_type(f"{via.address} refused to connect: {result.error}")
         return BackendStream(protocol)
 
 
--- a/packages/turmericweir/turmericweir/servers/backend_attempt.py
+++ b/packages/turmericweir/turmericweir/servers/backend_attempt.py
@@ -20,7 +20,7 @@
 from turmericweir.servers.backend_call import TRANSPORT_ERRORS, FirstByteCallback, call, read_body
 from turmericweir.servers.backend_pool import IDLE_MAX_S, VERIFIED_IDLE_MAX_S
 from turmericweir.servers.new_connection import check_connection, via_of
-from turmericweir.servers.peer_refusal import PeerRefusedError
+from turmericweir.servers.peer_refusal import PeerDeclinedError, PeerRefusedError
 from turmericweir.servers.server_life import EndEvidence, StatusCheck, Witness
 from turmericweir_core.messages.effects import StartAttempt
 from turmericweir_core.messages.events import (
@@ -178,6 +178,8 @@
         except AnswerTooLargeError as exc:
             return self.reject_oversized(describe_error(exc))
         except TRANSPORT_ERRORS as exc:
+            if isinstance(exc, PeerDeclinedError) and not self.may_have_started:
+                return EndUnsent(describe_error(exc), is_declined=True)
             self.answer.note_lost(exc)
             return await self.classify_loss(describe_error(exc), is_malformed=_is_malformed(exc))
 
--- a/packages/turmericweir/turmericweir/servers/connection_probes.py
+++ b/packages/turmericweir/turmericweir/servers/connection_probes.py
@@ -13,6 +13,7 @@
 from turmericweir.servers.backend_call import TRANSPORT_ERRORS
 from turmericweir.servers.backend_pool import BackendPool
 from turmericweir.servers.new_connection import check_connection, via_of
+from turmericweir.servers.peer_refusal import PeerDeclinedError
 from turmericweir_core.base.ids import InstanceName, ServerName
 from turmericweir_core.messages.effects import ProbeServer, RetireConnections, SendOrder
 from turmericweir_core.messages.events import ServerAnswered, ServerUnreachable
@@ -47,16 +48,18 @@
     async def _run_probe(self, effect: ProbeServer) -> None:
         path = (effect.server, effect.via)
         error = ""
+        is_declined = False
         try:
             await check_connection(self._pool, effect.address, via_of(effect))
         except TRANSPORT_ERRORS as exc:
             error = describe_error(exc)
+            is_declined = isinstance(exc, PeerDeclinedError)
         finally:
             self._probe_counts[path] -= 1
             if not self._probe_counts[path]:
                 del self._probe_counts[path]
         if error:
-            self._node.handle(ServerUnreachable(effect.server, error, effect.via))
+            self._node.handle(ServerUnreachable(effect.server, error, effect.via, is_declined))
         else:
             self._node.handle(ServerAnswered(effect.server, effect.via))
 
--- a/packages/turmericweir/turmericweir/servers/peer_refusal.py
+++ b/packages/turmericweir/turmericweir/servers/peer_refusal.py
@@ -1,4 +1,4 @@
-"""The error of a peer that could not connect to a server."""
+"""The errors of a peer that opened no connection to a server."""
 
 from __future__ import annotations
 
@@ -7,3 +7,10 @@
 
 class PeerRefusedError(httpcore.ConnectError):
     """The peer answered that it has no connection to the server."""
+
+
+class PeerDeclinedError(httpcore.ConnectError):
+    """The peer did not try to connect, for example because it stops.
+
+    Says nothing about the server.
+    """
