Play requests that are passed on too late in a planned stop, which fails

Until the stop grace is over (2.6 s of a grace of 8 s) every request is taken, however long its kind takes; and a request that waits in the queue is passed on until 0.5 s before the end.

Change: tests with real processes: more requests than slots when the stop comes, with answers of 1 s; and requests that take 3.5 s at the beginning of a stop with a grace of 3 s.

--- a/tests/platform/test_planned_stops.py
+++ b/tests/platform/test_planned_stops.py
@@ -9,7 +9,7 @@
 import pytest
 
 from tests.platform.cut_world import RESET, CutWorld
-from tests.platform.platform_world import until
+from tests.platform.platform_world import PlatformWorld, until
 
 
 # The silence is long enough for probes of the server, and for a stream that may be resumed short
@@ -48,3 +48,57 @@
 
 def _is_served(world: CutWorld, path: str) -> bool:
     return world.send(path, X_Deadline_Ms="1500").status == 200
+
+
+@pytest.mark.parametrize(("path", "server"), [("/shop/buy/", "shop-1"), ("/lm/doc/", "lm-1")])
+def test_waiting_request_that_cannot_be_answered_before_the_end_is_not_passed_on(
+    tmp_path: Path, path: str, server: str
+) -> None:
+    # Guards against requests passed on so late in a stop that they are cut off without an answer.
+    bounds = {"grace_s": 5.2, "revoke_ms": 60_000}
+    with (
+        PlatformWorld(tmp_path, engines=1, plain_servers=1, instances=0, bounds=bounds) as world,
+        ThreadPoolExecutor(16) as pool,
+    ):
+        world.register(server, **{"max-concurrency": 1})
+        instance = world.add_instance("entry-1")
+        _make_answers_take(world, 1.0)
+        for _ in range(2):
+            assert world.send(path).status == 200
+        ids = [world.new_id() for _ in range(16)]
+        pending = [pool.submit(world.send, path, request_id=each) for each in ids]
+        until(lambda: any(world.runs(each) for each in ids), "one of them runs")
+        instance.process.terminate()
+        answers = [each.result(20) for each in pending]
+        for request_id, answer in zip(ids, answers, strict=True):
+            assert (answer.status, answer.is_cut) in ((200, False), (503, False))
+            assert answer.status == 200 or not world.received(request_id)
+        assert {answer.status for answer in answers} == {200, 503}
+        assert instance.process.wait(20) == 0
+
+
+def test_request_that_takes_longer_than_is_left_of_a_stop_is_refused(tmp_path: Path) -> None:
+    # Guards against long answers that a stopping instance begins and cuts off.
+    paths = ("/shop/buy/", "/lm/doc/", "/lm/chat/")
+    bounds = {"grace_s": 3.0, "revoke_ms": 60_000}
+    with (
+        PlatformWorld(tmp_path, bounds=bounds) as world,
+        ThreadPoolExecutor(len(paths)) as pool,
+    ):
+        instance = world.running["entry-1"]
+        _make_answers_take(world, 3.5)
+        assert [each.status for each in pool.map(world.send, paths)] == [200] * len(paths)
+        instance.process.terminate()
+        until(lambda: bool(instance.logged("stopping")), "the instance stops")
+        pending = [pool.submit(world.send, path, request_id=path) for path in paths]
+        for path, each in zip(paths, pending, strict=True):
+            answer = each.result(20)
+            assert (answer.status, answer.headers.get("retry-after")) == (503, "0.00")
+            assert not world.received(path)
+        assert instance.process.wait(20) == 0
+
+
+def _make_answers_take(world: PlatformWorld, seconds: float) -> None:
+    for server in world.servers.values():
+        server.work_s = seconds
+        server.event_interval_s = seconds / server.event_count
