Bound what a stopping instance passes on by the time that is left

Cause: within the stop grace (2.6 s of 8 s) requests were taken whatever their kind takes, and waiting ones were passed on until 0.5 s before the end. Only the routes' limits were looked at, and only for arrivals after the stop grace.

What callers saw: streams that were begun and cut within a second, orders that were passed on 2.5 s before the end and got 502 where their servers need 3 s.

Change: an upper estimate of what the answers of a class take (mean and deviation, as for TCP's retransmissions), and the age of the oldest running attempt of the class.

More requests are refused early in a stop; each costs its caller a connection, not the request.

--- a/packages/turmericweir-core/turmericweir_core/placement/attempt_accounting.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/attempt_accounting.py
@@ -29,6 +29,7 @@
 from turmericweir_core.placement import displacement
 from turmericweir_core.queueing import fair_share
 from turmericweir_core.state import (
+    answer_times,
     concurrency,
     outlier_state,
     pool_load,
@@ -142,6 +143,7 @@
 def record_completed(state: State, now: float, req: Request, attempt: Attempt) -> list[Effect]:
     """Learn from an attempt with a complete answer."""
     options = state.options
+    answer_times.note_answer(state.answer_times, req.service_class.name, now - attempt.started_at)
     if req.kind is ServiceKind.MODEL:
         if attempt.first_token_at is not None and state.config.policy is PlacementPolicy.PREDICTED:
             engine_pools.record_generated(state, req, now - attempt.first_token_at)
--- a/packages/turmericweir-core/turmericweir_core/requests/lifecycle.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/lifecycle.py
@@ -28,7 +28,7 @@
     Timing,
 )
 from turmericweir_core.messages.events import CallerLeft, RequestArrived, ServerReport
-from turmericweir_core.placement import admission, late_refusal
+from turmericweir_core.placement import admission, late_refusal, stop_cutoff
 from turmericweir_core.placement.dispatch import (
     cancel,
     dispatch,
@@ -258,12 +258,20 @@
 
 
 def _finish_waiting_at_stop(state: State, now: float) -> list[Effect]:
-    """End the requests that still wait for a server shortly before this instance ends.
+    """End the requests that wait for a server and cannot be answered before this instance ends.
 
     Prevents their connections from being reset, after which callers do not know that nothing ran.
     """
+    if state.stopping_since is None:
+        return []
     effects: list[Effect] = []
+    is_due = is_stop_due(state, now)
+    cutoff = stop_cutoff.stop_cutoff(state, now)
     for req in [each for each in state.requests.values() if each.attempt is None]:
+        # One that may have run gets an error in any case, so its next attempt is worth a try.
+        is_served = req.may_have_run or stop_cutoff.can_pass_on(state, now, cutoff, req)
+        if is_served and not is_due:
+            continue
         queue_state.remove(state.queues, req)
         outcome = Outcome.UNKNOWN if waits_for_holder(state, req) else unanswered_outcome(req)
         pause_s = state.options.retry_after_min_s
@@ -273,7 +281,7 @@
 
 def on_tick(state: State, now: float) -> list[Effect]:
     """End expired requests and check running attempts for unresponsive connections."""
-    effects = _finish_waiting_at_stop(state, now) if is_stop_due(state, now) else []
+    effects = _finish_waiting_at_stop(state, now)
     for req in list(queue_state.expired(state.queues, now)):
         if req.first_token_at is not None:
             # The answer has begun and only has to resume on another server.
--- a/packages/turmericweir-core/turmericweir_core/state/state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/state.py
@@ -17,6 +17,7 @@
 from turmericweir_core.base.request import Request
 from turmericweir_core.state.account_store import AccountStore
 from turmericweir_core.state.announced_limit import AnnouncedLimits
+from turmericweir_core.state.answer_times import AnswerTimes
 from turmericweir_core.state.brittle_state import BrittleState
 from turmericweir_core.state.claim_state import ClaimState
 from turmericweir_core.state.concurrency import ConcurrencyLimits
@@ -109,6 +110,8 @@
     # Predicted tokens of this instance's running requests, by server.
     predicted_work: dict[ServerName, float] = field(default_factory=dict)
     predictor: Predictor = field(default_factory=Predictor)
+    # How long answers take, by class.
+    answer_times: AnswerTimes = field(default_factory=AnswerTimes)
     prefixes: PrefixMap = field(default_factory=PrefixMap)
     # Load and cache contents of each server.
     engines: EngineTable = field(default_factory=EngineTable)
--- a/packages/turmericweir-core/turmericweir_core/store/instance_refusal.py
+++ b/packages/turmericweir-core/turmericweir_core/store/instance_refusal.py
@@ -13,6 +13,7 @@
 from turmericweir_core.base.reasons import Reason
 from turmericweir_core.base.request import Request
 from turmericweir_core.membership import membership
+from turmericweir_core.placement import stop_cutoff
 from turmericweir_core.store import document
 
 if TYPE_CHECKING:
@@ -24,8 +25,6 @@
 _RETRY_STARTING_S: Final = 0.2
 # The whole data centre has no fresh proof, which takes longer to recover.
 _RETRY_CUT_OFF_S: Final = 1.0
-# Time reserved between the end of the last answer and the end of the process, for the last write.
-_STOP_MARGIN_S: Final = 0.3
 
 
 def reason_to_refuse(state: State, now: float, req: Request) -> Reason | None:
@@ -42,16 +41,18 @@
 def _can_outlast_process(state: State, now: float, req: Request) -> bool:
     """Return whether an answer might not end before this process does.
 
-    Connections that were idle when the stop began are used until an answer closes them. Requests
-    that certainly end in time are served; refusing them would delay their callers.
+    Until the load balancer has reacted, requests are served that are expected to end in time.
+    Connections that were idle when the stop began are used until an answer closes them: then
+    requests that certainly end in time are served; refusing them would delay their callers.
     """
-    stopping_since, options = state.stopping_since, state.options
-    if stopping_since is None or now - stopping_since <= options.stop_grace_s:
+    stopping_since = state.stopping_since
+    if stopping_since is None:
         return False
-    if req.end_by is None or options.stop_limit_s == float("inf"):
-        # The answer may take any time, and the stop with it.
-        return True
-    return req.end_by > stopping_since + options.stop_limit_s - _STOP_MARGIN_S
+    cutoff = stop_cutoff.stop_cutoff(state, now)
+    if now - stopping_since <= state.options.stop_grace_s:
+        return not stop_cutoff.can_pass_on(state, now, cutoff, req)
+    # Without a limit the answer may take any time, and the stop with it.
+    return cutoff is None or not stop_cutoff.ends_in_time(cutoff, req)
 
 
 def refusal_retry_after_s(state: State, now: float, reason: Reason) -> float:
