End a begun stream that waits for a server at its route's time limit

Cause: the limit of a route ends waiting requests whose answers have not begun, and running attempts. A begun answer whose server was lost, and that waits for another one, is neither.

Change: a tick ends such answers at the limit; the connection is reset, so that the caller takes the stream up elsewhere.

Conclusion: all states of a request are bounded by its route's limit now, but for those of the own interface, which has none.

--- a/packages/turmericweir-core/turmericweir_core/requests/lifecycle.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/lifecycle.py
@@ -290,6 +290,7 @@
         effects += finish(
             state, now, req, unanswered_outcome(req), Reason.DEADLINE, retry_after_s=1.0
         )
+    effects += _finish_begun_at_limit(state, now)
     effects += _finish_unproven(state, now)
     effects += liveness_evidence.on_tick(state, now)
     effects += _finish_unservable(state, now)
@@ -333,6 +334,18 @@
     return effects
 
 
+def _finish_begun_at_limit(state: State, now: float) -> list[Effect]:
+    """End begun answers that wait for a server to go on, at the operator's limit."""
+    effects: list[Effect] = []
+    for req in list(state.requests.values()):
+        if req.attempt is not None or req.first_token_at is None:
+            continue
+        if req.end_by is not None and now >= req.end_by:
+            queue_state.remove(state.queues, req)
+            effects += finish(state, now, req, unanswered_outcome(req), Reason.DEADLINE)
+    return effects
+
+
 def _finish_unproven(state: State, now: float) -> list[Effect]:
     """End waiting requests whose API key may have been revoked meanwhile."""
     if document.proof_age_s(state, now) <= state.options.key_proof_s:
