Prove that further signals and settings in a stop cut nothing

Change: a test with real processes: two streams under way, then SIGTERM three times, SIGHUP and three versions; orders and safe calls are sent beside.

Conclusion: not a fault here; kept as a proof.

--- a/tests/platform/test_planned_stops.py
+++ b/tests/platform/test_planned_stops.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import os
+import signal
 from concurrent.futures import ThreadPoolExecutor
 from functools import partial
 from pathlib import Path
@@ -9,7 +11,7 @@
 import pytest
 
 from tests.platform.cut_world import RESET, CutWorld
-from tests.platform.platform_world import PlatformWorld, until
+from tests.platform.platform_world import Instance, PlatformWorld, until
 
 
 # The silence is long enough for probes of the server, and for a stream that may be resumed short
@@ -102,3 +104,30 @@
     for server in world.servers.values():
         server.work_s = seconds
         server.event_interval_s = seconds / server.event_count
+
+
+def test_further_signals_and_settings_in_a_stop_cut_nothing(tmp_path: Path) -> None:
+    # Guards against a second signal, a reload or new settings that shorten a stop.
+    with PlatformWorld(tmp_path) as world, ThreadPoolExecutor(4) as pool:
+        instance = world.running["entry-1"]
+        world.set_mode("hold", "lm-1", "lm-2")
+        streams = [pool.submit(world.send, path) for path in ("/lm/doc/", "/lm/chat/")]
+        until(lambda: len(world.runs()) == 2, "the streams run")
+        instance.process.terminate()
+        until(lambda: len(instance.logged("signal")) == 1, "the instance stops")
+        for number, signum in enumerate((signal.SIGTERM, signal.SIGHUP, signal.SIGTERM), start=2):
+            world.publish()
+            os.kill(instance.process.pid, signum)
+            until(partial(_has_signals, instance, number), "the signal was handled")
+        orders = [world.send_unsafe(), world.send_safe()]
+        assert [each.status for each in orders] == [200, 200]
+        for name in ("lm-1", "lm-2"):
+            world.release_held(name)
+        for each in streams:
+            answer = each.result(20)
+            assert (answer.status, answer.is_cut, len(answer.event_data)) == (200, False, 6)
+        assert instance.process.wait(20) == 0
+
+
+def _has_signals(instance: Instance, number: int) -> bool:
+    return len(instance.logged("signal")) == number
