Prove that a stream which a stop ends goes on at another instance

Change: a test with real processes and two versions of the engines: a stream is held until the stop limit cuts it; its caller takes it up at the other instance.

Conclusion: not a fault here; kept as a proof.

--- a/tests/platform/test_planned_stops.py
+++ b/tests/platform/test_planned_stops.py
@@ -131,3 +131,26 @@
 
 def _has_signals(instance: Instance, number: int) -> bool:
     return len(instance.logged("signal")) == number
+
+
+def test_stream_that_a_stop_ends_goes_on_at_another_instance(tmp_path: Path) -> None:
+    # Guards against streams that outlast a stop and cannot be taken up, or lose events, after it.
+    bounds = {"grace_s": 3, "revoke_ms": 60_000}
+    with (
+        PlatformWorld(tmp_path, instances=2, versions=("v1", "v2"), bounds=bounds) as world,
+        ThreadPoolExecutor(1) as pool,
+    ):
+        world.set_mode("hold", "lm-1", "lm-2")
+        pending = pool.submit(world.send, "/lm/chat/", request_id="t1")
+        until(lambda: len(world.runs("t1")) == 1, "the stream runs")
+        world.running["entry-1"].process.terminate()
+        first = pending.result(20)
+        world.set_mode("")
+        assert first.is_cut
+        last_id = str(len(first.event_data) - 1)
+        headers = {"Resumes": "t1", "Last_Event_Id": last_id}
+        second = world.send("/lm/chat/", instance="entry-2", **headers)
+        assert (second.status, second.is_cut) == (200, False)
+        (run,) = world.runs("t1")
+        expected = [f"piece {number} {run.version}" for number in range(6)]
+        assert first.event_data + second.event_data == expected
