Find the end of a peer's frame before any object is made of it

Cause: the stream of a peer was given to msgpack's unpacker, which makes objects while a frame arrives and counts only the bytes that it has not used yet. A frame had no bound on its values, and so none on its size; a complete one within 16 MB took many times that as objects.

Operators would see a process that ends for want of memory; its callers' requests end with it.

Change: frame_splitter reads the heads of values only. It refuses a frame when it announces more than 16 MB or 600,000 values, and the typed decoder gets what is left, as it does for datagrams. A frame that does not begin as frames of all releases do closes its connection.

test_foreign_bytes splits frames with the new splitter instead of msgpack's; it plays the same bytes.

--- a/packages/turmericweir/turmericweir/peers/peer_codec.py
+++ b/packages/turmericweir/turmericweir/peers/peer_codec.py
@@ -26,15 +26,15 @@
 from turmericweir_core.messages.load_messages import LoadNews
 from turmericweir_core.messages.peer_messages import PEER_MESSAGES, PeerMessage
 
-# Larger than any complete settings state.
-FRAME_MAX_BYTES: Final = 16_777_216
-_FRAME_LENGTH: Final = 3
+# How every frame begins, in every release.
+_FRAME_START: Final = b"\x93"
+# Characters of a foreign name that are logged.
+_NAME_MAX_CHARS: Final = 64
 _STEP: Final = "decode frame"
 # Minimum time between log lines about dropped frames.
 _LOG_INTERVAL_S: Final = 1.0
 
 
-_MESSAGE_TYPES: Final = {message.__name__: message for message in PEER_MESSAGES}
 _FRAME: Final = msgspec.msgpack.Decoder(tuple[str, str, msgspec.Raw])
 _DECODERS: Final[dict[str, msgspec.msgpack.Decoder[PeerMessage]]] = {
     message.__name__: msgspec.msgpack.Decoder(message) for message in PEER_MESSAGES
@@ -54,7 +54,7 @@
         return Failure(PeerError(_STEP, origin, repr(exc)))
     decoder = _DECODERS.get(name)
     if decoder is None:
-        return Failure(PeerError(_STEP, origin, f"no message is called {name!r}"))
+        return Failure(PeerError(_STEP, origin, f"no message is called {name[:_NAME_MAX_CHARS]!r}"))
     try:
         message = decoder.decode(raw)
     except DECODE_ERRORS as exc:
@@ -71,21 +71,18 @@
     return InstanceName(sender) if name == LoadNews.__name__ else None
 
 
-def read_frame(frame: object, peer: str) -> Result[PeerReceived, PeerError]:
-    """Validate an unpacked frame of a stream; `peer` names its origin in errors."""
-    if not isinstance(frame, list) or len(frame) != _FRAME_LENGTH:
-        return Failure(PeerError(_STEP, peer, "the frame is not an array of three values"))
-    sender, name, values = frame
-    if not isinstance(sender, str) or not isinstance(name, str):
-        return Failure(PeerError(_STEP, peer, "the sender or the type is not a string"))
-    message_type = _MESSAGE_TYPES.get(name)
-    if message_type is None:
-        return Failure(PeerError(_STEP, peer, f"no message is called {name!r}"))
-    try:
-        message = msgspec.convert(values, message_type, strict=True)
-    except DECODE_ERRORS as exc:
-        return Failure(PeerError(_STEP, peer, f"{name}: {exc}"))
-    return Success(PeerReceived(InstanceName(sender), message))
+def read_frame(frame: bytes, peer: str) -> Result[PeerReceived, PeerError]:
+    """Decode a frame of a stream; `peer` names its origin in errors.
+
+    Raise ValueError if it is not even the frame of another release.
+    """
+    if not frame.startswith(_FRAME_START):
+        raise ValueError("the frame is not an array of three values")
+    return decode(frame, peer).map(_without_origin)
+
+
+def _without_origin(received: PeerReceived) -> PeerReceived:
+    return PeerReceived(received.sender, received.message)
 
 
 class FrameReader:
--- a/packages/turmericweir/turmericweir/peers/peer_listener.py
+++ b/packages/turmericweir/turmericweir/peers/peer_listener.py
@@ -18,7 +18,8 @@
 from returns.result import Result
 
 from turmericweir.peers.carrier import Carrier
-from turmericweir.peers.peer_codec import FRAME_MAX_BYTES, FrameReader, read_frame
+from turmericweir.peers.frame_splitter import FrameSplitter
+from turmericweir.peers.peer_codec import FrameReader, read_frame
 from turmericweir.process.errors import ListenError, PeerError, describe_error
 from turmericweir.process.foreign_data import DECODE_ERRORS
 from turmericweir.process.node import Node
@@ -38,19 +39,16 @@
     _transport: asyncio.Transport
     # Address of the other end, for logs.
     _origin: str
-    _unpacker: msgpack.Unpacker
+    _splitter: FrameSplitter
     _received_frames: int
-    # Bytes of the stream up to the end of the last frame.
-    _parsed_bytes: int
 
     def __init__(self, node: Node, frame_reader: FrameReader, carrier: Carrier) -> None:
         self._node = node
         self._frame_reader = frame_reader
         self._carrier = carrier
         self._origin = "unknown"
-        self._unpacker = msgpack.Unpacker(max_buffer_size=FRAME_MAX_BYTES)
+        self._splitter = FrameSplitter()
         self._received_frames = 0
-        self._parsed_bytes = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the options of the connection, which may be reset already."""
@@ -69,17 +67,15 @@
         traffic.received.add(len(data))
         previous_frames = self._received_frames
         try:
-            self._unpacker.feed(data)
-            for frame in self._unpacker:
+            self._splitter.feed(data)
+            for frame in self._splitter.split():
                 self._received_frames += 1
-                size = self._unpacker.tell() - self._parsed_bytes
-                self._parsed_bytes += size
                 result = read_frame(frame, self._origin)
                 if self._takes_over(result):
                     return
-                self._frame_reader.process_result(result, size)
+                self._frame_reader.process_result(result, len(frame))
         # The stream cannot be split into frames any more.
-        except (*DECODE_ERRORS, msgpack.UnpackException) as exc:
+        except DECODE_ERRORS as exc:
             error = PeerError("split stream", self._origin, describe_error(exc))
             self._frame_reader.drop_frame(error)
             self._transport.abort()
--- a/tests/platform/crowds.py
+++ b/tests/platform/crowds.py
@@ -62,6 +62,7 @@
         assert instance.process.is_running
         until(lambda name=name: _is_served(world, name), f"{name} serves")  # type: ignore[misc]
         peak, descriptors = peak_bytes(instance), open_descriptors(instance)
+        print(f"{name}: at most {peak} bytes, now {descriptors} descriptors")
         assert peak < PEAK_MAX_BYTES, f"{name}: {peak} bytes"
         assert descriptors < DESCRIPTORS_MAX, f"{name}: {descriptors} descriptors"
         assert not instance.logged("fault")
--- a/tests/platform/test_foreign_bytes.py
+++ b/tests/platform/test_foreign_bytes.py
@@ -13,7 +13,6 @@
 from random import Random
 from typing import Any, Final, cast
 
-import msgpack
 import msgspec
 import pytest
 
@@ -33,6 +32,7 @@
 from turmericweir.answers.forward_wire import ForwardCall, RequestHead
 from turmericweir.answers.sse import parse_event
 from turmericweir.peers import peer_codec
+from turmericweir.peers.frame_splitter import FrameSplitter
 from turmericweir.process.entry_settings import parse_entry_settings
 from turmericweir.process.errors import CallError
 from turmericweir.servers.backend_call import Answer
@@ -197,10 +197,10 @@
 
 def test_frame_of_a_stream_is_decoded_or_refused() -> None:
     for data in _frames():
-        unpacker = msgpack.Unpacker()
-        unpacker.feed(data)
-        with contextlib.suppress(ValueError, msgpack.UnpackException):
-            for frame in unpacker:
+        splitter = FrameSplitter()
+        splitter.feed(data)
+        with contextlib.suppress(ValueError):
+            for frame in splitter.split():
                 peer_codec.read_frame(frame, "127.0.0.1:1")
 
 
