Bound the incomplete frames of all peers together

Cause: each stream of a peer may hold a frame of up to 16 MB until its rest arrives, and nothing counted what all of them hold. A crowd whose frames never end filled the memory.

Change: incoming_streams counts it.

--- /dev/null
+++ b/packages/turmericweir/turmericweir/peers/incoming_streams.py
@@ -0,0 +1,64 @@
+"""The streams of peers that are open, and the bound on all of them together."""
+
+from __future__ import annotations
+
+from typing import Final, Protocol
+
+# Bytes of incomplete frames on all streams. One frame of the largest size fits in.
+HELD_MAX_BYTES: Final = 25_165_824
+
+
+class BoundedStream(Protocol):
+    """The part of a stream that is used here."""
+
+    @property
+    def has_sent_message(self) -> bool:
+        """Whether a message has arrived."""
+
+    @property
+    def held_bytes(self) -> int:
+        """The number of bytes that wait for the rest of a frame."""
+
+    def drop(self, reason: str) -> None:
+        """Close the connection to keep a bound."""
+
+
+class IncomingStreams:
+    """Drops the streams that are worth least while there is too much of them."""
+
+    # What each stream held when it was last updated.
+    _held_bytes: dict[BoundedStream, int]
+    _total_bytes: int
+
+    def __init__(self) -> None:
+        self._held_bytes = {}
+        self._total_bytes = 0
+
+    def add(self, stream: BoundedStream) -> None:
+        """Add a new stream."""
+        self._held_bytes[stream] = 0
+
+    def update(self, stream: BoundedStream) -> None:
+        """Count what a stream holds; if all hold too much, drop some.
+
+        Streams without a message go first, then those that hold most.
+        """
+        if stream not in self._held_bytes:
+            return
+        self._total_bytes += stream.held_bytes - self._held_bytes[stream]
+        self._held_bytes[stream] = stream.held_bytes
+        while self._total_bytes > HELD_MAX_BYTES:
+            held = self._held_bytes
+            worst = max((each for each in held if held[each]), key=self._excess_order)
+            self._drop(worst, f"more than {HELD_MAX_BYTES} bytes of incomplete frames")
+
+    def _excess_order(self, stream: BoundedStream) -> tuple[bool, int]:
+        return not stream.has_sent_message, self._held_bytes[stream]
+
+    def remove(self, stream: BoundedStream) -> None:
+        """Forget a stream that has ended."""
+        self._total_bytes -= self._held_bytes.pop(stream, 0)
+
+    def _drop(self, stream: BoundedStream, reason: str) -> None:
+        self.remove(stream)
+        stream.drop(reason)
--- a/packages/turmericweir/turmericweir/peers/peer_listener.py
+++ b/packages/turmericweir/turmericweir/peers/peer_listener.py
@@ -3,6 +3,8 @@
 Frames are split, decoded and passed to the node as they arrive, and acknowledged by number. A
 connection whose first frame is a `CarryAsk` goes to the `carrier`. The event loop's callbacks are
 used without a task for each connection, so an error on one connection ends only that connection.
+
+`IncomingStreams` bounds the bytes of incomplete frames on all connections together.
 """
 
 from __future__ import annotations
@@ -19,6 +21,7 @@
 
 from turmericweir.peers.carrier import Carrier
 from turmericweir.peers.frame_splitter import FrameSplitter
+from turmericweir.peers.incoming_streams import IncomingStreams
 from turmericweir.peers.peer_codec import FrameReader, read_frame
 from turmericweir.process.errors import ListenError, PeerError, describe_error
 from turmericweir.process.foreign_data import DECODE_ERRORS
@@ -36,19 +39,27 @@
     _node: Node
     _frame_reader: FrameReader
     _carrier: Carrier
+    # All streams, with this one until it ends or is carried.
+    _streams: IncomingStreams
     _transport: asyncio.Transport
     # Address of the other end, for logs.
     _origin: str
     _splitter: FrameSplitter
     _received_frames: int
+    # Whether a frame was a message.
+    has_sent_message: bool
 
-    def __init__(self, node: Node, frame_reader: FrameReader, carrier: Carrier) -> None:
+    def __init__(
+        self, node: Node, frame_reader: FrameReader, carrier: Carrier, streams: IncomingStreams
+    ) -> None:
         self._node = node
         self._frame_reader = frame_reader
         self._carrier = carrier
+        self._streams = streams
         self._origin = "unknown"
         self._splitter = FrameSplitter()
         self._received_frames = 0
+        self.has_sent_message = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the options of the connection, which may be reset already."""
@@ -60,11 +71,22 @@
         raw: socket.socket = transport.get_extra_info("socket")
         with suppress(OSError):
             set_options(raw)
+        self._streams.add(self)
+
+    @property
+    def held_bytes(self) -> int:
+        """The number of bytes that wait for the rest of a frame."""
+        return self._splitter.held_bytes
+
+    def drop(self, reason: str) -> None:
+        """Close the connection to keep a bound."""
+        self._node.count("peer.stream_dropped")
+        self._frame_reader.log_limited("peer_stream_dropped", peer=self._origin, reason=reason)
+        self._transport.abort()
 
     def data_received(self, data: bytes) -> None:
         """Process the complete frames, and acknowledge them."""
-        traffic = self._node.traffic.streams
-        traffic.received.add(len(data))
+        self._node.traffic.streams.received.add(len(data))
         previous_frames = self._received_frames
         try:
             self._splitter.feed(data)
@@ -72,7 +94,9 @@
                 self._received_frames += 1
                 result = read_frame(frame, self._origin)
                 if self._takes_over(result):
+                    self._streams.remove(self)
                     return
+                self.has_sent_message = self.has_sent_message or is_successful(result)
                 self._frame_reader.process_result(result, len(frame))
         # The stream cannot be split into frames any more.
         except DECODE_ERRORS as exc:
@@ -83,7 +107,8 @@
         if self._received_frames > previous_frames:
             ack = msgpack.packb(self._received_frames)
             self._transport.write(ack)
-            traffic.sent.add(len(ack))
+            self._node.traffic.streams.sent.add(len(ack))
+        self._streams.update(self)
 
     def _takes_over(self, result: Result[PeerReceived, PeerError]) -> bool:
         """Pass the connection to the carrier if its first frame asks for that."""
@@ -97,6 +122,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Log the loss of the connection."""
+        self._streams.remove(self)
         if exc is not None:
             self._frame_reader.log_limited(
                 "peer_stream_lost", step="receive", peer=self._origin, error=describe_error(exc)
@@ -108,11 +134,13 @@
 
     _address: str
     _node: Node | None
+    _streams: IncomingStreams
     _server: asyncio.Server
 
     def __init__(self, address: str) -> None:
         self._address = address
         self._node = None
+        self._streams = IncomingStreams()
 
     async def __aenter__(self) -> Self:
         host, _, port = self._address.rpartition(":")
@@ -142,4 +170,4 @@
 
     def _make_stream(self) -> IncomingStream:
         assert self._node is not None
-        return IncomingStream(self._node, self._frame_reader, self._carrier)
+        return IncomingStream(self._node, self._frame_reader, self._carrier, self._streams)
