Bound the connections at the port for other instances

Cause: every connection to that port was kept for as long as its other end liked, also if it never sent anything. 1,500 of them took all descriptors of a process, and callers were accepted no more.

For each new one, one that has sent no message is closed, or else the one that has been silent longest, so that a crowd does not keep instances from each other. 64 are accepted in one turn of the event loop, so that a burst does not take the descriptors at once; the queue of the system is as long as before.

--- a/packages/turmericweir/turmericweir/peers/incoming_streams.py
+++ b/packages/turmericweir/turmericweir/peers/incoming_streams.py
@@ -1,9 +1,11 @@
-"""The streams of peers that are open, and the bound on all of them together."""
+"""The streams of peers that are open, and the bounds on all of them together."""
 
 from __future__ import annotations
 
 from typing import Final, Protocol
 
+# More than all other instances of a large deployment open at a time.
+STREAMS_MAX: Final = 512
 # Bytes of incomplete frames on all streams. One frame of the largest size fits in.
 HELD_MAX_BYTES: Final = 25_165_824
 
@@ -11,6 +13,10 @@
 class BoundedStream(Protocol):
     """The part of a stream that is used here."""
 
+    @property
+    def received_at(self) -> float:
+        """When bytes arrived last."""
+
     @property
     def has_sent_message(self) -> bool:
         """Whether a message has arrived."""
@@ -35,8 +41,15 @@
         self._total_bytes = 0
 
     def add(self, stream: BoundedStream) -> None:
-        """Add a new stream."""
+        """Add a new stream; if there are too many, drop one.
+
+        Streams without a message go first, then those that have been silent longest.
+        """
         self._held_bytes[stream] = 0
+        if len(self._held_bytes) > STREAMS_MAX:
+            others = (each for each in self._held_bytes if each is not stream)
+            worst = min(others, key=lambda each: (each.has_sent_message, each.received_at))
+            self._drop(worst, f"more than {STREAMS_MAX} streams")
 
     def update(self, stream: BoundedStream) -> None:
         """Count what a stream holds; if all hold too much, drop some.
--- a/packages/turmericweir/turmericweir/peers/peer_listener.py
+++ b/packages/turmericweir/turmericweir/peers/peer_listener.py
@@ -4,7 +4,7 @@
 connection whose first frame is a `CarryAsk` goes to the `carrier`. The event loop's callbacks are
 used without a task for each connection, so an error on one connection ends only that connection.
 
-`IncomingStreams` bounds the bytes of incomplete frames on all connections together.
+`IncomingStreams` bounds the number of connections and the bytes of incomplete frames on them.
 """
 
 from __future__ import annotations
@@ -15,6 +15,7 @@
 from types import TracebackType
 from typing import Final, Self, cast
 
+import anyio
 import msgpack
 from returns.pipeline import is_successful
 from returns.result import Result
@@ -23,14 +24,17 @@
 from turmericweir.peers.frame_splitter import FrameSplitter
 from turmericweir.peers.incoming_streams import IncomingStreams
 from turmericweir.peers.peer_codec import FrameReader, read_frame
-from turmericweir.process.errors import ListenError, PeerError, describe_error
+from turmericweir.process.errors import PeerError, describe_error
 from turmericweir.process.foreign_data import DECODE_ERRORS
+from turmericweir.process.listening_socket import bind
 from turmericweir.process.node import Node
 from turmericweir.servers.backend_stream import set_options
 from turmericweir_core.messages.events import PeerReceived
 from turmericweir_core.messages.server_messages import CarryAsk
 
+# Connections that wait to be accepted, and those that are accepted in one turn of the event loop.
 _BACKLOG: Final = 1_024
+_ACCEPTED_PER_TURN_MAX: Final = 64
 
 
 class IncomingStream(asyncio.Protocol):
@@ -46,7 +50,8 @@
     _origin: str
     _splitter: FrameSplitter
     _received_frames: int
-    # Whether a frame was a message.
+    # When bytes arrived last, and whether a frame of them was a message.
+    received_at: float
     has_sent_message: bool
 
     def __init__(
@@ -59,6 +64,7 @@
         self._origin = "unknown"
         self._splitter = FrameSplitter()
         self._received_frames = 0
+        self.received_at = anyio.current_time()
         self.has_sent_message = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -87,6 +93,7 @@
     def data_received(self, data: bytes) -> None:
         """Process the complete frames, and acknowledge them."""
         self._node.traffic.streams.received.add(len(data))
+        self.received_at = anyio.current_time()
         previous_frames = self._received_frames
         try:
             self._splitter.feed(data)
@@ -136,6 +143,8 @@
     _node: Node | None
     _streams: IncomingStreams
     _server: asyncio.Server
+    # The socket of the server, which closes it.
+    _socket: socket.socket
 
     def __init__(self, address: str) -> None:
         self._address = address
@@ -143,14 +152,15 @@
         self._streams = IncomingStreams()
 
     async def __aenter__(self) -> Self:
-        host, _, port = self._address.rpartition(":")
+        self._socket = bind(self._address, "listen for peers")
         loop = asyncio.get_running_loop()
-        try:
-            self._server = await loop.create_server(
-                self._make_stream, host, int(port), backlog=_BACKLOG, start_serving=False
-            )
-        except OSError as exc:
-            raise ListenError("listen for peers", self._address, exc.strerror or str(exc)) from exc
+        # The server accepts as many connections in one turn as its backlog.
+        self._server = await loop.create_server(
+            self._make_stream,
+            sock=self._socket,
+            backlog=_ACCEPTED_PER_TURN_MAX,
+            start_serving=False,
+        )
         return self
 
     async def __aexit__(
@@ -166,6 +176,8 @@
         self._node = node
         self._frame_reader = FrameReader(node)
         self._carrier = Carrier(node)
+        await self._server.start_serving()
+        self._socket.listen(_BACKLOG)
         await self._server.serve_forever()
 
     def _make_stream(self) -> IncomingStream:
