Process a few frames of a peer in one turn of the event loop

Cause: all frames of one read were processed in one step, up to 65,000 of the smallest. Ordinary callers wait for that: a crowd of four connections that sends small frames of no meaning, 1 MB each, kept one request for up to 29 s (bytes that are no frames) and 6 s (unknown messages) on.

Change: 64 frames, then the next turn; the connection is not read meanwhile.

test_many_frames_leave_turns_to_others failed on the code before (1,000 frames in one turn).

--- a/packages/turmericweir/turmericweir/peers/incoming_streams.py
+++ b/packages/turmericweir/turmericweir/peers/incoming_streams.py
@@ -23,7 +23,7 @@
 
     @property
     def held_bytes(self) -> int:
-        """The number of bytes that wait for the rest of a frame."""
+        """The number of bytes that wait for the rest of a frame, or for the next turn."""
 
     def drop(self, reason: str) -> None:
         """Close the connection to keep a bound."""
--- a/packages/turmericweir/turmericweir/peers/peer_listener.py
+++ b/packages/turmericweir/turmericweir/peers/peer_listener.py
@@ -4,7 +4,8 @@
 connection whose first frame is a `CarryAsk` goes to the `carrier`. The event loop's callbacks are
 used without a task for each connection, so an error on one connection ends only that connection.
 
-`IncomingStreams` bounds the number of connections and the bytes of incomplete frames on them.
+`IncomingStreams` bounds the number of connections and the bytes of incomplete frames on them. One
+turn of the event loop processes a few frames of a connection.
 """
 
 from __future__ import annotations
@@ -12,6 +13,7 @@
 import asyncio
 import socket
 from contextlib import suppress
+from itertools import islice
 from types import TracebackType
 from typing import Final, Self, cast
 
@@ -35,6 +37,8 @@
 # Connections that wait to be accepted, and those that are accepted in one turn of the event loop.
 _BACKLOG: Final = 1_024
 _ACCEPTED_PER_TURN_MAX: Final = 64
+# Frames of one connection that are processed in one turn.
+_FRAMES_PER_TURN_MAX: Final = 64
 
 
 class IncomingStream(asyncio.Protocol):
@@ -53,6 +57,8 @@
     # When bytes arrived last, and whether a frame of them was a message.
     received_at: float
     has_sent_message: bool
+    # Whether nothing is read, since frames wait for the next turn.
+    _has_waiting_frames: bool
 
     def __init__(
         self, node: Node, frame_reader: FrameReader, carrier: Carrier, streams: IncomingStreams
@@ -66,6 +72,7 @@
         self._received_frames = 0
         self.received_at = anyio.current_time()
         self.has_sent_message = False
+        self._has_waiting_frames = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the options of the connection, which may be reset already."""
@@ -81,7 +88,7 @@
 
     @property
     def held_bytes(self) -> int:
-        """The number of bytes that wait for the rest of a frame."""
+        """The number of bytes that wait for the rest of a frame, or for the next turn."""
         return self._splitter.held_bytes
 
     def drop(self, reason: str) -> None:
@@ -94,10 +101,14 @@
         """Process the complete frames, and acknowledge them."""
         self._node.traffic.streams.received.add(len(data))
         self.received_at = anyio.current_time()
+        self._splitter.feed(data)
+        self._process()
+
+    def _process(self) -> None:
+        """Process some frames, and the others in the next turn."""
         previous_frames = self._received_frames
         try:
-            self._splitter.feed(data)
-            for frame in self._splitter.split():
+            for frame in islice(self._splitter.split(), _FRAMES_PER_TURN_MAX):
                 self._received_frames += 1
                 result = read_frame(frame, self._origin)
                 if self._takes_over(result):
@@ -115,8 +126,25 @@
             ack = msgpack.packb(self._received_frames)
             self._transport.write(ack)
             self._node.traffic.streams.sent.add(len(ack))
+        if self._received_frames - previous_frames == _FRAMES_PER_TURN_MAX:
+            self._has_waiting_frames = True
+            asyncio.get_running_loop().call_soon(self._process_waiting)
+        self._update_reading()
         self._streams.update(self)
 
+    def _process_waiting(self) -> None:
+        self._has_waiting_frames = False
+        if not self._transport.is_closing():
+            self._process()
+
+    def _update_reading(self) -> None:
+        if self._transport.is_closing():
+            return
+        if self._has_waiting_frames:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
     def _takes_over(self, result: Result[PeerReceived, PeerError]) -> bool:
         """Pass the connection to the carrier if its first frame asks for that."""
         if self._received_frames > 1 or not is_successful(result):
--- /dev/null
+++ b/tests/daemon/test_peer_listener.py
@@ -0,0 +1,108 @@
+"""Tests of the port for peers, on a connection that the test controls."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import cast
+
+import anyio.lowlevel
+import pytest
+
+from turmericweir.peers.carrier import Carrier
+from turmericweir.peers.incoming_streams import IncomingStreams
+from turmericweir.peers.peer_codec import FrameReader, encode
+from turmericweir.peers.peer_listener import IncomingStream
+from turmericweir.process.node import Node
+from turmericweir.process.traffic import Traffic
+from turmericweir_core.base.ids import InstanceName
+from turmericweir_core.messages.events import Event
+from turmericweir_core.messages.membership_messages import MarksAsk
+
+pytestmark = pytest.mark.anyio
+
+FRAMES = 1_000
+
+
+class RecordingNode:
+    """Records the events of the port."""
+
+    def __init__(self) -> None:
+        self.events: list[Event] = []
+        self.traffic = Traffic()
+
+    def handle(self, event: Event) -> None:
+        """Record an event."""
+        self.events.append(event)
+
+    def count(self, name: str, by: int = 1) -> None:
+        """Ignore a count."""
+
+
+class Transport(asyncio.Transport):
+    """Records what is written, and whether the connection is read."""
+
+    def __init__(self) -> None:
+        super().__init__({"socket": socket.socket(), "peername": ("127.0.0.1", 1)})
+        self.written: list[bytes] = []
+        self._reads = True
+        self._is_closed = False
+
+    def write(self, data: bytes | bytearray | memoryview) -> None:
+        """Record written bytes."""
+        self.written.append(bytes(data))
+
+    def pause_reading(self) -> None:
+        """Record that reading is paused."""
+        self._reads = False
+
+    def resume_reading(self) -> None:
+        """Record that reading goes on."""
+        self._reads = True
+
+    def is_reading(self) -> bool:
+        """Return whether the connection is read."""
+        return self._reads
+
+    def is_closing(self) -> bool:
+        """Return whether the connection was closed."""
+        return self._is_closed
+
+    def abort(self) -> None:
+        """Close the connection."""
+        self._is_closed = True
+
+
+def _connect(node: RecordingNode, transport: Transport) -> IncomingStream:
+    own_node = cast(Node, node)
+    stream = IncomingStream(own_node, FrameReader(own_node), cast(Carrier, None), IncomingStreams())
+    stream.connection_made(transport)
+    return stream
+
+
+async def test_many_frames_leave_turns_to_others() -> None:
+    # Guards against one read of small frames that keeps the event loop from all other work.
+    node, transport = RecordingNode(), Transport()
+    stream = _connect(node, transport)
+    stream.data_received(encode(InstanceName("entry-2"), MarksAsk()) * FRAMES)
+    assert 0 < len(node.events) < FRAMES / 10
+    assert not transport.is_reading()
+    turns = 1
+    while len(node.events) < FRAMES:
+        await anyio.lowlevel.checkpoint()
+        turns += 1
+        assert turns <= FRAMES
+    await anyio.lowlevel.checkpoint()
+    assert transport.is_reading()
+    assert transport.written[-1] == b"\xcd\x03\xe8"
+
+
+async def test_closed_connection_processes_no_more_frames() -> None:
+    node, transport = RecordingNode(), Transport()
+    stream = _connect(node, transport)
+    stream.data_received(encode(InstanceName("entry-2"), MarksAsk()) * FRAMES)
+    processed = len(node.events)
+    transport.abort()
+    for _ in range(FRAMES):
+        await anyio.lowlevel.checkpoint()
+    assert len(node.events) == processed
