Read nothing from a peer that does not read its acknowledgements

Cause: the port for peers acknowledged what it read without looking at how much waited to be sent. A peer that sends and never reads made the acknowledgements grow until the system gave the connection up, which takes 6 s without an acknowledged byte.

Change: the connection is not read while its send buffer is above the event loop's bound.

test_peer_that_does_not_read_is_not_read failed on the code before.

--- a/packages/turmericweir/turmericweir/peers/peer_listener.py
+++ b/packages/turmericweir/turmericweir/peers/peer_listener.py
@@ -5,7 +5,8 @@
 used without a task for each connection, so an error on one connection ends only that connection.
 
 `IncomingStreams` bounds the number of connections and the bytes of incomplete frames on them. One
-turn of the event loop processes a few frames of a connection.
+turn of the event loop processes a few frames of a connection, and nothing is read from a peer while
+it does not read its acknowledgements.
 """
 
 from __future__ import annotations
@@ -57,8 +58,9 @@
     # When bytes arrived last, and whether a frame of them was a message.
     received_at: float
     has_sent_message: bool
-    # Whether nothing is read, since frames wait for the next turn.
+    # Why nothing is read: frames wait for the next turn, or the peer does not read.
     _has_waiting_frames: bool
+    _is_write_paused: bool
 
     def __init__(
         self, node: Node, frame_reader: FrameReader, carrier: Carrier, streams: IncomingStreams
@@ -73,6 +75,7 @@
         self.received_at = anyio.current_time()
         self.has_sent_message = False
         self._has_waiting_frames = False
+        self._is_write_paused = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the options of the connection, which may be reset already."""
@@ -137,10 +140,20 @@
         if not self._transport.is_closing():
             self._process()
 
+    def pause_writing(self) -> None:
+        """Stop reading while the peer does not read its acknowledgements."""
+        self._is_write_paused = True
+        self._update_reading()
+
+    def resume_writing(self) -> None:
+        """Continue reading."""
+        self._is_write_paused = False
+        self._update_reading()
+
     def _update_reading(self) -> None:
         if self._transport.is_closing():
             return
-        if self._has_waiting_frames:
+        if self._has_waiting_frames or self._is_write_paused:
             self._transport.pause_reading()
         else:
             self._transport.resume_reading()
--- a/tests/daemon/test_peer_listener.py
+++ b/tests/daemon/test_peer_listener.py
@@ -97,6 +97,18 @@
     assert transport.written[-1] == b"\xcd\x03\xe8"
 
 
+async def test_peer_that_does_not_read_is_not_read() -> None:
+    # Guards against acknowledgements that wait in memory for a peer that never reads them.
+    node, transport = RecordingNode(), Transport()
+    stream = _connect(node, transport)
+    stream.pause_writing()
+    assert not transport.is_reading()
+    stream.data_received(encode(InstanceName("entry-2"), MarksAsk()))
+    assert not transport.is_reading()
+    stream.resume_writing()
+    assert transport.is_reading()
+
+
 async def test_closed_connection_processes_no_more_frames() -> None:
     node, transport = RecordingNode(), Transport()
     stream = _connect(node, transport)
