--- a/tests/platform/standin_endless.py
+++ b/tests/platform/standin_endless.py
@@ -15,6 +15,7 @@
 # Where a server stops by itself, so that a test of a fault ends.
 WRITTEN_MAX = 64_000_000
 _BLOCK = b"x" * 65_536
+_LINES = b"a:\r\n" * 16_384
 _SEND_BUFFER_BYTES = 65_536
 _STATUS_LINE = b"HTTP/1.1 %d X\r\n"
 _CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
@@ -36,6 +37,9 @@
     ERROR_BODY = "error_body"
     SIZED_ERROR_BODY = "sized_error_body"
     REFUSAL_BODY = "refusal_body"
+    HEAD_LINES = "head_lines"
+    INTERIM_LINES = "interim_lines"
+    TRAILER_LINES = "trailer_lines"
 
 
 @dataclass(slots=True)
@@ -70,6 +74,23 @@
         return False
 
 
+@dataclass(slots=True)
+class LargeHead(EndlessAnswer):
+    """Writes a complete head of many short lines, and then nothing."""
+
+    line_count: int = 0
+
+    async def write(self, call: Call, headers: dict[str, str]) -> bool:
+        """Write the head, and wait until the connection is closed."""
+        headers = {**headers, "Content-Type": "text/event-stream"}
+        lines = _lines(headers) + b"a:\r\n" * self.line_count
+        await call.write(_STATUS_LINE % 200 + lines + _CHUNKED)
+        self.written += len(lines)
+        await call.wait_closed()
+        self.closed += 1
+        return False
+
+
 def _lines(headers: dict[str, str]) -> bytes:
     return "".join(f"{name}: {value}\r\n" for name, value in headers.items()).encode()
 
@@ -105,3 +126,9 @@
         case Endless.REFUSAL_BODY:
             mark = b"X-Not-Executed: 1\r\n"
             return chain([_STATUS_LINE % 503 + lines + mark + _CHUNKED], repeat(chunk(_BLOCK)))
+        case Endless.HEAD_LINES:
+            return chain([ok], repeat(_LINES))
+        case Endless.INTERIM_LINES:
+            return repeat(b"HTTP/1.1 103 X\r\n" + b"a:\r\n" * 3_000 + b"\r\n")
+        case Endless.TRAILER_LINES:
+            return chain([ok + _CHUNKED + chunk(_BLOCK) + b"0\r\n"], repeat(_LINES))
--- a/tests/platform/standin_server.py
+++ b/tests/platform/standin_server.py
@@ -76,6 +76,10 @@
     keeps_streams: bool = False
     # Replaces its answers by one without an end; None for answers that end.
     endless: EndlessAnswer | None = None
+    # In every answer to a request.
+    more_headers: dict[str, str] = field(default_factory=dict)
+    # Written to health checks and requests for reports.
+    endless_check: EndlessAnswer | None = None
     # Requests per second that it names in its answers; empty for no limit.
     limit: str = ""
     # Whether it says in its answers that it is leaving.
@@ -120,6 +124,8 @@
         if time.monotonic() < self.down_until:
             call.reset()
             return False
+        if call.path in (HEALTH_PATH, REPORT_PATH) and self.endless_check is not None:
+            return await self.endless_check.write(call, {"X-Instance-Id": self.name})
         if call.path == HEALTH_PATH:
             self.health_checks += 1
             await call.answer(503 if self.is_leaving else 200, b"", {"X-Instance-Id": self.name})
@@ -167,7 +173,12 @@
         )
         self.received.append(request)
         notices = self._notices()
-        answer_headers = {"X-Attempt-Id": attempt_id, SIGNED: SIGNATURE, **notices}
+        answer_headers = {
+            "X-Attempt-Id": attempt_id,
+            SIGNED: SIGNATURE,
+            **notices,
+            **self.more_headers,
+        }
         expected = call.headers.get("x-expect-instance")
         if expected != self.name or mode == "misdirected":
             request.was_run = False
