--- a/tests/platform/test_endless_elsewhere.py
+++ b/tests/platform/test_endless_elsewhere.py
@@ -18,6 +18,7 @@
 from tests.platform.platform_world import PlatformWorld, until
 from tests.platform.standin_answers import AnswerForm, Framing
 from tests.platform.standin_endless import Endless, EndlessAnswer, LargeHead
+from tests.platform.standin_store import SERVERS
 from tests.platform.test_duties import DUTIES
 
 _MACHINE = {"memory_mb": MEMORY_MB}
@@ -149,6 +150,15 @@
         assert_unharmed(world)
 
 
+def test_more_records_than_are_read_at_a_time_are_read_to_their_end(tmp_path: Path) -> None:
+    # Guards against a bound on records that hides those behind it.
+    with PlatformWorld(tmp_path) as world:
+        world.at_once(lambda: world.store.topics[SERVERS].records.extend([("gone", b"")] * 120_000))
+        world.add_server("shop-9", "shop")
+        instance = world.running["entry-1"]
+        until(lambda: world.has_listed_servers(instance), "the server behind them is listed")
+
+
 def _has_sent_enough(store: EndlessStore) -> bool:
     if store.fault is StoreFault.PAGES:
         return store.faulty_answers >= _STORE_ANSWERS or store.begun_snapshots > 6
