Bound the load updates that wait over all of their senders

Cause: of each sender up to 12 load updates wait, and one sender is processed in each turn of the event loop, but the number of senders had no bound. Updates of very many names arrive faster than that.

The older ones of a sender make room for its newest, which holds all of its load; without room a new sender's is dropped and counted.

--- a/packages/turmericweir/turmericweir/peers/peer_datagrams.py
+++ b/packages/turmericweir/turmericweir/peers/peer_datagrams.py
@@ -148,8 +148,9 @@
         sender = load_update_sender(data)
         if sender is None:
             self._frame_reader.process_result(decode(data, origin), len(data))
-        else:
-            self._held_updates.add(sender, data, origin)
+        elif not self._held_updates.add(sender, data, origin):
+            self._node.count("peer.load_dropped")
+            self._frame_reader.log_limited("load_update_dropped", peer=origin)
 
     def _process_next_update(self) -> None:
         """Process the load updates of one sender, and those of the next one in the next turn."""
