--- a/tests/platform/test_endless_elsewhere.py
+++ b/tests/platform/test_endless_elsewhere.py
@@ -24,8 +24,8 @@
 _MACHINE = {"memory_mb": MEMORY_MB}
 _CALLERS = 24
 _MANY_CALLERS = 60
-# Not more than the slots of four engines.
-_HEAD_CALLERS = 240
+# Not more than the slots of an engine.
+_HEADS_PER_ENGINE = 60
 _HEAD_LINES = 12_000
 _BORN = 1_700_000_000_000
 # Faulty answers of the store, unless it is asked less often.
@@ -100,12 +100,13 @@
         assert_unharmed(world)
 
 
-def test_heads_of_many_short_lines_leave_an_instance_serving(tmp_path: Path) -> None:
+@pytest.mark.parametrize("engines", [4, 10])
+def test_heads_of_many_short_lines_leave_an_instance_serving(tmp_path: Path, engines: int) -> None:
     # Guards against heads within the bound on their bytes that are held as many objects.
-    with PlatformWorld(tmp_path, engines=4, machine=_MACHINE) as world:
+    with PlatformWorld(tmp_path, engines=engines, machine=_MACHINE) as world:
         answer = LargeHead(Endless.HEAD_LINES, is_streaming=True, line_count=_HEAD_LINES)
         _set_endless(world, answer)
-        _send_all(world, _HEAD_CALLERS, "/lm/doc/")
+        _send_all(world, _HEADS_PER_ENGINE * engines, "/lm/doc/")
         assert answer.written
         _set_endless(world, None)
         assert_unharmed(world)
