Serve heads of the shortest lines within the limit on their size

What callers would see: 431 for a request of legal size, whose head has more than 2,000 lines (64 KB hold 16,000 of the shortest).

Change: 24,000 lines.

Conclusion: size is the operator's limit, lines are the process's.

--- a/packages/turmericweir/turmericweir/callers/http_server.py
+++ b/packages/turmericweir/turmericweir/callers/http_server.py
@@ -61,8 +61,8 @@
 _PIECES_PER_STEP: Final = 512
 # The maximum number of reads of what is dropped when a connection closes.
 _DROPPED_READS: Final = 16
-# The maximum number of lines of a head.
-HEADER_LINES_MAX: Final = 2_000
+# The maximum number of lines of a head; more than the shortest lines of 64 KB.
+HEADER_LINES_MAX: Final = 24_000
 # The memory that a header takes beyond its length, and heads up to which none is asked for.
 _HEADER_LINE_BYTES: Final = 256
 _SMALL_HEADERS_BYTES: Final = 16_384
