--- a/packages/turmericweir/turmericweir/callers/http_server.py
+++ b/packages/turmericweir/turmericweir/callers/http_server.py
@@ -55,7 +55,7 @@
 # The number of bytes beyond which no more is read while they wait for a request that runs.
 _AHEAD_BYTES: Final = 16_384
 # The number of pieces of a message that are parsed before other connections get their turn.
-_PIECES_PER_STEP: Final = 512
+_PIECES_PER_STEP: Final = 64
 # The maximum number of reads of what is dropped when a connection closes.
 _DROPPED_READS: Final = 16
 # The maximum number of lines of a head.
@@ -262,11 +262,9 @@
 
     def _skip_empty_lines(self, data: bytes, position: int) -> int:
         """Return the position after empty lines before a request, as the parser skips them."""
-        if self._has_begun:
+        if self._has_begun or data[position : position + 1] not in (b"\r", b"\n"):
             return position
-        while data[position : position + 1] in (b"\r", b"\n"):
-            position += 1
-        return position
+        return len(data) - len(data[position:].lstrip(b"\r\n"))
 
     def _is_head_too_large(self, size: int) -> bool:
         """Return whether a head is too large with the next bytes.
