Bound what a peer sends instead of acknowledgements

Cause: the same as at the listening end, found by looking for it elsewhere. The acknowledgements of a peer were read with msgpack's unpacker, which makes objects of a frame that does not end, and each read moved the time limit for an acknowledgement on. A faulty peer could send lists without end for good.

Change: frame_splitter splits them, and more than a number's 9 bytes without a frame end the connection.

test_answer_that_is_no_acknowledgement_ends_the_connection failed on the code before (16 MB read, the most that it sends), and passes now. Not played with real processes.

--- a/packages/turmericweir/turmericweir/peers/peer_streams.py
+++ b/packages/turmericweir/turmericweir/peers/peer_streams.py
@@ -13,9 +13,10 @@
 from typing import Final, Self
 
 import anyio
-import msgpack
+import msgspec
 from anyio.abc import SocketAttribute, SocketStream
 
+from turmericweir.peers.frame_splitter import FrameSplitter
 from turmericweir.peers.peer_codec import encode
 from turmericweir.peers.peer_listener import PeerListener
 from turmericweir.process.errors import PeerError, describe_error
@@ -35,6 +36,9 @@
 IDLE_MAX_S: Final = 5.0
 _CHECK_INTERVAL_S: Final = 0.25
 _READ_MAX_BYTES: Final = 65_536
+# The largest number in msgpack.
+_ACK_MAX_BYTES: Final = 9
+_ACK: Final = msgspec.msgpack.Decoder(int)
 _CONNECTION_ERRORS: Final = (
     OSError,
     anyio.BrokenResourceError,
@@ -44,7 +48,6 @@
     anyio.TypedAttributeLookupError,
     # The peer announced an address that is none, or sent bytes that are no acknowledgement.
     *DECODE_ERRORS,
-    msgpack.UnpackException,
 )
 
 
@@ -140,17 +143,17 @@
             self._node.traffic.streams.sent.add(len(frame))
 
     async def _read_acks(self, stream: SocketStream) -> None:
-        unpacker = msgpack.Unpacker(max_buffer_size=_READ_MAX_BYTES)
+        splitter = FrameSplitter()
         while True:
             data = await stream.receive(_READ_MAX_BYTES)
             self._node.traffic.streams.received.add(len(data))
-            unpacker.feed(data)
-            for acked in unpacker:
-                if not isinstance(acked, int):
-                    raise PeerError(
-                        "read acknowledgement", self.address, "the acknowledgement is not a number"
-                    )
-                self._acked = acked
+            splitter.feed(data)
+            for frame in splitter.split():
+                self._acked = _ACK.decode(frame)
+            if splitter.held_bytes > _ACK_MAX_BYTES:
+                raise PeerError(
+                    "read acknowledgement", self.address, "the acknowledgement is not a number"
+                )
             self._unacked_since = None if self._acked >= self._written else anyio.current_time()
 
     async def _monitor(self) -> None:
--- a/tests/daemon/test_peer_streams.py
+++ b/tests/daemon/test_peer_streams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from contextlib import suppress
 from typing import cast
 
 import anyio
@@ -23,6 +24,9 @@
 LOCAL_NAME = InstanceName("entry-1")
 PEER = InstanceName("entry-2")
 SAFETY_S = 20.0
+# A list of lists; each of them is complete, and the outer one never is.
+ENDLESS_LISTS = b"\xdc\xff\xff" + b"\x90" * 65_000
+ENDLESS_MAX_BYTES = 16_000_000
 # The IP that the peers' firewalls allow for this instance.
 SOURCE_IP = "127.0.0.3"
 
@@ -117,3 +121,31 @@
             group.cancel_scope.cancel()
     (event,) = node.events
     assert isinstance(event, PeerUnreachable)
+
+
+async def test_answer_that_is_no_acknowledgement_ends_the_connection() -> None:
+    # Guards against lists without end that a faulty peer sends instead of acknowledgements.
+    node = RecordingNode()
+    written = 0
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(SocketAttribute.local_port)
+    link = PeerLink(cast(Node, node), PEER, f"127.0.0.1:{port}", SOURCE_IP)
+
+    async def answer(stream: SocketStream) -> None:
+        nonlocal written
+        await stream.receive()
+        with suppress(anyio.BrokenResourceError):
+            while written < ENDLESS_MAX_BYTES:
+                await stream.send(ENDLESS_LISTS)
+                written += len(ENDLESS_LISTS)
+
+    with anyio.fail_after(SAFETY_S):
+        async with listener, anyio.create_task_group() as group:
+            group.start_soon(listener.serve, answer)
+            group.start_soon(link.run)
+            link.send(encode(LOCAL_NAME, SettingsAsk(1)))
+            await node.event_received.wait()
+            group.cancel_scope.cancel()
+    (event,) = node.events
+    assert isinstance(event, PeerUnreachable)
+    assert written < ENDLESS_MAX_BYTES
