--- a/tests/platform/test_planned_stops.py
+++ b/tests/platform/test_planned_stops.py
@@ -148,8 +148,7 @@
         world.set_mode("")
         assert first.is_cut
         last_id = str(len(first.event_data) - 1)
-        headers = {"Resumes": "t1", "Last_Event_Id": last_id}
-        second = world.send("/lm/chat/", instance="entry-2", **headers)
+        second = world.send("/lm/chat/", instance="entry-2", Resumes="t1", Last_Event_Id=last_id)
         assert (second.status, second.is_cut) == (200, False)
         (run,) = world.runs("t1")
         expected = [f"piece {number} {run.version}" for number in range(6)]
