--- a/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
@@ -214,6 +214,12 @@
     return effects + dispatch(state, now, req.target)
 
 
+def _is_same_start(state: State, attempt: Attempt) -> bool:
+    """Return whether the start of the server at which an attempt was placed is still listed."""
+    server = state.servers.by_name.get(attempt.server)
+    return server is None or server.entry.incarnation == attempt.listed_incarnation
+
+
 def _may_have_begun(state: State, now: float, req: Request, end: AttemptEnd) -> bool:
     """Return whether the end of an attempt shows that its server may have begun it."""
     attempt = req.attempt
@@ -281,7 +287,7 @@
             effects = _handle_loss(state, now, req, attempt, Reason.OVERLOAD, RetryCause.REFUSED)
             return [log, *effects]
         case EndRefused(_, is_leaving):
-            if is_leaving:
+            if is_leaving and _is_same_start(state, attempt):
                 note_leaving(state.servers, attempt.server)
             if attempt.sent:
                 # A refusal does not count as a send. Prevents a call with a single send from ending
@@ -304,7 +310,7 @@
             return [_failure_log(req, attempt, "unsent", error), *effects]
         case EndMisplaced(incarnation):
             req.unsent_attempts += 1
-            stream_bindings.suspect_entry(state, now, attempt.server)
+            stream_bindings.note_misplaced(state, now, attempt.server)
             effects = _note_process(state, now, attempt, incarnation)
             error = f"{incarnation or 'nothing'} for {attempt.listed_incarnation or 'nothing'}"
             effects += _retry_or_finish(state, now, req, attempt, Reason.NO_SERVER, None)
