Report the start of a server apart from the check of it, and name what remains

Cause: read as a newcomer would, a predicate of an attempt reported an event, and a function was public for a caller that it no longer has.

No behaviour changes: the event goes out at the same point of an attempt.

Evidence: test_forward_job, tests/core/streams, types and lint pass.

--- a/packages/turmericweir-core/turmericweir_core/streams/stream_bindings.py
+++ b/packages/turmericweir-core/turmericweir_core/streams/stream_bindings.py
@@ -222,7 +222,7 @@
     It may have started again with other software, and the caller may take the stream up at a peer
     at once.
     """
-    if req.kind is not ServiceKind.MODEL or not suspect_entry(state, now, attempt.server):
+    if req.kind is not ServiceKind.MODEL or not _suspect_entry(state, now, attempt.server):
         return []
     message = StreamsBound([], [attempt.server])
     return [
@@ -234,10 +234,10 @@
 def on_suspected(state: State, now: float, names: list[str]) -> None:
     """Suspect the entries of servers at which streams of a peer broke off."""
     for name in names:
-        suspect_entry(state, now, ServerName(name))
+        _suspect_entry(state, now, ServerName(name))
 
 
-def suspect_entry(state: State, now: float, name: ServerName) -> bool:
+def _suspect_entry(state: State, now: float, name: ServerName) -> bool:
     """Suspect an entry until it is read again; return False if it was suspected just now.
 
     Also where a service has had one release only: this server may be the first of another one.
--- a/packages/turmericweir/turmericweir/servers/backend_attempt.py
+++ b/packages/turmericweir/turmericweir/servers/backend_attempt.py
@@ -187,6 +187,7 @@
                     return EndCancelled(0)
                 if self._is_misplaced(conn):
                     return EndMisplaced(conn.incarnation or "")
+                self._report_identity(conn)
                 self._is_first_answer = not conn.has_carried_request
                 request = make_request()
                 self._sent_at = anyio.current_time()
@@ -216,15 +217,18 @@
             return await self.classify_loss(describe_error(exc), is_malformed=_is_malformed(exc))
 
     def _is_misplaced(self, conn: BackendConnection) -> bool:
-        """Return whether a server that was asked is another start; report which one it is."""
+        """Return whether the server is not the start that the attempt may be sent to."""
         start = self.start
-        if not start.needs_identity:
+        if not (start.needs_identity and start.is_bound):
             return False
-        incarnation = conn.incarnation or ""
-        if start.is_bound and incarnation != start.incarnation:
-            return True
-        self.node.handle(ServerIdentified(start.request_id, start.attempt_id, incarnation))
-        return False
+        return (conn.incarnation or "") != start.incarnation
+
+    def _report_identity(self, conn: BackendConnection) -> None:
+        """Report which start the server says that it is."""
+        start = self.start
+        if start.needs_identity:
+            incarnation = conn.incarnation or ""
+            self.node.handle(ServerIdentified(start.request_id, start.attempt_id, incarnation))
 
     async def _consume_watched(
         self,
