--- a/packages/turmericweir/turmericweir/process/errors.py
+++ b/packages/turmericweir/turmericweir/process/errors.py
@@ -28,6 +28,10 @@
     """The process cannot listen on an address."""
 
 
+class StartStoppedError(DaemonError):
+    """The process was asked to stop while a step of its start was retried."""
+
+
 class CallError(DaemonError):
     """A call to a backend server or the platform returned no usable answer."""
 
