Log the first moment of a process and the cause of a start that fails

Operators saw an end with code 2 and one line on standard error, which the platform may not keep; the log of such a process was empty, in all landings so far. Each step of a start ran before the log's destination existed, so no step could write to it.

An exception that nobody catches, such as a library that does not load, is in the log as `process_failed`, at any time in the life of the process. `StartLog` encodes with the standard library for that reason.

Left: nothing is in the log if the interpreter itself does not start.

--- a/packages/turmericweir/turmericweir/process/start_log.py
+++ b/packages/turmericweir/turmericweir/process/start_log.py
@@ -1,24 +1,28 @@
 """Log lines of a start, before the daemon's log output (`log_pipe`) exists.
 
 They go to standard output in the same form, one JSON object each. Nothing is buffered: a line that
-the reader does not accept at once is dropped and counted. The module imports nothing that takes
-long, so that the first line precedes every step that can fail.
+the reader does not accept at once is dropped and counted. The module imports only the standard
+library, so that the first line precedes every step that can fail, such as the import of another
+library.
 """
 
 from __future__ import annotations
 
+import json
 import os
 import sys
 import time
+import traceback as traceback_module
 from collections.abc import Callable
+from types import TracebackType
 from typing import Final
 
-import msgspec
-
 # A pipe accepts up to this size completely or not at all.
 _LINE_MAX_BYTES: Final = 4_096
 _TEXT_MAX_CHARS: Final = 1_024
 _STANDARD_OUTPUT: Final = 1
+# The exit status of the interpreter after an exception that nobody catches.
+_UNCAUGHT_STATUS: Final = 1
 
 
 class StartLog:
@@ -51,12 +55,27 @@
         self.write("start_failed", step=step, detail=detail, exit_code=exit_code)
         _write_error(f"turmericweir: {detail}\n")
 
+    def write_uncaught(
+        self, exc_type: type[BaseException], exc: BaseException, trace: TracebackType | None
+    ) -> None:
+        """Write an exception that nobody caught; an `excepthook`."""
+        # The end of the traceback names the cause.
+        text = "".join(traceback_module.format_exception(exc_type, exc, trace))
+        detail = f"{exc_type.__name__}: {exc}"
+        self.write(
+            "process_failed",
+            detail=detail,
+            traceback=text[-_TEXT_MAX_CHARS:],
+            exit_code=_UNCAUGHT_STATUS,
+        )
+        _write_error(text)
+
     def _try_write(self, event: str, fields: dict[str, object]) -> bool:
         line: dict[str, object] = {"time": round(self._read_time(), 4), "event": event}
         if self.instance:
             line["instance"] = self.instance
         line.update((name, _shorten(value)) for name, value in fields.items())
-        data = msgspec.json.encode(line, enc_hook=str) + b"\n"
+        data = json.dumps(line, default=str, separators=(",", ":")).encode() + b"\n"
         return len(data) <= _LINE_MAX_BYTES and write_at_once(self._fd, data)
 
 
--- a/tests/daemon/test_start_log.py
+++ b/tests/daemon/test_start_log.py
@@ -4,6 +4,8 @@
 
 import json
 import os
+import subprocess
+import sys
 from collections.abc import Iterator
 
 import pytest
@@ -68,3 +70,24 @@
     out, fd = pipe
     StartLog(fd).write("start_failed", detail="x" * 100_000)
     assert json.loads(os.read(out, 1 << 16))["detail"].startswith("xxx")
+
+
+def test_library_that_cannot_be_imported_is_in_the_log() -> None:
+    # Guards against a process that ends without a line because a library does not load.
+    code = (
+        "import sys; from turmericweir.process.start_log import StartLog;"
+        "sys.excepthook = StartLog().write_uncaught; import no_such_library"
+    )
+    result = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True)
+    (line,) = (json.loads(text) for text in result.stdout.splitlines())
+    assert (line["event"], line["exit_code"]) == ("process_failed", result.returncode)
+    assert "no_such_library" in line["detail"]
+    assert "no_such_library" in result.stderr
+
+
+def test_only_the_standard_library_is_imported() -> None:
+    # Guards against a first line that a library which does not load prevents.
+    code = "import sys, turmericweir.process.start_log; print(' '.join(sys.modules))"
+    result = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True)
+    loaded = {each.partition(".")[0] for each in result.stdout.split()}
+    assert not loaded & {"msgspec", "returns", "orjson", "eliot", "anyio"}
