Wait for a settings file that is absent or incomplete at the start

Operators saw a process end with code 2 if its settings file was absent, empty, half written or not readable at the moment of its start, in all landings: the file was read once, and every error of the read was final.

The text is decoded to plain values first and then checked against the fields: malformed text can be a part of a whole document, a wrong or missing field cannot and ends the start with code 2 at once.

The test of SIGHUP now waits for the line of the wait before it stops the process: SIGTERM ends it by the signal while the modules of `__main__` are imported, before anything listens.

Whether users saw this is only suspected.

--- a/packages/turmericweir/turmericweir/process/entry_settings.py
+++ b/packages/turmericweir/turmericweir/process/entry_settings.py
@@ -16,8 +16,8 @@
 from returns.result import Failure, Result, Success
 
 from turmericweir.process.answer_bounds import AnswerBounds
-from turmericweir.process.errors import SettingsFileError
-from turmericweir.process.foreign_data import DECODE_ERRORS, decode_json
+from turmericweir.process.errors import DaemonError, SettingsFileError, SettingsNotWholeError
+from turmericweir.process.foreign_data import DECODE_ERRORS
 
 _COMMENT: Final = "//"
 # Resources of a machine of class 0.
@@ -186,7 +186,7 @@
     try:
         text = path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as exc:
-        return Failure(SettingsFileError("read settings", str(path), str(exc)))
+        return Failure(SettingsNotWholeError("read settings", str(path), str(exc)))
     return parse_entry_settings(text, str(path))
 
 
@@ -194,13 +194,23 @@
     """Validate the text of a settings file; `origin` names the file in errors."""
     lines = [line for line in text.splitlines() if not line.lstrip().startswith(_COMMENT)]
     try:
-        cfg = decode_json("\n".join(lines), EntrySettings, strict=False)
+        # Every part of a document, as a write in progress leaves it, is malformed.
+        fields = msgspec.json.decode("\n".join(lines))
+    except DECODE_ERRORS as exc:
+        return Failure(SettingsNotWholeError("parse settings", origin, str(exc)))
+    try:
+        cfg = msgspec.convert(fields, EntrySettings, strict=False)
         _check(cfg)
     except DECODE_ERRORS as exc:
         return Failure(SettingsFileError("validate settings", origin, str(exc)))
     return Success(cfg)
 
 
+def can_become_whole(error: DaemonError) -> bool:
+    """Return whether the settings file may be readable soon, without anybody correcting it."""
+    return isinstance(error, SettingsNotWholeError)
+
+
 def _check(cfg: EntrySettings) -> None:
     for name in ("caller_address", "readiness_address", "peer_address"):
         check_address(name, getattr(cfg, name))
--- a/packages/turmericweir/turmericweir/process/errors.py
+++ b/packages/turmericweir/turmericweir/process/errors.py
@@ -24,6 +24,10 @@
     """The settings file of the process is missing or invalid."""
 
 
+class SettingsNotWholeError(SettingsFileError):
+    """The settings file is absent, unreadable or incomplete, as it is while it is replaced."""
+
+
 class ListenError(DaemonError):
     """The process cannot listen on an address."""
 
--- a/tests/platform/test_start_obstacles.py
+++ b/tests/platform/test_start_obstacles.py
@@ -73,13 +73,10 @@
     path = settings_path(world)
     text = path.read_text()
     path.unlink()
-    match obstacle:
-        case "empty":
-            path.write_text("")
-        case "half written":
-            path.write_text(text[: len(text) // 2])
-        case "not readable":
-            path.mkdir()
+    if obstacle == "not readable":
+        path.mkdir()
+    elif obstacle != "absent":
+        path.write_text("" if obstacle == "empty" else text[: len(text) // 2])
     world.restart_instance(NAME)
     instance = world.running[NAME]
     until(lambda: is_waiting(instance), "the process waits for its settings")
@@ -251,6 +248,7 @@
     instance = world.running[NAME]
     until(lambda: bool(instance.process.lines) or not instance.process.is_running, "a line")
     os.kill(instance.process.pid, signal.SIGHUP)
+    until(lambda: is_waiting(instance), "the process waits for its settings")
     assert instance.process.stop() == 0
 
 
