Treat null in the settings file as a value that is not given

Operators saw a process end with code 2 and a field's name if the platform had no value for a bound, a limit of the machine or another setting that has a default, in all landings: the template writes null there, and the check allows only what the field's type has.

Null members of objects and lists are removed before the check. A required field that is null is then a missing one, which ends the start with its name as before.

Left: nothing known.

--- a/packages/turmericweir/turmericweir/process/entry_settings.py
+++ b/packages/turmericweir/turmericweir/process/entry_settings.py
@@ -1,8 +1,8 @@
 """The settings file of a process whose platform provides settings and servers in a store.
 
-The file is JSON with comment lines that begin with two slashes. It contains the process's identity,
-its addresses and the platform's bounds; the store provides everything that operators change at
-runtime. `deploy/settings.json` is the template.
+The file is JSON with comment lines that begin with two slashes. What is null counts as not given.
+The file contains the process's identity, its addresses and the platform's bounds; the store
+provides everything that operators change at runtime. `deploy/settings.json` is the template.
 """
 
 from __future__ import annotations
@@ -10,7 +10,7 @@
 import ipaddress
 from math import log2
 from pathlib import Path
-from typing import Final
+from typing import Any, Final
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -199,13 +199,23 @@
     except DECODE_ERRORS as exc:
         return Failure(SettingsNotWholeError("parse settings", origin, str(exc)))
     try:
-        cfg = msgspec.convert(fields, EntrySettings, strict=False)
+        cfg = msgspec.convert(_without_nulls(fields), EntrySettings, strict=False)
         _check(cfg)
     except DECODE_ERRORS as exc:
         return Failure(SettingsFileError("validate settings", origin, str(exc)))
     return Success(cfg)
 
 
+# Any: decoded JSON.
+def _without_nulls(value: Any) -> Any:
+    """Remove what is null, which a template writes for a value that its platform does not have."""
+    if isinstance(value, dict):
+        return {name: _without_nulls(each) for name, each in value.items() if each is not None}
+    if isinstance(value, list):
+        return [_without_nulls(each) for each in value if each is not None]
+    return value
+
+
 def can_become_whole(error: DaemonError) -> bool:
     """Return whether the settings file may be readable soon, without anybody correcting it."""
     return isinstance(error, SettingsNotWholeError)
