Keep the closest bound instead of one that no process can keep

The age up to which a proof of the settings holds is the bound on revocation less 0.6 s: at 0 it is negative, so no proof is ever fresh enough. A bound on settings of 0 reads the store without a pause, and a grace of 0 gives a negative stop limit. A bound that is no number passed the check and had the same effect; one of the machine that is infinite or no number ended the process later with an exception.

`bound_limits` replaces each bound by the closest value that can be kept, `make_options` uses these, and the log names each with the value given and the one used (`bound_adjusted`), also at a reload. With strict revocation the settings are read at least twice within the age of a proof, which before held only for the usual bounds. Values that are no numbers end the start with code 2 and the field's name.

Left: a revocation bound below 1.1 s, a bound on settings or draining below 0.5 s cannot be kept; the process serves and says so. Duties with a rate or a time of 0 are refused with code 2, as before.

--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -36,6 +36,7 @@
 from turmericweir.peers.peer_dialer import PeerDialer
 from turmericweir.peers.peer_streams import PeerStreams
 from turmericweir.process import logs
+from turmericweir.process.bound_limits import adjusted_bounds, usable_bounds
 from turmericweir.process.entry_settings import (
     DutiesSettings,
     EntrySettings,
@@ -79,6 +80,9 @@
 
 # The part of the revocation bound that is reserved for forwarding a request and for clock errors.
 _REVOKE_MARGIN_S: Final = 0.6
+# The longest bound on settings at which a proof of them is renewed twice before it is too old, as a
+# share of the age at which it is.
+_PROOF_SETTINGS_SHARE: Final = 1.4
 # A request that crashes its server does so within this time after its start.
 _CRASH_WINDOW_S: Final = 0.25
 # How long before the platform's kill a stopping process ends by itself.
@@ -183,8 +187,11 @@
 
 def make_options(cfg: EntrySettings) -> Options:
     """Return the options that follow from the platform's bounds."""
-    bounds = cfg.bounds
+    bounds = usable_bounds(cfg.bounds)
     proof_s = bounds.revoke_ms / 1000.0 - _REVOKE_MARGIN_S
+    settings_s = bounds.settings_ms / 1000.0
+    if bounds.strict_revoke:
+        settings_s = min(settings_s, _PROOF_SETTINGS_SHARE * proof_s)
     return Options(
         tick_s=0.05,
         cache=CacheOptions(weighs_waits=cfg.placement.weighs_waits),
@@ -192,9 +199,9 @@
         fair_share=FairShareOptions(is_enabled=cfg.placement.shares_room),
         outlier=OutlierOptions(is_enabled=cfg.placement.ejects_servers),
         pace=PaceOptions(is_shared=cfg.placement.shares_pace),
-        store=derive_store_times(bounds.settings_ms / 1000.0, bounds.drain_ms / 1000.0),
+        store=derive_store_times(settings_s, bounds.drain_ms / 1000.0),
         stop_grace_s=min(_STOP_GRACE_S, bounds.grace_s / 3),
-        stop_limit_s=bounds.grace_s - _STOP_MARGIN_S,
+        stop_limit_s=bounds.grace_s - min(_STOP_MARGIN_S, bounds.grace_s / 2),
         deadline_grace_s=0.0,
         key_proof_s=proof_s if bounds.strict_revoke else float("inf"),
         retry_share=bounds.retry_ratio,
@@ -232,6 +239,11 @@
     }
 
 
+def _log_adjusted_bounds(cfg: EntrySettings) -> None:
+    for name, (given, used) in adjusted_bounds(cfg.bounds).items():
+        logs.write("bound_adjusted", bound=name, given=given, used=used)
+
+
 def make_state(cfg: EntrySettings) -> State:
     """Return the initial state of a process."""
     regions = set(cfg.regions.values()) - {cfg.region}
@@ -292,6 +304,7 @@
     async with AsyncExitStack() as stack:
         pipe = stack.enter_context(LogPipe(sys.stdout.fileno(), cfg.name))
         logs.write("starting", data_centre=cfg.data_centre, store=cfg.store.address)
+        _log_adjusted_bounds(cfg)
         sockets = _bind_all(cfg, callers, stack)
         local_name = InstanceName(cfg.name)
         pool = await stack.enter_async_context(
@@ -523,6 +536,7 @@
         node.answer_bounds = cfg.answers
         node.handle(SeedsGiven(cfg.peer_seeds))
         logs.write("reloaded", bounds=msgspec.to_builtins(cfg.bounds))
+        _log_adjusted_bounds(cfg)
 
 
 async def _read_clock_forever(node: Node) -> None:
--- a/packages/turmericweir/turmericweir/process/entry_settings.py
+++ b/packages/turmericweir/turmericweir/process/entry_settings.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import ipaddress
-from math import log2
+from math import inf, isfinite, isnan, log2
 from pathlib import Path
 from typing import Any, Final
 
@@ -42,7 +42,7 @@
     @property
     def memory_bytes(self) -> int:
         """Return the memory limit in bytes; 0 for none."""
-        return int(self.memory_mb * _MEGABYTE)
+        return max(0, int(self.memory_mb * _MEGABYTE))
 
     @property
     def machine_capacity(self) -> int:
@@ -234,6 +234,12 @@
             raise ValueError(f"{name}: expected a name")
     if not 0 <= cfg.metrics_port <= _PORT_MAX:
         raise ValueError("metrics_port: expected a port, or 0")
+    for name in MachineSettings.__struct_fields__:
+        if not isfinite(getattr(cfg.machine, name)):
+            raise ValueError(f"machine.{name}: expected a number")
+    for name in BoundsSettings.__struct_fields__:
+        if isnan(getattr(cfg.bounds, name)):
+            raise ValueError(f"bounds.{name}: expected a number")
     for name in AnswerBounds.__struct_fields__:
         if getattr(cfg.answers, name) <= 0:
             raise ValueError(f"answers.{name}: expected a number above 0")
@@ -242,7 +248,7 @@
 def _check_duties(duties: DutiesSettings) -> None:
     check_address("duties.address", duties.address)
     for name in ("calls_per_s", "lease_ms", "window_s", "late_s"):
-        if not getattr(duties, name) > 0:
+        if not 0 < getattr(duties, name) < inf:
             raise ValueError(f"duties.{name}: expected a number above 0")
 
 
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -329,6 +329,10 @@
         ({"name": ""}, "name"),
         ({"metrics_port": 70_000}, "metrics_port"),
         ({"bounds": {"grace_s": "long"}}, "grace_s"),
+        ({"bounds": {"drain_ms": "nan"}}, "drain_ms"),
+        ({"machine": {"memory_mb": "inf"}}, "memory_mb"),
+        ({"machine": {"link_mbps": "nan"}}, "link_mbps"),
+        ({"duties": {"address": "10.0.0.9:84", "lease_ms": "inf"}}, "lease_ms"),
     ],
 )
 def test_error_names_the_invalid_setting(change: dict[str, Any], setting: str) -> None:
