Start with closed standard streams, and give their descriptors to nothing else

With standard input or standard error closed the process ran, and its first sockets got these descriptors: a traceback on standard error would have been sent to whom that socket is connected. Found with the tests, not reported by anybody.

Left: a machine without a null device ends the start with an exception. Streams that are closed by somebody else while the process runs are not looked for.

--- a/packages/turmericweir/turmericweir/main.py
+++ b/packages/turmericweir/turmericweir/main.py
@@ -17,6 +17,7 @@
 from turmericweir.process.errors import DaemonError, ListenError
 from turmericweir.process.listening_socket import check_free
 from turmericweir.process.process_settings import ProcessSettings, read_settings
+from turmericweir.process.standard_streams import reserve_standard_streams
 
 START_ERROR_STATUS: Final = 2
 INTERRUPTED_STATUS: Final = 130
@@ -34,6 +35,7 @@
 @click.version_option(package_name="turmericweir")
 def main(path: Path, check: bool) -> None:
     """Route language-model and plain-service traffic."""
+    reserve_standard_streams()
     cfg = _read_settings_or_exit(path)
     if check:
         click.echo(f"{path}: ok")
--- a/tests/daemon/test_stop.py
+++ b/tests/daemon/test_stop.py
@@ -159,6 +159,35 @@
     assert "turmericweir.daemon" not in process.stderr_text()
 
 
+@pytest.mark.parametrize("closed", [(0,), (1,), (2,), (0, 1, 2)])
+def test_closed_standard_streams_do_not_end_the_start(
+    tmp_path: Path, closed: tuple[int, ...]
+) -> None:
+    # Guards against a process that needs its streams, or writes its log into a socket.
+    value = settings()
+    path = tmp_path / "entry-1.json"
+    path.write_text(json.dumps(value))
+    closing = " ".join(f"{fd}>&-" for fd in closed)
+    shell = f'exec "$0" -m turmericweir.main --config "$1" {closing}'
+    argv = ["/bin/sh", "-c", shell, sys.executable, str(path)]
+    process = Process(argv, name="entry-1", directory=tmp_path)
+    process.start()
+
+    def is_listening() -> bool:
+        assert process.is_running
+        with contextlib.suppress(OSError):
+            return call_json(value["admin_address"], "GET", "/readyz").status == 503
+        return False
+
+    try:
+        wait_until(is_listening, "the process answers")
+        for fd in closed:
+            assert os.readlink(f"/proc/{process.pid}/fd/{fd}") == os.devnull
+    finally:
+        status = process.stop()
+    assert status == 0
+
+
 def test_requests_are_refused_without_settings(tmp_path: Path) -> None:
     value = settings()
     path = tmp_path / "alone.json"
