--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -62,6 +62,23 @@
     assert received == [b"GET / HTTP/1.1\r\n\r\n"]
 
 
+def test_settings_file_that_never_comes_ends_the_start(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capfd: pytest.CaptureFixture[str]
+) -> None:
+    # Guards against a process that waits for ever, and against an end that no log explains.
+    monkeypatch.setenv(platform_names.SETTINGS_VARIABLE, str(tmp_path / "absent.json"))
+    monkeypatch.setattr(program, "_SETTINGS_WAIT_S", 0.2)
+    previous_handler = signal.getsignal(signal.SIGTERM)
+    try:
+        assert program.main() == 2
+    finally:
+        signal.signal(signal.SIGTERM, previous_handler)
+    output = capfd.readouterr()
+    lines = [json.loads(line) for line in output.out.splitlines()]
+    assert [line["event"] for line in lines] == ["start_waiting", "start_failed"]
+    assert "absent.json" in output.err
+
+
 def test_few_modules_are_imported_before_listening() -> None:
     # Guards against imports that delay listening for callers.
     loaded = {each.partition(".")[0] for each in _modules_loaded_by(program.__name__)}
