Log why a process ends, and errors that no task handles

A process that ended said `stopped` and nothing else, whatever the reason, and nothing at all where an exception left its tasks. Now its last line is `ended` with the reason, the exit code and how long it ran, for a return, an exception of a task group, an exit by a library and an interrupt. Errors in callbacks of the event loop, in threads and in finalizers are `fault` lines with a bounded rate and the counter `fault.unhandled`. A fatal error of a library in C writes the Python stacks to standard error; a process without standard error starts as before.

Exit codes are unchanged here: an end that nobody asked for still has code 0, but its line says so.

--- a/packages/turmericweir/turmericweir/daemon.py
+++ b/packages/turmericweir/turmericweir/daemon.py
@@ -30,11 +30,20 @@
 from turmericweir.peers.peer_streams import PeerStreams
 from turmericweir.platform_client import PlatformClient
 from turmericweir.process import logs
+from turmericweir.process.end_log import (
+    FORCED_STOP_STATUS,
+    REASON_FORCED_STOP,
+    REASON_NOT_REQUESTED,
+    REASON_STOP,
+    STOPPED_STATUS,
+    EndLog,
+)
 from turmericweir.process.listening_socket import bind, bound_address
 from turmericweir.process.metrics import Metrics, NullMetrics, StatsdMetrics
 from turmericweir.process.node import Adapters, Node
 from turmericweir.process.process_settings import ProcessSettings
 from turmericweir.process.supervisor import run_supervised
+from turmericweir.process.unhandled_errors import UnhandledErrors
 from turmericweir.process.verdict_waiters import VerdictWaiters
 from turmericweir.servers.backend_pool import BackendPool
 from turmericweir.servers.server_calls import ServerCalls
@@ -45,8 +54,6 @@
 from turmericweir_core.reducers.reducer import new_state, reduce
 from turmericweir_core.state.state import Identity, State
 
-# The exit status after a second interrupt.
-FORCED_STOP_STATUS: Final = 130
 _READY: Final = "READY"
 
 
@@ -67,9 +74,11 @@
     """Run the daemon and return the exit status."""
     async with AsyncExitStack() as stack:
         stack.enter_context(logs.LogFile(cfg.log))
+        end = stack.enter_context(EndLog())
         caller_socket = stack.enter_context(bind(cfg.caller_address, "listen for callers"))
         admin_socket = stack.enter_context(bind(cfg.admin_address, "listen for operators"))
         parts = await _make_parts(cfg, stack)
+        stack.enter_context(UnhandledErrors(parts.metrics))
         async with anyio.create_task_group() as group:
             node = _make_node(cfg, parts, group)
             _send_seeds(node, cfg)
@@ -77,9 +86,12 @@
             # Excludes permanent objects from collections, which would delay requests.
             gc.collect()
             gc.freeze()
-            status = await _serve(cfg, node, parts, caller_socket, admin_socket)
+            was_forced = await _serve(cfg, node, parts, caller_socket, admin_socket)
             group.cancel_scope.cancel()
-        return status
+        if was_forced:
+            return end.conclude(REASON_FORCED_STOP, FORCED_STOP_STATUS)
+        reason = REASON_STOP if node.is_stopping else REASON_NOT_REQUESTED
+        return end.conclude(reason, STOPPED_STATUS)
 
 
 async def _make_parts(cfg: ProcessSettings, stack: AsyncExitStack) -> DaemonParts:
@@ -154,7 +166,8 @@
     parts: DaemonParts,
     caller_socket: socket.socket,
     admin_socket: socket.socket,
-) -> int:
+) -> bool:
+    """Serve until the process may end; return whether a second interrupt ended it."""
     app = CallerApp(node, parts.pool, cfg.limits)
     callers = HttpServer(app, cfg.limits, lambda: node.is_stopping)
     views: dict[str, Callable[[], object]] = {
@@ -176,7 +189,7 @@
         await _serve_http(callers, caller_socket)
         # `_serve_http` returns after the last answer.
         group.cancel_scope.cancel()
-    return FORCED_STOP_STATUS if force_stop_requested.is_set() else 0
+    return force_stop_requested.is_set()
 
 
 def _live_instance_names(node: Node) -> list[str]:
--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -36,6 +36,7 @@
 from turmericweir.peers.peer_dialer import PeerDialer
 from turmericweir.peers.peer_streams import PeerStreams
 from turmericweir.process import logs
+from turmericweir.process.end_log import REASON_NOT_REQUESTED, REASON_STOP, STOPPED_STATUS, EndLog
 from turmericweir.process.entry_settings import (
     DutiesSettings,
     EntrySettings,
@@ -54,6 +55,7 @@
 )
 from turmericweir.process.prometheus_metrics import MetricsApp, PrometheusMetrics
 from turmericweir.process.supervisor import run_supervised
+from turmericweir.process.unhandled_errors import UnhandledErrors
 from turmericweir.servers.backend_pool import BackendPool
 from turmericweir.servers.connection_probes import ConnectionProbes
 from turmericweir_core.base.cache_options import CacheOptions
@@ -291,6 +293,9 @@
     """
     async with AsyncExitStack() as stack:
         pipe = stack.enter_context(LogPipe(sys.stdout.fileno(), cfg.name))
+        end = stack.enter_context(EndLog())
+        metrics = PrometheusMetrics()
+        stack.enter_context(UnhandledErrors(metrics))
         logs.write("starting", data_centre=cfg.data_centre, store=cfg.store.address)
         sockets = _bind_all(cfg, callers, stack)
         local_name = InstanceName(cfg.name)
@@ -300,7 +305,6 @@
         streams = await stack.enter_async_context(PeerStreams(local_name, cfg.peer_address))
         datagrams = await stack.enter_async_context(PeerDatagrams(local_name, cfg.peer_address))
         servers = ConnectionProbes(pool)
-        metrics = PrometheusMetrics()
         follower = platform_adapters.make_follower(pool, cfg)
         state = make_state(cfg)
         reduce: Reducer = reducer_store.reduce
@@ -368,7 +372,8 @@
             await _serve(cfg, node, pool, platform_adapters, metrics, sockets)
             group.cancel_scope.cancel()
         logs.write("stopped", in_flight=len(node.active_requests))
-    return 0
+        reason = REASON_STOP if node.is_stopping else REASON_NOT_REQUESTED
+        return end.conclude(reason, STOPPED_STATUS)
 
 
 def _add_memory_gauges(metrics: PrometheusMetrics, memory: MemoryBudget) -> None:
--- a/packages/turmericweir/turmericweir/main.py
+++ b/packages/turmericweir/turmericweir/main.py
@@ -15,6 +15,7 @@
 from returns.pipeline import is_successful
 
 from turmericweir.process.errors import DaemonError, ListenError
+from turmericweir.process.fatal_traces import enable_fatal_traces
 from turmericweir.process.listening_socket import check_free
 from turmericweir.process.process_settings import ProcessSettings, read_settings
 
@@ -49,6 +50,7 @@
 
 
 def _run(cfg: ProcessSettings) -> int:
+    enable_fatal_traces()
     try:
         _check_addresses(cfg)
         # Imported late; see the module's doc string.
