Measure the steps of the event loop, and report those that take long

A process whose loop takes seconds for one step serves nobody meanwhile and does not yield the processor. Until now only the lateness of its ticks told (`paused`), which is the same for a process that was busy and for one that did not run. The loop now measures the time between two waits: a timer each second, a gauge of the longest step since the start, and a line `slow_step` with the processor time beside it, at most once a second. It costs two reads of the loop's clock for each turn, one of which was there, and one system call a second.

--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -43,6 +43,7 @@
 )
 from turmericweir.process.listening_socket import bind
 from turmericweir.process.log_pipe import LogPipe
+from turmericweir.process.loop_steps import report_forever, running_steps
 from turmericweir.process.memory_budget import MemoryBudget, peak_size
 from turmericweir.process.node import (
     Adapters,
@@ -350,10 +351,17 @@
                 lambda: node.state.paths.carried,
             )
             _add_memory_gauges(metrics, node.memory)
+            steps = running_steps()
+            metrics.add_gauge(
+                "turmericweir_longest_step_seconds",
+                "The longest step of the event loop since the start.",
+                lambda: steps.longest_s,
+            )
             tasks: dict[str, Callable[[], Awaitable[None]]] = {
                 "flush logs": partial(pipe.flush_forever, _LOG_FLUSH_INTERVAL_S),
                 "reload settings": partial(_reload_forever, node, file),
                 "tick": node.tick_forever,
+                "report steps": partial(report_forever, steps, metrics),
                 "close idle connections": pool.sweep_forever,
                 "serve peers": streams.serve,
                 "follow settings": follower.follow_document,
--- a/packages/turmericweir/turmericweir/process/boot_clock.py
+++ b/packages/turmericweir/turmericweir/process/boot_clock.py
@@ -3,7 +3,7 @@
 Its clock includes the time of a suspension. Prevents leases, deadlines and freshness proofs from
 appearing fresh afterwards, and keys that were revoked meanwhile from being accepted. Data that
 arrived during a suspension is read before timers that became due run. Prevents connections from
-being closed as idle with a request that was not read.
+being closed as idle with a request that was not read. It also measures its steps (`loop_steps`).
 """
 
 from __future__ import annotations
@@ -12,6 +12,8 @@
 import selectors
 import time
 
+from turmericweir.process.loop_steps import LoopSteps
+
 
 class _RepollingSelector(selectors.DefaultSelector):
     """The system's selector, which polls once more if a wait took longer than its timeout.
@@ -20,21 +22,35 @@
     interrupted wait without polling if its timeout has passed meanwhile.
     """
 
+    # What runs between two waits.
+    steps: LoopSteps
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.steps = LoopSteps()
+
     def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
         """Return the files that are ready, after at most `timeout` seconds."""
         started_at = _boot_time()
+        self.steps.end(started_at)
         events: list[tuple[selectors.SelectorKey, int]] = super().select(timeout)
-        if timeout and _boot_time() - started_at >= timeout:
+        ended_at = _boot_time()
+        if timeout and ended_at - started_at >= timeout:
             # Contains the files found before, as their data is not read yet.
             events = super().select(0)
+        self.steps.begin(ended_at)
         return events
 
 
 class BootClockLoop(asyncio.SelectorEventLoop):
     """The selector event loop with the boot-time clock."""
 
+    steps: LoopSteps
+
     def __init__(self) -> None:
-        super().__init__(_RepollingSelector())
+        selector = _RepollingSelector()
+        super().__init__(selector)
+        self.steps = selector.steps
 
     def time(self) -> float:
         """Return the time since the machine was started, in seconds."""
