--- /dev/null
+++ b/tests/platform/test_build.py
@@ -0,0 +1,220 @@
+"""Tests of the build script: what it leaves under target/ starts, whatever was there before."""
+
+from __future__ import annotations
+
+import os
+import shutil
+import signal
+import subprocess
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import Final
+
+import pytest
+
+from tests.platform.build_tree import LIBRARY, BuildTree, numbers_seen
+
+BUILDS: Final = 6
+FIRST: Final = ["1.0", "1", "1", "1", "1", "1"]
+SECOND: Final = ["1.1", "2", "2", "2", "2", "2"]
+
+
+@pytest.fixture
+def tree(tmp_path: Path) -> BuildTree:
+    """A tree that was built once."""
+    built = BuildTree(tmp_path)
+    result = built.build()
+    assert result.returncode == 0, result.stderr
+    assert built.run() == FIRST
+    return built
+
+
+def _is_of_another_architecture(tree: BuildTree) -> None:
+    extension = tree.extension()
+    names = {"x86_64": "aarch64", "aarch64": "x86_64"}
+    name = extension.name
+    for own, other in names.items():
+        if own in name:
+            extension.rename(extension.with_name(name.replace(own, other)))
+            return
+    raise AssertionError(f"{name} names no architecture")
+
+
+def _is_of_another_python(tree: BuildTree) -> None:
+    extension = tree.extension()
+    extension.rename(extension.with_name(extension.name.replace("cpython-3", "cpython-4")))
+
+
+def _is_emptied(tree: BuildTree) -> None:
+    for entry in tree.deps.iterdir():
+        shutil.rmtree(entry) if entry.is_dir() else entry.unlink()
+
+
+def _has_lost_the_library(tree: BuildTree) -> None:
+    shutil.rmtree(tree.deps / LIBRARY)
+
+
+def _has_lost_a_module(tree: BuildTree) -> None:
+    (tree.deps / LIBRARY / "__init__.py").unlink()
+
+
+def _has_a_short_module(tree: BuildTree) -> None:
+    file = tree.extension()
+    file.write_bytes(file.read_bytes()[:100])
+
+
+def _is_of_another_version(tree: BuildTree) -> None:
+    tree.require("1.1")
+    assert tree.build().returncode == 0
+    tree.require("1.0")
+    os.utime(tree.root / "deploy" / "requirements.txt", (0, 0))
+
+
+def _is_gone(tree: BuildTree) -> None:
+    real = tree.deps.resolve()
+    tree.deps.unlink() if tree.deps.is_symlink() else None
+    shutil.rmtree(real)
+
+
+@pytest.mark.parametrize(
+    "spoil",
+    [
+        _is_of_another_architecture,
+        _is_of_another_python,
+        _is_emptied,
+        _has_lost_the_library,
+        _has_lost_a_module,
+        _has_a_short_module,
+        _is_of_another_version,
+        _is_gone,
+    ],
+)
+def test_what_was_built_is_not_trusted_without_its_content(
+    tree: BuildTree, spoil: Callable[[BuildTree], None]
+) -> None:
+    # Guards against a build that succeeds on libraries with which no process starts.
+    spoil(tree)
+    result = tree.build()
+    assert result.returncode == 0, result.stderr
+    assert tree.run() == FIRST
+
+
+def test_starts_beside_builds_see_one_build(tree: BuildTree) -> None:
+    # Guards against processes that do not start, or mix two builds, while a build replaces files.
+    results: list[subprocess.CompletedProcess[str]] = []
+
+    def build() -> None:
+        for number in range(2, BUILDS + 2):
+            tree.number_sources(number)
+            results.append(tree.build())
+
+    seen = []
+    with ThreadPoolExecutor(1) as executor:
+        fut = executor.submit(build)
+        while not fut.done():
+            seen.append(tree.run())
+        fut.result()
+    assert [result.returncode for result in results] == [0] * BUILDS, results
+    assert seen
+    assert all(len(set(numbers)) == 1 for _, *numbers in seen), seen
+
+
+def test_late_imports_are_of_the_build_of_the_start(tree: BuildTree) -> None:
+    # Guards against a running process that mixes modules of two builds.
+    with tree.start() as process:
+        assert process.stdout
+        assert process.stdout.readline() == "started\n"
+        tree.number_sources(2)
+        tree.require("1.1")
+        assert tree.build().returncode == 0
+        assert tree.run() == SECOND
+        assert numbers_seen(process) == FIRST
+
+
+@pytest.mark.parametrize("written", ["METADATA", "late.py", "late_here.py", "late.cpython-*.pyc"])
+def test_build_that_was_killed_leaves_one_that_starts(tree: BuildTree, written: str) -> None:
+    # Guards against half-made folders that are started from, or trusted by the next build.
+    before = tree.files(written)
+    tree.number_sources(2)
+    tree.require("1.1")
+    with tree.start_build() as process:
+        while process.poll() is None:
+            if tree.files(written) - before:
+                break
+        os.killpg(process.pid, signal.SIGKILL)
+        process.communicate()
+    assert tree.run() in (FIRST, SECOND)
+    result = tree.build()
+    assert result.returncode == 0, result.stderr
+    assert tree.run() == SECOND
+    assert not list(tree.remains())
+
+
+def test_build_whose_libraries_are_not_found_leaves_the_old_one(tree: BuildTree) -> None:
+    # Guards against a failed build that takes away what processes start from.
+    tree.require("9.9")
+    result = tree.build()
+    assert result.returncode != 0
+    assert tree.run() == FIRST
+
+
+def test_build_that_does_not_import_leaves_the_old_one(tree: BuildTree) -> None:
+    # Guards against a build that succeeds with a module that no process can import.
+    tree.number_sources(2)
+    late = tree.root / "packages" / "turmericweir" / "turmericweir" / "late.py"
+    late.write_text("import absent_library\n")
+    result = tree.build()
+    assert result.returncode != 0
+    assert "absent_library" in result.stderr.splitlines()[-1]
+    assert tree.run() == FIRST
+    assert not list(tree.remains())
+
+
+def test_two_builds_at_once_are_both_right(tree: BuildTree) -> None:
+    # Guards against two builds that remove each other's files.
+    for number in range(2, 4):
+        tree.number_sources(number)
+        shutil.rmtree(tree.deps / LIBRARY)
+        with tree.start_build() as one, tree.start_build() as other:
+            ends = [each.communicate()[1] for each in (one, other)]
+        assert (one.returncode, other.returncode) == (0, 0), ends
+        assert tree.run() == ["1.0", *[str(number)] * 5]
+
+
+def test_unchanged_build_installs_nothing(tree: BuildTree) -> None:
+    # Guards against builds that need the package index without a change.
+    result = tree.build(has_wheels=False)
+    assert result.returncode == 0, result.stderr
+    tree.number_sources(2)
+    result = tree.build(has_wheels=False)
+    assert result.returncode == 0, result.stderr
+    assert tree.run() == ["1.0", "2", "2", "2", "2", "2"]
+
+
+def test_module_that_was_removed_is_not_built(tree: BuildTree) -> None:
+    # Guards against modules of an earlier build that stay importable.
+    extra = tree.root / "packages" / "turmericweir" / "turmericweir" / "extra.py"
+    extra.write_text("")
+    assert tree.build().returncode == 0
+    assert (tree.deps / "turmericweir" / "extra.py").exists()
+    extra.unlink()
+    assert tree.build().returncode == 0
+    assert not (tree.deps / "turmericweir" / "extra.py").exists()
+
+
+def test_build_replaces_a_real_folder(tree: BuildTree) -> None:
+    # Guards against a build that cannot replace the folder that an earlier script made.
+    real = tree.deps.resolve()
+    if tree.deps.is_symlink():
+        tree.deps.unlink()
+    shutil.copytree(real, tree.target / "copy")
+    if tree.deps.exists():
+        shutil.rmtree(tree.deps)
+    (tree.target / "copy").rename(tree.deps)
+    (tree.target / ".deps-stamp").touch()
+    tree.number_sources(2)
+    tree.require("1.1")
+    result = tree.build()
+    assert result.returncode == 0, result.stderr
+    assert tree.run() == SECOND
