Make each build beside the one in use, check it, and swap it in at once

What operators saw: a build that says it is done, and processes that end at once with "No module named ...": after target/ was carried over from another architecture, was emptied or lost a library, after a build was cut off or its libraries could not be found, with libraries of another version than pinned where requirements.txt has an older time than the stamp, and for processes that start while a build runs.

Cause: deploy/build.sh trusted a stamp beside the folder, whatever lay in the folder, removed files before it put the new ones there, and checked nothing.

Now a build is a folder of its own under target/builds, and target/deps is a link that is pointed to it by rename once all of it imports from that folder alone (libraries, extension modules, our modules, also what they import inside functions) and the versions are those of the pins. A real folder in place of the link is exchanged for it (renameat2; in two steps where that is not possible). The record of a build lies in its folder: Python version, architecture, binary interface, requirements, the digest of every file. Libraries are installed anew unless all of it holds. A lock makes builds wait for each other; what a killed one left is removed by the next. Bytecode is not checked by time, since copied folders have new times. A failed build says so in its last line, ends with 1 and leaves the old one.

Libraries that the pins bring in are not pinned themselves.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.stamp
 PACKAGES := $(sort $(wildcard packages/*)) platform
-SOURCES := packages platform tests
+SOURCES := packages platform deploy tests
 PROJECTS := $(addsuffix /pyproject.toml,$(PACKAGES))
 
 # `make demo KEEP=1` leaves the demo's processes running.
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,19 +1,6 @@
 #!/bin/sh
-# Put the libraries and the workspace's own packages under target/deps, compiled: a process cannot
-# write there, and would else compile every module again at each start.
+# Put the libraries and the workspace's own packages into the folder target/deps; see build.py.
+# Without site-packages: only the standard library is used.
 set -eu
 cd "$(dirname "$0")/.."
-stamp=target/.deps-stamp
-if [ ! -e "$stamp" ] || [ deploy/requirements.txt -nt "$stamp" ]; then
-    rm -rf target/deps
-    mkdir -p target
-    python3 -m pip install -q --disable-pip-version-check --target target/deps \
-        -r deploy/requirements.txt
-    touch "$stamp"
-fi
-for package in packages/turmericweir-core/turmericweir_core packages/turmericweir/turmericweir \
-    platform/turmericweir_platform; do
-    rm -rf "target/deps/$(basename "$package")"
-    cp -r "$package" target/deps/
-done
-python3 -m compileall -q target/deps
+exec python3 -S -B -m deploy.build
--- /dev/null
+++ b/deploy/build_swap.py
@@ -0,0 +1,50 @@
+"""Replaces what a link names in one step, also where a real folder stands in the link's place."""
+
+from __future__ import annotations
+
+import ctypes
+import errno
+import os
+import shutil
+from pathlib import Path
+from typing import Final
+
+_AT_FDCWD: Final = -100
+_RENAME_EXCHANGE: Final = 2
+# The C library, the kernel or the file system cannot exchange two names.
+_NOT_POSSIBLE: Final = (errno.ENOSYS, errno.EINVAL, errno.EOPNOTSUPP)
+
+
+def point_link(link: Path, folder: Path, spare: Path) -> None:
+    """Let `link` name `folder`; `spare` is a free name in the folder of the link."""
+    spare.symlink_to(os.path.relpath(folder, link.parent))
+    if link.is_symlink() or not link.exists():
+        spare.replace(link)
+        return
+    try:
+        _exchange(spare, link)
+    except OSError as exc:
+        if exc.errno not in _NOT_POSSIBLE:
+            raise
+        _replace_in_two_steps(spare, link)
+        return
+    shutil.rmtree(spare)
+
+
+def _replace_in_two_steps(spare: Path, link: Path) -> None:
+    aside = spare.with_name(f"{spare.name}-aside")
+    link.rename(aside)
+    spare.replace(link)
+    shutil.rmtree(aside)
+
+
+def _exchange(one: Path, other: Path) -> None:
+    libc = ctypes.CDLL(None, use_errno=True)
+    try:
+        renameat2 = libc.renameat2
+    except AttributeError:
+        raise OSError(errno.ENOSYS, "no renameat2") from None
+    names = (os.fsencode(one), os.fsencode(other))
+    if renameat2(_AT_FDCWD, names[0], _AT_FDCWD, names[1], ctypes.c_uint(_RENAME_EXCHANGE)):
+        code = ctypes.get_errno()
+        raise OSError(code, os.strerror(code))
--- a/tests/platform/build_tree.py
+++ b/tests/platform/build_tree.py
@@ -21,6 +21,8 @@
 
 ROOT: Final = Path(__file__).resolve().parents[2]
 LIBRARY: Final = "small_library"
+# A version with an extension module for another interpreter, which it does without.
+FOREIGN_VERSION: Final = "1.2"
 # A start that hangs fails the test instead of stopping the run.
 _LIMIT_S: Final = 120
 
@@ -58,7 +60,7 @@
         self.deps = self.target / "deps"
         self._wheels = root / "wheels"
         self._wheels.mkdir()
-        for version in ("1.0", "1.1"):
+        for version in ("1.0", "1.1", FOREIGN_VERSION):
             _make_wheel(self._wheels, version)
         (self.root / "deploy").mkdir(parents=True)
         for file in (ROOT / "deploy").glob("*build*"):
@@ -162,19 +164,20 @@
 
 def _make_wheel(folder: Path, version: str) -> None:
     extension = Path(xxhash._xxhash.__file__)  # type: ignore[attr-defined]
+    name, needs = extension.name, f"from {LIBRARY} import _xxhash\n"
+    if version == FOREIGN_VERSION:
+        name, needs = name.replace("cpython-3", "cpython-4"), ""
     info = f"{LIBRARY}-{version}.dist-info"
     files: dict[str, bytes] = {
-        f"{LIBRARY}/__init__.py": (
-            f"from {LIBRARY} import _xxhash\nVERSION = {version!r}\n".encode()
-        ),
-        f"{LIBRARY}/{extension.name}": extension.read_bytes(),
+        f"{LIBRARY}/__init__.py": f"{needs}VERSION = {version!r}\n".encode(),
+        f"{LIBRARY}/{name}": extension.read_bytes(),
         f"{info}/METADATA": (
             f"Metadata-Version: 2.1\nName: small-library\nVersion: {version}\n".encode()
         ),
         f"{info}/WHEEL": b"Wheel-Version: 1.0\nRoot-Is-Purelib: true\nTag: py3-none-any\n",
     }
-    record = "".join(f"{name},,\n" for name in [*files, f"{info}/RECORD"])
+    record = "".join(f"{each},,\n" for each in [*files, f"{info}/RECORD"])
     with zipfile.ZipFile(folder / f"{LIBRARY}-{version}-py3-none-any.whl", "w") as wheel:
-        for name, content in files.items():
-            wheel.writestr(name, content)
+        for each, content in files.items():
+            wheel.writestr(each, content)
         wheel.writestr(f"{info}/RECORD", record)
--- a/tests/platform/test_build.py
+++ b/tests/platform/test_build.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import errno
+import json
 import os
 import shutil
 import signal
@@ -14,7 +16,8 @@
 
 import pytest
 
-from tests.platform.build_tree import LIBRARY, BuildTree, numbers_seen
+from deploy import build_swap
+from tests.platform.build_tree import FOREIGN_VERSION, LIBRARY, BuildTree, numbers_seen
 
 BUILDS: Final = 6
 FIRST: Final = ["1.0", "1", "1", "1", "1", "1"]
@@ -220,3 +223,53 @@
     result = tree.build()
     assert result.returncode == 0, result.stderr
     assert tree.run() == SECOND
+
+
+def test_link_replaces_a_real_folder_where_names_cannot_be_exchanged(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against a build that fails on file systems that cannot exchange two names.
+    def refuse(one: Path, other: Path) -> None:
+        raise OSError(errno.EINVAL, f"cannot exchange {one} and {other}")
+
+    monkeypatch.setattr(build_swap, "_exchange", refuse)
+    link, folder = tmp_path / "deps", tmp_path / "builds" / "1"
+    for each in (link, folder):
+        each.mkdir(parents=True)
+    build_swap.point_link(link, folder, tmp_path / "spare")
+    assert link.resolve() == folder
+    assert sorted(each.name for each in tmp_path.iterdir()) == ["builds", "deps"]
+
+
+@pytest.mark.parametrize("condition", ["python", "machine", "abi", "requirements"])
+def test_libraries_for_other_conditions_are_installed_anew(tree: BuildTree, condition: str) -> None:
+    # Guards against libraries of another Python or architecture that import here by chance.
+    file = tree.deps / ".build.json"
+    record = json.loads(file.read_text())
+    record["conditions"][condition] = "other"
+    file.write_text(json.dumps(record))
+    assert tree.build(has_wheels=False).returncode != 0
+    assert tree.run() == FIRST
+    assert tree.build().returncode == 0
+    assert json.loads(file.read_text())["conditions"][condition] != "other"
+    assert tree.run() == FIRST
+
+
+def test_extension_module_for_another_interpreter_fails_the_build(tree: BuildTree) -> None:
+    # Guards against libraries that quietly do without an extension module that does not fit.
+    tree.require(FOREIGN_VERSION)
+    result = tree.build()
+    assert result.returncode != 0
+    assert "another interpreter or architecture" in result.stderr.splitlines()[-1]
+    assert tree.run() == FIRST
+
+
+def test_few_earlier_builds_are_kept(tree: BuildTree) -> None:
+    # Guards against a disk that fills with builds, and against removing the one before.
+    before = tree.deps.resolve()
+    for number in range(2, BUILDS + 2):
+        tree.number_sources(number)
+        assert tree.build().returncode == 0
+        assert before.exists()
+        before = tree.deps.resolve()
+    assert len(list(before.parent.iterdir())) < BUILDS
