--- a/tests/platform/platform_world.py
+++ b/tests/platform/platform_world.py
@@ -435,15 +435,35 @@
 
     def restart_instance(self, name: str) -> None:
         """Restart an instance at its addresses, without its state."""
+        self.stop_instance(name)
+        self.start_instance(name)
+
+    def stop_instance(self, name: str) -> None:
+        """Stop the process of an instance and wait for its end."""
+        self.running[name].process.stop()
+
+    def start_instance(self, name: str) -> Process:
+        """Start another process of an instance at its addresses; return the earlier process."""
         instance = self.running[name]
-        instance.process.stop()
-        instance.earlier_lines += instance.process.lines
+        earlier_process = instance.process
+        instance.earlier_lines += earlier_process.lines
         instance.process = self._launch(name)
+        return earlier_process
+
+    def settings_of(self, name: str) -> dict[str, Any]:
+        """Return the settings of an instance."""
+        text = (self.directory / f"{name}.json").read_text()
+        cfg: dict[str, Any] = json.loads(text.split("\n", 1)[1])
+        return cfg
+
+    def write_settings(self, name: str, **changes: Any) -> None:
+        """Change settings of an instance in its file."""
+        cfg = {**self.settings_of(name), **changes}
+        (self.directory / f"{name}.json").write_text("// made by a test\n" + json.dumps(cfg))
 
     def reported_state(self, name: str) -> dict[str, Any]:
         """Return the part `beliefs` of the state that an instance shows to operators."""
-        text = (self.directory / f"{name}.json").read_text()
-        cfg = json.loads(text.split("\n", 1)[1])
+        cfg = self.settings_of(name)
         state: dict[str, Any] = json.loads(call(cfg["admin_address"], "GET", "/state").body)
         beliefs: dict[str, Any] = state["beliefs"]
         return beliefs
