Leave the local ports of outgoing connections to listeners

Operators saw a process that did not start: `listen for callers ...: Address already in use`, where nobody listened. The system gives an outgoing connection any free port of its range. Nobody could listen on that port while the connection was open, nor for a minute after this end had closed it (TIME_WAIT), although the listener sets SO_REUSEADDR: both ends of the conflict have to set it, and no outgoing connection did.

Every outgoing TCP connection, to servers, the store, peers and the platform of the duties, is now opened by one module. It sets SO_REUSEADDR before it connects, and IP_BIND_ADDRESS_NO_PORT, so that a port is chosen by `connect`, which takes none that a listener is bound to. An option that a system does not have is left out.

Left: connections of other programs, which a start has to wait for.

--- a/packages/turmericweir/turmericweir/peers/carrier.py
+++ b/packages/turmericweir/turmericweir/peers/carrier.py
@@ -25,6 +25,7 @@
 from turmericweir.process import logs
 from turmericweir.process.foreign_data import DECODE_ERRORS
 from turmericweir.process.node import Node
+from turmericweir.process.outgoing_socket import open_connection
 from turmericweir.servers.backend_stream import CONNECT_TIMEOUT_S, address_of, set_options
 from turmericweir_core.base.ids import ServerName
 from turmericweir_core.messages.events import CarriedChanged
@@ -159,12 +160,9 @@
     async def open(self, origin: str) -> None:
         """Connect to the server and send the result to the peer."""
         host, _, port = self._ask.address.rpartition(":")
-        loop = asyncio.get_running_loop()
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
-                transport, _ = await loop.create_connection(
-                    lambda: _ServerSide(self), host, int(port)
-                )
+                transport, _ = await open_connection(lambda: _ServerSide(self), host, int(port))
         except (OSError, TimeoutError, *DECODE_ERRORS) as exc:
             error = str(exc) or f"no connection within {CONNECT_TIMEOUT_S} s"
             self._carrier.log_refused(origin, self._ask, error)
--- a/packages/turmericweir/turmericweir/peers/peer_dialer.py
+++ b/packages/turmericweir/turmericweir/peers/peer_dialer.py
@@ -17,6 +17,7 @@
 )
 from turmericweir.peers.peer_codec import encode
 from turmericweir.process.foreign_data import DECODE_ERRORS
+from turmericweir.process.outgoing_socket import open_connection
 from turmericweir.servers.backend_pool import Via
 from turmericweir.servers.backend_stream import (
     CONNECT_TIMEOUT_S,
@@ -98,11 +99,10 @@
         """Open a connection to a server by way of a peer; raise httpcore's errors."""
         host, _, port = via.address.rpartition(":")
         protocol: _CarriedProtocol | None = None
-        loop = asyncio.get_running_loop()
         try:
             with anyio.fail_after(_DIAL_TIMEOUT_S):
-                _, protocol = await loop.create_connection(
-                    _CarriedProtocol, host, int(port), local_addr=(self._source_ip, 0)
+                _, protocol = await open_connection(
+                    _CarriedProtocol, host, int(port), source_ip=self._source_ip
                 )
                 set_options(protocol.transport.get_extra_info("socket"))
                 ask = CarryAsk(via.server, address)
--- a/packages/turmericweir/turmericweir/peers/peer_streams.py
+++ b/packages/turmericweir/turmericweir/peers/peer_streams.py
@@ -22,6 +22,7 @@
 from turmericweir.process.errors import PeerError, describe_error
 from turmericweir.process.foreign_data import DECODE_ERRORS
 from turmericweir.process.node import Node
+from turmericweir.process.outgoing_socket import connect_socket
 from turmericweir.servers.backend_stream import set_options
 from turmericweir_core.base.ids import InstanceName
 from turmericweir_core.messages.effects import SendPeer
@@ -121,7 +122,8 @@
     async def _run_connection(self) -> None:
         host, _, port = self.address.rpartition(":")
         with anyio.fail_after(CONNECT_TIMEOUT_S):
-            stream = await anyio.connect_tcp(host, int(port), local_host=self._source_ip)
+            sock = await connect_socket(host, int(port), source_ip=self._source_ip)
+            stream = await SocketStream.from_socket(sock)
         async with stream:
             set_options(stream.extra(SocketAttribute.raw_socket))
             self._reset()
--- a/packages/turmericweir/turmericweir/servers/backend_stream.py
+++ b/packages/turmericweir/turmericweir/servers/backend_stream.py
@@ -21,6 +21,7 @@
 from anyio.lowlevel import checkpoint, checkpoint_if_cancelled
 
 from turmericweir.process.foreign_data import DECODE_ERRORS
+from turmericweir.process.outgoing_socket import open_connection
 from turmericweir.servers.answer_size import FramingCounter
 
 CONNECT_TIMEOUT_S: Final = 0.35
@@ -265,8 +266,7 @@
     host, _, port = address.rpartition(":")
     try:
         with anyio.fail_after(CONNECT_TIMEOUT_S):
-            loop = asyncio.get_running_loop()
-            _, protocol = await loop.create_connection(ConnectionProtocol, host, int(port))
+            _, protocol = await open_connection(ConnectionProtocol, host, int(port))
     except TimeoutError:
         raise httpcore.ConnectTimeout(f"no connection within {CONNECT_TIMEOUT_S} s") from None
     except OSError as exc:
