--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -36,6 +36,7 @@
 from turmericweir.peers.peer_dialer import PeerDialer
 from turmericweir.peers.peer_streams import PeerStreams
 from turmericweir.process import logs
+from turmericweir.process.end_log import REASON_NOT_REQUESTED, REASON_STOP, STOPPED_STATUS, EndLog
 from turmericweir.process.entry_settings import (
     DutiesSettings,
     EntrySettings,
@@ -43,6 +44,7 @@
 )
 from turmericweir.process.listening_socket import bind
 from turmericweir.process.log_pipe import LogPipe
+from turmericweir.process.loop_steps import report_forever, running_steps
 from turmericweir.process.memory_budget import MemoryBudget, peak_size
 from turmericweir.process.node import (
     Adapters,
@@ -54,6 +56,7 @@
 )
 from turmericweir.process.prometheus_metrics import MetricsApp, PrometheusMetrics
 from turmericweir.process.supervisor import run_supervised
+from turmericweir.process.unhandled_errors import UnhandledErrors
 from turmericweir.servers.backend_pool import BackendPool
 from turmericweir.servers.connection_probes import ConnectionProbes
 from turmericweir_core.base.cache_options import CacheOptions
@@ -291,6 +294,9 @@
     """
     async with AsyncExitStack() as stack:
         pipe = stack.enter_context(LogPipe(sys.stdout.fileno(), cfg.name))
+        end = stack.enter_context(EndLog())
+        metrics = PrometheusMetrics()
+        stack.enter_context(UnhandledErrors(metrics))
         logs.write("starting", data_centre=cfg.data_centre, store=cfg.store.address)
         sockets = _bind_all(cfg, callers, stack)
         local_name = InstanceName(cfg.name)
@@ -300,7 +306,6 @@
         streams = await stack.enter_async_context(PeerStreams(local_name, cfg.peer_address))
         datagrams = await stack.enter_async_context(PeerDatagrams(local_name, cfg.peer_address))
         servers = ConnectionProbes(pool)
-        metrics = PrometheusMetrics()
         follower = platform_adapters.make_follower(pool, cfg)
         state = make_state(cfg)
         reduce: Reducer = reducer_store.reduce
@@ -350,10 +355,17 @@
                 lambda: node.state.paths.carried,
             )
             _add_memory_gauges(metrics, node.memory)
+            steps = running_steps()
+            metrics.add_gauge(
+                "turmericweir_longest_step_seconds",
+                "The longest step of the event loop since the start.",
+                lambda: steps.longest_s,
+            )
             tasks: dict[str, Callable[[], Awaitable[None]]] = {
                 "flush logs": partial(pipe.flush_forever, _LOG_FLUSH_INTERVAL_S),
                 "reload settings": partial(_reload_forever, node, file),
                 "tick": node.tick_forever,
+                "report steps": partial(report_forever, steps, metrics),
                 "close idle connections": pool.sweep_forever,
                 "serve peers": streams.serve,
                 "follow settings": follower.follow_document,
@@ -368,7 +380,8 @@
             await _serve(cfg, node, pool, platform_adapters, metrics, sockets)
             group.cancel_scope.cancel()
         logs.write("stopped", in_flight=len(node.active_requests))
-    return 0
+        reason = REASON_STOP if node.is_stopping else REASON_NOT_REQUESTED
+        return end.conclude(reason, STOPPED_STATUS)
 
 
 def _add_memory_gauges(metrics: PrometheusMetrics, memory: MemoryBudget) -> None:
