Build nothing anew where only bytecode was written again

What operators saw: with the build beside the old one, each build after a program that had compiled target/deps again installed all libraries from the package index (10.7 s here) though no source had changed.

Cause: the record's digests of bytecode counted like those of sources.

Now only sources decide whether libraries are installed. Bytecode that differs from the record is kept if all still imports, and made again, without the index, if some is lost or cannot be read. Evidence: test_bytecode_that_others_write_again_is_left_as_it_is and test_lost_bytecode_is_made_again failed in 1 of 1 run on the code before and pass; the 30 tests of the build pass.

Left: bytecode that a program cuts off while it writes it into a folder in use.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -20,7 +20,7 @@
 from pathlib import Path
 from typing import Final
 
-from deploy.build_record import Conditions, Record, digests, is_whole, without_bytecode
+from deploy.build_record import Conditions, Record, digests, without_bytecode
 from deploy.build_swap import point_link
 
 _REQUIREMENTS: Final = Path("deploy/requirements.txt")
@@ -73,11 +73,11 @@
     has_libraries = (
         record is not None
         and record.conditions == conditions
-        and is_whole(_libraries(record.files), _libraries(present))
+        and _libraries(record.files) == _libraries(present)
     )
-    is_built = record is not None and has_libraries and is_whole(record.files, present)
     # A folder in place of the link cannot be replaced without mixing builds in processes that run.
-    if is_built and _LINK.is_symlink() and _is_source(present):
+    is_current = has_libraries and _LINK.is_symlink() and _is_source(present)
+    if record and is_current and _has_bytecode(record.files, present):
         return
     folder = _BUILDS / _UNFINISHED
     if has_libraries:
@@ -99,7 +99,8 @@
 
 def _libraries(files: Mapping[str, str]) -> dict[str, str]:
     own = {package.name for package in _PACKAGES}
-    return {path: digest for path, digest in files.items() if path.split("/")[0] not in own}
+    sources = without_bytecode(files)
+    return {path: digest for path, digest in sources.items() if path.split("/")[0] not in own}
 
 
 def _is_source(files: Mapping[str, str]) -> bool:
@@ -109,8 +110,18 @@
         for package in _PACKAGES
         for path, digest in without_bytecode(digests(package)).items()
     }
-    built = without_bytecode(files)
-    return {path: built[path] for path in built.keys() - _libraries(built).keys()} == source
+    return without_bytecode(files) == _libraries(files) | source
+
+
+def _has_bytecode(recorded: Mapping[str, str], present: Mapping[str, str]) -> bool:
+    """Return whether no bytecode is lost, and what others have written again can be imported."""
+    if recorded.items() <= present.items():
+        return True
+    try:
+        _check(_LINK)
+    except BuildError:
+        return False
+    return recorded.keys() <= present.keys()
 
 
 def _ignore_bytecode(_: str, names: list[str]) -> list[str]:
--- a/deploy/build_record.py
+++ b/deploy/build_record.py
@@ -77,13 +77,6 @@
     return found
 
 
-def is_whole(recorded: Mapping[str, str], present: Mapping[str, str]) -> bool:
-    """Return whether all recorded files are there unchanged, and no others but bytecode."""
-    return recorded.items() <= present.items() and without_bytecode(present) == without_bytecode(
-        recorded
-    )
-
-
 def without_bytecode(files: Mapping[str, str]) -> dict[str, str]:
-    """Leave out what an interpreter may add by itself."""
+    """Leave out what interpreters and other programs may add or write again."""
     return {path: digest for path, digest in files.items() if _BYTECODE not in path.split("/")}
--- a/tests/platform/test_build.py
+++ b/tests/platform/test_build.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import compileall
 import errno
 import json
 import os
+import py_compile
 import shutil
 import signal
 import subprocess
@@ -68,6 +70,11 @@
     file.write_bytes(file.read_bytes()[:100])
 
 
+def _has_short_bytecode(tree: BuildTree) -> None:
+    (file,) = (tree.deps / LIBRARY / "__pycache__").glob("__init__*.pyc")
+    file.write_bytes(file.read_bytes()[:20])
+
+
 def _is_of_another_version(tree: BuildTree) -> None:
     tree.require("1.1")
     assert tree.build().returncode == 0
@@ -90,6 +97,7 @@
         _has_lost_the_library,
         _has_lost_a_module,
         _has_a_short_module,
+        _has_short_bytecode,
         _is_of_another_version,
         _is_gone,
     ],
@@ -197,6 +205,29 @@
     assert tree.run() == ["1.0", "2", "2", "2", "2", "2"]
 
 
+def test_bytecode_that_others_write_again_is_left_as_it_is(tree: BuildTree) -> None:
+    # Guards against installing and compiling again after each program that compiles what it runs.
+    built = tree.deps.resolve()
+    for file in (tree.deps / LIBRARY / "__pycache__").iterdir():
+        file.unlink()
+    mode = py_compile.PycInvalidationMode.TIMESTAMP
+    compileall.compile_dir(tree.deps, force=True, quiet=1, invalidation_mode=mode)
+    result = tree.build(has_wheels=False)
+    assert result.returncode == 0, result.stderr
+    assert tree.deps.resolve() == built
+    assert tree.run() == FIRST
+
+
+def test_lost_bytecode_is_made_again(tree: BuildTree) -> None:
+    # Guards against processes that compile at each start, since they cannot keep the result.
+    folder = tree.deps / LIBRARY / "__pycache__"
+    shutil.rmtree(folder)
+    result = tree.build(has_wheels=False)
+    assert result.returncode == 0, result.stderr
+    assert list(folder.iterdir())
+    assert tree.run() == FIRST
+
+
 def test_module_that_was_removed_is_not_built(tree: BuildTree) -> None:
     # Guards against modules of an earlier build that stay importable.
     extra = tree.root / "packages" / "turmericweir" / "turmericweir" / "extra.py"
