Test that operators' commands import nothing late, and list what fails

The module that shows the duties is imported at the first request for it. A process that has run since a build which was removed answers that request with an error.

--- a/tests/platform/test_duties.py
+++ b/tests/platform/test_duties.py
@@ -163,3 +163,21 @@
         instance = world.add_instance("entry-1", wait=False)
         until(lambda: not instance.process.is_running, "the process ends")
         assert "duties.window_s" in instance.process.stderr_text()
+
+
+def test_commands_of_operators_import_nothing_late(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against modules that a long-running process looks for when its build is gone.
+    monkeypatch.setenv("PYTHONPROFILEIMPORTTIME", "1")
+    with PlatformWorld(tmp_path, instances=1, duties=dict(DUTIES)) as world:
+        until(lambda: bool(world.duty_standin.holders()), "an instance holds the duties")
+        stderr = world.running["entry-1"].process.stderr_path
+        at_start = len(stderr.read_text().splitlines())
+        assert at_start
+        cfg = json.loads((tmp_path / "entry-1.json").read_text().split("\n", 1)[1])
+        for command in ("duties", "servers", "status", "state"):
+            result = CliRunner().invoke(cli, ["--admin", cfg["admin_address"], command])
+            assert result.exit_code == 0
+        imported = stderr.read_text().splitlines()[at_start:]
+    assert not [line for line in imported if "turmericweir" in line]
