Set up the work environment anew if it is of another machine

What developers saw: `make test` with a .venv that was carried over from another architecture or Python version, or whose interpreter is gone, ends at the first import or command; only `make clean` helped.

Cause: the stamp in .venv is newer than the files that it depends on, and nothing else was asked. It was there since the stamp is in the Makefile.

Now extension modules that the interpreter in .venv cannot load, which are all of them if it does not start, make .venv anew. An environment whose set-up was cut off before pip was there is made anew as well.

Left: a library that was lost from .venv, or has another version, is not noticed.

--- a/Makefile
+++ b/Makefile
@@ -18,13 +18,20 @@
 # `test` relies on the order of its prerequisites: pytest's summary must be the last line of output.
 .NOTPARALLEL:
 
-.PHONY: venv fmt lint types unit test demo bench-overhead measure measure-control soak clean
+.PHONY: venv remove-venv fmt lint types unit test demo bench-overhead measure measure-control soak clean
 
 venv: $(STAMP)
 
+# Extension modules that the interpreter in .venv cannot load, as in a folder that was carried over
+# from another architecture; all of them if that interpreter does not start.
+VENV_ABI := $(shell $(BIN)/python -S -c \
+	'import sysconfig; print(sysconfig.get_config_var("SOABI"))' 2>/dev/null)
+FOREIGN := $(shell find $(VENV) -name '*.cpython-*.so' ! -name '*.$(VENV_ABI).so' -print -quit \
+	2>/dev/null)
+
 # All packages go in with one pip call, so that their pins on each other are met by the work tree.
-$(STAMP): pyproject.toml requirements-dev.txt $(PROJECTS)
-	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+$(STAMP): pyproject.toml requirements-dev.txt $(PROJECTS) $(if $(FOREIGN),remove-venv)
+	$(BIN)/python -m pip --version >/dev/null 2>&1 || $(PYTHON) -m venv --clear $(VENV)
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check \
 		-r requirements-dev.txt $(addprefix -e ./,$(PACKAGES))
 	touch $@
@@ -65,6 +72,9 @@
 soak: $(STAMP)
 	$(BIN)/python -m turmericweir_standins.soak
 
+remove-venv:
+	rm -rf $(VENV)
+
 clean:
 	rm -rf $(VENV) build .pytest_cache .mypy_cache .ruff_cache .hypothesis
 	rm -rf $(addsuffix /build,$(PACKAGES)) $(addsuffix /*.egg-info,$(PACKAGES))
