--- a/deploy/build.py
+++ b/deploy/build.py
@@ -10,7 +10,6 @@
 
 import compileall
 import fcntl
-import os
 import py_compile
 import shutil
 import subprocess
@@ -175,5 +174,4 @@
 
 
 if __name__ == "__main__":
-    os.umask(0o022)
     sys.exit(main())
