--- a/tests/platform/build_tree.py
+++ b/tests/platform/build_tree.py
@@ -58,6 +58,9 @@
         self.root = root / "tree"
         self.target = self.root / "target"
         self.deps = self.target / "deps"
+        # Where pip unpacks what it installs.
+        self.temporary = root / "temporary"
+        self.temporary.mkdir()
         self._wheels = root / "wheels"
         self._wheels.mkdir()
         for version in ("1.0", "1.1", FOREIGN_VERSION):
@@ -95,6 +98,7 @@
             cwd=self.root,
             env=_environment()
             | {
+                "TMPDIR": str(self.temporary),
                 "PIP_CONFIG_FILE": os.devnull,
                 "PIP_NO_INDEX": "1",
                 "PIP_FIND_LINKS": str(self._wheels) if has_wheels else os.devnull,
--- a/tests/platform/test_build.py
+++ b/tests/platform/test_build.py
@@ -164,6 +164,26 @@
     assert not list(tree.remains())
 
 
+def test_installation_that_outlives_its_build_does_not_reach_the_next(tree: BuildTree) -> None:
+    # Guards against pip, left alone by a killed build, that installs into the next one's folder.
+    tree.require("1.1")
+    with tree.start_build() as killed:
+        while not list(tree.temporary.glob("pip-target-*/**/METADATA")):
+            assert killed.poll() is None
+        pip = int(Path(f"/proc/{killed.pid}/task/{killed.pid}/children").read_text())
+        os.kill(pip, signal.SIGSTOP)
+        killed.kill()
+        tree.require("1.0")
+        shutil.rmtree(tree.deps / LIBRARY)
+        with tree.start_build() as process:
+            while len(list(tree.temporary.glob("pip-target-*"))) < 2 and process.poll() is None:
+                pass
+            os.kill(pip, signal.SIGCONT)
+            _, err = process.communicate()
+    assert process.returncode == 0, err
+    assert tree.run() == FIRST
+
+
 def test_build_whose_libraries_are_not_found_leaves_the_old_one(tree: BuildTree) -> None:
     # Guards against a failed build that takes away what processes start from.
     tree.require("9.9")
