--- a/tests/daemon/test_log_pipe.py
+++ b/tests/daemon/test_log_pipe.py
@@ -5,6 +5,7 @@
 import json
 import logging
 import os
+import threading
 from collections.abc import Iterator
 from typing import Any
 
@@ -109,3 +110,33 @@
         log.flush()
         eliot.log_message(message_type="ready")
     os.close(fd)
+
+
+def test_last_lines_reach_a_slow_reader(pipe: tuple[Reader, LogPipe]) -> None:
+    # Guards against an end whose reason is lost because the reader is behind.
+    reader, log = pipe
+    lines: list[dict[str, Any]] = []
+    is_over = threading.Event()
+
+    def read_on() -> None:
+        while not is_over.wait(0.001):
+            lines.extend(reader.lines())
+
+    thread = threading.Thread(target=read_on)
+    with log:
+        # More than a pipe holds.
+        for number in range(500):
+            eliot.log_message(message_type="state", number=number, text="x" * 300)
+        eliot.log_message(message_type="ended")
+        thread.start()
+    is_over.set()
+    thread.join()
+    assert (lines + reader.lines())[-1]["event"] == "ended"
+
+
+def test_reader_that_stands_still_does_not_hold_up_the_end(pipe: tuple[Reader, LogPipe]) -> None:
+    # Guards against a process that never ends because nobody reads its log.
+    _, log = pipe
+    with log:
+        for number in range(500):
+            eliot.log_message(message_type="state", number=number, text="x" * 300)
--- a/tests/daemon/test_node.py
+++ b/tests/daemon/test_node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any, cast
 
 import anyio
@@ -48,3 +49,25 @@
         node.handle(Tick())
     assert metrics.counted == ["fault.perform", "later"]
     assert node.exit_requested.is_set()
+
+
+async def test_cancelled_future_in_the_background_leaves_the_others() -> None:
+    """Guards against a future that someone else cancels and that ends the whole process."""
+    adapters = Adapters(cast(Any, None), cast(Any, None), cast(Any, None), cast(Any, _Metrics()))
+    is_over = anyio.Event()
+    fut: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+    fut.cancel()
+
+    async def await_cancelled() -> None:
+        await fut
+
+    async def end_later() -> None:
+        await anyio.lowlevel.checkpoint()
+        await anyio.lowlevel.checkpoint()
+        is_over.set()
+
+    async with anyio.create_task_group() as group:
+        node = Node(cast(Any, _State()), cast(Any, None), adapters, group, unread_s=1.0)
+        node.run_in_background(await_cancelled)
+        node.run_in_background(end_later)
+    assert is_over.is_set()
--- a/tests/daemon/test_stop.py
+++ b/tests/daemon/test_stop.py
@@ -9,6 +9,7 @@
 import signal
 import socket
 import sys
+import time
 from pathlib import Path
 from typing import Any
 
@@ -78,6 +79,15 @@
         assert single.process.wait() == 130
 
 
+def test_signals_until_the_process_is_gone_end_it_as_one_stop(tmp_path: Path) -> None:
+    # Guards against a signal beside a stop that ends the process before the stop has.
+    with Single(tmp_path, settings={"stop_grace_s": 0.1}) as single:
+        while single.process.is_running:
+            os.kill(single.process.pid, signal.SIGTERM)
+            time.sleep(0.002)
+        assert single.process.wait() == 0
+
+
 # Any: tests also need invalid values.
 def settings(**changes: Any) -> dict[str, Any]:
     """Return valid settings with the changes applied; None removes a field."""
--- a/tests/daemon/test_supervisor.py
+++ b/tests/daemon/test_supervisor.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections import Counter
 
 import anyio
@@ -75,3 +76,52 @@
         group.start_soon(run_supervised, "sleeps", anyio.sleep_forever, _Counts())
         await anyio.lowlevel.checkpoint()
         group.cancel_scope.cancel()
+
+
+async def await_cancelled() -> None:
+    """Await a future that someone else has cancelled."""
+    fut: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+    fut.cancel()
+    await fut
+
+
+async def test_cancelled_future_is_a_failure_of_its_task_only() -> None:
+    """Guards against a future that someone else cancels and that ends the whole process."""
+    counts = _Counts()
+    attempts: list[int] = []
+    others_end = anyio.Event()
+
+    async def await_cancelled_once() -> None:
+        attempts.append(1)
+        if len(attempts) == 1:
+            await await_cancelled()
+        others_end.set()
+
+    async def other() -> None:
+        await others_end.wait()
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(run_supervised, "other", other, counts)
+        group.start_soon(run_supervised, "awaits", await_cancelled_once, counts)
+    assert len(attempts) == 2
+    assert others_end.is_set()
+    assert counts.by_name == {"fault.task": 1}
+
+
+async def test_cancelled_future_beside_a_cancelled_group_ends_the_task() -> None:
+    """Guards against a task that goes on after a stop, since a future was cancelled as well."""
+    counts = _Counts()
+    started = anyio.Event()
+
+    async def wait_and_fail() -> None:
+        started.set()
+        try:
+            await anyio.sleep_forever()
+        finally:
+            await await_cancelled()
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(run_supervised, "awaits", wait_and_fail, counts)
+        await started.wait()
+        group.cancel_scope.cancel()
+    assert not counts.by_name
--- a/tests/platform/faulty_instance.py
+++ b/tests/platform/faulty_instance.py
@@ -32,6 +32,12 @@
     await fut
 
 
+async def _cancel_in_group() -> None:
+    async with anyio.create_task_group() as group:
+        group.start_soon(_await_cancelled_future)
+        await anyio.sleep_forever()
+
+
 def _fail() -> None:
     raise ValueError("a fault of the test")
 
@@ -68,6 +74,7 @@
 FAULTS: Final[dict[str, Callable[[], Awaitable[None]]]] = {
     "cancelled future": _await_cancelled_future,
     "cancelled future in background": _cancel_in_background,
+    "cancelled future in a group": _cancel_in_group,
     "exception": _fail_here,
     "exception in callback": _fail_in_callback,
     "crash": _crash_here,
@@ -76,6 +83,10 @@
 }
 
 
+# After these the task that runs them returns, as tasks do whose body is only such a step.
+_RETURNING_FAULTS: Final = frozenset({"cancelled future in a group"})
+
+
 def _take_trigger(trigger: Path) -> str:
     if not trigger.exists():
         return ""
@@ -92,6 +103,8 @@
         kind = _take_trigger(trigger)
         if kind:
             await FAULTS[kind]()
+        if kind in _RETURNING_FAULTS:
+            return
 
 
 class _NotedServer(HttpServer):
--- a/tests/platform/test_process_ends.py
+++ b/tests/platform/test_process_ends.py
@@ -73,3 +73,31 @@
     argv = ["sh", "-c", 'exec "$@" 2>&-', "sh", sys.executable, "-c", code]
     result = subprocess.run(argv, capture_output=True, text=True, check=True)
     assert result.stdout == "ok\n"
+
+
+@pytest.mark.parametrize(
+    "fault",
+    ["cancelled future", "cancelled future in background", "cancelled future in a group"],
+)
+def test_cancelled_future_ends_one_task_only(tmp_path: Path, fault: str) -> None:
+    # Guards against a future that someone else cancels and that ends the whole process.
+    with FaultyWorld(tmp_path) as world:
+        instance = world.running["entry-1"]
+        world.trigger("entry-1", fault)
+        until(
+            lambda: bool(instance.logged("fault") or instance.logged("background_failed")),
+            "the failure is logged",
+        )
+        assert world.send_safe().status == 200
+        assert instance.process.is_running
+
+
+def test_end_that_nobody_asked_for_has_a_reason_and_another_exit_code(tmp_path: Path) -> None:
+    # Guards against a process that ends by itself and looks as if it had been stopped.
+    with FaultyWorld(tmp_path) as world:
+        instance = world.running["entry-1"]
+        world.trigger("entry-1", "end of serving")
+        assert instance.process.wait(20) == 1
+        line = ended_line(instance)
+        assert (line["reason"], line["exit_code"]) == ("not_requested", 1)
+        assert line["subject"] == "serve callers"
