--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -376,7 +376,7 @@
             )
             tasks: dict[str, Callable[[], Awaitable[None]]] = {
                 "flush logs": partial(pipe.flush_forever, _LOG_FLUSH_INTERVAL_S),
-                "reload settings": partial(_reload_forever, node, file, cfg),
+                "reload settings": partial(_reload_forever, node, file),
                 "tick": node.tick_forever,
                 "report steps": partial(report_forever, steps, metrics),
                 "close idle connections": pool.sweep_forever,
@@ -531,7 +531,7 @@
     await server.serve([sock])
 
 
-async def _reload_forever(node: Node, file: SettingsFile, cfg: EntrySettings) -> None:
+async def _reload_forever(node: Node, file: SettingsFile) -> None:
     """Reload the settings file when it changes, and again until it is whole.
 
     Addresses of ports do not change. An invalid file is ignored.
@@ -542,15 +542,15 @@
         is_changed = file.has_changed()
         if not is_changed and file.is_confirmed():
             continue
+        earlier = file.last_whole
         result = file.read()
         if not is_successful(result):
             if str(result.failure()) != error:
                 error = str(result.failure())
                 logs.write("reload_failed", error=error)
             continue
-        if is_changed or error or result.unwrap() != cfg:
-            cfg = result.unwrap()
-            _apply_settings(node, cfg)
+        if is_changed or error or file.last_whole != earlier:
+            _apply_settings(node, result.unwrap())
         error = ""
 
 
--- a/packages/turmericweir/turmericweir/process/entry_settings.py
+++ b/packages/turmericweir/turmericweir/process/entry_settings.py
@@ -172,9 +172,12 @@
     _version: _FileVersion | None
     # Whether no other read is needed until the version changes.
     _is_confirmed: bool
+    # What the last successful read returned.
+    last_whole: EntrySettings | None
 
     def __init__(self, path: Path) -> None:
         self._path = path
+        self.last_whole = None
         self._version = None
         self._is_confirmed = False
 
@@ -186,6 +189,7 @@
         # Two writes within one step of the file system's clock can leave the same version.
         self._is_confirmed = is_successful(result) and version == self._version
         self._version = version
+        self.last_whole = result.value_or(self.last_whole)
         return result
 
     def has_changed(self) -> bool:
