Do not wait for the reader of the own interface's log

What operators could see: a process that answers nobody as soon as what reads its standard error stops and the pipe is full, as long as this log has existed. Lines were written to a blocking stream from the event loop. Looked for as the class of closed streams; not reported by anybody.

The descriptor is non-blocking while the log is open, as that of `LogPipe`. A line that is not accepted is dropped and counted (`log_dropped`); of one that is accepted in part the rest goes before any other line.

Left: nothing is buffered, so a burst beyond what a pipe holds is dropped at once, and a rest that is still there when the log closes is lost.

--- a/packages/turmericweir/turmericweir/process/logs.py
+++ b/packages/turmericweir/turmericweir/process/logs.py
@@ -8,6 +8,7 @@
 
 import json
 import logging
+import os
 import sys
 import traceback as traceback_module
 from datetime import UTC, datetime
@@ -52,21 +53,33 @@
 
 
 class LogFile:
-    """The log destination of a process that logs to a file or standard error."""
+    """The log destination of a process that logs to a file or standard error.
+
+    Writes do not wait for a reader: a line that it does not accept is dropped and counted.
+    """
 
     # None for standard error, which is not closed.
     _path: Path | None
     _out: TextIO
     _handler: LibraryHandler
+    _was_blocking: bool
+    # The rest of a line of which the reader accepted only a part.
+    _rest: bytes
+    # Lines that were dropped since the last `log_dropped` line.
+    dropped_lines: int
 
     def __init__(self, path: str | None) -> None:
         self._path = Path(path) if path is not None else None
         self._out = sys.stderr
+        self._rest = b""
+        self.dropped_lines = 0
         self._handler = LibraryHandler(logging.WARNING)
 
     def __enter__(self) -> Self:
         if self._path is not None:
             self._out = self._path.open("a", encoding="utf-8", buffering=1)
+        self._was_blocking = os.get_blocking(self._out.fileno())
+        os.set_blocking(self._out.fileno(), False)
         eliot.add_destinations(self._write_message)
         logging.getLogger().addHandler(self._handler)
         return self
@@ -79,11 +92,34 @@
     ) -> None:
         logging.getLogger().removeHandler(self._handler)
         eliot.remove_destination(self._write_message)
+        os.set_blocking(self._out.fileno(), self._was_blocking)
         if self._path is not None:
             self._out.close()
 
     def _write_message(self, message: dict[str, Any]) -> None:
-        self._out.write(format_line(message) + "\n")
+        if self.dropped_lines:
+            fields = {"message_type": "log_dropped", "lines": self.dropped_lines}
+            if self._try_write(format_line({"timestamp": message["timestamp"], **fields})):
+                self.dropped_lines = 0
+        if not self._try_write(format_line(message)):
+            self.dropped_lines += 1
+
+    def _try_write(self, line: str) -> bool:
+        """Write a line; return whether it will reach the reader."""
+        if self._rest:
+            self._write_bytes(self._rest)
+        if self._rest:
+            return False
+        return self._write_bytes(line.encode(errors="backslashreplace") + b"\n")
+
+    def _write_bytes(self, data: bytes) -> bool:
+        """Write data, or a part and keep the rest; return whether any was accepted."""
+        try:
+            written = os.write(self._out.fileno(), data)
+        except OSError:
+            return False
+        self._rest = data[written:]
+        return written > 0
 
 
 class LibraryHandler(logging.Handler):
