Give each unfinished build a folder of its own

What operators saw: nothing yet; the build beside the old one is new. A build right after one that was killed alone could fail with "version A is pinned, B is installed", and pass when run once more.

Cause: pip goes on when its parent is killed, and both builds used the same folder. Now the name is random, and a folder that is still written to is left for the next build to remove.

Left: pip that is left alone goes on to its end, and what it made lies there until the next build.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -11,6 +11,7 @@
 import compileall
 import fcntl
 import py_compile
+import secrets
 import shutil
 import subprocess
 import sys
@@ -78,7 +79,8 @@
     is_current = has_libraries and _LINK.is_symlink() and _is_source(present)
     if record and is_current and _has_bytecode(record.files, present):
         return
-    folder = _BUILDS / _UNFINISHED
+    # A name of its own: pip goes on in the folder of a build that was killed.
+    folder = _BUILDS / f"{_UNFINISHED}-{secrets.token_hex(8)}"
     if has_libraries:
         shutil.copytree(_LINK, folder, ignore=_ignore_own)
     else:
@@ -170,7 +172,8 @@
             if entry.is_symlink():
                 entry.unlink()
             else:
-                shutil.rmtree(entry)
+                # What pip still writes there is left for the next build.
+                shutil.rmtree(entry, ignore_errors=True)
 
 
 if __name__ == "__main__":
