--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -532,24 +532,34 @@
 
 
 async def _reload_forever(node: Node, file: SettingsFile) -> None:
-    """Reload the settings file when it changes.
+    """Reload the settings file when it changes, and again until it is whole.
 
     Addresses of ports do not change. An invalid file is ignored.
     """
+    error = ""
     while True:
         await anyio.sleep(_RELOAD_INTERVAL_S)
-        if not file.has_changed():
+        is_changed = file.has_changed()
+        if not is_changed and file.is_confirmed():
             continue
+        earlier = file.last_whole
         result = file.read()
         if not is_successful(result):
-            logs.write("reload_failed", error=str(result.failure()))
+            if str(result.failure()) != error:
+                error = str(result.failure())
+                logs.write("reload_failed", error=error)
             continue
-        cfg = result.unwrap()
-        node.state.options = make_options(cfg)
-        node.answer_bounds = cfg.answers
-        node.handle(SeedsGiven(cfg.peer_seeds))
-        logs.write("reloaded", bounds=msgspec.to_builtins(cfg.bounds))
-        _log_adjusted_bounds(cfg)
+        if is_changed or error or file.last_whole != earlier:
+            _apply_settings(node, result.unwrap())
+        error = ""
+
+
+def _apply_settings(node: Node, cfg: EntrySettings) -> None:
+    node.state.options = make_options(cfg)
+    node.answer_bounds = cfg.answers
+    node.handle(SeedsGiven(cfg.peer_seeds))
+    logs.write("reloaded", bounds=msgspec.to_builtins(cfg.bounds))
+    _log_adjusted_bounds(cfg)
 
 
 async def _read_clock_forever(node: Node) -> None:
