Let a few requests begin in each step of the event loop

What callers and operators saw: while a thousand callers on open connections send at once (after the process did not run for a while, or after a network came back), the process answers no readiness check, sends no heartbeat and reads no answer until it has begun all of their requests. With two thousand callers the proof of the keys became too old meanwhile, and a request that could be served at once got 503.

Cause: all connections that are ready are read in one step of the event loop, and the tasks of all their requests run in the next one. To begin a request for a model takes longer the more requests wait, since its predicted wait is the sum over those.

Between two steps the loop reads its sockets and runs its timers. A request that comes alone is not delayed. The work for all of a rush is what it was.

Left: the predicted wait is still summed over all that waits, for each new request.

--- a/packages/turmericweir/turmericweir/callers/forward_app.py
+++ b/packages/turmericweir/turmericweir/callers/forward_app.py
@@ -15,6 +15,7 @@
 from turmericweir.answers.caller_refusal import RefusedError
 from turmericweir.answers.forward_answer import ForwardAnswer
 from turmericweir.answers.forward_wire import RequestHead, WireAdapter
+from turmericweir.callers.arrival_gate import ArrivalGate
 from turmericweir.callers.caller_memory import CallerMemory, TrackedCaller
 from turmericweir.callers.exchange import Exchange
 from turmericweir.callers.http_server import CONNECTION_KEY, TARGET_KEY, LimitedProtocol
@@ -44,6 +45,7 @@
     _pool: BackendPool
     _wire: WireAdapter
     _memory: CallerMemory
+    _gate: ArrivalGate
     _wait_for_settings_until: float
 
     def __init__(
@@ -53,6 +55,7 @@
         self._pool = pool
         self._wire = wire
         self._memory = memory
+        self._gate = ArrivalGate()
         self._wait_for_settings_until = anyio.current_time() + SETTINGS_WAIT_S
 
     async def __call__(
@@ -63,6 +66,7 @@
         connection = scope["state"][CONNECTION_KEY]
         assert isinstance(connection, LimitedProtocol)
         head = _read_head(scope)
+        await self._gate.enter()
         request_id = self._unique_id(self._wire.request_id_for(head))
         caller = Caller(request_id, send, connection.coalescing_transport)
         caller.should_close = self._node.is_stopping
