Free what a connection holds when it is reset

What operators saw: a process that ends by its memory limit when many callers have sent at once, for instance after it did not run for a while.

Cause: when what is held is more than the room, connections are reset until it fits, and what they held counts as free at once. The event loop drops a connection only in its next step, though, and until then it reads all others that are ready. So what was read in one step took the sum of all reads, whatever the room. There since connections are reset for want of memory.

Why this works: a reset connection lets go of its buffers at once; nothing of them is used any more. A connection that is reset while what it has sent is being counted keeps nothing of it.

What the kernel has received and the process has not read is not bounded by this.

--- a/packages/turmericweir/turmericweir/callers/http_server.py
+++ b/packages/turmericweir/turmericweir/callers/http_server.py
@@ -175,6 +175,9 @@
         if self._is_end_sent:
             return
         type(self).count_read(len(data))
+        if self.transport.is_closing():
+            # Reset by the count.
+            return
         self._unparsed += data
         if not self._is_parse_scheduled:
             self._parse()
@@ -452,6 +455,17 @@
         if sock is not None:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
         self.transport.abort()
+        self._free_unread()
+
+    def _free_unread(self) -> None:
+        """Free what was received, of which nothing more is used.
+
+        The event loop drops a connection only in its next step, until which thousands of others may
+        be read.
+        """
+        self._unparsed = b""
+        if self.cycle is not None:
+            self.cycle.body = bytearray()
 
     def _end_idle(self) -> None:
         """Close this end of a connection without a request, with an answer that nothing was run.
