Add a soak that watches how one process grows

The first instance is never ended: others are killed, stopped and suspended around it, settings with many routes come in quick succession, crowds come to its ports, and callers leave before they have read.

--- a/tests/platform/platform_world.py
+++ b/tests/platform/platform_world.py
@@ -176,6 +176,16 @@
         self.version += 1
         self.store.write(OPERATOR, "config", {**document(self.version), **changes})
 
+    def publish_more_routes(self, count: int, first: int = 0, **changes: Any) -> None:
+        """Write the next version of the settings, with many routes besides the usual ones."""
+        base = document(1)["routes"]
+        more = [
+            {**route, "name": f"more-{number}", "path-prefix": f"/more/{number}/"}
+            for number in range(first, first + count)
+            for route in (base[number % len(base)],)
+        ]
+        self.publish(routes=base + more, **changes)
+
     def register(self, name: str, **changes: Any) -> None:
         """Write the entry of a server to the store."""
         server = self.servers[name]
@@ -440,11 +450,17 @@
         instance.earlier_lines += instance.process.lines
         instance.process = self._launch(name)
 
+    def instance_address(self, name: str, port: str) -> str:
+        """Return the address of a port of an instance, by its name in the settings file."""
+        text = (self.directory / f"{name}.json").read_text()
+        address: str = json.loads(text.split("\n", 1)[1])[f"{port}_address"]
+        return address
+
     def reported_state(self, name: str) -> dict[str, Any]:
         """Return the part `beliefs` of the state that an instance shows to operators."""
-        text = (self.directory / f"{name}.json").read_text()
-        cfg = json.loads(text.split("\n", 1)[1])
-        state: dict[str, Any] = json.loads(call(cfg["admin_address"], "GET", "/state").body)
+        state: dict[str, Any] = json.loads(
+            call(self.instance_address(name, "admin"), "GET", "/state").body
+        )
         beliefs: dict[str, Any] = state["beliefs"]
         return beliefs
 
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -11,6 +11,7 @@
 from tests.platform.soak_copies import CopySoak
 from tests.platform.soak_cuts import CutSoak
 from tests.platform.soak_ends import EndSoak
+from tests.platform.soak_growth import GrowthSoak
 from tests.platform.soak_notices import NoticeSoak
 from tests.platform.soak_partitions import PartitionSoak
 from tests.platform.soak_repeats import RepeatSoak
@@ -89,3 +90,9 @@
 def test_streams_keep_their_version_where_engines_start_again_unlisted(tmp_path: Path) -> None:
     # Guards against streams that begin or go on by the entry of an earlier start of an engine.
     assert not soak.run(1, 12.0, tmp_path, RestartSoak)
+
+
+def test_one_process_runs_through_all_trouble_within_its_memory(tmp_path: Path) -> None:
+    # Guards against a process that ends by itself, or takes more than its share of memory, while
+    # others are killed, settings grow and crowds come.
+    assert not soak.run(1, 14.0, tmp_path, GrowthSoak)
