--- a/tests/platform/platform_world.py
+++ b/tests/platform/platform_world.py
@@ -176,6 +176,16 @@
         self.version += 1
         self.store.write(OPERATOR, "config", {**document(self.version), **changes})
 
+    def publish_more_routes(self, count: int, first: int = 0, **changes: Any) -> None:
+        """Write the next version of the settings, with many routes besides the usual ones."""
+        base = document(1)["routes"]
+        more = [
+            {**route, "name": f"more-{number}", "path-prefix": f"/more/{number}/"}
+            for number in range(first, first + count)
+            for route in (base[number % len(base)],)
+        ]
+        self.publish(routes=base + more, **changes)
+
     def register(self, name: str, **changes: Any) -> None:
         """Write the entry of a server to the store."""
         server = self.servers[name]
@@ -461,10 +471,16 @@
         cfg = {**self.settings_of(name), **changes}
         (self.directory / f"{name}.json").write_text("// made by a test\n" + json.dumps(cfg))
 
+    def instance_address(self, name: str, port: str) -> str:
+        """Return the address of a port of an instance, by its name in the settings file."""
+        address: str = self.settings_of(name)[f"{port}_address"]
+        return address
+
     def reported_state(self, name: str) -> dict[str, Any]:
         """Return the part `beliefs` of the state that an instance shows to operators."""
-        cfg = self.settings_of(name)
-        state: dict[str, Any] = json.loads(call(cfg["admin_address"], "GET", "/state").body)
+        state: dict[str, Any] = json.loads(
+            call(self.instance_address(name, "admin"), "GET", "/state").body
+        )
         beliefs: dict[str, Any] = state["beliefs"]
         return beliefs
 
