Show that an invalid status of a server's answer resets the caller

Servers answer requests of all four kinds with statuses that are none, directly and by way of a peer, once and at each try. With 600 and 999 a caller that gets no other try has its connection reset, and the log has no end of the request. The other statuses of the test end in 502 already, and requests that may be repeated are answered by another server as long as one answers.

--- a/tests/platform/standin_answers.py
+++ b/tests/platform/standin_answers.py
@@ -36,6 +36,8 @@
     is_reset: bool = False
     # Whether the server leaves the answer to its system, and does not wait until it is read.
     is_unread: bool = False
+    # As written in the first line.
+    status: str = "200"
 
     def __str__(self) -> str:
         end = "" if self.breaks is Break.NOWHERE else "-reset" if self.is_reset else "-closed"
@@ -58,7 +60,7 @@
             lines.append("Transfer-Encoding: chunked")
         case Framing.CONNECTION_END:
             pass
-    await call.write("\r\n".join(["HTTP/1.1 200 X", *lines, "", ""]).encode())
+    await call.write("\r\n".join([f"HTTP/1.1 {form.status} X", *lines, "", ""]).encode())
     for part in _written_parts(form.breaks, parts):
         data = chunk(part) if form.framing is Framing.CHUNKED else part
         if form.is_unread:
