Take an answer whose status ends no request for none

A caller whose server answered with a status of 600 to 999 had its connection reset without any answer, and the log had `placed` and no `finished`.

The parser of answers takes any three digits from 200 for a final status, and the server of callers knows lines for 100 to 599 only: writing the head raised KeyError after the request had its final account, so the error left the exchange before the end was logged. 000 and 099 never came so far, because the parser refuses them.

The connection to a server now refuses each status outside 200 to 599 as an error of the protocol, which also covers a switch of protocols (101) that nobody asked for. All that reads a head goes through this place: attempts of every kind, direct or by way of a peer, load and health checks, and calls of the store and of the platform. The end of the attempt is that of any malformed answer: another try if the request may be repeated, otherwise 502, and the connection is closed.

Left: other errors in writing to the caller still end a request without its line in the log.

--- a/packages/turmericweir/turmericweir/servers/backend_pool.py
+++ b/packages/turmericweir/turmericweir/servers/backend_pool.py
@@ -29,6 +29,9 @@
 # A request that must not run twice uses a new connection or one that was idle for less than this.
 # Prevents losing the request on a dropped connection without knowing whether the server ran it.
 VERIFIED_IDLE_MAX_S: Final = 1.0
+# The statuses that end a request. The parser also takes any other three digits above them, and 101
+# for a change of the protocol, which no request asks for.
+_FINAL_STATUSES: Final = range(200, 600)
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,12 +98,16 @@
         """Send a request and read the head of its answer.
 
         Calls `before_write` on the open connection just before the first byte is written, which is
-        before the server can start.
+        before the server can start. An answer whose status does not end a request is an error of
+        the protocol, and the connection carries no other request.
         """
         self.has_sent = self.has_carried_request = True
         self._stream.before_write = before_write
         self._stream.framing.reset()
-        return await self._http.handle_async_request(request)
+        response = await self._http.handle_async_request(request)
+        if response.status not in _FINAL_STATUSES:
+            raise httpcore.RemoteProtocolError(f"status {response.status} does not end a request")
+        return response
 
     @property
     def is_idle(self) -> bool:
