Wait for addresses that are in use at the start

Operators saw a process end with code 2 and one line on standard error, `Address already in use`, if any of its addresses was taken at the moment of its start: by the process before it in its grace, by another program, or by the local end of a connection, which in TIME_WAIT takes a minute.

The addresses without which an instance serves nobody (callers, balancer, peers over TCP and UDP) are now bound together or not at all, before the imports, and held until the process ends. If one is taken, the others are given up again and all are tried 20 times a second for 90 s and the grace period. The log has a line for the first failure, each change of the error and every 2 s; then the process ends with code 2 and the address, in the log and on standard error. SIGTERM ends the wait with code 0. A settings file that changes meanwhile is read again, so that an address can be corrected. An error that cannot pass, such as a missing right, ends the start at once, as before.

Two processes never both serve. The callers' port listens, and the earlier process keeps the port for balancers and those for peers until it has ended, also when it accepts no callers any more; so its successor gets all of them or none. Nothing listens while it waits, so that callers are refused and go elsewhere instead of waiting in a queue. The address for datagrams is bound without SO_REUSEADDR. Datagrams that come before the daemon is loaded are discarded, as they were lost before.

It waits for the ports for peers too: without them an instance would take servers' slots and customers' limits that others use, and hear nothing of keys, crashes and claims.

A program that sets SO_REUSEADDR can listen on the port for balancers in the second between bind and listen.

--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -42,6 +42,7 @@
     EntrySettings,
     SettingsFile,
 )
+from turmericweir.process.entry_sockets import EntrySockets
 from turmericweir.process.listening_socket import bind
 from turmericweir.process.log_pipe import LogPipe
 from turmericweir.process.loop_steps import report_forever, running_steps
@@ -285,10 +286,10 @@
     file: SettingsFile,
     cfg: EntrySettings,
     platform_adapters: PlatformAdapters,
-    callers: socket.socket,
+    entry_sockets: EntrySockets,
     is_stop_requested: Callable[[], bool],
 ) -> int:
-    """Run the daemon on a bound callers' socket and return the exit status.
+    """Run the daemon on bound sockets and return the exit status.
 
     `is_stop_requested` returns whether a stop signal arrived before the daemon handles signals.
     """
@@ -298,13 +299,17 @@
         metrics = PrometheusMetrics()
         stack.enter_context(UnhandledErrors(metrics))
         logs.write("starting", data_centre=cfg.data_centre, store=cfg.store.address)
-        sockets = _bind_all(cfg, callers, stack)
+        sockets = _bind_all(cfg, entry_sockets, stack)
         local_name = InstanceName(cfg.name)
         pool = await stack.enter_async_context(
             BackendPool(PeerDialer(local_name, cfg.peer_address))
         )
-        streams = await stack.enter_async_context(PeerStreams(local_name, cfg.peer_address))
-        datagrams = await stack.enter_async_context(PeerDatagrams(local_name, cfg.peer_address))
+        streams = await stack.enter_async_context(
+            PeerStreams(local_name, cfg.peer_address, entry_sockets.peer_streams)
+        )
+        datagrams = await stack.enter_async_context(
+            PeerDatagrams(local_name, cfg.peer_address, entry_sockets.peer_datagrams)
+        )
         servers = ConnectionProbes(pool)
         follower = platform_adapters.make_follower(pool, cfg)
         state = make_state(cfg)
@@ -422,21 +427,19 @@
 
 @dataclass(frozen=True, slots=True)
 class _Sockets:
-    callers: socket.socket
-    readiness: socket.socket
+    entry: EntrySockets
     admin: socket.socket | None
     metrics: socket.socket | None
 
 
-def _bind_all(cfg: EntrySettings, callers: socket.socket, stack: AsyncExitStack) -> _Sockets:
+def _bind_all(cfg: EntrySettings, entry: EntrySockets, stack: AsyncExitStack) -> _Sockets:
     metrics = f"{cfg.host}:{cfg.metrics_port}" if cfg.metrics_port else ""
 
     def bind_address(address: str, step: str) -> socket.socket:
         return stack.enter_context(bind(address, step))
 
     return _Sockets(
-        callers=callers,
-        readiness=bind_address(cfg.readiness_address, "listen for the balancer"),
+        entry=entry,
         admin=(
             bind_address(cfg.admin_address, "listen for operators") if cfg.admin_address else None
         ),
@@ -495,7 +498,7 @@
     _add_connection_gauges(metrics, callers)
     async with anyio.create_task_group() as group:
         group.start_soon(run_supervised, "check memory", memory.check_forever, node)
-        group.start_soon(_serve_http, readiness, sockets.readiness)
+        group.start_soon(_serve_http, readiness, sockets.entry.readiness)
         if sockets.admin is not None:
             views: dict[str, Callable[[], object]] = {
                 "idle_connections": pool.idle_counts,
@@ -510,7 +513,7 @@
             group.start_soon(run_supervised, "serve metrics", serve_metrics, node)
         group.start_soon(_stop_on_exit, node, callers, group.cancel_scope)
         group.start_soon(_log_when_ready, node)
-        await _serve_http(callers, sockets.callers)
+        await _serve_http(callers, sockets.entry.callers)
         group.cancel_scope.cancel()
 
 
--- a/packages/turmericweir/turmericweir/peers/peer_datagrams.py
+++ b/packages/turmericweir/turmericweir/peers/peer_datagrams.py
@@ -13,14 +13,16 @@
 
 import asyncio
 import socket
+from contextlib import suppress
 from types import TracebackType
 from typing import Final, Self
 
 from turmericweir.peers.held_updates import HeldUpdates
 from turmericweir.peers.peer_codec import FrameReader, decode, encode, load_update_sender
 from turmericweir.process import logs
-from turmericweir.process.errors import ListenError, describe_error
+from turmericweir.process.errors import describe_error
 from turmericweir.process.foreign_data import DECODE_ERRORS
+from turmericweir.process.listening_socket import bind_datagrams
 from turmericweir.process.node import Node
 from turmericweir_core.base.ids import InstanceName
 from turmericweir_core.messages.effects import SendDatagram
@@ -33,6 +35,8 @@
 # Limit of datagrams received in one turn of the event loop. Prevents a sender from keeping requests
 # from being served.
 _RECEIVED_PER_TURN_MAX: Final = 256
+# Limit of datagrams discarded at the start, more than the socket's buffer holds.
+_DISCARDED_MAX: Final = 65_536
 
 
 class PeerDatagrams(asyncio.DatagramProtocol):
@@ -43,6 +47,8 @@
     _frame_reader: FrameReader | None
     _local_name: InstanceName
     _address: str
+    # A socket that was bound to the address before; None if there is none.
+    _bound_socket: socket.socket | None
     _transport: asyncio.DatagramTransport
     # The socket of the transport, which closes it.
     _socket: socket.socket
@@ -55,9 +61,12 @@
     _encoded_message: PeerMessage | None
     _encoded_frame: bytes
 
-    def __init__(self, local_name: InstanceName, address: str) -> None:
+    def __init__(
+        self, local_name: InstanceName, address: str, bound_socket: socket.socket | None = None
+    ) -> None:
         self._local_name = local_name
         self._address = address
+        self._bound_socket = bound_socket
         self._frame_reader = None
         self._is_write_paused = False
         self._held_updates = HeldUpdates()
@@ -71,17 +80,21 @@
         self._frame_reader = FrameReader(node)
 
     async def __aenter__(self) -> Self:
+        if self._bound_socket is None:
+            self._socket = bind_datagrams(self._address, "listen for datagrams")
+        else:
+            self._socket = self._bound_socket
+            self._discard_waiting()
         loop = asyncio.get_running_loop()
-        try:
-            self._socket = _bind_socket(self._address)
-            self._transport, _ = await loop.create_datagram_endpoint(
-                lambda: self, sock=self._socket
-            )
-        except OSError as exc:
-            detail = exc.strerror or str(exc)
-            raise ListenError("listen for datagrams", self._address, detail) from exc
+        self._transport, _ = await loop.create_datagram_endpoint(lambda: self, sock=self._socket)
         return self
 
+    def _discard_waiting(self) -> None:
+        """Discard datagrams that arrived before the daemon was loaded, which may be old."""
+        with suppress(OSError):
+            for _ in range(_DISCARDED_MAX):
+                self._socket.recv(1)
+
     async def __aexit__(
         self,
         exc_type: type[BaseException] | None,
@@ -176,17 +189,3 @@
     def error_received(self, exc: Exception) -> None:
         """Log that the system could not deliver a datagram."""
         self._log_unsent(self._address, exc)
-
-
-def _bind_socket(address: str) -> socket.socket:
-    """Return a non-blocking datagram socket on an address; raise OSError if it cannot be bound."""
-    host, _, port = address.rpartition(":")
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_DGRAM)
-    try:
-        sock.setblocking(False)
-        sock.bind((host, int(port)))
-    except OSError:
-        sock.close()
-        raise
-    return sock
--- a/packages/turmericweir/turmericweir/peers/peer_listener.py
+++ b/packages/turmericweir/turmericweir/peers/peer_listener.py
@@ -181,19 +181,22 @@
     """Accepts the streams of peers."""
 
     _address: str
+    # A socket that was bound to the address before; None if there is none.
+    _bound_socket: socket.socket | None
     _node: Node | None
     _streams: IncomingStreams
     _server: asyncio.Server
     # The socket of the server, which closes it.
     _socket: socket.socket
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, bound_socket: socket.socket | None = None) -> None:
         self._address = address
+        self._bound_socket = bound_socket
         self._node = None
         self._streams = IncomingStreams()
 
     async def __aenter__(self) -> Self:
-        self._socket = bind(self._address, "listen for peers")
+        self._socket = self._bound_socket or bind(self._address, "listen for peers")
         loop = asyncio.get_running_loop()
         # The server accepts as many connections in one turn as its backlog.
         self._server = await loop.create_server(
--- a/packages/turmericweir/turmericweir/peers/peer_streams.py
+++ b/packages/turmericweir/turmericweir/peers/peer_streams.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections import deque
 from types import TracebackType
 from typing import Final, Self
@@ -184,11 +185,13 @@
     _links: dict[InstanceName, PeerLink]
     _listener: PeerListener
 
-    def __init__(self, local_name: InstanceName, address: str) -> None:
+    def __init__(
+        self, local_name: InstanceName, address: str, bound_socket: socket.socket | None = None
+    ) -> None:
         self._local_name = local_name
         self._address = address
         self._links = {}
-        self._listener = PeerListener(address)
+        self._listener = PeerListener(address, bound_socket)
 
     def attach(self, node: Node) -> None:
         """Set the node, which is created after its adapters."""
--- a/packages/turmericweir/turmericweir/process/errors.py
+++ b/packages/turmericweir/turmericweir/process/errors.py
@@ -32,6 +32,10 @@
     """The process cannot listen on an address."""
 
 
+class AddressUnavailableError(ListenError):
+    """Another socket has the address, or the machine does not have it yet."""
+
+
 class StartStoppedError(DaemonError):
     """The process was asked to stop while a step of its start was retried."""
 
--- a/packages/turmericweir/turmericweir/process/listening_socket.py
+++ b/packages/turmericweir/turmericweir/process/listening_socket.py
@@ -9,12 +9,15 @@
 
 import contextlib
 import ctypes
+import errno
 import socket
 import struct
 from typing import Final
 
-from turmericweir.process.errors import ListenError
+from turmericweir.process.errors import AddressUnavailableError, ListenError
 
+# Errors of an address that may become available.
+_UNAVAILABLE: Final = (errno.EADDRINUSE, errno.EADDRNOTAVAIL)
 _SO_ATTACH_FILTER: Final = 26
 # A Linux socket filter on the TCP header: load the flags, mask SYN and ACK, drop the segment if
 # only SYN is set, otherwise pass all of it.
@@ -28,22 +31,49 @@
 
 
 def bind(address: str, step: str) -> socket.socket:
-    """Bind a TCP socket to an address; uvicorn listens on it later."""
-    host, _, port = address.rpartition(":")
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    """Bind a TCP socket to an address; `listen` or uvicorn listens on it later."""
     # Accepted sockets inherit the protocol, and asyncio sets TCP_NODELAY only if it is TCP.
     # Prevents the body of a small answer from waiting for the acknowledgement of its head.
-    sock = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    sock = socket.socket(_family_of(address), socket.SOCK_STREAM, socket.IPPROTO_TCP)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    return _bind(sock, address, step)
+
+
+def bind_datagrams(address: str, step: str) -> socket.socket:
+    """Bind a datagram socket to an address."""
+    # Without SO_REUSEADDR, with which two processes could have the same address.
+    return _bind(socket.socket(_family_of(address), socket.SOCK_DGRAM), address, step)
+
+
+def listen(sock: socket.socket, backlog: int, step: str) -> None:
+    """Listen on a bound socket, which fails if another one listens on its address."""
+    try:
+        sock.listen(backlog)
+    except OSError as exc:
+        raise _listen_error(exc, bound_address(sock), step) from exc
+
+
+def _bind(sock: socket.socket, address: str, step: str) -> socket.socket:
+    host, _, port = address.rpartition(":")
     try:
         sock.bind((host.strip("[]"), int(port)))
     except OSError as exc:
         sock.close()
-        raise ListenError(step, address, exc.strerror or str(exc)) from exc
+        raise _listen_error(exc, address, step) from exc
     sock.setblocking(False)
     return sock
 
 
+def _family_of(address: str) -> socket.AddressFamily:
+    host, _, _ = address.rpartition(":")
+    return socket.AF_INET6 if ":" in host else socket.AF_INET
+
+
+def _listen_error(exc: OSError, address: str, step: str) -> ListenError:
+    error_type = AddressUnavailableError if exc.errno in _UNAVAILABLE else ListenError
+    return error_type(step, address, exc.strerror or str(exc))
+
+
 def check_free(address: str, step: str) -> None:
     """Raise ListenError if an address cannot be bound now."""
     bind(address, step).close()
--- a/tests/daemon/test_peer_datagrams.py
+++ b/tests/daemon/test_peer_datagrams.py
@@ -12,6 +12,7 @@
 from turmericweir.peers import peer_datagrams
 from turmericweir.peers.peer_codec import encode
 from turmericweir.peers.peer_datagrams import PeerDatagrams
+from turmericweir.process.listening_socket import bind_datagrams
 from turmericweir.process.node import Node
 from turmericweir.process.traffic import Traffic
 from turmericweir_core.base.ids import InstanceName
@@ -128,3 +129,18 @@
             while len(node.events) < WAITING_COUNT:
                 await anyio.lowlevel.checkpoint()
         assert node.fences == list(range(WAITING_COUNT))
+
+
+async def test_datagrams_from_before_the_daemon_was_loaded_are_discarded() -> None:
+    """Guards against heartbeats that count as new though they waited through the imports."""
+    address = free_address()
+    node = RecordingNode()
+    bound_socket = bind_datagrams(address, "test")
+    send_all(address, WAITING_COUNT)
+    async with PeerDatagrams(InstanceName("entry-1"), address, bound_socket) as datagrams:
+        datagrams.attach(cast(Node, node))
+        host, _, port = address.rpartition(":")
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            sock.sendto(encode(PEER, DutyStatus(7_000)), (host, int(port)))
+        await receive(node, 1)
+        assert node.fences == [7_000]
--- a/tests/platform/test_addresses_in_use.py
+++ b/tests/platform/test_addresses_in_use.py
@@ -135,7 +135,7 @@
             _wait_for_line(instance, "start_waiting")
             instance.process.terminate()
             assert instance.process.wait(20) == 0
-        assert instance.logged("start_stopped")
+        assert [line["step"] for line in instance.logged("stopped")] == ["listen"]
 
 
 def test_start_that_waits_reads_corrected_settings(tmp_path: Path) -> None:
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -16,6 +16,7 @@
 import pytest
 
 from turmericweir.process.entry_settings import EntrySettings
+from turmericweir.process.entry_sockets import EntrySockets
 from turmericweir_platform import __main__ as program
 from turmericweir_platform import platform_names
 from turmericweir_standins.procs import free_address
@@ -36,7 +37,7 @@
     received: list[bytes] = []
 
     def run_daemon(
-        path: Path, cfg: EntrySettings, callers: socket.socket, stop_asked: Callable[[], bool]
+        path: Path, cfg: EntrySettings, sockets: EntrySockets, stop_asked: Callable[[], bool]
     ) -> int:
         # A stop signal during imports must not reset the waiting connections.
         assert not stop_asked()
@@ -45,8 +46,8 @@
         host, _, port = cfg.caller_address.rpartition(":")
         with socket.create_connection((host, int(port)), timeout=10) as caller:
             caller.sendall(b"GET / HTTP/1.1\r\n\r\n")
-            callers.setblocking(True)
-            conn, _ = callers.accept()
+            sockets.callers.setblocking(True)
+            conn, _ = sockets.callers.accept()
             with conn:
                 received.append(conn.recv(64))
         return 0
@@ -62,6 +63,34 @@
     assert received == [b"GET / HTTP/1.1\r\n\r\n"]
 
 
+def test_address_that_stays_in_use_ends_the_start(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capfd: pytest.CaptureFixture[str]
+) -> None:
+    # Guards against a start that waits forever, or ends without a word.
+    address = free_address()
+    file = tmp_path / "settings.json"
+    addresses = {each: free_address() for each in ("readiness_address", "peer_address")}
+    store = {"address": free_address()}
+    file.write_text(
+        json.dumps({**IDENTITY, **addresses, "caller_address": address, "store": store})
+    )
+    monkeypatch.setenv(platform_names.SETTINGS_VARIABLE, str(file))
+    # The first failure is later than that.
+    monkeypatch.setattr(program, "_ADDRESS_WAIT_S", float("-inf"))
+    previous_handler = signal.getsignal(signal.SIGTERM)
+    host, _, port = address.rpartition(":")
+    try:
+        with socket.create_server((host, int(port))):
+            assert program.main() == 2
+    finally:
+        signal.signal(signal.SIGTERM, previous_handler)
+    output, error = capfd.readouterr()
+    line = json.loads(output.splitlines()[-1])
+    assert (line["event"], line["exit_code"]) == ("start_failed", 2)
+    for text in (line["detail"], error):
+        assert f"listen for callers with {address}: Address already in use" in text
+
+
 def test_few_modules_are_imported_before_listening() -> None:
     # Guards against imports that delay listening for callers.
     loaded = {each.partition(".")[0] for each in _modules_loaded_by(program.__name__)}
