Serve callers while a port of operations is taken

No caller needs these ports.

Both are now bound by the tasks that serve them. The start, readiness and a stop do not wait for them.

--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -32,6 +32,7 @@
 from turmericweir.callers.http_limits import HttpLimits
 from turmericweir.callers.http_server import HttpServer, LimitedProtocol
 from turmericweir.operations.entry_admin import EntryAdmin
+from turmericweir.operations.retried_port import serve_when_available
 from turmericweir.peers.peer_datagrams import PeerDatagrams
 from turmericweir.peers.peer_dialer import PeerDialer
 from turmericweir.peers.peer_streams import PeerStreams
@@ -43,7 +44,6 @@
     SettingsFile,
 )
 from turmericweir.process.entry_sockets import EntrySockets
-from turmericweir.process.listening_socket import bind
 from turmericweir.process.log_pipe import LogPipe
 from turmericweir.process.loop_steps import report_forever, running_steps
 from turmericweir.process.memory_budget import MemoryBudget, peak_size
@@ -299,7 +299,6 @@
         metrics = PrometheusMetrics()
         stack.enter_context(UnhandledErrors(metrics))
         logs.write("starting", data_centre=cfg.data_centre, store=cfg.store.address)
-        sockets = _bind_all(cfg, entry_sockets, stack)
         local_name = InstanceName(cfg.name)
         pool = await stack.enter_async_context(
             BackendPool(PeerDialer(local_name, cfg.peer_address))
@@ -382,7 +381,7 @@
             for name, work in tasks.items():
                 group.start_soon(run_supervised, name, work, node)
             _tune_garbage_collector()
-            await _serve(cfg, node, pool, platform_adapters, metrics, sockets)
+            await _serve(cfg, node, pool, platform_adapters, metrics, entry_sockets)
             group.cancel_scope.cancel()
         logs.write("stopped", in_flight=len(node.active_requests))
         reason = REASON_STOP if node.is_stopping else REASON_NOT_REQUESTED
@@ -425,28 +424,6 @@
     )
 
 
-@dataclass(frozen=True, slots=True)
-class _Sockets:
-    entry: EntrySockets
-    admin: socket.socket | None
-    metrics: socket.socket | None
-
-
-def _bind_all(cfg: EntrySettings, entry: EntrySockets, stack: AsyncExitStack) -> _Sockets:
-    metrics = f"{cfg.host}:{cfg.metrics_port}" if cfg.metrics_port else ""
-
-    def bind_address(address: str, step: str) -> socket.socket:
-        return stack.enter_context(bind(address, step))
-
-    return _Sockets(
-        entry=entry,
-        admin=(
-            bind_address(cfg.admin_address, "listen for operators") if cfg.admin_address else None
-        ),
-        metrics=bind_address(metrics, "listen for the collector") if metrics else None,
-    )
-
-
 def _tune_garbage_collector() -> None:
     """Exclude permanent objects from collections, which would delay requests."""
     gc.collect()
@@ -468,7 +445,7 @@
     pool: BackendPool,
     platform_adapters: PlatformAdapters,
     metrics: PrometheusMetrics,
-    sockets: _Sockets,
+    sockets: EntrySockets,
 ) -> None:
     limits: HttpLimits = SettingsHttpLimits(node.state)
     servers: list[HttpServer] = []
@@ -498,22 +475,33 @@
     _add_connection_gauges(metrics, callers)
     async with anyio.create_task_group() as group:
         group.start_soon(run_supervised, "check memory", memory.check_forever, node)
-        group.start_soon(_serve_http, readiness, sockets.entry.readiness)
-        if sockets.admin is not None:
+        group.start_soon(_serve_http, readiness, sockets.readiness)
+        if cfg.admin_address:
             views: dict[str, Callable[[], object]] = {
                 "idle_connections": pool.idle_counts,
                 "traffic": lambda: node.traffic,
             }
             admin = EntryAdmin(node, views, lambda: is_ready(node), cfg.admin_token_sha256)
-            serve_admin = partial(_serve_http, make_server(admin), sockets.admin)
+            serve_admin = partial(
+                serve_when_available,
+                make_server(admin),
+                cfg.admin_address,
+                "listen for operators",
+                node,
+            )
             group.start_soon(run_supervised, "serve operators", serve_admin, node)
-        if sockets.metrics is not None:
-            metrics_server = make_server(MetricsApp(metrics))
-            serve_metrics = partial(_serve_http, metrics_server, sockets.metrics)
+        if cfg.metrics_port:
+            serve_metrics = partial(
+                serve_when_available,
+                make_server(MetricsApp(metrics)),
+                f"{cfg.host}:{cfg.metrics_port}",
+                "listen for the collector",
+                node,
+            )
             group.start_soon(run_supervised, "serve metrics", serve_metrics, node)
         group.start_soon(_stop_on_exit, node, callers, group.cancel_scope)
         group.start_soon(_log_when_ready, node)
-        await _serve_http(callers, sockets.entry.callers)
+        await _serve_http(callers, sockets.callers)
         group.cancel_scope.cancel()
 
 
