--- a/packages/turmericweir/turmericweir/process/entry_settings.py
+++ b/packages/turmericweir/turmericweir/process/entry_settings.py
@@ -1,16 +1,16 @@
 """The settings file of a process whose platform provides settings and servers in a store.
 
-The file is JSON with comment lines that begin with two slashes. It contains the process's identity,
-its addresses and the platform's bounds; the store provides everything that operators change at
-runtime. `deploy/settings.json` is the template.
+The file is JSON with comment lines that begin with two slashes. What is null counts as not given.
+The file contains the process's identity, its addresses and the platform's bounds; the store
+provides everything that operators change at runtime. `deploy/settings.json` is the template.
 """
 
 from __future__ import annotations
 
 import ipaddress
-from math import log2
+from math import inf, isfinite, isnan, log2
 from pathlib import Path
-from typing import Final
+from typing import Any, Final
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -42,7 +42,7 @@
     @property
     def memory_bytes(self) -> int:
         """Return the memory limit in bytes; 0 for none."""
-        return int(self.memory_mb * _MEGABYTE)
+        return max(0, int(self.memory_mb * _MEGABYTE))
 
     @property
     def machine_capacity(self) -> int:
@@ -199,13 +199,23 @@
     except DECODE_ERRORS as exc:
         return Failure(SettingsNotWholeError("parse settings", origin, str(exc)))
     try:
-        cfg = msgspec.convert(fields, EntrySettings, strict=False)
+        cfg = msgspec.convert(_without_nulls(fields), EntrySettings, strict=False)
         _check(cfg)
     except DECODE_ERRORS as exc:
         return Failure(SettingsFileError("validate settings", origin, str(exc)))
     return Success(cfg)
 
 
+# Any: decoded JSON.
+def _without_nulls(value: Any) -> Any:
+    """Remove what is null, which a template writes for a value that its platform does not have."""
+    if isinstance(value, dict):
+        return {name: _without_nulls(each) for name, each in value.items() if each is not None}
+    if isinstance(value, list):
+        return [_without_nulls(each) for each in value if each is not None]
+    return value
+
+
 def can_become_whole(error: DaemonError) -> bool:
     """Return whether the settings file may be readable soon, without anybody correcting it."""
     return isinstance(error, SettingsNotWholeError)
@@ -224,6 +234,12 @@
             raise ValueError(f"{name}: expected a name")
     if not 0 <= cfg.metrics_port <= _PORT_MAX:
         raise ValueError("metrics_port: expected a port, or 0")
+    for name in MachineSettings.__struct_fields__:
+        if not isfinite(getattr(cfg.machine, name)):
+            raise ValueError(f"machine.{name}: expected a number")
+    for name in BoundsSettings.__struct_fields__:
+        if isnan(getattr(cfg.bounds, name)):
+            raise ValueError(f"bounds.{name}: expected a number")
     for name in AnswerBounds.__struct_fields__:
         if getattr(cfg.answers, name) <= 0:
             raise ValueError(f"answers.{name}: expected a number above 0")
@@ -232,7 +248,7 @@
 def _check_duties(duties: DutiesSettings) -> None:
     check_address("duties.address", duties.address)
     for name in ("calls_per_s", "lease_ms", "window_s", "late_s"):
-        if not getattr(duties, name) > 0:
+        if not 0 < getattr(duties, name) < inf:
             raise ValueError(f"duties.{name}: expected a number above 0")
 
 
--- a/tests/daemon/test_stop.py
+++ b/tests/daemon/test_stop.py
@@ -9,6 +9,7 @@
 import signal
 import socket
 import sys
+import time
 from pathlib import Path
 from typing import Any
 
@@ -78,6 +79,15 @@
         assert single.process.wait() == 130
 
 
+def test_signals_until_the_process_is_gone_end_it_as_one_stop(tmp_path: Path) -> None:
+    # Guards against a signal beside a stop that ends the process before the stop has.
+    with Single(tmp_path, settings={"stop_grace_s": 0.1}) as single:
+        while single.process.is_running:
+            os.kill(single.process.pid, signal.SIGTERM)
+            time.sleep(0.002)
+        assert single.process.wait() == 0
+
+
 # Any: tests also need invalid values.
 def settings(**changes: Any) -> dict[str, Any]:
     """Return valid settings with the changes applied; None removes a field."""
@@ -159,6 +169,35 @@
     assert "turmericweir.daemon" not in process.stderr_text()
 
 
+@pytest.mark.parametrize("closed", [(0,), (1,), (2,), (0, 1, 2)])
+def test_closed_standard_streams_do_not_end_the_start(
+    tmp_path: Path, closed: tuple[int, ...]
+) -> None:
+    # Guards against a process that needs its streams, or writes its log into a socket.
+    value = settings()
+    path = tmp_path / "entry-1.json"
+    path.write_text(json.dumps(value))
+    closing = " ".join(f"{fd}>&-" for fd in closed)
+    shell = f'exec "$0" -m turmericweir.main --config "$1" {closing}'
+    argv = ["/bin/sh", "-c", shell, sys.executable, str(path)]
+    process = Process(argv, name="entry-1", directory=tmp_path)
+    process.start()
+
+    def is_listening() -> bool:
+        assert process.is_running
+        with contextlib.suppress(OSError):
+            return call_json(value["admin_address"], "GET", "/readyz").status == 503
+        return False
+
+    try:
+        wait_until(is_listening, "the process answers")
+        for fd in closed:
+            assert os.readlink(f"/proc/{process.pid}/fd/{fd}") == os.devnull
+    finally:
+        status = process.stop()
+    assert status == 0
+
+
 def test_requests_are_refused_without_settings(tmp_path: Path) -> None:
     value = settings()
     path = tmp_path / "alone.json"
