Receive signals from before the imports until the process is gone

What operators saw: a process that was asked to stop and got a further SIGTERM, SIGHUP or SIGINT at its end had -15, -1 or -2 for an exit code instead of 0, which looks like a crash. What callers saw: an interrupt during the imports ended the process at once and reset the connections that waited in its backlog.

Cause: the event loop's signal receiver exists only while its task runs. When the receiver closes, asyncio gives the signals back to the system, whose default ends the process; the same holds for SIGINT before the loop runs. It was so since both daemons receive signals in a task of the event loop.

The handlers are now set before the daemon is imported, independent of the loop.

Existing test: test_callers_wait_during_imports gets the signals in place of a function that tells whether a stop was requested, asserts the same, and restores three handlers instead of one.

Left: in the first milliseconds, before the interpreter has run a line of ours, the system's default holds.

--- a/packages/turmericweir/turmericweir/daemon.py
+++ b/packages/turmericweir/turmericweir/daemon.py
@@ -42,6 +42,7 @@
 from turmericweir.process.metrics import Metrics, NullMetrics, StatsdMetrics
 from turmericweir.process.node import Adapters, Node
 from turmericweir.process.process_settings import ProcessSettings
+from turmericweir.process.process_signals import ProcessSignals
 from turmericweir.process.supervisor import run_supervised
 from turmericweir.process.unhandled_errors import UnhandledErrors
 from turmericweir.process.verdict_waiters import VerdictWaiters
@@ -70,7 +71,7 @@
     metrics: Metrics
 
 
-async def run(cfg: ProcessSettings) -> int:
+async def run(cfg: ProcessSettings, signals: ProcessSignals) -> int:
     """Run the daemon and return the exit status."""
     async with AsyncExitStack() as stack:
         stack.enter_context(logs.LogFile(cfg.log))
@@ -86,7 +87,7 @@
             # Excludes permanent objects from collections, which would delay requests.
             gc.collect()
             gc.freeze()
-            was_forced = await _serve(cfg, node, parts, caller_socket, admin_socket)
+            was_forced = await _serve(cfg, node, parts, caller_socket, admin_socket, signals)
             group.cancel_scope.cancel()
         if was_forced:
             return end.conclude(REASON_FORCED_STOP, FORCED_STOP_STATUS)
@@ -166,6 +167,7 @@
     parts: DaemonParts,
     caller_socket: socket.socket,
     admin_socket: socket.socket,
+    signals: ProcessSignals,
 ) -> bool:
     """Serve until the process may end; return whether a second interrupt ended it."""
     app = CallerApp(node, parts.pool, cfg.limits)
@@ -181,7 +183,7 @@
     force_stop_requested = anyio.Event()
     async with anyio.create_task_group() as group:
         group.start_soon(_serve_http, admin, admin_socket)
-        group.start_soon(_handle_signals, node, force_stop_requested)
+        group.start_soon(_handle_signals, node, signals, force_stop_requested)
         group.start_soon(_cancel_on_event, force_stop_requested, group.cancel_scope)
         addresses = (bound_address(caller_socket), bound_address(admin_socket))
         group.start_soon(_report_listening, cfg.name, callers, admin, addresses)
@@ -217,15 +219,17 @@
         sys.stdout.flush()
 
 
-async def _handle_signals(node: Node, force_stop_requested: anyio.Event) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for signum in signals:
-            if node.is_stopping and signum == signal.SIGINT:
-                logs.write("forced_stop", signal=signum.name, in_flight=len(node.active_requests))
-                force_stop_requested.set()
-            elif not node.is_stopping:
-                logs.write("signal", signal=signum.name)
-                node.stop()
+async def _handle_signals(
+    node: Node, signals: ProcessSignals, force_stop_requested: anyio.Event
+) -> None:
+    while True:
+        signum = await signals.receive()
+        if node.is_stopping and signum == signal.SIGINT:
+            logs.write("forced_stop", signal=signum.name, in_flight=len(node.active_requests))
+            force_stop_requested.set()
+        elif not node.is_stopping:
+            logs.write("signal", signal=signum.name)
+            node.stop()
 
 
 async def _stop_callers_on_exit(node: Node, callers: HttpServer) -> None:
--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -54,6 +54,7 @@
     PlatformPort,
     RecordPort,
 )
+from turmericweir.process.process_signals import ProcessSignals
 from turmericweir.process.prometheus_metrics import MetricsApp, PrometheusMetrics
 from turmericweir.process.supervisor import run_supervised
 from turmericweir.process.unhandled_errors import UnhandledErrors
@@ -286,12 +287,9 @@
     cfg: EntrySettings,
     platform_adapters: PlatformAdapters,
     callers: socket.socket,
-    is_stop_requested: Callable[[], bool],
+    signals: ProcessSignals,
 ) -> int:
-    """Run the daemon on a bound callers' socket and return the exit status.
-
-    `is_stop_requested` returns whether a stop signal arrived before the daemon handles signals.
-    """
+    """Run the daemon on a bound callers' socket and return the exit status."""
     async with AsyncExitStack() as stack:
         pipe = stack.enter_context(LogPipe(sys.stdout.fileno(), cfg.name))
         end = stack.enter_context(EndLog())
@@ -370,7 +368,7 @@
                 "serve peers": streams.serve,
                 "follow settings": follower.follow_document,
                 "follow servers": follower.follow_registry,
-                "handle signals": partial(_handle_signals, node, is_stop_requested),
+                "handle signals": partial(_handle_signals, node, signals),
             }
             if duties is not None:
                 tasks["read clock"] = partial(_read_clock_forever, node)
@@ -554,16 +552,12 @@
     logs.write("ready", after_ms=round((anyio.current_time() - started_at) * 1000))
 
 
-async def _handle_signals(node: Node, is_stop_requested: Callable[[], bool]) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-        # Checked after the receiver is open, which prevents the loss of a signal.
-        if is_stop_requested() and not node.is_stopping:
-            logs.write("signal", signal="SIGTERM", in_flight=len(node.active_requests))
+async def _handle_signals(node: Node, signals: ProcessSignals) -> None:
+    while True:
+        signum = await signals.receive()
+        logs.write("signal", signal=signum.name, in_flight=len(node.active_requests))
+        if signum != signal.SIGHUP and not node.is_stopping:
             node.stop()
-        async for signum in signals:
-            logs.write("signal", signal=signum.name, in_flight=len(node.active_requests))
-            if signum != signal.SIGHUP and not node.is_stopping:
-                node.stop()
 
 
 async def _stop_on_exit(node: Node, callers: HttpServer, scope: anyio.CancelScope) -> None:
--- a/packages/turmericweir/turmericweir/main.py
+++ b/packages/turmericweir/turmericweir/main.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 from pathlib import Path
 from typing import Final, NoReturn
@@ -18,9 +19,9 @@
 from turmericweir.process.fatal_traces import enable_fatal_traces
 from turmericweir.process.listening_socket import check_free
 from turmericweir.process.process_settings import ProcessSettings, read_settings
+from turmericweir.process.process_signals import ProcessSignals
 
 START_ERROR_STATUS: Final = 2
-INTERRUPTED_STATUS: Final = 130
 
 
 @click.command()
@@ -51,6 +52,11 @@
 
 def _run(cfg: ProcessSettings) -> int:
     enable_fatal_traces()
+    with ProcessSignals(signal.SIGTERM, signal.SIGINT) as signals:
+        return _run_with_signals(cfg, signals)
+
+
+def _run_with_signals(cfg: ProcessSettings, signals: ProcessSignals) -> int:
     try:
         _check_addresses(cfg)
         # Imported late; see the module's doc string.
@@ -59,11 +65,10 @@
         from turmericweir.daemon import run
         from turmericweir.process.boot_clock import BootClockLoop
 
-        return anyio.run(run, cfg, backend_options={"loop_factory": BootClockLoop})
+        options = {"loop_factory": BootClockLoop}
+        return anyio.run(run, cfg, signals, backend_options=options)
     except ListenError as exc:
         _exit_with_error(exc)
-    except KeyboardInterrupt:
-        return INTERRUPTED_STATUS
 
 
 def _check_addresses(cfg: ProcessSettings) -> None:
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -8,7 +8,6 @@
 import socket
 import subprocess
 import sys
-from collections.abc import Callable
 from pathlib import Path
 from types import ModuleType
 from typing import Final
@@ -16,6 +15,7 @@
 import pytest
 
 from turmericweir.process.entry_settings import EntrySettings
+from turmericweir.process.process_signals import ProcessSignals
 from turmericweir_platform import __main__ as program
 from turmericweir_platform import platform_names
 from turmericweir_standins.procs import free_address
@@ -36,12 +36,12 @@
     received: list[bytes] = []
 
     def run_daemon(
-        path: Path, cfg: EntrySettings, callers: socket.socket, stop_asked: Callable[[], bool]
+        path: Path, cfg: EntrySettings, callers: socket.socket, signals: ProcessSignals
     ) -> int:
         # A stop signal during imports must not reset the waiting connections.
-        assert not stop_asked()
+        assert not signals.is_stop_requested()
         os.kill(os.getpid(), signal.SIGTERM)
-        assert stop_asked()
+        assert signals.is_stop_requested()
         host, _, port = cfg.caller_address.rpartition(":")
         with socket.create_connection((host, int(port)), timeout=10) as caller:
             caller.sendall(b"GET / HTTP/1.1\r\n\r\n")
@@ -54,11 +54,13 @@
     fake_module = ModuleType("turmericweir_platform.start")
     vars(fake_module)["run_daemon"] = run_daemon
     monkeypatch.setitem(sys.modules, fake_module.__name__, fake_module)
-    previous_handler = signal.getsignal(signal.SIGTERM)
+    signums = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    previous_handlers = {each: signal.getsignal(each) for each in signums}
     try:
         assert program.main() == 0
     finally:
-        signal.signal(signal.SIGTERM, previous_handler)
+        for signum, handler in previous_handlers.items():
+            signal.signal(signum, handler)
     assert received == [b"GET / HTTP/1.1\r\n\r\n"]
 
 
