Treat a cancelled future as a failure of its task, and supervise all tasks

What operators would see: a process that ends with exit code 0 and no line that says why, or a part of it that runs no more, such as following the servers, without a line. No path of the product that does it was found.

Cause: a `CancelledError` that leaves a task looks like the task's own cancellation, whoever cancelled what the task awaited. The supervisor passed it on, its task group was cancelled, and `run` returned. Where the error came from a task group within the task, the group swallowed it, and the task returned as if it were done. So it was since tasks are supervised; the servers of the callers' port and of readiness, the end of a stop and the line `ready` were not supervised at all: an error there ended the process.

Evidence: the tests failed before, with the supervisor and the node alone and with a real process for a future in a task, in the background and in a task group, and the one with errors in the servers of all ports as well.

The supervisor asks whether the task itself is being cancelled, by its own count or by its cancel scope, and treats any other `CancelledError` as a failure: a `fault` line, the counter, a restart. `run_endless` starts a task again that returns though it must not. All tasks of both daemons are run so; a server that failed serves again on its socket. The peers' listener no longer awaits asyncio's `serve_forever`, whose future is cancelled by whoever closes the server.

Left: a request runs in a task of uvicorn's, so a cancelled future there ends that request only, with the answer that uvicorn gives.

--- a/packages/turmericweir/turmericweir/daemon.py
+++ b/packages/turmericweir/turmericweir/daemon.py
@@ -17,6 +17,7 @@
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
+from functools import partial
 from typing import Final
 
 import anyio
@@ -43,7 +44,7 @@
 from turmericweir.process.node import Adapters, Node
 from turmericweir.process.process_settings import ProcessSettings
 from turmericweir.process.process_signals import ProcessSignals
-from turmericweir.process.supervisor import run_supervised
+from turmericweir.process.supervisor import run_endless, run_supervised
 from turmericweir.process.unhandled_errors import UnhandledErrors
 from turmericweir.process.verdict_waiters import VerdictWaiters
 from turmericweir.servers.backend_pool import BackendPool
@@ -158,7 +159,7 @@
         "serve peers": parts.streams.serve,
     }
     for name, work in tasks.items():
-        group.start_soon(run_supervised, name, work, node)
+        group.start_soon(run_endless, name, work, node)
 
 
 async def _serve(
@@ -182,13 +183,21 @@
     admin = HttpServer(operators, cfg.limits)
     force_stop_requested = anyio.Event()
     async with anyio.create_task_group() as group:
-        group.start_soon(_serve_http, admin, admin_socket)
-        group.start_soon(_handle_signals, node, signals, force_stop_requested)
-        group.start_soon(_cancel_on_event, force_stop_requested, group.cancel_scope)
         addresses = (bound_address(caller_socket), bound_address(admin_socket))
-        group.start_soon(_report_listening, cfg.name, callers, admin, addresses)
-        group.start_soon(_stop_callers_on_exit, node, callers)
-        await _serve_http(callers, caller_socket)
+        endless: dict[str, Callable[[], Awaitable[None]]] = {
+            "serve operators": partial(_serve_http, admin, admin_socket),
+            "handle signals": partial(_handle_signals, node, signals, force_stop_requested),
+        }
+        for name, work in endless.items():
+            group.start_soon(run_endless, name, work, node)
+        single: dict[str, Callable[[], Awaitable[None]]] = {
+            "end at once": partial(_cancel_on_event, force_stop_requested, group.cancel_scope),
+            "report listening": partial(_report_listening, cfg.name, callers, admin, addresses),
+            "stop": partial(_stop_callers_on_exit, node, callers),
+        }
+        for name, work in single.items():
+            group.start_soon(run_supervised, name, work, node)
+        await run_supervised("serve callers", partial(_serve_http, callers, caller_socket), node)
         # `_serve_http` returns after the last answer.
         group.cancel_scope.cancel()
     return force_stop_requested.is_set()
--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -56,7 +56,7 @@
 )
 from turmericweir.process.process_signals import ProcessSignals
 from turmericweir.process.prometheus_metrics import MetricsApp, PrometheusMetrics
-from turmericweir.process.supervisor import run_supervised
+from turmericweir.process.supervisor import run_endless, run_supervised
 from turmericweir.process.unhandled_errors import UnhandledErrors
 from turmericweir.servers.backend_pool import BackendPool
 from turmericweir.servers.connection_probes import ConnectionProbes
@@ -373,7 +373,7 @@
             if duties is not None:
                 tasks["read clock"] = partial(_read_clock_forever, node)
             for name, work in tasks.items():
-                group.start_soon(run_supervised, name, work, node)
+                group.start_soon(run_endless, name, work, node)
             _tune_garbage_collector()
             await _serve(cfg, node, pool, platform_adapters, metrics, sockets)
             group.cancel_scope.cancel()
@@ -492,8 +492,9 @@
     readiness = make_server(platform_adapters.make_readiness_app(lambda: is_ready(node)))
     _add_connection_gauges(metrics, callers)
     async with anyio.create_task_group() as group:
-        group.start_soon(run_supervised, "check memory", memory.check_forever, node)
-        group.start_soon(_serve_http, readiness, sockets.readiness)
+        group.start_soon(run_endless, "check memory", memory.check_forever, node)
+        serve_readiness = partial(_serve_http, readiness, sockets.readiness)
+        group.start_soon(run_endless, "serve readiness", serve_readiness, node)
         if sockets.admin is not None:
             views: dict[str, Callable[[], object]] = {
                 "idle_connections": pool.idle_counts,
@@ -501,14 +502,15 @@
             }
             admin = EntryAdmin(node, views, lambda: is_ready(node), cfg.admin_token_sha256)
             serve_admin = partial(_serve_http, make_server(admin), sockets.admin)
-            group.start_soon(run_supervised, "serve operators", serve_admin, node)
+            group.start_soon(run_endless, "serve operators", serve_admin, node)
         if sockets.metrics is not None:
             metrics_server = make_server(MetricsApp(metrics))
             serve_metrics = partial(_serve_http, metrics_server, sockets.metrics)
-            group.start_soon(run_supervised, "serve metrics", serve_metrics, node)
-        group.start_soon(_stop_on_exit, node, callers, group.cancel_scope)
-        group.start_soon(_log_when_ready, node)
-        await _serve_http(callers, sockets.callers)
+            group.start_soon(run_endless, "serve metrics", serve_metrics, node)
+        end = partial(_stop_on_exit, node, callers, group.cancel_scope)
+        group.start_soon(run_supervised, "stop", end, node)
+        group.start_soon(run_supervised, "log readiness", partial(_log_when_ready, node), node)
+        await run_supervised("serve callers", partial(_serve_http, callers, sockets.callers), node)
         group.cancel_scope.cancel()
 
 
--- a/packages/turmericweir/turmericweir/peers/peer_listener.py
+++ b/packages/turmericweir/turmericweir/peers/peer_listener.py
@@ -219,7 +219,8 @@
         self._carrier = Carrier(node)
         await self._server.start_serving()
         self._socket.listen(_BACKLOG)
-        await self._server.serve_forever()
+        # Not `serve_forever`, whose future `close` cancels for whoever awaits it.
+        await anyio.sleep_forever()
 
     def _make_stream(self) -> IncomingStream:
         assert self._node is not None
--- a/packages/turmericweir/turmericweir/process/node.py
+++ b/packages/turmericweir/turmericweir/process/node.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -19,6 +20,7 @@
 from turmericweir.process.answer_bounds import AnswerBounds
 from turmericweir.process.errors import describe_error
 from turmericweir.process.memory_budget import MemoryBudget
+from turmericweir.process.supervisor import is_being_cancelled
 from turmericweir.process.traffic import Traffic
 from turmericweir_core.base.ids import RequestId
 from turmericweir_core.messages.effects import (
@@ -392,6 +394,8 @@
 async def _run_logged(work: Callable[..., Awaitable[Any]], args: tuple[Any, ...]) -> None:
     try:
         await work(*args)
-    except Exception as exc:
+    except (Exception, asyncio.CancelledError) as exc:
+        if isinstance(exc, asyncio.CancelledError) and is_being_cancelled():
+            raise
         name = getattr(work, "__qualname__", type(work).__name__)
         logs.write("background_failed", step=name, error=describe_error(exc))
--- a/tests/daemon/test_supervisor.py
+++ b/tests/daemon/test_supervisor.py
@@ -8,7 +8,7 @@
 import anyio
 import pytest
 
-from turmericweir.process.supervisor import run_supervised
+from turmericweir.process.supervisor import run_endless, run_supervised
 
 
 class _Counts:
@@ -125,3 +125,27 @@
         await started.wait()
         group.cancel_scope.cancel()
     assert not counts.by_name
+
+
+async def test_endless_task_that_returns_starts_again() -> None:
+    """Guards against a task whose own group was cancelled, so that it returns without a word."""
+    counts = _Counts()
+    attempts: list[int] = []
+    runs_again = anyio.Event()
+
+    async def serve() -> None:
+        attempts.append(1)
+        if len(attempts) == 1:
+            async with anyio.create_task_group() as own:
+                own.start_soon(await_cancelled)
+                await anyio.sleep_forever()
+        else:
+            runs_again.set()
+            await anyio.sleep_forever()
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(run_endless, "serves", serve, counts)
+        with anyio.fail_after(10):
+            await runs_again.wait()
+        group.cancel_scope.cancel()
+    assert counts.by_name == {"fault.task": 1}
--- a/tests/platform/faulty_instance.py
+++ b/tests/platform/faulty_instance.py
@@ -24,6 +24,8 @@
 _POLL_S: Final = 0.02
 _nodes: list[Node] = []
 _servers: list[HttpServer] = []
+# Servers whose next step fails.
+_failing_servers: list[HttpServer] = []
 
 
 async def _await_cancelled_future() -> None:
@@ -67,6 +69,10 @@
         server.should_exit = True
 
 
+async def _fail_in_servers() -> None:
+    _failing_servers.extend(_servers)
+
+
 async def _exit_task() -> None:
     raise SystemExit(0)
 
@@ -79,6 +85,7 @@
     "exception in callback": _fail_in_callback,
     "crash": _crash_here,
     "end of serving": _end_serving,
+    "exception in servers": _fail_in_servers,
     "system exit": _exit_task,
 }
 
@@ -114,6 +121,13 @@
         super().__init__(*args, **kwargs)
         _servers.append(self)
 
+    async def on_tick(self, counter: int) -> bool:
+        """Fail once where a test wants it."""
+        if self in _failing_servers:
+            _failing_servers.remove(self)
+            _fail()
+        return await super().on_tick(counter)
+
 
 if __name__ == "__main__":
     entry_daemon._reload_forever = _reload_with_fault
--- a/tests/platform/test_process_ends.py
+++ b/tests/platform/test_process_ends.py
@@ -92,6 +92,18 @@
         assert instance.process.is_running
 
 
+def test_failed_servers_of_all_ports_go_on(tmp_path: Path) -> None:
+    # Guards against an error in the server of one port that ends the whole process.
+    with FaultyWorld(tmp_path, bounds={"grace_s": 3}) as world:
+        instance = world.running["entry-1"]
+        world.trigger("entry-1", "exception in servers")
+        until(lambda: len(instance.logged("fault")) == 3, "the servers have failed")
+        assert world.send_safe().status == 200
+        assert instance.is_ready()
+        instance.process.terminate()
+        assert instance.process.wait(20) == 0
+
+
 def test_end_that_nobody_asked_for_has_a_reason_and_another_exit_code(tmp_path: Path) -> None:
     # Guards against a process that ends by itself and looks as if it had been stopped.
     with FaultyWorld(tmp_path) as world:
