End with another exit code than 0 where nobody asked for the end

What operators would see: a process whose callers' port ended by itself had exit code 0, as after a stop, so a supervisor that restarts only failed processes would leave it down.

Evidence: with a real process whose servers are told to end, the exit code was 0 before and is 1 now, and the last line names `not_requested` and what ended.

The exit status now follows from whether a stop was requested. Left: nothing known.

--- a/packages/turmericweir/turmericweir/daemon.py
+++ b/packages/turmericweir/turmericweir/daemon.py
@@ -31,14 +31,7 @@
 from turmericweir.peers.peer_streams import PeerStreams
 from turmericweir.platform_client import PlatformClient
 from turmericweir.process import logs
-from turmericweir.process.end_log import (
-    FORCED_STOP_STATUS,
-    REASON_FORCED_STOP,
-    REASON_NOT_REQUESTED,
-    REASON_STOP,
-    STOPPED_STATUS,
-    EndLog,
-)
+from turmericweir.process.end_log import FORCED_STOP_STATUS, REASON_FORCED_STOP, EndLog
 from turmericweir.process.listening_socket import bind, bound_address
 from turmericweir.process.metrics import Metrics, NullMetrics, StatsdMetrics
 from turmericweir.process.node import Adapters, Node
@@ -92,8 +85,7 @@
             group.cancel_scope.cancel()
         if was_forced:
             return end.conclude(REASON_FORCED_STOP, FORCED_STOP_STATUS)
-        reason = REASON_STOP if node.is_stopping else REASON_NOT_REQUESTED
-        return end.conclude(reason, STOPPED_STATUS)
+        return end.conclude_stop(is_requested=node.is_stopping)
 
 
 async def _make_parts(cfg: ProcessSettings, stack: AsyncExitStack) -> DaemonParts:
--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -36,7 +36,7 @@
 from turmericweir.peers.peer_dialer import PeerDialer
 from turmericweir.peers.peer_streams import PeerStreams
 from turmericweir.process import logs
-from turmericweir.process.end_log import REASON_NOT_REQUESTED, REASON_STOP, STOPPED_STATUS, EndLog
+from turmericweir.process.end_log import EndLog
 from turmericweir.process.entry_settings import (
     DutiesSettings,
     EntrySettings,
@@ -378,8 +378,7 @@
             await _serve(cfg, node, pool, platform_adapters, metrics, sockets)
             group.cancel_scope.cancel()
         logs.write("stopped", in_flight=len(node.active_requests))
-        reason = REASON_STOP if node.is_stopping else REASON_NOT_REQUESTED
-        return end.conclude(reason, STOPPED_STATUS)
+        return end.conclude_stop(is_requested=node.is_stopping)
 
 
 def _add_memory_gauges(metrics: PrometheusMetrics, memory: MemoryBudget) -> None:
--- a/packages/turmericweir/turmericweir/process/end_log.py
+++ b/packages/turmericweir/turmericweir/process/end_log.py
@@ -53,6 +53,12 @@
         self.subject = subject
         return exit_status
 
+    def conclude_stop(self, is_requested: bool) -> int:
+        """Set the reason after the callers' port has ended; return the exit status."""
+        if is_requested:
+            return self.conclude(REASON_STOP, STOPPED_STATUS)
+        return self.conclude(REASON_NOT_REQUESTED, FAILED_STATUS, "serve callers")
+
     def __exit__(
         self,
         exc_type: type[BaseException] | None,
