Write the last lines of a log to a reader that is behind

What operators would see: the end of a process without its last lines, and so without its reason, where the reader of standard output was further behind than a pipe holds. Cause: at the end the buffer was written once, without waiting, since the log is a pipe; what the reader did not accept at that moment was lost.

Evidence: with a reader that reads on, the last of 500 lines was lost before and arrives now. A reader that stands still does not hold up the end: the wait is bounded well below what is left of the grace period.

Left: a reader that stands still for longer loses the end of the log, as it must.

--- a/packages/turmericweir/turmericweir/process/log_pipe.py
+++ b/packages/turmericweir/turmericweir/process/log_pipe.py
@@ -9,6 +9,8 @@
 
 import logging
 import os
+import select
+import time
 from collections import deque
 from types import TracebackType
 from typing import Any, Final, Self
@@ -25,6 +27,8 @@
 _REQUEST_LINES_PER_S: Final = 600
 # Buffered bytes at which lines are written before the next interval.
 _FLUSH_BYTES: Final = 16_384
+# How long the end of a process waits for a reader that is behind.
+_LAST_FLUSH_S: Final = 0.25
 _REQUEST_ID_FIELD: Final = "request_id"
 # Internal fields of eliot, which are not written.
 _ELIOT_FIELDS: Final = frozenset({"timestamp", "task_uuid", "task_level", "message_type"})
@@ -69,7 +73,7 @@
     ) -> None:
         logging.getLogger().removeHandler(self._handler)
         # Before removing the destination, since this may log the number of dropped lines.
-        self.flush()
+        self._flush_last()
         eliot.remove_destination(self._write_message)
         os.set_blocking(self._fd, self._was_blocking)
 
@@ -124,6 +128,18 @@
                 self._buffered_lines.append(data[written:])
             self._buffered_bytes = len(data) - written
 
+    def _flush_last(self) -> None:
+        """Write what is left, and wait a moment for a reader that is behind."""
+        poll = select.poll()
+        poll.register(self._fd, select.POLLOUT)
+        wait_until = time.monotonic() + _LAST_FLUSH_S
+        self.flush()
+        while self._buffered_lines:
+            left_s = wait_until - time.monotonic()
+            if left_s <= 0 or not poll.poll(left_s * 1000):
+                return
+            self.flush()
+
     async def flush_forever(self, interval_s: float) -> None:
         """Flush at intervals."""
         while True:
