--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -532,6 +532,7 @@
     partitions: bool,
     restarts: bool,
     second_runs: bool,
+    signals: bool,
 ) -> type[Soak]:
     # Imported late, as these modules import this one.
     if notices:
@@ -578,6 +579,10 @@
         from tests.platform.soak_second_runs import SecondRunSoak
 
         return SecondRunSoak
+    if signals:
+        from tests.platform.soak_signals import SignalSoak
+
+        return SignalSoak
     return Soak
 
 
@@ -611,6 +616,9 @@
     parser.add_argument(
         "--second-runs", action="store_true", help="trouble between two sends; callers send ahead"
     )
+    parser.add_argument(
+        "--signals", action="store_true", help="signals in series until processes are gone"
+    )
     args = parser.parse_args()
     make_soak = _choose_soak(
         notices=args.notices,
@@ -624,6 +632,7 @@
         partitions=args.partitions,
         restarts=args.restarts,
         second_runs=args.second_runs,
+        signals=args.signals,
     )
     first, _, last = args.seeds.partition("-")
     failed_seeds = 0
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -16,6 +16,7 @@
 from tests.platform.soak_repeats import RepeatSoak
 from tests.platform.soak_restarts import RestartSoak
 from tests.platform.soak_second_runs import SecondRunSoak
+from tests.platform.soak_signals import SignalSoak
 from tests.platform.soak_versions import VersionSoak
 
 # Seeds with their durations. Seed 21 guards against servers that return under their names and get
@@ -89,3 +90,8 @@
 def test_streams_keep_their_version_where_engines_start_again_unlisted(tmp_path: Path) -> None:
     # Guards against streams that begin or go on by the entry of an earlier start of an engine.
     assert not soak.run(1, 12.0, tmp_path, RestartSoak)
+
+
+def test_promises_hold_beside_signals_until_processes_are_gone(tmp_path: Path) -> None:
+    # Guards against processes that end by a signal beside their stop, or without saying why.
+    assert not soak.run(1, 12.0, tmp_path, SignalSoak)
