--- a/packages/turmericweir/turmericweir/daemon.py
+++ b/packages/turmericweir/turmericweir/daemon.py
@@ -17,6 +17,7 @@
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
+from functools import partial
 from typing import Final
 
 import anyio
@@ -30,19 +31,13 @@
 from turmericweir.peers.peer_streams import PeerStreams
 from turmericweir.platform_client import PlatformClient
 from turmericweir.process import logs
-from turmericweir.process.end_log import (
-    FORCED_STOP_STATUS,
-    REASON_FORCED_STOP,
-    REASON_NOT_REQUESTED,
-    REASON_STOP,
-    STOPPED_STATUS,
-    EndLog,
-)
+from turmericweir.process.end_log import FORCED_STOP_STATUS, REASON_FORCED_STOP, EndLog
 from turmericweir.process.listening_socket import bind, bound_address
 from turmericweir.process.metrics import Metrics, NullMetrics, StatsdMetrics
 from turmericweir.process.node import Adapters, Node
 from turmericweir.process.process_settings import ProcessSettings
-from turmericweir.process.supervisor import run_supervised
+from turmericweir.process.process_signals import ProcessSignals
+from turmericweir.process.supervisor import run_endless, run_supervised
 from turmericweir.process.unhandled_errors import UnhandledErrors
 from turmericweir.process.verdict_waiters import VerdictWaiters
 from turmericweir.servers.backend_pool import BackendPool
@@ -70,7 +65,7 @@
     metrics: Metrics
 
 
-async def run(cfg: ProcessSettings) -> int:
+async def run(cfg: ProcessSettings, signals: ProcessSignals) -> int:
     """Run the daemon and return the exit status."""
     async with AsyncExitStack() as stack:
         stack.enter_context(logs.LogFile(cfg.log))
@@ -86,12 +81,11 @@
             # Excludes permanent objects from collections, which would delay requests.
             gc.collect()
             gc.freeze()
-            was_forced = await _serve(cfg, node, parts, caller_socket, admin_socket)
+            was_forced = await _serve(cfg, node, parts, caller_socket, admin_socket, signals)
             group.cancel_scope.cancel()
         if was_forced:
             return end.conclude(REASON_FORCED_STOP, FORCED_STOP_STATUS)
-        reason = REASON_STOP if node.is_stopping else REASON_NOT_REQUESTED
-        return end.conclude(reason, STOPPED_STATUS)
+        return end.conclude_stop(is_requested=node.is_stopping)
 
 
 async def _make_parts(cfg: ProcessSettings, stack: AsyncExitStack) -> DaemonParts:
@@ -157,7 +151,7 @@
         "serve peers": parts.streams.serve,
     }
     for name, work in tasks.items():
-        group.start_soon(run_supervised, name, work, node)
+        group.start_soon(run_endless, name, work, node)
 
 
 async def _serve(
@@ -166,6 +160,7 @@
     parts: DaemonParts,
     caller_socket: socket.socket,
     admin_socket: socket.socket,
+    signals: ProcessSignals,
 ) -> bool:
     """Serve until the process may end; return whether a second interrupt ended it."""
     app = CallerApp(node, parts.pool, cfg.limits)
@@ -180,13 +175,21 @@
     admin = HttpServer(operators, cfg.limits)
     force_stop_requested = anyio.Event()
     async with anyio.create_task_group() as group:
-        group.start_soon(_serve_http, admin, admin_socket)
-        group.start_soon(_handle_signals, node, force_stop_requested)
-        group.start_soon(_cancel_on_event, force_stop_requested, group.cancel_scope)
         addresses = (bound_address(caller_socket), bound_address(admin_socket))
-        group.start_soon(_report_listening, cfg.name, callers, admin, addresses)
-        group.start_soon(_stop_callers_on_exit, node, callers)
-        await _serve_http(callers, caller_socket)
+        endless: dict[str, Callable[[], Awaitable[None]]] = {
+            "serve operators": partial(_serve_http, admin, admin_socket),
+            "handle signals": partial(_handle_signals, node, signals, force_stop_requested),
+        }
+        for name, work in endless.items():
+            group.start_soon(run_endless, name, work, node)
+        single: dict[str, Callable[[], Awaitable[None]]] = {
+            "end at once": partial(_cancel_on_event, force_stop_requested, group.cancel_scope),
+            "report listening": partial(_report_listening, cfg.name, callers, admin, addresses),
+            "stop": partial(_stop_callers_on_exit, node, callers),
+        }
+        for name, work in single.items():
+            group.start_soon(run_supervised, name, work, node)
+        await run_supervised("serve callers", partial(_serve_http, callers, caller_socket), node)
         # `_serve_http` returns after the last answer.
         group.cancel_scope.cancel()
     return force_stop_requested.is_set()
@@ -217,15 +220,17 @@
         sys.stdout.flush()
 
 
-async def _handle_signals(node: Node, force_stop_requested: anyio.Event) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for signum in signals:
-            if node.is_stopping and signum == signal.SIGINT:
-                logs.write("forced_stop", signal=signum.name, in_flight=len(node.active_requests))
-                force_stop_requested.set()
-            elif not node.is_stopping:
-                logs.write("signal", signal=signum.name)
-                node.stop()
+async def _handle_signals(
+    node: Node, signals: ProcessSignals, force_stop_requested: anyio.Event
+) -> None:
+    while True:
+        signum = await signals.receive()
+        if node.is_stopping and signum == signal.SIGINT:
+            logs.write("forced_stop", signal=signum.name, in_flight=len(node.active_requests))
+            force_stop_requested.set()
+        elif not node.is_stopping:
+            logs.write("signal", signal=signum.name)
+            node.stop()
 
 
 async def _stop_callers_on_exit(node: Node, callers: HttpServer) -> None:
--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -38,7 +38,7 @@
 from turmericweir.peers.peer_streams import PeerStreams
 from turmericweir.process import logs
 from turmericweir.process.bound_limits import adjusted_bounds, usable_bounds
-from turmericweir.process.end_log import REASON_NOT_REQUESTED, REASON_STOP, STOPPED_STATUS, EndLog
+from turmericweir.process.end_log import EndLog
 from turmericweir.process.entry_settings import (
     DutiesSettings,
     EntrySettings,
@@ -56,8 +56,9 @@
     PlatformPort,
     RecordPort,
 )
+from turmericweir.process.process_signals import ProcessSignals
 from turmericweir.process.prometheus_metrics import MetricsApp, PrometheusMetrics
-from turmericweir.process.supervisor import run_supervised
+from turmericweir.process.supervisor import run_endless, run_supervised
 from turmericweir.process.unhandled_errors import UnhandledErrors
 from turmericweir.servers.backend_pool import BackendPool
 from turmericweir.servers.connection_probes import ConnectionProbes
@@ -299,12 +300,9 @@
     cfg: EntrySettings,
     platform_adapters: PlatformAdapters,
     entry_sockets: EntrySockets,
-    is_stop_requested: Callable[[], bool],
+    signals: ProcessSignals,
 ) -> int:
-    """Run the daemon on bound sockets and return the exit status.
-
-    `is_stop_requested` returns whether a stop signal arrived before the daemon handles signals.
-    """
+    """Run the daemon on bound sockets and return the exit status."""
     async with AsyncExitStack() as stack:
         pipe = stack.enter_context(LogPipe(sys.stdout.fileno(), cfg.name))
         end = stack.enter_context(EndLog())
@@ -387,18 +385,17 @@
                 "serve peers": streams.serve,
                 "follow settings": follower.follow_document,
                 "follow servers": follower.follow_registry,
-                "handle signals": partial(_handle_signals, node, is_stop_requested),
+                "handle signals": partial(_handle_signals, node, signals),
             }
             if duties is not None:
                 tasks["read clock"] = partial(_read_clock_forever, node)
             for name, work in tasks.items():
-                group.start_soon(run_supervised, name, work, node)
+                group.start_soon(run_endless, name, work, node)
             _tune_garbage_collector()
             await _serve(cfg, node, pool, platform_adapters, metrics, entry_sockets)
             group.cancel_scope.cancel()
         logs.write("stopped", in_flight=len(node.active_requests))
-        reason = REASON_STOP if node.is_stopping else REASON_NOT_REQUESTED
-        return end.conclude(reason, STOPPED_STATUS)
+        return end.conclude_stop(is_requested=node.is_stopping)
 
 
 def _add_memory_gauges(metrics: PrometheusMetrics, memory: MemoryBudget) -> None:
@@ -487,8 +484,9 @@
     readiness = make_server(platform_adapters.make_readiness_app(lambda: is_ready(node)))
     _add_connection_gauges(metrics, callers)
     async with anyio.create_task_group() as group:
-        group.start_soon(run_supervised, "check memory", memory.check_forever, node)
-        group.start_soon(_serve_http, readiness, sockets.readiness)
+        group.start_soon(run_endless, "check memory", memory.check_forever, node)
+        serve_readiness = partial(_serve_http, readiness, sockets.readiness)
+        group.start_soon(run_endless, "serve readiness", serve_readiness, node)
         if cfg.admin_address:
             views: dict[str, Callable[[], object]] = {
                 "idle_connections": pool.idle_counts,
@@ -502,7 +500,7 @@
                 "listen for operators",
                 node,
             )
-            group.start_soon(run_supervised, "serve operators", serve_admin, node)
+            group.start_soon(run_endless, "serve operators", serve_admin, node)
         if cfg.metrics_port:
             serve_metrics = partial(
                 serve_when_available,
@@ -511,10 +509,11 @@
                 "listen for the collector",
                 node,
             )
-            group.start_soon(run_supervised, "serve metrics", serve_metrics, node)
-        group.start_soon(_stop_on_exit, node, callers, group.cancel_scope)
-        group.start_soon(_log_when_ready, node)
-        await _serve_http(callers, sockets.callers)
+            group.start_soon(run_endless, "serve metrics", serve_metrics, node)
+        end = partial(_stop_on_exit, node, callers, group.cancel_scope)
+        group.start_soon(run_supervised, "stop", end, node)
+        group.start_soon(run_supervised, "log readiness", partial(_log_when_ready, node), node)
+        await run_supervised("serve callers", partial(_serve_http, callers, sockets.callers), node)
         group.cancel_scope.cancel()
 
 
@@ -569,16 +568,12 @@
     logs.write("ready", after_ms=round((anyio.current_time() - started_at) * 1000))
 
 
-async def _handle_signals(node: Node, is_stop_requested: Callable[[], bool]) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-        # Checked after the receiver is open, which prevents the loss of a signal.
-        if is_stop_requested() and not node.is_stopping:
-            logs.write("signal", signal="SIGTERM", in_flight=len(node.active_requests))
+async def _handle_signals(node: Node, signals: ProcessSignals) -> None:
+    while True:
+        signum = await signals.receive()
+        logs.write("signal", signal=signum.name, in_flight=len(node.active_requests))
+        if signum != signal.SIGHUP and not node.is_stopping:
             node.stop()
-        async for signum in signals:
-            logs.write("signal", signal=signum.name, in_flight=len(node.active_requests))
-            if signum != signal.SIGHUP and not node.is_stopping:
-                node.stop()
 
 
 async def _stop_on_exit(node: Node, callers: HttpServer, scope: anyio.CancelScope) -> None:
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -533,6 +533,7 @@
     restarts: bool,
     second_runs: bool,
     growth: bool,
+    signals: bool,
 ) -> type[Soak]:
     # Imported late, as these modules import this one.
     if notices:
@@ -583,6 +584,10 @@
         from tests.platform.soak_growth import GrowthSoak
 
         return GrowthSoak
+    if signals:
+        from tests.platform.soak_signals import SignalSoak
+
+        return SignalSoak
     return Soak
 
 
@@ -619,6 +624,9 @@
     parser.add_argument(
         "--growth", action="store_true", help="one process runs through all; its size is printed"
     )
+    parser.add_argument(
+        "--signals", action="store_true", help="signals in series until processes are gone"
+    )
     args = parser.parse_args()
     make_soak = _choose_soak(
         notices=args.notices,
@@ -633,6 +641,7 @@
         restarts=args.restarts,
         second_runs=args.second_runs,
         growth=args.growth,
+        signals=args.signals,
     )
     first, _, last = args.seeds.partition("-")
     failed_seeds = 0
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -17,6 +17,7 @@
 from tests.platform.soak_repeats import RepeatSoak
 from tests.platform.soak_restarts import RestartSoak
 from tests.platform.soak_second_runs import SecondRunSoak
+from tests.platform.soak_signals import SignalSoak
 from tests.platform.soak_versions import VersionSoak
 
 # Seeds with their durations. Seed 21 guards against servers that return under their names and get
@@ -96,3 +97,8 @@
     # Guards against a process that ends by itself, or takes more than its share of memory, while
     # others are killed, settings grow and crowds come.
     assert not soak.run(1, 14.0, tmp_path, GrowthSoak)
+
+
+def test_promises_hold_beside_signals_until_processes_are_gone(tmp_path: Path) -> None:
+    # Guards against processes that end by a signal beside their stop, or without saying why.
+    assert not soak.run(1, 12.0, tmp_path, SignalSoak)
