--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -32,6 +32,7 @@
 from turmericweir.callers.http_limits import HttpLimits
 from turmericweir.callers.http_server import HttpServer, LimitedProtocol
 from turmericweir.operations.entry_admin import EntryAdmin
+from turmericweir.operations.retried_port import serve_when_available
 from turmericweir.peers.peer_datagrams import PeerDatagrams
 from turmericweir.peers.peer_dialer import PeerDialer
 from turmericweir.peers.peer_streams import PeerStreams
@@ -43,7 +44,7 @@
     EntrySettings,
     SettingsFile,
 )
-from turmericweir.process.listening_socket import bind
+from turmericweir.process.entry_sockets import EntrySockets
 from turmericweir.process.log_pipe import LogPipe
 from turmericweir.process.loop_steps import report_forever, running_steps
 from turmericweir.process.memory_budget import MemoryBudget, peak_size
@@ -298,10 +299,10 @@
     file: SettingsFile,
     cfg: EntrySettings,
     platform_adapters: PlatformAdapters,
-    callers: socket.socket,
+    entry_sockets: EntrySockets,
     signals: ProcessSignals,
 ) -> int:
-    """Run the daemon on a bound callers' socket and return the exit status."""
+    """Run the daemon on bound sockets and return the exit status."""
     async with AsyncExitStack() as stack:
         pipe = stack.enter_context(LogPipe(sys.stdout.fileno(), cfg.name))
         end = stack.enter_context(EndLog())
@@ -309,13 +310,16 @@
         stack.enter_context(UnhandledErrors(metrics))
         logs.write("starting", data_centre=cfg.data_centre, store=cfg.store.address)
         _log_adjusted_bounds(cfg)
-        sockets = _bind_all(cfg, callers, stack)
         local_name = InstanceName(cfg.name)
         pool = await stack.enter_async_context(
             BackendPool(PeerDialer(local_name, cfg.peer_address))
         )
-        streams = await stack.enter_async_context(PeerStreams(local_name, cfg.peer_address))
-        datagrams = await stack.enter_async_context(PeerDatagrams(local_name, cfg.peer_address))
+        streams = await stack.enter_async_context(
+            PeerStreams(local_name, cfg.peer_address, entry_sockets.peer_streams)
+        )
+        datagrams = await stack.enter_async_context(
+            PeerDatagrams(local_name, cfg.peer_address, entry_sockets.peer_datagrams)
+        )
         servers = ConnectionProbes(pool)
         follower = platform_adapters.make_follower(pool, cfg)
         state = make_state(cfg)
@@ -388,7 +392,7 @@
             for name, work in tasks.items():
                 group.start_soon(run_endless, name, work, node)
             _tune_garbage_collector()
-            await _serve(cfg, node, pool, platform_adapters, metrics, sockets)
+            await _serve(cfg, node, pool, platform_adapters, metrics, entry_sockets)
             group.cancel_scope.cancel()
         logs.write("stopped", in_flight=len(node.active_requests))
         return end.conclude_stop(is_requested=node.is_stopping)
@@ -430,30 +434,6 @@
     )
 
 
-@dataclass(frozen=True, slots=True)
-class _Sockets:
-    callers: socket.socket
-    readiness: socket.socket
-    admin: socket.socket | None
-    metrics: socket.socket | None
-
-
-def _bind_all(cfg: EntrySettings, callers: socket.socket, stack: AsyncExitStack) -> _Sockets:
-    metrics = f"{cfg.host}:{cfg.metrics_port}" if cfg.metrics_port else ""
-
-    def bind_address(address: str, step: str) -> socket.socket:
-        return stack.enter_context(bind(address, step))
-
-    return _Sockets(
-        callers=callers,
-        readiness=bind_address(cfg.readiness_address, "listen for the balancer"),
-        admin=(
-            bind_address(cfg.admin_address, "listen for operators") if cfg.admin_address else None
-        ),
-        metrics=bind_address(metrics, "listen for the collector") if metrics else None,
-    )
-
-
 def _tune_garbage_collector() -> None:
     """Exclude permanent objects from collections, which would delay requests."""
     gc.collect()
@@ -475,7 +455,7 @@
     pool: BackendPool,
     platform_adapters: PlatformAdapters,
     metrics: PrometheusMetrics,
-    sockets: _Sockets,
+    sockets: EntrySockets,
 ) -> None:
     limits: HttpLimits = SettingsHttpLimits(node.state)
     servers: list[HttpServer] = []
@@ -507,17 +487,28 @@
         group.start_soon(run_endless, "check memory", memory.check_forever, node)
         serve_readiness = partial(_serve_http, readiness, sockets.readiness)
         group.start_soon(run_endless, "serve readiness", serve_readiness, node)
-        if sockets.admin is not None:
+        if cfg.admin_address:
             views: dict[str, Callable[[], object]] = {
                 "idle_connections": pool.idle_counts,
                 "traffic": lambda: node.traffic,
             }
             admin = EntryAdmin(node, views, lambda: is_ready(node), cfg.admin_token_sha256)
-            serve_admin = partial(_serve_http, make_server(admin), sockets.admin)
+            serve_admin = partial(
+                serve_when_available,
+                make_server(admin),
+                cfg.admin_address,
+                "listen for operators",
+                node,
+            )
             group.start_soon(run_endless, "serve operators", serve_admin, node)
-        if sockets.metrics is not None:
-            metrics_server = make_server(MetricsApp(metrics))
-            serve_metrics = partial(_serve_http, metrics_server, sockets.metrics)
+        if cfg.metrics_port:
+            serve_metrics = partial(
+                serve_when_available,
+                make_server(MetricsApp(metrics)),
+                f"{cfg.host}:{cfg.metrics_port}",
+                "listen for the collector",
+                node,
+            )
             group.start_soon(run_endless, "serve metrics", serve_metrics, node)
         end = partial(_stop_on_exit, node, callers, group.cancel_scope)
         group.start_soon(run_supervised, "stop", end, node)
@@ -531,24 +522,34 @@
 
 
 async def _reload_forever(node: Node, file: SettingsFile) -> None:
-    """Reload the settings file when it changes.
+    """Reload the settings file when it changes, and again until it is whole.
 
     Addresses of ports do not change. An invalid file is ignored.
     """
+    error = ""
     while True:
         await anyio.sleep(_RELOAD_INTERVAL_S)
-        if not file.has_changed():
+        is_changed = file.has_changed()
+        if not is_changed and file.is_confirmed():
             continue
+        earlier = file.last_whole
         result = file.read()
         if not is_successful(result):
-            logs.write("reload_failed", error=str(result.failure()))
+            if str(result.failure()) != error:
+                error = str(result.failure())
+                logs.write("reload_failed", error=error)
             continue
-        cfg = result.unwrap()
-        node.state.options = make_options(cfg)
-        node.answer_bounds = cfg.answers
-        node.handle(SeedsGiven(cfg.peer_seeds))
-        logs.write("reloaded", bounds=msgspec.to_builtins(cfg.bounds))
-        _log_adjusted_bounds(cfg)
+        if is_changed or error or file.last_whole != earlier:
+            _apply_settings(node, result.unwrap())
+        error = ""
+
+
+def _apply_settings(node: Node, cfg: EntrySettings) -> None:
+    node.state.options = make_options(cfg)
+    node.answer_bounds = cfg.answers
+    node.handle(SeedsGiven(cfg.peer_seeds))
+    logs.write("reloaded", bounds=msgspec.to_builtins(cfg.bounds))
+    _log_adjusted_bounds(cfg)
 
 
 async def _read_clock_forever(node: Node) -> None:
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -532,6 +532,7 @@
     partitions: bool,
     restarts: bool,
     second_runs: bool,
+    growth: bool,
     signals: bool,
 ) -> type[Soak]:
     # Imported late, as these modules import this one.
@@ -579,6 +580,10 @@
         from tests.platform.soak_second_runs import SecondRunSoak
 
         return SecondRunSoak
+    if growth:
+        from tests.platform.soak_growth import GrowthSoak
+
+        return GrowthSoak
     if signals:
         from tests.platform.soak_signals import SignalSoak
 
@@ -616,6 +621,9 @@
     parser.add_argument(
         "--second-runs", action="store_true", help="trouble between two sends; callers send ahead"
     )
+    parser.add_argument(
+        "--growth", action="store_true", help="one process runs through all; its size is printed"
+    )
     parser.add_argument(
         "--signals", action="store_true", help="signals in series until processes are gone"
     )
@@ -632,6 +640,7 @@
         partitions=args.partitions,
         restarts=args.restarts,
         second_runs=args.second_runs,
+        growth=args.growth,
         signals=args.signals,
     )
     first, _, last = args.seeds.partition("-")
