--- a/tests/platform/platform_world.py
+++ b/tests/platform/platform_world.py
@@ -443,6 +443,10 @@
         process.start()
         return process
 
+    def launch_successor(self, name: str) -> Process:
+        """Start the next process of an instance beside the one that runs."""
+        return self._launch(name)
+
     def restart_instance(self, name: str) -> None:
         """Restart an instance at its addresses, without its state."""
         self.stop_instance(name)
--- a/tests/platform/soak_signals.py
+++ b/tests/platform/soak_signals.py
@@ -1,7 +1,7 @@
 """Soak test in which signals come in series: during starts, beside stops and until the end.
 
-Reloads and new settings overlap with them. Every process that has begun to run must end by its stop
-and say so, whatever else it was sent.
+Reloads, new settings and starts beside the earlier process overlap with them. Every process that
+has begun to run must end by its stop and say so, whatever else it was sent.
 """
 
 from __future__ import annotations
@@ -47,8 +47,21 @@
     def signal_instance(self) -> None:
         """Stop a process, and send it further signals until it is gone."""
         name = self._pick_instance()
-        if name is None:
-            return
+        if name is not None:
+            process = self._stop_by_signals(name)
+            self._end_later(0.5, 2.0, lambda: self._start_next(name, process, None))
+
+    def succeed_instance(self) -> None:
+        """Stop a process in the same way, and start the next one beside it."""
+        name = self._pick_instance()
+        if name is not None:
+            process = self._stop_by_signals(name)
+            time.sleep(self.rng.uniform(0.0, 0.5))
+            successor = self.world.launch_successor(name)
+            self._log(f"{name} starts beside the earlier process")
+            self._end_later(0.5, 2.0, lambda: self._start_next(name, process, successor))
+
+    def _stop_by_signals(self, name: str) -> Process:
         process = self.world.running[name].process
         span = Span(name, time.monotonic())
         self.stopped.append(span)
@@ -61,7 +74,17 @@
         threading.Thread(target=signal_until_gone, args=series).start()
         threading.Thread(target=self._note_end, args=(span,)).start()
         self._log(f"{name} gets {first.name}, then signals each {pause_max_s} s")
-        self._end_later(0.5, 2.0, lambda: self._check_end(name, process))
+        return process
+
+    def _start_next(self, name: str, process: Process, successor: Process | None) -> None:
+        self._check_end(name, process)
+        if successor is None:
+            self._restart_instance(name)
+            return
+        instance = self.world.running[name]
+        instance.earlier_lines += process.lines
+        instance.process = successor
+        self.unavailable.discard(name)
 
     def _check_end(self, name: str, process: Process) -> None:
         exit_code = process.wait(20)
@@ -71,7 +94,6 @@
         is_stop = last.get("event") == "ended" and last.get("reason") == "stop_requested"
         if has_begun and (exit_code != 0 or not is_stop):
             self.event_log.append(f"BROKEN {name} ended with {exit_code}, its last line is {last}")
-        self._restart_instance(name)
 
     def reload_instance(self) -> None:
         """Write the settings file of a process again, and tell it so in a series of signals."""
@@ -98,7 +120,8 @@
 
 
 SIGNAL_FAULTS: Final[tuple[Callable[[SignalSoak], None], ...]] = (
-    *[SignalSoak.signal_instance] * 5,
+    *[SignalSoak.signal_instance] * 4,
+    *[SignalSoak.succeed_instance] * 3,
     *[SignalSoak.reload_instance] * 4,
     *[Soak.change_settings] * 2,
     Soak.drain_server,
