Count answers to operators as memory that is held, and refuse large ones

What operators saw: a process that ends by its memory limit while many programs ask the operators' port for the state, and settings are large: with 9,000 routes an answer has 4.8 MB.

Cause: all requests that are ready are answered in one step, and what waits to be read by clients is counted only each second, or when much was read. Answers that the process makes itself are not read from anywhere, so they did not count until then, and nobody was refused. There since this port shows the state.

Why this works: an answer counts when it has been passed to the connection, so the next count is made when much waits, and from then on the state is refused with 503 while memory is short, as callers' requests are.

Left: one state is still made in one step, and the port of operators that administer settings (`admin_app`) has no memory limit.

--- a/packages/turmericweir/turmericweir/operations/entry_admin.py
+++ b/packages/turmericweir/turmericweir/operations/entry_admin.py
@@ -27,7 +27,7 @@
 from turmericweir_core.trust import retry, server_paths
 
 if TYPE_CHECKING:
-    from uvicorn._types import ASGIReceiveCallable, ASGISendCallable, Scope
+    from uvicorn._types import ASGIReceiveCallable, ASGISendCallable, ASGISendEvent, Scope
 
 _BEARER: Final = b"bearer "
 # The largest settings version that a query may name.
@@ -60,7 +60,14 @@
         self, scope: Scope, receive: ASGIReceiveCallable, send: ASGISendCallable
     ) -> None:
         """Answer one request."""
-        await serve_operator(scope, receive, send, self._answer)
+
+        async def send_counted(message: ASGISendEvent) -> None:
+            await send(message)
+            if message["type"] == "http.response.body":
+                # The client has to read it, until which it is held.
+                self._node.memory.add(len(message["body"]))
+
+        await serve_operator(scope, receive, send_counted, self._answer)
 
     async def _answer(self, request: OperatorRequest) -> None:
         self._check_token(request.headers)
@@ -70,6 +77,7 @@
             case "/readyz":
                 await request.answer(HTTPStatus.OK, self._readiness())
             case "/state":
+                self._check_memory()
                 await request.answer(HTTPStatus.OK, self._state())
             case "/instances":
                 versions = instance_versions(self._node.state, anyio.current_time())
@@ -84,6 +92,11 @@
             case _:
                 raise ProblemError(HTTPStatus.NOT_FOUND, "there is nothing at this path")
 
+    def _check_memory(self) -> None:
+        """Refuse a large answer while memory is short."""
+        if self._node.memory.is_short:
+            raise ProblemError(HTTPStatus.SERVICE_UNAVAILABLE, "memory is short; ask again later")
+
     def _check_token(self, headers: Mapping[bytes, bytes]) -> None:
         if not self._token_sha256:
             return
