Show which answers of servers cannot be written to callers

The server of callers refuses to write some of what the parser of servers' answers accepts: 27 control characters in the values of headers (1 to 8, 14 to 31 and 127; all 256 bytes were tried in names and values), a length in an answer that has no body (204, 304), and a length beside chunks that is not that of the body.

--- a/tests/platform/standin_answers.py
+++ b/tests/platform/standin_answers.py
@@ -38,6 +38,10 @@
     is_unread: bool = False
     # As written in the first line.
     status: str = "200"
+    # Written after its other headers.
+    more_headers: tuple[tuple[str, str], ...] = ()
+    # Whether the body is left out, and only its length is announced.
+    is_bodiless: bool = False
 
     def __str__(self) -> str:
         end = "" if self.breaks is Break.NOWHERE else "-reset" if self.is_reset else "-closed"
@@ -52,7 +56,7 @@
     interval_s: float = 0.0,
 ) -> bool:
     """Write an answer whose body consists of parts; return whether it is complete."""
-    lines = [f"{name}: {value}" for name, value in headers.items()]
+    lines = [f"{name}: {value}" for name, value in (*headers.items(), *form.more_headers)]
     match form.framing:
         case Framing.LENGTH:
             lines.append(f"Content-Length: {sum(map(len, parts))}")
@@ -61,7 +65,7 @@
         case Framing.CONNECTION_END:
             pass
     await call.write("\r\n".join([f"HTTP/1.1 {form.status} X", *lines, "", ""]).encode())
-    for part in _written_parts(form.breaks, parts):
+    for part in () if form.is_bodiless else _written_parts(form.breaks, parts):
         data = chunk(part) if form.framing is Framing.CHUNKED else part
         if form.is_unread:
             call.writer.write(data)
--- a/tests/platform/standin_server.py
+++ b/tests/platform/standin_server.py
@@ -109,6 +109,8 @@
     close_port: Callable[[], Awaitable[None]] | None = None
     # Runs before the connection of an answer in a form that is broken off ends.
     before_end: Callable[[], Awaitable[None]] | None = None
+    # The body of its plain answers in a form; empty for its name.
+    plain_body: bytes = b""
     # The forms of its next answers; servers may share the list.
     forms: list[AnswerForm] = field(default_factory=list)
     received: list[ReceivedRequest] = field(default_factory=list)
@@ -340,7 +342,7 @@
     async def _answer_in_form(
         self, call: Call, answer_headers: dict[str, str], request: ReceivedRequest
     ) -> bool:
-        parts = [b"by ", self.name.encode()]
+        parts = [self.plain_body] if self.plain_body else [b"by ", self.name.encode()]
         if self.is_streaming:
             answer_headers = {**answer_headers, "Content-Type": "text/event-stream"}
             numbers = range(int(call.headers.get("last-event-id") or "-1") + 1, self.event_count)
