Take an answer with a control character in a header for none

A caller whose server sent a header value with a control character (1 to 8, 14 to 31, 127) had its connection reset, and the log had no end of the request. The parser of answers refuses NUL and line breaks only; the server of callers refuses to write the others too, after the request had its final account.

Such values are invalid (RFC 9110, section 5.5). They are now judged where the head of an attempt's answer is read, as an error of the protocol: another try if the request may be repeated, otherwise 502. Replacing the character would change what the server said, which may be signed.

Left: errors in writing that have other causes are still without an end in the log.

--- a/packages/turmericweir/turmericweir/servers/backend_attempt.py
+++ b/packages/turmericweir/turmericweir/servers/backend_attempt.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Awaitable, Callable, Mapping
 from typing import TYPE_CHECKING, Final, Protocol
 
@@ -53,6 +54,8 @@
 REQUEST_ID: Final = b"x-request-id"
 PRIORITY: Final = b"x-priority"
 _TRUE: Final = b"1"
+# RFC 9110, section 5.5. The parser refuses the other ones.
+_CONTROLS: Final = re.compile(rb"[\x01-\x08\x0e-\x1f\x7f]")
 # In the errors of the protocol that only say that the connection ended.
 _CLOSED_ERRORS: Final = ("disconnected", "closed connection")
 
@@ -192,6 +195,7 @@
                 request = make_request()
                 self._sent_at = anyio.current_time()
                 response = await conn.send(request, self._first_byte)
+                _check_headers(response)
                 self.answer.begin(request, response)
                 if self.answer.is_framed or make_status_check is None:
                     end = await consume(response)
@@ -351,6 +355,12 @@
         return False
 
 
+def _check_headers(response: httpcore.Response) -> None:
+    """Raise httpcore's error for invalid header values, which cannot be written to a caller."""
+    if _CONTROLS.search(b"".join([value for _, value in response.headers])):
+        raise httpcore.RemoteProtocolError("a header of the answer has a control character")
+
+
 def _is_malformed(error: Exception) -> bool:
     """Return whether the bytes of an answer are none, rather than that its connection ended."""
     if not isinstance(error, httpcore.RemoteProtocolError):
