Pass on the length of an answer only where it counts

An answer without a body (204, 304) that announces a length, as a 304 may, and a chunked answer of over 256 KB with a length that is not that of its body ended in an error while they were written to the caller: the head was out, the connection was reset or cut, and the log had no end of the request. The length was passed on as it came, and the server of callers counts the body against it.

The length is now left out where the answer has no body, and beside chunks, where it does not count (RFC 9112, section 6.3).

Left: the end of a request after an internal error is not in the log.

--- a/packages/turmericweir/turmericweir/servers/forward.py
+++ b/packages/turmericweir/turmericweir/servers/forward.py
@@ -63,6 +63,10 @@
     return status in _SUCCESS and status not in STATUSES_WITHOUT_BODY and is_event_type
 
 
+def _without_length(headers: Headers) -> Headers:
+    return [each for each in headers if each[0] != _LENGTH]
+
+
 class ForwardJob:
     """A forwarded request with its answer."""
 
@@ -302,7 +306,7 @@
     async def _deliver_stream(self, response: httpcore.Response, headers: Headers) -> AttemptEnd:
         answer = self._job.answer
         # A caller that has as many bytes as announced would take a broken stream for complete.
-        answer.begin_answer(response.status, [each for each in headers if each[0] != _LENGTH])
+        answer.begin_answer(response.status, _without_length(headers))
         splitter = EventSplitter(answer.last_event_id) if self._call.resumable else None
         tracker = EventTracker()
         event_max_bytes = self._node.answer_bounds.event_bytes
@@ -337,6 +341,9 @@
 
     async def _deliver_body(self, response: httpcore.Response, headers: Headers) -> AttemptEnd:
         answer = self._job.answer
+        if response.status in STATUSES_WITHOUT_BODY or not self._attempt.answer.is_sized:
+            # Announces the length of another answer, or does not count beside chunks.
+            headers = _without_length(headers)
         answer.begin_answer(response.status, headers)
         bounds = self._node.answer_bounds
         bound = BodyBound(bounds, response.status, is_sized=self._attempt.answer.is_sized)
