--- a/tests/platform/faulty_instance.py
+++ b/tests/platform/faulty_instance.py
@@ -87,7 +87,8 @@
 _RETURNING_FAULTS: Final = frozenset({"cancelled future in a group"})
 
 
-def _take_trigger(trigger: Path) -> str:
+def take_trigger(trigger: Path) -> str:
+    """Return the text of a trigger and remove it; empty if there is none."""
     if not trigger.exists():
         return ""
     kind = trigger.read_text()
@@ -100,7 +101,7 @@
     trigger = Path(os.environ[TRIGGER_VARIABLE])
     while True:
         await anyio.sleep(_POLL_S)
-        kind = _take_trigger(trigger)
+        kind = take_trigger(trigger)
         if kind:
             await FAULTS[kind]()
         if kind in _RETURNING_FAULTS:
--- a/tests/platform/faulty_world.py
+++ b/tests/platform/faulty_world.py
@@ -16,6 +16,9 @@
 class FaultyWorld(PlatformWorld):
     """Starts instances in which a test can trigger faults."""
 
+    # The module that runs the daemon with its faults.
+    program = "tests.platform.faulty_instance"
+
     def trigger(self, name: str, fault: str) -> None:
         """Make a fault happen in an instance."""
         path = self._trigger_path(name)
@@ -32,7 +35,13 @@
             TRIGGER_VARIABLE: str(self._trigger_path(name)),
             "PYTHONPATH": os.pathsep.join([str(ROOT), *sys.path]),
         }
-        argv = [sys.executable, "-m", "tests.platform.faulty_instance"]
+        argv = [sys.executable, "-m", self.program]
         process = Process(argv, name=name, directory=self.directory, env=env)
         process.start()
         return process
+
+
+class FailingWorld(FaultyWorld):
+    """Starts instances in which a test makes a step of answering fail."""
+
+    program = "tests.platform.failing_instance"
