Return free memory when the process is large, whatever is held

What operators saw: a process that ends by its memory limit after crowds, though little is held.

Cause: the allocator keeps what is freed, and objects that refer to each other wait for a rare collection. Both were returned only when next to nothing was held any more; one slow request, or a closed connection whose request still runs, was enough to keep all of it. There since freed memory is returned at all.

The test covers the condition only; there is no test that failed before through a real process.

Why this works: from 0.6 of the limit on, a count collects and trims, once a second at most.

--- a/packages/turmericweir/turmericweir/callers/caller_memory.py
+++ b/packages/turmericweir/turmericweir/callers/caller_memory.py
@@ -26,6 +26,7 @@
 # What is held is also counted when much was read (`MemoryBudget.add`).
 _CHECK_INTERVAL_S: Final = 1.0
 _SHORT_CHECK_INTERVAL_S: Final = 0.1
+_RELEASE_INTERVAL_S: Final = 1.0
 # A request is refused only by a count that is at most this old.
 _COUNT_AGE_S: Final = 0.05
 # How long room is kept for the rest of a body of which nothing arrives.
@@ -145,6 +146,8 @@
     # Those whose bodies are being read.
     _receiving: set[TrackedCaller]
     _counted_at: float
+    # When free memory may be returned again while much is held.
+    _next_release_at: float
     # Returns all connections, also those without a request.
     _connections: Callable[[], Iterable[CallerChannel]]
 
@@ -160,6 +163,7 @@
         self._tracked = {}
         self._receiving = set()
         self._counted_at = 0.0
+        self._next_release_at = 0.0
         node.memory.recount = self.count
 
     def admit(self, tracked: TrackedCaller, body_bytes: int | None) -> bool:
@@ -237,6 +241,11 @@
         if budget.can_release:
             release_free_memory()
             budget.note_released(resident_size())
+        elif budget.is_oversized and self._counted_at >= self._next_release_at:
+            # Others are held up for as long, so it is not done at each count.
+            self._next_release_at = self._counted_at + _RELEASE_INTERVAL_S
+            release_free_memory()
+            budget.resident_bytes = resident_size()
 
     def check(self, now: float, resident_bytes: int) -> None:
         """Cut off callers that do not read, and others if the memory is short."""
--- a/packages/turmericweir/turmericweir/process/memory_budget.py
+++ b/packages/turmericweir/turmericweir/process/memory_budget.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import ctypes
+import gc
 import os
 import sys
 from collections.abc import Callable, Sequence
@@ -23,6 +24,8 @@
 _PEAK_FIELD: Final = b"VmHWM:"
 # The share of the limit that the whole process may use.
 LIMIT_SHARE: Final = 0.8
+# The share from which on memory that is free is returned to the system, whatever is held.
+OVERSIZE_SHARE: Final = 0.6
 # The share of what is left of it that may be held: a byte that is passed on is copied once.
 HELD_SHARE: Final = 0.5
 # The least that may be held, as a share of the limit, whatever else the process needs.
@@ -148,6 +151,11 @@
         is_free = self._has_held_much and self.used_bytes < _IDLE_HELD_BYTES
         return bool(self.limit_bytes) and is_free
 
+    @property
+    def is_oversized(self) -> bool:
+        """Whether the process is so large that free memory must be returned to the system."""
+        return bool(self.limit_bytes) and self.resident_bytes > OVERSIZE_SHARE * self.limit_bytes
+
     def note_released(self, resident_bytes: int) -> None:
         """Record the size of the process without freed memory, which is what it needs itself.
 
@@ -180,7 +188,11 @@
 
 
 def release_free_memory() -> None:
-    """Return freed memory from the C library's allocator to the system, if it can do that."""
+    """Free what only refers to itself, and return free memory to the system.
+
+    The C library's allocator returns it; others may keep it.
+    """
+    gc.collect()
     trim = getattr(ctypes.CDLL(None), "malloc_trim", None)
     if trim is not None:
         trim(0)
--- a/tests/daemon/test_memory_budget.py
+++ b/tests/daemon/test_memory_budget.py
@@ -185,3 +185,17 @@
     assert not budget.is_short
     assert budget.fits(64_000, 0)
     assert MemoryBudget().fits_headers(10**12)
+
+
+@pytest.mark.parametrize(
+    ("limit_bytes", "resident_bytes", "is_oversized"),
+    [(100_000_000, 59_000_000, False), (100_000_000, 61_000_000, True), (0, 61_000_000, False)],
+)
+def test_large_process_returns_free_memory_while_something_is_held(
+    limit_bytes: int, resident_bytes: int, is_oversized: bool
+) -> None:
+    # Guards against freed memory that is kept until the limit, as long as any request holds some.
+    budget = MemoryBudget(limit_bytes=limit_bytes)
+    budget.update(30_000_000, resident_bytes)
+    assert not budget.can_release
+    assert budget.is_oversized == is_oversized
