End a request that fails within an instance with an answer and a log line

A request in whose handling an instance met an error of its own had its connection reset, and the log had a fault and no end of the request: the error left the exchange before the end was logged, also where the request had its final account.

The exchange now has an account in each case: that of the reducer, whose outcome becomes unknown, since the caller did not get what it says. The line of the end is written however the exchange ends. A caller that has no part of an answer gets the answer for an unknown outcome (502), never one that says that nothing was run; others are reset as before, and so is a caller to whom that answer cannot be written.

14 steps of answering that fail once each, for 4 kinds of requests: 4 of 4 tests failed at the first step and pass now (pytest -n 2 tests/platform/test_internal_errors.py). Left: an error before the request is placed has an answer and a fault, and no line of an end. The interface for callers of the own protocol writes no such lines at all.

--- a/packages/turmericweir/turmericweir/answers/caller_problem.py
+++ b/packages/turmericweir/turmericweir/answers/caller_problem.py
@@ -85,6 +85,12 @@
     )
 
 
+def make_failed_account(request_id: str) -> Account:
+    """Return the account of a request that an internal error ended, so nobody knows if it ran."""
+    outcome, reason = Outcome.UNKNOWN, Reason.EVIDENCE_LOST
+    return Account(request_id, outcome, reason, describe_end(outcome, reason))
+
+
 def make_problem(
     request_id: str,
     outcome: Outcome,
--- a/packages/turmericweir/turmericweir/callers/exchange.py
+++ b/packages/turmericweir/turmericweir/callers/exchange.py
@@ -13,8 +13,10 @@
 
 import anyio
 from anyio.lowlevel import checkpoint
+from msgspec.structs import replace
 
 from turmericweir.answers.caller_answer import Answer, Caller, PlainAnswer
+from turmericweir.answers.caller_problem import make_failed_account
 from turmericweir.process.node import Node
 from turmericweir.servers.backend_pool import BackendPool
 from turmericweir_core.base.account import Account
@@ -190,16 +192,33 @@
 
     async def run(self, connection: CallerConnection) -> bool:
         """Run the request; return False if the connection must be reset."""
+        try:
+            self.account = await self._reach_account(connection)
+            return await self.job.answer.finish(self.account)
+        except Exception:
+            self.account = self._failed_account()
+            raise
+
+    async def _reach_account(self, connection: CallerConnection) -> Account:
         connection.on_lost = self._report_caller_left
         try:
-            account = await self._run_to_account(connection)
+            return await self._run_to_account(connection)
         except BaseException:
             self._report_aborted()
             raise
         finally:
             connection.on_lost = None
-        self.account = account
-        return await self.job.answer.finish(account)
+
+    def _failed_account(self) -> Account:
+        """Return the account of a request that an internal error ended."""
+        accounts = [each.account for each in self._decisions if isinstance(each, FinishRequest)]
+        account = self.account or (accounts[-1] if accounts else None)
+        failed = make_failed_account(self.request.request_id)
+        if account is None:
+            return failed
+        return replace(
+            account, outcome=failed.outcome, reason=failed.reason, detail=failed.detail, status=None
+        )
 
     def _report_aborted(self) -> None:
         """Report to the reducer that the caller left and the attempt was cancelled.
--- a/packages/turmericweir/turmericweir/callers/forward_app.py
+++ b/packages/turmericweir/turmericweir/callers/forward_app.py
@@ -12,6 +12,7 @@
 import anyio
 
 from turmericweir.answers.caller_answer import Caller
+from turmericweir.answers.caller_problem import make_failed_account
 from turmericweir.answers.caller_refusal import RefusedError
 from turmericweir.answers.forward_answer import ForwardAnswer
 from turmericweir.answers.forward_wire import RequestHead, WireAdapter
@@ -75,8 +76,7 @@
             await self._refuse(caller, exc)
         except Exception as exc:
             logs.write_fault("answer", request_id, exc)
-            # The outcome is unknown, and any answer would suggest one.
-            connection.reset_connection()
+            await self._answer_failed(connection, caller)
         finally:
             self._memory.end_request(tracked)
 
@@ -109,6 +109,20 @@
                     if message["type"] != "http.request" or not message["more_body"]:
                         break
 
+    async def _answer_failed(self, connection: LimitedProtocol, caller: Caller) -> None:
+        """Answer that the outcome is unknown; reset the connection if an answer has begun."""
+        if caller.is_started:
+            connection.reset_connection()
+            return
+        # The body may be unread.
+        caller.should_close = True
+        account = make_failed_account(caller.request_id)
+        try:
+            await caller.write_problem(self._wire.account_problem(account))
+        except Exception as exc:
+            logs.write_fault("answer failed request", caller.request_id, exc)
+            connection.reset_connection()
+
     async def _refuse(self, caller: Caller, exc: RefusedError) -> None:
         self._node.count(f"refused.{exc.reason}")
         state = self._node.state
@@ -157,12 +171,12 @@
             is_complete = await exchange.run(connection)
         finally:
             del self._node.active_requests[request_id]
-        if exchange.account is not None:
-            self._log_end(exchange.account, head)
+            if exchange.account is not None:
+                self._log_end(exchange.account)
         if not is_complete:
             connection.reset_connection()
 
-    def _log_end(self, account: Account, head: RequestHead) -> None:
+    def _log_end(self, account: Account) -> None:
         logs.write(
             "finished",
             request_id=account.request_id,
