Show that the port for peers accepts nothing after a first try that failed

Another program that listens on the port between our bind and our listen makes the first try fail. The task is started again, and then the port listens, but nobody accepts: peers connect and wait. The node of these tests has a memory budget now, which the port needs to serve.

--- a/tests/daemon/test_peer_listener.py
+++ b/tests/daemon/test_peer_listener.py
@@ -12,12 +12,15 @@
 from turmericweir.peers.carrier import Carrier
 from turmericweir.peers.incoming_streams import IncomingStreams
 from turmericweir.peers.peer_codec import FrameReader, encode
-from turmericweir.peers.peer_listener import IncomingStream
+from turmericweir.peers.peer_listener import IncomingStream, PeerListener
+from turmericweir.process.listening_socket import bind, listen
+from turmericweir.process.memory_budget import MemoryBudget
 from turmericweir.process.node import Node
 from turmericweir.process.traffic import Traffic
 from turmericweir_core.base.ids import InstanceName
 from turmericweir_core.messages.events import Event
 from turmericweir_core.messages.membership_messages import MarksAsk
+from turmericweir_standins.procs import free_address
 
 pytestmark = pytest.mark.anyio
 
@@ -30,6 +33,7 @@
     def __init__(self) -> None:
         self.events: list[Event] = []
         self.traffic = Traffic()
+        self.memory = MemoryBudget()
 
     def handle(self, event: Event) -> None:
         """Record an event."""
@@ -118,3 +122,22 @@
     for _ in range(FRAMES):
         await anyio.lowlevel.checkpoint()
     assert len(node.events) == processed
+
+
+async def test_streams_are_accepted_after_another_program_has_listened_on_the_port() -> None:
+    # Guards against a port that listens and accepts nothing, after a first try that failed.
+    address, node = free_address(), RecordingNode()
+    async with PeerListener(address, bind(address, "listen for peers")) as listener:
+        with bind(address, "listen for peers") as other:
+            listen(other, 1, "listen for peers")
+            with pytest.raises(OSError):
+                await listener.serve(cast(Node, node))
+        async with anyio.create_task_group() as group:
+            group.start_soon(listener.serve, cast(Node, node))
+            await anyio.lowlevel.checkpoint()
+            host, _, port = address.rpartition(":")
+            with anyio.fail_after(20):
+                async with await anyio.connect_tcp(host, int(port)) as stream:
+                    await stream.send(encode(InstanceName("entry-2"), MarksAsk()))
+                    assert await stream.receive() == b"\x01"
+            group.cancel_scope.cancel()
