Show that a build fails over a folder that cannot be renamed

Overlay file systems, as containers have them, refuse to rename or exchange a folder of a lower layer (EXDEV). A build that finds target/deps as such a folder ends with 1 each time; the script before removed files in place and went on.

--- a/tests/platform/test_build.py
+++ b/tests/platform/test_build.py
@@ -292,6 +292,30 @@
     assert sorted(each.name for each in tmp_path.iterdir()) == ["builds", "deps"]
 
 
+def test_link_replaces_a_real_folder_that_cannot_be_renamed(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against a build that fails on a folder of a lower layer of an overlay file system.
+    link, folder = tmp_path / "deps", tmp_path / "builds" / "1"
+    for each in (link, folder):
+        each.mkdir(parents=True)
+    rename = Path.rename
+
+    def refuse(*names: Path) -> None:
+        raise OSError(errno.EXDEV, f"cannot rename {names}")
+
+    def rename_other(one: Path, other: Path) -> Path:
+        if one == link:
+            refuse(one, other)
+        return rename(one, other)
+
+    monkeypatch.setattr(build_swap, "_exchange", refuse)
+    monkeypatch.setattr(Path, "rename", rename_other)
+    build_swap.point_link(link, folder, tmp_path / "spare")
+    assert link.resolve() == folder
+    assert sorted(each.name for each in tmp_path.iterdir()) == ["builds", "deps"]
+
+
 @pytest.mark.parametrize("condition", ["python", "machine", "abi", "requirements"])
 def test_libraries_for_other_conditions_are_installed_anew(tree: BuildTree, condition: str) -> None:
     # Guards against libraries of another Python or architecture that import here by chance.
