Accept peers also after a first try to listen that failed

An instance whose port for peers was taken between bind and listen, by another program with SO_REUSEADDR, logged a fault of "serve peers", was started again, and from then on listened without accepting: peers connected and got no answer until the process ended.

Cause: a server of asyncio counts as serving before it listens, so its second start does nothing, and only our own listen after it took effect.

The socket now listens before the server is started, so that a try that fails leaves the server as it was. 1 of 1 test failed before; 7 of 7 pass now (pytest tests/daemon/test_peer_listener.py tests/daemon/test_peer_streams.py). The ports for callers, balancers and operators make a new server at each try; read, not played.

--- a/packages/turmericweir/turmericweir/peers/peer_listener.py
+++ b/packages/turmericweir/turmericweir/peers/peer_listener.py
@@ -220,7 +220,10 @@
         self._node = node
         self._frame_reader = FrameReader(node)
         self._carrier = Carrier(node)
+        # Before the server listens, which counts as serving also after a try that failed.
+        self._socket.listen(_BACKLOG)
         await self._server.start_serving()
+        # The server has replaced the backlog.
         self._socket.listen(_BACKLOG)
         # Not `serve_forever`, whose future `close` cancels for whoever awaits it.
         await anyio.sleep_forever()
--- a/tests/daemon/test_peer_listener.py
+++ b/tests/daemon/test_peer_listener.py
@@ -130,7 +130,7 @@
     async with PeerListener(address, bind(address, "listen for peers")) as listener:
         with bind(address, "listen for peers") as other:
             listen(other, 1, "listen for peers")
-            with pytest.raises(OSError):
+            with pytest.raises(OSError, match="in use"):
                 await listener.serve(cast(Node, node))
         async with anyio.create_task_group() as group:
             group.start_soon(listener.serve, cast(Node, node))
