Replace a folder that the file system cannot rename

A build over a folder target/deps that lies in a lower layer of an overlay, as of a container whose image holds it, ended with 1 at each try, and the processes kept what the image had: often libraries that another script or machine had put there. The former script wrote into the folder and went on.

Cause: such a folder can be neither exchanged nor renamed (EXDEV), which was not counted among the refusals after which the names are replaced in two steps, and the second way renames it as well.

There the folder is removed and the link put in its place, once; builds after it replace a link. A build that is killed in between leaves no target/deps, which the next build makes.

No real overlay was run. Earlier builds that lie in a lower layer cannot be renamed either when they are to be removed.

--- a/deploy/build_swap.py
+++ b/deploy/build_swap.py
@@ -11,8 +11,9 @@
 
 _AT_FDCWD: Final = -100
 _RENAME_EXCHANGE: Final = 2
-# The C library, the kernel or the file system cannot exchange two names.
-_NOT_POSSIBLE: Final = (errno.ENOSYS, errno.EINVAL, errno.EOPNOTSUPP)
+# The C library, the kernel or the file system cannot exchange two names. An overlay cannot rename
+# the folders of its lower layers at all.
+_NOT_POSSIBLE: Final = (errno.ENOSYS, errno.EINVAL, errno.EOPNOTSUPP, errno.EXDEV)
 
 
 def point_link(link: Path, folder: Path, spare: Path) -> None:
@@ -33,7 +34,14 @@
 
 def _replace_in_two_steps(spare: Path, link: Path) -> None:
     aside = spare.with_name(f"{spare.name}-aside")
-    link.rename(aside)
+    try:
+        link.rename(aside)
+    except OSError as exc:
+        if exc.errno != errno.EXDEV:
+            raise
+        shutil.rmtree(link)
+        spare.replace(link)
+        return
     spare.replace(link)
     shutil.rmtree(aside)
 
