Show that an unusable grace period makes a start try once, or wait without an end

A grace period far below 0 makes the limit of the wait for an address negative, so that the start ends at the first try; an infinite one leaves it without a limit.

--- a/tests/platform/test_addresses_in_use.py
+++ b/tests/platform/test_addresses_in_use.py
@@ -6,6 +6,7 @@
 import signal
 import socket
 from concurrent.futures import ThreadPoolExecutor
+from math import inf
 from pathlib import Path
 from typing import Final
 
@@ -125,6 +126,24 @@
         assert instance.process.wait(20) == 0
 
 
+@pytest.mark.parametrize("grace_s", [-1_000.0, "inf"])
+def test_start_waits_a_usable_time_for_an_address_with_any_grace(
+    tmp_path: Path, grace_s: float | str
+) -> None:
+    # Guards against a start that tries once, or waits without an end, for want of a usable bound.
+    with PlatformWorld(tmp_path) as world:
+        instance = world.running["entry-1"]
+        world.stop_instance("entry-1")
+        cfg = world.settings_of("entry-1")
+        world.write_settings("entry-1", bounds={**cfg["bounds"], "grace_s": grace_s})
+        with taken(cfg["caller_address"]):
+            world.start_instance("entry-1")
+            _wait_for_line(instance, "start_waiting")
+            assert 0 < instance.logged("start_waiting")[0]["limit_s"] < inf
+            instance.process.terminate()
+            assert instance.process.wait(20) == 0
+
+
 def test_stop_signal_ends_a_start_that_waits(tmp_path: Path) -> None:
     # Guards against a process that cannot be stopped while it waits for an address.
     with PlatformWorld(tmp_path) as world:
