--- a/tests/daemon/test_entry_sockets.py
+++ b/tests/daemon/test_entry_sockets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 
 import pytest
@@ -74,3 +75,28 @@
     with pytest.raises(ListenError) as failure:
         bind("no host:80", "test")
     assert not isinstance(failure.value, AddressUnavailableError)
+
+
+@pytest.mark.parametrize("code", [errno.ENFILE, errno.ENOBUFS, errno.ENOMEM])
+def test_want_of_the_system_is_waited_for(code: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against a start that ends because the machine has no socket to give for a moment.
+    cfg = make_settings()
+
+    def refuse(*args: int) -> socket.socket:
+        raise OSError(code, "the machine has none left")
+
+    monkeypatch.setattr("socket.socket", refuse)
+    result = bind_entry_sockets(cfg)
+    assert isinstance(result.failure(), AddressUnavailableError)
+
+
+def test_want_of_descriptors_is_an_error_of_the_step(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against a start that ends with a traceback, and without the step that failed.
+    def refuse(*args: int) -> socket.socket:
+        raise OSError(errno.EMFILE, "no descriptor left")
+
+    cfg = make_settings()
+    monkeypatch.setattr("socket.socket", refuse)
+    error = bind_entry_sockets(cfg).failure()
+    assert (error.step, error.peer) == ("listen for callers", cfg.caller_address)
+    assert not isinstance(error, AddressUnavailableError)
