Wait at the start until the machine has sockets again

A start on a machine whose table of files was full, or that was short of memory for sockets, for a moment ended with a traceback (process_failed, code 1), and one whose own limit of descriptors was reached did not say at which step. The ports for operators and metrics logged a fault for it.

Cause: only errors of bind and listen were taken for errors of the address, and only two of them for ones that pass.

The socket is made within what is caught.

--- a/packages/turmericweir/turmericweir/process/errors.py
+++ b/packages/turmericweir/turmericweir/process/errors.py
@@ -33,7 +33,7 @@
 
 
 class AddressUnavailableError(ListenError):
-    """Another socket has the address, or the machine does not have it yet."""
+    """Another socket has the address, or the machine has no address or no socket for now."""
 
 
 class StartStoppedError(DaemonError):
--- a/packages/turmericweir/turmericweir/process/listening_socket.py
+++ b/packages/turmericweir/turmericweir/process/listening_socket.py
@@ -16,8 +16,14 @@
 
 from turmericweir.process.errors import AddressUnavailableError, ListenError
 
-# Errors of an address that may become available.
-_UNAVAILABLE: Final = (errno.EADDRINUSE, errno.EADDRNOTAVAIL)
+# Errors that may pass: of the address, and of a machine that has no socket left.
+_UNAVAILABLE: Final = (
+    errno.EADDRINUSE,
+    errno.EADDRNOTAVAIL,
+    errno.ENFILE,
+    errno.ENOBUFS,
+    errno.ENOMEM,
+)
 _SO_ATTACH_FILTER: Final = 26
 # A Linux socket filter on the TCP header: load the flags, mask SYN and ACK, drop the segment if
 # only SYN is set, otherwise pass all of it.
@@ -34,7 +40,7 @@
     """Bind a TCP socket to an address; `listen` or uvicorn listens on it later."""
     # Accepted sockets inherit the protocol, and asyncio sets TCP_NODELAY only if it is TCP.
     # Prevents the body of a small answer from waiting for the acknowledgement of its head.
-    sock = socket.socket(_family_of(address), socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    sock = _open(address, step, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     return _bind(sock, address, step)
 
@@ -42,7 +48,7 @@
 def bind_datagrams(address: str, step: str) -> socket.socket:
     """Bind a datagram socket to an address."""
     # Without SO_REUSEADDR, with which two processes could have the same address.
-    return _bind(socket.socket(_family_of(address), socket.SOCK_DGRAM), address, step)
+    return _bind(_open(address, step, socket.SOCK_DGRAM), address, step)
 
 
 def listen(sock: socket.socket, backlog: int, step: str) -> None:
@@ -53,6 +59,13 @@
         raise _listen_error(exc, bound_address(sock), step) from exc
 
 
+def _open(address: str, step: str, kind: socket.SocketKind, protocol: int = 0) -> socket.socket:
+    try:
+        return socket.socket(_family_of(address), kind, protocol)
+    except OSError as exc:
+        raise _listen_error(exc, address, step) from exc
+
+
 def _bind(sock: socket.socket, address: str, step: str) -> socket.socket:
     host, _, port = address.rpartition(":")
     try:
