--- a/tests/platform/test_build.py
+++ b/tests/platform/test_build.py
@@ -18,7 +18,7 @@
 
 import pytest
 
-from deploy import build_swap
+from deploy import build, build_swap
 from tests.platform.build_tree import FOREIGN_VERSION, LIBRARY, BuildTree, numbers_seen
 
 BUILDS: Final = 6
@@ -348,3 +348,28 @@
         assert before.exists()
         before = tree.deps.resolve()
     assert len(list(before.parent.iterdir())) < BUILDS
+
+
+@pytest.mark.parametrize("refused", ["rename", "removal"])
+def test_earlier_build_that_cannot_be_removed_does_not_fail_the_new_one(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, refused: str
+) -> None:
+    # Guards against a build that is in use and says that it failed, as files of others stay.
+    builds = tmp_path / "target" / "builds"
+    for number in range(1, BUILDS):
+        (builds / str(number)).mkdir(parents=True)
+
+    def refuse_rename(one: Path, other: Path) -> Path:
+        raise OSError(errno.EXDEV, f"cannot rename {one} to {other}")
+
+    def refuse_removal(folder: Path, *, ignore_errors: bool = False) -> None:
+        if not ignore_errors:
+            raise PermissionError(errno.EPERM, "not permitted", str(folder))
+
+    monkeypatch.chdir(tmp_path)
+    if refused == "rename":
+        monkeypatch.setattr(Path, "rename", refuse_rename)
+    else:
+        monkeypatch.setattr(shutil, "rmtree", refuse_removal)
+    build._remove_earlier(builds / str(BUILDS - 1))
+    assert (builds / str(BUILDS - 1)).exists()
