Show that a build fails on file systems without symbolic links

target/deps is a link since builds are swapped in; some file systems that machines share with guests have none, and the build ends with 1 at each try there.

--- a/tests/platform/test_build.py
+++ b/tests/platform/test_build.py
@@ -373,3 +373,24 @@
         monkeypatch.setattr(shutil, "rmtree", refuse_removal)
     build._remove_earlier(builds / str(BUILDS - 1))
     assert (builds / str(BUILDS - 1)).exists()
+
+
+@pytest.mark.parametrize("code", [errno.EPERM, errno.EOPNOTSUPP, errno.ENOSYS])
+@pytest.mark.parametrize("has_earlier", [False, True])
+def test_build_takes_the_place_of_the_link_where_there_are_none(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, code: int, has_earlier: bool
+) -> None:
+    # Guards against a build that fails on file systems without symbolic links.
+    def refuse(link: Path, target: str) -> None:
+        raise OSError(code, f"no link {link} to {target}")
+
+    link, folder = tmp_path / "deps", tmp_path / "builds" / "1"
+    folder.mkdir(parents=True)
+    (folder / "new").touch()
+    if has_earlier:
+        link.mkdir()
+        (link / "old").touch()
+    monkeypatch.setattr(Path, "symlink_to", refuse)
+    build_swap.point_link(link, folder, tmp_path / "spare")
+    assert [each.name for each in link.iterdir()] == ["new"]
+    assert sorted(each.name for each in tmp_path.iterdir()) == ["builds", "deps"]
