Build also where the file system has no symbolic links

A build on a file system without symbolic links, as some are that a machine shares with a guest, ended with 1 at each try, so that nothing started; the script before the swap built there.

Cause: target/deps became a link without another way. Where a link is refused, the built folder takes the place of target/deps now, in two steps. Each build is made anew there, since a folder in that place is never taken for current, and processes that start in between may see no folder or mix two builds, as with the former script.

The refusal is played by the tests; no such file system was run.

--- a/deploy/build_swap.py
+++ b/deploy/build_swap.py
@@ -1,4 +1,7 @@
-"""Replaces what a link names in one step, also where a real folder stands in the link's place."""
+"""Replaces what a link names in one step, also where a real folder stands in the link's place.
+
+On a file system without symbolic links the folder itself takes the place, in two steps.
+"""
 
 from __future__ import annotations
 
@@ -14,11 +17,20 @@
 # The C library, the kernel or the file system cannot exchange two names. An overlay cannot rename
 # the folders of its lower layers at all.
 _NOT_POSSIBLE: Final = (errno.ENOSYS, errno.EINVAL, errno.EOPNOTSUPP, errno.EXDEV)
+# The file system has no symbolic links.
+_NO_LINKS: Final = (errno.EPERM, errno.ENOSYS, errno.EOPNOTSUPP)
 
 
 def point_link(link: Path, folder: Path, spare: Path) -> None:
     """Let `link` name `folder`; `spare` is a free name in the folder of the link."""
-    spare.symlink_to(os.path.relpath(folder, link.parent))
+    aside = spare.with_name(f"{spare.name}-aside")
+    try:
+        spare.symlink_to(os.path.relpath(folder, link.parent))
+    except OSError as exc:
+        if exc.errno not in _NO_LINKS:
+            raise
+        _replace_in_two_steps(folder, link, aside)
+        return
     if link.is_symlink() or not link.exists():
         spare.replace(link)
         return
@@ -27,23 +39,26 @@
     except OSError as exc:
         if exc.errno not in _NOT_POSSIBLE:
             raise
-        _replace_in_two_steps(spare, link)
+        _replace_in_two_steps(spare, link, aside)
         return
     shutil.rmtree(spare)
 
 
-def _replace_in_two_steps(spare: Path, link: Path) -> None:
-    aside = spare.with_name(f"{spare.name}-aside")
+def _replace_in_two_steps(new: Path, link: Path, aside: Path) -> None:
+    if link.exists():
+        _move_aside(link, aside)
+    new.replace(link)
+    if aside.exists():
+        shutil.rmtree(aside)
+
+
+def _move_aside(folder: Path, aside: Path) -> None:
     try:
-        link.rename(aside)
+        folder.rename(aside)
     except OSError as exc:
         if exc.errno != errno.EXDEV:
             raise
-        shutil.rmtree(link)
-        spare.replace(link)
-        return
-    spare.replace(link)
-    shutil.rmtree(aside)
+        shutil.rmtree(folder)
 
 
 def _exchange(one: Path, other: Path) -> None:
