--- a/tests/platform/test_build.py
+++ b/tests/platform/test_build.py
@@ -18,7 +18,7 @@
 
 import pytest
 
-from deploy import build_swap
+from deploy import build, build_swap
 from tests.platform.build_tree import FOREIGN_VERSION, LIBRARY, BuildTree, numbers_seen
 
 BUILDS: Final = 6
@@ -292,6 +292,30 @@
     assert sorted(each.name for each in tmp_path.iterdir()) == ["builds", "deps"]
 
 
+def test_link_replaces_a_real_folder_that_cannot_be_renamed(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against a build that fails on a folder of a lower layer of an overlay file system.
+    link, folder = tmp_path / "deps", tmp_path / "builds" / "1"
+    for each in (link, folder):
+        each.mkdir(parents=True)
+    rename = Path.rename
+
+    def refuse(*names: Path) -> None:
+        raise OSError(errno.EXDEV, f"cannot rename {names}")
+
+    def rename_other(one: Path, other: Path) -> Path:
+        if one == link:
+            refuse(one, other)
+        return rename(one, other)
+
+    monkeypatch.setattr(build_swap, "_exchange", refuse)
+    monkeypatch.setattr(Path, "rename", rename_other)
+    build_swap.point_link(link, folder, tmp_path / "spare")
+    assert link.resolve() == folder
+    assert sorted(each.name for each in tmp_path.iterdir()) == ["builds", "deps"]
+
+
 @pytest.mark.parametrize("condition", ["python", "machine", "abi", "requirements"])
 def test_libraries_for_other_conditions_are_installed_anew(tree: BuildTree, condition: str) -> None:
     # Guards against libraries of another Python or architecture that import here by chance.
@@ -324,3 +348,49 @@
         assert before.exists()
         before = tree.deps.resolve()
     assert len(list(before.parent.iterdir())) < BUILDS
+
+
+@pytest.mark.parametrize("refused", ["rename", "removal"])
+def test_earlier_build_that_cannot_be_removed_does_not_fail_the_new_one(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, refused: str
+) -> None:
+    # Guards against a build that is in use and says that it failed, as files of others stay.
+    builds = tmp_path / "target" / "builds"
+    for number in range(1, BUILDS):
+        (builds / str(number)).mkdir(parents=True)
+
+    def refuse_rename(one: Path, other: Path) -> Path:
+        raise OSError(errno.EXDEV, f"cannot rename {one} to {other}")
+
+    def refuse_removal(folder: Path, *, ignore_errors: bool = False) -> None:
+        if not ignore_errors:
+            raise PermissionError(errno.EPERM, "not permitted", str(folder))
+
+    monkeypatch.chdir(tmp_path)
+    if refused == "rename":
+        monkeypatch.setattr(Path, "rename", refuse_rename)
+    else:
+        monkeypatch.setattr(shutil, "rmtree", refuse_removal)
+    build._remove_earlier(builds / str(BUILDS - 1))
+    assert (builds / str(BUILDS - 1)).exists()
+
+
+@pytest.mark.parametrize("code", [errno.EPERM, errno.EOPNOTSUPP, errno.ENOSYS])
+@pytest.mark.parametrize("has_earlier", [False, True])
+def test_build_takes_the_place_of_the_link_where_there_are_none(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, code: int, has_earlier: bool
+) -> None:
+    # Guards against a build that fails on file systems without symbolic links.
+    def refuse(link: Path, target: str) -> None:
+        raise OSError(code, f"no link {link} to {target}")
+
+    link, folder = tmp_path / "deps", tmp_path / "builds" / "1"
+    folder.mkdir(parents=True)
+    (folder / "new").touch()
+    if has_earlier:
+        link.mkdir()
+        (link / "old").touch()
+    monkeypatch.setattr(Path, "symlink_to", refuse)
+    build_swap.point_link(link, folder, tmp_path / "spare")
+    assert [each.name for each in link.iterdir()] == ["new"]
+    assert sorted(each.name for each in tmp_path.iterdir()) == ["builds", "deps"]
