--- a/packages/turmericweir/turmericweir/process/process_signals.py
+++ b/packages/turmericweir/turmericweir/process/process_signals.py
@@ -11,7 +11,6 @@
 import contextlib
 import signal
 import socket
-from collections import deque
 from types import FrameType, TracebackType
 from typing import Final, Self
 
@@ -25,14 +24,15 @@
     """
 
     _signums: tuple[signal.Signals, ...]
-    _pending: deque[signal.Signals]
+    # The signals that were not received yet, with what they have interrupted.
+    _pending: dict[int, FrameType | None]
     # The system writes to one end at each signal, which wakes whoever waits at the other.
     _wake_receiver: socket.socket
     _wake_sender: socket.socket
 
     def __init__(self, *signums: signal.Signals) -> None:
         self._signums = signums
-        self._pending = deque()
+        self._pending = {}
 
     def __enter__(self) -> Self:
         self._wake_receiver, self._wake_sender = socket.socketpair()
@@ -40,7 +40,8 @@
         self._wake_sender.setblocking(False)
         signal.set_wakeup_fd(self._wake_sender.fileno(), warn_on_full_buffer=False)
         for signum in self._signums:
-            signal.signal(signum, self._note)
+            # A handler in Python would be interrupted by the next signal, without end in a flood.
+            signal.signal(signum, self._pending.setdefault)
         return self
 
     def __exit__(
@@ -56,11 +57,6 @@
         self._wake_receiver.close()
         self._wake_sender.close()
 
-    def _note(self, number: int, frame: FrameType | None) -> None:
-        signum = signal.Signals(number)
-        if signum not in self._pending:
-            self._pending.append(signum)
-
     def is_stop_requested(self) -> bool:
         """Return whether a stop signal has arrived that was not received yet."""
         return signal.SIGTERM in self._pending or signal.SIGINT in self._pending
@@ -74,4 +70,6 @@
             await anyio.wait_readable(self._wake_receiver)
             with contextlib.suppress(BlockingIOError):
                 self._wake_receiver.recv(_READ_BYTES)
-        return self._pending.popleft()
+        number = next(iter(self._pending))
+        del self._pending[number]
+        return signal.Signals(number)
--- a/tests/daemon/test_stop.py
+++ b/tests/daemon/test_stop.py
@@ -88,6 +88,15 @@
         assert single.process.wait() == 0
 
 
+def test_flood_of_signals_ends_the_process_as_one_stop(tmp_path: Path) -> None:
+    # Guards against handlers that are interrupted by the next signal until the stack is full.
+    with Single(tmp_path, settings={"stop_grace_s": 0.1}) as single:
+        for _ in range(300_000):
+            if single.process.is_running:
+                os.kill(single.process.pid, signal.SIGTERM)
+        assert single.process.wait() == 0
+
+
 # Any: tests also need invalid values.
 def settings(**changes: Any) -> dict[str, Any]:
     """Return valid settings with the changes applied; None removes a field."""
