--- a/tests/platform/platform_world.py
+++ b/tests/platform/platform_world.py
@@ -8,7 +8,7 @@
 import os
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from contextlib import ExitStack
 from dataclasses import dataclass, field
 from enum import Enum
@@ -372,6 +372,10 @@
         """Start a store on a new address; return the address."""
         return self._open_listener(store.handle)
 
+    def run_on_loop(self, step: Coroutine[Any, Any, None]) -> None:
+        """Run a step on the loop of the servers."""
+        self._loop.run(step)
+
     def at_once(self, change: Callable[[], None]) -> None:
         """Change the store between two of its answers."""
 
