Mark the error of a carried connection as retrieved

An operator saw a fault in the log of an instance that sends requests by way of a peer: the exception of a connection that was lost was never retrieved. The result of the opening is set to that exception, and where the opening was given up before, nobody awaits it; which of the ways to give up it was is not traced. No request was affected.

--- a/packages/turmericweir/turmericweir/peers/peer_dialer.py
+++ b/packages/turmericweir/turmericweir/peers/peer_dialer.py
@@ -81,6 +81,8 @@
         self.error = error
         if not self.result.done():
             self.result.set_exception(error or ConnectionResetError("closed before the result"))
+            # Marks the exception as retrieved, which nobody awaits if the dial was given up.
+            self.result.exception()
         self._wake()
 
 
