--- a/tests/daemon/test_backend_stream.py
+++ b/tests/daemon/test_backend_stream.py
@@ -8,7 +8,9 @@
 import anyio
 import httpcore
 import pytest
+from anyio.abc import SocketAttribute, SocketStream
 
+from turmericweir.servers.backend_pool import BackendPool, make_request
 from turmericweir.servers.backend_stream import (
     UNREAD_MAX_BYTES,
     WRITE_PART_BYTES,
@@ -163,3 +165,28 @@
             await stream.aclose()
 
     anyio.run(run)
+
+
+def test_answer_that_ends_with_its_connection_within_an_upload_is_not_whole() -> None:
+    # Guards against a server that closes its end while it has not read the request, whose answer
+    # without a length looks whole.
+    async def serve(stream: SocketStream) -> None:
+        await stream.receive()
+        await stream.send(b"HTTP/1.1 200 OK\r\n\r\npart")
+        await stream.send_eof()
+        await anyio.sleep_forever()
+
+    async def scenario() -> None:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        address = f"127.0.0.1:{listener.extra(SocketAttribute.local_port)}"
+        async with anyio.create_task_group() as group, BackendPool() as pool:
+            group.start_soon(listener.serve, serve)
+            conn = await pool.acquire(address)
+            request = make_request(b"POST", address, b"/", [], b"x" * 64_000_000)
+            response = await conn.send(request, lambda: None)
+            with pytest.raises(httpcore.ReadError):
+                await response.aread()
+            await conn.close()
+            group.cancel_scope.cancel()
+
+    anyio.run(scenario)
