Take no answer for whole whose connection ends within the upload

A caller could get a part of an answer as a whole one if its server sent it without a length and closed its end while it had not read the request. A server that closes with unread data resets the connection as a rule; where the rest of the upload comes later, or a peer is between, the normal end comes first. It was so since answers end with their connection.

An end while a part of the request waits to be written is now an error of the connection, as a reset is. Answers with a length or chunks are not affected, since nothing is read after their end; of refusals the head counts.

--- a/packages/turmericweir/turmericweir/servers/backend_stream.py
+++ b/packages/turmericweir/turmericweir/servers/backend_stream.py
@@ -181,6 +181,9 @@
         await protocol.wait_received()
         if not protocol.received_chunks and protocol.error is not None:
             raise httpcore.ReadError(str(protocol.error)) from protocol.error
+        if not protocol.received_chunks and protocol.transport.get_write_buffer_size():
+            # An answer that only this end ends might be a part, as if the connection was reset.
+            raise httpcore.ReadError("the connection ended before the request was written")
         data = protocol.pop_chunk(self.framing.part_bytes)
         self.framing.add_read(data)
         return data
