Show that a start that fails hangs where standard error is full

The reason of the end is written to standard error as well, which waits for its reader: a process whose reader is behind neither ends nor serves. Signals to stop are received but nobody acts on them then.

--- a/tests/platform/test_start_obstacles.py
+++ b/tests/platform/test_start_obstacles.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
 import signal
+import subprocess
 import sys
 from collections.abc import Callable, Iterator
 from pathlib import Path
@@ -114,6 +116,32 @@
     check_refused(Instance(NAME, process, "", ""), "find settings", "TURMERICWEIR_CONFIG")
 
 
+def test_full_standard_error_does_not_keep_a_start_from_its_end(tmp_path: Path) -> None:
+    # Guards against a process that hangs, and cannot be stopped, as nobody reads why it ends.
+    reader, writer = os.pipe()
+    try:
+        os.set_blocking(writer, False)
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                os.write(writer, b"x")
+        os.set_blocking(writer, True)
+        process = subprocess.Popen(
+            [sys.executable, "-m", "turmericweir_platform"],
+            cwd=tmp_path,
+            env={"TURMERICWEIR_CONFIG": "", "PYTHONPATH": os.pathsep.join(sys.path)},
+            stdout=subprocess.DEVNULL,
+            stderr=writer,
+        )
+        try:
+            assert process.wait(30) == CANNOT_START
+        finally:
+            process.kill()
+            process.wait()
+    finally:
+        os.close(reader)
+        os.close(writer)
+
+
 def test_stop_signal_ends_a_start_that_waits(world: PlatformWorld) -> None:
     # Guards against a process that cannot be stopped while it waits.
     settings_path(world).unlink()
