Write why a start fails without waiting for the reader

A start that failed while standard error was full, as after many restarts whose output nobody reads, did not end: it waited for the reader, served nobody, and took SIGTERM without an effect.

Cause: the line on standard error was a write that waits, unlike the log on standard output.

The text is now written as the log's lines are: what the reader does not accept at once is dropped. Left: the stacks of fatal errors, which Python itself writes, wait for the reader.

--- a/packages/turmericweir/turmericweir/process/start_log.py
+++ b/packages/turmericweir/turmericweir/process/start_log.py
@@ -10,7 +10,6 @@
 
 import json
 import os
-import sys
 import time
 import traceback as traceback_module
 from collections.abc import Callable
@@ -21,6 +20,7 @@
 _LINE_MAX_BYTES: Final = 4_096
 _TEXT_MAX_CHARS: Final = 1_024
 _STANDARD_OUTPUT: Final = 1
+_STANDARD_ERROR: Final = 2
 # The exit status of the interpreter after an exception that nobody catches.
 _UNCAUGHT_STATUS: Final = 1
 
@@ -97,11 +97,4 @@
 
 
 def _write_error(text: str) -> None:
-    # None if the descriptor was closed when the interpreter started.
-    if sys.stderr is None:
-        return
-    try:
-        sys.stderr.write(text)
-        sys.stderr.flush()
-    except (OSError, ValueError):
-        return
+    write_at_once(_STANDARD_ERROR, text.encode(errors="backslashreplace"))
