--- a/tests/platform/test_build.py
+++ b/tests/platform/test_build.py
@@ -394,3 +394,25 @@
     build_swap.point_link(link, folder, tmp_path / "spare")
     assert [each.name for each in link.iterdir()] == ["new"]
     assert sorted(each.name for each in tmp_path.iterdir()) == ["builds", "deps"]
+
+
+@pytest.mark.parametrize("can_exchange", [False, True])
+def test_replaced_folder_that_cannot_be_removed_does_not_fail_the_build(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, can_exchange: bool
+) -> None:
+    # Guards against a build that is in use and says that it failed, as files of others stay.
+    def refuse(*names: Path) -> None:
+        raise OSError(errno.EINVAL, f"cannot exchange {names}")
+
+    def refuse_removal(folder: Path, *, ignore_errors: bool = False) -> None:
+        if not ignore_errors:
+            raise PermissionError(errno.EPERM, "not permitted", str(folder))
+
+    link, folder = tmp_path / "deps", tmp_path / "builds" / "1"
+    for each in (link, folder):
+        each.mkdir(parents=True)
+    monkeypatch.setattr(shutil, "rmtree", refuse_removal)
+    if not can_exchange:
+        monkeypatch.setattr(build_swap, "_exchange", refuse)
+    build_swap.point_link(link, folder, tmp_path / "spare")
+    assert link.resolve() == folder
