Let a build succeed where the folder that it replaced cannot be removed

The first build over a folder that the former script made, with files in it that another user owns, ended with 1 and "target/deps is unchanged", though the new build was in use.

Cause: the removal after the swap counted as a part of the build, since builds are swapped in.

2 of 2 tests failed before and pass now; 14 of 14 with the other tests of replaced and removed folders (pytest tests/platform/test_build.py -k 'replace or takes_the_place or removed').

--- a/deploy/build_swap.py
+++ b/deploy/build_swap.py
@@ -41,7 +41,8 @@
             raise
         _replace_in_two_steps(spare, link, aside)
         return
-    shutil.rmtree(spare)
+    # The build is in use, whatever cannot be removed.
+    shutil.rmtree(spare, ignore_errors=True)
 
 
 def _replace_in_two_steps(new: Path, link: Path, aside: Path) -> None:
@@ -49,7 +50,7 @@
         _move_aside(link, aside)
     new.replace(link)
     if aside.exists():
-        shutil.rmtree(aside)
+        shutil.rmtree(aside, ignore_errors=True)
 
 
 def _move_aside(folder: Path, aside: Path) -> None:
