Start the ports of operations in one place

The function that serves had the two ports that callers do not need spelled out one after the other. Now one function says which there are, and one loop starts them; the task of the collector's port is named as its step. Nothing else is changed: test_operators, test_path, test_addresses_in_use, test_process_ends, test_state_crowd and test_stopping pass.

--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -487,36 +487,36 @@
         group.start_soon(run_endless, "check memory", memory.check_forever, node)
         serve_readiness = partial(_serve_http, readiness, sockets.readiness)
         group.start_soon(run_endless, "serve readiness", serve_readiness, node)
-        if cfg.admin_address:
-            views: dict[str, Callable[[], object]] = {
-                "idle_connections": pool.idle_counts,
-                "traffic": lambda: node.traffic,
-            }
-            admin = EntryAdmin(node, views, lambda: is_ready(node), cfg.admin_token_sha256)
-            serve_admin = partial(
-                serve_when_available,
-                make_server(admin),
-                cfg.admin_address,
-                "listen for operators",
-                node,
-            )
-            group.start_soon(run_endless, "serve operators", serve_admin, node)
-        if cfg.metrics_port:
-            serve_metrics = partial(
-                serve_when_available,
-                make_server(MetricsApp(metrics)),
-                f"{cfg.host}:{cfg.metrics_port}",
-                "listen for the collector",
-                node,
+        ports = _operations_ports(cfg, node, pool, metrics)
+        for name, (port_app, address) in ports.items():
+            serve_port = partial(
+                serve_when_available, make_server(port_app), address, f"listen for {name}", node
             )
-            group.start_soon(run_endless, "serve metrics", serve_metrics, node)
-        end = partial(_stop_on_exit, node, callers, group.cancel_scope)
-        group.start_soon(run_supervised, "stop", end, node)
+            group.start_soon(run_endless, f"serve {name}", serve_port, node)
+        stop = partial(_stop_on_exit, node, callers, group.cancel_scope)
+        group.start_soon(run_supervised, "stop", stop, node)
         group.start_soon(run_supervised, "log readiness", partial(_log_when_ready, node), node)
         await run_supervised("serve callers", partial(_serve_http, callers, sockets.callers), node)
         group.cancel_scope.cancel()
 
 
+def _operations_ports(
+    cfg: EntrySettings, node: Node, pool: BackendPool, metrics: PrometheusMetrics
+) -> dict[str, tuple[ASGI3Application, str]]:
+    """Return the applications of the ports that callers do not need, and their addresses."""
+    ports: dict[str, tuple[ASGI3Application, str]] = {}
+    if cfg.admin_address:
+        views: dict[str, Callable[[], object]] = {
+            "idle_connections": pool.idle_counts,
+            "traffic": lambda: node.traffic,
+        }
+        admin = EntryAdmin(node, views, lambda: is_ready(node), cfg.admin_token_sha256)
+        ports["operators"] = (admin, cfg.admin_address)
+    if cfg.metrics_port:
+        ports["the collector"] = (MetricsApp(metrics), f"{cfg.host}:{cfg.metrics_port}")
+    return ports
+
+
 async def _serve_http(server: HttpServer, sock: socket.socket) -> None:
     await server.serve([sock])
 
