Name the answer after an internal error among those that write a status

It takes its status from an account of an unknown outcome, so it never says that nothing was run; test_internal_errors plays it.

--- a/tests/platform/test_refused.py
+++ b/tests/platform/test_refused.py
@@ -31,6 +31,7 @@
     "answers/caller_answer.py:Caller.write_problem": "account_problem or refusal_problem",
     "answers/forward_answer.py:ForwardAnswer.finish": "account_problem",
     "callers/forward_app.py:ForwardApp._refuse": "refusal_problem, before the request is sent",
+    "callers/forward_app.py:ForwardApp._answer_failed": "account_problem of an unknown outcome",
     # The own interface, whose answers name their outcome.
     "answers/caller_answer.py:TokenAnswer._write_whole_answer": "the outcome header",
     "answers/caller_answer.py:StreamAnswer.flush": "status 200",
