Count and log kept connections that are closed under a call

An end of a kept connection while a call is on its way, and a server that is down, looked alike in the log (store_lost with an error of the connection) and in no metric. Now a connection that was reused and ended before a byte of the answer is counted and logged (connection_closed_under_call, at most one line in 10 s for each address), and a new connection that fails is counted apart from it. A path that failed (a timeout of TCP) is neither.

--- a/packages/turmericweir/turmericweir/daemon.py
+++ b/packages/turmericweir/turmericweir/daemon.py
@@ -201,7 +201,12 @@
 
 
 def _connection_counts(pool: BackendPool) -> dict[str, int]:
-    return {"opened": pool.opened_count, "reused": pool.reused_count}
+    return {
+        "opened": pool.opened_count,
+        "reused": pool.reused_count,
+        "unopened": pool.unopened_count,
+        "closed_under_calls": pool.closed_under_calls.count,
+    }
 
 
 async def _serve_http(server: HttpServer, sock: socket.socket) -> None:
--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -370,6 +370,7 @@
                 lambda: node.state.paths.carried,
             )
             _add_memory_gauges(metrics, node.memory)
+            _add_pool_gauges(metrics, pool)
             steps = running_steps()
             metrics.add_gauge(
                 "turmericweir_longest_step_seconds",
@@ -421,6 +422,19 @@
     )
 
 
+def _add_pool_gauges(metrics: PrometheusMetrics, pool: BackendPool) -> None:
+    metrics.add_gauge(
+        "turmericweir_connections_closed_under_calls",
+        "The number of kept connections that their other end closed under a call since the start.",
+        lambda: pool.closed_under_calls.count,
+    )
+    metrics.add_gauge(
+        "turmericweir_connections_unopened",
+        "The number of new connections that could not be opened since the start.",
+        lambda: pool.unopened_count,
+    )
+
+
 def _add_connection_gauges(metrics: PrometheusMetrics, callers: HttpServer) -> None:
     metrics.add_gauge(
         "turmericweir_callers_connections",
--- a/packages/turmericweir/turmericweir/servers/answer_size.py
+++ b/packages/turmericweir/turmericweir/servers/answer_size.py
@@ -50,6 +50,11 @@
         self._body_bytes = 0
         self._head_ends = 0
 
+    @property
+    def has_begun(self) -> bool:
+        """Return whether a byte of the answer was read."""
+        return self._read_bytes > 0
+
     @property
     def part_bytes(self) -> int:
         """The number of bytes that the parser should get at a time."""
--- a/packages/turmericweir/turmericweir/servers/backend_pool.py
+++ b/packages/turmericweir/turmericweir/servers/backend_pool.py
@@ -18,6 +18,7 @@
 import httpcore
 
 from turmericweir.servers.backend_stream import BackendStream, connect
+from turmericweir.servers.closed_connections import ClosedUnderCalls
 from turmericweir_core.base.ids import ServerName
 
 # How long a connection may be idle before it is reused. Shorter than any server's keep-alive time.
@@ -63,6 +64,7 @@
         "is_reused",
         "opened_at",
         "via",
+        "was_closed_under_call",
     )
 
     _http: httpcore.AsyncHTTP11Connection
@@ -79,6 +81,9 @@
     # Which start of its server it leads to, as that said on it; empty if it did not say, None if
     # it was not asked.
     incarnation: str | None
+    # Whether the other end closed it, after it was kept, before any byte of an answer to a request.
+    # It may have done so before it knew of the request, so this is no sign that it has failed.
+    was_closed_under_call: bool
 
     def __init__(self, address: str, stream: BackendStream, via: Via | None = None) -> None:
         host, _, port = address.rpartition(":")
@@ -91,6 +96,7 @@
         self.has_sent = False
         self.has_carried_request = False
         self.incarnation = None
+        self.was_closed_under_call = False
 
     async def send(
         self, request: httpcore.Request, before_write: Callable[[], None]
@@ -104,7 +110,12 @@
         self.has_sent = self.has_carried_request = True
         self._stream.before_write = before_write
         self._stream.framing.reset()
-        response = await self._http.handle_async_request(request)
+        try:
+            response = await self._http.handle_async_request(request)
+        except (httpcore.NetworkError, httpcore.RemoteProtocolError) as exc:
+            has_begun = self._stream.framing.has_begun
+            self.was_closed_under_call = self.is_reused and not has_begun and _is_closed_by(exc)
+            raise
         if response.status not in _FINAL_STATUSES:
             raise httpcore.RemoteProtocolError(f"status {response.status} does not end a request")
         return response
@@ -158,6 +169,11 @@
                 await self._http.aclose()
 
 
+def _is_closed_by(exc: Exception) -> bool:
+    """Return whether the other end has closed a connection, rather than the path to it failed."""
+    return exc.__cause__ is None or isinstance(exc.__cause__, ConnectionError)
+
+
 class BackendPool:
     """Owns the idle connections by address and closes them on exit."""
 
@@ -167,9 +183,13 @@
     _idle: defaultdict[str, list[tuple[float, BackendConnection]]]
     # By the same key: connections opened up to this time are not reused.
     _distrusted_at: dict[str, float]
-    # Counts of opened and reused connections, for the state dump.
+    # Counts of opened and reused connections, for the state dump, and of those that could not be
+    # opened.
     opened_count: int
     reused_count: int
+    unopened_count: int
+    # Connections that were closed under a call.
+    closed_under_calls: ClosedUnderCalls
     # None if connections are always opened directly.
     _dialer: PeerDialer | None
     # Counts bytes that connections receive; None if nobody counts them.
@@ -182,6 +202,8 @@
         self._distrusted_at = {}
         self.opened_count = 0
         self.reused_count = 0
+        self.unopened_count = 0
+        self.closed_under_calls = ClosedUnderCalls()
 
     async def __aenter__(self) -> Self:
         return self
@@ -214,18 +236,26 @@
                 conn.is_reused = True
                 return conn
             await conn.close()
-        if via is None or self._dialer is None:
-            stream = await connect(address)
-        else:
-            stream = await self._dialer.dial(via, address)
+        stream = await self._open(address, via)
         if self.count_read is not None:
             stream.set_counter(self.count_read)
         self.opened_count += 1
         return BackendConnection(address, stream, via)
 
+    async def _open(self, address: str, via: Via | None) -> BackendStream:
+        try:
+            if via is None or self._dialer is None:
+                return await connect(address)
+            return await self._dialer.dial(via, address)
+        except (httpcore.NetworkError, httpcore.TimeoutException):
+            self.unopened_count += 1
+            raise
+
     async def release(self, address: str, conn: BackendConnection) -> None:
         """Return a connection to the pool, or close it if it cannot be reused."""
         key = _key(address, conn.via)
+        if conn.was_closed_under_call:
+            self.closed_under_calls.add(key, conn.opened_at)
         idle = self._idle[key]
         if conn.is_idle and len(idle) < MAX_IDLE_CONNECTIONS and self._is_trusted(key, conn):
             idle.append((anyio.current_time(), conn))
@@ -252,6 +282,7 @@
             await anyio.sleep(_SWEEP_INTERVAL_S)
             for address in list(self._idle):
                 await self._sweep(address)
+            self.closed_under_calls.forget_old()
 
     async def _sweep(self, address: str) -> None:
         cutoff_at = anyio.current_time() - IDLE_MAX_S
--- /dev/null
+++ b/packages/turmericweir/turmericweir/servers/closed_connections.py
@@ -0,0 +1,72 @@
+"""Records kept connections that their other end closed under a call.
+
+A server that closes its connections after an answer, or after a short time without a request, may
+do so while the next request is on its way. That is a fault of one connection: a new one to the same
+server shows whether the server is there.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Final
+
+import anyio
+
+from turmericweir.process import logs
+
+# How long it is remembered that a server closes connections under calls.
+REMEMBERED_S: Final = 60.0
+# One log line for each address within this time.
+_LOG_INTERVAL_S: Final = 10.0
+_MS_PER_S: Final = 1000.0
+
+
+@dataclass(slots=True)
+class _Closer:
+    """An end that closes connections under calls."""
+
+    closed_at: float
+    logged_at: float
+    # Closed connections since the last log line.
+    unlogged: int = 0
+
+
+class ClosedUnderCalls:
+    """Counts connections that were closed under a call, and remembers by whom."""
+
+    # All since the start.
+    count: int
+    # By the key of the pool.
+    _closers: dict[str, _Closer]
+
+    def __init__(self) -> None:
+        self.count = 0
+        self._closers = {}
+
+    def add(self, peer: str, opened_at: float) -> None:
+        """Record that a connection to a peer was closed under a call."""
+        now = anyio.current_time()
+        self.count += 1
+        closer = self._closers.setdefault(peer, _Closer(now, now - _LOG_INTERVAL_S))
+        closer.closed_at = now
+        closer.unlogged += 1
+        if now - closer.logged_at < _LOG_INTERVAL_S:
+            return
+        logs.write(
+            "connection_closed_under_call",
+            peer=peer,
+            count=closer.unlogged,
+            age_ms=round(_MS_PER_S * (now - opened_at)),
+        )
+        closer.logged_at, closer.unlogged = now, 0
+
+    def is_recent(self, peer: str) -> bool:
+        """Return whether a peer has closed a connection under a call lately."""
+        closer = self._closers.get(peer)
+        return closer is not None and anyio.current_time() - closer.closed_at < REMEMBERED_S
+
+    def forget_old(self) -> None:
+        """Forget peers that have not closed a connection under a call for a time."""
+        forgotten_at = anyio.current_time() - REMEMBERED_S
+        for peer in [each for each, at in self._closers.items() if at.closed_at < forgotten_at]:
+            del self._closers[peer]
--- a/tests/daemon/test_backend_pool.py
+++ b/tests/daemon/test_backend_pool.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from typing import Final
 
 import anyio
@@ -10,12 +12,15 @@
 import pytest
 from anyio.abc import SocketAttribute, SocketStream
 
+from turmericweir.process import logs
 from turmericweir.servers.backend_pool import (
     VERIFIED_IDLE_MAX_S,
     BackendConnection,
     BackendPool,
     make_request,
 )
+from turmericweir.servers.closed_connections import REMEMBERED_S, ClosedUnderCalls
+from turmericweir_standins.procs import free_address
 
 ANSWER: Final = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 
@@ -28,11 +33,15 @@
 
 async def _use(pool: BackendPool, address: str) -> BackendConnection:
     conn = await pool.acquire(address)
+    await _exchange(conn, address)
+    return conn
+
+
+async def _exchange(conn: BackendConnection, address: str) -> None:
     response = await conn.send(make_request(b"GET", address, b"/", [], b""), lambda: None)
     assert isinstance(response, httpcore.Response)
     await response.aread()
     await response.aclose()
-    return conn
 
 
 def test_distrusted_connections_are_not_used_again() -> None:
@@ -108,3 +117,86 @@
 
     closed = anyio.Event()
     anyio.run(scenario)
+
+
+async def _close_under_call(stream: SocketStream) -> None:
+    """Answer the first request and close the connection when the second one arrives."""
+    async with stream:
+        await stream.receive()
+        await stream.send(ANSWER)
+        await stream.receive()
+
+
+async def _close_under_first_call(stream: SocketStream) -> None:
+    async with stream:
+        await stream.receive()
+
+
+async def _break_off(stream: SocketStream) -> None:
+    """Answer the first request, and the second one in part."""
+    async with stream:
+        await stream.receive()
+        await stream.send(ANSWER)
+        await stream.receive()
+        await stream.send(ANSWER[:12])
+
+
+@pytest.mark.parametrize(
+    ("serve", "count"), [(_close_under_call, 1), (_close_under_first_call, 0), (_break_off, 0)]
+)
+def test_connections_closed_under_a_call_are_counted(
+    serve: Callable[[SocketStream], Awaitable[None]],
+    count: int,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against confusing the end of a kept connection with a server that fails."""
+    lines: list[str] = []
+    monkeypatch.setattr(logs, "write", lambda event, **_: lines.append(event))
+
+    async def scenario() -> None:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        address = f"127.0.0.1:{listener.extra(SocketAttribute.local_port)}"
+        async with anyio.create_task_group() as group, BackendPool() as pool:
+            group.start_soon(listener.serve, serve)
+            for _ in range(2):
+                with suppress(httpcore.RemoteProtocolError):
+                    conn = await pool.acquire(address)
+                    try:
+                        await _exchange(conn, address)
+                    finally:
+                        await pool.release(address, conn)
+            assert pool.closed_under_calls.count == count
+            assert lines == ["connection_closed_under_call"] * count
+            assert pool.unopened_count == 0
+            group.cancel_scope.cancel()
+
+    anyio.run(scenario)
+
+
+def test_new_connections_that_fail_are_counted() -> None:
+    async def scenario() -> None:
+        async with BackendPool() as pool:
+            with pytest.raises(httpcore.ConnectError):
+                await pool.acquire(free_address())
+            assert pool.unopened_count == 1
+            assert pool.closed_under_calls.count == 0
+
+    anyio.run(scenario)
+
+
+def test_lines_about_closed_connections_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    lines: list[int] = []
+    monkeypatch.setattr(logs, "write", lambda _, count, **__: lines.append(count))
+    now = [100.0]
+    monkeypatch.setattr(anyio, "current_time", lambda: now[0])
+    closed = ClosedUnderCalls()
+    for _ in range(5):
+        closed.add("127.0.0.1:1", 99.0)
+    now[0] += 11.0
+    closed.add("127.0.0.1:1", 99.0)
+    assert lines == [1, 5]
+    assert closed.count == 6
+    assert closed.is_recent("127.0.0.1:1")
+    now[0] += REMEMBERED_S + 1.0
+    closed.forget_old()
+    assert not closed.is_recent("127.0.0.1:1")
