Repeat a read whose kept connection was closed under it

A store that closes a connection some milliseconds after its answer, unannounced, was taken for one that is lost: the next read, already sent on the kept connection, ended without an answer, which counted as store_lost, with a pause before the next try.

A call that may run twice (GET, of `call` and `read_large`) is now repeated, once, on a new connection, if its connection had been kept and ended before a byte of the answer (RFC 9112, 9.3.1). On the new one the same error is a fault of the other end. Nothing is added to the limits of time: the repeat runs within those of the call. A POST is sent once.

--- a/packages/turmericweir/turmericweir/servers/backend_call.py
+++ b/packages/turmericweir/turmericweir/servers/backend_call.py
@@ -5,9 +5,9 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterable, AsyncIterator, Callable, Iterable
+from collections.abc import AsyncIterable, AsyncIterator, Awaitable, Callable, Iterable
 from dataclasses import dataclass
-from typing import Any, Final, Self
+from typing import Any, Final, Self, TypeVar
 
 import anyio
 import httpcore
@@ -40,6 +40,10 @@
 # Colon, space and line end of a header; version, spaces and line ends around the first line.
 _HEADER_OVERHEAD_BYTES: Final = 4
 _FIRST_LINE_OVERHEAD_BYTES: Final = 13
+# Methods that do not change what they name. RFC 9110, section 9.2.1.
+_SAFE_METHODS: Final = frozenset({b"GET", b"HEAD"})
+
+T = TypeVar("T")
 
 
 class FirstByteCallback:
@@ -96,17 +100,18 @@
     sent_headers = [*headers, *([_JSON] if value is not None else [])]
     request = make_request(method, address, target.encode("ascii"), sent_headers, body)
     first_byte = FirstByteCallback()
-    if traffic is not None:
-        traffic.sent.add(_wire_size(method + target.encode("ascii"), request.headers, body))
+
+    async def send(conn: BackendConnection) -> Answer:
+        if traffic is not None:
+            traffic.sent.add(_wire_size(method + target.encode("ascii"), request.headers, body))
+        return await exchange(conn, request, first_byte, traffic, max_bytes)
+
+    idle_max_s = 0.0 if needs_new_connection else IDLE_MAX_S
     try:
         with anyio.fail_after(timeout_s):
-            conn = await pool.acquire(
-                address, idle_max_s=0.0 if needs_new_connection else IDLE_MAX_S, via=via
-            )
-            try:
-                return await exchange(conn, request, first_byte, traffic, max_bytes)
-            finally:
-                await pool.release(address, conn)
+            if method in _SAFE_METHODS:
+                return await use_repeatably(pool, address, send, idle_max_s=idle_max_s, via=via)
+            return await use_once(pool, address, send, idle_max_s=idle_max_s, via=via)
     except TimeoutError:
         detail = f"no complete answer within {timeout_s} s"
         raise CallError(target, address, detail, was_sent=first_byte.was_called) from None
@@ -116,6 +121,46 @@
         ) from exc
 
 
+async def use_once(
+    pool: BackendPool,
+    address: str,
+    use: Callable[[BackendConnection], Awaitable[T]],
+    *,
+    idle_max_s: float,
+    via: Via | None = None,
+) -> T:
+    """Use a connection of the pool for one call."""
+    conn = await pool.acquire(address, idle_max_s=idle_max_s, via=via)
+    try:
+        return await use(conn)
+    finally:
+        await pool.release(address, conn)
+
+
+async def use_repeatably(
+    pool: BackendPool,
+    address: str,
+    use: Callable[[BackendConnection], Awaitable[T]],
+    *,
+    idle_max_s: float,
+    via: Via | None = None,
+) -> T:
+    """Use a connection for a call that may run twice.
+
+    If a kept connection was closed under the call, it is repeated once, on a new one, where the
+    same error is that of the other end. RFC 9112, section 9.3.1.
+    """
+    conn = await pool.acquire(address, idle_max_s=idle_max_s, via=via)
+    try:
+        return await use(conn)
+    except TRANSPORT_ERRORS:
+        if not conn.was_closed_under_call:
+            raise
+    finally:
+        await pool.release(address, conn)
+    return await use_once(pool, address, use, idle_max_s=0.0, via=via)
+
+
 def _wire_size(first_line: bytes, headers: Iterable[tuple[bytes, bytes]], body: bytes) -> int:
     """Return the size of a message on the wire: first line, header lines and body."""
     header_bytes = sum(len(name) + len(value) + _HEADER_OVERHEAD_BYTES for name, value in headers)
--- a/packages/turmericweir/turmericweir/servers/large_call.py
+++ b/packages/turmericweir/turmericweir/servers/large_call.py
@@ -17,8 +17,14 @@
     FirstByteCallback,
     body_of,
     lower_headers,
+    use_repeatably,
+)
+from turmericweir.servers.backend_pool import (
+    IDLE_MAX_S,
+    BackendConnection,
+    BackendPool,
+    make_request,
 )
-from turmericweir.servers.backend_pool import IDLE_MAX_S, BackendPool, make_request
 
 # Bound on the whole call, in case the server sends next to nothing forever.
 _TOTAL_MAX_S: Final = 10.0
@@ -39,24 +45,24 @@
 ) -> Answer:
     """Make one GET call; raise CallError if nothing arrives for `stall_s` seconds."""
     request = make_request(b"GET", address, target.encode("ascii"), [], b"")
+
+    async def read(conn: BackendConnection) -> Answer:
+        response = await conn.send(request, FirstByteCallback())
+        body = bytearray()
+        async for chunk in body_of(response):
+            progress.deadline = anyio.current_time() + stall_s
+            body += chunk
+            if len(body) > max_bytes:
+                detail = f"the answer is larger than {max_bytes} bytes"
+                raise ReadTooLargeError(target, address, detail, start=bytes(body))
+        await response.aclose()
+        return Answer(response.status, lower_headers(response), bytes(body))
+
     try:
         # An answer may arrive between the end of the time and the cancellation, which moves the
         # deadline on, so the end of the block itself shows that the time was up.
         with anyio.move_on_after(_TOTAL_MAX_S), anyio.move_on_after(stall_s) as progress:
-            conn = await pool.acquire(address, idle_max_s=IDLE_MAX_S)
-            try:
-                response = await conn.send(request, FirstByteCallback())
-                body = bytearray()
-                async for chunk in body_of(response):
-                    progress.deadline = anyio.current_time() + stall_s
-                    body += chunk
-                    if len(body) > max_bytes:
-                        detail = f"the answer is larger than {max_bytes} bytes"
-                        raise ReadTooLargeError(target, address, detail, start=bytes(body))
-                await response.aclose()
-                return Answer(response.status, lower_headers(response), bytes(body))
-            finally:
-                await pool.release(address, conn)
+            return await use_repeatably(pool, address, read, idle_max_s=IDLE_MAX_S)
     except TRANSPORT_ERRORS as exc:
         raise CallError(target, address, describe_error(exc), was_sent=True) from exc
     raise CallError(target, address, f"no progress within {stall_s} s", was_sent=True)
--- a/tests/daemon/test_large_call.py
+++ b/tests/daemon/test_large_call.py
@@ -38,7 +38,7 @@
 class FakePool:
     """Hands out one connection."""
 
-    async def acquire(self, address: str, *, idle_max_s: float) -> FakeConnection:
+    async def acquire(self, address: str, *, idle_max_s: float, via: None) -> FakeConnection:
         """Return the connection."""
         return FakeConnection()
 
--- a/tests/platform/standin_store.py
+++ b/tests/platform/standin_store.py
@@ -51,6 +51,12 @@
         self.era = 1
         # Delay of each answer.
         self.delay_s = 0.0
+        # How long after an answer the connection is closed, unannounced; None to keep it.
+        self.closes_after_s: float | None = None
+        # Whether it is reset instead.
+        self.closes_by_reset = False
+        # The connection is closed after so many answers.
+        self.answers_per_connection = 1
         # Number of answered reads by topic.
         self.answered = Counter[str]()
 
@@ -81,7 +87,15 @@
         self.era += 1
 
     async def handle(self, call: Call) -> bool:
-        """Answer one call."""
+        """Answer one call, and close its connection later if the store does so."""
+        is_kept = await self._answer(call)
+        is_last = (call.earlier_requests + 1) % self.answers_per_connection == 0
+        if is_kept and is_last and self.closes_after_s is not None:
+            close = call.reset if self.closes_by_reset else call.writer.close
+            asyncio.get_running_loop().call_later(self.closes_after_s, close)
+        return is_kept
+
+    async def _answer(self, call: Call) -> bool:
         if self.era:
             call.extra_headers = {"Store-Era": str(self.era)}
         if self.delay_s:
