Wait for lost answers at the stand-in of the store

test_lost_answers_of_the_store_are_requested_again waited for three lines store_lost to know that answers were lost.

--- a/tests/platform/standin_store.py
+++ b/tests/platform/standin_store.py
@@ -47,6 +47,8 @@
         # each topic).
         self.mode = ""
         self._lost_mode_answers = Counter[str]()
+        # Number of answers dropped by "lost".
+        self.lost_answers = 0
         # Rises each time that the store comes back from a copy; 0 for a store without eras.
         self.era = 1
         # Delay of each answer.
@@ -120,6 +122,7 @@
         if self.mode == "lost":
             self._lost_mode_answers[call.query["topic"]] += 1
             if self._lost_mode_answers[call.query["topic"]] % 3 == 0:
+                self.lost_answers += 1
                 call.reset()
                 return False
         self.answered[call.query["topic"]] += 1
--- a/tests/platform/test_store_trouble.py
+++ b/tests/platform/test_store_trouble.py
@@ -232,7 +232,7 @@
     with PlatformWorld(tmp_path) as world:
         instance = world.running["entry-1"]
         world.store.mode = "lost"
-        until(lambda: len(instance.logged("store_lost")) >= 3, "answers were lost")
+        until(lambda: world.store.lost_answers >= 3, "answers were lost")
         assert world.send_safe().status == 200
         world.publish(tenants=[{"name": "school", "api-keys": ["key-9"]}])
         world.register("shop-1", state="draining", seq=2)
