Refuse requests where the list of servers does not come

An instance that had read the settings and not the list of servers held each caller until the route's timeout (6 s in the tests) before a 503 'deadline' (waited_for=no_server), though nothing told when a server would be known; one without settings refuses at once.

Once the list has not come within servers_wait_s (1 s) of the start, the time after which peers are asked for it, requests get 503 no_server, not run, Retry-After 0.20, as without settings. Within that time they wait as before. An instance whose list names no server holds them as before: one may be registered.

--- a/packages/turmericweir-core/turmericweir_core/membership/server_list.py
+++ b/packages/turmericweir-core/turmericweir_core/membership/server_list.py
@@ -87,6 +87,16 @@
             # are whole seconds, rounded down.
             return own_age_s >= offered_age_s + 1
         return own_age_s > offered_age_s + state.options.servers_stale_s
+    return _is_list_late(state, now)
+
+
+def is_list_missing(state: State, now: float) -> bool:
+    """Return whether this instance knows no server and should have got the list by now."""
+    table = state.servers
+    return table.listed_at is None and not table.by_name and _is_list_late(state, now)
+
+
+def _is_list_late(state: State, now: float) -> bool:
     started_at = state.members.started_at
     return started_at is not None and now - started_at > state.options.servers_wait_s
 
--- a/packages/turmericweir-core/turmericweir_core/requests/lifecycle.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/lifecycle.py
@@ -19,6 +19,7 @@
 from turmericweir_core.base.request import Attempt, CancelReason, Request, RequestPhase
 from turmericweir_core.claims.claim_end import note_finished, waits_for_holder
 from turmericweir_core.limits import limit
+from turmericweir_core.membership import server_list
 from turmericweir_core.messages.effects import (
     Count,
     Effect,
@@ -292,6 +293,7 @@
         )
     effects += _finish_begun_at_limit(state, now)
     effects += _finish_unproven(state, now)
+    effects += _finish_unlisted(state, now)
     effects += liveness_evidence.on_tick(state, now)
     effects += _finish_unservable(state, now)
     effects += _finish_without_release(state, now)
@@ -363,6 +365,20 @@
     return effects
 
 
+def _finish_unlisted(state: State, now: float) -> list[Effect]:
+    """End requests that wait for a server where the list of servers has not come."""
+    if not server_list.is_list_missing(state, now):
+        return []
+    effects: list[Effect] = []
+    pause_s = instance_refusal.refusal_retry_after_s(state, now, Reason.NO_SERVER)
+    for request_id in queue_state.waiting_ids(state.queues):
+        req = state.requests[request_id]
+        queue_state.remove(state.queues, req)
+        outcome = unanswered_outcome(req)
+        effects += finish(state, now, req, outcome, Reason.NO_SERVER, retry_after_s=pause_s)
+    return effects
+
+
 def _finish_without_release(state: State, now: float) -> list[Effect]:
     """End requests whose streams no server can go on with, so that their callers learn it early."""
     effects: list[Effect] = []
--- a/packages/turmericweir-core/turmericweir_core/store/instance_refusal.py
+++ b/packages/turmericweir-core/turmericweir_core/store/instance_refusal.py
@@ -1,9 +1,10 @@
 """Refuse requests that this instance cannot serve, and return when the caller should retry.
 
 `lifecycle` calls this before any other check. These refusals do not depend on the load or on the
-request: the instance has no settings yet, has no fresh proof of its keys, or is stopping. A refused
-caller retries over a new connection, which the balancer opens to another instance. The retry delay
-gives the other instances time to become ready; it is zero if they already are.
+request: the instance has no settings yet, has no fresh proof of its keys, has got no list of
+servers since its start, or is stopping. A refused caller retries over a new connection, which the
+balancer opens to another instance. The retry delay gives the other instances time to become ready;
+it is zero if they already are.
 """
 
 from __future__ import annotations
@@ -12,7 +13,7 @@
 
 from turmericweir_core.base.reasons import Reason
 from turmericweir_core.base.request import Request
-from turmericweir_core.membership import membership
+from turmericweir_core.membership import membership, server_list
 from turmericweir_core.placement import stop_cutoff
 from turmericweir_core.store import document
 
@@ -33,6 +34,9 @@
         return Reason.NO_SETTINGS
     if not document.can_serve_key(state, now, req):
         return Reason.KEY_UNPROVEN
+    if server_list.is_list_missing(state, now):
+        # Nothing tells when a server will be known.
+        return Reason.NO_SERVER
     if _can_outlast_process(state, now, req):
         return Reason.STOPPING
     return None
--- a/tests/core/store/test_instance_refusal.py
+++ b/tests/core/store/test_instance_refusal.py
@@ -55,3 +55,25 @@
     assert refused.account.reason is Reason.NO_SETTINGS
     assert refused.account.retry_after_s is not None
     assert refused.account.retry_after_s < 0.5
+
+
+def test_requests_are_refused_where_the_list_of_servers_does_not_come() -> None:
+    """Guards against holding callers until their deadline where no server is known."""
+    world = StoreWorld(engines=0, plain=0)
+    world.state.servers.listed_at = None
+    world.state.members.started_at = world.now
+    # The list may come at any moment after a start.
+    assert not only(world.arrive("early", target=PLAIN, deadline=world.now + 6.0), FinishRequest)
+    (ended,) = only(world.wait(world.state.options.servers_wait_s + 0.1), FinishRequest)
+    refused = account_of(world.arrive("late", target=PLAIN, deadline=world.now + 6.0))
+    for account in (ended.account, refused.account):
+        assert (account.outcome, account.reason) == (Outcome.NOT_RUN, Reason.NO_SERVER)
+        assert account.retry_after_s is not None
+        assert account.retry_after_s < 0.5
+
+
+def test_requests_wait_for_a_server_where_the_list_is_known() -> None:
+    """A list without servers is one: a server may be registered at any moment."""
+    world = StoreWorld(engines=0, plain=0)
+    effects = world.arrive("1", target=PLAIN, deadline=world.now + 6.0) + world.wait(3.0)
+    assert not only(effects, FinishRequest)
--- a/tests/platform/standin_store.py
+++ b/tests/platform/standin_store.py
@@ -49,6 +49,8 @@
         self._lost_mode_answers = Counter[str]()
         # Number of answers dropped by "lost".
         self.lost_answers = 0
+        # Topics of which no read is answered.
+        self.lost_topics = set[str]()
         # Rises each time that the store comes back from a copy; 0 for a store without eras.
         self.era = 1
         # Delay of each answer.
@@ -105,7 +107,7 @@
         if self.mode == "busy":
             await call.answer(503)
             return True
-        if self.mode == "reset":
+        if self.mode == "reset" or call.query["topic"] in self.lost_topics:
             call.reset()
             return False
         topic = self.topics.setdefault(call.query["topic"], Topic())
--- a/tests/platform/test_store_trouble.py
+++ b/tests/platform/test_store_trouble.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import json
 import socket
 from collections.abc import Callable
 from functools import partial
 from pathlib import Path
 
 from tests.platform.platform_world import Answer, Instance, PlatformWorld, until
-from tests.platform.standin_store import OPERATOR, SERVERS
+from tests.platform.standin_store import OPERATOR, SERVERS, Store
 
 # Shortens the wait of the test.
 SHORT_REVOKE = {"revoke_ms": 2600}
@@ -238,3 +239,19 @@
         world.register("shop-1", state="draining", seq=2)
         until(lambda: world.send_safe(X_Key="key-9").status == 200, "version 2 is in force")
         until(lambda: _is_leaving(instance.logged("server_listed"), "shop-1"), "shop-1 leaves")
+
+
+def test_callers_do_not_wait_for_a_list_of_servers_that_does_not_come(tmp_path: Path) -> None:
+    """Guards against holding callers until their time is over where no server is known."""
+    store = Store()
+    store.lost_topics = {SERVERS}
+    with PlatformWorld(tmp_path, instances=0, store=store) as world:
+        instance = world.add_instance("entry-1", wait=False)
+        until(lambda: bool(instance.logged("settings_in_force")), "the settings are in force")
+        for send in (world.send_safe, world.send_unsafe, world.send):
+            answer = send()
+            assert answer.status == 503
+            assert json.loads(answer.body)["error"] == "no_server"
+            assert json.loads(answer.body)["outcome"] == "not_run"
+        store.lost_topics = set()
+        until(lambda: world.send_safe().status == 200, "callers are served")
