Send what must run once on new connections to ends that close early

An append on a kept connection that the other end closes is lost without knowing whether it was carried out, and may not be repeated. A POST to such an end uses a new connection. Reads go on using kept ones, since they are repeated, and so renew what is known. Such an end closes its connections anyway, so few more are opened.

--- a/packages/turmericweir/turmericweir/servers/backend_call.py
+++ b/packages/turmericweir/turmericweir/servers/backend_call.py
@@ -106,10 +106,12 @@
             traffic.sent.add(_wire_size(method + target.encode("ascii"), request.headers, body))
         return await exchange(conn, request, first_byte, traffic, max_bytes)
 
-    idle_max_s = 0.0 if needs_new_connection else IDLE_MAX_S
+    is_safe = method in _SAFE_METHODS
+    needs_new = needs_new_connection or (not is_safe and pool.closes_early(address, via))
+    idle_max_s = 0.0 if needs_new else IDLE_MAX_S
     try:
         with anyio.fail_after(timeout_s):
-            if method in _SAFE_METHODS:
+            if is_safe:
                 return await use_repeatably(pool, address, send, idle_max_s=idle_max_s, via=via)
             return await use_once(pool, address, send, idle_max_s=idle_max_s, via=via)
     except TimeoutError:
--- a/packages/turmericweir/turmericweir/servers/backend_pool.py
+++ b/packages/turmericweir/turmericweir/servers/backend_pool.py
@@ -230,8 +230,10 @@
         idle = self._idle.get(key)
         # The last one is the newest; if it is too old, all are.
         while idle and anyio.current_time() - idle[-1][0] < idle_max_s:
-            _, conn = idle.pop()
-            if self._can_reuse(key, conn):
+            idle_since, conn = idle.pop()
+            if conn.is_closed_by_server and self._is_early(idle_since):
+                self.closed_under_calls.note_early(key)
+            elif self._can_reuse(key, conn):
                 self.reused_count += 1
                 conn.is_reused = True
                 return conn
@@ -242,6 +244,16 @@
         self.opened_count += 1
         return BackendConnection(address, stream, via)
 
+    def closes_early(self, address: str, via: Via | None = None) -> bool:
+        """Return whether a server has lately closed connections that were just kept.
+
+        A request that must not run twice then uses a new one.
+        """
+        return self.closed_under_calls.is_recent(_key(address, via))
+
+    def _is_early(self, idle_since: float) -> bool:
+        return anyio.current_time() - idle_since < VERIFIED_IDLE_MAX_S
+
     async def _open(self, address: str, via: Via | None) -> BackendStream:
         try:
             if via is None or self._dialer is None:
@@ -280,19 +292,24 @@
         """Close connections that were idle for too long, at intervals."""
         while True:
             await anyio.sleep(_SWEEP_INTERVAL_S)
-            for address in list(self._idle):
-                await self._sweep(address)
+            for key in list(self._idle):
+                await self._sweep(key)
             self.closed_under_calls.forget_old()
 
-    async def _sweep(self, address: str) -> None:
+    async def _sweep(self, key: str) -> None:
         cutoff_at = anyio.current_time() - IDLE_MAX_S
-        idle = self._idle[address]
-        expired = [conn for idle_since, conn in idle if idle_since < cutoff_at]
+        idle = self._idle[key]
+        early = [
+            entry for entry in idle if self._is_early(entry[0]) and entry[1].is_closed_by_server
+        ]
+        if early:
+            self.closed_under_calls.note_early(key)
+        dropped = [entry for entry in idle if entry[0] < cutoff_at or entry in early]
         # Prevents an attempt from acquiring one of them while another is being closed.
-        idle[:] = [entry for entry in idle if entry[0] >= cutoff_at]
+        idle[:] = [entry for entry in idle if entry not in dropped]
         if not idle:
-            del self._idle[address]
-        for conn in expired:
+            del self._idle[key]
+        for _, conn in dropped:
             await conn.close()
 
 
--- a/tests/daemon/test_backend_call.py
+++ b/tests/daemon/test_backend_call.py
@@ -103,3 +103,40 @@
     server = ClosingServer()
     assert await _run(server, _get, _post) == ["200", "failed"]
     assert server.received == [(b"GET", True), (b"POST", False)]
+
+
+async def test_call_that_must_run_once_uses_a_new_connection_if_kept_ones_are_closed() -> None:
+    """Guards against losing an append at a server that closes connections under calls."""
+    server = ClosingServer()
+    assert await _run(server, _get, _get, _post) == ["200", "200", "200"]
+    assert (b"POST", False) not in server.received
+
+
+async def test_connection_found_closed_soon_after_a_call_shows_that_kept_ones_are_closed() -> None:
+    connections = 0
+    closed = anyio.Event()
+
+    async def serve(stream: SocketStream) -> None:
+        nonlocal connections
+        connections += 1
+        is_first = connections == 1
+        async with stream:
+            async for _ in stream:
+                await stream.send(ANSWER)
+                if is_first:
+                    break
+        closed.set()
+
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    address = f"127.0.0.1:{listener.extra(SocketAttribute.local_port)}"
+    async with anyio.create_task_group() as group, BackendPool() as pool:
+        group.start_soon(listener.serve, serve)
+        await _get(pool, address)
+        await closed.wait()
+        await _get(pool, address)
+        assert pool.closed_under_calls.count == 0
+        await _get(pool, address)
+        assert pool.opened_count == 2
+        await _post(pool, address)
+        assert pool.opened_count == 3
+        group.cancel_scope.cancel()
