Send streams that must run once on new connections to engines that close early

A caller got 502 for a stream that must run once whenever its engine closed the kept connection, unannounced, just as it was used again. Plain calls that must run once always used new connections; streams reused those that had been idle for less than a second. Now they use a new one if the engine has lately closed connections that were just kept.

The first race with an engine of which nothing is known yet can still lose one.

--- a/packages/turmericweir/turmericweir/servers/backend_attempt.py
+++ b/packages/turmericweir/turmericweir/servers/backend_attempt.py
@@ -181,7 +181,8 @@
         """
         address = self.start.address
         try:
-            idle_max_s, via = idle_limit_s(self.start), via_of(self.start)
+            via = via_of(self.start)
+            idle_max_s = idle_limit_s(self.start, closes_early=self.pool.closes_early(address, via))
             conn = await acquire(self.pool, address, idle_max_s=idle_max_s, via=via)
             self._is_reused = conn.is_reused
             self._conn = conn
@@ -368,9 +369,9 @@
     return not any(each in str(error) for each in _CLOSED_ERRORS)
 
 
-def idle_limit_s(start: StartAttempt) -> float:
+def idle_limit_s(start: StartAttempt, *, closes_early: bool) -> float:
     """Return how long the connection of an attempt may have been idle, in seconds."""
-    if start.needs_new_connection:
+    if start.needs_new_connection or (closes_early and start.needs_verified_connection):
         return 0.0
     return VERIFIED_IDLE_MAX_S if start.needs_verified_connection else IDLE_MAX_S
 
--- a/tests/platform/standin_server.py
+++ b/tests/platform/standin_server.py
@@ -74,6 +74,8 @@
     event_interval_s: float = 0.0
     # Whether a connection carries other requests after a stream.
     keeps_streams: bool = False
+    # How long after a stream its connection is closed, unannounced; None to keep it.
+    closes_after_s: float | None = None
     # Replaces its answers by one without an end; None for answers that end.
     endless: EndlessAnswer | None = None
     # In every answer to a request.
@@ -389,6 +391,9 @@
             return False
         await call.write(b"0\r\n\r\n")
         request.outcome = "complete"
+        if self.closes_after_s is not None:
+            asyncio.get_running_loop().call_later(self.closes_after_s, call.writer.close)
+            return True
         return self.keeps_streams
 
     async def _write_events(
--- a/tests/platform/test_closed_connections.py
+++ b/tests/platform/test_closed_connections.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests.platform.platform_world import PlatformWorld
+from tests.platform.platform_world import PlatformWorld, until
 from tests.platform.standin_store import Store
 
 CALLS = 30
@@ -33,3 +33,17 @@
         statuses = [world.send_safe().status for _ in range(CALLS)]
         assert statuses == [200] * CALLS
         assert not world.running["entry-1"].logged("store_lost")
+
+
+@pytest.mark.parametrize("closes_after_s", [0.002, 0.005, 0.01, 0.03])
+def test_stream_that_must_run_once_is_not_lost_with_a_kept_connection(
+    tmp_path: Path, closes_after_s: float
+) -> None:
+    """Guards against errors for callers from engines that close connections after streams."""
+    with PlatformWorld(tmp_path, engines=1, plain_servers=0) as world:
+        instance = world.running["entry-1"]
+        world.servers["lm-1"].closes_after_s = closes_after_s
+        assert world.send().status == 200
+        until(lambda: bool(instance.logged("connections_closed_early")), "the engine is known")
+        statuses = [world.send().status for _ in range(CALLS)]
+        assert statuses == [200] * CALLS
