Use new connections where a server has closed kept ones under requests

A server that closes connections some milliseconds after its answers broke a share of all attempts: each cost a try on a new connection, a retry of the budget and a failure in the judgement of that server, and callers got 502 once the budget was spent. For 10 s after a kept connection was closed under a request, attempts there use new ones. So one attempt in 10 s is lost, and the connections of such a server end by themselves anyway.

--- a/packages/turmericweir/turmericweir/servers/backend_attempt.py
+++ b/packages/turmericweir/turmericweir/servers/backend_attempt.py
@@ -181,8 +181,7 @@
         """
         address = self.start.address
         try:
-            via = via_of(self.start)
-            idle_max_s = idle_limit_s(self.start, closes_early=self.pool.closes_early(address, via))
+            idle_max_s, via = idle_limit_s(self.pool, self.start), via_of(self.start)
             conn = await acquire(self.pool, address, idle_max_s=idle_max_s, via=via)
             self._is_reused = conn.is_reused
             self._conn = conn
@@ -369,11 +368,14 @@
     return not any(each in str(error) for each in _CLOSED_ERRORS)
 
 
-def idle_limit_s(start: StartAttempt, *, closes_early: bool) -> float:
+def idle_limit_s(pool: BackendPool, start: StartAttempt) -> float:
     """Return how long the connection of an attempt may have been idle, in seconds."""
-    if start.needs_new_connection or (closes_early and start.needs_verified_connection):
+    address, via = start.address, via_of(start)
+    if start.needs_new_connection or pool.closes_under_calls(address, via):
         return 0.0
-    return VERIFIED_IDLE_MAX_S if start.needs_verified_connection else IDLE_MAX_S
+    if not start.needs_verified_connection:
+        return IDLE_MAX_S
+    return 0.0 if pool.closes_early(address, via) else VERIFIED_IDLE_MAX_S
 
 
 def attempt_headers(start: StartAttempt) -> list[tuple[bytes, bytes]]:
--- a/packages/turmericweir/turmericweir/servers/backend_pool.py
+++ b/packages/turmericweir/turmericweir/servers/backend_pool.py
@@ -251,6 +251,13 @@
         """
         return self.closed_under_calls.is_recent(_key(address, via))
 
+    def closes_under_calls(self, address: str, via: Via | None = None) -> bool:
+        """Return whether a server has lately closed kept connections under calls.
+
+        Any caller's request then uses a new one: to send it again costs more.
+        """
+        return self.closed_under_calls.has_lost_call(_key(address, via))
+
     def _is_early(self, idle_since: float) -> bool:
         return anyio.current_time() - idle_since < VERIFIED_IDLE_MAX_S
 
--- a/packages/turmericweir/turmericweir/servers/closed_connections.py
+++ b/packages/turmericweir/turmericweir/servers/closed_connections.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import Final
 
@@ -27,6 +28,8 @@
 
     closed_at: float
     logged_at: float
+    # When it last closed one under a call.
+    lost_at: float = -math.inf
     # Closed connections since the last log line.
     unlogged: int = 0
 
@@ -46,7 +49,7 @@
     def add(self, peer: str, opened_at: float) -> None:
         """Record that a connection to a peer was closed under a call."""
         closer = self.note_early(peer)
-        now = closer.closed_at
+        now = closer.lost_at = closer.closed_at
         self.count += 1
         closer.unlogged += 1
         if now - closer.logged_at < _LOG_INTERVAL_S:
@@ -73,6 +76,11 @@
         closer = self._closers.get(peer)
         return closer is not None and anyio.current_time() - closer.closed_at < REMEMBERED_S
 
+    def has_lost_call(self, peer: str) -> bool:
+        """Return whether a peer has closed a connection under a call lately."""
+        closer = self._closers.get(peer)
+        return closer is not None and anyio.current_time() - closer.lost_at < REMEMBERED_S
+
     def forget_old(self) -> None:
         """Forget peers that have not closed a connection early for a time."""
         forgotten_at = anyio.current_time() - REMEMBERED_S
--- a/tests/daemon/test_backend_pool.py
+++ b/tests/daemon/test_backend_pool.py
@@ -203,6 +203,11 @@
     ]
     assert closed.count == 6
     assert closed.is_recent("127.0.0.1:1")
+    assert closed.has_lost_call("127.0.0.1:1")
     now[0] += REMEMBERED_S + 1.0
     closed.forget_old()
     assert not closed.is_recent("127.0.0.1:1")
+    assert not closed.has_lost_call("127.0.0.1:1")
+    closed.note_early("127.0.0.1:1")
+    assert closed.is_recent("127.0.0.1:1")
+    assert not closed.has_lost_call("127.0.0.1:1")
--- a/tests/platform/test_closed_connections.py
+++ b/tests/platform/test_closed_connections.py
@@ -47,3 +47,11 @@
         until(lambda: bool(instance.logged("connections_closed_early")), "the engine is known")
         statuses = [world.send().status for _ in range(CALLS)]
         assert statuses == [200] * CALLS
+
+
+def test_streams_that_may_be_repeated_spend_no_budget_on_kept_connections(tmp_path: Path) -> None:
+    """Guards against engines that lose many requests to connections that they close."""
+    with PlatformWorld(tmp_path, engines=1, plain_servers=0, bounds={"retry_ratio": 0.2}) as world:
+        world.servers["lm-1"].closes_after_s = 0.005
+        statuses = [world.send("/lm/chat/").status for _ in range(3 * CALLS)]
+        assert statuses == [200] * 3 * CALLS
