Bound what the kernel holds of clients' bytes that are not read

Where a machine counts the buffers of sockets, a process was killed without a last line: each connection that is not read took 64 to 128 KB in the kernel.

The receive buffers of all connections together get a share of the memory limit. The listening socket passes the size on, so it also holds for what arrives before the process runs. It is set there without fixing it, so that the window scale stays that of the system, and fixed once a connection is accepted. The body of an admitted request widens its buffer from another share, an eighth of what is left at most.

The number of clients' connections now also follows from the memory limit.

--- a/packages/turmericweir/turmericweir/callers/caller_memory.py
+++ b/packages/turmericweir/turmericweir/callers/caller_memory.py
@@ -16,6 +16,7 @@
 
 from turmericweir.process import logs
 from turmericweir.process.memory_budget import (
+    SMALL_BODY_BYTES,
     Holder,
     choose_cut_off,
     release_free_memory,
@@ -48,6 +49,9 @@
     def sent_bytes(self) -> int:
         """The number of bytes that were passed to the network."""
 
+    def expect_body(self, body_bytes: int) -> None:
+        """Prepare to receive a body that was admitted."""
+
     def reset_connection(self) -> None:
         """Reset the connection."""
 
@@ -175,6 +179,8 @@
         if body_bytes:
             tracked.keep_room(body_bytes, now)
             self._receiving.add(tracked)
+        if body_bytes != 0:
+            tracked.channel.expect_body(SMALL_BODY_BYTES if body_bytes is None else body_bytes)
         return True
 
     def can_hold_headers(self, size: int) -> bool:
--- a/packages/turmericweir/turmericweir/callers/connection_limit.py
+++ b/packages/turmericweir/turmericweir/callers/connection_limit.py
@@ -1,5 +1,7 @@
 """Bounds the connections of clients, so that descriptors are left for servers, peers and the store.
 
+How many there may be follows from the descriptors and the memory (`process.receive_buffers`).
+
 Every HTTP port of the process reports the connections that it accepts (`http_server`). Beyond the
 limit, some on which no request runs are closed: first those that never sent a whole request, then
 idle ones, then those whose body is not complete; the oldest first. If all are busy, the new one is.
@@ -8,16 +10,11 @@
 from __future__ import annotations
 
 import heapq
-import resource
 from collections.abc import Callable, Iterable
 from typing import Final, Protocol
 
 from turmericweir.process import logs
 
-# Descriptors that are left for files, and the share of the others that clients may have.
-RESERVED_DESCRIPTORS: Final = 200
-CLIENTS_SHARE: Final = 0.75
-_CONNECTIONS_MIN: Final = 16
 # The share of the connections that are closed together, since finding them takes a while.
 _CLOSED_SHARE: Final = 1 / 32
 
@@ -41,15 +38,6 @@
         """Close it."""
 
 
-def max_connections(descriptors: int) -> int:
-    """Return how many connections clients may have; 0 for no limit."""
-    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    descriptors = descriptors or max(limit, 0)
-    if not descriptors:
-        return 0
-    return max(_CONNECTIONS_MIN, int(CLIENTS_SHARE * (descriptors - RESERVED_DESCRIPTORS)))
-
-
 class ConnectionLimit:
     """Counts connections, and closes some when there are too many."""
 
--- a/packages/turmericweir/turmericweir/callers/http_server.py
+++ b/packages/turmericweir/turmericweir/callers/http_server.py
@@ -30,6 +30,7 @@
 from turmericweir.callers.message_framing import MessageFraming, Part
 from turmericweir.process import logs
 from turmericweir.process.listening_socket import accept_queued, ignore_new_connections
+from turmericweir.process.receive_buffers import ReceiveBuffers
 from turmericweir_core.base.reasons import Reason
 
 if TYPE_CHECKING:
@@ -98,6 +99,8 @@
     count_read: Callable[[int], None]
     # Closes connections if there are too many with the new one.
     make_room: Callable[[LimitedProtocol], None]
+    # Receive buffers of all connections.
+    buffers: ReceiveBuffers
     # Returns whether large headers, which take so many bytes, may be held.
     can_hold_headers: Callable[[int], bool]
     _framing: MessageFraming
@@ -109,6 +112,8 @@
     _frame_bytes: int
     # Bytes parsed of the first line of a head that is not complete.
     _first_line_bytes: int
+    # The size of a receive buffer that was widened; 0 for any other.
+    _granted_bytes: int
     # What was received and is not parsed yet.
     _unparsed: bytes
     # Whether it is parsed in a later pass of the event loop.
@@ -140,6 +145,7 @@
         self._headers_held_bytes = 0
         self._frame_bytes = 0
         self._first_line_bytes = 0
+        self._granted_bytes = 0
         self._unparsed = b""
         self._is_parse_scheduled = False
         self._is_ahead = False
@@ -151,6 +157,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Start the timer of the first request's headers."""
         self.coalescing_transport = CoalescingTransport(transport)
+        type(self).buffers.fix(transport.get_extra_info("socket"))
         super().connection_made(self.coalescing_transport)
         self._start_header_timer()
         type(self).make_room(self)
@@ -158,6 +165,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop the header timer and call `on_lost`."""
         self._stop_header_timer()
+        type(self).buffers.give_back(self._granted_bytes)
         super().connection_lost(exc)
         if self.on_lost is not None:
             self.on_lost()
@@ -440,6 +448,14 @@
         """The number of bytes that were passed to the network."""
         return self.coalescing_transport.sent_bytes
 
+    def expect_body(self, body_bytes: int) -> None:
+        """Prepare to receive a body that was admitted."""
+        awaited_bytes = body_bytes - len(self.cycle.body)
+        sock = self.transport.get_extra_info("socket")
+        if sock is not None and not self.transport.is_closing():
+            granted_bytes = type(self).buffers.widen(sock, awaited_bytes, self._granted_bytes)
+            self._granted_bytes = granted_bytes
+
     def reset_connection(self) -> None:
         """Reset the connection.
 
@@ -583,6 +599,7 @@
 
     # Set when the server listens.
     listening: anyio.Event
+    _buffers: ReceiveBuffers
 
     def __init__(
         self,
@@ -592,13 +609,16 @@
         count_read: Callable[[int], None] = lambda size: None,
         can_hold_headers: Callable[[int], bool] = lambda size: True,
         make_room: Callable[[LimitedProtocol], None] = lambda connection: None,
+        buffers: ReceiveBuffers | None = None,
     ) -> None:
+        self._buffers = buffers or ReceiveBuffers()
         attributes = {
             "limits": limits,
             "is_stopping": staticmethod(is_stopping),
             "count_read": staticmethod(count_read),
             "can_hold_headers": staticmethod(can_hold_headers),
             "make_room": staticmethod(make_room),
+            "buffers": self._buffers,
         }
         protocol = type("_Protocol", (LimitedProtocol,), attributes)
         config = uvicorn.Config(
@@ -624,6 +644,8 @@
 
     async def startup(self, sockets: list[socket.socket] | None = None) -> None:
         """Listen and set `listening`."""
+        for sock in sockets or []:
+            self._buffers.limit_accepted(sock)
         await super().startup(sockets)
         for sock in sockets or []:
             sock.listen(BACKLOG)
--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -27,7 +27,7 @@
 
 from turmericweir.answers.forward_wire import WireAdapter
 from turmericweir.callers.caller_memory import CallerMemory
-from turmericweir.callers.connection_limit import ConnectionLimit, max_connections
+from turmericweir.callers.connection_limit import ConnectionLimit
 from turmericweir.callers.forward_app import ForwardApp
 from turmericweir.callers.http_limits import HttpLimits
 from turmericweir.callers.http_server import HttpServer, LimitedProtocol
@@ -58,6 +58,7 @@
 )
 from turmericweir.process.process_signals import ProcessSignals
 from turmericweir.process.prometheus_metrics import MetricsApp, PrometheusMetrics
+from turmericweir.process.receive_buffers import ReceiveBuffers, max_connections
 from turmericweir.process.supervisor import run_endless, run_supervised
 from turmericweir.process.unhandled_errors import UnhandledErrors
 from turmericweir.servers.backend_pool import BackendPool
@@ -470,14 +471,21 @@
         app: ASGI3Application, is_stopping: Callable[[], bool] = lambda: False
     ) -> HttpServer:
         server = HttpServer(
-            app, limits, is_stopping, node.memory.add, memory.can_hold_headers, limit.make_room
+            app,
+            limits,
+            is_stopping,
+            node.memory.add,
+            memory.can_hold_headers,
+            limit.make_room,
+            buffers,
         )
         servers.append(server)
         return server
 
-    limit = ConnectionLimit(
-        max_connections(cfg.machine.max_fds), open_count, connections, node.count
-    )
+    descriptors, memory_bytes = cfg.machine.max_fds, cfg.machine.memory_bytes
+    buffers = ReceiveBuffers.for_clients(memory_bytes, descriptors)
+    maximum = max_connections(descriptors, memory_bytes)
+    limit = ConnectionLimit(maximum, open_count, connections, node.count)
     memory = CallerMemory(node, _UNREAD_S, connections)
     app = ForwardApp(node, pool, platform_adapters.wire, memory)
     callers = make_server(app, lambda: node.is_stopping)
--- a/packages/turmericweir/turmericweir/process/entry_sockets.py
+++ b/packages/turmericweir/turmericweir/process/entry_sockets.py
@@ -23,6 +23,7 @@
 from turmericweir.process.entry_settings import EntrySettings
 from turmericweir.process.errors import ListenError
 from turmericweir.process.listening_socket import bind, bind_datagrams, listen
+from turmericweir.process.receive_buffers import ReceiveBuffers
 
 # Large enough for the connections that arrive during startup.
 _CALLERS_BACKLOG: Final = 2_048
@@ -56,6 +57,7 @@
     with ExitStack() as stack:
         try:
             sockets = _bind_all(cfg, stack)
+            _limit_buffers(cfg, sockets)
             listen(sockets.callers, _CALLERS_BACKLOG, _CALLERS_STEP)
         except ListenError as exc:
             return Failure(exc)
@@ -72,3 +74,10 @@
             bind_datagrams(cfg.peer_address, "listen for datagrams")
         ),
     )
+
+
+def _limit_buffers(cfg: EntrySettings, sockets: EntrySockets) -> None:
+    memory_bytes = cfg.machine.memory_bytes
+    clients = ReceiveBuffers.for_clients(memory_bytes, cfg.machine.max_fds)
+    for sock in (sockets.callers, sockets.readiness):
+        clients.limit_accepted(sock)
--- a/tests/daemon/test_caller_memory.py
+++ b/tests/daemon/test_caller_memory.py
@@ -20,6 +20,10 @@
     unsent_bytes: int = 0
     sent_bytes: int = 0
     was_reset: bool = False
+    expected_bodies: list[int] = field(default_factory=list)
+
+    def expect_body(self, body_bytes: int) -> None:
+        self.expected_bodies.append(body_bytes)
 
     def reset_connection(self) -> None:
         self.was_reset = True
