--- a/packages/turmericweir/turmericweir/peers/carrier.py
+++ b/packages/turmericweir/turmericweir/peers/carrier.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from contextlib import suppress
 from typing import Final, cast
 
@@ -56,9 +57,15 @@
     def _held_bytes(self) -> int:
         return sum(connection.held_bytes for connection in self._connections)
 
-    def start(self, transport: asyncio.Transport, origin: str, ask: CarryAsk) -> None:
+    def start(
+        self,
+        transport: asyncio.Transport,
+        origin: str,
+        ask: CarryAsk,
+        on_lost: Callable[[], None] = lambda: None,
+    ) -> None:
         """Take over a peer's connection and connect it to a server."""
-        connection = CarriedConnection(self._node, self, transport, ask)
+        connection = CarriedConnection(self._node, self, transport, ask, on_lost)
         transport.set_protocol(connection)
         refusal = self._refusal_of(ask)
         if refusal is not None:
@@ -136,9 +143,16 @@
     _to_server_bytes: int
     _from_server_bytes: int
     _ended_by: str
+    # Called when the peer's connection is lost.
+    _on_lost: Callable[[], None]
 
     def __init__(
-        self, node: Node, carrier: Carrier, transport: asyncio.Transport, ask: CarryAsk
+        self,
+        node: Node,
+        carrier: Carrier,
+        transport: asyncio.Transport,
+        ask: CarryAsk,
+        on_lost: Callable[[], None],
     ) -> None:
         self._node = node
         self._carrier = carrier
@@ -150,6 +164,7 @@
         self._to_server_bytes = 0
         self._from_server_bytes = 0
         self._ended_by = ""
+        self._on_lost = on_lost
 
     @property
     def held_bytes(self) -> int:
@@ -211,6 +226,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """End the connection to the server, which cancels the request there."""
         self._is_lost = True
+        self._on_lost()
         if self._server is not None:
             self._server.abort()
             self._log_ended()
--- a/packages/turmericweir/turmericweir/peers/incoming_streams.py
+++ b/packages/turmericweir/turmericweir/peers/incoming_streams.py
@@ -4,6 +4,8 @@
 
 from typing import Final, Protocol
 
+from turmericweir.process.receive_buffers import ReceiveBuffers
+
 # More than all other instances of a large deployment open at a time.
 STREAMS_MAX: Final = 512
 # Bytes of incomplete frames on all streams. One frame of the largest size fits in.
@@ -35,10 +37,13 @@
     # What each stream held when it was last updated.
     _held_bytes: dict[BoundedStream, int]
     _total_bytes: int
+    # The receive buffers of all streams, also of those that are carried.
+    buffers: ReceiveBuffers
 
     def __init__(self) -> None:
         self._held_bytes = {}
         self._total_bytes = 0
+        self.buffers = ReceiveBuffers()
 
     def add(self, stream: BoundedStream) -> None:
         """Add a new stream; if there are too many, drop one.
--- a/packages/turmericweir/turmericweir/peers/peer_listener.py
+++ b/packages/turmericweir/turmericweir/peers/peer_listener.py
@@ -31,6 +31,7 @@
 from turmericweir.process.foreign_data import DECODE_ERRORS
 from turmericweir.process.listening_socket import bind
 from turmericweir.process.node import Node
+from turmericweir.process.receive_buffers import ReceiveBuffers
 from turmericweir.servers.backend_stream import set_options
 from turmericweir_core.messages.events import PeerReceived
 from turmericweir_core.messages.server_messages import CarryAsk
@@ -40,6 +41,8 @@
 _ACCEPTED_PER_TURN_MAX: Final = 64
 # Frames of one connection that are processed in one turn.
 _FRAMES_PER_TURN_MAX: Final = 64
+# What a peer may send ahead that has sent a message.
+_AHEAD_BYTES: Final = 65_536
 
 
 class IncomingStream(asyncio.Protocol):
@@ -58,6 +61,8 @@
     # When bytes arrived last, and whether a frame of them was a message.
     received_at: float
     has_sent_message: bool
+    # The size of a receive buffer that was widened; 0 for any other.
+    _granted_bytes: int
     # Why nothing is read: frames wait for the next turn, or the peer does not read.
     _has_waiting_frames: bool
     _is_write_paused: bool
@@ -74,6 +79,7 @@
         self._received_frames = 0
         self.received_at = anyio.current_time()
         self.has_sent_message = False
+        self._granted_bytes = 0
         self._has_waiting_frames = False
         self._is_write_paused = False
 
@@ -87,6 +93,7 @@
         raw: socket.socket = transport.get_extra_info("socket")
         with suppress(OSError):
             set_options(raw)
+        self._streams.buffers.fix(raw)
         self._streams.add(self)
 
     @property
@@ -114,6 +121,8 @@
             for frame in islice(self._splitter.split(), _FRAMES_PER_TURN_MAX):
                 self._received_frames += 1
                 result = read_frame(frame, self._origin)
+                if is_successful(result) and not self.has_sent_message:
+                    self._widen_buffer()
                 if self._takes_over(result):
                     self._streams.remove(self)
                     return
@@ -135,6 +144,16 @@
         self._update_reading()
         self._streams.update(self)
 
+    def _widen_buffer(self) -> None:
+        """Let a peer send more at a time, once it has sent a message."""
+        sock = self._transport.get_extra_info("socket")
+        if sock is not None:
+            self._granted_bytes = self._streams.buffers.widen(sock, _AHEAD_BYTES, 0)
+
+    def _give_back_buffer(self) -> None:
+        self._streams.buffers.give_back(self._granted_bytes)
+        self._granted_bytes = 0
+
     def _process_waiting(self) -> None:
         self._has_waiting_frames = False
         if not self._transport.is_closing():
@@ -165,11 +184,12 @@
         message = result.unwrap().message
         if not isinstance(message, CarryAsk):
             return False
-        self._carrier.start(self._transport, self._origin, message)
+        self._carrier.start(self._transport, self._origin, message, self._give_back_buffer)
         return True
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Log the loss of the connection."""
+        self._give_back_buffer()
         self._streams.remove(self)
         if exc is not None:
             self._frame_reader.log_limited(
@@ -217,9 +237,13 @@
 
     async def serve(self, node: Node) -> None:
         """Accept streams and pass their messages to a node."""
+        if self._node is None:
+            # Not at another try, before which streams may have got larger buffers.
+            self._streams.buffers = ReceiveBuffers.for_peers(node.memory.limit_bytes)
         self._node = node
         self._frame_reader = FrameReader(node)
         self._carrier = Carrier(node)
+        self._streams.buffers.limit_accepted(self._socket)
         # Before the server listens, which counts as serving also after a try that failed.
         self._socket.listen(_BACKLOG)
         await self._server.start_serving()
--- a/packages/turmericweir/turmericweir/process/entry_sockets.py
+++ b/packages/turmericweir/turmericweir/process/entry_sockets.py
@@ -81,3 +81,4 @@
     clients = ReceiveBuffers.for_clients(memory_bytes, cfg.machine.max_fds)
     for sock in (sockets.callers, sockets.readiness):
         clients.limit_accepted(sock)
+    ReceiveBuffers.for_peers(memory_bytes).limit_accepted(sockets.peer_streams)
