Tell how many bytes of clients wait unread in sockets

Nothing showed them: the size of the process leaves them out, and a process that was killed for them left no line.

--- a/packages/turmericweir/turmericweir/callers/http_server.py
+++ b/packages/turmericweir/turmericweir/callers/http_server.py
@@ -404,6 +404,12 @@
         """Whether the connection is closed or being closed."""
         return self.transport.is_closing()
 
+    @property
+    def descriptor(self) -> int:
+        """The descriptor of the socket; -1 if it is closed."""
+        sock = self.transport.get_extra_info("socket")
+        return -1 if sock is None else int(sock.fileno())
+
     @property
     def closes_after_answer(self) -> bool:
         """Whether the connection is closed after the answer to its newest request."""
--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -31,6 +31,7 @@
 from turmericweir.callers.forward_app import ForwardApp
 from turmericweir.callers.http_limits import HttpLimits
 from turmericweir.callers.http_server import HttpServer, LimitedProtocol
+from turmericweir.callers.unread_bytes import UnreadBytes
 from turmericweir.operations.entry_admin import EntryAdmin
 from turmericweir.operations.retried_port import serve_when_available
 from turmericweir.peers.peer_datagrams import PeerDatagrams
@@ -491,8 +492,15 @@
     callers = make_server(app, lambda: node.is_stopping)
     readiness = make_server(platform_adapters.make_readiness_app(lambda: is_ready(node)))
     _add_connection_gauges(metrics, callers)
+    unread = UnreadBytes(connections, node.memory)
+    metrics.add_gauge(
+        "turmericweir_sockets_unread_bytes",
+        "What clients' connections received and was not read, estimated from some of them.",
+        unread.estimate,
+    )
     async with anyio.create_task_group() as group:
         group.start_soon(run_endless, "check memory", memory.check_forever, node)
+        group.start_soon(run_endless, "check unread bytes", unread.check_forever, node)
         serve_readiness = partial(_serve_http, readiness, sockets.readiness)
         group.start_soon(run_endless, "serve readiness", serve_readiness, node)
         ports = _operations_ports(cfg, node, pool, metrics)
--- a/tests/platform/test_unread_bytes.py
+++ b/tests/platform/test_unread_bytes.py
@@ -12,7 +12,7 @@
 
 from tests.platform.client_crowd import LimitedWorld
 from tests.platform.crowds import one_at_a_time
-from tests.platform.platform_world import document, until
+from tests.platform.platform_world import call, document, until
 from tests.platform.unread_sockets import connections, resident_bytes, unread_bytes
 
 _MEMORY_MB: Final = 160
@@ -21,6 +21,7 @@
 _PORTS: Final = ("caller", "readiness", "admin", "metrics", "peer")
 # More than the kernel takes for a connection that is not read.
 _SENT_BYTES: Final = 200_000
+_UNREAD: Final = "turmericweir_sockets_unread_bytes"
 _AHEAD: Final = b"GET / HTTP/1.1\r\n\r\n"
 
 
@@ -128,3 +129,25 @@
         used_mb.append(_used_mb(world, addresses))
     assert max(used_mb) < _MEMORY_MB
     assert process.is_running
+
+
+def test_bytes_that_are_not_read_are_told(world: LimitedWorld) -> None:
+    # Guards against a process that grows by what nothing of it shows.
+    addresses = [world.address_of("caller")]
+    assert _unread_gauge(world) == 0
+    with ExitStack() as stack:
+        clients = [stack.enter_context(_connect(addresses[0])) for _ in range(_CLIENTS)]
+        for sock in clients:
+            sock.setblocking(False)
+            with suppress(BlockingIOError, ConnectionError):
+                sock.send(_ahead(world))
+        until(lambda: bool(world.running["entry-1"].logged("bytes_unread")), "it is logged")
+        until(lambda: 0 < _unread_gauge(world) < 2 * unread_bytes(addresses), "the gauge follows")
+    (line,) = world.running["entry-1"].logged("bytes_unread")
+    assert line["unread_bytes"] > 0.04 * line["limit_bytes"]
+
+
+def _unread_gauge(world: LimitedWorld) -> float:
+    page = call(world.metrics_address, "GET", "/").body.decode()
+    line = next(each for each in page.splitlines() if each.startswith(f"{_UNREAD} "))
+    return float(line.split()[1])
