Bound what the kernel holds of answers that callers do not read

The kernel lets the send buffer of a caller that does not read grow to 4 MB, and the receive buffer of the server's connection with it.

The send buffers of callers are bounded as their receive buffers are, and widened when an answer does not fit; the receive buffers of connections to servers, also by way of peers, keep the size of a new connection. The module is called socket_buffers now.

--- a/packages/turmericweir/turmericweir/callers/caller_transport.py
+++ b/packages/turmericweir/turmericweir/callers/caller_transport.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 
@@ -21,13 +22,18 @@
     _delayed_bytes: bytes
     # Bytes written so far, including those that are not sent yet.
     _written_bytes: int
+    # Called when a write was not passed to the network at once.
+    _on_full: Callable[[], None]
 
-    def __init__(self, transport: asyncio.Transport) -> None:
+    def __init__(
+        self, transport: asyncio.Transport, on_full: Callable[[], None] = lambda: None
+    ) -> None:
         super().__init__()
         self._transport = transport
         self._is_next_write_delayed = False
         self._delayed_bytes = b""
         self._written_bytes = 0
+        self._on_full = on_full
 
     @property
     def unsent_bytes(self) -> int:
@@ -64,6 +70,8 @@
     def _write(self, data: bytes | bytearray | memoryview) -> None:
         self._written_bytes += len(data)
         self._transport.write(data)
+        if self.unsent_bytes:
+            self._on_full()
 
     def close(self) -> None:
         """Close after all data is sent."""
--- a/packages/turmericweir/turmericweir/callers/connection_limit.py
+++ b/packages/turmericweir/turmericweir/callers/connection_limit.py
@@ -1,6 +1,6 @@
 """Bounds the connections of clients, so that descriptors are left for servers, peers and the store.
 
-How many there may be follows from the descriptors and the memory (`process.receive_buffers`).
+How many there may be follows from the descriptors and the memory (`process.socket_buffers`).
 
 Every HTTP port of the process reports the connections that it accepts (`http_server`). Beyond the
 limit, some on which no request runs are closed: first those that never sent a whole request, then
--- a/packages/turmericweir/turmericweir/callers/http_server.py
+++ b/packages/turmericweir/turmericweir/callers/http_server.py
@@ -30,7 +30,7 @@
 from turmericweir.callers.message_framing import MessageFraming, Part
 from turmericweir.process import logs
 from turmericweir.process.listening_socket import accept_queued, ignore_new_connections
-from turmericweir.process.receive_buffers import ReceiveBuffers
+from turmericweir.process.socket_buffers import SocketBuffers
 from turmericweir_core.base.reasons import Reason
 
 if TYPE_CHECKING:
@@ -99,8 +99,8 @@
     count_read: Callable[[int], None]
     # Closes connections if there are too many with the new one.
     make_room: Callable[[LimitedProtocol], None]
-    # Receive buffers of all connections.
-    buffers: ReceiveBuffers
+    # The kernel's buffers of all connections.
+    buffers: SocketBuffers
     # Returns whether large headers, which take so many bytes, may be held.
     can_hold_headers: Callable[[int], bool]
     _framing: MessageFraming
@@ -112,8 +112,9 @@
     _frame_bytes: int
     # Bytes parsed of the first line of a head that is not complete.
     _first_line_bytes: int
-    # The size of a receive buffer that was widened; 0 for any other.
+    # The sizes of buffers that were widened; 0 for any other.
     _granted_bytes: int
+    _granted_send_bytes: int
     # What was received and is not parsed yet.
     _unparsed: bytes
     # Whether it is parsed in a later pass of the event loop.
@@ -146,6 +147,7 @@
         self._frame_bytes = 0
         self._first_line_bytes = 0
         self._granted_bytes = 0
+        self._granted_send_bytes = 0
         self._unparsed = b""
         self._is_parse_scheduled = False
         self._is_ahead = False
@@ -156,7 +158,7 @@
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Start the timer of the first request's headers."""
-        self.coalescing_transport = CoalescingTransport(transport)
+        self.coalescing_transport = CoalescingTransport(transport, self._widen_sending)
         type(self).buffers.fix(transport.get_extra_info("socket"))
         super().connection_made(self.coalescing_transport)
         self._start_header_timer()
@@ -165,7 +167,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop the header timer and call `on_lost`."""
         self._stop_header_timer()
-        type(self).buffers.give_back(self._granted_bytes)
+        type(self).buffers.give_back(self._granted_bytes, self._granted_send_bytes)
         super().connection_lost(exc)
         if self.on_lost is not None:
             self.on_lost()
@@ -462,6 +464,14 @@
             granted_bytes = type(self).buffers.widen(sock, awaited_bytes, self._granted_bytes)
             self._granted_bytes = granted_bytes
 
+    def _widen_sending(self) -> None:
+        """Let the kernel take more of an answer that it could not take at once."""
+        if self._granted_send_bytes or self.transport.is_closing():
+            return
+        sock = self.transport.get_extra_info("socket")
+        if sock is not None:
+            self._granted_send_bytes = type(self).buffers.widen_sending(sock, 0)
+
     def reset_connection(self) -> None:
         """Reset the connection.
 
@@ -605,7 +615,7 @@
 
     # Set when the server listens.
     listening: anyio.Event
-    _buffers: ReceiveBuffers
+    _buffers: SocketBuffers
 
     def __init__(
         self,
@@ -615,9 +625,9 @@
         count_read: Callable[[int], None] = lambda size: None,
         can_hold_headers: Callable[[int], bool] = lambda size: True,
         make_room: Callable[[LimitedProtocol], None] = lambda connection: None,
-        buffers: ReceiveBuffers | None = None,
+        buffers: SocketBuffers | None = None,
     ) -> None:
-        self._buffers = buffers or ReceiveBuffers()
+        self._buffers = buffers or SocketBuffers()
         attributes = {
             "limits": limits,
             "is_stopping": staticmethod(is_stopping),
--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -59,7 +59,7 @@
 )
 from turmericweir.process.process_signals import ProcessSignals
 from turmericweir.process.prometheus_metrics import MetricsApp, PrometheusMetrics
-from turmericweir.process.receive_buffers import ReceiveBuffers, max_connections
+from turmericweir.process.socket_buffers import SocketBuffers, max_connections
 from turmericweir.process.supervisor import run_endless, run_supervised
 from turmericweir.process.unhandled_errors import UnhandledErrors
 from turmericweir.servers.backend_pool import BackendPool
@@ -498,7 +498,7 @@
         return server
 
     descriptors, memory_bytes = cfg.machine.max_fds, cfg.machine.memory_bytes
-    buffers = ReceiveBuffers.for_clients(memory_bytes, descriptors)
+    buffers = SocketBuffers.for_clients(memory_bytes, descriptors)
     maximum = max_connections(descriptors, memory_bytes)
     limit = ConnectionLimit(maximum, open_count, connections, node.count)
     memory = CallerMemory(node, _UNREAD_S, connections)
--- a/packages/turmericweir/turmericweir/peers/incoming_streams.py
+++ b/packages/turmericweir/turmericweir/peers/incoming_streams.py
@@ -4,7 +4,7 @@
 
 from typing import Final, Protocol
 
-from turmericweir.process.receive_buffers import ReceiveBuffers
+from turmericweir.process.socket_buffers import SocketBuffers
 
 # More than all other instances of a large deployment open at a time.
 STREAMS_MAX: Final = 512
@@ -38,12 +38,12 @@
     _held_bytes: dict[BoundedStream, int]
     _total_bytes: int
     # The receive buffers of all streams, also of those that are carried.
-    buffers: ReceiveBuffers
+    buffers: SocketBuffers
 
     def __init__(self) -> None:
         self._held_bytes = {}
         self._total_bytes = 0
-        self.buffers = ReceiveBuffers()
+        self.buffers = SocketBuffers()
 
     def add(self, stream: BoundedStream) -> None:
         """Add a new stream; if there are too many, drop one.
--- a/packages/turmericweir/turmericweir/peers/peer_dialer.py
+++ b/packages/turmericweir/turmericweir/peers/peer_dialer.py
@@ -18,6 +18,7 @@
 from turmericweir.peers.peer_codec import encode
 from turmericweir.process.foreign_data import DECODE_ERRORS
 from turmericweir.process.outgoing_socket import open_connection
+from turmericweir.process.socket_buffers import fix_receive_buffer
 from turmericweir.servers.backend_pool import Via
 from turmericweir.servers.backend_stream import (
     CONNECT_TIMEOUT_S,
@@ -107,6 +108,7 @@
                     _CarriedProtocol, host, int(port), source_ip=self._source_ip
                 )
                 set_options(protocol.transport.get_extra_info("socket"))
+                fix_receive_buffer(protocol.transport.get_extra_info("socket"))
                 ask = CarryAsk(via.server, address)
                 protocol.transport.write(encode(self._local_name, ask))
                 result = await protocol.result
--- a/packages/turmericweir/turmericweir/peers/peer_listener.py
+++ b/packages/turmericweir/turmericweir/peers/peer_listener.py
@@ -31,7 +31,7 @@
 from turmericweir.process.foreign_data import DECODE_ERRORS
 from turmericweir.process.listening_socket import bind
 from turmericweir.process.node import Node
-from turmericweir.process.receive_buffers import ReceiveBuffers
+from turmericweir.process.socket_buffers import SocketBuffers
 from turmericweir.servers.backend_stream import set_options
 from turmericweir_core.messages.events import PeerReceived
 from turmericweir_core.messages.server_messages import CarryAsk
@@ -239,7 +239,7 @@
         """Accept streams and pass their messages to a node."""
         if self._node is None:
             # Not at another try, before which streams may have got larger buffers.
-            self._streams.buffers = ReceiveBuffers.for_peers(node.memory.limit_bytes)
+            self._streams.buffers = SocketBuffers.for_peers(node.memory.limit_bytes)
         self._node = node
         self._frame_reader = FrameReader(node)
         self._carrier = Carrier(node)
--- a/packages/turmericweir/turmericweir/process/entry_sockets.py
+++ b/packages/turmericweir/turmericweir/process/entry_sockets.py
@@ -23,7 +23,7 @@
 from turmericweir.process.entry_settings import EntrySettings
 from turmericweir.process.errors import ListenError
 from turmericweir.process.listening_socket import bind, bind_datagrams, listen
-from turmericweir.process.receive_buffers import ReceiveBuffers
+from turmericweir.process.socket_buffers import SocketBuffers
 
 # Large enough for the connections that arrive during startup.
 _CALLERS_BACKLOG: Final = 2_048
@@ -78,7 +78,7 @@
 
 def _limit_buffers(cfg: EntrySettings, sockets: EntrySockets) -> None:
     memory_bytes = cfg.machine.memory_bytes
-    clients = ReceiveBuffers.for_clients(memory_bytes, cfg.machine.max_fds)
+    clients = SocketBuffers.for_clients(memory_bytes, cfg.machine.max_fds)
     for sock in (sockets.callers, sockets.readiness):
         clients.limit_accepted(sock)
-    ReceiveBuffers.for_peers(memory_bytes).limit_accepted(sockets.peer_streams)
+    SocketBuffers.for_peers(memory_bytes).limit_accepted(sockets.peer_streams)
--- a/packages/turmericweir/turmericweir/servers/backend_stream.py
+++ b/packages/turmericweir/turmericweir/servers/backend_stream.py
@@ -22,6 +22,7 @@
 
 from turmericweir.process.foreign_data import DECODE_ERRORS
 from turmericweir.process.outgoing_socket import open_connection
+from turmericweir.process.socket_buffers import fix_receive_buffer
 from turmericweir.servers.answer_size import FramingCounter
 
 CONNECT_TIMEOUT_S: Final = 0.35
@@ -276,7 +277,9 @@
         raise httpcore.ConnectError(str(exc.__cause__ or exc)) from exc
     except DECODE_ERRORS as exc:
         raise httpcore.ConnectError(f"{address!r} is no address: {exc}") from exc
-    set_options(protocol.transport.get_extra_info("socket"))
+    sock = protocol.transport.get_extra_info("socket")
+    set_options(sock)
+    fix_receive_buffer(sock)
     return BackendStream(protocol)
 
 
--- a/tests/daemon/test_receive_buffers.py
+++ b/tests/daemon/test_socket_buffers.py
@@ -10,7 +10,7 @@
 
 from tests.platform.unread_sockets import unread_bytes
 from turmericweir.process.listening_socket import bound_address
-from turmericweir.process.receive_buffers import ReceiveBuffers, max_connections
+from turmericweir.process.socket_buffers import SocketBuffers, max_connections
 
 _MEMORY_BYTES = 160_000_000
 _DESCRIPTORS = 4_100
@@ -42,7 +42,7 @@
         for descriptors in (0, 256, 1_024, 20_000, 1_000_000):
             memory_bytes = memory_mb * 1_000_000
             count = max_connections(descriptors, memory_bytes)
-            buffers = ReceiveBuffers.for_clients(memory_bytes, descriptors)
+            buffers = SocketBuffers.for_clients(memory_bytes, descriptors)
             with socket.socket() as sock:
                 buffers.limit_accepted(sock)
                 assert count * _buffer_bytes(sock) <= 0.08 * memory_bytes
@@ -50,7 +50,7 @@
 
 def test_accepted_connection_holds_no_more_unread(listener: socket.socket) -> None:
     # Guards against the default size of accepted connections, and against its automatic growth.
-    buffers = ReceiveBuffers.for_clients(_MEMORY_BYTES, _DESCRIPTORS)
+    buffers = SocketBuffers.for_clients(_MEMORY_BYTES, _DESCRIPTORS)
     buffers.limit_accepted(listener)
     listener.listen()
     with ExitStack() as stack:
@@ -69,7 +69,7 @@
     listener: socket.socket,
 ) -> None:
     # Guards against the first bodies that take all of the share, and a share that is never freed.
-    buffers = ReceiveBuffers.for_clients(_MEMORY_BYTES, _DESCRIPTORS)
+    buffers = SocketBuffers.for_clients(_MEMORY_BYTES, _DESCRIPTORS)
     buffers.limit_accepted(listener)
     listener.listen()
     with ExitStack() as stack:
@@ -85,7 +85,7 @@
 
 def test_nothing_is_bounded_without_a_memory_limit(listener: socket.socket) -> None:
     # Guards against buffers of the size 0, which the kernel makes as small as it can.
-    buffers = ReceiveBuffers.for_clients(0, _DESCRIPTORS)
+    buffers = SocketBuffers.for_clients(0, _DESCRIPTORS)
     default = _buffer_bytes(listener)
     buffers.limit_accepted(listener)
     assert buffers.widen(listener, 1_000_000, 0) == 0
--- a/tests/platform/test_unread_bytes.py
+++ b/tests/platform/test_unread_bytes.py
@@ -1,4 +1,4 @@
-"""Tests of crowds whose bytes wait in the sockets of a real process."""
+"""Tests of bytes that wait in the sockets of a real process."""
 
 from __future__ import annotations
 
@@ -13,7 +13,13 @@
 from tests.platform.client_crowd import LimitedWorld
 from tests.platform.crowds import one_at_a_time
 from tests.platform.platform_world import call, document, until
-from tests.platform.unread_sockets import connections, resident_bytes, unread_bytes
+from tests.platform.slow_callers import SlowCaller
+from tests.platform.unread_sockets import (
+    connections,
+    resident_bytes,
+    unread_bytes,
+    waiting_bytes,
+)
 
 _MEMORY_MB: Final = 160
 _DESCRIPTORS: Final = 4_100
@@ -22,6 +28,10 @@
 # More than the kernel takes for a connection that is not read.
 _SENT_BYTES: Final = 200_000
 _UNREAD: Final = "turmericweir_sockets_unread_bytes"
+# Callers that read nothing, and the streams that they asked for.
+_READERS: Final = 100
+_EVENTS: Final = 4_000
+_EVENT_BYTES: Final = 5_000
 _AHEAD: Final = b"GET / HTTP/1.1\r\n\r\n"
 
 
@@ -147,6 +157,29 @@
     assert line["unread_bytes"] > 0.04 * line["limit_bytes"]
 
 
+def test_answers_that_are_not_read_fit_into_the_memory(world: LimitedWorld) -> None:
+    # Guards against a process that is killed for what its callers do not read: the system lets the
+    # buffers of a connection grow to megabytes in either direction.
+    for name in ("lm-1", "lm-2"):
+        world.servers[name].event_count = _EVENTS
+        world.servers[name].version = "x" * _EVENT_BYTES
+    process = world.running["entry-1"].process
+    used_mb: list[float] = []
+
+    def is_one_cut_off() -> bool:
+        waiting, resident = waiting_bytes(process), resident_bytes(process)
+        print(f"resident {resident / 1e6:.0f} MB, in sockets {waiting / 1e6:.0f} MB")
+        used_mb.append((waiting + resident) / 1e6)
+        return bool(world.running["entry-1"].logged("caller_cut_off"))
+
+    with ExitStack() as stack:
+        for _ in range(_READERS):
+            stack.enter_context(SlowCaller(world, "/lm/doc/"))
+        until(is_one_cut_off, "callers that read nothing are cut off")
+    assert max(used_mb) < _MEMORY_MB
+    assert process.is_running
+
+
 def _unread_gauge(world: LimitedWorld) -> float:
     page = call(world.metrics_address, "GET", "/").body.decode()
     line = next(each for each in page.splitlines() if each.startswith(f"{_UNREAD} "))
