Bound what the kernel holds for connections that are carried for peers

A peer that carries connections holds what either end does not read, in send buffers that grow to 4 MB each.

--- a/packages/turmericweir/turmericweir/peers/carrier.py
+++ b/packages/turmericweir/turmericweir/peers/carrier.py
@@ -27,7 +27,7 @@
 from turmericweir.process.foreign_data import DECODE_ERRORS
 from turmericweir.process.node import Node
 from turmericweir.process.outgoing_socket import open_connection
-from turmericweir.process.socket_buffers import fix_receive_buffer
+from turmericweir.process.socket_buffers import fix_receive_buffer, limit_send_buffer
 from turmericweir.servers.backend_stream import CONNECT_TIMEOUT_S, address_of, set_options
 from turmericweir_core.base.ids import ServerName
 from turmericweir_core.messages.events import CarriedChanged
@@ -194,6 +194,7 @@
         fix_receive_buffer(transport.get_extra_info("socket"))
         for each in (transport, self._transport):
             each.set_write_buffer_limits(high=_WRITE_BUFFER_MAX_BYTES)
+            limit_send_buffer(each.get_extra_info("socket"))
         self._carrier.log_opened(origin, self._ask, self._address)
         self._transport.write(pack_result(CarryResult("")))
 
--- a/packages/turmericweir/turmericweir/process/socket_buffers.py
+++ b/packages/turmericweir/turmericweir/process/socket_buffers.py
@@ -30,6 +30,7 @@
 _CLIENT_MOST_BYTES: Final = 65_536
 _PEER_BYTES: Final = 16_384
 _WIDENED_MOST_BYTES: Final = 524_288
+_SEND_BYTES: Final = 131_072
 # A buffer is widened by at most this share of what is left for all, so that later ones get some.
 _GRANT_SHARE: Final = 1 / 8
 # The kernel doubles the size that is asked for.
@@ -147,6 +148,11 @@
     _set_fixed(conn, _SOCK_RCVBUF_LOCK)
 
 
+def limit_send_buffer(conn: socket.socket) -> None:
+    """Set the size of a send buffer, which the kernel lets grow to megabytes."""
+    _set_size(conn, socket.SO_SNDBUF, _SEND_BYTES)
+
+
 def _set_fixed(sock: socket.socket, which: int) -> None:
     # Older kernels lack the option: a size that was set is fixed there.
     with suppress(OSError):
--- a/tests/platform/test_peer_crowds.py
+++ b/tests/platform/test_peer_crowds.py
@@ -5,6 +5,7 @@
 import json
 import socket
 from collections.abc import Iterator
+from contextlib import ExitStack, suppress
 from itertools import chain, repeat
 from pathlib import Path
 
@@ -21,6 +22,8 @@
 )
 from tests.platform.platform_world import PlatformWorld, until
 from tests.platform.slow_callers import RECEIVE_BUFFER_BYTES
+from tests.platform.unread_sockets import resident_bytes, waiting_bytes
+from turmericweir.peers.carrier import CARRIED_MAX
 from turmericweir.peers.peer_codec import encode
 from turmericweir_core.base.config import ServerEntry
 from turmericweir_core.base.ids import InstanceName, ServerName
@@ -28,10 +31,13 @@
 from turmericweir_core.messages.membership_messages import Heartbeat, MarksAsk
 from turmericweir_core.messages.server_messages import CarryAsk, PathsAsk, ServersSend
 from turmericweir_core.messages.settings_messages import DocumentSend
+from turmericweir_standins.procs import Process
 
 _BLOCK_BYTES = 65_536
 _SENDER = InstanceName("entry-9")
 _FRAME_START = b"\x93\xa7entry-9\xa8PathsAsk"
+# The result of an ask that was granted: a length and one byte.
+_RESULT_BYTES = 5
 _DESIGN_SERVERS = 930
 _DESIGN_PARTS = 200
 _DESIGN_DOCUMENT_BYTES = 4_194_304
@@ -169,6 +175,45 @@
             assert_unharmed(world)
 
 
+@pytest.mark.parametrize("from_server", [True, False], ids=["answers", "bodies"])
+def test_what_waits_for_the_ends_of_carried_connections_fits_into_the_memory(
+    world: PlatformWorld, from_server: bool
+) -> None:
+    # Guards against a process that is killed for what the system holds for ends that do not read.
+    process = world.running["entry-1"].process
+    with ExitStack() as stack:
+        server = stack.enter_context(socket.create_server(("127.0.0.1", 0), backlog=1_024))
+        server.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        address = f"127.0.0.1:{server.getsockname()[1]}"
+        world.register("shop-2", address=address, born=2)
+        until(lambda: _lists(world, address), "the instance knows the new address")
+        senders: list[socket.socket] = []
+        for _ in range(CARRIED_MAX):
+            peer = stack.enter_context(socket.socket())
+            peer.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+            peer.connect(_peer_address(world))
+            peer.sendall(encode(_SENDER, CarryAsk("shop-2", address)))
+            conn, _ = server.accept()
+            stack.enter_context(conn)
+            assert peer.recv(_RESULT_BYTES)
+            senders.append(conn if from_server else peer)
+        used = [0]
+        until(lambda: not _send_all(senders, process, used), "nothing more can be sent")
+    print(f"at most {max(used)} bytes")
+    assert max(used) < MEMORY_MB * 1_000_000
+    assert process.is_running
+
+
+def _send_all(senders: list[socket.socket], process: Process, used: list[int]) -> bool:
+    """Send what the connections take, and record the memory; return whether they took any."""
+    has_sent = False
+    for sock in senders:
+        with suppress(BlockingIOError):
+            has_sent = sock.send(bytes(4_000_000), socket.MSG_DONTWAIT) > 0 or has_sent
+    used.append(resident_bytes(process) + waiting_bytes(process))
+    return has_sent
+
+
 def _lists(world: PlatformWorld, address: str) -> bool:
     lines = world.running["entry-1"].logged("server_listed")
     return any(line["address"] == address for line in lines)
