--- a/tests/platform/standin_duties.py
+++ b/tests/platform/standin_duties.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from dataclasses import dataclass
 from typing import Any
@@ -29,6 +30,8 @@
         self.mode = ""
         # Whether calls with a stale fencing number are refused.
         self.checks_fence = True
+        # Delay before a call is carried out, also if its caller has given up meanwhile.
+        self.delay_s = 0.0
         self.accepted: list[DutyCall] = []
         self.refused = 0
         self._highest_fences: dict[str, int] = {}
@@ -41,6 +44,8 @@
         if self.mode == "silent":
             await call.wait_closed()
             return False
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
         if self.mode == "late":
             await call.wait_closed()
         body = json.loads(call.body)
--- a/tests/platform/standin_store.py
+++ b/tests/platform/standin_store.py
@@ -51,6 +51,8 @@
         self.era = 1
         # Delay of each answer.
         self.delay_s = 0.0
+        # Delay before an append is carried out, also if its caller has given up meanwhile.
+        self.append_delay_s = 0.0
         # Number of answered reads by topic.
         self.answered = Counter[str]()
 
@@ -114,6 +116,8 @@
 
     async def _append(self, call: Call, topic: Topic) -> bool:
         """Append the records of a call if the topic ends at the expected offset."""
+        if self.append_delay_s:
+            await asyncio.sleep(self.append_delay_s)
         first_offset = len(topic.records)
         if int(call.query.get("at", first_offset)) != first_offset:
             await call.answer(412, _encode_json({"end": first_offset}))
