Do not give the key of a batch out again while the batch is being written

Each read of the records set the number of the next batch to the one after the newest batch in the store. A batch that was on its way, or whose append got no answer, is not among them, so the next batch was written under the same key and replaced it. Reads happen whenever the history of releases has a gap; slow appends make the time on the way long.

The number of the next batch now never falls.

--- a/packages/turmericweir-core/turmericweir_core/streams/stream_records.py
+++ b/packages/turmericweir-core/turmericweir_core/streams/stream_records.py
@@ -86,7 +86,8 @@
     """Take over the bindings, and the history if it is complete."""
     streams = state.streams
     streams.records_read_at = max(streams.records_read_at, event.requested_at)
-    streams.next_slot = event.next_slot
+    # Batches that are being written are not among the records.
+    streams.next_slot = max(streams.next_slot, event.next_slot)
     for row in event.rows:
         key = StreamKey(row.key)
         binding = stream_copies.binding_of(now, _STORE, row)
--- a/tests/core/streams/test_lost_instances.py
+++ b/tests/core/streams/test_lost_instances.py
@@ -30,6 +30,19 @@
     assert take_up_all(network, streams) == (100, 0)
 
 
+def test_batch_that_is_being_written_is_not_replaced_by_the_next() -> None:
+    """Guards against a read that shows too little and gives the key of a batch out again."""
+    network = StreamNetwork(6, 3)
+    _begin(network)
+    name = next(each for each in network.names if network.states[each].streams.is_writer)
+    streams = network.states[name].streams
+    # Its newest batch is not carried out yet.
+    slot = streams.next_slot
+    del network.store.rows[name, slot - 1]
+    network.read_records(name)
+    assert streams.next_slot == slot
+
+
 def test_no_stream_goes_on_at_the_version_that_is_left() -> None:
     """Guards against a version that nobody sees any more being taken for one that never was."""
     network = StreamNetwork(6, 3)
