--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -239,7 +239,8 @@
         "lease_read_s": min(1.0, lease_s / 3),
         "lease_retry_s": 0.2,
         "lease_retry_max_s": 1.0,
-        "lease_call_s": 2.0,
+        # Longer than the client of the log waits for an append.
+        "lease_call_s": max(2.0, (1 + _LEASE_MARGIN_SHARE) * lease_s),
         "order_longest_s": lease_s,
     }
 
