--- a/tests/platform/standin_store.py
+++ b/tests/platform/standin_store.py
@@ -47,12 +47,20 @@
         # each topic).
         self.mode = ""
         self._lost_mode_answers = Counter[str]()
+        # Number of answers dropped by "lost".
+        self.lost_answers = 0
         # Rises each time that the store comes back from a copy; 0 for a store without eras.
         self.era = 1
         # Delay of each answer.
         self.delay_s = 0.0
         # Delay before an append is carried out, also if its caller has given up meanwhile.
         self.append_delay_s = 0.0
+        # How long after an answer the connection is closed, unannounced; None to keep it.
+        self.closes_after_s: float | None = None
+        # Whether it is reset instead.
+        self.closes_by_reset = False
+        # The connection is closed after so many answers.
+        self.answers_per_connection = 1
         # Number of answered reads by topic.
         self.answered = Counter[str]()
 
@@ -83,7 +91,15 @@
         self.era += 1
 
     async def handle(self, call: Call) -> bool:
-        """Answer one call."""
+        """Answer one call, and close its connection later if the store does so."""
+        is_kept = await self._answer(call)
+        is_last = (call.earlier_requests + 1) % self.answers_per_connection == 0
+        if is_kept and is_last and self.closes_after_s is not None:
+            close = call.reset if self.closes_by_reset else call.writer.close
+            asyncio.get_running_loop().call_later(self.closes_after_s, close)
+        return is_kept
+
+    async def _answer(self, call: Call) -> bool:
         if self.era:
             call.extra_headers = {"Store-Era": str(self.era)}
         if self.delay_s:
@@ -108,6 +124,7 @@
         if self.mode == "lost":
             self._lost_mode_answers[call.query["topic"]] += 1
             if self._lost_mode_answers[call.query["topic"]] % 3 == 0:
+                self.lost_answers += 1
                 call.reset()
                 return False
         self.answered[call.query["topic"]] += 1
