--- a/tests/core/duties/duty_network.py
+++ b/tests/core/duties/duty_network.py
@@ -109,7 +109,7 @@
             lease_read_s=1.0,
             lease_retry_s=0.2,
             lease_retry_max_s=1.0,
-            lease_call_s=2.0,
+            lease_call_s=1.1 * LEASE_S,
             order_longest_s=LEASE_S,
         )
         self.duty_settings = DutySettings(
@@ -137,6 +137,9 @@
         self.lost_answers = 0.0
         # Calls are not answered, and are executed after this time.
         self.delays_calls_s: float | None = None
+        # Time that appends and calls take; they are executed after half of it, and answered if it
+        # is shorter than a lease.
+        self.write_delay_s = 0.0
         # Requests that servers began, by window and customer.
         self.truth: dict[int, Counter[str]] = {}
         self._numbers = itertools.count()
@@ -244,6 +247,9 @@
         if not self.store_answers(name):
             failed = AppendFailed(effect.stream, effect.token, "no answer", True)
             self._answer(name, failed, TIMEOUT_S)
+        elif self.write_delay_s:
+            failed = AppendFailed(effect.stream, effect.token, "no answer", True)
+            self._execute_slowly(name, lambda: self._execute_append(effect), failed)
         elif self.rng.random() < self.lost_answers:
             # Half of these never take effect, the others later.
             if self.rng.random() < 0.5:
@@ -281,6 +287,11 @@
             self._deferred.append((self.now + self.delays_calls_s, execute))
             unknown = DutyAnswered(effect.token, DutyOutcome.UNKNOWN, "no answer")
             self._answer(name, unknown, TIMEOUT_S)
+        elif self.write_delay_s:
+            unknown = DutyAnswered(effect.token, DutyOutcome.UNKNOWN, "no answer")
+            self._execute_slowly(
+                name, lambda: DutyAnswered(effect.token, self._execute_call(name, effect)), unknown
+            )
         elif not self.platform_answers(name):
             unknown = DutyAnswered(effect.token, DutyOutcome.UNKNOWN, "no answer")
             self._answer(name, unknown, TIMEOUT_S)
@@ -293,6 +304,18 @@
             outcome = self.platform.carry_out(self.now, name, effect)
             self._answer(name, DutyAnswered(effect.token, outcome))
 
+    def _execute_slowly(self, name: str, execute: Callable[[], Event], unanswered: Event) -> None:
+        delay_s = self.write_delay_s
+
+        def execute_and_answer() -> None:
+            event = execute()
+            if delay_s < LEASE_S:
+                self._answer(name, event, delay_s / 2)
+
+        self._deferred.append((self.now + delay_s / 2, execute_and_answer))
+        if delay_s >= LEASE_S:
+            self._answer(name, unanswered, LEASE_S)
+
     def _execute_call(self, name: str, effect: ReportUsage | OrderServers) -> DutyOutcome:
         return self.platform.carry_out(self.now, name, effect)
 
--- a/tests/core/duties/test_usage.py
+++ b/tests/core/duties/test_usage.py
@@ -343,3 +343,26 @@
     state = network.nodes[names[0]].state
     candidates = election.candidates(state, network.now)
     assert len({member.data_centre for member in candidates[:3]}) == 3
+
+
+@pytest.mark.parametrize("checks_fence", [True, False])
+@pytest.mark.parametrize("delay_s", [0.5, 0.95, 1.3, 2.0, 2.9, 3.0, 4.0])
+def test_one_holder_acts_at_a_time_though_writes_take_long(
+    delay_s: float, checks_fence: bool
+) -> None:
+    """Guards against two holders, or two reports of a window, where answers come late."""
+    network = DutyNetwork(checks_fence=checks_fence)
+    names = network.start(COUNT)
+    network.write_delay_s = delay_s
+    network.serve_all(names, 20.0)
+    network.kill(network.holder() or "")
+    network.serve_all(names, 20.0)
+    network.pause(network.holder() or "")
+    network.serve_all(names, 20.0)
+    network.write_delay_s = 0.0
+    for name in names:
+        network.resume(name)
+    network.serve_all(names, 20.0)
+    network.run(LATE_S)
+    assert network.broken_rules() == []
+    assert overdue_windows(network) == []
