Count the answer to a duty call that comes after the call was given up

A call is given up after the length of a lease at the latest, and its answer was lost with its connection, so a platform that takes longer than that got the oldest window again and again.

An answer that comes late settles its window; others change nothing. The new case of tests/platform/test_slow_writes.py waited 30 s for a third window in vain before and passes.

A silent platform is noticed as fast as before. Nothing is sent twice that was not before: reports of a window are equal, and the platform ignores a repeat. Orders that are answered late are still made again; they state a total.

--- a/packages/turmericweir-core/turmericweir_core/duties/usage.py
+++ b/packages/turmericweir-core/turmericweir_core/duties/usage.py
@@ -25,7 +25,7 @@
 from turmericweir_core.messages.events import DutyAnswered, DutyOutcome
 from turmericweir_core.records.usage_note import UsageNote, decode_usage_note, encode_usage_note
 from turmericweir_core.state import usage_meter
-from turmericweir_core.state.duty_state import DutyState, ReportedUsage
+from turmericweir_core.state.duty_state import DutyState, ReportedUsage, UsageRecords
 from turmericweir_core.state.membership_state import Member
 from turmericweir_core.state.usage_meter import UsageMeter
 
@@ -142,6 +142,9 @@
         if not entry.windows and entry.open_window < oldest:
             del usage.counts_by_incarnation[key]
     usage.reported = {entry for entry in usage.reported if entry >= oldest}
+    usage.late_calls = {
+        token: window for token, window in usage.late_calls.items() if window >= oldest
+    }
 
 
 # --- the holder ------------------------------------------------------------------------------
@@ -319,10 +322,14 @@
     """Record the outcome of a report; one that was not accepted is sent again unchanged."""
     duties = _duties(state)
     usage = duties.usage
+    if event.token in usage.late_calls:
+        return _on_late_answer(usage, event)
     if usage.call_in_flight is None or usage.call_in_flight[0] != event.token:
         return []
     window = usage.call_in_flight[1]
     usage.call_in_flight = None
+    if event.outcome is DutyOutcome.UNKNOWN:
+        usage.late_calls[event.token] = window
     fields: dict[str, Any] = {"window": window, "outcome": event.outcome.value}
     log = Log("usage_answered", {**fields, "error": event.error})
     if event.outcome is DutyOutcome.DONE:
@@ -335,6 +342,16 @@
     return [log, Count(f"duty.usage.{event.outcome.value}")]
 
 
+def _on_late_answer(usage: UsageRecords, event: DutyAnswered) -> list[Effect]:
+    """Record the outcome of a report whose answer came after it had been given up."""
+    window = usage.late_calls.pop(event.token)
+    if event.outcome is not DutyOutcome.DONE:
+        return []
+    usage.reported.add(window)
+    fields = {"window": window, "outcome": event.outcome.value, "error": "late"}
+    return [Log("usage_answered", fields), Count("duty.usage.late")]
+
+
 def _duties(state: State) -> DutyState:
     assert state.duties is not None
     return state.duties
--- a/packages/turmericweir-core/turmericweir_core/state/duty_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/duty_state.py
@@ -67,6 +67,8 @@
     call_in_flight: tuple[str, int] | None = None
     next_call_at: float = NEVER
     failures: int = 0
+    # Windows of the calls without an answer in time, by token; the answer may still come.
+    late_calls: dict[str, int] = field(default_factory=dict)
 
 
 class CapacityOrder(Struct):
--- a/packages/turmericweir/turmericweir/servers/timed_call.py
+++ b/packages/turmericweir/turmericweir/servers/timed_call.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import anyio
 
 from turmericweir.process import logs
@@ -16,6 +18,19 @@
 from turmericweir.servers.backend_pool import BackendPool
 
 
+class _Progress:
+    """Whether a call has ended, and whether its limit ran out before."""
+
+    __slots__ = ("has_ended", "is_expired")
+
+    has_ended: bool
+    is_expired: bool
+
+    def __init__(self) -> None:
+        self.has_ended = False
+        self.is_expired = False
+
+
 class TimedCalls:
     """The calls of one kind to one other end."""
 
@@ -43,18 +58,43 @@
         """Set the node whose metrics record the calls."""
         self._node = node
 
-    async def post(
+    async def post(self, target: str, *, raw: bytes = b"") -> Answer:
+        """Make one call; raise CallError without a complete answer in time."""
+        limit_s = self._times.limit_s
+        started_at = anyio.current_time()
+        try:
+            answer = await call(
+                self._pool,
+                b"POST",
+                self._address,
+                target,
+                raw=raw,
+                timeout_s=limit_s,
+            )
+        except CallError:
+            if anyio.current_time() - started_at >= limit_s:
+                self._note_expired(limit_s)
+            raise
+        self._note_answer(anyio.current_time() - started_at)
+        return answer
+
+    async def post_patiently(
         self,
         target: str,
         *,
-        value: object = None,
-        raw: bytes = b"",
-        headers: tuple[tuple[bytes, bytes], ...] = (),
-        needs_new_connection: bool = False,
-    ) -> Answer:
-        """Make one call; raise CallError without a complete answer."""
-        limit_s = self._times.limit_s
+        value: object,
+        headers: tuple[tuple[bytes, bytes], ...],
+        needs_new_connection: bool,
+        give_up_s: float,
+        on_expired: Callable[[], None],
+    ) -> Answer | None:
+        """Make one call, whose answer may come after its time limit; call back at the limit.
+
+        Raise CallError if the call fails before its limit. Return None without an answer after it.
+        """
+        progress = _Progress()
         started_at = anyio.current_time()
+        self._node.run_in_background(self._watch, progress, self._times.limit_s, on_expired)
         try:
             answer = await call(
                 self._pool,
@@ -62,18 +102,28 @@
                 self._address,
                 target,
                 value=value,
-                raw=raw,
                 headers=headers,
-                timeout_s=limit_s,
+                timeout_s=give_up_s,
                 needs_new_connection=needs_new_connection,
             )
         except CallError:
-            if anyio.current_time() - started_at >= limit_s:
-                self._note_expired(limit_s)
+            if progress.is_expired:
+                return None
             raise
+        finally:
+            progress.has_ended = True
         self._note_answer(anyio.current_time() - started_at)
         return answer
 
+    async def _watch(
+        self, progress: _Progress, limit_s: float, on_expired: Callable[[], None]
+    ) -> None:
+        await anyio.sleep(limit_s)
+        if not progress.has_ended:
+            progress.is_expired = True
+            self._note_expired(limit_s)
+            on_expired()
+
     def _note_expired(self, limit_s: float) -> None:
         self._times.note_expired()
         self._expired_in_row += 1
--- a/tests/daemon/test_timed_call.py
+++ b/tests/daemon/test_timed_call.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Callable
 from typing import Any, cast
 
 import anyio
@@ -43,6 +44,7 @@
     def __init__(self) -> None:
         self.counts = Counter[str]()
         self.timings: list[tuple[str, float]] = []
+        self.run_in_background: Callable[..., object]
 
     def count(self, name: str) -> None:
         """Add to a counter."""
@@ -106,3 +108,40 @@
     assert max(end.limits_s) == MOST_S
     assert node.counts["append.expired"] == 6
     assert events == ["limit_expired"]
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 0.1, 60.0])
+def test_answer_that_comes_after_its_limit_is_returned(
+    delay_s: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against a call that is given up for good although its answer is on the way.
+    steps: list[str] = []
+
+    async def answer_late(*_args: object, timeout_s: float, **_options: object) -> Answer:
+        await anyio.sleep(min(delay_s, timeout_s))
+        if delay_s >= timeout_s:
+            raise CallError("report", "platform", "no answer", was_sent=True)
+        return Answer(200, {}, b"")
+
+    async def main() -> Answer | None:
+        node = FakeNode()
+        async with anyio.create_task_group() as group:
+            node.run_in_background = group.start_soon
+            calls = TimedCalls(
+                cast(BackendPool, None), "platform", "call", least_s=0.01, most_s=0.01
+            )
+            calls.attach(cast(Node, node))
+            answer = await calls.post_patiently(
+                "/usage",
+                value={},
+                headers=(),
+                needs_new_connection=False,
+                give_up_s=0.2,
+                on_expired=lambda: steps.append("expired"),
+            )
+        return answer
+
+    monkeypatch.setattr(timed_call, "call", answer_late)
+    answer = anyio.run(main)
+    assert steps == ([] if delay_s == 0.0 else ["expired"])
+    assert (answer is None) is (delay_s == 60.0)
--- a/tests/platform/test_slow_writes.py
+++ b/tests/platform/test_slow_writes.py
@@ -36,3 +36,12 @@
             "later windows are reported",
         )
         assert standin.reported_requests() == served
+
+
+def test_usage_is_reported_though_the_platform_takes_longer_than_a_lease(tmp_path: Path) -> None:
+    """Guards against one window that is reported again and again, and no other ever."""
+    with PlatformWorld(tmp_path, instances=2, duties=dict(DUTIES)) as world:
+        standin = world.duty_standin
+        standin.delay_s = 3.5
+        until(lambda: bool(standin.holders()), "an instance holds the duties")
+        until(lambda: len(standin.counts_by_window()) >= 3, "later windows are reported")
