--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -31,6 +31,7 @@
 from turmericweir.callers.forward_app import ForwardApp
 from turmericweir.callers.http_limits import HttpLimits
 from turmericweir.callers.http_server import HttpServer, LimitedProtocol
+from turmericweir.callers.unread_bytes import UnreadBytes
 from turmericweir.operations.entry_admin import EntryAdmin
 from turmericweir.operations.retried_port import serve_when_available
 from turmericweir.peers.peer_datagrams import PeerDatagrams
@@ -58,7 +59,7 @@
 )
 from turmericweir.process.process_signals import ProcessSignals
 from turmericweir.process.prometheus_metrics import MetricsApp, PrometheusMetrics
-from turmericweir.process.receive_buffers import ReceiveBuffers, max_connections
+from turmericweir.process.socket_buffers import SocketBuffers, max_connections
 from turmericweir.process.supervisor import run_endless, run_supervised
 from turmericweir.process.unhandled_errors import UnhandledErrors
 from turmericweir.servers.backend_pool import BackendPool
@@ -498,7 +499,7 @@
         return server
 
     descriptors, memory_bytes = cfg.machine.max_fds, cfg.machine.memory_bytes
-    buffers = ReceiveBuffers.for_clients(memory_bytes, descriptors)
+    buffers = SocketBuffers.for_clients(memory_bytes, descriptors)
     maximum = max_connections(descriptors, memory_bytes)
     limit = ConnectionLimit(maximum, open_count, connections, node.count)
     memory = CallerMemory(node, _UNREAD_S, connections)
@@ -506,8 +507,15 @@
     callers = make_server(app, lambda: node.is_stopping)
     readiness = make_server(platform_adapters.make_readiness_app(lambda: is_ready(node)))
     _add_connection_gauges(metrics, callers)
+    unread = UnreadBytes(connections, node.memory)
+    metrics.add_gauge(
+        "turmericweir_sockets_unread_bytes",
+        "What clients' connections received and was not read, estimated from some of them.",
+        unread.estimate,
+    )
     async with anyio.create_task_group() as group:
         group.start_soon(run_endless, "check memory", memory.check_forever, node)
+        group.start_soon(run_endless, "check unread bytes", unread.check_forever, node)
         serve_readiness = partial(_serve_http, readiness, sockets.readiness)
         group.start_soon(run_endless, "serve readiness", serve_readiness, node)
         ports = _operations_ports(cfg, node, pool, metrics)
