Show how quickly the store answers reads

Callers saw 503 from all instances while the store answered each read after 0.8 s or more. The log had only store_lost with "no progress within 0.7 s", which is the same for a store that is gone.

--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -112,9 +112,21 @@
 _GC_THRESHOLD: Final = 20_000
 
 
+class StoreStats(Protocol):
+    """How quickly the platform's store answers reads."""
+
+    last_s: float
+    limits_expired: int
+    connections_closed: int
+
+
 class StoreFollower(DocumentPort, Protocol):
     """The reader of the platform's store."""
 
+    @property
+    def stats(self) -> StoreStats:
+        """How quickly the store answers."""
+
     @property
     def records(self) -> RecordPort:
         """The client for the project's own records."""
@@ -369,6 +381,7 @@
                 "The number of connections to servers that this instance carries for peers.",
                 lambda: node.state.paths.carried,
             )
+            _add_store_gauges(metrics, follower.stats)
             _add_memory_gauges(metrics, node.memory)
             steps = running_steps()
             metrics.add_gauge(
@@ -398,6 +411,24 @@
         return end.conclude_stop(is_requested=node.is_stopping)
 
 
+def _add_store_gauges(metrics: PrometheusMetrics, stats: StoreStats) -> None:
+    metrics.add_gauge(
+        "turmericweir_store_read_seconds",
+        "How long the last answered read of the settings or the servers' entries took.",
+        lambda: stats.last_s,
+    )
+    metrics.add_gauge(
+        "turmericweir_store_limits_expired",
+        "The number of these reads that got no byte within their time limit.",
+        lambda: stats.limits_expired,
+    )
+    metrics.add_gauge(
+        "turmericweir_store_connections_closed",
+        "The number of connections that broke under one of these reads.",
+        lambda: stats.connections_closed,
+    )
+
+
 def _add_memory_gauges(metrics: PrometheusMetrics, memory: MemoryBudget) -> None:
     metrics.add_gauge(
         "turmericweir_memory_held_bytes",
--- a/packages/turmericweir/turmericweir/process/node.py
+++ b/packages/turmericweir/turmericweir/process/node.py
@@ -346,6 +346,10 @@
         """Add to a counter, for an adapter."""
         self._adapters.metrics.count(name, by)
 
+    def timing(self, name: str, seconds: float) -> None:
+        """Record a duration, for an adapter."""
+        self._adapters.metrics.timing(name, seconds)
+
     def run_in_background(
         self, work: Callable[[Unpack[PosArgs]], Awaitable[Any]], *args: *PosArgs
     ) -> None:
