--- a/packages/turmericweir/turmericweir/servers/large_call.py
+++ b/packages/turmericweir/turmericweir/servers/large_call.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Final
 
 import anyio
@@ -26,8 +27,10 @@
     make_request,
 )
 
-# Bound on the whole call, in case the server sends next to nothing forever.
-_TOTAL_MAX_S: Final = 10.0
+# How long a body may take beside its time at the least rate, in case the server sends next to
+# nothing forever.
+_BODY_EXTRA_S: Final = 10.0
+_RATE_MIN_BYTES_S: Final = 16_384
 
 
 class ReadTooLargeError(CallError):
@@ -41,17 +44,30 @@
 
 
 async def read_large(
-    pool: BackendPool, address: str, target: str, *, stall_s: float, max_bytes: int
+    pool: BackendPool,
+    address: str,
+    target: str,
+    *,
+    stall_s: float,
+    max_bytes: int,
+    idle_max_s: float = IDLE_MAX_S,
+    on_progress: Callable[[], None] = lambda: None,
 ) -> Answer:
-    """Make one GET call; raise CallError if nothing arrives for `stall_s` seconds."""
+    """Make one GET call; raise CallError if nothing arrives for `stall_s` seconds.
+
+    `on_progress` is called for each part of the body.
+    """
     request = make_request(b"GET", address, target.encode("ascii"), [], b"")
 
     async def read(conn: BackendConnection) -> Answer:
         response = await conn.send(request, FirstByteCallback())
         body = bytearray()
+        slow_at = total.deadline = anyio.current_time() + _BODY_EXTRA_S
         async for chunk in body_of(response):
             progress.deadline = anyio.current_time() + stall_s
+            on_progress()
             body += chunk
+            total.deadline = slow_at + len(body) / _RATE_MIN_BYTES_S
             if len(body) > max_bytes:
                 detail = f"the answer is larger than {max_bytes} bytes"
                 raise ReadTooLargeError(target, address, detail, start=bytes(body))
@@ -61,8 +77,8 @@
     try:
         # An answer may arrive between the end of the time and the cancellation, which moves the
         # deadline on, so the end of the block itself shows that the time was up.
-        with anyio.move_on_after(_TOTAL_MAX_S), anyio.move_on_after(stall_s) as progress:
-            return await use_repeatably(pool, address, read, idle_max_s=IDLE_MAX_S)
+        with anyio.CancelScope() as total, anyio.move_on_after(stall_s) as progress:
+            return await use_repeatably(pool, address, read, idle_max_s=idle_max_s)
     except TRANSPORT_ERRORS as exc:
         raise CallError(target, address, describe_error(exc), was_sent=True) from exc
     raise CallError(target, address, f"no progress within {stall_s} s", was_sent=True)
--- a/tests/platform/standin_http.py
+++ b/tests/platform/standin_http.py
@@ -43,13 +43,16 @@
         self, status: int, body: bytes = b"", headers: dict[str, str] | None = None
     ) -> None:
         """Write a complete answer."""
+        self.sent_answers.append(self.head(status, len(body), headers) + body)
+        await self.write(self.sent_answers[-1])
+
+    def head(self, status: int, size: int, headers: dict[str, str] | None = None) -> bytes:
+        """Return the head of an answer with a body of a size."""
         lines = [f"HTTP/1.1 {status} X"]
         lines += [
             f"{name}: {value}" for name, value in {**self.extra_headers, **(headers or {})}.items()
         ]
-        lines += [f"Content-Length: {len(body)}", "", ""]
-        self.sent_answers.append("\r\n".join(lines).encode() + body)
-        await self.write(self.sent_answers[-1])
+        return "\r\n".join([*lines, f"Content-Length: {size}", "", ""]).encode()
 
     async def write(self, data: bytes) -> None:
         """Write raw bytes."""
--- a/tests/platform/standin_store.py
+++ b/tests/platform/standin_store.py
@@ -9,6 +9,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 from typing import Any
+from weakref import WeakSet
 
 from tests.platform.standin_http import Call
 
@@ -16,6 +17,7 @@
 SERVERS = "keyed.servers"
 # The project's own topic.
 OWN = "keyed.turmericweir"
+_PART_BYTES = 16_384
 
 
 @dataclass(slots=True)
@@ -57,6 +59,13 @@
         self.closes_by_reset = False
         # The connection is closed after so many answers.
         self.answers_per_connection = 1
+        # Delay of each part of an answer, as of a link that repairs a loss in each, and whether all
+        # parts come at the end of their delays.
+        self.part_delay_s = 0.0
+        self.delays_first_byte = False
+        # Connections that have carried a call, and those that are dead though nothing closed them.
+        self._connections = WeakSet[asyncio.StreamWriter]()
+        self._silent_connections = WeakSet[asyncio.StreamWriter]()
         # Number of answered reads by topic.
         self.answered = Counter[str]()
 
@@ -86,6 +95,10 @@
             topic.first_offset = min(topic.first_offset, len(topic.records))
         self.era += 1
 
+    def silence_connections(self) -> None:
+        """Answer nothing more on the connections that are open now."""
+        self._silent_connections = self._connections.copy()
+
     async def handle(self, call: Call) -> bool:
         """Answer one call, and close its connection later if the store does so."""
         is_kept = await self._answer(call)
@@ -96,6 +109,10 @@
         return is_kept
 
     async def _answer(self, call: Call) -> bool:
+        self._connections.add(call.writer)
+        if call.writer in self._silent_connections:
+            await call.wait_closed()
+            return False
         if self.era:
             call.extra_headers = {"Store-Era": str(self.era)}
         if self.delay_s:
@@ -123,9 +140,23 @@
                 call.reset()
                 return False
         self.answered[call.query["topic"]] += 1
-        await call.answer(status, body)
+        if self.part_delay_s:
+            await self._answer_in_parts(call, status, body)
+        else:
+            await call.answer(status, body)
         return True
 
+    async def _answer_in_parts(self, call: Call, status: int, body: bytes) -> None:
+        parts = [body[begin : begin + _PART_BYTES] for begin in range(0, len(body), _PART_BYTES)]
+        if self.delays_first_byte:
+            await asyncio.sleep(len(parts) * self.part_delay_s)
+            await call.answer(status, body)
+            return
+        await call.write(call.head(status, len(body)))
+        for part in parts:
+            await asyncio.sleep(self.part_delay_s)
+            await call.write(part)
+
     async def _append(self, call: Call, topic: Topic) -> bool:
         """Append the records of a call if the topic ends at the expected offset."""
         first_offset = len(topic.records)
--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -32,6 +32,9 @@
         self._world.now = anyio.current_time()
         self._world.give(event)
 
+    def timing(self, _name: str, _seconds: float) -> None:
+        """Ignore how long reads took."""
+
 
 class _Settings:
     name = "entry-1"
