--- a/tests/platform/standin_store.py
+++ b/tests/platform/standin_store.py
@@ -49,6 +49,10 @@
         # each topic).
         self.mode = ""
         self._lost_mode_answers = Counter[str]()
+        # Number of answers dropped by "lost".
+        self.lost_answers = 0
+        # Topics of which no read is answered.
+        self.lost_topics = set[str]()
         # Rises each time that the store comes back from a copy; 0 for a store without eras.
         self.era = 1
         # Delay of each answer.
@@ -120,7 +124,7 @@
         if self.mode == "busy":
             await call.answer(503)
             return True
-        if self.mode == "reset":
+        if self.mode == "reset" or call.query["topic"] in self.lost_topics:
             call.reset()
             return False
         topic = self.topics.setdefault(call.query["topic"], Topic())
@@ -137,6 +141,7 @@
         if self.mode == "lost":
             self._lost_mode_answers[call.query["topic"]] += 1
             if self._lost_mode_answers[call.query["topic"]] % 3 == 0:
+                self.lost_answers += 1
                 call.reset()
                 return False
         self.answered[call.query["topic"]] += 1
