Reach servers whose connections always open late

What callers saw: where each connection to the servers takes 0.5 or 0.8 s to open, 503 for each of 32 requests of four kinds, after their whole time of 4 s; with 0.25 s all 32 were served.

Cause: each attempt gave up its connection after 0.35 s and each probe after 0.3 s, and the next one began again with the same limit. A packet that is lost when the server's queue is full is repeated after 1 s, which no attempt lived to see.

The change: a connection that runs out of its limit fails for its attempt as before, and goes on in the background for 3.5 s: one for each address, 32 in all. If it opens, it is kept for the next request, its server counts as answered, and the time that it took sets the next limits (ResponseTimes by address, at most 1.5 s, 512 addresses). The first limit is the old one, and a limit that runs out raises nothing, so a silent server is noticed as before. A request is not sent if its server has begun to leave while its connection opened, as the drain bound counted 0.35 s for that step.

Ruled out: doubling the limit at each try that runs out, which would make each attempt on a silent server wait longer; a longer first limit, for the same reason.

--- a/packages/turmericweir/turmericweir/servers/backend_attempt.py
+++ b/packages/turmericweir/turmericweir/servers/backend_attempt.py
@@ -177,16 +177,18 @@
         """Run the attempt until it ends or is cancelled.
 
         The request is built after the connection is open, since it may contain the remaining time.
-        It is not sent if its time is over by then, before the reducer has noticed.
+        It is not sent if its time is over by then, before the reducer has noticed, or if the server
+        has begun to leave since the attempt started: connections to a slow one take long to open.
         """
         address = self.start.address
         try:
             idle_max_s, via = idle_limit_s(self.start), via_of(self.start)
+            took_work = self._takes_work()
             conn = await acquire(self.pool, address, idle_max_s=idle_max_s, via=via)
             self._is_reused = conn.is_reused
             self._conn = conn
             try:
-                if is_expired():
+                if is_expired() or (took_work and not self._takes_work()):
                     return EndCancelled(0)
                 if self._is_misplaced(conn):
                     return EndMisplaced(conn.incarnation or "")
@@ -220,6 +222,11 @@
             self.answer.note_lost(exc)
             return await self.classify_loss(describe_error(exc), is_malformed=_is_malformed(exc))
 
+    def _takes_work(self) -> bool:
+        """Return whether the server is listed and takes new requests."""
+        server = self.node.state.servers.by_name.get(self.start.server)
+        return server is not None and not server.leaving and not server.drained
+
     def _is_misplaced(self, conn: BackendConnection) -> bool:
         """Return whether the server is not the start that the attempt may be sent to."""
         start = self.start
--- a/packages/turmericweir/turmericweir/servers/backend_pool.py
+++ b/packages/turmericweir/turmericweir/servers/backend_pool.py
@@ -17,7 +17,8 @@
 import h11
 import httpcore
 
-from turmericweir.servers.backend_stream import BackendStream, connect
+from turmericweir.servers.backend_stream import CONNECT_TIMEOUT_S, BackendStream, connect
+from turmericweir.servers.late_calls import LateCalls
 from turmericweir_core.base.ids import ServerName
 
 # How long a connection may be idle before it is reused. Shorter than any server's keep-alive time.
@@ -29,6 +30,10 @@
 # A request that must not run twice uses a new connection or one that was idle for less than this.
 # Prevents losing the request on a dropped connection without knowing whether the server ran it.
 VERIFIED_IDLE_MAX_S: Final = 1.0
+# Upper bound of the time limit for a connection, and how long it may take to open late: the system
+# repeats the first packet after 1 s, and again after 3 s.
+CONNECT_MAX_S: Final = 1.5
+CONNECT_LATE_MAX_S: Final = 3.5
 # The statuses that end a request. The parser also takes any other three digits above them, and 101
 # for a change of the protocol, which no request asks for.
 _FINAL_STATUSES: Final = range(200, 600)
@@ -151,6 +156,10 @@
         # httpcore looks at the socket only after a first request.
         return self._http.has_expired() or bool(self._stream.get_extra_info("is_readable"))
 
+    def abort(self) -> None:
+        """Close the connection at once, without waiting for anything."""
+        self._stream.abort()
+
     async def close(self) -> None:
         """Close the connection, even while its attempt is being cancelled."""
         if not self._http.is_closed():
@@ -174,10 +183,18 @@
     _dialer: PeerDialer | None
     # Counts bytes that connections receive; None if nobody counts them.
     count_read: Callable[[int], None] | None
+    # Connections that are being opened directly, by address.
+    connects: LateCalls[BackendConnection]
+    # Called with the address when a direct connection was opened after its time limit.
+    note_late_connect: Callable[[str], None] | None
 
     def __init__(self, dialer: PeerDialer | None = None) -> None:
         self._dialer = dialer
         self.count_read = None
+        self.note_late_connect = None
+        self.connects = LateCalls(
+            "connect", CONNECT_TIMEOUT_S, CONNECT_MAX_S, CONNECT_LATE_MAX_S, self._adopt_connect
+        )
         self._idle = defaultdict(list)
         self._distrusted_at = {}
         self.opened_count = 0
@@ -192,17 +209,24 @@
         exc: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
+        await self.connects.stop()
         for idle in self._idle.values():
             for _, conn in idle:
                 await conn.close()
         self._idle.clear()
 
     async def acquire(
-        self, address: str, *, idle_max_s: float = IDLE_MAX_S, via: Via | None = None
+        self,
+        address: str,
+        *,
+        idle_max_s: float = IDLE_MAX_S,
+        via: Via | None = None,
+        quick_limit_s: float | None = None,
     ) -> BackendConnection:
         """Return a connection for one request; with `idle_max_s` 0.0, a new one.
 
-        Raises httpcore's errors if none can be opened.
+        Raises httpcore's errors if none can be opened. `quick_limit_s` replaces the time limit for
+        a direct one to an address that is not known to be slow.
         """
         key = _key(address, via)
         idle = self._idle.get(key)
@@ -214,15 +238,44 @@
                 conn.is_reused = True
                 return conn
             await conn.close()
-        if via is None or self._dialer is None:
-            stream = await connect(address)
-        else:
-            stream = await self._dialer.dial(via, address)
+        if via is not None and self._dialer is not None:
+            return self._add_opened(address, await self._dialer.dial(via, address), via)
+        try:
+            return await self.connects.run(
+                address,
+                lambda: self._connect(address),
+                limit_s=self.connects.limit_s(address, quick_limit_s),
+            )
+        except TimeoutError as exc:
+            raise httpcore.ConnectTimeout(f"no connection: {exc}") from None
+
+    async def _connect(self, address: str) -> BackendConnection:
+        return self._add_opened(address, await connect(address), None)
+
+    def _add_opened(
+        self, address: str, stream: BackendStream, via: Via | None
+    ) -> BackendConnection:
         if self.count_read is not None:
             stream.set_counter(self.count_read)
         self.opened_count += 1
         return BackendConnection(address, stream, via)
 
+    def _adopt_connect(self, address: str, conn: BackendConnection) -> None:
+        """Keep a connection for the next request whose own one ran out of its time."""
+        self._adopt(address, conn)
+        if self.note_late_connect is not None:
+            self.note_late_connect(address)
+
+    def _adopt(self, address: str, conn: BackendConnection | None) -> None:
+        if conn is None:
+            return
+        key = _key(address, conn.via)
+        idle = self._idle[key]
+        if conn.is_idle and len(idle) < MAX_IDLE_CONNECTIONS and self._is_trusted(key, conn):
+            idle.append((anyio.current_time(), conn))
+        else:
+            conn.abort()
+
     async def release(self, address: str, conn: BackendConnection) -> None:
         """Return a connection to the pool, or close it if it cannot be reused."""
         key = _key(address, conn.via)
--- a/packages/turmericweir/turmericweir/servers/backend_stream.py
+++ b/packages/turmericweir/turmericweir/servers/backend_stream.py
@@ -24,6 +24,7 @@
 from turmericweir.process.outgoing_socket import open_connection
 from turmericweir.servers.answer_size import FramingCounter
 
+# Time limit for a connection to an address that is not known to be slow.
 CONNECT_TIMEOUT_S: Final = 0.35
 # Reading from the connection pauses while more bytes than this are unread.
 UNREAD_MAX_BYTES: Final = 65_536
@@ -242,10 +243,14 @@
         """Return whether there is received data that was not read."""
         return bool(self._protocol.received_chunks)
 
-    async def aclose(self) -> None:
+    def abort(self) -> None:
         """Close the connection."""
         self._protocol.transport.abort()
 
+    async def aclose(self) -> None:
+        """Close the connection."""
+        self.abort()
+
     # Any: httpcore requests values of any type by name.
     def get_extra_info(self, info: str) -> Any:
         """Return whether the connection is readable, the one value that httpcore requests."""
@@ -265,13 +270,10 @@
 
 
 async def connect(address: str) -> BackendStream:
-    """Open a connection; raise httpcore's errors."""
+    """Open a connection without a time limit; raise httpcore's errors."""
     host, _, port = address.rpartition(":")
     try:
-        with anyio.fail_after(CONNECT_TIMEOUT_S):
-            _, protocol = await open_connection(ConnectionProtocol, host, int(port))
-    except TimeoutError:
-        raise httpcore.ConnectTimeout(f"no connection within {CONNECT_TIMEOUT_S} s") from None
+        _, protocol = await open_connection(ConnectionProtocol, host, int(port))
     except OSError as exc:
         raise httpcore.ConnectError(str(exc.__cause__ or exc)) from exc
     except DECODE_ERRORS as exc:
--- a/packages/turmericweir/turmericweir/servers/connection_probes.py
+++ b/packages/turmericweir/turmericweir/servers/connection_probes.py
@@ -33,6 +33,7 @@
     def __init__(self, pool: BackendPool) -> None:
         self._pool = pool
         self._probe_counts = Counter()
+        pool.note_late_connect = self._note_late_connect
 
     def attach(self, node: Node) -> None:
         """Set the node, which is created after its adapters."""
@@ -63,6 +64,12 @@
         else:
             self._node.handle(ServerAnswered(effect.server, effect.via))
 
+    def _note_late_connect(self, address: str) -> None:
+        """Report the server at an address as reached, though later than a time limit."""
+        for server in list(self._node.state.servers.by_name.values()):
+            if server.entry.address == address:
+                self._node.handle(ServerAnswered(server.entry.name))
+
     def retire_connections(self, effect: RetireConnections) -> None:
         """Stop reusing the connections that are open to a server now."""
         self._pool.retire_connections(effect.address)
--- a/packages/turmericweir/turmericweir/servers/new_connection.py
+++ b/packages/turmericweir/turmericweir/servers/new_connection.py
@@ -7,10 +7,11 @@
 import anyio
 import httpcore
 
-from turmericweir.servers.backend_pool import BackendPool, Via
+from turmericweir.servers.backend_pool import BackendConnection, BackendPool, Via
 from turmericweir_core.messages.effects import ProbeServer, StartAttempt
 
-# Time limit for a connection attempt: some round trips between data centres.
+# Time limit for a connection attempt, if the server is not known to be slow: some round trips
+# between data centres.
 CONNECT_PROBE_S: Final = 0.3
 # The same by way of a peer.
 CARRIED_PROBE_S: Final = 0.5
@@ -23,10 +24,16 @@
 
 async def check_connection(pool: BackendPool, address: str, via: Via | None = None) -> None:
     """Open a new connection to a server and add it to the pool; raise TRANSPORT_ERRORS."""
-    timeout_s = CONNECT_PROBE_S if via is None else CARRIED_PROBE_S
+    if via is None:
+        conn = await pool.acquire(address, idle_max_s=0.0, quick_limit_s=CONNECT_PROBE_S)
+    else:
+        conn = await _acquire_carried(pool, address, via)
+    await pool.release(address, conn)
+
+
+async def _acquire_carried(pool: BackendPool, address: str, via: Via) -> BackendConnection:
     try:
-        with anyio.fail_after(timeout_s):
-            conn = await pool.acquire(address, idle_max_s=0.0, via=via)
+        with anyio.fail_after(CARRIED_PROBE_S):
+            return await pool.acquire(address, idle_max_s=0.0, via=via)
     except TimeoutError:
-        raise httpcore.ConnectTimeout(f"no connection within {timeout_s} s") from None
-    await pool.release(address, conn)
+        raise httpcore.ConnectTimeout(f"no connection within {CARRIED_PROBE_S} s") from None
--- a/tests/daemon/test_forward_job.py
+++ b/tests/daemon/test_forward_job.py
@@ -5,6 +5,7 @@
 import gc
 from collections.abc import Iterator
 from dataclasses import dataclass
+from types import SimpleNamespace
 from typing import cast
 
 import anyio
@@ -67,14 +68,17 @@
 
 
 class _Pool:
-    """A pool whose connection is open only after some time."""
+    """A pool whose connection is open only after some time; its server may leave meanwhile."""
 
-    def __init__(self, opens_after_s: float) -> None:
+    def __init__(self, opens_after_s: float, leaving: SimpleNamespace | None = None) -> None:
         self.opens_after_s = opens_after_s
+        self.leaving = leaving
         self.released: list[object] = []
 
     async def acquire(self, *_: object, **__: object) -> _Connection:
         await anyio.sleep(self.opens_after_s)
+        if self.leaving is not None:
+            self.leaving.leaving = True
         return _Connection()
 
     async def release(self, _: str, conn: object) -> None:
@@ -90,10 +94,15 @@
     deadline_s: float = 10.0
     end_by_s: float = 20.0
     has_begun: bool = False
+    # Whether the server is leaving when the attempt starts, and when its connection is open.
+    was_leaving: bool = False
+    is_leaving: bool = False
 
 
 _LATE = (
     _Late("in time", is_sent=True),
+    _Late("at a server that leaves meanwhile", is_leaving=True, is_sent=False),
+    _Late("at a server that was leaving", was_leaving=True, is_leaving=True, is_sent=True),
     _Late("past the deadline", deadline_s=0.0, is_sent=False),
     _Late("past the deadline of a resumed answer", deadline_s=0.0, has_begun=True, is_sent=True),
     _Late("past the limit of a resumed answer", end_by_s=0.0, has_begun=True, is_sent=False),
@@ -105,7 +114,8 @@
 async def test_request_is_not_sent_once_its_time_is_over(
     case: _Late, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    # Guards against requests that are sent after their callers have gone, by a process that lags.
+    # Guards against requests that are sent after their callers have gone, by a process that lags,
+    # or to a server that has begun to leave while a slow connection opened.
     now = anyio.current_time()
     req = Request(
         RequestId("r"),
@@ -121,8 +131,11 @@
     )
     start = StartAttempt(req.request_id, AttemptId("r.0"), ServerName("lm-1"), "127.0.0.1:1", 1, 0)
     job = ForwardJob(_CALL, req, cast(WireAdapter, None), cast(ForwardAnswer, None))
-    pool = _Pool(opens_after_s=0.001)
-    attempt = job.make_attempt(cast(Node, None), cast(BackendPool, pool), start)
+    server = SimpleNamespace(leaving=case.was_leaving, drained=False)
+    servers = SimpleNamespace(by_name={start.server: server})
+    node = SimpleNamespace(state=SimpleNamespace(servers=servers))
+    pool = _Pool(opens_after_s=0.001, leaving=server if case.is_leaving else None)
+    attempt = job.make_attempt(cast(Node, node), cast(BackendPool, pool), start)
     monkeypatch.setattr(type(attempt), "_make_request", lambda _: None)
     if case.is_sent:
         with pytest.raises(_NotSentError):
--- a/tests/platform/cut_world.py
+++ b/tests/platform/cut_world.py
@@ -17,7 +17,7 @@
 from types import TracebackType
 from typing import Self
 
-from tests.platform.cut_instance import REDIRECTS_VARIABLE
+from tests.platform.cut_instance import DELAYS_VARIABLE, REDIRECTS_VARIABLE
 from tests.platform.platform_world import ROOT, PlatformWorld
 from tests.platform.standin_http import LoopThread, reset_connection
 from tests.platform.standin_server import Server
@@ -147,6 +147,8 @@
     _proxies: dict[tuple[str, str], PathProxy] = field(default_factory=dict)
     # The cut of each path that is cut, by instance and server.
     _cuts: dict[tuple[str, str], str] = field(default_factory=dict)
+    # Seconds by which connections are established later, by instance and server.
+    _connect_delays: dict[tuple[str, str], float] = field(default_factory=dict)
     _unanswered: UnansweredAddress = field(default_factory=UnansweredAddress)
     _proxy_loop: LoopThread = field(default_factory=LoopThread)
 
@@ -228,11 +230,27 @@
             self._proxy_loop.run(self._proxies[instance, name].release())
         self._write_redirects(instance)
 
+    def delay_connects(self, instance: str, delay_s: float, *servers: str) -> None:
+        """Establish connections of an instance to servers, by default to all, later."""
+        for name in servers or tuple(self.servers):
+            self._connect_delays[instance, name] = delay_s
+        self._write_delays(instance)
+
+    def _write_delays(self, instance: str) -> None:
+        delays = {
+            self.servers[name].address: delay_s
+            for (delayed, name), delay_s in self._connect_delays.items()
+            if delayed == instance
+        }
+        _replace_file(self._delays_path(instance), json.dumps(delays))
+
     def _launch(self, name: str) -> Process:
         self._write_redirects(name)
+        self._write_delays(name)
         env = {
             "TURMERICWEIR_CONFIG": str(self.directory / f"{name}.json"),
             REDIRECTS_VARIABLE: str(self._redirects_path(name)),
+            DELAYS_VARIABLE: str(self._delays_path(name)),
             "PYTHONPATH": os.pathsep.join([str(ROOT), *sys.path]),
         }
         argv = [sys.executable, "-m", "tests.platform.cut_instance"]
@@ -243,6 +261,9 @@
     def _redirects_path(self, instance: str) -> Path:
         return self.directory / f"{instance}.redirects.json"
 
+    def _delays_path(self, instance: str) -> Path:
+        return self.directory / f"{instance}.delays.json"
+
     def _write_redirects(self, instance: str) -> None:
         redirects = {}
         for name, server in self.servers.items():
@@ -250,10 +271,7 @@
                 proxy = self._proxies[instance, name] = PathProxy(server.address)
                 self._proxy_loop.run(proxy.start())
             redirects[server.address] = self._path_address(instance, name)
-        path = self._redirects_path(instance)
-        new_path = path.with_suffix(".new")
-        new_path.write_text(json.dumps(redirects))
-        new_path.replace(path)
+        _replace_file(self._redirects_path(instance), json.dumps(redirects))
 
     def _path_address(self, instance: str, server: str) -> str:
         match self._cuts.get((instance, server)):
@@ -267,3 +285,9 @@
             case _:
                 # Nothing listens there.
                 return "127.0.0.1:1"
+
+
+def _replace_file(path: Path, text: str) -> None:
+    new_path = path.with_suffix(".new")
+    new_path.write_text(text)
+    new_path.replace(path)
--- a/tests/platform/standin_server.py
+++ b/tests/platform/standin_server.py
@@ -119,6 +119,8 @@
     # How it answers a request for its report: "" with its start, if it has one; "nameless" without;
     # "silent" not at all; "closes" and closes the connection.
     report_mode: str = ""
+    # How long it takes to answer health checks and requests for its report.
+    check_s: float = 0.0
     # Health checks that it answered.
     health_checks: int = 0
     # Set to release streams that the mode "hold" has paused.
@@ -131,6 +133,8 @@
             return False
         if call.path in (HEALTH_PATH, REPORT_PATH) and self.endless_check is not None:
             return await self.endless_check.write(call, {"X-Instance-Id": self.name})
+        if call.path in (HEALTH_PATH, REPORT_PATH) and self.check_s:
+            await asyncio.sleep(self.check_s)
         if call.path == HEALTH_PATH:
             self.health_checks += 1
             await call.answer(503 if self.is_leaving else 200, b"", {"X-Instance-Id": self.name})
--- /dev/null
+++ b/tests/platform/test_slow_servers.py
@@ -0,0 +1,47 @@
+"""Tests of servers that are always slower than the first time limit for them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import partial
+from pathlib import Path
+
+import pytest
+
+from tests.platform.cut_world import HANG_NEW, CutWorld
+from tests.platform.platform_world import Answer, PlatformWorld, until
+
+
+def _kinds(world: PlatformWorld) -> list[Callable[..., Answer]]:
+    """Return a function for each kind of request."""
+    return [
+        partial(world.send, "/lm/doc/"),
+        partial(world.send, "/lm/chat/"),
+        world.send_unsafe,
+        world.send_safe,
+    ]
+
+
+@pytest.mark.parametrize("delay_s", [0.4, 0.8, 1.3])
+def test_servers_whose_connections_always_open_late_are_served(
+    tmp_path: Path, delay_s: float
+) -> None:
+    """Guards against refusing all requests for as long as each connection takes over 0.35 s."""
+    with CutWorld(tmp_path, bounds={"revoke_ms": 60_000}) as world:
+        assert all(send().status == 200 for send in _kinds(world))
+        world.delay_connects("entry-1", delay_s)
+        for _ in range(3):
+            assert [send().status for send in _kinds(world)] == [200] * 4
+
+
+def test_server_that_was_slow_and_is_lost_is_noticed(tmp_path: Path) -> None:
+    """Guards against waiting for a server without end since it was slow before."""
+    with CutWorld(tmp_path, engines=1, plain_servers=2, bounds={"revoke_ms": 60_000}) as world:
+        world.delay_connects("entry-1", 0.8)
+        for _ in range(3):
+            assert world.send_unsafe().status == 200
+        world.cut("entry-1", HANG_NEW, "shop-1")
+        for _ in range(5):
+            assert world.send_unsafe(X_Deadline_Ms="8000").status == 200
+        lines = world.running["entry-1"].logged("path_lost")
+        until(lambda: any(line["peer"] == "shop-1" for line in lines), "the loss is logged")
