--- a/tests/daemon/test_forward_job.py
+++ b/tests/daemon/test_forward_job.py
@@ -84,6 +84,12 @@
     async def release(self, _: str, conn: object) -> None:
         self.released.append(conn)
 
+    def closes_early(self, *_: object) -> bool:
+        return False
+
+    def closes_under_calls(self, *_: object) -> bool:
+        return False
+
 
 @dataclass(frozen=True, slots=True)
 class _Late:
