--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -114,9 +114,21 @@
 _GC_THRESHOLD: Final = 20_000
 
 
+class StoreStats(Protocol):
+    """How quickly the platform's store answers reads."""
+
+    last_s: float
+    limits_expired: int
+    connections_closed: int
+
+
 class StoreFollower(DocumentPort, Protocol):
     """The reader of the platform's store."""
 
+    @property
+    def stats(self) -> StoreStats:
+        """How quickly the store answers."""
+
     @property
     def records(self) -> RecordPort:
         """The client for the project's own records."""
@@ -241,7 +253,8 @@
         "lease_read_s": min(1.0, lease_s / 3),
         "lease_retry_s": 0.2,
         "lease_retry_max_s": 1.0,
-        "lease_call_s": 2.0,
+        # Longer than the client of the log waits for an append.
+        "lease_call_s": max(2.0, (1 + _LEASE_MARGIN_SHARE) * lease_s),
         "order_longest_s": lease_s,
     }
 
@@ -345,6 +358,7 @@
             node.answer_bounds = cfg.answers
             node.memory.limit_bytes = cfg.machine.memory_bytes
             pool.count_read = node.memory.add
+            pool.connects.metrics = metrics
             for part in (streams, datagrams, servers, follower):
                 part.attach(node)
             if duties is not None:
@@ -371,6 +385,7 @@
                 "The number of connections to servers that this instance carries for peers.",
                 lambda: node.state.paths.carried,
             )
+            _add_store_gauges(metrics, follower.stats)
             _add_memory_gauges(metrics, node.memory)
             _add_pool_gauges(metrics, pool)
             steps = running_steps()
@@ -401,6 +416,24 @@
         return end.conclude_stop(is_requested=node.is_stopping)
 
 
+def _add_store_gauges(metrics: PrometheusMetrics, stats: StoreStats) -> None:
+    metrics.add_gauge(
+        "turmericweir_store_read_seconds",
+        "How long the last answered read of the settings or the servers' entries took.",
+        lambda: stats.last_s,
+    )
+    metrics.add_gauge(
+        "turmericweir_store_limits_expired",
+        "The number of these reads that got no byte within their time limit.",
+        lambda: stats.limits_expired,
+    )
+    metrics.add_gauge(
+        "turmericweir_store_connections_closed",
+        "The number of connections that broke under one of these reads.",
+        lambda: stats.connections_closed,
+    )
+
+
 def _add_memory_gauges(metrics: PrometheusMetrics, memory: MemoryBudget) -> None:
     metrics.add_gauge(
         "turmericweir_memory_held_bytes",
--- a/packages/turmericweir/turmericweir/servers/backend_pool.py
+++ b/packages/turmericweir/turmericweir/servers/backend_pool.py
@@ -17,8 +17,9 @@
 import h11
 import httpcore
 
-from turmericweir.servers.backend_stream import BackendStream, connect
+from turmericweir.servers.backend_stream import CONNECT_TIMEOUT_S, BackendStream, connect
 from turmericweir.servers.closed_connections import ClosedUnderCalls
+from turmericweir.servers.late_calls import LateCalls
 from turmericweir_core.base.ids import ServerName
 
 # How long a connection may be idle before it is reused. Shorter than any server's keep-alive time.
@@ -30,6 +31,10 @@
 # A request that must not run twice uses a new connection or one that was idle for less than this.
 # Prevents losing the request on a dropped connection without knowing whether the server ran it.
 VERIFIED_IDLE_MAX_S: Final = 1.0
+# Upper bound of the time limit for a connection, and how long it may take to open late: the system
+# repeats the first packet after 1 s, and again after 3 s.
+CONNECT_MAX_S: Final = 1.5
+CONNECT_LATE_MAX_S: Final = 3.5
 # The statuses that end a request. The parser also takes any other three digits above them, and 101
 # for a change of the protocol, which no request asks for.
 _FINAL_STATUSES: Final = range(200, 600)
@@ -162,6 +167,10 @@
         # httpcore looks at the socket only after a first request.
         return self._http.has_expired() or bool(self._stream.get_extra_info("is_readable"))
 
+    def abort(self) -> None:
+        """Close the connection at once, without waiting for anything."""
+        self._stream.abort()
+
     async def close(self) -> None:
         """Close the connection, even while its attempt is being cancelled."""
         if not self._http.is_closed():
@@ -194,10 +203,18 @@
     _dialer: PeerDialer | None
     # Counts bytes that connections receive; None if nobody counts them.
     count_read: Callable[[int], None] | None
+    # Connections that are being opened directly, by address.
+    connects: LateCalls[BackendConnection]
+    # Called with the address when a direct connection was opened after its time limit.
+    note_late_connect: Callable[[str], None] | None
 
     def __init__(self, dialer: PeerDialer | None = None) -> None:
         self._dialer = dialer
         self.count_read = None
+        self.note_late_connect = None
+        self.connects = LateCalls(
+            "connect", CONNECT_TIMEOUT_S, CONNECT_MAX_S, CONNECT_LATE_MAX_S, self._adopt_connect
+        )
         self._idle = defaultdict(list)
         self._distrusted_at = {}
         self.opened_count = 0
@@ -214,43 +231,102 @@
         exc: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
+        await self.connects.stop()
         for idle in self._idle.values():
             for _, conn in idle:
                 await conn.close()
         self._idle.clear()
 
     async def acquire(
-        self, address: str, *, idle_max_s: float = IDLE_MAX_S, via: Via | None = None
+        self,
+        address: str,
+        *,
+        idle_max_s: float = IDLE_MAX_S,
+        via: Via | None = None,
+        quick_limit_s: float | None = None,
     ) -> BackendConnection:
         """Return a connection for one request; with `idle_max_s` 0.0, a new one.
 
-        Raises httpcore's errors if none can be opened.
+        Raises httpcore's errors if none can be opened. `quick_limit_s` replaces the time limit for
+        a direct one to an address that is not known to be slow.
         """
         key = _key(address, via)
         idle = self._idle.get(key)
         # The last one is the newest; if it is too old, all are.
         while idle and anyio.current_time() - idle[-1][0] < idle_max_s:
-            _, conn = idle.pop()
-            if self._can_reuse(key, conn):
+            idle_since, conn = idle.pop()
+            if conn.is_closed_by_server and self._is_early(idle_since):
+                self.closed_under_calls.note_early(key)
+            elif self._can_reuse(key, conn):
                 self.reused_count += 1
                 conn.is_reused = True
                 return conn
             await conn.close()
-        stream = await self._open(address, via)
-        if self.count_read is not None:
-            stream.set_counter(self.count_read)
-        self.opened_count += 1
-        return BackendConnection(address, stream, via)
+        return await self._open(address, via, quick_limit_s)
 
-    async def _open(self, address: str, via: Via | None) -> BackendStream:
+    async def _open(
+        self, address: str, via: Via | None, quick_limit_s: float | None
+    ) -> BackendConnection:
+        """Open a connection; count one that could not be opened."""
         try:
-            if via is None or self._dialer is None:
-                return await connect(address)
-            return await self._dialer.dial(via, address)
+            if via is not None and self._dialer is not None:
+                return self._add_opened(address, await self._dialer.dial(via, address), via)
+            return await self.connects.run(
+                address,
+                lambda: self._connect(address),
+                limit_s=self.connects.limit_s(address, quick_limit_s),
+            )
+        except TimeoutError as exc:
+            self.unopened_count += 1
+            raise httpcore.ConnectTimeout(f"no connection: {exc}") from None
         except (httpcore.NetworkError, httpcore.TimeoutException):
             self.unopened_count += 1
             raise
 
+    async def _connect(self, address: str) -> BackendConnection:
+        return self._add_opened(address, await connect(address), None)
+
+    def _add_opened(
+        self, address: str, stream: BackendStream, via: Via | None
+    ) -> BackendConnection:
+        if self.count_read is not None:
+            stream.set_counter(self.count_read)
+        self.opened_count += 1
+        return BackendConnection(address, stream, via)
+
+    def closes_early(self, address: str, via: Via | None = None) -> bool:
+        """Return whether a server has lately closed connections that were just kept.
+
+        A request that must not run twice then uses a new one.
+        """
+        return self.closed_under_calls.is_recent(_key(address, via))
+
+    def closes_under_calls(self, address: str, via: Via | None = None) -> bool:
+        """Return whether a server has lately closed kept connections under calls.
+
+        Any caller's request then uses a new one: to send it again costs more.
+        """
+        return self.closed_under_calls.has_lost_call(_key(address, via))
+
+    def _is_early(self, idle_since: float) -> bool:
+        return anyio.current_time() - idle_since < VERIFIED_IDLE_MAX_S
+
+    def _adopt_connect(self, address: str, conn: BackendConnection) -> None:
+        """Keep a connection for the next request whose own one ran out of its time."""
+        self._adopt(address, conn)
+        if self.note_late_connect is not None:
+            self.note_late_connect(address)
+
+    def _adopt(self, address: str, conn: BackendConnection | None) -> None:
+        if conn is None:
+            return
+        key = _key(address, conn.via)
+        idle = self._idle[key]
+        if conn.is_idle and len(idle) < MAX_IDLE_CONNECTIONS and self._is_trusted(key, conn):
+            idle.append((anyio.current_time(), conn))
+        else:
+            conn.abort()
+
     async def release(self, address: str, conn: BackendConnection) -> None:
         """Return a connection to the pool, or close it if it cannot be reused."""
         key = _key(address, conn.via)
@@ -280,19 +356,24 @@
         """Close connections that were idle for too long, at intervals."""
         while True:
             await anyio.sleep(_SWEEP_INTERVAL_S)
-            for address in list(self._idle):
-                await self._sweep(address)
+            for key in list(self._idle):
+                await self._sweep(key)
             self.closed_under_calls.forget_old()
 
-    async def _sweep(self, address: str) -> None:
+    async def _sweep(self, key: str) -> None:
         cutoff_at = anyio.current_time() - IDLE_MAX_S
-        idle = self._idle[address]
-        expired = [conn for idle_since, conn in idle if idle_since < cutoff_at]
+        idle = self._idle[key]
+        early = [
+            entry for entry in idle if self._is_early(entry[0]) and entry[1].is_closed_by_server
+        ]
+        if early:
+            self.closed_under_calls.note_early(key)
+        dropped = [entry for entry in idle if entry[0] < cutoff_at or entry in early]
         # Prevents an attempt from acquiring one of them while another is being closed.
-        idle[:] = [entry for entry in idle if entry[0] >= cutoff_at]
+        idle[:] = [entry for entry in idle if entry not in dropped]
         if not idle:
-            del self._idle[address]
-        for conn in expired:
+            del self._idle[key]
+        for _, conn in dropped:
             await conn.close()
 
 
--- a/tests/platform/standin_server.py
+++ b/tests/platform/standin_server.py
@@ -74,6 +74,8 @@
     event_interval_s: float = 0.0
     # Whether a connection carries other requests after a stream.
     keeps_streams: bool = False
+    # How long after a stream its connection is closed, unannounced; None to keep it.
+    closes_after_s: float | None = None
     # Replaces its answers by one without an end; None for answers that end.
     endless: EndlessAnswer | None = None
     # In every answer to a request.
@@ -119,6 +121,8 @@
     # How it answers a request for its report: "" with its start, if it has one; "nameless" without;
     # "silent" not at all; "closes" and closes the connection.
     report_mode: str = ""
+    # How long it takes to answer health checks and requests for its report.
+    check_s: float = 0.0
     # Health checks that it answered.
     health_checks: int = 0
     # Set to release streams that the mode "hold" has paused.
@@ -131,6 +135,8 @@
             return False
         if call.path in (HEALTH_PATH, REPORT_PATH) and self.endless_check is not None:
             return await self.endless_check.write(call, {"X-Instance-Id": self.name})
+        if call.path in (HEALTH_PATH, REPORT_PATH) and self.check_s:
+            await asyncio.sleep(self.check_s)
         if call.path == HEALTH_PATH:
             self.health_checks += 1
             await call.answer(503 if self.is_leaving else 200, b"", {"X-Instance-Id": self.name})
@@ -389,6 +395,9 @@
             return False
         await call.write(b"0\r\n\r\n")
         request.outcome = "complete"
+        if self.closes_after_s is not None:
+            asyncio.get_running_loop().call_later(self.closes_after_s, call.writer.close)
+            return True
         return self.keeps_streams
 
     async def _write_events(
