--- a/packages/turmericweir/turmericweir/servers/backend_attempt.py
+++ b/packages/turmericweir/turmericweir/servers/backend_attempt.py
@@ -177,17 +177,18 @@
         """Run the attempt until it ends or is cancelled.
 
         The request is built after the connection is open, since it may contain the remaining time.
-        It is not sent if its time is over by then, before the reducer has noticed.
+        It is not sent if its time is over by then, before the reducer has noticed, or if the server
+        has begun to leave since the attempt started: connections to a slow one take long to open.
         """
         address = self.start.address
         try:
-            via = via_of(self.start)
-            idle_max_s = idle_limit_s(self.start, closes_early=self.pool.closes_early(address, via))
+            idle_max_s, via = idle_limit_s(self.pool, self.start), via_of(self.start)
+            took_work = self._takes_work()
             conn = await acquire(self.pool, address, idle_max_s=idle_max_s, via=via)
             self._is_reused = conn.is_reused
             self._conn = conn
             try:
-                if is_expired():
+                if is_expired() or (took_work and not self._takes_work()):
                     return EndCancelled(0)
                 if self._is_misplaced(conn):
                     return EndMisplaced(conn.incarnation or "")
@@ -221,6 +222,11 @@
             self.answer.note_lost(exc)
             return await self.classify_loss(describe_error(exc), is_malformed=_is_malformed(exc))
 
+    def _takes_work(self) -> bool:
+        """Return whether the server is listed and takes new requests."""
+        server = self.node.state.servers.by_name.get(self.start.server)
+        return server is not None and not server.leaving and not server.drained
+
     def _is_misplaced(self, conn: BackendConnection) -> bool:
         """Return whether the server is not the start that the attempt may be sent to."""
         start = self.start
@@ -369,11 +375,14 @@
     return not any(each in str(error) for each in _CLOSED_ERRORS)
 
 
-def idle_limit_s(start: StartAttempt, *, closes_early: bool) -> float:
+def idle_limit_s(pool: BackendPool, start: StartAttempt) -> float:
     """Return how long the connection of an attempt may have been idle, in seconds."""
-    if start.needs_new_connection or (closes_early and start.needs_verified_connection):
+    address, via = start.address, via_of(start)
+    if start.needs_new_connection or pool.closes_under_calls(address, via):
         return 0.0
-    return VERIFIED_IDLE_MAX_S if start.needs_verified_connection else IDLE_MAX_S
+    if not start.needs_verified_connection:
+        return IDLE_MAX_S
+    return 0.0 if pool.closes_early(address, via) else VERIFIED_IDLE_MAX_S
 
 
 def attempt_headers(start: StartAttempt) -> list[tuple[bytes, bytes]]:
