Identify engines whose reports always come late

What callers saw: where each report of an engine takes over 0.5 s, a stream begins without the start of its engine being known, on every connection, so nobody goes on with it when the engine is lost: with reports after 0.7 s a stream is not complete after its engine crashed, though another engine of the version runs. With reports after 1.2 s server_unidentified was logged for 8 of 8 streams.

Cause: IDENTIFY_TIMEOUT_S, a constant since, which also included the time to connect; the connection was closed with the report on its way.

The change: the report goes on beyond its limit for up to 3 s (LateCalls) and keeps its connection for the next stream; the time that it took sets the next limits, up to 3 s for a stream that is bound to one start, and up to 1 s for one that may begin without. An engine that usually takes over 1 s holds up streams that begin for 0.5 s, as before, and is identified only by reports that came late. A silent engine keeps the limit of 0.5 s, counted from when the connection is open.

test_streams_of_engines_whose_reports_are_always_late_go_on fails on the code before (without its wait for the new log line, which is not there) and passes now; test_reports_of_starts and test_restarted_versions pass. Tried: up to 3 s for all streams; reports after 1.2 s then made single streams wait for 2.9 s, as the core gives up an attempt that waits for long and starts another one.

--- a/packages/turmericweir/turmericweir/servers/backend_pool.py
+++ b/packages/turmericweir/turmericweir/servers/backend_pool.py
@@ -34,6 +34,9 @@
 # repeats the first packet after 1 s, and again after 3 s.
 CONNECT_MAX_S: Final = 1.5
 CONNECT_LATE_MAX_S: Final = 3.5
+# The same limits for the report of a server.
+REPORT_TIMEOUT_S: Final = 0.5
+REPORT_MAX_S: Final = 3.0
 # The statuses that end a request. The parser also takes any other three digits above them, and 101
 # for a change of the protocol, which no request asks for.
 _FINAL_STATUSES: Final = range(200, 600)
@@ -185,6 +188,8 @@
     count_read: Callable[[int], None] | None
     # Connections that are being opened directly, by address.
     connects: LateCalls[BackendConnection]
+    # Requests for the reports of servers, which keep the connection on which one came late.
+    reports: LateCalls[BackendConnection | None]
     # Called with the address when a direct connection was opened after its time limit.
     note_late_connect: Callable[[str], None] | None
 
@@ -195,6 +200,9 @@
         self.connects = LateCalls(
             "connect", CONNECT_TIMEOUT_S, CONNECT_MAX_S, CONNECT_LATE_MAX_S, self._adopt_connect
         )
+        self.reports = LateCalls(
+            "report", REPORT_TIMEOUT_S, REPORT_MAX_S, REPORT_MAX_S, self._adopt
+        )
         self._idle = defaultdict(list)
         self._distrusted_at = {}
         self.opened_count = 0
@@ -210,6 +218,7 @@
         traceback: TracebackType | None,
     ) -> None:
         await self.connects.stop()
+        await self.reports.stop()
         for idle in self._idle.values():
             for _, conn in idle:
                 await conn.close()
--- a/packages/turmericweir/turmericweir/servers/forward.py
+++ b/packages/turmericweir/turmericweir/servers/forward.py
@@ -209,6 +209,7 @@
                 via=via,
                 report_path=wire.report_path,
                 read_incarnation=wire.read_incarnation,
+                is_required=self._start.is_bound,
             )
         except UnidentifiedError as exc:
             self._log_unidentified(exc)
--- a/packages/turmericweir/turmericweir/servers/late_calls.py
+++ b/packages/turmericweir/turmericweir/servers/late_calls.py
@@ -67,6 +67,11 @@
         limit_s = self._least_s if times is None else times.limit_s
         return limit_s if quick_limit_s is None or limit_s > self._least_s else quick_limit_s
 
+    def smoothed_s(self, end: str) -> float:
+        """Return how long an end usually takes; 0 if it is not known."""
+        times = self._times.get(end)
+        return 0.0 if times is None else times.smoothed_s
+
     async def run(
         self,
         end: str,
--- a/packages/turmericweir/turmericweir/servers/server_identity.py
+++ b/packages/turmericweir/turmericweir/servers/server_identity.py
@@ -9,9 +9,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 from typing import Final
 
-import anyio
 from anyio.lowlevel import checkpoint
 
 from turmericweir.process.errors import describe_error
@@ -22,11 +22,17 @@
     FirstByteCallback,
     exchange,
 )
-from turmericweir.servers.backend_pool import BackendConnection, BackendPool, Via, make_request
+from turmericweir.servers.backend_pool import (
+    REPORT_TIMEOUT_S,
+    BackendConnection,
+    BackendPool,
+    Via,
+    make_request,
+)
 
-# Time limit for the answer.
-IDENTIFY_TIMEOUT_S: Final = 0.5
 _STATUS_OK: Final = 200
+# The longest wait for a report that is not required.
+_UNREQUIRED_MAX_S: Final = 1.0
 
 # Returns the start that a report names; empty if it names none.
 ReadIncarnation = Callable[[bytes], str]
@@ -44,46 +50,54 @@
     via: Via | None,
     report_path: bytes,
     read_incarnation: ReadIncarnation,
+    is_required: bool,
 ) -> BackendConnection:
     """Return a connection with the start of the server that it leads to.
 
+
     Raises httpcore's errors if none can be opened. A kept connection may have been closed
     meanwhile, and a server may close a connection after its answer, so a new one is tried once.
     """
-    limit_at = anyio.current_time() + IDENTIFY_TIMEOUT_S
-    conn = await pool.acquire(address, idle_max_s=idle_max_s, via=via)
-    if await _identify(conn, address, report_path, read_incarnation, limit_at):
-        return conn
-    conn = await pool.acquire(address, idle_max_s=0.0, via=via)
-    if await _identify(conn, address, report_path, read_incarnation, limit_at):
-        return conn
+    for reused_max_s in (idle_max_s, 0.0):
+        conn = await pool.acquire(address, idle_max_s=reused_max_s, via=via)
+        if conn.incarnation is not None:
+            return conn
+        limit_s = _limit_s(pool, address, is_required=is_required)
+        ask = partial(_ask, conn, address, report_path, read_incarnation)
+        try:
+            identified = await pool.reports.run(address, ask, limit_s=limit_s)
+        except TimeoutError as exc:
+            raise UnidentifiedError(f"no report: {exc}") from None
+        if identified is not None:
+            return identified
     raise UnidentifiedError("no connection outlives a report")
 
 
-async def _identify(
-    conn: BackendConnection,
-    address: str,
-    report_path: bytes,
-    read_incarnation: ReadIncarnation,
-    limit_at: float,
-) -> bool:
-    """Ask on a connection, if it was not asked; close it and return False if it has ended."""
-    if conn.incarnation is not None:
-        return True
+def _limit_s(pool: BackendPool, address: str, *, is_required: bool) -> float:
+    """Return the time limit for a report; a stream that may begin without one waits less."""
+    limit_s = pool.reports.limit_s(address)
+    if is_required:
+        return limit_s
+    if pool.reports.smoothed_s(address) > _UNREQUIRED_MAX_S:
+        return REPORT_TIMEOUT_S
+    return min(limit_s, _UNREQUIRED_MAX_S)
+
+
+async def _ask(
+    conn: BackendConnection, address: str, report_path: bytes, read_incarnation: ReadIncarnation
+) -> BackendConnection | None:
+    """Return the connection with the start of its server; close it and return None if it ends."""
     request = make_request(b"GET", address, report_path, [], b"")
     has_carried_request, is_usable = conn.has_carried_request, False
     try:
-        with anyio.fail_after(limit_at - anyio.current_time()):
-            answer = await exchange(conn, request, FirstByteCallback(), None, ANSWER_MAX_BYTES)
+        answer = await exchange(conn, request, FirstByteCallback(), None, ANSWER_MAX_BYTES)
         # An end that follows the answer is seen by then.
         await checkpoint()
         is_usable = conn.is_idle and not conn.is_closed_by_server
-    except TimeoutError:
-        raise UnidentifiedError(f"no report within {IDENTIFY_TIMEOUT_S} s") from None
     except AnswerTooLargeError as exc:
         raise UnidentifiedError(describe_error(exc)) from exc
     except TRANSPORT_ERRORS:
-        return False
+        return None
     finally:
         if not is_usable:
             await conn.close()
@@ -91,4 +105,4 @@
         conn.incarnation = read_incarnation(answer.body)
         # No answer to a report can be taken for a refusal.
         conn.has_carried_request = has_carried_request
-    return is_usable
+    return conn if is_usable else None
--- a/tests/platform/test_slow_servers.py
+++ b/tests/platform/test_slow_servers.py
@@ -9,7 +9,11 @@
 import pytest
 
 from tests.platform.cut_world import HANG_NEW, CutWorld
-from tests.platform.platform_world import Answer, PlatformWorld, until
+from tests.platform.platform_world import Answer, Instance, PlatformWorld, until
+from tests.platform.test_restarted_versions import STREAMS, open_world
+from tests.platform.test_versions import EVENTS, assert_whole, begin, finish
+
+REPORT_S = 0.7
 
 
 def _kinds(world: PlatformWorld) -> list[Callable[..., Answer]]:
@@ -45,3 +49,24 @@
             assert world.send_unsafe(X_Deadline_Ms="8000").status == 200
         lines = world.running["entry-1"].logged("path_lost")
         until(lambda: any(line["peer"] == "shop-1" for line in lines), "the loss is logged")
+
+
+def test_streams_of_engines_whose_reports_are_always_late_go_on(tmp_path: Path) -> None:
+    """Guards against streams that nobody takes up, for as long as a report takes over 0.5 s."""
+    with open_world(tmp_path, engines=1) as world:
+        first = world.servers["lm-1"]
+        first.check_s = REPORT_S
+        for name, instance in world.running.items():
+            assert world.send("/lm/chat/", instance=name).status == 200
+            until(partial(_has_logged, instance, "report_late"), "the report came")
+        callers = begin(world, STREAMS, tuple(world.running))
+        second = world.add_server("lm-2", "lm", "v1")
+        second.event_count, second.check_s = EVENTS, REPORT_S
+        for instance in world.running.values():
+            until(partial(world.has_listed_servers, instance), "the new one is listed")
+        world.crash_server("lm-1")
+        assert_whole(finish(callers))
+
+
+def _has_logged(instance: Instance, event: str) -> bool:
+    return bool(instance.logged(event))
