--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -31,6 +31,7 @@
 from turmericweir.callers.forward_app import ForwardApp
 from turmericweir.callers.http_limits import HttpLimits
 from turmericweir.callers.http_server import HttpServer, LimitedProtocol
+from turmericweir.callers.unread_bytes import UnreadBytes
 from turmericweir.operations.entry_admin import EntryAdmin
 from turmericweir.operations.retried_port import serve_when_available
 from turmericweir.peers.peer_datagrams import PeerDatagrams
@@ -58,7 +59,7 @@
 )
 from turmericweir.process.process_signals import ProcessSignals
 from turmericweir.process.prometheus_metrics import MetricsApp, PrometheusMetrics
-from turmericweir.process.receive_buffers import ReceiveBuffers, max_connections
+from turmericweir.process.socket_buffers import SocketBuffers, max_connections
 from turmericweir.process.supervisor import run_endless, run_supervised
 from turmericweir.process.unhandled_errors import UnhandledErrors
 from turmericweir.servers.backend_pool import BackendPool
@@ -113,9 +114,21 @@
 _GC_THRESHOLD: Final = 20_000
 
 
+class StoreStats(Protocol):
+    """How quickly the platform's store answers reads."""
+
+    last_s: float
+    limits_expired: int
+    connections_closed: int
+
+
 class StoreFollower(DocumentPort, Protocol):
     """The reader of the platform's store."""
 
+    @property
+    def stats(self) -> StoreStats:
+        """How quickly the store answers."""
+
     @property
     def records(self) -> RecordPort:
         """The client for the project's own records."""
@@ -240,7 +253,8 @@
         "lease_read_s": min(1.0, lease_s / 3),
         "lease_retry_s": 0.2,
         "lease_retry_max_s": 1.0,
-        "lease_call_s": 2.0,
+        # Longer than the client of the log waits for an append.
+        "lease_call_s": max(2.0, (1 + _LEASE_MARGIN_SHARE) * lease_s),
         "order_longest_s": lease_s,
     }
 
@@ -344,6 +358,7 @@
             node.answer_bounds = cfg.answers
             node.memory.limit_bytes = cfg.machine.memory_bytes
             pool.count_read = node.memory.add
+            pool.connects.metrics = pool.reports.metrics = metrics
             for part in (streams, datagrams, servers, follower):
                 part.attach(node)
             if duties is not None:
@@ -370,6 +385,7 @@
                 "The number of connections to servers that this instance carries for peers.",
                 lambda: node.state.paths.carried,
             )
+            _add_store_gauges(metrics, follower.stats)
             _add_memory_gauges(metrics, node.memory)
             _add_pool_gauges(metrics, pool)
             steps = running_steps()
@@ -400,6 +416,24 @@
         return end.conclude_stop(is_requested=node.is_stopping)
 
 
+def _add_store_gauges(metrics: PrometheusMetrics, stats: StoreStats) -> None:
+    metrics.add_gauge(
+        "turmericweir_store_read_seconds",
+        "How long the last answered read of the settings or the servers' entries took.",
+        lambda: stats.last_s,
+    )
+    metrics.add_gauge(
+        "turmericweir_store_limits_expired",
+        "The number of these reads that got no byte within their time limit.",
+        lambda: stats.limits_expired,
+    )
+    metrics.add_gauge(
+        "turmericweir_store_connections_closed",
+        "The number of connections that broke under one of these reads.",
+        lambda: stats.connections_closed,
+    )
+
+
 def _add_memory_gauges(metrics: PrometheusMetrics, memory: MemoryBudget) -> None:
     metrics.add_gauge(
         "turmericweir_memory_held_bytes",
@@ -497,7 +531,7 @@
         return server
 
     descriptors, memory_bytes = cfg.machine.max_fds, cfg.machine.memory_bytes
-    buffers = ReceiveBuffers.for_clients(memory_bytes, descriptors)
+    buffers = SocketBuffers.for_clients(memory_bytes, descriptors)
     maximum = max_connections(descriptors, memory_bytes)
     limit = ConnectionLimit(maximum, open_count, connections, node.count)
     memory = CallerMemory(node, _UNREAD_S, connections)
@@ -505,8 +539,15 @@
     callers = make_server(app, lambda: node.is_stopping)
     readiness = make_server(platform_adapters.make_readiness_app(lambda: is_ready(node)))
     _add_connection_gauges(metrics, callers)
+    unread = UnreadBytes(connections, node.memory)
+    metrics.add_gauge(
+        "turmericweir_sockets_unread_bytes",
+        "What clients' connections received and was not read, estimated from some of them.",
+        unread.estimate,
+    )
     async with anyio.create_task_group() as group:
         group.start_soon(run_endless, "check memory", memory.check_forever, node)
+        group.start_soon(run_endless, "check unread bytes", unread.check_forever, node)
         serve_readiness = partial(_serve_http, readiness, sockets.readiness)
         group.start_soon(run_endless, "serve readiness", serve_readiness, node)
         ports = _operations_ports(cfg, node, pool, metrics)
