Believe status checks that always come late

What callers saw: where servers answer a status check after 1.2 s, 502 for 12 of 12 answers that have no length, though each was whole (end_inferred: no_answer); after 0.8 s 12 of 12 were served.

Cause: CHECK_TIMEOUT_S, a constant since: an answer without a length is complete only if the server shows that it has outlived its end, and no check of such a server ever ended in time.

The change: a check goes on beyond its limit on its connection for up to 3 s (LateCalls), and its time sets the next limits, up to 3 s. The first limit is the old one, and a silent server raises nothing.

The new test of test_slow_servers waits for check_late, which the code before doesn't have; the play above shows the fault there.

--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -343,7 +343,8 @@
             node.answer_bounds = cfg.answers
             node.memory.limit_bytes = cfg.machine.memory_bytes
             pool.count_read = node.memory.add
-            pool.connects.metrics = pool.reports.metrics = metrics
+            for calls in (pool.connects, pool.reports, pool.checks):
+                calls.metrics = metrics
             for part in (streams, datagrams, servers, follower):
                 part.attach(node)
             if duties is not None:
--- a/packages/turmericweir/turmericweir/servers/backend_pool.py
+++ b/packages/turmericweir/turmericweir/servers/backend_pool.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from types import TracebackType
-from typing import Final, Protocol, Self
+from typing import Any, Final, Protocol, Self
 
 import anyio
 import h11
@@ -37,6 +37,9 @@
 # The same limits for the report of a server.
 REPORT_TIMEOUT_S: Final = 0.5
 REPORT_MAX_S: Final = 3.0
+# The same limits for the answer to a status check, which may wait for a slot of the server.
+CHECK_TIMEOUT_S: Final = 1.0
+CHECK_MAX_S: Final = 3.0
 # The statuses that end a request. The parser also takes any other three digits above them, and 101
 # for a change of the protocol, which no request asks for.
 _FINAL_STATUSES: Final = range(200, 600)
@@ -190,6 +193,8 @@
     connects: LateCalls[BackendConnection]
     # Requests for the reports of servers, which keep the connection on which one came late.
     reports: LateCalls[BackendConnection | None]
+    # Status checks of servers. Any: the type of their answers is defined above this module.
+    checks: LateCalls[Any]
     # Called with the address when a direct connection was opened after its time limit.
     note_late_connect: Callable[[str], None] | None
 
@@ -203,6 +208,9 @@
         self.reports = LateCalls(
             "report", REPORT_TIMEOUT_S, REPORT_MAX_S, REPORT_MAX_S, self._adopt
         )
+        self.checks = LateCalls(
+            "check", CHECK_TIMEOUT_S, CHECK_MAX_S, CHECK_MAX_S, lambda _address, _answer: None
+        )
         self._idle = defaultdict(list)
         self._distrusted_at = {}
         self.opened_count = 0
@@ -219,6 +227,7 @@
     ) -> None:
         await self.connects.stop()
         await self.reports.stop()
+        await self.checks.stop()
         for idle in self._idle.values():
             for _, conn in idle:
                 await conn.close()
--- a/packages/turmericweir/turmericweir/servers/server_life.py
+++ b/packages/turmericweir/turmericweir/servers/server_life.py
@@ -16,6 +16,7 @@
 from contextlib import suppress
 from dataclasses import dataclass
 from enum import StrEnum
+from functools import partial
 from types import TracebackType
 from typing import TYPE_CHECKING, Final, Self
 
@@ -43,8 +44,6 @@
 
 # Within this time a process that exits closes all of its connections and its port.
 EXIT_S: Final = 0.25
-# Time limit for the answer to a status check, which may wait for a slot of the server.
-CHECK_TIMEOUT_S: Final = 1.0
 # Limit of the looks for a newer read of the servers' entries, and the time between two.
 _ENTRIES_POLLS: Final = 30
 _ENTRIES_POLL_S: Final = 0.05
@@ -204,6 +203,8 @@
         if conn is not None:
             if conn.is_closed_by_server:
                 return EndEvidence.EXITED
+            # The call returns it to the pool.
+            self._conn = None
             answer = await self._call(conn)
             if answer is None or self._check.names_other(answer):
                 return EndEvidence.NO_ANSWER
@@ -216,10 +217,7 @@
             conn = await self._pool.acquire(address, via=via_of(self._start))
         except TRANSPORT_ERRORS:
             return EndEvidence.NO_CONNECTION
-        try:
-            answer = await self._call(conn)
-        finally:
-            await self._pool.release(address, conn)
+        answer = await self._call(conn)
         if answer is None:
             return EndEvidence.NO_ANSWER
         if self._check.names_start(answer):
@@ -239,10 +237,19 @@
         return False
 
     async def _call(self, conn: BackendConnection) -> Answer | None:
-        """Return the answer to a status check on a connection, or None if there is none."""
-        request = make_request(b"GET", self._start.address, self._check.target, [], b"")
+        """Return the answer to a status check, or None if there is none; release the connection."""
         try:
-            with anyio.fail_after(CHECK_TIMEOUT_S):
-                return await exchange(conn, request, FirstByteCallback(), None, ANSWER_MAX_BYTES)
+            answer: Answer = await self._pool.checks.run(
+                self._start.address, partial(self._exchange, conn)
+            )
         except (TimeoutError, *TRANSPORT_ERRORS):
             return None
+        return answer
+
+    async def _exchange(self, conn: BackendConnection) -> Answer:
+        address = self._start.address
+        request = make_request(b"GET", address, self._check.target, [], b"")
+        try:
+            return await exchange(conn, request, FirstByteCallback(), None, ANSWER_MAX_BYTES)
+        finally:
+            await self._pool.release(address, conn)
--- a/tests/platform/test_slow_servers.py
+++ b/tests/platform/test_slow_servers.py
@@ -10,10 +10,12 @@
 
 from tests.platform.cut_world import HANG_NEW, CutWorld
 from tests.platform.platform_world import Answer, Instance, PlatformWorld, until
+from tests.platform.standin_answers import AnswerForm, Framing
 from tests.platform.test_restarted_versions import STREAMS, open_world
 from tests.platform.test_versions import EVENTS, assert_whole, begin, finish
 
 REPORT_S = 0.7
+CHECK_S = 1.2
 
 
 def _kinds(world: PlatformWorld) -> list[Callable[..., Answer]]:
@@ -68,5 +70,23 @@
         assert_whole(finish(callers))
 
 
+def test_answers_without_a_length_of_servers_whose_checks_are_always_late(tmp_path: Path) -> None:
+    """Guards against 502 for each answer without a length while status checks take over 1 s."""
+    with PlatformWorld(tmp_path, engines=0, bounds={"revoke_ms": 60_000}) as world:
+        for server in world.servers.values():
+            server.check_s = CHECK_S
+            server.forms = [AnswerForm(Framing.CONNECTION_END)] * 30
+
+        def are_known() -> bool:
+            world.send_safe()
+            lines = world.running["entry-1"].logged("check_late")
+            return len({line["peer"] for line in lines}) == len(world.servers)
+
+        until(are_known, "late answers of both")
+        for _ in range(3):
+            assert world.send_safe().status == 200
+            assert world.send_unsafe().status == 200
+
+
 def _has_logged(instance: Instance, event: str) -> bool:
     return bool(instance.logged(event))
