--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -534,6 +534,7 @@
     second_runs: bool,
     growth: bool,
     signals: bool,
+    slow: bool,
 ) -> type[Soak]:
     # Imported late, as these modules import this one.
     if notices:
@@ -588,6 +589,10 @@
         from tests.platform.soak_signals import SignalSoak
 
         return SignalSoak
+    if slow:
+        from tests.platform.soak_slow import SlowSoak
+
+        return SlowSoak
     return Soak
 
 
@@ -627,6 +632,9 @@
     parser.add_argument(
         "--signals", action="store_true", help="signals in series until processes are gone"
     )
+    parser.add_argument(
+        "--slow", action="store_true", help="ends are slow and close kept connections"
+    )
     args = parser.parse_args()
     make_soak = _choose_soak(
         notices=args.notices,
@@ -642,6 +650,7 @@
         second_runs=args.second_runs,
         growth=args.growth,
         signals=args.signals,
+        slow=args.slow,
     )
     first, _, last = args.seeds.partition("-")
     failed_seeds = 0
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -18,6 +18,7 @@
 from tests.platform.soak_restarts import RestartSoak
 from tests.platform.soak_second_runs import SecondRunSoak
 from tests.platform.soak_signals import SignalSoak
+from tests.platform.soak_slow import SlowSoak
 from tests.platform.soak_versions import VersionSoak
 
 # Seeds with their durations. Seed 21 guards against servers that return under their names and get
@@ -102,3 +103,8 @@
 def test_promises_hold_beside_signals_until_processes_are_gone(tmp_path: Path) -> None:
     # Guards against processes that end by a signal beside their stop, or without saying why.
     assert not soak.run(1, 12.0, tmp_path, SignalSoak)
+
+
+def test_slow_ends_that_close_connections_are_used_in_random_trouble(tmp_path: Path) -> None:
+    # Guards against a slow store, or one that closes kept connections, that counts as gone.
+    assert not soak.run(1, 12.0, tmp_path, SlowSoak)
