--- a/tests/platform/soak_slow.py
+++ b/tests/platform/soak_slow.py
@@ -1,17 +1,23 @@
 """Soak test in which the store and the servers are slow, and close kept connections unannounced.
 
-The store is still slow, and closes connections, when all instances have to serve at the end.
+The store is still slow, and closes connections, when all instances have to bring new settings into
+force and to serve at the end.
 """
 
 from __future__ import annotations
 
+import http.client
 import time
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from functools import partial
 from typing import ClassVar, Final
 
+from tests.platform.platform_world import KEY, until
 from tests.platform.soak import FAULTS, Soak, Span
 
+NEW_KEY: Final = "key-3"
+
 # Delays of answers of the store: about the first time limit of a read, and far beyond it.
 STORE_DELAYS_S: Final = (0.5, 0.7, 0.8, 1.2, 2.0, 3.0)
 LAST_STORE_DELAY_S: Final = 1.5
@@ -37,6 +43,18 @@
         self.world.store.delay_s = LAST_STORE_DELAY_S
         self.world.store.closes_after_s = self.rng.choice(CLOSES_AFTER_S)
         self._log("the store stays slow")
+        self.world.publish(tenants=[{"name": "school", "api-keys": [KEY, NEW_KEY], "priority": 1}])
+        for name in self.world.running:
+            try:
+                until(partial(self._serves_new_key, name), f"{name} has the new key")
+            except TimeoutError as exc:
+                self.event_log.append(f"BROKEN {exc}")
+
+    def _serves_new_key(self, name: str) -> bool:
+        try:
+            return self.world.send_safe(instance=name, X_Key=NEW_KEY).status == 200
+        except (OSError, http.client.HTTPException):
+            return False
 
     def slow_down_store(self) -> None:
         """Make all answers of the store late."""
