Learn that an end is slow beside many that are lost

A call beyond its limit goes on so that its end becomes known as slow, and 32 may do so at a time. Ends that are lost held all of these places, each for as long as a late call lasts, and took them again at the next try.

Now an end whose last late call brought nothing gives its place up to one that may only be slow, and gets none from others. The bound of 32 stays, and so does the limit at which silence is noticed.

Shown by the new test: 64 ends that are silent and tried again without a pause, one that takes twice the first limit. Not played with real processes.

--- a/packages/turmericweir/turmericweir/servers/late_calls.py
+++ b/packages/turmericweir/turmericweir/servers/late_calls.py
@@ -39,6 +39,8 @@
     _times: OrderedDict[str, ResponseTimes]
     # By the same name, the call that goes on.
     _late: dict[str, asyncio.Task[Result]]
+    # Ends whose last call that went on brought nothing, the latest at the end.
+    _silent: OrderedDict[str, None]
     # Keeps what a call brought late.
     _adopt: Callable[[str, Result], None]
     # None if nobody counts the calls.
@@ -58,6 +60,7 @@
         self._late_most_s = late_most_s
         self._times = OrderedDict()
         self._late = {}
+        self._silent = OrderedDict()
         self._adopt = adopt
         self.metrics = None
 
@@ -103,7 +106,7 @@
 
     def _go_on(self, end: str, task: asyncio.Task[Result], started_at: float) -> None:
         """Let a call go on without its caller, unless there is one or there are too many."""
-        if end in self._late or len(self._late) >= LATE_CALLS_MAX:
+        if end in self._late or not self._has_room(end):
             task.cancel()
         else:
             self._late[end] = task
@@ -112,13 +115,37 @@
 
         def conclude(done: asyncio.Task[Result]) -> None:
             timer.cancel()
+            has_result = not done.cancelled() and done.exception() is None
             if self._late.get(end) is done:
                 del self._late[end]
-            if not done.cancelled() and done.exception() is None:
+                if not has_result:
+                    self._note_silent(end)
+            if has_result:
                 self._conclude(end, done.result(), started_at)
 
         task.add_done_callback(conclude)
 
+    def _has_room(self, end: str) -> bool:
+        """Return whether another call may go on; end that of a silent end for one that may not be.
+
+        Prevents many ends that are lost from hiding that another one is only slow.
+        """
+        if len(self._late) < LATE_CALLS_MAX:
+            return True
+        if end in self._silent:
+            return False
+        silent = next((each for each in self._late if each in self._silent), None)
+        if silent is None:
+            return False
+        self._late.pop(silent).cancel()
+        return True
+
+    def _note_silent(self, end: str) -> None:
+        self._silent[end] = None
+        self._silent.move_to_end(end)
+        if len(self._silent) > ENDS_MAX:
+            self._silent.popitem(last=False)
+
     def _conclude(self, end: str, result: Result, started_at: float) -> None:
         duration_s = self._add_time(end, started_at)
         if duration_s > self._least_s:
@@ -134,6 +161,7 @@
             if len(self._times) > ENDS_MAX:
                 self._times.popitem(last=False)
         self._times.move_to_end(end)
+        self._silent.pop(end, None)
         duration_s = asyncio.get_running_loop().time() - started_at
         times.add(duration_s)
         if self.metrics is not None:
--- a/tests/daemon/test_late_calls.py
+++ b/tests/daemon/test_late_calls.py
@@ -102,6 +102,42 @@
     _run(scenario)
 
 
+def test_slow_end_is_known_beside_many_silent_ones() -> None:
+    """Guards against the first limit for ever for a slow end while many others are lost."""
+
+    async def scenario() -> None:
+        world = Calls(late_most_s=3 * LEAST_S)
+        silent = asyncio.Event()
+        is_over = False
+
+        async def stay_silent() -> int:
+            await silent.wait()
+            return 0
+
+        async def retry(end: str) -> None:
+            while not is_over:
+                with suppress(TimeoutError):
+                    await world.calls.run(end, stay_silent)
+
+        async def answer_late() -> int:
+            await asyncio.sleep(2 * LEAST_S)
+            return 1
+
+        async with anyio.create_task_group() as group:
+            for number in range(2 * LATE_CALLS_MAX):
+                group.start_soon(retry, f"silent-{number}")
+            await anyio.sleep(4 * LEAST_S)
+            for _ in range(20):
+                with suppress(TimeoutError):
+                    await world.calls.run("slow", answer_late)
+            is_over = True
+        await world.calls.stop()
+        assert ("slow", 1) in world.adopted
+        assert world.calls.limit_s("slow") > LEAST_S
+
+    _run(scenario)
+
+
 def test_call_whose_caller_leaves_goes_on() -> None:
     """Guards against learning nothing of a slow end while its callers give up early."""
 
