--- a/tests/platform/test_slow_servers.py
+++ b/tests/platform/test_slow_servers.py
@@ -8,8 +8,9 @@
 
 import pytest
 
-from tests.platform.cut_world import HANG_NEW, CutWorld
+from tests.platform.cut_world import HANG_NEW, RESET, CutWorld
 from tests.platform.platform_world import Answer, Instance, PlatformWorld, until
+from tests.platform.test_cut_off import _know_each_other
 from tests.platform.test_restarted_versions import STREAMS, open_world
 from tests.platform.test_versions import EVENTS, assert_whole, begin, finish
 
@@ -51,6 +52,24 @@
         until(lambda: any(line["peer"] == "shop-1" for line in lines), "the loss is logged")
 
 
+def test_servers_that_a_peer_reaches_late_are_served_by_way_of_it(tmp_path: Path) -> None:
+    """Guards against a fixed time limit for connections that are opened for peers."""
+    bounds = {"revoke_ms": 60_000}
+    with CutWorld(tmp_path, instances=2, data_centres=2, bounds=bounds) as world:
+        for name in world.running:
+            assert world.send_safe(instance=name).status == 200
+        until(lambda: _know_each_other(world), "the instances know each other")
+        world.delay_connects("entry-2", 0.8)
+        for _ in range(3):
+            assert world.send_unsafe(instance="entry-2").status == 200
+        world.cut("entry-1", RESET)
+
+        def is_served() -> bool:
+            return world.send_safe(instance="entry-1", X_Deadline_Ms="5000").status == 200
+
+        until(is_served, "entry-1 serves by way of entry-2")
+
+
 def test_streams_of_engines_whose_reports_are_always_late_go_on(tmp_path: Path) -> None:
     """Guards against streams that nobody takes up, for as long as a report takes over 0.5 s."""
     with open_world(tmp_path, engines=1) as world:
