Import the metrics of late calls for types only

The build of the merged parts failed (no module statsd): late_calls, which the process on the platform loads, imported the module of the own interface's metrics, whose library is not among the platform's.

--- a/packages/turmericweir/turmericweir/servers/late_calls.py
+++ b/packages/turmericweir/turmericweir/servers/late_calls.py
@@ -11,12 +11,14 @@
 import asyncio
 from collections import OrderedDict
 from collections.abc import Callable, Coroutine
-from typing import Any, Final, Generic, TypeVar
+from typing import TYPE_CHECKING, Any, Final, Generic, TypeVar
 
 from turmericweir.process import logs
-from turmericweir.process.metrics import Metrics
 from turmericweir.process.response_times import ResponseTimes
 
+if TYPE_CHECKING:
+    from turmericweir.process.metrics import Metrics
+
 # Limit of the other ends whose times are kept; those not called for longest are forgotten.
 ENDS_MAX: Final = 512
 # Limit of the calls that go on beyond their limits, of which each other end has one at most.
