Keep the overlapping reads in the daemon, not in the adapter of the platform

They decide when another read is sent and which answer counts, which the adapter is not for, and name nothing of the platform.

--- a/platform/turmericweir_platform/overlapping_reads.py
+++ b/packages/turmericweir/turmericweir/servers/overlapping_reads.py
@@ -6,7 +6,7 @@
 that a store that needs seconds for each answer still gives a proof each time limit.
 
 An answer to a read from an earlier position begins with records that are known, and so may one to
-a read of a snapshot. `StoreClient` drops these, so a late answer brings nothing older back.
+a read of a snapshot. Who decodes the answers drops these, so that none brings anything older back.
 """
 
 from __future__ import annotations
@@ -24,7 +24,7 @@
 from turmericweir.process.response_times import ResponseTimes
 from turmericweir.servers.backend_call import Answer
 from turmericweir.servers.large_call import ReadTooLargeError
-from turmericweir_platform.read_stats import ReadStats
+from turmericweir.servers.read_stats import ReadStats
 
 # Limit of the reads of one topic that are on their way.
 _READS_MAX: Final = 4
--- a/tests/daemon/test_overlapping_reads.py
+++ b/tests/daemon/test_overlapping_reads.py
@@ -11,8 +11,8 @@
 from turmericweir.process.errors import CallError
 from turmericweir.process.response_times import ResponseTimes
 from turmericweir.servers.backend_call import Answer
-from turmericweir_platform.overlapping_reads import OverlappingReads, Query, SentRead
-from turmericweir_platform.read_stats import ReadStats
+from turmericweir.servers.overlapping_reads import OverlappingReads, Query, SentRead
+from turmericweir.servers.read_stats import ReadStats
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/daemon/test_read_stats.py
+++ b/tests/daemon/test_read_stats.py
@@ -7,8 +7,8 @@
 import pytest
 
 from turmericweir.process import logs
-from turmericweir_platform import read_stats
-from turmericweir_platform.read_stats import ReadStats
+from turmericweir.servers import read_stats
+from turmericweir.servers.read_stats import ReadStats
 
 
 class Clock:
