Show that whole answers are broken off where checks are slow

An answer without a length is whole if its server outlives it, which a status check shows within a constant 1.0 s.

Not mended: a check that goes on beyond its limit uses a connection that is released with the answer, so what it brings late is lost with it.

--- a/tests/platform/test_slow_servers.py
+++ b/tests/platform/test_slow_servers.py
@@ -8,13 +8,16 @@
 
 import pytest
 
+from tests.platform.answer_ends import is_whole, send_in_form
 from tests.platform.cut_world import HANG_NEW, RESET, CutWorld
 from tests.platform.platform_world import Answer, Instance, PlatformWorld, until
+from tests.platform.standin_answers import AnswerForm, Framing
 from tests.platform.test_cut_off import _know_each_other
 from tests.platform.test_restarted_versions import STREAMS, open_world
 from tests.platform.test_versions import EVENTS, assert_whole, begin, finish
 
 REPORT_S = 0.7
+CHECK_S = 1.3
 
 
 def _kinds(world: PlatformWorld) -> list[Callable[..., Answer]]:
@@ -70,6 +73,22 @@
         until(is_served, "entry-1 serves by way of entry-2")
 
 
+@pytest.mark.parametrize("path", ["/shop/buy/", "/lm/doc/"])
+def test_whole_answers_of_servers_whose_checks_are_always_late_arrive_whole(
+    tmp_path: Path, path: str
+) -> None:
+    """Guards against breaking off whole answers where the server answers checks slowly."""
+    with PlatformWorld(tmp_path) as world:
+        for server in world.servers.values():
+            server.check_s = CHECK_S
+        form = AnswerForm(Framing.CONNECTION_END)
+        # How long a server takes may be learned from the first ones.
+        for _ in range(3):
+            answer = send_in_form(world, path, "entry-1", form)
+        assert (answer.status, answer.is_cut) == (200, False)
+        assert is_whole(path, answer)
+
+
 def test_streams_of_engines_whose_reports_are_always_late_go_on(tmp_path: Path) -> None:
     """Guards against streams that nobody takes up, for as long as a report takes over 0.5 s."""
     with open_world(tmp_path, engines=1) as world:
