Bound the buffers of sockets only where they count as memory

Suspected, not traced: the end of a connection stays behind bytes that a small buffer does not take, and small buffers cost processor time.

machine.counts_sockets, off by default, now says whether buffers count toward memory_mb; only then are those of callers and peers bounded. Buffers to servers stay as they were.

--- a/packages/turmericweir/turmericweir/entry_daemon.py
+++ b/packages/turmericweir/turmericweir/entry_daemon.py
@@ -357,6 +357,7 @@
             node = Node(state, reduce, adapters, group, unread_s=_BLOCKED_S)
             node.answer_bounds = cfg.answers
             node.memory.limit_bytes = cfg.machine.memory_bytes
+            node.memory.socket_limit_bytes = cfg.machine.socket_memory_bytes
             pool.count_read = node.memory.add
             for calls in (pool.connects, pool.reports, pool.checks):
                 calls.metrics = metrics
@@ -531,7 +532,7 @@
         servers.append(server)
         return server
 
-    descriptors, memory_bytes = cfg.machine.max_fds, cfg.machine.memory_bytes
+    descriptors, memory_bytes = cfg.machine.max_fds, cfg.machine.socket_memory_bytes
     buffers = SocketBuffers.for_clients(memory_bytes, descriptors)
     maximum = max_connections(descriptors, memory_bytes)
     limit = ConnectionLimit(maximum, open_count, connections, node.count)
--- a/packages/turmericweir/turmericweir/peers/peer_listener.py
+++ b/packages/turmericweir/turmericweir/peers/peer_listener.py
@@ -239,7 +239,7 @@
         """Accept streams and pass their messages to a node."""
         if self._node is None:
             # Not at another try, before which streams may have got larger buffers.
-            self._streams.buffers = SocketBuffers.for_peers(node.memory.limit_bytes)
+            self._streams.buffers = SocketBuffers.for_peers(node.memory.socket_limit_bytes)
         self._node = node
         self._frame_reader = FrameReader(node)
         self._carrier = Carrier(node)
--- a/packages/turmericweir/turmericweir/process/entry_settings.py
+++ b/packages/turmericweir/turmericweir/process/entry_settings.py
@@ -38,6 +38,8 @@
     processor_speed: float = 1
     # The memory above which a process is killed, in megabytes (10^6 bytes); 0 for no limit.
     memory_mb: float = 0
+    # Whether the buffers of sockets count toward that memory.
+    counts_sockets: bool = False
     # The number of descriptors that a process may open; 0 for the limit of the system.
     max_fds: int = 0
 
@@ -46,6 +48,11 @@
         """Return the memory limit in bytes; 0 for none."""
         return max(0, int(self.memory_mb * _MEGABYTE))
 
+    @property
+    def socket_memory_bytes(self) -> int:
+        """Return the memory limit that holds for buffers of sockets too; 0 for none."""
+        return self.memory_bytes if self.counts_sockets else 0
+
     @property
     def machine_capacity(self) -> int:
         """Return the capacity class: 0, plus one for each doubling of the scarcest resource."""
--- a/packages/turmericweir/turmericweir/process/entry_sockets.py
+++ b/packages/turmericweir/turmericweir/process/entry_sockets.py
@@ -77,7 +77,7 @@
 
 
 def _limit_buffers(cfg: EntrySettings, sockets: EntrySockets) -> None:
-    memory_bytes = cfg.machine.memory_bytes
+    memory_bytes = cfg.machine.socket_memory_bytes
     clients = SocketBuffers.for_clients(memory_bytes, cfg.machine.max_fds)
     for sock in (sockets.callers, sockets.readiness):
         clients.limit_accepted(sock)
--- a/packages/turmericweir/turmericweir/process/memory_budget.py
+++ b/packages/turmericweir/turmericweir/process/memory_budget.py
@@ -65,6 +65,8 @@
 
     # The memory limit of the process; 0 for none.
     limit_bytes: int = 0
+    # The same where the buffers of sockets count toward it.
+    socket_limit_bytes: int = 0
     # At the last count.
     held_bytes: int = 0
     # Bytes read since then.
