--- a/packages/turmericweir/turmericweir/servers/timed_call.py
+++ b/packages/turmericweir/turmericweir/servers/timed_call.py
@@ -1,7 +1,7 @@
 """Make calls to one other end with a time limit that follows its response times.
 
 Used for writes, which a slow store or platform answers late rather than never. Each call is timed,
-and an expired limit is counted and logged, so that a slow end can be told from one that is gone.
+and an expired limit is counted and logged, which distinguishes a slow end from one that is gone.
 """
 
 from __future__ import annotations
