--- a/tests/platform/standin_http.py
+++ b/tests/platform/standin_http.py
@@ -161,7 +161,7 @@
             headers[name.strip().lower()] = value.strip()
     body = await reader.readexactly(int(headers.get("content-length", "0")))
     path, _, query = target.partition("?")
-    query_parameters = dict(parse_qsl(query))
+    query_parameters = dict(parse_qsl(query, keep_blank_values=True))
     return Call(
         method, path, query_parameters, target, headers, body, earlier_requests, reader, writer
     )
--- a/tests/platform/standin_store.py
+++ b/tests/platform/standin_store.py
@@ -5,10 +5,12 @@
 import asyncio
 import base64
 import json
+import re
 import struct
 from collections import Counter
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, Final
+from urllib.parse import parse_qsl
 from weakref import WeakSet
 
 from tests.platform.standin_http import Call
@@ -18,13 +20,17 @@
 # The project's own topic.
 OWN = "keyed.turmericweir"
 _PART_BYTES = 16_384
+_TARGET: Final = re.compile(r"(?:[A-Za-z0-9\-._~!$&'()*+,;=:@/?]|%[0-9A-Fa-f]{2})*")
+# Marks a field that is left out of an entry of a page.
+MISSING: Final = object()
 
 
 @dataclass(slots=True)
 class Topic:
     """Records of one partition."""
 
-    # Key and value; an empty value removes the key.
+    # Key and value; an empty value removes the key. Bytes of a key that are not UTF-8 are surrogate
+    # escapes.
     records: list[tuple[str, bytes]] = field(default_factory=list)
     # Records before this offset have been deleted.
     first_offset: int = 0
@@ -72,8 +78,17 @@
         # Connections that have carried a call, and those that are dead though nothing closed them.
         self._connections = WeakSet[asyncio.StreamWriter]()
         self._silent_connections = WeakSet[asyncio.StreamWriter]()
-        # Number of answered reads by topic.
+        # Number of answered reads by topic, and of those that were answered with a page.
         self.answered = Counter[str]()
+        self.pages = Counter[str]()
+        # The largest number of entries in a page.
+        self.page_entries = 2
+        # Fields of the entries of pages that differ from their records, by key.
+        self.odd_fields: dict[str, dict[str, object]] = {}
+        # What a page is answered with instead, by topic.
+        self.odd_pages: dict[str, dict[str, Any]] = {}
+        # Whether a target has to be a valid one, and ends at a "#".
+        self.is_strict = False
 
     def second_endpoint(self) -> Store:
         """Return a store with the same records and a separate mode."""
@@ -121,6 +136,12 @@
             return False
         if self.era:
             call.extra_headers = {"Store-Era": str(self.era)}
+        if self.is_strict:
+            query = _strict_query(call.target)
+            if query is None:
+                await call.answer(400)
+                return True
+            call.query = query
         if self.delay_s:
             await asyncio.sleep(self.delay_s)
         if self.mode == "busy":
@@ -133,7 +154,8 @@
         if call.path == "/api/log-append":
             return await self._append(call, topic)
         if call.path == "/api/log-newest":
-            answer = _make_page(topic, call.query.get("after", ""))
+            self.pages[call.query["topic"]] += 1
+            answer = self.odd_pages.get(call.query["topic"]) or self._make_page(topic, call.query)
             status, body = 200, _encode_json(answer)
         else:
             status, body = await self._read(topic, call.query)
@@ -164,6 +186,31 @@
             await asyncio.sleep(self.part_delay_s)
             await call.write(part)
 
+    def _make_page(self, topic: Topic, query: dict[str, str]) -> dict[str, Any]:
+        """Return a page of few entries, in the order of their keys."""
+        newest = topic.newest()
+        after = _encode_key(query["after"]) if "after" in query else None
+        keys = sorted(
+            (key for key in newest if after is None or _encode_key(key) > after), key=_encode_key
+        )
+        entries = [
+            {
+                "key": _encode_key(key).decode(errors="replace"),
+                "value": base64.b64encode(newest[key][1]).decode(),
+                "offset": newest[key][0],
+                **self.odd_fields.get(key, {}),
+            }
+            for key in keys[: self.page_entries]
+        ]
+        return {
+            "entries": [
+                {name: value for name, value in entry.items() if value is not MISSING}
+                for entry in entries
+            ],
+            "has-more": len(keys) > self.page_entries,
+            "end": len(topic.records),
+        }
+
     async def _append(self, call: Call, topic: Topic) -> bool:
         """Append the records of a call if the topic ends at the expected offset."""
         if self.append_delay_s:
@@ -190,7 +237,7 @@
             await asyncio.sleep(0.005)
         body = struct.pack(">QQ", len(topic.records), topic.first_offset)
         for key, value in topic.records[start:]:
-            encoded_key = key.encode()
+            encoded_key = _encode_key(key)
             record = bytes([len(encoded_key)]) + encoded_key + value
             body += struct.pack(">I", len(record)) + record
         return 200, body
@@ -209,18 +256,16 @@
     return records
 
 
-def _make_page(topic: Topic, after: str) -> dict[str, Any]:
-    """Return a page of only two entries. Makes clients read several pages."""
-    keys = sorted(key for key in topic.newest() if key > after)
-    entries = [
-        {
-            "key": key,
-            "value": base64.b64encode(topic.newest()[key][1]).decode(),
-            "offset": topic.newest()[key][0],
-        }
-        for key in keys[:2]
-    ]
-    return {"entries": entries, "has-more": len(keys) > 2, "end": len(topic.records)}
+def _encode_key(key: str) -> bytes:
+    return key.encode(errors="surrogateescape")
+
+
+def _strict_query(target: str) -> dict[str, str] | None:
+    """Parse the query of a target; return None if it holds what RFC 3986 does not allow."""
+    target, _, _ = target.partition("#")
+    if not _TARGET.fullmatch(target):
+        return None
+    return dict(parse_qsl(target.partition("?")[2], keep_blank_values=True))
 
 
 def _encode_json(value: object) -> bytes:
