--- a/packages/turmericweir-core/turmericweir_core/leases/lease_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/leases/lease_flow.py
@@ -403,6 +403,7 @@
     is_copied = event.era > leases.ledger.era > 0 or event.era > state.eras.quiet
     leases.ledger.era = event.era
     malformed_offsets = start_from_newest(leases.ledger, now, event.records, event.end_offset)
+    leases.ledger.has_all_scopes = event.is_complete
     leases.ledger.caught_up_at = now
     if is_copied:
         return _on_copied(state, now, malformed_offsets)
--- a/packages/turmericweir-core/turmericweir_core/messages/events.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/events.py
@@ -277,6 +277,8 @@
     records: tuple[LogRecord, ...]
     end_offset: int
     era: int = 0
+    # No key of the stream is missing.
+    is_complete: bool = True
 
 
 class LogExpired(Struct, frozen=True):
@@ -414,6 +416,8 @@
     era: int = 0
     # The store had no further records.
     is_caught_up: bool = True
+    # The entries are a list that may lack some; what it lacks is not known to be gone.
+    is_partial: bool = False
 
 
 class EntriesUnreadable(Struct, frozen=True):
--- a/packages/turmericweir-core/turmericweir_core/messages/server_messages.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/server_messages.py
@@ -25,6 +25,8 @@
     # were written in it; 0 if the store states none.
     era: int = 0
     era_start: int = 0
+    # Servers that are not in the list may exist.
+    is_partial: bool = False
 
 
 class RegistryRow(Struct, frozen=True, array_like=True):
--- a/packages/turmericweir-core/turmericweir_core/state/registry_state.py
+++ b/packages/turmericweir-core/turmericweir_core/state/registry_state.py
@@ -18,6 +18,8 @@
     offsets: dict[ServerName, int] = field(default_factory=dict)
     # The listed entries reflect all records before this offset.
     read_to: int = 0
+    # Entries may be missing, as the newest list could not be read to its end.
+    is_partial: bool = False
     # The era of the store to which the offsets belong; 0 while none is known.
     era: int = 0
     # All records from this offset on were written in the era, not taken over from a copy.
--- a/packages/turmericweir-core/turmericweir_core/store/registry.py
+++ b/packages/turmericweir-core/turmericweir_core/store/registry.py
@@ -12,6 +12,10 @@
 entry is removed at once. An instance that was partitioned cannot tell its own outage from one of
 the store, so it keeps missing entries for itself alone: they are in nothing that it sends.
 
+A list that could not be read to its end is partial. It removes no entry, and no instance announces
+it as the list of all servers, so that each then reads the store for itself. It is still sent to an
+instance that asks, which may know no server at all.
+
 Offsets order the records of one era of the store (`eras`). A list or an update of an earlier era is
 ignored, and the first read of a new one replaces no entry by an older one that a copy still holds.
 """
@@ -67,7 +71,10 @@
     effects = eras.note_era(state, now, event.era)
     had_outage = now - registry.read_at > _STORE_OUTAGE_S
     had_outage |= _begin_era(state, event.era, _covered_to(event))
-    if event.is_complete and had_outage:
+    is_snapshot = event.is_complete or event.is_partial
+    if is_snapshot:
+        registry.is_partial = event.is_partial
+    if is_snapshot and had_outage:
         stream_bindings.note_gap(state, now)
     store_duty.note_registry_read(state, now)
     # Entries may have changed while the answer was under way or waited for this process.
@@ -127,7 +134,7 @@
 
 def _send_changes(state: State, now: float, rows: list[RegistryRow]) -> list[Effect]:
     """Send changes to the instances that do not read the store."""
-    if not store_duty.is_store_reader(state, now):
+    if state.registry.is_partial or not store_duty.is_store_reader(state, now):
         return []
     servers_hash = server_list.hash_full_entries(_recorded_entries(state).values())
     # Receivers that lack an entry detect it by the hash and request the whole list.
@@ -186,6 +193,7 @@
         read_at = now - max(0, update.age_ms) / _MS
         state.registry.read_at = max(state.registry.read_at, read_at)
         state.registry.read_to = update.end
+        state.registry.is_partial = False
         return effects
     return effects + _request_list(state, now, sender)
 
@@ -213,6 +221,7 @@
         registry.read_to,
         era=registry.era,
         era_start=registry.era_start,
+        is_partial=registry.is_partial,
     )
     return [SendPeer(sender, peer.peer_address, message)]
 
@@ -236,9 +245,13 @@
         if _accepts(registry, listed, entry, offset):
             registry.missing_until.pop(entry.name, None)
             effects += _take_entry(listed, entry)
-    present_names = {entry.name for entry in message.servers}
-    effects += _take_absent(state, now, listed, present_names, message.end, had_outage)
-    registry.read_to = message.end
+    if message.is_partial:
+        registry.is_partial |= registry.read_at == _NEVER
+    else:
+        present_names = {entry.name for entry in message.servers}
+        effects += _take_absent(state, now, listed, present_names, message.end, had_outage)
+        registry.read_to = message.end
+        registry.is_partial = False
     registry.read_at = max(registry.read_at, now - max(0.0, message.age_s))
     effects += _apply_entries(state, now, listed)
     if set(listed) == names_before and not effects:
--- a/packages/turmericweir/turmericweir/servers/read_stats.py
+++ b/packages/turmericweir/turmericweir/servers/read_stats.py
@@ -2,7 +2,8 @@
 
 The store is *slow* from the first read that got no byte within its time limit, until its answers
 have come within the limit for some time. Log lines are written only for these two changes. A store
-that is gone has answered no read late meanwhile.
+that is gone has answered no read late meanwhile. Snapshots of which something is missing are logged
+one by one, as they are rare.
 """
 
 from __future__ import annotations
@@ -18,6 +19,7 @@
 
 # Time without a limit that ran out after which the store counts as quick again.
 _QUICK_AFTER_S: Final = 5.0
+_LOGGED_ERROR_CHARS: Final = 300
 
 
 class ReadStats:
@@ -85,6 +87,16 @@
         self.connections_closed += 1
         self._count("store.connection_closed")
 
-    def _count(self, name: str) -> None:
+    def note_skipped(self, topic: str, count: int, error: str) -> None:
+        """Record entries of a snapshot that could not be decoded, with the error of the first."""
+        self._count("store.entries_skipped", count)
+        logs.write("entries_skipped", topic=topic, count=count, error=error[:_LOGGED_ERROR_CHARS])
+
+    def note_incomplete(self, topic: str, gap: str) -> None:
+        """Record a snapshot that lacks keys, and why."""
+        self._count("store.snapshot_incomplete")
+        logs.write("snapshot_incomplete", topic=topic, gap=gap)
+
+    def _count(self, name: str, by: int = 1) -> None:
         if self._node is not None:
-            self._node.count(name)
+            self._node.count(name, by)
--- a/tests/core/store/test_registry.py
+++ b/tests/core/store/test_registry.py
@@ -446,3 +446,66 @@
     for step in steps:
         step(exchange)
         exchange.check()
+
+
+# --- keys of other writers, and lists that are not read to their end -------------------------
+
+
+def _partial(*entries: tuple[ServerEntry, int], end: int) -> RegistryRead:
+    return RegistryRead(entries, is_partial=True, end=end)
+
+
+def _announcements(world: StoreWorld, read: RegistryRead) -> list[RegistryNews]:
+    messages = [each.message for each in datagrams(world.give(read))]
+    return [each for each in messages if isinstance(each, RegistryNews)]
+
+
+@pytest.mark.parametrize("outage_s", [0.0, 6.0])
+def test_server_that_a_partial_list_lacks_is_kept(outage_s: float) -> None:
+    """Guards against servers that are taken for gone as a list could not be read to its end."""
+    world = StoreWorld(plain=1)
+    world.wait(outage_s)
+    world.give(_partial(end=9))
+    world.wait(3.0)
+    world.give(RegistryRead((), end=9))
+    assert only(world.arrive("1", target=PLAIN), StartAttempt)
+    assert world.state.registry.is_partial
+
+
+def test_partial_list_adds_and_removes_what_it_names() -> None:
+    """Guards against a partial list of which nothing is used."""
+    world = StoreWorld(plain=1)
+    old, new = world.entries[-1], world.entry("shop-9", "shop")
+    removal = ((old.name, 8),)
+    world.give(RegistryRead(((new, 7),), removal, is_partial=True, end=9))
+    assert set(world.state.servers.listed) & {old.name, new.name} == {new.name}
+
+
+def test_complete_list_ends_a_partial_one() -> None:
+    """Guards against an instance that goes on keeping what a later list shows to be gone."""
+    world = StoreWorld(plain=1)
+    world.give(_partial(end=9))
+    world.give(RegistryRead((), is_complete=True, end=10))
+    assert not world.state.registry.is_partial
+    assert not world.state.servers.listed
+
+
+def test_partial_list_is_not_announced() -> None:
+    """Guards against peers that drop the servers that a partial list lacks."""
+    world = StoreWorld(plain=1)
+    world.state.registry.is_fallback_reader = True
+    world.know("b-1")
+    assert _announcements(world, RegistryRead((), end=5))
+    assert not _announcements(world, _partial(end=9))
+    assert not _announcements(world, RegistryRead((), end=9))
+
+
+def test_partial_list_of_a_peer_removes_nothing() -> None:
+    """Guards against a peer whose partial list is taken for the list of all servers."""
+    world = StoreWorld(plain=1)
+    new = world.entry("shop-9", "shop")
+    read_to = world.state.registry.read_to
+    world.peer("b-1", ServersSend(0.0, [new], [7], 9, is_partial=True))
+    assert {new.name, *(each.name for each in world.entries)} <= set(world.state.servers.listed)
+    assert world.state.registry.read_to == read_to
+    assert not world.state.registry.is_partial
--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -16,7 +16,8 @@
 from turmericweir_core.membership import store_duty
 from turmericweir_core.messages.events import Event
 from turmericweir_platform.store import Follower
-from turmericweir_platform.store_client import Position, StoreClient, encode_record
+from turmericweir_platform.store_client import StoreClient
+from turmericweir_platform.store_records import Position, encode_record
 
 EMPTY_PAGE = struct.pack(">QQ", 0, 0)
 
--- a/tests/platform/test_foreign_bytes.py
+++ b/tests/platform/test_foreign_bytes.py
@@ -43,7 +43,8 @@
 from turmericweir_platform.lease_log import _decode_value
 from turmericweir_platform.server_entries import decode_entry, decode_incarnation
 from turmericweir_platform.settings_document import DocumentDecoder, decode_document, read_version
-from turmericweir_platform.store_client import StoreClient, split_records
+from turmericweir_platform.store_client import StoreClient
+from turmericweir_platform.store_records import split_records
 from turmericweir_platform.wire import PlatformWire
 
 ENTRY: Final[dict[str, Any]] = {
@@ -120,10 +121,11 @@
         decode_entry("i-1", json.dumps({**ENTRY, "address": address}).encode())
 
 
-def test_entry_under_a_key_that_fits_into_no_header_is_refused() -> None:
+@pytest.mark.parametrize("key", ["i-\ufffd", "", " ", "i-1 ", " i-1", "i\r\n1", "i\x7f"])
+def test_entry_under_a_key_that_fits_into_no_header_is_refused(key: str) -> None:
     """Guards against calls that fail because the name of their server cannot be sent."""
     with pytest.raises(ValueError, match="key"):
-        decode_entry("i-\ufffd", json.dumps(ENTRY).encode())
+        decode_entry(key, json.dumps(ENTRY).encode())
 
 
 def test_document_is_decoded_or_refused() -> None:
--- a/tests/platform/test_odd_names.py
+++ b/tests/platform/test_odd_names.py
@@ -1,7 +1,8 @@
-"""Entries of other writers in the store, under odd names."""
+"""Entries of other writers in the store: under odd names, odd themselves, or without an end."""
 
 from __future__ import annotations
 
+import time
 from collections.abc import Iterator
 from functools import partial
 from pathlib import Path
@@ -9,9 +10,12 @@
 
 import pytest
 
-from tests.platform.platform_world import PlatformWorld, until
-from tests.platform.standin_store import SERVERS
+from tests.platform.platform_world import Instance, PlatformWorld, until
+from tests.platform.standin_store import MISSING, OPERATOR, OWN, SERVERS
+from tests.platform.test_duties import DUTIES
+from turmericweir_platform.platform_names import LEASES_TOPIC
 
+# Surrogate escapes stand for bytes that are not UTF-8.
 ODD_NAMES: Final = {
     "ampersand": "a&b",
     "parameter": "a&topic=keyed.op",
@@ -25,9 +29,27 @@
     "nul": "a\0",
     "umlaut": "aäb",
     "direction override": "a\u202eb",
+    "replacement character": "a\ufffdb",
+    "empty": "",
+    "not utf-8": "a\udcffb",
+    "continuation byte": "a\udc80",
     "long": "&" * 255,
 }
 FOREIGN_VALUE: Final = b'{"owner": "backup"}'
+ODD_FIELDS: Final[dict[str, dict[str, object]]] = {
+    "value null": {"value": None},
+    "value missing": {"value": MISSING},
+    "value not base64": {"value": "*"},
+    "offset missing": {"offset": MISSING},
+    "offset text": {"offset": "1"},
+    "offset beyond 64 bits": {"offset": 2**70},
+    "offset negative": {"offset": -1},
+    "key null": {"key": None},
+    "key number": {"key": 7},
+    "key missing": {"key": MISSING},
+    "key with half a surrogate": {"key": "a\ud800"},
+}
+TOPICS: Final = {"servers": SERVERS, "settings": OPERATOR, "own records": OWN}
 REQUESTS: Final = 8
 
 
@@ -62,6 +84,17 @@
     assert not any(each.logged("fault") for each in world.running.values())
 
 
+def _has_logged(instance: Instance, event: str) -> bool:
+    return bool(instance.logged(event))
+
+
+def _page_reads(world: PlatformWorld, seconds: float) -> int:
+    """Return how many pages are read in some time."""
+    before = world.store.pages.total()
+    time.sleep(seconds)
+    return world.store.pages.total() - before
+
+
 # --- odd names -------------------------------------------------------------------------------
 
 
@@ -71,3 +104,113 @@
     world.store.write(SERVERS, name, FOREIGN_VALUE)
     _restart_all(world)
     _assert_all_served(world)
+
+
+@pytest.mark.parametrize("topic", TOPICS.values(), ids=TOPICS)
+@pytest.mark.parametrize("page_entries", [1, 2, 500])
+def test_entries_under_odd_names_leave_the_others_of_their_topic(
+    world: PlatformWorld, topic: str, page_entries: int
+) -> None:
+    """Guards against settings or own records that cannot be read beside a foreign entry."""
+    world.store.page_entries = page_entries
+    for name in ODD_NAMES.values():
+        world.store.write(topic, name, FOREIGN_VALUE)
+    _restart_all(world)
+    _assert_all_served(world)
+
+
+def test_settings_are_found_beyond_keys_that_cannot_be_named(world: PlatformWorld) -> None:
+    """Guards against settings that are lost where only a page beyond odd keys holds them."""
+    for name in ("a\udcff", "a\udcfe", ""):
+        world.store.write(OPERATOR, name, FOREIGN_VALUE)
+    world.store.delete_history(OPERATOR)
+    _restart_all(world)
+    _assert_all_served(world)
+
+
+def test_servers_that_join_and_leave_beside_an_odd_name_are_noticed_after_an_outage(
+    world: PlatformWorld,
+) -> None:
+    """Guards against a list that stays as it was before an outage of the store."""
+    for name in ("%7A", "a&b", "a\udcffb"):
+        world.store.write(SERVERS, name, FOREIGN_VALUE)
+    world.store.mode = "reset"
+    for instance in world.running.values():
+        until(partial(_has_logged, instance, "store_lost"), "the store is lost")
+    world.add_server("shop-3", "shop")
+    world.store.write(SERVERS, "shop-1", None)
+    world.store.mode = ""
+    until(
+        lambda: world.send_safe().status == 200 and bool(world.servers["shop-3"].received),
+        "the new server is used",
+    )
+    until(
+        lambda: any(
+            line["peer"] == "shop-1"
+            for each in world.running.values()
+            for line in each.logged("server_removed")
+        ),
+        "the server that left is removed",
+    )
+    _assert_all_served(world)
+
+
+def test_leases_are_granted_beside_odd_names(tmp_path: Path) -> None:
+    """Guards against duties that nobody does while a foreign entry stands among the leases."""
+    with PlatformWorld(tmp_path, duties=dict(DUTIES)) as world:
+        world.store.page_entries = 1
+        world.store.is_strict = True
+        until(lambda: LEASES_TOPIC in world.store.topics, "leases are written")
+        for name in ODD_NAMES.values():
+            world.store.write(LEASES_TOPIC, name, FOREIGN_VALUE)
+        _restart_all(world)
+        before = len(world.duty_standin.accepted)
+        until(lambda: len(world.duty_standin.accepted) > before, "usage is reported again")
+
+
+# --- odd entries and pages -------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("fields", ODD_FIELDS.values(), ids=ODD_FIELDS)
+def test_odd_entry_of_a_page_leaves_the_others(
+    world: PlatformWorld, fields: dict[str, object]
+) -> None:
+    """Guards against one entry that cannot be read and fails the list as a whole."""
+    for topic in TOPICS.values():
+        world.store.write(topic, "foreign", FOREIGN_VALUE)
+    world.store.odd_fields["foreign"] = fields
+    _restart_all(world)
+    _assert_all_served(world)
+
+
+@pytest.mark.parametrize("has_entries", [True, False])
+def test_pages_without_progress_are_read_at_a_bounded_rate(
+    world: PlatformWorld, has_entries: bool
+) -> None:
+    """Guards against reads without a pause where a store gives the same page again and again."""
+    entries = [{"key": "a", "value": "e30=", "offset": 0}] if has_entries else []
+    world.store.odd_pages[SERVERS] = {"entries": entries, "has-more": True, "end": 1}
+    _restart_all(world)
+    _assert_all_served(world)
+    assert _page_reads(world, 2.0) < 20
+    assert any(each.logged("snapshot_incomplete") for each in world.running.values())
+
+
+def test_large_foreign_entries_leave_the_servers(world: PlatformWorld) -> None:
+    """Guards against entries that name no server and use up the room of the whole list."""
+    world.store.page_entries = 2
+    for number in range(40):
+        world.store.write(SERVERS, f"blob-{number}", b"x" * 900_000)
+    _restart_all(world)
+    _assert_all_served(world)
+
+
+def test_entries_that_are_passed_over_are_logged(world: PlatformWorld) -> None:
+    """Guards against a foreign entry of which nothing is written."""
+    world.store.write(SERVERS, "foreign", FOREIGN_VALUE)
+    world.store.odd_fields["foreign"] = {"value": None}
+    _restart_all(world)
+    until(
+        lambda: any(each.logged("entries_skipped") for each in world.running.values()),
+        "the entry is logged",
+    )
--- a/tests/platform/test_own_records.py
+++ b/tests/platform/test_own_records.py
@@ -18,7 +18,8 @@
 from turmericweir_core.messages.events import Event
 from turmericweir_core.messages.record_messages import PutReleases, ReleasesPut
 from turmericweir_platform.own_records import OwnRecords
-from turmericweir_platform.store_client import Position, RecordPage, StoreClient, split_records
+from turmericweir_platform.store_client import StoreClient
+from turmericweir_platform.store_records import Position, RecordPage, split_records
 
 OLD = PutReleases({"lm": [1]})
 NEW = PutReleases({"lm": [1, 2]})
@@ -92,7 +93,7 @@
     ) -> Answer:
         return await store.call(target, raw)
 
-    async def read_newest(_self: StoreClient, _topic: str) -> RecordPage:
+    async def read_newest(_self: StoreClient, _topic: str, **_options: object) -> RecordPage:
         return RecordPage([], Position(0, len(store.records)))
 
     async def main() -> None:
