Keep no offsets of keys that no server has

What callers would see: instances of 300 MB that are killed for their memory.

Cause: each removal, and each record that cannot be decoded, left its offset in the registry for good, also under a key that never named a server.

Evidence: test_removals_of_unknown_keys_take_no_memory fails before and passes. No process was brought over its limit by it.

Why it works: an offset orders records of a server that is known. A record of a key that was never listed changes nothing, and a late update from before is refused by its end.

--- a/packages/turmericweir-core/turmericweir_core/store/registry.py
+++ b/packages/turmericweir-core/turmericweir_core/store/registry.py
@@ -94,6 +94,9 @@
             effects += _take_entry(listed, entry)
             registry.missing_until.pop(entry.name, None)
     for name, offset in event.removed:
+        if name not in listed and name not in registry.offsets:
+            # Any writer may remove, or spoil, any number of keys.
+            continue
         if _accepts_removal(registry, name, offset) and _remove(registry, listed, name):
             rows.append(RegistryRow(offset, name))
             effects.append(_log("server_removed", name, offset=offset))
--- a/tests/core/store/test_registry.py
+++ b/tests/core/store/test_registry.py
@@ -460,6 +460,15 @@
     return [each for each in messages if isinstance(each, RegistryNews)]
 
 
+def test_removals_of_unknown_keys_take_no_memory() -> None:
+    """Guards against a writer of many keys that fills the memory of every instance."""
+    world = StoreWorld(plain=1)
+    before = dict(world.state.registry.offsets)
+    removed = tuple((ServerName(f"foreign-{number}"), 10 + number) for number in range(100))
+    world.give(RegistryRead((), removed, end=200))
+    assert world.state.registry.offsets == before
+
+
 @pytest.mark.parametrize("outage_s", [0.0, 6.0])
 def test_server_that_a_partial_list_lacks_is_kept(outage_s: float) -> None:
     """Guards against servers that are taken for gone as a list could not be read to its end."""
