--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -4,6 +4,7 @@
 
 import struct
 from collections.abc import Callable, Sequence
+from itertools import pairwise
 from typing import Any, cast
 
 import anyio
@@ -15,9 +16,10 @@
 from turmericweir.servers.backend_pool import BackendPool
 from turmericweir_core.membership import store_duty
 from turmericweir_core.messages.events import Event
+from turmericweir_platform.own_records import OwnRecords
 from turmericweir_platform.store import Follower
 from turmericweir_platform.store_client import StoreClient
-from turmericweir_platform.store_records import Position, encode_record
+from turmericweir_platform.store_records import Position, RecordPage, encode_record
 
 EMPTY_PAGE = struct.pack(">QQ", 0, 0)
 
@@ -36,6 +38,9 @@
     def timing(self, _name: str, _seconds: float) -> None:
         """Ignore how long reads took."""
 
+    def count(self, _name: str, by: int = 1) -> None:
+        """Ignore counts."""
+
 
 class _Settings:
     name = "entry-1"
@@ -182,3 +187,34 @@
     world.now += 1.0
     steps = _read(world, topic, _page(3, "one"), _page(3, "two"))
     assert [str(each).partition("from=")[2] for each in steps] == ["1", "2"]
+
+
+class _EnoughError(BaseException):
+    """Ends a task that would go on."""
+
+
+@pytest.mark.parametrize("follow", [Follower.follow_registry, Follower.follow_document])
+def test_task_goes_on_after_errors_that_nobody_foresaw(
+    follow: Callable[[Follower], Any], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a task that pauses longer and longer, or for good, after odd data."""
+    reads = 0
+
+    async def read_newest(*_args: object, **_options: object) -> RecordPage:
+        nonlocal reads
+        reads += 1
+        if reads == 9:
+            raise _EnoughError
+        raise UnicodeEncodeError("ascii", "a", 0, 1, "ordinal not in range")
+
+    async def skip_records(_self: object) -> None:
+        """Read no records of the project's own."""
+
+    monkeypatch.setattr(StoreClient, "read_newest", read_newest)
+    monkeypatch.setattr(OwnRecords, "read_logged", skip_records)
+    pauses: list[float] = []
+    with pytest.raises(BaseExceptionGroup) as raised:
+        run_follower(StoreWorld(), follow, on_sleep=pauses.append)
+    assert raised.group_contains(_EnoughError)
+    assert reads == 9
+    assert max(later - earlier for earlier, later in pairwise(pauses)) <= 0.8
