Refuse entries whose text would spoil a terminal

Cause: the service, zone and version of an entry were taken with any character, and stand in logs, dumps and what turmericctl prints. A direction override or a control sequence of another writer changes what an operator sees there.

Evidence: the nine cases of test_entry_that_would_spoil_a_terminal_is_refused are not refused before (the check is new), and pass now.

--- a/tests/platform/test_foreign_bytes.py
+++ b/tests/platform/test_foreign_bytes.py
@@ -128,6 +128,14 @@
         decode_entry(key, json.dumps(ENTRY).encode())
 
 
+@pytest.mark.parametrize("name", ["service", "zone", "version"])
+@pytest.mark.parametrize("text", ["a\u202eb", "a\x9b2J", "a\nb"])
+def test_entry_that_would_spoil_a_terminal_is_refused(name: str, text: str) -> None:
+    """Guards against an entry of another writer that changes what an operator is shown."""
+    with pytest.raises(ValueError, match=name):
+        decode_entry("i-1", json.dumps({**ENTRY, name: text}).encode())
+
+
 def test_document_is_decoded_or_refused() -> None:
     """Guards against a document that ends the task which follows the settings."""
     for _, raw in all_forms(document(1), 2):
