--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -535,6 +535,7 @@
     growth: bool,
     signals: bool,
     slow: bool,
+    names: bool,
 ) -> type[Soak]:
     # Imported late, as these modules import this one.
     if notices:
@@ -593,6 +594,10 @@
         from tests.platform.soak_slow import SlowSoak
 
         return SlowSoak
+    if names:
+        from tests.platform.soak_names import NameSoak
+
+        return NameSoak
     return Soak
 
 
@@ -635,6 +640,9 @@
     parser.add_argument(
         "--slow", action="store_true", help="ends are slow and close kept connections"
     )
+    parser.add_argument(
+        "--names", action="store_true", help="other writers put odd names into the store"
+    )
     args = parser.parse_args()
     make_soak = _choose_soak(
         notices=args.notices,
@@ -651,6 +659,7 @@
         growth=args.growth,
         signals=args.signals,
         slow=args.slow,
+        names=args.names,
     )
     first, _, last = args.seeds.partition("-")
     failed_seeds = 0
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -12,6 +12,7 @@
 from tests.platform.soak_cuts import CutSoak
 from tests.platform.soak_ends import EndSoak
 from tests.platform.soak_growth import GrowthSoak
+from tests.platform.soak_names import NameSoak
 from tests.platform.soak_notices import NoticeSoak
 from tests.platform.soak_partitions import PartitionSoak
 from tests.platform.soak_repeats import RepeatSoak
@@ -108,3 +109,9 @@
 def test_slow_ends_that_close_connections_are_used_in_random_trouble(tmp_path: Path) -> None:
     # Guards against a slow store, or one that closes kept connections, that counts as gone.
     assert not soak.run(1, 12.0, tmp_path, SlowSoak)
+
+
+def test_records_of_other_writers_are_borne_in_random_trouble(tmp_path: Path) -> None:
+    # Guards against names of other writers that hide servers, settings or streams, where all
+    # instances are killed and the store comes back from copies.
+    assert not soak.run(1, 12.0, tmp_path, NameSoak)
