--- a/tests/platform/test_own_records.py
+++ b/tests/platform/test_own_records.py
@@ -16,7 +16,7 @@
 from turmericweir.servers.backend_call import Answer
 from turmericweir.servers.backend_pool import BackendPool
 from turmericweir_core.messages.events import Event
-from turmericweir_core.messages.record_messages import PutReleases, ReleasesPut
+from turmericweir_core.messages.record_messages import PutReleases, RecordsRead, ReleasesPut
 from turmericweir_platform.own_records import OwnRecords
 from turmericweir_platform.store_client import StoreClient
 from turmericweir_platform.store_records import Position, RecordPage, split_records
@@ -84,7 +84,9 @@
         """Discard a duration."""
 
 
-def run(store: LateStore, steps: list[Callable[[OwnRecords], Any]]) -> list[Event]:
+def run(
+    store: LateStore, steps: list[Callable[[OwnRecords], Any]], *, is_complete: bool = True
+) -> list[Event]:
     """Run steps on a client of a store; return the events of the client."""
     node = _Node()
 
@@ -94,7 +96,8 @@
         return await store.call(target, raw)
 
     async def read_newest(_self: StoreClient, _topic: str, **_options: object) -> RecordPage:
-        return RecordPage([], Position(0, len(store.records)))
+        end = Position(0, len(store.records))
+        return RecordPage([], end, is_complete=is_complete)
 
     async def main() -> None:
         records = OwnRecords(cast(BackendPool, None), "127.0.0.1:1", "entry-1")
@@ -177,3 +180,10 @@
     events = run(store, [write_both])
     assert store.newest("releases") == NEW.releases
     assert [each for each in events if isinstance(each, ReleasesPut)][-1].releases == NEW.releases
+
+
+@pytest.mark.parametrize("is_complete", [True, False])
+def test_incomplete_records_without_the_releases_are_not_used(is_complete: bool) -> None:
+    """Guards against streams of two releases that are taken for streams of one."""
+    events = run(LateStore(), [OwnRecords.read_logged], is_complete=is_complete)
+    assert any(isinstance(each, RecordsRead) for each in events) == is_complete
