--- a/tests/platform/test_odd_names.py
+++ b/tests/platform/test_odd_names.py
@@ -128,12 +128,17 @@
     _assert_all_served(world)
 
 
-def test_servers_that_join_and_leave_beside_an_odd_name_are_noticed_after_an_outage(
-    world: PlatformWorld,
+@pytest.mark.parametrize("is_without_progress", [False, True])
+def test_servers_that_join_and_leave_beside_odd_entries_are_noticed_after_an_outage(
+    world: PlatformWorld, is_without_progress: bool
 ) -> None:
     """Guards against a list that stays as it was before an outage of the store."""
-    for name in ("%7A", "a&b", "a\udcffb"):
-        world.store.write(SERVERS, name, FOREIGN_VALUE)
+    for topic in TOPICS.values():
+        for name in ("%7A", "a&b", "a\udcffb", "odd"):
+            world.store.write(topic, name, FOREIGN_VALUE)
+        if is_without_progress:
+            world.store.odd_pages[topic] = {"entries": [], "has-more": True, "end": 1}
+    world.store.odd_fields["odd"] = {"value": None}
     world.store.mode = "reset"
     for instance in world.running.values():
         until(partial(_has_logged, instance, "store_lost"), "the store is lost")
@@ -183,13 +188,14 @@
     _assert_all_served(world)
 
 
+@pytest.mark.parametrize("topic", TOPICS.values(), ids=TOPICS)
 @pytest.mark.parametrize("has_entries", [True, False])
 def test_pages_without_progress_are_read_at_a_bounded_rate(
-    world: PlatformWorld, has_entries: bool
+    world: PlatformWorld, topic: str, has_entries: bool
 ) -> None:
     """Guards against reads without a pause where a store gives the same page again and again."""
     entries = [{"key": "a", "value": "e30=", "offset": 0}] if has_entries else []
-    world.store.odd_pages[SERVERS] = {"entries": entries, "has-more": True, "end": 1}
+    world.store.odd_pages[topic] = {"entries": entries, "has-more": True, "end": 1}
     _restart_all(world)
     _assert_all_served(world)
     assert _page_reads(world, 2.0) < 20
