--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import struct
+import tracemalloc
 from collections.abc import Callable, Sequence
 from itertools import pairwise
 from typing import Any, cast
@@ -19,7 +20,8 @@
 from turmericweir_platform.own_records import OwnRecords
 from turmericweir_platform.store import Follower
 from turmericweir_platform.store_client import StoreClient
-from turmericweir_platform.store_records import Position, RecordPage, encode_record
+from turmericweir_platform.store_records import Position, Record, RecordPage, encode_record
+from turmericweir_platform.store_snapshot import Keep
 
 EMPTY_PAGE = struct.pack(">QQ", 0, 0)
 
@@ -218,3 +220,23 @@
     assert raised.group_contains(_EnoughError)
     assert reads == 9
     assert max(later - earlier for earlier, later in pairwise(pauses)) <= 0.8
+
+
+def test_errors_of_many_foreign_entries_take_no_memory(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a list whose unreadable entries fill the memory with their errors."""
+    peak_bytes = 0
+
+    async def read_newest(*_args: object, keep: Keep, **_options: object) -> RecordPage:
+        nonlocal peak_bytes
+        tracemalloc.start()
+        for number in range(20_000):
+            keep(Record(f"foreign-{number}", b"{}", number))
+        _, peak_bytes = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        return RecordPage([], Position(0, 20_000))
+
+    monkeypatch.setattr(StoreClient, "read_newest", read_newest)
+    world = StoreWorld()
+    run_follower(world, Follower._read_first_entries)
+    assert world.state.registry.unreadable_count == 20_000
+    assert peak_bytes < 100_000
