End a request that cannot be written as HTTP without blaming a server

What callers saw: a value that HTTP does not allow in a header (the name of a customer with a NUL or a line end, the id of an event) ended the attempt with LocalProtocolError before a byte was sent. It is among TRANSPORT_ERRORS, so the attempt counted as one that the server lost: the way to it was suspected, the next server was tried, and so on. Others waited for servers to which nothing had been sent.

Cause: the parser's refusal of our own request was taken for an error of the transport.

Change: BackendConnection.send finds the field that the parser refused and raises UnsendableError. It ends the attempt with EndUnsendable: the request ends with reason `unsendable`, not_run if nothing ran before, no retry is charged, no server and no way is blamed, and the log names the field and its value, bounded. A refusal for which no field is found, as for a connection in another state, is an error of the transport as before. Nothing is looked at unless the parser refuses, so requests cost the same.

--- a/packages/turmericweir-core/turmericweir_core/base/reasons.py
+++ b/packages/turmericweir-core/turmericweir_core/base/reasons.py
@@ -36,6 +36,8 @@
     # This instance holds as much for callers and servers as its memory allows.
     MEMORY_SHORT = "memory_short"
     DISPLACED = "displaced"
+    # A value in it, of the settings or of an earlier answer, cannot be sent to any server.
+    UNSENDABLE = "unsendable"
     CLAIM_UNAVAILABLE = "claim_unavailable"
     # The idempotency key was used before with another request.
     KEY_REUSED = "key_reused"
@@ -75,6 +77,7 @@
     Reason.STOPPING: "This instance is stopping and takes no new requests.",
     Reason.MEMORY_SHORT: "This instance holds too much for other callers to take this request.",
     Reason.DISPLACED: "Work of a more urgent class took the place of this request.",
+    Reason.UNSENDABLE: "This request, or what goes with it, cannot be written for a server.",
     Reason.CLAIM_UNAVAILABLE: (
         "The idempotency key could not be claimed; send the request again with the same key only, "
         "as an earlier one may have run."
--- a/packages/turmericweir-core/turmericweir_core/messages/events.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/events.py
@@ -76,6 +76,12 @@
     incarnation: str
 
 
+class EndUnsendable(Struct, frozen=True):
+    """Nothing was sent: the request cannot be written as HTTP, to this server or any other."""
+
+    error: str
+
+
 class EndBroken(Struct, frozen=True):
     """The connection broke or became unresponsive after the server may have got the request."""
 
@@ -100,7 +106,14 @@
 
 
 AttemptEnd: TypeAlias = (
-    EndComplete | EndRefused | EndUnsent | EndMisplaced | EndBroken | EndServerError | EndCancelled
+    EndComplete
+    | EndRefused
+    | EndUnsent
+    | EndMisplaced
+    | EndUnsendable
+    | EndBroken
+    | EndServerError
+    | EndCancelled
 )
 
 
--- a/packages/turmericweir-core/turmericweir_core/placement/attempt_accounting.py
+++ b/packages/turmericweir-core/turmericweir_core/placement/attempt_accounting.py
@@ -24,6 +24,7 @@
     EndMisplaced,
     EndRefused,
     EndServerError,
+    EndUnsendable,
     EndUnsent,
     ServerReport,
 )
@@ -105,7 +106,7 @@
             if attempt.cancel_reason not in (CancelReason.UNRESPONSIVE, CancelReason.SERVER_DEAD):
                 return
             failed = True
-        case EndMisplaced() | EndUnsent(is_declined=True):
+        case EndMisplaced() | EndUnsendable() | EndUnsent(is_declined=True):
             return
         case EndRefused() | EndUnsent() | EndBroken() | EndServerError():
             failed = True
@@ -133,6 +134,8 @@
             return "broken" if attempt.sent else "unsent"
         case EndMisplaced():
             return "broken" if attempt.sent else "misplaced"
+        case EndUnsendable():
+            return "unsendable"
         case EndBroken():
             return "broken"
         case EndServerError():
--- a/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
@@ -34,6 +34,7 @@
     EndMisplaced,
     EndRefused,
     EndServerError,
+    EndUnsendable,
     EndUnsent,
     ServerIdentified,
 )
@@ -315,6 +316,11 @@
             error = f"{incarnation or 'nothing'} for {attempt.listed_incarnation or 'nothing'}"
             effects += _retry_or_finish(state, now, req, attempt, Reason.NO_SERVER, None)
             return [_failure_log(req, attempt, "misplaced", error), *effects]
+        case EndUnsendable(error):
+            # No server is at fault, and no other one could be sent it.
+            outcome = unanswered_outcome(req)
+            effects = finish(state, now, req, outcome, Reason.UNSENDABLE, server=attempt.server)
+            return [_failure_log(req, attempt, "unsendable", error), *effects]
         case EndBroken(error, server_alive, is_malformed):
             req.may_have_run = True
             logs: list[Effect] = [_failure_log(req, attempt, "broken", error)]
--- a/packages/turmericweir-core/turmericweir_core/trust/outlier.py
+++ b/packages/turmericweir-core/turmericweir_core/trust/outlier.py
@@ -24,6 +24,7 @@
     EndMisplaced,
     EndRefused,
     EndServerError,
+    EndUnsendable,
     EndUnsent,
 )
 from turmericweir_core.state.outlier_state import FailureKind, Result, add_result
@@ -59,7 +60,7 @@
             return FailureKind.REFUSED
         case EndUnsent(is_declined=is_declined):
             return None if is_declined else FailureKind.UNREACHABLE
-        case EndMisplaced():
+        case EndMisplaced() | EndUnsendable():
             return None
         case EndCancelled():
             match attempt.cancel_reason:
--- a/packages/turmericweir/turmericweir/process/errors.py
+++ b/packages/turmericweir/turmericweir/process/errors.py
@@ -49,6 +49,13 @@
         self.was_sent = was_sent
 
 
+class UnsendableError(CallError):
+    """A call cannot be written as HTTP, so nothing of it was sent; its peer is not at fault."""
+
+    def __init__(self, peer: str, detail: str) -> None:
+        super().__init__("make request", peer, detail, was_sent=False)
+
+
 class PeerError(DaemonError):
     """A frame from another instance is invalid, or a stream to it broke."""
 
--- a/packages/turmericweir/turmericweir/servers/backend_attempt.py
+++ b/packages/turmericweir/turmericweir/servers/backend_attempt.py
@@ -16,7 +16,7 @@
 
 from turmericweir.answers.answer_record import AnswerRecord
 from turmericweir.process import logs
-from turmericweir.process.errors import CallError, describe_error
+from turmericweir.process.errors import CallError, UnsendableError, describe_error
 from turmericweir.servers.answer_size import AnswerTooLargeError
 from turmericweir.servers.backend_call import TRANSPORT_ERRORS, FirstByteCallback, call, read_body
 from turmericweir.servers.backend_pool import IDLE_MAX_S, VERIFIED_IDLE_MAX_S
@@ -33,6 +33,7 @@
     EndComplete,
     EndMisplaced,
     EndRefused,
+    EndUnsendable,
     EndUnsent,
     ServerIdentified,
 )
@@ -214,6 +215,8 @@
                 await self.pool.release(address, conn)
         except UnidentifiedError:
             return EndMisplaced("")
+        except UnsendableError as exc:
+            return EndUnsendable(exc.detail)
         except AnswerTooLargeError as exc:
             return self.reject_oversized(describe_error(exc))
         except TRANSPORT_ERRORS as exc:
--- a/packages/turmericweir/turmericweir/servers/backend_pool.py
+++ b/packages/turmericweir/turmericweir/servers/backend_pool.py
@@ -17,6 +17,8 @@
 import h11
 import httpcore
 
+from turmericweir.process.errors import UnsendableError
+from turmericweir.process.request_fields import find_unsendable
 from turmericweir.servers.backend_stream import CONNECT_TIMEOUT_S, BackendStream, connect
 from turmericweir.servers.closed_connections import ClosedUnderCalls
 from turmericweir.servers.late_calls import LateCalls
@@ -116,7 +118,8 @@
 
         Calls `before_write` on the open connection just before the first byte is written, which is
         before the server can start. An answer whose status does not end a request is an error of
-        the protocol, and the connection carries no other request.
+        the protocol, and the connection carries no other request. Raises `UnsendableError` for a
+        request that cannot be written.
         """
         self.has_sent = self.has_carried_request = True
         self._stream.before_write = before_write
@@ -127,6 +130,11 @@
             has_begun = self._stream.framing.has_begun
             self.was_closed_under_call = self.is_reused and not has_begun and _is_closed_by(exc)
             raise
+        except httpcore.LocalProtocolError as exc:
+            field = find_unsendable(request)
+            if field is None:
+                raise
+            raise UnsendableError(_address_of(request), field) from exc
         if response.status not in _FINAL_STATUSES:
             raise httpcore.RemoteProtocolError(f"status {response.status} does not end a request")
         return response
@@ -184,6 +192,10 @@
                 await self._http.aclose()
 
 
+def _address_of(request: httpcore.Request) -> str:
+    return f"{request.url.host.decode()}:{request.url.port}"
+
+
 def _is_closed_by(exc: Exception) -> bool:
     """Return whether the other end has closed a connection, rather than the path to it failed."""
     return exc.__cause__ is None or isinstance(exc.__cause__, ConnectionError)
--- a/packages/turmericweir/turmericweir/servers/server_life.py
+++ b/packages/turmericweir/turmericweir/servers/server_life.py
@@ -23,6 +23,7 @@
 import anyio
 import httpcore
 
+from turmericweir.process.errors import UnsendableError
 from turmericweir.servers.backend_call import (
     ANSWER_MAX_BYTES,
     TRANSPORT_ERRORS,
@@ -242,7 +243,7 @@
             answer: Answer = await self._pool.checks.run(
                 self._start.address, partial(self._exchange, conn)
             )
-        except (TimeoutError, *TRANSPORT_ERRORS):
+        except (TimeoutError, UnsendableError, *TRANSPORT_ERRORS):
             return None
         return answer
 
--- a/tests/core/trust/test_retry_charges.py
+++ b/tests/core/trust/test_retry_charges.py
@@ -19,6 +19,7 @@
     EndMisplaced,
     EndRefused,
     EndServerError,
+    EndUnsendable,
     EndUnsent,
 )
 from turmericweir_core.placement import dispatch
@@ -31,6 +32,7 @@
     (EndRefused(421, True), RetryCause.LEAVING),
     (EndUnsent("reported after the first byte"), RetryCause.SERVER_GONE),
     (EndMisplaced("reported after the first byte"), RetryCause.SERVER_GONE),
+    (EndUnsendable("header x"), None),
     (EndBroken("reset", server_alive=True), RetryCause.BROKEN),
     (EndBroken("reset", server_alive=False), RetryCause.SERVER_GONE),
     (EndServerError(500), RetryCause.SERVER_ERROR),
