Resume a stream only after ids that a request can have

Cause: the id of the last event went into Last-Event-Id as it stood. The standard of event streams says to ignore an id with a NUL.

Change: the last id of an event that can be sent and has at most 4,096 bytes counts; the others count as none. The stream then resumes after an earlier event, and the server sends again what the caller has. Those events are left out: as many events with an id as the caller has received after the one that is named. Events without an id, such as pings, are not counted, since they need not come again.

A property plays breaks at random among ids of each kind.

--- a/packages/turmericweir/turmericweir/answers/forward_answer.py
+++ b/packages/turmericweir/turmericweir/answers/forward_answer.py
@@ -32,6 +32,7 @@
         "_unsent",
         "_wire",
         "caller",
+        "events_after_id",
         "last_event_id",
     )
 
@@ -43,9 +44,11 @@
     _headers: Headers
     # Received bytes that were not written yet.
     _unsent: bytes
-    # The id of the last complete event that was written or buffered, over all attempts. Initially
-    # the id from which the caller resumes the stream.
+    # The id of the last complete event that was written or buffered, over all attempts, of those
+    # whose ids can be sent. Initially the id from which the caller resumes the stream.
     last_event_id: bytes
+    # The number of events with an id that were written or buffered after that one.
+    events_after_id: int
     # Whether a part of the body was received, after which the head is fixed.
     _has_body: bool
     # The error answer of a server: status, headers, body.
@@ -65,6 +68,7 @@
         self._headers = []
         self._unsent = b""
         self.last_event_id = resume_after
+        self.events_after_id = 0
         self._has_body = False
         self._error_answer = None
 
--- a/packages/turmericweir/turmericweir/answers/forward_events.py
+++ b/packages/turmericweir/turmericweir/answers/forward_events.py
@@ -2,6 +2,9 @@
 
 A server may fail in the middle of an event. Another server then resumes after the last complete
 event, so only complete events of a resumable stream are forwarded.
+
+An id that cannot be sent names no event to the other server. The stream then resumes after an
+earlier event, and the events that the caller has by then are left out.
 """
 
 from __future__ import annotations
@@ -11,6 +14,7 @@
 from typing import Final
 
 from turmericweir.process.foreign_data import parse_count
+from turmericweir.process.request_fields import is_sendable_value
 
 _END: Final = b"\n\n"
 _LINE_END: Final = re.compile(rb"\r\n|\n|\r(?!\n)")
@@ -21,23 +25,34 @@
 # Limit of the bytes of an incomplete event that are scanned again with the next chunk.
 _REST_MAX_BYTES: Final = 4096
 _ID: Final = b"id:"
+# A longer id might not fit into the head of a request.
+_ID_MAX_BYTES: Final = 4096
+# Stands for the id of an event whose ids cannot be sent.
+_UNSENDABLE: Final = b""
 
 
 class EventSplitter:
     """Splits the chunks of one attempt and records the id of the last event."""
 
-    __slots__ = ("_buffer", "_resume_after", "last_event_id")
+    __slots__ = ("_buffer", "_ids_seen", "_resume_after", "events_after_id", "last_event_id")
 
     # The bytes after the last complete event.
     _buffer: bytes
     # The event id after which this attempt resumes; empty for a new stream.
     _resume_after: bytes
+    # Events with an id in this attempt, after the last one whose id can be sent.
+    _ids_seen: int
+    # The last id that can be sent.
     last_event_id: bytes
+    # The number of later events with an id that the caller has, of this attempt or earlier ones.
+    events_after_id: int
 
-    def __init__(self, resume_after: bytes) -> None:
+    def __init__(self, resume_after: bytes, events_after_id: int = 0) -> None:
         self._buffer = b""
+        self._ids_seen = 0
         self._resume_after = resume_after
         self.last_event_id = resume_after
+        self.events_after_id = events_after_id
 
     def take_rest(self) -> bytes:
         """Return the bytes after the last event at the end of a complete stream."""
@@ -62,12 +77,24 @@
             event_id = _event_id(event)
             if event_id and _is_duplicate(event_id, self._resume_after):
                 continue
-            if event_id:
-                self.last_event_id = event_id
+            if event_id is not None and not self._note_id(event_id):
+                continue
             # The byte order mark of a resumed stream would stand within the joined one.
             new_events.append(event.removeprefix(_BYTE_ORDER_MARK) if self._resume_after else event)
         return b"".join(new_events), len(new_events)
 
+    def _note_id(self, event_id: bytes) -> bool:
+        """Record the id of an event; return whether the caller does not have the event yet."""
+        self._ids_seen += 1
+        is_new = self._ids_seen > self.events_after_id
+        if is_new:
+            self.events_after_id = self._ids_seen
+        if event_id != _UNSENDABLE:
+            self.last_event_id = event_id
+            self.events_after_id -= self._ids_seen
+            self._ids_seen = 0
+        return is_new
+
 
 class EventTracker:
     """Counts the events of a stream and tracks whether the last one is complete, and its size.
@@ -127,11 +154,20 @@
     return bool(unfinished_line) or any(line and not line.startswith(b":") for line in lines)
 
 
-def _event_id(event: bytes) -> bytes:
+def _event_id(event: bytes) -> bytes | None:
+    """Return the last id of an event that can be sent, `_UNSENDABLE`, or None without an id."""
+    event_id = None
     for line in _LINE_END.split(event.removeprefix(_BYTE_ORDER_MARK)):
-        if line.startswith(_ID):
-            return line[len(_ID) :].strip()
-    return b""
+        text = line[len(_ID) :].strip() if line.startswith(_ID) else b""
+        if text and _can_be_sent(text):
+            event_id = text
+        elif text and event_id is None:
+            event_id = _UNSENDABLE
+    return event_id
+
+
+def _can_be_sent(event_id: bytes) -> bool:
+    return len(event_id) <= _ID_MAX_BYTES and is_sendable_value(event_id)
 
 
 def _is_duplicate(event_id: bytes, resume_after: bytes) -> bool:
--- a/packages/turmericweir/turmericweir/servers/forward.py
+++ b/packages/turmericweir/turmericweir/servers/forward.py
@@ -308,7 +308,9 @@
         answer = self._job.answer
         # A caller that has as many bytes as announced would take a broken stream for complete.
         answer.begin_answer(response.status, _without_length(headers))
-        splitter = EventSplitter(answer.last_event_id) if self._call.resumable else None
+        splitter = None
+        if self._call.resumable:
+            splitter = EventSplitter(answer.last_event_id, answer.events_after_id)
         tracker = EventTracker()
         event_max_bytes = self._node.answer_bounds.event_bytes
         try:
@@ -321,6 +323,7 @@
                 if splitter is not None:
                     data, events = splitter.split_chunk(chunk)
                     answer.last_event_id = splitter.last_event_id
+                    answer.events_after_id = splitter.events_after_id
                 answer.buffer_body(data)
                 if events:
                     self._report_progress(events)
--- a/tests/daemon/test_forward_events.py
+++ b/tests/daemon/test_forward_events.py
@@ -5,6 +5,8 @@
 from itertools import pairwise
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from turmericweir.answers.forward_events import EventSplitter, EventTracker
 
@@ -60,3 +62,50 @@
     assert first.split_chunk(event) == (event, 1)
     assert first.last_event_id == b"2"
     assert EventSplitter(b"1").split_chunk(event) == (event[3:], 1)
+
+
+@pytest.mark.parametrize(
+    ("event", "expected"),
+    [
+        (b"id: 2\0\ndata: a\n\n", b"1"),
+        (b"id: 2\nid: 3\0\ndata: a\n\n", b"2"),
+        (b"id: 3\0\nid: 2\ndata: a\n\n", b"2"),
+        (b"id: 2\nid: 3\ndata: a\n\n", b"3"),
+        (b"id: 2\x0b3\ndata: a\n\n", b"1"),
+        (b"id: " + b"2" * 5000 + b"\ndata: a\n\n", b"1"),
+        (b"id:\ndata: a\n\n", b"1"),
+        (b"id: 2\x01\ndata: a\n\n", b"2\x01"),
+    ],
+)
+def test_last_id_that_can_be_sent_counts(event: bytes, expected: bytes) -> None:
+    """Guards against a stream that is resumed after an id which no request can have."""
+    splitter = EventSplitter(b"1")
+    assert splitter.split_chunk(event) == (event, 1)
+    assert splitter.last_event_id == expected
+
+
+@given(
+    st.lists(st.sampled_from(["sendable", "unsendable", "none"]), max_size=12),
+    st.lists(st.integers(0, 12), max_size=4),
+    st.booleans(),
+)
+def test_resumed_stream_has_each_event_with_an_id_once(
+    kinds: list[str], breaks: list[int], renames: bool
+) -> None:
+    """Guards against events that are repeated or lost where an id cannot be sent."""
+    number_of = {b"id-%d" % number: number for number in range(len(kinds))}
+    odd_ids = {"unsendable": b"id-%d\0", "none": None}
+    last_id, after_id, received = b"id-x", 0, b""
+    for attempt, end in enumerate([*breaks, len(kinds)]):
+        splitter = EventSplitter(last_id, after_id)
+        for number in range(number_of.get(last_id, -1) + 1, min(end, len(kinds))):
+            form = odd_ids.get(kinds[number], b"id-%d")
+            if form is not None and renames and attempt:
+                # Another server may have ids that can be sent.
+                form = b"id-%d"
+            line = b"" if form is None else b"id: " + form % number + b"\n"
+            received += splitter.split_chunk(line + b"data: %d.\n\n" % number)[0]
+        last_id, after_id = splitter.last_event_id, splitter.events_after_id
+    for number, kind in enumerate(kinds):
+        count = received.count(b"data: %d.\n" % number)
+        assert count == 1 or (kind == "none" and count >= 1)
--- a/tests/platform/standin_server.py
+++ b/tests/platform/standin_server.py
@@ -71,6 +71,8 @@
     version: str = ""
     event_count: int = 6
     has_event_ids: bool = True
+    # The ids of its events by their numbers, where they are not the numbers.
+    event_ids: dict[int, bytes] = field(default_factory=dict)
     event_interval_s: float = 0.0
     # Whether a connection carries other requests after a stream.
     keeps_streams: bool = False
@@ -354,8 +356,8 @@
         parts = [self.plain_body] if self.plain_body else [b"by ", self.name.encode()]
         if self.is_streaming:
             answer_headers = {**answer_headers, "Content-Type": "text/event-stream"}
-            numbers = range(int(call.headers.get("last-event-id") or "-1") + 1, self.event_count)
-            parts = [_event(number, self.version, has_id=self.has_event_ids) for number in numbers]
+            numbers = range(self._last_number(call) + 1, self.event_count)
+            parts = [self._event(number) for number in numbers]
         form = self.forms.pop(0)
         is_complete = await write_answer(call, form, answer_headers, parts, self.event_interval_s)
         request.outcome = "complete" if is_complete else "reset"
@@ -413,8 +415,7 @@
         self, call: Call, caller_left: asyncio.Task[None], mode: str, request: ReceivedRequest
     ) -> bool:
         """Write the events of a stream; return whether they are all written."""
-        last_event_id = int(call.headers.get("last-event-id") or "-1")
-        for number in range(last_event_id + 1, self.event_count):
+        for number in range(self._last_number(call) + 1, self.event_count):
             if mode == "cut" and number == self.event_count // 2:
                 # Ends in the middle of an event.
                 await call.write(chunk(f"id: {number}\ndata: ha".encode()))
@@ -427,18 +428,28 @@
             if caller_left.done():
                 request.outcome = "abandoned"
                 return False
-            await call.write(chunk(_event(number, self.version)))
+            await call.write(chunk(self._event(number)))
             if self.event_interval_s:
                 await asyncio.sleep(self.event_interval_s)
         return True
 
+    def _last_number(self, call: Call) -> int:
+        """Return the number of the event that the caller names as its last; -1 for none."""
+        event_id = call.headers.get("last-event-id", "")
+        numbers = {each.decode("latin-1"): number for number, each in self.event_ids.items()}
+        return numbers[event_id] if event_id in numbers else int(event_id or "-1")
+
+    def _event(self, number: int) -> bytes:
+        event_id = self.event_ids.get(number, b"%d" % number) if self.has_event_ids else None
+        return _event(number, self.version, event_id)
+
 
 def stream_of(count: int, version: str = "") -> bytes:
     """Return the whole body of a stream."""
-    return b"".join(_event(number, version) for number in range(count))
+    return b"".join(_event(number, version, b"%d" % number) for number in range(count))
 
 
-def _event(number: int, version: str, *, has_id: bool = True) -> bytes:
+def _event(number: int, version: str, event_id: bytes | None) -> bytes:
     data = f"piece {number} {version}".rstrip()
-    id_line = f"id: {number}\n" if has_id else ""
-    return f"{id_line}data: {data}\n\n".encode()
+    id_line = b"" if event_id is None else b"id: " + event_id + b"\n"
+    return id_line + f"data: {data}\n\n".encode()
--- /dev/null
+++ b/tests/platform/test_odd_values.py
@@ -0,0 +1,84 @@
+"""Values of other writers that would become parts of requests, and cannot be sent."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Final
+
+import pytest
+
+from tests.platform.platform_world import PlatformWorld
+from tests.platform.standin_answers import AnswerForm, Break
+
+# The last event before the break.
+ODD_NUMBER: Final = 2
+# Each with the id that a resumed stream names: the odd one, or the last one before it.
+EVENT_IDS: Final = {
+    "nul": (b"2\0", b"1"),
+    "vertical tab": (b"2\x0b2", b"1"),
+    "form feed": (b"2\x0c2", b"1"),
+    "60 kB": (b"2" * 60_000, b"1"),
+    "control character": (b"2\x012", b"2\x012"),
+    "escape sequence": (b"\x1b[2J", b"\x1b[2J"),
+    "umlaut": ("ä".encode(), "ä".encode()),
+    "blank": (b"2 2", b"2 2"),
+    "delete": (b"2\x7f", b"2\x7f"),
+    "plain": (b"2", b"2"),
+}
+# What must be in no log: no server is at fault.
+BLAMES: Final = ("path_lost", "paths_suspected", "server_ejected", "quarantined", "fault")
+PIECES: Final = [f"piece {number}" for number in range(6)]
+STREAMS: Final = 6
+
+
+@pytest.fixture(scope="module")
+def world(tmp_path_factory: pytest.TempPathFactory) -> Iterator[PlatformWorld]:
+    """Yield three engines, two plain servers and two instances."""
+    with PlatformWorld(tmp_path_factory.mktemp("odd"), engines=3, instances=2) as world:
+        yield world
+
+
+@pytest.fixture(autouse=True)
+def _sound_again(world: PlatformWorld) -> Iterator[None]:
+    """Check that nobody was blamed, and undo what the test has set."""
+    seen = {name: len(each.process.lines) for name, each in world.running.items()}
+    yield
+    for server in world.servers.values():
+        server.event_ids = {}
+        server.forms = []
+    for name, instance in world.running.items():
+        lines = list(instance.process.lines)[seen[name] :]
+        assert not [line for line in lines if any(f'"{blame}"' in line for blame in BLAMES)]
+        assert not [line for line in lines if "LocalProtocolError" in line]
+
+
+def _break_next_stream(world: PlatformWorld) -> None:
+    """Make the next stream end after its first half, at whichever engine gets it."""
+    forms = [AnswerForm(breaks=Break.AFTER_PART)]
+    for server in world.servers.values():
+        if server.is_streaming:
+            server.forms = forms
+
+
+def _set_event_ids(world: PlatformWorld, event_ids: dict[int, bytes]) -> None:
+    for server in world.servers.values():
+        server.event_ids = event_ids
+
+
+# --- ids of events ---------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(("event_id", "named"), EVENT_IDS.values(), ids=EVENT_IDS)
+def test_stream_is_whole_whatever_the_ids_of_its_events(
+    world: PlatformWorld, event_id: bytes, named: bytes
+) -> None:
+    """Guards against a stream that ends, and servers that are suspected, for an id of an event."""
+    _set_event_ids(world, {ODD_NUMBER: event_id})
+    for number in range(STREAMS):
+        _break_next_stream(world)
+        request_id = world.new_id()
+        instance = f"entry-{1 + number % 2}"
+        answer = world.send("/lm/chat/", request_id=request_id, instance=instance)
+        assert (answer.status, answer.is_cut, answer.event_data) == (200, False, PIECES)
+        _, resumed = sorted(world.runs(request_id), key=lambda run: run.received_at)
+        assert resumed.headers["last-event-id"] == named.decode("latin-1")
