Send no second run of a stream that nothing can be joined to

What callers saw: nothing new, their stream ended either way. A stream whose events have no id that can be sent, broken off by its server, was sent to the next server and the one after it without Last-Event-Id. Each ran it from its beginning, and its answer was then refused as no continuation: two whole runs for nothing (3 runs of one request), and two malformed answers held against sound servers.

Cause: whether an answer can follow what the caller has was asked only once the answer had begun.

Change: it is asked before anything is sent. The attempt ends as one that cannot be sent, so the stream ends at once and nobody is blamed.

Before: test_odd_values, ids that all have a NUL: 3 runs where 1 is wanted. The stubs of test_forward_job have a real answer now, which the attempt asks.

--- a/packages/turmericweir/turmericweir/servers/forward.py
+++ b/packages/turmericweir/turmericweir/servers/forward.py
@@ -41,6 +41,7 @@
     EndBroken,
     EndComplete,
     EndServerError,
+    EndUnsendable,
 )
 
 if TYPE_CHECKING:
@@ -185,6 +186,10 @@
     async def run(self) -> AttemptEnd:
         """Run the attempt to its end."""
         try:
+            if not self._job.answer.can_be_joined:
+                return EndUnsendable(
+                    "the caller has a part of an answer without ids to go on after"
+                )
             return await self._attempt.run(
                 self._make_request,
                 self._consume,
--- a/tests/daemon/test_forward_job.py
+++ b/tests/daemon/test_forward_job.py
@@ -11,6 +11,7 @@
 import anyio
 import pytest
 
+from turmericweir.answers.caller_answer import Caller
 from turmericweir.answers.forward_answer import ForwardAnswer
 from turmericweir.answers.forward_wire import ForwardCall, WireAdapter
 from turmericweir.process.node import Node
@@ -46,8 +47,12 @@
     assert not [each for each in gc.get_objects() if isinstance(each, ForwardJob)]
 
 
+def _make_answer() -> ForwardAnswer:
+    return ForwardAnswer(cast(Caller, None), cast(WireAdapter, None), lambda: False, b"")
+
+
 async def _run_job() -> None:
-    job = ForwardJob(_CALL, cast(Request, None), cast(WireAdapter, None), cast(ForwardAnswer, None))
+    job = ForwardJob(_CALL, cast(Request, None), cast(WireAdapter, None), _make_answer())
     attempt = job.make_attempt(cast(Node, None), cast(BackendPool, None), cast(StartAttempt, None))
     assert isinstance(await attempt.run(), EndUnsent)
 
@@ -136,7 +141,7 @@
         first_token_at=now if case.has_begun else None,
     )
     start = StartAttempt(req.request_id, AttemptId("r.0"), ServerName("lm-1"), "127.0.0.1:1", 1, 0)
-    job = ForwardJob(_CALL, req, cast(WireAdapter, None), cast(ForwardAnswer, None))
+    job = ForwardJob(_CALL, req, cast(WireAdapter, None), _make_answer())
     server = SimpleNamespace(leaving=case.was_leaving, drained=False)
     servers = SimpleNamespace(by_name={start.server: server})
     node = SimpleNamespace(state=SimpleNamespace(servers=servers))
--- a/tests/platform/test_odd_values.py
+++ b/tests/platform/test_odd_values.py
@@ -82,3 +82,14 @@
         assert (answer.status, answer.is_cut, answer.event_data) == (200, False, PIECES)
         _, resumed = sorted(world.runs(request_id), key=lambda run: run.received_at)
         assert resumed.headers["last-event-id"] == named.decode("latin-1")
+
+
+def test_stream_of_which_no_id_can_be_named_ends_without_another_run(world: PlatformWorld) -> None:
+    """Guards against servers that run a stream which nobody can go on with, and are blamed."""
+    _set_event_ids(world, {number: b"%d\0" % number for number in range(6)})
+    for number in range(STREAMS):
+        _break_next_stream(world)
+        request_id = world.new_id()
+        answer = world.send("/lm/chat/", request_id=request_id, instance=f"entry-{1 + number % 2}")
+        assert answer.is_cut
+        assert len(world.runs(request_id)) == 1
