--- a/tests/core/trust/test_retry_charges.py
+++ b/tests/core/trust/test_retry_charges.py
@@ -7,7 +7,9 @@
 import pytest
 
 from tests.core.store_world import StoreWorld, only, start_of
+from turmericweir_core.base.account import Outcome
 from turmericweir_core.base.ids import Target
+from turmericweir_core.base.reasons import Reason
 from turmericweir_core.base.request import CancelReason, RetryCause
 from turmericweir_core.messages.effects import Effect, FinishRequest, Log, StartAttempt
 from turmericweir_core.messages.events import (
@@ -151,6 +153,20 @@
     assert retry.retries_left(world.state, world.now, world_target(world)) == before
 
 
+def test_retry_that_cannot_be_sent_is_given_back() -> None:
+    """Guards against a budget spent, and servers suspected, for a value that no server gets."""
+    world = StoreWorld(engines=3)
+    start = arrive(world)
+    before = retry.retries_left(world.state, world.now, world_target(world))
+    again = start_of(world.end(start, EndServerError(500)) + world.wait(1.0))
+    effects = world.end(again, EndUnsendable("header x"))
+    (finish,) = only(effects, FinishRequest)
+    assert (finish.account.outcome, finish.account.reason) == (Outcome.FAILED, Reason.UNSENDABLE)
+    assert retry.retries_left(world.state, world.now, world_target(world)) == before
+    events = [log.event for log in only(effects, Log)]
+    assert not {"path_lost", "paths_suspected", "server_ejected"} & set(events)
+
+
 def test_last_retries_are_left_to_urgent_requests() -> None:
     """Guards against urgent requests that find the budget used up by others."""
     world = StoreWorld(engines=1)
--- a/tests/platform/test_odd_values.py
+++ b/tests/platform/test_odd_values.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from functools import partial
 from typing import Final
 
 import pytest
 
-from tests.platform.platform_world import PlatformWorld
+from tests.platform.platform_world import KEY, Instance, PlatformWorld, until
 from tests.platform.standin_answers import AnswerForm, Break
 
 # The last event before the break.
@@ -29,12 +30,15 @@
 BLAMES: Final = ("path_lost", "paths_suspected", "server_ejected", "quarantined", "fault")
 PIECES: Final = [f"piece {number}" for number in range(6)]
 STREAMS: Final = 6
+# The key of the customer with an odd name.
+ODD_KEY: Final = "key-odd"
 
 
 @pytest.fixture(scope="module")
 def world(tmp_path_factory: pytest.TempPathFactory) -> Iterator[PlatformWorld]:
     """Yield three engines, two plain servers and two instances."""
-    with PlatformWorld(tmp_path_factory.mktemp("odd"), engines=3, instances=2) as world:
+    directory = tmp_path_factory.mktemp("odd")
+    with PlatformWorld(directory, engines=3, instances=2) as world:
         yield world
 
 
@@ -46,12 +50,23 @@
     for server in world.servers.values():
         server.event_ids = {}
         server.forms = []
+        server.mode = ""
     for name, instance in world.running.items():
         lines = list(instance.process.lines)[seen[name] :]
-        assert not [line for line in lines if any(f'"{blame}"' in line for blame in BLAMES)]
+        blames = [line for line in lines if any(f'"{blame}"' in line for blame in BLAMES)]
+        assert not blames
         assert not [line for line in lines if "LocalProtocolError" in line]
 
 
+def _statuses(world: PlatformWorld, instance: str, key: str = KEY) -> list[int]:
+    """Return the statuses of a call of each kind."""
+    sends = (world.send, world.send_safe, world.send_unsafe)
+    return [send(instance=instance, X_Key=key).status for send in sends]
+
+
+# --- ids of events ---------------------------------------------------------------------------
+
+
 def _break_next_stream(world: PlatformWorld) -> None:
     """Make the next stream end after its first half, at whichever engine gets it."""
     forms = [AnswerForm(breaks=Break.AFTER_PART)]
@@ -65,9 +80,6 @@
         server.event_ids = event_ids
 
 
-# --- ids of events ---------------------------------------------------------------------------
-
-
 @pytest.mark.parametrize(("event_id", "named"), EVENT_IDS.values(), ids=EVENT_IDS)
 def test_stream_is_whole_whatever_the_ids_of_its_events(
     world: PlatformWorld, event_id: bytes, named: bytes
@@ -93,3 +105,59 @@
         answer = world.send("/lm/chat/", request_id=request_id, instance=f"entry-{1 + number % 2}")
         assert answer.is_cut
         assert len(world.runs(request_id)) == 1
+
+
+# --- names of customers ----------------------------------------------------------------------
+
+
+def _publish_customer(world: PlatformWorld, name: str) -> None:
+    customers = [
+        {"name": "school", "api-keys": [KEY], "priority": 1},
+        {"name": name, "api-keys": [ODD_KEY], "priority": 1},
+    ]
+    world.publish(tenants=customers)
+
+
+def _is_customer(world: PlatformWorld, instance: str, name: str) -> bool:
+    """Return whether servers are told a customer's name for the odd key."""
+    request_id = world.new_id()
+    world.send_safe(instance=instance, request_id=request_id, X_Key=ODD_KEY)
+    told = [run.headers.get("x-tenant", "") for run in world.runs(request_id)]
+    return [each.encode("latin-1") for each in told] == [name.encode()]
+
+
+def _is_refused(instances: list[Instance], name: str) -> bool:
+    """Return whether the instance that reads the settings names a customer in their error."""
+    lines = [line for each in instances for line in each.logged("settings_unreadable")]
+    return any(f"{name!r} cannot be sent" in line["error"] for line in lines)
+
+
+@pytest.mark.parametrize("name", ["a\n", "a\r\nX-Key: 1", "a\0", "a ", " a", "\t", "a\vb", "a\f"])
+def test_settings_with_a_customer_whose_name_cannot_be_sent_are_refused(
+    world: PlatformWorld, name: str
+) -> None:
+    """Guards against a customer whose requests make all servers suspected."""
+    _publish_customer(world, "other")
+    for instance in world.running:
+        until(partial(_is_customer, world, instance, "other"), "the settings are in force")
+    _publish_customer(world, name)
+    is_refused = partial(_is_refused, list(world.running.values()), name)
+    until(is_refused, "the settings are refused")
+    for instance in world.running:
+        assert _statuses(world, instance) == [200] * 3
+        assert _statuses(world, instance, ODD_KEY) == [200] * 3
+        assert _is_customer(world, instance, "other")
+    _publish_customer(world, "next")
+    for instance in world.running:
+        until(partial(_is_customer, world, instance, "next"), "the next version is in force")
+
+
+@pytest.mark.parametrize("name", ["ä", "", "a b", "a\x01", "x" * 300])
+def test_customer_with_an_odd_name_that_can_be_sent_is_served(
+    world: PlatformWorld, name: str
+) -> None:
+    """Guards against a name that is refused though servers can be told of it."""
+    _publish_customer(world, name)
+    for instance in world.running:
+        until(partial(_is_customer, world, instance, name), "the settings are in force")
+        assert _statuses(world, instance, ODD_KEY) == [200] * 3
