--- a/tests/platform/standin_server.py
+++ b/tests/platform/standin_server.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from urllib.parse import unquote
 
 from tests.platform.standin_answers import AnswerForm, chunk, write_answer
 from tests.platform.standin_endless import EndlessAnswer
@@ -128,6 +129,8 @@
     report_mode: str = ""
     # How long it takes to answer health checks and requests for its report.
     check_s: float = 0.0
+    # Where it answers health checks, before that is percent-encoded.
+    health_path: str = HEALTH_PATH
     # Health checks that it answered.
     health_checks: int = 0
     # Set to release streams that the mode "hold" has paused.
@@ -138,11 +141,13 @@
         if time.monotonic() < self.down_until:
             call.reset()
             return False
-        if call.path in (HEALTH_PATH, REPORT_PATH) and self.endless_check is not None:
+        is_health_check = unquote(call.target) == unquote(self.health_path)
+        is_check = is_health_check or call.path == REPORT_PATH
+        if is_check and self.endless_check is not None:
             return await self.endless_check.write(call, {"X-Instance-Id": self.name})
-        if call.path in (HEALTH_PATH, REPORT_PATH) and self.check_s:
+        if is_check and self.check_s:
             await asyncio.sleep(self.check_s)
-        if call.path == HEALTH_PATH:
+        if is_health_check:
             self.health_checks += 1
             await call.answer(503 if self.is_leaving else 200, b"", {"X-Instance-Id": self.name})
             return True
--- a/tests/platform/test_odd_values.py
+++ b/tests/platform/test_odd_values.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from tests.platform.platform_world import KEY, Instance, PlatformWorld, until
+from tests.platform.platform_world import KEY, Instance, PlatformWorld, document, until
 from tests.platform.standin_answers import AnswerForm, Break
 
 # The last event before the break.
@@ -161,3 +161,32 @@
     for instance in world.running:
         until(partial(_is_customer, world, instance, name), "the settings are in force")
         assert _statuses(world, instance, ODD_KEY) == [200] * 3
+
+
+# --- paths of status checks ------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("path", ["/a b", "/ä", "/a\r\nX-Key: 1", "/a\0", "/a%20b", "/a?b=c"])
+def test_answer_without_a_length_is_whole_whatever_the_path_of_status_checks(
+    world: PlatformWorld, path: str
+) -> None:
+    """Guards against whole answers that count as broken off, as no status check can be sent."""
+    services = document(1)["services"]
+    services[1]["health-path"] = path
+    for server in world.servers.values():
+        if not server.is_streaming:
+            server.health_path = path
+    version = world.version + 1
+    world.publish(services=services)
+    for instance in world.running:
+        is_known = partial(_has_version, world, instance, version)
+        until(is_known, "the settings are in force")
+    names = [name for name, server in world.servers.items() if not server.is_streaming]
+    world.set_mode("unframed", *names)
+    for instance in world.running:
+        answer = world.send_unsafe(instance=instance)
+        assert (answer.status, answer.body) == (200, b"whole")
+
+
+def _has_version(world: PlatformWorld, instance: str, version: int) -> bool:
+    return bool(world.reported_state(instance)["settings_version"] >= version)
