Refuse entries with an address that no request can have

What callers saw: nothing reported; found by the search for values that reach requests. An entry of another writer with a blank, a sign, an underscore, a line end or digits of another script in its port, or with a scope in its address, counted as one of a server.

Cause: the check of addresses asked `int` and `ipaddress`, which take more than a request can have.

Change: a port is ASCII digits, and an address has no scope. So such an entry names no server; the others hold. The settings file of a process is checked alike.

--- a/packages/turmericweir/turmericweir/process/entry_settings.py
+++ b/packages/turmericweir/turmericweir/process/entry_settings.py
@@ -289,9 +289,12 @@
 def check_address(name: str, text: str, *, port_min: int = 0) -> None:
     """Raise `ValueError` unless a text is an IP address with a port; `name` is for the error."""
     host, _, port = text.rpartition(":")
+    # `int` also takes blanks, signs and digits of any script, and an address may have a scope of
+    # any characters. No request could name such an address.
+    is_plain = port.isascii() and port.isdigit() and "%" not in host
     try:
         ipaddress.ip_address(host)
-        port_number = int(port)
+        port_number = int(port) if is_plain else -1
     except ValueError:
         port_number = -1
     if not port_min <= port_number <= _PORT_MAX:
--- a/tests/platform/test_odd_values.py
+++ b/tests/platform/test_odd_values.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from collections.abc import Iterator
 from functools import partial
 from typing import Final
@@ -10,6 +11,8 @@
 
 from tests.platform.platform_world import KEY, Instance, PlatformWorld, document, until
 from tests.platform.standin_answers import AnswerForm, Break
+from tests.platform.standin_store import SERVERS
+from turmericweir_platform.server_entries import decode_entry
 
 # The last event before the break.
 ODD_NUMBER: Final = 2
@@ -32,6 +35,16 @@
 STREAMS: Final = 6
 # The key of the customer with an odd name.
 ODD_KEY: Final = "key-odd"
+# A sound one.
+ENTRY: Final = {
+    "service": "lm",
+    "address": "10.0.0.1:80",
+    "zone": "dc-1",
+    "max-concurrency": 64,
+    "state": "ready",
+}
+# Digits that are no ASCII.
+FULL_WIDTH: Final = str.maketrans("0123456789", "０１２３４５６７８９")  # noqa: RUF001
 
 
 @pytest.fixture(scope="module")
@@ -190,3 +203,45 @@
 
 def _has_version(world: PlatformWorld, instance: str, version: int) -> bool:
     return bool(world.reported_state(instance)["settings_version"] >= version)
+
+
+# --- addresses in entries --------------------------------------------------------------------
+
+
+def _odd_addresses(address: str) -> dict[str, str]:
+    host, _, port = address.rpartition(":")
+    return {
+        "blank at the end": f"{host}:{port} ",
+        "blank before the port": f"{host}: {port}",
+        "line end": f"{host}:{port}\n",
+        "sign": f"{host}:+{port}",
+        "underscore": f"{host}:{port[:1]}_{port[1:]}",
+        "digits of another script": f"{host}:{port.translate(FULL_WIDTH)}",
+        "scope": f"fe80::1%a b:{port}",
+        "scope with a line end": f"fe80::1%a\r\nX-Key: 1:{port}",
+    }
+
+
+@pytest.mark.parametrize("address", _odd_addresses("10.0.0.1:80").values())
+def test_odd_address_is_refused_with_its_entry(address: str) -> None:
+    """Guards against an address that cannot become a part of a request."""
+    with pytest.raises(ValueError, match="address"):
+        decode_entry("lm-1", json.dumps({**ENTRY, "address": address}).encode())
+
+
+def test_entries_with_odd_addresses_name_no_servers(world: PlatformWorld) -> None:
+    """Guards against an address that ends requests which it becomes a part of."""
+    odd_names = set()
+    for kind, address in _odd_addresses(world.servers["lm-1"].address).items():
+        odd_names.add(kind)
+        world.store.write(SERVERS, kind, {**ENTRY, "address": address, "born": 1})
+    # Is read after them.
+    world.add_server("lm-4", "lm")
+    for instance in world.running.values():
+        until(partial(world.has_listed_servers, instance), "the new server is listed")
+        listed = {line["peer"] for line in instance.logged("server_listed")}
+        assert not odd_names & listed
+        for _ in range(STREAMS):
+            assert _statuses(world, instance.name) == [200] * 3
+    for name in odd_names:
+        world.store.write(SERVERS, name, None)
