--- a/tests/platform/test_own_records.py
+++ b/tests/platform/test_own_records.py
@@ -16,7 +16,13 @@
 from turmericweir.servers.backend_call import Answer
 from turmericweir.servers.backend_pool import BackendPool
 from turmericweir_core.messages.events import Event
-from turmericweir_core.messages.record_messages import PutReleases, RecordsRead, ReleasesPut
+from turmericweir_core.messages.record_messages import (
+    PutReleases,
+    PutStreams,
+    RecordsRead,
+    ReleasesPut,
+)
+from turmericweir_core.messages.stream_messages import StreamRow
 from turmericweir_platform.own_records import OwnRecords
 from turmericweir_platform.store_client import StoreClient
 from turmericweir_platform.store_records import Position, RecordPage, split_records
@@ -85,7 +91,11 @@
 
 
 def run(
-    store: LateStore, steps: list[Callable[[OwnRecords], Any]], *, is_complete: bool = True
+    store: LateStore,
+    steps: list[Callable[[OwnRecords], Any]],
+    *,
+    is_complete: bool = True,
+    name: str = "entry-1",
 ) -> list[Event]:
     """Run steps on a client of a store; return the events of the client."""
     node = _Node()
@@ -100,7 +110,7 @@
         return RecordPage([], end, is_complete=is_complete)
 
     async def main() -> None:
-        records = OwnRecords(cast(BackendPool, None), "127.0.0.1:1", "entry-1")
+        records = OwnRecords(cast(BackendPool, None), "127.0.0.1:1", name)
         records.attach(cast(Node, node))
         for step in steps:
             result = step(records)
@@ -134,6 +144,17 @@
     assert store.newest("releases") == NEW.releases
 
 
+@pytest.mark.parametrize("name", ["e" * 240, "ä" * 130, "e" * 5000])
+def test_streams_are_written_by_an_instance_with_a_long_name(name: str) -> None:
+    """Guards against streams that are in no record, as their key is longer than the store takes."""
+    store = LateStore()
+    rows = [StreamRow(1, 1, 60)]
+    run(store, [lambda records: records._perform(PutStreams(1, rows))], name=name)
+    ((key, _),) = store.records
+    assert key.startswith("streams/")
+    assert len(key.encode()) <= 255
+
+
 def test_record_is_written_though_others_write_to_the_topic() -> None:
     """Guards against a condition that is never met."""
     store = LateStore()
