Check that calls to the platform can name their holder

What callers saw: nothing reported; found by the search for values that reach requests. On a platform with duties, an instance with a character beyond ASCII in its name never became ready, so its callers were not served. With a blank or a line end at its end it served, and would have made no call as the holder of the duties.

Cause: the name from the settings file is the value of a header of these calls, encoded as ASCII at the start and not checked.

Elsewhere it is in no request and not checked.

The few modules that a start loads first stay as they were (test_start).

--- a/packages/turmericweir/turmericweir/process/entry_settings.py
+++ b/packages/turmericweir/turmericweir/process/entry_settings.py
@@ -20,6 +20,7 @@
 from turmericweir.process.answer_bounds import AnswerBounds
 from turmericweir.process.errors import DaemonError, SettingsFileError, SettingsNotWholeError
 from turmericweir.process.foreign_data import DECODE_ERRORS
+from turmericweir.process.request_fields import is_sendable_value
 
 _COMMENT: Final = "//"
 # Resources of a machine of class 0.
@@ -266,6 +267,8 @@
     for name in ("name", "data_centre", "region"):
         if not getattr(cfg, name):
             raise ValueError(f"{name}: expected a name")
+    if cfg.duties is not None and not is_sendable_value(cfg.name.encode()):
+        raise ValueError(f"name: calls to the platform cannot have {cfg.name!r} in a header")
     if not 0 <= cfg.metrics_port <= _PORT_MAX:
         raise ValueError("metrics_port: expected a port, or 0")
     for name in MachineSettings.__struct_fields__:
--- a/packages/turmericweir/turmericweir/process/request_fields.py
+++ b/packages/turmericweir/turmericweir/process/request_fields.py
@@ -7,9 +7,11 @@
 from __future__ import annotations
 
 import re
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
-import httpcore
+if TYPE_CHECKING:
+    # The settings file of the process is checked before the library is loaded.
+    import httpcore
 
 # RFC 9110, sections 5.1 and 5.5, without the white space that the parser refuses within a value.
 _NAME: Final = re.compile(rb"[-!#$%&'*+.^_`|~0-9A-Za-z]+")
--- a/tests/platform/test_odd_values.py
+++ b/tests/platform/test_odd_values.py
@@ -5,6 +5,7 @@
 import json
 from collections.abc import Iterator
 from functools import partial
+from pathlib import Path
 from typing import Final
 
 import pytest
@@ -12,6 +13,8 @@
 from tests.platform.platform_world import KEY, Instance, PlatformWorld, document, until
 from tests.platform.standin_answers import AnswerForm, Break
 from tests.platform.standin_store import SERVERS
+from tests.platform.test_duties import DUTIES
+from turmericweir.process.entry_settings import parse_entry_settings
 from turmericweir_platform.server_entries import decode_entry
 
 # The last event before the break.
@@ -245,3 +248,32 @@
             assert _statuses(world, instance.name) == [200] * 3
     for name in odd_names:
         world.store.write(SERVERS, name, None)
+
+
+# --- names of instances ----------------------------------------------------------------------
+
+
+def _settings_of(world: PlatformWorld, **changes: object) -> str:
+    return json.dumps({**world.settings_of("entry-1"), **changes})
+
+
+@pytest.mark.parametrize("name", ["a\n", "a ", "a\0", "a\r\nX-Key: 1"])
+def test_name_that_platform_calls_cannot_have_ends_the_start(
+    world: PlatformWorld, name: str
+) -> None:
+    """Guards against a duty holder none of whose calls can be sent."""
+    duties = {"address": "10.0.0.1:80"}
+    result = parse_entry_settings(_settings_of(world, name=name, duties=duties), "file")
+    assert "name: " in str(result.failure())
+    # Without duties it is in no request.
+    assert parse_entry_settings(_settings_of(world, name=name), "file").unwrap().name == name
+
+
+def test_duties_are_done_by_an_instance_with_a_name_beyond_ascii(tmp_path: Path) -> None:
+    """Guards against a process that ends at its start for its name."""
+    with PlatformWorld(tmp_path, instances=0, duties=dict(DUTIES)) as world:
+        world.add_instance("entry-ä")
+        assert world.send_safe(instance="entry-ä").status == 200
+        until(lambda: world.duty_standin.reported_requests() == 1, "the request is reported")
+        (holder,) = world.duty_standin.holders()
+        assert holder.encode("latin-1").decode() == "entry-ä"
