Take settings with a name that cannot be sent if there are no others

What callers saw: settings with such a name of a customer are refused, and the version before stays. Found by playing the fix, not reported.

Cause: a document that is refused leaves an instance without settings where no peer has any.

Requests of the customer get 503 `unsendable` and reach no server; all else is in force.

--- a/tests/platform/test_odd_values.py
+++ b/tests/platform/test_odd_values.py
@@ -61,14 +61,15 @@
 @pytest.fixture(autouse=True)
 def _sound_again(world: PlatformWorld) -> Iterator[None]:
     """Check that nobody was blamed, and undo what the test has set."""
-    seen = {name: len(each.process.lines) for name, each in world.running.items()}
+    seen = {name: (each.process, len(each.process.lines)) for name, each in world.running.items()}
     yield
     for server in world.servers.values():
         server.event_ids = {}
         server.forms = []
         server.mode = ""
     for name, instance in world.running.items():
-        lines = list(instance.process.lines)[seen[name] :]
+        process, count = seen[name]
+        lines = list(instance.process.lines)[count if instance.process is process else 0 :]
         blames = [line for line in lines if any(f'"{blame}"' in line for blame in BLAMES)]
         assert not blames
         assert not [line for line in lines if "LocalProtocolError" in line]
@@ -168,6 +169,38 @@
         until(partial(_is_customer, world, instance, "next"), "the next version is in force")
 
 
+def test_only_a_customer_whose_name_cannot_be_sent_is_refused_after_a_restart_of_all(
+    world: PlatformWorld,
+) -> None:
+    """Guards against nobody served, as no version before the refused one is left."""
+    _publish_customer(world, "a\n")
+    until(partial(_is_refused, list(world.running.values()), "a\n"), "the settings are refused")
+    # One gets the version before from the other.
+    world.restart_instance("entry-2")
+    until(partial(_is_served, world, "entry-2"), "entry-2 serves")
+    assert not world.running["entry-2"].logged("settings_taken_with_errors")
+    for name in world.running:
+        world.stop_instance(name)
+    for name in world.running:
+        world.start_instance(name)
+    for name in world.running:
+        until(partial(_is_served, world, name), f"{name} serves")
+        for send in (world.send, world.send_safe, world.send_unsafe):
+            answer = send(instance=name, X_Key=ODD_KEY)
+            assert (answer.status, json.loads(answer.body)["error"]) == (503, "unsendable")
+        assert _statuses(world, name) == [200] * 3
+    _publish_customer(world, "next")
+    for name in world.running:
+        until(partial(_is_customer, world, name, "next"), "the next version is in force")
+
+
+def _is_served(world: PlatformWorld, instance: str) -> bool:
+    try:
+        return world.send_safe(instance=instance).status == 200
+    except OSError:
+        return False
+
+
 @pytest.mark.parametrize("name", ["ä", "", "a b", "a\x01", "x" * 300])
 def test_customer_with_an_odd_name_that_can_be_sent_is_served(
     world: PlatformWorld, name: str
