Read each entry of the platform's list by itself

What callers saw: nothing reported; found by the search where entries are read. On the own interface one odd entry in the platform's list (no object, a field missing or null, a kind or state that is not known) made the whole list unreadable: `list_unread`, and an instance that starts knows no servers. An address that is none, or that no request can have, was taken as it stood and failed where it was used, by an error that nobody foresaw.

Cause: the list was validated as one, and addresses not at all.

Change: each entry is validated by itself, its addresses too; one that is malformed is left out and logged once. An answer that is no list is an error of the platform as before.

Entries whose text is no JSON still fail the list; the platform writes it as one document.

--- a/packages/turmericweir/turmericweir/platform_client.py
+++ b/packages/turmericweir/turmericweir/platform_client.py
@@ -11,11 +11,12 @@
 from typing import Any, Final, Literal, TypeVar
 
 import anyio
-from pydantic import BaseModel, ConfigDict
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from turmericweir.process import logs
 from turmericweir.process.errors import CallError
 from turmericweir.process.node import Node
+from turmericweir.process.process_settings import Address
 from turmericweir.servers.backend_call import STORE_ANSWER_MAX_BYTES, Answer, call
 from turmericweir.servers.backend_pool import BackendPool
 from turmericweir_core.base.config import ServerEntry
@@ -85,12 +86,12 @@
 class InstanceBody(_ResponseBody):
     """One entry of the list of instances."""
 
-    name: str
+    name: str = Field(min_length=1)
     kind: Literal["entry", "engine", "plain"]
     service: str = ""
     data_centre: str
-    address: str
-    peer_address: str | None = None
+    address: Address
+    peer_address: Address | None = None
     incarnation: str = ""
     # Version of the software of an engine or a plain server.
     software_version: str = ""
@@ -100,7 +101,8 @@
 class ListBody(_ResponseBody):
     """The list of instances."""
 
-    instances: tuple[InstanceBody, ...]
+    # Any: each is validated by itself, as one that is malformed says nothing of the others.
+    instances: tuple[Any, ...]
 
 
 class Backoff:
@@ -140,6 +142,8 @@
     _address: str
     # The header of each call that identifies this instance.
     _source_header: tuple[tuple[bytes, bytes], ...]
+    # The error of the first unreadable entry in the last list; empty if there was none.
+    _list_error: str
     _rng: Random
     # Streams that are being read for an effect, and the effect to execute next.
     _stream_reads: dict[str, ReadLog | None]
@@ -148,6 +152,7 @@
         self._pool = pool
         self._address = address
         self._source_header = ((b"x-instance", source.encode("ascii")),)
+        self._list_error = ""
         self._rng = Random()
         self._stream_reads = {}
 
@@ -297,10 +302,26 @@
         if answer.status != 200:
             raise self._protocol_error("read list", f"status {answer.status}")
         body = self._parse("read list", ListBody.model_validate, answer)
-        servers = tuple(_server_entry(each) for each in body.instances if each.kind != "entry")
-        instances = tuple(_listed_instance(each) for each in body.instances if each.kind == "entry")
+        entries = self._validate_entries(body.instances)
+        servers = tuple(_server_entry(each) for each in entries if each.kind != "entry")
+        instances = tuple(_listed_instance(each) for each in entries if each.kind == "entry")
         return ListRead(servers, instances)
 
+    def _validate_entries(self, values: tuple[Any, ...]) -> list[InstanceBody]:
+        """Return the sound entries of the list; log the first other one if it is another error."""
+        entries: list[InstanceBody] = []
+        error = ""
+        for position, value in enumerate(values):
+            try:
+                entries.append(InstanceBody.model_validate(value))
+            except ValidationError as exc:
+                error = error or f"entry {position}: {_first_error(exc)}"
+        if error and error != self._list_error:
+            count = len(values) - len(entries)
+            logs.write("list_entry_unreadable", peer=self._address, error=error, count=count)
+        self._list_error = error
+        return entries
+
     # The weight store.
 
     def request_load_permit(self, effect: RequestLoadPermit) -> None:
@@ -334,6 +355,12 @@
         return _DEFAULT_RETRY_AFTER_S
 
 
+def _first_error(exc: ValidationError) -> str:
+    error = exc.errors(include_url=False, include_input=False)[0]
+    field = ".".join(map(str, error["loc"]))
+    return f"{field}: {error['msg']}"
+
+
 def _server_entry(body: InstanceBody) -> ServerEntry:
     return ServerEntry(
         name=ServerName(body.name),
--- a/packages/turmericweir/turmericweir/process/process_settings.py
+++ b/packages/turmericweir/turmericweir/process/process_settings.py
@@ -25,7 +25,9 @@
 
 def _check_address(text: str) -> str:
     host, separator, port = text.rpartition(":")
-    if not separator or not port.isdecimal() or not 0 <= int(port) <= 65535:
+    # No request could name a port in digits of another script, or a scope of any characters.
+    is_plain = port.isascii() and port.isdecimal() and "%" not in host
+    if not separator or not is_plain or not 0 <= int(port) <= 65535:
         raise ValueError("expected ip:port")
     try:
         ipaddress.ip_address(host)
