Check that calls of the own interface can have their source and addresses

What callers saw: nothing reported; found by the search for values that reach requests. `platform.source` of a process file, with a character beyond ASCII, ended the process at its start with a traceback; with a line end or a blank at its end no call to the platform could be sent, so the instance never got settings.

Errors name the field.

--- a/packages/turmericweir-core/turmericweir_core/records/settings_model.py
+++ b/packages/turmericweir-core/turmericweir_core/records/settings_model.py
@@ -59,6 +59,8 @@
 
 def _check_address(text: str) -> str:
     host, _, port = text.rpartition(":")
+    if "%" in host:
+        raise ValueError("expected ip:port without a scope")
     try:
         ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
     except ValueError:
--- a/packages/turmericweir/turmericweir/platform_client.py
+++ b/packages/turmericweir/turmericweir/platform_client.py
@@ -151,7 +151,7 @@
     def __init__(self, pool: BackendPool, address: str, source: str) -> None:
         self._pool = pool
         self._address = address
-        self._source_header = ((b"x-instance", source.encode("ascii")),)
+        self._source_header = ((b"x-instance", source.encode()),)
         self._list_error = ""
         self._rng = Random()
         self._stream_reads = {}
--- a/packages/turmericweir/turmericweir/process/process_settings.py
+++ b/packages/turmericweir/turmericweir/process/process_settings.py
@@ -17,6 +17,7 @@
 
 from turmericweir.process.errors import SettingsFileError
 from turmericweir.process.foreign_data import DECODE_ERRORS
+from turmericweir.process.request_fields import is_sendable_value
 from turmericweir_core.base.options import Options
 
 # Taken from `Options`, so that new options need no change here.
@@ -36,7 +37,14 @@
     return text
 
 
+def _check_sendable(text: str) -> str:
+    if not is_sendable_value(text.encode()):
+        raise ValueError("expected characters that a header can have")
+    return text
+
+
 Address = Annotated[str, AfterValidator(_check_address)]
+SendableName = Annotated[str, AfterValidator(_check_sendable)]
 Seconds = Annotated[float, Field(gt=0)]
 
 
@@ -51,7 +59,7 @@
 
     address: Address
     # Sent as X-Instance with each call; defaults to the name of the process.
-    source: str | None = None
+    source: SendableName | None = None
 
 
 class AdminToken(Section):
