--- a/tests/platform/standin_store.py
+++ b/tests/platform/standin_store.py
@@ -8,7 +8,9 @@
 import re
 import struct
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from itertools import accumulate
 from typing import Any, Final
 from urllib.parse import parse_qsl
 from weakref import WeakSet
@@ -83,6 +85,10 @@
         self.pages = Counter[str]()
         # The largest number of entries in a page.
         self.page_entries = 2
+        # The bytes of values in a page; a page has one entry at least.
+        self.page_bytes = 1_000_000
+        # By what keys are ordered.
+        self.key_order: Callable[[str], Any] = _encode_key
         # Fields of the entries of pages that differ from their records, by key.
         self.odd_fields: dict[str, dict[str, object]] = {}
         # What a page is answered with instead, by topic.
@@ -188,11 +194,12 @@
 
     def _make_page(self, topic: Topic, query: dict[str, str]) -> dict[str, Any]:
         """Return a page of few entries, in the order of their keys."""
-        newest = topic.newest()
-        after = _encode_key(query["after"]) if "after" in query else None
-        keys = sorted(
-            (key for key in newest if after is None or _encode_key(key) > after), key=_encode_key
-        )
+        newest, order = topic.newest(), self.key_order
+        after = order(query["after"]) if "after" in query else None
+        keys = sorted((key for key in newest if after is None or order(key) > after), key=order)
+        sizes = accumulate(len(newest[key][1]) for key in keys)
+        fitting = sum(size <= self.page_bytes for size in sizes)
+        count = min(self.page_entries, max(1, fitting))
         entries = [
             {
                 "key": _encode_key(key).decode(errors="replace"),
@@ -200,14 +207,14 @@
                 "offset": newest[key][0],
                 **self.odd_fields.get(key, {}),
             }
-            for key in keys[: self.page_entries]
+            for key in keys[:count]
         ]
         return {
             "entries": [
                 {name: value for name, value in entry.items() if value is not MISSING}
                 for entry in entries
             ],
-            "has-more": len(keys) > self.page_entries,
+            "has-more": len(keys) > count,
             "end": len(topic.records),
         }
 
--- a/tests/platform/test_odd_names.py
+++ b/tests/platform/test_odd_names.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import hashlib
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from functools import partial
 from pathlib import Path
-from typing import Final
+from typing import Any, Final
 
 import pytest
 
@@ -64,11 +65,16 @@
 
 def _restart_all(world: PlatformWorld) -> None:
     """Kill all instances and start them again."""
-    for instance in world.running.values():
-        instance.process.kill()
-    for name in world.running:
+    _restart(world, list(world.running))
+
+
+def _restart(world: PlatformWorld, names: list[str]) -> None:
+    for name in names:
+        world.running[name].process.kill()
+    for name in names:
         world.restart_instance(name)
-    for name, instance in world.running.items():
+    for name in names:
+        instance = world.running[name]
         until(instance.is_ready, f"{name} is ready")
         until(partial(world.has_listed_servers, instance), f"{name} has the servers")
 
@@ -173,6 +179,114 @@
         until(lambda: len(world.duty_standin.accepted) > before, "usage is reported again")
 
 
+# --- many names, large pages, other orders ---------------------------------------------------
+
+
+ALL_CHARACTERS: Final = "a&b+c#d%41 e%f=g?h/i\r\nX-Key: 1\0ä\u202e\ufffd\U0001f600"
+# Orders of keys that a store may have, by which each server is the last of a page at times.
+KEY_ORDERS: Final[dict[str, Callable[[str], Any]]] = {
+    "bytes from the last one down": lambda key: [-byte for byte in _bytes_of(key)] + [1],
+    "length, then bytes": lambda key: (len(_bytes_of(key)), _bytes_of(key)),
+    "without regard to case": lambda key: (key.casefold(), _bytes_of(key)),
+    "utf-16": lambda key: key.encode("utf-16-be", "surrogatepass"),
+    "hash": lambda key: hashlib.sha256(_bytes_of(key)).digest(),
+}
+
+
+def _bytes_of(key: str) -> bytes:
+    return key.encode(errors="surrogateescape")
+
+
+def _write_servers(world: PlatformWorld, count: int) -> None:
+    """Write the entries of servers of a service that no route leads to."""
+    for number in range(count):
+        entry = {"service": "other", "address": f"10.0.0.1:{1 + number}", "zone": "dc-1"}
+        world.store.write(SERVERS, f"{number % 36:x}-{number}", {**entry, "state": "ready"})
+
+
+@pytest.mark.parametrize("page_entries", [1, 2, 3])
+def test_entry_under_a_name_of_all_characters_leaves_the_other_servers(
+    world: PlatformWorld, page_entries: int
+) -> None:
+    """Guards against a list that one character of a name lets through and another ends."""
+    world.store.page_entries = page_entries
+    for begin in ("", "lm-1", "zz", "\0"):
+        for topic in TOPICS.values():
+            world.store.write(topic, begin + ALL_CHARACTERS, FOREIGN_VALUE)
+    _restart_all(world)
+    _assert_all_served(world)
+
+
+@pytest.mark.parametrize("page_entries", [1, 2, 500])
+def test_odd_names_at_the_end_of_each_page_leave_the_servers(
+    world: PlatformWorld, page_entries: int
+) -> None:
+    """Guards against pages of which each one ends at a name that is read as something else."""
+    world.store.page_entries = page_entries
+    for server in world.servers:
+        for name in ODD_NAMES.values():
+            world.store.write(SERVERS, f"{server}{name}"[:200], FOREIGN_VALUE)
+            world.store.write(SERVERS, f"{name}{server}"[-200:], FOREIGN_VALUE)
+    for server in world.servers:
+        world.register(server)
+    _restart_all(world)
+    _assert_all_served(world)
+
+
+@pytest.mark.parametrize("name", ["a&b", "a+b", "a#b", "%7A", "a b", "ä", "a\udcff", ""])
+def test_odd_name_among_more_servers_than_a_page_holds(world: PlatformWorld, name: str) -> None:
+    """Guards against a list that ends at an odd name after the 500 entries of a page."""
+    world.store.page_entries = 500
+    _write_servers(world, 620)
+    keys = sorted(world.store.topics[SERVERS].newest())
+    for before in (keys[498], keys[499], keys[500]):
+        world.store.write(SERVERS, f"{before}{name}", FOREIGN_VALUE)
+    world.store.write(SERVERS, name, FOREIGN_VALUE)
+    _restart_all(world)
+    _assert_all_served(world)
+
+
+def test_odd_names_in_pages_of_a_megabyte(world: PlatformWorld) -> None:
+    """Guards against pages that end by their size at a name that cannot be named as it stands."""
+    world.store.page_entries = 500
+    for name in (*ODD_NAMES.values(), ALL_CHARACTERS):
+        for number in range(3):
+            world.store.write(SERVERS, f"{number}{name}"[:200], b"x" * 250_000)
+    _restart_all(world)
+    _assert_all_served(world)
+
+
+@pytest.mark.parametrize("order", KEY_ORDERS.values(), ids=KEY_ORDERS)
+@pytest.mark.parametrize("page_entries", [1, 3])
+def test_odd_names_at_a_store_with_another_order_of_keys(
+    world: PlatformWorld, order: Callable[[str], Any], page_entries: int
+) -> None:
+    """Guards against servers that are passed over where keys do not come in the order of bytes."""
+    world.store.key_order = order
+    world.store.page_entries = page_entries
+    for topic in TOPICS.values():
+        for name in ODD_NAMES.values():
+            world.store.write(topic, name, FOREIGN_VALUE)
+    _restart_all(world)
+    _assert_all_served(world)
+
+
+def test_data_centre_that_is_restarted_alone_serves_beside_odd_names(tmp_path: Path) -> None:
+    """Guards against instances that get no list, though those of another data centre have one."""
+    with PlatformWorld(tmp_path, instances=4, data_centres=2) as world:
+        world.store.page_entries = 1
+        world.store.is_strict = True
+        for topic in TOPICS.values():
+            for name in ODD_NAMES.values():
+                world.store.write(topic, name, FOREIGN_VALUE)
+        _restart(world, [name for name in world.running if _data_centre(world, name) == "dc-1"])
+        _assert_all_served(world)
+
+
+def _data_centre(world: PlatformWorld, name: str) -> str:
+    return str(world.settings_of(name)["data_centre"])
+
+
 # --- odd entries and pages -------------------------------------------------------------------
 
 
