Draw values at random for every field that reaches a request

`tests.platform.odd_values` puts random texts into names of customers, routes, services and servers, paths of status checks, addresses and texts of entries, ids of events, headers of answers, and headers, targets and methods of callers, beside sound calls. No server may be blamed, no log may name a LocalProtocolError, and all sound calls must be served.

--- a/tests/platform/standin_answers.py
+++ b/tests/platform/standin_answers.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from tests.platform.standin_http import Call
+from tests.platform.standin_http import Call, encode_head
 
 
 class Framing(StrEnum):
@@ -64,7 +64,7 @@
             lines.append("Transfer-Encoding: chunked")
         case Framing.CONNECTION_END:
             pass
-    await call.write("\r\n".join([f"HTTP/1.1 {form.status} X", *lines, "", ""]).encode())
+    await call.write(encode_head([f"HTTP/1.1 {form.status} X", *lines]))
     for part in () if form.is_bodiless else _written_parts(form.breaks, parts):
         data = chunk(part) if form.framing is Framing.CHUNKED else part
         if form.is_unread:
--- a/tests/platform/standin_http.py
+++ b/tests/platform/standin_http.py
@@ -52,7 +52,7 @@
         lines += [
             f"{name}: {value}" for name, value in {**self.extra_headers, **(headers or {})}.items()
         ]
-        return "\r\n".join([*lines, f"Content-Length: {size}", "", ""]).encode()
+        return encode_head([*lines, f"Content-Length: {size}"])
 
     async def write(self, data: bytes) -> None:
         """Write raw bytes."""
@@ -70,6 +70,18 @@
                 pass
 
 
+def encode_head(lines: list[str]) -> bytes:
+    """Encode the lines of a head as received ones are decoded, but for other characters."""
+    return b"\r\n".join(map(_encode_line, [*lines, "", ""]))
+
+
+def _encode_line(line: str) -> bytes:
+    try:
+        return line.encode("latin-1")
+    except UnicodeEncodeError:
+        return line.encode()
+
+
 def reset_connection(writer: asyncio.StreamWriter) -> None:
     """Reset a connection; an abort alone closes it normally if no data is unread."""
     sock = writer.get_extra_info("socket")
--- a/tests/platform/standin_server.py
+++ b/tests/platform/standin_server.py
@@ -11,7 +11,7 @@
 
 from tests.platform.standin_answers import AnswerForm, chunk, write_answer
 from tests.platform.standin_endless import EndlessAnswer
-from tests.platform.standin_http import Call
+from tests.platform.standin_http import Call, encode_head
 
 SIGNATURE = "3e1b.07"
 SIGNED = "X-Server-Signature"
@@ -392,9 +392,9 @@
         self, call: Call, answer_headers: dict[str, str], mode: str, request: ReceivedRequest
     ) -> bool:
         self.busy_connections.add(call.writer)
-        lines = "".join(f"{name}: {value}\r\n" for name, value in answer_headers.items())
-        start = f"HTTP/1.1 200 X\r\n{lines}Content-Type: text/event-stream\r\n"
-        await call.write(f"{start}Transfer-Encoding: chunked\r\n\r\n".encode())
+        lines = [f"{name}: {value}" for name, value in answer_headers.items()]
+        lines += ["Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
+        await call.write(encode_head(["HTTP/1.1 200 X", *lines]))
         caller_left = asyncio.create_task(call.wait_closed())
         try:
             is_whole = await self._write_events(call, caller_left, mode, request)
@@ -442,7 +442,7 @@
         """Return the number of the event that the caller names as its last; -1 for none."""
         event_id = call.headers.get("last-event-id", "")
         numbers = {each.decode("latin-1"): number for number, each in self.event_ids.items()}
-        return numbers[event_id] if event_id in numbers else int(event_id or "-1")
+        return numbers.get(event_id, int(event_id) if event_id.isdecimal() else -1)
 
     def _event(self, number: int) -> bytes:
         event_id = self.event_ids.get(number, b"%d" % number) if self.has_event_ids else None
--- a/tests/platform/test_odd_values.py
+++ b/tests/platform/test_odd_values.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from tests.platform import odd_values
 from tests.platform.platform_world import KEY, Instance, PlatformWorld, document, until
 from tests.platform.standin_answers import AnswerForm, Break
 from tests.platform.standin_store import SERVERS
@@ -310,3 +311,22 @@
         until(lambda: world.duty_standin.reported_requests() == 1, "the request is reported")
         (holder,) = world.duty_standin.holders()
         assert holder.encode("latin-1").decode() == "entry-ä"
+
+
+# --- ids of callers --------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("path", ["/shop/buy/", "/lm/chat/"])
+@pytest.mark.parametrize("request_id", ["ä", "x" * 8_000, "a b", "\x80"])
+def test_caller_with_an_odd_id_is_served(world: PlatformWorld, path: str, request_id: str) -> None:
+    """Guards against an id that servers get in another form than the caller sent."""
+    assert world.send(path, request_id=request_id).status == 200
+    assert [run.path for run in world.runs(request_id)].count(path) == 1
+
+
+# --- at random -------------------------------------------------------------------------------
+
+
+def test_random_values_in_all_fields_blame_no_server(tmp_path: Path) -> None:
+    """Guards against a field that reaches requests and that nobody looks at."""
+    assert not odd_values.play(seed=1, rounds=25, directory=tmp_path)
