--- a/packages/turmericweir/turmericweir/answers/forward_events.py
+++ b/packages/turmericweir/turmericweir/answers/forward_events.py
@@ -167,7 +167,9 @@
 
 
 def _can_be_sent(event_id: bytes) -> bool:
-    return len(event_id) <= _ID_MAX_BYTES and is_sendable_value(event_id)
+    # Most ids are numbers.
+    is_plain = event_id.isalnum() or is_sendable_value(event_id)
+    return is_plain and len(event_id) <= _ID_MAX_BYTES
 
 
 def _is_duplicate(event_id: bytes, resume_after: bytes) -> bool:
