--- a/tests/platform/odd_values.py
+++ b/tests/platform/odd_values.py
@@ -26,6 +26,8 @@
     *("path_lost", "paths_suspected", "server_ejected", "server_dead", "quarantined", "fault"),
     "LocalProtocolError",
 )
+# What tells why a sound call was not served.
+CAUSES: Final = ("attempt_failed", "end_inferred", "finished", "refused")
 ODD_KEY: Final = "key-odd"
 _PIECES: Final = (
     *" \t\r\n\0\v\f\x1b\x7f\x85\xa0:;,=&+#%?/\\\"'<>",
@@ -228,11 +230,13 @@
                 yield f"{about}: {exc!r}"[:600]
                 statuses = []
             self.undo()
+            marks = BLAMES
             if set(statuses) - {200}:
                 yield f"{about}: statuses {statuses}"
+                marks += CAUSES
             for name, instance in self.world.running.items():
                 for line in list(instance.process.lines)[seen[name] :]:
-                    if any(blame in line for blame in BLAMES):
+                    if any(mark in line for mark in marks):
                         yield f"{about}: {name} logged {line[:400]}"
 
 
