--- a/tests/platform/odd_bytes.py
+++ b/tests/platform/odd_bytes.py
@@ -6,13 +6,11 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
 import contextlib
 import json
 import socket
 import sys
-import tempfile
 from collections.abc import Callable
 from itertools import islice
 from pathlib import Path
@@ -21,6 +19,7 @@
 
 from tests.foreign_bytes import mutations
 from tests.platform.platform_world import HOST, KEY, PlatformWorld, until
+from tests.platform.seed_plays import play_seeds
 from tests.platform.standin_http import Call, Handler, Listener
 from tests.platform.standin_server import Server
 from turmericweir.peers.peer_codec import encode
@@ -179,23 +178,5 @@
         return False
 
 
-def main() -> int:
-    """Play the seeds given on the command line."""
-    parser = argparse.ArgumentParser()
-    parser.add_argument("--seeds", default="1-10")
-    parser.add_argument("--rounds", type=int, default=60)
-    args = parser.parse_args()
-    first, _, last = args.seeds.partition("-")
-    broken_count = 0
-    for seed in range(int(first), int(last or first) + 1):
-        directory = Path(tempfile.mkdtemp(prefix=f"odd-bytes-{seed}-"))
-        broken = play(seed, args.rounds, directory)
-        broken_count += bool(broken)
-        print(f"seed {seed}: {'broken, see ' + str(directory) if broken else 'kept'}", flush=True)
-        for line in broken:
-            print(f"  {line}", flush=True)
-    return 1 if broken_count else 0
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(play_seeds(play, "odd-bytes"))
--- a/tests/platform/odd_values.py
+++ b/tests/platform/odd_values.py
@@ -7,17 +7,16 @@
 
 from __future__ import annotations
 
-import argparse
 import contextlib
 import socket
 import sys
-import tempfile
 from collections.abc import Callable, Iterator
 from pathlib import Path
 from random import Random
 from typing import Any, Final
 
 from tests.platform.platform_world import HOST, KEY, PlatformWorld, document, until
+from tests.platform.seed_plays import play_seeds
 from tests.platform.standin_answers import AnswerForm, Break
 from tests.platform.standin_store import SERVERS
 
@@ -230,7 +229,7 @@
                 yield f"{about}: {exc!r}"[:600]
                 statuses = []
             self.undo()
-            marks = BLAMES
+            marks: tuple[str, ...] = BLAMES
             if set(statuses) - {200}:
                 yield f"{about}: statuses {statuses}"
                 marks += CAUSES
@@ -248,23 +247,5 @@
         return list(OddValues(world, Random(seed)).play(rounds))
 
 
-def main() -> int:
-    """Play the seeds given on the command line."""
-    parser = argparse.ArgumentParser()
-    parser.add_argument("--seeds", default="1-10")
-    parser.add_argument("--rounds", type=int, default=60)
-    args = parser.parse_args()
-    first, _, last = args.seeds.partition("-")
-    broken_count = 0
-    for seed in range(int(first), int(last or first) + 1):
-        directory = Path(tempfile.mkdtemp(prefix=f"odd-values-{seed}-"))
-        broken = play(seed, args.rounds, directory)
-        broken_count += bool(broken)
-        print(f"seed {seed}: {'broken, see ' + str(directory) if broken else 'kept'}", flush=True)
-        for line in broken:
-            print(f"  {line}", flush=True)
-    return 1 if broken_count else 0
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(play_seeds(play, "odd-values"))
