End a stream at its loss where nothing can be joined to it

Its events have no ids; since a second attempt is placed, takes a slot, and ends before anything is sent.

Cause: whether another attempt can follow is known when one breaks, and was asked only of the next one.

Change: a broken attempt says that it is final, and the request ends there as a plain call does whose caller has a part of the answer. Nothing is placed for it. The check before a send stays for attempts that this instance gave up itself.

--- a/packages/turmericweir-core/turmericweir_core/messages/events.py
+++ b/packages/turmericweir-core/turmericweir_core/messages/events.py
@@ -90,6 +90,8 @@
     server_alive: bool
     # The server sent bytes that are no answer, or not the answer to this attempt.
     is_malformed: bool = False
+    # The caller has a part of the answer that no other attempt could go on after.
+    is_final: bool = False
 
 
 class EndServerError(Struct, frozen=True):
--- a/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
+++ b/packages/turmericweir-core/turmericweir_core/requests/attempt_flow.py
@@ -321,7 +321,7 @@
             outcome = unanswered_outcome(req)
             effects = finish(state, now, req, outcome, Reason.UNSENDABLE, server=attempt.server)
             return [_failure_log(req, attempt, "unsendable", error), *effects]
-        case EndBroken(error, server_alive, is_malformed):
+        case EndBroken(error, server_alive, is_malformed, is_final):
             req.may_have_run = True
             logs: list[Effect] = [_failure_log(req, attempt, "broken", error)]
             if not is_malformed:
@@ -334,7 +334,9 @@
                 # It broke while being cancelled; the reason of the cancellation still applies.
                 return [*logs, *_handle_cancelled(state, now, req, attempt)]
             cause = RetryCause.BROKEN if server_alive else RetryCause.SERVER_GONE
-            effects = _handle_loss(state, now, req, attempt, Reason.SERVER_LOST, cause)
+            effects = _handle_loss(
+                state, now, req, attempt, Reason.SERVER_LOST, cause, is_final=is_final
+            )
             return [*logs, *effects]
         case EndServerError(status):
             req.may_have_run = True
@@ -367,12 +369,14 @@
     attempt: Attempt,
     reason: Reason,
     cause: RetryCause,
+    *,
+    is_final: bool = False,
 ) -> list[Effect]:
     """Retry or end a request whose attempt was lost."""
     if not req.repeatable:
         # A second run is not allowed.
         return finish(state, now, req, Outcome.UNKNOWN, Reason.EVIDENCE_LOST, server=attempt.server)
-    if req.kind is ServiceKind.PLAIN and req.delivered:
+    if is_final or (req.kind is ServiceKind.PLAIN and req.delivered):
         # The caller has part of the answer, and a second run could not be joined to it.
         return finish(state, now, req, Outcome.FAILED, reason, server=attempt.server)
     return _retry_or_finish(state, now, req, attempt, reason, cause)
--- a/packages/turmericweir/turmericweir/answers/forward_answer.py
+++ b/packages/turmericweir/turmericweir/answers/forward_answer.py
@@ -78,9 +78,8 @@
         error_bytes = 0 if self._error_answer is None else len(self._error_answer[2])
         return len(self._unsent) + error_bytes
 
-    @property
     def can_be_joined(self) -> bool:
-        """Whether the answer of another attempt could follow what earlier ones received."""
+        """Return whether the answer of another attempt could follow what earlier ones received."""
         return not self._has_body or bool(self.last_event_id)
 
     def can_go_on(self, *, is_stream: bool) -> bool:
@@ -89,7 +88,7 @@
         Only a stream goes on, and only after an event with an id. Prevents completing a stream by
         the error of another server, and joining an answer to the beginning of an earlier one.
         """
-        return self.can_be_joined and (is_stream or not self._has_body)
+        return self.can_be_joined() and (is_stream or not self._has_body)
 
     def begin_answer(self, status: int, headers: Headers) -> None:
         """Record the head of an attempt's answer, except for a resumed stream."""
--- a/packages/turmericweir/turmericweir/servers/forward.py
+++ b/packages/turmericweir/turmericweir/servers/forward.py
@@ -12,6 +12,7 @@
 
 import anyio
 import httpcore
+from msgspec.structs import replace
 
 from turmericweir.answers.answer_record import STATUSES_WITHOUT_BODY
 from turmericweir.answers.forward_answer import ForwardAnswer
@@ -186,17 +187,20 @@
     async def run(self) -> AttemptEnd:
         """Run the attempt to its end."""
         try:
-            if not self._job.answer.can_be_joined:
+            if not self._job.answer.can_be_joined():
                 return EndUnsendable(
                     "the caller has a part of an answer without ids to go on after"
                 )
-            return await self._attempt.run(
+            end = await self._attempt.run(
                 self._make_request,
                 self._consume,
                 self._is_expired,
                 self._make_status_check,
                 self._acquire,
             )
+            if isinstance(end, EndBroken) and not self._job.answer.can_be_joined():
+                return replace(end, is_final=True)
+            return end
         finally:
             self._job.forget_attempt(self)
 
--- a/tests/core/lifecycle_script.py
+++ b/tests/core/lifecycle_script.py
@@ -62,6 +62,7 @@
     "unsent": EndUnsent("connect failed"),
     "unsendable": EndUnsendable("header x"),
     "broken": EndBroken("reset", server_alive=True),
+    "broken_for_good": EndBroken("reset", server_alive=True, is_final=True),
     "crashed": EndBroken("reset", server_alive=False),
     "error": EndServerError(500),
     "cancelled": EndCancelled(0),
