Blame no server for a request whose headers contradict each other

Cause: a refusal for which no single field is at fault (no Host, several) stayed an error of the transport.

Change: the parser is asked for the request alone, apart from the state of the connection. If it refuses that, the request is unsendable.

Before: 2 of 2 new cases of test_request_fields failed. After: they pass, with the tests of the pool and of calls.

--- a/packages/turmericweir/turmericweir/servers/backend_pool.py
+++ b/packages/turmericweir/turmericweir/servers/backend_pool.py
@@ -131,10 +131,11 @@
             self.was_closed_under_call = self.is_reused and not has_begun and _is_closed_by(exc)
             raise
         except httpcore.LocalProtocolError as exc:
-            field = find_unsendable(request)
-            if field is None:
+            refusal = _refusal_of(request)
+            if refusal is None:
+                # The parser refuses it in the state of this connection only.
                 raise
-            raise UnsendableError(_address_of(request), field) from exc
+            raise UnsendableError(_address_of(request), refusal) from exc
         if response.status not in _FINAL_STATUSES:
             raise httpcore.RemoteProtocolError(f"status {response.status} does not end a request")
         return response
@@ -192,6 +193,19 @@
                 await self._http.aclose()
 
 
+def _refusal_of(request: httpcore.Request) -> str | None:
+    """Return why no connection could carry a request, or None if another one could."""
+    field = find_unsendable(request)
+    if field is not None:
+        return field
+    try:
+        h11.Request(method=request.method, target=request.url.target, headers=list(request.headers))
+    except h11.LocalProtocolError as exc:
+        # Its headers contradict each other.
+        return str(exc)
+    return None
+
+
 def _address_of(request: httpcore.Request) -> str:
     return f"{request.url.host.decode()}:{request.url.port}"
 
--- a/tests/daemon/test_request_fields.py
+++ b/tests/daemon/test_request_fields.py
@@ -96,6 +96,28 @@
     await listener.aclose()
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize("hosts", [0, 2])
+async def test_request_whose_headers_cannot_be_sent_together_is_no_error_of_the_server(
+    hosts: int,
+) -> None:
+    """Guards against a refusal of our request for which no single value can be named."""
+    server = _Server()
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    address = f"127.0.0.1:{listener.extra(SocketAttribute.local_port)}"
+    async with anyio.create_task_group() as group, BackendPool() as pool:
+        group.start_soon(listener.serve, server.serve)
+        conn = await pool.acquire(address)
+        request = make_request(b"GET", address, b"/", [], b"")
+        request.headers = [(b"host", b"a")] * hosts
+        with pytest.raises(UnsendableError, match="Host"):
+            await conn.send(request, lambda: None)
+        await pool.release(address, conn)
+        assert server.received == b""
+        group.cancel_scope.cancel()
+    await listener.aclose()
+
+
 def test_request_that_is_refused_for_another_reason_names_no_field() -> None:
     """Guards against a fault of a connection that passes for one of the request."""
     request = make_request(b"GET", ADDRESS, b"/", [(b"x-a", b"1")], b"")
