Refuse a request with several Host headers

What callers saw: 503 after 8 attempts, where 400 says what is wrong. With two different hosts the last one chose the route.

Cause: nothing looked at it; RFC 9112, section 3.2, asks for 400.

--- a/tests/platform/test_odd_values.py
+++ b/tests/platform/test_odd_values.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import socket
 from collections.abc import Iterator
 from functools import partial
 from pathlib import Path
@@ -324,6 +325,29 @@
     assert [run.path for run in world.runs(request_id)].count(path) == 1
 
 
+# Each with the status that its request gets.
+ODD_HEADS: Final = {
+    "two hosts": (["Host: front.example", "Host: front.example"], 400),
+    "two different hosts": (["Host: other.example", "Host: front.example"], 400),
+    "no host": ([], 404),
+}
+
+
+@pytest.mark.parametrize("path", ["/shop/buy/", "/lm/chat/"])
+@pytest.mark.parametrize(("lines", "status"), ODD_HEADS.values(), ids=ODD_HEADS)
+def test_odd_head_of_a_caller_blames_no_server(
+    world: PlatformWorld, lines: list[str], status: int, path: str
+) -> None:
+    """Guards against a caller whose requests no server can be sent and all are suspected for."""
+    for instance in world.running.values():
+        host, _, port = instance.caller_address.rpartition(":")
+        head = [f"POST {path} HTTP/1.1", *lines, f"X-Key: {KEY}", "Content-Length: 0"]
+        head += [f"X-Attempt-Id: {world.new_id()}", "", ""]
+        with socket.create_connection((host, int(port)), timeout=20) as conn:
+            conn.sendall("\r\n".join(head).encode())
+            assert conn.recv(4_096).split()[1] == b"%d" % status
+
+
 # --- at random -------------------------------------------------------------------------------
 
 
