--- a/tests/platform/test_odd_values.py
+++ b/tests/platform/test_odd_values.py
@@ -330,6 +330,9 @@
     "two hosts": (["Host: front.example", "Host: front.example"], 400),
     "two different hosts": (["Host: other.example", "Host: front.example"], 400),
     "no host": ([], 404),
+    "host for one connection": (["Host: front.example", "Connection: host"], 200),
+    "id for one connection": (["Host: front.example", "Connection: x-attempt-id"], 200),
+    "length for one connection": (["Host: front.example", "Connection: content-length"], 200),
 }
 
 
