--- a/tests/platform/odd_values.py
+++ b/tests/platform/odd_values.py
@@ -20,7 +20,7 @@
 from tests.platform.standin_answers import AnswerForm, Break
 from tests.platform.standin_store import SERVERS
 
-# Each stands for the process that it would blame.
+# Parts of log lines that blame a server, or this process.
 BLAMES: Final = (
     *("path_lost", "paths_suspected", "server_ejected", "server_dead", "quarantined", "fault"),
     "LocalProtocolError",
@@ -31,7 +31,16 @@
 _PIECES: Final = (
     *" \t\r\n\0\v\f\x1b\x7f\x85\xa0:;,=&+#%?/\\\"'<>",
     *"aZ09äß\u0131\u202e\u2028\ufeff\ufffd\uff10\U0001f600",
-    *("\r\nX-Key: 1", "\r\n\r\nGET / HTTP/1.1\r\n", "%0d%0a", "127.0.0.1:80", "1e999", "nan"),
+    *(
+        "host",
+        "x-attempt-id",
+        "\r\nX-Key: 1",
+        "\r\n\r\nGET / HTTP/1.1\r\n",
+        "%0d%0a",
+        "127.0.0.1:80",
+        "1e999",
+        "nan",
+    ),
 )
 _LENGTHS: Final = (1, 1, 2, 3, 5, 8, 300, 5_000)
 _READ_TIMEOUT_S: Final = 5.0
@@ -60,8 +69,8 @@
     def draw_text(self) -> str:
         """Return a text of odd pieces."""
         length = self.rng.choice(_LENGTHS)
-        pieces = [self.rng.choice(_PIECES) for _ in range(min(length, 8))]
-        return ("".join(pieces) * length)[:length] if length > len(pieces) else "".join(pieces)
+        text = "".join(self.rng.choices(_PIECES, k=min(length, 8)))
+        return text if length <= 8 else (text * length)[:length]
 
     # --- settings --------------------------------------------------------------------------------
 
@@ -167,7 +176,16 @@
     def send_headers(self, text: str) -> None:
         """Send requests with odd values in headers."""
         names = ["Resumes", "Last-Event-Id", "X-Model", "X-Prefix-Hash", "X-Token-Count"]
-        names += ["X-Length-Hint", "X-Deadline-Ms", "X-Key", "X-Tenant", "Kv-Fetch", "X-Novel"]
+        names += [
+            "Host",
+            "Connection",
+            "X-Length-Hint",
+            "X-Deadline-Ms",
+            "X-Key",
+            "X-Tenant",
+            "Kv-Fetch",
+            "X-Novel",
+        ]
         value = text.encode()
         for name in self.rng.sample(names, 4):
             for path in ("/lm/chat/", "/shop/look/"):
